--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each against a baseline in the same run."""
--- /dev/null
+++ b/boragedeck/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/boragedeck/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one connection."""
--- /dev/null
+++ b/boragedeck/connection/platform.py
@@ -0,0 +1,163 @@
+"""Adapter for the platform: its tables, objects and list of VMs over HTTP."""
+
+from collections.abc import Sequence
+from typing import Any, Protocol, TypeVar
+
+import msgspec
+import urllib3
+from result import Err, Ok, Result
+
+from boragedeck.connection.store import Row, Table, Vm, Write
+from boragedeck.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+
+__all__ = ["Commit", "Get", "HttpPlatform", "Platform", "Scan"]
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 8
+
+T = TypeVar("T")
+
+
+class Get(msgspec.Struct, frozen=True):
+    """Body of ``POST /tables/get``; the response is a `Row` or null."""
+
+    table: Table
+    key: str
+
+
+class Scan(msgspec.Struct, frozen=True):
+    """Body of ``POST /tables/scan``; the response is a list of `Row`."""
+
+    table: Table
+    prefix: str = ""
+    after: str = ""
+    limit: int = 1000
+
+
+class Commit(msgspec.Struct, frozen=True):
+    """Body of ``POST /tables/commit``; the response is a list of versions.
+
+    A condition that does not hold is answered with status 409 and, as text, the
+    table and key whose condition failed.
+    """
+
+    writes: tuple[Write, ...]
+
+
+class Platform(Protocol):
+    """All that the system uses of the platform: `TableStore` and the others."""
+
+    def get(self, table: Table, key: str) -> Result[Row | None, StoreError]:
+        """See `TableStore.get`."""
+
+    def scan(
+        self, table: Table, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> Result[list[Row], StoreError]:
+        """See `TableStore.scan`."""
+
+    def commit(self, writes: Sequence[Write]) -> Result[list[int], StoreError]:
+        """See `TableStore.commit`."""
+
+    def get_object(self, key: str) -> Result[bytes | None, StoreError]:
+        """See `ObjectStore.get_object`."""
+
+    def put_object(self, key: str, body: bytes) -> Result[None, StoreError]:
+        """See `ObjectStore.put_object`."""
+
+    def vms(self) -> Result[list[Vm], StoreError]:
+        """See `VmList.vms`."""
+
+
+class HttpPlatform:
+    """The platform over HTTP, with bodies in JSON.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the platform.
+    timeout_s : float
+        How long a call may take, in seconds.
+
+    Notes
+    -----
+    A call is never repeated here. Whoever calls settles an unknown outcome by
+    reading back.
+    """
+
+    def __init__(self, url: str, *, timeout_s: float = 5.0):
+        self._url = url.rstrip("/")
+        self._timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
+        self._pool = urllib3.PoolManager(
+            maxsize=MAX_CONNECTIONS, block=False, retries=False
+        )
+
+    def get(self, table: Table, key: str) -> Result[Row | None, StoreError]:
+        """See `TableStore.get`."""
+        return self._post("/tables/get", Get(table, key), Row | None)
+
+    def scan(
+        self, table: Table, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> Result[list[Row], StoreError]:
+        """See `TableStore.scan`."""
+        return self._post("/tables/scan", Scan(table, prefix, after, limit), list[Row])
+
+    def commit(self, writes: Sequence[Write]) -> Result[list[int], StoreError]:
+        """See `TableStore.commit`."""
+        return self._post("/tables/commit", Commit(tuple(writes)), list[int])
+
+    def get_object(self, key: str) -> Result[bytes | None, StoreError]:
+        """See `ObjectStore.get_object`."""
+        result = self._request("GET", f"/objects/{key}", None)
+        return result.map(lambda body: body or None)
+
+    def put_object(self, key: str, body: bytes) -> Result[None, StoreError]:
+        """See `ObjectStore.put_object`."""
+        return self._request("PUT", f"/objects/{key}", body).map(lambda _: None)
+
+    def vms(self) -> Result[list[Vm], StoreError]:
+        """See `VmList.vms`."""
+        return self._decode(self._request("GET", "/vms", None), list[Vm], "/vms")
+
+    def _post(self, path: str, body: msgspec.Struct, answer_type: Any) -> Result:
+        result = self._request("POST", path, msgspec.json.encode(body))
+        return self._decode(result, answer_type, path)
+
+    def _decode(self, result: Result, answer_type: Any, path: str) -> Result:
+        if result.is_err():
+            return result
+        try:
+            return Ok(msgspec.json.decode(result.ok(), type=answer_type))
+        except msgspec.MsgspecError as exc:
+            return Err(StoreUnknownError(str(exc), step=path, peer=self._url))
+
+    def _request(
+        self, method: str, path: str, body: bytes | None
+    ) -> Result[bytes, StoreError]:
+        where = {"step": path, "peer": self._url}
+        try:
+            response = self._pool.request(
+                method, self._url + path, body=body, timeout=self._timeout
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as exc:
+            return Err(StoreUnavailableError(str(exc), **where))
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return Err(StoreUnknownError(str(exc), **where))
+        match response.status:
+            case 200:
+                return Ok(response.data)
+            case 404 if method == "GET":
+                return Ok(b"")
+            case 409:
+                return Err(StoreConflictError(response.data.decode(), **where))
+            case 503:
+                return Err(StoreUnavailableError(response.data.decode(), **where))
+        text = f"status {response.status}: {response.data[:200]!r}"
+        return Err(StoreUnknownError(text, **where))
--- /dev/null
+++ b/boragedeck/connection/store.py
@@ -0,0 +1,154 @@
+"""Interface of the platform's table service and object store."""
+
+import enum
+from collections.abc import Sequence
+from typing import Protocol
+
+import msgspec
+from result import Result
+
+from boragedeck.exceptions import StoreError
+
+__all__ = [
+    "ABSENT",
+    "Delete",
+    "ObjectStore",
+    "Put",
+    "Row",
+    "Table",
+    "TableStore",
+    "Vm",
+    "VmList",
+    "Write",
+]
+
+ABSENT = 0
+"""The version of a row that does not exist."""
+
+
+class Table(enum.Enum):
+    """The tables that the system keeps in the platform's table service."""
+
+    CONFIG = "config"
+    HISTORY = "history"
+    INTENTS = "intents"
+    LEASES = "leases"
+    MEMBERS = "members"
+    ROLLOUTS = "rollouts"
+
+
+class Row(msgspec.Struct, frozen=True):
+    """A row as it was read.
+
+    Parameters
+    ----------
+    key : str
+        The row's key within its table.
+    value : bytes
+        The row's content.
+    version : int
+        Counts the row's writes; at least 1.
+    """
+
+    key: str
+    value: bytes
+    version: int
+
+
+class Put(msgspec.Struct, frozen=True, tag="put"):
+    """Writes a row.
+
+    Parameters
+    ----------
+    table : Table
+        The table to write to.
+    key : str
+        The row's key.
+    value : bytes
+        The row's new content.
+    expect : int or None
+        The version that the row must have: `ABSENT` for a row that must not
+        exist, None for any.
+    """
+
+    table: Table
+    key: str
+    value: bytes
+    expect: int | None = None
+
+
+class Delete(msgspec.Struct, frozen=True, tag="delete"):
+    """Deletes a row, on the same condition as `Put`."""
+
+    table: Table
+    key: str
+    expect: int | None = None
+
+
+Write = Put | Delete
+
+
+class TableStore(Protocol):
+    """Transactional tables.
+
+    Notes
+    -----
+    Every call returns ``Err(StoreUnavailableError)`` where it certainly had no
+    effect, and ``Err(StoreUnknownError)`` where it may have had one.
+    """
+
+    def get(self, table: Table, key: str) -> Result[Row | None, StoreError]:
+        """Read one row; None where it does not exist."""
+
+    def scan(
+        self, table: Table, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> Result[list[Row], StoreError]:
+        """Read rows in the order of their keys, those behind `after` only."""
+
+    def commit(self, writes: Sequence[Write]) -> Result[list[int], StoreError]:
+        """Write all rows or none.
+
+        Returns
+        -------
+        Result
+            The rows' new versions, or ``Err(StoreConflictError)`` where a
+            condition did not hold.
+        """
+
+
+class ObjectStore(Protocol):
+    """Objects by key."""
+
+    def get_object(self, key: str) -> Result[bytes | None, StoreError]:
+        """Read an object; None where it does not exist."""
+
+    def put_object(self, key: str, body: bytes) -> Result[None, StoreError]:
+        """Write an object whole."""
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """A VM in the platform's list, which lags behind reality.
+
+    Parameters
+    ----------
+    name : str
+        The VM's name.
+    address : str
+        Its IP address.
+    failure_domain : str
+        Its failure domain.
+    leaving : bool
+        Whether the platform has announced that the VM will stop.
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    leaving: bool = False
+
+
+class VmList(Protocol):
+    """The platform's list of live and leaving VMs."""
+
+    def vms(self) -> Result[list[Vm], StoreError]:
+        """Read the list."""
--- /dev/null
+++ b/boragedeck/patching.py
@@ -0,0 +1,20 @@
+"""Preparation of eventlet, before any other module is imported."""
+
+import os
+import warnings
+
+__all__ = ["patch_all"]
+
+
+def patch_all() -> None:
+    """Make the standard library cooperate with eventlet's green threads.
+
+    Notes
+    -----
+    Addresses are IP numbers, so eventlet's own resolver is left out.
+    """
+    os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
+    warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+    import eventlet
+
+    eventlet.monkey_patch()
--- /dev/null
+++ b/boragedeck/process/timers.py
@@ -0,0 +1,210 @@
+"""Timer service: the one source of time, to which the parts subscribe."""
+
+import heapq
+import itertools
+import random
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import eventlet
+from eventlet.event import Event
+
+__all__ = ["ManualTimers", "RealTimers", "Subscription", "TimerService"]
+
+
+class Subscription:
+    """A call that the timer service makes once or again and again.
+
+    Parameters
+    ----------
+    callback : callable
+        Called without arguments in a green thread of its own.
+    """
+
+    def __init__(self, callback: Callable[[], None]):
+        self.callback = callback
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Make no further calls."""
+        self.cancelled = True
+
+
+class TimerService(Protocol):
+    """What every part may ask of time."""
+
+    def now(self) -> float:
+        """Return monotonic seconds, for intervals within this process."""
+
+    def wall(self) -> float:
+        """Return seconds since the Unix epoch, for deadlines in tables."""
+
+    def sleep(self, seconds: float) -> None:
+        """Suspend the calling green thread."""
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Subscription:
+        """Call once after a delay."""
+
+    def subscribe(
+        self, interval_s: float, callback: Callable[[], None], *, jitter: float = 0.1
+    ) -> Subscription:
+        """Call at an interval; a call starts when the one before has ended.
+
+        Parameters
+        ----------
+        interval_s : float
+            Seconds between the end of one call and the start of the next.
+        callback : callable
+            Called without arguments.
+        jitter : float
+            The share of the interval by which each wait varies at random.
+        """
+
+    def wait(self, event: Event, timeout_s: float) -> bool:
+        """Wait for an event; return False where the time ran out first."""
+
+
+class RealTimers:
+    """Timer service on the machine's clocks.
+
+    Parameters
+    ----------
+    rng : random.Random, optional
+        The source of jitter.
+    """
+
+    def __init__(self, rng: random.Random | None = None):
+        self._rng = rng or random.Random()
+
+    now = staticmethod(time.monotonic)
+    wall = staticmethod(time.time)
+    sleep = staticmethod(eventlet.sleep)
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Subscription:
+        """Call once after a delay."""
+        sub = Subscription(callback)
+        eventlet.spawn_after(max(0.0, delay_s), _call_if_active, sub)
+        return sub
+
+    def subscribe(
+        self, interval_s: float, callback: Callable[[], None], *, jitter: float = 0.1
+    ) -> Subscription:
+        """Call at an interval; see `TimerService.subscribe`."""
+        sub = Subscription(callback)
+        eventlet.spawn_n(self._repeat, sub, interval_s, jitter)
+        return sub
+
+    def wait(self, event: Event, timeout_s: float) -> bool:
+        """Wait for an event; return False where the time ran out first."""
+        if event.ready():
+            return True
+        with eventlet.Timeout(max(0.0, timeout_s), False):
+            event.wait()
+            return True
+        return False
+
+    def _repeat(self, sub: Subscription, interval_s: float, jitter: float) -> None:
+        while True:
+            spread = self._rng.uniform(-jitter, jitter)
+            eventlet.sleep(interval_s * (1.0 + spread))
+            if sub.cancelled:
+                return
+            sub.callback()
+
+
+class ManualTimers:
+    """Timer service whose time moves only when a test advances it.
+
+    Parameters
+    ----------
+    start_s : float
+        The first value of both clocks, in seconds.
+    """
+
+    def __init__(self, start_s: float = 1_000_000.0):
+        self._now = start_s
+        self._order = itertools.count()
+        self._due: list[tuple[float, int, Subscription]] = []
+
+    def now(self) -> float:
+        """Return the manual time in seconds."""
+        return self._now
+
+    wall = now
+
+    def sleep(self, seconds: float) -> None:
+        """Suspend the calling green thread until the time has been advanced."""
+        event = Event()
+        self.call_later(seconds, event.send)
+        event.wait()
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Subscription:
+        """Call once when the time has been advanced by the delay."""
+        sub = Subscription(callback)
+        self._push(delay_s, sub)
+        return sub
+
+    def subscribe(
+        self, interval_s: float, callback: Callable[[], None], *, jitter: float = 0.1
+    ) -> Subscription:
+        """Call at an interval without jitter."""
+        sub = Subscription(callback)
+
+        def call() -> None:
+            callback()
+            if not sub.cancelled:
+                self._push(interval_s, repeat)
+
+        repeat = Subscription(lambda: None if sub.cancelled else call())
+        self._push(interval_s, repeat)
+        return sub
+
+    def wait(self, event: Event, timeout_s: float) -> bool:
+        """Wait for an event until the time has been advanced by the timeout."""
+        if event.ready():
+            return True
+        done = Event()
+
+        def finish(value: bool) -> None:
+            if not done.ready():
+                done.send(value)
+
+        waiter = eventlet.spawn(lambda: (event.wait(), finish(True)))
+        self.call_later(timeout_s, lambda: finish(False))
+        try:
+            return done.wait()
+        finally:
+            waiter.kill()
+
+    def advance(self, seconds: float) -> None:
+        """Move the time on, making each call that falls due, in order.
+
+        Parameters
+        ----------
+        seconds : float
+            How far to move.
+        """
+        end = self._now + seconds
+        _settle()
+        while self._due and self._due[0][0] <= end:
+            due, _, sub = heapq.heappop(self._due)
+            self._now = max(self._now, due)
+            eventlet.spawn_n(_call_if_active, sub)
+            _settle()
+        self._now = end
+        _settle()
+
+    def _push(self, delay_s: float, sub: Subscription) -> None:
+        due = self._now + max(0.0, delay_s)
+        heapq.heappush(self._due, (due, next(self._order), sub))
+
+
+def _call_if_active(sub: Subscription) -> None:
+    if not sub.cancelled:
+        sub.callback()
+
+
+def _settle(rounds: int = 20) -> None:
+    for _ in range(rounds):
+        eventlet.sleep(0)
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Development scripts, which may start processes."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and demonstrations."""
--- /dev/null
+++ b/tests/connection/test_peer.py
@@ -0,0 +1,57 @@
+import unittest
+
+import eventlet
+
+from boragedeck.connection.messages import Accepted, Message, Ping, Refused
+from boragedeck.connection.peer import Address, PeerLink, PeerServer
+from boragedeck.exceptions import PeerRefusedError, PeerUnreachableError
+from boragedeck.process.timers import RealTimers
+
+
+class Echo(Message, frozen=True):
+    text: str
+
+
+class Never(Message, frozen=True):
+    pass
+
+
+class PeerLinkTest(unittest.TestCase):
+    def setUp(self):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.server = PeerServer(listener)
+        self.server.register(Echo, lambda message: message)
+        self.server.register(Never, lambda message: eventlet.sleep(3600))
+        eventlet.spawn_n(self.server.serve)
+        self.addCleanup(self.server.close)
+        address = Address("127.0.0.1", listener.getsockname()[1])
+        self.link = PeerLink(address, RealTimers())
+        self.addCleanup(self.link.close)
+
+    def test_answers_are_paired_with_their_calls(self):
+        pool = eventlet.GreenPool()
+        texts = [str(i) for i in range(50)]
+        answers = pool.imap(
+            lambda text: self.link.call(Echo(text), Echo, timeout_s=5).ok().text, texts
+        )
+        self.assertEqual(list(answers), texts)
+
+    def test_unknown_message_is_refused(self):
+        class Other(Message, frozen=True):
+            pass
+
+        result = self.link.call(Other(), Accepted, timeout_s=5)
+        self.assertIsInstance(result.err(), PeerRefusedError)
+
+    def test_silent_peer_is_unreachable_and_link_goes_on(self):
+        result = self.link.call(Never(), Accepted, timeout_s=0.01)
+        self.assertIsInstance(result.err(), PeerUnreachableError)
+        self.assertEqual(result.err().step, "Never")
+        self.assertTrue(self.link.call(Ping(), Accepted, timeout_s=5).is_ok())
+
+    def test_broken_connection_fails_calls_and_is_opened_again(self):
+        waiting = eventlet.spawn(self.link.call, Never(), Refused, timeout_s=60)
+        self.assertTrue(self.link.call(Ping(), Accepted, timeout_s=5).is_ok())
+        self.link.close()
+        self.assertIsInstance(waiting.wait().err(), PeerUnreachableError)
+        self.assertTrue(self.link.call(Ping(), Accepted, timeout_s=5).is_ok())
