--- a/boragedeck/interfaces.py
+++ b/boragedeck/interfaces.py
@@ -71,7 +71,7 @@
 
 
 class Membership(Protocol):
-    """This router's own view of the routers."""
+    """The view that one router has of the others."""
 
     own: Member
 
