Choose upstreams by expected wait, cache and doubt

Routers read the same report, up to 1.5 s old, so that each of them fills the room that it shows. The estimate corrects the report by own sends and completions later than it was measured and by what peers say they have in flight; each router takes only its part of the room that a report shows. Requests wait in a queue in the router: resumes, calls, interactive and batch lanes, fair among organisations, with a typed refusal once the wait would outlast the queue's limit.

--- /dev/null
+++ b/benchmarks/choice.py
@@ -0,0 +1,107 @@
+"""Compare ways of choosing an upstream on the same recorded loads.
+
+Random choice, the least reported load, packing onto engines of medium use, and
+`PoolChooser`, each with nine routers that read the same reports, 0.5 s late and once
+a second, with all engines well and with one at a third of its speed.
+"""
+
+import msgspec
+
+from benchmarks.fleet import Fleet, FleetSpec, Record, summarise
+from benchmarks.model import Arrival, EngineSpec, Load, record_load
+
+SECONDS = 90.0
+SEED = 7
+BACKLOG = 1500
+LOADS = {"low": 0.3, "normal": 0.7, "over": 1.2}
+HIGH_USE = 0.6
+
+
+def choose_random(fleet: Fleet, record: Record, router: int) -> int:
+    """Return any engine."""
+    return fleet.rng.randrange(len(fleet.engines))
+
+
+def choose_least_reported(fleet: Fleet, record: Record, router: int) -> int:
+    """Return the engine whose last report was lowest."""
+    lowest = min(report.total for report in fleet.reports)
+    best = [i for i, report in enumerate(fleet.reports) if report.total == lowest]
+    return fleet.rng.choice(best)
+
+
+def choose_packed(fleet: Fleet, record: Record, router: int) -> int:
+    """Return an engine as the paper's packing does.
+
+    The fullest of medium use first, then an idle one at random, then the least used
+    of high use.
+    """
+    use = [
+        report.total / engine.spec.batch
+        for report, engine in zip(fleet.reports, fleet.engines, strict=True)
+    ]
+    medium = [i for i, share in enumerate(use) if 0.0 < share < HIGH_USE]
+    if medium:
+        return max(medium, key=lambda i: use[i])
+    idle = [i for i, share in enumerate(use) if share == 0.0]
+    if idle:
+        return fleet.rng.choice(idle)
+    return min(range(len(use)), key=lambda i: use[i])
+
+
+POLICIES = {
+    "random": choose_random,
+    "least reported": choose_least_reported,
+    "packing": choose_packed,
+    "ours": None,
+}
+
+
+def full_rate(seed: int = SEED) -> float:
+    """Return the requests a second that a standing backlog drains at."""
+    load = record_load(Load(rate=1000.0, seconds=BACKLOG / 1000.0), seed)
+    spec = FleetSpec()
+    counts = [0] * len(spec.engines)
+
+    def choose_in_turn(fleet: Fleet, record: Record, router: int) -> int:
+        index = counts.index(min(counts))
+        counts[index] += 1
+        return index
+
+    fleet = Fleet(spec, choose_in_turn)
+    records = fleet.run([_at_start(each) for each in load], drain_s=600.0)
+    ends = sorted(record.done_at for record in records)
+    # The tail, where batches run empty, says nothing of full load.
+    middle = ends[: int(0.8 * len(ends))]
+    return len(middle) / middle[-1]
+
+
+def _at_start(arrival: Arrival) -> Arrival:
+    return msgspec.structs.replace(arrival, at=0.0)
+
+
+def idle_share(fleet: Fleet) -> float:
+    """Return the share of engine time without a request, which could be freed."""
+    samples = [load == 0 for loads in fleet.loads for load in loads]
+    return sum(samples) / max(1, len(samples))
+
+
+def main() -> None:
+    """Print a line for each load, fleet and way of choosing."""
+    rate = full_rate()
+    print(f"full load {rate:.1f} requests/s on 12 engines")
+    slow = (EngineSpec(slowness=3.0),) + (EngineSpec(),) * 11
+    for name, share in LOADS.items():
+        load = record_load(Load(rate=share * rate, seconds=SECONDS), SEED)
+        for engines, label in ((FleetSpec().engines, "well"), (slow, "one slow")):
+            for policy, choose in POLICIES.items():
+                fleet = Fleet(FleetSpec(engines=engines), choose)
+                fleet.run(load)
+                print(
+                    f"{name:6} {label:8} {policy:14} {summarise(fleet)}"
+                    f"  idle {idle_share(fleet):4.0%}",
+                    flush=True,
+                )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,350 @@
+"""Simulated fleet: recorded requests, several routers and a way to place runs."""
+
+import math
+import random
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import msgspec
+
+from benchmarks.model import Arrival, Engine, EngineSpec, Run
+from benchmarks.simulation import (
+    FixedConfig,
+    SimulatedBoards,
+    SimulatedTimers,
+    percentile,
+)
+from boragedeck.ids import FailureDomain, OrganisationName, PoolName, UpstreamName
+from boragedeck.interfaces import Outcome, Wanted
+from boragedeck.process.chooser import PoolChooser
+from boragedeck.process.load_gossip import LoadGossip
+from boragedeck.version.tables import Config, Pool, Route, RouteLimits, Upstream
+
+__all__ = ["Fleet", "FleetSpec", "Record", "Summary", "summarise"]
+
+POOL = PoolName("models")
+REPORT_INTERVAL_S = 1.0
+REPORT_LAG_S = 0.5
+
+
+class FleetSpec(msgspec.Struct, frozen=True):
+    """What a simulated fleet consists of.
+
+    Parameters
+    ----------
+    routers : int
+        Routers, which get requests at random.
+    engines : tuple of EngineSpec
+        The engines.
+    failure_domains : int
+        Over which routers and engines are spread in turn.
+    queue_s : float
+        How long a request may wait.
+    seed : int
+        Seed of all random choices.
+    """
+
+    routers: int = 9
+    engines: tuple[EngineSpec, ...] = (EngineSpec(),) * 12
+    failure_domains: int = 3
+    queue_s: float = 10.0
+    seed: int = 1
+
+
+class Record:
+    """What became of one request.
+
+    Parameters
+    ----------
+    arrival : Arrival
+        The request.
+    """
+
+    def __init__(self, arrival: Arrival):
+        self.arrival = arrival
+        self.first_token_at = math.inf
+        self.done_at = math.inf
+        self.cached_tokens = 0
+        self.delivered = 0
+        self.extra_tokens = 0
+        self.is_refused = False
+        self.retry_after_s: float | None = None
+        self.lost_at: float | None = None
+        self.resume_s: list[float] = []
+        self.attempts = 0
+        self.excluded: set[UpstreamName] = set()
+
+    @property
+    def first_token_s(self) -> float:
+        """Time to the first token in seconds."""
+        return self.first_token_at - self.arrival.at
+
+
+class Place(Protocol):
+    """What a way of placing gives back: an engine and notes on the run."""
+
+    index: int
+
+    def first_token(self) -> None:
+        """See `boragedeck.interfaces.Slot.first_token`."""
+
+    def tokens(self, count: int) -> None:
+        """See `boragedeck.interfaces.Slot.tokens`."""
+
+    def finish(self, outcome: Outcome) -> None:
+        """See `boragedeck.interfaces.Slot.finish`."""
+
+
+class PlainPlace:
+    """A place that nobody learns from."""
+
+    def __init__(self, index: int):
+        self.index = index
+
+    def first_token(self) -> None:
+        """Do nothing."""
+
+    def tokens(self, count: int) -> None:
+        """Do nothing."""
+
+    def finish(self, outcome: Outcome) -> None:
+        """Do nothing."""
+
+
+class _ChosenPlace:
+    def __init__(self, index: int, slot):
+        self.index = index
+        self._slot = slot
+        self.first_token = slot.first_token
+        self.tokens = slot.tokens
+        self.finish = slot.finish
+
+
+class Fleet:
+    """Routers and engines under a recorded load.
+
+    Parameters
+    ----------
+    spec : FleetSpec
+        What the fleet consists of.
+    plain : callable, optional
+        Takes the fleet, the request's record and the router's number, and returns
+        the number of an engine; None for `PoolChooser`.
+    resumes : bool
+        Whether a lost run goes on from its prefix, or starts again.
+    """
+
+    def __init__(
+        self,
+        spec: FleetSpec,
+        plain: Callable[["Fleet", Record, int], int] | None = None,
+        *,
+        resumes: bool = True,
+    ):
+        self.spec = spec
+        self.timers = SimulatedTimers()
+        self.rng = random.Random(spec.seed)
+        self.engines = [Engine(self.timers, each) for each in spec.engines]
+        self.reports = [engine.report() for engine in self.engines]
+        self.records: list[Record] = []
+        self.loads: list[list[int]] = []
+        self._plain = plain
+        self._resumes = resumes
+        self.pool = Pool(POOL, upstreams=tuple(map(self._upstream, self._indices())))
+        limits = RouteLimits(queue_s=spec.queue_s)
+        self.route = Route("chat", POOL, limits=limits)
+        self.choosers = [] if plain else self._make_choosers()
+        self.timers.subscribe(REPORT_INTERVAL_S, self._report)
+
+    def run(self, arrivals: Sequence[Arrival], drain_s: float = 60.0) -> list[Record]:
+        """Play a load to its end and return what became of each request."""
+        for arrival in arrivals:
+            self.timers.call_later(
+                arrival.at - self.timers.now(), lambda each=arrival: self._begin(each)
+            )
+        self.timers.run(arrivals[-1].at + drain_s)
+        return self.records
+
+    def domain_engines(self, domain: int) -> list[Engine]:
+        """Return the engines of one failure domain."""
+        return self.engines[domain :: self.spec.failure_domains]
+
+    def _indices(self) -> range:
+        return range(len(self.engines))
+
+    def _domain(self, index: int) -> FailureDomain:
+        return FailureDomain(f"domain-{index % self.spec.failure_domains}")
+
+    def _upstream(self, index: int) -> Upstream:
+        name = UpstreamName(f"engine-{index}")
+        return Upstream(name, f"http://127.0.0.1:{index + 1}", self._domain(index))
+
+    def _make_choosers(self) -> list[PoolChooser]:
+        cfg_source = FixedConfig(Config(routes=(self.route,), pools=(self.pool,)))
+        boards = SimulatedBoards(self.timers)
+        choosers = []
+        for index in range(self.spec.routers):
+            board = boards.board(f"router-{index}")
+            rng = random.Random(self.spec.seed * 1000 + index)
+            chooser = PoolChooser(
+                self.timers, cfg_source, board, self._domain(index), rng
+            )
+            LoadGossip(self.timers, board, chooser.registry)
+            choosers.append(chooser)
+        return choosers
+
+    def _report(self) -> None:
+        measured_at = self.timers.now()
+        reports = [engine.report() for engine in self.engines]
+        self.loads.append([report.total for report in reports])
+        self.timers.call_later(
+            REPORT_LAG_S, lambda: self._deliver(reports, measured_at)
+        )
+
+    def _deliver(self, reports, measured_at: float) -> None:
+        self.reports = reports
+        for chooser in self.choosers:
+            states = chooser.registry.pool(POOL)
+            for state, engine, report in zip(
+                states, self.engines, reports, strict=True
+            ):
+                if engine.is_up:
+                    now = self.timers.now()
+                    state.add_report(report, measured_at, now, self.rng.random())
+
+    def _begin(self, arrival: Arrival) -> None:
+        record = Record(arrival)
+        self.records.append(record)
+        self._place(record, self.rng.randrange(self.spec.routers))
+
+    def _place(self, record: Record, router: int) -> None:
+        record.attempts += 1
+        if self._plain is not None:
+            place = PlainPlace(self._plain(self, record, router))
+            self._run(record, router, place)
+            return
+        wanted = self._wanted(record)
+        names = {each.name: index for index, each in enumerate(self.pool.upstreams)}
+
+        def placed(result) -> None:
+            if result.is_err():
+                record.is_refused = True
+                record.retry_after_s = result.err().retry_after_s
+                return
+            slot = result.ok()
+            self._run(record, router, _ChosenPlace(names[slot.upstream.name], slot))
+
+        self.choosers[router].submit(wanted, placed)
+
+    def _wanted(self, record: Record) -> Wanted:
+        arrival = record.arrival
+        return Wanted(
+            route=self.route,
+            pool=self.pool,
+            organisation=OrganisationName(arrival.organisation),
+            version=None,
+            prompt_tokens=arrival.prompt_tokens + record.delivered,
+            prefix_hash=arrival.prefix,
+            fingerprint=f"{arrival.at}",
+            excluded=frozenset(record.excluded),
+            is_resume=record.delivered > 0,
+            deadline=arrival.at + self.route.limits.deadline_s,
+        )
+
+    def _run(self, record: Record, router: int, place: Place) -> None:
+        arrival = record.arrival
+        kept = record.delivered if self._resumes else 0
+        skipped = record.delivered - kept
+        seen = 0
+
+        def on_tokens(count: int) -> None:
+            nonlocal seen
+            if seen == 0:
+                place.first_token()
+                record.cached_tokens += run.cached_tokens
+                record.extra_tokens += kept - min(kept, run.cached_tokens)
+            else:
+                place.tokens(count)
+            seen += count
+            if seen <= skipped:
+                record.extra_tokens += count
+                return
+            self._deliver_token(record, count)
+
+        def on_end(outcome: Outcome) -> None:
+            place.finish(outcome)
+            if outcome is Outcome.COMPLETED:
+                record.done_at = self.timers.now()
+                return
+            record.excluded.add(self.pool.upstreams[place.index].name)
+            if record.lost_at is None and record.delivered:
+                record.lost_at = self.timers.now()
+            self._place(record, router)
+
+        run = Run(
+            arrival.prefix,
+            arrival.prefix_tokens,
+            arrival.prompt_tokens + kept,
+            arrival.output_tokens - kept,
+            on_tokens,
+            on_end,
+        )
+        self.engines[place.index].start(run)
+
+    def _deliver_token(self, record: Record, count: int) -> None:
+        now = self.timers.now()
+        if record.delivered == 0:
+            record.first_token_at = now
+        if record.lost_at is not None:
+            record.resume_s.append(now - record.lost_at)
+            record.lost_at = None
+        record.delivered += count
+
+
+class Summary(msgspec.Struct, frozen=True):
+    """Figures of one run.
+
+    Parameters
+    ----------
+    p50_s, p95_s, p99_s : float
+        Time to the first token in seconds; a request without one counts as
+        infinitely long.
+    cached : float
+        Share of prompt tokens found in a cache.
+    imbalance : float
+        Mean over time of the most loaded engine's load over the mean load.
+    done : float
+        Share of requests completed.
+    """
+
+    p50_s: float
+    p95_s: float
+    p99_s: float
+    cached: float
+    imbalance: float
+    done: float
+
+    def __str__(self) -> str:
+        return (
+            f"first token p50 {self.p50_s:6.3f} p95 {self.p95_s:6.3f} "
+            f"p99 {self.p99_s:6.3f} s  cached {self.cached:4.0%}  "
+            f"imbalance {self.imbalance:4.2f}  done {self.done:4.0%}"
+        )
+
+
+def summarise(fleet: Fleet) -> Summary:
+    """Return a run's figures; refused requests don't count among the times."""
+    taken = [record for record in fleet.records if not record.is_refused]
+    times = [record.first_token_s for record in taken]
+    prompts = sum(record.arrival.prompt_tokens for record in taken)
+    cached = sum(record.cached_tokens for record in taken)
+    ratios = [max(each) * len(each) / sum(each) for each in fleet.loads if sum(each)]
+    done = sum(record.done_at < math.inf for record in fleet.records)
+    return Summary(
+        percentile(times, 0.50),
+        percentile(times, 0.95),
+        percentile(times, 0.99),
+        cached / max(1, prompts),
+        sum(ratios) / max(1, len(ratios)),
+        done / max(1, len(fleet.records)),
+    )
--- /dev/null
+++ b/boragedeck/process/cache_hints.py
@@ -0,0 +1,67 @@
+"""Hints on which upstreams hold a prompt prefix in their cache."""
+
+from collections import OrderedDict
+
+import msgspec
+
+from boragedeck.process.upstreams import UpstreamKey
+
+__all__ = ["CacheHints"]
+
+MAX_HINTS = 20_000
+HINT_TTL_S = 180.0
+TRUST = 0.8
+
+
+class _HintKey(msgspec.Struct, frozen=True):
+    prefix_hash: int
+    upstream: UpstreamKey
+
+
+class _Hint(msgspec.Struct, frozen=True):
+    at: float
+    tokens: int
+
+
+class CacheHints:
+    """Which prefixes were lately prefilled where.
+
+    Notes
+    -----
+    A hint may be wrong in both ways: the block may have been evicted, and another
+    router may have prefilled it. It lowers a cost and decides nothing by itself.
+    State: at most `MAX_HINTS` hints, trusted less with age and not at all after
+    `HINT_TTL_S`.
+    """
+
+    def __init__(self):
+        self._hints: OrderedDict[_HintKey, _Hint] = OrderedDict()
+
+    def stored(
+        self, prefix_hash: int, upstream: UpstreamKey, tokens: int, now: float
+    ) -> None:
+        """Note that an upstream has prefilled a prompt with this prefix."""
+        key = _HintKey(prefix_hash, upstream)
+        self._hints[key] = _Hint(now, tokens)
+        self._hints.move_to_end(key)
+        if len(self._hints) > MAX_HINTS:
+            self._hints.popitem(last=False)
+
+    def removed(self, prefix_hash: int, upstream: UpstreamKey) -> None:
+        """Note that an upstream has evicted a prefix."""
+        self._hints.pop(_HintKey(prefix_hash, upstream), None)
+
+    def forget(self, upstream: UpstreamKey) -> None:
+        """Drop all hints on an upstream, which has started anew."""
+        for key in [key for key in self._hints if key.upstream == upstream]:
+            del self._hints[key]
+
+    def cached_tokens(
+        self, prefix_hash: int, upstream: UpstreamKey, tokens: int, now: float
+    ) -> float:
+        """Return how many of a prompt's tokens are expected in the cache."""
+        hint = self._hints.get(_HintKey(prefix_hash, upstream))
+        if hint is None:
+            return 0.0
+        trust = TRUST * (1.0 - (now - hint.at) / HINT_TTL_S)
+        return max(0.0, trust) * min(tokens, hint.tokens)
--- /dev/null
+++ b/boragedeck/process/fair_queue.py
@@ -0,0 +1,232 @@
+"""Queue of one pool: lanes by urgency, fair among organisations within a lane."""
+
+import enum
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from boragedeck.ids import OrganisationName
+from boragedeck.interfaces import Wanted
+from boragedeck.version.tables import Kind, Priority
+
+__all__ = ["FairQueue", "Lane", "Ticket"]
+
+MAX_QUEUED = 4096
+MAX_QUEUED_PER_ORGANISATION = 1024
+MAX_PASSED_OVER = 8
+TOKENS_PER_COST = 1000.0
+
+
+class Lane(enum.IntEnum):
+    """The order in which waiting requests are served."""
+
+    RESUME = 0
+    CALL = 1
+    INTERACTIVE = 2
+    BATCH = 3
+
+    @classmethod
+    def of(cls, wanted: Wanted) -> "Lane":
+        """Return the lane of a request."""
+        if wanted.is_resume:
+            return cls.RESUME
+        if wanted.route.kind is Kind.CALL:
+            return cls.CALL
+        if wanted.route.priority is Priority.INTERACTIVE:
+            return cls.INTERACTIVE
+        return cls.BATCH
+
+
+class Ticket:
+    """A request that waits for a place.
+
+    Parameters
+    ----------
+    wanted : Wanted
+        The request.
+    expires_at : float
+        When the wait must end, in monotonic seconds.
+    on_done : callable
+        Called once with the result.
+    """
+
+    def __init__(self, wanted: Wanted, expires_at: float, on_done: Callable):
+        self.wanted = wanted
+        self.expires_at = expires_at
+        self.lane = Lane.of(wanted)
+        self.is_done = False
+        self._on_done = on_done
+
+    def finish(self, result) -> None:
+        """Give the result; further calls have no effect."""
+        if not self.is_done:
+            self.is_done = True
+            self._on_done(result)
+
+
+class FairQueue:
+    """Requests of one pool that wait.
+
+    Parameters
+    ----------
+    weight : callable
+        Returns the present weight of an organisation.
+
+    Notes
+    -----
+    Lanes are served in order, but a lane that was passed over
+    `MAX_PASSED_OVER` times comes next, so that none starves. In the resume lane
+    interactive requests go first, then those nearest their deadline. The others
+    use start-time fair queueing: each request carries the virtual time at which
+    its organisation has used up its share. State: at most `MAX_QUEUED` requests,
+    and `MAX_QUEUED_PER_ORGANISATION` of one organisation, each until its
+    deadline.
+    """
+
+    def __init__(self, weight: Callable[[OrganisationName], float]):
+        self._resumes: list[tuple[bool, float, int, Ticket]] = []
+        self._lanes = {lane: _FairLane(weight) for lane in Lane if lane.value}
+        self._passed_over = dict.fromkeys(Lane, 0)
+        self._order = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._resumes) + sum(map(len, self._lanes.values()))
+
+    def is_full(self, organisation: OrganisationName) -> bool:
+        """Return whether no further new request of an organisation fits."""
+        own = sum(lane.count(organisation) for lane in self._lanes.values())
+        return len(self) >= MAX_QUEUED or own >= MAX_QUEUED_PER_ORGANISATION
+
+    def push(self, ticket: Ticket) -> None:
+        """Add a request."""
+        if ticket.lane is Lane.RESUME:
+            wanted = ticket.wanted
+            is_batch = wanted.route.priority is Priority.BATCH
+            item = (is_batch, wanted.deadline, next(self._order), ticket)
+            heapq.heappush(self._resumes, item)
+        else:
+            self._lanes[ticket.lane].push(ticket)
+
+    def ordered(self) -> Iterator[Ticket]:
+        """Yield the waiting requests in the order in which they are due."""
+        lanes = sorted(Lane, key=lambda lane: (not self._is_due(lane), lane))
+        for lane in lanes:
+            yield from self._ordered_lane(lane)
+
+    def remove(self, ticket: Ticket, *, is_served: bool) -> None:
+        """Take a request out.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request.
+        is_served : bool
+            Whether it has got a place, which counts against its organisation.
+        """
+        if ticket.lane is Lane.RESUME:
+            self._resumes = [item for item in self._resumes if item[3] is not ticket]
+            heapq.heapify(self._resumes)
+        else:
+            self._lanes[ticket.lane].remove(ticket, is_served=is_served)
+        if is_served:
+            self._count_served(ticket.lane)
+
+    def ahead_of(self, wanted: Wanted) -> float:
+        """Return how many requests would be served before a new one."""
+        lane = Lane.of(wanted)
+        if lane is Lane.RESUME:
+            return float(len(self._resumes))
+        ahead = float(len(self._resumes))
+        ahead += sum(len(self._lanes[other]) for other in self._lanes if other < lane)
+        return ahead + self._lanes[lane].ahead_of(wanted.organisation)
+
+    def expired(self, now: float) -> list[Ticket]:
+        """Return the requests whose deadline has passed."""
+        tickets = itertools.chain.from_iterable(map(self._ordered_lane, Lane))
+        return [ticket for ticket in tickets if ticket.expires_at <= now]
+
+    def _ordered_lane(self, lane: Lane) -> Iterator[Ticket]:
+        if lane is Lane.RESUME:
+            for item in sorted(self._resumes, key=lambda item: item[:3]):
+                yield item[3]
+        else:
+            yield from self._lanes[lane].ordered()
+
+    def _is_due(self, lane: Lane) -> bool:
+        return self._passed_over[lane] >= MAX_PASSED_OVER and self._size(lane) > 0
+
+    def _size(self, lane: Lane) -> int:
+        return len(self._resumes) if lane is Lane.RESUME else len(self._lanes[lane])
+
+    def _count_served(self, served: Lane) -> None:
+        self._passed_over[served] = 0
+        for lane in Lane:
+            if lane > served:
+                waits = self._size(lane) > 0
+                self._passed_over[lane] = self._passed_over[lane] + 1 if waits else 0
+
+
+class _Tagged(msgspec.Struct, frozen=True):
+    start: float
+    ticket: Ticket
+
+
+class _FairLane:
+    """Start-time fair queueing of organisations."""
+
+    def __init__(self, weight: Callable[[OrganisationName], float]):
+        self._weight = weight
+        self._queues: dict[OrganisationName, deque[_Tagged]] = {}
+        self._finish: dict[OrganisationName, float] = {}
+        self._virtual = 0.0
+
+    def __len__(self) -> int:
+        return sum(map(len, self._queues.values()))
+
+    def count(self, organisation: OrganisationName) -> int:
+        return len(self._queues.get(organisation, ()))
+
+    def push(self, ticket: Ticket) -> None:
+        organisation = ticket.wanted.organisation
+        start = max(self._virtual, self._finish.get(organisation, 0.0))
+        cost = 1.0 + ticket.wanted.prompt_tokens / TOKENS_PER_COST
+        weight = max(1e-6, self._weight(organisation))
+        self._finish[organisation] = start + cost / weight
+        self._queues.setdefault(organisation, deque()).append(_Tagged(start, ticket))
+
+    def ordered(self) -> Iterator[Ticket]:
+        merged = heapq.merge(*self._queues.values(), key=lambda tagged: tagged.start)
+        for tagged in merged:
+            yield tagged.ticket
+
+    def remove(self, ticket: Ticket, *, is_served: bool) -> None:
+        organisation = ticket.wanted.organisation
+        queue = self._queues[organisation]
+        tagged = next(item for item in queue if item.ticket is ticket)
+        queue.remove(tagged)
+        if is_served:
+            self._virtual = max(self._virtual, tagged.start)
+        if not queue:
+            del self._queues[organisation]
+            self._forget_past()
+
+    def ahead_of(self, organisation: OrganisationName) -> float:
+        own = self.count(organisation)
+        weight = max(1e-6, self._weight(organisation))
+        # While this organisation's requests are served, each other one gets its
+        # share, but no more than it has waiting.
+        others = (
+            min(len(queue), (own + 1) * self._weight(other) / weight)
+            for other, queue in self._queues.items()
+            if other != organisation
+        )
+        return own + sum(others)
+
+    def _forget_past(self) -> None:
+        for organisation in list(self._finish):
+            is_past = self._finish[organisation] <= self._virtual
+            if is_past and organisation not in self._queues:
+                del self._finish[organisation]
--- /dev/null
+++ b/boragedeck/process/load_gossip.py
@@ -0,0 +1,120 @@
+"""Spreads among routers what each has in flight at each upstream."""
+
+import msgspec
+
+from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.ids import PoolName, RouterId
+from boragedeck.interfaces import FactBoard
+from boragedeck.process.timers import TimerService
+from boragedeck.process.upstreams import UpstreamKey, UpstreamRegistry
+
+__all__ = ["InFlight", "InFlightReport", "LoadGossip"]
+
+FACT_KEY = "in_flight"
+MAX_REPORTED = 32
+MIN_INTERVAL_S = 0.5
+INTERVAL_PER_ROUTER_S = 0.05
+FACT_TTL_INTERVALS = 5.0
+
+
+class InFlight(msgspec.Struct, frozen=True, array_like=True):
+    """How many requests a router has at an upstream."""
+
+    upstream: UpstreamKey
+    count: int
+
+
+class InFlightReport(msgspec.Struct, frozen=True, array_like=True):
+    """What one router has in flight, at the upstreams where it has most."""
+
+    upstreams: tuple[InFlight, ...]
+
+
+class LoadGossip:
+    """States what this router has in flight, and reads the peers' word.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    board : FactBoard
+        Spreads the reports.
+    registry : UpstreamRegistry
+        What is known of the upstreams.
+
+    Notes
+    -----
+    The interval grows with the number of routers, so that what a router receives
+    a second stays the same. State: `MAX_REPORTED` counts for each router.
+    """
+
+    def __init__(
+        self, timers: TimerService, board: FactBoard, registry: UpstreamRegistry
+    ):
+        self._timers = timers
+        self._board = board
+        self._registry = registry
+        self._last: InFlightReport | None = None
+        self._refresh_again(self._interval_s(1))
+
+    def refresh(self) -> int:
+        """State the own report and read the others.
+
+        Returns
+        -------
+        int
+            The number of routers that have stated theirs.
+        """
+        facts = [
+            fact
+            for fact in self._board.facts(FactTopic.LOAD)
+            if fact.key == FACT_KEY and fact.origin != self._board.own
+        ]
+        self._publish(self._interval_s(len(facts) + 1))
+        self._read(facts)
+        return len(facts) + 1
+
+    def report(self) -> InFlightReport:
+        """Return what this router has in flight."""
+        busy = [state for state in self._registry.all() if state.load.own > 0]
+        busy.sort(key=lambda state: -state.load.own)
+        return InFlightReport(
+            tuple(InFlight(state.key, state.load.own) for state in busy[:MAX_REPORTED])
+        )
+
+    def _publish(self, interval_s: float) -> None:
+        report = self.report()
+        if report == self._last == InFlightReport(()):
+            return
+        self._last = report
+        body = msgspec.msgpack.encode(report)
+        ttl_s = FACT_TTL_INTERVALS * interval_s
+        self._board.publish(FactTopic.LOAD, FACT_KEY, body, ttl_s=ttl_s)
+
+    def _read(self, facts: list[Fact]) -> None:
+        now = self._timers.now()
+        told: dict[UpstreamKey, dict[RouterId, int]] = {}
+        routers: dict[PoolName, set[RouterId]] = {}
+        for fact in facts:
+            for item in _decode(fact).upstreams:
+                told.setdefault(item.upstream, {})[fact.origin] = item.count
+                routers.setdefault(item.upstream.pool, set()).add(fact.origin)
+        for state in self._registry.all():
+            state.load.set_peers(told.get(state.key, {}), now)
+            state.routers = len(routers.get(state.key.pool, ())) + 1
+
+    def _refresh_again(self, interval_s: float) -> None:
+        def refresh() -> None:
+            self._refresh_again(self._interval_s(self.refresh()))
+
+        self._timers.call_later(interval_s, refresh)
+
+    def _interval_s(self, routers: int) -> float:
+        return max(MIN_INTERVAL_S, INTERVAL_PER_ROUTER_S * routers)
+
+
+def _decode(fact: Fact) -> InFlightReport:
+    try:
+        return msgspec.msgpack.decode(fact.body, type=InFlightReport)
+    except msgspec.MsgspecError:
+        return InFlightReport(())
--- /dev/null
+++ b/boragedeck/process/retry_budget.py
@@ -0,0 +1,121 @@
+"""Budget of retries: a share of the successes of each pool."""
+
+import random
+
+import msgspec
+from result import Err, Ok, Result
+
+from boragedeck.exceptions import RefusedError
+from boragedeck.ids import PoolName
+from boragedeck.process.timers import TimerService
+
+__all__ = ["RetryBudget"]
+
+EARNED_PER_SUCCESS = 0.125
+EARNED_PER_S = 0.5
+MAX_BALANCE = 50.0
+RESUME_RESERVE = 200.0
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 2.0
+RETRY_AFTER_S = 2.0
+
+
+class _Account(msgspec.Struct):
+    balance: float
+    resume_balance: float
+    at: float
+
+
+class RetryBudget:
+    """Says whether and when a failed request may be tried again.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    rng : random.Random
+        The source of jitter.
+
+    Notes
+    -----
+    A success earns `EARNED_PER_SUCCESS` retries and time earns a few, so that an
+    idle pool can be tried. The first resume of an answer comes from a reserve of
+    its own, which a whole failure domain's runs fit into: it isn't caused by a
+    retry, so it can't feed on itself. Everything after draws on the budget.
+    State: three numbers for each declared pool.
+    """
+
+    def __init__(self, timers: TimerService, rng: random.Random):
+        self._timers = timers
+        self._rng = rng
+        self._accounts: dict[PoolName, _Account] = {}
+
+    def succeeded(self, pool: PoolName) -> None:
+        """Note a run that ended well."""
+        account = self._account(pool)
+        account.balance = min(MAX_BALANCE, account.balance + EARNED_PER_SUCCESS)
+        account.resume_balance = min(
+            RESUME_RESERVE, account.resume_balance + EARNED_PER_SUCCESS
+        )
+
+    def spend(
+        self, pool: PoolName, attempt: int, *, is_resume: bool = False
+    ) -> Result[float, RefusedError]:
+        """Ask for another attempt.
+
+        Parameters
+        ----------
+        pool : PoolName
+            Where the request is to run.
+        attempt : int
+            How many attempts have failed so far, at least 1.
+        is_resume : bool
+            Whether output has already reached the caller.
+
+        Returns
+        -------
+        Result
+            How long to wait before the attempt, in seconds, or
+            ``Err(RefusedError)`` where the budget is spent.
+        """
+        account = self._account(pool)
+        if is_resume and attempt == 1 and account.resume_balance >= 1.0:
+            account.resume_balance -= 1.0
+            return Ok(0.0)
+        if account.balance < 1.0:
+            return Err(_spent(pool))
+        account.balance -= 1.0
+        return Ok(self.backoff_s(attempt))
+
+    def backoff_s(self, attempt: int) -> float:
+        """Return a random wait before an attempt, in seconds."""
+        exponent = max(0, attempt - 1)
+        longest = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** min(exponent, 16))
+        return self._rng.uniform(0.0, longest)
+
+    def apply_pools(self, pools: frozenset[PoolName]) -> None:
+        """Drop the accounts of pools that are no longer declared."""
+        for name in self._accounts.keys() - pools:
+            del self._accounts[name]
+
+    def _account(self, pool: PoolName) -> _Account:
+        now = self._timers.now()
+        account = self._accounts.get(pool)
+        if account is None:
+            account = self._accounts[pool] = _Account(MAX_BALANCE, RESUME_RESERVE, now)
+        earned = (now - account.at) * EARNED_PER_S
+        account.balance = min(MAX_BALANCE, account.balance + earned)
+        account.resume_balance = min(RESUME_RESERVE, account.resume_balance + earned)
+        account.at = now
+        return account
+
+
+def _spent(pool: PoolName) -> RefusedError:
+    return RefusedError(
+        f"too many retries in pool {pool!r}",
+        status=503,
+        kind="server_error",
+        code="retry_budget_spent",
+        retry_after_s=RETRY_AFTER_S,
+        step="retry",
+    )
--- /dev/null
+++ b/boragedeck/process/slot.py
@@ -0,0 +1,101 @@
+"""A place on an upstream, which learns from the run that holds it."""
+
+from collections.abc import Callable
+
+from boragedeck.interfaces import Outcome, Wanted
+from boragedeck.process.cache_hints import CacheHints
+from boragedeck.process.choice import PREFILL_TOKENS_PER_S
+from boragedeck.process.timers import TimerService
+from boragedeck.process.upstreams import UpstreamState
+from boragedeck.version.tables import Upstream
+
+__all__ = ["UpstreamSlot"]
+
+MAX_GAP_S = 1.0
+
+
+class UpstreamSlot:
+    """Implements `boragedeck.interfaces.Slot`.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    state : UpstreamState
+        The upstream that the place is on.
+    wanted : Wanted
+        The request that holds it.
+    hints : CacheHints
+        Where prefixes are cached.
+    on_finish : callable
+        Called once with this slot and the outcome.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        state: UpstreamState,
+        wanted: Wanted,
+        hints: CacheHints,
+        on_finish: Callable[["UpstreamSlot", Outcome], None],
+    ):
+        self.upstream: Upstream = state.upstream
+        self.state = state
+        self.wanted = wanted
+        self.generated = 0
+        self._timers = timers
+        self._hints = hints
+        self._on_finish = on_finish
+        self._is_finished = False
+        self._started_at = timers.now()
+        self._output_at: float | None = None
+        state.load.start(self._started_at)
+
+    def first_token(self) -> None:
+        """See `Slot.first_token`."""
+        if self._output_at is not None or self._is_finished:
+            return
+        now = self._output_at = self._timers.now()
+        state, wanted = self.state, self.wanted
+        state.observe_success(self._started_at, now)
+        prefill_s = wanted.prompt_tokens / PREFILL_TOKENS_PER_S
+        latency_s = now - self._started_at - prefill_s
+        state.limit.observe_latency(latency_s, state.load.total(now), now)
+        self._hints.stored(wanted.prefix_hash, state.key, wanted.prompt_tokens, now)
+
+    def tokens(self, count: int) -> None:
+        """See `Slot.tokens`."""
+        if self._is_finished:
+            return
+        now = self._timers.now()
+        self.generated += count
+        if self._output_at is not None and count > 0:
+            # A longer pause is a slow reader or a silent stream, not the
+            # engine's pace.
+            gap_s = (now - self._output_at) / count
+            if gap_s <= MAX_GAP_S:
+                self.state.observe_gap(gap_s)
+        self._output_at = now
+
+    def finish(self, outcome: Outcome) -> None:
+        """See `Slot.finish`."""
+        if self._is_finished:
+            return
+        self._is_finished = True
+        now = self._timers.now()
+        state = self.state
+        if outcome is Outcome.COMPLETED:
+            self._observe_completion(now)
+        state.observe_failure(outcome, now)
+        state.load.end(now)
+        if outcome is Outcome.CRASHED:
+            self._hints.forget(state.key)
+        self._on_finish(self, outcome)
+
+    def _observe_completion(self, now: float) -> None:
+        state = self.state
+        if self._output_at is None:
+            latency_s = now - self._started_at
+            state.limit.observe_latency(latency_s, state.load.total(now), now)
+        state.observe_success(self._started_at, now)
+        state.observe_run(now - self._started_at)
--- /dev/null
+++ b/boragedeck/process/upstreams.py
@@ -0,0 +1,216 @@
+"""The upstreams that this router knows, with what it has learned of each."""
+
+import math
+import statistics
+
+import msgspec
+
+from boragedeck.ids import PoolName, UpstreamName, Version
+from boragedeck.interfaces import Outcome
+from boragedeck.process.concurrency import ConcurrencyLimit
+from boragedeck.process.health import HealthRecord
+from boragedeck.process.load import LoadEstimate, LoadReport
+from boragedeck.version.tables import Config, Pool, Upstream
+
+__all__ = ["UpstreamKey", "UpstreamRegistry", "UpstreamState"]
+
+RATE_WEIGHT = 0.2
+FIRST_GAP_S = 0.03
+FIRST_RUN_S = 5.0
+OVERBOOKING = 1.5
+_FAILURES = (Outcome.CRASHED, Outcome.FAILED, Outcome.REFUSED, Outcome.SILENT)
+
+
+class UpstreamKey(msgspec.Struct, frozen=True, array_like=True):
+    """Names an upstream among those of all pools."""
+
+    pool: PoolName
+    upstream: UpstreamName
+
+
+class UpstreamState:
+    """What is known of one upstream.
+
+    Parameters
+    ----------
+    pool : PoolName
+        The upstream's pool.
+    upstream : Upstream
+        The upstream as declared.
+    now : float
+        Monotonic time in seconds.
+
+    Attributes
+    ----------
+    gap_s : float or None
+        Recent time between tokens, in seconds.
+    run_s : float
+        Recent duration of a run, in seconds.
+    is_leaving : bool
+        Whether any source has said that the upstream will stop.
+    routers : int
+        Routers that have requests at the pool, this one included.
+    failed_at : float
+        When a run failed last, in monotonic seconds.
+    versions : frozenset of Version or None
+        What the upstream says that it serves; None before its first word.
+    """
+
+    def __init__(self, pool: PoolName, upstream: Upstream, now: float):
+        self.key = UpstreamKey(pool, upstream.name)
+        self.upstream = upstream
+        self.health = HealthRecord(now)
+        self.load = LoadEstimate()
+        self.limit = ConcurrencyLimit(upstream.weight)
+        self.gap_s: float | None = None
+        self.run_s = FIRST_RUN_S
+        self.is_leaving = False
+        self.failed_at = float("-inf")
+        self.routers = 1
+        self._rounding = 0.5
+        self.versions: frozenset[Version] | None = None
+
+    def serves(self, version: Version | None) -> bool:
+        """Return whether the upstream serves a version; None stands for any."""
+        if version is None:
+            return True
+        if self.versions is not None:
+            return version in self.versions
+        return self.upstream.version in (version, "")
+
+    @property
+    def leaves(self) -> bool:
+        """Whether the upstream may get no new work for good."""
+        return self.is_leaving or self.upstream.leaving
+
+    def takes_new_work(self, now: float) -> bool:
+        """Return whether the upstream may get a request at all."""
+        return not self.leaves and self.health.is_open(now)
+
+    def has_room(self, use: float, now: float) -> bool:
+        """Return whether a further request fits within the limit.
+
+        Parameters
+        ----------
+        use : float
+            The share of the limit that the request may use.
+        now : float
+            Monotonic time in seconds.
+        """
+        if self.health.on_probation():
+            return self.load.own == 0
+        limit = max(1.0, self.limit.value * self.health.share(now) * use)
+        if self.load.total(now) + 1 > limit:
+            return False
+        growth = self.load.growth(now)
+        return growth is None or growth + 1 <= self._own_part(limit)
+
+    def add_report(
+        self, report: LoadReport, measured_at: float, now: float, rounding: float = 0.5
+    ) -> None:
+        """Take a load report; see `LoadEstimate.add_report`.
+
+        Parameters
+        ----------
+        report : LoadReport
+            What the upstream said.
+        measured_at : float
+            When it said so, in monotonic seconds of this process.
+        now : float
+            Monotonic time in seconds.
+        rounding : float
+            Random number below 1 that decides whether a part of a place counts.
+        """
+        if self.load.add_report(report, measured_at):
+            self._rounding = rounding
+            self.limit.observe_report(report, now)
+
+    def _own_part(self, limit: float) -> int:
+        """Return how far this router may grow until the next report.
+
+        Routers that read the same report would each fill all the room that it
+        shows. Each takes its part, and a random rounding settles who gets a place
+        where there are fewer places than routers.
+        """
+        room = limit - self.load.report.total
+        if room > 0:
+            room *= OVERBOOKING
+        return math.floor(room / self.routers + self._rounding)
+
+    def observe_gap(self, gap_s: float) -> None:
+        """Note the time between two tokens of a run, in seconds."""
+        old = gap_s if self.gap_s is None else self.gap_s
+        self.gap_s = old + RATE_WEIGHT * (gap_s - old)
+
+    def observe_run(self, run_s: float) -> None:
+        """Note how long a completed run took, in seconds."""
+        self.run_s += RATE_WEIGHT * (run_s - self.run_s)
+
+    def observe_success(self, started_at: float, now: float) -> None:
+        """Note output of a run that began at a time; older ones prove nothing."""
+        if started_at > self.failed_at:
+            self.health.succeed(now)
+
+    def observe_failure(self, outcome: Outcome, now: float) -> None:
+        """Note how a run ended, where it was the upstream's failure."""
+        self.health.fail(outcome, now)
+        if outcome in _FAILURES:
+            self.failed_at = now
+        if outcome is Outcome.CRASHED:
+            self.load.clear()
+
+
+class UpstreamRegistry:
+    """The upstreams of all pools; one state for each that the pools declare."""
+
+    def __init__(self):
+        self._states: dict[PoolName, dict[UpstreamName, UpstreamState]] = {}
+
+    def apply(self, cfg: Config, now: float) -> None:
+        """Take a configuration; states of upstreams that stay are kept."""
+        declared = {pool.name for pool in cfg.pools}
+        for name in self._states.keys() - declared:
+            del self._states[name]
+        for pool in cfg.pools:
+            self.apply_pool(pool, now)
+
+    def apply_pool(self, pool: Pool, now: float) -> None:
+        """Take one pool's declaration."""
+        old = self._states.get(pool.name, {})
+        self._states[pool.name] = {
+            upstream.name: _renew(old.get(upstream.name), pool, upstream, now)
+            for upstream in pool.upstreams
+        }
+
+    def knows(self, name: PoolName) -> bool:
+        """Return whether a pool has been declared."""
+        return name in self._states
+
+    def pool(self, name: PoolName) -> list[UpstreamState]:
+        """Return the states of a pool's upstreams."""
+        return list(self._states.get(name, {}).values())
+
+    def all(self) -> list[UpstreamState]:
+        """Return the states of all upstreams."""
+        return [state for pool in self._states.values() for state in pool.values()]
+
+    def get(self, key: UpstreamKey) -> UpstreamState | None:
+        """Return one upstream's state, or None."""
+        return self._states.get(key.pool, {}).get(key.upstream)
+
+    def median_gap_s(self, pool: PoolName) -> float:
+        """Return the median time between tokens of a pool's upstreams."""
+        gaps = [
+            state.gap_s for state in self.pool(pool) if state.gap_s and state.gap_s > 0
+        ]
+        return statistics.median(gaps) if gaps else FIRST_GAP_S
+
+
+def _renew(
+    state: UpstreamState | None, pool: Pool, upstream: Upstream, now: float
+) -> UpstreamState:
+    # Another URL is another process, of which nothing is known.
+    if state is None or state.upstream.url != upstream.url:
+        return UpstreamState(pool.name, upstream, now)
+    state.upstream = upstream
+    return state
