Check the daemon's settings at the start

A daemon that starts with a wrong address fails later and elsewhere. Each flag and its environment variable is declared once with what it takes, so that help, checks and errors can't differ. typer was ruled out here: it needs one function signature per setting beside the typed struct, and words its own errors. A wrong or missing setting gives one line with flag, value and what it takes.

--- /dev/null
+++ b/boragedeck/process/settings.py
@@ -0,0 +1,375 @@
+"""Settings of the daemon: flags and environment variables, checked at the start."""
+
+import argparse
+import ipaddress
+import os
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import urllib3
+from result import Err, Ok, Result
+
+import boragedeck
+from boragedeck.connection.peer import Address
+from boragedeck.exceptions import SettingsError
+from boragedeck.ids import FailureDomain, VmName
+
+__all__ = [
+    "SETTINGS",
+    "Setting",
+    "Settings",
+    "check_url",
+    "environment_name",
+    "parse_settings",
+]
+
+ENVIRONMENT_PREFIX = "BORAGEDECK_"
+MAX_PORT = 65_535
+MAX_DRAIN_S = 3600.0
+MAX_SECRET_BYTES = 4096
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """All settings of one daemon.
+
+    Parameters
+    ----------
+    listen : Address
+        Where callers connect; port 0 takes a free port.
+    peer_listen : Address
+        Where other routers connect; port 0 takes a free port.
+    advertise : str
+        The IP address by which others reach `listen`.
+    peer_advertise : str
+        The IP address by which other routers reach `peer_listen`.
+    vm : VmName
+        The VM that the daemon runs on.
+    failure_domain : FailureDomain
+        Where the VM stands.
+    platform_url : str
+        Base URL of the platform.
+    seed_peers : tuple of Address
+        Peers to ask while the platform can't be reached.
+    peer_secret_file : Path or None
+        Holds the secret that routers share.
+    tls_cert, tls_key, tls_ca : Path or None
+        Certificate, key and authority of the links between routers, in PEM;
+        all three or none.
+    log_file : Path or None
+        Where logs go; None for standard error.
+    drain_s : float
+        How long a planned stop may take, in seconds.
+    """
+
+    listen: Address
+    peer_listen: Address
+    advertise: str
+    peer_advertise: str
+    vm: VmName
+    failure_domain: FailureDomain
+    platform_url: str
+    seed_peers: tuple[Address, ...] = ()
+    peer_secret_file: Path | None = None
+    tls_cert: Path | None = None
+    tls_key: Path | None = None
+    tls_ca: Path | None = None
+    log_file: Path | None = None
+    drain_s: float = 30.0
+
+
+class Setting(msgspec.Struct, frozen=True):
+    """How one setting is written and checked.
+
+    Parameters
+    ----------
+    name : str
+        The name in `Settings`.
+    read : callable
+        Turns the text into the value; raises ValueError where it's wrong.
+    takes : str
+        What the flag takes, for the help and for errors.
+    meaning : str
+        What the setting is for.
+    default : str or None
+        The text used where none is given; an empty one leaves the value out.
+    is_required : bool
+        Whether it must be given.
+    """
+
+    name: str
+    read: Callable[[str], Any]
+    takes: str
+    meaning: str
+    default: str = ""
+    is_required: bool = False
+
+    @property
+    def flag(self) -> str:
+        """The command-line flag."""
+        return "--" + self.name.replace("_", "-")
+
+
+def environment_name(setting: Setting) -> str:
+    """Return the environment variable of a setting."""
+    return ENVIRONMENT_PREFIX + setting.name.upper()
+
+
+def check_url(text: str) -> str:
+    """Return a base URL without its last slash.
+
+    Raises
+    ------
+    ValueError
+        Where it's no URL of http or https with a host.
+    """
+    try:
+        url = urllib3.util.parse_url(text)
+    except urllib3.exceptions.LocationParseError as exc:
+        raise ValueError(str(exc)) from exc
+    if url.scheme not in ("http", "https") or not url.host:
+        raise ValueError("no URL of http or https with a host")
+    if url.query or url.fragment or url.auth:
+        raise ValueError("a base URL has no user, query or fragment")
+    return text.rstrip("/")
+
+
+def parse_settings(
+    arguments: Sequence[str], environ: Mapping[str, str] | None = None
+) -> Result[Settings, SettingsError]:
+    """Read the settings of a daemon.
+
+    Parameters
+    ----------
+    arguments : sequence of str
+        The command line without the program's name. A flag goes before its
+        environment variable.
+    environ : mapping, optional
+        The environment; that of the process by default.
+
+    Returns
+    -------
+    Result
+        The settings, or ``Err(SettingsError)`` with one line that names the
+        flag, what it got and what it takes.
+
+    Raises
+    ------
+    SystemExit
+        After ``--help`` or ``--version``, with code 0.
+    """
+    environ = os.environ if environ is None else environ
+    try:
+        given = vars(_parser().parse_args(list(arguments)))
+        values = {}
+        for setting in SETTINGS:
+            text = given[setting.name]
+            if text is None:
+                text = environ.get(environment_name(setting), "")
+            values |= _read(setting, text)
+        return Ok(Settings(**_complete(values)))
+    except SettingsError as exc:
+        return Err(exc)
+
+
+class _Parser(argparse.ArgumentParser):
+    def error(self, message: str) -> None:
+        raise SettingsError(f"{message}; see --help")
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = _Parser(
+        prog="boragedeckd",
+        description="Serve long model generations: the router.",
+        allow_abbrev=False,
+    )
+    parser.add_argument(
+        "--version", action="version", version=f"boragedeckd {boragedeck.__version__}"
+    )
+    for setting in SETTINGS:
+        parser.add_argument(
+            setting.flag,
+            dest=setting.name,
+            metavar=setting.takes.split(",")[0].upper().replace(" ", "-"),
+            help=_help(setting),
+        )
+    return parser
+
+
+def _help(setting: Setting) -> str:
+    need = "required" if setting.is_required else f"default: {setting.default or '-'}"
+    name = environment_name(setting)
+    text = f"{setting.meaning}; takes {setting.takes} ({need}) [{name}]"
+    return text.replace("%", "%%")
+
+
+def _read(setting: Setting, text: str) -> dict[str, Any]:
+    text = text.strip() or setting.default
+    if not text:
+        if setting.is_required:
+            raise _error(setting, "nothing")
+        return {}
+    try:
+        return {setting.name: setting.read(text)}
+    except (ValueError, OSError) as exc:
+        raise _error(setting, f"{text!r} ({exc})") from exc
+
+
+def _error(setting: Setting, got: str) -> SettingsError:
+    name = environment_name(setting)
+    return SettingsError(f"{setting.flag} ({name}) got {got}; takes {setting.takes}")
+
+
+def _complete(values: dict[str, Any]) -> dict[str, Any]:
+    """Check the settings that depend on each other and fill in addresses."""
+    by_name = {setting.name: setting for setting in SETTINGS}
+    for listen, advertise in (
+        ("listen", "advertise"),
+        ("peer_listen", "peer_advertise"),
+    ):
+        host = values[listen].host
+        if advertise not in values and ipaddress.ip_address(host).is_unspecified:
+            got = f"nothing, while {by_name[listen].flag} is {values[listen]}"
+            raise _error(by_name[advertise], got)
+        values.setdefault(advertise, host)
+    tls = [name for name in ("tls_cert", "tls_key", "tls_ca") if name in values]
+    if tls and len(tls) < 3:
+        missing = next(n for n in ("tls_cert", "tls_key", "tls_ca") if n not in tls)
+        got = f"nothing, while {by_name[tls[0]].flag} is given"
+        raise _error(by_name[missing], got)
+    return values
+
+
+def _address(text: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not colon:
+        raise ValueError("no port")
+    if not (port.isascii() and port.isdigit()) or int(port) > MAX_PORT:
+        raise ValueError(f"port {port!r} is no number from 0 to {MAX_PORT}")
+    return Address(_ip(host.removeprefix("[").removesuffix("]")), int(port))
+
+
+def _peer_address(text: str) -> Address:
+    address = _address(text)
+    if address.port == 0:
+        raise ValueError("port 0 can't be reached")
+    return address
+
+
+def _addresses(text: str) -> tuple[Address, ...]:
+    return tuple(_peer_address(part.strip()) for part in text.split(","))
+
+
+def _ip(text: str) -> str:
+    return str(ipaddress.ip_address(text))
+
+
+def _advertised_ip(text: str) -> str:
+    if ipaddress.ip_address(text).is_unspecified:
+        raise ValueError("others can't connect to it")
+    return _ip(text)
+
+
+def _name(text: str) -> str:
+    if len(text) > 100 or not text.isprintable() or " " in text:
+        raise ValueError("too long, or with spaces or control characters")
+    return text
+
+
+def _file(text: str) -> Path:
+    path = Path(text)
+    with path.open("rb") as file:
+        file.read(1)
+    return path
+
+
+def _secret_file(text: str) -> Path:
+    path = _file(text)
+    size = len(path.read_bytes()[: MAX_SECRET_BYTES + 1].strip())
+    if not 0 < size <= MAX_SECRET_BYTES:
+        raise ValueError(f"the file is empty or over {MAX_SECRET_BYTES} bytes")
+    return path
+
+
+def _log_file(text: str) -> Path:
+    path = Path(text)
+    with path.open("ab"):
+        return path
+
+
+def _drain(text: str) -> float:
+    value = float(text)
+    if not 0.0 <= value <= MAX_DRAIN_S:
+        raise ValueError(f"not from 0 to {MAX_DRAIN_S:.0f}")
+    return value
+
+
+SETTINGS: tuple[Setting, ...] = (
+    Setting(
+        "listen",
+        _address,
+        "IP:PORT, port 0 for a free one",
+        "where callers connect",
+        default="127.0.0.1:8080",
+    ),
+    Setting(
+        "peer_listen",
+        _address,
+        "IP:PORT, port 0 for a free one",
+        "where other routers connect",
+        default="127.0.0.1:8081",
+    ),
+    Setting(
+        "advertise",
+        _advertised_ip,
+        "IP, one that others can connect to",
+        "address by which others reach --listen; its own host by default",
+    ),
+    Setting(
+        "peer_advertise",
+        _advertised_ip,
+        "IP, one that others can connect to",
+        "address by which routers reach --peer-listen; its own host by default",
+    ),
+    Setting("vm", _name, "NAME, without spaces", "this VM", is_required=True),
+    Setting(
+        "failure_domain",
+        _name,
+        "NAME, without spaces",
+        "failure domain of this VM",
+        is_required=True,
+    ),
+    Setting(
+        "platform_url",
+        check_url,
+        "URL, such as http://10.0.0.1:7000",
+        "base URL of the platform",
+        is_required=True,
+    ),
+    Setting(
+        "seed_peers",
+        _addresses,
+        "IP:PORT list, separated by commas",
+        "peers to ask while the platform can't be reached",
+    ),
+    Setting(
+        "peer_secret_file",
+        _secret_file,
+        "FILE, readable and not empty",
+        "secret that all routers share",
+    ),
+    Setting("tls_cert", _file, "FILE, in PEM", "certificate for links of routers"),
+    Setting("tls_key", _file, "FILE, in PEM", "key of --tls-cert"),
+    Setting("tls_ca", _file, "FILE, in PEM", "authority that signs routers"),
+    Setting(
+        "log_file", _log_file, "FILE, writable", "where logs go; else standard error"
+    ),
+    Setting(
+        "drain_s",
+        _drain,
+        "SECONDS, from 0 to 3600",
+        "how long a planned stop may take",
+        default="30",
+    ),
+)
--- /dev/null
+++ b/tests/process/test_settings.py
@@ -0,0 +1,104 @@
+import contextlib
+import io
+import tempfile
+import unittest
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from boragedeck.connection.peer import Address
+from boragedeck.process.settings import (
+    SETTINGS,
+    Settings,
+    environment_name,
+    parse_settings,
+)
+
+NEEDED = {
+    "BORAGEDECK_VM": "vm-1",
+    "BORAGEDECK_FAILURE_DOMAIN": "ljubljana-1",
+    "BORAGEDECK_PLATFORM_URL": "http://127.0.0.1:7000/",
+}
+
+
+class SettingsTest(unittest.TestCase):
+    def assert_refused(self, arguments, *parts, environ=NEEDED):
+        text = str(parse_settings(arguments, environ).err())
+        self.assertNotIn("\n", text)
+        for part in parts:
+            self.assertIn(part, text)
+
+    def test_environment_is_enough(self):
+        settings = parse_settings([], NEEDED).ok()
+        self.assertEqual(settings.platform_url, "http://127.0.0.1:7000")
+        self.assertEqual(settings.listen, Address("127.0.0.1", 8080))
+        self.assertEqual(settings.peer_advertise, "127.0.0.1")
+
+    def test_flag_goes_before_environment(self):
+        self.assertEqual(parse_settings(["--vm", "vm-2"], NEEDED).ok().vm, "vm-2")
+
+    def test_every_field_has_a_setting(self):
+        names = {setting.name for setting in SETTINGS}
+        self.assertEqual(names, set(Settings.__struct_fields__))
+
+    def test_missing_one_is_named(self):
+        for setting in SETTINGS:
+            if setting.is_required:
+                environ = dict(NEEDED)
+                del environ[environment_name(setting)]
+                self.assert_refused([], setting.flag, "nothing", environ=environ)
+
+    def test_bad_ones_are_named_with_what_they_got(self):
+        for flag, value in (
+            ("--listen", "8080"),
+            ("--listen", "localhost:8080"),
+            ("--listen", "127.0.0.1:99999"),
+            ("--peer-listen", "127.0.0.1:x"),
+            ("--advertise", "0.0.0.0"),
+            ("--vm", "a b"),
+            ("--platform-url", "127.0.0.1:7000"),
+            ("--platform-url", "http://"),
+            ("--seed-peers", "127.0.0.1:1,,"),
+            ("--seed-peers", "127.0.0.1:0"),
+            ("--peer-secret-file", "/nonexistent/secret"),
+            ("--log-file", "/nonexistent/log"),
+            ("--drain-s", "soon"),
+            ("--drain-s", "nan"),
+        ):
+            with self.subTest(flag=flag, value=value):
+                self.assert_refused([flag, value], flag, value, "takes")
+
+    def test_unspecified_address_needs_an_advertised_one(self):
+        arguments = ["--peer-listen", "0.0.0.0:9"]
+        self.assert_refused(arguments, "--peer-advertise", "0.0.0.0:9")
+        arguments += ["--peer-advertise", "10.0.0.1"]
+        self.assertEqual(
+            parse_settings(arguments, NEEDED).ok().peer_advertise, "10.0.0.1"
+        )
+
+    def test_part_of_tls_is_refused(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "cert.pem")
+            path.write_text("x")
+            self.assert_refused(["--tls-cert", str(path)], "--tls-key", "--tls-cert")
+
+    def test_unknown_flag_is_named(self):
+        self.assert_refused(["--lisen", "x"], "--lisen")
+
+    def test_help_names_every_flag_and_variable(self):
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out), self.assertRaises(SystemExit) as caught:
+            parse_settings(["--help"], {})
+        self.assertEqual(caught.exception.code, 0)
+        for setting in SETTINGS:
+            self.assertIn(setting.flag, out.getvalue())
+            self.assertIn(environment_name(setting), out.getvalue())
+
+    @given(st.sampled_from(SETTINGS), st.text(max_size=30))
+    def test_any_text_gives_settings_or_one_line(self, setting, text):
+        if setting.name == "log_file":
+            return
+        environ = NEEDED | {environment_name(setting): text}
+        result = parse_settings([], environ)
+        self.assertTrue(result.is_ok() or setting.flag in str(result.err()))
