Store the configuration and bring it into force in every router

Accepted means committed: the current configuration, its revision and a history row with the delta go into one transaction on the condition of the row read. An unknown outcome is settled by reading the history row back and committing again; the conditions make that idempotent. A conflict carries what others changed.

Routers poll by scanning the history after their own revision, which tells of a change and brings it in one read; reading a revision row first costs a second round trip on a slow platform. The first router to see a change states it on the fact board, others fetch it from the routers that hold it. All ways lead through one place that only takes higher revisions whose digest fits.

--- /dev/null
+++ b/boragedeck/version/config_store.py
@@ -0,0 +1,339 @@
+"""The configuration as the platform's tables hold it.
+
+The row ``current`` holds the newest configuration whole, ``revision`` its
+number, and the history one row for each accepted change, with the delta. All
+are written in one transaction.
+"""
+
+import zlib
+from typing import Any, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from boragedeck.connection.store import (
+    ABSENT,
+    Delete,
+    Put,
+    Row,
+    Table,
+    TableStore,
+    Write,
+)
+from boragedeck.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from boragedeck.ids import Revision
+from boragedeck.process.timers import TimerService
+from boragedeck.version.delta import Delta, canonical, describe, diff, digest
+from boragedeck.version.tables import Config
+
+__all__ = [
+    "Change",
+    "ConfigConflictError",
+    "ConfigStore",
+    "RevisionRow",
+    "Stored",
+    "pack",
+    "unpack",
+]
+
+CURRENT_KEY = "current"
+REVISION_KEY = "revision"
+KEY_DIGITS = 12
+HISTORY_ROWS = 10_000
+MAX_CHANGE_LINES = 50
+MAX_LINE_LENGTH = 200
+MAX_DELTA_BYTES = 64 * 1024
+COMPRESS_FROM_BYTES = 2 * 1024
+MAX_ROW_BYTES = 64 * 1024 * 1024
+MAX_CONFLICT_ENTRIES = 20
+SETTLE_S = 20.0
+SETTLE_WAIT_S = 0.2
+MAX_SETTLE_WAIT_S = 2.0
+
+T = TypeVar("T")
+
+
+class RevisionRow(msgspec.Struct, frozen=True):
+    """The small row that tells which revision is accepted.
+
+    Parameters
+    ----------
+    revision : Revision
+        The newest accepted revision.
+    digest : str
+        Hash of its configuration.
+    """
+
+    revision: Revision
+    digest: str
+
+
+class Change(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One accepted change: a row of the history.
+
+    Parameters
+    ----------
+    revision : Revision
+        The revision that the change made.
+    apply_id : str
+        Identifies the attempt that made it.
+    author : str
+        Who made it.
+    time : float
+        When it was made, in Unix seconds by the clock of who made it.
+    digest : str
+        Hash of the configuration that it made.
+    lines : tuple of str
+        What it changed, for people; cut where there's much.
+    delta : Delta or None
+        What it changed from the revision before; None where that is large.
+    """
+
+    revision: Revision
+    apply_id: str
+    author: str
+    time: float
+    digest: str
+    lines: tuple[str, ...] = ()
+    delta: Delta | None = None
+
+
+class Stored(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The newest accepted configuration, as it was read.
+
+    Parameters
+    ----------
+    config : Config
+        Revision 0 where nothing has been accepted yet.
+    apply_id, author, time
+        As in `Change`.
+    row_version : int
+        The version of its row, the condition of the next change.
+    """
+
+    config: Config = Config()
+    apply_id: str = ""
+    author: str = ""
+    time: float = 0.0
+    row_version: int = ABSENT
+
+
+class ConfigConflictError(StoreConflictError):
+    """The configuration was changed after it had been read; nothing is written.
+
+    Parameters
+    ----------
+    message : str
+        What went wrong.
+    changes : tuple of Change
+        What was accepted meanwhile, the oldest first.
+    """
+
+    def __init__(self, message: str, changes: tuple[Change, ...] = (), **where: str):
+        super().__init__(message, **where)
+        self.changes = changes
+
+
+class ConfigStore:
+    """Reads and changes the configuration in the platform's tables.
+
+    Parameters
+    ----------
+    tables : TableStore
+        The platform's table service.
+    timers : TimerService
+        The source of time.
+    """
+
+    def __init__(self, tables: TableStore, timers: TimerService):
+        self._tables = tables
+        self._timers = timers
+
+    def read(self) -> Result[Stored, StoreError]:
+        """Read the newest accepted configuration."""
+        result = self._tables.get(Table.CONFIG, CURRENT_KEY)
+        if result.is_err():
+            return result
+        row = result.ok()
+        if row is None:
+            return Ok(Stored())
+        return _decode(row, Stored).map(
+            lambda stored: msgspec.structs.replace(stored, row_version=row.version)
+        )
+
+    def read_revision(self) -> Result[RevisionRow | None, StoreError]:
+        """Read the number of the newest accepted revision; None before the first."""
+        return self._tables.get(Table.CONFIG, REVISION_KEY).and_then(
+            lambda row: Ok(None) if row is None else _decode(row, RevisionRow)
+        )
+
+    def changes(self, after: int, limit: int) -> Result[list[Change], StoreError]:
+        """Read accepted changes in order.
+
+        Parameters
+        ----------
+        after : int
+            Read the changes that follow this revision.
+        limit : int
+            How many at most.
+        """
+        result = self._tables.scan(Table.HISTORY, after=_key(after), limit=limit)
+        return result.and_then(lambda rows: _decode_all(rows, Change))
+
+    def apply(
+        self, base: Stored, cfg: Config, *, author: str, apply_id: str
+    ) -> Result[Change, StoreError]:
+        """Accept a configuration on the condition that `base` is the newest one.
+
+        Parameters
+        ----------
+        base : Stored
+            The configuration that the change was made from.
+        cfg : Config
+            The new configuration; its revision is set here.
+        author : str
+            Who makes the change.
+        apply_id : str
+            Unique for this attempt; settles an unknown outcome.
+
+        Returns
+        -------
+        Result
+            The accepted change; ``Err(ConfigConflictError)`` or
+            ``Err(StoreUnavailableError)`` where nothing was written;
+            ``Err(StoreUnknownError)`` where it couldn't be settled in time.
+        """
+        revision = Revision(base.config.revision + 1)
+        cfg = canonical(msgspec.structs.replace(cfg, revision=revision))
+        change = self._change(base.config, cfg, author, apply_id)
+        stored = Stored(cfg, apply_id, author, change.time)
+        return self._commit(_writes(base.row_version, stored, change), change)
+
+    def conflict(self, base: int) -> ConfigConflictError:
+        """Return the error that names what was accepted after a revision."""
+        found = self.changes(base, MAX_CONFLICT_ENTRIES)
+        changes = tuple(found.unwrap_or([]))
+        text = f"the configuration has changed since revision {base}"
+        return ConfigConflictError(text, changes, step="apply")
+
+    def _change(self, old: Config, new: Config, author: str, apply_id: str) -> Change:
+        lines = [line[:MAX_LINE_LENGTH] for line in describe(old, new)]
+        if len(lines) > MAX_CHANGE_LINES:
+            more = len(lines) - MAX_CHANGE_LINES
+            lines = [*lines[:MAX_CHANGE_LINES], f"and {more} more"]
+        delta = diff(old, new)
+        is_large = len(msgspec.json.encode(delta)) > MAX_DELTA_BYTES
+        return Change(
+            revision=new.revision,
+            apply_id=apply_id,
+            author=author,
+            time=self._timers.wall(),
+            digest=digest(new),
+            lines=tuple(lines),
+            delta=None if is_large else delta,
+        )
+
+    def _commit(self, writes: list[Write], change: Change) -> Result:
+        """Commit until the outcome is known; the conditions make it idempotent."""
+        may_have_run = False
+        wait_s = SETTLE_WAIT_S
+        deadline = self._timers.now() + SETTLE_S
+        while True:
+            result = self._tables.commit(writes)
+            match result.err():
+                case None:
+                    return Ok(change)
+                case StoreUnavailableError() if not may_have_run:
+                    return result
+                case StoreConflictError() if not may_have_run:
+                    return Err(self.conflict(change.revision - 1))
+            may_have_run = True
+            settled = self._read_back(change)
+            if settled is not None:
+                return settled
+            if self._timers.now() + wait_s > deadline:
+                return Err(_unsettled(change, result.err()))
+            self._timers.sleep(wait_s)
+            wait_s = min(2 * wait_s, MAX_SETTLE_WAIT_S)
+
+    def _read_back(self, change: Change) -> Result[Change, StoreError] | None:
+        """Return what became of a change; None where it isn't known yet."""
+        key = _key(change.revision)
+        found = self._tables.get(Table.HISTORY, key)
+        row = found.unwrap_or(None)
+        if row is None:
+            return None
+        decoded = _decode(row, Change)
+        if decoded.is_ok() and decoded.ok().apply_id == change.apply_id:
+            return Ok(change)
+        return Err(self.conflict(change.revision - 1))
+
+
+def pack(value: Any) -> bytes:
+    """Encode a value as JSON, compressed where it's large."""
+    body = msgspec.json.encode(value)
+    return zlib.compress(body) if len(body) >= COMPRESS_FROM_BYTES else body
+
+
+def unpack(body: bytes, value_type: type[T]) -> T:
+    """Decode what `pack` made.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        Where it's not a value of the type.
+    """
+    # JSON of a struct starts with a brace, which no zlib header does.
+    if not body.startswith(b"{"):
+        try:
+            inflater = zlib.decompressobj()
+            body = inflater.decompress(body, MAX_ROW_BYTES)
+        except zlib.error as exc:
+            raise msgspec.DecodeError(str(exc)) from exc
+    return msgspec.json.decode(body, type=value_type)
+
+
+def _writes(row_version: int, stored: Stored, change: Change) -> list[Write]:
+    revision = RevisionRow(change.revision, change.digest)
+    writes: list[Write] = [
+        Put(Table.CONFIG, CURRENT_KEY, pack(stored), expect=row_version),
+        Put(Table.CONFIG, REVISION_KEY, pack(revision)),
+        Put(Table.HISTORY, _key(change.revision), pack(change), expect=ABSENT),
+    ]
+    if change.revision > HISTORY_ROWS:
+        writes.append(Delete(Table.HISTORY, _key(change.revision - HISTORY_ROWS)))
+    return writes
+
+
+def _key(revision: int) -> str:
+    return f"{revision:0{KEY_DIGITS}d}"
+
+
+def _decode(row: Row, value_type: type[T]) -> Result[T, StoreError]:
+    try:
+        return Ok(unpack(row.value, value_type))
+    except msgspec.MsgspecError as exc:
+        return Err(StoreError(f"row {row.key!r} can't be read: {exc}", step="decode"))
+
+
+def _decode_all(rows: list[Row], value_type: type[T]) -> Result[list[T], StoreError]:
+    values = []
+    for row in rows:
+        decoded = _decode(row, value_type)
+        if decoded.is_err():
+            return decoded
+        values.append(decoded.ok())
+    return Ok(values)
+
+
+def _unsettled(change: Change, exc: StoreError) -> StoreUnknownError:
+    text = (
+        f"revision {change.revision} may have been accepted: {exc.message};"
+        f" look for apply id {change.apply_id} in the history"
+    )
+    return StoreUnknownError(text, step="apply", peer=exc.peer)
--- /dev/null
+++ b/boragedeck/version/config_watch.py
@@ -0,0 +1,259 @@
+"""Keeps the newest accepted configuration in force in this process.
+
+The platform's history is polled; what a router finds is passed on to others,
+which fetch it from their peers. Both ways lead through `ConfigInForce`, which
+never steps back.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import eliot
+import eventlet
+import msgspec
+from result import Result
+
+from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.connection.peer import Address
+from boragedeck.exceptions import BoragedeckError, PeerError, StoreError
+from boragedeck.interfaces import FactBoard, Membership
+from boragedeck.process.timers import TimerService
+from boragedeck.version.config_in_force import ConfigInForce, Source
+from boragedeck.version.config_messages import ConfigContent, ConfigFact, FetchConfig
+from boragedeck.version.config_store import ConfigStore
+from boragedeck.version.tables import Config
+
+__all__ = ["ConfigStatus", "ConfigWatch", "poll_interval"]
+
+POLL_INTERVAL_S = 1.0
+POLL_JITTER = 0.2
+MAX_POLLS_PER_S = 50.0
+MAX_CHANGES_PER_POLL = 16
+FETCH_TIMEOUT_S = 2.0
+MAX_FETCHES_PER_ROUND = 3
+MAX_HOLDERS = 8
+FACT_KEY = "revision"
+FACT_TTL_S = 60.0
+
+
+class Links(Protocol):
+    """What is used of `PeerLinks`."""
+
+    def link(self, address: Address) -> Any:
+        """Return the link to an address."""
+
+
+class ConfigStatus(msgspec.Struct, frozen=True):
+    """What a router reports of its configuration.
+
+    Parameters
+    ----------
+    revision : int
+        The revision in force.
+    digest : str
+        Hash of the configuration in force.
+    source : Source
+        Where it came from.
+    in_force_s : float
+        For how long it has been in force, in seconds.
+    confirmed_s : float or None
+        Seconds since the platform last said that there's none newer; None
+        where it never did.
+    platform_error : str
+        Why the platform could not be read last time; empty where it could.
+    """
+
+    revision: int
+    digest: str
+    source: Source
+    in_force_s: float
+    confirmed_s: float | None
+    platform_error: str = ""
+
+
+def poll_interval(routers: int) -> float:
+    """Return how long to wait between two polls of the platform, in seconds.
+
+    Parameters
+    ----------
+    routers : int
+        Routers in the fleet, this one included.
+    """
+    return max(POLL_INTERVAL_S, routers / MAX_POLLS_PER_S)
+
+
+class ConfigWatch:
+    """Source of the configuration in force; see `ConfigSource`.
+
+    Parameters
+    ----------
+    store : ConfigStore
+        The platform's tables.
+    timers : TimerService
+        The source of time.
+    board : FactBoard
+        Spreads which router holds the highest revision.
+    membership : Membership
+        The other routers.
+    links : PeerLinks
+        Links to them.
+    rng : random.Random, optional
+        The source of jitter and of the choice of peers.
+    """
+
+    def __init__(
+        self,
+        store: ConfigStore,
+        timers: TimerService,
+        *,
+        board: FactBoard,
+        membership: Membership,
+        links: Links,
+        rng: random.Random | None = None,
+    ):
+        self._store = store
+        self._timers = timers
+        self._board = board
+        self._membership = membership
+        self._links = links
+        self._rng = rng or random.Random()
+        self._in_force = ConfigInForce(timers)
+        self._in_force.subscribe(self._announce)
+        self._confirmed: float | None = None
+        self._platform_error = "not read yet"
+        self._is_fetching = False
+        self._is_stopped = False
+
+    def current(self) -> Config:
+        """Return the configuration in force; revision 0 before the first."""
+        return self._in_force.current
+
+    def subscribe(self, callback: Callable[[Config], None]) -> None:
+        """Call with each configuration that comes into force, in order."""
+        self._in_force.subscribe(callback)
+
+    def start(self) -> None:
+        """Read the configuration now, and follow it until `stop`."""
+        self._board.subscribe(FactTopic.CONFIG, self._on_fact)
+        eventlet.spawn_n(self._poll_and_rearm)
+
+    def stop(self) -> None:
+        """Follow the configuration no longer."""
+        self._is_stopped = True
+
+    def status(self) -> ConfigStatus:
+        """Return what this router reports of its configuration."""
+        now = self._timers.now()
+        confirmed = self._confirmed
+        return ConfigStatus(
+            revision=self._in_force.current.revision,
+            digest=self._in_force.digest,
+            source=self._in_force.source,
+            in_force_s=now - self._in_force.since,
+            confirmed_s=None if confirmed is None else now - confirmed,
+            platform_error=self._platform_error,
+        )
+
+    def answer_fetch(self, message: FetchConfig) -> ConfigContent:
+        """Answer another router that asks for newer content."""
+        return self._in_force.content(message.after)
+
+    def poll(self) -> None:
+        """Read from the platform what is new, or from a peer where that fails."""
+        result = self._read_platform()
+        if result.is_ok():
+            self._confirmed = self._timers.now()
+            self._platform_error = ""
+            return
+        if not self._platform_error:
+            eliot.log_message("config: platform not readable", error=str(result.err()))
+        self._platform_error = str(result.err())
+        self._fetch_from_any()
+
+    def _poll_and_rearm(self) -> None:
+        if self._is_stopped:
+            return
+        try:
+            self.poll()
+        except Exception as exc:
+            eliot.log_message("config: poll failed", error=repr(exc))
+        routers = 1 + len(self._membership.members())
+        spread = self._rng.uniform(1.0 - POLL_JITTER, 1.0 + POLL_JITTER)
+        self._timers.call_later(poll_interval(routers) * spread, self._poll_and_rearm)
+
+    def _read_platform(self) -> Result[None, StoreError]:
+        """Take the changes after the revision in force, or else the whole."""
+        revision = self._in_force.current.revision
+        if revision > 0:
+            changes = self._store.changes(revision, MAX_CHANGES_PER_POLL)
+            if changes.is_err():
+                return changes
+            if self._in_force.take_changes(changes.ok(), Source.PLATFORM):
+                return changes.map(lambda _: None)
+        stored = self._store.read()
+        return stored.map(
+            lambda s: self._in_force.take_whole(s.config, Source.PLATFORM)
+        )
+
+    def _announce(self, cfg: Config) -> None:
+        """State that this router holds a revision, unless enough others do."""
+        holders = sum(fact.revision >= cfg.revision for fact in self._holders())
+        if holders < MAX_HOLDERS:
+            fact = ConfigFact(cfg.revision, self._membership.own.address)
+            body = msgspec.msgpack.encode(fact)
+            self._board.publish(FactTopic.CONFIG, FACT_KEY, body, ttl_s=FACT_TTL_S)
+
+    def _on_fact(self, fact: Fact) -> None:
+        """Fetch what another router announces, one fetch at a time."""
+        if not self._is_fetching and self._newer_holders():
+            self._is_fetching = True
+            eventlet.spawn_n(self._fetch_announced)
+
+    def _fetch_announced(self) -> None:
+        tried: set[Address] = set()
+        try:
+            for _ in range(MAX_FETCHES_PER_ROUND):
+                addresses = {fact.address for fact in self._newer_holders()} - tried
+                if not addresses:
+                    return
+                address = self._rng.choice(sorted(addresses, key=str))
+                tried.add(address)
+                self._fetch(address)
+        finally:
+            self._is_fetching = False
+
+    def _fetch_from_any(self) -> None:
+        """Ask routers at random until one answers."""
+        members = self._membership.members()
+        count = min(len(members), MAX_FETCHES_PER_ROUND)
+        for member in self._rng.sample(members, count):
+            if self._fetch(member.address).is_ok():
+                return
+
+    def _fetch(self, address: Address) -> Result[ConfigContent, PeerError]:
+        message = FetchConfig(self._in_force.current.revision)
+        link = self._links.link(address)
+        result = link.call(message, ConfigContent, timeout_s=FETCH_TIMEOUT_S)
+        if result.is_ok():
+            try:
+                self._in_force.take_content(result.ok())
+            except BoragedeckError as exc:
+                eliot.log_message("config: content refused", error=str(exc))
+        return result
+
+    def _holders(self) -> list[ConfigFact]:
+        """Return what other routers announce."""
+        holders = []
+        for fact in self._board.facts(FactTopic.CONFIG):
+            if fact.origin == self._board.own:
+                continue
+            try:
+                holders.append(msgspec.msgpack.decode(fact.body, type=ConfigFact))
+            except msgspec.MsgspecError as exc:
+                eliot.log_message("config: bad fact", error=str(exc))
+        return holders
+
+    def _newer_holders(self) -> list[ConfigFact]:
+        revision = self._in_force.current.revision
+        return [fact for fact in self._holders() if fact.revision > revision]
--- a/boragedeck/version/tables.py
+++ b/boragedeck/version/tables.py
@@ -29,6 +29,10 @@
 
 ANY_ORGANISATION = "*"
 
+# Defaults aren't stored, so that a field that is new and unused stays readable
+# for a router of the version before.
+ROW = {"forbid_unknown_fields": True, "omit_defaults": True}
+
 
 class Kind(enum.Enum):
     """What a route's requests are."""
@@ -51,7 +55,7 @@
     BATCH = "batch"
 
 
-class Organisation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Organisation(msgspec.Struct, frozen=True, **ROW):
     """A customer, declared in the routes table.
 
     Parameters
@@ -69,7 +73,7 @@
     weight: float = 1.0
 
 
-class RouteLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class RouteLimits(msgspec.Struct, frozen=True, **ROW):
     """Limits of one route's requests.
 
     Parameters
@@ -90,7 +94,7 @@
     grace_s: float = 10.0
 
 
-class QuarantineLift(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class QuarantineLift(msgspec.Struct, frozen=True, **ROW):
     """Lifts a quarantine: the fingerprint is let through again.
 
     Parameters
@@ -102,7 +106,7 @@
     fingerprint: str
 
 
-class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Route(msgspec.Struct, frozen=True, **ROW):
     """Says what traffic goes where.
 
     Parameters
@@ -146,7 +150,7 @@
         return ANY_ORGANISATION in allowed or organisation in allowed
 
 
-class Upstream(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Upstream(msgspec.Struct, frozen=True, **ROW):
     """A back end: a model engine or a plain service.
 
     Parameters
@@ -173,7 +177,7 @@
     leaving: bool = False
 
 
-class Pool(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Pool(msgspec.Struct, frozen=True, **ROW):
     """Says what upstreams exist.
 
     Parameters
@@ -194,7 +198,7 @@
     upstreams: tuple[Upstream, ...] = ()
 
 
-class Config(msgspec.Struct, frozen=True):
+class Config(msgspec.Struct, frozen=True, omit_defaults=True):
     """One accepted configuration: both tables under one revision.
 
     Parameters
--- /dev/null
+++ b/tests/version/test_config_watch.py
@@ -0,0 +1,157 @@
+import unittest
+
+import eventlet
+import msgspec
+
+from boragedeck.exceptions import TableError
+from boragedeck.process.timers import ManualTimers
+from boragedeck.version.config_in_force import ConfigInForce, Source
+from boragedeck.version.config_messages import ConfigContent
+from boragedeck.version.config_store import pack
+from boragedeck.version.config_watch import poll_interval
+from boragedeck.version.tables import Config
+from tests.version.fleet import Fleet, config
+
+IN_FORCE_S = 5.0
+LETTER_ROUTERS = 370
+LETTER_IN_FORCE_S = 15.0
+STORE_READS_PER_S = 2000.0
+
+
+class ConfigWatchTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(9)
+        self.fleet.timers.advance(2.0)
+
+    def apply(self, *versions):
+        return self.fleet.apply(config(*versions)).unwrap().revision
+
+    def assert_in_force(self, revision, after_s=IN_FORCE_S):
+        self.fleet.timers.advance(after_s)
+        self.assertEqual(set(self.fleet.revisions()), {revision})
+
+    def test_accepted_is_in_force_everywhere(self):
+        for number in (1, 2, 3):
+            self.apply(f"v{number}")
+            self.assert_in_force(number)
+        for router in self.fleet.routers:
+            self.assertEqual(router.seen, [1, 2, 3])
+
+    def test_polling_alone_is_enough(self):
+        self.fleet.gossips = False
+        self.assert_in_force(self.apply("v1"))
+
+    def test_slow_platform(self):
+        self.apply("v1")
+        self.fleet.platform.faults.delay_s = 1.5
+        eventlet.spawn_n(self.apply, "v2")
+        self.fleet.timers.advance(3.0)
+        self.assert_in_force(2)
+
+    def test_one_router_that_reaches_the_platform_is_enough(self):
+        self.fleet.without_platform |= set(range(1, 9))
+        self.assert_in_force(self.apply("v1"))
+        status = self.fleet.routers[8].watch.status()
+        self.assertEqual(status.source, Source.PEER)
+        self.assertIn("cut off", status.platform_error)
+
+    def test_restart_while_the_platform_is_down(self):
+        self.apply("v1")
+        self.assert_in_force(1)
+        self.fleet.platform.faults.down = True
+        for router in self.fleet.routers[:8]:
+            router.stop()
+            self.fleet.timers.advance(2.0)
+            router.start()
+        self.assert_in_force(1, after_s=2.0)
+
+    def test_stale_router_pushes_nothing_old_and_catches_up(self):
+        self.apply("v1")
+        self.assert_in_force(1)
+        self.fleet.isolate(0)
+        self.apply("v2")
+        self.fleet.timers.advance(300.0)
+        self.assertEqual(self.fleet.revisions(), [1] + [2] * 8)
+        self.fleet.platform.faults.down = True
+        self.fleet.heal()
+        self.assert_in_force(2)
+        self.assertTrue(all(r.seen == [1, 2] for r in self.fleet.routers))
+
+    def test_partition_without_platform_holds_what_it_has(self):
+        self.apply("v1")
+        self.assert_in_force(1)
+        side = range(4)
+        self.fleet.cut |= {frozenset((a, b)) for a in side for b in range(4, 9)}
+        self.fleet.without_platform |= set(side)
+        self.apply("v2")
+        self.fleet.timers.advance(60.0)
+        self.assertEqual(self.fleet.revisions(), [1] * 4 + [2] * 5)
+        self.fleet.heal()
+        self.assert_in_force(2)
+
+    def test_interval_keeps_within_reads_and_time_at_the_largest_fleet(self):
+        interval = poll_interval(LETTER_ROUTERS)
+        self.assertLess(1.2 * interval, LETTER_IN_FORCE_S)
+        self.assertLess(LETTER_ROUTERS / interval, STORE_READS_PER_S / 20)
+
+    def test_failing_subscriber_stops_no_other(self):
+        seen = []
+        watch = self.fleet.routers[0].watch
+        watch.subscribe(lambda cfg: 1 / 0)
+        watch.subscribe(lambda cfg: seen.append(cfg.revision))
+        self.apply("v1")
+        self.assert_in_force(1)
+        self.assertEqual(seen, [1])
+
+
+class ConfigInForceTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(0)
+        self.in_force = ConfigInForce(ManualTimers())
+        self.changes = []
+        for number in range(1, 5):
+            change = self.fleet.apply(config(f"v{number}", f"w{number // 2}"))
+            self.changes.append(change.unwrap())
+        self.stored = self.fleet.store.read().unwrap()
+
+    def test_changes_lead_to_the_whole(self):
+        self.assertTrue(self.in_force.take_changes(self.changes, Source.PLATFORM))
+        self.assertEqual(self.in_force.current, self.stored.config)
+
+    def test_gap_or_other_result_changes_nothing(self):
+        other = msgspec.structs.replace(self.changes[2], digest="0")
+        for changes in (
+            self.changes[1:],
+            [self.changes[0], self.changes[2]],
+            [*self.changes[:2], other],
+        ):
+            self.assertFalse(self.in_force.take_changes(changes, Source.PLATFORM))
+            self.assertEqual(self.in_force.current, Config())
+
+    def test_older_content_is_left_out(self):
+        self.in_force.take_whole(self.stored.config, Source.PLATFORM)
+        old = msgspec.structs.replace(self.stored.config, revision=3)
+        self.in_force.take_whole(old, Source.PEER)
+        self.in_force.take_content(ConfigContent(3, whole=pack(old)))
+        self.assertTrue(self.in_force.take_changes(self.changes[:3], Source.PEER))
+        self.assertEqual(self.in_force.current.revision, 4)
+
+    def test_content_is_changes_where_they_are_at_hand(self):
+        self.in_force.take_changes(self.changes, Source.PLATFORM)
+        for after in range(5):
+            follower = ConfigInForce(ManualTimers())
+            follower.take_changes(self.changes[:after], Source.PLATFORM)
+            content = self.in_force.content(after)
+            self.assertEqual(content.whole, b"")
+            follower.take_content(content)
+            self.assertEqual(follower.current, self.stored.config)
+
+    def test_content_that_can_not_be_read_is_refused(self):
+        for content in (
+            ConfigContent(9, (b"{}",)),
+            ConfigContent(9, whole=b"\x78\x9c"),
+            ConfigContent(9, (pack(self.changes[3]),)),
+        ):
+            with self.assertRaises(TableError):
+                self.in_force.take_content(content)
+        self.assertEqual(self.in_force.current, Config())
