--- /dev/null
+++ b/boragedeck/connection/disconnect.py
@@ -0,0 +1,43 @@
+"""Notices that a caller has closed its connection."""
+
+import eventlet
+from eventlet.green import socket
+from eventlet.hubs import trampoline
+
+__all__ = ["DisconnectWatch"]
+
+
+class DisconnectWatch:
+    """Watches a connection on which nothing is expected but its end.
+
+    Parameters
+    ----------
+    sock : socket
+        The caller's connection, whose request has been read.
+
+    Attributes
+    ----------
+    is_closed : bool
+        Whether the caller has closed its side.
+
+    Notes
+    -----
+    It only peeks, so that a next request on the connection isn't lost.
+    """
+
+    def __init__(self, sock: socket.socket):
+        self.is_closed = False
+        self._sock = sock
+        self._thread = eventlet.spawn(self._watch)
+
+    def stop(self) -> None:
+        """Watch no longer."""
+        self._thread.kill()
+
+    def _watch(self) -> None:
+        try:
+            trampoline(self._sock.fileno(), read=True)
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            self.is_closed = self._sock.fd.recv(1, flags) == b""
+        except (OSError, ValueError):
+            self.is_closed = True
--- /dev/null
+++ b/boragedeck/connection/edge.py
@@ -0,0 +1,131 @@
+"""The HTTP server towards callers, with bounds on what a connection may cost."""
+
+import eventlet
+from eventlet import wsgi
+from eventlet.green import socket
+
+from boragedeck.exceptions import RefusedError
+from boragedeck.ids import Ran
+
+__all__ = ["read_body", "serve_http"]
+
+MAX_CONNECTIONS = 4_096
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_REQUEST_LINE_BYTES = 8_192
+READ_BYTES = 64 * 1024
+IDLE_TIMEOUT_S = 75.0
+HEADERS_TIMEOUT_S = 10.0
+BODY_TIMEOUT_S = 20.0
+SOCKET_TIMEOUT_S = 30.0
+"""How long one read or write may stand still, in seconds."""
+SEND_BUFFER_BYTES = 32 * 1024
+"""Small, so that a caller who doesn't read is noticed."""
+
+
+class _Protocol(wsgi.HttpProtocol):
+    """Closes connections whose requests take too long to arrive."""
+
+    def _read_request_line(self):
+        line = b""
+        with eventlet.Timeout(IDLE_TIMEOUT_S, False):
+            line = super()._read_request_line()
+        return line
+
+    def parse_request(self):
+        is_parsed = False
+        with eventlet.Timeout(HEADERS_TIMEOUT_S, False):
+            is_parsed = super().parse_request()
+        if not is_parsed:
+            self.close_connection = True
+        return is_parsed
+
+
+def serve_http(listener: socket.socket, app) -> None:
+    """Serve a WSGI application until the listener is closed.
+
+    Parameters
+    ----------
+    listener : socket
+        A listening socket.
+    app : callable
+        The application.
+    """
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    wsgi.server(
+        listener,
+        app,
+        log_output=False,
+        debug=False,
+        protocol=_Protocol,
+        max_size=MAX_CONNECTIONS,
+        minimum_chunk_size=1,
+        url_length_limit=MAX_REQUEST_LINE_BYTES,
+        socket_timeout=SOCKET_TIMEOUT_S,
+        log=_Quiet(),
+    )
+
+
+def read_body(environ: dict) -> bytes:
+    """Read a request's whole body.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment.
+
+    Raises
+    ------
+    RefusedError
+        Where the body is too long, too slow or cut off.
+    """
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > MAX_BODY_BYTES:
+        raise _too_long_error()
+    is_chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
+    body = bytearray()
+    try:
+        with eventlet.Timeout(BODY_TIMEOUT_S):
+            while is_chunked or len(body) < length:
+                part = environ["wsgi.input"].read(READ_BYTES)
+                if not part:
+                    break
+                body += part
+                if len(body) > MAX_BODY_BYTES:
+                    raise _too_long_error()
+    except eventlet.Timeout:
+        raise _bad_body_error("arrived too slowly", 408) from None
+    except (OSError, ValueError):
+        raise _bad_body_error("can't be read", 400) from None
+    if not is_chunked and len(body) < length:
+        raise _bad_body_error("was cut off", 400)
+    return bytes(body)
+
+
+class _Quiet:
+    """Takes the server's own log, which would repeat the application's."""
+
+    def write(self, text: str) -> None:
+        pass
+
+
+def _too_long_error() -> RefusedError:
+    return RefusedError(
+        f"the body is over {MAX_BODY_BYTES} bytes",
+        status=413,
+        kind="invalid_request_error",
+        code="body_too_long",
+        ran=Ran.NO,
+        step="read body",
+    )
+
+
+def _bad_body_error(text: str, status: int) -> RefusedError:
+    return RefusedError(
+        f"the body {text}",
+        status=status,
+        kind="invalid_request_error",
+        code="bad_body",
+        ran=Ran.NO,
+        step="read body",
+    )
--- /dev/null
+++ b/boragedeck/connection/engine.py
@@ -0,0 +1,272 @@
+"""Connection to a model engine: one streamed run over the OpenAI-compatible API."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+import urllib3
+from eventlet.green import socket
+from urllib3.connection import HTTPConnection
+
+from boragedeck.exceptions import UpstreamError, UpstreamRefusedError
+from boragedeck.ids import Version
+from boragedeck.request.answer import Endpoint, Prompt
+
+__all__ = ["EngineChunk", "EngineRun", "RunRequest", "abort_run", "open_run"]
+
+CONNECT_TIMEOUT_S = 0.5
+HEADERS_TIMEOUT_S = 600.0
+ABORT_TIMEOUT_S = 0.5
+READ_BYTES = 65_536
+MAX_EVENT_BYTES = 1024 * 1024
+SEND_STATUSES_REFUSED = (404, 429, 503)
+"""Statuses with which an engine says that it did not run the request."""
+
+
+class RunRequest(msgspec.Struct, frozen=True):
+    """What to run on an engine.
+
+    Parameters
+    ----------
+    run_id : str
+        Sent as `X-Request-Id`; unique for each run.
+    model : Version or str
+        The model that the engine serves.
+    prompt : Prompt
+        What the caller asked.
+    max_tokens : int
+        Tokens to generate from here on.
+    priority : int
+        Lower goes first.
+    prefix_ids : tuple of int or None
+        Token ids of the prompt and of the output so far, for going on.
+    """
+
+    run_id: str
+    model: Version | str
+    prompt: Prompt
+    max_tokens: int
+    priority: int = 0
+    prefix_ids: tuple[int, ...] | None = None
+
+
+class EngineChunk(msgspec.Struct, frozen=True):
+    """Tokens that the engine sent.
+
+    Parameters
+    ----------
+    token_ids : tuple of int
+        Their ids.
+    text : str
+        Their text.
+    prompt_ids : tuple of int or None
+        Ids of the prompt, with the first chunk.
+    finish_reason : str or None
+        Set on the last chunk.
+    """
+
+    token_ids: tuple[int, ...]
+    text: str
+    prompt_ids: tuple[int, ...] | None
+    finish_reason: str | None
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta | None = None
+    text: str | None = None
+    token_ids: tuple[int, ...] | None = None
+    finish_reason: str | None = None
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = []
+    prompt_token_ids: tuple[int, ...] | None = None
+    error: Any = None
+
+
+_EVENTS = msgspec.json.Decoder(_Event)
+
+
+class EngineRun:
+    """An open stream of one run.
+
+    Parameters
+    ----------
+    conn : HTTPConnection
+        The connection, which serves this run only.
+    response : urllib3.BaseHTTPResponse
+        The response, its body not read.
+    peer : str
+        The engine's URL, for errors.
+    """
+
+    def __init__(self, conn: HTTPConnection, response: Any, peer: str):
+        self._conn = conn
+        self._response = response
+        self._peer = peer
+
+    def __iter__(self) -> Iterator[EngineChunk]:
+        """Read chunks until the engine ends the stream.
+
+        Raises
+        ------
+        UpstreamError
+            Where the connection breaks or the stream makes no sense.
+        """
+        for data in self._data():
+            if data == b"[DONE]":
+                return
+            chunk = self._chunk(data)
+            if chunk is not None:
+                yield chunk
+        raise self._error("the stream ended before its end")
+
+    def close(self) -> None:
+        """Close the connection, which aborts the run."""
+        sock = self._conn.sock
+        if sock is not None:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        self._conn.close()
+
+    def _data(self) -> Iterator[bytes]:
+        rest = b""
+        while True:
+            try:
+                read = self._response.read1(READ_BYTES)
+            except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+                raise self._error(f"the connection broke: {exc}") from exc
+            if not read:
+                return
+            *events, rest = (rest + read).split(b"\n\n")
+            if len(rest) > MAX_EVENT_BYTES:
+                raise self._error(f"an event is over {MAX_EVENT_BYTES} bytes")
+            for event in events:
+                if event.startswith(b"data: "):
+                    yield event[6:]
+
+    def _chunk(self, data: bytes) -> EngineChunk | None:
+        try:
+            event = _EVENTS.decode(data)
+        except msgspec.MsgspecError as exc:
+            raise self._error(f"an event makes no sense: {exc}") from exc
+        if event.error is not None:
+            raise self._error(f"the engine reported {str(event.error)[:200]}")
+        if not event.choices:
+            return None
+        choice = event.choices[0]
+        text = choice.text
+        if choice.delta is not None:
+            text = choice.delta.content
+        return EngineChunk(
+            token_ids=choice.token_ids or (),
+            text=text or "",
+            prompt_ids=event.prompt_token_ids,
+            finish_reason=choice.finish_reason,
+        )
+
+    def _error(self, text: str) -> UpstreamError:
+        return UpstreamError(text, step="read tokens", peer=self._peer)
+
+
+def open_run(url: str, request: RunRequest) -> EngineRun:
+    """Start a run and wait for the response's headers.
+
+    Parameters
+    ----------
+    url : str
+        The engine's base URL.
+    request : RunRequest
+        What to run.
+
+    Raises
+    ------
+    UpstreamRefusedError
+        Where the engine was not reached or said that it did not run the request.
+    UpstreamError
+        Where it failed otherwise.
+    """
+    parsed = urllib3.util.parse_url(url)
+    conn = HTTPConnection(parsed.host, parsed.port, timeout=CONNECT_TIMEOUT_S)
+    try:
+        conn.connect()
+        conn.sock.settimeout(HEADERS_TIMEOUT_S)
+    except (urllib3.exceptions.HTTPError, OSError) as exc:
+        conn.close()
+        raise UpstreamRefusedError(str(exc), step="connect", peer=url) from exc
+    try:
+        path, body = _body(request)
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": request.run_id,
+        }
+        conn.request("POST", path, body, headers, preload_content=False)
+        response = conn.getresponse()
+        _check_status(response, url)
+        conn.sock.settimeout(None)
+        return EngineRun(conn, response, url)
+    except (urllib3.exceptions.HTTPError, OSError) as exc:
+        conn.close()
+        raise UpstreamError(str(exc), step="start run", peer=url) from exc
+    except BaseException:
+        # Also a green thread that is killed must not leave the run going.
+        conn.close()
+        raise
+
+
+def abort_run(url: str, run_id: str) -> bool:
+    """Ask an engine to stop a run; return whether it took the request.
+
+    Parameters
+    ----------
+    url : str
+        The engine's base URL.
+    run_id : str
+        See `RunRequest`.
+    """
+    body = msgspec.json.encode({"request_ids": [run_id]})
+    try:
+        with urllib3.PoolManager(retries=False, timeout=ABORT_TIMEOUT_S) as pool:
+            headers = {"Content-Type": "application/json"}
+            path = f"{url.rstrip('/')}/abort_requests"
+            return pool.request("POST", path, body=body, headers=headers).status == 200
+    except (urllib3.exceptions.HTTPError, OSError):
+        return False
+
+
+def _check_status(response: Any, url: str) -> None:
+    if response.status == 200:
+        return
+    text = response.read(2_000).decode(errors="replace")
+    message = f"status {response.status}: {text[:200]}"
+    if response.status in SEND_STATUSES_REFUSED:
+        raise UpstreamRefusedError(message, step="start run", peer=url)
+    raise UpstreamError(message, step="start run", peer=url)
+
+
+def _body(request: RunRequest) -> tuple[str, bytes]:
+    fields = msgspec.json.decode(request.prompt.sampling)
+    fields.update(
+        model=request.model,
+        max_tokens=request.max_tokens,
+        stream=True,
+        return_token_ids=True,
+        priority=request.priority,
+    )
+    if request.prefix_ids is not None:
+        fields["prompt"] = request.prefix_ids
+        return "/v1/completions", msgspec.json.encode(fields)
+    content = msgspec.Raw(request.prompt.content)
+    match request.prompt.endpoint:
+        case Endpoint.CHAT:
+            fields["messages"] = content
+            return "/v1/chat/completions", msgspec.json.encode(fields)
+        case Endpoint.TEXT:
+            fields["prompt"] = content
+            return "/v1/completions", msgspec.json.encode(fields)
--- a/boragedeck/connection/peer.py
+++ b/boragedeck/connection/peer.py
@@ -17,7 +17,12 @@
 from result import Err, Ok, Result
 
 from boragedeck.connection.messages import Accepted, Frame, Message, Ping, Refused
-from boragedeck.exceptions import PeerError, PeerRefusedError, PeerUnreachableError
+from boragedeck.exceptions import (
+    PeerError,
+    PeerGoneError,
+    PeerRefusedError,
+    PeerUnreachableError,
+)
 from boragedeck.process.timers import TimerService
 
 __all__ = ["Address", "PeerLink", "PeerLinks", "PeerServer"]
@@ -191,6 +196,8 @@
             if not self._timers.wait(event, deadline - self._timers.now()):
                 return Err(self._unreachable("no answer in time", step))
             body = event.wait()
+        except ConnectionRefusedError as exc:
+            return Err(PeerGoneError(str(exc), step=step, peer=str(self.address)))
         except (OSError, EOFError, eventlet.Timeout) as exc:
             return Err(self._unreachable(str(exc) or "timeout", step))
         finally:
--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -6,6 +6,7 @@
     "AnswerLostError",
     "BoragedeckError",
     "PeerError",
+    "PeerGoneError",
     "PeerRefusedError",
     "PeerUnreachableError",
     "RefusedError",
@@ -85,6 +86,10 @@
     """The other router can't be reached or did not answer in time."""
 
 
+class PeerGoneError(PeerUnreachableError):
+    """Nobody listens at the other router's address, so its soft state is gone."""
+
+
 class PeerRefusedError(PeerError):
     """The other router answered that it won't do what was asked."""
 
--- /dev/null
+++ b/boragedeck/process/answer_service.py
@@ -0,0 +1,375 @@
+"""Starts, finds, reads, cancels and hands over answers."""
+
+import secrets
+
+import eventlet
+from result import Err, Ok, Result
+
+from boragedeck.connection.messages import Accepted, Message
+from boragedeck.connection.peer import Address, PeerLinks, PeerServer
+from boragedeck.exceptions import PeerRefusedError, RefusedError
+from boragedeck.ids import Ran
+from boragedeck.interfaces import Membership
+from boragedeck.process.answers import AnswerTable
+from boragedeck.process.copies import CopyStore
+from boragedeck.process.logs import PartLog
+from boragedeck.process.timers import TimerService
+from boragedeck.request.abandonment import Abandonment
+from boragedeck.request.answer import Answer, AnswerKey, AnswerSpec, Epoch, Finish
+from boragedeck.request.copy_messages import (
+    AnswerPart,
+    CancelAnswer,
+    ClaimAnswer,
+    CopyAppend,
+    CopyImage,
+    FindAnswer,
+    Found,
+    HandOver,
+    NotFound,
+    ReadAnswer,
+    SeizeCopy,
+)
+from boragedeck.request.event_id import MAX_TAG, EventId, follows
+from boragedeck.request.generation import Generation, GenerationParts
+from boragedeck.request.lookup import Lookup, Takeover, lost_error
+from boragedeck.request.sources import Local, Remote, Source, Stored, local_part
+
+__all__ = ["AnswerService"]
+
+PEER_TIMEOUT_S = 0.5
+FIND_ROUNDS = 6
+FIND_PAUSE_S = 0.3
+CLAIM_WAIT_S = 1.0
+
+_log = PartLog("answers")
+
+
+class AnswerService:
+    """All that callers and peers ask about answers.
+
+    Parameters
+    ----------
+    parts : GenerationParts
+        What running an answer needs.
+    answers : AnswerTable
+        The answers that this router owns.
+    copies : CopyStore
+        Copies of other routers' answers.
+    membership : Membership
+        The other routers.
+    links : PeerLinks
+        Links to them.
+    abandonment : Abandonment
+        Counts readers.
+    """
+
+    def __init__(
+        self,
+        parts: GenerationParts,
+        answers: AnswerTable,
+        copies: CopyStore,
+        membership: Membership,
+        links: PeerLinks,
+        abandonment: Abandonment,
+    ):
+        self._parts = parts
+        self._answers = answers
+        self._copies = copies
+        self._membership = membership
+        self._links = links
+        self._abandonment = abandonment
+        self._lookup = Lookup(answers, copies, membership, links, parts.timers)
+        self._starting: dict[AnswerKey, eventlet.Semaphore] = {}
+
+    @property
+    def timers(self) -> TimerService:
+        """The source of time."""
+        return self._parts.timers
+
+    @property
+    def links(self) -> PeerLinks:
+        """Links to the other routers."""
+        return self._links
+
+    def register(self, server: PeerServer) -> None:
+        """Answer the calls of other routers."""
+        server.register(CopyAppend, self._copies.append)
+        server.register(SeizeCopy, self._copies.seize)
+        server.register(ClaimAnswer, self._copies.claim)
+        server.register(FindAnswer, self._on_find)
+        server.register(ReadAnswer, self._on_read)
+        server.register(CancelAnswer, self._on_cancel)
+        server.register(HandOver, self._on_hand_over)
+
+    def start(
+        self, key: AnswerKey, spec: AnswerSpec, *, is_keyed: bool
+    ) -> Result[Source, RefusedError]:
+        """Start an answer, or find the one that the same request has started.
+
+        Parameters
+        ----------
+        key : AnswerKey
+            Names the answer.
+        spec : AnswerSpec
+            What to run.
+        is_keyed : bool
+            Whether the caller chose the id, so that it may come twice.
+        """
+        if not is_keyed:
+            return Ok(Local(self._start(key, spec, Epoch(1, 0, 0))))
+        gate = self._starting.setdefault(key, eventlet.Semaphore(1))
+        try:
+            with gate:
+                return self._start_keyed(key, spec)
+        finally:
+            if gate.balance > 0:
+                self._starting.pop(key, None)
+
+    def find(self, key: AnswerKey, has: EventId | None) -> Result[Source, RefusedError]:
+        """Find an answer on any router, taking it over where its owner is gone.
+
+        Parameters
+        ----------
+        key : AnswerKey
+            Names the answer.
+        has : EventId or None
+            How far the caller has received it.
+        """
+        for i in range(FIND_ROUNDS):
+            result = self._lookup.find(key, has)
+            if result.is_ok():
+                return self._enter(result.ok(), has)
+            if result.err().status != 503:
+                return result
+            if i + 1 < FIND_ROUNDS:
+                self.timers.sleep(FIND_PAUSE_S)
+        return result
+
+    def cancel(self, key: AnswerKey) -> Result[None, RefusedError]:
+        """Stop an answer wherever it runs."""
+        found = self.find(key, None)
+        if found.is_err():
+            return found
+        match found.ok():
+            case Local(answer):
+                answer.end_with(Finish("cancelled"))
+            case Remote(address):
+                result = self._links.link(address).call(
+                    CancelAnswer(key), Accepted, timeout_s=PEER_TIMEOUT_S
+                )
+                if result.is_err():
+                    return Err(_cancel_error())
+            case Stored():
+                pass
+        return Ok(None)
+
+    def attach(self, source: Source) -> None:
+        """Note that a caller of this router reads a source."""
+        if isinstance(source, Local):
+            self._abandonment.attach(source.answer)
+
+    def detach(self, source: Source) -> None:
+        """Note that a caller of this router reads a source no more."""
+        if isinstance(source, Local):
+            self._abandonment.detach(source.answer)
+
+    def hand_over_all(self) -> int:
+        """Give every running answer to its copy holder; return how many stay."""
+        pool = eventlet.GreenPool(64)
+        results = pool.imap(self._hand_over, self._answers.running())
+        return sum(1 for is_gone in results if not is_gone)
+
+    def running(self) -> int:
+        """Return how many answers run here."""
+        return len(self._answers.running())
+
+    def _start_keyed(
+        self, key: AnswerKey, spec: AnswerSpec
+    ) -> Result[Source, RefusedError]:
+        number = 1
+        found = self._lookup.find(key, None)
+        if found.is_ok():
+            found = self._enter(found.ok(), None)
+        else:
+            found = self._wait_for_claim(key)
+        if found.is_ok():
+            failed = _failed_epoch(found.ok())
+            if failed is None:
+                return self._same_request(found.ok(), key, spec)
+            number = failed.number + 1
+        tag = secrets.randbelow(MAX_TAG - 1) + 1
+        return Ok(Local(self._start(key, spec, Epoch(number, tag, 0))))
+
+    def _wait_for_claim(self, key: AnswerKey) -> Result[Source, RefusedError]:
+        until = self.timers.now() + CLAIM_WAIT_S
+        owner = self._lookup.claim(key)
+        while owner != self._membership.own.address:
+            found = self._lookup.find(key, None)
+            if found.is_ok():
+                return self._enter(found.ok(), None)
+            if self.timers.now() >= until:
+                return found
+            self.timers.sleep(FIND_PAUSE_S / 3)
+        return Err(lost_error("not started yet"))
+
+    def _same_request(
+        self, source: Source, key: AnswerKey, spec: AnswerSpec
+    ) -> Result[Source, RefusedError]:
+        body_hash = self._body_hash(source, key)
+        if body_hash is not None and body_hash != spec.body_hash:
+            return Err(_other_body_error())
+        return Ok(source)
+
+    def _body_hash(self, source: Source, key: AnswerKey) -> str | None:
+        match source:
+            case Local(answer):
+                return answer.spec.body_hash
+            case Stored(image):
+                return image.spec.body_hash
+            case Remote(address):
+                result = self._links.link(address).call(
+                    FindAnswer(key), Found | NotFound, timeout_s=PEER_TIMEOUT_S
+                )
+                if result.is_ok() and isinstance(result.ok(), Found):
+                    return result.ok().body_hash
+        return None
+
+    def _enter(
+        self, found: Source | Takeover, has: EventId | None
+    ) -> Result[Source, RefusedError]:
+        if isinstance(found, Takeover):
+            return Ok(Local(self._take_over(found.image)))
+        if isinstance(found, Local) and has is not None:
+            if not follows(found.answer.lineage, has):
+                return Err(lost_error("another continuation has replaced it"))
+            if has.position > found.answer.end:
+                return Err(lost_error("the caller is ahead of the answer"))
+        return Ok(found)
+
+    def _start(self, key: AnswerKey, spec: AnswerSpec, epoch: Epoch) -> Answer:
+        answer = Answer(key, spec, None, [epoch])
+        self._run(answer)
+        _log.write("Started.", answer=str(key), route=spec.route)
+        return answer
+
+    def _take_over(self, image: CopyImage) -> Answer:
+        answer = Answer(
+            image.key,
+            image.spec,
+            image.version,
+            list(image.lineage),
+            image.prompt_ids,
+            list(image.chunks),
+        )
+        self._parts.metrics.takeovers.labels("owner_lost").inc()
+        self._run(answer)
+        return answer
+
+    def _run(self, answer: Answer) -> None:
+        self._answers.add(answer)
+        self._parts.journal.mark(answer)
+        # An answer that no caller attaches to ends after its grace time.
+        self._abandonment.attach(answer)
+        eventlet.spawn_n(self._run_to_end, answer)
+        eventlet.spawn_n(self._abandonment.detach, answer)
+
+    def _run_to_end(self, answer: Answer) -> None:
+        try:
+            Generation(answer, self._parts).run()
+        finally:
+            self._answers.end(answer)
+            self._parts.journal.forget(answer)
+            _log.write(
+                "Ended.",
+                answer=str(answer.key),
+                reason=answer.finish.reason if answer.finish else "superseded",
+                tokens=answer.end,
+            )
+
+    def _on_find(self, message: FindAnswer) -> Message:
+        answer = self._answers.get(message.key)
+        if answer is not None:
+            return Found(
+                is_owner=True,
+                epoch=answer.epoch,
+                end=answer.end,
+                body_hash=answer.spec.body_hash,
+                owner=self._membership.own.address,
+                is_finished=answer.finish is not None,
+            )
+        return self._copies.find(message.key) or NotFound()
+
+    def _on_read(self, message: ReadAnswer) -> AnswerPart:
+        answer = self._answers.get(message.key)
+        if answer is None:
+            raise PeerRefusedError("not the owner", step="read answer")
+        self._abandonment.attach(answer)
+        try:
+            part = local_part(answer, message.after, message.wait_s, self.timers)
+        finally:
+            self._abandonment.detach(answer)
+        if part.is_err():
+            raise PeerRefusedError("no longer the owner", step="read answer")
+        return part.ok()
+
+    def _on_cancel(self, message: CancelAnswer) -> Accepted:
+        answer = self._answers.get(message.key)
+        if answer is None:
+            raise PeerRefusedError("not the owner", step="cancel answer")
+        answer.end_with(Finish("cancelled"))
+        return Accepted()
+
+    def _on_hand_over(self, message: HandOver) -> Accepted:
+        own = self._membership.own.address
+        tag = secrets.randbelow(MAX_TAG - 1) + 1
+        seize = SeizeCopy(message.key, message.epoch, tag, own)
+        image = self._copies.seize(seize)
+        if image.finish is None:
+            self._take_over(image)
+        return Accepted()
+
+    def _hand_over(self, answer: Answer) -> bool:
+        holder: Address | None = self._parts.journal.holder_of(answer)
+        if holder is None or not answer.is_running:
+            return not answer.is_running
+        result = self._links.link(holder).call(
+            HandOver(answer.key, answer.epoch), Accepted, timeout_s=PEER_TIMEOUT_S
+        )
+        if result.is_ok():
+            answer.supersede()
+        return result.is_ok()
+
+
+def _failed_epoch(source: Source) -> Epoch | None:
+    match source:
+        case Local(answer):
+            finish, chunks, epoch = answer.finish, answer.chunks, answer.epoch
+        case Stored(image):
+            finish, chunks, epoch = image.finish, image.chunks, image.lineage[-1]
+        case Remote():
+            return None
+    has_failed = finish is not None and finish.error is not None and not chunks
+    return epoch if has_failed and finish.error.ran is not Ran.YES else None
+
+
+def _other_body_error() -> RefusedError:
+    return RefusedError(
+        "this Idempotency-Key was used with another body",
+        status=422,
+        kind="invalid_request_error",
+        code="idempotency_key_reused",
+        ran=Ran.NO,
+        step="start answer",
+    )
+
+
+def _cancel_error() -> RefusedError:
+    return RefusedError(
+        "the router that runs the answer does not reply now",
+        status=503,
+        kind="server_error",
+        code="answer_unreachable",
+        ran=Ran.UNKNOWN,
+        retry_after_s=1.0,
+        step="cancel answer",
+    )
--- /dev/null
+++ b/boragedeck/process/answers.py
@@ -0,0 +1,66 @@
+"""The answers that this router owns, from their start to their last reading."""
+
+from collections import OrderedDict
+
+from boragedeck.process.timers import TimerService
+from boragedeck.request.answer import Answer, AnswerKey, AnswerState
+
+__all__ = ["AnswerTable"]
+
+FINISHED_KEEP_S = 120.0
+"""How long the answer of a finished request can be read again."""
+MAX_FINISHED = 5_000
+SWEEP_INTERVAL_S = 5.0
+
+
+class AnswerTable:
+    """Owned answers by key; finished ones are kept for a while.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    """
+
+    def __init__(self, timers: TimerService):
+        self._timers = timers
+        self._running: dict[AnswerKey, Answer] = {}
+        self._finished: OrderedDict[AnswerKey, Answer] = OrderedDict()
+        timers.subscribe(SWEEP_INTERVAL_S, self.sweep)
+
+    def get(self, key: AnswerKey) -> Answer | None:
+        """Return the answer that this router owns, or None."""
+        answer = self._running.get(key) or self._finished.get(key)
+        if answer is None or answer.state is AnswerState.SUPERSEDED:
+            return None
+        return answer
+
+    def running(self) -> list[Answer]:
+        """Return the answers that have not ended."""
+        return list(self._running.values())
+
+    def add(self, answer: Answer) -> None:
+        """Take in an answer that is about to run."""
+        self._finished.pop(answer.key, None)
+        self._running[answer.key] = answer
+
+    def end(self, answer: Answer) -> None:
+        """Keep an answer that has ended, or forget one that was superseded."""
+        if self._running.get(answer.key) is answer:
+            del self._running[answer.key]
+        if answer.state is AnswerState.SUPERSEDED:
+            return
+        answer.ended_at = self._timers.now()
+        self._finished[answer.key] = answer
+        self._finished.move_to_end(answer.key)
+        while len(self._finished) > MAX_FINISHED:
+            self._finished.popitem(last=False)
+
+    def sweep(self) -> None:
+        """Forget finished answers that are too old."""
+        oldest = self._timers.now() - FINISHED_KEEP_S
+        while self._finished:
+            key, answer = next(iter(self._finished.items()))
+            if answer.ended_at > oldest:
+                return
+            del self._finished[key]
--- /dev/null
+++ b/boragedeck/process/copies.py
@@ -0,0 +1,242 @@
+"""Copies of other routers' answers, which survive their owners."""
+
+from collections import OrderedDict
+
+import msgspec
+
+from boragedeck.connection.peer import Address
+from boragedeck.exceptions import PeerRefusedError
+from boragedeck.process.timers import TimerService
+from boragedeck.request.answer import AnswerKey, Chunk, Epoch, Finish
+from boragedeck.request.copy_messages import (
+    ClaimAnswer,
+    Claimed,
+    CopyAppend,
+    CopyAppended,
+    CopyImage,
+    CopyItem,
+    CopyStatus,
+    Found,
+    SeizeCopy,
+)
+
+__all__ = ["CopyStore"]
+
+MAX_COPIES = 20_000
+MAX_COPY_BYTES = 256 * 1024 * 1024
+IDLE_KEEP_S = 300.0
+"""How long a copy stays that its owner does not add to."""
+FINISHED_KEEP_S = 120.0
+CLAIM_KEEP_S = 120.0
+MAX_CLAIMS = 50_000
+SWEEP_INTERVAL_S = 5.0
+CHUNK_OVERHEAD_BYTES = 120
+IMAGE_OVERHEAD_BYTES = 2_000
+TOKEN_ID_BYTES = 36
+
+
+class _Copy:
+    def __init__(self, image: CopyImage, now: float):
+        self.image = image
+        self.chunks: list[Chunk] = list(image.chunks)
+        self.lineage: list[Epoch] = list(image.lineage)
+        self.finish: Finish | None = image.finish
+        self.owner: Address = image.owner
+        self.prompt_ids = image.prompt_ids
+        self.version = image.version
+        self.upstream_url = image.upstream_url
+        self.touched = now
+        self.bytes = _image_bytes(image)
+
+    @property
+    def epoch(self) -> Epoch:
+        return self.lineage[-1]
+
+    @property
+    def end(self) -> int:
+        return self.chunks[-1].end if self.chunks else 0
+
+    def to_image(self) -> CopyImage:
+        return msgspec.structs.replace(
+            self.image,
+            lineage=tuple(self.lineage),
+            chunks=tuple(self.chunks),
+            finish=self.finish,
+            owner=self.owner,
+            prompt_ids=self.prompt_ids,
+            version=self.version,
+            upstream_url=self.upstream_url,
+        )
+
+
+class _Claim(msgspec.Struct, frozen=True):
+    owner: Address
+    until: float
+
+
+class CopyStore:
+    """Holds copies, bounded in number, size and age.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time; it sweeps old copies.
+    max_bytes : int
+        Approximate bound of the copies' memory, in bytes.
+
+    Notes
+    -----
+    A copy accepts tokens only from the owner of its epoch, and only where they
+    continue what it has. Whoever seizes it raises the epoch, which stops an owner
+    that was paused meanwhile.
+    """
+
+    def __init__(self, timers: TimerService, max_bytes: int = MAX_COPY_BYTES):
+        self._timers = timers
+        self._max_bytes = max_bytes
+        self._copies: OrderedDict[AnswerKey, _Copy] = OrderedDict()
+        self._claims: OrderedDict[AnswerKey, _Claim] = OrderedDict()
+        self._bytes = 0
+        timers.subscribe(SWEEP_INTERVAL_S, self.sweep)
+
+    def __len__(self) -> int:
+        return len(self._copies)
+
+    def append(self, message: CopyAppend) -> CopyAppended:
+        """Store what owners send; see `CopyAppended` for the order of statuses."""
+        statuses = [self._store(image) for image in message.images]
+        statuses += [self._extend(item) for item in message.items]
+        return CopyAppended(tuple(statuses))
+
+    def find(self, key: AnswerKey) -> Found | None:
+        """Return what is known of an answer."""
+        copy = self._copies.get(key)
+        if copy is None:
+            return None
+        return Found(
+            is_owner=False,
+            epoch=copy.epoch,
+            end=copy.end,
+            body_hash=copy.image.spec.body_hash,
+            owner=copy.owner,
+            is_finished=copy.finish is not None,
+        )
+
+    def seize(self, message: SeizeCopy) -> CopyImage:
+        """Raise a copy's epoch for a new owner and return the copy.
+
+        Raises
+        ------
+        PeerRefusedError
+            Where the copy is gone, or another router has seized it.
+        """
+        copy = self._copies.get(message.key)
+        if copy is None:
+            raise PeerRefusedError("no copy", step="seize copy", peer=str(message.key))
+        if copy.finish is not None:
+            return copy.to_image()
+        if copy.epoch != message.seen:
+            raise PeerRefusedError(
+                f"epoch is {copy.epoch.number}, not {message.seen.number}",
+                step="seize copy",
+                peer=str(message.key),
+            )
+        copy.lineage.append(Epoch(copy.epoch.number + 1, message.tag, copy.end))
+        copy.owner = message.owner
+        copy.touched = self._timers.now()
+        return copy.to_image()
+
+    def claim(self, message: ClaimAnswer) -> Claimed:
+        """Give a new answer's id to the first router that claims it."""
+        now = self._timers.now()
+        claim = self._claims.get(message.key)
+        if claim is None or claim.until <= now:
+            claim = _Claim(message.owner, now + CLAIM_KEEP_S)
+            self._claims[message.key] = claim
+            self._claims.move_to_end(message.key)
+            if len(self._claims) > MAX_CLAIMS:
+                self._claims.popitem(last=False)
+        return Claimed(claim.owner)
+
+    def sweep(self) -> None:
+        """Drop copies and claims that are too old."""
+        now = self._timers.now()
+        for key, copy in list(self._copies.items()):
+            keep_s = FINISHED_KEEP_S if copy.finish is not None else IDLE_KEEP_S
+            if now - copy.touched > keep_s:
+                self._drop(key)
+        while self._claims and next(iter(self._claims.values())).until <= now:
+            self._claims.popitem(last=False)
+
+    def _store(self, image: CopyImage) -> CopyStatus:
+        copy = self._copies.get(image.key)
+        if copy is not None and not _may_replace(copy.lineage, image.lineage):
+            return CopyStatus.STALE
+        if copy is not None and copy.epoch == image.lineage[-1]:
+            # A repeated image may be older than what has been added since.
+            if copy.end > (image.chunks[-1].end if image.chunks else 0):
+                return CopyStatus.STORED
+        if not self._make_room(_image_bytes(image)):
+            return CopyStatus.FULL
+        self._drop(image.key)
+        copy = _Copy(image, self._timers.now())
+        self._copies[image.key] = copy
+        self._bytes += copy.bytes
+        return CopyStatus.STORED
+
+    def _extend(self, item: CopyItem) -> CopyStatus:
+        copy = self._copies.get(item.key)
+        if copy is None:
+            return CopyStatus.MISSING
+        if copy.epoch != item.epoch:
+            is_newer = item.epoch.number > copy.epoch.number
+            return CopyStatus.MISSING if is_newer else CopyStatus.STALE
+        if item.start > len(copy.chunks):
+            return CopyStatus.MISSING
+        fresh = item.chunks[len(copy.chunks) - item.start :]
+        copy.chunks.extend(fresh)
+        copy.finish = copy.finish or item.finish
+        if item.prompt_ids is not None:
+            copy.prompt_ids = item.prompt_ids
+            copy.version = item.version
+        if item.upstream_url is not None:
+            copy.upstream_url = item.upstream_url
+        copy.touched = self._timers.now()
+        grown = sum(map(_chunk_bytes, fresh))
+        copy.bytes += grown
+        self._bytes += grown
+        return CopyStatus.STORED
+
+    def _make_room(self, size: int) -> bool:
+        for key in [key for key, copy in self._copies.items() if copy.finish]:
+            if self._fits(size):
+                return True
+            self._drop(key)
+        return self._fits(size)
+
+    def _fits(self, size: int) -> bool:
+        has_place = len(self._copies) < MAX_COPIES
+        return has_place and self._bytes + size <= self._max_bytes
+
+    def _drop(self, key: AnswerKey) -> None:
+        copy = self._copies.pop(key, None)
+        if copy is not None:
+            self._bytes -= copy.bytes
+
+
+def _may_replace(old: list[Epoch], new: tuple[Epoch, ...]) -> bool:
+    if new[-1].number == old[-1].number:
+        return new[-1] == old[-1]
+    return new[-1].number > old[-1].number
+
+
+def _chunk_bytes(chunk: Chunk) -> int:
+    ids = TOKEN_ID_BYTES * len(chunk.token_ids)
+    return CHUNK_OVERHEAD_BYTES + len(chunk.text) + ids
+
+
+def _image_bytes(image: CopyImage) -> int:
+    prompt = len(image.spec.prompt.content) + TOKEN_ID_BYTES * len(
+        image.prompt_ids or ()
+    )
+    return IMAGE_OVERHEAD_BYTES + prompt + sum(map(_chunk_bytes, image.chunks))
--- /dev/null
+++ b/boragedeck/process/journal.py
@@ -0,0 +1,292 @@
+"""Journal: copies each answer to another router before callers see it."""
+
+import eventlet
+import msgspec
+
+from boragedeck.connection.peer import Address, PeerLinks
+from boragedeck.ids import Health
+from boragedeck.interfaces import Member, Membership
+from boragedeck.process.logs import PartLog
+from boragedeck.process.metrics import Metrics
+from boragedeck.process.rendezvous import rank
+from boragedeck.process.signal import Signal
+from boragedeck.process.timers import TimerService
+from boragedeck.request.answer import Answer, AnswerKey, AnswerState
+from boragedeck.request.copy_messages import (
+    CopyAppend,
+    CopyAppended,
+    CopyImage,
+    CopyItem,
+    CopyStatus,
+)
+
+__all__ = ["Journal"]
+
+APPEND_TIMEOUT_S = 0.4
+MAX_BATCH_ANSWERS = 256
+MAX_ITEM_CHUNKS = 512
+AVOID_S = 3.0
+"""How long a router that failed is not chosen as a holder."""
+IDLE_S = 30.0
+"""A holder without answers loses its green thread after this time."""
+REFRESH_S = 60.0
+"""How often an answer that stands still is shown to its holder."""
+
+_log = PartLog("journal")
+
+
+class _Copying(msgspec.Struct):
+    """Where an answer's copy is and how much it has."""
+
+    holder: Address | None = None
+    is_stored: bool = False
+    chunks: int = 0
+    has_prompt: bool = False
+    upstream_url: str = ""
+    copied_upstream_url: str = ""
+    sent_at: float = 0.0
+
+
+class Journal:
+    """Copies the answers that this router owns.
+
+    Parameters
+    ----------
+    membership : Membership
+        The routers to choose holders from.
+    links : PeerLinks
+        Links to them.
+    timers : TimerService
+        The source of time.
+    metrics : Metrics
+        Counts tokens without a copy.
+
+    Notes
+    -----
+    One green thread for each holder sends what all answers have gathered since the
+    last batch, so at most one round trip is in flight and batches grow with the
+    load. Readers see what the holder has acknowledged. With no holder in reach they
+    see everything at once, and the answer doesn't survive its router.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        links: PeerLinks,
+        timers: TimerService,
+        metrics: Metrics,
+    ):
+        self._membership = membership
+        self._links = links
+        self._timers = timers
+        self._metrics = metrics
+        self._holders: dict[Address, _HolderTask] = {}
+        self._avoid: dict[Address, float] = {}
+        self._answers: dict[AnswerKey, Answer] = {}
+        timers.subscribe(REFRESH_S, self._refresh)
+
+    def mark(self, answer: Answer) -> None:
+        """Note that an answer has grown, ended or changed its upstream."""
+        if answer.copy is None:
+            answer.copy = _Copying()
+            self._answers[answer.key] = answer
+        copying = answer.copy
+        if copying.holder is None:
+            copying.holder = self._choose_holder(answer)
+            copying.is_stored = False
+        if copying.holder is None:
+            self._commit_without_copy(answer)
+            return
+        self._task(copying.holder).add(answer)
+
+    def set_upstream(self, answer: Answer, url: str) -> None:
+        """Note which engine runs an answer; its next image says so."""
+        if answer.copy is None:
+            answer.copy = _Copying()
+            self._answers[answer.key] = answer
+        answer.copy.upstream_url = url
+
+    def holder_of(self, answer: Answer) -> Address | None:
+        """Return where an answer's copy is, or None."""
+        copying = answer.copy
+        return copying.holder if copying is not None and copying.is_stored else None
+
+    def forget(self, answer: Answer) -> None:
+        """Copy an answer no further."""
+        self._answers.pop(answer.key, None)
+
+    def _choose_holder(self, answer: Answer) -> Address | None:
+        now = self._timers.now()
+        own = self._membership.own
+        candidates = [
+            member
+            for member in self._membership.members()
+            if member.health is Health.HEALTHY
+            and self._avoid.get(member.address, 0.0) <= now
+        ]
+        elsewhere = [
+            member
+            for member in candidates
+            if member.failure_domain != own.failure_domain
+        ]
+        ranked = rank(str(answer.key), elsewhere or candidates, _member_name)
+        return ranked[0].address if ranked else None
+
+    def _commit_without_copy(self, answer: Answer) -> None:
+        uncommitted = answer.end - answer.committed_end
+        self._metrics.uncopied_tokens.inc(uncommitted)
+        answer.commit(len(answer.chunks), answer.finish is not None)
+
+    def _task(self, address: Address) -> "_HolderTask":
+        if address not in self._holders:
+            task = _HolderTask(address, self)
+            self._holders[address] = task
+            eventlet.spawn_n(task.run)
+        return self._holders[address]
+
+    def _holder_failed(self, address: Address, answers: list[Answer]) -> None:
+        self._avoid[address] = self._timers.now() + AVOID_S
+        member = next(
+            (m for m in self._membership.members() if m.address == address), None
+        )
+        if member is not None:
+            self._membership.suspect(member.router)
+        _log.write("Copy holder failed.", peer=str(address), answers=len(answers))
+        for answer in answers:
+            self._move(answer)
+
+    def _move(self, answer: Answer) -> None:
+        answer.copy.holder = None
+        answer.copy.is_stored = False
+        if answer.state is not AnswerState.SUPERSEDED:
+            self.mark(answer)
+
+    def _refresh(self) -> None:
+        now = self._timers.now()
+        self._avoid = {a: until for a, until in self._avoid.items() if until > now}
+        for answer in list(self._answers.values()):
+            if answer.is_running and now - answer.copy.sent_at > REFRESH_S:
+                self.mark(answer)
+
+
+class _HolderTask:
+    """Sends to one holder, with one batch in flight."""
+
+    def __init__(self, address: Address, journal: Journal):
+        self._address = address
+        self._journal = journal
+        self._timers = journal._timers
+        self._dirty: dict[AnswerKey, Answer] = {}
+        self._added = Signal()
+
+    def add(self, answer: Answer) -> None:
+        self._dirty[answer.key] = answer
+        self._added.notify()
+
+    def run(self) -> None:
+        while True:
+            if not self._dirty and not self._added.wait(self._timers, IDLE_S):
+                if not self._dirty:
+                    self._journal._holders.pop(self._address, None)
+                    return
+            self._send_batch()
+
+    def _send_batch(self) -> None:
+        batch = [
+            self._dirty.pop(key)
+            for key in list(self._dirty)[:MAX_BATCH_ANSWERS]
+        ]  # fmt: skip
+        new = [a for a in batch if not a.copy.is_stored and self._is_here(a)]
+        old = [a for a in batch if a.copy.is_stored and self._is_here(a)]
+        if not new and not old:
+            return
+        images = tuple(self._image(answer) for answer in new)
+        items = tuple(self._item(answer) for answer in old)
+        link = self._journal._links.link(self._address)
+        result = link.call(
+            CopyAppend(images, items), CopyAppended, timeout_s=APPEND_TIMEOUT_S
+        )
+        if result.is_err():
+            # A link that went silent must not be met again.
+            link.close()
+            gathered = [a for a in self._dirty.values() if self._is_here(a)]
+            self._dirty.clear()
+            failed = {a.key: a for a in [*new, *old, *gathered]}
+            self._journal._holder_failed(self._address, list(failed.values()))
+            return
+        for answer, status, sent in zip(
+            [*new, *old], result.ok().statuses, [*images, *items], strict=False
+        ):
+            self._settle(answer, status, sent)
+
+    def _is_here(self, answer: Answer) -> bool:
+        return (
+            answer.copy.holder == self._address
+            and answer.state is not AnswerState.SUPERSEDED
+        )
+
+    def _settle(
+        self, answer: Answer, status: CopyStatus, sent: CopyImage | CopyItem
+    ) -> None:
+        copying = answer.copy
+        copying.sent_at = self._timers.now()
+        match status:
+            case CopyStatus.STORED:
+                self._stored(answer, sent)
+            case CopyStatus.MISSING:
+                copying.is_stored = False
+                self.add(answer)
+            case CopyStatus.STALE:
+                self._journal._metrics.stale_appends.inc()
+                _log.write("Another router owns the answer.", answer=str(answer.key))
+                answer.supersede()
+            case CopyStatus.FULL:
+                self._journal._avoid[self._address] = self._timers.now() + AVOID_S
+                self._journal._move(answer)
+
+    def _stored(self, answer: Answer, sent: CopyImage | CopyItem) -> None:
+        copying = answer.copy
+        start = sent.start if isinstance(sent, CopyItem) else 0
+        copying.chunks = start + len(sent.chunks)
+        copying.is_stored = True
+        copying.has_prompt = copying.has_prompt or sent.prompt_ids is not None
+        if sent.upstream_url is not None:
+            copying.copied_upstream_url = sent.upstream_url
+        answer.commit(copying.chunks, sent.finish is not None)
+        ended_since = answer.finish is not None and sent.finish is None
+        if copying.chunks < len(answer.chunks) or ended_since:
+            self.add(answer)
+
+    def _image(self, answer: Answer) -> CopyImage:
+        answer.copy.has_prompt = False
+        return CopyImage(
+            key=answer.key,
+            spec=answer.spec,
+            version=answer.version,
+            lineage=tuple(answer.lineage),
+            prompt_ids=answer.prompt_ids,
+            chunks=tuple(answer.chunks),
+            finish=answer.finish,
+            owner=self._journal._membership.own.address,
+            upstream_url=answer.copy.upstream_url,
+        )
+
+    def _item(self, answer: Answer) -> CopyItem:
+        start = answer.copy.chunks
+        chunks = answer.chunks[start : start + MAX_ITEM_CHUNKS]
+        is_all = start + len(chunks) == len(answer.chunks)
+        url = answer.copy.upstream_url
+        return CopyItem(
+            key=answer.key,
+            epoch=answer.epoch,
+            start=start,
+            chunks=tuple(chunks),
+            finish=answer.finish if is_all else None,
+            prompt_ids=None if answer.copy.has_prompt else answer.prompt_ids,
+            version=answer.version,
+            upstream_url=None if url == answer.copy.copied_upstream_url else url,
+        )
+
+
+def _member_name(member: Member) -> str:
+    return str(member.router)
--- /dev/null
+++ b/boragedeck/process/rendezvous.py
@@ -0,0 +1,40 @@
+"""Rendezvous hashing: every router ranks the same names in the same order.
+
+References
+----------
+.. [1] D. G. Thaler and C. V. Ravishankar, "Using name-based mappings to increase
+   hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import TypeVar
+
+import xxhash
+
+__all__ = ["rank"]
+
+T = TypeVar("T")
+
+
+def rank(key: str, items: Iterable[T], name: Callable[[T], str]) -> list[T]:
+    """Order items by their weight for a key, the best first.
+
+    Parameters
+    ----------
+    key : str
+        What is to be placed.
+    items : iterable
+        Where it may be placed.
+    name : callable
+        Returns an item's unique name.
+
+    Examples
+    --------
+    >>> rank("k", ["a", "b", "c"], str) == rank("k", ["c", "b", "a"], str)
+    True
+    """
+    return sorted(
+        items,
+        key=lambda item: xxhash.xxh64_intdigest(f"{key}\0{name(item)}"),
+        reverse=True,
+    )
--- /dev/null
+++ b/boragedeck/request/attempt.py
@@ -0,0 +1,178 @@
+"""One attempt to run an answer on one upstream, in a green thread of its own."""
+
+import enum
+from collections.abc import Callable
+
+import eventlet
+import msgspec
+
+from boragedeck.connection.engine import EngineChunk, EngineRun, RunRequest
+from boragedeck.exceptions import (
+    RefusedError,
+    UpstreamError,
+    UpstreamRefusedError,
+)
+from boragedeck.ids import UpstreamName
+from boragedeck.interfaces import Chooser, Outcome, Slot, Wanted
+
+__all__ = ["Attempt", "AttemptEnd", "EndKind", "OpenRun"]
+
+OpenRun = Callable[[str, RunRequest], EngineRun]
+
+
+class EndKind(enum.Enum):
+    """How an attempt ended."""
+
+    COMPLETED = "completed"
+    REFUSED = "refused"
+    """No upstream took the request, and the chooser gave up."""
+    NOT_TAKEN = "not_taken"
+    """The chosen upstream did not take it; another may."""
+    BROKEN = "broken"
+    """The upstream failed in the middle of the run."""
+
+
+class AttemptEnd(msgspec.Struct, frozen=True):
+    """How an attempt ended.
+
+    Parameters
+    ----------
+    kind : EndKind
+        In short.
+    finish_reason : str
+        The engine's word, for completed attempts.
+    error : UpstreamError or RefusedError or None
+        What went wrong.
+    """
+
+    kind: EndKind
+    finish_reason: str = ""
+    error: UpstreamError | RefusedError | None = None
+
+
+class Attempt:
+    """Runs an answer from a position on an upstream that the chooser gives.
+
+    Parameters
+    ----------
+    chooser : Chooser
+        Gives the upstream.
+    open_run : callable
+        Opens a run; see `boragedeck.connection.engine.open_run`.
+    wanted : Wanted
+        What the chooser is asked.
+    request : RunRequest
+        What to run; its model is filled in when the upstream is known.
+    start : int
+        The position at which the output begins.
+    accept : callable
+        Called with the attempt and each chunk.
+    ended : callable
+        Called with the attempt when it has ended by itself.
+    placed : callable
+        Called with the attempt when its upstream is known.
+    """
+
+    def __init__(
+        self,
+        chooser: Chooser,
+        open_run: OpenRun,
+        wanted: Wanted,
+        request: RunRequest,
+        start: int,
+        *,
+        accept: Callable[["Attempt", EngineChunk], None],
+        ended: Callable[["Attempt"], None],
+        placed: Callable[["Attempt"], None],
+    ):
+        self._chooser = chooser
+        self._open_run = open_run
+        self._wanted = wanted
+        self._accept = accept
+        self._ended = ended
+        self._placed = placed
+        self._run: EngineRun | None = None
+        self._thread: eventlet.greenthread.GreenThread | None = None
+        self.request = request
+        self.start = start
+        self.slot: Slot | None = None
+        self.end: AttemptEnd | None = None
+        self.position = start
+        self.finish_reason = ""
+
+    @property
+    def has_output(self) -> bool:
+        """Whether the run has sent tokens."""
+        return self.position > self.start
+
+    @property
+    def upstream(self) -> UpstreamName | None:
+        """The upstream's name, once it is known."""
+        return self.slot.upstream.name if self.slot is not None else None
+
+    def begin(self) -> None:
+        """Start the green thread."""
+        self._thread = eventlet.spawn(self._work)
+
+    def stop(self, outcome: Outcome) -> None:
+        """Close the run's connection and give the place back."""
+        if self._thread is not None and self._thread is not eventlet.getcurrent():
+            self._thread.kill()
+        if self._run is not None:
+            self._run.close()
+        if self.slot is not None:
+            self.slot.finish(outcome)
+
+    def _work(self) -> None:
+        self.end = self._try()
+        outcome = self._outcome(self.end)
+        if self._run is not None:
+            self._run.close()
+        if self.slot is not None:
+            self.slot.finish(outcome)
+        self._ended(self)
+
+    def _try(self) -> AttemptEnd:
+        result = self._chooser.acquire(self._wanted)
+        if result.is_err():
+            return AttemptEnd(EndKind.REFUSED, error=result.err())
+        self.slot = result.ok()
+        self._placed(self)
+        upstream = self.slot.upstream
+        if not self.request.model:
+            self.request = msgspec.structs.replace(self.request, model=upstream.version)
+        try:
+            self._run = self._open_run(upstream.url, self.request)
+            for chunk in self._run:
+                self._take(chunk)
+        except UpstreamRefusedError as exc:
+            return AttemptEnd(EndKind.NOT_TAKEN, error=exc)
+        except UpstreamError as exc:
+            # All the output has come where the engine has given its reason.
+            if not self.finish_reason:
+                return AttemptEnd(EndKind.BROKEN, error=exc)
+        if not self.finish_reason:
+            error = UpstreamError(
+                "no finish reason", step="read tokens", peer=upstream.url
+            )
+            return AttemptEnd(EndKind.BROKEN, error=error)
+        return AttemptEnd(EndKind.COMPLETED, finish_reason=self.finish_reason)
+
+    def _take(self, chunk: EngineChunk) -> None:
+        count = len(chunk.token_ids)
+        if count:
+            if not self.has_output:
+                self.slot.first_token()
+            self.slot.tokens(count)
+        self._accept(self, chunk)
+        self.position += count
+        self.finish_reason = chunk.finish_reason or self.finish_reason
+
+    def _outcome(self, end: AttemptEnd) -> Outcome:
+        match end.kind:
+            case EndKind.COMPLETED:
+                return Outcome.COMPLETED
+            case EndKind.NOT_TAKEN | EndKind.REFUSED:
+                return Outcome.REFUSED
+            case EndKind.BROKEN:
+                return Outcome.CRASHED
--- /dev/null
+++ b/boragedeck/request/reader.py
@@ -0,0 +1,121 @@
+"""Reads one answer for one caller, from wherever it runs."""
+
+from result import Err, Ok, Result
+
+from boragedeck.exceptions import RefusedError
+from boragedeck.process.answer_service import AnswerService
+from boragedeck.process.logs import PartLog
+from boragedeck.request.answer import AnswerKey, Chunk
+from boragedeck.request.copy_messages import AnswerPart
+from boragedeck.request.event_id import (
+    EventId,
+    follows,
+    format_event_id,
+    parse_event_id,
+)
+from boragedeck.request.lookup import lost_error
+from boragedeck.request.sources import Source, read_part
+
+__all__ = ["AnswerReader"]
+
+_log = PartLog("reader")
+
+
+class AnswerReader:
+    """Follows an answer over changes of its owner.
+
+    Parameters
+    ----------
+    service : AnswerService
+        Finds the answer again when its owner is lost.
+    key : AnswerKey
+        Names the answer.
+    source : Source
+        Where to read first.
+    has : EventId or None
+        How far the caller has received the answer.
+
+    Notes
+    -----
+    Each part is checked: it must continue what the caller has, both in position
+    and in epoch. What would not is never passed on.
+    """
+
+    def __init__(
+        self,
+        service: AnswerService,
+        key: AnswerKey,
+        source: Source,
+        has: EventId | None = None,
+    ):
+        self._service = service
+        self._key = key
+        self._source = source
+        self._has = has or EventId(0, 0)
+        self._is_open = True
+        service.attach(source)
+
+    @property
+    def position(self) -> int:
+        """The position behind the last token that was read."""
+        return self._has.position
+
+    def next_part(self, wait_s: float) -> Result[AnswerPart, RefusedError]:
+        """Return what follows, perhaps nothing.
+
+        Parameters
+        ----------
+        wait_s : float
+            How long to wait for something new, in seconds.
+
+        Returns
+        -------
+        Result
+            The part, or why the answer can't be read on.
+        """
+        result = read_part(
+            self._source,
+            self._key,
+            self.position,
+            wait_s,
+            self._service.links,
+            self._service.timers,
+        )
+        if result.is_ok():
+            return self._take(result.ok())
+        _log.write("Lost the owner.", answer=str(self._key), error=str(result.err()))
+        found = self._service.find(self._key, self._has)
+        if found.is_err():
+            return found
+        self._move(found.ok())
+        return self.next_part(wait_s)
+
+    def close(self) -> None:
+        """Read no further; further calls have no effect."""
+        if self._is_open:
+            self._is_open = False
+            self._service.detach(self._source)
+
+    def _move(self, source: Source) -> None:
+        self._service.attach(source)
+        self._service.detach(self._source)
+        self._source = source
+
+    def _take(self, part: AnswerPart) -> Result[AnswerPart, RefusedError]:
+        lineage = list(part.lineage)
+        if not follows(lineage, self._has):
+            return Err(lost_error("another continuation has replaced it"))
+        if part.chunks:
+            if not _continues(part.chunks, self.position):
+                return Err(lost_error(f"no event ends at position {self.position}"))
+            event_id = format_event_id(lineage, part.chunks[-1].end)
+            self._has = parse_event_id(event_id).ok()
+        return Ok(part)
+
+
+def _continues(chunks: tuple[Chunk, ...], position: int) -> bool:
+    for chunk in chunks:
+        if chunk.end - len(chunk.token_ids) != position:
+            return False
+        position = chunk.end
+    return True
--- /dev/null
+++ b/boragedeck/request/sources.py
@@ -0,0 +1,135 @@
+"""Where a reader gets an answer from: this router, another one or a copy."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from boragedeck.connection.peer import Address, PeerLinks
+from boragedeck.exceptions import PeerError, PeerRefusedError, StaleEpochError
+from boragedeck.process.timers import TimerService
+from boragedeck.request.answer import Answer, AnswerKey, AnswerState, Chunk
+from boragedeck.request.copy_messages import AnswerPart, CopyImage, ReadAnswer
+
+__all__ = ["Local", "Remote", "Source", "Stored", "local_part", "read_part"]
+
+ANSWER_MARGIN_S = 0.7
+"""How much longer than its wait a remote reading may take, in seconds."""
+MAX_REMOTE_WAIT_S = 0.5
+MAX_PART_CHUNKS = 512
+
+
+class Local(msgspec.Struct, frozen=True):
+    """An answer that this router owns."""
+
+    answer: Answer
+
+
+class Remote(msgspec.Struct, frozen=True):
+    """An answer that another router owns."""
+
+    address: Address
+
+
+class Stored(msgspec.Struct, frozen=True):
+    """The last copy of a finished answer."""
+
+    image: CopyImage
+
+
+Source = Local | Remote | Stored
+
+
+def local_part(
+    answer: Answer, after: int, wait_s: float, timers: TimerService
+) -> Result[AnswerPart, StaleEpochError]:
+    """Read on from an answer of this router.
+
+    Parameters
+    ----------
+    answer : Answer
+        The answer.
+    after : int
+        The position behind the last token that the reader has.
+    wait_s : float
+        How long to wait for something new, in seconds.
+    timers : TimerService
+        The source of time.
+
+    Returns
+    -------
+    Result
+        What followed, perhaps nothing; an error where another router has taken
+        the answer over.
+    """
+    answer.note_read(after)
+    if not _has_news(answer, after):
+        answer.changed.wait(timers, wait_s)
+    if answer.state is AnswerState.SUPERSEDED:
+        return Err(StaleEpochError("answer was taken over", step="read answer"))
+    committed = answer.chunks[: answer.committed]
+    chunks = _behind(committed, after)
+    is_all = len(chunks) < MAX_PART_CHUNKS
+    finish = answer.finish if answer.is_finish_committed and is_all else None
+    return Ok(
+        AnswerPart(
+            spec=answer.spec,
+            lineage=tuple(answer.lineage),
+            prompt_tokens=len(answer.prompt_ids or ()),
+            chunks=chunks,
+            finish=finish,
+        )
+    )
+
+
+def read_part(
+    source: Source,
+    key: AnswerKey,
+    after: int,
+    wait_s: float,
+    links: PeerLinks,
+    timers: TimerService,
+) -> Result[AnswerPart, PeerError | StaleEpochError]:
+    """Read on from any source; see `local_part`."""
+    match source:
+        case Local(answer):
+            return local_part(answer, after, wait_s, timers)
+        case Remote(address):
+            wait_s = min(wait_s, MAX_REMOTE_WAIT_S)
+            message = ReadAnswer(key, after, wait_s)
+            return links.link(address).call(
+                message, AnswerPart, timeout_s=wait_s + ANSWER_MARGIN_S
+            )
+        case Stored(image):
+            return _stored_part(image, after)
+
+
+def _has_news(answer: Answer, after: int) -> bool:
+    return (
+        answer.committed_end > after
+        or answer.is_finish_committed
+        or answer.state is AnswerState.SUPERSEDED
+    )
+
+
+def _stored_part(image: CopyImage, after: int) -> Result[AnswerPart, PeerError]:
+    end = image.chunks[-1].end if image.chunks else 0
+    if after > end:
+        text = f"the copy ends at {end}, the reader is at {after}"
+        return Err(PeerRefusedError(text, step="read copy"))
+    chunks = _behind(list(image.chunks), after)
+    is_all = len(chunks) < MAX_PART_CHUNKS
+    return Ok(
+        AnswerPart(
+            spec=image.spec,
+            lineage=image.lineage,
+            prompt_tokens=len(image.prompt_ids or ()),
+            chunks=chunks,
+            finish=image.finish if is_all else None,
+        )
+    )
+
+
+def _behind(chunks: list[Chunk], after: int) -> tuple[Chunk, ...]:
+    first = len(chunks)
+    while first > 0 and chunks[first - 1].end > after:
+        first -= 1
+    return tuple(chunks[first : first + MAX_PART_CHUNKS])
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,161 @@
+"""Shows that an answer comes whole and once while its engine and router are killed."""
+
+import http.client
+import signal
+import sys
+import time
+
+from scripts.caller import Caller, CallerError, Stream
+from scripts.local_cluster import ClusterOptions, LocalCluster, Process
+from standins.tokens import broken_at
+
+__all__ = ["main"]
+
+TOKENS = 160
+KILL_ENGINE_AT = 40
+KILL_ROUTER_AT = 90
+REATTACH_LIMIT_S = 8.0
+ORDER = (
+    "Kindergarten Mavrica, Ljubljana: please refill 12 litres of bubble solution "
+    "for Thursday, and 40 small wands. The children ran out during the festival."
+)
+RECIPE = (
+    "Batch sheet 114, frankincense and rose: 400 g hojari resin, 60 g makko powder, "
+    "12 ml rose oil. Scale it to 25 kg and write the batch note for Salalah."
+)
+
+
+class Answer:
+    """An answer as the caller puts it together, over all connections."""
+
+    def __init__(self) -> None:
+        self.texts: list[str] = []
+        self.last_event_id = ""
+        self.is_done = False
+        self.arrivals: list[float] = []
+
+    @property
+    def tokens(self) -> int:
+        """How many tokens have come."""
+        return len("".join(self.texts).split())
+
+    def read(self, stream: Stream, until: int = sys.maxsize) -> None:
+        """Read events until the answer ends or has enough tokens."""
+        for event in stream:
+            text = event.text()
+            if text:
+                self.texts.append(text)
+                self.arrivals.append(time.monotonic())
+                print(text, end="", flush=True)
+            if stream.last_event_id:
+                self.last_event_id = stream.last_event_id
+            self.is_done = stream.is_done
+            if self.is_done or self.tokens >= until:
+                return
+
+    def longest_gap_s(self, after: int) -> float:
+        """Return the longest wait between two events from an event on."""
+        times = self.arrivals[max(0, after - 1) :]
+        return max((b - a for a, b in zip(times, times[1:], strict=False)), default=0)
+
+
+def main() -> None:
+    """Run the demonstration; exit with 1 where an answer is not whole."""
+    started = time.monotonic()
+    cluster = LocalCluster(ClusterOptions(token_interval_ms=15.0))
+    try:
+        cluster.start()
+        took_s = time.monotonic() - started
+        print(f"Started 3 routers, 6 engines and 3 services in {took_s:.1f} s.")
+        print(f"Logs are in {cluster.log_dir}.")
+        is_whole = [
+            _show(cluster, "orders", ORDER, kill_router=True),
+            _show(cluster, "recipes", RECIPE, kill_router=False),
+        ]
+    finally:
+        cluster.stop()
+    sys.exit(0 if all(is_whole) else 1)
+
+
+def _show(cluster: LocalCluster, route: str, text: str, *, kill_router: bool) -> bool:
+    print(f"\n--- {route}: {text}\n")
+    key = cluster.api_keys["mehurcek"]
+    router = cluster.routers[0]
+    answer = Answer()
+    stream = Caller(router.url, key).chat(route, text, TOKENS)
+    answer.read(stream, KILL_ENGINE_AT)
+    engine = _busy_engine(cluster)
+    print(f"\n\n*** killing the engine that runs it (pid {engine.pid})\n")
+    engine.stop()
+    cluster.engines.remove(engine)
+    at = len(answer.arrivals)
+    answer.read(stream, KILL_ROUTER_AT)
+    print(f"\n\n*** longest wait since: {answer.longest_gap_s(at) * 1e3:.0f} ms")
+    if kill_router:
+        print(f"*** killing the router of the connection (pid {router.pid})\n")
+        at = len(answer.arrivals)
+        router.signal(signal.SIGKILL)
+        _read_to_break(answer, stream)
+        stream = _reattach(cluster, answer, stream.answer_id, key)
+        cluster.routers.remove(router)
+        router.stop()
+        answer.read(stream)
+        print(f"\n\n*** longest wait since: {answer.longest_gap_s(at) * 1e3:.0f} ms")
+    else:
+        answer.read(stream)
+    return _check(answer)
+
+
+def _busy_engine(cluster: LocalCluster) -> Process:
+    for engine in cluster.engines:
+        host = engine.url.removeprefix("http://")
+        conn = http.client.HTTPConnection(host, timeout=5)
+        conn.request("GET", "/metrics")
+        text = conn.getresponse().read().decode()
+        conn.close()
+        running = [
+            line for line in text.splitlines()
+            if line.startswith("vllm:num_requests_running")
+        ]  # fmt: skip
+        if any(float(line.split()[-1]) > 0 for line in running):
+            return engine
+    raise RuntimeError("no engine runs the answer")
+
+
+def _read_to_break(answer: Answer, stream: Stream) -> None:
+    try:
+        answer.read(stream)
+    except (OSError, http.client.HTTPException):
+        pass
+    stream.close()
+
+
+def _reattach(cluster: LocalCluster, answer: Answer, answer_id: str, key: str):
+    until = time.monotonic() + REATTACH_LIMIT_S
+    router = cluster.routers[1]
+    while True:
+        try:
+            caller = Caller(router.url, key)
+            return caller.reattach(answer_id, answer.last_event_id)
+        except (OSError, CallerError) as exc:
+            if time.monotonic() > until:
+                raise RuntimeError(f"can't reattach: {exc}") from exc
+            time.sleep(0.1)
+
+
+def _check(answer: Answer) -> bool:
+    text = "".join(answer.texts)
+    broken = broken_at(text)
+    is_whole = answer.is_done and answer.tokens == TOKENS and broken is None
+    if is_whole:
+        print(f"\n*** whole and once: {TOKENS} tokens, the chain holds")
+    else:
+        print(
+            f"\n*** NOT WHOLE: {answer.tokens} of {TOKENS} tokens, "
+            f"done={answer.is_done}, chain broken at {broken}"
+        )
+    return is_whole
+
+
+if __name__ == "__main__":
+    main()
