Read and check the tables from files, all errors at once

An operator who mends one error per run gives up. Files are read field by field, so that one wrong value hides no other, and each error has file, line, path, what it got and what it takes. tomllib tells no lines; a scan of headers and keys does.

--- /dev/null
+++ b/boragedeck/version/dump.py
@@ -0,0 +1,64 @@
+"""Writes a configuration as the TOML file that operators edit."""
+
+import datetime
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from boragedeck.version.files import FILE_NAMES, REVISION_KEY, SECTIONS, TIME_FIELDS
+from boragedeck.version.tables import Config
+
+__all__ = ["to_toml"]
+
+
+def to_toml(cfg: Config) -> str:
+    """Return a configuration as TOML, fields at their defaults left out."""
+    lines = [f"{REVISION_KEY} = {cfg.revision}"]
+    rows = (cfg.organisations, cfg.routes, cfg.pools)
+    for section, values in zip(SECTIONS, rows, strict=True):
+        if not values:
+            lines.append(f"{section} = []")
+    for section, values in zip(SECTIONS, rows, strict=True):
+        for row in values:
+            lines += ["", f"[[{section}]]", *_row(section, row)]
+    return "\n".join(lines) + "\n"
+
+
+def _row(path: str, row: msgspec.Struct) -> Iterator[str]:
+    tables = []
+    for field in msgspec.structs.fields(row):
+        value = getattr(row, field.name)
+        if not field.required and value == field.default:
+            continue
+        name = FILE_NAMES.get(field.name, field.name)
+        match value:
+            case msgspec.Struct():
+                tables += [f"[{path}.{name}]", *_row(f"{path}.{name}", value)]
+            case (msgspec.Struct(), *_):
+                for item in value:
+                    header = f"[[{path}.{name}]]"
+                    tables += ["", header, *_row(f"{path}.{name}", item)]
+            case _:
+                yield f"{name} = {_value(field.name, value)}"
+    yield from tables
+
+
+def _value(name: str, value: Any) -> str:
+    if name in TIME_FIELDS:
+        return _time(value)
+    if isinstance(value, float):
+        return repr(value)
+    # JSON's strings, numbers and lists of strings are TOML, but for one character.
+    text = json.dumps(msgspec.to_builtins(value), ensure_ascii=False)
+    return text.replace("\x7f", "\\u007f")
+
+
+def _time(value: float) -> str:
+    try:
+        moment = datetime.datetime.fromtimestamp(value, datetime.UTC)
+    except (ValueError, OverflowError, OSError):
+        return repr(value)
+    # A time finer than microseconds stays a number.
+    return moment.isoformat() if moment.timestamp() == value else repr(value)
--- /dev/null
+++ b/boragedeck/version/files.py
@@ -0,0 +1,290 @@
+"""Reads the tables from the files that operators keep in version control.
+
+A file is TOML and holds any of ``[[organisation]]``, ``[[route]]`` and
+``[[pool]]`` with its ``[[pool.upstream]]``. All that is wrong is found in one
+pass, field by field.
+"""
+
+import datetime
+import functools
+import tomllib
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from msgspec import inspect
+
+from boragedeck.version.problems import Place, Problem, hint, shown
+from boragedeck.version.tables import Organisation, Pool, Route
+from boragedeck.version.toml_lines import TomlLines
+
+__all__ = ["FILE_NAMES", "SECTIONS", "FileRow", "Tables", "parse", "read_files"]
+
+MAX_FILE_BYTES = 8 * 1024 * 1024
+REVISION_KEY = "revision"
+SECTIONS: dict[str, type] = {
+    "organisation": Organisation,
+    "route": Route,
+    "pool": Pool,
+}
+"""The rows that a file may hold."""
+FILE_NAMES = {"upstreams": "upstream", "quarantine_lifts": "quarantine_lift"}
+"""Fields that files name otherwise: in the singular, as each is a table."""
+TIME_FIELDS = frozenset({"deadline"})
+
+
+class FileRow(msgspec.Struct, frozen=True):
+    """A row as it was read from a file.
+
+    Parameters
+    ----------
+    section : str
+        A key of `SECTIONS`.
+    name : str
+        The row's name; empty where it has none.
+    value : Organisation, Route, Pool or None
+        The row; None where it is wrong.
+    file : str
+        The file's path.
+    path : str
+        The row's path within the file.
+    lines : TomlLines
+        Finds lines in the file.
+    """
+
+    section: str
+    name: str
+    value: Any
+    file: str
+    path: str
+    lines: TomlLines
+
+    def place(self, field: str = "") -> Place:
+        """Return where a field of the row stands, or the row itself."""
+        path = f"{self.path}.{field}" if field else self.path
+        return Place(self.file, self.lines.line(path), path)
+
+
+class Tables(msgspec.Struct):
+    """What a set of files holds.
+
+    Parameters
+    ----------
+    rows : list of FileRow
+        All rows, the wrong ones included.
+    sections : set of str
+        The keys of `SECTIONS` that the files hold, if only as empty lists.
+    problems : list of Problem
+        What is wrong.
+    revision : int or None
+        The revision that the files were made from, where one says so.
+    """
+
+    rows: list[FileRow] = msgspec.field(default_factory=list)
+    sections: set[str] = msgspec.field(default_factory=set)
+    problems: list[Problem] = msgspec.field(default_factory=list)
+    revision: int | None = None
+
+
+def read_files(paths: Iterable[Path]) -> Tables:
+    """Read files.
+
+    Parameters
+    ----------
+    paths : iterable of Path
+        The files, which together hold the tables.
+
+    Returns
+    -------
+    Tables
+        Their rows, and all that is wrong in their form.
+    """
+    tables = Tables()
+    for path in paths:
+        try:
+            with path.open("rb") as file:
+                body = file.read(MAX_FILE_BYTES + 1)
+        except (OSError, ValueError) as exc:
+            reason = getattr(exc, "strerror", None) or str(exc)
+            problem = Problem(Place(str(path)), reason, "a readable file")
+            tables.problems.append(problem)
+            continue
+        parse(str(path), body, tables)
+    if not tables.sections and not tables.problems:
+        names = ", ".join(f"[[{name}]]" for name in SECTIONS)
+        place = Place(", ".join(map(str, paths)))
+        tables.problems.append(Problem(place, "no tables", f"any of {names}"))
+    return tables
+
+
+def parse(file: str, body: bytes, tables: Tables) -> None:
+    """Add what a file holds to the tables.
+
+    Parameters
+    ----------
+    file : str
+        The file's path, for messages.
+    body : bytes
+        Its content.
+    tables : Tables
+        Where rows and problems are added.
+    """
+    if len(body) > MAX_FILE_BYTES:
+        text = f"at most {MAX_FILE_BYTES} bytes"
+        tables.problems.append(Problem(Place(file), f"{len(body)} bytes", text))
+        return
+    try:
+        text = body.decode()
+        document = tomllib.loads(text)
+    # A number with too many digits is a bare ValueError.
+    except (ValueError, RecursionError) as exc:
+        tables.problems.append(Problem(Place(file), str(exc), "TOML in UTF-8"))
+        return
+    _Reader(file, TomlLines(text), tables).read(document)
+
+
+class _Reader:
+    """Reads one parsed file."""
+
+    def __init__(self, file: str, lines: TomlLines, tables: Tables):
+        self._file = file
+        self._lines = lines
+        self._tables = tables
+
+    def read(self, document: dict[str, Any]) -> None:
+        known = [*SECTIONS, REVISION_KEY]
+        for key, value in document.items():
+            if key == REVISION_KEY:
+                self._read_revision(value)
+            elif key in SECTIONS:
+                self._tables.sections.add(key)
+                self._read_section(key, value)
+            else:
+                self._wrong(key, shown(key), _one_of(known) + hint(key, known))
+
+    def _read_revision(self, value: Any) -> None:
+        if type(value) is not int or value < 0:
+            self._wrong(REVISION_KEY, shown(value), "a whole number from 0")
+        elif self._tables.revision not in (None, value):
+            text = f"{self._tables.revision}, as in another file"
+            self._wrong(REVISION_KEY, shown(value), text)
+        else:
+            self._tables.revision = value
+
+    def _read_section(self, section: str, values: Any) -> None:
+        if not isinstance(values, list):
+            self._wrong(section, shown(values), f"tables [[{section}]]")
+            return
+        for number, raw in enumerate(values):
+            path = f"{section}[{number}]"
+            value = self._read_struct(SECTIONS[section], raw, path)
+            name = raw.get("name", "") if isinstance(raw, dict) else ""
+            name = name if isinstance(name, str) else ""
+            row = FileRow(section, name, value, self._file, path, self._lines)
+            self._tables.rows.append(row)
+
+    def _read_struct(self, kind: type, raw: Any, path: str) -> Any:
+        """Return a struct, or None where something in it is wrong."""
+        if not isinstance(raw, dict):
+            self._wrong(path, shown(raw), "a table")
+            return None
+        fields = _fields(kind)
+        values = {}
+        is_wrong = False
+        for key, value in raw.items():
+            where = f"{path}.{key}"
+            if key not in fields:
+                self._wrong(where, shown(key), _one_of(fields) + hint(key, fields))
+                is_wrong = True
+                continue
+            field = fields[key]
+            values[field.name] = self._read_value(field, value, where)
+            is_wrong |= values[field.name] is None
+        for key, field in fields.items():
+            if field.required and field.name not in values:
+                self._wrong(f"{path}.{key}", "nothing", _takes(_info(field.type)))
+                is_wrong = True
+        return None if is_wrong else kind(**values)
+
+    def _read_value(self, field: Any, value: Any, path: str) -> Any:
+        """Return a field's value, or None where it is wrong."""
+        info = _info(field.type)
+        match info:
+            case inspect.StructType(cls=kind):
+                return self._read_struct(kind, value, path)
+            case inspect.VarTupleType(item_type=inspect.StructType(cls=kind)):
+                return self._read_structs(kind, value, path)
+        if field.name in TIME_FIELDS:
+            return self._read_time(value, path)
+        try:
+            return msgspec.convert(value, field.type)
+        except msgspec.ValidationError:
+            self._wrong(path, shown(value), _takes(info))
+            return None
+
+    def _read_structs(self, kind: type, values: Any, path: str) -> Any:
+        if not isinstance(values, list):
+            self._wrong(path, shown(values), f"tables [[{path.rpartition('.')[2]}]]")
+            return None
+        rows = [
+            self._read_struct(kind, raw, f"{path}[{number}]")
+            for number, raw in enumerate(values)
+        ]
+        return None if None in rows else tuple(rows)
+
+    def _read_time(self, value: Any, path: str) -> float | None:
+        match value:
+            case datetime.datetime() if value.tzinfo is not None:
+                return value.timestamp()
+            case bool():
+                pass
+            case float():
+                return value
+            case int() if abs(value) < 2**53:
+                return float(value)
+        right = "a date and time with its offset, such as 2030-01-31T18:00:00Z"
+        self._wrong(path, shown(value), right)
+        return None
+
+    def _wrong(self, path: str, got: str, right: str) -> None:
+        place = Place(self._file, self._lines.line(path), path)
+        self._tables.problems.append(Problem(place, got, right))
+
+
+@functools.cache
+def _fields(kind: type) -> dict[str, Any]:
+    """Return the fields of a struct by the names that files give them."""
+    fields = msgspec.structs.fields(kind)
+    return {FILE_NAMES.get(field.name, field.name): field for field in fields}
+
+
+@functools.cache
+def _info(field_type: Any) -> inspect.Type:
+    """Return the type of a field, None left out of it."""
+    info = inspect.type_info(field_type)
+    if isinstance(info, inspect.UnionType):
+        types = [kind for kind in info.types if not isinstance(kind, inspect.NoneType)]
+        return types[0]
+    return info
+
+
+def _takes(info: inspect.Type) -> str:
+    match info:
+        case inspect.EnumType(cls=kind):
+            return _one_of(member.value for member in kind)
+        case inspect.StrType():
+            return "a string"
+        case inspect.BoolType():
+            return "true or false"
+        case inspect.IntType():
+            return "a whole number"
+        case inspect.FloatType():
+            return "a number"
+        case inspect.VarTupleType(item_type=item):
+            return f"a list, each item {_takes(item)}"
+    return "a table"
+
+
+def _one_of(words: Iterable[str]) -> str:
+    return "one of " + ", ".join(f'"{word}"' for word in words)
--- /dev/null
+++ b/boragedeck/version/problems.py
@@ -0,0 +1,73 @@
+"""What is wrong in an operator's file, and where."""
+
+import difflib
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+__all__ = ["Place", "Problem", "hint", "shown"]
+
+MAX_SHOWN_LENGTH = 80
+
+
+class Place(msgspec.Struct, frozen=True, order=True):
+    """A place in a file.
+
+    Parameters
+    ----------
+    file : str
+        The file's path.
+    line : int
+        The line, from 1; 0 where it's not known.
+    path : str
+        The path within the file, such as ``"pool[0].upstream[2].url"``.
+    """
+
+    file: str
+    line: int = 0
+    path: str = ""
+
+    def __str__(self) -> str:
+        where = f"{self.file}:{self.line}" if self.line else self.file
+        return f"{where}: {self.path}" if self.path else where
+
+
+class Problem(msgspec.Struct, frozen=True, order=True):
+    """One thing that is wrong.
+
+    Parameters
+    ----------
+    place : Place
+        Where.
+    got : str
+        What is there.
+    right : str
+        What would be right.
+    is_warning : bool
+        Whether the file is accepted all the same.
+    """
+
+    place: Place
+    got: str
+    right: str
+    is_warning: bool = False
+
+    def __str__(self) -> str:
+        prefix = "warning: " if self.is_warning else ""
+        return f"{self.place}: {prefix}got {self.got}; takes {self.right}"
+
+
+def shown(value: Any) -> str:
+    """Return a value as one short line."""
+    text = repr(value) if not isinstance(value, str) else f'"{value}"'
+    text = "".join(char if char.isprintable() else "?" for char in text)
+    if len(text) > MAX_SHOWN_LENGTH:
+        text = text[: MAX_SHOWN_LENGTH - 3] + "..."
+    return text
+
+
+def hint(word: str, known: Iterable[str]) -> str:
+    """Return a phrase that names the nearest known word, or an empty one."""
+    near = difflib.get_close_matches(word, list(known), n=1)
+    return f'; did you mean "{near[0]}"?' if near else ""
