--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,13 +1,15 @@
 """Shows that an answer comes whole and once while its engine and router are killed."""
 
 import http.client
+import itertools
 import signal
 import sys
 import time
 
+from standins.tokens import broken_at
+
 from scripts.caller import Caller, CallerError, Stream
 from scripts.local_cluster import ClusterOptions, LocalCluster, Process
-from standins.tokens import broken_at
 
 __all__ = ["main"]
 
@@ -56,7 +58,7 @@
     def longest_gap_s(self, after: int) -> float:
         """Return the longest wait between two events from an event on."""
         times = self.arrivals[max(0, after - 1) :]
-        return max((b - a for a, b in zip(times, times[1:], strict=False)), default=0)
+        return max((b - a for a, b in itertools.pairwise(times)), default=0)
 
 
 def main() -> None:
