Run the whole path as processes

Found by the first run: xxhash takes bytes only, and urllib3 sets the connection's own timeout again at each request, so the connect timeout of 0.5 s cut off runs that waited longer for their headers.

--- a/boragedeck/connection/engine.py
+++ b/boragedeck/connection/engine.py
@@ -196,7 +196,7 @@
     conn = HTTPConnection(parsed.host, parsed.port, timeout=CONNECT_TIMEOUT_S)
     try:
         conn.connect()
-        conn.sock.settimeout(HEADERS_TIMEOUT_S)
+        conn.timeout = HEADERS_TIMEOUT_S
     except (urllib3.exceptions.HTTPError, OSError) as exc:
         conn.close()
         raise UpstreamRefusedError(str(exc), step="connect", peer=url) from exc
--- a/boragedeck/process/rendezvous.py
+++ b/boragedeck/process/rendezvous.py
@@ -35,6 +35,6 @@
     """
     return sorted(
         items,
-        key=lambda item: xxhash.xxh64_intdigest(f"{key}\0{name(item)}"),
+        key=lambda item: xxhash.xxh64_intdigest(f"{key}\0{name(item)}".encode()),
         reverse=True,
     )
--- a/scripts/local_cluster.py
+++ b/scripts/local_cluster.py
@@ -246,7 +246,9 @@
         base = store.read()
         if base.is_err():
             raise RuntimeError(str(base.err()))
-        result = store.apply(base.ok(), cfg, author="local cluster")
+        result = store.apply(
+            base.ok(), cfg, author="local cluster", apply_id=secrets.token_hex(8)
+        )
         if result.is_err():
             raise RuntimeError(str(result.err()))
 
