Quarantine requests that crash their upstreams

A request that crashes each upstream which runs it would go through the fleet one resume after the other. Crashes are counted by the content's fingerprint. A suspect runs once at a time over the fleet (a claim granted by the router that a rendezvous hash names, so without a counter or the store) and on an upstream without another suspect; the second crash quarantines it.

Ruled out: gossip alone (a second router runs the request before it has heard of the crash: three upstreams lost), blaming all requests of a crash (one engine's crash quarantines its innocents with the second).

--- a/boragedeck/process/chooser.py
+++ b/boragedeck/process/chooser.py
@@ -13,6 +13,9 @@
 from boragedeck.process.choice import UpstreamChoice
 from boragedeck.process.drain_rate import DrainRate
 from boragedeck.process.fair_queue import FairQueue, Ticket
+from boragedeck.process.isolation import RunGuard
+from boragedeck.process.quarantine import Quarantine
+from boragedeck.process.retry_budget import RetryBudget
 from boragedeck.process.shares import OrganisationShares
 from boragedeck.process.slot import UpstreamSlot
 from boragedeck.process.timers import TimerService
@@ -23,6 +26,7 @@
 
 SWEEP_S = 0.25
 MAX_TRIED = 32
+APART_RETRY_S = 0.05
 OVER_SHARE_USE = 0.9
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
@@ -43,6 +47,8 @@
         Where this router stands.
     rng : random.Random, optional
         The source of random choices.
+    quarantine : Quarantine, optional
+        Keeps requests that crash upstreams from running.
 
     Attributes
     ----------
@@ -52,6 +58,8 @@
         Where prefixes are cached.
     shares : OrganisationShares
         What each organisation holds.
+    budget : RetryBudget
+        Bounds the requests that are tried again.
     """
 
     def __init__(
@@ -61,12 +69,17 @@
         board: FactBoard,
         own_domain: FailureDomain,
         rng: random.Random | None = None,
+        quarantine: Quarantine | None = None,
     ):
         self.registry = UpstreamRegistry()
         self.hints = CacheHints()
         self.shares = OrganisationShares(timers, cfg_source, board)
         self._timers = timers
         self._rng = rng or random.Random()
+        self.budget = RetryBudget(timers, self._rng)
+        self._quarantine = quarantine
+        if quarantine is not None:
+            quarantine.subscribe_freed(lambda upstream: self.pump(upstream.pool))
         self._choice = UpstreamChoice(self.registry, self.hints, own_domain, self._rng)
         self._queues: dict[PoolName, FairQueue] = {}
         self._drains: dict[PoolName, DrainRate] = {}
@@ -77,17 +90,31 @@
 
     def acquire(self, wanted: Wanted) -> Result[Slot, RefusedError]:
         """See `Chooser.acquire`."""
-        event = Event()
-        ticket = self.submit(wanted, event.send)
+        allowed = self._allow_retry(wanted)
+        if allowed.is_err():
+            return allowed
+        self._timers.sleep(allowed.ok())
+        if self._quarantine is None or not wanted.fingerprint:
+            return self._wait(wanted, None)
+        until = self._timers.now() + self._patience_s(wanted)
+        entered = self._quarantine.enter(wanted, until)
+        if entered.is_err():
+            return entered
+        guard = entered.ok()
+        result = Err(None)
         try:
-            self._timers.wait(event, self._patience_s(wanted))
-        except BaseException:
-            self._abandon(ticket, event)
-            raise
-        self._expire(ticket)
-        return event.wait()
+            result = self._acquire_guarded(wanted, guard)
+        finally:
+            if result.is_err():
+                self._quarantine.leave(guard)
+        return result
 
-    def submit(self, wanted: Wanted, on_done: Callable[[Result], None]) -> Ticket:
+    def submit(
+        self,
+        wanted: Wanted,
+        on_done: Callable[[Result], None],
+        guard: RunGuard | None = None,
+    ) -> Ticket:
         """Queue a request without waiting.
 
         Parameters
@@ -96,6 +123,8 @@
             The request.
         on_done : callable
             Called once with the place or the refusal, perhaps before this returns.
+        guard : RunGuard, optional
+            Says beside which suspects of a crash the request may run.
 
         Returns
         -------
@@ -103,7 +132,8 @@
             The request as it waits.
         """
         now = self._timers.now()
-        ticket = Ticket(wanted, now + self._patience_s(wanted), on_done)
+        expires_at = now + self._patience_s(wanted)
+        ticket = Ticket(wanted, expires_at, on_done, guard)
         refusal = self._refusal(wanted, now)
         if refusal is not None:
             ticket.finish(Err(refusal))
@@ -136,6 +166,52 @@
         queue = self._queues.get(pool)
         return 0 if queue is None else len(queue)
 
+    def _allow_retry(self, wanted: Wanted) -> Result[float, RefusedError]:
+        """Return how long to wait before a request that has failed is tried again."""
+        if not wanted.excluded:
+            return Ok(0.0)
+        return self.budget.spend(
+            wanted.pool.name, len(wanted.excluded), is_resume=wanted.is_resume
+        )
+
+    def _acquire_guarded(
+        self, wanted: Wanted, guard: RunGuard
+    ) -> Result[Slot, RefusedError]:
+        while True:
+            result = self._wait(wanted, guard)
+            if result.is_err():
+                return result
+            slot = result.ok()
+            if self._claim_upstream(slot, guard):
+                return result
+            # Another router's suspect runs there.
+            self._timers.sleep(APART_RETRY_S)
+
+    def _claim_upstream(self, slot: UpstreamSlot, guard: RunGuard) -> bool:
+        is_placed = False
+        try:
+            is_placed = self._quarantine.place(guard, slot.state.key)
+        finally:
+            if not is_placed:
+                slot.finish(Outcome.CANCELLED)
+        if is_placed:
+            slot.guard = guard
+            slot.on_tokens = lambda count: self._quarantine.note_tokens(guard, count)
+        return is_placed
+
+    def _wait(
+        self, wanted: Wanted, guard: RunGuard | None
+    ) -> Result[UpstreamSlot, RefusedError]:
+        event = Event()
+        ticket = self.submit(wanted, event.send, guard)
+        try:
+            self._timers.wait(event, ticket.expires_at - self._timers.now())
+        except BaseException:
+            self._abandon(ticket, event)
+            raise
+        self._expire(ticket)
+        return event.wait()
+
     def _place_next(self, pool: PoolName) -> bool:
         queue = self._queue(pool)
         if not len(queue):
@@ -151,7 +227,7 @@
         for tried, ticket in enumerate(queue.ordered()):
             if tried >= MAX_TRIED:
                 return False
-            chosen = self._pick(ticket.wanted, open_states, now)
+            chosen = self._pick(ticket, open_states, now)
             if chosen is not None:
                 queue.remove(ticket, is_served=True)
                 ticket.finish(Ok(self._slot(ticket.wanted, chosen)))
@@ -159,9 +235,16 @@
         return False
 
     def _pick(
-        self, wanted: Wanted, states: list[UpstreamState], now: float
+        self, ticket: Ticket, states: list[UpstreamState], now: float
     ) -> UpstreamState | None:
+        wanted = ticket.wanted
         fitting = [state for state in states if state.serves(wanted.version)]
+        if ticket.guard is not None:
+            fitting = [
+                state
+                for state in fitting
+                if self._quarantine.may_place(ticket.guard, state.key)
+            ]
         # The last places are kept for organisations within their share.
         if not wanted.is_resume and self.shares.is_over_share(wanted.organisation):
             fitting = [each for each in fitting if each.has_room(OVER_SHARE_USE, now)]
@@ -188,6 +271,11 @@
     def _finished(self, slot: UpstreamSlot, outcome: Outcome) -> None:
         pool = slot.wanted.pool.name
         self.shares.end(slot.wanted.organisation)
+        if outcome is Outcome.COMPLETED:
+            self.budget.succeeded(pool)
+        if slot.guard is not None:
+            version = slot.wanted.version or slot.upstream.version
+            self._quarantine.finish(slot.guard, version, slot.generated, outcome)
         if pool in self._drains and outcome is not Outcome.REFUSED:
             self._drains[pool].note_end(self._timers.now())
         self.pump(pool)
@@ -274,7 +362,8 @@
 
     def _apply(self, cfg: Config) -> None:
         self.registry.apply(cfg, self._timers.now())
-        declared = {pool.name for pool in cfg.pools}
+        declared = frozenset(pool.name for pool in cfg.pools)
+        self.budget.apply_pools(declared)
         for name in self._queues.keys() - declared:
             if not len(self._queues[name]):
                 del self._queues[name]
--- /dev/null
+++ b/boragedeck/process/claims.py
@@ -0,0 +1,216 @@
+"""Short claims that one router grants on behalf of all, for requests under suspicion.
+
+Each key has a keeper: the first reachable router by rendezvous hash. A claim is
+soft state; where routers are partitioned each side has a keeper of its own.
+"""
+
+from collections import OrderedDict
+
+import msgspec
+
+from boragedeck.connection.messages import Message
+from boragedeck.connection.peer import PeerLinks, PeerServer
+from boragedeck.ids import RouterId
+from boragedeck.interfaces import Membership
+from boragedeck.process.rendezvous import rank
+from boragedeck.process.timers import TimerService
+
+__all__ = ["Claim", "ClaimAnswer", "ClaimTable", "Claims", "Release"]
+
+MAX_KEYS = 50_000
+MAX_HOLDERS = 256
+CALL_TIMEOUT_S = 0.1
+MAX_KEEPERS_TRIED = 2
+UNPROVEN_HOLDERS = 2
+PROVEN_TTL_S = 600.0
+MAX_CRASHED = 2
+CRASHED_TTL_S = 10.0
+"""By then gossip has told every router of a crash."""
+
+
+class Claim(Message, frozen=True):
+    """Asks for a claim.
+
+    Parameters
+    ----------
+    key : str
+        What is claimed.
+    holder : str
+        Who claims it: a router, or one of its requests as ``"router/number"``. The
+        same holder may claim it again, and a router's requests share its claim.
+    is_exclusive : bool
+        Whether nobody else may hold the key.
+    ttl_s : float
+        How long the claim holds, in seconds.
+    crashed : tuple of str
+        Upstreams that crashed under the key, as far as the holder knows.
+    """
+
+    key: str
+    holder: str
+    is_exclusive: bool
+    ttl_s: float
+    crashed: tuple[str, ...] = ()
+
+
+class ClaimAnswer(Message, frozen=True):
+    """Says whether a claim was granted."""
+
+    is_granted: bool
+
+
+class Release(Message, frozen=True):
+    """Gives a claim back.
+
+    Parameters
+    ----------
+    key : str
+        What was claimed.
+    holder : str
+        Who held it.
+    is_proven : bool
+        Whether the holder's run showed that the key is harmless.
+    """
+
+    key: str
+    holder: str
+    is_proven: bool
+
+
+class _Entry(msgspec.Struct):
+    holders: dict[str, float]
+    crashed: dict[str, float]
+    exclusive: str = ""
+    proven_until: float = float("-inf")
+
+
+class ClaimTable:
+    """The keeper's side.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+
+    Notes
+    -----
+    Until a key is proven harmless, `UNPROVEN_HOLDERS` may hold it at a time. Nobody
+    gets a key under which `MAX_CRASHED` upstreams crashed lately: two routers that
+    each know of one crash learn of the other's by gossip. State: at most
+    `MAX_KEYS` keys with `MAX_HOLDERS` holders each, until each claim's end.
+    """
+
+    def __init__(self, timers: TimerService):
+        self._timers = timers
+        self._entries: OrderedDict[str, _Entry] = OrderedDict()
+
+    def claim(self, message: Claim) -> ClaimAnswer:
+        """Grant or deny a claim."""
+        now = self._timers.now()
+        entry = self._entry(message.key, now)
+        others = entry.holders.keys() - {message.holder, entry.exclusive}
+        if message.crashed:
+            entry.crashed.update(dict.fromkeys(message.crashed, now + CRASHED_TTL_S))
+            entry.proven_until = now
+        if self._denies(entry, message, len(others), now):
+            return ClaimAnswer(False)
+        entry.holders[message.holder] = now + message.ttl_s
+        if message.is_exclusive:
+            entry.exclusive = message.holder
+        return ClaimAnswer(True)
+
+    def release(self, message: Release) -> ClaimAnswer:
+        """Take a claim back."""
+        now = self._timers.now()
+        entry = self._entry(message.key, now)
+        entry.holders.pop(message.holder, None)
+        if message.is_proven:
+            entry.proven_until = now + PROVEN_TTL_S
+            if entry.exclusive and _is_of_router(message.holder, entry.exclusive):
+                entry.holders.pop(entry.exclusive, None)
+        if entry.exclusive not in entry.holders:
+            entry.exclusive = ""
+        return ClaimAnswer(True)
+
+    def _denies(self, entry: _Entry, message: Claim, others: int, now: float) -> bool:
+        if len(entry.crashed) >= MAX_CRASHED:
+            return True
+        if entry.exclusive and not _is_of_router(message.holder, entry.exclusive):
+            return True
+        is_proven = now < entry.proven_until
+        if message.is_exclusive:
+            return others > 0 and not is_proven
+        return others >= (MAX_HOLDERS if is_proven else UNPROVEN_HOLDERS)
+
+    def _entry(self, key: str, now: float) -> _Entry:
+        entry = self._entries.setdefault(key, _Entry({}, {}))
+        self._entries.move_to_end(key)
+        _drop_past(entry.holders, now)
+        _drop_past(entry.crashed, now)
+        if entry.exclusive not in entry.holders:
+            entry.exclusive = ""
+        if len(self._entries) > MAX_KEYS:
+            self._entries.popitem(last=False)
+        return entry
+
+
+class Claims:
+    """The side of a router that asks.
+
+    Parameters
+    ----------
+    membership : Membership
+        The routers among which keepers are chosen.
+    links : PeerLinks
+        Links to them.
+    table : ClaimTable
+        This router's part as a keeper.
+    """
+
+    def __init__(self, membership: Membership, links: PeerLinks, table: ClaimTable):
+        self._membership = membership
+        self._links = links
+        self._table = table
+
+    def register(self, server: PeerServer) -> None:
+        """Answer other routers as a keeper."""
+        server.register(Claim, self._table.claim)
+        server.register(Release, self._table.release)
+
+    def claim(self, claim: Claim) -> bool:
+        """Claim a key; without a reachable keeper this router grants it itself."""
+        return self._ask(claim).is_granted
+
+    def release(self, key: str, holder: str, *, is_proven: bool) -> None:
+        """Give a claim back."""
+        self._ask(Release(key, holder, is_proven))
+
+    def _ask(self, message: Claim | Release) -> ClaimAnswer:
+        own = self._membership.own
+        members = [own, *self._membership.members()]
+        keepers = rank(message.key, members, lambda member: member.router)
+        for keeper in keepers[:MAX_KEEPERS_TRIED]:
+            if keeper.router == own.router:
+                break
+            link = self._links.link(keeper.address)
+            result = link.call(message, ClaimAnswer, timeout_s=CALL_TIMEOUT_S)
+            if result.is_ok():
+                return result.ok()
+            self._membership.suspect(RouterId(keeper.router))
+        return self._answer_here(message)
+
+    def _answer_here(self, message: Claim | Release) -> ClaimAnswer:
+        match message:
+            case Claim():
+                return self._table.claim(message)
+            case Release():
+                return self._table.release(message)
+
+
+def _is_of_router(holder: str, router: str) -> bool:
+    return holder == router or holder.startswith(f"{router}/")
+
+
+def _drop_past(ends: dict[str, float], now: float) -> None:
+    for name in [name for name, end in ends.items() if end <= now]:
+        del ends[name]
--- a/boragedeck/process/fair_queue.py
+++ b/boragedeck/process/fair_queue.py
@@ -10,6 +10,7 @@
 
 from boragedeck.ids import OrganisationName
 from boragedeck.interfaces import Wanted
+from boragedeck.process.isolation import RunGuard
 from boragedeck.version.tables import Kind, Priority
 
 __all__ = ["FairQueue", "Lane", "Ticket"]
@@ -51,9 +52,18 @@
         When the wait must end, in monotonic seconds.
     on_done : callable
         Called once with the result.
+    guard : RunGuard, optional
+        Says beside which suspects of a crash the request may run.
     """
 
-    def __init__(self, wanted: Wanted, expires_at: float, on_done: Callable):
+    def __init__(
+        self,
+        wanted: Wanted,
+        expires_at: float,
+        on_done: Callable,
+        guard: RunGuard | None = None,
+    ):
+        self.guard = guard
         self.wanted = wanted
         self.expires_at = expires_at
         self.lane = Lane.of(wanted)
--- /dev/null
+++ b/boragedeck/process/isolation.py
@@ -0,0 +1,173 @@
+"""Runs of one request: once at a time where it is suspect, and apart from others."""
+
+from collections.abc import Callable
+
+import eventlet
+
+from boragedeck.ids import RouterId
+from boragedeck.interfaces import Wanted
+from boragedeck.process.claims import Claim, Claims
+from boragedeck.process.incidents import CrashMark
+from boragedeck.process.upstreams import UpstreamKey
+
+__all__ = ["Isolation", "RunGuard", "key_text"]
+
+CLAIM_TTL_S = 120.0
+PASSED_TOKENS = 32
+PROVEN_TOKENS = 8
+
+
+class RunGuard:
+    """Stands for one request while it is queued and runs.
+
+    Parameters
+    ----------
+    wanted : Wanted
+        The request.
+    holder : str
+        Names the request among claims.
+    is_suspect : bool
+        Whether the request must run apart from other suspects.
+    outlives_at : int
+        Tokens after which the run has outlived the one that crashed.
+    """
+
+    def __init__(self, wanted: Wanted, holder: str, is_suspect: bool, outlives_at: int):
+        self.fingerprint = wanted.fingerprint
+        self.route = wanted.route.name
+        self.holder = holder
+        self.is_suspect = is_suspect
+        self.is_exclusive = is_suspect
+        self.is_proven = False
+        self.upstream: UpstreamKey | None = None
+        # A resumed run starts at the point of the crash; another run must get there.
+        self.passes_at = PASSED_TOKENS if wanted.is_resume else outlives_at
+        self.outlives_at = outlives_at
+
+
+class Isolation:
+    """Claims that keep suspects of a crash apart.
+
+    Parameters
+    ----------
+    own : RouterId
+        This router.
+    claims : Claims
+        Grants claims on behalf of all routers.
+
+    Attributes
+    ----------
+    on_freed : callable
+        Called with an upstream on which a further suspect may run.
+
+    Notes
+    -----
+    State: one entry for each request that is queued or runs in this router.
+    """
+
+    def __init__(self, own: RouterId, claims: Claims):
+        self.on_freed: Callable[[UpstreamKey], None] = lambda upstream: None
+        self._own = own
+        self._claims = claims
+        self._numbers = 0
+        self._running: dict[str, set[str]] = {}
+        self._apart: dict[UpstreamKey, str] = {}
+
+    def guard(self, wanted: Wanted, marks: list[CrashMark]) -> RunGuard:
+        """Return a guard for a request against which these crashes count."""
+        self._numbers += 1
+        holder = f"{self._own}/{self._numbers}"
+        generated = max((mark.generated for mark in marks), default=0)
+        outlives_at = generated + PASSED_TOKENS if marks else PROVEN_TOKENS
+        return RunGuard(wanted, holder, bool(marks), outlives_at)
+
+    def claim_run(self, guard: RunGuard, marks: list[CrashMark]) -> bool:
+        """Claim that a request may run; a suspect runs once at a time."""
+        running = self._running.get(guard.fingerprint, set())
+        if guard.is_suspect and running:
+            return False
+        # Named at once, so that no other run of it starts meanwhile.
+        self._running.setdefault(guard.fingerprint, running).add(guard.holder)
+        is_granted = self._claims.claim(self._run_claim(guard, marks))
+        if not is_granted:
+            self.forget(guard)
+        return is_granted
+
+    def may_place(self, guard: RunGuard, upstream: UpstreamKey) -> bool:
+        """Return whether no other suspect of this router is on an upstream."""
+        return self._apart.get(upstream, guard.holder) == guard.holder
+
+    def place(self, guard: RunGuard, upstream: UpstreamKey) -> bool:
+        """Claim an upstream for a suspect; False where another one is there."""
+        self._apart[upstream] = guard.holder
+        claim = Claim(_upstream_claim(upstream), guard.holder, True, CLAIM_TTL_S)
+        is_granted = self._claims.claim(claim)
+        if not is_granted:
+            self._leave_upstream(guard)
+        return is_granted
+
+    def end_isolation(self, guard: RunGuard) -> None:
+        """Let other suspects use a run's upstream, without waiting."""
+        eventlet.spawn_n(self._end_isolation, guard)
+
+    def release(self, guard: RunGuard) -> None:
+        """Give all claims of a run back, without waiting."""
+        eventlet.spawn_n(self._release, guard)
+
+    def hold_after_crash(self, guard: RunGuard, marks: list[CrashMark]) -> None:
+        """Keep others from running a request until all know of its crash."""
+        eventlet.spawn_n(self._hold, guard, marks)
+
+    def forget(self, guard: RunGuard) -> None:
+        """Count a run as ended in this router."""
+        running = self._running.get(guard.fingerprint, set())
+        running.discard(guard.holder)
+        if not running:
+            self._running.pop(guard.fingerprint, None)
+
+    def _run_claim(self, guard: RunGuard, marks: list[CrashMark]) -> Claim:
+        """Return the claim to run a request, for all suspects here in one name."""
+        key = _run_key(guard.fingerprint)
+        if not guard.is_exclusive:
+            return Claim(key, guard.holder, False, CLAIM_TTL_S)
+        crashed = tuple(key_text(mark.upstream) for mark in marks)
+        return Claim(key, self._own, True, CLAIM_TTL_S, crashed)
+
+    def _hold(self, guard: RunGuard, marks: list[CrashMark]) -> None:
+        self._end_isolation(guard)
+        if guard.is_exclusive:
+            return
+        guard.is_exclusive = True
+        # The keeper hears of the crash before it frees the shared place.
+        self._claims.claim(self._run_claim(guard, marks))
+        self._claims.release(_run_key(guard.fingerprint), guard.holder, is_proven=False)
+
+    def _release(self, guard: RunGuard) -> None:
+        self._end_isolation(guard)
+        holder = self._own if guard.is_exclusive else guard.holder
+        key = _run_key(guard.fingerprint)
+        self._claims.release(key, holder, is_proven=guard.is_proven)
+
+    def _end_isolation(self, guard: RunGuard) -> None:
+        if guard.is_exclusive and guard.upstream is not None:
+            self._leave_upstream(guard)
+            key = _upstream_claim(guard.upstream)
+            self._claims.release(key, guard.holder, is_proven=False)
+
+    def _leave_upstream(self, guard: RunGuard) -> None:
+        if self._apart.get(guard.upstream) == guard.holder:
+            del self._apart[guard.upstream]
+            self.on_freed(guard.upstream)
+
+
+def key_text(upstream: UpstreamKey) -> str:
+    """Return an upstream's name as text."""
+    return f"{upstream.pool}/{upstream.upstream}"
+
+
+def _run_key(fingerprint: str) -> str:
+    return f"run/{fingerprint}"
+
+
+def _upstream_claim(upstream: UpstreamKey) -> str:
+    return f"apart/{key_text(upstream)}"
--- /dev/null
+++ b/boragedeck/process/quarantine.py
@@ -0,0 +1,305 @@
+"""Quarantine of requests that crash the upstreams which run them."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+import msgspec
+from result import Err, Ok, Result
+
+from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.exceptions import RefusedError
+from boragedeck.ids import Version
+from boragedeck.interfaces import ConfigSource, FactBoard, Outcome, Wanted
+from boragedeck.process.claims import Claims
+from boragedeck.process.incidents import CrashMark, Incidents
+from boragedeck.process.isolation import PROVEN_TOKENS, Isolation, RunGuard, key_text
+from boragedeck.process.quarantine_facts import CrashFact, QuarantineFact
+from boragedeck.process.timers import TimerService
+from boragedeck.process.upstreams import UpstreamKey
+from boragedeck.version.tables import Config
+
+__all__ = ["Quarantine"]
+
+MAX_CRASHES = 2
+QUARANTINE_S = 3600.0
+MAX_QUARANTINED = 4096
+SUSPECT_TTL_S = 600.0
+CLAIM_RETRY_S = 0.05
+EXPIRE_INTERVAL_S = 30.0
+
+
+class Quarantine:
+    """Decides whether a request may run, and beside which others.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    board : FactBoard
+        Spreads crashes and quarantines.
+    cfg_source : ConfigSource
+        Holds the operators' lifts.
+    claims : Claims
+        Grants that a suspect runs once at a time in the fleet.
+
+    Notes
+    -----
+    A request whose run was on a crashed upstream is a suspect. It runs once at a
+    time over the fleet and on an upstream without another suspect, so that a second
+    crash names one request. It is apart until it has passed the point of the crash,
+    and a suspect until it has completed or outlived the crashed run. The second
+    crash that counts quarantines it for `QUARANTINE_S`. State: see `Incidents`,
+    `Isolation` and `ClaimTable`; `MAX_QUARANTINED` quarantines.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        board: FactBoard,
+        cfg_source: ConfigSource,
+        claims: Claims,
+    ):
+        self._timers = timers
+        self._board = board
+        self._isolation = Isolation(board.own, claims)
+        self._incidents = Incidents()
+        self._quarantined: OrderedDict[str, QuarantineFact] = OrderedDict()
+        self._lifted: frozenset[str] = frozenset()
+        self._apply(cfg_source.current())
+        cfg_source.subscribe(self._apply)
+        board.subscribe(FactTopic.CRASH, self._take_crash)
+        board.subscribe(FactTopic.QUARANTINE, self._take_quarantine)
+        for fact in board.facts(FactTopic.CRASH):
+            self._take_crash(fact)
+        for fact in board.facts(FactTopic.QUARANTINE):
+            self._take_quarantine(fact)
+        timers.subscribe(EXPIRE_INTERVAL_S, self.expire)
+
+    def subscribe_freed(self, callback: Callable[[UpstreamKey], None]) -> None:
+        """Call with each upstream on which a further suspect may run."""
+        self._isolation.on_freed = callback
+
+    def quarantined(self) -> dict[str, QuarantineFact]:
+        """Return the quarantines in force, by fingerprint."""
+        return {
+            fingerprint: fact
+            for fingerprint, fact in self._quarantined.items()
+            if self.is_quarantined(fingerprint)
+        }
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Return whether a request is quarantined."""
+        fact = self._quarantined.get(fingerprint)
+        if fact is None or fingerprint in self._lifted:
+            return False
+        if fact.until <= self._timers.wall():
+            return False
+        return not any(map(self.is_version_blamed, fact.versions))
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a crash counts against a request."""
+        return bool(self._marks(fingerprint))
+
+    def enter(self, wanted: Wanted, until: float) -> Result[RunGuard, RefusedError]:
+        """Wait until a request may be queued.
+
+        Parameters
+        ----------
+        wanted : Wanted
+            The request.
+        until : float
+            When to give up, in monotonic seconds.
+
+        Returns
+        -------
+        Result
+            The guard, or ``Err(RefusedError)`` at once where the request is
+            quarantined.
+        """
+        fingerprint = wanted.fingerprint
+        while True:
+            if self.is_quarantined(fingerprint):
+                return Err(self._refused(fingerprint))
+            marks = self._marks(fingerprint)
+            guard = self._isolation.guard(wanted, marks)
+            if self._isolation.claim_run(guard, marks):
+                # A crash may have become known while the keeper was asked.
+                if guard.is_suspect == self.is_suspect(fingerprint):
+                    return Ok(guard)
+                self.leave(guard)
+            elif self._timers.now() >= until:
+                return Err(_busy())
+            self._timers.sleep(CLAIM_RETRY_S)
+
+    def may_place(self, guard: RunGuard, upstream: UpstreamKey) -> bool:
+        """Return whether a request may run on an upstream beside its suspects."""
+        if not self._is_apart(guard):
+            return True
+        return self._isolation.may_place(guard, upstream)
+
+    def place(self, guard: RunGuard, upstream: UpstreamKey) -> bool:
+        """Claim an upstream for a request; False where another suspect is there."""
+        guard.upstream = upstream
+        if not self._is_apart(guard):
+            return True
+        return self._isolation.place(guard, upstream)
+
+    def note_tokens(self, guard: RunGuard, generated: int) -> None:
+        """Note how far a run has come; may end its isolation or its suspicion."""
+        if guard.is_suspect and generated >= guard.passes_at:
+            guard.is_suspect = False
+            self._isolation.end_isolation(guard)
+        if guard.is_proven or generated < max(PROVEN_TOKENS, guard.outlives_at):
+            return
+        guard.is_proven = True
+        if guard.is_exclusive:
+            self._state_harmless(guard.fingerprint)
+        self._isolation.release(guard)
+
+    def leave(self, guard: RunGuard) -> None:
+        """Give everything back for a request that was not placed."""
+        self._isolation.forget(guard)
+        self._isolation.release(guard)
+
+    def finish(
+        self, guard: RunGuard, version: Version, generated: int, outcome: Outcome
+    ) -> None:
+        """Note how a run ended.
+
+        Parameters
+        ----------
+        guard : RunGuard
+            The run's guard.
+        version : Version
+            What the upstream served.
+        generated : int
+            Tokens generated in the run.
+        outcome : Outcome
+            How it ended.
+        """
+        self._isolation.forget(guard)
+        match outcome:
+            case Outcome.CRASHED:
+                self._crash(guard, version, generated)
+                marks = self._marks(guard.fingerprint)
+                self._isolation.hold_after_crash(guard, marks)
+                return
+            case Outcome.COMPLETED:
+                guard.is_proven = True
+                self._state_harmless(guard.fingerprint)
+        self._isolation.release(guard)
+
+    def explains(self, upstream: UpstreamKey) -> bool:
+        """Return whether a quarantined request crashed an upstream."""
+        facts = self.quarantined().values()
+        return any(key_text(upstream) in fact.upstreams for fact in facts)
+
+    def is_version_blamed(self, version: Version) -> bool:
+        """Return whether crashes on a version are counted as its own fault."""
+        return self._incidents.is_version_blamed(version, self._timers.now())
+
+    def expire(self) -> None:
+        """Drop what has aged out."""
+        self._incidents.expire(self._timers.now())
+        now = self._timers.wall()
+        for fingerprint in list(self._quarantined):
+            if self._quarantined[fingerprint].until <= now:
+                del self._quarantined[fingerprint]
+
+    def _is_apart(self, guard: RunGuard) -> bool:
+        # A crash may since have been blamed on a version or a common cause.
+        return guard.is_suspect and self.is_suspect(guard.fingerprint)
+
+    def _marks(self, fingerprint: str) -> list[CrashMark]:
+        if fingerprint in self._lifted:
+            return []
+        return self._incidents.marks(fingerprint, self._timers.now())
+
+    def _crash(self, guard: RunGuard, version: Version, generated: int) -> None:
+        now = self._timers.now()
+        fingerprint, upstream = guard.fingerprint, guard.upstream
+        self._incidents.add(CrashMark(fingerprint, upstream, version, now, generated))
+        fact = CrashFact(upstream, version, 0.0, generated)
+        self._state_crash(f"{fingerprint} {key_text(upstream)}", fact)
+        quarantine = self._judge(fingerprint, guard.route)
+        if quarantine is not None:
+            body = msgspec.msgpack.encode(quarantine)
+            self._board.publish(
+                FactTopic.QUARANTINE, fingerprint, body, ttl_s=QUARANTINE_S
+            )
+
+    def _state_harmless(self, fingerprint: str) -> None:
+        if not self.is_suspect(fingerprint):
+            return
+        self._incidents.clear(fingerprint, self._timers.now())
+        self._state_crash(f"{fingerprint} ", CrashFact(None, Version(""), 0.0, 0))
+
+    def _state_crash(self, key: str, fact: CrashFact) -> None:
+        body = msgspec.msgpack.encode(fact)
+        self._board.publish(FactTopic.CRASH, key, body, ttl_s=SUSPECT_TTL_S)
+
+    def _judge(self, fingerprint: str, route: str) -> QuarantineFact | None:
+        """Quarantine a request where its crashes suffice."""
+        marks = self._marks(fingerprint)
+        if len(marks) < MAX_CRASHES or self.is_quarantined(fingerprint):
+            return None
+        until = self._timers.wall() + QUARANTINE_S
+        names = tuple(key_text(mark.upstream) for mark in marks)
+        versions = tuple(mark.version for mark in marks)
+        quarantine = QuarantineFact(route, names, versions, until)
+        self._keep(fingerprint, quarantine)
+        return quarantine
+
+    def _take_crash(self, fact: Fact) -> None:
+        if fact.origin == self._board.own:
+            return
+        crash = msgspec.msgpack.decode(fact.body, type=CrashFact)
+        fingerprint = fact.key.partition(" ")[0]
+        at = self._timers.now() - crash.age_s
+        if crash.upstream is None:
+            self._incidents.clear(fingerprint, at)
+            return
+        self._incidents.add(
+            CrashMark(fingerprint, crash.upstream, crash.version, at, crash.generated)
+        )
+        self._judge(fingerprint, "")
+
+    def _take_quarantine(self, fact: Fact) -> None:
+        self._keep(fact.key, msgspec.msgpack.decode(fact.body, type=QuarantineFact))
+
+    def _keep(self, fingerprint: str, fact: QuarantineFact) -> None:
+        self._quarantined[fingerprint] = fact
+        if len(self._quarantined) > MAX_QUARANTINED:
+            self._quarantined.popitem(last=False)
+
+    def _refused(self, fingerprint: str) -> RefusedError:
+        fact = self._quarantined[fingerprint]
+        left_s = fact.until - self._timers.wall()
+        return RefusedError(
+            f"this request crashed upstreams; its fingerprint is {fingerprint}",
+            status=422,
+            kind="invalid_request_error",
+            code="request_quarantined",
+            retry_after_s=max(0.0, left_s),
+            step="quarantine",
+        )
+
+    def _apply(self, cfg: Config) -> None:
+        lifts = [lift for route in cfg.routes for lift in route.quarantine_lifts]
+        lifted = frozenset(lift.fingerprint for lift in lifts)
+        for fingerprint in self._lifted - lifted:
+            # A lift that is taken out again does not bring old crashes back.
+            self._incidents.clear(fingerprint, self._timers.now())
+            self._quarantined.pop(fingerprint, None)
+        self._lifted = lifted
+
+
+def _busy() -> RefusedError:
+    return RefusedError(
+        "the same request is running and under suspicion of a crash",
+        status=503,
+        kind="server_error",
+        code="request_suspect",
+        retry_after_s=5.0,
+        step="quarantine",
+    )
--- a/boragedeck/process/slot.py
+++ b/boragedeck/process/slot.py
@@ -5,6 +5,7 @@
 from boragedeck.interfaces import Outcome, Wanted
 from boragedeck.process.cache_hints import CacheHints
 from boragedeck.process.choice import PREFILL_TOKENS_PER_S
+from boragedeck.process.isolation import RunGuard
 from boragedeck.process.timers import TimerService
 from boragedeck.process.upstreams import UpstreamState
 from boragedeck.version.tables import Upstream
@@ -29,6 +30,15 @@
         Where prefixes are cached.
     on_finish : callable
         Called once with this slot and the outcome.
+
+    Attributes
+    ----------
+    generated : int
+        Tokens generated so far.
+    guard : RunGuard or None
+        Says beside which suspects of a crash the request runs.
+    on_tokens : callable or None
+        Called with the tokens generated so far after each batch of them.
     """
 
     def __init__(
@@ -43,6 +53,8 @@
         self.state = state
         self.wanted = wanted
         self.generated = 0
+        self.guard: RunGuard | None = None
+        self.on_tokens: Callable[[int], None] | None = None
         self._timers = timers
         self._hints = hints
         self._on_finish = on_finish
@@ -76,6 +88,8 @@
             if gap_s <= MAX_GAP_S:
                 self.state.observe_gap(gap_s)
         self._output_at = now
+        if self.on_tokens is not None:
+            self.on_tokens(self.generated)
 
     def finish(self, outcome: Outcome) -> None:
         """See `Slot.finish`."""
--- a/tests/process/policy_fakes.py
+++ b/tests/process/policy_fakes.py
@@ -1,6 +1,14 @@
+import eventlet
+from result import Err, Ok
+
 from boragedeck.connection.messages import Fact
+from boragedeck.connection.peer import Address
+from boragedeck.exceptions import PeerUnreachableError
 from boragedeck.ids import RouterId
-from boragedeck.interfaces import Wanted
+from boragedeck.interfaces import Member, Wanted
+from boragedeck.process.claims import Claim, Claims, ClaimTable
+from boragedeck.process.quarantine import Quarantine
+from boragedeck.process.timers import ManualTimers
 from boragedeck.version.tables import Config, Pool, Route, Upstream
 
 
@@ -24,6 +32,7 @@
 class FakeBoards:
     def __init__(self):
         self.boards = []
+        self.is_spreading = True
 
     def board(self, own):
         board = FakeBoard(self, own)
@@ -38,12 +47,16 @@
         self._facts = {}
         self._callbacks = {}
         self._number = 0
+        self.side = 0
 
     def publish(self, topic, key, body, *, ttl_s=60.0):
         self._number += 1
         fact = Fact(topic, key, self.own, self._number, body, ttl_s)
+        self.take(fact)
         for board in self._boards.boards:
-            board.take(fact)
+            is_joined = self._boards.is_spreading and board.side == self.side
+            if board is not self and is_joined:
+                board.take(fact)
         return fact
 
     def facts(self, topic):
@@ -81,3 +94,75 @@
     }
     route = route or Route("chat", pool.name)
     return Wanted(route, pool, organisation, **{**defaults, **fields})
+
+
+class FakeMembership:
+    def __init__(self, own, others=()):
+        self.own = own
+        self.others = list(others)
+
+    def members(self):
+        return self.others
+
+    def suspect(self, router):
+        pass
+
+
+class FakeLinks:
+    """Links to the claim tables of routers, by address; cut ones don't answer."""
+
+    def __init__(self, tables):
+        self.tables = tables
+        self.cut = set()
+
+    def link(self, address):
+        return _FakeLink(self, address)
+
+
+class _FakeLink:
+    def __init__(self, links, address):
+        self._links = links
+        self._address = address
+
+    def call(self, message, answer_type, *, timeout_s):
+        eventlet.sleep(0)
+        if self._address in self._links.cut:
+            return Err(PeerUnreachableError("cut"))
+        table = self._links.tables[self._address]
+        if isinstance(message, Claim):
+            return Ok(table.claim(message))
+        return Ok(table.release(message))
+
+
+class FakeRouters:
+    """Routers with a quarantine each, joined by facts and claims."""
+
+    def __init__(self, count, cfg, timers=None):
+        self.timers = timers or ManualTimers()
+        self.cfg_source = FakeConfig(cfg)
+        self.boards = FakeBoards()
+        members = [
+            Member(f"r{i}", f"vm{i}", f"d{i % 3}", Address("127.0.0.1", i + 1))
+            for i in range(count)
+        ]
+        tables = {member.address: ClaimTable(self.timers) for member in members}
+        self.links = [FakeLinks(tables) for _ in members]
+        self.quarantines = [
+            self._quarantine(member, members, links)
+            for member, links in zip(members, self.links, strict=True)
+        ]
+
+    def partition(self, first):
+        """Cut the first routers off from the others."""
+        for i, links in enumerate(self.links):
+            ports = range(first, len(self.links)) if i < first else range(first)
+            links.cut = {Address("127.0.0.1", port + 1) for port in ports}
+        for i, board in enumerate(self.boards.boards):
+            board.side = int(i < first)
+
+    def _quarantine(self, member, members, links):
+        others = [other for other in members if other is not member]
+        table = links.tables[member.address]
+        claims = Claims(FakeMembership(member, others), links, table)
+        board = self.boards.board(member.router)
+        return Quarantine(self.timers, board, self.cfg_source, claims)
--- /dev/null
+++ b/tests/process/test_quarantine.py
@@ -0,0 +1,167 @@
+import unittest
+
+import eventlet
+import msgspec
+
+from boragedeck.interfaces import Outcome
+from boragedeck.process.quarantine import Quarantine
+from boragedeck.process.upstreams import UpstreamKey
+from boragedeck.version.tables import QuarantineLift
+from tests.process.policy_fakes import FakeRouters, make_config, make_pool, make_wanted
+
+POOL = make_pool(12)
+
+
+class QuarantineTest(unittest.TestCase):
+    def setUp(self):
+        self.routers = FakeRouters(3, make_config(POOL))
+        self.timers = self.routers.timers
+        self.crashed = []
+
+    def start(self, router, fingerprint, upstream, *, wait_s=0.0, **fields):
+        """Return the guard of a request that runs, or the refusal."""
+        quarantine = self.routers.quarantines[router]
+        wanted = make_wanted(POOL, fingerprint=fingerprint, **fields)
+        until = self.timers.now() + wait_s
+        entering = eventlet.spawn(quarantine.enter, wanted, until)
+        self.timers.advance(wait_s + 1.0)
+        result = entering.wait()
+        if result.is_err():
+            return result.err()
+        guard = result.ok()
+        key = UpstreamKey(POOL.name, upstream)
+        if not quarantine.may_place(guard, key) or not quarantine.place(guard, key):
+            quarantine.leave(guard)
+            return None
+        return guard
+
+    def end(self, router, guard, outcome, *, generated=0, version="v1"):
+        if outcome is Outcome.CRASHED:
+            self.crashed.append(guard.upstream.upstream)
+        quarantine = self.routers.quarantines[router]
+        if generated:
+            quarantine.note_tokens(guard, generated)
+        quarantine.finish(guard, version, generated, outcome)
+        self.timers.advance(0.1)
+
+    def crash(self, router, fingerprint, upstream, **fields):
+        guard = self.start(router, fingerprint, upstream)
+        if hasattr(guard, "fingerprint"):
+            self.end(router, guard, Outcome.CRASHED, **fields)
+        return guard
+
+    def test_poison_sent_again_elsewhere_takes_two_upstreams(self):
+        for i in range(9):
+            last = self.crash(i % 3, "poison", f"u{i}")
+        self.assertEqual(len(self.crashed), 2)
+        self.assertEqual((last.status, last.code), (422, "request_quarantined"))
+        self.assertEqual(last.ran.value, "no")
+
+    def test_holds_before_gossip_has_spread_the_crash(self):
+        self.routers.boards.is_spreading = False
+        for i in range(9):
+            self.crash(i % 3, "poison", f"u{i}")
+        self.assertEqual(len(self.crashed), 2)
+
+    def test_holds_for_runs_at_the_same_time(self):
+        guards = [self.start(i % 3, "poison", f"u{i}") for i in range(6)]
+        running = [g for g in guards if hasattr(g, "fingerprint")]
+        self.assertEqual(len(running), 2)
+        for i, guard in enumerate(running):
+            self.end(i, guard, Outcome.CRASHED)
+        for i in range(3):
+            self.crash(i, "poison", f"u{i + 6}")
+        self.assertEqual(len(self.crashed), 2)
+
+    def test_takes_two_on_each_side_of_a_partition(self):
+        self.routers.partition(1)
+        for i in range(9):
+            self.crash(i % 3, "poison", f"u{i}")
+        self.assertLessEqual(len(self.crashed), 4)
+
+    def test_innocent_runs_apart_and_is_cleared(self):
+        poison = self.start(0, "poison", "u0")
+        innocent = self.start(1, "innocent", "u0")
+        self.end(0, poison, Outcome.CRASHED)
+        self.end(1, innocent, Outcome.CRASHED, generated=100)
+        poison = self.start(0, "poison", "u1")
+        self.assertIsNone(self.start(1, "innocent", "u1", is_resume=True))
+        innocent = self.start(1, "innocent", "u2", is_resume=True)
+        self.end(0, poison, Outcome.CRASHED)
+        self.end(1, innocent, Outcome.COMPLETED, generated=20)
+        for quarantine in self.routers.quarantines:
+            self.assertEqual(set(quarantine.quarantined()), {"poison"})
+            self.assertFalse(quarantine.is_suspect("innocent"))
+            self.assertTrue(quarantine.explains(UpstreamKey(POOL.name, "u1")))
+
+    def test_apart_only_until_the_point_of_the_crash_is_passed(self):
+        self.crash(0, "one", "u0", generated=500)
+        self.crash(1, "two", "u0", generated=500)
+        first = self.start(0, "one", "u1", is_resume=True)
+        self.assertIsNone(self.start(1, "two", "u1", is_resume=True))
+        self.routers.quarantines[0].note_tokens(first, 40)
+        self.timers.advance(0.1)
+        self.assertIsNotNone(self.start(1, "two", "u1", is_resume=True))
+        self.assertTrue(self.routers.quarantines[0].is_suspect("one"))
+        self.routers.quarantines[0].note_tokens(first, 540)
+        self.assertFalse(self.routers.quarantines[0].is_suspect("one"))
+
+    def test_lost_failure_domain_is_blamed_on_nobody(self):
+        guards = [self.start(i % 3, f"f{i}", f"u{i % 4}") for i in range(12)]
+        for i, guard in enumerate(guards):
+            quarantine = self.routers.quarantines[i % 3]
+            quarantine.finish(guard, "v1", 50, Outcome.CRASHED)
+        self.timers.advance(0.1)
+        for i in range(12):
+            self.assertFalse(self.routers.quarantines[0].is_suspect(f"f{i}"))
+            again = self.start(i % 3, f"f{i}", "u9", is_resume=True)
+            self.assertTrue(hasattr(again, "fingerprint"))
+
+    def test_bad_version_is_blamed_itself(self):
+        for i in range(6):
+            self.crash(i % 3, f"f{i}", f"u{i}", version="v2")
+            self.timers.advance(10.0)
+        quarantine = self.routers.quarantines[0]
+        self.assertTrue(quarantine.is_version_blamed("v2"))
+        self.assertFalse(quarantine.is_suspect("f5"))
+        self.assertFalse(quarantine.is_version_blamed("v1"))
+
+    def test_one_poison_does_not_condemn_its_version(self):
+        for i in range(9):
+            self.crash(i % 3, "poison", f"u{i}")
+        self.assertFalse(self.routers.quarantines[0].is_version_blamed("v1"))
+
+    def test_ages_out(self):
+        for i in range(3):
+            self.crash(i, "poison", f"u{i}")
+        self.timers.advance(3700.0)
+        self.assertTrue(hasattr(self.start(0, "poison", "u5"), "fingerprint"))
+
+    def test_operator_lifts_it_by_an_edit_of_the_route(self):
+        for i in range(3):
+            self.crash(i, "poison", f"u{i}")
+        cfg = self.routers.cfg_source.current()
+        lifts = (QuarantineLift("poison"),)
+        route = msgspec.structs.replace(cfg.routes[0], quarantine_lifts=lifts)
+        self.routers.cfg_source.put(msgspec.structs.replace(cfg, routes=(route,)))
+        self.timers.advance(130.0)
+        self.assertTrue(hasattr(self.start(0, "poison", "u5"), "fingerprint"))
+        self.assertEqual(self.routers.quarantines[0].quarantined(), {})
+
+    def test_common_content_runs_side_by_side_once_proven(self):
+        first = self.start(0, "greeting", "u0")
+        self.routers.quarantines[0].note_tokens(first, 10)
+        self.timers.advance(0.1)
+        more = [self.start(i % 3, "greeting", f"u{i}") for i in range(9)]
+        self.assertTrue(all(hasattr(guard, "fingerprint") for guard in more))
+
+    def test_router_that_joins_learns_of_quarantines(self):
+        for i in range(3):
+            self.crash(i, "poison", f"u{i}")
+        facts = self.routers.boards.boards[0].facts
+        late = self.routers.boards.board("late")
+        late.facts = facts
+        first = self.routers.quarantines[0]
+        claims = first._isolation._claims
+        joined = Quarantine(self.timers, late, self.routers.cfg_source, claims)
+        self.assertTrue(joined.is_quarantined("poison"))
