Use the chooser and the quarantine in the router

The demonstration showed that a suspect whose router died could not be taken over: its claim held for two minutes. Exclusive claims now last 1.5 s and are renewed while the run lasts.

--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -11,18 +11,21 @@
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.platform import HttpPlatform
 from boragedeck.ids import RouterId
-from boragedeck.interfaces import Member
+from boragedeck.interfaces import FactBoard, Member
 from boragedeck.process.answer_service import AnswerService
 from boragedeck.process.answers import AnswerTable
+from boragedeck.process.chooser import PoolChooser
+from boragedeck.process.claims import Claims, ClaimTable
 from boragedeck.process.copies import CopyStore
 from boragedeck.process.journal import Journal
 from boragedeck.process.keys import KeyRing
+from boragedeck.process.load_gossip import LoadGossip
 from boragedeck.process.metrics import Metrics
+from boragedeck.process.quarantine import Quarantine
 from boragedeck.process.settings import Settings
 from boragedeck.process.simple_parts import (
     DeclaredVersion,
     LocalFacts,
-    RandomChooser,
     TableMembership,
 )
 from boragedeck.process.status import StatusReport
@@ -87,7 +90,7 @@
         self._server.register(FetchConfig, self._config.answer_fetch)
         journal = Journal(self._membership, self._links, self.timers, self.metrics)
         parts = GenerationParts(
-            chooser=RandomChooser(rng),
+            chooser=self._make_chooser(board, rng),
             journal=journal,
             config=self._config,
             versions=DeclaredVersion(),
@@ -116,6 +119,21 @@
             lambda: msgspec.json.encode(status.read()),
         )
 
+    def _make_chooser(self, board: FactBoard, rng: random.Random) -> PoolChooser:
+        claims = Claims(self._membership, self._links, ClaimTable(self.timers))
+        claims.register(self._server)
+        self.quarantine = Quarantine(self.timers, board, self._config, claims)
+        chooser = PoolChooser(
+            self.timers,
+            self._config,
+            board,
+            self.own.failure_domain,
+            rng,
+            self.quarantine,
+        )
+        LoadGossip(self.timers, board, chooser.registry)
+        return chooser
+
     def start(self) -> None:
         """Serve peers and callers."""
         eventlet.spawn_n(self._server.serve)
--- a/boragedeck/process/isolation.py
+++ b/boragedeck/process/isolation.py
@@ -8,11 +8,15 @@
 from boragedeck.interfaces import Wanted
 from boragedeck.process.claims import Claim, Claims
 from boragedeck.process.incidents import CrashMark
+from boragedeck.process.timers import TimerService
 from boragedeck.process.upstreams import UpstreamKey
 
 __all__ = ["Isolation", "RunGuard", "key_text"]
 
-CLAIM_TTL_S = 120.0
+SHARED_TTL_S = 30.0
+EXCLUSIVE_TTL_S = 1.5
+"""A dead router's suspects may run elsewhere after this time."""
+RENEW_INTERVAL_S = 0.5
 PASSED_TOKENS = 32
 PROVEN_TOKENS = 8
 
@@ -40,6 +44,7 @@
         self.is_exclusive = is_suspect
         self.is_proven = False
         self.upstream: UpstreamKey | None = None
+        self.crashed: tuple[str, ...] = ()
         # A resumed run starts at the point of the crash; another run must get there.
         self.passes_at = PASSED_TOKENS if wanted.is_resume else outlives_at
         self.outlives_at = outlives_at
@@ -54,6 +59,8 @@
         This router.
     claims : Claims
         Grants claims on behalf of all routers.
+    timers : TimerService
+        The source of time.
 
     Attributes
     ----------
@@ -62,16 +69,19 @@
 
     Notes
     -----
-    State: one entry for each request that is queued or runs in this router.
+    An exclusive claim is short and renewed while its run lasts. State: one entry for
+    each request that is queued or runs in this router.
     """
 
-    def __init__(self, own: RouterId, claims: Claims):
+    def __init__(self, own: RouterId, claims: Claims, timers: TimerService):
         self.on_freed: Callable[[UpstreamKey], None] = lambda upstream: None
         self._own = own
         self._claims = claims
         self._numbers = 0
         self._running: dict[str, set[str]] = {}
         self._apart: dict[UpstreamKey, str] = {}
+        self._exclusive: dict[str, RunGuard] = {}
+        timers.subscribe(RENEW_INTERVAL_S, self.renew)
 
     def guard(self, wanted: Wanted, marks: list[CrashMark]) -> RunGuard:
         """Return a guard for a request against which these crashes count."""
@@ -79,18 +89,22 @@
         holder = f"{self._own}/{self._numbers}"
         generated = max((mark.generated for mark in marks), default=0)
         outlives_at = generated + PASSED_TOKENS if marks else PROVEN_TOKENS
-        return RunGuard(wanted, holder, bool(marks), outlives_at)
+        guard = RunGuard(wanted, holder, bool(marks), outlives_at)
+        guard.crashed = _crashed(marks)
+        return guard
 
-    def claim_run(self, guard: RunGuard, marks: list[CrashMark]) -> bool:
+    def claim_run(self, guard: RunGuard) -> bool:
         """Claim that a request may run; a suspect runs once at a time."""
         running = self._running.get(guard.fingerprint, set())
         if guard.is_suspect and running:
             return False
         # Named at once, so that no other run of it starts meanwhile.
         self._running.setdefault(guard.fingerprint, running).add(guard.holder)
-        is_granted = self._claims.claim(self._run_claim(guard, marks))
+        is_granted = self._claims.claim(self._run_claim(guard))
         if not is_granted:
             self.forget(guard)
+        elif guard.is_exclusive:
+            self._exclusive[guard.holder] = guard
         return is_granted
 
     def may_place(self, guard: RunGuard, upstream: UpstreamKey) -> bool:
@@ -100,8 +114,7 @@
     def place(self, guard: RunGuard, upstream: UpstreamKey) -> bool:
         """Claim an upstream for a suspect; False where another one is there."""
         self._apart[upstream] = guard.holder
-        claim = Claim(_upstream_claim(upstream), guard.holder, True, CLAIM_TTL_S)
-        is_granted = self._claims.claim(claim)
+        is_granted = self._claims.claim(_apart_claim(guard, upstream))
         if not is_granted:
             self._leave_upstream(guard)
         return is_granted
@@ -116,33 +129,45 @@
 
     def hold_after_crash(self, guard: RunGuard, marks: list[CrashMark]) -> None:
         """Keep others from running a request until all know of its crash."""
-        eventlet.spawn_n(self._hold, guard, marks)
+        guard.crashed = _crashed(marks)
+        eventlet.spawn_n(self._hold, guard)
+
+    def renew(self) -> None:
+        """Renew the claims of suspects that are queued or run here."""
+        for guard in list(self._exclusive.values()):
+            if guard.holder not in self._exclusive:
+                continue
+            self._claims.claim(self._run_claim(guard))
+            upstream = guard.upstream
+            if upstream is not None and self._apart.get(upstream) == guard.holder:
+                self._claims.claim(_apart_claim(guard, upstream))
 
     def forget(self, guard: RunGuard) -> None:
         """Count a run as ended in this router."""
+        self._exclusive.pop(guard.holder, None)
         running = self._running.get(guard.fingerprint, set())
         running.discard(guard.holder)
         if not running:
             self._running.pop(guard.fingerprint, None)
 
-    def _run_claim(self, guard: RunGuard, marks: list[CrashMark]) -> Claim:
+    def _run_claim(self, guard: RunGuard) -> Claim:
         """Return the claim to run a request, for all suspects here in one name."""
         key = _run_key(guard.fingerprint)
         if not guard.is_exclusive:
-            return Claim(key, guard.holder, False, CLAIM_TTL_S)
-        crashed = tuple(key_text(mark.upstream) for mark in marks)
-        return Claim(key, self._own, True, CLAIM_TTL_S, crashed)
+            return Claim(key, guard.holder, False, SHARED_TTL_S)
+        return Claim(key, self._own, True, EXCLUSIVE_TTL_S, guard.crashed)
 
-    def _hold(self, guard: RunGuard, marks: list[CrashMark]) -> None:
+    def _hold(self, guard: RunGuard) -> None:
         self._end_isolation(guard)
         if guard.is_exclusive:
             return
         guard.is_exclusive = True
         # The keeper hears of the crash before it frees the shared place.
-        self._claims.claim(self._run_claim(guard, marks))
+        self._claims.claim(self._run_claim(guard))
         self._claims.release(_run_key(guard.fingerprint), guard.holder, is_proven=False)
 
     def _release(self, guard: RunGuard) -> None:
+        self._exclusive.pop(guard.holder, None)
         self._end_isolation(guard)
         holder = self._own if guard.is_exclusive else guard.holder
         key = _run_key(guard.fingerprint)
@@ -169,5 +194,13 @@
     return f"run/{fingerprint}"
 
 
+def _crashed(marks: list[CrashMark]) -> tuple[str, ...]:
+    return tuple(key_text(mark.upstream) for mark in marks)
+
+
+def _apart_claim(guard: RunGuard, upstream: UpstreamKey) -> Claim:
+    return Claim(_upstream_claim(upstream), guard.holder, True, EXCLUSIVE_TTL_S)
+
+
 def _upstream_claim(upstream: UpstreamKey) -> str:
     return f"apart/{key_text(upstream)}"
--- a/boragedeck/process/quarantine.py
+++ b/boragedeck/process/quarantine.py
@@ -61,7 +61,7 @@
     ):
         self._timers = timers
         self._board = board
-        self._isolation = Isolation(board.own, claims)
+        self._isolation = Isolation(board.own, claims, timers)
         self._incidents = Incidents()
         self._quarantined: OrderedDict[str, QuarantineFact] = OrderedDict()
         self._lifted: frozenset[str] = frozenset()
@@ -122,7 +122,7 @@
                 return Err(self._refused(fingerprint))
             marks = self._marks(fingerprint)
             guard = self._isolation.guard(wanted, marks)
-            if self._isolation.claim_run(guard, marks):
+            if self._isolation.claim_run(guard):
                 # A crash may have become known while the keeper was asked.
                 if guard.is_suspect == self.is_suspect(fingerprint):
                     return Ok(guard)
--- a/tests/process/policy_fakes.py
+++ b/tests/process/policy_fakes.py
@@ -160,6 +160,14 @@
         for i, board in enumerate(self.boards.boards):
             board.side = int(i < first)
 
+    def stop(self, index):
+        """Kill a router: nobody reaches it, and it reaches nobody."""
+        for i, links in enumerate(self.links):
+            if i == index:
+                links.cut = set(links.tables)
+            else:
+                links.cut = links.cut | {Address("127.0.0.1", index + 1)}
+
     def _quarantine(self, member, members, links):
         others = [other for other in members if other is not member]
         table = links.tables[member.address]
--- a/tests/process/test_quarantine.py
+++ b/tests/process/test_quarantine.py
@@ -155,6 +155,16 @@
         more = [self.start(i % 3, "greeting", f"u{i}") for i in range(9)]
         self.assertTrue(all(hasattr(guard, "fingerprint") for guard in more))
 
+    def test_suspect_of_a_dead_router_runs_elsewhere_soon(self):
+        self.crash(0, "innocent", "u0")
+        self.assertIsNotNone(self.start(0, "innocent", "u1", is_resume=True))
+        refused = self.start(1, "innocent", "u2", is_resume=True)
+        self.assertEqual(refused.code, "request_suspect")
+        self.routers.stop(0)
+        self.timers.advance(2.0)
+        taken = self.start(1, "innocent", "u2", is_resume=True)
+        self.assertTrue(hasattr(taken, "fingerprint"))
+
     def test_router_that_joins_learns_of_quarantines(self):
         for i in range(3):
             self.crash(i, "poison", f"u{i}")
