--- /dev/null
+++ b/benchmarks/failures.py
@@ -0,0 +1,94 @@
+"""Resume latency and extra tokens when engines are lost, against plain retries.
+
+One engine, four of twelve, and a failure domain are lost under a recorded load at 0.6
+of full load. Compared: the request run again from its start on a random engine, the
+same resumed from its prefix, and `PoolChooser`.
+"""
+
+import msgspec
+
+from benchmarks.choice import choose_random, full_rate
+from benchmarks.fleet import Fleet, FleetSpec
+from benchmarks.model import Load, record_load
+from benchmarks.simulation import percentile
+
+SECONDS = 60.0
+LOST_AT_S = 30.0
+RESTART_S = 60.0
+SEEDS = (11, 12, 13)
+LOAD_SHARE = 0.6
+
+
+class Way(msgspec.Struct, frozen=True):
+    """A way to go on after a loss.
+
+    Parameters
+    ----------
+    name : str
+        What the table calls it.
+    is_ours : bool
+        Whether `PoolChooser` places the runs.
+    resumes : bool
+        Whether a run goes on from its prefix.
+    """
+
+    name: str
+    is_ours: bool
+    resumes: bool
+
+
+WAYS = (
+    Way("retry from start", False, False),
+    Way("resume at random", False, True),
+    Way("ours", True, True),
+)
+
+
+def lost_engines(fleet: Fleet) -> dict[str, list]:
+    """Return the engines to lose, by the kind of loss."""
+    return {
+        "one engine": fleet.engines[:1],
+        "4 of 12": [fleet.engines[i] for i in (0, 1, 5, 9)],
+        "domain": fleet.domain_engines(0),
+    }
+
+
+def play(way: Way, loss: str, rate: float, seed: int) -> Fleet:
+    """Return a fleet after a load during which engines were lost."""
+    load = record_load(Load(rate=rate, seconds=SECONDS), seed)
+    plain = None if way.is_ours else choose_random
+    fleet = Fleet(FleetSpec(seed=seed), plain, resumes=way.resumes)
+
+    def lose() -> None:
+        for engine in lost_engines(fleet)[loss]:
+            engine.crash(RESTART_S)
+
+    fleet.timers.call_later(LOST_AT_S, lose)
+    fleet.run(load)
+    return fleet
+
+
+def main() -> None:
+    """Print a line for each kind of loss and way to go on."""
+    rate = LOAD_SHARE * full_rate()
+    for loss in ("one engine", "4 of 12", "domain"):
+        for way in WAYS:
+            records = []
+            for seed in SEEDS:
+                records += play(way, loss, rate, seed).records
+            waits = [wait for record in records for wait in record.resume_s]
+            extra = sum(record.extra_tokens for record in records)
+            broken = sum(record.lost_at is not None for record in records)
+            refused = sum(record.is_refused for record in records)
+            p50, p95, p99 = (percentile(waits, share) for share in (0.5, 0.95, 0.99))
+            print(
+                f"{loss:10} {way.name:17} resumed {len(waits):4}"
+                f"  p50 {p50:6.3f} p95 {p95:6.3f} p99 {p99:6.3f} s"
+                f"  extra tokens/resume {extra / max(1, len(waits)):6.1f}"
+                f"  not resumed {broken}  refused {refused}",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -262,7 +262,8 @@
             if seen == 0:
                 place.first_token()
                 record.cached_tokens += run.cached_tokens
-                record.extra_tokens += kept - min(kept, run.cached_tokens)
+                if record.delivered:
+                    record.extra_tokens += run.prompt_tokens - run.cached_tokens
             else:
                 place.tokens(count)
             seen += count
--- /dev/null
+++ b/benchmarks/limits.py
@@ -0,0 +1,109 @@
+"""Fairness under a flood and goodput under overload, against no limit.
+
+First one organisation floods at ten times its share while the others' load stays as it
+was; then all load is raised to three times what the fleet can do.
+"""
+
+import math
+
+import msgspec
+
+from benchmarks.choice import choose_least_reported, full_rate
+from benchmarks.fleet import Fleet, FleetSpec, Record
+from benchmarks.model import Arrival, Load, record_load
+from benchmarks.simulation import percentile
+
+SECONDS = 90.0
+SEED = 21
+BASE_SHARE = 0.4
+FLOOD = "org-9"
+FLOOD_FACTOR = 10
+OVERLOADS = (0.5, 0.8, 1.0, 1.5, 2.0, 3.0)
+GOOD_FIRST_TOKEN_S = 10.0
+SETTLED_S = 20.0
+
+
+def even_load(rate: float, seconds: float, seed: int) -> list[Arrival]:
+    """Return a load in which ten organisations have the same rate."""
+    load = record_load(Load(rate=rate, seconds=seconds), seed)
+    return [
+        msgspec.structs.replace(arrival, organisation=f"org-{number % 10}")
+        for number, arrival in enumerate(load)
+    ]
+
+
+def flooded(load: list[Arrival], rate: float, seed: int) -> list[Arrival]:
+    """Return a load with one organisation's traffic raised."""
+    extra_rate = rate / 10 * (FLOOD_FACTOR - 1)
+    extra = record_load(Load(rate=extra_rate, seconds=SECONDS), seed + 1)
+    flood = [msgspec.structs.replace(each, organisation=FLOOD) for each in extra]
+    return sorted([*load, *flood], key=lambda arrival: arrival.at)
+
+
+def others_p95_s(records: list[Record]) -> float:
+    """Return the p95 time to the first token of all but the flooding one."""
+    times = [
+        record.first_token_s
+        for record in records
+        if record.arrival.organisation != FLOOD and not record.is_refused
+    ]
+    return percentile(times, 0.95)
+
+
+def refused_share(records: list[Record], *, of_flood: bool) -> float:
+    """Return the share of requests refused, of the flooding one or the others."""
+    own = [r for r in records if (r.arrival.organisation == FLOOD) is of_flood]
+    return sum(record.is_refused for record in own) / len(own)
+
+
+def goodput(fleet: Fleet, seconds: float) -> float:
+    """Return output tokens a second of requests that were served in time."""
+    good = [
+        record.arrival.output_tokens
+        for record in fleet.records
+        if record.first_token_s <= GOOD_FIRST_TOKEN_S
+        and SETTLED_S <= record.done_at < seconds
+    ]
+    return sum(good) / (seconds - SETTLED_S)
+
+
+def main() -> None:
+    """Print the figures of both loads."""
+    rate = full_rate()
+    ways = {"no limit": choose_least_reported, "ours": None}
+    base = even_load(BASE_SHARE * rate, SECONDS, SEED)
+    flood = flooded(base, BASE_SHARE * rate, SEED)
+    for name, choose in ways.items():
+        calm = Fleet(FleetSpec(), choose).run(base)
+        storm = Fleet(FleetSpec(), choose).run(flood)
+        before, after = others_p95_s(calm), others_p95_s(storm)
+        print(
+            f"flood    {name:9} others' p95 {before:6.3f} -> {after:6.3f} s"
+            f" ({after / before - 1.0:+.0%})"
+            f"  refused: others {refused_share(storm, of_flood=False):.1%},"
+            f" flooding {refused_share(storm, of_flood=True):.1%}",
+            flush=True,
+        )
+    for name, choose in ways.items():
+        peak = 0.0
+        for factor in OVERLOADS:
+            load = even_load(factor * rate, SECONDS, SEED)
+            fleet = Fleet(FleetSpec(), choose)
+            fleet.run(load, drain_s=0.0)
+            good = goodput(fleet, SECONDS)
+            peak = max(peak, good)
+            waits = [
+                record.retry_after_s
+                for record in fleet.records
+                if record.retry_after_s is not None
+            ]
+            print(
+                f"overload {name:9} {factor:3.1f} x  goodput {good:7.0f} tokens/s"
+                f"  {good / peak:4.0%} of peak  refused {len(waits)}"
+                f"  retry after {percentile(waits, 0.5) if waits else math.nan:4.1f} s",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/boragedeck/process/choice.py
+++ b/boragedeck/process/choice.py
@@ -117,7 +117,9 @@
         slowdown = max(1.0, (state.gap_s or gap_s) / gap_s)
         total = state.load.total(now)
         cost = self._wait_s(state, now)
-        cost += self._prefill_s(wanted, state, is_target, now) * slowdown
+        prefill_s = self._prefill_s(wanted, state, is_target, now)
+        prefill_s += state.load.prefill_tokens / PREFILL_TOKENS_PER_S
+        cost += prefill_s * slowdown
         cost += gap_s * slowdown * total / max(0.01, state.upstream.weight)
         if state.health.on_probation():
             cost += DOUBT_S
--- a/boragedeck/process/chooser.py
+++ b/boragedeck/process/chooser.py
@@ -217,17 +217,16 @@
         if not len(queue):
             return False
         now = self._timers.now()
-        open_states = [
-            state
-            for state in self.registry.pool(pool)
-            if state.takes_new_work(now) and state.has_room(1.0, now)
-        ]
-        if not open_states:
+        states = [s for s in self.registry.pool(pool) if s.takes_new_work(now)]
+        for_resumes = [state for state in states if state.has_room_for_resume(now)]
+        for_new = [state for state in for_resumes if state.has_room(1.0, now)]
+        if not for_resumes:
             return False
         for tried, ticket in enumerate(queue.ordered()):
             if tried >= MAX_TRIED:
                 return False
-            chosen = self._pick(ticket, open_states, now)
+            is_resume = ticket.wanted.is_resume
+            chosen = self._pick(ticket, for_resumes if is_resume else for_new, now)
             if chosen is not None:
                 queue.remove(ticket, is_served=True)
                 ticket.finish(Ok(self._slot(ticket.wanted, chosen)))
--- a/boragedeck/process/load.py
+++ b/boragedeck/process/load.py
@@ -43,6 +43,15 @@
 class LoadEstimate:
     """Requests at one upstream, as well as this router can know.
 
+    Attributes
+    ----------
+    own : int
+        Requests that this router has there.
+    report : LoadReport or None
+        The newest report.
+    prefill_tokens : float
+        Tokens of this router's requests there that have no output yet.
+
     Notes
     -----
     Own sends and completions later than the report's time correct the report, and
@@ -54,6 +63,7 @@
 
     def __init__(self):
         self.own = 0
+        self.prefill_tokens = 0.0
         self.report: LoadReport | None = None
         self._report_at = float("-inf")
         self._own_at_report = 0
--- a/boragedeck/process/slot.py
+++ b/boragedeck/process/slot.py
@@ -61,7 +61,11 @@
         self._is_finished = False
         self._started_at = timers.now()
         self._output_at: float | None = None
+        self._prefill_tokens = wanted.prompt_tokens - hints.cached_tokens(
+            wanted.prefix_hash, state.key, wanted.prompt_tokens, self._started_at
+        )
         state.load.start(self._started_at)
+        state.load.prefill_tokens += self._prefill_tokens
 
     def first_token(self) -> None:
         """See `Slot.first_token`."""
@@ -69,6 +73,7 @@
             return
         now = self._output_at = self._timers.now()
         state, wanted = self.state, self.wanted
+        state.load.prefill_tokens -= self._prefill_tokens
         state.observe_success(self._started_at, now)
         prefill_s = wanted.prompt_tokens / PREFILL_TOKENS_PER_S
         latency_s = now - self._started_at - prefill_s
@@ -98,6 +103,8 @@
         self._is_finished = True
         now = self._timers.now()
         state = self.state
+        if self._output_at is None:
+            state.load.prefill_tokens -= self._prefill_tokens
         if outcome is Outcome.COMPLETED:
             self._observe_completion(now)
         state.observe_failure(outcome, now)
--- a/boragedeck/process/upstreams.py
+++ b/boragedeck/process/upstreams.py
@@ -18,6 +18,7 @@
 FIRST_GAP_S = 0.03
 FIRST_RUN_S = 5.0
 OVERBOOKING = 1.5
+RESUME_USE = 1.25
 _FAILURES = (Outcome.CRASHED, Outcome.FAILED, Outcome.REFUSED, Outcome.SILENT)
 
 
@@ -88,7 +89,7 @@
         return not self.leaves and self.health.is_open(now)
 
     def has_room(self, use: float, now: float) -> bool:
-        """Return whether a further request fits within the limit.
+        """Return whether a new request fits within this router's part of the limit.
 
         Parameters
         ----------
@@ -97,14 +98,28 @@
         now : float
             Monotonic time in seconds.
         """
-        if self.health.on_probation():
-            return self.load.own == 0
-        limit = max(1.0, self.limit.value * self.health.share(now) * use)
-        if self.load.total(now) + 1 > limit:
+        limit = self._limit(use, now)
+        if not self._fits(limit, now):
             return False
         growth = self.load.growth(now)
         return growth is None or growth + 1 <= self._own_part(limit)
 
+    def has_room_for_resume(self, now: float) -> bool:
+        """Return whether a resume fits, for which routers don't part the room.
+
+        They come all at once and rarely; an answer that waits for the next report
+        costs more than a short queue at the upstream.
+        """
+        return self._fits(self._limit(RESUME_USE, now), now)
+
+    def _limit(self, use: float, now: float) -> float:
+        return max(1.0, self.limit.value * self.health.share(now) * use)
+
+    def _fits(self, limit: float, now: float) -> bool:
+        if self.health.on_probation():
+            return self.load.own == 0
+        return self.load.total(now) + 1 <= limit
+
     def add_report(
         self, report: LoadReport, measured_at: float, now: float, rounding: float = 0.5
     ) -> None:
