Add the stand-in engine and the stand-in service

One green thread steps the whole batch; each stream's own green thread takes what was added and writes it in one piece, so a reader that is slow gets larger chunks and never holds the batch up. Writing from the stepping thread was ruled out for that reason. A step that is late is made up for by the next, since the hub wakes no finer than a millisecond.

--- /dev/null
+++ b/standins/batching.py
@@ -0,0 +1,232 @@
+"""Continuous batching of a stand-in engine: one green thread steps all runs."""
+
+import itertools
+import os
+import random
+from collections import Counter
+
+import msgspec
+from eventlet.event import Event
+
+from boragedeck.process.timers import TimerService
+from standins import tokens
+from standins.behaviour import Behaviour
+from standins.prefix_cache import BLOCK_TOKENS, PrefixCache, blocks_of
+from standins.run import Run, RunState
+
+__all__ = ["Batcher", "Speed"]
+
+BATCH_GROWTH = 0.02
+PREFILL_CHUNK_TOKENS = 2048
+MAX_LAG_S = 0.05
+CRASH_STATUS = 70
+
+
+class Speed(msgspec.Struct, frozen=True):
+    """How fast an engine is.
+
+    Parameters
+    ----------
+    token_interval_s : float
+        Time of a step with one run, in seconds.
+    prefill_s : float
+        Time for each uncached token of a prompt, in seconds.
+    max_batch : int
+        Runs in a step at most.
+    """
+
+    token_interval_s: float = 0.02
+    prefill_s: float = 50e-6
+    max_batch: int = 64
+
+    def step_s(self, batch: int, prefilled: int) -> float:
+        """Return the time of a step in seconds.
+
+        Parameters
+        ----------
+        batch : int
+            Runs that get a token in the step.
+        prefilled : int
+            Tokens that are prefilled in the step.
+        """
+        grown = 1.0 + BATCH_GROWTH * max(0, batch - 1)
+        decode_s = self.token_interval_s * grown if batch else 0.0
+        return decode_s + self.prefill_s * prefilled
+
+
+class Batcher:
+    """Admits runs by priority and gives each admitted one a token in each step.
+
+    Parameters
+    ----------
+    speed : Speed
+        How fast the engine is.
+    behaviour : Behaviour
+        What is wrong with it.
+    cache : PrefixCache
+        Its memory.
+    timers : TimerService
+        The source of time.
+    rng : random.Random
+        Draws the first tokens.
+
+    Attributes
+    ----------
+    running, waiting : list of Run
+        The runs that hold memory, and the others in the order of their turn.
+    counts : collections.Counter
+        Tokens by kind, for metrics.
+    """
+
+    def __init__(
+        self,
+        speed: Speed,
+        behaviour: Behaviour,
+        cache: PrefixCache,
+        timers: TimerService,
+        rng: random.Random,
+    ):
+        self.behaviour = behaviour
+        self.running: list[Run] = []
+        self.waiting: list[Run] = []
+        self.counts: Counter[str] = Counter()
+        self._speed = speed
+        self._cache = cache
+        self._timers = timers
+        self._rng = rng
+        self._order = itertools.count()
+        self._work = Event()
+
+    def submit(self, run: Run) -> None:
+        """Queue a run."""
+        run.order = next(self._order)
+        self.counts["prompt"] += len(run.prompt)
+        self._queue(run)
+        if not self._work.ready():
+            self._work.send(None)
+
+    def abort(self, run: Run, state: RunState = RunState.ABORTED) -> None:
+        """End a run at once, wherever it stands; no effect on an ended one."""
+        if run in self.waiting:
+            self.waiting.remove(run)
+        if run in self.running:
+            self._drop(run)
+        run.end(state)
+
+    def serve(self) -> None:
+        """Step the batch for ever."""
+        due = self._timers.now()
+        while True:
+            if not self.running and not self.waiting:
+                self._work = Event()
+                self._work.wait()
+                due = self._timers.now()
+            batch = self._admit()
+            prefilled = self._plan_prefill(batch)
+            decoding = [run for run in batch if not run.to_prefill]
+            # Timers may be late by a millisecond: the next step makes up for it.
+            due = max(due, self._timers.now() - MAX_LAG_S)
+            due += self._step_s(len(decoding), prefilled)
+            self._timers.sleep(max(0.0, due - self._timers.now()))
+            self._step(decoding)
+
+    def _step_s(self, decoding: int, prefilled: int) -> float:
+        step_s = self._speed.step_s(decoding, prefilled)
+        if not decoding and not prefilled:
+            step_s = self._speed.token_interval_s
+        return step_s * self.behaviour.step_factor(decoding)
+
+    def _queue(self, run: Run) -> None:
+        self.waiting.append(run)
+        self.waiting.sort(key=lambda other: (other.priority, other.order))
+
+    def _admit(self) -> list[Run]:
+        while self.waiting and len(self.running) < self._speed.max_batch:
+            if not self._hold(self.waiting[0]):
+                break
+            self.running.append(self.waiting.pop(0))
+        return list(self.running)
+
+    def _hold(self, run: Run) -> bool:
+        """Take memory for all tokens of a run, or none."""
+        known = run.prompt + run.generated
+        blocks = blocks_of(run.version, known)
+        cached = self._cache.matched(blocks) * BLOCK_TOKENS
+        held = list(itertools.takewhile(self._cache.hold, blocks))
+        if len(held) < len(blocks) or not self._cache.hold_private():
+            for block in held:
+                self._cache.release(block)
+            return False
+        run.blocks = held
+        run.to_prefill = max(1, len(known) - cached)
+        self.counts["prefix_queries"] += len(known)
+        self.counts["prefix_hits"] += cached
+        return True
+
+    def _plan_prefill(self, batch: list[Run]) -> int:
+        budget = PREFILL_CHUNK_TOKENS
+        for run in batch:
+            part = min(budget, run.to_prefill)
+            run.to_prefill -= part
+            budget -= part
+        return PREFILL_CHUNK_TOKENS - budget
+
+    def _step(self, decoding: list[Run]) -> None:
+        if self.behaviour.is_silent:
+            return
+        for run in decoding:
+            if run.state is RunState.RUNNING and run in self.running:
+                self._emit(run)
+
+    def _emit(self, run: Run) -> None:
+        self._fail_if_told(run)
+        if run.state is not RunState.RUNNING or self._is_silent(run):
+            return
+        if not self._grow(run):
+            return
+        known = run.generated or run.prompt
+        last = known[-1] if known else 0
+        if tokens.is_generated(last):
+            run.add(tokens.next_token(last))
+        else:
+            run.add(tokens.first_token(self._rng))
+        self.counts["generated"] += 1
+        if len(run.generated) >= run.max_tokens:
+            self._drop(run)
+            run.end(RunState.COMPLETED)
+
+    def _fail_if_told(self, run: Run) -> None:
+        done = len(run.generated)
+        if run.is_poison and done >= self.behaviour.crash_after_tokens:
+            os._exit(CRASH_STATUS)
+        limit = self.behaviour.fail_after_tokens
+        if limit is not None and done >= limit:
+            self.abort(run, RunState.FAILED)
+
+    def _is_silent(self, run: Run) -> bool:
+        limit = self.behaviour.silent_after_tokens
+        return limit is not None and len(run.generated) >= limit
+
+    def _grow(self, run: Run) -> bool:
+        """Give a run whose last block is full another; False if it must wait."""
+        size = len(run.prompt) + len(run.generated)
+        if size // BLOCK_TOKENS <= len(run.blocks):
+            return True
+        last = (run.prompt + run.generated)[size - BLOCK_TOKENS : size]
+        parent = run.blocks[-1] if run.blocks else None
+        (block,) = blocks_of(run.version, last, parent=parent)
+        while not self._cache.hold(block):
+            victim = max(self.running, key=lambda other: (other.priority, other.order))
+            self._drop(victim)
+            self._queue(victim)
+            if victim is run:
+                return False
+        run.blocks.append(block)
+        return True
+
+    def _drop(self, run: Run) -> None:
+        self.running.remove(run)
+        for block in run.blocks:
+            self._cache.release(block)
+        self._cache.release_private()
+        run.blocks = []
--- /dev/null
+++ b/standins/completions.py
@@ -0,0 +1,208 @@
+"""Messages of the stand-in engine's completions, as engines publish them."""
+
+from typing import Any, Literal
+
+import msgspec
+
+from standins import tokens
+
+__all__ = ["Body", "Chunks", "error_body", "whole_body"]
+
+FinishReason = Literal["length", "stop"]
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """A message of a conversation; other kinds of content count by their JSON."""
+
+    role: str = ""
+    content: Any = ""
+
+    def text(self) -> str:
+        """Return the message as text."""
+        if isinstance(self.content, str):
+            return f"{self.role} {self.content}"
+        return f"{self.role} {msgspec.json.encode(self.content).decode()}"
+
+
+class Body(msgspec.Struct, frozen=True):
+    """Body of a request; unknown fields are ignored."""
+
+    model: str
+    messages: list[ChatMessage] | None = None
+    prompt: str | list[int] | None = None
+    max_tokens: int = 16
+    stream: bool = False
+    return_token_ids: bool = False
+    priority: int = 0
+
+    def prompt_ids(self) -> list[int]:
+        """Return the prompt's tokens."""
+        match self.prompt:
+            case list():
+                return list(self.prompt)
+            case str():
+                return tokens.prompt_ids(self.prompt)
+        texts = (message.text() for message in self.messages or [])
+        return tokens.prompt_ids(" ".join(texts))
+
+
+class Delta(msgspec.Struct, frozen=True, omit_defaults=True):
+    content: str
+    role: str = ""
+
+
+class ChatChoice(msgspec.Struct, frozen=True):
+    delta: Delta
+    token_ids: list[int] | None
+    finish_reason: FinishReason | None
+    index: int = 0
+
+
+class TextChoice(msgspec.Struct, frozen=True):
+    text: str
+    token_ids: list[int] | None
+    finish_reason: FinishReason | None
+    index: int = 0
+
+
+class Chunk(msgspec.Struct, frozen=True, omit_defaults=True):
+    id: str
+    object: str
+    created: int
+    model: str
+    choices: list[ChatChoice | TextChoice]
+    prompt_token_ids: list[int] | None = None
+
+
+class ErrorInfo(msgspec.Struct, frozen=True):
+    message: str
+    type: str
+    code: int
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    error: ErrorInfo
+
+
+class Chunks:
+    """Encodes the events of one stream.
+
+    Parameters
+    ----------
+    request_id : str
+        The answer's id.
+    created : int
+        When it began, in Unix seconds.
+    body : Body
+        The request.
+    is_chat : bool
+        Whether the request was a conversation.
+    """
+
+    def __init__(self, request_id: str, created: int, body: Body, *, is_chat: bool):
+        self._id = request_id
+        self._created = created
+        self._body = body
+        self._is_chat = is_chat
+        self._is_first = True
+
+    def event(
+        self, new: list[int], prompt: list[int], finish: FinishReason | None
+    ) -> bytes:
+        """Return the event for some tokens.
+
+        Parameters
+        ----------
+        new : list of int
+            The tokens.
+        prompt : list of int
+            The prompt's tokens, which the first event carries.
+        finish : str or None
+            Why the answer ended.
+        """
+        ids = self._body.return_token_ids
+        kind = "chat.completion.chunk" if self._is_chat else "text_completion"
+        chunk = Chunk(
+            self._id,
+            kind,
+            self._created,
+            self._body.model,
+            [self._choice(new, new if ids else None, finish)],
+            prompt if ids and self._is_first else None,
+        )
+        self._is_first = False
+        return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
+
+    def _choice(
+        self, new: list[int], ids: list[int] | None, finish: FinishReason | None
+    ) -> ChatChoice | TextChoice:
+        text = "".join(map(tokens.text, new))
+        if self._is_chat:
+            role = "assistant" if self._is_first else ""
+            return ChatChoice(Delta(text, role), ids, finish)
+        return TextChoice(text, ids, finish)
+
+
+class Usage(msgspec.Struct, frozen=True):
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+class AnswerMessage(msgspec.Struct, frozen=True):
+    content: str
+    role: str = "assistant"
+
+
+class WholeChoice(msgspec.Struct, frozen=True, omit_defaults=True):
+    finish_reason: FinishReason
+    token_ids: list[int] | None = None
+    message: AnswerMessage | None = None
+    text: str | None = None
+    index: int = -1
+
+
+class Whole(msgspec.Struct, frozen=True, omit_defaults=True):
+    id: str
+    object: str
+    created: int
+    model: str
+    choices: list[WholeChoice]
+    usage: Usage
+    prompt_token_ids: list[int] | None = None
+
+
+def whole_body(
+    request_id: str,
+    created: int,
+    body: Body,
+    prompt: list[int],
+    generated: list[int],
+    *,
+    is_chat: bool,
+) -> Whole:
+    """Return the answer to a request without a stream."""
+    text = "".join(map(tokens.text, generated))
+    ids = body.return_token_ids
+    choice = WholeChoice(
+        "length",
+        token_ids=generated if ids else None,
+        message=AnswerMessage(text) if is_chat else None,
+        text=None if is_chat else text,
+        index=0,
+    )
+    size, done = len(prompt), len(generated)
+    return Whole(
+        request_id,
+        "chat.completion" if is_chat else "text_completion",
+        created,
+        body.model,
+        [choice],
+        Usage(size, done, size + done),
+        prompt if ids else None,
+    )
+
+
+def error_body(message: str, kind: str, code: int) -> ErrorBody:
+    """Return the body of an error, as engines publish it."""
+    return ErrorBody(ErrorInfo(message, kind, code))
--- a/standins/web.py
+++ b/standins/web.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import traceback
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any
@@ -117,9 +118,20 @@
         print(msgspec.json.encode(ready).decode(), file=sys.stdout, flush=True)
     eventlet.wsgi.server(
         listener,
-        app,
+        _logged(app),
         max_size=MAX_CONNECTIONS,
         minimum_chunk_size=1,
         log_output=False,
         debug=False,
     )
+
+
+def _logged(app: App) -> App:
+    def call(environ: dict, start_response: Callable) -> Iterable[bytes]:
+        try:
+            return app(environ, start_response)
+        except Exception:
+            traceback.print_exc()
+            raise
+
+    return call
