Spread facts and watch members from router to router

Facts and members stood in the table only, which left a router blind while the store was down and told nothing of a router that was paused or cut off.

Facts: urgent ones are pushed at once to four peers and forwarded on first sight; others go out in rounds of bounded bytes; what both miss is found by comparing digests of fixed size. Ruled out: full state in each round and a version vector of all origins, both of which grow with the fleet; and clocks in facts, in whose place a fact's age travels with it.

Members: statements by gossip, heartbeats along a ring of hashes, help from others before a suspicion is spread, and refutation by a newer statement. A router's own evidence that it can't reach another lasts until the other answers it, and counts for this router alone.

Found by the tests and mended: a statement of a router lifted what this one had seen for itself; a router's former run came back by its row; an empty list of VMs counted as proof that all VMs were gone.

--- /dev/null
+++ b/boragedeck/process/fact_store.py
@@ -0,0 +1,258 @@
+"""The facts that one router holds, bounded in number, size and age."""
+
+import itertools
+import struct
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.ids import RouterId
+from boragedeck.process.gossip_messages import URGENT_TOPICS, AgedFact
+from boragedeck.process.timers import TimerService
+
+__all__ = ["BUCKETS", "FactStore", "fact_hash", "wire_bytes"]
+
+BUCKETS = 128
+MAX_FACTS = 8192
+MAX_FACTS_PER_ORIGIN = 256
+MAX_BODY_BYTES = 8192
+MAX_TTL_S = 86_400.0
+MAX_REMEMBERED_S = 300.0
+EVICTED_SHARE = 1 / 16
+FACT_OVERHEAD_BYTES = 24
+SUM_MASK = (1 << 32) - 1
+ENTRY = struct.Struct("<QI")
+SUMS = struct.Struct(f"<{BUCKETS}I")
+
+
+class _Held(msgspec.Struct, frozen=True):
+    """A fact with its hash, when it was stated and when it ends."""
+
+    fact: Fact
+    hash: int
+    stated: float
+    ends: float
+
+
+class _Gone(msgspec.Struct, frozen=True):
+    """The number of a fact that has ended, so that a late copy isn't taken."""
+
+    number: int
+    forget: float
+
+
+class FactStore:
+    """Facts by hash, the highest number of each only.
+
+    Parameters
+    ----------
+    own : RouterId
+        This router.
+    timers : TimerService
+        The source of time.
+    max_facts : int
+        How many facts are held.
+
+    Notes
+    -----
+    Age is counted on each router's own monotonic clock and travels with the fact,
+    so that clocks are never compared, and a fact that goes round doesn't get
+    younger.
+    """
+
+    def __init__(
+        self, own: RouterId, timers: TimerService, *, max_facts: int = MAX_FACTS
+    ):
+        self._own = own
+        self._timers = timers
+        self._max_facts = max_facts
+        self._numbers = itertools.count(1)
+        self._held: dict[int, _Held] = {}
+        self._topics: dict[FactTopic, dict[int, _Held]] = {t: {} for t in FactTopic}
+        self._buckets: list[dict[int, _Held]] = [{} for _ in range(BUCKETS)]
+        self._sums = [0] * BUCKETS
+        self._per_origin: dict[RouterId, int] = {}
+        self._gone: dict[int, _Gone] = {}
+
+    def __len__(self) -> int:
+        """Return the number of facts held."""
+        return len(self._held)
+
+    def publish(self, topic: FactTopic, key: str, body: bytes, ttl_s: float) -> Fact:
+        """State an own fact.
+
+        Raises
+        ------
+        ValueError
+            Where the body or the time is over the bounds.
+        """
+        fact = Fact(topic, key, self._own, next(self._numbers), body, ttl_s)
+        if not _is_bounded(fact):
+            raise ValueError(f"fact {topic.value}/{key} is over the bounds")
+        self._make_room()
+        self._put(fact, self._timers.now())
+        return fact
+
+    def merge(self, aged: AgedFact) -> bool:
+        """Take a fact from another router; False where it says nothing new."""
+        fact, now = aged.fact, self._timers.now()
+        if fact.origin == self._own or not _is_bounded(fact):
+            return False
+        stated = now - max(0.0, aged.age_s)
+        if stated + fact.ttl_s <= now or fact.number <= self.number(fact_hash(fact)):
+            return False
+        if fact_hash(fact) not in self._held:
+            if self._per_origin.get(fact.origin, 0) >= MAX_FACTS_PER_ORIGIN:
+                return False
+            self._make_room()
+        self._put(fact, stated)
+        return True
+
+    def holds(self, key: int) -> bool:
+        """Return whether a fact is held under a hash."""
+        return key in self._held
+
+    def number(self, key: int) -> int:
+        """Return the highest number seen under a hash; 0 for none."""
+        if key in self._held:
+            return self._held[key].fact.number
+        return self._gone[key].number if key in self._gone else 0
+
+    def facts(self, topic: FactTopic) -> list[Fact]:
+        """Return the facts of a topic that hold."""
+        now = self._timers.now()
+        return [held.fact for held in self._topics[topic].values() if held.ends > now]
+
+    def aged(self, keys: Iterable[int], max_bytes: int) -> tuple[AgedFact, ...]:
+        """Return facts by their hashes as far as they hold and fit.
+
+        Parameters
+        ----------
+        keys : iterable of int
+            Hashes in the order of their worth.
+        max_bytes : int
+            How long they may be together; one fact is let through anyway.
+        """
+        now = self._timers.now()
+        found: list[AgedFact] = []
+        size = 0
+        for key in keys:
+            held = self._held.get(key)
+            if held is None or held.ends <= now:
+                continue
+            size += wire_bytes(held.fact)
+            if found and size > max_bytes:
+                break
+            found.append(AgedFact(held.fact, now - held.stated))
+        return tuple(found)
+
+    def expire(self) -> None:
+        """Drop what has ended."""
+        now = self._timers.now()
+        for held in [held for held in self._held.values() if held.ends <= now]:
+            self._drop(held)
+            remembered = min(held.fact.ttl_s, MAX_REMEMBERED_S)
+            self._gone[held.hash] = _Gone(held.fact.number, now + remembered)
+        forgotten = [key for key, gone in self._gone.items() if gone.forget <= now]
+        for key in forgotten:
+            del self._gone[key]
+        for key in list(itertools.islice(self._gone, self._excess())):
+            del self._gone[key]
+
+    def sums(self) -> bytes:
+        """Return the digest: a sum of hashes for each bucket."""
+        return SUMS.pack(*self._sums)
+
+    def differing(self, sums: bytes) -> list[int]:
+        """Return the buckets in which another router holds something else."""
+        if len(sums) != SUMS.size:
+            return []
+        theirs = SUMS.unpack(sums)
+        return [b for b in range(BUCKETS) if theirs[b] != self._sums[b]]
+
+    def entries(self, buckets: Iterable[int]) -> bytes:
+        """Return hash and number of each fact in some buckets."""
+        return b"".join(
+            ENTRY.pack(key, held.fact.number)
+            for bucket in buckets
+            for key, held in self._buckets[bucket].items()
+        )
+
+    def compare(
+        self, buckets: Iterable[int], entries: bytes
+    ) -> tuple[list[int], list[int]]:
+        """Return the hashes that the other side lacks, and those lacking here."""
+        whole = len(entries) - len(entries) % ENTRY.size
+        theirs = dict(ENTRY.iter_unpack(entries[:whole]))
+        given = [
+            key
+            for bucket in buckets
+            if 0 <= bucket < BUCKETS
+            for key, held in self._buckets[bucket].items()
+            if held.fact.number > theirs.get(key, 0)
+        ]
+        wanted = [key for key, number in theirs.items() if number > self.number(key)]
+        return given, wanted
+
+    def _excess(self) -> int:
+        return max(0, len(self._gone) - self._max_facts)
+
+    def _put(self, fact: Fact, stated: float) -> None:
+        key = fact_hash(fact)
+        old = self._held.get(key)
+        if old is not None:
+            self._drop(old)
+        self._gone.pop(key, None)
+        held = _Held(fact, key, stated, stated + fact.ttl_s)
+        self._held[key] = held
+        self._topics[fact.topic][key] = held
+        self._buckets[key % BUCKETS][key] = held
+        self._add(held, 1)
+
+    def _drop(self, held: _Held) -> None:
+        del self._held[held.hash]
+        del self._topics[held.fact.topic][held.hash]
+        del self._buckets[held.hash % BUCKETS][held.hash]
+        self._add(held, -1)
+
+    def _add(self, held: _Held, sign: int) -> None:
+        bucket = held.hash % BUCKETS
+        digest = xxhash.xxh32_intdigest(ENTRY.pack(held.hash, held.fact.number))
+        self._sums[bucket] = (self._sums[bucket] + sign * digest) & SUM_MASK
+        origin = held.fact.origin
+        count = self._per_origin.get(origin, 0) + sign
+        if count:
+            self._per_origin[origin] = count
+        else:
+            del self._per_origin[origin]
+
+    def _make_room(self) -> None:
+        """Drop what would end soonest, of others' facts that aren't urgent first."""
+        if len(self._held) < self._max_facts:
+            return
+        order = sorted(self._held.values(), key=self._worth)
+        count = max(1, int(self._max_facts * EVICTED_SHARE))
+        for held in order[:count]:
+            self._drop(held)
+
+    def _worth(self, held: _Held) -> tuple[bool, bool, float]:
+        fact = held.fact
+        return fact.origin == self._own, fact.topic in URGENT_TOPICS, held.ends
+
+
+def fact_hash(fact: Fact) -> int:
+    """Return the hash of a fact's topic, origin and key."""
+    text = f"{fact.topic.value}\0{fact.origin}\0{fact.key}"
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def wire_bytes(fact: Fact) -> int:
+    """Return about how many bytes a fact takes in a message."""
+    return len(fact.body) + len(fact.key) + len(fact.origin) + FACT_OVERHEAD_BYTES
+
+
+def _is_bounded(fact: Fact) -> bool:
+    is_short = len(fact.body) <= MAX_BODY_BYTES and len(fact.key) <= MAX_BODY_BYTES
+    return is_short and 0.0 < fact.ttl_s <= MAX_TTL_S and 0 < fact.number <= SUM_MASK
--- /dev/null
+++ b/boragedeck/process/heartbeats.py
@@ -0,0 +1,138 @@
+"""Heartbeats: asks another router, and others about it, whether it answers."""
+
+import enum
+import random
+
+import eventlet
+
+from boragedeck.connection.messages import Message
+from boragedeck.connection.peer import Address, PeerLinks, PeerServer
+from boragedeck.ids import RouterId
+from boragedeck.interfaces import Member
+from boragedeck.process.timers import TimerService
+
+__all__ = [
+    "Heartbeat",
+    "HeartbeatAnswer",
+    "HeartbeatFor",
+    "HeartbeatReport",
+    "Heartbeats",
+    "Sign",
+]
+
+TIMEOUT_S = 1.0
+INDIRECT_TIMEOUT_S = 2.5
+HELPERS = 2
+
+
+class Sign(enum.Enum):
+    """What a heartbeat showed of a router."""
+
+    ALIVE = "alive"
+    UNREACHED = "unreached"
+    """Others reach it, this router does not."""
+    SILENT = "silent"
+    """Nobody who was asked reaches it."""
+    REPLACED = "replaced"
+    """Another run of the router answers at its address."""
+
+
+class Heartbeat(Message, frozen=True):
+    """Asks which run of a router answers; answered with `HeartbeatAnswer`."""
+
+
+class HeartbeatAnswer(Message, frozen=True):
+    """Names the run of the router that answers."""
+
+    router: RouterId
+
+
+class HeartbeatFor(Message, frozen=True):
+    """Asks the receiver to send a heartbeat to a third router."""
+
+    router: RouterId
+    address: Address
+
+
+class HeartbeatReport(Message, frozen=True):
+    """What the heartbeat to the third router showed."""
+
+    sign: Sign
+
+
+class Heartbeats:
+    """Sends and answers heartbeats.
+
+    Parameters
+    ----------
+    own : Member
+        This router.
+    timers : TimerService
+        The source of time.
+    links : PeerLinks
+        Links to the others.
+    server : PeerServer
+        Where the others call.
+    rng : random.Random
+        Chooses whom to ask about a third router.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        timers: TimerService,
+        links: PeerLinks,
+        server: PeerServer,
+        rng: random.Random,
+    ):
+        self._own = own
+        self._timers = timers
+        self._links = links
+        self._rng = rng
+        server.register(Heartbeat, self._on_heartbeat)
+        server.register(HeartbeatFor, self._on_heartbeat_for)
+
+    def check(self, member: Member, helpers: list[Address]) -> Sign:
+        """Ask a router, and where it's silent, others about it.
+
+        Parameters
+        ----------
+        member : Member
+            Whom to ask.
+        helpers : list of Address
+            Routers that may be asked about it.
+        """
+        sign = self._ask(member.router, member.address)
+        if sign is not Sign.SILENT or not helpers:
+            return sign
+        chosen = self._rng.sample(helpers, min(HELPERS, len(helpers)))
+        question = HeartbeatFor(member.router, member.address)
+        asked = [
+            eventlet.spawn(self._ask_about, question, address) for address in chosen
+        ]
+        reports = [thread.wait() for thread in asked]
+        if Sign.REPLACED in reports:
+            return Sign.REPLACED
+        if Sign.ALIVE in reports:
+            # The connection may have gone silent for good; the next call opens one.
+            self._links.link(member.address).close()
+            return Sign.UNREACHED
+        return Sign.SILENT
+
+    def _ask(self, router: RouterId, address: Address) -> Sign:
+        link = self._links.link(address)
+        answer = link.call(Heartbeat(), HeartbeatAnswer, timeout_s=TIMEOUT_S)
+        if answer.is_err():
+            return Sign.SILENT
+        return Sign.ALIVE if answer.ok().router == router else Sign.REPLACED
+
+    def _ask_about(self, question: HeartbeatFor, address: Address) -> Sign | None:
+        link = self._links.link(address)
+        answer = link.call(question, HeartbeatReport, timeout_s=INDIRECT_TIMEOUT_S)
+        return answer.ok().sign if answer.is_ok() else None
+
+    def _on_heartbeat(self, message: Heartbeat) -> HeartbeatAnswer:
+        return HeartbeatAnswer(self._own.router)
+
+    def _on_heartbeat_for(self, message: HeartbeatFor) -> HeartbeatReport:
+        return HeartbeatReport(self._ask(message.router, message.address))
--- /dev/null
+++ b/boragedeck/process/member_table.py
@@ -0,0 +1,199 @@
+"""Members in the platform: a row for each router, and the list of VMs."""
+
+import random
+from collections.abc import Callable
+
+import eliot
+import eventlet
+import msgspec
+
+from boragedeck.connection.peer import Address
+from boragedeck.connection.platform import Platform
+from boragedeck.connection.store import Delete, Put, Row, Table, Vm
+from boragedeck.ids import RouterId
+from boragedeck.interfaces import Member
+from boragedeck.process.member_row import MemberRow
+from boragedeck.process.timers import TimerService
+
+__all__ = ["MemberTable", "MemberWatcher"]
+
+MAX_WRITES_PER_S = 10.0
+MIN_ROW_INTERVAL_S = 10.0
+MIN_SCAN_INTERVAL_S = 15.0
+SCAN_INTERVAL_PER_ROUTER_S = 1.0
+MIN_VMS_INTERVAL_S = 2.0
+VMS_INTERVAL_PER_ROUTER_S = 0.25
+JITTER = 0.2
+ROW_DEAD_S = 300.0
+ROW_FRESH_S = 120.0
+"""A row that has stood for longer makes nobody known."""
+PAGE_ROWS = 500
+MAX_ROWS = 4096
+MAX_DELETES_PER_SCAN = 8
+
+
+class _Unchanged(msgspec.Struct, frozen=True):
+    """Since when a row has had its version, by this router's clock."""
+
+    version: int
+    since: float
+
+
+class MemberWatcher:
+    """What is told of the platform's view; the base does nothing with it."""
+
+    def routers(self) -> int:
+        """Return the number of routers, this one included."""
+        return 1
+
+    def is_known(self, router: RouterId) -> bool:
+        """Return whether a router is known not to be dead."""
+        return False
+
+    def on_rows(self, members: list[Member]) -> None:
+        """Take the members that have rows."""
+
+    def on_vms(self, vms: list[Vm]) -> None:
+        """Take the platform's list of VMs."""
+
+
+class MemberTable:
+    """Keeps this router's row, reads the others' and removes those of the dead.
+
+    Parameters
+    ----------
+    own : Member
+        This router.
+    callers : Address
+        Where it listens for callers.
+    platform : Platform
+        Where the rows are.
+    timers : TimerService
+        The source of time.
+    rng : random.Random
+        The source of jitter.
+    watcher : MemberWatcher
+        Is told what was read.
+
+    Notes
+    -----
+    The intervals grow with the fleet, so that all routers together stay within
+    `MAX_WRITES_PER_S`. A row is dead when its version has stood for `ROW_DEAD_S` of
+    this router's time in which every scan succeeded, and its router isn't known.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        callers: Address,
+        platform: Platform,
+        timers: TimerService,
+        rng: random.Random,
+        watcher: MemberWatcher,
+    ):
+        self._own = own
+        self._callers = callers
+        self._platform = platform
+        self._timers = timers
+        self._rng = rng
+        self._watcher = watcher
+        self._unchanged: dict[str, _Unchanged] = {}
+        self._is_stopped = False
+
+    def start(self) -> None:
+        """Read and write from now on, for ever and each at its own interval."""
+        self._repeat(self.write_row, self._row_interval_s)
+        self._repeat(self.scan, self._scan_interval_s)
+        self._repeat(self.read_vms, self._vms_interval_s)
+
+    def leave(self) -> None:
+        """Remove this router's row and write none again."""
+        self._is_stopped = True
+        self._platform.commit([Delete(Table.MEMBERS, self._own.router)])
+
+    def write_row(self) -> None:
+        """Write this router's row."""
+        row = MemberRow(self._own, self._callers, self._timers.wall())
+        body = msgspec.json.encode(row)
+        # Another router may have removed the row during a pause; this puts it back.
+        self._platform.commit([Put(Table.MEMBERS, self._own.router, body)])
+
+    def scan(self) -> None:
+        """Read all rows and remove some of those that are dead."""
+        rows: list[Row] = []
+        while len(rows) < MAX_ROWS:
+            after = rows[-1].key if rows else ""
+            page = self._platform.scan(Table.MEMBERS, after=after, limit=PAGE_ROWS)
+            if page.is_err():
+                # A row may look unchanged because its owner couldn't write either.
+                self._unchanged.clear()
+                return
+            rows += page.ok()
+            if len(page.ok()) < PAGE_ROWS:
+                break
+        self._note_versions(rows)
+        fresh = [row for row in rows if self._age_s(row) < ROW_FRESH_S]
+        self._watcher.on_rows(list(filter(None, map(_member, fresh))))
+        self._remove_dead(rows)
+
+    def read_vms(self) -> None:
+        """Read the list of VMs."""
+        vms = self._platform.vms()
+        if vms.is_ok():
+            self._watcher.on_vms(vms.ok())
+
+    def _note_versions(self, rows: list[Row]) -> None:
+        now = self._timers.now()
+        seen = self._unchanged
+        self._unchanged = {}
+        for row in rows:
+            old = seen.get(row.key)
+            if old is None or old.version != row.version:
+                old = _Unchanged(row.version, now)
+            self._unchanged[row.key] = old
+
+    def _age_s(self, row: Row) -> float:
+        return self._timers.now() - self._unchanged[row.key].since
+
+    def _remove_dead(self, rows: list[Row]) -> None:
+        dead = [
+            row
+            for row in rows
+            if self._age_s(row) >= ROW_DEAD_S
+            and row.key != self._own.router
+            and not self._watcher.is_known(RouterId(row.key))
+        ]
+        for row in dead[:MAX_DELETES_PER_SCAN]:
+            # The condition spares a router that has come back in the meantime.
+            self._platform.commit([Delete(Table.MEMBERS, row.key, row.version)])
+
+    def _repeat(self, step: Callable[[], None], interval_s: Callable[[], float]):
+        def run() -> None:
+            if self._is_stopped:
+                return
+            try:
+                step()
+            except Exception as exc:
+                eliot.log_message("membership: step failed", error=repr(exc))
+            spread = self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
+            self._timers.call_later(interval_s() * spread, run)
+
+        eventlet.spawn_n(run)
+
+    def _row_interval_s(self) -> float:
+        return max(MIN_ROW_INTERVAL_S, self._watcher.routers() / MAX_WRITES_PER_S)
+
+    def _scan_interval_s(self) -> float:
+        per_router = SCAN_INTERVAL_PER_ROUTER_S * self._watcher.routers()
+        return max(MIN_SCAN_INTERVAL_S, per_router)
+
+    def _vms_interval_s(self) -> float:
+        per_router = VMS_INTERVAL_PER_ROUTER_S * self._watcher.routers()
+        return max(MIN_VMS_INTERVAL_S, per_router)
+
+
+def _member(row: Row) -> Member | None:
+    try:
+        return msgspec.json.decode(row.value, type=MemberRow).member
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/boragedeck/process/membership.py
@@ -0,0 +1,269 @@
+"""The view that a router has of the others; see `boragedeck.interfaces.Membership`.
+
+Routers state themselves by gossip, watch each other by heartbeats, and suspect
+before they give up. Rows in the platform's table help newcomers to find others.
+"""
+
+import random
+from collections.abc import Sequence
+
+import eliot
+import eventlet
+import msgspec
+
+from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.connection.peer import Address, PeerLinks, PeerServer
+from boragedeck.connection.platform import Platform
+from boragedeck.connection.store import Vm
+from boragedeck.ids import Health, RouterId, VmName
+from boragedeck.interfaces import Member
+from boragedeck.process.gossip import GossipBoard
+from boragedeck.process.heartbeats import Heartbeats, Sign
+from boragedeck.process.member_table import MemberTable, MemberWatcher
+from boragedeck.process.member_view import DEAD_AFTER_S, MemberView
+from boragedeck.process.timers import TimerService
+
+__all__ = ["GossipMembership"]
+
+TICK_S = 1.0
+MIN_STATEMENT_INTERVAL_S = 10.0
+STATEMENT_INTERVAL_PER_ROUTER_S = 0.2
+STATEMENT_TTL_INTERVALS = 3.5
+REFUTE_INTERVAL_S = 1.0
+MAX_DOUBTS_PER_TICK = 8
+LOST_INTERVAL_TICKS = 10
+LEAVING_TTL_S = 600.0
+STATEMENT_KEY = "self"
+SUSPICION_PREFIX = "suspect/"
+VM_PREFIX = "vm/"
+
+
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
+    """Says that nobody reaches a router since its statement of some number."""
+
+    router: RouterId
+    number: int
+
+
+class GossipMembership(MemberWatcher):
+    """The other routers, by gossip and heartbeats.
+
+    Parameters
+    ----------
+    own : Member
+        This router.
+    timers : TimerService
+        The source of time.
+    links : PeerLinks
+        Links to the others.
+    server : PeerServer
+        Where the others call.
+    platform : Platform
+        Holds a row for each router, and the list of VMs.
+    rng : random.Random
+        The source of jitter and choice.
+    board : GossipBoard
+        Spreads statements and suspicions.
+    callers : Address
+        Where this router listens for callers.
+    seeds : sequence of Address
+        Peers to turn to where no other is known.
+
+    Notes
+    -----
+    A router is suspect when neither this one nor others that it asks reach it, and
+    dead after `DEAD_AFTER_S` as a suspect. A suspect that lives hears of it and
+    states itself anew. Nothing is done about a dead router but to send it nothing.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        timers: TimerService,
+        links: PeerLinks,
+        server: PeerServer,
+        platform: Platform,
+        rng: random.Random,
+        *,
+        board: GossipBoard,
+        callers: Address,
+        seeds: Sequence[Address] = (),
+    ):
+        self.own = own
+        self._timers = timers
+        self._links = links
+        self._rng = rng
+        self._board = board
+        self._seeds = [seed for seed in seeds if seed != own.address]
+        self._view = MemberView(own, timers)
+        self._heartbeats = Heartbeats(own, timers, links, server, rng)
+        self._table = MemberTable(own, callers, platform, timers, rng, self)
+        self._live_vms: set[VmName] = set()
+        self._checking: set[RouterId] = set()
+        self._ticks = 0
+        self._stated = float("-inf")
+        board.follow(self._gossip_peers)
+        board.subscribe(FactTopic.MEMBER, self._on_member_fact)
+        board.subscribe(FactTopic.LEAVING, self._on_leaving_fact)
+
+    def start(self) -> None:
+        """Take part from now on."""
+        self._state()
+        self._table.start()
+        self._timers.subscribe(TICK_S, self._tick)
+
+    def leave(self) -> None:
+        """Tell the others that this router is about to stop."""
+        self.own = msgspec.structs.replace(self.own, health=Health.LEAVING)
+        self._state()
+        self._board.publish(
+            FactTopic.LEAVING, f"router/{self.own.router}", b"", ttl_s=LEAVING_TTL_S
+        )
+        self._table.leave()
+
+    def members(self) -> list[Member]:
+        """See `Membership.members`."""
+        return self._view.members()
+
+    def suspect(self, router: RouterId) -> None:
+        """See `Membership.suspect`; a heartbeat clears or confirms it."""
+        self._view.unreached(router)
+        eventlet.spawn_n(self._check, router)
+
+    def routers(self) -> int:
+        """See `MemberWatcher.routers`."""
+        return 1 + len(self._view)
+
+    def is_known(self, router: RouterId) -> bool:
+        """See `MemberWatcher.is_known`."""
+        return self._view.get(router) is not None
+
+    def on_rows(self, members: list[Member]) -> None:
+        """See `MemberWatcher.on_rows`."""
+        for member in members:
+            self._view.hint(member)
+
+    def on_vms(self, vms: list[Vm]) -> None:
+        """See `MemberWatcher.on_vms`; the first to see a VM leave tells the others."""
+        live = {VmName(vm.name) for vm in vms}
+        gone = (self._view.gone_vms | self._live_vms) - live
+        self._view.gone_vms = gone & {k.member.vm for k in self._view.all()}
+        self._live_vms = live
+        leaving = {VmName(vm.name) for vm in vms if vm.leaving}
+        for name in leaving - self._view.leaving_vms:
+            self._board.publish(
+                FactTopic.LEAVING, VM_PREFIX + name, b"", ttl_s=LEAVING_TTL_S
+            )
+        self._view.leaving_vms |= leaving
+
+    def _tick(self) -> None:
+        self._ticks += 1
+        now = self._timers.now()
+        if now - self._stated >= self._statement_interval_s():
+            self._state()
+        for member in self._view.bury_silent(self._statement_ttl_s()):
+            eliot.log_message("membership: router lost", peer=str(member.address))
+            if not self._view.is_in_use(member.address):
+                self._links.forget(member.address)
+        self._view.leaving_vms = self._leaving_vms()
+        for known in self._view.ring():
+            eventlet.spawn_n(self._check, known.member.router)
+        self._check_doubts()
+        if self._ticks % LOST_INTERVAL_TICKS == 0:
+            self._seek_lost()
+
+    def _check_doubts(self) -> None:
+        doubts = [k for k in self._view.all() if k.is_doubtful]
+        for known in self._rng.sample(doubts, min(MAX_DOUBTS_PER_TICK, len(doubts))):
+            eventlet.spawn_n(self._check, known.member.router)
+
+    def _seek_lost(self) -> None:
+        """Look for routers behind a partition that may have healed."""
+        lost = [
+            address
+            for address in (*self._seeds, *self._view.departed())
+            if not self._view.is_in_use(address)
+        ]
+        if lost:
+            eventlet.spawn_n(self._board.compare_with, self._rng.choice(lost))
+
+    def _check(self, router: RouterId) -> None:
+        known = self._view.get(router)
+        if known is None or router in self._checking:
+            return
+        self._checking.add(router)
+        number = known.number
+        try:
+            sign = self._heartbeats.check(known.member, self._helpers(router))
+        finally:
+            self._checking.discard(router)
+        match sign:
+            case Sign.ALIVE:
+                self._view.alive(router)
+            case Sign.REPLACED:
+                self._view.bury(router)
+            case Sign.UNREACHED:
+                self._view.unreached(router)
+            case Sign.SILENT:
+                self._spread_suspicion(router, number)
+
+    def _helpers(self, router: RouterId) -> list[Address]:
+        return [
+            known.member.address
+            for known in self._view.all()
+            if not known.is_doubtful and known.member.router != router
+        ]
+
+    def _spread_suspicion(self, router: RouterId, number: int) -> None:
+        known = self._view.get(router)
+        # A statement that came during the check says more than the check.
+        if known is None or known.number != number:
+            return
+        self._view.unreached(router)
+        self._view.suspect(router)
+        if not self._view.is_suspected(router, number):
+            body = msgspec.msgpack.encode(Suspicion(router, number))
+            key = SUSPICION_PREFIX + router
+            self._board.publish(FactTopic.MEMBER, key, body, ttl_s=DEAD_AFTER_S)
+
+    def _state(self) -> None:
+        self._stated = self._timers.now()
+        body = msgspec.msgpack.encode(self.own)
+        ttl_s = self._statement_ttl_s()
+        self._board.publish(FactTopic.MEMBER, STATEMENT_KEY, body, ttl_s=ttl_s)
+
+    def _statement_interval_s(self) -> float:
+        per_router = STATEMENT_INTERVAL_PER_ROUTER_S * self.routers()
+        return max(MIN_STATEMENT_INTERVAL_S, per_router)
+
+    def _statement_ttl_s(self) -> float:
+        return STATEMENT_TTL_INTERVALS * self._statement_interval_s()
+
+    def _gossip_peers(self) -> list[Address]:
+        return self._view.gossip_peers() or self._seeds
+
+    def _on_member_fact(self, fact: Fact) -> None:
+        if fact.key.startswith(SUSPICION_PREFIX):
+            self._on_suspicion(msgspec.msgpack.decode(fact.body, type=Suspicion))
+        elif fact.key == STATEMENT_KEY and fact.origin != self.own.router:
+            member = msgspec.msgpack.decode(fact.body, type=Member)
+            if member.router == fact.origin:
+                self._view.state(member, fact.number)
+                for other in self._view.same_address(member):
+                    eventlet.spawn_n(self._check, other)
+
+    def _on_suspicion(self, suspicion: Suspicion) -> None:
+        if suspicion.router != self.own.router:
+            self._view.suspicion(suspicion.router, suspicion.number)
+        elif self._timers.now() - self._stated >= REFUTE_INTERVAL_S:
+            self._state()
+
+    def _on_leaving_fact(self, fact: Fact) -> None:
+        self._view.leaving_vms = self._leaving_vms()
+
+    def _leaving_vms(self) -> set[VmName]:
+        return {
+            VmName(fact.key.removeprefix(VM_PREFIX))
+            for fact in self._board.facts(FactTopic.LEAVING)
+            if fact.key.startswith(VM_PREFIX)
+        }
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -6,10 +6,9 @@
 import sys
 import time
 
-from standins.tokens import broken_at
-
 from scripts.caller import Caller, CallerError, Stream
 from scripts.local_cluster import ClusterOptions, LocalCluster, Process
+from standins.tokens import broken_at
 
 __all__ = ["main"]
 
--- /dev/null
+++ b/standins/network.py
@@ -0,0 +1,148 @@
+"""In-memory links between routers, with loss, duplicates, delay and partitions."""
+
+import functools
+import operator
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from boragedeck.connection.messages import Message, Refused
+from boragedeck.connection.peer import Address
+from boragedeck.exceptions import PeerError, PeerRefusedError, PeerUnreachableError
+from boragedeck.process.timers import TimerService
+
+__all__ = ["Network", "NetworkLinks", "NetworkServer"]
+
+FRAME_BYTES = 10
+
+
+class NetworkServer:
+    """Takes the place of `PeerServer`."""
+
+    def __init__(self):
+        self._handlers: dict[type, Callable[[Any], Message]] = {}
+
+    def register(
+        self, message_type: type[Message], handler: Callable[[Any], Message]
+    ) -> None:
+        """See `PeerServer.register`."""
+        self._handlers[message_type] = handler
+
+    def answer(self, body: bytes) -> bytes:
+        """Return the answer to a message, both encoded."""
+        union = functools.reduce(operator.or_, self._handlers)
+        message = msgspec.msgpack.decode(body, type=union)
+        return msgspec.msgpack.encode(self._handlers[type(message)](message))
+
+
+class Network:
+    """Carries calls between routers in one process.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    rng : random.Random
+        Draws what is lost, repeated and late.
+
+    Attributes
+    ----------
+    servers : dict of Address to NetworkServer
+        Routers that run; an address that is missing is silent.
+    cut : set of pair of Address
+        From where to where nothing passes.
+    loss, duplicates : float
+        Share of the messages that are lost, and that arrive twice.
+    max_delay_s : float
+        Each message is late by a random time up to this, in seconds.
+    sent, received : collections.Counter
+        Bytes by address, questions and answers together.
+    """
+
+    def __init__(self, timers: TimerService, rng: random.Random):
+        self.servers: dict[Address, NetworkServer] = {}
+        self.cut: set[tuple[Address, Address]] = set()
+        self.loss = 0.0
+        self.duplicates = 0.0
+        self.max_delay_s = 0.0
+        self.sent: Counter[Address] = Counter()
+        self.received: Counter[Address] = Counter()
+        self._timers = timers
+        self._rng = rng
+
+    def part(self, one: list[Address], other: list[Address]) -> None:
+        """Let nothing pass between two groups, in either direction."""
+        self.cut |= {(a, b) for a in one for b in other}
+        self.cut |= {(b, a) for a in one for b in other}
+
+    def carry(self, source: Address, target: Address, body: bytes) -> bytes | None:
+        """Carry a message over and its answer back; None where either is lost."""
+        if not self._passes(source, target, body):
+            return None
+        server = self.servers[target]
+        answer = server.answer(body)
+        if self._rng.random() < self.duplicates:
+            answer = server.answer(body)
+        return answer if self._passes(target, source, answer) else None
+
+    def _passes(self, source: Address, target: Address, body: bytes) -> bool:
+        self.sent[source] += len(body) + FRAME_BYTES
+        if self.max_delay_s > 0:
+            self._timers.sleep(self._rng.uniform(0.0, self.max_delay_s))
+        is_lost = (
+            (source, target) in self.cut
+            or source not in self.servers
+            or target not in self.servers
+            or self._rng.random() < self.loss
+        )
+        if not is_lost:
+            self.received[target] += len(body) + FRAME_BYTES
+        return not is_lost
+
+
+class NetworkLinks:
+    """Takes the place of `PeerLinks`, for one router on a network."""
+
+    def __init__(self, network: Network, own: Address, timers: TimerService):
+        self._network = network
+        self._own = own
+        self._timers = timers
+
+    def link(self, address: Address) -> "_NetworkLink":
+        """See `PeerLinks.link`."""
+        return _NetworkLink(self._network, self._own, address, self._timers)
+
+    def forget(self, address: Address) -> None:
+        """See `PeerLinks.forget`."""
+
+
+class _NetworkLink:
+    def __init__(
+        self, network: Network, own: Address, address: Address, timers: TimerService
+    ):
+        self._network = network
+        self._own = own
+        self._address = address
+        self._timers = timers
+
+    def call(
+        self, message: Message, answer_type: Any, *, timeout_s: float
+    ) -> Result[Any, PeerError]:
+        """See `PeerLink.call`."""
+        where = {"step": type(message).__name__, "peer": str(self._address)}
+        body = msgspec.msgpack.encode(message)
+        answer = self._network.carry(self._own, self._address, body)
+        if answer is None:
+            self._timers.sleep(timeout_s)
+            return Err(PeerUnreachableError("no answer in time", **where))
+        decoded = msgspec.msgpack.decode(answer, type=answer_type | Refused)
+        if isinstance(decoded, Refused):
+            return Err(PeerRefusedError(decoded.code, **where))
+        return Ok(decoded)
+
+    def close(self) -> None:
+        """See `PeerLink.close`."""
--- /dev/null
+++ b/tests/process/test_gossip.py
@@ -0,0 +1,150 @@
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.ids import RouterId
+from boragedeck.process.fact_store import FactStore
+from boragedeck.process.gossip_messages import AgedFact
+from boragedeck.process.timers import ManualTimers
+from tests.process.peers import Fleet
+
+STOP = FactTopic.ROLLOUT_STOP
+LOAD = FactTopic.LOAD
+
+
+class FactStoreTest(unittest.TestCase):
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.store = FactStore(RouterId("own"), self.timers, max_facts=32)
+
+    def fact(self, number=1, key="k", origin="other", topic=LOAD, ttl_s=10.0):
+        return Fact(topic, key, RouterId(origin), number, b"body", ttl_s)
+
+    @given(st.lists(st.tuples(st.integers(1, 4), st.floats(0.0, 9.0)), min_size=1))
+    def test_the_highest_number_holds_in_any_order(self, arrivals):
+        store = FactStore(RouterId("own"), ManualTimers())
+        for number, age_s in arrivals:
+            store.merge(AgedFact(self.fact(number), age_s))
+        (held,) = store.facts(LOAD)
+        self.assertEqual(held.number, max(number for number, _ in arrivals))
+
+    def test_age_travels_with_a_fact(self):
+        self.assertTrue(self.store.merge(AgedFact(self.fact(), 7.0)))
+        self.timers.advance(2.0)
+        (aged,) = self.store.aged(self._keys(), 1000)
+        self.assertEqual(aged.age_s, 9.0)
+        self.timers.advance(1.0)
+        self.assertEqual(self.store.facts(LOAD), [])
+
+    def test_a_late_copy_does_not_revive_an_expired_fact(self):
+        self.store.merge(AgedFact(self.fact(), 0.0))
+        self.timers.advance(11.0)
+        self.store.expire()
+        self.assertFalse(self.store.merge(AgedFact(self.fact(), 0.0)))
+        self.assertTrue(self.store.merge(AgedFact(self.fact(2), 0.0)))
+
+    def test_nobody_speaks_for_this_router(self):
+        self.assertFalse(self.store.merge(AgedFact(self.fact(9, origin="own"), 0.0)))
+
+    def test_the_store_is_bounded_and_drops_own_and_urgent_facts_last(self):
+        self.store.publish(LOAD, "own", b"", 1.0)
+        self.store.merge(AgedFact(self.fact(key="stop", topic=STOP, ttl_s=1.0), 0.0))
+        for number in range(100):
+            aged = AgedFact(self.fact(key=str(number), origin=str(number)), 0.0)
+            self.store.merge(aged)
+        self.assertLessEqual(len(self.store), 32)
+        self.assertIn("own", [fact.key for fact in self.store.facts(LOAD)])
+        self.assertEqual(len(self.store.facts(STOP)), 1)
+
+    def test_equal_stores_have_equal_digests_whatever_the_order(self):
+        other = FactStore(RouterId("third"), self.timers)
+        facts = [AgedFact(self.fact(key=str(n)), 0.0) for n in range(20)]
+        for aged in facts:
+            self.store.merge(aged)
+        random.Random(1).shuffle(facts)
+        for aged in facts:
+            other.merge(aged)
+        self.assertEqual(self.store.differing(other.sums()), [])
+        other.merge(AgedFact(self.fact(2, key="3"), 0.0))
+        (bucket,) = self.store.differing(other.sums())
+        entries = other.entries([bucket])
+        given, wanted = self.store.compare([bucket], entries)
+        self.assertEqual((given, len(wanted)), ([], 1))
+
+    def test_what_is_malformed_is_no_fault(self):
+        self.assertEqual(self.store.differing(b"short"), [])
+        self.assertEqual(self.store.compare([-1, 9999], b"1234567"), ([], []))
+
+    def test_a_fact_over_the_bounds_is_refused(self):
+        with self.assertRaises(ValueError):
+            self.store.publish(LOAD, "k", b"x" * 100_000, 1.0)
+
+    def _keys(self):
+        return [key for key in self.store._held]
+
+
+class GossipTest(unittest.TestCase):
+    def holders(self, fleet, topic):
+        return sum(bool(peer.board.facts(topic)) for peer in fleet.peers)
+
+    def test_an_urgent_fact_reaches_all_at_once(self):
+        fleet = Fleet(9)
+        fleet.timers.advance(20.0)
+        fleet.peers[0].board.publish(STOP, "route/1", b"")
+        fleet.timers.advance(0.5)
+        self.assertGreaterEqual(self.holders(fleet, STOP), 8)
+        fleet.timers.advance(5.0)
+        self.assertEqual(self.holders(fleet, STOP), 9)
+
+    def test_facts_arrive_despite_loss_duplicates_and_delay(self):
+        fleet = Fleet(9)
+        fleet.timers.advance(20.0)
+        fleet.network.loss = 0.3
+        fleet.network.duplicates = 0.3
+        fleet.network.max_delay_s = 0.4
+        for number in range(3):
+            fleet.peers[0].board.publish(LOAD, "k", str(number).encode())
+        fleet.timers.advance(30.0)
+        for peer in fleet.peers:
+            bodies = [fact.body for fact in peer.board.facts(LOAD)]
+            self.assertEqual(bodies, [b"2"])
+
+    def test_a_subscriber_hears_each_number_once_and_may_fail(self):
+        fleet = Fleet(3)
+        fleet.network.duplicates = 1.0
+        heard = []
+
+        def listen(fact):
+            heard.append(fact.number)
+            raise RuntimeError("a subscriber's own fault")
+
+        fleet.peers[1].board.subscribe(LOAD, listen)
+        fleet.timers.advance(20.0)
+        fact = fleet.peers[0].board.publish(LOAD, "k", b"")
+        fleet.timers.advance(10.0)
+        self.assertEqual(heard, [fact.number])
+
+    def test_facts_end_everywhere_when_their_time_is_over(self):
+        fleet = Fleet(5)
+        fleet.timers.advance(20.0)
+        fleet.peers[0].board.publish(LOAD, "k", b"", ttl_s=8.0)
+        fleet.timers.advance(6.0)
+        self.assertEqual(self.holders(fleet, LOAD), 5)
+        fleet.timers.advance(2.1)
+        self.assertEqual(self.holders(fleet, LOAD), 0)
+        fleet.timers.advance(60.0)
+        self.assertEqual(self.holders(fleet, LOAD), 0)
+
+    def test_a_flood_of_facts_stays_within_the_bytes_of_a_round(self):
+        fleet = Fleet(4)
+        fleet.timers.advance(30.0)
+        sender = fleet.peers[0]
+        before = fleet.network.sent[sender.address]
+        for number in range(200):
+            sender.board.publish(LOAD, f"k{number}", b"x" * 500)
+        fleet.timers.advance(10.0)
+        sent = fleet.network.sent[sender.address] - before
+        self.assertLess(sent / 10.0, 16 * 1024)
--- /dev/null
+++ b/tests/process/test_membership.py
@@ -0,0 +1,176 @@
+import unittest
+
+from boragedeck.connection.messages import FactTopic
+from boragedeck.connection.store import Put, Table, Vm
+from boragedeck.ids import Health
+from standins.memory import Faults
+from tests.process.peers import Fleet
+
+
+class MembershipTest(unittest.TestCase):
+    def assert_complete(self, fleet, peers=None):
+        for peer in peers or fleet.peers:
+            self.assertEqual(peer.known(), fleet.routers() - {peer.own.router})
+
+    def test_routers_find_each_other_by_their_rows(self):
+        fleet = Fleet(9)
+        fleet.timers.advance(20.0)
+        self.assert_complete(fleet)
+        healths = {m.health for m in fleet.peers[0].membership.members()}
+        self.assertEqual(healths, {Health.HEALTHY})
+
+    def test_a_newcomer_learns_all_from_a_seed_while_the_store_is_down(self):
+        fleet = Fleet(6)
+        fleet.timers.advance(20.0)
+        fleet.platform.faults = Faults(down=True)
+        fleet.peers.append(fleet.add(7, seeds=[fleet.peers[0].address]))
+        fleet.timers.advance(8.0)
+        self.assert_complete(fleet)
+
+    def test_a_dead_router_is_suspect_soon_and_gone_later(self):
+        fleet = Fleet(9)
+        fleet.timers.advance(20.0)
+        dead = fleet.peers.pop()
+        fleet.stop(dead)
+        fleet.timers.advance(8.0)
+        for peer in fleet.peers:
+            self.assertEqual(peer.health(dead), Health.SUSPECT)
+        fleet.timers.advance(70.0)
+        self.assert_complete(fleet)
+
+    def test_a_paused_router_is_suspect_and_healthy_again_when_it_wakes(self):
+        fleet = Fleet(9)
+        fleet.timers.advance(20.0)
+        paused = fleet.peers[4]
+        fleet.stop(paused)
+        fleet.timers.advance(30.0)
+        self.assertEqual(fleet.peers[0].health(paused), Health.SUSPECT)
+        fleet.resume(paused)
+        fleet.timers.advance(10.0)
+        for peer in fleet.peers:
+            if peer is not paused:
+                self.assertEqual(peer.health(paused), Health.HEALTHY)
+
+    def test_a_pause_beyond_death_is_mended_by_a_new_statement(self):
+        fleet = Fleet(5)
+        fleet.timers.advance(20.0)
+        paused = fleet.peers[2]
+        fleet.stop(paused)
+        fleet.timers.advance(90.0)
+        self.assertIsNone(fleet.peers[0].health(paused))
+        fleet.resume(paused)
+        fleet.timers.advance(30.0)
+        self.assert_complete(fleet)
+
+    def test_a_one_way_partition_condemns_nobody_for_the_others(self):
+        fleet = Fleet(9)
+        fleet.timers.advance(20.0)
+        blind, other = fleet.peers[0], fleet.peers[1]
+        fleet.network.cut.add((blind.address, other.address))
+        blind.membership.suspect(other.own.router)
+        fleet.timers.advance(40.0)
+        self.assertEqual(blind.health(other), Health.SUSPECT)
+        for peer in fleet.peers[2:]:
+            self.assertEqual(peer.health(other), Health.HEALTHY)
+            self.assertEqual(peer.health(blind), Health.HEALTHY)
+
+    def test_sides_of_a_long_partition_find_each_other_with_the_store_down(self):
+        fleet = Fleet(8)
+        fleet.timers.advance(20.0)
+        fleet.platform.faults = Faults(down=True)
+        one, other = fleet.peers[:4], fleet.peers[4:]
+        fleet.network.part([p.address for p in one], [p.address for p in other])
+        fleet.timers.advance(100.0)
+        self.assertEqual(one[0].known(), {p.own.router for p in one[1:]})
+        fleet.network.cut.clear()
+        fleet.timers.advance(60.0)
+        self.assert_complete(fleet)
+
+    def test_a_restarted_router_replaces_its_former_run_at_once(self):
+        fleet = Fleet(5)
+        fleet.timers.advance(20.0)
+        former = fleet.peers.pop()
+        fleet.stop(former)
+        fleet.peers.append(fleet.add(5, run=1))
+        fleet.timers.advance(6.0)
+        self.assert_complete(fleet)
+        self.assertIsNone(fleet.peers[0].health(former))
+
+    def test_loss_duplicates_and_delay_leave_all_healthy(self):
+        fleet = Fleet(9)
+        fleet.network.loss = 0.05
+        fleet.network.duplicates = 0.2
+        fleet.network.max_delay_s = 0.2
+        fleet.timers.advance(120.0)
+        fleet.network.loss = 0.0
+        fleet.timers.advance(15.0)
+        self.assert_complete(fleet)
+        for peer in fleet.peers:
+            healths = {m.health for m in peer.membership.members()}
+            self.assertEqual(healths, {Health.HEALTHY})
+
+    def test_a_call_that_failed_is_checked_and_cleared(self):
+        fleet = Fleet(3)
+        fleet.timers.advance(20.0)
+        one, other = fleet.peers[:2]
+        one.membership.suspect(other.own.router)
+        self.assertEqual(one.health(other), Health.SUSPECT)
+        fleet.timers.advance(1.0)
+        self.assertEqual(one.health(other), Health.HEALTHY)
+
+    def test_a_leaving_vm_is_known_everywhere_within_3_s(self):
+        fleet = Fleet(9)
+        fleet.timers.advance(20.0)
+        vms = [Vm(p.own.vm, "10.0.0.1", "fd-1") for p in fleet.peers]
+        vms[3] = Vm(fleet.peers[3].own.vm, "10.0.0.1", "fd-1", leaving=True)
+        fleet.platform.set_vms(vms)
+        fleet.timers.advance(3.0)
+        for peer in fleet.peers[:3]:
+            self.assertEqual(peer.health(fleet.peers[3]), Health.LEAVING)
+
+    def test_a_router_that_leaves_says_so_and_removes_its_row(self):
+        fleet = Fleet(4)
+        fleet.timers.advance(20.0)
+        leaver = fleet.peers[0]
+        leaver.membership.leave()
+        fleet.timers.advance(3.0)
+        self.assertEqual(fleet.peers[1].health(leaver), Health.LEAVING)
+        fleet.timers.advance(60.0)
+        self.assertIsNone(fleet.platform.get(Table.MEMBERS, "r1-0").unwrap())
+
+    def test_rows_of_the_dead_are_removed_and_others_kept(self):
+        fleet = Fleet(3)
+        fleet.timers.advance(20.0)
+        fleet.stop(fleet.peers.pop())
+        fleet.timers.advance(400.0)
+        keys = {row.key for row in fleet.platform.scan(Table.MEMBERS).unwrap()}
+        self.assertEqual(keys, fleet.routers())
+
+    def test_rows_that_age_during_an_outage_are_spared(self):
+        fleet = Fleet(3)
+        fleet.timers.advance(20.0)
+        fleet.platform.commit([Put(Table.MEMBERS, "unreached", b"{}")])
+        fleet.platform.faults = Faults(down=True)
+        fleet.timers.advance(900.0)
+        fleet.platform.faults = Faults()
+        fleet.timers.advance(100.0)
+        keys = {row.key for row in fleet.platform.scan(Table.MEMBERS).unwrap()}
+        self.assertEqual(keys, fleet.routers() | {"unreached"})
+
+    def test_own_suspicion_is_refuted_by_a_new_statement(self):
+        fleet = Fleet(3)
+        fleet.timers.advance(20.0)
+        one = fleet.peers[0]
+
+        def number():
+            facts = one.board.facts(FactTopic.MEMBER)
+            own = (f for f in facts if f.origin == one.own.router and f.key == "self")
+            return next(own).number
+
+        before = number()
+        fleet.stop(one)
+        fleet.timers.advance(5.0)
+        fleet.resume(one)
+        fleet.timers.advance(4.0)
+        self.assertGreater(number(), before)
+        self.assertEqual(fleet.peers[1].health(one), Health.HEALTHY)
