Prove the answer path under faults, and measure it

Found: a body that came too slowly held its connection, since the server read the rest before it closed; an edge now ends the connection after such a refusal. A cancelled answer was noticed only at the next loss: readers and the runner now have signals of their own.

--- /dev/null
+++ b/benchmarks/answers.py
@@ -0,0 +1,256 @@
+"""Measures answers: added latency, throughput, and resumption after each loss.
+
+Baselines, in the same run: a client directly on an engine, and a client that
+starts its answer over where the connection breaks.
+"""
+
+import argparse
+import signal
+import statistics
+import time
+
+from boragedeck.patching import patch_all
+
+patch_all()
+
+import eventlet
+from standins.tokens import broken_at
+
+from benchmarks.figures import Figure, percentile, print_table
+from scripts.caller import Caller, CallerError
+from scripts.local_cluster import ClusterOptions, LocalCluster
+
+__all__ = ["main"]
+
+STREAMS = 20
+LATENCY_TOKENS = 150
+LATENCY_INTERVAL_MS = 20.0
+THROUGHPUT_STREAMS = 40
+THROUGHPUT_TOKENS = 1_500
+THROUGHPUT_INTERVAL_MS = 1.0
+RESUME_INTERVAL_MS = 15.0
+RESUME_TOKENS = 120
+RESUME_AT = 40
+PROMPT = "batch note for the truck to Salalah, " * 20
+
+
+class _Reading:
+    """One stream's arrivals."""
+
+    def __init__(self) -> None:
+        self.sent_at = time.monotonic()
+        self.arrivals: list[float] = []
+        self.texts: list[str] = []
+        self.last_event_id = ""
+        self.answer_id = ""
+        self.is_done = False
+
+    def take(self, stream, until: int | None = None) -> None:
+        self.answer_id = stream.answer_id or self.answer_id
+        for event in stream:
+            text = event.text()
+            if text:
+                self.arrivals.append(time.monotonic())
+                self.texts.append(text)
+            self.last_event_id = stream.last_event_id or self.last_event_id
+            self.is_done = stream.is_done
+            if self.is_done or (until and self.tokens() >= until):
+                return
+
+    def tokens(self) -> int:
+        return len("".join(self.texts).split())
+
+    def gaps(self) -> list[float]:
+        pairs = zip(self.arrivals, self.arrivals[1:], strict=False)
+        return [b - a for a, b in pairs]
+
+    def is_whole(self, tokens: int) -> bool:
+        text = "".join(self.texts)
+        is_all = self.is_done and len(text.split()) == tokens
+        return is_all and broken_at(text) is None
+
+
+def main() -> None:
+    """Run the chosen measurements."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--rounds", type=int, default=6, help="losses of each kind")
+    parser.add_argument("--only", choices=("latency", "throughput", "resume"))
+    arguments = parser.parse_args()
+    if arguments.only in (None, "latency"):
+        print_table("Added latency, 20 streams", _latency())
+    if arguments.only in (None, "throughput"):
+        print_table("Throughput of one router", _throughput())
+    if arguments.only in (None, "resume"):
+        print_table("Resumption", _resumption(arguments.rounds))
+
+
+def _latency() -> list[Figure]:
+    options = ClusterOptions(engines=6, token_interval_ms=LATENCY_INTERVAL_MS)
+    cluster = LocalCluster(options)
+    try:
+        cluster.start()
+        key = cluster.api_keys["mehurcek"]
+        engines = [e.url for e in cluster.engines[:4]]
+        targets = [(engines[i % 4], "", "v1") for i in range(STREAMS)]
+        direct = _read_all(targets, LATENCY_TOKENS)
+        targets = [(cluster.routers[0].url, key, "orders")] * STREAMS
+        routed = _read_all(targets, LATENCY_TOKENS)
+    finally:
+        cluster.stop()
+    return [
+        *_compare("first token", _first_tokens(routed), _first_tokens(direct), 10.0),
+        *_compare("gap", _all_gaps(routed), _all_gaps(direct), 3.0),
+    ]
+
+
+def _compare(name, values, baseline, target_ms) -> list[Figure]:
+    figures = []
+    for label, share in (("p50", 0.5), ("p95", 0.95)):
+        ours = percentile(values, share) * 1e3
+        theirs = percentile(baseline, share) * 1e3
+        text = f"added {ours - theirs:+.2f} ms; target at most {target_ms} ms at p95"
+        figures.append(Figure(f"{name} {label}", ours, "ms", theirs, text))
+    return figures
+
+
+def _first_tokens(readings) -> list[float]:
+    return [reading.arrivals[0] - reading.sent_at for reading in readings]
+
+
+def _all_gaps(readings) -> list[float]:
+    return [gap for reading in readings for gap in reading.gaps()]
+
+
+def _read_all(targets, tokens: int) -> list[_Reading]:
+    pool = eventlet.GreenPool(len(targets))
+    return list(pool.imap(lambda target: _read_one(*target, tokens), targets))
+
+
+def _read_one(url: str, key: str, model: str, tokens: int) -> _Reading:
+    reading = _Reading()
+    reading.take(Caller(url, key).chat(model, PROMPT, tokens))
+    if not reading.is_whole(tokens):
+        raise RuntimeError(f"answer from {url} is not whole")
+    return reading
+
+
+def _throughput() -> list[Figure]:
+    options = ClusterOptions(
+        engines=6,
+        token_interval_ms=THROUGHPUT_INTERVAL_MS,
+    )
+    cluster = LocalCluster(options)
+    try:
+        cluster.start()
+        key = cluster.api_keys["mehurcek"]
+        engines = [e.url for e in cluster.engines[:4]]
+        targets = [(engines[i % 4], "", "v1") for i in range(THROUGHPUT_STREAMS)]
+        direct = _rate(targets)
+        targets = [(cluster.routers[0].url, key, "orders")] * THROUGHPUT_STREAMS
+        routed = _rate(targets)
+    finally:
+        cluster.stop()
+    target = "target at least 5000 tokens/s"
+    return [Figure("tokens through one router", routed, "tokens/s", direct, target)]
+
+
+def _rate(targets) -> float:
+    start = time.monotonic()
+    readings = _read_all(targets, THROUGHPUT_TOKENS)
+    took_s = time.monotonic() - start
+    return sum(reading.tokens() for reading in readings) / took_s
+
+
+def _resumption(rounds: int) -> list[Figure]:
+    figures = []
+    for name, loss, target in (
+        ("engine killed", _kill_engine, "target 250 ms at p95 beyond prefill"),
+        ("engine silent", _pause_engine, "target 2000 ms at p95"),
+        ("router killed", _kill_router, "target 4000 ms"),
+        ("router paused", _pause_router, "target 4000 ms"),
+    ):
+        waits, restarts, is_whole = [], [], []
+        for _ in range(rounds):
+            wait_s, restart_s, whole = _one_loss(loss)
+            waits.append(wait_s * 1e3)
+            restarts.append(restart_s * 1e3)
+            is_whole.append(whole)
+        baseline = statistics.median(restarts)
+        share = sum(is_whole) / len(is_whole)
+        for label, p in (("p50", 0.5), ("p95", 0.95)):
+            value = percentile(waits, p)
+            figures.append(Figure(f"{name} {label}", value, "ms", baseline, target))
+        figures.append(Figure(f"{name}, whole answers", share, "share", None, "1.0"))
+    return figures
+
+
+def _one_loss(loss) -> tuple[float, float, bool]:
+    cluster = LocalCluster(ClusterOptions(token_interval_ms=RESUME_INTERVAL_MS))
+    try:
+        cluster.start()
+        key = cluster.api_keys["mehurcek"]
+        reading = _Reading()
+        stream = Caller(cluster.routers[0].url, key).chat(
+            "orders", PROMPT, RESUME_TOKENS
+        )
+        reading.take(stream, RESUME_AT)
+        at = len(reading.arrivals)
+        lost_at = time.monotonic()
+        loss(cluster, key, reading, stream)
+        wait_s = reading.arrivals[at] - lost_at
+        # Who starts over waits until it has again what it had.
+        restart_s = wait_s + (reading.arrivals[at - 1] - reading.sent_at)
+        return wait_s, restart_s, reading.is_whole(RESUME_TOKENS)
+    finally:
+        cluster.stop()
+
+
+def _kill_engine(cluster, key, reading, stream) -> None:
+    _busy_engine(cluster).signal(signal.SIGKILL)
+    reading.take(stream)
+
+
+def _pause_engine(cluster, key, reading, stream) -> None:
+    _busy_engine(cluster).signal(signal.SIGSTOP)
+    reading.take(stream)
+
+
+def _kill_router(cluster, key, reading, stream) -> None:
+    cluster.routers[0].signal(signal.SIGKILL)
+    stream.close()
+    _reattach(cluster, key, reading)
+
+
+def _pause_router(cluster, key, reading, stream) -> None:
+    cluster.routers[0].signal(signal.SIGSTOP)
+    stream.close()
+    _reattach(cluster, key, reading)
+
+
+def _reattach(cluster, key, reading) -> None:
+    until = time.monotonic() + 20.0
+    while True:
+        try:
+            caller = Caller(cluster.routers[1].url, key)
+            stream = caller.reattach(reading.answer_id, reading.last_event_id)
+            break
+        except (OSError, CallerError):
+            if time.monotonic() > until:
+                raise
+            eventlet.sleep(0.05)
+    reading.take(stream)
+
+
+def _busy_engine(cluster):
+    for engine in cluster.engines:
+        conn, response = Caller(engine.url, "")._open("GET", "/metrics", None, {})
+        lines = response.read().decode().splitlines()
+        conn.close()
+        running = [x for x in lines if x.startswith("vllm:num_requests_running")]
+        if any(float(line.split()[-1]) > 0 for line in running):
+            return engine
+    raise RuntimeError("no engine runs the answer")
+
+
+if __name__ == "__main__":
+    main()
--- a/boragedeck/connection/edge.py
+++ b/boragedeck/connection/edge.py
@@ -7,7 +7,10 @@
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import Ran
 
-__all__ = ["read_body", "serve_http"]
+__all__ = ["CLOSE_CONNECTION", "read_body", "serve_http"]
+
+CLOSE_CONNECTION = "boragedeck.close_connection"
+"""Key of a function in the WSGI environment: the response is the last one."""
 
 MAX_CONNECTIONS = 4_096
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -31,6 +34,17 @@
             line = super()._read_request_line()
         return line
 
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[CLOSE_CONNECTION] = self._close_after_response
+        return environ
+
+    def _close_after_response(self):
+        self.close_connection = True
+
+    def log_message(self, *args):
+        pass
+
     def parse_request(self):
         is_parsed = False
         with eventlet.Timeout(HEADERS_TIMEOUT_S, False):
--- a/boragedeck/request/answer.py
+++ b/boragedeck/request/answer.py
@@ -218,8 +218,10 @@
         The farthest position that a reader has taken.
     changed : Signal
         Notified when readers have something new to look at.
-    grown : Signal
+    read : Signal
         Notified when a reader has advanced or the answer has ended.
+    control : Signal
+        Notified when whoever runs the answer has something to look at.
     """
 
     def __init__(
@@ -245,7 +247,8 @@
         self.read_end = 0
         self.ended_at: float | None = None
         self.changed = Signal()
-        self.grown = Signal()
+        self.read = Signal()
+        self.control = Signal()
         self.copy: Any = None
 
     @property
@@ -276,7 +279,7 @@
         """Add nothing more; the first end counts."""
         if self.finish is None:
             self.finish = finish
-            self.grown.notify()
+            self._tell_runner()
 
     def commit(self, chunks: int, finish: bool) -> None:
         """Let readers see what the copy holder has.
@@ -301,10 +304,14 @@
         if self.state is AnswerState.RUNNING:
             self.state = AnswerState.SUPERSEDED
             self.changed.notify()
-            self.grown.notify()
+            self._tell_runner()
 
     def note_read(self, end: int) -> None:
         """Note how far a reader has got."""
         if end > self.read_end:
             self.read_end = end
-            self.grown.notify()
+            self.read.notify()
+
+    def _tell_runner(self) -> None:
+        self.control.notify()
+        self.read.notify()
--- a/boragedeck/request/api.py
+++ b/boragedeck/request/api.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from boragedeck.connection.disconnect import DisconnectWatch
-from boragedeck.connection.edge import read_body
+from boragedeck.connection.edge import CLOSE_CONNECTION, read_body
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import AnswerId, OrganisationName, Ran
 from boragedeck.interfaces import ConfigSource
@@ -86,7 +86,7 @@
             result = Err(_internal_error())
         response = result.ok() if result.is_ok() else _error_response(result.err())
         if response.closes:
-            response.headers.append(("Connection", "close"))
+            environ[CLOSE_CONNECTION]()
         self._metrics.requests.labels(response.route, str(response.status)).inc()
         phrase = HTTPStatus(response.status).phrase
         start_response(f"{response.status} {phrase}", response.headers)
--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -21,7 +21,6 @@
 from boragedeck.process.journal import Journal
 from boragedeck.process.logs import PartLog
 from boragedeck.process.metrics import Metrics
-from boragedeck.process.signal import Signal
 from boragedeck.process.timers import TimerService
 from boragedeck.request.answer import Answer, ErrorInfo, Finish
 from boragedeck.request.attempt import Attempt, EndKind, OpenRun
@@ -114,7 +113,7 @@
         self._failures = 0
         self._has_run = bool(answer.chunks)
         self._ran = Ran.YES if answer.chunks else Ran.NO
-        self._changed = Signal()
+        self._changed = answer.control
         self._gaps = GapHistory()
         self._started = parts.timers.now()
         self._progress_at = self._started
@@ -163,7 +162,7 @@
         unread = self._answer.end - self._answer.read_end
         if unread >= WINDOW_TOKENS // 2 and self._answer.is_running:
             left_s = self._answer.spec.deadline - self._timers.wall()
-            self._answer.grown.wait(self._timers, min(LONG_WAIT_S, left_s))
+            self._answer.read.wait(self._timers, min(LONG_WAIT_S, left_s))
 
     def _begin_attempt(self) -> None:
         answer = self._answer
--- /dev/null
+++ b/tests/request/test_answer_path.py
@@ -0,0 +1,249 @@
+import unittest
+
+import eventlet
+from standins.tokens import broken_at
+
+from boragedeck.process import journal
+from boragedeck.process.timers import ManualTimers
+from boragedeck.request.answer import AnswerState
+from tests.support.engines import FakeEngines
+from tests.support.network import FakeNetwork
+from tests.support.routers import FakeCaller, FakeCluster
+
+
+class AnswerPathTest(unittest.TestCase):
+    """An answer comes whole and once, whatever dies."""
+
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.engines = FakeEngines(self.timers, 4)
+        self.network = FakeNetwork(self.timers)
+        self.cluster = FakeCluster(self.timers, self.engines, self.network)
+        self.a, self.b, self.c = self.cluster.routers
+
+    def caller(self, max_tokens=20, router=None, **options):
+        caller = FakeCaller(self.cluster, "k1", max_tokens, **options)
+        self.run_in_time(caller.start, router or self.a)
+        return caller
+
+    def run_in_time(self, function, *args, step_s=0.05, limit_s=120.0):
+        thread = eventlet.spawn(function, *args)
+        end = self.timers.now() + limit_s
+        while not thread.dead:
+            self.assertLess(self.timers.now(), end, "the call hangs")
+            self.timers.advance(step_s)
+        return thread.wait()
+
+    def read(self, caller, until=10**6):
+        for _ in range(500):
+            if caller.finish or caller.error or len(caller.text.split()) >= until:
+                return
+            self.run_in_time(caller.read)
+
+    def assert_whole(self, caller):
+        self.assertIsNone(caller.error)
+        self.assertEqual(caller.finish.reason, "length")
+        self.assertEqual(len(caller.text.split()), caller.max_tokens)
+        self.assertIsNone(broken_at(caller.text))
+
+    def owner_engine(self):
+        (run,) = self.engines.running()
+        return run.engine
+
+    def test_without_faults(self):
+        caller = self.caller()
+        self.read(caller)
+        self.assert_whole(caller)
+
+    def test_engine_dies_in_the_middle(self):
+        caller = self.caller()
+        self.read(caller, 5)
+        self.owner_engine().set(is_dead=True)
+        self.read(caller)
+        self.assert_whole(caller)
+
+    def test_all_engines_but_one_die_in_turn(self):
+        caller = self.caller(40)
+        for until in (5, 12, 20):
+            self.read(caller, until)
+            self.owner_engine().set(is_dead=True)
+        self.read(caller)
+        self.assert_whole(caller)
+
+    def test_silent_engine_is_replaced_and_its_late_output_discarded(self):
+        caller = self.caller()
+        self.read(caller, 5)
+        silent = self.owner_engine()
+        silent.set(is_silent=True)
+        self.read(caller, 10)
+        silent.set(is_silent=False)
+        self.read(caller)
+        self.assert_whole(caller)
+        self.timers.advance(5.0)
+        self.assertEqual(self.engines.running(), [])
+
+    def test_owner_dies_and_the_caller_reattaches_elsewhere(self):
+        for i in (1, 2):
+            with self.subTest(router=i):
+                self.setUp()
+                caller = self.caller()
+                self.read(caller, 7)
+                self.a.kill()
+                self.run_in_time(caller.reattach, self.cluster.routers[i])
+                self.read(caller)
+                self.assert_whole(caller)
+
+    def test_another_router_relays_from_a_living_owner(self):
+        caller = self.caller()
+        self.read(caller, 7)
+        self.run_in_time(caller.reattach, self.b)
+        self.read(caller)
+        self.assert_whole(caller)
+        self.assertEqual(sum(len(e.runs) for e in self.engines.all), 1)
+
+    def test_paused_owner_is_superseded_and_its_callers_follow(self):
+        caller = self.caller(60)
+        other = FakeCaller(self.cluster, "k1", 60)
+        self.read(caller, 7)
+        self.network.isolate(self.a.own.address)
+        other.texts = list(caller.texts)
+        other.last_event_id = caller.last_event_id
+        self.run_in_time(other.reattach, self.b)
+        self.read(other, 20)
+        self.network.heal()
+        self.read(other)
+        self.assert_whole(other)
+        self.read(caller)
+        self.assertIsNone(broken_at(caller.text))
+
+    def test_holder_dies(self):
+        caller = self.caller(40)
+        self.read(caller, 5)
+        holder = next(r for r in (self.b, self.c) if len(r.copies))
+        holder.kill()
+        self.read(caller, 20)
+        rest = next(r for r in (self.b, self.c) if r is not holder)
+        self.assertEqual(len(rest.copies), 1)
+        self.a.kill()
+        self.run_in_time(caller.reattach, rest)
+        self.read(caller)
+        self.assert_whole(caller)
+
+    def test_owner_and_holder_lost_is_said(self):
+        caller = self.caller()
+        self.read(caller, 5)
+        holder = next(r for r in (self.b, self.c) if len(r.copies))
+        rest = next(r for r in (self.b, self.c) if r is not holder)
+        holder.kill()
+        self.a.kill()
+        self.run_in_time(caller.reattach, rest)
+        self.assertEqual((caller.error.status, caller.error.code), (410, "answer_lost"))
+
+    def test_shorter_copy_is_not_continued(self):
+        caller = self.caller(40)
+        self.read(caller, 5)
+        # Cut off from all holders the owner goes on alone, and says so.
+        self.network.isolate(self.a.own.address)
+        self.read(caller, 20)
+        self.assertGreater(self.a.metrics.uncopied_tokens._value.get(), 0)
+        self.a.kill()
+        self.run_in_time(caller.reattach, self.b)
+        self.assertEqual(caller.error.code, "answer_lost")
+
+    def test_same_key_attaches_and_other_body_is_refused(self):
+        caller = self.caller()
+        again = FakeCaller(self.cluster, "k1", 20)
+        self.run_in_time(again.start, self.b)
+        self.read(again)
+        self.read(caller)
+        self.assertEqual(caller.text, again.text)
+        other = FakeCaller(self.cluster, "k1", 21)
+        self.run_in_time(other.start, self.c)
+        self.assertEqual(other.error.status, 422)
+
+    def test_same_key_at_two_routers_at_once_runs_once(self):
+        first = FakeCaller(self.cluster, "k1", 20)
+        second = FakeCaller(self.cluster, "k1", 20)
+        one = eventlet.spawn(first.start, self.a)
+        two = eventlet.spawn(second.start, self.b)
+        self.run_in_time(lambda: (one.wait(), two.wait()))
+        self.read(first)
+        self.read(second)
+        self.assert_whole(first)
+        self.assertEqual(first.text, second.text)
+
+    def test_cancel_stops_the_engine_from_any_router(self):
+        for i in (0, 1):
+            with self.subTest(router=i):
+                self.setUp()
+                caller = self.caller(2000)
+                self.read(caller, 5)
+                service = self.cluster.routers[i].service
+                self.run_in_time(service.cancel, caller.key)
+                self.timers.advance(0.5)
+                self.assertEqual(self.engines.running(), [])
+                self.read(caller)
+                self.assertEqual(caller.finish.reason, "cancelled")
+
+    def test_abandoned_answer_ends_after_its_grace(self):
+        caller = self.caller(30_000)
+        self.read(caller, 5)
+        caller.close()
+        self.timers.advance(self.cluster.grace_s - 1.0)
+        self.timers.advance(2.0)
+        self.assertEqual(self.engines.running(), [])
+
+    def test_reader_who_does_not_read_stops_the_run(self):
+        caller = self.caller(1500)
+        self.read(caller, 5)
+        self.timers.advance(60.0)
+        self.assertEqual(self.engines.running(), [])
+        self.read(caller)
+        self.assert_whole(caller)
+
+    def test_planned_stop_hands_over(self):
+        caller = self.caller(60)
+        self.read(caller, 7)
+        left = self.run_in_time(self.a.service.hand_over_all)
+        self.assertEqual(left, 0)
+        self.read(caller)
+        self.assert_whole(caller)
+        self.assertEqual(self.a.service.running(), 0)
+
+    def test_finished_answer_outlives_its_owner(self):
+        caller = self.caller()
+        self.read(caller)
+        self.a.kill()
+        late = FakeCaller(self.cluster, "k1", 20)
+        self.run_in_time(late.reattach, self.b)
+        self.read(late)
+        self.assertEqual(late.text, caller.text)
+
+    def test_refused_request_says_that_it_did_not_run(self):
+        for engine in self.engines.all:
+            engine.set(is_dead=True)
+        caller = self.caller()
+        self.read(caller)
+        self.assertEqual(caller.finish.error.ran.value, "no")
+        self.assertEqual(caller.finish.error.status, 502)
+
+    def test_other_organisation_finds_nothing(self):
+        caller = self.caller()
+        self.read(caller, 5)
+        other = FakeCaller(self.cluster, "k1", 20)
+        other.key = type(other.key)("other", "k1")
+        for router in self.cluster.routers:
+            self.run_in_time(other.reattach, router)
+            self.assertEqual(other.error.status, 404)
+
+    def test_superseded_owner_stops_its_engine(self):
+        caller = self.caller(2000)
+        self.read(caller, 7)
+        self.network.isolate(self.a.own.address)
+        self.run_in_time(caller.reattach, self.b)
+        self.network.heal()
+        # A holder that failed is asked again after journal.AVOID_S.
+        self.timers.advance(journal.AVOID_S + 1.0)
+        self.assertEqual(len(self.engines.running()), 1)
+        (answer,) = self.b.service._answers.running()
+        self.assertIs(answer.state, AnswerState.RUNNING)
--- /dev/null
+++ b/tests/request/test_answers_fuzz.py
@@ -0,0 +1,221 @@
+"""Stateful fuzzing of the answer path against an oracle: the token chain.
+
+The promises checked here, after every step:
+
+- no token of an answer is missing or repeated (`chain_holds`);
+- two generations are never mixed into one answer (`chain_holds`, whose first
+  value is random in each generation);
+- each caller gets its own answer (`answers_are_distinct`);
+- a request that is said not to have run has not run (`did_not_run_is_true`).
+"""
+
+import os
+import unittest
+
+import eventlet
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from standins.tokens import broken_at
+
+from boragedeck.ids import Ran
+from boragedeck.process.timers import ManualTimers
+from tests.support.engines import FakeEngines
+from tests.support.network import FakeNetwork
+from tests.support.routers import FakeCaller, FakeCluster
+
+ROUTERS = 4
+ENGINES = 4
+MAX_DEAD_ROUTERS = 2
+MAX_CALLERS = 5
+TOKENS = 40
+STEP_S = 0.05
+LIMIT_S = 60.0
+EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "40"))
+TYPED_CODES = {
+    "answer_lost",
+    "answer_not_found",
+    "answer_unreachable",
+    "deadline",
+    "no_upstream",
+    "upstreams_failed",
+}
+
+router = st.integers(0, ROUTERS - 1)
+engine = st.integers(0, ENGINES - 1)
+number = st.integers(0, MAX_CALLERS - 1)
+
+
+class AnswerMachine(RuleBasedStateMachine):
+    """Callers, routers and engines under every fault, in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.timers = ManualTimers()
+        self.engines = FakeEngines(self.timers, ENGINES)
+        self.network = FakeNetwork(self.timers)
+        self.cluster = FakeCluster(self.timers, self.engines, self.network, ROUTERS)
+        self.callers = []
+
+    def in_time(self, function, *args):
+        thread = eventlet.spawn(function, *args)
+        end = self.timers.now() + LIMIT_S
+        while not thread.dead:
+            assert self.timers.now() < end, f"{function.__qualname__} hangs"
+            self.timers.advance(STEP_S)
+        return thread.wait()
+
+    def alive(self, i):
+        routers = [r for r in self.cluster.routers if not r.is_dead]
+        return routers[i % len(routers)]
+
+    def caller(self, i):
+        return self.callers[i % len(self.callers)]
+
+    def address(self, i):
+        return self.cluster.routers[i].own.address
+
+    @precondition(lambda self: len(self.callers) < MAX_CALLERS)
+    @rule(i=router, is_keyed=st.booleans())
+    def start(self, i, is_keyed):
+        key = f"k{len(self.callers)}"
+        caller = FakeCaller(self.cluster, key, TOKENS, is_keyed=is_keyed)
+        self.callers.append(caller)
+        self.in_time(caller.start, self.alive(i))
+
+    @precondition(lambda self: self.callers)
+    @rule(n=number, i=router)
+    def send_again(self, n, i):
+        caller = self.caller(n)
+        if caller.is_keyed and not caller.finish:
+            caller.close()
+            caller.texts, caller.last_event_id = [], None
+            self.in_time(caller.start, self.alive(i))
+
+    @precondition(lambda self: self.callers)
+    @rule(n=number, parts=st.integers(1, 5))
+    def read(self, n, parts):
+        for _ in range(parts):
+            self.in_time(self.caller(n).read)
+
+    @precondition(lambda self: self.callers)
+    @rule(n=number)
+    def drop(self, n):
+        self.caller(n).close()
+
+    @precondition(lambda self: self.callers)
+    @rule(n=number, i=router)
+    def reattach(self, n, i):
+        caller = self.caller(n)
+        if not caller.finish:
+            self.in_time(caller.reattach, self.alive(i))
+
+    @precondition(lambda self: self.callers)
+    @rule(n=number, i=router)
+    def cancel(self, n, i):
+        self.in_time(self.alive(i).service.cancel, self.caller(n).key)
+
+    @rule(i=engine, dead=st.booleans(), silent=st.booleans(), refuses=st.booleans())
+    def disturb_engine(self, i, dead, silent, refuses):
+        self.engines.all[i].set(is_dead=dead, is_silent=silent, refuses=refuses)
+
+    @precondition(lambda self: sum(r.is_dead for r in self.cluster.routers) < 2)
+    @rule(i=router)
+    def kill_router(self, i):
+        self.alive(i).kill()
+
+    @rule(i=router)
+    def pause_router(self, i):
+        self.network.isolate(self.address(i))
+
+    @rule(i=router, j=router)
+    def cut_one_way(self, i, j):
+        self.network.cut.add((self.address(i), self.address(j)))
+
+    @rule(i=router, j=router)
+    def lose_answers(self, i, j):
+        self.network.deaf.add((self.address(i), self.address(j)))
+
+    @rule(i=router, j=router)
+    def deliver_twice(self, i, j):
+        self.network.twice.add((self.address(i), self.address(j)))
+
+    @rule()
+    def heal(self):
+        self.network.heal()
+
+    @rule(i=router)
+    def hand_over(self, i):
+        self.in_time(self.alive(i).service.hand_over_all)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 5.0, 40.0]))
+    def pass_time(self, seconds):
+        self.timers.advance(seconds)
+
+    @invariant()
+    def chain_holds(self):
+        for caller in self.callers:
+            assert broken_at(caller.text) is None, caller.text
+
+    @invariant()
+    def finished_answers_are_whole(self):
+        for caller in self.callers:
+            tokens = len(caller.text.split())
+            if caller.finish and caller.finish.reason == "length":
+                assert tokens == caller.max_tokens, tokens
+
+    @invariant()
+    def answers_are_distinct(self):
+        texts = [c.text.split()[0] for c in self.callers if c.text]
+        assert len(texts) == len(set(texts))
+
+    @invariant()
+    def errors_are_typed(self):
+        for caller in self.callers:
+            if caller.error is not None:
+                assert caller.error.code in TYPED_CODES, caller.error
+
+    @invariant()
+    def did_not_run_is_true(self):
+        for caller in self.callers:
+            info = caller.finish.error if caller.finish else None
+            if info is not None and info.ran is Ran.NO:
+                prefix = caller.key.answer_id + "-"
+                assert not any(
+                    run.sent
+                    for e in self.engines.all
+                    for run in e.runs
+                    if run.request.run_id.startswith(prefix)
+                )
+
+    def teardown(self):
+        """With the faults gone, each answer ends whole or with a typed error."""
+        self.network.heal()
+        for one in self.engines.all:
+            one.set(is_dead=False, is_silent=False, refuses=False)
+        self.timers.advance(5.0)
+        for caller in self.callers:
+            if caller.finish is None:
+                self.in_time(caller.reattach, self.alive(0))
+            for _ in range(4 * TOKENS):
+                if caller.finish or caller.error:
+                    break
+                self.in_time(caller.read)
+            assert caller.finish or caller.error, "the answer does not end"
+        self.chain_holds()
+        self.finished_answers_are_whole()
+        self.errors_are_typed()
+
+
+class AnswerFuzzTest(unittest.TestCase):
+    def test_promises_hold_under_faults(self):
+        run_state_machine_as_test(
+            AnswerMachine,
+            settings=settings(max_examples=EXAMPLES, stateful_step_count=25),
+        )
--- /dev/null
+++ b/tests/support/routers.py
@@ -0,0 +1,191 @@
+"""Routers in memory: the real answer path over fake engines and a fake network."""
+
+import random
+
+from boragedeck.connection.peer import Address
+from boragedeck.ids import Health
+from boragedeck.interfaces import Member
+from boragedeck.process.answer_service import AnswerService
+from boragedeck.process.answers import AnswerTable
+from boragedeck.process.copies import CopyStore
+from boragedeck.process.journal import Journal
+from boragedeck.process.metrics import Metrics
+from boragedeck.process.simple_parts import DeclaredVersion, RandomChooser
+from boragedeck.request import openai
+from boragedeck.request.abandonment import Abandonment, FixedGrace
+from boragedeck.request.answer import AnswerKey, Endpoint
+from boragedeck.request.event_id import parse_event_id
+from boragedeck.request.generation import GenerationParts
+from boragedeck.request.reader import AnswerReader
+from boragedeck.version.tables import Config, Pool, Route, Upstream
+from tests.support.network import FakeServer
+
+
+class FixedConfig:
+    def __init__(self, cfg):
+        self.cfg = cfg
+
+    def current(self):
+        return self.cfg
+
+    def subscribe(self, callback):
+        pass
+
+
+class FakeMembership:
+    """Sees every router that has been started, dead ones as suspects."""
+
+    def __init__(self, own, network, everyone):
+        self.own = own
+        self._network = network
+        self._everyone = everyone
+
+    def members(self):
+        return [
+            Member(m.router, m.vm, m.failure_domain, m.address, self._health(m))
+            for m in self._everyone
+            if m.router != self.own.router
+        ]
+
+    def suspect(self, router):
+        pass
+
+    def _health(self, member):
+        is_gone = member.address in self._network.gone
+        return Health.SUSPECT if is_gone else Health.HEALTHY
+
+
+class FakeRouter:
+    """One router's answer path."""
+
+    def __init__(self, cluster, number):
+        name = f"r{number}"
+        address = Address("10.1.0.1", 9000 + number)
+        self.cluster = cluster
+        self.own = Member(name, f"vm-{number}", f"fd-{number % 3}", address)
+        self.server = FakeServer()
+        cluster.network.servers[address] = self.server
+        cluster.members.append(self.own)
+        membership = FakeMembership(self.own, cluster.network, cluster.members)
+        links = cluster.network.links(address)
+        timers, rng = cluster.timers, random.Random(number)
+        self.metrics = Metrics()
+        parts = GenerationParts(
+            chooser=RandomChooser(rng),
+            journal=Journal(membership, links, timers, self.metrics),
+            config=cluster.config,
+            versions=DeclaredVersion(),
+            timers=timers,
+            metrics=self.metrics,
+            open_run=cluster.engines.open_run,
+            rng=rng,
+        )
+        self.copies = CopyStore(timers)
+        self.service = AnswerService(
+            parts,
+            AnswerTable(timers),
+            self.copies,
+            membership,
+            links,
+            Abandonment(FixedGrace(cluster.grace_s), timers, self.metrics),
+        )
+        self.service.register(self.server)
+        self.is_dead = False
+
+    def kill(self):
+        """Cut the router off for ever, as its callers and peers see a death."""
+        self.is_dead = True
+        self.cluster.network.gone.add(self.own.address)
+        self.cluster.network.isolate(self.own.address)
+
+
+class FakeCluster:
+    """Routers, engines and the network between them."""
+
+    def __init__(self, timers, engines, network, routers=3, grace_s=30.0):
+        self.timers = timers
+        self.engines = engines
+        self.network = network
+        self.grace_s = grace_s
+        self.members = []
+        upstreams = tuple(
+            Upstream(f"e{i}", engine.url, f"fd-{i % 3}", "v1")
+            for i, engine in enumerate(engines.all)
+        )
+        self.config = FixedConfig(
+            Config(
+                revision=1,
+                routes=(Route("orders", "engines", version="v1"),),
+                pools=(Pool("engines", upstreams=upstreams),),
+            )
+        )
+        self.routers = [FakeRouter(self, i) for i in range(routers)]
+
+    def spec(self, max_tokens=20, text="refill"):
+        body = b'{"model":"orders","stream":true,"prompt":"%s","max_tokens":%d}'
+        body %= (text.encode(), max_tokens)
+        parsed = openai.parse_request(Endpoint.TEXT, body).ok()
+        route = self.config.current().route("orders")
+        return openai.to_spec(parsed, route, self.timers.wall()).ok()
+
+
+class FakeCaller:
+    """A caller who puts an answer together over all its connections."""
+
+    def __init__(self, cluster, key_text, max_tokens, *, is_keyed=True):
+        self.cluster = cluster
+        self.key = AnswerKey("org", key_text)
+        self.spec = cluster.spec(max_tokens)
+        self.is_keyed = is_keyed
+        self.max_tokens = max_tokens
+        self.texts = []
+        self.last_event_id = None
+        self.finish = None
+        self.error = None
+        self.reader = None
+        self.router = None
+
+    @property
+    def text(self):
+        return "".join(self.texts)
+
+    def start(self, router):
+        source = router.service.start(self.key, self.spec, is_keyed=self.is_keyed)
+        self._open(router, source, None)
+
+    def reattach(self, router):
+        has = parse_event_id(self.last_event_id).ok()
+        self.close()
+        self._open(router, router.service.find(self.key, has), has)
+
+    def read(self, wait_s=0.5):
+        """Read one part; the connection of a dead router gives nothing."""
+        if self.reader is None or self.router.is_dead:
+            return
+        result = self.reader.next_part(wait_s)
+        if self.router.is_dead:
+            return
+        if result.is_err():
+            self.error = result.err()
+            self.close()
+            return
+        part = result.ok()
+        self.texts += [chunk.text for chunk in part.chunks]
+        if part.chunks:
+            self.last_event_id = str(
+                self.reader._has.tag * 10_000_000 + self.reader.position
+            )
+        self.finish = part.finish or self.finish
+
+    def close(self):
+        if self.reader is not None:
+            self.reader.close()
+        self.reader = None
+
+    def _open(self, router, source, has):
+        self.router = router
+        if source.is_err():
+            self.error = source.err()
+            return
+        self.error = None
+        self.reader = AnswerReader(router.service, self.key, source.ok(), has)
