Notice silence as soon as the stream's own gaps allow

Cause: whoever followed a run computed its next look before the run had a place and before its first token, so a silent engine was noticed after up to 60 s, and after 2 s at best. It is woken now when the run is placed and when the first tokens shorten the suspicious silence. The test now bounds the wait by the stated target; it failed before.

--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -40,6 +40,8 @@
 PREFIX_BYTES = 512
 """How much of a prompt decides where it is cached."""
 LONG_WAIT_S = 60.0
+LOOK_SLACK_S = 0.1
+"""How late a silence may be looked at."""
 PRIORITIES = {Priority.INTERACTIVE: 0, Priority.BATCH: 10}
 
 _log = PartLog("generation")
@@ -117,6 +119,7 @@
         self._gaps = GapHistory()
         self._started = parts.timers.now()
         self._progress_at = self._started
+        self._look_at = float("inf")
         self._first_token_s: float | None = None
         self._lost_at: float | None = None
         self._cause = Cause.TAKEOVER if answer.chunks else None
@@ -234,6 +237,8 @@
         if self._answer.version is None:
             self._answer.version = upstream.version
         self._parts.journal.set_upstream(self._answer, upstream.url)
+        # From now on a silence counts.
+        self._changed.notify()
 
     def _accept(self, attempt: Attempt, chunk: EngineChunk) -> None:
         is_next = attempt.position == self._answer.end
@@ -277,6 +282,9 @@
         self._failures = 0
         self._run_tokens += count
         self._progress_at = now
+        if now + self._gaps.suspect_after_s() < self._look_at - LOOK_SLACK_S:
+            # The first tokens shorten the silence that is suspicious.
+            self._changed.notify()
 
     def _follow(self) -> None:
         ended = next((a for a in self._attempts if a.end is not None), None)
@@ -292,7 +300,9 @@
             return
         wait_s = suspect_at - now if may_double else LONG_WAIT_S
         left_s = self._answer.spec.deadline - self._timers.wall()
-        self._changed.wait(self._timers, max(0.0, min(wait_s, left_s, LONG_WAIT_S)))
+        wait_s = max(0.0, min(wait_s, left_s, LONG_WAIT_S))
+        self._look_at = now + wait_s
+        self._changed.wait(self._timers, wait_s)
         self._sample_long_run()
 
     def _is_placed(self) -> bool:
--- a/tests/request/test_answer_path.py
+++ b/tests/request/test_answer_path.py
@@ -10,6 +10,8 @@
 from tests.support.network import FakeNetwork
 from tests.support.routers import FakeCaller, FakeCluster
 
+SILENCE_TARGET_S = 2.0
+
 
 class AnswerPathTest(unittest.TestCase):
     """An answer comes whole and once, whatever dies."""
@@ -75,7 +77,9 @@
         self.read(caller, 5)
         silent = self.owner_engine()
         silent.set(is_silent=True)
+        silent_at = self.timers.now()
         self.read(caller, 10)
+        self.assertLess(self.timers.now() - silent_at, SILENCE_TARGET_S)
         silent.set(is_silent=False)
         self.read(caller)
         self.assert_whole(caller)
