--- a/boragedeck/cli/status.py
+++ b/boragedeck/cli/status.py
@@ -15,13 +15,15 @@
 from boragedeck.connection.store import Row, Table
 from boragedeck.exceptions import BoragedeckError, PeerError, PeerUnreachableError
 from boragedeck.ids import Health, RouterId
+from boragedeck.process.member_row import MemberRow
 from boragedeck.process.settings import check_url
-from boragedeck.process.status import STATUS_PATH, MemberRow, RouterStatus
+from boragedeck.process.status import Status
 from boragedeck.process.timers import RealTimers
 from boragedeck.version.config_store import ConfigStore
 
 __all__ = ["FleetStatus", "LeaseView", "RouterView", "ask_routers", "status"]
 
+STATUS_PATH = "/-/status"
 ASK_TIMEOUT_S = 2.0
 MAX_ASKED_AT_ONCE = 32
 PAGE_ROWS = 500
@@ -53,7 +55,7 @@
     ----------
     url : str
         Where it was asked.
-    report : RouterStatus or None
+    report : Status or None
         What it answered.
     error : str
         Why it did not answer; empty where it did.
@@ -62,7 +64,7 @@
     """
 
     url: str
-    report: RouterStatus | None
+    report: Status | None
     error: str = ""
     row_age_s: float | None = None
 
@@ -154,7 +156,7 @@
     return views
 
 
-def _ask(http: urllib3.PoolManager, url: str) -> Result[RouterStatus, PeerError]:
+def _ask(http: urllib3.PoolManager, url: str) -> Result[Status, PeerError]:
     where = {"step": "status", "peer": url}
     try:
         response = http.request("GET", url + STATUS_PATH, timeout=ASK_TIMEOUT_S)
@@ -163,7 +165,7 @@
     if response.status != 200:
         return Err(PeerError(f"status {response.status}", **where))
     try:
-        return Ok(msgspec.json.decode(response.data, type=RouterStatus))
+        return Ok(msgspec.json.decode(response.data, type=Status))
     except msgspec.MsgspecError as exc:
         return Err(PeerError(str(exc), **where))
 
--- a/boragedeck/process/status.py
+++ b/boragedeck/process/status.py
@@ -1,94 +1,100 @@
-"""What a router tells operators: its row in the members table and its report."""
+"""What a router reports of itself to operators."""
 
 import msgspec
 
-from boragedeck.connection.peer import Address
 from boragedeck.ids import FailureDomain, Health, RouterId, VmName
-from boragedeck.interfaces import Member
-from boragedeck.version.config_watch import ConfigStatus
+from boragedeck.interfaces import Member, Membership
+from boragedeck.process.answer_service import AnswerService
+from boragedeck.process.timers import TimerService
+from boragedeck.version.config_watch import ConfigStatus, ConfigWatch
 
-__all__ = [
-    "STATUS_PATH",
-    "LeaseStatus",
-    "MemberRow",
-    "PeerStatus",
-    "RouterStatus",
-    "peer_statuses",
-]
-
-STATUS_PATH = "/-/status"
-"""Where a router answers ``GET`` with its `RouterStatus`."""
-
-
-class MemberRow(msgspec.Struct, frozen=True):
-    """Content of a router's row in the members table.
-
-    Parameters
-    ----------
-    member : Member
-        The router.
-    callers : Address
-        Where it listens for callers.
-    time : float
-        When the row was written, in Unix seconds by the router's clock.
-    """
-
-    member: Member
-    callers: Address
-    time: float
+__all__ = ["PeerStatus", "Status", "StatusReport"]
 
 
 class PeerStatus(msgspec.Struct, frozen=True):
-    """What a router believes of another one."""
+    """How a router sees another."""
 
     router: RouterId
     vm: VmName
     failure_domain: FailureDomain
+    address: str
     health: Health
 
 
-class LeaseStatus(msgspec.Struct, frozen=True):
-    """A lease that a router holds."""
-
-    name: str
-    token: int
-
-
-class RouterStatus(msgspec.Struct, frozen=True):
-    """A router's report of itself.
+class Status(msgspec.Struct, frozen=True):
+    """A router's report.
 
     Parameters
     ----------
     router : RouterId
-        The router.
+        This run of the router.
     vm : VmName
-        The VM that it runs on.
+        Its VM.
     failure_domain : FailureDomain
-        Where the VM stands.
-    release : str
-        The version of the package that it runs.
-    uptime_s : float
-        For how long it has run, in seconds.
+        Where it stands.
     config : ConfigStatus
-        The configuration in force there.
-    peers : tuple of PeerStatus
-        The other routers that it sees.
-    leases : tuple of LeaseStatus
-        The leases that it holds.
+        The configuration in force.
+    peers : list of PeerStatus
+        The other routers.
+    running_answers : int
+        Answers that run here.
+    uptime_s : float
+        Seconds since the start.
     """
 
     router: RouterId
     vm: VmName
     failure_domain: FailureDomain
-    release: str
-    uptime_s: float
     config: ConfigStatus
-    peers: tuple[PeerStatus, ...] = ()
-    leases: tuple[LeaseStatus, ...] = ()
+    peers: list[PeerStatus]
+    running_answers: int
+    uptime_s: float
 
 
-def peer_statuses(members: list[Member]) -> tuple[PeerStatus, ...]:
-    """Return what a router's membership says, as it is reported."""
-    return tuple(
-        PeerStatus(m.router, m.vm, m.failure_domain, m.health) for m in members
-    )
+class StatusReport:
+    """Collects a router's report.
+
+    Parameters
+    ----------
+    own : Member
+        This router.
+    membership : Membership
+        The other routers.
+    config : ConfigWatch
+        The configuration in force.
+    answers : AnswerService
+        The answers that run here.
+    timers : TimerService
+        The source of time.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        membership: Membership,
+        config: ConfigWatch,
+        answers: AnswerService,
+        timers: TimerService,
+    ):
+        self._own = own
+        self._membership = membership
+        self._config = config
+        self._answers = answers
+        self._timers = timers
+        self._started = timers.now()
+
+    def read(self) -> Status:
+        """Return the report as of now."""
+        peers = [
+            PeerStatus(m.router, m.vm, m.failure_domain, str(m.address), m.health)
+            for m in self._membership.members()
+        ]
+        return Status(
+            router=self._own.router,
+            vm=self._own.vm,
+            failure_domain=self._own.failure_domain,
+            config=self._config.status(),
+            peers=peers,
+            running_answers=self._answers.running(),
+            uptime_s=self._timers.now() - self._started,
+        )
--- a/boragedeck/version/config_in_force.py
+++ b/boragedeck/version/config_in_force.py
@@ -4,12 +4,12 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 
-import eliot
 import eventlet
 import msgspec
 
 from boragedeck.exceptions import TableError
 from boragedeck.ids import Revision
+from boragedeck.process.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.version.config_messages import ConfigContent
 from boragedeck.version.config_store import Change, pack, unpack
@@ -21,6 +21,8 @@
 MAX_KEPT_CHANGES = 64
 MAX_KEPT_BYTES = 256 * 1024
 
+_log = PartLog("config")
+
 
 class Source(enum.Enum):
     """Where a configuration came from."""
@@ -145,9 +147,7 @@
         self.source = source
         self.since = self._timers.now()
         self._whole = b""
-        eliot.log_message(
-            "config: in force", revision=cfg.revision, source=source.value
-        )
+        _log.write("In force.", revision=cfg.revision, source=source.value)
         for subscriber in self._subscribers:
             if not subscriber.is_running:
                 subscriber.is_running = True
@@ -161,9 +161,7 @@
             try:
                 subscriber.callback(cfg)
             except Exception as exc:
-                eliot.log_message(
-                    "config: subscriber failed", revision=cfg.revision, error=repr(exc)
-                )
+                _log.write("Subscriber failed.", revision=cfg.revision, error=repr(exc))
         subscriber.is_running = False
 
 
--- a/boragedeck/version/config_watch.py
+++ b/boragedeck/version/config_watch.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-import eliot
 import eventlet
 import msgspec
 from result import Result
@@ -18,6 +17,7 @@
 from boragedeck.connection.peer import Address
 from boragedeck.exceptions import BoragedeckError, PeerError, StoreError
 from boragedeck.interfaces import FactBoard, Membership
+from boragedeck.process.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.version.config_in_force import ConfigInForce, Source
 from boragedeck.version.config_messages import ConfigContent, ConfigFact, FetchConfig
@@ -36,6 +36,8 @@
 FACT_KEY = "revision"
 FACT_TTL_S = 60.0
 
+_log = PartLog("config")
+
 
 class Links(Protocol):
     """What is used of `PeerLinks`."""
@@ -167,7 +169,7 @@
             self._platform_error = ""
             return
         if not self._platform_error:
-            eliot.log_message("config: platform not readable", error=str(result.err()))
+            _log.write("Platform not readable.", error=str(result.err()))
         self._platform_error = str(result.err())
         self._fetch_from_any()
 
@@ -177,7 +179,7 @@
         try:
             self.poll()
         except Exception as exc:
-            eliot.log_message("config: poll failed", error=repr(exc))
+            _log.write("Poll failed.", error=repr(exc))
         routers = 1 + len(self._membership.members())
         spread = self._rng.uniform(1.0 - POLL_JITTER, 1.0 + POLL_JITTER)
         self._timers.call_later(poll_interval(routers) * spread, self._poll_and_rearm)
@@ -239,7 +241,7 @@
             try:
                 self._in_force.take_content(result.ok())
             except BoragedeckError as exc:
-                eliot.log_message("config: content refused", error=str(exc))
+                _log.write("Content refused.", error=str(exc))
         return result
 
     def _holders(self) -> list[ConfigFact]:
@@ -251,7 +253,7 @@
             try:
                 holders.append(msgspec.msgpack.decode(fact.body, type=ConfigFact))
             except msgspec.MsgspecError as exc:
-                eliot.log_message("config: bad fact", error=str(exc))
+                _log.write("Bad fact.", error=str(exc))
         return holders
 
     def _newer_holders(self) -> list[ConfigFact]:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -19,7 +19,8 @@
 from boragedeck.connection.store import Put, Table
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member
-from boragedeck.process.status import MemberRow, RouterStatus, peer_statuses
+from boragedeck.process.member_row import MemberRow
+from boragedeck.process.status import PeerStatus, Status
 from boragedeck.process.timers import RealTimers
 from boragedeck.version.config_in_force import Source
 from boragedeck.version.config_store import ConfigStore
@@ -149,11 +150,9 @@
 class StatusTest(CommandTest):
     def add_router(self, number, revision):
         own = Member(f"r{number}", f"vm-{number}", "d1", Address("127.0.0.1", 1))
-        peer = Member("r9", "vm-9", "d2", Address("127.0.0.1", 2), Health.SUSPECT)
+        peer = PeerStatus("r9", "vm-9", "d2", "127.0.0.1:2", Health.SUSPECT)
         cfg = ConfigStatus(revision, "", Source.PEER, 5.0, 1.0)
-        status = RouterStatus(
-            own.router, own.vm, "d1", "0", 60.0, cfg, peer_statuses([peer])
-        )
+        status = Status(own.router, own.vm, "d1", cfg, [peer], 0, 60.0)
         url = self.serve(lambda env, start: json_answer(status).send(start))
         host, port = url.removeprefix("http://").split(":")
         row = MemberRow(own, Address(host, int(port)), 0.0)
