--- a/boragedeck/cli/tables.py
+++ b/boragedeck/cli/tables.py
@@ -221,7 +221,9 @@
 
 
 def _fail_conflict(console: Console, exc: ConfigConflictError) -> None:
-    text = f"{exc.message}; nothing was changed. Changed meanwhile:"
+    text = f"{exc.message}; nothing was changed"
+    if not exc.changes:
+        console.fail(ExitCode.CONFLICT, text)
     lines = [
         f"  revision {change.revision} by {change.author} at"
         f" {time_text(change.time)}: {'; '.join(change.lines)}"
@@ -229,7 +231,9 @@
     ]
     more = "Merge these into your files and apply again."
     details = [_without_delta(change) for change in exc.changes]
-    console.fail(ExitCode.CONFLICT, "\n".join([text, *lines, more]), details)
+    console.fail(
+        ExitCode.CONFLICT, "\n".join([f"{text}. Changed since:", *lines, more]), details
+    )
 
 
 def _without_delta(change: Change) -> Change:
--- a/boragedeck/version/config_store.py
+++ b/boragedeck/version/config_store.py
@@ -5,6 +5,7 @@
 are written in one transaction.
 """
 
+import uuid
 import zlib
 from typing import Any, TypeVar
 
@@ -186,7 +187,7 @@
         return result.and_then(lambda rows: _decode_all(rows, Change))
 
     def apply(
-        self, base: Stored, cfg: Config, *, author: str, apply_id: str
+        self, base: Stored, cfg: Config, *, author: str, apply_id: str = ""
     ) -> Result[Change, StoreError]:
         """Accept a configuration on the condition that `base` is the newest one.
 
@@ -198,8 +199,9 @@
             The new configuration; its revision is set here.
         author : str
             Who makes the change.
-        apply_id : str
-            Unique for this attempt; settles an unknown outcome.
+        apply_id : str, optional
+            Unique for this attempt, made here by default; settles an unknown
+            outcome.
 
         Returns
         -------
@@ -210,6 +212,7 @@
         """
         revision = Revision(base.config.revision + 1)
         cfg = canonical(msgspec.structs.replace(cfg, revision=revision))
+        apply_id = apply_id or uuid.uuid4().hex
         change = self._change(base.config, cfg, author, apply_id)
         stored = Stored(cfg, apply_id, author, change.time)
         return self._commit(_writes(base.row_version, stored, change), change)
@@ -218,7 +221,7 @@
         """Return the error that names what was accepted after a revision."""
         found = self.changes(base, MAX_CONFLICT_ENTRIES)
         changes = tuple(found.unwrap_or([]))
-        text = f"the configuration has changed since revision {base}"
+        text = f"revision {base} is not the newest"
         return ConfigConflictError(text, changes, step="apply")
 
     def _change(self, old: Config, new: Config, author: str, apply_id: str) -> Change:
--- a/boragedeck/version/delta.py
+++ b/boragedeck/version/delta.py
@@ -218,6 +218,8 @@
             continue
         if field in HIDDEN_FIELDS:
             lines.append(f"{label}: {field} changed")
+        elif isinstance(one, msgspec.Struct):
+            lines += _describe_fields(f"{label}: {field}", one, other)
         else:
             lines.append(f"{label}: {field} {_text(one)} -> {_text(other)}")
     return lines
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -121,6 +121,7 @@
         self.assertEqual(report["changes"], [])
         report = self.run_json("apply", mine, "--expect-revision", "1", code=3)
         self.assertEqual(report["error"]["details"][0]["author"], "bor")
+        self.run_command("apply", mine, "--expect-revision", "9", code=3)
         self.assertEqual(self.accepted().revision, 2)
 
     def test_platform_that_is_down_or_missing(self):
--- a/tests/version/fleet.py
+++ b/tests/version/fleet.py
@@ -31,9 +31,9 @@
 class Fleet:
     """Routers, what they hear of each other, and who can't hear whom."""
 
-    def __init__(self, count, seed=1):
+    def __init__(self, count, seed=1, platform_type=MemoryPlatform):
         self.timers = ManualTimers()
-        self.platform = MemoryPlatform(sleep=self.timers.sleep)
+        self.platform = platform_type(sleep=self.timers.sleep)
         self.store = ConfigStore(self.platform, self.timers)
         self.rng = random.Random(seed)
         self.cut = set()
--- a/tests/version/test_config_store.py
+++ b/tests/version/test_config_store.py
@@ -1,6 +1,7 @@
 import unittest
 
 import eventlet
+from result import Err
 
 from boragedeck.connection.store import Table
 from boragedeck.exceptions import (
@@ -89,6 +90,35 @@
         self.assertEqual(result.unwrap().revision, 1)
         self.assertEqual(self.read().revision, 2)
 
+    def test_lost_answer_and_then_a_store_that_is_down_for_a_while(self):
+        platform = self.fleet.platform
+        original = platform.commit
+
+        def commit(writes):
+            result = original(writes)
+            self.faults.down = True
+            return result
+
+        self.faults.lose_answers = 1
+        platform.commit = commit
+        self.fleet.timers.call_later(3.0, lambda: setattr(platform, "commit", original))
+        self.fleet.timers.call_later(5.0, lambda: setattr(self.faults, "down", False))
+        self.assertEqual(self.apply_over(9, config("v1")).unwrap().revision, 1)
+
+    def test_lost_answer_and_lost_read(self):
+        platform = self.fleet.platform
+        original = platform.get
+
+        def get(table, key):
+            if table is Table.HISTORY:
+                platform.get = original
+                return Err(StoreUnavailableError("once"))
+            return original(table, key)
+
+        self.faults.lose_answers = 1
+        platform.get = get
+        self.assertEqual(self.apply_over(5, config("v1")).unwrap().revision, 1)
+
     def test_store_that_is_down_is_told_from_an_unknown_outcome(self):
         self.faults.down = True
         result = self.store.apply(
