Keep the facts about a revision few in a large fleet

Now a share of the routers speaks at once, about eight a second, and the others only where they have heard nobody after 2 s. A delay at random before speaking was weighed and left: it puts off the first fact too.

--- /dev/null
+++ b/benchmarks/config_in_force.py
@@ -0,0 +1,262 @@
+"""Measure how fast an accepted configuration is in force in every router.
+
+Routers run in one process on a manual clock, with the real store, watch and
+delta code. Facts reach each other router within one and a half seconds. The
+baseline polls the platform alone, at the same interval, and reads the whole
+configuration when its revision has changed.
+"""
+
+import random
+import time
+
+import msgspec
+
+from boragedeck.process.timers import ManualTimers
+from boragedeck.version import config_watch
+from boragedeck.version.config_in_force import ConfigInForce, Source
+from boragedeck.version.config_store import Change, Stored, pack, unpack
+from boragedeck.version.tables import (
+    Config,
+    Kind,
+    Organisation,
+    Pool,
+    PoolKind,
+    Route,
+    Upstream,
+)
+from standins.memory import MemoryPlatform
+from tests.version.fleet import Fleet, Link
+
+CHANGES = 12
+CHANGE_INTERVAL_S = 86_400 / 6_300
+STEP_S = 0.1
+MAX_WAIT_S = 60.0
+GOSSIP_S = 1.5
+SLOW_S = 2.0
+IDLE_S = 30.0
+REPEATS = 20
+PLATFORM = Source.PLATFORM
+
+
+def example(organisations, models, replicas):
+    """Return a configuration of a size."""
+    orgs = tuple(
+        Organisation(f"organisation-{i}", (f"{i:064x}", f"{i + 10**6:064x}"))
+        for i in range(organisations)
+    )
+    pools, routes = [], []
+    for model in range(models):
+        upstreams = tuple(
+            Upstream(
+                f"engine-{model}-{i}",
+                f"http://10.{model}.{i // 250}.{i % 250}:8000",
+                f"domain-{i % 17}",
+                f"model-{model}-v1",
+            )
+            for i in range(replicas // models)
+        )
+        pools.append(Pool(f"pool-{model}", upstreams=upstreams))
+        routes.append(Route(f"model-{model}", f"pool-{model}"))
+    pools.append(Pool("kiosks", PoolKind.SERVICE))
+    routes.append(Route("dispense", "kiosks", Kind.CALL, repeatable=False))
+    return Config(organisations=orgs, routes=tuple(routes), pools=tuple(pools))
+
+
+def drain_one(cfg, number):
+    """Return the configuration with one more upstream leaving."""
+    pool = cfg.pools[number % (len(cfg.pools) - 1)]
+    upstreams = list(pool.upstreams)
+    at = number % len(upstreams)
+    upstreams[at] = msgspec.structs.replace(
+        upstreams[at], leaving=not upstreams[at].leaving
+    )
+    changed = msgspec.structs.replace(pool, upstreams=tuple(upstreams))
+    pools = tuple(changed if p is pool else p for p in cfg.pools)
+    return msgspec.structs.replace(cfg, pools=pools)
+
+
+class CountingPlatform(MemoryPlatform):
+    """Counts the bytes that are read."""
+
+    def __init__(self, sleep):
+        super().__init__(sleep)
+        self.read_bytes = 0
+
+    def get(self, table, key):
+        """See `TableStore.get`."""
+        result = super().get(table, key)
+        if result.is_ok() and result.ok() is not None:
+            self.read_bytes += len(result.ok().value)
+        return result
+
+    def scan(self, table, prefix="", after="", limit=1000):
+        """See `TableStore.scan`."""
+        result = super().scan(table, prefix, after, limit)
+        if result.is_ok():
+            self.read_bytes += sum(len(row.value) for row in result.ok())
+        return result
+
+
+class GossipFleet(Fleet):
+    """A fleet whose facts take a while to arrive, and whose bytes are counted."""
+
+    def __init__(self, count):
+        self.peer_bytes = 0
+        super().__init__(count, platform_type=CountingPlatform, gossip_s=GOSSIP_S)
+
+    def deliver(self, board, fact):
+        """Let a fact reach a router."""
+        self.peer_bytes += len(msgspec.msgpack.encode(fact))
+        super().deliver(board, fact)
+
+
+class PollingWatch(config_watch.ConfigWatch):
+    """The baseline: reads the revision, then the whole."""
+
+    def _read_platform(self):
+        newest = self._store.read_revision()
+        if newest.is_err():
+            return newest
+        current = self._in_force.current.revision
+        if newest.ok() is None or newest.ok().revision <= current:
+            return newest
+        return self._store.read().map(
+            lambda s: self._in_force.take_whole(s.config, PLATFORM)
+        )
+
+    def _fetch_from_any(self):
+        pass
+
+
+def count_links(fleet):
+    """Add the bytes of peer messages to the fleet's count."""
+
+    class CountingLink(Link):
+        def call(self, message, answer_type, *, timeout_s):
+            result = super().call(message, answer_type, timeout_s=timeout_s)
+            fleet.peer_bytes += len(msgspec.msgpack.encode(message))
+            if result.is_ok():
+                fleet.peer_bytes += len(msgspec.msgpack.encode(result.ok()))
+            return result
+
+    for router in fleet.routers:
+        router.link = lambda address, at=router.number: CountingLink(
+            fleet, at, address.port
+        )
+
+
+def run_changes(fleet, cfg, condition, rng):
+    """Return the times from accepted to in force everywhere, in seconds."""
+    times = []
+    for number in range(CHANGES):
+        fleet.timers.advance(rng.uniform(0.5, 1.0) * CHANGE_INTERVAL_S)
+        cfg = drain_one(cfg, number)
+        fleet.platform.faults.delay_s = 0.0
+        read_bytes = fleet.platform.read_bytes
+        revision = fleet.apply(cfg).unwrap().revision
+        fleet.platform.read_bytes = read_bytes
+        condition(fleet, rng)
+        waited = 0.0
+        while set(fleet.revisions()) != {revision} and waited < MAX_WAIT_S:
+            fleet.timers.advance(STEP_S)
+            waited += STEP_S
+        times.append(waited)
+        fleet.without_platform.clear()
+    return sorted(times)
+
+
+def up(fleet, rng):
+    """Leave the platform as it is."""
+
+
+def slow(fleet, rng):
+    """Let each read take long."""
+    fleet.platform.faults.delay_s = SLOW_S
+
+
+def down_for_two_thirds(fleet, rng):
+    """Cut two thirds of the routers off the platform after the accept."""
+    numbers = range(len(fleet.routers))
+    fleet.without_platform |= set(rng.sample(numbers, len(numbers) * 2 // 3))
+
+
+def measure(label, count, cfg, condition, *, is_baseline=False):
+    """Print one line for one fleet under one condition."""
+    real = config_watch.ConfigWatch
+    fleet_module = __import__("tests.version.fleet", fromlist=["ConfigWatch"])
+    fleet_module.ConfigWatch = PollingWatch if is_baseline else real
+    fleet = GossipFleet(count)
+    fleet_module.ConfigWatch = real
+    fleet.gossips = not is_baseline
+    count_links(fleet)
+    fleet.apply(cfg).unwrap()
+    fleet.timers.advance(20.0)
+    calls = sum(fleet.platform.calls.values())
+    fleet.timers.advance(IDLE_S)
+    reads = (sum(fleet.platform.calls.values()) - calls) / IDLE_S
+    fleet.platform.read_bytes = fleet.peer_bytes = 0
+    times = run_changes(fleet, cfg, condition, random.Random(7))
+    received = (fleet.platform.read_bytes + fleet.peer_bytes) / count / CHANGES
+    ways = "polling alone" if is_baseline else "with peers"
+    print(
+        f"{count:4} routers  {label:22} {ways:14}"
+        f" median {times[CHANGES // 2]:5.1f} s  slowest {times[-1]:5.1f} s"
+        f"  {reads:6.1f} reads/s idle"
+        f"  {received:9.0f} bytes a router and change"
+        f"  {received / CHANGE_INTERVAL_S:8.1f} bytes/s"
+    )
+    for router in fleet.routers:
+        router.stop()
+
+
+def measure_change(cfg):
+    """Print sizes and processor time of one change at a size."""
+    fleet = Fleet(0)
+    fleet.apply(cfg).unwrap()
+    stored = fleet.store.read().unwrap()
+    change = fleet.apply(drain_one(cfg, 1)).unwrap()
+    whole = fleet.store.read().unwrap()
+    plain = len(msgspec.json.encode(Stored(whole.config)))
+    rows = {"delta": pack(change), "whole": pack(whole)}
+    took = {}
+    for name, take in (
+        ("delta", lambda f, row: f.take_changes([unpack(row, Change)], PLATFORM)),
+        ("whole", lambda f, row: f.take_whole(unpack(row, Stored).config, PLATFORM)),
+    ):
+        elapsed = 0.0
+        for _ in range(REPEATS):
+            in_force = ConfigInForce(ManualTimers())
+            in_force.take_whole(stored.config, PLATFORM)
+            start = time.process_time()
+            take(in_force, rows[name])
+            elapsed += time.process_time() - start
+        took[name] = elapsed / REPEATS * 1e3
+    upstreams = sum(len(pool.upstreams) for pool in cfg.pools)
+    print(
+        f"{len(cfg.organisations):4} organisations {upstreams:5} upstreams:"
+        f" whole {plain} bytes, compressed {len(rows['whole'])},"
+        f" delta row {len(rows['delta'])};"
+        f" processor time {took['delta']:.1f} ms by delta, {took['whole']:.1f} ms whole"
+        f" = {took['delta'] / 1e3 / CHANGE_INTERVAL_S:.3%} of a core"
+        " at 6,300 changes a day"
+    )
+
+
+def main():
+    """Print all figures."""
+    today, letter = example(10, 2, 12), example(260, 7, 1200)
+    for cfg in (today, letter):
+        measure_change(cfg)
+    for condition in (up, slow, down_for_two_thirds):
+        label = condition.__name__.replace("_", " ")
+        for is_baseline in (True, False):
+            measure(label, 9, today, condition, is_baseline=is_baseline)
+    for count in (3, 27, 90, 370):
+        for is_baseline in (True, False):
+            measure("up", count, letter, up, is_baseline=is_baseline)
+    measure("slow", 370, letter, slow)
+    measure("down for two thirds", 370, letter, down_for_two_thirds)
+
+
+if __name__ == "__main__":
+    main()
--- a/boragedeck/cli/status.py
+++ b/boragedeck/cli/status.py
@@ -266,4 +266,5 @@
 def _state(fleet: FleetStatus, view: RouterView) -> str:
     if fleet.accepted_revision is None or fleet.is_in_force(view):
         return "ok"
-    return f"behind {fleet.accepted_revision}"
+    is_behind = view.report.config.revision < fleet.accepted_revision
+    return f"{'behind' if is_behind else 'ahead of'} {fleet.accepted_revision}"
--- a/boragedeck/version/config_watch.py
+++ b/boragedeck/version/config_watch.py
@@ -33,6 +33,7 @@
 FETCH_TIMEOUT_S = 2.0
 MAX_FETCHES_PER_ROUND = 3
 MAX_HOLDERS = 8
+HEARD_AFTER_S = 2.0
 FACT_KEY = "revision"
 FACT_TTL_S = 60.0
 
@@ -199,16 +200,37 @@
         )
 
     def _announce(self, cfg: Config) -> None:
-        """State that this router holds a revision, unless enough others do."""
+        """State that this router holds a revision, unless others will do so.
+
+        Many learn of a revision before the first fact has gone round. So that the
+        facts don't grow with the fleet, only a share of them speaks at once, and
+        the others where they have heard nobody.
+        """
+        routers = 1 + len(self._membership.members())
+        share = MAX_HOLDERS / routers
+        if self._in_force.source is Source.PLATFORM:
+            share = MAX_HOLDERS * poll_interval(routers) / routers
+        if self._rng.random() < share:
+            self._state(cfg, MAX_HOLDERS)
+        else:
+            self._timers.call_later(HEARD_AFTER_S, lambda: self._state(cfg, 1))
+
+    def _state(self, cfg: Config, enough: int) -> None:
+        """Publish the revision where fewer than `enough` others have done so."""
+        if cfg.revision != self._in_force.current.revision:
+            return
         holders = sum(fact.revision >= cfg.revision for fact in self._holders())
-        if holders < MAX_HOLDERS:
+        if holders < enough:
             fact = ConfigFact(cfg.revision, self._membership.own.address)
             body = msgspec.msgpack.encode(fact)
             self._board.publish(FactTopic.CONFIG, FACT_KEY, body, ttl_s=FACT_TTL_S)
 
     def _on_fact(self, fact: Fact) -> None:
         """Fetch what another router announces, one fetch at a time."""
-        if not self._is_fetching and self._newer_holders():
+        holder = _decode(fact)
+        if holder is None or holder.revision <= self._in_force.current.revision:
+            return
+        if not self._is_fetching:
             self._is_fetching = True
             eventlet.spawn_n(self._fetch_announced)
 
@@ -246,16 +268,18 @@
 
     def _holders(self) -> list[ConfigFact]:
         """Return what other routers announce."""
-        holders = []
-        for fact in self._board.facts(FactTopic.CONFIG):
-            if fact.origin == self._board.own:
-                continue
-            try:
-                holders.append(msgspec.msgpack.decode(fact.body, type=ConfigFact))
-            except msgspec.MsgspecError as exc:
-                _log.write("Bad fact.", error=str(exc))
-        return holders
+        facts = self._board.facts(FactTopic.CONFIG)
+        others = (_decode(fact) for fact in facts if fact.origin != self._board.own)
+        return [holder for holder in others if holder is not None]
 
     def _newer_holders(self) -> list[ConfigFact]:
         revision = self._in_force.current.revision
         return [fact for fact in self._holders() if fact.revision > revision]
+
+
+def _decode(fact: Fact) -> ConfigFact | None:
+    try:
+        return msgspec.msgpack.decode(fact.body, type=ConfigFact)
+    except msgspec.MsgspecError as exc:
+        _log.write("Bad fact.", origin=fact.origin, error=str(exc))
+        return None
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -25,6 +25,15 @@
 from boragedeck.version.config_in_force import Source
 from boragedeck.version.config_store import ConfigStore
 from boragedeck.version.config_watch import ConfigStatus
+from boragedeck.version.files import FILE_NAMES
+from boragedeck.version.tables import (
+    Organisation,
+    Pool,
+    QuarantineLift,
+    Route,
+    RouteLimits,
+    Upstream,
+)
 from standins.platform import PlatformApp
 from standins.web import json_answer, listen, serve, url_of
 
@@ -136,6 +145,18 @@
             self.run_command(*arguments, code=2)
 
 
+class SchemaPageTest(unittest.TestCase):
+    def test_every_field_is_on_the_page_with_its_default(self):
+        page = (EXAMPLES.parent / "CONFIGURATION.md").read_text()
+        for kind in (Organisation, Route, RouteLimits, QuarantineLift, Pool, Upstream):
+            for field in msgspec.structs.fields(kind):
+                name = FILE_NAMES.get(field.name, field.name)
+                is_number = type(field.default) in (int, float)
+                default = f"{field.default:g}" if is_number else ""
+                pattern = rf"\| `\W*([a-z]+\.)?{name}\W*` \| .* \| {default}.* \|"
+                self.assertRegex(page, pattern)
+
+
 class KeyTest(CommandTest):
     def test_key_is_hashed(self):
         result = self.run_command("hash-key", stdin="1234\n")
@@ -179,9 +200,12 @@
         self.add_router(1, 0)
         result = self.run_command("status", "--check", code=1)
         self.assertIn("behind 1", result.stdout)
+        self.add_router(2, 5)
+        result = self.run_command("status", "--check", code=1)
+        self.assertIn("ahead of 1", result.stdout)
         report = self.run_json("status", "--router", CLOSED_URL)
         self.assertEqual(report["routers"][0]["report"]["config"]["revision"], 0)
-        self.assertTrue(report["routers"][1]["error"])
+        self.assertTrue(report["routers"][-1]["error"])
 
     def test_named_router_answers_while_the_platform_is_down(self):
         router = self.add_router(1, 4)
--- a/tests/version/fleet.py
+++ b/tests/version/fleet.py
@@ -31,7 +31,7 @@
 class Fleet:
     """Routers, what they hear of each other, and who can't hear whom."""
 
-    def __init__(self, count, seed=1, platform_type=MemoryPlatform):
+    def __init__(self, count, seed=1, platform_type=MemoryPlatform, gossip_s=0.0):
         self.timers = ManualTimers()
         self.platform = platform_type(sleep=self.timers.sleep)
         self.store = ConfigStore(self.platform, self.timers)
@@ -39,6 +39,7 @@
         self.cut = set()
         self.without_platform = set()
         self.gossips = True
+        self.gossip_s = gossip_s
         self.routers = [Router(self, number) for number in range(count)]
         for router in self.routers:
             router.start()
@@ -63,7 +64,14 @@
     def spread(self, origin, fact):
         for router in self.routers if self.gossips else []:
             if router.number != origin and self.reaches(origin, router.number):
-                router.board.receive(fact)
+                self.deliver(router.board, fact)
+
+    def deliver(self, board, fact):
+        if self.gossip_s == 0.0:
+            board.receive(fact)
+            return
+        delay_s = self.rng.uniform(0.0, self.gossip_s)
+        self.timers.call_later(delay_s, lambda: board.receive(fact))
 
     def apply(self, cfg, author="ana", apply_id=None):
         base = self.store.read().unwrap()
--- a/tests/version/test_config_watch.py
+++ b/tests/version/test_config_watch.py
@@ -13,6 +13,7 @@
 from tests.version.fleet import Fleet, config
 
 IN_FORCE_S = 5.0
+GOSSIP_S = 1.5
 LETTER_ROUTERS = 370
 LETTER_IN_FORCE_S = 15.0
 STORE_READS_PER_S = 2000.0
@@ -94,6 +95,28 @@
         self.assertLess(1.2 * interval, LETTER_IN_FORCE_S)
         self.assertLess(LETTER_ROUTERS / interval, STORE_READS_PER_S / 20)
 
+    def test_facts_do_not_grow_with_the_fleet(self):
+        counts = []
+        for size in (30, 120):
+            fleet = Fleet(size, gossip_s=GOSSIP_S)
+            fleet.timers.advance(5.0)
+            fleet.apply(config("v1")).unwrap()
+            fleet.timers.advance(IN_FORCE_S)
+            self.assertEqual(set(fleet.revisions()), {1})
+            counts.append(sum(len(r.board.own_facts) for r in fleet.routers))
+            self.assertGreater(counts[-1], 0)
+        self.assertLessEqual(counts[1], 2 * counts[0])
+
+    def test_revision_is_stated_at_last_where_one_router_alone_has_it(self):
+        fleet = Fleet(60)
+        fleet.timers.advance(2.0)
+        fleet.without_platform |= set(range(1, 60))
+        for router in fleet.routers:
+            router.watch._fetch_from_any = lambda: None
+        fleet.apply(config("v1")).unwrap()
+        fleet.timers.advance(IN_FORCE_S)
+        self.assertEqual(set(fleet.revisions()), {1})
+
     def test_failing_subscriber_stops_no_other(self):
         seen = []
         watch = self.fleet.routers[0].watch
