--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -77,7 +77,9 @@
         self._server = PeerServer(peer_listener)
         self._links = PeerLinks(self.timers)
         platform = HttpPlatform(settings.platform_url)
-        self._membership = TableMembership(self.own, platform, self.timers)
+        self._membership = TableMembership(
+            self.own, self.http_address, platform, self.timers
+        )
         board = LocalFacts(self.own.router)
         self._config = ConfigWatch(
             ConfigStore(platform, self.timers),
