Add leases with fencing tokens and the keeper that spreads them

Rollouts need one holder at a time, also when a holder is paused past the end of its lease, clocks drift, and the store loses answers or is down.

A taker waits until it has itself seen the row unchanged for 1.1 terms; a holder trusts 0.9 terms from before its write was sent. Wall clocks in the row were ruled out: they differ between machines. A transaction in doubt is sent again as it is, since its condition on the lease's version lets one copy take effect at most; the next renewal fences out whatever is still under way.

--- /dev/null
+++ b/boragedeck/process/lease_keeper.py
@@ -0,0 +1,168 @@
+"""Keeps the leases that this process wants, spread over the routers by name."""
+
+import random
+
+import eliot
+import xxhash
+
+from boragedeck.ids import Health, RouterId
+from boragedeck.interfaces import Membership
+from boragedeck.process.leases import Lease, LeaseLostError, LeaseTable
+from boragedeck.process.timers import Subscription, TimerService
+
+__all__ = ["LeaseKeeper", "rank"]
+
+STEPS_PER_TERM = 3
+"""How often within its term a lease is renewed, and looked at by the first in
+rank."""
+NEAR_RANKS = 3
+"""How many routers look at a lease at the rate of a renewal."""
+MAX_INTERVAL_S = 600.0
+JITTER = 0.1
+
+
+class LeaseKeeper:
+    """Acquires and renews the leases that the process wants.
+
+    Parameters
+    ----------
+    table : LeaseTable
+        Makes the writes.
+    timers : TimerService
+        The source of time.
+    membership : Membership
+        The routers among which a lease's candidates are ranked.
+    rng : random.Random, optional
+        The source of jitter.
+
+    Notes
+    -----
+    All routers may want the same lease. The first `NEAR_RANKS` by rendezvous
+    hash of its name look at it three times per term; each further one half as
+    often as the one before, at least every `MAX_INTERVAL_S`. The store's load
+    so depends on the number of leases and hardly on that of routers.
+    """
+
+    def __init__(
+        self,
+        table: LeaseTable,
+        timers: TimerService,
+        membership: Membership,
+        rng: random.Random | None = None,
+    ):
+        self._table = table
+        self._timers = timers
+        self._membership = membership
+        self._rng = rng or random.Random()
+        self._step_s = table.term_s / STEPS_PER_TERM
+        self._wanted: dict[str, Subscription] = {}
+        self._held: dict[str, Lease] = {}
+
+    def want(self, name: str) -> None:
+        """Try to hold a lease from now on."""
+        if name not in self._wanted:
+            chain = self._wanted[name] = Subscription(lambda: self._step(name))
+            first_s = 0.0 if self._rank(name) == 0 else self._interval_s(name)
+            self._schedule(name, first_s, chain)
+
+    def unwant(self, name: str) -> None:
+        """Stop trying to hold a lease, and give it back where it is held."""
+        subscription = self._wanted.pop(name, None)
+        if subscription is not None:
+            subscription.cancel()
+        self._table.forget(name)
+        lease = self._held.pop(name, None)
+        if lease is not None:
+            self._table.release(lease)
+
+    def wanted(self) -> frozenset[str]:
+        """Return the names of the leases that this process wants."""
+        return frozenset(self._wanted)
+
+    def held(self, name: str, margin_s: float = 0.0) -> Lease | None:
+        """Return a lease that is safe for some time, or None.
+
+        Parameters
+        ----------
+        name : str
+            The lease's name.
+        margin_s : float
+            For how long it must stay safe, in seconds.
+        """
+        lease = self._held.get(name)
+        if lease is None or not lease.is_safe(margin_s):
+            return None
+        return lease
+
+    def release_all(self) -> None:
+        """Give all leases back, before a planned stop."""
+        for name in list(self._wanted):
+            self.unwant(name)
+
+    def _schedule(self, name: str, delay_s: float, chain: Subscription) -> None:
+        self._timers.call_later(delay_s, lambda: self._run(name, chain))
+
+    def _run(self, name: str, chain: Subscription) -> None:
+        if not chain.cancelled:
+            chain.callback()
+        if not chain.cancelled:
+            self._schedule(name, self._interval_s(name), chain)
+
+    def _step(self, name: str) -> None:
+        lease = self._held.get(name)
+        if lease is None:
+            self._try_acquire(name)
+        else:
+            self._renew(name, lease)
+
+    def _try_acquire(self, name: str) -> None:
+        lease = self._table.acquire(name).unwrap_or(None)
+        if lease is None:
+            return
+        if name not in self._wanted:
+            self._table.release(lease)
+            return
+        self._held[name] = lease
+        eliot.log_message("lease:acquired", lease=name, token=lease.token)
+
+    def _renew(self, name: str, lease: Lease) -> None:
+        renewed = self._table.renew(lease)
+        if lease.is_lost and self._held.get(name) is lease:
+            del self._held[name]
+        if isinstance(renewed.err(), LeaseLostError):
+            eliot.log_message("lease:lost", lease=name, token=lease.token)
+
+    def _interval_s(self, name: str) -> float:
+        spread = 1.0 + self._rng.uniform(-JITTER, JITTER)
+        if name in self._held:
+            return self._step_s * spread
+        doublings = max(0, self._rank(name) - NEAR_RANKS + 1)
+        return min(self._step_s * 2.0 ** min(doublings, 32), MAX_INTERVAL_S) * spread
+
+    def _rank(self, name: str) -> int:
+        healthy = [
+            member.router
+            for member in self._membership.members()
+            if member.health is Health.HEALTHY
+        ]
+        return rank(name, self._membership.own.router, healthy)
+
+
+def rank(name: str, own: RouterId, others: list[RouterId]) -> int:
+    """Return how many routers come before this one by rendezvous hash.
+
+    Parameters
+    ----------
+    name : str
+        What is spread, such as a lease's name.
+    own : RouterId
+        This router.
+    others : list of RouterId
+        The other routers that may take it.
+    """
+    own_score = _score(name, own)
+    return sum(_score(name, other) > own_score for other in others)
+
+
+def _score(name: str, router: RouterId) -> tuple[int, RouterId]:
+    return xxhash.xxh3_64_intdigest(f"{name}\0{router}".encode()), router
--- /dev/null
+++ b/boragedeck/process/leases.py
@@ -0,0 +1,340 @@
+"""Leases with fencing tokens, kept as rows in the platform's table.
+
+Notes
+-----
+No wall clock is read. A holder counts its lease from before it sent the write;
+a taker counts from after it first read the row's present version. A lease thus
+never looks free to a taker while it looks safe to its holder.
+
+See Also
+--------
+boragedeck.process.lease_keeper : Acquires and renews the leases of a process.
+"""
+
+import uuid
+from collections.abc import Sequence
+
+import eventlet
+import msgspec
+from result import Err, Ok, Result
+
+from boragedeck.connection.store import ABSENT, Put, Row, Table, TableStore, Write
+from boragedeck.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from boragedeck.ids import RouterId
+from boragedeck.process.timers import TimerService
+
+__all__ = ["Lease", "LeaseLostError", "LeaseRow", "LeaseTable"]
+
+TERM_S = 9.0
+HOLDER_SHARE = 0.9
+"""The share of the term for which a holder trusts its lease."""
+TAKER_SHARE = 1.1
+"""How often the term a taker waits; with `HOLDER_SHARE` it covers clocks whose
+rates differ by up to a fifth."""
+MAX_TRIES = 3
+NOBODY = RouterId("")
+
+
+class LeaseLostError(StoreConflictError):
+    """The lease has another holder, so nothing was written."""
+
+
+class LeaseRow(msgspec.Struct, frozen=True):
+    """Content of a lease's row.
+
+    Parameters
+    ----------
+    holder : RouterId
+        The router that holds the lease; empty once it is released.
+    token : int
+        The fencing token, which grows with each change of holder.
+    term_s : float
+        How long the lease lasts after each write, in seconds.
+    write_id : str
+        Unique for each write, so that a writer knows its own row again.
+    """
+
+    holder: RouterId
+    token: int
+    term_s: float
+    write_id: str
+
+
+class Lease:
+    """A lease that this process has acquired.
+
+    Parameters
+    ----------
+    name : str
+        The lease's name.
+    token : int
+        The fencing token.
+    timers : TimerService
+        The source of monotonic time.
+
+    Attributes
+    ----------
+    version : int
+        The version of the lease's row after this process's last write.
+    safe_until : float
+        The end of the safe part, on the monotonic clock, in seconds.
+    is_lost : bool
+        Whether another router was seen to hold it, or it was released.
+    """
+
+    def __init__(self, name: str, token: int, timers: TimerService):
+        self.name = name
+        self.token = token
+        self.version = ABSENT
+        self.safe_until = float("-inf")
+        self.is_lost = False
+        self.lock = eventlet.Semaphore(1)
+        self._timers = timers
+
+    def is_safe(self, margin_s: float = 0.0) -> bool:
+        """Return whether no other router can hold the lease yet.
+
+        Parameters
+        ----------
+        margin_s : float
+            For how long the lease must stay safe from now on, in seconds.
+        """
+        return not self.is_lost and self._timers.now() + margin_s < self.safe_until
+
+
+class _Sighting(msgspec.Struct, frozen=True):
+    version: int
+    seen_at: float
+
+
+class LeaseTable:
+    """Acquires, renews and releases leases, and makes fenced writes.
+
+    Parameters
+    ----------
+    store : TableStore
+        Where the leases' rows are.
+    timers : TimerService
+        The source of monotonic time.
+    own : RouterId
+        This run of this router.
+    term_s : float
+        How long a lease lasts after each write, in seconds.
+    """
+
+    def __init__(
+        self,
+        store: TableStore,
+        timers: TimerService,
+        own: RouterId,
+        *,
+        term_s: float = TERM_S,
+    ):
+        self.term_s = term_s
+        self._store = store
+        self._timers = timers
+        self._own = own
+        self._sightings: dict[str, _Sighting] = {}
+
+    def acquire(self, name: str) -> Result[Lease | None, StoreError]:
+        """Acquire a lease if it is free.
+
+        A held lease is free once this process has seen the row unchanged for
+        longer than its term, so the first calls only look.
+
+        Returns
+        -------
+        Result
+            The lease, or None where it is not known to be free.
+        """
+        read = self._store.get(Table.LEASES, name)
+        if read.is_err():
+            return read
+        row = read.ok()
+        if not self._is_free(name, row):
+            return Ok(None)
+        lease = Lease(name, _next_token(row, self._own), self._timers)
+        lease.version = ABSENT if row is None else row.version
+        written = self._write(lease, self._row(lease), ())
+        match written:
+            case Ok(_):
+                self._sightings.pop(name, None)
+                return Ok(lease)
+            case Err(StoreConflictError()):
+                return Ok(None)
+            case Err(exc):
+                return Err(exc)
+
+    def renew(self, lease: Lease) -> Result[None, StoreError]:
+        """Renew a lease.
+
+        Returns
+        -------
+        Result
+            ``Err(LeaseLostError)`` where another router holds it.
+        """
+        return self.commit(lease, ()).map(lambda _: None)
+
+    def release(self, lease: Lease) -> Result[None, StoreError]:
+        """Give a lease back, so that the next holder need not wait."""
+        with lease.lock:
+            lease.safe_until = float("-inf")
+            row = LeaseRow(NOBODY, lease.token, self.term_s, uuid.uuid4().hex)
+            written = self._write_adopting(lease, row, ())
+            lease.is_lost = True
+            return written.map(lambda _: None)
+
+    def forget(self, name: str) -> None:
+        """Drop what was seen of a lease that is no longer wanted."""
+        self._sightings.pop(name, None)
+
+    def guard(self, lease: Lease) -> Put:
+        """Return the write that makes a transaction fail once the lease is lost.
+
+        Notes
+        -----
+        The write renews the row, whose version then differs from the lease's;
+        `commit` keeps the two together and is what callers should use.
+        """
+        return _put(lease, self._row(lease))
+
+    def commit(
+        self, lease: Lease, writes: Sequence[Write]
+    ) -> Result[list[int], StoreError]:
+        """Write rows only if this process still holds the lease, and renew it.
+
+        Parameters
+        ----------
+        lease : Lease
+            The lease that the writes need.
+        writes : sequence of Write
+            What to write, with conditions of their own.
+
+        Returns
+        -------
+        Result
+            The rows' new versions; ``Err(LeaseLostError)``; or
+            ``Err(StoreConflictError)`` where a condition of the writes did not
+            hold. After ``Err(StoreUnknownError)`` the writes may take effect
+            until the next renewal that succeeds, after which the rows can be
+            read back.
+        """
+        with lease.lock:
+            if lease.is_lost:
+                return Err(self._lost(lease))
+            return self._write_adopting(lease, self._row(lease), writes)
+
+    def _is_free(self, name: str, row: Row | None) -> bool:
+        if row is None:
+            return True
+        content = _decode(row)
+        if content.holder in (NOBODY, self._own):
+            return True
+        now = self._timers.now()
+        sighting = self._sightings.get(name)
+        if sighting is None or sighting.version != row.version:
+            self._sightings[name] = _Sighting(row.version, now)
+            return False
+        return now - sighting.seen_at > content.term_s * TAKER_SHARE
+
+    def _write_adopting(
+        self, lease: Lease, row: LeaseRow, writes: Sequence[Write]
+    ) -> Result[list[int], StoreError]:
+        # An earlier write of this process whose answer was lost may have moved
+        # the row's version; the lease is then still this process's.
+        written = self._write(lease, row, writes)
+        if not isinstance(written.err(), StoreConflictError):
+            return written
+        read = self._store.get(Table.LEASES, lease.name)
+        if read.is_err():
+            return Err(StoreUnavailableError(str(read.err()), step="read lease"))
+        found = read.ok()
+        if found is None or not self._is_own(lease, found):
+            lease.is_lost = True
+            return Err(self._lost(lease))
+        if found.version == lease.version:
+            return written
+        lease.version = found.version
+        return self._write(lease, row, writes)
+
+    def _write(
+        self, lease: Lease, row: LeaseRow, writes: Sequence[Write]
+    ) -> Result[list[int], StoreError]:
+        started = self._timers.now()
+        transaction = [_put(lease, row), *writes]
+        written = self._commit_settled(transaction)
+        if written.is_ok():
+            lease.version = written.ok()[0]
+            lease.safe_until = started + row.term_s * HOLDER_SHARE
+        return written.map(lambda versions: versions[1:])
+
+    def _commit_settled(self, transaction: list[Write]) -> Result[list[int], Exception]:
+        # The same transaction can be sent again: its condition on the lease's
+        # version holds for one of the copies at most.
+        doubt: StoreUnknownError | None = None
+        for _ in range(MAX_TRIES):
+            match self._store.commit(transaction):
+                case Ok(versions):
+                    return Ok(versions)
+                case Err(StoreUnknownError() as exc):
+                    doubt = exc
+                case Err(StoreConflictError() as exc) if doubt is not None:
+                    return self._read_back(transaction, exc)
+                case Err(exc):
+                    return Err(doubt or exc)
+        return Err(doubt)
+
+    def _read_back(
+        self, transaction: list[Write], conflict: StoreConflictError
+    ) -> Result[list[int], StoreError]:
+        lease_put = transaction[0]
+        rows = [self._store.get(write.table, write.key) for write in transaction]
+        found = rows[0].ok()
+        if rows[0].is_ok() and _version(found) == lease_put.expect:
+            return Err(conflict)
+        if not all(_is_written(*pair) for pair in zip(transaction, rows, strict=True)):
+            return Err(StoreUnknownError("a write is in doubt", step="read back"))
+        return Ok([_version(row.ok()) for row in rows])
+
+    def _row(self, lease: Lease) -> LeaseRow:
+        return LeaseRow(self._own, lease.token, self.term_s, uuid.uuid4().hex)
+
+    def _is_own(self, lease: Lease, row: Row) -> bool:
+        content = _decode(row)
+        return content.holder == self._own and content.token == lease.token
+
+    def _lost(self, lease: Lease) -> LeaseLostError:
+        return LeaseLostError("the lease is lost", step="fenced write", peer=lease.name)
+
+
+def _put(lease: Lease, row: LeaseRow) -> Put:
+    return Put(Table.LEASES, lease.name, msgspec.json.encode(row), lease.version)
+
+
+def _decode(row: Row) -> LeaseRow:
+    return msgspec.json.decode(row.value, type=LeaseRow)
+
+
+def _next_token(row: Row | None, own: RouterId) -> int:
+    if row is None:
+        return 1
+    content = _decode(row)
+    return content.token if content.holder == own else content.token + 1
+
+
+def _version(row: Row | None) -> int:
+    return ABSENT if row is None else row.version
+
+
+def _is_written(write: Write, read: Result[Row | None, StoreError]) -> bool:
+    if read.is_err():
+        return False
+    row = read.ok()
+    if isinstance(write, Put):
+        return row is not None and row.value == write.value
+    return row is None
--- /dev/null
+++ b/tests/process/test_lease_keeper.py
@@ -0,0 +1,100 @@
+import random
+import unittest
+
+from boragedeck.connection.peer import Address
+from boragedeck.ids import FailureDomain, Health, RouterId, VmName
+from boragedeck.interfaces import Member
+from boragedeck.process.lease_keeper import LeaseKeeper
+from boragedeck.process.leases import TERM_S, LeaseTable
+from boragedeck.process.timers import ManualTimers
+from standins.memory import Faults, MemoryPlatform
+
+
+def member(number, health=Health.HEALTHY):
+    router = RouterId(f"r{number:03}")
+    address = Address("127.0.0.1", 1)
+    return Member(router, VmName("vm"), FailureDomain("fd"), address, health)
+
+
+class FakeMembership:
+    def __init__(self, own, everyone):
+        self.own = own
+        self.dead = set()
+        self._everyone = everyone
+
+    def members(self):
+        gone = self.dead | {self.own.router}
+        return [one for one in self._everyone if one.router not in gone]
+
+    def suspect(self, router):
+        self.dead.add(router)
+
+
+class LeaseKeeperTest(unittest.TestCase):
+    def start(self, routers, names):
+        self.timers = ManualTimers()
+        self.store = MemoryPlatform(sleep=self.timers.sleep)
+        everyone = [member(number) for number in range(routers)]
+        self.keepers = []
+        for number, own in enumerate(everyone):
+            table = LeaseTable(self.store, self.timers, own.router)
+            membership = FakeMembership(own, everyone)
+            rng = random.Random(number)
+            keeper = LeaseKeeper(table, self.timers, membership, rng)
+            self.keepers.append(keeper)
+            for name in names:
+                keeper.want(name)
+
+    def holders(self, name):
+        return [keeper for keeper in self.keepers if keeper.held(name) is not None]
+
+    def test_one_router_holds_each_lease(self):
+        names = [f"lease-{number}" for number in range(10)]
+        self.start(9, names)
+        for _ in range(30):
+            self.timers.advance(3.0)
+            self.assertEqual([len(self.holders(name)) for name in names], [1] * 10)
+        self.assertGreater(len({self.holders(name)[0] for name in names}), 3)
+
+    def test_another_router_takes_over_a_dead_holders_lease(self):
+        self.start(9, ["a"])
+        self.timers.advance(3.0)
+        (holder,) = self.holders("a")
+        token = holder.held("a").token
+        holder._wanted["a"].cancel()
+        self.timers.advance(TERM_S * 2)
+        (taker,) = self.holders("a")
+        self.assertIsNot(taker, holder)
+        self.assertGreater(taker.held("a").token, token)
+
+    def test_a_lease_outlives_the_store(self):
+        self.start(3, ["a"])
+        self.timers.advance(3.0)
+        self.store.faults = Faults(down=True)
+        self.timers.advance(3600.0)
+        self.assertEqual(self.holders("a"), [])
+        self.store.faults = Faults()
+        self.timers.advance(TERM_S * 2)
+        self.assertEqual(len(self.holders("a")), 1)
+
+    def test_a_released_lease_moves_on_without_the_term(self):
+        self.start(3, ["a"])
+        self.timers.advance(3.0)
+        (holder,) = self.holders("a")
+        holder.release_all()
+        self.timers.advance(TERM_S / 2)
+        self.assertEqual(len(self.holders("a")), 1)
+
+    def test_the_stores_load_depends_little_on_the_number_of_routers(self):
+        names = [f"lease-{number}" for number in range(4)]
+        calls = {}
+        for routers in (10, 100):
+            self.start(routers, names)
+            self.timers.advance(1200.0)
+            self.store.calls.clear()
+            self.timers.advance(1200.0)
+            calls[routers] = dict(self.store.calls)
+        self.assertLess(calls[100]["commit"], 1.1 * calls[10]["commit"])
+        # A router far down in rank adds two reads of each lease in 1200 s.
+        extra = calls[100]["get"] - calls[10]["get"]
+        self.assertLess(extra, 90 * len(names) * 3)
