Pass calls through to plain services, commands at most once

A call that may not be repeated is sent only after its intent row is committed, under an attempt id of its own, on a connection opened for it. Intents and outcomes share transactions; an unknown transaction is sent again as it is and settled by reading back; an attempt that is given up is marked abandoned, which keeps its late write out and lets the key be used again.

Ruled out: a second row written before sending (it moves the window in which a holder's death leaves the outcome unknown, and doubles the writes); taking over an open intent by age (its holder may have sent it); pooled connections (a write on a connection that the service just closed can't be told from a run).

A request whose key is the caller's says "did not run" only after a look at the row: an earlier request with the key may have run elsewhere. Repeatable calls need no store; late ones get a second try beside the first, under a budget.

--- /dev/null
+++ b/boragedeck/connection/service.py
@@ -0,0 +1,171 @@
+"""Calls to plain services over HTTP, split where a byte may first be sent."""
+
+import http.client
+import ssl
+from typing import Protocol
+
+import eventlet
+import msgspec
+import urllib3
+from result import Err, Ok, Result
+from urllib3.connection import HTTPConnection, HTTPSConnection
+
+from boragedeck.exceptions import (
+    UpstreamError,
+    UpstreamRefusedError,
+    UpstreamSilentError,
+)
+from boragedeck.version.tables import Upstream
+
+__all__ = [
+    "HttpServices",
+    "ServiceConnection",
+    "ServiceRequest",
+    "ServiceResponse",
+    "Services",
+]
+
+MAX_RESPONSE_BYTES = 1024 * 1024
+
+
+class ServiceRequest(msgspec.Struct, frozen=True):
+    """What is sent to a service.
+
+    Parameters
+    ----------
+    method : str
+        The HTTP method.
+    target : str
+        Path and query, starting with a slash.
+    headers : tuple of (str, str)
+        Headers, without hop-by-hop ones.
+    body : bytes
+        The body.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+class ServiceResponse(msgspec.Struct, frozen=True):
+    """What a service answered, hop-by-hop headers included."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+class ServiceConnection(Protocol):
+    """A connection on which nothing has been sent."""
+
+    def exchange(
+        self, req: ServiceRequest, timeout_s: float
+    ) -> Result[ServiceResponse, UpstreamError]:
+        """Send one request and read its response.
+
+        Notes
+        -----
+        After an error the service may have run the request. The connection is
+        closed in the end.
+        """
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class Services(Protocol):
+    """Opens connections to services."""
+
+    def connect(
+        self, upstream: Upstream, timeout_s: float
+    ) -> Result[ServiceConnection, UpstreamRefusedError]:
+        """Open a connection; no byte of a request is sent."""
+
+
+class HttpServices:
+    """Opens a new connection for each request.
+
+    Parameters
+    ----------
+    tls : ssl.SSLContext, optional
+        Verifies services whose URL begins with ``https``.
+
+    Notes
+    -----
+    A connection that is kept open may be closed by the service just as a
+    request is written, and then no one can say whether it ran. A new connection
+    costs one round trip and leaves no such case.
+    """
+
+    def __init__(self, tls: ssl.SSLContext | None = None):
+        self._tls = tls
+
+    def connect(
+        self, upstream: Upstream, timeout_s: float
+    ) -> Result[ServiceConnection, UpstreamRefusedError]:
+        """Open a connection; see `Services.connect`."""
+        where = {"step": "connect", "peer": upstream.name}
+        conn = self._new(upstream, timeout_s)
+        try:
+            with eventlet.Timeout(max(0.0, timeout_s)):
+                conn.connect()
+        except (urllib3.exceptions.HTTPError, OSError, eventlet.Timeout) as exc:
+            conn.close()
+            return Err(UpstreamRefusedError(str(exc) or "timeout", **where))
+        return Ok(_HttpServiceConnection(conn, upstream))
+
+    def _new(self, upstream: Upstream, timeout_s: float) -> HTTPConnection:
+        url = urllib3.util.parse_url(upstream.url)
+        if url.scheme == "https":
+            return HTTPSConnection(
+                url.host, url.port, timeout=timeout_s, ssl_context=self._tls
+            )
+        return HTTPConnection(url.host, url.port, timeout=timeout_s)
+
+
+class _HttpServiceConnection:
+    def __init__(self, conn: HTTPConnection, upstream: Upstream):
+        self._conn = conn
+        self._upstream = upstream
+
+    def exchange(
+        self, req: ServiceRequest, timeout_s: float
+    ) -> Result[ServiceResponse, UpstreamError]:
+        where = {"step": "exchange", "peer": self._upstream.name}
+        try:
+            with eventlet.Timeout(max(0.0, timeout_s)):
+                return self._exchange(req, timeout_s)
+        except eventlet.Timeout:
+            return Err(UpstreamSilentError("no response in time", **where))
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+            return Err(UpstreamError(str(exc) or type(exc).__name__, **where))
+        except http.client.HTTPException as exc:
+            return Err(UpstreamError(type(exc).__name__, **where))
+        finally:
+            self._conn.close()
+
+    def close(self) -> None:
+        self._conn.close()
+
+    def _exchange(
+        self, req: ServiceRequest, timeout_s: float
+    ) -> Result[ServiceResponse, UpstreamError]:
+        self._conn.timeout = timeout_s
+        prefix = urllib3.util.parse_url(self._upstream.url).path or ""
+        self._conn.request(
+            req.method,
+            prefix.rstrip("/") + req.target,
+            body=req.body or None,
+            headers=urllib3.HTTPHeaderDict(req.headers),
+            preload_content=False,
+            decode_content=False,
+        )
+        response = self._conn.getresponse()
+        body = response.read(MAX_RESPONSE_BYTES + 1, decode_content=False)
+        if len(body) > MAX_RESPONSE_BYTES:
+            text = f"the response is over {MAX_RESPONSE_BYTES} bytes"
+            return Err(UpstreamError(text, step="read", peer=self._upstream.name))
+        headers = tuple(response.headers.iteritems())
+        return Ok(ServiceResponse(response.status, headers, body))
--- /dev/null
+++ b/boragedeck/process/intent_log.py
@@ -0,0 +1,204 @@
+"""Begins commands under intent rows and records how they ended."""
+
+import uuid
+from collections.abc import Callable
+
+import msgspec
+from result import Err, Ok, Result
+
+from boragedeck.connection.platform import Platform
+from boragedeck.connection.service import ServiceResponse
+from boragedeck.connection.store import ABSENT, Put, Row, Table
+from boragedeck.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from boragedeck.ids import RouterId
+from boragedeck.process.intent_settler import IntentSettler
+from boragedeck.process.intent_writer import IntentWriter
+from boragedeck.process.store_breaker import StoreBreaker
+from boragedeck.process.timers import TimerService
+from boragedeck.request.intents import (
+    CommandKey,
+    IntentRow,
+    IntentState,
+    StoredResponse,
+    decode_row,
+    encode_row,
+)
+
+__all__ = ["Attempt", "Begun", "Found", "IntentLog", "Started"]
+
+MAX_BEGINS = 4
+
+
+class Attempt(msgspec.Struct, frozen=True):
+    """The right of this process to send a command once.
+
+    Parameters
+    ----------
+    row_key : str
+        Key of the intent's row.
+    row : IntentRow
+        The row as it was written.
+    version : int
+        The row's version.
+    """
+
+    row_key: str
+    row: IntentRow
+    version: int
+
+
+class Started(msgspec.Struct, frozen=True):
+    """The command is this process's to send."""
+
+    attempt: Attempt
+
+
+class Found(msgspec.Struct, frozen=True):
+    """Another attempt has the command."""
+
+    row: IntentRow
+
+
+Begun = Started | Found
+
+
+class IntentLog:
+    """The intents of all routers, as one process sees and writes them.
+
+    Parameters
+    ----------
+    platform : Platform
+        Where rows are read.
+    writer : IntentWriter
+        Writes rows in groups.
+    settler : IntentSettler
+        Writes final rows in the background.
+    breaker : StoreBreaker
+        Tells when the store is down.
+    timers : TimerService
+        The source of time.
+    own : RouterId
+        This run of this router.
+    new_id : callable, optional
+        Returns a unique id for each attempt.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        writer: IntentWriter,
+        settler: IntentSettler,
+        breaker: StoreBreaker,
+        timers: TimerService,
+        own: RouterId,
+        new_id: Callable[[], str] = lambda: uuid.uuid4().hex,
+    ):
+        self.own = own
+        self._platform = platform
+        self._writer = writer
+        self._settler = settler
+        self._breaker = breaker
+        self._timers = timers
+        self._new_id = new_id
+
+    def begin(self, key: CommandKey, deadline: float) -> Result[Begun, StoreError]:
+        """Write a command's intent, or find another attempt's.
+
+        Parameters
+        ----------
+        key : CommandKey
+            The command.
+        deadline : float
+            When to give up, on the timer service's monotonic clock.
+
+        Returns
+        -------
+        Result
+            After an error this process will not send the command.
+        """
+        row = IntentRow(self._new_id(), self.own, key.request_hash, self._timers.wall())
+        expect = ABSENT
+        for _ in range(MAX_BEGINS):
+            put = Put(Table.INTENTS, key.row_key, encode_row(row), expect)
+            match self._writer.write(put, deadline):
+                case Ok(version):
+                    return Ok(Started(Attempt(key.row_key, row, version)))
+                case Err(StoreConflictError()):
+                    found = self._read(key.row_key)
+                case Err(StoreUnknownError() as exc):
+                    self._abandon(key.row_key, row, None)
+                    return Err(exc)
+                case Err(exc):
+                    return Err(exc)
+            if found.is_err():
+                return found
+            other = self._effective(key.row_key, found.ok())
+            if other is not None and other.state is not IntentState.ABANDONED:
+                return Ok(Found(other))
+            expect = ABSENT if found.ok() is None else found.ok().version
+        text = "the intent's row keeps changing"
+        return Err(StoreUnavailableError(text, step="begin command"))
+
+    def read(self, row_key: str) -> Result[IntentRow | None, StoreError]:
+        """Read what is known of a command; None where it was never begun."""
+        unsettled = self.unsettled(row_key)
+        if unsettled is not None:
+            return Ok(unsettled)
+        if not self._breaker.allows():
+            return Err(StoreUnavailableError("the store is down", step="read intent"))
+        read = self._read(row_key)
+        if read.is_err():
+            return read
+        return Ok(self._effective(row_key, read.ok()))
+
+    def unsettled(self, row_key: str) -> IntentRow | None:
+        """Return an outcome of this process that the store may not have yet."""
+        row = self._settler.find(row_key)
+        if row is None or row.state is IntentState.ABANDONED:
+            return None
+        return row
+
+    def finish(self, attempt: Attempt, response: ServiceResponse) -> None:
+        """Record that the service answered."""
+        stored = StoredResponse(response.status, response.headers, response.body)
+        row = msgspec.structs.replace(
+            attempt.row, state=IntentState.DONE, response=stored
+        )
+        self._settler.settle(attempt.row_key, row, attempt.version)
+
+    def lose(self, attempt: Attempt) -> None:
+        """Record that the command was sent and no answer will come."""
+        row = msgspec.structs.replace(attempt.row, state=IntentState.UNKNOWN)
+        self._settler.settle(attempt.row_key, row, attempt.version)
+
+    def abandon(self, attempt: Attempt) -> None:
+        """Record that the command was not sent and won't be by this attempt."""
+        self._abandon(attempt.row_key, attempt.row, attempt.version)
+
+    def body(self, row: IntentRow) -> Result[bytes | None, StoreError]:
+        """Return the body of a recorded response; None where it is gone."""
+        if not row.has_object:
+            return Ok(row.response.body)
+        return self._platform.get_object(row.object_key)
+
+    def _abandon(self, row_key: str, row: IntentRow, version: int | None) -> None:
+        row = msgspec.structs.replace(row, state=IntentState.ABANDONED)
+        self._settler.settle(row_key, row, version)
+
+    def _read(self, row_key: str) -> Result[Row | None, StoreError]:
+        return self._platform.get(Table.INTENTS, row_key)
+
+    def _effective(self, row_key: str, found: Row | None) -> IntentRow | None:
+        """Return a row with this process's own later knowledge of its attempt."""
+        if found is None:
+            return None
+        row = decode_row(found.value)
+        unsettled = self._settler.find(row_key)
+        if unsettled is not None and unsettled.attempt == row.attempt:
+            return unsettled
+        return row
--- /dev/null
+++ b/boragedeck/process/store_breaker.py
@@ -0,0 +1,90 @@
+"""Circuit breaker before the table service: fails fast while it is down."""
+
+import random
+
+import eliot
+
+from boragedeck.connection.store import Table, TableStore
+from boragedeck.process.timers import TimerService
+
+__all__ = ["StoreBreaker"]
+
+FAILURES_TO_OPEN = 2
+FIRST_PROBE_S = 0.5
+MAX_PROBE_S = 5.0
+JITTER = 0.2
+PROBE_KEY = "probe"
+
+
+class StoreBreaker:
+    """Tells callers at once that the store is down, and probes it meanwhile.
+
+    Parameters
+    ----------
+    store : TableStore
+        What is probed, by reading a row.
+    timers : TimerService
+        The source of time.
+    rng : random.Random, optional
+        The source of jitter.
+
+    Notes
+    -----
+    One probe is under way at a time, at most `MAX_PROBE_S` apart. After a probe
+    that succeeded, one more failure opens the breaker again.
+    """
+
+    def __init__(
+        self, store: TableStore, timers: TimerService, rng: random.Random | None = None
+    ):
+        self._store = store
+        self._timers = timers
+        self._rng = rng or random.Random()
+        self._failures = 0
+        self._is_open = False
+        self._probe_s = FIRST_PROBE_S
+        self._next_probe = 0.0
+
+    def allows(self) -> bool:
+        """Return whether the store may be called."""
+        return not self._is_open
+
+    def retry_after_s(self) -> float:
+        """Return when a call may be tried again, in seconds."""
+        if not self._is_open:
+            return FIRST_PROBE_S
+        return max(FIRST_PROBE_S, self._next_probe - self._timers.now())
+
+    def succeeded(self) -> None:
+        """Note that the store served a call."""
+        self._failures = 0
+        self._probe_s = FIRST_PROBE_S
+        if self._is_open:
+            self._close()
+
+    def failed(self) -> None:
+        """Note that the store did not serve a call, or not in time."""
+        self._failures += 1
+        if not self._is_open and self._failures >= FAILURES_TO_OPEN:
+            self._is_open = True
+            eliot.log_message("store:breaker opened", failures=self._failures)
+            self._schedule_probe()
+
+    def _schedule_probe(self) -> None:
+        delay_s = self._probe_s * (1.0 + self._rng.uniform(-JITTER, JITTER))
+        self._probe_s = min(self._probe_s * 2.0, MAX_PROBE_S)
+        self._next_probe = self._timers.now() + delay_s
+        self._timers.call_later(delay_s, self._probe)
+
+    def _probe(self) -> None:
+        if not self._is_open:
+            return
+        if self._store.get(Table.INTENTS, PROBE_KEY).is_err():
+            self._schedule_probe()
+        elif self._is_open:
+            self._failures = FAILURES_TO_OPEN - 1
+            self._close()
+
+    def _close(self) -> None:
+        self._is_open = False
+        eliot.log_message("store:breaker closed")
--- /dev/null
+++ b/boragedeck/request/call.py
@@ -0,0 +1,142 @@
+"""Passes calls through to plain services: the entry point for the HTTP edge."""
+
+import eliot
+from result import Err, Ok, Result
+
+from boragedeck.connection.service import ServiceRequest
+from boragedeck.exceptions import RefusedError
+from boragedeck.interfaces import ConfigSource, Wanted
+from boragedeck.process.timers import TimerService
+from boragedeck.request import call_errors
+from boragedeck.request.call_headers import is_valid_header, request_headers
+from boragedeck.request.calls import Call, CallRequest, CallResponse
+from boragedeck.request.command import CommandRunner
+from boragedeck.request.intents import CommandKey, command_key, request_hash
+from boragedeck.request.repeatable import RepeatableRunner
+from boragedeck.version.tables import Kind, Pool, Route
+
+__all__ = ["CallService"]
+
+MAX_KEY_CHARS = 255
+METHODS = frozenset({"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"})
+
+
+class CallService:
+    """Passes calls through to plain services.
+
+    Parameters
+    ----------
+    cfg : ConfigSource
+        The routes and pools in force.
+    commands : CommandRunner
+        Runs calls that may not be repeated.
+    repeatables : RepeatableRunner
+        Runs calls that may.
+    timers : TimerService
+        The source of time.
+    """
+
+    def __init__(
+        self,
+        cfg: ConfigSource,
+        commands: CommandRunner,
+        repeatables: RepeatableRunner,
+        timers: TimerService,
+    ):
+        self._cfg = cfg
+        self._commands = commands
+        self._repeatables = repeatables
+        self._timers = timers
+
+    def handle(self, req: CallRequest) -> Result[CallResponse, RefusedError]:
+        """Pass a call through.
+
+        Parameters
+        ----------
+        req : CallRequest
+            What the caller asks, its body read whole.
+
+        Returns
+        -------
+        Result
+            The service's response with ``X-Request-Id``, or an error whose `ran`
+            says what is certain; `error_response` gives the error's body.
+        """
+        checked = self._check(req)
+        if checked.is_err():
+            return checked
+        call = checked.ok()
+        try:
+            runner = self._repeatables if call.route.repeatable else self._commands
+            answer = runner.run(call)
+        except Exception:
+            eliot.write_traceback()
+            return Err(call_errors.outcome_unknown())
+        return answer.map(lambda response: _with_id(response, req.request_id))
+
+    def _check(self, req: CallRequest) -> Result[Call, RefusedError]:
+        cfg = self._cfg.current()
+        route = cfg.route(req.route)
+        allowed = route is not None and route.allows(req.organisation)
+        if not allowed or route.kind is not Kind.CALL:
+            return Err(call_errors.unknown_route(req.route))
+        pool = cfg.pool(route.pool)
+        if pool is None:
+            return Err(call_errors.unreachable(route.pool))
+        problem = _problem(req)
+        if problem:
+            return Err(call_errors.bad_request(problem))
+        return Ok(self._call(req, route, pool))
+
+    def _call(self, req: CallRequest, route: Route, pool: Pool) -> Call:
+        now = self._timers.now()
+        deadline = now + route.limits.deadline_s
+        fingerprint = request_hash(req.method, req.target, req.body)
+        is_minted = req.idempotency_key is None
+        row_key = command_key(req.organisation, route.name, req.request_id)
+        headers = request_headers(req.headers, req.organisation, req.request_id)
+        return Call(
+            key=CommandKey(row_key, fingerprint, is_minted),
+            route=route,
+            pool=pool,
+            request=ServiceRequest(req.method, req.target, headers, req.body),
+            wanted=Wanted(
+                route=route,
+                pool=pool,
+                organisation=req.organisation,
+                version=route.version,
+                prompt_tokens=0,
+                prefix_hash=0,
+                fingerprint=fingerprint,
+                deadline=min(deadline, now + route.limits.queue_s),
+            ),
+            is_new_key=is_minted or req.is_first,
+            deadline=deadline,
+        )
+
+
+def _problem(req: CallRequest) -> str | None:
+    """Return what keeps a request from being sent as it is."""
+    if req.method not in METHODS:
+        return f"method {req.method[:20]!r} is not passed through"
+    if not req.target.startswith("/") or not _is_plain(req.target):
+        return "the path holds characters that must be escaped"
+    if req.idempotency_key is not None and not _is_key(req.idempotency_key):
+        return f"Idempotency-Key takes 1 to {MAX_KEY_CHARS} printable characters"
+    for name, value in req.headers:
+        if not is_valid_header(name, value):
+            return f"header {name[:40]!r} can't be passed on"
+    return None
+
+
+def _is_key(key: str) -> bool:
+    return 0 < len(key) <= MAX_KEY_CHARS and _is_plain(key)
+
+
+def _is_plain(text: str) -> bool:
+    return text.isascii() and text.isprintable() and " " not in text
+
+
+def _with_id(response: CallResponse, request_id: str) -> CallResponse:
+    headers = (*response.headers, ("X-Request-Id", request_id))
+    return CallResponse(response.status, headers, response.body)
--- /dev/null
+++ b/boragedeck/request/call_headers.py
@@ -0,0 +1,87 @@
+"""Headers on the way from callers to services and back."""
+
+from collections.abc import Iterable
+
+from boragedeck.ids import OrganisationName
+
+__all__ = ["is_valid_header", "request_headers", "response_headers"]
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+REPLACED = frozenset(
+    {
+        "authorization",
+        "content-length",
+        "expect",
+        "host",
+        "idempotency-key",
+        "x-organisation",
+        "x-request-id",
+    }
+)
+"""Headers of callers that this router states itself; the API key stays here."""
+
+Headers = tuple[tuple[str, str], ...]
+
+
+def is_valid_header(name: str, value: str) -> bool:
+    """Return whether a header can be written on a connection as it is."""
+    is_name = name.isascii() and name.replace("-", "").replace("_", "").isalnum()
+    return is_name and value.isprintable() and value.isascii()
+
+
+def request_headers(
+    headers: Iterable[tuple[str, str]], organisation: OrganisationName, key: str
+) -> Headers:
+    """Return the headers that a service gets.
+
+    Parameters
+    ----------
+    headers : iterable of (str, str)
+        The caller's headers.
+    organisation : OrganisationName
+        The caller's organisation.
+    key : str
+        The request's id.
+    """
+    headers = list(headers)
+    left_out = HOP_BY_HOP | REPLACED | _connection_options(headers)
+    kept = [(name, value) for name, value in headers if name.lower() not in left_out]
+    own = [
+        ("X-Organisation", organisation),
+        ("Idempotency-Key", key),
+        ("X-Request-Id", key),
+        ("Connection", "close"),
+    ]
+    return (*kept, *own)
+
+
+def response_headers(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Return the headers of a service's response that the caller gets."""
+    headers = list(headers)
+    left_out = HOP_BY_HOP | {"content-length", "x-request-id"}
+    left_out |= _connection_options(headers)
+    return tuple(
+        (name, value) for name, value in headers if name.lower() not in left_out
+    )
+
+
+def _connection_options(headers: list[tuple[str, str]]) -> set[str]:
+    """Return the headers that a ``Connection`` header declares hop-by-hop."""
+    return {
+        option.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for option in value.split(",")
+    }
--- /dev/null
+++ b/boragedeck/request/command.py
@@ -0,0 +1,272 @@
+"""Calls that may not be repeated: intent first, then sent at most once."""
+
+from collections.abc import Callable
+
+import eliot
+import eventlet
+import msgspec
+from eventlet.event import Event
+from result import Err, Ok, Result
+
+from boragedeck.connection.service import ServiceConnection, Services
+from boragedeck.exceptions import RefusedError, StoreError, UpstreamSilentError
+from boragedeck.ids import Ran, RouteName, RouterId
+from boragedeck.interfaces import Chooser, Outcome, Slot
+from boragedeck.process.intent_log import Attempt, Found, IntentLog, Started
+from boragedeck.process.store_breaker import StoreBreaker
+from boragedeck.process.timers import TimerService
+from boragedeck.request import call_errors
+from boragedeck.request.call_headers import response_headers
+from boragedeck.request.calls import Call, CallResponse
+from boragedeck.request.intents import IntentRow, IntentState
+
+__all__ = ["CommandRunner"]
+
+BEGIN_TIMEOUT_S = 3.0
+CONNECT_TIMEOUT_S = 1.0
+MAX_CONNECTS = 3
+MAX_RUNNING = 4096
+SEND_WITHIN_S = 60.0
+"""How long after its intent a command may be sent; far below the age at which
+intents are pruned."""
+LATE_ANSWER_S = 300.0
+"""How long beyond the caller's deadline the service's answer is awaited."""
+PROGRESS_WAIT_S = 5.0
+FIRST_POLL_S = 0.1
+MAX_POLL_S = 1.0
+REPLAYED = ("Idempotency-Replayed", "true")
+
+Answer = Result[CallResponse, RefusedError]
+
+
+class _Run:
+    def __init__(self, request_hash: str):
+        self.request_hash = request_hash
+        self.done = Event()
+
+
+class CommandRunner:
+    """Runs commands, each at most once over all routers.
+
+    Parameters
+    ----------
+    log : IntentLog
+        The intents.
+    breaker : StoreBreaker
+        Tells when the store may be back.
+    chooser : Chooser
+        Chooses upstreams.
+    services : Services
+        Opens connections.
+    timers : TimerService
+        The source of time.
+    is_alive : callable
+        Returns whether a router is not known to be gone.
+
+    Notes
+    -----
+    A command runs in a green thread of its own, so that a caller who goes away
+    neither stops it nor loses its outcome. At most `MAX_RUNNING` are under way.
+    """
+
+    def __init__(
+        self,
+        log: IntentLog,
+        breaker: StoreBreaker,
+        chooser: Chooser,
+        services: Services,
+        timers: TimerService,
+        is_alive: Callable[[RouterId], bool] = lambda router: True,
+    ):
+        self._log = log
+        self._breaker = breaker
+        self._chooser = chooser
+        self._services = services
+        self._timers = timers
+        self._is_alive = is_alive
+        self._running: dict[str, _Run] = {}
+        self._refusals: dict[RouteName, tuple[float, RefusedError]] = {}
+
+    def run(self, call: Call) -> Answer:
+        """Run a command, or attach to the run that has its key.
+
+        Parameters
+        ----------
+        call : Call
+            The command.
+
+        Returns
+        -------
+        Result
+            The service's response, or an error whose `ran` says what is certain.
+        """
+        run = self._running.get(call.key.row_key)
+        if run is None:
+            known = self._log.unsettled(call.key.row_key)
+            if known is not None:
+                return self._from_row(call, known)
+            refusal = self._early_refusal(call)
+            if refusal is not None:
+                return self._refuse_unsent(call, refusal)
+            run = _Run(call.key.request_hash)
+            self._running[call.key.row_key] = run
+            eventlet.spawn_n(self._execute, call, run)
+        if run.request_hash != call.key.request_hash:
+            return Err(call_errors.key_reused())
+        if not self._timers.wait(run.done, call.deadline - self._timers.now()):
+            return Err(call_errors.in_progress(status=504))
+        return run.done.wait()
+
+    def _early_refusal(self, call: Call) -> RefusedError | None:
+        if len(self._running) >= MAX_RUNNING:
+            return call_errors.overloaded()
+        # Without an intent, a refusal costs the store no write.
+        until, refusal = self._refusals.get(call.route.name, (0.0, None))
+        return refusal if self._timers.now() < until else None
+
+    def _execute(self, call: Call, run: _Run) -> None:
+        answer: Answer = Err(call_errors.outcome_unknown())
+        try:
+            answer = self._begin(call)
+        except Exception:
+            eliot.write_traceback()
+        finally:
+            del self._running[call.key.row_key]
+            run.done.send(answer)
+
+    def _begin(self, call: Call) -> Answer:
+        deadline = min(call.deadline, self._timers.now() + BEGIN_TIMEOUT_S)
+        send_by = self._timers.now() + SEND_WITHIN_S
+        match self._log.begin(call.key, deadline):
+            case Ok(Started(attempt)):
+                return self._send(call, attempt, min(call.deadline, send_by))
+            case Ok(Found(row)):
+                return self._await_other(call, row)
+            case Err(_):
+                refusal = call_errors.store_down(self._breaker.retry_after_s())
+                return self._refuse_unsent(call, refusal)
+
+    def _send(self, call: Call, attempt: Attempt, send_by: float) -> Answer:
+        try:
+            connected = self._connect(call, send_by)
+        except Exception:
+            self._log.abandon(attempt)
+            raise
+        if connected.is_err():
+            self._log.abandon(attempt)
+            return connected
+        slot, conn = connected.ok()
+        try:
+            return self._exchange(call, attempt, slot, conn)
+        except Exception:
+            slot.finish(Outcome.CRASHED)
+            self._log.lose(attempt)
+            raise
+
+    def _connect(
+        self, call: Call, send_by: float
+    ) -> Result[tuple[Slot, ServiceConnection], RefusedError]:
+        wanted = call.wanted
+        refusal = call_errors.unreachable(call.pool.name)
+        for _ in range(MAX_CONNECTS):
+            acquired = self._chooser.acquire(wanted)
+            if acquired.is_err():
+                self._remember(call, acquired.err())
+                return Err(call_errors.with_ran(acquired.err(), Ran.NO))
+            slot = acquired.ok()
+            connected = self._services.connect(slot.upstream, CONNECT_TIMEOUT_S)
+            if self._timers.now() >= send_by:
+                slot.finish(Outcome.CANCELLED)
+                if connected.is_ok():
+                    connected.ok().close()
+                return Err(refusal)
+            if connected.is_ok():
+                return Ok((slot, connected.ok()))
+            slot.finish(Outcome.REFUSED)
+            excluded = wanted.excluded | {slot.upstream.name}
+            wanted = msgspec.structs.replace(wanted, excluded=excluded)
+        return Err(refusal)
+
+    def _exchange(
+        self, call: Call, attempt: Attempt, slot: Slot, conn: ServiceConnection
+    ) -> Answer:
+        remaining_s = call.deadline - self._timers.now()
+        exchanged = conn.exchange(call.request, remaining_s + LATE_ANSWER_S)
+        match exchanged:
+            case Ok(response):
+                failed = response.status >= 500
+                slot.finish(Outcome.FAILED if failed else Outcome.COMPLETED)
+                headers = response_headers(response.headers)
+                response = msgspec.structs.replace(response, headers=headers)
+                self._log.finish(attempt, response)
+                return Ok(CallResponse(response.status, headers, response.body))
+            case Err(exc):
+                silent = isinstance(exc, UpstreamSilentError)
+                slot.finish(Outcome.SILENT if silent else Outcome.CRASHED)
+                self._log.lose(attempt)
+                return Err(call_errors.outcome_unknown(peer=exc.peer))
+
+    def _await_other(self, call: Call, row: IntentRow) -> Answer:
+        """Wait a bounded time for the outcome of another router's attempt."""
+        give_up = min(call.deadline, self._timers.now() + PROGRESS_WAIT_S)
+        poll_s = FIRST_POLL_S
+        while row.state is IntentState.INTENDED:
+            if row.request_hash != call.key.request_hash:
+                return Err(call_errors.key_reused())
+            # Its router's attempts are all in `_running` or settled, so an open
+            # one of this process has been forgotten.
+            is_held = row.router != self._log.own and self._is_alive(row.router)
+            if not is_held:
+                return Err(
+                    call_errors.outcome_unknown(
+                        peer=row.router, retry_after_s=call_errors.UNKNOWN_RETRY_S
+                    )
+                )
+            if self._timers.now() + poll_s > give_up:
+                return Err(call_errors.in_progress())
+            self._timers.sleep(poll_s)
+            poll_s = min(poll_s * 2.0, MAX_POLL_S)
+            read = self._log.read(call.key.row_key)
+            row = read.unwrap_or(row) or row
+        if row.state is IntentState.ABANDONED:
+            return self._begin(call)
+        return self._from_row(call, row)
+
+    def _from_row(self, call: Call, row: IntentRow) -> Answer:
+        if row.request_hash != call.key.request_hash:
+            return Err(call_errors.key_reused())
+        if row.response is None:
+            return Err(call_errors.outcome_unknown(peer=row.router))
+        body = self._log.body(row)
+        if body.ok() is None:
+            is_gone = body.is_ok()
+            return Err(call_errors.outcome_kept_elsewhere(is_gone=is_gone))
+        headers = (*row.response.headers, REPLAYED)
+        return Ok(CallResponse(row.response.status, headers, body.ok()))
+
+    def _refuse_unsent(self, call: Call, refusal: RefusedError) -> Answer:
+        """Refuse a command that this request did not send.
+
+        Notes
+        -----
+        An earlier request with the same key may have run it, so that "did not
+        run" takes either a new key or a look at the row.
+        """
+        if call.is_new_key:
+            return Err(call_errors.with_ran(refusal, Ran.NO))
+        match self._log.read(call.key.row_key):
+            case Ok(None):
+                return Err(call_errors.with_ran(refusal, Ran.NO))
+            case Ok(row) if row.state is IntentState.ABANDONED:
+                return Err(call_errors.with_ran(refusal, Ran.NO))
+            case Ok(row) if row.state is IntentState.INTENDED:
+                return Err(call_errors.in_progress())
+            case Ok(row):
+                return self._from_row(call, row)
+            case Err(StoreError()):
+                return Err(call_errors.with_ran(refusal, Ran.UNKNOWN))
+
+    def _remember(self, call: Call, refusal: RefusedError) -> None:
+        hold_s = min(refusal.retry_after_s or 0.0, call_errors.OVERLOAD_RETRY_S)
+        until = self._timers.now() + hold_s
+        self._refusals[call.route.name] = (until, refusal)
--- /dev/null
+++ b/boragedeck/request/repeatable.py
@@ -0,0 +1,235 @@
+"""Calls that may be repeated: tried on other upstreams, under a budget."""
+
+import eliot
+import eventlet
+import msgspec
+from eventlet.event import Event
+from result import Err, Ok, Result
+
+from boragedeck.connection.service import Services
+from boragedeck.exceptions import RefusedError, UpstreamSilentError
+from boragedeck.ids import Ran, RouteName
+from boragedeck.interfaces import Chooser, Outcome, Slot
+from boragedeck.process.timers import TimerService
+from boragedeck.request import call_errors
+from boragedeck.request.call_headers import response_headers
+from boragedeck.request.calls import Call, CallResponse, RetryBudget
+
+__all__ = ["RepeatableRunner"]
+
+CONNECT_TIMEOUT_S = 0.5
+MAX_TRIES = 3
+RETRIED_STATUS = frozenset({502, 503, 504})
+FIRST_PATIENCE_S = 1.0
+MIN_PATIENCE_S = 0.05
+MAX_PATIENCE_S = 5.0
+MEAN_GAIN = 1 / 8
+DEVIATION_GAIN = 1 / 4
+DEVIATIONS = 4.0
+
+Answer = Result[CallResponse, RefusedError]
+
+
+class _Patience:
+    """Learns how long a route's calls take, to tell when one is late."""
+
+    def __init__(self) -> None:
+        self._mean_s: float | None = None
+        self._deviation_s = 0.0
+
+    def observe(self, taken_s: float) -> None:
+        if self._mean_s is None:
+            self._mean_s = taken_s
+            self._deviation_s = taken_s / 2
+            return
+        error = taken_s - self._mean_s
+        self._mean_s += MEAN_GAIN * error
+        self._deviation_s += DEVIATION_GAIN * (abs(error) - self._deviation_s)
+
+    def seconds(self) -> float:
+        if self._mean_s is None:
+            return FIRST_PATIENCE_S
+        late_s = self._mean_s + DEVIATIONS * self._deviation_s
+        return min(max(late_s, MIN_PATIENCE_S), MAX_PATIENCE_S)
+
+
+class _Race:
+    """The tries of one call, of which the first good answer is used."""
+
+    def __init__(self, call: Call):
+        self.call = call
+        self.excluded = call.wanted.excluded
+        self.tries: list = []
+        self.pending = 0
+        self.is_closed = False
+        self.may_have_run = False
+        self.answers: list[Answer] = []
+        self.changed = Event()
+
+    def put(self, answer: Answer) -> None:
+        self.answers.append(answer)
+        self.pending -= 1
+        if not self.changed.ready():
+            self.changed.send(None)
+
+    def cancel(self) -> None:
+        for green in self.tries:
+            green.kill()
+
+
+class RepeatableRunner:
+    """Runs calls that may run more than once; needs no store.
+
+    Parameters
+    ----------
+    chooser : Chooser
+        Chooses upstreams.
+    services : Services
+        Opens connections.
+    budget : RetryBudget
+        Bounds the further tries.
+    timers : TimerService
+        The source of time.
+
+    Notes
+    -----
+    A failed try is followed by another on a different upstream. A try that is
+    late by its route's own history gets a second beside it, and the first good
+    answer wins: a slow upstream costs time, never an answer. `MAX_TRIES` in all.
+    """
+
+    def __init__(
+        self,
+        chooser: Chooser,
+        services: Services,
+        budget: RetryBudget,
+        timers: TimerService,
+    ):
+        self._chooser = chooser
+        self._services = services
+        self._budget = budget
+        self._timers = timers
+        self._patience: dict[RouteName, _Patience] = {}
+
+    def run(self, call: Call) -> Answer:
+        """Run a call.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+
+        Returns
+        -------
+        Result
+            The service's response, or an error.
+        """
+        race = _Race(call)
+        try:
+            self._start(race)
+            return self._first_good(race)
+        finally:
+            race.cancel()
+
+    def _first_good(self, race: _Race) -> Answer:
+        last: Answer = Err(call_errors.no_outcome(race.call.pool.name))
+        while True:
+            is_late = not self._wait(race)
+            while race.answers:
+                last = race.answers.pop()
+                if _is_good(last):
+                    return last
+            if self._timers.now() >= race.call.deadline:
+                return Err(call_errors.no_outcome(race.call.pool.name))
+            if self._may_start(race, is_late):
+                self._start(race)
+            elif race.pending == 0:
+                return _final(race, last)
+
+    def _wait(self, race: _Race) -> bool:
+        """Wait for an answer; return False where a further try is due first."""
+        remaining_s = race.call.deadline - self._timers.now()
+        if race.pending == 1 and not _is_last(race):
+            remaining_s = min(remaining_s, self._patience_of(race.call).seconds())
+        came = self._timers.wait(race.changed, remaining_s)
+        if came:
+            race.changed = Event()
+        return came
+
+    def _may_start(self, race: _Race, is_late: bool) -> bool:
+        if _is_last(race):
+            return False
+        pause = self._budget.spend(race.call.pool.name, len(race.tries))
+        if pause.is_err():
+            race.is_closed = True
+            return False
+        if not is_late:
+            self._timers.sleep(pause.ok())
+        return True
+
+    def _start(self, race: _Race) -> None:
+        race.pending += 1
+        race.tries.append(eventlet.spawn(self._try, race))
+
+    def _try(self, race: _Race) -> None:
+        answer: Answer = Err(call_errors.no_outcome(race.call.pool.name))
+        try:
+            answer = self._try_once(race)
+        except Exception:
+            eliot.write_traceback()
+        race.put(answer)
+
+    def _try_once(self, race: _Race) -> Answer:
+        wanted = msgspec.structs.replace(race.call.wanted, excluded=race.excluded)
+        acquired = self._chooser.acquire(wanted)
+        if acquired.is_err():
+            # It has waited for a place as long as it may.
+            race.is_closed = True
+            return acquired
+        slot = acquired.ok()
+        race.excluded |= {slot.upstream.name}
+        try:
+            return self._exchange(race, slot)
+        finally:
+            # Only a try that was cut off has not given its place back.
+            slot.finish(Outcome.CANCELLED)
+
+    def _exchange(self, race: _Race, slot: Slot) -> Answer:
+        connected = self._services.connect(slot.upstream, CONNECT_TIMEOUT_S)
+        if connected.is_err():
+            slot.finish(Outcome.REFUSED)
+            return Err(call_errors.unreachable(slot.upstream.name))
+        race.may_have_run = True
+        started = self._timers.now()
+        remaining_s = race.call.deadline - started
+        match connected.ok().exchange(race.call.request, remaining_s):
+            case Ok(response):
+                failed = response.status >= 500
+                slot.finish(Outcome.FAILED if failed else Outcome.COMPLETED)
+                if not failed:
+                    self._patience_of(race.call).observe(self._timers.now() - started)
+                    self._budget.succeeded(race.call.pool.name)
+                headers = response_headers(response.headers)
+                return Ok(CallResponse(response.status, headers, response.body))
+            case Err(exc):
+                silent = isinstance(exc, UpstreamSilentError)
+                slot.finish(Outcome.SILENT if silent else Outcome.CRASHED)
+                return Err(call_errors.no_outcome(exc.peer))
+
+    def _patience_of(self, call: Call) -> _Patience:
+        return self._patience.setdefault(call.route.name, _Patience())
+
+
+def _is_last(race: _Race) -> bool:
+    return race.is_closed or len(race.tries) >= MAX_TRIES
+
+
+def _is_good(answer: Answer) -> bool:
+    return answer.is_ok() and answer.ok().status not in RETRIED_STATUS
+
+
+def _final(race: _Race, last: Answer) -> Answer:
+    if last.is_ok():
+        return last
+    ran = Ran.UNKNOWN if race.may_have_run else Ran.NO
+    return Err(call_errors.with_ran(last.err(), ran))
--- /dev/null
+++ b/tests/request/test_command.py
@@ -0,0 +1,105 @@
+import unittest
+import unittest.mock
+
+from boragedeck.ids import Ran
+from boragedeck.request.intents import IntentState
+from standins.memory import Faults
+from tests.request.world import World
+
+
+class CommandTest(unittest.TestCase):
+    def setUp(self):
+        self.world = World()
+
+    def ask(self, number, key, body=b"", advance_s=20.0):
+        asked = self.world.ask(number, key, body)
+        self.world.timers.advance(advance_s)
+        return asked.wait()
+
+    def state(self):
+        (row,) = self.world.rows().values()
+        return row.state
+
+    def test_the_same_key_gets_the_recorded_outcome_everywhere(self):
+        for number in (0, 0, 1, 2):
+            self.assertEqual(self.ask(number, "k").ok().body, b"k/1")
+
+    def test_another_body_under_the_same_key_is_refused(self):
+        self.ask(0, "k", b"one")
+        for number in (0, 1):
+            self.assertEqual(self.ask(number, "k", b"two").err().status, 422)
+        self.assertEqual(self.world.runs["k"], 1)
+
+    def test_the_same_key_at_once_on_all_routers_runs_once(self):
+        asked = [self.world.ask(number, "k") for number in (0, 1, 2, 0, 1, 2)]
+        self.world.timers.advance(20.0)
+        self.assertEqual({one.wait().ok().body for one in asked}, {b"k/1"})
+
+    def test_a_refused_connection_goes_to_another_replica(self):
+        self.world.trouble["refuse"] = 2
+        self.assertEqual(self.ask(0, "k").ok().body, b"k/1")
+
+    def test_a_command_that_reached_no_replica_can_be_asked_again(self):
+        self.world.trouble["refuse"] = 3
+        refused = self.ask(0, "k").err()
+        self.assertEqual((refused.ran, refused.status), (Ran.NO, 503))
+        self.assertIs(self.state(), IntentState.ABANDONED)
+        self.assertEqual(self.ask(1, "k").ok().body, b"k/1")
+
+    def test_a_broken_connection_is_an_unknown_outcome(self):
+        self.world.trouble["crash after run"] = 1
+        for number in (0, 0, 1):
+            error = self.ask(number, "k").err()
+            self.assertEqual((error.ran, error.code), (Ran.UNKNOWN, "outcome_unknown"))
+        self.assertEqual(self.world.runs["k"], 1)
+
+    def test_a_late_outcome_reaches_the_caller_who_asks_again(self):
+        self.world.trouble["late"] = 1
+        first = self.ask(0, "k", advance_s=9.0).err()
+        self.assertEqual((first.status, first.ran), (504, Ran.UNKNOWN))
+        self.world.timers.advance(10.0)
+        self.assertEqual(self.ask(1, "k").ok().body, b"k/1")
+
+    def test_a_large_response_goes_through_the_object_store(self):
+        key = "k" * 250
+        with unittest.mock.patch(
+            "boragedeck.process.intent_settler.MAX_INLINE_BODY_BYTES", 100
+        ):
+            self.ask(0, key)
+        self.assertIsNone(next(iter(self.world.rows().values())).response.body)
+        self.assertEqual(self.ask(1, key).ok().body, f"{key}/1".encode())
+
+    def test_a_store_that_is_down_refuses_at_once(self):
+        self.world.platform.faults = Faults(down=True)
+        for _ in range(3):
+            refused = self.ask(0, None, advance_s=0.1).err()
+            self.assertEqual((refused.status, refused.ran), (503, Ran.NO))
+            self.assertGreater(refused.retry_after_s, 0.0)
+        self.assertEqual(self.ask(0, "k", advance_s=0.1).err().ran, Ran.UNKNOWN)
+        self.world.platform.calls.clear()
+        for _ in range(600):
+            self.assertTrue(self.ask(0, "k", advance_s=1.0).is_err())
+        # Probes only: one in 5 s and its jitter.
+        self.assertLess(self.world.platform.calls.total(), 600 / 4.0 + 10)
+        self.world.heal()
+        self.assertEqual(self.ask(0, "k").ok().body, b"k/1")
+
+    def test_an_outcome_outlives_the_stores_outage(self):
+        self.world.fault_at = ("ran", lambda world, router: down(world))
+        self.assertEqual(self.ask(0, "k").ok().body, b"k/1")
+        self.world.timers.advance(600.0)
+        self.assertEqual(self.ask(0, "k").ok().body, b"k/1")
+        self.world.heal()
+        self.assertEqual(self.ask(1, "k").ok().body, b"k/1")
+
+    def test_a_gone_holder_leaves_an_unknown_outcome_at_once(self):
+        self.world.fault_at = ("connected", lambda world, router: router.kill())
+        asked = self.world.ask(0, "k")
+        self.world.timers.advance(1.0)
+        error = self.ask(1, "k", advance_s=0.5).err()
+        self.assertEqual((error.code, error.ran), ("outcome_unknown", Ran.UNKNOWN))
+        asked.kill()
+
+
+def down(world):
+    world.platform.faults = Faults(down=True)
