--- a/boragedeck/process/leases.py
+++ b/boragedeck/process/leases.py
@@ -140,6 +140,7 @@
         self._timers = timers
         self._own = own
         self._sightings: dict[str, _Sighting] = {}
+        self._held: dict[str, Lease] = {}
 
     def acquire(self, name: str) -> Result[Lease | None, StoreError]:
         """Acquire a lease if it is free.
@@ -152,6 +153,9 @@
         Result
             The lease, or None where it is not known to be free.
         """
+        held = self._held.get(name)
+        if held is not None and not held.is_lost:
+            return self.renew(held).map(lambda _: held)
         read = self._store.get(Table.LEASES, name)
         if read.is_err():
             return read
@@ -160,10 +164,10 @@
             return Ok(None)
         lease = Lease(name, _next_token(row, self._own), self._timers)
         lease.version = ABSENT if row is None else row.version
-        written = self._write(lease, self._row(lease), ())
-        match written:
+        match self._write(lease, self._row(lease), ()):
             case Ok(_):
                 self._sightings.pop(name, None)
+                self._held[name] = lease
                 return Ok(lease)
             case Err(StoreConflictError()):
                 return Ok(None)
@@ -186,7 +190,7 @@
             lease.safe_until = float("-inf")
             row = LeaseRow(NOBODY, lease.token, self.term_s, uuid.uuid4().hex)
             written = self._write_adopting(lease, row, ())
-            lease.is_lost = True
+            self._lose(lease)
             return written.map(lambda _: None)
 
     def forget(self, name: str) -> None:
@@ -226,7 +230,7 @@
         """
         with lease.lock:
             if lease.is_lost:
-                return Err(self._lost(lease))
+                return Err(_lost(lease))
             return self._write_adopting(lease, self._row(lease), writes)
 
     def _is_free(self, name: str, row: Row | None) -> bool:
@@ -255,8 +259,8 @@
             return Err(StoreUnavailableError(str(read.err()), step="read lease"))
         found = read.ok()
         if found is None or not self._is_own(lease, found):
-            lease.is_lost = True
-            return Err(self._lost(lease))
+            self._lose(lease)
+            return Err(_lost(lease))
         if found.version == lease.version:
             return written
         lease.version = found.version
@@ -308,8 +312,14 @@
         content = _decode(row)
         return content.holder == self._own and content.token == lease.token
 
-    def _lost(self, lease: Lease) -> LeaseLostError:
-        return LeaseLostError("the lease is lost", step="fenced write", peer=lease.name)
+    def _lose(self, lease: Lease) -> None:
+        lease.is_lost = True
+        if self._held.get(lease.name) is lease:
+            del self._held[lease.name]
+
+
+def _lost(lease: Lease) -> LeaseLostError:
+    return LeaseLostError("the lease is lost", step="fenced write", peer=lease.name)
 
 
 def _put(lease: Lease, row: LeaseRow) -> Put:
