Wire calls into the router, prune old intents, keep a cut response from passing

`/svc/{route}/...` reaches the services through the composition root. A planned stop waits for running commands and for outcomes that the store does not have yet. While draining, a keyed command is refused without the word "did not run", since an earlier request with its key may have run elsewhere.

A test of the HTTP client found that a response cut in the middle of its body passed as whole: urllib3 reports it only at the read that comes back empty.

--- a/boragedeck/connection/service.py
+++ b/boragedeck/connection/service.py
@@ -26,6 +26,7 @@
 ]
 
 MAX_RESPONSE_BYTES = 1024 * 1024
+READ_BYTES = 64 * 1024
 
 
 class ServiceRequest(msgspec.Struct, frozen=True):
@@ -163,9 +164,12 @@
             decode_content=False,
         )
         response = self._conn.getresponse()
-        body = response.read(MAX_RESPONSE_BYTES + 1, decode_content=False)
-        if len(body) > MAX_RESPONSE_BYTES:
-            text = f"the response is over {MAX_RESPONSE_BYTES} bytes"
-            return Err(UpstreamError(text, step="read", peer=self._upstream.name))
+        body = bytearray()
+        # Only the read that comes back empty tells whether the body was cut.
+        while part := response.read(READ_BYTES, decode_content=False):
+            body += part
+            if len(body) > MAX_RESPONSE_BYTES:
+                text = f"the response is over {MAX_RESPONSE_BYTES} bytes"
+                return Err(UpstreamError(text, step="read", peer=self._upstream.name))
         headers = tuple(response.headers.iteritems())
-        return Ok(ServiceResponse(response.status, headers, body))
+        return Ok(ServiceResponse(response.status, headers, bytes(body)))
--- a/boragedeck/process/command_parts.py
+++ b/boragedeck/process/command_parts.py
@@ -4,22 +4,28 @@
 from collections.abc import Callable
 
 import msgspec
+from result import Err, Ok, Result
 
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.service import Services
-from boragedeck.ids import RouterId
+from boragedeck.exceptions import RefusedError
+from boragedeck.ids import PoolName, RouterId
 from boragedeck.interfaces import Chooser, ConfigSource
 from boragedeck.process.intent_log import IntentLog
 from boragedeck.process.intent_settler import IntentSettler
 from boragedeck.process.intent_writer import IntentWriter
 from boragedeck.process.store_breaker import StoreBreaker
 from boragedeck.process.timers import TimerService
+from boragedeck.request import call_errors
 from boragedeck.request.call import CallService
 from boragedeck.request.calls import RetryBudget
 from boragedeck.request.command import CommandRunner
 from boragedeck.request.repeatable import RepeatableRunner
 
-__all__ = ["CallParts", "build_call_service"]
+__all__ = ["CallParts", "PacedRetryBudget", "build_call_service"]
+
+RETRIES_PER_S = 10.0
+MAX_RETRIES = 20.0
 
 
 class CallParts(msgspec.Struct, frozen=True):
@@ -41,6 +47,35 @@
     breaker: StoreBreaker
 
 
+class PacedRetryBudget:
+    """Budget of retries that only time earns.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    """
+
+    def __init__(self, timers: TimerService):
+        self._timers = timers
+        self._balance = MAX_RETRIES
+        self._at = timers.now()
+
+    def succeeded(self, pool: PoolName) -> None:
+        """Earn nothing."""
+
+    def spend(self, pool: PoolName, attempt: int) -> Result[float, RefusedError]:
+        """See `RetryBudget.spend`."""
+        now = self._timers.now()
+        earned = (now - self._at) * RETRIES_PER_S
+        self._balance = min(MAX_RETRIES, self._balance + earned)
+        self._at = now
+        if self._balance < 1.0:
+            return Err(call_errors.no_outcome(pool))
+        self._balance -= 1.0
+        return Ok(0.0)
+
+
 def build_call_service(
     *,
     cfg: ConfigSource,
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -10,11 +10,14 @@
 from boragedeck.connection.engine import open_run
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.platform import HttpPlatform
+from boragedeck.connection.service import HttpServices
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
 from boragedeck.process.answer_service import AnswerService
 from boragedeck.process.answers import AnswerTable
+from boragedeck.process.command_parts import PacedRetryBudget, build_call_service
 from boragedeck.process.copies import CopyStore
+from boragedeck.process.intent_pruner import IntentPruner
 from boragedeck.process.journal import Journal
 from boragedeck.process.keys import KeyRing
 from boragedeck.process.metrics import Metrics
@@ -29,6 +32,7 @@
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.abandonment import Abandonment, FixedGrace
 from boragedeck.request.api import Api
+from boragedeck.request.call_edge import CallEdge
 from boragedeck.request.generation import GenerationParts
 from boragedeck.version.config_messages import FetchConfig
 from boragedeck.version.config_store import ConfigStore
@@ -108,18 +112,35 @@
         status = StatusReport(
             self.own, self._membership, self._config, self._answers, self.timers
         )
+        self._calls = build_call_service(
+            cfg=self._config,
+            platform=platform,
+            chooser=RandomChooser(rng),
+            services=HttpServices(),
+            budget=PacedRetryBudget(self.timers),
+            timers=self.timers,
+            own=self.own.router,
+            routers=lambda: 1 + len(self._membership.members()),
+            is_alive=self._is_alive,
+            rng=rng,
+        )
+        self._pruner = IntentPruner(
+            platform, self._calls.breaker, self.timers, self._membership, rng
+        )
         self.api = Api(
             self._answers,
             self._config,
             KeyRing(self._config),
             self.metrics,
             lambda: msgspec.json.encode(status.read()),
+            CallEdge(self._calls.calls),
         )
 
     def start(self) -> None:
         """Serve peers and callers."""
         eventlet.spawn_n(self._server.serve)
         self._config.start()
+        self._pruner.start()
         eventlet.spawn_n(self._membership.refresh)
         eventlet.spawn_n(serve_http, self._listener, self.api)
 
@@ -134,7 +155,7 @@
         """
         self.api.is_draining = True
         until = self.timers.now() + self._settings.drain_s
-        while self._answers.running() and self.timers.now() < until:
+        while self._is_busy() and self.timers.now() < until:
             self.timers.sleep(DRAIN_POLL_S)
         self._answers.hand_over_all()
         self.api.is_stopping = True
@@ -142,6 +163,15 @@
         self._listener.close()
         self._server.close()
 
+    def _is_busy(self) -> bool:
+        # A command's outcome must be recorded before the process may end.
+        calls = self._calls
+        return bool(self._answers.running() or calls.calls.running() or calls.settler)
+
+    def _is_alive(self, router: RouterId) -> bool:
+        others = [member.router for member in self._membership.members()]
+        return router == self.own.router or router in others
+
 
 def _listen(address: Address):
     return eventlet.listen((address.host, address.port), backlog=1024)
--- a/boragedeck/process/intent_settler.py
+++ b/boragedeck/process/intent_settler.py
@@ -1,6 +1,5 @@
 """Brings the final states of this process's commands into the table service."""
 
-import eliot
 import eventlet
 import msgspec
 from result import Ok
@@ -8,6 +7,7 @@
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.store import ABSENT, Put, Row, Table
 from boragedeck.process.intent_writer import IntentWriter
+from boragedeck.process.logs import PartLog
 from boragedeck.process.store_breaker import StoreBreaker
 from boragedeck.process.timers import TimerService
 from boragedeck.request.intents import (
@@ -27,6 +27,8 @@
 MAX_UNSETTLED_BYTES = 32 * 1024 * 1024
 MAX_PARALLEL = 16
 
+_log = PartLog("intents")
+
 
 class _Final:
     def __init__(self, row_key: str, row: IntentRow, version: int | None, now: float):
@@ -183,7 +185,7 @@
             )
             if not is_over:
                 return
-            eliot.log_message("intents:outcome dropped", attempt=oldest.row.attempt)
+            _log.write("Outcome dropped.", attempt=oldest.row.attempt)
             self._drop(oldest.row_key)
 
     def _drop(self, row_key: str) -> None:
--- a/boragedeck/process/lease_keeper.py
+++ b/boragedeck/process/lease_keeper.py
@@ -2,15 +2,14 @@
 
 import random
 
-import eliot
-import xxhash
-
-from boragedeck.ids import Health, RouterId
+from boragedeck.ids import Health
 from boragedeck.interfaces import Membership
 from boragedeck.process.leases import Lease, LeaseLostError, LeaseTable
+from boragedeck.process.logs import PartLog
+from boragedeck.process.rendezvous import rank
 from boragedeck.process.timers import Subscription, TimerService
 
-__all__ = ["LeaseKeeper", "rank"]
+__all__ = ["LeaseKeeper"]
 
 STEPS_PER_TERM = 3
 """How often within its term a lease is renewed, and looked at by the first in
@@ -20,6 +19,8 @@
 MAX_INTERVAL_S = 600.0
 JITTER = 0.1
 
+_log = PartLog("lease")
+
 
 class LeaseKeeper:
     """Acquires and renews the leases that the process wants.
@@ -123,14 +124,14 @@
             self._table.release(lease)
             return
         self._held[name] = lease
-        eliot.log_message("lease:acquired", lease=name, token=lease.token)
+        _log.write("Acquired.", lease=name, token=lease.token)
 
     def _renew(self, name: str, lease: Lease) -> None:
         renewed = self._table.renew(lease)
         if lease.is_lost and self._held.get(name) is lease:
             del self._held[name]
         if isinstance(renewed.err(), LeaseLostError):
-            eliot.log_message("lease:lost", lease=name, token=lease.token)
+            _log.write("Lost.", lease=name, token=lease.token)
 
     def _interval_s(self, name: str) -> float:
         spread = 1.0 + self._rng.uniform(-JITTER, JITTER)
@@ -145,24 +146,5 @@
             for member in self._membership.members()
             if member.health is Health.HEALTHY
         ]
-        return rank(name, self._membership.own.router, healthy)
-
-
-def rank(name: str, own: RouterId, others: list[RouterId]) -> int:
-    """Return how many routers come before this one by rendezvous hash.
-
-    Parameters
-    ----------
-    name : str
-        What is spread, such as a lease's name.
-    own : RouterId
-        This router.
-    others : list of RouterId
-        The other routers that may take it.
-    """
-    own_score = _score(name, own)
-    return sum(_score(name, other) > own_score for other in others)
-
-
-def _score(name: str, router: RouterId) -> tuple[int, RouterId]:
-    return xxhash.xxh3_64_intdigest(f"{name}\0{router}".encode()), router
+        own = self._membership.own.router
+        return rank(name, [own, *healthy], str).index(own)
--- a/boragedeck/process/leases.py
+++ b/boragedeck/process/leases.py
@@ -154,8 +154,10 @@
             The lease, or None where it is not known to be free.
         """
         held = self._held.get(name)
-        if held is not None and not held.is_lost:
-            return self.renew(held).map(lambda _: held)
+        if held is not None:
+            renewed = self.renew(held)
+            if not held.is_lost:
+                return renewed.map(lambda _: held)
         read = self._store.get(Table.LEASES, name)
         if read.is_err():
             return read
--- a/boragedeck/process/store_breaker.py
+++ b/boragedeck/process/store_breaker.py
@@ -2,9 +2,8 @@
 
 import random
 
-import eliot
-
 from boragedeck.connection.store import Table, TableStore
+from boragedeck.process.logs import PartLog
 from boragedeck.process.timers import TimerService
 
 __all__ = ["StoreBreaker"]
@@ -15,6 +14,8 @@
 JITTER = 0.2
 PROBE_KEY = "probe"
 
+_log = PartLog("store")
+
 
 class StoreBreaker:
     """Tells callers at once that the store is down, and probes it meanwhile.
@@ -67,7 +68,7 @@
         self._failures += 1
         if not self._is_open and self._failures >= FAILURES_TO_OPEN:
             self._is_open = True
-            eliot.log_message("store:breaker opened", failures=self._failures)
+            _log.write("Writes fail; probing.", failures=self._failures)
             self._schedule_probe()
 
     def _schedule_probe(self) -> None:
@@ -87,4 +88,4 @@
 
     def _close(self) -> None:
         self._is_open = False
-        eliot.log_message("store:breaker closed")
+        _log.write("Writes are tried again.")
--- a/boragedeck/request/api.py
+++ b/boragedeck/request/api.py
@@ -88,8 +88,7 @@
         if response.closes:
             response.headers.append(("Connection", "close"))
         self._metrics.requests.labels(response.route, str(response.status)).inc()
-        phrase = HTTPStatus(response.status).phrase
-        start_response(f"{response.status} {phrase}", response.headers)
+        start_response(_status_line(response.status), response.headers)
         return response.body
 
     def _dispatch(self, environ: dict) -> Result[Response, RefusedError]:
@@ -211,7 +210,8 @@
             return Err(_no_such_path(environ["REQUEST_METHOD"], path))
         body = read_body(environ)
         if self.is_draining:
-            return Err(_draining())
+            is_certain = route.repeatable or "HTTP_IDEMPOTENCY_KEY" not in environ
+            return Err(_draining(Ran.NO if is_certain else Ran.UNKNOWN))
         return self._calls(organisation, route, path, environ, body)
 
     def _route(self, name: str, organisation: OrganisationName, kind: Kind) -> Route:
@@ -235,6 +235,12 @@
     return AnswerId(caller_id)
 
 
+def _status_line(status: int) -> str:
+    # Services may answer with a status that has no registered phrase.
+    known = status in HTTPStatus.__members__.values()
+    return f"{status} {HTTPStatus(status).phrase if known else 'Status'}"
+
+
 def _error_response(error: RefusedError) -> Response:
     headers = [JSON_TYPE]
     if error.retry_after_s is not None:
@@ -274,13 +280,13 @@
     )
 
 
-def _draining() -> RefusedError:
+def _draining(ran: Ran = Ran.NO) -> RefusedError:
     return RefusedError(
         "this router is stopping; come back through the balancer",
         status=503,
         kind="server_error",
         code="router_stopping",
-        ran=Ran.NO,
+        ran=ran,
         retry_after_s=1.0,
         step="admit",
     )
--- a/boragedeck/request/call.py
+++ b/boragedeck/request/call.py
@@ -1,11 +1,11 @@
 """Passes calls through to plain services: the entry point for the HTTP edge."""
 
-import eliot
 from result import Err, Ok, Result
 
 from boragedeck.connection.service import ServiceRequest
 from boragedeck.exceptions import RefusedError
 from boragedeck.interfaces import ConfigSource, Wanted
+from boragedeck.process.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.request import call_errors
 from boragedeck.request.call_headers import is_valid_header, request_headers
@@ -20,6 +20,8 @@
 MAX_KEY_CHARS = 255
 METHODS = frozenset({"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"})
 
+_log = PartLog("call")
+
 
 class CallService:
     """Passes calls through to plain services.
@@ -69,11 +71,15 @@
         try:
             runner = self._repeatables if call.route.repeatable else self._commands
             answer = runner.run(call)
-        except Exception:
-            eliot.write_traceback()
+        except Exception as exc:
+            _log.write("Call failed.", error=repr(exc))
             return Err(call_errors.outcome_unknown())
         return answer.map(lambda response: _with_id(response, req.request_id))
 
+    def running(self) -> int:
+        """Return how many commands are under way."""
+        return self._commands.running()
+
     def _check(self, req: CallRequest) -> Result[Call, RefusedError]:
         cfg = self._cfg.current()
         route = cfg.route(req.route)
--- a/boragedeck/request/command.py
+++ b/boragedeck/request/command.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-import eliot
 import eventlet
 import msgspec
 from eventlet.event import Event
@@ -13,6 +12,7 @@
 from boragedeck.ids import Ran, RouteName, RouterId
 from boragedeck.interfaces import Chooser, Outcome, Slot
 from boragedeck.process.intent_log import Attempt, Found, IntentLog, Started
+from boragedeck.process.logs import PartLog
 from boragedeck.process.store_breaker import StoreBreaker
 from boragedeck.process.timers import TimerService
 from boragedeck.request import call_errors
@@ -36,6 +36,8 @@
 MAX_POLL_S = 1.0
 REPLAYED = ("Idempotency-Replayed", "true")
 
+_log = PartLog("call")
+
 Answer = Result[CallResponse, RefusedError]
 
 
@@ -117,6 +119,10 @@
             return Err(call_errors.in_progress(status=504))
         return run.done.wait()
 
+    def running(self) -> int:
+        """Return how many commands are under way."""
+        return len(self._running)
+
     def _early_refusal(self, call: Call) -> RefusedError | None:
         if len(self._running) >= MAX_RUNNING:
             return call_errors.overloaded()
@@ -128,8 +134,8 @@
         answer: Answer = Err(call_errors.outcome_unknown())
         try:
             answer = self._begin(call)
-        except Exception:
-            eliot.write_traceback()
+        except Exception as exc:
+            _log.write("Call failed.", error=repr(exc))
         finally:
             del self._running[call.key.row_key]
             run.done.send(answer)
--- a/boragedeck/request/repeatable.py
+++ b/boragedeck/request/repeatable.py
@@ -1,6 +1,5 @@
 """Calls that may be repeated: tried on other upstreams, under a budget."""
 
-import eliot
 import eventlet
 import msgspec
 from eventlet.event import Event
@@ -10,6 +9,7 @@
 from boragedeck.exceptions import RefusedError, UpstreamSilentError
 from boragedeck.ids import Ran, RouteName
 from boragedeck.interfaces import Chooser, Outcome, Slot
+from boragedeck.process.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.request import call_errors
 from boragedeck.request.call_headers import response_headers
@@ -27,6 +27,8 @@
 DEVIATION_GAIN = 1 / 4
 DEVIATIONS = 4.0
 
+_log = PartLog("call")
+
 Answer = Result[CallResponse, RefusedError]
 
 
@@ -175,8 +177,8 @@
         answer: Answer = Err(call_errors.no_outcome(race.call.pool.name))
         try:
             answer = self._try_once(race)
-        except Exception:
-            eliot.write_traceback()
+        except Exception as exc:
+            _log.write("Call failed.", error=repr(exc))
         race.put(answer)
 
     def _try_once(self, race: _Race) -> Answer:
--- /dev/null
+++ b/tests/process/test_intent_pruner.py
@@ -0,0 +1,40 @@
+import unittest
+
+from boragedeck.connection.store import Put, Table
+from boragedeck.ids import RouterId
+from boragedeck.process.intent_pruner import (
+    PREFIXES,
+    REMEMBER_S,
+    WALK_INTERVAL_S,
+    IntentPruner,
+)
+from boragedeck.process.store_breaker import StoreBreaker
+from boragedeck.process.timers import ManualTimers
+from boragedeck.request.intents import IntentRow, encode_row
+from standins.memory import MemoryPlatform
+from tests.process.test_lease_keeper import FakeMembership, member
+
+
+class IntentPrunerTest(unittest.TestCase):
+    def test_old_rows_go_and_young_ones_stay(self):
+        timers = ManualTimers()
+        store = MemoryPlatform(sleep=timers.sleep)
+        everyone = [member(number) for number in range(3)]
+        for own in everyone:
+            breaker = StoreBreaker(store, timers)
+            membership = FakeMembership(own, everyone)
+            IntentPruner(store, breaker, timers, membership).start()
+
+        def write(prefix, age_s):
+            created = timers.wall() - age_s
+            row = IntentRow("attempt", RouterId("r"), "hash", created)
+            key = f"{prefix}-{age_s}"
+            store.commit([Put(Table.INTENTS, key, encode_row(row))])
+
+        for prefix in PREFIXES:
+            write(prefix, REMEMBER_S + 7200.0)
+            write(prefix, REMEMBER_S / 4)
+        timers.advance(WALK_INTERVAL_S + 600.0)
+        left = {row.key.split("-")[1] for row in store.scan(Table.INTENTS).ok()}
+        self.assertEqual(left, {str(REMEMBER_S / 4)})
+        self.assertEqual(len(store.scan(Table.INTENTS).ok()), len(PREFIXES))
--- /dev/null
+++ b/tests/request/test_repeatable.py
@@ -0,0 +1,99 @@
+import unittest
+from types import SimpleNamespace
+
+import eventlet
+from result import Err, Ok
+
+from boragedeck.connection.service import ServiceRequest, ServiceResponse
+from boragedeck.exceptions import UpstreamError, UpstreamRefusedError
+from boragedeck.ids import Ran
+from boragedeck.interfaces import Outcome, Wanted
+from boragedeck.process.command_parts import PacedRetryBudget
+from boragedeck.process.timers import ManualTimers
+from boragedeck.request.calls import Call
+from boragedeck.request.intents import CommandKey
+from boragedeck.request.repeatable import RepeatableRunner
+from tests.request.world import CONFIG, UPSTREAMS
+
+
+class RepeatableTest(unittest.TestCase):
+    """Each upstream does what the test says; `outcomes` are the slots' ends."""
+
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.behaviour = {}
+        self.outcomes = {}
+        self.calls = 0
+        self.budget = PacedRetryBudget(self.timers)
+        self.runner = RepeatableRunner(self, self, self.budget, self.timers)
+
+    def acquire(self, wanted):
+        left = [one for one in UPSTREAMS if one.name not in wanted.excluded]
+        return Ok(SimpleNamespace(upstream=left[0], finish=self.finisher(left[0])))
+
+    def finisher(self, upstream):
+        return lambda outcome: self.outcomes.setdefault(upstream.name, outcome)
+
+    def connect(self, upstream, timeout_s):
+        self.calls += 1
+        act = self.behaviour.get(upstream.name, lambda: Ok(ServiceResponse(200)))
+        if act == "refuse":
+            return Err(UpstreamRefusedError("refused"))
+        return Ok(SimpleNamespace(exchange=lambda req, timeout_s: act()))
+
+    def run_call(self, advance_s=0.5):
+        route, pool = CONFIG.routes[1], CONFIG.pools[0]
+        wanted = Wanted(route, pool, "o", None, 0, 0, "f")
+        request = ServiceRequest("GET", "/")
+        deadline = self.timers.now() + 8.0
+        key = CommandKey("k", "h")
+        call = Call(key, route, pool, request, wanted, True, deadline)
+        running = eventlet.spawn(self.runner.run, call)
+        self.timers.advance(advance_s)
+        return running
+
+    def slow(self, seconds):
+        def act():
+            self.timers.sleep(seconds)
+            return Ok(ServiceResponse(200, (), b"slow"))
+
+        return act
+
+    def test_a_failed_try_is_followed_by_another(self):
+        self.behaviour = {
+            "s1": lambda: Err(UpstreamError("broke")),
+            "s2": lambda: Ok(ServiceResponse(503)),
+        }
+        self.assertEqual(self.run_call().wait().ok().status, 200)
+        self.assertEqual(self.calls, 3)
+
+    def test_a_late_try_gets_a_second_and_is_cancelled(self):
+        self.behaviour = {"s1": self.slow(6.0)}
+        self.assertEqual(self.run_call(advance_s=1.5).wait().ok().body, b"")
+        self.assertIs(self.outcomes["s1"], Outcome.CANCELLED)
+
+    def test_a_late_try_is_not_cut_when_the_budget_is_spent(self):
+        self.budget.spend = lambda pool, attempt: Err(None)
+        self.behaviour = {"s1": self.slow(2.0)}
+        self.assertEqual(self.run_call(advance_s=3.0).wait().ok().body, b"slow")
+        self.assertEqual(self.calls, 1)
+
+    def test_patience_follows_the_routes_own_latency(self):
+        self.behaviour = {"s1": self.slow(0.01)}
+        for _ in range(30):
+            self.run_call().wait()
+        self.behaviour = {"s1": self.slow(6.0)}
+        self.assertTrue(self.run_call(advance_s=0.1).wait().is_ok())
+
+    def test_what_did_not_run_is_said_so(self):
+        self.behaviour = {one.name: "refuse" for one in UPSTREAMS}
+        self.assertIs(self.run_call().wait().err().ran, Ran.NO)
+        broke = UpstreamError("broke")
+        self.behaviour = {one.name: lambda: Err(broke) for one in UPSTREAMS}
+        self.assertIs(self.run_call().wait().err().ran, Ran.UNKNOWN)
+
+    def test_a_dead_pool_gets_no_storm(self):
+        self.behaviour = {one.name: "refuse" for one in UPSTREAMS}
+        for _ in range(100):
+            self.run_call(advance_s=0.0).wait()
+        self.assertLessEqual(self.calls, 100 + 20)
