--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -10,28 +10,30 @@
 from boragedeck.connection.engine import open_run
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.platform import HttpPlatform
+from boragedeck.connection.service import HttpServices
 from boragedeck.ids import RouterId
-from boragedeck.interfaces import FactBoard, Member
+from boragedeck.interfaces import Member
 from boragedeck.process.answer_service import AnswerService
 from boragedeck.process.answers import AnswerTable
 from boragedeck.process.chooser import PoolChooser
 from boragedeck.process.claims import Claims, ClaimTable
+from boragedeck.process.command_parts import CallParts, build_call_service
 from boragedeck.process.copies import CopyStore
+from boragedeck.process.gossip import GossipBoard
+from boragedeck.process.intent_pruner import IntentPruner
 from boragedeck.process.journal import Journal
 from boragedeck.process.keys import KeyRing
 from boragedeck.process.load_gossip import LoadGossip
+from boragedeck.process.membership import GossipMembership
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.quarantine import Quarantine
 from boragedeck.process.settings import Settings
-from boragedeck.process.simple_parts import (
-    DeclaredVersion,
-    LocalFacts,
-    TableMembership,
-)
+from boragedeck.process.simple_parts import DeclaredVersion
 from boragedeck.process.status import StatusReport
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.abandonment import Abandonment, FixedGrace
 from boragedeck.request.api import Api
+from boragedeck.request.call_edge import CallEdge
 from boragedeck.request.generation import GenerationParts
 from boragedeck.version.config_messages import FetchConfig
 from boragedeck.version.config_store import ConfigStore
@@ -41,7 +43,8 @@
 
 DRAIN_POLL_S = 0.1
 CLOSE_PAUSE_S = 0.5
-MAX_ROUTER_ID_BYTES = 4
+ROUTER_ID_BYTES = 4
+BACKLOG = 1024
 
 
 class Router:
@@ -61,47 +64,121 @@
     """
 
     def __init__(self, settings: Settings):
-        rng = random.Random()
         self._settings = settings
-        self.timers = RealTimers(rng)
+        self._rng = random.Random()
+        self.timers = RealTimers(self._rng)
         self.metrics = Metrics()
         self._listener = _listen(settings.listen)
         peer_listener = _listen(settings.peer_listen)
         self.http_address = _advertised(settings.advertise, self._listener)
         self.own = Member(
-            RouterId(f"{settings.vm}-{secrets.token_hex(MAX_ROUTER_ID_BYTES)}"),
+            RouterId(f"{settings.vm}-{secrets.token_hex(ROUTER_ID_BYTES)}"),
             settings.vm,
             settings.failure_domain,
             _advertised(settings.peer_advertise, peer_listener),
         )
         self._server = PeerServer(peer_listener)
         self._links = PeerLinks(self.timers)
-        platform = HttpPlatform(settings.platform_url)
-        self._membership = TableMembership(
-            self.own, self.http_address, platform, self.timers
+        self._platform = HttpPlatform(settings.platform_url)
+        self._board = GossipBoard(
+            self.own, self.timers, self._links, self._server, self._rng
         )
-        board = LocalFacts(self.own.router)
-        self._config = ConfigWatch(
-            ConfigStore(platform, self.timers),
+        self._membership = self._make_membership()
+        self._config = self._make_config()
+        self._chooser = self._make_chooser()
+        self._answers = self._make_answers()
+        self._calls = self._make_calls()
+        self._pruner = IntentPruner(
+            self._platform,
+            self._calls.breaker,
             self.timers,
-            board=board,
+            self._membership,
+            self._rng,
+        )
+        self.api = self._make_api()
+
+    def start(self) -> None:
+        """Serve peers and callers."""
+        eventlet.spawn_n(self._server.serve)
+        self._board.start()
+        self._membership.start()
+        self._config.start()
+        self._pruner.start()
+        eventlet.spawn_n(serve_http, self._listener, self.api)
+
+    def drain(self) -> None:
+        """Stop without cutting off a request; returns when all is handed over.
+
+        Notes
+        -----
+        New requests are refused at once, saying that they did not run. Running
+        answers may end within the drain time; what is left goes to the copy
+        holders, and callers are told to reattach.
+        """
+        self.api.is_draining = True
+        self._membership.leave()
+        until = self.timers.now() + self._settings.drain_s
+        while self._is_busy() and self.timers.now() < until:
+            self.timers.sleep(DRAIN_POLL_S)
+        self._answers.hand_over_all()
+        self.api.is_stopping = True
+        self.timers.sleep(CLOSE_PAUSE_S)
+        self._listener.close()
+        self._server.close()
+
+    def _make_membership(self) -> GossipMembership:
+        return GossipMembership(
+            self.own,
+            self.timers,
+            self._links,
+            self._server,
+            self._platform,
+            self._rng,
+            board=self._board,
+            callers=self.http_address,
+            seeds=self._settings.seed_peers,
+        )
+
+    def _make_config(self) -> ConfigWatch:
+        config = ConfigWatch(
+            ConfigStore(self._platform, self.timers),
+            self.timers,
+            board=self._board,
             membership=self._membership,
             links=self._links,
-            rng=rng,
+            rng=self._rng,
+        )
+        self._server.register(FetchConfig, config.answer_fetch)
+        return config
+
+    def _make_chooser(self) -> PoolChooser:
+        claims = Claims(self._membership, self._links, ClaimTable(self.timers))
+        claims.register(self._server)
+        self.quarantine = Quarantine(self.timers, self._board, self._config, claims)
+        chooser = PoolChooser(
+            self.timers,
+            self._config,
+            self._board,
+            self.own.failure_domain,
+            self._rng,
+            self.quarantine,
         )
-        self._server.register(FetchConfig, self._config.answer_fetch)
+        LoadGossip(self.timers, self._board, chooser.registry)
+        return chooser
+
+    def _make_answers(self) -> AnswerService:
         journal = Journal(self._membership, self._links, self.timers, self.metrics)
         parts = GenerationParts(
-            chooser=self._make_chooser(board, rng),
+            chooser=self._chooser,
             journal=journal,
             config=self._config,
             versions=DeclaredVersion(),
             timers=self.timers,
             metrics=self.metrics,
             open_run=open_run,
-            rng=rng,
+            rng=self._rng,
         )
-        self._answers = AnswerService(
+        answers = AnswerService(
             parts,
             AnswerTable(self.timers),
             CopyStore(self.timers),
@@ -109,62 +186,48 @@
             self._links,
             Abandonment(FixedGrace(), self.timers, self.metrics),
         )
-        self._answers.register(self._server)
+        answers.register(self._server)
+        return answers
+
+    def _make_calls(self) -> CallParts:
+        return build_call_service(
+            cfg=self._config,
+            platform=self._platform,
+            chooser=self._chooser,
+            services=HttpServices(),
+            budget=self._chooser.budget,
+            timers=self.timers,
+            own=self.own.router,
+            routers=self._membership.routers,
+            is_alive=self._is_alive,
+            rng=self._rng,
+        )
+
+    def _make_api(self) -> Api:
         status = StatusReport(
             self.own, self._membership, self._config, self._answers, self.timers
         )
-        self.api = Api(
+        return Api(
             self._answers,
             self._config,
             KeyRing(self._config),
             self.metrics,
             lambda: msgspec.json.encode(status.read()),
+            CallEdge(self._calls.calls),
         )
 
-    def _make_chooser(self, board: FactBoard, rng: random.Random) -> PoolChooser:
-        claims = Claims(self._membership, self._links, ClaimTable(self.timers))
-        claims.register(self._server)
-        self.quarantine = Quarantine(self.timers, board, self._config, claims)
-        chooser = PoolChooser(
-            self.timers,
-            self._config,
-            board,
-            self.own.failure_domain,
-            rng,
-            self.quarantine,
-        )
-        LoadGossip(self.timers, board, chooser.registry)
-        return chooser
+    def _is_busy(self) -> bool:
+        # A command's outcome must be recorded before the process may end.
+        calls = self._calls
+        return bool(self._answers.running() or calls.calls.running() or calls.settler)
 
-    def start(self) -> None:
-        """Serve peers and callers."""
-        eventlet.spawn_n(self._server.serve)
-        self._config.start()
-        eventlet.spawn_n(self._membership.refresh)
-        eventlet.spawn_n(serve_http, self._listener, self.api)
-
-    def drain(self) -> None:
-        """Stop without cutting off a request; returns when all is handed over.
-
-        Notes
-        -----
-        New requests are refused at once, saying that they did not run. Running
-        answers may end within the drain time; what is left goes to the copy
-        holders, and callers are told to reattach.
-        """
-        self.api.is_draining = True
-        until = self.timers.now() + self._settings.drain_s
-        while self._answers.running() and self.timers.now() < until:
-            self.timers.sleep(DRAIN_POLL_S)
-        self._answers.hand_over_all()
-        self.api.is_stopping = True
-        self.timers.sleep(CLOSE_PAUSE_S)
-        self._listener.close()
-        self._server.close()
+    def _is_alive(self, router: RouterId) -> bool:
+        others = [member.router for member in self._membership.members()]
+        return router == self.own.router or router in others
 
 
 def _listen(address: Address):
-    return eventlet.listen((address.host, address.port), backlog=1024)
+    return eventlet.listen((address.host, address.port), backlog=BACKLOG)
 
 
 def _advertised(host: str, listener) -> Address:
