Measure the first token with streams that start apart

Callers of the earlier run sent twenty equal new prompts at once, which the quarantine holds back on purpose until one has proved harmless; equal prompts are no measure of added latency. Streams now start 50 ms apart with prompts of their own, and a burst of twenty is reported beside.

--- a/benchmarks/answers.py
+++ b/benchmarks/answers.py
@@ -8,6 +8,7 @@
 import signal
 import statistics
 import time
+import uuid
 
 from boragedeck.patching import patch_all
 
@@ -24,6 +25,8 @@
 
 STREAMS = 20
 LATENCY_TOKENS = 150
+BURST_TOKENS = 20
+STAGGER_S = 0.05
 LATENCY_INTERVAL_MS = 20.0
 THROUGHPUT_STREAMS = 40
 THROUGHPUT_TOKENS = 1_500
@@ -92,14 +95,18 @@
         key = cluster.api_keys["mehurcek"]
         engines = [e.url for e in cluster.engines[:4]]
         targets = [(engines[i % 4], "", "v1") for i in range(STREAMS)]
-        direct = _read_all(targets, LATENCY_TOKENS)
+        direct = _read_all(targets, LATENCY_TOKENS, STAGGER_S)
+        direct_burst = _read_all(targets, BURST_TOKENS)
         targets = [(cluster.routers[0].url, key, "orders")] * STREAMS
-        routed = _read_all(targets, LATENCY_TOKENS)
+        routed = _read_all(targets, LATENCY_TOKENS, STAGGER_S)
+        burst = _read_all(targets, BURST_TOKENS)
     finally:
         cluster.stop()
+    first, first_burst = _first_tokens(routed), _first_tokens(burst)
     return [
-        *_compare("first token", _first_tokens(routed), _first_tokens(direct), 10.0),
+        *_compare("first token", first, _first_tokens(direct), 10.0),
         *_compare("gap", _all_gaps(routed), _all_gaps(direct), 3.0),
+        *_compare("first of a burst", first_burst, _first_tokens(direct_burst), 10.0),
     ]
 
 
@@ -121,14 +128,20 @@
     return [gap for reading in readings for gap in reading.gaps()]
 
 
-def _read_all(targets, tokens: int) -> list[_Reading]:
+def _read_all(targets, tokens: int, stagger_s: float = 0.0) -> list[_Reading]:
+    def read(i: int) -> _Reading:
+        eventlet.sleep(i * stagger_s)
+        return _read_one(*targets[i], tokens)
+
     pool = eventlet.GreenPool(len(targets))
-    return list(pool.imap(lambda target: _read_one(*target, tokens), targets))
+    return list(pool.imap(read, range(len(targets))))
 
 
 def _read_one(url: str, key: str, model: str, tokens: int) -> _Reading:
     reading = _Reading()
-    reading.take(Caller(url, key).chat(model, PROMPT, tokens))
+    # Callers ask different things; the quarantine holds back equal new prompts.
+    prompt = f"{uuid.uuid4()}: {PROMPT}"
+    reading.take(Caller(url, key).chat(model, prompt, tokens))
     if not reading.is_whole(tokens):
         raise RuntimeError(f"answer from {url} is not whole")
     return reading
