Give routers gossip and heartbeats

The composition root joined each router to a board that stayed local and to members that were read from the table only.

Two routers that start together now write their rows before they scan: either order left both alone for a scan interval in the worst case.

The baselines that this replaces are removed.

--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -15,15 +15,15 @@
 from boragedeck.process.answer_service import AnswerService
 from boragedeck.process.answers import AnswerTable
 from boragedeck.process.copies import CopyStore
+from boragedeck.process.gossip import GossipBoard
 from boragedeck.process.journal import Journal
 from boragedeck.process.keys import KeyRing
+from boragedeck.process.membership import GossipMembership
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.settings import Settings
 from boragedeck.process.simple_parts import (
     DeclaredVersion,
-    LocalFacts,
     RandomChooser,
-    TableMembership,
 )
 from boragedeck.process.status import StatusReport
 from boragedeck.process.timers import RealTimers
@@ -74,12 +74,22 @@
         self._server = PeerServer(peer_listener)
         self._links = PeerLinks(self.timers)
         platform = HttpPlatform(settings.platform_url)
-        self._membership = TableMembership(self.own, platform, self.timers)
-        board = LocalFacts(self.own.router)
+        self._board = GossipBoard(self.own, self.timers, self._links, self._server, rng)
+        self._membership = GossipMembership(
+            self.own,
+            self.timers,
+            self._links,
+            self._server,
+            platform,
+            rng,
+            board=self._board,
+            callers=self.http_address,
+            seeds=settings.seed_peers,
+        )
         self._config = ConfigWatch(
             ConfigStore(platform, self.timers),
             self.timers,
-            board=board,
+            board=self._board,
             membership=self._membership,
             links=self._links,
             rng=rng,
@@ -120,7 +130,8 @@
         """Serve peers and callers."""
         eventlet.spawn_n(self._server.serve)
         self._config.start()
-        eventlet.spawn_n(self._membership.refresh)
+        self._board.start()
+        self._membership.start()
         eventlet.spawn_n(serve_http, self._listener, self.api)
 
     def drain(self) -> None:
@@ -133,6 +144,7 @@
         holders, and callers are told to reattach.
         """
         self.api.is_draining = True
+        eventlet.spawn_n(self._membership.leave)
         until = self.timers.now() + self._settings.drain_s
         while self._answers.running() and self.timers.now() < until:
             self.timers.sleep(DRAIN_POLL_S)
--- a/boragedeck/process/member_table.py
+++ b/boragedeck/process/member_table.py
@@ -1,5 +1,6 @@
 """Members in the platform: a row for each router, and the list of VMs."""
 
+import functools
 import random
 from collections.abc import Callable
 
@@ -20,6 +21,7 @@
 MAX_WRITES_PER_S = 10.0
 MIN_ROW_INTERVAL_S = 10.0
 MIN_SCAN_INTERVAL_S = 15.0
+ALONE_SCAN_INTERVAL_S = 2.0
 SCAN_INTERVAL_PER_ROUTER_S = 1.0
 MIN_VMS_INTERVAL_S = 2.0
 VMS_INTERVAL_PER_ROUTER_S = 0.25
@@ -102,9 +104,7 @@
 
     def start(self) -> None:
         """Read and write from now on, for ever and each at its own interval."""
-        self._repeat(self.write_row, self._row_interval_s)
-        self._repeat(self.scan, self._scan_interval_s)
-        self._repeat(self.read_vms, self._vms_interval_s)
+        eventlet.spawn_n(self._begin)
 
     def leave(self) -> None:
         """Remove this router's row and write none again."""
@@ -167,23 +167,29 @@
             # The condition spares a router that has come back in the meantime.
             self._platform.commit([Delete(Table.MEMBERS, row.key, row.version)])
 
-    def _repeat(self, step: Callable[[], None], interval_s: Callable[[], float]):
-        def run() -> None:
-            if self._is_stopped:
-                return
-            try:
-                step()
-            except Exception as exc:
-                eliot.log_message("membership: step failed", error=repr(exc))
-            spread = self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
-            self._timers.call_later(interval_s() * spread, run)
-
-        eventlet.spawn_n(run)
+    def _begin(self) -> None:
+        # Of two routers that start together, one scans after the other wrote.
+        self._step(self.write_row, self._row_interval_s)
+        self._step(self.scan, self._scan_interval_s)
+        self._step(self.read_vms, self._vms_interval_s)
+
+    def _step(self, step: Callable[[], None], interval_s: Callable[[], float]):
+        if self._is_stopped:
+            return
+        try:
+            step()
+        except Exception as exc:
+            eliot.log_message("membership: step failed", error=repr(exc))
+        spread = self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
+        again = functools.partial(self._step, step, interval_s)
+        self._timers.call_later(interval_s() * spread, again)
 
     def _row_interval_s(self) -> float:
         return max(MIN_ROW_INTERVAL_S, self._watcher.routers() / MAX_WRITES_PER_S)
 
     def _scan_interval_s(self) -> float:
+        if self._watcher.routers() == 1:
+            return ALONE_SCAN_INTERVAL_S
         per_router = SCAN_INTERVAL_PER_ROUTER_S * self._watcher.routers()
         return max(MIN_SCAN_INTERVAL_S, per_router)
 
--- a/boragedeck/process/simple_parts.py
+++ b/boragedeck/process/simple_parts.py
@@ -1,23 +1,16 @@
 """Plain ways to do what better parts do: baselines for measurements and tests."""
 
 import random
-from collections.abc import Callable
 
-import msgspec
 from result import Err, Ok, Result
 
-from boragedeck.connection.messages import Fact, FactTopic
-from boragedeck.connection.platform import Platform
-from boragedeck.connection.store import Put, Table
 from boragedeck.exceptions import RefusedError
-from boragedeck.ids import RouterId, Version
-from boragedeck.interfaces import Member, Outcome, Sample, Wanted
-from boragedeck.process.timers import TimerService
+from boragedeck.ids import Version
+from boragedeck.interfaces import Outcome, Sample, Wanted
 from boragedeck.version.tables import Route, Upstream
 
-__all__ = ["DeclaredVersion", "LocalFacts", "RandomChooser", "TableMembership"]
+__all__ = ["DeclaredVersion", "RandomChooser"]
 
-MEMBER_REFRESH_S = 2.0
 RETRY_AFTER_S = 2.0
 
 
@@ -72,77 +65,6 @@
         """Learn nothing."""
 
 
-class TableMembership:
-    """Members as rows of the platform's table, without heartbeats.
-
-    Parameters
-    ----------
-    own : Member
-        This router.
-    platform : Platform
-        Where the rows are.
-    timers : TimerService
-        The source of time.
-    """
-
-    def __init__(self, own: Member, platform: Platform, timers: TimerService):
-        self.own = own
-        self._platform = platform
-        self._members: list[Member] = []
-        timers.subscribe(MEMBER_REFRESH_S, self.refresh)
-
-    def members(self) -> list[Member]:
-        """See `Membership.members`."""
-        return self._members
-
-    def suspect(self, router: RouterId) -> None:
-        """Learn nothing."""
-
-    def refresh(self) -> None:
-        """Write this router's row and read the others'."""
-        row = Put(Table.MEMBERS, self.own.router, msgspec.json.encode(self.own))
-        self._platform.commit([row])
-        rows = self._platform.scan(Table.MEMBERS)
-        if rows.is_ok():
-            members = [msgspec.json.decode(r.value, type=Member) for r in rows.ok()]
-            self._members = [m for m in members if m.router != self.own.router]
-
-
-class LocalFacts:
-    """Facts that stay in this router.
-
-    Parameters
-    ----------
-    own : RouterId
-        This router.
-    """
-
-    def __init__(self, own: RouterId):
-        self.own = own
-        self._facts: dict[tuple[FactTopic, str], Fact] = {}
-        self._callbacks: dict[FactTopic, list[Callable[[Fact], None]]] = {}
-
-    def publish(
-        self, topic: FactTopic, key: str, body: bytes, *, ttl_s: float = 60.0
-    ) -> Fact:
-        """See `FactBoard.publish`."""
-        old = self._facts.get((topic, key))
-        number = 1 if old is None else old.number + 1
-        fact = Fact(topic, key, self.own, number, body, ttl_s)
-        self._facts[topic, key] = fact
-        for callback in self._callbacks.get(topic, []):
-            callback(fact)
-        return fact
-
-    def facts(self, topic: FactTopic) -> list[Fact]:
-        """See `FactBoard.facts`."""
-        return [fact for (t, _), fact in self._facts.items() if t is topic]
-
-    def subscribe(self, topic: FactTopic, callback: Callable[[Fact], None]) -> None:
-        """See `FactBoard.subscribe`."""
-        self._callbacks.setdefault(topic, []).append(callback)
-
-
 def _no_upstream_error(wanted: Wanted) -> RefusedError:
     return RefusedError(
         f"pool {wanted.pool.name!r} has no upstream for this request now",
