Show quarantined requests to operators

A router's report now lists what it holds back, and boragedeck quarantine merges the reports of all routers: fingerprint, route, the upstreams that it crashed with their versions, until when, and how many routers agree.

--- a/boragedeck/cli/commands.py
+++ b/boragedeck/cli/commands.py
@@ -5,7 +5,7 @@
 import typer
 
 import boragedeck
-from boragedeck.cli import keys, status, tables
+from boragedeck.cli import keys, quarantine, status, tables
 
 __all__ = ["app"]
 
@@ -47,4 +47,5 @@
 app.command("diff")(tables.diff)
 app.command("history")(tables.history)
 app.command("status")(status.status)
+app.command("quarantine")(quarantine.quarantine)
 app.command("hash-key")(keys.hash_key)
--- /dev/null
+++ b/boragedeck/cli/quarantine.py
@@ -0,0 +1,67 @@
+"""Command that shows which requests are held back, and why."""
+
+import msgspec
+
+from boragedeck.cli.access import OutputOption, PlatformOption
+from boragedeck.cli.console import Console, ExitCode, Output, time_text
+from boragedeck.cli.fleet import FleetStatus, RouterOption, read_fleet
+from boragedeck.process.status import QuarantineStatus
+
+__all__ = ["quarantine"]
+
+
+class QuarantineView(msgspec.Struct, frozen=True):
+    """A request that is held back, and how many routers do so."""
+
+    quarantine: QuarantineStatus
+    routers: int
+
+
+def quarantine(
+    platform_url: PlatformOption = "",
+    output: OutputOption = Output.TABLE,
+    router: RouterOption = None,
+) -> None:
+    """Show which requests are held back because they crashed upstreams.
+
+    To let one through again, name its fingerprint in a [[route.quarantine_lift]]
+    of its route and apply the file.
+    """
+    console = Console(output)
+    fleet = read_fleet(console, platform_url, router)
+    silent = [view for view in fleet.routers if view.report is None]
+    for view in silent:
+        console.note(f"no answer from {view.url}: {view.error}")
+    if silent and len(silent) == len(fleet.routers):
+        console.fail(ExitCode.FAILED, "no router answers")
+    views = _merge(fleet)
+    console.json(views)
+    console.table(
+        ("FINGERPRINT", "ROUTE", "CRASHED", "VERSIONS", "UNTIL", "ROUTERS"),
+        (_cells(view, fleet) for view in views),
+    )
+
+
+def _merge(fleet: FleetStatus) -> list[QuarantineView]:
+    """Return each quarantine once, the one that ends first in front."""
+    found: dict[str, QuarantineView] = {}
+    for view in fleet.routers:
+        held = [] if view.report is None else view.report.quarantined
+        for item in held:
+            routers = (
+                found[item.fingerprint].routers if item.fingerprint in found else 0
+            )
+            found[item.fingerprint] = QuarantineView(item, routers + 1)
+    return sorted(found.values(), key=lambda view: view.quarantine.until)
+
+
+def _cells(view: QuarantineView, fleet: FleetStatus) -> tuple[str, ...]:
+    item = view.quarantine
+    return (
+        item.fingerprint,
+        item.route or "-",
+        ", ".join(item.upstreams),
+        ", ".join(sorted(set(item.versions))),
+        time_text(item.until),
+        f"{view.routers} of {len(fleet.routers)}",
+    )
--- a/boragedeck/cli/status.py
+++ b/boragedeck/cli/status.py
@@ -3,115 +3,20 @@
 from collections import Counter
 from typing import Annotated
 
-import eventlet
-import msgspec
 import typer
-import urllib3
-from result import Err, Ok, Result
 
-from boragedeck.cli.access import OutputOption, PlatformOption, open_platform, unwrap
+from boragedeck.cli.access import OutputOption, PlatformOption
 from boragedeck.cli.console import Console, ExitCode, Output
-from boragedeck.connection.platform import Platform
-from boragedeck.connection.store import Row, Table
-from boragedeck.exceptions import BoragedeckError, PeerError, PeerUnreachableError
-from boragedeck.ids import Health, RouterId
-from boragedeck.process.member_row import MemberRow
-from boragedeck.process.settings import check_url
-from boragedeck.process.status import Status
-from boragedeck.process.timers import RealTimers
-from boragedeck.version.config_store import ConfigStore
+from boragedeck.cli.fleet import FleetStatus, RouterOption, RouterView, read_fleet
+from boragedeck.ids import Health
 
-__all__ = ["FleetStatus", "LeaseView", "RouterView", "ask_routers", "status"]
-
-STATUS_PATH = "/-/status"
-ASK_TIMEOUT_S = 2.0
-MAX_ASKED_AT_ONCE = 32
-PAGE_ROWS = 500
-MAX_ROWS = 5000
-
-
-class LeaseView(msgspec.Struct, frozen=True):
-    """A lease as its row tells.
-
-    Parameters
-    ----------
-    name : str
-        The lease's name.
-    holder : RouterId
-        The router that wrote the row last; empty once the lease is released.
-    token : int
-        The fencing token.
-    """
-
-    name: str
-    holder: RouterId
-    token: int
-
-
-class RouterView(msgspec.Struct, frozen=True):
-    """A router's report, or why there is none.
-
-    Parameters
-    ----------
-    url : str
-        Where it was asked.
-    report : Status or None
-        What it answered.
-    error : str
-        Why it did not answer; empty where it did.
-    row_age_s : float or None
-        Age of its row in the members table, in seconds by this machine's clock.
-    """
-
-    url: str
-    report: Status | None
-    error: str = ""
-    row_age_s: float | None = None
-
-
-class FleetStatus(msgspec.Struct, frozen=True):
-    """All that the command shows.
-
-    Parameters
-    ----------
-    accepted_revision : int or None
-        The newest accepted revision; None where the platform can't be read.
-    routers : tuple of RouterView
-        The routers.
-    leases : tuple of LeaseView
-        The leases.
-    platform_error : str
-        Why the platform can't be read; empty where it can.
-    """
-
-    accepted_revision: int | None
-    routers: tuple[RouterView, ...]
-    leases: tuple[LeaseView, ...] = ()
-    platform_error: str = ""
-
-    def is_in_force(self, view: RouterView) -> bool:
-        """Return whether a router has the accepted revision in force."""
-        report = view.report
-        return report is not None and report.config.revision == self.accepted_revision
-
-
-class _LeaseBody(msgspec.Struct, frozen=True):
-    """What is shown of a lease's row."""
-
-    holder: RouterId
-    token: int
+__all__ = ["status"]
 
 
 def status(
     platform_url: PlatformOption = "",
     output: OutputOption = Output.TABLE,
-    router: Annotated[
-        list[str] | None,
-        typer.Option(
-            "--router",
-            help="Ask the router at this URL too; of use while the platform is down.",
-        ),
-    ] = None,
+    router: RouterOption = None,
     check: Annotated[
         bool,
         typer.Option(
@@ -123,112 +28,15 @@
 ) -> None:
     """Show each router's revision in force, its age and peers, and the leases."""
     console = Console(output)
-    urls = [_router_url(console, text) for text in router or []]
-    platform = open_platform(console, platform_url)
-    found = _read(platform)
-    if found.is_err() and not urls:
-        unwrap(console, found)
-    fleet = found.unwrap_or(FleetStatus(None, (), platform_error=str(found.err())))
-    known = {view.url: view.row_age_s for view in fleet.routers}
-    ages = {url: known.get(url) for url in [*known, *urls]}
-    fleet = msgspec.structs.replace(fleet, routers=tuple(ask_routers(ages)))
+    fleet = read_fleet(console, platform_url, router)
     console.json(fleet)
     _show(console, fleet)
     if check and not all(map(fleet.is_in_force, fleet.routers)):
         raise typer.Exit(ExitCode.FAILED)
 
 
-def ask_routers(ages: dict[str, float | None]) -> list[RouterView]:
-    """Ask routers for their reports, some at a time.
-
-    Parameters
-    ----------
-    ages : dict of str to float or None
-        Ages of the routers' rows in seconds, by the routers' URLs.
-    """
-    http = urllib3.PoolManager(num_pools=MAX_ASKED_AT_ONCE, retries=False)
-    pool = eventlet.GreenPool(MAX_ASKED_AT_ONCE)
-    answers = pool.imap(lambda url: _ask(http, url), ages)
-    views = []
-    for (url, age), answer in zip(ages.items(), answers, strict=True):
-        error = str(answer.err()) if answer.is_err() else ""
-        views.append(RouterView(url, answer.ok(), error, age))
-    return views
-
-
-def _ask(http: urllib3.PoolManager, url: str) -> Result[Status, PeerError]:
-    where = {"step": "status", "peer": url}
-    try:
-        response = http.request("GET", url + STATUS_PATH, timeout=ASK_TIMEOUT_S)
-    except (urllib3.exceptions.HTTPError, OSError) as exc:
-        return Err(PeerUnreachableError(str(exc), **where))
-    if response.status != 200:
-        return Err(PeerError(f"status {response.status}", **where))
-    try:
-        return Ok(msgspec.json.decode(response.data, type=Status))
-    except msgspec.MsgspecError as exc:
-        return Err(PeerError(str(exc), **where))
-
-
-def _read(platform: Platform) -> Result[FleetStatus, BoragedeckError]:
-    """Read what the platform's tables tell; the routers aren't asked yet."""
-    timers = RealTimers()
-    newest = ConfigStore(platform, timers).read_revision()
-    if newest.is_err():
-        return newest
-    members = _scan(platform, Table.MEMBERS)
-    if members.is_err():
-        return members
-    leases = _scan(platform, Table.LEASES)
-    if leases.is_err():
-        return leases
-    views = [_member_view(row, timers.wall()) for row in members.ok()]
-    revision = newest.ok().revision if newest.ok() is not None else 0
-    shown = [view for view in map(_lease_view, leases.ok()) if view is not None]
-    return Ok(FleetStatus(revision, tuple(filter(None, views)), tuple(shown)))
-
-
-def _scan(platform: Platform, table: Table) -> Result[list[Row], BoragedeckError]:
-    rows: list[Row] = []
-    while len(rows) < MAX_ROWS:
-        after = rows[-1].key if rows else ""
-        page = platform.scan(table, after=after, limit=PAGE_ROWS)
-        if page.is_err():
-            return page
-        rows += page.ok()
-        if len(page.ok()) < PAGE_ROWS:
-            break
-    return Ok(rows)
-
-
-def _member_view(row: Row, now: float) -> RouterView | None:
-    try:
-        member = msgspec.json.decode(row.value, type=MemberRow)
-    except msgspec.MsgspecError:
-        return None
-    return RouterView(f"http://{member.callers}", None, row_age_s=now - member.time)
-
-
-def _lease_view(row: Row) -> LeaseView | None:
-    try:
-        body = msgspec.json.decode(row.value, type=_LeaseBody)
-    except msgspec.MsgspecError:
-        return None
-    return LeaseView(row.key, body.holder, body.token)
-
-
-def _router_url(console: Console, text: str) -> str:
-    try:
-        return check_url(text)
-    except ValueError as exc:
-        got = f"--router got {text!r} ({exc})"
-        console.fail(ExitCode.USAGE, f"{got}; takes a URL such as http://10.0.0.1:8080")
-
-
 def _show(console: Console, fleet: FleetStatus) -> None:
-    if fleet.accepted_revision is None:
-        console.note(f"platform not readable: {fleet.platform_error}")
-    else:
+    if fleet.accepted_revision is not None:
         console.text(f"accepted revision {fleet.accepted_revision}")
     console.text("")
     header = ("ROUTER", "VM", "FAILURE DOMAIN", "REVISION", "IN FORCE", "CONFIRMED")
--- /dev/null
+++ b/boragedeck/cli/table_views.py
@@ -0,0 +1,62 @@
+"""Tables for people of the configuration and of its history."""
+
+from boragedeck.cli.console import Console, time_text
+from boragedeck.version.config_store import Change
+from boragedeck.version.tables import Config
+
+__all__ = ["show_changes", "show_config"]
+
+
+def show_changes(console: Console, changes: list[Change]) -> None:
+    """Print who changed what, in order."""
+    for change in changes:
+        console.text(
+            f"revision {change.revision}  {time_text(change.time)}  {change.author}"
+        )
+        for line in change.lines:
+            console.text(f"  {line}")
+
+
+def show_config(console: Console, cfg: Config) -> None:
+    """Print a configuration's organisations, routes and pools."""
+    console.text("")
+    console.table(
+        ("ORGANISATION", "WEIGHT", "KEYS"),
+        (
+            (row.name, f"{row.weight:g}", len(row.key_sha256))
+            for row in cfg.organisations
+        ),
+    )
+    console.text("")
+    console.table(
+        ("ROUTE", "KIND", "POOL", "VERSION", "DEADLINE", "PRIORITY", "ORGANISATIONS"),
+        (
+            (
+                route.name,
+                route.kind.value,
+                route.pool,
+                route.version or "any",
+                "-" if route.deadline is None else time_text(route.deadline),
+                route.priority.value,
+                ",".join(route.organisations),
+            )
+            for route in cfg.routes
+        ),
+    )
+    console.text("")
+    console.table(
+        ("POOL", "KIND", "UPSTREAM", "VERSION", "FAILURE DOMAIN", "WEIGHT", "URL"),
+        (
+            (
+                pool.name,
+                pool.kind.value,
+                upstream.name + (" (leaving)" if upstream.leaving else ""),
+                upstream.version or "-",
+                upstream.failure_domain,
+                f"{upstream.weight:g}",
+                upstream.url,
+            )
+            for pool in cfg.pools
+            for upstream in pool.upstreams
+        ),
+    )
--- a/boragedeck/cli/tables.py
+++ b/boragedeck/cli/tables.py
@@ -16,6 +16,7 @@
     unwrap,
 )
 from boragedeck.cli.console import Console, ExitCode, Output, time_text
+from boragedeck.cli.table_views import show_changes, show_config
 from boragedeck.process.timers import RealTimers
 from boragedeck.version.checks import Checked, check
 from boragedeck.version.config_store import (
@@ -28,7 +29,6 @@
 from boragedeck.version.dump import to_toml
 from boragedeck.version.files import Tables, read_files
 from boragedeck.version.problems import Problem
-from boragedeck.version.tables import Config
 
 __all__ = ["apply", "diff", "get", "history"]
 
@@ -163,7 +163,7 @@
     console.json(stored.config)
     by = f" by {stored.author} at {time_text(stored.time)}" if stored.author else ""
     console.text(f"revision {stored.config.revision}{by}")
-    _show_config(console, stored.config)
+    show_config(console, stored.config)
 
 
 def history(
@@ -180,7 +180,7 @@
     after = max(0, newest.revision - limit) if newest is not None else 0
     changes = unwrap(console, store.changes(after, limit))
     console.json([_without_delta(change) for change in changes])
-    _show_changes(console, changes)
+    show_changes(console, changes)
 
 
 def _check(
@@ -247,59 +247,6 @@
     console.json(plan)
 
 
-def _show_changes(console: Console, changes: list[Change]) -> None:
-    for change in changes:
-        console.text(
-            f"revision {change.revision}  {time_text(change.time)}  {change.author}"
-        )
-        for line in change.lines:
-            console.text(f"  {line}")
-
-
-def _show_config(console: Console, cfg: Config) -> None:
-    console.text("")
-    console.table(
-        ("ORGANISATION", "WEIGHT", "KEYS"),
-        (
-            (row.name, f"{row.weight:g}", len(row.key_sha256))
-            for row in cfg.organisations
-        ),
-    )
-    console.text("")
-    console.table(
-        ("ROUTE", "KIND", "POOL", "VERSION", "DEADLINE", "PRIORITY", "ORGANISATIONS"),
-        (
-            (
-                route.name,
-                route.kind.value,
-                route.pool,
-                route.version or "any",
-                "-" if route.deadline is None else time_text(route.deadline),
-                route.priority.value,
-                ",".join(route.organisations),
-            )
-            for route in cfg.routes
-        ),
-    )
-    console.text("")
-    console.table(
-        ("POOL", "KIND", "UPSTREAM", "VERSION", "FAILURE DOMAIN", "WEIGHT", "URL"),
-        (
-            (
-                pool.name,
-                pool.kind.value,
-                upstream.name + (" (leaving)" if upstream.leaving else ""),
-                upstream.version or "-",
-                upstream.failure_domain,
-                f"{upstream.weight:g}",
-                upstream.url,
-            )
-            for pool in cfg.pools
-            for upstream in pool.upstreams
-        ),
-    )
-
-
 def _user() -> str:
     try:
         return getpass.getuser()
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -111,7 +111,12 @@
         )
         self._answers.register(self._server)
         status = StatusReport(
-            self.own, self._membership, self._config, self._answers, self.timers
+            self.own,
+            self._membership,
+            self._config,
+            self._answers,
+            self.quarantine,
+            self.timers,
         )
         self.api = Api(
             self._answers,
--- a/boragedeck/process/status.py
+++ b/boragedeck/process/status.py
@@ -2,13 +2,16 @@
 
 import msgspec
 
-from boragedeck.ids import FailureDomain, Health, RouterId, VmName
+from boragedeck.ids import FailureDomain, Health, RouterId, Version, VmName
 from boragedeck.interfaces import Member, Membership
 from boragedeck.process.answer_service import AnswerService
+from boragedeck.process.quarantine import Quarantine
 from boragedeck.process.timers import TimerService
 from boragedeck.version.config_watch import ConfigStatus, ConfigWatch
 
-__all__ = ["PeerStatus", "Status", "StatusReport"]
+__all__ = ["PeerStatus", "QuarantineStatus", "Status", "StatusReport"]
+
+MAX_QUARANTINES_SHOWN = 200
 
 
 class PeerStatus(msgspec.Struct, frozen=True):
@@ -21,6 +24,30 @@
     health: Health
 
 
+class QuarantineStatus(msgspec.Struct, frozen=True):
+    """A request that a router holds back.
+
+    Parameters
+    ----------
+    fingerprint : str
+        Identifies the request; what a route's `quarantine_lift` names.
+    route : str
+        The route on which it was found; empty where that is not known.
+    upstreams : tuple of str
+        The upstreams that it crashed.
+    versions : tuple of Version
+        What each of them served.
+    until : float
+        When the quarantine ends by itself, in Unix seconds.
+    """
+
+    fingerprint: str
+    route: str
+    upstreams: tuple[str, ...]
+    versions: tuple[Version, ...]
+    until: float
+
+
 class Status(msgspec.Struct, frozen=True):
     """A router's report.
 
@@ -40,6 +67,10 @@
         Answers that run here.
     uptime_s : float
         Seconds since the start.
+    quarantines : int
+        Requests that are held back.
+    quarantined : list of QuarantineStatus
+        The last of them, at most 200.
     """
 
     router: RouterId
@@ -49,6 +80,8 @@
     peers: list[PeerStatus]
     running_answers: int
     uptime_s: float
+    quarantines: int = 0
+    quarantined: list[QuarantineStatus] = []
 
 
 class StatusReport:
@@ -64,6 +97,8 @@
         The configuration in force.
     answers : AnswerService
         The answers that run here.
+    quarantine : Quarantine
+        The requests that are held back.
     timers : TimerService
         The source of time.
     """
@@ -74,12 +109,14 @@
         membership: Membership,
         config: ConfigWatch,
         answers: AnswerService,
+        quarantine: Quarantine,
         timers: TimerService,
     ):
         self._own = own
         self._membership = membership
         self._config = config
         self._answers = answers
+        self._quarantine = quarantine
         self._timers = timers
         self._started = timers.now()
 
@@ -89,6 +126,12 @@
             PeerStatus(m.router, m.vm, m.failure_domain, str(m.address), m.health)
             for m in self._membership.members()
         ]
+        held = [
+            QuarantineStatus(
+                fingerprint, fact.route, fact.upstreams, fact.versions, fact.until
+            )
+            for fingerprint, fact in self._quarantine.quarantined().items()
+        ]
         return Status(
             router=self._own.router,
             vm=self._own.vm,
@@ -97,4 +140,6 @@
             peers=peers,
             running_answers=self._answers.running(),
             uptime_s=self._timers.now() - self._started,
+            quarantines=len(held),
+            quarantined=held[-MAX_QUARANTINES_SHOWN:],
         )
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -20,7 +20,7 @@
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member
 from boragedeck.process.member_row import MemberRow
-from boragedeck.process.status import PeerStatus, Status
+from boragedeck.process.status import PeerStatus, QuarantineStatus, Status
 from boragedeck.process.timers import RealTimers
 from boragedeck.version.config_in_force import Source
 from boragedeck.version.config_store import ConfigStore
@@ -169,12 +169,14 @@
         self.assertEqual(again.stdout.strip(), report["key_sha256"])
 
 
-class StatusTest(CommandTest):
-    def add_router(self, number, revision):
+class RoutersTest(CommandTest):
+    def add_router(self, number, revision, quarantined=()):
         own = Member(f"r{number}", f"vm-{number}", "d1", Address("127.0.0.1", 1))
         peer = PeerStatus("r9", "vm-9", "d2", "127.0.0.1:2", Health.SUSPECT)
         cfg = ConfigStatus(revision, "", Source.PEER, 5.0, 1.0)
-        status = Status(own.router, own.vm, "d1", cfg, [peer], 0, 60.0)
+        status = Status(
+            own.router, own.vm, "d1", cfg, [peer], 0, 60.0, 1, list(quarantined)
+        )
         url = self.serve(lambda env, start: json_answer(status).send(start))
         host, port = url.removeprefix("http://").split(":")
         row = MemberRow(own, Address(host, int(port)), 0.0)
@@ -185,6 +187,8 @@
         write = Put(table, key, msgspec.json.encode(value))
         self.platform.platform.commit([write]).unwrap()
 
+
+class StatusTest(RoutersTest):
     def test_routers_and_leases_are_shown(self):
         self.run_command("apply", *self.examples)
         self.add_router(1, 1)
@@ -214,6 +218,30 @@
         self.assertIn("platform not readable", result.stderr)
 
 
+class QuarantineTest(RoutersTest):
+    def test_each_is_shown_once_with_its_reason(self):
+        held = QuarantineStatus("f1", "letters", ("p/e1", "p/e2"), ("v1", "v1"), 60.0)
+        other = QuarantineStatus("f2", "", ("p/e1", "p/e2"), ("v1", "v2"), 30.0)
+        self.add_router(1, 0, [held])
+        self.add_router(2, 0, [held, other])
+        lines = self.run_command("quarantine").stdout.splitlines()
+        self.assertRegex(lines[1], r"f2 +- +p/e1, p/e2 +v1, v2 +1970.* +1 of 2")
+        self.assertRegex(lines[2], r"f1 +letters +p/e1, p/e2 +v1 +1970.* +2 of 2")
+        views = self.run_json("quarantine")
+        self.assertEqual([view["routers"] for view in views], [1, 2])
+
+    def test_silent_routers_are_told(self):
+        self.run_command("quarantine")
+        url = self.add_router(1, 0)
+        result = self.run_command("quarantine", "--router", CLOSED_URL)
+        self.assertIn(f"no answer from {CLOSED_URL}", result.stderr)
+        result = self.run_command(
+            "quarantine", "--router", CLOSED_URL, url=CLOSED_URL, code=1
+        )
+        self.assertIn("no router answers", result.stderr)
+        self.run_command("quarantine", "--router", url, url=CLOSED_URL)
+
+
 class MainTest(unittest.TestCase):
     def run_main(self, *arguments):
         err = io.StringIO()
