Start beside a platform that hangs, and recover one that lost its tables

A router that starts asked its peers only after the first poll had failed, which takes 5 s where the platform hangs; it now asks at once. Routers never follow a lower revision, so an empty platform needs a number above theirs: apply takes --at-least-revision.

--- a/boragedeck/cli/table_views.py
+++ b/boragedeck/cli/table_views.py
@@ -29,11 +29,21 @@
     )
     console.text("")
     console.table(
-        ("ROUTE", "KIND", "POOL", "VERSION", "DEADLINE", "PRIORITY", "ORGANISATIONS"),
+        (
+            "ROUTE",
+            "KIND",
+            "REPEATABLE",
+            "POOL",
+            "VERSION",
+            "DEADLINE",
+            "PRIORITY",
+            "ORGANISATIONS",
+        ),
         (
             (
                 route.name,
                 route.kind.value,
+                "yes" if route.repeatable else "no",
                 route.pool,
                 route.version or "any",
                 "-" if route.deadline is None else time_text(route.deadline),
--- a/boragedeck/cli/tables.py
+++ b/boragedeck/cli/tables.py
@@ -88,6 +88,15 @@
             " `revision` by default.",
         ),
     ] = None,
+    at_least_revision: Annotated[
+        int,
+        typer.Option(
+            "--at-least-revision",
+            min=0,
+            help="Number the change no lower; for a platform that lost its tables,"
+            " whose routers are ahead of it.",
+        ),
+    ] = 0,
     author: Annotated[
         str,
         typer.Option(
@@ -115,7 +124,11 @@
         return
     apply_id = uuid.uuid4().hex
     result = store.apply(
-        stored, checked.config, author=author or _user(), apply_id=apply_id
+        stored,
+        checked.config,
+        author=author or _user(),
+        apply_id=apply_id,
+        at_least=at_least_revision,
     )
     if isinstance(result.err(), ConfigConflictError):
         _fail_conflict(console, result.err())
--- a/boragedeck/version/config_store.py
+++ b/boragedeck/version/config_store.py
@@ -187,7 +187,13 @@
         return result.and_then(lambda rows: _decode_all(rows, Change))
 
     def apply(
-        self, base: Stored, cfg: Config, *, author: str, apply_id: str = ""
+        self,
+        base: Stored,
+        cfg: Config,
+        *,
+        author: str,
+        apply_id: str = "",
+        at_least: int = 0,
     ) -> Result[Change, StoreError]:
         """Accept a configuration on the condition that `base` is the newest one.
 
@@ -202,6 +208,9 @@
         apply_id : str, optional
             Unique for this attempt, made here by default; settles an unknown
             outcome.
+        at_least : int
+            The lowest revision that the change may get; for a platform that lost
+            its tables, whose routers hold a higher one than it knows.
 
         Returns
         -------
@@ -210,12 +219,13 @@
             ``Err(StoreUnavailableError)`` where nothing was written;
             ``Err(StoreUnknownError)`` where it couldn't be settled in time.
         """
-        revision = Revision(base.config.revision + 1)
+        revision = Revision(max(base.config.revision + 1, at_least))
         cfg = canonical(msgspec.structs.replace(cfg, revision=revision))
         apply_id = apply_id or uuid.uuid4().hex
         change = self._change(base.config, cfg, author, apply_id)
         stored = Stored(cfg, apply_id, author, change.time)
-        return self._commit(_writes(base.row_version, stored, change), change)
+        writes = _writes(base.row_version, stored, change)
+        return self._commit(writes, change, base.config.revision)
 
     def conflict(self, base: int) -> ConfigConflictError:
         """Return the error that names what was accepted after a revision."""
@@ -241,7 +251,7 @@
             delta=None if is_large else delta,
         )
 
-    def _commit(self, writes: list[Write], change: Change) -> Result:
+    def _commit(self, writes: list[Write], change: Change, base: Revision) -> Result:
         """Commit until the outcome is known; the conditions make it idempotent."""
         may_have_run = False
         wait_s = SETTLE_WAIT_S
@@ -254,9 +264,9 @@
                 case StoreUnavailableError() if not may_have_run:
                     return result
                 case StoreConflictError() if not may_have_run:
-                    return Err(self.conflict(change.revision - 1))
+                    return Err(self.conflict(base))
             may_have_run = True
-            settled = self._read_back(change)
+            settled = self._read_back(change, base)
             if settled is not None:
                 return settled
             if self._timers.now() + wait_s > deadline:
@@ -264,7 +274,9 @@
             self._timers.sleep(wait_s)
             wait_s = min(2 * wait_s, MAX_SETTLE_WAIT_S)
 
-    def _read_back(self, change: Change) -> Result[Change, StoreError] | None:
+    def _read_back(
+        self, change: Change, base: Revision
+    ) -> Result[Change, StoreError] | None:
         """Return what became of a change; None where it isn't known yet."""
         key = _key(change.revision)
         found = self._tables.get(Table.HISTORY, key)
@@ -274,7 +286,7 @@
         decoded = _decode(row, Change)
         if decoded.is_ok() and decoded.ok().apply_id == change.apply_id:
             return Ok(change)
-        return Err(self.conflict(change.revision - 1))
+        return Err(self.conflict(base))
 
 
 def pack(value: Any) -> bytes:
--- a/boragedeck/version/config_watch.py
+++ b/boragedeck/version/config_watch.py
@@ -31,6 +31,7 @@
 MAX_POLLS_PER_S = 50.0
 MAX_CHANGES_PER_POLL = 16
 FETCH_TIMEOUT_S = 2.0
+FIRST_FETCH_INTERVAL_S = 0.5
 MAX_FETCHES_PER_ROUND = 3
 MAX_HOLDERS = 8
 HEARD_AFTER_S = 2.0
@@ -140,6 +141,7 @@
         """Read the configuration now, and follow it until `stop`."""
         self._board.subscribe(FactTopic.CONFIG, self._on_fact)
         eventlet.spawn_n(self._poll_and_rearm)
+        eventlet.spawn_n(self._fetch_first)
 
     def stop(self) -> None:
         """Follow the configuration no longer."""
@@ -185,6 +187,17 @@
         spread = self._rng.uniform(1.0 - POLL_JITTER, 1.0 + POLL_JITTER)
         self._timers.call_later(poll_interval(routers) * spread, self._poll_and_rearm)
 
+    def _fetch_first(self) -> None:
+        """Ask peers until a configuration is in force or the platform answers.
+
+        A platform that hangs must not hold up the start for its timeout.
+        """
+        while not self._is_stopped and self._confirmed is None:
+            self._fetch_from_any()
+            if self._in_force.current.revision > 0:
+                return
+            self._timers.sleep(FIRST_FETCH_INTERVAL_S)
+
     def _read_platform(self) -> Result[None, StoreError]:
         """Take the changes after the revision in force, or else the whole."""
         revision = self._in_force.current.revision
--- a/tests/version/test_config_watch.py
+++ b/tests/version/test_config_watch.py
@@ -3,6 +3,7 @@
 import eventlet
 import msgspec
 
+from boragedeck.connection.store import Delete, Table
 from boragedeck.exceptions import TableError
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.config_in_force import ConfigInForce, Source
@@ -66,6 +67,14 @@
             router.start()
         self.assert_in_force(1, after_s=2.0)
 
+    def test_restart_while_the_platform_hangs(self):
+        self.apply("v1")
+        self.assert_in_force(1)
+        self.fleet.platform.faults.delay_s = 1_000.0
+        self.fleet.routers[3].stop()
+        self.fleet.routers[3].start()
+        self.assert_in_force(1, after_s=1.0)
+
     def test_stale_router_pushes_nothing_old_and_catches_up(self):
         self.apply("v1")
         self.assert_in_force(1)
@@ -90,6 +99,26 @@
         self.fleet.heal()
         self.assert_in_force(2)
 
+    def test_platform_that_lost_its_tables(self):
+        for version in ("v1", "v2", "v3"):
+            self.apply(version)
+        self.assert_in_force(3)
+        writes = [
+            Delete(table, row.key)
+            for table in (Table.CONFIG, Table.HISTORY)
+            for row in self.fleet.platform.scan(table).unwrap()
+        ]
+        self.fleet.platform.commit(writes).unwrap()
+        self.apply("v4")
+        self.assert_in_force(3)
+        base = self.fleet.store.read().unwrap()
+        change = self.fleet.store.apply(base, config("v5"), author="ana", at_least=4)
+        self.assertEqual(change.unwrap().revision, 4)
+        self.assert_in_force(4)
+        self.assertEqual(
+            {r.watch.current().route("r0").version for r in self.fleet.routers}, {"v5"}
+        )
+
     def test_interval_keeps_within_reads_and_time_at_the_largest_fleet(self):
         interval = poll_interval(LETTER_ROUTERS)
         self.assertLess(1.2 * interval, LETTER_IN_FORCE_S)
