--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -34,6 +34,7 @@
 from boragedeck.request.api import Api
 from boragedeck.request.generation import GenerationParts
 from boragedeck.version.config_messages import FetchConfig
+from boragedeck.version.config_metrics import register_config_metrics
 from boragedeck.version.config_store import ConfigStore
 from boragedeck.version.config_watch import ConfigWatch
 
@@ -90,6 +91,7 @@
             rng=rng,
         )
         self._server.register(FetchConfig, self._config.answer_fetch)
+        register_config_metrics(self.metrics.registry, self._config)
         journal = Journal(self._membership, self._links, self.timers, self.metrics)
         parts = GenerationParts(
             chooser=self._make_chooser(board, rng),
--- /dev/null
+++ b/boragedeck/version/config_metrics.py
@@ -0,0 +1,45 @@
+"""Prometheus metrics of the configuration in force."""
+
+import math
+
+from prometheus_client import CollectorRegistry, Gauge
+
+from boragedeck.version.config_watch import ConfigStatus, ConfigWatch
+
+__all__ = ["register_config_metrics"]
+
+
+def register_config_metrics(registry: CollectorRegistry, watch: ConfigWatch) -> None:
+    """Export what a router reports of its configuration.
+
+    Parameters
+    ----------
+    registry : CollectorRegistry
+        Where the metrics are registered.
+    watch : ConfigWatch
+        Read at each scrape.
+    """
+    for name, text, read in (
+        ("revision", "Revision in force.", lambda status: status.revision),
+        (
+            "in_force_seconds",
+            "Seconds for which it has been in force.",
+            lambda status: status.in_force_s,
+        ),
+        (
+            "confirmed_seconds",
+            "Seconds since the platform last had none newer; NaN before the first.",
+            _confirmed_s,
+        ),
+        (
+            "platform_readable",
+            "Whether the platform could be read at the last poll.",
+            lambda status: not status.platform_error,
+        ),
+    ):
+        gauge = Gauge(f"boragedeck_config_{name}", text, registry=registry)
+        gauge.set_function(lambda read=read: float(read(watch.status())))
+
+
+def _confirmed_s(status: ConfigStatus) -> float:
+    return math.nan if status.confirmed_s is None else status.confirmed_s
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -10,6 +10,8 @@
 
 import eventlet
 import msgspec
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
 from typer.testing import CliRunner
 
 import boragedeck
@@ -39,6 +41,11 @@
 
 EXAMPLES = Path(__file__).parents[2] / "docs" / "examples"
 CLOSED_URL = "http://127.0.0.1:1"
+LINES = [
+    line
+    for path in sorted(EXAMPLES.glob("*.toml"))
+    for line in path.read_text().splitlines(keepends=True)
+]
 
 
 class CommandTest(unittest.TestCase):
@@ -140,6 +147,20 @@
         result = self.run_command("get", "--platform-url", "here", code=2)
         self.assertIn("--platform-url", result.stderr)
 
+    @settings(max_examples=50)
+    @example("".join(LINES))
+    @given(st.lists(st.sampled_from(LINES), max_size=60).map("".join))
+    def test_refused_file_changes_nothing(self, text):
+        before = self.accepted().revision
+        path = self.write("any.toml", text)
+        env = {"BORAGEDECK_PLATFORM_URL": self.url}
+        result = CliRunner().invoke(app, ["apply", path], env=env)
+        self.assertIn(result.exit_code, (0, 2), result.output)
+        self.assertNotIn("Traceback", result.output)
+        is_applied = "accepted revision" in result.output
+        self.assertEqual(self.accepted().revision - before, int(is_applied))
+        self.assertTrue(result.exit_code == 0 or not is_applied)
+
     def test_usage_errors(self):
         for arguments in ([], ["apply"], ["aply"], ["get", "-o", "xml"]):
             self.run_command(*arguments, code=2)
--- a/tests/version/test_config_watch.py
+++ b/tests/version/test_config_watch.py
@@ -2,12 +2,14 @@
 
 import eventlet
 import msgspec
+from prometheus_client import CollectorRegistry
 
 from boragedeck.connection.store import Delete, Table
 from boragedeck.exceptions import TableError
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.config_in_force import ConfigInForce, Source
 from boragedeck.version.config_messages import ConfigContent
+from boragedeck.version.config_metrics import register_config_metrics
 from boragedeck.version.config_store import pack
 from boragedeck.version.config_watch import poll_interval
 from boragedeck.version.tables import Config
@@ -146,6 +148,22 @@
         fleet.timers.advance(IN_FORCE_S)
         self.assertEqual(set(fleet.revisions()), {1})
 
+    def test_metrics_tell_the_revision_and_its_age(self):
+        registry = CollectorRegistry()
+        register_config_metrics(registry, self.fleet.routers[0].watch)
+        self.apply("v1")
+        self.assert_in_force(1)
+        self.fleet.platform.faults.down = True
+        self.fleet.timers.advance(100.0)
+
+        def value(name):
+            return registry.get_sample_value(f"boragedeck_config_{name}")
+
+        self.assertEqual(value("revision"), 1)
+        self.assertEqual(value("platform_readable"), 0)
+        self.assertGreater(value("confirmed_seconds"), 99)
+        self.assertGreater(value("in_force_seconds"), value("confirmed_seconds"))
+
     def test_failing_subscriber_stops_no_other(self):
         seen = []
         watch = self.fleet.routers[0].watch
