--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -36,6 +36,7 @@
 from boragedeck.request.call_edge import CallEdge
 from boragedeck.request.generation import GenerationParts
 from boragedeck.version.config_messages import FetchConfig
+from boragedeck.version.config_metrics import register_config_metrics
 from boragedeck.version.config_store import ConfigStore
 from boragedeck.version.config_watch import ConfigWatch
 
@@ -149,6 +150,7 @@
             rng=self._rng,
         )
         self._server.register(FetchConfig, config.answer_fetch)
+        register_config_metrics(self.metrics.registry, config)
         return config
 
     def _make_chooser(self) -> PoolChooser:
