--- a/boragedeck/process/command_parts.py
+++ b/boragedeck/process/command_parts.py
@@ -88,6 +88,7 @@
     routers: Callable[[], int] = lambda: 1,
     is_alive: Callable[[RouterId], bool] = lambda router: True,
     rng: random.Random | None = None,
+    writer_type: type[IntentWriter] = IntentWriter,
 ) -> CallParts:
     """Return the joined parts.
 
@@ -113,9 +114,11 @@
         Returns whether a router is not known to be gone.
     rng : random.Random, optional
         The source of jitter.
+    writer_type : type
+        How rows are written; another one for measurements.
     """
     breaker = StoreBreaker(platform, timers, rng)
-    writer = IntentWriter(platform, timers, breaker, routers)
+    writer = writer_type(platform, timers, breaker, routers)
     settler = IntentSettler(platform, writer, breaker, timers)
     log = IntentLog(platform, writer, settler, breaker, timers, own)
     commands = CommandRunner(log, breaker, chooser, services, timers, is_alive)
--- /dev/null
+++ b/boragedeck/process/group_pacing.py
@@ -0,0 +1,53 @@
+"""Shares the store's transactions for commands among the routers."""
+
+from collections.abc import Callable
+
+__all__ = ["GroupPacer", "group_interval_s"]
+
+STORE_TRANSACTIONS_PER_S = 200
+"""What all routers together may use of the store for commands."""
+MIN_INTERVAL_S = 0.01
+MAX_INTERVAL_S = 0.5
+BURST = 4
+"""How many transactions may start at once after a quiet time."""
+
+
+class GroupPacer:
+    """Says when this router may start its next transaction.
+
+    Parameters
+    ----------
+    routers : callable
+        Returns how many routers share the store's budget.
+
+    Attributes
+    ----------
+    next_start : float
+        The earliest time, on the timer service's monotonic clock.
+
+    Notes
+    -----
+    What was left unused may be caught up, up to `BURST` transactions, so that
+    rows which come one by one don't wait; the rate over time stays the same.
+    """
+
+    def __init__(self, routers: Callable[[], int]):
+        self.next_start = float("-inf")
+        self._routers = routers
+
+    def started(self, now: float) -> None:
+        """Note that a transaction starts."""
+        interval_s = group_interval_s(self._routers())
+        self.next_start = max(self.next_start, now - BURST * interval_s) + interval_s
+
+
+def group_interval_s(routers: int) -> float:
+    """Return the mean time between the starts of a router's transactions.
+
+    Parameters
+    ----------
+    routers : int
+        How many routers share the store's budget.
+    """
+    share_s = routers / STORE_TRANSACTIONS_PER_S
+    return min(max(share_s, MIN_INTERVAL_S), MAX_INTERVAL_S)
--- a/boragedeck/process/intent_writer.py
+++ b/boragedeck/process/intent_writer.py
@@ -15,15 +15,11 @@
     StoreUnavailableError,
     StoreUnknownError,
 )
+from boragedeck.process.group_pacing import GroupPacer
 from boragedeck.process.store_breaker import StoreBreaker
 from boragedeck.process.timers import TimerService
 
-__all__ = ["GroupLimits", "IntentWriter", "group_interval_s"]
-
-STORE_TRANSACTIONS_PER_S = 200
-"""What all routers together may use of the store for commands."""
-MIN_INTERVAL_S = 0.01
-MAX_INTERVAL_S = 0.5
+__all__ = ["GroupLimits", "IntentWriter"]
 
 MAX_ROUNDS = 8
 MAX_PARALLEL_READS = 8
@@ -101,12 +97,11 @@
         self._store = store
         self._timers = timers
         self._breaker = breaker
-        self._routers = routers
         self._limits = limits or GroupLimits()
         self._urgent: deque[_Entry] = deque()
         self._background: deque[_Entry] = deque()
         self._in_flight = 0
-        self._next_start = float("-inf")
+        self._pacer = GroupPacer(routers)
         self._wake_at = float("inf")
 
     def write(
@@ -156,16 +151,16 @@
             group = self._take_group()
             if not group:
                 continue
-            self._next_start = now + group_interval_s(self._routers())
+            self._pacer.started(now)
             self._in_flight += 1
             eventlet.spawn_n(self._run, group)
 
     def _due(self) -> float:
         if self._urgent:
-            return self._next_start
+            return self._pacer.next_start
         if self._background:
             oldest = self._background[0].queued_at
-            return max(self._next_start, oldest + self._limits.background_wait_s)
+            return max(self._pacer.next_start, oldest + self._limits.background_wait_s)
         return float("inf")
 
     def _wake_later(self, due: float, now: float) -> None:
@@ -268,18 +263,6 @@
         return [read.ok() for read in reads]
 
 
-def group_interval_s(routers: int) -> float:
-    """Return the least time between the starts of a router's transactions.
-
-    Parameters
-    ----------
-    routers : int
-        How many routers share the store's budget.
-    """
-    share_s = routers / STORE_TRANSACTIONS_PER_S
-    return min(max(share_s, MIN_INTERVAL_S), MAX_INTERVAL_S)
-
-
 def _finish_all(entries: list[_Entry], versions: list[int]) -> None:
     for entry, version in zip(entries, versions, strict=True):
         entry.finish(Ok(version))
--- a/boragedeck/process/leases.py
+++ b/boragedeck/process/leases.py
@@ -14,7 +14,6 @@
 import uuid
 from collections.abc import Sequence
 
-import eventlet
 import msgspec
 from result import Err, Ok, Result
 
@@ -26,6 +25,14 @@
     StoreUnknownError,
 )
 from boragedeck.ids import RouterId
+from boragedeck.process.lease_row import (
+    NOBODY,
+    Lease,
+    LeaseLostError,
+    LeaseRow,
+    decode_lease,
+    next_token,
+)
 from boragedeck.process.timers import TimerService
 
 __all__ = ["Lease", "LeaseLostError", "LeaseRow", "LeaseTable"]
@@ -37,74 +44,6 @@
 """How often the term a taker waits; with `HOLDER_SHARE` it covers clocks whose
 rates differ by up to a fifth."""
 MAX_TRIES = 3
-NOBODY = RouterId("")
-
-
-class LeaseLostError(StoreConflictError):
-    """The lease has another holder, so nothing was written."""
-
-
-class LeaseRow(msgspec.Struct, frozen=True):
-    """Content of a lease's row.
-
-    Parameters
-    ----------
-    holder : RouterId
-        The router that holds the lease; empty once it is released.
-    token : int
-        The fencing token, which grows with each change of holder.
-    term_s : float
-        How long the lease lasts after each write, in seconds.
-    write_id : str
-        Unique for each write, so that a writer knows its own row again.
-    """
-
-    holder: RouterId
-    token: int
-    term_s: float
-    write_id: str
-
-
-class Lease:
-    """A lease that this process has acquired.
-
-    Parameters
-    ----------
-    name : str
-        The lease's name.
-    token : int
-        The fencing token.
-    timers : TimerService
-        The source of monotonic time.
-
-    Attributes
-    ----------
-    version : int
-        The version of the lease's row after this process's last write.
-    safe_until : float
-        The end of the safe part, on the monotonic clock, in seconds.
-    is_lost : bool
-        Whether another router was seen to hold it, or it was released.
-    """
-
-    def __init__(self, name: str, token: int, timers: TimerService):
-        self.name = name
-        self.token = token
-        self.version = ABSENT
-        self.safe_until = float("-inf")
-        self.is_lost = False
-        self.lock = eventlet.Semaphore(1)
-        self._timers = timers
-
-    def is_safe(self, margin_s: float = 0.0) -> bool:
-        """Return whether no other router can hold the lease yet.
-
-        Parameters
-        ----------
-        margin_s : float
-            For how long the lease must stay safe from now on, in seconds.
-        """
-        return not self.is_lost and self._timers.now() + margin_s < self.safe_until
 
 
 class _Sighting(msgspec.Struct, frozen=True):
@@ -164,7 +103,7 @@
         row = read.ok()
         if not self._is_free(name, row):
             return Ok(None)
-        lease = Lease(name, _next_token(row, self._own), self._timers)
+        lease = Lease(name, next_token(row, self._own), self._timers)
         lease.version = ABSENT if row is None else row.version
         match self._write(lease, self._row(lease), ()):
             case Ok(_):
@@ -238,7 +177,7 @@
     def _is_free(self, name: str, row: Row | None) -> bool:
         if row is None:
             return True
-        content = _decode(row)
+        content = decode_lease(row)
         if content.holder in (NOBODY, self._own):
             return True
         now = self._timers.now()
@@ -311,7 +250,7 @@
         return LeaseRow(self._own, lease.token, self.term_s, uuid.uuid4().hex)
 
     def _is_own(self, lease: Lease, row: Row) -> bool:
-        content = _decode(row)
+        content = decode_lease(row)
         return content.holder == self._own and content.token == lease.token
 
     def _lose(self, lease: Lease) -> None:
@@ -328,17 +267,6 @@
     return Put(Table.LEASES, lease.name, msgspec.json.encode(row), lease.version)
 
 
-def _decode(row: Row) -> LeaseRow:
-    return msgspec.json.decode(row.value, type=LeaseRow)
-
-
-def _next_token(row: Row | None, own: RouterId) -> int:
-    if row is None:
-        return 1
-    content = _decode(row)
-    return content.token if content.holder == own else content.token + 1
-
-
 def _version(row: Row | None) -> int:
     return ABSENT if row is None else row.version
 
--- a/boragedeck/request/call_errors.py
+++ b/boragedeck/request/call_errors.py
@@ -13,6 +13,7 @@
     "overloaded",
     "store_down",
     "unknown_route",
+    "unread",
     "unreachable",
     "with_ran",
 ]
@@ -52,7 +53,7 @@
 def store_down(retry_after_s: float) -> RefusedError:
     """Return the error for a command whose intent can't be written."""
     return RefusedError(
-        "the command was not sent, since it can't be recorded now; "
+        "the command can't be recorded now, so it did not run; "
         "ask again with the same Idempotency-Key",
         status=503,
         kind="service_unavailable",
@@ -163,6 +164,27 @@
     )
 
 
+def unread(refusal: RefusedError) -> RefusedError:
+    """Return the error for a command that was not sent, but maybe before.
+
+    Parameters
+    ----------
+    refusal : RefusedError
+        Why it was not sent.
+    """
+    return RefusedError(
+        "this request was not sent; whether an earlier one with its "
+        "Idempotency-Key ran can't be read now; ask again with the same key",
+        status=refusal.status,
+        kind=refusal.kind,
+        code=refusal.code,
+        ran=Ran.UNKNOWN,
+        retry_after_s=refusal.retry_after_s,
+        step=refusal.step,
+        peer=refusal.peer,
+    )
+
+
 def with_ran(exc: RefusedError, ran: Ran) -> RefusedError:
     """Return the same error with another word on whether the request ran."""
     return RefusedError(
--- a/boragedeck/request/command.py
+++ b/boragedeck/request/command.py
@@ -31,6 +31,8 @@
 intents are pruned."""
 LATE_ANSWER_S = 300.0
 """How long beyond the caller's deadline the service's answer is awaited."""
+READ_WAIT_S = 1.5
+"""How long a refusal may be held up to learn whether the command ran."""
 PROGRESS_WAIT_S = 5.0
 FIRST_POLL_S = 0.1
 MAX_POLL_S = 1.0
@@ -260,7 +262,7 @@
         """
         if call.is_new_key:
             return Err(call_errors.with_ran(refusal, Ran.NO))
-        match self._log.read(call.key.row_key):
+        match self._read_soon(call.key.row_key):
             case Ok(None):
                 return Err(call_errors.with_ran(refusal, Ran.NO))
             case Ok(row) if row.state is IntentState.ABANDONED:
@@ -269,8 +271,14 @@
                 return Err(call_errors.in_progress())
             case Ok(row):
                 return self._from_row(call, row)
-            case Err(StoreError()):
-                return Err(call_errors.with_ran(refusal, Ran.UNKNOWN))
+            case _:
+                return Err(call_errors.unread(refusal))
+
+    def _read_soon(self, row_key: str) -> Result[IntentRow | None, StoreError] | None:
+        """Read a row within `READ_WAIT_S`; None where the store takes longer."""
+        read = Event()
+        eventlet.spawn_n(lambda: read.send(self._log.read(row_key)))
+        return read.wait() if self._timers.wait(read, READ_WAIT_S) else None
 
     def _remember(self, call: Call, refusal: RefusedError) -> None:
         hold_s = min(refusal.retry_after_s or 0.0, call_errors.OVERLOAD_RETRY_S)
