--- a/benchmarks/commands.py
+++ b/benchmarks/commands.py
@@ -20,10 +20,7 @@
 from boragedeck.connection.service import ServiceResponse
 from boragedeck.connection.store import Put
 from boragedeck.ids import OrganisationName, PoolName, RouteName, RouterId
-from boragedeck.process.command_parts import (
-    PacedRetryBudget,
-    build_call_service,
-)
+from boragedeck.process.command_parts import build_call_service
 from boragedeck.process.intent_writer import IntentWriter
 from boragedeck.process.simple_parts import RandomChooser
 from boragedeck.process.timers import RealTimers
@@ -105,7 +102,6 @@
         platform=platform,
         chooser=RandomChooser(random.Random(SEED + number)),
         services=InstantServices(),
-        budget=PacedRetryBudget(timers),
         timers=timers,
         own=RouterId(f"r{number}"),
         routers=lambda: ROUTERS,
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -12,20 +12,23 @@
 from boragedeck.connection.platform import HttpPlatform
 from boragedeck.connection.service import HttpServices
 from boragedeck.ids import RouterId
-from boragedeck.interfaces import Member
+from boragedeck.interfaces import FactBoard, Member
 from boragedeck.process.answer_service import AnswerService
 from boragedeck.process.answers import AnswerTable
-from boragedeck.process.command_parts import PacedRetryBudget, build_call_service
+from boragedeck.process.chooser import PoolChooser
+from boragedeck.process.claims import Claims, ClaimTable
+from boragedeck.process.command_parts import build_call_service
 from boragedeck.process.copies import CopyStore
 from boragedeck.process.intent_pruner import IntentPruner
 from boragedeck.process.journal import Journal
 from boragedeck.process.keys import KeyRing
+from boragedeck.process.load_gossip import LoadGossip
 from boragedeck.process.metrics import Metrics
+from boragedeck.process.quarantine import Quarantine
 from boragedeck.process.settings import Settings
 from boragedeck.process.simple_parts import (
     DeclaredVersion,
     LocalFacts,
-    RandomChooser,
     TableMembership,
 )
 from boragedeck.process.status import StatusReport
@@ -78,7 +81,9 @@
         self._server = PeerServer(peer_listener)
         self._links = PeerLinks(self.timers)
         platform = HttpPlatform(settings.platform_url)
-        self._membership = TableMembership(self.own, platform, self.timers)
+        self._membership = TableMembership(
+            self.own, self.http_address, platform, self.timers
+        )
         board = LocalFacts(self.own.router)
         self._config = ConfigWatch(
             ConfigStore(platform, self.timers),
@@ -90,8 +95,9 @@
         )
         self._server.register(FetchConfig, self._config.answer_fetch)
         journal = Journal(self._membership, self._links, self.timers, self.metrics)
+        chooser = self._make_chooser(board, rng)
         parts = GenerationParts(
-            chooser=RandomChooser(rng),
+            chooser=chooser,
             journal=journal,
             config=self._config,
             versions=DeclaredVersion(),
@@ -115,9 +121,8 @@
         self._calls = build_call_service(
             cfg=self._config,
             platform=platform,
-            chooser=RandomChooser(rng),
+            chooser=chooser,
             services=HttpServices(),
-            budget=PacedRetryBudget(self.timers),
             timers=self.timers,
             own=self.own.router,
             routers=lambda: 1 + len(self._membership.members()),
@@ -136,6 +141,21 @@
             CallEdge(self._calls.calls),
         )
 
+    def _make_chooser(self, board: FactBoard, rng: random.Random) -> PoolChooser:
+        claims = Claims(self._membership, self._links, ClaimTable(self.timers))
+        claims.register(self._server)
+        self.quarantine = Quarantine(self.timers, board, self._config, claims)
+        chooser = PoolChooser(
+            self.timers,
+            self._config,
+            board,
+            self.own.failure_domain,
+            rng,
+            self.quarantine,
+        )
+        LoadGossip(self.timers, board, chooser.registry)
+        return chooser
+
     def start(self) -> None:
         """Serve peers and callers."""
         eventlet.spawn_n(self._server.serve)
--- a/boragedeck/process/simple_parts.py
+++ b/boragedeck/process/simple_parts.py
@@ -7,11 +7,13 @@
 from result import Err, Ok, Result
 
 from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.connection.peer import Address
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.store import Put, Table
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import RouterId, Version
 from boragedeck.interfaces import Member, Outcome, Sample, Wanted
+from boragedeck.process.member_row import MemberRow
 from boragedeck.process.timers import TimerService
 from boragedeck.version.tables import Route, Upstream
 
@@ -79,15 +81,21 @@
     ----------
     own : Member
         This router.
+    callers : Address
+        Where this router listens for callers.
     platform : Platform
         Where the rows are.
     timers : TimerService
         The source of time.
     """
 
-    def __init__(self, own: Member, platform: Platform, timers: TimerService):
+    def __init__(
+        self, own: Member, callers: Address, platform: Platform, timers: TimerService
+    ):
         self.own = own
+        self._callers = callers
         self._platform = platform
+        self._timers = timers
         self._members: list[Member] = []
         timers.subscribe(MEMBER_REFRESH_S, self.refresh)
 
@@ -100,11 +108,13 @@
 
     def refresh(self) -> None:
         """Write this router's row and read the others'."""
-        row = Put(Table.MEMBERS, self.own.router, msgspec.json.encode(self.own))
-        self._platform.commit([row])
+        row = MemberRow(self.own, self._callers, self._timers.wall())
+        write = Put(Table.MEMBERS, self.own.router, msgspec.json.encode(row))
+        self._platform.commit([write])
         rows = self._platform.scan(Table.MEMBERS)
         if rows.is_ok():
-            members = [msgspec.json.decode(r.value, type=Member) for r in rows.ok()]
+            read = [msgspec.json.decode(r.value, type=MemberRow) for r in rows.ok()]
+            members = [row.member for row in read]
             self._members = [m for m in members if m.router != self.own.router]
 
 
--- a/tests/request/test_repeatable.py
+++ b/tests/request/test_repeatable.py
@@ -8,8 +8,8 @@
 from boragedeck.exceptions import UpstreamError, UpstreamRefusedError
 from boragedeck.ids import Ran
 from boragedeck.interfaces import Outcome, Wanted
-from boragedeck.process.command_parts import PacedRetryBudget
 from boragedeck.process.timers import ManualTimers
+from boragedeck.request.call_errors import overloaded
 from boragedeck.request.calls import Call
 from boragedeck.request.intents import CommandKey
 from boragedeck.request.repeatable import RepeatableRunner
@@ -24,10 +24,14 @@
         self.behaviour = {}
         self.outcomes = {}
         self.calls = 0
-        self.budget = PacedRetryBudget(self.timers)
-        self.runner = RepeatableRunner(self, self, self.budget, self.timers)
+        self.retries_left = 20
+        self.runner = RepeatableRunner(self, self, self.timers)
 
     def acquire(self, wanted):
+        if wanted.excluded:
+            self.retries_left -= 1
+            if self.retries_left < 0:
+                return Err(overloaded())
         left = [one for one in UPSTREAMS if one.name not in wanted.excluded]
         return Ok(SimpleNamespace(upstream=left[0], finish=self.finisher(left[0])))
 
@@ -73,7 +77,7 @@
         self.assertIs(self.outcomes["s1"], Outcome.CANCELLED)
 
     def test_a_late_try_is_not_cut_when_the_budget_is_spent(self):
-        self.budget.spend = lambda pool, attempt: Err(None)
+        self.retries_left = 0
         self.behaviour = {"s1": self.slow(2.0)}
         self.assertEqual(self.run_call(advance_s=3.0).wait().ok().body, b"slow")
         self.assertEqual(self.calls, 1)
--- a/tests/request/world.py
+++ b/tests/request/world.py
@@ -56,7 +56,6 @@
             platform=_Store(self),
             chooser=_Chooser(),
             services=_Services(self),
-            budget=_Budget(),
             timers=_Timers(self),
             own=RouterId(name),
             is_alive=world.is_alive,
@@ -204,14 +203,6 @@
         return Ok(_Slot(left[0]))
 
 
-class _Budget:
-    def succeeded(self, pool):
-        pass
-
-    def spend(self, pool, attempt):
-        return Ok(0.05)
-
-
 class World:
     """Everything outside the routers, and the oracle."""
 
