--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -197,7 +197,6 @@
             platform=self._platform,
             chooser=self._chooser,
             services=HttpServices(),
-            budget=self._chooser.budget,
             timers=self.timers,
             own=self.own.router,
             routers=self._membership.routers,
--- a/boragedeck/request/call.py
+++ b/boragedeck/request/call.py
@@ -97,12 +97,12 @@
     def _call(self, req: CallRequest, route: Route, pool: Pool) -> Call:
         now = self._timers.now()
         deadline = now + route.limits.deadline_s
-        fingerprint = request_hash(req.method, req.target, req.body)
+        content = request_hash(req.method, req.target, req.body)
         is_minted = req.idempotency_key is None
         row_key = command_key(req.organisation, route.name, req.request_id)
         headers = request_headers(req.headers, req.organisation, req.request_id)
         return Call(
-            key=CommandKey(row_key, fingerprint, is_minted),
+            key=CommandKey(row_key, content, is_minted),
             route=route,
             pool=pool,
             request=ServiceRequest(req.method, req.target, headers, req.body),
@@ -113,7 +113,7 @@
                 version=route.version,
                 prompt_tokens=0,
                 prefix_hash=0,
-                fingerprint=fingerprint,
+                fingerprint=_fingerprint(req, route),
                 deadline=min(deadline, now + route.limits.queue_s),
             ),
             is_new_key=is_minted or req.is_first,
@@ -121,6 +121,21 @@
         )
 
 
+def _fingerprint(req: CallRequest, route: Route) -> str:
+    """Return what identifies a request that crashes upstreams.
+
+    Notes
+    -----
+    Commands have none: kiosks send the same few over and over, so that two
+    services lost to another cause would stop a command for good, and each key
+    reaches one upstream at most anyway.
+    """
+    if not route.repeatable:
+        return ""
+    place = f"{req.organisation}\0{route.name}\0{req.target}"
+    return request_hash(req.method, place, req.body)
+
+
 def _problem(req: CallRequest) -> str | None:
     """Return what keeps a request from being sent as it is."""
     if req.method not in METHODS:
--- a/boragedeck/request/calls.py
+++ b/boragedeck/request/calls.py
@@ -1,14 +1,12 @@
 """Types of a call to a plain service, on its way through this router."""
 
 import uuid
-from typing import Protocol
 
 import msgspec
-from result import Result
 
 from boragedeck.connection.service import ServiceRequest
 from boragedeck.exceptions import RefusedError
-from boragedeck.ids import OrganisationName, PoolName, RouteName
+from boragedeck.ids import OrganisationName, RouteName
 from boragedeck.interfaces import Wanted
 from boragedeck.request.intents import CommandKey
 from boragedeck.version.tables import Pool, Route
@@ -17,7 +15,6 @@
     "Call",
     "CallRequest",
     "CallResponse",
-    "RetryBudget",
     "error_response",
 ]
 
@@ -107,16 +104,6 @@
     deadline: float
 
 
-class RetryBudget(Protocol):
-    """Bounds the retries of a process."""
-
-    def succeeded(self, pool: PoolName) -> None:
-        """Note a run that ended well."""
-
-    def spend(self, pool: PoolName, attempt: int) -> Result[float, RefusedError]:
-        """Ask for another attempt, after this many; return how long to wait."""
-
-
 class _ErrorObject(msgspec.Struct, frozen=True):
     message: str
     type: str
