--- /dev/null
+++ b/boragedeck/connection/metrics_poll.py
@@ -0,0 +1,106 @@
+"""Reads an engine's load and versions over HTTP."""
+
+import msgspec
+import urllib3
+from prometheus_client.parser import text_string_to_metric_families
+from result import Err, Ok, Result
+
+from boragedeck.exceptions import UpstreamError
+from boragedeck.ids import Version
+from boragedeck.process.load import LoadReport
+
+__all__ = ["EngineProbe", "parse_load"]
+
+CONNECT_TIMEOUT_S = 0.3
+READ_TIMEOUT_S = 1.0
+MAX_BODY_BYTES = 1024 * 1024
+MAX_VERSIONS = 64
+RUNNING = "vllm:num_requests_running"
+WAITING = "vllm:num_requests_waiting"
+CACHE_USE = "vllm:kv_cache_usage_perc"
+
+
+class _Model(msgspec.Struct):
+    id: str
+
+
+class _Models(msgspec.Struct):
+    data: list[_Model]
+
+
+class EngineProbe:
+    """Asks engines for what they publish, over connections of its own."""
+
+    def __init__(self):
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+        self._http = urllib3.PoolManager(
+            num_pools=64, maxsize=1, timeout=timeout, retries=False
+        )
+
+    def is_leaving(self, url: str) -> bool:
+        """Return whether an upstream answers that it takes no new requests."""
+        try:
+            response = self._http.request("GET", f"{url}/health")
+        except (urllib3.exceptions.HTTPError, OSError):
+            return False
+        return response.status == 503
+
+    def load(self, url: str) -> Result[LoadReport, UpstreamError]:
+        """Read an engine's load."""
+        return self._get(url, "/metrics").and_then(
+            lambda body: _parsed(parse_load, body, url, "/metrics")
+        )
+
+    def versions(self, url: str) -> Result[frozenset[Version], UpstreamError]:
+        """Read which versions an engine serves."""
+        return self._get(url, "/v1/models").and_then(
+            lambda body: _parsed(_parse_versions, body, url, "/v1/models")
+        )
+
+    def _get(self, url: str, path: str) -> Result[bytes, UpstreamError]:
+        try:
+            response = self._http.request("GET", url + path, preload_content=False)
+            body = response.read(MAX_BODY_BYTES)
+            response.release_conn()
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return Err(UpstreamError(str(exc), step=path, peer=url))
+        if response.status != 200:
+            text = f"status {response.status}"
+            return Err(UpstreamError(text, step=path, peer=url))
+        return Ok(body)
+
+
+def parse_load(body: bytes) -> LoadReport:
+    """Return the load in a page of metrics.
+
+    Parameters
+    ----------
+    body : bytes
+        Prometheus text; samples of one name with several labels are summed.
+
+    Raises
+    ------
+    ValueError
+        Where the page is not Prometheus text or lacks a figure.
+    """
+    values: dict[str, float] = {}
+    for family in text_string_to_metric_families(body.decode()):
+        for sample in family.samples:
+            values[sample.name] = values.get(sample.name, 0.0) + sample.value
+    if RUNNING not in values or WAITING not in values:
+        raise ValueError(f"no {RUNNING} or {WAITING}")
+    return LoadReport(
+        int(values[RUNNING]), int(values[WAITING]), values.get(CACHE_USE, 0.0)
+    )
+
+
+def _parse_versions(body: bytes) -> frozenset[Version]:
+    models = msgspec.json.decode(body, type=_Models)
+    return frozenset(Version(model.id) for model in models.data[:MAX_VERSIONS])
+
+
+def _parsed(parse, body: bytes, url: str, path: str) -> Result:
+    try:
+        return Ok(parse(body))
+    except (ValueError, msgspec.MsgspecError) as exc:
+        return Err(UpstreamError(str(exc), step=path, peer=url))
--- a/boragedeck/process/chooser.py
+++ b/boragedeck/process/chooser.py
@@ -27,7 +27,6 @@
 SWEEP_S = 0.25
 MAX_TRIED = 32
 APART_RETRY_S = 0.05
-OVER_SHARE_USE = 0.5
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
 
@@ -134,6 +133,8 @@
         now = self._timers.now()
         expires_at = now + self._patience_s(wanted)
         ticket = Ticket(wanted, expires_at, on_done, guard)
+        if not wanted.is_resume:
+            self.shares.arrive(wanted.organisation)
         refusal = self._refusal(wanted, now)
         if refusal is not None:
             ticket.finish(Err(refusal))
@@ -244,9 +245,9 @@
                 for state in fitting
                 if self._quarantine.may_place(ticket.guard, state.key)
             ]
-        # The last places are kept for organisations within their share.
-        if not wanted.is_resume and self.shares.is_over_share(wanted.organisation):
-            fitting = [each for each in fitting if each.has_room(OVER_SHARE_USE, now)]
+        use = self.shares.use_limit(wanted.organisation)
+        if use < 1.0 and not wanted.is_resume:
+            fitting = [state for state in fitting if state.has_room(use, now)]
         fresh = [
             state for state in fitting if state.upstream.name not in wanted.excluded
         ]
@@ -311,7 +312,7 @@
         return ahead / rate
 
     def _overloaded(self, wanted: Wanted, wait_s: float) -> RefusedError:
-        if self.shares.is_over_share(wanted.organisation):
+        if self.shares.use_limit(wanted.organisation) < 1.0:
             text = f"organisation {wanted.organisation!r} is over its share"
             return self._refused(text, "over_share", wait_s, status=429)
         text = f"pool {wanted.pool.name!r} is overloaded"
--- a/boragedeck/process/concurrency.py
+++ b/boragedeck/process/concurrency.py
@@ -27,6 +27,13 @@
     weight : float
         Relative capacity, which scales the first limit.
 
+    Attributes
+    ----------
+    value : float
+        The limit.
+    is_known : bool
+        Whether the upstream has shown a limit.
+
     Notes
     -----
     Additive increase while the limit is in use (by a factor until the upstream has
@@ -42,7 +49,7 @@
         self._recent_s: float | None = None
         self._base_s = float("inf")
         self._adjusted_at = float("-inf")
-        self._has_seen_limit = False
+        self.is_known = False
 
     def observe_latency(self, latency_s: float, in_flight: int, now: float) -> None:
         """Adapt to one request's latency.
@@ -63,7 +70,7 @@
         # The base rises slowly, so that a lasting change is learned in the end.
         self._base_s = min(latency_s, self._base_s * (1.0 + BASE_RISE))
         if self._recent_s > TOLERATED_SLOWDOWN * self._base_s:
-            self._has_seen_limit = True
+            self.is_known = True
             self._adjust(DECREASE * self.value, now)
         elif in_flight >= FULL_SHARE * self.value:
             self._adjust(self._grown(), now)
@@ -71,13 +78,13 @@
     def observe_report(self, report: LoadReport, now: float) -> None:
         """Adapt to the upstream's own report."""
         if report.waiting > ALLOWED_QUEUE:
-            self._has_seen_limit = True
+            self.is_known = True
             self._adjust(min(self.value, report.running + ALLOWED_QUEUE), now)
         elif report.waiting == 0 and report.running >= FULL_SHARE * self.value:
             self._adjust(self._grown(), now)
 
     def _grown(self) -> float:
-        if self._has_seen_limit:
+        if self.is_known:
             return self.value + INCREASE
         return max(self.value + INCREASE, SLOW_START_GROWTH * self.value)
 
--- /dev/null
+++ b/boragedeck/process/leaving.py
@@ -0,0 +1,138 @@
+"""Marks upstreams that are leaving, at the first word from any source."""
+
+from collections import Counter
+
+import msgspec
+import urllib3
+
+from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.connection.store import Vm, VmList
+from boragedeck.interfaces import FactBoard, Membership
+from boragedeck.process.isolation import key_text
+from boragedeck.process.rendezvous import rank
+from boragedeck.process.timers import TimerService
+from boragedeck.process.upstreams import UpstreamKey, UpstreamRegistry, UpstreamState
+
+__all__ = ["LeavingFact", "LeavingWatch"]
+
+READ_INTERVAL_S = 1.0
+READERS = 3
+FACT_TTL_S = 15.0
+RESTATE_S = 5.0
+
+
+class LeavingFact(msgspec.Struct, frozen=True, array_like=True):
+    """Body of a leaving fact.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM that leaves, or empty.
+    address : str
+        Its IP address where no other VM has the same, or empty.
+    upstream : str
+        The upstream that says it leaves, or empty.
+    """
+
+    vm: str = ""
+    address: str = ""
+    upstream: str = ""
+
+    def covers(self, state: UpstreamState) -> bool:
+        """Return whether an upstream is leaving by this fact."""
+        if self.upstream:
+            return self.upstream == key_text(state.key)
+        if self.vm and self.vm == state.upstream.name:
+            return True
+        host = urllib3.util.parse_url(state.upstream.url).host
+        return bool(self.address) and self.address == host
+
+
+class LeavingWatch:
+    """Learns which upstreams leave and keeps new work from them.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    board : FactBoard
+        Spreads the word.
+    membership : Membership
+        The routers, some of which read the list of VMs.
+    vm_list : VmList
+        The platform's list of VMs.
+    registry : UpstreamRegistry
+        The upstreams to mark.
+
+    Notes
+    -----
+    `READERS` routers read the list once a second, whatever the number of routers; the
+    others hear of it as a fact. A pool's own `leaving` mark needs no fact, since
+    the configuration itself spreads. State: the facts on the board.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        board: FactBoard,
+        membership: Membership,
+        vm_list: VmList,
+        registry: UpstreamRegistry,
+    ):
+        self._timers = timers
+        self._board = board
+        self._membership = membership
+        self._vm_list = vm_list
+        self._registry = registry
+        self._stated_at: dict[str, float] = {}
+        board.subscribe(FactTopic.LEAVING, lambda fact: self.mark())
+        timers.subscribe(READ_INTERVAL_S, self.refresh)
+
+    def refresh(self) -> None:
+        """Read the list of VMs where it is this router's turn, and mark."""
+        if self._is_reader():
+            vms = self._vm_list.vms()
+            if vms.is_ok():
+                self._state_vms(vms.ok())
+        self.mark()
+
+    def upstream_says(self, upstream: UpstreamKey) -> None:
+        """Note that an upstream reports that it leaves."""
+        name = key_text(upstream)
+        self._state(f"upstream/{name}", LeavingFact(upstream=name))
+
+    def mark(self) -> None:
+        """Mark the upstreams that a fact covers, and no others."""
+        facts = [_decode(fact) for fact in self._board.facts(FactTopic.LEAVING)]
+        for state in self._registry.all():
+            state.is_leaving = any(fact.covers(state) for fact in facts)
+
+    def _is_reader(self) -> bool:
+        own = self._membership.own
+        members = [own, *self._membership.members()]
+        readers = rank("vm-list", members, lambda member: member.router)[:READERS]
+        return any(member.router == own.router for member in readers)
+
+    def _state_vms(self, vms: list[Vm]) -> None:
+        shared = Counter(vm.address for vm in vms)
+        for vm in vms:
+            if vm.leaving:
+                address = vm.address if shared[vm.address] == 1 else ""
+                self._state(f"vm/{vm.name}", LeavingFact(vm.name, address))
+
+    def _state(self, key: str, fact: LeavingFact) -> None:
+        now = self._timers.now()
+        self._stated_at = {
+            name: at for name, at in self._stated_at.items() if now - at < RESTATE_S
+        }
+        if key not in self._stated_at:
+            self._stated_at[key] = now
+            body = msgspec.msgpack.encode(fact)
+            self._board.publish(FactTopic.LEAVING, key, body, ttl_s=FACT_TTL_S)
+
+
+def _decode(fact: Fact) -> LeavingFact:
+    try:
+        return msgspec.msgpack.decode(fact.body, type=LeavingFact)
+    except msgspec.MsgspecError:
+        return LeavingFact()
--- /dev/null
+++ b/boragedeck/process/polling.py
@@ -0,0 +1,238 @@
+"""Polls a part of the upstreams and shares the results among routers."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import eventlet
+import msgspec
+import xxhash
+from result import Result
+
+from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.exceptions import UpstreamError
+from boragedeck.ids import PoolName, RouterId, Version
+from boragedeck.interfaces import ConfigSource, FactBoard, Membership
+from boragedeck.process.load import LoadReport
+from boragedeck.process.timers import TimerService
+from boragedeck.process.upstreams import UpstreamKey, UpstreamRegistry, UpstreamState
+from boragedeck.version.tables import PoolKind
+
+__all__ = ["PolledLoad", "PolledLoads", "Polling", "Probe", "pollers", "polls_of"]
+
+FACT_KEY = "reports"
+POLL_INTERVAL_S = 1.0
+POLLS_PER_S = 4.0
+MAX_POLLERS = 3
+VERSION_ROUNDS = 5
+FACT_TTL_S = 15.0
+CONCURRENT_POLLS = 16
+
+
+class Probe(Protocol):
+    """Reads what an upstream publishes; see `EngineProbe`."""
+
+    def is_leaving(self, url: str) -> bool:
+        """Return whether the upstream says that it leaves."""
+
+    def load(self, url: str) -> Result[LoadReport, UpstreamError]:
+        """Read its load."""
+
+    def versions(self, url: str) -> Result[frozenset[Version], UpstreamError]:
+        """Read which versions it serves."""
+
+
+class PolledLoad(msgspec.Struct, frozen=True, array_like=True):
+    """One upstream's load as a router has read it.
+
+    Parameters
+    ----------
+    upstream : UpstreamKey
+        The upstream.
+    report : LoadReport
+        Its load.
+    age_s : float
+        Seconds between the reading and the statement.
+    versions : tuple of Version
+        What it serves; empty where that is not known.
+    """
+
+    upstream: UpstreamKey
+    report: LoadReport
+    age_s: float
+    versions: tuple[Version, ...] = ()
+
+
+class PolledLoads(msgspec.Struct, frozen=True, array_like=True):
+    """Body of a load fact: what one router has read."""
+
+    loads: tuple[PolledLoad, ...]
+
+
+class Polling:
+    """Reads the load of the upstreams that fall to this router.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    board : FactBoard
+        Spreads what was read.
+    membership : Membership
+        The routers among which upstreams are divided.
+    cfg_source : ConfigSource
+        Says which pools are engines.
+    registry : UpstreamRegistry
+        Where reports go.
+    probe : Probe
+        Reads what upstreams publish.
+    on_leaving : callable
+        Called with an upstream that says that it leaves.
+
+    Notes
+    -----
+    A router makes `POLLS_PER_S` readings a second at most: each upstream is read by
+    up to `MAX_POLLERS` routers in a small fleet, by one in a large one, and less
+    often than each `POLL_INTERVAL_S` where routers are few. State: one fact for each
+    router, with the upstreams that it reads.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        board: FactBoard,
+        membership: Membership,
+        cfg_source: ConfigSource,
+        registry: UpstreamRegistry,
+        probe: Probe,
+        on_leaving,
+    ):
+        self._timers = timers
+        self._board = board
+        self._membership = membership
+        self._cfg_source = cfg_source
+        self._registry = registry
+        self._probe = probe
+        self._on_leaving = on_leaving
+        self._round = 0
+        self._last: tuple[PolledLoad, ...] = ()
+        self._stated_at = float("-inf")
+        board.subscribe(FactTopic.LOAD, self._take)
+        self._schedule(POLL_INTERVAL_S)
+
+    def poll(self) -> None:
+        """Read the upstreams that fall to this router and state their load."""
+        states = self._own_states()
+        pool = eventlet.GreenPool(CONCURRENT_POLLS)
+        loads = [load for load in pool.imap(self._poll_one, states) if load]
+        self._round += 1
+        if loads:
+            self._state(tuple(loads))
+
+    def _own_states(self) -> list[UpstreamState]:
+        engines = self._engine_pools()
+        states = [s for s in self._registry.all() if s.key.pool in engines]
+        routers = self._routers()
+        count, _ = polls_of(len(routers), len(states))
+        own = self._membership.own.router
+        return [s for s in states if own in pollers(s.key, routers, count)]
+
+    def _poll_one(self, state: UpstreamState) -> PolledLoad | None:
+        url = state.upstream.url
+        read_at = self._timers.now()
+        result = self._probe.load(url)
+        if result.is_err():
+            return None
+        if self._round % VERSION_ROUNDS == 0:
+            self._poll_slowly(state)
+        now = self._timers.now()
+        versions = tuple(sorted(state.versions or ()))
+        load = PolledLoad(state.key, result.ok(), now - read_at, versions)
+        self._note(load)
+        return load
+
+    def _poll_slowly(self, state: UpstreamState) -> None:
+        versions = self._probe.versions(state.upstream.url)
+        if versions.is_ok():
+            state.versions = versions.ok()
+        if self._probe.is_leaving(state.upstream.url):
+            self._on_leaving(state.key)
+
+    def _state(self, loads: tuple[PolledLoad, ...]) -> None:
+        now = self._timers.now()
+        is_news = list(map(_content, loads)) != list(map(_content, self._last))
+        if not is_news and now - self._stated_at < FACT_TTL_S / 3.0:
+            return
+        self._last = loads
+        self._stated_at = now
+        body = msgspec.msgpack.encode(PolledLoads(loads))
+        self._board.publish(FactTopic.LOAD, FACT_KEY, body, ttl_s=FACT_TTL_S)
+
+    def _take(self, fact: Fact) -> None:
+        if fact.key != FACT_KEY or fact.origin == self._board.own:
+            return
+        try:
+            loads = msgspec.msgpack.decode(fact.body, type=PolledLoads).loads
+        except msgspec.MsgspecError:
+            return
+        for load in loads:
+            self._note(load)
+
+    def _note(self, load: PolledLoad) -> None:
+        state = self._registry.get(load.upstream)
+        if state is None:
+            return
+        now = self._timers.now()
+        measured_at = now - load.age_s
+        name = f"{self._board.own}/{load.upstream.upstream}/{measured_at}"
+        rounding = xxhash.xxh32_intdigest(name.encode()) / 2.0**32
+        state.add_report(load.report, measured_at, now, rounding)
+        if load.versions:
+            state.versions = frozenset(load.versions)
+        if measured_at > state.failed_at:
+            # It answers, so its probation may begin.
+            state.health.answer_probe(now)
+
+    def _engine_pools(self) -> set[PoolName]:
+        pools = self._cfg_source.current().pools
+        return {pool.name for pool in pools if pool.kind is PoolKind.ENGINE}
+
+    def _routers(self) -> list[RouterId]:
+        members = self._membership.members()
+        return sorted([self._membership.own.router, *(m.router for m in members)])
+
+    def _schedule(self, interval_s: float) -> None:
+        self._timers.call_later(interval_s, self._poll_again)
+
+    def _poll_again(self) -> None:
+        try:
+            self.poll()
+        finally:
+            _, interval_s = polls_of(len(self._routers()), len(self._registry.all()))
+            self._schedule(interval_s)
+
+
+def polls_of(routers: int, upstreams: int) -> tuple[int, float]:
+    """Return how many routers read each upstream, and how often in seconds."""
+    affordable = POLLS_PER_S * POLL_INTERVAL_S * routers / max(1, upstreams)
+    if affordable >= 1.0:
+        return min(MAX_POLLERS, routers, int(affordable)), POLL_INTERVAL_S
+    return 1, POLL_INTERVAL_S / affordable
+
+
+def pollers(
+    upstream: UpstreamKey, routers: Sequence[RouterId], count: int
+) -> set[RouterId]:
+    """Return the routers that read an upstream.
+
+    Notes
+    -----
+    One hash for each upstream, where rendezvous hashing takes one for each pair: with
+    370 routers and 1,200 upstreams that is 444,000 a round. A change of membership
+    moves many upstreams to other readers, which costs nothing here.
+    """
+    first = xxhash.xxh64_intdigest(f"{upstream.pool}/{upstream.upstream}".encode())
+    return {routers[(first + offset) % len(routers)] for offset in range(count)}
+
+
+def _content(load: PolledLoad) -> tuple:
+    return load.upstream, load.report, load.versions
--- a/boragedeck/process/shares.py
+++ b/boragedeck/process/shares.py
@@ -17,7 +17,11 @@
 INTERVAL_PER_ROUTER_S = 0.05
 FACT_TTL_INTERVALS = 5.0
 MAX_WEIGHT_CHANGE = 4.0
-OVER_SHARE = 1.5
+ARRIVAL_HALF_LIFE_S = 10.0
+MIN_ARRIVED = 0.05
+FLOOD_FROM = 2.5
+FLOOD_FULL = 4.0
+FLOOD_USE = 0.5
 
 
 class ShareReport(msgspec.Struct, frozen=True, array_like=True):
@@ -27,12 +31,12 @@
     ----------
     held : dict
         Requests in flight by organisation.
-    total : int
-        All requests in flight.
+    arrived : dict
+        Recent requests by organisation, those of `ARRIVAL_HALF_LIFE_S` ago for half.
     """
 
     held: dict[OrganisationName, int]
-    total: int
+    arrived: dict[OrganisationName, float]
 
 
 class OrganisationShares:
@@ -50,10 +54,14 @@
     Notes
     -----
     Each router says how many requests of its largest organisations it has in
-    flight; the sums give each router the same picture, as late as gossip is. An
-    organisation over its share weighs less in each queue, by at most
-    `MAX_WEIGHT_CHANGE`, and may not use the last places. State: `MAX_REPORTED`
-    counts for each router, for five intervals.
+    flight and how many came; the sums give each router the same picture, as late as
+    gossip is. An organisation that holds more than its share weighs less in each
+    queue, by at most `MAX_WEIGHT_CHANGE`. One whose requests come at more than
+    `FLOOD_FROM` times its share may use a part of the upstreams' limits only, down to
+    `FLOOD_USE` from `FLOOD_FULL` times on, so that the others find room at once.
+    Arrivals decide that, not what is held or waits: being held back would make an
+    organisation look harmless, or its backlog keep it held back. State:
+    `MAX_REPORTED` counts of each kind for each router, for five intervals.
     """
 
     def __init__(
@@ -64,11 +72,19 @@
         self._own: Counter[OrganisationName] = Counter()
         self._peers: dict[RouterId, ShareReport] = {}
         self._held: Counter[OrganisationName] = Counter()
+        self._own_arrived: dict[OrganisationName, float] = {}
+        self._arrived: dict[OrganisationName, float] = {}
+        self._decayed_at = timers.now()
         self._declared: dict[OrganisationName, float] = {}
         self._read_config(cfg_source.current())
         cfg_source.subscribe(self._read_config)
         self._schedule()
 
+    def arrive(self, organisation: OrganisationName) -> None:
+        """Note a new request, be it served or not."""
+        for counts in (self._own_arrived, self._arrived):
+            counts[organisation] = counts.get(organisation, 0.0) + 1.0
+
     def start(self, organisation: OrganisationName) -> None:
         """Note a request that has got a place."""
         self._own[organisation] += 1
@@ -84,18 +100,25 @@
     def weight(self, organisation: OrganisationName) -> float:
         """Return an organisation's present weight in a queue."""
         declared = self._declared.get(organisation, 1.0)
-        return declared / min(MAX_WEIGHT_CHANGE, max(1.0, self._use(organisation)))
+        return declared / min(
+            MAX_WEIGHT_CHANGE, max(1.0, self._ratio(organisation, self._held))
+        )
 
-    def is_over_share(self, organisation: OrganisationName) -> bool:
-        """Return whether an organisation holds clearly more than its share."""
-        return self._use(organisation) > OVER_SHARE
+    def use_limit(self, organisation: OrganisationName) -> float:
+        """Return the share of an upstream's limit that an organisation may use."""
+        ratio = self._ratio(organisation, self._arrived)
+        excess = (ratio - FLOOD_FROM) / (FLOOD_FULL - FLOOD_FROM)
+        return 1.0 - (1.0 - FLOOD_USE) * min(1.0, max(0.0, excess))
 
     def report(self) -> ShareReport:
         """Return what this router has in flight."""
-        return ShareReport(dict(self._own.most_common(MAX_REPORTED)), self._own.total())
+        arrived = Counter(self._own_arrived).most_common(MAX_REPORTED)
+        rounded = {name: round(count, 1) for name, count in arrived}
+        return ShareReport(dict(self._own.most_common(MAX_REPORTED)), rounded)
 
     def refresh(self) -> None:
         """State the own report and read the peers' ones."""
+        self._decay()
         facts = self._board.facts(FactTopic.LOAD)
         peers = [fact for fact in facts if fact.key == FACT_KEY]
         interval_s = self._interval_s(len(peers))
@@ -105,19 +128,34 @@
         self._peers = dict(map(_decode, peers))
         self._peers.pop(self._board.own, None)
         self._held = Counter(self._own)
+        self._arrived = dict(self._own_arrived)
         for report in self._peers.values():
             self._held.update(report.held)
-
-    def _use(self, organisation: OrganisationName) -> float:
-        """Return the part of its fair share that an organisation holds."""
-        active = {name for name, count in self._held.items() if count > 0}
+            for name, count in report.arrived.items():
+                self._arrived[name] = self._arrived.get(name, 0.0) + count
+
+    def _decay(self) -> None:
+        now = self._timers.now()
+        factor = 0.5 ** ((now - self._decayed_at) / ARRIVAL_HALF_LIFE_S)
+        self._decayed_at = now
+        self._own_arrived = {
+            name: count * factor
+            for name, count in self._own_arrived.items()
+            if count * factor >= MIN_ARRIVED
+        }
+
+    def _ratio(
+        self, organisation: OrganisationName, counts: dict[OrganisationName, float]
+    ) -> float:
+        """Return an organisation's part of some counts over its fair part."""
+        active = {name for name, count in counts.items() if count > 0}
         active.add(organisation)
         if len(active) == 1:
             return 0.0
         weights = sum(self._declared.get(name, 1.0) for name in active)
-        total = sum(self._held[name] for name in active)
+        total = sum(counts.get(name, 0.0) for name in active)
         fair = total * self._declared.get(organisation, 1.0) / weights
-        return self._held[organisation] / max(1.0, fair)
+        return counts.get(organisation, 0.0) / max(1.0, fair)
 
     def _read_config(self, cfg) -> None:
         self._declared = {each.name: each.weight for each in cfg.organisations}
@@ -138,5 +176,5 @@
     try:
         report = msgspec.msgpack.decode(fact.body, type=ShareReport)
     except msgspec.MsgspecError:
-        report = ShareReport({}, 0)
+        report = ShareReport({}, {})
     return fact.origin, report
--- a/boragedeck/process/upstreams.py
+++ b/boragedeck/process/upstreams.py
@@ -98,7 +98,8 @@
         now : float
             Monotonic time in seconds.
         """
-        limit = self._limit(use, now)
+        # A limit that the upstream has not shown yet says nothing about how full it is.
+        limit = self._limit(use if self.limit.is_known else 1.0, now)
         if not self._fits(limit, now):
             return False
         growth = self.load.growth(now)
--- /dev/null
+++ b/tests/process/test_grace.py
@@ -0,0 +1,52 @@
+import random
+import unittest
+
+from boragedeck.process.grace import LearnedGrace
+from boragedeck.version.tables import Route, RouteLimits
+from tests.process.policy_fakes import FakeConfig, make_config, make_pool
+
+
+class LearnedGraceTest(unittest.TestCase):
+    def setUp(self):
+        pool = make_pool()
+        route = Route("chat", pool.name, limits=RouteLimits(grace_s=20.0))
+        self.rng = random.Random(3)
+        cfg_source = FakeConfig(make_config(pool, route))
+        self.grace = LearnedGrace(cfg_source, random.Random(4))
+
+    def play(self, count, return_share, mean_s):
+        lost = came_back = 0
+        for _ in range(count):
+            grace_s = self.grace.grace_s("chat")
+            self.assertLessEqual(grace_s, 20.0)
+            if self.rng.random() >= return_share:
+                self.grace.gave_up("chat")
+                continue
+            after_s = self.rng.expovariate(1.0 / mean_s)
+            came_back += 1
+            if after_s <= grace_s:
+                self.grace.returned("chat", after_s)
+            else:
+                lost += 1
+                self.grace.gave_up("chat")
+        return lost / max(1, came_back)
+
+    def test_quick_returns_make_it_short(self):
+        self.play(3000, 0.3, 0.5)
+        self.assertLess(self.grace.learned_s("chat"), 5.0)
+        self.assertLess(self.play(3000, 0.3, 0.5), 0.05)
+
+    def test_slow_returns_are_learned_although_a_short_grace_hides_them(self):
+        self.play(2000, 0.3, 0.3)
+        short = self.grace.learned_s("chat")
+        self.play(6000, 0.3, 4.0)
+        self.assertGreater(self.grace.learned_s("chat"), 3.0 * short)
+        self.assertLess(self.play(3000, 0.3, 4.0), 0.1)
+
+    def test_nobody_returns(self):
+        self.play(3000, 0.0, 1.0)
+        self.assertLess(self.grace.learned_s("chat"), 1.0)
+
+    def test_never_over_the_routes_limit(self):
+        self.play(3000, 0.9, 100.0)
+        self.assertLessEqual(self.grace.learned_s("chat"), 20.0)
