--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -8,6 +8,7 @@
 
 from boragedeck.connection.edge import serve_http
 from boragedeck.connection.engine import open_run
+from boragedeck.connection.metrics_poll import EngineProbe
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.platform import HttpPlatform
 from boragedeck.connection.service import HttpServices
@@ -20,18 +21,21 @@
 from boragedeck.process.command_parts import CallParts, build_call_service
 from boragedeck.process.copies import CopyStore
 from boragedeck.process.gossip import GossipBoard
+from boragedeck.process.grace import LearnedGrace
 from boragedeck.process.intent_pruner import IntentPruner
 from boragedeck.process.journal import Journal
 from boragedeck.process.keys import KeyRing
+from boragedeck.process.leaving import LeavingWatch
 from boragedeck.process.load_gossip import LoadGossip
 from boragedeck.process.membership import GossipMembership
 from boragedeck.process.metrics import Metrics
+from boragedeck.process.polling import Polling
 from boragedeck.process.quarantine import Quarantine
 from boragedeck.process.settings import Settings
 from boragedeck.process.simple_parts import DeclaredVersion
 from boragedeck.process.status import StatusReport
 from boragedeck.process.timers import RealTimers
-from boragedeck.request.abandonment import Abandonment, FixedGrace
+from boragedeck.request.abandonment import Abandonment
 from boragedeck.request.api import Api
 from boragedeck.request.call_edge import CallEdge
 from boragedeck.request.generation import GenerationParts
@@ -166,6 +170,22 @@
             self.quarantine,
         )
         LoadGossip(self.timers, self._board, chooser.registry)
+        leaving = LeavingWatch(
+            self.timers,
+            self._board,
+            self._membership,
+            self._platform,
+            chooser.registry,
+        )
+        Polling(
+            self.timers,
+            self._board,
+            self._membership,
+            self._config,
+            chooser.registry,
+            EngineProbe(),
+            leaving.upstream_says,
+        )
         return chooser
 
     def _make_answers(self) -> AnswerService:
@@ -186,7 +206,9 @@
             CopyStore(self.timers),
             self._membership,
             self._links,
-            Abandonment(FixedGrace(), self.timers, self.metrics),
+            Abandonment(
+                LearnedGrace(self._config, self._rng), self.timers, self.metrics
+            ),
         )
         answers.register(self._server)
         return answers
