Move routes to new versions on the evidence of all routers

Raising a share and finishing need a committed row, fenced by the lease and conditional on the absence of a recorded stop. Stopping needs the evidence that one router holds. Versions are compared in the same failure domain and among runs that started at the same time.

--- a/boragedeck/interfaces.py
+++ b/boragedeck/interfaces.py
@@ -206,6 +206,16 @@
         Tokens generated.
     is_quarantined : bool
         Whether the request is known to crash upstreams.
+    fingerprint : str
+        Identifies requests with the same content; empty where it is not known.
+    age_s : float
+        Time since the run started, in seconds.
+
+    Notes
+    -----
+    A run is observed when its first token comes, while it goes on, and at its end.
+    Only one of its samples states `first_token_s`; `gap_s` is the mean since the
+    sample before.
     """
 
     route: RouteName
@@ -217,6 +227,8 @@
     gap_s: float | None
     tokens: int
     is_quarantined: bool = False
+    fingerprint: str = ""
+    age_s: float = 0.0
 
 
 class VersionPolicy(Protocol):
--- /dev/null
+++ b/boragedeck/version/evidence.py
@@ -0,0 +1,221 @@
+"""Evidence about a new version: counts in windows of time, summed over routers."""
+
+import math
+
+import msgspec
+import xxhash
+
+from boragedeck.ids import FailureDomain, UpstreamName
+from boragedeck.interfaces import Outcome, Sample
+
+__all__ = [
+    "Cell",
+    "Evidence",
+    "Loss",
+    "Window",
+    "bucket",
+    "hash_fingerprint",
+    "is_loss",
+]
+
+BUCKETS_PER_DOUBLING = 4
+LONG_TOKENS = 1024
+EARLY_S = 10.0
+FIRST_PART_S = 3.0
+MAX_LOSSES = 1024
+MAX_DOMAINS = 32
+OTHER_DOMAIN = FailureDomain("")
+_LOSSES = (Outcome.CRASHED, Outcome.SILENT)
+
+
+class Cell(msgspec.Struct, array_like=True):
+    """Counts of one version in one failure domain.
+
+    Parameters
+    ----------
+    trials : int
+        Runs, or parts of long runs, that have shown how they went.
+    failures : int
+        Trials that the upstream answered with an error.
+    longs : int
+        Trials with at least `LONG_TOKENS` tokens.
+    first_token : dict of int to int
+        Counts by logarithmic bucket of the time to the first token.
+    gap : dict of int to int
+        Counts by logarithmic bucket of the mean time between tokens.
+    """
+
+    trials: int = 0
+    failures: int = 0
+    longs: int = 0
+    first_token: dict[int, int] = msgspec.field(default_factory=dict)
+    gap: dict[int, int] = msgspec.field(default_factory=dict)
+
+    def add(self, sample: Sample, *, is_trial: bool, has_gap: bool) -> None:
+        """Count a sample; its gap only where none of the run is counted here yet."""
+        is_failed = sample.outcome is Outcome.FAILED
+        self.trials += is_trial
+        self.failures += is_failed
+        self.longs += sample.tokens >= LONG_TOKENS
+        _count(self.first_token, sample.first_token_s)
+        if has_gap:
+            _count(self.gap, sample.gap_s)
+
+    def merge(self, other: "Cell") -> None:
+        """Add the counts of another cell."""
+        self.trials += other.trials
+        self.failures += other.failures
+        self.longs += other.longs
+        _merge(self.first_token, other.first_token)
+        _merge(self.gap, other.gap)
+
+
+Cells = dict[FailureDomain, Cell]
+
+
+class Evidence(msgspec.Struct, array_like=True):
+    """Counts by failure domain.
+
+    Parameters
+    ----------
+    new, old : dict
+        Runs of the new version and of the old ones, counted once each in the window
+        in which they started. Versions whose shares change are compared fairly so,
+        as their runs have had the same time to fail.
+    late_new, late_old : dict
+        Parts of runs that have gone on for longer than `EARLY_S`, counted in the
+        window in which they ended.
+    """
+
+    new: Cells = msgspec.field(default_factory=dict)
+    old: Cells = msgspec.field(default_factory=dict)
+    late_new: Cells = msgspec.field(default_factory=dict)
+    late_old: Cells = msgspec.field(default_factory=dict)
+
+    def add(self, sample: Sample, *, is_new: bool, is_late: bool) -> None:
+        """Count a sample."""
+        if is_late:
+            cells = self.late_new if is_new else self.late_old
+        else:
+            cells = self.new if is_new else self.old
+        domain = sample.failure_domain
+        if domain not in cells and len(cells) >= MAX_DOMAINS:
+            domain = OTHER_DOMAIN
+        cell = cells.setdefault(domain, Cell())
+        is_trial = is_late or _is_first(sample)
+        cell.add(sample, is_trial=is_trial, has_gap=_has_gap(sample, is_late))
+
+    def merge(self, other: "Evidence") -> None:
+        """Add the counts of other evidence."""
+        pairs = (
+            (self.new, other.new),
+            (self.old, other.old),
+            (self.late_new, other.late_new),
+            (self.late_old, other.late_old),
+        )
+        for own, theirs in pairs:
+            for domain, cell in theirs.items():
+                own.setdefault(domain, Cell()).merge(cell)
+
+    def total(self, *, is_new: bool) -> Cell:
+        """Return the sum over failure domains, early and late."""
+        total = Cell()
+        sources = (self.new, self.late_new) if is_new else (self.old, self.late_old)
+        for cells in sources:
+            for cell in cells.values():
+                total.merge(cell)
+        return total
+
+
+class Loss(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that broke off a run or went silent.
+
+    Parameters
+    ----------
+    upstream : UpstreamName
+        The upstream.
+    failure_domain : FailureDomain
+        Where it stands.
+    is_new : bool
+        Whether it served the new version.
+    at : float
+        When, in Unix seconds.
+    fingerprint : int
+        Hash of the request's fingerprint; 0 where it is not known.
+    """
+
+    upstream: UpstreamName
+    failure_domain: FailureDomain
+    is_new: bool
+    at: float
+    fingerprint: int = 0
+
+
+class Window(msgspec.Struct, array_like=True):
+    """What one router saw of an attempt in one window of time.
+
+    Parameters
+    ----------
+    number : int
+        The attempt.
+    index : int
+        The window's start divided by its length.
+    evidence : Evidence
+        Counts of the window.
+    losses : list of Loss
+        The latest upstreams lost, of all windows.
+    quarantined : list of int
+        Hashes of fingerprints that are known to crash upstreams.
+    cleared : list of int
+        Hashes of fingerprints that lost an upstream and were completed later.
+    """
+
+    number: int
+    index: int
+    evidence: Evidence = msgspec.field(default_factory=Evidence)
+    losses: list[Loss] = msgspec.field(default_factory=list)
+    quarantined: list[int] = msgspec.field(default_factory=list)
+    cleared: list[int] = msgspec.field(default_factory=list)
+
+
+def bucket(seconds: float) -> int:
+    """Return the logarithmic bucket of a duration; microseconds are bucket 0."""
+    return max(0, round(BUCKETS_PER_DOUBLING * math.log2(max(seconds, 1e-6) * 1e6)))
+
+
+def is_loss(sample: Sample) -> bool:
+    """Return whether a sample shows that its upstream was lost."""
+    return sample.outcome in _LOSSES
+
+
+def hash_fingerprint(fingerprint: str) -> int:
+    """Return a short hash of a request's fingerprint; 0 for an unknown one."""
+    return xxhash.xxh32_intdigest(fingerprint.encode()) if fingerprint else 0
+
+
+def _is_first(sample: Sample) -> bool:
+    """Return whether a sample is the one that counts its run."""
+    return sample.first_token_s is not None or (
+        sample.outcome is Outcome.FAILED and sample.tokens == 0
+    )
+
+
+def _has_gap(sample: Sample, is_late: bool) -> bool:
+    """Return whether a sample is the one that counts its run's gap.
+
+    Parts of one run are alike, so counting each would make chance look like evidence.
+    """
+    if is_late:
+        return sample.outcome is not None
+    return sample.outcome is None or sample.age_s <= FIRST_PART_S
+
+
+def _count(histogram: dict[int, int], seconds: float | None) -> None:
+    if seconds is not None:
+        index = bucket(seconds)
+        histogram[index] = histogram.get(index, 0) + 1
+
+
+def _merge(own: dict[int, int], other: dict[int, int]) -> None:
+    for index, count in other.items():
+        own[index] = own.get(index, 0) + count
--- /dev/null
+++ b/boragedeck/version/rollout_follower.py
@@ -0,0 +1,387 @@
+"""Chooses versions for requests, and stops a bad one on evidence alone."""
+
+import math
+import random
+
+import msgspec
+import xxhash
+
+from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.connection.platform import Platform
+from boragedeck.exceptions import StoreConflictError
+from boragedeck.ids import RouteName, RouterId, Version
+from boragedeck.interfaces import ConfigSource, FactBoard, Outcome, Sample
+from boragedeck.process.timers import Subscription, TimerService
+from boragedeck.version.rollout_facts import (
+    KnownRow,
+    SeenWindow,
+    Stopped,
+    decode_fact,
+    stop_fact_key,
+    window_fact_key,
+)
+from boragedeck.version.rollout_ledger import RolloutLedger
+from boragedeck.version.rollout_metrics import RolloutMetrics
+from boragedeck.version.rollout_plan import Progress
+from boragedeck.version.rollout_row import RolloutRow, StopRow, stop_write
+from boragedeck.version.rollout_watch import HEDGE_SHARE, AttemptWatch, Room
+from boragedeck.version.tables import Config, Pool, Route
+
+__all__ = ["RolloutFollower"]
+
+TICK_S = 1.0
+POLL_S = 5.0
+POLL_PER_ROUTER_S = 0.03
+ANNOUNCE_S = 45.0
+FAULT_PUBLISH_S = 0.5
+FAULT_JUDGE_S = 0.1
+STOP_TTL_AFTER_DEADLINE_S = 300.0
+MAX_STOPS = 1024
+_FAULTS = (Outcome.FAILED, Outcome.CRASHED, Outcome.SILENT)
+
+
+class _Share:
+    """Hands out the new version's share of this router, and no more."""
+
+    def __init__(self, row: RolloutRow, own: RouterId):
+        self._draw = _draw(f"{own}/{row.route}/{row.number}/{row.step}")
+        self._credit = _draw(f"credit/{own}/{row.route}/{row.number}/{row.step}")
+        self._step = row.step
+        self._sent = 0
+
+    def is_of(self, row: RolloutRow) -> bool:
+        """Return whether this counts the row's step."""
+        return self._step == row.step
+
+    def take(self, row: RolloutRow, share: float) -> bool:
+        """Return whether the next request goes to the new version."""
+        self._credit = min(2.0, self._credit + share)
+        if self._credit < 1.0 or self._sent + 1 > self._allowed(row):
+            return False
+        self._credit -= 1.0
+        self._sent += 1
+        return True
+
+    def _allowed(self, row: RolloutRow) -> float:
+        if row.allowance is None:
+            return math.inf
+        # Where routers outnumber the requests, the draw picks those that take part.
+        return row.allowance / max(1, row.routers) + self._draw
+
+
+class RolloutFollower:
+    """One router's side of all rollouts; implements `VersionPolicy`.
+
+    Parameters
+    ----------
+    platform : Platform
+        Holds the rollouts table.
+    board : FactBoard
+        Spreads evidence and stops.
+    config : ConfigSource
+        The configuration in force.
+    timers : TimerService
+        The source of time.
+    metrics : RolloutMetrics, optional
+        Where progress is counted.
+    rng : random.Random, optional
+        Spreads the reads of the store over time.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        board: FactBoard,
+        config: ConfigSource,
+        timers: TimerService,
+        *,
+        metrics: RolloutMetrics | None = None,
+        rng: random.Random | None = None,
+    ):
+        self.ledger = RolloutLedger(platform, board)
+        self._platform = platform
+        self._board = board
+        self._config = config
+        self._timers = timers
+        self._metrics = metrics or RolloutMetrics()
+        self._rng = rng or random.Random()
+        self._first: dict[RouteName, Version] = {}
+        self._chosen: dict[RouteName, int] = {}
+        self._since = timers.now()
+        self._watches: dict[RouteName, AttemptWatch] = {}
+        self._shares: dict[RouteName, _Share] = {}
+        self._stops: dict[tuple[str, int], Stopped] = {}
+        self._unrecorded: dict[tuple[str, int], Stopped] = {}
+        self._published: dict[RouteName, float] = {}
+        self._due: set[RouteName] = set()
+        self._polled = self._announced = float("-inf")
+        self.ledger.subscribe(self._follow)
+        board.subscribe(FactTopic.ROLLOUT_EVIDENCE, self._on_fact)
+        board.subscribe(FactTopic.ROLLOUT_STOP, self._on_fact)
+        config.subscribe(self._on_config)
+        self._on_config(config.current())
+
+    def start(self) -> Subscription:
+        """Begin to publish, judge and read at intervals."""
+        return self._timers.subscribe(TICK_S, self.tick)
+
+    # What requests ask.
+
+    def choose(self, route: Route, request_key: str) -> Version | None:
+        """Return the version for a new request; see `VersionPolicy.choose`."""
+        version = self._choose(route)
+        self._chosen[route.name] = self._chosen.get(route.name, 0) + 1
+        self._metrics.requests.labels(route.name, version or "").inc()
+        return version
+
+    def observe(self, sample: Sample) -> None:
+        """Take note of a run; see `VersionPolicy.observe`."""
+        wall = self._timers.wall()
+        for watch in list(self._watches.values()):
+            row = watch.row
+            if sample.route != row.route and not self._is_in_pool(sample, row):
+                continue
+            watch.observe(sample, wall)
+            if sample.outcome in _FAULTS and sample.version == row.new:
+                self._publish(watch, min_interval_s=FAULT_PUBLISH_S)
+                self._judge_soon(watch)
+
+    # What the leader asks.
+
+    def first_version(self, route: Route) -> Version | None:
+        """Return the first version of a route that this router has seen."""
+        return self._first.get(route.name)
+
+    def stopped(self, row: RolloutRow) -> Stopped | None:
+        """Return the stop of an attempt that this router knows of."""
+        return self._stops.get((row.route, row.number))
+
+    def progress(self, row: RolloutRow) -> Progress:
+        """Return the evidence of a running attempt."""
+        watch = self._watches.get(row.route)
+        if watch is None or watch.row.number != row.number:
+            return Progress()
+        return watch.progress(self._timers.wall())
+
+    def heard_from(self, row: RolloutRow) -> set[RouterId]:
+        """Return the routers whose recent evidence has come."""
+        watch = self._watches.get(row.route)
+        return watch.heard_from(self._timers.wall()) if watch else set()
+
+    def request_rate(self, route: RouteName) -> float:
+        """Return the requests a second of a route that this router has seen."""
+        elapsed = max(1.0, self._timers.now() - self._since)
+        return self._chosen.get(route, 0) / elapsed
+
+    def stop(self, row: RolloutRow, reason: str) -> None:
+        """Stop an attempt for good in this router, and tell all others."""
+        stopped = Stopped(row.route, row.number, self._timers.wall(), reason)
+        self._take_stop(stopped)
+        ttl = row.deadline - stopped.at + STOP_TTL_AFTER_DEADLINE_S
+        self._board.publish(
+            FactTopic.ROLLOUT_STOP,
+            stop_fact_key(row.route, row.number),
+            msgspec.msgpack.encode(stopped),
+            ttl_s=max(STOP_TTL_AFTER_DEADLINE_S, ttl),
+        )
+        self._unrecorded[row.route, row.number] = stopped
+        self._metrics.stops.labels(row.route).inc()
+
+    def tick(self) -> None:
+        """Publish evidence, judge it, and read the store where it's time."""
+        for watch in list(self._watches.values()):
+            self._publish(watch, min_interval_s=watch.row.window_s / 5.0)
+            self._judge(watch)
+        self._record_stops()
+        self._poll()
+        if self._timers.now() - self._announced >= ANNOUNCE_S:
+            self._announced = self._timers.now()
+            self.ledger.announce_scarce()
+
+    # Choosing.
+
+    def _choose(self, route: Route) -> Version | None:
+        if route.version is None:
+            return None
+        known = self.ledger.get(route.name)
+        if known is None:
+            return self._unknown(route)
+        row = known.row
+        if not row.is_running:
+            return self._in_force(row)
+        share = self._shares.get(route.name)
+        if not self._is_open(route, row) or share is None:
+            return row.old
+        return row.new if share.take(row, self._own_share(row)) else row.old
+
+    def _own_share(self, row: RolloutRow) -> float:
+        if self._watches[row.route].is_hedged(self._timers.wall()):
+            return min(row.share, HEDGE_SHARE)
+        return row.share
+
+    def _is_open(self, route: Route, row: RolloutRow) -> bool:
+        """Return whether the running attempt may get requests from here."""
+        is_asked = (route.version, route.deadline) == (row.new, row.asked_deadline)
+        is_late = self._timers.wall() >= row.deadline
+        return is_asked and not is_late and not self.stopped(row)
+
+    def _in_force(self, row: RolloutRow) -> Version | None:
+        # A stop that reached neither the leader nor the store in time holds here for
+        # as long as the old version can still be had.
+        if row.in_force == row.new and self.stopped(row) and self._is_served(row):
+            self._metrics.disputed.labels(row.route).set(1)
+            return row.old
+        return row.in_force
+
+    def _unknown(self, route: Route) -> Version | None:
+        first = self._first.get(route.name, route.version)
+        if self.ledger.has_read or first != route.version:
+            return first
+        pool = self._config.current().pool(route.pool)
+        return _commonest_version(pool) or first
+
+    def _is_served(self, row: RolloutRow) -> bool:
+        pool = self._config.current().pool(row.pool)
+        upstreams = pool.upstreams if pool else ()
+        return any(
+            upstream.version == row.old and not upstream.leaving
+            for upstream in upstreams
+        )
+
+    # Evidence.
+
+    def _publish(self, watch: AttemptWatch, *, min_interval_s: float) -> None:
+        now, route = self._timers.now(), watch.row.route
+        if now - self._published.get(route, float("-inf")) < min_interval_s:
+            return
+        self._published[route] = now
+        for window in watch.changed_windows(self._timers.wall()):
+            self._board.publish(
+                FactTopic.ROLLOUT_EVIDENCE,
+                window_fact_key(route, window.index),
+                msgspec.msgpack.encode(SeenWindow(route, window)),
+                ttl_s=4 * watch.row.window_s,
+            )
+
+    def _judge_soon(self, watch: AttemptWatch) -> None:
+        """Judge once for all faults that come together."""
+        route = watch.row.route
+        if route in self._due:
+            return
+
+        def judge() -> None:
+            self._due.discard(route)
+            if self._watches.get(route) is watch:
+                self._judge(watch)
+
+        self._due.add(route)
+        self._timers.call_later(FAULT_JUDGE_S, judge)
+
+    def _judge(self, watch: AttemptWatch) -> None:
+        row = watch.row
+        if self._timers.wall() >= row.deadline or self.stopped(row):
+            # What is left of the new version's runs are the longest ones, which can't
+            # be compared with the others.
+            return
+        verdict = watch.judge(self._timers.wall(), self._room(row))
+        self._metrics.evidence.labels(row.route).set(watch.nats)
+        if verdict is not None:
+            self.stop(row, f"{self._board.own}: {verdict.reason}")
+
+    def _room(self, row: RolloutRow) -> Room:
+        pool = self._config.current().pool(row.pool)
+        upstreams = pool.upstreams if pool else ()
+        new = [upstream for upstream in upstreams if upstream.version == row.new]
+        old = [upstream for upstream in upstreams if upstream.version != row.new]
+        domains = frozenset(upstream.failure_domain for upstream in old)
+        return Room(max(1, len(new)), max(1, len(old)), domains)
+
+    def _is_in_pool(self, sample: Sample, row: RolloutRow) -> bool:
+        pool = self._config.current().pool(row.pool)
+        upstreams = pool.upstreams if pool else ()
+        return any(upstream.name == sample.upstream for upstream in upstreams)
+
+    # Facts, rows and stops.
+
+    def _on_config(self, cfg: Config) -> None:
+        for route in cfg.routes:
+            if route.version is not None:
+                self._first.setdefault(route.name, route.version)
+        names = {route.name for route in cfg.routes}
+        for name in set(self._first) - names:
+            del self._first[name]
+            self._chosen.pop(name, None)
+
+    def _on_fact(self, fact: Fact) -> None:
+        if fact.origin == self._board.own:
+            return
+        match decode_fact(fact):
+            case KnownRow() as known:
+                self.ledger.learn(known)
+            case SeenWindow(route, window) if route in self._watches:
+                self._watches[route].take(fact.origin, window)
+            case Stopped() as stopped:
+                self._take_stop(stopped)
+
+    def _take_stop(self, stopped: Stopped) -> None:
+        if len(self._stops) >= MAX_STOPS:
+            self._forget_stops()
+        self._stops.setdefault((stopped.route, stopped.number), stopped)
+
+    def _forget_stops(self) -> None:
+        """Keep the stops of the latest attempts only."""
+        for route, number in list(self._stops):
+            known = self.ledger.get(route)
+            if known is None or known.row.number > number:
+                del self._stops[route, number]
+
+    def _follow(self, row: RolloutRow) -> None:
+        watch = self._watches.get(row.route)
+        self._metrics.share.labels(row.route, row.new).set(row.share)
+        if not row.is_running:
+            for state in (self._watches, self._shares, self._published):
+                state.pop(row.route, None)
+            self._metrics.outcomes.labels(row.route, row.state.value).inc()
+            return
+        if watch is None or watch.row.number != row.number:
+            self._watches[row.route] = AttemptWatch(row, self._board.own)
+            self._shares.pop(row.route, None)
+        else:
+            watch.follow(row)
+        share = self._shares.get(row.route)
+        if share is None or not share.is_of(row):
+            self._shares[row.route] = _Share(row, self._board.own)
+
+    def _record_stops(self) -> None:
+        for key, stopped in list(self._unrecorded.items()):
+            known = self.ledger.get(stopped.route)
+            if known is None or known.row.number != stopped.number:
+                del self._unrecorded[key]
+                continue
+            stop = StopRow(self._board.own, stopped.at, stopped.reason)
+            result = self._platform.commit([stop_write(known.row, stop)])
+            if result.is_ok() or isinstance(result.err(), StoreConflictError):
+                del self._unrecorded[key]
+
+    def _poll(self) -> None:
+        routers = max(
+            (watch.row.routers for watch in self._watches.values()), default=1
+        )
+        interval = POLL_S + POLL_PER_ROUTER_S * routers
+        if self._timers.now() - self._polled < interval:
+            return
+        self._polled = self._timers.now() + self._rng.uniform(0.0, 0.2 * interval)
+        self.ledger.refresh()
+
+
+def _draw(text: str) -> float:
+    """Return a number from 0 to 1 that depends on a text."""
+    return xxhash.xxh64_intdigest(text.encode()) / 2**64
+
+
+def _commonest_version(pool: Pool | None) -> Version | None:
+    counts: dict[Version, int] = {}
+    for upstream in pool.upstreams if pool else ():
+        if upstream.version and not upstream.leaving:
+            counts[upstream.version] = counts.get(upstream.version, 0) + 1
+    return max(counts, key=counts.__getitem__, default=None)
--- /dev/null
+++ b/boragedeck/version/rollout_leader.py
@@ -0,0 +1,326 @@
+"""Leads rollouts: raises shares and states outcomes in committed, fenced rows."""
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import msgspec
+from result import Result
+
+from boragedeck.connection.platform import Platform
+from boragedeck.connection.store import ABSENT, Table, Write
+from boragedeck.exceptions import StoreConflictError, StoreError, StoreUnknownError
+from boragedeck.ids import RouterId
+from boragedeck.interfaces import ConfigSource, Membership
+from boragedeck.process.timers import Subscription, TimerService
+from boragedeck.version import rollout_texts as texts
+from boragedeck.version.rollout_facts import KnownRow
+from boragedeck.version.rollout_follower import RolloutFollower
+from boragedeck.version.rollout_metrics import RolloutMetrics
+from boragedeck.version.rollout_plan import (
+    STEPS,
+    Decision,
+    Extend,
+    Finish,
+    Progress,
+    Raise,
+    TakeBack,
+    Wait,
+    allowance,
+    decide,
+    first_step,
+    is_too_short,
+    window_s,
+)
+from boragedeck.version.rollout_room import RoomSource
+from boragedeck.version.rollout_row import (
+    Cause,
+    RolloutRow,
+    State,
+    StopRow,
+    stop_absent,
+    stop_key,
+)
+from boragedeck.version.tables import Route
+
+__all__ = ["LeaderLease", "RolloutLeader"]
+
+TICK_S = 1.0
+SAFE_MARGIN_S = 2.0
+DEFAULT_LENGTH_S = 3600.0
+
+
+class LeaderLease(Protocol):
+    """The lease of the rollouts' leader, while it is held."""
+
+    token: int
+
+    def is_safe(self, margin_s: float) -> bool:
+        """Return whether the lease holds for at least so many seconds more."""
+
+    def commit(self, writes: Sequence[Write]) -> Result[list[int], StoreError]:
+        """Write rows only where no other router has the lease.
+
+        Returns
+        -------
+        Result
+            The rows' new versions.
+        """
+
+
+class RolloutLeader:
+    """Moves all routes, while this router holds the lease.
+
+    Parameters
+    ----------
+    follower : RolloutFollower
+        This router's own side of the rollouts.
+    platform : Platform
+        Holds the rollouts table.
+    config : ConfigSource
+        The configuration in force.
+    membership : Membership
+        The routers whose evidence is waited for.
+    timers : TimerService
+        The source of time.
+    lease : callable
+        Returns the `LeaderLease`, or None where another router leads.
+    room : RoomSource
+        Says whether the new version's upstreams can carry a share.
+    metrics : RolloutMetrics, optional
+        Where commits are counted.
+
+    Notes
+    -----
+    Each write is conditional on the head that was read, on the lease, and, where it
+    raises or finishes, on the absence of a recorded stop. A write whose answer is
+    lost is settled by reading the head.
+    """
+
+    def __init__(
+        self,
+        follower: RolloutFollower,
+        platform: Platform,
+        config: ConfigSource,
+        membership: Membership,
+        timers: TimerService,
+        lease: Callable[[], LeaderLease | None],
+        room: RoomSource,
+        *,
+        metrics: RolloutMetrics | None = None,
+    ):
+        self._follower = follower
+        self._ledger = follower.ledger
+        self._platform = platform
+        self._config = config
+        self._membership = membership
+        self._timers = timers
+        self._lease = lease
+        self._room = room
+        self._metrics = metrics or RolloutMetrics()
+        self._token: int | None = None
+        self._own: RouterId = membership.own.router
+
+    def start(self) -> Subscription:
+        """Begin to lead at intervals, whenever the lease is held."""
+        return self._timers.subscribe(TICK_S, self.tick)
+
+    def tick(self) -> None:
+        """Take the next step of each rollout, if this router leads."""
+        lease = self._lease()
+        if lease is None or not lease.is_safe(SAFE_MARGIN_S):
+            return
+        if lease.token != self._token:
+            # What an earlier leader committed has to be known first.
+            if self._ledger.refresh().is_err():
+                return
+            self._token = lease.token
+        cfg = self._config.current()
+        for route in cfg.routes:
+            self._drive(route)
+        names = {route.name for route in cfg.routes}
+        for row in self._ledger.rows():
+            if row.is_running and row.route not in names:
+                self._supersede(row, "the route was removed")
+
+    # One route.
+
+    def _drive(self, route: Route) -> None:
+        known = self._ledger.get(route.name)
+        if known is None:
+            self._record_first(route)
+            return
+        row = known.row
+        if self._config.current().revision < row.revision:
+            return
+        is_asked = (row.new, row.asked_deadline) == (route.version, route.deadline)
+        match row.is_running, is_asked:
+            case True, True:
+                self._advance(row)
+            case True, False:
+                self._supersede(row, texts.superseded(route))
+            case False, False if route.version not in (None, row.in_force):
+                self._begin(route, row)
+
+    def _record_first(self, route: Route) -> None:
+        first = self._follower.first_version(route)
+        if first is None:
+            return
+        now = self._timers.wall()
+        row = RolloutRow(
+            route=route.name,
+            number=0,
+            pool=route.pool,
+            old=None,
+            new=first,
+            deadline=now,
+            asked_deadline=route.deadline if route.version == first else None,
+            revision=self._config.current().revision,
+            started=now,
+        )
+        reason = f"{first} is the first version of this route"
+        self._end(row, State.DONE, Cause.FIRST_VERSION, reason, expect=ABSENT)
+
+    def _begin(self, route: Route, last: RolloutRow) -> None:
+        now = self._timers.wall()
+        deadline = now + DEFAULT_LENGTH_S if route.deadline is None else route.deadline
+        routers = 1 + len(self._membership.members())
+        rate = routers * self._follower.request_rate(route.name)
+        step = first_step(rate, deadline - now)
+        row = RolloutRow(
+            route=route.name,
+            number=last.number + 1,
+            pool=route.pool,
+            old=last.in_force,
+            new=route.version,
+            deadline=deadline,
+            asked_deadline=route.deadline,
+            revision=self._config.current().revision,
+            started=now,
+            step=step,
+            step_since=now,
+            share=STEPS[step].share,
+            allowance=allowance(step),
+            routers=routers,
+            window_s=window_s(routers),
+            reason=f"started: {STEPS[step].share:.0%} of the requests",
+            action=texts.RUNNING,
+        )
+        lack = self._room.lack(row, 1.0)
+        if lack is not None:
+            self._end(row, State.TAKEN_BACK, Cause.NO_ROOM, lack)
+        elif is_too_short(now, deadline):
+            reason = "the deadline leaves too little time for evidence"
+            self._end(row, State.TAKEN_BACK, Cause.DEADLINE, reason)
+        else:
+            self._commit(row.noted(now))
+
+    def _advance(self, row: RolloutRow) -> None:
+        now = self._timers.wall()
+        stopped = self._follower.stopped(row)
+        if stopped is not None:
+            self._end(row, State.TAKEN_BACK, Cause.FAULT, stopped.reason)
+        elif now >= row.deadline:
+            reason = "the deadline passed before the outcome could be written"
+            self._end(row, State.TAKEN_BACK, Cause.DEADLINE, reason)
+        else:
+            self._carry_out(row, decide(row, self._progress(row), now), now)
+
+    def _carry_out(self, row: RolloutRow, decision: Decision, now: float) -> None:
+        match decision:
+            case Wait():
+                return
+            case TakeBack(reason):
+                self._end(row, State.TAKEN_BACK, Cause.DEADLINE, reason)
+            case Finish(reason):
+                self._end(row, State.DONE, Cause.EVIDENCE, reason)
+            case Extend(reason):
+                more = (row.allowance or 0.0) + (allowance(row.step) or 0.0)
+                self._commit(row.noted(now, allowance=more, reason=reason))
+            case Raise(reason):
+                self._raise(row, reason, now)
+
+    def _raise(self, row: RolloutRow, reason: str, now: float) -> None:
+        step = row.step + 1
+        changed = row.noted(
+            now,
+            step=step,
+            step_since=now,
+            share=STEPS[step].share,
+            allowance=allowance(step),
+            routers=1 + len(self._membership.members()),
+            reason=f"raised to {STEPS[step].share:.0%}: {reason}",
+        )
+        self._commit(changed, stop_absent(changed))
+
+    def _progress(self, row: RolloutRow) -> Progress:
+        next_share = STEPS[min(row.step + 1, len(STEPS) - 1)].share
+        expected = {member.router for member in self._membership.members()}
+        return msgspec.structs.replace(
+            self._follower.progress(row),
+            missing=len(expected - self._follower.heard_from(row)),
+            has_room=self._room.lack(row, next_share) is None,
+        )
+
+    def _supersede(self, row: RolloutRow, reason: str) -> None:
+        self._end(row, State.TAKEN_BACK, Cause.SUPERSEDED, reason)
+
+    # Writes.
+
+    def _end(
+        self,
+        row: RolloutRow,
+        state: State,
+        cause: Cause,
+        reason: str,
+        *,
+        expect: int | None = None,
+    ) -> None:
+        ended = row.noted(
+            self._timers.wall(),
+            state=state,
+            cause=cause,
+            share=1.0 if state is State.DONE else 0.0,
+            reason=reason,
+            action=texts.action(state, cause),
+        )
+        conditions = [stop_absent(ended)] if state is State.DONE else []
+        self._commit(ended, *conditions, expect=expect)
+
+    def _commit(
+        self, row: RolloutRow, *conditions: Write, expect: int | None = None
+    ) -> None:
+        lease = self._lease()
+        if lease is None or lease.token != self._token:
+            return
+        if not lease.is_safe(SAFE_MARGIN_S):
+            return
+        row = msgspec.structs.replace(row, token=lease.token, writer=self._own)
+        if expect is None:
+            expect = self._ledger.get(row.route).version
+        result = lease.commit([*row.writes(expect), *conditions])
+        self._metrics.commits.labels("ok" if result.is_ok() else "error").inc()
+        self._settle(row, result)
+
+    def _settle(self, row: RolloutRow, result: Result[list[int], StoreError]) -> None:
+        if result.is_ok():
+            self._ledger.learn(KnownRow(row, result.ok()[0]))
+            self._ledger.announce(row.route)
+            return
+        match result.err():
+            case StoreConflictError():
+                self._ledger.refresh_route(row.route)
+                self._learn_stop(row)
+            case StoreUnknownError():
+                # The head alone says whether the write took effect. If it did not, it
+                # still may: the next one is conditional on the same head.
+                self._ledger.refresh_route(row.route)
+                known = self._ledger.get(row.route)
+                if known is not None and known.row == row:
+                    self._ledger.announce(row.route)
+
+    def _learn_stop(self, row: RolloutRow) -> None:
+        read = self._platform.get(Table.ROLLOUTS, stop_key(row.route, row.number))
+        if read.is_err() or read.ok() is None or self._follower.stopped(row):
+            return
+        stop = msgspec.json.decode(read.ok().value, type=StopRow)
+        self._follower.stop(row, stop.reason)
--- /dev/null
+++ b/boragedeck/version/rollout_plan.py
@@ -0,0 +1,269 @@
+"""Steps of a rollout: its shares, the evidence that each needs, and their times."""
+
+import math
+
+import msgspec
+
+from boragedeck.version.judgement import DOUBT_NATS
+from boragedeck.version.rollout_row import RolloutRow
+
+__all__ = [
+    "Decision",
+    "Extend",
+    "Finish",
+    "Progress",
+    "Raise",
+    "TakeBack",
+    "Wait",
+    "allowance",
+    "decide",
+    "finish_by",
+    "first_step",
+    "is_too_short",
+    "window_s",
+]
+
+
+class _Step(msgspec.Struct, frozen=True):
+    """One step: its share, trials needed, and when it should end at the latest."""
+
+    share: float
+    trials: int
+    ends_at: float
+    requests: float | None = None
+
+
+STEPS = (
+    _Step(share=0.02, trials=12, ends_at=0.2, requests=40),
+    _Step(share=0.04, trials=40, ends_at=0.4, requests=120),
+    _Step(share=0.10, trials=60, ends_at=0.47),
+    _Step(share=0.25, trials=80, ends_at=0.54),
+    _Step(share=0.50, trials=120, ends_at=0.62),
+    _Step(share=0.90, trials=200, ends_at=0.85),
+)
+LAST_STEP = len(STEPS) - 1
+SOAK_STEP = LAST_STEP - 1
+"""Half of the requests: where a late fault shows soonest."""
+MIN_TRIALS = 6
+MIN_LONGS = 2
+MIN_LONGS_TO_FINISH = 5
+LONG_SHARE = 0.03
+"""Long outputs are waited for where at least this share of the old runs is long."""
+MIN_DWELL_S = 8.0
+MAX_DWELL_S = 60.0
+DWELL_SHARE = 0.03
+SOAK_S = 1800.0
+MIN_SOAK_SHARE = 0.1
+FINISH_MARGIN_S = 20.0
+"""More than a lease's length, so that a paused leader can't finish late."""
+FINISH_MARGIN_SHARE = 0.05
+MIN_LENGTH_S = 90.0
+MISSING_PATIENCE_S = 30.0
+
+MIN_WINDOW_S = 5.0
+FACT_BYTES = 400
+FACT_BUDGET_BYTES_PER_S = 4000
+
+
+class Progress(msgspec.Struct, frozen=True):
+    """What the evidence says of an attempt.
+
+    Parameters
+    ----------
+    trials, longs : int
+        Trials of the new version in this step, and the long ones among those of the
+        whole attempt.
+    old_trials, old_longs : int
+        The same of the old version, over the whole attempt.
+    nats : float
+        Evidence against the new version.
+    rate : float
+        Trials of both versions in a second.
+    missing : int
+        Routers that are not known to be dead and have sent no evidence lately.
+    has_room : bool
+        Whether the new version's upstreams can carry the next share.
+    is_hedged : bool
+        Whether an alarm holds the share down.
+    """
+
+    trials: int = 0
+    longs: int = 0
+    old_trials: int = 0
+    old_longs: int = 0
+    nats: float = 0.0
+    rate: float = 0.0
+    missing: int = 0
+    has_room: bool = True
+    is_hedged: bool = False
+
+
+class Wait(msgspec.Struct, frozen=True):
+    """Go on as it is."""
+
+    reason: str
+
+
+class Raise(msgspec.Struct, frozen=True):
+    """Go to the next step."""
+
+    reason: str
+
+
+class Extend(msgspec.Struct, frozen=True):
+    """Allow more requests at the same share."""
+
+    reason: str
+
+
+class Finish(msgspec.Struct, frozen=True):
+    """End the attempt as done."""
+
+    reason: str
+
+
+class TakeBack(msgspec.Struct, frozen=True):
+    """End the attempt as taken back for want of evidence in time."""
+
+    reason: str
+
+
+Decision = Wait | Raise | Extend | Finish | TakeBack
+
+
+def window_s(routers: int) -> float:
+    """Return the length of evidence windows that keeps control traffic bounded."""
+    return max(MIN_WINDOW_S, routers * FACT_BYTES / FACT_BUDGET_BYTES_PER_S)
+
+
+def is_too_short(started: float, deadline: float) -> bool:
+    """Return whether a deadline leaves no time for evidence."""
+    return deadline - started < MIN_LENGTH_S
+
+
+def finish_by(row: RolloutRow) -> float:
+    """Return until when the outcome may be committed as done, in Unix seconds."""
+    length = row.deadline - row.started
+    return row.deadline - max(FINISH_MARGIN_S, FINISH_MARGIN_SHARE * length)
+
+
+def allowance(step: int) -> float | None:
+    """Return how many requests a step allows to begin with; None for any number."""
+    return STEPS[step].requests
+
+
+def first_step(rate: float, length_s: float) -> int:
+    """Return the step to begin with: the second one where traffic is small.
+
+    Parameters
+    ----------
+    rate : float
+        Requests a second of the route.
+    length_s : float
+        Time to the deadline in seconds.
+    """
+    expected = rate * STEPS[0].share * STEPS[0].ends_at * length_s
+    return 0 if expected >= 2 * STEPS[0].trials else 1
+
+
+def decide(row: RolloutRow, progress: Progress, now: float) -> Decision:
+    """Decide about a running attempt against which nothing speaks.
+
+    Parameters
+    ----------
+    row : RolloutRow
+        The attempt.
+    progress : Progress
+        Its evidence.
+    now : float
+        The time in Unix seconds.
+    """
+    if now > finish_by(row):
+        missing = _missing_evidence(row, progress) or "the last step had not ended"
+        return TakeBack(f"no time is left before the deadline: {missing}")
+    lack = _missing_evidence(row, progress)
+    waited = now - row.step_since
+    if lack and waited >= _dwell_s(row) * _extensions(row):
+        return Extend(f"more requests are allowed at the same share: {lack}")
+    if lack:
+        return Wait(lack)
+    if waited < _dwell_s(row):
+        return Wait(f"watching the step for {_dwell_s(row):.0f} s")
+    if progress.missing and waited < _dwell_s(row) + MISSING_PATIENCE_S:
+        return Wait(f"{progress.missing} routers have sent no evidence lately")
+    if row.step < SOAK_STEP:
+        return Raise(_evidence_text(row, progress))
+    soak_end = _soak_end(row)
+    if now < soak_end:
+        return Wait(f"soaking for another {soak_end - now:.0f} s")
+    if row.step < LAST_STEP:
+        return Raise(_evidence_text(row, progress))
+    return Finish(_evidence_text(row, progress))
+
+
+def _missing_evidence(row: RolloutRow, progress: Progress) -> str | None:
+    if progress.nats >= DOUBT_NATS:
+        return f"in doubt: {progress.nats:.1f} nats speak against the new version"
+    need = trials_needed(row, progress)
+    if progress.trials < need:
+        return f"{progress.trials} of {need} trials of the new version in this step"
+    longs = _longs_needed(row, progress)
+    if progress.longs < longs:
+        return f"{progress.longs} of {longs} long outputs of the new version"
+    if progress.is_hedged and row.step < LAST_STEP:
+        return "an alarm holds the share down, here or on the old version as well"
+    if not progress.has_room:
+        return "the new version's upstreams can't carry the next share"
+    return None
+
+
+def trials_needed(row: RolloutRow, progress: Progress) -> int:
+    """Return the trials that a step needs, fewer where traffic is too small."""
+    step = STEPS[row.step]
+    begins_at = STEPS[row.step - 1].ends_at if row.step > 1 else 0.0
+    planned_s = (step.ends_at - begins_at) * (row.deadline - row.started)
+    possible = math.floor(0.5 * progress.rate * step.share * planned_s)
+    return max(MIN_TRIALS, min(step.trials, possible))
+
+
+def _longs_needed(row: RolloutRow, progress: Progress) -> int:
+    is_usual = progress.old_longs >= LONG_SHARE * max(1, progress.old_trials)
+    if not is_usual or progress.old_longs < MIN_LONGS_TO_FINISH:
+        return 0
+    match row.step:
+        case 0:
+            return 0
+        case step if step == LAST_STEP:
+            return MIN_LONGS_TO_FINISH
+    return MIN_LONGS
+
+
+def _dwell_s(row: RolloutRow) -> float:
+    length = row.deadline - row.started
+    dwell = min(MAX_DWELL_S, max(MIN_DWELL_S, DWELL_SHARE * length))
+    return max(dwell, 1.5 * row.window_s)
+
+
+def _extensions(row: RolloutRow) -> float:
+    base = allowance(row.step)
+    if base is None or row.allowance is None:
+        return math.inf
+    return row.allowance / base
+
+
+def _soak_end(row: RolloutRow) -> float:
+    length = row.deadline - row.started
+    shortest = row.step_since + MIN_SOAK_SHARE * length
+    planned = row.started + STEPS[row.step].ends_at * length
+    longest = row.step_since + SOAK_S
+    return min(max(shortest, min(planned, longest)), finish_by(row) - 1.0)
+
+
+def _evidence_text(row: RolloutRow, progress: Progress) -> str:
+    text = (
+        f"{progress.trials} trials of {row.new} in this step and nothing against it "
+        f"({progress.nats:.1f} nats)"
+    )
+    if progress.missing:
+        text += f"; {progress.missing} routers sent no evidence and act on their own"
+    return text
--- /dev/null
+++ b/boragedeck/version/rollout_texts.py
@@ -0,0 +1,39 @@
+"""Sentences in rollout rows that tell operators what they can do."""
+
+from boragedeck.version.rollout_row import Cause, State
+from boragedeck.version.tables import Route
+
+__all__ = ["RUNNING", "action", "superseded"]
+
+RUNNING = "wait, or set the route's version back to the old one to end the move at once"
+
+
+def action(state: State, cause: Cause) -> str:
+    """Return what an operator can do about an attempt that has ended."""
+    match state, cause:
+        case State.DONE, Cause.FIRST_VERSION:
+            return "nothing; edit the route's version to move it"
+        case State.DONE, _:
+            return "mark the old version's upstreams as leaving, then remove them"
+        case _, Cause.FAULT:
+            return (
+                "set the route's version back to the old one, mend the new one and "
+                "publish it under a new name, or set a new deadline to try again"
+            )
+        case _, Cause.NO_ROOM:
+            return (
+                "add upstreams of the new version to the pool, or clear `leaving`, "
+                "then set a new deadline to try again"
+            )
+        case _, Cause.DEADLINE:
+            return "set a later deadline to try again"
+        case _, Cause.SUPERSEDED:
+            return "nothing; the later edit is followed"
+    return "see the reason"
+
+
+def superseded(route: Route) -> str:
+    """Return the reason of an attempt that a later edit ended."""
+    if route.version is None:
+        return "the route no longer asks for a version"
+    return f"a later edit asks for {route.version} by {route.deadline or 'no deadline'}"
--- /dev/null
+++ b/boragedeck/version/rollout_watch.py
@@ -0,0 +1,310 @@
+"""What one router knows of an attempt: evidence of all routers, and its verdict."""
+
+from collections import deque
+
+import msgspec
+
+from boragedeck.ids import FailureDomain, RouterId
+from boragedeck.interfaces import Outcome, Sample
+from boragedeck.version.alarm import is_alarming
+from boragedeck.version.evidence import (
+    EARLY_S,
+    MAX_LOSSES,
+    Cell,
+    Evidence,
+    Loss,
+    Window,
+    hash_fingerprint,
+    is_loss,
+)
+from boragedeck.version.judgement import (
+    DOUBT_NATS,
+    Score,
+    Verdict,
+    condemns,
+    explain,
+    group_score,
+    judge_losses,
+)
+from boragedeck.version.rollout_plan import Progress
+from boragedeck.version.rollout_row import RolloutRow
+
+__all__ = ["HEDGE_SHARE", "AttemptWatch", "Room"]
+
+CLOSE_AFTER_WINDOWS = 2
+KEPT_WINDOWS = 4
+MIN_CONTROL_TRIALS = 8
+MAX_GROUP_WINDOWS = 6
+MAX_QUARANTINED = 256
+MAX_PUBLISHED_LOSSES = 64
+MAX_PUBLISHED_QUARANTINED = 16
+LOSS_NEWS_S = 60.0
+LOSS_SETTLE_S = 1.5
+"""Until then the news of a loss may lack the request that it shares with another."""
+MAX_ORIGINS = 1024
+RECENT_WINDOWS = 3
+HEDGE_SHARE = 0.10
+"""Share while an alarm holds; it tells the versions apart with the fewest requests."""
+HEDGE_S = 15.0
+
+
+class Room(msgspec.Struct, frozen=True):
+    """Upstreams of an attempt.
+
+    Parameters
+    ----------
+    new_upstreams, old_upstreams : int
+        How many serve the new version and the old one.
+    old_domains : frozenset of FailureDomain
+        Where those of the old version stand.
+    """
+
+    new_upstreams: int = 1
+    old_upstreams: int = 1
+    old_domains: frozenset[FailureDomain] = frozenset()
+
+
+class AttemptWatch:
+    """Sums the evidence about one attempt and judges it.
+
+    Parameters
+    ----------
+    row : RolloutRow
+        The attempt.
+    own : RouterId
+        This router.
+
+    Attributes
+    ----------
+    nats : float
+        Evidence against the new version at the latest judgement.
+
+    Notes
+    -----
+    Windows are summed into groups that hold enough runs of the old version. A group
+    is folded into the score when it's full and older than messages take.
+    """
+
+    def __init__(self, row: RolloutRow, own: RouterId):
+        self.row = row
+        self.nats = 0.0
+        self._own = own
+        self._windows: dict[RouterId, dict[int, Window]] = {}
+        self._unpublished: set[int] = set()
+        self._losses: set[Loss] = set()
+        self._lost: set[int] = set()
+        self._cleared: dict[int, float] = {}
+        self._own_losses: deque[Loss] = deque(maxlen=MAX_PUBLISHED_LOSSES)
+        self._quarantined: set[int] = set()
+        self._closed = self._index(row.started) - 1
+        self._group = Evidence()
+        self._group_windows = 0
+        self._score = Score()
+        self._total = Evidence()
+        self._reference = Cell()
+        self._step_trials = 0
+        self._step = row.step
+        self._hedged_until = float("-inf")
+
+    def observe(self, sample: Sample, wall: float) -> None:
+        """Count a run that this router saw."""
+        fingerprint = hash_fingerprint(sample.fingerprint)
+        if sample.is_quarantined:
+            self._quarantine([fingerprint] if fingerprint else [])
+            return
+        is_new = sample.version == self.row.new
+        if sample.outcome is Outcome.COMPLETED and fingerprint in self._lost:
+            self._cleared[fingerprint] = wall
+            _trim(self._cleared)
+        if is_loss(sample):
+            domain = sample.failure_domain
+            loss = Loss(sample.upstream, domain, is_new, wall, fingerprint)
+            self._own_losses.append(loss)
+            self._add_losses([loss])
+        if sample.route != self.row.route:
+            return
+        is_late = sample.age_s > EARLY_S
+        window = self._own_window(wall if is_late else wall - sample.age_s)
+        window.evidence.add(sample, is_new=is_new, is_late=is_late)
+        self._unpublished.add(window.index)
+
+    def take(self, origin: RouterId, window: Window) -> None:
+        """Take in what another router saw; a later statement replaces an earlier."""
+        if window.number != self.row.number or window.index <= self._closed:
+            return
+        if origin not in self._windows and len(self._windows) >= MAX_ORIGINS:
+            return
+        kept = self._windows.setdefault(origin, {})
+        kept[window.index] = window
+        _prune(kept)
+        self._add_losses(window.losses)
+        self._quarantine(window.quarantined)
+        self._cleared.update(dict.fromkeys(window.cleared, float("-inf")))
+        _trim(self._cleared)
+
+    def follow(self, row: RolloutRow) -> None:
+        """Follow a later row of the same attempt."""
+        if row.step != self._step:
+            self._step = row.step
+            self._step_trials = 0
+        self.row = row
+
+    def changed_windows(self, wall: float) -> list[Window]:
+        """Return this router's windows that have changed since the last call."""
+        current = self._own_window(wall)
+        indices = self._unpublished | {current.index}
+        self._unpublished = set()
+        kept = self._windows[self._own]
+        windows = [kept[index] for index in sorted(indices) if index in kept]
+        windows[-1] = msgspec.structs.replace(
+            windows[-1],
+            losses=[loss for loss in self._own_losses if wall - loss.at < LOSS_NEWS_S],
+            cleared=self._news_of_cleared(wall),
+            quarantined=sorted(self._quarantined)[:MAX_PUBLISHED_QUARANTINED],
+        )
+        return windows
+
+    def judge(self, wall: float, room: Room) -> Verdict | None:
+        """Return a verdict where the evidence condemns the new version."""
+        self._close(self._index(wall) - CLOSE_AFTER_WINDOWS)
+        live = self._open_evidence()
+        live.merge(self._group)
+        score = self._score.after(group_score(live))
+        _, self.nats = score.worst()
+        self._look_for_alarm(wall)
+        if condemns(score):
+            return explain(score, self._sum())
+        return judge_losses(
+            [loss for loss in self._losses if loss.at <= wall - LOSS_SETTLE_S],
+            self._cleared.keys(),
+            self._quarantined,
+            room.new_upstreams,
+            room.old_upstreams,
+            max(1.0, wall - self.row.started),
+            room.old_domains,
+        )
+
+    def is_hedged(self, wall: float) -> bool:
+        """Return whether an alarm holds the share down."""
+        return wall < self._hedged_until
+
+    def heard_from(self, wall: float) -> set[RouterId]:
+        """Return the routers whose evidence of recent windows has come."""
+        oldest = self._index(wall) - RECENT_WINDOWS
+        return {
+            origin
+            for origin, kept in self._windows.items()
+            if kept and max(kept) >= oldest
+        }
+
+    def progress(self, wall: float) -> Progress:
+        """Return the evidence so far; a run counts once it's `EARLY_S` old."""
+        total = self._sum()
+        new, old = total.total(is_new=True), total.total(is_new=False)
+        elapsed = max(self.row.window_s, wall - self.row.started)
+        return Progress(
+            trials=self._step_trials,
+            longs=new.longs,
+            old_trials=old.trials,
+            old_longs=old.longs,
+            nats=self.nats,
+            rate=_runs(total) / elapsed,
+            is_hedged=self.is_hedged(wall),
+        )
+
+    def _index(self, wall: float) -> int:
+        return int(wall // self.row.window_s)
+
+    def _own_window(self, wall: float) -> Window:
+        kept = self._windows.setdefault(self._own, {})
+        index = max(self._index(wall), self._closed + 1)
+        if index not in kept:
+            kept[index] = Window(self.row.number, index)
+            _prune(kept)
+        return kept.get(index) or Window(self.row.number, index)
+
+    def _close(self, last: int) -> None:
+        for index in range(max(self._closed + 1, last - KEPT_WINDOWS), last + 1):
+            self._close_window(index)
+        self._closed = max(self._closed, last)
+
+    def _close_window(self, index: int) -> None:
+        for kept in self._windows.values():
+            window = kept.pop(index, None)
+            if window is None:
+                continue
+            self._group.merge(window.evidence)
+            self._total.merge(window.evidence)
+            self._reference.merge(window.evidence.total(is_new=False))
+            if index * self.row.window_s >= self.row.step_since - self.row.window_s:
+                self._step_trials += _trials(window.evidence.new)
+        self._group_windows += 1
+        is_full = _trials(self._group.old) >= MIN_CONTROL_TRIALS and self._group.new
+        if is_full or self._group_windows >= MAX_GROUP_WINDOWS:
+            self._score = self._score.after(group_score(self._group))
+            self._group = Evidence()
+            self._group_windows = 0
+
+    def _look_for_alarm(self, wall: float) -> None:
+        if self.row.share <= HEDGE_SHARE:
+            return
+        newest = self._index(wall)
+        recent = Evidence()
+        for index in range(newest, newest - RECENT_WINDOWS, -1):
+            for kept in self._windows.values():
+                if index in kept:
+                    recent.merge(kept[index].evidence)
+            if is_alarming(recent.total(is_new=True), self._reference):
+                self._hedged_until = wall + HEDGE_S
+        if self.is_hedged(wall) and self.nats >= DOUBT_NATS:
+            self._hedged_until = wall + HEDGE_S
+
+    def _open_evidence(self) -> Evidence:
+        evidence = Evidence()
+        for kept in self._windows.values():
+            for window in kept.values():
+                evidence.merge(window.evidence)
+        return evidence
+
+    def _sum(self) -> Evidence:
+        evidence = self._open_evidence()
+        evidence.merge(self._total)
+        return evidence
+
+    def _add_losses(self, losses: list[Loss]) -> None:
+        self._losses.update(losses)
+        if len(self._losses) > MAX_LOSSES:
+            latest = sorted(self._losses, key=lambda loss: loss.at)[-MAX_LOSSES:]
+            self._losses = set(latest)
+        if losses:
+            self._lost = {loss.fingerprint for loss in self._losses} - {0}
+
+    def _news_of_cleared(self, wall: float) -> list[int]:
+        news = [
+            fingerprint
+            for fingerprint, at in self._cleared.items()
+            if wall - at < LOSS_NEWS_S
+        ]
+        return news[-MAX_PUBLISHED_LOSSES:]
+
+    def _quarantine(self, fingerprints: list[int]) -> None:
+        room = MAX_QUARANTINED - len(self._quarantined)
+        self._quarantined.update(fingerprints[: max(0, room)])
+
+
+def _trim(cleared: dict[int, float]) -> None:
+    while len(cleared) > MAX_LOSSES:
+        del cleared[next(iter(cleared))]
+
+
+def _prune(kept: dict[int, Window]) -> None:
+    for index in sorted(kept)[:-KEPT_WINDOWS]:
+        del kept[index]
+
+
+def _trials(cells: dict[FailureDomain, Cell]) -> int:
+    return sum(cell.trials for cell in cells.values())
+
+
+def _runs(evidence: Evidence) -> int:
+    return _trials(evidence.new) + _trials(evidence.old)
