Lead rollouts under the lease and show them to operators

The router that holds the lease `rollouts` leads; all follow. The answer path says of each run when its first token came (once), how old it is and which request it was, and tells an upstream that answered with an error from one that broke off: the comparison of versions counts runs by the time they started and losses by upstream, so both mattered.

--- a/benchmarks/answers.py
+++ b/benchmarks/answers.py
@@ -14,11 +14,11 @@
 patch_all()
 
 import eventlet
-from standins.tokens import broken_at
 
 from benchmarks.figures import Figure, percentile, print_table
 from scripts.caller import Caller, CallerError
 from scripts.local_cluster import ClusterOptions, LocalCluster
+from standins.tokens import broken_at
 
 __all__ = ["main"]
 
--- a/boragedeck/cli/commands.py
+++ b/boragedeck/cli/commands.py
@@ -5,7 +5,7 @@
 import typer
 
 import boragedeck
-from boragedeck.cli import keys, status, tables
+from boragedeck.cli import keys, rollouts, status, tables
 
 __all__ = ["app"]
 
@@ -48,3 +48,4 @@
 app.command("history")(tables.history)
 app.command("status")(status.status)
 app.command("hash-key")(keys.hash_key)
+app.add_typer(rollouts.app, name="rollouts")
--- /dev/null
+++ b/boragedeck/cli/rollouts.py
@@ -0,0 +1,178 @@
+"""Commands that show rollouts: list, show and watch."""
+
+import enum
+from typing import Annotated
+
+import typer
+from result import Ok, Result
+
+from boragedeck.cli.access import OutputOption, PlatformOption, open_platform, unwrap
+from boragedeck.cli.console import Console, ExitCode, Output, time_text
+from boragedeck.connection.platform import Platform
+from boragedeck.connection.store import Row, Table
+from boragedeck.exceptions import StoreError
+from boragedeck.process.timers import RealTimers
+from boragedeck.version.rollout_row import (
+    HEAD_PREFIX,
+    RolloutRow,
+    State,
+    decode_row,
+    head_key,
+    row_key,
+)
+
+__all__ = ["STILL_RUNNING", "app", "list_rollouts", "show", "watch"]
+
+STILL_RUNNING = 5
+"""Exit code of ``watch`` where the time ran out first."""
+PAGE_ROWS = 500
+POLL_S = 2.0
+
+app = typer.Typer(
+    name="rollouts",
+    help="Read what the system reports of each move to a new version.",
+    epilog="Exit codes of watch: 0 as asked, 1 taken back, 4 platform unavailable,"
+    " 5 still running when the time ran out.",
+    no_args_is_help=True,
+)
+
+RouteArgument = Annotated[str, typer.Argument(help="Name of the route.")]
+
+
+class Until(enum.Enum):
+    """What ``watch`` waits for."""
+
+    DONE = "done"
+    ENDED = "ended"
+
+
+@app.command("list")
+def list_rollouts(
+    platform_url: PlatformOption = "", output: OutputOption = Output.TABLE
+) -> None:
+    """List the latest attempt of each route."""
+    console = Console(output)
+    rows = unwrap(console, _heads(open_platform(console, platform_url)))
+    console.json(rows)
+    header = ("ROUTE", "ATTEMPT", "FROM", "TO", "STATE", "SHARE", "DEADLINE", "REASON")
+    console.table(header, (_cells(row) for row in rows))
+
+
+@app.command("show")
+def show(
+    route: RouteArgument,
+    number: Annotated[
+        int | None, typer.Option(help="Number of an earlier attempt.")
+    ] = None,
+    platform_url: PlatformOption = "",
+    output: OutputOption = Output.TABLE,
+) -> None:
+    """Show an attempt: its state, each decision, and what can be done next."""
+    console = Console(output)
+    platform = open_platform(console, platform_url)
+    key = head_key(route) if number is None else row_key(route, number)
+    row = _read(console, platform, route, key)
+    console.json(row)
+    _show(console, row)
+
+
+@app.command("watch")
+def watch(
+    route: RouteArgument,
+    until: Annotated[
+        Until, typer.Option(help="What to wait for; taken back ends it too.")
+    ] = Until.DONE,
+    timeout: Annotated[
+        float, typer.Option(help="How long to wait, in seconds.")
+    ] = 86_400.0,
+    platform_url: PlatformOption = "",
+    output: OutputOption = Output.TABLE,
+) -> None:
+    """Follow an attempt, printing each decision, until it has ended."""
+    console = Console(output)
+    platform = open_platform(console, platform_url)
+    timers = RealTimers()
+    until_time = timers.now() + timeout
+    row = _read(console, platform, route, head_key(route))
+    seen = _print_notes(console, row, 0.0)
+    while row.is_running and timers.now() < until_time:
+        timers.sleep(POLL_S)
+        read = platform.get(Table.ROLLOUTS, row_key(route, row.number))
+        if read.is_err():
+            # The rollout goes on without this command, so it waits for the store.
+            console.note(f"platform not readable: {read.err()}")
+            continue
+        row = decode_row(read.ok())
+        seen = _print_notes(console, row, seen)
+    console.json(row)
+    _conclude(console, row, until)
+
+
+def _conclude(console: Console, row: RolloutRow, until: Until) -> None:
+    console.text(f"{row.state.value}: {row.reason}")
+    console.text(f"next: {row.action}")
+    match row.state:
+        case State.RUNNING:
+            raise typer.Exit(STILL_RUNNING)
+        case State.TAKEN_BACK if until is Until.DONE:
+            raise typer.Exit(ExitCode.FAILED)
+
+
+def _print_notes(console: Console, row: RolloutRow, seen: float) -> float:
+    for note in row.notes:
+        if note.at > seen:
+            console.text(f"{time_text(note.at)}  {note.share:4.0%}  {note.text}")
+            seen = note.at
+    return seen
+
+
+def _read(console: Console, platform: Platform, route: str, key: str) -> RolloutRow:
+    row = unwrap(console, platform.get(Table.ROLLOUTS, key))
+    if row is None:
+        console.fail(ExitCode.FAILED, f"route {route!r} has no such attempt")
+    return decode_row(row)
+
+
+def _heads(platform: Platform) -> Result[list[RolloutRow], StoreError]:
+    rows: list[Row] = []
+    while True:
+        after = rows[-1].key if rows else ""
+        page = platform.scan(Table.ROLLOUTS, HEAD_PREFIX, after, PAGE_ROWS)
+        if page.is_err():
+            return page
+        rows += page.ok()
+        if len(page.ok()) < PAGE_ROWS:
+            return Ok([decode_row(row) for row in rows])
+
+
+def _cells(row: RolloutRow) -> tuple[str, ...]:
+    return (
+        row.route,
+        str(row.number),
+        row.old or "-",
+        row.new,
+        row.state.value,
+        f"{row.share:.0%}",
+        time_text(row.deadline) if row.number else "-",
+        row.reason,
+    )
+
+
+def _show(console: Console, row: RolloutRow) -> None:
+    facts = {
+        "route": row.route,
+        "attempt": row.number,
+        "move": f"{row.old or '-'} to {row.new}",
+        "state": f"{row.state.value} ({row.cause.value})",
+        "share": f"{row.share:.0%}",
+        "in force": row.in_force or "-",
+        "started": time_text(row.started),
+        "deadline": time_text(row.deadline),
+        "led by": f"{row.writer} (token {row.token})",
+        "reason": row.reason,
+        "next": row.action,
+    }
+    console.table(("", ""), facts.items())
+    console.text("")
+    notes = ((time_text(n.at), f"{n.share:.0%}", n.text) for n in row.notes)
+    console.table(("DECIDED", "SHARE", "REASON"), notes)
--- a/boragedeck/connection/engine.py
+++ b/boragedeck/connection/engine.py
@@ -8,7 +8,11 @@
 from eventlet.green import socket
 from urllib3.connection import HTTPConnection
 
-from boragedeck.exceptions import UpstreamError, UpstreamRefusedError
+from boragedeck.exceptions import (
+    UpstreamError,
+    UpstreamFailedError,
+    UpstreamRefusedError,
+)
 from boragedeck.ids import Version
 from boragedeck.request.answer import Endpoint, Prompt
 
@@ -247,7 +251,7 @@
     message = f"status {response.status}: {text[:200]}"
     if response.status in SEND_STATUSES_REFUSED:
         raise UpstreamRefusedError(message, step="start run", peer=url)
-    raise UpstreamError(message, step="start run", peer=url)
+    raise UpstreamFailedError(message, step="start run", peer=url)
 
 
 def _body(request: RunRequest) -> tuple[str, bytes]:
--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -18,6 +18,7 @@
     "StoreUnknownError",
     "TableError",
     "UpstreamError",
+    "UpstreamFailedError",
     "UpstreamRefusedError",
     "UpstreamSilentError",
 ]
@@ -106,6 +107,10 @@
     """The upstream was not reached, or said that it did not run the call."""
 
 
+class UpstreamFailedError(UpstreamError):
+    """The upstream answered with an error, so it is alive."""
+
+
 class UpstreamSilentError(UpstreamError):
     """The upstream's stream went silent for longer than its history allows."""
 
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -22,9 +22,9 @@
 from boragedeck.process.load_gossip import LoadGossip
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.quarantine import Quarantine
+from boragedeck.process.rollouts import Rollouts
 from boragedeck.process.settings import Settings
 from boragedeck.process.simple_parts import (
-    DeclaredVersion,
     LocalFacts,
     TableMembership,
 )
@@ -90,12 +90,21 @@
             rng=rng,
         )
         self._server.register(FetchConfig, self._config.answer_fetch)
+        self.rollouts = Rollouts(
+            platform,
+            board,
+            self._config,
+            self._membership,
+            self.timers,
+            self.metrics.registry,
+            rng,
+        )
         journal = Journal(self._membership, self._links, self.timers, self.metrics)
         parts = GenerationParts(
             chooser=self._make_chooser(board, rng),
             journal=journal,
             config=self._config,
-            versions=DeclaredVersion(),
+            versions=self.rollouts.follower,
             timers=self.timers,
             metrics=self.metrics,
             open_run=open_run,
@@ -140,6 +149,7 @@
         """Serve peers and callers."""
         eventlet.spawn_n(self._server.serve)
         self._config.start()
+        self.rollouts.start()
         eventlet.spawn_n(self._membership.refresh)
         eventlet.spawn_n(serve_http, self._listener, self.api)
 
--- /dev/null
+++ b/boragedeck/process/rollouts.py
@@ -0,0 +1,114 @@
+"""Joins the parts of rollouts: following in every router, leading under a lease."""
+
+import random
+from collections.abc import Sequence
+
+from prometheus_client import CollectorRegistry
+from result import Result
+
+from boragedeck.connection.platform import Platform
+from boragedeck.connection.store import Write
+from boragedeck.exceptions import StoreError
+from boragedeck.interfaces import ConfigSource, FactBoard, Membership
+from boragedeck.process.lease_keeper import LeaseKeeper
+from boragedeck.process.leases import Lease, LeaseTable
+from boragedeck.process.timers import TimerService
+from boragedeck.version.rollout_follower import RolloutFollower
+from boragedeck.version.rollout_leader import RolloutLeader
+from boragedeck.version.rollout_metrics import RolloutMetrics
+from boragedeck.version.rollout_room import DeclaredRoom
+
+__all__ = ["LEASE_NAME", "FencedLease", "Rollouts"]
+
+LEASE_NAME = "rollouts"
+
+
+class FencedLease:
+    """A lease with its table, as the leader needs it; see `LeaderLease`.
+
+    Parameters
+    ----------
+    table : LeaseTable
+        Makes the fenced writes.
+    lease : Lease
+        The lease.
+    """
+
+    def __init__(self, table: LeaseTable, lease: Lease):
+        self.token = lease.token
+        self._table = table
+        self._lease = lease
+
+    def is_safe(self, margin_s: float) -> bool:
+        """Return whether the lease holds for at least so many seconds more."""
+        return self._lease.is_safe(margin_s)
+
+    def commit(self, writes: Sequence[Write]) -> Result[list[int], StoreError]:
+        """Write rows only where no other router has the lease."""
+        return self._table.commit(self._lease, writes)
+
+
+class Rollouts:
+    """All that one router does about rollouts.
+
+    Parameters
+    ----------
+    platform : Platform
+        Holds the rollouts and the leases.
+    board : FactBoard
+        Spreads evidence, rows and stops.
+    config : ConfigSource
+        The configuration in force.
+    membership : Membership
+        The other routers.
+    timers : TimerService
+        The source of time.
+    registry : CollectorRegistry
+        Where metrics are registered.
+    rng : random.Random
+        The source of jitter.
+
+    Attributes
+    ----------
+    follower : RolloutFollower
+        Chooses versions.
+    keeper : LeaseKeeper
+        Holds the leader's lease.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        board: FactBoard,
+        config: ConfigSource,
+        membership: Membership,
+        timers: TimerService,
+        registry: CollectorRegistry,
+        rng: random.Random,
+    ):
+        metrics = RolloutMetrics(registry)
+        self._table = LeaseTable(platform, timers, membership.own.router)
+        self.keeper = LeaseKeeper(self._table, timers, membership, rng)
+        self.follower = RolloutFollower(
+            platform, board, config, timers, metrics=metrics, rng=rng
+        )
+        self._leader = RolloutLeader(
+            self.follower,
+            platform,
+            config,
+            membership,
+            timers,
+            self._held,
+            DeclaredRoom(config),
+            metrics=metrics,
+        )
+
+    def start(self) -> None:
+        """Begin to follow, and to lead whenever the lease is held."""
+        self.keeper.want(LEASE_NAME)
+        self.follower.start()
+        self._leader.start()
+
+    def _held(self) -> FencedLease | None:
+        lease = self.keeper.held(LEASE_NAME)
+        return None if lease is None else FencedLease(self._table, lease)
--- a/boragedeck/request/attempt.py
+++ b/boragedeck/request/attempt.py
@@ -10,12 +10,13 @@
 from boragedeck.exceptions import (
     RefusedError,
     UpstreamError,
+    UpstreamFailedError,
     UpstreamRefusedError,
 )
 from boragedeck.ids import UpstreamName
 from boragedeck.interfaces import Chooser, Outcome, Slot, Wanted
 
-__all__ = ["Attempt", "AttemptEnd", "EndKind", "OpenRun"]
+__all__ = ["Attempt", "AttemptEnd", "EndKind", "OpenRun", "broken_outcome"]
 
 OpenRun = Callable[[str, RunRequest], EngineRun]
 
@@ -50,6 +51,12 @@
     error: UpstreamError | RefusedError | None = None
 
 
+def broken_outcome(end: AttemptEnd) -> Outcome:
+    """Return how a broken run ended: an upstream that answers has not crashed."""
+    is_answered = isinstance(end.error, UpstreamFailedError)
+    return Outcome.FAILED if is_answered else Outcome.CRASHED
+
+
 class Attempt:
     """Runs an answer from a position on an upstream that the chooser gives.
 
@@ -175,4 +182,4 @@
             case EndKind.NOT_TAKEN | EndKind.REFUSED:
                 return Outcome.REFUSED
             case EndKind.BROKEN:
-                return Outcome.CRASHED
+                return broken_outcome(end)
--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -23,7 +23,7 @@
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.timers import TimerService
 from boragedeck.request.answer import Answer, ErrorInfo, Finish
-from boragedeck.request.attempt import Attempt, EndKind, OpenRun
+from boragedeck.request.attempt import Attempt, EndKind, OpenRun, broken_outcome
 from boragedeck.request.silence import GapHistory
 from boragedeck.version.tables import Pool, Priority, Route
 
@@ -126,6 +126,7 @@
         self._run_tokens = 0
         self._run_started = self._started
         self._sampled_at = self._started
+        self._has_told_first = False
 
     def run(self) -> None:
         """Run the answer until it has ended or another router owns it."""
@@ -338,7 +339,7 @@
             case EndKind.BROKEN:
                 self._has_run = True
                 self._note_loss(Cause.BROKEN)
-                self._retry(attempt, Outcome.CRASHED)
+                self._retry(attempt, broken_outcome(end))
 
     def _give_up(self, error: RefusedError) -> None:
         ran = error.ran if self._ran is Ran.NO else self._ran
@@ -392,7 +393,9 @@
 
     def _sample_long_run(self) -> None:
         now = self._timers.now()
-        if now - self._sampled_at >= SAMPLE_INTERVAL_S and len(self._attempts) == 1:
+        is_first = self._first_token_s is not None and not self._has_told_first
+        is_due = is_first or now - self._sampled_at >= SAMPLE_INTERVAL_S
+        if is_due and len(self._attempts) == 1:
             self._sampled_at = now
             self._observe(self._attempts[0], None)
 
@@ -400,7 +403,10 @@
         version = self._answer.version
         if attempt.slot is None or version is None:
             return
-        run_s = self._timers.now() - self._run_started
+        first_token_s = None if self._has_told_first else self._first_token_s
+        self._has_told_first |= first_token_s is not None
+        now = self._timers.now()
+        run_s = now - self._run_started
         gap_s = run_s / self._run_tokens if self._run_tokens > 1 else None
         sample = Sample(
             route=self._answer.spec.route,
@@ -408,9 +414,11 @@
             upstream=attempt.slot.upstream.name,
             failure_domain=attempt.slot.upstream.failure_domain,
             outcome=outcome,
-            first_token_s=self._first_token_s,
+            first_token_s=first_token_s,
             gap_s=gap_s,
             tokens=self._run_tokens,
+            fingerprint=self._answer.spec.fingerprint,
+            age_s=now - self._started,
         )
         self._parts.versions.observe(sample)
 
--- /dev/null
+++ b/tests/process/test_rollouts.py
@@ -0,0 +1,49 @@
+import random
+import unittest
+
+from prometheus_client import CollectorRegistry
+
+from boragedeck.connection.store import Table
+from boragedeck.ids import RouterId
+from boragedeck.process.rollouts import Rollouts
+from boragedeck.process.timers import ManualTimers
+from boragedeck.version.rollout_row import State, decode_row
+from standins.boards import BoardNetwork
+from standins.memory import MemoryPlatform
+from tests.version.rollout_parts import Members, Source, config
+
+
+class TestRollouts(unittest.TestCase):
+    def test_another_router_goes_on_where_the_leader_is_cut_off(self):
+        timers, platform = ManualTimers(), MemoryPlatform()
+        network = BoardNetwork(timers, random.Random(1))
+        sources, parts = [], []
+        for name in (RouterId("r0"), RouterId("r1")):
+            source = Source(config(1, "A"))
+            sources.append(source)
+            parts.append(
+                Rollouts(
+                    platform,
+                    network.board(name),
+                    source,
+                    Members(name),
+                    timers,
+                    CollectorRegistry(),
+                    random.Random(2),
+                )
+            )
+            parts[-1].start()
+        timers.advance(3.0)
+        for source in sources:
+            source.set(config(2, "B", timers.wall() + 600.0))
+        timers.advance(3.0)
+        first = decode_row(platform.get(Table.ROLLOUTS, "head/chat").unwrap())
+        self.assertEqual((first.state, first.token), (State.RUNNING, 1))
+        leader = next(part for part in parts if part.keeper.held("rollouts"))
+        leader.keeper.unwant("rollouts")
+        for source in sources:
+            source.set(config(3, "A"))
+        timers.advance(20.0)
+        last = decode_row(platform.get(Table.ROLLOUTS, "head/chat").unwrap())
+        self.assertEqual(last.state, State.TAKEN_BACK)
+        self.assertGreater(last.token, first.token)
--- a/tests/request/test_answer_path.py
+++ b/tests/request/test_answer_path.py
@@ -1,11 +1,11 @@
 import unittest
 
 import eventlet
-from standins.tokens import broken_at
 
 from boragedeck.process import journal
 from boragedeck.process.timers import ManualTimers
 from boragedeck.request.answer import AnswerState
+from standins.tokens import broken_at
 from tests.support.engines import FakeEngines
 from tests.support.network import FakeNetwork
 from tests.support.routers import FakeCaller, FakeCluster
--- a/tests/request/test_answers_fuzz.py
+++ b/tests/request/test_answers_fuzz.py
@@ -22,10 +22,10 @@
     rule,
     run_state_machine_as_test,
 )
-from standins.tokens import broken_at
 
 from boragedeck.ids import Ran
 from boragedeck.process.timers import ManualTimers
+from standins.tokens import broken_at
 from tests.support.engines import FakeEngines
 from tests.support.network import FakeNetwork
 from tests.support.routers import FakeCaller, FakeCluster
--- a/tests/request/test_api.py
+++ b/tests/request/test_api.py
@@ -6,10 +6,10 @@
 import eventlet
 import openai
 from eventlet.green import socket
-from standins.tokens import broken_at
 
 from boragedeck.connection import edge
 from scripts.caller import Caller, CallerError
+from standins.tokens import broken_at
 from tests.support.http import KEY, OTHER_KEY, HttpCluster
 
 MESSAGES = [{"role": "user", "content": "refill"}]
