--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -27,8 +27,8 @@
 from boragedeck.process.membership import GossipMembership
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.quarantine import Quarantine
+from boragedeck.process.rollouts import Rollouts
 from boragedeck.process.settings import Settings
-from boragedeck.process.simple_parts import DeclaredVersion
 from boragedeck.process.status import StatusReport
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.abandonment import Abandonment, FixedGrace
@@ -87,6 +87,7 @@
         self._membership = self._make_membership()
         self._config = self._make_config()
         self._chooser = self._make_chooser()
+        self._rollouts = self._make_rollouts()
         self._answers = self._make_answers()
         self._calls = self._make_calls()
         self._pruner = IntentPruner(
@@ -104,6 +105,7 @@
         self._board.start()
         self._membership.start()
         self._config.start()
+        self._rollouts.start()
         self._pruner.start()
         eventlet.spawn_n(serve_http, self._listener, self.api)
 
@@ -117,6 +119,7 @@
         holders, and callers are told to reattach.
         """
         self.api.is_draining = True
+        self._rollouts.keeper.release_all()
         self._membership.leave()
         until = self.timers.now() + self._settings.drain_s
         while self._is_busy() and self.timers.now() < until:
@@ -168,13 +171,24 @@
         LoadGossip(self.timers, self._board, chooser.registry)
         return chooser
 
+    def _make_rollouts(self) -> Rollouts:
+        return Rollouts(
+            self._platform,
+            self._board,
+            self._config,
+            self._membership,
+            self.timers,
+            self.metrics.registry,
+            self._rng,
+        )
+
     def _make_answers(self) -> AnswerService:
         journal = Journal(self._membership, self._links, self.timers, self.metrics)
         parts = GenerationParts(
             chooser=self._chooser,
             journal=journal,
             config=self._config,
-            versions=DeclaredVersion(),
+            versions=self._rollouts.follower,
             timers=self.timers,
             metrics=self.metrics,
             open_run=open_run,
