--- /dev/null
+++ b/scripts/fault_matrix.py
@@ -0,0 +1,494 @@
+"""Every fault at every step of an answer, over real processes on loopback.
+
+The cells are the product of two lists. In each, a caller sends a request, the
+fault strikes at the step, and the caller reattaches wherever its connection fails
+it. A cell is held where the answer came whole and once, refused where the caller
+got a typed error, and red otherwise.
+"""
+
+import argparse
+import collections
+import enum
+import http.client
+import json
+import secrets
+import signal
+import sys
+import time
+
+from boragedeck.patching import patch_all
+
+patch_all()
+
+import eventlet
+import msgspec
+
+from boragedeck.version.tables import Config
+from scripts.caller import Caller, CallerError, Stream
+from scripts.local_cluster import ClusterOptions, LocalCluster, Process
+from standins.relay import Relay
+from standins.tokens import broken_at
+
+__all__ = ["Cell", "Fault", "FaultMatrix", "Outcome", "Step", "main"]
+
+TOKENS = 60
+MIDDLE = 30
+TOKEN_INTERVAL_MS = 15.0
+QUIET_S = 3.0
+"""A caller takes a connection for dead when nothing has come for this time."""
+CELL_LIMIT_S = 40.0
+RETRY_S = 0.1
+PAUSE_S = 2.5
+CURRENT_ENGINES = 4
+EXIT_RED = 1
+
+
+class Step(enum.Enum):
+    """When the fault strikes."""
+
+    ADMITTED = "admitted"
+    FIRST_TOKEN = "first token"
+    MIDDLE = "mid-answer"
+    LAST_TOKEN = "last token"
+    FINISHED = "finish"
+    CANCELLED = "cancel"
+    REATTACHED = "reattach"
+
+
+class Fault(enum.Enum):
+    """What strikes."""
+
+    NONE = "none"
+    ENGINE_KILLED = "engine killed"
+    ENGINE_PAUSED = "engine paused"
+    ENGINE_CONNECTION_SILENT = "engine's connection silent"
+    OWNER_KILLED = "router killed"
+    OWNER_PAUSED = "router paused"
+    HOLDER_KILLED = "copy holder killed"
+    CALLER_CUT = "caller cut off"
+    CALLER_SILENT = "caller's connection silent"
+    ENGINE_AND_OWNER_KILLED = "engine and router killed"
+    ENGINE_AND_HOLDER_KILLED = "engine and copy holder killed"
+    OWNER_AND_HOLDER_KILLED = "router and copy holder killed"
+    PLATFORM_DOWN = "platform down"
+    PLATFORM_DOWN_OWNER_KILLED = "platform down, router killed"
+
+
+class Outcome(enum.Enum):
+    """What became of a cell."""
+
+    HELD = "held"
+    REFUSED = "refused"
+    RED = "RED"
+
+
+class Cell(msgspec.Struct, frozen=True):
+    """One fault at one step.
+
+    Parameters
+    ----------
+    fault : Fault
+        What struck.
+    step : Step
+        When.
+    outcome : Outcome
+        What became of it.
+    detail : str
+        The error's code, or what was wrong.
+    wait_s : float
+        The longest wait between two events of the answer, in seconds.
+    """
+
+    fault: Fault
+    step: Step
+    outcome: Outcome
+    detail: str
+    wait_s: float
+
+
+class RelayedCluster(LocalCluster):
+    """A system whose engines and first router stand behind relays."""
+
+    def __init__(self, options: ClusterOptions):
+        super().__init__(options)
+        self.relays: dict[str, Relay] = {}
+
+    def config(self) -> Config:
+        """Return the configuration, with the relays in place of the engines."""
+        cfg = super().config()
+        pools = tuple(
+            msgspec.structs.replace(
+                pool,
+                upstreams=tuple(
+                    msgspec.structs.replace(u, url=self.relay(u.url).url)
+                    for u in pool.upstreams
+                ),
+            )
+            for pool in cfg.pools
+        )
+        return msgspec.structs.replace(cfg, pools=pools)
+
+    def relay(self, url: str) -> Relay:
+        """Return the relay before a URL."""
+        if url not in self.relays:
+            host, _, port = url.removeprefix("http://").rpartition(":")
+            self.relays[url] = Relay(host, int(port))
+        return self.relays[url]
+
+
+class MatrixCaller:
+    """A caller who reattaches until its answer has ended.
+
+    Parameters
+    ----------
+    cluster : RelayedCluster
+        The system.
+    strike : callable
+        Called with the caller when the step has come.
+    step : Step
+        The step.
+    """
+
+    def __init__(self, cluster: RelayedCluster, strike, step: Step):
+        self._cluster = cluster
+        self._strike = strike
+        self._step = step
+        self._has_struck = False
+        self._key = cluster.api_keys["mehurcek"]
+        self.answer_id = f"cell-{secrets.token_hex(6)}"
+        self.texts: list[str] = []
+        self.last_event_id = ""
+        self.is_done = False
+        self.error: CallerError | None = None
+        self.stream: Stream | None = None
+        self.longest_s = 0.0
+        self._router = 0
+
+    @property
+    def tokens(self) -> int:
+        """How many tokens have come."""
+        return len("".join(self.texts).split())
+
+    def run(self) -> None:
+        """Send the request and read until the answer or a final error has come."""
+        until = time.monotonic() + CELL_LIMIT_S
+        if self._step is Step.ADMITTED:
+            eventlet.spawn_after(0.01, self.strike)
+        while not self.is_done and time.monotonic() < until:
+            try:
+                self.stream = self._connect()
+                self._read()
+            except CallerError as exc:
+                if not _may_retry(exc):
+                    self.error = exc
+                    return
+            except (OSError, http.client.HTTPException, ValueError):
+                pass
+            self._router += 1
+            eventlet.sleep(RETRY_S)
+        if self._step is Step.FINISHED and self.is_done:
+            self.strike()
+            self._read_again(until)
+
+    def strike(self) -> None:
+        """Let the fault strike, once."""
+        if not self._has_struck:
+            self._has_struck = True
+            self._strike(self)
+
+    def is_whole(self) -> bool:
+        """Return whether the answer came whole and once."""
+        text = "".join(self.texts)
+        is_all = self.is_done and self.tokens == TOKENS
+        return is_all and broken_at(text) is None
+
+    def _connect(self) -> Stream:
+        caller = Caller(self._url(), self._key, timeout_s=QUIET_S)
+        if self.last_event_id:
+            return caller.reattach(self.answer_id, self.last_event_id)
+        return caller.chat(
+            "orders", self.answer_id, TOKENS, Idempotency_Key=self.answer_id
+        )
+
+    def _url(self) -> str:
+        url = self._cluster.routers[self._router % len(self._cluster.routers)].url
+        return self._cluster.relay(url).url if self._router == 0 else url
+
+    def _read(self) -> None:
+        at = time.monotonic()
+        for event in self.stream:
+            text = event.text()
+            self.last_event_id = self.stream.last_event_id
+            self.texts.append(text)
+            self.is_done = self.stream.is_done
+            if text:
+                self.longest_s = max(self.longest_s, time.monotonic() - at)
+                at = time.monotonic()
+            self._check_step()
+            if self.is_done:
+                return
+
+    def _check_step(self) -> None:
+        match self._step:
+            case Step.FIRST_TOKEN if self.tokens >= 1:
+                self.strike()
+            case Step.MIDDLE if self.tokens >= MIDDLE:
+                self.strike()
+            case Step.LAST_TOKEN if self.tokens >= TOKENS - 1:
+                self.strike()
+            case Step.CANCELLED if self.tokens >= MIDDLE and not self._has_struck:
+                url = self._cluster.routers[1].url
+                Caller(url, self._key).cancel(self.answer_id)
+                self.strike()
+            case Step.REATTACHED if self.tokens >= MIDDLE and not self._has_struck:
+                self.stream.close()
+                self._router = 1
+                self.stream = self._connect()
+                self.strike()
+                raise OSError("read on from the new stream")
+
+    def _read_again(self, until: float) -> None:
+        """Read the finished answer once more, from another router."""
+        while time.monotonic() < until:
+            self._router += 1
+            self.texts, self.is_done = [], False
+            try:
+                caller = Caller(self._url(), self._key, timeout_s=QUIET_S)
+                self.stream = caller.reattach(self.answer_id, "")
+                self._read()
+                return
+            except CallerError as exc:
+                if not _may_retry(exc):
+                    self.error = exc
+                    return
+            except (OSError, http.client.HTTPException):
+                pass
+            eventlet.sleep(RETRY_S)
+
+
+class FaultMatrix:
+    """Runs cells one after the other on one system, repaired in between."""
+
+    def __init__(self) -> None:
+        options = ClusterOptions(
+            token_interval_ms=TOKEN_INTERVAL_MS, router_flags=("--drain-s=5",)
+        )
+        self.cluster = RelayedCluster(options)
+        self._copies: list[int] = []
+
+    def start(self) -> None:
+        """Start the system."""
+        self.cluster.start()
+
+    def stop(self) -> None:
+        """End the system."""
+        self.cluster.stop()
+        for relay in self.cluster.relays.values():
+            relay.close()
+
+    def run(self, fault: Fault, step: Step) -> Cell:
+        """Run one cell, and repair what the fault has broken."""
+        self._copies = self._count_copies()
+        strike = _STRIKES[fault]
+        caller = MatrixCaller(self.cluster, lambda c: strike(self, c), step)
+        caller.run()
+        cell = _judge(fault, step, caller)
+        self._repair()
+        return cell
+
+    def busy_engine(self) -> Process:
+        """Return an engine that runs a request, or the first one."""
+        for _ in range(10):
+            for engine in self.cluster.engines[:CURRENT_ENGINES]:
+                if engine.popen.poll() is None and _running(engine) > 0:
+                    return engine
+            eventlet.sleep(0.01)
+        return self.cluster.engines[0]
+
+    def owner(self, caller: MatrixCaller) -> Process:
+        """Return the router that the caller sent its request to."""
+        return self.cluster.routers[0]
+
+    def holder(self) -> Process:
+        """Return the router that got a copy since the cell's start."""
+        for _ in range(10):
+            counts = self._count_copies()
+            grown = [b - a for a, b in zip(self._copies, counts, strict=True)]
+            if max(grown[1:]) > 0:
+                return self.cluster.routers[1 + grown[1:].index(max(grown[1:]))]
+            eventlet.sleep(0.01)
+        return self.cluster.routers[1]
+
+    def set_platform(self, *, down: bool) -> None:
+        """Take the platform down or up."""
+        host = self.cluster.platform.url.removeprefix("http://")
+        conn = http.client.HTTPConnection(host, timeout=5)
+        conn.request("PUT", "/faults", json.dumps({"down": down}))
+        conn.getresponse().read()
+        conn.close()
+
+    def _count_copies(self) -> list[int]:
+        return [_status(router).get("copies", 0) for router in self.cluster.routers]
+
+    def _repair(self) -> None:
+        cluster = self.cluster
+        self.set_platform(down=False)
+        for process in [*cluster.engines, *cluster.routers]:
+            process.signal(signal.SIGCONT)
+        dead_engines = [e for e in cluster.engines if e.popen.poll() is not None]
+        for engine in dead_engines:
+            i = cluster.engines.index(engine)
+            cluster.engines[i] = cluster.start_engine(i)
+            cluster.engines[i].wait_ready()
+        if dead_engines:
+            cluster.apply(cluster.config())
+        for i, router in enumerate(cluster.routers):
+            if router.popen.poll() is not None:
+                cluster.routers[i] = cluster.start_router(i)
+                cluster.routers[i].wait_ready()
+        for router in cluster.routers:
+            cluster.wait_serving(router)
+
+
+def _kill_engine(matrix: FaultMatrix, caller: MatrixCaller) -> None:
+    matrix.busy_engine().signal(signal.SIGKILL)
+
+
+def _pause(process: Process) -> None:
+    process.signal(signal.SIGSTOP)
+    eventlet.spawn_after(PAUSE_S, process.signal, signal.SIGCONT)
+
+
+def _silence_engine(matrix: FaultMatrix, caller: MatrixCaller) -> None:
+    matrix.cluster.relay(matrix.busy_engine().url).silence()
+
+
+def _kill_owner(matrix: FaultMatrix, caller: MatrixCaller) -> None:
+    matrix.owner(caller).signal(signal.SIGKILL)
+
+
+def _kill_holder(matrix: FaultMatrix, caller: MatrixCaller) -> None:
+    matrix.holder().signal(signal.SIGKILL)
+
+
+def _cut_caller(matrix: FaultMatrix, caller: MatrixCaller) -> None:
+    if caller.stream is not None:
+        caller.stream.close()
+    raise OSError("cut off")
+
+
+def _silence_caller(matrix: FaultMatrix, caller: MatrixCaller) -> None:
+    matrix.cluster.relay(matrix.owner(caller).url).silence()
+
+
+def _both(first, second):
+    def strike(matrix: FaultMatrix, caller: MatrixCaller) -> None:
+        first(matrix, caller)
+        second(matrix, caller)
+
+    return strike
+
+
+def _platform_down(matrix: FaultMatrix, caller: MatrixCaller) -> None:
+    matrix.set_platform(down=True)
+
+
+_STRIKES = {
+    Fault.NONE: lambda matrix, caller: None,
+    Fault.ENGINE_KILLED: _kill_engine,
+    Fault.ENGINE_PAUSED: lambda matrix, caller: _pause(matrix.busy_engine()),
+    Fault.ENGINE_CONNECTION_SILENT: _silence_engine,
+    Fault.OWNER_KILLED: _kill_owner,
+    Fault.OWNER_PAUSED: lambda matrix, caller: _pause(matrix.owner(caller)),
+    Fault.HOLDER_KILLED: _kill_holder,
+    Fault.CALLER_CUT: _cut_caller,
+    Fault.CALLER_SILENT: _silence_caller,
+    Fault.ENGINE_AND_OWNER_KILLED: _both(_kill_engine, _kill_owner),
+    Fault.ENGINE_AND_HOLDER_KILLED: _both(_kill_engine, _kill_holder),
+    Fault.OWNER_AND_HOLDER_KILLED: _both(_kill_holder, _kill_owner),
+    Fault.PLATFORM_DOWN: _platform_down,
+    Fault.PLATFORM_DOWN_OWNER_KILLED: _both(_platform_down, _kill_owner),
+}
+
+
+def _may_retry(exc: CallerError) -> bool:
+    # Status 0 is an error within a stream; 409, 429 and 503 say "come back".
+    return exc.status in (429, 503) or exc.body.get("code") == "answer_unreachable"
+
+
+def _judge(fault: Fault, step: Step, caller: MatrixCaller) -> Cell:
+    broken = broken_at("".join(caller.texts))
+    if broken is not None:
+        outcome, detail = Outcome.RED, f"chain broken at {broken}"
+    elif caller.is_whole():
+        outcome, detail = Outcome.HELD, ""
+    elif step is Step.CANCELLED and caller.is_done:
+        outcome, detail = Outcome.HELD, f"cancelled at {caller.tokens}"
+    elif caller.error is not None and caller.error.body.get("code"):
+        outcome, detail = Outcome.REFUSED, caller.error.body["code"]
+    else:
+        text = f"{caller.tokens} tokens, done={caller.is_done}, {caller.error}"
+        outcome, detail = Outcome.RED, text
+    return Cell(fault, step, outcome, detail, caller.longest_s)
+
+
+def _running(engine: Process) -> float:
+    host = engine.url.removeprefix("http://")
+    try:
+        conn = http.client.HTTPConnection(host, timeout=1)
+        conn.request("GET", "/metrics")
+        text = conn.getresponse().read().decode()
+        conn.close()
+    except OSError:
+        return 0.0
+    return sum(
+        float(line.split()[-1])
+        for line in text.splitlines()
+        if line.startswith("vllm:num_requests_running")
+    )
+
+
+def _status(router: Process) -> dict:
+    host = router.url.removeprefix("http://")
+    try:
+        conn = http.client.HTTPConnection(host, timeout=1)
+        conn.request("GET", "/-/status")
+        return json.loads(conn.getresponse().read())
+    except (OSError, ValueError):
+        return {}
+
+
+def main() -> None:
+    """Run the matrix and print it; exit with 1 where a cell is red."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--fault", choices=[f.value for f in Fault], action="append")
+    parser.add_argument("--step", choices=[s.value for s in Step], action="append")
+    arguments = parser.parse_args()
+    faults = [f for f in Fault if not arguments.fault or f.value in arguments.fault]
+    steps = [s for s in Step if not arguments.step or s.value in arguments.step]
+    matrix = FaultMatrix()
+    cells = []
+    try:
+        matrix.start()
+        for fault in faults:
+            for step in steps:
+                cell = matrix.run(fault, step)
+                cells.append(cell)
+                _print(cell)
+    finally:
+        matrix.stop()
+    counts = collections.Counter(cell.outcome for cell in cells)
+    print(", ".join(f"{counts[outcome]} {outcome.value}" for outcome in Outcome))
+    sys.exit(EXIT_RED if counts[Outcome.RED] else 0)
+
+
+def _print(cell: Cell) -> None:
+    print(
+        f"{cell.fault.value:32} {cell.step.value:12} {cell.outcome.value:8}"
+        f" longest wait {cell.wait_s:5.2f} s  {cell.detail}",
+        flush=True,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/local_cluster.py
+++ b/scripts/local_cluster.py
@@ -180,7 +180,7 @@
             Where a process does not become ready.
         """
         self.platform = self._process("platform", ["standins.platform"])
-        self.engines = [self._start_engine(i) for i in range(self.options.engines)]
+        self.engines = [self.start_engine(i) for i in range(self.options.engines)]
         self.services = [self._start_service(i) for i in range(self.options.services)]
         for process in [self.platform, *self.engines, *self.services]:
             process.wait_ready()
@@ -298,7 +298,7 @@
         alive = [r for r in self.routers if r.popen.poll() is None]
         return len(peers) >= len(alive) - 1
 
-    def _start_engine(self, i: int) -> Process:
+    def start_engine(self, i: int) -> Process:
         flags = [
             "--port=0",
             f"--version={self.engine_version(i)}",
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,100 @@
+"""A relay of TCP connections that can go silent, as a lost connection state does."""
+
+import eventlet
+from eventlet.green import socket
+
+__all__ = ["Relay"]
+
+READ_BYTES = 65_536
+
+
+class Relay:
+    """Passes connections on to a target.
+
+    Parameters
+    ----------
+    host : str
+        The target's IP address.
+    port : int
+        The target's port.
+
+    Attributes
+    ----------
+    url : str
+        Where the relay listens.
+    """
+
+    def __init__(self, host: str, port: int):
+        self._target = (host, port)
+        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self._open: set[_Connection] = set()
+        self.url = "http://{}:{}".format(*self._listener.getsockname())
+        eventlet.spawn_n(self._accept)
+
+    def silence(self) -> int:
+        """Pass nothing more on over the open connections; new ones work.
+
+        Returns
+        -------
+        int
+            How many connections went silent.
+        """
+        silent = [conn for conn in self._open if not conn.is_silent]
+        for conn in silent:
+            conn.is_silent = True
+        return len(silent)
+
+    def cut(self) -> None:
+        """Close the open connections."""
+        for conn in list(self._open):
+            conn.close()
+
+    def close(self) -> None:
+        """Close the listener and the open connections."""
+        self._listener.close()
+        self.cut()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            eventlet.spawn_n(self._serve, sock)
+
+    def _serve(self, near: socket.socket) -> None:
+        try:
+            far = socket.create_connection(self._target)
+        except OSError:
+            near.close()
+            return
+        conn = _Connection(near, far)
+        self._open.add(conn)
+        upward = eventlet.spawn(conn.copy, near, far)
+        conn.copy(far, near)
+        upward.wait()
+        self._open.discard(conn)
+
+
+class _Connection:
+    def __init__(self, near: socket.socket, far: socket.socket):
+        self._socks = (near, far)
+        self.is_silent = False
+
+    def copy(self, source: socket.socket, sink: socket.socket) -> None:
+        try:
+            while data := source.recv(READ_BYTES):
+                if not self.is_silent:
+                    sink.sendall(data)
+        except OSError:
+            pass
+        if not self.is_silent:
+            self.close()
+
+    def close(self) -> None:
+        for sock in self._socks:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            sock.close()
