--- /dev/null
+++ b/benchmarks/leases.py
@@ -0,0 +1,74 @@
+"""Load on the platform's table by ten leases, at several numbers of routers.
+
+In one process with a manual clock: 1,300 s to settle, then 1,200 s counted. The
+baseline is a keeper without ranks, where each router looks at each lease at the
+rate of a renewal.
+"""
+
+from boragedeck.patching import patch_all
+
+patch_all()
+
+import random
+
+from boragedeck.connection.peer import Address
+from boragedeck.ids import FailureDomain, RouterId, VmName
+from boragedeck.interfaces import Member
+from boragedeck.process import lease_keeper
+from boragedeck.process.lease_keeper import LeaseKeeper
+from boragedeck.process.leases import LeaseTable
+from boragedeck.process.timers import ManualTimers
+from standins.memory import MemoryPlatform
+
+LEASES = 10
+SETTLE_S = 1300.0
+COUNTED_S = 1200.0
+ALL_RANKS = 10**6
+
+
+class FixedMembership:
+    """All routers, as one of them sees them."""
+
+    def __init__(self, own: Member, everyone: list[Member]):
+        self.own = own
+        self._others = [member for member in everyone if member is not own]
+
+    def members(self) -> list[Member]:
+        """Return the other routers."""
+        return self._others
+
+
+def measure(routers: int, near_ranks: int) -> str:
+    """Return the reads and writes per second of a fleet, as text."""
+    lease_keeper.NEAR_RANKS = near_ranks
+    timers = ManualTimers()
+    store = MemoryPlatform(sleep=timers.sleep)
+    everyone = [
+        Member(RouterId(f"r{n}"), VmName("v"), FailureDomain("f"), Address("", n))
+        for n in range(routers)
+    ]
+    for number, own in enumerate(everyone):
+        table = LeaseTable(store, timers, own.router)
+        membership = FixedMembership(own, everyone)
+        keeper = LeaseKeeper(table, timers, membership, random.Random(number))
+        for lease in range(LEASES):
+            keeper.want(f"lease-{lease}")
+    timers.advance(SETTLE_S)
+    store.calls.clear()
+    timers.advance(COUNTED_S)
+    reads = store.calls["get"] / COUNTED_S
+    writes = store.calls["commit"] / COUNTED_S
+    return f"{reads:6.2f} reads/s {writes:5.2f} writes/s"
+
+
+def main() -> None:
+    """Print a line for each number of routers."""
+    near_ranks = lease_keeper.NEAR_RANKS
+    for routers in (9, 27, 100, 370):
+        print(f"{routers:4} routers, ranked   {measure(routers, near_ranks)}")
+    for routers in (9, 27):
+        print(f"{routers:4} routers, unranked {measure(routers, ALL_RANKS)}")
+
+
+if __name__ == "__main__":
+    main()
