--- a/boragedeck/process/command_parts.py
+++ b/boragedeck/process/command_parts.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import msgspec
+from prometheus_client import CollectorRegistry, Gauge
 
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.service import Services
@@ -18,7 +19,7 @@
 from boragedeck.request.command import CommandRunner
 from boragedeck.request.repeatable import RepeatableRunner
 
-__all__ = ["CallParts", "build_call_service"]
+__all__ = ["CallParts", "build_call_service", "register_call_metrics"]
 
 
 class CallParts(msgspec.Struct, frozen=True):
@@ -86,3 +87,31 @@
     repeatables = RepeatableRunner(chooser, services, timers)
     calls = CallService(cfg, commands, repeatables, timers)
     return CallParts(calls, settler, breaker)
+
+
+def register_call_metrics(registry: CollectorRegistry, parts: CallParts) -> None:
+    """Export the state of the parts to Prometheus.
+
+    Parameters
+    ----------
+    registry : CollectorRegistry
+        Where the gauges are registered.
+    parts : CallParts
+        Read at each scrape.
+    """
+    gauges = (
+        ("commands_running", "Commands under way.", parts.calls.running),
+        (
+            "outcomes_unsettled",
+            "Outcomes that the store does not have yet.",
+            parts.settler.__len__,
+        ),
+        (
+            "store_writable",
+            "Whether commands can be recorded: 1, or 0 while the store is down.",
+            lambda: float(parts.breaker.allows()),
+        ),
+    )
+    for name, text, read in gauges:
+        gauge = Gauge(f"boragedeck_{name}", text, registry=registry)
+        gauge.set_function(read)
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -17,7 +17,11 @@
 from boragedeck.process.answers import AnswerTable
 from boragedeck.process.chooser import PoolChooser
 from boragedeck.process.claims import Claims, ClaimTable
-from boragedeck.process.command_parts import CallParts, build_call_service
+from boragedeck.process.command_parts import (
+    CallParts,
+    build_call_service,
+    register_call_metrics,
+)
 from boragedeck.process.copies import CopyStore
 from boragedeck.process.gossip import GossipBoard
 from boragedeck.process.intent_pruner import IntentPruner
@@ -192,7 +196,7 @@
         return answers
 
     def _make_calls(self) -> CallParts:
-        return build_call_service(
+        parts = build_call_service(
             cfg=self._config,
             platform=self._platform,
             chooser=self._chooser,
@@ -203,10 +207,17 @@
             is_alive=self._is_alive,
             rng=self._rng,
         )
+        register_call_metrics(self.metrics.registry, parts)
+        return parts
 
     def _make_api(self) -> Api:
         status = StatusReport(
-            self.own, self._membership, self._config, self._answers, self.timers
+            self.own,
+            self._membership,
+            self._config,
+            self._answers,
+            self.quarantine,
+            self.timers,
         )
         return Api(
             self._answers,
