--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -207,7 +207,12 @@
 
     def _make_api(self) -> Api:
         status = StatusReport(
-            self.own, self._membership, self._config, self._answers, self.timers
+            self.own,
+            self._membership,
+            self._config,
+            self._answers,
+            self.quarantine,
+            self.timers,
         )
         return Api(
             self._answers,
