Give orders to engines under the leader's lease

Engines come to what the pool declares: a version is loaded beside the others, at most two loads at a time, and a version that a move brought is unloaded once no run of it can go on. Each order is committed first and sent only well within the lease; what it did is read from the engine, so lost answers and restarts need no other path.

Ruled out: unloading while the others carry the traffic. It broke off runs that could only go on on the engines left, and gained memory alone.

A share is raised only where engines have loaded the version for it.

--- /dev/null
+++ b/boragedeck/connection/engine_orders.py
@@ -0,0 +1,58 @@
+"""Orders to engines over HTTP."""
+
+from typing import Any
+
+import msgspec
+import urllib3
+from result import Err, Ok, Result
+
+from boragedeck.exceptions import (
+    UpstreamError,
+    UpstreamFailedError,
+    UpstreamRefusedError,
+)
+from boragedeck.version.orders import EngineView, Order
+from boragedeck.version.tables import Upstream
+
+__all__ = ["HttpEngineOrders"]
+
+TIMEOUT_S = 1.0
+PATH = "/orders"
+
+
+class HttpEngineOrders:
+    """Gives orders with ``POST /orders`` and reads back with ``GET /orders``."""
+
+    def __init__(self):
+        timeout = urllib3.Timeout(connect=TIMEOUT_S, read=TIMEOUT_S)
+        self._http = urllib3.PoolManager(timeout=timeout, retries=False)
+
+    def view(self, upstream: Upstream) -> Result[EngineView, UpstreamError]:
+        """Read what an engine says of itself; see `EngineOrders.view`."""
+        return self._call("GET", upstream, None)
+
+    def send(
+        self, upstream: Upstream, order: Order, order_id: str, token: int
+    ) -> Result[EngineView, UpstreamError]:
+        """Give an order; see `EngineOrders.send`."""
+        fields = msgspec.to_builtins(order)
+        fields["kind"] = fields.pop("type")
+        fields |= {"order_id": order_id, "fencing_token": token}
+        return self._call("POST", upstream, msgspec.json.encode(fields))
+
+    def _call(
+        self, method: str, upstream: Upstream, body: bytes | None
+    ) -> Result[EngineView, UpstreamError]:
+        where: dict[str, Any] = {"step": f"{method} {PATH}", "peer": upstream.name}
+        try:
+            response = self._http.request(method, upstream.url + PATH, body=body)
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return Err(UpstreamError(str(exc), **where))
+        if response.status == 409:
+            return Err(UpstreamRefusedError("the fencing token is stale", **where))
+        if response.status != 200:
+            return Err(UpstreamFailedError(f"status {response.status}", **where))
+        try:
+            return Ok(msgspec.json.decode(response.data, type=EngineView))
+        except msgspec.MsgspecError as exc:
+            return Err(UpstreamFailedError(str(exc), **where))
--- a/boragedeck/process/rollouts.py
+++ b/boragedeck/process/rollouts.py
@@ -6,6 +6,7 @@
 from prometheus_client import CollectorRegistry
 from result import Result
 
+from boragedeck.connection.engine_orders import HttpEngineOrders
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.store import Write
 from boragedeck.exceptions import StoreError
@@ -13,10 +14,11 @@
 from boragedeck.process.lease_keeper import LeaseKeeper
 from boragedeck.process.leases import Lease, LeaseTable
 from boragedeck.process.timers import TimerService
+from boragedeck.version.order_keeper import OrderKeeper
 from boragedeck.version.rollout_follower import RolloutFollower
 from boragedeck.version.rollout_leader import RolloutLeader
 from boragedeck.version.rollout_metrics import RolloutMetrics
-from boragedeck.version.rollout_room import DeclaredRoom
+from boragedeck.version.rollout_room import LoadedRoom
 
 __all__ = ["LEASE_NAME", "FencedLease", "Rollouts"]
 
@@ -92,6 +94,9 @@
         self.follower = RolloutFollower(
             platform, board, config, timers, metrics=metrics, rng=rng
         )
+        self._orders = OrderKeeper(
+            HttpEngineOrders(), self.follower.ledger, config, timers, self._held
+        )
         self._leader = RolloutLeader(
             self.follower,
             platform,
@@ -99,7 +104,7 @@
             membership,
             timers,
             self._held,
-            DeclaredRoom(config),
+            LoadedRoom(config, self._orders.loaded_weight),
             metrics=metrics,
         )
 
@@ -108,6 +113,7 @@
         self.keeper.want(LEASE_NAME)
         self.follower.start()
         self._leader.start()
+        self._orders.start()
 
     def _held(self) -> FencedLease | None:
         lease = self.keeper.held(LEASE_NAME)
--- a/boragedeck/version/rollout_leader.py
+++ b/boragedeck/version/rollout_leader.py
@@ -27,6 +27,7 @@
     Wait,
     allowance,
     decide,
+    first_share,
     first_step,
     is_too_short,
     window_s,
@@ -186,6 +187,7 @@
         routers = 1 + len(self._membership.members())
         rate = routers * self._follower.request_rate(route.name)
         step = first_step(rate, deadline - now)
+        share = first_share(step)
         row = RolloutRow(
             route=route.name,
             number=last.number + 1,
@@ -198,11 +200,11 @@
             started=now,
             step=step,
             step_since=now,
-            share=STEPS[step].share,
+            share=share,
             allowance=allowance(step),
             routers=routers,
             window_s=window_s(routers),
-            reason=f"started: {STEPS[step].share:.0%} of the requests",
+            reason=f"started: {share:.1%} of the requests",
             action=texts.RUNNING,
         )
         lack = self._room.lack(row, 1.0)
@@ -258,7 +260,7 @@
         return msgspec.structs.replace(
             self._follower.progress(row),
             missing=len(expected - self._follower.heard_from(row)),
-            has_room=self._room.lack(row, next_share) is None,
+            has_room=self._room.unready(row, next_share) is None,
         )
 
     def _supersede(self, row: RolloutRow, reason: str) -> None:
--- a/boragedeck/version/rollout_plan.py
+++ b/boragedeck/version/rollout_plan.py
@@ -18,6 +18,7 @@
     "allowance",
     "decide",
     "finish_by",
+    "first_share",
     "first_step",
     "is_too_short",
     "window_s",
@@ -41,6 +42,7 @@
     _Step(share=0.50, trials=120, ends_at=0.62),
     _Step(share=0.90, trials=200, ends_at=0.85),
 )
+SMALL_ROUTE_SHARE = 0.035
 LAST_STEP = len(STEPS) - 1
 SOAK_STEP = LAST_STEP - 1
 """Half of the requests: where a late fault shows soonest."""
@@ -166,6 +168,14 @@
     return 0 if expected >= 2 * STEPS[0].trials else 1
 
 
+def first_share(step: int) -> float:
+    """Return the share to begin with at a step.
+
+    Few requests scatter more, so small routes keep further below the limit.
+    """
+    return STEPS[0].share if step == 0 else SMALL_ROUTE_SHARE
+
+
 def decide(row: RolloutRow, progress: Progress, now: float) -> Decision:
     """Decide about a running attempt against which nothing speaks.
 
--- a/boragedeck/version/rollout_room.py
+++ b/boragedeck/version/rollout_room.py
@@ -6,16 +6,19 @@
 from boragedeck.ids import Version
 from boragedeck.interfaces import ConfigSource
 from boragedeck.version.rollout_row import RolloutRow
-from boragedeck.version.tables import Pool
+from boragedeck.version.tables import Pool, PoolKind
 
-__all__ = ["DeclaredRoom", "RoomSource"]
+__all__ = ["DeclaredRoom", "LoadedRoom", "RoomSource"]
 
 
 class RoomSource(Protocol):
     """Says whether upstreams can carry a share of a route's traffic."""
 
     def lack(self, row: RolloutRow, share: float) -> str | None:
-        """Return why they can't; None where they can."""
+        """Return why they could never; None where they could."""
+
+    def unready(self, row: RolloutRow, share: float) -> str | None:
+        """Return why they can't at present; None where they can."""
 
 
 class DeclaredRoom:
@@ -56,6 +59,46 @@
             )
         return None
 
+    def unready(self, row: RolloutRow, share: float) -> str | None:
+        """Return why a share can't be carried yet; see `RoomSource.unready`."""
+        return self.lack(row, share)
+
+
+class LoadedRoom(DeclaredRoom):
+    """Room by the engines that have loaded the version.
+
+    Parameters
+    ----------
+    config : ConfigSource
+        The configuration in force.
+    loaded : callable
+        Returns the weight of a pool's engines that have loaded a version; None where
+        that is not known.
+    utilisation : callable, optional
+        See `DeclaredRoom`.
+    """
+
+    def __init__(
+        self,
+        config: ConfigSource,
+        loaded: Callable[[Pool, Version], float | None],
+        utilisation: Callable[[Pool], float] | None = None,
+    ):
+        super().__init__(config, utilisation)
+        self._loaded = loaded
+
+    def unready(self, row: RolloutRow, share: float) -> str | None:
+        """Return why a share can't be carried yet; see `RoomSource.unready`."""
+        lack = self.lack(row, share)
+        pool = self._config.current().pool(row.pool)
+        if lack is not None or pool is None or pool.kind is not PoolKind.ENGINE:
+            return lack
+        loaded = self._loaded(pool, row.new)
+        needed = share * self._utilisation(pool) * _old_weight(pool, row)
+        if loaded is None or loaded + 1e-9 >= needed:
+            return None
+        return f"engines with weight {loaded:g} have loaded {row.new}, not {needed:g}"
+
 
 def _weight(pool: Pool, version: Version | None) -> float:
     return sum(
