--- a/boragedeck/cli/commands.py
+++ b/boragedeck/cli/commands.py
@@ -5,7 +5,7 @@
 import typer
 
 import boragedeck
-from boragedeck.cli import keys, rollouts, status, tables
+from boragedeck.cli import keys, quarantine, rollouts, status, tables
 
 __all__ = ["app"]
 
@@ -47,5 +47,6 @@
 app.command("diff")(tables.diff)
 app.command("history")(tables.history)
 app.command("status")(status.status)
+app.command("quarantine")(quarantine.quarantine)
 app.command("hash-key")(keys.hash_key)
 app.add_typer(rollouts.app, name="rollouts")
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -36,6 +36,7 @@
 from boragedeck.request.call_edge import CallEdge
 from boragedeck.request.generation import GenerationParts
 from boragedeck.version.config_messages import FetchConfig
+from boragedeck.version.config_metrics import register_config_metrics
 from boragedeck.version.config_store import ConfigStore
 from boragedeck.version.config_watch import ConfigWatch
 
@@ -152,6 +153,7 @@
             rng=self._rng,
         )
         self._server.register(FetchConfig, config.answer_fetch)
+        register_config_metrics(self.metrics.registry, config)
         return config
 
     def _make_chooser(self) -> PoolChooser:
@@ -209,7 +211,6 @@
             platform=self._platform,
             chooser=self._chooser,
             services=HttpServices(),
-            budget=self._chooser.budget,
             timers=self.timers,
             own=self.own.router,
             routers=self._membership.routers,
--- a/boragedeck/request/repeatable.py
+++ b/boragedeck/request/repeatable.py
@@ -13,7 +13,7 @@
 from boragedeck.process.timers import TimerService
 from boragedeck.request import call_errors
 from boragedeck.request.call_headers import response_headers
-from boragedeck.request.calls import Call, CallResponse, RetryBudget
+from boragedeck.request.calls import Call, CallResponse
 
 __all__ = ["RepeatableRunner"]
 
@@ -88,8 +88,6 @@
         Chooses upstreams.
     services : Services
         Opens connections.
-    budget : RetryBudget
-        Bounds the further tries.
     timers : TimerService
         The source of time.
 
@@ -97,19 +95,19 @@
     -----
     A failed try is followed by another on a different upstream. A try that is
     late by its route's own history gets a second beside it, and the first good
-    answer wins: a slow upstream costs time, never an answer. `MAX_TRIES` in all.
+    answer wins: a slow upstream costs time, never an answer. `MAX_TRIES` in all;
+    the chooser, which sees the upstreams left out, charges the further ones to
+    its retry budget and refuses them when it is spent.
     """
 
     def __init__(
         self,
         chooser: Chooser,
         services: Services,
-        budget: RetryBudget,
         timers: TimerService,
     ):
         self._chooser = chooser
         self._services = services
-        self._budget = budget
         self._timers = timers
         self._patience: dict[RouteName, _Patience] = {}
 
@@ -136,38 +134,27 @@
     def _first_good(self, race: _Race) -> Answer:
         last: Answer = Err(call_errors.no_outcome(race.call.pool.name))
         while True:
-            is_late = not self._wait(race)
+            self._wait(race)
             while race.answers:
-                last = race.answers.pop()
-                if _is_good(last):
-                    return last
+                answer = race.answers.pop()
+                if _is_good(answer):
+                    return answer
+                # What a service said tells more than that no other was tried.
+                last = last if last.is_ok() else answer
             if self._timers.now() >= race.call.deadline:
                 return Err(call_errors.no_outcome(race.call.pool.name))
-            if self._may_start(race, is_late):
+            if not _is_last(race):
                 self._start(race)
             elif race.pending == 0:
                 return _final(race, last)
 
-    def _wait(self, race: _Race) -> bool:
-        """Wait for an answer; return False where a further try is due first."""
+    def _wait(self, race: _Race) -> None:
+        """Wait for an answer, or until a further try is due."""
         remaining_s = race.call.deadline - self._timers.now()
         if race.pending == 1 and not _is_last(race):
             remaining_s = min(remaining_s, self._patience_of(race.call).seconds())
-        came = self._timers.wait(race.changed, remaining_s)
-        if came:
+        if self._timers.wait(race.changed, remaining_s):
             race.changed = Event()
-        return came
-
-    def _may_start(self, race: _Race, is_late: bool) -> bool:
-        if _is_last(race):
-            return False
-        pause = self._budget.spend(race.call.pool.name, len(race.tries))
-        if pause.is_err():
-            race.is_closed = True
-            return False
-        if not is_late:
-            self._timers.sleep(pause.ok())
-        return True
 
     def _start(self, race: _Race) -> None:
         race.pending += 1
@@ -185,7 +172,7 @@
         wanted = msgspec.structs.replace(race.call.wanted, excluded=race.excluded)
         acquired = self._chooser.acquire(wanted)
         if acquired.is_err():
-            # It has waited for a place as long as it may.
+            # No place came free in time, or the retry budget is spent.
             race.is_closed = True
             return acquired
         slot = acquired.ok()
@@ -210,7 +197,6 @@
                 slot.finish(Outcome.FAILED if failed else Outcome.COMPLETED)
                 if not failed:
                     self._patience_of(race.call).observe(self._timers.now() - started)
-                    self._budget.succeeded(race.call.pool.name)
                 headers = response_headers(response.headers)
                 return Ok(CallResponse(response.status, headers, response.body))
             case Err(exc):
--- a/boragedeck/version/rollout_leader.py
+++ b/boragedeck/version/rollout_leader.py
@@ -203,7 +203,7 @@
             share=share,
             allowance=allowance(step),
             routers=routers,
-            window_s=window_s(routers),
+            window_s=window_s(routers * self._rollouts_with_one_more()),
             reason=f"started: {share:.1%} of the requests",
             action=texts.RUNNING,
         )
@@ -216,6 +216,9 @@
         else:
             self._commit(row.noted(now))
 
+    def _rollouts_with_one_more(self) -> int:
+        return 1 + sum(row.is_running for row in self._ledger.rows())
+
     def _advance(self, row: RolloutRow) -> None:
         now = self._timers.wall()
         stopped = self._follower.stopped(row)
--- a/boragedeck/version/rollout_plan.py
+++ b/boragedeck/version/rollout_plan.py
@@ -133,9 +133,15 @@
 Decision = Wait | Raise | Extend | Finish | TakeBack
 
 
-def window_s(routers: int) -> float:
-    """Return the length of evidence windows that keeps control traffic bounded."""
-    return max(MIN_WINDOW_S, routers * FACT_BYTES / FACT_BUDGET_BYTES_PER_S)
+def window_s(statements: int) -> float:
+    """Return the length of evidence windows that keeps control traffic bounded.
+
+    Parameters
+    ----------
+    statements : int
+        Routers times running rollouts: what each router hears in a window.
+    """
+    return max(MIN_WINDOW_S, statements * FACT_BYTES / FACT_BUDGET_BYTES_PER_S)
 
 
 def is_too_short(started: float, deadline: float) -> bool:
