Judge rollouts beside the calls to the store

A slow store held up the round that publishes and judges evidence, so a stop could come late by the store's timeout. The calls to the store now have a round of their own; a test holds the store for 30 s and sees the stop within one.

--- a/benchmarks/rollout_model.py
+++ b/benchmarks/rollout_model.py
@@ -238,6 +238,7 @@
         if self.is_down or self.model.is_baseline:
             return
         self.follower.tick()
+        self.follower.sync()
         self._renew()
         self.leader.tick()
 
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -119,7 +119,7 @@
         holders, and callers are told to reattach.
         """
         self.api.is_draining = True
-        self._rollouts.keeper.release_all()
+        eventlet.spawn_n(self._rollouts.keeper.release_all)
         self._membership.leave()
         until = self.timers.now() + self._settings.drain_s
         while self._is_busy() and self.timers.now() < until:
--- a/boragedeck/version/rollout_follower.py
+++ b/boragedeck/version/rollout_follower.py
@@ -121,9 +121,12 @@
         config.subscribe(self._on_config)
         self._on_config(config.current())
 
-    def start(self) -> Subscription:
-        """Begin to publish, judge and read at intervals."""
-        return self._timers.subscribe(TICK_S, self.tick)
+    def start(self) -> tuple[Subscription, Subscription]:
+        """Begin to judge, and beside it to speak with the store, at intervals."""
+        return (
+            self._timers.subscribe(TICK_S, self.tick),
+            self._timers.subscribe(TICK_S, self.sync),
+        )
 
     # What requests ask.
 
@@ -188,10 +191,13 @@
         self._metrics.stops.labels(row.route).inc()
 
     def tick(self) -> None:
-        """Publish evidence, judge it, and read the store where it's time."""
+        """Publish evidence and judge it, whatever the store does."""
         for watch in list(self._watches.values()):
             self._publish(watch, min_interval_s=watch.row.window_s / 5.0)
             self._judge(watch)
+
+    def sync(self) -> None:
+        """Record stops, read the rows, and state them where too few others do."""
         self._record_stops()
         self._poll()
         if self._timers.now() - self._announced >= ANNOUNCE_S:
@@ -337,6 +343,7 @@
 
     def _follow(self, row: RolloutRow) -> None:
         watch = self._watches.get(row.route)
+        self._metrics.disputed.labels(row.route).set(0)
         self._metrics.share.labels(row.route, row.new).set(row.share)
         if not row.is_running:
             for state in (self._watches, self._shares, self._published):
--- a/tests/version/rollout_parts.py
+++ b/tests/version/rollout_parts.py
@@ -128,6 +128,7 @@
             self.timers.advance(1.0)
             for follower, leader in zip(self.followers, self.leaders, strict=True):
                 follower.tick()
+                follower.sync()
                 leader.tick()
 
     def row(self, index=0):
--- a/tests/version/test_rollout_follower.py
+++ b/tests/version/test_rollout_follower.py
@@ -59,6 +59,20 @@
         for index in range(3):
             self.assertEqual(self.share_of("A", index, 50), 1.0)
 
+    def test_slow_store_does_not_delay_a_stop(self):
+        self.grant(share=0.5, step=4, allowance=None)
+        self.fleet.platform._sleep = self.fleet.timers.sleep
+        self.fleet.platform.faults.delay_s = 30.0
+        follower = self.fleet.followers[1]
+        follower.start()
+        self.fleet.timers.advance(10.0)
+        for _ in range(60):
+            follower.observe(run("A", upstream="A0"))
+        for _ in range(8):
+            follower.observe(run("B", failed=True))
+        self.fleet.timers.advance(1.0)
+        self.assertEqual(self.share_of("A", 1, 20), 1.0)
+
     def test_partition_is_stopped_by_the_evidence_of_each_side(self):
         self.grant(share=0.5, step=4, allowance=None)
         self.fleet.network.partition({"r0"})
