Move calls of plain services with the rollout as well

Calls asked for the route's declared version, so that an edit moved all of them at once. A chooser in front of the pool's asks the rollout for the version and observes how each call ends.

--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -31,6 +31,7 @@
 from boragedeck.process.settings import Settings
 from boragedeck.process.status import StatusReport
 from boragedeck.process.timers import RealTimers
+from boragedeck.process.versioned_chooser import VersionedChooser
 from boragedeck.request.abandonment import Abandonment, FixedGrace
 from boragedeck.request.api import Api
 from boragedeck.request.call_edge import CallEdge
@@ -209,7 +210,9 @@
         return build_call_service(
             cfg=self._config,
             platform=self._platform,
-            chooser=self._chooser,
+            chooser=VersionedChooser(
+                self._chooser, self._rollouts.follower, self.timers
+            ),
             services=HttpServices(),
             timers=self.timers,
             own=self.own.router,
--- /dev/null
+++ b/boragedeck/process/versioned_chooser.py
@@ -0,0 +1,94 @@
+"""Gives calls of plain services the version that a rollout wants for them."""
+
+import msgspec
+from result import Result
+
+from boragedeck.exceptions import RefusedError
+from boragedeck.interfaces import Chooser, Outcome, Sample, Slot, VersionPolicy, Wanted
+from boragedeck.process.timers import TimerService
+from boragedeck.version.tables import Upstream
+
+__all__ = ["VersionedChooser"]
+
+
+class VersionedChooser:
+    """Chooses the version, then the upstream, and observes how each call ends.
+
+    Parameters
+    ----------
+    chooser : Chooser
+        Chooses the upstream.
+    versions : VersionPolicy
+        Chooses the version, whatever the request wanted.
+    timers : TimerService
+        The source of time.
+    """
+
+    def __init__(self, chooser: Chooser, versions: VersionPolicy, timers: TimerService):
+        self._chooser = chooser
+        self._versions = versions
+        self._timers = timers
+
+    def acquire(self, wanted: Wanted) -> Result[Slot, RefusedError]:
+        """Wait for a place on an upstream; see `Chooser.acquire`."""
+        version = self._versions.choose(wanted.route, wanted.fingerprint)
+        wanted = msgspec.structs.replace(wanted, version=version)
+        acquired = self._chooser.acquire(wanted)
+        return acquired.map(
+            lambda slot: _ObservedSlot(slot, wanted, self._versions, self._timers)
+        )
+
+
+class _ObservedSlot:
+    """A place whose use is observed."""
+
+    def __init__(
+        self,
+        slot: Slot,
+        wanted: Wanted,
+        versions: VersionPolicy,
+        timers: TimerService,
+    ):
+        self._slot = slot
+        self._wanted = wanted
+        self._versions = versions
+        self._timers = timers
+        self._started = timers.now()
+        self._is_over = False
+
+    @property
+    def upstream(self) -> Upstream:
+        """The upstream that was chosen."""
+        return self._slot.upstream
+
+    def first_token(self) -> None:
+        """Note that the first output has come."""
+        self._slot.first_token()
+
+    def tokens(self, count: int) -> None:
+        """Note that further output has come."""
+        self._slot.tokens(count)
+
+    def finish(self, outcome: Outcome) -> None:
+        """Give the place back and observe the call."""
+        self._slot.finish(outcome)
+        if self._is_over:
+            return
+        self._is_over = True
+        elapsed = self._timers.now() - self._started
+        is_whole = outcome is Outcome.COMPLETED
+        self._versions.observe(
+            Sample(
+                route=self._wanted.route.name,
+                version=self.upstream.version,
+                upstream=self.upstream.name,
+                failure_domain=self.upstream.failure_domain,
+                outcome=outcome,
+                # A call has one response, so that its time is the time to it.
+                first_token_s=elapsed if is_whole else None,
+                gap_s=None,
+                tokens=0,
+                fingerprint=self._wanted.fingerprint,
+                age_s=elapsed,
+            )
+        )
