--- a/tests/version/test_rollout_leader.py
+++ b/tests/version/test_rollout_leader.py
@@ -134,3 +134,28 @@
         self.fleet.tick(2)
         self.assertGreater(self.fleet.timers.wall(), row.deadline)
         self.assertEqual(self.fleet.row().cause, Cause.DEADLINE)
+
+    def test_rollback_to_leaving_replicas_is_refused_with_the_reason(self):
+        row = self.fleet.start_move()
+        leader = self.fleet.leaders[0]
+        leader._end(row, State.DONE, Cause.EVIDENCE, "evidence")
+        deadline = self.fleet.timers.wall() + 600
+        self.fleet.edit(config(3, "A", deadline, leaving=("A",)))
+        self.fleet.tick(2)
+        self.assertEqual(self.fleet.row().cause, Cause.NO_ROOM)
+        self.assertEqual(self.fleet.choose(), "B")
+        self.fleet.edit(config(4, "A", deadline + 1))
+        self.fleet.tick(2)
+        self.assertEqual(
+            (self.fleet.row().state, self.fleet.row().old), (State.RUNNING, "B")
+        )
+
+    def test_write_on_an_outdated_head_changes_nothing(self):
+        # A write whose answer was lost may take effect late, under the same lease.
+        row = self.fleet.start_move()
+        late = row.noted(row.started, reason="late")
+        self.fleet.platform.commit(late.writes(expect=None)).unwrap()
+        leader = self.fleet.leaders[0]
+        leader._end(row, State.TAKEN_BACK, Cause.FAULT, "on the outdated head")
+        self.assertEqual(self.fleet.row(), late)
+        self.assertEqual(self.stored()[-1], late)
