--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -35,6 +35,7 @@
 from boragedeck.process.settings import Settings
 from boragedeck.process.status import StatusReport
 from boragedeck.process.timers import RealTimers
+from boragedeck.process.versioned_chooser import VersionedChooser
 from boragedeck.request.abandonment import Abandonment, FixedGrace
 from boragedeck.request.api import Api
 from boragedeck.request.call_edge import CallEdge
@@ -123,7 +124,7 @@
         holders, and callers are told to reattach.
         """
         self.api.is_draining = True
-        self._rollouts.keeper.release_all()
+        eventlet.spawn_n(self._rollouts.keeper.release_all)
         self._membership.leave()
         until = self.timers.now() + self._settings.drain_s
         while self._is_busy() and self.timers.now() < until:
@@ -213,7 +214,9 @@
         parts = build_call_service(
             cfg=self._config,
             platform=self._platform,
-            chooser=self._chooser,
+            chooser=VersionedChooser(
+                self._chooser, self._rollouts.follower, self.timers
+            ),
             services=HttpServices(),
             timers=self.timers,
             own=self.own.router,
--- a/boragedeck/process/status.py
+++ b/boragedeck/process/status.py
@@ -65,6 +65,8 @@
         The other routers.
     running_answers : int
         Answers that run here.
+    copies : int
+        Copies of other routers' answers.
     uptime_s : float
         Seconds since the start.
     quarantines : int
@@ -79,6 +81,7 @@
     config: ConfigStatus
     peers: list[PeerStatus]
     running_answers: int
+    copies: int
     uptime_s: float
     quarantines: int = 0
     quarantined: list[QuarantineStatus] = []
@@ -139,6 +142,7 @@
             config=self._config.status(),
             peers=peers,
             running_answers=self._answers.running(),
+            copies=self._answers.copies(),
             uptime_s=self._timers.now() - self._started,
             quarantines=len(held),
             quarantined=held[-MAX_QUARANTINES_SHOWN:],
--- a/boragedeck/version/rollout_plan.py
+++ b/boragedeck/version/rollout_plan.py
@@ -18,6 +18,7 @@
     "allowance",
     "decide",
     "finish_by",
+    "first_share",
     "first_step",
     "is_too_short",
     "window_s",
@@ -41,6 +42,7 @@
     _Step(share=0.50, trials=120, ends_at=0.62),
     _Step(share=0.90, trials=200, ends_at=0.85),
 )
+SMALL_ROUTE_SHARE = 0.035
 LAST_STEP = len(STEPS) - 1
 SOAK_STEP = LAST_STEP - 1
 """Half of the requests: where a late fault shows soonest."""
@@ -131,9 +133,15 @@
 Decision = Wait | Raise | Extend | Finish | TakeBack
 
 
-def window_s(routers: int) -> float:
-    """Return the length of evidence windows that keeps control traffic bounded."""
-    return max(MIN_WINDOW_S, routers * FACT_BYTES / FACT_BUDGET_BYTES_PER_S)
+def window_s(statements: int) -> float:
+    """Return the length of evidence windows that keeps control traffic bounded.
+
+    Parameters
+    ----------
+    statements : int
+        Routers times running rollouts: what each router hears in a window.
+    """
+    return max(MIN_WINDOW_S, statements * FACT_BYTES / FACT_BUDGET_BYTES_PER_S)
 
 
 def is_too_short(started: float, deadline: float) -> bool:
@@ -166,6 +174,14 @@
     return 0 if expected >= 2 * STEPS[0].trials else 1
 
 
+def first_share(step: int) -> float:
+    """Return the share to begin with at a step.
+
+    Few requests scatter more, so small routes keep further below the limit.
+    """
+    return STEPS[0].share if step == 0 else SMALL_ROUTE_SHARE
+
+
 def decide(row: RolloutRow, progress: Progress, now: float) -> Decision:
     """Decide about a running attempt against which nothing speaks.
 
--- a/scripts/local_cluster.py
+++ b/scripts/local_cluster.py
@@ -299,6 +299,7 @@
         return len(peers) >= len(alive) - 1
 
     def start_engine(self, i: int) -> Process:
+        """Start the i-th engine; it isn't waited for."""
         flags = [
             "--port=0",
             f"--version={self.engine_version(i)}",
