--- a/tests/process/test_composition.py
+++ b/tests/process/test_composition.py
@@ -1,37 +1,54 @@
+import http.client
+import json
 import unittest
 
 import eventlet
-import msgspec
-import urllib3
+from eventlet import wsgi
 
+from boragedeck.connection.platform import HttpPlatform
 from boragedeck.process.composition import Router
 from boragedeck.process.settings import parse_settings
-from boragedeck.process.status import Status
+from boragedeck.process.timers import RealTimers
+from boragedeck.version.config_store import ConfigStore
+from boragedeck.version.tables import Config
+from standins.memory import MemoryPlatform
 from standins.platform import PlatformApp
-from standins.web import listen, serve, url_of
-
-
-class RouterTest(unittest.TestCase):
-    def test_parts_are_joined_and_report(self):
-        listener = listen()
-        platform = eventlet.spawn(serve, PlatformApp(), listener)
-        self.addCleanup(platform.kill)
-        arguments = [
-            "--listen=127.0.0.1:0",
-            "--peer-listen=127.0.0.1:0",
-            "--vm=vm-1",
-            "--failure-domain=d1",
-            f"--platform-url={url_of(listener)}",
-            "--drain-s=0",
-        ]
-        router = Router(parse_settings(arguments, {}).unwrap())
-        router.start()
-        self.addCleanup(router.drain)
-        http = urllib3.PoolManager(retries=False)
-        url = f"http://{router.http_address}"
-        status = msgspec.json.decode(
-            http.request("GET", f"{url}/-/status").data, type=Status
-        )
-        self.assertEqual((status.vm, status.quarantined), ("vm-1", []))
-        metrics = http.request("GET", f"{url}/metrics").data
-        self.assertIn(b"boragedeck_config_revision 0.0", metrics)
+
+
+class CompositionTest(unittest.TestCase):
+    """The parts fit together, and a router reports itself."""
+
+    def setUp(self):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        app = PlatformApp(MemoryPlatform())
+        eventlet.spawn_n(wsgi.server, listener, app, log_output=False)
+        self.addCleanup(listener.close)
+        url = "http://{}:{}".format(*listener.getsockname())
+        store = ConfigStore(HttpPlatform(url), RealTimers())
+        store.apply(store.read().ok(), Config(), author="test", apply_id="one")
+        flags = ["--listen=127.0.0.1:0", "--peer-listen=127.0.0.1:0", "--vm=vm-1"]
+        flags += ["--failure-domain=fd-1", f"--platform-url={url}", "--drain-s=0"]
+        self.router = Router(parse_settings(flags, {}).ok())
+        self.router.start()
+
+    def get(self, path):
+        address = self.router.http_address
+        conn = http.client.HTTPConnection(address.host, address.port, timeout=10)
+        self.addCleanup(conn.close)
+        conn.request("GET", path)
+        response = conn.getresponse()
+        return response.status, response.read()
+
+    def test_router_becomes_ready_and_reports_itself(self):
+        with eventlet.Timeout(20):
+            while self.get("/-/ready")[0] != 200:
+                eventlet.sleep(0.05)
+        status = json.loads(self.get("/-/status")[1])
+        self.assertEqual(status["router"], self.router.own.router)
+        self.assertEqual(status["config"]["revision"], 1)
+        self.assertIn(b"boragedeck_tokens", self.get("/metrics")[1])
+
+    def test_drained_router_serves_no_longer(self):
+        self.router.drain()
+        with self.assertRaises(OSError):
+            self.get("/-/ready")
