--- a/boragedeck/cli/commands.py
+++ b/boragedeck/cli/commands.py
@@ -5,7 +5,7 @@
 import typer
 
 import boragedeck
-from boragedeck.cli import keys, quarantine, status, tables
+from boragedeck.cli import keys, quarantine, rollouts, status, tables
 
 __all__ = ["app"]
 
@@ -49,3 +49,4 @@
 app.command("status")(status.status)
 app.command("quarantine")(quarantine.quarantine)
 app.command("hash-key")(keys.hash_key)
+app.add_typer(rollouts.app, name="rollouts")
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -18,7 +18,11 @@
 from boragedeck.process.answers import AnswerTable
 from boragedeck.process.chooser import PoolChooser
 from boragedeck.process.claims import Claims, ClaimTable
-from boragedeck.process.command_parts import CallParts, build_call_service
+from boragedeck.process.command_parts import (
+    CallParts,
+    build_call_service,
+    register_call_metrics,
+)
 from boragedeck.process.copies import CopyStore
 from boragedeck.process.gossip import GossipBoard
 from boragedeck.process.grace import LearnedGrace
@@ -31,10 +35,11 @@
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.polling import Polling
 from boragedeck.process.quarantine import Quarantine
+from boragedeck.process.rollouts import Rollouts
 from boragedeck.process.settings import Settings
-from boragedeck.process.simple_parts import DeclaredVersion
 from boragedeck.process.status import StatusReport
 from boragedeck.process.timers import RealTimers
+from boragedeck.process.versioned_chooser import VersionedChooser
 from boragedeck.request.abandonment import Abandonment
 from boragedeck.request.api import Api
 from boragedeck.request.call_edge import CallEdge
@@ -91,6 +96,7 @@
         self._membership = self._make_membership()
         self._config = self._make_config()
         self._chooser = self._make_chooser()
+        self._rollouts = self._make_rollouts()
         self._answers = self._make_answers()
         self._calls = self._make_calls()
         self._pruner = IntentPruner(
@@ -108,6 +114,7 @@
         self._board.start()
         self._membership.start()
         self._config.start()
+        self._rollouts.start()
         self._pruner.start()
         eventlet.spawn_n(serve_http, self._listener, self.api)
 
@@ -121,6 +128,7 @@
         holders, and callers are told to reattach.
         """
         self.api.is_draining = True
+        eventlet.spawn_n(self._rollouts.keeper.release_all)
         self._membership.leave()
         until = self.timers.now() + self._settings.drain_s
         while self._is_busy() and self.timers.now() < until:
@@ -188,13 +196,24 @@
         )
         return chooser
 
+    def _make_rollouts(self) -> Rollouts:
+        return Rollouts(
+            self._platform,
+            self._board,
+            self._config,
+            self._membership,
+            self.timers,
+            self.metrics.registry,
+            self._rng,
+        )
+
     def _make_answers(self) -> AnswerService:
         journal = Journal(self._membership, self._links, self.timers, self.metrics)
         parts = GenerationParts(
             chooser=self._chooser,
             journal=journal,
             config=self._config,
-            versions=DeclaredVersion(),
+            versions=self._rollouts.follower,
             timers=self.timers,
             metrics=self.metrics,
             open_run=open_run,
@@ -214,10 +233,12 @@
         return answers
 
     def _make_calls(self) -> CallParts:
-        return build_call_service(
+        parts = build_call_service(
             cfg=self._config,
             platform=self._platform,
-            chooser=self._chooser,
+            chooser=VersionedChooser(
+                self._chooser, self._rollouts.follower, self.timers
+            ),
             services=HttpServices(),
             timers=self.timers,
             own=self.own.router,
@@ -225,10 +246,17 @@
             is_alive=self._is_alive,
             rng=self._rng,
         )
+        register_call_metrics(self.metrics.registry, parts)
+        return parts
 
     def _make_api(self) -> Api:
         status = StatusReport(
-            self.own, self._membership, self._config, self._answers, self.timers
+            self.own,
+            self._membership,
+            self._config,
+            self._answers,
+            self.quarantine,
+            self.timers,
         )
         return Api(
             self._answers,
