Place copies of an unproven request on two upstreams, compare silent streams

Now only a completed run is proof, and until then copies run on two upstreams at most; a request that has lately completed is no suspect, so that one prompt sent by many callers is not serialised after a crash.

--- /dev/null
+++ b/benchmarks/quarantine.py
@@ -0,0 +1,308 @@
+"""Engines that a poison request takes down, and innocents that are blamed.
+
+Nine routers before twelve engines; a caller sends the same poison again and again
+through all routers under new ids, and engines also die by themselves. Compared: no
+quarantine, two crashes without keeping suspects apart, and `Quarantine`. Gossip
+takes 0.5 s; claims are answered at once.
+"""
+
+import random
+
+import msgspec
+from result import Ok
+
+from benchmarks.simulation import FixedConfig, SimulatedBoards
+from boragedeck.connection.peer import Address
+from boragedeck.ids import PoolName, RouterId, UpstreamName, Version
+from boragedeck.interfaces import Member, Outcome, Wanted
+from boragedeck.patching import patch_all
+from boragedeck.process.claims import Claim, Claims, ClaimTable
+from boragedeck.process.quarantine import Quarantine
+from boragedeck.process.timers import ManualTimers
+from boragedeck.process.upstreams import UpstreamKey
+from boragedeck.version.tables import Config, Pool, Route
+
+ROUTERS = 9
+ENGINES = 12
+SLOTS = 16
+TICK_S = 0.25
+TOKENS_PER_TICK = 8
+SECONDS = 100.0
+ARRIVALS_PER_TICK = 3
+POISON_FROM_S = 20.0
+RESTART_S = 15.0
+SEEDS = range(3)
+POOL = PoolName("models")
+POISON = "poison"
+POISON_COPIES = 4
+
+
+class Case(msgspec.Struct, frozen=True):
+    """What happens to the engines.
+
+    Parameters
+    ----------
+    name : str
+        What the table calls it.
+    poison_tokens : int or None
+        Tokens after which each run of the poison crashes its engine; None for no
+        poison.
+    death_every_s : float
+        Mean time between deaths of an engine by itself.
+    """
+
+    name: str
+    poison_tokens: int | None
+    death_every_s: float
+
+
+CASES = (
+    Case("poison at its prefill", 0, float("inf")),
+    Case("poison after 24 tokens", 24, float("inf")),
+    Case("poison after 200 tokens", 200, float("inf")),
+    Case("engine deaths only", None, 30.0),
+    Case("both", 24, 30.0),
+)
+
+
+class Request:
+    """A request that waits or runs."""
+
+    def __init__(self, fingerprint: str, tokens: int, router: int):
+        self.fingerprint = fingerprint
+        self.tokens = tokens
+        self.router = router
+        self.delivered = 0
+        self.generated = 0
+        self.guard = None
+
+
+class _Links:
+    def __init__(self, tables: dict[Address, ClaimTable]):
+        self._tables = tables
+        self._table: ClaimTable | None = None
+
+    def link(self, address: Address):
+        link = _Links(self._tables)
+        link._table = self._tables[address]
+        return link
+
+    def call(self, message, answer_type, *, timeout_s):
+        table = self._table
+        is_claim = isinstance(message, Claim)
+        return Ok(table.claim(message) if is_claim else table.release(message))
+
+
+class _Members:
+    def __init__(self, own: Member, members: list[Member]):
+        self.own = own
+        self._others = [member for member in members if member is not own]
+
+    def members(self) -> list[Member]:
+        return self._others
+
+    def suspect(self, router: RouterId) -> None:
+        pass
+
+
+class Fleet:
+    """Routers with a quarantine each, before engines that crash.
+
+    Parameters
+    ----------
+    case : Case
+        What happens.
+    seed : int
+        Seed of all random choices.
+    is_on : bool
+        Whether requests are counted at all.
+    is_apart : bool
+        Whether suspects are kept apart.
+    """
+
+    def __init__(self, case: Case, seed: int, *, is_on: bool, is_apart: bool):
+        self.case = case
+        self.rng = random.Random(seed)
+        self.timers = ManualTimers(0.0)
+        self.is_on = is_on
+        self.is_apart = is_apart
+        self.pool = Pool(POOL)
+        self.route = Route("chat", POOL)
+        self.quarantines = self._make_quarantines()
+        self.engines: list[list[Request]] = [[] for _ in range(ENGINES)]
+        self.up_at = [0.0] * ENGINES
+        self.waiting: list[Request] = []
+        self.poisoned = 0
+        self.deaths = 0
+        self.suspects: set[str] = set()
+        self.completed = 0
+
+    def play(self) -> None:
+        """Run to the end of the time."""
+        for tick in range(int(SECONDS / TICK_S)):
+            self._arrive(tick)
+            self._place_all()
+            self.timers.advance(TICK_S)
+            for engine in range(ENGINES):
+                self._step(engine)
+
+    def blamed(self) -> set[str]:
+        """Return the innocents that are quarantined anywhere."""
+        blamed: set[str] = set()
+        for quarantine in self.quarantines:
+            blamed |= set(quarantine.quarantined())
+        return blamed - {POISON}
+
+    def _make_quarantines(self) -> list[Quarantine]:
+        members = [
+            Member(f"r{i}", f"vm{i}", f"d{i % 3}", Address("127.0.0.1", i + 1))
+            for i in range(ROUTERS)
+        ]
+        tables = {member.address: ClaimTable(self.timers) for member in members}
+        boards = SimulatedBoards(self.timers, delay_s=0.5)
+        cfg_source = FixedConfig(Config(routes=(self.route,), pools=(self.pool,)))
+        quarantines = []
+        for member in members:
+            links, table = _Links(tables), tables[member.address]
+            claims = Claims(_Members(member, members), links, table)
+            board = boards.board(member.router)
+            quarantines.append(Quarantine(self.timers, board, cfg_source, claims))
+        return quarantines
+
+    def _arrive(self, tick: int) -> None:
+        for index in range(ARRIVALS_PER_TICK):
+            tokens = self.rng.choice((64, 128, 256, 1024))
+            router = self.rng.randrange(ROUTERS)
+            self.waiting.append(Request(f"f{tick}-{index}", tokens, router))
+        is_poison_due = tick * TICK_S >= POISON_FROM_S
+        if self.case.poison_tokens is not None and is_poison_due:
+            have = sum(request.fingerprint == POISON for request in self.waiting)
+            for _ in range(POISON_COPIES - have):
+                self.waiting.append(Request(POISON, 512, self.rng.randrange(ROUTERS)))
+
+    def _place_all(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        waiting.sort(key=lambda request: -request.delivered)
+        for request in waiting:
+            if not self._place(request):
+                self.waiting.append(request)
+
+    def _place(self, request: Request) -> bool:
+        """Return whether a request runs now or was refused for good."""
+        quarantine = self.quarantines[request.router]
+        if self.is_on:
+            entered = quarantine.enter(self._wanted(request), self.timers.now())
+            if entered.is_err():
+                return entered.err().code == "request_quarantined"
+            request.guard = entered.ok()
+        engines = [
+            engine
+            for engine in range(ENGINES)
+            if self.up_at[engine] <= self.timers.now()
+            and len(self.engines[engine]) < SLOTS
+        ]
+        self.rng.shuffle(engines)
+        engines.sort(key=lambda engine: len(self.engines[engine]))
+        for engine in engines:
+            if self._may_run(quarantine, request, _key(engine)):
+                request.generated = 0
+                self.engines[engine].append(request)
+                return True
+        if self.is_on:
+            quarantine.leave(request.guard)
+        return False
+
+    def _may_run(
+        self, quarantine: Quarantine, request: Request, key: UpstreamKey
+    ) -> bool:
+        if not self.is_on:
+            return True
+        if not self.is_apart:
+            request.guard.upstream = key
+            return True
+        guard = request.guard
+        return quarantine.may_place(guard, key) and quarantine.place(guard, key)
+
+    def _wanted(self, request: Request) -> Wanted:
+        return Wanted(
+            route=self.route,
+            pool=self.pool,
+            organisation="a",
+            version=None,
+            prompt_tokens=100,
+            prefix_hash=1,
+            fingerprint=request.fingerprint,
+            is_resume=request.delivered > 0,
+        )
+
+    def _step(self, engine: int) -> None:
+        dies = self.rng.random() < TICK_S / self.case.death_every_s / ENGINES
+        is_poisoned = any(map(self._is_crashing, self.engines[engine]))
+        if self.engines[engine] and (dies or is_poisoned):
+            self.poisoned += is_poisoned
+            self.deaths += not is_poisoned
+            self._crash(engine)
+            return
+        for request in list(self.engines[engine]):
+            request.generated += TOKENS_PER_TICK
+            request.delivered += TOKENS_PER_TICK
+            quarantine = self.quarantines[request.router]
+            if self.is_on:
+                quarantine.note_tokens(request.guard, request.generated)
+            if request.delivered >= request.tokens:
+                self.engines[engine].remove(request)
+                self.completed += 1
+                self._finish(request, Outcome.COMPLETED)
+
+    def _is_crashing(self, request: Request) -> bool:
+        if request.fingerprint != POISON:
+            return False
+        return request.generated >= self.case.poison_tokens
+
+    def _crash(self, engine: int) -> None:
+        self.up_at[engine] = self.timers.now() + RESTART_S
+        lost, self.engines[engine] = self.engines[engine], []
+        for request in lost:
+            self.suspects.add(request.fingerprint)
+            self._finish(request, Outcome.CRASHED)
+            self.waiting.append(request)
+
+    def _finish(self, request: Request, outcome: Outcome) -> None:
+        if self.is_on:
+            quarantine = self.quarantines[request.router]
+            version = Version("v1")
+            quarantine.finish(request.guard, version, request.generated, outcome)
+
+
+def _key(engine: int) -> UpstreamKey:
+    return UpstreamKey(POOL, UpstreamName(f"engine-{engine}"))
+
+
+def main() -> None:
+    """Print a line for each case and way."""
+    patch_all()
+    ways = {
+        "none": {"is_on": False, "is_apart": False},
+        "not apart": {"is_on": True, "is_apart": False},
+        "ours": {"is_on": True, "is_apart": True},
+    }
+    for case in CASES:
+        for name, way in ways.items():
+            fleets = [Fleet(case, seed, **way) for seed in SEEDS]
+            for fleet in fleets:
+                fleet.play()
+            poisoned = max(fleet.poisoned for fleet in fleets)
+            suspects = sum(len(fleet.suspects - {POISON}) for fleet in fleets)
+            blamed = sum(len(fleet.blamed()) for fleet in fleets)
+            print(
+                f"{case.name:24} {name:10} engines lost to the poison, at most"
+                f" {poisoned:3}  other deaths {sum(f.deaths for f in fleets):3}"
+                f"  innocents beside {suspects:4}  blamed {blamed:3}"
+                f" ({blamed / max(1, suspects):5.1%})"
+                f"  completed {sum(f.completed for f in fleets)}",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/silence.py
@@ -0,0 +1,105 @@
+"""Time until a silent stream is suspected, and false alarms on a slow engine.
+
+Eight streams of one engine; some connections fall silent for good, the engine stalls
+now and then and is slow for a while. Compared on the same recorded gaps: a fixed
+timeout, the stream's own history, and the history with the other streams.
+"""
+
+import random
+
+from benchmarks.simulation import percentile
+from boragedeck.process.pulse import Pulse
+from boragedeck.request.silence import GapHistory
+
+SEED = 9
+STREAMS = 8
+HOURS = 1.0
+GAP_S = 0.03
+FIXED_S = 1.0
+STALL_EVERY_S = 20.0
+STALL_S = (0.2, 1.3)
+SLOW_EVERY_S = 120.0
+SLOW_FOR_S = 15.0
+SLOW_FACTOR = 12.0
+SILENCE_EVERY_S = 30.0
+
+
+def record_outputs(seed: int) -> list[tuple[float, int, bool]]:
+    """Return each output's time and stream, and whether silence follows it."""
+    rng = random.Random(seed)
+    outputs = []
+    next_stall = rng.expovariate(1.0 / STALL_EVERY_S)
+    next_silence = rng.expovariate(1.0 / SILENCE_EVERY_S)
+    now = 0.0
+    while now < HOURS * 3600.0:
+        is_slow = now % SLOW_EVERY_S > SLOW_EVERY_S - SLOW_FOR_S
+        now += GAP_S * (SLOW_FACTOR if is_slow else 1.0) * rng.uniform(0.8, 1.3)
+        if now > next_stall:
+            now += rng.uniform(*STALL_S)
+            next_stall = now + rng.expovariate(1.0 / STALL_EVERY_S)
+        silent = None
+        if now > next_silence:
+            silent = rng.randrange(STREAMS)
+            next_silence = now + rng.expovariate(1.0 / SILENCE_EVERY_S)
+        outputs += [
+            (now + index * 1e-4, index, index == silent) for index in range(STREAMS)
+        ]
+    return outputs
+
+
+class _Fixed:
+    def note(self, now: float) -> None:
+        pass
+
+    def suspect_after_s(self) -> float:
+        return FIXED_S
+
+
+def play(outputs, make_stream) -> tuple[list[float], int]:
+    """Return the waits until a silence was suspected, and the false alarms."""
+    streams = [make_stream() for _ in range(STREAMS)]
+    last: dict[int, float] = {}
+    silent: dict[int, float] = {}
+    waits, alarms = [], 0
+    for now, index, falls_silent in outputs:
+        for other, since in list(silent.items()):
+            limit = streams[other].suspect_after_s()
+            if now - since >= limit:
+                waits.append(limit)
+                del silent[other]
+                streams[other] = make_stream()
+                last.pop(other, None)
+        if index in silent:
+            continue
+        if index in last and now - last[index] > streams[index].suspect_after_s():
+            alarms += 1
+        streams[index].note(now)
+        last[index] = now
+        if falls_silent:
+            silent[index] = now
+    return waits, alarms
+
+
+def main() -> None:
+    """Print a line for each way."""
+    outputs = record_outputs(SEED)
+    pulse = Pulse()
+
+    def follow() -> GapHistory:
+        stream = GapHistory()
+        stream.follow(pulse)
+        return stream
+
+    ways = {"fixed": _Fixed, "own history": GapHistory, "with the others": follow}
+    for name, make_stream in ways.items():
+        waits, alarms = play(outputs, make_stream)
+        rate = alarms / (STREAMS * HOURS)
+        print(
+            f"{name:16} suspected after p50 {percentile(waits, 0.5):5.2f}"
+            f" p95 {percentile(waits, 0.95):5.2f} s of {len(waits)} silences"
+            f"  false alarms {rate:7.1f} a stream and hour"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/boragedeck/process/chooser.py
+++ b/boragedeck/process/chooser.py
@@ -27,6 +27,8 @@
 SWEEP_S = 0.25
 MAX_TRIED = 32
 APART_RETRY_S = 0.05
+QUEUE_USE = 0.7
+"""Part of the allowed wait that may be expected; the rest is for its error."""
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
 
@@ -292,7 +294,9 @@
             text = f"no upstream of pool {pool.name!r} takes this request now"
             return self._refused(text, "no_upstream", MIN_RETRY_AFTER_S)
         wait_s = self._expected_wait_s(wanted, queue, now)
-        if queue.is_full(wanted.organisation) or wait_s > self._patience_s(wanted):
+        if queue.is_full(wanted.organisation) or wait_s > QUEUE_USE * self._patience_s(
+            wanted
+        ):
             return self._overloaded(wanted, wait_s)
         return None
 
--- a/boragedeck/process/claims.py
+++ b/boragedeck/process/claims.py
@@ -21,7 +21,7 @@
 MAX_HOLDERS = 256
 CALL_TIMEOUT_S = 0.1
 MAX_KEEPERS_TRIED = 2
-UNPROVEN_HOLDERS = 2
+UNPROVEN_UPSTREAMS = 2
 PROVEN_TTL_S = 600.0
 MAX_CRASHED = 2
 CRASHED_TTL_S = 10.0
@@ -44,6 +44,8 @@
         How long the claim holds, in seconds.
     crashed : tuple of str
         Upstreams that crashed under the key, as far as the holder knows.
+    upstream : str
+        Where the holder is about to run; empty while it waits.
     """
 
     key: str
@@ -51,12 +53,25 @@
     is_exclusive: bool
     ttl_s: float
     crashed: tuple[str, ...] = ()
+    upstream: str = ""
 
 
 class ClaimAnswer(Message, frozen=True):
-    """Says whether a claim was granted."""
+    """Says whether a claim was granted.
+
+    Parameters
+    ----------
+    is_granted : bool
+        Whether it was.
+    is_proven : bool
+        Whether a run under the key has lately completed.
+    upstreams : tuple of str
+        The only upstreams that the holder may choose from; empty for any.
+    """
 
     is_granted: bool
+    is_proven: bool = False
+    upstreams: tuple[str, ...] = ()
 
 
 class Release(Message, frozen=True):
@@ -79,6 +94,7 @@
 
 class _Entry(msgspec.Struct):
     holders: dict[str, float]
+    places: dict[str, str]
     crashed: dict[str, float]
     exclusive: str = ""
     proven_until: float = float("-inf")
@@ -94,10 +110,11 @@
 
     Notes
     -----
-    Until a key is proven harmless, `UNPROVEN_HOLDERS` may hold it at a time. Nobody
-    gets a key under which `MAX_CRASHED` upstreams crashed lately: two routers that
-    each know of one crash learn of the other's by gossip. State: at most
-    `MAX_KEYS` keys with `MAX_HOLDERS` holders each, until each claim's end.
+    Until a run under a key has completed, all run on `UNPROVEN_UPSTREAMS` at most, so
+    that copies sent at the same time take down no more. Nobody gets a key under
+    which `MAX_CRASHED` upstreams crashed lately: two routers that each know of one
+    crash learn of the other's by gossip. State: at most `MAX_KEYS` keys with
+    `MAX_HOLDERS` holders each, until each claim's end.
     """
 
     def __init__(self, timers: TimerService):
@@ -115,15 +132,21 @@
         if self._denies(entry, message, len(others), now):
             return ClaimAnswer(False)
         entry.holders[message.holder] = now + message.ttl_s
+        if message.upstream:
+            entry.places[message.holder] = message.upstream
         if message.is_exclusive:
             entry.exclusive = message.holder
-        return ClaimAnswer(True)
+        is_proven = now < entry.proven_until
+        upstreams = tuple(sorted(set(entry.places.values())))
+        is_open = is_proven or len(upstreams) < UNPROVEN_UPSTREAMS
+        return ClaimAnswer(True, is_proven, () if is_open else upstreams)
 
     def release(self, message: Release) -> ClaimAnswer:
         """Take a claim back."""
         now = self._timers.now()
         entry = self._entry(message.key, now)
         entry.holders.pop(message.holder, None)
+        entry.places.pop(message.holder, None)
         if message.is_proven:
             entry.proven_until = now + PROVEN_TTL_S
             if entry.exclusive and _is_of_router(message.holder, entry.exclusive):
@@ -137,16 +160,23 @@
             return True
         if entry.exclusive and not _is_of_router(message.holder, entry.exclusive):
             return True
-        is_proven = now < entry.proven_until
+        if now < entry.proven_until:
+            return others >= MAX_HOLDERS
         if message.is_exclusive:
-            return others > 0 and not is_proven
-        return others >= (MAX_HOLDERS if is_proven else UNPROVEN_HOLDERS)
+            return others > 0
+        used = {
+            entry.places[holder] for holder in entry.places.keys() - {message.holder}
+        }
+        is_new = message.upstream and message.upstream not in used
+        return others >= MAX_HOLDERS or (is_new and len(used) >= UNPROVEN_UPSTREAMS)
 
     def _entry(self, key: str, now: float) -> _Entry:
-        entry = self._entries.setdefault(key, _Entry({}, {}))
+        entry = self._entries.setdefault(key, _Entry({}, {}, {}))
         self._entries.move_to_end(key)
         _drop_past(entry.holders, now)
         _drop_past(entry.crashed, now)
+        for holder in entry.places.keys() - entry.holders.keys():
+            del entry.places[holder]
         if entry.exclusive not in entry.holders:
             entry.exclusive = ""
         if len(self._entries) > MAX_KEYS:
@@ -177,9 +207,9 @@
         server.register(Claim, self._table.claim)
         server.register(Release, self._table.release)
 
-    def claim(self, claim: Claim) -> bool:
+    def claim(self, claim: Claim) -> ClaimAnswer:
         """Claim a key; without a reachable keeper this router grants it itself."""
-        return self._ask(claim).is_granted
+        return self._ask(claim)
 
     def release(self, key: str, holder: str, *, is_proven: bool) -> None:
         """Give a claim back."""
--- a/boragedeck/process/quarantine.py
+++ b/boragedeck/process/quarantine.py
@@ -12,7 +12,7 @@
 from boragedeck.interfaces import ConfigSource, FactBoard, Outcome, Wanted
 from boragedeck.process.claims import Claims
 from boragedeck.process.incidents import CrashMark, Incidents
-from boragedeck.process.isolation import PROVEN_TOKENS, Isolation, RunGuard, key_text
+from boragedeck.process.isolation import Isolation, RunGuard, key_text
 from boragedeck.process.quarantine_facts import CrashFact, QuarantineFact
 from boragedeck.process.timers import TimerService
 from boragedeck.process.upstreams import UpstreamKey
@@ -44,12 +44,14 @@
 
     Notes
     -----
-    A request whose run was on a crashed upstream is a suspect. It runs once at a
-    time over the fleet and on an upstream without another suspect, so that a second
-    crash names one request. It is apart until it has passed the point of the crash,
-    and a suspect until it has completed or outlived the crashed run. The second
-    crash that counts quarantines it for `QUARANTINE_S`. State: see `Incidents`,
-    `Isolation` and `ClaimTable`; `MAX_QUARANTINED` quarantines.
+    A request whose run was on a crashed upstream is a suspect, unless it has lately
+    completed elsewhere. It runs once at a time over the fleet and on an upstream
+    without another suspect, so that a second crash names one request. Copies sent
+    at the same time run on two upstreams at most until one has completed. A suspect
+    is apart until it has passed the point of the crash, and a suspect until it has
+    completed or outlived the crashed run. The second crash that counts quarantines
+    it for `QUARANTINE_S`. State: see `Incidents`, `Isolation` and `ClaimTable`;
+    `MAX_QUARANTINED` quarantines.
     """
 
     def __init__(
@@ -133,6 +135,8 @@
 
     def may_place(self, guard: RunGuard, upstream: UpstreamKey) -> bool:
         """Return whether a request may run on an upstream beside its suspects."""
+        if guard.upstreams and key_text(upstream) not in guard.upstreams:
+            return False
         if not self._is_apart(guard):
             return True
         return self._isolation.may_place(guard, upstream)
@@ -141,7 +145,7 @@
         """Claim an upstream for a request; False where another suspect is there."""
         guard.upstream = upstream
         if not self._is_apart(guard):
-            return True
+            return self._isolation.place_copy(guard)
         return self._isolation.place(guard, upstream)
 
     def note_tokens(self, guard: RunGuard, generated: int) -> None:
@@ -149,12 +153,11 @@
         if guard.is_suspect and generated >= guard.passes_at:
             guard.is_suspect = False
             self._isolation.end_isolation(guard)
-        if guard.is_proven or generated < max(PROVEN_TOKENS, guard.outlives_at):
-            return
-        guard.is_proven = True
-        if guard.is_exclusive:
-            self._state_harmless(guard.fingerprint)
-        self._isolation.release(guard)
+        if guard.is_exclusive and not guard.is_proven:
+            if generated >= guard.outlives_at:
+                guard.is_proven = True
+                self._state_harmless(guard.fingerprint)
+                self._isolation.release(guard)
 
     def leave(self, guard: RunGuard) -> None:
         """Give everything back for a request that was not placed."""
@@ -179,7 +182,7 @@
         """
         self._isolation.forget(guard)
         match outcome:
-            case Outcome.CRASHED:
+            case Outcome.CRASHED if not guard.is_known_good:
                 self._crash(guard, version, generated)
                 marks = self._marks(guard.fingerprint)
                 self._isolation.hold_after_crash(guard, marks)
--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -21,6 +21,7 @@
 from boragedeck.process.journal import Journal
 from boragedeck.process.logs import PartLog
 from boragedeck.process.metrics import Metrics
+from boragedeck.process.pulse import Pulses
 from boragedeck.process.timers import TimerService
 from boragedeck.request.answer import Answer, ErrorInfo, Finish
 from boragedeck.request.attempt import Attempt, EndKind, OpenRun, broken_outcome
@@ -77,6 +78,8 @@
         See `boragedeck.connection.engine.open_run`.
     rng : random.Random
         The source of jitter.
+    pulses : Pulses
+        Output of each upstream's streams.
     """
 
     chooser: Chooser
@@ -87,6 +90,7 @@
     metrics: Metrics
     open_run: OpenRun
     rng: random.Random
+    pulses: Pulses = msgspec.field(default_factory=Pulses)
 
 
 class Generation:
@@ -238,6 +242,7 @@
         if self._answer.version is None:
             self._answer.version = upstream.version
         self._parts.journal.set_upstream(self._answer, upstream.url)
+        self._gaps.follow(self._parts.pulses.of(upstream.url))
         # From now on a silence counts.
         self._changed.notify()
 
--- a/boragedeck/request/silence.py
+++ b/boragedeck/request/silence.py
@@ -1,10 +1,15 @@
-"""When a stream that sends nothing is suspected, from its own gap history."""
+"""When a stream that sends nothing is suspected, from its gaps and its upstream."""
+
+from boragedeck.process.pulse import Pulse
 
 __all__ = ["GapHistory"]
 
 FIRST_TOKEN_SUSPECT_S = 2.0
 MIN_SUSPECT_S = 0.3
 MAX_SUSPECT_S = 1.2
+TOGETHER_SUSPECT_S = 1.5
+MAX_SLOW_SUSPECT_S = 4.0
+ALONE_S = 0.1
 DEVIATIONS = 8.0
 GAIN = 0.1
 
@@ -15,7 +20,10 @@
     Notes
     -----
     The estimate follows the round-trip estimator of TCP [1]_: a gap is suspicious
-    when it is longer than the mean by several mean deviations.
+    when it is longer than the mean by several mean deviations. A stream that falls
+    silent while others of its upstream go on is suspected by that alone. Where all
+    fell silent together, the engine may be busy with a long prefill, and where all
+    are slow, gaps are long for all: both are given more time.
 
     References
     ----------
@@ -26,6 +34,11 @@
         self._last: float | None = None
         self._mean_s: float | None = None
         self._deviation_s = 0.0
+        self._pulse: Pulse | None = None
+
+    def follow(self, pulse: Pulse) -> None:
+        """Compare with the other streams of an upstream from now on."""
+        self._pulse = pulse
 
     def note(self, now: float) -> None:
         """Note that output has come.
@@ -39,6 +52,9 @@
         if last is None:
             return
         gap = now - last
+        if self._pulse is not None:
+            usual_s = self._mean_s or gap
+            self._pulse.note(id(self), now, gap / usual_s if usual_s > 0 else 1.0)
         if self._mean_s is None:
             self._mean_s = gap
             self._deviation_s = gap / 2.0
@@ -54,4 +70,14 @@
         if self._mean_s is None:
             return MAX_SUSPECT_S
         limit = self._mean_s + DEVIATIONS * self._deviation_s
-        return min(MAX_SUSPECT_S, max(MIN_SUSPECT_S, limit))
+        limit = min(MAX_SUSPECT_S, max(MIN_SUSPECT_S, limit))
+        if self._pulse is None:
+            return limit
+        limit *= self._pulse.slowness()
+        if self._are_others_silent():
+            limit = max(limit, TOGETHER_SUSPECT_S)
+        return min(MAX_SLOW_SUSPECT_S, limit)
+
+    def _are_others_silent(self) -> bool:
+        others_at = self._pulse.others_at(id(self), self._last)
+        return others_at is not None and others_at < self._last + ALONE_S
