--- a/benchmarks/failures.py
+++ b/benchmarks/failures.py
@@ -5,9 +5,11 @@
 same resumed from its prefix, and `PoolChooser`.
 """
 
+from collections.abc import Callable
+
 import msgspec
 
-from benchmarks.choice import choose_random, full_rate
+from benchmarks.choice import choose_packed, choose_random, full_rate
 from benchmarks.fleet import Fleet, FleetSpec
 from benchmarks.model import Load, record_load
 from benchmarks.simulation import percentile
@@ -26,21 +28,22 @@
     ----------
     name : str
         What the table calls it.
-    is_ours : bool
-        Whether `PoolChooser` places the runs.
+    choose : callable or None
+        Chooses an engine; None for `PoolChooser`.
     resumes : bool
         Whether a run goes on from its prefix.
     """
 
     name: str
-    is_ours: bool
+    choose: Callable | None
     resumes: bool
 
 
 WAYS = (
-    Way("retry from start", False, False),
-    Way("resume at random", False, True),
-    Way("ours", True, True),
+    Way("retry from start", choose_random, False),
+    Way("resume at random", choose_random, True),
+    Way("packing", choose_packed, True),
+    Way("ours", None, True),
 )
 
 
@@ -56,8 +59,7 @@
 def play(way: Way, loss: str, rate: float, seed: int) -> Fleet:
     """Return a fleet after a load during which engines were lost."""
     load = record_load(Load(rate=rate, seconds=SECONDS), seed)
-    plain = None if way.is_ours else choose_random
-    fleet = Fleet(FleetSpec(seed=seed), plain, resumes=way.resumes)
+    fleet = Fleet(FleetSpec(seed=seed), way.choose, resumes=way.resumes)
 
     def lose() -> None:
         for engine in lost_engines(fleet)[loss]:
--- a/boragedeck/process/load.py
+++ b/boragedeck/process/load.py
@@ -9,7 +9,7 @@
 __all__ = ["LoadEstimate", "LoadReport"]
 
 MAX_CHANGES = 512
-MAX_REPORT_AGE_S = 15.0
+MAX_REPORT_AGE_S = 30.0
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
--- a/boragedeck/process/load_gossip.py
+++ b/boragedeck/process/load_gossip.py
@@ -5,6 +5,7 @@
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.ids import PoolName, RouterId
 from boragedeck.interfaces import FactBoard
+from boragedeck.process.pace import restate_interval_s
 from boragedeck.process.timers import TimerService
 from boragedeck.process.upstreams import UpstreamKey, UpstreamRegistry
 
@@ -12,8 +13,10 @@
 
 FACT_KEY = "in_flight"
 MAX_REPORTED = 32
+MAX_REPORTED_IN_LARGE_FLEET = 8
+LARGE_FLEET = 64
 MIN_INTERVAL_S = 0.5
-INTERVAL_PER_ROUTER_S = 0.05
+INTERVAL_PER_ROUTER_S = 0.1
 FACT_TTL_INTERVALS = 5.0
 
 
@@ -55,6 +58,7 @@
         self._board = board
         self._registry = registry
         self._last: InFlightReport | None = None
+        self._routers = 1
         self._refresh_again(self._interval_s(1))
 
     def refresh(self) -> int:
@@ -70,16 +74,19 @@
             for fact in self._board.facts(FactTopic.LOAD)
             if fact.key == FACT_KEY and fact.origin != self._board.own
         ]
-        self._publish(self._interval_s(len(facts) + 1))
+        self._routers = len(facts) + 1
+        self._publish(self._interval_s(self._routers))
         self._read(facts)
-        return len(facts) + 1
+        return self._routers
 
     def report(self) -> InFlightReport:
         """Return what this router has in flight."""
         busy = [state for state in self._registry.all() if state.load.own > 0]
         busy.sort(key=lambda state: -state.load.own)
+        is_large = self._routers > LARGE_FLEET
+        most = MAX_REPORTED_IN_LARGE_FLEET if is_large else MAX_REPORTED
         return InFlightReport(
-            tuple(InFlight(state.key, state.load.own) for state in busy[:MAX_REPORTED])
+            tuple(InFlight(state.key, state.load.own) for state in busy[:most])
         )
 
     def _publish(self, interval_s: float) -> None:
@@ -110,7 +117,7 @@
         self._timers.call_later(interval_s, refresh)
 
     def _interval_s(self, routers: int) -> float:
-        return max(MIN_INTERVAL_S, INTERVAL_PER_ROUTER_S * routers)
+        return restate_interval_s(routers, MIN_INTERVAL_S, INTERVAL_PER_ROUTER_S)
 
 
 def _decode(fact: Fact) -> InFlightReport:
--- a/boragedeck/process/polling.py
+++ b/boragedeck/process/polling.py
@@ -13,6 +13,7 @@
 from boragedeck.ids import PoolName, RouterId, Version
 from boragedeck.interfaces import ConfigSource, FactBoard, Membership
 from boragedeck.process.load import LoadReport
+from boragedeck.process.pace import restate_interval_s
 from boragedeck.process.timers import TimerService
 from boragedeck.process.upstreams import UpstreamKey, UpstreamRegistry, UpstreamState
 from boragedeck.version.tables import PoolKind
@@ -24,7 +25,8 @@
 POLLS_PER_S = 4.0
 MAX_POLLERS = 3
 VERSION_ROUNDS = 5
-FACT_TTL_S = 15.0
+RESTATE_PER_ROUTER_S = 0.05
+FACT_TTL_S = 60.0
 CONCURRENT_POLLS = 16
 
 
@@ -92,7 +94,8 @@
     -----
     A router makes `POLLS_PER_S` readings a second at most: each upstream is read by
     up to `MAX_POLLERS` routers in a small fleet, by one in a large one, and less
-    often than each `POLL_INTERVAL_S` where routers are few. State: one fact for each
+    often than each `POLL_INTERVAL_S` where routers are few. It states what it read
+    less often in a large fleet. State: one fact for each
     router, with the upstreams that it reads.
     """
 
@@ -159,6 +162,10 @@
 
     def _state(self, loads: tuple[PolledLoad, ...]) -> None:
         now = self._timers.now()
+        routers = len(self._routers())
+        interval_s = restate_interval_s(routers, POLL_INTERVAL_S, RESTATE_PER_ROUTER_S)
+        if now - self._stated_at < interval_s - POLL_INTERVAL_S / 2.0:
+            return
         is_news = list(map(_content, loads)) != list(map(_content, self._last))
         if not is_news and now - self._stated_at < FACT_TTL_S / 3.0:
             return
--- a/boragedeck/process/shares.py
+++ b/boragedeck/process/shares.py
@@ -7,14 +7,15 @@
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.ids import OrganisationName, RouterId
 from boragedeck.interfaces import ConfigSource, FactBoard
+from boragedeck.process.pace import restate_interval_s
 from boragedeck.process.timers import TimerService
 
 __all__ = ["OrganisationShares", "ShareReport"]
 
 FACT_KEY = "organisations"
-MAX_REPORTED = 16
+MAX_REPORTED = 10
 MIN_INTERVAL_S = 1.0
-INTERVAL_PER_ROUTER_S = 0.05
+INTERVAL_PER_ROUTER_S = 0.1
 FACT_TTL_INTERVALS = 5.0
 MAX_WEIGHT_CHANGE = 4.0
 ARRIVAL_HALF_LIFE_S = 10.0
@@ -169,7 +170,7 @@
         self._schedule()
 
     def _interval_s(self, routers: int) -> float:
-        return max(MIN_INTERVAL_S, INTERVAL_PER_ROUTER_S * routers)
+        return restate_interval_s(routers, MIN_INTERVAL_S, INTERVAL_PER_ROUTER_S)
 
 
 def _decode(fact: Fact) -> tuple[RouterId, ShareReport]:
