Let the reader of a connection close it

A descriptor closed by one green thread while another waits for it leaves the other waiting until the number is used again. Whoever ends a link now shuts it down, and its reader closes it. Found by the fault matrix, whose relay did the same and met the number again in a pipe.

--- a/boragedeck/connection/engine.py
+++ b/boragedeck/connection/engine.py
@@ -144,7 +144,7 @@
         while True:
             try:
                 read = self._response.read1(READ_BYTES)
-            except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+            except (urllib3.exceptions.HTTPError, OSError, EOFError, ValueError) as exc:
                 raise self._error(f"the connection broke: {exc}") from exc
             if not read:
                 return
@@ -215,7 +215,7 @@
         _check_status(response, url)
         conn.sock.settimeout(None)
         return EngineRun(conn, response, url)
-    except (urllib3.exceptions.HTTPError, OSError) as exc:
+    except (urllib3.exceptions.HTTPError, OSError, EOFError) as exc:
         conn.close()
         raise UpstreamError(str(exc), step="start run", peer=url) from exc
     except BaseException:
--- a/boragedeck/connection/peer.py
+++ b/boragedeck/connection/peer.py
@@ -98,7 +98,7 @@
         """Close the listener and all connections."""
         self._listener.close()
         for sock in list(self._open):
-            _shutdown(sock)
+            _wake_reader(sock)
 
     def _serve_connection(self, sock: socket.socket) -> None:
         self._open.add(sock)
@@ -111,7 +111,7 @@
             while (frame := _read_frame(file)) is not None:
                 gate.acquire()
                 eventlet.spawn_n(self._answer, sock, frame, gate)
-        except (OSError, msgspec.MsgspecError):
+        except (OSError, EOFError, msgspec.MsgspecError):
             pass
         finally:
             self._open.discard(sock)
@@ -121,7 +121,7 @@
         try:
             _write_frame(sock, frame.number, True, self._handle(frame.body))
         except OSError:
-            _shutdown(sock)
+            _wake_reader(sock)
         finally:
             gate.release()
 
@@ -209,7 +209,7 @@
         sock, self._sock = self._sock, None
         if sock is not None:
             self._fail_waiting()
-            _shutdown(sock)
+            _wake_reader(sock)
 
     def _decode(self, body: msgspec.Raw, answer_type: Any, step: str) -> Result:
         try:
@@ -243,7 +243,7 @@
                 event = self._waiting.pop(frame.number, None)
                 if event is not None:
                     event.send(frame.body)
-        except (OSError, msgspec.MsgspecError):
+        except (OSError, EOFError, msgspec.MsgspecError):
             pass
         finally:
             if self._sock is sock:
@@ -317,9 +317,18 @@
     sock.sendall(len(body).to_bytes(HEADER_BYTES, "big") + body)
 
 
-def _shutdown(sock: socket.socket) -> None:
+def _wake_reader(sock: socket.socket) -> None:
+    """End a connection whose reader closes it.
+
+    A descriptor that is closed while a green thread waits for it leaves that
+    thread waiting.
+    """
     try:
         sock.shutdown(socket.SHUT_RDWR)
     except OSError:
         pass
+
+
+def _shutdown(sock: socket.socket) -> None:
+    _wake_reader(sock)
     sock.close()
--- a/scripts/fault_matrix.py
+++ b/scripts/fault_matrix.py
@@ -40,6 +40,7 @@
 RETRY_S = 0.1
 PAUSE_S = 2.5
 CURRENT_ENGINES = 4
+_BROKEN = (OSError, EOFError, ValueError, http.client.HTTPException)
 EXIT_RED = 1
 
 
@@ -182,7 +183,7 @@
                 if not _may_retry(exc):
                     self.error = exc
                     return
-            except (OSError, http.client.HTTPException, ValueError):
+            except _BROKEN:
                 pass
             self._router += 1
             eventlet.sleep(RETRY_S)
@@ -261,7 +262,7 @@
                 if not _may_retry(exc):
                     self.error = exc
                     return
-            except (OSError, http.client.HTTPException):
+            except _BROKEN:
                 pass
             eventlet.sleep(RETRY_S)
 
