--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -218,6 +218,7 @@
             metrics=self.metrics,
             open_run=open_run,
             rng=self._rng,
+            is_quarantined=self.quarantine.is_quarantined,
         )
         answers = AnswerService(
             parts,
--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -3,6 +3,7 @@
 import enum
 import random
 import secrets
+from collections.abc import Callable
 
 import msgspec
 import xxhash
@@ -80,6 +81,8 @@
         The source of jitter.
     pulses : Pulses
         Output of each upstream's streams.
+    is_quarantined : callable
+        Returns whether a fingerprint's crashes are the request's own fault.
     """
 
     chooser: Chooser
@@ -91,6 +94,7 @@
     open_run: OpenRun
     rng: random.Random
     pulses: Pulses = msgspec.field(default_factory=Pulses)
+    is_quarantined: Callable[[str], bool] = lambda fingerprint: False
 
 
 class Generation:
@@ -424,6 +428,7 @@
             tokens=self._run_tokens,
             fingerprint=self._answer.spec.fingerprint,
             age_s=now - self._started,
+            is_quarantined=self._parts.is_quarantined(self._answer.spec.fingerprint),
         )
         self._parts.versions.observe(sample)
 
