Let copies of a common prompt overflow two full upstreams after five seconds

Forty callers with one new prompt and two engines' worth of places: those beyond waited for the first completion, and would be refused where that takes over ten seconds.

--- a/boragedeck/process/isolation.py
+++ b/boragedeck/process/isolation.py
@@ -49,6 +49,7 @@
         self.upstream: UpstreamKey | None = None
         self.crashed: tuple[str, ...] = ()
         self.is_known_good = False
+        self.overflows_at = float("inf")
         self.upstreams: tuple[str, ...] = ()
         # A resumed run starts at the point of the crash; another run must get there.
         self.passes_at = PASSED_TOKENS if wanted.is_resume else outlives_at
--- a/boragedeck/process/quarantine.py
+++ b/boragedeck/process/quarantine.py
@@ -25,6 +25,7 @@
 MAX_QUARANTINED = 4096
 SUSPECT_TTL_S = 600.0
 CLAIM_RETRY_S = 0.05
+OVERFLOW_AFTER_S = 5.0
 EXPIRE_INTERVAL_S = 30.0
 
 
@@ -127,6 +128,7 @@
             if self._isolation.claim_run(guard):
                 # A crash may have become known while the keeper was asked.
                 if guard.is_suspect == self.is_suspect(fingerprint):
+                    guard.overflows_at = self._timers.now() + OVERFLOW_AFTER_S
                     return Ok(guard)
                 self.leave(guard)
             elif self._timers.now() >= until:
@@ -135,8 +137,10 @@
 
     def may_place(self, guard: RunGuard, upstream: UpstreamKey) -> bool:
         """Return whether a request may run on an upstream beside its suspects."""
-        if guard.upstreams and key_text(upstream) not in guard.upstreams:
-            return False
+        if self._is_outside(guard, upstream):
+            # So many copies wait that two upstreams are full; a poison has rarely
+            # that many in flight, and a common prompt must not be refused.
+            return self._timers.now() >= guard.overflows_at
         if not self._is_apart(guard):
             return True
         return self._isolation.may_place(guard, upstream)
@@ -144,6 +148,8 @@
     def place(self, guard: RunGuard, upstream: UpstreamKey) -> bool:
         """Claim an upstream for a request; False where another suspect is there."""
         guard.upstream = upstream
+        if self._is_outside(guard, upstream):
+            return True
         if not self._is_apart(guard):
             return self._isolation.place_copy(guard)
         return self._isolation.place(guard, upstream)
@@ -209,6 +215,10 @@
             if self._quarantined[fingerprint].until <= now:
                 del self._quarantined[fingerprint]
 
+    def _is_outside(self, guard: RunGuard, upstream: UpstreamKey) -> bool:
+        """Return whether copies of a request run elsewhere only."""
+        return bool(guard.upstreams) and key_text(upstream) not in guard.upstreams
+
     def _is_apart(self, guard: RunGuard) -> bool:
         # A crash may since have been blamed on a version or a common cause.
         return guard.is_suspect and self.is_suspect(guard.fingerprint)
--- a/tests/process/test_quarantine.py
+++ b/tests/process/test_quarantine.py
@@ -158,6 +158,21 @@
             self.end(i, guard, Outcome.CRASHED, generated=10)
         self.assertFalse(self.routers.quarantines[0].is_suspect("greeting"))
 
+    def test_copies_that_fill_two_upstreams_overflow_after_a_wait(self):
+        for i in range(2):
+            self.start(i, "common", f"u{i}")
+        quarantine = self.routers.quarantines[2]
+        wanted = make_wanted(POOL, fingerprint="common")
+        entering = eventlet.spawn(quarantine.enter, wanted, self.timers.now())
+        self.timers.advance(0.1)
+        guard = entering.wait().ok()
+        elsewhere = UpstreamKey(POOL.name, "u5")
+        self.assertFalse(quarantine.may_place(guard, elsewhere))
+        self.assertTrue(quarantine.may_place(guard, UpstreamKey(POOL.name, "u1")))
+        self.timers.advance(5.0)
+        self.assertTrue(quarantine.may_place(guard, elsewhere))
+        self.assertTrue(quarantine.place(guard, elsewhere))
+
     def test_suspect_of_a_dead_router_runs_elsewhere_soon(self):
         self.crash(0, "innocent", "u0")
         self.assertIsNotNone(self.start(0, "innocent", "u1", is_resume=True))
