--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 READY := $(VENV)/.ready
 export ROUTERS ENGINES TOKEN_INTERVAL_MS
 
-.PHONY: demo test serve lint format bench fuzz mutants clean
+.PHONY: demo test serve lint format bench fuzz mutants matrix clean
 
 $(READY): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -31,5 +31,15 @@
 bench: $(READY)
 	$(BIN)/python -m benchmarks.run_all
 
+fuzz: $(READY)
+	FUZZ_EXAMPLES=$(or $(SEEDS),1000) $(BIN)/python -m unittest tests.request.test_answers_fuzz
+
+mutants: $(READY)
+	$(BIN)/python -m scripts.mutants
+	$(BIN)/python -m unittest -v tests.request.test_fault_matrix tests.request.test_command_machine tests.version.test_rollout_matrix
+
+matrix: $(READY)
+	$(BIN)/python -m scripts.fault_matrix
+
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/scripts/mutants.py
@@ -0,0 +1,32 @@
+"""Shows which check catches each seeded defect of the answer path."""
+
+import sys
+
+from boragedeck.patching import patch_all
+
+patch_all()
+
+from tests.support.answer_defects import DEFECTS, hunt
+
+__all__ = ["main"]
+
+EXAMPLES = 500
+EXIT_ESCAPED = 1
+
+
+def main() -> None:
+    """Hunt each defect and print the table; exit with 1 where one escapes."""
+    escaped = 0
+    for defect in DEFECTS:
+        caught = hunt(defect, examples=EXAMPLES)
+        if caught is None or caught.check != defect.check:
+            escaped += 1
+            print(f"ESCAPED  {defect.name}: {caught}", flush=True)
+            continue
+        where = f"seed {caught.seed}, {caught.steps} steps"
+        print(f"caught   {defect.name:48} {caught.check:28} {where}", flush=True)
+    sys.exit(EXIT_ESCAPED if escaped else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/request/test_answer_defects.py
@@ -0,0 +1,14 @@
+import unittest
+
+from tests.support.answer_defects import DEFECTS, hunt
+
+
+class AnswerDefectsTest(unittest.TestCase):
+    """The fuzzer can fail: a named check catches each seeded defect."""
+
+    def test_each_defect_is_caught_by_its_check(self):
+        for defect in DEFECTS:
+            with self.subTest(defect=defect.name):
+                caught = hunt(defect, examples=150, seeds=(1,))
+                self.assertIsNotNone(caught, "no check failed")
+                self.assertEqual(caught.check, defect.check)
--- a/tests/request/test_answers_fuzz.py
+++ b/tests/request/test_answers_fuzz.py
@@ -55,8 +55,11 @@
 class AnswerMachine(RuleBasedStateMachine):
     """Callers, routers and engines under every fault, in any order."""
 
+    steps = 0
+
     def __init__(self):
         super().__init__()
+        AnswerMachine.steps = 0
         self.timers = ManualTimers()
         self.engines = FakeEngines(self.timers, ENGINES)
         self.network = FakeNetwork(self.timers)
@@ -158,6 +161,10 @@
     def pass_time(self, seconds):
         self.timers.advance(seconds)
 
+    @invariant()
+    def count_steps(self):
+        AnswerMachine.steps += 1
+
     @invariant()
     def chain_holds(self):
         for caller in self.callers:
