--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -196,7 +196,16 @@
         peer = PeerStatus("r9", "vm-9", "d2", "127.0.0.1:2", Health.SUSPECT)
         cfg = ConfigStatus(revision, "", Source.PEER, 5.0, 1.0)
         status = Status(
-            own.router, own.vm, "d1", cfg, [peer], 0, 60.0, 1, list(quarantined)
+            router=own.router,
+            vm=own.vm,
+            failure_domain=own.failure_domain,
+            config=cfg,
+            peers=[peer],
+            running_answers=0,
+            copies=0,
+            uptime_s=60.0,
+            quarantines=len(quarantined),
+            quarantined=list(quarantined),
         )
         url = self.serve(lambda env, start: json_answer(status).send(start))
         host, port = url.removeprefix("http://").split(":")
