--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -23,7 +23,7 @@
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.timers import TimerService
 from boragedeck.request.answer import Answer, ErrorInfo, Finish
-from boragedeck.request.attempt import Attempt, EndKind, OpenRun
+from boragedeck.request.attempt import Attempt, EndKind, OpenRun, broken_outcome
 from boragedeck.request.silence import GapHistory
 from boragedeck.version.tables import Pool, Priority, Route
 
@@ -40,6 +40,8 @@
 PREFIX_BYTES = 512
 """How much of a prompt decides where it is cached."""
 LONG_WAIT_S = 60.0
+LOOK_SLACK_S = 0.1
+"""How late a silence may be looked at."""
 PRIORITIES = {Priority.INTERACTIVE: 0, Priority.BATCH: 10}
 
 _log = PartLog("generation")
@@ -117,12 +119,14 @@
         self._gaps = GapHistory()
         self._started = parts.timers.now()
         self._progress_at = self._started
+        self._look_at = float("inf")
         self._first_token_s: float | None = None
         self._lost_at: float | None = None
         self._cause = Cause.TAKEOVER if answer.chunks else None
         self._run_tokens = 0
         self._run_started = self._started
         self._sampled_at = self._started
+        self._has_told_first = False
 
     def run(self) -> None:
         """Run the answer until it has ended or another router owns it."""
@@ -234,6 +238,8 @@
         if self._answer.version is None:
             self._answer.version = upstream.version
         self._parts.journal.set_upstream(self._answer, upstream.url)
+        # From now on a silence counts.
+        self._changed.notify()
 
     def _accept(self, attempt: Attempt, chunk: EngineChunk) -> None:
         is_next = attempt.position == self._answer.end
@@ -277,6 +283,9 @@
         self._failures = 0
         self._run_tokens += count
         self._progress_at = now
+        if now + self._gaps.suspect_after_s() < self._look_at - LOOK_SLACK_S:
+            # The first tokens shorten the silence that is suspicious.
+            self._changed.notify()
 
     def _follow(self) -> None:
         ended = next((a for a in self._attempts if a.end is not None), None)
@@ -292,7 +301,9 @@
             return
         wait_s = suspect_at - now if may_double else LONG_WAIT_S
         left_s = self._answer.spec.deadline - self._timers.wall()
-        self._changed.wait(self._timers, max(0.0, min(wait_s, left_s, LONG_WAIT_S)))
+        wait_s = max(0.0, min(wait_s, left_s, LONG_WAIT_S))
+        self._look_at = now + wait_s
+        self._changed.wait(self._timers, wait_s)
         self._sample_long_run()
 
     def _is_placed(self) -> bool:
@@ -328,7 +339,7 @@
             case EndKind.BROKEN:
                 self._has_run = True
                 self._note_loss(Cause.BROKEN)
-                self._retry(attempt, Outcome.CRASHED)
+                self._retry(attempt, broken_outcome(end))
 
     def _give_up(self, error: RefusedError) -> None:
         ran = error.ran if self._ran is Ran.NO else self._ran
@@ -382,7 +393,9 @@
 
     def _sample_long_run(self) -> None:
         now = self._timers.now()
-        if now - self._sampled_at >= SAMPLE_INTERVAL_S and len(self._attempts) == 1:
+        is_first = self._first_token_s is not None and not self._has_told_first
+        is_due = is_first or now - self._sampled_at >= SAMPLE_INTERVAL_S
+        if is_due and len(self._attempts) == 1:
             self._sampled_at = now
             self._observe(self._attempts[0], None)
 
@@ -390,7 +403,10 @@
         version = self._answer.version
         if attempt.slot is None or version is None:
             return
-        run_s = self._timers.now() - self._run_started
+        first_token_s = None if self._has_told_first else self._first_token_s
+        self._has_told_first |= first_token_s is not None
+        now = self._timers.now()
+        run_s = now - self._run_started
         gap_s = run_s / self._run_tokens if self._run_tokens > 1 else None
         sample = Sample(
             route=self._answer.spec.route,
@@ -398,9 +414,11 @@
             upstream=attempt.slot.upstream.name,
             failure_domain=attempt.slot.upstream.failure_domain,
             outcome=outcome,
-            first_token_s=self._first_token_s,
+            first_token_s=first_token_s,
             gap_s=gap_s,
             tokens=self._run_tokens,
+            fingerprint=self._answer.spec.fingerprint,
+            age_s=now - self._started,
         )
         self._parts.versions.observe(sample)
 
--- a/tests/version/test_config_watch.py
+++ b/tests/version/test_config_watch.py
@@ -2,17 +2,21 @@
 
 import eventlet
 import msgspec
+from prometheus_client import CollectorRegistry
 
+from boragedeck.connection.store import Delete, Table
 from boragedeck.exceptions import TableError
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.config_in_force import ConfigInForce, Source
 from boragedeck.version.config_messages import ConfigContent
+from boragedeck.version.config_metrics import register_config_metrics
 from boragedeck.version.config_store import pack
 from boragedeck.version.config_watch import poll_interval
 from boragedeck.version.tables import Config
 from tests.version.fleet import Fleet, config
 
 IN_FORCE_S = 5.0
+GOSSIP_S = 1.5
 LETTER_ROUTERS = 370
 LETTER_IN_FORCE_S = 15.0
 STORE_READS_PER_S = 2000.0
@@ -65,6 +69,14 @@
             router.start()
         self.assert_in_force(1, after_s=2.0)
 
+    def test_restart_while_the_platform_hangs(self):
+        self.apply("v1")
+        self.assert_in_force(1)
+        self.fleet.platform.faults.delay_s = 1_000.0
+        self.fleet.routers[3].stop()
+        self.fleet.routers[3].start()
+        self.assert_in_force(1, after_s=1.0)
+
     def test_stale_router_pushes_nothing_old_and_catches_up(self):
         self.apply("v1")
         self.assert_in_force(1)
@@ -89,11 +101,69 @@
         self.fleet.heal()
         self.assert_in_force(2)
 
+    def test_platform_that_lost_its_tables(self):
+        for version in ("v1", "v2", "v3"):
+            self.apply(version)
+        self.assert_in_force(3)
+        writes = [
+            Delete(table, row.key)
+            for table in (Table.CONFIG, Table.HISTORY)
+            for row in self.fleet.platform.scan(table).unwrap()
+        ]
+        self.fleet.platform.commit(writes).unwrap()
+        self.apply("v4")
+        self.assert_in_force(3)
+        base = self.fleet.store.read().unwrap()
+        change = self.fleet.store.apply(base, config("v5"), author="ana", at_least=4)
+        self.assertEqual(change.unwrap().revision, 4)
+        self.assert_in_force(4)
+        self.assertEqual(
+            {r.watch.current().route("r0").version for r in self.fleet.routers}, {"v5"}
+        )
+
     def test_interval_keeps_within_reads_and_time_at_the_largest_fleet(self):
         interval = poll_interval(LETTER_ROUTERS)
         self.assertLess(1.2 * interval, LETTER_IN_FORCE_S)
         self.assertLess(LETTER_ROUTERS / interval, STORE_READS_PER_S / 20)
 
+    def test_facts_do_not_grow_with_the_fleet(self):
+        counts = []
+        for size in (30, 120):
+            fleet = Fleet(size, gossip_s=GOSSIP_S)
+            fleet.timers.advance(5.0)
+            fleet.apply(config("v1")).unwrap()
+            fleet.timers.advance(IN_FORCE_S)
+            self.assertEqual(set(fleet.revisions()), {1})
+            counts.append(sum(len(r.board.own_facts) for r in fleet.routers))
+            self.assertGreater(counts[-1], 0)
+        self.assertLessEqual(counts[1], 2 * counts[0])
+
+    def test_revision_is_stated_at_last_where_one_router_alone_has_it(self):
+        fleet = Fleet(60)
+        fleet.timers.advance(2.0)
+        fleet.without_platform |= set(range(1, 60))
+        for router in fleet.routers:
+            router.watch._fetch_from_any = lambda: None
+        fleet.apply(config("v1")).unwrap()
+        fleet.timers.advance(IN_FORCE_S)
+        self.assertEqual(set(fleet.revisions()), {1})
+
+    def test_metrics_tell_the_revision_and_its_age(self):
+        registry = CollectorRegistry()
+        register_config_metrics(registry, self.fleet.routers[0].watch)
+        self.apply("v1")
+        self.assert_in_force(1)
+        self.fleet.platform.faults.down = True
+        self.fleet.timers.advance(100.0)
+
+        def value(name):
+            return registry.get_sample_value(f"boragedeck_config_{name}")
+
+        self.assertEqual(value("revision"), 1)
+        self.assertEqual(value("platform_readable"), 0)
+        self.assertGreater(value("confirmed_seconds"), 99)
+        self.assertGreater(value("in_force_seconds"), value("confirmed_seconds"))
+
     def test_failing_subscriber_stops_no_other(self):
         seen = []
         watch = self.fleet.routers[0].watch
