--- a/boragedeck/connection/engine.py
+++ b/boragedeck/connection/engine.py
@@ -8,7 +8,11 @@
 from eventlet.green import socket
 from urllib3.connection import HTTPConnection
 
-from boragedeck.exceptions import UpstreamError, UpstreamRefusedError
+from boragedeck.exceptions import (
+    UpstreamError,
+    UpstreamFailedError,
+    UpstreamRefusedError,
+)
 from boragedeck.ids import Version
 from boragedeck.request.answer import Endpoint, Prompt
 
@@ -140,7 +144,7 @@
         while True:
             try:
                 read = self._response.read1(READ_BYTES)
-            except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+            except (urllib3.exceptions.HTTPError, OSError, EOFError, ValueError) as exc:
                 raise self._error(f"the connection broke: {exc}") from exc
             if not read:
                 return
@@ -211,7 +215,7 @@
         _check_status(response, url)
         conn.sock.settimeout(None)
         return EngineRun(conn, response, url)
-    except (urllib3.exceptions.HTTPError, OSError) as exc:
+    except (urllib3.exceptions.HTTPError, OSError, EOFError) as exc:
         conn.close()
         raise UpstreamError(str(exc), step="start run", peer=url) from exc
     except BaseException:
@@ -247,7 +251,7 @@
     message = f"status {response.status}: {text[:200]}"
     if response.status in SEND_STATUSES_REFUSED:
         raise UpstreamRefusedError(message, step="start run", peer=url)
-    raise UpstreamError(message, step="start run", peer=url)
+    raise UpstreamFailedError(message, step="start run", peer=url)
 
 
 def _body(request: RunRequest) -> tuple[str, bytes]:
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -31,10 +31,11 @@
 from boragedeck.process.membership import GossipMembership
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.quarantine import Quarantine
+from boragedeck.process.rollouts import Rollouts
 from boragedeck.process.settings import Settings
-from boragedeck.process.simple_parts import DeclaredVersion
 from boragedeck.process.status import StatusReport
 from boragedeck.process.timers import RealTimers
+from boragedeck.process.versioned_chooser import VersionedChooser
 from boragedeck.request.abandonment import Abandonment, FixedGrace
 from boragedeck.request.api import Api
 from boragedeck.request.call_edge import CallEdge
@@ -91,6 +92,7 @@
         self._membership = self._make_membership()
         self._config = self._make_config()
         self._chooser = self._make_chooser()
+        self._rollouts = self._make_rollouts()
         self._answers = self._make_answers()
         self._calls = self._make_calls()
         self._pruner = IntentPruner(
@@ -108,6 +110,7 @@
         self._board.start()
         self._membership.start()
         self._config.start()
+        self._rollouts.start()
         self._pruner.start()
         eventlet.spawn_n(serve_http, self._listener, self.api)
 
@@ -121,6 +124,7 @@
         holders, and callers are told to reattach.
         """
         self.api.is_draining = True
+        eventlet.spawn_n(self._rollouts.keeper.release_all)
         self._membership.leave()
         until = self.timers.now() + self._settings.drain_s
         while self._is_busy() and self.timers.now() < until:
@@ -172,13 +176,24 @@
         LoadGossip(self.timers, self._board, chooser.registry)
         return chooser
 
+    def _make_rollouts(self) -> Rollouts:
+        return Rollouts(
+            self._platform,
+            self._board,
+            self._config,
+            self._membership,
+            self.timers,
+            self.metrics.registry,
+            self._rng,
+        )
+
     def _make_answers(self) -> AnswerService:
         journal = Journal(self._membership, self._links, self.timers, self.metrics)
         parts = GenerationParts(
             chooser=self._chooser,
             journal=journal,
             config=self._config,
-            versions=DeclaredVersion(),
+            versions=self._rollouts.follower,
             timers=self.timers,
             metrics=self.metrics,
             open_run=open_run,
@@ -199,7 +214,9 @@
         parts = build_call_service(
             cfg=self._config,
             platform=self._platform,
-            chooser=self._chooser,
+            chooser=VersionedChooser(
+                self._chooser, self._rollouts.follower, self.timers
+            ),
             services=HttpServices(),
             timers=self.timers,
             own=self.own.router,
