Spread calls over versions by request, not by content

A version was chosen by the request's fingerprint, which commands don't have and equal lookups share: all commands of a route would have moved to a new version at once, whatever its share. The choice now takes the call's own key as well; a retry keeps its version. Test: ten commands of the same content get ten keys.

Also tests what CallService refuses and which headers a service gets.

--- a/boragedeck/process/versioned_chooser.py
+++ b/boragedeck/process/versioned_chooser.py
@@ -31,7 +31,10 @@
 
     def acquire(self, wanted: Wanted) -> Result[Slot, RefusedError]:
         """Wait for a place on an upstream; see `Chooser.acquire`."""
-        version = self._versions.choose(wanted.route, wanted.fingerprint)
+        # The fingerprint alone is the same for calls of the same content, and
+        # empty for commands; a version's share is one of requests.
+        request_key = f"{wanted.fingerprint}:{wanted.prefix_hash}"
+        version = self._versions.choose(wanted.route, request_key)
         wanted = msgspec.structs.replace(wanted, version=version)
         acquired = self._chooser.acquire(wanted)
         return acquired.map(
--- a/boragedeck/request/call.py
+++ b/boragedeck/request/call.py
@@ -112,7 +112,8 @@
                 organisation=req.organisation,
                 version=route.version,
                 prompt_tokens=0,
-                prefix_hash=0,
+                # Calls have no cached prefix: each goes where its own key says.
+                prefix_hash=int(row_key[:16], 16),
                 fingerprint=_fingerprint(req, route),
                 deadline=min(deadline, now + route.limits.queue_s),
             ),
--- /dev/null
+++ b/tests/request/test_call.py
@@ -0,0 +1,73 @@
+import unittest
+from types import SimpleNamespace
+
+import msgspec
+from result import Ok
+
+from boragedeck.process.timers import ManualTimers
+from boragedeck.process.versioned_chooser import VersionedChooser
+from boragedeck.request.call import CallService
+from boragedeck.request.calls import CallRequest, CallResponse
+from tests.request.world import CONFIG
+
+
+class CallServiceTest(unittest.TestCase):
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.passed = []
+        cfg = SimpleNamespace(current=lambda: CONFIG)
+        runner = SimpleNamespace(run=self.pass_on)
+        self.calls = CallService(cfg, runner, runner, self.timers)
+
+    def pass_on(self, call):
+        self.passed.append(call)
+        return Ok(CallResponse(200))
+
+    def ask(self, **changes):
+        request = CallRequest("o", "pay", "POST", "/x?y", (), b"{}", "k")
+        return self.calls.handle(msgspec.structs.replace(request, **changes))
+
+    def test_what_can_not_be_sent_as_it_is_does_not_run(self):
+        for changes in (
+            {"method": "TRACE"},
+            {"target": "x"},
+            {"target": "/a b"},
+            {"target": "/a\r\nX: 1"},
+            {"headers": (("X-A", "1\r\nX-B: 2"),)},
+            {"headers": (("X A", "1"),)},
+            {"idempotency_key": ""},
+            {"idempotency_key": "k" * 256},
+        ):
+            with self.subTest(changes=changes):
+                self.assertEqual(self.ask(**changes).err().status, 400)
+        self.assertEqual(self.ask(route="nope").err().status, 404)
+        self.assertEqual(self.passed, [])
+
+    def test_the_service_gets_the_key_and_not_the_api_key(self):
+        headers = (
+            ("Authorization", "Bearer secret"),
+            ("Connection", "X-Hop"),
+            ("X-Hop", "1"),
+            ("Idempotency-Key", "other"),
+            ("X-Kept", "1"),
+        )
+        answer = self.ask(headers=headers).ok()
+        self.assertIn(("X-Request-Id", "k"), answer.headers)
+        sent = dict(self.passed[0].request.headers)
+        self.assertEqual((sent["Idempotency-Key"], sent["X-Kept"]), ("k", "1"))
+        self.assertEqual(sent["X-Organisation"], "o")
+        self.assertFalse({"Authorization", "X-Hop"} & sent.keys())
+
+    def test_commands_of_the_same_content_are_spread_over_versions(self):
+        keys = set()
+        versions = SimpleNamespace(
+            choose=lambda route, key: keys.add(key), observe=lambda sample: None
+        )
+        inner = SimpleNamespace(
+            acquire=lambda wanted: Ok(SimpleNamespace(finish=lambda outcome: None))
+        )
+        chooser = VersionedChooser(inner, versions, self.timers)
+        for number in range(10):
+            self.ask(idempotency_key=f"k{number}")
+            chooser.acquire(self.passed[-1].wanted).ok()
+        self.assertEqual(len(keys), 10)
