--- a/benchmarks/rollout_model.py
+++ b/benchmarks/rollout_model.py
@@ -1,18 +1,16 @@
 """In-process model of routers that move routes, on a fake clock."""
 
-import heapq
 import itertools
 import random
 from collections.abc import Callable
 
 import msgspec
-from result import Err
 
 from benchmarks.rollout_faults import Event, EventKind, Fault, Scenario
-from boragedeck.connection.messages import Fact, FactTopic
-from boragedeck.connection.peer import Address
-from boragedeck.connection.store import ABSENT, Delete, Put, Table
-from boragedeck.exceptions import StoreUnavailableError
+from benchmarks.rollout_routers import ModelRouter
+from benchmarks.sim_timers import SimTimers
+from boragedeck.connection.messages import Fact
+from boragedeck.connection.store import Table
 from boragedeck.ids import (
     FailureDomain,
     PoolName,
@@ -21,27 +19,21 @@
     RouterId,
     UpstreamName,
     Version,
-    VmName,
 )
-from boragedeck.interfaces import Member, Outcome, Sample
-from boragedeck.process.timers import Subscription
+from boragedeck.interfaces import Outcome, Sample
 from boragedeck.version.rollout_facts import Stopped
-from boragedeck.version.rollout_follower import RolloutFollower
-from boragedeck.version.rollout_leader import RolloutLeader
 from boragedeck.version.rollout_plan import allowance
-from boragedeck.version.rollout_room import DeclaredRoom
 from boragedeck.version.rollout_row import RolloutRow, State, decode_row
 from boragedeck.version.tables import Config, Pool, Route, Upstream
 from standins.boards import BoardNetwork
 from standins.memory import MemoryPlatform
 
-__all__ = ["Model", "Report", "SimTimers"]
+__all__ = ["Model", "Report"]
 
 ROUTERS = 9
 DOMAINS = 3
 UPSTREAMS_PER_VERSION = 6
 OLD, NEW = Version("A"), Version("B")
-LEASE_S = 10.0
 WARM_UP_S = 20.0
 AFTER_S = 150.0
 BASE_FAILURES = 0.005
@@ -55,55 +47,6 @@
 PARTITION_SIDE = 4
 
 
-class SimTimers:
-    """Timer service whose calls run one after the other on a simulated clock."""
-
-    def __init__(self, rng: random.Random):
-        self._rng = rng
-        self._now = 1_000_000.0
-        self._order = itertools.count()
-        self._due: list = []
-
-    def now(self) -> float:
-        """Return simulated seconds."""
-        return self._now
-
-    wall = now
-
-    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Subscription:
-        """Call once after a delay."""
-        sub = Subscription(callback)
-        due = self._now + max(0.0, delay_s)
-        heapq.heappush(self._due, (due, next(self._order), sub))
-        return sub
-
-    def subscribe(
-        self, interval_s: float, callback: Callable[[], None], *, jitter: float = 0.1
-    ) -> Subscription:
-        """Call at an interval."""
-        sub = Subscription(callback)
-
-        def call() -> None:
-            if not sub.cancelled:
-                callback()
-                again()
-
-        def again() -> None:
-            spread = self._rng.uniform(1.0 - jitter, 1.0 + jitter)
-            self.call_later(interval_s * spread, call)
-
-        again()
-        return sub
-
-    def run_until(self, end: float) -> None:
-        """Make all calls that are due until a time."""
-        while self._due and self._due[0][0] <= end:
-            self._now, _, sub = heapq.heappop(self._due)
-            if not sub.cancelled:
-                sub.callback()
-        self._now = end
-
-
 class Report(msgspec.Struct):
     """What one run of a scenario showed of one route."""
 
@@ -130,142 +73,6 @@
         return self.early_new / max(1, self.early_requests)
 
 
-class _Source:
-    """Configuration in force in one router."""
-
-    def __init__(self, cfg: Config):
-        self._cfg = cfg
-        self._callbacks: list = []
-
-    def current(self) -> Config:
-        return self._cfg
-
-    def subscribe(self, callback) -> None:
-        self._callbacks.append(callback)
-
-    def set(self, cfg: Config) -> None:
-        self._cfg = cfg
-        for callback in self._callbacks:
-            callback(cfg)
-
-
-class _Store:
-    """One router's way to the platform; it can be cut off."""
-
-    def __init__(self, platform: MemoryPlatform):
-        self._platform = platform
-        self.is_cut = False
-
-    def get(self, table, key):
-        return self._or_cut(lambda: self._platform.get(table, key))
-
-    def scan(self, table, prefix="", after="", limit=1000):
-        return self._or_cut(lambda: self._platform.scan(table, prefix, after, limit))
-
-    def commit(self, writes):
-        return self._or_cut(lambda: self._platform.commit(writes))
-
-    def _or_cut(self, call):
-        if self.is_cut:
-            return Err(StoreUnavailableError("cut off", step="store"))
-        return call()
-
-
-class _Lease:
-    """A lease whose end by takeover is a row of its own."""
-
-    def __init__(self, token: int, timers: SimTimers, store: "_Store"):
-        self.token = token
-        self._store = store
-        self.end = timers.now() + LEASE_S
-        self._timers = timers
-
-    def is_safe(self, margin_s: float) -> bool:
-        return self._timers.now() + margin_s < self.end
-
-    def commit(self, writes):
-        """Write where no takeover has been recorded."""
-        fence = Delete(Table.LEASES, f"ended/{self.token}", ABSENT)
-        return self._store.commit([*writes, fence])
-
-
-class _Router:
-    """One router: its side of the rollouts, and its faults."""
-
-    def __init__(self, model: "Model", index: int, cfg: Config):
-        self.model = model
-        self.name = RouterId(f"r{index}")
-        self.source = _Source(cfg)
-        self.store = _Store(model.platform)
-        self.board = model.network.board(self.name)
-        self.own = Member(
-            self.name,
-            VmName(f"vm{index}"),
-            FailureDomain(f"d{index % 3}"),
-            Address("127.0.0.1", index),
-        )
-        self.board.subscribe(
-            FactTopic.ROLLOUT_STOP, lambda fact: model._note_stop(self.name, fact)
-        )
-        self.lease: _Lease | None = None
-        self.is_down = False
-        rng = random.Random(f"{model.seed}/{index}")
-        self.follower = RolloutFollower(
-            self.store, self.board, self.source, model.timers, rng=rng
-        )
-        self.leader = RolloutLeader(
-            self.follower,
-            self.store,
-            self.source,
-            self,
-            model.timers,
-            lambda: self.lease,
-            DeclaredRoom(self.source),
-        )
-        model.timers.subscribe(1.0, self.tick)
-
-    def members(self):
-        return [
-            other.own
-            for other in self.model.routers
-            if other is not self and not self.model.believed_dead(other)
-        ]
-
-    def suspect(self, router) -> None:
-        return None
-
-    def tick(self) -> None:
-        if self.is_down or self.model.is_baseline:
-            return
-        self.follower.tick()
-        self.follower.sync()
-        self._renew()
-        self.leader.tick()
-
-    def _renew(self) -> None:
-        now = self.model.timers.now()
-        key = "rollouts"
-        read = self.store.get(Table.LEASES, key)
-        if read.is_err():
-            return
-        row = read.ok()
-        token, _, end = msgspec.json.decode(row.value) if row else (0, "", 0.0)
-        is_own = (
-            self.lease is not None
-            and self.lease.token == token
-            and now < self.lease.end
-        )
-        if not is_own and now < end + 1.0:
-            return
-        lease = _Lease(token if is_own else token + 1, self.model.timers, self.store)
-        value = msgspec.json.encode((lease.token, self.name, lease.end))
-        writes = [Put(Table.LEASES, key, value, row.version if row else ABSENT)]
-        if not is_own:
-            writes.append(Put(Table.LEASES, f"ended/{token}", b""))
-        if self.store.commit(writes).is_ok():
-            self.lease = lease
-
-
 class _Engine:
     """One upstream of the model."""
 
@@ -301,7 +108,7 @@
         self.started = self.timers.now() + WARM_UP_S
         self.deadline = self.started + scenario.length_s
         self.dead_since: dict[RouterId, float] = {}
-        self.routers: list[_Router] = []
+        self.routers: list[ModelRouter] = []
         self.is_baseline = choose is not None
         self._choose = choose
         self._numbers = itertools.count()
@@ -315,7 +122,7 @@
         }
         self._cfg = self._config(1, OLD, None)
         for index in range(ROUTERS):
-            self.routers.append(_Router(self, index, self._cfg))
+            self.routers.append(ModelRouter(self, index, self._cfg))
 
     def run(self) -> list[Report]:
         """Run the scenario and return a report for each route."""
@@ -331,7 +138,7 @@
         self._read_outcomes()
         return list(self.reports.values())
 
-    def believed_dead(self, router: _Router) -> bool:
+    def believed_dead(self, router: ModelRouter) -> bool:
         """Return whether the others have taken a router off their lists."""
         since = self.dead_since.get(router.name)
         return since is not None and self.timers.now() - since > 10.0
@@ -362,7 +169,7 @@
                 self.rng.uniform(0.1, 2.0), lambda r=router, c=cfg: self._apply(r, c)
             )
 
-    def _apply(self, router: _Router, cfg: Config) -> None:
+    def _apply(self, router: ModelRouter, cfg: Config) -> None:
         if router.source.current().revision < cfg.revision:
             router.source.set(cfg)
 
@@ -382,7 +189,7 @@
         alive = [router for router in self.routers if not router.is_down]
         self._send(self.rng.choice(alive), route, f"q{next(self._numbers)}")
 
-    def _send(self, router: _Router, route: str, key: str) -> None:
+    def _send(self, router: ModelRouter, route: str, key: str) -> None:
         cfg_route = router.source.current().route(route)
         if self._choose is None:
             version = router.follower.choose(cfg_route, key)
@@ -403,7 +210,7 @@
         ]
         return self.rng.choice(able) if able else None
 
-    def _account(self, router: _Router, route: str, engine: _Engine) -> None:
+    def _account(self, router: ModelRouter, route: str, engine: _Engine) -> None:
         now = self.timers.now()
         if now < self.started:
             return
@@ -419,14 +226,16 @@
         self._last_sent[route, router.name] = now
         report.late_new += now > self.deadline and not report.is_done
 
-    def _is_before_evidence(self, router: _Router, route: str) -> bool:
+    def _is_before_evidence(self, router: ModelRouter, route: str) -> bool:
         known = router.follower.ledger.get(route)
         if known is None or known.row.number == 0 or not known.row.is_running:
             return False
         is_early = allowance(known.row.step) is not None
         return is_early and router.follower.stopped(known.row) is None
 
-    def _serve(self, router: _Router, route: str, engine: _Engine, key: str) -> None:
+    def _serve(
+        self, router: ModelRouter, route: str, engine: _Engine, key: str
+    ) -> None:
         is_long = self.rng.random() < LONG_SHARE
         slow = self._slowness(route, engine)
         first = slow * self.rng.lognormvariate(-1.6, 0.5)
@@ -577,7 +386,7 @@
                 delay, lambda: self._poison_one(router, version, key)
             )
 
-    def _poison_one(self, router: "_Router", version: Version, key: str) -> None:
+    def _poison_one(self, router: "ModelRouter", version: Version, key: str) -> None:
         engine = self._engine(version)
         if engine is None or router.is_down:
             return
@@ -607,7 +416,7 @@
         pause_s = self._time(event.until) - now
         self.timers.call_later(pause_s, lambda: self._resume(leader))
 
-    def _resume(self, router: _Router) -> None:
+    def _resume(self, router: ModelRouter) -> None:
         router.is_down = False
         self.network.down.discard(router.name)
         self.dead_since.pop(router.name, None)
--- /dev/null
+++ b/benchmarks/rollout_routers.py
@@ -0,0 +1,164 @@
+"""Routers of the model of rollouts, with the real parts for rollouts inside."""
+
+import random
+from typing import Any
+
+import msgspec
+from result import Err
+
+from benchmarks.sim_timers import SimTimers
+from boragedeck.connection.messages import FactTopic
+from boragedeck.connection.peer import Address
+from boragedeck.connection.store import ABSENT, Delete, Put, Table
+from boragedeck.exceptions import StoreUnavailableError
+from boragedeck.ids import FailureDomain, RouterId, VmName
+from boragedeck.interfaces import Member
+from boragedeck.version.rollout_follower import RolloutFollower
+from boragedeck.version.rollout_leader import RolloutLeader
+from boragedeck.version.rollout_room import DeclaredRoom
+from boragedeck.version.tables import Config
+from standins.memory import MemoryPlatform
+
+__all__ = ["ModelRouter"]
+
+LEASE_S = 10.0
+
+
+class ModelSource:
+    """Configuration in force in one router."""
+
+    def __init__(self, cfg: Config):
+        self._cfg = cfg
+        self._callbacks: list = []
+
+    def current(self) -> Config:
+        return self._cfg
+
+    def subscribe(self, callback) -> None:
+        self._callbacks.append(callback)
+
+    def set(self, cfg: Config) -> None:
+        self._cfg = cfg
+        for callback in self._callbacks:
+            callback(cfg)
+
+
+class ModelStore:
+    """One router's way to the platform; it can be cut off."""
+
+    def __init__(self, platform: MemoryPlatform):
+        self._platform = platform
+        self.is_cut = False
+
+    def get(self, table, key):
+        return self._or_cut(lambda: self._platform.get(table, key))
+
+    def scan(self, table, prefix="", after="", limit=1000):
+        return self._or_cut(lambda: self._platform.scan(table, prefix, after, limit))
+
+    def commit(self, writes):
+        return self._or_cut(lambda: self._platform.commit(writes))
+
+    def _or_cut(self, call):
+        if self.is_cut:
+            return Err(StoreUnavailableError("cut off", step="store"))
+        return call()
+
+
+class ModelLease:
+    """A lease whose end by takeover is a row of its own."""
+
+    def __init__(self, token: int, timers: SimTimers, store: "ModelStore"):
+        self.token = token
+        self._store = store
+        self.end = timers.now() + LEASE_S
+        self._timers = timers
+
+    def is_safe(self, margin_s: float) -> bool:
+        return self._timers.now() + margin_s < self.end
+
+    def commit(self, writes):
+        """Write where no takeover has been recorded."""
+        fence = Delete(Table.LEASES, f"ended/{self.token}", ABSENT)
+        return self._store.commit([*writes, fence])
+
+
+class ModelRouter:
+    """One router: its side of the rollouts, and its faults."""
+
+    def __init__(self, model: Any, index: int, cfg: Config):
+        self.model = model
+        self.name = RouterId(f"r{index}")
+        self.source = ModelSource(cfg)
+        self.store = ModelStore(model.platform)
+        self.board = model.network.board(self.name)
+        self.own = Member(
+            self.name,
+            VmName(f"vm{index}"),
+            FailureDomain(f"d{index % 3}"),
+            Address("127.0.0.1", index),
+        )
+        self.board.subscribe(
+            FactTopic.ROLLOUT_STOP, lambda fact: model._note_stop(self.name, fact)
+        )
+        self.lease: ModelLease | None = None
+        self.is_down = False
+        rng = random.Random(f"{model.seed}/{index}")
+        self.follower = RolloutFollower(
+            self.store, self.board, self.source, model.timers, rng=rng
+        )
+        self.leader = RolloutLeader(
+            self.follower,
+            self.store,
+            self.source,
+            self,
+            model.timers,
+            lambda: self.lease,
+            DeclaredRoom(self.source),
+        )
+        model.timers.subscribe(1.0, self.tick)
+
+    def members(self):
+        """Return the other routers that are not believed dead."""
+        return [
+            other.own
+            for other in self.model.routers
+            if other is not self and not self.model.believed_dead(other)
+        ]
+
+    def suspect(self, router) -> None:
+        """Learn nothing."""
+
+    def tick(self) -> None:
+        """Do what a router does each second, unless it is dead or paused."""
+        if self.is_down or self.model.is_baseline:
+            return
+        self.follower.tick()
+        self.follower.sync()
+        self._renew()
+        self.leader.tick()
+
+    def _renew(self) -> None:
+        now = self.model.timers.now()
+        key = "rollouts"
+        read = self.store.get(Table.LEASES, key)
+        if read.is_err():
+            return
+        row = read.ok()
+        token, _, end = msgspec.json.decode(row.value) if row else (0, "", 0.0)
+        is_own = (
+            self.lease is not None
+            and self.lease.token == token
+            and now < self.lease.end
+        )
+        if not is_own and now < end + 1.0:
+            return
+        lease = ModelLease(
+            token if is_own else token + 1, self.model.timers, self.store
+        )
+        value = msgspec.json.encode((lease.token, self.name, lease.end))
+        writes = [Put(Table.LEASES, key, value, row.version if row else ABSENT)]
+        if not is_own:
+            writes.append(Put(Table.LEASES, f"ended/{token}", b""))
+        if self.store.commit(writes).is_ok():
+            self.lease = lease
--- /dev/null
+++ b/benchmarks/sim_timers.py
@@ -0,0 +1,59 @@
+"""Timer service on a simulated clock."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from boragedeck.process.timers import Subscription
+
+__all__ = ["SimTimers"]
+
+
+class SimTimers:
+    """Timer service whose calls run one after the other on a simulated clock."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._now = 1_000_000.0
+        self._order = itertools.count()
+        self._due: list = []
+
+    def now(self) -> float:
+        """Return simulated seconds."""
+        return self._now
+
+    wall = now
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Subscription:
+        """Call once after a delay."""
+        sub = Subscription(callback)
+        due = self._now + max(0.0, delay_s)
+        heapq.heappush(self._due, (due, next(self._order), sub))
+        return sub
+
+    def subscribe(
+        self, interval_s: float, callback: Callable[[], None], *, jitter: float = 0.1
+    ) -> Subscription:
+        """Call at an interval."""
+        sub = Subscription(callback)
+
+        def call() -> None:
+            if not sub.cancelled:
+                callback()
+                again()
+
+        def again() -> None:
+            spread = self._rng.uniform(1.0 - jitter, 1.0 + jitter)
+            self.call_later(interval_s * spread, call)
+
+        again()
+        return sub
+
+    def run_until(self, end: float) -> None:
+        """Make all calls that are due until a time."""
+        while self._due and self._due[0][0] <= end:
+            self._now, _, sub = heapq.heappop(self._due)
+            if not sub.cancelled:
+                sub.callback()
+        self._now = end
--- a/boragedeck/version/judgement.py
+++ b/boragedeck/version/judgement.py
@@ -12,13 +12,11 @@
 """
 
 import math
-from collections import Counter
-from collections.abc import Set
+from collections.abc import Sequence
 
 import msgspec
 
-from boragedeck.ids import FailureDomain, UpstreamName
-from boragedeck.version.evidence import Cell, Cells, Evidence, Loss
+from boragedeck.version.evidence import Cell, Cells, Evidence
 
 __all__ = [
     "Quantity",
@@ -27,7 +25,6 @@
     "condemns",
     "explain",
     "group_score",
-    "judge_losses",
     "log_odds_evidence",
 ]
 
@@ -37,17 +34,6 @@
 DOUBT_NATS = math.log(1000.0)
 MIN_CUT, MAX_CUT = 0.2, 0.8
 
-LOSS_WINDOW_S = 5.0
-MIN_LOSSES = 3
-BASE_LOSSES_PER_HOUR = 0.05
-"""Losses of one upstream that need no explanation."""
-BASE_POISON_PER_HOUR = 6.0
-"""Requests that crash upstreams, in a whole pool."""
-LOSS_FALSE_ALARM_RATE = 1e-4
-# A request is quarantined after two losses.
-MAX_LOSSES_PER_REQUEST = 2
-BURST_S = 30.0
-
 Table = tuple[int, int, int, int]
 
 
@@ -109,31 +95,33 @@
     reason: str
 
 
-def log_odds_evidence(table: Table, odds_ratio: float) -> float:
-    """Return the log likelihood ratio of an odds ratio, given the margins.
+def log_odds_evidence(table: Table, odds_ratios: Sequence[float]) -> list[float]:
+    """Return the log likelihood ratios of odds ratios, given the margins.
 
     Parameters
     ----------
     table : tuple of int
         Events and trials of the new version, events and trials of the old one.
-    odds_ratio : float
+    odds_ratios : sequence of float
         The odds of an event under the new version by those under the old one.
     """
     new_events, new_trials, old_events, old_trials = table
     events = new_events + old_events
     low, high = max(0, events - old_trials), min(events, new_trials)
     if low == high:
-        return 0.0
+        return [0.0] * len(odds_ratios)
     # Terms are taken relative to the one observed, so that they stay in range.
     base = _log_ways(new_trials, new_events) + _log_ways(old_trials, old_events)
-    step = math.log(odds_ratio)
-    plain = tilted = 0.0
-    for count in range(low, high + 1):
-        ways = _log_ways(new_trials, count) + _log_ways(old_trials, events - count)
-        plain += math.exp(min(700.0, ways - base))
-        shifted = ways - base + (count - new_events) * step
-        tilted += math.exp(min(700.0, shifted))
-    return math.log(plain) - math.log(tilted)
+    counts = range(low, high + 1)
+    ways = [
+        _log_ways(new_trials, count) + _log_ways(old_trials, events - count) - base
+        for count in counts
+    ]
+    plain = math.log(sum(math.exp(min(700.0, way)) for way in ways))
+    return [
+        plain - math.log(_tilted(ways, low - new_events, math.log(odds_ratio)))
+        for odds_ratio in odds_ratios
+    ]
 
 
 def group_score(evidence: Evidence) -> Score:
@@ -147,15 +135,7 @@
         ],
         GAP: [_slow_table(new.gap, old.gap) for new, old in strata],
     }
-    return Score(
-        tuple(
-            tuple(
-                sum(log_odds_evidence(table, ratio) for table in tables[quantity])
-                for ratio in ODDS_RATIOS
-            )
-            for quantity in QUANTITIES
-        )
-    )
+    return Score(tuple(_sum_nats(tables[quantity]) for quantity in QUANTITIES))
 
 
 def condemns(score: Score) -> bool:
@@ -182,153 +162,18 @@
     )
 
 
-def judge_losses(
-    losses: list[Loss],
-    cleared: Set[int],
-    quarantined: set[int],
-    new_upstreams: int,
-    old_upstreams: int,
-    watched_s: float,
-    old_domains: frozenset[FailureDomain],
-) -> Verdict | None:
-    """Return a verdict where too many upstreams of the new version were lost.
-
-    Parameters
-    ----------
-    losses : list of Loss
-        What all routers saw.
-    cleared : set of int
-        Hashes of fingerprints that were completed after a loss, which therefore did
-        not cause it.
-    quarantined : set of int
-        Hashes of fingerprints that crash any upstream.
-    new_upstreams, old_upstreams : int
-        Upstreams of either kind.
-    watched_s : float
-        For how long they were watched, in seconds.
-    old_domains : frozenset of FailureDomain
-        Where upstreams of the old version stand.
-    """
-    losses = [_without_cleared(loss, cleared) for loss in losses]
-    incidents = _incidents(losses, quarantined, old_domains)
-    hours = watched_s / 3600
-    upstreams = max(1, new_upstreams)
-    ratio = upstreams / max(1, old_upstreams)
-    own = _Limit(BASE_LOSSES_PER_HOUR * upstreams * hours, ratio)
-    poison = _Limit(BASE_POISON_PER_HOUR * hours, ratio)
-    plain = [incident for incident in incidents if not incident.may_be_poison]
-    poisoned = [incident for incident in incidents if incident.may_be_poison]
-    return (
-        _judge_incidents(plain, own)
-        or _judge_incidents(poisoned, poison)
-        or _judge_burst(poisoned, ratio)
-    )
-
-
-def _without_cleared(loss: Loss, cleared: Set[int]) -> Loss:
-    if loss.fingerprint not in cleared:
-        return loss
-    return msgspec.structs.replace(loss, fingerprint=0)
-
-
-class _Limit(msgspec.Struct, frozen=True):
-    """Losses expected by themselves, and for each one of the old version."""
-
-    base: float
-    ratio: float
-
+def _sum_nats(tables: list[Table]) -> tuple[float, ...]:
+    nats = [log_odds_evidence(table, ODDS_RATIOS) for table in tables]
+    return tuple(map(sum, zip(*nats, strict=True))) or (0.0,) * len(ODDS_RATIOS)
 
-class _Incident(msgspec.Struct, frozen=True):
-    """Losses with one cause."""
 
-    loss: Loss
-    may_be_poison: bool
-
-
-def _judge_burst(incidents: list[_Incident], ratio: float) -> Verdict | None:
-    """Judge the latest incidents alone: requests that crash upstreams come singly."""
-    if not incidents:
-        return None
-    latest = max(incident.loss.at for incident in incidents)
-    recent = [item for item in incidents if latest - item.loss.at <= BURST_S]
-    return _judge_incidents(
-        recent, _Limit(BASE_POISON_PER_HOUR * BURST_S / 3600, ratio)
-    )
-
-
-def _judge_incidents(incidents: list[_Incident], limit: _Limit) -> Verdict | None:
-    new = [incident.loss for incident in incidents if incident.loss.is_new]
-    old = len(incidents) - len(new)
-    expected = limit.base + 1.5 * old * limit.ratio
-    if len(new) < MIN_LOSSES:
-        return None
-    if _poisson_tail(len(new), expected) > LOSS_FALSE_ALARM_RATE:
-        return None
-    names = sorted({loss.upstream for loss in new})
-    return Verdict(
-        f"lost upstreams: {len(new)} losses on the new version ({', '.join(names[:4])})"
-        f" where {expected:.2f} were expected, {old} on the old one"
-    )
-
-
-def _incidents(
-    losses: list[Loss],
-    quarantined: set[int],
-    old_domains: frozenset[FailureDomain],
-) -> list[_Incident]:
-    groups = _group_by_upstream(losses)
-    old = [group[0] for group in groups if not group[0].is_new]
-    kept: list[Loss] = []
-    events = []
-    for group in groups:
-        loss = group[0]
-        if loss.is_new and _is_shared(loss, old):
-            continue
-        # Losses at one time in a domain without the old version count as one: the
-        # domain's own loss can't be told from the version's fault there.
-        is_lone = loss.is_new and loss.failure_domain not in old_domains
-        if is_lone and _is_shared(loss, kept):
-            continue
-        kept.append(loss)
-        events.append(group)
-    return _explain_by_requests(events, quarantined)
-
-
-def _explain_by_requests(
-    groups: list[list[Loss]], quarantined: set[int]
-) -> list[_Incident]:
-    """Explain losses by as few requests as can have caused them."""
-    suspects = quarantined | _repeated(groups)
-    left = list(groups)
-    incidents = []
-    while True:
-        counts = _count_fingerprints(left)
-        candidates = suspects & counts.keys()
-        if not candidates:
-            break
-        blamed = max(candidates, key=lambda item: (counts[item], item))
-        caused = [group for group in left if blamed in _fingerprints(group)]
-        caused = caused[:MAX_LOSSES_PER_REQUEST]
-        incidents.append(_Incident(caused[0][0], may_be_poison=True))
-        left = [group for group in left if group not in caused]
-    return incidents + [_Incident(group[0], may_be_poison=False) for group in left]
-
-
-def _repeated(groups: list[list[Loss]]) -> set[int]:
-    counts = _count_fingerprints(groups)
-    return {fingerprint for fingerprint, count in counts.items() if count > 1}
-
-
-def _count_fingerprints(groups: list[list[Loss]]) -> Counter[int]:
-    return Counter(
-        fingerprint for group in groups for fingerprint in _fingerprints(group)
+def _tilted(ways: list[float], first: int, step: float) -> float:
+    return sum(
+        math.exp(min(700.0, way + (first + index) * step))
+        for index, way in enumerate(ways)
     )
 
 
-def _fingerprints(group: list[Loss]) -> set[int]:
-    return {loss.fingerprint for loss in group} - {0}
-
-
 def _strata(new_cells: Cells, old_cells: Cells) -> list[tuple[Cell, Cell]]:
     strata, lone = [], Cell()
     for domain, new in new_cells.items():
@@ -378,37 +223,6 @@
     return sum(count for index, count in histogram.items() if index > cut)
 
 
-def _group_by_upstream(losses: list[Loss]) -> list[list[Loss]]:
-    """Group reports of one upstream that lie close together, in order of time."""
-    groups: list[list[Loss]] = []
-    latest: dict[UpstreamName, list[Loss]] = {}
-    for loss in sorted(losses, key=lambda loss: loss.at):
-        group = latest.get(loss.upstream)
-        if group is None or loss.at - group[0].at > LOSS_WINDOW_S:
-            group = latest[loss.upstream] = []
-            groups.append(group)
-        group.append(loss)
-    return groups
-
-
-def _is_shared(event: Loss, old: list[Loss]) -> bool:
-    """Return whether the old version lost an upstream there at the same time."""
-    return any(
-        other.failure_domain == event.failure_domain
-        and abs(other.at - event.at) <= LOSS_WINDOW_S
-        for other in old
-    )
-
-
-def _poisson_tail(count: int, mean: float) -> float:
-    term = math.exp(-mean)
-    below = 0.0
-    for k in range(count):
-        below += term
-        term *= mean / (k + 1)
-    return max(0.0, 1.0 - below)
-
-
 def _log_ways(total: int, chosen: int) -> float:
     return (
         math.lgamma(total + 1)
--- a/boragedeck/version/rollout_follower.py
+++ b/boragedeck/version/rollout_follower.py
@@ -1,10 +1,8 @@
 """Chooses versions for requests, and stops a bad one on evidence alone."""
 
-import math
 import random
 
 import msgspec
-import xxhash
 
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.connection.platform import Platform
@@ -25,6 +23,7 @@
 from boragedeck.version.rollout_plan import Progress
 from boragedeck.version.rollout_row import RolloutRow, StopRow, stop_write
 from boragedeck.version.rollout_watch import HEDGE_SHARE, AttemptWatch, Room
+from boragedeck.version.share import Share
 from boragedeck.version.tables import Config, Pool, Route
 
 __all__ = ["RolloutFollower"]
@@ -40,35 +39,6 @@
 _FAULTS = (Outcome.FAILED, Outcome.CRASHED, Outcome.SILENT)
 
 
-class _Share:
-    """Hands out the new version's share of this router, and no more."""
-
-    def __init__(self, row: RolloutRow, own: RouterId):
-        self._draw = _draw(f"{own}/{row.route}/{row.number}/{row.step}")
-        self._credit = _draw(f"credit/{own}/{row.route}/{row.number}/{row.step}")
-        self._step = row.step
-        self._sent = 0
-
-    def is_of(self, row: RolloutRow) -> bool:
-        """Return whether this counts the row's step."""
-        return self._step == row.step
-
-    def take(self, row: RolloutRow, share: float) -> bool:
-        """Return whether the next request goes to the new version."""
-        self._credit = min(2.0, self._credit + share)
-        if self._credit < 1.0 or self._sent + 1 > self._allowed(row):
-            return False
-        self._credit -= 1.0
-        self._sent += 1
-        return True
-
-    def _allowed(self, row: RolloutRow) -> float:
-        if row.allowance is None:
-            return math.inf
-        # Where routers outnumber the requests, the draw picks those that take part.
-        return row.allowance / max(1, row.routers) + self._draw
-
-
 class RolloutFollower:
     """One router's side of all rollouts; implements `VersionPolicy`.
 
@@ -109,7 +79,7 @@
         self._chosen: dict[RouteName, int] = {}
         self._since = timers.now()
         self._watches: dict[RouteName, AttemptWatch] = {}
-        self._shares: dict[RouteName, _Share] = {}
+        self._shares: dict[RouteName, Share] = {}
         self._stops: dict[tuple[str, int], Stopped] = {}
         self._unrecorded: dict[tuple[str, int], Stopped] = {}
         self._published: dict[RouteName, float] = {}
@@ -357,7 +327,7 @@
             watch.follow(row)
         share = self._shares.get(row.route)
         if share is None or not share.is_of(row):
-            self._shares[row.route] = _Share(row, self._board.own)
+            self._shares[row.route] = Share(row, self._board.own)
 
     def _record_stops(self) -> None:
         for key, stopped in list(self._unrecorded.items()):
@@ -381,11 +351,6 @@
         self.ledger.refresh()
 
 
-def _draw(text: str) -> float:
-    """Return a number from 0 to 1 that depends on a text."""
-    return xxhash.xxh64_intdigest(text.encode()) / 2**64
-
-
 def _commonest_version(pool: Pool | None) -> Version | None:
     counts: dict[Version, int] = {}
     for upstream in pool.upstreams if pool else ():
--- a/boragedeck/version/rollout_watch.py
+++ b/boragedeck/version/rollout_watch.py
@@ -24,8 +24,8 @@
     condemns,
     explain,
     group_score,
-    judge_losses,
 )
+from boragedeck.version.losses import judge_losses
 from boragedeck.version.rollout_plan import Progress
 from boragedeck.version.rollout_row import RolloutRow
 
@@ -167,11 +167,11 @@
     def judge(self, wall: float, room: Room) -> Verdict | None:
         """Return a verdict where the evidence condemns the new version."""
         self._close(self._index(wall) - CLOSE_AFTER_WINDOWS)
-        live = self._open_evidence()
-        live.merge(self._group)
+        by_index = self._open_by_index()
+        live = _merged([self._group, *by_index.values()])
         score = self._score.after(group_score(live))
         _, self.nats = score.worst()
-        self._look_for_alarm(wall)
+        self._look_for_alarm(wall, by_index)
         if condemns(score):
             return explain(score, self._sum())
         return judge_losses(
@@ -245,31 +245,28 @@
             self._group = Evidence()
             self._group_windows = 0
 
-    def _look_for_alarm(self, wall: float) -> None:
+    def _look_for_alarm(self, wall: float, by_index: dict[int, Evidence]) -> None:
         if self.row.share <= HEDGE_SHARE:
             return
         newest = self._index(wall)
-        recent = Evidence()
+        recent = Cell()
         for index in range(newest, newest - RECENT_WINDOWS, -1):
-            for kept in self._windows.values():
-                if index in kept:
-                    recent.merge(kept[index].evidence)
-            if is_alarming(recent.total(is_new=True), self._reference):
+            if index in by_index:
+                recent.merge(by_index[index].total(is_new=True))
+            if is_alarming(recent, self._reference):
                 self._hedged_until = wall + HEDGE_S
         if self.is_hedged(wall) and self.nats >= DOUBT_NATS:
             self._hedged_until = wall + HEDGE_S
 
-    def _open_evidence(self) -> Evidence:
-        evidence = Evidence()
+    def _open_by_index(self) -> dict[int, Evidence]:
+        by_index: dict[int, Evidence] = {}
         for kept in self._windows.values():
-            for window in kept.values():
-                evidence.merge(window.evidence)
-        return evidence
+            for index, window in kept.items():
+                by_index.setdefault(index, Evidence()).merge(window.evidence)
+        return by_index
 
     def _sum(self) -> Evidence:
-        evidence = self._open_evidence()
-        evidence.merge(self._total)
-        return evidence
+        return _merged([self._total, *self._open_by_index().values()])
 
     def _add_losses(self, losses: list[Loss]) -> None:
         self._losses.update(losses)
@@ -292,6 +289,13 @@
         self._quarantined.update(fingerprints[: max(0, room)])
 
 
+def _merged(parts: list[Evidence]) -> Evidence:
+    evidence = Evidence()
+    for part in parts:
+        evidence.merge(part)
+    return evidence
+
+
 def _trim(cleared: dict[int, float]) -> None:
     while len(cleared) > MAX_LOSSES:
         del cleared[next(iter(cleared))]
--- a/tests/version/test_judgement.py
+++ b/tests/version/test_judgement.py
@@ -9,9 +9,9 @@
     condemns,
     explain,
     group_score,
-    judge_losses,
     log_odds_evidence,
 )
+from boragedeck.version.losses import judge_losses
 
 DOMAINS = [FailureDomain(name) for name in ("d0", "d1", "d2")]
 
@@ -56,14 +56,14 @@
 
 class TestScores(unittest.TestCase):
     def test_no_events_are_no_evidence(self):
-        self.assertEqual(log_odds_evidence((0, 50, 0, 900), 25.0), 0.0)
-        self.assertEqual(log_odds_evidence((50, 50, 900, 900), 25.0), 0.0)
+        self.assertEqual(log_odds_evidence((0, 50, 0, 900), [25.0]), [0.0])
+        self.assertEqual(log_odds_evidence((50, 50, 900, 900), [25.0]), [0.0])
 
     def test_likelihood_ratio_of_a_single_event(self):
         # One event among one new trial and one old trial: 1/2 by chance, r/(r + 1)
         # under odds ratio r.
         self.assertAlmostEqual(
-            log_odds_evidence((1, 1, 0, 1), 5.0), 0.5108256, places=6
+            log_odds_evidence((1, 1, 0, 1), [5.0])[0], 0.5108256, places=6
         )
 
     def test_a_handful_of_failures_condemns(self):
