--- a/boragedeck/version/rollout_follower.py
+++ b/boragedeck/version/rollout_follower.py
@@ -34,6 +34,8 @@
 ANNOUNCE_S = 45.0
 FAULT_PUBLISH_S = 0.5
 FAULT_JUDGE_S = 0.1
+JUDGE_SHARE = 0.15
+"""Pause between judgements as a share of a window."""
 STOP_TTL_AFTER_DEADLINE_S = 300.0
 MAX_STOPS = 1024
 _FAULTS = (Outcome.FAILED, Outcome.CRASHED, Outcome.SILENT)
@@ -83,6 +85,7 @@
         self._stops: dict[tuple[str, int], Stopped] = {}
         self._unrecorded: dict[tuple[str, int], Stopped] = {}
         self._published: dict[RouteName, float] = {}
+        self._judged: dict[RouteName, float] = {}
         self._due: set[RouteName] = set()
         self._polled = self._announced = float("-inf")
         self.ledger.subscribe(self._follow)
@@ -164,7 +167,8 @@
         """Publish evidence and judge it, whatever the store does."""
         for watch in list(self._watches.values()):
             self._publish(watch, min_interval_s=watch.row.window_s / 5.0)
-            self._judge(watch)
+            if self._is_judgement_due(watch):
+                self._judge(watch)
 
     def sync(self) -> None:
         """Record stops, read the rows, and state them where too few others do."""
@@ -239,6 +243,15 @@
                 ttl_s=4 * watch.row.window_s,
             )
 
+    def _is_judgement_due(self, watch: AttemptWatch) -> bool:
+        """Pace what a large fleet's evidence costs; own faults are judged at once."""
+        route, now = watch.row.route, self._timers.now()
+        pause_s = JUDGE_SHARE * watch.row.window_s
+        if now - self._judged.get(route, float("-inf")) < pause_s:
+            return False
+        self._judged[route] = now
+        return True
+
     def _judge_soon(self, watch: AttemptWatch) -> None:
         """Judge once for all faults that come together."""
         route = watch.row.route
@@ -316,7 +329,7 @@
         self._metrics.disputed.labels(row.route).set(0)
         self._metrics.share.labels(row.route, row.new).set(row.share)
         if not row.is_running:
-            for state in (self._watches, self._shares, self._published):
+            for state in (self._watches, self._shares, self._published, self._judged):
                 state.pop(row.route, None)
             self._metrics.outcomes.labels(row.route, row.state.value).inc()
             return
