--- a/boragedeck/process/answer_service.py
+++ b/boragedeck/process/answer_service.py
@@ -183,6 +183,10 @@
         """Return how many answers run here."""
         return len(self._answers.running())
 
+    def copies(self) -> int:
+        """Return how many copies of other routers' answers are here."""
+        return len(self._copies)
+
     def _start_keyed(
         self, key: AnswerKey, spec: AnswerSpec
     ) -> Result[Source, RefusedError]:
