--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -5,10 +5,11 @@
 """
 
 import argparse
-import multiprocessing
 import statistics
+import subprocess
 import sys
 
+import eventlet
 import msgspec
 
 from benchmarks.rollout_faults import SCENARIOS, EventKind, Fault, Scenario, scenario
@@ -41,11 +42,32 @@
     return 1.0 if progress >= DONE_AT else min(1.0, progress / RAMP_END)
 
 
-def run_one(task: tuple[str, int, bool]) -> list[Report]:
-    """Run one scenario with one seed."""
-    name, seed, is_baseline = task
-    choose = timer_share if is_baseline else None
-    return Model(scenario(name), seed, choose).run()
+class Task(msgspec.Struct, frozen=True):
+    """One run of one scenario, in a process of its own."""
+
+    name: str
+    seed: int
+    is_baseline: bool
+
+
+def run_task(task: Task) -> list[Report]:
+    """Run a task in this process."""
+    choose = timer_share if task.is_baseline else None
+    return Model(scenario(task.name), task.seed, choose).run()
+
+
+def run_apart(task: Task) -> list[Report]:
+    """Run a task in another process.
+
+    Raises
+    ------
+    subprocess.CalledProcessError
+        If the run fails.
+    """
+    argument = msgspec.json.encode(task).decode()
+    command = [sys.executable, "-m", "benchmarks.rollouts", "--task", argument]
+    done = subprocess.run(command, check=True, stdout=subprocess.PIPE)
+    return msgspec.json.decode(done.stdout, type=list[Report])
 
 
 def misses(item: Scenario, report: Report) -> list[str]:
@@ -112,7 +134,12 @@
     parser.add_argument("--seeds", type=int, default=20)
     parser.add_argument("--processes", type=int, default=4)
     parser.add_argument("--only", default="")
+    parser.add_argument("--task", default="", help=argparse.SUPPRESS)
     args = parser.parse_args()
+    if args.task:
+        reports = run_task(msgspec.json.decode(args.task, type=Task))
+        sys.stdout.write(msgspec.json.encode(reports).decode())
+        return 0
     items = [item for item in SCENARIOS if args.only in item.name]
     print(
         "| scenario | spoiled: mean, max, share | baseline on a timer "
@@ -121,17 +148,16 @@
     )
     print("|" + " --- |" * 9)
     failed = []
-    with multiprocessing.get_context("spawn").Pool(args.processes) as pool:
-        for item in items:
-            tasks = [(item.name, seed, False) for seed in range(args.seeds)]
-            runs = pool.map(run_one, tasks, chunksize=1)
-            base = []
-            if item.fault is not Fault.NONE:
-                tasks = [(item.name, seed, True) for seed in range(args.seeds)]
-                base = pool.map(run_one, tasks, chunksize=1)
-            summary = summarise(item, runs, base)
-            print(row(summary), flush=True)
-            failed += [f"{item.name}: {text}" for text in summary.misses]
+    pool = eventlet.GreenPool(args.processes)
+    for item in items:
+        seeds = range(args.seeds)
+        runs = list(pool.imap(run_apart, [Task(item.name, s, False) for s in seeds]))
+        base = []
+        if item.fault is not Fault.NONE:
+            base = list(pool.imap(run_apart, [Task(item.name, s, True) for s in seeds]))
+        summary = summarise(item, runs, base)
+        print(row(summary), flush=True)
+        failed += [f"{item.name}: {text}" for text in summary.misses]
     for text in failed:
         print(text)
     return 1 if failed else 0
