--- a/boragedeck/process/rollouts.py
+++ b/boragedeck/process/rollouts.py
@@ -1,7 +1,7 @@
 """Joins the parts of rollouts: following in every router, leading under a lease."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from prometheus_client import CollectorRegistry
 from result import Result
@@ -13,6 +13,7 @@
 from boragedeck.interfaces import ConfigSource, FactBoard, Membership
 from boragedeck.process.lease_keeper import LeaseKeeper
 from boragedeck.process.leases import Lease, LeaseTable
+from boragedeck.process.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.version.order_keeper import OrderKeeper
 from boragedeck.version.rollout_follower import RolloutFollower
@@ -23,6 +24,12 @@
 __all__ = ["LEASE_NAME", "FencedLease", "Rollouts"]
 
 LEASE_NAME = "rollouts"
+JUDGE_S = 1.0
+SYNC_S = 1.0
+LEAD_S = 1.0
+ORDER_S = 5.0
+
+_log = PartLog("rollout")
 
 
 class FencedLease:
@@ -88,6 +95,7 @@
         registry: CollectorRegistry,
         rng: random.Random,
     ):
+        self._timers = timers
         metrics = RolloutMetrics(registry)
         self._table = LeaseTable(platform, timers, membership.own.router)
         self.keeper = LeaseKeeper(self._table, timers, membership, rng)
@@ -111,10 +119,27 @@
     def start(self) -> None:
         """Begin to follow, and to lead whenever the lease is held."""
         self.keeper.want(LEASE_NAME)
-        self.follower.start()
-        self._leader.start()
-        self._orders.start()
+        for interval_s, step in (
+            (JUDGE_S, self.follower.tick),
+            (SYNC_S, self.follower.sync),
+            (LEAD_S, self._leader.tick),
+            (ORDER_S, self._orders.tick),
+        ):
+            # Each has a round of its own, so that a slow store holds up no other.
+            self._timers.subscribe(interval_s, _logged(step))
 
     def _held(self) -> FencedLease | None:
         lease = self.keeper.held(LEASE_NAME)
         return None if lease is None else FencedLease(self._table, lease)
+
+
+def _logged(step: Callable[[], None]) -> Callable[[], None]:
+    """Return a step that logs what it raises, so that its rounds go on."""
+
+    def run() -> None:
+        try:
+            step()
+        except Exception as exc:
+            _log.write("Round failed.", step=step.__qualname__, error=repr(exc))
+
+    return run
--- a/boragedeck/version/order_keeper.py
+++ b/boragedeck/version/order_keeper.py
@@ -11,7 +11,7 @@
 from boragedeck.exceptions import BoragedeckError, StoreUnavailableError
 from boragedeck.ids import PoolName, UpstreamName, Version
 from boragedeck.interfaces import ConfigSource
-from boragedeck.process.timers import Subscription, TimerService
+from boragedeck.process.timers import TimerService
 from boragedeck.version.orders import (
     MAX_LOADS,
     EngineOrders,
@@ -33,7 +33,6 @@
 
 __all__ = ["OrderKeeper", "OrderRow"]
 
-TICK_S = 5.0
 SEND_MARGIN_S = 2.0
 UNFENCED_MARGIN_S = 4.0
 """For engines that ignore fencing; more than a send and a short pause take."""
@@ -122,10 +121,6 @@
         self._given: dict[tuple[PoolName, UpstreamName, Order], float] = {}
         self._cursor = 0
 
-    def start(self) -> Subscription:
-        """Begin to read engines and give orders, whenever the lease is held."""
-        return self._timers.subscribe(TICK_S, self.tick)
-
     def tick(self) -> None:
         """Read all engines, and give the orders that are due."""
         if self._lease() is None:
--- a/boragedeck/version/rollout_follower.py
+++ b/boragedeck/version/rollout_follower.py
@@ -9,7 +9,8 @@
 from boragedeck.exceptions import StoreConflictError
 from boragedeck.ids import RouteName, RouterId, Version
 from boragedeck.interfaces import ConfigSource, FactBoard, Outcome, Sample
-from boragedeck.process.timers import Subscription, TimerService
+from boragedeck.process.logs import PartLog
+from boragedeck.process.timers import TimerService
 from boragedeck.version.rollout_facts import (
     KnownRow,
     SeenWindow,
@@ -28,7 +29,8 @@
 
 __all__ = ["RolloutFollower"]
 
-TICK_S = 1.0
+_log = PartLog("rollout")
+
 POLL_S = 5.0
 POLL_PER_ROUTER_S = 0.03
 ANNOUNCE_S = 45.0
@@ -94,13 +96,6 @@
         config.subscribe(self._on_config)
         self._on_config(config.current())
 
-    def start(self) -> tuple[Subscription, Subscription]:
-        """Begin to judge, and beside it to speak with the store, at intervals."""
-        return (
-            self._timers.subscribe(TICK_S, self.tick),
-            self._timers.subscribe(TICK_S, self.sync),
-        )
-
     # What requests ask.
 
     def choose(self, route: Route, request_key: str) -> Version | None:
@@ -161,6 +156,9 @@
             ttl_s=max(STOP_TTL_AFTER_DEADLINE_S, ttl),
         )
         self._unrecorded[row.route, row.number] = stopped
+        _log.write(
+            "Attempt stopped.", route=row.route, number=row.number, reason=reason
+        )
         self._metrics.stops.labels(row.route).inc()
 
     def tick(self) -> None:
--- a/boragedeck/version/rollout_leader.py
+++ b/boragedeck/version/rollout_leader.py
@@ -11,7 +11,8 @@
 from boragedeck.exceptions import StoreConflictError, StoreError, StoreUnknownError
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import ConfigSource, Membership
-from boragedeck.process.timers import Subscription, TimerService
+from boragedeck.process.logs import PartLog
+from boragedeck.process.timers import TimerService
 from boragedeck.version import rollout_texts as texts
 from boragedeck.version.rollout_facts import KnownRow
 from boragedeck.version.rollout_follower import RolloutFollower
@@ -45,7 +46,8 @@
 
 __all__ = ["LeaderLease", "RolloutLeader"]
 
-TICK_S = 1.0
+_log = PartLog("rollout")
+
 SAFE_MARGIN_S = 2.0
 DEFAULT_LENGTH_S = 3600.0
 
@@ -121,10 +123,6 @@
         self._token: int | None = None
         self._own: RouterId = membership.own.router
 
-    def start(self) -> Subscription:
-        """Begin to lead at intervals, whenever the lease is held."""
-        return self._timers.subscribe(TICK_S, self.tick)
-
     def tick(self) -> None:
         """Take the next step of each rollout, if this router leads."""
         lease = self._lease()
@@ -308,6 +306,14 @@
 
     def _settle(self, row: RolloutRow, result: Result[list[int], StoreError]) -> None:
         if result.is_ok():
+            _log.write(
+                "Row committed.",
+                route=row.route,
+                number=row.number,
+                state=row.state.value,
+                share=row.share,
+                reason=row.reason,
+            )
             self._ledger.learn(KnownRow(row, result.ok()[0]))
             self._ledger.announce(row.route)
             return
--- a/boragedeck/version/rollout_plan.py
+++ b/boragedeck/version/rollout_plan.py
@@ -246,12 +246,16 @@
     is_usual = progress.old_longs >= LONG_SHARE * max(1, progress.old_trials)
     if not is_usual or progress.old_longs < MIN_LONGS_TO_FINISH:
         return 0
+    # Half of those to be expected among the trials, so that a small route is not held
+    # up by outputs that it hardly ever has.
+    usual = progress.old_longs / max(1, progress.old_trials)
+    expected = math.floor(0.5 * usual * trials_needed(row, progress))
     match row.step:
         case 0:
             return 0
         case step if step == LAST_STEP:
-            return MIN_LONGS_TO_FINISH
-    return MIN_LONGS
+            return min(MIN_LONGS_TO_FINISH, expected)
+    return min(MIN_LONGS, expected)
 
 
 def _dwell_s(row: RolloutRow) -> float:
--- a/boragedeck/version/rollout_watch.py
+++ b/boragedeck/version/rollout_watch.py
@@ -156,6 +156,9 @@
         self._unpublished = set()
         kept = self._windows[self._own]
         windows = [kept[index] for index in sorted(indices) if index in kept]
+        if not windows:
+            # The wall clock went back by more than the windows kept.
+            return []
         windows[-1] = msgspec.structs.replace(
             windows[-1],
             losses=[loss for loss in self._own_losses if wall - loss.at < LOSS_NEWS_S],
