Tell a run's first token without a gap

The first sample of a run divided no time by a few tokens, so that half of the gaps were about zero for both versions and a slow one could not be told apart.

--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -407,7 +407,10 @@
         self._has_told_first |= first_token_s is not None
         now = self._timers.now()
         run_s = now - self._run_started
-        gap_s = run_s / self._run_tokens if self._run_tokens > 1 else None
+        # What has just begun shows no gap yet.
+        is_beginning = first_token_s is not None and outcome is None
+        has_gap = self._run_tokens > 1 and not is_beginning
+        gap_s = run_s / self._run_tokens if has_gap else None
         sample = Sample(
             route=self._answer.spec.route,
             version=version,
