--- a/boragedeck/process/gossip.py
+++ b/boragedeck/process/gossip.py
@@ -38,14 +38,14 @@
 URGENT_BYTES_PER_ROUND = 8192
 OFFERS_PER_FACT = 4
 OFFERS_PER_URGENT_FACT = 8
-MAX_OFFERED = 64
-MAX_WANTED_OF_OFFER = 32
+MAX_OFFERED = 40
+MAX_WANTED_PER_ROUND = 28
 WANTED_ONCE_S = 2.0
 """For so long a fact that was asked for isn't asked for again."""
 MAX_PUSH_BYTES = 2048
 CALL_TIMEOUT_S = 1.0
-ROUNDS_PER_COMPARISON = 3
-SHOWN_BUCKETS = 6
+ROUNDS_PER_COMPARISON = 2
+SHOWN_BUCKETS = 12
 MAX_WANTED = 512
 CATCH_UP_ABOVE = 32
 """So many facts lacking in one comparison call for larger ones."""
@@ -109,6 +109,7 @@
         self._outgoing: dict[int, _Outgoing] = {}
         self._urgent: list[int] = []
         self._urgent_left = URGENT_BYTES_PER_ROUND
+        self._wanted_left = MAX_WANTED_PER_ROUND
         self._asked: dict[int, float] = {}
         self._rounds = 0
         self._is_catching_up = True
@@ -173,6 +174,7 @@
         for key in [key for key in self._outgoing if not self._store.holds(key)]:
             del self._outgoing[key]
         self._urgent_left = URGENT_BYTES_PER_ROUND
+        self._wanted_left = MAX_WANTED_PER_ROUND
         self._forget_asked()
         self._rounds += 1
         peers = self._peers()
@@ -247,7 +249,8 @@
             key
             for key in self._store.newer(message.entries)
             if self._asked.get(key, 0.0) <= now
-        ][:MAX_WANTED_OF_OFFER]
+        ][: self._wanted_left]
+        self._wanted_left -= len(wanted)
         self._asked |= dict.fromkeys(wanted, now + WANTED_ONCE_S)
         return FactWanted(tuple(wanted))
 
--- a/boragedeck/process/membership.py
+++ b/boragedeck/process/membership.py
@@ -119,7 +119,8 @@
         self._board.publish(
             FactTopic.LEAVING, f"router/{self.own.router}", b"", ttl_s=LEAVING_TTL_S
         )
-        self._table.leave()
+        # A store that is slow must not hold up a stop.
+        eventlet.spawn_n(self._table.leave)
 
     def members(self) -> list[Member]:
         """See `Membership.members`."""
