--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -3,6 +3,7 @@
 import enum
 import random
 import secrets
+from collections.abc import Callable
 
 import msgspec
 import xxhash
@@ -21,6 +22,7 @@
 from boragedeck.process.journal import Journal
 from boragedeck.process.logs import PartLog
 from boragedeck.process.metrics import Metrics
+from boragedeck.process.pulse import Pulses
 from boragedeck.process.timers import TimerService
 from boragedeck.request.answer import Answer, ErrorInfo, Finish
 from boragedeck.request.attempt import Attempt, EndKind, OpenRun, broken_outcome
@@ -77,6 +79,10 @@
         See `boragedeck.connection.engine.open_run`.
     rng : random.Random
         The source of jitter.
+    pulses : Pulses
+        Output of each upstream's streams.
+    is_quarantined : callable
+        Returns whether a fingerprint's crashes are the request's own fault.
     """
 
     chooser: Chooser
@@ -87,6 +93,8 @@
     metrics: Metrics
     open_run: OpenRun
     rng: random.Random
+    pulses: Pulses = msgspec.field(default_factory=Pulses)
+    is_quarantined: Callable[[str], bool] = lambda fingerprint: False
 
 
 class Generation:
@@ -238,6 +246,7 @@
         if self._answer.version is None:
             self._answer.version = upstream.version
         self._parts.journal.set_upstream(self._answer, upstream.url)
+        self._gaps.follow(self._parts.pulses.of(upstream.url))
         # From now on a silence counts.
         self._changed.notify()
 
@@ -407,7 +416,10 @@
         self._has_told_first |= first_token_s is not None
         now = self._timers.now()
         run_s = now - self._run_started
-        gap_s = run_s / self._run_tokens if self._run_tokens > 1 else None
+        # What has just begun shows no gap yet.
+        is_beginning = first_token_s is not None and outcome is None
+        has_gap = self._run_tokens > 1 and not is_beginning
+        gap_s = run_s / self._run_tokens if has_gap else None
         sample = Sample(
             route=self._answer.spec.route,
             version=version,
@@ -419,6 +431,7 @@
             tokens=self._run_tokens,
             fingerprint=self._answer.spec.fingerprint,
             age_s=now - self._started,
+            is_quarantined=self._parts.is_quarantined(self._answer.spec.fingerprint),
         )
         self._parts.versions.observe(sample)
 
--- a/boragedeck/version/rollout_follower.py
+++ b/boragedeck/version/rollout_follower.py
@@ -1,17 +1,16 @@
 """Chooses versions for requests, and stops a bad one on evidence alone."""
 
-import math
 import random
 
 import msgspec
-import xxhash
 
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.connection.platform import Platform
 from boragedeck.exceptions import StoreConflictError
 from boragedeck.ids import RouteName, RouterId, Version
 from boragedeck.interfaces import ConfigSource, FactBoard, Outcome, Sample
-from boragedeck.process.timers import Subscription, TimerService
+from boragedeck.process.logs import PartLog
+from boragedeck.process.timers import TimerService
 from boragedeck.version.rollout_facts import (
     KnownRow,
     SeenWindow,
@@ -25,50 +24,25 @@
 from boragedeck.version.rollout_plan import Progress
 from boragedeck.version.rollout_row import RolloutRow, StopRow, stop_write
 from boragedeck.version.rollout_watch import HEDGE_SHARE, AttemptWatch, Room
+from boragedeck.version.share import Share
 from boragedeck.version.tables import Config, Pool, Route
 
 __all__ = ["RolloutFollower"]
 
-TICK_S = 1.0
+_log = PartLog("rollout")
+
 POLL_S = 5.0
 POLL_PER_ROUTER_S = 0.03
 ANNOUNCE_S = 45.0
 FAULT_PUBLISH_S = 0.5
 FAULT_JUDGE_S = 0.1
+JUDGE_SHARE = 0.15
+"""Pause between judgements as a share of a window."""
 STOP_TTL_AFTER_DEADLINE_S = 300.0
 MAX_STOPS = 1024
 _FAULTS = (Outcome.FAILED, Outcome.CRASHED, Outcome.SILENT)
 
 
-class _Share:
-    """Hands out the new version's share of this router, and no more."""
-
-    def __init__(self, row: RolloutRow, own: RouterId):
-        self._draw = _draw(f"{own}/{row.route}/{row.number}/{row.step}")
-        self._credit = _draw(f"credit/{own}/{row.route}/{row.number}/{row.step}")
-        self._step = row.step
-        self._sent = 0
-
-    def is_of(self, row: RolloutRow) -> bool:
-        """Return whether this counts the row's step."""
-        return self._step == row.step
-
-    def take(self, row: RolloutRow, share: float) -> bool:
-        """Return whether the next request goes to the new version."""
-        self._credit = min(2.0, self._credit + share)
-        if self._credit < 1.0 or self._sent + 1 > self._allowed(row):
-            return False
-        self._credit -= 1.0
-        self._sent += 1
-        return True
-
-    def _allowed(self, row: RolloutRow) -> float:
-        if row.allowance is None:
-            return math.inf
-        # Where routers outnumber the requests, the draw picks those that take part.
-        return row.allowance / max(1, row.routers) + self._draw
-
-
 class RolloutFollower:
     """One router's side of all rollouts; implements `VersionPolicy`.
 
@@ -109,10 +83,11 @@
         self._chosen: dict[RouteName, int] = {}
         self._since = timers.now()
         self._watches: dict[RouteName, AttemptWatch] = {}
-        self._shares: dict[RouteName, _Share] = {}
+        self._shares: dict[RouteName, Share] = {}
         self._stops: dict[tuple[str, int], Stopped] = {}
         self._unrecorded: dict[tuple[str, int], Stopped] = {}
         self._published: dict[RouteName, float] = {}
+        self._judged: dict[RouteName, float] = {}
         self._due: set[RouteName] = set()
         self._polled = self._announced = float("-inf")
         self.ledger.subscribe(self._follow)
@@ -121,13 +96,6 @@
         config.subscribe(self._on_config)
         self._on_config(config.current())
 
-    def start(self) -> tuple[Subscription, Subscription]:
-        """Begin to judge, and beside it to speak with the store, at intervals."""
-        return (
-            self._timers.subscribe(TICK_S, self.tick),
-            self._timers.subscribe(TICK_S, self.sync),
-        )
-
     # What requests ask.
 
     def choose(self, route: Route, request_key: str) -> Version | None:
@@ -188,13 +156,17 @@
             ttl_s=max(STOP_TTL_AFTER_DEADLINE_S, ttl),
         )
         self._unrecorded[row.route, row.number] = stopped
+        _log.write(
+            "Attempt stopped.", route=row.route, number=row.number, reason=reason
+        )
         self._metrics.stops.labels(row.route).inc()
 
     def tick(self) -> None:
         """Publish evidence and judge it, whatever the store does."""
         for watch in list(self._watches.values()):
             self._publish(watch, min_interval_s=watch.row.window_s / 5.0)
-            self._judge(watch)
+            if self._is_judgement_due(watch):
+                self._judge(watch)
 
     def sync(self) -> None:
         """Record stops, read the rows, and state them where too few others do."""
@@ -269,6 +241,15 @@
                 ttl_s=4 * watch.row.window_s,
             )
 
+    def _is_judgement_due(self, watch: AttemptWatch) -> bool:
+        """Pace what a large fleet's evidence costs; own faults are judged at once."""
+        route, now = watch.row.route, self._timers.now()
+        pause_s = JUDGE_SHARE * watch.row.window_s
+        if now - self._judged.get(route, float("-inf")) < pause_s:
+            return False
+        self._judged[route] = now
+        return True
+
     def _judge_soon(self, watch: AttemptWatch) -> None:
         """Judge once for all faults that come together."""
         route = watch.row.route
@@ -346,7 +327,7 @@
         self._metrics.disputed.labels(row.route).set(0)
         self._metrics.share.labels(row.route, row.new).set(row.share)
         if not row.is_running:
-            for state in (self._watches, self._shares, self._published):
+            for state in (self._watches, self._shares, self._published, self._judged):
                 state.pop(row.route, None)
             self._metrics.outcomes.labels(row.route, row.state.value).inc()
             return
@@ -357,7 +338,7 @@
             watch.follow(row)
         share = self._shares.get(row.route)
         if share is None or not share.is_of(row):
-            self._shares[row.route] = _Share(row, self._board.own)
+            self._shares[row.route] = Share(row, self._board.own)
 
     def _record_stops(self) -> None:
         for key, stopped in list(self._unrecorded.items()):
@@ -381,11 +362,6 @@
         self.ledger.refresh()
 
 
-def _draw(text: str) -> float:
-    """Return a number from 0 to 1 that depends on a text."""
-    return xxhash.xxh64_intdigest(text.encode()) / 2**64
-
-
 def _commonest_version(pool: Pool | None) -> Version | None:
     counts: dict[Version, int] = {}
     for upstream in pool.upstreams if pool else ():
