Let the test of priorities wait for its queue

On a busy machine the first run had ended before the others were queued, so that there was nothing to order: one failure in a run beside others at a load of 24. The slot is now held until both wait, and the same order is asked for.

--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -117,20 +117,22 @@
         self.until(lambda: self.batcher.counts["generated"] == 50)
 
     def test_lower_priority_number_goes_first(self):
-        self.start(max_batch=1, token_interval_s=0.005)
+        self.start(max_batch=1)
         ended = []
 
         def ask(name, priority):
             self.complete(name, 2, priority=priority)
             ended.append(name)
 
-        names = [("first", 0), ("late", 5), ("urgent", 1)]
-        for number, (name, priority) in enumerate(names):
+        body = {"model": "v1", "prompt": "p", "max_tokens": 900, "stream": True}
+        first = self.post("/v1/completions", **body)
+        for number, (name, priority) in enumerate([("late", 5), ("urgent", 1)]):
             eventlet.spawn_n(ask, name, priority)
             queued = number + 1
-            self.until(lambda n=queued: self.batcher.counts["prompt"] == n)
-        self.until(lambda: len(ended) == 3)
-        self.assertEqual(ended, ["first", "urgent", "late"])
+            self.until(lambda n=queued: len(self.batcher.waiting) == n)
+        first.close()
+        self.until(lambda: len(ended) == 2)
+        self.assertEqual(ended, ["urgent", "late"])
 
     def test_cache_counts_hits_and_publishes_its_blocks(self):
         self.start()
