Order log messages causally and merge them into a time line

Logs of several routers could be joined by wall time alone, which machines with skewed clocks get wrong. Each message now carries its number in its process and a hybrid logical clock, which also travels on peer frames; routers of an older version leave the field out and ignore it. A plain Lamport counter was ruled out: a restarted router would count from one and stand before everything. Modules that wrote through eliot directly now use PartLog.

--- a/boragedeck/cli/commands.py
+++ b/boragedeck/cli/commands.py
@@ -6,6 +6,7 @@
 
 import boragedeck
 from boragedeck.cli import keys, quarantine, rollouts, status, tables
+from boragedeck.cli.timeline import timeline
 
 __all__ = ["app"]
 
@@ -49,4 +50,5 @@
 app.command("status")(status.status)
 app.command("quarantine")(quarantine.quarantine)
 app.command("hash-key")(keys.hash_key)
+app.command("timeline")(timeline)
 app.add_typer(rollouts.app, name="rollouts")
--- /dev/null
+++ b/boragedeck/cli/timeline.py
@@ -0,0 +1,95 @@
+"""Command that merges the logs of several processes into one time line."""
+
+import datetime
+import math
+import pathlib
+import sys
+from typing import Annotated
+
+import typer
+
+from boragedeck.cli.access import OutputOption
+from boragedeck.cli.console import Console, ExitCode, Output
+from boragedeck.process.timeline import Timeline, Wanted, merge, read_events
+from boragedeck.process.timeline_views import html_page, text_lines
+
+__all__ = ["timeline"]
+
+DEFAULT_LIMIT = 10_000
+
+
+def timeline(
+    files: Annotated[
+        list[pathlib.Path],
+        typer.Argument(metavar="FILE...", help="Log files of the processes."),
+    ],
+    request: Annotated[
+        str, typer.Option(help="Only events of the request with this id.")
+    ] = "",
+    rollout: Annotated[
+        str, typer.Option(help="Only events of this route's rollouts, or of ROUTE/N.")
+    ] = "",
+    since: Annotated[
+        str, typer.Option(help="Only events since this time (ISO 8601, UTC).")
+    ] = "",
+    html: Annotated[
+        pathlib.Path | None, typer.Option(help="Write an HTML page to this file.")
+    ] = None,
+    limit: Annotated[
+        int, typer.Option(min=1, help="Show at most so many events, the latest.")
+    ] = DEFAULT_LIMIT,
+    output: OutputOption = Output.TABLE,
+) -> None:
+    """Show what all processes logged, causes before effects."""
+    console = Console(output)
+    wanted = Wanted(request, rollout, _since(console, since))
+    merged = _merge(console, files, wanted, limit)
+    console.json(merged)
+    _note(console, merged)
+    if html is not None:
+        _write_page(console, html, merged, request or rollout or "all events")
+    else:
+        for line in text_lines(merged):
+            console.text(line)
+    if not merged.events:
+        sys.stdout.flush()
+        console.note("boragedeck: no event matches")
+        raise typer.Exit(ExitCode.FAILED)
+
+
+def _since(console: Console, text: str) -> float:
+    if not text:
+        return -math.inf
+    try:
+        when = datetime.datetime.fromisoformat(text)
+    except ValueError as exc:
+        console.fail(ExitCode.USAGE, f"--since: {exc}")
+    if when.tzinfo is None:
+        when = when.replace(tzinfo=datetime.UTC)
+    return when.timestamp()
+
+
+def _merge(
+    console: Console, files: list[pathlib.Path], wanted: Wanted, limit: int
+) -> Timeline:
+    try:
+        return merge(map(read_events, files), wanted, limit=limit)
+    except OSError as exc:
+        console.fail(ExitCode.USAGE, f"can't read {exc.filename}: {exc.strerror}")
+
+
+def _note(console: Console, merged: Timeline) -> None:
+    if merged.skipped:
+        console.note(f"{merged.skipped} lines skipped: torn or no JSON object")
+    if merged.omitted:
+        console.note(f"{merged.omitted} earlier events omitted, see --limit")
+
+
+def _write_page(
+    console: Console, path: pathlib.Path, merged: Timeline, what: str
+) -> None:
+    try:
+        path.write_text(html_page(merged, f"Time line: {what}"), encoding="utf-8")
+    except OSError as exc:
+        console.fail(ExitCode.FAILED, f"can't write {path}: {exc.strerror}")
+    console.text(f"wrote {path} ({len(merged.events)} events)")
--- a/boragedeck/connection/messages.py
+++ b/boragedeck/connection/messages.py
@@ -95,8 +95,11 @@
         Whether this is an answer.
     body : msgspec.Raw
         The message.
+    clock : int
+        The sender's `CausalClock` value; 0 where it has none.
     """
 
     number: int
     is_answer: bool
     body: msgspec.Raw
+    clock: int = 0
--- a/boragedeck/connection/peer.py
+++ b/boragedeck/connection/peer.py
@@ -23,6 +23,7 @@
     PeerRefusedError,
     PeerUnreachableError,
 )
+from boragedeck.process.causal_clock import process_clock
 from boragedeck.process.timers import TimerService
 
 __all__ = ["Address", "PeerLink", "PeerLinks", "PeerServer"]
@@ -306,14 +307,16 @@
     body = file.read(size)
     if len(body) < size:
         return None
-    return msgspec.msgpack.decode(body, type=Frame)
+    frame = msgspec.msgpack.decode(body, type=Frame)
+    process_clock.observe(frame.clock)
+    return frame
 
 
 def _write_frame(
     sock: socket.socket, number: int, is_answer: bool, message: Message
 ) -> None:
     raw = msgspec.Raw(msgspec.msgpack.encode(message))
-    body = msgspec.msgpack.encode(Frame(number, is_answer, raw))
+    body = msgspec.msgpack.encode(Frame(number, is_answer, raw, process_clock.value))
     sock.sendall(len(body).to_bytes(HEADER_BYTES, "big") + body)
 
 
--- a/boragedeck/process/answer_service.py
+++ b/boragedeck/process/answer_service.py
@@ -152,7 +152,7 @@
             return found
         match found.ok():
             case Local(answer):
-                answer.end_with(Finish("cancelled"))
+                _cancel(answer)
             case Remote(address):
                 result = self._links.link(address).call(
                     CancelAnswer(key), Accepted, timeout_s=PEER_TIMEOUT_S
@@ -252,8 +252,8 @@
 
     def _start(self, key: AnswerKey, spec: AnswerSpec, epoch: Epoch) -> Answer:
         answer = Answer(key, spec, None, [epoch])
+        _log.write("Started.", answer=str(key), route=spec.route, epoch=epoch.number)
         self._run(answer)
-        _log.write("Started.", answer=str(key), route=spec.route)
         return answer
 
     def _take_over(self, image: CopyImage) -> Answer:
@@ -266,6 +266,12 @@
             list(image.chunks),
         )
         self._parts.metrics.takeovers.labels("owner_lost").inc()
+        _log.write(
+            "Took over.",
+            answer=str(image.key),
+            epoch=answer.epoch.number,
+            position=answer.end,
+        )
         self._run(answer)
         return answer
 
@@ -283,12 +289,7 @@
         finally:
             self._answers.end(answer)
             self._parts.journal.forget(answer)
-            _log.write(
-                "Ended.",
-                answer=str(answer.key),
-                reason=answer.finish.reason if answer.finish else "superseded",
-                tokens=answer.end,
-            )
+            _log_end(answer)
 
     def _on_find(self, message: FindAnswer) -> Message:
         answer = self._answers.get(message.key)
@@ -320,7 +321,7 @@
         answer = self._answers.get(message.key)
         if answer is None:
             raise PeerRefusedError("not the owner", step="cancel answer")
-        answer.end_with(Finish("cancelled"))
+        _cancel(answer)
         return Accepted()
 
     def _on_hand_over(self, message: HandOver) -> Accepted:
@@ -340,10 +341,28 @@
             HandOver(answer.key, answer.epoch), Accepted, timeout_s=PEER_TIMEOUT_S
         )
         if result.is_ok():
+            _log.write("Handed over.", answer=str(answer.key), peer=str(holder))
             answer.supersede()
         return result.is_ok()
 
 
+def _cancel(answer: Answer) -> None:
+    _log.write("Cancel asked.", answer=str(answer.key), position=answer.end)
+    answer.end_with(Finish("cancelled"))
+
+
+def _log_end(answer: Answer) -> None:
+    finish = answer.finish
+    error = finish.error if finish is not None else None
+    _log.write(
+        "Ended.",
+        answer=str(answer.key),
+        reason=finish.reason if finish is not None else "superseded",
+        code=error.code if error is not None else None,
+        tokens=answer.end,
+    )
+
+
 def _failed_epoch(source: Source) -> Epoch | None:
     match source:
         case Local(answer):
--- a/boragedeck/process/daemon.py
+++ b/boragedeck/process/daemon.py
@@ -13,7 +13,7 @@
 from eventlet.event import Event
 
 from boragedeck.process.composition import Router
-from boragedeck.process.logs import PartLog, open_log
+from boragedeck.process.logs import PartLog, name_process, open_log
 from boragedeck.process.settings import parse_settings
 
 __all__ = ["Ready", "main"]
@@ -68,13 +68,14 @@
     except OSError as exc:
         print(f"boragedeckd: can't listen: {exc}", file=sys.stderr)
         sys.exit(EXIT_FAILED)
+    name_process(router.own.router)
     router.start()
     print(msgspec.json.encode(_ready(router)).decode(), flush=True)
-    _log.write("Serving.", router=router.own.router)
+    _log.write("Serving.")
     stop.wait()
-    _log.write("Stopping.", router=router.own.router)
+    _log.write("Stopping.")
     router.drain()
-    _log.write("Stopped.", router=router.own.router)
+    _log.write("Stopped.")
     # Connections that still stand must not hold the process.
     sys.stdout.flush()
     os._exit(0)
--- a/boragedeck/process/gossip.py
+++ b/boragedeck/process/gossip.py
@@ -9,7 +9,6 @@
 import random
 from collections.abc import Callable, Iterable
 
-import eliot
 import eventlet
 import msgspec
 
@@ -28,6 +27,7 @@
     FactWanted,
     is_urgent,
 )
+from boragedeck.process.logs import PartLog
 from boragedeck.process.timers import TimerService
 
 __all__ = ["GossipBoard"]
@@ -59,6 +59,9 @@
 """Of facts that aren't urgent, the lower rank goes first."""
 
 
+_log = PartLog("gossip")
+
+
 class _Outgoing(msgspec.Struct):
     """A fact that is still to be offered some times; lower ranks go first."""
 
@@ -281,10 +284,8 @@
             try:
                 callback(fact)
             except Exception as exc:
-                eliot.log_message(
-                    "gossip: subscriber failed",
-                    topic=fact.topic.value,
-                    error=repr(exc),
+                _log.write(
+                    "Subscriber failed.", topic=fact.topic.value, error=repr(exc)
                 )
 
 
--- a/boragedeck/process/journal.py
+++ b/boragedeck/process/journal.py
@@ -156,6 +156,11 @@
             self._move(answer)
 
     def _move(self, answer: Answer) -> None:
+        _log.write(
+            "Copy needs another holder.",
+            answer=str(answer.key),
+            peer=str(answer.copy.holder),
+        )
         answer.copy.holder = None
         answer.copy.is_stored = False
         if answer.state is not AnswerState.SUPERSEDED:
@@ -248,6 +253,13 @@
         copying = answer.copy
         start = sent.start if isinstance(sent, CopyItem) else 0
         copying.chunks = start + len(sent.chunks)
+        if not copying.is_stored:
+            _log.write(
+                "Copied.",
+                answer=str(answer.key),
+                peer=str(self._address),
+                position=answer.chunks[copying.chunks - 1].end if sent.chunks else 0,
+            )
         copying.is_stored = True
         copying.has_prompt = copying.has_prompt or sent.prompt_ids is not None
         if sent.upstream_url is not None:
--- a/boragedeck/process/logs.py
+++ b/boragedeck/process/logs.py
@@ -1,11 +1,16 @@
 """Structured logs through eliot: short sentences with a prefix per part."""
 
+import itertools
 import sys
 from typing import IO, Any
 
 import eliot
 
-__all__ = ["PartLog", "open_log"]
+from boragedeck.process.causal_clock import process_clock
+
+__all__ = ["PartLog", "name_process", "open_log"]
+
+_numbers = itertools.count(1)
 
 
 class PartLog:
@@ -15,6 +20,11 @@
     ----------
     prefix : str
         Stands before each sentence, such as ``"answer"``.
+
+    Notes
+    -----
+    Each message carries `seq`, its number in this process, and `clock`, its value on
+    the process's `CausalClock`; by both the time line merges processes.
     """
 
     def __init__(self, prefix: str):
@@ -28,10 +38,16 @@
         text : str
             A short sentence.
         **fields
-            Values for programs; ids as strings, never secrets.
+            Values for programs; ids as strings, never tokens or secrets. A message
+            about a request has its id in `answer` or `request`, one about a rollout
+            in `rollout`, one about a run on an engine its `X-Request-Id` in `run`.
         """
         eliot.log_message(
-            message_type=self._prefix, text=f"{self._prefix}: {text}", **fields
+            message_type=self._prefix,
+            text=f"{self._prefix}: {text}",
+            seq=next(_numbers),
+            clock=process_clock.tick(),
+            **fields,
         )
 
 
@@ -43,7 +59,7 @@
     path : str or None
         The file to append to; None for standard error.
     **common
-        Fields that every message carries, such as the router's id.
+        Fields that every message carries, such as the process id.
 
     Raises
     ------
@@ -53,3 +69,14 @@
     file: IO[str] = sys.stderr if path is None else open(path, "a", buffering=1)
     eliot.add_global_fields(**common)
     eliot.to_file(file)
+
+
+def name_process(router: str) -> None:
+    """Put the router's id on every message from now on.
+
+    Parameters
+    ----------
+    router : str
+        The id of this run of the router.
+    """
+    eliot.add_global_fields(router=router)
--- a/boragedeck/process/member_table.py
+++ b/boragedeck/process/member_table.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import Callable
 
-import eliot
 import eventlet
 import msgspec
 
@@ -13,6 +12,7 @@
 from boragedeck.connection.store import Delete, Put, Row, Table, Vm
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
+from boragedeck.process.logs import PartLog
 from boragedeck.process.member_row import MemberRow
 from boragedeck.process.timers import TimerService
 
@@ -34,6 +34,9 @@
 MAX_DELETES_PER_SCAN = 8
 
 
+_log = PartLog("membership")
+
+
 class _Unchanged(msgspec.Struct, frozen=True):
     """Since when a row has had its version, by this router's clock."""
 
@@ -179,7 +182,7 @@
         try:
             step()
         except Exception as exc:
-            eliot.log_message("membership: step failed", error=repr(exc))
+            _log.write("Step failed.", error=repr(exc))
         spread = self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
         again = functools.partial(self._step, step, interval_s)
         self._timers.call_later(interval_s() * spread, again)
--- a/boragedeck/process/membership.py
+++ b/boragedeck/process/membership.py
@@ -7,7 +7,6 @@
 import random
 from collections.abc import Sequence
 
-import eliot
 import eventlet
 import msgspec
 
@@ -20,6 +19,7 @@
 from boragedeck.process.gossip import GossipBoard
 from boragedeck.process.gossip_messages import SUSPICION_PREFIX
 from boragedeck.process.heartbeats import Heartbeats, Sign
+from boragedeck.process.logs import PartLog
 from boragedeck.process.member_table import MemberTable, MemberWatcher
 from boragedeck.process.member_view import DEAD_AFTER_S, MemberView
 from boragedeck.process.timers import TimerService
@@ -38,6 +38,9 @@
 VM_PREFIX = "vm/"
 
 
+_log = PartLog("membership")
+
+
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
     """Says that nobody reaches a router since its statement of some number."""
 
@@ -162,7 +165,7 @@
         if now - self._stated >= self._statement_interval_s():
             self._state()
         for member in self._view.bury_silent(self._silent_limit_s()):
-            eliot.log_message("membership: router lost", peer=str(member.address))
+            _log.write("Router lost.", peer=str(member.address), lost=member.router)
             if not self._view.is_in_use(member.address):
                 self._links.forget(member.address)
         self._view.leaving_vms = self._leaving_vms()
--- /dev/null
+++ b/boragedeck/process/timeline.py
@@ -0,0 +1,251 @@
+"""Time line: merges the log files of several processes in causal order.
+
+See Also
+--------
+boragedeck.process.logs : Writes the files.
+boragedeck.process.causal_clock : What the order rests on.
+"""
+
+import heapq
+import math
+import os
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+
+from boragedeck.process.causal_clock import MAX_CLOCK, MICROSECONDS_PER_S
+
+__all__ = ["Event", "Timeline", "Wanted", "merge", "read_events"]
+
+MAX_LINE_BYTES = 1024 * 1024
+"""A longer line is skipped, so that a file without line ends can't fill the memory."""
+MAX_RUN_ID_HEAD = 64
+"""How much of an answer's id a run's id begins with."""
+MAX_SAFE_TIME_S = MAX_CLOCK // MICROSECONDS_PER_S
+
+Scalar = str | int | float | bool | None
+
+
+class Event(msgspec.Struct, frozen=True):
+    """One message of one process.
+
+    Parameters
+    ----------
+    clock : int
+        Its value on the causal clock, in microseconds; from its wall time where the
+        message has none.
+    process : str
+        The router's id, or else what tells its process apart.
+    seq : int
+        Its number in its process; 0 where it has none.
+    at : float
+        Wall time of its process, in Unix seconds.
+    text : str
+        The sentence.
+    fields : dict
+        The whole message as it was written.
+    """
+
+    clock: int
+    process: str
+    seq: int
+    at: float
+    text: str
+    fields: dict[str, Any]
+
+    def order(self) -> tuple[int, str, int, float]:
+        """Return what events are sorted by; wall time decides last."""
+        return self.clock, self.process, self.seq, self.at
+
+
+class Wanted(msgspec.Struct, frozen=True):
+    """Which events to show.
+
+    Parameters
+    ----------
+    request : str
+        A request's id, with or without its organisation and a slash; empty for any.
+    rollout : str
+        A route, or a route and number such as ``"orders/3"``; empty for any.
+    since : float
+        Unix seconds; earlier events are left out.
+    """
+
+    request: str = ""
+    rollout: str = ""
+    since: float = -math.inf
+
+    def matches(self, event: Event) -> bool:
+        """Return whether an event is to be shown."""
+        if event.at < self.since:
+            return False
+        if not self.request and not self.rollout:
+            return True
+        return self._is_of_request(event) or self._is_of_rollout(event)
+
+    def _is_of_request(self, event: Event) -> bool:
+        if not self.request:
+            return False
+        for name in ("answer", "request"):
+            value = event.fields.get(name)
+            if isinstance(value, str) and _names(value, self.request):
+                return True
+        run = event.fields.get("run")
+        answer_id = self.request.partition("/")[2] or self.request
+        head = answer_id[:MAX_RUN_ID_HEAD] + "-"
+        # A run's id is the answer's and a random part without a hyphen.
+        is_run = isinstance(run, str) and run.startswith(head)
+        return is_run and "-" not in run[len(head) :] and "answer" not in event.fields
+
+    def _is_of_rollout(self, event: Event) -> bool:
+        value = event.fields.get("rollout")
+        if not self.rollout or not isinstance(value, str):
+            return False
+        return value == self.rollout or value.rpartition("/")[0] == self.rollout
+
+
+class Timeline(msgspec.Struct, frozen=True):
+    """Events of all processes in causal order.
+
+    Parameters
+    ----------
+    events : list of Event
+        The events, causes first.
+    skipped : int
+        Lines that are no message: torn, too long, or not JSON objects.
+    omitted : int
+        Earlier events that matched but are over the limit.
+    """
+
+    events: list[Event]
+    skipped: int
+    omitted: int
+
+    def processes(self) -> list[str]:
+        """Return the processes, by their first event."""
+        return list(dict.fromkeys(event.process for event in self.events))
+
+
+def read_events(path: str | os.PathLike[str]) -> Iterator[Event | None]:
+    """Read a log file line by line.
+
+    Parameters
+    ----------
+    path : str or path
+        A file of JSON lines.
+
+    Yields
+    ------
+    Event or None
+        None for a line that is no message.
+
+    Raises
+    ------
+    OSError
+        Where the file can't be read.
+    """
+    source = os.path.basename(os.fspath(path))
+    with open(path, "rb") as file:
+        while line := file.readline(MAX_LINE_BYTES):
+            if len(line) == MAX_LINE_BYTES and not line.endswith(b"\n"):
+                _skip_line(file)
+                yield None
+            elif line.strip():
+                yield _event(line, source)
+
+
+def merge(
+    sources: Iterable[Iterable[Event | None]], wanted: Wanted, *, limit: int
+) -> Timeline:
+    """Merge messages of several processes.
+
+    Parameters
+    ----------
+    sources : iterable of iterable of Event or None
+        The messages of each file; None counts as skipped.
+    wanted : Wanted
+        Which of them to keep.
+    limit : int
+        How many events to keep at most, the latest in causal order; bounds memory.
+
+    Notes
+    -----
+    Files are not taken to be in order: a restarted process appends to the file of
+    the one before, whose clock may have been ahead.
+    """
+    kept: list[tuple[tuple, int, Event]] = []
+    skipped = omitted = number = 0
+    for source in sources:
+        for event in source:
+            if event is None:
+                skipped += 1
+                continue
+            if not wanted.matches(event):
+                continue
+            number += 1
+            entry = (event.order(), number, event)
+            if len(kept) < limit:
+                heapq.heappush(kept, entry)
+            else:
+                heapq.heappushpop(kept, entry)
+                omitted += 1
+    return Timeline([event for _, _, event in sorted(kept)], skipped, omitted)
+
+
+def _names(value: str, wanted: str) -> bool:
+    return value == wanted or value.partition("/")[2] == wanted
+
+
+def _skip_line(file: Any) -> None:
+    while part := file.readline(MAX_LINE_BYTES):
+        if part.endswith(b"\n"):
+            return
+
+
+def _event(line: bytes, source: str) -> Event | None:
+    try:
+        fields = msgspec.json.decode(line)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+    if not isinstance(fields, dict):
+        return None
+    at = _time(fields.get("timestamp"))
+    clock = fields.get("clock")
+    if not _is_count(clock) or clock == 0:
+        clock = int(at * MICROSECONDS_PER_S)
+    seq = fields.get("seq")
+    return Event(
+        clock=clock,
+        process=_process(fields, source),
+        seq=seq if _is_count(seq) else 0,
+        at=at,
+        text=_text(fields),
+        fields=fields,
+    )
+
+
+def _time(value: Any) -> float:
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    return float(value) if is_number and 0 <= value <= MAX_SAFE_TIME_S else 0.0
+
+
+def _is_count(value: Any) -> bool:
+    is_int = isinstance(value, int) and not isinstance(value, bool)
+    return is_int and 0 <= value <= MAX_CLOCK
+
+
+def _process(fields: dict[str, Any], source: str) -> str:
+    router = fields.get("router")
+    if isinstance(router, str) and router:
+        return router
+    pid = fields.get("pid")
+    return f"{source}:{pid}" if _is_count(pid) else source
+
+
+def _text(fields: dict[str, Any]) -> str:
+    for name in ("text", "message_type", "message", "action_type"):
+        value = fields.get(name)
+        if isinstance(value, str) and value:
+            return value
+    return ""
--- a/boragedeck/request/call.py
+++ b/boragedeck/request/call.py
@@ -72,7 +72,7 @@
             runner = self._repeatables if call.route.repeatable else self._commands
             answer = runner.run(call)
         except Exception as exc:
-            _log.write("Call failed.", error=repr(exc))
+            _log.write("Call failed.", request=call.name, error=repr(exc))
             return Err(call_errors.outcome_unknown())
         return answer.map(lambda response: _with_id(response, req.request_id))
 
@@ -119,6 +119,7 @@
             ),
             is_new_key=is_minted or req.is_first,
             deadline=deadline,
+            name=f"{req.organisation}/{req.request_id}",
         )
 
 
--- a/boragedeck/request/calls.py
+++ b/boragedeck/request/calls.py
@@ -93,6 +93,8 @@
         Whether no earlier request can have the key.
     deadline : float
         When its caller gets an answer at the latest, on the monotonic clock.
+    name : str
+        Organisation and request id, as logs give them.
     """
 
     key: CommandKey
@@ -102,6 +104,7 @@
     wanted: Wanted
     is_new_key: bool
     deadline: float
+    name: str = ""
 
 
 class _ErrorObject(msgspec.Struct, frozen=True):
--- a/boragedeck/request/command.py
+++ b/boragedeck/request/command.py
@@ -137,7 +137,7 @@
         try:
             answer = self._begin(call)
         except Exception as exc:
-            _log.write("Call failed.", error=repr(exc))
+            _log.write("Call failed.", request=call.name, error=repr(exc))
         finally:
             del self._running[call.key.row_key]
             run.done.send(answer)
@@ -147,10 +147,24 @@
         send_by = self._timers.now() + SEND_WITHIN_S
         match self._log.begin(call.key, deadline):
             case Ok(Started(attempt)):
+                _log.write(
+                    "Intent written.",
+                    request=call.name,
+                    route=call.route.name,
+                    attempt=attempt.row.attempt,
+                )
                 return self._send(call, attempt, min(call.deadline, send_by))
             case Ok(Found(row)):
+                _log.write(
+                    "Intent found.",
+                    request=call.name,
+                    attempt=row.attempt,
+                    state=row.state.value,
+                    owner=row.router,
+                )
                 return self._await_other(call, row)
-            case Err(_):
+            case Err(exc):
+                _log.write("Intent not written.", request=call.name, error=str(exc))
                 refusal = call_errors.store_down(self._breaker.retry_after_s())
                 return self._refuse_unsent(call, refusal)
 
@@ -162,6 +176,7 @@
             raise
         if connected.is_err():
             self._log.abandon(attempt)
+            _log.write("Not sent.", request=call.name, code=connected.err().code)
             return connected
         slot, conn = connected.ok()
         try:
@@ -199,6 +214,12 @@
         self, call: Call, attempt: Attempt, slot: Slot, conn: ServiceConnection
     ) -> Answer:
         remaining_s = call.deadline - self._timers.now()
+        _log.write(
+            "Sent.",
+            request=call.name,
+            attempt=attempt.row.attempt,
+            upstream=slot.upstream.name,
+        )
         exchanged = conn.exchange(call.request, remaining_s + LATE_ANSWER_S)
         match exchanged:
             case Ok(response):
@@ -207,11 +228,13 @@
                 headers = response_headers(response.headers)
                 response = msgspec.structs.replace(response, headers=headers)
                 self._log.finish(attempt, response)
+                _log.write("Answered.", request=call.name, status=response.status)
                 return Ok(CallResponse(response.status, headers, response.body))
             case Err(exc):
                 silent = isinstance(exc, UpstreamSilentError)
                 slot.finish(Outcome.SILENT if silent else Outcome.CRASHED)
                 self._log.lose(attempt)
+                _log.write("Outcome unknown.", request=call.name, error=str(exc))
                 return Err(call_errors.outcome_unknown(peer=exc.peer))
 
     def _await_other(self, call: Call, row: IntentRow) -> Answer:
@@ -260,6 +283,7 @@
         An earlier request with the same key may have run it, so that "did not
         run" takes either a new key or a look at the row.
         """
+        _log.write("Refused.", request=call.name, code=refusal.code)
         if call.is_new_key:
             return Err(call_errors.with_ran(refusal, Ran.NO))
         match self._read_soon(call.key.row_key):
--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -169,8 +169,13 @@
         return answer.end - answer.read_end >= WINDOW_TOKENS
 
     def _pause(self) -> None:
+        is_running = bool(self._attempts)
         self._stop_attempts(Outcome.CANCELLED)
         self._cause = Cause.PAUSED
+        if is_running:
+            _log.write(
+                "Paused.", answer=str(self._answer.key), position=self._answer.end
+            )
         unread = self._answer.end - self._answer.read_end
         if unread >= WINDOW_TOKENS // 2 and self._answer.is_running:
             left_s = self._answer.spec.deadline - self._timers.wall()
@@ -245,6 +250,14 @@
         self._ran = Ran.YES
         if self._answer.version is None:
             self._answer.version = upstream.version
+        _log.write(
+            "Run begins.",
+            answer=str(self._answer.key),
+            run=attempt.request.run_id,
+            upstream=upstream.name,
+            version=upstream.version,
+            position=attempt.start,
+        )
         self._parts.journal.set_upstream(self._answer, upstream.url)
         self._gaps.follow(self._parts.pulses.of(upstream.url))
         # From now on a silence counts.
@@ -268,6 +281,12 @@
             self._changed.notify()
 
     def _settle_race(self, winner: Attempt) -> None:
+        _log.write(
+            "Race settled.",
+            answer=str(self._answer.key),
+            run=winner.request.run_id,
+            upstream=winner.upstream,
+        )
         for loser in [a for a in self._attempts if a is not winner]:
             self._attempts.remove(loser)
             loser.stop(Outcome.SILENT)
@@ -287,6 +306,13 @@
             metrics.first_token_s.labels(route).observe(self._first_token_s)
         if self._lost_at is not None:
             metrics.resume_s.labels(self._cause.value).observe(now - self._lost_at)
+            _log.write(
+                "Goes on.",
+                answer=str(self._answer.key),
+                cause=self._cause.value,
+                after_s=round(now - self._lost_at, 3),
+                position=self._answer.end - count,
+            )
             self._lost_at = None
         self._gaps.note(now)
         self._failures = 0
@@ -324,7 +350,9 @@
         _log.write(
             "Stream is silent, starting a standby.",
             answer=str(self._answer.key),
+            run=silent.request.run_id,
             upstream=silent.upstream,
+            position=self._answer.end,
         )
         self._note_loss(Cause.SILENT)
         self._begin_attempt()
@@ -366,6 +394,7 @@
         _log.write(
             "Attempt failed.",
             answer=str(self._answer.key),
+            run=attempt.request.run_id,
             upstream=attempt.upstream,
             error=str(attempt.end.error),
             position=self._answer.end,
@@ -392,6 +421,12 @@
             self._parts.metrics.resumes.labels(route, cause.value).inc()
 
     def _fail(self, info: ErrorInfo) -> None:
+        _log.write(
+            "Given up.",
+            answer=str(self._answer.key),
+            code=info.code,
+            ran=info.ran.value,
+        )
         self._answer.end_with(Finish("error", info))
 
     def _stop_attempts(self, outcome: Outcome) -> None:
--- a/boragedeck/request/lookup.py
+++ b/boragedeck/request/lookup.py
@@ -191,7 +191,7 @@
         if image.finish is not None:
             return Ok(Stored(image))
         _log.write(
-            "Took an answer over.",
+            "Seized the copy.",
             answer=str(key),
             position=copy.found.end,
             owner=str(copy.found.owner),
--- a/boragedeck/request/repeatable.py
+++ b/boragedeck/request/repeatable.py
@@ -165,7 +165,7 @@
         try:
             answer = self._try_once(race)
         except Exception as exc:
-            _log.write("Call failed.", error=repr(exc))
+            _log.write("Call failed.", request=race.call.name, error=repr(exc))
         race.put(answer)
 
     def _try_once(self, race: _Race) -> Answer:
@@ -189,6 +189,7 @@
             slot.finish(Outcome.REFUSED)
             return Err(call_errors.unreachable(slot.upstream.name))
         race.may_have_run = True
+        _log.write("Sent.", request=race.call.name, upstream=slot.upstream.name)
         started = self._timers.now()
         remaining_s = race.call.deadline - started
         match connected.ok().exchange(race.call.request, remaining_s):
@@ -197,11 +198,13 @@
                 slot.finish(Outcome.FAILED if failed else Outcome.COMPLETED)
                 if not failed:
                     self._patience_of(race.call).observe(self._timers.now() - started)
+                _log.write("Answered.", request=race.call.name, status=response.status)
                 headers = response_headers(response.headers)
                 return Ok(CallResponse(response.status, headers, response.body))
             case Err(exc):
                 silent = isinstance(exc, UpstreamSilentError)
                 slot.finish(Outcome.SILENT if silent else Outcome.CRASHED)
+                _log.write("Try failed.", request=race.call.name, error=str(exc))
                 return Err(call_errors.no_outcome(exc.peer))
 
     def _patience_of(self, call: Call) -> _Patience:
@@ -219,5 +222,6 @@
 def _final(race: _Race, last: Answer) -> Answer:
     if last.is_ok():
         return last
+    _log.write("Refused.", request=race.call.name, code=last.err().code)
     ran = Ran.UNKNOWN if race.may_have_run else Ran.NO
     return Err(call_errors.with_ran(last.err(), ran))
--- a/boragedeck/version/rollout_follower.py
+++ b/boragedeck/version/rollout_follower.py
@@ -157,7 +157,7 @@
         )
         self._unrecorded[row.route, row.number] = stopped
         _log.write(
-            "Attempt stopped.", route=row.route, number=row.number, reason=reason
+            "Attempt stopped.", rollout=f"{row.route}/{row.number}", reason=reason
         )
         self._metrics.stops.labels(row.route).inc()
 
--- a/boragedeck/version/rollout_leader.py
+++ b/boragedeck/version/rollout_leader.py
@@ -308,8 +308,9 @@
         if result.is_ok():
             _log.write(
                 "Row committed.",
-                route=row.route,
-                number=row.number,
+                rollout=f"{row.route}/{row.number}",
+                step=row.step,
+                version=row.new,
                 state=row.state.value,
                 share=row.share,
                 reason=row.reason,
