--- a/boragedeck/process/timeline.py
+++ b/boragedeck/process/timeline.py
@@ -18,7 +18,7 @@
 
 __all__ = ["Event", "Timeline", "Wanted", "merge", "read_events"]
 
-MAX_LINE_BYTES = 1024 * 1024
+MAX_LINE_BYTES = 64 * 1024
 """A longer line is skipped, so that a file without line ends can't fill the memory."""
 MAX_RUN_ID_HEAD = 64
 """How much of an answer's id a run's id begins with."""
--- a/boragedeck/request/api.py
+++ b/boragedeck/request/api.py
@@ -159,6 +159,7 @@
         key = AnswerKey(organisation, _answer_id(caller_id))
         source = self._service.start(key, spec.ok(), is_keyed=caller_id is not None)
         if source.is_err():
+            _log_refusal(key, source.err())
             return source
         reader = AnswerReader(self._service, key, source.ok())
         return self._deliver(environ, reader, key, spec.ok().stream)
@@ -172,7 +173,10 @@
             return has
         source = self._service.find(key, has.ok())
         if source.is_err():
+            _log_refusal(key, source.err())
             return source
+        position = has.ok().position if has.ok() is not None else 0
+        _log.write("Reattached.", answer=str(key), position=position)
         reader = AnswerReader(self._service, key, source.ok(), has.ok())
         accepts = environ.get("HTTP_ACCEPT", "")
         wants_stream = "text/event-stream" in accepts or has.ok() is not None
@@ -197,6 +201,7 @@
         key = AnswerKey(self._organisation(environ), AnswerId(answer_id))
         result = self._service.cancel(key)
         if result.is_err():
+            _log_refusal(key, result.err())
             return result
         body = msgspec.json.encode({"id": answer_id, "cancelled": True})
         return Ok(Response(200, [JSON_TYPE], [body]))
@@ -221,6 +226,16 @@
         return route
 
 
+def _log_refusal(key: AnswerKey, error: RefusedError) -> None:
+    _log.write(
+        "Refused.",
+        answer=str(key),
+        step=error.step,
+        code=error.code,
+        ran=error.ran.value,
+    )
+
+
 def _answer_id(caller_id: str | None) -> AnswerId:
     if caller_id is None:
         return AnswerId(f"ans-{secrets.token_hex(12)}")
--- a/boragedeck/request/reader.py
+++ b/boragedeck/request/reader.py
@@ -88,6 +88,7 @@
         if found.is_err():
             return found
         self._move(found.ok())
+        _log.write("Reads on.", answer=str(self._key), position=self.position)
         return self.next_part(wait_s)
 
     def close(self) -> None:
--- a/scripts/fault_matrix.py
+++ b/scripts/fault_matrix.py
@@ -11,6 +11,7 @@
 import enum
 import http.client
 import json
+import pathlib
 import secrets
 import signal
 import sys
@@ -23,6 +24,8 @@
 import eventlet
 import msgspec
 
+from boragedeck.process.timeline import Wanted, merge, read_events
+from boragedeck.process.timeline_views import text_lines
 from boragedeck.version.tables import Config
 from scripts.caller import Caller, CallerError, Stream
 from scripts.local_cluster import ClusterOptions, LocalCluster, Process
@@ -37,6 +40,7 @@
 QUIET_S = 3.0
 """A caller takes a connection for dead when nothing has come for this time."""
 CELL_LIMIT_S = 40.0
+MAX_TIMELINE_EVENTS = 500
 RETRY_S = 0.1
 PAUSE_S = 2.5
 CURRENT_ENGINES = 4
@@ -98,6 +102,8 @@
         The error's code, or what was wrong.
     wait_s : float
         The longest wait between two events of the answer, in seconds.
+    answer_id : str
+        The answer's id.
     """
 
     fault: Fault
@@ -105,6 +111,7 @@
     outcome: Outcome
     detail: str
     wait_s: float
+    answer_id: str
 
 
 class RelayedCluster(LocalCluster):
@@ -430,7 +437,7 @@
     else:
         text = f"{caller.tokens} tokens, done={caller.is_done}, {caller.error}"
         outcome, detail = Outcome.RED, text
-    return Cell(fault, step, outcome, detail, caller.longest_s)
+    return Cell(fault, step, outcome, detail, caller.longest_s, caller.answer_id)
 
 
 def _running(engine: Process) -> float:
@@ -476,6 +483,8 @@
                 cell = matrix.run(fault, step)
                 cells.append(cell)
                 _print(cell)
+                if cell.outcome is Outcome.RED:
+                    _print_timeline(cell, matrix.cluster.log_dir)
     finally:
         matrix.stop()
     counts = collections.Counter(cell.outcome for cell in cells)
@@ -491,5 +500,12 @@
     )
 
 
+def _print_timeline(cell: Cell, log_dir: pathlib.Path) -> None:
+    sources = map(read_events, sorted(log_dir.glob("router-*.log")))
+    wanted = Wanted(request=cell.answer_id)
+    for line in text_lines(merge(sources, wanted, limit=MAX_TIMELINE_EVENTS)):
+        print(f"    {line}", flush=True)
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/tests/process/test_timeline.py
@@ -0,0 +1,205 @@
+import os
+import pathlib
+import tempfile
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragedeck.process.causal_clock import CausalClock
+from boragedeck.process.timeline import Wanted, merge, read_events
+from boragedeck.process.timeline_views import html_page, text_lines
+
+PROCESSES = 4
+SKEW_S = 3600.0
+LIMIT = 1000
+ANY = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+FIELDS = ("clock", "seq", "timestamp", "text", "router", "answer", "run", "pid")
+
+
+class World:
+    """Processes with wrong clocks that log and send each other messages."""
+
+    def __init__(self, skews):
+        self.now = 1_000_000.0
+        self.clocks = [CausalClock(lambda skew=skew: self.now + skew) for skew in skews]
+        self.skews = skews
+        self.pasts = [set() for _ in skews]
+        self.in_flight = []
+        self.logs = [[] for _ in skews]
+        self.causes = {}
+
+    def log(self, process):
+        number = len(self.causes)
+        self.causes[number] = set(self.pasts[process])
+        self.pasts[process].add(number)
+        message = {
+            "text": f"event {number}",
+            "number": number,
+            "router": f"r{process}",
+            "clock": self.clocks[process].tick(),
+            "seq": len(self.logs[process]) + 1,
+            "timestamp": self.now + self.skews[process],
+        }
+        self.logs[process].append(msgspec.json.encode(message) + b"\n")
+
+    def send(self, process):
+        past = set(self.pasts[process])
+        self.in_flight.append((self.clocks[process].value, past))
+
+    def receive(self, process, which):
+        if self.in_flight:
+            value, past = self.in_flight.pop(which % len(self.in_flight))
+            self.clocks[process].observe(value)
+            self.pasts[process] |= past
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["log", "send", "receive"]),
+        st.integers(0, PROCESSES - 1),
+        st.integers(0, 5),
+        st.floats(-2.0, 2.0),
+    ),
+    max_size=60,
+)
+SKEWS = st.lists(
+    st.floats(-SKEW_S, SKEW_S), min_size=PROCESSES, max_size=PROCESSES
+)  # fmt: skip
+
+
+def read_bytes(*contents):
+    with tempfile.TemporaryDirectory() as folder:
+        paths = [pathlib.Path(folder, f"{i}.log") for i in range(len(contents))]
+        for path, content in zip(paths, contents, strict=True):
+            path.write_bytes(content)
+        return merge(map(read_events, paths), Wanted(), limit=LIMIT)
+
+
+def lines(*messages):
+    return b"".join(msgspec.json.encode(message) + b"\n" for message in messages)
+
+
+def texts(timeline):
+    return [event.text for event in timeline.events]
+
+
+class CausalOrderTest(unittest.TestCase):
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(STEPS, SKEWS)
+    def test_causes_come_first_whatever_the_clocks_say(self, steps, skews):
+        world = World(skews)
+        for name, process, which, pause_s in steps:
+            world.now += pause_s
+            match name:
+                case "log":
+                    world.log(process)
+                case "send":
+                    world.send(process)
+                case "receive":
+                    world.receive(process, which)
+        merged = read_bytes(*(b"".join(log) for log in world.logs))
+        order = [event.fields["number"] for event in merged.events]
+        self.assertEqual(sorted(order), sorted(world.causes))
+        for i, number in enumerate(order):
+            self.assertLessEqual(world.causes[number], set(order[:i]))
+
+    def test_restart_with_a_clock_behind_in_the_same_file(self):
+        merged = read_bytes(
+            lines({"text": "old", "clock": 900}, {"text": "new", "clock": 100}),
+            lines({"text": "peer", "clock": 500}),
+        )
+        self.assertEqual(texts(merged), ["new", "peer", "old"])
+
+    def test_message_without_a_clock_stands_by_its_wall_time(self):
+        merged = read_bytes(
+            lines({"text": "router", "clock": 2_000_000}),
+            lines({"text": "engine", "timestamp": 1.5}),
+        )
+        self.assertEqual(texts(merged), ["engine", "router"])
+
+
+class AnyBytesTest(unittest.TestCase):
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(st.binary(max_size=400))
+    def test_any_bytes(self, content):
+        self.show(read_bytes(content))
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(st.lists(st.dictionaries(st.sampled_from(FIELDS), ANY), max_size=4))
+    def test_any_values(self, messages):
+        merged = read_bytes(lines(*messages))
+        self.assertEqual(len(merged.events) + merged.skipped, len(messages))
+        self.show(merged)
+
+    def test_torn_last_line_is_skipped(self):
+        merged = read_bytes(lines({"text": "whole", "clock": 1}) + b'{"text": "to')
+        self.assertEqual((texts(merged), merged.skipped), (["whole"], 1))
+
+    def test_deep_and_endless_lines_are_skipped(self):
+        deep = b"[" * 500_000 + b"\n"
+        endless = b"x" * (3 * 1024 * 1024) + b"\n"
+        merged = read_bytes(deep + endless + lines({"text": "after"}))
+        self.assertEqual((texts(merged), merged.skipped), (["after"], 2))
+
+    def show(self, merged):
+        for line in text_lines(merged):
+            self.assertTrue(line.isprintable())
+        page = html_page(merged, "any")
+        page.encode()
+        msgspec.json.encode(merged)
+        self.assertNotIn("<script", page)
+
+
+class WantedTest(unittest.TestCase):
+    MESSAGES = (
+        {"text": "answer", "answer": "org/a-1", "clock": 1, "timestamp": 1.0},
+        {"text": "other", "answer": "org/a-10", "clock": 2, "timestamp": 2.0},
+        {"text": "call", "request": "org/a-1", "clock": 3, "timestamp": 3.0},
+        {"text": "engine", "run": "a-1-0f3c", "clock": 4, "timestamp": 4.0},
+        {"text": "other run", "run": "a-1-2-0f3c", "clock": 5, "timestamp": 5.0},
+        {"text": "rollout", "rollout": "orders/3", "clock": 6, "timestamp": 6.0},
+    )
+
+    def shown(self, **wanted):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "log")
+            pathlib.Path(path).write_bytes(lines(*self.MESSAGES))
+            return texts(merge([read_events(path)], Wanted(**wanted), limit=LIMIT))
+
+    def test_request_with_its_engine_runs(self):
+        expected = ["answer", "call", "engine"]
+        self.assertEqual(self.shown(request="a-1"), expected)
+        self.assertEqual(self.shown(request="org/a-1"), expected)
+        self.assertEqual(self.shown(request="other/a-1"), ["engine"])
+
+    def test_rollout_by_route_and_number(self):
+        self.assertEqual(self.shown(rollout="orders"), ["rollout"])
+        self.assertEqual(self.shown(rollout="orders/3"), ["rollout"])
+        self.assertEqual(self.shown(rollout="orders/4"), [])
+
+    def test_since(self):
+        self.assertEqual(self.shown(since=6.0), ["rollout"])
+
+    def test_latest_are_kept_within_the_limit(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "log")
+            path.write_bytes(lines(*self.MESSAGES))
+            merged = merge([read_events(path)], Wanted(), limit=2)
+        self.assertEqual(texts(merged), ["other run", "rollout"])
+        self.assertEqual(merged.omitted, 4)
+
+
+class PageTest(unittest.TestCase):
+    def test_values_are_escaped_and_nothing_is_loaded(self):
+        merged = read_bytes(
+            lines({"text": "<script>x</script>", "router": "<b>", "q": '"><img src=x>'})
+        )
+        page = html_page(merged, "<title>")
+        for text in ("<script", "<img", "<b>", "http://", "https://"):
+            self.assertNotIn(text, page)
