--- a/boragedeck/request/call.py
+++ b/boragedeck/request/call.py
@@ -74,6 +74,8 @@
         except Exception as exc:
             _log.write("Call failed.", request=call.name, error=repr(exc))
             return Err(call_errors.outcome_unknown())
+        if answer.is_err():
+            _log_refusal(call, answer.err())
         return answer.map(lambda response: _with_id(response, req.request_id))
 
     def running(self) -> int:
@@ -123,6 +125,16 @@
         )
 
 
+def _log_refusal(call: Call, error: RefusedError) -> None:
+    _log.write(
+        "Refused.",
+        request=call.name,
+        step=error.step,
+        code=error.code,
+        ran=error.ran.value,
+    )
+
+
 def _fingerprint(req: CallRequest, route: Route) -> str:
     """Return what identifies a request that crashes upstreams.
 
--- a/boragedeck/request/command.py
+++ b/boragedeck/request/command.py
@@ -283,7 +283,6 @@
         An earlier request with the same key may have run it, so that "did not
         run" takes either a new key or a look at the row.
         """
-        _log.write("Refused.", request=call.name, code=refusal.code)
         if call.is_new_key:
             return Err(call_errors.with_ran(refusal, Ran.NO))
         match self._read_soon(call.key.row_key):
--- a/boragedeck/request/repeatable.py
+++ b/boragedeck/request/repeatable.py
@@ -222,6 +222,5 @@
 def _final(race: _Race, last: Answer) -> Answer:
     if last.is_ok():
         return last
-    _log.write("Refused.", request=race.call.name, code=last.err().code)
     ran = Ran.UNKNOWN if race.may_have_run else Ran.NO
     return Err(call_errors.with_ran(last.err(), ran))
--- a/tests/connection/test_peer.py
+++ b/tests/connection/test_peer.py
@@ -1,10 +1,13 @@
 import unittest
 
 import eventlet
+import msgspec
+from eventlet.green import socket
 
-from boragedeck.connection.messages import Accepted, Message, Ping, Refused
+from boragedeck.connection.messages import Accepted, Frame, Message, Ping, Refused
 from boragedeck.connection.peer import Address, PeerLink, PeerServer
 from boragedeck.exceptions import PeerRefusedError, PeerUnreachableError
+from boragedeck.process.causal_clock import process_clock
 from boragedeck.process.timers import RealTimers
 
 
@@ -55,3 +58,18 @@
         self.link.close()
         self.assertIsInstance(waiting.wait().err(), PeerUnreachableError)
         self.assertTrue(self.link.call(Ping(), Accepted, timeout_s=5).is_ok())
+
+    def test_clock_of_a_frame_is_learnt_and_sent_back(self):
+        ahead = process_clock.tick() + 60_000_000
+        ping = msgspec.Raw(msgspec.msgpack.encode(Ping()))
+        body = msgspec.msgpack.encode(Frame(1, False, ping, ahead))
+        peer = socket.create_connection(
+            (self.link.address.host, self.link.address.port)
+        )
+        self.addCleanup(peer.close)
+        peer.sendall(len(body).to_bytes(4, "big") + body)
+        with peer.makefile("rb") as file:
+            size = int.from_bytes(file.read(4), "big")
+            answer = msgspec.msgpack.decode(file.read(size), type=Frame)
+        self.assertGreaterEqual(answer.clock, ahead)
+        self.assertGreater(process_clock.tick(), ahead)
--- /dev/null
+++ b/tests/process/test_logs.py
@@ -0,0 +1,22 @@
+import unittest
+
+import eliot
+
+from boragedeck.process.causal_clock import process_clock
+from boragedeck.process.logs import PartLog
+
+
+class PartLogTest(unittest.TestCase):
+    def test_messages_are_numbered_and_ordered(self):
+        messages = []
+        eliot.add_destinations(messages.append)
+        self.addCleanup(eliot.remove_destination, messages.append)
+        log = PartLog("part")
+        log.write("First.", answer="org/x")
+        seen = process_clock.value + 1_000_000
+        process_clock.observe(seen)
+        log.write("Second.")
+        first, second = messages
+        self.assertEqual((first["text"], first["answer"]), ("part: First.", "org/x"))
+        self.assertEqual(second["seq"], first["seq"] + 1)
+        self.assertGreater(second["clock"], seen)
