--- a/boragedeck/process/timeline_views.py
+++ b/boragedeck/process/timeline_views.py
@@ -107,7 +107,7 @@
     shown = (
         f"{_printable(name)}={_value(value)}"
         for name, value in event.fields.items()
-        if value is not None and name not in _HIDDEN_FIELDS
+        if value not in (None, "") and name not in _HIDDEN_FIELDS
     )
     return " ".join(shown)
 
--- a/boragedeck/request/command.py
+++ b/boragedeck/request/command.py
@@ -272,6 +272,7 @@
         if body.ok() is None:
             is_gone = body.is_ok()
             return Err(call_errors.outcome_kept_elsewhere(is_gone=is_gone))
+        _log.write("Replayed.", request=call.name, attempt=row.attempt)
         headers = (*row.response.headers, REPLAYED)
         return Ok(CallResponse(row.response.status, headers, body.ok()))
 
