Find an owner that holds no copy among dead routers

Cause: an answer is looked for on the eight routers that rank first for its id. Dead routers stay in the view as suspects for up to a minute and took those places; and where the holder of a finished answer had died, an owner that ranks low was never asked. Healthy routers now come first, and a caller who says that an answer exists has all routers asked, five times a second at most. The new test failed before and passes. A resume also no longer gives up after the time that a new request may queue.

--- a/boragedeck/process/answer_service.py
+++ b/boragedeck/process/answer_service.py
@@ -191,7 +191,7 @@
         self, key: AnswerKey, spec: AnswerSpec
     ) -> Result[Source, RefusedError]:
         number = 1
-        found = self._lookup.find(key, None)
+        found = self._lookup.find(key, None, is_wide=False)
         if found.is_ok():
             found = self._enter(found.ok(), None)
         else:
@@ -208,7 +208,7 @@
         until = self.timers.now() + CLAIM_WAIT_S
         owner = self._lookup.claim(key)
         while owner != self._membership.own.address:
-            found = self._lookup.find(key, None)
+            found = self._lookup.find(key, None, is_wide=False)
             if found.is_ok():
                 return self._enter(found.ok(), None)
             if self.timers.now() >= until:
--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -230,7 +230,8 @@
         answer = self._answer
         content = answer.spec.prompt.content
         left_s = answer.spec.deadline - self._timers.wall()
-        queue_s = min(route.limits.queue_s, left_s)
+        # What a caller has begun to read is worth waiting for.
+        queue_s = left_s if answer.chunks else min(route.limits.queue_s, left_s)
         busy = {a.upstream for a in self._attempts if a.upstream is not None}
         return Wanted(
             route=route,
--- a/boragedeck/request/lookup.py
+++ b/boragedeck/request/lookup.py
@@ -14,7 +14,7 @@
     PeerUnreachableError,
     RefusedError,
 )
-from boragedeck.ids import Ran
+from boragedeck.ids import Health, Ran
 from boragedeck.interfaces import Membership
 from boragedeck.process.answers import AnswerTable
 from boragedeck.process.copies import CopyStore
@@ -38,6 +38,9 @@
 
 FIND_FANOUT = 8
 """Routers that are asked for an answer, in the order of their rank."""
+MAX_ASKED_AT_ONCE = 32
+WIDE_INTERVAL_S = 0.2
+"""How often a router may ask all others for an answer."""
 FIND_TIMEOUT_S = 0.5
 SEIZE_TIMEOUT_S = 0.5
 CLAIM_TIMEOUT_S = 0.3
@@ -92,9 +95,10 @@
         self._membership = membership
         self._links = links
         self._timers = timers
+        self._widely_asked_at = float("-inf")
 
     def find(
-        self, key: AnswerKey, has: EventId | None
+        self, key: AnswerKey, has: EventId | None, *, is_wide: bool = True
     ) -> Result[Source | Takeover, RefusedError]:
         """Find an answer, or seize its copy where its owner is gone.
 
@@ -104,6 +108,9 @@
             Names the answer.
         has : EventId or None
             How far the caller has received it.
+        is_wide : bool
+            Whether to ask all routers where those that may hold a copy know
+            nothing; for callers who say that the answer exists.
 
         Returns
         -------
@@ -115,7 +122,7 @@
         answer = self._answers.get(key)
         if answer is not None:
             return Ok(Local(answer))
-        replies = self._ask(key)
+        replies = self._ask(key, is_wide)
         owner = _best([r for r in replies.found if r.found.is_owner])
         copy = _best([r for r in replies.found if not r.found.is_owner])
         if owner is not None and (copy is None or _order(owner) >= _order(copy)):
@@ -141,21 +148,42 @@
     def _ranked(self, key: AnswerKey) -> list[Address]:
         members = [self._membership.own, *self._membership.members()]
         ranked = rank(str(key), members, lambda member: str(member.router))
+        # Dead routers stay suspects for a while and must not take the places.
+        ranked.sort(key=lambda member: member.health is not Health.HEALTHY)
         return [member.address for member in ranked]
 
-    def _ask(self, key: AnswerKey) -> _Replies:
+    def _ask(self, key: AnswerKey, is_wide: bool) -> _Replies:
         own = self._membership.own.address
         replies = _Replies([], 0)
         found = self._copies.find(key)
         if found is not None:
             replies.found.append(_Reply(own, found))
-        others = [a for a in self._ranked(key) if a != own][:FIND_FANOUT]
-        pool = eventlet.GreenPool(FIND_FANOUT)
-        results = pool.imap(lambda address: self._ask_one(address, key), others)
-        for address, result in zip(others, results, strict=True):
-            _sort_reply(replies, address, result)
+        others = [address for address in self._ranked(key) if address != own]
+        self._ask_all(others[:FIND_FANOUT], key, replies)
+        rest = others[FIND_FANOUT:]
+        if is_wide and rest and not replies.found:
+            self._ask_widely(rest, key, replies)
         return replies
 
+    def _ask_widely(
+        self, addresses: list[Address], key: AnswerKey, replies: _Replies
+    ) -> None:
+        now = self._timers.now()
+        if now - self._widely_asked_at < WIDE_INTERVAL_S:
+            # Whoever asks again soon gets a search of its own.
+            replies.silent += 1
+            return
+        self._widely_asked_at = now
+        self._ask_all(addresses, key, replies)
+
+    def _ask_all(
+        self, addresses: list[Address], key: AnswerKey, replies: _Replies
+    ) -> None:
+        pool = eventlet.GreenPool(MAX_ASKED_AT_ONCE)
+        results = pool.imap(lambda address: self._ask_one(address, key), addresses)
+        for address, result in zip(addresses, results, strict=True):
+            _sort_reply(replies, address, result)
+
     def _ask_one(self, address: Address, key: AnswerKey) -> Result:
         return self._links.link(address).call(
             FindAnswer(key), Found | NotFound, timeout_s=FIND_TIMEOUT_S
--- a/tests/request/test_answer_path.py
+++ b/tests/request/test_answer_path.py
@@ -225,6 +225,23 @@
         self.read(late)
         self.assertEqual(late.text, caller.text)
 
+    def test_owner_is_found_though_it_holds_no_copy_and_many_are_dead(self):
+        cluster = FakeCluster(self.timers, self.engines, self.network, routers=24)
+        caller = FakeCaller(cluster, "k1", 20)
+        self.run_in_time(caller.start, cluster.routers[0])
+        self.read(caller)
+        holder = next(r for r in cluster.routers if len(r.copies))
+        others = [r for r in cluster.routers[1:] if r is not holder]
+        for router in [holder, *others[:10]]:
+            router.kill()
+        for router in others[10:]:
+            with self.subTest(router=router.own.router):
+                late = FakeCaller(cluster, "k1", 20)
+                self.run_in_time(late.reattach, router)
+                self.read(late)
+                self.assertEqual(late.text, caller.text)
+                self.timers.advance(1.0)
+
     def test_refused_request_says_that_it_did_not_run(self):
         for engine in self.engines.all:
             engine.set(is_dead=True)
