Admit routers by certificates or a shared secret, and bound what a peer takes

Links between routers admitted anyone. They now ask for mutual TLS, an HMAC challenge over both sides' nonces, or both, before a frame is decoded, within 2 s. With neither, only loopback is taken.

Found on the way, in the links: calls that shared a connection could interleave their bytes once a send was partial; a call to a peer that doesn't read ended at no deadline; a wrapped connection stayed in the server's set for ever; a handler's unexpected error left the caller waiting; a closed listener left its descriptor watched, so that the next user of the number failed; deep nesting ended the reader with a RecursionError. Frames are now written in turn and in bounded time, bytes of calls are counted for each address, and connections are bounded in number.

Ruled out: a MAC on each frame, which TLS makes needless.

--- /dev/null
+++ b/boragedeck/connection/frames.py
@@ -0,0 +1,141 @@
+"""Frames on a link between routers: a length, then MessagePack.
+
+See Also
+--------
+boragedeck.connection.messages : What the frames carry.
+"""
+
+import eventlet
+import msgspec
+from eventlet.green import socket
+
+from boragedeck.connection.messages import Frame, Message
+
+__all__ = [
+    "DECODE_ERRORS",
+    "MAX_FRAME_BYTES",
+    "FrameWriter",
+    "body_size",
+    "read_body",
+    "read_header",
+    "shut_down",
+    "wake_reader",
+]
+
+HEADER_BYTES = 4
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+BODY_TIMEOUT_S = 30.0
+"""So long a frame may take from its header to its last byte."""
+
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+"""What msgspec raises for bytes that make no sense, deep nesting among them."""
+
+
+class FrameWriter:
+    """Writes whole frames to a socket that many green threads share.
+
+    Parameters
+    ----------
+    sock : socket
+        An open connection.
+    """
+
+    def __init__(self, sock: socket.socket):
+        self._sock = sock
+        self._turn = eventlet.Semaphore(1)
+
+    def write(
+        self, number: int, is_answer: bool, message: Message, *, timeout_s: float
+    ) -> None:
+        """Send a frame.
+
+        Parameters
+        ----------
+        number : int
+            Pairs an answer with its call.
+        is_answer : bool
+            Whether this is an answer.
+        message : Message
+            What to send.
+        timeout_s : float
+            How long it may take in seconds, the wait for other frames included.
+
+        Raises
+        ------
+        OSError
+            Where the connection broke or the other side doesn't read. A frame
+            that was cut off shuts the connection down, since nothing can follow.
+        """
+        raw = msgspec.Raw(msgspec.msgpack.encode(message))
+        body = msgspec.msgpack.encode(Frame(number, is_answer, raw))
+        with eventlet.Timeout(max(0.0, timeout_s), TimeoutError("no room to send")):
+            with self._turn:
+                self._send(len(body).to_bytes(HEADER_BYTES, "big") + body)
+
+    def _send(self, data: bytes) -> None:
+        try:
+            self._sock.sendall(data)
+        except BaseException:
+            wake_reader(self._sock)
+            raise
+
+
+def read_header(file) -> int | None:
+    """Return the next frame's size in bytes; None at the end of the stream.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        Where the size is over `MAX_FRAME_BYTES`.
+    """
+    header = file.read(HEADER_BYTES)
+    return body_size(header) if len(header) == HEADER_BYTES else None
+
+
+def body_size(header: bytes) -> int:
+    """Return the size in bytes that a header tells.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        Where it's over `MAX_FRAME_BYTES`.
+    """
+    size = int.from_bytes(header, "big")
+    if size > MAX_FRAME_BYTES:
+        raise msgspec.DecodeError(f"frame of {size} bytes is over {MAX_FRAME_BYTES}")
+    return size
+
+
+def read_body(file, size: int) -> Frame | None:
+    """Return a frame after its header; None where the stream ended in it.
+
+    Raises
+    ------
+    msgspec.MsgspecError, UnicodeDecodeError, RecursionError
+        Where the bytes are no frame.
+    OSError
+        Where the frame doesn't come in time.
+    """
+    with eventlet.Timeout(BODY_TIMEOUT_S, TimeoutError("a frame came too slowly")):
+        body = file.read(size)
+    if len(body) < size:
+        return None
+    return msgspec.msgpack.decode(body, type=Frame)
+
+
+def wake_reader(sock: socket.socket) -> None:
+    """End a connection whose reader closes it.
+
+    A descriptor that is closed while a green thread waits for it leaves that
+    thread waiting.
+    """
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except (OSError, ValueError):
+        pass
+
+
+def shut_down(sock: socket.socket) -> None:
+    """End a connection and close it."""
+    wake_reader(sock)
+    sock.close()
--- /dev/null
+++ b/boragedeck/connection/guard.py
@@ -0,0 +1,248 @@
+"""Guards of links: who may open a connection between routers.
+
+See Also
+--------
+boragedeck.connection.tls : The guard by certificates.
+"""
+
+import hashlib
+import hmac
+import secrets
+from pathlib import Path
+from typing import Protocol
+
+import msgspec
+from eventlet.green import socket
+
+from boragedeck.connection.frames import DECODE_ERRORS
+from boragedeck.connection.messages import Message
+
+__all__ = [
+    "Chain",
+    "Guard",
+    "GuardError",
+    "OpenGuard",
+    "SecretGuard",
+    "read_secrets",
+]
+
+NONCE_BYTES = 32
+KEY_ID_BYTES = 8
+MAX_SECRETS = 2
+MIN_SECRET_BYTES = 16
+MAX_SECRET_FILE_BYTES = 4096
+LENGTH_BYTES = 2
+MAX_HANDSHAKE_BYTES = 512
+
+
+class GuardError(ConnectionError):
+    """The other side did not prove that it is a router of this fleet."""
+
+
+class Guard(Protocol):
+    """Admits the other side of a new connection before any frame is read.
+
+    The caller bounds the time of both.
+    """
+
+    def accept(self, sock: socket.socket) -> socket.socket:
+        """Admit who connected; return the socket to go on with.
+
+        Raises
+        ------
+        OSError
+            `GuardError` where the other side isn't admitted.
+        """
+
+    def connect(self, sock: socket.socket) -> socket.socket:
+        """Admit whom we connected to; as `accept`."""
+
+
+class OpenGuard:
+    """Admits everyone; for loopback only."""
+
+    def accept(self, sock: socket.socket) -> socket.socket:
+        """Return the socket as it is."""
+        return sock
+
+    def connect(self, sock: socket.socket) -> socket.socket:
+        """Return the socket as it is."""
+        return sock
+
+
+class Chain:
+    """Admits whom all of some guards admit, in their order.
+
+    Parameters
+    ----------
+    *guards : Guard
+        The first one is next to the network.
+    """
+
+    def __init__(self, *guards: Guard):
+        self._guards = guards
+
+    def accept(self, sock: socket.socket) -> socket.socket:
+        """Admit who connected; see `Guard.accept`."""
+        for guard in self._guards:
+            sock = guard.accept(sock)
+        return sock
+
+    def connect(self, sock: socket.socket) -> socket.socket:
+        """Admit whom we connected to; see `Guard.connect`."""
+        for guard in self._guards:
+            sock = guard.connect(sock)
+        return sock
+
+
+class Hello(Message, frozen=True):
+    """Opens the handshake with the ids of the secrets that the caller holds."""
+
+    nonce: bytes
+    key_ids: tuple[bytes, ...]
+
+
+class Challenge(Message, frozen=True):
+    """Names the secret that both hold and proves that the listener holds it."""
+
+    nonce: bytes
+    key_id: bytes
+    proof: bytes
+
+
+class Response(Message, frozen=True):
+    """Proves that the caller holds the secret."""
+
+    proof: bytes
+
+
+class SecretGuard:
+    """Admits who holds one of the secrets, without sending it.
+
+    Each side sends a nonce, and each proves by HMAC-SHA256 over both nonces and its
+    own role that it holds a secret that the other one holds too.
+
+    Parameters
+    ----------
+    path : Path
+        See `read_secrets`. It is read again for each connection, so that the secret
+        is replaced without a restart; while it can't be read, the last ones hold.
+
+    Raises
+    ------
+    ValueError, OSError
+        Where the file can't be read at the start.
+    """
+
+    def __init__(self, path: Path):
+        self._path = path
+        self._secrets = read_secrets(path)
+
+    def accept(self, sock: socket.socket) -> socket.socket:
+        """Challenge who connected; see `Guard.accept`."""
+        hello = _receive(sock, Hello)
+        if len(hello.nonce) != NONCE_BYTES:
+            raise GuardError("a nonce of a wrong size")
+        secret = self._common(hello.key_ids)
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        nonces = hello.nonce + nonce
+        proof = _proof(secret, b"listener", nonces)
+        _send(sock, Challenge(nonce, _key_id(secret), proof))
+        _check(_receive(sock, Response).proof, _proof(secret, b"caller", nonces))
+        return sock
+
+    def connect(self, sock: socket.socket) -> socket.socket:
+        """Challenge whom we connected to; see `Guard.connect`."""
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        key_ids = tuple(_key_id(secret) for secret in self._read())
+        _send(sock, Hello(nonce, key_ids))
+        challenge = _receive(sock, Challenge)
+        if len(challenge.nonce) != NONCE_BYTES:
+            raise GuardError("a nonce of a wrong size")
+        secret = self._common((challenge.key_id,))
+        nonces = nonce + challenge.nonce
+        _check(challenge.proof, _proof(secret, b"listener", nonces))
+        _send(sock, Response(_proof(secret, b"caller", nonces)))
+        return sock
+
+    def _read(self) -> tuple[bytes, ...]:
+        try:
+            self._secrets = read_secrets(self._path)
+        except (OSError, ValueError):
+            # Half-written while it is replaced: the last ones go on.
+            pass
+        return self._secrets
+
+    def _common(self, key_ids: tuple[bytes, ...]) -> bytes:
+        for secret in self._read():
+            if _key_id(secret) in key_ids:
+                return secret
+        raise GuardError("the other side holds none of our secrets")
+
+
+def read_secrets(path: Path) -> tuple[bytes, ...]:
+    """Read the current secret and, below it, the previous one.
+
+    Parameters
+    ----------
+    path : Path
+        One secret a line; empty lines are skipped.
+
+    Raises
+    ------
+    ValueError
+        Where there is none, more than two, or one under `MIN_SECRET_BYTES`.
+    OSError
+        Where the file can't be read.
+    """
+    with path.open("rb") as file:
+        data = file.read(MAX_SECRET_FILE_BYTES + 1)
+    if len(data) > MAX_SECRET_FILE_BYTES:
+        raise ValueError(f"the file is over {MAX_SECRET_FILE_BYTES} bytes")
+    lines = tuple(line.strip() for line in data.splitlines() if line.strip())
+    if not lines:
+        raise ValueError("the file is empty")
+    if len(lines) > MAX_SECRETS:
+        raise ValueError(f"the file has over {MAX_SECRETS} lines")
+    if min(map(len, lines)) < MIN_SECRET_BYTES:
+        raise ValueError(f"a secret is under {MIN_SECRET_BYTES} bytes")
+    return lines
+
+
+def _key_id(secret: bytes) -> bytes:
+    return hmac.digest(secret, b"boragedeck key id", "sha256")[:KEY_ID_BYTES]
+
+
+def _proof(secret: bytes, role: bytes, nonces: bytes) -> bytes:
+    return hmac.new(secret, b"boragedeck " + role + nonces, hashlib.sha256).digest()
+
+
+def _check(got: bytes, expected: bytes) -> None:
+    if not hmac.compare_digest(got, expected):
+        raise GuardError("the other side doesn't hold our secret")
+
+
+def _send(sock: socket.socket, message: Message) -> None:
+    body = msgspec.msgpack.encode(message)
+    sock.sendall(len(body).to_bytes(LENGTH_BYTES, "big") + body)
+
+
+def _receive(sock: socket.socket, message_type: type):
+    size = int.from_bytes(_exactly(sock, LENGTH_BYTES), "big")
+    if size > MAX_HANDSHAKE_BYTES:
+        raise GuardError(f"a handshake of {size} bytes is over {MAX_HANDSHAKE_BYTES}")
+    body = _exactly(sock, size)
+    try:
+        return msgspec.msgpack.decode(body, type=message_type)
+    except DECODE_ERRORS as exc:
+        raise GuardError(f"no {message_type.__name__}") from exc
+
+
+def _exactly(sock: socket.socket, size: int) -> bytes:
+    data = b""
+    while len(data) < size:
+        read = sock.recv(size - len(data))
+        if not read:
+            raise GuardError("the connection ended in its handshake")
+        data += read
+    return data
--- /dev/null
+++ b/boragedeck/connection/peer_server.py
@@ -0,0 +1,259 @@
+"""The listening side of links between routers, bounded for each peer."""
+
+import ipaddress
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import eliot
+import eventlet
+import msgspec
+from eventlet.event import Event
+from eventlet.green import socket
+
+from boragedeck.connection.frames import (
+    DECODE_ERRORS,
+    MAX_FRAME_BYTES,
+    FrameWriter,
+    read_body,
+    read_header,
+    shut_down,
+    wake_reader,
+)
+from boragedeck.connection.guard import Guard, OpenGuard
+from boragedeck.connection.messages import Accepted, Frame, Message, Ping, Refused
+from boragedeck.exceptions import PeerError
+
+__all__ = ["PeerLimits", "PeerServer"]
+
+SEND_TIMEOUT_S = 10.0
+ACCEPT_PAUSE_S = 0.1
+
+Handler = Callable[[Any], Message]
+
+
+class PeerLimits(msgspec.Struct, frozen=True):
+    """What other routers may take of this one.
+
+    Parameters
+    ----------
+    connections : int
+        Open connections in all.
+    connections_per_host : int
+        Open connections from one address; loopback is exempt, since the routers of
+        a trial on one machine all have the same.
+    calls : int
+        Calls of one connection that are carried out at a time.
+    bytes_per_host : int
+        Bytes of calls from one address that are read or carried out at a time.
+    handshake_s : float
+        How long a connection may take to be admitted, in seconds.
+    """
+
+    connections: int = 2048
+    connections_per_host: int = 64
+    calls: int = 1024
+    bytes_per_host: int = 4 * MAX_FRAME_BYTES
+    handshake_s: float = 2.0
+
+
+class _Host:
+    """What the connections from one address take together."""
+
+    def __init__(self, max_bytes: int):
+        self._max_bytes = max_bytes
+        self.used = 0
+        self._room = Event()
+
+    def take(self, size: int) -> None:
+        """Wait until so many bytes fit; one frame is let through anyway."""
+        while self.used and self.used + size > self._max_bytes:
+            self._room.wait()
+        self.used += size
+
+    def give_back(self, size: int) -> None:
+        """Return bytes that were taken."""
+        self.used -= size
+        room, self._room = self._room, Event()
+        room.send()
+
+
+class PeerServer:
+    """Answers the calls of other routers, each in a green thread of its own.
+
+    Parameters
+    ----------
+    listener : socket
+        A listening socket.
+    guard : Guard, optional
+        Admits connections.
+    limits : PeerLimits, optional
+        What others may take.
+    """
+
+    def __init__(
+        self,
+        listener: socket.socket,
+        guard: Guard | None = None,
+        limits: PeerLimits | None = None,
+    ):
+        self._listener = listener
+        self._guard = guard or OpenGuard()
+        self._limits = limits or PeerLimits()
+        self._handlers: dict[type, Handler] = {Ping: lambda message: Accepted()}
+        self._decoder: msgspec.msgpack.Decoder | None = None
+        self._open: set[socket.socket] = set()
+        self._counts: Counter[str] = Counter()
+        self._hosts: dict[str, _Host] = {}
+        self._is_serving = False
+        self._is_closed = False
+
+    def __len__(self) -> int:
+        """Return the number of open connections."""
+        return self._counts.total()
+
+    def register(self, message_type: type[Message], handler: Handler) -> None:
+        """Answer messages of a type with what the handler returns.
+
+        Parameters
+        ----------
+        message_type : type
+            A subclass of `Message`.
+        handler : callable
+            Takes the message and returns a message; a `PeerError` that it raises
+            becomes a `Refused`.
+        """
+        self._handlers[message_type] = handler
+        self._decoder = None
+
+    def serve(self) -> None:
+        """Accept connections until the server is closed."""
+        self._is_serving = True
+        while not self._is_closed:
+            try:
+                sock, address = self._listener.accept()
+            except OSError:
+                # Such as too many open files: others close theirs meanwhile.
+                eventlet.sleep(0 if self._is_closed else ACCEPT_PAUSE_S)
+            else:
+                self._take(sock, address[0])
+        self._listener.close()
+
+    def close(self) -> None:
+        """Close the listener and all connections."""
+        self._is_closed = True
+        wake_reader(self._listener)
+        if not self._is_serving:
+            self._listener.close()
+        for sock in list(self._open):
+            wake_reader(sock)
+
+    def _take(self, sock: socket.socket, host: str) -> None:
+        limits = self._limits
+        is_crowded = self._counts[host] >= limits.connections_per_host
+        if is_crowded and not ipaddress.ip_address(host).is_loopback:
+            sock.close()
+        elif len(self) >= limits.connections:
+            sock.close()
+        else:
+            self._counts[host] += 1
+            eventlet.spawn_n(self._serve_connection, sock, host)
+
+    def _serve_connection(self, sock: socket.socket, host: str) -> None:
+        self._open.add(sock)
+        raw = sock
+        try:
+            late = TimeoutError("the handshake took too long")
+            with eventlet.Timeout(self._limits.handshake_s, late):
+                sock = self._guard.accept(sock)
+            self._open.discard(raw)
+            self._open.add(sock)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._read_calls(sock, host)
+        except (OSError, EOFError, ValueError, *DECODE_ERRORS) as exc:
+            eliot.log_message("peer: connection ended", peer=host, error=repr(exc))
+        finally:
+            self._open -= {raw, sock}
+            shut_down(sock)
+            raw.close()
+            self._leave(host)
+
+    def _leave(self, host: str) -> None:
+        self._counts[host] -= 1
+        if not self._counts[host]:
+            del self._counts[host]
+        self._tidy(host)
+
+    def _tidy(self, host: str) -> None:
+        # Calls may outlive their connection, and count until they end.
+        if host not in self._counts and host in self._hosts:
+            if not self._hosts[host].used:
+                del self._hosts[host]
+
+    def _read_calls(self, sock: socket.socket, host: str) -> None:
+        budget = self._hosts.get(host)
+        if budget is None:
+            budget = self._hosts[host] = _Host(self._limits.bytes_per_host)
+        writer = FrameWriter(sock)
+        gate = eventlet.Semaphore(self._limits.calls)
+        file = sock.makefile("rb")
+        while (size := read_header(file)) is not None:
+            gate.acquire()
+            budget.take(size)
+            frame = None
+            try:
+                frame = read_body(file, size)
+            finally:
+                if frame is None:
+                    budget.give_back(size)
+            if frame is None:
+                return
+            give_back = partial(self._give_back, host, budget, size)
+            eventlet.spawn_n(self._answer, sock, writer, frame, gate, give_back)
+
+    def _give_back(self, host: str, budget: _Host, size: int) -> None:
+        budget.give_back(size)
+        self._tidy(host)
+
+    def _answer(
+        self,
+        sock: socket.socket,
+        writer: FrameWriter,
+        frame: Frame,
+        gate: eventlet.Semaphore,
+        give_back: Callable[[], None],
+    ) -> None:
+        try:
+            answer = self._handle(frame.body)
+            writer.write(frame.number, True, answer, timeout_s=SEND_TIMEOUT_S)
+        except (OSError, ValueError):
+            wake_reader(sock)
+        finally:
+            give_back()
+            gate.release()
+
+    def _handle(self, body: msgspec.Raw) -> Message:
+        if self._decoder is None:
+            union = _union(tuple(self._handlers))
+            self._decoder = msgspec.msgpack.Decoder(union)
+        try:
+            message = self._decoder.decode(body)
+        except DECODE_ERRORS as exc:
+            return Refused("bad_message", str(exc))
+        try:
+            return self._handlers[type(message)](message)
+        except PeerError as exc:
+            return Refused("refused", str(exc))
+        except Exception as exc:
+            # A fault in one handler must not leave the caller waiting.
+            step = type(message).__name__
+            eliot.log_message("peer: handler failed", step=step, error=repr(exc))
+            return Refused("failed", type(exc).__name__)
+
+
+def _union(types: tuple[Any, ...]) -> Any:
+    union = types[0]
+    for other in types[1:]:
+        union = union | other
+    return union
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -33,6 +33,7 @@
 from boragedeck.process.load_gossip import LoadGossip
 from boragedeck.process.membership import GossipMembership
 from boragedeck.process.metrics import Metrics
+from boragedeck.process.peer_guard import make_guard
 from boragedeck.process.polling import Polling
 from boragedeck.process.quarantine import Quarantine
 from boragedeck.process.rollouts import Rollouts
@@ -87,8 +88,9 @@
             settings.failure_domain,
             _advertised(settings.peer_advertise, peer_listener),
         )
-        self._server = PeerServer(peer_listener)
-        self._links = PeerLinks(self.timers)
+        guard = make_guard(settings)
+        self._server = PeerServer(peer_listener, guard)
+        self._links = PeerLinks(self.timers, guard)
         self._platform = HttpPlatform(settings.platform_url)
         self._board = GossipBoard(
             self.own, self.timers, self._links, self._server, self._rng
--- a/boragedeck/process/settings.py
+++ b/boragedeck/process/settings.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 import boragedeck
+from boragedeck.connection.guard import read_secrets
 from boragedeck.connection.peer import Address
 from boragedeck.exceptions import SettingsError
 from boragedeck.ids import FailureDomain, VmName
@@ -29,7 +30,6 @@
 ENVIRONMENT_PREFIX = "BORAGEDECK_"
 MAX_PORT = 65_535
 MAX_DRAIN_S = 3600.0
-MAX_SECRET_BYTES = 4096
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
@@ -54,7 +54,8 @@
     seed_peers : tuple of Address
         Peers to ask while the platform can't be reached.
     peer_secret_file : Path or None
-        Holds the secret that routers share.
+        Holds the secret that routers share. Without it and without certificates,
+        only loopback addresses are taken for links between routers.
     tls_cert, tls_key, tls_ca : Path or None
         Certificate, key and authority of the links between routers, in PEM;
         all three or none.
@@ -261,9 +262,23 @@
         missing = next(n for n in ("tls_cert", "tls_key", "tls_ca") if n not in tls)
         got = f"nothing, while {by_name[tls[0]].flag} is given"
         raise _error(by_name[missing], got)
+    if not tls and "peer_secret_file" not in values:
+        _check_loopback(values, by_name)
     return values
 
 
+def _check_loopback(values: dict[str, Any], by_name: dict[str, Setting]) -> None:
+    """Refuse links that others can reach while nothing says who may open one."""
+    for name, host in (
+        ("peer_listen", values["peer_listen"].host),
+        ("peer_advertise", values["peer_advertise"]),
+    ):
+        if not ipaddress.ip_address(host).is_loopback:
+            need = "--peer-secret-file or --tls-cert"
+            got = f"{values[name]}, no loopback address, without {need}"
+            raise _error(by_name[name], got)
+
+
 def _address(text: str) -> Address:
     host, colon, port = text.rpartition(":")
     if not colon:
@@ -308,10 +323,8 @@
 
 
 def _secret_file(text: str) -> Path:
-    path = _file(text)
-    size = len(path.read_bytes()[: MAX_SECRET_BYTES + 1].strip())
-    if not 0 < size <= MAX_SECRET_BYTES:
-        raise ValueError(f"the file is empty or over {MAX_SECRET_BYTES} bytes")
+    path = Path(text)
+    read_secrets(path)
     return path
 
 
@@ -379,8 +392,8 @@
     Setting(
         "peer_secret_file",
         _secret_file,
-        "FILE, readable and not empty",
-        "secret that all routers share",
+        "FILE, one or two lines of 16 bytes or more",
+        "secret that all routers share; below it the previous one",
     ),
     Setting("tls_cert", _file, "FILE, in PEM", "certificate for links of routers"),
     Setting("tls_key", _file, "FILE, in PEM", "key of --tls-cert"),
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -73,10 +73,30 @@
         arguments = ["--peer-listen", "0.0.0.0:9"]
         self.assert_refused(arguments, "--peer-advertise", "0.0.0.0:9")
         arguments += ["--peer-advertise", "10.0.0.1"]
+        arguments += ["--peer-secret-file", self.secret_file("a" * 16)]
         self.assertEqual(
             parse_settings(arguments, NEEDED).ok().peer_advertise, "10.0.0.1"
         )
 
+    def test_links_that_others_reach_need_a_secret_or_certificates(self):
+        self.assert_refused(["--peer-listen", "10.0.0.1:9"], "--peer-secret-file")
+        arguments = ["--peer-advertise", "10.0.0.1"]
+        self.assert_refused(arguments, "10.0.0.1", "--tls-cert")
+
+    def test_weak_secret_files_are_refused_without_their_content(self):
+        for text in ("", "\n\n", "short-secret", "a" * 16 + "\nb" * 2, "a" * 5000):
+            arguments = ["--peer-secret-file", self.secret_file(text)]
+            error = str(parse_settings(arguments, NEEDED).err())
+            self.assertIn("--peer-secret-file", error)
+            self.assertNotIn("short-secret", error)
+
+    def secret_file(self, text):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name, "secrets")
+        path.write_text(text)
+        return str(path)
+
     def test_part_of_tls_is_refused(self):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder, "cert.pem")
