Take any engine's stream and metrics without harm

Property tests cut and change what engines send. Found and mended: - lines that end in CR LF, comments before data and 'data:' without a space were dropped without a word, or read as a stream without an end; - a token id under 0 or over 32 bits was taken, and failed only when it was sent to a copy, in the generation's thread; it's now a typed error of the run; - an infinite figure in metrics raised OverflowError through the poller, which ended all polling of that router; NaN and negative figures went into the choice of upstreams. Figures must be from 0 to 1e9; - deep nesting raised RecursionError, which nobody caught.

--- a/boragedeck/connection/engine.py
+++ b/boragedeck/connection/engine.py
@@ -1,13 +1,14 @@
 """Connection to a model engine: one streamed run over the OpenAI-compatible API."""
 
 from collections.abc import Iterator
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 import urllib3
 from eventlet.green import socket
 from urllib3.connection import HTTPConnection
 
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamFailedError,
@@ -75,6 +76,9 @@
     finish_reason: str | None
 
 
+TokenId = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
+
+
 class _Delta(msgspec.Struct):
     content: str | None = None
 
@@ -82,13 +86,13 @@
 class _Choice(msgspec.Struct):
     delta: _Delta | None = None
     text: str | None = None
-    token_ids: tuple[int, ...] | None = None
+    token_ids: tuple[TokenId, ...] | None = None
     finish_reason: str | None = None
 
 
 class _Event(msgspec.Struct):
     choices: list[_Choice] = []
-    prompt_token_ids: tuple[int, ...] | None = None
+    prompt_token_ids: tuple[TokenId, ...] | None = None
     error: Any = None
 
 
@@ -148,17 +152,20 @@
                 raise self._error(f"the connection broke: {exc}") from exc
             if not read:
                 return
-            *events, rest = (rest + read).split(b"\n\n")
+            # A line may end in CR LF; a CR at the end of a read waits for its LF.
+            text = (rest + read).replace(b"\r\n", b"\n")
+            *events, rest = text.split(b"\n\n")
             if len(rest) > MAX_EVENT_BYTES:
                 raise self._error(f"an event is over {MAX_EVENT_BYTES} bytes")
             for event in events:
-                if event.startswith(b"data: "):
-                    yield event[6:]
+                data = _event_data(event)
+                if data is not None:
+                    yield data
 
     def _chunk(self, data: bytes) -> EngineChunk | None:
         try:
             event = _EVENTS.decode(data)
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             raise self._error(f"an event makes no sense: {exc}") from exc
         if event.error is not None:
             raise self._error(f"the engine reported {str(event.error)[:200]}")
@@ -179,6 +186,14 @@
         return UpstreamError(text, step="read tokens", peer=self._peer)
 
 
+def _event_data(event: bytes) -> bytes | None:
+    """Return the data of an event; None for comments and the like."""
+    if event.startswith(b"data: ") and b"\n" not in event:
+        return event[6:]
+    lines = [line[5:] for line in event.split(b"\n") if line.startswith(b"data:")]
+    return b"\n".join(line.removeprefix(b" ") for line in lines) if lines else None
+
+
 def open_run(url: str, request: RunRequest) -> EngineRun:
     """Start a run and wait for the response's headers.
 
--- a/boragedeck/connection/metrics_poll.py
+++ b/boragedeck/connection/metrics_poll.py
@@ -5,6 +5,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 from result import Err, Ok, Result
 
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import UpstreamError
 from boragedeck.ids import Version
 from boragedeck.process.load import LoadReport
@@ -18,6 +19,8 @@
 RUNNING = "vllm:num_requests_running"
 WAITING = "vllm:num_requests_waiting"
 CACHE_USE = "vllm:kv_cache_usage_perc"
+FIGURES = (RUNNING, WAITING, CACHE_USE)
+MAX_FIGURE = 1e9
 
 
 class _Model(msgspec.Struct):
@@ -89,6 +92,8 @@
             values[sample.name] = values.get(sample.name, 0.0) + sample.value
     if RUNNING not in values or WAITING not in values:
         raise ValueError(f"no {RUNNING} or {WAITING}")
+    if not all(0.0 <= values.get(name, 0.0) <= MAX_FIGURE for name in FIGURES):
+        raise ValueError(f"a figure is not from 0 to {MAX_FIGURE:.0f}")
     return LoadReport(
         int(values[RUNNING]), int(values[WAITING]), values.get(CACHE_USE, 0.0)
     )
@@ -102,5 +107,5 @@
 def _parsed(parse, body: bytes, url: str, path: str) -> Result:
     try:
         return Ok(parse(body))
-    except (ValueError, msgspec.MsgspecError) as exc:
+    except (ValueError, *DECODE_ERRORS) as exc:
         return Err(UpstreamError(str(exc), step=path, peer=url))
--- /dev/null
+++ b/tests/connection/test_bad_engine.py
@@ -0,0 +1,132 @@
+import unittest
+
+import msgspec
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from boragedeck.connection.engine import MAX_EVENT_BYTES, EngineChunk, EngineRun
+from boragedeck.connection.metrics_poll import EngineProbe
+from boragedeck.exceptions import UpstreamError
+from tests.support.values import DEEP, bad_json
+
+EVENT = b'{"choices":[{"text":"a\xc3\xa9","token_ids":[1,2],"finish_reason":null}]}'
+METRICS = b'vllm:num_requests_running{a="b"} 1\nvllm:num_requests_waiting 2.0\n'
+
+PIECES = st.sampled_from([METRICS[i : i + 9] for i in range(50)])
+
+
+class Response:
+    status = 200
+
+    def __init__(self, parts):
+        self._parts = iter(parts)
+
+    def read1(self, size):
+        return next(self._parts, b"")
+
+    def read(self, size):
+        return b"".join(self._parts)[:size]
+
+    def release_conn(self):
+        pass
+
+
+class Pool:
+    def __init__(self, body):
+        self._body = body
+
+    def request(self, method, url, **options):
+        return Response([self._body])
+
+
+def cut(data, places):
+    places = sorted({place % (len(data) + 1) for place in places})
+    pairs = zip([0, *places], [*places, len(data)], strict=True)
+    return [data[a:b] for a, b in pairs if a < b]
+
+
+def read(parts):
+    return list(EngineRun(None, Response(parts), "engine"))
+
+
+class EngineStreamTest(unittest.TestCase):
+    @given(st.lists(st.integers(0, 1000)), st.sampled_from([b"\n", b"\r\n"]))
+    def test_any_split_of_bytes_reads_the_same(self, places, end):
+        first, second = b": note" + end + b"data:" + EVENT, b"data: " + EVENT
+        lines = [b": comment", first, second, b"data: [DONE]"]
+        data = b"".join(line + end * 2 for line in lines)
+        expected = EngineChunk((1, 2), "aé", None, None)
+        self.assertEqual(read(cut(data, places)), [expected] * 2)
+
+    @given(bad_json(EVENT), st.lists(st.integers(0, 1000), max_size=5))
+    @example(DEEP[2], [])
+    @example(b'{"choices":[{"token_ids":[100000000000000000000000]}]}', [])
+    @example(b'{"choices":[{"token_ids":[-1]}]}', [])
+    @example(b'{"error":' + DEEP[2], [])
+    @example(b'{"choices":[{"text":"\\ud800"}]}', [])
+    def test_bad_events_are_typed_errors_or_chunks_that_copies_take(self, body, places):
+        data = b"data: " + body + b"\n\ndata: [DONE]\n\n"
+        try:
+            chunks = read(cut(data, places))
+        except UpstreamError:
+            return
+        for chunk in chunks:
+            msgspec.msgpack.encode(chunk)
+            self.assertTrue(all(0 <= token < 2**32 for token in chunk.token_ids))
+
+    @given(st.lists(st.binary(min_size=1, max_size=300), max_size=20))
+    def test_bytes_that_are_no_stream_are_an_error(self, parts):
+        with self.assertRaises(UpstreamError):
+            read([part.replace(b"[DONE]", b"") for part in parts])
+
+    def test_event_without_end_is_cut_off(self):
+        taken = []
+
+        def parts():
+            while True:
+                taken.append(1)
+                yield b"x" * 65_536
+
+        with self.assertRaises(UpstreamError):
+            read(parts())
+        self.assertLessEqual(len(taken) * 65_536, MAX_EVENT_BYTES + 2 * 65_536)
+
+
+class EngineProbeTest(unittest.TestCase):
+    def load(self, body):
+        probe = EngineProbe()
+        probe._http = Pool(body)
+        return probe.load("http://engine")
+
+    @given(
+        st.binary(max_size=200)
+        | st.text(alphabet='a{}="\\,# \n+-.0eHELPTYPinfNa', max_size=80).map(str.encode)
+        | st.lists(st.sampled_from([METRICS[i : i + 9] for i in range(50)])).map(
+            b"".join
+        )
+    )
+    @example(METRICS.replace(b"2.0", b"+Inf"))
+    @example(METRICS.replace(b"2.0", b"NaN"))
+    @example(METRICS.replace(b"2.0", b"-1"))
+    @example(METRICS.replace(b"2.0", b"1e300"))
+    @example(METRICS + b"vllm:kv_cache_usage_perc NaN\n")
+    @example(METRICS + b"# TYPE a\n")
+    @example(METRICS + b"# TYPE a b c d\n# HELP\n")
+    @example(METRICS + b"{} 1\n")
+    @example(METRICS + b"a{ 1\n")
+    def test_bad_metrics_are_a_typed_error_or_sane(self, body):
+        result = self.load(body)
+        if result.is_err():
+            self.assertIsInstance(result.err(), UpstreamError)
+            return
+        report = result.ok()
+        self.assertTrue(0 <= report.running < 2**32 and 0 <= report.waiting < 2**32)
+        self.assertTrue(0.0 <= report.cache_use < 1e10)
+
+    @given(bad_json(b'{"data":[{"id":"a"}]}'))
+    @example(DEEP[2])
+    def test_bad_list_of_models_is_a_typed_error(self, body):
+        probe = EngineProbe()
+        probe._http = Pool(body)
+        result = probe.versions("http://engine")
+        self.assertTrue(result.is_ok() or isinstance(result.err(), UpstreamError))
--- /dev/null
+++ b/tests/support/values.py
@@ -0,0 +1,65 @@
+"""Strategies of values and bytes as a faulty or hostile sender makes them."""
+
+import msgspec
+from hypothesis import strategies as st
+
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | st.text(max_size=20)
+)
+JSON_VALUES = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+MSGPACK_VALUES = st.recursive(
+    SCALARS | st.binary(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+DEEP = (b"\x91" * 10_000, b"\x81\xa1a" * 10_000, b"[" * 10_000, b'{"a":' * 10_000)
+
+DEPTHS = st.integers(0, len(DEEP) - 1).map(DEEP.__getitem__)
+
+
+def broken(valid):
+    """Return a strategy of valid bytes that were cut, changed or lengthened."""
+
+    def change(parts):
+        at, insert, cut = parts
+        at = at % (len(valid) + 1)
+        return valid[:at] + insert + valid[at + cut :]
+
+    parts = st.tuples(st.integers(0, 10_000), st.binary(max_size=4), st.integers(0, 8))
+    return parts.map(change)
+
+
+def bad_msgpack(*valid):
+    """Return a strategy of bytes that a decoder of MessagePack may be given."""
+    whole = MSGPACK_VALUES.map(msgspec.msgpack.encode)
+    return st.one_of(
+        st.binary(max_size=200),
+        whole,
+        DEPTHS,
+        *(broken(one) for one in valid),
+    )
+
+
+def bad_json(*valid):
+    """Return a strategy of bytes that a decoder of JSON may be given."""
+    whole = JSON_VALUES.map(msgspec.json.encode)
+    return st.one_of(
+        st.binary(max_size=200),
+        whole,
+        DEPTHS,
+        *(broken(one) for one in valid),
+    )
