Refuse bodies whose length is no number

A Content-Length such as -1 led to a body that was never read, and letters to an internal error; both are refused with 400. A body is not read beyond its length.

--- a/boragedeck/connection/edge.py
+++ b/boragedeck/connection/edge.py
@@ -14,6 +14,7 @@
 
 MAX_CONNECTIONS = 4_096
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_LENGTH_DIGITS = 18
 MAX_REQUEST_LINE_BYTES = 8_192
 READ_BYTES = 64 * 1024
 IDLE_TIMEOUT_S = 75.0
@@ -93,7 +94,10 @@
     RefusedError
         Where the body is too long, too slow or cut off.
     """
-    length = int(environ.get("CONTENT_LENGTH") or 0)
+    text = environ.get("CONTENT_LENGTH") or "0"
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_LENGTH_DIGITS):
+        raise _bad_body_error("has no valid length", 400)
+    length = int(text)
     if length > MAX_BODY_BYTES:
         raise _too_long_error()
     is_chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
@@ -101,7 +105,8 @@
     try:
         with eventlet.Timeout(BODY_TIMEOUT_S):
             while is_chunked or len(body) < length:
-                part = environ["wsgi.input"].read(READ_BYTES)
+                left = READ_BYTES if is_chunked else min(READ_BYTES, length - len(body))
+                part = environ["wsgi.input"].read(left)
                 if not part:
                     break
                 body += part
--- a/boragedeck/request/openai.py
+++ b/boragedeck/request/openai.py
@@ -7,6 +7,7 @@
 import xxhash
 from result import Err, Ok, Result
 
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import Ran
 from boragedeck.request.answer import (
@@ -119,7 +120,7 @@
     try:
         fields = msgspec.json.decode(body, type=fields_type)
         raw = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         return Err(_bad_request(str(exc)))
     problem = _problem(fields, raw)
     if problem is not None:
