Keep green threads going after bad rows, facts and responses

Property tests give every decoder of rows, facts, messages and platform responses bytes and values of any kind. Found and mended: - a call of the timer service that raised once ended all calls that would follow, so one bad row stopped its reader for ever; it's logged and the next call is made; - errors of the platform that are no UTF-8 raised instead of being a typed result; - a lease's row that can't be read raised in each taker; it's not taken, since its token can't be told; - a command's row that can't be read raised; the command is now answered with a typed error, and isn't sent; - a peer's quarantine without end led to an endless Retry-After, which failed in the error's own response; it lasts at most as long as an own one; - deep nesting raised RecursionError in every decoder: all catch DECODE_ERRORS.

--- a/boragedeck/cli/fleet.py
+++ b/boragedeck/cli/fleet.py
@@ -12,6 +12,7 @@
 from boragedeck.cli.console import Console, ExitCode
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.store import Row, Table
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import BoragedeckError, PeerError, PeerUnreachableError
 from boragedeck.ids import RouterId
 from boragedeck.process.member_row import MemberRow
@@ -164,7 +165,7 @@
         return Err(PeerError(f"status {response.status}", **where))
     try:
         return Ok(msgspec.json.decode(response.data, type=Status))
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         return Err(PeerError(str(exc), **where))
 
 
@@ -202,7 +203,7 @@
 def _member_view(row: Row, now: float) -> RouterView | None:
     try:
         member = msgspec.json.decode(row.value, type=MemberRow)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
     return RouterView(f"http://{member.callers}", None, row_age_s=now - member.time)
 
@@ -210,7 +211,7 @@
 def _lease_view(row: Row) -> LeaseView | None:
     try:
         body = msgspec.json.decode(row.value, type=_LeaseBody)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
     return LeaseView(row.key, body.holder, body.token)
 
--- a/boragedeck/connection/engine_orders.py
+++ b/boragedeck/connection/engine_orders.py
@@ -6,6 +6,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamFailedError,
@@ -54,5 +55,5 @@
             return Err(UpstreamFailedError(f"status {response.status}", **where))
         try:
             return Ok(msgspec.json.decode(response.data, type=EngineView))
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             return Err(UpstreamFailedError(str(exc), **where))
--- a/boragedeck/connection/frames.py
+++ b/boragedeck/connection/frames.py
@@ -12,7 +12,6 @@
 from boragedeck.connection.messages import Frame, Message
 
 __all__ = [
-    "DECODE_ERRORS",
     "MAX_FRAME_BYTES",
     "FrameWriter",
     "body_size",
@@ -27,9 +26,6 @@
 BODY_TIMEOUT_S = 30.0
 """So long a frame may take from its header to its last byte."""
 
-DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
-"""What msgspec raises for bytes that make no sense, deep nesting among them."""
-
 
 class FrameWriter:
     """Writes whole frames to a socket that many green threads share.
--- a/boragedeck/connection/guard.py
+++ b/boragedeck/connection/guard.py
@@ -14,8 +14,8 @@
 import msgspec
 from eventlet.green import socket
 
-from boragedeck.connection.frames import DECODE_ERRORS
 from boragedeck.connection.messages import Message
+from boragedeck.decoding import DECODE_ERRORS
 
 __all__ = [
     "Chain",
--- a/boragedeck/connection/peer.py
+++ b/boragedeck/connection/peer.py
@@ -15,7 +15,6 @@
 from result import Err, Ok, Result
 
 from boragedeck.connection.frames import (
-    DECODE_ERRORS,
     FrameWriter,
     read_body,
     read_header,
@@ -25,6 +24,7 @@
 from boragedeck.connection.guard import Guard, OpenGuard
 from boragedeck.connection.messages import Message, Refused
 from boragedeck.connection.peer_server import PeerServer
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
     PeerError,
     PeerGoneError,
--- a/boragedeck/connection/peer_server.py
+++ b/boragedeck/connection/peer_server.py
@@ -13,7 +13,6 @@
 from eventlet.green import socket
 
 from boragedeck.connection.frames import (
-    DECODE_ERRORS,
     MAX_FRAME_BYTES,
     FrameWriter,
     read_body,
@@ -23,6 +22,7 @@
 )
 from boragedeck.connection.guard import Guard, OpenGuard
 from boragedeck.connection.messages import Accepted, Frame, Message, Ping, Refused
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import PeerError
 
 __all__ = ["PeerLimits", "PeerServer"]
--- a/boragedeck/connection/platform.py
+++ b/boragedeck/connection/platform.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from boragedeck.connection.store import Row, Table, Vm, Write
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
     StoreConflictError,
     StoreError,
@@ -19,6 +20,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 8
+MAX_ERROR_BYTES = 2_000
 
 T = TypeVar("T")
 
@@ -132,7 +134,7 @@
             return result
         try:
             return Ok(msgspec.json.decode(result.ok(), type=answer_type))
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             return Err(StoreUnknownError(str(exc), step=path, peer=self._url))
 
     def _request(
@@ -156,8 +158,12 @@
             case 404 if method == "GET":
                 return Ok(b"")
             case 409:
-                return Err(StoreConflictError(response.data.decode(), **where))
+                return Err(StoreConflictError(_text(response.data), **where))
             case 503:
-                return Err(StoreUnavailableError(response.data.decode(), **where))
+                return Err(StoreUnavailableError(_text(response.data), **where))
         text = f"status {response.status}: {response.data[:200]!r}"
         return Err(StoreUnknownError(text, **where))
+
+
+def _text(body: bytes) -> str:
+    return body[:MAX_ERROR_BYTES].decode(errors="replace")
--- a/boragedeck/process/intent_log.py
+++ b/boragedeck/process/intent_log.py
@@ -9,6 +9,7 @@
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.service import ServiceResponse
 from boragedeck.connection.store import ABSENT, Put, Row, Table
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
     StoreConflictError,
     StoreError,
@@ -137,7 +138,10 @@
                     return Err(exc)
             if found.is_err():
                 return found
-            other = self._effective(key.row_key, found.ok())
+            effective = self._effective(key.row_key, found.ok())
+            if effective.is_err():
+                return effective
+            other = effective.ok()
             if other is not None and other.state is not IntentState.ABANDONED:
                 return Ok(Found(other))
             expect = ABSENT if found.ok() is None else found.ok().version
@@ -154,7 +158,7 @@
         read = self._read(row_key)
         if read.is_err():
             return read
-        return Ok(self._effective(row_key, read.ok()))
+        return self._effective(row_key, read.ok())
 
     def unsettled(self, row_key: str) -> IntentRow | None:
         """Return an outcome of this process that the store may not have yet."""
@@ -193,12 +197,18 @@
     def _read(self, row_key: str) -> Result[Row | None, StoreError]:
         return self._platform.get(Table.INTENTS, row_key)
 
-    def _effective(self, row_key: str, found: Row | None) -> IntentRow | None:
+    def _effective(
+        self, row_key: str, found: Row | None
+    ) -> Result[IntentRow | None, StoreError]:
         """Return a row with this process's own later knowledge of its attempt."""
         if found is None:
-            return None
-        row = decode_row(found.value)
+            return Ok(None)
+        try:
+            row = decode_row(found.value)
+        except DECODE_ERRORS as exc:
+            # What is known of the command is lost, so it must not be sent again.
+            return Err(StoreUnknownError(str(exc), step="decode intent", peer=row_key))
         unsettled = self._settler.find(row_key)
         if unsettled is not None and unsettled.attempt == row.attempt:
-            return unsettled
-        return row
+            return Ok(unsettled)
+        return Ok(row)
--- a/boragedeck/process/intent_pruner.py
+++ b/boragedeck/process/intent_pruner.py
@@ -2,10 +2,9 @@
 
 import random
 
-import msgspec
-
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.store import Delete, Row, Table
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.interfaces import Membership
 from boragedeck.process.logs import PartLog
 from boragedeck.process.rendezvous import rank
@@ -127,5 +126,5 @@
 def _decode(row: Row) -> IntentRow | None:
     try:
         return decode_row(row.value)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
--- a/boragedeck/process/intent_settler.py
+++ b/boragedeck/process/intent_settler.py
@@ -6,6 +6,7 @@
 
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.store import ABSENT, Put, Row, Table
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.process.intent_writer import IntentWriter
 from boragedeck.process.logs import PartLog
 from boragedeck.process.store_breaker import StoreBreaker
@@ -201,7 +202,7 @@
         return ABSENT if final.state is IntentState.ABANDONED else None
     try:
         row = decode_row(found.value)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
     if row.attempt == final.attempt:
         return found.version if row.state is IntentState.INTENDED else None
--- a/boragedeck/process/leases.py
+++ b/boragedeck/process/leases.py
@@ -18,6 +18,7 @@
 from result import Err, Ok, Result
 
 from boragedeck.connection.store import ABSENT, Put, Row, Table, TableStore, Write
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
     StoreConflictError,
     StoreError,
@@ -177,7 +178,10 @@
     def _is_free(self, name: str, row: Row | None) -> bool:
         if row is None:
             return True
-        content = decode_lease(row)
+        content = _content(row)
+        if content is None:
+            # Its token can't be told, so a taker could not be fenced off.
+            return False
         if content.holder in (NOBODY, self._own):
             return True
         now = self._timers.now()
@@ -250,7 +254,9 @@
         return LeaseRow(self._own, lease.token, self.term_s, uuid.uuid4().hex)
 
     def _is_own(self, lease: Lease, row: Row) -> bool:
-        content = decode_lease(row)
+        content = _content(row)
+        if content is None:
+            return False
         return content.holder == self._own and content.token == lease.token
 
     def _lose(self, lease: Lease) -> None:
@@ -267,6 +273,13 @@
     return Put(Table.LEASES, lease.name, msgspec.json.encode(row), lease.version)
 
 
+def _content(row: Row) -> LeaseRow | None:
+    try:
+        return decode_lease(row)
+    except DECODE_ERRORS:
+        return None
+
+
 def _version(row: Row | None) -> int:
     return ABSENT if row is None else row.version
 
--- a/boragedeck/process/leaving.py
+++ b/boragedeck/process/leaving.py
@@ -7,6 +7,7 @@
 
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.connection.store import Vm, VmList
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.interfaces import FactBoard, Membership
 from boragedeck.process.isolation import key_text
 from boragedeck.process.rendezvous import rank
@@ -134,5 +135,5 @@
 def _decode(fact: Fact) -> LeavingFact:
     try:
         return msgspec.msgpack.decode(fact.body, type=LeavingFact)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return LeavingFact()
--- a/boragedeck/process/load_gossip.py
+++ b/boragedeck/process/load_gossip.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.ids import PoolName, RouterId
 from boragedeck.interfaces import FactBoard
 from boragedeck.process.pace import restate_interval_s
@@ -123,5 +124,5 @@
 def _decode(fact: Fact) -> InFlightReport:
     try:
         return msgspec.msgpack.decode(fact.body, type=InFlightReport)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return InFlightReport(())
--- a/boragedeck/process/member_table.py
+++ b/boragedeck/process/member_table.py
@@ -11,6 +11,7 @@
 from boragedeck.connection.peer import Address
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.store import Delete, Put, Row, Table, Vm
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
 from boragedeck.process.member_row import MemberRow
@@ -201,5 +202,5 @@
 def _member(row: Row) -> Member | None:
     try:
         return msgspec.json.decode(row.value, type=MemberRow).member
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
--- a/boragedeck/process/polling.py
+++ b/boragedeck/process/polling.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import UpstreamError
 from boragedeck.ids import PoolName, RouterId, Version
 from boragedeck.interfaces import ConfigSource, FactBoard, Membership
@@ -179,7 +180,7 @@
             return
         try:
             loads = msgspec.msgpack.decode(fact.body, type=PolledLoads).loads
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return
         for load in loads:
             self._note(load)
--- a/boragedeck/process/quarantine.py
+++ b/boragedeck/process/quarantine.py
@@ -268,7 +268,10 @@
         self._judge(fingerprint, "")
 
     def _take_quarantine(self, fact: Fact) -> None:
-        self._keep(fact.key, msgspec.msgpack.decode(fact.body, type=QuarantineFact))
+        stated = msgspec.msgpack.decode(fact.body, type=QuarantineFact)
+        # No router may refuse a request for longer than one quarantine.
+        until = min(stated.until, self._timers.wall() + QUARANTINE_S)
+        self._keep(fact.key, msgspec.structs.replace(stated, until=until))
 
     def _keep(self, fingerprint: str, fact: QuarantineFact) -> None:
         self._quarantined[fingerprint] = fact
--- a/boragedeck/process/shares.py
+++ b/boragedeck/process/shares.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.ids import OrganisationName, RouterId
 from boragedeck.interfaces import ConfigSource, FactBoard
 from boragedeck.process.pace import restate_interval_s
@@ -176,6 +177,6 @@
 def _decode(fact: Fact) -> tuple[RouterId, ShareReport]:
     try:
         report = msgspec.msgpack.decode(fact.body, type=ShareReport)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         report = ShareReport({}, {})
     return fact.origin, report
--- a/boragedeck/process/timers.py
+++ b/boragedeck/process/timers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import eliot
 import eventlet
 from eventlet.event import Event
 
@@ -51,6 +52,8 @@
     ) -> Subscription:
         """Call at an interval; a call starts when the one before has ended.
 
+        A call that raises is logged, and the next ones are made.
+
         Parameters
         ----------
         interval_s : float
@@ -110,7 +113,7 @@
             eventlet.sleep(interval_s * (1.0 + spread))
             if sub.cancelled:
                 return
-            sub.callback()
+            _call_logged(sub)
 
 
 class ManualTimers:
@@ -152,7 +155,7 @@
         sub = Subscription(callback)
 
         def call() -> None:
-            callback()
+            _call_logged(sub)
             if not sub.cancelled:
                 self._push(interval_s, repeat)
 
@@ -205,6 +208,15 @@
         sub.callback()
 
 
+def _call_logged(sub: Subscription) -> None:
+    # One call that fails must not end all those that would follow.
+    try:
+        sub.callback()
+    except Exception as exc:
+        name = getattr(sub.callback, "__qualname__", repr(sub.callback))
+        eliot.log_message("timers: call failed", call=name, error=repr(exc))
+
+
 def _settle(rounds: int = 20) -> None:
     for _ in range(rounds):
         eventlet.sleep(0)
--- a/boragedeck/version/config_in_force.py
+++ b/boragedeck/version/config_in_force.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Sequence
 
 import eventlet
-import msgspec
 
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import TableError
 from boragedeck.ids import Revision
 from boragedeck.process.logs import PartLog
@@ -117,7 +117,7 @@
         try:
             changes = [unpack(body, Change) for body in content.changes]
             whole = unpack(content.whole, Config) if content.whole else None
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             raise TableError(str(exc), step="fetch configuration") from exc
         if whole is not None:
             self.take_whole(whole, Source.PEER)
--- a/boragedeck/version/config_store.py
+++ b/boragedeck/version/config_store.py
@@ -21,6 +21,7 @@
     TableStore,
     Write,
 )
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
     StoreConflictError,
     StoreError,
@@ -332,7 +333,7 @@
 def _decode(row: Row, value_type: type[T]) -> Result[T, StoreError]:
     try:
         return Ok(unpack(row.value, value_type))
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         return Err(StoreError(f"row {row.key!r} can't be read: {exc}", step="decode"))
 
 
--- a/boragedeck/version/config_watch.py
+++ b/boragedeck/version/config_watch.py
@@ -15,6 +15,7 @@
 
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.connection.peer import Address
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import BoragedeckError, PeerError, StoreError
 from boragedeck.interfaces import FactBoard, Membership
 from boragedeck.process.logs import PartLog
@@ -293,6 +294,6 @@
 def _decode(fact: Fact) -> ConfigFact | None:
     try:
         return msgspec.msgpack.decode(fact.body, type=ConfigFact)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         _log.write("Bad fact.", origin=fact.origin, error=str(exc))
         return None
--- a/boragedeck/version/rollout_facts.py
+++ b/boragedeck/version/rollout_facts.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from boragedeck.connection.messages import Fact
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.version.evidence import Window
 from boragedeck.version.rollout_row import RolloutRow
 
@@ -76,7 +77,7 @@
     """Return the content of a fact; None where it can't be read."""
     try:
         return msgspec.msgpack.decode(fact.body, type=KnownRow | SeenWindow | Stopped)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/boragedeck/version/rollout_leader.py
+++ b/boragedeck/version/rollout_leader.py
@@ -8,6 +8,7 @@
 
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.store import ABSENT, Table, Write
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import StoreConflictError, StoreError, StoreUnknownError
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import ConfigSource, Membership
@@ -333,5 +334,8 @@
         read = self._platform.get(Table.ROLLOUTS, stop_key(row.route, row.number))
         if read.is_err() or read.ok() is None or self._follower.stopped(row):
             return
-        stop = msgspec.json.decode(read.ok().value, type=StopRow)
+        try:
+            stop = msgspec.json.decode(read.ok().value, type=StopRow)
+        except DECODE_ERRORS:
+            return
         self._follower.stop(row, stop.reason)
--- a/boragedeck/version/rollout_ledger.py
+++ b/boragedeck/version/rollout_ledger.py
@@ -6,6 +6,7 @@
 from boragedeck.connection.messages import FactTopic
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.store import Row, Table
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import StoreError
 from boragedeck.ids import RouteName
 from boragedeck.interfaces import FactBoard
@@ -110,5 +111,5 @@
     def _learn_stored(self, row: Row) -> None:
         try:
             self.learn(KnownRow(decode_row(row), row.version))
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return
--- /dev/null
+++ b/tests/process/test_bad_messages.py
@@ -0,0 +1,155 @@
+import unittest
+
+import eventlet
+import msgspec
+from hypothesis import HealthCheck, example, given, settings
+from hypothesis import strategies as st
+
+from boragedeck.connection.messages import Fact, FactTopic, Message, Refused
+from boragedeck.connection.store import Put, Table
+from boragedeck.ids import RouterId
+from boragedeck.interfaces import Member
+from boragedeck.process.composition import Router
+from boragedeck.process.gossip_messages import AgedFact, FactPush
+from boragedeck.process.leases import TERM_S, LeaseTable
+from boragedeck.process.leaving import LeavingFact
+from boragedeck.process.load_gossip import InFlightReport
+from boragedeck.process.membership import Suspicion
+from boragedeck.process.polling import PolledLoads
+from boragedeck.process.quarantine import QUARANTINE_S
+from boragedeck.process.quarantine_facts import CrashFact, QuarantineFact
+from boragedeck.process.settings import parse_settings
+from boragedeck.process.shares import ShareReport
+from boragedeck.process.timers import ManualTimers
+from boragedeck.version.config_messages import ConfigFact
+from boragedeck.version.config_store import ConfigStore
+from boragedeck.version.rollout_facts import KnownRow, SeenWindow, Stopped
+from standins.memory import MemoryPlatform
+from tests.support.values import DEEP, bad_json, bad_msgpack
+
+BODY_TYPES = (
+    *(ConfigFact, CrashFact, InFlightReport, KnownRow, LeavingFact, Member),
+    *(PolledLoads, QuarantineFact, SeenWindow, ShareReport, Stopped, Suspicion),
+)
+KEYS = ("poll", "load", "shares", "member", "suspect/r1", "router/r1", "vm/v", "x y")
+HANG_S = 20
+
+
+def encoded(value):
+    try:
+        return msgspec.msgpack.encode(value)
+    except (OverflowError, TypeError):
+        # Too large an integer, or a default that Hypothesis doesn't know.
+        return b""
+
+
+BODIES = st.sampled_from(BODY_TYPES).flatmap(st.from_type).map(encoded)
+
+
+class BadMessagesTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        flags = ["--listen=127.0.0.1:0", "--peer-listen=127.0.0.1:0", "--vm=vm-1"]
+        flags += ["--failure-domain=fd-1", "--platform-url=http://127.0.0.1:1"]
+        cls.router = Router(parse_settings(flags, {}).ok())
+        cls.addClassCleanup(cls.router._listener.close)
+        cls.addClassCleanup(cls.router._server.close)
+
+    @settings(suppress_health_check=list(HealthCheck), max_examples=300)
+    @given(st.data())
+    def test_every_message_is_answered_whatever_its_values(self, data):
+        kinds = sorted(self.router._server._handlers, key=lambda kind: kind.__name__)
+        message = data.draw(st.sampled_from(kinds).flatmap(st.from_type))
+        self.assert_answered(encoded(message))
+
+    @given(bad_msgpack(b"\x91\xa4Ping"))
+    @example(DEEP[0])
+    def test_bytes_that_are_no_message_are_refused(self, body):
+        answer = self.assert_answered(body)
+        if body != b"\x91\xa4Ping":
+            self.assertIsInstance(answer, Refused)
+
+    def assert_answered(self, body):
+        with eventlet.Timeout(HANG_S):
+            answer = self.router._server._handle(msgspec.Raw(body))
+        self.assertIsInstance(answer, Message)
+        if isinstance(answer, Refused):
+            self.assertNotEqual(answer.code, "failed", answer.text)
+        return answer
+
+    @settings(suppress_health_check=list(HealthCheck), max_examples=300)
+    @given(
+        st.sampled_from(FactTopic),
+        st.sampled_from(KEYS),
+        BODIES | bad_msgpack(),
+        st.integers(1, 2**32),
+        st.floats(),
+    )
+    @example(FactTopic.QUARANTINE, "x y", DEEP[0], 1, 0.0)
+    def test_any_fact_leaves_the_router_going(self, topic, key, body, number, age_s):
+        fact = Fact(topic, key, RouterId("r1"), number, body, 60.0)
+        parts = FactPush((AgedFact(fact, age_s),))
+        with eventlet.Timeout(HANG_S):
+            self.router._board._on_push(parts)
+            self.router._board._round()
+            self.router.quarantine.is_quarantined(key)
+            msgspec.json.encode(self.router._membership.members())
+            self.router._chooser.registry.all()
+        status = self.router.api._status()
+        self.assertTrue(msgspec.json.decode(status))
+
+    def test_quarantine_that_a_peer_states_ends_at_its_time(self):
+        for until in (float("inf"), 1e300):
+            key = f"fingerprint-{until}"
+            fact = QuarantineFact("route", ("u",), ("v",), until)
+            body = msgspec.msgpack.encode(fact)
+            stated = Fact(FactTopic.QUARANTINE, key, RouterId("r2"), 1, body, 60.0)
+            self.router._board._on_push(FactPush((AgedFact(stated, 0.0),)))
+            self.assertTrue(self.router.quarantine.is_quarantined(key))
+            refused = self.router.quarantine._refused(key)
+            self.assertLess(refused.retry_after_s, 2 * QUARANTINE_S)
+
+
+class BadRowsTest(unittest.TestCase):
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.store = MemoryPlatform(sleep=self.timers.sleep)
+
+    def put(self, table, key, body):
+        self.store.commit([Put(table, key, body)])
+
+    @given(bad_json(b'{"holder":"r2","token":3,"term_s":10.0,"nonce":"a"}'))
+    @example(DEEP[2])
+    def test_lease_that_can_not_be_read_is_not_taken(self, body):
+        self.put(Table.LEASES, "a", body)
+        table = LeaseTable(self.store, self.timers, RouterId("r1"))
+        try:
+            msgspec.json.decode(body)
+        except Exception:
+            table.acquire("a")
+            self.timers.advance(TERM_S * 3)
+            self.assertIsNone(table.acquire("a").ok())
+            self.assertEqual(self.store.get(Table.LEASES, "a").ok().value, body)
+        else:
+            table.acquire("a")
+
+    @given(bad_json(b'{"config":{},"change":{}}') | st.binary(max_size=50))
+    @example(DEEP[3])
+    @example(b"x\x9c" + b"\xff" * 20)
+    def test_configuration_that_can_not_be_read_is_an_error(self, body):
+        for row in ("current", "revision"):
+            self.put(Table.CONFIG, row, body)
+        ConfigStore(self.store, self.timers).read()
+
+
+class TimersTest(unittest.TestCase):
+    def test_call_that_fails_does_not_end_those_that_follow(self):
+        timers, calls = ManualTimers(), []
+
+        def fail():
+            calls.append(1)
+            raise KeyError("a fault")
+
+        timers.subscribe(1.0, fail)
+        timers.advance(5.0)
+        self.assertEqual(len(calls), 5)
