--- a/boragedeck/connection/frames.py
+++ b/boragedeck/connection/frames.py
@@ -24,7 +24,9 @@
 HEADER_BYTES = 4
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 BODY_TIMEOUT_S = 30.0
-"""So long a frame may take from its header to its last byte."""
+"""So long a frame over `SMALL_BODY_BYTES` may take after its header."""
+SMALL_BODY_BYTES = 16 * 1024
+"""While so little is missing, a connection costs hardly more than a silent one."""
 
 
 class FrameWriter:
@@ -40,10 +42,8 @@
         self._sock = sock
         self._turn = eventlet.Semaphore(1)
 
-    def write(
-        self, number: int, is_answer: bool, message: Message, *, timeout_s: float
-    ) -> None:
-        """Send a frame.
+    def write(self, number: int, is_answer: bool, message: Message) -> None:
+        """Send a frame; the caller bounds the time.
 
         Parameters
         ----------
@@ -53,20 +53,17 @@
             Whether this is an answer.
         message : Message
             What to send.
-        timeout_s : float
-            How long it may take in seconds, the wait for other frames included.
 
         Raises
         ------
         OSError
-            Where the connection broke or the other side doesn't read. A frame
-            that was cut off shuts the connection down, since nothing can follow.
+            Where the connection broke. A frame that was cut off, also by a
+            timeout, shuts the connection down, since nothing can follow.
         """
         raw = msgspec.Raw(msgspec.msgpack.encode(message))
         body = msgspec.msgpack.encode(Frame(number, is_answer, raw))
-        with eventlet.Timeout(max(0.0, timeout_s), TimeoutError("no room to send")):
-            with self._turn:
-                self._send(len(body).to_bytes(HEADER_BYTES, "big") + body)
+        with self._turn:
+            self._send(len(body).to_bytes(HEADER_BYTES, "big") + body)
 
     def _send(self, data: bytes) -> None:
         try:
@@ -112,8 +109,12 @@
     OSError
         Where the frame doesn't come in time.
     """
-    with eventlet.Timeout(BODY_TIMEOUT_S, TimeoutError("a frame came too slowly")):
+    if size <= SMALL_BODY_BYTES:
         body = file.read(size)
+    else:
+        late = TimeoutError("a frame came too slowly")
+        with eventlet.Timeout(BODY_TIMEOUT_S, late):
+            body = file.read(size)
     if len(body) < size:
         return None
     return msgspec.msgpack.decode(body, type=Frame)
--- a/boragedeck/connection/peer.py
+++ b/boragedeck/connection/peer.py
@@ -113,9 +113,7 @@
         event = self._waiting[number] = Event()
         try:
             with eventlet.Timeout(timeout_s):
-                writer = self._connect()
-            left = deadline - self._timers.now()
-            writer.write(number, False, message, timeout_s=left)
+                self._connect().write(number, False, message)
             if not self._timers.wait(event, deadline - self._timers.now()):
                 return Err(self._unreachable("no answer in time", step))
             body = event.wait()
--- a/boragedeck/connection/peer_server.py
+++ b/boragedeck/connection/peer_server.py
@@ -226,7 +226,9 @@
     ) -> None:
         try:
             answer = self._handle(frame.body)
-            writer.write(frame.number, True, answer, timeout_s=SEND_TIMEOUT_S)
+            late = TimeoutError("no room to send")
+            with eventlet.Timeout(SEND_TIMEOUT_S, late):
+                writer.write(frame.number, True, answer)
         except (OSError, ValueError):
             wake_reader(sock)
         finally:
--- a/boragedeck/process/daemon.py
+++ b/boragedeck/process/daemon.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 
+from boragedeck.exceptions import SettingsError
 from boragedeck.patching import patch_all
 
 patch_all()
@@ -65,6 +66,9 @@
         signal.signal(number, lambda *_: _send_once(stop))
     try:
         router = Router(settings)
+    except SettingsError as exc:
+        print(f"boragedeckd: {exc}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
     except OSError as exc:
         print(f"boragedeckd: can't listen: {exc}", file=sys.stderr)
         sys.exit(EXIT_FAILED)
--- a/tests/connection/test_bad_frames.py
+++ b/tests/connection/test_bad_frames.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest import mock
 
 import eventlet
 import msgspec
@@ -6,6 +7,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from boragedeck.connection import frames
 from boragedeck.connection.frames import MAX_FRAME_BYTES
 from boragedeck.connection.messages import Accepted, Frame, Message, Ping, Refused
 from boragedeck.connection.peer import Address, PeerLink, PeerServer
@@ -127,6 +129,13 @@
         result = link.call(big, Accepted, timeout_s=0.2)
         self.assertIsInstance(result.err(), PeerUnreachableError)
 
+    def test_large_frame_that_stops_coming_is_cut_off(self):
+        with mock.patch.object(frames, "BODY_TIMEOUT_S", 0.05):
+            sock = self.connect()
+            sock.sendall((1024 * 1024).to_bytes(4, "big") + b"x" * 100)
+            self.assertEqual(sock.recv(1), b"")
+        self.assertEqual(len(self.server), 0)
+
     def test_calls_that_wait_bound_the_bytes_of_one_address(self):
         self.server.close()
         eventlet.sleep(0)
--- a/tests/connection/test_guard.py
+++ b/tests/connection/test_guard.py
@@ -140,6 +140,21 @@
         with self.assertRaises(OSError):
             TlsGuard(cert, key, self.folder / "ca.pem")
 
+    def test_link_that_is_closed_fails_its_calls_and_opens_again(self):
+        class Never(Message, frozen=True):
+            pass
+
+        guard = self.guard("a")
+        address = self.serve(guard)
+        self.server.register(Never, lambda message: eventlet.sleep(3600))
+        link = PeerLink(address, RealTimers(), guard)
+        self.addCleanup(link.close)
+        waiting = eventlet.spawn(link.call, Never(), Accepted, timeout_s=60)
+        self.assertTrue(link.call(Ping(), Accepted, timeout_s=5).is_ok())
+        link.close()
+        self.assertIsInstance(waiting.wait().err(), PeerUnreachableError)
+        self.assertTrue(link.call(Ping(), Accepted, timeout_s=5).is_ok())
+
     def test_many_large_calls_at_once_both_ways(self):
         class Echo(Message, frozen=True):
             data: bytes
