Give rows of members, rollouts and commands any bytes

The mend of a command's row that can't be read had no test: it's answered with a typed error, settles nothing and is not sent. Rows of members and rollouts make nobody known; no fault was found in those.

--- a/tests/process/test_bad_messages.py
+++ b/tests/process/test_bad_messages.py
@@ -1,19 +1,26 @@
+import random
 import unittest
+from unittest import mock
 
 import eventlet
 import msgspec
 from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
+from result import Err
 
 from boragedeck.connection.messages import Fact, FactTopic, Message, Refused
+from boragedeck.connection.peer import Address
 from boragedeck.connection.store import Put, Table
+from boragedeck.exceptions import StoreConflictError, StoreUnknownError
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
 from boragedeck.process.composition import Router
 from boragedeck.process.gossip_messages import AgedFact, FactPush
+from boragedeck.process.intent_log import IntentLog
 from boragedeck.process.leases import TERM_S, LeaseTable
 from boragedeck.process.leaving import LeavingFact
 from boragedeck.process.load_gossip import InFlightReport
+from boragedeck.process.member_table import MemberTable
 from boragedeck.process.membership import Suspicion
 from boragedeck.process.polling import PolledLoads
 from boragedeck.process.quarantine import QUARANTINE_S
@@ -21,9 +28,12 @@
 from boragedeck.process.settings import parse_settings
 from boragedeck.process.shares import ShareReport
 from boragedeck.process.timers import ManualTimers
+from boragedeck.request.intents import CommandKey
 from boragedeck.version.config_messages import ConfigFact
 from boragedeck.version.config_store import ConfigStore
 from boragedeck.version.rollout_facts import KnownRow, SeenWindow, Stopped
+from boragedeck.version.rollout_ledger import RolloutLedger
+from boragedeck.version.rollout_row import head_key
 from standins.memory import MemoryPlatform
 from tests.support.values import DEEP, bad_json, bad_msgpack
 
@@ -141,6 +151,34 @@
             self.put(Table.CONFIG, row, body)
         ConfigStore(self.store, self.timers).read()
 
+    @given(bad_json())
+    @example(DEEP[3])
+    def test_members_and_rollouts_that_can_not_be_read_make_nobody_known(self, body):
+        self.put(Table.MEMBERS, "r9", body)
+        self.put(Table.ROLLOUTS, head_key("route"), body)
+        watcher = mock.Mock(**{"is_known.return_value": False})
+        own = Member(RouterId("r1"), "vm", "fd", Address("10.0.0.1", 1))
+        parts = own, own.address, self.store, self.timers, random.Random(1), watcher
+        MemberTable(*parts).scan()
+        watcher.on_rows.assert_called_once_with([])
+        ledger = RolloutLedger(self.store, None)
+        self.assertTrue(ledger.refresh_route("route").is_ok())
+        self.assertEqual(ledger.rows(), [])
+
+    @given(bad_msgpack())
+    @example(DEEP[0])
+    def test_command_whose_row_can_not_be_read_is_not_sent(self, body):
+        self.put(Table.INTENTS, "row", body)
+        settler = mock.Mock(**{"find.return_value": None})
+        conflict = Err(StoreConflictError("it exists"))
+        writer = mock.Mock(**{"write.return_value": conflict})
+        parts = self.store, writer, settler, mock.Mock(), self.timers, RouterId("r1")
+        log = IntentLog(*parts)
+        begun = log.begin(CommandKey("row", "hash"), self.timers.now() + 1.0)
+        self.assertIsInstance(begun.err(), StoreUnknownError)
+        self.assertIsInstance(log.read("row").err(), StoreUnknownError)
+        settler.settle.assert_not_called()
+
 
 class TimersTest(unittest.TestCase):
     def test_call_that_fails_does_not_end_those_that_follow(self):
