Take token ids of 63 bits, and run whole processes in the tests

Cause: a bound of 32 bits on the ids that engines send, new with the fuzzing of their streams, refused every token of the stand-in, whose ids are longer. No test ran a router against the stand-in's HTTP API; now some cells of the fault matrix run in the tests, over real processes. They failed before and pass.

--- a/boragedeck/connection/engine.py
+++ b/boragedeck/connection/engine.py
@@ -76,7 +76,7 @@
     finish_reason: str | None
 
 
-TokenId = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
+TokenId = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class _Delta(msgspec.Struct):
--- a/scripts/local_cluster.py
+++ b/scripts/local_cluster.py
@@ -41,6 +41,7 @@
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 5.0
 POLL_S = 0.05
+EXIT_TERMINATED = 143
 CURRENT = Version("v1")
 NEXT = Version("v2")
 ENGINE_POOL = PoolName("engines")
@@ -170,6 +171,9 @@
         self.services: list[Process] = []
         self.api_keys = {name: secrets.token_urlsafe(18) for name in ORGANISATIONS}
         atexit.register(self.stop)
+        if signal.getsignal(signal.SIGTERM) is signal.SIG_DFL:
+            # Without a handler the children would outlive this process.
+            signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
 
     def start(self) -> None:
         """Start everything and wait until each router is ready.
--- /dev/null
+++ b/tests/scripts/test_fault_matrix.py
@@ -0,0 +1,25 @@
+import unittest
+
+from scripts.fault_matrix import Fault, FaultMatrix, Outcome, Step
+
+CELLS = (
+    (Fault.NONE, Step.MIDDLE),
+    (Fault.ENGINE_KILLED, Step.MIDDLE),
+    (Fault.ENGINE_CONNECTION_SILENT, Step.MIDDLE),
+    (Fault.OWNER_KILLED, Step.MIDDLE),
+    (Fault.HOLDER_KILLED, Step.FIRST_TOKEN),
+    (Fault.CALLER_CUT, Step.MIDDLE),
+)
+
+
+class WholePathTest(unittest.TestCase):
+    """Some cells of the matrix over real processes; `make matrix` runs all."""
+
+    def test_single_faults_are_held(self):
+        matrix = FaultMatrix()
+        self.addCleanup(matrix.stop)
+        matrix.start()
+        for fault, step in CELLS:
+            with self.subTest(fault=fault, step=step):
+                cell = matrix.run(fault, step)
+                self.assertEqual((cell.outcome, cell.detail), (Outcome.HELD, ""))
