--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -1,5 +1,7 @@
 """Small helpers for measurements."""
 
+import os
+
 import msgspec
 
 __all__ = ["Figure", "percentile", "print_table"]
@@ -43,8 +45,17 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
+def _record(title: str, figures: list[Figure]) -> None:
+    path = os.environ.get("BORAGEDECK_BENCH_FIGURES")
+    if path:
+        line = msgspec.json.encode({"title": title, "figures": figures})
+        with open(path, "ab") as file:
+            file.write(line + b"\n")
+
+
 def print_table(title: str, figures: list[Figure]) -> None:
     """Print figures in columns."""
+    _record(title, figures)
     print(f"\n{title}")
     width = max(len(figure.name) for figure in figures)
     for figure in figures:
--- /dev/null
+++ b/benchmarks/run_all.py
@@ -0,0 +1,141 @@
+"""Runs the measurements one after the other and writes their tables and plots."""
+
+import argparse
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import time
+
+import matplotlib
+
+matplotlib.use("Agg")
+import matplotlib.pyplot as plt
+import msgspec
+
+__all__ = ["Measurement", "main"]
+
+OUTPUT = pathlib.Path("build/bench")
+QUICK = ("answers", "peer_transport", "timeline", "silence", "leases")
+MAX_LABEL = 34
+
+
+class Measurement(msgspec.Struct, frozen=True):
+    """One program of this folder.
+
+    Parameters
+    ----------
+    name : str
+        Its module.
+    flags : tuple of str
+        Its flags.
+    limit_s : float
+        How long it may run, in seconds.
+    """
+
+    name: str
+    flags: tuple[str, ...] = ()
+    limit_s: float = 240.0
+
+
+ALL = (
+    Measurement("peer_transport"),
+    Measurement("answers", ("--rounds", "4")),
+    Measurement("timeline"),
+    Measurement("silence"),
+    Measurement("leases"),
+    Measurement("choice"),
+    Measurement("limits"),
+    Measurement("failures"),
+    Measurement("quarantine"),
+    Measurement("grace"),
+    Measurement("commands"),
+    Measurement("config_in_force"),
+    Measurement("rollouts", ("--seeds", "3")),
+    Measurement("control_cost"),
+)
+
+
+def main() -> None:
+    """Run the measurements; exit with 1 where one fails or takes too long."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="only the short ones")
+    parser.add_argument("--only", help="the name of one measurement")
+    arguments = parser.parse_args()
+    OUTPUT.mkdir(parents=True, exist_ok=True)
+    failed = []
+    for one in ALL:
+        if arguments.only and one.name != arguments.only:
+            continue
+        if arguments.quick and one.name not in QUICK:
+            continue
+        if not _run(one):
+            failed.append(one.name)
+    if failed:
+        print(f"failed: {', '.join(failed)}", file=sys.stderr)
+        sys.exit(1)
+
+
+def _run(one: Measurement) -> bool:
+    figures = OUTPUT / f"{one.name}.jsonl"
+    figures.unlink(missing_ok=True)
+    environ = dict(os.environ, BORAGEDECK_BENCH_FIGURES=str(figures))
+    command = [sys.executable, "-W", "ignore", "-m", f"benchmarks.{one.name}"]
+    started = time.monotonic()
+    print(f"--- {one.name}", flush=True)
+    try:
+        done = subprocess.run(
+            [*command, *one.flags],
+            stdout=subprocess.PIPE,
+            text=True,
+            timeout=one.limit_s,
+            env=environ,
+        )
+    except subprocess.TimeoutExpired:
+        print(f"{one.name} took over {one.limit_s:.0f} s", file=sys.stderr)
+        return False
+    (OUTPUT / f"{one.name}.txt").write_text(done.stdout)
+    print(done.stdout, end="")
+    print(f"({time.monotonic() - started:.0f} s)", flush=True)
+    if figures.exists():
+        _plot(one.name, figures)
+    return done.returncode == 0
+
+
+def _plot(name: str, path: pathlib.Path) -> None:
+    """Draw each table as bars, beside its baseline."""
+    tables = [json.loads(line) for line in path.read_text().splitlines()]
+    fig, axes = plt.subplots(
+        len(tables), 1, figsize=(9, 3.2 * len(tables)), squeeze=False
+    )
+    for axis, table in zip(axes[:, 0], tables, strict=True):
+        rows = [row for row in table["figures"] if row["unit"] != "share"]
+        places = range(len(rows))
+        axis.barh(
+            [p - 0.2 for p in places],
+            [row["value"] for row in rows],
+            height=0.4,
+            label="measured",
+        )
+        axis.barh(
+            [p + 0.2 for p in places],
+            [row["baseline"] or 0.0 for row in rows],
+            height=0.4,
+            label="baseline",
+        )
+        axis.set_yticks(
+            list(places), [row["name"][:MAX_LABEL] for row in rows], fontsize=8
+        )
+        axis.invert_yaxis()
+        axis.set_xlabel(rows[0]["unit"] if rows else "")
+        axis.set_title(table["title"], fontsize=10)
+        axis.legend(fontsize=8)
+    fig.tight_layout()
+    fig.savefig(OUTPUT / f"{name}.svg")
+    fig.savefig(OUTPUT / f"{name}.png", dpi=100)
+    plt.close(fig)
+
+
+if __name__ == "__main__":
+    main()
