Don't let a dead router's claim hold up a suspect

Cause: a run that no completed one has proven harmless is claimed for 30 s by its router. The keeper now ignores claims of routers that it suspects of a failure when a suspect asks. What it costs: a router that pauses for longer than a suspicion takes no longer counts, as was so for exclusive claims already.

--- a/boragedeck/process/claims.py
+++ b/boragedeck/process/claims.py
@@ -5,6 +5,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Callable
 
 import msgspec
 
@@ -107,6 +108,9 @@
     ----------
     timers : TimerService
         The source of time.
+    is_silent : callable
+        Returns whether a router is suspected of a failure. Its claims don't hold up
+        a suspect whose run it had: a caller waits for that one.
 
     Notes
     -----
@@ -117,14 +121,21 @@
     `MAX_HOLDERS` holders each, until each claim's end.
     """
 
-    def __init__(self, timers: TimerService):
+    def __init__(
+        self,
+        timers: TimerService,
+        is_silent: Callable[[RouterId], bool] = lambda router: False,
+    ):
         self._timers = timers
+        self._is_silent = is_silent
         self._entries: OrderedDict[str, _Entry] = OrderedDict()
 
     def claim(self, message: Claim) -> ClaimAnswer:
         """Grant or deny a claim."""
         now = self._timers.now()
         entry = self._entry(message.key, now)
+        if message.is_exclusive:
+            self._drop_silent(entry, message.holder)
         others = entry.holders.keys() - {message.holder, entry.exclusive}
         if message.crashed:
             entry.crashed.update(dict.fromkeys(message.crashed, now + CRASHED_TTL_S))
@@ -170,6 +181,14 @@
         is_new = message.upstream and message.upstream not in used
         return others >= MAX_HOLDERS or (is_new and len(used) >= UNPROVEN_UPSTREAMS)
 
+    def _drop_silent(self, entry: _Entry, asking: str) -> None:
+        for holder in entry.holders.keys() - {asking}:
+            if self._is_silent(_router_of(holder)):
+                del entry.holders[holder]
+                entry.places.pop(holder, None)
+        if entry.exclusive not in entry.holders:
+            entry.exclusive = ""
+
     def _entry(self, key: str, now: float) -> _Entry:
         entry = self._entries.setdefault(key, _Entry({}, {}, {}))
         self._entries.move_to_end(key)
@@ -237,6 +256,10 @@
                 return self._table.release(message)
 
 
+def _router_of(holder: str) -> RouterId:
+    return RouterId(holder.partition("/")[0])
+
+
 def _is_of_router(holder: str, router: str) -> bool:
     return holder == router or holder.startswith(f"{router}/")
 
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -12,7 +12,7 @@
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.platform import HttpPlatform
 from boragedeck.connection.service import HttpServices
-from boragedeck.ids import RouterId
+from boragedeck.ids import Health, RouterId
 from boragedeck.interfaces import Member
 from boragedeck.process.answer_service import AnswerService
 from boragedeck.process.answers import AnswerTable
@@ -168,7 +168,9 @@
         return config
 
     def _make_chooser(self) -> PoolChooser:
-        claims = Claims(self._membership, self._links, ClaimTable(self.timers))
+        claims = Claims(
+            self._membership, self._links, ClaimTable(self.timers, self._is_silent)
+        )
         claims.register(self._server)
         self.quarantine = Quarantine(self.timers, self._board, self._config, claims)
         chooser = PoolChooser(
@@ -275,6 +277,12 @@
         calls = self._calls
         return bool(self._answers.running() or calls.calls.running() or calls.settler)
 
+    def _is_silent(self, router: RouterId) -> bool:
+        return any(
+            member.router == router and member.health is Health.SUSPECT
+            for member in self._membership.members()
+        )
+
     def _is_alive(self, router: RouterId) -> bool:
         others = [member.router for member in self._membership.members()]
         return router == self.own.router or router in others
--- /dev/null
+++ b/tests/process/test_claims.py
@@ -0,0 +1,25 @@
+import unittest
+
+from boragedeck.process.claims import Claim, ClaimTable
+from boragedeck.process.timers import ManualTimers
+
+
+class ClaimTableTest(unittest.TestCase):
+    """A suspect is not held up by claims of a router that is gone."""
+
+    def setUp(self):
+        self.silent = set()
+        self.table = ClaimTable(ManualTimers(), self.silent.__contains__)
+        self.table.claim(Claim("run/f", "dead/1", False, 30.0))
+
+    def is_granted(self, holder):
+        claim = Claim("run/f", holder, True, 1.5, ("pool/u1",))
+        return self.table.claim(claim).is_granted
+
+    def test_claim_of_a_living_router_holds(self):
+        self.assertFalse(self.is_granted("next"))
+
+    def test_claim_of_a_suspected_router_does_not_hold(self):
+        self.silent.add("dead")
+        self.assertTrue(self.is_granted("next"))
+        self.assertFalse(self.is_granted("another"))
