--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -9,13 +9,11 @@
 import xxhash
 
 from boragedeck.connection.engine import EngineChunk, RunRequest
-from boragedeck.exceptions import RefusedError
 from boragedeck.ids import Ran, UpstreamName
 from boragedeck.interfaces import (
     Chooser,
     ConfigSource,
     Outcome,
-    Sample,
     VersionPolicy,
     Wanted,
 )
@@ -26,6 +24,14 @@
 from boragedeck.process.timers import TimerService
 from boragedeck.request.answer import Answer, ErrorInfo, Finish
 from boragedeck.request.attempt import Attempt, EndKind, OpenRun, broken_outcome
+from boragedeck.request.generation_errors import (
+    deadline_error,
+    internal_error,
+    refusal_error,
+    route_gone_error,
+    upstreams_failed_error,
+)
+from boragedeck.request.run_samples import RunSamples
 from boragedeck.request.silence import GapHistory
 from boragedeck.version.tables import Pool, Priority, Route
 
@@ -38,7 +44,6 @@
 WINDOW_TOKENS = 512
 """Tokens that may stand unread before the run is paused."""
 STANDBY_LIMIT = 1
-SAMPLE_INTERVAL_S = 5.0
 PREFIX_BYTES = 512
 """How much of a prompt decides where it is cached."""
 LONG_WAIT_S = 60.0
@@ -128,13 +133,11 @@
         self._started = parts.timers.now()
         self._progress_at = self._started
         self._look_at = float("inf")
-        self._first_token_s: float | None = None
         self._lost_at: float | None = None
         self._cause = Cause.TAKEOVER if answer.chunks else None
-        self._run_tokens = 0
-        self._run_started = self._started
-        self._sampled_at = self._started
-        self._has_told_first = False
+        self._samples = RunSamples(
+            answer, parts.versions, parts.is_quarantined, parts.metrics, self._started
+        )
 
     def run(self) -> None:
         """Run the answer until it has ended or another router owns it."""
@@ -143,7 +146,7 @@
                 self._step()
         except Exception as exc:
             _log.write("Run failed.", answer=str(self._answer.key), error=repr(exc))
-            self._fail(_internal_error(self._ran))
+            self._fail(internal_error(self._ran))
             raise
         finally:
             self._stop_attempts(Outcome.CANCELLED)
@@ -151,7 +154,7 @@
 
     def _step(self) -> None:
         if self._is_expired():
-            self._fail(_deadline_error(self._ran))
+            self._fail(deadline_error(self._ran))
         elif self._is_window_full():
             self._pause()
         elif not self._attempts:
@@ -187,7 +190,7 @@
         route = cfg.route(answer.spec.route)
         pool = cfg.pool(route.pool) if route is not None else None
         if route is None or pool is None:
-            self._fail(_route_gone_error(answer, self._ran))
+            self._fail(route_gone_error(answer, self._ran))
             return
         if answer.end >= answer.spec.max_tokens:
             answer.end_with(Finish("length"))
@@ -299,30 +302,28 @@
 
     def _note_progress(self, count: int) -> None:
         now = self._timers.now()
-        metrics, route = self._parts.metrics, self._answer.spec.route
-        metrics.tokens.labels(route).inc(count)
-        if self._first_token_s is None:
-            self._first_token_s = now - self._started
-            self._run_started = now
-            metrics.first_token_s.labels(route).observe(self._first_token_s)
+        self._samples.note_tokens(count, now)
         if self._lost_at is not None:
-            metrics.resume_s.labels(self._cause.value).observe(now - self._lost_at)
-            _log.write(
-                "Goes on.",
-                answer=str(self._answer.key),
-                cause=self._cause.value,
-                after_s=round(now - self._lost_at, 3),
-                position=self._answer.end - count,
-            )
-            self._lost_at = None
+            self._note_resumed(now, self._answer.end - count)
         self._gaps.note(now)
         self._failures = 0
-        self._run_tokens += count
         self._progress_at = now
         if now + self._gaps.suspect_after_s() < self._look_at - LOOK_SLACK_S:
             # The first tokens shorten the silence that is suspicious.
             self._changed.notify()
 
+    def _note_resumed(self, now: float, position: int) -> None:
+        after_s = now - self._lost_at
+        self._lost_at = None
+        self._parts.metrics.resume_s.labels(self._cause.value).observe(after_s)
+        _log.write(
+            "Goes on.",
+            answer=str(self._answer.key),
+            cause=self._cause.value,
+            after_s=round(after_s, 3),
+            position=position,
+        )
+
     def _follow(self) -> None:
         ended = next((a for a in self._attempts if a.end is not None), None)
         if ended is not None:
@@ -369,7 +370,7 @@
                 self._answer.end_with(Finish(end.finish_reason))
             case EndKind.REFUSED:
                 if not self._attempts:
-                    self._give_up(end.error)
+                    self._fail(refusal_error(end.error, self._ran))
             case EndKind.NOT_TAKEN:
                 if not self._has_run:
                     self._ran = Ran.NO
@@ -379,18 +380,6 @@
                 self._note_loss(Cause.BROKEN)
                 self._retry(attempt, broken_outcome(end))
 
-    def _give_up(self, error: RefusedError) -> None:
-        ran = error.ran if self._ran is Ran.NO else self._ran
-        info = ErrorInfo(
-            message=error.message,
-            status=error.status,
-            kind=error.kind,
-            code=error.code,
-            ran=ran,
-            retry_after_s=error.retry_after_s,
-        )
-        self._fail(info)
-
     def _retry(self, attempt: Attempt, outcome: Outcome) -> None:
         _log.write(
             "Attempt failed.",
@@ -404,7 +393,7 @@
         self._failed.add(attempt.upstream)
         self._failures += 1
         if self._failures >= MAX_ATTEMPTS:
-            self._fail(_upstreams_failed_error(self._ran))
+            self._fail(upstreams_failed_error(MAX_ATTEMPTS, self._ran))
             return
         if self._failures > 2 and not self._attempts:
             # The upstreams that failed may be back, and may be all there are.
@@ -438,61 +427,16 @@
 
     def _sample_long_run(self) -> None:
         now = self._timers.now()
-        is_first = self._first_token_s is not None and not self._has_told_first
-        is_due = is_first or now - self._sampled_at >= SAMPLE_INTERVAL_S
-        if is_due and len(self._attempts) == 1:
-            self._sampled_at = now
+        if len(self._attempts) == 1 and self._samples.is_due(now):
             self._observe(self._attempts[0], None)
 
     def _observe(self, attempt: Attempt, outcome: Outcome | None) -> None:
-        version = self._answer.version
-        if attempt.slot is None or version is None:
-            return
-        first_token_s = None if self._has_told_first else self._first_token_s
-        self._has_told_first |= first_token_s is not None
-        now = self._timers.now()
-        run_s = now - self._run_started
-        # What has just begun shows no gap yet.
-        is_beginning = first_token_s is not None and outcome is None
-        has_gap = self._run_tokens > 1 and not is_beginning
-        gap_s = run_s / self._run_tokens if has_gap else None
-        sample = Sample(
-            route=self._answer.spec.route,
-            version=version,
-            upstream=attempt.slot.upstream.name,
-            failure_domain=attempt.slot.upstream.failure_domain,
-            outcome=outcome,
-            first_token_s=first_token_s,
-            gap_s=gap_s,
-            tokens=self._run_tokens,
-            fingerprint=self._answer.spec.fingerprint,
-            age_s=now - self._started,
-            is_quarantined=self._parts.is_quarantined(self._answer.spec.fingerprint),
-        )
-        self._parts.versions.observe(sample)
+        if attempt.slot is not None:
+            now = self._timers.now()
+            self._samples.tell(attempt.slot.upstream, outcome, now)
 
 
 def _prefix_hash(answer: Answer) -> int:
     head = answer.spec.prompt.content[:PREFIX_BYTES]
     seed = answer.key.organisation.encode()
     return xxhash.xxh64_intdigest(seed + b"\0" + head)
-
-
-def _deadline_error(ran: Ran) -> ErrorInfo:
-    text = "the request's deadline has passed"
-    return ErrorInfo(text, 504, "timeout_error", "deadline", ran)
-
-
-def _route_gone_error(answer: Answer, ran: Ran) -> ErrorInfo:
-    text = f"route {answer.spec.route!r} or its pool is no longer configured"
-    return ErrorInfo(text, 404, "invalid_request_error", "route_gone", ran)
-
-
-def _upstreams_failed_error(ran: Ran) -> ErrorInfo:
-    text = f"{MAX_ATTEMPTS} attempts on the pool's upstreams failed"
-    return ErrorInfo(text, 502, "upstream_error", "upstreams_failed", ran, 5.0)
-
-
-def _internal_error(ran: Ran) -> ErrorInfo:
-    text = "the router failed; it has logged the cause"
-    return ErrorInfo(text, 500, "server_error", "internal_error", ran)
--- /dev/null
+++ b/boragedeck/request/run_samples.py
@@ -0,0 +1,101 @@
+"""What an answer's runs show of the version that serves them."""
+
+from collections.abc import Callable
+
+from boragedeck.interfaces import Outcome, Sample, VersionPolicy
+from boragedeck.process.metrics import Metrics
+from boragedeck.request.answer import Answer
+from boragedeck.version.tables import Upstream
+
+__all__ = ["RunSamples"]
+
+SAMPLE_INTERVAL_S = 5.0
+
+
+class RunSamples:
+    """Counts an answer's tokens and tells the version policy about its runs.
+
+    Parameters
+    ----------
+    answer : Answer
+        The answer.
+    versions : VersionPolicy
+        Takes the samples.
+    is_quarantined : callable
+        Returns whether a fingerprint's crashes are the request's own fault.
+    metrics : Metrics
+        Where figures go.
+    started : float
+        When the answer began to run here, in monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        answer: Answer,
+        versions: VersionPolicy,
+        is_quarantined: Callable[[str], bool],
+        metrics: Metrics,
+        started: float,
+    ):
+        self._answer = answer
+        self._versions = versions
+        self._is_quarantined = is_quarantined
+        self._metrics = metrics
+        self._started = started
+        self._output_at = started
+        self._told_at = started
+        self._first_token_s: float | None = None
+        self._has_told_first = False
+        self._tokens = 0
+
+    def note_tokens(self, count: int, now: float) -> None:
+        """Note output that was accepted."""
+        route = self._answer.spec.route
+        self._metrics.tokens.labels(route).inc(count)
+        if self._first_token_s is None:
+            self._first_token_s = now - self._started
+            self._output_at = now
+            self._metrics.first_token_s.labels(route).observe(self._first_token_s)
+        self._tokens += count
+
+    def is_due(self, now: float) -> bool:
+        """Return whether a run that goes on is worth a sample now."""
+        is_first = self._first_token_s is not None and not self._has_told_first
+        return is_first or now - self._told_at >= SAMPLE_INTERVAL_S
+
+    def tell(self, upstream: Upstream, outcome: Outcome | None, now: float) -> None:
+        """Give the version policy a sample.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            Where the run is.
+        outcome : Outcome or None
+            How it ended; None while it goes on.
+        now : float
+            Monotonic time in seconds.
+        """
+        version = self._answer.version
+        if version is None:
+            return
+        first_token_s = None if self._has_told_first else self._first_token_s
+        self._has_told_first |= first_token_s is not None
+        self._told_at = now
+        # What has just begun shows no gap yet.
+        is_beginning = first_token_s is not None and outcome is None
+        has_gap = self._tokens > 1 and not is_beginning
+        fingerprint = self._answer.spec.fingerprint
+        sample = Sample(
+            route=self._answer.spec.route,
+            version=version,
+            upstream=upstream.name,
+            failure_domain=upstream.failure_domain,
+            outcome=outcome,
+            first_token_s=first_token_s,
+            gap_s=(now - self._output_at) / self._tokens if has_gap else None,
+            tokens=self._tokens,
+            fingerprint=fingerprint,
+            age_s=now - self._started,
+            is_quarantined=self._is_quarantined(fingerprint),
+        )
+        self._versions.observe(sample)
--- a/tests/request/test_answers_fuzz.py
+++ b/tests/request/test_answers_fuzz.py
@@ -93,6 +93,21 @@
         self.callers.append(caller)
         self.in_time(caller.start, self.alive(i))
 
+    @precondition(lambda self: len(self.callers) < MAX_CALLERS)
+    @rule(i=router, is_dead=st.booleans())
+    def start_and_lose_all_engines(self, i, is_dead):
+        self.start(i, True)
+        caller = self.callers[-1]
+        self.in_time(caller.read)
+        self.disturb_all_engines(is_dead, 10.0)
+
+    @precondition(lambda self: len(self.callers) < MAX_CALLERS)
+    @rule(i=router, j=router, parts=st.integers(1, 12))
+    def start_and_cut_off(self, i, j, parts):
+        self.start(i, True)
+        self.in_time(self.callers[-1].read)
+        self.cut_off_while_reading(len(self.callers) - 1, j, parts)
+
     @precondition(lambda self: self.callers)
     @rule(n=number, i=router)
     def send_again(self, n, i):
