--- a/tests/connection/test_guard.py
+++ b/tests/connection/test_guard.py
@@ -87,6 +87,7 @@
     def test_proof_of_the_listener_is_none_of_the_caller(self):
         address = self.serve(self.secret_guard("a", NEW))
         with socket.create_connection((address.host, address.port)) as sock:
+            sock.settimeout(20)
             key_id = guard_module._key_id(NEW.strip().encode())
             guard_module._send(sock, guard_module.Hello(bytes(32), (key_id,)))
             challenge = guard_module._receive(sock, guard_module.Challenge)
