--- a/boragedeck/connection/frames.py
+++ b/boragedeck/connection/frames.py
@@ -10,6 +10,7 @@
 from eventlet.green import socket
 
 from boragedeck.connection.messages import Frame, Message
+from boragedeck.process.causal_clock import process_clock
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -61,7 +62,9 @@
             timeout, shuts the connection down, since nothing can follow.
         """
         raw = msgspec.Raw(msgspec.msgpack.encode(message))
-        body = msgspec.msgpack.encode(Frame(number, is_answer, raw))
+        body = msgspec.msgpack.encode(
+            Frame(number, is_answer, raw, process_clock.value)
+        )
         with self._turn:
             self._send(len(body).to_bytes(HEADER_BYTES, "big") + body)
 
@@ -117,7 +120,9 @@
             body = file.read(size)
     if len(body) < size:
         return None
-    return msgspec.msgpack.decode(body, type=Frame)
+    frame = msgspec.msgpack.decode(body, type=Frame)
+    process_clock.observe(frame.clock)
+    return frame
 
 
 def wake_reader(sock: socket.socket) -> None:
--- a/boragedeck/request/call.py
+++ b/boragedeck/request/call.py
@@ -72,8 +72,10 @@
             runner = self._repeatables if call.route.repeatable else self._commands
             answer = runner.run(call)
         except Exception as exc:
-            _log.write("Call failed.", error=repr(exc))
+            _log.write("Call failed.", request=call.name, error=repr(exc))
             return Err(call_errors.outcome_unknown())
+        if answer.is_err():
+            _log_refusal(call, answer.err())
         return answer.map(lambda response: _with_id(response, req.request_id))
 
     def running(self) -> int:
@@ -119,9 +121,20 @@
             ),
             is_new_key=is_minted or req.is_first,
             deadline=deadline,
+            name=f"{req.organisation}/{req.request_id}",
         )
 
 
+def _log_refusal(call: Call, error: RefusedError) -> None:
+    _log.write(
+        "Refused.",
+        request=call.name,
+        step=error.step,
+        code=error.code,
+        ran=error.ran.value,
+    )
+
+
 def _fingerprint(req: CallRequest, route: Route) -> str:
     """Return what identifies a request that crashes upstreams.
 
--- a/scripts/fault_matrix.py
+++ b/scripts/fault_matrix.py
@@ -8,9 +8,11 @@
 
 import argparse
 import collections
+import contextlib
 import enum
 import http.client
 import json
+import pathlib
 import secrets
 import signal
 import sys
@@ -23,6 +25,8 @@
 import eventlet
 import msgspec
 
+from boragedeck.process.timeline import Wanted, merge, read_events
+from boragedeck.process.timeline_views import text_lines
 from boragedeck.version.tables import Config
 from scripts.caller import Caller, CallerError, Stream
 from scripts.local_cluster import ClusterOptions, LocalCluster, Process
@@ -37,6 +41,7 @@
 QUIET_S = 3.0
 """A caller takes a connection for dead when nothing has come for this time."""
 CELL_LIMIT_S = 40.0
+MAX_TIMELINE_EVENTS = 500
 RETRY_S = 0.1
 PAUSE_S = 2.5
 CURRENT_ENGINES = 4
@@ -98,6 +103,8 @@
         The error's code, or what was wrong.
     wait_s : float
         The longest wait between two events of the answer, in seconds.
+    answer_id : str
+        The answer's id.
     """
 
     fault: Fault
@@ -105,6 +112,7 @@
     outcome: Outcome
     detail: str
     wait_s: float
+    answer_id: str
 
 
 class RelayedCluster(LocalCluster):
@@ -174,7 +182,7 @@
         """Send the request and read until the answer or a final error has come."""
         until = time.monotonic() + CELL_LIMIT_S
         if self._step is Step.ADMITTED:
-            eventlet.spawn_after(0.01, self.strike)
+            eventlet.spawn_after(0.01, self._strike_aside)
         while not self.is_done and time.monotonic() < until:
             try:
                 self.stream = self._connect()
@@ -188,7 +196,7 @@
             self._router += 1
             eventlet.sleep(RETRY_S)
         if self._step is Step.FINISHED and self.is_done:
-            self.strike()
+            self._strike_aside()
             self._read_again(until)
 
     def strike(self) -> None:
@@ -197,6 +205,11 @@
             self._has_struck = True
             self._strike(self)
 
+    def _strike_aside(self) -> None:
+        # A caller that is cut off at this step finds out when it reads.
+        with contextlib.suppress(OSError):
+            self.strike()
+
     def is_whole(self) -> bool:
         """Return whether the answer came whole and once."""
         text = "".join(self.texts)
@@ -430,7 +443,7 @@
     else:
         text = f"{caller.tokens} tokens, done={caller.is_done}, {caller.error}"
         outcome, detail = Outcome.RED, text
-    return Cell(fault, step, outcome, detail, caller.longest_s)
+    return Cell(fault, step, outcome, detail, caller.longest_s, caller.answer_id)
 
 
 def _running(engine: Process) -> float:
@@ -476,6 +489,8 @@
                 cell = matrix.run(fault, step)
                 cells.append(cell)
                 _print(cell)
+                if cell.outcome is Outcome.RED:
+                    _print_timeline(cell, matrix.cluster.log_dir)
     finally:
         matrix.stop()
     counts = collections.Counter(cell.outcome for cell in cells)
@@ -491,5 +506,12 @@
     )
 
 
+def _print_timeline(cell: Cell, log_dir: pathlib.Path) -> None:
+    sources = map(read_events, sorted(log_dir.glob("router-*.log")))
+    wanted = Wanted(request=cell.answer_id)
+    for line in text_lines(merge(sources, wanted, limit=MAX_TIMELINE_EVENTS)):
+        print(f"    {line}", flush=True)
+
+
 if __name__ == "__main__":
     main()
--- a/tests/request/test_answer_path.py
+++ b/tests/request/test_answer_path.py
@@ -3,6 +3,7 @@
 import eventlet
 
 from boragedeck.process import journal
+from boragedeck.process.rendezvous import rank
 from boragedeck.process.timers import ManualTimers
 from boragedeck.request.answer import AnswerState
 from standins.tokens import broken_at
@@ -47,6 +48,7 @@
         self.assertEqual(caller.finish.reason, "length")
         self.assertEqual(len(caller.text.split()), caller.max_tokens)
         self.assertIsNone(broken_at(caller.text))
+        self.assertTrue(self.engines.continues(caller.token_ids))
 
     def owner_engine(self):
         (run,) = self.engines.running()
@@ -111,6 +113,7 @@
         self.read(caller, 7)
         self.network.isolate(self.a.own.address)
         other.texts = list(caller.texts)
+        other.token_ids = list(caller.token_ids)
         other.last_event_id = caller.last_event_id
         self.run_in_time(other.reattach, self.b)
         self.read(other, 20)
@@ -223,6 +226,26 @@
         self.read(late)
         self.assertEqual(late.text, caller.text)
 
+    def test_owner_is_found_though_it_holds_no_copy_and_many_are_dead(self):
+        cluster = FakeCluster(self.timers, self.engines, self.network, routers=24)
+        caller = FakeCaller(cluster, "k1", 20)
+        ranked = rank(str(caller.key), cluster.routers, lambda r: r.own.router)
+        # The owner ranks last for the answer, so it is no likely holder.
+        owner = ranked[-1]
+        self.run_in_time(caller.start, owner)
+        self.read(caller)
+        holder = next(r for r in cluster.routers if len(r.copies))
+        others = [r for r in ranked if r not in (holder, owner)]
+        for router in [holder, *others[:10]]:
+            router.kill()
+        for router in others[10:]:
+            with self.subTest(router=router.own.router):
+                late = FakeCaller(cluster, "k1", 20)
+                self.run_in_time(late.reattach, router)
+                self.read(late)
+                self.assertEqual(late.text, caller.text)
+                self.timers.advance(1.0)
+
     def test_refused_request_says_that_it_did_not_run(self):
         for engine in self.engines.all:
             engine.set(is_dead=True)
