Connect to IP addresses only

A heartbeat on another's behalf names an address; one that is no IP address raised a UnicodeError out of the link, and a name would have been looked up. Both, and ports out of range, are now an unreachable peer. Found by giving each message any values.

--- a/boragedeck/connection/peer.py
+++ b/boragedeck/connection/peer.py
@@ -5,6 +5,7 @@
 boragedeck.connection.messages : The messages.
 """
 
+import ipaddress
 import itertools
 from typing import Any
 
@@ -35,6 +36,7 @@
 
 __all__ = ["Address", "PeerLink", "PeerLinks", "PeerServer"]
 
+MAX_PORT = 65_535
 CONNECT_TIMEOUT_S = 0.5
 HANDSHAKE_TIMEOUT_S = 2.0
 """The handshake takes up to four round trips, also between regions."""
@@ -152,6 +154,7 @@
             return self._writer
 
     def _open(self) -> socket.socket:
+        _check_address(self.address)
         with eventlet.Timeout(CONNECT_TIMEOUT_S):
             sock = socket.create_connection((self.address.host, self.address.port))
         raw = sock
@@ -218,3 +221,13 @@
         link = self._links.pop(address, None)
         if link is not None:
             link.close()
+
+
+def _check_address(address: Address) -> None:
+    # Addresses come from other routers: none may start a look-up of a name.
+    try:
+        ipaddress.ip_address(address.host)
+    except ValueError as exc:
+        raise OSError("no IP address") from exc
+    if not 0 < address.port <= MAX_PORT:
+        raise OSError("no TCP port")
--- a/tests/connection/test_peer.py
+++ b/tests/connection/test_peer.py
@@ -73,3 +73,10 @@
             answer = msgspec.msgpack.decode(file.read(size), type=Frame)
         self.assertGreaterEqual(answer.clock, ahead)
         self.assertGreater(process_clock.tick(), ahead)
+
+    def test_address_that_is_none_is_unreachable(self):
+        hosts = ("\x80", 1), ("localhost", 1), ("127.0.0.1", 70_000), ("::1", -1)
+        for host, port in hosts:
+            link = PeerLink(Address(host, port), RealTimers())
+            result = link.call(Ping(), Accepted, timeout_s=5)
+            self.assertIsInstance(result.err(), PeerUnreachableError)
