Keep one simulated clock, one percentile and one fake configuration

Two subsystems had each written a simulated timer service, a percentile and a settable configuration source.

--- a/benchmarks/failures.py
+++ b/benchmarks/failures.py
@@ -10,9 +10,9 @@
 import msgspec
 
 from benchmarks.choice import choose_packed, choose_random, full_rate
+from benchmarks.figures import percentile
 from benchmarks.fleet import Fleet, FleetSpec
 from benchmarks.model import Load, record_load
-from benchmarks.simulation import percentile
 
 SECONDS = 60.0
 LOST_AT_S = 30.0
--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -1,5 +1,6 @@
 """Small helpers for measurements."""
 
+import math
 import os
 
 import msgspec
@@ -37,10 +38,12 @@
     Parameters
     ----------
     values : list of float
-        At least one value.
+        Without any the result is not a number.
     share : float
         From 0 to 1.
     """
+    if not values:
+        return math.nan
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
+from benchmarks.figures import percentile
 from benchmarks.model import Arrival, Engine, EngineSpec, Run
+from benchmarks.sim_timers import SimTimers
 from benchmarks.simulation import (
     FixedConfig,
     SimulatedBoards,
-    SimulatedTimers,
-    percentile,
 )
 from boragedeck.ids import FailureDomain, OrganisationName, PoolName, UpstreamName
 from boragedeck.interfaces import Outcome, Wanted
@@ -142,7 +142,7 @@
         resumes: bool = True,
     ):
         self.spec = spec
-        self.timers = SimulatedTimers()
+        self.timers = SimTimers()
         self.rng = random.Random(spec.seed)
         self.engines = [Engine(self.timers, each) for each in spec.engines]
         self.reports = [engine.report() for engine in self.engines]
@@ -162,7 +162,7 @@
             self.timers.call_later(
                 arrival.at - self.timers.now(), lambda each=arrival: self._begin(each)
             )
-        self.timers.run(arrivals[-1].at + drain_s)
+        self.timers.run_until(arrivals[-1].at + drain_s)
         return self.records
 
     def domain_engines(self, domain: int) -> list[Engine]:
--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from benchmarks.choice import choose_least_reported, full_rate
+from benchmarks.figures import percentile
 from benchmarks.fleet import Fleet, FleetSpec, Record
 from benchmarks.model import Arrival, Load, record_load
-from benchmarks.simulation import percentile
 
 SECONDS = 90.0
 SEED = 21
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from benchmarks.simulation import SimulatedTimers
+from benchmarks.sim_timers import SimTimers
 from boragedeck.interfaces import Outcome
 from boragedeck.process.load import LoadReport
 
@@ -160,13 +160,13 @@
 
     Parameters
     ----------
-    timers : SimulatedTimers
+    timers : SimTimers
         The source of time.
     spec : EngineSpec
         Speed and size.
     """
 
-    def __init__(self, timers: SimulatedTimers, spec: EngineSpec):
+    def __init__(self, timers: SimTimers, spec: EngineSpec):
         self.spec = spec
         self.is_up = True
         self.crashes = 0
--- a/benchmarks/rollout_model.py
+++ b/benchmarks/rollout_model.py
@@ -101,7 +101,7 @@
         self.scenario = scenario
         self.seed = seed
         self.rng = random.Random(seed)
-        self.timers = SimTimers(random.Random(seed + 1))
+        self.timers = SimTimers(random.Random(seed + 1), start_s=1_000_000.0)
         self.platform = MemoryPlatform(sleep=lambda seconds: None)
         self.network = BoardNetwork(self.timers, random.Random(seed + 2))
         self.engines = [_Engine(spec) for spec in _upstreams()]
--- a/benchmarks/silence.py
+++ b/benchmarks/silence.py
@@ -7,7 +7,7 @@
 
 import random
 
-from benchmarks.simulation import percentile
+from benchmarks.figures import percentile
 from boragedeck.process.pulse import Pulse
 from boragedeck.request.silence import GapHistory
 
--- a/benchmarks/sim_timers.py
+++ b/benchmarks/sim_timers.py
@@ -11,11 +11,19 @@
 
 
 class SimTimers:
-    """Timer service whose calls run one after the other on a simulated clock."""
+    """Timer service whose calls run one after the other on a simulated clock.
 
-    def __init__(self, rng: random.Random):
+    Parameters
+    ----------
+    rng : random.Random, optional
+        The source of jitter; none without it.
+    start_s : float
+        The clock's first value, in seconds.
+    """
+
+    def __init__(self, rng: random.Random | None = None, start_s: float = 0.0):
         self._rng = rng
-        self._now = 1_000_000.0
+        self._now = start_s
         self._order = itertools.count()
         self._due: list = []
 
@@ -44,12 +52,16 @@
                 again()
 
         def again() -> None:
-            spread = self._rng.uniform(1.0 - jitter, 1.0 + jitter)
-            self.call_later(interval_s * spread, call)
+            self.call_later(interval_s * self._spread(jitter), call)
 
         again()
         return sub
 
+    def _spread(self, jitter: float) -> float:
+        if self._rng is None:
+            return 1.0
+        return self._rng.uniform(1.0 - jitter, 1.0 + jitter)
+
     def run_until(self, end: float) -> None:
         """Make all calls that are due until a time."""
         while self._due and self._due[0][0] <= end:
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -1,59 +1,14 @@
-"""Timers and a fact board for simulated routers, without green threads."""
+"""A fact board and a configuration for simulated routers, without green threads."""
 
-import heapq
 import itertools
-import math
 from collections.abc import Callable
 
+from benchmarks.sim_timers import SimTimers
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.ids import RouterId
-from boragedeck.process.timers import Subscription
 from boragedeck.version.tables import Config
 
-__all__ = ["FixedConfig", "SimulatedBoards", "SimulatedTimers", "percentile"]
-
-
-class SimulatedTimers:
-    """Timer service that calls back in order of simulated time."""
-
-    def __init__(self):
-        self._now = 0.0
-        self._order = itertools.count()
-        self._due: list[tuple[float, int, Subscription]] = []
-
-    def now(self) -> float:
-        """Return the simulated time in seconds."""
-        return self._now
-
-    wall = now
-
-    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Subscription:
-        """Call once after a delay."""
-        sub = Subscription(callback)
-        due = self._now + max(0.0, delay_s)
-        heapq.heappush(self._due, (due, next(self._order), sub))
-        return sub
-
-    def subscribe(
-        self, interval_s: float, callback: Callable[[], None], *, jitter: float = 0.1
-    ) -> Subscription:
-        """Call at an interval without jitter."""
-
-        def repeat() -> None:
-            if not handle.cancelled:
-                callback()
-                self.call_later(interval_s, repeat)
-
-        handle = self.call_later(interval_s, repeat)
-        return handle
-
-    def run(self, until_s: float) -> None:
-        """Make all calls that fall due before a time."""
-        while self._due and self._due[0][0] <= until_s:
-            self._now, _, sub = heapq.heappop(self._due)
-            if not sub.cancelled:
-                sub.callback()
-        self._now = until_s
+__all__ = ["FixedConfig", "SimulatedBoards"]
 
 
 class FixedConfig:
@@ -102,13 +57,13 @@
 
     Parameters
     ----------
-    timers : SimulatedTimers
+    timers : SimTimers
         The source of time.
     delay_s : float
         How long a fact takes to the other routers.
     """
 
-    def __init__(self, timers: SimulatedTimers, delay_s: float = 0.2):
+    def __init__(self, timers: SimTimers, delay_s: float = 0.2):
         self._timers = timers
         self._delay_s = delay_s
         self._boards: list[_Board] = []
@@ -128,11 +83,3 @@
                 self._timers.call_later(
                     self._delay_s, lambda board=board: board.take(fact)
                 )
-
-
-def percentile(values: list[float], share: float) -> float:
-    """Return the value below which a share of the values lies."""
-    if not values:
-        return math.nan
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- a/tests/process/policy_fakes.py
+++ b/tests/process/policy_fakes.py
@@ -10,23 +10,7 @@
 from boragedeck.process.quarantine import Quarantine
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.tables import Config, Pool, Route, Upstream
-
-
-class FakeConfig:
-    def __init__(self, cfg):
-        self.cfg = cfg
-        self.callbacks = []
-
-    def current(self):
-        return self.cfg
-
-    def subscribe(self, callback):
-        self.callbacks.append(callback)
-
-    def put(self, cfg):
-        self.cfg = cfg
-        for callback in self.callbacks:
-            callback(cfg)
+from tests.support.config import FakeConfig
 
 
 class FakeBoards:
--- a/tests/process/test_chooser.py
+++ b/tests/process/test_chooser.py
@@ -12,11 +12,11 @@
 from boragedeck.version.tables import Route, RouteLimits
 from tests.process.policy_fakes import (
     FakeBoards,
-    FakeConfig,
     make_config,
     make_pool,
     make_wanted,
 )
+from tests.support.config import FakeConfig
 
 
 class PoolChooserTest(unittest.TestCase):
--- a/tests/process/test_grace.py
+++ b/tests/process/test_grace.py
@@ -3,7 +3,8 @@
 
 from boragedeck.process.grace import LearnedGrace
 from boragedeck.version.tables import Route, RouteLimits
-from tests.process.policy_fakes import FakeConfig, make_config, make_pool
+from tests.process.policy_fakes import make_config, make_pool
+from tests.support.config import FakeConfig
 
 
 class LearnedGraceTest(unittest.TestCase):
--- a/tests/process/test_polling.py
+++ b/tests/process/test_polling.py
@@ -14,11 +14,11 @@
 from boragedeck.process.upstreams import UpstreamKey, UpstreamRegistry
 from tests.process.policy_fakes import (
     FakeBoards,
-    FakeConfig,
     FakeMembership,
     make_config,
     make_pool,
 )
+from tests.support.config import FakeConfig
 
 PAGE = b"""# TYPE vllm:num_requests_running gauge
 vllm:num_requests_running{model_name="a"} 3.0
--- a/tests/process/test_rollouts.py
+++ b/tests/process/test_rollouts.py
@@ -10,7 +10,8 @@
 from boragedeck.version.rollout_row import State, decode_row
 from standins.boards import BoardNetwork
 from standins.memory import MemoryPlatform
-from tests.version.rollout_parts import Members, Source, config
+from tests.support.config import FakeConfig
+from tests.version.rollout_parts import Members, config
 
 
 class TestRollouts(unittest.TestCase):
@@ -19,7 +20,7 @@
         network = BoardNetwork(timers, random.Random(1))
         sources, parts = [], []
         for name in (RouterId("r0"), RouterId("r1")):
-            source = Source(config(1, "A"))
+            source = FakeConfig(config(1, "A"))
             sources.append(source)
             parts.append(
                 Rollouts(
@@ -35,14 +36,14 @@
             parts[-1].start()
         timers.advance(3.0)
         for source in sources:
-            source.set(config(2, "B", timers.wall() + 600.0))
+            source.put(config(2, "B", timers.wall() + 600.0))
         timers.advance(3.0)
         first = decode_row(platform.get(Table.ROLLOUTS, "head/chat").unwrap())
         self.assertEqual((first.state, first.token), (State.RUNNING, 1))
         leader = next(part for part in parts if part.keeper.held("rollouts"))
         leader.keeper.unwant("rollouts")
         for source in sources:
-            source.set(config(3, "A"))
+            source.put(config(3, "A"))
         timers.advance(20.0)
         last = decode_row(platform.get(Table.ROLLOUTS, "head/chat").unwrap())
         self.assertEqual(last.state, State.TAKEN_BACK)
--- a/tests/process/test_shares.py
+++ b/tests/process/test_shares.py
@@ -3,7 +3,8 @@
 from boragedeck.process.shares import OrganisationShares
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.tables import Organisation
-from tests.process.policy_fakes import FakeBoards, FakeConfig, make_config, make_pool
+from tests.process.policy_fakes import FakeBoards, make_config, make_pool
+from tests.support.config import FakeConfig
 
 
 class OrganisationSharesTest(unittest.TestCase):
--- a/tests/support/routers.py
+++ b/tests/support/routers.py
@@ -18,20 +18,10 @@
 from boragedeck.request.generation import GenerationParts
 from boragedeck.request.reader import AnswerReader
 from boragedeck.version.tables import Config, Pool, Route, Upstream
+from tests.support.config import FakeConfig
 from tests.support.network import FakeServer
 
 
-class FixedConfig:
-    def __init__(self, cfg):
-        self.cfg = cfg
-
-    def current(self):
-        return self.cfg
-
-    def subscribe(self, callback):
-        pass
-
-
 class FakeMembership:
     """Sees every router that has been started, dead ones as suspects."""
 
@@ -112,7 +102,7 @@
             Upstream(f"e{i}", engine.url, f"fd-{i % 3}", "v1")
             for i, engine in enumerate(engines.all)
         )
-        self.config = FixedConfig(
+        self.config = FakeConfig(
             Config(
                 revision=1,
                 routes=(Route("orders", "engines", version="v1"),),
--- a/tests/version/rollout_parts.py
+++ b/tests/version/rollout_parts.py
@@ -15,23 +15,7 @@
 from boragedeck.version.tables import Config, Pool, Route, Upstream
 from standins.boards import BoardNetwork
 from standins.memory import MemoryPlatform
-
-
-class Source:
-    def __init__(self, cfg):
-        self.cfg = cfg
-        self.callbacks = []
-
-    def current(self):
-        return self.cfg
-
-    def subscribe(self, callback):
-        self.callbacks.append(callback)
-
-    def set(self, cfg):
-        self.cfg = cfg
-        for callback in self.callbacks:
-            callback(cfg)
+from tests.support.config import FakeConfig
 
 
 class Lease:
@@ -96,7 +80,7 @@
 
     def add(self, name, cfg):
         name = RouterId(name)
-        source = Source(cfg)
+        source = FakeConfig(cfg)
         board = self.network.board(name)
         rng = random.Random(len(self.followers))
         follower = RolloutFollower(self.platform, board, source, self.timers, rng=rng)
@@ -121,7 +105,7 @@
 
     def edit(self, cfg):
         for source in self.sources:
-            source.set(cfg)
+            source.put(cfg)
 
     def tick(self, seconds=1):
         for _ in range(seconds):
--- a/tests/version/test_orders.py
+++ b/tests/version/test_orders.py
@@ -17,7 +17,8 @@
 from standins.memory import MemoryPlatform
 from standins.orders import Order as EngineOrder
 from standins.orders import Orders
-from tests.version.rollout_parts import Fleet, Lease, Source
+from tests.support.config import FakeConfig
+from tests.version.rollout_parts import Fleet, Lease
 
 LOAD_S = 7.0
 
@@ -101,7 +102,9 @@
         board = Fleet(1).followers[0]._board
         ledger = RolloutLedger(self.platform, board)
         lease = Lease(self.platform, token)
-        keeper = OrderKeeper(engines, ledger, Source(cfg), self.timers, lambda: lease)
+        keeper = OrderKeeper(
+            engines, ledger, FakeConfig(cfg), self.timers, lambda: lease
+        )
         return keeper, lease
 
     def run_for(self, keeper, seconds):
--- a/tests/version/test_rollout_follower.py
+++ b/tests/version/test_rollout_follower.py
@@ -90,7 +90,7 @@
 
     def test_edit_away_holds_before_its_row(self):
         self.grant(share=0.5, step=4, allowance=None)
-        self.fleet.sources[1].set(config(3, "A"))
+        self.fleet.sources[1].put(config(3, "A"))
         self.assertEqual(self.share_of("A", 1, 20), 1.0)
 
     def test_old_version_stays_after_the_deadline_without_an_outcome(self):
--- a/tests/version/test_rollout_leader.py
+++ b/tests/version/test_rollout_leader.py
@@ -92,7 +92,7 @@
 
     def test_leader_with_an_old_configuration_does_not_act(self):
         self.fleet.start_move()
-        self.fleet.sources[1].set(config(1, "A"))
+        self.fleet.sources[1].put(config(1, "A"))
         self.fleet.lead(1, 2)
         self.fleet.tick(3)
         self.assertEqual(self.fleet.row().state, State.RUNNING)
--- a/tests/version/test_rollout_machine.py
+++ b/tests/version/test_rollout_machine.py
@@ -51,7 +51,7 @@
     def edit_reaches_one_router(self, index, version):
         self.revision += 1
         deadline = self.fleet.timers.wall() + 300.0
-        self.fleet.sources[index].set(config(self.revision, version, deadline))
+        self.fleet.sources[index].put(config(self.revision, version, deadline))
 
     @rule(index=routers)
     def lead(self, index):
