Restart all routers in turn under load

scripts/rolling_restart.py: 20 callers, three routers stopped by SIGTERM and replaced one after the other.

--- a/boragedeck/patching.py
+++ b/boragedeck/patching.py
@@ -1,7 +1,6 @@
 """Preparation of eventlet, before any other module is imported."""
 
 import os
-import warnings
 
 __all__ = ["patch_all"]
 
@@ -14,7 +13,6 @@
     Addresses are IP numbers, so eventlet's own resolver is left out.
     """
     os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
-    warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
     import eventlet
 
     eventlet.monkey_patch()
--- /dev/null
+++ b/scripts/rolling_restart.py
@@ -0,0 +1,101 @@
+"""Restarts every router in turn under load, and counts the answers cut off."""
+
+import argparse
+import collections
+import random
+import signal
+import sys
+import time
+
+from boragedeck.patching import patch_all
+
+patch_all()
+
+import eventlet
+
+from scripts.fault_matrix import MatrixCaller, RelayedCluster, Step
+from scripts.local_cluster import ClusterOptions
+from standins.tokens import broken_at
+
+__all__ = ["main"]
+
+CALLERS = 20
+TOKEN_INTERVAL_MS = 15.0
+DRAIN_S = 1.0
+STOP_LIMIT_S = 15.0
+SETTLE_S = 1.0
+EXIT_CUT_OFF = 1
+
+
+class _Caller(MatrixCaller):
+    """A caller that the balancer sent to any of the routers."""
+
+    def __init__(self, cluster: RelayedCluster, router: int):
+        super().__init__(cluster, lambda caller: None, Step.MIDDLE)
+        self._router = router
+
+
+def main() -> None:
+    """Run the restart; exit with 1 where an answer was not whole."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--drain-s", type=float, default=DRAIN_S)
+    arguments = parser.parse_args()
+    options = ClusterOptions(
+        token_interval_ms=TOKEN_INTERVAL_MS,
+        router_flags=(f"--drain-s={arguments.drain_s}",),
+    )
+    cluster = RelayedCluster(options)
+    counts = collections.Counter()
+    try:
+        cluster.start()
+        is_over = eventlet.Event()
+        pool = eventlet.GreenPool(CALLERS)
+        for i in range(CALLERS):
+            pool.spawn_n(_call_again, cluster, is_over, counts, random.Random(i))
+        for i in range(len(cluster.routers)):
+            _restart(cluster, i)
+        is_over.send(None)
+        pool.waitall()
+    finally:
+        cluster.stop()
+    print(", ".join(f"{count} {name}" for name, count in sorted(counts.items())))
+    sys.exit(0 if set(counts) <= {"whole"} else EXIT_CUT_OFF)
+
+
+def _call_again(cluster, is_over, counts, rng) -> None:
+    while not is_over.ready():
+        caller = _Caller(cluster, rng.randrange(3))
+        caller.run()
+        counts[_verdict(caller)] += 1
+
+
+def _verdict(caller: MatrixCaller) -> str:
+    if caller.is_whole():
+        return "whole"
+    if broken_at("".join(caller.texts)) is not None:
+        return "BROKEN"
+    if caller.error is not None:
+        return f"refused with {caller.error.body.get('code')}"
+    return "not whole"
+
+
+def _restart(cluster: RelayedCluster, i: int) -> None:
+    router = cluster.routers[i]
+    started = time.monotonic()
+    router.signal(signal.SIGTERM)
+    while router.popen.poll() is None:
+        if time.monotonic() - started > STOP_LIMIT_S:
+            raise RuntimeError(f"{router.url} does not stop")
+        eventlet.sleep(0.05)
+    took_s = time.monotonic() - started
+    print(f"router {i} exited with {router.popen.returncode} after {took_s:.1f} s")
+    restarted = cluster.start_router(i)
+    restarted.wait_ready()
+    cluster.routers[i] = restarted
+    for one in cluster.routers:
+        cluster.wait_serving(one)
+    eventlet.sleep(SETTLE_S)
+
+
+if __name__ == "__main__":
+    main()
