Let a rollout count what the running traffic needs

Cause: nothing told the room check how full the old version's upstreams are, so it took them for full; with 4 old and 2 new engines every rollout was refused for want of room. The recent peak of requests over the learned limits, per version and with headroom, now says it.

--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -40,6 +40,7 @@
 from boragedeck.process.settings import Settings
 from boragedeck.process.status import StatusReport
 from boragedeck.process.timers import RealTimers
+from boragedeck.process.utilisation import PoolUtilisation
 from boragedeck.process.versioned_chooser import VersionedChooser
 from boragedeck.request.abandonment import Abandonment
 from boragedeck.request.api import Api
@@ -209,6 +210,7 @@
             self.timers,
             self.metrics.registry,
             self._rng,
+            PoolUtilisation(self._chooser.registry, self.timers),
         )
 
     def _make_answers(self) -> AnswerService:
--- a/boragedeck/process/rollouts.py
+++ b/boragedeck/process/rollouts.py
@@ -20,6 +20,7 @@
 from boragedeck.version.rollout_leader import RolloutLeader
 from boragedeck.version.rollout_metrics import RolloutMetrics
 from boragedeck.version.rollout_room import LoadedRoom
+from boragedeck.version.tables import Pool
 
 __all__ = ["LEASE_NAME", "FencedLease", "Rollouts"]
 
@@ -76,6 +77,8 @@
         Where metrics are registered.
     rng : random.Random
         The source of jitter.
+    utilisation : callable, optional
+        See `DeclaredRoom`.
 
     Attributes
     ----------
@@ -94,6 +97,7 @@
         timers: TimerService,
         registry: CollectorRegistry,
         rng: random.Random,
+        utilisation: Callable[[Pool], float] | None = None,
     ):
         self._timers = timers
         metrics = RolloutMetrics(registry)
@@ -112,7 +116,7 @@
             membership,
             timers,
             self._held,
-            LoadedRoom(config, self._orders.loaded_weight),
+            LoadedRoom(config, self._orders.loaded_weight, utilisation),
             metrics=metrics,
         )
 
