--- a/scripts/local_cluster.py
+++ b/scripts/local_cluster.py
@@ -38,7 +38,7 @@
 
 __all__ = ["ClusterOptions", "LocalCluster", "Process"]
 
-READY_TIMEOUT_S = 20.0
+READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 5.0
 POLL_S = 0.05
 EXIT_TERMINATED = 143
