Measure what each resumption costs in tokens

Extra output and prefill are read from the engines' own counters, for each kind of loss, beside starting over.

--- a/benchmarks/answers.py
+++ b/benchmarks/answers.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import collections
 import signal
 import statistics
 import time
@@ -15,6 +16,7 @@
 patch_all()
 
 import eventlet
+import msgspec
 
 from benchmarks.figures import Figure, percentile, print_table
 from scripts.caller import Caller, CallerError
@@ -34,6 +36,8 @@
 RESUME_INTERVAL_MS = 15.0
 RESUME_TOKENS = 120
 RESUME_AT = 40
+COUNTED = ("vllm:generation_tokens_total", "vllm:prompt_tokens_total")
+_LAST_COUNTS: dict[int, dict[str, float]] = {}
 PROMPT = "batch note for the truck to Salalah, " * 20
 
 
@@ -182,22 +186,33 @@
         ("router killed", _kill_router, "target 4000 ms"),
         ("router paused", _pause_router, "target 4000 ms"),
     ):
-        waits, restarts, is_whole = [], [], []
-        for _ in range(rounds):
-            wait_s, restart_s, whole = _one_loss(loss)
-            waits.append(wait_s * 1e3)
-            restarts.append(restart_s * 1e3)
-            is_whole.append(whole)
-        baseline = statistics.median(restarts)
-        share = sum(is_whole) / len(is_whole)
+        losses = [_one_loss(loss) for _ in range(rounds)]
+        waits = [one.wait_s * 1e3 for one in losses]
+        baseline = statistics.median(one.restart_s * 1e3 for one in losses)
+        share = sum(one.is_whole for one in losses) / len(losses)
         for label, p in (("p50", 0.5), ("p95", 0.95)):
             value = percentile(waits, p)
             figures.append(Figure(f"{name} {label}", value, "ms", baseline, target))
         figures.append(Figure(f"{name}, whole answers", share, "share", None, "1.0"))
+        # Who starts over pays again for all that it had.
+        extra = statistics.mean(one.extra for one in losses)
+        again = statistics.mean(one.prefilled for one in losses)
+        figures.append(Figure(f"{name}, extra output", extra, "tokens", RESUME_AT))
+        figures.append(Figure(f"{name}, prefilled again", again, "tokens"))
     return figures
 
 
-def _one_loss(loss) -> tuple[float, float, bool]:
+class _Loss(msgspec.Struct, frozen=True):
+    """What one loss cost: waits in seconds, tokens beyond the answer."""
+
+    wait_s: float
+    restart_s: float
+    is_whole: bool
+    extra: float
+    prefilled: float
+
+
+def _one_loss(loss) -> _Loss:
     cluster = LocalCluster(ClusterOptions(token_interval_ms=RESUME_INTERVAL_MS))
     try:
         cluster.start()
@@ -210,16 +225,50 @@
         at = len(reading.arrivals)
         lost_at = time.monotonic()
         loss(cluster, key, reading, stream)
+        spent = _spent(cluster)
         wait_s = reading.arrivals[at] - lost_at
         # Who starts over waits until it has again what it had.
         restart_s = wait_s + (reading.arrivals[at - 1] - reading.sent_at)
-        return wait_s, restart_s, reading.is_whole(RESUME_TOKENS)
+        return _Loss(
+            wait_s,
+            restart_s,
+            reading.is_whole(RESUME_TOKENS),
+            spent["vllm:generation_tokens_total"] - RESUME_TOKENS,
+            spent["vllm:prompt_tokens_total"] - len(PROMPT.split()),
+        )
     finally:
         cluster.stop()
 
 
+def _spent(cluster) -> collections.Counter:
+    """Return what the engines have counted, a killed one just before its end."""
+    for engine in cluster.engines:
+        engine.signal(signal.SIGCONT)
+    eventlet.sleep(0.5)
+    spent = collections.Counter()
+    for engine in cluster.engines:
+        if engine.popen.poll() is None:
+            _LAST_COUNTS[engine.pid] = _counts(engine)
+        spent.update(_LAST_COUNTS.get(engine.pid, {}))
+    return spent
+
+
+def _counts(engine) -> dict[str, float]:
+    conn, response = Caller(engine.url, "")._open("GET", "/metrics", None, {})
+    lines = response.read().decode().splitlines()
+    conn.close()
+    values = {}
+    for line in lines:
+        name = line.split("{")[0].split(" ")[0]
+        if name in COUNTED:
+            values[name] = float(line.split()[-1])
+    return values
+
+
 def _kill_engine(cluster, key, reading, stream) -> None:
-    _busy_engine(cluster).signal(signal.SIGKILL)
+    engine = _busy_engine(cluster)
+    _LAST_COUNTS[engine.pid] = _counts(engine)
+    engine.signal(signal.SIGKILL)
     reading.take(stream)
 
 
