Read engine metrics in one place, and drop dead code

The demonstration, the fault matrix and the benchmark of answers each parsed the engines' metrics by hand; scripts/engine_metrics.py does it with prometheus_client's parser. Dropped, since nothing called them: abort_run, AnswerLostError and a wrapper of one call.

--- a/benchmarks/answers.py
+++ b/benchmarks/answers.py
@@ -20,6 +20,7 @@
 
 from benchmarks.figures import Figure, percentile, print_table
 from scripts.caller import Caller, CallerError
+from scripts.engine_metrics import busy_engine, read_counts
 from scripts.local_cluster import ClusterOptions, LocalCluster
 from standins.tokens import broken_at
 
@@ -36,7 +37,6 @@
 RESUME_INTERVAL_MS = 15.0
 RESUME_TOKENS = 120
 RESUME_AT = 40
-COUNTED = ("vllm:generation_tokens_total", "vllm:prompt_tokens_total")
 _LAST_COUNTS: dict[int, dict[str, float]] = {}
 PROMPT = "batch note for the truck to Salalah, " * 20
 
@@ -248,32 +248,20 @@
     spent = collections.Counter()
     for engine in cluster.engines:
         if engine.popen.poll() is None:
-            _LAST_COUNTS[engine.pid] = _counts(engine)
+            _LAST_COUNTS[engine.pid] = read_counts(engine)
         spent.update(_LAST_COUNTS.get(engine.pid, {}))
     return spent
 
 
-def _counts(engine) -> dict[str, float]:
-    conn, response = Caller(engine.url, "")._open("GET", "/metrics", None, {})
-    lines = response.read().decode().splitlines()
-    conn.close()
-    values = {}
-    for line in lines:
-        name = line.split("{")[0].split(" ")[0]
-        if name in COUNTED:
-            values[name] = float(line.split()[-1])
-    return values
-
-
 def _kill_engine(cluster, key, reading, stream) -> None:
-    engine = _busy_engine(cluster)
-    _LAST_COUNTS[engine.pid] = _counts(engine)
+    engine = busy_engine(cluster.engines)
+    _LAST_COUNTS[engine.pid] = read_counts(engine)
     engine.signal(signal.SIGKILL)
     reading.take(stream)
 
 
 def _pause_engine(cluster, key, reading, stream) -> None:
-    _busy_engine(cluster).signal(signal.SIGSTOP)
+    busy_engine(cluster.engines).signal(signal.SIGSTOP)
     reading.take(stream)
 
 
@@ -303,16 +291,5 @@
     reading.take(stream)
 
 
-def _busy_engine(cluster):
-    for engine in cluster.engines:
-        conn, response = Caller(engine.url, "")._open("GET", "/metrics", None, {})
-        lines = response.read().decode().splitlines()
-        conn.close()
-        running = [x for x in lines if x.startswith("vllm:num_requests_running")]
-        if any(float(line.split()[-1]) > 0 for line in running):
-            return engine
-    raise RuntimeError("no engine runs the answer")
-
-
 if __name__ == "__main__":
     main()
--- a/boragedeck/connection/engine.py
+++ b/boragedeck/connection/engine.py
@@ -17,11 +17,10 @@
 from boragedeck.ids import Version
 from boragedeck.request.answer import Endpoint, Prompt
 
-__all__ = ["EngineChunk", "EngineRun", "RunRequest", "abort_run", "open_run"]
+__all__ = ["EngineChunk", "EngineRun", "RunRequest", "open_run"]
 
 CONNECT_TIMEOUT_S = 0.5
 HEADERS_TIMEOUT_S = 600.0
-ABORT_TIMEOUT_S = 0.5
 READ_BYTES = 65_536
 MAX_EVENT_BYTES = 1024 * 1024
 SEND_STATUSES_REFUSED = (404, 429, 503)
@@ -239,26 +238,6 @@
         raise
 
 
-def abort_run(url: str, run_id: str) -> bool:
-    """Ask an engine to stop a run; return whether it took the request.
-
-    Parameters
-    ----------
-    url : str
-        The engine's base URL.
-    run_id : str
-        See `RunRequest`.
-    """
-    body = msgspec.json.encode({"request_ids": [run_id]})
-    try:
-        with urllib3.PoolManager(retries=False, timeout=ABORT_TIMEOUT_S) as pool:
-            headers = {"Content-Type": "application/json"}
-            path = f"{url.rstrip('/')}/abort_requests"
-            return pool.request("POST", path, body=body, headers=headers).status == 200
-    except (urllib3.exceptions.HTTPError, OSError):
-        return False
-
-
 def _check_status(response: Any, url: str) -> None:
     if response.status == 200:
         return
--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -3,7 +3,6 @@
 from boragedeck.ids import Ran
 
 __all__ = [
-    "AnswerLostError",
     "BoragedeckError",
     "PeerError",
     "PeerGoneError",
@@ -115,10 +114,6 @@
     """The upstream's stream went silent for longer than its history allows."""
 
 
-class AnswerLostError(BoragedeckError):
-    """The owner of an answer and its copy are both gone, or the copy is short."""
-
-
 class RefusedError(BoragedeckError):
     """A request is refused with a status for its caller.
 
--- a/boragedeck/request/lookup.py
+++ b/boragedeck/request/lookup.py
@@ -8,7 +8,6 @@
 
 from boragedeck.connection.peer import Address, PeerLinks
 from boragedeck.exceptions import (
-    PeerError,
     PeerGoneError,
     PeerRefusedError,
     PeerUnreachableError,
@@ -238,7 +237,7 @@
         result = self._links.link(copy.address).call(
             message, CopyImage, timeout_s=SEIZE_TIMEOUT_S
         )
-        return result.map_err(_seize_error)
+        return result.map_err(lambda exc: _unreachable_error())
 
 
 def not_found_error() -> RefusedError:
@@ -295,10 +294,6 @@
     )
 
 
-def _seize_error(exc: PeerError) -> RefusedError:
-    return _unreachable_error()
-
-
 def _is_silent(result: Result) -> bool:
     if result.is_ok():
         return False
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -7,7 +7,8 @@
 import time
 
 from scripts.caller import Caller, CallerError, Stream
-from scripts.local_cluster import ClusterOptions, LocalCluster, Process
+from scripts.engine_metrics import busy_engine
+from scripts.local_cluster import ClusterOptions, LocalCluster
 from standins.tokens import broken_at
 
 __all__ = ["main"]
@@ -85,7 +86,7 @@
     answer = Answer()
     stream = Caller(router.url, key).chat(route, text, TOKENS)
     answer.read(stream, KILL_ENGINE_AT)
-    engine = _busy_engine(cluster)
+    engine = busy_engine(cluster.engines)
     print(f"\n\n*** killing the engine that runs it (pid {engine.pid})\n")
     engine.stop()
     cluster.engines.remove(engine)
@@ -107,22 +108,6 @@
     return _check(answer)
 
 
-def _busy_engine(cluster: LocalCluster) -> Process:
-    for engine in cluster.engines:
-        host = engine.url.removeprefix("http://")
-        conn = http.client.HTTPConnection(host, timeout=5)
-        conn.request("GET", "/metrics")
-        text = conn.getresponse().read().decode()
-        conn.close()
-        running = [
-            line for line in text.splitlines()
-            if line.startswith("vllm:num_requests_running")
-        ]  # fmt: skip
-        if any(float(line.split()[-1]) > 0 for line in running):
-            return engine
-    raise RuntimeError("no engine runs the answer")
-
-
 def _read_to_break(answer: Answer, stream: Stream) -> None:
     try:
         answer.read(stream)
--- /dev/null
+++ b/scripts/engine_metrics.py
@@ -0,0 +1,57 @@
+"""Reads the metrics of a stand-in engine."""
+
+import collections
+import http.client
+from collections.abc import Iterable
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from scripts.local_cluster import Process
+
+__all__ = ["RUNNING", "busy_engine", "read_counts"]
+
+RUNNING = "vllm:num_requests_running"
+TIMEOUT_S = 5.0
+
+
+def read_counts(engine: Process, timeout_s: float = TIMEOUT_S) -> dict[str, float]:
+    """Return the sum of each metric's samples by name.
+
+    Parameters
+    ----------
+    engine : Process
+        The engine.
+    timeout_s : float
+        How long one read may take, in seconds.
+
+    Raises
+    ------
+    OSError
+        Where the engine does not answer.
+    """
+    host = engine.url.removeprefix("http://")
+    conn = http.client.HTTPConnection(host, timeout=timeout_s)
+    try:
+        conn.request("GET", "/metrics")
+        text = conn.getresponse().read().decode()
+    finally:
+        conn.close()
+    counts = collections.Counter()
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            counts[sample.name] += sample.value
+    return counts
+
+
+def busy_engine(engines: Iterable[Process]) -> Process:
+    """Return the first engine that runs a request.
+
+    Raises
+    ------
+    RuntimeError
+        Where none does.
+    """
+    for engine in engines:
+        if read_counts(engine)[RUNNING] > 0:
+            return engine
+    raise RuntimeError("no engine runs the answer")
--- a/scripts/fault_matrix.py
+++ b/scripts/fault_matrix.py
@@ -29,6 +29,7 @@
 from boragedeck.process.timeline_views import text_lines
 from boragedeck.version.tables import Config
 from scripts.caller import Caller, CallerError, Stream
+from scripts.engine_metrics import RUNNING, read_counts
 from scripts.local_cluster import ClusterOptions, LocalCluster, Process
 from standins.relay import Relay
 from standins.tokens import broken_at
@@ -447,19 +448,10 @@
 
 
 def _running(engine: Process) -> float:
-    host = engine.url.removeprefix("http://")
     try:
-        conn = http.client.HTTPConnection(host, timeout=1)
-        conn.request("GET", "/metrics")
-        text = conn.getresponse().read().decode()
-        conn.close()
+        return read_counts(engine, timeout_s=1.0)[RUNNING]
     except OSError:
         return 0.0
-    return sum(
-        float(line.split()[-1])
-        for line in text.splitlines()
-        if line.startswith("vllm:num_requests_running")
-    )
 
 
 def _status(router: Process) -> dict:
