--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -5,7 +5,6 @@
 and tells an answer that was cut off from one that ends with its connection.
 """
 
-import select
 from collections.abc import Iterator
 
 import eventlet
@@ -91,9 +90,14 @@
 
     def is_quiet(self) -> bool:
         """Whether nothing has arrived while no request was waiting."""
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN | select.POLLHUP)
-        return not poll.poll(0)
+        try:
+            # The green socket would wait here.
+            self.sock.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
 
     def shut(self) -> None:
         try:
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -47,7 +47,7 @@
     router: RouterId
     number: int
     loads: dict[ReplicaId, Load]
-    newest: dict[Table, int] = {}
+    newest: dict[Table, int]
 
 
 class LoadExchange:
--- a/boragedeck/process/relaying/retry_share.py
+++ b/boragedeck/process/relaying/retry_share.py
@@ -1,4 +1,4 @@
-"""This router's share of the repeats that all routers together may send."""
+"""A router's share of the repeats that all routers together may send."""
 
 from collections import deque
 from collections.abc import Callable
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -26,9 +26,9 @@
 __all__ = ["StreamRelay"]
 
 SUSPECT_GAP_SHARE = 0.5
-"""A stream that pauses for this share of its gap objective may have lost its replica."""
+"""A stream may have lost its replica when it pauses for this share of its objective."""
 SUSPECT_FIRST_SHARE = 0.5
-"""So is one whose first event takes this share of its objective."""
+"""And when its first event takes this share of its objective."""
 PROBE_TIMEOUT_S = 0.25
 MIN_SUSPECT_S = 0.2
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
