--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -52,8 +52,6 @@
         When waiting has no further use, on the timer service's clock.
     tried : frozenset of ReplicaId
         Replicas that it was sent to before.
-    only : ReplicaId or None
-        The one replica that can serve it.
     """
 
     pool: RelayPool
@@ -62,7 +60,6 @@
     tokens: int
     until: float
     tried: frozenset[ReplicaId] = frozenset()
-    only: ReplicaId | None = None
 
 
 class Place:
@@ -89,6 +86,7 @@
         self.since = now
         self._is_read = False
         self._is_released = False
+        self._copy_holder: ReplicaState | None = None
         _add(state.own, ask, 1)
 
     def first_output(self) -> None:
@@ -97,6 +95,11 @@
             self._is_read = True
             self.state.own.unread_tokens -= self._ask.prompt_tokens
 
+    def keep_copy(self, holder: ReplicaState) -> None:
+        """Count the memory that a copy of the run takes elsewhere."""
+        self._copy_holder = holder
+        holder.own.tokens += self._ask.tokens
+
     def release(self, is_served: bool = False) -> None:
         """Give the place back; further calls have no effect."""
         if self._is_released:
@@ -104,6 +107,8 @@
         self._is_released = True
         self.first_output()
         _add(self.state.own, self._ask, -1, is_read=True)
+        if self._copy_holder is not None:
+            self._copy_holder.own.tokens -= self._ask.tokens
         self._admission.note_released(self._ask.pool.name, self.since, is_served)
 
 
@@ -163,6 +168,12 @@
             return Err(self._refusal(ask, wait_s))
         return self._wait(ask, left_s)
 
+    def occupy(self, ask: Ask, state: ReplicaState) -> Place:
+        """Return a place at a replica that keeps room for the request."""
+        place = Place(self, state, ask, self._timers.now())
+        self.on_change()
+        return place
+
     def backup_of(self, place: Place, ask: Ask) -> ReplicaState | None:
         """Return an engine that can hold a copy of a run's memory."""
         states = self._registry.of_pool(ask.pool.name)
@@ -222,8 +233,6 @@
 
     def _grant(self, ask: Ask) -> Place | None:
         states = self._registry.of_pool(ask.pool.name)
-        if ask.only is not None:
-            states = [s for s in states if s.replica.replica == ask.only]
         state = choose_replica(states, self._request(ask), self._rng)
         if state is None:
             return None
@@ -241,8 +250,6 @@
         )
 
     def _expected_wait_s(self, ask: Ask) -> float:
-        if ask.only is not None:
-            return float("inf")
         states = self._registry.of_pool(ask.pool.name)
         if not states:
             # A replica may come at any moment.
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -115,7 +115,7 @@
         loads = {
             state.replica.replica: state.own
             for state in self._registry.all()
-            if state.own.running
+            if state.own.running or state.own.tokens
         }
         newest = {mirror.table: mirror.newest for mirror in self._mirrors}
         own = self._membership.own.router
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -21,7 +21,7 @@
     open_attempt,
     probe,
 )
-from boragedeck.request.relay_request import AttemptPlan, VerdictKind
+from boragedeck.request.relay_request import AttemptPlan, CopySource, VerdictKind
 
 __all__ = ["StreamRelay"]
 
@@ -91,6 +91,8 @@
 
     def _place(self) -> Place | None:
         job = self._job
+        if self._may_use_copy():
+            return job.parts.admission.occupy(job.ask(job.deadline), self._backup)
         placed = job.acquire(job.deadline)
         if placed.is_ok():
             return placed.ok()
@@ -101,19 +103,31 @@
             job.refuse(placed.err())
         return None
 
+    def _may_use_copy(self) -> bool:
+        """Whether the engine with the copy of a lost run can go on with it."""
+        backup = self._backup
+        if backup is None or self._splitter.last is None:
+            return False
+        return backup.takes_work and backup.avoid_until <= self._job.parts.timers.now()
+
     @property
     def _has_begun(self) -> bool:
         return self._job.channel.has_begun
 
     def _attempt(self, place: Place) -> End:
         job = self._job
-        backup = self._choose_backup(place)
+        is_copy = place.state is self._backup
+        source = CopySource(place.state.replica.address) if is_copy else None
+        backup = self._backup = self._choose_backup(place)
+        if backup is not None:
+            place.keep_copy(backup)
         plan = AttemptPlan(
             replica=place.state.replica,
             organisation=job.organisation,
             left_s=job.left_s(),
             last_event=self._splitter.last,
             backup=None if backup is None else backup.replica,
+            source=source,
         )
         return self._send(place, plan)
 
@@ -128,6 +142,8 @@
             running=place.state.running,
             tokens=place.state.tokens,
             position=plan.last_event,
+            from_copy=plan.source is not None,
+            backup=None if plan.backup is None else plan.backup.replica,
             attempt=job.sent + 1,
         )
         try:
