--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -278,6 +278,7 @@
         arrived = self._timers.now()
         headers = [(bytes(n), bytes(v)) for n, v in head.headers.raw_items()]
         _check_framing(headers)
+        _check_size(head, limits)
         body = bytearray()
         with eventlet.Timeout(max(BODY_TIMEOUT_S, limits.header_timeout_s)):
             while True:
@@ -386,6 +387,13 @@
         raise _RejectedError("both a length and a transfer encoding", 400)
 
 
+def _check_size(head: h11.Request, limits: CallerLimits) -> None:
+    # The parser's own limit is for heads that arrive in parts.
+    size = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
+    if size > limits.header_bytes:
+        raise _RejectedError("the head is too long", 431)
+
+
 def _reason(status: int) -> bytes:
     return _REASONS.get(status, b"")
 
--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -11,6 +11,7 @@
 import h11
 import msgspec
 from eventlet.green import socket
+from eventlet.hubs import trampoline
 
 from boragedeck.connection.peer import Address
 from boragedeck.exceptions import (
@@ -99,6 +100,21 @@
             return False
         return False
 
+    def receive(self) -> bytes:
+        """Wait for bytes; none at the end of the connection.
+
+        Raises
+        ------
+        OSError
+            Where the connection was reset, which the green socket's own method
+            reports as its end: an answer without a length would look complete.
+        """
+        while True:
+            try:
+                return self.sock.fd.recv(READ_BYTES)
+            except BlockingIOError:
+                trampoline(self.sock.fd, read=True)
+
     def shut(self) -> None:
         try:
             self.sock.shutdown(socket.SHUT_RDWR)
@@ -233,7 +249,7 @@
             event = parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            parser.receive_data(self._conn.sock.recv(READ_BYTES))
+            parser.receive_data(self._conn.receive())
 
     def _silent(self, step: str) -> UpstreamSilentError:
         return UpstreamSilentError("silent", step=step, peer=str(self._conn.address))
--- a/boragedeck/platform/store.py
+++ b/boragedeck/platform/store.py
@@ -84,6 +84,10 @@
             retries=False,
         )
 
+    def close(self) -> None:
+        """Close the connections."""
+        self._pool.close()
+
     def get(self, table: Table, key: str) -> Result[Row | None, StoreError]:
         """See `TableStore.get`."""
         found = self.scan(table, prefix=key, limit=1)
--- a/boragedeck/process/relaying/placement.py
+++ b/boragedeck/process/relaying/placement.py
@@ -24,7 +24,9 @@
 FAILURE_COST = 2.0
 """What a share of failures of one costs, in full replicas."""
 AWAY_COST = 0.05
-"""What another failure domain costs, in full replicas."""
+"""What a service in another failure domain costs, in full replicas."""
+AWAY_COST_TOKENS = 100
+"""What an engine in another failure domain costs, in prompt tokens."""
 
 
 class PlaceRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,9 +103,9 @@
 def _cost(state: ReplicaState, req: PlaceRequest, least: float) -> float:
     """Return the cost of a replica, in shares of a full one."""
     cost = FAILURE_COST * (state.failure_share - least)
-    if state.replica.failure_domain != req.domain:
-        cost += AWAY_COST
+    is_away = state.replica.failure_domain != req.domain
     if req.engine is None:
-        return cost + state.running / state.replica.slots
+        return cost + state.running / state.replica.slots + AWAY_COST * is_away
     ahead = state.unread_tokens + RUNNING_COST_TOKENS * state.running
+    ahead += AWAY_COST_TOKENS * is_away
     return cost + ahead / req.engine.memory_tokens
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -104,16 +104,20 @@
         wait_s = self._job.left_s()
         if self._may_hedge():
             goal_s = self._job.rule.goal_s
-            begun_s = self._job.deadline - self._job.left_s() - self._job.req.arrived
-            wait_s = min(wait_s, max(0.0, HEDGE_SHARE * goal_s - begun_s))
+            hedge_at = self._job.req.arrived + HEDGE_SHARE * goal_s
+            wait_s = min(wait_s, hedge_at - self._job.parts.timers.now())
         try:
             return self._endings.get(timeout=max(0.0, wait_s))
         except Empty:
             return None
 
     def _may_hedge(self) -> bool:
+        """Whether one attempt runs that a second one may overtake."""
         job = self._job
-        return job.rule.may_repeat and job.sent == 1 and job.rule.max_attempts > 1
+        if job.parts.timers.now() >= job.req.arrived + HEDGE_SHARE * job.rule.goal_s:
+            return False
+        is_alone = len(self._running) == 1 and job.sent <= 1
+        return is_alone and job.rule.may_repeat and job.rule.max_attempts > 1
 
     def _start_again(self) -> None:
         job = self._job
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -66,6 +66,7 @@
         self._splitter = EventSplitter(job.req.resume_after)
         self._head: tuple[int, Headers] | None = None
         self._backup: ReplicaState | None = None
+        self._is_on_copy = False
         self._failure: _Failure | None = None
         self._reason = ""
         self._lost_at: float | None = None
@@ -91,7 +92,8 @@
 
     def _place(self) -> Place | None:
         job = self._job
-        if self._may_use_copy():
+        self._is_on_copy = self._may_use_copy()
+        if self._is_on_copy:
             return job.parts.admission.occupy(job.ask(job.deadline), self._backup)
         placed = job.acquire(job.deadline)
         if placed.is_ok():
@@ -116,8 +118,9 @@
 
     def _attempt(self, place: Place) -> End:
         job = self._job
-        is_copy = place.state is self._backup
-        source = CopySource(place.state.replica.address) if is_copy else None
+        source = None
+        if self._is_on_copy:
+            source = CopySource(place.state.replica.address)
         backup = self._backup = self._choose_backup(place)
         if backup is not None:
             place.keep_copy(backup)
--- /dev/null
+++ b/standins/rows.py
@@ -0,0 +1,169 @@
+"""Stand-in for the users' platform store: rows under conditions, and their changes."""
+
+import base64
+from urllib.parse import parse_qsl
+
+import eventlet
+import msgspec
+from eventlet.event import Event
+
+from standins.web import Answer, App, drop_connection, json_answer
+
+__all__ = ["RowFaults", "RowStore"]
+
+PAGE_ROWS = 500
+PREFIX = "/boragedeck/"
+
+
+class RowFaults(msgspec.Struct):
+    """How the stand-in misbehaves.
+
+    Parameters
+    ----------
+    status : int
+        Answer every call with this status and do nothing; 0 to serve.
+    is_silent : bool
+        Take calls and never answer.
+    loses_answers : bool
+        Carry writes out and close the connection.
+    """
+
+    status: int = 0
+    is_silent: bool = False
+    loses_answers: bool = False
+
+
+class _Row(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+    value: str
+    ver: int
+
+
+class RowStore:
+    """The rows, as a WSGI application.
+
+    Attributes
+    ----------
+    faults : RowFaults
+        How it misbehaves now.
+    calls : list of str
+        The paths that were called.
+    """
+
+    def __init__(self):
+        self.faults = RowFaults()
+        self.calls: list[str] = []
+        self._rows: dict[tuple[str, str, str], _Row] = {}
+        self._log: list[dict] = []
+        self._forgotten = 0
+        self._ver = 0
+        self._changed = Event()
+
+    @property
+    def app(self) -> App:
+        """The WSGI application."""
+        return self._answer
+
+    def put(self, table: str, key: str, value: bytes, part: str = "") -> int:
+        """Write a row as an operator or a replica would."""
+        return self._commit([(table, part, key, value)], [])
+
+    def drop(self, table: str, key: str, part: str = "") -> int:
+        """Delete a row."""
+        return self._commit([], [(table, part, key)])
+
+    def value(self, table: str, key: str, part: str = "") -> bytes | None:
+        """Return a row's value."""
+        row = self._rows.get((table, part, key))
+        return None if row is None else base64.b64decode(row.value)
+
+    def forget_history(self) -> None:
+        """Keep no changes of before."""
+        self._log.clear()
+        self._forgotten = self._ver
+
+    def _answer(self, environ, start_response):
+        path = environ["PATH_INFO"].removeprefix(PREFIX)
+        fields = dict(parse_qsl(environ.get("QUERY_STRING", "")))
+        body = environ["wsgi.input"].read()
+        self.calls.append(path)
+        while self.faults.is_silent:
+            eventlet.sleep(0.01)
+        if self.faults.status:
+            return Answer(self.faults.status).send(start_response)
+        answer = self._serve(path, fields, body)
+        if self.faults.loses_answers and path == "rows-tx":
+            return drop_connection()
+        return answer.send(start_response)
+
+    def _serve(self, path: str, fields: dict[str, str], body: bytes) -> Answer:
+        match path:
+            case "rows-tx":
+                return self._transact(msgspec.json.decode(body))
+            case "rows-get":
+                return self._get(fields)
+            case "rows-feed":
+                return self._feed(fields)
+        return Answer(404)
+
+    def _transact(self, call: dict) -> Answer:
+        for cond in call.get("expectedRev", []):
+            row = self._rows.get((cond["table"], cond["part"], cond["key"]))
+            if cond["ver"] != (0 if row is None else row.ver):
+                rows = [] if row is None else [row]
+                return json_answer({"rows": rows, "ver": self._ver}, 412)
+        puts = [
+            (row["table"], row["part"], row["key"], base64.b64decode(row["value"]))
+            for row in call.get("setKeys", [])
+        ]
+        drops = [(row["table"], row["part"], row["key"]) for row in call["drop"]]
+        return json_answer({"ver": self._commit(puts, drops), "nowMs": 0})
+
+    def _get(self, fields: dict[str, str]) -> Answer:
+        begin, end = fields.get("from", ""), fields.get("to")
+        rows = sorted(
+            (
+                row
+                for (table, part, key), row in self._rows.items()
+                if table == fields["table"]
+                and part == fields.get("part", "")
+                and key >= begin
+                and (end is None or key < end)
+            ),
+            key=lambda row: row.key.encode(),
+        )
+        limit = min(PAGE_ROWS, int(fields.get("limit", PAGE_ROWS)))
+        page = {"rows": rows[:limit], "truncated": len(rows) > limit}
+        return json_answer(page | {"ver": self._ver, "nowMs": 0})
+
+    def _feed(self, fields: dict[str, str]) -> Answer:
+        after = int(fields["after"])
+        if after < self._forgotten:
+            return Answer(410)
+        with eventlet.Timeout(int(fields.get("waitMs", 0)) / 1000.0, False):
+            while not (rows := self._changes(fields["table"], after)):
+                self._changed.wait()
+            return json_answer({"rows": rows, "ver": self._ver, "nowMs": 0})
+        return json_answer({"rows": [], "ver": self._ver, "nowMs": 0})
+
+    def _changes(self, table: str, after: int) -> list[dict]:
+        return [
+            row for row in self._log if row["table"] == table and row["ver"] > after
+        ]
+
+    def _commit(self, puts: list[tuple], drops: list[tuple]) -> int:
+        self._ver += 1
+        for table, part, key, value in puts:
+            text = base64.b64encode(value).decode()
+            row = _Row(table, part, key, text, self._ver)
+            self._rows[table, part, key] = row
+            self._log.append(msgspec.to_builtins(row))
+        for table, part, key in drops:
+            if self._rows.pop((table, part, key), None) is not None:
+                gone = {"table": table, "part": part, "key": key, "tombstone": True}
+                self._log.append(gone | {"ver": self._ver})
+        changed, self._changed = self._changed, Event()
+        changed.send()
+        return self._ver
--- /dev/null
+++ b/tests/connection/test_caller_edge.py
@@ -0,0 +1,111 @@
+import unittest
+
+import eventlet
+import msgspec
+
+from boragedeck.version.routing import CallerLimits
+from tests.support.replicas import (
+    RelayWorld,
+    ScriptedReplica,
+    answer,
+    read_response,
+    send_request,
+)
+
+
+class CallerEdgeTest(unittest.TestCase):
+    def setUp(self):
+        self.world = RelayWorld(limits=CallerLimits(2_000, 5_000, 0.2, 0.3))
+        self.addCleanup(self.world.close)
+        self.replica = ScriptedReplica("one", answer())
+        self.world.add(self.replica)
+
+    def send(self, data):
+        sock = self.world.connect()
+        sock.sendall(data)
+        return read_response(sock)
+
+    def test_connection_serves_one_request_after_the_other(self):
+        sock = self.world.connect()
+        for name in (b"id-1", b"id-2"):
+            self.assertEqual(self.world.ask(sock=sock, name=name).status, 200)
+        self.assertEqual(len(self.replica.seen), 2)
+
+    def test_requests_sent_together_are_answered_in_order(self):
+        sock = self.world.connect()
+        send_request(sock, name=b"id-1")
+        send_request(sock, name=b"id-2")
+        first = sock.recv(65_536)
+        while first.count(b"whole") < 2:
+            first += sock.recv(65_536)
+        self.assertLess(first.index(b"id-1"), first.index(b"id-2"))
+
+    def test_chunked_body_is_passed_on_with_a_length(self):
+        sock = self.world.connect()
+        sock.sendall(
+            b"POST /r/x HTTP/1.1\r\nHost: here.example\r\nRequest-Id: 7\r\n"
+            b"Api-Key: key-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        self.assertEqual(read_response(sock).status, 200)
+        seen = self.replica.seen[0]
+        self.assertEqual(seen.body, b"abcde")
+        self.assertNotIn(b"transfer-encoding", seen.headers)
+
+    def test_two_framings_are_refused(self):
+        response = self.send(
+            b"POST /r/x HTTP/1.1\r\nHost: here.example\r\nContent-Length: 5\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /r/y HTTP/1.1\r\n\r\n"
+        )
+        self.assertEqual(response.status, 400)
+        self.assertEqual(self.replica.seen, [])
+
+    def test_two_lengths_and_broken_headers_are_refused(self):
+        for line in (b"Content-Length: 1\r\nContent-Length: 2", b"X : 1", b"X\x00: 1"):
+            response = self.send(
+                b"POST /r/x HTTP/1.1\r\nHost: here.example\r\n%s\r\n\r\n" % line
+            )
+            self.assertEqual(response.status, 400, line)
+        self.assertEqual(self.replica.seen, [])
+
+    def test_repeated_header_that_decides_is_refused(self):
+        response = self.world.ask(b"Api-Key: key-2")
+        self.assertEqual(response.status, 400)
+
+    def test_long_head_and_body_are_refused(self):
+        self.assertEqual(self.world.ask(b"X: " + b"x" * 3_000).status, 431)
+        self.assertEqual(self.world.ask(body=b"x" * 6_000).status, 413)
+        self.assertEqual(self.replica.seen, [])
+
+    def test_slow_head_is_refused_as_not_run(self):
+        response = self.send(b"POST /r/x HTTP/1.1\r\nHost: he")
+        self.assertEqual(response.status, 408)
+
+    def test_idle_connection_is_closed_by_the_limit_in_force(self):
+        sock = self.world.connect()
+        self.world.ask(sock=sock)
+        table = self.world.table
+        limits = msgspec.structs.replace(table.limits, idle_timeout_s=1.0)
+        self.world.table = msgspec.structs.replace(table, limits=limits)
+        eventlet.sleep(0.6)
+        self.assertEqual(self.world.ask(sock=sock, name=b"id-2").status, 200)
+        with eventlet.Timeout(3.0):
+            self.assertEqual(sock.recv(10), b"")
+
+    def test_closing_edge_ends_idle_connections_and_says_so_on_others(self):
+        idle, busy = self.world.connect(), self.world.connect()
+        self.world.ask(sock=idle)
+        self.replica._steps = [slow_answer]
+        send_request(busy, name=b"id-2")
+        eventlet.sleep(0.05)
+        self.world.edge.close_idle()
+        with eventlet.Timeout(1.0):
+            self.assertEqual(idle.recv(10), b"")
+        response = read_response(busy)
+        self.assertEqual((response.status, response.body), (200, b"whole"))
+        self.assertEqual(response.headers[b"connection"], b"close")
+
+
+def slow_answer(sock, req):
+    eventlet.sleep(0.2)
+    return answer()(sock, req)
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,117 @@
+import unittest
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from boragedeck.platform.replicas import decode_replica
+from boragedeck.platform.routing import (
+    decode_rollout,
+    decode_routing,
+    encode_rollout_status,
+)
+from boragedeck.version.relay_rollouts import RolloutResult
+from boragedeck.version.replicas import ReplicaStage
+from boragedeck.version.routing import CallKind
+
+ENTRY = {
+    "service": "s",
+    "address": "10.1.1.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "born": 17,
+}
+ROUTE = {
+    "name": "r",
+    "host": "Here.Example",
+    "prefix": "/a/",
+    "kind": "streaming",
+    "timeoutMs": 25000,
+    "latencyGoalMs": 4500,
+    "service": "s",
+    "resumable": True,
+    "targetGapMs": 700,
+    "maxAttempts": 5,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {
+            "name": "s",
+            "maxConns": 370,
+            "engine": {"slots": 64, "kvCapacity": 88000, "backups": True},
+        }
+    ],
+    "limits": {"idleTimeoutMs": 15000},
+    "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def encoded(tree, **changes):
+    return msgspec.json.encode(tree | changes)
+
+
+class ReplicaTest(unittest.TestCase):
+    def test_entry_is_read(self):
+        replica = decode_replica("i-1", encoded(ENTRY, other=[1])).ok()
+        self.assertEqual(replica.replica, "i-1")
+        self.assertEqual(str(replica.address), "10.1.1.1:80")
+        self.assertIs(replica.stage, ReplicaStage.READY)
+        self.assertEqual(replica.born_ms, 17)
+
+    def test_entries_of_other_writers_name_no_replica(self):
+        for changes in (
+            {"state": "resting"},
+            {"slots": "many"},
+            {"slots": 0},
+            {"address": "host:80"},
+            {"address": "10.1.1.1"},
+            {"address": "10.1.1.1:99999"},
+            {"zone": None},
+        ):
+            self.assertTrue(decode_replica("i", encoded(ENTRY, **changes)).is_err())
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_an_error_and_no_more(self, body):
+        self.assertTrue(decode_replica("i", body).is_err())
+        self.assertTrue(decode_rollout(body).is_err())
+
+
+class RoutingTest(unittest.TestCase):
+    def test_table_is_read(self):
+        table = decode_routing(encoded(CONFIG)).ok()
+        rule = table.match("here.example", "/a/b")
+        self.assertIs(rule.kind, CallKind.STREAM)
+        self.assertTrue(rule.may_repeat)
+        self.assertEqual((rule.timeout_s, rule.gap_goal_s), (25.0, 0.7))
+        self.assertEqual(table.organisations, {"k1": "t", "k2": "t"})
+        self.assertEqual(table.pools["s"].engine.memory_tokens, 88_000)
+        self.assertEqual(table.limits.idle_timeout_s, 15.0)
+        self.assertTrue(table.needs_keys)
+
+    def test_longest_prefix_goes_first(self):
+        routes = [ROUTE, ROUTE | {"name": "long", "prefix": "/a/b/"}]
+        table = decode_routing(encoded(CONFIG, routes=routes)).ok()
+        self.assertEqual(table.match("here.example", "/a/b/c").name, "long")
+        self.assertEqual(table.match("here.example", "/a/c").name, "r")
+
+    def test_kind_that_is_not_known_runs_once(self):
+        routes = [ROUTE | {"kind": "new", "resumable": True}]
+        table = decode_routing(encoded(CONFIG, routes=routes)).ok()
+        self.assertFalse(table.match("here.example", "/a/").may_repeat)
+
+    def test_table_that_can_not_be_read_is_an_error(self):
+        for changes in ({"version": "x"}, {"routes": [{}]}, {"services": 3}):
+            self.assertTrue(decode_routing(encoded(CONFIG, **changes)).is_err())
+
+    def test_rollout_and_its_status(self):
+        body = encoded({"service": "s", "to": "v2", "durationS": 12})
+        order = decode_rollout(body).ok()
+        self.assertEqual((order.pool, order.to, order.duration_s), ("s", "v2", 12.0))
+        status = msgspec.json.decode(
+            encode_rollout_status(order, RolloutResult.ROLLED_BACK)
+        )
+        self.assertEqual(status, {"service": "s", "to": "v2", "state": "rolled_back"})
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,94 @@
+import unittest
+
+import eventlet
+from eventlet import wsgi
+
+from boragedeck.connection.peer import Address
+from boragedeck.connection.store import Delete, Put, Table
+from boragedeck.exceptions import (
+    StoreConflictError,
+    StoreHistoryError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from boragedeck.platform import store as store_module
+from boragedeck.platform.store import PlatformStore
+from standins.rows import RowFaults, RowStore
+
+
+class PlatformStoreTest(unittest.TestCase):
+    def setUp(self):
+        self.rows = RowStore()
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.server = eventlet.spawn(
+            wsgi.server, listener, self.rows.app, log_output=False
+        )
+        self.store = PlatformStore(Address(*listener.getsockname()))
+        self.addCleanup(listener.close)
+        self.addCleanup(self.server.kill)
+        self.addCleanup(self.store.close)
+
+    def test_conditions_hold_or_nothing_is_written(self):
+        [ver] = self.store.commit([Put(Table.LEASES, "k", b"1", 0)]).ok()
+        refused = self.store.commit([Put(Table.LEASES, "k", b"2", 0)])
+        self.assertIsInstance(refused.err(), StoreConflictError)
+        self.assertTrue(self.store.commit([Put(Table.LEASES, "k", b"3", ver)]).is_ok())
+        self.assertEqual(self.store.get(Table.LEASES, "k").ok().value, b"3")
+        self.store.commit([Delete(Table.LEASES, "k")])
+        self.assertIsNone(self.store.get(Table.LEASES, "k").ok())
+
+    def test_key_that_begins_like_another_is_not_found(self):
+        self.store.commit([Put(Table.LEASES, "key", b"1")])
+        self.assertIsNone(self.store.get(Table.LEASES, "k").ok())
+
+    def test_scan_goes_on_behind_a_key(self):
+        self.store.commit([Put(Table.MEMBERS, key, b"x") for key in "abc"])
+        rows = self.store.scan(Table.MEMBERS, after="a").ok()
+        self.assertEqual([row.key for row in rows], ["b", "c"])
+
+    def test_snapshot_of_many_rows_is_whole(self):
+        for number in range(store_module.PAGE_ROWS + 3):
+            self.rows.put("servers", f"i-{number:04}", b"x")
+        changes = self.store.snapshot(Table.REPLICAS).ok()
+        self.assertEqual(len(changes.rows), store_module.PAGE_ROWS + 3)
+        self.assertTrue(changes.is_snapshot)
+
+    def test_changes_come_in_order_with_deleted_rows(self):
+        ver = self.rows.put("op", "config", b"1")
+        self.rows.put("other", "x", b"1")
+        self.rows.put("op", "config", b"2")
+        self.rows.drop("op", "config")
+        changes = self.store.changes(Table.ROUTING, ver, 0.1).ok()
+        self.assertEqual([row.value for row in changes.rows], [b"2", None])
+        self.assertEqual(changes.version, ver + 3)
+
+    def test_wait_ends_with_the_first_change(self):
+        ver = self.rows.put("op", "config", b"1")
+        eventlet.spawn_after(0.05, self.rows.put, "op", "config", b"2")
+        changes = self.store.changes(Table.ROUTING, ver, 3.0).ok()
+        self.assertEqual(len(changes.rows), 1)
+
+    def test_forgotten_history_is_told(self):
+        self.rows.put("op", "config", b"1")
+        self.rows.forget_history()
+        result = self.store.changes(Table.ROUTING, 0, 0.1)
+        self.assertIsInstance(result.err(), StoreHistoryError)
+
+    def test_refusal_did_nothing(self):
+        for status in (429, 503):
+            self.rows.faults = RowFaults(status=status)
+            result = self.store.commit([Put(Table.LEASES, "k", b"1")])
+            self.assertIsInstance(result.err(), StoreUnavailableError)
+
+    def test_lost_answer_may_have_been_carried_out(self):
+        self.rows.faults = RowFaults(loses_answers=True)
+        result = self.store.commit([Put(Table.LEASES, "k", b"1")])
+        self.assertIsInstance(result.err(), StoreUnknownError)
+        self.assertEqual(self.rows.value("leases", "k"), b"1")
+
+    def test_silent_store_is_left_after_the_wait(self):
+        self.rows.faults = RowFaults(is_silent=True)
+        with eventlet.Timeout(2.0):
+            result = self.store.changes(Table.ROUTING, 0, 0.1)
+        self.rows.faults = RowFaults()
+        self.assertIsInstance(result.err(), StoreUnknownError)
--- /dev/null
+++ b/tests/process/relaying/test_admission.py
@@ -0,0 +1,121 @@
+import random
+import unittest
+
+import eventlet
+
+from boragedeck.connection.peer import Address
+from boragedeck.process.relaying.admission import Admission, Ask, expected_wait_s
+from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.timers import ManualTimers
+from boragedeck.version.replicas import Replica, ReplicaStage
+from boragedeck.version.routing import RelayPool
+
+POOL = RelayPool("p", 100)
+
+
+def replica(name, slots=1, **fields):
+    values = {"stage": ReplicaStage.READY} | fields
+    return Replica(
+        replica=name,
+        pool="p",
+        address=Address("127.0.0.1", hash(name) % 60_000 + 1),
+        failure_domain="a",
+        version="v1",
+        slots=slots,
+        **values,
+    )
+
+
+class AdmissionTest(unittest.TestCase):
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.registry = ReplicaRegistry(self.timers)
+        self.admission = Admission(self.timers, self.registry, "a", random.Random(1))
+
+    def ask(self, wait_s=10.0, priority=1, **fields):
+        return Ask(
+            pool=POOL,
+            priority=priority,
+            prompt_tokens=0,
+            tokens=0,
+            until=self.timers.now() + wait_s,
+            **fields,
+        )
+
+    def wait(self, order, name, **fields):
+        def run():
+            place = self.admission.acquire(self.ask(**fields))
+            order.append((name, place.is_ok()))
+            if place.is_ok():
+                place.ok().release()
+
+        eventlet.spawn(run)
+        eventlet.sleep(0)
+
+    def test_place_is_given_at_once(self):
+        self.registry.put(replica("one"))
+        self.assertTrue(self.admission.acquire(self.ask()).is_ok())
+
+    def test_urgent_requests_go_first_and_others_in_order(self):
+        self.registry.put(replica("one"))
+        held = self.admission.acquire(self.ask()).ok()
+        order = []
+        for name, priority in (("a", 5), ("b", 5), ("c", 0)):
+            self.wait(order, name, priority=priority)
+        held.release()
+        self.timers.advance(0.0)
+        self.assertEqual([name for name, _ in order], ["c", "a", "b"])
+
+    def test_wait_that_can_not_end_in_time_is_refused_at_once(self):
+        self.registry.put(replica("one"))
+        self.admission.acquire(self.ask()).ok()
+        refused = self.admission.acquire(self.ask(wait_s=0.01)).err()
+        self.assertEqual((refused.status, refused.code), (503, "no_room"))
+        self.assertGreater(refused.retry_after_s, 0.0)
+
+    def test_waiting_ends_in_a_refusal(self):
+        order = []
+        self.wait(order, "a", wait_s=1.0)
+        self.timers.advance(1.1)
+        self.assertEqual(order, [("a", False)])
+        self.assertEqual(self.admission.waiting(), 1)
+        self.admission.grant_waiting()
+        self.assertEqual(self.admission.waiting(), 0)
+
+    def test_new_replica_serves_those_that_wait(self):
+        order = []
+        self.wait(order, "a")
+        self.registry.put(replica("one"))
+        self.timers.advance(0.0)
+        self.assertEqual(order, [("a", True)])
+
+    def test_leaving_replica_gets_no_request(self):
+        self.registry.put(replica("one", stage=ReplicaStage.DRAINING))
+        self.assertTrue(self.admission.acquire(self.ask(wait_s=0.0)).is_err())
+
+    def test_abandoned_wait_gives_its_place_back(self):
+        self.registry.put(replica("one"))
+        held = self.admission.acquire(self.ask()).ok()
+        waiter = eventlet.spawn(self.admission.acquire, self.ask())
+        eventlet.sleep(0)
+        held.release()
+        waiter.kill()
+        eventlet.sleep(0)
+        self.assertEqual(self.registry.get("one").own.running, 0)
+
+    def test_loads_come_back_to_zero(self):
+        self.registry.put(replica("one"))
+        self.registry.put(replica("two"))
+        place = self.admission.acquire(self.ask()).ok()
+        other = self.registry.get("two")
+        place.keep_copy(other)
+        place.first_output()
+        place.release()
+        place.release()
+        for state in self.registry.all():
+            load = state.own
+            self.assertEqual((load.running, load.tokens, load.unread_tokens), (0, 0, 0))
+
+    def test_wait_grows_with_the_queue(self):
+        self.assertEqual(expected_wait_s(0, 10, 1.0), 0.1)
+        self.assertEqual(expected_wait_s(19, 10, 1.0), 2.0)
--- /dev/null
+++ b/tests/process/relaying/test_mirror.py
@@ -0,0 +1,129 @@
+import random
+import unittest
+
+import eventlet
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from boragedeck.connection.store import Change, Changes, Table
+from boragedeck.exceptions import StoreHistoryError, StoreUnavailableError
+from boragedeck.process.relaying.mirror import (
+    FetchTable,
+    MirrorFollower,
+    TableMirror,
+    TablePart,
+)
+from boragedeck.process.timers import ManualTimers
+
+
+class TableMirrorTest(unittest.TestCase):
+    @given(st.permutations(range(1, 6)))
+    def test_order_of_arrival_does_not_matter_for_one_row(self, versions):
+        mirror = TableMirror(Table.ROUTING)
+        for version in versions:
+            row = Change("k", b"%d" % version, version)
+            mirror.apply(Changes((row,), version))
+        self.assertEqual(mirror.rows["k"].value, b"5")
+        self.assertEqual(mirror.version, 5)
+
+    def test_old_snapshot_changes_nothing(self):
+        mirror = TableMirror(Table.ROUTING)
+        mirror.apply(Changes((Change("k", b"new", 9),), 9))
+        mirror.apply(Changes((), 5, True))
+        self.assertIn("k", mirror.rows)
+
+    def test_snapshot_drops_what_it_lacks(self):
+        mirror = TableMirror(Table.ROUTING)
+        mirror.apply(Changes((Change("k", b"x", 1),), 1))
+        dropped = []
+        mirror.subscribe(dropped.append)
+        mirror.apply(Changes((), 5, True))
+        self.assertEqual(dropped, [Change("k", None, 5)])
+
+
+class Feed:
+    def __init__(self):
+        self.results = []
+        self.calls = []
+
+    def snapshot(self, table):
+        self.calls.append("snapshot")
+        return self._next()
+
+    def changes(self, table, after, wait_s):
+        self.calls.append(after)
+        return self._next()
+
+    def _next(self):
+        while not self.results:
+            eventlet.sleep(0.001)
+        return self.results.pop(0)
+
+
+class Links:
+    def __init__(self):
+        self.asked = []
+        self.answer = TablePart()
+
+    def link(self, address):
+        return self
+
+    def call(self, message, answer_type, timeout_s):
+        self.asked.append(message)
+        return Ok(self.answer)
+
+
+class MirrorFollowerTest(unittest.TestCase):
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.feed, self.links = Feed(), Links()
+        self.mirror = TableMirror(Table.ROUTING)
+        self.follower = MirrorFollower(
+            self.mirror,
+            self.feed,
+            self.timers,
+            self.links,
+            lambda: ["peer"],
+            random.Random(1),
+            3.0,
+        )
+
+    def play(self, *results):
+        self.feed.results += results
+        if not self.feed.calls:
+            self.follower.start()
+        eventlet.sleep(0.02)
+        self.timers.advance(0.0)
+
+    def test_feed_goes_on_from_the_snapshot(self):
+        self.play(
+            Ok(Changes((Change("k", b"1", 3),), 7, True)),
+            Ok(Changes((Change("k", b"2", 8),), 8)),
+        )
+        self.assertEqual(self.feed.calls, ["snapshot", 7, 8])
+        self.assertEqual(self.mirror.rows["k"].value, b"2")
+        self.assertTrue(self.follower.is_connected)
+
+    def test_lost_history_is_read_anew(self):
+        self.play(Ok(Changes((), 7, True)), Err(StoreHistoryError("410")))
+        self.assertEqual(self.feed.calls, ["snapshot", 7, "snapshot"])
+
+    def test_other_routers_are_asked_while_the_store_is_away(self):
+        self.links.answer = TablePart(Changes((Change("k", b"1", 5),), 6, True))
+        self.play(Err(StoreUnavailableError("503")))
+        self.timers.advance(0.5)
+        self.assertEqual(self.links.asked[0], FetchTable(Table.ROUTING, -1))
+        self.assertEqual(self.mirror.rows["k"].value, b"1")
+        self.assertEqual(self.mirror.version, 6)
+
+    def test_router_that_stays_ahead_is_asked_though_the_store_answers(self):
+        self.play(Ok(Changes((), 7, True)))
+        self.links.answer = TablePart(Changes((Change("k", b"1", 9),), 9, True))
+        self.follower.note_peer("peer", 9)
+        eventlet.sleep(0)
+        self.assertEqual(self.links.asked, [])
+        self.timers.advance(0.4)
+        self.follower.note_peer("peer", 9)
+        eventlet.sleep(0.01)
+        self.assertEqual(self.mirror.rows["k"].value, b"1")
--- /dev/null
+++ b/tests/process/relaying/test_placement.py
@@ -0,0 +1,135 @@
+import random
+import unittest
+from collections import Counter
+
+from boragedeck.process.relaying.placement import (
+    PlaceRequest,
+    choose_backup,
+    choose_replica,
+    has_room,
+)
+from boragedeck.process.relaying.registry import Load, ReplicaState
+from boragedeck.version.replicas import Replica, ReplicaStage
+from boragedeck.version.routing import EngineProfile
+
+ENGINE = EngineProfile(slots=64, memory_tokens=88_000, can_back_up=True)
+
+
+def state(name, domain="a", load=None, **fields):
+    replica = Replica(
+        replica=name,
+        pool="p",
+        address=None,
+        failure_domain=domain,
+        version="v1",
+        slots=6,
+        stage=ReplicaStage.READY,
+    )
+    made = ReplicaState(replica)
+    made.own = load or Load()
+    for key, value in fields.items():
+        setattr(made, key, value)
+    return made
+
+
+def request(tokens=9_000, engine=ENGINE, **fields):
+    values = {"tokens": tokens, "domain": "a", "now": 10.0} | fields
+    return PlaceRequest(engine=engine, **values)
+
+
+class PlacementTest(unittest.TestCase):
+    def choose(self, states, **fields):
+        chosen = choose_replica(states, request(**fields), random.Random(1))
+        return None if chosen is None else chosen.replica.replica
+
+    def test_unread_prompts_weigh_more_than_running_streams(self):
+        reading = state("reading", load=Load(1, 8_000, 9_000))
+        running = state("running", load=Load(4, 0, 36_000))
+        self.assertEqual(self.choose([reading, running]), "running")
+
+    def test_memory_binds_before_slots(self):
+        full = state("full", load=Load(8, 0, 80_000))
+        self.assertFalse(has_room(full, request()))
+        self.assertIsNone(self.choose([full]))
+
+    def test_request_larger_than_an_engine_goes_to_an_empty_one(self):
+        self.assertEqual(self.choose([state("empty")], tokens=100_000), "empty")
+
+    def test_work_of_other_routers_counts(self):
+        busy = state("busy", peers=Load(3, 16_000, 27_000))
+        self.assertEqual(self.choose([busy, state("idle", "b")]), "idle")
+
+    def test_replica_that_failed_lately_comes_last(self):
+        bad = state("bad", avoid_until=11.0)
+        busy = state("busy", load=Load(4, 8_000, 36_000))
+        self.assertEqual(self.choose([bad, busy]), "busy")
+        self.assertEqual(self.choose([bad]), "bad")
+
+    def test_replica_that_fails_part_of_its_requests_gets_few(self):
+        grey = state("grey", failure_share=0.5)
+        sound = state("sound", "b", failure_share=0.1)
+        self.assertEqual(self.choose([grey, sound], engine=None), "sound")
+
+    def test_equal_replicas_share_requests(self):
+        states = [state(name) for name in "abc"]
+        rng = random.Random(2)
+        counts = Counter(
+            choose_replica(states, request(), rng).replica.replica for _ in range(900)
+        )
+        self.assertGreater(min(counts.values()), 200)
+
+    def test_copy_is_kept_in_another_failure_domain(self):
+        states = [state("one"), state("two"), state("three", "b")]
+        backup = choose_backup(states, states[0], request())
+        self.assertEqual(backup.replica.replica, "three")
+        self.assertIsNone(choose_backup(states[:2], states[0], request()))
+
+
+class LoadTest(unittest.TestCase):
+    """Plays prompts that arrive at engines, against plain round robin.
+
+    The engine is a model: prompts are read one after the other at 8 tokens a
+    millisecond, a stream takes five seconds after that, and memory is bounded.
+    """
+
+    READ_TOKENS_PER_S = 8_000.0
+    STREAM_S = 5.0
+
+    def play(self, choose):
+        rng = random.Random(7)
+        engines = [state(f"e{i}", "abc"[i % 3]) for i in range(12)]
+        free_at = dict.fromkeys(range(12), 0.0)
+        ends, firsts, now = [], [], 0.0
+        for number in range(600):
+            now += rng.expovariate(8.0)
+            tokens = int(rng.choice((2_000, 4_000, 8_000, 16_000)))
+            for end, index, size in [e for e in ends if e[0] <= now]:
+                ends.remove((end, index, size))
+                engines[index].own.running -= 1
+                engines[index].own.tokens -= size
+            for index, engine in enumerate(engines):
+                left_s = max(0.0, free_at[index] - now)
+                engine.own.unread_tokens = int(left_s * self.READ_TOKENS_PER_S)
+            index = choose(engines, tokens, number, now)
+            begins = max(now, free_at[index])
+            free_at[index] = begins + tokens / self.READ_TOKENS_PER_S
+            firsts.append(free_at[index] - now)
+            engines[index].own.running += 1
+            engines[index].own.tokens += tokens
+            ends.append((free_at[index] + self.STREAM_S, index, tokens))
+        return sorted(firsts)[int(0.95 * len(firsts))]
+
+    def test_first_events_come_sooner_than_in_turn(self):
+        rng = random.Random(3)
+
+        def placed(engines, tokens, number, now):
+            req = request(tokens=tokens, now=now)
+            chosen = choose_replica(engines, req, rng)
+            return number % 12 if chosen is None else engines.index(chosen)
+
+        in_turn = self.play(lambda engines, tokens, number, now: number % 12)
+        self.assertLess(self.play(placed), 0.8 * in_turn)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/process/relaying/test_retry_share.py
@@ -0,0 +1,37 @@
+import unittest
+
+from boragedeck.process.relaying.retry_share import RetryShare
+from boragedeck.process.timers import ManualTimers
+from tests.support.replicas import BOUNDS
+
+
+class RetryShareTest(unittest.TestCase):
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.share = RetryShare(self.timers, BOUNDS, lambda: 9)
+
+    def take_all(self):
+        count = 0
+        while self.share.take("p"):
+            count += 1
+        return count
+
+    def test_nine_routers_without_requests_stay_within_the_fixed_part(self):
+        self.assertLessEqual(9 * self.take_all(), BOUNDS.retry_extra)
+
+    def test_share_grows_with_requests_and_stays_below_the_bound(self):
+        for _ in range(100):
+            self.share.note_request("p")
+        count = self.take_all()
+        self.assertGreater(count, 40)
+        self.assertLessEqual(count, 0.8 * 100 + BOUNDS.retry_extra / 9)
+
+    def test_repeats_come_back_as_the_window_moves_on(self):
+        self.take_all()
+        self.assertFalse(self.share.take("p"))
+        self.timers.advance(BOUNDS.retry_window_s + 0.1)
+        self.assertTrue(self.share.take("p"))
+
+    def test_pools_do_not_share(self):
+        self.take_all()
+        self.assertTrue(self.share.take("q"))
--- /dev/null
+++ b/tests/request/test_relay_stream.py
@@ -0,0 +1,175 @@
+import unittest
+
+import eventlet
+
+from boragedeck.version.routing import RelayPool
+from tests.support.replicas import (
+    ENGINE,
+    RelayWorld,
+    ScriptedReplica,
+    answer,
+    drop,
+    event,
+    events,
+    not_run,
+    read_response,
+    send_request,
+    silence,
+    stream_rule,
+)
+
+POOL = RelayPool("engines", 100, ENGINE)
+TOKENS = b"Token-Counts: 1000,100"
+
+
+def whole(last):
+    return b"".join(event(number) for number in range(1, last + 1))
+
+
+class StreamTest(unittest.TestCase):
+    def world(self, **fields):
+        world = RelayWorld(stream_rule(**fields), pool=POOL)
+        self.addCleanup(world.close)
+        return world
+
+    def test_events_are_passed_on(self):
+        world = self.world()
+        world.add(ScriptedReplica("one", events(1, 2, 3)))
+        response = world.ask(TOKENS)
+        self.assertEqual((response.status, response.body), (200, whole(3)))
+        self.assertTrue(response.is_complete)
+
+    def test_lost_stream_goes_on_from_the_copy(self):
+        world = self.world()
+        one = ScriptedReplica("one", events(1, 2, ends=False, cut=b"id: 3\nda"))
+        two = ScriptedReplica("two", events(3, 4))
+        world.add(one)
+        world.add(two, domain="b")
+        response = world.ask(TOKENS)
+        self.assertEqual(response.body, whole(4))
+        self.assertTrue(response.is_complete)
+        backup = one.seen[0].headers[b"kv-backup"]
+        self.assertEqual(backup.decode(), str(two.address))
+        headers = two.seen[0].headers
+        self.assertEqual(headers[b"last-event-id"], b"2")
+        self.assertEqual(headers[b"kv-from"].decode(), f"{two.address}/id-1")
+
+    def test_stream_goes_on_elsewhere_where_the_copy_is_gone(self):
+        world = self.world()
+        three = ScriptedReplica("three", events(3))
+
+        def lose_copy(sock, req):
+            world.add(three, domain="c")
+            return not_run(sock, req)
+
+        world.add(ScriptedReplica("one", events(1, 2, ends=False)))
+        world.add(ScriptedReplica("two", lose_copy), domain="b")
+        response = world.ask(TOKENS)
+        self.assertEqual(response.body, whole(3))
+        self.assertNotIn(b"kv-from", three.seen[0].headers)
+
+    def test_silent_replica_is_left_and_its_run_ended(self):
+        world = self.world()
+        ended = []
+
+        def dark(sock, req):
+            silence(sock, req)
+            ended.append(1)
+            return False
+
+        one = ScriptedReplica("one", events(1, ends=False, then=dark), drop)
+        two = ScriptedReplica("two", events(2))
+        world.add(one)
+        world.add(two, domain="b")
+        response = world.ask(TOKENS)
+        self.assertEqual(response.body, whole(2))
+        self.assertEqual(ended, [1])
+
+    def test_slow_replica_that_answers_a_question_is_waited_for(self):
+        world = self.world()
+
+        def slow(sock, req):
+            eventlet.sleep(0.6)
+            sock.sendall(b"%x\r\n%s\r\n0\r\n\r\n" % (len(event(2)), event(2)))
+            return True
+
+        def report(sock, req):
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            return True
+
+        one = ScriptedReplica("one", events(1, ends=False, then=slow), report)
+        two = ScriptedReplica("two", events(2))
+        world.add(one)
+        world.add(two, domain="b")
+        response = world.ask(TOKENS)
+        self.assertEqual(response.body, whole(2))
+        self.assertEqual(two.seen, [])
+
+    def test_gap_in_the_events_is_never_delivered(self):
+        world = self.world(max_attempts=1)
+        world.add(ScriptedReplica("one", events(1, 3)))
+        response = world.ask(TOKENS)
+        self.assertFalse(response.is_complete)
+        self.assertNotIn(b"piece 3", response.body)
+
+    def test_stream_that_can_not_go_on_does_not_look_complete(self):
+        world = self.world(max_attempts=1)
+        world.add(ScriptedReplica("one", events(1, 2, ends=False)))
+        response = world.ask(TOKENS)
+        self.assertEqual(response.status, 200)
+        self.assertFalse(response.is_complete)
+
+    def test_stream_that_may_not_go_on_is_not_sent_again(self):
+        world = self.world(is_resumable=False)
+        one = ScriptedReplica("one", drop)
+        two = ScriptedReplica("two", events(1))
+        world.add(one)
+        world.add(two, domain="b")
+        self.assertEqual(world.ask(TOKENS).status, 502)
+        self.assertEqual(two.seen, [])
+
+    def test_caller_that_comes_back_is_continued(self):
+        world = self.world()
+        one = ScriptedReplica("one", events(3, 4))
+        world.add(one)
+        response = world.ask(TOKENS, b"Last-Event-Id: 2")
+        self.assertEqual(response.body, event(3) + event(4))
+        self.assertEqual(one.seen[0].headers[b"last-event-id"], b"2")
+
+    def test_failure_before_the_first_event_is_tried_elsewhere(self):
+        world = self.world()
+        one = ScriptedReplica("one", answer(b"bad", 500))
+        two = ScriptedReplica("two", events(1))
+        world.add(one)
+        world.add(two, domain="b")
+        self.assertEqual(world.ask(TOKENS).body, whole(1))
+
+    def test_replica_that_is_gone_ends_the_wait(self):
+        world = self.world(goal_s=60.0, timeout_s=60.0)
+        one = ScriptedReplica("one", silence)
+        world.add(one)
+        sock = world.connect()
+        send_request(sock, TOKENS)
+        eventlet.sleep(0.05)
+        two = ScriptedReplica("two", events(1))
+        world.add(two, domain="b")
+        world.registry.lose("one", "test")
+        self.assertEqual(read_response(sock).body, whole(1))
+
+    def test_caller_that_leaves_ends_the_run(self):
+        world = self.world()
+        ended = []
+
+        def endless(sock, req):
+            silence(sock, req)
+            ended.append(1)
+            return False
+
+        world.add(ScriptedReplica("one", events(1, ends=False, then=endless)))
+        sock = world.connect()
+        send_request(sock, TOKENS)
+        eventlet.sleep(0.1)
+        sock.close()
+        eventlet.sleep(0.1)
+        self.assertEqual(ended, [1])
+        self.assertEqual(world.registry.get("one").own.tokens, 0)
--- /dev/null
+++ b/tests/support/replicas.py
@@ -0,0 +1,369 @@
+"""Replicas whose answers a test scripts, byte by byte, on loopback sockets."""
+
+import random
+
+import eventlet
+import h11
+import msgspec
+from eventlet.green import socket
+from prometheus_client import CollectorRegistry
+from result import Ok
+
+from boragedeck.connection.caller_edge import CallerEdge
+from boragedeck.connection.peer import Address
+from boragedeck.connection.upstream_pool import UpstreamPool
+from boragedeck.platform.callers import decode_request, refusal_headers
+from boragedeck.platform.replica_protocol import HttpReplicaProtocol
+from boragedeck.process.relaying.admission import Admission
+from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.retry_share import RetryShare
+from boragedeck.process.relaying.settings import Bounds
+from boragedeck.process.timers import RealTimers
+from boragedeck.request.relay import relay
+from boragedeck.request.relay_job import RelayParts
+from boragedeck.version.replicas import Replica, ReplicaStage
+from boragedeck.version.routing import (
+    Backend,
+    CallerLimits,
+    CallKind,
+    EngineProfile,
+    RelayPool,
+    RouteRule,
+    RoutingTable,
+)
+
+BOUNDS = Bounds(
+    contact_s=3.0,
+    drain_s=2.0,
+    grace_s=8.0,
+    config_apply_s=2.0,
+    retry_ratio=0.8,
+    retry_window_s=10.0,
+    retry_extra=150.0,
+    exposure_share=0.1,
+    exposure_slack=50.0,
+    rollback_s=5.0,
+)
+ENGINE = EngineProfile(slots=64, memory_tokens=88_000, can_back_up=True)
+
+
+class Seen(msgspec.Struct):
+    """A request as a replica saw it."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+    number: int
+
+
+class ScriptedReplica:
+    """Answers each request with the next step of its script.
+
+    A step is called with the connection's socket and the request; what it returns
+    says whether the connection is kept. The last step is repeated.
+    """
+
+    def __init__(self, name, *steps):
+        self.name = name
+        self.seen = []
+        self.left = []
+        self.connections = 0
+        self._steps = list(steps)
+        self._socks = []
+        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = Address(*self._listener.getsockname())
+        self._server = eventlet.spawn(self._accept)
+
+    def stop(self):
+        """Close the listener and all connections."""
+        self._server.kill()
+        self._listener.close()
+        for sock in self._socks:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+
+    def entry(self, pool="engines", domain="a", **fields):
+        """Return the replica as it states itself."""
+        return Replica(
+            replica=self.name,
+            pool=pool,
+            address=self.address,
+            failure_domain=domain,
+            version="v1",
+            slots=6,
+            stage=ReplicaStage.READY,
+            **fields,
+        )
+
+    def _accept(self):
+        while True:
+            sock, _ = self._listener.accept()
+            self.connections += 1
+            self._socks.append(sock)
+            eventlet.spawn_n(self._serve, sock)
+
+    def _serve(self, sock):
+        parser = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                req = self._read(sock, parser)
+                if req is None:
+                    self.left.append(len(self.seen))
+                    return
+                self.seen.append(req)
+                step = self._steps.pop(0) if len(self._steps) > 1 else self._steps[0]
+                if not step(sock, req):
+                    return
+                rest = parser.trailing_data[0]
+                parser = h11.Connection(h11.SERVER)
+                if rest:
+                    parser.receive_data(rest)
+        except (OSError, EOFError):
+            self.left.append(len(self.seen))
+        finally:
+            sock.close()
+
+    def _read(self, sock, parser):
+        head, body = None, b""
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                data = sock.recv(65_536)
+                if not data:
+                    return None
+                parser.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            else:
+                headers = {bytes(n): bytes(v) for n, v in head.headers}
+                return Seen(head.method, head.target, headers, body, len(self.seen))
+
+
+def head_of(req, status=200, *lines, request_id=None):
+    """Return the head of an answer to a request, without its empty line."""
+    name = request_id or req.headers[b"request-id"]
+    seal = b"Response-Seal: seal\r\n" if status != 503 else b""
+    text = b"HTTP/1.1 %d X\r\nRequest-Id: %s\r\n%s" % (status, name, seal)
+    return text + b"".join(line + b"\r\n" for line in lines)
+
+
+def answer(body=b"whole", status=200, **fields):
+    """Answer with a length."""
+
+    def step(sock, req):
+        length = b"Content-Length: %d" % len(body)
+        sock.sendall(head_of(req, status, length, **fields) + b"\r\n" + body)
+        return True
+
+    return step
+
+
+def not_run(sock, req):
+    """Say that the request was not run."""
+    lines = b"Not-Executed: 1", b"Content-Length: 0"
+    sock.sendall(head_of(req, 503, *lines) + b"\r\n")
+    return True
+
+
+def moved(sock, req):
+    """Say that another replica has the address."""
+    lines = b"Instance-Id: other", b"Content-Length: 0"
+    sock.sendall(head_of(req, 421, *lines) + b"\r\n")
+    return True
+
+
+def drop(sock, req):
+    """Close the connection without an answer."""
+    return False
+
+
+def silence(sock, req):
+    """Send nothing until the caller of the replica closes."""
+    while sock.recv(4096):
+        pass
+    return False
+
+
+def events(*numbers, ends=True, cut=b"", then=None):
+    """Stream events, and perhaps end the stream or cut an event off."""
+
+    def step(sock, req):
+        sock.sendall(head_of(req, 200, b"Transfer-Encoding: chunked") + b"\r\n")
+        for number in numbers:
+            send_chunk(sock, event(number))
+        if cut:
+            send_chunk(sock, cut)
+        if ends:
+            sock.sendall(b"0\r\n\r\n")
+            return True
+        return False if then is None else then(sock, req)
+
+    return step
+
+
+def event(number):
+    """Return the bytes of an event."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def send_chunk(sock, data):
+    """Send one chunk."""
+    sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+
+class RelayWorld:
+    """A router's relaying parts before scripted replicas, and callers' sockets."""
+
+    def __init__(self, rule=None, pool=None, limits=None):
+        self.timers = RealTimers(random.Random(1))
+        self.registry = ReplicaRegistry(self.timers)
+        self.upstreams = UpstreamPool(self.timers)
+        self.admission = Admission(self.timers, self.registry, "a", random.Random(2))
+        self.table = routing_table(rule or call_rule(), pool, limits)
+        self.parts = RelayParts(
+            timers=self.timers,
+            rng=random.Random(3),
+            table=lambda: self.table,
+            admission=self.admission,
+            registry=self.registry,
+            upstreams=self.upstreams,
+            protocol=HttpReplicaProtocol(),
+            retries=RetryShare(self.timers, BOUNDS, lambda: 1),
+            metrics=RelayMetrics(CollectorRegistry()),
+            refusal_headers=refusal_headers,
+        )
+        self._replicas = []
+        self._callers = []
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.edge = CallerEdge(
+            self.listener, lambda: self.table.limits, self._handle, self.timers
+        )
+        self._server = eventlet.spawn(self.edge.serve)
+
+    def add(self, *replicas, **fields):
+        """Make replicas known."""
+        for replica in replicas:
+            self._replicas.append(replica)
+            self.registry.put(replica.entry(**fields))
+
+    def close(self):
+        """Close all sockets."""
+        self._server.kill()
+        self.listener.close()
+        for caller in self._callers:
+            caller.close()
+        for replica in self._replicas:
+            replica.stop()
+            self.upstreams.forget(replica.address)
+        eventlet.sleep(0)
+
+    def connect(self):
+        """Return a caller's connection."""
+        sock = socket.create_connection(self.listener.getsockname())
+        self._callers.append(sock)
+        return sock
+
+    def ask(self, *lines, path=b"/r/x", body=b"", sock=None, name=b"id-1", ms=3000):
+        """Send a request and return the response."""
+        sock = sock or self.connect()
+        send_request(sock, *lines, path=path, body=body, name=name, ms=ms)
+        return read_response(sock)
+
+    def _handle(self, raw, channel):
+        match decode_request(raw):
+            case Ok(req):
+                relay(self.parts, req, channel)
+            case refused:
+                error = refused.err()
+                channel.respond(error.status, [], error.message.encode())
+
+
+class Response(msgspec.Struct):
+    """A response as the caller sees it."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    is_complete: bool
+
+
+def send_request(sock, *lines, path=b"/r/x", body=b"", name=b"id-1", ms=3000):
+    """Send a request."""
+    head = [
+        b"POST %s HTTP/1.1" % path,
+        b"Host: Here.example",
+        b"Request-Id: " + name,
+        b"Deadline-Ms: %d" % ms,
+        b"Api-Key: key-1",
+        b"Content-Length: %d" % len(body),
+        *lines,
+    ]
+    sock.sendall(b"\r\n".join(head) + b"\r\n\r\n" + body)
+
+
+def read_response(sock, timeout_s=5.0):
+    """Read a response, whole or not."""
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
+    parser.send(h11.EndOfMessage())
+    response = Response(0, {}, b"", False)
+    with eventlet.Timeout(timeout_s):
+        try:
+            while not response.is_complete:
+                item = parser.next_event()
+                if item is h11.NEED_DATA:
+                    parser.receive_data(sock.recv(65_536))
+                elif isinstance(item, h11.Response):
+                    response.status = item.status_code
+                    response.headers = {bytes(n): bytes(v) for n, v in item.headers}
+                elif isinstance(item, h11.Data):
+                    response.body += item.data
+                elif isinstance(item, h11.EndOfMessage):
+                    response.is_complete = True
+                elif isinstance(item, h11.ConnectionClosed):
+                    return response
+        except (h11.RemoteProtocolError, OSError):
+            return response
+    return response
+
+
+def call_rule(kind=CallKind.IDEMPOTENT, **fields):
+    """Return the rule of a plain service."""
+    values = {"max_attempts": 2, "timeout_s": 2.0, "goal_s": 1.0} | fields
+    return RouteRule(
+        name="r",
+        host="here.example",
+        prefix="/r/",
+        kind=kind,
+        backends=(Backend("engines"),),
+        **values,
+    )
+
+
+def stream_rule(**fields):
+    """Return the rule of streams that may be resumed."""
+    values = {
+        "max_attempts": 5,
+        "is_resumable": True,
+        "gap_goal_s": 0.4,
+        "timeout_s": 3.0,
+    }
+    return call_rule(CallKind.STREAM, **values | fields)
+
+
+def routing_table(rule, pool=None, limits=None):
+    """Return a routing table with one rule."""
+    return RoutingTable(
+        version=1,
+        routes={rule.host: (rule,)},
+        pools={"engines": pool or RelayPool("engines", 100)},
+        limits=limits or CallerLimits(),
+        organisations={"key-1": "org-1"},
+        needs_keys=True,
+    )
