Ask for a copy only where a run was, and let changes of tables gather

Cause: after a refused attempt the engine chosen for the next copy was asked for a copy that it never had; each such question used an attempt up (test fails first). Each change of the replicas' list made all routers call at once; a router now lets 0.2 s of changes gather.

--- a/boragedeck/process/relaying/mirror.py
+++ b/boragedeck/process/relaying/mirror.py
@@ -23,6 +23,8 @@
 
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.0
+GATHER_S = 0.2
+"""After a change, others are let gather, since changes mostly come in groups."""
 PEER_INTERVAL_S = 0.4
 PEER_TIMEOUT_S = 0.5
 BEHIND_S = 0.3
@@ -182,6 +184,8 @@
                 self._note_answer()
                 self._is_history_lost = False
                 mirror.apply(changes)
+                if changes.rows:
+                    self._timers.sleep(GATHER_S)
             case _:
                 self._note_failure(result.err())
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -121,7 +121,8 @@
         source = None
         if self._is_on_copy:
             source = CopySource(place.state.replica.address)
-        backup = self._backup = self._choose_backup(place)
+        self._backup = None
+        backup = self._choose_backup(place)
         if backup is not None:
             place.keep_copy(backup)
         plan = AttemptPlan(
@@ -132,9 +133,11 @@
             backup=None if backup is None else backup.replica,
             source=source,
         )
-        return self._send(place, plan)
+        return self._send(place, plan, backup)
 
-    def _send(self, place: Place, plan: AttemptPlan) -> End:
+    def _send(
+        self, place: Place, plan: AttemptPlan, backup: ReplicaState | None
+    ) -> End:
         job = self._job
         log.write(
             "Sent.",
@@ -154,6 +157,8 @@
             opened = open_attempt(job, place, plan, wait)
             with_exchange = _Interruption(opened.exchange, place.state)
             try:
+                if opened.verdict.kind is VerdictKind.SUCCESS:
+                    self._backup = backup
                 return self._take(place, opened)
             finally:
                 with_exchange.end()
--- a/tests/request/test_relay_stream.py
+++ b/tests/request/test_relay_stream.py
@@ -69,6 +69,24 @@
         self.assertEqual(response.body, whole(3))
         self.assertNotIn(b"kv-from", three.seen[0].headers)
 
+    def test_replica_that_never_had_a_run_is_not_asked_for_its_copy(self):
+        world = self.world()
+        three = ScriptedReplica("three", not_run)
+        four = ScriptedReplica("four", events(3))
+
+        def lose_copy(sock, req):
+            world.registry.remove("one", "test")
+            world.add(three, domain="a")
+            world.add(four, domain="d")
+            return not_run(sock, req)
+
+        world.add(ScriptedReplica("one", events(1, 2, ends=False)))
+        world.add(ScriptedReplica("two", lose_copy), domain="b")
+        response = world.ask(TOKENS)
+        self.assertEqual(response.body, whole(3))
+        self.assertEqual(len(three.seen), 1)
+        self.assertNotIn(b"kv-from", four.seen[0].headers)
+
     def test_silent_replica_is_left_and_its_run_ended(self):
         world = self.world()
         ended = []
