Carry out rollout orders, and stop requests that crash their replicas

The operators' row is written under a condition, so the first result holds. Ruled out: a leader by lease, whose term of 9 s is most of a rollout of 12 s. Crashes: three replicas lost alone under one request blame it, known to all routers by gossip; replicas of a domain lost together blame nobody.

--- a/boragedeck/connection/store.py
+++ b/boragedeck/connection/store.py
@@ -40,6 +40,8 @@
     REPLICAS = "replicas"
     """What replicas state of themselves; read only."""
     ROLLOUTS = "rollouts"
+    ROLLOUT_STATUS = "status"
+    """How far rollouts are, for operators."""
     ROUTING = "routing"
     """The operators' routing table and orders; read only."""
 
--- /dev/null
+++ b/boragedeck/platform/rollout_status.py
@@ -0,0 +1,63 @@
+"""The rows in which operators read how far rollouts are."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from boragedeck.connection.store import Put, Row, Table
+from boragedeck.decoding import DECODE_ERRORS
+from boragedeck.exceptions import StoreError
+from boragedeck.ids import PoolName, Version
+from boragedeck.platform.store import PlatformStore
+from boragedeck.process.relaying.rollouts import StatedRollout
+from boragedeck.version.relay_rollouts import RolloutOrder, RolloutResult
+
+__all__ = ["PlatformRolloutBoard"]
+
+PREFIX = "rollout/"
+
+
+class _Status(msgspec.Struct):
+    service: str
+    to: str
+    state: str
+
+
+class PlatformRolloutBoard:
+    """The platform's table of statuses as a `RolloutBoard`.
+
+    Parameters
+    ----------
+    store : PlatformStore
+        The platform's store.
+    """
+
+    def __init__(self, store: PlatformStore):
+        self._store = store
+
+    def read(self, pool: PoolName) -> Result[StatedRollout, StoreError]:
+        """See `RolloutBoard.read`."""
+        return self._store.get(Table.ROLLOUT_STATUS, PREFIX + pool).map(_stated)
+
+    def state(
+        self, order: RolloutOrder, result: RolloutResult, row_version: int
+    ) -> Result[int, StoreError]:
+        """See `RolloutBoard.state`."""
+        body = msgspec.json.encode(_Status(order.pool, order.to, result.value))
+        write = Put(Table.ROLLOUT_STATUS, PREFIX + order.pool, body, row_version)
+        match self._store.commit([write]):
+            case Ok([version]):
+                return Ok(version)
+            case failed:
+                return Err(failed.err())
+
+
+def _stated(row: Row | None) -> StatedRollout:
+    if row is None:
+        return StatedRollout(None, RolloutResult.RUNNING, 0)
+    try:
+        status = msgspec.json.decode(row.value, type=_Status)
+        result = RolloutResult(status.state)
+    except (*DECODE_ERRORS, ValueError):
+        # A row that others wrote is replaced.
+        return StatedRollout(None, RolloutResult.RUNNING, row.version)
+    return StatedRollout(Version(status.to), result, row.version)
--- a/boragedeck/platform/routing.py
+++ b/boragedeck/platform/routing.py
@@ -6,7 +6,7 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import TableError
 from boragedeck.ids import OrganisationName, PoolName, RouteName, Version
-from boragedeck.version.relay_rollouts import RolloutOrder, RolloutResult
+from boragedeck.version.relay_rollouts import RolloutOrder
 from boragedeck.version.routing import (
     Backend,
     CallerLimits,
@@ -22,7 +22,6 @@
     "ROUTING_KEY",
     "decode_rollout",
     "decode_routing",
-    "encode_rollout_status",
 ]
 
 ROUTING_KEY = "config"
@@ -96,12 +95,6 @@
     duration_s: float
 
 
-class _Status(msgspec.Struct):
-    service: str
-    to: str
-    state: str
-
-
 def decode_routing(body: bytes) -> Result[RoutingTable, TableError]:
     """Decode a routing table.
 
@@ -128,11 +121,6 @@
     )
 
 
-def encode_rollout_status(order: RolloutOrder, result: RolloutResult) -> bytes:
-    """Encode what the operators read of a rollout."""
-    return msgspec.json.encode(_Status(order.pool, order.to, result.value))
-
-
 def _table(cfg: _Config) -> RoutingTable:
     routes: dict[str, list[RouteRule]] = {}
     for route in cfg.routes:
--- a/boragedeck/platform/store.py
+++ b/boragedeck/platform/store.py
@@ -39,8 +39,6 @@
 PAGE_ROWS = 500
 NAMES = {Table.ROUTING: "op", Table.REPLICAS: "servers"}
 """Tables that the platform names; the others carry the product's names."""
-STATUS_TABLE = "status"
-STATUS_PREFIX = "rollout/"
 
 
 class _Row(msgspec.Struct):
@@ -126,14 +124,6 @@
                     body["drop"].append(where)
         return self._write(body).map(lambda ver: [ver] * len(writes))
 
-    def state_rollout(self, pool: str, body: bytes) -> Result[int, StoreError]:
-        """Write what the operators read of a rollout."""
-        value = base64.b64encode(body).decode()
-        row = {"table": STATUS_TABLE, "part": "", "key": STATUS_PREFIX + pool}
-        return self._write(
-            {"expectedRev": [], "setKeys": [row | {"value": value}], "drop": []}
-        )
-
     def snapshot(self, table: Table) -> Result[Changes, StoreError]:
         """See `ChangeFeed.snapshot`."""
         rows: list[_Row] = []
--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -23,7 +23,7 @@
 )
 from boragedeck.process.relaying.registry import Load, ReplicaRegistry, ReplicaState
 from boragedeck.process.timers import TimerService
-from boragedeck.version.replicas import ReplicaId
+from boragedeck.version.replicas import Replica, ReplicaId
 from boragedeck.version.routing import RelayPool
 
 __all__ = ["Admission", "Ask", "Place", "expected_wait_s"]
@@ -52,6 +52,8 @@
         When waiting has no further use, on the timer service's clock.
     tried : frozenset of ReplicaId
         Replicas that it was sent to before.
+    allows : callable
+        Whether a replica's version may serve it.
     """
 
     pool: RelayPool
@@ -60,6 +62,7 @@
     tokens: int
     until: float
     tried: frozenset[ReplicaId] = frozenset()
+    allows: Callable[[Replica], bool] = lambda replica: True
 
 
 class Place:
@@ -84,15 +87,15 @@
         self.state = state
         self._ask = ask
         self.since = now
-        self._is_read = False
+        self.has_output = False
         self._is_released = False
         self._copy_holder: ReplicaState | None = None
         _add(state.own, ask, 1)
 
     def first_output(self) -> None:
         """Note that the prompt has been read."""
-        if not self._is_read:
-            self._is_read = True
+        if not self.has_output:
+            self.has_output = True
             self.state.own.unread_tokens -= self._ask.prompt_tokens
 
     def keep_copy(self, holder: ReplicaState) -> None:
@@ -176,7 +179,7 @@
 
     def backup_of(self, place: Place, ask: Ask) -> ReplicaState | None:
         """Return an engine that can hold a copy of a run's memory."""
-        states = self._registry.of_pool(ask.pool.name)
+        states = self._states(ask)
         return choose_backup(states, place.state, self._request(ask))
 
     def waiting(self) -> int:
@@ -232,7 +235,7 @@
         waiter.is_done = True
 
     def _grant(self, ask: Ask) -> Place | None:
-        states = self._registry.of_pool(ask.pool.name)
+        states = self._states(ask)
         state = choose_replica(states, self._request(ask), self._rng)
         if state is None:
             return None
@@ -240,6 +243,10 @@
         self.on_change()
         return place
 
+    def _states(self, ask: Ask) -> list[ReplicaState]:
+        states = self._registry.of_pool(ask.pool.name)
+        return [state for state in states if ask.allows(state.replica)]
+
     def _request(self, ask: Ask) -> PlaceRequest:
         return PlaceRequest(
             tokens=ask.tokens,
@@ -250,7 +257,7 @@
         )
 
     def _expected_wait_s(self, ask: Ask) -> float:
-        states = self._registry.of_pool(ask.pool.name)
+        states = self._states(ask)
         if not states:
             # A replica may come at any moment.
             return 0.0
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -17,13 +17,20 @@
 from boragedeck.platform.callers import decode_request, refusal_headers
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
 from boragedeck.platform.replicas import decode_replica
-from boragedeck.platform.routing import ROUTING_KEY, decode_routing
+from boragedeck.platform.rollout_status import PlatformRolloutBoard
+from boragedeck.platform.routing import (
+    ROLLOUT_PREFIX,
+    ROUTING_KEY,
+    decode_rollout,
+    decode_routing,
+)
 from boragedeck.platform.store import PlatformStore
 from boragedeck.process.gossip import GossipBoard
 from boragedeck.process.logs import PartLog
 from boragedeck.process.membership import GossipMembership
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.relaying.admission import Admission
+from boragedeck.process.relaying.crash_blame import CrashBlame
 from boragedeck.process.relaying.load_exchange import LoadExchange
 from boragedeck.process.relaying.mirror import (
     MirrorFollower,
@@ -34,6 +41,7 @@
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_source import ReplicaSource
 from boragedeck.process.relaying.retry_share import RetryShare
+from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.relaying.routing_source import RoutingSource
 from boragedeck.process.relaying.settings import RelaySettings
 from boragedeck.process.timers import RealTimers
@@ -100,6 +108,7 @@
         self._board.start()
         self._membership.start()
         self._loads.start()
+        self._rollouts.start()
         self.timers.subscribe(EXPIRE_INTERVAL_S, self._upstreams.expire)
         eventlet.spawn_n(self._edge.serve)
         _serve_wsgi(self._ready_listener, self._answer_ready)
@@ -176,6 +185,16 @@
             decode_replica,
             self.timers,
         )
+        self._rollouts = RelayRollouts(
+            self.timers,
+            self._rng,
+            self._routing_mirror,
+            ROLLOUT_PREFIX,
+            decode_rollout,
+            PlatformRolloutBoard(self._store),
+            self._board,
+            settings.bounds,
+        )
         self._upstreams = UpstreamPool(self.timers)
         admission = Admission(
             self.timers, self._registry, settings.failure_domain, self._rng
@@ -200,6 +219,8 @@
             upstreams=self._upstreams,
             protocol=HttpReplicaProtocol(),
             retries=RetryShare(self.timers, settings.bounds, self._membership.routers),
+            rollouts=self._rollouts,
+            blame=CrashBlame(self.timers, self._board),
             metrics=self.metrics,
             refusal_headers=refusal_headers,
         )
--- /dev/null
+++ b/boragedeck/process/relaying/crash_blame.py
@@ -0,0 +1,134 @@
+"""Finds requests that crash the replicas which run them, known to all routers."""
+
+import functools
+from collections import OrderedDict
+
+import msgspec
+import xxhash
+
+from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.ids import OrganisationName
+from boragedeck.interfaces import FactBoard
+from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.registry import ReplicaState
+from boragedeck.process.timers import TimerService
+from boragedeck.version.replicas import ReplicaId
+
+__all__ = ["CrashBlame", "fingerprint_of"]
+
+MAX_CRASHES = 3
+"""So many replicas that crashed under a request speak against it."""
+MARK_TTL_S = 120.0
+MAX_FINGERPRINTS = 4_096
+DOMAIN_WINDOW_S = 0.6
+"""Replicas of a domain that are lost within this time had a common cause."""
+
+_log = PartLog("blame")
+
+
+class _Broken(msgspec.Struct, frozen=True):
+    """A request whose replica broke off, which may prove to have crashed."""
+
+    fingerprint: str
+    at: float
+
+
+def fingerprint_of(
+    organisation: OrganisationName | None, path: str, body: bytes
+) -> str:
+    """Return what requests with the same caller, path and body have in common."""
+    digest = xxhash.xxh64()
+    for part in ((organisation or "").encode(), path.encode(), body):
+        digest.update(len(part).to_bytes(8))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+class CrashBlame:
+    """Counts the replicas that crashed under each request.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    board : FactBoard
+        Spreads the crashes.
+
+    Notes
+    -----
+    A broken connection alone says little: answers are broken off by replicas that
+    live. A crash is counted when the replica proves to be lost, and no other
+    replica of its failure domain was lost at about the same time.
+    """
+
+    def __init__(self, timers: TimerService, board: FactBoard):
+        self._timers = timers
+        self._board = board
+        self._broken: dict[ReplicaId, list[_Broken]] = {}
+        self._lost: dict[tuple[str, str], list[tuple[float, ReplicaId]]] = {}
+        self._marks: OrderedDict[str, dict[ReplicaId, float]] = OrderedDict()
+        board.subscribe(FactTopic.CRASH, self._take_fact)
+
+    def is_blamed(self, fingerprint: str) -> bool:
+        """Return whether a request has crashed too many replicas."""
+        since = self._timers.now() - MARK_TTL_S
+        marks = self._marks.get(fingerprint, {})
+        return sum(at > since for at in marks.values()) >= MAX_CRASHES
+
+    def note_broken(self, fingerprint: str, state: ReplicaState) -> None:
+        """Note that a replica broke off a request."""
+        replica = state.replica
+        broken = self._broken.setdefault(replica.replica, [])
+        if not broken:
+            settle = functools.partial(self._settle, replica.replica, state)
+            self._timers.call_later(DOMAIN_WINDOW_S, settle)
+        broken.append(_Broken(fingerprint, self._timers.now()))
+        self.note_lost(state)
+
+    def note_lost(self, state: ReplicaState) -> None:
+        """Note that a replica broke off or was not reached."""
+        replica = state.replica
+        lost = self._lost.setdefault((replica.pool, replica.failure_domain), [])
+        now = self._timers.now()
+        lost[:] = [entry for entry in lost if now - entry[0] <= 4.0 * DOMAIN_WINDOW_S]
+        lost.append((now, replica.replica))
+
+    def _settle(self, replica: ReplicaId, state: ReplicaState) -> None:
+        """Count the crash if the replica is lost, and lost alone."""
+        broken = self._broken.pop(replica, [])
+        is_lost = state.is_gone or state.misses > 0
+        if not is_lost or self._is_common(state, broken[0].at):
+            return
+        for fingerprint in {each.fingerprint for each in broken}:
+            key = f"{fingerprint} {replica}"
+            self._board.publish(FactTopic.CRASH, key, b"", ttl_s=MARK_TTL_S)
+            self._mark(fingerprint, replica)
+
+    def _is_common(self, state: ReplicaState, at: float) -> bool:
+        place = state.replica.pool, state.replica.failure_domain
+        others = {
+            replica
+            for when, replica in self._lost.get(place, [])
+            if abs(when - at) <= DOMAIN_WINDOW_S
+        }
+        return bool(others - {state.replica.replica})
+
+    def _take_fact(self, fact: Fact) -> None:
+        fingerprint, _, replica = fact.key.partition(" ")
+        self._mark(fingerprint, ReplicaId(replica))
+
+    def _mark(self, fingerprint: str, replica: ReplicaId) -> None:
+        marks = self._marks.setdefault(fingerprint, {})
+        if replica in marks:
+            return
+        marks[replica] = self._timers.now()
+        self._marks.move_to_end(fingerprint)
+        if len(self._marks) > MAX_FINGERPRINTS:
+            self._marks.popitem(last=False)
+        _log.write(
+            "Crash counted.",
+            fingerprint=fingerprint,
+            replica=replica,
+            crashes=len(marks),
+            is_blamed=self.is_blamed(fingerprint),
+        )
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -55,6 +55,9 @@
     priority = table.priorities.get(organisation, rule.priority)
     parts.retries.note_request(name)
     job = RelayJob(parts, req, rule, pool, organisation, priority, channel)
+    if job.is_blamed():
+        job.refuse(_crashes_error())
+        return
     match rule.kind:
         case CallKind.STREAM:
             StreamRelay(job).run()
@@ -62,6 +65,16 @@
             CallRelay(job).run()
 
 
+def _crashes_error() -> RefusedError:
+    return RefusedError(
+        "this request crashed the replicas that ran it",
+        status=500,
+        kind="server_error",
+        code="crashes_replicas",
+        step="route",
+    )
+
+
 def _route(parts: RelayParts, table: RoutingTable, req: RelayRequest) -> RouteRule:
     if not table.version:
         patience_s = req.patience_s or NO_TABLE_PATIENCE_S
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -6,6 +6,7 @@
 
 from boragedeck.connection.upstream_pool import AnswerHead, Exchange, Headers
 from boragedeck.exceptions import UpstreamError, UpstreamRefusedError
+from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.admission import Place
 from boragedeck.request.relay_job import (
     Opened,
@@ -160,6 +161,8 @@
             self._note_miss(place, exc, "not_reached")
             return NotTaken(exc.message)
         except UpstreamError as exc:
+            job.note_outcome(place, Outcome.FAILED)
+            job.parts.blame.note_broken(job.fingerprint, state)
             self._note_miss(place, exc, "lost")
             return Lost(exc.message)
 
@@ -179,11 +182,16 @@
                 return NotTaken("the replica did not run it")
             case VerdictKind.INVALID | VerdictKind.STRAY:
                 state.note_answer(False, job.parts.timers.now())
+                job.note_outcome(place, Outcome.FAILED)
                 job.note_attempt_failed(place, "not the replica's answer")
                 return Lost("not the replica's answer")
         is_success = verdict.kind is VerdictKind.SUCCESS
         state.note_answer(is_success, job.parts.timers.now())
-        if not is_success:
+        if is_success:
+            took_s = job.parts.timers.now() - place.since
+            job.note_outcome(place, Outcome.COMPLETED, took_s)
+        else:
+            job.note_outcome(place, Outcome.FAILED)
             job.note_attempt_failed(place, f"status {opened.head.status}")
         return Answered(opened.head.status, verdict.headers, body, is_success)
 
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -20,12 +20,21 @@
     UpstreamRefusedError,
     UpstreamSilentError,
 )
-from boragedeck.ids import OrganisationName, PoolName, Ran
+from boragedeck.ids import (
+    FailureDomain,
+    OrganisationName,
+    PoolName,
+    Ran,
+    UpstreamName,
+)
+from boragedeck.interfaces import Outcome, Sample
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.admission import Admission, Ask, Place
+from boragedeck.process.relaying.crash_blame import CrashBlame, fingerprint_of
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.retry_share import RetryShare
+from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.timers import TimerService
 from boragedeck.request.relay_request import (
     AttemptPlan,
@@ -74,6 +83,10 @@
         How requests and answers are written.
     retries : RetryShare
         Bounds repeats.
+    rollouts : RelayRollouts
+        Decides which versions serve a request, and learns how they did.
+    blame : CrashBlame
+        Knows requests that crash their replicas.
     metrics : RelayMetrics
         Where figures go.
     refusal_headers : callable
@@ -89,6 +102,8 @@
     upstreams: UpstreamPool
     protocol: ReplicaProtocol
     retries: RetryShare
+    rollouts: RelayRollouts
+    blame: CrashBlame
     metrics: RelayMetrics
     refusal_headers: Callable[[str | None, float | None], Headers]
 
@@ -132,6 +147,8 @@
         self.priority = priority
         self.channel = channel
         self.deadline = req.arrived + _patience_s(req, rule)
+        self.fingerprint = fingerprint_of(organisation, req.path, req.body)
+        self.allows = parts.rollouts.allows(pool.name)
         self.tried: set[ReplicaId] = set()
         self.sent = 0
         self.arrivals = 0
@@ -147,6 +164,10 @@
         """Return the time until the final answer is due, in seconds."""
         return self.deadline - self.parts.timers.now()
 
+    def is_blamed(self) -> bool:
+        """Whether the request has crashed too many replicas to be sent again."""
+        return self.parts.blame.is_blamed(self.fingerprint)
+
     def note_sent(self) -> None:
         """Count an attempt that a replica may have seen."""
         self.sent += 1
@@ -154,7 +175,7 @@
 
     def may_send_again(self) -> bool:
         """Whether a further attempt is allowed; counts against the shared bound."""
-        if self.sent >= self.rule.max_attempts:
+        if self.sent >= self.rule.max_attempts or self.is_blamed():
             return False
         return self.arrivals == 0 or self.parts.retries.take(self.pool_name)
 
@@ -175,6 +196,7 @@
             tokens=self.req.tokens,
             until=min(until, self.deadline),
             tried=frozenset(self.tried),
+            allows=self.allows,
         )
 
     def refuse(self, error: RefusedError) -> None:
@@ -193,6 +215,36 @@
         respond_refusal(self.parts, self.req.request_id, error, self.channel)
         self.parts.metrics.requests.labels(self.rule.kind.value, error.code).inc()
 
+    def note_outcome(
+        self, place: Place, outcome: Outcome | None, first_output_s: float | None = None
+    ) -> None:
+        """Take how an attempt ended, for the judgement of its version.
+
+        Parameters
+        ----------
+        place : Place
+            Where it was.
+        outcome : Outcome or None
+            How it ended; None while it goes on.
+        first_output_s : float or None
+            From its start to its first output, or to its whole answer.
+        """
+        replica = place.state.replica
+        # Versions are compared within a domain and a route: one route may be bad.
+        stratum = FailureDomain(f"{replica.failure_domain} {self.rule.name}")
+        sample = Sample(
+            route=self.rule.name,
+            version=replica.version,
+            upstream=UpstreamName(replica.replica),
+            failure_domain=stratum,
+            outcome=outcome,
+            first_token_s=first_output_s,
+            gap_s=None,
+            tokens=0,
+            age_s=self.parts.timers.now() - place.since,
+        )
+        self.parts.rollouts.note(replica, sample)
+
     def note_attempt_failed(self, place: Place, error: Exception | str) -> None:
         """Log an attempt that brought no answer."""
         log.write(
@@ -213,7 +265,10 @@
 
     def _has_untried(self) -> bool:
         states = self.parts.registry.of_pool(self.pool_name)
-        return any(state.replica.replica not in self.tried for state in states)
+        return any(
+            state.replica.replica not in self.tried and self.allows(state.replica)
+            for state in states
+        )
 
 
 def _patience_s(req: RelayRequest, rule: RouteRule) -> float:
@@ -317,6 +372,7 @@
             SEND_TIMEOUT_S,
         )
     except UpstreamRefusedError:
+        parts.blame.note_lost(place.state)
         raise
     except UpstreamError:
         job.note_sent()
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -10,6 +10,7 @@
     UpstreamRefusedError,
     UpstreamSilentError,
 )
+from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.admission import Place
 from boragedeck.process.relaying.registry import ReplicaState
 from boragedeck.request.events import EventError, EventSplitter
@@ -189,6 +190,7 @@
                 self._failure = _Failure(opened.head.status, verdict.headers, body)
                 self._reason = f"status {opened.head.status}"
         place.state.note_answer(False, job.parts.timers.now())
+        job.note_outcome(place, Outcome.FAILED)
         job.note_attempt_failed(place, f"{verdict.kind.value} {opened.head.status}")
         return End.LOST
 
@@ -201,7 +203,7 @@
                 break
             events = splitter.feed(data)
             if events:
-                place.first_output()
+                self._note_output(place)
                 self._deliver(b"".join(event.data for event in events))
                 self._splitter.last = splitter.last
         if splitter.has_rest:
@@ -212,6 +214,12 @@
         )
         return End.COMPLETE
 
+    def _note_output(self, place: Place) -> None:
+        if not place.has_output:
+            took_s = self._job.parts.timers.now() - place.since
+            self._job.note_outcome(place, None, took_s)
+        place.first_output()
+
     def _deliver(self, data: bytes) -> None:
         job, now = self._job, self._job.parts.timers.now()
         if not self._has_begun:
@@ -272,6 +280,9 @@
         if job.left_s() > 0.0:
             job.parts.registry.note_miss(place.state)
         job.parts.metrics.attempts.labels(job.rule.kind.value, end.value).inc()
+        if end is End.LOST:
+            job.parts.blame.note_broken(job.fingerprint, place.state)
+            job.note_outcome(place, Outcome.FAILED)
         job.note_attempt_failed(place, exc)
         self._reason = str(exc)
         if self._has_begun and self._lost_at is None:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -5,12 +5,7 @@
 from hypothesis import strategies as st
 
 from boragedeck.platform.replicas import decode_replica
-from boragedeck.platform.routing import (
-    decode_rollout,
-    decode_routing,
-    encode_rollout_status,
-)
-from boragedeck.version.relay_rollouts import RolloutResult
+from boragedeck.platform.routing import decode_rollout, decode_routing
 from boragedeck.version.replicas import ReplicaStage
 from boragedeck.version.routing import CallKind
 
@@ -107,11 +102,7 @@
         for changes in ({"version": "x"}, {"routes": [{}]}, {"services": 3}):
             self.assertTrue(decode_routing(encoded(CONFIG, **changes)).is_err())
 
-    def test_rollout_and_its_status(self):
+    def test_rollout_is_read(self):
         body = encoded({"service": "s", "to": "v2", "durationS": 12})
         order = decode_rollout(body).ok()
         self.assertEqual((order.pool, order.to, order.duration_s), ("s", "v2", 12.0))
-        status = msgspec.json.decode(
-            encode_rollout_status(order, RolloutResult.ROLLED_BACK)
-        )
-        self.assertEqual(status, {"service": "s", "to": "v2", "state": "rolled_back"})
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -10,14 +10,20 @@
 from result import Ok
 
 from boragedeck.connection.caller_edge import CallerEdge
+from boragedeck.connection.messages import Fact
 from boragedeck.connection.peer import Address
+from boragedeck.connection.store import Table
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.platform.callers import decode_request, refusal_headers
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
+from boragedeck.platform.routing import decode_rollout
 from boragedeck.process.relaying.admission import Admission
+from boragedeck.process.relaying.crash_blame import CrashBlame
+from boragedeck.process.relaying.mirror import TableMirror
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.retry_share import RetryShare
+from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
@@ -48,6 +54,35 @@
 ENGINE = EngineProfile(64, 88_000, can_back_up=True, models=frozenset({"m"}))
 
 
+class Facts:
+    """The fact board of one or several routers that hear each other at once."""
+
+    def __init__(self, own="r-1", shared=None):
+        self.own = own
+        self._shared = {} if shared is None else shared
+        self._callbacks = []
+        self._shared.setdefault("boards", []).append(self)
+
+    def publish(self, topic, key, body, *, ttl_s=60.0):
+        """State a fact to all boards."""
+        fact = Fact(topic, key, self.own, 1, body)
+        self._shared[topic, key, self.own] = fact
+        for board in self._shared["boards"]:
+            for other, callback in board._callbacks:
+                if other is topic:
+                    callback(fact)
+        return fact
+
+    def facts(self, topic):
+        """Return the facts of a topic."""
+        facts = (fact for key, fact in self._shared.items() if key != "boards")
+        return [fact for fact in facts if fact.topic is topic]
+
+    def subscribe(self, topic, callback):
+        """Call with each fact of a topic."""
+        self._callbacks.append((topic, callback))
+
+
 class Seen(msgspec.Struct):
     """A request as a replica saw it."""
 
@@ -123,6 +158,7 @@
                 if rest:
                     parser.receive_data(rest)
         except (OSError, EOFError):
+            # The router has closed the connection.
             self.left.append(len(self.seen))
         finally:
             sock.close()
@@ -147,7 +183,7 @@
 
 def head_of(req, status=200, *lines, request_id=None):
     """Return the head of an answer to a request, without its empty line."""
-    name = request_id or req.headers[b"request-id"]
+    name = request_id or req.headers.get(b"request-id", b"")
     seal = b"Response-Seal: seal\r\n" if status != 503 else b""
     text = b"HTTP/1.1 %d X\r\nRequest-Id: %s\r\n%s" % (status, name, seal)
     return text + b"".join(line + b"\r\n" for line in lines)
@@ -235,6 +271,17 @@
             upstreams=self.upstreams,
             protocol=HttpReplicaProtocol(),
             retries=RetryShare(self.timers, BOUNDS, lambda: 1),
+            rollouts=RelayRollouts(
+                self.timers,
+                random.Random(4),
+                TableMirror(Table.ROUTING),
+                "rollout/",
+                decode_rollout,
+                None,
+                Facts(),
+                BOUNDS,
+            ),
+            blame=CrashBlame(self.timers, Facts()),
             metrics=RelayMetrics(CollectorRegistry()),
             refusal_headers=refusal_headers,
         )
