--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -204,8 +204,9 @@
     def _total(self, rollout: _Rollout) -> Evidence:
         key = f"{rollout.order.pool}/{rollout.number}"
         total = Evidence()
+        total.merge(rollout.evidence)
         for fact in self._facts.facts(FactTopic.ROLLOUT_EVIDENCE):
-            if fact.key != key:
+            if fact.key != key or fact.origin == self._facts.own:
                 continue
             try:
                 total.merge(msgspec.msgpack.decode(fact.body, type=Evidence))
--- /dev/null
+++ b/scripts/platform_demo.py
@@ -0,0 +1,209 @@
+"""Runs routers on a stand-in of the users' platform and loses an engine mid-stream.
+
+Everything but the routers runs in this process. It exits with 1 where an answer did
+not come whole and once.
+"""
+
+import os
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from boragedeck.patching import patch_all
+
+patch_all()
+
+import eventlet
+import msgspec
+import urllib3
+import yaml
+
+from standins.relay_replica import RelayReplica
+from standins.rows import RowStore
+from standins.web import listen, serve
+
+__all__ = ["PlatformTrial", "main"]
+
+HOST = "127.0.0.1"
+READY_TIMEOUT_S = 20.0
+EVENTS = 40
+ROUTE_HEADERS = {"Host": "demo.example", "Api-Key": "demo-key", "Deadline-Ms": "10000"}
+
+
+class PlatformTrial:
+    """A stand-in platform with engines and routers, all on loopback.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings files go.
+    """
+
+    def __init__(self, folder: Path):
+        self.rows = RowStore()
+        self.engines: dict[str, tuple[RelayReplica, object, object]] = {}
+        self.routers: list[subprocess.Popen] = []
+        self._folder = folder
+        self._listener = listen()
+        self._server = eventlet.spawn(serve, self.rows.app, self._listener)
+        self.rows.put("op", "config", msgspec.json.encode(_config()))
+
+    def add_engine(self, name: str, zone: str) -> None:
+        """Start an engine and state it in the store."""
+        replica, listener = RelayReplica(name, EVENTS), listen()
+        server = eventlet.spawn(serve, replica.app, listener)
+        self.engines[name] = replica, listener, server
+        address = _address(listener)
+        self.rows.put("servers", name, replica.entry("engines", address, zone))
+
+    def lose_engine(self, name: str) -> None:
+        """End an engine and its connections, as a crash does."""
+        replica, listener, server = self.engines.pop(name)
+        replica.is_lost = True
+        listener.close()
+        server.kill()
+        self.rows.drop("servers", name)
+
+    def add_router(self, zone: str) -> str:
+        """Start a router; returns the URL for callers once it is ready."""
+        number = len(self.routers)
+        path = Path(self._folder, f"router-{number}.yaml")
+        settings = self._settings(number, zone)
+        path.write_text(yaml.safe_dump(settings))
+        environ = os.environ | {
+            "BORAGEDECK_CONFIG": str(path),
+            "BORAGEDECK_METRICS_PORT": str(_free_port()),
+        }
+        command = [sys.executable, "-m", "boragedeck.process.daemon"]
+        log = Path(self._folder, f"router-{number}.log").open("wb")
+        self.routers.append(
+            subprocess.Popen(command, env=environ, stdout=log, stderr=log)
+        )
+        log.close()
+        _wait_ready(f"http://{settings['listen']['ready']}/")
+        return f"http://{settings['listen']['front']}"
+
+    def stop(self) -> list[int]:
+        """Stop all routers; returns their exit codes."""
+        for router in self.routers:
+            router.terminate()
+        codes = [_wait_exit(router) for router in self.routers]
+        for name in list(self.engines):
+            self.lose_engine(name)
+        self._server.kill()
+        self._listener.close()
+        return codes
+
+    def _settings(self, number: int, zone: str) -> dict:
+        port = _free_port()
+        return {
+            "node": f"vm-{number}",
+            "ip": HOST,
+            "zone": zone,
+            "listen": {
+                "front": f"{HOST}:{_free_port()}",
+                "ready": f"{HOST}:{_free_port()}",
+            },
+            "internalPorts": [port, port],
+            "platform": {"address": _address(self._listener)},
+            "bounds": {"graceS": 8},
+        }
+
+
+def main() -> None:
+    """Run the demonstration."""
+    with tempfile.TemporaryDirectory() as folder:
+        trial = PlatformTrial(Path(folder))
+        try:
+            is_whole = _show(trial)
+        finally:
+            trial.stop()
+    print("The answer came whole and once." if is_whole else "The answer is damaged.")
+    sys.exit(0 if is_whole else 1)
+
+
+def _show(trial: PlatformTrial) -> bool:
+    for name, zone in (("engine-1", "a"), ("engine-2", "b")):
+        trial.add_engine(name, zone)
+    url = trial.add_router("a")
+    print(f"A router serves callers at {url}.")
+    response = urllib3.PoolManager().request(
+        "POST",
+        f"{url}/answers/x",
+        headers=ROUTE_HEADERS | {"Request-Id": "demo-1", "Token-Counts": "100,40"},
+        preload_content=False,
+    )
+    body = b""
+    while part := response.read1(65_536):
+        body += part
+        if b"id: 10\n" in body and len(trial.engines) == 2:
+            name = next(n for n, e in trial.engines.items() if e[0].served)
+            print(f"After event 10 the engine that serves it, {name}, is lost.")
+            trial.lose_engine(name)
+    expected = b"".join(
+        b"id: %d\ndata: piece %d\n\n" % (number, number)
+        for number in range(1, EVENTS + 1)
+    )
+    print(f"{body.count(b'id: ')} events came.")
+    return body == expected
+
+
+def _config() -> dict:
+    route = {
+        "name": "answers",
+        "host": "demo.example",
+        "prefix": "/answers/",
+        "kind": "streaming",
+        "timeoutMs": 10_000,
+        "latencyGoalMs": 2_000,
+        "service": "engines",
+        "maxAttempts": 5,
+        "resumable": True,
+        "targetGapMs": 700,
+    }
+    engine = {"slots": 8, "kvCapacity": 88_000, "backups": True}
+    return {
+        "version": 1,
+        "routes": [route],
+        "services": [
+            {"name": "engines", "engine": engine | {"models": [{"name": "m"}]}}
+        ],
+        "tenants": [{"name": "demo", "apiKeys": ["demo-key"]}],
+    }
+
+
+def _address(listener) -> str:
+    host, port = listener.getsockname()
+    return f"{host}:{port}"
+
+
+def _free_port() -> int:
+    listener = listen()
+    port = listener.getsockname()[1]
+    listener.close()
+    return port
+
+
+def _wait_ready(url: str) -> None:
+    pool = urllib3.PoolManager(retries=False, timeout=1.0)
+    with eventlet.Timeout(READY_TIMEOUT_S):
+        while True:
+            try:
+                if pool.request("GET", url).status == 200:
+                    return
+            except urllib3.exceptions.HTTPError:
+                # It doesn't listen yet.
+                pass
+            eventlet.sleep(0.05)
+
+
+def _wait_exit(router: subprocess.Popen) -> int:
+    with eventlet.Timeout(READY_TIMEOUT_S):
+        while router.poll() is None:
+            eventlet.sleep(0.05)
+    return router.returncode
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/relay_replica.py
@@ -0,0 +1,87 @@
+"""Stand-in for a replica on the users' platform: calls, streams and their copies."""
+
+import time
+
+import eventlet
+import msgspec
+
+from standins.web import Answer, App, json_answer
+
+__all__ = ["RelayReplica"]
+
+SEAL = ("Response-Seal", "stand-in")
+MODEL = "m"
+
+
+class RelayReplica:
+    """A replica, as a WSGI application.
+
+    Parameters
+    ----------
+    name : str
+        Its id.
+    events : int
+        Events of each stream; 0 for a plain service.
+    event_interval_s : float
+        Time between events, in seconds.
+
+    Attributes
+    ----------
+    served : list of str
+        The ids of the requests that it began.
+    is_lost : bool
+        Whether it breaks its streams off.
+    """
+
+    def __init__(self, name: str, events: int = 0, event_interval_s: float = 0.02):
+        self.name = name
+        self.served: list[str] = []
+        self.is_lost = False
+        self._events = events
+        self._interval_s = event_interval_s
+
+    @property
+    def app(self) -> App:
+        """The WSGI application."""
+        return self._answer
+
+    def entry(self, service: str, address: str, zone: str) -> bytes:
+        """Return what the replica states of itself in the store."""
+        return msgspec.json.encode(
+            {
+                "service": service,
+                "address": address,
+                "zone": zone,
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "born": int(time.time() * 1000.0),
+            }
+        )
+
+    def _answer(self, environ, start_response):
+        if environ["PATH_INFO"] == "/boragedeck/report":
+            return json_answer({"models": [{"name": MODEL}]}).send(start_response)
+        expected = environ.get("HTTP_EXPECT_INSTANCE")
+        if expected not in (None, self.name):
+            start_response("421 Misdirected Request", [("Instance-Id", self.name)])
+            return [b""]
+        if "HTTP_KV_FROM" in environ:
+            start_response("503 Service Unavailable", [("Not-Executed", "1")])
+            return [b""]
+        request_id = environ.get("HTTP_REQUEST_ID", "")
+        self.served.append(request_id)
+        headers = [("Request-Id", request_id), SEAL]
+        if not self._events:
+            answer = Answer(200, b"served by " + self.name.encode())
+            start_response("200 OK", [*headers, ("Content-Type", "text/plain")])
+            return [answer.body]
+        start_response("200 OK", [*headers, ("Content-Type", "text/event-stream")])
+        return self._stream(int(environ.get("HTTP_LAST_EVENT_ID", 0)))
+
+    def _stream(self, after: int):
+        for number in range(after + 1, self._events + 1):
+            if self.is_lost:
+                raise ConnectionAbortedError(f"{self.name} is lost")
+            yield b"id: %d\ndata: piece %d\n\n" % (number, number)
+            eventlet.sleep(self._interval_s)
--- /dev/null
+++ b/tests/scripts/test_platform_demo.py
@@ -0,0 +1,76 @@
+import tempfile
+import unittest
+from pathlib import Path
+
+import eventlet
+import msgspec
+import urllib3
+
+from scripts.platform_demo import EVENTS, ROUTE_HEADERS, PlatformTrial
+
+TIMEOUT_S = 20.0
+
+
+class PlatformDemoTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.trial = PlatformTrial(self.folder)
+        self.codes = None
+        self.addCleanup(self.stop)
+        self.trial.add_engine("engine-1", "a")
+        self.trial.add_engine("engine-2", "b")
+        self.pool = urllib3.PoolManager(retries=False)
+        self.addCleanup(self.pool.clear)
+
+    def stop(self):
+        if self.codes is None:
+            self.codes = self.trial.stop()
+
+    def ask(self, url, name="id-1", path="/answers/x"):
+        return self.pool.request(
+            "POST",
+            url + path,
+            headers=ROUTE_HEADERS | {"Request-Id": name, "Token-Counts": "100,40"},
+            preload_content=False,
+        )
+
+    def read(self, response, at_event=None, do=None):
+        body = b""
+        with eventlet.Timeout(TIMEOUT_S):
+            while part := response.read1(65_536):
+                body += part
+                if do is not None and b"id: %d\n" % at_event in body:
+                    do, now = None, do
+                    now()
+        return body
+
+    def assert_whole(self, body):
+        pieces = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1)]
+        self.assertEqual(body, b"".join(pieces))
+
+    def lose_serving_engine(self):
+        engines = self.trial.engines
+        name = next(name for name, e in engines.items() if e[0].served)
+        self.trial.lose_engine(name)
+
+    def test_stream_survives_the_loss_of_its_engine(self):
+        url = self.trial.add_router("a")
+        response = self.ask(url)
+        self.assert_whole(self.read(response, 10, self.lose_serving_engine))
+        served = sum(len(e[0].served) for e in self.trial.engines.values())
+        self.assertEqual(served, 1)
+
+    def test_planned_stop_cuts_no_stream_off(self):
+        url = self.trial.add_router("a")
+        response = self.ask(url)
+        stop = self.trial.routers[0].terminate
+        self.assert_whole(self.read(response, 3, stop))
+        self.stop()
+        self.assertEqual(self.codes, [0])
+        log = Path(self.folder, "router-0.log").read_text()
+        texts = [msgspec.json.decode(line)["text"] for line in log.splitlines()]
+        self.assertIn("daemon: Serving.", texts)
+        self.assertIn("relay: Answered.", texts)
+        self.assertEqual(texts[-1], "daemon: Stopped.")
