--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -5,7 +5,7 @@
 and tells an answer that was cut off from one that ends with its connection.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import eventlet
 import h11
@@ -21,11 +21,19 @@
 )
 from boragedeck.process.timers import TimerService
 
-__all__ = ["AnswerHead", "Exchange", "Message", "UpstreamPool"]
+__all__ = [
+    "MAX_IDLE_PER_REPLICA",
+    "AnswerHead",
+    "Exchange",
+    "Headers",
+    "Message",
+    "UpstreamPool",
+]
 
 READ_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 MAX_IDLE_PER_REPLICA = 8
+"""Connections that are kept to one replica where it takes many."""
 DEFAULT_IDLE_S = 4.0
 """How long a connection is kept where the replica states no timeout."""
 IDLE_MARGIN_S = 1.0
@@ -265,10 +273,17 @@
     ----------
     timers : TimerService
         The source of time.
+    max_idle : callable, optional
+        Returns how many connections may be kept to one replica.
     """
 
-    def __init__(self, timers: TimerService):
+    def __init__(
+        self,
+        timers: TimerService,
+        max_idle: Callable[[], int] = lambda: MAX_IDLE_PER_REPLICA,
+    ):
         self._timers = timers
+        self._max_idle = max_idle
         self._idle: dict[Address, list[_Connection]] = {}
         self.opened = 0
 
@@ -313,7 +328,7 @@
             conn.close()
             return
         idle = self._idle.setdefault(conn.address, [])
-        if len(idle) >= MAX_IDLE_PER_REPLICA:
+        if len(idle) >= self._max_idle():
             conn.close()
             return
         parser.start_next_cycle()
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -10,7 +10,7 @@
 from boragedeck.connection.caller_edge import CallerChannel, CallerEdge, RawRequest
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.store import Table
-from boragedeck.connection.upstream_pool import UpstreamPool
+from boragedeck.connection.upstream_pool import MAX_IDLE_PER_REPLICA, UpstreamPool
 from boragedeck.exceptions import UpstreamError
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
@@ -57,6 +57,8 @@
 """For so long after the stop began, callers may still be led here."""
 GRACE_MARGIN_S = 0.4
 DRAIN_POLL_S = 0.05
+IDLE_SHARE = 0.5
+"""Of the connections that a replica takes, what all routers together keep idle."""
 
 _log = PartLog("daemon")
 
@@ -195,7 +197,7 @@
             self._board,
             settings.bounds,
         )
-        self._upstreams = UpstreamPool(self.timers)
+        self._upstreams = UpstreamPool(self.timers, self._max_idle)
         admission = Admission(
             self.timers, self._registry, settings.failure_domain, self._rng
         )
@@ -240,6 +242,13 @@
         members = [member.address for member in self._membership.members()]
         return members or [a for a in self._settings.seeds if a != self.own.address]
 
+    def _max_idle(self) -> int:
+        """Return how many connections this router may keep to one replica."""
+        pools = self._routing.current().pools.values()
+        taken = min((pool.max_connections for pool in pools), default=0)
+        share = IDLE_SHARE * taken / self._membership.routers()
+        return max(1, min(MAX_IDLE_PER_REPLICA, int(share)))
+
     def _note_newest(self, address: Address, table: Table, newest: int) -> None:
         self._followers[table].note_peer(address, newest)
 
--- a/boragedeck/process/relaying/retry_share.py
+++ b/boragedeck/process/relaying/retry_share.py
@@ -9,6 +9,10 @@
 
 __all__ = ["RetryShare"]
 
+LEARNING_S = 10.0
+"""For so long after its start a router may not know all others."""
+ASSUMED_ROUTERS = 16
+"""So many are assumed meanwhile, where fewer are known."""
 SAFETY = 0.8
 """Of the bound, what is used: requests of callers may be counted in another window."""
 
@@ -32,6 +36,7 @@
         self._timers = timers
         self._bounds = bounds
         self._routers = routers
+        self._learning_until = timers.now() + LEARNING_S
         self._requests: dict[PoolName, deque[float]] = {}
         self._repeats: dict[PoolName, deque[float]] = {}
 
@@ -43,13 +48,19 @@
         """Take one repeat; False where the share is spent."""
         requests = len(self._recent(self._requests, pool))
         repeats = self._recent(self._repeats, pool)
-        extra = self._bounds.retry_extra / max(1, self._routers())
+        extra = self._bounds.retry_extra / self._sharers()
         allowed = SAFETY * (self._bounds.retry_ratio * requests + extra)
         if len(repeats) + 1 > allowed:
             return False
         repeats.append(self._timers.now())
         return True
 
+    def _sharers(self) -> int:
+        known = max(1, self._routers())
+        if self._timers.now() < self._learning_until:
+            return max(known, ASSUMED_ROUTERS)
+        return known
+
     def _recent(
         self, times: dict[PoolName, deque[float]], pool: PoolName
     ) -> deque[float]:
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -62,7 +62,7 @@
         self._endings: LightQueue = LightQueue()
         self._running: set = set()
         self._failure: Answered | None = None
-        self._reason = "no attempt was made"
+        self._reason = "the replica did not answer"
 
     def run(self) -> None:
         """Answer the caller."""
@@ -133,6 +133,16 @@
             self._start(placed.ok())
 
     def _start(self, place: Place) -> None:
+        log.write(
+            "Sent.",
+            request=self._job.req.request_id,
+            route=self._job.rule.name,
+            replica=place.state.replica.replica,
+            domain=place.state.replica.failure_domain,
+            running=place.state.running,
+            failure_share=round(place.state.failure_share, 3),
+            attempt=self._job.sent + 1,
+        )
         attempt = eventlet.spawn(self._attempt, place)
         self._running.add(attempt)
 
--- /dev/null
+++ b/scripts/platform_logs.py
@@ -0,0 +1,71 @@
+"""Reads routers' logs and shows requests by outcome, or all lines of one request."""
+
+import sys
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+
+__all__ = ["main"]
+
+OUTCOMES = ("relay: Answered.", "relay: Refused.", "relay: Broken off.")
+SHOWN = 40
+HIDDEN = {"seq", "clock", "timestamp", "task_uuid", "task_level", "message_type", "pid"}
+
+
+def main() -> None:
+    """Print a summary of the files, or the lines that name an id."""
+    if len(sys.argv) < 2:
+        print("usage: python -m scripts.platform_logs FILE [REQUEST-ID]")
+        sys.exit(2)
+    lines = _read(Path(sys.argv[1]))
+    if len(sys.argv) > 2:
+        _show_request(lines, sys.argv[2])
+    else:
+        _summarise(lines)
+
+
+def _read(path: Path) -> list[dict]:
+    """Return the structured lines; a file may hold others and what stands before."""
+    found = []
+    for text in path.read_text(errors="replace").splitlines():
+        begin = text.find("{")
+        if begin < 0:
+            continue
+        try:
+            line = msgspec.json.decode(text[begin:], type=dict)
+        except msgspec.DecodeError:
+            # Not a line of a router.
+            continue
+        found.append(line)
+    return sorted(found, key=lambda line: line.get("timestamp", 0.0))
+
+
+def _show_request(lines: list[dict], request: str) -> None:
+    for line in lines:
+        if line.get("request") == request:
+            fields = {k: v for k, v in line.items() if k not in HIDDEN and k != "text"}
+            print(f"{line['timestamp']:.4f} {line['text']} {fields}")
+
+
+def _summarise(lines: list[dict]) -> None:
+    outcomes = Counter(_outcome(line) for line in lines if line.get("text") in OUTCOMES)
+    causes = Counter(
+        _cause(line) for line in lines if line.get("text") == "relay: Attempt failed."
+    )
+    for title, counts in (("requests", outcomes), ("attempts that failed", causes)):
+        print(title)
+        for name, count in counts.most_common(SHOWN):
+            print(f"{count:8} {name}")
+
+
+def _outcome(line: dict) -> str:
+    return f"{line['text']} {line.get('code') or line.get('status') or ''}"
+
+
+def _cause(line: dict) -> str:
+    return line["error"].partition(" with ")[0][:80]
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/process/relaying/test_retry_share.py
+++ b/tests/process/relaying/test_retry_share.py
@@ -26,6 +26,13 @@
         self.assertGreater(count, 40)
         self.assertLessEqual(count, 0.8 * 100 + BOUNDS.retry_extra / 9)
 
+    def test_router_that_knows_no_other_yet_takes_a_small_part(self):
+        alone = RetryShare(self.timers, BOUNDS, lambda: 1)
+        count = 0
+        while alone.take("p"):
+            count += 1
+        self.assertLessEqual(16 * count, BOUNDS.retry_extra)
+
     def test_repeats_come_back_as_the_window_moves_on(self):
         self.take_all()
         self.assertFalse(self.share.take("p"))
