--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 READY := $(VENV)/.ready
 export ROUTERS ENGINES TOKEN_INTERVAL_MS
 
-.PHONY: demo test serve lint format bench fuzz mutants matrix clean
+.PHONY: demo platform-demo test serve lint format bench fuzz mutants matrix clean
 
 $(READY): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -14,6 +14,9 @@
 demo: $(READY)
 	$(BIN)/python -m scripts.demo
 
+platform-demo: $(READY)
+	$(BIN)/python -m scripts.platform_demo
+
 serve: $(READY)
 	@exec $(BIN)/python -m scripts.serve
 
