Refuse copies without an epoch and bodies that are no text

Found by the property tests once new modules had changed their draws; both faults are older. An image without an epoch was stored and every later message about it failed (IndexError); a name in a message that is no UTF-8 was passed on to engines undecoded. Explicit cases fail first.

--- a/boragedeck/request/copy_messages.py
+++ b/boragedeck/request/copy_messages.py
@@ -1,6 +1,7 @@
 """Messages about answers and their copies."""
 
 import enum
+from typing import Annotated
 
 import msgspec
 
@@ -56,7 +57,7 @@
     key: AnswerKey
     spec: AnswerSpec
     version: Version | None
-    lineage: tuple[Epoch, ...]
+    lineage: Annotated[tuple[Epoch, ...], msgspec.Meta(min_length=1)]
     prompt_ids: tuple[int, ...] | None
     chunks: tuple[Chunk, ...]
     finish: Finish | None
--- a/boragedeck/request/openai.py
+++ b/boragedeck/request/openai.py
@@ -118,6 +118,8 @@
     """
     fields_type = _ChatFields if endpoint is Endpoint.CHAT else _TextFields
     try:
+        # What is passed on undecoded must be text too.
+        body.decode()
         fields = msgspec.json.decode(body, type=fields_type)
         raw = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
     except DECODE_ERRORS as exc:
--- a/tests/process/test_bad_messages.py
+++ b/tests/process/test_bad_messages.py
@@ -28,6 +28,8 @@
 from boragedeck.process.settings import parse_settings
 from boragedeck.process.shares import ShareReport
 from boragedeck.process.timers import ManualTimers
+from boragedeck.request.answer import Epoch
+from boragedeck.request.copy_messages import CopyAppend, CopyImage, CopyItem
 from boragedeck.request.intents import CommandKey
 from boragedeck.version.config_messages import ConfigFact
 from boragedeck.version.config_store import ConfigStore
@@ -72,6 +74,14 @@
         message = data.draw(st.sampled_from(kinds).flatmap(st.from_type))
         self.assert_answered(encoded(message))
 
+    @settings(suppress_health_check=list(HealthCheck), max_examples=20)
+    @given(st.from_type(CopyImage))
+    def test_copy_without_an_epoch_is_refused(self, image):
+        image = msgspec.structs.replace(image, lineage=())
+        item = CopyItem(image.key, Epoch(0, 0, 0), 0, (), None)
+        self.assert_answered(encoded(CopyAppend((image,), ())))
+        self.assert_answered(encoded(CopyAppend((), (item,))))
+
     @given(bad_msgpack(b"\x91\xa4Ping"))
     @example(DEEP[0])
     def test_bytes_that_are_no_message_are_refused(self, body):
--- a/tests/request/test_bad_requests.py
+++ b/tests/request/test_bad_requests.py
@@ -32,6 +32,7 @@
     @example(Endpoint.TEXT, b'{"model":"m","prompt":"\xff"}')
     @example(Endpoint.TEXT, b'{"model":"m","prompt":"\\ud800"}')
     @example(Endpoint.TEXT, b'{"model":"m","prompt":"a","max_tokens":1e400}')
+    @example(Endpoint.CHAT, b'{"model":"m","messages":[{"role":"","\x80":""}],"n":1}')
     def test_bad_body_is_refused_or_leads_to_a_body_for_engines(self, endpoint, body):
         parsed = openai.parse_request(endpoint, body)
         if parsed.is_err():
