Give back the places of attempts that never began, and refuse while there is time

Ruled out: entries missing after the store's return (none was removed), stale loads of other routers (they expire after 2.5 s). The test fails first. A request that waits in vain is now refused after 0.4 of its caller's time instead of at its end, so that the caller can still come back.

--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -60,7 +60,7 @@
     def __init__(self, job: RelayJob):
         self._job = job
         self._endings: LightQueue = LightQueue()
-        self._running: set = set()
+        self._running: dict[eventlet.greenthread.GreenThread, Place] = {}
         self._failure: Answered | None = None
         self._reason = "the replica did not answer"
 
@@ -75,8 +75,10 @@
             self._start(placed.ok())
             self._answer(self._first_answer())
         finally:
-            for attempt in list(self._running):
+            for attempt, place in list(self._running.items()):
                 attempt.kill()
+                # One that has not begun never gets to give its place back.
+                place.release()
 
     def _first_answer(self) -> Answered | None:
         """Wait for a success, repeating the call where that is allowed."""
@@ -144,7 +146,7 @@
             attempt=self._job.sent + 1,
         )
         attempt = eventlet.spawn(self._attempt, place)
-        self._running.add(attempt)
+        self._running[attempt] = place
 
     def _attempt(self, place: Place) -> None:
         ending: Ending = Lost("stopped")
@@ -153,7 +155,7 @@
         finally:
             is_served = isinstance(ending, Answered)
             place.release(is_served)
-            self._running.discard(eventlet.getcurrent())
+            self._running.pop(eventlet.getcurrent(), None)
             self._endings.put(ending)
 
     def _run_attempt(self, place: Place) -> Ending:
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -56,6 +56,9 @@
 ANSWER_MARGIN_SHARE = 0.05
 MAX_ANSWER_MARGIN_S = 0.05
 """So long before its caller gives up a request gets its final answer."""
+WAIT_SHARE = 0.4
+"""Of a caller's time, what a request that has not run may wait: when it is refused
+then, the caller can still come back and be served."""
 COME_BACK_S = 0.2
 """When a caller may come back whose request no replica took."""
 
@@ -146,7 +149,9 @@
         self.organisation = organisation
         self.priority = priority
         self.channel = channel
-        self.deadline = req.arrived + _patience_s(req, rule)
+        patience_s = _patience_s(req, rule)
+        self.deadline = req.arrived + patience_s
+        self._wait_until = req.arrived + WAIT_SHARE * patience_s
         self.fingerprint = fingerprint_of(organisation, req.path, req.body)
         self.allows = parts.rollouts.allows(pool.name)
         self.tried: set[ReplicaId] = set()
@@ -194,7 +199,7 @@
             priority=self.priority,
             prompt_tokens=self.req.prompt_tokens,
             tokens=self.req.tokens,
-            until=min(until, self.deadline),
+            until=min(until, self.deadline if self.may_have_run else self._wait_until),
             tried=frozenset(self.tried),
             allows=self.allows,
         )
--- a/tests/request/test_relay_call.py
+++ b/tests/request/test_relay_call.py
@@ -4,6 +4,9 @@
 import eventlet
 from eventlet.green import socket
 
+from boragedeck.request.relay_call import CallRelay
+from boragedeck.request.relay_job import RelayJob
+from boragedeck.request.relay_request import RelayRequest
 from boragedeck.version.routing import CallKind
 from tests.support.replicas import (
     RelayWorld,
@@ -144,10 +147,13 @@
         self.assertEqual(response.headers[b"response-seal"], b"seal")
 
     def test_no_replica_is_refused_without_having_run(self):
-        world = self.world(call_rule(timeout_s=0.2))
+        world = self.world(call_rule(timeout_s=1.0))
+        began = world.timers.now()
         response = world.ask()
         self.assertEqual(response.status, 503)
         self.assertIn(b"retry-after", response.headers)
+        # The caller has time to come back.
+        self.assertLess(world.timers.now() - began, 0.6)
 
     def test_caller_that_leaves_ends_the_run(self):
         world = self.world(call_rule(CallKind.ONCE))
@@ -171,6 +177,33 @@
         self.assertEqual(world.edge.busy(), 0)
 
 
+class LeavingTest(unittest.TestCase):
+    def test_place_is_given_back_by_an_attempt_that_never_began(self):
+        world = RelayWorld()
+        self.addCleanup(world.close)
+        world.add(ScriptedReplica("one", silence))
+        req = RelayRequest(
+            request_id="id-1",
+            method=b"GET",
+            target=b"/r/x",
+            host="here.example",
+            path="/r/x",
+            headers=[],
+            body=b"",
+            key=None,
+            patience_s=2.0,
+            arrived=world.timers.now(),
+        )
+        rule = call_rule()
+        pool = world.table.pools["engines"]
+        job = RelayJob(world.parts, req, rule, pool, None, 1, None)
+        relay = eventlet.spawn(CallRelay(job).run)
+        eventlet.spawn_n(relay.kill)
+        eventlet.sleep(0.05)
+        self.assertTrue(relay.dead)
+        self.assertEqual(world.registry.get("one").own.running, 0)
+
+
 class BadAnswerTest(unittest.TestCase):
     def ask(self, step, kind=CallKind.ONCE, **fields):
         world = RelayWorld(call_rule(kind, **fields))
