Write log lines without a wait, and test the exchange of loads and connections

eventlet's os.write waits for the reader instead of saying that it is behind: at the end of a process a second writer on the same descriptor raised (found by the new test).

--- a/boragedeck/process/log_sink.py
+++ b/boragedeck/process/log_sink.py
@@ -8,6 +8,7 @@
 
 import eventlet
 import msgspec
+from eventlet.patcher import original
 
 __all__ = ["LogSink"]
 
@@ -16,6 +17,9 @@
 BATCH_LINES = 64
 PAUSE_S = 0.05
 
+_write_now = original("os").write
+"""The green one would wait for the reader."""
+
 
 class LogSink:
     """A destination for eliot that queues lines and writes them in between.
@@ -80,7 +84,7 @@
         count = min(BATCH_LINES, len(self._lines))
         batch = b"".join(self._lines.popleft() for _ in range(count))
         try:
-            written = os.write(self._fd, batch)
+            written = _write_now(self._fd, batch)
         except BlockingIOError:
             written = 0
         if written < len(batch):
--- /dev/null
+++ b/tests/connection/test_upstream_pool.py
@@ -0,0 +1,107 @@
+import unittest
+
+import eventlet
+
+from boragedeck.connection.peer import Address
+from boragedeck.connection.upstream_pool import IDLE_MARGIN_S, Message, UpstreamPool
+from boragedeck.exceptions import (
+    UpstreamError,
+    UpstreamRefusedError,
+    UpstreamSilentError,
+)
+from boragedeck.process.timers import ManualTimers
+from tests.support.replicas import ScriptedReplica, answer, head_of, silence
+
+MESSAGE = Message(b"GET", b"/x", [(b"Host", b"h"), (b"Request-Id", b"1")])
+
+
+def kept(seconds):
+    def step(sock, req):
+        lines = b"Keep-Alive: timeout=%d" % seconds, b"Content-Length: 2"
+        sock.sendall(head_of(req, 200, *lines) + b"\r\nhi")
+        return True
+
+    return step
+
+
+def closing(sock, req):
+    lines = b"Connection: close", b"Content-Length: 2"
+    sock.sendall(head_of(req, 200, *lines) + b"\r\nhi")
+    return True
+
+
+class UpstreamPoolTest(unittest.TestCase):
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.pool = UpstreamPool(self.timers)
+
+    def replica(self, *steps):
+        replica = ScriptedReplica("one", *steps)
+        self.addCleanup(eventlet.sleep, 0)
+        self.addCleanup(replica.stop)
+        self.addCleanup(self.pool.forget, replica.address)
+        return replica
+
+    def ask(self, replica):
+        exchange = self.pool.send(replica.address, MESSAGE, 1.0, 1.0)
+        try:
+            exchange.head(1.0)
+            return exchange.read_all(1.0, 1000)
+        finally:
+            exchange.close()
+
+    def test_connection_is_used_again(self):
+        replica = self.replica(answer())
+        for _ in range(3):
+            self.ask(replica)
+        self.assertEqual(replica.connections, 1)
+
+    def test_connection_past_its_stated_time_is_not_used(self):
+        replica = self.replica(kept(3))
+        self.ask(replica)
+        self.timers.advance(3.0 - IDLE_MARGIN_S - 0.1)
+        self.ask(replica)
+        self.timers.advance(3.0 - IDLE_MARGIN_S + 0.1)
+        self.ask(replica)
+        self.assertEqual(replica.connections, 2)
+
+    def test_connection_that_the_replica_closes_is_not_used(self):
+        replica = self.replica(closing)
+        self.ask(replica)
+        self.ask(replica)
+        self.assertEqual(replica.connections, 2)
+
+    def test_connection_of_an_unread_answer_is_not_used(self):
+        replica = self.replica(answer())
+        self.pool.send(replica.address, MESSAGE, 1.0, 1.0).close()
+        self.ask(replica)
+        self.assertEqual(replica.connections, 2)
+
+    def test_silence_is_told_from_a_broken_connection(self):
+        replica = self.replica(silence)
+        exchange = self.pool.send(replica.address, MESSAGE, 1.0, 1.0)
+        with self.assertRaises(UpstreamSilentError):
+            exchange.head(0.05)
+        eventlet.spawn_after(0.05, exchange.interrupt)
+        with self.assertRaises(UpstreamError) as caught:
+            exchange.head(1.0)
+        self.assertNotIsInstance(caught.exception, UpstreamSilentError)
+        exchange.close()
+
+    def test_refused_connection_sent_nothing(self):
+        replica = self.replica(answer())
+        replica.stop()
+        eventlet.sleep(0)
+        with self.assertRaises(UpstreamRefusedError) as caught:
+            self.ask(replica)
+        self.assertEqual(caught.exception.step, "connect")
+        self.assertEqual(caught.exception.peer, str(replica.address))
+
+    def test_answer_over_the_bound_is_an_error(self):
+        replica = self.replica(answer(b"x" * 2000))
+        with self.assertRaises(UpstreamError):
+            self.ask(replica)
+
+    def test_address_without_a_listener_in_time(self):
+        with self.assertRaises(UpstreamRefusedError):
+            self.pool.send(Address("127.0.0.1", 1), MESSAGE, 0.2, 0.2)
