--- a/boragedeck/connection/platform.py
+++ b/boragedeck/connection/platform.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from boragedeck.connection.store import Row, Table, Vm, Write
+from boragedeck.connection.store_http import call_store
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
     StoreConflictError,
@@ -141,17 +142,17 @@
         self, method: str, path: str, body: bytes | None
     ) -> Result[bytes, StoreError]:
         where = {"step": path, "peer": self._url}
-        try:
-            response = self._pool.request(
-                method, self._url + path, body=body, timeout=self._timeout
-            )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as exc:
-            return Err(StoreUnavailableError(str(exc), **where))
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
-            return Err(StoreUnknownError(str(exc), **where))
+        called = call_store(
+            self._pool,
+            method,
+            self._url + path,
+            body=body,
+            timeout=self._timeout,
+            **where,
+        )
+        if called.is_err():
+            return called
+        response = called.ok()
         match response.status:
             case 200:
                 return Ok(response.data)
--- a/boragedeck/platform/callers.py
+++ b/boragedeck/platform/callers.py
@@ -3,7 +3,7 @@
 from result import Err, Ok, Result
 
 from boragedeck.connection.caller_edge import RawRequest
-from boragedeck.connection.upstream_pool import Headers
+from boragedeck.connection.exchange import Headers
 from boragedeck.exceptions import RefusedError
 from boragedeck.platform.names import (
     API_KEY,
--- a/boragedeck/platform/replica_protocol.py
+++ b/boragedeck/platform/replica_protocol.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from boragedeck.connection.upstream_pool import AnswerHead, Headers, Message
+from boragedeck.connection.exchange import AnswerHead, Headers, Message
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.platform.names import (
     BACKUP,
--- a/boragedeck/platform/store.py
+++ b/boragedeck/platform/store.py
@@ -20,6 +20,7 @@
     Vm,
     Write,
 )
+from boragedeck.connection.store_http import call_store
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
     StoreConflictError,
@@ -207,22 +208,18 @@
         where = {"step": path, "peer": self._peer}
         headers = {} if body is None else {"Content-Type": "application/json"}
         url = f"{path}?{urlencode(fields)}" if fields else path
-        try:
-            response = self._pool.urlopen(
-                method,
-                url,
-                body=body,
-                headers=headers,
-                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
-                retries=False,
-            )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as exc:
-            return Err(StoreUnavailableError(str(exc), **where))
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
-            return Err(StoreUnknownError(str(exc), **where))
+        called = call_store(
+            self._pool,
+            method,
+            url,
+            body=body,
+            headers=headers,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+            **where,
+        )
+        if called.is_err():
+            return called
+        response = called.ok()
         text = f"status {response.status}"
         match response.status:
             case 200:
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -5,6 +5,7 @@
 from boragedeck.ids import OrganisationName
 from boragedeck.request.relay_call import CallRelay
 from boragedeck.request.relay_job import RelayJob, RelayParts, log, respond_refusal
+from boragedeck.request.relay_refusals import crash_refusal
 from boragedeck.request.relay_request import RelayRequest
 from boragedeck.request.relay_stream import StreamRelay
 from boragedeck.version.routing import (
@@ -56,7 +57,7 @@
     parts.retries.note_request(name)
     job = RelayJob(parts, req, rule, pool, organisation, priority, channel)
     if job.is_blamed():
-        job.refuse(_crashes_error())
+        job.refuse(crash_refusal())
         return
     match rule.kind:
         case CallKind.STREAM:
@@ -65,16 +66,6 @@
             CallRelay(job).run()
 
 
-def _crashes_error() -> RefusedError:
-    return RefusedError(
-        "this request crashed the replicas that ran it",
-        status=500,
-        kind="server_error",
-        code="crashes_replicas",
-        step="route",
-    )
-
-
 def _route(parts: RelayParts, table: RoutingTable, req: RelayRequest) -> RouteRule:
     if not table.version:
         patience_s = req.patience_s or NO_TABLE_PATIENCE_S
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -4,17 +4,13 @@
 import msgspec
 from eventlet.queue import Empty, LightQueue
 
-from boragedeck.connection.upstream_pool import AnswerHead, Exchange, Headers
+from boragedeck.connection.exchange import AnswerHead, Exchange, Headers
 from boragedeck.exceptions import UpstreamError, UpstreamRefusedError
 from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.admission import Place
-from boragedeck.request.relay_job import (
-    Opened,
-    RelayJob,
-    final_refusal,
-    log,
-    open_attempt,
-)
+from boragedeck.request.relay_attempt import Opened, open_attempt
+from boragedeck.request.relay_job import RelayJob, log
+from boragedeck.request.relay_refusals import final_refusal
 from boragedeck.request.relay_request import AttemptPlan, VerdictKind
 
 __all__ = ["CallRelay"]
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -3,28 +3,19 @@
 import random
 from collections.abc import Callable
 
-import eventlet
 import msgspec
 from result import Result
 
 from boragedeck.connection.caller_edge import CallerChannel
-from boragedeck.connection.upstream_pool import (
-    AnswerHead,
-    Exchange,
-    Headers,
-    UpstreamPool,
-)
+from boragedeck.connection.exchange import Headers
+from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.exceptions import (
     RefusedError,
-    UpstreamError,
-    UpstreamRefusedError,
-    UpstreamSilentError,
 )
 from boragedeck.ids import (
     FailureDomain,
     OrganisationName,
     PoolName,
-    Ran,
     UpstreamName,
 )
 from boragedeck.interfaces import Outcome, Sample
@@ -37,19 +28,14 @@
 from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.timers import TimerService
 from boragedeck.request.relay_request import (
-    AttemptPlan,
     RelayRequest,
     ReplicaProtocol,
-    Verdict,
-    VerdictKind,
 )
 from boragedeck.version.replicas import ReplicaId
 from boragedeck.version.routing import RelayPool, RouteRule, RoutingTable
 
-__all__ = ["RelayJob", "RelayParts", "final_refusal", "open_attempt"]
+__all__ = ["RelayJob", "RelayParts", "log", "respond_refusal"]
 
-CONNECT_TIMEOUT_S = 0.3
-SEND_TIMEOUT_S = 2.0
 FIRST_PAUSE_S = 0.02
 MAX_PAUSE_S = 0.25
 """Between attempts where every replica has been tried."""
@@ -59,8 +45,6 @@
 WAIT_SHARE = 0.4
 """Of a caller's time, what a request that has not run may wait: when it is refused
 then, the caller can still come back and be served."""
-COME_BACK_S = 0.2
-"""When a caller may come back whose request no replica took."""
 
 log = PartLog("relay")
 
@@ -292,155 +276,3 @@
     """Send an answer of the router's own."""
     headers = parts.refusal_headers(request_id, error.retry_after_s)
     channel.respond(error.status, headers, error.message.encode())
-
-
-def final_refusal(job: RelayJob, reason: str) -> RefusedError:
-    """Return the final answer for a request that no replica answered.
-
-    Notes
-    -----
-    Only a request that certainly has not run is told to come back.
-    """
-    is_late = job.left_s() <= 0.0
-    if not job.may_have_run:
-        return RefusedError(
-            f"no replica took the request: {reason}",
-            status=503,
-            kind="server_error",
-            code="not_taken",
-            retry_after_s=COME_BACK_S * (1.0 + job.parts.rng.random()),
-            step="relay",
-        )
-    return RefusedError(
-        f"no answer in time: {reason}" if is_late else f"no whole answer: {reason}",
-        status=504 if is_late else 502,
-        kind="server_error",
-        code="timeout" if is_late else "upstream_failed",
-        ran=Ran.UNKNOWN,
-        step="relay",
-    )
-
-
-class Opened(msgspec.Struct, frozen=True):
-    """An attempt whose answer has begun.
-
-    Parameters
-    ----------
-    exchange : Exchange
-        The exchange, its body not read.
-    head : AnswerHead
-        The head of the answer.
-    verdict : Verdict
-        What it means.
-    """
-
-    exchange: Exchange
-    head: AnswerHead
-    verdict: Verdict
-
-
-def open_attempt(
-    job: RelayJob,
-    place: Place,
-    plan: AttemptPlan,
-    wait_head: Callable[[Exchange], AnswerHead],
-) -> Opened:
-    """Send the request to a replica and wait for the head of its answer.
-
-    Parameters
-    ----------
-    job : RelayJob
-        The request.
-    place : Place
-        Where it goes.
-    plan : AttemptPlan
-        What the attempt adds.
-    wait_head : callable
-        Waits for the head of the exchange that it is given.
-
-    Raises
-    ------
-    UpstreamRefusedError
-        Where nothing was sent.
-    UpstreamError
-        Where the replica may have run the request.
-    """
-    parts = job.parts
-    replica = plan.replica
-    message = parts.protocol.message(job.req, plan)
-    job.tried.add(replica.replica)
-    try:
-        exchange = parts.upstreams.send(
-            replica.address,
-            message,
-            min(CONNECT_TIMEOUT_S, max(0.0, job.left_s())),
-            SEND_TIMEOUT_S,
-        )
-    except UpstreamRefusedError:
-        parts.blame.note_lost(place.state)
-        raise
-    except UpstreamError:
-        job.note_sent()
-        job.may_have_run = True
-        raise
-    job.note_sent()
-    ran_before, job.may_have_run = job.may_have_run, True
-    try:
-        opened = _read_head(job, exchange, wait_head)
-    except BaseException:
-        exchange.close()
-        raise
-    match opened.verdict.kind:
-        case VerdictKind.NOT_RUN:
-            job.may_have_run = ran_before
-        case VerdictKind.MOVED:
-            # It never was at the replica that it was sent to.
-            job.may_have_run = ran_before
-            job.sent -= 1
-            _replace_moved(job, place, opened.verdict)
-    return opened
-
-
-def _replace_moved(job: RelayJob, place: Place, verdict: Verdict) -> None:
-    """Forget a replica whose address another one has, or take that one instead."""
-    parts, replica = job.parts, place.state.replica
-    if verdict.found is not None and job.pool.engine is not None:
-        body = probe(parts, place, CONNECT_TIMEOUT_S)
-        models = frozenset() if body is None else parts.protocol.models(body)
-        if parts.table().pool_of_models(models) == replica.pool:
-            parts.registry.adopt(replica.replica, verdict.found)
-            return
-    parts.registry.lose(replica.replica, "another at its address")
-
-
-def _read_head(
-    job: RelayJob, exchange: Exchange, wait_head: Callable[[Exchange], AnswerHead]
-) -> Opened:
-    while True:
-        head = wait_head(exchange)
-        verdict = job.parts.protocol.judge(job.req, head)
-        if verdict.kind is not VerdictKind.STRAY:
-            return Opened(exchange, head, verdict)
-        log.write("Skipped a stray answer.", request=job.req.request_id)
-        exchange.skip(job.left_s())
-
-
-def probe(parts: RelayParts, place: Place, timeout_s: float) -> bytes | None:
-    """Return what a replica answers to a question that needs no slot."""
-    address = place.state.replica.address
-    try:
-        with eventlet.Timeout(timeout_s):
-            exchange = parts.upstreams.send(
-                address, parts.protocol.probe(), timeout_s, timeout_s
-            )
-            try:
-                exchange.head(timeout_s)
-                return exchange.read_all(timeout_s, MAX_PROBE_BYTES)
-            finally:
-                exchange.close()
-    except (UpstreamError, UpstreamSilentError, eventlet.Timeout):
-        # Silence is the answer that the caller of this function asks for.
-        return None
-
-
-MAX_PROBE_BYTES = 256 * 1024
--- /dev/null
+++ b/boragedeck/request/relay_refusals.py
@@ -0,0 +1,48 @@
+"""The answers that a router gives itself where no replica gave one."""
+
+from boragedeck.exceptions import RefusedError
+from boragedeck.ids import Ran
+from boragedeck.request.relay_job import RelayJob
+
+__all__ = ["crash_refusal", "final_refusal"]
+
+COME_BACK_S = 0.2
+"""When a caller may come back whose request no replica took."""
+
+
+def final_refusal(job: RelayJob, reason: str) -> RefusedError:
+    """Return the final answer for a request that no replica answered.
+
+    Notes
+    -----
+    Only a request that certainly has not run is told to come back.
+    """
+    is_late = job.left_s() <= 0.0
+    if not job.may_have_run:
+        return RefusedError(
+            f"no replica took the request: {reason}",
+            status=503,
+            kind="server_error",
+            code="not_taken",
+            retry_after_s=COME_BACK_S * (1.0 + job.parts.rng.random()),
+            step="relay",
+        )
+    return RefusedError(
+        f"no answer in time: {reason}" if is_late else f"no whole answer: {reason}",
+        status=504 if is_late else 502,
+        kind="server_error",
+        code="timeout" if is_late else "upstream_failed",
+        ran=Ran.UNKNOWN,
+        step="relay",
+    )
+
+
+def crash_refusal() -> RefusedError:
+    """Return the final answer for a request that crashes its replicas."""
+    return RefusedError(
+        "this request crashed the replicas that ran it",
+        status=500,
+        kind="server_error",
+        code="crashes_replicas",
+        step="route",
+    )
--- a/boragedeck/request/relay_request.py
+++ b/boragedeck/request/relay_request.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
+from boragedeck.connection.exchange import AnswerHead, Headers, Message
 from boragedeck.connection.peer import Address
-from boragedeck.connection.upstream_pool import AnswerHead, Headers, Message
 from boragedeck.ids import OrganisationName
 from boragedeck.version.replicas import Replica, ReplicaId
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from boragedeck.connection.upstream_pool import AnswerHead, Exchange, Headers
+from boragedeck.connection.exchange import AnswerHead, Exchange, Headers
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamRefusedError,
@@ -14,14 +14,9 @@
 from boragedeck.process.relaying.admission import Place
 from boragedeck.process.relaying.registry import ReplicaState
 from boragedeck.request.events import EventError, EventSplitter
-from boragedeck.request.relay_job import (
-    Opened,
-    RelayJob,
-    final_refusal,
-    log,
-    open_attempt,
-    probe,
-)
+from boragedeck.request.relay_attempt import Opened, open_attempt, probe
+from boragedeck.request.relay_job import RelayJob, log
+from boragedeck.request.relay_refusals import final_refusal
 from boragedeck.request.relay_request import AttemptPlan, CopySource, VerdictKind
 
 __all__ = ["StreamRelay"]
--- a/tests/connection/test_upstream_pool.py
+++ b/tests/connection/test_upstream_pool.py
@@ -2,8 +2,9 @@
 
 import eventlet
 
+from boragedeck.connection.exchange import IDLE_MARGIN_S, Message
 from boragedeck.connection.peer import Address
-from boragedeck.connection.upstream_pool import IDLE_MARGIN_S, Message, UpstreamPool
+from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamRefusedError,
