--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -66,6 +66,9 @@
         self._failure: _Failure | None = None
         self._reason = ""
         self._lost_at: float | None = None
+        self._first_s: float | None = None
+        self._delivered_at = job.req.arrived
+        self._longest_gap_s = 0.0
 
     def run(self) -> None:
         """Deliver the stream, or what there is to say in its place."""
@@ -296,6 +299,8 @@
             route=job.rule.name,
             position=self._splitter.last,
             sent=job.sent,
+            first_s=round(self._first_s or 0.0, 3),
+            longest_gap_s=round(self._longest_gap_s, 3),
             took_s=round(job.parts.timers.now() - job.req.arrived, 3),
         )
 
