--- a/boragedeck/process/relaying/registry.py
+++ b/boragedeck/process/relaying/registry.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from boragedeck.connection.peer import Address
 from boragedeck.ids import PoolName
 from boragedeck.process.logs import PartLog
 from boragedeck.process.timers import TimerService
@@ -127,6 +128,11 @@
         """Return all replicas."""
         return list(self._states.values())
 
+    def at(self, address: Address) -> ReplicaState | None:
+        """Return the replica that has an address now."""
+        found = (s for s in self._states.values() if s.replica.address == address)
+        return next(found, None)
+
     def of_pool(self, pool: PoolName) -> list[ReplicaState]:
         """Return the replicas of a pool that take work."""
         return [
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -96,9 +96,10 @@
 
     def _place(self) -> Place | None:
         job = self._job
-        self._is_on_copy = self._may_use_copy()
-        if self._is_on_copy:
-            return job.parts.admission.occupy(job.ask(job.deadline), self._backup)
+        holder = self._copy_holder()
+        self._is_on_copy = holder is not None
+        if holder is not None:
+            return job.parts.admission.occupy(job.ask(job.deadline), holder)
         placed = job.acquire(job.deadline)
         if placed.is_ok():
             return placed.ok()
@@ -109,12 +110,24 @@
             job.refuse(placed.err())
         return None
 
-    def _may_use_copy(self) -> bool:
-        """Whether the engine with the copy of a lost run can go on with it."""
+    def _copy_holder(self) -> ReplicaState | None:
+        """Return the engine that can go on from the copy of a lost run.
+
+        Notes
+        -----
+        A copy lies at an address. Where the engine there has another id by now, this
+        router may only have learnt late of its restart.
+        """
         backup = self._backup
         if backup is None or self._splitter.last is None:
-            return False
-        return backup.takes_work and backup.avoid_until <= self._job.parts.timers.now()
+            return None
+        job = self._job
+        if backup.is_gone:
+            backup = job.parts.registry.at(backup.replica.address)
+        if backup is None or backup.replica.pool != job.pool_name:
+            return None
+        is_avoided = backup.avoid_until > job.parts.timers.now()
+        return backup if backup.takes_work and not is_avoided else None
 
     @property
     def _has_begun(self) -> bool:
--- a/tests/request/test_relay_stream.py
+++ b/tests/request/test_relay_stream.py
@@ -69,6 +69,22 @@
         self.assertEqual(response.body, whole(3))
         self.assertNotIn(b"kv-from", three.seen[0].headers)
 
+    def test_copy_is_found_though_its_engine_has_another_id(self):
+        world = self.world()
+        two = ScriptedReplica("two", events(3))
+
+        def rename(sock, req):
+            two.name = "two-again"
+            world.registry.put(two.entry(domain="b", born_ms=5))
+            return False
+
+        world.add(ScriptedReplica("one", events(1, 2, ends=False, then=rename)))
+        world.add(two, domain="b")
+        response = world.ask(TOKENS)
+        self.assertEqual(response.body, whole(3))
+        self.assertIn(b"kv-from", two.seen[0].headers)
+        self.assertEqual(two.seen[0].headers[b"expect-instance"], b"two-again")
+
     def test_replica_that_never_had_a_run_is_not_asked_for_its_copy(self):
         world = self.world()
         three = ScriptedReplica("three", not_run)
