--- a/tests/process/relaying/test_admission.py
+++ b/tests/process/relaying/test_admission.py
@@ -119,3 +119,72 @@
     def test_wait_grows_with_the_queue(self):
         self.assertEqual(expected_wait_s(0, 10, 1.0), 0.1)
         self.assertEqual(expected_wait_s(19, 10, 1.0), 2.0)
+
+
+class OverloadTest(unittest.TestCase):
+    """Plays callers that come half as often again as the replica can serve.
+
+    Each caller has little time and comes back once, when it is told to. The plain
+    baseline is a queue in which all wait till their time is over.
+    """
+
+    SLOTS = 6
+    SERVICE_S = 0.03
+    PATIENCE_S = 0.6
+    WAIT_SHARE = 0.4
+    STEP_S = 0.005
+    LENGTH_S = 3.0
+    RATE_PER_S = 300.0
+
+    def play(self, may_refuse):
+        timers = ManualTimers()
+        registry = ReplicaRegistry(timers)
+        registry.put(replica("one", slots=self.SLOTS))
+        admission = Admission(timers, registry, "a", random.Random(1))
+        rng = random.Random(2)
+        served, given_up = [], []
+
+        def caller():
+            began = timers.now()
+            for _ in range(2):
+                wait_s = self.PATIENCE_S * (self.WAIT_SHARE if may_refuse else 1.0)
+                left_s = began + self.PATIENCE_S - timers.now()
+                ask = Ask(
+                    pool=POOL,
+                    priority=1,
+                    prompt_tokens=0,
+                    tokens=0,
+                    until=timers.now() + min(wait_s, left_s),
+                )
+                placed = admission.acquire(ask)
+                if placed.is_ok():
+                    timers.sleep(self.SERVICE_S)
+                    placed.ok().release(True)
+                    if timers.now() <= began + self.PATIENCE_S + self.STEP_S:
+                        served.append(timers.now() - began)
+                        return
+                    break
+                if not may_refuse:
+                    break
+                timers.sleep(min(placed.err().retry_after_s, left_s / 3.0))
+            given_up.append(timers.now() - began)
+
+        due = 0.0
+        for _ in range(int((self.LENGTH_S + 2 * self.PATIENCE_S) / self.STEP_S)):
+            due += self.STEP_S * self.RATE_PER_S
+            while due >= 1.0 and timers.now() < 1_000_000.0 + self.LENGTH_S:
+                due -= rng.uniform(0.5, 1.5)
+                eventlet.spawn_n(caller)
+            timers.advance(self.STEP_S)
+        return served, given_up
+
+    def test_as_many_are_served_and_the_others_hear_sooner(self):
+        served, given_up = self.play(may_refuse=True)
+        plain_served, plain_given_up = self.play(may_refuse=False)
+        self.assertGreaterEqual(len(served), 0.95 * len(plain_served))
+        self.assertLess(mean(given_up), 0.85 * mean(plain_given_up))
+        self.assertLess(mean(served), mean(plain_served) + 0.05)
+
+
+def mean(values):
+    return sum(values) / max(1, len(values))
