--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -326,7 +326,7 @@
             self.is_handling = False
             watcher.kill()
         if not channel.is_finished:
-            # A reset tells the caller that the response is not complete.
+            # Without its last chunk the response does not look complete.
             return False
         states = self._parser.our_state, self._parser.their_state
         if states != (h11.DONE, h11.DONE) or is_closed:
--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -88,7 +88,6 @@
         self.parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self.idle_s = DEFAULT_IDLE_S
         self.reusable_until = 0.0
-        self.is_reused = False
 
     def is_quiet(self) -> bool:
         """Whether nothing has arrived while no request was waiting."""
@@ -156,11 +155,6 @@
         self._is_complete = False
         self._is_interrupted = False
 
-    @property
-    def is_reused(self) -> bool:
-        """Whether the connection has served a request before."""
-        return self._conn.is_reused
-
     def head(self, timeout_s: float) -> AnswerHead:
         """Wait for the head of the answer.
 
--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -44,7 +44,6 @@
         self._timers = timers
         self._max_idle = max_idle
         self._idle: dict[Address, list[UpstreamConnection]] = {}
-        self.opened = 0
 
     def send(
         self,
@@ -79,10 +78,7 @@
     def _take_back(self, conn: UpstreamConnection, is_complete: bool) -> None:
         parser = conn.parser
         is_clean = is_complete and not parser.trailing_data[0]
-        if not is_clean or parser.our_state is not h11.DONE:
-            conn.close()
-            return
-        if parser.their_state is not h11.DONE:
+        if not is_clean or (parser.our_state, parser.their_state) != _BOTH_DONE:
             conn.close()
             return
         idle = self._idle.setdefault(conn.address, [])
@@ -90,7 +86,6 @@
             conn.close()
             return
         parser.start_next_cycle()
-        conn.is_reused = True
         conn.reusable_until = self._timers.now() + conn.idle_s
         idle.append(conn)
 
@@ -124,7 +119,6 @@
         return None
 
     def _open(self, address: Address, timeout_s: float) -> UpstreamConnection:
-        self.opened += 1
         late = TimeoutError("no connection in time")
         try:
             with eventlet.Timeout(timeout_s, late):
@@ -138,6 +132,8 @@
         return UpstreamConnection(sock, address)
 
 
+_BOTH_DONE = (h11.DONE, h11.DONE)
+
 _OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -133,7 +133,8 @@
         grace_s = self._settings.bounds.grace_s - GRACE_MARGIN_S
         self._ends_at = self.timers.now() + grace_s
         self._edge.is_leaving = True
-        self._membership.leave()
+        # The store may be slow, and the time to stop is short.
+        eventlet.spawn_n(self._membership.leave)
         self.timers.sleep(LEAVE_S)
         self._edge.stop_accepting()
         self._edge.close_idle()
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -170,15 +170,14 @@
             attempt=job.sent + 1,
         )
         try:
-            wait = _HeadWait(self, place)
-            opened = open_attempt(job, place, plan, wait)
-            with_exchange = _Interruption(opened.exchange, place.state)
+            opened = open_attempt(job, place, plan, _HeadWait(self, place))
+            interruption = _Interruption(opened.exchange, place.state)
             try:
                 if opened.verdict.kind is VerdictKind.SUCCESS:
                     self._backup = backup
                 return self._take(place, opened)
             finally:
-                with_exchange.end()
+                interruption.end()
                 opened.exchange.close()
         except UpstreamRefusedError as exc:
             return self._note_loss(place, exc, End.NOT_TAKEN)
