Charge a new version only with slowness that its load doesn't explain

Cause: slowness is compared between versions without regard to how many requests each upstream serves.

Ruled out: comparing by requests at the engine (a slow version fills its engines, so its load would excuse it); comparing with the old version's earlier load (loses the comparison at the same time). Requests that arrive at each upstream don't depend on how slow it is, and an engine is slowed by its load at most in proportion to it.

The relay's rollouts use the same comparison with the replicas that take work.

--- a/benchmarks/rollout_cost.py
+++ b/benchmarks/rollout_cost.py
@@ -10,10 +10,11 @@
 
 from boragedeck.ids import FailureDomain, RouteName, RouterId, UpstreamName, Version
 from boragedeck.interfaces import Outcome, Sample
+from boragedeck.version.judgement import Room
 from boragedeck.version.rollout_facts import SeenWindow
 from boragedeck.version.rollout_plan import window_s
 from boragedeck.version.rollout_row import RolloutRow
-from boragedeck.version.rollout_watch import AttemptWatch, Room
+from boragedeck.version.rollout_watch import AttemptWatch
 
 __all__ = ["main"]
 
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -12,7 +12,7 @@
 from boragedeck.connection.store import Table
 from boragedeck.connection.upstream_pool import MAX_IDLE_PER_REPLICA, UpstreamPool
 from boragedeck.exceptions import UpstreamError
-from boragedeck.ids import RouterId
+from boragedeck.ids import PoolName, RouterId
 from boragedeck.interfaces import Member
 from boragedeck.platform.callers import decode_request, refusal_headers
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
@@ -47,6 +47,7 @@
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
 from boragedeck.request.relay_job import RelayParts, respond_refusal
+from boragedeck.version.replicas import Replica
 
 __all__ = ["RelayRouter"]
 
@@ -198,6 +199,7 @@
             PlatformRolloutBoard(self._store),
             self._board,
             settings.bounds,
+            self._replicas_of,
         )
         self._upstreams = UpstreamPool(self.timers, self._max_idle)
         admission = Admission(
@@ -230,6 +232,9 @@
             refusal_headers=refusal_headers,
         )
 
+    def _replicas_of(self, pool: PoolName) -> list[Replica]:
+        return [state.replica for state in self._registry.of_pool(pool)]
+
     def _handle(self, raw: RawRequest, channel: CallerChannel) -> None:
         decoded = decode_request(raw)
         if decoded.is_err():
--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -24,7 +24,7 @@
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.timers import TimerService
 from boragedeck.version.evidence import Evidence
-from boragedeck.version.judgement import condemns, explain, group_score
+from boragedeck.version.judgement import Room, condemns, explain, group_score
 from boragedeck.version.relay_rollouts import RolloutOrder, RolloutResult
 from boragedeck.version.replicas import Replica
 
@@ -107,6 +107,8 @@
         Spreads evidence and stops.
     bounds : Bounds
         The operators' bounds.
+    replicas : callable
+        Returns the replicas of a pool that take work.
     """
 
     def __init__(
@@ -119,6 +121,7 @@
         board: RolloutBoard,
         facts: FactBoard,
         bounds: Bounds,
+        replicas: Callable[[PoolName], list[Replica]],
     ):
         self._timers = timers
         self._rng = rng
@@ -127,6 +130,7 @@
         self._board = board
         self._facts = facts
         self._bounds = bounds
+        self._replicas = replicas
         self._rollouts: dict[PoolName, _Rollout] = {}
         mirror.subscribe(self._take_order)
         facts.subscribe(FactTopic.ROLLOUT_STOP, self._take_stop)
@@ -192,7 +196,7 @@
         if rollout.wanted is not None:
             return
         total = self._total(rollout)
-        score = group_score(total)
+        score = group_score(total, self._room(rollout.order))
         if condemns(score):
             self._want(rollout, RolloutResult.ROLLED_BACK, explain(score, total).reason)
             self._facts.publish(
@@ -201,6 +205,11 @@
         elif self._timers.now() >= rollout.finish_at:
             self._want(rollout, RolloutResult.COMPLETED, "no evidence against it")
 
+    def _room(self, order: RolloutOrder) -> Room:
+        replicas = self._replicas(order.pool)
+        new = sum(replica.version == order.to for replica in replicas)
+        return Room(max(1, new), max(1, len(replicas) - new))
+
     def _total(self, rollout: _Rollout) -> Evidence:
         key = f"{rollout.order.pool}/{rollout.number}"
         total = Evidence()
--- a/boragedeck/version/rollout_follower.py
+++ b/boragedeck/version/rollout_follower.py
@@ -11,6 +11,7 @@
 from boragedeck.interfaces import ConfigSource, FactBoard, Outcome, Sample
 from boragedeck.process.logs import PartLog
 from boragedeck.process.timers import TimerService
+from boragedeck.version.judgement import Room
 from boragedeck.version.rollout_facts import (
     KnownRow,
     SeenWindow,
@@ -23,7 +24,7 @@
 from boragedeck.version.rollout_metrics import RolloutMetrics
 from boragedeck.version.rollout_plan import Progress
 from boragedeck.version.rollout_row import RolloutRow, StopRow, stop_write
-from boragedeck.version.rollout_watch import HEDGE_SHARE, AttemptWatch, Room
+from boragedeck.version.rollout_watch import HEDGE_SHARE, AttemptWatch
 from boragedeck.version.share import Share
 from boragedeck.version.tables import Config, Pool, Route
 
--- a/boragedeck/version/rollout_watch.py
+++ b/boragedeck/version/rollout_watch.py
@@ -19,6 +19,7 @@
 )
 from boragedeck.version.judgement import (
     DOUBT_NATS,
+    Room,
     Score,
     Verdict,
     condemns,
@@ -29,7 +30,7 @@
 from boragedeck.version.rollout_plan import Progress
 from boragedeck.version.rollout_row import RolloutRow
 
-__all__ = ["HEDGE_SHARE", "AttemptWatch", "Room"]
+__all__ = ["HEDGE_SHARE", "AttemptWatch"]
 
 CLOSE_AFTER_WINDOWS = 2
 KEPT_WINDOWS = 4
@@ -48,22 +49,6 @@
 HEDGE_S = 15.0
 
 
-class Room(msgspec.Struct, frozen=True):
-    """Upstreams of an attempt.
-
-    Parameters
-    ----------
-    new_upstreams, old_upstreams : int
-        How many serve the new version and the old one.
-    old_domains : frozenset of FailureDomain
-        Where those of the old version stand.
-    """
-
-    new_upstreams: int = 1
-    old_upstreams: int = 1
-    old_domains: frozenset[FailureDomain] = frozenset()
-
-
 class AttemptWatch:
     """Sums the evidence about one attempt and judges it.
 
@@ -169,10 +154,10 @@
 
     def judge(self, wall: float, room: Room) -> Verdict | None:
         """Return a verdict where the evidence condemns the new version."""
-        self._close(self._index(wall) - CLOSE_AFTER_WINDOWS)
+        self._close(self._index(wall) - CLOSE_AFTER_WINDOWS, room)
         by_index = self._open_by_index()
         live = _merged([self._group, *by_index.values()])
-        score = self._score.after(group_score(live))
+        score = self._score.after(group_score(live, room))
         _, self.nats = score.worst()
         self._look_for_alarm(wall, by_index)
         if condemns(score):
@@ -226,12 +211,12 @@
             _prune(kept)
         return kept.get(index) or Window(self.row.number, index)
 
-    def _close(self, last: int) -> None:
+    def _close(self, last: int, room: Room) -> None:
         for index in range(max(self._closed + 1, last - KEPT_WINDOWS), last + 1):
-            self._close_window(index)
+            self._close_window(index, room)
         self._closed = max(self._closed, last)
 
-    def _close_window(self, index: int) -> None:
+    def _close_window(self, index: int, room: Room) -> None:
         for kept in self._windows.values():
             window = kept.pop(index, None)
             if window is None:
@@ -244,7 +229,7 @@
         self._group_windows += 1
         is_full = _trials(self._group.old) >= MIN_CONTROL_TRIALS and self._group.new
         if is_full or self._group_windows >= MAX_GROUP_WINDOWS:
-            self._score = self._score.after(group_score(self._group))
+            self._score = self._score.after(group_score(self._group, room))
             self._group = Evidence()
             self._group_windows = 0
 
--- a/tests/process/relaying/test_rollouts.py
+++ b/tests/process/relaying/test_rollouts.py
@@ -52,6 +52,7 @@
         self.timers = ManualTimers()
         self.board = Board()
         self.shared = {}
+        self.replicas = [OLD, NEW]
         self.mirrors = []
         self.routers = [self.router(number) for number in range(3)]
         self.rng = random.Random(9)
@@ -68,6 +69,7 @@
             self.board,
             Facts(f"r-{number}", self.shared),
             BOUNDS,
+            lambda pool: self.replicas,
         )
         rollouts.start()
         return rollouts
@@ -117,6 +119,12 @@
         self.play(DURATION_S, slow=6.0)
         self.assertEqual(self.board.history[-1], ROLLED_BACK)
 
+    def test_version_that_is_slower_only_by_its_load_is_completed(self):
+        self.replicas = [OLD] * 30 + [NEW]
+        self.order()
+        self.play(DURATION_S, slow=2.0)
+        self.assertEqual(self.board.history, [RUNNING, COMPLETED])
+
     def test_stop_holds_at_once_although_the_store_is_away(self):
         self.order()
         self.play(1.0)
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -281,6 +281,7 @@
                 None,
                 Facts(),
                 BOUNDS,
+                lambda pool: [],
             ),
             blame=CrashBlame(self.timers, Facts()),
             metrics=RelayMetrics(CollectorRegistry()),
