Read the settings anew on SIGHUP and when their file changes

Bounds and seeds are now taken at once; addresses need a restart, which is logged; a file that is wrong or away changes nothing. Parts ask for the bounds in force.

Also: settings that nothing used are gone (drain, apply and rollback times, slack of exposure, row length, heartbeats, a copy's time); the edge sends its own refusals through the same response as all others. New tests with real processes: SIGHUP under a stream, a frozen router, all routers killed and started again.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -203,6 +203,7 @@
         self._parser: h11.Connection | None = None
         self.is_handling = False
         self._is_idle = True
+        self._is_last = False
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def run(self) -> None:
@@ -214,7 +215,7 @@
 
     def must_close(self) -> bool:
         """Whether the response that begins is the last one."""
-        return self._edge.is_leaving or self._edge.is_closing
+        return self._is_last or self._edge.is_leaving or self._edge.is_closing
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive."""
@@ -353,17 +354,9 @@
         _log.write("Request refused.", status=status, reason=text)
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        body = text.encode()
-        headers = [
-            (b"Content-Length", b"%d" % len(body)),
-            (b"Content-Type", b"text/plain"),
-            (b"Connection", b"close"),
-        ]
-        self.send_event(
-            h11.Response(status_code=status, headers=headers, reason=_reason(status))
-        )
-        self.send_event(h11.Data(data=body))
-        self.send_event(h11.EndOfMessage())
+        self._is_last = True
+        headers = [(b"Content-Type", b"text/plain")]
+        CallerChannel(self).respond(status, headers, text.encode())
         self._linger()
 
     def _linger(self) -> None:
--- a/boragedeck/platform/routing.py
+++ b/boragedeck/platform/routing.py
@@ -58,7 +58,6 @@
     kv_capacity: int
     """Tokens, although the name doesn't say so."""
     backups: bool = False
-    handle_s: float = 0.0
     models: list[_Model] = []
 
 
@@ -191,7 +190,6 @@
             service.engine.slots,
             service.engine.kv_capacity,
             service.engine.backups,
-            service.engine.handle_s,
             frozenset(model.name for model in service.engine.models),
         )
     return RelayPool(PoolName(service.name), service.max_conns, engine)
--- a/boragedeck/platform/settings.py
+++ b/boragedeck/platform/settings.py
@@ -11,11 +11,7 @@
 from boragedeck.connection.peer import Address
 from boragedeck.exceptions import SettingsError
 from boragedeck.ids import FailureDomain, VmName
-from boragedeck.process.relaying.settings import (
-    Bounds,
-    RelaySettings,
-    StoreSettings,
-)
+from boragedeck.process.relaying.settings import Bounds, RelaySettings
 
 __all__ = ["METRICS_PORT_VARIABLE", "SETTINGS_FILE_VARIABLE", "read_settings"]
 
@@ -32,20 +28,15 @@
 
 class _Bounds(msgspec.Struct, rename="camel"):
     contact_ms: float = 3000
-    drain_ms: float = 2000
     grace_s: float = 8
-    config_apply_ms: float = 2000
     retry_budget_ratio: float = 0.8
     budget_window_s: float = 10
     retry_budget_extra: float = 150
     exposure_share: float = 0.1
-    exposure_slack: float = 50
-    rollback_ms: float = 5000
 
 
 class _Store(msgspec.Struct, rename="camel"):
     address: str
-    row_bytes: int = 65_536
 
 
 class _File(msgspec.Struct, rename="camel"):
@@ -57,7 +48,6 @@
     platform: _Store
     seeds: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
-    heartbeat_ms: float = 1200
 
 
 def read_settings(
@@ -101,22 +91,14 @@
         seeds=tuple(
             Address(_address("seeds", seed).host, first_port) for seed in file.seeds
         ),
-        store=StoreSettings(
-            _address("platform.address", file.platform.address),
-            file.platform.row_bytes,
-        ),
-        replica_heartbeat_s=file.heartbeat_ms / 1000.0,
+        store=_address("platform.address", file.platform.address),
         bounds=Bounds(
             contact_s=bounds.contact_ms / 1000.0,
-            drain_s=bounds.drain_ms / 1000.0,
             grace_s=bounds.grace_s,
-            config_apply_s=bounds.config_apply_ms / 1000.0,
             retry_ratio=bounds.retry_budget_ratio,
             retry_window_s=bounds.budget_window_s,
             retry_extra=bounds.retry_budget_extra,
             exposure_share=bounds.exposure_share,
-            exposure_slack=bounds.exposure_slack,
-            rollback_s=bounds.rollback_ms / 1000.0,
         ),
     )
 
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -152,7 +152,7 @@
             self._rng,
             board=self._board,
             callers=self.http_address,
-            seeds=self._settings.seed_peers,
+            seeds=lambda: self._settings.seed_peers,
         )
 
     def _make_config(self) -> ConfigWatch:
--- a/boragedeck/process/daemon.py
+++ b/boragedeck/process/daemon.py
@@ -1,9 +1,11 @@
 """The daemon's program: one router."""
 
 import os
+import random
 import signal
 import sys
 import warnings
+from pathlib import Path
 from typing import Any, NoReturn
 
 warnings.filterwarnings("ignore", message=".*[Ee]ventlet.*", category=Warning)
@@ -19,13 +21,15 @@
 from eventlet.event import Event
 from result import Result
 
-from boragedeck.platform.settings import read_settings
+from boragedeck.platform.settings import SETTINGS_FILE_VARIABLE, read_settings
 from boragedeck.process.composition import Router
 from boragedeck.process.log_sink import LogSink
 from boragedeck.process.logs import PartLog, name_process, open_log
 from boragedeck.process.relaying.composition import RelayRouter
 from boragedeck.process.relaying.settings import RelaySettings
+from boragedeck.process.relaying.settings_source import SettingsSource
 from boragedeck.process.settings import parse_settings
+from boragedeck.process.timers import RealTimers
 
 __all__ = ["Ready", "main"]
 
@@ -97,10 +101,12 @@
     stop = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: _send_once(stop))
-    # All settings that change need a new process, so there is nothing to read anew.
-    signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(_log_reload))
+    timers = RealTimers(random.Random())
+    path = Path(os.environ[SETTINGS_FILE_VARIABLE])
+    source = SettingsSource(settings, lambda: read_settings(os.environ), path, timers)
+    signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(source.reload, "SIGHUP"))
     try:
-        router = RelayRouter(settings)
+        router = RelayRouter(source, timers)
     except OSError as exc:
         print(f"boragedeckd: can't listen: {exc}", file=sys.stderr)
         sys.exit(EXIT_FAILED)
@@ -121,10 +127,6 @@
     _log.write("Stopped.")
 
 
-def _log_reload() -> None:
-    _log.write("Reload asked for; no setting changes without a restart.")
-
-
 def _checked(result: Result) -> Any:
     if result.is_err():
         print(f"boragedeckd: {result.err().message}", file=sys.stderr)
--- a/boragedeck/process/membership.py
+++ b/boragedeck/process/membership.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import eventlet
 import msgspec
@@ -69,8 +69,8 @@
         Spreads statements and suspicions.
     callers : Address
         Where this router listens for callers.
-    seeds : sequence of Address
-        Peers to turn to where no other is known.
+    seeds : callable
+        Returns peers to turn to where no other is known.
 
     Notes
     -----
@@ -90,14 +90,14 @@
         *,
         board: GossipBoard,
         callers: Address,
-        seeds: Sequence[Address] = (),
+        seeds: Callable[[], Sequence[Address]] = tuple,
     ):
         self.own = own
         self._timers = timers
         self._links = links
         self._rng = rng
         self._board = board
-        self._seeds = [seed for seed in seeds if seed != own.address]
+        self._configured_seeds = seeds
         self._view = MemberView(own, timers)
         self._heartbeats = Heartbeats(own, timers, links, server, rng)
         self._table = MemberTable(own, callers, platform, timers, rng, self)
@@ -185,7 +185,7 @@
         """Look for routers behind a partition that may have healed."""
         lost = [
             address
-            for address in (*self._seeds, *self._view.departed())
+            for address in (*self._seeds(), *self._view.departed())
             if not self._view.is_in_use(address)
         ]
         if lost:
@@ -247,8 +247,12 @@
         # The one who pauses just before a statement is a suspect for long enough.
         return self._statement_ttl_s() + DEAD_AFTER_S
 
+    def _seeds(self) -> list[Address]:
+        seeds = self._configured_seeds()
+        return [seed for seed in seeds if seed != self.own.address]
+
     def _gossip_peers(self) -> list[Address]:
-        return self._view.gossip_peers() or self._seeds
+        return self._view.gossip_peers() or self._seeds()
 
     def _on_member_fact(self, fact: Fact) -> None:
         if fact.key.startswith(SUSPICION_PREFIX):
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -43,7 +43,7 @@
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.relaying.routing_source import RoutingSource
-from boragedeck.process.relaying.settings import RelaySettings
+from boragedeck.process.relaying.settings_source import SettingsSource
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
 from boragedeck.request.relay_job import RelayParts, respond_refusal
@@ -69,8 +69,10 @@
 
     Parameters
     ----------
-    settings : RelaySettings
-        Checked settings.
+    source : SettingsSource
+        The settings in force.
+    timers : RealTimers
+        The source of time.
 
     Attributes
     ----------
@@ -78,10 +80,11 @@
         This router as its peers know it.
     """
 
-    def __init__(self, settings: RelaySettings):
-        self._settings = settings
+    def __init__(self, source: SettingsSource, timers: RealTimers):
+        self._source = source
+        settings = source.current()
         self._rng = random.Random()
-        self.timers = RealTimers(self._rng)
+        self.timers = timers
         self.metrics = RelayMetrics(Metrics().registry)
         self._ready_listener = _listen(settings.ready)
         self._metrics_listener = _listen(settings.metrics)
@@ -92,7 +95,7 @@
             settings.peer,
         )
         self._ends_at = float("inf")
-        self._store = PlatformStore(settings.store.address)
+        self._store = PlatformStore(settings.store)
         self._make_peers()
         self._make_mirrors()
         self._make_relaying()
@@ -106,6 +109,7 @@
     def start(self) -> None:
         """Serve peers and callers."""
         eventlet.spawn_n(self._peer_server.serve)
+        self._source.start()
         for follower in self._followers.values():
             follower.start()
         self._board.start()
@@ -131,7 +135,7 @@
         Callers may be led here until the platform has seen that this router isn't
         ready, so requests are taken for `LEAVE_S` more, if they can end in time.
         """
-        grace_s = self._settings.bounds.grace_s - GRACE_MARGIN_S
+        grace_s = self._source.bounds().grace_s - GRACE_MARGIN_S
         self._ends_at = self.timers.now() + grace_s
         self._edge.is_leaving = True
         # The store may be slow, and the time to stop is short.
@@ -144,7 +148,7 @@
         _log.write("Drained.", unanswered=self._edge.busy())
 
     def _make_peers(self) -> None:
-        self._peer_server = PeerServer(_listen(self._settings.peer))
+        self._peer_server = PeerServer(_listen(self._source.current().peer))
         self._links = PeerLinks(self.timers)
         self._board = GossipBoard(
             self.own, self.timers, self._links, self._peer_server, self._rng
@@ -157,8 +161,8 @@
             self._store,
             self._rng,
             board=self._board,
-            callers=self._settings.callers,
-            seeds=self._settings.seeds,
+            callers=self._source.current().callers,
+            seeds=lambda: self._source.current().seeds,
         )
 
     def _make_mirrors(self) -> None:
@@ -177,11 +181,10 @@
             self._links,
             self._peers,
             self._rng,
-            self._settings.bounds.contact_s,
+            lambda: self._source.bounds().contact_s,
         )
 
     def _make_relaying(self) -> None:
-        settings = self._settings
         self._registry = ReplicaRegistry(self.timers)
         self._replicas = ReplicaSource(
             self._replica_mirror,
@@ -198,12 +201,12 @@
             decode_rollout,
             PlatformRolloutBoard(self._store),
             self._board,
-            settings.bounds,
+            self._source.bounds,
             self._replicas_of,
         )
         self._upstreams = UpstreamPool(self.timers, self._max_idle)
         admission = Admission(
-            self.timers, self._registry, settings.failure_domain, self._rng
+            self.timers, self._registry, self.own.failure_domain, self._rng
         )
         self.metrics.waiting.set_function(admission.waiting)
         self._loads = LoadExchange(
@@ -224,7 +227,9 @@
             registry=self._registry,
             upstreams=self._upstreams,
             protocol=HttpReplicaProtocol(),
-            retries=RetryShare(self.timers, settings.bounds, self._membership.routers),
+            retries=RetryShare(
+                self.timers, self._source.bounds, self._membership.routers
+            ),
             rollouts=self._rollouts,
             blame=CrashBlame(self.timers, self._board),
             metrics=self.metrics,
@@ -248,7 +253,8 @@
 
     def _peers(self) -> list[Address]:
         members = [member.address for member in self._membership.members()]
-        return members or [a for a in self._settings.seeds if a != self.own.address]
+        seeds = self._source.current().seeds
+        return members or [seed for seed in seeds if seed != self.own.address]
 
     def _time_left(self) -> float:
         return self._ends_at - self.timers.now()
--- a/boragedeck/process/relaying/mirror.py
+++ b/boragedeck/process/relaying/mirror.py
@@ -125,9 +125,9 @@
         Returns the routers that may be asked.
     rng : random.Random
         Chooses among them.
-    wait_s : float
-        How long one call for changes waits. A connection that is silent for longer
-        counts as broken.
+    wait_s : callable
+        Returns how long one call for changes waits. A connection that is silent for
+        longer counts as broken.
 
     Attributes
     ----------
@@ -145,7 +145,7 @@
         links: PeerLinks,
         peers: Callable[[], list[Address]],
         rng: random.Random,
-        wait_s: float,
+        wait_s: Callable[[], float],
     ):
         self._mirror = mirror
         self._feed = feed
@@ -178,7 +178,7 @@
         if mirror.version < 0 or self._is_history_lost:
             result = self._feed.snapshot(mirror.table)
         else:
-            result = self._feed.changes(mirror.table, mirror.version, self._wait_s)
+            result = self._feed.changes(mirror.table, mirror.version, self._wait_s())
         match result:
             case Ok(changes):
                 self._note_answer()
--- a/boragedeck/process/relaying/retry_share.py
+++ b/boragedeck/process/relaying/retry_share.py
@@ -24,14 +24,17 @@
     ----------
     timers : TimerService
         The source of time.
-    bounds : Bounds
-        The operators' bound on all routers together.
+    bounds : callable
+        Returns the operators' bounds on all routers together.
     routers : callable
         Returns how many routers share the fixed part.
     """
 
     def __init__(
-        self, timers: TimerService, bounds: Bounds, routers: Callable[[], int]
+        self,
+        timers: TimerService,
+        bounds: Callable[[], Bounds],
+        routers: Callable[[], int],
     ):
         self._timers = timers
         self._bounds = bounds
@@ -48,8 +51,9 @@
         """Take one repeat; False where the share is spent."""
         requests = len(self._recent(self._requests, pool))
         repeats = self._recent(self._repeats, pool)
-        extra = self._bounds.retry_extra / self._sharers()
-        allowed = SAFETY * (self._bounds.retry_ratio * requests + extra)
+        bounds = self._bounds()
+        extra = bounds.retry_extra / self._sharers()
+        allowed = SAFETY * (bounds.retry_ratio * requests + extra)
         if len(repeats) + 1 > allowed:
             return False
         repeats.append(self._timers.now())
@@ -65,7 +69,7 @@
         self, times: dict[PoolName, deque[float]], pool: PoolName
     ) -> deque[float]:
         recent = times.setdefault(pool, deque())
-        since = self._timers.now() - self._bounds.retry_window_s
+        since = self._timers.now() - self._bounds().retry_window_s
         while recent and recent[0] < since:
             recent.popleft()
         return recent
--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -105,8 +105,8 @@
         Where results are stated.
     facts : FactBoard
         Spreads evidence and stops.
-    bounds : Bounds
-        The operators' bounds.
+    bounds : callable
+        Returns the operators' bounds.
     replicas : callable
         Returns the replicas of a pool that take work.
     """
@@ -120,7 +120,7 @@
         decode: Callable[[bytes], Result[RolloutOrder, TableError]],
         board: RolloutBoard,
         facts: FactBoard,
-        bounds: Bounds,
+        bounds: Callable[[], Bounds],
         replicas: Callable[[PoolName], list[Replica]],
     ):
         self._timers = timers
@@ -145,7 +145,7 @@
         if rollout is None:
             return _any_replica
         elapsed = rollout.elapsed(self._timers.now())
-        share = share_at(elapsed, self._bounds.exposure_share, rollout.result)
+        share = share_at(elapsed, self._bounds().exposure_share, rollout.result)
         if rollout.wanted is RolloutResult.ROLLED_BACK:
             share = 0.0
         to, is_new = rollout.order.to, self._rng.random() < share
--- /dev/null
+++ b/boragedeck/process/relaying/settings_source.py
@@ -0,0 +1,102 @@
+"""The settings in force, read anew when their file changes."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+from result import Err, Ok, Result
+
+from boragedeck.exceptions import SettingsError
+from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.settings import Bounds, RelaySettings
+from boragedeck.process.timers import TimerService
+
+__all__ = ["SettingsSource"]
+
+CHECK_INTERVAL_S = 1.0
+"""The file may change without a signal."""
+LIVE_FIELDS = frozenset({"bounds", "seeds"})
+"""The others are where this process listens and what it is; they need a restart."""
+
+_log = PartLog("settings")
+
+
+class SettingsSource:
+    """Holds the settings in force.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+        What was read at the start.
+    read : callable
+        Reads and checks the file.
+    path : Path
+        The file, whose changes are looked for.
+    timers : TimerService
+        The source of time.
+
+    Notes
+    -----
+    A file that can't be read or is wrong changes nothing.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        read: Callable[[], Result[RelaySettings, SettingsError]],
+        path: Path,
+        timers: TimerService,
+    ):
+        self._settings = settings
+        self._read = read
+        self._path = path
+        self._timers = timers
+        self._seen = self._stamp()
+
+    def start(self) -> None:
+        """Look for changes from now on."""
+        self._timers.subscribe(CHECK_INTERVAL_S, self._check)
+
+    def current(self) -> RelaySettings:
+        """Return the settings in force."""
+        return self._settings
+
+    def bounds(self) -> Bounds:
+        """Return the operators' bounds in force."""
+        return self._settings.bounds
+
+    def reload(self, cause: str) -> None:
+        """Read the file, and take what may change while the process runs."""
+        self._seen = self._stamp()
+        match self._read():
+            case Ok(settings):
+                self._take(settings, cause)
+            case Err(error):
+                _log.write("Reload failed.", cause=cause, error=error.message)
+
+    def _take(self, settings: RelaySettings, cause: str) -> None:
+        changed = {
+            field
+            for field in self._settings.__struct_fields__
+            if getattr(settings, field) != getattr(self._settings, field)
+        }
+        taken = {field: getattr(settings, field) for field in changed & LIVE_FIELDS}
+        self._settings = msgspec.structs.replace(self._settings, **taken)
+        _log.write(
+            "Reloaded.",
+            cause=cause,
+            taken=sorted(taken),
+            need_restart=sorted(changed - LIVE_FIELDS),
+        )
+
+    def _check(self) -> None:
+        if self._stamp() != self._seen:
+            self.reload("the file has changed")
+
+    def _stamp(self) -> tuple[int, int] | None:
+        try:
+            stat = self._path.stat()
+        except OSError:
+            # It may be away for a moment while it is replaced.
+            return None
+        return stat.st_mtime_ns, stat.st_size
--- a/boragedeck/version/routing.py
+++ b/boragedeck/version/routing.py
@@ -111,8 +111,6 @@
         Tokens that an engine holds for its requests.
     can_back_up : bool
         Whether an engine keeps a copy of a run's memory at another one.
-    copy_ttl_s : float
-        How long such a copy is kept after its last part, in seconds.
     models : frozenset of str
         The models that its engines serve.
     """
@@ -120,7 +118,6 @@
     slots: int
     memory_tokens: int
     can_back_up: bool = False
-    copy_ttl_s: float = 0.0
     models: frozenset[str] = frozenset()
 
 
--- a/scripts/platform_demo.py
+++ b/scripts/platform_demo.py
@@ -44,6 +44,7 @@
         self.rows = RowStore()
         self.engines: dict[str, tuple[RelayReplica, object, object]] = {}
         self.routers: list[subprocess.Popen] = []
+        self.settings: list[dict] = []
         self._folder = folder
         self._listener = listen()
         self._server = eventlet.spawn(serve, self.rows.app, self._listener)
@@ -68,21 +69,27 @@
     def add_router(self, zone: str) -> str:
         """Start a router; returns the URL for callers once it is ready."""
         number = len(self.routers)
-        path = Path(self._folder, f"router-{number}.yaml")
-        settings = self._settings(number, zone)
-        path.write_text(yaml.safe_dump(settings))
-        environ = os.environ | {
-            "BORAGEDECK_CONFIG": str(path),
-            "BORAGEDECK_METRICS_PORT": str(_free_port()),
-        }
-        command = [sys.executable, "-m", "boragedeck.process.daemon"]
-        log = Path(self._folder, f"router-{number}.log").open("wb")
-        self.routers.append(
-            subprocess.Popen(command, env=environ, stdout=log, stderr=log)
-        )
-        log.close()
-        _wait_ready(f"http://{settings['listen']['ready']}/")
-        return f"http://{settings['listen']['front']}"
+        self.settings.append(self._settings(number, zone))
+        self.write_settings(number, {})
+        self.routers.append(self._start(number))
+        self.wait_ready(number)
+        return f"http://{self.settings[number]['listen']['front']}"
+
+    def restart_router(self, number: int) -> None:
+        """Kill a router and start it again with the same settings."""
+        self.routers[number].kill()
+        _wait_exit(self.routers[number])
+        self.routers[number] = self._start(number)
+
+    def write_settings(self, number: int, bounds: dict) -> None:
+        """Write a router's settings file with further bounds."""
+        settings = self.settings[number]
+        settings["bounds"] |= bounds
+        self._path(number).write_text(yaml.safe_dump(settings))
+
+    def wait_ready(self, number: int) -> None:
+        """Wait until a router says that it is ready."""
+        _wait_ready(f"http://{self.settings[number]['listen']['ready']}/")
 
     def stop(self) -> list[int]:
         """Stop all routers; returns their exit codes."""
@@ -95,6 +102,18 @@
         self._listener.close()
         return codes
 
+    def _path(self, number: int) -> Path:
+        return Path(self._folder, f"router-{number}.yaml")
+
+    def _start(self, number: int) -> subprocess.Popen:
+        environ = os.environ | {
+            "BORAGEDECK_CONFIG": str(self._path(number)),
+            "BORAGEDECK_METRICS_PORT": str(_free_port()),
+        }
+        command = [sys.executable, "-m", "boragedeck.process.daemon"]
+        with Path(self._folder, f"router-{number}.log").open("ab") as log:
+            return subprocess.Popen(command, env=environ, stdout=log, stderr=log)
+
     def _settings(self, number: int, zone: str) -> dict:
         port = _free_port()
         return {
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -33,7 +33,7 @@
         self.assertEqual(settings.seeds, (Address("10.2.0.29", 7340),))
         self.assertEqual(settings.metrics, Address("10.1.0.40", 9999))
         self.assertEqual(settings.bounds.retry_ratio, 0.5)
-        self.assertEqual(settings.bounds.drain_s, 2.0)
+        self.assertEqual(settings.bounds.grace_s, 8.0)
 
     def test_without_a_file_there_are_no_settings(self):
         self.assertIsNone(read_settings({}).ok())
--- a/tests/process/peers.py
+++ b/tests/process/peers.py
@@ -73,7 +73,7 @@
             rng,
             board=self.board,
             callers=self.address,
-            seeds=seeds,
+            seeds=lambda: seeds,
         )
 
     def start(self):
--- a/tests/process/relaying/test_mirror.py
+++ b/tests/process/relaying/test_mirror.py
@@ -87,7 +87,7 @@
             self.links,
             lambda: ["peer"],
             random.Random(1),
-            3.0,
+            lambda: 3.0,
         )
 
     def play(self, *results):
--- a/tests/process/relaying/test_retry_share.py
+++ b/tests/process/relaying/test_retry_share.py
@@ -8,7 +8,7 @@
 class RetryShareTest(unittest.TestCase):
     def setUp(self):
         self.timers = ManualTimers()
-        self.share = RetryShare(self.timers, BOUNDS, lambda: 9)
+        self.share = RetryShare(self.timers, lambda: BOUNDS, lambda: 9)
 
     def take_all(self):
         count = 0
@@ -27,7 +27,7 @@
         self.assertLessEqual(count, 0.8 * 100 + BOUNDS.retry_extra / 9)
 
     def test_router_that_knows_no_other_yet_takes_a_small_part(self):
-        alone = RetryShare(self.timers, BOUNDS, lambda: 1)
+        alone = RetryShare(self.timers, lambda: BOUNDS, lambda: 1)
         count = 0
         while alone.take("p"):
             count += 1
--- a/tests/process/relaying/test_rollouts.py
+++ b/tests/process/relaying/test_rollouts.py
@@ -18,6 +18,7 @@
 
 RUNNING, COMPLETED, ROLLED_BACK = RolloutResult
 DURATION_S = 12.0
+EXPOSURE_SLACK = 50.0
 OLD = replica("old")
 NEW = msgspec.structs.replace(replica("new"), version="v2")
 
@@ -68,7 +69,7 @@
             decode_rollout,
             self.board,
             Facts(f"r-{number}", self.shared),
-            BOUNDS,
+            lambda: BOUNDS,
             lambda pool: self.replicas,
         )
         rollouts.start()
@@ -110,7 +111,7 @@
         new, bad = self.play(DURATION_S, bad_share=0.5)
         self.assertEqual(self.board.history, [RUNNING, ROLLED_BACK])
         total = DURATION_S * 20
-        bound = BOUNDS.exposure_share * total + BOUNDS.exposure_slack
+        bound = BOUNDS.exposure_share * total + EXPOSURE_SLACK
         self.assertLessEqual(new, bound)
         self.assertLess(bad, 50)
 
--- a/tests/scripts/test_platform_demo.py
+++ b/tests/scripts/test_platform_demo.py
@@ -1,3 +1,4 @@
+import signal
 import tempfile
 import unittest
 from pathlib import Path
@@ -9,6 +10,8 @@
 from scripts.platform_demo import EVENTS, ROUTE_HEADERS, PlatformTrial
 
 TIMEOUT_S = 20.0
+FREEZE_S = 1.5
+RECOVERY_S = 12.0
 
 
 class PlatformDemoTest(unittest.TestCase):
@@ -46,6 +49,10 @@
                     now()
         return body
 
+    def log(self):
+        text = Path(self.folder, "router-0.log").read_text()
+        return [msgspec.json.decode(line) for line in text.splitlines()]
+
     def assert_whole(self, body):
         pieces = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1)]
         self.assertEqual(body, b"".join(pieces))
@@ -62,6 +69,39 @@
         served = sum(len(e[0].served) for e in self.trial.engines.values())
         self.assertEqual(served, 1)
 
+    def test_changed_settings_cut_no_stream_off(self):
+        url = self.trial.add_router("a")
+        response = self.ask(url)
+
+        def change():
+            self.trial.write_settings(0, {"retryBudgetRatio": 0.1})
+            self.trial.routers[0].send_signal(signal.SIGHUP)
+
+        self.assert_whole(self.read(response, 3, change))
+        reloads = [line for line in self.log() if line["text"] == "settings: Reloaded."]
+        self.assertEqual([line["taken"] for line in reloads], [["bounds"]])
+
+    def test_frozen_router_goes_on_with_its_stream(self):
+        url = self.trial.add_router("a")
+        response = self.ask(url)
+
+        def freeze():
+            self.trial.routers[0].send_signal(signal.SIGSTOP)
+            eventlet.sleep(FREEZE_S)
+            self.trial.routers[0].send_signal(signal.SIGCONT)
+
+        self.assert_whole(self.read(response, 3, freeze))
+
+    def test_routers_that_are_all_killed_serve_again(self):
+        urls = [self.trial.add_router(zone) for zone in "ab"]
+        for number in range(len(urls)):
+            self.trial.restart_router(number)
+        with eventlet.Timeout(RECOVERY_S):
+            for number in range(len(urls)):
+                self.trial.wait_ready(number)
+        for url in urls:
+            self.assert_whole(self.read(self.ask(url)))
+
     def test_planned_stop_cuts_no_stream_off(self):
         url = self.trial.add_router("a")
         response = self.ask(url)
@@ -69,8 +109,7 @@
         self.assert_whole(self.read(response, 3, stop))
         self.stop()
         self.assertEqual(self.codes, [0])
-        log = Path(self.folder, "router-0.log").read_text()
-        texts = [msgspec.json.decode(line)["text"] for line in log.splitlines()]
+        texts = [line["text"] for line in self.log()]
         self.assertIn("daemon: Serving.", texts)
         self.assertIn("relay: Answered.", texts)
         self.assertEqual(texts[-1], "daemon: Stopped.")
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -41,15 +41,11 @@
 
 BOUNDS = Bounds(
     contact_s=3.0,
-    drain_s=2.0,
     grace_s=8.0,
-    config_apply_s=2.0,
     retry_ratio=0.8,
     retry_window_s=10.0,
     retry_extra=150.0,
     exposure_share=0.1,
-    exposure_slack=50.0,
-    rollback_s=5.0,
 )
 ENGINE = EngineProfile(64, 88_000, can_back_up=True, models=frozenset({"m"}))
 
@@ -271,7 +267,7 @@
             registry=self.registry,
             upstreams=self.upstreams,
             protocol=HttpReplicaProtocol(),
-            retries=RetryShare(self.timers, BOUNDS, lambda: 1),
+            retries=RetryShare(self.timers, lambda: BOUNDS, lambda: 1),
             rollouts=RelayRollouts(
                 self.timers,
                 random.Random(4),
@@ -280,7 +276,7 @@
                 decode_rollout,
                 None,
                 Facts(),
-                BOUNDS,
+                lambda: BOUNDS,
                 lambda pool: [],
             ),
             blame=CrashBlame(self.timers, Facts()),
