--- a/benchmarks/control_gossip.py
+++ b/benchmarks/control_gossip.py
@@ -17,8 +17,15 @@
 from boragedeck.ids import FailureDomain, Health, RouterId, VmName
 from boragedeck.interfaces import Member
 from boragedeck.process.gossip import GossipBoard
+from boragedeck.process.load_gossip import (
+    MAX_REPORTED_IN_LARGE_FLEET,
+    InFlight,
+    InFlightReport,
+    report_interval_s,
+)
 from boragedeck.process.membership import GossipMembership
 from boragedeck.process.timers import ManualTimers
+from boragedeck.process.upstreams import UpstreamKey
 from standins.memory import MemoryPlatform
 from standins.network import Network, NetworkLinks, NetworkServer
 
@@ -26,8 +33,8 @@
 IDLE_S = 20
 CHANGE_S = 60
 CHANGE_INTERVAL_S = 86_400 / 6_300
-LOAD_BYTES = 120
-LOAD_INTERVAL_PER_ROUTER_S = 0.05
+UPSTREAMS = 370
+MAX_IN_FLIGHT = 64
 SPREAD_STEP_S = 0.25
 MAX_SPREAD_S = 30.0
 STEP_S = 0.5
@@ -148,13 +155,13 @@
 def _changes(fleet: Fleet):
     """Return a step in which some routers state their load, and at times a change."""
     rng = random.Random(2)
-    interval_s = max(0.5, LOAD_INTERVAL_PER_ROUTER_S * len(fleet.nodes))
+    interval_s = report_interval_s(len(fleet.nodes))
     share = STEP_S / interval_s
 
     def step() -> None:
         for node in fleet.nodes:
             if rng.random() < share:
-                body = rng.randbytes(LOAD_BYTES)
+                body = _report(rng)
                 ttl_s = 5.0 * interval_s
                 node.board.publish(FactTopic.LOAD, "load", body, ttl_s=ttl_s)
         if rng.random() < STEP_S / CHANGE_INTERVAL_S:
@@ -164,6 +171,13 @@
     return step
 
 
+def _report(rng: random.Random) -> bytes:
+    numbers = rng.sample(range(UPSTREAMS), MAX_REPORTED_IN_LARGE_FLEET)
+    keys = [UpstreamKey("pool-1", f"engine-{number}") for number in numbers]
+    counts = [InFlight(key, rng.randrange(MAX_IN_FLIGHT)) for key in keys]
+    return msgspec.msgpack.encode(InFlightReport(tuple(counts)))
+
+
 def _spread_s(fleet: Fleet, topic: FactTopic, body: bytes) -> float:
     """Return how long a new fact takes to all routers, in seconds."""
     fleet.nodes[0].board.publish(topic, "spread", body)
--- a/boragedeck/process/load_gossip.py
+++ b/boragedeck/process/load_gossip.py
@@ -10,7 +10,13 @@
 from boragedeck.process.timers import TimerService
 from boragedeck.process.upstreams import UpstreamKey, UpstreamRegistry
 
-__all__ = ["InFlight", "InFlightReport", "LoadGossip"]
+__all__ = [
+    "MAX_REPORTED_IN_LARGE_FLEET",
+    "InFlight",
+    "InFlightReport",
+    "LoadGossip",
+    "report_interval_s",
+]
 
 FACT_KEY = "in_flight"
 MAX_REPORTED = 32
@@ -60,7 +66,7 @@
         self._registry = registry
         self._last: InFlightReport | None = None
         self._routers = 1
-        self._refresh_again(self._interval_s(1))
+        self._refresh_again(report_interval_s(1))
 
     def refresh(self) -> int:
         """State the own report and read the others.
@@ -76,7 +82,7 @@
             if fact.key == FACT_KEY and fact.origin != self._board.own
         ]
         self._routers = len(facts) + 1
-        self._publish(self._interval_s(self._routers))
+        self._publish(report_interval_s(self._routers))
         self._read(facts)
         return self._routers
 
@@ -113,12 +119,14 @@
 
     def _refresh_again(self, interval_s: float) -> None:
         def refresh() -> None:
-            self._refresh_again(self._interval_s(self.refresh()))
+            self._refresh_again(report_interval_s(self.refresh()))
 
         self._timers.call_later(interval_s, refresh)
 
-    def _interval_s(self, routers: int) -> float:
-        return restate_interval_s(routers, MIN_INTERVAL_S, INTERVAL_PER_ROUTER_S)
+
+def report_interval_s(routers: int) -> float:
+    """Return the time between two reports of one of so many routers, in seconds."""
+    return restate_interval_s(routers, MIN_INTERVAL_S, INTERVAL_PER_ROUTER_S)
 
 
 def _decode(fact: Fact) -> InFlightReport:
