--- a/tests/process/test_membership.py
+++ b/tests/process/test_membership.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 
 from boragedeck.connection.messages import FactTopic
@@ -6,6 +7,8 @@
 from standins.memory import Faults
 from tests.process.peers import Fleet
 
+ALL_KNOWN_S = 20.0
+
 
 class MembershipTest(unittest.TestCase):
     def assert_complete(self, fleet, peers=None):
@@ -98,6 +101,22 @@
         self.assert_complete(fleet)
         self.assertIsNone(fleet.peers[0].health(former))
 
+    def test_routers_replaced_in_quick_succession_are_known_to_all(self):
+        size, rng = 9, random.Random(3)
+        fleet = Fleet(size, seed=3)
+        fleet.timers.advance(10.0)
+        for run in range(1, 26):
+            numbers = rng.sample(range(size), rng.choice((1, 1, 2)))
+            for number in numbers:
+                fleet.stop(fleet.peers[number])
+            fleet.timers.advance(rng.choice((0.0, 0.5, 2.0, 4.0)))
+            for number in numbers:
+                fleet.peers[number] = fleet.add(number + 1, run=run)
+            fleet.timers.advance(ALL_KNOWN_S)
+            for peer in fleet.peers:
+                others = fleet.routers() - {peer.own.router}
+                self.assertLessEqual(others, peer.known(), (run, numbers))
+
     def test_loss_duplicates_and_delay_leave_all_healthy(self):
         fleet = Fleet(9)
         fleet.network.loss = 0.05
