Read the store through two routers of each failure domain

Two routers of a failure domain read the store; the others wait at them for changes, which are told as differences. A reader waits for 1 s at most and says whether the store itself spoke to it lately, so that nobody follows a router that is cut off, and no two routers follow each other.

The table's mirror, its messages and its follower are modules of their own now.

--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -32,11 +32,8 @@
 from boragedeck.process.relaying.admission import Admission
 from boragedeck.process.relaying.crash_blame import CrashBlame
 from boragedeck.process.relaying.load_exchange import LoadExchange
-from boragedeck.process.relaying.mirror import (
-    MirrorFollower,
-    TableMirror,
-    serve_mirrors,
-)
+from boragedeck.process.relaying.mirror_follower import MirrorFollower
+from boragedeck.process.relaying.mirror_messages import serve_mirrors
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_source import ReplicaSource
@@ -44,6 +41,8 @@
 from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.relaying.routing_source import RoutingSource
 from boragedeck.process.relaying.settings_source import SettingsSource
+from boragedeck.process.relaying.shared_feed import SharedFeed
+from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
 from boragedeck.request.relay_job import RelayParts, respond_refusal
@@ -169,14 +168,17 @@
         self._routing_mirror = TableMirror(Table.ROUTING)
         self._replica_mirror = TableMirror(Table.REPLICAS)
         mirrors = [self._routing_mirror, self._replica_mirror]
+        self._feed = SharedFeed(
+            self._store, self.timers, self._links, self.own, self._membership.members
+        )
         self._followers = {mirror.table: self._follower(mirror) for mirror in mirrors}
-        serve_mirrors(self._peer_server, mirrors)
+        serve_mirrors(self._peer_server, mirrors, self.timers, self._feed.is_current)
         self._routing = RoutingSource(self._routing_mirror, ROUTING_KEY, decode_routing)
 
     def _follower(self, mirror: TableMirror) -> MirrorFollower:
         return MirrorFollower(
             mirror,
-            self._store,
+            self._feed,
             self.timers,
             self._links,
             self._peers,
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -13,7 +13,7 @@
 from boragedeck.connection.store import Table
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Membership
-from boragedeck.process.relaying.mirror import TableMirror
+from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.relaying.registry import Load, ReplicaRegistry
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import ReplicaId
--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/mirror_follower.py
@@ -1,4 +1,4 @@
-"""Mirrors of the platform's tables, kept from its feed or from another router."""
+"""Keeps a mirror of one of the platform's tables up to date."""
 
 import random
 from collections.abc import Callable
@@ -6,20 +6,15 @@
 import eventlet
 from result import Ok
 
-from boragedeck.connection.messages import Message
-from boragedeck.connection.peer import Address, PeerLinks, PeerServer
-from boragedeck.connection.store import Change, ChangeFeed, Changes, Table
+from boragedeck.connection.peer import Address, PeerLinks
+from boragedeck.connection.store import ChangeFeed
 from boragedeck.exceptions import StoreHistoryError
 from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
+from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 
-__all__ = [
-    "FetchTable",
-    "MirrorFollower",
-    "TableMirror",
-    "TablePart",
-    "serve_mirrors",
-]
+__all__ = ["MirrorFollower"]
 
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.0
@@ -33,81 +28,6 @@
 _log = PartLog("mirror")
 
 
-class FetchTable(Message, frozen=True):
-    """Asks another router for its mirror of a table; answered with `TablePart`.
-
-    Parameters
-    ----------
-    table : Table
-        The table.
-    after : int
-        The version that the asking router has; -1 without one.
-    """
-
-    table: Table
-    after: int
-
-
-class TablePart(Message, frozen=True):
-    """A router's mirror of a table; no changes where it is no newer."""
-
-    changes: Changes | None = None
-
-
-class TableMirror:
-    """The rows of one table, as of a version that never steps back.
-
-    Parameters
-    ----------
-    table : Table
-        The table.
-    """
-
-    def __init__(self, table: Table):
-        self.table = table
-        self.version = -1
-        self.newest = -1
-        """The newest change of a row, which other routers compare with theirs."""
-        self.rows: dict[str, Change] = {}
-        self._callbacks: list[Callable[[Change], None]] = []
-
-    def subscribe(self, callback: Callable[[Change], None]) -> None:
-        """Call with each row that is new, changed or deleted."""
-        self._callbacks.append(callback)
-
-    def apply(self, changes: Changes) -> None:
-        """Take changes; older ones than those that are known have no effect."""
-        if changes.is_snapshot:
-            if changes.version < self.version:
-                return
-            self._drop_missing(changes)
-        for change in changes.rows:
-            self._apply_row(change)
-        self.version = max(self.version, changes.version)
-
-    def whole(self) -> Changes:
-        """Return all rows, as another router takes them."""
-        return Changes(tuple(self.rows.values()), self.version, True)
-
-    def _drop_missing(self, changes: Changes) -> None:
-        kept = {change.key for change in changes.rows}
-        for key in [key for key in self.rows if key not in kept]:
-            self._apply_row(Change(key, None, changes.version))
-
-    def _apply_row(self, change: Change) -> None:
-        self.newest = max(self.newest, change.version)
-        known = self.rows.get(change.key)
-        if known is not None and known.version >= change.version:
-            return
-        if change.value is None:
-            if self.rows.pop(change.key, None) is None:
-                return
-        else:
-            self.rows[change.key] = change
-        for callback in self._callbacks:
-            callback(change)
-
-
 class MirrorFollower:
     """Keeps a mirror up to date.
 
@@ -116,7 +36,7 @@
     mirror : TableMirror
         The mirror.
     feed : ChangeFeed
-        The platform's store.
+        Where changes come from.
     timers : TimerService
         The source of time.
     links : PeerLinks
@@ -246,16 +166,3 @@
                 known=known,
             )
             self._mirror.apply(changes)
-
-
-def serve_mirrors(server: PeerServer, mirrors: list[TableMirror]) -> None:
-    """Answer other routers that ask for these tables."""
-    by_table = {mirror.table: mirror for mirror in mirrors}
-
-    def answer(ask: FetchTable) -> TablePart:
-        mirror = by_table.get(ask.table)
-        if mirror is None or mirror.version <= ask.after:
-            return TablePart()
-        return TablePart(mirror.whole())
-
-    server.register(FetchTable, answer)
--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -19,9 +19,9 @@
 from boragedeck.ids import PoolName, Version
 from boragedeck.interfaces import FactBoard, Sample
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.mirror import TableMirror
 from boragedeck.process.relaying.rollout_plan import finish_at, share_at
 from boragedeck.process.relaying.settings import Bounds
+from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 from boragedeck.version.evidence import Evidence
 from boragedeck.version.judgement import Room, condemns, explain, group_score
--- /dev/null
+++ b/boragedeck/process/relaying/table_mirror.py
@@ -0,0 +1,105 @@
+"""A mirror of one of the platform's tables."""
+
+from collections.abc import Callable
+
+from eventlet.event import Event
+
+from boragedeck.connection.store import Change, Changes, Table
+from boragedeck.process.timers import TimerService
+
+__all__ = ["TableMirror"]
+
+MAX_DELETED = 1000
+"""Rows that were deleted last, which other routers may not know of."""
+
+
+class TableMirror:
+    """The rows of one table, as of a version that never steps back.
+
+    Parameters
+    ----------
+    table : Table
+        The table.
+    """
+
+    def __init__(self, table: Table):
+        self.table = table
+        self.version = -1
+        self.newest = -1
+        """The newest change of a row, which other routers compare with theirs."""
+        self.rows: dict[str, Change] = {}
+        self._deleted: dict[str, int] = {}
+        self._deletions_known_after = -1
+        self._changed = Event()
+        self._callbacks: list[Callable[[Change], None]] = []
+
+    def subscribe(self, callback: Callable[[Change], None]) -> None:
+        """Call with each row that is new, changed or deleted."""
+        self._callbacks.append(callback)
+
+    def apply(self, changes: Changes) -> None:
+        """Take changes; older ones than those that are known have no effect."""
+        if changes.is_snapshot:
+            if changes.version < self.version:
+                return
+            self._drop_missing(changes)
+        if self.version < 0:
+            self._deletions_known_after = changes.version
+        newest = self.newest
+        for change in changes.rows:
+            self._apply_row(change)
+        self.version = max(self.version, changes.version)
+        if self.newest > newest:
+            changed, self._changed = self._changed, Event()
+            changed.send()
+
+    def whole(self) -> Changes:
+        """Return all rows, as another router takes them."""
+        return Changes(tuple(self.rows.values()), self.version, True)
+
+    def since(self, after: int) -> Changes:
+        """Return what has changed after a version; all rows where that isn't known."""
+        if after < self._deletions_known_after:
+            return self.whole()
+        rows = [change for change in self.rows.values() if change.version > after]
+        rows += [
+            Change(key, None, version)
+            for key, version in self._deleted.items()
+            if version > after
+        ]
+        rows.sort(key=lambda change: change.version)
+        return Changes(tuple(rows), self.version)
+
+    def wait(self, timers: TimerService, after: int, wait_s: float) -> None:
+        """Wait until a row is newer than a version, or the time is over."""
+        until = timers.now() + wait_s
+        while self.newest <= after and (left_s := until - timers.now()) > 0.0:
+            timers.wait(self._changed, left_s)
+
+    def _drop_missing(self, changes: Changes) -> None:
+        kept = {change.key for change in changes.rows}
+        for key in [key for key in self.rows if key not in kept]:
+            self._apply_row(Change(key, None, changes.version))
+
+    def _apply_row(self, change: Change) -> None:
+        self.newest = max(self.newest, change.version)
+        known = self.rows.get(change.key)
+        if known is not None and known.version >= change.version:
+            return
+        if change.value is None:
+            if self.rows.pop(change.key, None) is None:
+                return
+            self._note_deleted(change)
+        else:
+            self.rows[change.key] = change
+            self._deleted.pop(change.key, None)
+        for callback in self._callbacks:
+            callback(change)
+
+    def _note_deleted(self, change: Change) -> None:
+        self._deleted[change.key] = change.version
+        if len(self._deleted) > MAX_DELETED:
+            key = next(iter(self._deleted))
+            self._deletions_known_after = max(
+                self._deletions_known_after, self._deleted.pop(key)
+            )
--- a/tests/process/relaying/test_load_exchange.py
+++ b/tests/process/relaying/test_load_exchange.py
@@ -11,7 +11,7 @@
     TTL_S,
     LoadExchange,
 )
-from boragedeck.process.relaying.mirror import TableMirror
+from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.relaying.registry import Load, ReplicaRegistry
 from boragedeck.process.timers import ManualTimers
 from tests.process.relaying.test_admission import replica
--- a/tests/process/relaying/test_mirror_follower.py
+++ b/tests/process/relaying/test_mirror_follower.py
@@ -2,47 +2,16 @@
 import unittest
 
 import eventlet
-from hypothesis import given
-from hypothesis import strategies as st
 from result import Err, Ok
 
 from boragedeck.connection.store import Change, Changes, Table
 from boragedeck.exceptions import StoreHistoryError, StoreUnavailableError
-from boragedeck.process.relaying.mirror import (
-    GATHER_S,
-    FetchTable,
-    MirrorFollower,
-    TableMirror,
-    TablePart,
-)
+from boragedeck.process.relaying.mirror_follower import GATHER_S, MirrorFollower
+from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
+from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 
 
-class TableMirrorTest(unittest.TestCase):
-    @given(st.permutations(range(1, 6)))
-    def test_order_of_arrival_does_not_matter_for_one_row(self, versions):
-        mirror = TableMirror(Table.ROUTING)
-        for version in versions:
-            row = Change("k", b"%d" % version, version)
-            mirror.apply(Changes((row,), version))
-        self.assertEqual(mirror.rows["k"].value, b"5")
-        self.assertEqual(mirror.version, 5)
-
-    def test_old_snapshot_changes_nothing(self):
-        mirror = TableMirror(Table.ROUTING)
-        mirror.apply(Changes((Change("k", b"new", 9),), 9))
-        mirror.apply(Changes((), 5, True))
-        self.assertIn("k", mirror.rows)
-
-    def test_snapshot_drops_what_it_lacks(self):
-        mirror = TableMirror(Table.ROUTING)
-        mirror.apply(Changes((Change("k", b"x", 1),), 1))
-        dropped = []
-        mirror.subscribe(dropped.append)
-        mirror.apply(Changes((), 5, True))
-        self.assertEqual(dropped, [Change("k", None, 5)])
-
-
 class Feed:
     def __init__(self):
         self.results = []
--- a/tests/process/relaying/test_registry.py
+++ b/tests/process/relaying/test_registry.py
@@ -5,9 +5,9 @@
 
 from boragedeck.connection.store import Change, Changes, Table
 from boragedeck.exceptions import TableError
-from boragedeck.process.relaying.mirror import TableMirror
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.replica_source import RETURN_S, ReplicaSource
+from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 from tests.process.relaying.test_admission import replica
 
--- a/tests/process/relaying/test_rollouts.py
+++ b/tests/process/relaying/test_rollouts.py
@@ -8,9 +8,9 @@
 from boragedeck.exceptions import StoreConflictError, StoreUnavailableError
 from boragedeck.interfaces import Outcome, Sample
 from boragedeck.platform.routing import decode_rollout
-from boragedeck.process.relaying.mirror import TableMirror
 from boragedeck.process.relaying.rollout_plan import FINISH_AT, TRIAL_UNTIL, share_at
 from boragedeck.process.relaying.rollouts import RelayRollouts, StatedRollout
+from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.relay_rollouts import RolloutResult
 from tests.process.relaying.test_admission import replica
--- /dev/null
+++ b/tests/process/relaying/test_table_mirror.py
@@ -0,0 +1,102 @@
+import unittest
+
+import eventlet
+from hypothesis import given
+from hypothesis import strategies as st
+
+from boragedeck.connection.store import Change, Changes, Table
+from boragedeck.process.relaying import table_mirror
+from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.timers import ManualTimers
+
+
+class TableMirrorTest(unittest.TestCase):
+    @given(st.permutations(range(1, 6)))
+    def test_order_of_arrival_does_not_matter_for_one_row(self, versions):
+        mirror = TableMirror(Table.ROUTING)
+        for version in versions:
+            row = Change("k", b"%d" % version, version)
+            mirror.apply(Changes((row,), version))
+        self.assertEqual(mirror.rows["k"].value, b"5")
+        self.assertEqual(mirror.version, 5)
+
+    def test_old_snapshot_changes_nothing(self):
+        mirror = TableMirror(Table.ROUTING)
+        mirror.apply(Changes((Change("k", b"new", 9),), 9))
+        mirror.apply(Changes((), 5, True))
+        self.assertIn("k", mirror.rows)
+
+    def test_snapshot_drops_what_it_lacks(self):
+        mirror = TableMirror(Table.ROUTING)
+        mirror.apply(Changes((Change("k", b"x", 1),), 1))
+        dropped = []
+        mirror.subscribe(dropped.append)
+        mirror.apply(Changes((), 5, True))
+        self.assertEqual(dropped, [Change("k", None, 5)])
+
+
+def row(key, version, value=b"x"):
+    return Change(key, value, version)
+
+
+class SinceTest(unittest.TestCase):
+    """What another router is told brings its mirror to the same rows."""
+
+    def setUp(self):
+        self.mirror = TableMirror(Table.REPLICAS)
+        self.mirror.apply(Changes((row("a", 1), row("b", 2)), 5, True))
+
+    def test_changes_and_deletions_are_told_in_their_order(self):
+        self.mirror.apply(Changes((row("c", 6), row("a", 7, None)), 9))
+        told = self.mirror.since(5)
+        self.assertFalse(told.is_snapshot)
+        self.assertEqual(told.rows, (row("c", 6), row("a", 7, None)))
+        self.assertEqual(told.version, 9)
+
+    def test_router_from_before_the_first_snapshot_is_told_all(self):
+        self.mirror.apply(Changes((row("a", 7, None),), 9))
+        self.assertTrue(self.mirror.since(4).is_snapshot)
+
+    def test_forgotten_deletions_are_made_good_by_all_rows(self):
+        for number in range(table_mirror.MAX_DELETED + 1):
+            version = 10 + 2 * number
+            self.mirror.apply(Changes((row(f"k{number}", version),), version))
+            gone = row(f"k{number}", version + 1, None)
+            self.mirror.apply(Changes((gone,), version + 1))
+        self.assertTrue(self.mirror.since(10).is_snapshot)
+        self.assertFalse(self.mirror.since(11).is_snapshot)
+
+    @given(st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=30))
+    def test_follower_at_any_version_ends_with_the_same_rows(self, steps):
+        mirror, follower = TableMirror(Table.REPLICAS), TableMirror(Table.REPLICAS)
+        mirror.apply(Changes((row("a", 1),), 1, True))
+        for number, (key, is_deleted) in enumerate(steps):
+            value = None if is_deleted else b"%d" % number
+            mirror.apply(Changes((row(key, number + 2, value),), number + 2))
+            if number % 3 == 0:
+                follower.apply(mirror.since(follower.version))
+        follower.apply(mirror.since(follower.version))
+        self.assertEqual(follower.rows, mirror.rows)
+
+    def test_wait_ends_with_the_first_change(self):
+        timers, ended = ManualTimers(), []
+
+        def wait():
+            self.mirror.wait(timers, 5, 10.0)
+            ended.append(timers.now())
+
+        eventlet.spawn_n(wait)
+        eventlet.sleep(0)
+        timers.advance(1.0)
+        self.assertEqual(ended, [])
+        self.mirror.apply(Changes((row("c", 6),), 6))
+        eventlet.sleep(0.01)
+        self.assertEqual(len(ended), 1)
+
+    def test_wait_ends_with_its_time(self):
+        timers, ended = ManualTimers(), []
+        eventlet.spawn_n(lambda: ended.append(self.mirror.wait(timers, 5, 2.0)))
+        eventlet.sleep(0)
+        timers.advance(2.1)
+        eventlet.sleep(0)
+        self.assertEqual(len(ended), 1)
