Tell loads and missed replicas to all routers, and spread simultaneous choices

A router sends too little to find out by itself that an engine or a failure domain is gone: many went on at a neighbour of the lost engine.

- All routers are told, each sends 240 messages a second at most; sums are kept by difference (80 routers x 125 replicas were added up anew at each message).
- Replicas that were missed are told too, and count unless they answered here lately.
- A run or a copy goes to the best of four drawn engines (placement, LossLoadTest and CopyLoadTest play 40 and 80 routers that choose at once; both fail without drawing).
- After a loss, another failure domain is preferred.
- An engine that is silent before its first event is asked after 0.3 of the goal (0.5 before): 2.5 s of silence left no time for a second prompt.

Ruled out: random costs within 0.25 s (the lowest draw still falls to the emptiest).

test_replica_that_never_had_a_run...: the third engine stands in another domain now and the fourth appears when the third refuses, as the lost domain is no longer preferred.

--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -52,6 +52,8 @@
         When waiting has no further use, on the timer service's clock.
     tried : frozenset of ReplicaId
         Replicas that it was sent to before.
+    lost_domains : frozenset of FailureDomain
+        Where it was lost before.
     allows : callable
         Whether a replica's version may serve it.
     """
@@ -62,6 +64,7 @@
     tokens: int
     until: float
     tried: frozenset[ReplicaId] = frozenset()
+    lost_domains: frozenset[FailureDomain] = frozenset()
     allows: Callable[[Replica], bool] = lambda replica: True
 
 
@@ -180,7 +183,7 @@
     def backup_of(self, place: Place, ask: Ask) -> ReplicaState | None:
         """Return an engine that can hold a copy of a run's memory."""
         states = self._states(ask)
-        return choose_backup(states, place.state, self._request(ask))
+        return choose_backup(states, place.state, self._request(ask), self._rng)
 
     def service_s(self, pool: PoolName) -> float:
         """Return how long a request of a pool takes at its replica, on average."""
@@ -257,6 +260,7 @@
             domain=self._domain,
             now=self._timers.now(),
             tried=ask.tried,
+            lost_domains=ask.lost_domains,
             engine=ask.pool.engine,
         )
 
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -1,7 +1,9 @@
 """Tells the other routers what this one has sent to each replica.
 
 Routers that place by their own requests alone meet at the same replica; what the
-replicas report of themselves is late and is read by all routers at once.
+replicas report of themselves is late and is read by all routers at once. Routers also
+tell each other which replicas they missed, since in a large fleet each of them sends
+too little to find out by itself. All are told; the more there are, the less often.
 """
 
 from collections.abc import Callable, Iterable
@@ -13,8 +15,8 @@
 from boragedeck.connection.store import Table
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Membership
-from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.relaying.registry import Load, ReplicaRegistry
+from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import ReplicaId
 
@@ -25,8 +27,8 @@
 TTL_S = 2.5
 """For so long the loads of a silent router count."""
 CALL_TIMEOUT_S = 0.5
-MAX_PEERS = 16
-"""Routers that are told; in a larger fleet each hears of a part of the others."""
+MAX_MESSAGES_PER_S = 240.0
+"""What one router sends to all others together."""
 
 
 class LoadUpdate(Message, frozen=True):
@@ -42,12 +44,15 @@
         The loads that aren't zero.
     newest : dict of Table to int
         The newest change of a row in each mirror of the sender.
+    missed : tuple of ReplicaId
+        Replicas that the sender missed since its last update.
     """
 
     router: RouterId
     number: int
     loads: dict[ReplicaId, Load]
     newest: dict[Table, int]
+    missed: tuple[ReplicaId, ...] = ()
 
 
 class LoadExchange:
@@ -94,6 +99,10 @@
         self._sent_at = 0.0
         self._sending: set = set()
         self._seen: dict[RouterId, tuple[float, LoadUpdate]] = {}
+        self._totals: dict[ReplicaId, Load] = {}
+        self._missed: set[ReplicaId] = set()
+        registry.on_miss = self._note_miss
+        registry.subscribe(self._link_totals)
         server.register(LoadUpdate, self._on_update)
 
     def start(self) -> None:
@@ -104,10 +113,16 @@
         """Note that this router's loads have changed."""
         self._is_changed = True
 
+    def _note_miss(self, replica: ReplicaId) -> None:
+        self._missed.add(replica)
+        self._is_changed = True
+
     def _tick(self) -> None:
         now = self._timers.now()
         self._expire(now)
-        if not self._is_changed and now - self._sent_at < REFRESH_S:
+        members = self._membership.members()
+        pause_s = len(members) / MAX_MESSAGES_PER_S if self._is_changed else REFRESH_S
+        if now - self._sent_at < pause_s:
             return
         self._is_changed = False
         self._sent_at = now
@@ -119,8 +134,9 @@
         }
         newest = {mirror.table: mirror.newest for mirror in self._mirrors}
         own = self._membership.own.router
-        update = LoadUpdate(own, self._number, loads, newest)
-        for member in self._membership.members()[:MAX_PEERS]:
+        missed, self._missed = tuple(self._missed), set()
+        update = LoadUpdate(own, self._number, loads, newest, missed)
+        for member in members:
             if member.address not in self._sending:
                 self._sending.add(member.address)
                 eventlet.spawn_n(self._send, member.address, update)
@@ -137,7 +153,11 @@
         seen = self._seen.get(update.router)
         if seen is None or seen[1].number < update.number:
             self._seen[update.router] = (self._timers.now(), update)
-            self._add_up()
+            if seen is not None:
+                self._count(seen[1], -1)
+            self._count(update, 1)
+            for replica in update.missed:
+                self._registry.note_peer_miss(replica)
             self._tell_newest(update)
         return Accepted()
 
@@ -150,25 +170,30 @@
     def _expire(self, now: float) -> None:
         old = [router for router, (at, _) in self._seen.items() if now - at > TTL_S]
         for router in old:
-            del self._seen[router]
-        if old:
-            self._add_up()
-
-    def _add_up(self) -> None:
-        for state in self._registry.all():
-            state.peers = _total(state.replica.replica, self._seen)
+            self._count(self._seen.pop(router)[1], -1)
+
+    def _count(self, update: LoadUpdate, sign: int) -> None:
+        for replica, load in update.loads.items():
+            total = self._totals.get(replica)
+            if total is None:
+                total = self._totals[replica] = Load()
+                self._link(replica, total)
+            total.running += sign * load.running
+            total.unread_tokens += sign * load.unread_tokens
+            total.tokens += sign * load.tokens
+            if total == Load():
+                del self._totals[replica]
+                self._link(replica, Load())
+
+    def _link(self, replica: ReplicaId, total: Load) -> None:
+        state = self._registry.get(replica)
+        if state is not None:
+            state.peers = total
+
+    def _link_totals(self) -> None:
+        for replica, total in self._totals.items():
+            self._link(replica, total)
 
 
 def _ignore(address: Address, table: Table, newest: int) -> None:
     """Take no notice of another router's mirrors."""
-
-
-def _total(replica: ReplicaId, seen: dict[RouterId, tuple[float, LoadUpdate]]) -> Load:
-    total = Load()
-    for _, update in seen.values():
-        load = update.loads.get(replica)
-        if load is not None:
-            total.running += load.running
-            total.unread_tokens += load.unread_tokens
-            total.tokens += load.tokens
-    return total
--- a/boragedeck/process/relaying/placement.py
+++ b/boragedeck/process/relaying/placement.py
@@ -23,6 +23,14 @@
 """What a running stream costs a new one, in prompt tokens read ahead of it."""
 FAILURE_COST = 2.0
 """What a share of failures of one costs, in full replicas."""
+LOST_DOMAIN_COST = 0.5
+"""What a service costs in a failure domain where the request was lost before, in full
+replicas."""
+LOST_DOMAIN_COST_TOKENS = 8000
+"""What an engine there costs, in prompt tokens."""
+ENGINE_CHOICES = 4
+"""Engines that are drawn and compared, for a run or a copy. Routers that choose at the
+same moment, as after the loss of a failure domain, would all meet at the best one."""
 AWAY_COST = 0.05
 """What a service in another failure domain costs, in full replicas."""
 AWAY_COST_TOKENS = 100
@@ -44,6 +52,8 @@
         Replicas that it was sent to before.
     engine : EngineProfile or None
         Set where the replicas are engines.
+    lost_domains : frozenset of FailureDomain
+        Where it was lost before.
     """
 
     tokens: int
@@ -51,6 +61,7 @@
     now: float
     tried: frozenset[ReplicaId] = frozenset()
     engine: EngineProfile | None = None
+    lost_domains: frozenset[FailureDomain] = frozenset()
 
 
 def has_room(state: ReplicaState, req: PlaceRequest) -> bool:
@@ -83,11 +94,16 @@
     if not candidates:
         return None
     least = min(state.failure_share for state in candidates)
+    if req.engine is not None:
+        candidates = _draw(candidates, rng)
     return min(candidates, key=lambda state: (_cost(state, req, least), rng.random()))
 
 
 def choose_backup(
-    states: Sequence[ReplicaState], chosen: ReplicaState, req: PlaceRequest
+    states: Sequence[ReplicaState],
+    chosen: ReplicaState,
+    req: PlaceRequest,
+    rng: random.Random,
 ) -> ReplicaState | None:
     """Return an engine in another failure domain to hold a copy of a run."""
     candidates = [
@@ -97,15 +113,22 @@
         and state.avoid_until <= req.now
         and has_room(state, req)
     ]
-    return min(candidates, key=lambda state: state.tokens, default=None)
+    drawn = _draw(candidates, rng)
+    return min(drawn, key=lambda state: state.tokens, default=None)
+
+
+def _draw(states: list[ReplicaState], rng: random.Random) -> list[ReplicaState]:
+    return rng.sample(states, min(ENGINE_CHOICES, len(states)))
 
 
 def _cost(state: ReplicaState, req: PlaceRequest, least: float) -> float:
     """Return the cost of a replica, in shares of a full one."""
     cost = FAILURE_COST * (state.failure_share - least)
     is_away = state.replica.failure_domain != req.domain
+    is_lost = state.replica.failure_domain in req.lost_domains
     if req.engine is None:
-        return cost + state.running / state.replica.slots + AWAY_COST * is_away
+        cost += AWAY_COST * is_away + LOST_DOMAIN_COST * is_lost
+        return cost + state.running / state.replica.slots
     ahead = state.unread_tokens + RUNNING_COST_TOKENS * state.running
-    ahead += AWAY_COST_TOKENS * is_away
+    ahead += AWAY_COST_TOKENS * is_away + LOST_DOMAIN_COST_TOKENS * is_lost
     return cost + ahead / req.engine.memory_tokens
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -205,7 +205,7 @@
 
     def _note_miss(self, place: Place, exc: UpstreamError, outcome: str) -> None:
         job = self._job
-        job.parts.registry.note_miss(place.state)
+        job.note_miss(place)
         job.parts.metrics.attempts.labels(job.rule.kind.value, outcome).inc()
         job.note_attempt_failed(place, exc)
 
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -142,6 +142,7 @@
         self.fingerprint = fingerprint_of(organisation, req.path, req.body)
         self.allows = parts.rollouts.allows(pool.name)
         self.tried: set[ReplicaId] = set()
+        self._lost_domains: set[FailureDomain] = set()
         self.sent = 0
         self.arrivals = 0
         self._pause_s = FIRST_PAUSE_S
@@ -188,6 +189,7 @@
             tokens=self.req.tokens,
             until=min(until, self.deadline if self.may_have_run else self._wait_until),
             tried=frozenset(self.tried),
+            lost_domains=frozenset(self._lost_domains),
             allows=self.allows,
         )
 
@@ -237,6 +239,11 @@
         )
         self.parts.rollouts.note(replica, sample)
 
+    def note_miss(self, place: Place) -> None:
+        """Note that the replica of an attempt was not reached or fell silent."""
+        self._lost_domains.add(place.state.replica.failure_domain)
+        self.parts.registry.note_miss(place.state)
+
     def note_attempt_failed(self, place: Place, error: Exception | str) -> None:
         """Log an attempt that brought no answer."""
         log.write(
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -23,7 +23,7 @@
 
 SUSPECT_GAP_SHARE = 0.5
 """A stream may have lost its replica when it pauses for this share of its objective."""
-SUSPECT_FIRST_SHARE = 0.5
+SUSPECT_FIRST_SHARE = 0.3
 """And when its first event takes this share of its objective."""
 PROBE_GAP_SHARE = 0.25
 """Of the gap objective, how long a replica may take to say that it lives; together
@@ -304,7 +304,7 @@
         job = self._job
         now = job.parts.timers.now()
         if job.left_s() > 0.0:
-            job.parts.registry.note_miss(place.state)
+            job.note_miss(place)
         job.parts.metrics.attempts.labels(job.rule.kind.value, end.value).inc()
         if end is End.LOST:
             job.parts.blame.note_broken(job.fingerprint, place.state)
--- a/tests/process/relaying/test_load_exchange.py
+++ b/tests/process/relaying/test_load_exchange.py
@@ -6,13 +6,14 @@
 from boragedeck.connection.store import Table
 from boragedeck.interfaces import Member
 from boragedeck.process.relaying.load_exchange import (
+    MAX_MESSAGES_PER_S,
     MIN_INTERVAL_S,
     REFRESH_S,
     TTL_S,
     LoadExchange,
 )
-from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.relaying.registry import Load, ReplicaRegistry
+from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 from tests.process.relaying.test_admission import replica
 
@@ -107,6 +108,51 @@
         self.timers.advance(10 * REFRESH_S)
         self.assertLessEqual(self.net.calls, 3 * 2 * 11)
 
+    def test_missed_replicas_are_told(self):
+        lost = self.registries["a"].get("one")
+        self.registries["a"].note_miss(lost)
+        self.timers.advance(2 * MIN_INTERVAL_S)
+        there = self.registries["b"].get("one")
+        self.assertGreater(there.avoid_until, self.timers.now())
+
+    def test_replica_that_answers_here_is_not_avoided_for_others(self):
+        there = self.registries["b"].get("one")
+        there.note_answer(True, self.timers.now())
+        self.registries["a"].note_miss(self.registries["a"].get("one"))
+        self.timers.advance(2 * MIN_INTERVAL_S)
+        self.assertLess(there.avoid_until, self.timers.now())
+
+    def test_loads_told_before_a_replica_is_known_count(self):
+        registry = self.registries["b"]
+        registry.remove("one", "test")
+        self.note("a", Load(2, 100, 300))
+        registry.put(replica("one"))
+        self.assertEqual(self.peers("b"), Load(2, 100, 300))
+
+    def test_messages_of_a_large_fleet_are_bounded(self):
+        names = [f"r{number}" for number in range(80)]
+        for name in names:
+            self.net.handlers[name] = lambda message: Accepted()
+        registry = ReplicaRegistry(self.timers)
+        registry.put(replica("one"))
+        exchange = LoadExchange(
+            self.timers,
+            registry,
+            Members(names, "r0"),
+            self.net,
+            Server(self.net, "r0"),
+        )
+        exchange.start()
+        before = self.net.calls
+        seconds = 10
+        for _ in range(seconds * 50):
+            exchange.note_change()
+            self.timers.advance(0.02)
+        others = 3 * 2 * (seconds / REFRESH_S + 1)
+        sent = self.net.calls - before - others
+        self.assertLessEqual(sent, MAX_MESSAGES_PER_S * (seconds + 1))
+        self.assertGreater(sent, 2 * 79 * seconds)
+
     def test_newest_changes_are_told(self):
         told = []
         self.exchanges["b"].on_newest = lambda *what: told.append(what)
--- a/tests/process/relaying/test_placement.py
+++ b/tests/process/relaying/test_placement.py
@@ -80,9 +80,81 @@
 
     def test_copy_is_kept_in_another_failure_domain(self):
         states = [state("one"), state("two"), state("three", "b")]
-        backup = choose_backup(states, states[0], request())
+        rng = random.Random(3)
+        backup = choose_backup(states, states[0], request(), rng)
         self.assertEqual(backup.replica.replica, "three")
-        self.assertIsNone(choose_backup(states[:2], states[0], request()))
+        self.assertIsNone(choose_backup(states[:2], states[0], request(), rng))
+
+    def test_request_that_was_lost_goes_to_another_failure_domain(self):
+        states = [state("near"), state("far", "b", load=Load(3, 4_000, 27_000))]
+        self.assertEqual(self.choose(states), "near")
+        lost = {"lost_domains": frozenset("a")}
+        self.assertEqual(self.choose(states, **lost), "far")
+        self.assertEqual(self.choose(states[:1], **lost), "near")
+        states = [state("near"), state("far", "b", load=Load(1))]
+        self.assertEqual(self.choose(states, engine=None), "near")
+        self.assertEqual(self.choose(states, engine=None, **lost), "far")
+
+
+class CopyLoadTest(unittest.TestCase):
+    """Plays copies that 80 routers place before they hear of each other."""
+
+    ROUTERS = 80
+    ENGINES = 60
+    COPY_TOKENS = 9_000
+
+    def fullest(self, choose):
+        """Return the most copies at one engine."""
+        rng = random.Random(11)
+        held = Counter()
+        for _ in range(self.ROUTERS):
+            engines = [state(f"e{i}", "abcde"[i % 5]) for i in range(self.ENGINES)]
+            held[choose(engines, rng).replica.replica] += 1
+        return max(held.values())
+
+    def test_copies_do_not_meet_at_one_engine(self):
+        def emptiest(engines, rng):
+            others = [e for e in engines if e.replica.failure_domain != "a"]
+            return min(others, key=lambda engine: engine.tokens)
+
+        def chosen(engines, rng):
+            return choose_backup(engines, engines[0], request(), rng)
+
+        fits = int(ENGINE.memory_tokens / self.COPY_TOKENS)
+        self.assertGreater(self.fullest(emptiest), fits)
+        self.assertLessEqual(self.fullest(chosen), fits)
+
+
+class LossLoadTest(unittest.TestCase):
+    """Plays prompts that 40 routers place anew at the moment a domain is lost.
+
+    The routers know the same loads, and none hears of the others in time.
+    """
+
+    ROUTERS = 40
+    ENGINES = 48
+
+    def longest_queue(self, choose):
+        rng = random.Random(13)
+        loads = [Load(count, 0, 9_000 * count) for count in (0, 1, 1, 2, 2, 3)]
+        taken = Counter()
+        for _ in range(self.ROUTERS):
+            engines = [
+                state(f"e{i}", "abcd"[i % 4], load=loads[i % len(loads)])
+                for i in range(self.ENGINES)
+            ]
+            taken[choose(engines, rng).replica.replica] += 1
+        return max(taken.values())
+
+    def test_prompts_do_not_meet_at_the_emptiest_engines(self):
+        def emptiest(engines, rng):
+            return min(engines, key=lambda engine: (engine.running, rng.random()))
+
+        def chosen(engines, rng):
+            return choose_replica(engines, request(), rng)
+
+        plain = self.longest_queue(emptiest)
+        self.assertLess(self.longest_queue(chosen), plain)
 
 
 class LoadTest(unittest.TestCase):
--- a/tests/request/test_relay_stream.py
+++ b/tests/request/test_relay_stream.py
@@ -87,13 +87,17 @@
 
     def test_replica_that_never_had_a_run_is_not_asked_for_its_copy(self):
         world = self.world()
-        three = ScriptedReplica("three", not_run)
         four = ScriptedReplica("four", events(3))
 
+        def refuse(sock, req):
+            world.add(four, domain="d")
+            return not_run(sock, req)
+
+        three = ScriptedReplica("three", refuse)
+
         def lose_copy(sock, req):
             world.registry.remove("one", "test")
-            world.add(three, domain="a")
-            world.add(four, domain="d")
+            world.add(three, domain="c")
             return not_run(sock, req)
 
         world.add(ScriptedReplica("one", events(1, 2, ends=False)))
