Wake the thread that accepts when its listener is closed

Finding: test_routers_that_are_all_killed_serve_again failed once in a whole run ("Second simultaneous read on fileno 20"), alone it passes. Cause: a closed listener's green thread stays registered under its number; eventlet clears that when a socket gets the number, but not when a pipe does, as in starting a process. A scan after each test found 59 such leftovers, all of closed listeners. Routers start no processes; the edge's accepting thread stayed behind after a planned stop nevertheless.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -12,6 +12,7 @@
 import msgspec
 from eventlet.green import socket
 
+from boragedeck.connection.listening import close_listener
 from boragedeck.exceptions import BoragedeckError
 from boragedeck.process.logs import PartLog
 from boragedeck.process.timers import TimerService
@@ -166,7 +167,7 @@
 
     def stop_accepting(self) -> None:
         """Take no further connections."""
-        self._listener.close()
+        close_listener(self._listener)
 
     def close_idle(self) -> None:
         """Close the connections that have no request; the others close after it."""
--- a/boragedeck/connection/edge.py
+++ b/boragedeck/connection/edge.py
@@ -3,6 +3,7 @@
 import eventlet
 from eventlet import wsgi
 from eventlet.green import socket
+from eventlet.hubs import IOClosed
 
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import Ran
@@ -67,18 +68,22 @@
     """
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    wsgi.server(
-        listener,
-        app,
-        log_output=False,
-        debug=False,
-        protocol=_Protocol,
-        max_size=MAX_CONNECTIONS,
-        minimum_chunk_size=1,
-        url_length_limit=MAX_REQUEST_LINE_BYTES,
-        socket_timeout=SOCKET_TIMEOUT_S,
-        log=_Quiet(),
-    )
+    try:
+        wsgi.server(
+            listener,
+            app,
+            log_output=False,
+            debug=False,
+            protocol=_Protocol,
+            max_size=MAX_CONNECTIONS,
+            minimum_chunk_size=1,
+            url_length_limit=MAX_REQUEST_LINE_BYTES,
+            socket_timeout=SOCKET_TIMEOUT_S,
+            log=_Quiet(),
+        )
+    except IOClosed:
+        # Closing the listener is how this server is stopped.
+        return
 
 
 def read_body(environ: dict) -> bytes:
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -8,6 +8,7 @@
 
 from boragedeck.connection.edge import serve_http
 from boragedeck.connection.engine import open_run
+from boragedeck.connection.listening import close_listener
 from boragedeck.connection.metrics_poll import EngineProbe
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.platform import HttpPlatform
@@ -139,7 +140,7 @@
         self._answers.hand_over_all()
         self.api.is_stopping = True
         self.timers.sleep(CLOSE_PAUSE_S)
-        self._listener.close()
+        close_listener(self._listener)
         self._server.close()
 
     def _make_membership(self) -> GossipMembership:
--- a/scripts/platform_demo.py
+++ b/scripts/platform_demo.py
@@ -62,8 +62,8 @@
         """End an engine and its connections, as a crash does."""
         replica, listener, server = self.engines.pop(name)
         replica.is_lost = True
-        listener.close()
         server.kill()
+        listener.close()
         self.rows.drop("servers", name)
 
     def add_router(self, zone: str) -> str:
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -3,6 +3,8 @@
 import eventlet
 from eventlet.green import socket
 
+from boragedeck.connection.listening import close_listener
+
 __all__ = ["Relay"]
 
 READ_BYTES = 65_536
@@ -51,7 +53,7 @@
 
     def close(self) -> None:
         """Close the listener and the open connections."""
-        self._listener.close()
+        close_listener(self._listener)
         self.cut()
 
     def _accept(self) -> None:
--- a/tests/support/http.py
+++ b/tests/support/http.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from boragedeck.connection.edge import serve_http
+from boragedeck.connection.listening import close_listener
 from boragedeck.process.keys import KeyRing
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.api import Api
@@ -59,7 +60,7 @@
 
     def close(self):
         for listener in self.listeners:
-            listener.close()
+            close_listener(listener)
 
 
 def _digest(key):
