Tell no silent replicas, and compare all engines in small fleets

A router heard of the same outage from several others one after the other, each time doubled its avoidance, and so left engines idle that had long come back, while the others' memory overflowed and dropped copies.

How many engines are drawn follows from their number and the routers'; up to 12 routers, which hear of each other within 0.05 s, compare all. Events of a stream show that its engine lives.

--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -137,6 +137,8 @@
         Where this router stands.
     rng : random.Random
         Breaks ties and spreads retries.
+    routers : callable
+        Returns how many routers choose among the replicas.
     """
 
     def __init__(
@@ -145,11 +147,13 @@
         registry: ReplicaRegistry,
         domain: FailureDomain,
         rng: random.Random,
+        routers: Callable[[], int] = lambda: 1,
     ):
         self._timers = timers
         self._registry = registry
         self._domain = domain
         self._rng = rng
+        self._routers = routers
         self._numbers = itertools.count()
         self._waiting: dict[PoolName, list[tuple[int, int, _Waiter]]] = {}
         self._service_s: dict[PoolName, float] = {}
@@ -261,6 +265,7 @@
             now=self._timers.now(),
             tried=ask.tried,
             lost_domains=ask.lost_domains,
+            routers=self._routers(),
             engine=ask.pool.engine,
         )
 
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -208,7 +208,11 @@
         )
         self._upstreams = UpstreamPool(self.timers, self._max_idle)
         admission = Admission(
-            self.timers, self._registry, self.own.failure_domain, self._rng
+            self.timers,
+            self._registry,
+            self.own.failure_domain,
+            self._rng,
+            self._membership.routers,
         )
         self.metrics.waiting.set_function(admission.waiting)
         self._loads = LoadExchange(
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -1,9 +1,8 @@
 """Tells the other routers what this one has sent to each replica.
 
 Routers that place by their own requests alone meet at the same replica; what the
-replicas report of themselves is late and is read by all routers at once. Routers also
-tell each other which replicas they missed, since in a large fleet each of them sends
-too little to find out by itself. All are told; the more there are, the less often.
+replicas report of themselves is late and is read by all routers at once. All are
+told; the more there are, the less often.
 """
 
 from collections.abc import Callable, Iterable
@@ -44,15 +43,12 @@
         The loads that aren't zero.
     newest : dict of Table to int
         The newest change of a row in each mirror of the sender.
-    missed : tuple of ReplicaId
-        Replicas that the sender missed since its last update.
     """
 
     router: RouterId
     number: int
     loads: dict[ReplicaId, Load]
     newest: dict[Table, int]
-    missed: tuple[ReplicaId, ...] = ()
 
 
 class LoadExchange:
@@ -100,8 +96,6 @@
         self._sending: set = set()
         self._seen: dict[RouterId, tuple[float, LoadUpdate]] = {}
         self._totals: dict[ReplicaId, Load] = {}
-        self._missed: set[ReplicaId] = set()
-        registry.on_miss = self._note_miss
         registry.subscribe(self._link_totals)
         server.register(LoadUpdate, self._on_update)
 
@@ -113,10 +107,6 @@
         """Note that this router's loads have changed."""
         self._is_changed = True
 
-    def _note_miss(self, replica: ReplicaId) -> None:
-        self._missed.add(replica)
-        self._is_changed = True
-
     def _tick(self) -> None:
         now = self._timers.now()
         self._expire(now)
@@ -134,8 +124,7 @@
         }
         newest = {mirror.table: mirror.newest for mirror in self._mirrors}
         own = self._membership.own.router
-        missed, self._missed = tuple(self._missed), set()
-        update = LoadUpdate(own, self._number, loads, newest, missed)
+        update = LoadUpdate(own, self._number, loads, newest)
         for member in members:
             if member.address not in self._sending:
                 self._sending.add(member.address)
@@ -156,8 +145,6 @@
             if seen is not None:
                 self._count(seen[1], -1)
             self._count(update, 1)
-            for replica in update.missed:
-                self._registry.note_peer_miss(replica)
             self._tell_newest(update)
         return Accepted()
 
--- a/boragedeck/process/relaying/placement.py
+++ b/boragedeck/process/relaying/placement.py
@@ -5,6 +5,7 @@
 in turn, with reports that many routers read at once.
 """
 
+import math
 import random
 from collections.abc import Iterable, Sequence
 
@@ -15,7 +16,13 @@
 from boragedeck.version.replicas import ReplicaId
 from boragedeck.version.routing import EngineProfile
 
-__all__ = ["PlaceRequest", "choose_backup", "choose_replica", "has_room"]
+__all__ = [
+    "PlaceRequest",
+    "choose_backup",
+    "choose_replica",
+    "drawn_engines",
+    "has_room",
+]
 
 MEMORY_SHARE = 0.92
 """Of an engine's memory, what may be promised; outputs may be longer than expected."""
@@ -28,9 +35,13 @@
 replicas."""
 LOST_DOMAIN_COST_TOKENS = 8000
 """What an engine there costs, in prompt tokens."""
-ENGINE_CHOICES = 4
-"""Engines that are drawn and compared, for a run or a copy. Routers that choose at the
-same moment, as after the loss of a failure domain, would all meet at the best one."""
+MEETING_ROUTERS = 5
+"""Of all routers, how many may meet at the best engine when they choose at the same
+moment, as after the loss of a failure domain. Each compares so many engines, drawn at
+random, that no more have the best one among theirs on average."""
+MIN_DRAWN = 2
+FRESH_ROUTERS = 12
+"""So few routers hear of each other's choices soon enough to compare all engines."""
 AWAY_COST = 0.05
 """What a service in another failure domain costs, in full replicas."""
 AWAY_COST_TOKENS = 100
@@ -54,6 +65,8 @@
         Set where the replicas are engines.
     lost_domains : frozenset of FailureDomain
         Where it was lost before.
+    routers : int
+        Routers that choose among the same replicas.
     """
 
     tokens: int
@@ -62,6 +75,7 @@
     tried: frozenset[ReplicaId] = frozenset()
     engine: EngineProfile | None = None
     lost_domains: frozenset[FailureDomain] = frozenset()
+    routers: int = 1
 
 
 def has_room(state: ReplicaState, req: PlaceRequest) -> bool:
@@ -95,7 +109,7 @@
         return None
     least = min(state.failure_share for state in candidates)
     if req.engine is not None:
-        candidates = _draw(candidates, rng)
+        candidates = _draw(candidates, req, rng)
     return min(candidates, key=lambda state: (_cost(state, req, least), rng.random()))
 
 
@@ -113,12 +127,30 @@
         and state.avoid_until <= req.now
         and has_room(state, req)
     ]
-    drawn = _draw(candidates, rng)
+    drawn = _draw(candidates, req, rng)
     return min(drawn, key=lambda state: state.tokens, default=None)
 
 
-def _draw(states: list[ReplicaState], rng: random.Random) -> list[ReplicaState]:
-    return rng.sample(states, min(ENGINE_CHOICES, len(states)))
+def drawn_engines(engines: int, routers: int) -> int:
+    """Return how many of the engines a router compares.
+
+    Parameters
+    ----------
+    engines : int
+        Engines that may serve.
+    routers : int
+        Routers that choose among them.
+    """
+    if routers <= FRESH_ROUTERS:
+        return engines
+    drawn = math.ceil(engines * MEETING_ROUTERS / routers)
+    return min(engines, max(MIN_DRAWN, drawn))
+
+
+def _draw(
+    states: list[ReplicaState], req: PlaceRequest, rng: random.Random
+) -> list[ReplicaState]:
+    return rng.sample(states, drawn_engines(len(states), req.routers))
 
 
 def _cost(state: ReplicaState, req: PlaceRequest, least: float) -> float:
--- a/boragedeck/process/relaying/registry.py
+++ b/boragedeck/process/relaying/registry.py
@@ -93,6 +93,10 @@
         failed = 0.0 if is_success else 1.0
         self.failure_share += FAILURE_WEIGHT * (failed - self.failure_share)
 
+    def note_output(self, now: float) -> None:
+        """Note that a part of an answer came, which shows that the replica runs."""
+        self.answered_at = now
+
     def note_miss(self, now: float) -> None:
         """Note that the replica was not reached, broke off or stayed silent."""
         avoid_s = min(MAX_AVOID_S, FIRST_AVOID_S * 2.0**self.misses)
@@ -109,18 +113,12 @@
     ----------
     timers : TimerService
         The source of time.
-
-    Attributes
-    ----------
-    on_miss : callable
-        Called with each replica that this router misses.
     """
 
     def __init__(self, timers: TimerService):
         self._timers = timers
         self._states: dict[ReplicaId, ReplicaState] = {}
         self._callbacks: list[Callable[[], None]] = []
-        self.on_miss: Callable[[ReplicaId], None] = lambda replica: None
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call after each change of the set of replicas."""
@@ -151,20 +149,6 @@
         """Note that a replica was missed, and what that says of those beside it."""
         now = self._timers.now()
         state.note_miss(now)
-        self.on_miss(state.replica.replica)
-        self._judge_domain(state, now)
-
-    def note_peer_miss(self, replica: ReplicaId) -> None:
-        """Note that another router missed a replica that this one hears nothing of."""
-        state, now = self._states.get(replica), self._timers.now()
-        if state is None or now - state.answered_at <= DOMAIN_WINDOW_S:
-            return
-        if now >= state.avoid_until:
-            state.note_miss(now)
-        state.missed_at = now
-        self._judge_domain(state, now)
-
-    def _judge_domain(self, state: ReplicaState, now: float) -> None:
         beside = [
             other
             for other in self.of_pool(state.replica.pool)
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -240,7 +240,7 @@
         self.parts.rollouts.note(replica, sample)
 
     def note_miss(self, place: Place) -> None:
-        """Note that the replica of an attempt was not reached or fell silent."""
+        """Note that an attempt did not reach its replica, or lost it."""
         self._lost_domains.add(place.state.replica.failure_domain)
         self.parts.registry.note_miss(place.state)
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -218,6 +218,7 @@
                 break
             events = splitter.feed(data)
             if events:
+                place.state.note_output(job.parts.timers.now())
                 self._note_output(place)
                 self._deliver(b"".join(event.data for event in events))
                 self._splitter.last = splitter.last
