--- a/boragedeck/process/relaying/shared_feed.py
+++ b/boragedeck/process/relaying/shared_feed.py
@@ -6,11 +6,15 @@
 
 from collections.abc import Callable, Iterable
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from boragedeck.connection.peer import Address, PeerLinks
 from boragedeck.connection.store import ChangeFeed, Changes, Table
-from boragedeck.exceptions import StoreError
+from boragedeck.exceptions import (
+    PeerError,
+    PeerRefusedError,
+    StoreError,
+)
 from boragedeck.interfaces import Member
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
@@ -80,11 +84,17 @@
         reader = choose_reader(self._own, beside)
         now = self._timers.now()
         if reader is not None and self._own_until.get(table, 0.0) <= now:
-            changes = self._ask(reader, table, after)
-            if changes is not None:
-                return Ok(changes)
+            asked = self._ask(reader, table, after)
+            if asked.is_ok():
+                return asked
             self._own_until[table] = self._timers.now() + OWN_S
-            _log.write("Reader failed.", table=table.value, peer=reader.router)
+            _log.write(
+                "Reader failed.",
+                table=table.value,
+                peer=reader.router,
+                version=after,
+                error=str(asked.err()),
+            )
         if _is_shared(beside):
             wait_s = min(wait_s, READER_WAIT_S)
         return self._note(table, self._store.changes(table, after, wait_s))
@@ -99,17 +109,24 @@
         members = self._members()
         return [member for member in members if member.failure_domain == domain]
 
-    def _ask(self, reader: Member, table: Table, after: int) -> Changes | None:
+    def _ask(
+        self, reader: Member, table: Table, after: int
+    ) -> Result[Changes, PeerError]:
         address: Address = reader.address
         answer = self._links.link(address).call(
             FetchTable(table, after, PEER_WAIT_S),
             TablePart,
             timeout_s=PEER_WAIT_S + PEER_SLACK_S,
         )
-        part = answer.unwrap_or(TablePart())
-        if not part.is_current:
-            return None
-        return part.changes or Changes((), after)
+        match answer:
+            case Ok(TablePart(changes=changes, is_current=True)):
+                return Ok(changes or Changes((), after))
+            case Ok():
+                text = "it has not heard of the store lately"
+                peer = str(address)
+                return Err(PeerRefusedError(text, step="read a table", peer=peer))
+            case _:
+                return answer
 
     def _note(
         self, table: Table, result: Result[Changes, StoreError]
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -1,6 +1,7 @@
 """Relays one stream, going on at another replica where its replica is lost."""
 
 import enum
+from functools import partial
 
 import msgspec
 
@@ -8,29 +9,19 @@
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamRefusedError,
-    UpstreamSilentError,
 )
 from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.admission import Place
 from boragedeck.process.relaying.registry import ReplicaState
 from boragedeck.request.events import EventError, EventSplitter
-from boragedeck.request.relay_attempt import Opened, open_attempt, probe
+from boragedeck.request.relay_attempt import Opened, open_attempt
 from boragedeck.request.relay_job import RelayJob, log
+from boragedeck.request.relay_patience import Interruption, StreamPatience
 from boragedeck.request.relay_refusals import final_refusal
 from boragedeck.request.relay_request import AttemptPlan, CopySource, VerdictKind
 
 __all__ = ["StreamRelay"]
 
-SUSPECT_GAP_SHARE = 0.5
-"""A stream may have lost its replica when it pauses for this share of its objective."""
-SUSPECT_FIRST_SHARE = 0.3
-"""And when its first event takes this share of its objective."""
-PROBE_GAP_SHARE = 0.25
-"""Of the gap objective, how long a replica may take to say that it lives; together
-with `SUSPECT_GAP_SHARE` it leaves a quarter for going on elsewhere."""
-PROBE_TIMEOUT_S = 0.25
-"""The same before the first event."""
-MIN_SUSPECT_S = 0.2
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
 
@@ -63,6 +54,7 @@
 
     def __init__(self, job: RelayJob):
         self._job = job
+        self._patience = StreamPatience(job)
         self._splitter = EventSplitter(job.req.resume_after)
         self._head: tuple[int, Headers] | None = None
         self._backup: ReplicaState | None = None
@@ -170,8 +162,8 @@
             attempt=job.sent + 1,
         )
         try:
-            opened = open_attempt(job, place, plan, _HeadWait(self, place))
-            interruption = _Interruption(opened.exchange, place.state)
+            opened = open_attempt(job, place, plan, partial(self._wait_head, place))
+            interruption = Interruption(opened.exchange, place.state)
             try:
                 if opened.verdict.kind is VerdictKind.SUCCESS:
                     self._backup = backup
@@ -184,6 +176,13 @@
         except (UpstreamError, EventError) as exc:
             return self._note_loss(place, exc, End.LOST)
 
+    def _wait_head(self, place: Place, exchange: Exchange) -> AnswerHead:
+        interruption = Interruption(exchange, place.state)
+        try:
+            return self._patience.wait(place, exchange.head)
+        finally:
+            interruption.end()
+
     def _take(self, place: Place, opened: Opened) -> End:
         job, verdict = self._job, opened.verdict
         kind = job.rule.kind.value
@@ -213,7 +212,7 @@
         job = self._job
         splitter = EventSplitter(self._splitter.last)
         while True:
-            data = self._wait(place, lambda wait_s: exchange.read(wait_s))
+            data = self._patience.wait(place, exchange.read)
             if not data:
                 break
             events = splitter.feed(data)
@@ -259,41 +258,6 @@
             )
         job.channel.write(data)
 
-    def wait_head(self, place: Place, exchange: Exchange) -> AnswerHead:
-        """Wait for the head of an answer; see `_wait`."""
-        return self._wait(place, exchange.head)
-
-    def _wait(self, place: Place, read):
-        """Wait for a read, asking the replica whether it lives when that takes long.
-
-        Raises
-        ------
-        UpstreamSilentError
-            Where the replica doesn't answer, or the time is over.
-        """
-        job = self._job
-        while True:
-            wait_s = min(self._suspect_after_s(place), job.left_s())
-            try:
-                return read(max(0.0, wait_s))
-            except UpstreamSilentError:
-                if job.left_s() <= 0.0:
-                    raise
-                if probe(job.parts, place, self._probe_timeout_s()) is None:
-                    raise
-
-    def _probe_timeout_s(self) -> float:
-        gap_goal_s = self._job.rule.gap_goal_s
-        if self._has_begun and gap_goal_s:
-            return PROBE_GAP_SHARE * gap_goal_s
-        return PROBE_TIMEOUT_S
-
-    def _suspect_after_s(self, place: Place) -> float:
-        rule = self._job.rule
-        if self._has_begun and rule.gap_goal_s:
-            return max(MIN_SUSPECT_S, SUSPECT_GAP_SHARE * rule.gap_goal_s)
-        return max(MIN_SUSPECT_S, SUSPECT_FIRST_SHARE * rule.goal_s)
-
     def _choose_backup(self, place: Place) -> ReplicaState | None:
         engine = self._job.pool.engine
         if engine is None or not engine.can_back_up or not self._job.rule.may_repeat:
@@ -353,31 +317,3 @@
             job.parts.metrics.requests.labels(job.rule.kind.value, "failed").inc()
             return
         job.refuse(final_refusal(job, self._reason))
-
-
-class _HeadWait:
-    """Waits for a head with the patience of a stream."""
-
-    def __init__(self, relay: StreamRelay, place: Place):
-        self._relay = relay
-        self._place = place
-
-    def __call__(self, exchange: Exchange) -> AnswerHead:
-        interruption = _Interruption(exchange, self._place.state)
-        try:
-            return self._relay.wait_head(self._place, exchange)
-        finally:
-            interruption.end()
-
-
-class _Interruption:
-    """Ends an exchange when its replica is found not to run any more."""
-
-    def __init__(self, exchange: Exchange, state: ReplicaState):
-        self._state = state
-        self._callback = exchange.interrupt
-        state.on_gone.add(self._callback)
-
-    def end(self) -> None:
-        """Leave the exchange alone from now on."""
-        self._state.on_gone.discard(self._callback)
