Close the files over peers' sockets with their connections

A socket's descriptor stays open until the file made of it is closed; that was left to the collector, in both directions of a peer's link.

--- a/boragedeck/connection/peer.py
+++ b/boragedeck/connection/peer.py
@@ -7,7 +7,7 @@
 
 import ipaddress
 import itertools
-from typing import Any
+from typing import Any, BinaryIO
 
 import eventlet
 import msgspec
@@ -169,14 +169,8 @@
 
     def _read(self, sock: socket.socket) -> None:
         try:
-            file = sock.makefile("rb")
-            while (size := read_header(file)) is not None:
-                frame = read_body(file, size)
-                if frame is None:
-                    break
-                event = self._waiting.pop(frame.number, None)
-                if event is not None:
-                    event.send(frame.body)
+            with sock.makefile("rb") as file:
+                self._read_answers(file)
         except (OSError, EOFError, ValueError, *DECODE_ERRORS):
             pass
         finally:
@@ -185,6 +179,15 @@
                 self._fail_waiting()
             shut_down(sock)
 
+    def _read_answers(self, file: BinaryIO) -> None:
+        while (size := read_header(file)) is not None:
+            frame = read_body(file, size)
+            if frame is None:
+                return
+            event = self._waiting.pop(frame.number, None)
+            if event is not None:
+                event.send(frame.body)
+
     def _fail_waiting(self) -> None:
         waiting, self._waiting = self._waiting, {}
         for event in waiting.values():
--- a/boragedeck/connection/peer_server.py
+++ b/boragedeck/connection/peer_server.py
@@ -197,20 +197,20 @@
             budget = self._hosts[host] = _Host(self._limits.bytes_per_host)
         writer = FrameWriter(sock)
         gate = eventlet.Semaphore(self._limits.calls)
-        file = sock.makefile("rb")
-        while (size := read_header(file)) is not None:
-            gate.acquire()
-            budget.take(size)
-            frame = None
-            try:
-                frame = read_body(file, size)
-            finally:
+        with sock.makefile("rb") as file:
+            while (size := read_header(file)) is not None:
+                gate.acquire()
+                budget.take(size)
+                frame = None
+                try:
+                    frame = read_body(file, size)
+                finally:
+                    if frame is None:
+                        budget.give_back(size)
                 if frame is None:
-                    budget.give_back(size)
-            if frame is None:
-                return
-            give_back = partial(self._give_back, host, budget, size)
-            eventlet.spawn_n(self._answer, sock, writer, frame, gate, give_back)
+                    return
+                give_back = partial(self._give_back, host, budget, size)
+                eventlet.spawn_n(self._answer, sock, writer, frame, gate, give_back)
 
     def _give_back(self, host: str, budget: _Host, size: int) -> None:
         budget.give_back(size)
