Keep one copy of what stood twice

Found on reading the whole change: trials of cells were summed in judgement and in rollout_watch; loads were added field by field in admission and in load_exchange; the class that drops a WSGI server's log, the filter of seeds, and two test strategies had twins. Each is one piece now (evidence.trials, Load.add, listening.QuietLog, GossipMembership.seeds, values._bad). Behaviour is the same.

--- a/boragedeck/connection/edge.py
+++ b/boragedeck/connection/edge.py
@@ -5,6 +5,7 @@
 from eventlet.green import socket
 from eventlet.hubs import IOClosed
 
+from boragedeck.connection.listening import QuietLog
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import Ran
 
@@ -79,7 +80,7 @@
             minimum_chunk_size=1,
             url_length_limit=MAX_REQUEST_LINE_BYTES,
             socket_timeout=SOCKET_TIMEOUT_S,
-            log=_Quiet(),
+            log=QuietLog(),
         )
     except IOClosed:
         # Closing the listener is how this server is stopped.
@@ -126,13 +127,6 @@
     return bytes(body)
 
 
-class _Quiet:
-    """Takes the server's own log, which would repeat the application's."""
-
-    def write(self, text: str) -> None:
-        pass
-
-
 def _too_long_error() -> RefusedError:
     return RefusedError(
         f"the body is over {MAX_BODY_BYTES} bytes",
--- a/boragedeck/connection/listening.py
+++ b/boragedeck/connection/listening.py
@@ -1,9 +1,16 @@
-"""Closing of listening sockets."""
+"""What servers that listen share."""
 
 from eventlet import hubs
 from eventlet.green import socket
 
-__all__ = ["close_listener"]
+__all__ = ["QuietLog", "close_listener"]
+
+
+class QuietLog:
+    """Takes a WSGI server's own log, which would repeat the application's."""
+
+    def write(self, text: str) -> None:
+        """Drop a line."""
 
 
 def close_listener(listener: socket.socket) -> None:
--- a/boragedeck/process/membership.py
+++ b/boragedeck/process/membership.py
@@ -185,7 +185,7 @@
         """Look for routers behind a partition that may have healed."""
         lost = [
             address
-            for address in (*self._seeds(), *self._view.departed())
+            for address in (*self.seeds(), *self._view.departed())
             if not self._view.is_in_use(address)
         ]
         if lost:
@@ -247,12 +247,13 @@
         # The one who pauses just before a statement is a suspect for long enough.
         return self._statement_ttl_s() + DEAD_AFTER_S
 
-    def _seeds(self) -> list[Address]:
+    def seeds(self) -> list[Address]:
+        """Return other routers that may run, as configured."""
         seeds = self._configured_seeds()
         return [seed for seed in seeds if seed != self.own.address]
 
     def _gossip_peers(self) -> list[Address]:
-        return self._view.gossip_peers() or self._seeds()
+        return self._view.gossip_peers() or self.seeds()
 
     def _on_member_fact(self, fact: Fact) -> None:
         if fact.key.startswith(SUSPICION_PREFIX):
--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -89,17 +89,19 @@
         self._admission = admission
         self.state = state
         self._ask = ask
+        self._load = Load(1, ask.prompt_tokens, ask.tokens)
         self.since = now
         self.has_output = False
         self._is_released = False
         self._copy_holder: ReplicaState | None = None
-        _add(state.own, ask, 1)
+        state.own.add(self._load)
 
     def first_output(self) -> None:
         """Note that the prompt has been read."""
         if not self.has_output:
             self.has_output = True
-            self.state.own.unread_tokens -= self._ask.prompt_tokens
+            self.state.own.unread_tokens -= self._load.unread_tokens
+            self._load.unread_tokens = 0
 
     def keep_copy(self, holder: ReplicaState) -> None:
         """Count the memory that a copy of the run takes elsewhere."""
@@ -112,7 +114,7 @@
             return
         self._is_released = True
         self.first_output()
-        _add(self.state.own, self._ask, -1, is_read=True)
+        self.state.own.add(self._load, -1)
         if self._copy_holder is not None:
             self._copy_holder.own.tokens -= self._ask.tokens
         self._admission.note_released(self._ask.pool.name, self.since, is_served)
@@ -305,10 +307,3 @@
         How long a request takes, in seconds.
     """
     return (ahead + 1) * mean_service_s / max(1, running)
-
-
-def _add(load: Load, ask: Ask, sign: int, *, is_read: bool = False) -> None:
-    load.running += sign
-    load.tokens += sign * ask.tokens
-    if not is_read:
-        load.unread_tokens += sign * ask.prompt_tokens
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -8,6 +8,7 @@
 from prometheus_client import make_wsgi_app
 
 from boragedeck.connection.caller_edge import CallerChannel, CallerEdge, RawRequest
+from boragedeck.connection.listening import QuietLog
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.store import Table
 from boragedeck.connection.upstream_pool import MAX_IDLE_PER_REPLICA, UpstreamPool
@@ -259,8 +260,7 @@
 
     def _peers(self) -> list[Address]:
         members = [member.address for member in self._membership.members()]
-        seeds = self._source.current().seeds
-        return members or [seed for seed in seeds if seed != self.own.address]
+        return members or self._membership.seeds()
 
     def _time_left(self) -> float:
         return self._ends_at - self.timers.now()
@@ -290,12 +290,5 @@
 
 def _serve_wsgi(listener, app) -> None:
     eventlet.spawn_n(
-        wsgi.server, listener, app, log_output=False, debug=False, log=_Quiet()
+        wsgi.server, listener, app, log_output=False, debug=False, log=QuietLog()
     )
-
-
-class _Quiet:
-    """Takes the server's own log, which would repeat the application's."""
-
-    def write(self, text: str) -> None:
-        pass
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -165,9 +165,7 @@
             if total is None:
                 total = self._totals[replica] = Load()
                 self._link(replica, total)
-            total.running += sign * load.running
-            total.unread_tokens += sign * load.unread_tokens
-            total.tokens += sign * load.tokens
+            total.add(load, sign)
             if total == Load():
                 del self._totals[replica]
                 self._link(replica, Load())
--- a/boragedeck/process/relaying/registry.py
+++ b/boragedeck/process/relaying/registry.py
@@ -42,6 +42,12 @@
     unread_tokens: int = 0
     tokens: int = 0
 
+    def add(self, other: "Load", sign: int = 1) -> None:
+        """Add other work, or take it off with a `sign` of -1."""
+        self.running += sign * other.running
+        self.unread_tokens += sign * other.unread_tokens
+        self.tokens += sign * other.tokens
+
 
 class ReplicaState:
     """One replica as this router sees it.
--- a/boragedeck/version/evidence.py
+++ b/boragedeck/version/evidence.py
@@ -16,6 +16,7 @@
     "bucket",
     "hash_fingerprint",
     "is_loss",
+    "trials",
 ]
 
 BUCKETS_PER_DOUBLING = 4
@@ -73,6 +74,11 @@
 Cells = dict[FailureDomain, Cell]
 
 
+def trials(cells: Cells) -> int:
+    """Return the trials of all cells together."""
+    return sum(cell.trials for cell in cells.values())
+
+
 class Evidence(msgspec.Struct, array_like=True):
     """Counts by failure domain.
 
--- a/boragedeck/version/judgement.py
+++ b/boragedeck/version/judgement.py
@@ -24,6 +24,7 @@
     Cell,
     Cells,
     Evidence,
+    trials,
 )
 
 __all__ = [
@@ -227,17 +228,13 @@
 
 def _load_buckets(evidence: Evidence, room: Room) -> int:
     """Return how many buckets slower the load alone may make the new version."""
-    new, old = _trials(evidence.new), _trials(evidence.old)
+    new, old = trials(evidence.new), trials(evidence.old)
     if not new or not old:
         return 0
     load_ratio = new / room.new_upstreams / (old / room.old_upstreams)
     return max(0, math.ceil(BUCKETS_PER_DOUBLING * math.log2(load_ratio)))
 
 
-def _trials(cells: Cells) -> int:
-    return sum(cell.trials for cell in cells.values())
-
-
 def _eased(histogram: dict[int, int], buckets: int) -> dict[int, int]:
     return {index - buckets: count for index, count in histogram.items()}
 
--- a/boragedeck/version/rollout_watch.py
+++ b/boragedeck/version/rollout_watch.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from boragedeck.ids import FailureDomain, RouterId
+from boragedeck.ids import RouterId
 from boragedeck.interfaces import Outcome, Sample
 from boragedeck.version.alarm import is_alarming
 from boragedeck.version.evidence import (
@@ -16,6 +16,7 @@
     Window,
     hash_fingerprint,
     is_loss,
+    trials,
 )
 from boragedeck.version.judgement import (
     DOUBT_NATS,
@@ -225,9 +226,9 @@
             self._total.merge(window.evidence)
             self._reference.merge(window.evidence.total(is_new=False))
             if index * self.row.window_s >= self.row.step_since - self.row.window_s:
-                self._step_trials += _trials(window.evidence.new)
+                self._step_trials += trials(window.evidence.new)
         self._group_windows += 1
-        is_full = _trials(self._group.old) >= MIN_CONTROL_TRIALS and self._group.new
+        is_full = trials(self._group.old) >= MIN_CONTROL_TRIALS and self._group.new
         if is_full or self._group_windows >= MAX_GROUP_WINDOWS:
             self._score = self._score.after(group_score(self._group, room))
             self._group = Evidence()
@@ -294,9 +295,5 @@
         del kept[index]
 
 
-def _trials(cells: dict[FailureDomain, Cell]) -> int:
-    return sum(cell.trials for cell in cells.values())
-
-
 def _runs(evidence: Evidence) -> int:
-    return _trials(evidence.new) + _trials(evidence.old)
+    return trials(evidence.new) + trials(evidence.old)
--- a/tests/support/values.py
+++ b/tests/support/values.py
@@ -45,18 +45,15 @@
 
 def bad_msgpack(*valid):
     """Return a strategy of bytes that a decoder of MessagePack may be given."""
-    whole = MSGPACK_VALUES.map(msgspec.msgpack.encode)
-    return st.one_of(
-        st.binary(max_size=200),
-        whole,
-        DEPTHS,
-        *(broken(one) for one in valid),
-    )
+    return _bad(MSGPACK_VALUES.map(msgspec.msgpack.encode), valid)
 
 
 def bad_json(*valid):
     """Return a strategy of bytes that a decoder of JSON may be given."""
-    whole = JSON_VALUES.map(msgspec.json.encode)
+    return _bad(JSON_VALUES.map(msgspec.json.encode), valid)
+
+
+def _bad(whole, valid):
     return st.one_of(
         st.binary(max_size=200),
         whole,
