Look up a router's address without building the list of all

Each load update that came built the list of all members, with the health of each, to find one address, and each timer tick built it before it was known that something is to be sent: with 80 routers up to 240 lists of 79 a second. The address is looked up by id now, and the list is made only when an update may be due. Behaviour is the same.

--- a/boragedeck/interfaces.py
+++ b/boragedeck/interfaces.py
@@ -78,6 +78,9 @@
     def members(self) -> list[Member]:
         """Return the other routers that are not dead, suspects included."""
 
+    def address_of(self, router: RouterId) -> Address | None:
+        """Return where one of `members` listens; None for all others."""
+
     def suspect(self, router: RouterId) -> None:
         """Note that a call to a router failed."""
 
--- a/boragedeck/process/membership.py
+++ b/boragedeck/process/membership.py
@@ -129,6 +129,11 @@
         """See `Membership.members`."""
         return self._view.members()
 
+    def address_of(self, router: RouterId) -> Address | None:
+        """See `Membership.address_of`."""
+        known = self._view.get(router)
+        return None if known is None else known.member.address
+
     def suspect(self, router: RouterId) -> None:
         """See `Membership.suspect`; a heartbeat clears or confirms it."""
         self._view.unreached(router)
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -110,9 +110,10 @@
     def _tick(self) -> None:
         now = self._timers.now()
         self._expire(now)
+        if not self._is_changed and now - self._sent_at < REFRESH_S:
+            return
         members = self._membership.members()
-        pause_s = len(members) / MAX_MESSAGES_PER_S if self._is_changed else REFRESH_S
-        if now - self._sent_at < pause_s:
+        if self._is_changed and now - self._sent_at < len(members) / MAX_MESSAGES_PER_S:
             return
         self._is_changed = False
         self._sent_at = now
@@ -149,10 +150,10 @@
         return Accepted()
 
     def _tell_newest(self, update: LoadUpdate) -> None:
-        for member in self._membership.members():
-            if member.router == update.router:
-                for table, newest in update.newest.items():
-                    self.on_newest(member.address, table, newest)
+        address = self._membership.address_of(update.router)
+        if address is not None:
+            for table, newest in update.newest.items():
+                self.on_newest(address, table, newest)
 
     def _expire(self, now: float) -> None:
         old = [router for router, (at, _) in self._seen.items() if now - at > TTL_S]
--- a/tests/process/relaying/test_load_exchange.py
+++ b/tests/process/relaying/test_load_exchange.py
@@ -55,6 +55,10 @@
     def members(self):
         return self._others
 
+    def address_of(self, router):
+        found = (m.address for m in self._others if m.router == router)
+        return next(found, None)
+
 
 class LoadExchangeTest(unittest.TestCase):
     def setUp(self):
