--- a/boragedeck/connection/store.py
+++ b/boragedeck/connection/store.py
@@ -18,6 +18,8 @@
     "ObjectStore",
     "Put",
     "Row",
+    "StoreCall",
+    "StoreCallKind",
     "Table",
     "TableStore",
     "Vm",
@@ -46,6 +48,34 @@
     """The operators' routing table and orders; read only."""
 
 
+class StoreCallKind(enum.Enum):
+    """What a call to the store was for."""
+
+    READ = "read"
+    """Rows or an object as they are now."""
+    FEED = "feed"
+    """Waiting for changes."""
+    WRITE = "write"
+
+
+class StoreCall(msgspec.Struct, frozen=True):
+    """One call to the store that has ended.
+
+    Parameters
+    ----------
+    kind : StoreCallKind
+        What it was for.
+    table : Table or None
+        The table that it named first; None for objects.
+    outcome : str
+        The status of the answer, or `lost` without one.
+    """
+
+    kind: StoreCallKind
+    table: Table | None
+    outcome: str
+
+
 class Row(msgspec.Struct, frozen=True):
     """A row as it was read.
 
--- a/boragedeck/platform/store.py
+++ b/boragedeck/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's store: rows under conditions, and their changes."""
 
 import base64
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -16,6 +16,8 @@
     Delete,
     Put,
     Row,
+    StoreCall,
+    StoreCallKind,
     Table,
     Vm,
     Write,
@@ -59,6 +61,10 @@
     ver: int
 
 
+def _ignore(call: StoreCall) -> None:
+    """Take no notice of a call."""
+
+
 class PlatformStore:
     """The platform's store as the product's `Platform` and `ChangeFeed`.
 
@@ -66,6 +72,8 @@
     ----------
     address : Address
         Where the store listens.
+    on_call : callable, optional
+        Told of each call that has ended.
 
     Notes
     -----
@@ -73,8 +81,11 @@
     reading back. All rows are in the part with the empty name.
     """
 
-    def __init__(self, address: Address):
+    def __init__(
+        self, address: Address, on_call: Callable[[StoreCall], None] = _ignore
+    ):
         self._peer = str(address)
+        self._on_call = on_call
         self._pool = urllib3.HTTPConnectionPool(
             address.host,
             address.port,
@@ -123,7 +134,8 @@
                     body["setKeys"].append(where | {"value": value})
                 case Delete():
                     body["drop"].append(where)
-        return self._write(body).map(lambda ver: [ver] * len(writes))
+        table = writes[0].table if writes else None
+        return self._write(table, body).map(lambda ver: [ver] * len(writes))
 
     def snapshot(self, table: Table) -> Result[Changes, StoreError]:
         """See `ChangeFeed.snapshot`."""
@@ -152,23 +164,24 @@
             "waitMs": str(int(wait_s * 1000.0)),
         }
         path = "/boragedeck/rows-feed"
-        answer = self._call("GET", path, fields, None, wait_s + FEED_SLACK_S)
+        call = StoreCallKind.FEED, table
+        answer = self._call(call, "GET", path, fields, None, wait_s + FEED_SLACK_S)
         return self._decode(answer, _Rows, path).map(
             lambda rows: Changes(tuple(map(_change, rows.rows)), rows.ver)
         )
 
     def get_object(self, key: str) -> Result[bytes | None, StoreError]:
         """See `ObjectStore.get_object`."""
-        answer = self._call(
-            "GET", f"/boragedeck/blob-get/{key}", {}, None, READ_TIMEOUT_S
-        )
+        call = StoreCallKind.READ, None
+        path = f"/boragedeck/blob-get/{key}"
+        answer = self._call(call, "GET", path, {}, None, READ_TIMEOUT_S)
         return answer.map(lambda body: body or None)
 
     def put_object(self, key: str, body: bytes) -> Result[None, StoreError]:
         """See `ObjectStore.put_object`."""
-        answer = self._call(
-            "PUT", f"/boragedeck/blob-put/{key}", {}, body, READ_TIMEOUT_S
-        )
+        call = StoreCallKind.WRITE, None
+        path = f"/boragedeck/blob-put/{key}"
+        answer = self._call(call, "PUT", path, {}, body, READ_TIMEOUT_S)
         return answer.map(lambda _: None)
 
     def vms(self) -> Result[list[Vm], StoreError]:
@@ -180,13 +193,17 @@
         if begin:
             fields["from"] = begin
         path = "/boragedeck/rows-get"
-        answer = self._call("GET", path, fields, None, READ_TIMEOUT_S)
+        call = StoreCallKind.READ, table
+        answer = self._call(call, "GET", path, fields, None, READ_TIMEOUT_S)
         return self._decode(answer, _Rows, path)
 
-    def _write(self, body: dict[str, Any]) -> Result[int, StoreError]:
+    def _write(
+        self, table: Table | None, body: dict[str, Any]
+    ) -> Result[int, StoreError]:
         path = "/boragedeck/rows-tx"
         text = msgspec.json.encode(body)
-        answer = self._call("POST", path, {}, text, READ_TIMEOUT_S)
+        call = StoreCallKind.WRITE, table
+        answer = self._call(call, "POST", path, {}, text, READ_TIMEOUT_S)
         return self._decode(answer, _Written, path).map(lambda written: written.ver)
 
     def _decode(self, answer: Result, answer_type: Any, step: str) -> Result:
@@ -199,6 +216,7 @@
 
     def _call(
         self,
+        call: tuple[StoreCallKind, Table | None],
         method: str,
         path: str,
         fields: dict[str, str],
@@ -217,6 +235,8 @@
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
             **where,
         )
+        outcome = "lost" if called.is_err() else str(called.ok().status)
+        self._on_call(StoreCall(*call, outcome))
         if called.is_err():
             return called
         response = called.ok()
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -43,6 +43,7 @@
 from boragedeck.process.relaying.routing_source import RoutingSource
 from boragedeck.process.relaying.settings_source import SettingsSource
 from boragedeck.process.relaying.shared_feed import SharedFeed
+from boragedeck.process.relaying.store_meter import StoreMeter
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
@@ -95,7 +96,8 @@
             settings.peer,
         )
         self._ends_at = float("inf")
-        self._store = PlatformStore(settings.store)
+        self._store_meter = StoreMeter(timers, self.metrics)
+        self._store = PlatformStore(settings.store, self._store_meter.note)
         self._make_peers()
         self._make_mirrors()
         self._make_relaying()
@@ -112,6 +114,7 @@
         self._source.start()
         for follower in self._followers.values():
             follower.start()
+        self._store_meter.start()
         self._board.start()
         self._membership.start()
         self._loads.start()
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -53,6 +53,12 @@
         self.waiting = Gauge(
             "boragedeck_relay_waiting", "Requests that wait.", registry=registry
         )
+        self.store_calls = Counter(
+            "boragedeck_store_calls",
+            "Calls to the platform's store by kind, table and outcome.",
+            ["kind", "table", "outcome"],
+            registry=registry,
+        )
         self.dropped_logs = Gauge(
             "boragedeck_log_lines_dropped", "Log lines dropped.", registry=registry
         )
