--- a/boragedeck/process/member_table.py
+++ b/boragedeck/process/member_table.py
@@ -56,6 +56,10 @@
         """Return whether a router is known not to be dead."""
         return False
 
+    def is_listed(self) -> bool:
+        """Return whether this router is one of those that newcomers find by rows."""
+        return True
+
     def on_rows(self, members: list[Member]) -> None:
         """Take the members that have rows."""
 
@@ -80,6 +84,8 @@
         The source of jitter.
     watcher : MemberWatcher
         Is told what was read.
+    first_delay_s : float
+        How long after the start the first row is written, in seconds.
 
     Notes
     -----
@@ -96,7 +102,10 @@
         timers: TimerService,
         rng: random.Random,
         watcher: MemberWatcher,
+        first_delay_s: float = 0.0,
     ):
+        self._first_delay_s = first_delay_s
+        self._has_row = False
         self._own = own
         self._callers = callers
         self._platform = platform
@@ -111,19 +120,30 @@
         eventlet.spawn_n(self._begin)
 
     def leave(self) -> None:
-        """Remove this router's row and write none again."""
+        """Remove this router's row, where it has one, and write none again."""
         self._is_stopped = True
-        self._platform.commit([Delete(Table.MEMBERS, self._own.router)])
+        if self._has_row:
+            self._platform.commit([Delete(Table.MEMBERS, self._own.router)])
 
     def write_row(self) -> None:
-        """Write this router's row."""
+        """Write this router's row, if newcomers are to find it by that."""
+        if not self._watcher.is_listed():
+            return
+        self._has_row = True
         row = MemberRow(self._own, self._callers, self._timers.wall())
         body = msgspec.json.encode(row)
         # Another router may have removed the row during a pause; this puts it back.
         self._platform.commit([Put(Table.MEMBERS, self._own.router, body)])
 
     def scan(self) -> None:
-        """Read all rows and remove some of those that are dead."""
+        """Read all rows and remove some of those that are dead.
+
+        Notes
+        -----
+        Left to the routers that have rows, as long as others are known.
+        """
+        if not self._watcher.is_listed():
+            return
         rows: list[Row] = []
         while len(rows) < MAX_ROWS:
             after = rows[-1].key if rows else ""
@@ -172,6 +192,7 @@
             self._platform.commit([Delete(Table.MEMBERS, row.key, row.version)])
 
     def _begin(self) -> None:
+        self._timers.sleep(self._first_delay_s)
         # Of two routers that start together, one scans after the other wrote.
         self._step(self.write_row, self._row_interval_s)
         self._step(self.scan, self._scan_interval_s)
--- a/boragedeck/process/membership.py
+++ b/boragedeck/process/membership.py
@@ -35,6 +35,8 @@
 LOST_INTERVAL_TICKS = 10
 LEAVING_TTL_S = 600.0
 STATEMENT_KEY = "self"
+JOIN_S = 2.0
+"""For so long a router that starts learns of others by its seeds alone."""
 VM_PREFIX = "vm/"
 
 
@@ -71,6 +73,9 @@
         Where this router listens for callers.
     seeds : callable
         Returns peers to turn to where no other is known.
+    listed : callable, optional
+        Returns, of this router and the others, those that newcomers find by their
+        rows in the platform's table; without it all routers have rows.
 
     Notes
     -----
@@ -91,6 +96,7 @@
         board: GossipBoard,
         callers: Address,
         seeds: Callable[[], Sequence[Address]] = tuple,
+        listed: Callable[[list[Member]], list[Member]] | None = None,
     ):
         self.own = own
         self._timers = timers
@@ -100,7 +106,11 @@
         self._configured_seeds = seeds
         self._view = MemberView(own, timers)
         self._heartbeats = Heartbeats(own, timers, links, server, rng)
-        self._table = MemberTable(own, callers, platform, timers, rng, self)
+        self._listed = listed
+        first_delay_s = 0.0 if listed is None else JOIN_S
+        self._table = MemberTable(
+            own, callers, platform, timers, rng, self, first_delay_s
+        )
         self._live_vms: set[VmName] = set()
         self._checking: set[RouterId] = set()
         self._ticks = 0
@@ -147,6 +157,14 @@
         """See `MemberWatcher.is_known`."""
         return self._view.get(router) is not None
 
+    def is_listed(self) -> bool:
+        """See `MemberWatcher.is_listed`; one that knows no other is always listed."""
+        others = self.members()
+        if self._listed is None or not others:
+            return True
+        healthy = [member for member in others if member.health is Health.HEALTHY]
+        return self.own in self._listed([self.own, *healthy])
+
     def on_rows(self, members: list[Member]) -> None:
         """See `MemberWatcher.on_rows`."""
         for member in members:
--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -26,7 +26,7 @@
 from boragedeck.version.replicas import Replica, ReplicaId
 from boragedeck.version.routing import RelayPool
 
-__all__ = ["Admission", "Ask", "Place", "expected_wait_s"]
+__all__ = ["Admission", "Ask", "LoadSource", "Place", "expected_wait_s"]
 
 SERVICE_WEIGHT = 0.1
 """How much the newest request counts in the mean time of service."""
@@ -126,6 +126,17 @@
     is_done: bool = False
 
 
+class LoadSource:
+    """What is known of the other routers' loads; the base knows no other router."""
+
+    def refresh(self, pool: PoolName) -> None:
+        """Learn the loads of a pool as they are now, where they aren't told."""
+
+    def choosers(self, pool: PoolName) -> int:
+        """Return how many routers may choose by the same knowledge of the loads."""
+        return 1
+
+
 class Admission:
     """Gives out the places of all pools.
 
@@ -139,8 +150,8 @@
         Where this router stands.
     rng : random.Random
         Breaks ties and spreads retries.
-    routers : callable
-        Returns how many routers choose among the replicas.
+    loads : LoadSource, optional
+        What other routers have sent to the replicas.
     """
 
     def __init__(
@@ -149,13 +160,13 @@
         registry: ReplicaRegistry,
         domain: FailureDomain,
         rng: random.Random,
-        routers: Callable[[], int] = lambda: 1,
+        loads: LoadSource | None = None,
     ):
         self._timers = timers
         self._registry = registry
         self._domain = domain
         self._rng = rng
-        self._routers = routers
+        self._loads = loads or LoadSource()
         self._numbers = itertools.count()
         self._waiting: dict[PoolName, list[tuple[int, int, _Waiter]]] = {}
         self._service_s: dict[PoolName, float] = {}
@@ -171,6 +182,7 @@
             The place, or ``Err(RefusedError)`` with a `retry_after_s`: at once
             where a wait can't end in time, else when the wait has ended.
         """
+        self._loads.refresh(ask.pool.name)
         place = self._grant(ask)
         if place is not None:
             return Ok(place)
@@ -267,7 +279,7 @@
             now=self._timers.now(),
             tried=ask.tried,
             lost_domains=ask.lost_domains,
-            routers=self._routers(),
+            routers=self._loads.choosers(ask.pool.name),
             engine=ask.pool.engine,
         )
 
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -32,6 +32,7 @@
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.relaying.admission import Admission
 from boragedeck.process.relaying.crash_blame import CrashBlame
+from boragedeck.process.relaying.hubs import Hubs, choose_hubs
 from boragedeck.process.relaying.load_exchange import LoadExchange
 from boragedeck.process.relaying.mirror_follower import MirrorFollower
 from boragedeck.process.relaying.mirror_messages import serve_mirrors
@@ -166,14 +167,23 @@
             board=self._board,
             callers=self._source.current().callers,
             seeds=lambda: self._source.current().seeds,
+            listed=choose_hubs,
         )
 
     def _make_mirrors(self) -> None:
+        self._hubs = Hubs(self.timers, self._membership)
         self._routing_mirror = TableMirror(Table.ROUTING)
         self._replica_mirror = TableMirror(Table.REPLICAS)
         mirrors = [self._routing_mirror, self._replica_mirror]
         self._feed = SharedFeed(
-            self._store, self.timers, self._links, self.own, self._membership.members
+            self._store,
+            self.timers,
+            self._rng,
+            self._links,
+            self._membership,
+            self._hubs,
+            lambda: self._source.current().seeds,
+            self._source.bounds,
         )
         self._followers = {mirror.table: self._follower(mirror) for mirror in mirrors}
         serve_mirrors(self._peer_server, mirrors, self.timers, self._feed.is_current)
@@ -211,23 +221,24 @@
             self._replicas_of,
         )
         self._upstreams = UpstreamPool(self.timers, self._max_idle)
-        admission = Admission(
-            self.timers,
-            self._registry,
-            self.own.failure_domain,
-            self._rng,
-            self._membership.routers,
-        )
-        self.metrics.waiting.set_function(admission.waiting)
         self._loads = LoadExchange(
             self.timers,
             self._registry,
             self._membership,
+            self._hubs,
             self._links,
             self._peer_server,
             [self._routing_mirror, self._replica_mirror],
         )
         self._loads.on_newest = self._note_newest
+        admission = Admission(
+            self.timers,
+            self._registry,
+            self.own.failure_domain,
+            self._rng,
+            self._loads,
+        )
+        self.metrics.waiting.set_function(admission.waiting)
         admission.on_change = self._loads.note_change
         self._parts = RelayParts(
             timers=self.timers,
--- /dev/null
+++ b/boragedeck/process/relaying/hubs.py
@@ -0,0 +1,131 @@
+"""Chooses the hubs: the few routers that read the store and count loads for all.
+
+The load this answers: calls to the store and messages between routers that would grow
+with the number of routers, each of which has few requests.
+"""
+
+import math
+from collections.abc import Iterable
+
+from boragedeck.ids import FailureDomain, Health
+from boragedeck.interfaces import Member, Membership
+from boragedeck.process.rendezvous import rank
+from boragedeck.process.timers import TimerService
+
+__all__ = ["Hubs", "choose_hubs", "hubs_for", "needs_hubs"]
+
+MIN_HUBS = 3
+MIN_ROUTERS = 12
+"""In a smaller fleet each router reads the store, and tells all others its loads."""
+CACHED_S = 0.25
+
+
+def needs_hubs(routers: int) -> bool:
+    """Return whether a fleet of so many routers has hubs."""
+    return routers >= MIN_ROUTERS
+
+
+def choose_hubs(everyone: Iterable[Member]) -> list[Member]:
+    """Return the hubs; all routers choose the same.
+
+    Parameters
+    ----------
+    everyone : iterable of Member
+        All routers that are known to live.
+
+    Returns
+    -------
+    list of Member
+        One of each failure domain, more where there are fewer than `MIN_HUBS` domains.
+    """
+    by_domain: dict[FailureDomain, list[Member]] = {}
+    for member in everyone:
+        by_domain.setdefault(member.failure_domain, []).append(member)
+    each = math.ceil(MIN_HUBS / max(1, len(by_domain)))
+    return [
+        hub
+        for domain, members in sorted(by_domain.items())
+        for hub in rank(f"hub {domain}", members, _router)[:each]
+    ]
+
+
+def hubs_for(own: Member, others: Iterable[Member]) -> list[Member]:
+    """Return the hubs that serve a router, in the order of asking.
+
+    Parameters
+    ----------
+    own : Member
+        The router.
+    others : iterable of Member
+        The other routers.
+
+    Returns
+    -------
+    list of Member
+        Those of its own failure domain first. Empty where the router is a hub itself
+        or the fleet is small.
+    """
+    healthy = [member for member in others if member.health is Health.HEALTHY]
+    if not needs_hubs(len(healthy) + 1):
+        return []
+    is_leaving = own.health is not Health.HEALTHY
+    hubs = choose_hubs(healthy if is_leaving else [own, *healthy])
+    if own in hubs:
+        return []
+    ranked = rank(own.router, hubs, _router)
+    return sorted(
+        ranked, key=lambda member: member.failure_domain != own.failure_domain
+    )
+
+
+class Hubs:
+    """The hubs as this router sees them.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    membership : Membership
+        All routers.
+
+    Notes
+    -----
+    They are chosen anew after `CACHED_S`, since a large fleet takes a while to rank.
+    """
+
+    def __init__(self, timers: TimerService, membership: Membership):
+        self._timers = timers
+        self._membership = membership
+        self._chosen_at = float("-inf")
+        self._above: list[Member] = []
+        self._beside: list[Member] = []
+
+    def above(self) -> list[Member]:
+        """Return the hubs that serve this router; none where it is one."""
+        self._choose()
+        return self._above
+
+    def beside(self) -> list[Member]:
+        """Return the other hubs, where this router is one."""
+        self._choose()
+        return self._beside
+
+    def is_hub(self) -> bool:
+        """Return whether this router serves others."""
+        return not self.above() and needs_hubs(len(self._membership.members()) + 1)
+
+    def _choose(self) -> None:
+        now = self._timers.now()
+        if now - self._chosen_at < CACHED_S:
+            return
+        self._chosen_at = now
+        own, others = self._membership.own, self._membership.members()
+        self._above = hubs_for(own, others)
+        self._beside = []
+        if not self._above and needs_hubs(len(others) + 1):
+            healthy = [m for m in others if m.health is Health.HEALTHY]
+            self._beside = [m for m in choose_hubs([own, *healthy]) if m != own]
+
+
+def _router(member: Member) -> str:
+    return member.router
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -1,8 +1,13 @@
-"""Tells the other routers what this one has sent to each replica.
+"""Tells other routers what this one has sent to each replica, and learns theirs.
 
-Routers that place by their own requests alone meet at the same replica; what the
-replicas report of themselves is late and is read by all routers at once. All are
-told; the more there are, the less often.
+The load this answers: hundreds of routers with few requests each, before the same
+replicas. Routers that place by their own requests alone meet at the same replica;
+what the replicas report of themselves is late and is read by all routers at once.
+
+In a small fleet each router tells all others. In a large one it tells the hub of its
+failure domain, the hubs tell each other the sums, and a router asks its hub when it
+places a request. So a router's messages grow with its own requests, and a hub's with
+the routers of its domain and the number of domains.
 """
 
 from collections.abc import Callable, Iterable
@@ -12,46 +17,43 @@
 from boragedeck.connection.messages import Accepted, Message
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.store import Table
-from boragedeck.ids import RouterId
-from boragedeck.interfaces import Membership
+from boragedeck.exceptions import PeerError
+from boragedeck.ids import PoolName, RouterId
+from boragedeck.interfaces import Member, Membership
+from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.admission import LoadSource
+from boragedeck.process.relaying.hubs import Hubs
+from boragedeck.process.relaying.load_hub import LoadHub
+from boragedeck.process.relaying.load_messages import (
+    FetchLoads,
+    LoadSum,
+    LoadUpdate,
+    PoolLoads,
+)
 from boragedeck.process.relaying.registry import Load, ReplicaRegistry
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import ReplicaId
 
-__all__ = ["LoadExchange", "LoadUpdate"]
+__all__ = ["LoadExchange"]
 
 MIN_INTERVAL_S = 0.05
 REFRESH_S = 1.0
-TTL_S = 2.5
-"""For so long the loads of a silent router count."""
 CALL_TIMEOUT_S = 0.5
+ASK_TIMEOUT_S = 0.05
+"""A request waits so long for the loads at most."""
+AVOID_S = 1.0
+"""For so long a hub that didn't answer isn't asked."""
+FRESH_S = 0.02
+STALE_S = 2.5
+"""For so long the answer of a hub counts."""
 MAX_MESSAGES_PER_S = 240.0
-"""What one router sends to all others together."""
-
+"""What one router of a small fleet sends to all others together."""
 
-class LoadUpdate(Message, frozen=True):
-    """What a router has sent to each replica that has not ended.
+_log = PartLog("loads")
 
-    Parameters
-    ----------
-    router : RouterId
-        The sender.
-    number : int
-        Counts the sender's updates; the highest one holds.
-    loads : dict of ReplicaId to Load
-        The loads that aren't zero.
-    newest : dict of Table to int
-        The newest change of a row in each mirror of the sender.
-    """
 
-    router: RouterId
-    number: int
-    loads: dict[ReplicaId, Load]
-    newest: dict[Table, int]
-
-
-class LoadExchange:
+class LoadExchange(LoadSource):
     """Sends this router's loads to the others and adds up theirs.
 
     Parameters
@@ -62,6 +64,8 @@
         The replicas with their loads.
     membership : Membership
         The other routers.
+    hubs : Hubs
+        Those that count for others.
     links : PeerLinks
         Links to them.
     server : PeerServer
@@ -80,6 +84,7 @@
         timers: TimerService,
         registry: ReplicaRegistry,
         membership: Membership,
+        hubs: Hubs,
         links: PeerLinks,
         server: PeerServer,
         mirrors: Iterable[TableMirror] = (),
@@ -89,15 +94,19 @@
         self._timers = timers
         self._registry = registry
         self._membership = membership
+        self._hubs = hubs
         self._links = links
         self._number = 0
         self._is_changed = False
         self._sent_at = 0.0
-        self._sending: set = set()
-        self._seen: dict[RouterId, tuple[float, LoadUpdate]] = {}
-        self._totals: dict[ReplicaId, Load] = {}
-        registry.subscribe(self._link_totals)
+        self._sending: set[Address] = set()
+        self._hub = LoadHub(membership.own.router, timers, registry, server)
+        self._asked: dict[ReplicaId, Load] = {}
+        self._asked_at: dict[PoolName, float] = {}
+        self._avoided: dict[RouterId, float] = {}
+        registry.subscribe(self._link_all)
         server.register(LoadUpdate, self._on_update)
+        server.register(LoadSum, self._on_sum)
 
     def start(self) -> None:
         """Exchange loads from now on."""
@@ -106,79 +115,171 @@
     def note_change(self) -> None:
         """Note that this router's loads have changed."""
         self._is_changed = True
+        self._tell_hub()
 
-    def _tick(self) -> None:
-        now = self._timers.now()
-        self._expire(now)
-        if not self._is_changed and now - self._sent_at < REFRESH_S:
+    def refresh(self, pool: PoolName) -> None:
+        """See `LoadSource.refresh`; asks the hub, where there is one."""
+        hub = self._hub_to_ask()
+        if hub is None or self._is_fresh(pool):
             return
+        answer = self._links.link(hub.address).call(
+            FetchLoads(self._membership.own.router, pool),
+            PoolLoads,
+            timeout_s=ASK_TIMEOUT_S,
+        )
+        if answer.is_err():
+            self._avoid(hub, answer.err())
+        else:
+            self._take_asked(pool, answer.ok().loads)
+
+    def choosers(self, pool: PoolName) -> int:
+        """See `LoadSource.choosers`."""
+        if self._hubs.is_hub():
+            return len(self._hubs.beside()) + 1
+        if self._is_fresh(pool):
+            return len(self._hubs.above())
+        return len(self._membership.members()) + 1
+
+    def _is_fresh(self, pool: PoolName) -> bool:
+        asked_at = self._asked_at.get(pool, float("-inf"))
+        return self._timers.now() - asked_at < FRESH_S
+
+    def _tick(self) -> None:
+        self._link(self._hub.expire())
+        self._expire_asked()
+        if self._hubs.above():
+            if self._timers.now() - self._sent_at >= REFRESH_S:
+                self._is_changed = True
+            self._tell_hub()
+        elif self._hubs.is_hub():
+            self._tell_hubs()
+        else:
+            self._tell_all()
+
+    def _tell_all(self) -> None:
+        age_s = self._timers.now() - self._sent_at
         members = self._membership.members()
-        if self._is_changed and now - self._sent_at < len(members) / MAX_MESSAGES_PER_S:
+        if not self._is_changed and age_s < REFRESH_S:
+            return
+        if self._is_changed and age_s < len(members) / MAX_MESSAGES_PER_S:
             return
+        update = self._update()
+        for member in members:
+            self._send(member.address, update)
+
+    def _tell_hub(self) -> None:
+        """Tell the hub what has changed; changes during the call follow it."""
+        hub = self._hub_to_ask()
+        if hub is not None and self._is_changed and hub.address not in self._sending:
+            self._send(hub.address, self._update(), self._tell_hub)
+
+    def _tell_hubs(self) -> None:
+        if self._is_changed:
+            update = self._update()
+            self._hub.take(update.router, update.number, update.loads)
+        others = self._hubs.beside()
+        message = self._hub.next_sum(self._newest(), len(others))
+        if message is not None:
+            for member in others:
+                self._send(member.address, message)
+
+    def _hub_to_ask(self) -> Member | None:
+        """Return the first hub that isn't known to be silent."""
+        now = self._timers.now()
+        for hub in self._hubs.above():
+            if self._avoided.get(hub.router, 0.0) <= now:
+                return hub
+        return None
+
+    def _avoid(self, hub: Member, error: PeerError) -> None:
+        now = self._timers.now()
+        _log.write("Hub failed.", peer=hub.router, error=str(error))
+        self._avoided = {name: at for name, at in self._avoided.items() if at > now}
+        self._avoided[hub.router] = now + AVOID_S
+
+    def _update(self) -> LoadUpdate:
         self._is_changed = False
-        self._sent_at = now
+        self._sent_at = self._timers.now()
         self._number += 1
         loads = {
-            state.replica.replica: state.own
+            state.replica.replica: state.own.copy()
             for state in self._registry.all()
-            if state.own.running or state.own.tokens
+            if state.own != Load()
         }
-        newest = {mirror.table: mirror.newest for mirror in self._mirrors}
         own = self._membership.own.router
-        update = LoadUpdate(own, self._number, loads, newest)
-        for member in members:
-            if member.address not in self._sending:
-                self._sending.add(member.address)
-                eventlet.spawn_n(self._send, member.address, update)
+        return LoadUpdate(own, self._number, loads, self._newest())
 
-    def _send(self, address, update: LoadUpdate) -> None:
+    def _newest(self) -> dict[Table, int]:
+        return {mirror.table: mirror.newest for mirror in self._mirrors}
+
+    def _send(
+        self,
+        address: Address,
+        message: Message,
+        then: Callable[[], None] | None = None,
+    ) -> None:
+        if address not in self._sending:
+            self._sending.add(address)
+            eventlet.spawn_n(self._call, address, message, then)
+
+    def _call(
+        self, address: Address, message: Message, then: Callable[[], None] | None
+    ) -> None:
         try:
             link = self._links.link(address)
             # A router that doesn't answer is found out by the membership.
-            link.call(update, Accepted, timeout_s=CALL_TIMEOUT_S)
+            link.call(message, Accepted, timeout_s=CALL_TIMEOUT_S)
         finally:
             self._sending.discard(address)
+        if then is not None:
+            then()
 
     def _on_update(self, update: LoadUpdate) -> Accepted:
-        seen = self._seen.get(update.router)
-        if seen is None or seen[1].number < update.number:
-            self._seen[update.router] = (self._timers.now(), update)
-            if seen is not None:
-                self._count(seen[1], -1)
-            self._count(update, 1)
-            self._tell_newest(update)
+        self._link(self._hub.take(update.router, update.number, update.loads))
+        self._tell_newest(update.router, update.newest)
+        return Accepted()
+
+    def _on_sum(self, message: LoadSum) -> Accepted:
+        self._link(self._hub.take_sum(message))
+        self._tell_newest(message.router, message.newest)
         return Accepted()
 
-    def _tell_newest(self, update: LoadUpdate) -> None:
-        address = self._membership.address_of(update.router)
+    def _tell_newest(self, router: RouterId, newest: dict[Table, int]) -> None:
+        address = self._membership.address_of(router)
         if address is not None:
-            for table, newest in update.newest.items():
-                self.on_newest(address, table, newest)
-
-    def _expire(self, now: float) -> None:
-        old = [router for router, (at, _) in self._seen.items() if now - at > TTL_S]
-        for router in old:
-            self._count(self._seen.pop(router)[1], -1)
-
-    def _count(self, update: LoadUpdate, sign: int) -> None:
-        for replica, load in update.loads.items():
-            total = self._totals.get(replica)
-            if total is None:
-                total = self._totals[replica] = Load()
-                self._link(replica, total)
-            total.add(load, sign)
-            if total == Load():
-                del self._totals[replica]
-                self._link(replica, Load())
-
-    def _link(self, replica: ReplicaId, total: Load) -> None:
-        state = self._registry.get(replica)
-        if state is not None:
-            state.peers = total
-
-    def _link_totals(self) -> None:
-        for replica, total in self._totals.items():
-            self._link(replica, total)
+            for table, version in newest.items():
+                self.on_newest(address, table, version)
+
+    def _take_asked(self, pool: PoolName, loads: dict[ReplicaId, Load]) -> None:
+        self._asked_at[pool] = self._timers.now()
+        for state in self._registry.of_pool(pool):
+            replica = state.replica.replica
+            state.peers = loads.get(replica, Load())
+            self._asked[replica] = state.peers
+
+    def _expire_asked(self) -> None:
+        """Forget what a hub said too long ago."""
+        before = self._timers.now() - STALE_S
+        for pool in [pool for pool, at in self._asked_at.items() if at < before]:
+            del self._asked_at[pool]
+            for state in self._registry.of_pool(pool):
+                self._asked.pop(state.replica.replica, None)
+                state.peers = self._peers_of(state.replica.replica)
+
+    def _peers_of(self, replica: ReplicaId) -> Load:
+        asked = self._asked.get(replica)
+        if asked is not None:
+            return asked
+        return self._hub.of_others(replica, self._membership.own.router)
+
+    def _link(self, replicas: Iterable[ReplicaId]) -> None:
+        for replica in replicas:
+            state = self._registry.get(replica)
+            if state is not None:
+                state.peers = self._peers_of(replica)
+
+    def _link_all(self) -> None:
+        self._link(state.replica.replica for state in self._registry.all())
 
 
 def _ignore(address: Address, table: Table, newest: int) -> None:
--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/mirror_follower.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import eventlet
+import msgspec
 from result import Ok
 
 from boragedeck.connection.peer import Address, PeerLinks
@@ -28,6 +29,13 @@
 _log = PartLog("mirror")
 
 
+class _Ahead(msgspec.Struct, frozen=True):
+    """A change that another router knows and this one doesn't."""
+
+    newest: int
+    since: float
+
+
 class MirrorFollower:
     """Keeps a mirror up to date.
 
@@ -76,7 +84,7 @@
         self._wait_s = wait_s
         self._pause_s = FIRST_PAUSE_S
         self._is_history_lost = False
-        self._behind_since: float | None = None
+        self._ahead: _Ahead | None = None
         self.is_connected = False
         self.regained_at = 0.0
 
@@ -135,12 +143,14 @@
 
     def note_peer(self, address: Address, newest: int) -> None:
         """Take the table from a router that is ahead, unless the feed is about to."""
-        if newest <= self._mirror.newest:
-            self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = self._timers.now()
-        elif self._timers.now() - self._behind_since >= BEHIND_S:
-            self._behind_since = None
+        known, now = self._mirror.newest, self._timers.now()
+        if newest <= known:
+            return
+        ahead = self._ahead
+        if ahead is None or ahead.newest <= known:
+            self._ahead = _Ahead(newest, now)
+        elif now - ahead.since >= BEHIND_S:
+            self._ahead = None
             eventlet.spawn_n(self._fetch, address)
 
     def _ask_any(self) -> None:
--- a/boragedeck/process/relaying/mirror_messages.py
+++ b/boragedeck/process/relaying/mirror_messages.py
@@ -59,7 +59,8 @@
         mirror = by_table.get(ask.table)
         if mirror is None:
             return TablePart()
-        if ask.wait_s > 0.0:
+        # One that hears nothing of the store says so at once.
+        if ask.wait_s > 0.0 and is_current(ask.table):
             mirror.wait(timers, ask.after, min(ask.wait_s, MAX_WAIT_S))
         changes = mirror.since(ask.after) if mirror.version > ask.after else None
         return TablePart(changes, is_current(ask.table))
--- a/boragedeck/process/relaying/registry.py
+++ b/boragedeck/process/relaying/registry.py
@@ -42,6 +42,10 @@
     unread_tokens: int = 0
     tokens: int = 0
 
+    def copy(self) -> "Load":
+        """Return the same load as an object of its own."""
+        return Load(self.running, self.unread_tokens, self.tokens)
+
     def add(self, other: "Load", sign: int = 1) -> None:
         """Add other work, or take it off with a `sign` of -1."""
         self.running += sign * other.running
--- a/boragedeck/process/relaying/settings.py
+++ b/boragedeck/process/relaying/settings.py
@@ -23,6 +23,8 @@
         The length of that window.
     exposure_share : float
         The share of all requests that a bad version may get.
+    config_apply_s : float
+        From the store's word that a change is kept until it is in force.
     """
 
     contact_s: float
@@ -31,6 +33,7 @@
     retry_window_s: float
     retry_extra: float
     exposure_share: float
+    config_apply_s: float
 
 
 class RelaySettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/boragedeck/process/relaying/shared_feed.py
+++ b/boragedeck/process/relaying/shared_feed.py
@@ -1,10 +1,11 @@
-"""Reads the platform's tables through few routers of each failure domain.
+"""Reads the platform's tables, mostly through the hubs.
 
 The load this answers: calls to the store that grow with the number of routers, which
-all read the same changes. In a small fleet each router reads the store itself.
+all read the same changes, and a store that all routers call again when it fails.
 """
 
-from collections.abc import Callable, Iterable
+import random
+from collections.abc import Callable, Iterable, Sequence
 
 from result import Err, Ok, Result
 
@@ -14,27 +15,35 @@
     PeerError,
     PeerRefusedError,
     StoreError,
+    StoreUnavailableError,
 )
-from boragedeck.interfaces import Member
+from boragedeck.interfaces import Membership
 from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
-from boragedeck.process.rendezvous import rank
+from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.timers import TimerService
 
-__all__ = ["SharedFeed", "choose_reader"]
-
-READERS = 2
-"""Routers of a failure domain that read the store for the others."""
-MIN_SHARING = 6
-"""In a smaller failure domain all routers read the store."""
-READER_WAIT_S = 1.0
-"""How long a reader's call for changes waits, so that it finds a silent store soon."""
-CURRENT_S = 1.7
-"""A reader that heard nothing of the store for longer isn't relied on."""
-PEER_WAIT_S = 1.0
-PEER_SLACK_S = 0.3
-OWN_S = 2.0
-"""For so long a router reads the store itself after a reader has failed it."""
+__all__ = ["SharedFeed"]
+
+WAIT_SHARE = 0.25
+"""Of the time in which a change must be in force, how long a call for changes waits.
+A hub's wait, its word that the store is silent, and a second hub's answer fit into
+the rest."""
+SLACK_S = 0.3
+"""How much longer than its wait a call between routers may take."""
+SILENT_SLACK_S = 0.7
+"""A hub that heard nothing of the store for so much longer than its wait isn't
+relied on."""
+AVOID_S = 2.0
+"""For so long a hub that failed is asked after the others."""
+MAX_ASKED = 3
+FLEET_TRIES_PER_S = 40.0
+"""How often all routers together try a store that no hub hears of."""
+JOIN_S = 2.0
+"""For so long after its start a router may know no other router but its seeds."""
+JOIN_SLACK_S = 0.05
+"""How long it waits for a seed, which may have lost power like itself."""
 
 _log = PartLog("feed")
 
@@ -48,79 +57,141 @@
         The platform's store.
     timers : TimerService
         The source of time.
+    rng : random.Random
+        Spreads tries of a store that fails.
     links : PeerLinks
         Links to the other routers.
-    own : Member
-        This router.
-    members : callable
-        Returns the other routers that live.
+    membership : Membership
+        The other routers.
+    hubs : Hubs
+        Those of them that read the store.
+    seeds : callable
+        Returns where other routers may listen while none is known.
+    bounds : callable
+        Returns the operators' bounds.
     """
 
     def __init__(
         self,
         store: ChangeFeed,
         timers: TimerService,
+        rng: random.Random,
         links: PeerLinks,
-        own: Member,
-        members: Callable[[], Iterable[Member]],
+        membership: Membership,
+        hubs: Hubs,
+        seeds: Callable[[], Iterable[Address]],
+        bounds: Callable[[], Bounds],
     ):
         self._store = store
         self._timers = timers
+        self._rng = rng
         self._links = links
-        self._own = own
-        self._members = members
+        self._membership = membership
+        self._hubs = hubs
+        self._seeds = seeds
+        self._bounds = bounds
+        self._join_until = timers.now() + JOIN_S
         self._answered: dict[Table, float] = {}
-        self._own_until: dict[Table, float] = {}
+        self._avoided: dict[Address, float] = {}
+        self._try_at: dict[Table, float] = {}
 
     def snapshot(self, table: Table) -> Result[Changes, StoreError]:
-        """Read a whole table from the store; see `ChangeFeed`."""
-        return self._note(table, self._store.snapshot(table))
+        """Read a whole table, from another router where one has it."""
+        hubs = self._hubs_to_ask()
+        if hubs:
+            asked = self._ask_each(hubs, table, -1, 0.0)
+        else:
+            asked = self._ask_each(self._seed_to_join(), table, -1, 0.0, JOIN_SLACK_S)
+        if asked.is_ok():
+            return asked
+        return self._read(table, lambda: self._store.snapshot(table))
 
     def changes(
         self, table: Table, after: int, wait_s: float
     ) -> Result[Changes, StoreError]:
         """Wait for changes; see `ChangeFeed`."""
-        beside = self._beside()
-        reader = choose_reader(self._own, beside)
-        now = self._timers.now()
-        if reader is not None and self._own_until.get(table, 0.0) <= now:
-            asked = self._ask(reader, table, after)
-            if asked.is_ok():
-                return asked
-            self._own_until[table] = self._timers.now() + OWN_S
-            _log.write(
-                "Reader failed.",
-                table=table.value,
-                peer=reader.router,
-                version=after,
-                error=str(asked.err()),
-            )
-        if _is_shared(beside):
-            wait_s = min(wait_s, READER_WAIT_S)
-        return self._note(table, self._store.changes(table, after, wait_s))
+        hubs = self._hubs_to_ask()
+        if not hubs:
+            if self._hubs.is_hub():
+                wait_s = min(wait_s, self._wait_s())
+            return self._read(table, lambda: self._store.changes(table, after, wait_s))
+        asked = self._ask_each(hubs, table, after, self._wait_s())
+        if asked.is_ok():
+            self._try_at.pop(table, None)
+            return asked
+        if isinstance(asked.err(), PeerRefusedError) and not self._may_try(table):
+            text = "no hub has heard of it lately"
+            return Err(StoreUnavailableError(text, step="read a table"))
+        return self._read(table, lambda: self._store.changes(table, after, 0.0))
 
     def is_current(self, table: Table) -> bool:
         """Whether the store itself told this router of a table lately."""
         answered = self._answered.get(table, float("-inf"))
-        return self._timers.now() - answered <= CURRENT_S
+        limit_s = self._wait_s() + SILENT_SLACK_S
+        return self._timers.now() - answered <= limit_s
 
-    def _beside(self) -> list[Member]:
-        domain = self._own.failure_domain
-        members = self._members()
-        return [member for member in members if member.failure_domain == domain]
+    def _wait_s(self) -> float:
+        return WAIT_SHARE * self._bounds().config_apply_s
+
+    def _hubs_to_ask(self) -> list[Address]:
+        """Return whom to ask, those that failed lately last."""
+        now = self._timers.now()
+        addresses = [member.address for member in self._hubs.above()]
+        addresses.sort(key=lambda address: self._avoided.get(address, 0.0) > now)
+        return addresses[:MAX_ASKED]
+
+    def _seed_to_join(self) -> list[Address]:
+        """Return one seed while this router has just started.
+
+        Notes
+        -----
+        Only one, and once: where all routers start together the seeds have no table
+        yet, and callers wait until this router has one.
+        """
+        seeds = list(self._seeds())
+        is_seed = self._membership.own.address in seeds
+        if is_seed or not seeds or self._timers.now() >= self._join_until:
+            return []
+        return [self._rng.choice(seeds)]
+
+    def _ask_each(
+        self,
+        addresses: Sequence[Address],
+        table: Table,
+        after: int,
+        wait_s: float,
+        slack_s: float = SLACK_S,
+    ) -> Result[Changes, PeerError]:
+        """Ask one after the other; only the first is given time to wait."""
+        text = "no other router reads for this one"
+        result: Result[Changes, PeerError] = Err(PeerError(text, step="read a table"))
+        for address in addresses:
+            asked = self._ask(address, table, after, wait_s, slack_s)
+            if asked.is_ok():
+                return asked
+            self._note_failure(address, table, after, asked.err())
+            # The word of a hub that the store is away outweighs silence.
+            if not isinstance(result.err(), PeerRefusedError):
+                result = asked
+            wait_s = 0.0
+        return result
 
     def _ask(
-        self, reader: Member, table: Table, after: int
+        self,
+        address: Address,
+        table: Table,
+        after: int,
+        wait_s: float,
+        slack_s: float,
     ) -> Result[Changes, PeerError]:
-        address: Address = reader.address
         answer = self._links.link(address).call(
-            FetchTable(table, after, PEER_WAIT_S),
-            TablePart,
-            timeout_s=PEER_WAIT_S + PEER_SLACK_S,
+            FetchTable(table, after, wait_s), TablePart, timeout_s=wait_s + slack_s
         )
         match answer:
-            case Ok(TablePart(changes=changes, is_current=True)):
-                return Ok(changes or Changes((), after))
+            case Ok(TablePart(changes=None, is_current=True)) if after >= 0:
+                return Ok(Changes((), after))
+            case Ok(TablePart(changes=Changes() as changes, is_current=True)):
+                return Ok(changes)
             case Ok():
                 text = "it has not heard of the store lately"
                 peer = str(address)
@@ -128,32 +199,40 @@
             case _:
                 return answer
 
-    def _note(
-        self, table: Table, result: Result[Changes, StoreError]
+    def _note_failure(
+        self, address: Address, table: Table, after: int, error: PeerError
+    ) -> None:
+        now = self._timers.now()
+        if self._avoided.get(address, 0.0) <= now and after >= 0:
+            _log.write(
+                "Hub failed.",
+                table=table.value,
+                peer=str(address),
+                version=after,
+                error=str(error),
+            )
+        self._avoided = {
+            at: until for at, until in self._avoided.items() if until > now
+        }
+        self._avoided[address] = now + AVOID_S
+
+    def _may_try(self, table: Table) -> bool:
+        """Return whether it is this router's turn to try a store that is away."""
+        now = self._timers.now()
+        mean_s = (len(self._membership.members()) + 1) / FLEET_TRIES_PER_S
+        if table not in self._try_at:
+            # Routers that notice together spread their first tries.
+            self._try_at[table] = now + mean_s * self._rng.random()
+        if now < self._try_at[table]:
+            return False
+        self._try_at[table] = now + mean_s * self._rng.uniform(0.5, 1.5)
+        return True
+
+    def _read(
+        self, table: Table, read: Callable[[], Result[Changes, StoreError]]
     ) -> Result[Changes, StoreError]:
+        result = read()
         if result.is_ok():
+            self._try_at.pop(table, None)
             self._answered[table] = self._timers.now()
         return result
-
-
-def choose_reader(own: Member, beside: list[Member]) -> Member | None:
-    """Return the router that reads the store for this one; None for itself.
-
-    Parameters
-    ----------
-    own : Member
-        This router.
-    beside : list of Member
-        The other routers of its failure domain.
-    """
-    if not _is_shared(beside):
-        return None
-    everyone = rank("reader", [own, *beside], lambda member: member.router)
-    readers = everyone[:READERS]
-    if own in readers:
-        return None
-    return rank(own.router, readers, lambda member: member.router)[0]
-
-
-def _is_shared(beside: list[Member]) -> bool:
-    return len(beside) + 1 >= MIN_SHARING
--- /dev/null
+++ b/tests/process/relaying/test_hubs.py
@@ -0,0 +1,75 @@
+import unittest
+
+import msgspec
+
+from boragedeck.ids import Health
+from boragedeck.interfaces import Member
+from boragedeck.process.relaying.hubs import (
+    MIN_HUBS,
+    MIN_ROUTERS,
+    choose_hubs,
+    hubs_for,
+)
+
+
+def fleet(count, domains):
+    return [
+        Member(f"r{number}", f"v{number}", f"d{number % domains}", f"a{number}")
+        for number in range(count)
+    ]
+
+
+def others(own, everyone):
+    return [member for member in everyone if member != own]
+
+
+class ChooseHubsTest(unittest.TestCase):
+    def test_number_of_hubs_grows_with_domains_and_not_with_routers(self):
+        for count in (20, 100, 370):
+            for domains in (1, 2, 3, 5, 17):
+                hubs = choose_hubs(fleet(count, domains))
+                self.assertLessEqual(len(hubs), max(domains, MIN_HUBS + 1))
+                self.assertGreaterEqual(len(hubs), MIN_HUBS)
+                found = {member.failure_domain for member in hubs}
+                self.assertEqual(len(found), domains)
+
+    def test_all_routers_choose_the_same(self):
+        everyone = fleet(60, 5)
+        hubs = choose_hubs(everyone)
+        for own in everyone:
+            asked = hubs_for(own, others(own, everyone))
+            if own in hubs:
+                self.assertEqual(asked, [])
+            else:
+                self.assertEqual(set(asked), set(hubs))
+
+    def test_own_domain_first_and_the_rest_spread(self):
+        everyone = fleet(100, 5)
+        second = set()
+        for own in everyone:
+            asked = hubs_for(own, others(own, everyone))
+            if asked:
+                self.assertEqual(asked[0].failure_domain, own.failure_domain)
+                second.add(asked[1].router)
+        self.assertEqual(len(second), 5)
+
+    def test_small_fleet_has_none(self):
+        own, *rest = fleet(MIN_ROUTERS - 1, 3)
+        self.assertEqual(hubs_for(own, rest), [])
+
+    def test_suspects_and_leaving_routers_are_none(self):
+        everyone = fleet(30, 3)
+        first = choose_hubs(everyone)[0]
+        for health in (Health.SUSPECT, Health.LEAVING):
+            changed = msgspec.structs.replace(first, health=health)
+            rest = others(first, everyone)
+            asked = hubs_for(rest[0], [changed, *rest[1:]])
+            self.assertNotIn(first.router, [member.router for member in asked])
+            if health is Health.LEAVING:
+                self.assertTrue(hubs_for(changed, rest))
+
+    def test_loss_of_a_hub_moves_only_its_own_place(self):
+        everyone = fleet(60, 5)
+        hubs = choose_hubs(everyone)
+        left = choose_hubs(others(hubs[0], everyone))
+        self.assertEqual(len(set(left) - set(hubs)), 1)
--- a/tests/process/relaying/test_load_exchange.py
+++ b/tests/process/relaying/test_load_exchange.py
@@ -1,17 +1,21 @@
 import unittest
+from collections import Counter
 
-from result import Ok
+import eventlet
+from result import Err, Ok
 
 from boragedeck.connection.messages import Accepted
 from boragedeck.connection.store import Table
+from boragedeck.exceptions import PeerUnreachableError
 from boragedeck.interfaces import Member
+from boragedeck.process.relaying.hubs import Hubs, choose_hubs
 from boragedeck.process.relaying.load_exchange import (
-    MAX_MESSAGES_PER_S,
     MIN_INTERVAL_S,
     REFRESH_S,
-    TTL_S,
     LoadExchange,
 )
+from boragedeck.process.relaying.load_hub import TTL_S
+from boragedeck.process.relaying.load_messages import LoadUpdate
 from boragedeck.process.relaying.registry import Load, ReplicaRegistry
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
@@ -23,19 +27,27 @@
 
     def __init__(self):
         self.handlers = {}
-        self.calls = 0
+        self.sent = Counter()
+        self.dead = set()
 
     def link(self, address):
         return Link(self, address)
 
+    @property
+    def calls(self):
+        return self.sent.total()
+
 
 class Link:
     def __init__(self, net, address):
         self._net, self._address = net, address
 
     def call(self, message, answer_type, timeout_s):
-        self._net.calls += 1
-        return Ok(self._net.handlers[self._address](message))
+        self._net.sent[type(message).__name__] += 1
+        handler = self._net.handlers.get((self._address, type(message)))
+        if self._address in self._net.dead:
+            return Err(PeerUnreachableError("dead"))
+        return Ok(Accepted() if handler is None else handler(message))
 
 
 class Server:
@@ -43,12 +55,15 @@
         self._net, self._address = net, address
 
     def register(self, kind, handler):
-        self._net.handlers[self._address] = handler
+        self._net.handlers[self._address, kind] = handler
 
 
 class Members:
-    def __init__(self, names, own):
-        everyone = {name: Member(name, name, "a", name) for name in names}
+    def __init__(self, names, own, domains=1):
+        everyone = {
+            name: Member(name, name, f"d{number % domains}", name)
+            for number, name in enumerate(names)
+        }
         self.own = everyone.pop(own)
         self._others = list(everyone.values())
 
@@ -60,6 +75,18 @@
         return next(found, None)
 
 
+def exchange_of(timers, net, members, registry, mirrors=()):
+    return LoadExchange(
+        timers,
+        registry,
+        members,
+        Hubs(timers, members),
+        net,
+        Server(net, members.own.address),
+        mirrors,
+    )
+
+
 class LoadExchangeTest(unittest.TestCase):
     def setUp(self):
         self.timers, self.net = ManualTimers(), Net()
@@ -68,12 +95,11 @@
             registry = self.registries[name] = ReplicaRegistry(self.timers)
             registry.put(replica("one"))
             self.mirrors[name] = TableMirror(Table.ROUTING)
-            self.exchanges[name] = LoadExchange(
+            self.exchanges[name] = exchange_of(
                 self.timers,
-                registry,
-                Members("abc", name),
                 self.net,
-                Server(self.net, name),
+                Members("abc", name),
+                registry,
                 [self.mirrors[name]],
             )
             self.exchanges[name].start()
@@ -102,9 +128,7 @@
 
     def test_loads_of_a_router_that_is_silent_end(self):
         self.note("a", Load(2, 100, 300))
-        self.exchanges["a"]._tick = lambda: None
-        del self.net.handlers["b"]
-        self.net.handlers["b"] = lambda message: Accepted()
+        self.net.handlers["b", LoadUpdate] = lambda message: Accepted()
         self.timers.advance(TTL_S + 2 * MIN_INTERVAL_S)
         self.assertEqual(self.peers("b"), Load())
 
@@ -119,33 +143,126 @@
         registry.put(replica("one"))
         self.assertEqual(self.peers("b"), Load(2, 100, 300))
 
-    def test_messages_of_a_large_fleet_are_bounded(self):
-        names = [f"r{number}" for number in range(80)]
-        for name in names:
-            self.net.handlers[name] = lambda message: Accepted()
-        registry = ReplicaRegistry(self.timers)
-        registry.put(replica("one"))
-        exchange = LoadExchange(
-            self.timers,
-            registry,
-            Members(names, "r0"),
-            self.net,
-            Server(self.net, "r0"),
-        )
-        exchange.start()
-        before = self.net.calls
-        seconds = 10
-        for _ in range(seconds * 50):
-            exchange.note_change()
-            self.timers.advance(0.02)
-        others = 3 * 2 * (seconds / REFRESH_S + 1)
-        sent = self.net.calls - before - others
-        self.assertLessEqual(sent, MAX_MESSAGES_PER_S * (seconds + 1))
-        self.assertGreater(sent, 2 * 79 * seconds)
-
     def test_newest_changes_are_told(self):
         told = []
         self.exchanges["b"].on_newest = lambda *what: told.append(what)
         self.mirrors["a"].newest = 7
         self.note("a", Load())
         self.assertIn(("a", Table.ROUTING, 7), told)
+
+
+class LargeFleetTest(unittest.TestCase):
+    """Routers of several failure domains, one of which is the hub of each."""
+
+    ROUTERS = 60
+    DOMAINS = 4
+
+    def setUp(self):
+        self.timers, self.net = ManualTimers(), Net()
+        self.names = [f"r{number}" for number in range(self.ROUTERS)]
+        self.registries, self.exchanges, self.hubs, self.domains = {}, {}, set(), {}
+        for name in self.names:
+            members = Members(self.names, name, self.DOMAINS)
+            registry = self.registries[name] = ReplicaRegistry(self.timers)
+            registry.put(replica("one"))
+            exchange = exchange_of(self.timers, self.net, members, registry)
+            self.exchanges[name] = exchange
+            self.domains[name] = members.own.failure_domain
+            exchange.start()
+        everyone = [members.own, *members.members()]
+        self.hubs = {hub.router for hub in choose_hubs(everyone)}
+        self.plain = [name for name in self.names if name not in self.hubs]
+        self.advance(2 * REFRESH_S)
+
+    def advance(self, seconds):
+        """Let the time go on, with the messages that are sent meanwhile."""
+        for _ in range(round(seconds / 0.01)):
+            self.timers.advance(0.01)
+            eventlet.sleep(0)
+
+    def note(self, name, load):
+        self.registries[name].get("one").own = load
+        self.exchanges[name].note_change()
+        eventlet.sleep(0)
+
+    def seen(self, name):
+        self.exchanges[name].refresh("p")
+        return self.registries[name].get("one").peers
+
+    def beside(self, name):
+        """Return another plain router of the same failure domain."""
+        domain = self.domains[name]
+        return next(n for n in self.plain if n != name and self.domains[n] == domain)
+
+    def far(self, name):
+        domain = self.domains[name]
+        return next(n for n in self.plain if self.domains[n] != domain)
+
+    def test_load_is_known_at_once_in_its_domain_and_soon_elsewhere(self):
+        first = self.plain[0]
+        self.note(first, Load(2, 100, 300))
+        self.assertEqual(self.seen(self.beside(first)), Load(2, 100, 300))
+        self.advance(2 * MIN_INTERVAL_S)
+        self.assertEqual(self.seen(self.far(first)), Load(2, 100, 300))
+        self.assertEqual(self.seen(first), Load())
+
+    def test_hub_knows_all_and_counts_itself(self):
+        hub = sorted(self.hubs)[0]
+        self.note(hub, Load(1, 10, 20))
+        self.note(self.plain[0], Load(2, 100, 300))
+        self.note(self.far(self.plain[0]), Load(1, 1, 1))
+        self.advance(2 * MIN_INTERVAL_S)
+        self.assertEqual(self.registries[hub].get("one").peers, Load(3, 101, 301))
+        self.assertEqual(self.seen(self.beside(self.plain[0])), Load(4, 111, 321))
+
+    def test_ended_work_is_taken_off_everywhere(self):
+        self.note(self.plain[0], Load(2, 100, 300))
+        self.advance(2 * MIN_INTERVAL_S)
+        self.note(self.plain[0], Load())
+        self.advance(2 * MIN_INTERVAL_S)
+        for name in self.names:
+            self.assertEqual(self.seen(name), Load())
+
+    def test_router_whose_hub_is_dead_goes_on_with_another(self):
+        first = self.plain[0]
+        own_hub = self.exchanges[first]._hubs.above()[0].router
+        self.net.dead.add(own_hub)
+        self.exchanges[first].refresh("p")
+        other = self.far(first)
+        self.note(other, Load(2, 100, 300))
+        self.advance(2 * MIN_INTERVAL_S)
+        self.assertEqual(self.seen(first), Load(2, 100, 300))
+
+    def test_router_without_any_hub_chooses_like_a_stranger(self):
+        first = self.plain[0]
+        self.net.dead |= self.hubs
+        self.exchanges[first].refresh("p")
+        self.assertEqual(self.exchanges[first].choosers("p"), self.ROUTERS)
+
+    def test_router_that_has_asked_chooses_among_few(self):
+        first = self.plain[0]
+        self.exchanges[first].refresh("p")
+        self.assertEqual(self.exchanges[first].choosers("p"), len(self.hubs))
+
+    def test_loads_of_a_router_that_died_end(self):
+        first = self.plain[0]
+        self.note(first, Load(2, 100, 300))
+        self.advance(2 * MIN_INTERVAL_S)
+        self.exchanges[first]._tick = lambda: None
+        self.net.dead.add(first)
+        self.exchanges[first]._send = lambda *message: None
+        self.advance(2 * TTL_S)
+        self.assertEqual(self.seen(self.far(first)), Load())
+
+    def test_messages_grow_with_requests_and_domains_and_not_with_routers(self):
+        before = self.net.calls
+        seconds = 5
+        self.advance(seconds)
+        idle = (self.net.calls - before) / seconds
+        hubs = len(self.hubs)
+        # Each router refreshes once a second, each hub tells the others.
+        self.assertLessEqual(idle, self.ROUTERS / REFRESH_S + hubs * hubs * 2)
+        before = self.net.sent["LoadUpdate"]
+        for name in self.plain:
+            self.note(name, Load(1, 10, 20))
+        self.assertLessEqual(self.net.sent["LoadUpdate"] - before, len(self.plain))
--- a/tests/process/relaying/test_mirror_follower.py
+++ b/tests/process/relaying/test_mirror_follower.py
@@ -89,6 +89,16 @@
         self.assertEqual(self.mirror.rows["k"].value, b"1")
         self.assertEqual(self.mirror.version, 6)
 
+    def test_routers_that_are_as_late_do_not_hide_one_that_is_ahead(self):
+        self.play(Ok(Changes((), 7, True)))
+        self.links.answer = TablePart(Changes((Change("k", b"1", 9),), 9, True))
+        for _ in range(5):
+            self.follower.note_peer("peer", 9)
+            self.follower.note_peer("other", 7)
+            self.timers.advance(0.1)
+        eventlet.sleep(0.01)
+        self.assertEqual(self.mirror.rows["k"].value, b"1")
+
     def test_router_that_stays_ahead_is_asked_though_the_store_answers(self):
         self.play(Ok(Changes((), 7, True)))
         self.links.answer = TablePart(Changes((Change("k", b"1", 9),), 9, True))
--- a/tests/process/relaying/test_shared_feed.py
+++ b/tests/process/relaying/test_shared_feed.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 
 from result import Err, Ok
@@ -5,32 +6,44 @@
 from boragedeck.connection.store import Change, Changes, Table
 from boragedeck.exceptions import PeerUnreachableError, StoreUnavailableError
 from boragedeck.interfaces import Member
+from boragedeck.process.relaying.hubs import Hubs, hubs_for
 from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
 from boragedeck.process.relaying.shared_feed import (
-    CURRENT_S,
-    MIN_SHARING,
-    OWN_S,
-    READER_WAIT_S,
-    READERS,
+    AVOID_S,
+    FLEET_TRIES_PER_S,
+    SILENT_SLACK_S,
+    WAIT_SHARE,
     SharedFeed,
-    choose_reader,
 )
 from boragedeck.process.timers import ManualTimers
+from tests.support.replicas import BOUNDS
 
 ROUTING = Table.ROUTING
 NEWS = Changes((Change("k", b"1", 6),), 6)
+WHOLE = Changes((Change("k", b"1", 6),), 6, True)
+WAIT_S = WAIT_SHARE * BOUNDS.config_apply_s
+AWAY = Ok(TablePart(None, False))
+SILENT = Err(PeerUnreachableError("silent"))
+STORE_DOWN = Err(StoreUnavailableError("503"))
 
 
-def members(count, domain="a"):
-    names = [f"r{number}" for number in range(count)]
-    return [Member(name, name, domain, name) for name in names]
+def fleet(count, domains=3):
+    return [
+        Member(f"r{number}", f"v{number}", f"d{number % domains}", f"a{number}")
+        for number in range(count)
+    ]
 
 
 class Store:
     def __init__(self):
         self.waits = []
+        self.snapshots = 0
         self.answer = Ok(Changes((), 5))
 
+    def snapshot(self, table):
+        self.snapshots += 1
+        return self.answer
+
     def changes(self, table, after, wait_s):
         self.waits.append(wait_s)
         return self.answer
@@ -40,6 +53,7 @@
     def __init__(self):
         self.asked = []
         self.answer = Ok(TablePart(None, True))
+        self.answers = {}
 
     def link(self, address):
         self.address = address
@@ -47,86 +61,163 @@
 
     def call(self, message, answer_type, timeout_s):
         self.asked.append((self.address, message))
-        return self.answer
+        return self.answers.get(self.address, self.answer)
 
 
-class ChooseReaderTest(unittest.TestCase):
-    def test_each_domain_has_its_readers_and_all_agree(self):
-        everyone = members(16)
-        chosen = {}
-        for own in everyone:
-            beside = [member for member in everyone if member != own]
-            chosen[own.router] = choose_reader(own, beside)
-        readers = {name for name, reader in chosen.items() if reader is None}
-        self.assertEqual(len(readers), READERS)
-        told = {reader.router for reader in chosen.values() if reader is not None}
-        self.assertEqual(told, readers)
+class Fleet:
+    def __init__(self, own, members):
+        self.own, self._members = own, members
 
-    def test_small_domain_reads_the_store(self):
-        own, *beside = members(MIN_SHARING - 1)
-        self.assertIsNone(choose_reader(own, beside))
+    def members(self):
+        return self._members
 
 
-class SharedFeedTest(unittest.TestCase):
+class FeedCase(unittest.TestCase):
     def setUp(self):
         self.timers, self.store, self.links = ManualTimers(), Store(), Links()
-        everyone = members(16)
-        self.others = {}
-        for own in everyone:
-            beside = [member for member in everyone if member != own]
-            reader = choose_reader(own, beside)
-            if reader is None:
-                self.as_reader = self.feed(own, beside)
+        self.everyone = fleet(30)
+        self.follower, self.reader = None, None
+        for own in self.everyone:
+            rest = [member for member in self.everyone if member != own]
+            if hubs_for(own, rest):
+                self.follower = own
+                self.asked = [member.address for member in hubs_for(own, rest)]
             else:
-                self.reader, self.as_follower = reader, self.feed(own, beside)
-
-    def feed(self, own, beside):
-        far = members(3, "b")
+                self.reader = own
+        self.as_follower = self.feed(self.follower)
+        self.as_reader = self.feed(self.reader)
+
+    def feed(self, own, members=None, seeds=(), number=1):
+        if members is None:
+            members = [member for member in self.everyone if member != own]
+        everyone = Fleet(own, members)
         return SharedFeed(
-            self.store, self.timers, self.links, own, lambda: [*beside, *far]
+            self.store,
+            self.timers,
+            random.Random(number),
+            self.links,
+            everyone,
+            Hubs(self.timers, everyone),
+            lambda: seeds,
+            lambda: BOUNDS,
         )
 
-    def test_follower_reads_from_its_reader(self):
+    def addresses(self):
+        return [address for address, _ in self.links.asked]
+
+
+class SharedFeedTest(FeedCase):
+    def test_follower_reads_from_the_reader_of_its_domain(self):
         self.links.answer = Ok(TablePart(NEWS, True))
         self.assertEqual(self.as_follower.changes(ROUTING, 5, 4.0), Ok(NEWS))
         address, ask = self.links.asked[0]
-        self.assertEqual(address, self.reader.address)
+        self.assertEqual(address, self.asked[0])
         self.assertEqual((ask.table, ask.after), (ROUTING, 5))
         self.assertIsInstance(ask, FetchTable)
         self.assertEqual(self.store.waits, [])
 
     def test_reader_reads_the_store_often_enough_to_miss_it_soon(self):
         self.as_reader.changes(ROUTING, 5, 4.0)
-        self.assertEqual(self.store.waits, [READER_WAIT_S])
+        self.assertEqual(self.store.waits, [WAIT_S])
         self.assertEqual(self.links.asked, [])
 
-    def test_follower_turns_to_the_store_where_its_reader_fails(self):
-        failures = (
-            Err(PeerUnreachableError("silent")),
-            Ok(TablePart(NEWS, False)),
-        )
-        for answer in failures:
-            self.links.answer = answer
-            self.timers.advance(OWN_S)
-            self.assertEqual(self.as_follower.changes(ROUTING, 5, 4.0).ok().rows, ())
-        self.assertEqual(len(self.store.waits), 2)
-
-    def test_follower_comes_back_to_its_reader(self):
-        self.links.answer = Err(PeerUnreachableError("silent"))
-        for _ in range(3):
-            self.as_follower.changes(ROUTING, 5, 4.0)
-        self.assertEqual(len(self.links.asked), 1)
+    def test_follower_of_a_dead_reader_asks_the_next_at_once(self):
+        self.links.answers = {self.asked[0]: SILENT}
+        self.links.answer = Ok(TablePart(NEWS, True))
+        self.assertEqual(self.as_follower.changes(ROUTING, 5, 4.0), Ok(NEWS))
+        self.assertEqual(self.addresses(), self.asked[:2])
+        self.assertEqual(self.links.asked[1][1].wait_s, 0.0)
+        self.assertEqual(self.store.waits, [])
+
+    def test_follower_of_a_reader_cut_from_the_store_asks_the_next(self):
+        self.links.answers = {self.asked[0]: AWAY}
         self.links.answer = Ok(TablePart(NEWS, True))
-        self.timers.advance(OWN_S + 0.1)
         self.assertEqual(self.as_follower.changes(ROUTING, 5, 4.0), Ok(NEWS))
+        self.assertEqual(self.store.waits, [])
+
+    def test_failed_reader_is_asked_last_for_a_while(self):
+        self.links.answers = {self.asked[0]: SILENT}
+        self.as_follower.changes(ROUTING, 5, 4.0)
+        self.as_follower.changes(ROUTING, 5, 4.0)
+        self.assertEqual(self.addresses()[-1], self.asked[1])
+        self.links.answers = {}
+        self.timers.advance(AVOID_S + 0.1)
+        self.as_follower.changes(ROUTING, 5, 4.0)
+        self.assertEqual(self.addresses()[-1], self.asked[0])
+
+    def test_router_that_reaches_no_reader_reads_the_store_at_once(self):
+        self.links.answer = SILENT
+        self.assertTrue(self.as_follower.changes(ROUTING, 5, 4.0).is_ok())
+        self.assertEqual(len(self.store.waits), 1)
+
+    def test_whole_fleet_tries_a_store_that_is_away_at_a_bounded_rate(self):
+        self.links.answer, self.store.answer = AWAY, STORE_DOWN
+        feeds = [self.feed(own, number=n) for n, own in enumerate(self.everyone)]
+        feeds = [feed for feed in feeds if feed._hubs_to_ask()]
+        seconds, step_s = 20.0, 0.1
+        for _ in range(int(seconds / step_s)):
+            for feed in feeds:
+                self.assertTrue(feed.changes(ROUTING, 5, 4.0).is_err())
+            self.timers.advance(step_s)
+        self.assertLessEqual(len(self.store.waits), FLEET_TRIES_PER_S * seconds)
+        self.assertGreater(len(self.store.waits), 0)
+
+    def test_router_alone_served_by_the_store_finds_it_in_time(self):
+        self.links.answer = AWAY
+        mean_s = len(self.everyone) / FLEET_TRIES_PER_S
+        result = self.as_follower.changes(ROUTING, 5, 4.0)
+        waited_s = 0.0
+        while result.is_err():
+            # A follower's pause between calls is 1 s at most.
+            self.timers.advance(1.0)
+            waited_s += 1.0
+            result = self.as_follower.changes(ROUTING, 5, 4.0)
+        self.assertLessEqual(waited_s, mean_s + 1.0)
 
     def test_only_the_stores_own_word_is_current(self):
         self.as_follower.changes(ROUTING, 5, 4.0)
         self.assertFalse(self.as_follower.is_current(ROUTING))
         self.as_reader.changes(ROUTING, 5, 4.0)
         self.assertTrue(self.as_reader.is_current(ROUTING))
-        self.timers.advance(CURRENT_S + 0.1)
+        self.timers.advance(WAIT_S + SILENT_SLACK_S + 0.1)
         self.assertFalse(self.as_reader.is_current(ROUTING))
-        self.store.answer = Err(StoreUnavailableError("503"))
+        self.store.answer = STORE_DOWN
         self.as_reader.changes(ROUTING, 5, 4.0)
         self.assertFalse(self.as_reader.is_current(ROUTING))
+
+    def test_follower_hears_of_a_cut_reader_before_changes_are_due(self):
+        # The reader's last answer, its own timeout, then the follower's call and a
+        # question to the next reader.
+        worst_s = WAIT_S + SILENT_SLACK_S + WAIT_S
+        self.assertLess(worst_s, BOUNDS.config_apply_s)
+
+
+class SnapshotTest(FeedCase):
+    def starting(self, own, seeds):
+        return self.feed(own, members=[], seeds=seeds)
+
+    def test_starting_router_takes_the_table_from_a_seed(self):
+        self.links.answer = Ok(TablePart(WHOLE, True))
+        feed = self.starting(self.everyone[4], ["a0", "a1"])
+        self.assertEqual(feed.snapshot(ROUTING), Ok(WHOLE))
+        self.assertEqual(self.store.snapshots, 0)
+
+    def test_starting_seed_reads_the_store(self):
+        feed = self.starting(self.everyone[0], ["a0", "a1"])
+        feed.snapshot(ROUTING)
+        self.assertEqual((self.store.snapshots, self.links.asked), (1, []))
+
+    def test_starting_router_without_a_seed_that_answers_reads_the_store(self):
+        for answer in (SILENT, AWAY, Ok(TablePart(None, True))):
+            self.links.answer = answer
+            self.store.snapshots = 0
+            feed = self.starting(self.everyone[4], ["a0", "a1"])
+            self.links.asked.clear()
+            self.assertTrue(feed.snapshot(ROUTING).is_ok())
+            self.assertEqual(self.store.snapshots, 1)
+            self.assertEqual(len(self.links.asked), 1)
+
+    def test_follower_takes_the_whole_table_from_a_reader(self):
+        self.links.answer = Ok(TablePart(WHOLE, True))
+        self.assertEqual(self.as_follower.snapshot(ROUTING), Ok(WHOLE))
+        self.assertEqual(self.store.snapshots, 0)
