Let the hubs keep the fixed part of the bound on repeats

Cause: the fixed part (150 repeats in 10 s) was divided by the number of routers. With 195 routers of one or two streams each that is less than one repeat for each, so a stream that is lost twice, or the second of two that a router loses with a failure domain, was broken off while the fleet had used a tenth of the bound. And a router that had just started assumed 16 routers: 195 that start together could have sent ten times the bound.

A router repeats by itself what its own requests allow and asks its hub for more; each hub gives out its part of 0.8 of the fixed one in the sliding window. Without hubs (fewer than 12 routers) nothing changes but the assumption at a start, now 100.

--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -39,7 +39,8 @@
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_source import ReplicaSource
-from boragedeck.process.relaying.retry_share import RetryShare
+from boragedeck.process.relaying.retry_reserve import RetryReserve
+from boragedeck.process.relaying.retry_share import SAFETY, RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.relaying.routing_source import RoutingSource
 from boragedeck.process.relaying.settings_source import SettingsSource
@@ -248,9 +249,7 @@
             registry=self._registry,
             upstreams=self._upstreams,
             protocol=HttpReplicaProtocol(),
-            retries=RetryShare(
-                self.timers, self._source.bounds, self._membership.routers
-            ),
+            retries=self._make_retries(),
             rollouts=self._rollouts,
             blame=CrashBlame(self.timers, self._board),
             metrics=self.metrics,
@@ -258,6 +257,13 @@
             refusal_headers=refusal_headers,
         )
 
+    def _make_retries(self) -> RetryShare:
+        timers, bounds = self.timers, self._source.bounds
+        reserve = RetryReserve(
+            timers, bounds, SAFETY, self._hubs, self._links, self._peer_server
+        )
+        return RetryShare(timers, bounds, self._membership.routers, reserve)
+
     def _replicas_of(self, pool: PoolName) -> list[Replica]:
         return [state.replica for state in self._registry.of_pool(pool)]
 
--- /dev/null
+++ b/boragedeck/process/relaying/retry_reserve.py
@@ -0,0 +1,112 @@
+"""The part of the bound on repeats that isn't earned by requests, kept by the hubs.
+
+The load this answers: hundreds of routers with one or two requests each in the window
+of the bound. Divided by their number the fixed part is less than one repeat for each,
+and routers whose requests are lost together would find nothing left while all others
+have a use for none.
+"""
+
+from collections.abc import Callable
+
+from boragedeck.connection.messages import Message
+from boragedeck.connection.peer import PeerLinks, PeerServer
+from boragedeck.ids import PoolName
+from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.hubs import Hubs
+from boragedeck.process.relaying.settings import Bounds
+from boragedeck.process.relaying.sliding_count import SlidingCount
+from boragedeck.process.timers import TimerService
+
+__all__ = ["RepeatGrant", "RetryReserve", "TakeRepeat"]
+
+ASK_TIMEOUT_S = 0.05
+"""A lost request waits so long for each hub that it asks."""
+MAX_ASKED = 2
+
+_log = PartLog("retries")
+
+
+class TakeRepeat(Message, frozen=True):
+    """Asks a hub for one repeat; answered with `RepeatGrant`.
+
+    Parameters
+    ----------
+    pool : PoolName
+        Where the request goes.
+    """
+
+    pool: PoolName
+
+
+class RepeatGrant(Message, frozen=True):
+    """Says whether a repeat may be sent."""
+
+    is_granted: bool
+
+
+class RetryReserve:
+    """Gives out a hub's part of the reserve, and asks hubs for theirs.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    bounds : callable
+        Returns the operators' bounds on all routers together.
+    share : float
+        Of the bound, what is used.
+    hubs : Hubs
+        The hubs.
+    links : PeerLinks
+        Links to them.
+    server : PeerServer
+        Where other routers ask.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        bounds: Callable[[], Bounds],
+        share: float,
+        hubs: Hubs,
+        links: PeerLinks,
+        server: PeerServer,
+    ):
+        self._bounds = bounds
+        self._share = share
+        self._hubs = hubs
+        self._links = links
+        self._given = SlidingCount(timers)
+        server.register(TakeRepeat, self._on_take)
+
+    def is_in_use(self) -> bool:
+        """Return whether the fleet has hubs, which keep the reserve."""
+        return bool(self._hubs.above()) or self._hubs.is_hub()
+
+    def take(self, pool: PoolName) -> bool:
+        """Take one repeat from the reserve; False where none is left."""
+        if self._hubs.is_hub():
+            return self._give(pool)
+        return any(
+            self._ask(hub.address, pool) for hub in self._hubs.above()[:MAX_ASKED]
+        )
+
+    def _ask(self, address, pool: PoolName) -> bool:
+        link = self._links.link(address)
+        answer = link.call(TakeRepeat(pool), RepeatGrant, timeout_s=ASK_TIMEOUT_S)
+        if answer.is_err():
+            _log.write("Hub failed.", peer=str(address), error=str(answer.err()))
+            return False
+        return answer.ok().is_granted
+
+    def _on_take(self, ask: TakeRepeat) -> RepeatGrant:
+        return RepeatGrant(self._hubs.is_hub() and self._give(ask.pool))
+
+    def _give(self, pool: PoolName) -> bool:
+        bounds = self._bounds()
+        hubs = len(self._hubs.beside()) + 1
+        given = self._given.within(pool, bounds.retry_window_s)
+        if given + 1 > self._share * bounds.retry_extra / hubs:
+            return False
+        self._given.note(pool)
+        return True
--- a/boragedeck/process/relaying/retry_share.py
+++ b/boragedeck/process/relaying/retry_share.py
@@ -1,21 +1,35 @@
 """A router's share of the repeats that all routers together may send."""
 
-from collections import deque
 from collections.abc import Callable
+from typing import Protocol
 
 from boragedeck.ids import PoolName
+from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.settings import Bounds
+from boragedeck.process.relaying.sliding_count import SlidingCount
 from boragedeck.process.timers import TimerService
 
-__all__ = ["RetryShare"]
+__all__ = ["SAFETY", "Reserve", "RetryShare"]
 
 LEARNING_S = 10.0
 """For so long after its start a router may not know all others."""
-ASSUMED_ROUTERS = 16
+ASSUMED_ROUTERS = 100
 """So many are assumed meanwhile, where fewer are known."""
 SAFETY = 0.8
 """Of the bound, what is used: requests of callers may be counted in another window."""
 
+_log = PartLog("retries")
+
+
+class Reserve(Protocol):
+    """Holds the fixed part of the bound for all routers of a large fleet."""
+
+    def is_in_use(self) -> bool:
+        """Return whether there is such a reserve."""
+
+    def take(self, pool: PoolName) -> bool:
+        """Take one repeat from it; False where none is left."""
+
 
 class RetryShare:
     """Counts requests and repeats of each pool in a sliding window.
@@ -28,6 +42,8 @@
         Returns the operators' bounds on all routers together.
     routers : callable
         Returns how many routers share the fixed part.
+    reserve : Reserve
+        Where the fixed part is taken from in a large fleet.
     """
 
     def __init__(
@@ -35,41 +51,38 @@
         timers: TimerService,
         bounds: Callable[[], Bounds],
         routers: Callable[[], int],
+        reserve: Reserve,
     ):
         self._timers = timers
         self._bounds = bounds
         self._routers = routers
+        self._reserve = reserve
         self._learning_until = timers.now() + LEARNING_S
-        self._requests: dict[PoolName, deque[float]] = {}
-        self._repeats: dict[PoolName, deque[float]] = {}
+        self._requests = SlidingCount(timers)
+        self._repeats = SlidingCount(timers)
 
     def note_request(self, pool: PoolName) -> None:
         """Note a caller's request."""
-        self._recent(self._requests, pool).append(self._timers.now())
+        self._requests.note(pool)
 
     def take(self, pool: PoolName) -> bool:
         """Take one repeat; False where the share is spent."""
-        requests = len(self._recent(self._requests, pool))
-        repeats = self._recent(self._repeats, pool)
         bounds = self._bounds()
-        extra = bounds.retry_extra / self._sharers()
-        allowed = SAFETY * (bounds.retry_ratio * requests + extra)
-        if len(repeats) + 1 > allowed:
-            return False
-        repeats.append(self._timers.now())
-        return True
+        window_s = bounds.retry_window_s
+        requests = self._requests.within(pool, window_s)
+        repeats = self._repeats.within(pool, window_s)
+        has_reserve = self._reserve.is_in_use()
+        fixed = 0.0 if has_reserve else bounds.retry_extra / self._sharers()
+        if repeats + 1 <= SAFETY * (bounds.retry_ratio * requests + fixed):
+            self._repeats.note(pool)
+            return True
+        if has_reserve and self._reserve.take(pool):
+            return True
+        _log.write("Repeat denied.", pool=pool, requests=requests, repeats=repeats)
+        return False
 
     def _sharers(self) -> int:
         known = max(1, self._routers())
         if self._timers.now() < self._learning_until:
             return max(known, ASSUMED_ROUTERS)
         return known
-
-    def _recent(
-        self, times: dict[PoolName, deque[float]], pool: PoolName
-    ) -> deque[float]:
-        recent = times.setdefault(pool, deque())
-        since = self._timers.now() - self._bounds().retry_window_s
-        while recent and recent[0] < since:
-            recent.popleft()
-        return recent
--- a/tests/process/relaying/test_retry_share.py
+++ b/tests/process/relaying/test_retry_share.py
@@ -5,10 +5,18 @@
 from tests.support.replicas import BOUNDS
 
 
+class NoReserve:
+    def is_in_use(self):
+        return False
+
+    def take(self, pool):
+        raise AssertionError("there is no reserve")
+
+
 class RetryShareTest(unittest.TestCase):
     def setUp(self):
         self.timers = ManualTimers()
-        self.share = RetryShare(self.timers, lambda: BOUNDS, lambda: 9)
+        self.share = RetryShare(self.timers, lambda: BOUNDS, lambda: 9, NoReserve())
 
     def take_all(self):
         count = 0
@@ -27,12 +35,23 @@
         self.assertLessEqual(count, 0.8 * 100 + BOUNDS.retry_extra / 9)
 
     def test_router_that_knows_no_other_yet_takes_a_small_part(self):
-        alone = RetryShare(self.timers, lambda: BOUNDS, lambda: 1)
+        alone = RetryShare(self.timers, lambda: BOUNDS, lambda: 1, NoReserve())
         count = 0
         while alone.take("p"):
             count += 1
         self.assertLessEqual(16 * count, BOUNDS.retry_extra)
 
+    def test_hundreds_that_start_together_stay_within_the_bound(self):
+        routers, count = 200, 0
+        for _ in range(routers):
+            alone = RetryShare(self.timers, lambda: BOUNDS, lambda: 1, NoReserve())
+            alone.note_request("p")
+            while alone.take("p"):
+                count += 1
+        bound = BOUNDS.retry_ratio * routers + BOUNDS.retry_extra
+        self.assertLessEqual(count, bound)
+        self.assertGreaterEqual(count, routers)
+
     def test_repeats_come_back_as_the_window_moves_on(self):
         self.take_all()
         self.assertFalse(self.share.take("p"))
