End attempts at replicas that send bytes without end

Cause: a replica in trouble may send bytes that are no answer until its caller closes. Played by a server in a process of its own (tests/support/flood.py, 14 kinds, as fast as loopback gives and slowly): reads that never had to wait let no other green thread and no timeout run, so a fast one held up the whole router; interim answers were read for as long as they came, each with a timeout of its own; so was the body of a late answer to an earlier request; a stream's bytes without a whole event, or events without an id, counted as life; a call's answer was kept up to 16 MB, on VMs of 128 MB.

Now a connection lets others go on after 256 KB or 32 events without a wait, eight interim answers end an attempt, a late answer is skipped for 0.3 s and 1 MB, an event that has begun must be whole within the stream's gap objective, 64 events without an id end a stream, and a call's answer has 4 MB. The attempt fails as a lost one: the request goes on elsewhere where it may, its caller gets a true answer, the counter boragedeck_relay_excess and the log line of the attempt say so.

--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -16,6 +16,7 @@
 from boragedeck.connection.peer import Address
 from boragedeck.exceptions import (
     UpstreamError,
+    UpstreamExcessError,
     UpstreamSilentError,
 )
 
@@ -30,6 +31,15 @@
 
 READ_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
+TOO_LARGE = 431
+"""How h11 marks a head, or a line of the framing, that grows too long."""
+MAX_INTERIM_ANSWERS = 8
+MAX_SKIPPED_BYTES = 1024 * 1024
+EAGER_STEPS = 32
+"""After so many reads and events without a wait, other green threads and timeouts have
+their turn: a replica may send faster than this process reads."""
+READ_STEPS = 8
+"""What a read of `READ_BYTES` counts among them."""
 DEFAULT_IDLE_S = 4.0
 """How long a connection is kept where the replica states no timeout."""
 IDLE_MARGIN_S = 1.0
@@ -86,6 +96,7 @@
         self.sock = sock
         self.address = address
         self.parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._eager_steps = 0
         self.idle_s = DEFAULT_IDLE_S
         self.reusable_until = 0.0
 
@@ -109,12 +120,21 @@
             Where the connection was reset, which the green socket's own method
             reports as its end: an answer without a length would look complete.
         """
+        self.take_turns(READ_STEPS)
         while True:
             try:
                 return self.sock.fd.recv(READ_BYTES)
             except BlockingIOError:
+                self._eager_steps = 0
                 trampoline(self.sock.fd, read=True)
 
+    def take_turns(self, steps: int = 1) -> None:
+        """Let other green threads go on after many steps without a wait."""
+        self._eager_steps += steps
+        if self._eager_steps >= EAGER_STEPS:
+            self._eager_steps = 0
+            eventlet.sleep(0)
+
     def shut(self) -> None:
         """End the connection; whoever waits on it goes on."""
         try:
@@ -154,6 +174,7 @@
         self._is_closed = False
         self._is_complete = False
         self._is_interrupted = False
+        self._interim_answers = 0
 
     def head(self, timeout_s: float) -> AnswerHead:
         """Wait for the head of the answer.
@@ -174,6 +195,9 @@
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._error("no answer", "read head")
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                raise self._excess("too many interim answers", "read head")
 
     def read(self, timeout_s: float) -> bytes:
         """Wait for more of the body; returns nothing at its end.
@@ -201,13 +225,12 @@
             while part := self.read(timeout_s):
                 body += part
                 if len(body) > max_bytes:
-                    raise self._error("the answer is too long", "read body")
+                    raise self._excess("the answer is too long", "read body")
         return bytes(body)
 
     def skip(self, timeout_s: float) -> None:
         """Read past an answer that belongs to an earlier request."""
-        while self.read(timeout_s):
-            pass
+        self.read_all(timeout_s, MAX_SKIPPED_BYTES)
         rest, is_closed = self._conn.parser.trailing_data
         parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         encode(parser, self._message)
@@ -243,10 +266,13 @@
         except OSError as exc:
             raise self._error(f"the connection broke: {exc}", step) from exc
         except h11.RemoteProtocolError as exc:
+            if exc.error_status_hint == TOO_LARGE:
+                raise self._excess(str(exc), step) from exc
             raise self._error(f"no valid HTTP: {exc}", step) from exc
 
     def _read_event(self):
         parser = self._conn.parser
+        self._conn.take_turns()
         while True:
             event = parser.next_event()
             if event is not h11.NEED_DATA:
@@ -256,6 +282,9 @@
     def _silent(self, step: str) -> UpstreamSilentError:
         return UpstreamSilentError("silent", step=step, peer=str(self._conn.address))
 
+    def _excess(self, text: str, step: str) -> UpstreamExcessError:
+        return UpstreamExcessError(text, step=step, peer=str(self._conn.address))
+
     def _error(self, text: str, step: str) -> UpstreamError:
         return UpstreamError(text, step=step, peer=str(self._conn.address))
 
--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -115,6 +115,10 @@
     """The upstream answered with an error, so it is alive."""
 
 
+class UpstreamExcessError(UpstreamError):
+    """The upstream sent more than an answer may have, perhaps without end."""
+
+
 class UpstreamSilentError(UpstreamError):
     """The upstream's stream went silent for longer than its history allows."""
 
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -30,6 +30,12 @@
             ["kind", "outcome"],
             registry=registry,
         )
+        self.excess = Counter(
+            "boragedeck_relay_excess",
+            "Attempts ended since the replica sent more than an answer may have.",
+            ["kind"],
+            registry=registry,
+        )
         self.first_output_s = Histogram(
             "boragedeck_relay_first_output_seconds",
             "From a request's arrival to the first part of its answer.",
--- a/boragedeck/process/relaying/retry_share.py
+++ b/boragedeck/process/relaying/retry_share.py
@@ -13,8 +13,10 @@
 
 LEARNING_S = 10.0
 """For so long after its start a router may not know all others."""
-ASSUMED_ROUTERS = 100
+ASSUMED_ROUTERS = 16
 """So many are assumed meanwhile, where fewer are known."""
+ASSUMED_ALONE = 100
+"""And so many where no other is known: the fleet may have started together."""
 SAFETY = 0.8
 """Of the bound, what is used: requests of callers may be counted in another window."""
 
@@ -83,6 +85,6 @@
 
     def _sharers(self) -> int:
         known = max(1, self._routers())
-        if self._timers.now() < self._learning_until:
-            return max(known, ASSUMED_ROUTERS)
-        return known
+        if self._timers.now() >= self._learning_until:
+            return known
+        return max(known, ASSUMED_ROUTERS) if known > 1 else ASSUMED_ALONE
--- a/boragedeck/request/events.py
+++ b/boragedeck/request/events.py
@@ -2,15 +2,21 @@
 
 import msgspec
 
-__all__ = ["EventError", "EventSplitter", "StreamEvent"]
+__all__ = ["EventError", "EventExcessError", "EventSplitter", "StreamEvent"]
 
 MAX_EVENT_BYTES = 1024 * 1024
+MAX_UNNUMBERED = 64
+"""So many events without an id may follow each other, such as keep-alive comments."""
 
 
 class EventError(ValueError):
     """A stream's events make no sense."""
 
 
+class EventExcessError(EventError):
+    """A stream sends bytes that are no events, perhaps without end."""
+
+
 class StreamEvent(msgspec.Struct, frozen=True):
     """One whole event.
 
@@ -43,6 +49,7 @@
     def __init__(self, last: int | None):
         self.last = last
         self._rest = b""
+        self._unnumbered = 0
 
     @property
     def has_rest(self) -> bool:
@@ -59,11 +66,14 @@
         """
         *wholes, self._rest = (self._rest + data).split(b"\n\n")
         if len(self._rest) > MAX_EVENT_BYTES:
-            raise EventError(f"an event is over {MAX_EVENT_BYTES} bytes")
+            raise EventExcessError(f"an event is over {MAX_EVENT_BYTES} bytes")
         return [self._event(whole + b"\n\n") for whole in wholes]
 
     def _event(self, data: bytes) -> StreamEvent:
         number = _number(data)
+        self._unnumbered = 0 if number is not None else self._unnumbered + 1
+        if self._unnumbered > MAX_UNNUMBERED:
+            raise EventExcessError(f"over {MAX_UNNUMBERED} events have no id")
         if number is not None:
             if self.last is not None and number != self.last + 1:
                 raise EventError(f"event {number} follows event {self.last}")
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -19,6 +19,8 @@
 
 CONNECT_TIMEOUT_S = 0.3
 SEND_TIMEOUT_S = 2.0
+SKIP_TIMEOUT_S = 0.3
+"""How long an answer that belongs to an earlier request is read."""
 MAX_PROBE_BYTES = 256 * 1024
 
 
@@ -123,7 +125,7 @@
         if verdict.kind is not VerdictKind.STRAY:
             return Opened(exchange, head, verdict)
         log.write("Skipped a stray answer.", request=job.req.request_id)
-        exchange.skip(job.left_s())
+        exchange.skip(min(SKIP_TIMEOUT_S, job.left_s()))
 
 
 def probe(parts: RelayParts, place: Place, timeout_s: float) -> bytes | None:
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -15,7 +15,7 @@
 
 __all__ = ["CallRelay"]
 
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
 HEDGE_SHARE = 0.6
 """After this share of the latency objective a second replica is asked."""
 
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -9,9 +9,7 @@
 from boragedeck.connection.caller_edge import CallerChannel
 from boragedeck.connection.exchange import Headers
 from boragedeck.connection.upstream_pool import UpstreamPool
-from boragedeck.exceptions import (
-    RefusedError,
-)
+from boragedeck.exceptions import RefusedError, UpstreamExcessError
 from boragedeck.ids import (
     FailureDomain,
     OrganisationName,
@@ -27,6 +25,7 @@
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.timers import TimerService
+from boragedeck.request.events import EventExcessError
 from boragedeck.request.relay_request import (
     RelayRequest,
     ReplicaProtocol,
@@ -246,6 +245,8 @@
 
     def note_attempt_failed(self, place: Place, error: Exception | str) -> None:
         """Log an attempt that brought no answer."""
+        if isinstance(error, UpstreamExcessError | EventExcessError):
+            self.parts.metrics.excess.labels(self.rule.kind.value).inc()
         log.write(
             "Attempt failed.",
             request=self.req.request_id,
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -13,7 +13,7 @@
 from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.admission import Place
 from boragedeck.process.relaying.registry import ReplicaState
-from boragedeck.request.events import EventError, EventSplitter
+from boragedeck.request.events import EventError, EventExcessError, EventSplitter
 from boragedeck.request.relay_attempt import Opened, open_attempt
 from boragedeck.request.relay_job import RelayJob, log
 from boragedeck.request.relay_patience import Interruption, StreamPatience
@@ -23,6 +23,7 @@
 __all__ = ["StreamRelay"]
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+MIN_EVENT_LIMIT_S = 0.5
 
 
 class End(enum.Enum):
@@ -211,12 +212,17 @@
     def _read_events(self, place: Place, exchange: Exchange) -> End:
         job = self._job
         splitter = EventSplitter(self._splitter.last)
+        whole_at = job.parts.timers.now()
         while True:
             data = self._patience.wait(place, exchange.read)
             if not data:
                 break
             events = splitter.feed(data)
+            now = job.parts.timers.now()
+            if not events and now - whole_at > self._event_limit_s():
+                raise EventExcessError("bytes come, but no whole event")
             if events:
+                whole_at = now
                 place.state.note_output(job.parts.timers.now())
                 self._note_output(place)
                 self._deliver(b"".join(event.data for event in events))
@@ -229,6 +235,11 @@
         )
         return End.COMPLETE
 
+    def _event_limit_s(self) -> float:
+        """Return how long bytes may come without making an event whole."""
+        rule = self._job.rule
+        return max(MIN_EVENT_LIMIT_S, rule.gap_goal_s or rule.goal_s)
+
     def _note_output(self, place: Place) -> None:
         if not place.has_output:
             took_s = self._job.parts.timers.now() - place.since
--- a/tests/process/relaying/test_retry_share.py
+++ b/tests/process/relaying/test_retry_share.py
@@ -2,15 +2,7 @@
 
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.timers import ManualTimers
-from tests.support.replicas import BOUNDS
-
-
-class NoReserve:
-    def is_in_use(self):
-        return False
-
-    def take(self, pool):
-        raise AssertionError("there is no reserve")
+from tests.support.replicas import BOUNDS, NoReserve
 
 
 class RetryShareTest(unittest.TestCase):
--- /dev/null
+++ b/tests/support/flood.py
@@ -0,0 +1,91 @@
+"""A server, as a process of its own, that sends bytes without end.
+
+``python -m tests.support.flood MODE PACE`` prints its port. Each connection gets the
+bytes of the mode after the head of its request, until the other side closes: `fast`
+as fast as loopback takes them, `slow` one byte after the other with a pause.
+"""
+
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+SLOW_PAUSE_S = 0.05
+BLOCK_BYTES = 64 * 1024
+
+CHUNKED = b"HTTP/1.1 200 X\r\nRequest-Id: id-1\r\nTransfer-Encoding: chunked\r\n"
+SEAL = b"Response-Seal: seal\r\n"
+BARE = b"HTTP/1.1 200 X\r\nRequest-Id: id-1\r\nResponse-Seal: seal\r\n"
+MODES = {
+    "status_line": (b"HTTP/1.1 200 ", b"x"),
+    "header": (BARE + b"X-Long: ", b"x"),
+    "headers": (BARE, b"X-More: 1\r\n"),
+    "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "no_http": (b"", b"\x00\x01garbage"),
+    "body": (BARE + b"\r\n", b"x"),
+    "chunk_size": (CHUNKED + SEAL + b"\r\n", b"0"),
+    "chunk_extension": (CHUNKED + SEAL + b"\r\n5;", b"x"),
+    "chunks": (CHUNKED + SEAL + b"\r\n", b"4\r\nxxxx\r\n"),
+    "trailers": (CHUNKED + SEAL + b"\r\n0\r\n", b"X-More: 1\r\n"),
+    "junk": (BARE + b"Content-Length: 5\r\n\r\nwhole", b"junk"),
+    "stray": (b"HTTP/1.1 200 X\r\nRequest-Id: other\r\n\r\n", b"x"),
+    "event": (CHUNKED + SEAL + b"\r\n", b"5\r\ndata:\r\n"),
+    "empty_events": (CHUNKED + SEAL + b"\r\n", b"2\r\n\n\n\r\n"),
+}
+
+
+class Flood:
+    """Runs the server; a context manager.
+
+    Parameters
+    ----------
+    mode : str
+        One of `MODES`.
+    pace : str
+        `fast` or `slow`.
+    """
+
+    def __init__(self, mode, pace="fast"):
+        self._command = [sys.executable, "-m", "tests.support.flood", mode, pace]
+
+    def __enter__(self):
+        self._process = subprocess.Popen(self._command, stdout=subprocess.PIPE)
+        self.port = int(self._process.stdout.readline())
+        return self
+
+    def __exit__(self, *exc_info):
+        self._process.kill()
+        self._process.wait()
+        self._process.stdout.close()
+
+
+def _serve(sock, mode, pace):
+    begin, rest = MODES[mode]
+    try:
+        request = b""
+        while b"\r\n\r\n" not in request:
+            request += sock.recv(65_536)
+        sock.sendall(begin)
+        while True:
+            if pace == "fast":
+                sock.sendall(rest * (BLOCK_BYTES // len(rest)))
+            for byte in rest if pace == "slow" else b"":
+                sock.sendall(bytes([byte]))
+                time.sleep(SLOW_PAUSE_S)
+    except OSError:
+        # The other side has closed, which ends the flood.
+        sock.close()
+
+
+def _main(mode, pace):
+    listener = socket.create_server(("127.0.0.1", 0))
+    print(listener.getsockname()[1], flush=True)
+    while True:
+        sock, _ = listener.accept()
+        thread = threading.Thread(target=_serve, args=(sock, mode, pace), daemon=True)
+        thread.start()
+
+
+if __name__ == "__main__":
+    _main(*sys.argv[1:])
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -51,6 +51,18 @@
 ENGINE = EngineProfile(64, 88_000, can_back_up=True, models=frozenset({"m"}))
 
 
+class NoReserve:
+    """A small fleet, which keeps no reserve of repeats."""
+
+    def is_in_use(self):
+        """Return False."""
+        return False
+
+    def take(self, pool):
+        """Fail, since nobody may ask."""
+        raise AssertionError("there is no reserve")
+
+
 class Facts:
     """The fact board of one or several routers that hear each other at once."""
 
@@ -268,7 +280,7 @@
             registry=self.registry,
             upstreams=self.upstreams,
             protocol=HttpReplicaProtocol(),
-            retries=RetryShare(self.timers, lambda: BOUNDS, lambda: 1),
+            retries=RetryShare(self.timers, lambda: BOUNDS, lambda: 9, NoReserve()),
             rollouts=RelayRollouts(
                 self.timers,
                 random.Random(4),
