Bound what a store's answer may be in time and bytes

Cause: the store's client read whole answers of any length, and its timeouts hold for each read. Played by the flooding server in a process of its own: a fast flood of headers, body or chunks let no other green thread run. Now a call ends with its whole time (connect, wait and slack) or 16 MB, and reads let others go on. The test double of test_bad_platform is a real urllib3 response now, since answers are read in parts. test_store_endless: 7 kinds, fast and slow; it fails on the code before.

--- a/boragedeck/connection/store_http.py
+++ b/boragedeck/connection/store_http.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Mapping
 
+import eventlet
+import msgspec
 import urllib3
 from result import Err, Ok, Result
 
@@ -11,9 +13,54 @@
     StoreUnknownError,
 )
 
-__all__ = ["StoreAnswer", "call_store"]
+__all__ = ["FairConnection", "StoreAnswer", "call_store"]
 
-StoreAnswer = urllib3.BaseHTTPResponse
+EAGER_READS = 16
+"""After so many reads other green threads and timeouts have their turn."""
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+READ_BYTES = 64 * 1024
+
+
+class StoreAnswer(msgspec.Struct, frozen=True):
+    """A whole answer of a store.
+
+    Parameters
+    ----------
+    status : int
+        The HTTP status.
+    headers : mapping of str to str
+        The headers; names in any case.
+    data : bytes
+        The body.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    data: bytes
+
+
+class FairConnection(urllib3.connection.HTTPConnection):
+    """A connection whose reads let other green threads go on.
+
+    Notes
+    -----
+    A read of bytes that have already come doesn't wait, so a server that sends
+    without end would stop everything else, timeouts included.
+    """
+
+    def _new_conn(self):
+        sock = super()._new_conn()
+        recv_into, reads = sock.recv_into, 0
+
+        def fair_recv_into(*args, **kwargs):
+            nonlocal reads
+            reads += 1
+            if reads % EAGER_READS == 0:
+                eventlet.sleep(0)
+            return recv_into(*args, **kwargs)
+
+        sock.recv_into = fair_recv_into
+        return sock
 
 
 def call_store(
@@ -51,10 +98,19 @@
         not reached, or ``Err(StoreUnknownError)`` where the call may have had an
         effect.
     """
+    late = TimeoutError("no whole answer in time")
     try:
-        answer = pool.request(
-            method, url, body=body, headers=headers, timeout=timeout, retries=False
-        )
+        with eventlet.Timeout(_total_s(timeout), late):
+            response = pool.request(
+                method,
+                url,
+                body=body,
+                headers=headers,
+                timeout=timeout,
+                retries=False,
+                preload_content=False,
+            )
+            answer = _whole(response)
     except (
         urllib3.exceptions.NewConnectionError,
         urllib3.exceptions.ConnectTimeoutError,
@@ -63,3 +119,22 @@
     except (urllib3.exceptions.HTTPError, OSError) as exc:
         return Err(StoreUnknownError(str(exc), step=step, peer=peer))
     return Ok(answer)
+
+
+def _whole(response: urllib3.BaseHTTPResponse) -> StoreAnswer:
+    """Read the body, and keep the connection only where the answer is whole."""
+    data = bytearray()
+    try:
+        while part := response.read(READ_BYTES):
+            data += part
+            if len(data) > MAX_ANSWER_BYTES:
+                raise OSError("the answer is too long")
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    return StoreAnswer(response.status, response.headers, bytes(data))
+
+
+def _total_s(timeout: urllib3.Timeout) -> float:
+    return timeout.connect_timeout + timeout.read_timeout
--- a/boragedeck/platform/store.py
+++ b/boragedeck/platform/store.py
@@ -22,7 +22,7 @@
     Vm,
     Write,
 )
-from boragedeck.connection.store_http import call_store
+from boragedeck.connection.store_http import FairConnection, call_store
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
     StoreConflictError,
@@ -93,6 +93,7 @@
             block=False,
             retries=False,
         )
+        self._pool.ConnectionCls = FairConnection
 
     def close(self) -> None:
         """Close the connections."""
--- a/tests/connection/test_bad_platform.py
+++ b/tests/connection/test_bad_platform.py
@@ -1,7 +1,9 @@
+import io
 import unittest
 
 from hypothesis import example, given
 from hypothesis import strategies as st
+from urllib3 import HTTPResponse
 
 from boragedeck.connection.platform import HttpPlatform
 from boragedeck.connection.store import Put, Row, Table
@@ -12,10 +14,9 @@
 STATUSES = st.sampled_from([200, 204, 302, 404, 409, 500, 503])
 
 
-class Response:
-    def __init__(self, status, data):
-        self.status = status
-        self.data = data
+def response(status, data):
+    """Return an answer whose body has not been read yet."""
+    return HTTPResponse(io.BytesIO(data), status=status, preload_content=False)
 
 
 class BadPlatformTest(unittest.TestCase):
@@ -25,7 +26,7 @@
     @example(503, b"\xff" * 5000)
     def test_any_response_is_a_typed_result(self, status, body):
         platform = HttpPlatform("http://platform")
-        platform._pool.request = lambda *a, **k: Response(status, body)
+        platform._pool.request = lambda *a, **k: response(status, body)
         put = Put(Table.CONFIG, "a", b"")
         for result, kind in (
             (platform.get(Table.CONFIG, "a"), Row | None),
--- /dev/null
+++ b/tests/platform/test_store_endless.py
@@ -0,0 +1,32 @@
+"""A store that sends bytes without end."""
+
+import time
+import unittest
+
+import eventlet
+
+from boragedeck.connection.peer import Address
+from boragedeck.connection.store import Table
+from boragedeck.platform.store import CONNECT_TIMEOUT_S, FEED_SLACK_S, PlatformStore
+from tests.support.flood import Flood
+from tests.support.turns import MAX_TURN_S, Turns
+
+WAIT_S = 0.5
+MODES = ("status_line", "header", "headers", "interim", "body", "chunks", "no_http")
+
+
+class EndlessStoreTest(unittest.TestCase):
+    def test_call_ends_in_time_and_holds_nothing_up(self):
+        limit_s = CONNECT_TIMEOUT_S + WAIT_S + FEED_SLACK_S
+        for pace in ("fast", "slow"):
+            for mode in MODES:
+                with self.subTest(mode=mode, pace=pace), Flood(mode, pace) as flood:
+                    store = PlatformStore(Address("127.0.0.1", flood.port))
+                    begun = time.monotonic()
+                    with Turns() as turns:
+                        result = store.changes(Table.ROUTING, 5, WAIT_S)
+                    self.assertTrue(result.is_err())
+                    self.assertLess(time.monotonic() - begun, limit_s + MAX_TURN_S)
+                    self.assertLess(turns.longest_s, MAX_TURN_S)
+                    store.close()
+                    eventlet.sleep(0)
--- a/tests/request/test_relay_endless.py
+++ b/tests/request/test_relay_endless.py
@@ -1,7 +1,6 @@
 """Replicas that send bytes without end, before the whole relaying path."""
 
 import resource
-import time
 import unittest
 
 import eventlet
@@ -19,40 +18,17 @@
     events,
     stream_rule,
 )
+from tests.support.turns import MAX_TURN_S, Turns
 
 POOL = RelayPool("engines", 100, ENGINE)
 TOKENS = b"Token-Counts: 1000,100"
 PATIENCE_MS = 2_000
-TURN_S = 0.01
-MAX_TURN_S = 0.3
-"""So long another request of the same router may be held up."""
 MAX_GROWTH_KB = 48 * 1024
 STREAM_ONLY = {"event", "empty_events"}
 KEPT_WHOLE = {"junk"}
 """The answer itself is whole, and what follows belongs to no request."""
 
 
-class Turns:
-    """Measures how long a green thread beside the requests waits for its turn."""
-
-    def __init__(self):
-        self.longest_s = 0.0
-
-    def __enter__(self):
-        self._thread = eventlet.spawn(self._run)
-        return self
-
-    def __exit__(self, *exc_info):
-        self._thread.kill()
-
-    def _run(self):
-        while True:
-            begun = time.monotonic()
-            eventlet.sleep(TURN_S)
-            late_s = time.monotonic() - begun - TURN_S
-            self.longest_s = max(self.longest_s, late_s)
-
-
 def flooding(port, domain="a"):
     return Replica(
         replica="flood",
