Assume a fleet at a start only where the seeds name other routers

A lone router assumes 16 as before; one whose settings name other seeds assumes 100 until it knows them. Ruled out: the new limits on streams' bytes (the same failure without them).

--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -262,7 +262,13 @@
         reserve = RetryReserve(
             timers, bounds, SAFETY, self._hubs, self._links, self._peer_server
         )
-        return RetryShare(timers, bounds, self._membership.routers, reserve)
+        return RetryShare(
+            timers,
+            bounds,
+            self._membership.routers,
+            reserve,
+            lambda: bool(self._membership.seeds()),
+        )
 
     def _replicas_of(self, pool: PoolName) -> list[Replica]:
         return [state.replica for state in self._registry.of_pool(pool)]
--- a/boragedeck/process/relaying/retry_share.py
+++ b/boragedeck/process/relaying/retry_share.py
@@ -15,8 +15,9 @@
 """For so long after its start a router may not know all others."""
 ASSUMED_ROUTERS = 16
 """So many are assumed meanwhile, where fewer are known."""
-ASSUMED_ALONE = 100
-"""And so many where no other is known: the fleet may have started together."""
+ASSUMED_FLEET = 100
+"""And so many where there are seeds but no other router is known: hundreds may have
+started together."""
 SAFETY = 0.8
 """Of the bound, what is used: requests of callers may be counted in another window."""
 
@@ -46,6 +47,8 @@
         Returns how many routers share the fixed part.
     reserve : Reserve
         Where the fixed part is taken from in a large fleet.
+    has_seeds : callable, optional
+        Returns whether the settings name other routers.
     """
 
     def __init__(
@@ -54,11 +57,13 @@
         bounds: Callable[[], Bounds],
         routers: Callable[[], int],
         reserve: Reserve,
+        has_seeds: Callable[[], bool] = lambda: False,
     ):
         self._timers = timers
         self._bounds = bounds
         self._routers = routers
         self._reserve = reserve
+        self._has_seeds = has_seeds
         self._learning_until = timers.now() + LEARNING_S
         self._requests = SlidingCount(timers)
         self._repeats = SlidingCount(timers)
@@ -87,4 +92,6 @@
         known = max(1, self._routers())
         if self._timers.now() >= self._learning_until:
             return known
-        return max(known, ASSUMED_ROUTERS) if known > 1 else ASSUMED_ALONE
+        if known == 1 and self._has_seeds():
+            return ASSUMED_FLEET
+        return max(known, ASSUMED_ROUTERS)
--- a/tests/process/relaying/test_retry_share.py
+++ b/tests/process/relaying/test_retry_share.py
@@ -36,7 +36,9 @@
     def test_hundreds_that_start_together_stay_within_the_bound(self):
         routers, count = 200, 0
         for _ in range(routers):
-            alone = RetryShare(self.timers, lambda: BOUNDS, lambda: 1, NoReserve())
+            alone = RetryShare(
+                self.timers, lambda: BOUNDS, lambda: 1, NoReserve(), lambda: True
+            )
             alone.note_request("p")
             while alone.take("p"):
                 count += 1
