Import only the parts of the edition that runs

Cause: each start of a router on the platform imported the stand-alone edition as well. Ruled out: eventlet's monkey_patch (64 ms of it, in its pass over existing locks), which both editions need.

--- /dev/null
+++ b/boragedeck/process/relaying/program.py
@@ -0,0 +1,51 @@
+"""Runs a router that relays requests on the users' platform."""
+
+import os
+import random
+import signal
+import sys
+from pathlib import Path
+from typing import NoReturn
+
+import eliot
+import eventlet
+
+from boragedeck.platform.settings import SETTINGS_FILE_VARIABLE, read_settings
+from boragedeck.process.log_sink import LogSink
+from boragedeck.process.logs import name_process
+from boragedeck.process.relaying.composition import RelayRouter
+from boragedeck.process.relaying.settings import RelaySettings
+from boragedeck.process.relaying.settings_source import SettingsSource
+from boragedeck.process.serving import EXIT_FAILED, serve_until, stop_event
+from boragedeck.process.timers import RealTimers
+
+__all__ = ["run_on_platform"]
+
+
+def run_on_platform(settings: RelaySettings) -> NoReturn:
+    """Run a router until SIGTERM or SIGINT; exit with 0 after a planned stop.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+        What the platform's file says at the start.
+    """
+    sink = LogSink(sys.stdout.fileno())
+    eliot.add_global_fields(vm=settings.vm, pid=os.getpid())
+    eliot.add_destinations(sink)
+    stop = stop_event()
+    timers = RealTimers(random.Random())
+    path = Path(os.environ[SETTINGS_FILE_VARIABLE])
+    source = SettingsSource(settings, lambda: read_settings(os.environ), path, timers)
+    signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(source.reload, "SIGHUP"))
+    try:
+        router = RelayRouter(source, timers)
+    except OSError as exc:
+        print(f"boragedeckd: can't listen: {exc}", file=sys.stderr)
+        sys.exit(EXIT_FAILED)
+    router.metrics.dropped_logs.set_function(lambda: sink.dropped)
+    name_process(router.own.router)
+    router.start()
+    serve_until(stop, router)
+    sink.flush()
+    os._exit(0)
--- /dev/null
+++ b/boragedeck/process/standalone.py
@@ -0,0 +1,87 @@
+"""Runs the stand-alone router: own tables and an OpenAI-compatible edge."""
+
+import os
+import sys
+from typing import NoReturn
+
+import msgspec
+
+from boragedeck.exceptions import SettingsError
+from boragedeck.process.composition import Router
+from boragedeck.process.logs import name_process, open_log
+from boragedeck.process.serving import (
+    EXIT_FAILED,
+    EXIT_USAGE,
+    checked,
+    serve_until,
+    stop_event,
+)
+from boragedeck.process.settings import parse_settings
+
+__all__ = ["Ready", "run_standalone"]
+
+
+class Ready(msgspec.Struct, frozen=True):
+    """The line on standard output that says that the daemon serves.
+
+    Parameters
+    ----------
+    url : str
+        Where callers reach it.
+    pid : int
+        The process.
+    router : str
+        The router's id.
+    vm : str
+        Its VM.
+    failure_domain : str
+        Where it stands.
+    peer : str
+        Where other routers reach it.
+    """
+
+    url: str
+    pid: int
+    router: str
+    vm: str
+    failure_domain: str
+    peer: str
+
+
+def run_standalone(arguments: list[str]) -> NoReturn:
+    """Run a router until SIGTERM or SIGINT; exit with 0 after a planned stop.
+
+    Parameters
+    ----------
+    arguments : list of str
+        The command line, without the program's name.
+    """
+    settings = checked(parse_settings(arguments))
+    path = None if settings.log_file is None else str(settings.log_file)
+    open_log(path, vm=settings.vm, pid=os.getpid())
+    stop = stop_event()
+    try:
+        router = Router(settings)
+    except SettingsError as exc:
+        print(f"boragedeckd: {exc}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    except OSError as exc:
+        print(f"boragedeckd: can't listen: {exc}", file=sys.stderr)
+        sys.exit(EXIT_FAILED)
+    name_process(router.own.router)
+    router.start()
+    print(msgspec.json.encode(_ready(router)).decode(), flush=True)
+    serve_until(stop, router)
+    sys.stdout.flush()
+    os._exit(0)
+
+
+def _ready(router: Router) -> Ready:
+    return Ready(
+        url=f"http://{router.http_address}",
+        pid=os.getpid(),
+        router=router.own.router,
+        vm=router.own.vm,
+        failure_domain=router.own.failure_domain,
+        peer=str(router.own.address),
+    )
--- /dev/null
+++ b/tests/process/relaying/test_mirror_messages.py
@@ -0,0 +1,57 @@
+import unittest
+
+import msgspec
+
+from boragedeck.connection.store import Change, Changes, Table
+from boragedeck.process.relaying.mirror_messages import (
+    FetchTable,
+    TablePart,
+    serve_mirrors,
+)
+from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.timers import ManualTimers
+
+ROUTING = Table.ROUTING
+ROUTES = b'{"name": "route", "host": "here.example", "prefix": "/r/"},' * 500
+
+
+class Server:
+    def register(self, kind, handler):
+        self.handler = handler
+
+
+class MirrorMessagesTest(unittest.TestCase):
+    def setUp(self):
+        self.mirror = TableMirror(ROUTING)
+        self.server, self.is_current = Server(), True
+        serve_mirrors(
+            self.server, [self.mirror], ManualTimers(), lambda table: self.is_current
+        )
+        self.mirror.apply(Changes((Change("k", ROUTES, 6),), 6, True))
+
+    def ask(self, after):
+        body = msgspec.msgpack.encode(self.server.handler(FetchTable(ROUTING, after)))
+        return body, msgspec.msgpack.decode(body, type=TablePart)
+
+    def test_table_arrives_as_it_is_and_takes_few_bytes(self):
+        body, part = self.ask(-1)
+        self.assertEqual(part.news(), self.mirror.whole())
+        self.assertLess(len(body), len(ROUTES) / 10)
+
+    def test_changes_since_a_version(self):
+        self.mirror.apply(Changes((Change("l", b"2", 9),), 9))
+        _, part = self.ask(6)
+        self.assertEqual(part.news(), Changes((Change("l", b"2", 9),), 9))
+        _, part = self.ask(9)
+        self.assertIsNone(part.news())
+
+    def test_later_change_is_not_hidden_by_one_that_was_packed(self):
+        self.ask(-1)
+        self.mirror.apply(Changes((Change("k", b"new", 9),), 9))
+        _, part = self.ask(-1)
+        self.assertEqual(part.news().rows[0].value, b"new")
+
+    def test_spoilt_changes_are_an_error(self):
+        for packed in (b"", b"junk", b"\x78\x9c"):
+            with self.assertRaises(ValueError):
+                TablePart(packed=packed).news()
