Put hubs on the strongest VMs, pack tables, and refuse no calls for stale loads

Hubs are now the routers with the most capacity (link times processor, stated with the membership); tables go packed, once for all that ask from one version; a router tells one hub only, which the membership alone decides, and takes its loads back from the one before; loads that could not be asked for don't count against a call, which ends within milliseconds and is refused by the replica itself where that is full. Ruled out: processor time (0.002 cores on average) and the store (its answers came).

--- a/boragedeck/interfaces.py
+++ b/boragedeck/interfaces.py
@@ -61,6 +61,8 @@
         Where it listens for peers.
     health : Health
         What this router believes of it.
+    capacity : float
+        How much its VM can do, relative to others: link times processor.
     """
 
     router: RouterId
@@ -68,6 +70,7 @@
     failure_domain: FailureDomain
     address: Address
     health: Health = Health.HEALTHY
+    capacity: float = 1.0
 
 
 class Membership(Protocol):
--- a/boragedeck/platform/settings.py
+++ b/boragedeck/platform/settings.py
@@ -36,6 +36,13 @@
     config_apply_ms: float = 2000
 
 
+class _Limits(msgspec.Struct, rename="camel"):
+    cpu_share: float = 1.0
+    """Of one core, which is `cores` times as fast as a plain one."""
+    cores: float = 1.0
+    link_mbps: float = 1.0
+
+
 class _Store(msgspec.Struct, rename="camel"):
     address: str
 
@@ -49,6 +56,7 @@
     platform: _Store
     seeds: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def read_settings(
@@ -81,7 +89,7 @@
     first_port, last_port = file.internal_ports
     if not 0 < first_port <= last_port <= 65_535:
         raise ValueError(f"internalPorts got {file.internal_ports}; takes two ports")
-    bounds = file.bounds
+    bounds, limits = file.bounds, file.limits
     return RelaySettings(
         vm=VmName(file.node),
         failure_domain=FailureDomain(file.zone),
@@ -102,6 +110,7 @@
             exposure_share=bounds.exposure_share,
             config_apply_s=bounds.config_apply_ms / 1000.0,
         ),
+        capacity=limits.link_mbps * limits.cpu_share * limits.cores,
     )
 
 
--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -136,6 +136,10 @@
         """Return how many routers may choose by the same knowledge of the loads."""
         return 1
 
+    def is_fresh(self, pool: PoolName) -> bool:
+        """Return whether the loads of a pool are known as they are now."""
+        return True
+
 
 class Admission:
     """Gives out the places of all pools.
@@ -280,6 +284,7 @@
             tried=ask.tried,
             lost_domains=ask.lost_domains,
             routers=self._loads.choosers(ask.pool.name),
+            is_fresh=self._loads.is_fresh(ask.pool.name),
             engine=ask.pool.engine,
         )
 
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -96,6 +96,7 @@
             settings.vm,
             settings.failure_domain,
             settings.peer,
+            capacity=settings.capacity,
         )
         self._ends_at = float("inf")
         self._store_meter = StoreMeter(timers, self.metrics)
--- a/boragedeck/process/relaying/hubs.py
+++ b/boragedeck/process/relaying/hubs.py
@@ -37,6 +37,11 @@
     -------
     list of Member
         One of each failure domain, more where there are fewer than `MIN_HUBS` domains.
+
+    Notes
+    -----
+    VMs with more capacity go first: a hub sends each change of a table to all routers
+    of its domain, and a slow link would hold up what else it is asked.
     """
     by_domain: dict[FailureDomain, list[Member]] = {}
     for member in everyone:
@@ -45,7 +50,7 @@
     return [
         hub
         for domain, members in sorted(by_domain.items())
-        for hub in rank(f"hub {domain}", members, _router)[:each]
+        for hub in _ranked(domain, members)[:each]
     ]
 
 
@@ -127,5 +132,10 @@
             self._beside = [m for m in choose_hubs([own, *healthy]) if m != own]
 
 
+def _ranked(domain: FailureDomain, members: list[Member]) -> list[Member]:
+    ranked = rank(f"hub {domain}", members, _router)
+    return sorted(ranked, key=lambda member: -member.capacity)
+
+
 def _router(member: Member) -> str:
     return member.router
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -42,7 +42,7 @@
 CALL_TIMEOUT_S = 0.5
 ASK_TIMEOUT_S = 0.05
 """A request waits so long for the loads at most."""
-AVOID_S = 1.0
+AVOID_S = 0.3
 """For so long a hub that didn't answer isn't asked."""
 FRESH_S = 0.02
 STALE_S = 2.5
@@ -103,7 +103,8 @@
         self._hub = LoadHub(membership.own.router, timers, registry, server)
         self._asked: dict[ReplicaId, Load] = {}
         self._asked_at: dict[PoolName, float] = {}
-        self._avoided: dict[RouterId, float] = {}
+        self._avoided_until = 0.0
+        self._told: Member | None = None
         registry.subscribe(self._link_all)
         server.register(LoadUpdate, self._on_update)
         server.register(LoadSum, self._on_sum)
@@ -119,8 +120,10 @@
 
     def refresh(self, pool: PoolName) -> None:
         """See `LoadSource.refresh`; asks the hub, where there is one."""
-        hub = self._hub_to_ask()
-        if hub is None or self._is_fresh(pool):
+        hub = self._own_hub()
+        if hub is None or self._avoided_until > self._timers.now():
+            return
+        if self.is_fresh(pool):
             return
         answer = self._links.link(hub.address).call(
             FetchLoads(self._membership.own.router, pool),
@@ -136,11 +139,14 @@
         """See `LoadSource.choosers`."""
         if self._hubs.is_hub():
             return len(self._hubs.beside()) + 1
-        if self._is_fresh(pool):
+        if self._hubs.above() and self.is_fresh(pool):
             return len(self._hubs.above())
         return len(self._membership.members()) + 1
 
-    def _is_fresh(self, pool: PoolName) -> bool:
+    def is_fresh(self, pool: PoolName) -> bool:
+        """See `LoadSource.is_fresh`; what isn't asked for is told all the time."""
+        if not self._hubs.above():
+            return True
         asked_at = self._asked_at.get(pool, float("-inf"))
         return self._timers.now() - asked_at < FRESH_S
 
@@ -169,7 +175,7 @@
 
     def _tell_hub(self) -> None:
         """Tell the hub what has changed; changes during the call follow it."""
-        hub = self._hub_to_ask()
+        hub = self._own_hub()
         if hub is not None and self._is_changed and hub.address not in self._sending:
             self._send(hub.address, self._update(), self._tell_hub)
 
@@ -183,19 +189,30 @@
             for member in others:
                 self._send(member.address, message)
 
-    def _hub_to_ask(self) -> Member | None:
-        """Return the first hub that isn't known to be silent."""
-        now = self._timers.now()
-        for hub in self._hubs.above():
-            if self._avoided.get(hub.router, 0.0) <= now:
-                return hub
-        return None
+    def _own_hub(self) -> Member | None:
+        """Return the hub that counts this router's loads.
+
+        Notes
+        -----
+        Only the members decide which it is: a router that went to another hub for a
+        slow answer would be counted at both.
+        """
+        hub = next(iter(self._hubs.above()), None)
+        if self._told is not None and hub != self._told:
+            self._take_back(self._told)
+        self._told = hub
+        return hub
+
+    def _take_back(self, hub: Member) -> None:
+        """Tell a hub that this router's loads are counted elsewhere."""
+        self._number += 1
+        own = self._membership.own.router
+        self._send(hub.address, LoadUpdate(own, self._number, {}, {}))
+        self._is_changed = True
 
     def _avoid(self, hub: Member, error: PeerError) -> None:
-        now = self._timers.now()
         _log.write("Hub failed.", peer=hub.router, error=str(error))
-        self._avoided = {name: at for name, at in self._avoided.items() if at > now}
-        self._avoided[hub.router] = now + AVOID_S
+        self._avoided_until = self._timers.now() + AVOID_S
 
     def _update(self) -> LoadUpdate:
         self._is_changed = False
--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/mirror_follower.py
@@ -163,10 +163,14 @@
         ask = FetchTable(self._mirror.table, self._mirror.version)
         link = self._links.link(address)
         result = link.call(ask, TablePart, timeout_s=PEER_TIMEOUT_S)
-        if result.is_err() or result.ok().changes is None:
+        if result.is_err():
             return
-        changes = result.ok().changes
-        if changes.version > self._mirror.version:
+        try:
+            changes = result.ok().news()
+        except ValueError as exc:
+            _log.write("Answer can't be read.", peer=str(address), error=str(exc))
+            return
+        if changes is not None and changes.version > self._mirror.version:
             known = self._mirror.version
             _log.write(
                 "Taken from another router.",
--- a/boragedeck/process/relaying/mirror_messages.py
+++ b/boragedeck/process/relaying/mirror_messages.py
@@ -1,16 +1,22 @@
 """Messages by which routers read each other's mirrors of the platform's tables."""
 
+import zlib
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from boragedeck.connection.messages import Message
 from boragedeck.connection.peer import PeerServer
 from boragedeck.connection.store import Changes, Table
+from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 
 __all__ = ["FetchTable", "TablePart", "serve_mirrors"]
 
 MAX_WAIT_S = 2.0
+MAX_UNPACKED_BYTES = 32 * 1024 * 1024
+PACK_LEVEL = 6
 
 
 class FetchTable(Message, frozen=True):
@@ -37,13 +43,51 @@
     Parameters
     ----------
     changes : Changes or None
-        None where its mirror is no newer.
+        None where its mirror is no newer, or where they are `packed`.
     is_current : bool
         Whether the router reads the store itself and heard of it lately.
+    packed : bytes or None
+        The changes, compressed.
     """
 
     changes: Changes | None = None
     is_current: bool = False
+    packed: bytes | None = None
+
+    def news(self) -> Changes | None:
+        """Return the changes, however they were sent.
+
+        Raises
+        ------
+        ValueError
+            Where they can't be unpacked.
+        """
+        if self.packed is None:
+            return self.changes
+        unpacker = zlib.decompressobj()
+        try:
+            body = unpacker.decompress(self.packed, MAX_UNPACKED_BYTES)
+            return msgspec.msgpack.decode(body, type=Changes)
+        except (zlib.error, *DECODE_ERRORS) as exc:
+            raise ValueError(f"changes can't be unpacked: {exc}") from exc
+
+
+class _Packer:
+    """Packs the changes of one table, once for all that ask from the same version."""
+
+    def __init__(self, mirror: TableMirror):
+        self._mirror = mirror
+        self._key: tuple[int, int, int] | None = None
+        self._packed = b""
+
+    def changes_since(self, after: int) -> bytes:
+        """Return what has changed after a version, compressed."""
+        mirror = self._mirror
+        key = after, mirror.version, mirror.newest
+        if key != self._key:
+            body = msgspec.msgpack.encode(mirror.since(after))
+            self._key, self._packed = key, zlib.compress(body, PACK_LEVEL)
+        return self._packed
 
 
 def serve_mirrors(
@@ -54,6 +98,7 @@
 ) -> None:
     """Answer other routers that ask for these tables."""
     by_table = {mirror.table: mirror for mirror in mirrors}
+    packers = {table: _Packer(mirror) for table, mirror in by_table.items()}
 
     def answer(ask: FetchTable) -> TablePart:
         mirror = by_table.get(ask.table)
@@ -62,7 +107,9 @@
         # One that hears nothing of the store says so at once.
         if ask.wait_s > 0.0 and is_current(ask.table):
             mirror.wait(timers, ask.after, min(ask.wait_s, MAX_WAIT_S))
-        changes = mirror.since(ask.after) if mirror.version > ask.after else None
-        return TablePart(changes, is_current(ask.table))
+        if mirror.version <= ask.after:
+            return TablePart(is_current=is_current(ask.table))
+        packed = packers[ask.table].changes_since(ask.after)
+        return TablePart(is_current=is_current(ask.table), packed=packed)
 
     server.register(FetchTable, answer)
--- a/boragedeck/process/relaying/placement.py
+++ b/boragedeck/process/relaying/placement.py
@@ -67,6 +67,8 @@
         Where it was lost before.
     routers : int
         Routers that choose among the same replicas.
+    is_fresh : bool
+        Whether the other routers' loads are known as they are now.
     """
 
     tokens: int
@@ -76,12 +78,20 @@
     engine: EngineProfile | None = None
     lost_domains: frozenset[FailureDomain] = frozenset()
     routers: int = 1
+    is_fresh: bool = True
 
 
 def has_room(state: ReplicaState, req: PlaceRequest) -> bool:
-    """Return whether a replica can begin a request at once."""
+    """Return whether a replica can begin a request at once.
+
+    Notes
+    -----
+    Calls end within milliseconds, so loads of other routers that aren't fresh say
+    nothing about a service; it refuses by itself what it has no room for.
+    """
     if req.engine is None:
-        return state.running < state.replica.slots
+        running = state.running if req.is_fresh else state.own.running
+        return running < state.replica.slots
     if state.running >= req.engine.slots:
         return False
     limit = req.engine.memory_tokens * MEMORY_SHARE
--- a/boragedeck/process/relaying/settings.py
+++ b/boragedeck/process/relaying/settings.py
@@ -54,6 +54,8 @@
         The platform's store.
     bounds : Bounds
         The operators' bounds.
+    capacity : float
+        How much the VM can do: its link in Mbit/s times its processor in cores.
     """
 
     vm: VmName
@@ -65,3 +67,4 @@
     seeds: tuple[Address, ...]
     store: Address
     bounds: Bounds
+    capacity: float = 1.0
--- a/boragedeck/process/relaying/shared_feed.py
+++ b/boragedeck/process/relaying/shared_feed.py
@@ -187,17 +187,19 @@
         answer = self._links.link(address).call(
             FetchTable(table, after, wait_s), TablePart, timeout_s=wait_s + slack_s
         )
-        match answer:
-            case Ok(TablePart(changes=None, is_current=True)) if after >= 0:
-                return Ok(Changes((), after))
-            case Ok(TablePart(changes=Changes() as changes, is_current=True)):
-                return Ok(changes)
-            case Ok():
-                text = "it has not heard of the store lately"
-                peer = str(address)
-                return Err(PeerRefusedError(text, step="read a table", peer=peer))
-            case _:
-                return answer
+        if answer.is_err():
+            return answer
+        where = {"step": "read a table", "peer": str(address)}
+        part = answer.ok()
+        try:
+            changes = part.news()
+        except ValueError as exc:
+            return Err(PeerError(str(exc), **where))
+        if part.is_current and changes is not None:
+            return Ok(changes)
+        if part.is_current and after >= 0:
+            return Ok(Changes((), after))
+        return Err(PeerRefusedError("it has not heard of the store lately", **where))
 
     def _note_failure(
         self, address: Address, table: Table, after: int, error: PeerError
--- a/tests/process/relaying/test_hubs.py
+++ b/tests/process/relaying/test_hubs.py
@@ -73,3 +73,10 @@
         hubs = choose_hubs(everyone)
         left = choose_hubs(others(hubs[0], everyone))
         self.assertEqual(len(set(left) - set(hubs)), 1)
+
+    def test_vms_with_most_capacity_are_hubs(self):
+        everyone = fleet(60, 5)
+        for number in (7, 13, 24):
+            everyone[number] = msgspec.structs.replace(everyone[number], capacity=8.0)
+        hubs = {hub.router for hub in choose_hubs(everyone)}
+        self.assertEqual(len(hubs & {"r7", "r13", "r24"}), 3)
--- a/tests/process/relaying/test_placement.py
+++ b/tests/process/relaying/test_placement.py
@@ -53,6 +53,13 @@
         self.assertFalse(has_room(full, request()))
         self.assertIsNone(self.choose([full]))
 
+    def test_calls_are_not_refused_for_loads_that_may_have_ended(self):
+        told = state("told", peers=Load(6, 0, 0))
+        self.assertFalse(has_room(told, request(engine=None)))
+        self.assertTrue(has_room(told, request(engine=None, is_fresh=False)))
+        own = state("own", load=Load(6, 0, 0))
+        self.assertFalse(has_room(own, request(engine=None, is_fresh=False)))
+
     def test_request_larger_than_an_engine_goes_to_an_empty_one(self):
         self.assertEqual(self.choose([state("empty")], tokens=100_000), "empty")
 
