Count at the hubs which requests crash their replicas

A router now reports such a loss to the hub that counts for the request, chosen by its fingerprint. The hub leaves out replicas that were lost with others of their failure domain within 2 s, and tells all routers only of a request that three crashed under, 1.6 s after the third and the time of gossip. A request that crashes three is known to all within 3 s, the shortest contact time of the sites.

--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -32,6 +32,7 @@
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.relaying.admission import Admission
 from boragedeck.process.relaying.crash_blame import CrashBlame
+from boragedeck.process.relaying.crash_reports import CrashReports
 from boragedeck.process.relaying.hubs import Hubs, choose_hubs
 from boragedeck.process.relaying.load_exchange import LoadExchange
 from boragedeck.process.relaying.mirror_follower import MirrorFollower
@@ -252,7 +253,7 @@
             protocol=HttpReplicaProtocol(),
             retries=self._make_retries(),
             rollouts=self._rollouts,
-            blame=CrashBlame(self.timers, self._board),
+            blame=self._make_blame(),
             metrics=self.metrics,
             time_left=self._time_left,
             refusal_headers=refusal_headers,
@@ -271,6 +272,12 @@
             lambda: bool(self._membership.seeds()),
         )
 
+    def _make_blame(self) -> CrashBlame:
+        reports = CrashReports(
+            self.timers, self._hubs, self.own, self._links, self._peer_server
+        )
+        return CrashBlame(self.timers, self._board, reports)
+
     def _replicas_of(self, pool: PoolName) -> list[Replica]:
         return [state.replica for state in self._registry.of_pool(pool)]
 
--- a/boragedeck/process/relaying/crash_blame.py
+++ b/boragedeck/process/relaying/crash_blame.py
@@ -3,6 +3,7 @@
 import functools
 from collections import OrderedDict
 
+import eventlet
 import msgspec
 import xxhash
 
@@ -10,14 +11,17 @@
 from boragedeck.ids import OrganisationName
 from boragedeck.interfaces import FactBoard
 from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.crash_reports import (
+    MAX_CRASHES,
+    CrashReports,
+    ReportCrash,
+)
 from boragedeck.process.relaying.registry import ReplicaState
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import ReplicaId
 
 __all__ = ["CrashBlame", "fingerprint_of"]
 
-MAX_CRASHES = 3
-"""So many replicas that crashed under a request speak against it."""
 MARK_TTL_S = 120.0
 MAX_FINGERPRINTS = 4_096
 DOMAIN_WINDOW_S = 0.6
@@ -53,6 +57,9 @@
         The source of time.
     board : FactBoard
         Spreads the crashes.
+    reports : CrashReports, optional
+        Counts the crashes in a large fleet, where only requests that are blamed are
+        told to all.
 
     Notes
     -----
@@ -61,7 +68,15 @@
     replica of its failure domain was lost at about the same time.
     """
 
-    def __init__(self, timers: TimerService, board: FactBoard):
+    def __init__(
+        self,
+        timers: TimerService,
+        board: FactBoard,
+        reports: CrashReports | None = None,
+    ):
+        self._reports = reports
+        if reports is not None:
+            reports.on_blamed = self._publish
         self._timers = timers
         self._board = board
         self._broken: dict[ReplicaId, list[_Broken]] = {}
@@ -100,6 +115,18 @@
         if not is_lost or self._is_common(state, broken[0].at):
             return
         for fingerprint in {each.fingerprint for each in broken}:
+            if self._reports is not None and self._reports.is_in_use():
+                stated = state.replica
+                crash = ReportCrash(
+                    fingerprint, replica, stated.pool, stated.failure_domain
+                )
+                eventlet.spawn_n(self._reports.report, crash)
+            else:
+                self._publish(fingerprint, [replica])
+
+    def _publish(self, fingerprint: str, replicas: list[ReplicaId]) -> None:
+        """Tell all routers which replicas crashed under a request."""
+        for replica in replicas:
             key = f"{fingerprint} {replica}"
             self._board.publish(FactTopic.CRASH, key, b"", ttl_s=MARK_TTL_S)
             self._mark(fingerprint, replica)
--- /dev/null
+++ b/tests/process/relaying/test_crash_reports.py
@@ -0,0 +1,84 @@
+import unittest
+
+import eventlet
+import msgspec
+
+from boragedeck.process.relaying.crash_blame import CrashBlame
+from boragedeck.process.relaying.crash_reports import CrashReports
+from boragedeck.process.relaying.hubs import Hubs
+from boragedeck.process.relaying.registry import ReplicaState
+from boragedeck.process.timers import ManualTimers
+from tests.process.relaying.test_admission import replica
+from tests.process.relaying.test_load_exchange import Members, Net, Server
+from tests.support.replicas import Facts
+
+ROUTERS = 100
+DOMAINS = 5
+CONTACT_S = 3.0
+"""The shortest bound in which a request that crashes replicas must be known."""
+
+
+class CountedFacts(Facts):
+    """A fact board that counts what is published."""
+
+    published = 0
+
+    def publish(self, *args, **kwargs):
+        """See `Facts.publish`."""
+        CountedFacts.published += 1
+        return super().publish(*args, **kwargs)
+
+
+class CrashReportsTest(unittest.TestCase):
+    def setUp(self):
+        CountedFacts.published = 0
+        self.timers, self.net = ManualTimers(), Net()
+        names = [f"r{number}" for number in range(ROUTERS)]
+        shared = {}
+        self.blames = []
+        for name in names:
+            members = Members(names, name, DOMAINS)
+            hubs = Hubs(self.timers, members)
+            server = Server(self.net, name)
+            reports = CrashReports(self.timers, hubs, members.own, self.net, server)
+            facts = CountedFacts(name, shared)
+            self.blames.append(CrashBlame(self.timers, facts, reports))
+
+    def advance(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.timers.advance(0.1)
+            eventlet.sleep(0)
+
+    def lose(self, blame, name, domain, request):
+        entry = msgspec.structs.replace(replica(name), failure_domain=domain)
+        state = ReplicaState(entry)
+        blame.note_broken(request, state)
+        state.note_miss(self.timers.now())
+
+    def test_loss_of_a_domain_under_many_routers_blames_no_stream(self):
+        for outage in range(5):
+            for number, blame in enumerate(self.blames[:30]):
+                engine = f"engine-{outage}-{number}"
+                self.lose(blame, engine, f"d{outage}", f"stream-{number}")
+            self.advance(6.0)
+        blamed = [
+            number
+            for number in range(30)
+            if self.blames[-1].is_blamed(f"stream-{number}")
+        ]
+        self.assertEqual(blamed, [])
+        self.assertEqual(CountedFacts.published, 0)
+
+    def test_request_that_crashes_three_replicas_is_known_to_all_in_time(self):
+        for number, blame in enumerate(self.blames[:3]):
+            self.lose(blame, f"engine-{number}", f"d{number}", "bad")
+            self.advance(CONTACT_S)
+        self.assertTrue(all(blame.is_blamed("bad") for blame in self.blames))
+        self.assertFalse(self.blames[0].is_blamed("good"))
+
+    def test_two_crashes_are_told_to_nobody(self):
+        for number, blame in enumerate(self.blames[:2]):
+            self.lose(blame, f"engine-{number}", f"d{number}", "bad")
+            self.advance(CONTACT_S)
+        self.assertEqual(CountedFacts.published, 0)
+        self.assertLessEqual(self.net.sent["ReportCrash"], 2)
