Let waiting requests look for places that other routers gave back

Cause: a request that waits was served when a replica changed or this router itself gave a place back. A router of a large fleet has one call a second, so a call that found all places taken waited out its time and was refused with no_room though a place was free 10 ms later. Waiting requests now ask for the loads anew every 50 ms. A hub also states its own loads anew each second: they expired after 2.5 s while its streams ran on (found on reading; the test fails on the code before).

--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -35,6 +35,8 @@
 RETRY_SPREAD = 0.5
 """Callers that are refused together come back over this share of their wait."""
 NO_REPLICA_RETRY_S = 0.5
+RECHECK_S = 0.05
+"""How often a request that waits looks for places that other routers gave back."""
 
 
 class Ask(msgspec.Struct, frozen=True, kw_only=True):
@@ -194,7 +196,7 @@
         left_s = ask.until - self._timers.now()
         if wait_s > left_s or left_s <= 0.0:
             return Err(self._refusal(ask, wait_s))
-        return self._wait(ask, left_s)
+        return self._wait(ask)
 
     def occupy(self, ask: Ask, state: ReplicaState) -> Place:
         """Return a place at a replica that keeps room for the request."""
@@ -245,12 +247,12 @@
             else:
                 del self._waiting[pool]
 
-    def _wait(self, ask: Ask, left_s: float) -> Result[Place, RefusedError]:
+    def _wait(self, ask: Ask) -> Result[Place, RefusedError]:
         waiter = _Waiter(ask)
         entry = (ask.priority, next(self._numbers), waiter)
         heapq.heappush(self._waiting.setdefault(ask.pool.name, []), entry)
         try:
-            if self._timers.wait(waiter.granted, left_s):
+            if self._is_granted(waiter):
                 place, waiter = waiter.granted.wait(), None
                 return Ok(place)
         finally:
@@ -258,6 +260,16 @@
                 self._abandon(waiter)
         return Err(self._refusal(ask, NO_REPLICA_RETRY_S))
 
+    def _is_granted(self, waiter: _Waiter) -> bool:
+        """Wait for a place; other routers give theirs back without a word."""
+        ask = waiter.ask
+        while (left_s := ask.until - self._timers.now()) > 0.0:
+            if self._timers.wait(waiter.granted, min(RECHECK_S, left_s)):
+                return True
+            self._loads.refresh(ask.pool.name)
+            self.grant_waiting()
+        return waiter.granted.ready()
+
     def _abandon(self, waiter: _Waiter) -> None:
         if waiter.granted.ready():
             waiter.granted.wait().release()
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -180,7 +180,8 @@
             self._send(hub.address, self._update(), self._tell_hub)
 
     def _tell_hubs(self) -> None:
-        if self._is_changed:
+        is_due = self._timers.now() - self._sent_at >= REFRESH_S
+        if self._is_changed or is_due:
             update = self._update()
             self._hub.take(update.router, update.number, update.loads)
         others = self._hubs.beside()
--- a/tests/process/relaying/test_admission.py
+++ b/tests/process/relaying/test_admission.py
@@ -1,11 +1,18 @@
 import random
 import unittest
+import zlib
 
 import eventlet
 
 from boragedeck.connection.peer import Address
-from boragedeck.process.relaying.admission import Admission, Ask, expected_wait_s
-from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.admission import (
+    RECHECK_S,
+    Admission,
+    Ask,
+    LoadSource,
+    expected_wait_s,
+)
+from boragedeck.process.relaying.registry import Load, ReplicaRegistry
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import Replica, ReplicaStage
 from boragedeck.version.routing import RelayPool
@@ -18,7 +25,7 @@
     return Replica(
         replica=name,
         pool="p",
-        address=Address("127.0.0.1", hash(name) % 60_000 + 1),
+        address=Address("127.0.0.1", zlib.crc32(name.encode()) % 60_000 + 1),
         failure_domain="a",
         version="v1",
         slots=slots,
@@ -26,6 +33,18 @@
     )
 
 
+class OtherRouters(LoadSource):
+    """Loads of other routers, which are told when they are asked for."""
+
+    def __init__(self, state):
+        self._state = state
+        self.load = Load()
+
+    def refresh(self, pool):
+        """See `LoadSource.refresh`."""
+        self._state.peers = self.load
+
+
 class AdmissionTest(unittest.TestCase):
     def setUp(self):
         self.timers = ManualTimers()
@@ -89,6 +108,20 @@
         self.timers.advance(0.0)
         self.assertEqual(order, [("a", True)])
 
+    def test_place_that_another_router_gives_back_serves_those_that_wait(self):
+        self.registry.put(replica("one"))
+        others = OtherRouters(self.registry.get("one"))
+        others.load = Load(1, 0, 0)
+        rng = random.Random(1)
+        self.admission = Admission(self.timers, self.registry, "a", rng, others)
+        order = []
+        self.wait(order, "a", wait_s=2.0)
+        self.assertEqual(order, [])
+        others.load = Load()
+        self.timers.advance(RECHECK_S)
+        eventlet.sleep(0.01)
+        self.assertEqual(order, [("a", True)])
+
     def test_leaving_replica_gets_no_request(self):
         self.registry.put(replica("one", stage=ReplicaStage.DRAINING))
         self.assertTrue(self.admission.acquire(self.ask(wait_s=0.0)).is_err())
--- a/tests/process/relaying/test_load_exchange.py
+++ b/tests/process/relaying/test_load_exchange.py
@@ -217,6 +217,13 @@
         self.assertEqual(self.registries[hub].get("one").peers, Load(3, 101, 301))
         self.assertEqual(self.seen(self.beside(self.plain[0])), Load(4, 111, 321))
 
+    def test_long_work_of_a_hub_is_counted_until_it_ends(self):
+        hub = sorted(self.hubs)[0]
+        self.note(hub, Load(1, 0, 9_000))
+        self.advance(2 * TTL_S)
+        other = next(name for name in self.plain if self.domains[name] != hub)
+        self.assertEqual(self.seen(other), Load(1, 0, 9_000))
+
     def test_ended_work_is_taken_off_everywhere(self):
         self.note(self.plain[0], Load(2, 100, 300))
         self.advance(2 * MIN_INTERVAL_S)
