Measure how long a flood holds others up by processor time

Whether the machine or the router was late can't be told from the wall clock, so the check takes the processor time that passes between two turns, with half of the bound, 0.15 s.

--- a/tests/platform/test_store_endless.py
+++ b/tests/platform/test_store_endless.py
@@ -12,6 +12,8 @@
 from tests.support.turns import MAX_TURN_S, Turns
 
 WAIT_S = 0.5
+SPARE_S = 0.3
+"""For a machine that is busy with other programs."""
 MODES = ("status_line", "header", "headers", "interim", "body", "chunks", "no_http")
 
 
@@ -26,7 +28,7 @@
                     with Turns() as turns:
                         result = store.changes(Table.ROUTING, 5, WAIT_S)
                     self.assertTrue(result.is_err())
-                    self.assertLess(time.monotonic() - begun, limit_s + MAX_TURN_S)
+                    self.assertLess(time.monotonic() - begun, limit_s + SPARE_S)
                     self.assertLess(turns.longest_s, MAX_TURN_S)
                     store.close()
                     eventlet.sleep(0)
--- a/tests/process/relaying/test_settings_source.py
+++ b/tests/process/relaying/test_settings_source.py
@@ -12,6 +12,7 @@
 )
 from boragedeck.process.timers import ManualTimers
 from tests.platform.test_settings import TEXT
+from tests.support.replicas import NoReserve
 
 
 class SettingsSourceTest(unittest.TestCase):
@@ -64,7 +65,7 @@
         self.assertEqual(self.source.current().callers, Address("10.1.0.40", 8227))
 
     def test_parts_follow_the_bounds_in_force(self):
-        share = RetryShare(self.timers, self.source.bounds, lambda: 100)
+        share = RetryShare(self.timers, self.source.bounds, lambda: 100, NoReserve())
         before = self.take_all(share)
         self.write(TEXT.replace("graceS: 8", "graceS: 8, retryBudgetExtra: 1500"))
         self.source.reload("SIGHUP")
--- a/tests/support/turns.py
+++ b/tests/support/turns.py
@@ -1,21 +1,25 @@
-"""Measures how long green threads wait for their turn."""
+"""Measures how long green threads keep others from their turn."""
 
 import time
 
 import eventlet
 
 TURN_S = 0.01
-MAX_TURN_S = 0.3
-"""So long another request of the same router may be held up."""
+MAX_TURN_S = 0.15
+"""So much processor time of one request may pass before another has its turn."""
 
 
 class Turns:
     """Runs a green thread beside a test; a context manager.
 
+    Notes
+    -----
+    Processor time is measured, so that other programs on the machine don't count.
+
     Attributes
     ----------
     longest_s : float
-        The longest time by which its turn came late.
+        The most processor time that passed between two of its turns.
     """
 
     def __init__(self):
@@ -30,7 +34,6 @@
 
     def _run(self):
         while True:
-            begun = time.monotonic()
+            begun = time.process_time()
             eventlet.sleep(TURN_S)
-            late_s = time.monotonic() - begun - TURN_S
-            self.longest_s = max(self.longest_s, late_s)
+            self.longest_s = max(self.longest_s, time.process_time() - begun)
