--- /dev/null
+++ b/benchmarks/load_messages.py
@@ -0,0 +1,233 @@
+"""What telling loads costs: by hubs, and told to all, for fleets of several sizes.
+
+The real `LoadExchange` of every router runs on a fake timer over a network that counts
+frames and their bytes, calls and answers. Calls and streams come at the rates of a
+large fleet, so the offered load is the same for all sizes.
+"""
+
+import argparse
+import random
+from collections import Counter
+
+import eventlet
+import msgspec
+from result import Ok
+
+from boragedeck.ids import FailureDomain, RouterId, VmName
+from boragedeck.interfaces import Member
+from boragedeck.process.relaying import hubs as hubs_module
+from boragedeck.process.relaying.hubs import Hubs
+from boragedeck.process.relaying.load_exchange import LoadExchange
+from boragedeck.process.relaying.registry import Load, ReplicaRegistry
+from boragedeck.process.timers import ManualTimers
+from boragedeck.version.replicas import Replica, ReplicaStage
+
+__all__ = ["main", "measure"]
+
+STEP_S = 0.01
+FRAME_BYTES = 16
+"""Length, number and kind of a frame, about."""
+CALLS_PER_S = 118.0
+CALL_S = 0.02
+STREAMS_PER_S = 26.0
+STREAM_S = 5.5
+ENGINES = 99
+SERVICES = 5
+DOMAINS = 5
+NEVER = 10**9
+
+
+class Network:
+    """Carries calls at once, and counts them by the address that sends."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.sent_bytes: Counter[str] = Counter()
+        self.sent: Counter[str] = Counter()
+
+    def links_of(self, own: str) -> "Links":
+        """Return the links of one router."""
+        return Links(self, own)
+
+    def call(self, own: str, address: str, message):
+        """Carry a call and its answer."""
+        answer = self.handlers[address, type(message)](message)
+        for sender, body in ((own, message), (address, answer)):
+            self.sent[sender] += 1
+            self.sent_bytes[sender] += len(msgspec.msgpack.encode(body)) + FRAME_BYTES
+        return Ok(answer)
+
+
+class Links:
+    """The links of one router, each to an address."""
+
+    def __init__(self, net: Network, own: str, address: str = ""):
+        self._net, self._own, self._address = net, own, address
+
+    def link(self, address: str) -> "Links":
+        """See `PeerLinks.link`."""
+        return Links(self._net, self._own, address)
+
+    def call(self, message, answer_type, timeout_s):
+        """See `PeerLink.call`."""
+        return self._net.call(self._own, self._address, message)
+
+
+class Server:
+    """Where a router is called."""
+
+    def __init__(self, net: Network, own: str):
+        self._net, self._own = net, own
+
+    def register(self, kind, handler):
+        """See `PeerServer.register`."""
+        self._net.handlers[self._own, kind] = handler
+
+
+class Members:
+    """A membership that doesn't change."""
+
+    def __init__(self, everyone: list[Member], own: Member):
+        self.own = own
+        self._others = [member for member in everyone if member != own]
+        self._addresses = {member.router: member.address for member in everyone}
+
+    def members(self) -> list[Member]:
+        """See `Membership.members`."""
+        return self._others
+
+    def address_of(self, router: RouterId):
+        """See `Membership.address_of`."""
+        return self._addresses.get(router)
+
+
+class Figures(msgspec.Struct, frozen=True):
+    """Frames and bytes a second of the median and of the busiest router."""
+
+    median_frames: float
+    most_frames: float
+    median_bytes: float
+    most_bytes: float
+
+
+def measure(routers: int, seconds: float, has_hubs: bool) -> Figures:
+    """Play a fleet.
+
+    Parameters
+    ----------
+    routers : int
+        How many there are.
+    seconds : float
+        For how long, of played time.
+    has_hubs : bool
+        Whether hubs count the loads.
+    """
+    hubs_module.MIN_ROUTERS, kept = (0 if has_hubs else NEVER), hubs_module.MIN_ROUTERS
+    try:
+        return _play(routers, seconds)
+    finally:
+        hubs_module.MIN_ROUTERS = kept
+
+
+def _play(routers: int, seconds: float) -> Figures:
+    timers, net, rng = ManualTimers(), Network(), random.Random(1)
+    exchanges, registries = _fleet(routers, timers, net)
+    _advance(timers, 2.0)
+    net.sent.clear()
+    net.sent_bytes.clear()
+    ending: list[tuple[float, int, str, Load]] = []
+    for _ in range(round(seconds / STEP_S)):
+        for rate, pool, count, load, length_s in (
+            (CALLS_PER_S, "services", SERVICES, Load(1, 0, 0), CALL_S),
+            (STREAMS_PER_S, "engines", ENGINES, Load(1, 8_000, 9_000), STREAM_S),
+        ):
+            if rng.random() < rate * STEP_S:
+                number = rng.randrange(routers)
+                name = f"{pool}-{rng.randrange(count)}"
+                exchanges[number].refresh(pool)
+                registries[number].get(name).own.add(load)
+                exchanges[number].note_change()
+                ending.append((timers.now() + length_s, number, name, load))
+        _end_due(ending, timers.now(), exchanges, registries)
+        _advance(timers, STEP_S)
+    frames = sorted(net.sent[f"r{n}"] / seconds for n in range(routers))
+    sizes = sorted(net.sent_bytes[f"r{n}"] / seconds for n in range(routers))
+    middle = routers // 2
+    return Figures(frames[middle], frames[-1], sizes[middle], sizes[-1])
+
+
+def _end_due(ending, now, exchanges, registries) -> None:
+    for entry in [entry for entry in ending if entry[0] <= now]:
+        ending.remove(entry)
+        _, number, name, load = entry
+        registries[number].get(name).own.add(load, -1)
+        exchanges[number].note_change()
+
+
+def _advance(timers: ManualTimers, seconds: float) -> None:
+    for _ in range(round(seconds / STEP_S)):
+        timers.advance(STEP_S)
+        eventlet.sleep(0)
+
+
+def _fleet(routers: int, timers: ManualTimers, net: Network):
+    everyone = [
+        Member(
+            RouterId(f"r{n}"),
+            VmName(f"vm-{n}"),
+            FailureDomain(f"d{n % DOMAINS}"),
+            f"r{n}",
+        )
+        for n in range(routers)
+    ]
+    exchanges, registries = [], []
+    for own in everyone:
+        members, registry = Members(everyone, own), ReplicaRegistry(timers)
+        for pool, count in (("services", SERVICES), ("engines", ENGINES)):
+            for number in range(count):
+                registry.put(_replica(pool, number))
+        exchange = LoadExchange(
+            timers,
+            registry,
+            members,
+            Hubs(timers, members),
+            net.links_of(own.address),
+            Server(net, own.address),
+        )
+        exchange.start()
+        exchanges.append(exchange)
+        registries.append(registry)
+    return exchanges, registries
+
+
+def _replica(pool: str, number: int) -> Replica:
+    return Replica(
+        replica=f"{pool}-{number}",
+        pool=pool,
+        address=f"{pool}-{number}",
+        failure_domain=f"d{number % DOMAINS}",
+        version="v1",
+        slots=32,
+        stage=ReplicaStage.READY,
+    )
+
+
+def main() -> None:
+    """Print a table of all sizes and ways."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--routers", type=int, nargs="+", default=[9, 30, 100, 300])
+    parser.add_argument("--seconds", type=float, default=4.0)
+    args = parser.parse_args()
+    print("| Routers | Way | Frames/s, median | most | KB/s, median | most |")
+    print("|---|---|---|---|---|---|")
+    for routers in args.routers:
+        for way, has_hubs in (("told to all", False), ("hubs", True)):
+            f = measure(routers, args.seconds, has_hubs)
+            print(
+                f"| {routers} | {way} | {f.median_frames:.1f} | {f.most_frames:.1f} "
+                f"| {f.median_bytes / 1000:.2f} | {f.most_bytes / 1000:.2f} |"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -54,6 +54,7 @@
     Measurement("config_in_force"),
     Measurement("rollouts", ("--seeds", "3")),
     Measurement("control_cost"),
+    Measurement("load_messages"),
 )
 
 
