Split asking hubs for loads from telling them

load_questions.py keeps what a hub said of each pool, with its time; load_exchange.py tells. Answers are kept by pool, so replicas that are gone leave nothing behind. Behaviour is the same otherwise.

--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -17,23 +17,17 @@
 from boragedeck.connection.messages import Accepted, Message
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.store import Table
-from boragedeck.exceptions import PeerError
 from boragedeck.ids import PoolName, RouterId
 from boragedeck.interfaces import Member, Membership
-from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.admission import LoadSource
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.load_hub import LoadHub
-from boragedeck.process.relaying.load_messages import (
-    FetchLoads,
-    LoadSum,
-    LoadUpdate,
-    PoolLoads,
-)
+from boragedeck.process.relaying.load_messages import LoadSum, LoadUpdate
+from boragedeck.process.relaying.load_questions import LoadQuestions
 from boragedeck.process.relaying.registry import Load, ReplicaRegistry
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
-from boragedeck.version.replicas import ReplicaId
+from boragedeck.version.replicas import Replica, ReplicaId
 
 __all__ = ["LoadExchange"]
 
@@ -42,18 +36,9 @@
 KEEP_INTERVAL_S = 0.5
 REFRESH_S = 1.0
 CALL_TIMEOUT_S = 0.5
-ASK_TIMEOUT_S = 0.05
-"""A request waits so long for the loads at most."""
-AVOID_S = 0.3
-"""For so long a hub that didn't answer isn't asked."""
-FRESH_S = 0.02
-STALE_S = 2.5
-"""For so long the answer of a hub counts."""
 MAX_MESSAGES_PER_S = 240.0
 """What one router of a small fleet sends to all others together."""
 
-_log = PartLog("loads")
-
 
 class LoadExchange(LoadSource):
     """Sends this router's loads to the others and adds up theirs.
@@ -104,9 +89,7 @@
         self._sent_at = 0.0
         self._sending: set[Address] = set()
         self._hub = LoadHub(membership.own.router, timers, registry, server)
-        self._asked: dict[ReplicaId, Load] = {}
-        self._asked_at: dict[PoolName, float] = {}
-        self._avoided_until = 0.0
+        self._questions = LoadQuestions(membership.own.router, timers, registry, links)
         self._told: Member | None = None
         registry.subscribe(self._link_all)
         server.register(LoadUpdate, self._on_update)
@@ -127,19 +110,8 @@
     def refresh(self, pool: PoolName) -> None:
         """See `LoadSource.refresh`; asks the hub, where there is one."""
         hub = self._own_hub()
-        if hub is None or self._avoided_until > self._timers.now():
-            return
-        if self.is_fresh(pool):
-            return
-        answer = self._links.link(hub.address).call(
-            FetchLoads(self._membership.own.router, pool),
-            PoolLoads,
-            timeout_s=ASK_TIMEOUT_S,
-        )
-        if answer.is_err():
-            self._avoid(hub, answer.err())
-        else:
-            self._take_asked(pool, answer.ok().loads)
+        if hub is not None:
+            self._questions.ask(hub, pool)
 
     def choosers(self, pool: PoolName) -> int:
         """See `LoadSource.choosers`."""
@@ -151,15 +123,13 @@
 
     def is_fresh(self, pool: PoolName) -> bool:
         """See `LoadSource.is_fresh`; what isn't asked for is told all the time."""
-        if not self._hubs.above():
-            return True
-        asked_at = self._asked_at.get(pool, float("-inf"))
-        return self._timers.now() - asked_at < FRESH_S
+        return not self._hubs.above() or self._questions.is_fresh(pool)
 
     def _keep(self) -> None:
         """Forget what is old, and state anew what others would forget."""
         self._link(self._hub.expire())
-        self._expire_asked()
+        for pool in self._questions.expire():
+            self._link(state.replica.replica for state in self._registry.of_pool(pool))
         if self._timers.now() - self._sent_at >= REFRESH_S - GATHER_S:
             self._is_changed = True
         self._tell()
@@ -236,10 +206,6 @@
         self._send(hub.address, LoadUpdate(own, self._number, {}, {}))
         self._is_changed = True
 
-    def _avoid(self, hub: Member, error: PeerError) -> None:
-        _log.write("Hub failed.", peer=hub.router, error=str(error))
-        self._avoided_until = self._timers.now() + AVOID_S
-
     def _update(self) -> LoadUpdate:
         self._is_changed = False
         self._sent_at = self._timers.now()
@@ -296,33 +262,18 @@
             for table, version in newest.items():
                 self.on_newest(address, table, version)
 
-    def _take_asked(self, pool: PoolName, loads: dict[ReplicaId, Load]) -> None:
-        self._asked_at[pool] = self._timers.now()
-        for state in self._registry.of_pool(pool):
-            replica = state.replica.replica
-            state.peers = loads.get(replica, Load())
-            self._asked[replica] = state.peers
-
-    def _expire_asked(self) -> None:
-        """Forget what a hub said too long ago."""
-        before = self._timers.now() - STALE_S
-        for pool in [pool for pool, at in self._asked_at.items() if at < before]:
-            del self._asked_at[pool]
-            for state in self._registry.of_pool(pool):
-                self._asked.pop(state.replica.replica, None)
-                state.peers = self._peers_of(state.replica.replica)
-
-    def _peers_of(self, replica: ReplicaId) -> Load:
-        asked = self._asked.get(replica)
+    def _peers_of(self, replica: Replica) -> Load:
+        asked = self._questions.load_of(replica)
         if asked is not None:
             return asked
-        return self._hub.of_others(replica, self._membership.own.router)
+        own = self._membership.own.router
+        return self._hub.of_others(replica.replica, own)
 
     def _link(self, replicas: Iterable[ReplicaId]) -> None:
         for replica in replicas:
             state = self._registry.get(replica)
             if state is not None:
-                state.peers = self._peers_of(replica)
+                state.peers = self._peers_of(state.replica)
 
     def _link_all(self) -> None:
         self._link(state.replica.replica for state in self._registry.all())
--- /dev/null
+++ b/boragedeck/process/relaying/load_questions.py
@@ -0,0 +1,101 @@
+"""Asks the hub for the loads of a pool, and keeps what it said for a while."""
+
+import msgspec
+
+from boragedeck.connection.peer import PeerLinks
+from boragedeck.exceptions import PeerError
+from boragedeck.ids import PoolName, RouterId
+from boragedeck.interfaces import Member
+from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.load_messages import FetchLoads, PoolLoads
+from boragedeck.process.relaying.registry import Load, ReplicaRegistry
+from boragedeck.process.timers import TimerService
+from boragedeck.version.replicas import Replica, ReplicaId
+
+__all__ = ["LoadQuestions"]
+
+ASK_TIMEOUT_S = 0.05
+"""A request waits so long for the loads at most."""
+AVOID_S = 0.3
+"""For so long a hub that didn't answer isn't asked."""
+FRESH_S = 0.02
+STALE_S = 2.5
+"""For so long the answer of a hub counts."""
+
+_log = PartLog("loads")
+
+
+class _Answer(msgspec.Struct, frozen=True):
+    """What a hub said of a pool."""
+
+    at: float
+    loads: dict[ReplicaId, Load]
+
+
+class LoadQuestions:
+    """What a hub said of each pool's loads, and when.
+
+    Parameters
+    ----------
+    own : RouterId
+        This router, whose own loads the hub leaves out.
+    timers : TimerService
+        The source of time.
+    registry : ReplicaRegistry
+        The replicas.
+    links : PeerLinks
+        Links to the hubs.
+    """
+
+    def __init__(
+        self,
+        own: RouterId,
+        timers: TimerService,
+        registry: ReplicaRegistry,
+        links: PeerLinks,
+    ):
+        self._own = own
+        self._timers = timers
+        self._registry = registry
+        self._links = links
+        self._answers: dict[PoolName, _Answer] = {}
+        self._avoided_until = 0.0
+
+    def is_fresh(self, pool: PoolName) -> bool:
+        """Return whether a hub has just told the loads of a pool."""
+        answer = self._answers.get(pool)
+        return answer is not None and self._timers.now() - answer.at < FRESH_S
+
+    def load_of(self, replica: Replica) -> Load | None:
+        """Return what others have at a replica; None where no hub said so."""
+        answer = self._answers.get(replica.pool)
+        return None if answer is None else answer.loads.get(replica.replica, Load())
+
+    def ask(self, hub: Member, pool: PoolName) -> None:
+        """Ask a hub for the loads of a pool, unless the last answer is fresh."""
+        if self._avoided_until > self._timers.now() or self.is_fresh(pool):
+            return
+        link = self._links.link(hub.address)
+        question = FetchLoads(self._own, pool)
+        answer = link.call(question, PoolLoads, timeout_s=ASK_TIMEOUT_S)
+        if answer.is_err():
+            self._note_silent(hub, answer.err())
+        else:
+            self._take(pool, answer.ok().loads)
+
+    def expire(self) -> list[PoolName]:
+        """Forget old answers, and return the pools that they were about."""
+        before = self._timers.now() - STALE_S
+        old = [pool for pool, answer in self._answers.items() if answer.at < before]
+        for pool in old:
+            del self._answers[pool]
+        return old
+
+    def _note_silent(self, hub: Member, error: PeerError) -> None:
+        _log.write("Hub failed.", peer=hub.router, error=str(error))
+        self._avoided_until = self._timers.now() + AVOID_S
+
+    def _take(self, pool: PoolName, loads: dict[ReplicaId, Load]) -> None:
+        self._answers[pool] = _Answer(self._timers.now(), loads)
+        for state in self._registry.of_pool(pool):
+            state.peers = loads.get(state.replica.replica, Load())
