Listen for callers before the rest of a router is imported

Cause: a router that starts again refuses connections until all of its parts are imported, and a refused connection is one of a caller's two tries. The daemon reads its settings and listens first, without eventlet, and imports the rest then; callers wait in the listener's queue. It takes them when there is a table, after 0.3 s at the latest, so those that waited aren't told that there is none. The new test connects while a router starts and gets its stream whole; it fails on the code before.

--- a/boragedeck/connection/peer.py
+++ b/boragedeck/connection/peer.py
@@ -15,6 +15,7 @@
 from eventlet.green import socket
 from result import Err, Ok, Result
 
+from boragedeck.connection.address import Address
 from boragedeck.connection.frames import (
     FrameWriter,
     read_body,
@@ -42,24 +43,6 @@
 """The handshake takes up to four round trips, also between regions."""
 
 
-class Address(msgspec.Struct, frozen=True, array_like=True):
-    """Where a router listens for its peers.
-
-    Parameters
-    ----------
-    host : str
-        IP address.
-    port : int
-        TCP port.
-    """
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-
 class PeerLink:
     """One connection to another router, opened again when it breaks.
 
--- a/boragedeck/platform/settings.py
+++ b/boragedeck/platform/settings.py
@@ -8,7 +8,7 @@
 import yaml
 from result import Err, Ok, Result
 
-from boragedeck.connection.peer import Address
+from boragedeck.connection.address import Address
 from boragedeck.exceptions import SettingsError
 from boragedeck.ids import FailureDomain, VmName
 from boragedeck.process.relaying.settings import Bounds, RelaySettings
--- a/boragedeck/process/daemon.py
+++ b/boragedeck/process/daemon.py
@@ -4,14 +4,10 @@
 import sys
 import warnings
 
-warnings.filterwarnings("ignore", message=".*[Ee]ventlet.*", category=Warning)
-
-from boragedeck.patching import patch_all
-
-patch_all()
-
+from boragedeck.connection.early_listener import listen_early
 from boragedeck.platform.settings import read_settings
-from boragedeck.process.serving import checked
+from boragedeck.process.exits import checked, end_unable_to_listen
+from boragedeck.process.relaying.settings import RelaySettings
 
 __all__ = ["main"]
 
@@ -21,17 +17,39 @@
 
     Notes
     -----
-    Each edition imports its own parts only: a router that starts again after a loss
-    of power has its callers waiting.
+    Each edition imports its own parts only, and on the platform the router listens
+    before it imports them: callers wait for one that starts again.
     """
-    relay_settings = checked(read_settings(os.environ))
-    if relay_settings is None:
-        from boragedeck.process.standalone import run_standalone
+    settings = checked(read_settings(os.environ))
+    if settings is None:
+        _run_standalone()
+    else:
+        _run_on_platform(settings)
+
+
+def _run_standalone() -> None:
+    _patch()
+    from boragedeck.process.standalone import run_standalone
 
-        run_standalone(sys.argv[1:])
+    run_standalone(sys.argv[1:])
+
+
+def _run_on_platform(settings: RelaySettings) -> None:
+    try:
+        listener = listen_early(settings.callers)
+    except OSError as exc:
+        end_unable_to_listen(exc)
+    _patch()
     from boragedeck.process.relaying.program import run_on_platform
 
-    run_on_platform(relay_settings)
+    run_on_platform(settings, listener)
+
+
+def _patch() -> None:
+    warnings.filterwarnings("ignore", message=".*[Ee]ventlet.*", category=Warning)
+    from boragedeck.patching import patch_all
+
+    patch_all()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/boragedeck/process/exits.py
@@ -0,0 +1,25 @@
+"""How the daemon ends where it can't start."""
+
+import sys
+from typing import Any, NoReturn
+
+from result import Result
+
+__all__ = ["EXIT_FAILED", "EXIT_USAGE", "checked", "end_unable_to_listen"]
+
+EXIT_USAGE = 2
+EXIT_FAILED = 1
+
+
+def checked(result: Result) -> Any:
+    """Return the settings, or end the process with what is wrong with them."""
+    if result.is_err():
+        print(f"boragedeckd: {result.err().message}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    return result.ok()
+
+
+def end_unable_to_listen(exc: OSError) -> NoReturn:
+    """End the process since an address can't be had."""
+    print(f"boragedeckd: can't listen: {exc}", file=sys.stderr)
+    sys.exit(EXIT_FAILED)
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -5,9 +5,11 @@
 
 import eventlet
 from eventlet import wsgi
+from eventlet.greenio import GreenSocket
 from prometheus_client import make_wsgi_app
 
 from boragedeck.connection.caller_edge import CallerChannel, CallerEdge, RawRequest
+from boragedeck.connection.early_listener import BACKLOG
 from boragedeck.connection.listening import QuietLog
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.store import Table
@@ -56,7 +58,10 @@
 __all__ = ["RelayRouter"]
 
 ROUTER_ID_BYTES = 4
-BACKLOG = 1024
+FIRST_TABLE_S = 0.3
+"""For so long after the start callers wait for a first table before they are told that
+there is none."""
+FIRST_TABLE_POLL_S = 0.01
 EXPIRE_INTERVAL_S = 1.0
 LEAVE_S = 3.0
 """For so long after the stop began, callers may still be led here."""
@@ -77,6 +82,8 @@
         The settings in force.
     timers : RealTimers
         The source of time.
+    listener : socket
+        Where callers connect.
 
     Attributes
     ----------
@@ -84,7 +91,9 @@
         This router as its peers know it.
     """
 
-    def __init__(self, source: SettingsSource, timers: RealTimers):
+    def __init__(
+        self, source: SettingsSource, timers: RealTimers, listener: GreenSocket
+    ):
         self._source = source
         settings = source.current()
         self._rng = random.Random()
@@ -106,7 +115,7 @@
         self._make_mirrors()
         self._make_relaying()
         self._edge = CallerEdge(
-            _listen(settings.callers),
+            listener,
             lambda: self._routing.current().limits,
             self._handle,
             self.timers,
@@ -124,10 +133,17 @@
         self._loads.start()
         self._rollouts.start()
         self.timers.subscribe(EXPIRE_INTERVAL_S, self._upstreams.expire)
-        eventlet.spawn_n(self._edge.serve)
+        eventlet.spawn_n(self._serve_callers)
         _serve_wsgi(self._ready_listener, self._answer_ready)
         _serve_wsgi(self._metrics_listener, make_wsgi_app(self.metrics.registry))
 
+    def _serve_callers(self) -> None:
+        """Take callers once there is a table, which mostly comes at once."""
+        until = self.timers.now() + FIRST_TABLE_S
+        while not self.is_ready() and self.timers.now() < until:
+            self.timers.sleep(FIRST_TABLE_POLL_S)
+        self._edge.serve()
+
     def is_ready(self) -> bool:
         """Whether callers should be led here."""
         has_table = self._routing.current().version > 0
--- a/boragedeck/process/relaying/program.py
+++ b/boragedeck/process/relaying/program.py
@@ -3,32 +3,37 @@
 import os
 import random
 import signal
+import socket
 import sys
 from pathlib import Path
 from typing import NoReturn
 
 import eliot
 import eventlet
+from eventlet.greenio import GreenSocket
 
 from boragedeck.platform.settings import SETTINGS_FILE_VARIABLE, read_settings
+from boragedeck.process.exits import end_unable_to_listen
 from boragedeck.process.log_sink import LogSink
 from boragedeck.process.logs import name_process
 from boragedeck.process.relaying.composition import RelayRouter
 from boragedeck.process.relaying.settings import RelaySettings
 from boragedeck.process.relaying.settings_source import SettingsSource
-from boragedeck.process.serving import EXIT_FAILED, serve_until, stop_event
+from boragedeck.process.serving import serve_until, stop_event
 from boragedeck.process.timers import RealTimers
 
 __all__ = ["run_on_platform"]
 
 
-def run_on_platform(settings: RelaySettings) -> NoReturn:
+def run_on_platform(settings: RelaySettings, listener: socket.socket) -> NoReturn:
     """Run a router until SIGTERM or SIGINT; exit with 0 after a planned stop.
 
     Parameters
     ----------
     settings : RelaySettings
         What the platform's file says at the start.
+    listener : socket
+        Where callers connect already.
     """
     sink = LogSink(sys.stdout.fileno())
     eliot.add_global_fields(vm=settings.vm, pid=os.getpid())
@@ -39,10 +44,9 @@
     source = SettingsSource(settings, lambda: read_settings(os.environ), path, timers)
     signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(source.reload, "SIGHUP"))
     try:
-        router = RelayRouter(source, timers)
+        router = RelayRouter(source, timers, GreenSocket(listener))
     except OSError as exc:
-        print(f"boragedeckd: can't listen: {exc}", file=sys.stderr)
-        sys.exit(EXIT_FAILED)
+        end_unable_to_listen(exc)
     router.metrics.dropped_logs.set_function(lambda: sink.dropped)
     name_process(router.own.router)
     router.start()
--- a/boragedeck/process/relaying/settings.py
+++ b/boragedeck/process/relaying/settings.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from boragedeck.connection.peer import Address
+from boragedeck.connection.address import Address
 from boragedeck.ids import FailureDomain, VmName
 
 __all__ = ["Bounds", "RelaySettings"]
--- a/boragedeck/process/serving.py
+++ b/boragedeck/process/serving.py
@@ -1,19 +1,14 @@
 """What the daemon does alike in both of its editions."""
 
 import signal
-import sys
-from typing import Any, Protocol
+from typing import Protocol
 
 import eventlet
 from eventlet.event import Event
-from result import Result
 
 from boragedeck.process.logs import PartLog
 
-__all__ = ["EXIT_FAILED", "EXIT_USAGE", "checked", "serve_until", "stop_event"]
-
-EXIT_USAGE = 2
-EXIT_FAILED = 1
+__all__ = ["serve_until", "stop_event"]
 
 _log = PartLog("daemon")
 
@@ -43,14 +38,6 @@
     _log.write("Stopped.")
 
 
-def checked(result: Result) -> Any:
-    """Return the settings, or end the process with what is wrong with them."""
-    if result.is_err():
-        print(f"boragedeckd: {result.err().message}", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-    return result.ok()
-
-
 def _send_once(event: Event) -> None:
     if not event.ready():
         eventlet.spawn_n(event.send, None)
--- a/boragedeck/process/standalone.py
+++ b/boragedeck/process/standalone.py
@@ -8,14 +8,9 @@
 
 from boragedeck.exceptions import SettingsError
 from boragedeck.process.composition import Router
+from boragedeck.process.exits import EXIT_USAGE, checked, end_unable_to_listen
 from boragedeck.process.logs import name_process, open_log
-from boragedeck.process.serving import (
-    EXIT_FAILED,
-    EXIT_USAGE,
-    checked,
-    serve_until,
-    stop_event,
-)
+from boragedeck.process.serving import serve_until, stop_event
 from boragedeck.process.settings import parse_settings
 
 __all__ = ["Ready", "run_standalone"]
@@ -66,8 +61,7 @@
         print(f"boragedeckd: {exc}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
     except OSError as exc:
-        print(f"boragedeckd: can't listen: {exc}", file=sys.stderr)
-        sys.exit(EXIT_FAILED)
+        end_unable_to_listen(exc)
     name_process(router.own.router)
     router.start()
     print(msgspec.json.encode(_ready(router)).decode(), flush=True)
--- a/tests/scripts/test_platform_demo.py
+++ b/tests/scripts/test_platform_demo.py
@@ -1,3 +1,4 @@
+import http.client
 import signal
 import tempfile
 import unittest
@@ -6,6 +7,7 @@
 import eventlet
 import msgspec
 import urllib3
+from eventlet.green import socket
 
 from scripts.platform_demo import EVENTS, ROUTE_HEADERS, PlatformTrial
 
@@ -69,6 +71,37 @@
         served = sum(len(e[0].served) for e in self.trial.engines.values())
         self.assertEqual(served, 1)
 
+    def connect(self, address):
+        """Connect as soon as somebody listens."""
+        host, port = address.split(":")
+        with eventlet.Timeout(TIMEOUT_S):
+            while True:
+                try:
+                    return socket.create_connection((host, int(port)))
+                except ConnectionRefusedError:
+                    eventlet.sleep(0.005)
+
+    def test_caller_that_connects_while_a_router_starts_is_served(self):
+        self.trial.add_router("a")
+        self.trial.restart_router(0)
+        listen = self.trial.settings[0]["listen"]
+        sock = self.connect(listen["front"])
+        self.addCleanup(sock.close)
+        host, port = listen["ready"].split(":")
+        with self.assertRaises(ConnectionRefusedError):
+            # The rest of the process isn't there yet.
+            socket.create_connection((host, int(port)))
+        headers = ROUTE_HEADERS | {"Request-Id": "id-1", "Token-Counts": "100,40"}
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(["POST /answers/x HTTP/1.1", *lines, "Content-Length: 0"])
+        sock.sendall(head.encode() + b"\r\n\r\n")
+        response = http.client.HTTPResponse(sock, method="POST")
+        with eventlet.Timeout(TIMEOUT_S):
+            response.begin()
+            self.assertEqual(response.status, 200)
+            self.assert_whole(response.read())
+        response.close()
+
     def test_changed_settings_cut_no_stream_off(self):
         url = self.trial.add_router("a")
         response = self.ask(url)
