Keep other tests' garbage out of the measure of floods

One whole run failed with 0.58 s of processor time between two turns, in a flood of one byte each 50 ms, where there is nothing to do. Cause, by a whole run with the garbage collector's pauses logged: 28 collections of the oldest generation took 0.26 to 0.70 s each over some 450,000 objects that earlier tests left. The measure now collects and freezes these first; the bound stays.

--- a/tests/support/turns.py
+++ b/tests/support/turns.py
@@ -1,5 +1,6 @@
 """Measures how long green threads keep others from their turn."""
 
+import gc
 import time
 
 import eventlet
@@ -14,7 +15,8 @@
 
     Notes
     -----
-    Processor time is measured, so that other programs on the machine don't count.
+    Processor time is measured, so that other programs on the machine don't count, and
+    what earlier tests left in memory is kept from the garbage collector meanwhile.
 
     Attributes
     ----------
@@ -26,11 +28,14 @@
         self.longest_s = 0.0
 
     def __enter__(self):
+        gc.collect()
+        gc.freeze()
         self._thread = eventlet.spawn(self._run)
         return self
 
     def __exit__(self, *exc_info):
         self._thread.kill()
+        gc.unfreeze()
 
     def _run(self):
         while True:
