Derive whether a router is a hub from the hubs that it sees

Found on reading the change again. Whether there are hubs was checked twice, once by the healthy routers and once by all that are known. With 14 routers of which 5 were suspected every router took itself for a hub: each told its loads to the three routers that really were chosen, and the other routers heard of none. Both checks now follow from one choice, which a hub also made twice before. The new test plays that fleet and fails on the code before; how callers fared in such a fleet was not measured.

--- a/boragedeck/process/relaying/hubs.py
+++ b/boragedeck/process/relaying/hubs.py
@@ -70,17 +70,8 @@
         Those of its own failure domain first. Empty where the router is a hub itself
         or the fleet is small.
     """
-    healthy = [member for member in others if member.health is Health.HEALTHY]
-    if not needs_hubs(len(healthy) + 1):
-        return []
-    is_leaving = own.health is not Health.HEALTHY
-    hubs = choose_hubs(healthy if is_leaving else [own, *healthy])
-    if own in hubs:
-        return []
-    ranked = rank(own.router, hubs, _router)
-    return sorted(
-        ranked, key=lambda member: member.failure_domain != own.failure_domain
-    )
+    hubs = _hubs_in_force(own, others)
+    return [] if own in hubs else _in_order(own, hubs)
 
 
 class Hubs:
@@ -102,9 +93,19 @@
         self._timers = timers
         self._membership = membership
         self._chosen_at = float("-inf")
+        self._hubs: list[Member] = []
         self._above: list[Member] = []
         self._beside: list[Member] = []
 
+    def exist(self) -> bool:
+        """Return whether the fleet has hubs."""
+        self._choose()
+        return bool(self._hubs)
+
+    def is_hub(self) -> bool:
+        """Return whether this router serves others."""
+        return self.exist() and not self._above
+
     def above(self) -> list[Member]:
         """Return the hubs that serve this router; none where it is one."""
         self._choose()
@@ -115,21 +116,36 @@
         self._choose()
         return self._beside
 
-    def is_hub(self) -> bool:
-        """Return whether this router serves others."""
-        return not self.above() and needs_hubs(len(self._membership.members()) + 1)
-
     def _choose(self) -> None:
         now = self._timers.now()
         if now - self._chosen_at < CACHED_S:
             return
         self._chosen_at = now
-        own, others = self._membership.own, self._membership.members()
-        self._above = hubs_for(own, others)
-        self._beside = []
-        if not self._above and needs_hubs(len(others) + 1):
-            healthy = [m for m in others if m.health is Health.HEALTHY]
-            self._beside = [m for m in choose_hubs([own, *healthy]) if m != own]
+        own = self._membership.own
+        self._hubs = _hubs_in_force(own, self._membership.members())
+        if own in self._hubs:
+            self._above = []
+            self._beside = [hub for hub in self._hubs if hub != own]
+        else:
+            self._above = _in_order(own, self._hubs)
+            self._beside = []
+
+
+def _hubs_in_force(own: Member, others: Iterable[Member]) -> list[Member]:
+    """Return the hubs of the fleet; none where too few routers are healthy."""
+    healthy = [member for member in others if member.health is Health.HEALTHY]
+    if not needs_hubs(len(healthy) + 1):
+        return []
+    is_leaving = own.health is not Health.HEALTHY
+    return choose_hubs(healthy if is_leaving else [own, *healthy])
+
+
+def _in_order(own: Member, hubs: list[Member]) -> list[Member]:
+    """Return hubs in the order in which a router asks them."""
+    ranked = rank(own.router, hubs, _router)
+    return sorted(
+        ranked, key=lambda member: member.failure_domain != own.failure_domain
+    )
 
 
 def _ranked(domain: FailureDomain, members: list[Member]) -> list[Member]:
--- a/tests/process/relaying/test_hubs.py
+++ b/tests/process/relaying/test_hubs.py
@@ -7,9 +7,11 @@
 from boragedeck.process.relaying.hubs import (
     MIN_HUBS,
     MIN_ROUTERS,
+    Hubs,
     choose_hubs,
     hubs_for,
 )
+from boragedeck.process.timers import ManualTimers
 
 
 def fleet(count, domains):
@@ -80,3 +82,38 @@
             everyone[number] = msgspec.structs.replace(everyone[number], capacity=8.0)
         hubs = {hub.router for hub in choose_hubs(everyone)}
         self.assertEqual(len(hubs & {"r7", "r13", "r24"}), 3)
+
+
+class Everyone:
+    """A membership that doesn't change."""
+
+    def __init__(self, own, others):
+        self.own, self._others = own, others
+
+    def members(self):
+        return self._others
+
+
+class HubsTest(unittest.TestCase):
+    def seen_by(self, own, everyone):
+        return Hubs(ManualTimers(), Everyone(own, others(own, everyone)))
+
+    def test_each_router_is_a_hub_or_has_hubs_above_it(self):
+        everyone = fleet(40, 4)
+        hubs = choose_hubs(everyone)
+        for own in everyone:
+            seen = self.seen_by(own, everyone)
+            self.assertEqual(seen.is_hub(), own in hubs)
+            self.assertEqual(bool(seen.above()), own not in hubs)
+            beside = [hub for hub in hubs if hub != own] if own in hubs else []
+            self.assertEqual(seen.beside(), beside)
+
+    def test_no_router_is_a_hub_where_too_few_are_healthy(self):
+        everyone = fleet(MIN_ROUTERS + 2, 3)
+        for number in range(5):
+            changed = msgspec.structs.replace(everyone[number], health=Health.SUSPECT)
+            everyone[number] = changed
+        for own in everyone[5:]:
+            seen = self.seen_by(own, everyone)
+            self.assertFalse(seen.is_hub())
+            self.assertEqual((seen.above(), seen.beside()), ([], []))
