--- a/benchmarks/load_messages.py
+++ b/benchmarks/load_messages.py
@@ -96,6 +96,10 @@
         """See `Membership.members`."""
         return self._others
 
+    def routers(self) -> int:
+        """See `Membership.routers`."""
+        return 1 + len(self._others)
+
     def address_of(self, router: RouterId):
         """See `Membership.address_of`."""
         return self._addresses.get(router)
--- a/boragedeck/interfaces.py
+++ b/boragedeck/interfaces.py
@@ -81,6 +81,9 @@
     def members(self) -> list[Member]:
         """Return the other routers that are not dead, suspects included."""
 
+    def routers(self) -> int:
+        """Return the number of routers that are not dead, this one included."""
+
     def address_of(self, router: RouterId) -> Address | None:
         """Return where one of `members` listens; None for all others."""
 
--- a/boragedeck/process/relaying/crash_blame.py
+++ b/boragedeck/process/relaying/crash_blame.py
@@ -12,7 +12,9 @@
 from boragedeck.interfaces import FactBoard
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.crash_reports import (
+    MARK_TTL_S,
     MAX_CRASHES,
+    MAX_FINGERPRINTS,
     CrashReports,
     ReportCrash,
 )
@@ -22,8 +24,6 @@
 
 __all__ = ["CrashBlame", "fingerprint_of"]
 
-MARK_TTL_S = 120.0
-MAX_FINGERPRINTS = 4_096
 DOMAIN_WINDOW_S = 0.6
 """Replicas of a domain that are lost within this time had a common cause."""
 
--- a/boragedeck/process/relaying/crash_reports.py
+++ b/boragedeck/process/relaying/crash_reports.py
@@ -25,7 +25,7 @@
 
 MAX_CRASHES = 3
 """So many replicas that crashed under a request speak against it."""
-KEPT_S = 120.0
+MARK_TTL_S = 120.0
 MAX_FINGERPRINTS = 4_096
 COMMON_S = 2.0
 """Replicas of a failure domain that are lost within this time had a common cause."""
@@ -97,7 +97,7 @@
 
     def crashed(self, fingerprint: str) -> list[ReplicaId]:
         """Return the replicas that crashed under a request, and alone."""
-        since = self._timers.now() - KEPT_S
+        since = self._timers.now() - MARK_TTL_S
         reports = self._reports.get(fingerprint, {})
         return [
             replica
@@ -154,7 +154,7 @@
 
     def is_in_use(self) -> bool:
         """Return whether the fleet has hubs that count."""
-        return bool(self._hubs.above()) or self._hubs.is_hub()
+        return self._hubs.exist()
 
     def report(self, crash: ReportCrash) -> None:
         """Tell the hub that counts for this request; waits for its answer."""
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -115,7 +115,7 @@
 
     def routers(self) -> int:
         """See `LoadSource.routers`."""
-        return len(self._membership.members()) + 1
+        return self._membership.routers()
 
     def is_fresh(self, pool: PoolName) -> bool:
         """See `LoadSource.is_fresh`; what isn't asked for is told all the time."""
--- a/boragedeck/process/relaying/mirror_messages.py
+++ b/boragedeck/process/relaying/mirror_messages.py
@@ -12,7 +12,7 @@
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 
-__all__ = ["FetchTable", "TablePart", "serve_mirrors"]
+__all__ = ["FetchTable", "TablePart", "pack", "serve_mirrors"]
 
 MAX_WAIT_S = 2.0
 MAX_UNPACKED_BYTES = 32 * 1024 * 1024
@@ -42,20 +42,17 @@
 
     Parameters
     ----------
-    changes : Changes or None
-        None where its mirror is no newer, or where they are `packed`.
+    packed : bytes or None
+        The changes, see `pack`; None where its mirror is no newer.
     is_current : bool
         Whether the router reads the store itself and heard of it lately.
-    packed : bytes or None
-        The changes, compressed.
     """
 
-    changes: Changes | None = None
-    is_current: bool = False
     packed: bytes | None = None
+    is_current: bool = False
 
     def news(self) -> Changes | None:
-        """Return the changes, however they were sent.
+        """Return the changes.
 
         Raises
         ------
@@ -63,7 +60,7 @@
             Where they can't be unpacked.
         """
         if self.packed is None:
-            return self.changes
+            return None
         unpacker = zlib.decompressobj()
         try:
             body = unpacker.decompress(self.packed, MAX_UNPACKED_BYTES)
@@ -72,6 +69,11 @@
             raise ValueError(f"changes can't be unpacked: {exc}") from exc
 
 
+def pack(changes: Changes) -> bytes:
+    """Return changes as they are sent, compressed."""
+    return zlib.compress(msgspec.msgpack.encode(changes), PACK_LEVEL)
+
+
 class _Packer:
     """Packs the changes of one table, once for all that ask from the same version."""
 
@@ -85,8 +87,7 @@
         mirror = self._mirror
         key = after, mirror.version, mirror.newest
         if key != self._key:
-            body = msgspec.msgpack.encode(mirror.since(after))
-            self._key, self._packed = key, zlib.compress(body, PACK_LEVEL)
+            self._key, self._packed = key, pack(mirror.since(after))
         return self._packed
 
 
@@ -110,6 +111,6 @@
         if mirror.version <= ask.after:
             return TablePart(is_current=is_current(ask.table))
         packed = packers[ask.table].changes_since(ask.after)
-        return TablePart(is_current=is_current(ask.table), packed=packed)
+        return TablePart(packed, is_current(ask.table))
 
     server.register(FetchTable, answer)
--- a/boragedeck/process/relaying/retry_reserve.py
+++ b/boragedeck/process/relaying/retry_reserve.py
@@ -81,7 +81,7 @@
 
     def is_in_use(self) -> bool:
         """Return whether the fleet has hubs, which keep the reserve."""
-        return bool(self._hubs.above()) or self._hubs.is_hub()
+        return self._hubs.exist()
 
     def take(self, pool: PoolName) -> bool:
         """Take one repeat from the reserve; False where none is left."""
--- a/boragedeck/process/relaying/shared_feed.py
+++ b/boragedeck/process/relaying/shared_feed.py
@@ -221,7 +221,7 @@
     def _may_try(self, table: Table) -> bool:
         """Return whether it is this router's turn to try a store that is away."""
         now = self._timers.now()
-        mean_s = (len(self._membership.members()) + 1) / FLEET_TRIES_PER_S
+        mean_s = self._membership.routers() / FLEET_TRIES_PER_S
         if table not in self._try_at:
             # Routers that notice together spread their first tries.
             self._try_at[table] = now + mean_s * self._rng.random()
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -223,7 +223,7 @@
                 raise EventExcessError("bytes come, but no whole event")
             if events:
                 whole_at = now
-                place.state.note_output(job.parts.timers.now())
+                place.state.note_output(now)
                 self._note_output(place)
                 self._deliver(b"".join(event.data for event in events))
                 self._splitter.last = splitter.last
--- a/tests/process/relaying/test_load_exchange.py
+++ b/tests/process/relaying/test_load_exchange.py
@@ -75,6 +75,9 @@
     def members(self):
         return self._others
 
+    def routers(self):
+        return 1 + len(self._others)
+
     def address_of(self, router):
         found = (m.address for m in self._others if m.router == router)
         return next(found, None)
--- a/tests/process/relaying/test_mirror_follower.py
+++ b/tests/process/relaying/test_mirror_follower.py
@@ -7,7 +7,7 @@
 from boragedeck.connection.store import Change, Changes, Table
 from boragedeck.exceptions import StoreHistoryError, StoreUnavailableError
 from boragedeck.process.relaying.mirror_follower import GATHER_S, MirrorFollower
-from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
+from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart, pack
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 
@@ -82,7 +82,7 @@
         self.assertEqual(self.feed.calls, ["snapshot", 7, "snapshot"])
 
     def test_other_routers_are_asked_while_the_store_is_away(self):
-        self.links.answer = TablePart(Changes((Change("k", b"1", 5),), 6, True))
+        self.links.answer = TablePart(pack(Changes((Change("k", b"1", 5),), 6, True)))
         self.play(Err(StoreUnavailableError("503")))
         self.timers.advance(0.5)
         self.assertEqual(self.links.asked[0], FetchTable(Table.ROUTING, -1))
@@ -91,7 +91,7 @@
 
     def test_routers_that_are_as_late_do_not_hide_one_that_is_ahead(self):
         self.play(Ok(Changes((), 7, True)))
-        self.links.answer = TablePart(Changes((Change("k", b"1", 9),), 9, True))
+        self.links.answer = TablePart(pack(Changes((Change("k", b"1", 9),), 9, True)))
         for _ in range(5):
             self.follower.note_peer("peer", 9)
             self.follower.note_peer("other", 7)
@@ -101,7 +101,7 @@
 
     def test_router_that_stays_ahead_is_asked_though_the_store_answers(self):
         self.play(Ok(Changes((), 7, True)))
-        self.links.answer = TablePart(Changes((Change("k", b"1", 9),), 9, True))
+        self.links.answer = TablePart(pack(Changes((Change("k", b"1", 9),), 9, True)))
         self.follower.note_peer("peer", 9)
         eventlet.sleep(0)
         self.assertEqual(self.links.asked, [])
--- a/tests/process/relaying/test_shared_feed.py
+++ b/tests/process/relaying/test_shared_feed.py
@@ -7,7 +7,7 @@
 from boragedeck.exceptions import PeerUnreachableError, StoreUnavailableError
 from boragedeck.interfaces import Member
 from boragedeck.process.relaying.hubs import Hubs, hubs_for
-from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
+from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart, pack
 from boragedeck.process.relaying.shared_feed import (
     AVOID_S,
     FLEET_TRIES_PER_S,
@@ -71,6 +71,9 @@
     def members(self):
         return self._members
 
+    def routers(self):
+        return 1 + len(self._members)
+
 
 class FeedCase(unittest.TestCase):
     def setUp(self):
@@ -108,7 +111,7 @@
 
 class SharedFeedTest(FeedCase):
     def test_follower_reads_from_the_reader_of_its_domain(self):
-        self.links.answer = Ok(TablePart(NEWS, True))
+        self.links.answer = Ok(TablePart(pack(NEWS), True))
         self.assertEqual(self.as_follower.changes(ROUTING, 5, 4.0), Ok(NEWS))
         address, ask = self.links.asked[0]
         self.assertEqual(address, self.asked[0])
@@ -123,7 +126,7 @@
 
     def test_follower_of_a_dead_reader_asks_the_next_at_once(self):
         self.links.answers = {self.asked[0]: SILENT}
-        self.links.answer = Ok(TablePart(NEWS, True))
+        self.links.answer = Ok(TablePart(pack(NEWS), True))
         self.assertEqual(self.as_follower.changes(ROUTING, 5, 4.0), Ok(NEWS))
         self.assertEqual(self.addresses(), self.asked[:2])
         self.assertEqual(self.links.asked[1][1].wait_s, 0.0)
@@ -131,7 +134,7 @@
 
     def test_follower_of_a_reader_cut_from_the_store_asks_the_next(self):
         self.links.answers = {self.asked[0]: AWAY}
-        self.links.answer = Ok(TablePart(NEWS, True))
+        self.links.answer = Ok(TablePart(pack(NEWS), True))
         self.assertEqual(self.as_follower.changes(ROUTING, 5, 4.0), Ok(NEWS))
         self.assertEqual(self.store.waits, [])
 
@@ -197,7 +200,7 @@
         return self.feed(own, members=[], seeds=seeds)
 
     def test_starting_router_takes_the_table_from_a_seed(self):
-        self.links.answer = Ok(TablePart(WHOLE, True))
+        self.links.answer = Ok(TablePart(pack(WHOLE), True))
         feed = self.starting(self.everyone[4], ["a0", "a1"])
         self.assertEqual(feed.snapshot(ROUTING), Ok(WHOLE))
         self.assertEqual(self.store.snapshots, 0)
@@ -218,6 +221,6 @@
             self.assertEqual(len(self.links.asked), 1)
 
     def test_follower_takes_the_whole_table_from_a_reader(self):
-        self.links.answer = Ok(TablePart(WHOLE, True))
+        self.links.answer = Ok(TablePart(pack(WHOLE), True))
         self.assertEqual(self.as_follower.snapshot(ROUTING), Ok(WHOLE))
         self.assertEqual(self.store.snapshots, 0)
