Believe a replica at once that says it leaves or asks to wait

Change: each answer's head gives a typed notice (platform/replica_protocol). A leaving run of a replica gets nothing further from this router, whatever the list says, also after its entry lapsed and came back; routers tell each other by one fact a run. A replica that asks for a wait is sent nothing until then, no question and no copy either; requests go elsewhere, wait where that ends in time, or are refused at once with the return. After it they return one by one. Reasons to keep requests back are one type (restraint). A break of a leaving replica speaks no longer for its domain. Ruled out: marks by address (a successor would be shut out); telling holds to others. Tests failed first for want of the code; eight seeded defects are each caught (make mutants).

--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -83,10 +83,11 @@
 
     def get(self, name: bytes) -> bytes | None:
         """Return the value of a header by its name in lower case."""
-        for other, value in self.headers:
-            if other.lower() == name:
-                return value
-        return None
+        return next(iter(self.all(name)), None)
+
+    def all(self, name: bytes) -> list[bytes]:
+        """Return all values of a header by its name in lower case."""
+        return [value for other, value in self.headers if other.lower() == name]
 
 
 class UpstreamConnection:
--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -51,9 +51,21 @@
         message: Message,
         connect_timeout_s: float,
         send_timeout_s: float,
+        check: Callable[[], None] = lambda: None,
     ) -> Exchange:
         """Send a whole request.
 
+        Parameters
+        ----------
+        address : Address
+            The replica.
+        message : Message
+            The request.
+        connect_timeout_s, send_timeout_s : float
+            How long each step may take.
+        check : callable, optional
+            Called when there is a connection; what it raises keeps the request back.
+
         Raises
         ------
         UpstreamRefusedError
@@ -63,6 +75,7 @@
         """
         conn = self._take_idle(address) or self._open(address, connect_timeout_s)
         try:
+            check()
             data = encode(conn.parser, message)
             late = TimeoutError("the request was not taken")
             with eventlet.Timeout(send_timeout_s, late):
--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -21,6 +21,7 @@
     "UpstreamFailedError",
     "UpstreamRefusedError",
     "UpstreamSilentError",
+    "UpstreamUnwillingError",
 ]
 
 
@@ -111,6 +112,10 @@
     """The upstream was not reached, or said that it did not run the call."""
 
 
+class UpstreamUnwillingError(UpstreamError):
+    """The upstream wants no requests now, so nothing was sent."""
+
+
 class UpstreamFailedError(UpstreamError):
     """The upstream answered with an error, so it is alive."""
 
--- a/boragedeck/platform/names.py
+++ b/boragedeck/platform/names.py
@@ -8,6 +8,7 @@
     "EXPECTED_REPLICA",
     "HOP_BY_HOP",
     "LAST_EVENT_ID",
+    "LEAVING",
     "LENGTH_HINT",
     "NOT_RUN",
     "ORGANISATION",
@@ -28,6 +29,8 @@
 """How long the sender waits, not a point in time."""
 EXPECTED_REPLICA = b"Expect-Instance"
 LAST_EVENT_ID = b"Last-Event-Id"
+LEAVING = b"Server-Leaving"
+"""In any answer of a replica that takes no further requests."""
 LENGTH_HINT = b"Length-Hint"
 NOT_RUN = b"Not-Executed"
 ORGANISATION = b"Tenant"
--- a/boragedeck/platform/replica_protocol.py
+++ b/boragedeck/platform/replica_protocol.py
@@ -1,5 +1,7 @@
 """Writes requests to replicas and reads the heads of their answers."""
 
+import math
+
 import msgspec
 
 from boragedeck.connection.exchange import AnswerHead, Headers, Message
@@ -11,11 +13,13 @@
     EXPECTED_REPLICA,
     HOP_BY_HOP,
     LAST_EVENT_ID,
+    LEAVING,
     NOT_RUN,
     ORGANISATION,
     REPLICA_ID,
     REPORT_PATH,
     REQUEST_ID,
+    RETRY_AFTER,
     SEAL,
 )
 from boragedeck.request.relay_request import (
@@ -24,11 +28,15 @@
     Verdict,
     VerdictKind,
 )
-from boragedeck.version.replicas import ReplicaId
+from boragedeck.version.replicas import HoldOff, ReplicaId, ReplicaNotice
 
 __all__ = ["HttpReplicaProtocol"]
 
 MISDIRECTED = 421
+UNAVAILABLE = 503
+IS_LEAVING = b"1"
+MAX_LOGGED_BYTES = 100
+"""Of a header that goes into a log line."""
 PROBE_HOST = (b"Host", b"replica")
 
 
@@ -74,6 +82,18 @@
             return frozenset()
         return frozenset(model.name for model in report.models)
 
+    def notice(self, head: AnswerHead) -> ReplicaNotice:
+        """Return what a replica says of itself in the head of an answer."""
+        is_leaving = IS_LEAVING in head.all(LEAVING.lower())
+        values = head.all(RETRY_AFTER.lower())
+        if head.status != UNAVAILABLE or not values:
+            return ReplicaNotice(is_leaving)
+        seconds = [_seconds(value) for value in values]
+        # Where it says several things, the longest wait contradicts none of them.
+        asked_s = max((each for each in seconds if each is not None), default=None)
+        text = b", ".join(values)[:MAX_LOGGED_BYTES].decode("latin-1")
+        return ReplicaNotice(is_leaving, HoldOff(asked_s, text))
+
     def judge(self, req: RelayRequest, head: AnswerHead) -> Verdict:
         """Return what the head of an answer means."""
         echoed = head.get(REQUEST_ID.lower())
@@ -94,6 +114,15 @@
         return Verdict(kind, _passed_on(head))
 
 
+def _seconds(value: bytes) -> float | None:
+    """Return the seconds that a header states; None for anything else."""
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds >= 0.0 else None
+
+
 def _passed_on(head: AnswerHead) -> Headers:
     return [
         (name, value) for name, value in head.headers if name.lower() not in HOP_BY_HOP
--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -97,6 +97,7 @@
         self._is_released = False
         self._copy_holder: ReplicaState | None = None
         state.own.add(self._load)
+        state.note_begun(now)
 
     def first_output(self) -> None:
         """Note that the prompt has been read."""
@@ -194,10 +195,23 @@
             return Ok(place)
         wait_s = self._expected_wait_s(ask)
         left_s = ask.until - self._timers.now()
-        if wait_s > left_s or left_s <= 0.0:
+        if left_s <= 0.0 or wait_s > left_s or self._returns_late(ask):
             return Err(self._refusal(ask, wait_s))
         return self._wait(ask)
 
+    def return_s(self, ask: Ask) -> float:
+        """Return in how long the first replica takes requests again.
+
+        Returns
+        -------
+        float
+            In seconds; 0.0 unless all replicas that may serve the request asked this
+            router to wait.
+        """
+        now = self._timers.now()
+        held = [max(0.0, state.held_until - now) for state in self._states(ask)]
+        return min(held, default=0.0)
+
     def occupy(self, ask: Ask, state: ReplicaState) -> Place:
         """Return a place at a replica that keeps room for the request."""
         place = Place(self, state, ask, self._timers.now())
@@ -264,6 +278,8 @@
         """Wait for a place; other routers give theirs back without a word."""
         ask = waiter.ask
         while (left_s := ask.until - self._timers.now()) > 0.0:
+            if self._returns_late(ask):
+                break
             if self._timers.wait(waiter.granted, min(RECHECK_S, left_s)):
                 return True
             self._loads.refresh(ask.pool.name)
@@ -311,8 +327,20 @@
         mean_s = self.service_s(ask.pool.name)
         return expected_wait_s(ahead, running, mean_s)
 
+    def _returns_late(self, ask: Ask) -> bool:
+        """Return whether all replicas asked to wait, for longer than the request can.
+
+        Notes
+        -----
+        It has to be served after the wait, too.
+        """
+        return_s = self.return_s(ask)
+        needed_s = return_s + self.service_s(ask.pool.name)
+        return return_s > 0.0 and needed_s > ask.until - self._timers.now()
+
     def _refusal(self, ask: Ask, wait_s: float) -> RefusedError:
         base_s = max(MIN_RETRY_AFTER_S, min(wait_s, NO_REPLICA_RETRY_S))
+        base_s = max(base_s, self.return_s(ask))
         return RefusedError(
             f"no replica of {ask.pool.name!r} has room",
             status=503,
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -41,6 +41,7 @@
 from boragedeck.process.relaying.mirror_messages import serve_mirrors
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.replica_source import ReplicaSource
 from boragedeck.process.relaying.retry_reserve import RetryReserve
 from boragedeck.process.relaying.retry_share import SAFETY, RetryShare
@@ -266,6 +267,9 @@
             admission=admission,
             registry=self._registry,
             upstreams=self._upstreams,
+            notices=ReplicaNotices(
+                self._registry, self._board, self._upstreams, self.metrics
+            ),
             protocol=HttpReplicaProtocol(),
             retries=self._make_retries(),
             rollouts=self._rollouts,
--- a/boragedeck/process/relaying/placement.py
+++ b/boragedeck/process/relaying/placement.py
@@ -87,6 +87,8 @@
     Calls end within milliseconds, so loads of other routers that aren't fresh say
     nothing about a service; it refuses by itself what it has no room for.
     """
+    if not state.may_begin(req.now):
+        return False
     if req.engine is None:
         running = state.running if req.is_fresh else state.own.running
         return running < state.replica.slots
--- a/boragedeck/process/relaying/registry.py
+++ b/boragedeck/process/relaying/registry.py
@@ -1,5 +1,7 @@
 """The replicas that this router knows, and what it has learnt of each."""
 
+import math
+from collections import OrderedDict
 from collections.abc import Callable
 
 import msgspec
@@ -7,10 +9,11 @@
 from boragedeck.connection.peer import Address
 from boragedeck.ids import PoolName
 from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.restraint import Reason, Restraints
 from boragedeck.process.timers import TimerService
-from boragedeck.version.replicas import Replica, ReplicaId, ReplicaStage
+from boragedeck.version.replicas import HoldOff, Replica, ReplicaId, ReplicaStage
 
-__all__ = ["Load", "ReplicaRegistry", "ReplicaState"]
+__all__ = ["Load", "ReplicaRegistry", "ReplicaState", "Run"]
 
 FAILURE_WEIGHT = 0.2
 """How much the newest outcome counts in a replica's share of failures."""
@@ -21,6 +24,16 @@
 DOMAIN_WINDOW_S = 0.5
 DOMAIN_AVOID_S = 0.5
 """For so long the rest of a failure domain is avoided, unless it answers."""
+MAX_HOLD_S = 60.0
+"""The longest time for which a replica is obeyed that asks for nothing to be sent."""
+UNREADABLE_HOLD_S = 1.0
+"""How long it is left alone when the time that it asks for can't be read."""
+RETURN_S = 1.0
+"""For so long after a hold has ended, requests are sent one after the other."""
+RETURN_PACE_S = 0.05
+"""The time between two of them."""
+MAX_REMEMBERED = 1_024
+"""Runs of replicas that left the list, whose restraints are kept for their return."""
 
 _log = PartLog("replicas")
 
@@ -53,6 +66,21 @@
         self.tokens += sign * other.tokens
 
 
+class Run(msgspec.Struct, frozen=True):
+    """Names one run of a replica; one that starts again may have the same id.
+
+    Parameters
+    ----------
+    replica : ReplicaId
+        Its id.
+    born_ms : int
+        When it started, in Unix milliseconds; 0 where not known.
+    """
+
+    replica: ReplicaId
+    born_ms: int
+
+
 class ReplicaState:
     """One replica as this router sees it.
 
@@ -70,7 +98,8 @@
         self.own = Load()
         self.peers = Load()
         self.failure_share = 0.0
-        self.avoid_until = 0.0
+        self.restraints = Restraints()
+        self._next_at = float("-inf")
         self.is_gone = False
         self.misses = 0
         self.on_gone: set[Callable[[], None]] = set()
@@ -90,16 +119,52 @@
         """Prompt tokens that it has still to read."""
         return self.own.unread_tokens + self.peers.unread_tokens
 
+    @property
+    def run(self) -> Run:
+        """Which run of the replica it is."""
+        return Run(self.replica.replica, self.replica.born_ms)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it said that it leaves, in an answer or in the list."""
+        is_marked = self.restraints.until(Reason.LEAVING) > 0.0
+        return is_marked or self.replica.stage is ReplicaStage.DRAINING
+
     @property
     def takes_work(self) -> bool:
-        """Whether new requests may be sent."""
-        return not self.is_gone and self.replica.stage is ReplicaStage.READY
+        """Whether new requests may be sent, now or after a while."""
+        return not self.is_gone and not self.is_leaving
+
+    @property
+    def avoid_until(self) -> float:
+        """When it is no longer avoided for being missed."""
+        return self.restraints.until(Reason.AVOIDED)
+
+    @property
+    def held_until(self) -> float:
+        """When it takes requests of this router again."""
+        return self.restraints.until(Reason.HELD_OFF)
+
+    def may_begin(self, now: float) -> bool:
+        """Return whether a request may be sent to it now.
+
+        Notes
+        -----
+        After a hold, what waited goes there one after the other.
+        """
+        may_send = self.takes_work and self.restraints.may_send(now)
+        return may_send and now >= self._next_at
+
+    def note_begun(self, now: float) -> None:
+        """Note that a request is sent to it."""
+        if now < self.held_until + RETURN_S:
+            self._next_at = now + RETURN_PACE_S
 
     def note_answer(self, is_success: bool, now: float) -> None:
         """Note that the replica answered."""
         self.misses = 0
         self.answered_at = now
-        self.avoid_until = 0.0
+        self.restraints.lift(Reason.AVOIDED)
         failed = 0.0 if is_success else 1.0
         self.failure_share += FAILURE_WEIGHT * (failed - self.failure_share)
 
@@ -112,7 +177,8 @@
         avoid_s = min(MAX_AVOID_S, FIRST_AVOID_S * 2.0**self.misses)
         self.misses += 1
         self.missed_at = now
-        self.avoid_until = now + avoid_s
+        self.restraints.lift(Reason.AVOIDED)
+        self.restraints.extend(Reason.AVOIDED, now + avoid_s)
         self.failure_share += FAILURE_WEIGHT * (1.0 - self.failure_share)
 
 
@@ -128,12 +194,58 @@
     def __init__(self, timers: TimerService):
         self._timers = timers
         self._states: dict[ReplicaId, ReplicaState] = {}
+        self._remembered: OrderedDict[Run, Restraints] = OrderedDict()
         self._callbacks: list[Callable[[], None]] = []
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call after each change of the set of replicas."""
         self._callbacks.append(callback)
 
+    def note_leaving(self, run: Run, told_by: str) -> bool:
+        """Note that a run of a replica takes no further requests.
+
+        Parameters
+        ----------
+        run : Run
+            The run; another one with its id or its address isn't concerned.
+        told_by : str
+            Who said so, for the log.
+
+        Returns
+        -------
+        bool
+            Whether that is news.
+        """
+        state = self._states.get(run.replica)
+        is_here = state is not None and _is_same(run, state.run)
+        restraints = state.restraints if is_here else self._remember(run)
+        if not restraints.extend(Reason.LEAVING, math.inf):
+            return False
+        _log.write(
+            "Replica leaves.",
+            replica=run.replica,
+            born_ms=run.born_ms,
+            told_by=told_by,
+            is_known=is_here,
+        )
+        self._call_back()
+        return True
+
+    def hold_off(self, state: ReplicaState, wish: HoldOff) -> None:
+        """Send a replica nothing for as long as it asked, within bounds."""
+        asked_s = wish.asked_s
+        hold_s = UNREADABLE_HOLD_S if asked_s is None else min(asked_s, MAX_HOLD_S)
+        now = self._timers.now()
+        state.note_output(now)
+        if state.restraints.extend(Reason.HELD_OFF, now + hold_s):
+            _log.write(
+                "Replica held off.",
+                replica=state.replica.replica,
+                hold_s=round(hold_s, 3),
+                asked=wish.text,
+                is_bounded=asked_s is None or asked_s > MAX_HOLD_S,
+            )
+
     def get(self, replica: ReplicaId) -> ReplicaState | None:
         """Return what is known of a replica."""
         return self._states.get(replica)
@@ -159,6 +271,9 @@
         """Note that a replica was missed, and what that says of those beside it."""
         now = self._timers.now()
         state.note_miss(now)
+        if state.is_leaving:
+            # It ended as it said, which tells nothing of its failure domain.
+            return
         beside = [
             other
             for other in self.of_pool(state.replica.pool)
@@ -169,8 +284,7 @@
             return
         for other in beside:
             if now - other.answered_at > DOMAIN_WINDOW_S:
-                until = now + DOMAIN_AVOID_S
-                other.avoid_until = max(other.avoid_until, until)
+                other.restraints.extend(Reason.AVOIDED, now + DOMAIN_AVOID_S)
 
     def adopt(self, old: ReplicaId, new: ReplicaId) -> None:
         """Take a replica for the successor of another at its address.
@@ -200,6 +314,9 @@
             state = None
         if state is None:
             state = self._states[replica.replica] = ReplicaState(replica)
+            remembered = self._remembered.pop(state.run, None)
+            if remembered is not None:
+                state.restraints = remembered
             self._drop_predecessors(replica)
         if state.replica.stage is not replica.stage or not state.replica.born_ms:
             _log.write(
@@ -219,6 +336,8 @@
             return
         _log.write("Replica removed.", replica=replica, cause=cause)
         state.is_gone = True
+        if not state.restraints.may_send(self._timers.now()):
+            self._remember(state.run, state.restraints)
         self._call_back()
 
     def lose(self, replica: ReplicaId, cause: str) -> None:
@@ -229,6 +348,14 @@
             for callback in list(state.on_gone):
                 callback()
 
+    def _remember(self, run: Run, restraints: Restraints | None = None) -> Restraints:
+        """Keep what is known of a run that has no entry, which may come back."""
+        kept = self._remembered.setdefault(run, restraints or Restraints())
+        self._remembered.move_to_end(run)
+        if len(self._remembered) > MAX_REMEMBERED:
+            self._remembered.popitem(last=False)
+        return kept
+
     def _drop_predecessors(self, replica: Replica) -> None:
         """Forget the replicas that had the address before."""
         for other in list(self._states.values()):
@@ -241,3 +368,9 @@
     def _call_back(self) -> None:
         for callback in self._callbacks:
             callback()
+
+
+def _is_same(run: Run, other: Run) -> bool:
+    """Return whether two names stand for one run, as far as is known."""
+    is_unknown = 0 in (run.born_ms, other.born_ms)
+    return run.replica == other.replica and (is_unknown or run == other)
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -36,6 +36,16 @@
             ["kind"],
             registry=registry,
         )
+        self.leaving = Counter(
+            "boragedeck_replicas_leaving",
+            "Replicas that were found to leave by an answer, here or elsewhere.",
+            registry=registry,
+        )
+        self.held_off = Counter(
+            "boragedeck_replicas_held_off",
+            "Answers by which a replica asked this router to wait.",
+            registry=registry,
+        )
         self.first_output_s = Histogram(
             "boragedeck_relay_first_output_seconds",
             "From a request's arrival to the first part of its answer.",
--- /dev/null
+++ b/boragedeck/process/relaying/restraint.py
@@ -0,0 +1,86 @@
+"""Why a replica gets no requests, or only those that no other one has room for."""
+
+import enum
+
+import msgspec
+
+__all__ = ["Reason", "Restraint", "Restraints"]
+
+
+class Reason(enum.Enum):
+    """Why requests are kept from a replica."""
+
+    AVOIDED = "avoided"
+    """It was missed lately, and may be back."""
+    HELD_OFF = "held_off"
+    """It asked this router to wait."""
+    LEAVING = "leaving"
+    """It said that it leaves."""
+
+
+class Restraint(msgspec.Struct, frozen=True):
+    """One reason to keep requests from a replica.
+
+    Parameters
+    ----------
+    reason : Reason
+        Why.
+    until : float
+        When it ends, on the timer service's monotonic clock.
+    """
+
+    reason: Reason
+    until: float
+
+    @property
+    def is_strict(self) -> bool:
+        """Whether nothing may be sent, even where no other replica has room."""
+        match self.reason:
+            case Reason.AVOIDED:
+                return False
+            case Reason.HELD_OFF | Reason.LEAVING:
+                return True
+
+
+class Restraints:
+    """All restraints of one run of a replica."""
+
+    def __init__(self):
+        self._until: dict[Reason, float] = {}
+
+    def until(self, reason: Reason) -> float:
+        """Return when a restraint ends or ended; 0.0 where there was none."""
+        return self._until.get(reason, 0.0)
+
+    def extend(self, reason: Reason, until: float) -> bool:
+        """Keep requests away until then at least; False where that held already."""
+        if until <= self.until(reason):
+            return False
+        self._until[reason] = until
+        return True
+
+    def lift(self, reason: Reason) -> None:
+        """End a restraint now."""
+        self._until.pop(reason, None)
+
+    def strongest(self, now: float) -> Restraint | None:
+        """Return the restraint in force that matters most; None where none is.
+
+        Parameters
+        ----------
+        now : float
+            The time, on the timer service's monotonic clock.
+        """
+        restraints = [
+            Restraint(reason, until)
+            for reason, until in self._until.items()
+            if until > now
+        ]
+        return max(
+            restraints, key=lambda each: (each.is_strict, each.until), default=None
+        )
+
+    def may_send(self, now: float) -> bool:
+        """Return whether anything may be sent to the replica."""
+        strongest = self.strongest(now)
+        return strongest is None or not strongest.is_strict
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a relayed request at a replica, up to the head of its answer."""
 
 from collections.abc import Callable
+from functools import partial
 
 import eventlet
 import msgspec
@@ -10,6 +11,7 @@
     UpstreamError,
     UpstreamRefusedError,
     UpstreamSilentError,
+    UpstreamUnwillingError,
 )
 from boragedeck.process.relaying.admission import Place
 from boragedeck.request.relay_job import RelayJob, RelayParts, log
@@ -63,7 +65,7 @@
 
     Raises
     ------
-    UpstreamRefusedError
+    UpstreamRefusedError, UpstreamUnwillingError
         Where nothing was sent.
     UpstreamError
         Where the replica may have run the request.
@@ -78,7 +80,10 @@
             message,
             min(CONNECT_TIMEOUT_S, max(0.0, job.left_s())),
             SEND_TIMEOUT_S,
+            partial(_check_willing, job, place),
         )
+    except UpstreamUnwillingError:
+        raise
     except UpstreamRefusedError:
         parts.blame.note_lost(place.state)
         raise
@@ -89,7 +94,7 @@
     job.note_sent()
     ran_before, job.may_have_run = job.may_have_run, True
     try:
-        opened = _read_head(job, exchange, wait_head)
+        opened = _read_head(job, place, exchange, wait_head)
     except BaseException:
         exchange.close()
         raise
@@ -104,6 +109,18 @@
     return opened
 
 
+def _check_willing(job: RelayJob, place: Place) -> None:
+    """Keep a request back whose replica left or asked to wait since it was chosen."""
+    state = place.state
+    restraint = state.restraints.strongest(job.parts.timers.now())
+    if restraint is not None and restraint.is_strict:
+        raise UpstreamUnwillingError(
+            f"the replica is {restraint.reason.value}",
+            step="send",
+            peer=str(state.replica.address),
+        )
+
+
 def _replace_moved(job: RelayJob, place: Place, verdict: Verdict) -> None:
     """Forget a replica whose address another one has, or take that one instead."""
     parts, replica = job.parts, place.state.replica
@@ -117,11 +134,21 @@
 
 
 def _read_head(
-    job: RelayJob, exchange: Exchange, wait_head: Callable[[Exchange], AnswerHead]
+    job: RelayJob,
+    place: Place,
+    exchange: Exchange,
+    wait_head: Callable[[Exchange], AnswerHead],
 ) -> Opened:
+    parts = job.parts
     while True:
         head = wait_head(exchange)
-        verdict = job.parts.protocol.judge(job.req, head)
+        verdict = parts.protocol.judge(job.req, head)
+        state = place.state
+        if verdict.kind is VerdictKind.MOVED:
+            # Another replica answered.
+            state = parts.registry.get(verdict.found)
+        if state is not None:
+            parts.notices.take(state, parts.protocol.notice(head))
         if verdict.kind is not VerdictKind.STRAY:
             return Opened(exchange, head, verdict)
         log.write("Skipped a stray answer.", request=job.req.request_id)
@@ -137,7 +164,8 @@
                 address, parts.protocol.probe(), timeout_s, timeout_s
             )
             try:
-                exchange.head(timeout_s)
+                head = exchange.head(timeout_s)
+                parts.notices.take(place.state, parts.protocol.notice(head))
                 return exchange.read_all(timeout_s, MAX_PROBE_BYTES)
             finally:
                 exchange.close()
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -5,7 +5,12 @@
 from eventlet.queue import Empty, LightQueue
 
 from boragedeck.connection.exchange import AnswerHead, Exchange, Headers
-from boragedeck.exceptions import UpstreamError, UpstreamRefusedError
+from boragedeck.exceptions import (
+    RefusedError,
+    UpstreamError,
+    UpstreamRefusedError,
+    UpstreamUnwillingError,
+)
 from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.admission import Place
 from boragedeck.request.relay_attempt import Opened, open_attempt
@@ -59,6 +64,7 @@
         self._running: dict[eventlet.greenthread.GreenThread, Place] = {}
         self._failure: Answered | None = None
         self._reason = "the replica did not answer"
+        self._refused: RefusedError | None = None
 
     def run(self) -> None:
         """Answer the caller."""
@@ -129,6 +135,8 @@
         placed = job.acquire(until)
         if placed.is_ok():
             self._start(placed.ok())
+        else:
+            self._refused = placed.err()
 
     def _start(self, place: Place) -> None:
         log.write(
@@ -165,6 +173,9 @@
                 return self._read_answer(place, opened)
             finally:
                 opened.exchange.close()
+        except UpstreamUnwillingError as exc:
+            job.note_attempt_failed(place, exc)
+            return NotTaken(exc.message)
         except UpstreamRefusedError as exc:
             self._note_miss(place, exc, "not_reached")
             return NotTaken(exc.message)
@@ -212,7 +223,7 @@
     def _answer(self, answer: Answered | None) -> None:
         job = self._job
         if answer is None:
-            job.refuse(final_refusal(job, self._reason))
+            job.refuse(final_refusal(job, self._reason, self._refused))
             return
         job.channel.respond(answer.status, answer.headers, answer.body)
         took_s = job.parts.timers.now() - job.req.arrived
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -22,6 +22,7 @@
 from boragedeck.process.relaying.crash_blame import CrashBlame, fingerprint_of
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.timers import TimerService
@@ -65,6 +66,8 @@
         The replicas.
     upstreams : UpstreamPool
         Connections to them.
+    notices : ReplicaNotices
+        Takes what replicas say of themselves.
     protocol : ReplicaProtocol
         How requests and answers are written.
     retries : RetryShare
@@ -88,6 +91,7 @@
     admission: Admission
     registry: ReplicaRegistry
     upstreams: UpstreamPool
+    notices: ReplicaNotices
     protocol: ReplicaProtocol
     retries: RetryShare
     rollouts: RelayRollouts
@@ -179,6 +183,13 @@
                 self._pause()
         return self.parts.admission.acquire(self.ask(until))
 
+    def return_s(self) -> float:
+        """Return in how long a replica takes requests again, where all asked to wait.
+
+        See `Admission.return_s`.
+        """
+        return self.parts.admission.return_s(self.ask(self.deadline))
+
     def ask(self, until: float) -> Ask:
         """Return the request for a place."""
         return Ask(
@@ -240,7 +251,8 @@
 
     def note_miss(self, place: Place) -> None:
         """Note that an attempt did not reach its replica, or lost it."""
-        self._lost_domains.add(place.state.replica.failure_domain)
+        if not place.state.is_leaving:
+            self._lost_domains.add(place.state.replica.failure_domain)
         self.parts.registry.note_miss(place.state)
 
     def note_attempt_failed(self, place: Place, error: Exception | str) -> None:
@@ -264,10 +276,12 @@
         self.parts.timers.sleep(max(0.0, min(wait_s, self.left_s())))
 
     def _has_untried(self) -> bool:
-        states = self.parts.registry.of_pool(self.pool_name)
+        now = self.parts.timers.now()
         return any(
-            state.replica.replica not in self.tried and self.allows(state.replica)
-            for state in states
+            state.replica.replica not in self.tried
+            and self.allows(state.replica)
+            and state.restraints.may_send(now)
+            for state in self.parts.registry.of_pool(self.pool_name)
         )
 
 
--- a/boragedeck/request/relay_patience.py
+++ b/boragedeck/request/relay_patience.py
@@ -61,9 +61,21 @@
             except UpstreamSilentError:
                 if job.left_s() <= 0.0:
                     raise
-                if probe(job.parts, place, self._probe_timeout_s()) is None:
+                if not self._is_alive(place):
                     raise
 
+    def _is_alive(self, place: Place) -> bool:
+        """Return whether a replica shows that it runs; it may be asked for that.
+
+        Notes
+        -----
+        One that asked for nothing to be sent shows it by its answers to others.
+        """
+        state, now = place.state, self._job.parts.timers.now()
+        if now < state.held_until:
+            return now - state.answered_at <= self._suspect_after_s()
+        return probe(self._job.parts, place, self._probe_timeout_s()) is not None
+
     def _suspect_after_s(self) -> float:
         rule = self._job.rule
         if self._has_gap_goal():
--- a/boragedeck/request/relay_refusals.py
+++ b/boragedeck/request/relay_refusals.py
@@ -10,21 +10,35 @@
 """When a caller may come back whose request no replica took."""
 
 
-def final_refusal(job: RelayJob, reason: str) -> RefusedError:
+def final_refusal(
+    job: RelayJob, reason: str, refused: RefusedError | None = None
+) -> RefusedError:
     """Return the final answer for a request that no replica answered.
 
+    Parameters
+    ----------
+    job : RelayJob
+        The request.
+    reason : str
+        Why its last attempt failed.
+    refused : RefusedError or None
+        Why there was no place for a further one.
+
     Notes
     -----
     Only a request that certainly has not run is told to come back.
     """
     is_late = job.left_s() <= 0.0
     if not job.may_have_run:
+        if refused is not None:
+            return refused
+        wait_s = max(COME_BACK_S, job.return_s())
         return RefusedError(
             f"no replica took the request: {reason}",
             status=503,
             kind="server_error",
             code="not_taken",
-            retry_after_s=COME_BACK_S * (1.0 + job.parts.rng.random()),
+            retry_after_s=wait_s * (1.0 + job.parts.rng.random()),
             step="relay",
         )
     return RefusedError(
--- a/boragedeck/request/relay_request.py
+++ b/boragedeck/request/relay_request.py
@@ -8,7 +8,7 @@
 from boragedeck.connection.exchange import AnswerHead, Headers, Message
 from boragedeck.connection.peer import Address
 from boragedeck.ids import OrganisationName
-from boragedeck.version.replicas import Replica, ReplicaId
+from boragedeck.version.replicas import Replica, ReplicaId, ReplicaNotice
 
 __all__ = [
     "AttemptPlan",
@@ -153,5 +153,8 @@
     def models(self, body: bytes) -> frozenset[str]:
         """Return the models that an engine's answer to `probe` names."""
 
+    def notice(self, head: AnswerHead) -> ReplicaNotice:
+        """Return what a replica says of itself in the head of an answer."""
+
     def judge(self, req: RelayRequest, head: AnswerHead) -> Verdict:
         """Return what the head of an answer means."""
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -9,6 +9,7 @@
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamRefusedError,
+    UpstreamUnwillingError,
 )
 from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.admission import Place
@@ -119,8 +120,9 @@
             backup = job.parts.registry.at(backup.replica.address)
         if backup is None or backup.replica.pool != job.pool_name:
             return None
-        is_avoided = backup.avoid_until > job.parts.timers.now()
-        return backup if backup.takes_work and not is_avoided else None
+        now = job.parts.timers.now()
+        is_avoided = backup.avoid_until > now
+        return backup if backup.may_begin(now) and not is_avoided else None
 
     @property
     def _has_begun(self) -> bool:
@@ -172,6 +174,10 @@
             finally:
                 interruption.end()
                 opened.exchange.close()
+        except UpstreamUnwillingError as exc:
+            job.note_attempt_failed(place, exc)
+            self._reason = exc.message
+            return End.NOT_TAKEN
         except UpstreamRefusedError as exc:
             return self._note_loss(place, exc, End.NOT_TAKEN)
         except (UpstreamError, EventError) as exc:
--- a/boragedeck/version/replicas.py
+++ b/boragedeck/version/replicas.py
@@ -8,7 +8,7 @@
 from boragedeck.connection.peer import Address
 from boragedeck.ids import FailureDomain, PoolName, Version
 
-__all__ = ["Replica", "ReplicaId", "ReplicaStage"]
+__all__ = ["HoldOff", "Replica", "ReplicaId", "ReplicaNotice", "ReplicaStage"]
 
 ReplicaId = NewType("ReplicaId", str)
 """One run of a replica; a replica that starts again mostly has a new one."""
@@ -21,6 +21,36 @@
     DRAINING = "draining"
 
 
+class HoldOff(msgspec.Struct, frozen=True):
+    """A replica's wish that nothing be sent to it for a while.
+
+    Parameters
+    ----------
+    asked_s : float or None
+        For how long, in seconds; None where that can't be read.
+    text : str
+        What it sent, for the log.
+    """
+
+    asked_s: float | None
+    text: str
+
+
+class ReplicaNotice(msgspec.Struct, frozen=True):
+    """What a replica says of itself beside an answer.
+
+    Parameters
+    ----------
+    is_leaving : bool
+        Whether it takes no further requests, for good.
+    hold_off : HoldOff or None
+        Set where it asks this router to wait.
+    """
+
+    is_leaving: bool = False
+    hold_off: HoldOff | None = None
+
+
 class Replica(msgspec.Struct, frozen=True, kw_only=True):
     """One run of a replica.
 
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -1,4 +1,4 @@
-"""Shows which check catches each seeded defect of the answer path."""
+"""Shows which check catches each seeded defect."""
 
 import sys
 
@@ -7,6 +7,7 @@
 patch_all()
 
 from tests.support.answer_defects import DEFECTS, hunt
+from tests.support.notice_defects import NOTICE_DEFECTS, fails
 
 __all__ = ["main"]
 
@@ -25,6 +26,11 @@
             continue
         where = f"seed {caught.seed}, {caught.steps} steps"
         print(f"caught   {defect.name:48} {caught.check:28} {where}", flush=True)
+    for defect in NOTICE_DEFECTS:
+        is_caught = fails(defect)
+        escaped += not is_caught
+        verdict = "caught  " if is_caught else "ESCAPED "
+        print(f"{verdict} {defect.name:48} {defect.test}", flush=True)
     sys.exit(EXIT_ESCAPED if escaped else 0)
 
 
--- /dev/null
+++ b/tests/platform/test_replica_protocol.py
@@ -0,0 +1,39 @@
+import unittest
+
+from boragedeck.connection.exchange import AnswerHead
+from boragedeck.platform.replica_protocol import HttpReplicaProtocol
+
+
+def notice(status, *headers):
+    return HttpReplicaProtocol().notice(AnswerHead(status, list(headers)))
+
+
+class NoticeTest(unittest.TestCase):
+    def hold(self, *values):
+        headers = [(b"Retry-After", value) for value in values]
+        return notice(503, *headers).hold_off
+
+    def test_leaving_is_read_from_any_status(self):
+        for status in (200, 404, 421, 500, 503):
+            self.assertTrue(notice(status, (b"server-leaving", b"1")).is_leaving)
+            self.assertFalse(notice(status, (b"Server-Leaving", b"0")).is_leaving)
+            self.assertFalse(notice(status).is_leaving)
+
+    def test_seconds_may_have_fractions(self):
+        self.assertEqual(self.hold(b"2").asked_s, 2.0)
+        self.assertEqual(self.hold(b"0.25").asked_s, 0.25)
+
+    def test_longest_of_several_counts(self):
+        self.assertEqual(self.hold(b"1", b"3", b"soon").asked_s, 3.0)
+
+    def test_what_is_no_time_is_said_to_be_none(self):
+        date = b"Fri, 04 Dec 2026 12:00:00 GMT"
+        for value in (b"", b"-1", b"nan", b"inf", b"soon", date, b"9" * 400):
+            hold = self.hold(value)
+            self.assertIsNone(hold.asked_s, value)
+            self.assertLessEqual(len(hold.text), 100)
+
+    def test_other_answers_ask_for_no_wait(self):
+        self.assertIsNone(notice(503).hold_off)
+        self.assertIsNone(notice(429, (b"Retry-After", b"5")).hold_off)
+        self.assertIsNone(notice(200, (b"Retry-After", b"5")).hold_off)
--- a/tests/process/relaying/test_placement.py
+++ b/tests/process/relaying/test_placement.py
@@ -12,6 +12,7 @@
     has_room,
 )
 from boragedeck.process.relaying.registry import Load, ReplicaState
+from boragedeck.process.relaying.restraint import Reason
 from boragedeck.version.replicas import Replica, ReplicaStage
 from boragedeck.version.routing import EngineProfile
 
@@ -70,7 +71,8 @@
         self.assertEqual(self.choose([busy, state("idle", "b")]), "idle")
 
     def test_replica_that_failed_lately_comes_last(self):
-        bad = state("bad", avoid_until=11.0)
+        bad = state("bad")
+        bad.restraints.extend(Reason.AVOIDED, 11.0)
         busy = state("busy", load=Load(4, 8_000, 36_000))
         self.assertEqual(self.choose([bad, busy]), "busy")
         self.assertEqual(self.choose([bad]), "bad")
--- /dev/null
+++ b/tests/support/notice_defects.py
@@ -0,0 +1,162 @@
+"""Seeded defects in how replicas' notices are heeded, each with its test."""
+
+import contextlib
+import unittest
+from unittest import mock
+
+import msgspec
+
+from boragedeck.connection.messages import FactTopic
+from boragedeck.platform.replica_protocol import HttpReplicaProtocol
+from boragedeck.process.relaying.registry import ReplicaRegistry, ReplicaState
+from boragedeck.process.relaying.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.restraint import Restraints
+from boragedeck.request.relay_patience import StreamPatience
+from boragedeck.version.replicas import HoldOff, ReplicaNotice
+
+__all__ = ["NOTICE_DEFECTS", "NoticeDefect", "fails"]
+
+ANSWERS = "tests.request.test_relay_attempt"
+NOTICES = "tests.process.relaying.test_replica_notices"
+
+
+class NoticeDefect(msgspec.Struct, frozen=True):
+    """A function that is replaced by a wrong one, and the test that must notice."""
+
+    name: str
+    test: str
+    owner: type
+    attribute: str
+    wrong: object
+
+
+def fails(defect: NoticeDefect) -> bool:
+    """Return whether the test of a defect fails when the defect is in place."""
+    suite = unittest.defaultTestLoader.loadTestsFromName(defect.test)
+    result = unittest.TestResult()
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(
+            mock.patch.object(defect.owner, defect.attribute, defect.wrong)
+        )
+        suite.run(result)
+    return result.testsRun > 0 and not result.wasSuccessful()
+
+
+_read_notice = HttpReplicaProtocol.notice
+_put = ReplicaRegistry.put
+_take = ReplicaNotices.take
+
+
+def _ignore_on_streams(self, head):
+    is_stream = head.get(b"transfer-encoding") is not None
+    return ReplicaNotice() if is_stream else _read_notice(self, head)
+
+
+def _heed_on_failures_only(self, head):
+    return _read_notice(self, head) if head.status >= 500 else ReplicaNotice()
+
+
+def _cut_to_whole_seconds(self, head):
+    notice = _read_notice(self, head)
+    hold = notice.hold_off
+    if hold is None or hold.asked_s is None:
+        return notice
+    return ReplicaNotice(notice.is_leaving, HoldOff(float(int(hold.asked_s)), ""))
+
+
+def _forget_at_the_next_list(self, replica):
+    state = self.get(replica.replica)
+    if state is not None:
+        state.restraints = Restraints()
+    _put(self, replica)
+
+
+def _mark_the_address(self, replica):
+    before = self.at(replica.address)
+    _put(self, replica)
+    if before is not None and before.is_leaving:
+        self.note_leaving(self.get(replica.replica).run, "its address")
+
+
+def _ask_whether_it_lives(self, place):
+    held, place.state.restraints = place.state.restraints, Restraints()
+    try:
+        return _is_alive(self, place)
+    finally:
+        place.state.restraints = held
+
+
+def _tell_holds(self, state, notice):
+    _take(self, state, notice)
+    if notice.hold_off is not None:
+        key = f"replica/{state.run.born_ms}/{state.run.replica}"
+        self._board.publish(FactTopic.LEAVING, key, b"")
+
+
+def _return_at_once(self, now):
+    """Send all that waited in one instant."""
+
+
+_is_alive = StreamPatience._is_alive
+
+NOTICE_DEFECTS = (
+    NoticeDefect(
+        "leaving is ignored on streams",
+        f"{ANSWERS}.LeavingAnswerTest.test_head_of_a_stream",
+        HttpReplicaProtocol,
+        "notice",
+        _ignore_on_streams,
+    ),
+    NoticeDefect(
+        "leaving is heeded on failures only",
+        f"{ANSWERS}.LeavingAnswerTest.test_success_of_a_call",
+        HttpReplicaProtocol,
+        "notice",
+        _heed_on_failures_only,
+    ),
+    NoticeDefect(
+        "leaving is kept by address",
+        f"{NOTICES}.LeavingTest.test_successor_at_the_address_serves_at_once",
+        ReplicaRegistry,
+        "put",
+        _mark_the_address,
+    ),
+    NoticeDefect(
+        "leaving is lost at the next list",
+        f"{NOTICES}.LeavingTest"
+        ".test_leaving_replica_gets_no_request_though_the_list_says_ready",
+        ReplicaRegistry,
+        "put",
+        _forget_at_the_next_list,
+    ),
+    NoticeDefect(
+        "Retry-After is cut to whole seconds",
+        f"{ANSWERS}.HeldOffAnswerTest"
+        ".test_half_a_second_is_kept_though_it_is_less_than_a_whole_one",
+        HttpReplicaProtocol,
+        "notice",
+        _cut_to_whole_seconds,
+    ),
+    NoticeDefect(
+        "a replica that is held off is asked whether it lives",
+        f"{ANSWERS}.HeldOffAnswerTest"
+        ".test_engine_that_is_held_off_is_not_asked_whether_it_lives",
+        StreamPatience,
+        "_is_alive",
+        _ask_whether_it_lives,
+    ),
+    NoticeDefect(
+        "a hold is told to other routers",
+        f"{NOTICES}.TwoRoutersTest.test_hold_off_is_not_told",
+        ReplicaNotices,
+        "take",
+        _tell_holds,
+    ),
+    NoticeDefect(
+        "what waited is sent in one instant",
+        f"{NOTICES}.HoldOffTest.test_requests_that_wait_return_one_after_the_other",
+        ReplicaState,
+        "note_begun",
+        _return_at_once,
+    ),
+)
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -21,6 +21,7 @@
 from boragedeck.process.relaying.crash_blame import CrashBlame
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.relaying.settings import Bounds
@@ -265,13 +266,15 @@
 class RelayWorld:
     """A router's relaying parts before scripted replicas, and callers' sockets."""
 
-    def __init__(self, rule=None, pool=None, limits=None):
+    def __init__(self, rule=None, pool=None, limits=None, facts=None):
         self.timers = RealTimers(random.Random(1))
         self.registry = ReplicaRegistry(self.timers)
         self.upstreams = UpstreamPool(self.timers)
         self.admission = Admission(self.timers, self.registry, "a", random.Random(2))
         self.time_left_s = float("inf")
         self.table = routing_table(rule or call_rule(), pool, limits)
+        self.facts = facts or Facts()
+        self.metrics = RelayMetrics(CollectorRegistry())
         self.parts = RelayParts(
             timers=self.timers,
             rng=random.Random(3),
@@ -279,6 +282,9 @@
             admission=self.admission,
             registry=self.registry,
             upstreams=self.upstreams,
+            notices=ReplicaNotices(
+                self.registry, self.facts, self.upstreams, self.metrics
+            ),
             protocol=HttpReplicaProtocol(),
             retries=RetryShare(self.timers, lambda: BOUNDS, lambda: 9, NoReserve()),
             rollouts=RelayRollouts(
@@ -293,7 +299,7 @@
                 lambda pool: [],
             ),
             blame=CrashBlame(self.timers, Facts()),
-            metrics=RelayMetrics(CollectorRegistry()),
+            metrics=self.metrics,
             time_left=lambda: self.time_left_s,
             refusal_headers=refusal_headers,
         )
