Refuse a stream at once that can't be whole in its caller's time

Cause: after a loss of power of all routers callers notice after 18 s and come back together. Change: a router learns from the streams that it serves how long a prompt takes to be read, an event to come, and how many events there are for the tokens expected (stream_pace). A stream that needs more than is left even if all goes as well as with the best quarter is refused with 503 before it is sent. Ruled out: a margin by the median (would refuse streams that can still be served); refusing streams that have begun (their callers would lose what they can read).

--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -50,6 +50,7 @@
 from boragedeck.process.relaying.settings_source import SettingsSource
 from boragedeck.process.relaying.shared_feed import SharedFeed
 from boragedeck.process.relaying.store_meter import StoreMeter
+from boragedeck.process.relaying.stream_pace import StreamPace
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
@@ -273,6 +274,7 @@
             protocol=HttpReplicaProtocol(),
             retries=self._make_retries(),
             rollouts=self._rollouts,
+            pace=StreamPace(),
             blame=self._make_blame(),
             metrics=self.metrics,
             time_left=self._time_left,
--- /dev/null
+++ b/boragedeck/process/relaying/stream_pace.py
@@ -0,0 +1,93 @@
+"""How long streams take at their engines, learnt from those that were served.
+
+The load this answers: a loss of power after which all callers whose streams were lost
+come back at the same moment, most of them with less time left than their answers need.
+Each prompt that is read for one of them delays streams that can be whole in time.
+"""
+
+from collections import deque
+
+from boragedeck.ids import PoolName
+
+__all__ = ["StreamPace"]
+
+KEPT = 48
+"""So many of the newest streams of a pool are remembered."""
+MIN_KEPT = 4
+"""With fewer, nothing is said."""
+SOON_SHARE = 0.25
+"""The share of streams that do as well as an estimate, or better."""
+
+
+class StreamPace:
+    """Estimates the time that a stream needs at the least."""
+
+    def __init__(self):
+        self._read_s: dict[PoolName, deque[float]] = {}
+        self._event_s: dict[PoolName, deque[float]] = {}
+        self._events: dict[PoolName, deque[float]] = {}
+
+    def note_first(self, pool: PoolName, prompt_tokens: int, took_s: float) -> None:
+        """Note how long a prompt took to be read, the wait at its engine included."""
+        if prompt_tokens > 0:
+            _keep(self._read_s, pool, took_s / prompt_tokens)
+
+    def note_whole(
+        self, pool: PoolName, events: int, expected_tokens: int, took_s: float
+    ) -> None:
+        """Note a stream that was whole.
+
+        Parameters
+        ----------
+        pool : PoolName
+            Where it ran.
+        events : int
+            Its events.
+        expected_tokens : int
+            Tokens that it was expected to have.
+        took_s : float
+            From its first event to its last, in seconds.
+        """
+        if events > 1 and expected_tokens > 0:
+            _keep(self._event_s, pool, took_s / (events - 1))
+            _keep(self._events, pool, events / expected_tokens)
+
+    def least_s(
+        self, pool: PoolName, prompt_tokens: int, expected_tokens: int, position: int
+    ) -> float:
+        """Return the time that a stream needs if all goes well.
+
+        Parameters
+        ----------
+        pool : PoolName
+            Where it would run.
+        prompt_tokens : int
+            Tokens to read.
+        expected_tokens : int
+            Tokens of the whole answer, as far as is known.
+        position : int
+            Events that its caller has already.
+
+        Returns
+        -------
+        float
+            In seconds; 0.0 where too few streams were served to tell.
+        """
+        read_s = _soon(self._read_s, pool)
+        event_s = _soon(self._event_s, pool)
+        events = _soon(self._events, pool)
+        if read_s is None or event_s is None or events is None:
+            return 0.0
+        left = max(0.0, events * expected_tokens - position)
+        return read_s * prompt_tokens + event_s * left
+
+
+def _keep(values: dict[PoolName, deque[float]], pool: PoolName, value: float) -> None:
+    values.setdefault(pool, deque(maxlen=KEPT)).append(value)
+
+
+def _soon(values: dict[PoolName, deque[float]], pool: PoolName) -> float | None:
+    kept = sorted(values.get(pool, ()))
+    if len(kept) < MIN_KEPT:
+        return None
+    return kept[int(SOON_SHARE * len(kept))]
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -25,6 +25,7 @@
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
+from boragedeck.process.relaying.stream_pace import StreamPace
 from boragedeck.process.timers import TimerService
 from boragedeck.request.events import EventExcessError
 from boragedeck.request.relay_request import (
@@ -74,6 +75,8 @@
         Bounds repeats.
     rollouts : RelayRollouts
         Decides which versions serve a request, and learns how they did.
+    pace : StreamPace
+        Knows how long streams take.
     blame : CrashBlame
         Knows requests that crash their replicas.
     metrics : RelayMetrics
@@ -95,6 +98,7 @@
     protocol: ReplicaProtocol
     retries: RetryShare
     rollouts: RelayRollouts
+    pace: StreamPace
     blame: CrashBlame
     metrics: RelayMetrics
     time_left: Callable[[], float]
--- a/boragedeck/request/relay_refusals.py
+++ b/boragedeck/request/relay_refusals.py
@@ -4,7 +4,7 @@
 from boragedeck.ids import Ran
 from boragedeck.request.relay_job import RelayJob
 
-__all__ = ["crash_refusal", "final_refusal", "stopping_refusal"]
+__all__ = ["crash_refusal", "final_refusal", "late_refusal", "stopping_refusal"]
 
 COME_BACK_S = 0.2
 """When a caller may come back whose request no replica took."""
@@ -62,6 +62,27 @@
     )
 
 
+def late_refusal(least_s: float, left_s: float) -> RefusedError:
+    """Return the answer for a stream that can't be whole in its caller's time.
+
+    Parameters
+    ----------
+    least_s, left_s : float
+        The time that it needs at the least, and the time that there is, in seconds.
+
+    Notes
+    -----
+    It names no time to come back: there is none at which the request could be served.
+    """
+    return RefusedError(
+        f"the answer takes {least_s:.1f} s at the least, {left_s:.1f} s are left",
+        status=503,
+        kind="server_error",
+        code="too_late",
+        step="admit",
+    )
+
+
 def stopping_refusal() -> RefusedError:
     """Return the answer for a request that would outlast this process.
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -18,7 +18,7 @@
 from boragedeck.request.relay_attempt import Opened, open_attempt
 from boragedeck.request.relay_job import RelayJob, log
 from boragedeck.request.relay_patience import Interruption, StreamPatience
-from boragedeck.request.relay_refusals import final_refusal
+from boragedeck.request.relay_refusals import final_refusal, late_refusal
 from boragedeck.request.relay_request import AttemptPlan, CopySource, VerdictKind
 
 __all__ = ["StreamRelay"]
@@ -71,6 +71,10 @@
     def run(self) -> None:
         """Deliver the stream, or what there is to say in its place."""
         job = self._job
+        least_s = self._least_s()
+        if least_s > job.left_s():
+            job.refuse(late_refusal(least_s, job.left_s()))
+            return
         while True:
             place = self._place()
             if place is None:
@@ -88,6 +92,16 @@
                 self._give_up()
                 return
 
+    def _least_s(self) -> float:
+        """Return the time that the stream needs if all goes well, in seconds."""
+        job, req = self._job, self._job.req
+        return job.parts.pace.least_s(
+            job.pool_name,
+            req.prompt_tokens,
+            req.expected_tokens,
+            req.resume_after or 0,
+        )
+
     def _place(self) -> Place | None:
         job = self._job
         holder = self._copy_holder()
@@ -250,6 +264,11 @@
         if not place.has_output:
             took_s = self._job.parts.timers.now() - place.since
             self._job.note_outcome(place, None, took_s)
+            if not self._is_on_copy:
+                prompt_tokens = self._job.req.prompt_tokens
+                self._job.parts.pace.note_first(
+                    self._job.pool_name, prompt_tokens, took_s
+                )
         place.first_output()
 
     def _deliver(self, data: bytes) -> None:
@@ -302,6 +321,7 @@
         if not self._has_begun:
             job.channel.begin(*self._head)
         job.channel.finish()
+        self._note_pace()
         job.parts.metrics.requests.labels(job.rule.kind.value, "served").inc()
         log.write(
             "Answered.",
@@ -314,6 +334,18 @@
             took_s=round(job.parts.timers.now() - job.req.arrived, 3),
         )
 
+    def _note_pace(self) -> None:
+        """Note how long the stream took, where it ran at one engine from its begin."""
+        job = self._job
+        if job.sent == 1 and not job.req.resume_after and self._first_s is not None:
+            took_s = job.parts.timers.now() - job.req.arrived - self._first_s
+            job.parts.pace.note_whole(
+                job.pool_name,
+                self._splitter.last or 0,
+                job.req.expected_tokens,
+                took_s,
+            )
+
     def _give_up(self) -> None:
         job = self._job
         if self._has_begun:
--- a/tests/request/test_relay_stream.py
+++ b/tests/request/test_relay_stream.py
@@ -85,6 +85,23 @@
         self.assertIn(b"kv-from", two.seen[0].headers)
         self.assertEqual(two.seen[0].headers[b"expect-instance"], b"two-again")
 
+    def test_stream_that_can_not_be_whole_in_time_is_refused_at_once(self):
+        world = self.world(timeout_s=25.0)
+        rest, all_events = events(*range(81, 101)), events(*range(1, 101))
+        replica = ScriptedReplica("one", rest, all_events)
+        world.add(replica)
+        for _ in range(8):
+            world.parts.pace.note_first("engines", 1_000, 1.0)
+            world.parts.pace.note_whole("engines", 100, 100, 3.0)
+        response = world.ask(TOKENS, ms=3_000)
+        self.assertEqual(response.status, 503)
+        self.assertNotIn(b"retry-after", response.headers)
+        self.assertEqual(replica.seen, [])
+        # With more of the answer, or more time, it is served.
+        late = world.ask(TOKENS, b"Last-Event-Id: 80", name=b"id-2", ms=3_000)
+        self.assertEqual(late.status, 200)
+        self.assertEqual(world.ask(TOKENS, name=b"id-3", ms=5_000).status, 200)
+
     def test_replica_that_never_had_a_run_is_not_asked_for_its_copy(self):
         world = self.world()
         four = ScriptedReplica("four", events(3))
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -25,6 +25,7 @@
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.relaying.settings import Bounds
+from boragedeck.process.relaying.stream_pace import StreamPace
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
@@ -298,6 +299,7 @@
                 lambda: BOUNDS,
                 lambda pool: [],
             ),
+            pace=StreamPace(),
             blame=CrashBlame(self.timers, Facts()),
             metrics=self.metrics,
             time_left=lambda: self.time_left_s,
