Keep no copies in a failure domain that may have gone down

Change: an engine is chosen for a copy only in domains of which the newest that this router heard is no miss, where there is another; lost domains of the request count too.

--- a/boragedeck/process/relaying/placement.py
+++ b/boragedeck/process/relaying/placement.py
@@ -5,6 +5,7 @@
 in turn, with reports that many routers read at once.
 """
 
+import math
 import random
 from collections.abc import Iterable, Sequence
 
@@ -19,6 +20,7 @@
     "PlaceRequest",
     "choose_backup",
     "choose_replica",
+    "doubted_domains",
     "drawn_engines",
     "has_room",
 ]
@@ -34,6 +36,8 @@
 replicas."""
 LOST_DOMAIN_COST_TOKENS = 8000
 """What an engine there costs, in prompt tokens."""
+DOUBT_S = 2.0
+"""For so long a miss speaks against the engines beside the one that was missed."""
 DRAWN = 4
 """So many engines are compared, drawn at random, where many routers choose by the same
 knowledge. Requests that come within its age meet at the engine that looks best to all;
@@ -129,7 +133,13 @@
     req: PlaceRequest,
     rng: random.Random,
 ) -> ReplicaState | None:
-    """Return an engine in another failure domain to hold a copy of a run."""
+    """Return an engine in another failure domain to hold a copy of a run.
+
+    Notes
+    -----
+    The engines of a domain that went down look emptiest of all. A domain counts as down
+    where the newest that was heard of it, by this request or by others, is a miss.
+    """
     candidates = [
         state
         for state in states
@@ -137,10 +147,39 @@
         and state.avoid_until <= req.now
         and has_room(state, req)
     ]
-    drawn = _draw(candidates, req, rng)
+    doubted = req.lost_domains | doubted_domains(states, req.now)
+    sound = [
+        state for state in candidates if state.replica.failure_domain not in doubted
+    ]
+    drawn = _draw(sound or candidates, req, rng)
     return min(drawn, key=lambda state: state.tokens, default=None)
 
 
+def doubted_domains(
+    states: Iterable[ReplicaState], now: float
+) -> frozenset[FailureDomain]:
+    """Return the failure domains of which the newest that was heard is a miss.
+
+    Parameters
+    ----------
+    states : iterable of ReplicaState
+        The replicas.
+    now : float
+        The time, on the timer service's monotonic clock.
+    """
+    missed_at: dict[FailureDomain, float] = {}
+    answered_at: dict[FailureDomain, float] = {}
+    for state in states:
+        domain = state.replica.failure_domain
+        missed_at[domain] = max(state.missed_at, missed_at.get(domain, -math.inf))
+        answered_at[domain] = max(state.answered_at, answered_at.get(domain, -math.inf))
+    return frozenset(
+        domain
+        for domain, at in missed_at.items()
+        if at > answered_at[domain] and now - at <= DOUBT_S
+    )
+
+
 def drawn_engines(engines: int, routers: int) -> int:
     """Return how many of the engines a router compares.
 
--- a/tests/process/relaying/test_placement.py
+++ b/tests/process/relaying/test_placement.py
@@ -97,6 +97,27 @@
         self.assertEqual(backup.replica.replica, "three")
         self.assertIsNone(choose_backup(states[:2], states[0], request(), rng))
 
+    def test_copy_is_not_kept_where_a_domain_may_have_gone_down(self):
+        chosen = state("one")
+        down = state("down", "b", missed_at=9.5, answered_at=9.0)
+        beside = state("beside", "b", answered_at=9.2)
+        busy = state("busy", "c", load=Load(2, 0, 18_000))
+        rng = random.Random(3)
+
+        def backup(*others, **fields):
+            found = choose_backup([chosen, *others], chosen, request(**fields), rng)
+            return found.replica.replica
+
+        self.assertEqual(backup(down, beside, busy), "busy")
+        # One that answered since speaks for the domain, and so does time.
+        alive = state("alive", "b", answered_at=9.8, load=Load(1, 0, 9_000))
+        self.assertIn(backup(down, beside, alive, busy), ("down", "beside"))
+        self.assertIn(backup(down, beside, busy, now=12.0), ("down", "beside"))
+        # Where there is no other domain, a doubtful copy is better than none.
+        self.assertIn(backup(down, beside), ("down", "beside"))
+        lost = {"lost_domains": frozenset("b"), "now": 12.0}
+        self.assertEqual(backup(beside, busy, **lost), "busy")
+
     def test_request_that_was_lost_goes_to_another_failure_domain(self):
         states = [state("near"), state("far", "b", load=Load(3, 4_000, 27_000))]
         self.assertEqual(self.choose(states), "near")
