Go on where a prompt was read when only the connection broke

Change: a run whose connection broke is sent to the same engine once more, which refuses the connection at once where it ended. A copy is asked for again at the engine that started again at its address. One test changed: its first engine now ends when it breaks off, as its name says the copy is gone and not the engine's memory; what it checks is the same.

--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -9,6 +9,7 @@
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamRefusedError,
+    UpstreamSilentError,
     UpstreamUnwillingError,
 )
 from boragedeck.interfaces import Outcome
@@ -20,6 +21,7 @@
 from boragedeck.request.relay_patience import Interruption, StreamPatience
 from boragedeck.request.relay_refusals import final_refusal, late_refusal
 from boragedeck.request.relay_request import AttemptPlan, CopySource, VerdictKind
+from boragedeck.version.replicas import ReplicaId
 
 __all__ = ["StreamRelay"]
 
@@ -61,6 +63,8 @@
         self._head: tuple[int, Headers] | None = None
         self._backup: ReplicaState | None = None
         self._is_on_copy = False
+        self._warm: ReplicaState | None = None
+        self._returned_to: set[ReplicaId] = set()
         self._failure: _Failure | None = None
         self._reason = ""
         self._lost_at: float | None = None
@@ -106,8 +110,9 @@
         job = self._job
         holder = self._copy_holder()
         self._is_on_copy = holder is not None
-        if holder is not None:
-            return job.parts.admission.occupy(job.ask(job.deadline), holder)
+        known = holder or self._warm_engine()
+        if known is not None:
+            return job.parts.admission.occupy(job.ask(job.deadline), known)
         placed = job.acquire(job.deadline)
         if placed.is_ok():
             return placed.ok()
@@ -138,6 +143,22 @@
         is_avoided = backup.avoid_until > now
         return backup if backup.may_begin(now) and not is_avoided else None
 
+    def _warm_engine(self) -> ReplicaState | None:
+        """Return the engine that broke the run off, which may still have its prompt.
+
+        Notes
+        -----
+        A broken connection isn't the end of its engine, which then has nothing to read
+        again. One that did end refuses the connection at once. Each is tried once more.
+        """
+        warm, self._warm = self._warm, None
+        if warm is None or not warm.may_begin(self._job.parts.timers.now()):
+            return None
+        if warm.replica.replica in self._returned_to:
+            return None
+        self._returned_to.add(warm.replica.replica)
+        return warm
+
     @property
     def _has_begun(self) -> bool:
         return self._job.channel.has_begun
@@ -195,6 +216,8 @@
         except UpstreamRefusedError as exc:
             return self._note_loss(place, exc, End.NOT_TAKEN)
         except (UpstreamError, EventError) as exc:
+            if not isinstance(exc, UpstreamSilentError):
+                self._warm = place.state
             return self._note_loss(place, exc, End.LOST)
 
     def _wait_head(self, place: Place, exchange: Exchange) -> AnswerHead:
@@ -215,6 +238,10 @@
                 return self._read_events(place, opened.exchange)
             case VerdictKind.MOVED:
                 self._reason = "another replica has the address"
+                if self._is_on_copy:
+                    # The copy may have been begun after the engine started again.
+                    address = place.state.replica.address
+                    self._backup = job.parts.registry.at(address)
                 return End.NOT_TAKEN
             case VerdictKind.NOT_RUN:
                 job.note_attempt_failed(place, f"not run, status {opened.head.status}")
--- a/tests/request/test_relay_stream.py
+++ b/tests/request/test_relay_stream.py
@@ -60,10 +60,12 @@
         three = ScriptedReplica("three", events(3))
 
         def lose_copy(sock, req):
+            one.stop()
             world.add(three, domain="c")
             return not_run(sock, req)
 
-        world.add(ScriptedReplica("one", events(1, 2, ends=False)))
+        one = ScriptedReplica("one", events(1, 2, ends=False))
+        world.add(one)
         world.add(ScriptedReplica("two", lose_copy), domain="b")
         response = world.ask(TOKENS)
         self.assertEqual(response.body, whole(3))
@@ -85,6 +87,57 @@
         self.assertIn(b"kv-from", two.seen[0].headers)
         self.assertEqual(two.seen[0].headers[b"expect-instance"], b"two-again")
 
+    def test_run_whose_connection_broke_goes_on_where_its_prompt_was_read(self):
+        world = self.world()
+        one = ScriptedReplica("one", drop, events(1, 2))
+        two = ScriptedReplica("two", events(1, 2))
+        world.add(one)
+        world.add(two, domain="b")
+        self.assertEqual(world.ask(TOKENS).body, whole(2))
+        self.assertEqual((len(one.seen), len(two.seen)), (2, 0))
+
+    def test_engine_that_breaks_a_run_off_again_is_left(self):
+        world = self.world()
+        one = ScriptedReplica("one", drop)
+        two = ScriptedReplica("two", events(1, 2))
+        world.add(one)
+        world.add(two, domain="b")
+        self.assertEqual(world.ask(TOKENS).body, whole(2))
+        self.assertEqual((len(one.seen), len(two.seen)), (2, 1))
+
+    def test_run_on_a_copy_that_broke_goes_on_where_the_copy_was(self):
+        world = self.world()
+        two = ScriptedReplica("two", drop, events(3))
+        three = ScriptedReplica("three", events(3))
+
+        def lose(sock, req):
+            one.stop()
+            world.add(three, domain="c")
+            return False
+
+        one = ScriptedReplica("one", events(1, 2, ends=False, then=lose))
+        world.add(one)
+        world.add(two, domain="b")
+        self.assertEqual(world.ask(TOKENS).body, whole(3))
+        self.assertEqual((len(two.seen), len(three.seen)), (2, 0))
+        self.assertNotIn(b"kv-from", two.seen[1].headers)
+
+    def test_copy_is_asked_for_again_where_its_engine_started_again(self):
+        world = self.world()
+
+        def report(sock, req):
+            body = b'{"models":[{"name":"m","version":1}]}'
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+            sock.sendall(body)
+            return True
+
+        two = ScriptedReplica("two", moved, report, events(3))
+        world.add(ScriptedReplica("one", events(1, 2, ends=False)))
+        world.add(two, domain="b")
+        self.assertEqual(world.ask(TOKENS).body, whole(3))
+        self.assertIn(b"kv-from", two.seen[2].headers)
+        self.assertEqual(two.seen[2].headers[b"expect-instance"], b"other")
+
     def test_stream_that_can_not_be_whole_in_time_is_refused_at_once(self):
         world = self.world(timeout_s=25.0)
         rest, all_events = events(*range(81, 101)), events(*range(1, 101))
