Don't wait two seconds for a silent store when no table is known

Change: first reads take 0.25, 0.5 and 1.0 s at most, over and over, with pauses of 0.2 s at most. A store whose answers take most of a second is still read.

--- a/boragedeck/connection/store.py
+++ b/boragedeck/connection/store.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "ABSENT",
+    "SNAPSHOT_TIMEOUT_S",
     "Change",
     "ChangeFeed",
     "Changes",
@@ -29,6 +30,8 @@
 
 ABSENT = 0
 """The version of a row that does not exist."""
+SNAPSHOT_TIMEOUT_S = 2.0
+"""How long a page of a whole table may take, unless the caller says otherwise."""
 
 
 class Table(enum.Enum):
@@ -194,8 +197,10 @@
 class ChangeFeed(Protocol):
     """Reads tables as they change."""
 
-    def snapshot(self, table: Table) -> Result[Changes, StoreError]:
-        """Read a whole table."""
+    def snapshot(
+        self, table: Table, timeout_s: float = SNAPSHOT_TIMEOUT_S
+    ) -> Result[Changes, StoreError]:
+        """Read a whole table; each page within a time in seconds."""
 
     def changes(
         self, table: Table, after: int, wait_s: float
--- a/boragedeck/platform/store.py
+++ b/boragedeck/platform/store.py
@@ -11,6 +11,7 @@
 
 from boragedeck.connection.peer import Address
 from boragedeck.connection.store import (
+    SNAPSHOT_TIMEOUT_S,
     Change,
     Changes,
     Delete,
@@ -138,13 +139,15 @@
         table = writes[0].table if writes else None
         return self._write(table, body).map(lambda ver: [ver] * len(writes))
 
-    def snapshot(self, table: Table) -> Result[Changes, StoreError]:
+    def snapshot(
+        self, table: Table, timeout_s: float = SNAPSHOT_TIMEOUT_S
+    ) -> Result[Changes, StoreError]:
         """See `ChangeFeed.snapshot`."""
         rows: list[_Row] = []
         version = None
         begin = ""
         while True:
-            page = self._page(table, begin, PAGE_ROWS)
+            page = self._page(table, begin, PAGE_ROWS, timeout_s)
             if page.is_err():
                 return page
             found = page.ok()
@@ -189,13 +192,15 @@
         """Return an error, since the platform keeps no list of VMs."""
         return Err(StoreUnavailableError("no list of VMs", step="vms", peer=self._peer))
 
-    def _page(self, table: Table, begin: str, limit: int) -> Result:
+    def _page(
+        self, table: Table, begin: str, limit: int, timeout_s: float = READ_TIMEOUT_S
+    ) -> Result:
         fields = {"table": _name(table), "part": "", "limit": str(limit)}
         if begin:
             fields["from"] = begin
         path = "/boragedeck/rows-get"
         call = StoreCallKind.READ, table
-        answer = self._call(call, "GET", path, fields, None, READ_TIMEOUT_S)
+        answer = self._call(call, "GET", path, fields, None, timeout_s)
         return self._decode(answer, _Rows, path)
 
     def _write(
--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/mirror_follower.py
@@ -1,5 +1,6 @@
 """Keeps a mirror of one of the platform's tables up to date."""
 
+import itertools
 import random
 from collections.abc import Callable
 
@@ -19,6 +20,11 @@
 
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.0
+FIRST_TIMEOUTS_S = (0.25, 0.5, 1.0)
+"""How long the first reads of a table may take, over and over: short ones hear soon of
+a store that comes back, a long one is answered by a store that is slow."""
+MAX_FIRST_PAUSE_S = 0.2
+"""The longest pause between them."""
 GATHER_S = 0.2
 """After a change, others are let gather, since changes mostly come in groups."""
 PEER_INTERVAL_S = 0.4
@@ -84,6 +90,7 @@
         self._wait_s = wait_s
         self._pause_s = FIRST_PAUSE_S
         self._is_history_lost = False
+        self._first_timeouts_s = itertools.cycle(FIRST_TIMEOUTS_S)
         self._ahead: _Ahead | None = None
         self.is_connected = False
         self.regained_at = 0.0
@@ -103,7 +110,10 @@
 
     def _step(self) -> None:
         mirror = self._mirror
-        if mirror.version < 0 or self._is_history_lost:
+        if mirror.version < 0:
+            timeout_s = next(self._first_timeouts_s)
+            result = self._feed.snapshot(mirror.table, timeout_s)
+        elif self._is_history_lost:
             result = self._feed.snapshot(mirror.table)
         else:
             result = self._feed.changes(mirror.table, mirror.version, self._wait_s())
@@ -141,7 +151,8 @@
             self.is_connected = False
             eventlet.spawn_n(self._ask_while_away)
         self._timers.sleep(self._pause_s * self._rng.uniform(0.5, 1.0))
-        self._pause_s = min(MAX_PAUSE_S, 2.0 * self._pause_s)
+        longest_s = MAX_FIRST_PAUSE_S if self._mirror.version < 0 else MAX_PAUSE_S
+        self._pause_s = min(longest_s, 2.0 * self._pause_s)
 
     def note_peer(self, address: Address, newest: int) -> None:
         """Take the table from a router that is ahead, unless the feed is about to."""
--- a/boragedeck/process/relaying/shared_feed.py
+++ b/boragedeck/process/relaying/shared_feed.py
@@ -10,7 +10,12 @@
 from result import Err, Ok, Result
 
 from boragedeck.connection.peer import Address, PeerLinks
-from boragedeck.connection.store import ChangeFeed, Changes, Table
+from boragedeck.connection.store import (
+    SNAPSHOT_TIMEOUT_S,
+    ChangeFeed,
+    Changes,
+    Table,
+)
 from boragedeck.exceptions import (
     PeerError,
     PeerRefusedError,
@@ -95,7 +100,9 @@
         self._avoided: dict[Address, float] = {}
         self._try_at: dict[Table, float] = {}
 
-    def snapshot(self, table: Table) -> Result[Changes, StoreError]:
+    def snapshot(
+        self, table: Table, timeout_s: float = SNAPSHOT_TIMEOUT_S
+    ) -> Result[Changes, StoreError]:
         """Read a whole table, from another router where one has it."""
         hubs = self._hubs_to_ask()
         if hubs:
@@ -104,7 +111,7 @@
             asked = self._ask_each(self._seed_to_join(), table, -1, 0.0, JOIN_SLACK_S)
         if asked.is_ok():
             return asked
-        return self._read(table, lambda: self._store.snapshot(table))
+        return self._read(table, lambda: self._store.snapshot(table, timeout_s))
 
     def changes(
         self, table: Table, after: int, wait_s: float
--- a/tests/process/relaying/test_mirror_follower.py
+++ b/tests/process/relaying/test_mirror_follower.py
@@ -4,8 +4,12 @@
 import eventlet
 from result import Err, Ok
 
-from boragedeck.connection.store import Change, Changes, Table
-from boragedeck.exceptions import StoreHistoryError, StoreUnavailableError
+from boragedeck.connection.store import SNAPSHOT_TIMEOUT_S, Change, Changes, Table
+from boragedeck.exceptions import (
+    StoreHistoryError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
 from boragedeck.process.relaying.mirror_follower import GATHER_S, MirrorFollower
 from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart, pack
 from boragedeck.process.relaying.table_mirror import TableMirror
@@ -16,9 +20,11 @@
     def __init__(self):
         self.results = []
         self.calls = []
+        self.timeouts_s = []
 
-    def snapshot(self, table):
+    def snapshot(self, table, timeout_s=SNAPSHOT_TIMEOUT_S):
         self.calls.append("snapshot")
+        self.timeouts_s.append(timeout_s)
         return self._next()
 
     def changes(self, table, after, wait_s):
@@ -81,6 +87,23 @@
         self.play(Ok(Changes((), 7, True)), Err(StoreHistoryError("410")))
         self.assertEqual(self.feed.calls, ["snapshot", 7, "snapshot"])
 
+    def test_first_reads_do_not_wait_long_for_a_silent_store(self):
+        silent = [Err(StoreUnknownError("no answer"))] * 6
+        began = self.timers.now()
+        self.play(*silent, Ok(Changes((), 7, True)))
+        self.assertEqual(self.feed.calls[-1], 7)
+        waits_s = self.feed.timeouts_s
+        self.assertEqual(len(waits_s), 7)
+        # The store's return is heard of within a second, and one that takes most of a
+        # second to answer is read, too.
+        self.assertLessEqual(max(waits_s), 1.0)
+        self.assertGreaterEqual(max(waits_s[:3]), 0.8)
+        self.assertLessEqual(self.timers.now() - began, 7 * GATHER_S + 0.01)
+
+    def test_table_that_is_known_is_read_again_with_time(self):
+        self.play(Ok(Changes((), 7, True)), Err(StoreHistoryError("410")))
+        self.assertEqual(self.feed.timeouts_s[-1], SNAPSHOT_TIMEOUT_S)
+
     def test_other_routers_are_asked_while_the_store_is_away(self):
         self.links.answer = TablePart(pack(Changes((Change("k", b"1", 5),), 6, True)))
         self.play(Err(StoreUnavailableError("503")))
--- a/tests/process/relaying/test_shared_feed.py
+++ b/tests/process/relaying/test_shared_feed.py
@@ -40,7 +40,7 @@
         self.snapshots = 0
         self.answer = Ok(Changes((), 5))
 
-    def snapshot(self, table):
+    def snapshot(self, table, timeout_s):
         self.snapshots += 1
         return self.answer
 
