Assign each stream that was late or lost to one cause, from the logs

Cause: a loss without a cause by name can't be weighed. platform_losses reads routers' logs and names one cause for each stream that was not whole and in time.

--- a/scripts/platform_logs.py
+++ b/scripts/platform_logs.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-__all__ = ["main"]
+__all__ = ["main", "read_lines"]
 
 OUTCOMES = ("relay: Answered.", "relay: Refused.", "relay: Broken off.")
 SHOWN = 40
@@ -18,14 +18,14 @@
     if len(sys.argv) < 2:
         print("usage: python -m scripts.platform_logs FILE [REQUEST-ID]")
         sys.exit(2)
-    lines = _read(Path(sys.argv[1]))
+    lines = read_lines(Path(sys.argv[1]))
     if len(sys.argv) > 2:
         _show_request(lines, sys.argv[2])
     else:
         _summarise(lines)
 
 
-def _read(path: Path) -> list[dict]:
+def read_lines(path: Path) -> list[dict]:
     """Return the structured lines; a file may hold others and what stands before."""
     found = []
     for text in path.read_text(errors="replace").splitlines():
--- /dev/null
+++ b/scripts/platform_losses.py
@@ -0,0 +1,151 @@
+"""Reads routers' logs and assigns each stream that was late or lost to one cause."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+import typer
+
+from scripts.platform_logs import read_lines
+
+__all__ = ["Loss", "losses_of", "main"]
+
+FIRST_GOAL_S = 4.5
+GAP_GOAL_S = 0.7
+ROUTER_LOST_S = 1.0
+"""A router that writes nothing for so long at the end of a request was lost with it."""
+
+STREAM_ENDS = ("relay: Answered.", "relay: Broken off.", "relay: Refused.")
+
+
+class Loss(msgspec.Struct, frozen=True):
+    """A request that wasn't served in time.
+
+    Parameters
+    ----------
+    request : str
+        Its id.
+    cause : str
+        Why, in a few words.
+    at : float
+        When it came, in seconds of the log's clock.
+    vm : str
+        The VM whose router had it.
+    """
+
+    request: str
+    cause: str
+    at: float
+    vm: str
+
+
+def losses_of(
+    lines: Iterable[dict], first_goal_s: float, gap_goal_s: float
+) -> list[Loss]:
+    """Return the streams that were not whole and in time, each with one cause.
+
+    Parameters
+    ----------
+    lines : iterable of dict
+        The structured lines of all routers, in the order of their times.
+    first_goal_s, gap_goal_s : float
+        The longest time to the first event and between two events, in seconds.
+    """
+    by_request: dict[str, list[dict]] = defaultdict(list)
+    last_line: dict[str, float] = {}
+    for line in lines:
+        last_line[line.get("router", "")] = line["timestamp"]
+        if "request" in line:
+            by_request[line["request"]].append(line)
+    found = []
+    for request, own in by_request.items():
+        cause = _cause(own, last_line, first_goal_s, gap_goal_s)
+        if cause is not None:
+            first = own[0]
+            found.append(Loss(request, cause, first["timestamp"], first.get("vm", "")))
+    return found
+
+
+def _cause(
+    lines: list[dict],
+    last_line: dict[str, float],
+    first_goal_s: float,
+    gap_goal_s: float,
+) -> str | None:
+    """Return why a stream was lost; None where it was served or is no stream."""
+    sent = [line for line in lines if line["text"] == "relay: Sent."]
+    if not any("position" in line for line in sent):
+        return None
+    end = next((line for line in lines if line["text"] in STREAM_ENDS), None)
+    if end is None:
+        quiet_s = last_line[lines[-1].get("router", "")] - lines[-1]["timestamp"]
+        is_lost = quiet_s < ROUTER_LOST_S or not _is_left(lines)
+        return "router lost while it ran" if is_lost else "caller left"
+    match end["text"]:
+        case "relay: Refused.":
+            return f"refused: {end['code']}"
+        case "relay: Broken off.":
+            return f"broken off: {end['reason'].partition(' (')[0][:50]}"
+    if end["first_s"] > first_goal_s:
+        return f"first event late: {_first_cause(lines, sent)}"
+    if end["longest_gap_s"] > gap_goal_s:
+        return f"pause: {_pause_cause(lines, sent)}"
+    return None
+
+
+def _is_left(lines: list[dict]) -> bool:
+    return any(line["text"] == "relay: Caller left." for line in lines)
+
+
+def _first_cause(lines: list[dict], sent: list[dict]) -> str:
+    if len(sent) > 1:
+        return "engine lost before it"
+    waited_s = sent[0].get("waited_s", 0.0)
+    return "waited for a place" if waited_s > 1.0 else "read behind others"
+
+
+def _pause_cause(lines: list[dict], sent: list[dict]) -> str:
+    if len(sent) == 1:
+        return "one engine paused"
+    if not any(line["from_copy"] for line in sent):
+        holder = any(line.get("backup") for line in sent[:-1])
+        return "the copy's holder was lost too" if holder else "there was no copy"
+    refused = any(
+        "not run" in str(line.get("error"))
+        for line in lines
+        if line["text"] == "relay: Attempt failed."
+    )
+    return "the holder had no copy" if refused else "the copy took long"
+
+
+def main(
+    path: Path,
+    first_goal_s: float = FIRST_GOAL_S,
+    gap_goal_s: float = GAP_GOAL_S,
+    ids: bool = False,
+) -> None:
+    """Print the lost streams by cause, and by second and cause.
+
+    Parameters
+    ----------
+    path : Path
+        The routers' lines, in one file.
+    first_goal_s, gap_goal_s : float
+        The longest time to the first event and between two events, in seconds.
+    ids : bool
+        Whether to name the requests.
+    """
+    lines = read_lines(path)
+    losses = losses_of(lines, first_goal_s, gap_goal_s)
+    for cause, count in Counter(loss.cause for loss in losses).most_common():
+        print(f"{count:6} {cause}")
+    if ids:
+        begin = lines[0]["timestamp"] if lines else 0.0
+        for loss in sorted(losses, key=lambda loss: loss.at):
+            at_s = loss.at - begin
+            print(f"{at_s:9.3f} {loss.request} {loss.vm} {loss.cause}")
+
+
+if __name__ == "__main__":
+    typer.run(main)
