Log callers that leave, and let callers without a table return when it may be there

Now they return after 0.75 to 1 of the longest wait that they heed, a third of their time. Ruled out: holding callers without a table (whether their route exists isn't known).

--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -1,6 +1,6 @@
 """Finds the route of a caller's request and relays it."""
 
-from boragedeck.connection.caller_edge import CallerChannel
+from boragedeck.connection.caller_edge import CallerChannel, CallerGoneError
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import OrganisationName
 from boragedeck.request.relay_call import CallRelay
@@ -18,8 +18,11 @@
 
 __all__ = ["relay"]
 
-NO_TABLE_RETRY_SHARE = 0.2
-"""Of a caller's patience: it may come back few times, and a table takes seconds."""
+NO_TABLE_RETRY_SHARE = 1 / 3
+"""Of a caller's patience, the longest wait that it heeds. It may come back but once,
+and a table that doesn't come with the start takes seconds."""
+NO_TABLE_SPREAD = 0.25
+"""Callers come back over this share of the wait."""
 NO_TABLE_PATIENCE_S = 2.0
 STOP_FACTOR = 1.25
 """How much longer than on average a request may take before this process ends."""
@@ -64,17 +67,21 @@
     if job.is_blamed():
         job.refuse(crash_refusal())
         return
-    match rule.kind:
-        case CallKind.STREAM:
-            StreamRelay(job).run()
-        case _:
-            CallRelay(job).run()
+    try:
+        match rule.kind:
+            case CallKind.STREAM:
+                StreamRelay(job).run()
+            case _:
+                CallRelay(job).run()
+    except CallerGoneError:
+        job.note_left()
+        raise
 
 
 def _route(parts: RelayParts, table: RoutingTable, req: RelayRequest) -> RouteRule:
     if not table.version:
         patience_s = req.patience_s or NO_TABLE_PATIENCE_S
-        spread = parts.rng.uniform(0.5, 1.0)
+        spread = parts.rng.uniform(1.0 - NO_TABLE_SPREAD, 1.0)
         raise RefusedError(
             "no routing table is known yet",
             status=503,
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -223,6 +223,17 @@
         respond_refusal(self.parts, self.req.request_id, error, self.channel)
         self.parts.metrics.requests.labels(self.rule.kind.value, error.code).inc()
 
+    def note_left(self) -> None:
+        """Note that the caller left before its answer was complete."""
+        log.write(
+            "Caller left.",
+            request=self.req.request_id,
+            route=self.rule.name,
+            sent=self.sent,
+            age_s=round(self.parts.timers.now() - self.req.arrived, 3),
+        )
+        self.parts.metrics.requests.labels(self.rule.kind.value, "left").inc()
+
     def note_outcome(
         self, place: Place, outcome: Outcome | None, first_output_s: float | None = None
     ) -> None:
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -198,6 +198,7 @@
             from_copy=plan.source is not None,
             backup=None if plan.backup is None else plan.backup.replica,
             attempt=job.sent + 1,
+            age_s=round(job.parts.timers.now() - job.req.arrived, 3),
         )
         try:
             opened = open_attempt(job, place, plan, partial(self._wait_head, place))
--- a/scripts/platform_losses.py
+++ b/scripts/platform_losses.py
@@ -15,6 +15,8 @@
 GAP_GOAL_S = 0.7
 ROUTER_LOST_S = 1.0
 """A router that writes nothing for so long at the end of a request was lost with it."""
+LONG_WAIT_S = 1.0
+"""A wait for a place that makes a first event late by itself."""
 
 STREAM_ENDS = ("relay: Answered.", "relay: Broken off.", "relay: Refused.")
 
@@ -101,8 +103,8 @@
 def _first_cause(lines: list[dict], sent: list[dict]) -> str:
     if len(sent) > 1:
         return "engine lost before it"
-    waited_s = sent[0].get("waited_s", 0.0)
-    return "waited for a place" if waited_s > 1.0 else "read behind others"
+    waited_s = sent[0].get("age_s", 0.0)
+    return "waited for a place" if waited_s > LONG_WAIT_S else "read behind others"
 
 
 def _pause_cause(lines: list[dict], sent: list[dict]) -> str:
--- a/tests/request/test_relay_call.py
+++ b/tests/request/test_relay_call.py
@@ -2,6 +2,7 @@
 import unittest
 
 import eventlet
+import msgspec
 from eventlet.green import socket
 
 from boragedeck.request.relay_call import CallRelay
@@ -155,6 +156,20 @@
         # The caller has time to come back.
         self.assertLess(world.timers.now() - began, 0.6)
 
+    def test_caller_returns_late_enough_where_no_table_is_known(self):
+        world = self.world()
+        world.table = msgspec.structs.replace(world.table, version=0)
+        world.add(ScriptedReplica("one", answer()))
+        waits_s = []
+        for number in range(20):
+            response = world.ask(name=b"id-%d" % number, ms=3000)
+            self.assertEqual(response.status, 503)
+            waits_s.append(float(response.headers[b"retry-after"]))
+        # It heeds a third of its time at most, and may come back once.
+        self.assertLessEqual(max(waits_s), 1.0)
+        self.assertGreaterEqual(min(waits_s), 0.74)
+        self.assertGreater(max(waits_s) - min(waits_s), 0.1)
+
     def test_caller_that_leaves_ends_the_run(self):
         world = self.world(call_rule(CallKind.ONCE))
         ended = []
--- a/tests/request/test_relay_stream.py
+++ b/tests/request/test_relay_stream.py
@@ -337,6 +337,9 @@
         eventlet.sleep(0.1)
         self.assertEqual(ended, [1])
         self.assertEqual(world.registry.get("one").own.tokens, 0)
+        self.assertEqual(
+            world.metrics.requests.labels("stream", "left")._value.get(), 1
+        )
 
 
 def slow_events(sock, req):
