--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -21,7 +21,7 @@
 from boragedeck.request.relay_patience import Interruption, StreamPatience
 from boragedeck.request.relay_refusals import final_refusal, late_refusal
 from boragedeck.request.relay_request import AttemptPlan, CopySource, VerdictKind
-from boragedeck.version.replicas import ReplicaId
+from boragedeck.request.stream_recovery import StreamRecovery
 
 __all__ = ["StreamRelay"]
 
@@ -61,10 +61,7 @@
         self._patience = StreamPatience(job)
         self._splitter = EventSplitter(job.req.resume_after)
         self._head: tuple[int, Headers] | None = None
-        self._backup: ReplicaState | None = None
-        self._is_on_copy = False
-        self._warm: ReplicaState | None = None
-        self._returned_to: set[ReplicaId] = set()
+        self._recovery = StreamRecovery(job)
         self._failure: _Failure | None = None
         self._reason = ""
         self._lost_at: float | None = None
@@ -108,11 +105,9 @@
 
     def _place(self) -> Place | None:
         job = self._job
-        holder = self._copy_holder()
-        self._is_on_copy = holder is not None
-        known = holder or self._warm_engine()
-        if known is not None:
-            return job.parts.admission.occupy(job.ask(job.deadline), known)
+        place = self._recovery.place(self._splitter.last)
+        if place is not None:
+            return place
         placed = job.acquire(job.deadline)
         if placed.is_ok():
             return placed.ok()
@@ -123,42 +118,6 @@
             job.refuse(placed.err())
         return None
 
-    def _copy_holder(self) -> ReplicaState | None:
-        """Return the engine that can go on from the copy of a lost run.
-
-        Notes
-        -----
-        A copy lies at an address. Where the engine there has another id by now, this
-        router may only have learnt late of its restart.
-        """
-        backup = self._backup
-        if backup is None or self._splitter.last is None:
-            return None
-        job = self._job
-        if backup.is_gone:
-            backup = job.parts.registry.at(backup.replica.address)
-        if backup is None or backup.replica.pool != job.pool_name:
-            return None
-        now = job.parts.timers.now()
-        is_avoided = backup.avoid_until > now
-        return backup if backup.may_begin(now) and not is_avoided else None
-
-    def _warm_engine(self) -> ReplicaState | None:
-        """Return the engine that broke the run off, which may still have its prompt.
-
-        Notes
-        -----
-        A broken connection isn't the end of its engine, which then has nothing to read
-        again. One that did end refuses the connection at once. Each is tried once more.
-        """
-        warm, self._warm = self._warm, None
-        if warm is None or not warm.may_begin(self._job.parts.timers.now()):
-            return None
-        if warm.replica.replica in self._returned_to:
-            return None
-        self._returned_to.add(warm.replica.replica)
-        return warm
-
     @property
     def _has_begun(self) -> bool:
         return self._job.channel.has_begun
@@ -166,9 +125,8 @@
     def _attempt(self, place: Place) -> End:
         job = self._job
         source = None
-        if self._is_on_copy:
+        if self._recovery.is_on_copy:
             source = CopySource(place.state.replica.address)
-        self._backup = None
         backup = self._choose_backup(place)
         if backup is not None:
             place.keep_copy(backup)
@@ -205,7 +163,7 @@
             interruption = Interruption(opened.exchange, place.state)
             try:
                 if opened.verdict.kind is VerdictKind.SUCCESS:
-                    self._backup = backup
+                    self._recovery.note_copied(backup)
                 return self._take(place, opened)
             finally:
                 interruption.end()
@@ -218,7 +176,7 @@
             return self._note_loss(place, exc, End.NOT_TAKEN)
         except (UpstreamError, EventError) as exc:
             if not isinstance(exc, UpstreamSilentError):
-                self._warm = place.state
+                self._recovery.note_broken(place.state)
             return self._note_loss(place, exc, End.LOST)
 
     def _wait_head(self, place: Place, exchange: Exchange) -> AnswerHead:
@@ -239,10 +197,7 @@
                 return self._read_events(place, opened.exchange)
             case VerdictKind.MOVED:
                 self._reason = "another replica has the address"
-                if self._is_on_copy:
-                    # The copy may have been begun after the engine started again.
-                    address = place.state.replica.address
-                    self._backup = job.parts.registry.at(address)
+                self._recovery.note_moved(place.state.replica.address)
                 return End.NOT_TAKEN
             case VerdictKind.NOT_RUN:
                 job.note_attempt_failed(place, f"not run, status {opened.head.status}")
@@ -292,7 +247,7 @@
         if not place.has_output:
             took_s = self._job.parts.timers.now() - place.since
             self._job.note_outcome(place, None, took_s)
-            if not self._is_on_copy:
+            if not self._recovery.is_on_copy:
                 prompt_tokens = self._job.req.prompt_tokens
                 self._job.parts.pace.note_first(
                     self._job.pool_name, prompt_tokens, took_s
