--- a/benchmarks/load_messages.py
+++ b/benchmarks/load_messages.py
@@ -18,7 +18,8 @@
 from boragedeck.process.relaying import hubs as hubs_module
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.load_exchange import LoadExchange
-from boragedeck.process.relaying.registry import Load, ReplicaRegistry
+from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.replica_state import Load
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import Replica, ReplicaStage
 
--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -21,7 +21,8 @@
     choose_backup,
     choose_replica,
 )
-from boragedeck.process.relaying.registry import Load, ReplicaRegistry, ReplicaState
+from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.replica_state import Load, ReplicaState
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import Replica, ReplicaId
 from boragedeck.version.routing import RelayPool
--- a/boragedeck/process/relaying/crash_blame.py
+++ b/boragedeck/process/relaying/crash_blame.py
@@ -18,7 +18,7 @@
     CrashReports,
     ReportCrash,
 )
-from boragedeck.process.relaying.registry import ReplicaState
+from boragedeck.process.relaying.replica_state import ReplicaState
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import ReplicaId
 
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -24,7 +24,8 @@
 from boragedeck.process.relaying.load_hub import LoadHub
 from boragedeck.process.relaying.load_messages import LoadSum, LoadUpdate
 from boragedeck.process.relaying.load_questions import LoadQuestions
-from boragedeck.process.relaying.registry import Load, ReplicaRegistry
+from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.replica_state import Load
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import Replica, ReplicaId
--- a/boragedeck/process/relaying/load_questions.py
+++ b/boragedeck/process/relaying/load_questions.py
@@ -8,7 +8,8 @@
 from boragedeck.interfaces import Member
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.load_messages import FetchLoads, PoolLoads
-from boragedeck.process.relaying.registry import Load, ReplicaRegistry
+from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.replica_state import Load
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import Replica, ReplicaId
 
--- a/boragedeck/process/relaying/replica_notices.py
+++ b/boragedeck/process/relaying/replica_notices.py
@@ -9,8 +9,9 @@
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.interfaces import FactBoard
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.registry import ReplicaRegistry, ReplicaState, Run
+from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replica_state import ReplicaState, Run
 from boragedeck.version.replicas import ReplicaId, ReplicaNotice
 
 __all__ = ["ReplicaNotices"]
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -14,7 +14,7 @@
 )
 from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.admission import Place
-from boragedeck.process.relaying.registry import ReplicaState
+from boragedeck.process.relaying.replica_state import ReplicaState
 from boragedeck.request.events import EventError, EventExcessError, EventSplitter
 from boragedeck.request.relay_attempt import Opened, open_attempt
 from boragedeck.request.relay_job import RelayJob, log
--- a/boragedeck/request/stream_recovery.py
+++ b/boragedeck/request/stream_recovery.py
@@ -7,7 +7,7 @@
 
 from boragedeck.connection.peer import Address
 from boragedeck.process.relaying.admission import Place
-from boragedeck.process.relaying.registry import ReplicaState
+from boragedeck.process.relaying.replica_state import ReplicaState
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.version.replicas import ReplicaId
 
--- a/tests/process/relaying/test_admission.py
+++ b/tests/process/relaying/test_admission.py
@@ -12,7 +12,8 @@
     LoadSource,
     expected_wait_s,
 )
-from boragedeck.process.relaying.registry import Load, ReplicaRegistry
+from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.replica_state import Load
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import Replica, ReplicaStage
 from boragedeck.version.routing import RelayPool
--- a/tests/process/relaying/test_crash_blame.py
+++ b/tests/process/relaying/test_crash_blame.py
@@ -7,7 +7,7 @@
     CrashBlame,
     fingerprint_of,
 )
-from boragedeck.process.relaying.registry import ReplicaState
+from boragedeck.process.relaying.replica_state import ReplicaState
 from boragedeck.process.timers import ManualTimers
 from tests.process.relaying.test_admission import replica
 from tests.support.replicas import Facts
--- a/tests/process/relaying/test_crash_reports.py
+++ b/tests/process/relaying/test_crash_reports.py
@@ -6,7 +6,7 @@
 from boragedeck.process.relaying.crash_blame import CrashBlame
 from boragedeck.process.relaying.crash_reports import CrashReports
 from boragedeck.process.relaying.hubs import Hubs
-from boragedeck.process.relaying.registry import ReplicaState
+from boragedeck.process.relaying.replica_state import ReplicaState
 from boragedeck.process.timers import ManualTimers
 from tests.process.relaying.test_admission import replica
 from tests.process.relaying.test_load_exchange import Members, Net, Server
--- a/tests/process/relaying/test_load_exchange.py
+++ b/tests/process/relaying/test_load_exchange.py
@@ -18,7 +18,8 @@
 )
 from boragedeck.process.relaying.load_hub import TTL_S
 from boragedeck.process.relaying.load_messages import FetchLoads, LoadUpdate
-from boragedeck.process.relaying.registry import Load, ReplicaRegistry
+from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.replica_state import Load
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 from tests.process.relaying.test_admission import replica
--- a/tests/process/relaying/test_placement.py
+++ b/tests/process/relaying/test_placement.py
@@ -11,7 +11,7 @@
     drawn_engines,
     has_room,
 )
-from boragedeck.process.relaying.registry import Load, ReplicaState
+from boragedeck.process.relaying.replica_state import Load, ReplicaState
 from boragedeck.process.relaying.restraint import Reason
 from boragedeck.version.replicas import Replica, ReplicaStage
 from boragedeck.version.routing import EngineProfile
--- a/tests/process/relaying/test_replica_notices.py
+++ b/tests/process/relaying/test_replica_notices.py
@@ -12,13 +12,12 @@
 from boragedeck.process.relaying.registry import (
     MAX_HOLD_S,
     MAX_REMEMBERED,
-    RETURN_PACE_S,
     UNREADABLE_HOLD_S,
     ReplicaRegistry,
-    Run,
 )
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replica_state import RETURN_PACE_S, Run
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import HoldOff, ReplicaNotice, ReplicaStage
 from tests.process.relaying.test_admission import POOL, replica
--- a/tests/support/notice_defects.py
+++ b/tests/support/notice_defects.py
@@ -8,8 +8,9 @@
 
 from boragedeck.connection.messages import FactTopic
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
-from boragedeck.process.relaying.registry import ReplicaRegistry, ReplicaState
+from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replica_state import ReplicaState
 from boragedeck.process.relaying.restraint import Restraints
 from boragedeck.request.relay_patience import StreamPatience
 from boragedeck.version.replicas import HoldOff, ReplicaNotice
