Take only requests that a stopping router can finish

Change: durations keeps how long requests took from their arrival; while a router stops it takes those of which nineteen in twenty fit in the time that is left, and where it knows none, those whose route's timeout does. The others hear at once that another router serves them. The mean that admission waits by begins with its first sample. Ruled out: LEAVE_S (callers are led here for 3 s after the stop).

--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -235,8 +235,8 @@
     def note_released(self, pool: PoolName, since: float, is_served: bool) -> None:
         """Note that a place is free again."""
         if is_served:
-            mean_s = self.service_s(pool)
             took_s = self._timers.now() - since
+            mean_s = self._service_s.get(pool, took_s)
             self._service_s[pool] = mean_s + SERVICE_WEIGHT * (took_s - mean_s)
         self.on_change()
         self.grant_waiting()
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -35,6 +35,7 @@
 from boragedeck.process.relaying.admission import Admission
 from boragedeck.process.relaying.crash_blame import CrashBlame
 from boragedeck.process.relaying.crash_reports import CrashReports
+from boragedeck.process.relaying.durations import Durations
 from boragedeck.process.relaying.hubs import Hubs, choose_hubs
 from boragedeck.process.relaying.load_exchange import LoadExchange
 from boragedeck.process.relaying.mirror_follower import MirrorFollower
@@ -274,6 +275,7 @@
             protocol=HttpReplicaProtocol(),
             retries=self._make_retries(),
             rollouts=self._rollouts,
+            durations=Durations(),
             pace=StreamPace(),
             blame=self._make_blame(),
             metrics=self.metrics,
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -24,8 +24,6 @@
 NO_TABLE_SPREAD = 0.25
 """Callers come back over this share of the wait."""
 NO_TABLE_PATIENCE_S = 2.0
-STOP_FACTOR = 1.25
-"""How much longer than on average a request may take before this process ends."""
 
 
 def relay(parts: RelayParts, req: RelayRequest, channel: CallerChannel) -> None:
@@ -61,7 +59,7 @@
     priority = table.priorities.get(organisation, rule.priority)
     parts.retries.note_request(name)
     job = RelayJob(parts, req, rule, pool, organisation, priority, channel)
-    if parts.time_left() < STOP_FACTOR * parts.admission.service_s(name):
+    if parts.time_left() < parts.durations.long_s(name, rule.timeout_s):
         job.refuse(stopping_refusal())
         return
     if job.is_blamed():
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -226,10 +226,8 @@
             job.refuse(final_refusal(job, self._reason, self._refused))
             return
         job.channel.respond(answer.status, answer.headers, answer.body)
-        took_s = job.parts.timers.now() - job.req.arrived
+        took_s = job.note_served() if answer.is_success else job.note_failed()
         kind = job.rule.kind.value
-        outcome = "served" if answer.is_success else "failed"
-        job.parts.metrics.requests.labels(kind, outcome).inc()
         job.parts.metrics.whole_s.labels(kind).observe(took_s)
         log.write(
             "Answered.",
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -20,6 +20,7 @@
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.admission import Admission, Ask, Place
 from boragedeck.process.relaying.crash_blame import CrashBlame, fingerprint_of
+from boragedeck.process.relaying.durations import Durations
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
@@ -75,6 +76,8 @@
         Bounds repeats.
     rollouts : RelayRollouts
         Decides which versions serve a request, and learns how they did.
+    durations : Durations
+        Knows how long requests take.
     pace : StreamPace
         Knows how long streams take.
     blame : CrashBlame
@@ -98,6 +101,7 @@
     protocol: ReplicaProtocol
     retries: RetryShare
     rollouts: RelayRollouts
+    durations: Durations
     pace: StreamPace
     blame: CrashBlame
     metrics: RelayMetrics
@@ -223,6 +227,17 @@
         respond_refusal(self.parts, self.req.request_id, error, self.channel)
         self.parts.metrics.requests.labels(self.rule.kind.value, error.code).inc()
 
+    def note_served(self) -> float:
+        """Note that the request was served; returns how long it took, in seconds."""
+        took_s = self._note_end("served")
+        if not self.req.resume_after:
+            self.parts.durations.note(self.pool_name, took_s)
+        return took_s
+
+    def note_failed(self) -> float:
+        """Note that the caller got a replica's failure; returns how long it took."""
+        return self._note_end("failed")
+
     def note_left(self) -> None:
         """Note that the caller left before its answer was complete."""
         log.write(
@@ -232,7 +247,7 @@
             sent=self.sent,
             age_s=round(self.parts.timers.now() - self.req.arrived, 3),
         )
-        self.parts.metrics.requests.labels(self.rule.kind.value, "left").inc()
+        self._note_end("left")
 
     def note_outcome(
         self, place: Place, outcome: Outcome | None, first_output_s: float | None = None
@@ -284,6 +299,10 @@
             after_s=round(self.parts.timers.now() - place.since, 3),
         )
 
+    def _note_end(self, outcome: str) -> float:
+        self.parts.metrics.requests.labels(self.rule.kind.value, outcome).inc()
+        return self.parts.timers.now() - self.req.arrived
+
     def _pause(self) -> None:
         """Wait for replicas that failed, which are all there are."""
         wait_s = self._pause_s * self.parts.rng.uniform(0.5, 1.0)
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -305,7 +305,7 @@
             job.channel.begin(*self._head)
         job.channel.finish()
         self._note_pace()
-        job.parts.metrics.requests.labels(job.rule.kind.value, "served").inc()
+        took_s = job.note_served()
         log.write(
             "Answered.",
             request=job.req.request_id,
@@ -314,7 +314,7 @@
             sent=job.sent,
             first_s=round(self._first_s or 0.0, 3),
             longest_gap_s=round(self._longest_gap_s, 3),
-            took_s=round(job.parts.timers.now() - job.req.arrived, 3),
+            took_s=round(took_s, 3),
         )
 
     def _note_pace(self) -> None:
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -19,6 +19,7 @@
 from boragedeck.platform.routing import decode_rollout
 from boragedeck.process.relaying.admission import Admission
 from boragedeck.process.relaying.crash_blame import CrashBlame
+from boragedeck.process.relaying.durations import Durations
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
@@ -299,6 +300,7 @@
                 lambda: BOUNDS,
                 lambda pool: [],
             ),
+            durations=Durations(),
             pace=StreamPace(),
             blame=CrashBlame(self.timers, Facts()),
             metrics=self.metrics,
