--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -154,8 +154,6 @@
         The source of time.
     registry : ReplicaRegistry
         The replicas.
-    domain : FailureDomain
-        Where this router stands.
     rng : random.Random
         Breaks ties and spreads retries.
     loads : LoadSource, optional
@@ -166,13 +164,11 @@
         self,
         timers: TimerService,
         registry: ReplicaRegistry,
-        domain: FailureDomain,
         rng: random.Random,
         loads: LoadSource | None = None,
     ):
         self._timers = timers
         self._registry = registry
-        self._domain = domain
         self._rng = rng
         self._loads = loads or LoadSource()
         self._numbers = itertools.count()
@@ -308,7 +304,6 @@
     def _request(self, ask: Ask) -> PlaceRequest:
         return PlaceRequest(
             tokens=ask.tokens,
-            domain=self._domain,
             now=self._timers.now(),
             tried=ask.tried,
             lost_domains=ask.lost_domains,
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -256,7 +256,6 @@
         admission = Admission(
             self.timers,
             self._registry,
-            self.own.failure_domain,
             self._rng,
             self._loads,
         )
--- a/boragedeck/process/relaying/placement.py
+++ b/boragedeck/process/relaying/placement.py
@@ -44,10 +44,6 @@
 few draws miss the emptiest engines and still find one that reads no prompt."""
 FRESH_ROUTERS = 12
 """So few routers hear of each other's choices soon enough to compare all engines."""
-AWAY_COST = 0.05
-"""What a service in another failure domain costs, in full replicas."""
-AWAY_COST_TOKENS = 100
-"""What an engine in another failure domain costs, in prompt tokens."""
 
 
 class PlaceRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -57,8 +53,6 @@
     ----------
     tokens : int
         Memory that it takes at its end, in tokens.
-    domain : FailureDomain
-        Where this router stands.
     now : float
         The time, on the timer service's monotonic clock.
     tried : frozenset of ReplicaId
@@ -74,7 +68,6 @@
     """
 
     tokens: int
-    domain: FailureDomain
     now: float
     tried: frozenset[ReplicaId] = frozenset()
     engine: EngineProfile | None = None
@@ -202,11 +195,10 @@
 def _cost(state: ReplicaState, req: PlaceRequest, least: float) -> float:
     """Return the cost of a replica, in shares of a full one."""
     cost = FAILURE_COST * (state.failure_share - least)
-    is_away = state.replica.failure_domain != req.domain
     is_lost = state.replica.failure_domain in req.lost_domains
     if req.engine is None:
-        cost += AWAY_COST * is_away + LOST_DOMAIN_COST * is_lost
+        cost += LOST_DOMAIN_COST * is_lost
         return cost + state.running / state.replica.slots
     ahead = state.unread_tokens + RUNNING_COST_TOKENS * state.running
-    ahead += AWAY_COST_TOKENS * is_away + LOST_DOMAIN_COST_TOKENS * is_lost
+    ahead += LOST_DOMAIN_COST_TOKENS * is_lost
     return cost + ahead / req.engine.memory_tokens
