Log the loss of the store once where no table is known yet

A router that starts while the store is away logged each of its first reads, which are more frequent now: eight lines a second. Change: one line at the loss, one at the return.

--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/mirror_follower.py
@@ -90,6 +90,7 @@
         self._wait_s = wait_s
         self._pause_s = FIRST_PAUSE_S
         self._is_history_lost = False
+        self._is_loss_logged = False
         self._first_timeouts_s = itertools.cycle(FIRST_TIMEOUTS_S)
         self._ahead: _Ahead | None = None
         self.is_connected = False
@@ -132,6 +133,7 @@
         if self.is_connected:
             return
         self.is_connected = True
+        self._is_loss_logged = False
         self.regained_at = self._timers.now()
         _log.write("Store answers.", table=self._mirror.table.value)
 
@@ -140,7 +142,8 @@
             self._is_history_lost = True
             _log.write("History lost.", table=self._mirror.table.value)
             return
-        if self.is_connected or not self.regained_at:
+        if not self._is_loss_logged:
+            self._is_loss_logged = True
             _log.write(
                 "Store lost.",
                 table=self._mirror.table.value,
--- a/tests/process/relaying/test_mirror_follower.py
+++ b/tests/process/relaying/test_mirror_follower.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from unittest.mock import patch
 
 import eventlet
 from result import Err, Ok
@@ -10,6 +11,7 @@
     StoreUnavailableError,
     StoreUnknownError,
 )
+from boragedeck.process.relaying import mirror_follower
 from boragedeck.process.relaying.mirror_follower import GATHER_S, MirrorFollower
 from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart, pack
 from boragedeck.process.relaying.table_mirror import TableMirror
@@ -90,7 +92,10 @@
     def test_first_reads_do_not_wait_long_for_a_silent_store(self):
         silent = [Err(StoreUnknownError("no answer"))] * 6
         began = self.timers.now()
-        self.play(*silent, Ok(Changes((), 7, True)))
+        with patch.object(mirror_follower, "_log") as log:
+            self.play(*silent, Ok(Changes((), 7, True)))
+        texts = [call.args[0] for call in log.write.call_args_list]
+        self.assertEqual(texts, ["Store lost.", "Store answers."])
         self.assertEqual(self.feed.calls[-1], 7)
         waits_s = self.feed.timeouts_s
         self.assertEqual(len(waits_s), 7)
