--- a/tests/request/test_relay_stream.py
+++ b/tests/request/test_relay_stream.py
@@ -14,6 +14,7 @@
     moved,
     not_run,
     read_response,
+    report_model,
     send_request,
     silence,
     stream_rule,
@@ -125,13 +126,7 @@
     def test_copy_is_asked_for_again_where_its_engine_started_again(self):
         world = self.world()
 
-        def report(sock, req):
-            body = b'{"models":[{"name":"m","version":1}]}'
-            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
-            sock.sendall(body)
-            return True
-
-        two = ScriptedReplica("two", moved, report, events(3))
+        two = ScriptedReplica("two", moved, report_model, events(3))
         world.add(ScriptedReplica("one", events(1, 2, ends=False)))
         world.add(two, domain="b")
         self.assertEqual(world.ask(TOKENS).body, whole(3))
@@ -288,14 +283,7 @@
 
     def test_successor_that_serves_the_same_models_is_taken(self):
         world = self.world()
-
-        def report(sock, req):
-            body = b'{"models":[{"name":"m","version":1}]}'
-            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
-            sock.sendall(body)
-            return True
-
-        replica = ScriptedReplica("one", moved, report, events(1))
+        replica = ScriptedReplica("one", moved, report_model, events(1))
         world.add(replica)
         self.assertEqual(world.ask(TOKENS).body, whole(1))
         self.assertEqual(replica.seen[2].headers[b"expect-instance"], b"other")
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -227,6 +227,14 @@
     return True
 
 
+def report_model(sock, req):
+    """Say, as an engine that is asked, that it serves the model of `ENGINE`."""
+    body = b'{"models":[{"name":"m","version":1}]}'
+    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+    sock.sendall(body)
+    return True
+
+
 def drop(sock, req):
     """Close the connection without an answer."""
     return False
