Keep recent values and their quantiles in one place

Cause: read again as a whole, the change kept the newest values of a pool and took a quantile of them twice, in stream_pace and in durations, with the same smallest number of values; the latter also bounded an index that can't be over its end. Change: recent_values does both; the two modules say what they keep and ask for. Measured: nothing but the checks, since behaviour is the same. Conclusion: one window instead of two.

--- a/boragedeck/process/relaying/durations.py
+++ b/boragedeck/process/relaying/durations.py
@@ -4,16 +4,13 @@
 seconds, some of which are held up by lost engines and take much longer than the mean.
 """
 
-from collections import deque
-
 from boragedeck.ids import PoolName
+from boragedeck.process.relaying.recent_values import RecentValues
 
 __all__ = ["Durations"]
 
 KEPT = 64
 """So many of the newest requests of a pool are remembered."""
-MIN_KEPT = 4
-"""With fewer, nothing is known."""
 LONG_SHARE = 0.95
 """The share of requests that don't take longer than a long one."""
 
@@ -22,11 +19,11 @@
     """The times that served requests took, from their arrival to their end."""
 
     def __init__(self):
-        self._took_s: dict[PoolName, deque[float]] = {}
+        self._took_s = RecentValues(KEPT)
 
     def note(self, pool: PoolName, took_s: float) -> None:
         """Note a request that was served, and how long it took in seconds."""
-        self._took_s.setdefault(pool, deque(maxlen=KEPT)).append(took_s)
+        self._took_s.note(pool, took_s)
 
     def long_s(self, pool: PoolName, limit_s: float) -> float:
         """Return how long a long request takes, in seconds.
@@ -39,7 +36,5 @@
             The longest time that any request may take, returned where nothing is
             known.
         """
-        took_s = sorted(self._took_s.get(pool, ()))
-        if len(took_s) < MIN_KEPT:
-            return limit_s
-        return min(limit_s, took_s[min(len(took_s) - 1, int(LONG_SHARE * len(took_s)))])
+        long_s = self._took_s.quantile(pool, LONG_SHARE)
+        return limit_s if long_s is None else min(limit_s, long_s)
--- a/boragedeck/process/relaying/stream_pace.py
+++ b/boragedeck/process/relaying/stream_pace.py
@@ -5,16 +5,13 @@
 Each prompt that is read for one of them delays streams that can be whole in time.
 """
 
-from collections import deque
-
 from boragedeck.ids import PoolName
+from boragedeck.process.relaying.recent_values import RecentValues
 
 __all__ = ["StreamPace"]
 
 KEPT = 48
 """So many of the newest streams of a pool are remembered."""
-MIN_KEPT = 4
-"""With fewer, nothing is said."""
 SOON_SHARE = 0.25
 """The share of streams that do as well as an estimate, or better."""
 
@@ -23,14 +20,14 @@
     """Estimates the time that a stream needs at the least."""
 
     def __init__(self):
-        self._read_s: dict[PoolName, deque[float]] = {}
-        self._event_s: dict[PoolName, deque[float]] = {}
-        self._events: dict[PoolName, deque[float]] = {}
+        self._read_s = RecentValues(KEPT)
+        self._event_s = RecentValues(KEPT)
+        self._events = RecentValues(KEPT)
 
     def note_first(self, pool: PoolName, prompt_tokens: int, took_s: float) -> None:
         """Note how long a prompt took to be read, the wait at its engine included."""
         if prompt_tokens > 0:
-            _keep(self._read_s, pool, took_s / prompt_tokens)
+            self._read_s.note(pool, took_s / prompt_tokens)
 
     def note_whole(
         self, pool: PoolName, events: int, expected_tokens: int, took_s: float
@@ -49,8 +46,8 @@
             From its first event to its last, in seconds.
         """
         if events > 1 and expected_tokens > 0:
-            _keep(self._event_s, pool, took_s / (events - 1))
-            _keep(self._events, pool, events / expected_tokens)
+            self._event_s.note(pool, took_s / (events - 1))
+            self._events.note(pool, events / expected_tokens)
 
     def least_s(
         self, pool: PoolName, prompt_tokens: int, expected_tokens: int, position: int
@@ -73,21 +70,10 @@
         float
             In seconds; 0.0 where too few streams were served to tell.
         """
-        read_s = _soon(self._read_s, pool)
-        event_s = _soon(self._event_s, pool)
-        events = _soon(self._events, pool)
+        read_s = self._read_s.quantile(pool, SOON_SHARE)
+        event_s = self._event_s.quantile(pool, SOON_SHARE)
+        events = self._events.quantile(pool, SOON_SHARE)
         if read_s is None or event_s is None or events is None:
             return 0.0
         left = max(0.0, events * expected_tokens - position)
         return read_s * prompt_tokens + event_s * left
-
-
-def _keep(values: dict[PoolName, deque[float]], pool: PoolName, value: float) -> None:
-    values.setdefault(pool, deque(maxlen=KEPT)).append(value)
-
-
-def _soon(values: dict[PoolName, deque[float]], pool: PoolName) -> float | None:
-    kept = sorted(values.get(pool, ()))
-    if len(kept) < MIN_KEPT:
-        return None
-    return kept[int(SOON_SHARE * len(kept))]
--- a/tests/process/relaying/test_durations.py
+++ b/tests/process/relaying/test_durations.py
@@ -1,7 +1,8 @@
 import random
 import unittest
 
-from boragedeck.process.relaying.durations import MIN_KEPT, Durations
+from boragedeck.process.relaying.durations import Durations
+from boragedeck.process.relaying.recent_values import MIN_KEPT
 
 POOL = "engines"
 
--- a/tests/process/relaying/test_stream_pace.py
+++ b/tests/process/relaying/test_stream_pace.py
@@ -3,7 +3,8 @@
 import random
 import unittest
 
-from boragedeck.process.relaying.stream_pace import MIN_KEPT, StreamPace
+from boragedeck.process.relaying.recent_values import MIN_KEPT
+from boragedeck.process.relaying.stream_pace import StreamPace
 
 POOL = "engines"
 
