--- a/boragedeck/platform/names.py
+++ b/boragedeck/platform/names.py
@@ -16,6 +16,7 @@
     "REPLICA_ID",
     "REPORT_PATH",
     "REQUEST_ID",
+    "RATE_LIMIT",
     "RETRY_AFTER",
     "SEAL",
     "SET_BY_ROUTER",
@@ -35,6 +36,9 @@
 NOT_RUN = b"Not-Executed"
 ORGANISATION = b"Tenant"
 READY_PATH = b"/boragedeck/readyz"
+RATE_LIMIT = b"Server-Limit"
+"""In answers, of any status, of a replica that is overloaded: the requests per second
+that it takes from all routers together."""
 REPLICA_ID = b"Instance-Id"
 REPORT_PATH = b"/boragedeck/report"
 REQUEST_ID = b"Request-Id"
--- a/boragedeck/platform/replica_protocol.py
+++ b/boragedeck/platform/replica_protocol.py
@@ -16,6 +16,7 @@
     LEAVING,
     NOT_RUN,
     ORGANISATION,
+    RATE_LIMIT,
     REPLICA_ID,
     REPORT_PATH,
     REQUEST_ID,
@@ -28,7 +29,7 @@
     Verdict,
     VerdictKind,
 )
-from boragedeck.version.replicas import HoldOff, ReplicaId, ReplicaNotice
+from boragedeck.version.replicas import HoldOff, RateLimit, ReplicaId, ReplicaNotice
 
 __all__ = ["HttpReplicaProtocol"]
 
@@ -83,15 +84,11 @@
 
     def notice(self, head: AnswerHead) -> ReplicaNotice:
         """Return the notice about the replica's own state in the head of an answer."""
-        is_leaving = LEAVING_VALUE in head.all(LEAVING.lower())
-        values = head.all(RETRY_AFTER.lower())
-        if head.status != STATUS_UNAVAILABLE or not values:
-            return ReplicaNotice(is_leaving)
-        seconds = [_parse_seconds(value) for value in values]
-        # If the header occurs several times, the longest wait satisfies all values.
-        asked_s = max((each for each in seconds if each is not None), default=None)
-        text = b", ".join(values)[:MAX_LOGGED_HEADER_BYTES].decode("latin-1")
-        return ReplicaNotice(is_leaving, HoldOff(asked_s, text))
+        return ReplicaNotice(
+            is_leaving=LEAVING_VALUE in head.all(LEAVING.lower()),
+            hold_off=_hold_off(head),
+            rate_limit=_rate_limit(head),
+        )
 
     def verdict(self, req: RelayRequest, head: AnswerHead) -> Verdict:
         """Return the classification of an answer by its head."""
@@ -113,13 +110,38 @@
         return Verdict(kind, _forwarded_headers(head))
 
 
-def _parse_seconds(value: bytes) -> float | None:
-    """Return a header's value in seconds; None if it isn't a valid duration."""
-    try:
-        seconds = float(value)
-    except ValueError:
+def _hold_off(head: AnswerHead) -> HoldOff | None:
+    values = head.all(RETRY_AFTER.lower())
+    if head.status != STATUS_UNAVAILABLE or not values:
         return None
-    return seconds if math.isfinite(seconds) and seconds >= 0.0 else None
+    # If the header occurs several times, the longest wait satisfies all values.
+    return HoldOff(max(_parse_numbers(values), default=None), _log_text(values))
+
+
+def _rate_limit(head: AnswerHead) -> RateLimit | None:
+    values = head.all(RATE_LIMIT.lower())
+    if not values:
+        return None
+    # If the header occurs several times, the lowest limit satisfies all values.
+    return RateLimit(min(_parse_numbers(values), default=None), _log_text(values))
+
+
+def _parse_numbers(values: list[bytes]) -> list[float]:
+    """Return the values that are finite decimal numbers and not negative."""
+    numbers = []
+    for value in values:
+        try:
+            number = float(value)
+        except ValueError:
+            # The caller treats a header without a valid value as a case of its own.
+            continue
+        if math.isfinite(number) and number >= 0.0:
+            numbers.append(number)
+    return numbers
+
+
+def _log_text(values: list[bytes]) -> str:
+    return b", ".join(values)[:MAX_LOGGED_HEADER_BYTES].decode("latin-1")
 
 
 def _forwarded_headers(head: AnswerHead) -> Headers:
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -42,6 +42,7 @@
 from boragedeck.process.relaying.mirror_messages import serve_mirrors
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.replica_source import ReplicaSource
 from boragedeck.process.relaying.retry_reserve import RetryReserve
@@ -272,7 +273,11 @@
             registry=self._registry,
             upstreams=self._upstreams,
             notices=ReplicaNotices(
-                self._registry, self._board, self._upstreams, self.metrics
+                self._registry,
+                self._board,
+                self._upstreams,
+                ReplicaLimits(self.timers, self.metrics),
+                self.metrics,
             ),
             protocol=HttpReplicaProtocol(),
             retries=self._make_retries(),
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -46,6 +46,12 @@
             "Answers by which a replica asked this router to wait.",
             registry=registry,
         )
+        self.limit_changes = Counter(
+            "boragedeck_replica_limit_changes",
+            "Changes of the limits that replicas name, as this router learnt of them.",
+            ["change"],
+            registry=registry,
+        )
         self.first_output_s = Histogram(
             "boragedeck_relay_first_output_seconds",
             "From a request's arrival to the first part of its answer.",
--- a/boragedeck/process/relaying/replica_notices.py
+++ b/boragedeck/process/relaying/replica_notices.py
@@ -1,8 +1,9 @@
 """Handles the notices that replicas send in their answers.
 
-A notice says that the replica is leaving, or asks this router to hold off: to send it
-nothing for some time. Handles new software releases, which stop replicas that run
-hundreds of streams, and replicas that have no room and refuse requests.
+A notice says that the replica is leaving, asks this router to hold off (to send it
+nothing for some time), or names a limit on the requests of all routers together.
+Handles new software releases, which stop replicas that run hundreds of streams, and
+replicas that have no room and refuse requests.
 The platform's list of replicas shows a leaving replica late or, during a store outage,
 not at all; the replica's own answers show it at once.
 """
@@ -13,6 +14,7 @@
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_state import ReplicaState, Run
 from boragedeck.version.replicas import ReplicaId, ReplicaNotice
 
@@ -37,6 +39,8 @@
         Publishes to the other routers that a replica is leaving.
     upstreams : UpstreamPool
         Connections to the replicas.
+    limits : ReplicaLimits
+        Records the limits that replicas name.
     metrics : RelayMetrics
         Counts hold-offs, and leaving replicas, also those that other routers published.
 
@@ -53,11 +57,13 @@
         registry: ReplicaRegistry,
         board: FactBoard,
         upstreams: UpstreamPool,
+        limits: ReplicaLimits,
         metrics: RelayMetrics,
     ):
         self._registry = registry
         self._board = board
         self._upstreams = upstreams
+        self._limits = limits
         self._metrics = metrics
         board.subscribe(FactTopic.LEAVING, self._on_fact)
 
@@ -71,6 +77,7 @@
         notice : ReplicaNotice
             The notice.
         """
+        self._limits.note_answer(state, notice.rate_limit)
         if notice.hold_off is not None:
             self._metrics.held_off.inc()
             self._registry.hold_off(state, notice.hold_off)
--- a/boragedeck/process/relaying/replica_state.py
+++ b/boragedeck/process/relaying/replica_state.py
@@ -11,7 +11,7 @@
 from boragedeck.process.relaying.restraint import Reason, Restraints
 from boragedeck.version.replicas import Replica, ReplicaId, ReplicaStage
 
-__all__ = ["Load", "ReplicaState", "Run"]
+__all__ = ["KnownLimit", "Load", "ReplicaState", "Run"]
 
 FAILURE_WEIGHT = 0.2
 """Weight of the newest outcome in the moving average of a replica's failures."""
@@ -53,6 +53,22 @@
         self.tokens += sign * other.tokens
 
 
+class KnownLimit(msgspec.Struct, frozen=True):
+    """What is known of the limit that a replica names on the requests of all routers.
+
+    Parameters
+    ----------
+    per_s : float or None
+        Requests per second; None if the replica names no limit.
+    observed_at : float
+        When the replica's answer was read, on the timer service's monotonic clock;
+        minus infinity if none was.
+    """
+
+    per_s: float | None = None
+    observed_at: float = float("-inf")
+
+
 class Run(msgspec.Struct, frozen=True):
     """Identifies one run of a replica; after a restart it may have the same id.
 
@@ -89,6 +105,8 @@
         Moving average of its failures: 0.0 if all attempts succeed, 1.0 if all fail.
     restraints : Restraints
         Reasons to send it no requests.
+    limit : KnownLimit
+        The limit that it names.
     is_removed : bool
         Whether it is no longer in the registry.
     is_provisional : bool
@@ -106,6 +124,7 @@
         self.peers = Load()
         self.failure_share = 0.0
         self.restraints = Restraints()
+        self.limit = KnownLimit()
         self._next_send_at = float("-inf")
         self.is_removed = False
         self.consecutive_misses = 0
--- a/boragedeck/version/replicas.py
+++ b/boragedeck/version/replicas.py
@@ -8,7 +8,14 @@
 from boragedeck.connection.peer import Address
 from boragedeck.ids import FailureDomain, PoolName, Version
 
-__all__ = ["HoldOff", "Replica", "ReplicaId", "ReplicaNotice", "ReplicaStage"]
+__all__ = [
+    "HoldOff",
+    "RateLimit",
+    "Replica",
+    "ReplicaId",
+    "ReplicaNotice",
+    "ReplicaStage",
+]
 
 ReplicaId = NewType("ReplicaId", str)
 """Identifies one run of a replica; a replica usually has a new one after a restart."""
@@ -36,6 +43,21 @@
     text: str
 
 
+class RateLimit(msgspec.Struct, frozen=True):
+    """A limit that a replica names on the requests of all routers together.
+
+    Parameters
+    ----------
+    per_s : float or None
+        Requests per second; None if the value can't be parsed.
+    text : str
+        The text that the replica sent, for the log.
+    """
+
+    per_s: float | None
+    text: str
+
+
 class ReplicaNotice(msgspec.Struct, frozen=True):
     """The status of a replica, sent in the head of an answer.
 
@@ -45,10 +67,14 @@
         Whether the replica permanently accepts no further requests.
     hold_off : HoldOff or None
         Set if the replica asks this router to wait.
+    rate_limit : RateLimit or None
+        Set if the replica names a limit; the limit ends with the first answer that
+        names none.
     """
 
     is_leaving: bool = False
     hold_off: HoldOff | None = None
+    rate_limit: RateLimit | None = None
 
 
 class Replica(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/platform/test_replica_protocol.py
+++ b/tests/platform/test_replica_protocol.py
@@ -37,3 +37,18 @@
         self.assertIsNone(notice(503).hold_off)
         self.assertIsNone(notice(429, (b"Retry-After", b"5")).hold_off)
         self.assertIsNone(notice(200, (b"Retry-After", b"5")).hold_off)
+
+    def test_limit_is_read_from_any_status(self):
+        for status in (200, 404, 421, 500, 503):
+            limit = notice(status, (b"server-limit", b"1.5")).rate_limit
+            self.assertEqual(limit.per_s, 1.5)
+            self.assertIsNone(notice(status).rate_limit)
+
+    def test_lowest_of_several_limits_is_used(self):
+        headers = [(b"Server-Limit", value) for value in (b"3", b"0.5", b"few")]
+        self.assertEqual(notice(200, *headers).rate_limit.per_s, 0.5)
+
+    def test_limit_that_cannot_be_parsed_has_no_rate(self):
+        for value in (b"", b"-1", b"nan", b"inf", b"few"):
+            limit = notice(200, (b"Server-Limit", value)).rate_limit
+            self.assertIsNone(limit.per_s, value)
--- a/tests/process/relaying/test_replica_notices.py
+++ b/tests/process/relaying/test_replica_notices.py
@@ -16,6 +16,7 @@
     ReplicaRegistry,
 )
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.replica_state import RESUME_INTERVAL_S, Run
 from boragedeck.process.timers import ManualTimers
@@ -51,8 +52,9 @@
         self.upstreams = FakeUpstreamPool()
         self.board = FakeFactBoard(name, shared)
         self.metrics = RelayMetrics(CollectorRegistry())
+        self.limits = ReplicaLimits(timers, self.metrics)
         self.notices = ReplicaNotices(
-            self.registry, self.board, self.upstreams, self.metrics
+            self.registry, self.board, self.upstreams, self.limits, self.metrics
         )
 
     def handle(self, name, notice):
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -22,6 +22,7 @@
 from boragedeck.process.relaying.durations import RequestDurations
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.replica_state import Load
 from boragedeck.process.relaying.retry_share import RetryShare
@@ -299,7 +300,11 @@
             registry=self.registry,
             upstreams=self.upstreams,
             notices=ReplicaNotices(
-                self.registry, self.facts, self.upstreams, self.metrics
+                self.registry,
+                self.facts,
+                self.upstreams,
+                ReplicaLimits(self.timers, self.metrics),
+                self.metrics,
             ),
             protocol=HttpReplicaProtocol(),
             retries=RetryShare(self.timers, lambda: BOUNDS, lambda: 9, NoReserve()),
