--- a/boragedeck/connection/messages.py
+++ b/boragedeck/connection/messages.py
@@ -64,6 +64,8 @@
     """Announcements of routers, and suspicions that a router is dead."""
     QUARANTINE = "quarantine"
     """Requests that are known to crash upstreams."""
+    REPLICA_LIMIT = "replica_limit"
+    """Limits that replicas in need name on the requests of all routers."""
     ROLLOUT_EVIDENCE = "rollout_evidence"
     """What the origin has observed of the versions in a rollout."""
     ROLLOUT_STOP = "rollout_stop"
--- a/boragedeck/process/gossip_messages.py
+++ b/boragedeck/process/gossip_messages.py
@@ -35,6 +35,7 @@
         FactTopic.CRASH,
         FactTopic.LEAVING,
         FactTopic.QUARANTINE,
+        FactTopic.REPLICA_LIMIT,
         FactTopic.ROLLOUT_STOP,
     }
 )
--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -63,6 +63,8 @@
         Failure domains in which the request was lost before.
     allows : callable
         Returns whether a replica's version may serve the request.
+    request_id : str
+        The id of the request, for the log.
     """
 
     pool: RelayPool
@@ -73,6 +75,7 @@
     tried: frozenset[ReplicaId] = frozenset()
     lost_domains: frozenset[FailureDomain] = frozenset()
     allows: Callable[[Replica], bool] = lambda replica: True
+    request_id: str = ""
 
 
 class Place:
@@ -219,7 +222,7 @@
         place = self._grant(req)
         if place is not None:
             return Ok(place)
-        wait_s = self._expected_wait_s(req)
+        wait_s = self.expected_wait_s(req)
         left_s = req.until - self._timers.now()
         if left_s <= 0.0 or wait_s > left_s or self._is_held_too_long(req):
             return Err(self._refusal(req, wait_s))
@@ -238,6 +241,25 @@
         held = [max(0.0, state.held_until - now) for state in self._states(req)]
         return min(held, default=0.0)
 
+    def has_candidates(
+        self, req: AdmissionRequest, *, unlimited_only: bool = False
+    ) -> bool:
+        """Return whether a replica may get room for a request while it can wait.
+
+        Parameters
+        ----------
+        req : AdmissionRequest
+            The request.
+        unlimited_only : bool, optional
+            Whether replicas that name a limit don't count.
+        """
+        return any(
+            state.replica.replica not in req.tried
+            and state.held_until <= req.until
+            and not (unlimited_only and state.is_limited)
+            for state in self._states(req)
+        )
+
     def reserve(self, req: AdmissionRequest, state: ReplicaState) -> Place:
         """Reserve a place at a replica that kept room for the request.
 
@@ -256,6 +278,18 @@
             states, place.state, self._placement_request(req), self._rng
         )
 
+    def expected_wait_s(self, req: AdmissionRequest) -> float:
+        """Return how long a request is expected to wait for a place, in seconds."""
+        states = self._states(req)
+        if not states:
+            # A replica may join at any moment, so the request isn't refused at once.
+            return 0.0
+        waiting = self._waiting.get(req.pool.name, [])
+        ahead = sum(1 for entry in waiting if entry[0] <= req.priority)
+        running = sum(state.running for state in states)
+        mean_s = self.mean_service_s(req.pool.name)
+        return expected_wait_s(ahead, running, mean_s)
+
     def mean_service_s(self, pool: PoolName) -> float:
         """Return the mean time that a request takes at its replica, in seconds."""
         return self._mean_service_s.get(pool, INITIAL_MEAN_SERVICE_S)
@@ -357,17 +391,6 @@
             engine=req.pool.engine,
         )
 
-    def _expected_wait_s(self, req: AdmissionRequest) -> float:
-        states = self._states(req)
-        if not states:
-            # A replica may join at any moment, so the request isn't refused at once.
-            return 0.0
-        waiting = self._waiting.get(req.pool.name, [])
-        ahead = sum(1 for entry in waiting if entry[0] <= req.priority)
-        running = sum(state.running for state in states)
-        mean_s = self.mean_service_s(req.pool.name)
-        return expected_wait_s(ahead, running, mean_s)
-
     def _is_held_too_long(self, req: AdmissionRequest) -> bool:
         """Return whether all replicas are held off longer than the request can wait.
 
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -36,7 +36,11 @@
 from boragedeck.process.relaying.crash_blame import CrashBlame
 from boragedeck.process.relaying.crash_reports import CrashReports
 from boragedeck.process.relaying.durations import RequestDurations
+from boragedeck.process.relaying.fleet_size import FleetSize
 from boragedeck.process.relaying.hubs import Hubs, choose_hubs
+from boragedeck.process.relaying.limit_grants import LimitGrants
+from boragedeck.process.relaying.limit_owners import LimitOwners
+from boragedeck.process.relaying.limited_admission import LimitedAdmission
 from boragedeck.process.relaying.load_exchange import LoadExchange
 from boragedeck.process.relaying.mirror_follower import MirrorFollower
 from boragedeck.process.relaying.mirror_messages import serve_mirrors
@@ -265,18 +269,22 @@
         )
         self.metrics.waiting.set_function(admission.waiting)
         admission.on_change = self._loads.note_change
+        limits = self._make_limits()
         self._parts = RelayComponents(
             timers=self.timers,
             rng=self._rng,
             table=self._routing.current,
             admission=admission,
+            limited_admission=LimitedAdmission(
+                self.timers, admission, limits, self._rng
+            ),
             registry=self._registry,
             upstreams=self._upstreams,
             notices=ReplicaNotices(
                 self._registry,
                 self._board,
                 self._upstreams,
-                ReplicaLimits(self.timers, self.metrics),
+                limits,
                 self.metrics,
             ),
             protocol=HttpReplicaProtocol(),
@@ -290,6 +298,18 @@
             refusal_headers=refusal_headers,
         )
 
+    def _make_limits(self) -> ReplicaLimits:
+        fleet_size = FleetSize(
+            self.timers,
+            self._membership.routers,
+            lambda: bool(self._membership.seeds()),
+        )
+        owners = LimitOwners(self.timers, self._membership, self._hubs, fleet_size)
+        grants = LimitGrants(self.timers, owners, self._links, self._peer_server)
+        return ReplicaLimits(
+            self.timers, self._registry, grants, self._board, self.metrics
+        )
+
     def _make_retries(self) -> RetryShare:
         timers, bounds = self.timers, self._source.bounds
         reserve = RetryReserve(
--- /dev/null
+++ b/boragedeck/process/relaying/fleet_size.py
@@ -0,0 +1,50 @@
+"""The number of routers among which a bound that holds for all of them is divided."""
+
+from collections.abc import Callable
+
+from boragedeck.process.timers import TimerService
+
+__all__ = ["FleetSize"]
+
+DISCOVERY_PERIOD_S = 10.0
+"""How long after its start a router possibly doesn't know all others yet."""
+ASSUMED_ROUTERS = 16
+"""Minimum number of routers that is assumed in the discovery period."""
+ASSUMED_FLEET_ROUTERS = 100
+"""Number of routers that is assumed in the discovery period if the settings name other
+routers (seeds) but none is known yet: hundreds may have started together."""
+
+
+class FleetSize:
+    """Estimates the number of routers, and doesn't underestimate it after a start.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    known : callable
+        Returns the number of known routers, with this one. Unreachable ones are
+        counted until they are given up as dead.
+    has_seeds : callable, optional
+        Returns whether the settings name other routers.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        known: Callable[[], int],
+        has_seeds: Callable[[], bool] = lambda: False,
+    ):
+        self._timers = timers
+        self._known = known
+        self._has_seeds = has_seeds
+        self._discovery_until = timers.now() + DISCOVERY_PERIOD_S
+
+    def assumed(self) -> int:
+        """Return the number of routers to assume; at least 1."""
+        known = max(1, self._known())
+        if self._timers.now() >= self._discovery_until:
+            return known
+        if known == 1 and self._has_seeds():
+            return ASSUMED_FLEET_ROUTERS
+        return max(known, ASSUMED_ROUTERS)
--- a/boragedeck/process/relaying/hubs.py
+++ b/boragedeck/process/relaying/hubs.py
@@ -103,6 +103,11 @@
         self._refresh()
         return bool(self._hubs)
 
+    def all_hubs(self) -> list[Member]:
+        """Return all hubs; none if the fleet is too small to have hubs."""
+        self._refresh()
+        return self._hubs
+
     def is_hub(self) -> bool:
         """Return whether this router is a hub."""
         return self.exist() and not self._serving_hubs
--- /dev/null
+++ b/boragedeck/process/relaying/limit_owners.py
@@ -0,0 +1,97 @@
+"""Chooses the limit owner of a replica: the router that grants all sends to it.
+
+A replica in need names a limit on the requests of all routers together. Divided by the
+number of routers it would be less than one request in a second for each, and whatever
+one router doesn't use would be lost to the others.
+"""
+
+from boragedeck.ids import Health
+from boragedeck.interfaces import Member, Membership
+from boragedeck.process.relaying.fleet_size import FleetSize
+from boragedeck.process.relaying.hubs import Hubs
+from boragedeck.process.rendezvous import rank
+from boragedeck.process.timers import TimerService
+from boragedeck.version.replicas import ReplicaId
+
+__all__ = ["LimitOwners"]
+
+CACHE_TTL_S = 0.25
+
+
+class LimitOwners:
+    """The limit owners as this router sees them.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    membership : Membership
+        All routers.
+    hubs : Hubs
+        The hubs. They are the owners in a fleet that has any, since their choice
+        changes less often than the list of all routers.
+    fleet_size : FleetSize
+        The number of routers, unreachable ones included.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        membership: Membership,
+        hubs: Hubs,
+        fleet_size: FleetSize,
+    ):
+        self._timers = timers
+        self._membership = membership
+        self._hubs = hubs
+        self._fleet_size = fleet_size
+        self._read_at = float("-inf")
+        self._candidates: list[Member] = []
+        self._reachable_share = 1.0
+
+    @property
+    def own(self) -> Member:
+        """The member that is this router itself."""
+        return self._membership.own
+
+    def owner_of(self, replica: ReplicaId) -> Member:
+        """Return the limit owner of a replica."""
+        self._refresh()
+        return rank(f"limit {replica}", self._candidates, _router_id)[0]
+
+    def reachable_share(self) -> float:
+        """Return the share of the routers that are reachable, this one included.
+
+        Notes
+        -----
+        If the network is split, each side has an owner. Each grants its side's share of
+        the limit, so that all sides together keep it.
+        """
+        self._refresh()
+        return self._reachable_share
+
+    def suspect(self, owner: Member) -> None:
+        """Record that an owner did not answer; see `Membership.suspect`."""
+        self._membership.suspect(owner.router)
+        self._read_at = float("-inf")
+
+    def _refresh(self) -> None:
+        now = self._timers.now()
+        if now - self._read_at < CACHE_TTL_S:
+            return
+        self._read_at = now
+        others = self._membership.members()
+        healthy = [member for member in others if member.health is Health.HEALTHY]
+        leaving = sum(member.health is Health.LEAVING for member in others)
+        reachable = 1 + len(healthy)
+        self._reachable_share = min(
+            1.0, reachable / max(1, self._fleet_size.assumed() - leaving)
+        )
+        own = self._membership.own
+        is_staying = own.health is Health.HEALTHY
+        everyone = [own, *healthy] if is_staying or not healthy else healthy
+        self._candidates = self._hubs.all_hubs() or everyone
+
+
+def _router_id(member: Member) -> str:
+    return member.router
--- a/boragedeck/process/relaying/placement.py
+++ b/boragedeck/process/relaying/placement.py
@@ -107,7 +107,8 @@
 
     Notes
     -----
-    A replica that is avoided after a miss is chosen only if no other has room.
+    A replica whose limit doesn't allow a request now is chosen only if no other has
+    room, and one that is avoided after a miss only after that.
     """
     open_states = [
         state
@@ -115,7 +116,10 @@
         if state.replica.replica not in req.tried and has_room(state, req)
     ]
     healthy = [state for state in open_states if state.avoid_until <= req.now]
-    candidates = healthy or open_states
+    free = [state for state in healthy if state.limited_until <= req.now]
+    if healthy and not free:
+        return min(healthy, key=lambda state: state.limited_until)
+    candidates = free or open_states
     if not candidates:
         return None
     min_failure_share = min(state.failure_share for state in candidates)
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -52,6 +52,12 @@
             ["change"],
             registry=registry,
         )
+        self.limited_sends = Counter(
+            "boragedeck_limited_sends",
+            "Questions whether a request may be sent to a limited replica, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
         self.first_output_s = Histogram(
             "boragedeck_relay_first_output_seconds",
             "From a request's arrival to the first part of its answer.",
--- a/boragedeck/process/relaying/replica_limits.py
+++ b/boragedeck/process/relaying/replica_limits.py
@@ -2,14 +2,35 @@
 
 import enum
 
+import eventlet
+import msgspec
+
+from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.decoding import DECODE_ERRORS
+from boragedeck.interfaces import FactBoard
 from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.limit_grants import LimitGrants
+from boragedeck.process.relaying.limit_messages import (
+    ReportLimit,
+    SendDecision,
+    TakeSend,
+)
+from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_state import KnownLimit, ReplicaState
+from boragedeck.process.relaying.replica_state import KnownLimit, ReplicaState, Run
+from boragedeck.process.relaying.restraint import Reason
 from boragedeck.process.timers import TimerService
-from boragedeck.version.replicas import RateLimit
+from boragedeck.version.replicas import RateLimit, ReplicaId
 
 __all__ = ["LimitChange", "ReplicaLimits"]
 
+FACT_TTL_S = 60.0
+MAX_GOSSIP_DELAY_S = 1.0
+"""How long a fact may have been on its way. What a replica told this router itself in
+the meantime is newer."""
+MAX_DEFERRAL_S = 1.0
+"""How long a replica is passed over at most before its limit owner is asked again."""
+
 _log = PartLog("limits")
 
 
@@ -21,20 +42,52 @@
     LIFTED = "lifted"
 
 
+class _LimitFact(msgspec.Struct, frozen=True, array_like=True):
+    """Body of the fact about the limit of a run of a replica, by its limit owner."""
+
+    replica: ReplicaId
+    born_ms: int
+    per_s: float | None
+    age_s: float
+
+
 class ReplicaLimits:
-    """The limits that replicas name, as this router knows them.
+    """The limits that replicas name, as this router knows them, and its sends to them.
 
     Parameters
     ----------
     timers : TimerService
         The source of time.
+    registry : ReplicaRegistry
+        The replicas.
+    grants : LimitGrants
+        Grants the sends to limited replicas.
+    board : FactBoard
+        Publishes changed limits to the other routers.
     metrics : RelayMetrics
-        Counts the changes.
+        Counts the changes, and the decisions about sends.
+
+    Attributes
+    ----------
+    grants : LimitGrants
+        Grants the sends to limited replicas.
     """
 
-    def __init__(self, timers: TimerService, metrics: RelayMetrics):
+    def __init__(
+        self,
+        timers: TimerService,
+        registry: ReplicaRegistry,
+        grants: LimitGrants,
+        board: FactBoard,
+        metrics: RelayMetrics,
+    ):
         self._timers = timers
+        self._registry = registry
+        self.grants = grants
+        self._board = board
         self._metrics = metrics
+        grants.on_change = self._publish
+        board.subscribe(FactTopic.REPLICA_LIMIT, self._on_fact)
 
     def note_answer(self, state: ReplicaState, rate_limit: RateLimit | None) -> None:
         """Record what an answer of a replica says about its limit.
@@ -54,15 +107,86 @@
             )
             return
         per_s = None if rate_limit is None else rate_limit.per_s
-        self._replace(state, KnownLimit(per_s, self._timers.now()), "its answer")
+        if self._merge(state, KnownLimit(per_s, self._timers.now()), "its answer"):
+            # In a thread of its own, since the caller waits for the answer's body.
+            eventlet.spawn_n(self.grants.report, ReportLimit(state.run, per_s, 0.0))
 
-    def _replace(self, state: ReplicaState, known: KnownLimit, told_by: str) -> None:
-        before, state.limit = state.limit, known
-        if before.per_s == known.per_s:
+    def take(
+        self, state: ReplicaState, max_wait_s: float, request: str
+    ) -> SendDecision:
+        """Take one send to a limited replica.
+
+        Parameters
+        ----------
+        state : ReplicaState
+            The replica.
+        max_wait_s : float
+            The longest time that the request can wait, in seconds.
+        request : str
+            The id of the request, for the log.
+        """
+        now, known = self._timers.now(), state.limit
+        age_s = now - known.observed_at
+        question = TakeSend(state.run, known.per_s, age_s, max_wait_s)
+        decision = self.grants.take(question)
+        self._note_decision(state, decision)
+        outcome = "granted" if decision.is_granted else "denied"
+        self._metrics.limited_sends.labels(outcome).inc()
+        _log.write(
+            f"Send {outcome}.",
+            request=request,
+            replica=state.replica.replica,
+            per_s=decision.per_s,
+            age_s=round(decision.age_s, 3),
+            wait_s=round(decision.wait_s, 3),
+            max_wait_s=round(max_wait_s, 3),
+            asked_s=round(self._timers.now() - now, 3),
+        )
+        return decision
+
+    def _note_decision(self, state: ReplicaState, decision: SendDecision) -> None:
+        now = self._timers.now()
+        known = KnownLimit(decision.per_s, now - decision.age_s)
+        self._merge(state, known, "its limit owner")
+        if state.is_limited:
+            state.next_turn_at = now + decision.wait_s
+            until = now + min(decision.wait_s, MAX_DEFERRAL_S)
+            state.restraints.extend(Reason.LIMITED, until)
+
+    def _publish(self, run: Run, known: KnownLimit) -> None:
+        """Publish a limit as its limit owner."""
+        age_s = self._timers.now() - known.observed_at
+        fact = _LimitFact(run.replica, run.born_ms, known.per_s, age_s)
+        key = f"{run.born_ms}/{run.replica}"
+        body = msgspec.msgpack.encode(fact)
+        self._board.publish(FactTopic.REPLICA_LIMIT, key, body, ttl_s=FACT_TTL_S)
+
+    def _on_fact(self, fact: Fact) -> None:
+        try:
+            limit = msgspec.msgpack.decode(fact.body, type=_LimitFact)
+        except DECODE_ERRORS as exc:
+            _log.write(
+                "Fact about a limit can't be parsed.", peer=fact.origin, error=str(exc)
+            )
+            return
+        state = self._registry.get(limit.replica)
+        if state is None or state.run != Run(limit.replica, limit.born_ms):
             return
+        delay_s = 0.0 if fact.origin == self._board.own else MAX_GOSSIP_DELAY_S
+        observed_at = self._timers.now() - limit.age_s - delay_s
+        self._merge(state, KnownLimit(limit.per_s, observed_at), fact.origin)
+
+    def _merge(self, state: ReplicaState, known: KnownLimit, told_by: str) -> bool:
+        """Merge what is known of a limit; return whether the limit has changed."""
+        before = state.limit
+        if known.observed_at < before.observed_at:
+            return False
+        state.limit = known
+        if before.per_s == known.per_s:
+            return False
+        state.restraints.lift(Reason.LIMITED)
         change = _change(before, known)
         self._metrics.limit_changes.labels(change.value).inc()
-        now = self._timers.now()
         _log.write(
             f"Limit {change.value}.",
             replica=state.replica.replica,
@@ -70,8 +194,9 @@
             per_s=known.per_s,
             before_per_s=before.per_s,
             told_by=told_by,
-            age_s=round(now - known.observed_at, 3),
+            age_s=round(self._timers.now() - known.observed_at, 3),
         )
+        return True
 
 
 def _change(before: KnownLimit, known: KnownLimit) -> LimitChange:
--- a/boragedeck/process/relaying/replica_state.py
+++ b/boragedeck/process/relaying/replica_state.py
@@ -107,6 +107,9 @@
         Reasons to send it no requests.
     limit : KnownLimit
         The limit that it names.
+    next_turn_at : float
+        When its limit allowed the next request as its limit owner last said, on the
+        timer service's monotonic clock; 0.0 if no owner was asked.
     is_removed : bool
         Whether it is no longer in the registry.
     is_provisional : bool
@@ -125,6 +128,7 @@
         self.failure_share = 0.0
         self.restraints = Restraints()
         self.limit = KnownLimit()
+        self.next_turn_at = 0.0
         self._next_send_at = float("-inf")
         self.is_removed = False
         self.consecutive_misses = 0
@@ -171,6 +175,16 @@
         """When the hold that the replica asked for ends or ended; 0.0 if none."""
         return self.restraints.until(Reason.HELD_OFF)
 
+    @property
+    def limited_until(self) -> float:
+        """Until when it is passed over because of its limit; 0.0 if it wasn't yet."""
+        return self.restraints.until(Reason.LIMITED)
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether it names a limit on the requests of all routers together."""
+        return self.limit.per_s is not None
+
     def can_accept(self, now: float) -> bool:
         """Return whether a request may be sent to the replica now.
 
--- a/boragedeck/process/relaying/restraint.py
+++ b/boragedeck/process/relaying/restraint.py
@@ -14,6 +14,8 @@
     """It or others in its failure domain were missed, and may have recovered."""
     HELD_OFF = "held_off"
     """It asked this router to wait."""
+    LIMITED = "limited"
+    """It named a limit, and the next request to it would have to wait."""
     LEAVING = "leaving"
     """It announced that it is leaving."""
 
@@ -37,7 +39,7 @@
     def is_strict(self) -> bool:
         """Whether nothing may be sent, even if no other replica has room."""
         match self.reason:
-            case Reason.AVOIDED:
+            case Reason.AVOIDED | Reason.LIMITED:
                 return False
             case Reason.HELD_OFF | Reason.LEAVING:
                 return True
--- a/boragedeck/process/relaying/retry_share.py
+++ b/boragedeck/process/relaying/retry_share.py
@@ -10,19 +10,13 @@
 
 from boragedeck.ids import PoolName
 from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.fleet_size import FleetSize
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.sliding_window_counter import SlidingWindowCounter
 from boragedeck.process.timers import TimerService
 
 __all__ = ["USABLE_SHARE", "Reserve", "RetryShare"]
 
-DISCOVERY_PERIOD_S = 10.0
-"""How long after its start a router possibly doesn't know all others yet."""
-ASSUMED_ROUTERS = 16
-"""Minimum number of routers that is assumed in the discovery period."""
-ASSUMED_FLEET_ROUTERS = 100
-"""Number of routers that is assumed in the discovery period if the settings name other
-routers (seeds) but none is known yet: hundreds may have started together."""
 USABLE_SHARE = 0.8
 """Share of the bound that is used. The rest is a margin: whoever else checks the bound
 may count the callers' requests in a window that doesn't begin together with this
@@ -70,12 +64,9 @@
         reserve: Reserve,
         has_seeds: Callable[[], bool] = lambda: False,
     ):
-        self._timers = timers
         self._bounds = bounds
-        self._routers = routers
+        self._fleet_size = FleetSize(timers, routers, has_seeds)
         self._reserve = reserve
-        self._has_seeds = has_seeds
-        self._discovery_until = timers.now() + DISCOVERY_PERIOD_S
         self._requests = SlidingWindowCounter(timers)
         self._repeats = SlidingWindowCounter(timers)
 
@@ -97,7 +88,7 @@
         requests = self._requests.count_within(pool, window_s)
         repeats = self._repeats.count_within(pool, window_s)
         has_reserve = self._reserve.is_in_use()
-        fixed = 0.0 if has_reserve else bounds.retry_extra / self._assumed_routers()
+        fixed = 0.0 if has_reserve else bounds.retry_extra / self._fleet_size.assumed()
         if repeats + 1 <= USABLE_SHARE * (bounds.retry_ratio * requests + fixed):
             self._repeats.note(pool)
             return True
@@ -106,11 +97,3 @@
             return True
         _log.write("Repeat denied.", pool=pool, requests=requests, repeats=repeats)
         return False
-
-    def _assumed_routers(self) -> int:
-        known = max(1, self._routers())
-        if self._timers.now() >= self._discovery_until:
-            return known
-        if known == 1 and self._has_seeds():
-            return ASSUMED_FLEET_ROUTERS
-        return max(known, ASSUMED_ROUTERS)
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -21,6 +21,7 @@
 from boragedeck.process.relaying.admission import Admission, AdmissionRequest, Place
 from boragedeck.process.relaying.crash_blame import CrashBlame, fingerprint_of
 from boragedeck.process.relaying.durations import RequestDurations
+from boragedeck.process.relaying.limited_admission import LimitedAdmission
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
@@ -65,6 +66,8 @@
         Returns the routing table in force.
     admission : Admission
         Grants places at replicas.
+    limited_admission : LimitedAdmission
+        Grants places within the limits that replicas name.
     registry : ReplicaRegistry
         The known replicas.
     upstreams : UpstreamPool
@@ -96,6 +99,7 @@
     rng: random.Random
     table: Callable[[], RoutingTable]
     admission: Admission
+    limited_admission: LimitedAdmission
     registry: ReplicaRegistry
     upstreams: UpstreamPool
     notices: ReplicaNotices
@@ -216,7 +220,7 @@
             self.tried.clear()
             if until > self.parts.timers.now():
                 self._back_off()
-        return self.parts.admission.acquire(self.admission_request(until))
+        return self.parts.limited_admission.acquire(self.admission_request(until))
 
     def hold_remaining_s(self) -> float:
         """Return the time until a replica accepts requests again, if all asked to wait.
@@ -240,6 +244,7 @@
             tried=frozenset(self.tried),
             lost_domains=frozenset(self._lost_domains),
             allows=self.allows,
+            request_id=self.req.request_id,
         )
 
     def refuse(self, error: RefusedError) -> None:
--- a/boragedeck/request/stream_recovery.py
+++ b/boragedeck/request/stream_recovery.py
@@ -52,7 +52,10 @@
         if state is None:
             return None
         job = self._job
-        return job.parts.admission.reserve(job.admission_request(job.deadline), state)
+        req = job.admission_request(job.deadline)
+        place = job.parts.limited_admission.reserve(req, state)
+        self.resumes_from_copy = self.resumes_from_copy and place is not None
+        return place
 
     def note_copy_holder(self, holder: ReplicaState | None) -> None:
         """Record which engine holds a copy of the run that has started."""
--- a/tests/process/relaying/test_replica_limits.py
+++ b/tests/process/relaying/test_replica_limits.py
@@ -2,19 +2,23 @@
 
 from prometheus_client import CollectorRegistry
 
+from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_state import ReplicaState
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import RateLimit
 from tests.process.relaying.test_admission import replica
+from tests.support.replicas import FakeFactBoard, single_router_limits
 
 
 class KnownLimitTest(unittest.TestCase):
     def setUp(self):
         self.timers = ManualTimers()
         self.metrics = RelayMetrics(CollectorRegistry())
-        self.limits = ReplicaLimits(self.timers, self.metrics)
+        registry = ReplicaRegistry(self.timers)
+        self.limits = single_router_limits(
+            self.timers, registry, FakeFactBoard(), self.metrics
+        )
         self.state = ReplicaState(replica("one"))
 
     def note(self, per_s, text=""):
--- a/tests/process/relaying/test_replica_notices.py
+++ b/tests/process/relaying/test_replica_notices.py
@@ -16,13 +16,12 @@
     ReplicaRegistry,
 )
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.replica_state import RESUME_INTERVAL_S, Run
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import HoldOff, ReplicaNotice, ReplicaStage
 from tests.process.relaying.test_admission import POOL, replica
-from tests.support.replicas import FakeFactBoard
+from tests.support.replicas import FakeFactBoard, single_router_limits
 
 LEAVING = ReplicaNotice(is_leaving=True)
 
@@ -52,7 +51,9 @@
         self.upstreams = FakeUpstreamPool()
         self.board = FakeFactBoard(name, shared)
         self.metrics = RelayMetrics(CollectorRegistry())
-        self.limits = ReplicaLimits(timers, self.metrics)
+        self.limits = single_router_limits(
+            timers, self.registry, self.board, self.metrics
+        )
         self.notices = ReplicaNotices(
             self.registry, self.board, self.upstreams, self.limits, self.metrics
         )
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -6,8 +6,18 @@
 import eventlet
 import msgspec
 from prometheus_client import CollectorRegistry
+from result import Err, Ok
 
+from boragedeck.connection.messages import FactTopic
+from boragedeck.exceptions import PeerUnreachableError
+from boragedeck.ids import Health
+from boragedeck.interfaces import Member
 from boragedeck.process.relaying.admission import Admission, AdmissionRequest
+from boragedeck.process.relaying.fleet_size import DISCOVERY_PERIOD_S, FleetSize
+from boragedeck.process.relaying.hubs import Hubs
+from boragedeck.process.relaying.limit_grants import LimitGrants
+from boragedeck.process.relaying.limit_owners import LimitOwners
+from boragedeck.process.relaying.limited_admission import LimitedAdmission
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
@@ -23,6 +33,10 @@
 MAX_WAIT_S = 0.6
 WINDOW_S = 4.0
 STEP_S = 0.005
+LATENCY_S = 0.0015
+"""One way between two routers."""
+GOSSIP_DELAY_S = 0.3
+DOMAINS = 4
 
 
 class Received(msgspec.Struct, frozen=True):
@@ -75,19 +89,161 @@
         )
 
 
+class FleetNetwork:
+    """Links between the routers of a fleet.
+
+    Attributes
+    ----------
+    cut : set
+        Addresses that the others can't reach, and that can't reach them.
+    frozen : set
+        Addresses that don't answer.
+    split : set
+        Addresses that reach only each other.
+    calls : int
+        Number of calls that arrived.
+    """
+
+    def __init__(self, timers):
+        self.timers = timers
+        self.handlers = {}
+        self.cut = set()
+        self.frozen = set()
+        self.split = set()
+        self.calls = 0
+
+    def can_reach(self, source, target):
+        """Return whether a call from one address to another is answered."""
+        is_lost = bool({source, target} & (self.cut | self.frozen))
+        is_split = (source in self.split) != (target in self.split)
+        return source == target or not (is_lost or is_split)
+
+
+class FleetPeer:
+    """Links and server of one router."""
+
+    def __init__(self, net, address):
+        self._net, self._address = net, address
+
+    def register(self, kind, handler):
+        """See `PeerServer.register`."""
+        self._net.handlers[self._address, kind] = handler
+
+    def link(self, address):
+        """See `PeerLinks.link`."""
+        return FleetLink(self._net, self._address, address)
+
+
+class FleetLink:
+    """A link between two routers."""
+
+    def __init__(self, net, source, target):
+        self._net, self._source, self._target = net, source, target
+
+    def call(self, message, answer_type, *, timeout_s):
+        """See `PeerLink.call`."""
+        net = self._net
+        net.timers.sleep(LATENCY_S)
+        handler = net.handlers.get((self._target, type(message)))
+        if handler is None or not net.can_reach(self._source, self._target):
+            net.timers.sleep(timeout_s)
+            return Err(PeerUnreachableError("no answer in time"))
+        net.calls += 1
+        answer = handler(message)
+        net.timers.sleep(LATENCY_S)
+        return Ok(answer)
+
+
+class FleetMembers:
+    """The membership as one router sees it.
+
+    Attributes
+    ----------
+    health : dict
+        The health of other routers, by id, where it isn't `Health.HEALTHY`.
+    unknown : set
+        The ids of running routers that this one doesn't know yet.
+    """
+
+    def __init__(self, fleet, own):
+        self.own = own
+        self._fleet = fleet
+        self.health = {}
+        self.unknown = set()
+
+    def members(self):
+        """See `Membership.members`."""
+        return [
+            msgspec.structs.replace(
+                each.member, health=self.health.get(each.name, Health.HEALTHY)
+            )
+            for each in self._fleet.routers
+            if each.name != self.own.router and each.name not in self.unknown
+        ]
+
+    def routers(self):
+        """See `Membership.routers`."""
+        return 1 + len(self.members())
+
+    def suspect(self, router):
+        """See `Membership.suspect`."""
+        self.health[router] = Health.SUSPECT
+
+
+class FleetBoard(FakeFactBoard):
+    """Delivers facts to all reachable routers after `GOSSIP_DELAY_S`."""
+
+    def __init__(self, fleet, own):
+        super().__init__(own)
+        self._fleet = fleet
+
+    def publish(self, topic, key, body, *, ttl_s=60.0):
+        """Publish a fact."""
+        fact = super().publish(topic, key, body, ttl_s=ttl_s)
+        self._fleet.timers.call_later(GOSSIP_DELAY_S, lambda: self._spread(fact))
+        return fact
+
+    def _spread(self, fact):
+        for other in self._fleet.routers:
+            if other.name != self.own and self._fleet.net.can_reach(
+                self.own, other.name
+            ):
+                other.board.receive(fact)
+
+    def receive(self, fact):
+        """Deliver a fact of another router."""
+        for topic, callback in self._callbacks:
+            if topic is fact.topic is FactTopic.REPLICA_LIMIT:
+                callback(fact)
+
+
 class LimitedRouter:
     """The parts of one router that place requests and learn of limits."""
 
-    def __init__(self, fleet, name):
-        self.name = name
+    def __init__(self, fleet, number):
+        self.name = f"r{number}"
         self._fleet = fleet
-        timers = fleet.timers
+        timers = self.timers = fleet.timers
+        domain = f"d{number % DOMAINS}"
+        self.member = Member(self.name, self.name, domain, self.name)
+        self.members = FleetMembers(fleet, self.member)
         self.registry = ReplicaRegistry(timers)
-        metrics = RelayMetrics(CollectorRegistry())
-        self.limits = ReplicaLimits(timers, metrics)
-        self.admission = Admission(timers, self.registry, random.Random(name))
+        self.board = FleetBoard(fleet, self.name)
+        self.metrics = RelayMetrics(CollectorRegistry())
+        peer = FleetPeer(fleet.net, self.name)
+        hubs = Hubs(timers, self.members)
+        fleet_size = FleetSize(timers, self.members.routers)
+        self.owners = LimitOwners(timers, self.members, hubs, fleet_size)
+        grants = LimitGrants(timers, self.owners, peer, peer)
+        self.limits = ReplicaLimits(
+            timers, self.registry, grants, self.board, self.metrics
+        )
+        admission = Admission(timers, self.registry, random.Random(self.name))
+        self.admission = LimitedAdmission(
+            timers, admission, self.limits, random.Random(f"{self.name} limits")
+        )
         self.notices = ReplicaNotices(
-            self.registry, FakeFactBoard(name), self, self.limits, metrics
+            self.registry, self.board, self, self.limits, self.metrics
         )
         for each in fleet.replicas.values():
             self.registry.put(replica(each.name, slots=6, born_ms=1))
@@ -99,6 +255,10 @@
         """Return a place for a request, or its refusal."""
         return self.admission.acquire(req)
 
+    def state(self, name):
+        """Return the state of a replica as this router knows it."""
+        return self.registry.get(name)
+
     def send(self):
         """Place one request, and handle its answer."""
         timers, arrived = self._fleet.timers, self._fleet.timers.now()
@@ -136,10 +296,21 @@
 
     def __init__(self, routers, replicas, seed=1):
         self.timers = ManualTimers()
+        self.net = FleetNetwork(self.timers)
         self.rng = random.Random(seed)
         self.replicas = {each.name: each for each in replicas}
         self.refused = []
-        self.routers = [LimitedRouter(self, f"r{i}") for i in range(routers)]
+        self.routers = []
+        for _ in range(routers):
+            self.start_router()
+        # A router that has just started doesn't rely on the number that it knows.
+        self.timers.advance(DISCOVERY_PERIOD_S)
+
+    def start_router(self):
+        """Start another router."""
+        router = LimitedRouter(self, len(self.routers))
+        self.routers.append(router)
+        return router
 
     def run(self, seconds, per_s, routers=None):
         """Play calls that arrive at random at the routers."""
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -14,12 +14,18 @@
 from boragedeck.connection.peer import Address
 from boragedeck.connection.store import Table
 from boragedeck.connection.upstream_pool import UpstreamPool
+from boragedeck.interfaces import Member
 from boragedeck.platform.callers import decode_request, refusal_headers
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
 from boragedeck.platform.routing import decode_rollout
 from boragedeck.process.relaying.admission import Admission
 from boragedeck.process.relaying.crash_blame import CrashBlame
 from boragedeck.process.relaying.durations import RequestDurations
+from boragedeck.process.relaying.fleet_size import FleetSize
+from boragedeck.process.relaying.hubs import Hubs
+from boragedeck.process.relaying.limit_grants import LimitGrants
+from boragedeck.process.relaying.limit_owners import LimitOwners
+from boragedeck.process.relaying.limited_admission import LimitedAdmission
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
@@ -280,6 +286,38 @@
     sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
 
 
+class SingleMembership:
+    """The membership of a router without others."""
+
+    own = Member("r-1", "vm-1", "a", Address("127.0.0.1", 1))
+
+    def members(self):
+        """Return no other routers."""
+        return []
+
+    def routers(self):
+        """Return 1."""
+        return 1
+
+
+class NoPeers:
+    """Links and server of a router without others."""
+
+    def register(self, kind, handler):
+        """Accept a handler that is never called."""
+
+
+def single_router_limits(timers, registry, board, metrics):
+    """Return the limits of a router that is alone, and the owner of all limits."""
+    members = SingleMembership()
+    hubs = Hubs(timers, members)
+    size = FleetSize(timers, members.routers)
+    size.assumed = members.routers
+    owners = LimitOwners(timers, members, hubs, size)
+    grants = LimitGrants(timers, owners, NoPeers(), NoPeers())
+    return ReplicaLimits(timers, registry, grants, board, metrics)
+
+
 class RelayHarness:
     """A router's relaying components with scripted replicas and callers' sockets."""
 
@@ -292,18 +330,24 @@
         self.table = routing_table(rule or call_rule(), pool, limits)
         self.facts = facts or FakeFactBoard()
         self.metrics = RelayMetrics(CollectorRegistry())
+        self.limits = single_router_limits(
+            self.timers, self.registry, self.facts, self.metrics
+        )
         self.parts = RelayComponents(
             timers=self.timers,
             rng=random.Random(3),
             table=lambda: self.table,
             admission=self.admission,
+            limited_admission=LimitedAdmission(
+                self.timers, self.admission, self.limits, random.Random(5)
+            ),
             registry=self.registry,
             upstreams=self.upstreams,
             notices=ReplicaNotices(
                 self.registry,
                 self.facts,
                 self.upstreams,
-                ReplicaLimits(self.timers, self.metrics),
+                self.limits,
                 self.metrics,
             ),
             protocol=HttpReplicaProtocol(),
