--- a/boragedeck/process/relaying/registry.py
+++ b/boragedeck/process/relaying/registry.py
@@ -175,17 +175,19 @@
             # It restarted under the same id and has lost its former state.
             self.remove(replica.replica, "restarted")
             state = None
+        is_new = state is None
         if state is None:
             state = self._states[replica.replica] = ReplicaState(replica)
             restored = self._absent_restraints.pop(state.run, None)
             if restored is not None:
                 state.restraints = restored
             self._drop_predecessors(replica)
-        if state.replica.stage is not replica.stage or not state.replica.born_ms:
+        if is_new or is_provisional or state.replica.stage is not replica.stage:
             _log.write(
-                "Replica updated.",
+                "Replica added." if is_new else "Replica updated.",
                 replica=replica.replica,
                 pool=replica.pool,
+                version=replica.version,
                 stage=replica.stage.value,
                 address=str(replica.address),
             )
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -162,6 +162,7 @@
             request=self._job.req.request_id,
             route=self._job.rule.name,
             replica=place.state.replica.replica,
+            version=place.state.replica.version,
             domain=place.state.replica.failure_domain,
             running=place.state.running,
             failure_share=round(place.state.failure_share, 3),
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -155,6 +155,7 @@
             request=job.req.request_id,
             route=job.rule.name,
             replica=plan.replica.replica,
+            version=plan.replica.version,
             domain=plan.replica.failure_domain,
             running=place.state.running,
             tokens=place.state.tokens,
