--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -16,7 +16,7 @@
 from boragedeck.connection.store import Change
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import StoreConflictError, StoreError, TableError
-from boragedeck.ids import PoolName, Version
+from boragedeck.ids import FailureDomain, PoolName, Version
 from boragedeck.interfaces import FactBoard, RunSample
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.rollout_plan import finish_at, share_at
@@ -33,7 +33,7 @@
 from boragedeck.version.relay_rollouts import RolloutOrder, RolloutResult
 from boragedeck.version.replicas import Replica
 
-__all__ = ["RelayRollouts", "RolloutBoard", "PublishedRollout"]
+__all__ = ["RelayRollouts", "RolloutBoard", "PublishedRollout", "WaitingRun"]
 
 TICK_S = 0.5
 EVIDENCE_TTL_S = 120.0
@@ -61,6 +61,24 @@
     row_version: int
 
 
+class WaitingRun(msgspec.Struct, eq=False):
+    """A request that was sent to a replica and has neither output nor outcome.
+
+    Parameters
+    ----------
+    replica : Replica
+        The replica.
+    domain : FailureDomain
+        The domain to which its outcome will be counted.
+    since : float
+        When it was sent, on the timer service's monotonic clock.
+    """
+
+    replica: Replica
+    domain: FailureDomain
+    since: float
+
+
 class RolloutBoard(Protocol):
     """Stores the results of rollouts for the operators."""
 
@@ -85,6 +103,16 @@
         self.decided_result: RolloutResult | None = None
         self.is_published = False
         self.evidence = Evidence()
+        self.waiting: set[WaitingRun] = set()
+
+    def evidence_at(self, now: float) -> Evidence:
+        """Return the evidence, with the present ages of runs without output."""
+        total = Evidence()
+        total.merge(self.evidence)
+        for run in self.waiting:
+            is_new = run.replica.version == self.order.to
+            total.add_waiting(run.domain, now - run.since, is_new=is_new)
+        return total
 
     def elapsed(self, now: float) -> float:
         """Return the elapsed share of the rollout's duration."""
@@ -164,6 +192,34 @@
         is_new = replica.version == rollout.order.to
         rollout.evidence.add(sample, is_new=is_new, is_late=False)
 
+    def begin(self, replica: Replica, domain: FailureDomain) -> WaitingRun:
+        """Record that a request is sent to a replica; `end` it in any case."""
+        run = WaitingRun(replica, domain, self._timers.now())
+        rollout = self._rollouts.get(replica.pool)
+        if rollout is not None and rollout.result is RolloutResult.RUNNING:
+            rollout.waiting.add(run)
+        return run
+
+    def end(self, run: WaitingRun, *, has_outcome: bool) -> None:
+        """Record that a request has output or has ended; no effect if repeated.
+
+        Parameters
+        ----------
+        run : WaitingRun
+            The request.
+        has_outcome : bool
+            Whether `note` counts it. Otherwise its age counts: its caller left, or its
+            time was over.
+        """
+        rollout = self._rollouts.get(run.replica.pool)
+        if rollout is None or run not in rollout.waiting:
+            return
+        rollout.waiting.remove(run)
+        if not has_outcome:
+            is_new = run.replica.version == rollout.order.to
+            age_s = self._timers.now() - run.since
+            rollout.evidence.add_waiting(run.domain, age_s, is_new=is_new)
+
     def tick(self) -> None:
         """Publish evidence, judge the new versions, and publish the results."""
         for rollout in list(self._rollouts.values()):
@@ -194,7 +250,7 @@
 
     def _publish_evidence(self, rollout: _Rollout) -> None:
         key = f"{rollout.order.pool}/{rollout.number}"
-        body = msgspec.msgpack.encode(rollout.evidence)
+        body = msgspec.msgpack.encode(rollout.evidence_at(self._timers.now()))
         self._facts.publish(FactTopic.ROLLOUT_EVIDENCE, key, body, ttl_s=EVIDENCE_TTL_S)
 
     def _judge(self, rollout: _Rollout) -> None:
@@ -219,8 +275,7 @@
 
     def _total_evidence(self, rollout: _Rollout) -> Evidence:
         key = f"{rollout.order.pool}/{rollout.number}"
-        total = Evidence()
-        total.merge(rollout.evidence)
+        total = rollout.evidence_at(self._timers.now())
         for fact in self._facts.facts(FactTopic.ROLLOUT_EVIDENCE):
             if fact.key != key or fact.origin == self._facts.own:
                 continue
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -88,6 +88,7 @@
                 # A thread that was killed before it started has not released its place.
                 # For the others, a second release has no effect.
                 place.release()
+                job.note_attempt_ended(place)
 
     def _wait_for_answer(self) -> CompleteAnswer | None:
         """Wait for a successful answer; start further attempts if that is allowed.
@@ -168,6 +169,7 @@
             failure_share=round(place.state.failure_share, 3),
             attempt=self._job.sent + 1,
         )
+        self._job.note_attempt_started(place)
         attempt = eventlet.spawn(self._run_attempt_thread, place)
         self._running_attempts[attempt] = place
 
@@ -179,6 +181,7 @@
         finally:
             has_answer = isinstance(result, CompleteAnswer)
             place.release(has_answer)
+            self._job.note_attempt_ended(place)
             self._running_attempts.pop(eventlet.getcurrent(), None)
             self._results.put(result)
 
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -26,7 +26,7 @@
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.retry_share import RetryShare
-from boragedeck.process.relaying.rollouts import RelayRollouts
+from boragedeck.process.relaying.rollouts import RelayRollouts, WaitingRun
 from boragedeck.process.relaying.stream_pace import StreamTimeEstimator
 from boragedeck.process.timers import TimerService
 from boragedeck.request.events import EventExcessError
@@ -164,6 +164,7 @@
         self.sent = 0
         # All attempts that were sent; those after the first are charged as repeats.
         self.delivered_attempts = 0
+        self._waiting_runs: dict[Place, WaitingRun] = {}
         self._backoff_s = FIRST_BACKOFF_S
         self.may_have_run = False
 
@@ -285,6 +286,19 @@
         )
         self._count_end("left")
 
+    def note_attempt_started(self, place: Place) -> None:
+        """Record that an attempt begins; `note_attempt_ended` must follow."""
+        replica = place.state.replica
+        self._waiting_runs[place] = self.parts.rollouts.begin(
+            replica, self._stratum(place)
+        )
+
+    def note_attempt_ended(self, place: Place) -> None:
+        """Record that an attempt has ended, with or without an outcome."""
+        run = self._waiting_runs.pop(place, None)
+        if run is not None:
+            self.parts.rollouts.end(run, has_outcome=False)
+
     def note_outcome(
         self, place: Place, outcome: Outcome | None, first_output_s: float | None = None
     ) -> None:
@@ -300,15 +314,15 @@
             Time from its start to the first output, or to the complete answer of a
             call, in seconds.
         """
+        run = self._waiting_runs.pop(place, None)
+        if run is not None:
+            self.parts.rollouts.end(run, has_outcome=True)
         replica = place.state.replica
-        # Versions are compared per failure domain and route, since a version may
-        # fail on one route only.
-        stratum = FailureDomain(f"{replica.failure_domain} {self.rule.name}")
         sample = RunSample(
             route=self.rule.name,
             version=replica.version,
             upstream=UpstreamName(replica.replica),
-            failure_domain=stratum,
+            failure_domain=self._stratum(place),
             outcome=outcome,
             first_token_s=first_output_s,
             gap_s=None,
@@ -337,6 +351,16 @@
             after_s=round(self.parts.timers.now() - place.since, 3),
         )
 
+    def _stratum(self, place: Place) -> FailureDomain:
+        """Return the domain in which the versions are compared.
+
+        Notes
+        -----
+        Versions are compared per failure domain and route, since a version may fail on
+        one route only.
+        """
+        return FailureDomain(f"{place.state.replica.failure_domain} {self.rule.name}")
+
     def _count_end(self, outcome: str) -> float:
         self.parts.metrics.requests.labels(self.rule.kind.value, outcome).inc()
         return self.parts.timers.now() - self.req.arrived
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -87,10 +87,12 @@
             if place is None:
                 return
             outcome = AttemptOutcome.LOST
+            job.note_attempt_started(place)
             try:
                 outcome = self._run_attempt(place)
             finally:
                 place.release(outcome is AttemptOutcome.COMPLETE and job.sent == 1)
+                job.note_attempt_ended(place)
             if outcome is AttemptOutcome.COMPLETE:
                 self._finish()
                 return
--- a/boragedeck/version/evidence.py
+++ b/boragedeck/version/evidence.py
@@ -17,6 +17,7 @@
     "hash_fingerprint",
     "is_loss",
     "trials",
+    "waiting_runs",
 ]
 
 BUCKETS_PER_DOUBLING = 4
@@ -48,6 +49,9 @@
         Histogram of the time to the first token, in logarithmic buckets.
     gap : dict of int to int
         Histogram of the mean time between tokens, in logarithmic buckets.
+    waiting : dict of int to int
+        Histogram of the ages of runs without a first token, in logarithmic buckets:
+        of those that run, and of those whose caller left.
     """
 
     trials: int = 0
@@ -55,6 +59,7 @@
     long_trials: int = 0
     first_token: dict[int, int] = msgspec.field(default_factory=dict)
     gap: dict[int, int] = msgspec.field(default_factory=dict)
+    waiting: dict[int, int] = msgspec.field(default_factory=dict)
 
     def add(self, sample: RunSample, *, is_trial: bool, has_gap: bool) -> None:
         """Count a sample; `has_gap` says whether to count its time between tokens."""
@@ -66,6 +71,10 @@
         if has_gap:
             _add_to_histogram(self.gap, sample.gap_s)
 
+    def add_waiting(self, age_s: float) -> None:
+        """Count a run that has no first token at an age, in seconds."""
+        _add_to_histogram(self.waiting, age_s)
+
     def merge(self, other: "Cell") -> None:
         """Add the counts of another cell."""
         self.trials += other.trials
@@ -73,6 +82,7 @@
         self.long_trials += other.long_trials
         _merge_histogram(self.first_token, other.first_token)
         _merge_histogram(self.gap, other.gap)
+        _merge_histogram(self.waiting, other.waiting)
 
 
 Cells = dict[FailureDomain, Cell]
@@ -83,6 +93,11 @@
     return sum(cell.trials for cell in cells.values())
 
 
+def waiting_runs(cells: Cells) -> int:
+    """Return the total number of runs without a first token of all cells."""
+    return sum(sum(cell.waiting.values()) for cell in cells.values())
+
+
 class Evidence(msgspec.Struct, array_like=True):
     """Counts of the new and the old versions, by failure domain.
 
@@ -108,13 +123,14 @@
             cells = self.late_new if is_new else self.late_old
         else:
             cells = self.new if is_new else self.old
-        domain = sample.failure_domain
-        if domain not in cells and len(cells) >= MAX_DOMAINS:
-            domain = OTHER_DOMAIN
-        cell = cells.setdefault(domain, Cell())
+        cell = _cell_of(cells, sample.failure_domain)
         is_trial = is_late or _counts_as_trial(sample)
         cell.add(sample, is_trial=is_trial, has_gap=_counts_gap(sample, is_late))
 
+    def add_waiting(self, domain: FailureDomain, age_s: float, *, is_new: bool) -> None:
+        """Count a run that has no first token at an age, in seconds."""
+        _cell_of(self.new if is_new else self.old, domain).add_waiting(age_s)
+
     def merge(self, other: "Evidence") -> None:
         """Add the counts of other evidence."""
         pairs = (
@@ -204,6 +220,12 @@
     return xxhash.xxh32_intdigest(fingerprint.encode()) if fingerprint else 0
 
 
+def _cell_of(cells: Cells, domain: FailureDomain) -> Cell:
+    if domain not in cells and len(cells) >= MAX_DOMAINS:
+        domain = OTHER_DOMAIN
+    return cells.setdefault(domain, Cell())
+
+
 def _counts_as_trial(sample: RunSample) -> bool:
     """Return whether a sample counts its run as a trial; one sample of a run does."""
     return sample.first_token_s is not None or (
--- a/boragedeck/version/judgement.py
+++ b/boragedeck/version/judgement.py
@@ -9,9 +9,10 @@
 ratios are multiplied over the tables, and a CUSUM of their logarithms detects a change
 at any time. An engine slows down with its load, at most in proportion to it. If each
 upstream of the new version serves more requests than one of the old version, only
-slowness beyond that proportion counts against the new version. For each group of
-windows, one such test rejects a version that equals the old one with a probability of
-at most `FALSE_ALARM_RATE`.
+slowness beyond that proportion counts against the new version. A run without a first
+token counts as slow as soon as its age shows it, and isn't counted before. For each
+group of windows, one such test rejects a version that equals the old one with a
+probability of at most `FALSE_ALARM_RATE`.
 """
 
 import math
@@ -26,6 +27,7 @@
     Cells,
     Evidence,
     trials,
+    waiting_runs,
 )
 
 __all__ = [
@@ -163,14 +165,20 @@
     shift = _load_shift(evidence, upstream_counts)
     strata = _stratify(evidence.new, evidence.old)
     strata += _stratify(evidence.late_new, evidence.late_old)
+    median = _median_bucket(evidence.total(is_new=False).first_token)
     tables = {
         FAILURES: [_failure_table(new, old) for new, old in strata],
         FIRST_TOKEN: [
-            _slowness_table(_shift_buckets(new.first_token, shift), old.first_token)
+            _slowness_table(
+                _shift_buckets(new.first_token, shift),
+                old.first_token,
+                _shift_buckets(_long_waits(new, median), shift),
+                _long_waits(old, median),
+            )
             for new, old in strata
         ],
         GAP: [
-            _slowness_table(_shift_buckets(new.gap, shift), old.gap)
+            _slowness_table(_shift_buckets(new.gap, shift), old.gap, {}, {})
             for new, old in strata
         ],
     }
@@ -218,11 +226,11 @@
     strata, unmatched = [], Cell()
     for domain, new in new_cells.items():
         old = old_cells.get(domain)
-        if old is not None and old.trials:
+        if old is not None and (old.trials or old.waiting):
             strata.append((new, old))
         else:
             unmatched.merge(new)
-    if unmatched.trials or unmatched.failures:
+    if unmatched.trials or unmatched.failures or unmatched.waiting:
         # The old version had no trials in these domains at the time, so the total of
         # all its domains is the nearest thing to compare with.
         all_old = Cell()
@@ -238,9 +246,23 @@
     return new.failures, new_trials, old.failures, max(old.trials, old.failures)
 
 
+def _long_waits(cell: Cell, median: int | None) -> dict[int, int]:
+    """Return the ages above the median of runs without a first token."""
+    if median is None:
+        return {}
+    return {index: count for index, count in cell.waiting.items() if index > median}
+
+
+def _median_bucket(histogram: dict[int, int]) -> int | None:
+    if not histogram:
+        return None
+    return _quantile(histogram, {}, sum(histogram.values()) / 2)
+
+
 def _load_shift(evidence: Evidence, upstream_counts: UpstreamCounts) -> int:
     """Return by how many buckets its higher load alone may slow the new version."""
-    new, old = trials(evidence.new), trials(evidence.old)
+    new = trials(evidence.new) + waiting_runs(evidence.new)
+    old = trials(evidence.old) + waiting_runs(evidence.old)
     if not new or not old:
         return 0
     load_ratio = (
@@ -253,17 +275,38 @@
     return {index - buckets: count for index, count in histogram.items()}
 
 
-def _slowness_table(new: dict[int, int], old: dict[int, int]) -> ContingencyTable:
-    """Count the values above a cut that is a quantile of both versions together."""
-    new_total, old_total = sum(new.values()), sum(old.values())
+def _slowness_table(
+    new: dict[int, int],
+    old: dict[int, int],
+    new_waits: dict[int, int],
+    old_waits: dict[int, int],
+) -> ContingencyTable:
+    """Count the values above a cut that is a quantile of both versions together.
+
+    Notes
+    -----
+    A wait is a lower limit of a value, so one below the cut is left out.
+    """
+    all_new, all_old = _sum_histograms(new, new_waits), _sum_histograms(old, old_waits)
+    new_total, old_total = sum(all_new.values()), sum(all_old.values())
     total = new_total + old_total
     if not new_total or not old_total:
         return 0, new_total, 0, old_total
     # If all values of the new version were slower, this cut would separate the two
     # versions.
     share = min(MAX_CUT_QUANTILE, max(MIN_CUT_QUANTILE, old_total / total))
-    cut = _quantile(new, old, share * total)
-    return _count_above(new, cut), new_total, _count_above(old, cut), old_total
+    cut = _quantile(all_new, all_old, share * total)
+    new_above, old_above = _count_above(all_new, cut), _count_above(all_old, cut)
+    new_below = sum(new.values()) - _count_above(new, cut)
+    old_below = sum(old.values()) - _count_above(old, cut)
+    return new_above, new_above + new_below, old_above, old_above + old_below
+
+
+def _sum_histograms(one: dict[int, int], other: dict[int, int]) -> dict[int, int]:
+    return {
+        index: one.get(index, 0) + other.get(index, 0)
+        for index in one.keys() | other.keys()
+    }
 
 
 def _quantile(new: dict[int, int], old: dict[int, int], rank: float) -> int:
@@ -298,7 +341,5 @@
 
 
 def _median_ms(histogram: dict[int, int]) -> str:
-    if not histogram:
-        return "unknown"
-    index = _quantile(histogram, {}, sum(histogram.values()) / 2)
-    return f"{2 ** (index / 4) / 1000:.1f} ms"
+    index = _median_bucket(histogram)
+    return "unknown" if index is None else f"{2 ** (index / 4) / 1000:.1f} ms"
--- a/tests/process/relaying/test_rollouts.py
+++ b/tests/process/relaying/test_rollouts.py
@@ -48,7 +48,9 @@
         return Ok(self.version)
 
 
-class RolloutTest(unittest.TestCase):
+class RolloutCase(unittest.TestCase):
+    """Three routers that share the operators' row."""
+
     def setUp(self):
         self.timers = ManualTimers()
         self.board = FakeBoard()
@@ -75,8 +77,9 @@
         rollouts.start()
         return rollouts
 
-    def order(self, version=50):
-        body = msgspec.json.encode({"service": "p", "to": "v2", "durationS": 12})
+    def order(self, version=50, duration_s=12):
+        order = {"service": "p", "to": "v2", "durationS": duration_s}
+        body = msgspec.json.encode(order)
         row = Change("rollout/p", body, version)
         for mirror in self.mirrors:
             mirror.apply(Changes((row,), version))
@@ -98,6 +101,8 @@
             self.timers.advance(1.0 / per_s)
         return new, bad
 
+
+class RolloutTest(RolloutCase):
     def test_good_version_is_completed_before_its_time_limit(self):
         self.order()
         self.simulate(DURATION_S)
@@ -162,6 +167,55 @@
         self.assertEqual(share_at(0.5, 0.1, ROLLED_BACK), 0.0)
 
 
+class StreamRolloutTest(RolloutCase):
+    """Streams whose first output comes after a second, or after several."""
+
+    duration_s = 15.0
+    first_s = 1.1
+
+    def setUp(self):
+        super().setUp()
+        self.sent = {OLD: 0, NEW: 0}
+
+    def stream(self, router, slow, patience_s=20.0):
+        """Send one stream to a version; its caller waits for a time only."""
+        chosen = NEW if router.replica_filter("p")(NEW) else OLD
+        self.sent[chosen] += 1
+        took_s = self.first_s * self.rng.uniform(0.7, 1.6)
+        took_s *= slow if chosen is NEW else 1.0
+        run = router.begin(chosen, chosen.failure_domain)
+
+        def end():
+            router.end(run, has_outcome=took_s <= patience_s)
+            if took_s <= patience_s:
+                router.note(chosen, sample(chosen, False, took_s))
+
+        self.timers.call_later(min(took_s, patience_s), end)
+
+    def play(self, per_s, slow=1.0, **fields):
+        self.order(duration_s=int(self.duration_s))
+        self.simulate_streams(self.duration_s, per_s, slow=slow, **fields)
+
+    def simulate_streams(self, seconds, per_s, **fields):
+        for _ in range(int(seconds * per_s)):
+            self.stream(self.rng.choice(self.routers), **fields)
+            self.timers.advance(1.0 / per_s)
+
+    def test_streams_that_wait_for_their_first_output_say_nothing(self):
+        self.play(per_s=20, slow=7.0)
+        self.assertEqual(self.board.history[-1], ROLLED_BACK)
+        total = 20 * self.duration_s
+        self.assertLessEqual(self.sent[NEW], BOUNDS.exposure_share * total)
+
+    def test_streams_whose_callers_leave_before_the_first_output_say_nothing(self):
+        self.play(per_s=20, slow=7.0, patience_s=2.5)
+        self.assertEqual(self.board.history[-1], ROLLED_BACK)
+
+    def test_good_version_is_rolled_back_because_streams_wait(self):
+        self.play(per_s=20)
+        self.assertEqual(self.board.history, [RUNNING, COMPLETED])
+
+
 def sample(chosen, is_bad, took_s):
     return RunSample(
         route="r",
--- a/tests/version/test_judgement.py
+++ b/tests/version/test_judgement.py
@@ -106,6 +106,31 @@
             groups = [group(rng, new, old) for _ in range(400)]
             self.assertFalse(is_rejected(score_of(groups)), (new, old))
 
+    def waiting_score(self, rng, slow):
+        """Return the score of runs that were sent in the last 3 s."""
+        evidence = Evidence()
+        for is_new, count in ((True, 30), (False, 60)):
+            for _ in range(count):
+                age_s = rng.uniform(0.0, 3.0)
+                took_s = rng.lognormvariate(0.1, 0.4) * (slow if is_new else 1.0)
+                domain = rng.choice(DOMAINS)
+                if took_s <= age_s:
+                    added = sample(domain, first_token_s=took_s)
+                    evidence.add(added, is_new=is_new, is_late=False)
+                else:
+                    evidence.add_waiting(domain, age_s, is_new=is_new)
+        return group_score(evidence, UpstreamCounts(1, 2))
+
+    def test_runs_that_still_wait_reject_a_good_version(self):
+        rng = random.Random(4)
+        for _ in range(300):
+            self.assertFalse(is_rejected(self.waiting_score(rng, 1.0)))
+
+    def test_runs_that_still_wait_are_no_evidence(self):
+        rng = random.Random(5)
+        rejected = sum(is_rejected(self.waiting_score(rng, 8.0)) for _ in range(50))
+        self.assertGreaterEqual(rejected, 25)
+
     def test_common_cause_is_not_counted(self):
         rng = random.Random(3)
         groups = [
