--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -177,10 +177,7 @@
         rollout = self._rollouts.get(pool)
         if rollout is None:
             return _any_replica
-        elapsed = rollout.elapsed(self._timers.now())
-        share = share_at(elapsed, self._bounds().exposure_share, rollout.result)
-        if rollout.decided_result is RolloutResult.ROLLED_BACK:
-            share = 0.0
+        share = self._share(rollout)
         to, is_new = rollout.order.to, self._rng.random() < share
         return lambda replica: (replica.version == to) == is_new
 
@@ -248,6 +245,17 @@
             row_version=change.version,
         )
 
+    def _share(self, rollout: _Rollout) -> float:
+        """Return the new version's share of the pool's requests."""
+        if rollout.decided_result is RolloutResult.ROLLED_BACK:
+            return 0.0
+        order = rollout.order
+        if not any(each.version == order.to for each in self._replicas(order.pool)):
+            # Its replicas start after the order, and a request must not wait for them.
+            return 0.0
+        elapsed = rollout.elapsed(self._timers.now())
+        return share_at(elapsed, self._bounds().exposure_share, rollout.result)
+
     def _publish_evidence(self, rollout: _Rollout) -> None:
         key = f"{rollout.order.pool}/{rollout.number}"
         body = msgspec.msgpack.encode(rollout.evidence_at(self._timers.now()))
--- a/tests/process/relaying/test_rollouts.py
+++ b/tests/process/relaying/test_rollouts.py
@@ -157,6 +157,15 @@
         self.simulate(DURATION_S)
         self.assertEqual(self.board.history[-1], COMPLETED)
 
+    def test_request_waits_for_a_version_whose_replicas_have_not_started(self):
+        self.replicas = [OLD]
+        self.order()
+        new, _ = self.simulate(1.0, per_s=200)
+        self.assertEqual(new, 0)
+        self.replicas = [OLD, NEW]
+        new, _ = self.simulate(1.0, per_s=200)
+        self.assertGreater(new, 0)
+
     def test_pool_without_an_order_uses_all_versions(self):
         allows = self.routers[0].replica_filter("q")
         self.assertTrue(allows(NEW) and allows(OLD))
