--- a/boragedeck/platform/settings.py
+++ b/boragedeck/platform/settings.py
@@ -33,6 +33,7 @@
     budget_window_s: float = 10
     retry_budget_extra: float = 150
     exposure_share: float = 0.1
+    exposure_slack: float = 0
     config_apply_ms: float = 2000
 
 
@@ -111,6 +112,7 @@
             retry_window_s=bounds.budget_window_s,
             retry_extra=bounds.retry_budget_extra,
             exposure_share=bounds.exposure_share,
+            exposure_extra=bounds.exposure_slack,
             config_apply_s=bounds.config_apply_ms / 1000.0,
         ),
         capacity=limits.link_mbps * limits.cpu_share * limits.cores,
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -249,6 +249,7 @@
             self._board,
             self._source.bounds,
             self._replicas_of,
+            self._membership.routers,
         )
         self._upstreams = UpstreamPool(self.timers, self._max_idle_per_replica)
         self._loads = LoadExchange(
--- a/boragedeck/process/relaying/rollout_plan.py
+++ b/boragedeck/process/relaying/rollout_plan.py
@@ -2,14 +2,23 @@
 
 import msgspec
 
+from boragedeck.process.relaying.settings import Bounds
 from boragedeck.version.relay_rollouts import RolloutResult
 
-__all__ = ["Stage", "finish_at", "share_at"]
+__all__ = ["Stage", "finish_at", "share_at", "trial_share"]
 
 EXPOSURE_SAFETY = 0.8
 """Part of the exposure share that a new version gets during its trial."""
 
 
+TRIAL_REQUESTS = 12
+"""Number of requests that a new version should get during its trial."""
+MAX_TRIAL_SHARE = 0.5
+EXTRA_SAFETY = 0.25
+"""Part of the fixed number of requests that a bad version may get which is used to
+reach `TRIAL_REQUESTS`."""
+
+
 class Stage(msgspec.Struct, frozen=True):
     """A stage of a rollout.
 
@@ -31,15 +40,38 @@
 """The remaining time is reserved for the write that ends the rollout."""
 
 
-def share_at(elapsed: float, exposure_share: float, result: RolloutResult) -> float:
+def trial_share(bounds: Bounds, per_s: float, duration_s: float) -> float:
+    """Return the share of requests that the new version gets during its trial.
+
+    Parameters
+    ----------
+    bounds : Bounds
+        The operators' bounds on what a bad version may get.
+    per_s : float
+        The pool's requests per second at all routers.
+    duration_s : float
+        The rollout's duration, in seconds.
+
+    Notes
+    -----
+    If the usual share of a small pool gives too few requests to judge the version by,
+    it gets a larger one, within the bound's fixed number of requests.
+    """
+    usual = EXPOSURE_SAFETY * bounds.exposure_share
+    wanted = min(TRIAL_REQUESTS, EXTRA_SAFETY * bounds.exposure_extra)
+    expected = per_s * TRIAL_UNTIL * duration_s
+    return max(usual, min(MAX_TRIAL_SHARE, wanted / max(wanted, expected, 1.0)))
+
+
+def share_at(elapsed: float, trial: float, result: RolloutResult) -> float:
     """Return the share of requests that the new version gets.
 
     Parameters
     ----------
     elapsed : float
         Elapsed share of the rollout's duration; 1 at its deadline.
-    exposure_share : float
-        Maximum share of all requests that a bad version may get.
+    trial : float
+        The share during the trial; see `trial_share`.
     result : RolloutResult
         The rollout's current result.
     """
@@ -49,10 +81,10 @@
         case RolloutResult.ROLLED_BACK:
             return 0.0
     if elapsed < TRIAL_UNTIL:
-        return EXPOSURE_SAFETY * exposure_share
+        return trial
     for stage in RAMP_STAGES:
         if elapsed < stage.until:
-            return stage.share
+            return max(trial, stage.share)
     return 1.0
 
 
--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -19,8 +19,9 @@
 from boragedeck.ids import FailureDomain, PoolName, Version
 from boragedeck.interfaces import FactBoard, RunSample
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.rollout_plan import finish_at, share_at
+from boragedeck.process.relaying.rollout_plan import finish_at, share_at, trial_share
 from boragedeck.process.relaying.settings import Bounds
+from boragedeck.process.relaying.sliding_window_counter import SlidingWindowCounter
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 from boragedeck.version.evidence import Evidence
@@ -36,6 +37,8 @@
 __all__ = ["RelayRollouts", "RolloutBoard", "PublishedRollout", "WaitingRun"]
 
 TICK_S = 0.5
+RATE_WINDOW_S = 10.0
+"""Time over which a router counts its requests, to estimate those of all routers."""
 EVIDENCE_TTL_S = 120.0
 MAX_FINISH_DELAY_S = 1.0
 """Routers end a rollout at random delays, so that most find it already ended."""
@@ -142,6 +145,8 @@
         Returns the operators' bounds.
     replicas : callable
         Returns the replicas of a pool that accept requests.
+    routers : callable
+        Returns the number of routers, with this one.
     """
 
     def __init__(
@@ -155,6 +160,7 @@
         facts: FactBoard,
         bounds: Callable[[], Bounds],
         replicas: Callable[[PoolName], list[Replica]],
+        routers: Callable[[], int],
     ):
         self._timers = timers
         self._rng = rng
@@ -164,6 +170,8 @@
         self._facts = facts
         self._bounds = bounds
         self._replicas = replicas
+        self._routers = routers
+        self._requests = SlidingWindowCounter(timers)
         self._rollouts: dict[PoolName, _Rollout] = {}
         mirror.subscribe(self._on_order)
         facts.subscribe(FactTopic.ROLLOUT_STOP, self._on_stop)
@@ -174,6 +182,7 @@
 
     def replica_filter(self, pool: PoolName) -> Callable[[Replica], bool]:
         """Return which replicas of a pool may serve one request, as a predicate."""
+        self._requests.note(pool)
         rollout = self._rollouts.get(pool)
         if rollout is None:
             return _any_replica
@@ -253,8 +262,15 @@
         if not any(each.version == order.to for each in self._replicas(order.pool)):
             # Its replicas start after the order, and a request must not wait for them.
             return 0.0
-        elapsed = rollout.elapsed(self._timers.now())
-        return share_at(elapsed, self._bounds().exposure_share, rollout.result)
+        trial = trial_share(
+            self._bounds(), self._requests_per_s(order.pool), order.duration_s
+        )
+        return share_at(rollout.elapsed(self._timers.now()), trial, rollout.result)
+
+    def _requests_per_s(self, pool: PoolName) -> float:
+        """Estimate the requests of a pool at all routers from those at this one."""
+        own = self._requests.count_within(pool, RATE_WINDOW_S) / RATE_WINDOW_S
+        return own * self._routers()
 
     def _publish_evidence(self, rollout: _Rollout) -> None:
         key = f"{rollout.order.pool}/{rollout.number}"
--- a/boragedeck/process/relaying/settings.py
+++ b/boragedeck/process/relaying/settings.py
@@ -21,8 +21,9 @@
         Repeats allowed in a window: a share of the requests, plus a fixed number.
     retry_window_s : float
         The length of that window.
-    exposure_share : float
-        The share of all requests that a bad version may get.
+    exposure_share, exposure_extra : float
+        Requests that a bad version may get: a share of all requests, plus a fixed
+        number.
     config_apply_s : float
         From the store's confirmation of a change until the change is in force.
     """
@@ -33,6 +34,7 @@
     retry_window_s: float
     retry_extra: float
     exposure_share: float
+    exposure_extra: float = 0.0
     config_apply_s: float
 
 
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -57,6 +57,7 @@
     retry_window_s=10.0,
     retry_extra=150.0,
     exposure_share=0.1,
+    exposure_extra=50.0,
     config_apply_s=4.0,
 )
 ENGINE = EngineProfile(64, 88_000, can_back_up=True, models=frozenset({"m"}))
@@ -362,6 +363,7 @@
                 FakeFactBoard(),
                 lambda: BOUNDS,
                 lambda pool: [],
+                lambda: 1,
             ),
             durations=RequestDurations(),
             pace=StreamTimeEstimator(),
