--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -325,7 +325,9 @@
     def _on_stop(self, fact: Fact) -> None:
         for rollout in self._rollouts.values():
             if fact.key == f"{rollout.order.pool}/{rollout.number}":
-                if rollout.decided_result is not RolloutResult.ROLLED_BACK:
+                is_running = rollout.result is RolloutResult.RUNNING
+                is_decided = rollout.decided_result is RolloutResult.ROLLED_BACK
+                if is_running and not is_decided:
                     reason = f"stopped by {fact.origin}"
                     self._decide(rollout, RolloutResult.ROLLED_BACK, reason)
 
--- a/tests/process/relaying/test_rollouts.py
+++ b/tests/process/relaying/test_rollouts.py
@@ -4,6 +4,7 @@
 import msgspec
 from result import Err, Ok
 
+from boragedeck.connection.messages import FactTopic
 from boragedeck.connection.store import Change, Changes, Table
 from boragedeck.exceptions import StoreConflictError, StoreUnavailableError
 from boragedeck.interfaces import Outcome, RunSample
@@ -149,6 +150,13 @@
         self.simulate(1.0)
         self.assertEqual(self.board.history, [RUNNING, ROLLED_BACK])
 
+    def test_stop_that_comes_after_the_completion_takes_the_version_back(self):
+        self.order()
+        self.simulate(DURATION_S)
+        late = FakeFactBoard("r-9", self.shared)
+        late.publish(FactTopic.ROLLOUT_STOP, "p/50", b"")
+        self.assertTrue(self.routers[0].replica_filter("p")(NEW))
+
     def test_first_result_holds_for_all(self):
         self.order()
         self.simulate(1.0)
