--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -19,7 +19,15 @@
 from boragedeck.ids import FailureDomain, PoolName, Version
 from boragedeck.interfaces import FactBoard, RunSample
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.rollout_plan import finish_at, share_at, trial_share
+from boragedeck.process.relaying.rollout_plan import (
+    Doubt,
+    find_doubt,
+    finish_at,
+    give_up_at,
+    share_at,
+    trial_share,
+    usual_trial_share,
+)
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.sliding_window_counter import SlidingWindowCounter
 from boragedeck.process.relaying.table_mirror import TableMirror
@@ -94,6 +102,9 @@
         """Publish a result if the row still has the version that was read."""
 
 
+NOT_JUDGED = Doubt("not judged yet", is_suspicion=False)
+
+
 class _Rollout:
     """State of one rollout in this router."""
 
@@ -102,6 +113,8 @@
         self.number = number
         self.began = began
         self.finish_at = finish_at(began, order.duration_s) + delay_s
+        self.give_up_at = give_up_at(began, order.duration_s)
+        self.doubt: Doubt | None = NOT_JUDGED
         self.result = RolloutResult.RUNNING
         self.decided_result: RolloutResult | None = None
         self.is_published = False
@@ -265,6 +278,9 @@
         trial = trial_share(
             self._bounds(), self._requests_per_s(order.pool), order.duration_s
         )
+        if rollout.result is RolloutResult.RUNNING and rollout.doubt is not None:
+            is_suspicion = rollout.doubt.is_suspicion
+            return usual_trial_share(self._bounds()) if is_suspicion else trial
         return share_at(rollout.elapsed(self._timers.now()), trial, rollout.result)
 
     def _requests_per_s(self, pool: PoolName) -> float:
@@ -283,14 +299,29 @@
         total = self._total_evidence(rollout)
         score = group_score(total, self._room(rollout.order))
         if is_rejected(score):
-            self._decide(
-                rollout, RolloutResult.ROLLED_BACK, make_rejection(score, total).reason
-            )
-            self._facts.publish(
-                FactTopic.ROLLOUT_STOP, f"{rollout.order.pool}/{rollout.number}", b""
-            )
-        elif self._timers.now() >= rollout.finish_at:
-            self._decide(rollout, RolloutResult.COMPLETED, "no evidence against it")
+            self._stop(rollout, make_rejection(score, total).reason)
+            return
+        rollout.doubt = find_doubt(score, total)
+        self._finish_if_due(rollout, total)
+
+    def _finish_if_due(self, rollout: _Rollout, total: Evidence) -> None:
+        """End a rollout at its planned time, one way or the other."""
+        now, doubt = self._timers.now(), rollout.doubt
+        if doubt is None:
+            if now >= rollout.finish_at:
+                shown = total.total(is_new=True)
+                reason = f"{shown.trials} runs, {shown.failures} failed, and no doubt"
+                self._decide(rollout, RolloutResult.COMPLETED, reason)
+        elif doubt.is_suspicion and now >= rollout.finish_at:
+            self._stop(rollout, doubt.reason)
+        elif now >= rollout.give_up_at:
+            self._decide(rollout, RolloutResult.ROLLED_BACK, doubt.reason)
+
+    def _stop(self, rollout: _Rollout, reason: str) -> None:
+        """Roll a version back, and tell the other routers to stop sending to it."""
+        self._decide(rollout, RolloutResult.ROLLED_BACK, reason)
+        key = f"{rollout.order.pool}/{rollout.number}"
+        self._facts.publish(FactTopic.ROLLOUT_STOP, key, b"")
 
     def _room(self, order: RolloutOrder) -> UpstreamCounts:
         replicas = self._replicas(order.pool)
