--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -318,19 +318,11 @@
         run = self._waiting_runs.pop(place, None)
         if run is not None:
             self.parts.rollouts.end(run, has_outcome=True)
-        replica = place.state.replica
-        sample = RunSample(
-            route=self.rule.name,
-            version=replica.version,
-            upstream=UpstreamName(replica.replica),
-            failure_domain=self._stratum(place),
-            outcome=outcome,
-            first_token_s=first_output_s,
-            gap_s=None,
-            tokens=0,
-            age_s=self.parts.timers.now() - place.since,
-        )
-        self.parts.rollouts.note(replica, sample)
+        self._note_sample(place, outcome=outcome, first_token_s=first_output_s)
+
+    def note_gap(self, place: Place, gap_s: float) -> None:
+        """Record the mean gap between the events of an attempt, in seconds."""
+        self._note_sample(place, gap_s=gap_s)
 
     def note_miss(self, place: Place) -> None:
         """Record that a replica was not reached, or that its answer was lost."""
@@ -352,6 +344,28 @@
             after_s=round(self.parts.timers.now() - place.since, 3),
         )
 
+    def _note_sample(
+        self,
+        place: Place,
+        *,
+        outcome: Outcome | None = None,
+        first_token_s: float | None = None,
+        gap_s: float | None = None,
+    ) -> None:
+        replica = place.state.replica
+        sample = RunSample(
+            route=self.rule.name,
+            version=replica.version,
+            upstream=UpstreamName(replica.replica),
+            failure_domain=self._stratum(place),
+            outcome=outcome,
+            first_token_s=first_token_s,
+            gap_s=gap_s,
+            tokens=0,
+            age_s=self.parts.timers.now() - place.since,
+        )
+        self.parts.rollouts.note(replica, sample)
+
     def _stratum(self, place: Place) -> FailureDomain:
         return stratum_of(place.state.replica.failure_domain, self.rule.name)
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -16,6 +16,7 @@
 from boragedeck.process.relaying.admission import Place
 from boragedeck.process.relaying.replica_state import ReplicaState
 from boragedeck.request.events import EventError, EventExcessError, EventSplitter
+from boragedeck.request.gap_sampler import GapSampler
 from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
 from boragedeck.request.relay_job import RelayJob, log
 from boragedeck.request.relay_refusals import final_refusal, too_late_refusal
@@ -228,6 +229,7 @@
     def _read_events(self, place: Place, exchange: Exchange) -> AttemptOutcome:
         job = self._job
         splitter = EventSplitter(self._splitter.last_number)
+        gaps = GapSampler()
         last_event_at = job.parts.timers.now()
         while True:
             data = self._liveness.wait(place, exchange.read)
@@ -243,6 +245,9 @@
                 last_event_at = now
                 place.state.note_output(now)
                 self._note_output(place)
+                gap_s = gaps.note(len(events), now)
+                if gap_s is not None:
+                    job.note_gap(place, gap_s)
                 self._deliver(b"".join(event.data for event in events))
                 self._splitter.last_number = splitter.last_number
         if splitter.has_partial_event:
--- a/tests/process/relaying/test_rollouts.py
+++ b/tests/process/relaying/test_rollouts.py
@@ -193,11 +193,17 @@
 
     def setUp(self):
         super().setUp()
+        self.replicas = [OLD]
         self.sent = {OLD: 0, NEW: 0}
 
-    def stream(self, router, slow, patience_s=20.0):
+    def order(self, version=50, duration_s=15):
+        self.replicas = [OLD, NEW]
+        super().order(version, duration_s)
+
+    def stream(self, router, slow, patience_s=20.0, slow_gap=1.0):
         """Send one stream to a version; its caller waits for a time only."""
-        chosen = NEW if router.replica_filter("p")(NEW) else OLD
+        is_new = router.replica_filter("p")(NEW) and NEW in self.replicas
+        chosen = NEW if is_new else OLD
         self.sent[chosen] += 1
         took_s = self.first_s * self.rng.uniform(0.7, 1.6)
         took_s *= slow if chosen is NEW else 1.0
@@ -205,15 +211,20 @@
         stratum = stratum_of(domain, self.rng.choice(["r1", "r2", "r3"]))
         run = router.begin(chosen, stratum)
 
+        gap_s = 0.03 * self.rng.uniform(0.7, 1.6)
+        gap_s *= slow_gap if chosen is NEW else 1.0
+        gap = sample(chosen, False, None, stratum, gap_s)
+
         def end():
             router.end(run, has_outcome=took_s <= patience_s)
             if took_s <= patience_s:
                 router.note(chosen, sample(chosen, False, took_s, stratum))
+                self.timers.call_later(1.0, lambda: router.note(chosen, gap))
 
         self.timers.call_later(min(took_s, patience_s), end)
 
     def play(self, per_s, slow=1.0, **fields):
-        self.order(duration_s=int(self.duration_s))
+        self.order()
         self.simulate_streams(self.duration_s, per_s, slow=slow, **fields)
 
     def simulate_streams(self, seconds, per_s, **fields):
@@ -233,7 +244,7 @@
 
     def test_slow_version_of_a_small_pool_gets_too_few_streams_to_be_seen(self):
         self.simulate_streams(10.0, per_s=3, slow=7.0)
-        self.order(duration_s=15)
+        self.order()
         self.simulate_streams(TRIAL_UNTIL * 15.0, per_s=3, slow=7.0)
         self.assertGreaterEqual(self.sent[NEW], 6)
 
@@ -246,6 +257,14 @@
                 self.play(per_s=3, slow=slow)
                 self.assertEqual(self.board.history[-1], ROLLED_BACK, (slow, seed))
 
+    def test_version_whose_events_follow_slowly_is_completed(self):
+        for seed in range(10):
+            self.setUp()
+            self.rng.seed(seed)
+            self.simulate_streams(10.0, per_s=3, slow=1.0)
+            self.play(per_s=3, slow_gap=4.0)
+            self.assertEqual(self.board.history[-1], ROLLED_BACK, seed)
+
     def test_good_version_of_a_small_pool_is_rolled_back(self):
         completed = 0
         for seed in range(20):
@@ -258,7 +277,7 @@
 
     def test_suspect_version_of_a_small_pool_gets_the_share_of_a_trial(self):
         self.simulate_streams(10.0, per_s=3, slow=1.0)
-        self.order(duration_s=15)
+        self.order()
         router = self.routers[0]
         rollout = router._rollouts["p"]
         usual = usual_trial_share(BOUNDS)
@@ -267,8 +286,9 @@
         self.assertEqual(router._share(rollout), usual)
 
     def test_version_that_served_nothing_is_completed(self):
+        self.order()
         self.replicas = [OLD]
-        self.play(per_s=20)
+        self.simulate_streams(self.duration_s, per_s=20, slow=1.0)
         self.assertEqual(self.board.history[-1], ROLLED_BACK)
 
     def test_good_version_is_rolled_back_because_streams_wait(self):
@@ -276,14 +296,20 @@
         self.assertEqual(self.board.history, [RUNNING, COMPLETED])
 
 
-def sample(chosen, is_bad, took_s, stratum=None):
+def sample(chosen, is_bad, took_s, stratum=None, gap_s=None):
     return RunSample(
         route="r",
         version=chosen.version,
         upstream=chosen.replica,
         failure_domain=stratum or chosen.failure_domain,
-        outcome=Outcome.FAILED if is_bad else Outcome.COMPLETED,
+        outcome=_outcome(is_bad, gap_s),
         first_token_s=None if is_bad else took_s,
-        gap_s=None,
+        gap_s=gap_s,
         tokens=0,
     )
+
+
+def _outcome(is_bad, gap_s):
+    if gap_s is not None:
+        return None
+    return Outcome.FAILED if is_bad else Outcome.COMPLETED
--- a/tests/request/test_relay_stream.py
+++ b/tests/request/test_relay_stream.py
@@ -15,6 +15,7 @@
     not_run,
     read_response,
     report_model,
+    send_chunk,
     send_request,
     stay_silent,
     stream_rule,
@@ -41,6 +42,24 @@
         self.assertEqual((response.status, response.body), (200, events_up_to(3)))
         self.assertTrue(response.is_complete)
 
+    def test_version_of_a_running_stream_is_not_told_its_gap(self):
+        harness = self.harness()
+        samples = []
+        harness.parts.rollouts.note = lambda replica, sample: samples.append(sample)
+
+        def slow(sock, req):
+            for number in range(2, 16):
+                eventlet.sleep(0.1)
+                send_chunk(sock, event(number))
+            return False
+
+        harness.add(ScriptedReplica("one", events(1, ends=False, then=slow)))
+        harness.fetch(TOKENS)
+        gaps = [each.gap_s for each in samples if each.gap_s is not None]
+        self.assertEqual(len(gaps), 1)
+        self.assertGreaterEqual(gaps[0], 0.1)
+        self.assertLess(gaps[0], 0.2)
+
     def test_lost_stream_resumes_from_the_copy(self):
         harness = self.harness()
         one = ScriptedReplica("one", events(1, 2, ends=False, cut=b"id: 3\nda"))
