--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -36,7 +36,7 @@
 from boragedeck.process.relaying.crash_blame import CrashBlame
 from boragedeck.process.relaying.crash_reports import CrashReports
 from boragedeck.process.relaying.durations import RequestDurations
-from boragedeck.process.relaying.fleet_size import FleetSize
+from boragedeck.process.relaying.fleet_size import FleetSize, reachable_share
 from boragedeck.process.relaying.hubs import Hubs, choose_hubs
 from boragedeck.process.relaying.limit_grants import LimitGrants
 from boragedeck.process.relaying.limit_owners import LimitOwners
@@ -198,6 +198,12 @@
             select_row_owners=choose_hubs,
         )
 
+        self._fleet_size = FleetSize(
+            self.timers,
+            self._membership.routers,
+            lambda: bool(self._membership.seeds()),
+        )
+
     def _make_mirrors(self) -> None:
         self._hubs = Hubs(self.timers, self._membership)
         self._routing_mirror = TableMirror(Table.ROUTING)
@@ -300,12 +306,9 @@
         )
 
     def _make_limits(self) -> ReplicaLimits:
-        fleet_size = FleetSize(
-            self.timers,
-            self._membership.routers,
-            lambda: bool(self._membership.seeds()),
+        owners = LimitOwners(
+            self.timers, self._membership, self._hubs, self._fleet_size
         )
-        owners = LimitOwners(self.timers, self._membership, self._hubs, fleet_size)
         grants = LimitGrants(self.timers, owners, self._links, self._peer_server)
         return ReplicaLimits(
             self.timers, self._registry, grants, self._board, self.metrics
@@ -314,15 +317,17 @@
     def _make_retries(self) -> RetryShare:
         timers, bounds = self.timers, self._source.bounds
         reserve = RetryReserve(
-            timers, bounds, USABLE_SHARE, self._hubs, self._links, self._peer_server
-        )
-        return RetryShare(
             timers,
             bounds,
-            self._membership.routers,
-            reserve,
-            lambda: bool(self._membership.seeds()),
+            self._usable_share,
+            self._hubs,
+            self._links,
+            self._peer_server,
         )
+        return RetryShare(timers, bounds, self._fleet_size, reserve)
+
+    def _usable_share(self) -> float:
+        return USABLE_SHARE * reachable_share(self._membership, self._fleet_size)
 
     def _make_crash_blame(self) -> CrashBlame:
         reports = CrashReports(
--- a/boragedeck/process/relaying/fleet_size.py
+++ b/boragedeck/process/relaying/fleet_size.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable
 
+from boragedeck.ids import Health
+from boragedeck.interfaces import Membership
 from boragedeck.process.timers import TimerService
 
-__all__ = ["FleetSize"]
+__all__ = ["FleetSize", "reachable_share"]
 
 DISCOVERY_PERIOD_S = 10.0
 """How long after its start a router possibly doesn't know all others yet."""
@@ -48,3 +50,24 @@
         if known == 1 and self._has_seeds():
             return ASSUMED_FLEET_ROUTERS
         return max(known, ASSUMED_ROUTERS)
+
+
+def reachable_share(membership: Membership, fleet_size: FleetSize) -> float:
+    """Return the share of the routers that are reachable, this one included.
+
+    Parameters
+    ----------
+    membership : Membership
+        All routers as this one sees them.
+    fleet_size : FleetSize
+        The number of routers, unreachable ones included.
+
+    Notes
+    -----
+    If the network is split, the routers of each side keep a bound among themselves. If
+    each side uses its share of the bound only, all sides together keep it.
+    """
+    health = [member.health for member in membership.members()]
+    reachable = 1 + health.count(Health.HEALTHY)
+    staying = fleet_size.assumed() - health.count(Health.LEAVING)
+    return min(1.0, reachable / max(1, staying))
--- a/boragedeck/process/relaying/limit_owners.py
+++ b/boragedeck/process/relaying/limit_owners.py
@@ -7,7 +7,7 @@
 
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member, Membership
-from boragedeck.process.relaying.fleet_size import FleetSize
+from boragedeck.process.relaying.fleet_size import FleetSize, reachable_share
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.rendezvous import rank
 from boragedeck.process.timers import TimerService
@@ -60,13 +60,7 @@
         return rank(f"limit {replica}", self._candidates, _router_id)[0]
 
     def reachable_share(self) -> float:
-        """Return the share of the routers that are reachable, this one included.
-
-        Notes
-        -----
-        If the network is split, each side has an owner. Each grants its side's share of
-        the limit, so that all sides together keep it.
-        """
+        """See `fleet_size.reachable_share`."""
         self._refresh()
         return self._reachable_share
 
@@ -82,11 +76,7 @@
         self._read_at = now
         others = self._membership.members()
         healthy = [member for member in others if member.health is Health.HEALTHY]
-        leaving = sum(member.health is Health.LEAVING for member in others)
-        reachable = 1 + len(healthy)
-        self._reachable_share = min(
-            1.0, reachable / max(1, self._fleet_size.assumed() - leaving)
-        )
+        self._reachable_share = reachable_share(self._membership, self._fleet_size)
         own = self._membership.own
         is_staying = own.health is Health.HEALTHY
         everyone = [own, *healthy] if is_staying or not healthy else healthy
--- a/boragedeck/process/relaying/retry_reserve.py
+++ b/boragedeck/process/relaying/retry_reserve.py
@@ -53,8 +53,8 @@
         The source of time.
     bounds : callable
         Returns the operators' bounds, which hold for all routers together.
-    share : float
-        Share of the bound that is used.
+    share : callable
+        Returns the share of the bound that the hubs known to this router may use.
     hubs : Hubs
         The hubs.
     links : PeerLinks
@@ -67,7 +67,7 @@
         self,
         timers: TimerService,
         bounds: Callable[[], Bounds],
-        share: float,
+        share: Callable[[], float],
         hubs: Hubs,
         links: PeerLinks,
         server: PeerServer,
@@ -107,7 +107,7 @@
         bounds = self._bounds()
         hubs = len(self._hubs.peer_hubs()) + 1
         granted = self._granted.count_within(pool, bounds.retry_window_s)
-        if granted + 1 > self._share * bounds.retry_extra / hubs:
+        if granted + 1 > self._share() * bounds.retry_extra / hubs:
             return False
         self._granted.note(pool)
         return True
--- a/boragedeck/process/relaying/retry_share.py
+++ b/boragedeck/process/relaying/retry_share.py
@@ -48,24 +48,21 @@
         The source of time.
     bounds : callable
         Returns the operators' bounds, which hold for all routers together.
-    routers : callable
-        Returns the number of routers that share the fixed part, with this one.
+    fleet_size : FleetSize
+        The number of routers that share the fixed part.
     reserve : Reserve
         Holds the fixed part if the fleet has hubs.
-    has_seeds : callable, optional
-        Returns whether the settings name other routers.
     """
 
     def __init__(
         self,
         timers: TimerService,
         bounds: Callable[[], Bounds],
-        routers: Callable[[], int],
+        fleet_size: FleetSize,
         reserve: Reserve,
-        has_seeds: Callable[[], bool] = lambda: False,
     ):
         self._bounds = bounds
-        self._fleet_size = FleetSize(timers, routers, has_seeds)
+        self._fleet_size = fleet_size
         self._reserve = reserve
         self._requests = SlidingWindowCounter(timers)
         self._repeats = SlidingWindowCounter(timers)
--- a/tests/process/relaying/test_retry_reserve.py
+++ b/tests/process/relaying/test_retry_reserve.py
@@ -1,6 +1,11 @@
 import unittest
+from functools import partial
 
-from boragedeck.process.relaying.hubs import Hubs
+import msgspec
+
+from boragedeck.ids import Health
+from boragedeck.process.relaying.fleet_size import FleetSize, reachable_share
+from boragedeck.process.relaying.hubs import CACHE_TTL_S, Hubs
 from boragedeck.process.relaying.retry_reserve import RetryReserve
 from boragedeck.process.relaying.retry_share import USABLE_SHARE, RetryShare
 from boragedeck.process.timers import ManualTimers
@@ -11,25 +16,49 @@
 DOMAINS = 5
 
 
+class SplitMembers(Members):
+    """Members of which some are unreachable."""
+
+    def __init__(self, names, own, domains):
+        super().__init__(names, own, domains)
+        self.unreachable = set()
+
+    def members(self):
+        """See `Membership.members`."""
+        return [
+            msgspec.structs.replace(each, health=Health.SUSPECT)
+            if each.router in self.unreachable
+            else each
+            for each in super().members()
+        ]
+
+
 class RetryReserveTest(unittest.TestCase):
     """Routers with one stream each, before the loss of a failure domain."""
 
     def setUp(self):
         self.timers, self.net = ManualTimers(), Network()
         names = [f"r{number}" for number in range(ROUTERS)]
-        self.shares, self.hubs = {}, {}
+        self.shares, self.hubs, self.members = {}, {}, {}
         for name in names:
-            members = Members(names, name, DOMAINS)
+            members = self.members[name] = SplitMembers(names, name, DOMAINS)
+            size = FleetSize(self.timers, members.routers)
             hubs = self.hubs[name] = Hubs(self.timers, members)
             server = Server(self.net, name)
             reserve = RetryReserve(
-                self.timers, lambda: BOUNDS, USABLE_SHARE, hubs, self.net, server
-            )
-            self.shares[name] = RetryShare(
-                self.timers, lambda: BOUNDS, lambda: ROUTERS, reserve
+                self.timers,
+                lambda: BOUNDS,
+                partial(self.usable_share, members, size),
+                hubs,
+                self.net,
+                server,
             )
+            self.shares[name] = RetryShare(self.timers, lambda: BOUNDS, size, reserve)
         self.non_hubs = [name for name in names if not self.hubs[name].is_hub()]
 
+    def usable_share(self, members, size):
+        return USABLE_SHARE * reachable_share(members, size)
+
     def taken(self, names, each):
         return sum(self.shares[name].take("p") for name in names for _ in range(each))
 
@@ -45,6 +74,22 @@
         bound = BOUNDS.retry_ratio * ROUTERS + BOUNDS.retry_extra
         self.assertLessEqual(self.taken(self.shares, 3), bound)
 
+    def test_both_sides_of_a_split_network_use_the_whole_reserve(self):
+        sides = [set(self.shares) - self.domains("d0", "d1")]
+        sides.append(set(self.shares) - sides[0])
+        for side in sides:
+            for name in side:
+                self.members[name].unreachable = set(self.shares) - side
+        self.timers.advance(CACHE_TTL_S)
+        bound = BOUNDS.retry_extra
+        taken = self.taken(self.non_hubs, 3)
+        self.assertLessEqual(taken, bound)
+        self.assertGreaterEqual(taken, 0.7 * bound)
+
+    def domains(self, *names):
+        own = {name: each.own.failure_domain for name, each in self.members.items()}
+        return {name for name, domain in own.items() if domain in names}
+
     def test_reserve_refills_as_the_window_slides(self):
         first = self.taken(self.non_hubs, 3)
         self.assertEqual(self.taken(self.non_hubs, 1), 0)
--- a/tests/process/relaying/test_retry_share.py
+++ b/tests/process/relaying/test_retry_share.py
@@ -1,5 +1,6 @@
 import unittest
 
+from boragedeck.process.relaying.fleet_size import FleetSize
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.timers import ManualTimers
 from tests.support.replicas import BOUNDS, NoReserve
@@ -8,7 +9,11 @@
 class RetryShareTest(unittest.TestCase):
     def setUp(self):
         self.timers = ManualTimers()
-        self.share = RetryShare(self.timers, lambda: BOUNDS, lambda: 9, NoReserve())
+        self.share = self.retry_share(9)
+
+    def retry_share(self, routers, *, has_seeds=False):
+        size = FleetSize(self.timers, lambda: routers, lambda: has_seeds)
+        return RetryShare(self.timers, lambda: BOUNDS, size, NoReserve())
 
     def take_all(self):
         count = 0
@@ -27,7 +32,7 @@
         self.assertLessEqual(count, 0.8 * 100 + BOUNDS.retry_extra / 9)
 
     def test_router_that_knows_no_other_yet_takes_a_small_part(self):
-        single = RetryShare(self.timers, lambda: BOUNDS, lambda: 1, NoReserve())
+        single = self.retry_share(1)
         count = 0
         while single.take("p"):
             count += 1
@@ -36,9 +41,7 @@
     def test_hundreds_that_start_together_stay_within_the_bound(self):
         routers, count = 200, 0
         for _ in range(routers):
-            single = RetryShare(
-                self.timers, lambda: BOUNDS, lambda: 1, NoReserve(), lambda: True
-            )
+            single = self.retry_share(1, has_seeds=True)
             single.note_request("p")
             while single.take("p"):
                 count += 1
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -352,7 +352,12 @@
                 self.metrics,
             ),
             protocol=HttpReplicaProtocol(),
-            retries=RetryShare(self.timers, lambda: BOUNDS, lambda: 9, NoReserve()),
+            retries=RetryShare(
+                self.timers,
+                lambda: BOUNDS,
+                FleetSize(self.timers, lambda: 9),
+                NoReserve(),
+            ),
             rollouts=RelayRollouts(
                 self.timers,
                 random.Random(4),
