--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/admission.py
@@ -15,19 +15,18 @@
 from result import Err, Ok, Result
 
 from boragedeck.exceptions import RefusedError
-from boragedeck.ids import FailureDomain, PoolName
+from boragedeck.ids import PoolName
+from boragedeck.process.relaying.place import AdmissionRequest, Place
 from boragedeck.process.relaying.placement import (
     PlacementRequest,
     choose_backup,
     choose_replica,
 )
 from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.replica_state import Load, ReplicaState
+from boragedeck.process.relaying.replica_state import ReplicaState
 from boragedeck.process.timers import TimerService
-from boragedeck.version.replicas import Replica, ReplicaId
-from boragedeck.version.routing import RelayPool
 
-__all__ = ["Admission", "AdmissionRequest", "LoadSource", "Place", "expected_wait_s"]
+__all__ = ["Admission", "LoadSource", "expected_wait_s"]
 
 MEAN_SERVICE_WEIGHT = 0.1
 """Weight of the newest request in the moving average of the service time."""
@@ -44,110 +43,6 @@
 """How often a waiting request checks for places that other routers released."""
 
 
-class AdmissionRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """A request for a place at a replica.
-
-    Parameters
-    ----------
-    pool : RelayPool
-        The replicas that may serve it.
-    priority : int
-        Requests with a lower number go first; 0 is the most urgent.
-    prompt_tokens, tokens : int
-        Tokens of the prompt, and memory when the output is complete, in tokens.
-    until : float
-        When waiting becomes pointless, on the timer service's clock.
-    tried : frozenset of ReplicaId
-        Replicas to which the request was sent before.
-    lost_domains : frozenset of FailureDomain
-        Failure domains in which the request was lost before.
-    allows : callable
-        Returns whether a replica's version may serve the request.
-    request_id : str
-        The id of the request, for the log.
-    """
-
-    pool: RelayPool
-    priority: int
-    prompt_tokens: int
-    tokens: int
-    until: float
-    tried: frozenset[ReplicaId] = frozenset()
-    lost_domains: frozenset[FailureDomain] = frozenset()
-    allows: Callable[[Replica], bool] = lambda replica: True
-    request_id: str = ""
-
-
-class Place:
-    """Capacity at a replica that is reserved for one attempt.
-
-    Parameters
-    ----------
-    admission : Admission
-        The admission to which the place is released.
-    state : ReplicaState
-        The replica.
-    req : AdmissionRequest
-        The request for which the place is reserved.
-    now : float
-        The current time, on the timer service's clock.
-
-    Attributes
-    ----------
-    since : float
-        When the place was reserved, on the timer service's clock.
-    has_output : bool
-        Whether the request has output, so that its prompt has been read.
-    """
-
-    def __init__(
-        self,
-        admission: "Admission",
-        state: ReplicaState,
-        req: AdmissionRequest,
-        now: float,
-    ):
-        self._admission = admission
-        self.state = state
-        self._req = req
-        self._load = Load(1, req.prompt_tokens, req.tokens)
-        self.since = now
-        self.has_output = False
-        self._is_released = False
-        self._copy_holder: ReplicaState | None = None
-        state.own.add(self._load)
-        state.note_sent(now)
-
-    def note_first_output(self) -> None:
-        """Record that the prompt has been read."""
-        if not self.has_output:
-            self.has_output = True
-            self.state.own.unread_tokens -= self._load.unread_tokens
-            self._load.unread_tokens = 0
-
-    def reserve_copy(self, holder: ReplicaState) -> None:
-        """Reserve memory for a copy of the run at another replica."""
-        self._copy_holder = holder
-        holder.own.tokens += self._req.tokens
-
-    def release(self, is_served: bool = False) -> None:
-        """Release the place; further calls have no effect.
-
-        Parameters
-        ----------
-        is_served : bool, optional
-            Whether the time since the reservation counts as a service time.
-        """
-        if self._is_released:
-            return
-        self._is_released = True
-        self.note_first_output()
-        self.state.own.add(self._load, -1)
-        if self._copy_holder is not None:
-            self._copy_holder.own.tokens -= self._req.tokens
-        self._admission.note_released(self._req.pool.name, self.since, is_served)
-
-
 class _Waiter(msgspec.Struct):
     """A waiting request; `is_done` once it has a place or no longer waits."""
 
@@ -267,7 +162,7 @@
         -----
         The place is reserved even if the replica has no room now.
         """
-        place = Place(self, state, req, self._timers.now())
+        place = Place(self.note_released, state, req, self._timers.now())
         self.on_change()
         return place
 
@@ -372,7 +267,7 @@
         state = choose_replica(states, self._placement_request(req), self._rng)
         if state is None:
             return None
-        place = Place(self, state, req, self._timers.now())
+        place = Place(self.note_released, state, req, self._timers.now())
         self.on_change()
         return place
 
--- a/boragedeck/process/relaying/limited_admission.py
+++ b/boragedeck/process/relaying/limited_admission.py
@@ -15,9 +15,8 @@
     MIN_RETRY_AFTER_S,
     RETRY_SPREAD,
     Admission,
-    AdmissionRequest,
-    Place,
 )
+from boragedeck.process.relaying.place import AdmissionRequest, Place
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_state import ReplicaState
 from boragedeck.process.timers import TimerService
--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -20,14 +20,12 @@
 from boragedeck.interfaces import FactBoard, RunSample
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.rollout_plan import (
-    Doubt,
     find_doubt,
-    finish_at,
-    give_up_at,
     share_at,
     trial_share,
     usual_trial_share,
 )
+from boragedeck.process.relaying.rollout_state import RolloutState, WaitingRun
 from boragedeck.process.relaying.rollout_strata import merge_routes
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.sliding_window_counter import SlidingWindowCounter
@@ -44,7 +42,7 @@
 from boragedeck.version.relay_rollouts import RolloutOrder, RolloutResult
 from boragedeck.version.replicas import Replica
 
-__all__ = ["RelayRollouts", "RolloutBoard", "PublishedRollout", "WaitingRun"]
+__all__ = ["RelayRollouts", "RolloutBoard", "PublishedRollout"]
 
 TICK_S = 0.5
 RATE_WINDOW_S = 10.0
@@ -74,24 +72,6 @@
     row_version: int
 
 
-class WaitingRun(msgspec.Struct, eq=False):
-    """A request that was sent to a replica and has neither output nor outcome.
-
-    Parameters
-    ----------
-    replica : Replica
-        The replica.
-    domain : FailureDomain
-        The domain to which its outcome will be counted.
-    since : float
-        When it was sent, on the timer service's monotonic clock.
-    """
-
-    replica: Replica
-    domain: FailureDomain
-    since: float
-
-
 class RolloutBoard(Protocol):
     """Stores the results of rollouts for the operators."""
 
@@ -104,39 +84,6 @@
         """Publish a result if the row still has the version that was read."""
 
 
-NOT_JUDGED = Doubt("not judged yet", is_suspicion=False)
-
-
-class _Rollout:
-    """State of one rollout in this router."""
-
-    def __init__(self, order: RolloutOrder, number: int, began: float, delay_s: float):
-        self.order = order
-        self.number = number
-        self.began = began
-        self.finish_at = finish_at(began, order.duration_s) + delay_s
-        self.give_up_at = give_up_at(began, order.duration_s)
-        self.doubt: Doubt | None = NOT_JUDGED
-        self.result = RolloutResult.RUNNING
-        self.decided_result: RolloutResult | None = None
-        self.is_published = False
-        self.evidence = Evidence()
-        self.waiting: set[WaitingRun] = set()
-
-    def evidence_at(self, now: float) -> Evidence:
-        """Return the evidence, with the present ages of runs without output."""
-        total = Evidence()
-        total.merge(self.evidence)
-        for run in self.waiting:
-            is_new = run.replica.version == self.order.to
-            total.add_waiting(run.domain, now - run.since, is_new=is_new)
-        return total
-
-    def elapsed(self, now: float) -> float:
-        """Return the elapsed share of the rollout's duration."""
-        return (now - self.began) / max(0.001, self.order.duration_s)
-
-
 class RelayRollouts:
     """Carries out the operators' orders in this router.
 
@@ -187,7 +134,7 @@
         self._replicas = replicas
         self._routers = routers
         self._requests = SlidingWindowCounter(timers)
-        self._rollouts: dict[PoolName, _Rollout] = {}
+        self._rollouts: dict[PoolName, RolloutState] = {}
         mirror.subscribe(self._on_order)
         facts.subscribe(FactTopic.ROLLOUT_STOP, self._on_stop)
 
@@ -259,7 +206,7 @@
             return
         order = decoded.ok()
         delay_s = self._rng.uniform(0.0, MAX_FINISH_DELAY_S)
-        rollout = _Rollout(order, change.version, self._timers.now(), delay_s)
+        rollout = RolloutState(order, change.version, self._timers.now(), delay_s)
         self._rollouts[order.pool] = rollout
         _log.write(
             "Rollout order received.",
@@ -269,7 +216,7 @@
             row_version=change.version,
         )
 
-    def _share(self, rollout: _Rollout) -> float:
+    def _share(self, rollout: RolloutState) -> float:
         """Return the new version's share of the pool's requests."""
         if rollout.decided_result is RolloutResult.ROLLED_BACK:
             return 0.0
@@ -290,12 +237,12 @@
         own = self._requests.count_within(pool, RATE_WINDOW_S) / RATE_WINDOW_S
         return own * self._routers()
 
-    def _publish_evidence(self, rollout: _Rollout) -> None:
+    def _publish_evidence(self, rollout: RolloutState) -> None:
         key = f"{rollout.order.pool}/{rollout.number}"
         body = msgspec.msgpack.encode(rollout.evidence_at(self._timers.now()))
         self._facts.publish(FactTopic.ROLLOUT_EVIDENCE, key, body, ttl_s=EVIDENCE_TTL_S)
 
-    def _judge(self, rollout: _Rollout) -> None:
+    def _judge(self, rollout: RolloutState) -> None:
         if rollout.decided_result is not None:
             return
         total = self._total_evidence(rollout)
@@ -319,7 +266,7 @@
         by_domain = merge_routes(total)
         return group_score(total, room).or_stronger(group_score(by_domain, room))
 
-    def _finish_if_due(self, rollout: _Rollout, total: Evidence) -> None:
+    def _finish_if_due(self, rollout: RolloutState, total: Evidence) -> None:
         """End a rollout at its planned time, one way or the other."""
         now, doubt = self._timers.now(), rollout.doubt
         if doubt is None:
@@ -332,7 +279,7 @@
         elif now >= rollout.give_up_at:
             self._decide(rollout, RolloutResult.ROLLED_BACK, doubt.reason)
 
-    def _stop(self, rollout: _Rollout, reason: str) -> None:
+    def _stop(self, rollout: RolloutState, reason: str) -> None:
         """Roll a version back, and tell the other routers to stop sending to it."""
         self._decide(rollout, RolloutResult.ROLLED_BACK, reason)
         key = f"{rollout.order.pool}/{rollout.number}"
@@ -343,7 +290,7 @@
         new = sum(replica.version == order.to for replica in replicas)
         return UpstreamCounts(max(1, new), max(1, len(replicas) - new))
 
-    def _total_evidence(self, rollout: _Rollout) -> Evidence:
+    def _total_evidence(self, rollout: RolloutState) -> Evidence:
         key = f"{rollout.order.pool}/{rollout.number}"
         total = rollout.evidence_at(self._timers.now())
         for fact in self._facts.facts(FactTopic.ROLLOUT_EVIDENCE):
@@ -357,7 +304,9 @@
                 )
         return total
 
-    def _decide(self, rollout: _Rollout, result: RolloutResult, reason: str) -> None:
+    def _decide(
+        self, rollout: RolloutState, result: RolloutResult, reason: str
+    ) -> None:
         rollout.decided_result = result
         _log.write(
             "Rollout result decided.",
@@ -377,7 +326,7 @@
                     reason = f"stopped by {fact.origin}"
                     self._decide(rollout, RolloutResult.ROLLED_BACK, reason)
 
-    def _publish_result(self, rollout: _Rollout) -> None:
+    def _publish_result(self, rollout: RolloutState) -> None:
         """Publish the decided result, unless another router has ended the rollout."""
         result = rollout.decided_result or RolloutResult.RUNNING
         if rollout.is_published and result is RolloutResult.RUNNING:
@@ -389,7 +338,7 @@
                 self._log_store_error(rollout, error)
 
     def _write_result(
-        self, rollout: _Rollout, published: PublishedRollout, result: RolloutResult
+        self, rollout: RolloutState, published: PublishedRollout, result: RolloutResult
     ) -> None:
         is_same_rollout = (
             published.to == rollout.order.to and published.row_version > rollout.number
@@ -410,7 +359,7 @@
             case Err(error):
                 self._log_store_error(rollout, error)
 
-    def _accept_result(self, rollout: _Rollout, result: RolloutResult) -> None:
+    def _accept_result(self, rollout: RolloutState, result: RolloutResult) -> None:
         rollout.is_published = True
         if result is not RolloutResult.RUNNING:
             rollout.decided_result = result
@@ -419,7 +368,7 @@
             "Rollout result published.", rollout=rollout.order.pool, result=result.value
         )
 
-    def _log_store_error(self, rollout: _Rollout, error: StoreError) -> None:
+    def _log_store_error(self, rollout: RolloutState, error: StoreError) -> None:
         _log.write(
             "Rollout store access failed.", rollout=rollout.order.pool, error=str(error)
         )
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -12,7 +12,7 @@
     UpstreamRefusedError,
 )
 from boragedeck.interfaces import Outcome
-from boragedeck.process.relaying.admission import Place
+from boragedeck.process.relaying.place import Place
 from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
 from boragedeck.request.relay_job import RelayJob, log
 from boragedeck.request.relay_refusals import final_refusal
@@ -88,7 +88,7 @@
                 # A thread that was killed before it started has not released its place.
                 # For the others, a second release has no effect.
                 place.release()
-                job.note_attempt_ended(place)
+                job.evidence.note_end(place)
 
     def _wait_for_answer(self) -> CompleteAnswer | None:
         """Wait for a successful answer; start further attempts if that is allowed.
@@ -169,7 +169,7 @@
             failure_share=round(place.state.failure_share, 3),
             attempt=self._job.sent + 1,
         )
-        self._job.note_attempt_started(place)
+        self._job.evidence.note_start(place)
         attempt = eventlet.spawn(self._run_attempt_thread, place)
         self._running_attempts[attempt] = place
 
@@ -181,7 +181,7 @@
         finally:
             has_answer = isinstance(result, CompleteAnswer)
             place.release(has_answer)
-            self._job.note_attempt_ended(place)
+            self._job.evidence.note_end(place)
             self._running_attempts.pop(eventlet.getcurrent(), None)
             self._results.put(result)
 
@@ -205,7 +205,7 @@
             self._note_lost_attempt(place, exc, "not_reached")
             return NotTaken(exc.message)
         except UpstreamError as exc:
-            job.note_outcome(place, Outcome.FAILED)
+            job.evidence.note_outcome(place, Outcome.FAILED)
             job.parts.crash_blame.note_broken(job.fingerprint, state)
             self._note_lost_attempt(place, exc, "lost")
             return AnswerLost(exc.message)
@@ -228,16 +228,16 @@
             case VerdictKind.INVALID | VerdictKind.STRAY:
                 # `start_attempt` skips stray answers, which belong to other requests.
                 state.note_answer(False, job.parts.timers.now())
-                job.note_outcome(place, Outcome.FAILED)
+                job.evidence.note_outcome(place, Outcome.FAILED)
                 job.note_attempt_failed(place, "invalid answer")
                 return AnswerLost("invalid answer")
         is_success = verdict.kind is VerdictKind.SUCCESS
         state.note_answer(is_success, job.parts.timers.now())
         if is_success:
             took_s = job.parts.timers.now() - place.since
-            job.note_outcome(place, Outcome.COMPLETED, took_s)
+            job.evidence.note_outcome(place, Outcome.COMPLETED, took_s)
         else:
-            job.note_outcome(place, Outcome.FAILED)
+            job.evidence.note_outcome(place, Outcome.FAILED)
             job.note_attempt_failed(place, f"status {pending.head.status}")
         return CompleteAnswer(pending.head.status, verdict.headers, body, is_success)
 
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -14,22 +14,21 @@
     FailureDomain,
     OrganisationName,
     PoolName,
-    UpstreamName,
 )
-from boragedeck.interfaces import Outcome, RunSample
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.admission import Admission, AdmissionRequest, Place
+from boragedeck.process.relaying.admission import Admission
 from boragedeck.process.relaying.crash_blame import CrashBlame, fingerprint_of
 from boragedeck.process.relaying.durations import RequestDurations
 from boragedeck.process.relaying.limited_admission import LimitedAdmission
+from boragedeck.process.relaying.place import AdmissionRequest, Place
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.retry_share import RetryShare
-from boragedeck.process.relaying.rollout_strata import stratum_of
-from boragedeck.process.relaying.rollouts import RelayRollouts, WaitingRun
+from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.relaying.stream_pace import StreamTimeEstimator
 from boragedeck.process.timers import TimerService
+from boragedeck.request.attempt_evidence import AttemptEvidence
 from boragedeck.request.events import EventExcessError
 from boragedeck.request.relay_request import (
     RelayRequest,
@@ -165,7 +164,7 @@
         self.sent = 0
         # All attempts that were sent; those after the first are charged as repeats.
         self.delivered_attempts = 0
-        self._waiting_runs: dict[Place, WaitingRun] = {}
+        self.evidence = AttemptEvidence(parts.rollouts, parts.timers, rule.name)
         self._backoff_s = FIRST_BACKOFF_S
         self.may_have_run = False
 
@@ -287,43 +286,6 @@
         )
         self._count_end("left")
 
-    def note_attempt_started(self, place: Place) -> None:
-        """Record that an attempt begins; `note_attempt_ended` must follow."""
-        replica = place.state.replica
-        self._waiting_runs[place] = self.parts.rollouts.begin(
-            replica, self._stratum(place)
-        )
-
-    def note_attempt_ended(self, place: Place) -> None:
-        """Record that an attempt has ended, with or without an outcome."""
-        run = self._waiting_runs.pop(place, None)
-        if run is not None:
-            self.parts.rollouts.end(run, has_outcome=False)
-
-    def note_outcome(
-        self, place: Place, outcome: Outcome | None, first_output_s: float | None = None
-    ) -> None:
-        """Record how an attempt ended, for the evaluation of the replica's version.
-
-        Parameters
-        ----------
-        place : Place
-            The place of the attempt.
-        outcome : Outcome or None
-            How it ended; None while it is running.
-        first_output_s : float or None
-            Time from its start to the first output, or to the complete answer of a
-            call, in seconds.
-        """
-        run = self._waiting_runs.pop(place, None)
-        if run is not None:
-            self.parts.rollouts.end(run, has_outcome=True)
-        self._note_sample(place, outcome=outcome, first_token_s=first_output_s)
-
-    def note_gap(self, place: Place, gap_s: float) -> None:
-        """Record the mean gap between the events of an attempt, in seconds."""
-        self._note_sample(place, gap_s=gap_s)
-
     def note_miss(self, place: Place) -> None:
         """Record that a replica was not reached, or that its answer was lost."""
         if not place.state.is_leaving:
@@ -344,31 +306,6 @@
             after_s=round(self.parts.timers.now() - place.since, 3),
         )
 
-    def _note_sample(
-        self,
-        place: Place,
-        *,
-        outcome: Outcome | None = None,
-        first_token_s: float | None = None,
-        gap_s: float | None = None,
-    ) -> None:
-        replica = place.state.replica
-        sample = RunSample(
-            route=self.rule.name,
-            version=replica.version,
-            upstream=UpstreamName(replica.replica),
-            failure_domain=self._stratum(place),
-            outcome=outcome,
-            first_token_s=first_token_s,
-            gap_s=gap_s,
-            tokens=0,
-            age_s=self.parts.timers.now() - place.since,
-        )
-        self.parts.rollouts.note(replica, sample)
-
-    def _stratum(self, place: Place) -> FailureDomain:
-        return stratum_of(place.state.replica.failure_domain, self.rule.name)
-
     def _count_end(self, outcome: str) -> float:
         self.parts.metrics.requests.labels(self.rule.kind.value, outcome).inc()
         return self.parts.timers.now() - self.req.arrived
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -13,7 +13,7 @@
     UpstreamSilentError,
 )
 from boragedeck.interfaces import Outcome
-from boragedeck.process.relaying.admission import Place
+from boragedeck.process.relaying.place import Place
 from boragedeck.process.relaying.replica_state import ReplicaState
 from boragedeck.request.events import EventError, EventExcessError, EventSplitter
 from boragedeck.request.gap_sampler import GapSampler
@@ -88,12 +88,12 @@
             if place is None:
                 return
             outcome = AttemptOutcome.LOST
-            job.note_attempt_started(place)
+            job.evidence.note_start(place)
             try:
                 outcome = self._run_attempt(place)
             finally:
                 place.release(outcome is AttemptOutcome.COMPLETE and job.sent == 1)
-                job.note_attempt_ended(place)
+                job.evidence.note_end(place)
             if outcome is AttemptOutcome.COMPLETE:
                 self._finish()
                 return
@@ -222,7 +222,7 @@
                 )
                 self._failure_reason = f"status {pending.head.status}"
         place.state.note_answer(False, job.parts.timers.now())
-        job.note_outcome(place, Outcome.FAILED)
+        job.evidence.note_outcome(place, Outcome.FAILED)
         job.note_attempt_failed(place, f"{verdict.kind.value} {pending.head.status}")
         return AttemptOutcome.LOST
 
@@ -247,7 +247,7 @@
                 self._note_output(place)
                 gap_s = gaps.note(len(events), now)
                 if gap_s is not None:
-                    job.note_gap(place, gap_s)
+                    job.evidence.note_gap(place, gap_s)
                 self._deliver(b"".join(event.data for event in events))
                 self._splitter.last_number = splitter.last_number
         if splitter.has_partial_event:
@@ -266,7 +266,7 @@
     def _note_output(self, place: Place) -> None:
         if not place.has_output:
             took_s = self._job.parts.timers.now() - place.since
-            self._job.note_outcome(place, None, took_s)
+            self._job.evidence.note_outcome(place, None, took_s)
             if not self._recovery.resumes_from_copy:
                 prompt_tokens = self._job.req.prompt_tokens
                 self._job.parts.pace.note_prompt_read(
@@ -314,7 +314,7 @@
         job.parts.metrics.attempts.labels(job.rule.kind.value, outcome.value).inc()
         if outcome is AttemptOutcome.LOST:
             job.parts.crash_blame.note_broken(job.fingerprint, place.state)
-            job.note_outcome(place, Outcome.FAILED)
+            job.evidence.note_outcome(place, Outcome.FAILED)
         job.note_attempt_failed(place, exc)
         self._failure_reason = str(exc)
         if self._has_begun and self._lost_at is None:
--- a/boragedeck/request/stream_recovery.py
+++ b/boragedeck/request/stream_recovery.py
@@ -6,7 +6,7 @@
 """
 
 from boragedeck.connection.peer import Address
-from boragedeck.process.relaying.admission import Place
+from boragedeck.process.relaying.place import Place
 from boragedeck.process.relaying.replica_state import ReplicaState
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.version.replicas import ReplicaId
--- a/tests/process/relaying/test_admission.py
+++ b/tests/process/relaying/test_admission.py
@@ -8,10 +8,10 @@
 from boragedeck.process.relaying.admission import (
     RECHECK_INTERVAL_S,
     Admission,
-    AdmissionRequest,
     LoadSource,
     expected_wait_s,
 )
+from boragedeck.process.relaying.place import AdmissionRequest
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.replica_state import Load
 from boragedeck.process.timers import ManualTimers
--- a/tests/process/relaying/test_replica_notices.py
+++ b/tests/process/relaying/test_replica_notices.py
@@ -8,7 +8,8 @@
 from prometheus_client import CollectorRegistry
 
 from boragedeck.connection.messages import FactTopic
-from boragedeck.process.relaying.admission import Admission, AdmissionRequest
+from boragedeck.process.relaying.admission import Admission
+from boragedeck.process.relaying.place import AdmissionRequest
 from boragedeck.process.relaying.registry import (
     DEFAULT_HOLD_S,
     MAX_ABSENT_RUNS,
--- a/tests/process/relaying/test_settings_source.py
+++ b/tests/process/relaying/test_settings_source.py
@@ -5,6 +5,7 @@
 
 from boragedeck.connection.peer import Address
 from boragedeck.platform.settings import read_settings
+from boragedeck.process.relaying.fleet_size import FleetSize
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.settings_source import (
     CHECK_INTERVAL_S,
@@ -65,7 +66,8 @@
         self.assertEqual(self.source.current().callers, Address("10.1.0.40", 8227))
 
     def test_parts_follow_the_bounds_in_force(self):
-        share = RetryShare(self.timers, self.source.bounds, lambda: 100, NoReserve())
+        size = FleetSize(self.timers, lambda: 100)
+        share = RetryShare(self.timers, self.source.bounds, size, NoReserve())
         before = self.take_all(share)
         self.write(TEXT.replace("graceS: 8", "graceS: 8, retryBudgetExtra: 1500"))
         self.source.reload("SIGHUP")
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -12,12 +12,13 @@
 from boragedeck.exceptions import PeerUnreachableError
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member
-from boragedeck.process.relaying.admission import Admission, AdmissionRequest
+from boragedeck.process.relaying.admission import Admission
 from boragedeck.process.relaying.fleet_size import DISCOVERY_PERIOD_S, FleetSize
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.limit_grants import LimitGrants
 from boragedeck.process.relaying.limit_owners import LimitOwners
 from boragedeck.process.relaying.limited_admission import LimitedAdmission
+from boragedeck.process.relaying.place import AdmissionRequest
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
