--- a/boragedeck/process/relaying/limit_grants.py
+++ b/boragedeck/process/relaying/limit_grants.py
@@ -106,7 +106,6 @@
             peer=owner.router,
             error=str(answer.err()),
         )
-        self._owners.suspect(owner)
         return SendDecision(False, OWNER_RETRY_S, req.per_s, req.age_s)
 
     def report(self, report: ReportLimit) -> None:
--- a/boragedeck/process/relaying/limit_owners.py
+++ b/boragedeck/process/relaying/limit_owners.py
@@ -64,11 +64,6 @@
         self._refresh()
         return self._reachable_share
 
-    def suspect(self, owner: Member) -> None:
-        """Record that an owner did not answer; see `Membership.suspect`."""
-        self._membership.suspect(owner.router)
-        self._read_at = float("-inf")
-
     def _refresh(self) -> None:
         now = self._timers.now()
         if now - self._read_at < CACHE_TTL_S:
