--- a/boragedeck/interfaces.py
+++ b/boragedeck/interfaces.py
@@ -107,6 +107,12 @@
     def facts(self, topic: FactTopic) -> list[Fact]:
         """Return the facts of all origins that have not expired."""
 
+    def age_s(self, fact: Fact) -> float:
+        """Return the time since a fact was published, in seconds.
+
+        It is infinity if the fact has expired or was replaced.
+        """
+
     def subscribe(self, topic: FactTopic, callback: Callable[[Fact], None]) -> None:
         """Call `callback` with each new or updated fact, including this router's."""
 
--- a/boragedeck/process/fact_store.py
+++ b/boragedeck/process/fact_store.py
@@ -133,6 +133,19 @@
             if held.expires_at > now
         ]
 
+    def age_s(self, fact: Fact) -> float:
+        """Return the time since a fact was published, in seconds.
+
+        Returns
+        -------
+        float
+            Infinity if the fact is not held.
+        """
+        held = self._stored.get(fact_hash(fact))
+        if held is None or held.fact.number != fact.number:
+            return float("inf")
+        return self._timers.now() - held.published_at
+
     def aged_facts(self, keys: Iterable[int], max_bytes: int) -> tuple[AgedFact, ...]:
         """Return the unexpired facts with the given hashes, up to a size limit.
 
--- a/boragedeck/process/gossip.py
+++ b/boragedeck/process/gossip.py
@@ -155,6 +155,10 @@
         """Return the unexpired facts; see `FactBoard.facts`."""
         return self._store.facts(topic)
 
+    def age_s(self, fact: Fact) -> float:
+        """Return the time since a fact was published; see `FactBoard.age_s`."""
+        return self._store.age_s(fact)
+
     def subscribe(self, topic: FactTopic, callback: Callable[[Fact], None]) -> None:
         """Call `callback` with each new fact; see `FactBoard.subscribe`."""
         self._callbacks.setdefault(topic, []).append(callback)
--- a/boragedeck/process/relaying/replica_limits.py
+++ b/boragedeck/process/relaying/replica_limits.py
@@ -25,9 +25,6 @@
 __all__ = ["LimitChange", "ReplicaLimits"]
 
 FACT_TTL_S = 60.0
-MAX_GOSSIP_DELAY_S = 1.0
-"""How long a fact may have been on its way. What a replica told this router itself in
-the meantime is newer."""
 MAX_DEFERRAL_S = 1.0
 """How long a replica is passed over at most before its limit owner is asked again."""
 
@@ -172,8 +169,8 @@
         state = self._registry.get(limit.replica)
         if state is None or state.run != Run(limit.replica, limit.born_ms):
             return
-        delay_s = 0.0 if fact.origin == self._board.own else MAX_GOSSIP_DELAY_S
-        observed_at = self._timers.now() - limit.age_s - delay_s
+        age_s = limit.age_s + self._board.age_s(fact)
+        observed_at = self._timers.now() - age_s
         self._merge(state, KnownLimit(limit.per_s, observed_at), fact.origin)
 
     def _merge(self, state: ReplicaState, known: KnownLimit, told_by: str) -> bool:
--- a/tests/process/relaying/test_replica_limits.py
+++ b/tests/process/relaying/test_replica_limits.py
@@ -1,7 +1,9 @@
 import unittest
 
+import msgspec
 from prometheus_client import CollectorRegistry
 
+from boragedeck.connection.messages import FactTopic
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_state import ReplicaState
@@ -38,3 +40,43 @@
     def test_limit_that_cannot_be_parsed_changes_nothing(self):
         self.note(2.0)
         self.assertEqual(self.note(None, "few"), 2.0)
+
+
+class FactTest(unittest.TestCase):
+    """A fact about a limit that was published seconds ago."""
+
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.board = FakeFactBoard()
+        self.registry = ReplicaRegistry(self.timers)
+        self.registry.put(replica("one", born_ms=1))
+        self.state = self.registry.get("one")
+        self.limits = single_router_limits(
+            self.timers, self.registry, self.board, RelayMetrics(CollectorRegistry())
+        )
+
+    def publish(self, per_s, born_ms=1, body=None):
+        fact = msgspec.msgpack.encode(["one", born_ms, per_s, 0.0])
+        other = FakeFactBoard("r-2", self.board._store)
+        topic = FactTopic.REPLICA_LIMIT
+        other.publish(topic, "1/one", fact if body is None else body)
+
+    def test_old_fact_replaces_what_the_replica_has_said_since(self):
+        self.timers.advance(10.0)
+        self.limits.note_answer(self.state, None)
+        self.timers.advance(1.0)
+        self.board.fact_age_s = 2.0
+        self.publish(2.0)
+        self.assertFalse(self.state.is_limited)
+        self.board.fact_age_s = 0.5
+        self.publish(1.5)
+        self.assertEqual(self.state.limit.per_s, 1.5)
+
+    def test_fact_about_an_earlier_run_limits_the_replica(self):
+        self.publish(2.0, born_ms=7)
+        self.assertFalse(self.state.is_limited)
+
+    def test_fact_that_cannot_be_parsed_ends_the_subscription(self):
+        self.publish(2.0, body=b"?")
+        self.publish(2.0)
+        self.assertTrue(self.state.is_limited)
--- a/tests/process/test_gossip.py
+++ b/tests/process/test_gossip.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -39,6 +40,14 @@
         self.timers.advance(1.0)
         self.assertEqual(self.store.facts(LOAD), [])
 
+    def test_age_starts_anew_at_the_router_that_receives_a_fact(self):
+        fact = Fact(FactTopic.LOAD, "k", RouterId("other"), 5)
+        self.store.merge(AgedFact(fact, 3.0))
+        self.timers.advance(2.0)
+        self.assertAlmostEqual(self.store.age_s(fact), 5.0)
+        older = msgspec.structs.replace(fact, number=4)
+        self.assertEqual(self.store.age_s(older), float("inf"))
+
     def test_a_late_copy_does_not_revive_an_expired_fact(self):
         self.store.merge(AgedFact(self.fact(), 0.0))
         self.timers.advance(11.0)
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -204,6 +204,10 @@
         self._fleet.timers.call_later(GOSSIP_DELAY_S, lambda: self._spread(fact))
         return fact
 
+    def age_s(self, fact):
+        """See `FactBoard.age_s`."""
+        return 0.0 if fact.origin == self.own else GOSSIP_DELAY_S
+
     def _spread(self, fact):
         for other in self._fleet.routers:
             if other.name != self.own and self._fleet.net.can_reach(
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -82,6 +82,7 @@
         self.own = own
         self._store = {} if shared is None else shared
         self._callbacks = []
+        self.fact_age_s = 0.0
         self._store.setdefault("boards", []).append(self)
 
     def publish(self, topic, key, body, *, ttl_s=60.0):
@@ -94,6 +95,10 @@
                     callback(fact)
         return fact
 
+    def age_s(self, fact):
+        """Return the age of a fact, which the test sets."""
+        return self.fact_age_s
+
     def facts(self, topic):
         """Return the facts of a topic."""
         facts = (fact for key, fact in self._store.items() if key != "boards")
