--- a/boragedeck/process/relaying/replica_limits.py
+++ b/boragedeck/process/relaying/replica_limits.py
@@ -86,7 +86,13 @@
         grants.on_change = self._publish
         board.subscribe(FactTopic.REPLICA_LIMIT, self._on_fact)
 
-    def note_answer(self, state: ReplicaState, rate_limit: RateLimit | None) -> None:
+    def note_answer(
+        self,
+        state: ReplicaState,
+        rate_limit: RateLimit | None,
+        *,
+        may_lift: bool = True,
+    ) -> None:
         """Record what an answer of a replica says about its limit.
 
         Parameters
@@ -95,7 +101,11 @@
             The replica that gave the answer.
         rate_limit : RateLimit or None
             The limit that the answer names. One that can't be parsed changes nothing.
+        may_lift : bool, optional
+            Whether the limit ends if the answer names none.
         """
+        if rate_limit is None and not may_lift:
+            return
         if rate_limit is not None and rate_limit.per_s is None:
             _log.write(
                 "Limit can't be parsed.",
--- a/boragedeck/process/relaying/replica_notices.py
+++ b/boragedeck/process/relaying/replica_notices.py
@@ -67,7 +67,9 @@
         self._metrics = metrics
         board.subscribe(FactTopic.LEAVING, self._on_fact)
 
-    def handle(self, state: ReplicaState, notice: ReplicaNotice) -> None:
+    def handle(
+        self, state: ReplicaState, notice: ReplicaNotice, *, may_lift: bool = True
+    ) -> None:
         """Handle the notice in an answer.
 
         Parameters
@@ -76,8 +78,11 @@
             The replica that gave the answer.
         notice : ReplicaNotice
             The notice.
+        may_lift : bool, optional
+            Whether the replica's limit ends if the answer names none. That isn't so
+            for answers to probes, and for late answers to earlier requests.
         """
-        self._limits.note_answer(state, notice.rate_limit)
+        self._limits.note_answer(state, notice.rate_limit, may_lift=may_lift)
         if notice.hold_off is not None:
             self._metrics.held_off.inc()
             self._registry.hold_off(state, notice.hold_off)
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -158,7 +158,8 @@
             # The answer came from another replica, so its notice concerns that one.
             state = parts.registry.get(verdict.actual_replica)
         if state is not None:
-            parts.notices.handle(state, parts.protocol.notice(head))
+            may_lift = verdict.kind is not VerdictKind.STRAY
+            parts.notices.handle(state, parts.protocol.notice(head), may_lift=may_lift)
         if verdict.kind is not VerdictKind.STRAY:
             return PendingAnswer(exchange, head, verdict)
         log.write("Skipped a stray answer.", request=job.req.request_id)
@@ -180,7 +181,8 @@
             )
             try:
                 head = exchange.head(timeout_s)
-                parts.notices.handle(place.state, parts.protocol.notice(head))
+                notice = parts.protocol.notice(head)
+                parts.notices.handle(place.state, notice, may_lift=False)
                 return exchange.read_all(timeout_s, MAX_PROBE_BYTES)
             finally:
                 exchange.close()
--- a/tests/process/relaying/test_replica_limits.py
+++ b/tests/process/relaying/test_replica_limits.py
@@ -41,6 +41,13 @@
         self.note(2.0)
         self.assertEqual(self.note(None, "few"), 2.0)
 
+    def test_answer_to_a_probe_lifts_a_limit(self):
+        self.note(2.0)
+        self.limits.note_answer(self.state, None, may_lift=False)
+        self.assertEqual(self.state.limit.per_s, 2.0)
+        self.limits.note_answer(self.state, RateLimit(1.0, "1"), may_lift=False)
+        self.assertEqual(self.state.limit.per_s, 1.0)
+
 
 class FactTest(unittest.TestCase):
     """A fact about a limit that was published seconds ago."""
--- a/tests/request/test_relay_limits.py
+++ b/tests/request/test_relay_limits.py
@@ -1,5 +1,7 @@
 import unittest
 
+import eventlet
+
 from boragedeck.process.relaying.replica_state import Load
 from boragedeck.version.replicas import RateLimit
 from boragedeck.version.routing import CallKind
@@ -8,7 +10,11 @@
     RelayHarness,
     ScriptedReplica,
     call_rule,
+    event,
     events,
+    head_of,
+    report_model,
+    send_chunk,
     stream_rule,
 )
 
@@ -56,3 +62,34 @@
         self.assertTrue(harness.fetch(TOKENS).is_complete)
         received = [len(each.received) for each in (one, two, three)]
         self.assertEqual(received, [1, 0, 1])
+
+    def test_limit_ends_with_the_answer_to_a_probe_that_names_none(self):
+        def slow_stream(sock, req):
+            lines = b"Server-Limit: 2", b"Transfer-Encoding: chunked"
+            sock.sendall(head_of(req, 200, *lines) + b"\r\n")
+            send_chunk(sock, event(1))
+            eventlet.sleep(0.35)
+            send_chunk(sock, event(2))
+            sock.sendall(b"0\r\n\r\n")
+            return True
+
+        one = ScriptedReplica("one", slow_stream, report_model)
+        harness = self.harness(one, rule=stream_rule(), pool=POOL)
+        self.assertTrue(harness.fetch(TOKENS).is_complete)
+        self.assertEqual(len(one.received), 2)
+        self.assertEqual(harness.registry.get("one").limit.per_s, 2.0)
+
+    def test_limit_ends_with_a_late_answer_to_an_earlier_request(self):
+        def late_then_limited(sock, req):
+            late = head_of(req, 200, b"Content-Length: 0", request_id=b"id-0")
+            sock.sendall(late + b"\r\n")
+            return limited(b"2")(sock, req)
+
+        harness = self.harness(
+            ScriptedReplica("one", late_then_limited), rule=call_rule(CallKind.ONCE)
+        )
+        state = harness.registry.get("one")
+        harness.limits.note_answer(state, RateLimit(2.0, "2"))
+        self.assertEqual(harness.fetch().status, 200)
+        lifted = harness.metrics.limit_changes.labels("lifted")
+        self.assertEqual(lifted._value.get(), 0)
