--- a/boragedeck/process/relaying/fleet_size.py
+++ b/boragedeck/process/relaying/fleet_size.py
@@ -42,14 +42,18 @@
         self._has_seeds = has_seeds
         self._discovery_until = timers.now() + DISCOVERY_PERIOD_S
 
-    def assumed(self) -> int:
-        """Return the number of routers to assume; at least 1."""
+    def known(self) -> int:
+        """Return the number of known routers; a large one if none is known yet."""
         known = max(1, self._known())
-        if self._timers.now() >= self._discovery_until:
-            return known
-        if known == 1 and self._has_seeds():
-            return ASSUMED_FLEET_ROUTERS
-        return max(known, ASSUMED_ROUTERS)
+        is_alone = known == 1 and self._has_seeds()
+        return ASSUMED_FLEET_ROUTERS if is_alone and self._is_new() else known
+
+    def assumed(self) -> int:
+        """Return the number of routers to assume, not too low after a start."""
+        return max(self.known(), ASSUMED_ROUTERS) if self._is_new() else self.known()
+
+    def _is_new(self) -> bool:
+        return self._timers.now() < self._discovery_until
 
 
 def reachable_share(membership: Membership, fleet_size: FleetSize) -> float:
@@ -69,5 +73,5 @@
     """
     health = [member.health for member in membership.members()]
     reachable = 1 + health.count(Health.HEALTHY)
-    staying = fleet_size.assumed() - health.count(Health.LEAVING)
+    staying = fleet_size.known() - health.count(Health.LEAVING)
     return min(1.0, reachable / max(1, staying))
--- a/standins/relay_replica.py
+++ b/standins/relay_replica.py
@@ -31,12 +31,15 @@
         The ids of the requests that it started to serve.
     is_lost : bool
         Whether it aborts its streams, as a lost replica does.
+    limit_per_s : float or None
+        The limit on requests that it names in its answers; None if it names none.
     """
 
     def __init__(self, name: str, events: int = 0, event_interval_s: float = 0.02):
         self.name = name
         self.served_ids: list[str] = []
         self.is_lost = False
+        self.limit_per_s: float | None = None
         self._events = events
         self._interval_s = event_interval_s
 
@@ -72,6 +75,8 @@
         request_id = environ.get("HTTP_REQUEST_ID", "")
         self.served_ids.append(request_id)
         headers = [("Request-Id", request_id), SEAL]
+        if self.limit_per_s is not None:
+            headers.append(("Server-Limit", str(self.limit_per_s)))
         if not self._events:
             answer = Answer(200, b"served by " + self.name.encode())
             start_response("200 OK", [*headers, ("Content-Type", "text/plain")])
--- a/tests/scripts/test_platform_demo.py
+++ b/tests/scripts/test_platform_demo.py
@@ -14,6 +14,7 @@
 TIMEOUT_S = 20.0
 PAUSE_S = 1.5
 RECOVERY_TIMEOUT_S = 12.0
+STREAMS_PER_S = 8
 
 
 class PlatformDemoTest(unittest.TestCase):
@@ -137,6 +138,39 @@
         for url in urls:
             self.assert_complete(self.read(self.send_request(url)))
 
+    def play_streams(self, urls, seconds):
+        """Send streams to routers in turn, and wait until they have ended."""
+        threads = []
+        for number in range(int(seconds * STREAMS_PER_S)):
+            name = f"id-{len(self.sent)}"
+            self.sent.append(name)
+            url = urls[number % len(urls)]
+            threads.append(eventlet.spawn(self.serve_stream, url, name))
+            eventlet.sleep(1.0 / STREAMS_PER_S)
+        return [thread.wait() for thread in threads]
+
+    def serve_stream(self, url, name):
+        response = self.send_request(url, name)
+        self.read(response)
+        return response.status
+
+    def test_routers_together_exceed_the_limit_that_an_engine_names(self):
+        urls = [self.cluster.add_router(zone) for zone in "aba"]
+        self.sent = []
+        limited = self.cluster.engines["engine-1"][0]
+        limited.limit_per_s = 1.0
+        self.play_streams(urls, 1.5)
+        before = len(limited.served_ids)
+        statuses = self.play_streams(urls, 4.0)
+        self.assertEqual(set(statuses), {200})
+        allowed = 1.5 * limited.limit_per_s * 4.0 + 5
+        self.assertLessEqual(len(limited.served_ids) - before, allowed)
+        limited.limit_per_s = None
+        self.play_streams(urls, 2.0)
+        before = len(limited.served_ids)
+        statuses = self.play_streams(urls, 2.0)
+        self.assertGreaterEqual(len(limited.served_ids) - before, 0.3 * len(statuses))
+
     def test_stream_is_complete_if_its_router_is_terminated(self):
         url = self.cluster.add_router("a")
         response = self.send_request(url)
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -13,7 +13,7 @@
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member
 from boragedeck.process.relaying.admission import Admission
-from boragedeck.process.relaying.fleet_size import DISCOVERY_PERIOD_S, FleetSize
+from boragedeck.process.relaying.fleet_size import FleetSize
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.limit_grants import LimitGrants
 from boragedeck.process.relaying.limit_owners import LimitOwners
@@ -308,8 +308,6 @@
         self.routers = []
         for _ in range(routers):
             self.start_router()
-        # A router that has just started doesn't rely on the number that it knows.
-        self.timers.advance(DISCOVERY_PERIOD_S)
 
     def start_router(self):
         """Start another router."""
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -322,7 +322,6 @@
     members = SingleMembership()
     hubs = Hubs(timers, members)
     size = FleetSize(timers, members.routers)
-    size.assumed = members.routers
     owners = LimitOwners(timers, members, hubs, size)
     grants = LimitGrants(timers, owners, NoPeers(), NoPeers())
     return ReplicaLimits(timers, registry, grants, board, metrics)
