--- a/boragedeck/process/fact_store.py
+++ b/boragedeck/process/fact_store.py
@@ -12,7 +12,7 @@
 from boragedeck.process.gossip_messages import AgedFact, is_urgent
 from boragedeck.process.timers import TimerService
 
-__all__ = ["BUCKETS", "FactStore", "fact_hash", "wire_bytes"]
+__all__ = ["BUCKETS", "MAX_BODY_BYTES", "FactStore", "fact_hash", "wire_bytes"]
 
 BUCKETS = 128
 MAX_FACTS = 8192
--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -18,6 +18,7 @@
 from boragedeck.exceptions import StoreConflictError, StoreError, TableError
 from boragedeck.ids import FailureDomain, PoolName, Version
 from boragedeck.interfaces import FactBoard, RunSample
+from boragedeck.process.fact_store import MAX_BODY_BYTES
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.rollout_plan import (
     find_doubt,
@@ -239,7 +240,10 @@
 
     def _publish_evidence(self, rollout: RolloutState) -> None:
         key = f"{rollout.order.pool}/{rollout.number}"
-        body = msgspec.msgpack.encode(rollout.evidence_at(self._timers.now()))
+        evidence = rollout.evidence_at(self._timers.now())
+        body = msgspec.msgpack.encode(evidence)
+        if len(body) > MAX_BODY_BYTES:
+            body = msgspec.msgpack.encode(merge_routes(evidence))
         self._facts.publish(FactTopic.ROLLOUT_EVIDENCE, key, body, ttl_s=EVIDENCE_TTL_S)
 
     def _judge(self, rollout: RolloutState) -> None:
--- a/tests/process/relaying/test_rollouts.py
+++ b/tests/process/relaying/test_rollouts.py
@@ -9,6 +9,7 @@
 from boragedeck.exceptions import StoreConflictError, StoreUnavailableError
 from boragedeck.interfaces import Outcome, RunSample
 from boragedeck.platform.routing import decode_rollout
+from boragedeck.process.fact_store import MAX_BODY_BYTES
 from boragedeck.process.relaying.rollout_plan import (
     TRIAL_UNTIL,
     Doubt,
@@ -18,6 +19,7 @@
 from boragedeck.process.relaying.rollouts import PublishedRollout, RelayRollouts
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
+from boragedeck.version.evidence import Evidence
 from boragedeck.version.relay_rollouts import RolloutResult
 from tests.process.relaying.test_admission import replica
 from tests.support.replicas import BOUNDS, FakeFactBoard
@@ -149,6 +151,23 @@
         self.simulate(1.0)
         self.assertEqual(self.board.history, [RUNNING, ROLLED_BACK])
 
+    def test_evidence_that_exceeds_the_size_of_a_fact_ends_the_judgement(self):
+        self.order()
+        router = self.routers[0]
+        for number in range(32):
+            stratum = stratum_of(f"domain-{number % 4}", f"a-route-of-some-{number:05}")
+            for bucket in range(24):
+                for chosen in (OLD, NEW):
+                    took_s = 0.01 * 2 ** (bucket / 4)
+                    router.note(chosen, sample(chosen, False, took_s, stratum))
+                    router.note(chosen, sample(chosen, False, None, stratum, took_s))
+        router.tick()
+        facts = router._facts.facts(FactTopic.ROLLOUT_EVIDENCE)
+        own = next(fact for fact in facts if fact.origin == router._facts.own)
+        self.assertLessEqual(len(own.body), MAX_BODY_BYTES)
+        shown = msgspec.msgpack.decode(own.body, type=Evidence)
+        self.assertEqual(shown.total(is_new=True).trials, 32 * 24)
+
     def test_stop_that_comes_after_the_completion_takes_the_version_back(self):
         self.order()
         self.simulate(DURATION_S)
