--- a/boragedeck/process/relaying/rollout_plan.py
+++ b/boragedeck/process/relaying/rollout_plan.py
@@ -5,7 +5,6 @@
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.version.evidence import Evidence
 from boragedeck.version.judgement import SUSPICION_NATS, Score
-from boragedeck.version.relay_rollouts import RolloutResult
 
 __all__ = [
     "Doubt",
@@ -119,8 +118,8 @@
     return max(usual, min(MAX_TRIAL_SHARE, wanted / max(wanted, expected, 1.0)))
 
 
-def share_at(elapsed: float, trial: float, result: RolloutResult) -> float:
-    """Return the share of requests that the new version gets.
+def share_at(elapsed: float, trial: float) -> float:
+    """Return the share of requests that a new version without doubt gets.
 
     Parameters
     ----------
@@ -128,14 +127,7 @@
         Elapsed share of the rollout's duration; 1 at its deadline.
     trial : float
         The share during the trial; see `trial_share`.
-    result : RolloutResult
-        The rollout's current result.
     """
-    match result:
-        case RolloutResult.COMPLETED:
-            return 1.0
-        case RolloutResult.ROLLED_BACK:
-            return 0.0
     if elapsed < TRIAL_UNTIL:
         return trial
     for stage in RAMP_STAGES:
--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -221,17 +221,18 @@
         """Return the new version's share of the pool's requests."""
         if rollout.decided_result is RolloutResult.ROLLED_BACK:
             return 0.0
-        order = rollout.order
+        if rollout.result is RolloutResult.COMPLETED:
+            return 1.0
+        order, bounds = rollout.order, self._bounds()
         if not any(each.version == order.to for each in self._replicas(order.pool)):
             # Its replicas start after the order, and a request must not wait for them.
             return 0.0
-        trial = trial_share(
-            self._bounds(), self._requests_per_s(order.pool), order.duration_s
-        )
-        if rollout.result is RolloutResult.RUNNING and rollout.doubt is not None:
-            is_suspicion = rollout.doubt.is_suspicion
-            return usual_trial_share(self._bounds()) if is_suspicion else trial
-        return share_at(rollout.elapsed(self._timers.now()), trial, rollout.result)
+        if rollout.doubt is not None and rollout.doubt.is_suspicion:
+            return usual_trial_share(bounds)
+        trial = trial_share(bounds, self._requests_per_s(order.pool), order.duration_s)
+        if rollout.doubt is not None:
+            return trial
+        return share_at(rollout.elapsed(self._timers.now()), trial)
 
     def _requests_per_s(self, pool: PoolName) -> float:
         """Estimate the requests of a pool at all routers from those at this one."""
--- a/tests/process/relaying/test_rollouts.py
+++ b/tests/process/relaying/test_rollouts.py
@@ -151,6 +151,13 @@
         self.simulate(1.0)
         self.assertEqual(self.board.history, [RUNNING, ROLLED_BACK])
 
+    def test_completed_version_without_replicas_gets_no_request_on_their_return(self):
+        self.order()
+        self.simulate(DURATION_S)
+        self.assertEqual(self.board.history[-1], COMPLETED)
+        self.replicas = []
+        self.assertTrue(self.routers[0].replica_filter("p")(NEW))
+
     def test_evidence_that_exceeds_the_size_of_a_fact_ends_the_judgement(self):
         self.order()
         router = self.routers[0]
