--- a/tests/process/relaying/test_notice_defects.py
+++ b/tests/process/relaying/test_notice_defects.py
@@ -1,6 +1,7 @@
 import unittest
 
-from tests.support.notice_defects import NOTICE_DEFECTS, fails
+from tests.support.method_defects import fails
+from tests.support.notice_defects import NOTICE_DEFECTS
 
 
 class NoticeDefectTest(unittest.TestCase):
--- a/tests/support/notice_defects.py
+++ b/tests/support/notice_defects.py
@@ -1,11 +1,5 @@
 """Seeded defects in the handling of replicas' notices, each with its test."""
 
-import contextlib
-import unittest
-from unittest import mock
-
-import msgspec
-
 from boragedeck.connection.messages import FactTopic
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
 from boragedeck.process.relaying.registry import ReplicaRegistry
@@ -14,35 +8,14 @@
 from boragedeck.process.relaying.restraint import Restraints
 from boragedeck.request.stream_liveness import StreamLivenessMonitor
 from boragedeck.version.replicas import HoldOff, ReplicaNotice
+from tests.support.method_defects import MethodDefect
 
-__all__ = ["NOTICE_DEFECTS", "NoticeDefect", "fails"]
+__all__ = ["NOTICE_DEFECTS"]
 
 ANSWERS = "tests.request.test_relay_attempt"
 NOTICES = "tests.process.relaying.test_replica_notices"
 
 
-class NoticeDefect(msgspec.Struct, frozen=True):
-    """A method that is replaced by a wrong one, and the test that must fail."""
-
-    name: str
-    test: str
-    owner: type
-    attribute: str
-    wrong: object
-
-
-def fails(defect: NoticeDefect) -> bool:
-    """Return whether the test of a defect fails while the defect is in place."""
-    suite = unittest.defaultTestLoader.loadTestsFromName(defect.test)
-    result = unittest.TestResult()
-    with contextlib.ExitStack() as stack:
-        stack.enter_context(
-            mock.patch.object(defect.owner, defect.attribute, defect.wrong)
-        )
-        suite.run(result)
-    return result.testsRun > 0 and not result.wasSuccessful()
-
-
 _read_notice = HttpReplicaProtocol.notice
 _put = ReplicaRegistry.put
 _handle = ReplicaNotices.handle
@@ -87,8 +60,8 @@
         place.state.restraints = held
 
 
-def _holds_published(self, state, notice):
-    _handle(self, state, notice)
+def _holds_published(self, state, notice, **fields):
+    _handle(self, state, notice, **fields)
     if notice.hold_off is not None:
         key = f"replica/{state.run.born_ms}/{state.run.replica}"
         self._board.publish(FactTopic.LEAVING, key, b"")
@@ -101,28 +74,28 @@
 _real_is_alive = StreamLivenessMonitor._is_alive
 
 NOTICE_DEFECTS = (
-    NoticeDefect(
+    MethodDefect(
         "leaving is ignored on streams",
         f"{ANSWERS}.LeavingAnswerTest.test_head_of_a_stream",
         HttpReplicaProtocol,
         "notice",
         _ignored_on_streams,
     ),
-    NoticeDefect(
+    MethodDefect(
         "leaving is read from failures only",
         f"{ANSWERS}.LeavingAnswerTest.test_success_of_a_call",
         HttpReplicaProtocol,
         "notice",
         _read_on_failures_only,
     ),
-    NoticeDefect(
+    MethodDefect(
         "leaving is kept by address",
         f"{NOTICES}.LeavingTest.test_successor_at_the_address_serves_at_once",
         ReplicaRegistry,
         "put",
         _kept_by_address,
     ),
-    NoticeDefect(
+    MethodDefect(
         "leaving is lost at the next update of the list",
         f"{NOTICES}.LeavingTest"
         ".test_leaving_replica_gets_no_request_though_the_list_says_ready",
@@ -130,7 +103,7 @@
         "put",
         _forgotten_at_the_next_update,
     ),
-    NoticeDefect(
+    MethodDefect(
         "Retry-After is truncated to whole seconds",
         f"{ANSWERS}.HeldOffAnswerTest"
         ".test_retry_after_below_one_second_is_not_rounded_down",
@@ -138,21 +111,21 @@
         "notice",
         _truncated_to_whole_seconds,
     ),
-    NoticeDefect(
+    MethodDefect(
         "a replica that is held off is probed",
         f"{ANSWERS}.HeldOffAnswerTest.test_held_off_engine_is_not_probed",
         StreamLivenessMonitor,
         "_is_alive",
         _checked_while_held_off,
     ),
-    NoticeDefect(
+    MethodDefect(
         "a hold-off is published to other routers",
         f"{NOTICES}.TwoRoutersTest.test_hold_off_is_not_published",
         ReplicaNotices,
         "handle",
         _holds_published,
     ),
-    NoticeDefect(
+    MethodDefect(
         "waiting requests are sent at once after a hold",
         f"{NOTICES}.HoldOffTest.test_waiting_requests_are_sent_one_after_the_other",
         ReplicaState,
