--- a/tests/process/relaying/test_placement.py
+++ b/tests/process/relaying/test_placement.py
@@ -70,6 +70,22 @@
         busy = state("busy", peers=Load(3, 16_000, 27_000))
         self.assertEqual(self.choose([busy, state("idle", "b")]), "idle")
 
+    def test_limited_replica_is_chosen_before_its_turn_though_another_has_room(self):
+        limited, later = state("limited"), state("later")
+        limited.restraints.extend(Reason.LIMITED, 10.5)
+        later.restraints.extend(Reason.LIMITED, 10.9)
+        busy = state("busy", load=Load(3, 8_000, 27_000))
+        self.assertEqual(self.choose([later, limited, busy]), "busy")
+        self.assertEqual(self.choose([later, limited]), "limited")
+        self.assertEqual(self.choose([busy, later], now=11.0), "later")
+
+    def test_avoided_replica_is_chosen_before_one_that_waits_for_its_turn(self):
+        limited, bad = state("limited"), state("bad")
+        limited.restraints.extend(Reason.LIMITED, 10.5)
+        bad.restraints.extend(Reason.AVOIDED, 11.0)
+        self.assertEqual(self.choose([bad, limited]), "limited")
+        self.assertEqual(self.choose([bad]), "bad")
+
     def test_avoided_replica_comes_last(self):
         bad = state("bad")
         bad.restraints.extend(Reason.AVOIDED, 11.0)
