--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -55,6 +55,7 @@
     Measurement("rollouts", ("--seeds", "3")),
     Measurement("control_cost"),
     Measurement("load_messages"),
+    Measurement("replica_limits", ("9", "80")),
 )
 
 
