--- a/boragedeck/process/relaying/limit_owners.py
+++ b/boragedeck/process/relaying/limit_owners.py
@@ -1,8 +1,8 @@
 """Chooses the limit owner of a replica: the router that grants all sends to it.
 
-A replica in need names a limit on the requests of all routers together. Divided by the
-number of routers it would be less than one request in a second for each, and whatever
-one router doesn't use would be lost to the others.
+A replica in need names a limit on the requests of all routers together. If it were
+divided among the routers, each could often send less than one request in a second, and
+what one router doesn't use would be lost to the others.
 """
 
 from boragedeck.ids import Health
--- a/boragedeck/process/relaying/limited_admission.py
+++ b/boragedeck/process/relaying/limited_admission.py
@@ -63,7 +63,7 @@
         Result
             The place, or ``Err(RefusedError)`` with a `retry_after_s`.
         """
-        # When the limited replicas that the request can't wait for allow the next one.
+        # The next turns of the limited replicas for which the request can't wait.
         denied_until: dict[ReplicaId, float] = {}
         asked: set[ReplicaId] = set()
         while True:
@@ -76,7 +76,7 @@
                 return acquired
             state = acquired.ok().state
             name = state.replica.replica
-            # Otherwise it is passed over once, in case another replica has room.
+            # It is passed over once, for another replica may have room.
             is_last_resort = name in asked or state.limited_until > self._timers.now()
             max_wait_s = self._max_wait_s(allowed) if is_last_resort else 0.0
             place = self._take(acquired.ok(), allowed, max_wait_s)
--- a/boragedeck/process/relaying/replica_state.py
+++ b/boragedeck/process/relaying/replica_state.py
@@ -108,7 +108,7 @@
     limit : KnownLimit
         The limit that it names.
     next_turn_at : float
-        When its limit allowed the next request as its limit owner last said, on the
+        When its limit allows the next request, as its limit owner last said, on the
         timer service's monotonic clock; 0.0 if no owner was asked.
     is_removed : bool
         Whether it is no longer in the registry.
@@ -177,7 +177,7 @@
 
     @property
     def limited_until(self) -> float:
-        """Until when it is passed over because of its limit; 0.0 if it wasn't yet."""
+        """When it is no longer passed over because of its limit; 0.0 if it never was."""
         return self.restraints.until(Reason.LIMITED)
 
     @property
