--- a/boragedeck/process/relaying/replica_state.py
+++ b/boragedeck/process/relaying/replica_state.py
@@ -177,7 +177,7 @@
 
     @property
     def limited_until(self) -> float:
-        """When it is no longer passed over because of its limit; 0.0 if it never was."""
+        """When it stops being passed over because of its limit; 0.0 if it never was."""
         return self.restraints.until(Reason.LIMITED)
 
     @property
