--- a/boragedeck/ids.py
+++ b/boragedeck/ids.py
@@ -9,6 +9,7 @@
     "Health",
     "OrganisationName",
     "PoolName",
+    "PromptPartId",
     "ExecutionStatus",
     "Revision",
     "RouteName",
@@ -23,6 +24,8 @@
 FailureDomain = NewType("FailureDomain", str)
 OrganisationName = NewType("OrganisationName", str)
 PoolName = NewType("PoolName", str)
+PromptPartId = NewType("PromptPartId", str)
+"""Identifies a part of a prompt, such as a document that many requests quote."""
 Revision = NewType("Revision", int)
 """Number of a configuration; each change has a higher one."""
 RouteName = NewType("RouteName", str)
--- a/boragedeck/platform/callers.py
+++ b/boragedeck/platform/callers.py
@@ -5,12 +5,14 @@
 from boragedeck.connection.caller_edge import RawRequest
 from boragedeck.connection.exchange import Headers
 from boragedeck.exceptions import RefusedError
+from boragedeck.ids import PromptPartId
 from boragedeck.platform.names import (
     API_KEY,
     DEADLINE_MS,
     HOP_BY_HOP,
     LAST_EVENT_ID,
     LENGTH_HINT,
+    PROMPT_PARTS,
     REQUEST_ID,
     RETRY_AFTER,
     SET_BY_ROUTER,
@@ -79,6 +81,7 @@
         ),
         prompt_tokens=prompt,
         expected_tokens=min(limit, length_hint) if length_hint and limit else limit,
+        shared_parts=_parse_shared_parts(values_by_name.get(PROMPT_PARTS.lower())),
     )
 
 
@@ -97,6 +100,21 @@
     return int(prompt), int(output)
 
 
+def _parse_shared_parts(value: bytes | None) -> tuple[PromptPartId, ...]:
+    """Return the ids of all parts of a prompt but the last, at most the first few."""
+    if not value:
+        return ()
+    parts = []
+    for entry in value.split(b","):
+        name, _, tokens = entry.strip().partition(b":")
+        if not name or len(name) > _MAX_PART_ID_BYTES or not tokens.isdigit():
+            raise ValueError(
+                f"{PROMPT_PARTS.decode()} got {entry!r}; expected ID:TOKENS"
+            )
+        parts.append(PromptPartId(name.decode("ascii")))
+    return tuple(parts[:-1][:_MAX_SHARED_PARTS])
+
+
 def _parse_number(value: bytes | None, name: bytes) -> int | None:
     if value is None:
         return None
@@ -116,6 +134,8 @@
 
 
 _MAX_DIGITS = 15
+_MAX_PART_ID_BYTES = 64
+_MAX_SHARED_PARTS = 64
 _SINGLE_VALUED_HEADERS = frozenset(
     name.lower()
     for name in (
@@ -123,6 +143,7 @@
         DEADLINE_MS,
         LAST_EVENT_ID,
         LENGTH_HINT,
+        PROMPT_PARTS,
         REQUEST_ID,
         TOKEN_COUNTS,
         b"Host",
--- a/boragedeck/platform/names.py
+++ b/boragedeck/platform/names.py
@@ -12,6 +12,7 @@
     "LENGTH_HINT",
     "NOT_RUN",
     "ORGANISATION",
+    "PROMPT_PARTS",
     "READY_PATH",
     "REPLICA_ID",
     "REPORT_PATH",
@@ -35,6 +36,8 @@
 LENGTH_HINT = b"Length-Hint"
 NOT_RUN = b"Not-Executed"
 ORGANISATION = b"Tenant"
+PROMPT_PARTS = b"Prompt-Prefix"
+"""The parts of a prompt in order, as ID:TOKENS, separated by commas."""
 READY_PATH = b"/boragedeck/readyz"
 RATE_LIMIT = b"Server-Limit"
 """In answers, of any status, of a replica that is overloaded: the requests per second
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -49,6 +49,7 @@
 MAX_WAIT_SHARE = 0.4
 """Share of the caller's time-out that a request which has not run may wait. If it is
 refused then, the caller still has time to retry and be served."""
+MAX_LOGGED_PARTS = 8
 
 log = PartLog("relay")
 
@@ -302,6 +303,9 @@
             replica=place.state.replica.replica,
             domain=place.state.replica.failure_domain,
             error=str(error),
+            organisation=self.organisation,
+            shared_parts=list(self.req.shared_parts[:MAX_LOGGED_PARTS]),
+            has_output=place.has_output,
             sent=self.sent,
             after_s=round(self.parts.timers.now() - place.since, 3),
         )
--- a/boragedeck/request/relay_request.py
+++ b/boragedeck/request/relay_request.py
@@ -7,7 +7,7 @@
 
 from boragedeck.connection.exchange import AnswerHead, Headers, Message
 from boragedeck.connection.peer import Address
-from boragedeck.ids import OrganisationName
+from boragedeck.ids import OrganisationName, PromptPartId
 from boragedeck.version.replicas import Replica, ReplicaId, ReplicaNotice
 
 __all__ = [
@@ -46,6 +46,9 @@
         Number of the last event of this stream that the caller has received.
     prompt_tokens, expected_tokens : int
         Number of tokens in the prompt, and the expected number of generated tokens.
+    shared_parts : tuple of PromptPartId
+        The parts of the prompt that other requests may have, too: all but the last
+        one, in order.
     """
 
     request_id: str
@@ -61,6 +64,7 @@
     resume_after: int | None = None
     prompt_tokens: int = 0
     expected_tokens: int = 0
+    shared_parts: tuple[PromptPartId, ...] = ()
 
     @property
     def tokens(self) -> int:
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -18,7 +18,7 @@
 from boragedeck.request.events import EventError, EventExcessError, EventSplitter
 from boragedeck.request.gap_sampler import GapSampler
 from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
-from boragedeck.request.relay_job import RelayJob, log
+from boragedeck.request.relay_job import MAX_LOGGED_PARTS, RelayJob, log
 from boragedeck.request.relay_refusals import final_refusal, too_late_refusal
 from boragedeck.request.relay_request import AttemptPlan, CopySource, VerdictKind
 from boragedeck.request.stream_liveness import (
@@ -163,6 +163,8 @@
             running=place.state.running,
             tokens=place.state.tokens,
             position=plan.last_event,
+            organisation=job.organisation,
+            shared_parts=list(job.req.shared_parts[:MAX_LOGGED_PARTS]),
             from_copy=plan.source is not None,
             backup=None if plan.backup is None else plan.backup.replica,
             attempt=job.sent + 1,
@@ -266,6 +268,12 @@
     def _note_output(self, place: Place) -> None:
         if not place.has_output:
             took_s = self._job.parts.timers.now() - place.since
+            log.write(
+                "First output.",
+                request=self._job.req.request_id,
+                replica=place.state.replica.replica,
+                after_s=round(took_s, 3),
+            )
             self._job.evidence.note_outcome(place, None, took_s)
             if not self._recovery.resumes_from_copy:
                 prompt_tokens = self._job.req.prompt_tokens
