Name the owners of limits after what they are: owners of tasks

One router that carries out a task for all is chosen by rendezvous hash, among the hubs if there are any. Judging crashes will need the same choice. The hash of a limit's owner is unchanged, so old and new routers agree on it.

--- a/benchmarks/replica_limits.py
+++ b/benchmarks/replica_limits.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from boragedeck.process.relaying.limit_grants import limit_task
 from boragedeck.process.relaying.limit_messages import (
     ReportLimit,
     SendDecision,
@@ -85,7 +86,7 @@
     def _may_send(self, req: TakeSend) -> bool:
         if self._way is not Way.MEMBER:
             return True
-        owner = self._router.owners.owner_of(req.run.replica)
+        owner = self._router.owners.owner_of(limit_task(req.run.replica))
         return owner.router == self._router.name
 
     def _rate(self, req: TakeSend) -> float:
@@ -147,7 +148,7 @@
     router = next(
         each
         for each in fleet.routers
-        if each.owners.owner_of("one").router == each.name
+        if each.owners.owner_of(limit_task("one")).router == each.name
     )
     question = TakeSend(router.state("one").run, 8.0, 0.0, 0.0, is_forwarded=True)
     body = msgspec.msgpack.encode(question)
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -39,7 +39,6 @@
 from boragedeck.process.relaying.fleet_size import FleetSize, reachable_share
 from boragedeck.process.relaying.hubs import Hubs, choose_hubs
 from boragedeck.process.relaying.limit_grants import LimitGrants
-from boragedeck.process.relaying.limit_owners import LimitOwners
 from boragedeck.process.relaying.limited_admission import LimitedAdmission
 from boragedeck.process.relaying.load_exchange import LoadExchange
 from boragedeck.process.relaying.mirror_follower import MirrorFollower
@@ -58,6 +57,7 @@
 from boragedeck.process.relaying.store_meter import StoreMeter
 from boragedeck.process.relaying.stream_pace import StreamTimeEstimator
 from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.task_owners import TaskOwners
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
 from boragedeck.request.relay_job import RelayComponents, respond_refusal
@@ -307,9 +307,7 @@
         )
 
     def _make_limits(self) -> ReplicaLimits:
-        owners = LimitOwners(
-            self.timers, self._membership, self._hubs, self._fleet_size
-        )
+        owners = TaskOwners(self.timers, self._membership, self._hubs, self._fleet_size)
         grants = LimitGrants(self.timers, owners, self._links, self._peer_server)
         return ReplicaLimits(
             self.timers, self._registry, grants, self._board, self.metrics
--- a/boragedeck/process/relaying/limit_grants.py
+++ b/boragedeck/process/relaying/limit_grants.py
@@ -17,12 +17,13 @@
     SendDecision,
     TakeSend,
 )
-from boragedeck.process.relaying.limit_owners import LimitOwners
 from boragedeck.process.relaying.replica_state import KnownLimit, Run
 from boragedeck.process.relaying.send_schedule import SendSchedule
+from boragedeck.process.relaying.task_owners import TaskOwners
 from boragedeck.process.timers import TimerService
+from boragedeck.version.replicas import ReplicaId
 
-__all__ = ["OWNER_RETRY_S", "OWNER_TIMEOUT_S", "LimitGrants"]
+__all__ = ["OWNER_RETRY_S", "OWNER_TIMEOUT_S", "LimitGrants", "limit_task"]
 
 OWNER_TIMEOUT_S = 0.1
 """How long a request waits for the decision of the limit owner."""
@@ -51,7 +52,7 @@
     ----------
     timers : TimerService
         The source of time.
-    owners : LimitOwners
+    owners : TaskOwners
         The limit owners.
     links : PeerLinks
         Links to the other routers.
@@ -68,7 +69,7 @@
     def __init__(
         self,
         timers: TimerService,
-        owners: LimitOwners,
+        owners: TaskOwners,
         links: PeerLinks,
         server: PeerServer,
     ):
@@ -89,7 +90,7 @@
             A denial if the owner can't be reached: without it, this router can't know
             what the others send.
         """
-        owner = self._owners.owner_of(req.run.replica)
+        owner = self._owners.owner_of(limit_task(req.run.replica))
         if owner.router == self._owners.own.router:
             return self._decide(req)
         if req.is_forwarded:
@@ -110,7 +111,7 @@
 
     def report(self, report: ReportLimit) -> None:
         """Send a changed limit to the limit owner, or record it as the owner."""
-        owner = self._owners.owner_of(report.run.replica)
+        owner = self._owners.owner_of(limit_task(report.run.replica))
         if owner.router == self._owners.own.router:
             self._on_report(report)
             return
@@ -158,5 +159,10 @@
         return granted
 
 
+def limit_task(replica: ReplicaId) -> str:
+    """Return the name of the task of granting the sends to a replica."""
+    return f"limit {replica}"
+
+
 def _ignore_change(run: Run, known: KnownLimit) -> None:
     """Ignore a changed limit."""
--- a/boragedeck/process/relaying/limit_owners.py
+++ b/boragedeck/process/relaying/task_owners.py
@@ -1,8 +1,7 @@
-"""Chooses the limit owner of a replica: the router that grants all sends to it.
+"""Chooses the one router that carries out a task for all routers together.
 
-A replica in need names a limit on the requests of all routers together. If it were
-divided among the routers, each could often send less than one request in a second, and
-what one router doesn't use would be lost to the others.
+Granting the sends to a replica that names a limit is such a task, and judging which
+requests crash replicas is another: each needs what all routers know in one place.
 """
 
 from boragedeck.ids import Health
@@ -11,15 +10,14 @@
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.rendezvous import rank
 from boragedeck.process.timers import TimerService
-from boragedeck.version.replicas import ReplicaId
 
-__all__ = ["LimitOwners"]
+__all__ = ["TaskOwners"]
 
 CACHE_TTL_S = 0.25
 
 
-class LimitOwners:
-    """The limit owners as this router sees them.
+class TaskOwners:
+    """The owners of tasks as this router sees them.
 
     Parameters
     ----------
@@ -54,10 +52,10 @@
         """The member that is this router itself."""
         return self._membership.own
 
-    def owner_of(self, replica: ReplicaId) -> Member:
-        """Return the limit owner of a replica."""
+    def owner_of(self, task: str) -> Member:
+        """Return the router that carries out a task."""
         self._refresh()
-        return rank(f"limit {replica}", self._candidates, _router_id)[0]
+        return rank(task, self._candidates, _router_id)[0]
 
     def reachable_share(self) -> float:
         """See `fleet_size.reachable_share`."""
--- a/tests/process/relaying/test_limited_fleet.py
+++ b/tests/process/relaying/test_limited_fleet.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from boragedeck.ids import Health
+from boragedeck.process.relaying.limit_grants import limit_task
 from tests.process.relaying.test_admission import replica
 from tests.support.limited_fleet import WINDOW_S, LimitedFleet, LimitedReplica
 
@@ -33,7 +34,9 @@
         return next(each for each in self.fleet.routers if each.name == name)
 
     def owner(self):
-        return self.router(self.fleet.routers[0].owners.owner_of("one").router)
+        return self.router(
+            self.fleet.routers[0].owners.owner_of(limit_task("one")).router
+        )
 
     def others(self, *routers):
         return [each for each in self.fleet.routers if each not in routers]
@@ -213,7 +216,7 @@
             router = self.fleet.start_router()
             for each in before:
                 each.members.unknown.add(router.name)
-            if router.owners.owner_of("one").router == router.name:
+            if router.owners.owner_of(limit_task("one")).router == router.name:
                 break
         self.fleet.run(1.5, 40.0)
         for each in self.fleet.routers:
--- a/tests/support/limit_defects.py
+++ b/tests/support/limit_defects.py
@@ -4,10 +4,10 @@
 
 from boragedeck.process.relaying.admission import Admission
 from boragedeck.process.relaying.limit_grants import LimitGrants
-from boragedeck.process.relaying.limit_owners import LimitOwners
 from boragedeck.process.relaying.limited_admission import LimitedAdmission
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.send_schedule import SendSchedule
+from boragedeck.process.relaying.task_owners import TaskOwners
 from tests.support.method_defects import MethodDefect
 
 __all__ = ["LIMIT_DEFECTS"]
@@ -54,7 +54,7 @@
     MethodDefect(
         "each side of a split grants the whole limit",
         f"{FLEET}.FaultTest.test_both_sides_of_a_split_network_send_the_whole_limit",
-        LimitOwners,
+        TaskOwners,
         "reachable_share",
         lambda self: 1.0,
     ),
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -16,13 +16,13 @@
 from boragedeck.process.relaying.fleet_size import FleetSize
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.limit_grants import LimitGrants
-from boragedeck.process.relaying.limit_owners import LimitOwners
 from boragedeck.process.relaying.limited_admission import LimitedAdmission
 from boragedeck.process.relaying.place import AdmissionRequest
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.task_owners import TaskOwners
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import RateLimit, ReplicaNotice
 from tests.process.relaying.test_admission import POOL, replica
@@ -238,7 +238,7 @@
         peer = FleetPeer(fleet.net, self.name)
         hubs = Hubs(timers, self.members)
         fleet_size = FleetSize(timers, self.members.routers)
-        self.owners = LimitOwners(timers, self.members, hubs, fleet_size)
+        self.owners = TaskOwners(timers, self.members, hubs, fleet_size)
         grants = LimitGrants(timers, self.owners, peer, peer)
         self.limits = ReplicaLimits(
             timers, self.registry, grants, self.board, self.metrics
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -24,7 +24,6 @@
 from boragedeck.process.relaying.fleet_size import FleetSize
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.limit_grants import LimitGrants
-from boragedeck.process.relaying.limit_owners import LimitOwners
 from boragedeck.process.relaying.limited_admission import LimitedAdmission
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
@@ -36,6 +35,7 @@
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.stream_pace import StreamTimeEstimator
 from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.task_owners import TaskOwners
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
 from boragedeck.request.relay_job import RelayComponents
@@ -322,7 +322,7 @@
     members = SingleMembership()
     hubs = Hubs(timers, members)
     size = FleetSize(timers, members.routers)
-    owners = LimitOwners(timers, members, hubs, size)
+    owners = TaskOwners(timers, members, hubs, size)
     grants = LimitGrants(timers, owners, NoPeers(), NoPeers())
     return ReplicaLimits(timers, registry, grants, board, metrics)
 
