Blame parts of prompts for crashes, by one judge for all routers

Callers saw replicas end one after the other under requests that share one part of their prompts, and up to 9 s of waiting; a sound request was refused as a crashing one.

Cause: crashes were counted for a hash of the whole request, and no two of these requests are alike. Each began at zero, was sent to up to five replicas by its own router, and blamed its neighbours as much as itself. The class of fault: evidence is kept under a key that the next case does not share.

Ruled out by the trial's log: a late verdict alone (five fingerprints with one pair of parts had up to five sends each), and a lost common cause (the crashes came one at a time).

What tells a deadly request from its neighbours: the head of its answer has come and no event (19 of 19 crashes; none of 59 lost sound attempts). Routers report such suspects to one judge, chosen by rendezvous hash. It blames a part after two crashes under different requests, unless it had output since; parts that always occur together are blamed together, so that a first part that sound requests share stays free. A suspicion is published first, and routers answer with output that clears it. A request that has lost a second replica at its beginning waits for the verdict, and one that is being read when it is blamed is withdrawn. A verdict ends by output, or by a trial after 30 s, 2 and 8 minutes.

The counts at hubs (crash_reports) are gone; their checks are kept in test_crash_blame: third crash at all routers, a lost domain under 100 routers publishes nothing, two crashes publish nothing, reports are few.

--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -22,6 +22,7 @@
     "UpstreamRefusedError",
     "UpstreamSilentError",
     "UpstreamNotAcceptingError",
+    "UpstreamWithdrawnError",
 ]
 
 
@@ -140,6 +141,10 @@
     """The upstream sent nothing for longer than the time that was allowed."""
 
 
+class UpstreamWithdrawnError(UpstreamError):
+    """The router withdrew the call before its answer had begun."""
+
+
 class RefusedError(BoragedeckError):
     """A request is refused, or has failed, with an HTTP status for its caller.
 
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -34,7 +34,8 @@
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.relaying.admission import Admission
 from boragedeck.process.relaying.crash_blame import CrashBlame
-from boragedeck.process.relaying.crash_reports import CrashReports
+from boragedeck.process.relaying.crash_judge import CrashJudge
+from boragedeck.process.relaying.crash_verdicts import CrashVerdicts
 from boragedeck.process.relaying.durations import RequestDurations
 from boragedeck.process.relaying.fleet_size import FleetSize, reachable_share
 from boragedeck.process.relaying.hubs import Hubs, choose_hubs
@@ -277,6 +278,9 @@
         )
         self.metrics.waiting.set_function(admission.waiting)
         admission.on_change = self._loads.note_change
+        self._task_owners = TaskOwners(
+            self.timers, self._membership, self._hubs, self._fleet_size
+        )
         limits = self._make_limits()
         self._parts = RelayComponents(
             timers=self.timers,
@@ -307,8 +311,9 @@
         )
 
     def _make_limits(self) -> ReplicaLimits:
-        owners = TaskOwners(self.timers, self._membership, self._hubs, self._fleet_size)
-        grants = LimitGrants(self.timers, owners, self._links, self._peer_server)
+        grants = LimitGrants(
+            self.timers, self._task_owners, self._links, self._peer_server
+        )
         return ReplicaLimits(
             self.timers, self._registry, grants, self._board, self.metrics
         )
@@ -332,10 +337,18 @@
         return reachable_share(self._membership, self._fleet_size)
 
     def _make_crash_blame(self) -> CrashBlame:
-        reports = CrashReports(
-            self.timers, self._hubs, self.own, self._links, self._peer_server
+        verdicts = CrashVerdicts(self.timers, self._board)
+        judge = CrashJudge(self.timers, verdicts, self._peer_server, self.metrics)
+        return CrashBlame(
+            self.timers,
+            self._task_owners,
+            self._links,
+            judge,
+            verdicts,
+            self._registry.versions,
+            self.metrics,
+            self._rng,
         )
-        return CrashBlame(self.timers, self._board, reports)
 
     def _replicas_of(self, pool: PoolName) -> list[Replica]:
         return [state.replica for state in self._registry.of_pool(pool)]
--- a/boragedeck/process/relaying/crash_blame.py
+++ b/boragedeck/process/relaying/crash_blame.py
@@ -1,40 +1,85 @@
-"""Detects requests that crash their replicas, and publishes them to all routers."""
+"""Reports replicas that crash under this router's requests, and obeys the verdicts."""
 
 import functools
-from collections import OrderedDict
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable
 
 import eventlet
 import msgspec
 import xxhash
 
-from boragedeck.connection.messages import Fact, FactTopic
-from boragedeck.ids import OrganisationName
-from boragedeck.interfaces import FactBoard
+from boragedeck.connection.messages import Accepted, Message
+from boragedeck.connection.peer import Address, PeerLinks
+from boragedeck.ids import OrganisationName, PoolName, Version
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.crash_reports import (
-    CRASH_TTL_S,
-    MAX_FINGERPRINTS,
-    MIN_CRASHES_TO_BLAME,
-    CrashReports,
+from boragedeck.process.relaying.crash_judge import CrashJudge
+from boragedeck.process.relaying.crash_messages import (
+    AskTrial,
+    CrashSuspect,
     ReportCrash,
+    ReportSound,
+    Signature,
+    TrialDecision,
+    VerdictState,
+    single_signatures,
 )
-from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.process.relaying.crash_verdicts import CrashVerdicts, RequestTraits
+from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replica_state import ReplicaState, Run
+from boragedeck.process.relaying.task_owners import TaskOwners
 from boragedeck.process.timers import TimerService
-from boragedeck.version.replicas import ReplicaId
 
-__all__ = ["CrashBlame", "fingerprint_of"]
+__all__ = ["JUDGE_TASK", "CrashBlame", "fingerprint_of"]
 
-DOMAIN_WINDOW_S = 0.6
-"""Replicas of a domain that are lost within this time have a common cause."""
+JUDGE_TASK = "judge of crashes"
+CONFIRM_S = 0.6
+"""How long after a connection broke its replica is lost if it hasn't answered."""
+REPORT_DELAY_S = 0.03
+"""How long after a lost replica refused a connection its other connections break."""
+CALL_TIMEOUT_S = 0.3
+TRIAL_TIMEOUT_S = 0.1
+"""How long a request waits for the decision about a trial."""
+REPEAT_INTERVAL_S = 1.0
+REPEAT_TTL_S = 60.0
+"""How long crashes are reported again if another router becomes the judge."""
+MAX_REPEATED = 32
+MAX_SOUND = 4_096
+"""Maximum number of signatures whose last output is remembered."""
+SOUND_TTL_S = 60.0
+SOUND_INTERVAL_S = 0.5
+"""Minimum time between two reports of output with the same signature."""
+SOUND_SPREAD_S = 0.1
+"""Reports of remembered output are spread over this time."""
 
 _log = PartLog("blame")
 
 
-class _BrokenRequest(msgspec.Struct, frozen=True):
-    """A request whose replica broke the connection and may have crashed."""
+class _Break(msgspec.Struct):
+    """The connections of one run of a replica that broke at about the same time."""
 
-    fingerprint: str
     at: float
+    suspects: list[CrashSuspect] = []
+    is_due: bool = False
+
+
+class _Sound(msgspec.Struct):
+    """Output with a signature, and what was last reported of it."""
+
+    began_at: float
+    """When the newest output began."""
+    reported_at: float = float("-inf")
+    reported_began_at: float = float("-inf")
+    """When the output that was reported last had begun."""
+
+
+class _Report(msgspec.Struct):
+    """A crash that was reported, without its age."""
+
+    crash: ReportCrash
+    at: float
+    judge: Address | None = None
+    """The judge that has accepted it."""
 
 
 def fingerprint_of(
@@ -49,117 +94,223 @@
 
 
 class CrashBlame:
-    """Counts the replicas that crashed under each request.
+    """What this router contributes to, and knows of, the verdicts on crashes.
 
     Parameters
     ----------
     timers : TimerService
         The source of time.
-    board : FactBoard
-        Publishes crashes to the other routers.
-    reports : CrashReports, optional
-        Counts the crashes in a fleet that has hubs, where only blamed requests are
-        published.
+    owners : TaskOwners
+        Chooses the judge.
+    links : PeerLinks
+        Links to the other routers.
+    judge : CrashJudge
+        Judges in this router, if it is the judge or doesn't reach it.
+    verdicts : CrashVerdicts
+        The verdicts in force.
+    versions_of : callable
+        Returns the versions of the replicas of a pool.
+    metrics : RelayMetrics
+        Counts reported crashes.
+    rng : random.Random
+        Spreads reports.
+
+    Attributes
+    ----------
+    on_blamed : set of callable
+        Called when something is blamed; see `is_blamed`.
 
     Notes
     -----
     A broken connection alone is weak evidence, since replicas that keep running break
-    off answers, too. A replica is lost if it was removed, or has missed an attempt and
-    not answered since. A crash is counted if the replica is lost, and no other replica
-    of its failure domain was lost at about the same time.
+    off answers, too. A replica is lost if it was removed, refused a connection since,
+    or has not answered since. A replica that leaves counts as none.
     """
 
     def __init__(
         self,
         timers: TimerService,
-        board: FactBoard,
-        reports: CrashReports | None = None,
+        owners: TaskOwners,
+        links: PeerLinks,
+        judge: CrashJudge,
+        verdicts: CrashVerdicts,
+        versions_of: Callable[[PoolName], set[Version]],
+        metrics: RelayMetrics,
+        rng: random.Random,
     ):
-        self._reports = reports
-        if reports is not None:
-            reports.on_blamed = self._publish
         self._timers = timers
-        self._board = board
-        self._broken: dict[ReplicaId, list[_BrokenRequest]] = {}
-        # When replicas were lost, by pool and failure domain.
-        self._lost: dict[tuple[str, str], list[tuple[float, ReplicaId]]] = {}
-        # When replicas crashed under a request, by its fingerprint.
-        self._crashes: OrderedDict[str, dict[ReplicaId, float]] = OrderedDict()
-        board.subscribe(FactTopic.CRASH, self._on_fact)
-
-    def is_blamed(self, fingerprint: str) -> bool:
-        """Return whether `MIN_CRASHES_TO_BLAME` replicas crashed in `CRASH_TTL_S`."""
-        since = self._timers.now() - CRASH_TTL_S
-        crash_times = self._crashes.get(fingerprint, {})
-        return sum(at > since for at in crash_times.values()) >= MIN_CRASHES_TO_BLAME
-
-    def note_broken(self, fingerprint: str, state: ReplicaState) -> None:
-        """Record that a replica broke the connection during a request."""
-        replica = state.replica
-        broken = self._broken.setdefault(replica.replica, [])
-        if not broken:
-            confirm = functools.partial(self._confirm_crash, replica.replica, state)
-            self._timers.call_later(DOMAIN_WINDOW_S, confirm)
-        broken.append(_BrokenRequest(fingerprint, self._timers.now()))
-        self.note_lost(state)
+        self._owners = owners
+        self._links = links
+        self._judge = judge
+        self._verdicts = verdicts
+        self._versions_of = versions_of
+        self._metrics = metrics
+        self._rng = rng
+        self._breaks: dict[Run, _Break] = {}
+        self._reports: deque[_Report] = deque(maxlen=MAX_REPEATED)
+        self._sound: OrderedDict[Signature, _Sound] = OrderedDict()
+        self.on_blamed = verdicts.on_blamed
+        verdicts.on_open = self._report_remembered_output
+        timers.subscribe(REPEAT_INTERVAL_S, self._repeat_reports)
 
-    def note_lost(self, state: ReplicaState) -> None:
-        """Record that a replica broke the connection or was unreachable."""
-        replica = state.replica
-        lost = self._lost.setdefault((replica.pool, replica.failure_domain), [])
+    def is_blamed(self, traits: RequestTraits) -> bool:
+        """Return whether a request is refused, without asking for a trial."""
+        return bool(self._verdicts.blamed_for(traits))
+
+    def is_suspected(self, traits: RequestTraits) -> bool:
+        """Return whether a crash counts against a request or a part of it."""
+        return any(map(self._verdicts.is_suspected, traits.signatures()))
+
+    def admits(self, traits: RequestTraits) -> bool:
+        """Return whether a request may be sent; ask for a trial if one is due."""
         now = self._timers.now()
-        lost[:] = [entry for entry in lost if now - entry[0] <= 4.0 * DOMAIN_WINDOW_S]
-        lost.append((now, replica.replica))
-
-    def _confirm_crash(self, replica: ReplicaId, state: ReplicaState) -> None:
-        """Count a crash if the replica is lost and no other one is lost with it."""
-        broken = self._broken.pop(replica, [])
-        is_lost = state.is_removed or state.consecutive_misses > 0
-        if not is_lost or self._has_common_cause(state, broken[0].at):
+        blamed = self._verdicts.blamed_for(traits)
+        if any(known.trial_at > now for known in blamed):
+            return False
+        return all(self._ask_trial(known.verdict.signature) for known in blamed)
+
+    def note_broken(self, suspect: CrashSuspect | None, state: ReplicaState) -> None:
+        """Record that a replica broke the connection during a request.
+
+        Parameters
+        ----------
+        suspect : CrashSuspect or None
+            The request; None if it had lasting output.
+        state : ReplicaState
+            The replica.
+        """
+        found = self._breaks.get(state.run)
+        if found is None:
+            found = self._breaks[state.run] = _Break(self._timers.now())
+            confirm = functools.partial(self._confirm, state.run, state)
+            self._timers.call_later(CONFIRM_S, confirm)
+        if suspect is not None:
+            found.suspects.append(suspect)
+
+    def note_lost(self, state: ReplicaState) -> None:
+        """Record that a replica was unreachable."""
+        found = self._breaks.get(state.run)
+        if found is not None and not found.is_due:
+            found.is_due = True
+            report = functools.partial(self._report_crash, state.run, state)
+            self._timers.call_later(REPORT_DELAY_S, report)
+
+    def note_output(self, traits: RequestTraits, began_at: float) -> None:
+        """Record that a request had lasting output, which began at a time."""
+        for signature in traits.signatures():
+            sound = self._sound.setdefault(signature, _Sound(began_at))
+            sound.began_at = max(sound.began_at, began_at)
+            self._sound.move_to_end(signature)
+            if self._is_report_due(signature, sound):
+                self._report_output(signature, sound)
+        while len(self._sound) > MAX_SOUND:
+            self._sound.popitem(last=False)
+        for known in self._verdicts.blamed_for(traits):
+            sound = _Sound(began_at)
+            self._report_output(known.verdict.signature, sound)
+
+    def _confirm(self, run: Run, state: ReplicaState) -> None:
+        found = self._breaks.get(run)
+        if found is None:
             return
-        for fingerprint in {each.fingerprint for each in broken}:
-            if self._reports is not None and self._reports.is_in_use():
-                lost_replica = state.replica
-                crash = ReportCrash(
-                    fingerprint, replica, lost_replica.pool, lost_replica.failure_domain
-                )
-                eventlet.spawn_n(self._reports.report, crash)
-            else:
-                self._publish(fingerprint, [replica])
-
-    def _publish(self, fingerprint: str, replicas: list[ReplicaId]) -> None:
-        """Publish to all routers which replicas crashed under a request."""
-        for replica in replicas:
-            key = f"{fingerprint} {replica}"
-            self._board.publish(FactTopic.CRASH, key, b"", ttl_s=CRASH_TTL_S)
-            self._count_crash(fingerprint, replica)
-
-    def _has_common_cause(self, state: ReplicaState, at: float) -> bool:
-        """Return whether another replica of its failure domain was lost about then."""
-        place = state.replica.pool, state.replica.failure_domain
-        others = {
-            replica
-            for when, replica in self._lost.get(place, [])
-            if abs(when - at) <= DOMAIN_WINDOW_S
-        }
-        return bool(others - {state.replica.replica})
-
-    def _on_fact(self, fact: Fact) -> None:
-        fingerprint, _, replica = fact.key.partition(" ")
-        self._count_crash(fingerprint, ReplicaId(replica))
-
-    def _count_crash(self, fingerprint: str, replica: ReplicaId) -> None:
-        crash_times = self._crashes.setdefault(fingerprint, {})
-        if replica in crash_times:
+        has_answered = state.consecutive_misses == 0 or state.answered_at > found.at
+        if state.is_removed or not has_answered:
+            self._report_crash(run, state)
+        else:
+            del self._breaks[run]
+
+    def _report_crash(self, run: Run, state: ReplicaState) -> None:
+        found = self._breaks.pop(run, None)
+        if found is None or state.is_leaving:
             return
-        crash_times[replica] = self._timers.now()
-        self._crashes.move_to_end(fingerprint)
-        if len(self._crashes) > MAX_FINGERPRINTS:
-            self._crashes.popitem(last=False)
+        replica = state.replica
+        crash = ReportCrash(
+            run=run,
+            pool=replica.pool,
+            domain=replica.failure_domain,
+            version=replica.version,
+            is_only_version=len(self._versions_of(replica.pool)) <= 1,
+            age_s=0.0,
+            suspects=tuple(found.suspects),
+        )
+        report = _Report(crash, found.at)
+        self._reports.append(report)
+        self._metrics.crashes_reported.inc()
         _log.write(
-            "Crash counted.",
-            fingerprint=fingerprint,
-            replica=replica,
-            crashes=len(crash_times),
-            is_blamed=self.is_blamed(fingerprint),
+            "Crash reported.",
+            replica=run.replica,
+            domain=replica.failure_domain,
+            suspects=len(found.suspects),
+            begun=[each.fingerprint for each in found.suspects if each.has_begun],
+            age_s=round(self._timers.now() - found.at, 3),
+        )
+        eventlet.spawn_n(self._send_report, report, is_first=True)
+
+    def _send_report(self, report: _Report, *, is_first: bool = False) -> None:
+        owner = self._owners.owner_of(JUDGE_TASK)
+        age_s = self._timers.now() - report.at
+        crash = msgspec.structs.replace(report.crash, age_s=age_s)
+        if owner.router == self._owners.own.router:
+            self._judge.note_crash(crash)
+            report.judge = owner.address
+        elif self._call(crash, owner.address):
+            report.judge = owner.address
+        elif is_first:
+            # Nobody else may judge what only this router can report.
+            self._judge.note_crash(crash)
+
+    def _repeat_reports(self) -> None:
+        """Report crashes to a new judge, or to one that didn't answer."""
+        owner = self._owners.owner_of(JUDGE_TASK).address
+        since = self._timers.now() - REPEAT_TTL_S
+        for report in list(self._reports):
+            if report.judge != owner and report.at > since:
+                eventlet.spawn_n(self._send_report, report)
+
+    def _report_remembered_output(self, signature: Signature) -> None:
+        for each in single_signatures(signature):
+            sound = self._sound.get(each)
+            if sound is None or self._timers.now() - sound.began_at > SOUND_TTL_S:
+                continue
+            report = functools.partial(self._report_output, each, sound)
+            self._timers.call_later(self._rng.uniform(0.0, SOUND_SPREAD_S), report)
+
+    def _is_report_due(self, signature: Signature, sound: _Sound) -> bool:
+        """Return whether output is news to the judge, who suspects its signature."""
+        known = self._verdicts.get(signature)
+        if known is None or known.verdict.state is not VerdictState.SUSPECTED:
+            return False
+        if sound.reported_began_at < known.decided_at <= sound.began_at:
+            return True
+        return self._timers.now() - sound.reported_at >= SOUND_INTERVAL_S
+
+    def _report_output(self, signature: Signature, sound: _Sound) -> None:
+        now = self._timers.now()
+        sound.reported_at = now
+        sound.reported_began_at = sound.began_at
+        report = ReportSound(signature, now - sound.began_at)
+        owner = self._owners.owner_of(JUDGE_TASK)
+        if owner.router == self._owners.own.router:
+            self._judge.note_sound(report)
+        else:
+            eventlet.spawn_n(self._call, report, owner.address)
+
+    def _ask_trial(self, signature: Signature) -> bool:
+        owner = self._owners.owner_of(JUDGE_TASK)
+        if owner.router == self._owners.own.router:
+            return self._judge.decide_trial(AskTrial(signature)).is_granted
+        link = self._links.link(owner.address)
+        answer = link.call(
+            AskTrial(signature), TrialDecision, timeout_s=TRIAL_TIMEOUT_S
         )
+        if answer.is_ok():
+            return answer.ok().is_granted
+        _log.write("Judge failed.", peer=str(owner.address), error=str(answer.err()))
+        return False
+
+    def _call(self, message: Message, judge: Address) -> bool:
+        link = self._links.link(judge)
+        answer = link.call(message, Accepted, timeout_s=CALL_TIMEOUT_S)
+        if answer.is_err():
+            _log.write("Judge failed.", peer=str(judge), error=str(answer.err()))
+        return answer.is_ok()
--- /dev/null
+++ b/boragedeck/process/relaying/crash_judge.py
@@ -0,0 +1,223 @@
+"""Judges for all routers which requests crash replicas.
+
+One router is the judge, so that the crashes under requests that came to different
+routers count together. Its evidence is soft state: when another router becomes the
+judge, the routers report their crashes of the last minute to it again.
+"""
+
+import math
+
+from boragedeck.connection.messages import Accepted
+from boragedeck.connection.peer import PeerServer
+from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.crash_evidence import GATHER_S, CrashEvidence
+from boragedeck.process.relaying.crash_messages import (
+    AskTrial,
+    CrashVerdict,
+    ReportCrash,
+    ReportSound,
+    Signature,
+    TrialDecision,
+    VerdictState,
+    single_signatures,
+)
+from boragedeck.process.relaying.crash_verdicts import (
+    BLAME_TTL_S,
+    CrashVerdicts,
+    KnownVerdict,
+)
+from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.timers import TimerService
+
+__all__ = ["TRIAL_AFTER_S", "TRIAL_TIMEOUT_S", "CrashJudge"]
+
+REVIEW_DELAY_S = GATHER_S + 0.01
+HEARING_S = 0.6
+"""How long after a suspicion was published routers may report output that clears it,
+before it can become blame."""
+TRIAL_AFTER_S = (30.0, 120.0, 480.0)
+"""How long after a verdict one request is sent as a trial, by how many trials have
+crashed a replica. After the last one the verdict holds until it expires."""
+TRIAL_TIMEOUT_S = 15.0
+"""How long after a trial was granted the next one is, if nothing was heard of it."""
+MAX_SUSPECTED = 64
+"""Maximum number of signatures that become suspected in one review."""
+
+_log = PartLog("blame")
+
+
+class CrashJudge:
+    """Collects reports, and publishes verdicts when they change.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    verdicts : CrashVerdicts
+        The verdicts in force, also those of other judges.
+    server : PeerServer
+        Receives the reports of other routers.
+    metrics : RelayMetrics
+        Counts crashes and verdicts.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        verdicts: CrashVerdicts,
+        server: PeerServer,
+        metrics: RelayMetrics,
+    ):
+        self._timers = timers
+        self._verdicts = verdicts
+        self._metrics = metrics
+        self._evidence = CrashEvidence(timers)
+        self._is_review_due = False
+        # When the last trial of a signature was granted.
+        self._trial_granted_at: dict[Signature, float] = {}
+        server.register(ReportCrash, self.note_crash)
+        server.register(ReportSound, self.note_sound)
+        server.register(AskTrial, self.decide_trial)
+
+    def note_crash(self, report: ReportCrash) -> Accepted:
+        """Record a crash, and review the verdicts once all routers have reported it."""
+        self._evidence.note_crash(report)
+        _log.write(
+            "Crash counted.",
+            replica=report.run.replica,
+            domain=report.domain,
+            version=report.version,
+            age_s=round(report.age_s, 3),
+            suspects=len(report.suspects),
+            begun=[each.fingerprint for each in report.suspects if each.has_begun],
+        )
+        if not self._is_review_due:
+            self._is_review_due = True
+            self._timers.call_later(REVIEW_DELAY_S, self._review)
+        return Accepted()
+
+    def note_sound(self, report: ReportSound) -> Accepted:
+        """Record output, and clear what it proves harmless."""
+        for each in single_signatures(report.signature):
+            self._evidence.note_sound(each, report.age_s)
+        for known in self._verdicts.open():
+            signature = known.verdict.signature
+            if _have_common_part(signature, report.signature) and self._is_sound(known):
+                self._publish(signature, VerdictState.CLEARED, 0, 0.0)
+        return Accepted()
+
+    def decide_trial(self, request: AskTrial) -> TrialDecision:
+        """Grant one trial at a time, and none before it is due."""
+        signature, now = request.signature, self._timers.now()
+        known = self._verdicts.get(signature)
+        is_due = known is None or known.trial_at <= now
+        granted_at = self._trial_granted_at.get(signature, float("-inf"))
+        is_granted = is_due and now - granted_at >= TRIAL_TIMEOUT_S
+        if is_granted:
+            self._trial_granted_at[signature] = now
+        self._forget_old_trials(now)
+        _log.write(
+            "Trial granted." if is_granted else "Trial denied.",
+            pool=signature.pool,
+            fingerprint=signature.fingerprint,
+            shared_parts=list(signature.parts),
+            is_due=is_due,
+        )
+        return TrialDecision(is_granted)
+
+    def _is_sound(self, known: KnownVerdict) -> bool:
+        """Return whether all that is blamed had output since the last crash."""
+        signature = known.verdict.signature
+        crashed_at = self._evidence.last_crash_at(signature)
+        # Without evidence, the verdict shows that the crash was earlier.
+        since = known.decided_at if math.isinf(crashed_at) else crashed_at
+        return all(
+            self._evidence.is_sound_since(each, since)
+            for each in single_signatures(signature)
+        )
+
+    def _review(self) -> None:
+        self._is_review_due = False
+        blamed = self._evidence.blamed()
+        for signature in sorted(blamed):
+            self._blame(signature)
+        for known in self._verdicts.blamed():
+            self._renew(known)
+        suspected = sorted(self._evidence.suspected() - blamed)
+        for signature in suspected[:MAX_SUSPECTED]:
+            self._suspect(signature)
+
+    def _blame(self, signature: Signature) -> None:
+        known = self._verdicts.get(signature)
+        is_blamed = known is not None and known.verdict.state is VerdictState.BLAMED
+        if is_blamed or self._is_cleared_since_last_crash(signature):
+            return
+        wait_s = max(map(self._suspect, single_signatures(signature)))
+        if wait_s > 0.0:
+            self._timers.call_later(wait_s, self._review)
+        else:
+            self._publish(signature, VerdictState.BLAMED, 0, TRIAL_AFTER_S[0])
+
+    def _suspect(self, signature: Signature) -> float:
+        """Publish a suspicion unless it is known; return how long to wait for output.
+
+        Notes
+        -----
+        Other routers may have seen output that clears the signature, and they report
+        it if the signature is suspected.
+        """
+        if self._is_news(signature):
+            self._publish(signature, VerdictState.SUSPECTED, 0, 0.0)
+        known = self._verdicts.get(signature)
+        return known.decided_at + HEARING_S - self._timers.now()
+
+    def _renew(self, known: KnownVerdict) -> None:
+        """Blame a signature for longer if a trial has crashed a replica."""
+        signature = known.verdict.signature
+        if self._evidence.last_crash_at(signature) <= known.trial_at:
+            return
+        trials = known.verdict.trials + 1
+        is_last = trials >= len(TRIAL_AFTER_S)
+        after_s = BLAME_TTL_S if is_last else TRIAL_AFTER_S[trials]
+        self._publish(signature, VerdictState.BLAMED, trials, after_s)
+
+    def _is_news(self, signature: Signature) -> bool:
+        """Return whether there is no verdict on a signature since its last crash."""
+        known = self._verdicts.get(signature)
+        if known is None:
+            return True
+        is_cleared = known.verdict.state is VerdictState.CLEARED
+        return is_cleared and not self._is_cleared_since_last_crash(signature)
+
+    def _is_cleared_since_last_crash(self, signature: Signature) -> bool:
+        known = self._verdicts.get(signature)
+        if known is None or known.verdict.state is not VerdictState.CLEARED:
+            return False
+        return known.decided_at >= self._evidence.last_crash_at(signature)
+
+    def _publish(
+        self, signature: Signature, state: VerdictState, trials: int, after_s: float
+    ) -> None:
+        runs = self._evidence.crashes_of(signature)
+        _log.write(
+            "Verdict published.",
+            state=state.value,
+            pool=signature.pool,
+            fingerprint=signature.fingerprint,
+            shared_parts=list(signature.parts),
+            replicas=[run.replica for run in runs],
+            trials=trials,
+            trial_after_s=after_s,
+        )
+        self._metrics.crash_verdicts.labels(state.value).inc()
+        self._verdicts.publish(CrashVerdict(signature, state, trials, after_s))
+
+    def _forget_old_trials(self, now: float) -> None:
+        for signature, at in list(self._trial_granted_at.items()):
+            if now - at >= TRIAL_TIMEOUT_S:
+                del self._trial_granted_at[signature]
+
+
+def _have_common_part(first: Signature, second: Signature) -> bool:
+    """Return whether a part, or the request, is the same in two signatures."""
+    return not set(single_signatures(first)).isdisjoint(single_signatures(second))
--- a/boragedeck/process/relaying/registry.py
+++ b/boragedeck/process/relaying/registry.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from boragedeck.connection.peer import Address
-from boragedeck.ids import PoolName
+from boragedeck.ids import PoolName, Version
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.replica_state import ReplicaState, Run
 from boragedeck.process.relaying.restraint import Reason, Restraints
@@ -127,6 +127,14 @@
             if state.replica.pool == pool and state.takes_work
         ]
 
+    def versions(self, pool: PoolName) -> set[Version]:
+        """Return the versions of a pool's replicas, also of those that leave."""
+        return {
+            state.replica.version
+            for state in self._states.values()
+            if state.replica.pool == pool
+        }
+
     def note_miss(self, state: ReplicaState) -> None:
         """Record a miss of a replica; avoid its failure domain after several misses."""
         now = self._timers.now()
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -52,6 +52,17 @@
             ["change"],
             registry=registry,
         )
+        self.crash_verdicts = Counter(
+            "boragedeck_crash_verdicts",
+            "Verdicts that this router published as the judge of crashes, by state.",
+            ["state"],
+            registry=registry,
+        )
+        self.crashes_reported = Counter(
+            "boragedeck_crashes_reported",
+            "Replicas that this router reported as crashed under its requests.",
+            registry=registry,
+        )
         self.reachable_share = Gauge(
             "boragedeck_reachable_share",
             "Share of the routers that this one reaches.",
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -63,8 +63,9 @@
     if parts.time_left() < parts.durations.long_duration_s(name, rule.timeout_s):
         job.refuse(stopping_refusal())
         return
-    if job.is_blamed():
-        job.refuse(crash_refusal())
+    job.is_trial = job.is_blamed()
+    if not parts.crash_blame.admits(job.traits):
+        job.refuse(crash_refusal(job))
         return
     try:
         match rule.kind:
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -186,6 +186,9 @@
                 return exchange.read_all(timeout_s, MAX_PROBE_BYTES)
             finally:
                 exchange.close()
+    except UpstreamRefusedError:
+        parts.crash_blame.note_lost(place.state)
+        return None
     except (UpstreamError, UpstreamSilentError, eventlet.Timeout):
         # No answer is a valid result of a probe.
         return None
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -13,6 +13,7 @@
 )
 from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.place import Place
+from boragedeck.request.answer_progress import AnswerProgress
 from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
 from boragedeck.request.relay_job import RelayJob, log
 from boragedeck.request.relay_refusals import final_refusal
@@ -190,10 +191,11 @@
         plan = AttemptPlan(
             replica=state.replica, organisation=job.organisation, left_s=job.left_s()
         )
+        progress = AnswerProgress(job.parts.crash_blame, job.traits)
         try:
             pending = start_attempt(job, place, plan, self._wait_for_head)
             try:
-                return self._read_answer(place, pending)
+                return self._read_answer(place, pending, progress)
             finally:
                 pending.exchange.close()
         except UpstreamNotAcceptingError as exc:
@@ -206,15 +208,19 @@
             return NotTaken(exc.message)
         except UpstreamError as exc:
             job.evidence.note_outcome(place, Outcome.FAILED)
-            job.parts.crash_blame.note_broken(job.fingerprint, state)
+            progress.note_broken(state)
             self._note_lost_attempt(place, exc, "lost")
             return AnswerLost(exc.message)
 
     def _wait_for_head(self, exchange: Exchange) -> AnswerHead:
         return exchange.head(self._job.left_s())
 
-    def _read_answer(self, place: Place, pending: PendingAnswer) -> AttemptResult:
+    def _read_answer(
+        self, place: Place, pending: PendingAnswer, progress: AnswerProgress
+    ) -> AttemptResult:
         job, state, verdict = self._job, place.state, pending.verdict
+        if verdict.kind is VerdictKind.SUCCESS:
+            progress.note_head()
         body = pending.exchange.read_all(job.left_s(), MAX_ANSWER_BYTES)
         kind = job.rule.kind.value
         job.parts.metrics.attempts.labels(kind, verdict.kind.value).inc()
@@ -233,6 +239,7 @@
                 return AnswerLost("invalid answer")
         is_success = verdict.kind is VerdictKind.SUCCESS
         state.note_answer(is_success, job.parts.timers.now())
+        progress.note_complete(job.parts.timers.now())
         if is_success:
             took_s = job.parts.timers.now() - place.since
             job.evidence.note_outcome(place, Outcome.COMPLETED, took_s)
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -18,6 +18,7 @@
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.admission import Admission
 from boragedeck.process.relaying.crash_blame import CrashBlame, fingerprint_of
+from boragedeck.process.relaying.crash_verdicts import RequestTraits
 from boragedeck.process.relaying.durations import RequestDurations
 from boragedeck.process.relaying.limited_admission import LimitedAdmission
 from boragedeck.process.relaying.place import AdmissionRequest, Place
@@ -86,7 +87,7 @@
     pace : StreamTimeEstimator
         Estimates how long streams take.
     crash_blame : CrashBlame
-        Identifies requests that crash their replicas.
+        Knows which requests crash replicas.
     metrics : RelayMetrics
         The metrics of relaying.
     time_left : callable
@@ -156,7 +157,15 @@
         caller_timeout_s = _caller_timeout_s(req, rule)
         self.deadline = req.arrived + caller_timeout_s
         self._wait_deadline = req.arrived + MAX_WAIT_SHARE * caller_timeout_s
-        self.fingerprint = fingerprint_of(organisation, req.path, req.body)
+        self.traits = RequestTraits(
+            pool.name,
+            fingerprint_of(organisation, req.path, req.body),
+            req.shared_parts,
+        )
+        # Whether it is sent although it is blamed, to find out if it still crashes.
+        self.is_trial = False
+        # Replicas that were lost just when the answer had begun there.
+        self.lost_at_begin = 0
         self.allows = parts.rollouts.replica_filter(pool.name)
         self.tried: set[ReplicaId] = set()
         self._lost_domains: set[FailureDomain] = set()
@@ -179,8 +188,8 @@
         return self.deadline - self.parts.timers.now()
 
     def is_blamed(self) -> bool:
-        """Whether the request has crashed too many replicas to be sent again."""
-        return self.parts.crash_blame.is_blamed(self.fingerprint)
+        """Return whether the request, or a part of it, crashes replicas."""
+        return self.parts.crash_blame.is_blamed(self.traits)
 
     def note_sent(self) -> None:
         """Count an attempt that may have reached a replica."""
--- a/boragedeck/request/relay_refusals.py
+++ b/boragedeck/request/relay_refusals.py
@@ -28,6 +28,8 @@
     -----
     Retry-After is set only if the request certainly has not run.
     """
+    if job.may_have_run and job.is_blamed():
+        return crash_refusal(job)
     is_late = job.left_s() <= 0.0
     if not job.may_have_run:
         if refused is not None:
@@ -51,13 +53,19 @@
     )
 
 
-def crash_refusal() -> RefusedError:
-    """Return the final answer for a request that crashes its replicas."""
+def crash_refusal(job: RelayJob) -> RefusedError:
+    """Return the final answer for a request that crashes replicas.
+
+    Notes
+    -----
+    It has no Retry-After, since the request would be refused again.
+    """
     return RefusedError(
-        "this request crashed the replicas that ran it",
+        "this request, or a part of its prompt, crashes the replicas that run it",
         status=500,
         kind="server_error",
         code="crashes_replicas",
+        ran=ExecutionStatus.UNKNOWN if job.may_have_run else ExecutionStatus.NO,
         step="route",
     )
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -11,10 +11,13 @@
     UpstreamNotAcceptingError,
     UpstreamRefusedError,
     UpstreamSilentError,
+    UpstreamWithdrawnError,
 )
 from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.place import Place
 from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.request.answer_progress import AnswerProgress
+from boragedeck.request.crash_wait import await_crash_verdict, wait_unless_blamed
 from boragedeck.request.events import EventError, EventExcessError, EventSplitter
 from boragedeck.request.gap_sampler import GapSampler
 from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
@@ -68,6 +71,7 @@
         self._splitter = EventSplitter(job.req.resume_after)
         self._first_head: tuple[int, Headers] | None = None
         self._recovery = StreamRecovery(job)
+        self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
         self._failed_answer: _FailedAnswer | None = None
         self._failure_reason = ""
         # When the stream broke off; None unless the caller waits for its resumption.
@@ -88,6 +92,7 @@
             if place is None:
                 return
             outcome = AttemptOutcome.LOST
+            self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
             job.evidence.note_start(place)
             try:
                 outcome = self._run_attempt(place)
@@ -97,6 +102,8 @@
             if outcome is AttemptOutcome.COMPLETE:
                 self._finish()
                 return
+            if outcome is AttemptOutcome.LOST and self._progress.is_at_begin:
+                await_crash_verdict(job, place)
             may_resume = job.rule.may_repeat or not job.may_have_run
             if not (may_resume and job.left_s() > 0.0 and job.may_send_again()):
                 self._give_up()
@@ -188,6 +195,10 @@
             return AttemptOutcome.NOT_TAKEN
         except UpstreamRefusedError as exc:
             return self._note_loss(place, exc, AttemptOutcome.NOT_TAKEN)
+        except UpstreamWithdrawnError as exc:
+            job.note_attempt_failed(place, exc)
+            self._failure_reason = exc.message
+            return AttemptOutcome.LOST
         except (UpstreamError, EventError) as exc:
             if not isinstance(exc, UpstreamSilentError):
                 self._recovery.note_broken(place.state)
@@ -195,8 +206,9 @@
 
     def _wait_for_head(self, place: Place, exchange: Exchange) -> AnswerHead:
         interrupter = ExchangeInterrupter(exchange, place.state)
+        wait = partial(self._liveness.wait, place, exchange.head)
         try:
-            return self._liveness.wait(place, exchange.head)
+            return wait_unless_blamed(self._job, exchange, wait)
         finally:
             interrupter.cancel()
 
@@ -206,6 +218,7 @@
         job.parts.metrics.attempts.labels(kind, verdict.kind.value).inc()
         match verdict.kind:
             case VerdictKind.SUCCESS:
+                self._progress.note_head()
                 if self._first_head is None:
                     self._first_head = pending.head.status, verdict.headers
                 return self._read_events(place, pending.exchange)
@@ -246,6 +259,7 @@
             if events:
                 last_event_at = now
                 place.state.note_output(now)
+                self._progress.note_output(now)
                 self._note_output(place)
                 gap_s = gaps.note(len(events), now)
                 if gap_s is not None:
@@ -255,6 +269,7 @@
         if splitter.has_partial_event:
             raise EventError("the stream ended in the middle of an event")
         place.state.note_answer(True, job.parts.timers.now())
+        self._progress.note_complete(job.parts.timers.now())
         job.parts.metrics.total_s.labels(job.rule.kind.value).observe(
             job.parts.timers.now() - job.req.arrived
         )
@@ -321,7 +336,9 @@
             job.note_miss(place)
         job.parts.metrics.attempts.labels(job.rule.kind.value, outcome.value).inc()
         if outcome is AttemptOutcome.LOST:
-            job.parts.crash_blame.note_broken(job.fingerprint, place.state)
+            self._progress.note_broken(place.state)
+            if self._progress.is_at_begin:
+                job.lost_at_begin += 1
             job.evidence.note_outcome(place, Outcome.FAILED)
         job.note_attempt_failed(place, exc)
         self._failure_reason = str(exc)
--- a/tests/process/relaying/test_crash_blame.py
+++ b/tests/process/relaying/test_crash_blame.py
@@ -1,71 +1,196 @@
+import random
 import unittest
 
+import eventlet
 import msgspec
+from prometheus_client import CollectorRegistry
 
-from boragedeck.process.relaying.crash_blame import (
-    CRASH_TTL_S,
-    CrashBlame,
-    fingerprint_of,
+from boragedeck.process.relaying.crash_blame import CrashBlame, fingerprint_of
+from boragedeck.process.relaying.crash_judge import CrashJudge
+from boragedeck.process.relaying.crash_messages import CrashSuspect
+from boragedeck.process.relaying.crash_verdicts import (
+    BLAME_TTL_S,
+    CrashVerdicts,
+    RequestTraits,
 )
+from boragedeck.process.relaying.fleet_size import FleetSize
+from boragedeck.process.relaying.hubs import Hubs
+from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.process.relaying.restraint import Reason
+from boragedeck.process.relaying.task_owners import TaskOwners
 from boragedeck.process.timers import ManualTimers
 from tests.process.relaying.test_admission import replica
+from tests.process.relaying.test_load_exchange import Members, Network, Server
 from tests.support.replicas import FakeFactBoard
 
+DOMAINS = 5
+CONTACT_S = 3.0
+"""Shortest bound on the time until all routers know of a crashing request."""
+
+
+class CountedFacts(FakeFactBoard):
+    """A fact board that counts the published facts."""
+
+    published = 0
+
+    def publish(self, *args, **kwargs):
+        """See `FakeFactBoard.publish`."""
+        CountedFacts.published += 1
+        return super().publish(*args, **kwargs)
+
+
+def traits(request):
+    return RequestTraits("p", request)
+
+
+class CrashBlameTestCase(unittest.TestCase):
+    routers = 2
 
-class CrashBlameTest(unittest.TestCase):
     def setUp(self):
-        self.timers = ManualTimers()
+        CountedFacts.published = 0
+        self.timers, self.net = ManualTimers(), Network()
+        names = [f"r{number}" for number in range(self.routers)]
         shared = {}
-        self.here = CrashBlame(self.timers, FakeFactBoard("here", shared))
-        self.there = CrashBlame(self.timers, FakeFactBoard("there", shared))
+        self.blames = [self.make_blame(name, names, shared) for name in names]
+        self.here, self.there = self.blames[0], self.blames[-1]
+
+    def make_blame(self, name, names, shared):
+        members = Members(names, name, DOMAINS)
+        size = FleetSize(self.timers, members.routers)
+        owners = TaskOwners(self.timers, members, Hubs(self.timers, members), size)
+        verdicts = CrashVerdicts(self.timers, CountedFacts(name, shared))
+        metrics = RelayMetrics(CollectorRegistry())
+        judge = CrashJudge(self.timers, verdicts, Server(self.net, name), metrics)
+        return CrashBlame(
+            self.timers,
+            owners,
+            self.net,
+            judge,
+            verdicts,
+            lambda pool: {"v1"},
+            metrics,
+            random.Random(1),
+        )
+
+    def advance(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.timers.advance(0.1)
+            eventlet.sleep(0)
 
     def state(self, name, domain="a"):
         entry = msgspec.structs.replace(replica(name), failure_domain=domain)
         return ReplicaState(entry)
 
-    def crash(self, name, request="bad", domain="a"):
+    def lose(self, name, request="bad", *, domain="a", blame=None, has_begun=False):
         state = self.state(name, domain)
-        self.here.note_broken(request, state)
+        suspect = CrashSuspect(request, (), has_begun)
         state.note_miss(self.timers.now())
-        self.timers.advance(2.0)
+        (blame or self.here).note_broken(suspect, state)
+        return state
+
+    def crash(self, name, **fields):
+        self.lose(name, **fields)
+        self.advance(2.0)
 
+
+class CrashBlameTest(CrashBlameTestCase):
     def test_third_crash_blames_the_request_at_all_routers(self):
         for name in ("one", "two"):
             self.crash(name)
-        self.assertFalse(self.there.is_blamed("bad"))
+        self.assertFalse(self.there.is_blamed(traits("bad")))
         self.crash("three")
-        self.assertTrue(self.here.is_blamed("bad"))
-        self.assertTrue(self.there.is_blamed("bad"))
-        self.assertFalse(self.here.is_blamed("good"))
+        self.assertTrue(self.here.is_blamed(traits("bad")))
+        self.assertTrue(self.there.is_blamed(traits("bad")))
+        self.assertFalse(self.here.is_blamed(traits("good")))
+
+    def test_second_crash_of_a_begun_answer_blames_the_request_at_all_routers(self):
+        self.crash("one", has_begun=True)
+        self.assertFalse(self.there.is_blamed(traits("bad")))
+        self.crash("two", has_begun=True)
+        self.assertTrue(self.there.is_blamed(traits("bad")))
 
     def test_replicas_lost_together_blame_no_request(self):
         for turn in range(4):
-            states = [self.state(f"{turn}-{n}") for n in range(3)]
-            for state in states:
-                self.here.note_broken("good", state)
-                state.note_miss(self.timers.now())
-            self.timers.advance(6.0)
-        self.assertFalse(self.here.is_blamed("good"))
+            for number in range(3):
+                request = "good" if number == 0 else f"other-{turn}-{number}"
+                self.lose(f"{turn}-{number}", request)
+            self.advance(6.0)
+        self.assertFalse(self.here.is_blamed(traits("good")))
 
     def test_replica_that_keeps_running_blames_no_request(self):
         for name in ("one", "two", "three", "four"):
-            self.here.note_broken("good", self.state(name))
-            self.timers.advance(2.0)
-        self.assertFalse(self.here.is_blamed("good"))
+            state = self.lose(name, has_begun=True)
+            state.note_answer(True, self.timers.now() + 0.1)
+            self.advance(2.0)
+        self.assertFalse(self.here.is_blamed(traits("bad")))
+
+    def test_replica_that_sends_output_to_other_requests_blames_none(self):
+        for name in ("one", "two", "three", "four"):
+            state = self.lose(name, has_begun=True)
+            self.advance(0.2)
+            state.note_output(self.timers.now())
+            self.advance(2.0)
+        self.assertFalse(self.here.is_blamed(traits("bad")))
+
+    def test_replica_that_leaves_blames_no_request(self):
+        for name in ("one", "two", "three", "four"):
+            state = self.lose(name, has_begun=True)
+            state.restraints.extend(Reason.LEAVING, float("inf"))
+            self.advance(2.0)
+        self.assertFalse(self.here.is_blamed(traits("bad")))
+
+    def test_refused_connection_shows_at_once_that_a_replica_crashed(self):
+        self.crash("one", has_begun=True)
+        self.here.note_lost(self.lose("two", domain="b", has_begun=True))
+        self.advance(0.4)
+        self.assertTrue(self.there.is_blamed(traits("bad")))
 
     def test_same_replica_counts_once(self):
         for _ in range(4):
-            self.crash("one")
-        self.assertFalse(self.here.is_blamed("bad"))
+            self.crash("one", has_begun=True)
+        self.assertFalse(self.here.is_blamed(traits("bad")))
 
     def test_blame_expires(self):
         for name in ("one", "two", "three"):
             self.crash(name)
-        self.timers.advance(CRASH_TTL_S)
-        self.assertFalse(self.here.is_blamed("bad"))
+        self.assertTrue(self.here.is_blamed(traits("bad")))
+        self.timers.advance(BLAME_TTL_S)
+        self.assertFalse(self.here.is_blamed(traits("bad")))
 
     def test_fingerprint_keeps_its_parts_apart(self):
         self.assertNotEqual(
             fingerprint_of("ab", "c", b""), fingerprint_of("a", "bc", b"")
         )
+
+
+class CrashBlameOfManyRoutersTest(CrashBlameTestCase):
+    routers = 100
+
+    def test_loss_of_a_domain_under_many_routers_blames_no_stream(self):
+        for outage in range(5):
+            for number, blame in enumerate(self.blames[:30]):
+                engine = f"engine-{outage}-{number}"
+                self.lose(engine, f"stream-{number}", domain=f"d{outage}", blame=blame)
+            self.advance(6.0)
+        blamed = [
+            number
+            for number in range(30)
+            if self.there.is_blamed(traits(f"stream-{number}"))
+        ]
+        self.assertEqual(blamed, [])
+        self.assertEqual(CountedFacts.published, 0)
+
+    def test_request_that_crashes_three_replicas_is_known_to_all_in_time(self):
+        for number, blame in enumerate(self.blames[:3]):
+            self.lose(f"engine-{number}", domain=f"d{number}", blame=blame)
+            self.advance(CONTACT_S)
+        self.assertTrue(all(blame.is_blamed(traits("bad")) for blame in self.blames))
+        self.assertFalse(self.here.is_blamed(traits("good")))
+
+    def test_two_crashes_are_not_published(self):
+        for number, blame in enumerate(self.blames[:2]):
+            self.lose(f"engine-{number}", domain=f"d{number}", blame=blame)
+            self.advance(CONTACT_S)
+        self.assertEqual(CountedFacts.published, 0)
+        self.assertLessEqual(self.net.sent["ReportCrash"], 2)
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -20,6 +20,8 @@
 from boragedeck.platform.routing import decode_rollout
 from boragedeck.process.relaying.admission import Admission
 from boragedeck.process.relaying.crash_blame import CrashBlame
+from boragedeck.process.relaying.crash_judge import CrashJudge
+from boragedeck.process.relaying.crash_verdicts import CrashVerdicts
 from boragedeck.process.relaying.durations import RequestDurations
 from boragedeck.process.relaying.fleet_size import FleetSize
 from boragedeck.process.relaying.hubs import Hubs
@@ -327,6 +329,25 @@
     return ReplicaLimits(timers, registry, grants, board, metrics)
 
 
+def single_router_blame(timers, registry, board, metrics):
+    """Return the crash blame of a router that is alone, and the judge itself."""
+    members = SingleMembership()
+    size = FleetSize(timers, members.routers)
+    owners = TaskOwners(timers, members, Hubs(timers, members), size)
+    verdicts = CrashVerdicts(timers, board)
+    judge = CrashJudge(timers, verdicts, NoPeers(), metrics)
+    return CrashBlame(
+        timers,
+        owners,
+        NoPeers(),
+        judge,
+        verdicts,
+        registry.versions,
+        metrics,
+        random.Random(6),
+    )
+
+
 class RelayHarness:
     """A router's relaying components with scripted replicas and callers' sockets."""
 
@@ -380,7 +401,9 @@
             ),
             durations=RequestDurations(),
             pace=StreamTimeEstimator(),
-            crash_blame=CrashBlame(self.timers, FakeFactBoard()),
+            crash_blame=single_router_blame(
+                self.timers, self.registry, FakeFactBoard(), self.metrics
+            ),
             metrics=self.metrics,
             time_left=lambda: self.time_left_s,
             refusal_headers=refusal_headers,
