Treat a stream without length or chunks that ends before its first event as lost

Callers would get an empty success: a replica whose answer has neither a length nor chunks, and which closes the connection before its first event, looked as if it had completed an empty stream.

Cause: only an end inside an event was taken for a break. With a length or chunks the parser sees the cut; without them, the end of the connection is the end of the body. test_relay_undelimited failed on this case (an empty 200) and now passes; its six others (whole, broken inside an event, reset, resumed, not resumable) passed before.

An end between two later events can't be told from the end of the stream.

--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -83,6 +83,11 @@
     status: int
     headers: Headers
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether the body has a length or chunks, so that a cut can be seen."""
+        return any(self.all(b"content-length")) or any(self.all(b"transfer-encoding"))
+
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header, given its name in lower case."""
         return next(iter(self.all(name)), None)
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -221,7 +221,7 @@
                 self._progress.note_head()
                 if self._first_head is None:
                     self._first_head = pending.head.status, verdict.headers
-                return self._read_events(place, pending.exchange)
+                return self._read_events(place, pending)
             case VerdictKind.MOVED:
                 self._failure_reason = "another replica has the address"
                 self._recovery.note_moved(place.state.replica.address)
@@ -241,13 +241,14 @@
         job.note_attempt_failed(place, f"{verdict.kind.value} {pending.head.status}")
         return AttemptOutcome.LOST
 
-    def _read_events(self, place: Place, exchange: Exchange) -> AttemptOutcome:
+    def _read_events(self, place: Place, pending: PendingAnswer) -> AttemptOutcome:
         job = self._job
+        may_end = pending.head.is_delimited
         splitter = EventSplitter(self._splitter.last_number)
         gaps = GapSampler()
         last_event_at = job.parts.timers.now()
         while True:
-            data = self._liveness.wait(place, exchange.read)
+            data = self._liveness.wait(place, pending.exchange.read)
             if not data:
                 break
             events = splitter.feed(data)
@@ -258,6 +259,7 @@
                 )
             if events:
                 last_event_at = now
+                may_end = True
                 place.state.note_output(now)
                 self._progress.note_output(now)
                 self._note_output(place)
@@ -268,6 +270,8 @@
                 self._splitter.last_number = splitter.last_number
         if splitter.has_partial_event:
             raise EventError("the stream ended in the middle of an event")
+        if not may_end:
+            raise EventError("the connection ended before the first event")
         place.state.note_answer(True, job.parts.timers.now())
         self._progress.note_complete(job.parts.timers.now())
         job.parts.metrics.total_s.labels(job.rule.kind.value).observe(
