Test that all routers serve by a change that power was lost right after

All routers are killed and all engines lost at the moment at which the store has acknowledged a change of keys; started anew, each router refuses the old key and serves whole answers with the new one.

--- a/scripts/platform_demo.py
+++ b/scripts/platform_demo.py
@@ -48,7 +48,11 @@
         self._directory = directory
         self._listener = listen()
         self._server = eventlet.spawn(serve, self.rows.app, self._listener)
-        self.rows.put("op", "config", msgspec.json.encode(_config()))
+        self.put_config()
+
+    def put_config(self, version: int = 1, key: str = "demo-key") -> None:
+        """Write a configuration whose only API key is `key`."""
+        self.rows.put("op", "config", msgspec.json.encode(_config(version, key)))
 
     def add_engine(self, name: str, zone: str) -> None:
         """Start an engine and register it in the store."""
@@ -81,6 +85,19 @@
         _wait_exit(self.routers[number])
         self.routers[number] = self._start(number)
 
+    def kill_all(self) -> None:
+        """Kill all routers and crash all engines, as a loss of power does."""
+        for router in self.routers:
+            router.kill()
+        for name in list(self.engines):
+            self.crash_engine(name)
+        for router in self.routers:
+            _wait_exit(router)
+
+    def start_all(self) -> None:
+        """Start all routers again, without waiting for them."""
+        self.routers = [self._start(number) for number in range(len(self.routers))]
+
     def write_settings(self, number: int, bounds: dict) -> None:
         """Add bounds to a router's settings and write its settings file."""
         settings = self.settings[number]
@@ -168,7 +185,7 @@
     return body == expected
 
 
-def _config() -> dict:
+def _config(version: int, key: str) -> dict:
     route = {
         "name": "answers",
         "host": "demo.example",
@@ -183,12 +200,12 @@
     }
     engine = {"slots": 8, "kvCapacity": 88_000, "backups": True}
     return {
-        "version": 1,
+        "version": version,
         "routes": [route],
         "services": [
             {"name": "engines", "engine": engine | {"models": [{"name": "m"}]}}
         ],
-        "tenants": [{"name": "demo", "apiKeys": ["demo-key"]}],
+        "tenants": [{"name": "demo", "apiKeys": [key]}],
     }
 
 
--- a/tests/scripts/test_platform_demo.py
+++ b/tests/scripts/test_platform_demo.py
@@ -34,11 +34,12 @@
         if self.exit_codes is None:
             self.exit_codes = self.cluster.stop()
 
-    def send_request(self, url, name="id-1", path="/answers/x"):
+    def send_request(self, url, name="id-1", path="/answers/x", key="demo-key"):
         return self.pool.request(
             "POST",
             url + path,
-            headers=ROUTE_HEADERS | {"Request-Id": name, "Token-Counts": "100,40"},
+            headers=ROUTE_HEADERS
+            | {"Request-Id": name, "Token-Counts": "100,40", "Api-Key": key},
             preload_content=False,
         )
 
@@ -138,6 +139,21 @@
         for url in urls:
             self.assert_complete(self.read(self.send_request(url)))
 
+    def test_all_serve_by_a_change_that_power_was_lost_right_after(self):
+        urls = [self.cluster.add_router(zone) for zone in "aab"]
+        self.cluster.put_config(2, "new-key")
+        self.cluster.kill_all()
+        self.cluster.start_all()
+        for number, zone in enumerate("ab"):
+            self.cluster.add_engine(f"engine-{number + 3}", zone)
+        with eventlet.Timeout(RECOVERY_TIMEOUT_S):
+            for number in range(len(urls)):
+                self.cluster.wait_ready(number)
+        for url in urls:
+            self.assertEqual(self.send_request(url).status, 401)
+            response = self.send_request(url, key="new-key")
+            self.assert_complete(self.read(response))
+
     def play_streams(self, urls, seconds):
         """Send streams to routers in turn, and wait until they have ended."""
         threads = []
