--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -56,6 +56,7 @@
     Measurement("control_cost"),
     Measurement("load_messages"),
     Measurement("replica_limits", ("9", "80")),
+    Measurement("deadly_parts", ("9", "80")),
 )
 
 
--- a/tests/process/relaying/test_deadly_part_fleet.py
+++ b/tests/process/relaying/test_deadly_part_fleet.py
@@ -145,7 +145,7 @@
             fleet.crash(engine)
         fleet.run(1.0)
         blame = fleet.routers[0].blame
-        self.assertFalse(blame.is_suspected(resumed.traits))
+        self.assertFalse(blame.is_suspected(resumed.traits()))
 
     def test_part_is_found_though_the_judge_freezes(self):
         fleet = self.fleet("x")
--- a/tests/support/crash_fleet.py
+++ b/tests/support/crash_fleet.py
@@ -27,6 +27,7 @@
     FleetNetwork,
     FleetPeer,
 )
+from tests.support.replicas import FakeFactBoard
 
 POOL = "engines"
 DOMAINS = 4
@@ -47,10 +48,10 @@
     number: int
     parts: tuple[str, ...] = ()
 
-    @property
-    def traits(self):
-        """What the request may have in common with others."""
-        return RequestTraits(POOL, f"fp-{self.number}", self.parts)
+    def traits(self, *, with_parts=True):
+        """Return what the request may have in common with others."""
+        parts = self.parts if with_parts else ()
+        return RequestTraits(POOL, f"fp-{self.number}", parts)
 
 
 class Engine:
@@ -83,6 +84,10 @@
 class CrashBoard(FleetBoard):
     """Delivers verdicts on crashes to all reachable routers after a delay."""
 
+    def publish_alone(self, topic, key, body, *, ttl_s=60.0):
+        """Publish a fact to this router only."""
+        return FakeFactBoard.publish(self, topic, key, body, ttl_s=ttl_s)
+
     def receive(self, fact):
         """Deliver a fact of another router, and remember it."""
         self._store[fact.topic, fact.key, fact.origin] = fact
@@ -134,8 +139,9 @@
     def run(self, req):
         """Send a request until it is served, or given up; record the outcome."""
         fleet, timers = self.fleet, self.fleet.timers
-        is_trial = self.blame.is_blamed(req.traits)
-        if not self.blame.admits(req.traits):
+        traits = req.traits(with_parts=fleet.uses_parts)
+        is_trial = self.blame.is_blamed(traits)
+        if not self.blame.admits(traits):
             fleet.refused.append(req)
             return
         lost_at_begin = 0
@@ -144,18 +150,19 @@
             if engine is None:
                 break
             fleet.sent.append((timers.now(), self.name, req))
-            progress = AnswerProgress(self.blame, req.traits)
-            if self._run_at(engine, req, progress, attempt, is_trial):
+            progress = AnswerProgress(self.blame, traits)
+            may_withdraw = fleet.withdraws and not is_trial
+            if self._run_at(engine, req, traits, progress, attempt, may_withdraw):
                 return
             lost_at_begin += progress.is_at_begin
-            is_suspected = self.blame.is_suspected(req.traits)
+            is_suspected = self.blame.is_suspected(traits)
             if progress.is_at_begin and (lost_at_begin > 1 or is_suspected):
-                self._await_verdict(req)
-            if self.blame.is_blamed(req.traits):
+                self._await_verdict(traits)
+            if self.blame.is_blamed(traits):
                 break
         fleet.lost.append(req)
 
-    def _run_at(self, engine, req, progress, attempt, is_trial):
+    def _run_at(self, engine, req, traits, progress, attempt, may_withdraw):
         """Return whether an engine served a request."""
         timers, state = self.fleet.timers, self.state(engine)
         stream = Stream(progress)
@@ -163,11 +170,12 @@
         end = timers.now() + self.fleet.read_s
         while timers.now() < end:
             timers.sleep(min(0.05, end - timers.now()))
-            if self.blame.is_blamed(req.traits) and not is_trial:
+            if may_withdraw and self.blame.is_blamed(traits):
                 engine.streams.discard(stream)
                 return False
         if not stream.is_broken:
-            progress.note_head()
+            if self.fleet.sees_begin:
+                progress.note_head()
             timers.sleep(FIRST_EVENT_S)
         if not stream.is_broken and self.fleet.is_deadly(req, engine):
             self.fleet.crash(engine, req)
@@ -189,10 +197,10 @@
         self.blame.note_lost(state)
         return False
 
-    def _await_verdict(self, req):
+    def _await_verdict(self, traits):
         timers = self.fleet.timers
         until = timers.now() + VERDICT_WAIT_S
-        while timers.now() < until and not self.blame.is_blamed(req.traits):
+        while timers.now() < until and not self.blame.is_blamed(traits):
             timers.sleep(0.02)
 
 
@@ -207,6 +215,9 @@
         Numbers of requests that do so whatever their parts are.
     deadly_versions : set of str
         Versions that crash under each request.
+    uses_parts, sees_begin, withdraws : bool
+        Whether routers count crashes for parts, know whether an answer had begun, and
+        withdraw blamed requests that are being read.
     served, refused, lost, begun_first : list of Req
         Requests by outcome; and those whose answer began at the first attempt.
     sent : list of tuple
@@ -220,6 +231,7 @@
         self.net = FleetNetwork(self.timers)
         self.rng = random.Random(seed)
         self.read_s = READ_S
+        self.uses_parts = self.sees_begin = self.withdraws = True
         self.versions = {"v1"}
         self.deadly, self.deadly_requests = set(), set()
         self.deadly_versions = set()
