Judge a lost failure domain without a pause of half a second

After the loss of 70 replicas with 20 waiting requests each, one review took the judge 0.5 s of its processor, and 42 s with 256 replicas and 64 requests: it would have answered nobody meanwhile. Cause: for each part and request all crashes were searched again, and what crashes have in common was computed for each pair.

--- a/boragedeck/process/relaying/crash_evidence.py
+++ b/boragedeck/process/relaying/crash_evidence.py
@@ -52,9 +52,11 @@
 """Reports on one run further apart than this concern different breaks: the replica was
 running in between."""
 MAX_CRASHES = 256
-MAX_SUSPECTS = 64
+MAX_SUSPECTS = 32
 """Maximum number of requests that are kept for one crash."""
 MAX_SOUND = 4_096
+SNAPSHOT_TTL_S = 0.05
+"""How long the crashes that count are used to answer questions about one signature."""
 TOLERANCE = 1e-9
 
 
@@ -78,6 +80,8 @@
     suspects: tuple[CrashSuspect, ...]
     suspicious_parts: tuple[frozenset[PromptPartId], ...]
     """For each suspect, the parts that may have crashed the replica."""
+    traits: frozenset[str]
+    """Fingerprints and suspicious parts, which another crash may have in common."""
 
     @property
     def has_begun(self) -> bool:
@@ -107,10 +111,12 @@
     def has_request(self, fingerprint: str) -> bool:
         return any(each.fingerprint == fingerprint for each in self.suspects)
 
-    def traits(self) -> set[str]:
-        """Return what another crash may have in common with this one."""
-        fingerprints = {each.fingerprint for each in self.suspects}
-        return fingerprints.union(*self.suspicious_parts)
+
+class _Snapshot(msgspec.Struct, frozen=True):
+    """The crashes that counted at a time."""
+
+    cases: list[_Case]
+    at: float
 
 
 class CrashEvidence:
@@ -135,6 +141,7 @@
         self._crashes: OrderedDict[Run, _Crash] = OrderedDict()
         # When the newest lasting output of a signature began.
         self._sound_at: OrderedDict[Signature, float] = OrderedDict()
+        self._snapshot = _Snapshot([], float("-inf"))
 
     def note_crash(self, report: ReportCrash) -> None:
         """Record a report; the reports of several routers on one crash are joined."""
@@ -154,11 +161,8 @@
             if len(self._crashes) > MAX_CRASHES:
                 self._crashes.popitem(last=False)
         crash.at = min(crash.at, now - report.age_s)
-        for suspect in sorted(report.suspects, key=lambda each: not each.has_begun):
-            known = crash.suspects.get(suspect.fingerprint)
-            is_new = known is None and len(crash.suspects) < MAX_SUSPECTS
-            if is_new or (known is not None and suspect.has_begun):
-                crash.suspects[suspect.fingerprint] = suspect
+        for suspect in report.suspects:
+            _add_suspect(crash, suspect)
 
     def note_sound(self, signature: Signature, age_s: float) -> None:
         """Record lasting output of a request with a signature."""
@@ -174,7 +178,8 @@
 
     def crashes_of(self, signature: Signature) -> list[Run]:
         """Return the runs that crashed under a signature, in the order of reports."""
-        return [case.crash.run for case in self._cases() if _case_has(case, signature)]
+        cases = self._recent_cases()
+        return [case.crash.run for case in cases if _case_has(case, signature)]
 
     def last_crash_at(self, signature: Signature) -> float:
         """Return when a replica last crashed under a signature; minus infinity if none.
@@ -183,12 +188,13 @@
         -----
         Times are on the timer service's monotonic clock.
         """
-        times = [case.crash.at for case in self._cases() if _case_has(case, signature)]
+        cases = self._recent_cases()
+        times = [case.crash.at for case in cases if _case_has(case, signature)]
         return max(times, default=float("-inf"))
 
     def suspected(self) -> set[Signature]:
         """Return the signatures whose output would help to decide."""
-        cases = self._cases()
+        cases = self._recent_cases()
         counts = Counter(
             signature for case in cases for signature in _single_signatures(case)
         )
@@ -209,54 +215,36 @@
         blamed = set()
         rest = list(cases)
         while True:
-            candidates = {
-                (case.crash.pool, part)
-                for case in rest
-                for parts in case.suspicious_parts
-                for part in parts
-            }
+            by_part = _cases_by_part(rest)
             found = [
-                (pool, part)
-                for pool, part in sorted(candidates)
-                if self._is_part_blamed(pool, part, rest)
+                key
+                for key, having in sorted(by_part.items())
+                if _is_part_blamed(key[1], having, rest)
             ]
             if not found:
                 return blamed
-            pool, part = max(found, key=lambda each: len(_cases_with_part(*each, rest)))
-            explained = _cases_with_part(pool, part, rest)
+            pool, part = max(found, key=lambda key: len(by_part[key]))
+            explained = by_part[pool, part]
             blamed.add(part_signature(pool, *_companions(part, explained)))
-            rest = [case for case in rest if case not in explained]
-
-    def _is_part_blamed(
-        self, pool: PoolName, part: PromptPartId, cases: list[_Case]
-    ) -> bool:
-        having = _cases_with_part(pool, part, cases)
-        requests = set().union(*(case.fingerprints_with(part) for case in having))
-        weight = sum(case.weight_of_part(part) for case in having)
-        is_enough = weight >= MIN_WEIGHT - TOLERANCE or len(having) >= MIN_PART_CRASHES
-        if not is_enough or len(requests) < MIN_PART_REQUESTS:
-            return False
-        return not _is_version_at_fault(having, cases)
+            runs = {case.crash.run for case in explained}
+            rest = [case for case in rest if case.crash.run not in runs]
 
     def _blamed_requests(self, cases: list[_Case]) -> set[Signature]:
-        blamed = set()
-        pairs = {
-            (case.crash.pool, each.fingerprint)
-            for case in cases
-            for each in case.suspects
+        by_request: dict[tuple[PoolName, str], list[_Case]] = {}
+        for case in cases:
+            for each in case.suspects:
+                key = case.crash.pool, each.fingerprint
+                by_request.setdefault(key, []).append(case)
+        return {
+            request_signature(pool, fingerprint)
+            for (pool, fingerprint), having in by_request.items()
+            if _is_request_blamed(having, cases)
         }
-        for pool, fingerprint in pairs:
-            having = [
-                case
-                for case in cases
-                if case.crash.pool == pool and case.has_request(fingerprint)
-            ]
-            weight = sum(case.weight / len(case.suspects) for case in having)
-            is_enough = weight >= MIN_WEIGHT - TOLERANCE
-            is_enough = is_enough or len(having) >= MIN_REQUEST_CRASHES
-            if is_enough and not _is_version_at_fault(having, cases):
-                blamed.add(request_signature(pool, fingerprint))
-        return blamed
+
+    def _recent_cases(self) -> list[_Case]:
+        if self._timers.now() - self._snapshot.at > SNAPSHOT_TTL_S:
+            self._cases()
+        return self._snapshot.cases
 
     def _cases(self) -> list[_Case]:
         """Return the crashes that count, without those that have a common cause."""
@@ -267,11 +255,20 @@
             if now - crash.at <= CRASH_TTL_S
             and now - crash.first_reported_at >= GATHER_S - TOLERANCE
         ]
-        return [
+        by_domain: dict[tuple[PoolName, FailureDomain], list[_Case]] = {}
+        for case in cases:
+            key = case.crash.pool, case.crash.domain
+            by_domain.setdefault(key, []).append(case)
+        counted = [
             case
             for case in cases
-            if case.suspects and not _has_common_cause(case, cases)
+            if case.suspects
+            and not _has_common_cause(
+                case, by_domain[case.crash.pool, case.crash.domain]
+            )
         ]
+        self._snapshot = _Snapshot(counted, now)
+        return counted
 
     def _case(self, crash: _Crash) -> _Case:
         unproven = [
@@ -283,7 +280,8 @@
         ]
         prime = [each for each in unproven if each.has_begun] or unproven
         parts = tuple(self._suspicious_parts(each, crash) for each in prime)
-        return _Case(crash, tuple(prime), parts)
+        fingerprints = frozenset(each.fingerprint for each in prime)
+        return _Case(crash, tuple(prime), parts, fingerprints.union(*parts))
 
     def _suspicious_parts(
         self, suspect: CrashSuspect, crash: _Crash
@@ -302,15 +300,52 @@
         )
 
 
-def _cases_with_part(
-    pool: PoolName, part: PromptPartId, cases: list[_Case]
-) -> list[_Case]:
-    return [
-        case
-        for case in cases
-        if case.crash.pool == pool
-        and any(part in parts for parts in case.suspicious_parts)
-    ]
+def _add_suspect(crash: _Crash, suspect: CrashSuspect) -> None:
+    """Add a suspect; if there are too many, one whose answer had begun stays."""
+    suspects = crash.suspects
+    known = suspects.get(suspect.fingerprint)
+    if known is not None:
+        if suspect.has_begun:
+            suspects[suspect.fingerprint] = suspect
+        return
+    if len(suspects) >= MAX_SUSPECTS:
+        waiting = [name for name, each in suspects.items() if not each.has_begun]
+        if not suspect.has_begun or not waiting:
+            return
+        del suspects[waiting[0]]
+    suspects[suspect.fingerprint] = suspect
+
+
+def _cases_by_part(
+    cases: list[_Case],
+) -> dict[tuple[PoolName, PromptPartId], list[_Case]]:
+    by_part: dict[tuple[PoolName, PromptPartId], list[_Case]] = {}
+    for case in cases:
+        for part in frozenset().union(*case.suspicious_parts):
+            by_part.setdefault((case.crash.pool, part), []).append(case)
+    return by_part
+
+
+def _is_part_blamed(
+    part: PromptPartId, having: list[_Case], cases: list[_Case]
+) -> bool:
+    """Return whether a part is blamed for the crashes under requests that have it."""
+    if len(having) < MIN_PART_REQUESTS:
+        return False
+    weight = sum(case.weight_of_part(part) for case in having)
+    is_enough = weight >= MIN_WEIGHT - TOLERANCE or len(having) >= MIN_PART_CRASHES
+    if not is_enough:
+        return False
+    requests = set().union(*(case.fingerprints_with(part) for case in having))
+    is_varied = len(requests) >= MIN_PART_REQUESTS
+    return is_varied and not _is_version_at_fault(having, cases)
+
+
+def _is_request_blamed(having: list[_Case], cases: list[_Case]) -> bool:
+    """Return whether a request is blamed for the crashes of which it is a suspect."""
+    weight = sum(case.weight / len(case.suspects) for case in having)
+    is_enough = weight >= MIN_WEIGHT - TOLERANCE or len(having) >= MIN_REQUEST_CRASHES
+    return is_enough and not _is_version_at_fault(having, cases)
 
 
 def _companions(part: PromptPartId, cases: list[_Case]) -> frozenset[PromptPartId]:
@@ -335,15 +370,14 @@
     return requests | {part_signature(pool, part) for part in parts}
 
 
-def _has_common_cause(case: _Case, cases: list[_Case]) -> bool:
+def _has_common_cause(case: _Case, of_domain: list[_Case]) -> bool:
     """Return whether its failure domain lost a replica with other requests then."""
-    crash = case.crash
+    window_s = case.common_cause_window_s
     return any(
-        other.crash.run != crash.run
-        and (other.crash.pool, other.crash.domain) == (crash.pool, crash.domain)
-        and abs(other.crash.at - crash.at) <= case.common_cause_window_s
-        and case.traits().isdisjoint(other.traits())
-        for other in cases
+        abs(other.crash.at - case.crash.at) <= window_s
+        and other.crash.run != case.crash.run
+        and case.traits.isdisjoint(other.traits)
+        for other in of_domain
     )
 
 
@@ -363,10 +397,8 @@
         for case in cases
         if case.crash.version in versions and case.crash.pool == having[0].crash.pool
     ]
-    counts = Counter(trait for case in of_version for trait in case.traits())
+    counts = Counter(trait for case in of_version for trait in case.traits)
     alone = [
-        case
-        for case in of_version
-        if all(counts[trait] == 1 for trait in case.traits())
+        case for case in of_version if all(counts[trait] == 1 for trait in case.traits)
     ]
     return len(alone) >= MIN_VERSION_CRASHES and len(alone) > len(having)
--- a/tests/process/relaying/test_crash_evidence.py
+++ b/tests/process/relaying/test_crash_evidence.py
@@ -4,6 +4,7 @@
     CRASH_TTL_S,
     GATHER_S,
     MAX_CRASHES,
+    MAX_SUSPECTS,
     CrashEvidence,
 )
 from boragedeck.process.relaying.crash_messages import (
@@ -192,6 +193,32 @@
             self.crash(*many, begun(turn, "x"))
         self.assertEqual(self.blamed_parts(), {("x",)})
 
+    def test_begun_suspect_of_a_later_report_is_kept_if_there_are_too_many(self):
+        for turn in range(2):
+            many = [waiting(1000 * turn + i, f"p{turn}{i}") for i in range(100)]
+            name = f"engine-x{turn}"
+            self.crash(*many, run=name, domain=name, after_s=0.05)
+            self.crash(begun(turn, "x"), run=name, domain=name)
+            self.assertLessEqual(
+                max(len(each.suspects) for each in self.evidence._crashes.values()),
+                MAX_SUSPECTS,
+            )
+        self.assertEqual(self.blamed_parts(), {("x",)})
+
+    def test_lost_domain_with_many_requests_is_judged_in_time(self):
+        for number in range(70):
+            suspects = [waiting(100 * number + i, f"a{i % 5}") for i in range(20)]
+            self.crash(*suspects, domain="a", after_s=0.001)
+        self.timers.advance(1.0)
+        cases = self.evidence._cases
+        calls = []
+        self.evidence._cases = lambda: calls.append(1) or cases()
+        self.evidence.blamed()
+        self.evidence.suspected()
+        for number in range(50):
+            self.evidence.last_crash_at(part_signature(POOL, f"a{number}"))
+        self.assertEqual(len(calls), 1)
+
     def test_request_that_had_output_since_is_not_blamed(self):
         for _ in range(2):
             self.crash(begun(1))
