Log by which verdict a request is refused or sent as a trial

From the id of a refused request an operator could not tell which part was blamed, nor how old the verdict was. 'blame: Refused.' and 'Sent as a trial.' say so. New tests play a request that is withdrawn while it is read, an answer that had begun and goes on, a refusal, neighbours that are served, and a trial that ends the blame.

--- a/boragedeck/process/relaying/crash_blame.py
+++ b/boragedeck/process/relaying/crash_blame.py
@@ -161,13 +161,36 @@
         """Return whether a crash counts against a request or a part of it."""
         return any(map(self._verdicts.is_suspected, traits.signatures()))
 
-    def admits(self, traits: RequestTraits) -> bool:
-        """Return whether a request may be sent; ask for a trial if one is due."""
+    def admits(self, traits: RequestTraits, request_id: str = "") -> bool:
+        """Return whether a request may be sent; ask for a trial if one is due.
+
+        Parameters
+        ----------
+        traits : RequestTraits
+            What the request may have in common with others.
+        request_id : str
+            The id of the request, for the log.
+        """
         now = self._timers.now()
         blamed = self._verdicts.blamed_for(traits)
-        if any(known.trial_at > now for known in blamed):
-            return False
-        return all(self._ask_trial(known.verdict.signature) for known in blamed)
+        if not blamed:
+            return True
+        is_due = all(known.trial_at <= now for known in blamed)
+        is_trial = is_due and all(
+            self._ask_trial(known.verdict.signature) for known in blamed
+        )
+        for known in blamed:
+            signature = known.verdict.signature
+            _log.write(
+                "Sent as a trial." if is_trial else "Refused.",
+                request=request_id,
+                fingerprint=signature.fingerprint,
+                shared_parts=list(signature.parts),
+                trials=known.verdict.trials,
+                trial_in_s=round(known.trial_at - now, 3),
+                age_s=round(now - known.decided_at, 3),
+            )
+        return is_trial
 
     def note_broken(self, suspect: CrashSuspect | None, state: ReplicaState) -> None:
         """Record that a replica broke the connection during a request.
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -64,7 +64,7 @@
         job.refuse(stopping_refusal())
         return
     job.is_trial = job.is_blamed()
-    if not parts.crash_blame.admits(job.traits):
+    if not parts.crash_blame.admits(job.traits, req.request_id):
         job.refuse(crash_refusal(job))
         return
     try:
--- a/tests/request/test_relay_deadly_part.py
+++ b/tests/request/test_relay_deadly_part.py
@@ -1,15 +1,28 @@
 import unittest
 
 import eventlet
+import msgspec
 
+from boragedeck.connection.messages import FactTopic
+from boragedeck.process.relaying.crash_messages import (
+    CrashVerdict,
+    VerdictState,
+    part_signature,
+)
 from boragedeck.version.routing import RelayPool
 from tests.support.replicas import (
     ENGINE,
+    FakeFactBoard,
     RelayHarness,
     ScriptedReplica,
+    event,
     events,
     head_of,
+    read_response,
     report_model,
+    send_chunk,
+    send_request,
+    stay_silent,
     stream_rule,
 )
 
@@ -63,3 +76,90 @@
             sound = self.fetch(100 + number, b"a:200,b")
             self.assertEqual((sound.status, sound.is_complete), (200, True))
         self.assertLessEqual(len(self.ended), MAX_REPLICAS_LOST)
+
+
+class BlamedRequestTest(unittest.TestCase):
+    def setUp(self):
+        self.shared = {}
+        self.board = FakeFactBoard("judge", self.shared)
+
+    def harness(self, *steps):
+        facts = FakeFactBoard("r-1", self.shared)
+        harness = RelayHarness(stream_rule(), pool=POOL, facts=facts)
+        self.addCleanup(harness.close)
+        self.replica = ScriptedReplica("engine", *steps)
+        harness.add(self.replica)
+        return harness
+
+    def publish(self, state, trial_after_s=30.0):
+        verdict = CrashVerdict(part_signature("engines", "x"), state, 0, trial_after_s)
+        body = msgspec.msgpack.encode(verdict)
+        self.board.publish(FactTopic.CRASH, "engines x", body)
+
+    def fetch_then_blame(self, harness):
+        sock = harness.connect()
+        send_request(sock, TOKENS, b"Prompt-Prefix: x:200,b:800")
+        eventlet.sleep(0.1)
+        self.publish(VerdictState.BLAMED)
+        return read_response(sock)
+
+    def test_request_that_is_being_read_is_withdrawn_when_its_part_is_blamed(self):
+        withdrawn = []
+
+        def read(sock, req):
+            withdrawn.append(stay_silent(sock, req))
+            return False
+
+        harness = self.harness(read)
+        started = harness.timers.now()
+        response = self.fetch_then_blame(harness)
+        self.assertEqual(response.status, 500)
+        self.assertLess(harness.timers.now() - started, 0.5)
+        eventlet.sleep(0.05)
+        self.assertEqual((len(withdrawn), len(self.replica.received)), (1, 1))
+
+    def test_answer_that_has_begun_goes_on_when_its_part_is_blamed(self):
+        def slow(sock, req):
+            eventlet.sleep(0.2)
+            send_chunk(sock, event(2))
+            sock.sendall(b"0\r\n\r\n")
+            return True
+
+        harness = self.harness(events(1, ends=False, then=slow))
+        response = self.fetch_then_blame(harness)
+        self.assertEqual(response.body, event(1) + event(2))
+        self.assertTrue(response.is_complete)
+
+    def test_blamed_request_is_refused_without_retry_after_and_not_sent(self):
+        harness = self.harness(events(1))
+        self.publish(VerdictState.BLAMED)
+        response = harness.fetch(TOKENS, b"Prompt-Prefix: x:200,b:800")
+        self.assertEqual(response.status, 500)
+        self.assertNotIn(b"retry-after", response.headers)
+        self.assertEqual(self.replica.received, [])
+
+    def test_requests_without_the_blamed_part_are_served(self):
+        harness = self.harness(events(1))
+        self.publish(VerdictState.BLAMED)
+        for prefix in (b"b:200,x:800", b"y:200,b:800"):
+            response = harness.fetch(TOKENS, b"Prompt-Prefix: " + prefix)
+            self.assertTrue(response.is_complete)
+
+    def test_one_request_is_sent_as_a_trial_and_its_answer_ends_the_blame(self):
+        def lasting(sock, req):
+            for number in range(2, 7):
+                eventlet.sleep(0.1)
+                send_chunk(sock, event(number))
+            sock.sendall(b"0\r\n\r\n")
+            return True
+
+        harness = self.harness(events(1, ends=False, then=lasting))
+        self.publish(VerdictState.BLAMED, trial_after_s=0.0)
+        prefix = b"Prompt-Prefix: x:200,b:800"
+        trial = harness.connect()
+        send_request(trial, TOKENS, prefix, name=b"id-1")
+        eventlet.sleep(0.1)
+        other = harness.fetch(TOKENS, prefix, name=b"id-2")
+        self.assertEqual(other.status, 500)
+        self.assertTrue(read_response(trial).is_complete)
+        self.assertTrue(harness.fetch(TOKENS, prefix, name=b"id-3").is_complete)
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -402,7 +402,7 @@
             durations=RequestDurations(),
             pace=StreamTimeEstimator(),
             crash_blame=single_router_blame(
-                self.timers, self.registry, FakeFactBoard(), self.metrics
+                self.timers, self.registry, self.facts, self.metrics
             ),
             metrics=self.metrics,
             time_left=lambda: self.time_left_s,
