--- a/boragedeck/process/relaying/rollout_plan.py
+++ b/boragedeck/process/relaying/rollout_plan.py
@@ -72,7 +72,7 @@
 
 
 def find_doubt(score: Score, evidence: Evidence) -> Doubt | None:
-    """Return what speaks against completing a rollout now; None if nothing does.
+    """Return the reason not to complete a rollout now; None if there is none.
 
     Parameters
     ----------
@@ -137,7 +137,7 @@
 
 
 def finish_at(began: float, duration_s: float) -> float:
-    """Return when a rollout is completed if nothing speaks against it."""
+    """Return when a rollout is completed if there is no reason not to."""
     return began + FINISH_AT * duration_s
 
 
--- a/boragedeck/process/relaying/rollout_state.py
+++ b/boragedeck/process/relaying/rollout_state.py
@@ -53,7 +53,7 @@
     decided_result : RolloutResult or None
         The result that this router has decided on and may still have to publish.
     doubt : Doubt or None
-        What speaks against completing it now.
+        The reason not to complete it now.
     evidence : Evidence
         This router's evidence, of runs that have output or have ended.
     waiting : set of WaitingRun
--- a/boragedeck/process/relaying/send_schedule.py
+++ b/boragedeck/process/relaying/send_schedule.py
@@ -3,8 +3,8 @@
 __all__ = ["SendSchedule"]
 
 BURST_S = 0.5
-"""Requests for so long at the rate may be sent at once after a pause. Requests arrive
-at random, so strict spacing would leave part of the rate unused."""
+"""After a pause, the requests that the rate allows in this time may be sent at once.
+Requests arrive at random, so strict spacing would leave part of the rate unused."""
 MIN_WAIT_S = 0.001
 """A shorter wait counts as none."""
 
