Report crashes again to a judge that has restarted at its address

After a restart of the judge its evidence was gone, and routers did not report their crashes of the last minute again: they took it for the same judge by its address. A deadly part then needed new victims. Found by reading; the new test fails without the change. Judges are told apart by their router ids, which each run has anew.

--- a/boragedeck/process/relaying/crash_blame.py
+++ b/boragedeck/process/relaying/crash_blame.py
@@ -11,7 +11,7 @@
 
 from boragedeck.connection.messages import Accepted, Message
 from boragedeck.connection.peer import Address, PeerLinks
-from boragedeck.ids import OrganisationName, PoolName, Version
+from boragedeck.ids import OrganisationName, PoolName, RouterId, Version
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.crash_judge import CrashJudge
 from boragedeck.process.relaying.crash_messages import (
@@ -78,8 +78,8 @@
 
     crash: ReportCrash
     at: float
-    judge: Address | None = None
-    """The judge that has accepted it."""
+    judge: RouterId | None = None
+    """The judge that has accepted it; a judge that restarts has another id."""
 
 
 def fingerprint_of(
@@ -275,19 +275,19 @@
         crash = msgspec.structs.replace(report.crash, age_s=age_s)
         if owner.router == self._owners.own.router:
             self._judge.note_crash(crash)
-            report.judge = owner.address
+            report.judge = owner.router
         elif self._call(crash, owner.address):
-            report.judge = owner.address
+            report.judge = owner.router
         elif is_first:
             # Nobody else may judge what only this router can report.
             self._judge.note_crash(crash)
 
     def _repeat_reports(self) -> None:
-        """Report crashes to a new judge, or to one that didn't answer."""
-        owner = self._owners.owner_of(JUDGE_TASK).address
+        """Report crashes again if the judge is new or didn't accept them."""
+        judge = self._owners.owner_of(JUDGE_TASK).router
         since = self._timers.now() - REPEAT_TTL_S
         for report in list(self._reports):
-            if report.judge != owner and report.at > since:
+            if report.judge != judge and report.at > since:
                 eventlet.spawn_n(self._send_report, report)
 
     def _report_remembered_output(self, signature: Signature) -> None:
--- a/tests/process/relaying/test_crash_blame.py
+++ b/tests/process/relaying/test_crash_blame.py
@@ -5,7 +5,11 @@
 import msgspec
 from prometheus_client import CollectorRegistry
 
-from boragedeck.process.relaying.crash_blame import CrashBlame, fingerprint_of
+from boragedeck.process.relaying.crash_blame import (
+    JUDGE_TASK,
+    CrashBlame,
+    fingerprint_of,
+)
 from boragedeck.process.relaying.crash_judge import CrashJudge
 from boragedeck.process.relaying.crash_messages import CrashSuspect
 from boragedeck.process.relaying.crash_verdicts import (
@@ -146,6 +150,18 @@
         self.advance(0.4)
         self.assertTrue(self.there.is_blamed(traits("bad")))
 
+    def test_crashes_are_reported_again_to_a_judge_that_has_restarted(self):
+        owners = self.here._owners
+        judge = owners.owner_of(JUDGE_TASK)
+        names = [f"r{number}" for number in range(self.routers)]
+        blame = self.blames[1 - names.index(judge.router)]
+        self.crash("one", blame=blame)
+        self.assertEqual(self.net.sent["ReportCrash"], 1)
+        restarted = msgspec.structs.replace(judge, router="restarted")
+        blame._owners.owner_of = lambda task: restarted
+        self.advance(5.0)
+        self.assertEqual(self.net.sent["ReportCrash"], 2)
+
     def test_same_replica_counts_once(self):
         for _ in range(4):
             self.crash("one", has_begun=True)
