--- a/boragedeck/process/relaying/crash_blame.py
+++ b/boragedeck/process/relaying/crash_blame.py
@@ -150,7 +150,7 @@
         self._reports: deque[_Report] = deque(maxlen=MAX_REPEATED)
         self._sound: OrderedDict[Signature, _Sound] = OrderedDict()
         self.on_blamed = verdicts.on_blamed
-        verdicts.on_open = self._report_remembered_output
+        verdicts.on_active = self._report_remembered_output
         timers.subscribe(REPEAT_INTERVAL_S, self._repeat_reports)
 
     def is_blamed(self, traits: RequestTraits) -> bool:
--- a/boragedeck/process/relaying/crash_judge.py
+++ b/boragedeck/process/relaying/crash_judge.py
@@ -32,7 +32,7 @@
 __all__ = ["TRIAL_AFTER_S", "TRIAL_TIMEOUT_S", "CrashJudge"]
 
 REVIEW_DELAY_S = GATHER_S + 0.01
-HEARING_S = 0.6
+MIN_SUSPECTED_S = 0.6
 """How long after a suspicion was published routers may report output that clears it,
 before it can become blame."""
 TRIAL_AFTER_S = (30.0, 120.0, 480.0)
@@ -100,7 +100,7 @@
         """Record output, and clear what it proves harmless."""
         for each in single_signatures(report.signature):
             self._evidence.note_sound(each, report.age_s)
-        for known in self._verdicts.open():
+        for known in self._verdicts.active():
             signature = known.verdict.signature
             if _have_common_part(signature, report.signature) and self._is_sound(known):
                 self._publish(signature, VerdictState.CLEARED, 0, 0.0)
@@ -169,7 +169,7 @@
         if self._is_news(signature):
             self._publish(signature, VerdictState.SUSPECTED, 0, 0.0)
         known = self._verdicts.get(signature)
-        return known.decided_at + HEARING_S - self._timers.now()
+        return known.decided_at + MIN_SUSPECTED_S - self._timers.now()
 
     def _renew(self, known: KnownVerdict) -> None:
         """Blame a signature for longer if a trial has crashed a replica."""
--- a/boragedeck/process/relaying/crash_verdicts.py
+++ b/boragedeck/process/relaying/crash_verdicts.py
@@ -87,7 +87,7 @@
 
     Attributes
     ----------
-    on_open : callable
+    on_active : callable
         Called with a signature when it becomes suspected or blamed.
     on_blamed : set of callable
         Called when a signature is blamed.
@@ -102,7 +102,7 @@
         self._timers = timers
         self._board = board
         self._known: OrderedDict[Signature, KnownVerdict] = OrderedDict()
-        self.on_open: Callable[[Signature], None] = _ignore_open
+        self.on_active: Callable[[Signature], None] = _ignore_active
         self.on_blamed: set[Callable[[], None]] = set()
         board.subscribe(FactTopic.CRASH, self._on_fact)
         for fact in board.facts(FactTopic.CRASH):
@@ -122,8 +122,8 @@
             return None
         return known
 
-    def open(self) -> list[KnownVerdict]:
-        """Return the verdicts in force that output would contradict."""
+    def active(self) -> list[KnownVerdict]:
+        """Return the verdicts in force that suspect or blame, not those that clear."""
         now = self._timers.now()
         return [
             known
@@ -134,7 +134,9 @@
     def blamed(self) -> list[KnownVerdict]:
         """Return the verdicts in force by which requests are refused."""
         return [
-            known for known in self.open() if known.verdict.state is VerdictState.BLAMED
+            known
+            for known in self.active()
+            if known.verdict.state is VerdictState.BLAMED
         ]
 
     def blamed_for(self, traits: RequestTraits) -> list[KnownVerdict]:
@@ -183,7 +185,7 @@
             told_by=fact.origin,
         )
         if verdict.state is not VerdictState.CLEARED:
-            self.on_open(verdict.signature)
+            self.on_active(verdict.signature)
         if verdict.state is VerdictState.BLAMED:
             for callback in list(self.on_blamed):
                 callback()
@@ -198,5 +200,5 @@
     return f"{signature.pool} {names}"
 
 
-def _ignore_open(signature: Signature) -> None:
+def _ignore_active(signature: Signature) -> None:
     """Ignore a signature that becomes suspected or blamed."""
