--- a/boragedeck/platform/store.py
+++ b/boragedeck/platform/store.py
@@ -23,7 +23,7 @@
     Vm,
     Write,
 )
-from boragedeck.connection.store_http import YieldingConnection, call_store
+from boragedeck.connection.store_http import StoreAnswer, YieldingConnection, call_store
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
     StoreConflictError,
@@ -32,6 +32,7 @@
     StoreUnavailableError,
     StoreUnknownOutcomeError,
 )
+from boragedeck.process.logs import PartLog
 
 __all__ = ["PlatformStore"]
 
@@ -43,6 +44,10 @@
 PAGE_ROWS = 500
 PLATFORM_TABLE_NAMES = {Table.ROUTING: "op", Table.REPLICAS: "servers"}
 """Tables that have another name on the platform than in this package."""
+ERA_HEADER = "Store-Era"
+"""In answers of the store: how often it has been restored from an older copy."""
+
+_log = PartLog("store")
 
 
 class _Row(msgspec.Struct):
@@ -87,6 +92,7 @@
     ):
         self._peer = str(address)
         self._on_call = on_call
+        self._era: int | None = None
         self._pool = urllib3.HTTPConnectionPool(
             address.host,
             address.port,
@@ -263,6 +269,7 @@
         if response_result.is_err():
             return response_result
         response = response_result.ok()
+        self._note_era(response)
         text = f"status {response.status}"
         match response.status:
             case 200:
@@ -277,6 +284,15 @@
                 return Err(StoreUnavailableError(text, **error_context))
         return Err(StoreUnknownOutcomeError(text, **error_context))
 
+    def _note_era(self, response: StoreAnswer) -> None:
+        """Log that the store has been restored from an older copy."""
+        text = response.headers.get(ERA_HEADER, "")
+        if not text.isdigit() or int(text) == self._era:
+            return
+        if self._era is not None:
+            _log.write("Restored from a copy.", era=int(text), before=self._era)
+        self._era = int(text)
+
 
 def _table_name(table: Table) -> str:
     return PLATFORM_TABLE_NAMES.get(table, table.value)
--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/mirror_follower.py
@@ -9,7 +9,7 @@
 from result import Ok
 
 from boragedeck.connection.peer import Address, PeerLinks
-from boragedeck.connection.store import ChangeFeed
+from boragedeck.connection.store import ChangeFeed, Changes
 from boragedeck.exceptions import StoreHistoryLostError
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
@@ -123,12 +123,23 @@
             case Ok(changes):
                 self._note_answer()
                 self._is_history_lost = False
+                self._log_if_older(changes)
                 mirror.apply(changes)
                 if changes.rows:
                     self._timers.sleep(BATCH_DELAY_S)
             case _:
                 self._note_failure(result.err())
 
+    def _log_if_older(self, changes: Changes) -> None:
+        """Log a snapshot that has no effect."""
+        if changes.is_snapshot and changes.version < self._mirror.version:
+            _log.write(
+                "Older snapshot ignored.",
+                table=self._mirror.table.value,
+                version=changes.version,
+                known=self._mirror.version,
+            )
+
     def _note_answer(self) -> None:
         self._pause_s = INITIAL_PAUSE_S
         if self.is_connected:
