--- a/standins/rows.py
+++ b/standins/rows.py
@@ -1,4 +1,7 @@
-"""Stand-in for the users' platform store: conditional row writes and a change feed."""
+"""Stand-in for the users' platform store: conditional row writes and a change feed.
+
+It can be restored from an older copy of itself, which loses the writes since then.
+"""
 
 import base64
 from urllib.parse import parse_qsl
@@ -13,6 +16,8 @@
 
 PAGE_ROWS = 500
 PATH_PREFIX = "/boragedeck/"
+ERA_HEADER = "Store-Era"
+"""Header of all answers: grows by one each time that the store is restored."""
 
 
 class RowFaults(msgspec.Struct):
@@ -58,7 +63,9 @@
         self._rows: dict[tuple[str, str, str], _Row] = {}
         self._change_log: list[dict] = []
         self._discarded_ver = 0
+        self._kept_rows: dict[tuple[str, str, str], _Row] = {}
         self._ver = 0
+        self._era = 1
         self._changed = Event()
 
     @property
@@ -83,6 +90,33 @@
         """Discard all past changes, so that feeds from before are refused."""
         self._change_log.clear()
         self._discarded_ver = self._ver
+        self._kept_rows = dict(self._rows)
+
+    def restore(self, ver: int) -> None:
+        """Return to the rows as of a version, and hand out later versions again.
+
+        Parameters
+        ----------
+        ver : int
+            The version of the copy; not before the last `discard_history`.
+        """
+        changes = [row for row in self._change_log if row["ver"] <= ver]
+        self._change_log = changes
+        self._rows = dict(self._kept_rows)
+        for change in changes:
+            key = change["table"], change["part"], change["key"]
+            if change.get("tombstone"):
+                self._rows.pop(key, None)
+            else:
+                self._rows[key] = msgspec.convert(change, _Row)
+        self._ver = ver
+        self._era += 1
+        self._notify()
+
+    @property
+    def ver(self) -> int:
+        """The version of the newest write."""
+        return self._ver
 
     def _answer(self, environ, start_response):
         path = environ["PATH_INFO"].removeprefix(PATH_PREFIX)
@@ -93,11 +127,27 @@
             eventlet.sleep(0.01)
         if self.faults.status:
             return Answer(self.faults.status).send(start_response)
-        answer = self._serve(path, fields, body)
+        answer = self.serve(path, fields, body)
         if self.faults.loses_answers and path == "rows-tx":
             return drop_connection()
         return answer.send(start_response)
 
+    def serve(self, path: str, fields: dict[str, str], body: bytes) -> Answer:
+        """Answer one call.
+
+        Parameters
+        ----------
+        path : str
+            The path without `PATH_PREFIX`.
+        fields : dict of str to str
+            The fields of the query.
+        body : bytes
+            The body.
+        """
+        answer = self._serve(path, fields, body)
+        headers = ((ERA_HEADER, str(self._era)),)
+        return msgspec.structs.replace(answer, extra_headers=headers)
+
     def _serve(self, path: str, fields: dict[str, str], body: bytes) -> Answer:
         match path:
             case "rows-tx":
@@ -142,14 +192,19 @@
 
     def _feed(self, fields: dict[str, str]) -> Answer:
         after = int(fields["after"])
-        if after < self._discarded_ver:
-            return Answer(410)
         with eventlet.Timeout(int(fields.get("waitMs", 0)) / 1000.0, False):
-            while not (rows := self._changes(fields["table"], after)):
+            while self._has_history(after) and not (
+                rows := self._changes(fields["table"], after)
+            ):
                 self._changed.wait()
+            if not self._has_history(after):
+                return Answer(410)
             return json_answer({"rows": rows, "ver": self._ver, "nowMs": 0})
         return json_answer({"rows": [], "ver": self._ver, "nowMs": 0})
 
+    def _has_history(self, after: int) -> bool:
+        return self._discarded_ver <= after <= self._ver
+
     def _changes(self, table: str, after: int) -> list[dict]:
         return [
             row
@@ -168,6 +223,9 @@
             if self._rows.pop((table, part, key), None) is not None:
                 deletion = {"table": table, "part": part, "key": key, "tombstone": True}
                 self._change_log.append(deletion | {"ver": self._ver})
+        self._notify()
+        return self._ver
+
+    def _notify(self) -> None:
         changed, self._changed = self._changed, Event()
         changed.send()
-        return self._ver
--- a/standins/web.py
+++ b/standins/web.py
@@ -56,16 +56,19 @@
         The content.
     content_type : str
         The content's media type.
+    extra_headers : tuple of tuple of str
+        Names and values of further headers.
     """
 
     status: int = HTTPStatus.OK
     body: bytes = b""
     content_type: str = "text/plain; charset=utf-8"
+    extra_headers: tuple[tuple[str, str], ...] = ()
 
     def send(self, start_response: Callable) -> list[bytes]:
         """Start the WSGI response and return its body."""
         phrase = HTTPStatus(self.status).phrase
-        headers = [("Content-Type", self.content_type)]
+        headers = [("Content-Type", self.content_type), *self.extra_headers]
         start_response(f"{int(self.status)} {phrase}", headers)
         return [self.body]
 
