Compare versions of the store together with the era that they belong to

What callers saw: after the store's return from an older copy, added routes got 404, old routes went on for good, and a replica that said it leaves got requests 2 s later.

Cause: versions were compared across histories.

Ruled out by the log: tables from other routers (none was fetched after the return), and a step back of the table in force (its own version decides).

Why this works: the adapter joins the store's era to every version, so any version of a later era is greater, and all comparisons hold: mirrors, tables fetched from peers, newest versions told with loads, rows that identify rollouts. A feed of an earlier era is refused in the adapter, also if the counter has caught up. A write whose condition was read in another era isn't sent, or counts as unknown.

The same class elsewhere, mended here: a draining replica that the copy calls ready stays out; an entry that had been deleted counts only if it outlives the lapse of silent ones; entries missing in the copy have the renewal time; a rollout order that is seen again goes on instead of starting anew, its lost result is published again, and an order that a later one replaced is ignored; routers write their member rows again at once.

Two tests of the adapter used the stand-in's raw version as a feed position; they read it from the client now.

--- a/boragedeck/connection/store.py
+++ b/boragedeck/connection/store.py
@@ -11,6 +11,7 @@
 import msgspec
 from result import Result
 
+from boragedeck.connection.store_version import StoreVersion
 from boragedeck.exceptions import StoreError
 
 __all__ = [
@@ -106,7 +107,7 @@
         The row's content.
     version : int
         Grows with each write of the row, also after a delete; at least 1. Depending
-        on the store, it counts the row's writes or is the store's version counter.
+        on the store, it counts the row's writes or is a `StoreVersion`.
     """
 
     key: str
@@ -193,13 +194,13 @@
         The row's key within its table.
     value : bytes or None
         The row's content; None if the row was deleted.
-    version : int
-        The store's version counter at the change; it counts all writes of the store.
+    version : StoreVersion
+        The store's version at the change; its counter counts all writes of the store.
     """
 
     key: str
     value: bytes | None
-    version: int
+    version: StoreVersion
 
 
 class Changes(msgspec.Struct, frozen=True, array_like=True):
@@ -210,15 +211,15 @@
     rows : tuple of Change
         The changes in the order of their versions; in a snapshot, all rows that
         exist, in key order.
-    version : int
-        The value of the store's version counter up to which no change is missing. A
-        snapshot may contain newer rows.
+    version : StoreVersion
+        The store's version up to which no change is missing. A snapshot may contain
+        newer rows. All rows are of the same era.
     is_snapshot : bool
         Whether this is a snapshot: rows that are not listed do not exist.
     """
 
     rows: tuple[Change, ...]
-    version: int
+    version: StoreVersion
     is_snapshot: bool = False
 
 
@@ -231,7 +232,7 @@
         """Read a whole table; `timeout_s` applies to each page."""
 
     def changes(
-        self, table: Table, after: int, wait_s: float
+        self, table: Table, after: StoreVersion, wait_s: float
     ) -> Result[Changes, StoreError]:
         """Wait for changes of a table.
 
@@ -239,7 +240,7 @@
         ----------
         table : Table
             The table.
-        after : int
+        after : StoreVersion
             The `version` of the last `Changes` that were received.
         wait_s : float
             Maximum time to wait, in seconds.
@@ -249,7 +250,8 @@
         Result
             The changes, empty if there were none within `wait_s`, or
             ``Err(StoreHistoryLostError)`` if the store no longer has all changes
-            after that version, so that a snapshot has to be read instead.
+            after that version, or has been restored from an older copy since, so that
+            a snapshot has to be read instead.
         """
 
 
--- a/boragedeck/platform/settings.py
+++ b/boragedeck/platform/settings.py
@@ -55,6 +55,8 @@
     listen: _Listen
     internal_ports: tuple[int, int]
     platform: _Store
+    heartbeat_ms: float = 1200
+    """How often replicas renew their entries, not how often this process does."""
     seeds: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -93,6 +95,8 @@
             f"internalPorts got {file.internal_ports}; expected two ports,"
             " the lower one first"
         )
+    if file.heartbeat_ms <= 0.0:
+        raise ValueError(f"heartbeatMs got {file.heartbeat_ms}; expected more than 0")
     bounds, limits = file.bounds, file.limits
     return RelaySettings(
         vm=VmName(file.node),
@@ -115,6 +119,7 @@
             exposure_extra=bounds.exposure_slack,
             config_apply_s=bounds.config_apply_ms / 1000.0,
         ),
+        heartbeat_s=file.heartbeat_ms / 1000.0,
         capacity=limits.link_mbps * limits.cpu_share * limits.cores,
     )
 
--- a/boragedeck/process/membership.py
+++ b/boragedeck/process/membership.py
@@ -146,6 +146,10 @@
         # A slow store must not delay the stop.
         eventlet.spawn_n(self._table.leave)
 
+    def restore_row(self) -> None:
+        """Write this router's row again, after the store has lost recent writes."""
+        eventlet.spawn_n(self._table.write_row)
+
     def members(self) -> list[Member]:
         """See `Membership.members`."""
         return self._view.members()
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -210,7 +210,11 @@
         self._hubs = Hubs(self.timers, self._membership)
         self._routing_mirror = TableMirror(Table.ROUTING)
         self._replica_mirror = TableMirror(Table.REPLICAS)
+        self._routing_mirror.subscribe_restored(self._membership.restore_row)
         mirrors = [self._routing_mirror, self._replica_mirror]
+        for mirror in mirrors:
+            counter = self.metrics.store_restored.labels(mirror.table.value)
+            mirror.subscribe_restored(counter.inc)
         self._feed = SharedFeed(
             self._store,
             self.timers,
@@ -246,6 +250,7 @@
             self._registry,
             decode_replica,
             self.timers,
+            lambda: self._source.current().heartbeat_s,
         )
         self._rollouts = RelayRollouts(
             self.timers,
--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/mirror_follower.py
@@ -69,7 +69,8 @@
     is_connected : bool
         Whether the store answered the last call.
     reconnected_at : float
-        When the store first answered, or answered again after a failure.
+        When the store first answered, or answered again after a failure or after it
+        had been restored from an older copy.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
         self._newer: _NewerVersion | None = None
         self.is_connected = False
         self.reconnected_at = 0.0
+        mirror.subscribe_restored(self._note_restored)
 
     def start(self) -> None:
         """Start to follow the table."""
@@ -149,6 +151,10 @@
         self.reconnected_at = self._timers.now()
         _log.write("Store answers.", table=self._mirror.table.value)
 
+    def _note_restored(self) -> None:
+        self.reconnected_at = self._timers.now()
+        _log.write("Store restored.", table=self._mirror.table.value)
+
     def _note_failure(self, error: Exception) -> None:
         if isinstance(error, StoreHistoryLostError):
             self._is_history_lost = True
--- a/boragedeck/process/relaying/registry.py
+++ b/boragedeck/process/relaying/registry.py
@@ -16,7 +16,7 @@
 from boragedeck.process.relaying.replica_state import ReplicaState, Run
 from boragedeck.process.relaying.restraint import Reason, Restraints
 from boragedeck.process.timers import TimerService
-from boragedeck.version.replicas import HoldOff, Replica, ReplicaId
+from boragedeck.version.replicas import HoldOff, Replica, ReplicaId, ReplicaStage
 
 __all__ = ["ReplicaRegistry"]
 
@@ -200,6 +200,9 @@
                 address=str(replica.address),
             )
         state.replica = replica
+        if replica.stage is ReplicaStage.DRAINING:
+            # An entry from an older copy of the store may say "ready" again.
+            state.restraints.extend(Reason.LEAVING, math.inf)
         self._notify_subscribers()
 
     def remove(self, replica: ReplicaId, cause: str) -> None:
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -103,6 +103,12 @@
             ["kind", "table", "outcome"],
             registry=registry,
         )
+        self.store_restored = Counter(
+            "boragedeck_store_restored",
+            "Tables that were replaced since the store was restored from a copy.",
+            ["table"],
+            registry=registry,
+        )
         self.dropped_logs = Gauge(
             "boragedeck_log_lines_dropped", "Log lines dropped.", registry=registry
         )
--- a/boragedeck/process/relaying/replica_source.py
+++ b/boragedeck/process/relaying/replica_source.py
@@ -7,6 +7,7 @@
 from boragedeck.connection.store import Change
 from boragedeck.exceptions import TableError
 from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.deleted_entries import DeletedEntries
 from boragedeck.process.relaying.mirror_follower import MirrorFollower
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.table_mirror import TableMirror
@@ -19,6 +20,9 @@
 RENEWAL_PERIOD_S = 2.2
 """Time within which replicas renew their lapsed entries after a store outage."""
 
+HEARTBEATS_TO_LAPSE = 3.5
+"""Number of heartbeat intervals after which a silent replica has no entry any more."""
+
 _log = PartLog("replicas")
 
 
@@ -37,12 +41,18 @@
         Decodes an entry.
     timers : TimerService
         The source of time.
+    heartbeat_s : callable
+        Returns how often replicas renew their entries, in seconds.
 
     Notes
     -----
     An entry that disappears during a store outage, or just after it, may have lapsed
     only because the replica couldn't renew it. The replica is kept until
     `RENEWAL_PERIOD_S` after the outage.
+
+    If the store is restored from an older copy, entries appear that had been deleted.
+    They count only if they are still there when those of replicas that no longer renew
+    them have lapsed.
     """
 
     def __init__(
@@ -52,14 +62,19 @@
         registry: ReplicaRegistry,
         decode: Callable[[str, bytes], Result[Replica, TableError]],
         timers: TimerService,
+        heartbeat_s: Callable[[], float],
     ):
         self._mirror = mirror
         self._follower = follower
         self._registry = registry
         self._decode = decode
         self._timers = timers
+        self._heartbeat_s = heartbeat_s
+        self._deleted = DeletedEntries()
+        self._restored_at = float("-inf")
         self._checked_reconnection_at = 0.0
         mirror.subscribe(self._on_change)
+        mirror.subscribe_restored(self._note_restored)
         timers.subscribe(CHECK_INTERVAL_S, self.drop_missing)
 
     def drop_missing(self) -> None:
@@ -75,15 +90,43 @@
             if replica not in self._mirror.rows:
                 self._registry.remove(replica, "no entry since the store outage")
 
+    def _note_restored(self) -> None:
+        self._restored_at = self._timers.now()
+
     def _on_change(self, change: Change) -> None:
         replica = ReplicaId(change.key)
         if change.value is None:
+            self._deleted.note(replica, change.version)
             self._remove(replica)
             return
+        wait_s = self._lapse_left_s()
+        if wait_s > 0.0 and self._deleted.may_be_undone(replica, change.version):
+            _log.write(
+                "Deleted entry appears again.",
+                replica=replica,
+                version=change.version,
+                checked_in_s=round(wait_s, 3),
+            )
+            self._timers.call_later(wait_s, lambda: self._put_if_listed(replica))
+            return
+        self._deleted.forget(replica)
+        self._put(change)
+
+    def _put_if_listed(self, replica: ReplicaId) -> None:
+        """Accept an entry that hasn't lapsed since the store was restored."""
+        row = self._mirror.rows.get(replica)
+        if row is not None:
+            self._on_change(row)
+
+    def _lapse_left_s(self) -> float:
+        lapse_s = HEARTBEATS_TO_LAPSE * self._heartbeat_s()
+        return self._restored_at + lapse_s - self._timers.now()
+
+    def _put(self, change: Change) -> None:
         decoded = self._decode(change.key, change.value)
         if decoded.is_err():
             _log.write("Replica entry can't be decoded.", error=str(decoded.err()))
-            self._registry.remove(replica, "its entry can't be decoded")
+            self._registry.remove(ReplicaId(change.key), "its entry can't be decoded")
             return
         self._registry.put(decoded.ok())
 
--- a/boragedeck/process/relaying/rollout_state.py
+++ b/boragedeck/process/relaying/rollout_state.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from boragedeck.connection.store_version import StoreVersion
 from boragedeck.ids import FailureDomain
 from boragedeck.process.relaying.rollout_plan import Doubt, finish_at, give_up_at
 from boragedeck.version.evidence import Evidence
@@ -39,8 +40,9 @@
     ----------
     order : RolloutOrder
         The operators' order.
-    number : int
-        The version of the order's row, which identifies the rollout.
+    number : StoreVersion
+        The version of the order's row, which identifies the rollout. It changes if the
+        row is written again after the store was restored from an older copy.
     began : float
         When the order was received, on the timer service's monotonic clock.
     delay_s : float
@@ -60,7 +62,9 @@
         This router's runs without output.
     """
 
-    def __init__(self, order: RolloutOrder, number: int, began: float, delay_s: float):
+    def __init__(
+        self, order: RolloutOrder, number: StoreVersion, began: float, delay_s: float
+    ):
         self.order = order
         self.number = number
         self.began = began
--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts.py
@@ -20,6 +20,7 @@
 from boragedeck.interfaces import FactBoard, RunSample
 from boragedeck.process.fact_store import MAX_BODY_BYTES
 from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.rollout_orders import OrderHistory, OrderKind
 from boragedeck.process.relaying.rollout_plan import (
     find_doubt,
     share_at,
@@ -136,6 +137,8 @@
         self._routers = routers
         self._requests = SlidingWindowCounter(timers)
         self._rollouts: dict[PoolName, RolloutState] = {}
+        self._orders = OrderHistory(timers)
+        mirror.subscribe_restored(self._orders.note_restored)
         mirror.subscribe(self._on_order)
         facts.subscribe(FactTopic.ROLLOUT_STOP, self._on_stop)
 
@@ -206,6 +209,39 @@
             _log.write("Rollout order can't be decoded.", error=str(decoded.err()))
             return
         order = decoded.ok()
+        match self._orders.receive(order, change.version):
+            case OrderKind.NEW:
+                self._start_rollout(order, change)
+            case OrderKind.KNOWN:
+                self._renumber(self._rollouts[order.pool], change)
+            case OrderKind.SUPERSEDED:
+                _log.write(
+                    "Superseded rollout order ignored.",
+                    rollout=order.pool,
+                    to=order.to,
+                    row_version=change.version,
+                )
+
+    def _renumber(self, rollout: RolloutState, change: Change) -> None:
+        """Go on with a rollout whose order has another row version now.
+
+        Notes
+        -----
+        The store has been restored from an older copy, which may lack the published
+        result, and evidence and stops are exchanged under the version of the order.
+        """
+        _log.write(
+            "Rollout order seen again.",
+            rollout=rollout.order.pool,
+            before=rollout.number,
+            row_version=change.version,
+        )
+        rollout.number = change.version
+        rollout.is_published = False
+        if rollout.decided_result is RolloutResult.ROLLED_BACK:
+            self._publish_stop(rollout)
+
+    def _start_rollout(self, order: RolloutOrder, change: Change) -> None:
         delay_s = self._rng.uniform(0.0, MAX_FINISH_DELAY_S)
         rollout = RolloutState(order, change.version, self._timers.now(), delay_s)
         self._rollouts[order.pool] = rollout
@@ -287,6 +323,9 @@
     def _stop(self, rollout: RolloutState, reason: str) -> None:
         """Roll a version back, and tell the other routers to stop sending to it."""
         self._decide(rollout, RolloutResult.ROLLED_BACK, reason)
+        self._publish_stop(rollout)
+
+    def _publish_stop(self, rollout: RolloutState) -> None:
         key = f"{rollout.order.pool}/{rollout.number}"
         self._facts.publish(FactTopic.ROLLOUT_STOP, key, b"")
 
--- a/boragedeck/process/relaying/settings.py
+++ b/boragedeck/process/relaying/settings.py
@@ -56,6 +56,8 @@
         The platform's store.
     bounds : Bounds
         The operators' bounds.
+    heartbeat_s : float
+        How often replicas renew their entries in the platform's list, in seconds.
     capacity : float
         The VM's capacity: its link in Mbit/s times its processor in cores.
     """
@@ -69,4 +71,5 @@
     seeds: tuple[Address, ...]
     store: Address
     bounds: Bounds
+    heartbeat_s: float
     capacity: float = 1.0
--- a/boragedeck/process/relaying/table_mirror.py
+++ b/boragedeck/process/relaying/table_mirror.py
@@ -5,6 +5,7 @@
 from eventlet.event import Event
 
 from boragedeck.connection.store import Change, Changes, Table
+from boragedeck.connection.store_version import StoreVersion, era_of
 from boragedeck.process.timers import TimerService
 
 __all__ = ["TableMirror"]
@@ -16,6 +17,9 @@
 class TableMirror:
     """The rows of one table, at a version that never decreases.
 
+    A store that is restored from an older copy starts a later era, whose versions are
+    greater than all before; its rows arrive as a snapshot.
+
     Parameters
     ----------
     table : Table
@@ -28,10 +32,15 @@
         self.newest_row_version = -1
         """Version of the newest row change, which other routers compare with theirs."""
         self.rows: dict[str, Change] = {}
-        self._deletion_versions: dict[str, int] = {}
+        self._deletion_versions: dict[str, StoreVersion] = {}
         self._deletions_known_after = -1
         self._changed = Event()
         self._callbacks: list[Callable[[Change], None]] = []
+        self._restored_callbacks: list[Callable[[], None]] = []
+
+    def subscribe_restored(self, callback: Callable[[], None]) -> None:
+        """Register a callback for the time before rows of a later era are applied."""
+        self._restored_callbacks.append(callback)
 
     def subscribe(self, callback: Callable[[Change], None]) -> None:
         """Register a callback for each row that is new, changed or deleted."""
@@ -42,7 +51,10 @@
         if changes.is_snapshot:
             if changes.version < self.version:
                 return
+            self._notify_if_restored(changes)
             self._drop_missing(changes)
+            # Rows that this mirror never had may have been deleted before.
+            self._deletions_known_after = changes.version
         if self.version < 0:
             self._deletions_known_after = changes.version
         newest_before = self.newest_row_version
@@ -57,7 +69,7 @@
         """Return all rows as a snapshot for another router."""
         return Changes(tuple(self.rows.values()), self.version, True)
 
-    def since(self, after: int) -> Changes:
+    def since(self, after: StoreVersion) -> Changes:
         """Return the changes after a version; all rows if some deletion isn't known."""
         if after < self._deletions_known_after:
             return self.snapshot()
@@ -70,7 +82,9 @@
         rows.sort(key=lambda change: change.version)
         return Changes(tuple(rows), self.version)
 
-    def wait_for_change(self, timers: TimerService, after: int, wait_s: float) -> None:
+    def wait_for_change(
+        self, timers: TimerService, after: StoreVersion, wait_s: float
+    ) -> None:
         """Wait until a row is newer than a version, or the time has passed."""
         until = timers.now() + wait_s
         while (
@@ -78,6 +92,11 @@
         ):
             timers.wait(self._changed, left_s)
 
+    def _notify_if_restored(self, changes: Changes) -> None:
+        if 0 <= self.version and era_of(self.version) < era_of(changes.version):
+            for callback in self._restored_callbacks:
+                callback()
+
     def _drop_missing(self, changes: Changes) -> None:
         snapshot_keys = {change.key for change in changes.rows}
         for key in [key for key in self.rows if key not in snapshot_keys]:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -34,6 +34,7 @@
         self.assertEqual(settings.metrics, Address("10.1.0.40", 9999))
         self.assertEqual(settings.bounds.retry_ratio, 0.5)
         self.assertEqual(settings.bounds.grace_s, 8.0)
+        self.assertEqual(settings.heartbeat_s, 1.2)
 
     def test_without_a_file_there_are_no_settings(self):
         self.assertIsNone(read_settings({}).ok())
@@ -42,6 +43,7 @@
         for old, new, expected in (
             ('"10.1.0.40:8227"', '"10.1.0.40"', "listen.front got '10.1.0.40'"),
             ("[7340, 7355]", "[7340]", "internalPorts"),
+            ("heartbeatMs: 1200", "heartbeatMs: 0", "heartbeatMs got 0"),
             ("graceS: 8", "graceS: long", "bounds.graceS"),
             ('zone: "a"', "", "zone"),
             ("internalPorts:", "internalPorts: [", "can't be read"),
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -54,7 +54,8 @@
         self.assertTrue(changes.is_snapshot)
 
     def test_changes_come_in_order_with_deleted_rows(self):
-        ver = self.rows.put("op", "config", b"1")
+        self.rows.put("op", "config", b"1")
+        ver = self.store.snapshot(Table.ROUTING).ok().version
         self.rows.put("other", "x", b"1")
         self.rows.put("op", "config", b"2")
         self.rows.drop("op", "config")
@@ -63,7 +64,8 @@
         self.assertEqual(changes.version, ver + 3)
 
     def test_wait_ends_with_the_first_change(self):
-        ver = self.rows.put("op", "config", b"1")
+        self.rows.put("op", "config", b"1")
+        ver = self.store.snapshot(Table.ROUTING).ok().version
         eventlet.spawn_after(0.05, self.rows.put, "op", "config", b"2")
         changes = self.store.changes(Table.ROUTING, ver, 3.0).ok()
         self.assertEqual(len(changes.rows), 1)
@@ -92,3 +94,67 @@
             result = self.store.changes(Table.ROUTING, 0, 0.1)
         self.rows.faults = RowFaults()
         self.assertIsInstance(result.err(), StoreUnknownOutcomeError)
+
+
+class RestoredStoreTest(PlatformStoreTest):
+    """The store returns from an older copy; all other promises hold after it, too."""
+
+    def setUp(self):
+        super().setUp()
+        self.rows.put("op", "config", b"0")
+        self.rows.restore(self.rows.ver)
+
+    def test_feed_from_before_the_return_is_refused_though_its_version_exists(self):
+        ver = self.store.snapshot(Table.ROUTING).ok().version
+        copy = self.rows.ver
+        self.rows.put("op", "config", b"1")
+        self.rows.restore(copy)
+        self.rows.put("op", "config", b"2")
+        result = self.store.changes(Table.ROUTING, ver, 0.0)
+        self.assertIsInstance(result.err(), StoreHistoryLostError)
+        calls = len(self.rows.calls)
+        again = self.store.changes(Table.ROUTING, ver, 0.0)
+        self.assertIsInstance(again.err(), StoreHistoryLostError)
+        self.assertEqual(len(self.rows.calls), calls)
+
+    def test_versions_after_the_return_are_greater_than_all_before(self):
+        copy = self.rows.ver
+        for number in range(9):
+            self.rows.put("op", "config", b"%d" % number)
+        before = self.store.snapshot(Table.ROUTING).ok()
+        self.rows.restore(copy)
+        after = self.store.snapshot(Table.ROUTING).ok()
+        self.assertGreater(after.version, before.version)
+        self.assertGreater(after.rows[0].version, before.version)
+
+    def test_condition_from_before_the_return_does_not_match_a_row_after_it(self):
+        copy = self.rows.ver
+        [ver] = self.store.commit([Put(Table.LEASES, "k", b"before")]).ok()
+        self.rows.restore(copy)
+        self.rows.put("leases", "k", b"after")
+        refused = self.store.commit([Put(Table.LEASES, "k", b"late", ver)])
+        self.assertTrue(refused.is_err())
+        again = self.store.commit([Put(Table.LEASES, "k", b"late", ver)])
+        self.assertIsInstance(again.err(), StoreConflictError)
+
+    def test_write_whose_condition_held_in_another_era_counts_as_unknown(self):
+        copy = self.rows.ver
+        [ver] = self.store.commit([Put(Table.LEASES, "k", b"before")]).ok()
+        self.rows.restore(copy)
+        self.rows.put("leases", "k", b"other writer")
+        result = self.store.commit([Delete(Table.LEASES, "k", ver)])
+        self.assertIsInstance(result.err(), StoreUnknownOutcomeError)
+
+    def test_snapshot_that_spans_a_return_is_refused(self):
+        for number in range(store_module.PAGE_ROWS + 3):
+            self.rows.put("servers", f"i-{number:04}", b"x")
+        read_page = self.store._read_page
+
+        def read_and_restore(*args):
+            page = read_page(*args)
+            self.rows.restore(self.rows.ver)
+            return page
+
+        self.store._read_page = read_and_restore
+        result = self.store.snapshot(Table.REPLICAS)
+        self.assertIsInstance(result.err(), StoreHistoryLostError)
--- a/tests/process/relaying/test_registry.py
+++ b/tests/process/relaying/test_registry.py
@@ -71,6 +71,9 @@
         self.assertEqual(self.states[2].avoid_until, 0.0)
 
 
+HEARTBEAT_S = 1.2
+
+
 class FakeFollower:
     is_connected = True
     reconnected_at = -100.0
@@ -84,7 +87,12 @@
         self.follower = FakeFollower()
         self.follower.reconnected_at = self.timers.now() - 100.0
         ReplicaSource(
-            self.mirror, self.follower, self.registry, self.decode, self.timers
+            self.mirror,
+            self.follower,
+            self.registry,
+            self.decode,
+            self.timers,
+            lambda: HEARTBEAT_S,
         )
 
     def decode(self, key, body):
--- a/tests/process/relaying/test_restored_store.py
+++ b/tests/process/relaying/test_restored_store.py
@@ -32,6 +32,16 @@
         self.rows.put("servers", "a", value)
         self.fleet.run(BOUNDS.config_apply_s)
 
+    def calls_over_a_return(self):
+        """Return the number of calls beyond those of a time without a return."""
+        calls = self.fleet.line.calls
+        before = calls.total()
+        self.fleet.run(BOUNDS.contact_s)
+        usual = calls.total() - before
+        self.rows.restore(self.copy)
+        self.fleet.run(BOUNDS.contact_s)
+        return calls.total() - before - 2 * usual
+
     def assert_in_force(self, value):
         self.assertEqual(self.fleet.values(ROUTING, "config"), {value})
         self.assertEqual(self.fleet.values(REPLICAS, "a"), {value})
@@ -90,6 +100,21 @@
         self.assert_in_force(b"8")
 
 
+class StoreCallsTest(RestoredStoreCase):
+    readers = 9
+
+    def test_each_reader_makes_a_refused_call_and_a_snapshot_for_each_table(self):
+        most = self.readers * 2 * len(self.fleet.routers[0].mirrors)
+        self.assertLessEqual(self.calls_over_a_return(), most)
+
+
+class LargeFleetCallsTest(StoreCallsTest):
+    """Only the hubs read the store, one in each failure domain."""
+
+    routers = 80
+    readers = 4
+
+
 class LargeFleetTest(RestoredStoreCase):
     routers = 80
 
--- a/tests/process/relaying/test_rollouts.py
+++ b/tests/process/relaying/test_rollouts.py
@@ -6,6 +6,7 @@
 
 from boragedeck.connection.messages import FactTopic
 from boragedeck.connection.store import Change, Changes, Table
+from boragedeck.connection.store_version import store_version
 from boragedeck.exceptions import StoreConflictError, StoreUnavailableError
 from boragedeck.interfaces import Outcome, RunSample
 from boragedeck.platform.routing import decode_rollout
@@ -211,6 +212,76 @@
         self.assertTrue(allows(NEW) and allows(OLD))
 
 
+class RestoredRolloutTest(RolloutCase):
+    """The store returns from an older copy of itself in the middle of a rollout."""
+
+    def restore(self, rows=(), number=10):
+        """Return from a copy with these rows, which has no published result."""
+        version = store_version(2, number)
+        for mirror in self.mirrors:
+            mirror.apply(Changes(tuple(rows), version, True))
+        self.board.published = PublishedRollout(None, RUNNING, 0)
+        self.board.version = store_version(2, number + 50)
+        self.board.history.clear()
+
+    def order_row(self, era, number, to="v2"):
+        order = {"service": "p", "to": to, "durationS": 12}
+        body = msgspec.json.encode(order)
+        return Change("rollout/p", body, store_version(era, number))
+
+    def write(self, row):
+        for mirror in self.mirrors:
+            mirror.apply(Changes((row,), row.version))
+
+    def test_published_result_that_was_lost_is_published_again(self):
+        self.write(self.order_row(1, 50))
+        self.simulate(DURATION_S)
+        self.assertEqual(self.board.history[-1], COMPLETED)
+        self.restore([self.order_row(2, 9)])
+        self.simulate(2.0)
+        self.assertEqual(self.board.history, [COMPLETED])
+
+    def test_rolled_back_version_is_not_tried_again(self):
+        self.write(self.order_row(1, 50))
+        self.simulate(DURATION_S, bad_share=0.5)
+        self.restore()
+        self.write(self.order_row(2, 13))
+        new, _ = self.simulate(DURATION_S, bad_share=0.5)
+        self.assertEqual(new, 0)
+        self.assertEqual(self.board.history, [ROLLED_BACK])
+
+    def test_router_started_after_the_return_learns_that_a_version_is_rolled_back(self):
+        self.write(self.order_row(1, 50))
+        self.simulate(DURATION_S, bad_share=0.5)
+        self.restore()
+        self.write(self.order_row(2, 13))
+        started = self.router(3)
+        self.mirrors[-1].apply(Changes((self.order_row(2, 13),), store_version(2, 13)))
+        self.simulate(2.0)
+        self.assertFalse(started.replica_filter("p")(NEW))
+
+    def test_rollout_keeps_its_time_limit_over_the_return(self):
+        self.write(self.order_row(1, 50))
+        self.simulate(DURATION_S / 2)
+        self.restore()
+        self.write(self.order_row(2, 13))
+        self.simulate(DURATION_S / 2)
+        self.assertEqual(self.board.history[-1], COMPLETED)
+
+    def test_order_that_a_later_one_replaced_does_not_start_again(self):
+        self.write(self.order_row(1, 50, to="v0"))
+        self.simulate(1.0)
+        self.write(self.order_row(1, 60))
+        self.simulate(DURATION_S)
+        self.restore([self.order_row(2, 50, to="v0")], number=55)
+        self.simulate(1.0)
+        self.assertTrue(self.routers[0].replica_filter("p")(NEW))
+        self.write(self.order_row(2, 56))
+        self.simulate(2.0)
+        self.assertEqual(self.board.published.result, COMPLETED)
+        self.assertEqual(self.board.published.to, "v2")
+
+
 class StreamRolloutTest(RolloutCase):
     """Streams whose first output comes after a second, or after several."""
 
--- a/tests/process/test_membership.py
+++ b/tests/process/test_membership.py
@@ -2,7 +2,7 @@
 import unittest
 
 from boragedeck.connection.messages import FactTopic
-from boragedeck.connection.store import Put, Table, Vm
+from boragedeck.connection.store import Delete, Put, Table, Vm
 from boragedeck.ids import Health
 from standins.memory import Faults
 from tests.process.peers import Fleet
@@ -22,6 +22,17 @@
         healths = {m.health for m in fleet.peers[0].membership.members()}
         self.assertEqual(healths, {Health.HEALTHY})
 
+    def test_rows_that_a_restored_store_has_lost_are_written_again_at_once(self):
+        fleet = Fleet(6)
+        fleet.timers.advance(20.0)
+        rows = fleet.platform.scan(Table.MEMBERS).ok()
+        fleet.platform.commit([Delete(Table.MEMBERS, row.key) for row in rows])
+        for peer in fleet.peers:
+            peer.membership.restore_row()
+        fleet.timers.advance(0.1)
+        keys = {row.key for row in fleet.platform.scan(Table.MEMBERS).ok()}
+        self.assertEqual(keys, fleet.routers())
+
     def test_new_router_learns_all_others_from_a_seed_while_the_store_is_down(self):
         fleet = Fleet(6)
         fleet.timers.advance(20.0)
