Believe a router that reaches the store about entries that are gone

Cause: a router that has lost the store keeps entries that vanish, since in an outage replicas can't renew them. It did so also when only its own path was cut, with the table of a router that had never lost the store, and for 2.2 s after its own return. Now a router that is asked for a table says how long the store has been answering it, and the time for renewals counts from then, also after the router's own return. A message has a new optional field; older routers ignore it.

--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -228,7 +228,13 @@
         self._followers = {
             mirror.table: self._make_follower(mirror) for mirror in mirrors
         }
-        serve_mirrors(self._peer_server, mirrors, self.timers, self._feed.is_current)
+        serve_mirrors(
+            self._peer_server,
+            mirrors,
+            self.timers,
+            self._feed.is_current,
+            lambda table: self._followers[table].answering_since(),
+        )
         self._routing = RoutingSource(self._routing_mirror, ROUTING_KEY, decode_routing)
 
     def _make_follower(self, mirror: TableMirror) -> MirrorFollower:
--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/mirror_follower.py
@@ -30,6 +30,8 @@
 groups."""
 PEER_INTERVAL_S = 0.4
 PEER_TIMEOUT_S = 0.5
+PEER_REPORT_TTL_S = 1.0
+"""How long another router's report on the store counts."""
 MIN_LAG_S = 0.3
 """How long another router must be ahead before its rows are fetched."""
 
@@ -43,6 +45,13 @@
     since: float
 
 
+class _PeerReport(msgspec.Struct, frozen=True):
+    """Since when the store has been answering another router, and when it said so."""
+
+    answering_since: float
+    received_at: float
+
+
 class MirrorFollower:
     """Keeps a mirror up to date from the store or, if that fails, from other routers.
 
@@ -97,6 +106,8 @@
         self._newer: _NewerVersion | None = None
         self.is_connected = False
         self.reconnected_at = 0.0
+        self._answering_since = 0.0
+        self._peer_report: _PeerReport | None = None
         mirror.subscribe_restored(self._note_restored)
 
     def start(self) -> None:
@@ -104,6 +115,22 @@
         eventlet.spawn_n(self._follow)
         eventlet.spawn_n(self._poll_peers_while_disconnected)
 
+    def answering_since(self) -> float | None:
+        """Return since when the store has been answering without a failure.
+
+        Returns
+        -------
+        float or None
+            On the timer service's monotonic clock. While this router doesn't reach
+            the store, what another router reports; None if none reaches it.
+        """
+        if self.is_connected:
+            return self._answering_since
+        report, now = self._peer_report, self._timers.now()
+        if report is None or now - report.received_at > PEER_REPORT_TTL_S:
+            return None
+        return report.answering_since
+
     def _follow(self) -> None:
         while True:
             try:
@@ -146,13 +173,15 @@
         self._pause_s = INITIAL_PAUSE_S
         if self.is_connected:
             return
+        now = self._timers.now()
+        self.reconnected_at = now
+        self._answering_since = min(now, self.answering_since() or now)
         self.is_connected = True
         self._is_loss_logged = False
-        self.reconnected_at = self._timers.now()
         _log.write("Store answers.", table=self._mirror.table.value)
 
     def _note_restored(self) -> None:
-        self.reconnected_at = self._timers.now()
+        self.reconnected_at = self._answering_since = self._timers.now()
         _log.write("Store restored.", table=self._mirror.table.value)
 
     def _note_failure(self, error: Exception) -> None:
@@ -201,8 +230,12 @@
         result = link.call(query, TablePart, timeout_s=PEER_TIMEOUT_S)
         if result.is_err():
             return
+        part = result.ok()
+        if part.answering_s is not None:
+            now = self._timers.now()
+            self._peer_report = _PeerReport(now - part.answering_s, now)
         try:
-            changes = result.ok().unpack()
+            changes = part.unpack()
         except ValueError as exc:
             _log.write("Answer can't be decoded.", peer=str(address), error=str(exc))
             return
--- a/boragedeck/process/relaying/mirror_messages.py
+++ b/boragedeck/process/relaying/mirror_messages.py
@@ -46,10 +46,14 @@
         The changes, see `pack`; None if the mirror is no newer.
     is_current : bool
         Whether the router reads the store itself and got a recent answer from it.
+    answering_s : float or None
+        How long the store has been answering the router without a failure, in
+        seconds; None if it doesn't, or if the router doesn't say so.
     """
 
     packed: bytes | None = None
     is_current: bool = False
+    answering_s: float | None = None
 
     def unpack(self) -> Changes | None:
         """Return the changes; None if there are none.
@@ -99,11 +103,31 @@
     mirrors: Iterable[TableMirror],
     timers: TimerService,
     is_current: Callable[[Table], bool],
+    answering_since: Callable[[Table], float | None],
 ) -> None:
-    """Register a handler that answers other routers' requests for these tables."""
+    """Register a handler that answers other routers' requests for these tables.
+
+    Parameters
+    ----------
+    server : PeerServer
+        Receives the requests.
+    mirrors : iterable of TableMirror
+        The tables.
+    timers : TimerService
+        The source of time.
+    is_current : callable
+        Returns whether the store itself recently answered this router for a table.
+    answering_since : callable
+        Returns since when the store has been answering for a table, see
+        `MirrorFollower.answering_since`.
+    """
     by_table = {mirror.table: mirror for mirror in mirrors}
     packers = {table: _Packer(mirror) for table, mirror in by_table.items()}
 
+    def answering_s(table: Table) -> float | None:
+        since = answering_since(table)
+        return None if since is None else timers.now() - since
+
     def answer(query: FetchTable) -> TablePart:
         mirror = by_table.get(query.table)
         if mirror is None:
@@ -111,9 +135,10 @@
         # Without a recent answer from the store, the reply says so without waiting.
         if query.wait_s > 0.0 and is_current(query.table):
             mirror.wait_for_change(timers, query.after, min(query.wait_s, MAX_WAIT_S))
-        if mirror.version <= query.after:
-            return TablePart(is_current=is_current(query.table))
-        packed = packers[query.table].packed_changes_since(query.after)
-        return TablePart(packed, is_current(query.table))
+        packed = None
+        if mirror.version > query.after:
+            packed = packers[query.table].packed_changes_since(query.after)
+        table = query.table
+        return TablePart(packed, is_current(table), answering_s(table))
 
     server.register(FetchTable, answer)
--- a/boragedeck/process/relaying/replica_source.py
+++ b/boragedeck/process/relaying/replica_source.py
@@ -138,9 +138,10 @@
         self._timers.call_later(wait_s, lambda: self._remove_missing(replica))
 
     def _renewal_left_s(self) -> float:
-        if not self._follower.is_connected:
+        since = self._follower.answering_since()
+        if since is None:
             return RENEWAL_PERIOD_S
-        return self._follower.reconnected_at + RENEWAL_PERIOD_S - self._timers.now()
+        return since + RENEWAL_PERIOD_S - self._timers.now()
 
     def _remove_missing(self, replica: ReplicaId) -> None:
         if replica not in self._mirror.rows:
--- a/tests/process/relaying/test_mirror_messages.py
+++ b/tests/process/relaying/test_mirror_messages.py
@@ -25,7 +25,11 @@
         self.mirror = TableMirror(ROUTING)
         self.server, self.is_current = Server(), True
         serve_mirrors(
-            self.server, [self.mirror], ManualTimers(), lambda table: self.is_current
+            self.server,
+            [self.mirror],
+            ManualTimers(),
+            lambda table: self.is_current,
+            lambda table: None,
         )
         self.mirror.apply(Changes((Change("k", ROUTES, 6),), 6, True))
 
--- a/tests/process/relaying/test_registry.py
+++ b/tests/process/relaying/test_registry.py
@@ -75,9 +75,11 @@
 
 
 class FakeFollower:
-    is_connected = True
     reconnected_at = -100.0
 
+    def answering_since(self):
+        return self.reconnected_at
+
 
 class ReplicaSourceTest(unittest.TestCase):
     def setUp(self):
--- a/tests/process/relaying/test_replica_source.py
+++ b/tests/process/relaying/test_replica_source.py
@@ -24,13 +24,15 @@
 class Follower:
     """Keeps the time at which the store last came back, as `MirrorFollower` does."""
 
-    is_connected = True
-
     def __init__(self, mirror, timers):
         self.reconnected_at = timers.now() - 100.0
         self._timers = timers
         mirror.subscribe_restored(self._note_restored)
 
+    def answering_since(self):
+        """See `MirrorFollower.answering_since`."""
+        return self.reconnected_at
+
     def _note_restored(self):
         self.reconnected_at = self._timers.now()
 
--- a/tests/process/relaying/test_restored_store.py
+++ b/tests/process/relaying/test_restored_store.py
@@ -6,6 +6,8 @@
 
 ROUTING, REPLICAS = Table.ROUTING, Table.REPLICAS
 CUT_OFF = {"r1", "r2"}
+DRAIN_S = 2.0
+"""How long after its entry is gone a replica may still get requests."""
 
 
 class RestoredStoreCase(unittest.TestCase):
@@ -100,6 +102,40 @@
         self.assert_in_force(b"8")
 
 
+class CutOffRouterTest(RestoredStoreCase):
+    """One router doesn't reach the store, which the others use undisturbed."""
+
+    def setUp(self):
+        super().setUp()
+        self.cut_off = self.fleet.routers[1]
+        self.fleet.line.cut.add(self.cut_off.name)
+        self.fleet.run(2 * BOUNDS.config_apply_s)
+
+    def test_deleted_entry_removes_its_replica_though_its_own_store_is_lost(self):
+        self.assertIsNotNone(self.cut_off.registry.get("a"))
+        self.rows.drop("servers", "a")
+        self.fleet.run(DRAIN_S)
+        self.assertIsNone(self.cut_off.registry.get("a"))
+
+    def test_deleted_entry_removes_its_replica_just_after_the_cut(self):
+        self.fleet.line.cut.clear()
+        self.fleet.net.cut.add(self.cut_off.name)
+        self.rows.drop("servers", "a")
+        self.fleet.run(0.5)
+        self.fleet.net.cut.clear()
+        self.fleet.run(0.5 * DRAIN_S)
+        self.assertIsNone(self.cut_off.registry.get("a"))
+
+    def test_entry_that_lapses_while_the_store_is_away_is_kept(self):
+        self.fleet.line.is_down = True
+        self.fleet.run(2.0)
+        self.rows.drop("servers", "a")
+        self.fleet.line.is_down = False
+        self.fleet.run(1.0)
+        self.assertIsNotNone(self.cut_off.registry.get("a"))
+        self.assertIsNotNone(self.fleet.routers[0].registry.get("a"))
+
+
 class StoreCallsTest(RestoredStoreCase):
     readers = 9
 
--- a/tests/support/mirror_fleet.py
+++ b/tests/support/mirror_fleet.py
@@ -21,10 +21,13 @@
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.mirror_follower import MirrorFollower
 from boragedeck.process.relaying.mirror_messages import serve_mirrors
+from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.replica_source import ReplicaSource
 from boragedeck.process.relaying.shared_feed import SharedFeed
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 from standins.rows import PATH_PREFIX, RowStore
+from tests.process.relaying.test_admission import replica
 from tests.support.limited_fleet import FleetMembers, FleetNetwork, FleetPeer
 from tests.support.replicas import BOUNDS
 
@@ -33,6 +36,7 @@
 """How often a waiting call for changes looks for new ones."""
 ANSWER_S = 0.004
 DOMAINS = 4
+HEARTBEAT_S = 1.2
 LOAD_INTERVAL_S = 0.9
 """How often each router tells some others the newest version that it knows."""
 PEERS_TOLD = 3
@@ -113,7 +117,22 @@
             )
             for table, mirror in self.mirrors.items()
         }
-        serve_mirrors(peer, self.mirrors.values(), timers, feed.is_current)
+        serve_mirrors(
+            peer,
+            self.mirrors.values(),
+            timers,
+            feed.is_current,
+            lambda table: self.followers[table].answering_since(),
+        )
+        self.registry = ReplicaRegistry(timers)
+        ReplicaSource(
+            self.mirrors[Table.REPLICAS],
+            self.followers[Table.REPLICAS],
+            self.registry,
+            lambda key, body: Ok(replica(key)),
+            timers,
+            lambda: HEARTBEAT_S,
+        )
         self._rng = rng
 
     def start(self):
