--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -351,10 +351,12 @@
 class RelayHarness:
     """A router's relaying components with scripted replicas and callers' sockets."""
 
+    pool_type = UpstreamPool
+
     def __init__(self, rule=None, pool=None, limits=None, facts=None):
         self.timers = RealTimers(random.Random(1))
         self.registry = ReplicaRegistry(self.timers)
-        self.upstreams = UpstreamPool(self.timers)
+        self.upstreams = self.pool_type(self.timers)
         self.admission = Admission(self.timers, self.registry, random.Random(2))
         self.time_left_s = float("inf")
         self.table = routing_table(rule or call_rule(), pool, limits)
