--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -93,6 +93,10 @@
         self.write(body)
         self.finish()
 
+    def send_interim(self, status: int) -> None:
+        """Send an interim response (1xx) before the final one."""
+        self._conn.send_event(h11.InformationalResponse(status_code=status, headers=[]))
+
     def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of a response of unknown length, with chunked encoding."""
         self._begin(status, [*headers, (b"Transfer-Encoding", b"chunked")])
--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -97,6 +97,10 @@
         return [value for other, value in self.headers if other.lower() == name]
 
 
+def _ignore_arrival() -> None:
+    """Do nothing; the default of `UpstreamConnection.on_arrival`."""
+
+
 class UpstreamConnection:
     """A connection to a replica and the parser of its current exchange.
 
@@ -106,6 +110,8 @@
         How long the connection may be idle after the last answer, in seconds.
     reusable_until : float
         Until when the connection may be reused, in monotonic seconds.
+    on_arrival : callable
+        Called whenever bytes have arrived.
     """
 
     def __init__(self, sock: socket.socket, address: Address):
@@ -115,6 +121,7 @@
         self._steps_since_wait = 0
         self.idle_s = DEFAULT_IDLE_S
         self.reusable_until = 0.0
+        self.on_arrival: Callable[[], None] = _ignore_arrival
 
     def is_open_and_empty(self) -> bool:
         """Return whether the connection is open and has no unread bytes."""
@@ -140,10 +147,14 @@
         self.count_steps(STEPS_PER_READ)
         while True:
             try:
-                return self.sock.fd.recv(READ_BYTES)
+                data = self.sock.fd.recv(READ_BYTES)
             except BlockingIOError:
                 self._steps_since_wait = 0
                 trampoline(self.sock.fd, read=True)
+                continue
+            if data:
+                self.on_arrival()
+            return data
 
     def count_steps(self, steps: int = 1) -> None:
         """Count steps without a wait, and yield to other green threads when due."""
@@ -177,8 +188,17 @@
         The connection; no other exchange uses it meanwhile.
     message : Message
         The request that was sent.
+
+    Attributes
+    ----------
+    address : Address
+        The replica's address.
+    is_forwarded : bool
+        Whether another router passes the request and the answer on.
     """
 
+    is_forwarded = False
+
     def __init__(
         self,
         release_conn: Callable[["UpstreamConnection", bool], None],
@@ -187,6 +207,7 @@
     ):
         self._release_conn = release_conn
         self._conn = conn
+        self.address = conn.address
         self._message = message
         self._is_closed = False
         self._is_complete = False
--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -1,6 +1,7 @@
 """Pool of reusable connections to replicas."""
 
 from collections.abc import Callable
+from functools import partial
 
 import eventlet
 import h11
@@ -13,13 +14,19 @@
     encode_request,
 )
 from boragedeck.connection.peer import Address
-from boragedeck.exceptions import UpstreamError, UpstreamRefusedError
+from boragedeck.exceptions import (
+    UpstreamConnectTimeoutError,
+    UpstreamError,
+    UpstreamRefusedError,
+)
 from boragedeck.process.timers import TimerService
 
 __all__ = ["MAX_IDLE_PER_REPLICA", "UpstreamPool"]
 
 MAX_IDLE_PER_REPLICA = 8
 """Maximum number of idle connections to one replica."""
+HEARD_TTL_S = 60.0
+"""How long it is known when something arrived from a replica."""
 USER_TIMEOUT_MS = 1_500
 """Time after which the kernel closes a connection whose data isn't acknowledged."""
 KEEPALIVE_S = 1
@@ -37,16 +44,50 @@
         The source of time.
     max_idle : callable, optional
         Returns the maximum number of idle connections to one replica.
+    exchange_type : type, optional
+        The class of the exchanges.
     """
 
     def __init__(
         self,
         timers: TimerService,
         max_idle: Callable[[], int] = lambda: MAX_IDLE_PER_REPLICA,
+        exchange_type: type[Exchange] = Exchange,
     ):
         self._timers = timers
         self._max_idle = max_idle
+        self._exchange_type = exchange_type
         self._idle: dict[Address, list[UpstreamConnection]] = {}
+        self._heard_at: dict[Address, float] = {}
+
+    def heard_at(self, address: Address) -> float:
+        """Return when a replica last accepted a connection or sent something.
+
+        Returns
+        -------
+        float
+            On the timer service's monotonic clock; minus infinity if it never did, or
+            not lately.
+        """
+        return self._heard_at.get(address, float("-inf"))
+
+    def open_idle(self, address: Address, timeout_s: float) -> bool:
+        """Open a connection that is kept idle; return whether the replica accepts it.
+
+        Parameters
+        ----------
+        address : Address
+            The replica's address.
+        timeout_s : float
+            Maximum time to connect, in seconds.
+        """
+        try:
+            conn = self._open(address, timeout_s)
+        except UpstreamRefusedError:
+            # The result says so.
+            return False
+        self._keep_idle(conn)
+        return True
 
     def send(
         self,
@@ -77,7 +118,9 @@
             If the connection broke, or was too slow, while the request was sent; the
             replica may have received it.
         """
-        conn = self._pop_idle(address) or self._open(address, connect_timeout_s)
+        conn = self._pop_idle(address)
+        if conn is None:
+            conn = self._open(address, connect_timeout_s)
         try:
             check()
             data = encode_request(conn.parser, message)
@@ -90,7 +133,7 @@
         except BaseException:
             conn.close()
             raise
-        return Exchange(self._release, conn, message)
+        return self._exchange_type(self._release, conn, message)
 
     def _release(self, conn: UpstreamConnection, is_complete: bool) -> None:
         parser = conn.parser
@@ -98,11 +141,14 @@
         if not is_clean or (parser.our_state, parser.their_state) != _BOTH_DONE:
             conn.close()
             return
+        parser.start_next_cycle()
+        self._keep_idle(conn)
+
+    def _keep_idle(self, conn: UpstreamConnection) -> None:
         idle = self._idle.setdefault(conn.address, [])
         if len(idle) >= self._max_idle():
             conn.close()
             return
-        parser.start_next_cycle()
         conn.reusable_until = self._timers.now() + conn.idle_s
         idle.append(conn)
 
@@ -114,6 +160,11 @@
     def expire(self) -> None:
         """Close idle connections that have expired, were closed or got stray bytes."""
         now = self._timers.now()
+        self._heard_at = {
+            address: at
+            for address, at in self._heard_at.items()
+            if now - at <= HEARD_TTL_S
+        }
         for address in list(self._idle):
             kept = []
             for conn in self._idle[address]:
@@ -140,13 +191,23 @@
         try:
             with eventlet.Timeout(timeout_s, timeout_error):
                 sock = socket.create_connection((address.host, address.port))
+        except TimeoutError as exc:
+            raise UpstreamConnectTimeoutError(
+                str(exc), step="connect", peer=str(address)
+            ) from exc
         except OSError as exc:
             raise UpstreamRefusedError(
                 str(exc), step="connect", peer=str(address)
             ) from exc
         for level, option, value in _SOCKET_OPTIONS:
             sock.setsockopt(level, option, value)
-        return UpstreamConnection(sock, address)
+        self._note_arrival(address)
+        conn = UpstreamConnection(sock, address)
+        conn.on_arrival = partial(self._note_arrival, address)
+        return conn
+
+    def _note_arrival(self, address: Address) -> None:
+        self._heard_at[address] = self._timers.now()
 
 
 _BOTH_DONE = (h11.DONE, h11.DONE)
--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "BoragedeckError",
+    "ForwardDeclinedError",
     "PeerError",
     "PeerGoneError",
     "PeerRefusedError",
@@ -17,6 +18,7 @@
     "StoreUnavailableError",
     "StoreUnknownOutcomeError",
     "TableError",
+    "UpstreamConnectTimeoutError",
     "UpstreamError",
     "UpstreamFailedError",
     "UpstreamRefusedError",
@@ -125,6 +127,14 @@
     """The upstream was not reached, or answered that it did not run the call."""
 
 
+class UpstreamConnectTimeoutError(UpstreamRefusedError):
+    """The upstream did not answer the request for a connection in time."""
+
+
+class ForwardDeclinedError(UpstreamError):
+    """Another router did not forward a request, so nothing was sent."""
+
+
 class UpstreamNotAcceptingError(UpstreamError):
     """The upstream accepts no requests at present, so nothing was sent."""
 
--- a/boragedeck/platform/settings.py
+++ b/boragedeck/platform/settings.py
@@ -90,7 +90,7 @@
 
 def _settings(file: _File, metrics: Address) -> RelaySettings:
     first_port, last_port = file.internal_ports
-    if not 0 < first_port <= last_port <= 65_535:
+    if not 0 < first_port < last_port <= 65_535:
         raise ValueError(
             f"internalPorts got {file.internal_ports}; expected two ports,"
             " the lower one first"
--- a/boragedeck/process/relaying/crash_blame.py
+++ b/boragedeck/process/relaying/crash_blame.py
@@ -37,6 +37,8 @@
 """How long after a connection broke its replica is lost if it hasn't answered."""
 REPORT_DELAY_S = 0.03
 """How long after a lost replica refused a connection its other connections break."""
+PATH_CHECK_POLL_S = 0.05
+"""How often a report waits for a check of the path to its replica."""
 CALL_TIMEOUT_S = 0.3
 TRIAL_TIMEOUT_S = 0.1
 """How long a request waits for the decision about a trial."""
@@ -93,6 +95,18 @@
     return digest.hexdigest()
 
 
+class PathKnowledge:
+    """What is known about the paths to replicas; here all are thought to be sound."""
+
+    def is_checking(self, address: Address) -> bool:
+        """Return whether it is being found out how a replica is reached."""
+        return False
+
+    def is_own_loss(self, address: Address) -> bool:
+        """Return whether this router can't reach a replica that others reach."""
+        return False
+
+
 class CrashBlame:
     """What this router contributes to, and knows of, the verdicts on crashes.
 
@@ -114,6 +128,8 @@
         Counts reported crashes.
     rng : random.Random
         Spreads reports.
+    paths : PathKnowledge, optional
+        Tells a lost replica from a lost path to it.
 
     Attributes
     ----------
@@ -137,7 +153,9 @@
         versions_of: Callable[[PoolName], set[Version]],
         metrics: RelayMetrics,
         rng: random.Random,
+        paths: PathKnowledge | None = None,
     ):
+        self._paths = paths or PathKnowledge()
         self._timers = timers
         self._owners = owners
         self._links = links
@@ -243,8 +261,14 @@
             del self._breaks[run]
 
     def _report_crash(self, run: Run, state: ReplicaState) -> None:
+        """Report a crash once it is known that the path to the replica isn't lost."""
+        address = state.replica.address
+        if self._paths.is_checking(address):
+            report = functools.partial(self._report_crash, run, state)
+            self._timers.call_later(PATH_CHECK_POLL_S, report)
+            return
         found = self._breaks.pop(run, None)
-        if found is None or state.is_leaving:
+        if found is None or state.is_leaving or self._paths.is_own_loss(address):
             return
         replica = state.replica
         crash = ReportCrash(
--- /dev/null
+++ b/boragedeck/process/relaying/path_checks.py
@@ -0,0 +1,168 @@
+"""Finds out which replicas this router reaches, and which ones other routers reach."""
+
+import random
+from collections.abc import Callable, Iterable
+
+import eventlet
+import msgspec
+from eventlet.event import Event
+
+from boragedeck.connection.address import Address
+from boragedeck.connection.peer import PeerLinks, PeerServer
+from boragedeck.connection.upstream_pool import UpstreamPool
+from boragedeck.ids import Health
+from boragedeck.interfaces import Member, Membership
+from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.path_messages import AskPaths, PathReport
+from boragedeck.process.timers import TimerService
+
+__all__ = ["CheckResult", "PathChecker"]
+
+PROBE_TIMEOUT_S = 0.25
+"""How long a replica has to accept a connection."""
+ASK_TIMEOUT_S = 0.5
+"""How long another router has to answer; it may have to probe first."""
+MAX_ASKED_ROUTERS = 4
+MAX_ADDRESSES = 32
+"""Maximum number of replicas in one check."""
+RECENT_S = 1.0
+"""A replica from which something arrived within this time needs no probe."""
+
+_log = PartLog("paths")
+
+
+class CheckResult(msgspec.Struct):
+    """What a check has found.
+
+    Parameters
+    ----------
+    direct : set of Address
+        Replicas that accepted a connection of this router.
+    gateways : dict of Address to list of Member
+        For each replica, the routers that reach it.
+    not_reached : set of Address
+        Replicas that at least one other router doesn't reach, either.
+    """
+
+    direct: set[Address]
+    gateways: dict[Address, list[Member]]
+    not_reached: set[Address]
+
+
+class PathChecker:
+    """Checks paths to replicas, also for other routers.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    rng : random.Random
+        Chooses the routers to ask.
+    upstreams : UpstreamPool
+        This router's own connections to replicas.
+    membership : Membership
+        The other routers.
+    links : PeerLinks
+        Links to them.
+    server : PeerServer
+        Receives their questions.
+    is_known : callable
+        Returns whether a replica has an address; others aren't probed.
+    is_direct : callable
+        Returns whether this router's own path to an address isn't known to be lost.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        rng: random.Random,
+        upstreams: UpstreamPool,
+        membership: Membership,
+        links: PeerLinks,
+        server: PeerServer,
+        is_known: Callable[[Address], bool],
+        is_direct: Callable[[Address], bool],
+    ):
+        self._timers = timers
+        self._rng = rng
+        self._upstreams = upstreams
+        self._membership = membership
+        self._links = links
+        self._is_known = is_known
+        self._is_direct = is_direct
+        self._probes: dict[Address, Event] = {}
+        server.register(AskPaths, self._on_ask)
+
+    def check(
+        self, addresses: Iterable[Address], failed: frozenset[Address] = frozenset()
+    ) -> CheckResult:
+        """Find out how some replicas are reached.
+
+        Parameters
+        ----------
+        addresses : iterable of Address
+            The replicas; only the first `MAX_ADDRESSES` are checked.
+        failed : frozenset of Address
+            Those that have just failed to accept a connection of this router.
+        """
+        checked = list(addresses)[:MAX_ADDRESSES]
+        direct = self._probe_all([each for each in checked if each not in failed])
+        rest = tuple(each for each in checked if each not in direct)
+        result = CheckResult(direct, {}, set())
+        if rest:
+            self._ask_others(rest, result)
+        return result
+
+    def _probe_all(self, addresses: Iterable[Address]) -> set[Address]:
+        """Return the replicas that accept a connection."""
+        probes = [(each, eventlet.spawn(self._probe, each)) for each in addresses]
+        return {address for address, probe in probes if probe.wait()}
+
+    def _probe(self, address: Address) -> bool:
+        """Return whether a replica accepts a connection; probe each one only once."""
+        running = self._probes.get(address)
+        if running is not None:
+            return running.wait()
+        probe = self._probes[address] = Event()
+        is_reached = False
+        try:
+            is_reached = self._upstreams.open_idle(address, PROBE_TIMEOUT_S)
+        finally:
+            del self._probes[address]
+            probe.send(is_reached)
+        return is_reached
+
+    def _ask_others(self, addresses: tuple[Address, ...], result: CheckResult) -> None:
+        healthy = [
+            each for each in self._membership.members() if each.health is Health.HEALTHY
+        ]
+        asked = self._rng.sample(healthy, min(MAX_ASKED_ROUTERS, len(healthy)))
+        calls = [
+            (member, eventlet.spawn(self._ask, member, addresses)) for member in asked
+        ]
+        for member, call in calls:
+            report = call.wait()
+            for address in report.reached:
+                result.gateways.setdefault(address, []).append(member)
+            result.not_reached.update(report.not_reached)
+
+    def _ask(self, member: Member, addresses: tuple[Address, ...]) -> PathReport:
+        answer = self._links.link(member.address).call(
+            AskPaths(addresses), PathReport, timeout_s=ASK_TIMEOUT_S
+        )
+        if answer.is_ok():
+            return answer.ok()
+        _log.write("No report.", peer=str(member.address), error=str(answer.err()))
+        return PathReport()
+
+    def _on_ask(self, query: AskPaths) -> PathReport:
+        known = [each for each in query.addresses if self._is_known(each)]
+        known = known[:MAX_ADDRESSES]
+        since = self._timers.now() - RECENT_S
+        reached = {each for each in known if self._upstreams.heard_at(each) >= since}
+        unclear = [
+            each for each in known if each not in reached and self._is_direct(each)
+        ]
+        reached |= self._probe_all(unclear)
+        not_reached = tuple(each for each in known if each not in reached)
+        return PathReport(tuple(reached), not_reached)
--- /dev/null
+++ b/boragedeck/process/relaying/path_messages.py
@@ -0,0 +1,31 @@
+"""Messages by which routers ask each other which replicas they reach."""
+
+from boragedeck.connection.address import Address
+from boragedeck.connection.messages import Message
+
+__all__ = ["AskPaths", "PathReport"]
+
+
+class AskPaths(Message, frozen=True):
+    """Asks which of some replicas a router reaches; answered with `PathReport`.
+
+    Parameters
+    ----------
+    addresses : tuple of Address
+        The addresses of the replicas.
+    """
+
+    addresses: tuple[Address, ...]
+
+
+class PathReport(Message, frozen=True):
+    """The replicas that a router reaches itself, of those that were asked for.
+
+    Parameters
+    ----------
+    reached, not_reached : tuple of Address
+        Addresses of replicas; one that the router doesn't know is in neither.
+    """
+
+    reached: tuple[Address, ...] = ()
+    not_reached: tuple[Address, ...] = ()
--- a/boragedeck/process/relaying/registry.py
+++ b/boragedeck/process/relaying/registry.py
@@ -114,6 +114,23 @@
         """Return all replicas."""
         return list(self._states.values())
 
+    def addresses(self) -> set[Address]:
+        """Return the addresses of all replicas."""
+        return {state.replica.address for state in self._states.values()}
+
+    def note_path_changed(self, address: Address) -> None:
+        """Forget the misses of a replica whose path has changed.
+
+        Notes
+        -----
+        The misses tell nothing about the replica if this router's path to it was lost,
+        and nothing about the path that it has now.
+        """
+        state = self.at(address)
+        if state is not None:
+            state.forget_misses()
+            self._notify_subscribers()
+
     def at(self, address: Address) -> ReplicaState | None:
         """Return the replica that currently has an address, or None."""
         found = (s for s in self._states.values() if s.replica.address == address)
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -103,6 +103,24 @@
             ["kind", "table", "outcome"],
             registry=registry,
         )
+        self.lost_paths = Gauge(
+            "boragedeck_lost_replica_paths",
+            "Replicas that are reached through other routers only, or not at all.",
+            ["state"],
+            registry=registry,
+        )
+        self.forwards_sent = Counter(
+            "boragedeck_forwards_sent",
+            "Attempts that this router sent through another router, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+        self.forwards_served = Counter(
+            "boragedeck_forwards_served",
+            "Attempts that this router forwarded for another one, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
         self.store_restored = Counter(
             "boragedeck_store_restored",
             "Tables that were replaced since the store was restored from a copy.",
--- /dev/null
+++ b/boragedeck/process/relaying/replica_paths.py
@@ -0,0 +1,380 @@
+"""Sends requests to replicas on own connections or through another router.
+
+A router may lose its links to replicas which all others reach. It then sends its
+requests through a gateway: another router, which passes them on. All decisions about a
+request stay with the router that has the caller.
+"""
+
+import enum
+from collections.abc import Callable, Iterable
+
+import eventlet
+from eventlet.event import Event
+
+from boragedeck.connection.address import Address
+from boragedeck.connection.exchange import Exchange, Message
+from boragedeck.connection.forwarding import (
+    ForwardedExchange,
+    ForwardOrder,
+    encode_order,
+)
+from boragedeck.connection.upstream_pool import UpstreamPool
+from boragedeck.exceptions import (
+    ForwardDeclinedError,
+    UpstreamConnectTimeoutError,
+    UpstreamError,
+    UpstreamNotAcceptingError,
+    UpstreamRefusedError,
+)
+from boragedeck.interfaces import Member
+from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.gateways import Gateways
+from boragedeck.process.relaying.path_checks import (
+    MAX_ADDRESSES,
+    CheckResult,
+    PathChecker,
+)
+from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.timers import TimerService
+
+__all__ = ["PathState", "ReplicaPaths"]
+
+TICK_S = 0.5
+"""How often lost paths are checked."""
+SILENCE_CHECK_INTERVAL_S = 0.5
+"""Minimum time between two checks of one replica because it is silent."""
+REFUSAL_WAIT_S = 0.05
+"""How long a refused request waits for the result of a check."""
+MAX_GATEWAYS = 3
+"""Maximum number of gateways that are tried for one attempt."""
+FORWARD_SLACK_S = 0.3
+"""How long beyond its own wait for a connection a gateway may take."""
+
+_log = PartLog("paths")
+
+
+class PathState(enum.Enum):
+    """How a replica is reached."""
+
+    DIRECT = "direct"
+    """On this router's own connections, as far as is known."""
+    INDIRECT = "indirect"
+    """Through other routers only."""
+    LOST = "lost"
+    """Neither this router nor those that it asked reach it."""
+
+
+class ReplicaPaths:
+    """The paths from this router to the replicas.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    upstreams : UpstreamPool
+        This router's own connections to replicas.
+    forwards : UpstreamPool
+        Its connections to gateways, whose exchanges are `ForwardedExchange`.
+    checker : PathChecker
+        Finds out which replicas are reached.
+    gateways : Gateways
+        Chooses the gateways.
+    addresses : callable
+        Returns the addresses of all known replicas.
+    metrics : RelayMetrics
+        Counts forwarded requests and lost paths.
+
+    Attributes
+    ----------
+    on_reached : callable
+        Called with an address when a replica is found to be reached on another path.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        upstreams: UpstreamPool,
+        forwards: UpstreamPool,
+        checker: PathChecker,
+        gateways: Gateways,
+        addresses: Callable[[], set[Address]],
+        metrics: RelayMetrics,
+    ):
+        self._timers = timers
+        self._upstreams = upstreams
+        self._forwards = forwards
+        self._checker = checker
+        self._gateways = gateways
+        self._addresses = addresses
+        self._metrics = metrics
+        # Paths that aren't direct.
+        self._states: dict[Address, PathState] = {}
+        self._checks: dict[Address, Event] = {}
+        self._silence_checked_at: dict[Address, float] = {}
+        # Replicas to which a new connection timed out, so that open ones hang, too.
+        self._hanging: set[Address] = set()
+        self.on_reached: Callable[[Address], None] = lambda address: None
+        timers.subscribe(TICK_S, self._check_lost)
+        metrics.lost_paths.labels(PathState.INDIRECT.value).set_function(
+            lambda: self._count(PathState.INDIRECT)
+        )
+        metrics.lost_paths.labels(PathState.LOST.value).set_function(
+            lambda: self._count(PathState.LOST)
+        )
+
+    def send(
+        self,
+        address: Address,
+        message: Message,
+        connect_timeout_s: float,
+        send_timeout_s: float,
+        check: Callable[[], None] = lambda: None,
+        *,
+        answer_timeout_s: float | None = None,
+    ) -> Exchange:
+        """Send a request by the best known path.
+
+        Parameters
+        ----------
+        address, message, connect_timeout_s, send_timeout_s, check
+            See `UpstreamPool.send`.
+        answer_timeout_s : float, optional
+            How long the caller waits for the answer, in seconds.
+
+        Raises
+        ------
+        UpstreamRefusedError
+            If no path reaches the replica, so that nothing was sent.
+        UpstreamError
+            If the replica may have received the request.
+        """
+        if not self.is_own_loss(address):
+            try:
+                return self._upstreams.send(
+                    address, message, connect_timeout_s, send_timeout_s, check
+                )
+            except UpstreamRefusedError as exc:
+                self._note_refused(address, exc)
+                if not self.is_own_loss(address):
+                    raise
+        order = ForwardOrder(address, answer_timeout_s or send_timeout_s, message)
+        return self._forward(order, connect_timeout_s, send_timeout_s, check)
+
+    def state_of(self, address: Address) -> PathState:
+        """Return how a replica is reached."""
+        return self._states.get(address, PathState.DIRECT)
+
+    def is_own_loss(self, address: Address) -> bool:
+        """Return whether this router can't reach a replica that others reach."""
+        return self.state_of(address) is PathState.INDIRECT
+
+    def is_checking(self, address: Address) -> bool:
+        """Return whether it is being found out how a replica is reached."""
+        return address in self._checks
+
+    def is_dead(self, exchange: Exchange) -> bool:
+        """Return whether a silent exchange can't continue, though its replica may run.
+
+        Notes
+        -----
+        If new connections are refused at once, open ones may live on.
+        """
+        address = exchange.address
+        return (
+            not exchange.is_forwarded
+            and self.is_own_loss(address)
+            and address in self._hanging
+        )
+
+    def are_lost(self, addresses: Iterable[Address]) -> bool:
+        """Return whether no router that was asked reaches any of some replicas."""
+        states = [self.state_of(address) for address in addresses]
+        return bool(states) and all(state is PathState.LOST for state in states)
+
+    def note_silent(self, exchange: Exchange, since: float) -> None:
+        """Check the path to a replica from which nothing has arrived for some time.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The exchange that waits.
+        since : float
+            Since when, on the timer service's monotonic clock.
+        """
+        address, now = exchange.address, self._timers.now()
+        if exchange.is_forwarded or self._upstreams.heard_at(address) > since:
+            return
+        checked_at = self._silence_checked_at.get(address, float("-inf"))
+        if now - checked_at >= SILENCE_CHECK_INTERVAL_S:
+            self._silence_checked_at[address] = now
+            self._start_check(address, frozenset())
+
+    def _note_refused(self, address: Address, exc: UpstreamRefusedError) -> None:
+        """Check the path to a replica that accepted no connection.
+
+        Notes
+        -----
+        After a refusal, other routers mostly know at once whether they reach the
+        replica, which is worth a short wait. After a time-out they may have to wait as
+        long, and the request may better be sent to another replica.
+        """
+        is_timeout = isinstance(exc, UpstreamConnectTimeoutError)
+        if is_timeout:
+            self._hanging.add(address)
+        else:
+            self._hanging.discard(address)
+        if self.state_of(address) is PathState.LOST:
+            return
+        done = self._start_check(address, frozenset({address}))
+        if not is_timeout:
+            self._timers.wait(done, REFUSAL_WAIT_S)
+
+    def _start_check(self, address: Address, failed: frozenset[Address]) -> Event:
+        """Check a path in a green thread of its own, if that isn't done already."""
+        done = self._checks.get(address)
+        if done is None:
+            done = self._checks[address] = Event()
+            eventlet.spawn_n(self._run_check, [address], failed)
+        return done
+
+    def _run_check(self, addresses: list[Address], failed: frozenset[Address]) -> None:
+        try:
+            was_direct = all(
+                self.state_of(each) is PathState.DIRECT for each in addresses
+            )
+            self._apply(addresses, self._checker.check(addresses, failed))
+        finally:
+            for address in addresses:
+                self._checks.pop(address).send()
+        is_lost = any(self.is_own_loss(each) for each in addresses)
+        if was_direct and is_lost:
+            self._check_others()
+
+    def _check_others(self) -> None:
+        """Check all other replicas, since the loss of one path is rarely alone."""
+        self._start_checks(
+            each
+            for each in self._addresses()
+            if self.state_of(each) is PathState.DIRECT
+        )
+
+    def _check_lost(self) -> None:
+        known = self._addresses()
+        for address in list(self._states):
+            if address not in known:
+                self._set_state(address, PathState.DIRECT)
+        self._start_checks(self._states)
+
+    def _start_checks(self, addresses: Iterable[Address]) -> None:
+        batch = [each for each in addresses if each not in self._checks]
+        batch = batch[:MAX_ADDRESSES]
+        if batch:
+            for address in batch:
+                self._checks[address] = Event()
+            eventlet.spawn_n(self._run_check, batch, frozenset())
+
+    def _apply(self, addresses: Iterable[Address], result: CheckResult) -> None:
+        for address in addresses:
+            gateways = result.gateways.get(address, [])
+            for gateway in gateways:
+                self._gateways.note_reached(address, gateway)
+            if address in result.direct:
+                self._set_state(address, PathState.DIRECT)
+            elif gateways:
+                self._set_state(address, PathState.INDIRECT)
+            elif address in result.not_reached:
+                self._set_state(address, PathState.LOST)
+
+    def _set_state(self, address: Address, state: PathState) -> None:
+        before = self.state_of(address)
+        if state is before:
+            return
+        if state is PathState.DIRECT:
+            del self._states[address]
+            self._hanging.discard(address)
+            self._silence_checked_at.pop(address, None)
+            self._gateways.forget(address)
+        else:
+            self._states[address] = state
+            # What is idle may hang without a sign of it.
+            self._upstreams.forget(address)
+        _log.write(
+            "Path changed.",
+            address=str(address),
+            state=state.value,
+            before=before.value,
+            is_hanging=address in self._hanging,
+            lost=len(self._states),
+        )
+        if state is not PathState.LOST:
+            self.on_reached(address)
+
+    def _forward(
+        self,
+        order: ForwardOrder,
+        connect_timeout_s: float,
+        send_timeout_s: float,
+        check: Callable[[], None],
+    ) -> Exchange:
+        """Send a request through the first gateway that reaches the replica."""
+        error: UpstreamError = UpstreamRefusedError(
+            "there is no other router", step="forward", peer=str(order.target)
+        )
+        for gateway in self._gateways.candidates(order.target)[:MAX_GATEWAYS]:
+            try:
+                exchange = self._forward_through(
+                    gateway, order, connect_timeout_s, send_timeout_s, check
+                )
+            except UpstreamNotAcceptingError:
+                raise
+            except (ForwardDeclinedError, UpstreamRefusedError) as exc:
+                self._note_forward_failed(gateway, order, exc)
+                error = exc
+                continue
+            except UpstreamError as exc:
+                self._note_forward_failed(gateway, order, exc)
+                raise
+            self._gateways.note_reached(order.target, gateway)
+            self._metrics.forwards_sent.labels("sent").inc()
+            return exchange
+        raise UpstreamRefusedError(
+            f"no gateway reached it: {error}", step="forward", peer=str(order.target)
+        )
+
+    def _forward_through(
+        self,
+        gateway: Member,
+        order: ForwardOrder,
+        connect_timeout_s: float,
+        send_timeout_s: float,
+        check: Callable[[], None],
+    ) -> ForwardedExchange:
+        exchange = self._forwards.send(
+            self._gateways.address_of(gateway),
+            encode_order(order),
+            connect_timeout_s,
+            send_timeout_s,
+            check,
+        )
+        exchange.address = order.target
+        try:
+            exchange.wait_sent(connect_timeout_s + FORWARD_SLACK_S)
+        except BaseException:
+            exchange.close()
+            raise
+        return exchange
+
+    def _note_forward_failed(
+        self, gateway: Member, order: ForwardOrder, exc: UpstreamError
+    ) -> None:
+        self._gateways.note_failed(gateway)
+        self._metrics.forwards_sent.labels("failed").inc()
+        _log.write(
+            "Gateway failed.",
+            peer=gateway.router,
+            address=str(order.target),
+            error=str(exc),
+        )
+
+    def _count(self, state: PathState) -> int:
+        return sum(each is state for each in self._states.values())
--- a/boragedeck/process/relaying/replica_state.py
+++ b/boragedeck/process/relaying/replica_state.py
@@ -209,6 +209,11 @@
         failed = 0.0 if is_success else 1.0
         self.failure_share += FAILURE_WEIGHT * (failed - self.failure_share)
 
+    def forget_misses(self) -> None:
+        """Drop the misses, which turned out to say nothing about the replica."""
+        self.consecutive_misses = 0
+        self.restraints.lift(Reason.AVOIDED)
+
     def note_output(self, now: float) -> None:
         """Record that part of an answer arrived, which shows that the replica runs."""
         self.answered_at = now
--- a/boragedeck/process/relaying/settings.py
+++ b/boragedeck/process/relaying/settings.py
@@ -49,7 +49,8 @@
         The failure domain of the VM.
     callers, ready, peer, metrics : Address
         Addresses at which the router listens for callers, readiness checks, other
-        routers and metrics scrapes.
+        routers and metrics scrapes. At the port after that of `peer` it accepts
+        requests that other routers send through it.
     seeds : tuple of Address
         Other routers that may run; asked while the store can't be reached.
     store : Address
--- /dev/null
+++ b/boragedeck/request/forward.py
@@ -0,0 +1,163 @@
+"""Passes requests of other routers on to replicas which they can't reach."""
+
+from collections.abc import Callable
+
+from boragedeck.connection.caller_edge import CallerChannel, RawRequest
+from boragedeck.connection.exchange import Exchange
+from boragedeck.connection.forwarding import (
+    SENT_STATUS,
+    ForwardFailure,
+    ForwardOrder,
+    answer_headers,
+    decode_order,
+    failure_headers,
+)
+from boragedeck.connection.upstream_pool import UpstreamPool
+from boragedeck.exceptions import (
+    UpstreamError,
+    UpstreamNotAcceptingError,
+    UpstreamRefusedError,
+)
+from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replica_paths import PathState
+from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.process.timers import TimerService
+from boragedeck.request.relay_request import ReplicaProtocol
+
+__all__ = ["Forwarder"]
+
+CONNECT_TIMEOUT_S = 0.3
+SEND_TIMEOUT_S = 2.0
+BODY_TIMEOUT_S = 60.0
+"""How long a replica may be silent in the body; the sender gives up earlier."""
+FAILURE_STATUS = 502
+
+_log = PartLog("forward")
+
+
+class Forwarder:
+    """Answers requests of other routers with the answers of replicas.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    registry : ReplicaRegistry
+        The known replicas; to others nothing is sent.
+    upstreams : UpstreamPool
+        This router's own connections. Requests are never forwarded a second time.
+    notices : ReplicaNotices
+        Processes what replicas say of themselves, which concerns this router, too.
+    protocol : ReplicaProtocol
+        Interprets the heads of answers.
+    state_of : callable
+        Returns how this router reaches an address.
+    time_left : callable
+        Returns how long this process will still serve requests, in seconds.
+    metrics : RelayMetrics
+        Counts forwarded requests.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        registry: ReplicaRegistry,
+        upstreams: UpstreamPool,
+        notices: ReplicaNotices,
+        protocol: ReplicaProtocol,
+        state_of: Callable,
+        time_left: Callable[[], float],
+        metrics: RelayMetrics,
+    ):
+        self._timers = timers
+        self._registry = registry
+        self._upstreams = upstreams
+        self._notices = notices
+        self._protocol = protocol
+        self._state_of = state_of
+        self._time_left = time_left
+        self._metrics = metrics
+
+    def handle(self, raw: RawRequest, channel: CallerChannel) -> None:
+        """Answer one request of another router."""
+        decoded = decode_order(raw.method, raw.target, raw.headers, raw.body)
+        if decoded.is_err():
+            _log.write("Order can't be decoded.", error=decoded.err())
+            self._fail(channel, ForwardFailure.DECLINED)
+            return
+        order = decoded.ok()
+        state = self._registry.at(order.target)
+        if state is None or not self._may_forward(order):
+            self._fail(channel, ForwardFailure.DECLINED)
+            return
+        exchange = self._send(order, state, channel)
+        if exchange is None:
+            return
+        try:
+            self._pass_answer(order, state, exchange, channel)
+        except UpstreamError as exc:
+            # Without the last chunk the sender sees that the answer is incomplete.
+            _log.write("Answer lost.", replica=str(order.target), error=str(exc))
+            if not channel.has_begun:
+                self._fail(channel, ForwardFailure.LOST)
+        finally:
+            exchange.close()
+
+    def _may_forward(self, order: ForwardOrder) -> bool:
+        is_direct = self._state_of(order.target) is PathState.DIRECT
+        return is_direct and self._time_left() > order.timeout_s
+
+    def _send(
+        self, order: ForwardOrder, state: ReplicaState, channel: CallerChannel
+    ) -> Exchange | None:
+        """Send the request; None if the sender was told that this failed."""
+
+        def check() -> None:
+            restraint = state.restraints.strongest(self._timers.now())
+            if restraint is not None and restraint.is_strict:
+                raise UpstreamNotAcceptingError(
+                    f"the replica is {restraint.reason.value}", step="forward"
+                )
+
+        try:
+            exchange = self._upstreams.send(
+                order.target, order.message, CONNECT_TIMEOUT_S, SEND_TIMEOUT_S, check
+            )
+        except UpstreamNotAcceptingError:
+            self._fail(channel, ForwardFailure.NOT_ACCEPTING)
+            return None
+        except UpstreamRefusedError:
+            self._fail(channel, ForwardFailure.NOT_REACHED)
+            return None
+        except UpstreamError:
+            self._fail(channel, ForwardFailure.LOST)
+            return None
+        try:
+            channel.send_interim(SENT_STATUS)
+        except BaseException:
+            exchange.close()
+            raise
+        return exchange
+
+    def _pass_answer(
+        self,
+        order: ForwardOrder,
+        state: ReplicaState,
+        exchange: Exchange,
+        channel: CallerChannel,
+    ) -> None:
+        head = exchange.head(order.timeout_s)
+        # The sender knows whether the answer may end a limit.
+        self._notices.handle(state, self._protocol.notice(head), may_lift=False)
+        channel.begin(head.status, answer_headers(head))
+        while data := exchange.read(BODY_TIMEOUT_S):
+            channel.write(data)
+        channel.finish()
+        self._metrics.forwards_served.labels("passed_on").inc()
+
+    def _fail(self, channel: CallerChannel, failure: ForwardFailure) -> None:
+        self._metrics.forwards_served.labels(failure.value).inc()
+        channel.respond(FAILURE_STATUS, failure_headers(failure), b"")
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -75,12 +75,13 @@
     message = parts.protocol.message(job.req, plan)
     job.tried.add(replica.replica)
     try:
-        exchange = parts.upstreams.send(
+        exchange = parts.paths.send(
             replica.address,
             message,
             min(CONNECT_TIMEOUT_S, max(0.0, job.left_s())),
             SEND_TIMEOUT_S,
             partial(_check_accepts_requests, job, place),
+            answer_timeout_s=job.left_s(),
         )
     except UpstreamNotAcceptingError:
         raise
@@ -176,7 +177,7 @@
     address = place.state.replica.address
     try:
         with eventlet.Timeout(timeout_s):
-            exchange = parts.upstreams.send(
+            exchange = parts.paths.send(
                 address, parts.protocol.probe_message(), timeout_s, timeout_s
             )
             try:
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -10,6 +10,7 @@
     UpstreamError,
     UpstreamNotAcceptingError,
     UpstreamRefusedError,
+    UpstreamSilentError,
 )
 from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.place import Place
@@ -207,13 +208,22 @@
             self._note_lost_attempt(place, exc, "not_reached")
             return NotTaken(exc.message)
         except UpstreamError as exc:
-            job.evidence.note_outcome(place, Outcome.FAILED)
-            progress.note_broken(state)
+            if not job.is_own_loss(place):
+                job.evidence.note_outcome(place, Outcome.FAILED)
+                progress.note_broken(state)
             self._note_lost_attempt(place, exc, "lost")
             return AnswerLost(exc.message)
 
     def _wait_for_head(self, exchange: Exchange) -> AnswerHead:
-        return exchange.head(self._job.left_s())
+        """Wait for the head; check the path to the replica if it takes long."""
+        job, since = self._job, self._job.parts.timers.now()
+        try:
+            return exchange.head(min(job.rule.goal_s, job.left_s()))
+        except UpstreamSilentError:
+            if job.left_s() <= 0.0:
+                raise
+        job.parts.paths.note_silent(exchange, since)
+        return exchange.head(job.left_s())
 
     def _read_answer(
         self, place: Place, pending: PendingAnswer, progress: AnswerProgress
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -25,6 +25,7 @@
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replica_paths import ReplicaPaths
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.relaying.stream_pace import StreamTimeEstimator
@@ -74,6 +75,8 @@
         The known replicas.
     upstreams : UpstreamPool
         The connections to replicas.
+    paths : ReplicaPaths
+        Sends requests on these connections or through other routers.
     notices : ReplicaNotices
         Processes the notices that replicas send in the heads of their answers.
     protocol : ReplicaProtocol
@@ -104,6 +107,7 @@
     limited_admission: LimitedAdmission
     registry: ReplicaRegistry
     upstreams: UpstreamPool
+    paths: ReplicaPaths
     notices: ReplicaNotices
     protocol: ReplicaProtocol
     retries: RetryShare
@@ -296,8 +300,19 @@
         )
         self._count_end("left")
 
+    def is_own_loss(self, place: Place) -> bool:
+        """Return whether this router can't reach a replica that others reach."""
+        return self.parts.paths.is_own_loss(place.state.replica.address)
+
     def note_miss(self, place: Place) -> None:
-        """Record that a replica was not reached, or that its answer was lost."""
+        """Record that a replica was not reached, or that its answer was lost.
+
+        Notes
+        -----
+        What this router loses with its own path says nothing about the replica.
+        """
+        if self.is_own_loss(place):
+            return
         if not place.state.is_leaving:
             self._lost_domains.add(place.state.replica.failure_domain)
         self.parts.registry.note_miss(place.state)
--- a/boragedeck/request/relay_refusals.py
+++ b/boragedeck/request/relay_refusals.py
@@ -4,8 +4,16 @@
 from boragedeck.ids import ExecutionStatus
 from boragedeck.request.relay_job import RelayJob
 
-__all__ = ["crash_refusal", "final_refusal", "too_late_refusal", "stopping_refusal"]
-
+__all__ = [
+    "crash_refusal",
+    "final_refusal",
+    "stopping_refusal",
+    "too_late_refusal",
+    "unreached_refusal",
+]
+
+UNREACHED_RETRY_S = 0.5
+"""Minimum Retry-After while no router reaches a replica."""
 MIN_RETRY_AFTER_S = 0.2
 """Minimum Retry-After for a request that no replica accepted."""
 
@@ -91,6 +99,18 @@
     )
 
 
+def unreached_refusal(job: RelayJob) -> RefusedError:
+    """Return the answer for a request whose replicas no router reaches."""
+    return RefusedError(
+        f"no router reaches a replica of {job.pool_name!r}",
+        status=503,
+        kind="server_error",
+        code="not_reached",
+        retry_after_s=UNREACHED_RETRY_S * (1.0 + job.parts.rng.random()),
+        step="admit",
+    )
+
+
 def stopping_refusal() -> RefusedError:
     """Return the answer for a request that would outlast this process.
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -206,7 +206,7 @@
 
     def _wait_for_head(self, place: Place, exchange: Exchange) -> AnswerHead:
         interrupter = ExchangeInterrupter(exchange, place.state)
-        wait = partial(self._liveness.wait, place, exchange.head)
+        wait = partial(self._liveness.wait, place, exchange, exchange.head)
         try:
             return wait_unless_blamed(self._job, exchange, wait)
         finally:
@@ -248,7 +248,8 @@
         gaps = GapSampler()
         last_event_at = job.parts.timers.now()
         while True:
-            data = self._liveness.wait(place, pending.exchange.read)
+            exchange = pending.exchange
+            data = self._liveness.wait(place, exchange, exchange.read)
             if not data:
                 break
             events = splitter.feed(data)
@@ -339,7 +340,7 @@
         if job.left_s() > 0.0:
             job.note_miss(place)
         job.parts.metrics.attempts.labels(job.rule.kind.value, outcome.value).inc()
-        if outcome is AttemptOutcome.LOST:
+        if outcome is AttemptOutcome.LOST and not job.is_own_loss(place):
             self._progress.note_broken(place.state)
             if self._progress.is_at_begin:
                 job.lost_at_begin += 1
--- a/boragedeck/request/stream_liveness.py
+++ b/boragedeck/request/stream_liveness.py
@@ -40,13 +40,15 @@
     def __init__(self, job: RelayJob):
         self._job = job
 
-    def wait(self, place: Place, read: Callable[[float], T]) -> T:
+    def wait(self, place: Place, exchange: Exchange, read: Callable[[float], T]) -> T:
         """Wait for a read; probe the replica while the read takes long.
 
         Parameters
         ----------
         place : Place
             The place at the replica that runs the stream.
+        exchange : Exchange
+            The exchange with the replica.
         read : callable
             Reads from the replica; its argument is the longest wait in seconds.
 
@@ -55,7 +57,7 @@
         UpstreamSilentError
             If the replica doesn't answer a probe, or the request's time is over.
         """
-        job = self._job
+        job, since = self._job, self._job.parts.timers.now()
         suspect_s = self._suspect_after_s()
         while True:
             wait_s = min(suspect_s, job.left_s())
@@ -64,22 +66,32 @@
             except UpstreamSilentError:
                 if job.left_s() <= 0.0:
                     raise
-                if not self._is_alive(place):
+                if not self._is_alive(place, exchange, since):
                     raise
             suspect_s = self._suspect_after_probe_s()
 
-    def _is_alive(self, place: Place) -> bool:
+    def _is_alive(self, place: Place, exchange: Exchange, since: float) -> bool:
         """Return whether a replica is alive; probe it unless it asked to wait.
 
         Notes
         -----
+        The replica may be alive although this router's connection to it hangs, which
+        ends the exchange, too.
+
         A replica that asked not to be sent requests isn't probed. It counts as alive
         if it has answered another request recently.
         """
         state, now = place.state, self._job.parts.timers.now()
         if now < state.held_until:
             return now - state.answered_at <= self._suspect_after_s()
-        return probe(self._job.parts, place, self._probe_timeout_s()) is not None
+        parts = self._job.parts
+        if parts.paths.is_dead(exchange):
+            return False
+        if probe(parts, place, self._probe_timeout_s()) is None:
+            parts.paths.note_silent(exchange, since)
+            return False
+        # The probe may have found out that it has to take another path.
+        return not parts.paths.is_dead(exchange)
 
     def _suspect_after_s(self) -> float:
         rule = self._job.rule
--- a/scripts/platform_demo.py
+++ b/scripts/platform_demo.py
@@ -5,6 +5,8 @@
 """
 
 import os
+import random
+import socket
 import subprocess
 import sys
 import tempfile
@@ -26,6 +28,7 @@
 __all__ = ["PlatformCluster", "main"]
 
 HOST = "127.0.0.1"
+PAIR_PORTS = 15_000, 32_000
 READY_TIMEOUT_S = 20.0
 EVENTS = 40
 ROUTE_HEADERS = {"Host": "demo.example", "Api-Key": "demo-key", "Deadline-Ms": "10000"}
@@ -132,7 +135,7 @@
             return subprocess.Popen(command, env=environ, stdout=log, stderr=log)
 
     def _settings(self, number: int, zone: str) -> dict:
-        port = _free_port()
+        port = _free_port_pair()
         return {
             "node": f"vm-{number}",
             "ip": HOST,
@@ -141,7 +144,7 @@
                 "front": f"{HOST}:{_free_port()}",
                 "ready": f"{HOST}:{_free_port()}",
             },
-            "internalPorts": [port, port],
+            "internalPorts": [port, port + 1],
             "platform": {"address": _address(self._listener)},
             "bounds": {"graceS": 8},
         }
@@ -214,6 +217,30 @@
     return f"{host}:{port}"
 
 
+def _free_port_pair() -> int:
+    """Return a free port whose successor is free, too.
+
+    Notes
+    -----
+    The ports lie below those that the system gives to outgoing connections, one of
+    which could take the second port before the router does.
+    """
+    while True:
+        port = random.randrange(*PAIR_PORTS)
+        if _is_free(port) and _is_free(port + 1):
+            return port
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            # Another process listens there.
+            return False
+    return True
+
+
 def _free_port() -> int:
     listener = listen()
     port = listener.getsockname()[1]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -43,6 +43,7 @@
         for old, new, expected in (
             ('"10.1.0.40:8227"', '"10.1.0.40"', "listen.front got '10.1.0.40'"),
             ("[7340, 7355]", "[7340]", "internalPorts"),
+            ("[7340, 7355]", "[7340, 7340]", "internalPorts got (7340, 7340)"),
             ("heartbeatMs: 1200", "heartbeatMs: 0", "heartbeatMs got 0"),
             ("graceS: 8", "graceS: long", "bounds.graceS"),
             ('zone: "a"', "", "zone"),
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -7,13 +7,26 @@
 import enum
 
 import eventlet
+from result import Err, Ok
 
+from boragedeck.connection.address import Address
+from boragedeck.connection.caller_edge import CallerEdge
 from boragedeck.connection.exchange import UpstreamConnection
 from boragedeck.connection.upstream_pool import UpstreamPool
-from boragedeck.exceptions import UpstreamRefusedError
-from tests.support.replicas import RelayHarness
+from boragedeck.exceptions import (
+    PeerUnreachableError,
+    UpstreamConnectTimeoutError,
+    UpstreamRefusedError,
+)
+from boragedeck.interfaces import Member
+from boragedeck.request.forward import Forwarder
+from boragedeck.version.routing import CallerLimits
+from tests.support.limited_fleet import FleetMembers
+from tests.support.replicas import RelayHarness, router_paths
 
 HANG_POLL_S = 0.01
+LATENCY_S = 0.002
+DOMAINS = 4
 
 
 class Cut(enum.Enum):
@@ -49,6 +62,7 @@
     def __init__(self, conn, pool):
         super().__init__(CutSocket(conn.sock, pool), conn.address)
         self._pool = pool
+        self.on_arrival = conn.on_arrival
 
     def is_open_and_empty(self):
         """See `UpstreamConnection.is_open_and_empty`."""
@@ -93,6 +107,9 @@
         is_cut = self.only is None or address in self.only
         if self.cut is Cut.HANG and is_cut:
             eventlet.sleep(timeout_s)
+            raise UpstreamConnectTimeoutError(
+                "cut off", step="connect", peer=str(address)
+            )
         if self.cut is not None and is_cut:
             raise UpstreamRefusedError("cut off", step="connect", peer=str(address))
         conn = CutConnection(super()._open(address, timeout_s), self)
@@ -101,17 +118,103 @@
 
 
 class CutRouter(RelayHarness):
-    """One router of the fleet."""
+    """One router of the fleet, which also forwards requests of the others."""
 
     pool_type = CutPool
 
+    def __init__(self, fleet, number, **fields):
+        self._fleet = fleet
+        self.name = f"r{number}"
+        self.forward_listener = eventlet.listen(("127.0.0.1", 0))
+        forward_at = Address(*self.forward_listener.getsockname())
+        domain = f"d{number % DOMAINS}"
+        self.member = Member(self.name, self.name, domain, forward_at)
+        self.members = FleetMembers(fleet, self.member)
+        super().__init__(**fields)
+        forwarder = Forwarder(
+            self.timers,
+            self.registry,
+            self.upstreams,
+            self.notices,
+            self.parts.protocol,
+            self.paths.state_of,
+            lambda: self.time_left_s,
+            self.metrics,
+        )
+        self.forward_edge = CallerEdge(
+            self.forward_listener, CallerLimits, forwarder.handle, self.timers
+        )
+        self.forward_server = eventlet.spawn(self.forward_edge.serve)
+
+    def make_paths(self):
+        """Return the paths of this router."""
+        return router_paths(
+            self.timers,
+            self.registry,
+            self.upstreams,
+            self.metrics,
+            self.members,
+            FleetPeer(self._fleet, self.member.address),
+            lambda member: member.address,
+        )
+
+    def close(self):
+        """Close all sockets."""
+        self.forward_server.kill()
+        self.forward_listener.close()
+        super().close()
+
+
+class FleetPeer:
+    """Links and server of one router, without a network."""
+
+    def __init__(self, fleet, own):
+        self._fleet, self._own = fleet, own
+
+    def register(self, kind, handler):
+        """See `PeerServer.register`."""
+        self._fleet.handlers[self._own, kind] = handler
+
+    def link(self, address):
+        """See `PeerLinks.link`."""
+        return FleetLink(self._fleet, address)
+
+
+class FleetLink:
+    """A link to one router."""
+
+    def __init__(self, fleet, target):
+        self._fleet, self._target = fleet, target
+
+    def call(self, message, answer_type, *, timeout_s):
+        """See `PeerLink.call`."""
+        self._fleet.calls += 1
+        eventlet.sleep(LATENCY_S)
+        if self._target in self._fleet.stopped:
+            eventlet.sleep(timeout_s)
+            return Err(PeerUnreachableError("no answer in time"))
+        return Ok(self._fleet.handlers[self._target, type(message)](message))
+
 
 class CutFleet:
-    """Several routers before the same replicas."""
+    """Several routers before the same replicas.
+
+    Attributes
+    ----------
+    stopped : set of Address
+        Routers that answer no calls of the others.
+    calls : int
+        Number of calls between the routers.
+    """
 
     def __init__(self, count, replicas, **fields):
         self.replicas = replicas
-        self.routers = [CutRouter(**fields) for _ in range(count)]
+        self.handlers = {}
+        self.stopped = set()
+        self.calls = 0
+        self.routers = []
+        for number in range(count):
+            self.routers.append(CutRouter(self, number, **fields))
         for router in self.routers:
             for replica in replicas:
                 router.add(replica)
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -10,6 +10,7 @@
 from result import Ok
 
 from boragedeck.connection.caller_edge import CallerEdge
+from boragedeck.connection.forwarding import ForwardedExchange
 from boragedeck.connection.messages import Fact
 from boragedeck.connection.peer import Address
 from boragedeck.connection.store import Table
@@ -24,13 +25,16 @@
 from boragedeck.process.relaying.crash_verdicts import CrashVerdicts
 from boragedeck.process.relaying.durations import RequestDurations
 from boragedeck.process.relaying.fleet_size import FleetSize
+from boragedeck.process.relaying.gateways import Gateways
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.limit_grants import LimitGrants
 from boragedeck.process.relaying.limited_admission import LimitedAdmission
+from boragedeck.process.relaying.path_checks import PathChecker
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replica_paths import PathState, ReplicaPaths
 from boragedeck.process.relaying.replica_state import Load
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
@@ -329,7 +333,7 @@
     return ReplicaLimits(timers, registry, grants, board, metrics)
 
 
-def single_router_blame(timers, registry, board, metrics):
+def single_router_blame(timers, registry, board, metrics, paths=None):
     """Return the crash blame of a router that is alone, and the judge itself."""
     members = SingleMembership()
     size = FleetSize(timers, members.routers)
@@ -345,9 +349,36 @@
         registry.versions,
         metrics,
         random.Random(6),
+        paths,
     )
 
 
+def router_paths(timers, registry, upstreams, metrics, members, peer, forward_at):
+    """Return the paths of a router with some other routers."""
+    rng = random.Random(7)
+    checker = PathChecker(
+        timers,
+        rng,
+        upstreams,
+        members,
+        peer,
+        peer,
+        lambda address: registry.at(address) is not None,
+        lambda address: paths.state_of(address) is PathState.DIRECT,
+    )
+    paths = ReplicaPaths(
+        timers,
+        upstreams,
+        UpstreamPool(timers, exchange_type=ForwardedExchange),
+        checker,
+        Gateways(timers, rng, members, forward_at),
+        registry.addresses,
+        metrics,
+    )
+    paths.on_reached = registry.note_path_changed
+    return paths
+
+
 class RelayHarness:
     """A router's relaying components with scripted replicas and callers' sockets."""
 
@@ -365,6 +396,10 @@
         self.limits = single_router_limits(
             self.timers, self.registry, self.facts, self.metrics
         )
+        self.paths = self.make_paths()
+        self.notices = ReplicaNotices(
+            self.registry, self.facts, self.upstreams, self.limits, self.metrics
+        )
         self.parts = RelayComponents(
             timers=self.timers,
             rng=random.Random(3),
@@ -375,13 +410,8 @@
             ),
             registry=self.registry,
             upstreams=self.upstreams,
-            notices=ReplicaNotices(
-                self.registry,
-                self.facts,
-                self.upstreams,
-                self.limits,
-                self.metrics,
-            ),
+            paths=self.paths,
+            notices=self.notices,
             protocol=HttpReplicaProtocol(),
             retries=RetryShare(
                 self.timers,
@@ -404,7 +434,7 @@
             durations=RequestDurations(),
             pace=StreamTimeEstimator(),
             crash_blame=single_router_blame(
-                self.timers, self.registry, self.facts, self.metrics
+                self.timers, self.registry, self.facts, self.metrics, self.paths
             ),
             metrics=self.metrics,
             time_left=lambda: self.time_left_s,
@@ -418,6 +448,18 @@
         )
         self._server = eventlet.spawn(self.edge.serve)
 
+    def make_paths(self):
+        """Return the paths of a router that is alone."""
+        return router_paths(
+            self.timers,
+            self.registry,
+            self.upstreams,
+            self.metrics,
+            SingleMembership(),
+            NoPeers(),
+            None,
+        )
+
     def add(self, *replicas, **fields):
         """Register replicas; those outside of failure domain "a" are chosen last.
 
