Test forwarded requests, and refuse at once while no router reaches a replica

Tests of the hop: unchanged requests and answers, time left, cancellation, limits, hold-off and leaving, repeats, calls that run once, streams over the end of a gateway, no loops, no misses or crash reports, links that live on. Three failed first: a request at a cut-off router waited 1.5 s after all replicas had gone, since its paths stayed indirect until the next check, and refused only new requests. Now two gateways that don't reach a replica make its path lost, and a request that hasn't run is refused whenever it asks for a place. (The other two were faults of the tests.)

--- a/boragedeck/process/relaying/path_checks.py
+++ b/boragedeck/process/relaying/path_checks.py
@@ -25,7 +25,7 @@
 MAX_ASKED_ROUTERS = 4
 MAX_ADDRESSES = 32
 """Maximum number of replicas in one check."""
-RECENT_S = 1.0
+RECENT_S = 0.5
 """A replica from which something arrived within this time needs no probe."""
 
 _log = PartLog("paths")
--- a/boragedeck/process/relaying/replica_paths.py
+++ b/boragedeck/process/relaying/replica_paths.py
@@ -47,6 +47,8 @@
 """How long a refused request waits for the result of a check."""
 MAX_GATEWAYS = 3
 """Maximum number of gateways that are tried for one attempt."""
+MAX_UNREACHED_GATEWAYS = 2
+"""Number of gateways that must fail to reach a replica until it counts as lost."""
 FORWARD_SLACK_S = 0.3
 """How long beyond its own wait for a connection a gateway may take."""
 
@@ -317,9 +319,8 @@
         check: Callable[[], None],
     ) -> Exchange:
         """Send a request through the first gateway that reaches the replica."""
-        error: UpstreamError = UpstreamRefusedError(
-            "there is no other router", step="forward", peer=str(order.target)
-        )
+        error: UpstreamError = ForwardDeclinedError("there is no other router")
+        unreached = 0
         for gateway in self._gateways.candidates(order.target)[:MAX_GATEWAYS]:
             try:
                 exchange = self._forward_through(
@@ -327,10 +328,18 @@
                 )
             except UpstreamNotAcceptingError:
                 raise
-            except (ForwardDeclinedError, UpstreamRefusedError) as exc:
+            except ForwardDeclinedError as exc:
                 self._note_forward_failed(gateway, order, exc)
                 error = exc
                 continue
+            except UpstreamRefusedError as exc:
+                # The gateway doesn't reach the replica, either.
+                error = exc
+                unreached += 1
+                if unreached >= MAX_UNREACHED_GATEWAYS:
+                    self._set_state(order.target, PathState.LOST)
+                    break
+                continue
             except UpstreamError as exc:
                 self._note_forward_failed(gateway, order, exc)
                 raise
@@ -349,13 +358,16 @@
         send_timeout_s: float,
         check: Callable[[], None],
     ) -> ForwardedExchange:
-        exchange = self._forwards.send(
-            self._gateways.address_of(gateway),
-            encode_order(order),
-            connect_timeout_s,
-            send_timeout_s,
-            check,
-        )
+        """Send a request through one gateway, and wait until it has been sent."""
+        address = self._gateways.address_of(gateway)
+        try:
+            exchange = self._forwards.send(
+                address, encode_order(order), connect_timeout_s, send_timeout_s, check
+            )
+        except UpstreamRefusedError as exc:
+            raise ForwardDeclinedError(
+                exc.message, step="forward", peer=str(address)
+            ) from exc
         exchange.address = order.target
         try:
             exchange.wait_sent(connect_timeout_s + FORWARD_SLACK_S)
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -5,11 +5,7 @@
 from boragedeck.ids import OrganisationName
 from boragedeck.request.relay_call import CallRelay
 from boragedeck.request.relay_job import RelayComponents, RelayJob, log, respond_refusal
-from boragedeck.request.relay_refusals import (
-    crash_refusal,
-    stopping_refusal,
-    unreached_refusal,
-)
+from boragedeck.request.relay_refusals import crash_refusal, stopping_refusal
 from boragedeck.request.relay_request import RelayRequest
 from boragedeck.request.relay_stream import StreamRelay
 from boragedeck.version.routing import (
@@ -64,10 +60,6 @@
     priority = table.priorities.get(organisation, rule.priority)
     parts.retries.note_request(name)
     job = RelayJob(parts, req, rule, pool, organisation, priority, channel)
-    states = parts.registry.of_pool(name)
-    if parts.paths.are_lost(state.replica.address for state in states):
-        job.refuse(unreached_refusal(job))
-        return
     if parts.time_left() < parts.durations.long_duration_s(name, rule.timeout_s):
         job.refuse(stopping_refusal())
         return
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 import msgspec
-from result import Result
+from result import Err, Result
 
 from boragedeck.connection.caller_edge import CallerChannel
 from boragedeck.connection.exchange import Headers
@@ -51,6 +51,8 @@
 MAX_WAIT_SHARE = 0.4
 """Share of the caller's time-out that a request which has not run may wait. If it is
 refused then, the caller still has time to retry and be served."""
+UNREACHED_RETRY_S = 0.5
+"""Minimum Retry-After while no router reaches a replica."""
 MAX_LOGGED_PARTS = 8
 
 log = PartLog("relay")
@@ -229,8 +231,11 @@
         Notes
         -----
         When all replicas have been tried, they are tried again after a pause, or at
-        once if there is no time to wait.
+        once if there is no time to wait. If no router reaches any of them, a request
+        that hasn't run is refused at once.
         """
+        if not self.may_have_run and self._are_replicas_lost():
+            return Err(self._unreached_refusal())
         if self.tried and not self._has_untried_replica():
             self.tried.clear()
             if until > self.parts.timers.now():
@@ -334,6 +339,20 @@
             after_s=round(self.parts.timers.now() - place.since, 3),
         )
 
+    def _are_replicas_lost(self) -> bool:
+        states = self.parts.registry.of_pool(self.pool_name)
+        return self.parts.paths.are_lost(state.replica.address for state in states)
+
+    def _unreached_refusal(self) -> RefusedError:
+        return RefusedError(
+            f"no router reaches a replica of {self.pool_name!r}",
+            status=503,
+            kind="server_error",
+            code="not_reached",
+            retry_after_s=UNREACHED_RETRY_S * (1.0 + self.parts.rng.random()),
+            step="admit",
+        )
+
     def _count_end(self, outcome: str) -> float:
         self.parts.metrics.requests.labels(self.rule.kind.value, outcome).inc()
         return self.parts.timers.now() - self.req.arrived
--- a/boragedeck/request/relay_refusals.py
+++ b/boragedeck/request/relay_refusals.py
@@ -9,11 +9,8 @@
     "final_refusal",
     "stopping_refusal",
     "too_late_refusal",
-    "unreached_refusal",
 ]
 
-UNREACHED_RETRY_S = 0.5
-"""Minimum Retry-After while no router reaches a replica."""
 MIN_RETRY_AFTER_S = 0.2
 """Minimum Retry-After for a request that no replica accepted."""
 
@@ -99,18 +96,6 @@
     )
 
 
-def unreached_refusal(job: RelayJob) -> RefusedError:
-    """Return the answer for a request whose replicas no router reaches."""
-    return RefusedError(
-        f"no router reaches a replica of {job.pool_name!r}",
-        status=503,
-        kind="server_error",
-        code="not_reached",
-        retry_after_s=UNREACHED_RETRY_S * (1.0 + job.parts.rng.random()),
-        step="admit",
-    )
-
-
 def stopping_refusal() -> RefusedError:
     """Return the answer for a request that would outlast this process.
 
--- a/tests/request/test_relay_paths.py
+++ b/tests/request/test_relay_paths.py
@@ -2,6 +2,7 @@
 
 import eventlet
 
+from boragedeck.process.relaying.replica_paths import TICK_S, PathState
 from boragedeck.version.routing import CallKind, RelayPool
 from tests.support.cut_fleet import Cut, CutFleet
 from tests.support.replicas import (
@@ -9,8 +10,13 @@
     ScriptedReplica,
     answer,
     call_rule,
+    event,
     events,
+    head_of,
     report_model,
+    send_chunk,
+    send_request,
+    stay_silent,
     stream_rule,
 )
 
@@ -24,6 +30,16 @@
 ONCE_RULE = call_rule(CallKind.ONCE, goal_s=0.2, timeout_s=1.5)
 
 
+LIMIT_PER_S = 2
+
+
+def limited(sock, req):
+    """Answer, and name a limit on the requests of all routers."""
+    lines = b"Server-Limit: %d" % LIMIT_PER_S, b"Content-Length: 2"
+    sock.sendall(head_of(req, 200, *lines) + b"\r\nok")
+    return True
+
+
 def engine(step):
     """Return a step that also answers probes."""
 
@@ -103,3 +119,283 @@
 
     def test_streams_at_a_few_routers_that_open_no_new_link_are_served(self):
         self.assert_served_alike(Cut.REFUSE, FEW)
+
+
+class ForwardCase(CutOffCase):
+    """One router is cut off, and has found it out."""
+
+    routers = 3
+    replicas = 2
+
+    def setUp(self):
+        self.fleet_ = self.fleet(self.routers, self.replicas)
+        self.cut_off = self.fleet_.routers[0]
+        self.others = self.fleet_.routers[1:]
+        self.fleet_.cut(Cut.REFUSE, 0)
+        self.find_out()
+
+    def find_out(self):
+        """Let the cut-off router find out which paths it has lost."""
+        paths = self.cut_off.paths
+        for each in self.fleet_.replicas:
+            paths._start_check(each.address, frozenset())
+        with eventlet.Timeout(2.0):
+            while not all(paths.is_own_loss(at.address) for at in self.fleet_.replicas):
+                eventlet.sleep(0.01)
+
+    def received(self):
+        """Return the callers' requests that reached the replicas."""
+        return [req for each in self.fleet_.replicas for req in each.relayed()]
+
+    def stop_router(self, router):
+        """End a router that forwards, with its connections."""
+        self.fleet_.stopped.add(router.member.address)
+        router.forward_server.kill()
+        router.forward_listener.close()
+        for conn in list(router.forward_edge._conns):
+            conn._shut_down()
+
+
+class ForwardedCallTest(ForwardCase):
+    def test_request_and_answer_pass_the_gateway_unchanged(self):
+        response = self.cut_off.fetch(b"X-Own: 1", body=b"abc")
+        self.assertEqual((response.status, response.body), (200, b"whole"))
+        self.assertEqual(response.headers[b"response-seal"], b"seal")
+        [req] = self.received()
+        self.assertEqual((req.target, req.body), (b"/r/x", b"abc"))
+        self.assertEqual(req.headers[b"x-own"], b"1")
+        self.assertEqual(req.headers[b"host"], b"Here.example")
+        self.assertEqual(req.headers[b"tenant"], b"org-1")
+        for name in (b"forward-to", b"forward-timeout-ms", b"api-key"):
+            self.assertNotIn(name, req.headers)
+            self.assertNotIn(name, response.headers)
+
+    def test_deadline_at_the_replica_is_no_longer_than_the_time_left(self):
+        self.cut_off.fetch(ms=700)
+        [req] = self.received()
+        self.assertLessEqual(int(req.headers[b"deadline-ms"]), 700)
+
+    def test_lost_path_is_no_miss_of_the_replica(self):
+        for number in range(4):
+            self.assertTrue(self.fetch(self.cut_off, number))
+        for state in self.cut_off.registry.all():
+            self.assertEqual(state.consecutive_misses, 0)
+            self.assertLessEqual(state.avoid_until, self.cut_off.timers.now())
+
+    def test_paths_are_direct_again_soon_after_the_cut(self):
+        self.fleet_.cut(None, 0)
+        eventlet.sleep(1.2)
+        served = self.others[0].metrics.forwards_served.labels("passed_on")
+        before = served._value.get()
+        self.assertTrue(self.fetch(self.cut_off, 1))
+        self.assertEqual(served._value.get(), before)
+        for each in self.fleet_.replicas:
+            state = self.cut_off.paths.state_of(each.address)
+            self.assertIs(state, PathState.DIRECT)
+
+    def test_router_that_has_lost_its_path_forwards_nothing(self):
+        self.fleet_.cut(Cut.REFUSE, 1, 2)
+        response = self.cut_off.fetch()
+        self.assertEqual(response.status, 503)
+        self.assertEqual(self.received(), [])
+
+    def test_request_goes_through_the_next_gateway_if_the_first_is_gone(self):
+        self.fleet_.stopped.add(self.others[0].member.address)
+        self.others[0].forward_server.kill()
+        self.others[0].forward_listener.close()
+        for number in range(6):
+            self.assertTrue(self.fetch(self.cut_off, number))
+        self.assertEqual(len(self.received()), 6)
+
+    def test_leaving_router_is_no_gateway(self):
+        self.others[0].time_left_s = 0.1
+        for number in range(4):
+            self.assertTrue(self.fetch(self.cut_off, number))
+        passed_on = self.others[0].metrics.forwards_served.labels("passed_on")
+        self.assertEqual(passed_on._value.get(), 0)
+
+    def test_limit_of_a_replica_holds_for_forwarded_requests(self):
+        for each in self.fleet_.replicas:
+            each._steps = [engine(limited)]
+        self.served(self.fleet_, [0], each=60, pause_s=0.05)
+        for each in self.fleet_.replicas:
+            self.assertLessEqual(len(each.relayed()), 1.5 * LIMIT_PER_S * 3.0 + 5)
+
+
+class ReplicasGoneTest(ForwardCase):
+    def setUp(self):
+        super().setUp()
+        for each in self.fleet_.replicas:
+            each.stop()
+        eventlet.sleep(2.0 * TICK_S)
+
+    def test_request_is_refused_at_once_by_the_cut_off_router(self):
+        self.assert_refused_at_once(self.cut_off)
+
+    def test_request_is_refused_at_once_by_the_others(self):
+        self.fetch(self.others[0], 0)
+        eventlet.sleep(TICK_S)
+        self.assert_refused_at_once(self.others[0])
+
+    def test_wait_for_replicas_that_are_gone_is_short(self):
+        since = self.others[0].timers.now()
+        self.assertEqual(self.others[0].fetch(name=b"early").status, 503)
+        self.assertLess(self.others[0].timers.now() - since, 0.3)
+
+    def assert_refused_at_once(self, router):
+        since = router.timers.now()
+        response = router.fetch(name=b"late")
+        self.assertLess(router.timers.now() - since, 0.1)
+        self.assertEqual(response.status, 503)
+        self.assertIn(b"retry-after", response.headers)
+
+
+class SlowReplicaTest(ForwardCase):
+    def step(self, sock, req):
+        """Work until the router closes the connection."""
+        if b"request-id" not in req.headers:
+            return report_model(sock, req)
+        stay_silent(sock, req)
+        self.stopped_at = self.cut_off.timers.now()
+        return False
+
+    def test_replica_stops_work_when_the_caller_leaves(self):
+        sock = self.cut_off.connect()
+        send_request(sock, ms=5000)
+        eventlet.sleep(0.2)
+        self.assertEqual(len(self.received()), 1)
+        sock.close()
+        left_at = self.cut_off.timers.now()
+        eventlet.sleep(0.3)
+        self.assertLess(self.stopped_at - left_at, 0.3)
+
+    def test_call_that_runs_once_is_not_sent_again_if_its_gateway_ends(self):
+        sock = eventlet.spawn(self.cut_off.fetch, ms=1500)
+        eventlet.sleep(0.2)
+        for router in self.others:
+            self.stop_router(router)
+        self.assertIn(sock.wait().status, (502, 504))
+        self.assertEqual(len(self.received()), 1)
+
+
+def hold_off(sock, req):
+    """Answer that the request was not run, and ask for a wait."""
+    lines = b"Not-Executed: 1", b"Retry-After: 3", b"Content-Length: 0"
+    sock.sendall(head_of(req, 503, *lines) + b"\r\n")
+    return True
+
+
+def leave(sock, req):
+    """Answer as a replica that is leaving."""
+    lines = b"Server-Leaving: 1", b"Content-Length: 2"
+    sock.sendall(head_of(req, 200, *lines) + b"\r\nok")
+    return True
+
+
+class NoticeTest(ForwardCase):
+    replicas = 1
+
+    def answer_once(self, step):
+        [replica] = self.fleet_.replicas
+        replica._steps = [engine(step), engine(answer())]
+        self.cut_off.fetch(name=b"first")
+        return replica
+
+    def test_gateway_sends_nothing_either_to_a_replica_that_asks_for_a_wait(self):
+        replica = self.answer_once(hold_off)
+        gateway = next(
+            router
+            for router in self.others
+            if router.metrics.forwards_served.labels("passed_on")._value.get()
+        )
+        for router in (gateway, self.cut_off):
+            response = router.fetch(name=b"second-%d" % id(router), ms=900)
+            self.assertEqual(response.status, 503)
+        self.assertEqual(len(replica.relayed()), 1)
+
+    def test_replica_that_leaves_gets_nothing_more(self):
+        replica = self.answer_once(leave)
+        self.assertEqual(self.cut_off.fetch(name=b"second", ms=900).status, 503)
+        self.assertEqual(len(replica.relayed()), 1)
+
+
+def stream_until_stopped(sock, req):
+    """Stream events slowly, from the one after the last that the router has."""
+    sock.sendall(head_of(req, 200, b"Transfer-Encoding: chunked") + b"\r\n")
+    first = int(req.headers.get(b"last-event-id", b"0")) + 1
+    for number in range(first, 13):
+        send_chunk(sock, event(number))
+        eventlet.sleep(0.05)
+    sock.sendall(b"0\r\n\r\n")
+    return True
+
+
+WHOLE = b"".join(event(number) for number in range(1, 13))
+
+
+class ForwardedStreamTest(ForwardCase):
+    rule = stream_rule()
+    pool = POOL
+    step = staticmethod(engine(stream_until_stopped))
+    lines = (b"Token-Counts: 1000,100",)
+
+    def test_stream_goes_on_through_another_gateway_if_the_first_ends(self):
+        fetched = eventlet.spawn(self.cut_off.fetch, *self.lines, ms=3000)
+        eventlet.sleep(0.25)
+        gateway = next(r for r in self.others if r.forward_edge.active_requests())
+        self.stop_router(gateway)
+        response = fetched.wait()
+        self.assertTrue(response.is_complete)
+        self.assertEqual(response.body, WHOLE)
+        self.assertEqual(self.cut_off.metrics.crashes_reported._value.get(), 0)
+
+    def test_truncated_stream_does_not_look_complete(self):
+        for replica in self.fleet_.replicas:
+            replica._steps = [engine(events(1, 2, ends=False))]
+        response = self.cut_off.fetch(*self.lines, ms=1500)
+        self.assertFalse(response.is_complete)
+
+    def test_repeats_over_the_hop_are_charged(self):
+        for replica in self.fleet_.replicas:
+            replica._steps = [engine(events(1, ends=False))]
+        taken = []
+        take = self.cut_off.parts.retries.take
+        self.cut_off.parts.retries.take = lambda pool: taken.append(pool) or take(pool)
+        self.cut_off.fetch(*self.lines, ms=1500)
+        self.assertEqual(len(taken), len(self.received()) - 1)
+
+
+class OldLinksTest(CutOffCase):
+    """Streams run when the router is cut off."""
+
+    rule = stream_rule()
+    pool = POOL
+    step = staticmethod(engine(stream_until_stopped))
+    lines = (b"Token-Counts: 1000,100",)
+
+    def play(self, cut):
+        fleet = self.fleet(3, 2)
+        router = fleet.routers[0]
+        fetched = [
+            eventlet.spawn(router.fetch, *self.lines, name=b"id-%d" % number, ms=4000)
+            for number in range(4)
+        ]
+        eventlet.sleep(0.2)
+        fleet.cut(cut, 0)
+        responses = [thread.wait() for thread in fetched]
+        for response in responses:
+            self.assertTrue(response.is_complete)
+            self.assertEqual(response.body, WHOLE)
+        eventlet.sleep(0.8)
+        self.assertEqual(router.metrics.crashes_reported._value.get(), 0)
+        return fleet
+
+    def test_stream_on_a_link_that_lives_on_is_not_started_again(self):
+        fleet = self.play(Cut.REFUSE)
+        self.assertEqual(sum(len(each.relayed()) for each in fleet.replicas), 4)
+
+    def test_streams_on_links_that_are_reset_go_on_through_another_router(self):
+        self.play(Cut.RESET)
+
+    def test_streams_on_links_that_hang_go_on_through_another_router(self):
+        self.play(Cut.HANG)
