--- a/boragedeck/version/replicas.py
+++ b/boragedeck/version/replicas.py
@@ -11,6 +11,7 @@
 __all__ = [
     "HoldOff",
     "RateLimit",
+    "RejectionLimit",
     "Replica",
     "ReplicaId",
     "ReplicaNotice",
@@ -58,6 +59,22 @@
     text: str
 
 
+class RejectionLimit(msgspec.Struct, frozen=True):
+    """How many rejections a second a brittle replica bears without falling over.
+
+    Parameters
+    ----------
+    per_s : float or None
+        Rejections per second, of requests of all routers together; None if the value
+        can't be parsed.
+    text : str
+        The text that the replica sent, for the log.
+    """
+
+    per_s: float | None
+    text: str
+
+
 class ReplicaNotice(msgspec.Struct, frozen=True):
     """The status of a replica, sent in the head of an answer.
 
@@ -70,11 +87,14 @@
     rate_limit : RateLimit or None
         Set if the replica names a limit; the limit ends with the first answer that
         names none.
+    rejection_limit : RejectionLimit or None
+        Set if the replica is brittle; it is sound from the first answer without one.
     """
 
     is_leaving: bool = False
     hold_off: HoldOff | None = None
     rate_limit: RateLimit | None = None
+    rejection_limit: RejectionLimit | None = None
 
 
 class Replica(msgspec.Struct, frozen=True, kw_only=True):
