Lease the room of brittle replicas by one router for all

What callers see: replicas that say Server-Brittle fall over in bursts, 4 to 11 times of 2 allowed, and are away for seconds.

Cause: the header wasn't read. Each router places by loads that are up to 50 ms old (more in a large fleet), so a burst sends more than a replica has room for, and it rejects the rest.

Now a replica that names the limit is known to all routers by a fact, and each request takes a place there from one router, which leases no more than the replica's slots, lets requests wait in their order, uses fewer places after a rejection, and none for a second when the replica bears no more. Without its owner a router sends nothing there; leases that aren't returned end with the request's time.

Weighed: equal shares of six slots among nine routers are none; rates as for Server-Limit bound no number at once.

--- a/boragedeck/connection/messages.py
+++ b/boragedeck/connection/messages.py
@@ -52,6 +52,8 @@
 class FactTopic(enum.Enum):
     """Subject of a fact."""
 
+    BRITTLE_REPLICA = "brittle_replica"
+    """Replicas that fall over if they have to reject many requests."""
     CONFIG = "config"
     """The revision that the origin has, and where to fetch it."""
     CRASH = "crash"
--- a/boragedeck/platform/names.py
+++ b/boragedeck/platform/names.py
@@ -14,6 +14,7 @@
     "ORGANISATION",
     "PROMPT_PARTS",
     "READY_PATH",
+    "REJECTION_LIMIT",
     "REPLICA_ID",
     "REPORT_PATH",
     "REQUEST_ID",
@@ -42,6 +43,9 @@
 RATE_LIMIT = b"Server-Limit"
 """In answers, of any status, of a replica that is overloaded: the requests per second
 that it takes from all routers together."""
+REJECTION_LIMIT = b"Server-Brittle"
+"""In answers, of any status, of a replica that falls over if it has to reject more
+requests than this in a second."""
 REPLICA_ID = b"Instance-Id"
 REPORT_PATH = b"/boragedeck/report"
 REQUEST_ID = b"Request-Id"
--- a/boragedeck/platform/replica_protocol.py
+++ b/boragedeck/platform/replica_protocol.py
@@ -17,6 +17,7 @@
     NOT_RUN,
     ORGANISATION,
     RATE_LIMIT,
+    REJECTION_LIMIT,
     REPLICA_ID,
     REPORT_PATH,
     REQUEST_ID,
@@ -29,7 +30,13 @@
     Verdict,
     VerdictKind,
 )
-from boragedeck.version.replicas import HoldOff, RateLimit, ReplicaId, ReplicaNotice
+from boragedeck.version.replicas import (
+    HoldOff,
+    RateLimit,
+    RejectionLimit,
+    ReplicaId,
+    ReplicaNotice,
+)
 
 __all__ = ["HttpReplicaProtocol"]
 
@@ -88,6 +95,7 @@
             is_leaving=LEAVING_VALUE in head.all(LEAVING.lower()),
             hold_off=_hold_off(head),
             rate_limit=_rate_limit(head),
+            rejection_limit=_rejection_limit(head),
         )
 
     def verdict(self, req: RelayRequest, head: AnswerHead) -> Verdict:
@@ -126,6 +134,14 @@
     return RateLimit(min(_parse_numbers(values), default=None), _log_text(values))
 
 
+def _rejection_limit(head: AnswerHead) -> RejectionLimit | None:
+    values = head.all(REJECTION_LIMIT.lower())
+    if not values:
+        return None
+    # If the header occurs several times, the lowest limit satisfies all values.
+    return RejectionLimit(min(_parse_numbers(values), default=None), _log_text(values))
+
+
 def _parse_numbers(values: list[bytes]) -> list[float]:
     """Return the values that are finite decimal numbers and not negative."""
     numbers = []
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -36,6 +36,7 @@
 from boragedeck.process.membership import GossipMembership
 from boragedeck.process.metrics import Metrics
 from boragedeck.process.relaying.admission import Admission
+from boragedeck.process.relaying.brittle_replicas import BrittleReplicas
 from boragedeck.process.relaying.crash_blame import CrashBlame
 from boragedeck.process.relaying.crash_judge import CrashJudge
 from boragedeck.process.relaying.crash_verdicts import CrashVerdicts
@@ -58,6 +59,7 @@
 from boragedeck.process.relaying.retry_reserve import RetryReserve
 from boragedeck.process.relaying.retry_share import USABLE_SHARE, RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
+from boragedeck.process.relaying.room_grants import RoomGrants
 from boragedeck.process.relaying.routing_source import RoutingSource
 from boragedeck.process.relaying.settings_source import SettingsSource
 from boragedeck.process.relaying.shared_feed import SharedFeed
@@ -309,9 +311,15 @@
             self.timers, self._membership, self._hubs, self._fleet_size
         )
         limits = self._make_limits()
+        brittle = self._make_brittle()
         protocol = HttpReplicaProtocol()
         notices = ReplicaNotices(
-            self._registry, self._board, self._upstreams, limits, self.metrics
+            self._registry,
+            self._board,
+            self._upstreams,
+            limits,
+            brittle,
+            self.metrics,
         )
         self._parts = RelayComponents(
             timers=self.timers,
@@ -319,7 +327,7 @@
             table=self._routing.current,
             admission=admission,
             limited_admission=LimitedAdmission(
-                self.timers, admission, limits, self._rng
+                self.timers, admission, limits, brittle, self._rng
             ),
             registry=self._registry,
             upstreams=self._upstreams,
@@ -391,6 +399,14 @@
             self.timers, self._registry, grants, self._board, self.metrics
         )
 
+    def _make_brittle(self) -> BrittleReplicas:
+        grants = RoomGrants(
+            self.timers, self._task_owners, self._links, self._peer_server
+        )
+        return BrittleReplicas(
+            self.timers, self._registry, grants, self._board, self.metrics
+        )
+
     def _make_retries(self) -> RetryShare:
         timers, bounds = self.timers, self._source.bounds
         reserve = RetryReserve(
--- a/boragedeck/process/relaying/limited_admission.py
+++ b/boragedeck/process/relaying/limited_admission.py
@@ -16,6 +16,7 @@
     RETRY_SPREAD,
     Admission,
 )
+from boragedeck.process.relaying.brittle_replicas import BrittleReplicas
 from boragedeck.process.relaying.place import AdmissionRequest, Place
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_state import ReplicaState
@@ -39,6 +40,8 @@
         Reserves the places.
     limits : ReplicaLimits
         Takes the sends.
+    brittle : BrittleReplicas
+        Takes the room at brittle replicas.
     rng : random.Random
         Spreads retry times.
     """
@@ -48,8 +51,10 @@
         timers: TimerService,
         admission: Admission,
         limits: ReplicaLimits,
+        brittle: BrittleReplicas,
         rng: random.Random,
     ):
+        self._brittle = brittle
         self._timers = timers
         self._admission = admission
         self._limits = limits
@@ -72,7 +77,7 @@
             if denied_until and not self._admission.has_candidates(allowed):
                 return Err(self._refusal(req, min(denied_until.values())))
             acquired = self._admission.acquire(allowed)
-            if acquired.is_err() or not acquired.ok().state.is_limited:
+            if acquired.is_err() or not _needs_grant(acquired.ok().state):
                 return acquired
             state = acquired.ok().state
             name = state.replica.replica
@@ -95,7 +100,7 @@
             None if the limit of the replica allows no request in time.
         """
         place = self._admission.reserve(req, state)
-        if not state.is_limited:
+        if not _needs_grant(state):
             return place
         return self._take(place, req, MAX_RESERVED_WAIT_S)
 
@@ -103,6 +108,24 @@
         self, place: Place, req: AdmissionRequest, max_wait_s: float
     ) -> Place | None:
         """Return the place once its replica may be sent the request, or None."""
+        if place.state.is_limited:
+            place = self._take_send(place, req, max_wait_s)
+        if place is None or not place.state.is_brittle:
+            return place
+        has_room = False
+        try:
+            has_room = self._brittle.take(
+                place, max_wait_s, req.lease_s(self._timers.now()), req.request_id
+            )
+        finally:
+            if not has_room:
+                place.release()
+        return place if has_room else None
+
+    def _take_send(
+        self, place: Place, req: AdmissionRequest, max_wait_s: float
+    ) -> Place | None:
+        """Return a place at a limited replica when its turn has come, or None."""
         state, now = place.state, self._timers.now()
         if state.limited_until - now > max_wait_s:
             place.release()
@@ -143,3 +166,8 @@
             retry_after_s=wait_s * (1.0 + RETRY_SPREAD * self._rng.random()),
             step="admit",
         )
+
+
+def _needs_grant(state: ReplicaState) -> bool:
+    """Return whether the requests of all routers to a replica are granted by one."""
+    return state.is_limited or state.is_brittle
--- a/boragedeck/process/relaying/place.py
+++ b/boragedeck/process/relaying/place.py
@@ -1,5 +1,6 @@
 """A place at a replica, and the request for one."""
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -11,6 +12,8 @@
 
 __all__ = ["AdmissionRequest", "Place"]
 
+MAX_LEASE_S = 60.0
+
 
 class AdmissionRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A request for a place at a replica.
@@ -33,6 +36,8 @@
         Returns whether a replica's version may serve the request.
     request_id : str
         The id of the request, for the log.
+    deadline : float
+        When the request ends at the latest, on the timer service's clock.
     """
 
     pool: RelayPool
@@ -44,6 +49,11 @@
     lost_domains: frozenset[FailureDomain] = frozenset()
     allows: Callable[[Replica], bool] = lambda replica: True
     request_id: str = ""
+    deadline: float = math.inf
+
+    def lease_s(self, now: float) -> float:
+        """Return how long a replica may work on the request, in seconds."""
+        return min(MAX_LEASE_S, max(0.0, self.deadline - now))
 
 
 class Place:
@@ -51,7 +61,7 @@
 
     Parameters
     ----------
-    on_released : callable
+    note_released : callable
         Called when the place is released, with the pool, when the place was reserved,
         and whether its time counts as a service time.
     state : ReplicaState
@@ -67,16 +77,22 @@
         When the place was reserved, on the timer service's clock.
     has_output : bool
         Whether the request has output, so that its prompt has been read.
+    is_rejected : bool
+        Whether the replica had no room for the request.
+    on_released : list of callable
+        Called when the place is released.
     """
 
     def __init__(
         self,
-        on_released: Callable[[PoolName, float, bool], None],
+        note_released: Callable[[PoolName, float, bool], None],
         state: ReplicaState,
         req: AdmissionRequest,
         now: float,
     ):
-        self._on_released = on_released
+        self._note_released = note_released
+        self.is_rejected = False
+        self.on_released: list[Callable[[], None]] = []
         self.state = state
         self._req = req
         self._load = Load(1, req.prompt_tokens, req.tokens)
@@ -114,4 +130,6 @@
         self.state.own.add(self._load, -1)
         if self._copy_holder is not None:
             self._copy_holder.own.tokens -= self._req.tokens
-        self._on_released(self._req.pool.name, self.since, is_served)
+        for callback in self.on_released:
+            callback()
+        self._note_released(self._req.pool.name, self.since, is_served)
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -52,6 +52,17 @@
             ["change"],
             registry=registry,
         )
+        self.brittle_changes = Counter(
+            "boragedeck_replica_brittle_changes",
+            "Replicas that this router learnt to be brittle, or sound again.",
+            ["change"],
+            registry=registry,
+        )
+        self.room_denied = Counter(
+            "boragedeck_brittle_room_denied",
+            "Requests that found no room at a brittle replica.",
+            registry=registry,
+        )
         self.crash_verdicts = Counter(
             "boragedeck_crash_verdicts",
             "Verdicts that this router published as the judge of crashes, by state.",
--- a/boragedeck/process/relaying/replica_notices.py
+++ b/boragedeck/process/relaying/replica_notices.py
@@ -12,6 +12,7 @@
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.interfaces import FactBoard
 from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.brittle_replicas import BrittleReplicas
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
@@ -41,6 +42,8 @@
         Connections to the replicas.
     limits : ReplicaLimits
         Records the limits that replicas name.
+    brittle : BrittleReplicas
+        Records which replicas are brittle.
     metrics : RelayMetrics
         Counts hold-offs, and leaving replicas, also those that other routers published.
 
@@ -58,8 +61,10 @@
         board: FactBoard,
         upstreams: UpstreamPool,
         limits: ReplicaLimits,
+        brittle: BrittleReplicas,
         metrics: RelayMetrics,
     ):
+        self._brittle = brittle
         self._registry = registry
         self._board = board
         self._upstreams = upstreams
@@ -83,6 +88,7 @@
             for answers to probes, and for late answers to earlier requests.
         """
         self._limits.note_answer(state, notice.rate_limit, may_lift=may_lift)
+        self._brittle.note_answer(state, notice.rejection_limit, may_lift=may_lift)
         if notice.hold_off is not None:
             self._metrics.held_off.inc()
             self._registry.hold_off(state, notice.hold_off)
--- a/boragedeck/process/relaying/replica_state.py
+++ b/boragedeck/process/relaying/replica_state.py
@@ -110,6 +110,10 @@
     next_turn_at : float
         When its limit allows the next request, as its limit owner last said, on the
         timer service's monotonic clock; 0.0 if no owner was asked.
+    rejections_per_s : float or None
+        How many rejections in a second it bears, if it is brittle; None if not.
+    brittle_known_at : float
+        When that was observed, on the timer service's monotonic clock.
     is_removed : bool
         Whether it is no longer in the registry.
     is_provisional : bool
@@ -129,6 +133,8 @@
         self.restraints = Restraints()
         self.limit = KnownLimit()
         self.next_turn_at = 0.0
+        self.rejections_per_s: float | None = None
+        self.brittle_known_at = float("-inf")
         self._next_send_at = float("-inf")
         self.is_removed = False
         self.consecutive_misses = 0
@@ -185,6 +191,11 @@
         """Whether it names a limit on the requests of all routers together."""
         return self.limit.per_s is not None
 
+    @property
+    def is_brittle(self) -> bool:
+        """Whether it falls over if it has to reject many requests."""
+        return self.rejections_per_s is not None
+
     def can_accept(self, now: float) -> bool:
         """Return whether a request may be sent to the replica now.
 
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -239,6 +239,7 @@
                 # The other replica did not run the request.
                 return NotTaken("another replica has the address")
             case VerdictKind.NOT_RUN:
+                place.is_rejected = True
                 job.note_attempt_failed(place, f"not run, status {pending.head.status}")
                 return NotTaken("the replica did not run the request")
             case VerdictKind.INVALID | VerdictKind.STRAY:
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -265,6 +265,7 @@
             lost_domains=frozenset(self._lost_domains),
             allows=self.allows,
             request_id=self.req.request_id,
+            deadline=self.deadline,
         )
 
     def refuse(self, error: RefusedError) -> None:
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -227,6 +227,7 @@
                 self._recovery.note_moved(place.state.replica.address)
                 return AttemptOutcome.NOT_TAKEN
             case VerdictKind.NOT_RUN:
+                place.is_rejected = True
                 job.note_attempt_failed(place, f"not run, status {pending.head.status}")
                 self._failure_reason = "the replica did not run the request"
                 return AttemptOutcome.NOT_TAKEN
--- a/tests/platform/test_replica_protocol.py
+++ b/tests/platform/test_replica_protocol.py
@@ -44,6 +44,14 @@
             self.assertEqual(limit.per_s, 1.5)
             self.assertIsNone(notice(status).rate_limit)
 
+    def test_rejection_limit_is_read_from_any_status(self):
+        for status in (200, 404, 421, 500, 503):
+            limit = notice(status, (b"server-brittle", b"3")).rejection_limit
+            self.assertEqual(limit.per_s, 3.0)
+            self.assertIsNone(notice(status).rejection_limit)
+        limit = notice(200, (b"Server-Brittle", b"few")).rejection_limit
+        self.assertIsNone(limit.per_s)
+
     def test_lowest_of_several_limits_is_used(self):
         headers = [(b"Server-Limit", value) for value in (b"3", b"0.5", b"few")]
         self.assertEqual(notice(200, *headers).rate_limit.per_s, 0.5)
--- a/tests/process/relaying/test_replica_notices.py
+++ b/tests/process/relaying/test_replica_notices.py
@@ -22,7 +22,11 @@
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import HoldOff, ReplicaNotice, ReplicaStage
 from tests.process.relaying.test_admission import POOL, replica
-from tests.support.replicas import FakeFactBoard, single_router_limits
+from tests.support.replicas import (
+    FakeFactBoard,
+    single_router_brittle,
+    single_router_limits,
+)
 
 LEAVING = ReplicaNotice(is_leaving=True)
 
@@ -55,8 +59,16 @@
         self.limits = single_router_limits(
             timers, self.registry, self.board, self.metrics
         )
+        self.brittle = single_router_brittle(
+            timers, self.registry, self.board, self.metrics
+        )
         self.notices = ReplicaNotices(
-            self.registry, self.board, self.upstreams, self.limits, self.metrics
+            self.registry,
+            self.board,
+            self.upstreams,
+            self.limits,
+            self.brittle,
+            self.metrics,
         )
 
     def handle(self, name, notice):
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -13,6 +13,7 @@
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member
 from boragedeck.process.relaying.admission import Admission
+from boragedeck.process.relaying.brittle_replicas import BrittleReplicas
 from boragedeck.process.relaying.fleet_size import FleetSize
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.limit_grants import LimitGrants
@@ -22,6 +23,7 @@
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.room_grants import RoomGrants
 from boragedeck.process.relaying.task_owners import TaskOwners
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import RateLimit, ReplicaNotice
@@ -38,6 +40,7 @@
 """One way between two routers."""
 GOSSIP_DELAY_S = 0.3
 DOMAINS = 4
+SPREAD_TOPICS = FactTopic.REPLICA_LIMIT, FactTopic.BRITTLE_REPLICA
 
 
 class Received(msgspec.Struct, frozen=True):
@@ -218,7 +221,7 @@
     def receive(self, fact):
         """Deliver a fact of another router."""
         for topic, callback in self._callbacks:
-            if topic is fact.topic is FactTopic.REPLICA_LIMIT:
+            if topic is fact.topic and topic in SPREAD_TOPICS:
                 callback(fact)
 
 
@@ -244,11 +247,19 @@
             timers, self.registry, grants, self.board, self.metrics
         )
         admission = Admission(timers, self.registry, random.Random(self.name))
+        rooms = RoomGrants(timers, self.owners, peer, peer)
+        self.brittle = BrittleReplicas(
+            timers, self.registry, rooms, self.board, self.metrics
+        )
         self.admission = LimitedAdmission(
-            timers, admission, self.limits, random.Random(f"{self.name} limits")
+            timers,
+            admission,
+            self.limits,
+            self.brittle,
+            random.Random(f"{self.name} limits"),
         )
         self.notices = ReplicaNotices(
-            self.registry, self.board, self, self.limits, self.metrics
+            self.registry, self.board, self, self.limits, self.brittle, self.metrics
         )
         for each in fleet.replicas.values():
             self.registry.put(replica(each.name, slots=6, born_ms=1))
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -20,6 +20,7 @@
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
 from boragedeck.platform.routing import decode_rollout
 from boragedeck.process.relaying.admission import Admission
+from boragedeck.process.relaying.brittle_replicas import BrittleReplicas
 from boragedeck.process.relaying.crash_blame import CrashBlame
 from boragedeck.process.relaying.crash_judge import CrashJudge
 from boragedeck.process.relaying.crash_verdicts import CrashVerdicts
@@ -38,6 +39,7 @@
 from boragedeck.process.relaying.replica_state import Load
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
+from boragedeck.process.relaying.room_grants import RoomGrants
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.stream_pace import StreamTimeEstimator
 from boragedeck.process.relaying.table_mirror import TableMirror
@@ -333,6 +335,15 @@
     return ReplicaLimits(timers, registry, grants, board, metrics)
 
 
+def single_router_brittle(timers, registry, board, metrics):
+    """Return the brittle replicas of a router that is alone, and owns their room."""
+    members = SingleMembership()
+    size = FleetSize(timers, members.routers)
+    owners = TaskOwners(timers, members, Hubs(timers, members), size)
+    grants = RoomGrants(timers, owners, NoPeers(), NoPeers())
+    return BrittleReplicas(timers, registry, grants, board, metrics)
+
+
 def single_router_blame(timers, registry, board, metrics, paths=None):
     """Return the crash blame of a router that is alone, and the judge itself."""
     members = SingleMembership()
@@ -397,8 +408,16 @@
             self.timers, self.registry, self.facts, self.metrics
         )
         self.paths = self.make_paths()
+        self.brittle = single_router_brittle(
+            self.timers, self.registry, self.facts, self.metrics
+        )
         self.notices = ReplicaNotices(
-            self.registry, self.facts, self.upstreams, self.limits, self.metrics
+            self.registry,
+            self.facts,
+            self.upstreams,
+            self.limits,
+            self.brittle,
+            self.metrics,
         )
         self.parts = RelayComponents(
             timers=self.timers,
@@ -406,7 +425,11 @@
             table=lambda: self.table,
             admission=self.admission,
             limited_admission=LimitedAdmission(
-                self.timers, self.admission, self.limits, random.Random(5)
+                self.timers,
+                self.admission,
+                self.limits,
+                self.brittle,
+                random.Random(5),
             ),
             registry=self.registry,
             upstreams=self.upstreams,
