Let connections to replicas survive a silence of a second and more

The time-out now covers all three probes (3.5 s; an idle connection ends after 4 s). The test computes from the options how many probes may be lost; before, one.

--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -27,12 +27,15 @@
 """Maximum number of idle connections to one replica."""
 HEARD_TTL_S = 60.0
 """How long it is known when something arrived from a replica."""
-USER_TIMEOUT_MS = 1_500
-"""Time after which the kernel closes a connection whose data isn't acknowledged."""
 KEEPALIVE_S = 1
 """Time until a silent connection is probed, and between probes."""
-KEEPALIVE_PROBES = 2
-"""Number of unanswered probes after which the kernel closes the connection."""
+KEEPALIVE_PROBES = 3
+"""Number of unanswered probes after which the kernel closes the connection. A sound
+replica may be silent for a second or more, in which two probes can be lost."""
+USER_TIMEOUT_MS = int(1000 * KEEPALIVE_S * (KEEPALIVE_PROBES + 0.5))
+"""Time after which the kernel closes a connection whose data isn't acknowledged. With
+this option it also ends the probes, whatever their number, so it is longer than they
+take."""
 
 
 class UpstreamPool:
--- a/tests/connection/test_upstream_pool.py
+++ b/tests/connection/test_upstream_pool.py
@@ -1,6 +1,8 @@
+import math
 import unittest
 
 import eventlet
+from eventlet.green import socket
 
 from boragedeck.connection.exchange import IDLE_MARGIN_S, Message
 from boragedeck.connection.peer import Address
@@ -57,6 +59,20 @@
             self.fetch(replica)
         self.assertEqual(replica.connections, 1)
 
+    def test_silence_of_a_second_and_a_half_does_not_close_a_connection(self):
+        replica = self.replica(answer())
+        self.fetch(replica)
+        [conn] = self.pool._idle[replica.address]
+        tcp = socket.IPPROTO_TCP
+        interval_s = conn.sock.getsockopt(tcp, socket.TCP_KEEPINTVL)
+        probes = conn.sock.getsockopt(tcp, socket.TCP_KEEPCNT)
+        idle_s = conn.sock.getsockopt(tcp, socket.TCP_KEEPIDLE)
+        limit_s = conn.sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT) / 1000.0
+        # The kernel also gives up at the first probe after the user timeout.
+        lost = min(probes, math.ceil((limit_s - idle_s) / interval_s))
+        self.assertGreater((lost - 1) * interval_s, 1.5)
+        self.assertGreater(limit_s, 1.5 + interval_s)
+
     def test_connection_past_its_keep_alive_timeout_is_not_reused(self):
         replica = self.replica(answer_with_keep_alive(3))
         self.fetch(replica)
