Don't take a silent second of a sound replica for a crash

A sound replica may fall silent for a second or so and go on. Its streams are resumed elsewhere, which callers want; but 0.6 s later the router reported a crash under them, and a part that several such streams share could be blamed and refused. A silence is confirmed after 2 s, and only if the replica then accepts no connection; a broken connection still after 0.6 s.

--- a/boragedeck/process/relaying/crash_blame.py
+++ b/boragedeck/process/relaying/crash_blame.py
@@ -1,6 +1,7 @@
 """Reports replicas that crash under this router's requests, and obeys the verdicts."""
 
 import functools
+import math
 import random
 from collections import OrderedDict, deque
 from collections.abc import Callable
@@ -35,6 +36,9 @@
 JUDGE_TASK = "judge of crashes"
 CONFIRM_S = 0.6
 """How long after a connection broke its replica is lost if it hasn't answered."""
+SILENT_CONFIRM_S = 2.0
+"""How long after a replica fell silent it is lost if it accepts no connection. A sound
+one may be silent for a second or more."""
 REPORT_DELAY_S = 0.03
 """How long after a lost replica refused a connection its other connections break."""
 PATH_CHECK_POLL_S = 0.05
@@ -63,6 +67,8 @@
     at: float
     suspects: list[CrashSuspect] = []
     is_due: bool = False
+    confirm_in_s: float = math.inf
+    """How long after the first break it is confirmed that the replica is lost."""
 
 
 class _Sound(msgspec.Struct):
@@ -106,6 +112,10 @@
         """Return whether this router can't reach a replica that others reach."""
         return False
 
+    def accepts(self, address: Address) -> bool:
+        """Return whether a replica accepts a connection now."""
+        return False
+
 
 class CrashBlame:
     """What this router contributes to, and knows of, the verdicts on crashes.
@@ -210,7 +220,13 @@
             )
         return is_trial
 
-    def note_broken(self, suspect: CrashSuspect | None, state: ReplicaState) -> None:
+    def note_broken(
+        self,
+        suspect: CrashSuspect | None,
+        state: ReplicaState,
+        *,
+        is_silent: bool = False,
+    ) -> None:
         """Record that a replica broke the connection during a request.
 
         Parameters
@@ -219,12 +235,17 @@
             The request; None if it had lasting output.
         state : ReplicaState
             The replica.
+        is_silent : bool, optional
+            Whether the connection isn't broken, and the replica sends nothing.
         """
         found = self._breaks.get(state.run)
         if found is None:
             found = self._breaks[state.run] = _Break(self._timers.now())
-            confirm = functools.partial(self._confirm, state.run, state)
-            self._timers.call_later(CONFIRM_S, confirm)
+        delay_s = SILENT_CONFIRM_S if is_silent else CONFIRM_S
+        if delay_s < found.confirm_in_s:
+            found.confirm_in_s = delay_s
+            confirm = functools.partial(self._confirm, found, state)
+            self._timers.call_later(delay_s, confirm)
         if suspect is not None:
             found.suspects.append(suspect)
 
@@ -250,16 +271,27 @@
             sound = _Sound(began_at)
             self._report_output(known.verdict.signature, sound)
 
-    def _confirm(self, run: Run, state: ReplicaState) -> None:
-        found = self._breaks.get(run)
-        if found is None:
+    def _confirm(self, found: _Break, state: ReplicaState) -> None:
+        run = state.run
+        if self._breaks.get(run) is not found:
             return
         has_answered = state.consecutive_misses == 0 or state.answered_at > found.at
         if state.is_removed or not has_answered:
-            self._report_crash(run, state)
+            eventlet.spawn_n(self._confirm_lost, found, state)
         else:
             del self._breaks[run]
 
+    def _confirm_lost(self, found: _Break, state: ReplicaState) -> None:
+        """Report a crash, unless the replica was only silent and lives."""
+        was_silent = found.confirm_in_s == SILENT_CONFIRM_S
+        address = state.replica.address
+        if was_silent and not state.is_removed and self._paths.accepts(address):
+            _log.write("Silent replica lives.", replica=state.replica.replica)
+            if self._breaks.get(state.run) is found:
+                del self._breaks[state.run]
+            return
+        self._report_crash(state.run, state)
+
     def _report_crash(self, run: Run, state: ReplicaState) -> None:
         """Report a crash once it is known that the path to the replica isn't lost."""
         address = state.replica.address
--- a/boragedeck/process/relaying/replica_paths.py
+++ b/boragedeck/process/relaying/replica_paths.py
@@ -31,6 +31,7 @@
 from boragedeck.process.relaying.gateways import Gateways
 from boragedeck.process.relaying.path_checks import (
     MAX_ADDRESSES,
+    PROBE_TIMEOUT_S,
     CheckResult,
     PathChecker,
 )
@@ -170,6 +171,10 @@
         """Return whether this router can't reach a replica that others reach."""
         return self.state_of(address) is PathState.INDIRECT
 
+    def accepts(self, address: Address) -> bool:
+        """Return whether a replica accepts a connection of this router now."""
+        return self._upstreams.open_idle(address, PROBE_TIMEOUT_S)
+
     def is_checking(self, address: Address) -> bool:
         """Return whether it is being found out how a replica is reached."""
         return address in self._checks
--- a/boragedeck/request/answer_progress.py
+++ b/boragedeck/request/answer_progress.py
@@ -55,12 +55,12 @@
             self._began_at = now
         self._note_lasting()
 
-    def note_broken(self, state: ReplicaState) -> None:
-        """Record that the replica broke the connection."""
+    def note_broken(self, state: ReplicaState, *, is_silent: bool = False) -> None:
+        """Record that the replica broke the connection, or sends nothing any more."""
         suspect = None
         if not self.is_lasting:
             suspect = self._traits.suspect(has_begun=self.has_begun)
-        self._crash_blame.note_broken(suspect, state)
+        self._crash_blame.note_broken(suspect, state, is_silent=is_silent)
 
     def _note_lasting(self) -> None:
         if not self.is_lasting:
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -210,7 +210,8 @@
         except UpstreamError as exc:
             if not job.is_own_loss(place):
                 job.evidence.note_outcome(place, Outcome.FAILED)
-                progress.note_broken(state)
+                is_silent = isinstance(exc, UpstreamSilentError)
+                progress.note_broken(state, is_silent=is_silent)
             self._note_lost_attempt(place, exc, "lost")
             return AnswerLost(exc.message)
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -342,7 +342,8 @@
             job.note_miss(place)
         job.parts.metrics.attempts.labels(job.rule.kind.value, outcome.value).inc()
         if outcome is AttemptOutcome.LOST and not job.is_own_loss(place):
-            self._progress.note_broken(place.state)
+            is_silent = isinstance(exc, UpstreamSilentError)
+            self._progress.note_broken(place.state, is_silent=is_silent)
             if self._progress.is_at_begin:
                 job.lost_at_begin += 1
             job.evidence.note_outcome(place, Outcome.FAILED)
--- a/tests/request/test_relay_deadly_part.py
+++ b/tests/request/test_relay_deadly_part.py
@@ -36,6 +36,80 @@
 DOMAINS = 4
 
 
+class SilentReplicaTest(unittest.TestCase):
+    """Sound replicas fall silent for a second, one after the other, and go on."""
+
+    silence_s = 1.2
+
+    def setUp(self):
+        self.harness = RelayHarness(stream_rule(timeout_s=8.0), pool=POOL)
+        self.addCleanup(self.harness.close)
+        self.silent_until = {}
+        for number in range(8):
+            replica = ScriptedReplica(f"engine-{number}", None)
+            replica._steps[0] = self.engine(replica)
+            self.harness.add(replica)
+            self.harness.registry.put(replica.entry(domain=f"d{number % DOMAINS}"))
+
+    def now(self):
+        return self.harness.timers.now()
+
+    def fall_silent(self, replica):
+        """Make a replica silent for the first time, unless another one still is."""
+        is_alone = self.now() >= max(self.silent_until.values(), default=0.0)
+        if is_alone and replica.name not in self.silent_until:
+            self.silent_until[replica.name] = self.now() + self.silence_s
+
+    def wait_until_awake(self, replica):
+        while self.now() < self.silent_until.get(replica.name, 0.0):
+            eventlet.sleep(0.01)
+
+    def engine(self, replica):
+        def serve(sock, req):
+            self.wait_until_awake(replica)
+            if b"request-id" not in req.headers:
+                return report_model(sock, req)
+            sock.sendall(head_of(req, 200, b"Transfer-Encoding: chunked") + b"\r\n")
+            first = int(req.headers.get(b"last-event-id", b"0")) + 1
+            for number in range(first, 9):
+                # The first silent moment hits the stream before its output has lasted.
+                if number == 2:
+                    self.fall_silent(replica)
+                self.wait_until_awake(replica)
+                send_chunk(sock, event(number))
+                eventlet.sleep(0.02)
+            sock.sendall(b"0\r\n\r\n")
+            return True
+
+        return serve
+
+    def fetch(self, number):
+        prefix = b"Prompt-Prefix: a:200,%x:800" % number
+        name, body = b"id-%d" % number, b"body %d" % number
+        return self.harness.fetch(TOKENS, prefix, name=name, body=body, ms=8000)
+
+    def test_silence_of_sound_replicas_is_taken_for_crashes(self):
+        fetched = []
+        for number in range(16):
+            fetched.append(eventlet.spawn(self.fetch, number))
+            eventlet.sleep(0.3)
+        for thread in fetched:
+            response = thread.wait()
+            self.assertEqual((response.status, response.is_complete), (200, True))
+        self.assertGreaterEqual(len(self.silent_until), 4)
+        eventlet.sleep(2.5)
+        self.assertEqual(self.harness.metrics.crashes_reported._value.get(), 0)
+        self.assertEqual(self.fetch(99).status, 200)
+
+    def test_replica_is_used_again_soon_after_its_silence(self):
+        self.fetch(0)
+        silent = [self.harness.registry.get(name) for name in self.silent_until]
+        until = max(self.silent_until.values())
+        while any(state.avoid_until > self.now() for state in silent):
+            eventlet.sleep(0.02)
+        self.assertLess(self.now(), until + 1.0)
+
+
 class DeadlyPartTest(unittest.TestCase):
     def setUp(self):
         self.harness = RelayHarness(stream_rule(timeout_s=8.0), pool=POOL)
