Let routers without own paths say nothing about the paths of others

With half of the fleet cut off, the four routers that are asked can all be cut off (one check in 70), and their reports made all paths lost for half a second. A router that knows that others reach a replica now reports neither.

--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -54,7 +54,7 @@
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
-from boragedeck.process.relaying.replica_paths import PathState, ReplicaPaths
+from boragedeck.process.relaying.replica_paths import ReplicaPaths
 from boragedeck.process.relaying.replica_source import ReplicaSource
 from boragedeck.process.relaying.retry_reserve import RetryReserve
 from boragedeck.process.relaying.retry_share import USABLE_SHARE, RetryShare
@@ -370,7 +370,7 @@
             self._links,
             self._peer_server,
             lambda address: self._registry.at(address) is not None,
-            lambda address: self._paths.state_of(address) is PathState.DIRECT,
+            lambda address: self._paths.state_of(address),
         )
         self._forwards = UpstreamPool(self.timers, exchange_type=ForwardedExchange)
         self._paths = ReplicaPaths(
--- a/boragedeck/process/relaying/path_checks.py
+++ b/boragedeck/process/relaying/path_checks.py
@@ -14,6 +14,7 @@
 from boragedeck.interfaces import Member, Membership
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.path_messages import AskPaths, PathReport
+from boragedeck.process.relaying.path_state import PathState
 from boragedeck.process.timers import TimerService
 
 __all__ = ["CheckResult", "PathChecker"]
@@ -68,8 +69,8 @@
         Receives their questions.
     is_known : callable
         Returns whether a replica has an address; others aren't probed.
-    is_direct : callable
-        Returns whether this router's own path to an address isn't known to be lost.
+    state_of : callable
+        Returns how this router reaches an address.
     """
 
     def __init__(
@@ -81,7 +82,7 @@
         links: PeerLinks,
         server: PeerServer,
         is_known: Callable[[Address], bool],
-        is_direct: Callable[[Address], bool],
+        state_of: Callable[[Address], PathState],
     ):
         self._timers = timers
         self._rng = rng
@@ -89,7 +90,7 @@
         self._membership = membership
         self._links = links
         self._is_known = is_known
-        self._is_direct = is_direct
+        self._state_of = state_of
         self._probes: dict[Address, Event] = {}
         server.register(AskPaths, self._on_ask)
 
@@ -156,13 +157,18 @@
         return PathReport()
 
     def _on_ask(self, query: AskPaths) -> PathReport:
-        known = [each for each in query.addresses if self._is_known(each)]
-        known = known[:MAX_ADDRESSES]
+        # Of a path that only this router has lost, it says nothing.
+        known = [
+            each
+            for each in query.addresses[:MAX_ADDRESSES]
+            if self._is_known(each) and self._state_of(each) is not PathState.INDIRECT
+        ]
         since = self._timers.now() - RECENT_S
         reached = {each for each in known if self._upstreams.heard_at(each) >= since}
-        unclear = [
-            each for each in known if each not in reached and self._is_direct(each)
-        ]
-        reached |= self._probe_all(unclear)
+        reached |= self._probe_all(
+            each
+            for each in known
+            if each not in reached and self._state_of(each) is PathState.DIRECT
+        )
         not_reached = tuple(each for each in known if each not in reached)
         return PathReport(tuple(reached), not_reached)
--- a/boragedeck/process/relaying/path_messages.py
+++ b/boragedeck/process/relaying/path_messages.py
@@ -24,7 +24,8 @@
     Parameters
     ----------
     reached, not_reached : tuple of Address
-        Addresses of replicas; one that the router doesn't know is in neither.
+        Addresses of replicas. Those that the router doesn't know are in neither, nor
+        those of which it knows that others reach them.
     """
 
     reached: tuple[Address, ...] = ()
--- a/boragedeck/process/relaying/replica_paths.py
+++ b/boragedeck/process/relaying/replica_paths.py
@@ -5,7 +5,6 @@
 request stay with the router that has the caller.
 """
 
-import enum
 from collections.abc import Callable, Iterable
 
 import eventlet
@@ -35,10 +34,11 @@
     CheckResult,
     PathChecker,
 )
+from boragedeck.process.relaying.path_state import PathState
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.timers import TimerService
 
-__all__ = ["PathState", "ReplicaPaths"]
+__all__ = ["ReplicaPaths"]
 
 TICK_S = 0.5
 """How often lost paths are checked."""
@@ -56,17 +56,6 @@
 _log = PartLog("paths")
 
 
-class PathState(enum.Enum):
-    """How a replica is reached."""
-
-    DIRECT = "direct"
-    """On this router's own connections, as far as is known."""
-    INDIRECT = "indirect"
-    """Through other routers only."""
-    LOST = "lost"
-    """Neither this router nor those that it asked reach it."""
-
-
 class ReplicaPaths:
     """The paths from this router to the replicas.
 
--- a/tests/request/test_relay_paths.py
+++ b/tests/request/test_relay_paths.py
@@ -2,7 +2,8 @@
 
 import eventlet
 
-from boragedeck.process.relaying.replica_paths import TICK_S, PathState
+from boragedeck.process.relaying.path_state import PathState
+from boragedeck.process.relaying.replica_paths import TICK_S
 from boragedeck.version.routing import CallKind, RelayPool
 from tests.support.cut_fleet import Cut, CutFleet
 from tests.support.replicas import (
@@ -132,11 +133,11 @@
         self.cut_off = self.fleet_.routers[0]
         self.others = self.fleet_.routers[1:]
         self.fleet_.cut(Cut.REFUSE, 0)
-        self.find_out()
+        self.find_out(self.cut_off)
 
-    def find_out(self):
-        """Let the cut-off router find out which paths it has lost."""
-        paths = self.cut_off.paths
+    def find_out(self, router):
+        """Let a cut-off router find out which paths it has lost."""
+        paths = router.paths
         for each in self.fleet_.replicas:
             paths._start_check(each.address, frozenset())
         with eventlet.Timeout(2.0):
@@ -222,6 +223,23 @@
             self.assertLessEqual(len(each.relayed()), 1.5 * LIMIT_PER_S * 3.0 + 5)
 
 
+class ReportTest(ForwardCase):
+    """Both other routers that the cut-off one can ask have lost their paths, too."""
+
+    routers = 4
+
+    def test_routers_that_have_lost_their_own_paths_do_not_vouch_for_a_loss(self):
+        self.fleet_.cut(Cut.REFUSE, 1, 2)
+        for router in self.others[:2]:
+            self.find_out(router)
+        members = self.cut_off.members.members
+        self.cut_off.members.members = lambda: members()[:2]
+        eventlet.sleep(2.0 * TICK_S)
+        for each in self.fleet_.replicas:
+            state = self.cut_off.paths.state_of(each.address)
+            self.assertIs(state, PathState.INDIRECT)
+
+
 class ReplicasGoneTest(ForwardCase):
     def setUp(self):
         super().setUp()
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -35,7 +35,7 @@
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
-from boragedeck.process.relaying.replica_paths import PathState, ReplicaPaths
+from boragedeck.process.relaying.replica_paths import ReplicaPaths
 from boragedeck.process.relaying.replica_state import Load
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
@@ -375,7 +375,7 @@
         peer,
         peer,
         lambda address: registry.at(address) is not None,
-        lambda address: paths.state_of(address) is PathState.DIRECT,
+        lambda address: paths.state_of(address),
     )
     paths = ReplicaPaths(
         timers,
