--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -5,14 +5,12 @@
 from collections.abc import Iterable
 
 import eventlet
-import msgspec
 from eventlet import wsgi
 from eventlet.greenio import GreenSocket
 from prometheus_client import make_wsgi_app
 
 from boragedeck.connection.caller_edge import CallerChannel, CallerEdge, RawRequest
 from boragedeck.connection.early_listener import BACKLOG
-from boragedeck.connection.forwarding import ForwardedExchange
 from boragedeck.connection.listening import DiscardingLog
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.store import Table
@@ -42,19 +40,21 @@
 from boragedeck.process.relaying.crash_verdicts import CrashVerdicts
 from boragedeck.process.relaying.durations import RequestDurations
 from boragedeck.process.relaying.fleet_size import FleetSize, reachable_share
-from boragedeck.process.relaying.gateways import Gateways
 from boragedeck.process.relaying.hubs import Hubs, choose_hubs
 from boragedeck.process.relaying.limit_grants import LimitGrants
 from boragedeck.process.relaying.limited_admission import LimitedAdmission
 from boragedeck.process.relaying.load_exchange import LoadExchange
 from boragedeck.process.relaying.mirror_follower import MirrorFollower
 from boragedeck.process.relaying.mirror_messages import serve_mirrors
-from boragedeck.process.relaying.path_checks import PathChecker
+from boragedeck.process.relaying.path_composition import (
+    forward_address,
+    make_forward_edge,
+    make_paths,
+)
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
-from boragedeck.process.relaying.replica_paths import ReplicaPaths
 from boragedeck.process.relaying.replica_source import ReplicaSource
 from boragedeck.process.relaying.retry_reserve import RetryReserve
 from boragedeck.process.relaying.retry_share import USABLE_SHARE, RetryShare
@@ -68,11 +68,9 @@
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.relaying.task_owners import TaskOwners
 from boragedeck.process.timers import RealTimers
-from boragedeck.request.forward import Forwarder
 from boragedeck.request.relay import relay
 from boragedeck.request.relay_job import RelayComponents, respond_refusal
 from boragedeck.version.replicas import Replica
-from boragedeck.version.routing import CallerLimits
 
 __all__ = ["RelayRouter"]
 
@@ -86,8 +84,6 @@
 """How long after the stop has begun the platform may still send callers here."""
 GRACE_MARGIN_S = 0.4
 DRAIN_POLL_S = 0.05
-FORWARD_HEADER_BYTES = 4_096
-"""Size of the headers that routers add to a caller's."""
 IDLE_SHARE = 0.5
 """Share of a replica's connections that all routers together may keep idle."""
 
@@ -154,7 +150,6 @@
         self._loads.start()
         self._rollouts.start()
         self.timers.subscribe(EXPIRE_INTERVAL_S, self._upstreams.expire)
-        self.timers.subscribe(EXPIRE_INTERVAL_S, self._forwards.expire)
         eventlet.spawn_n(self._forward_edge.serve)
         eventlet.spawn_n(self._serve_callers)
         _serve_wsgi(self._ready_listener, self._answer_ready)
@@ -288,7 +283,16 @@
             self._membership.routers,
         )
         self._upstreams = UpstreamPool(self.timers, self._max_idle_per_replica)
-        self._make_paths()
+        self._paths = make_paths(
+            self.timers,
+            self._rng,
+            self._upstreams,
+            self._registry,
+            self._membership,
+            self._links,
+            self._peer_server,
+            self.metrics,
+        )
         self._loads = LoadExchange(
             self.timers,
             self._registry,
@@ -344,51 +348,17 @@
             refusal_headers=refusal_headers,
         )
 
-        self._forward_edge = CallerEdge(
+        self._forward_edge = make_forward_edge(
             _listen(forward_address(self.own)),
-            self._forward_limits,
-            Forwarder(
-                self.timers,
-                self._registry,
-                self._upstreams,
-                notices,
-                protocol,
-                self._paths.state_of,
-                self._time_left,
-                self.metrics,
-            ).handle,
-            self.timers,
-        )
-
-    def _make_paths(self) -> None:
-        gateways = Gateways(self.timers, self._rng, self._membership, forward_address)
-        checker = PathChecker(
-            self.timers,
-            self._rng,
-            self._upstreams,
-            self._membership,
-            self._links,
-            self._peer_server,
-            lambda address: self._registry.at(address) is not None,
-            lambda address: self._paths.state_of(address),
-        )
-        self._forwards = UpstreamPool(self.timers, exchange_type=ForwardedExchange)
-        self._paths = ReplicaPaths(
             self.timers,
+            self._registry,
             self._upstreams,
-            self._forwards,
-            checker,
-            gateways,
-            self._registry.addresses,
+            self._paths,
+            notices,
+            protocol,
             self.metrics,
-        )
-        self._paths.on_reached = self._registry.note_path_changed
-
-    def _forward_limits(self) -> CallerLimits:
-        """Return the limits of forwarded requests, which have more headers."""
-        limits = self._routing.current().limits
-        return msgspec.structs.replace(
-            limits, header_bytes=limits.header_bytes + FORWARD_HEADER_BYTES
+            lambda: self._routing.current().limits,
+            self._time_left,
         )
 
     def _make_limits(self) -> ReplicaLimits:
@@ -480,11 +450,6 @@
         return [b"ready\n" if is_ready else b"not ready\n"]
 
 
-def forward_address(member: Member) -> Address:
-    """Return where a router accepts requests to forward: at the port after its own."""
-    return Address(member.address.host, member.address.port + 1)
-
-
 def _active_requests(edges: Iterable[CallerEdge]) -> int:
     return sum(edge.active_requests() for edge in edges)
 
--- /dev/null
+++ b/boragedeck/process/relaying/path_composition.py
@@ -0,0 +1,117 @@
+"""Builds the parts by which requests reach replicas, directly or through a router."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+from eventlet.greenio import GreenSocket
+
+from boragedeck.connection.caller_edge import CallerEdge
+from boragedeck.connection.forwarding import ForwardedExchange
+from boragedeck.connection.peer import Address, PeerLinks, PeerServer
+from boragedeck.connection.upstream_pool import UpstreamPool
+from boragedeck.interfaces import Member, Membership
+from boragedeck.process.relaying.gateways import Gateways
+from boragedeck.process.relaying.path_checks import PathChecker
+from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replica_paths import ReplicaPaths
+from boragedeck.process.timers import TimerService
+from boragedeck.request.forward import Forwarder
+from boragedeck.request.relay_request import ReplicaProtocol
+from boragedeck.version.routing import CallerLimits
+
+__all__ = ["forward_address", "make_forward_edge", "make_paths"]
+
+FORWARD_HEADER_BYTES = 4_096
+"""Size of the headers that routers add to a caller's."""
+EXPIRE_INTERVAL_S = 1.0
+
+
+def forward_address(member: Member) -> Address:
+    """Return where a router accepts requests to forward: at the port after its own."""
+    return Address(member.address.host, member.address.port + 1)
+
+
+def make_paths(
+    timers: TimerService,
+    rng: random.Random,
+    upstreams: UpstreamPool,
+    registry: ReplicaRegistry,
+    membership: Membership,
+    links: PeerLinks,
+    server: PeerServer,
+    metrics: RelayMetrics,
+    gateway_address: Callable[[Member], Address] = forward_address,
+) -> ReplicaPaths:
+    """Return the paths from this router to the replicas.
+
+    Parameters
+    ----------
+    timers, rng, upstreams, registry, membership, links, server, metrics
+        Parts of the router.
+    gateway_address : callable, optional
+        Returns where another router accepts requests to forward.
+    """
+    checker = PathChecker(
+        timers,
+        rng,
+        upstreams,
+        membership,
+        links,
+        server,
+        lambda address: registry.at(address) is not None,
+        lambda address: paths.state_of(address),
+    )
+    forwards = UpstreamPool(timers, exchange_type=ForwardedExchange)
+    timers.subscribe(EXPIRE_INTERVAL_S, forwards.expire)
+    gateways = Gateways(timers, rng, membership, gateway_address)
+    paths = ReplicaPaths(
+        timers, upstreams, forwards, checker, gateways, registry.addresses, metrics
+    )
+    paths.on_reached = registry.note_path_changed
+    return paths
+
+
+def make_forward_edge(
+    listener: GreenSocket,
+    timers: TimerService,
+    registry: ReplicaRegistry,
+    upstreams: UpstreamPool,
+    paths: ReplicaPaths,
+    notices: ReplicaNotices,
+    protocol: ReplicaProtocol,
+    metrics: RelayMetrics,
+    limits: Callable[[], CallerLimits],
+    time_left: Callable[[], float],
+) -> CallerEdge:
+    """Return the server at which other routers let this one forward requests.
+
+    Parameters
+    ----------
+    listener : socket
+        The socket to which they connect.
+    timers, registry, upstreams, paths, notices, protocol, metrics
+        Parts of the router.
+    limits : callable
+        Returns the limits of callers' requests. Forwarded ones have more headers.
+    time_left : callable
+        Returns how long this process will still serve requests, in seconds.
+    """
+    forwarder = Forwarder(
+        timers,
+        registry,
+        upstreams,
+        notices,
+        protocol,
+        paths.state_of,
+        time_left,
+        metrics,
+    )
+
+    def forward_limits() -> CallerLimits:
+        header_bytes = limits().header_bytes + FORWARD_HEADER_BYTES
+        return msgspec.structs.replace(limits(), header_bytes=header_bytes)
+
+    return CallerEdge(listener, forward_limits, forwarder.handle, timers)
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import random
 
 import eventlet
 from result import Err, Ok
@@ -19,10 +20,11 @@
     UpstreamRefusedError,
 )
 from boragedeck.interfaces import Member
+from boragedeck.process.relaying.path_composition import make_paths
 from boragedeck.request.forward import Forwarder
 from boragedeck.version.routing import CallerLimits
 from tests.support.limited_fleet import FleetMembers
-from tests.support.replicas import RelayHarness, router_paths
+from tests.support.replicas import RelayHarness
 
 HANG_POLL_S = 0.01
 LATENCY_S = 0.002
@@ -148,13 +150,16 @@
 
     def make_paths(self):
         """Return the paths of this router."""
-        return router_paths(
+        peer = FleetPeer(self._fleet, self.member.address)
+        return make_paths(
             self.timers,
-            self.registry,
+            random.Random(7),
             self.upstreams,
-            self.metrics,
+            self.registry,
             self.members,
-            FleetPeer(self._fleet, self.member.address),
+            peer,
+            peer,
+            self.metrics,
             lambda member: member.address,
         )
 
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -10,7 +10,6 @@
 from result import Ok
 
 from boragedeck.connection.caller_edge import CallerEdge
-from boragedeck.connection.forwarding import ForwardedExchange
 from boragedeck.connection.messages import Fact
 from boragedeck.connection.peer import Address
 from boragedeck.connection.store import Table
@@ -26,16 +25,14 @@
 from boragedeck.process.relaying.crash_verdicts import CrashVerdicts
 from boragedeck.process.relaying.durations import RequestDurations
 from boragedeck.process.relaying.fleet_size import FleetSize
-from boragedeck.process.relaying.gateways import Gateways
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.limit_grants import LimitGrants
 from boragedeck.process.relaying.limited_admission import LimitedAdmission
-from boragedeck.process.relaying.path_checks import PathChecker
+from boragedeck.process.relaying.path_composition import make_paths
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.replica_notices import ReplicaNotices
-from boragedeck.process.relaying.replica_paths import ReplicaPaths
 from boragedeck.process.relaying.replica_state import Load
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
@@ -364,32 +361,6 @@
     )
 
 
-def router_paths(timers, registry, upstreams, metrics, members, peer, forward_at):
-    """Return the paths of a router with some other routers."""
-    rng = random.Random(7)
-    checker = PathChecker(
-        timers,
-        rng,
-        upstreams,
-        members,
-        peer,
-        peer,
-        lambda address: registry.at(address) is not None,
-        lambda address: paths.state_of(address),
-    )
-    paths = ReplicaPaths(
-        timers,
-        upstreams,
-        UpstreamPool(timers, exchange_type=ForwardedExchange),
-        checker,
-        Gateways(timers, rng, members, forward_at),
-        registry.addresses,
-        metrics,
-    )
-    paths.on_reached = registry.note_path_changed
-    return paths
-
-
 class RelayHarness:
     """A router's relaying components with scripted replicas and callers' sockets."""
 
@@ -473,14 +444,15 @@
 
     def make_paths(self):
         """Return the paths of a router that is alone."""
-        return router_paths(
+        return make_paths(
             self.timers,
-            self.registry,
+            random.Random(7),
             self.upstreams,
-            self.metrics,
+            self.registry,
             SingleMembership(),
             NoPeers(),
-            None,
+            NoPeers(),
+            self.metrics,
         )
 
     def add(self, *replicas, **fields):
