--- a/boragedeck/process/relaying/path_checks.py
+++ b/boragedeck/process/relaying/path_checks.py
@@ -6,6 +6,7 @@
 import eventlet
 import msgspec
 from eventlet.event import Event
+from eventlet.queue import LightQueue
 
 from boragedeck.connection.address import Address
 from boragedeck.connection.peer import PeerLinks, PeerServer
@@ -19,11 +20,14 @@
 
 __all__ = ["RECENT_S", "CheckResult", "PathChecker"]
 
-PROBE_TIMEOUT_S = 0.25
+PROBE_TIMEOUT_S = 0.15
 """How long a replica has to accept a connection."""
 ASK_TIMEOUT_S = 0.5
 """How long another router has to answer; it may have to probe first."""
-MAX_ASKED_ROUTERS = 4
+ROUTERS_PER_ROUND = 4
+MAX_ROUNDS = 2
+"""If none of the routers that are asked at once reaches a replica, others are asked: in
+a large cut, all of them may be cut off."""
 MAX_ADDRESSES = 32
 """Maximum number of replicas in one check."""
 RECENT_S = 0.5
@@ -142,39 +146,59 @@
         return is_reached
 
     def _ask_others(self, query: AskPaths, result: CheckResult) -> None:
+        """Ask routers in rounds, until all replicas are reached."""
         healthy = [
             each for each in self._membership.members() if each.health is Health.HEALTHY
         ]
-        asked = self._rng.sample(healthy, min(MAX_ASKED_ROUTERS, len(healthy)))
-        calls = [(member, eventlet.spawn(self._ask, member, query)) for member in asked]
-        for member, call in calls:
-            report = call.wait()
+        self._rng.shuffle(healthy)
+        for number in range(MAX_ROUNDS):
+            first = number * ROUTERS_PER_ROUND
+            asked = healthy[first : first + ROUTERS_PER_ROUND]
+            missing = tuple(
+                each for each in query.addresses if each not in result.gateways
+            )
+            if not (asked and missing):
+                return
+            self._ask_round(asked, AskPaths(missing, query.max_age_s), result)
+
+    def _ask_round(
+        self, asked: list[Member], query: AskPaths, result: CheckResult
+    ) -> None:
+        """Ask some routers, until all replicas are reached or all have answered."""
+        answers: LightQueue = LightQueue()
+        for member in asked:
+            eventlet.spawn_n(self._ask, member, query, answers)
+        for _ in asked:
+            member, report = answers.get()
             for address in report.reached:
                 result.gateways.setdefault(address, []).append(member)
             result.not_reached.update(report.not_reached)
+            if all(address in result.gateways for address in query.addresses):
+                return
 
-    def _ask(self, member: Member, query: AskPaths) -> PathReport:
-        answer = self._links.link(member.address).call(
-            query, PathReport, timeout_s=ASK_TIMEOUT_S
-        )
-        if answer.is_ok():
-            return answer.ok()
-        _log.write("No report.", peer=str(member.address), error=str(answer.err()))
-        return PathReport()
+    def _ask(self, member: Member, query: AskPaths, answers: LightQueue) -> None:
+        report = PathReport()
+        try:
+            answer = self._links.link(member.address).call(
+                query, PathReport, timeout_s=ASK_TIMEOUT_S
+            )
+            if answer.is_ok():
+                report = answer.ok()
+            else:
+                error = str(answer.err())
+                _log.write("No report.", peer=str(member.address), error=error)
+        finally:
+            answers.put((member, report))
 
     def _on_ask(self, query: AskPaths) -> PathReport:
-        # Of a path that only this router has lost, it says nothing.
+        # A router that has lost a path itself can't vouch for the replica's loss.
         known = [
             each
             for each in query.addresses[:MAX_ADDRESSES]
-            if self._is_known(each) and self._state_of(each) is not PathState.INDIRECT
+            if self._is_known(each) and self._state_of(each) is PathState.DIRECT
         ]
         since = self._timers.now() - query.max_age_s
         reached = {each for each in known if self._upstreams.heard_at(each) >= since}
-        reached |= self._probe_all(
-            each
-            for each in known
-            if each not in reached and self._state_of(each) is PathState.DIRECT
-        )
+        reached |= self._probe_all(each for each in known if each not in reached)
         not_reached = tuple(each for each in known if each not in reached)
         return PathReport(tuple(reached), not_reached)
--- a/boragedeck/process/relaying/path_messages.py
+++ b/boragedeck/process/relaying/path_messages.py
@@ -28,7 +28,7 @@
     ----------
     reached, not_reached : tuple of Address
         Addresses of replicas. Those that the router doesn't know are in neither, nor
-        those of which it knows that others reach them.
+        those to which it has lost its own path before.
     """
 
     reached: tuple[Address, ...] = ()
--- a/boragedeck/process/relaying/replica_paths.py
+++ b/boragedeck/process/relaying/replica_paths.py
@@ -45,8 +45,10 @@
 """How often lost paths are checked."""
 SILENCE_CHECK_INTERVAL_S = 0.5
 """Minimum time between two checks of one replica because it is silent."""
-REFUSAL_WAIT_S = 0.05
-"""How long a refused request waits for the result of a check."""
+CHECK_WAIT_S = 0.1
+"""How long a request that wasn't sent waits for the result of a check."""
+DOUBTFUL_CONNECT_TIMEOUT_S = 0.1
+"""How long a replica has to accept a connection while paths to others are lost."""
 MAX_GATEWAYS = 3
 """Maximum number of gateways that are tried for one attempt."""
 MAX_UNREACHED_GATEWAYS = 2
@@ -142,6 +144,8 @@
             If the replica may have received the request.
         """
         if not self.is_own_loss(address):
+            if self._has_own_loss():
+                connect_timeout_s = min(connect_timeout_s, DOUBTFUL_CONNECT_TIMEOUT_S)
             try:
                 return self._upstreams.send(
                     address, message, connect_timeout_s, send_timeout_s, check
@@ -213,7 +217,8 @@
         -----
         After a refusal, other routers mostly know at once whether they reach the
         replica, which is worth a short wait. After a time-out they may have to wait as
-        long, and the request may better be sent to another replica.
+        long, and the request may better be sent to another replica, unless other paths
+        are lost already, since then this one is being checked, too.
         """
         is_timeout = isinstance(exc, UpstreamConnectTimeoutError)
         if is_timeout:
@@ -223,8 +228,8 @@
         if self.state_of(address) is PathState.LOST:
             return
         done = self._start_check(address, frozenset({address}))
-        if not is_timeout:
-            self._timers.wait(done, REFUSAL_WAIT_S)
+        if not is_timeout or self._has_own_loss():
+            self._timers.wait(done, CHECK_WAIT_S)
 
     def _start_check(self, address: Address, failed: frozenset[Address]) -> Event:
         """Check a path in a green thread of its own, if that isn't done already."""
@@ -386,5 +391,8 @@
             error=str(exc),
         )
 
+    def _has_own_loss(self) -> bool:
+        return PathState.INDIRECT in self._states.values()
+
     def _count(self, state: PathState) -> int:
         return sum(each is state for each in self._states.values())
--- a/boragedeck/request/stream_liveness.py
+++ b/boragedeck/request/stream_liveness.py
@@ -23,6 +23,8 @@
 PROBE_TIMEOUT_GAP_SHARE = 0.25
 """Share of the gap objective within which a replica has to answer a probe. Together
 with `SUSPECT_GAP_SHARE` it leaves a quarter for resuming the stream elsewhere."""
+PROBE_DOUBT_S = 0.05
+"""How long after a probe the path to its replica is checked, too."""
 PROBE_TIMEOUT_S = 0.25
 """Time-out of a probe before the first event."""
 MIN_SUSPECT_S = 0.2
@@ -87,8 +89,15 @@
         parts = self._job.parts
         if parts.paths.is_dead(exchange):
             return False
-        if probe(parts, place, self._probe_timeout_s()) is None:
-            parts.paths.note_silent(exchange, since)
+        # A sound replica answers at once; the path is checked while it doesn't.
+        doubt = parts.timers.call_later(
+            PROBE_DOUBT_S, lambda: parts.paths.note_silent(exchange, since)
+        )
+        try:
+            is_answered = probe(parts, place, self._probe_timeout_s()) is not None
+        finally:
+            doubt.cancel()
+        if not is_answered:
             return False
         # The probe may have found out that it has to take another path.
         return not parts.paths.is_dead(exchange)
