Know from a check whether open connections to a replica hang

Read in the code: only a request whose own connection timed out marked the open connections of a replica as hanging. A stream that fell silent after another one's check had found the loss was then probed through a gateway, found alive, and waited for the kernel to end its connection, up to 4 s. Checks now say how the attempt to connect ended. The new test (the stream's pause while the loss is known) fails before. Also: all paths are checked in batches when one is lost or found again, lost ones in turn, and what is known of replicas that are gone is dropped.

--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -1,5 +1,6 @@
 """Pool of reusable connections to replicas."""
 
+import enum
 from collections.abc import Callable
 from functools import partial
 
@@ -21,7 +22,7 @@
 )
 from boragedeck.process.timers import TimerService
 
-__all__ = ["MAX_IDLE_PER_REPLICA", "UpstreamPool"]
+__all__ = ["MAX_IDLE_PER_REPLICA", "ConnectOutcome", "UpstreamPool"]
 
 MAX_IDLE_PER_REPLICA = 8
 """Maximum number of idle connections to one replica."""
@@ -38,6 +39,14 @@
 take."""
 
 
+class ConnectOutcome(enum.Enum):
+    """How an attempt to open a connection ended."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    TIMED_OUT = "timed_out"
+
+
 class UpstreamPool:
     """Opens connections to replicas and keeps idle ones for reuse.
 
@@ -74,8 +83,8 @@
         """
         return self._heard_at.get(address, float("-inf"))
 
-    def open_idle(self, address: Address, timeout_s: float) -> bool:
-        """Open a connection that is kept idle; return whether the replica accepts it.
+    def open_idle(self, address: Address, timeout_s: float) -> ConnectOutcome:
+        """Open a connection that is kept idle, to see whether the replica accepts it.
 
         Parameters
         ----------
@@ -86,11 +95,12 @@
         """
         try:
             conn = self._open(address, timeout_s)
+        except UpstreamConnectTimeoutError:
+            return ConnectOutcome.TIMED_OUT
         except UpstreamRefusedError:
-            # The result says so.
-            return False
+            return ConnectOutcome.REFUSED
         self._keep_idle(conn)
-        return True
+        return ConnectOutcome.ACCEPTED
 
     def send(
         self,
--- a/boragedeck/process/relaying/path_checks.py
+++ b/boragedeck/process/relaying/path_checks.py
@@ -10,7 +10,7 @@
 
 from boragedeck.connection.address import Address
 from boragedeck.connection.peer import PeerLinks, PeerServer
-from boragedeck.connection.upstream_pool import UpstreamPool
+from boragedeck.connection.upstream_pool import ConnectOutcome, UpstreamPool
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member, Membership
 from boragedeck.process.logs import PartLog
@@ -43,15 +43,15 @@
 
     Parameters
     ----------
-    direct : set of Address
-        Replicas that accepted a connection of this router.
+    probes : dict of Address to ConnectOutcome
+        How this router's own attempts to connect ended.
     gateways : dict of Address to list of Member
         For each replica, the routers that reach it.
     not_reached : set of Address
         Replicas that at least one other router doesn't reach, either.
     """
 
-    direct: set[Address]
+    probes: dict[Address, ConnectOutcome]
     gateways: dict[Address, list[Member]]
     not_reached: set[Address]
 
@@ -119,31 +119,33 @@
             How old the knowledge of other routers may be, in seconds.
         """
         checked = list(addresses)[:MAX_ADDRESSES]
-        direct = self._probe_all([each for each in checked if each not in failed])
-        rest = tuple(each for each in checked if each not in direct)
-        result = CheckResult(direct, {}, set())
+        probes = self._probe_all([each for each in checked if each not in failed])
+        rest = tuple(
+            each for each in checked if probes.get(each) is not ConnectOutcome.ACCEPTED
+        )
+        result = CheckResult(probes, {}, set())
         if rest:
             self._ask_others(AskPaths(rest, max_age_s), result)
         return result
 
-    def _probe_all(self, addresses: Iterable[Address]) -> set[Address]:
-        """Return the replicas that accept a connection."""
+    def _probe_all(self, addresses: Iterable[Address]) -> dict[Address, ConnectOutcome]:
+        """Try to connect to some replicas at once."""
         probes = [(each, eventlet.spawn(self._probe, each)) for each in addresses]
-        return {address for address, probe in probes if probe.wait()}
+        return {address: probe.wait() for address, probe in probes}
 
-    def _probe(self, address: Address) -> bool:
-        """Return whether a replica accepts a connection; probe each one only once."""
+    def _probe(self, address: Address) -> ConnectOutcome:
+        """Try to connect to a replica, once for all that want to know."""
         running = self._probes.get(address)
         if running is not None:
             return running.wait()
         probe = self._probes[address] = Event()
-        is_reached = False
+        outcome = ConnectOutcome.TIMED_OUT
         try:
-            is_reached = self._upstreams.open_idle(address, PROBE_TIMEOUT_S)
+            outcome = self._upstreams.open_idle(address, PROBE_TIMEOUT_S)
         finally:
             del self._probes[address]
-            probe.send(is_reached)
-        return is_reached
+            probe.send(outcome)
+        return outcome
 
     def _ask_others(self, query: AskPaths, result: CheckResult) -> None:
         """Ask routers in rounds, until all replicas are reached."""
@@ -199,6 +201,11 @@
         ]
         since = self._timers.now() - query.max_age_s
         reached = {each for each in known if self._upstreams.heard_at(each) >= since}
-        reached |= self._probe_all(each for each in known if each not in reached)
+        probes = self._probe_all(each for each in known if each not in reached)
+        reached |= {
+            address
+            for address, outcome in probes.items()
+            if outcome is ConnectOutcome.ACCEPTED
+        }
         not_reached = tuple(each for each in known if each not in reached)
         return PathReport(tuple(reached), not_reached)
--- a/boragedeck/process/relaying/replica_paths.py
+++ b/boragedeck/process/relaying/replica_paths.py
@@ -17,7 +17,7 @@
     ForwardOrder,
     encode_order,
 )
-from boragedeck.connection.upstream_pool import UpstreamPool
+from boragedeck.connection.upstream_pool import ConnectOutcome, UpstreamPool
 from boragedeck.exceptions import (
     ForwardDeclinedError,
     UpstreamConnectTimeoutError,
@@ -167,7 +167,8 @@
 
     def accepts(self, address: Address) -> bool:
         """Return whether a replica accepts a connection of this router now."""
-        return self._upstreams.open_idle(address, PROBE_TIMEOUT_S)
+        outcome = self._upstreams.open_idle(address, PROBE_TIMEOUT_S)
+        return outcome is ConnectOutcome.ACCEPTED
 
     def is_checking(self, address: Address) -> bool:
         """Return whether it is being found out how a replica is reached."""
@@ -221,16 +222,19 @@
         are lost already, since then this one is being checked, too.
         """
         is_timeout = isinstance(exc, UpstreamConnectTimeoutError)
-        if is_timeout:
-            self._hanging.add(address)
-        else:
-            self._hanging.discard(address)
+        self._note_hanging(address, is_hanging=is_timeout)
         if self.state_of(address) is PathState.LOST:
             return
         done = self._start_check(address, frozenset({address}))
         if not is_timeout or self._has_own_loss():
             self._timers.wait(done, CHECK_WAIT_S)
 
+    def _note_hanging(self, address: Address, *, is_hanging: bool) -> None:
+        if is_hanging:
+            self._hanging.add(address)
+        else:
+            self._hanging.discard(address)
+
     def _start_check(self, address: Address, failed: frozenset[Address]) -> Event:
         """Check a path in a green thread of its own, if that isn't done already."""
         done = self._checks.get(address)
@@ -251,39 +255,60 @@
         finally:
             for address in addresses:
                 self._checks.pop(address).send()
-        is_lost = any(self.is_own_loss(each) for each in addresses)
-        if was_direct and is_lost:
-            self._check_others()
-
-    def _check_others(self) -> None:
-        """Check all other replicas, since the loss of one path is rarely alone."""
-        self._start_checks(
-            each
-            for each in self._addresses()
-            if self.state_of(each) is PathState.DIRECT
-        )
+        self._check_others(addresses, was_direct=was_direct)
+
+    def _check_others(self, checked: list[Address], *, was_direct: bool) -> None:
+        """Check the other paths, since a path is rarely lost or found again alone."""
+        states = {self.state_of(each) for each in checked}
+        if was_direct and len(checked) == 1 and PathState.INDIRECT in states:
+            doubtful = PathState.DIRECT
+        elif not was_direct and PathState.DIRECT in states:
+            doubtful = PathState.INDIRECT
+        else:
+            return
+        others = self._addresses().difference(checked)
+        self._start_checks(each for each in others if self.state_of(each) is doubtful)
 
     def _check_lost(self) -> None:
+        """Check the lost paths that have not been checked for the longest time."""
+        self._forget_unknown()
+        batch = [each for each in self._states if each not in self._checks]
+        batch = batch[:MAX_ADDRESSES]
+        for address in batch:
+            self._states[address] = self._states.pop(address)
+        self._start_checks(batch)
+
+    def _forget_unknown(self) -> None:
+        """Drop what is known of replicas that are gone."""
         known = self._addresses()
         for address in list(self._states):
             if address not in known:
                 self._set_state(address, PathState.DIRECT)
-        self._start_checks(self._states)
+        self._hanging &= known
+        self._silence_checked_at = {
+            address: at
+            for address, at in self._silence_checked_at.items()
+            if address in known
+        }
 
     def _start_checks(self, addresses: Iterable[Address]) -> None:
-        batch = [each for each in addresses if each not in self._checks]
-        batch = batch[:MAX_ADDRESSES]
-        if batch:
+        unchecked = [each for each in addresses if each not in self._checks]
+        for first in range(0, len(unchecked), MAX_ADDRESSES):
+            batch = unchecked[first : first + MAX_ADDRESSES]
             for address in batch:
                 self._checks[address] = Event()
             eventlet.spawn_n(self._run_check, batch, frozenset(), RECENT_S)
 
     def _apply(self, addresses: Iterable[Address], result: CheckResult) -> None:
         for address in addresses:
+            outcome = result.probes.get(address)
+            if outcome is not None:
+                is_hanging = outcome is ConnectOutcome.TIMED_OUT
+                self._note_hanging(address, is_hanging=is_hanging)
             gateways = result.gateways.get(address, [])
             for gateway in gateways:
                 self._gateways.note_reached(address, gateway)
-            if address in result.direct:
+            if outcome is ConnectOutcome.ACCEPTED:
                 self._set_state(address, PathState.DIRECT)
             elif gateways:
                 self._set_state(address, PathState.INDIRECT)
--- a/boragedeck/process/relaying/room_grants.py
+++ b/boragedeck/process/relaying/room_grants.py
@@ -5,6 +5,7 @@
 import eventlet
 import msgspec
 
+from boragedeck.connection.address import Address
 from boragedeck.connection.messages import Accepted
 from boragedeck.connection.peer import PeerLinks, PeerServer
 from boragedeck.process.logs import PartLog
@@ -112,7 +113,7 @@
             # A lease that can't be returned ends with its time.
             eventlet.spawn_n(self._send_release, message, owner.address)
 
-    def _send_release(self, message: ReleaseRoom, address) -> None:
+    def _send_release(self, message: ReleaseRoom, address: Address) -> None:
         link = self._links.link(address)
         answer = link.call(message, Accepted, timeout_s=OWNER_TIMEOUT_S)
         if answer.is_err():
--- a/tests/request/test_relay_paths.py
+++ b/tests/request/test_relay_paths.py
@@ -2,6 +2,7 @@
 
 import eventlet
 
+from boragedeck.process.relaying.path_checks import MAX_ADDRESSES
 from boragedeck.process.relaying.path_state import PathState
 from boragedeck.process.relaying.replica_paths import TICK_S
 from boragedeck.version.routing import CallKind, RelayPool
@@ -263,6 +264,49 @@
         self.assertEqual(states, [PathState.LOST])
 
 
+class HangingStreamTest(CutOffCase):
+    """The cut is found out before the stream's own silence is long enough."""
+
+    rule = stream_rule(goal_s=4.0, gap_goal_s=0.8)
+    pool = POOL
+    lines = (b"Token-Counts: 1000,100",)
+
+    @staticmethod
+    def step(sock, req):
+        """Stream events slowly."""
+        is_probe = b"request-id" not in req.headers
+        return (report_model if is_probe else stream_until_stopped)(sock, req)
+
+    def test_stream_on_a_link_that_hangs_does_not_wait_for_the_kernel(self):
+        fleet = self.fleet(3, 1)
+        router, replica = fleet.routers[0], fleet.replicas[0]
+        fetched = eventlet.spawn(router.fetch, *self.lines, ms=5000)
+        eventlet.sleep(0.2)
+        fleet.cut(Cut.HANG, 0)
+        router.paths._start_check(replica.address, frozenset()).wait()
+        self.assertTrue(router.paths.is_own_loss(replica.address))
+        since = router.timers.now()
+        response = fetched.wait()
+        self.assertTrue(response.is_complete)
+        self.assertEqual(response.body, WHOLE)
+        self.assertLess(router.timers.now() - since, 1.6)
+
+
+class ManyReplicasTest(CutOffCase):
+    def test_all_paths_are_checked_however_many_there_are(self):
+        fleet = self.fleet(2, MAX_ADDRESSES + 8)
+        fleet.cut(Cut.REFUSE, 0)
+        router = fleet.routers[0]
+        router.paths._start_check(fleet.replicas[0].address, frozenset()).wait()
+        eventlet.sleep(0.5)
+        for each in fleet.replicas:
+            self.assertTrue(router.paths.is_own_loss(each.address))
+        fleet.cut(None, 0)
+        eventlet.sleep(1.5 * TICK_S)
+        for each in fleet.replicas:
+            self.assertFalse(router.paths.is_own_loss(each.address))
+
+
 class ReplicasGoneTest(ForwardCase):
     def setUp(self):
         super().setUp()
