Report crashes of replicas behind a gateway

A failed attempt on an indirect path now checks the path again; if nobody reaches the replica any more, the crash counts. The new test fails before (no report).

--- a/boragedeck/process/relaying/crash_blame.py
+++ b/boragedeck/process/relaying/crash_blame.py
@@ -112,6 +112,10 @@
         """Return whether this router can't reach a replica that others reach."""
         return False
 
+    def is_lost(self, address: Address) -> bool:
+        """Return whether no router that was asked reaches a replica."""
+        return False
+
     def accepts(self, address: Address) -> bool:
         """Return whether a replica accepts a connection now."""
         return False
@@ -275,7 +279,10 @@
         run = state.run
         if self._breaks.get(run) is not found:
             return
-        has_answered = state.consecutive_misses == 0 or state.answered_at > found.at
+        is_lost = self._paths.is_lost(state.replica.address)
+        has_answered = state.answered_at > found.at or (
+            state.consecutive_misses == 0 and not is_lost
+        )
         if state.is_removed or not has_answered:
             eventlet.spawn_n(self._confirm_lost, found, state)
         else:
--- a/boragedeck/process/relaying/place.py
+++ b/boragedeck/process/relaying/place.py
@@ -77,6 +77,8 @@
         When the place was reserved, on the timer service's clock.
     has_output : bool
         Whether the request has output, so that its prompt has been read.
+    is_forwarded : bool
+        Whether the request was sent through another router.
     is_rejected : bool
         Whether the replica had no room for the request.
     on_released : list of callable
@@ -91,6 +93,7 @@
         now: float,
     ):
         self._note_released = note_released
+        self.is_forwarded = False
         self.is_rejected = False
         self.on_released: list[Callable[[], None]] = []
         self.state = state
--- a/boragedeck/process/relaying/replica_paths.py
+++ b/boragedeck/process/relaying/replica_paths.py
@@ -211,6 +211,14 @@
             self._silence_checked_at[address] = now
             self._start_check(address, frozenset())
 
+    def check_again(self, address: Address) -> None:
+        """Check whether a replica that others reached is still reached by them."""
+        self._start_check(address, frozenset({address}))
+
+    def is_lost(self, address: Address) -> bool:
+        """Return whether no router that was asked reaches a replica."""
+        return self.state_of(address) is PathState.LOST
+
     def _note_refused(self, address: Address, exc: UpstreamRefusedError) -> None:
         """Check the path to a replica that accepted no connection.
 
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -92,6 +92,7 @@
         job.note_sent()
         job.may_have_run = True
         raise
+    place.is_forwarded = exchange.is_forwarded
     job.note_sent()
     may_have_run_before, job.may_have_run = job.may_have_run, True
     try:
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -208,8 +208,10 @@
             self._note_lost_attempt(place, exc, "not_reached")
             return NotTaken(exc.message)
         except UpstreamError as exc:
-            if not job.is_own_loss(place):
+            is_own_loss = job.is_own_loss(place)
+            if not is_own_loss:
                 job.evidence.note_outcome(place, Outcome.FAILED)
+            if place.is_forwarded or not is_own_loss:
                 is_silent = isinstance(exc, UpstreamSilentError)
                 progress.note_broken(state, is_silent=is_silent)
             self._note_lost_attempt(place, exc, "lost")
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -315,9 +315,11 @@
 
         Notes
         -----
-        What this router loses with its own path says nothing about the replica.
+        What this router loses with its own path says nothing about the replica, but the
+        replica may have ended since the path was checked.
         """
         if self.is_own_loss(place):
+            self.parts.paths.check_again(place.state.replica.address)
             return
         if not place.state.is_leaving:
             self._lost_domains.add(place.state.replica.failure_domain)
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -341,11 +341,13 @@
         if job.left_s() > 0.0:
             job.note_miss(place)
         job.parts.metrics.attempts.labels(job.rule.kind.value, outcome.value).inc()
-        if outcome is AttemptOutcome.LOST and not job.is_own_loss(place):
+        is_own_loss = job.is_own_loss(place)
+        if outcome is AttemptOutcome.LOST and (place.is_forwarded or not is_own_loss):
             is_silent = isinstance(exc, UpstreamSilentError)
             self._progress.note_broken(place.state, is_silent=is_silent)
             if self._progress.is_at_begin:
                 job.lost_at_begin += 1
+        if outcome is AttemptOutcome.LOST and not is_own_loss:
             job.evidence.note_outcome(place, Outcome.FAILED)
         job.note_attempt_failed(place, exc)
         self._failure_reason = str(exc)
--- a/tests/request/test_relay_paths.py
+++ b/tests/request/test_relay_paths.py
@@ -450,6 +450,30 @@
         self.assertEqual(len(taken), len(self.received()) - 1)
 
 
+class ForwardedDeadlyStreamTest(ForwardCase):
+    """A stream crashes the replica at which its answer begins, behind a gateway."""
+
+    rule = stream_rule(max_attempts=1)
+    pool = POOL
+    replicas = 3
+    lines = (b"Token-Counts: 1000,100",)
+
+    def step(self, sock, req):
+        """Begin an answer, and end the replica."""
+        if b"request-id" not in req.headers:
+            return report_model(sock, req)
+        sock.sendall(head_of(req, 200, b"Transfer-Encoding: chunked") + b"\r\n")
+        eventlet.sleep(0.02)
+        name = req.headers[b"expect-instance"].decode()
+        next(each for each in self.fleet_.replicas if each.name == name).stop()
+        return False
+
+    def test_crash_behind_a_gateway_is_reported(self):
+        self.cut_off.fetch(*self.lines, name=b"deadly", ms=2500)
+        eventlet.sleep(1.5)
+        self.assertEqual(self.cut_off.metrics.crashes_reported._value.get(), 1)
+
+
 class OldLinksTest(CutOffCase):
     """Streams run when the router is cut off."""
 
