--- a/boragedeck/request/forward.py
+++ b/boragedeck/request/forward.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from boragedeck.connection.address import Address
 from boragedeck.connection.caller_edge import CallerChannel, RawRequest
 from boragedeck.connection.exchange import Exchange
 from boragedeck.connection.forwarding import (
@@ -68,7 +69,7 @@
         upstreams: UpstreamPool,
         notices: ReplicaNotices,
         protocol: ReplicaProtocol,
-        state_of: Callable,
+        state_of: Callable[[Address], PathState],
         time_left: Callable[[], float],
         metrics: RelayMetrics,
     ):
--- a/tests/request/test_relay_paths.py
+++ b/tests/request/test_relay_paths.py
@@ -24,6 +24,7 @@
 
 ROUTERS = 9
 FEW = (1, 4)
+DOMAIN = (0, 4, 8)
 HALF = (0, 2, 4, 6, 8)
 DETECTION_S = 3.0
 SERVED_SHARE = 0.9
@@ -97,6 +98,9 @@
     def test_calls_at_a_few_routers_whose_links_hang_are_served(self):
         self.assert_served_alike(Cut.HANG, FEW)
 
+    def test_calls_at_a_domain_of_routers_whose_links_hang_are_served(self):
+        self.assert_served_alike(Cut.HANG, DOMAIN)
+
     def test_calls_at_half_of_the_routers_whose_links_hang_are_served(self):
         self.assert_served_alike(Cut.HANG, HALF)
 
