Say how old the tables are by which a request is decided

What the incident's logs couldn't tell: whether the router that sent a request to a replica that had left decided by an old list, or kept an entry that it knew to be gone. A mirror now knows when its rows were last the store's newest state, from the store's answers or from the age that another router gives with its table. Relayed and refused requests log both ages, the metrics show them, and a router that is cut off with its peers shows a growing age. Two optional fields at the end of two messages; older builds ignore them. No decision changes.

--- a/boragedeck/connection/store.py
+++ b/boragedeck/connection/store.py
@@ -216,11 +216,15 @@
         newer rows. All rows are of the same era.
     is_snapshot : bool
         Whether this is a snapshot: rows that are not listed do not exist.
+    age_s : float
+        How long ago this was the store's newest state, in seconds, when it was
+        received.
     """
 
     rows: tuple[Change, ...]
     version: StoreVersion
     is_snapshot: bool = False
+    age_s: float = 0.0
 
 
 class ChangeFeed(Protocol):
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -65,6 +65,7 @@
 from boragedeck.process.relaying.shared_feed import SharedFeed
 from boragedeck.process.relaying.store_meter import StoreMeter
 from boragedeck.process.relaying.stream_pace import StreamTimeEstimator
+from boragedeck.process.relaying.table_ages import TableAges
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.relaying.task_owners import TaskOwners
 from boragedeck.process.timers import RealTimers
@@ -246,7 +247,9 @@
             self.timers,
             self._feed.is_current,
             lambda table: self._followers[table].answering_since(),
+            lambda table: self._followers[table].age_s(),
         )
+        self._table_ages = TableAges(self._followers, self.metrics)
         self._routing = RoutingSource(self._routing_mirror, ROUTING_KEY, decode_routing)
 
     def _make_follower(self, mirror: TableMirror) -> MirrorFollower:
@@ -329,6 +332,7 @@
             timers=self.timers,
             rng=self._rng,
             table=self._routing.current,
+            table_ages=self._table_ages,
             admission=admission,
             limited_admission=LimitedAdmission(
                 self.timers, admission, limits, brittle, self._rng
--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/mirror_follower.py
@@ -1,6 +1,7 @@
 """Keeps a mirror of one of the platform's tables up to date."""
 
 import itertools
+import math
 import random
 from collections.abc import Callable
 
@@ -131,6 +132,17 @@
             return None
         return report.answering_since
 
+    def age_s(self) -> float | None:
+        """Return how long ago the mirror was the store's newest state, in seconds.
+
+        Returns
+        -------
+        float or None
+            None if that isn't known, for example without a table.
+        """
+        age_s = self._timers.now() - self._mirror.confirmed_at
+        return None if math.isinf(age_s) else max(0.0, age_s)
+
     def _follow(self) -> None:
         while True:
             try:
@@ -154,6 +166,7 @@
                 self._is_history_lost = False
                 self._log_if_older(changes)
                 mirror.apply(changes)
+                mirror.confirm(self._timers.now() - changes.age_s)
                 if changes.rows:
                     self._timers.sleep(BATCH_DELAY_S)
             case _:
@@ -195,6 +208,7 @@
                 "Store lost.",
                 table=self._mirror.table.value,
                 version=self._mirror.version,
+                table_age_s=_rounded(self.age_s()),
                 error=str(error),
             )
         if self.is_connected:
@@ -227,6 +241,7 @@
     def _fetch(self, address: Address) -> None:
         query = FetchTable(self._mirror.table, self._mirror.version)
         link = self._links.link(address)
+        started_at = self._timers.now()
         result = link.call(query, TablePart, timeout_s=PEER_TIMEOUT_S)
         if result.is_err():
             return
@@ -240,12 +255,21 @@
             _log.write("Answer can't be decoded.", peer=str(address), error=str(exc))
             return
         if changes is not None and changes.version > self._mirror.version:
-            known = self._mirror.version
-            _log.write(
-                "Table fetched from another router.",
-                table=self._mirror.table.value,
-                peer=str(address),
-                version=changes.version,
-                known=known,
-            )
+            self._log_fetched(address, part, changes)
             self._mirror.apply(changes)
+        if part.age_s is not None and self._mirror.version >= 0:
+            self._mirror.confirm(started_at - part.age_s)
+
+    def _log_fetched(self, address: Address, part: TablePart, changes: Changes) -> None:
+        _log.write(
+            "Table fetched from another router.",
+            table=self._mirror.table.value,
+            peer=str(address),
+            version=changes.version,
+            known=self._mirror.version,
+            table_age_s=_rounded(part.age_s),
+        )
+
+
+def _rounded(age_s: float | None) -> float | None:
+    return None if age_s is None else round(age_s, 3)
--- a/boragedeck/process/relaying/mirror_messages.py
+++ b/boragedeck/process/relaying/mirror_messages.py
@@ -49,11 +49,15 @@
     answering_s : float or None
         How long the store has been answering the router without a failure, in
         seconds; None if it doesn't, or if the router doesn't say so.
+    age_s : float or None
+        How long ago the router's table was the store's newest state, in seconds; None
+        if the router doesn't know or say so.
     """
 
     packed: bytes | None = None
     is_current: bool = False
     answering_s: float | None = None
+    age_s: float | None = None
 
     def unpack(self) -> Changes | None:
         """Return the changes; None if there are none.
@@ -104,6 +108,7 @@
     timers: TimerService,
     is_current: Callable[[Table], bool],
     answering_since: Callable[[Table], float | None],
+    age_s: Callable[[Table], float | None],
 ) -> None:
     """Register a handler that answers other routers' requests for these tables.
 
@@ -120,6 +125,8 @@
     answering_since : callable
         Returns since when the store has been answering for a table, see
         `MirrorFollower.answering_since`.
+    age_s : callable
+        Returns how old a table is, see `MirrorFollower.age_s`.
     """
     by_table = {mirror.table: mirror for mirror in mirrors}
     packers = {table: _Packer(mirror) for table, mirror in by_table.items()}
@@ -139,6 +146,6 @@
         if mirror.version > query.after:
             packed = packers[query.table].packed_changes_since(query.after)
         table = query.table
-        return TablePart(packed, is_current(table), answering_s(table))
+        return TablePart(packed, is_current(table), answering_s(table), age_s(table))
 
     server.register(FetchTable, answer)
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -74,6 +74,12 @@
             "Replicas that this router reported as crashed under its requests.",
             registry=registry,
         )
+        self.table_age = Gauge(
+            "boragedeck_table_age_seconds",
+            "How long ago this router's copy of a table was the store's newest state.",
+            ["table"],
+            registry=registry,
+        )
         self.reachable_share = Gauge(
             "boragedeck_reachable_share",
             "Share of the routers that this one reaches.",
--- a/boragedeck/process/relaying/shared_feed.py
+++ b/boragedeck/process/relaying/shared_feed.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable, Iterable, Sequence
 
+import msgspec
 from result import Err, Ok, Result
 
 from boragedeck.connection.peer import Address, PeerLinks
@@ -16,6 +17,7 @@
     Changes,
     Table,
 )
+from boragedeck.connection.store_version import StoreVersion
 from boragedeck.exceptions import (
     PeerError,
     PeerRefusedError,
@@ -114,7 +116,7 @@
             )
         if peer_result.is_ok():
             return peer_result
-        return self._read(table, lambda: self._store.snapshot(table, timeout_s))
+        return self._read(table, lambda: self._store.snapshot(table, timeout_s), 0.0)
 
     def changes(
         self, table: Table, after: int, wait_s: float
@@ -124,7 +126,9 @@
         if not hubs:
             if self._hubs.is_hub():
                 wait_s = min(wait_s, self._wait_s())
-            return self._read(table, lambda: self._store.changes(table, after, wait_s))
+            return self._read(
+                table, lambda: self._store.changes(table, after, wait_s), wait_s
+            )
         peer_result = self._ask_each(hubs, table, after, self._wait_s())
         if peer_result.is_ok():
             self._next_try_at.pop(table, None)
@@ -132,13 +136,15 @@
         if isinstance(peer_result.err(), PeerRefusedError) and not self._may_try(table):
             text = "no hub has a recent answer from the store"
             return Err(StoreUnavailableError(text, step="read a table"))
-        return self._read(table, lambda: self._store.changes(table, after, 0.0))
+        return self._read(table, lambda: self._store.changes(table, after, 0.0), 0.0)
 
     def is_current(self, table: Table) -> bool:
         """Return whether the store itself recently answered this router for a table."""
         answered_at = self._store_answered_at.get(table, float("-inf"))
-        limit_s = self._wait_s() + STORE_SILENCE_SLACK_S
-        return self._timers.now() - answered_at <= limit_s
+        return self._timers.now() - answered_at <= self._max_current_age_s()
+
+    def _max_current_age_s(self) -> float:
+        return self._wait_s() + STORE_SILENCE_SLACK_S
 
     def _wait_s(self) -> float:
         return WAIT_SHARE * self._bounds().config_apply_s
@@ -194,6 +200,7 @@
         wait_s: float,
         slack_s: float,
     ) -> Result[Changes, PeerError]:
+        started_at = self._timers.now()
         answer = self._links.link(address).call(
             FetchTable(table, after, wait_s), TablePart, timeout_s=wait_s + slack_s
         )
@@ -205,10 +212,11 @@
             changes = part.unpack()
         except ValueError as exc:
             return Err(PeerError(str(exc), **context))
+        if part.is_current and changes is None and after >= 0:
+            changes = Changes((), StoreVersion(after))
         if part.is_current and changes is not None:
-            return Ok(changes)
-        if part.is_current and after >= 0:
-            return Ok(Changes((), after))
+            age_s = self._max_current_age_s() if part.age_s is None else part.age_s
+            return Ok(self._with_age(changes, started_at, wait_s, age_s))
         return Err(
             PeerRefusedError("it has no recent answer from the store", **context)
         )
@@ -243,10 +251,23 @@
         return True
 
     def _read(
-        self, table: Table, read: Callable[[], Result[Changes, StoreError]]
+        self,
+        table: Table,
+        read: Callable[[], Result[Changes, StoreError]],
+        wait_s: float,
     ) -> Result[Changes, StoreError]:
+        started_at = self._timers.now()
         result = read()
         if result.is_ok():
             self._next_try_at.pop(table, None)
             self._store_answered_at[table] = self._timers.now()
-        return result
+        return result.map(
+            lambda changes: self._with_age(changes, started_at, wait_s, 0.0)
+        )
+
+    def _with_age(
+        self, changes: Changes, started_at: float, wait_s: float, age_s: float
+    ) -> Changes:
+        """Return changes with their age: how old they were, and their way here."""
+        way_s = max(0.0, self._timers.now() - started_at - wait_s)
+        return msgspec.structs.replace(changes, age_s=age_s + way_s)
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -51,6 +51,7 @@
             code=exc.code,
             table=table.version,
             path=req.path,
+            **parts.table_ages.log_fields(),
         )
         respond_refusal(parts, req.request_id, exc, channel)
         parts.metrics.requests.labels("none", exc.code).inc()
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -170,6 +170,7 @@
             running=place.state.running,
             failure_share=round(place.state.failure_share, 3),
             attempt=self._job.sent + 1,
+            **self._job.parts.table_ages.log_fields(),
         )
         self._job.evidence.note_start(place)
         attempt = eventlet.spawn(self._run_attempt_thread, place)
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -29,6 +29,7 @@
 from boragedeck.process.relaying.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts import RelayRollouts
 from boragedeck.process.relaying.stream_pace import StreamTimeEstimator
+from boragedeck.process.relaying.table_ages import TableAges
 from boragedeck.process.timers import TimerService
 from boragedeck.request.attempt_evidence import AttemptEvidence
 from boragedeck.request.events import EventExcessError
@@ -69,6 +70,8 @@
         The random number generator.
     table : callable
         Returns the routing table in force.
+    table_ages : TableAges
+        Tells how old the tables are by which a request is decided.
     admission : Admission
         Grants places at replicas.
     limited_admission : LimitedAdmission
@@ -105,6 +108,7 @@
     timers: TimerService
     rng: random.Random
     table: Callable[[], RoutingTable]
+    table_ages: TableAges
     admission: Admission
     limited_admission: LimitedAdmission
     registry: ReplicaRegistry
@@ -279,6 +283,7 @@
             reason=error.message,
             sent=self.sent,
             retry_after_s=error.retry_after_s,
+            **self.parts.table_ages.log_fields(),
             age_s=round(self.parts.timers.now() - self.req.arrived, 3),
         )
         respond_refusal(self.parts, self.req.request_id, error, self.channel)
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -175,6 +175,7 @@
             from_copy=plan.source is not None,
             backup=None if plan.backup is None else plan.backup.replica,
             attempt=job.sent + 1,
+            **job.parts.table_ages.log_fields(),
             age_s=round(job.parts.timers.now() - job.req.arrived, 3),
         )
         try:
--- a/tests/process/relaying/test_mirror_messages.py
+++ b/tests/process/relaying/test_mirror_messages.py
@@ -30,6 +30,7 @@
             ManualTimers(),
             lambda table: self.is_current,
             lambda table: None,
+            lambda table: 0.25,
         )
         self.mirror.apply(Changes((Change("k", ROUTES, 6),), 6, True))
 
--- a/tests/process/relaying/test_shared_feed.py
+++ b/tests/process/relaying/test_shared_feed.py
@@ -52,7 +52,7 @@
 class Links:
     def __init__(self):
         self.asked = []
-        self.answer = Ok(TablePart(None, True))
+        self.answer = Ok(TablePart(None, True, age_s=0.0))
         self.answers = {}
 
     def link(self, address):
@@ -111,7 +111,7 @@
 
 class SharedFeedTest(SharedFeedTestCase):
     def test_follower_reads_from_the_hub_of_its_domain(self):
-        self.links.answer = Ok(TablePart(pack(UPDATE), True))
+        self.links.answer = Ok(TablePart(pack(UPDATE), True, age_s=0.0))
         self.assertEqual(self.follower_feed.changes(ROUTING, 5, 4.0), Ok(UPDATE))
         address, query = self.links.asked[0]
         self.assertEqual(address, self.hub_addresses[0])
@@ -126,7 +126,7 @@
 
     def test_follower_of_a_dead_hub_asks_the_next_at_once(self):
         self.links.answers = {self.hub_addresses[0]: UNREACHABLE}
-        self.links.answer = Ok(TablePart(pack(UPDATE), True))
+        self.links.answer = Ok(TablePart(pack(UPDATE), True, age_s=0.0))
         self.assertEqual(self.follower_feed.changes(ROUTING, 5, 4.0), Ok(UPDATE))
         self.assertEqual(self.addresses(), self.hub_addresses[:2])
         self.assertEqual(self.links.asked[1][1].wait_s, 0.0)
@@ -134,7 +134,7 @@
 
     def test_follower_of_a_hub_cut_off_from_the_store_asks_the_next(self):
         self.links.answers = {self.hub_addresses[0]: NOT_CURRENT}
-        self.links.answer = Ok(TablePart(pack(UPDATE), True))
+        self.links.answer = Ok(TablePart(pack(UPDATE), True, age_s=0.0))
         self.assertEqual(self.follower_feed.changes(ROUTING, 5, 4.0), Ok(UPDATE))
         self.assertEqual(self.store.waits, [])
 
@@ -195,12 +195,32 @@
         self.assertLess(worst_s, BOUNDS.config_apply_s)
 
 
+class AgeTest(SharedFeedTestCase):
+    def age_s(self, part):
+        self.links.answer = Ok(part)
+        return self.follower_feed.changes(ROUTING, 5, 4.0).ok().age_s
+
+    def test_changes_are_as_old_as_the_hub_says(self):
+        part = TablePart(pack(UPDATE), True, age_s=0.4)
+        self.assertAlmostEqual(self.age_s(part), 0.4)
+
+    def test_unchanged_table_is_as_old_as_the_hub_says(self):
+        self.assertAlmostEqual(self.age_s(TablePart(None, True, age_s=0.4)), 0.4)
+
+    def test_hub_that_says_no_age_is_as_old_as_a_current_one_can_be(self):
+        limit_s = WAIT_S + STORE_SILENCE_SLACK_S
+        self.assertAlmostEqual(self.age_s(TablePart(pack(UPDATE), True)), limit_s)
+
+    def test_changes_from_the_store_are_new(self):
+        self.assertEqual(self.hub_feed.changes(ROUTING, 5, 4.0).ok().age_s, 0.0)
+
+
 class SnapshotTest(SharedFeedTestCase):
     def starting(self, own, seeds):
         return self.feed(own, members=[], seeds=seeds)
 
     def test_starting_router_takes_the_table_from_a_seed(self):
-        self.links.answer = Ok(TablePart(pack(SNAPSHOT), True))
+        self.links.answer = Ok(TablePart(pack(SNAPSHOT), True, age_s=0.0))
         feed = self.starting(self.everyone[4], ["a0", "a1"])
         self.assertEqual(feed.snapshot(ROUTING), Ok(SNAPSHOT))
         self.assertEqual(self.store.snapshots, 0)
@@ -211,7 +231,7 @@
         self.assertEqual((self.store.snapshots, self.links.asked), (1, []))
 
     def test_starting_router_without_a_seed_that_answers_reads_the_store(self):
-        for answer in (UNREACHABLE, NOT_CURRENT, Ok(TablePart(None, True))):
+        for answer in (UNREACHABLE, NOT_CURRENT, Ok(TablePart(None, True, age_s=0.0))):
             self.links.answer = answer
             self.store.snapshots = 0
             feed = self.starting(self.everyone[4], ["a0", "a1"])
@@ -221,6 +241,6 @@
             self.assertEqual(len(self.links.asked), 1)
 
     def test_follower_takes_the_whole_table_from_a_hub(self):
-        self.links.answer = Ok(TablePart(pack(SNAPSHOT), True))
+        self.links.answer = Ok(TablePart(pack(SNAPSHOT), True, age_s=0.0))
         self.assertEqual(self.follower_feed.snapshot(ROUTING), Ok(SNAPSHOT))
         self.assertEqual(self.store.snapshots, 0)
--- /dev/null
+++ b/tests/process/relaying/test_stale_tables.py
@@ -0,0 +1,116 @@
+import itertools
+import unittest
+
+from boragedeck.connection.store import Table
+from tests.support.mirror_fleet import MirrorFleet
+from tests.support.replicas import BOUNDS
+
+ROUTING, REPLICAS = Table.ROUTING, Table.REPLICAS
+DRAIN_S = 2.0
+"""How long after its entry is gone a replica may still get requests."""
+STEP_S = 0.1
+
+
+class StaleTablesCase(unittest.TestCase):
+    routers = 9
+    cut_off = 3
+
+    def setUp(self):
+        self.fleet = MirrorFleet(self.routers)
+        self.addCleanup(self.fleet.close)
+        self.rows, self.line = self.fleet.rows, self.fleet.line
+        self.numbers = itertools.count(1)
+        for key in "abcdef":
+            self.rows.put("servers", key, b"ready")
+        self.change()
+        self.fleet.start()
+        self.fleet.run(6.0)
+        self.lost = {f"r{number}" for number in range(self.cut_off)}
+
+    def change(self):
+        """Write a new version of the operators' table."""
+        self.number = next(self.numbers)
+        self.rows.put("op", "config", b"%d" % self.number)
+
+    def run_with_changes(self, seconds, every_s=0.3):
+        """Let time pass while the table changes several times a second."""
+        for _ in range(round(seconds / every_s)):
+            self.change()
+            self.fleet.run(every_s, STEP_S)
+
+    def holders(self, replica):
+        """Return the routers that may send to a replica."""
+        return [
+            router.name
+            for router in self.fleet.routers
+            if router.registry.get(replica) is not None
+        ]
+
+    def behind(self):
+        """Return the routers on which the newest table isn't in force."""
+        newest = b"%d" % self.number
+        return [
+            router.name
+            for router in self.fleet.routers
+            if router.value(ROUTING, "config") != newest
+        ]
+
+    def not_answered(self):
+        """Return the routers that the store doesn't answer, as they know it."""
+        return [
+            router.name
+            for router in self.fleet.routers
+            if not all(each.is_connected for each in router.followers.values())
+        ]
+
+
+class SilentStoreTest(StaleTablesCase):
+    """The store says nothing to some routers, and serves the others."""
+
+    def test_replica_without_entry_gets_nothing_from_routers_without_the_store(self):
+        self.line.silent |= self.lost
+        self.run_with_changes(5.0)
+        self.rows.drop("servers", "a")
+        self.run_with_changes(DRAIN_S)
+        self.assertEqual(self.holders("a"), [])
+
+    def test_tables_are_current_though_the_store_forgets_its_history(self):
+        self.line.silent |= self.lost
+        self.run_with_changes(5.0)
+        self.rows.discard_history()
+        self.rows.drop("servers", "a")
+        self.run_with_changes(2.0)
+        self.fleet.run(BOUNDS.config_apply_s)
+        self.assertEqual(self.behind(), [])
+        self.assertEqual(self.holders("a"), [])
+
+    def test_store_that_answers_again_is_noticed_within_the_time_of_contact(self):
+        self.line.silent |= self.lost
+        self.run_with_changes(12.0)
+        self.line.silent.clear()
+        self.fleet.run(BOUNDS.contact_s)
+        self.assertEqual(self.not_answered(), [])
+
+
+class MostlySilentStoreTest(StaleTablesCase):
+    """Six of nine routers are cut off, so most others that they ask are, too."""
+
+    cut_off = 6
+
+    def test_replicas_without_entry_get_nothing_though_most_routers_are_cut_off(self):
+        self.line.silent |= self.lost
+        self.run_with_changes(5.0)
+        for replica in "abcde":
+            self.rows.drop("servers", replica)
+            self.run_with_changes(DRAIN_S)
+            with self.subTest(replica):
+                self.assertEqual(self.holders(replica), [])
+
+    def test_tables_are_current_though_most_routers_are_cut_off(self):
+        self.line.silent |= self.lost
+        self.run_with_changes(5.0)
+        for number in range(5):
+            self.change()
+            self.fleet.run(BOUNDS.config_apply_s)
+            with self.subTest(number):
+                self.assertEqual(self.behind(), [])
--- a/tests/support/mirror_fleet.py
+++ b/tests/support/mirror_fleet.py
@@ -51,6 +51,11 @@
         Whether calls fail.
     cut : set of str
         Routers whose calls fail.
+    silent : set of str
+        Routers whose calls get no answer until their timeout, also calls that wait
+        already.
+    latency_s : float
+        How long an answer takes, in seconds.
     calls : Counter
         Number of calls by path.
     """
@@ -59,6 +64,8 @@
         self._timers, self._rows = timers, rows
         self.is_down = False
         self.cut = set()
+        self.silent = set()
+        self.latency_s = ANSWER_S
         self.calls = Counter()
 
     def call(self, pool, method, url, *, body, timeout, step, peer, headers=None):
@@ -66,10 +73,15 @@
         target = urlsplit(url)
         path = target.path.removeprefix(PATH_PREFIX)
         fields = dict(parse_qsl(target.query))
-        until = self._timers.now() + int(fields.pop("waitMs", 0)) / 1000.0
+        started_at = self._timers.now()
+        until = started_at + int(fields.pop("waitMs", 0)) / 1000.0
+        timeout_at = started_at + timeout.read_timeout
         self.calls[path] += 1
         while True:
-            self._timers.sleep(ANSWER_S)
+            self._timers.sleep(self.latency_s)
+            if pool.host in self.silent:
+                self._timers.sleep(max(0.0, timeout_at - self._timers.now()))
+                return Err(StoreUnavailableError("timeout", step=step, peer=peer))
             if self.is_down or pool.host in self.cut:
                 return Err(StoreUnavailableError("down", step=step, peer=peer))
             answer = self._rows.serve(path, fields | {"waitMs": "0"}, body or b"")
@@ -123,6 +135,7 @@
             timers,
             feed.is_current,
             lambda table: self.followers[table].answering_since(),
+            lambda table: self.followers[table].age_s(),
         )
         self.registry = ReplicaRegistry(timers)
         ReplicaSource(
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -68,6 +68,14 @@
 ENGINE = EngineProfile(64, 88_000, can_back_up=True, models=frozenset({"m"}))
 
 
+class NoAges:
+    """Knows nothing about the ages of the tables."""
+
+    def log_fields(self):
+        """See `TableAges.log_fields`."""
+        return {}
+
+
 class NoReserve:
     """The retry reserve of a small fleet, which does not use one."""
 
@@ -394,6 +402,7 @@
             timers=self.timers,
             rng=random.Random(3),
             table=lambda: self.table,
+            table_ages=NoAges(),
             admission=self.admission,
             limited_admission=LimitedAdmission(
                 self.timers,
