--- a/tests/process/relaying/test_stale_tables.py
+++ b/tests/process/relaying/test_stale_tables.py
@@ -2,6 +2,7 @@
 import unittest
 
 from boragedeck.connection.store import Table
+from boragedeck.process.relaying.hubs import choose_hubs
 from tests.support.mirror_fleet import MirrorFleet
 from tests.support.replicas import BOUNDS
 
@@ -24,7 +25,7 @@
             self.rows.put("servers", key, b"ready")
         self.change()
         self.fleet.start()
-        self.fleet.run(6.0)
+        self.fleet.run(4.0, STEP_S)
         self.lost = {f"r{number}" for number in range(self.cut_off)}
 
     def change(self):
@@ -55,12 +56,25 @@
             if router.value(ROUTING, "config") != newest
         ]
 
+    def readers(self):
+        """Return the routers that read the store themselves."""
+        return {router.name for router in self.fleet.routers}
+
     def not_answered(self):
-        """Return the routers that the store doesn't answer, as they know it."""
+        """Return the readers that the store doesn't answer, as they know it."""
         return [
             router.name
             for router in self.fleet.routers
-            if not all(each.is_connected for each in router.followers.values())
+            if router.name in self.readers()
+            and not all(each.is_connected for each in router.followers.values())
+        ]
+
+    def older_than(self, age_s):
+        """Return the routers with a table that nobody has confirmed for some time."""
+        return [
+            router.name
+            for router in self.fleet.routers
+            if any(each.age_s() > age_s for each in router.followers.values())
         ]
 
 
@@ -80,7 +94,7 @@
         self.rows.discard_history()
         self.rows.drop("servers", "a")
         self.run_with_changes(2.0)
-        self.fleet.run(BOUNDS.config_apply_s)
+        self.fleet.run(BOUNDS.config_apply_s, STEP_S)
         self.assertEqual(self.behind(), [])
         self.assertEqual(self.holders("a"), [])
 
@@ -88,7 +102,7 @@
         self.line.silent |= self.lost
         self.run_with_changes(12.0)
         self.line.silent.clear()
-        self.fleet.run(BOUNDS.contact_s)
+        self.fleet.run(BOUNDS.contact_s, STEP_S)
         self.assertEqual(self.not_answered(), [])
 
 
@@ -111,6 +125,95 @@
         self.run_with_changes(5.0)
         for number in range(5):
             self.change()
-            self.fleet.run(BOUNDS.config_apply_s)
+            self.fleet.run(BOUNDS.config_apply_s, STEP_S)
             with self.subTest(number):
                 self.assertEqual(self.behind(), [])
+
+
+class BusyStoreTest(StaleTablesCase):
+    """The store refuses some routers at once, and serves the others."""
+
+    def test_tables_are_current_at_routers_that_the_store_refuses(self):
+        self.line.cut |= self.lost
+        self.run_with_changes(3.0)
+        self.rows.drop("servers", "a")
+        self.run_with_changes(DRAIN_S)
+        self.assertEqual(self.holders("a"), [])
+        self.fleet.run(BOUNDS.config_apply_s, STEP_S)
+        self.assertEqual(self.behind(), [])
+
+
+class SlowStoreTest(StaleTablesCase):
+    """Each answer of the store takes fifty times as long, and some get none."""
+
+    def test_tables_are_current_while_the_store_is_slow(self):
+        self.line.latency_s = 0.2
+        self.line.silent |= self.lost
+        self.run_with_changes(5.0)
+        self.rows.drop("servers", "a")
+        self.run_with_changes(DRAIN_S)
+        self.assertEqual(self.holders("a"), [])
+        self.fleet.run(BOUNDS.config_apply_s, STEP_S)
+        self.assertEqual(self.behind(), [])
+
+    def test_slow_store_that_answers_again_is_noticed(self):
+        self.line.silent |= self.lost
+        self.run_with_changes(6.0)
+        self.line.latency_s = 0.2
+        self.line.silent.clear()
+        self.fleet.run(BOUNDS.contact_s, STEP_S)
+        self.assertEqual(self.not_answered(), [])
+
+
+class SilentHubsTest(StaleTablesCase):
+    """The store says nothing to the routers that read it for the others."""
+
+    routers = 80
+
+    def setUp(self):
+        super().setUp()
+        members = [router.member for router in self.fleet.routers]
+        self.hubs = {member.router for member in choose_hubs(members)}
+
+    def readers(self):
+        return self.hubs
+
+    def test_tables_are_current_though_one_hub_is_cut_off(self):
+        self.line.silent.add(min(self.hubs))
+        self.run_with_changes(1.2)
+        self.rows.drop("servers", "a")
+        self.run_with_changes(DRAIN_S)
+        self.assertEqual(self.holders("a"), [])
+        self.fleet.run(BOUNDS.config_apply_s, STEP_S)
+        self.assertEqual(self.behind(), [])
+
+    def test_tables_are_current_though_all_hubs_are_cut_off(self):
+        self.line.silent |= self.hubs
+        self.run_with_changes(5.0)
+        self.rows.drop("servers", "a")
+        self.run_with_changes(DRAIN_S)
+        self.assertEqual(self.holders("a"), [])
+        self.fleet.run(BOUNDS.config_apply_s, STEP_S)
+        self.assertEqual(self.behind(), [])
+
+    def test_store_that_answers_again_is_noticed_by_all_hubs(self):
+        self.line.silent |= self.hubs
+        self.run_with_changes(6.0)
+        self.line.silent.clear()
+        self.fleet.run(BOUNDS.contact_s, STEP_S)
+        self.assertEqual(self.not_answered(), [])
+        self.assertEqual(self.older_than(BOUNDS.contact_s), [])
+
+
+class VeryLargeFleetTest(StaleTablesCase):
+    routers = 300
+
+    def test_tables_are_current_though_all_hubs_are_cut_off(self):
+        members = [router.member for router in self.fleet.routers]
+        self.line.silent |= {member.router for member in choose_hubs(members)}
+        self.fleet.run(2.0, STEP_S)
+        self.change()
+        self.rows.drop("servers", "a")
+        self.fleet.run(DRAIN_S, STEP_S)
+        self.assertEqual(self.holders("a"), [])
+        self.assertEqual(self.behind(), [])
