Notice within the time of contact that a silent store answers again

What callers saw: none traced to it alone. Cause: a call for changes waits 3 s and times out after 3.5 s, also after a failure, and a retry that begins just before the store is back lasts as long. Now a follower that has lost the store asks without waiting, with time-outs of 0.5, 0.5 and 1.5 s in turn, and goes back to long waits once it is answered: 2.5 s at most with the pause of 1 s. Ruled out: one short time-out for all, since a slow store would never be heard.

--- a/boragedeck/connection/store.py
+++ b/boragedeck/connection/store.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "ABSENT",
+    "FEED_SLACK_S",
     "SNAPSHOT_TIMEOUT_S",
     "Change",
     "ChangeFeed",
@@ -37,6 +38,8 @@
 """The version of a row that does not exist."""
 SNAPSHOT_TIMEOUT_S = 2.0
 """Default timeout for each page of a table snapshot, in seconds."""
+FEED_SLACK_S = 0.5
+"""Default time after its wait within which a call for changes must be answered."""
 
 
 class Table(enum.Enum):
@@ -236,7 +239,11 @@
         """Read a whole table; `timeout_s` applies to each page."""
 
     def changes(
-        self, table: Table, after: StoreVersion, wait_s: float
+        self,
+        table: Table,
+        after: StoreVersion,
+        wait_s: float,
+        slack_s: float = FEED_SLACK_S,
     ) -> Result[Changes, StoreError]:
         """Wait for changes of a table.
 
@@ -248,6 +255,8 @@
             The `version` of the last `Changes` that were received.
         wait_s : float
             Maximum time to wait, in seconds.
+        slack_s : float, optional
+            How long after that time the answer may arrive, in seconds.
 
         Returns
         -------
--- a/boragedeck/platform/store.py
+++ b/boragedeck/platform/store.py
@@ -16,6 +16,7 @@
 
 from boragedeck.connection.peer import Address
 from boragedeck.connection.store import (
+    FEED_SLACK_S,
     SNAPSHOT_TIMEOUT_S,
     Change,
     Changes,
@@ -49,8 +50,6 @@
 
 CONNECT_TIMEOUT_S = 0.5
 READ_TIMEOUT_S = 2.0
-FEED_SLACK_S = 0.5
-"""Time after its wait within which a call for changes must be answered."""
 MAX_CONNECTIONS = 4
 PAGE_ROWS = 500
 PLATFORM_TABLE_NAMES = {Table.ROUTING: "op", Table.REPLICAS: "servers"}
@@ -215,7 +214,11 @@
             start_key = found.rows[-1].key + "\0"
 
     def changes(
-        self, table: Table, after: int, wait_s: float
+        self,
+        table: Table,
+        after: int,
+        wait_s: float,
+        slack_s: float = FEED_SLACK_S,
     ) -> Result[Changes, StoreError]:
         """See `ChangeFeed.changes`.
 
@@ -233,7 +236,7 @@
             "waitMs": str(int(wait_s * 1000.0)),
         }
         call = StoreCallKind.FEED, table
-        answer = self._send_call(call, "GET", path, query, None, wait_s + FEED_SLACK_S)
+        answer = self._send_call(call, "GET", path, query, None, wait_s + slack_s)
         page = self._decode(answer, _RowPage, path)
         if page.is_err():
             return page
--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/mirror_follower.py
@@ -7,11 +7,11 @@
 
 import eventlet
 import msgspec
-from result import Ok
+from result import Err, Ok, Result
 
 from boragedeck.connection.peer import Address, PeerLinks
 from boragedeck.connection.store import ChangeFeed, Changes
-from boragedeck.exceptions import StoreHistoryLostError
+from boragedeck.exceptions import StoreError, StoreHistoryLostError
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
 from boragedeck.process.relaying.table_mirror import TableMirror
@@ -24,6 +24,9 @@
 FIRST_READ_TIMEOUTS_S = (0.25, 0.5, 1.0)
 """Timeouts of successive reads until the first succeeds, used in a cycle: the short
 ones soon detect a store that is back, the long one lets a slow store answer."""
+RETRY_SLACKS_S = (0.5, 0.5, 1.5)
+"""How long successive calls for changes wait for an answer after a failure, used in a
+cycle: a store that is back must be noticed within the operators' time of contact."""
 MAX_FIRST_READ_PAUSE_S = 0.2
 """The longest pause between these reads."""
 BATCH_DELAY_S = 0.2
@@ -104,6 +107,7 @@
         self._is_history_lost = False
         self._is_loss_logged = False
         self._first_read_timeouts_s = itertools.cycle(FIRST_READ_TIMEOUTS_S)
+        self._retry_slacks_s = itertools.cycle(RETRY_SLACKS_S)
         self._newer: _NewerVersion | None = None
         self.is_connected = False
         self.reconnected_at = 0.0
@@ -153,14 +157,7 @@
 
     def _read_and_apply(self) -> None:
         mirror = self._mirror
-        if mirror.version < 0:
-            timeout_s = next(self._first_read_timeouts_s)
-            result = self._feed.snapshot(mirror.table, timeout_s)
-        elif self._is_history_lost:
-            result = self._feed.snapshot(mirror.table)
-        else:
-            result = self._feed.changes(mirror.table, mirror.version, self._wait_s())
-        match result:
+        match self._read():
             case Ok(changes):
                 self._note_answer()
                 self._is_history_lost = False
@@ -169,8 +166,20 @@
                 mirror.confirm(self._timers.now() - changes.age_s)
                 if changes.rows:
                     self._timers.sleep(BATCH_DELAY_S)
-            case _:
-                self._note_failure(result.err())
+            case Err(error):
+                self._note_failure(error)
+
+    def _read(self) -> Result[Changes, StoreError]:
+        table, version = self._mirror.table, self._mirror.version
+        if version < 0:
+            timeout_s = next(self._first_read_timeouts_s)
+            return self._feed.snapshot(table, timeout_s)
+        if self._is_history_lost:
+            return self._feed.snapshot(table)
+        if self.is_connected:
+            return self._feed.changes(table, version, self._wait_s())
+        slack_s = next(self._retry_slacks_s)
+        return self._feed.changes(table, version, 0.0, slack_s)
 
     def _log_if_older(self, changes: Changes) -> None:
         """Log a snapshot that has no effect."""
--- a/boragedeck/process/relaying/shared_feed.py
+++ b/boragedeck/process/relaying/shared_feed.py
@@ -12,6 +12,7 @@
 
 from boragedeck.connection.peer import Address, PeerLinks
 from boragedeck.connection.store import (
+    FEED_SLACK_S,
     SNAPSHOT_TIMEOUT_S,
     ChangeFeed,
     Changes,
@@ -119,16 +120,18 @@
         return self._read(table, lambda: self._store.snapshot(table, timeout_s), 0.0)
 
     def changes(
-        self, table: Table, after: int, wait_s: float
+        self,
+        table: Table,
+        after: int,
+        wait_s: float,
+        slack_s: float = FEED_SLACK_S,
     ) -> Result[Changes, StoreError]:
         """Wait for changes; see `ChangeFeed`."""
         hubs = self._hubs_to_ask()
         if not hubs:
             if self._hubs.is_hub():
                 wait_s = min(wait_s, self._wait_s())
-            return self._read(
-                table, lambda: self._store.changes(table, after, wait_s), wait_s
-            )
+            return self._read_changes(table, after, wait_s, slack_s)
         peer_result = self._ask_each(hubs, table, after, self._wait_s())
         if peer_result.is_ok():
             self._next_try_at.pop(table, None)
@@ -136,7 +139,7 @@
         if isinstance(peer_result.err(), PeerRefusedError) and not self._may_try(table):
             text = "no hub has a recent answer from the store"
             return Err(StoreUnavailableError(text, step="read a table"))
-        return self._read(table, lambda: self._store.changes(table, after, 0.0), 0.0)
+        return self._read_changes(table, after, 0.0, slack_s)
 
     def is_current(self, table: Table) -> bool:
         """Return whether the store itself recently answered this router for a table."""
@@ -146,6 +149,13 @@
     def _max_current_age_s(self) -> float:
         return self._wait_s() + STORE_SILENCE_SLACK_S
 
+    def _read_changes(
+        self, table: Table, after: int, wait_s: float, slack_s: float
+    ) -> Result[Changes, StoreError]:
+        return self._read(
+            table, lambda: self._store.changes(table, after, wait_s, slack_s), wait_s
+        )
+
     def _wait_s(self) -> float:
         return WAIT_SHARE * self._bounds().config_apply_s
 
--- a/tests/process/relaying/test_mirror_follower.py
+++ b/tests/process/relaying/test_mirror_follower.py
@@ -29,7 +29,7 @@
         self.timeouts_s.append(timeout_s)
         return self._next()
 
-    def changes(self, table, after, wait_s):
+    def changes(self, table, after, wait_s, slack_s=0.5):
         self.calls.append(after)
         return self._next()
 
--- a/tests/process/relaying/test_shared_feed.py
+++ b/tests/process/relaying/test_shared_feed.py
@@ -44,7 +44,7 @@
         self.snapshots += 1
         return self.answer
 
-    def changes(self, table, after, wait_s):
+    def changes(self, table, after, wait_s, slack_s=0.5):
         self.waits.append(wait_s)
         return self.answer
 
