Join what routers have heard of the store to know whether an entry lapsed

What callers would see: in a fleet whose hubs are cut off from a store that serves the others, requests reach a replica more than 2 s after its entry is gone (DRAIN). Cause, the class of the record's: a router keeps an entry that vanishes while it can't tell whether replicas could renew theirs, and it asked only whether its own connection, or that of the last router it heard, had been sound. Now a router keeps the period in which the store is known to have answered somebody: periods that others tell of are joined if less than 1.5 s lies between them, and an entry that is gone is checked again every 0.2 s. Others are asked every 0.25 s instead of 0.4 s while the store is silent.

--- a/boragedeck/connection/store.py
+++ b/boragedeck/connection/store.py
@@ -222,12 +222,16 @@
     age_s : float
         How long ago this was the store's newest state, in seconds, when it was
         received.
+    answering_s : float or None
+        How long the store has been answering the router that sent this, in seconds;
+        None if it comes from the store itself, or if that isn't known.
     """
 
     rows: tuple[Change, ...]
     version: StoreVersion
     is_snapshot: bool = False
     age_s: float = 0.0
+    answering_s: float | None = None
 
 
 class ChangeFeed(Protocol):
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -246,8 +246,7 @@
             mirrors,
             self.timers,
             self._feed.is_current,
-            lambda table: self._followers[table].answering_since(),
-            lambda table: self._followers[table].age_s(),
+            lambda table: self._followers[table],
         )
         self._table_ages = TableAges(self._followers, self.metrics)
         self._routing = RoutingSource(self._routing_mirror, ROUTING_KEY, decode_routing)
--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/mirror_follower.py
@@ -13,6 +13,7 @@
 from boragedeck.connection.store import ChangeFeed, Changes
 from boragedeck.exceptions import StoreError, StoreHistoryLostError
 from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.answering_period import MAX_GAP_S, AnsweringPeriod
 from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
@@ -32,10 +33,8 @@
 BATCH_DELAY_S = 0.2
 """How long to wait after a change before the next read, since changes mostly come in
 groups."""
-PEER_INTERVAL_S = 0.4
+PEER_INTERVAL_S = 0.25
 PEER_TIMEOUT_S = 0.5
-PEER_REPORT_TTL_S = 1.0
-"""How long another router's report on the store counts."""
 MIN_LAG_S = 0.3
 """How long another router must be ahead before its rows are fetched."""
 
@@ -49,13 +48,6 @@
     since: float
 
 
-class _PeerReport(msgspec.Struct, frozen=True):
-    """Since when the store has been answering another router, and when it said so."""
-
-    answering_since: float
-    received_at: float
-
-
 class MirrorFollower:
     """Keeps a mirror up to date from the store or, if that fails, from other routers.
 
@@ -111,8 +103,9 @@
         self._newer: _NewerVersion | None = None
         self.is_connected = False
         self.reconnected_at = 0.0
-        self._answering_since = 0.0
-        self._peer_report: _PeerReport | None = None
+        self._connected_since = 0.0
+        self._period = AnsweringPeriod()
+        self._confirmed_at = -math.inf
         mirror.subscribe_restored(self._note_restored)
 
     def start(self) -> None:
@@ -126,15 +119,25 @@
         Returns
         -------
         float or None
-            On the timer service's monotonic clock. While this router doesn't reach
-            the store, what another router reports; None if none reaches it.
+            On the timer service's monotonic clock, by what this router and those that
+            it has heard know together; None if none has heard the store recently.
+        """
+        unheard_s = self.unheard_s()
+        is_known = unheard_s is not None and unheard_s <= MAX_GAP_S
+        return self._period.since if is_known else None
+
+    def unheard_s(self) -> float | None:
+        """Return how long the store has not been known to answer, in seconds.
+
+        Returns
+        -------
+        float or None
+            0 while it answers this router; None if it isn't known to have answered.
         """
         if self.is_connected:
-            return self._answering_since
-        report, now = self._peer_report, self._timers.now()
-        if report is None or now - report.received_at > PEER_REPORT_TTL_S:
-            return None
-        return report.answering_since
+            return 0.0
+        unheard_s = self._timers.now() - self._period.until
+        return None if math.isinf(unheard_s) else max(0.0, unheard_s)
 
     def age_s(self) -> float | None:
         """Return how long ago the mirror was the store's newest state, in seconds.
@@ -144,7 +147,7 @@
         float or None
             None if that isn't known, for example without a table.
         """
-        age_s = self._timers.now() - self._mirror.confirmed_at
+        age_s = self._timers.now() - self._confirmed_at
         return None if math.isinf(age_s) else max(0.0, age_s)
 
     def _follow(self) -> None:
@@ -162,8 +165,8 @@
                 self._note_answer()
                 self._is_history_lost = False
                 self._log_if_older(changes)
+                self._note_answering(changes)
                 mirror.apply(changes)
-                mirror.confirm(self._timers.now() - changes.age_s)
                 if changes.rows:
                     self._timers.sleep(BATCH_DELAY_S)
             case Err(error):
@@ -195,15 +198,27 @@
         self._pause_s = INITIAL_PAUSE_S
         if self.is_connected:
             return
-        now = self._timers.now()
-        self.reconnected_at = now
-        self._answering_since = min(now, self.answering_since() or now)
+        self.reconnected_at = self._connected_since = self._timers.now()
         self.is_connected = True
         self._is_loss_logged = False
         _log.write("Store answers.", table=self._mirror.table.value)
 
+    def _note_answering(self, changes: Changes) -> None:
+        now = self._timers.now()
+        since = self._connected_since
+        if changes.answering_s is not None:
+            since = now - changes.answering_s
+        self._period.extend(since, now)
+        self._confirm(now - changes.age_s)
+
+    def _confirm(self, at: float) -> None:
+        """Record that the mirror was the store's newest state at a moment."""
+        self._confirmed_at = max(self._confirmed_at, at)
+
     def _note_restored(self) -> None:
-        self.reconnected_at = self._answering_since = self._timers.now()
+        now = self._timers.now()
+        self.reconnected_at = self._connected_since = now
+        self._period.restart(now)
         _log.write("Store restored.", table=self._mirror.table.value)
 
     def _note_failure(self, error: Exception) -> None:
@@ -222,6 +237,7 @@
             )
         if self.is_connected:
             self.is_connected = False
+            self._period.extend(self._period.since, self._timers.now())
             eventlet.spawn_n(self._poll_peers_while_disconnected)
         self._timers.sleep(self._pause_s * self._rng.uniform(0.5, 1.0))
         longest_s = MAX_FIRST_READ_PAUSE_S if self._mirror.version < 0 else MAX_PAUSE_S
@@ -255,19 +271,25 @@
         if result.is_err():
             return
         part = result.ok()
-        if part.answering_s is not None:
-            now = self._timers.now()
-            self._peer_report = _PeerReport(now - part.answering_s, now)
         try:
             changes = part.unpack()
         except ValueError as exc:
             _log.write("Answer can't be decoded.", peer=str(address), error=str(exc))
             return
-        if changes is not None and changes.version > self._mirror.version:
+        is_newer = changes is not None and changes.version > self._mirror.version
+        if is_newer or self._mirror.version >= 0:
+            self._note_peer_answering(part, started_at)
+        if is_newer:
             self._log_fetched(address, part, changes)
             self._mirror.apply(changes)
-        if part.age_s is not None and self._mirror.version >= 0:
-            self._mirror.confirm(started_at - part.age_s)
+
+    def _note_peer_answering(self, part: TablePart, asked_at: float) -> None:
+        if part.age_s is not None:
+            self._confirm(asked_at - part.age_s)
+        if part.answering_s is not None:
+            # Older builds say it only while the store answers them.
+            until = asked_at - (part.unheard_s or 0.0)
+            self._period.extend(min(asked_at - part.answering_s, until), until)
 
     def _log_fetched(self, address: Address, part: TablePart, changes: Changes) -> None:
         _log.write(
--- a/boragedeck/process/relaying/mirror_messages.py
+++ b/boragedeck/process/relaying/mirror_messages.py
@@ -2,6 +2,7 @@
 
 import zlib
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 import msgspec
 
@@ -12,7 +13,7 @@
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 
-__all__ = ["FetchTable", "TablePart", "pack", "serve_mirrors"]
+__all__ = ["FetchTable", "MirrorState", "TablePart", "pack", "serve_mirrors"]
 
 MAX_WAIT_S = 2.0
 MAX_UNPACKED_BYTES = 32 * 1024 * 1024
@@ -49,6 +50,8 @@
     answering_s : float or None
         How long the store has been answering the router without a failure, in
         seconds; None if it doesn't, or if the router doesn't say so.
+    unheard_s : float or None
+        How long ago that ended, in seconds; None if the router doesn't say so.
     age_s : float or None
         How long ago the router's table was the store's newest state, in seconds; None
         if the router doesn't know or say so.
@@ -57,6 +60,7 @@
     packed: bytes | None = None
     is_current: bool = False
     answering_s: float | None = None
+    unheard_s: float | None = None
     age_s: float | None = None
 
     def unpack(self) -> Changes | None:
@@ -77,6 +81,19 @@
             raise ValueError(f"changes can't be unpacked: {exc}") from exc
 
 
+class MirrorState(Protocol):
+    """What a router knows about the state of its mirror; see `MirrorFollower`."""
+
+    def answering_since(self) -> float | None:
+        """Return since when the store has been answering; None if it doesn't."""
+
+    def unheard_s(self) -> float | None:
+        """Return how long the store has not been known to answer, in seconds."""
+
+    def age_s(self) -> float | None:
+        """Return how long ago the mirror was the store's newest state, in seconds."""
+
+
 def pack(changes: Changes) -> bytes:
     """Return changes encoded and compressed for sending."""
     return zlib.compress(msgspec.msgpack.encode(changes), COMPRESSION_LEVEL)
@@ -107,8 +124,7 @@
     mirrors: Iterable[TableMirror],
     timers: TimerService,
     is_current: Callable[[Table], bool],
-    answering_since: Callable[[Table], float | None],
-    age_s: Callable[[Table], float | None],
+    follower_of: Callable[[Table], MirrorState],
 ) -> None:
     """Register a handler that answers other routers' requests for these tables.
 
@@ -122,19 +138,12 @@
         The source of time.
     is_current : callable
         Returns whether the store itself recently answered this router for a table.
-    answering_since : callable
-        Returns since when the store has been answering for a table, see
-        `MirrorFollower.answering_since`.
-    age_s : callable
-        Returns how old a table is, see `MirrorFollower.age_s`.
+    follower_of : callable
+        Returns what is known about the state of a table's mirror.
     """
     by_table = {mirror.table: mirror for mirror in mirrors}
     packers = {table: _Packer(mirror) for table, mirror in by_table.items()}
 
-    def answering_s(table: Table) -> float | None:
-        since = answering_since(table)
-        return None if since is None else timers.now() - since
-
     def answer(query: FetchTable) -> TablePart:
         mirror = by_table.get(query.table)
         if mirror is None:
@@ -146,6 +155,14 @@
         if mirror.version > query.after:
             packed = packers[query.table].packed_changes_since(query.after)
         table = query.table
-        return TablePart(packed, is_current(table), answering_s(table), age_s(table))
+        state = follower_of(table)
+        since = state.answering_since()
+        return TablePart(
+            packed,
+            is_current(table),
+            answering_s=None if since is None else timers.now() - since,
+            unheard_s=state.unheard_s(),
+            age_s=state.age_s(),
+        )
 
     server.register(FetchTable, answer)
--- a/boragedeck/process/relaying/replica_source.py
+++ b/boragedeck/process/relaying/replica_source.py
@@ -17,6 +17,9 @@
 __all__ = ["ReplicaSource"]
 
 CHECK_INTERVAL_S = 0.5
+RECHECK_S = 0.2
+"""How often it is checked whether an entry that is gone may have lapsed only because
+the store had failed."""
 RENEWAL_PERIOD_S = 2.2
 """Time within which replicas renew their lapsed entries after a store outage."""
 
@@ -135,7 +138,9 @@
         if wait_s <= 0.0:
             self._registry.remove(replica, "its entry was deleted")
             return
-        self._timers.call_later(wait_s, lambda: self._remove_missing(replica))
+        # Other routers may tell meanwhile that the store hasn't failed.
+        recheck_s = min(wait_s, RECHECK_S)
+        self._timers.call_later(recheck_s, lambda: self._remove_missing(replica))
 
     def _renewal_left_s(self) -> float:
         since = self._follower.answering_since()
--- a/boragedeck/process/relaying/shared_feed.py
+++ b/boragedeck/process/relaying/shared_feed.py
@@ -226,6 +226,7 @@
             changes = Changes((), StoreVersion(after))
         if part.is_current and changes is not None:
             age_s = self._max_current_age_s() if part.age_s is None else part.age_s
+            changes = msgspec.structs.replace(changes, answering_s=part.answering_s)
             return Ok(self._with_age(changes, started_at, wait_s, age_s))
         return Err(
             PeerRefusedError("it has no recent answer from the store", **context)
--- a/boragedeck/process/relaying/table_mirror.py
+++ b/boragedeck/process/relaying/table_mirror.py
@@ -31,9 +31,6 @@
         self.version = -1
         self.newest_row_version = -1
         """Version of the newest row change, which other routers compare with theirs."""
-        self.confirmed_at = float("-inf")
-        """When these rows were last known to be the store's newest state, on the timer
-        service's clock."""
         self.rows: dict[str, Change] = {}
         self._deletion_versions: dict[str, StoreVersion] = {}
         self._deletions_known_after = -1
@@ -68,10 +65,6 @@
             changed, self._changed = self._changed, Event()
             changed.send()
 
-    def confirm(self, at: float) -> None:
-        """Record that these rows were the store's newest state at a moment."""
-        self.confirmed_at = max(self.confirmed_at, at)
-
     def snapshot(self) -> Changes:
         """Return all rows as a snapshot for another router."""
         return Changes(tuple(self.rows.values()), self.version, True)
--- a/tests/process/relaying/test_mirror_messages.py
+++ b/tests/process/relaying/test_mirror_messages.py
@@ -20,6 +20,19 @@
         self.handler = handler
 
 
+class State:
+    """The state of a mirror that the store answers."""
+
+    def answering_since(self):
+        return None
+
+    def unheard_s(self):
+        return 0.0
+
+    def age_s(self):
+        return 0.25
+
+
 class MirrorMessagesTest(unittest.TestCase):
     def setUp(self):
         self.mirror = TableMirror(ROUTING)
@@ -29,8 +42,7 @@
             [self.mirror],
             ManualTimers(),
             lambda table: self.is_current,
-            lambda table: None,
-            lambda table: 0.25,
+            lambda table: State(),
         )
         self.mirror.apply(Changes((Change("k", ROUTES, 6),), 6, True))
 
--- a/tests/support/mirror_fleet.py
+++ b/tests/support/mirror_fleet.py
@@ -134,8 +134,7 @@
             self.mirrors.values(),
             timers,
             feed.is_current,
-            lambda table: self.followers[table].answering_since(),
-            lambda table: self.followers[table].age_s(),
+            lambda table: self.followers[table],
         )
         self.registry = ReplicaRegistry(timers)
         ReplicaSource(
