--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 READY := $(VENV)/.ready
 export ROUTERS ENGINES TOKEN_INTERVAL_MS
 
-.PHONY: demo platform-demo test serve lint format bench fuzz mutants matrix clean
+.PHONY: demo platform-demo test serve lint format bench fuzz mutants matrix upgrade clean
 
 $(READY): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -44,5 +44,8 @@
 matrix: $(READY)
 	$(BIN)/python -m scripts.fault_matrix
 
+upgrade: $(READY)
+	$(BIN)/python -m scripts.upgrade_check --from $(FROM) --seeds $(or $(SEEDS),1)
+
 clean:
 	rm -rf $(VENV) build
--- a/scripts/platform_demo.py
+++ b/scripts/platform_demo.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 
 from boragedeck.patching import patch_all
@@ -41,9 +42,15 @@
     ----------
     directory : Path
         Directory of the settings and log files.
+
+    Attributes
+    ----------
+    builds : dict of int to Path
+        Source folders of the routers that don't run this one.
     """
 
     def __init__(self, directory: Path):
+        self.builds: dict[int, Path] = {}
         self.rows = RowStore()
         self.engines: dict[str, tuple[RelayReplica, object, object]] = {}
         self.routers: list[subprocess.Popen] = []
@@ -88,6 +95,27 @@
         _wait_exit(self.routers[number])
         self.routers[number] = self._start(number)
 
+    def replace_routers(self, numbers: Sequence[int], build: Path | None) -> None:
+        """Stop routers as planned, and start them from a source folder.
+
+        Parameters
+        ----------
+        numbers : sequence of int
+            The routers, which are replaced at the same time.
+        build : Path or None
+            The source folder; None for this one.
+        """
+        for number in numbers:
+            self.routers[number].terminate()
+        for number in numbers:
+            _wait_exit(self.routers[number])
+            self.builds.pop(number, None)
+            if build is not None:
+                self.builds[number] = build
+            self.routers[number] = self._start(number)
+        for number in numbers:
+            self.wait_ready(number)
+
     def kill_all(self) -> None:
         """Kill all routers and crash all engines, as a loss of power does."""
         for router in self.routers:
@@ -132,7 +160,13 @@
         }
         command = [sys.executable, "-m", "boragedeck.process.daemon"]
         with Path(self._directory, f"router-{number}.log").open("ab") as log:
-            return subprocess.Popen(command, env=environ, stdout=log, stderr=log)
+            return subprocess.Popen(
+                command,
+                env=environ,
+                stdout=log,
+                stderr=log,
+                cwd=self.builds.get(number),
+            )
 
     def _settings(self, number: int, zone: str) -> dict:
         port = _free_port_pair()
