Agree with each peer on a protocol, and tell older builds nothing they misread

Nothing between routers named its format. Also, one fact of a topic that doesn't know made it refuse the whole message with all other facts in it. Now a router greets when it opens a link, and both use the lower version of the protocol; a build that refuses the greeting speaks the oldest. To such a one no row versions are told with loads, and no facts of topics that it lacks. A request for a table says whether its versions hold the era; one that doesn't is answered in the store's own numbers, and one without a table not at all, so that router reads the store itself. Tables that lack the era aren't compared with those that have it. Unknown topics, tables and fields are skipped. Peers by build and protocol are a metric; the build is logged at start. Ruled out: finding out the build from the members' rows, which routers without a row lack; and one counting for all, which needs the old build to change.

--- a/boragedeck/connection/messages.py
+++ b/boragedeck/connection/messages.py
@@ -72,6 +72,12 @@
     """What the origin has observed of the versions in a rollout."""
     ROLLOUT_STOP = "rollout_stop"
     """Rollouts whose new version was rejected."""
+    UNKNOWN = "unknown"
+    """A topic of a newer build; such facts are skipped."""
+
+    @classmethod
+    def _missing_(cls, value: object) -> "FactTopic":
+        return cls.UNKNOWN
 
 
 class Fact(msgspec.Struct, frozen=True, array_like=True):
--- a/boragedeck/connection/peer.py
+++ b/boragedeck/connection/peer.py
@@ -26,6 +26,13 @@
 )
 from boragedeck.connection.guard import Guard, OpenGuard
 from boragedeck.connection.messages import Message, Refused
+from boragedeck.connection.peer_protocol import (
+    OWN_PROTOCOL,
+    Greeting,
+    PeerDialect,
+    PeerProtocol,
+    agreed_protocol,
+)
 from boragedeck.connection.peer_server import PeerServer
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
@@ -40,6 +47,7 @@
 
 MAX_PORT = 65_535
 CONNECT_TIMEOUT_S = 0.5
+GREETING_TIMEOUT_S = 0.5
 HANDSHAKE_TIMEOUT_S = 2.0
 """Time limit of the guard's handshake, in seconds. It takes up to four round trips,
 which may be between regions."""
@@ -56,6 +64,9 @@
         The source of time and timeouts.
     guard : Guard, optional
         Authenticates the other router; by default, nothing is authenticated.
+    dialect : PeerDialect, optional
+        Translates messages for older builds; by default, nothing is translated and the
+        other router isn't greeted.
     """
 
     def __init__(
@@ -63,10 +74,13 @@
         address: Address,
         timers: TimerService,
         guard: Guard | None = None,
+        dialect: PeerDialect | None = None,
     ):
         self.address = address
         self._timers = timers
         self._guard = guard or OpenGuard()
+        self._dialect = dialect
+        self._protocol = OWN_PROTOCOL
         self._call_numbers = itertools.count(1)
         self._pending_calls: dict[int, Event] = {}
         self._sock: socket.socket | None = None
@@ -103,8 +117,9 @@
         event = self._pending_calls[number] = Event()
         try:
             with eventlet.Timeout(timeout_s):
+                writer = self._connect()
                 # False: the frame is a call and not an answer.
-                self._connect().write(number, False, message)
+                writer.write(number, False, self._translated(message))
             if not self._timers.wait(event, deadline - self._timers.now()):
                 return Err(self._unreachable("no answer in time", step))
             # Returns the answer's body, still encoded, or raises EOFError if the
@@ -144,8 +159,42 @@
             sock = self._open()
             self._sock, self._writer = sock, FrameWriter(sock)
             eventlet.spawn_n(self._read, sock)
+            if self._dialect is not None:
+                self._greet()
             return self._writer
 
+    def _translated(self, message: Message) -> Message:
+        if self._dialect is None:
+            return message
+        return self._dialect.for_peer(message, self._protocol)
+
+    def _greet(self) -> None:
+        """Agree with the other router on the version of the protocol."""
+        try:
+            answer = self._ask_greeting()
+        except BaseException:
+            self.close()
+            raise
+        is_greeted = isinstance(answer, Greeting)
+        told = answer.protocol if is_greeted else PeerProtocol.UNNAMED
+        self._protocol = agreed_protocol(told)
+        self._dialect.note_peer(
+            self.address, self._protocol, answer if is_greeted else None
+        )
+
+    def _ask_greeting(self) -> Greeting | Refused:
+        number = next(self._call_numbers)
+        event = self._pending_calls[number] = Event()
+        try:
+            self._writer.write(number, False, self._dialect.greeting)
+            if not self._timers.wait(event, GREETING_TIMEOUT_S):
+                raise TimeoutError("the greeting was not answered in time")
+            return msgspec.msgpack.decode(event.wait(), type=Greeting | Refused)
+        except DECODE_ERRORS as exc:
+            raise OSError(f"the greeting can't be decoded: {exc}") from exc
+        finally:
+            self._pending_calls.pop(number, None)
+
     def _open(self) -> socket.socket:
         _check_address(self.address)
         with eventlet.Timeout(CONNECT_TIMEOUT_S):
@@ -201,17 +250,27 @@
         The source of time and timeouts.
     guard : Guard, optional
         Authenticates the other routers; by default, nothing is authenticated.
+    dialect : PeerDialect, optional
+        Translates messages for older builds; see `PeerLink`.
     """
 
-    def __init__(self, timers: TimerService, guard: Guard | None = None):
+    def __init__(
+        self,
+        timers: TimerService,
+        guard: Guard | None = None,
+        dialect: PeerDialect | None = None,
+    ):
         self._timers = timers
         self._guard = guard or OpenGuard()
+        self._dialect = dialect
         self._links: dict[Address, PeerLink] = {}
 
     def link(self, address: Address) -> PeerLink:
         """Return the link to an address; it connects on its first call."""
         if address not in self._links:
-            self._links[address] = PeerLink(address, self._timers, self._guard)
+            self._links[address] = PeerLink(
+                address, self._timers, self._guard, self._dialect
+            )
         return self._links[address]
 
     def forget(self, address: Address) -> None:
@@ -219,6 +278,8 @@
         link = self._links.pop(address, None)
         if link is not None:
             link.close()
+            if self._dialect is not None:
+                self._dialect.forget_peer(address)
 
 
 def _check_address(address: Address) -> None:
--- a/boragedeck/connection/peer_server.py
+++ b/boragedeck/connection/peer_server.py
@@ -22,6 +22,12 @@
 )
 from boragedeck.connection.guard import Guard, OpenGuard
 from boragedeck.connection.messages import Accepted, Frame, Message, Ping, Refused
+from boragedeck.connection.peer_protocol import (
+    Greeting,
+    PeerDialect,
+    PeerProtocol,
+    agreed_protocol,
+)
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import PeerError
 
@@ -81,6 +87,14 @@
         released.send()
 
 
+class _Caller:
+    """The other side of one connection, and the version of the protocol it speaks."""
+
+    def __init__(self, writer: FrameWriter):
+        self.writer = writer
+        self.protocol = PeerProtocol.UNNAMED
+
+
 class PeerServer:
     """Answers calls of other routers, each call in its own green thread.
 
@@ -92,6 +106,9 @@
         Authenticates connections; by default, nothing is authenticated.
     limits : PeerLimits, optional
         Limits on the resources that other routers may use.
+    dialect : PeerDialect, optional
+        Translates answers for older builds; by default, nothing is translated and
+        greetings are refused.
     """
 
     def __init__(
@@ -99,11 +116,15 @@
         listener: socket.socket,
         guard: Guard | None = None,
         limits: PeerLimits | None = None,
+        dialect: PeerDialect | None = None,
     ):
         self._listener = listener
         self._guard = guard or OpenGuard()
         self._limits = limits or PeerLimits()
         self._handlers: dict[type, Handler] = {Ping: lambda message: Accepted()}
+        self._dialect = dialect
+        if dialect is not None:
+            self._handlers[Greeting] = lambda message: dialect.greeting
         self._decoder: msgspec.msgpack.Decoder | None = None
         self._open_sockets: set[socket.socket] = set()
         self._connections_by_host: Counter[str] = Counter()
@@ -198,7 +219,7 @@
         budget = self._budgets.get(host)
         if budget is None:
             budget = self._budgets[host] = _HostBudget(self._limits.bytes_per_host)
-        writer = FrameWriter(sock)
+        caller = _Caller(FrameWriter(sock))
         call_slots = eventlet.Semaphore(self._limits.calls)
         with sock.makefile("rb") as file:
             while (size := read_header(file)) is not None:
@@ -215,7 +236,7 @@
                     return
                 release_bytes = partial(self._release_bytes, host, budget, size)
                 eventlet.spawn_n(
-                    self._answer, sock, writer, frame, call_slots, release_bytes
+                    self._answer, sock, caller, frame, call_slots, release_bytes
                 )
 
     def _release_bytes(self, host: str, budget: _HostBudget, size: int) -> None:
@@ -225,24 +246,30 @@
     def _answer(
         self,
         sock: socket.socket,
-        writer: FrameWriter,
+        caller: _Caller,
         frame: Frame,
         call_slots: eventlet.Semaphore,
         release_bytes: Callable[[], None],
     ) -> None:
         try:
-            answer = self._handle(frame.body)
+            answer = self._handle(frame.body, caller)
             timeout_error = TimeoutError("the answer was not sent in time")
             with eventlet.Timeout(SEND_TIMEOUT_S, timeout_error):
                 # True: the frame is an answer.
-                writer.write(frame.number, True, answer)
+                caller.writer.write(frame.number, True, answer)
         except (OSError, ValueError):
             shut_down_socket(sock)
         finally:
             release_bytes()
             call_slots.release()
 
-    def _handle(self, body: msgspec.Raw) -> Message:
+    def _handle(self, body: msgspec.Raw, caller: _Caller) -> Message:
+        answer = self._call_handler(body, caller)
+        if self._dialect is None:
+            return answer
+        return self._dialect.for_peer(answer, caller.protocol)
+
+    def _call_handler(self, body: msgspec.Raw, caller: _Caller) -> Message:
         if self._decoder is None:
             union = _union_type(tuple(self._handlers))
             self._decoder = msgspec.msgpack.Decoder(union)
@@ -250,6 +277,8 @@
             message = self._decoder.decode(body)
         except DECODE_ERRORS as exc:
             return Refused("bad_message", str(exc))
+        if isinstance(message, Greeting):
+            caller.protocol = agreed_protocol(message.protocol)
         try:
             return self._handlers[type(message)](message)
         except PeerError as exc:
--- a/boragedeck/connection/store.py
+++ b/boragedeck/connection/store.py
@@ -67,6 +67,12 @@
     """Progress of rollouts, for operators; the platform names the table `status`."""
     ROUTING = "routing"
     """The operators' routing table and rollout orders; read-only for the routers."""
+    UNKNOWN = "unknown"
+    """A table of a newer build, in a message of one of its routers."""
+
+    @classmethod
+    def _missing_(cls, value: object) -> "Table":
+        return cls.UNKNOWN
 
 
 class StoreCallKind(enum.Enum):
--- a/boragedeck/process/fact_store.py
+++ b/boragedeck/process/fact_store.py
@@ -100,7 +100,8 @@
     def merge(self, aged: AgedFact) -> bool:
         """Merge a fact from another router; return whether it was stored as newer."""
         fact, now = aged.fact, self._timers.now()
-        if fact.origin == self._own or not _is_within_limits(fact):
+        is_unknown = fact.topic is FactTopic.UNKNOWN
+        if fact.origin == self._own or is_unknown or not _is_within_limits(fact):
             return False
         published_at = now - max(0.0, aged.age_s)
         if published_at + fact.ttl_s <= now or fact.number <= self.number(
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -45,12 +45,13 @@
 from boragedeck.process.relaying.limited_admission import LimitedAdmission
 from boragedeck.process.relaying.load_exchange import LoadExchange
 from boragedeck.process.relaying.mirror_follower import MirrorFollower
-from boragedeck.process.relaying.mirror_messages import serve_mirrors
+from boragedeck.process.relaying.mirror_server import serve_mirrors
 from boragedeck.process.relaying.path_composition import (
     forward_address,
     make_forward_edge,
     make_paths,
 )
+from boragedeck.process.relaying.peer_dialect import RelayDialect
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replica_limits import ReplicaLimits
@@ -194,8 +195,14 @@
         _log.write("Drained.", unanswered=_active_requests(edges))
 
     def _make_peers(self) -> None:
-        self._peer_server = PeerServer(_listen(self._source.current().peer))
-        self._links = PeerLinks(self.timers)
+        dialect = RelayDialect(self.metrics)
+        self._peer_server = PeerServer(
+            _listen(self._source.current().peer), dialect=dialect
+        )
+        self._links = PeerLinks(self.timers, dialect=dialect)
+        greeting = dialect.greeting
+        self.metrics.build.labels(greeting.build, str(greeting.protocol)).set(1)
+        _log.write("Started.", build=greeting.build, protocol=greeting.protocol)
         self._board = GossipBoard(
             self.own, self.timers, self._links, self._peer_server, self._rng
         )
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/load_exchange.py
@@ -265,7 +265,9 @@
     ) -> None:
         address = self._membership.address_of(router)
         if address is not None:
-            for table, version in newest_row_versions.items():
+            known = {mirror.table for mirror in self._mirrors}
+            for table in known & newest_row_versions.keys():
+                version = newest_row_versions[table]
                 self.on_newest_version(address, table, version)
 
     def _peer_load_of(self, replica: Replica) -> Load:
--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/mirror_follower.py
@@ -15,6 +15,7 @@
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.answering_period import MAX_GAP_S, AnsweringPeriod
 from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
+from boragedeck.process.relaying.older_versions import is_comparable
 from boragedeck.process.relaying.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 
@@ -106,6 +107,7 @@
         self._connected_since = 0.0
         self._period = AnsweringPeriod()
         self._confirmed_at = -math.inf
+        self._logged_counting: set[Address] = set()
         mirror.subscribe_restored(self._note_restored)
 
     def start(self) -> None:
@@ -264,7 +266,7 @@
                 self._fetch(self._rng.choice(peers))
 
     def _fetch(self, address: Address) -> None:
-        query = FetchTable(self._mirror.table, self._mirror.version)
+        query = FetchTable(self._mirror.table, self._mirror.version, counts_eras=True)
         link = self._links.link(address)
         started_at = self._timers.now()
         result = link.call(query, TablePart, timeout_s=PEER_TIMEOUT_S)
@@ -276,7 +278,11 @@
         except ValueError as exc:
             _log.write("Answer can't be decoded.", peer=str(address), error=str(exc))
             return
-        is_newer = changes is not None and changes.version > self._mirror.version
+        known = self._mirror.version
+        if changes is not None and not is_comparable(part, changes, known):
+            self._log_other_counting(address, changes)
+            return
+        is_newer = changes is not None and changes.version > known
         if is_newer or self._mirror.version >= 0:
             self._note_peer_answering(part, started_at)
         if is_newer:
@@ -291,6 +297,18 @@
             until = asked_at - (part.unheard_s or 0.0)
             self._period.extend(min(asked_at - part.answering_s, until), until)
 
+    def _log_other_counting(self, address: Address, changes: Changes) -> None:
+        """Log once that a router of an older build counts versions otherwise."""
+        if address not in self._logged_counting:
+            self._logged_counting.add(address)
+            _log.write(
+                "Table of an older build ignored.",
+                table=self._mirror.table.value,
+                peer=str(address),
+                version=changes.version,
+                known=self._mirror.version,
+            )
+
     def _log_fetched(self, address: Address, part: TablePart, changes: Changes) -> None:
         _log.write(
             "Table fetched from another router.",
--- a/boragedeck/process/relaying/mirror_messages.py
+++ b/boragedeck/process/relaying/mirror_messages.py
@@ -1,21 +1,15 @@
 """Messages by which routers read each other's mirrors of the platform's tables."""
 
 import zlib
-from collections.abc import Callable, Iterable
-from typing import Protocol
 
 import msgspec
 
 from boragedeck.connection.messages import Message
-from boragedeck.connection.peer import PeerServer
 from boragedeck.connection.store import Changes, Table
 from boragedeck.decoding import DECODE_ERRORS
-from boragedeck.process.relaying.table_mirror import TableMirror
-from boragedeck.process.timers import TimerService
 
-__all__ = ["FetchTable", "MirrorState", "TablePart", "pack", "serve_mirrors"]
+__all__ = ["FetchTable", "TablePart", "pack"]
 
-MAX_WAIT_S = 2.0
 MAX_UNPACKED_BYTES = 32 * 1024 * 1024
 COMPRESSION_LEVEL = 6
 
@@ -31,11 +25,15 @@
         The version that the requesting router has; -1 if it has none.
     wait_s : float
         How long to wait for a change, in seconds.
+    counts_eras : bool
+        Whether the router's versions hold the store's era. Builds that don't say so may
+        count either way.
     """
 
     table: Table
     after: int
     wait_s: float = 0.0
+    counts_eras: bool = False
 
 
 class TablePart(Message, frozen=True):
@@ -55,6 +53,8 @@
     age_s : float or None
         How long ago the router's table was the store's newest state, in seconds; None
         if the router doesn't know or say so.
+    counts_eras : bool
+        As in `FetchTable`.
     """
 
     packed: bytes | None = None
@@ -62,6 +62,7 @@
     answering_s: float | None = None
     unheard_s: float | None = None
     age_s: float | None = None
+    counts_eras: bool = False
 
     def unpack(self) -> Changes | None:
         """Return the changes; None if there are none.
@@ -81,88 +82,6 @@
             raise ValueError(f"changes can't be unpacked: {exc}") from exc
 
 
-class MirrorState(Protocol):
-    """What a router knows about the state of its mirror; see `MirrorFollower`."""
-
-    def answering_since(self) -> float | None:
-        """Return since when the store has been answering; None if it doesn't."""
-
-    def unheard_s(self) -> float | None:
-        """Return how long the store has not been known to answer, in seconds."""
-
-    def age_s(self) -> float | None:
-        """Return how long ago the mirror was the store's newest state, in seconds."""
-
-
 def pack(changes: Changes) -> bytes:
     """Return changes encoded and compressed for sending."""
     return zlib.compress(msgspec.msgpack.encode(changes), COMPRESSION_LEVEL)
-
-
-class _Packer:
-    """Packs the changes of one table, and caches the last result.
-
-    Routers that request the changes after the same version share the result.
-    """
-
-    def __init__(self, mirror: TableMirror):
-        self._mirror = mirror
-        self._key: tuple[int, int, int] | None = None
-        self._packed = b""
-
-    def packed_changes_since(self, after: int) -> bytes:
-        """Return the changes after a version, encoded and compressed."""
-        mirror = self._mirror
-        key = after, mirror.version, mirror.newest_row_version
-        if key != self._key:
-            self._key, self._packed = key, pack(mirror.since(after))
-        return self._packed
-
-
-def serve_mirrors(
-    server: PeerServer,
-    mirrors: Iterable[TableMirror],
-    timers: TimerService,
-    is_current: Callable[[Table], bool],
-    follower_of: Callable[[Table], MirrorState],
-) -> None:
-    """Register a handler that answers other routers' requests for these tables.
-
-    Parameters
-    ----------
-    server : PeerServer
-        Receives the requests.
-    mirrors : iterable of TableMirror
-        The tables.
-    timers : TimerService
-        The source of time.
-    is_current : callable
-        Returns whether the store itself recently answered this router for a table.
-    follower_of : callable
-        Returns what is known about the state of a table's mirror.
-    """
-    by_table = {mirror.table: mirror for mirror in mirrors}
-    packers = {table: _Packer(mirror) for table, mirror in by_table.items()}
-
-    def answer(query: FetchTable) -> TablePart:
-        mirror = by_table.get(query.table)
-        if mirror is None:
-            return TablePart()
-        # Without a recent answer from the store, the reply says so without waiting.
-        if query.wait_s > 0.0 and is_current(query.table):
-            mirror.wait_for_change(timers, query.after, min(query.wait_s, MAX_WAIT_S))
-        packed = None
-        if mirror.version > query.after:
-            packed = packers[query.table].packed_changes_since(query.after)
-        table = query.table
-        state = follower_of(table)
-        since = state.answering_since()
-        return TablePart(
-            packed,
-            is_current(table),
-            answering_s=None if since is None else timers.now() - since,
-            unheard_s=state.unheard_s(),
-            age_s=state.age_s(),
-        )
-
-    server.register(FetchTable, answer)
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -74,6 +74,18 @@
             "Replicas that this router reported as crashed under its requests.",
             registry=registry,
         )
+        self.peers = Gauge(
+            "boragedeck_peers",
+            "Routers that this one has linked to, by build and protocol.",
+            ["build", "protocol"],
+            registry=registry,
+        )
+        self.build = Gauge(
+            "boragedeck_build_info",
+            "The build that this process runs; always 1.",
+            ["build", "protocol"],
+            registry=registry,
+        )
         self.table_age = Gauge(
             "boragedeck_table_age_seconds",
             "How long ago this router's copy of a table was the store's newest state.",
--- a/boragedeck/process/relaying/shared_feed.py
+++ b/boragedeck/process/relaying/shared_feed.py
@@ -29,6 +29,7 @@
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
+from boragedeck.process.relaying.older_versions import is_comparable
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.timers import TimerService
 
@@ -212,7 +213,9 @@
     ) -> Result[Changes, PeerError]:
         started_at = self._timers.now()
         answer = self._links.link(address).call(
-            FetchTable(table, after, wait_s), TablePart, timeout_s=wait_s + slack_s
+            FetchTable(table, after, wait_s, counts_eras=True),
+            TablePart,
+            timeout_s=wait_s + slack_s,
         )
         if answer.is_err():
             return answer
@@ -222,6 +225,9 @@
             changes = part.unpack()
         except ValueError as exc:
             return Err(PeerError(str(exc), **context))
+        if changes is not None and not is_comparable(part, changes, after):
+            text = "it counts the store's versions otherwise"
+            return Err(PeerRefusedError(text, **context))
         if part.is_current and changes is None and after >= 0:
             changes = Changes((), StoreVersion(after))
         if part.is_current and changes is not None:
--- a/tests/process/relaying/test_mirror_follower.py
+++ b/tests/process/relaying/test_mirror_follower.py
@@ -114,16 +114,22 @@
         self.assertEqual(self.feed.timeouts_s[-1], SNAPSHOT_TIMEOUT_S)
 
     def test_other_routers_are_asked_while_the_store_is_unavailable(self):
-        self.links.answer = TablePart(pack(Changes((Change("k", b"1", 5),), 6, True)))
+        self.links.answer = TablePart(
+            pack(Changes((Change("k", b"1", 5),), 6, True)), counts_eras=True
+        )
         self.run_with_results(Err(StoreUnavailableError("503")))
         self.timers.advance(0.5)
-        self.assertEqual(self.links.asked[0], FetchTable(Table.ROUTING, -1))
+        self.assertEqual(
+            self.links.asked[0], FetchTable(Table.ROUTING, -1, counts_eras=True)
+        )
         self.assertEqual(self.mirror.rows["k"].value, b"1")
         self.assertEqual(self.mirror.version, 6)
 
     def test_routers_without_newer_rows_do_not_hide_one_that_is_ahead(self):
         self.run_with_results(Ok(Changes((), 7, True)))
-        self.links.answer = TablePart(pack(Changes((Change("k", b"1", 9),), 9, True)))
+        self.links.answer = TablePart(
+            pack(Changes((Change("k", b"1", 9),), 9, True)), counts_eras=True
+        )
         for _ in range(5):
             self.follower.note_peer_version("peer", 9)
             self.follower.note_peer_version("other", 7)
@@ -133,7 +139,9 @@
 
     def test_router_that_stays_ahead_is_asked_though_the_store_answers(self):
         self.run_with_results(Ok(Changes((), 7, True)))
-        self.links.answer = TablePart(pack(Changes((Change("k", b"1", 9),), 9, True)))
+        self.links.answer = TablePart(
+            pack(Changes((Change("k", b"1", 9),), 9, True)), counts_eras=True
+        )
         self.follower.note_peer_version("peer", 9)
         eventlet.sleep(0)
         self.assertEqual(self.links.asked, [])
--- a/tests/process/relaying/test_shared_feed.py
+++ b/tests/process/relaying/test_shared_feed.py
@@ -52,7 +52,7 @@
 class Links:
     def __init__(self):
         self.asked = []
-        self.answer = Ok(TablePart(None, True, age_s=0.0))
+        self.answer = Ok(TablePart(None, True, age_s=0.0, counts_eras=True))
         self.answers = {}
 
     def link(self, address):
@@ -111,7 +111,9 @@
 
 class SharedFeedTest(SharedFeedTestCase):
     def test_follower_reads_from_the_hub_of_its_domain(self):
-        self.links.answer = Ok(TablePart(pack(UPDATE), True, age_s=0.0))
+        self.links.answer = Ok(
+            TablePart(pack(UPDATE), True, age_s=0.0, counts_eras=True)
+        )
         self.assertEqual(self.follower_feed.changes(ROUTING, 5, 4.0), Ok(UPDATE))
         address, query = self.links.asked[0]
         self.assertEqual(address, self.hub_addresses[0])
@@ -126,7 +128,9 @@
 
     def test_follower_of_a_dead_hub_asks_the_next_at_once(self):
         self.links.answers = {self.hub_addresses[0]: UNREACHABLE}
-        self.links.answer = Ok(TablePart(pack(UPDATE), True, age_s=0.0))
+        self.links.answer = Ok(
+            TablePart(pack(UPDATE), True, age_s=0.0, counts_eras=True)
+        )
         self.assertEqual(self.follower_feed.changes(ROUTING, 5, 4.0), Ok(UPDATE))
         self.assertEqual(self.addresses(), self.hub_addresses[:2])
         self.assertEqual(self.links.asked[1][1].wait_s, 0.0)
@@ -134,7 +138,9 @@
 
     def test_follower_of_a_hub_cut_off_from_the_store_asks_the_next(self):
         self.links.answers = {self.hub_addresses[0]: NOT_CURRENT}
-        self.links.answer = Ok(TablePart(pack(UPDATE), True, age_s=0.0))
+        self.links.answer = Ok(
+            TablePart(pack(UPDATE), True, age_s=0.0, counts_eras=True)
+        )
         self.assertEqual(self.follower_feed.changes(ROUTING, 5, 4.0), Ok(UPDATE))
         self.assertEqual(self.store.waits, [])
 
@@ -220,7 +226,9 @@
         return self.feed(own, members=[], seeds=seeds)
 
     def test_starting_router_takes_the_table_from_a_seed(self):
-        self.links.answer = Ok(TablePart(pack(SNAPSHOT), True, age_s=0.0))
+        self.links.answer = Ok(
+            TablePart(pack(SNAPSHOT), True, age_s=0.0, counts_eras=True)
+        )
         feed = self.starting(self.everyone[4], ["a0", "a1"])
         self.assertEqual(feed.snapshot(ROUTING), Ok(SNAPSHOT))
         self.assertEqual(self.store.snapshots, 0)
@@ -231,7 +239,11 @@
         self.assertEqual((self.store.snapshots, self.links.asked), (1, []))
 
     def test_starting_router_without_a_seed_that_answers_reads_the_store(self):
-        for answer in (UNREACHABLE, NOT_CURRENT, Ok(TablePart(None, True, age_s=0.0))):
+        for answer in (
+            UNREACHABLE,
+            NOT_CURRENT,
+            Ok(TablePart(None, True, age_s=0.0, counts_eras=True)),
+        ):
             self.links.answer = answer
             self.store.snapshots = 0
             feed = self.starting(self.everyone[4], ["a0", "a1"])
@@ -241,6 +253,8 @@
             self.assertEqual(len(self.links.asked), 1)
 
     def test_follower_takes_the_whole_table_from_a_hub(self):
-        self.links.answer = Ok(TablePart(pack(SNAPSHOT), True, age_s=0.0))
+        self.links.answer = Ok(
+            TablePart(pack(SNAPSHOT), True, age_s=0.0, counts_eras=True)
+        )
         self.assertEqual(self.follower_feed.snapshot(ROUTING), Ok(SNAPSHOT))
         self.assertEqual(self.store.snapshots, 0)
--- a/tests/support/mirror_fleet.py
+++ b/tests/support/mirror_fleet.py
@@ -20,7 +20,7 @@
 from boragedeck.platform.store import PlatformStore
 from boragedeck.process.relaying.hubs import Hubs
 from boragedeck.process.relaying.mirror_follower import MirrorFollower
-from boragedeck.process.relaying.mirror_messages import serve_mirrors
+from boragedeck.process.relaying.mirror_server import serve_mirrors
 from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.replica_source import ReplicaSource
 from boragedeck.process.relaying.shared_feed import SharedFeed
