--- a/boragedeck/process/relaying/room_grants.py
+++ b/boragedeck/process/relaying/room_grants.py
@@ -4,10 +4,14 @@
 
 import eventlet
 import msgspec
+from result import Result
 
 from boragedeck.connection.address import Address
 from boragedeck.connection.messages import Accepted
 from boragedeck.connection.peer import PeerLinks, PeerServer
+from boragedeck.exceptions import PeerError, PeerRefusedError
+from boragedeck.ids import RouterId
+from boragedeck.interfaces import Member
 from boragedeck.process.logs import PartLog
 from boragedeck.process.relaying.replica_state import Run
 from boragedeck.process.relaying.room_leases import NO_LEASE, RoomLeases
@@ -26,6 +30,7 @@
 """How long a request waits for the owner's answer, beyond the wait for a place."""
 MAX_WAIT_S = 1.0
 """The longest wait for a place at the owner."""
+MAX_OWNERS_ASKED = 3
 MAX_RUNS = 1_024
 """Maximum number of runs of replicas whose leases are kept."""
 
@@ -73,6 +78,7 @@
         self._owners = owners
         self._links = links
         self._leases: OrderedDict[Run, RoomLeases] = OrderedDict()
+        self._unable: set[RouterId] = set()
         server.register(TakeRoom, self._on_take)
         server.register(ReleaseRoom, self._on_release)
 
@@ -86,27 +92,41 @@
         """
         wait_s = min(MAX_WAIT_S, max(0.0, question.max_wait_s))
         question = msgspec.structs.replace(question, max_wait_s=wait_s)
-        run = question.run
-        owner = self._owners.owner_of(room_task(run.replica))
-        if owner.router == self._owners.own.router:
-            return _lease(run, self._on_take(question).lease)
+        for _ in range(MAX_OWNERS_ASKED):
+            owner = self._owner_of(question.run)
+            if owner.router == self._owners.own.router:
+                return _lease(question.run, self._on_take(question).lease)
+            answer = self._ask(owner, question)
+            if answer.is_ok():
+                return _lease(question.run, answer.ok().lease)
+            if not isinstance(answer.err(), PeerRefusedError):
+                return None
+            # The build of this router grants no room to anybody.
+            self._unable.add(owner.router)
+        return None
+
+    def _owner_of(self, run: Run) -> Member:
+        return self._owners.owner_of(room_task(run.replica), self._unable)
+
+    def _ask(
+        self, owner: Member, question: TakeRoom
+    ) -> Result[RoomDecision, PeerError]:
         answer = self._links.link(owner.address).call(
-            question, RoomDecision, timeout_s=wait_s + OWNER_TIMEOUT_S
-        )
-        if answer.is_ok():
-            return _lease(run, answer.ok().lease)
-        _log.write(
-            "Owner failed.",
-            replica=run.replica,
-            peer=owner.router,
-            error=str(answer.err()),
+            question, RoomDecision, timeout_s=question.max_wait_s + OWNER_TIMEOUT_S
         )
-        return None
+        if answer.is_err():
+            _log.write(
+                "Owner failed.",
+                replica=question.run.replica,
+                peer=owner.router,
+                error=str(answer.err()),
+            )
+        return answer
 
     def release(self, lease: RoomLease, *, is_rejected: bool) -> None:
         """Return a place; `is_rejected` as in `ReleaseRoom`."""
         message = ReleaseRoom(lease.run, lease.number, is_rejected)
-        owner = self._owners.owner_of(room_task(lease.run.replica))
+        owner = self._owner_of(lease.run)
         if owner.router == self._owners.own.router:
             self._on_release(message)
         else:
--- a/boragedeck/process/relaying/task_owners.py
+++ b/boragedeck/process/relaying/task_owners.py
@@ -4,7 +4,9 @@
 requests crash replicas is another: each needs what all routers know in one place.
 """
 
-from boragedeck.ids import Health
+from collections.abc import Set
+
+from boragedeck.ids import Health, RouterId
 from boragedeck.interfaces import Member, Membership
 from boragedeck.process.relaying.fleet_size import FleetSize, reachable_share
 from boragedeck.process.relaying.hubs import Hubs
@@ -52,10 +54,20 @@
         """The member that is this router itself."""
         return self._membership.own
 
-    def owner_of(self, task: str) -> Member:
-        """Return the router that carries out a task."""
+    def owner_of(self, task: str, unable: Set[RouterId] = frozenset()) -> Member:
+        """Return the router that carries out a task.
+
+        Parameters
+        ----------
+        task : str
+            The name of the task.
+        unable : set of RouterId, optional
+            Routers whose build doesn't know the task. If all are unable, this router is
+            the owner.
+        """
         self._refresh()
-        return rank(task, self._candidates, _router_id)[0]
+        able = [each for each in self._candidates if each.router not in unable]
+        return rank(task, able or [self.own], _router_id)[0]
 
     def reachable_share(self) -> float:
         """See `fleet_size.reachable_share`."""
--- a/tests/process/relaying/test_brittle_replicas.py
+++ b/tests/process/relaying/test_brittle_replicas.py
@@ -1,6 +1,7 @@
 import unittest
 
 from boragedeck.process.relaying.room_grants import room_task
+from boragedeck.process.relaying.room_messages import TakeRoom
 from tests.support.brittle_fleet import BrittleFleet, BrittleReplica
 
 GOSSIP_S = 0.5
@@ -45,6 +46,18 @@
         self.assertEqual(len(self.brittle.served), served)
         self.assertFalse(self.fleet.refused)
 
+    def test_replica_is_served_though_the_build_of_its_owner_grants_no_room(self):
+        self.learn()
+        owners = self.fleet.routers[0].owners
+        owner = owners.owner_of(room_task("one")).router
+        self.fleet.net.unknown.add((owner, TakeRoom))
+        others = [each for each in self.fleet.routers if each.name != owner]
+        self.fleet.run(0.2, 1.0, routers=others)
+        served = len(self.brittle.served)
+        self.fleet.run(2.0, 60.0, routers=others)
+        self.assertGreater(len(self.brittle.served), served + 20)
+        self.assertEqual(self.brittle.falls, [])
+
     def test_rejection_limit_that_cannot_be_parsed_changes_nothing(self):
         self.learn()
         self.brittle.notice()
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from boragedeck.connection.messages import FactTopic
-from boragedeck.exceptions import PeerUnreachableError
+from boragedeck.exceptions import PeerRefusedError, PeerUnreachableError
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member
 from boragedeck.process.relaying.admission import Admission
@@ -106,11 +106,14 @@
         Addresses that reach only each other.
     calls : int
         Number of calls that arrived.
+    unknown : set
+        Address and kind of the messages that a router's build doesn't know.
     """
 
     def __init__(self, timers):
         self.timers = timers
         self.handlers = {}
+        self.unknown = set()
         self.cut = set()
         self.frozen = set()
         self.split = set()
@@ -153,6 +156,8 @@
             net.timers.sleep(timeout_s)
             return Err(PeerUnreachableError("no answer in time"))
         net.calls += 1
+        if (self._target, type(message)) in net.unknown:
+            return Err(PeerRefusedError("bad_message"))
         answer = handler(message)
         net.timers.sleep(LATENCY_S)
         return Ok(answer)
