--- a/benchmarks/load_messages.py
+++ b/benchmarks/load_messages.py
@@ -15,11 +15,11 @@
 
 from boragedeck.ids import FailureDomain, RouterId, VmName
 from boragedeck.interfaces import Member
-from boragedeck.process.relaying import hubs as hubs_module
-from boragedeck.process.relaying.hubs import Hubs
-from boragedeck.process.relaying.load_exchange import LoadExchange
-from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.replica_state import Load
+from boragedeck.process.relaying.fleet import hubs as hubs_module
+from boragedeck.process.relaying.fleet.hubs import Hubs
+from boragedeck.process.relaying.loads.load_exchange import LoadExchange
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_state import Load
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import Replica, ReplicaStage
 
--- a/benchmarks/replica_limits.py
+++ b/benchmarks/replica_limits.py
@@ -18,13 +18,13 @@
 
 import msgspec
 
-from boragedeck.process.relaying.limit_grants import limit_task
-from boragedeck.process.relaying.limit_messages import (
+from boragedeck.process.relaying.limits.limit_grants import limit_task
+from boragedeck.process.relaying.limits.limit_messages import (
     ReportLimit,
     SendDecision,
     TakeSend,
 )
-from boragedeck.process.relaying.send_schedule import SendSchedule
+from boragedeck.process.relaying.limits.send_schedule import SendSchedule
 from tests.support.limited_fleet import (
     WINDOW_S,
     LimitedFleet,
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -33,42 +33,42 @@
 from boragedeck.process.logs import PartLog
 from boragedeck.process.membership import GossipMembership
 from boragedeck.process.metrics import Metrics
-from boragedeck.process.relaying.admission import Admission
-from boragedeck.process.relaying.brittle_replicas import BrittleReplicas
-from boragedeck.process.relaying.crash_blame import CrashBlame
-from boragedeck.process.relaying.crash_judge import CrashJudge
-from boragedeck.process.relaying.crash_verdicts import CrashVerdicts
-from boragedeck.process.relaying.durations import RequestDurations
-from boragedeck.process.relaying.fleet_size import FleetSize, reachable_share
-from boragedeck.process.relaying.hubs import Hubs, choose_hubs
-from boragedeck.process.relaying.limit_grants import LimitGrants
-from boragedeck.process.relaying.limited_admission import LimitedAdmission
-from boragedeck.process.relaying.load_exchange import LoadExchange
-from boragedeck.process.relaying.mirror_follower import MirrorFollower
-from boragedeck.process.relaying.mirror_server import serve_mirrors
-from boragedeck.process.relaying.path_composition import (
+from boragedeck.process.relaying.crashes.crash_blame import CrashBlame
+from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
+from boragedeck.process.relaying.crashes.crash_verdicts import CrashVerdicts
+from boragedeck.process.relaying.fleet.fleet_size import FleetSize, reachable_share
+from boragedeck.process.relaying.fleet.hubs import Hubs, choose_hubs
+from boragedeck.process.relaying.fleet.peer_dialect import RelayDialect
+from boragedeck.process.relaying.fleet.task_owners import TaskOwners
+from boragedeck.process.relaying.limits.brittle_replicas import BrittleReplicas
+from boragedeck.process.relaying.limits.limit_grants import LimitGrants
+from boragedeck.process.relaying.limits.limited_admission import LimitedAdmission
+from boragedeck.process.relaying.limits.replica_limits import ReplicaLimits
+from boragedeck.process.relaying.limits.room_grants import RoomGrants
+from boragedeck.process.relaying.loads.load_exchange import LoadExchange
+from boragedeck.process.relaying.paths.path_composition import (
     forward_address,
     make_forward_edge,
     make_paths,
 )
-from boragedeck.process.relaying.peer_dialect import RelayDialect
-from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.placing.admission import Admission
+from boragedeck.process.relaying.placing.durations import RequestDurations
+from boragedeck.process.relaying.placing.stream_pace import StreamTimeEstimator
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_limits import ReplicaLimits
-from boragedeck.process.relaying.replica_notices import ReplicaNotices
-from boragedeck.process.relaying.replica_source import ReplicaSource
-from boragedeck.process.relaying.retry_reserve import RetryReserve
-from boragedeck.process.relaying.retry_share import USABLE_SHARE, RetryShare
-from boragedeck.process.relaying.rollouts import RelayRollouts
-from boragedeck.process.relaying.room_grants import RoomGrants
-from boragedeck.process.relaying.routing_source import RoutingSource
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.retries.retry_reserve import RetryReserve
+from boragedeck.process.relaying.retries.retry_share import USABLE_SHARE, RetryShare
+from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
 from boragedeck.process.relaying.settings_source import SettingsSource
-from boragedeck.process.relaying.shared_feed import SharedFeed
-from boragedeck.process.relaying.store_meter import StoreMeter
-from boragedeck.process.relaying.stream_pace import StreamTimeEstimator
-from boragedeck.process.relaying.table_ages import TableAges
-from boragedeck.process.relaying.table_mirror import TableMirror
-from boragedeck.process.relaying.task_owners import TaskOwners
+from boragedeck.process.relaying.tables.mirror_follower import MirrorFollower
+from boragedeck.process.relaying.tables.mirror_server import serve_mirrors
+from boragedeck.process.relaying.tables.replica_source import ReplicaSource
+from boragedeck.process.relaying.tables.routing_source import RoutingSource
+from boragedeck.process.relaying.tables.shared_feed import SharedFeed
+from boragedeck.process.relaying.tables.store_meter import StoreMeter
+from boragedeck.process.relaying.tables.table_ages import TableAges
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
 from boragedeck.request.relay_job import RelayComponents, respond_refusal
--- /dev/null
+++ b/boragedeck/process/relaying/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Finds the requests that crash replicas."""
--- a/boragedeck/process/relaying/crash_blame.py
+++ b/boragedeck/process/relaying/crashes/crash_blame.py
@@ -14,8 +14,8 @@
 from boragedeck.connection.peer import Address, PeerLinks
 from boragedeck.ids import OrganisationName, PoolName, RouterId, Version
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.crash_judge import CrashJudge
-from boragedeck.process.relaying.crash_messages import (
+from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
+from boragedeck.process.relaying.crashes.crash_messages import (
     AskTrial,
     CrashSuspect,
     ReportCrash,
@@ -25,10 +25,13 @@
     VerdictState,
     single_signatures,
 )
-from boragedeck.process.relaying.crash_verdicts import CrashVerdicts, RequestTraits
+from boragedeck.process.relaying.crashes.crash_verdicts import (
+    CrashVerdicts,
+    RequestTraits,
+)
+from boragedeck.process.relaying.fleet.task_owners import TaskOwners
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_state import ReplicaState, Run
-from boragedeck.process.relaying.task_owners import TaskOwners
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState, Run
 from boragedeck.process.timers import TimerService
 
 __all__ = ["JUDGE_TASK", "CrashBlame", "fingerprint_of"]
--- a/boragedeck/process/relaying/crash_cases.py
+++ b/boragedeck/process/relaying/crashes/crash_cases.py
@@ -5,13 +5,13 @@
 import msgspec
 
 from boragedeck.ids import FailureDomain, PoolName, PromptPartId, Version
-from boragedeck.process.relaying.crash_messages import (
+from boragedeck.process.relaying.crashes.crash_messages import (
     CrashSuspect,
     Signature,
     part_signature,
     request_signature,
 )
-from boragedeck.process.relaying.replica_state import Run
+from boragedeck.process.relaying.replicas.replica_state import Run
 
 __all__ = [
     "TOLERANCE",
--- a/boragedeck/process/relaying/crash_evidence.py
+++ b/boragedeck/process/relaying/crashes/crash_evidence.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from boragedeck.ids import FailureDomain, PoolName, PromptPartId
-from boragedeck.process.relaying.crash_cases import (
+from boragedeck.process.relaying.crashes.crash_cases import (
     TOLERANCE,
     Crash,
     CrashCase,
@@ -21,14 +21,14 @@
     has_common_cause,
     signatures_of,
 )
-from boragedeck.process.relaying.crash_messages import (
+from boragedeck.process.relaying.crashes.crash_messages import (
     CrashSuspect,
     ReportCrash,
     Signature,
     part_signature,
     request_signature,
 )
-from boragedeck.process.relaying.replica_state import Run
+from boragedeck.process.relaying.replicas.replica_state import Run
 from boragedeck.process.timers import TimerService
 
 __all__ = ["CRASH_TTL_S", "GATHER_S", "CrashEvidence"]
--- a/boragedeck/process/relaying/crash_judge.py
+++ b/boragedeck/process/relaying/crashes/crash_judge.py
@@ -10,8 +10,8 @@
 from boragedeck.connection.messages import Accepted
 from boragedeck.connection.peer import PeerServer
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.crash_evidence import GATHER_S, CrashEvidence
-from boragedeck.process.relaying.crash_messages import (
+from boragedeck.process.relaying.crashes.crash_evidence import GATHER_S, CrashEvidence
+from boragedeck.process.relaying.crashes.crash_messages import (
     AskTrial,
     CrashVerdict,
     ReportCrash,
@@ -21,7 +21,7 @@
     VerdictState,
     single_signatures,
 )
-from boragedeck.process.relaying.crash_verdicts import (
+from boragedeck.process.relaying.crashes.crash_verdicts import (
     BLAME_TTL_S,
     CrashVerdicts,
     KnownVerdict,
--- a/boragedeck/process/relaying/crash_messages.py
+++ b/boragedeck/process/relaying/crashes/crash_messages.py
@@ -6,7 +6,7 @@
 
 from boragedeck.connection.messages import Message
 from boragedeck.ids import FailureDomain, PoolName, PromptPartId, Version
-from boragedeck.process.relaying.replica_state import Run
+from boragedeck.process.relaying.replicas.replica_state import Run
 
 __all__ = [
     "AskTrial",
--- /dev/null
+++ b/boragedeck/process/relaying/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The routers and their tasks for each other."""
--- a/boragedeck/process/relaying/peer_dialect.py
+++ b/boragedeck/process/relaying/fleet/peer_dialect.py
@@ -14,7 +14,7 @@
 from boragedeck.process.build import build_name
 from boragedeck.process.gossip_messages import AgedFact, FactExchange, FactPush
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.load_messages import LoadSum, LoadUpdate
+from boragedeck.process.relaying.loads.load_messages import LoadSum, LoadUpdate
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 
 __all__ = ["RelayDialect"]
--- /dev/null
+++ b/boragedeck/process/relaying/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits that replicas name, counted by one router for all."""
--- a/boragedeck/process/relaying/brittle_replicas.py
+++ b/boragedeck/process/relaying/limits/brittle_replicas.py
@@ -8,13 +8,13 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.interfaces import FactBoard
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.place import Place
-from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.limits.room_grants import RoomGrants, RoomLease
+from boragedeck.process.relaying.limits.room_messages import TakeRoom
+from boragedeck.process.relaying.placing.place import Place
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_state import ReplicaState, Run
-from boragedeck.process.relaying.restraint import Reason
-from boragedeck.process.relaying.room_grants import RoomGrants, RoomLease
-from boragedeck.process.relaying.room_messages import TakeRoom
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState, Run
+from boragedeck.process.relaying.replicas.restraint import Reason
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import RejectionLimit, ReplicaId
 
--- a/boragedeck/process/relaying/limit_grants.py
+++ b/boragedeck/process/relaying/limits/limit_grants.py
@@ -12,14 +12,14 @@
 from boragedeck.connection.messages import Accepted
 from boragedeck.connection.peer import PeerLinks, PeerServer
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.limit_messages import (
+from boragedeck.process.relaying.fleet.task_owners import TaskOwners
+from boragedeck.process.relaying.limits.limit_messages import (
     ReportLimit,
     SendDecision,
     TakeSend,
 )
-from boragedeck.process.relaying.replica_state import KnownLimit, Run
-from boragedeck.process.relaying.send_schedule import SendSchedule
-from boragedeck.process.relaying.task_owners import TaskOwners
+from boragedeck.process.relaying.limits.send_schedule import SendSchedule
+from boragedeck.process.relaying.replicas.replica_state import KnownLimit, Run
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import ReplicaId
 
--- a/boragedeck/process/relaying/limited_admission.py
+++ b/boragedeck/process/relaying/limits/limited_admission.py
@@ -11,15 +11,15 @@
 from result import Err, Ok, Result
 
 from boragedeck.exceptions import RefusedError
-from boragedeck.process.relaying.admission import (
+from boragedeck.process.relaying.limits.brittle_replicas import BrittleReplicas
+from boragedeck.process.relaying.limits.replica_limits import ReplicaLimits
+from boragedeck.process.relaying.placing.admission import (
     MIN_RETRY_AFTER_S,
     RETRY_SPREAD,
     Admission,
 )
-from boragedeck.process.relaying.brittle_replicas import BrittleReplicas
-from boragedeck.process.relaying.place import AdmissionRequest, Place
-from boragedeck.process.relaying.replica_limits import ReplicaLimits
-from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import ReplicaId
 
--- a/boragedeck/process/relaying/replica_limits.py
+++ b/boragedeck/process/relaying/limits/replica_limits.py
@@ -9,16 +9,20 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.interfaces import FactBoard
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.limit_grants import LimitGrants
-from boragedeck.process.relaying.limit_messages import (
+from boragedeck.process.relaying.limits.limit_grants import LimitGrants
+from boragedeck.process.relaying.limits.limit_messages import (
     ReportLimit,
     SendDecision,
     TakeSend,
 )
-from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_state import KnownLimit, ReplicaState, Run
-from boragedeck.process.relaying.restraint import Reason
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_state import (
+    KnownLimit,
+    ReplicaState,
+    Run,
+)
+from boragedeck.process.relaying.replicas.restraint import Reason
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import RateLimit, ReplicaId
 
--- a/boragedeck/process/relaying/room_grants.py
+++ b/boragedeck/process/relaying/limits/room_grants.py
@@ -13,14 +13,14 @@
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.replica_state import Run
-from boragedeck.process.relaying.room_leases import NO_LEASE, RoomLeases
-from boragedeck.process.relaying.room_messages import (
+from boragedeck.process.relaying.fleet.task_owners import TaskOwners
+from boragedeck.process.relaying.limits.room_leases import NO_LEASE, RoomLeases
+from boragedeck.process.relaying.limits.room_messages import (
     ReleaseRoom,
     RoomDecision,
     TakeRoom,
 )
-from boragedeck.process.relaying.task_owners import TaskOwners
+from boragedeck.process.relaying.replicas.replica_state import Run
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import ReplicaId
 
--- a/boragedeck/process/relaying/room_messages.py
+++ b/boragedeck/process/relaying/limits/room_messages.py
@@ -1,7 +1,7 @@
 """Messages by which routers keep within the room of brittle replicas."""
 
 from boragedeck.connection.messages import Message
-from boragedeck.process.relaying.replica_state import Run
+from boragedeck.process.relaying.replicas.replica_state import Run
 
 __all__ = ["ReleaseRoom", "RoomDecision", "TakeRoom"]
 
--- /dev/null
+++ b/boragedeck/process/relaying/loads/__init__.py
@@ -0,0 +1,1 @@
+"""Loads that routers tell each other."""
--- a/boragedeck/process/relaying/load_exchange.py
+++ b/boragedeck/process/relaying/loads/load_exchange.py
@@ -19,14 +19,14 @@
 from boragedeck.connection.store import Table
 from boragedeck.ids import PoolName, RouterId
 from boragedeck.interfaces import Member, Membership
-from boragedeck.process.relaying.admission import LoadSource
-from boragedeck.process.relaying.hubs import Hubs
-from boragedeck.process.relaying.load_hub import LoadHub
-from boragedeck.process.relaying.load_messages import LoadSum, LoadUpdate
-from boragedeck.process.relaying.pool_load_cache import PoolLoadCache
-from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.replica_state import Load
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.fleet.hubs import Hubs
+from boragedeck.process.relaying.loads.load_hub import LoadHub
+from boragedeck.process.relaying.loads.load_messages import LoadSum, LoadUpdate
+from boragedeck.process.relaying.loads.pool_load_cache import PoolLoadCache
+from boragedeck.process.relaying.placing.admission import LoadSource
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_state import Load
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import Replica, ReplicaId
 
--- a/boragedeck/process/relaying/load_hub.py
+++ b/boragedeck/process/relaying/loads/load_hub.py
@@ -3,10 +3,14 @@
 from boragedeck.connection.peer import PeerServer
 from boragedeck.connection.store import Table
 from boragedeck.ids import PoolName, RouterId
-from boragedeck.process.relaying.load_messages import FetchLoads, LoadSum, PoolLoads
-from boragedeck.process.relaying.load_sums import LoadSums
-from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.replica_state import Load
+from boragedeck.process.relaying.loads.load_messages import (
+    FetchLoads,
+    LoadSum,
+    PoolLoads,
+)
+from boragedeck.process.relaying.loads.load_sums import LoadSums
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_state import Load
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import ReplicaId
 
--- a/boragedeck/process/relaying/load_messages.py
+++ b/boragedeck/process/relaying/loads/load_messages.py
@@ -3,7 +3,7 @@
 from boragedeck.connection.messages import Message
 from boragedeck.connection.store import Table
 from boragedeck.ids import PoolName, RouterId
-from boragedeck.process.relaying.replica_state import Load
+from boragedeck.process.relaying.replicas.replica_state import Load
 from boragedeck.version.replicas import ReplicaId
 
 __all__ = ["FetchLoads", "LoadSum", "LoadUpdate", "PoolLoads"]
--- a/boragedeck/process/relaying/load_sums.py
+++ b/boragedeck/process/relaying/loads/load_sums.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from boragedeck.ids import RouterId
-from boragedeck.process.relaying.replica_state import Load
+from boragedeck.process.relaying.replicas.replica_state import Load
 from boragedeck.version.replicas import ReplicaId
 
 __all__ = ["LoadSums"]
--- a/boragedeck/process/relaying/pool_load_cache.py
+++ b/boragedeck/process/relaying/loads/pool_load_cache.py
@@ -7,9 +7,9 @@
 from boragedeck.ids import PoolName, RouterId
 from boragedeck.interfaces import Member
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.load_messages import FetchLoads, PoolLoads
-from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.replica_state import Load
+from boragedeck.process.relaying.loads.load_messages import FetchLoads, PoolLoads
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_state import Load
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import Replica, ReplicaId
 
--- /dev/null
+++ b/boragedeck/process/relaying/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Ways to replicas, also through other routers."""
--- a/boragedeck/process/relaying/path_checks.py
+++ b/boragedeck/process/relaying/paths/path_checks.py
@@ -14,8 +14,8 @@
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member, Membership
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.path_messages import AskPaths, PathReport
-from boragedeck.process.relaying.path_state import PathState
+from boragedeck.process.relaying.paths.path_messages import AskPaths, PathReport
+from boragedeck.process.relaying.paths.path_state import PathState
 from boragedeck.process.timers import TimerService
 
 __all__ = ["RECENT_S", "CheckResult", "PathChecker"]
--- a/boragedeck/process/relaying/path_composition.py
+++ b/boragedeck/process/relaying/paths/path_composition.py
@@ -11,12 +11,12 @@
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.interfaces import Member, Membership
-from boragedeck.process.relaying.gateways import Gateways
-from boragedeck.process.relaying.path_checks import PathChecker
-from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.paths.gateways import Gateways
+from boragedeck.process.relaying.paths.path_checks import PathChecker
+from boragedeck.process.relaying.paths.replica_paths import ReplicaPaths
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_notices import ReplicaNotices
-from boragedeck.process.relaying.replica_paths import ReplicaPaths
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
 from boragedeck.process.timers import TimerService
 from boragedeck.request.forward import Forwarder
 from boragedeck.request.relay_request import ReplicaProtocol
--- a/boragedeck/process/relaying/replica_paths.py
+++ b/boragedeck/process/relaying/paths/replica_paths.py
@@ -27,15 +27,15 @@
 )
 from boragedeck.interfaces import Member
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.gateways import Gateways
-from boragedeck.process.relaying.path_checks import (
+from boragedeck.process.relaying.paths.gateways import Gateways
+from boragedeck.process.relaying.paths.path_checks import (
     MAX_ADDRESSES,
     PROBE_TIMEOUT_S,
     RECENT_S,
     CheckResult,
     PathChecker,
 )
-from boragedeck.process.relaying.path_state import PathState
+from boragedeck.process.relaying.paths.path_state import PathState
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.timers import TimerService
 
--- /dev/null
+++ b/boragedeck/process/relaying/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses replicas for requests, and lets requests wait."""
--- a/boragedeck/process/relaying/admission.py
+++ b/boragedeck/process/relaying/placing/admission.py
@@ -16,14 +16,14 @@
 
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import PoolName
-from boragedeck.process.relaying.place import AdmissionRequest, Place
-from boragedeck.process.relaying.placement import (
+from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
+from boragedeck.process.relaying.placing.placement import (
     PlacementRequest,
     choose_backup,
     choose_replica,
 )
-from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.process.timers import TimerService
 
 __all__ = ["Admission", "LoadSource", "expected_wait_s"]
--- a/boragedeck/process/relaying/place.py
+++ b/boragedeck/process/relaying/placing/place.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from boragedeck.ids import FailureDomain, PoolName
-from boragedeck.process.relaying.replica_state import Load, ReplicaState
+from boragedeck.process.relaying.replicas.replica_state import Load, ReplicaState
 from boragedeck.version.replicas import Replica, ReplicaId
 from boragedeck.version.routing import RelayPool
 
--- a/boragedeck/process/relaying/placement.py
+++ b/boragedeck/process/relaying/placing/placement.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from boragedeck.ids import FailureDomain
-from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.version.replicas import ReplicaId
 from boragedeck.version.routing import EngineProfile
 
--- a/boragedeck/process/relaying/registry.py
+++ b/boragedeck/process/relaying/replicas/registry.py
@@ -13,8 +13,8 @@
 from boragedeck.connection.peer import Address
 from boragedeck.ids import PoolName, Version
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.replica_state import ReplicaState, Run
-from boragedeck.process.relaying.restraint import Reason, Restraints
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState, Run
+from boragedeck.process.relaying.replicas.restraint import Reason, Restraints
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import HoldOff, Replica, ReplicaId, ReplicaStage
 
--- a/boragedeck/process/relaying/replica_notices.py
+++ b/boragedeck/process/relaying/replicas/replica_notices.py
@@ -12,11 +12,11 @@
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.interfaces import FactBoard
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.brittle_replicas import BrittleReplicas
-from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.limits.brittle_replicas import BrittleReplicas
+from boragedeck.process.relaying.limits.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_limits import ReplicaLimits
-from boragedeck.process.relaying.replica_state import ReplicaState, Run
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState, Run
 from boragedeck.version.replicas import ReplicaId, ReplicaNotice
 
 __all__ = ["ReplicaNotices"]
--- a/boragedeck/process/relaying/replica_state.py
+++ b/boragedeck/process/relaying/replicas/replica_state.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from boragedeck.process.relaying.restraint import Reason, Restraints
+from boragedeck.process.relaying.replicas.restraint import Reason, Restraints
 from boragedeck.version.replicas import Replica, ReplicaId, ReplicaStage
 
 __all__ = ["KnownLimit", "Load", "ReplicaState", "Run"]
--- /dev/null
+++ b/boragedeck/process/relaying/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Repeated attempts within the bounds of the fleet."""
--- a/boragedeck/process/relaying/retry_reserve.py
+++ b/boragedeck/process/relaying/retries/retry_reserve.py
@@ -12,7 +12,7 @@
 from boragedeck.connection.peer import PeerLinks, PeerServer
 from boragedeck.ids import PoolName
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.hubs import Hubs
+from boragedeck.process.relaying.fleet.hubs import Hubs
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.sliding_window_counter import SlidingWindowCounter
 from boragedeck.process.timers import TimerService
--- a/boragedeck/process/relaying/retry_share.py
+++ b/boragedeck/process/relaying/retries/retry_share.py
@@ -10,7 +10,7 @@
 
 from boragedeck.ids import PoolName
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.fleet_size import FleetSize
+from boragedeck.process.relaying.fleet.fleet_size import FleetSize
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.sliding_window_counter import SlidingWindowCounter
 from boragedeck.process.timers import TimerService
@@ -29,7 +29,7 @@
     """Gives access to the fixed part of the bound in a fleet that has hubs.
 
     Hubs are a few routers that do tasks for all others; each holds a part of the
-    reserve. See `boragedeck.process.relaying.hubs`.
+    reserve. See `boragedeck.process.relaying.fleet.hubs`.
     """
 
     def is_in_use(self) -> bool:
--- /dev/null
+++ b/boragedeck/process/relaying/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of a pool to another version."""
--- a/boragedeck/process/relaying/rollout_state.py
+++ b/boragedeck/process/relaying/rollouts/rollout_state.py
@@ -4,7 +4,11 @@
 
 from boragedeck.connection.store_version import StoreVersion
 from boragedeck.ids import FailureDomain
-from boragedeck.process.relaying.rollout_plan import Doubt, finish_at, give_up_at
+from boragedeck.process.relaying.rollouts.rollout_plan import (
+    Doubt,
+    finish_at,
+    give_up_at,
+)
 from boragedeck.version.evidence import Evidence
 from boragedeck.version.relay_rollouts import RolloutOrder, RolloutResult
 from boragedeck.version.replicas import Replica
--- a/boragedeck/process/relaying/rollouts.py
+++ b/boragedeck/process/relaying/rollouts/rollouts.py
@@ -20,18 +20,18 @@
 from boragedeck.interfaces import FactBoard, RunSample
 from boragedeck.process.fact_store import MAX_BODY_BYTES
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.rollout_orders import OrderHistory, OrderKind
-from boragedeck.process.relaying.rollout_plan import (
+from boragedeck.process.relaying.rollouts.rollout_orders import OrderHistory, OrderKind
+from boragedeck.process.relaying.rollouts.rollout_plan import (
     find_doubt,
     share_at,
     trial_share,
     usual_trial_share,
 )
-from boragedeck.process.relaying.rollout_state import RolloutState, WaitingRun
-from boragedeck.process.relaying.rollout_strata import merge_routes
+from boragedeck.process.relaying.rollouts.rollout_state import RolloutState, WaitingRun
+from boragedeck.process.relaying.rollouts.rollout_strata import merge_routes
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.sliding_window_counter import SlidingWindowCounter
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 from boragedeck.version.evidence import Evidence
 from boragedeck.version.judgement import (
--- /dev/null
+++ b/boragedeck/process/relaying/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Mirrors of the platform's tables, and how old they are."""
--- a/boragedeck/process/relaying/mirror_follower.py
+++ b/boragedeck/process/relaying/tables/mirror_follower.py
@@ -13,10 +13,13 @@
 from boragedeck.connection.store import ChangeFeed, Changes
 from boragedeck.exceptions import StoreError, StoreHistoryLostError
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.answering_period import MAX_GAP_S, AnsweringPeriod
-from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
-from boragedeck.process.relaying.older_versions import is_comparable
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.tables.answering_period import (
+    MAX_GAP_S,
+    AnsweringPeriod,
+)
+from boragedeck.process.relaying.tables.mirror_messages import FetchTable, TablePart
+from boragedeck.process.relaying.tables.older_versions import is_comparable
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 
 __all__ = ["MirrorFollower"]
--- a/boragedeck/process/relaying/mirror_server.py
+++ b/boragedeck/process/relaying/tables/mirror_server.py
@@ -5,9 +5,16 @@
 
 from boragedeck.connection.peer import PeerServer
 from boragedeck.connection.store import Table
-from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart, pack
-from boragedeck.process.relaying.older_versions import in_own_counting, without_eras
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.tables.mirror_messages import (
+    FetchTable,
+    TablePart,
+    pack,
+)
+from boragedeck.process.relaying.tables.older_versions import (
+    in_own_counting,
+    without_eras,
+)
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 
 __all__ = ["MirrorState", "serve_mirrors"]
--- a/boragedeck/process/relaying/older_versions.py
+++ b/boragedeck/process/relaying/tables/older_versions.py
@@ -8,7 +8,7 @@
 
 from boragedeck.connection.store import Change, Changes
 from boragedeck.connection.store_version import era_of, number_of, store_version
-from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
+from boragedeck.process.relaying.tables.mirror_messages import FetchTable, TablePart
 
 __all__ = ["in_own_counting", "is_comparable", "without_eras"]
 
--- a/boragedeck/process/relaying/replica_source.py
+++ b/boragedeck/process/relaying/tables/replica_source.py
@@ -7,10 +7,10 @@
 from boragedeck.connection.store import Change
 from boragedeck.exceptions import TableError
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.deleted_entries import DeletedEntries
-from boragedeck.process.relaying.mirror_follower import MirrorFollower
-from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.tables.deleted_entries import DeletedEntries
+from boragedeck.process.relaying.tables.mirror_follower import MirrorFollower
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import Replica, ReplicaId
 
--- a/boragedeck/process/relaying/shared_feed.py
+++ b/boragedeck/process/relaying/tables/shared_feed.py
@@ -27,10 +27,10 @@
 )
 from boragedeck.interfaces import Membership
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.hubs import Hubs
-from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
-from boragedeck.process.relaying.older_versions import is_comparable
+from boragedeck.process.relaying.fleet.hubs import Hubs
 from boragedeck.process.relaying.settings import Bounds
+from boragedeck.process.relaying.tables.mirror_messages import FetchTable, TablePart
+from boragedeck.process.relaying.tables.older_versions import is_comparable
 from boragedeck.process.timers import TimerService
 
 __all__ = ["SharedFeed"]
--- a/boragedeck/process/relaying/table_ages.py
+++ b/boragedeck/process/relaying/tables/table_ages.py
@@ -4,8 +4,8 @@
 from collections.abc import Mapping
 
 from boragedeck.connection.store import Table
-from boragedeck.process.relaying.mirror_follower import MirrorFollower
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.tables.mirror_follower import MirrorFollower
 
 __all__ = ["TableAges"]
 
--- a/boragedeck/request/answer_progress.py
+++ b/boragedeck/request/answer_progress.py
@@ -4,9 +4,9 @@
 for a while, neither the request nor any part of its prompt has crashed the replica.
 """
 
-from boragedeck.process.relaying.crash_blame import CrashBlame
-from boragedeck.process.relaying.crash_verdicts import RequestTraits
-from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.process.relaying.crashes.crash_blame import CrashBlame
+from boragedeck.process.relaying.crashes.crash_verdicts import RequestTraits
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 
 __all__ = ["AnswerProgress"]
 
--- a/boragedeck/request/attempt_evidence.py
+++ b/boragedeck/request/attempt_evidence.py
@@ -2,10 +2,10 @@
 
 from boragedeck.ids import FailureDomain, RouteName, UpstreamName
 from boragedeck.interfaces import Outcome, RunSample
-from boragedeck.process.relaying.place import Place
-from boragedeck.process.relaying.rollout_state import WaitingRun
-from boragedeck.process.relaying.rollout_strata import stratum_of
-from boragedeck.process.relaying.rollouts import RelayRollouts
+from boragedeck.process.relaying.placing.place import Place
+from boragedeck.process.relaying.rollouts.rollout_state import WaitingRun
+from boragedeck.process.relaying.rollouts.rollout_strata import stratum_of
+from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
 from boragedeck.process.timers import TimerService
 
 __all__ = ["AttemptEvidence"]
--- a/boragedeck/request/crash_wait.py
+++ b/boragedeck/request/crash_wait.py
@@ -9,7 +9,7 @@
 
 from boragedeck.connection.exchange import AnswerHead, Exchange
 from boragedeck.exceptions import UpstreamError, UpstreamWithdrawnError
-from boragedeck.process.relaying.place import Place
+from boragedeck.process.relaying.placing.place import Place
 from boragedeck.request.relay_attempt import CONNECT_TIMEOUT_S, probe
 from boragedeck.request.relay_job import RelayJob
 
--- a/boragedeck/request/forward.py
+++ b/boragedeck/request/forward.py
@@ -20,11 +20,11 @@
     UpstreamRefusedError,
 )
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.path_state import PathState
-from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.paths.path_state import PathState
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_notices import ReplicaNotices
-from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.process.timers import TimerService
 from boragedeck.request.relay_request import ReplicaProtocol
 
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -13,7 +13,7 @@
     UpstreamRefusedError,
     UpstreamSilentError,
 )
-from boragedeck.process.relaying.place import Place
+from boragedeck.process.relaying.placing.place import Place
 from boragedeck.request.relay_job import RelayComponents, RelayJob, log
 from boragedeck.request.relay_request import AttemptPlan, Verdict, VerdictKind
 
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -13,7 +13,7 @@
     UpstreamSilentError,
 )
 from boragedeck.interfaces import Outcome
-from boragedeck.process.relaying.place import Place
+from boragedeck.process.relaying.placing.place import Place
 from boragedeck.request.answer_progress import AnswerProgress
 from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
 from boragedeck.request.relay_job import RelayJob, log
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -16,20 +16,20 @@
     PoolName,
 )
 from boragedeck.process.logs import PartLog
-from boragedeck.process.relaying.admission import Admission
-from boragedeck.process.relaying.crash_blame import CrashBlame, fingerprint_of
-from boragedeck.process.relaying.crash_verdicts import RequestTraits
-from boragedeck.process.relaying.durations import RequestDurations
-from boragedeck.process.relaying.limited_admission import LimitedAdmission
-from boragedeck.process.relaying.place import AdmissionRequest, Place
-from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.crashes.crash_blame import CrashBlame, fingerprint_of
+from boragedeck.process.relaying.crashes.crash_verdicts import RequestTraits
+from boragedeck.process.relaying.limits.limited_admission import LimitedAdmission
+from boragedeck.process.relaying.paths.replica_paths import ReplicaPaths
+from boragedeck.process.relaying.placing.admission import Admission
+from boragedeck.process.relaying.placing.durations import RequestDurations
+from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
+from boragedeck.process.relaying.placing.stream_pace import StreamTimeEstimator
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_notices import ReplicaNotices
-from boragedeck.process.relaying.replica_paths import ReplicaPaths
-from boragedeck.process.relaying.retry_share import RetryShare
-from boragedeck.process.relaying.rollouts import RelayRollouts
-from boragedeck.process.relaying.stream_pace import StreamTimeEstimator
-from boragedeck.process.relaying.table_ages import TableAges
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.retries.retry_share import RetryShare
+from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
+from boragedeck.process.relaying.tables.table_ages import TableAges
 from boragedeck.process.timers import TimerService
 from boragedeck.request.attempt_evidence import AttemptEvidence
 from boragedeck.request.events import EventExcessError
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -14,8 +14,8 @@
     UpstreamWithdrawnError,
 )
 from boragedeck.interfaces import Outcome
-from boragedeck.process.relaying.place import Place
-from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.process.relaying.placing.place import Place
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.request.answer_progress import AnswerProgress
 from boragedeck.request.crash_wait import await_crash_verdict, wait_unless_blamed
 from boragedeck.request.events import EventError, EventExcessError, EventSplitter
--- a/boragedeck/request/stream_liveness.py
+++ b/boragedeck/request/stream_liveness.py
@@ -5,8 +5,8 @@
 
 from boragedeck.connection.exchange import Exchange
 from boragedeck.exceptions import UpstreamSilentError
-from boragedeck.process.relaying.place import Place
-from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.process.relaying.placing.place import Place
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.request.relay_attempt import probe
 from boragedeck.request.relay_job import RelayJob
 
--- a/boragedeck/request/stream_recovery.py
+++ b/boragedeck/request/stream_recovery.py
@@ -6,8 +6,8 @@
 """
 
 from boragedeck.connection.peer import Address
-from boragedeck.process.relaying.place import Place
-from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.process.relaying.placing.place import Place
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.version.replicas import ReplicaId
 
--- a/tests/process/relaying/test_crash_blame.py
+++ b/tests/process/relaying/crashes/test_crash_blame.py
@@ -5,27 +5,27 @@
 import msgspec
 from prometheus_client import CollectorRegistry
 
-from boragedeck.process.relaying.crash_blame import (
+from boragedeck.process.relaying.crashes.crash_blame import (
     JUDGE_TASK,
     CrashBlame,
     fingerprint_of,
 )
-from boragedeck.process.relaying.crash_judge import CrashJudge
-from boragedeck.process.relaying.crash_messages import CrashSuspect
-from boragedeck.process.relaying.crash_verdicts import (
+from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
+from boragedeck.process.relaying.crashes.crash_messages import CrashSuspect
+from boragedeck.process.relaying.crashes.crash_verdicts import (
     BLAME_TTL_S,
     CrashVerdicts,
     RequestTraits,
 )
-from boragedeck.process.relaying.fleet_size import FleetSize
-from boragedeck.process.relaying.hubs import Hubs
+from boragedeck.process.relaying.fleet.fleet_size import FleetSize
+from boragedeck.process.relaying.fleet.hubs import Hubs
+from boragedeck.process.relaying.fleet.task_owners import TaskOwners
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_state import ReplicaState
-from boragedeck.process.relaying.restraint import Reason
-from boragedeck.process.relaying.task_owners import TaskOwners
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
+from boragedeck.process.relaying.replicas.restraint import Reason
 from boragedeck.process.timers import ManualTimers
-from tests.process.relaying.test_admission import replica
-from tests.process.relaying.test_load_exchange import Members, Network, Server
+from tests.process.relaying.loads.test_load_exchange import Members, Network, Server
+from tests.process.relaying.placing.test_admission import replica
 from tests.support.replicas import FakeFactBoard
 
 DOMAINS = 5
--- a/tests/process/relaying/test_crash_evidence.py
+++ b/tests/process/relaying/crashes/test_crash_evidence.py
@@ -1,19 +1,19 @@
 import unittest
 
-from boragedeck.process.relaying.crash_evidence import (
+from boragedeck.process.relaying.crashes.crash_evidence import (
     CRASH_TTL_S,
     GATHER_S,
     MAX_CRASHES,
     MAX_SUSPECTS,
     CrashEvidence,
 )
-from boragedeck.process.relaying.crash_messages import (
+from boragedeck.process.relaying.crashes.crash_messages import (
     CrashSuspect,
     ReportCrash,
     part_signature,
     request_signature,
 )
-from boragedeck.process.relaying.replica_state import Run
+from boragedeck.process.relaying.replicas.replica_state import Run
 from boragedeck.process.timers import ManualTimers
 
 POOL = "engines"
--- a/tests/process/relaying/test_deadly_part_fleet.py
+++ b/tests/process/relaying/crashes/test_deadly_part_fleet.py
@@ -2,8 +2,8 @@
 
 from boragedeck.connection.messages import FactTopic
 from boragedeck.ids import Health
-from boragedeck.process.relaying.crash_judge import TRIAL_AFTER_S
-from boragedeck.process.relaying.crash_messages import (
+from boragedeck.process.relaying.crashes.crash_judge import TRIAL_AFTER_S
+from boragedeck.process.relaying.crashes.crash_messages import (
     CrashVerdict,
     VerdictState,
     part_signature,
--- a/tests/process/relaying/test_fleet_size.py
+++ b/tests/process/relaying/fleet/test_fleet_size.py
@@ -1,7 +1,7 @@
 import unittest
 
 from boragedeck.ids import Health
-from boragedeck.process.relaying.fleet_size import (
+from boragedeck.process.relaying.fleet.fleet_size import (
     ASSUMED_FLEET_ROUTERS,
     ASSUMED_ROUTERS,
     DISCOVERY_PERIOD_S,
--- a/tests/process/relaying/test_hubs.py
+++ b/tests/process/relaying/fleet/test_hubs.py
@@ -4,7 +4,7 @@
 
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member
-from boragedeck.process.relaying.hubs import (
+from boragedeck.process.relaying.fleet.hubs import (
     MIN_HUBS,
     MIN_ROUTERS_FOR_HUBS,
     Hubs,
--- a/tests/process/relaying/test_brittle_replicas.py
+++ b/tests/process/relaying/limits/test_brittle_replicas.py
@@ -1,7 +1,7 @@
 import unittest
 
-from boragedeck.process.relaying.room_grants import room_task
-from boragedeck.process.relaying.room_messages import TakeRoom
+from boragedeck.process.relaying.limits.room_grants import room_task
+from boragedeck.process.relaying.limits.room_messages import TakeRoom
 from tests.support.brittle_fleet import BrittleFleet, BrittleReplica
 
 GOSSIP_S = 0.5
--- a/tests/process/relaying/test_limited_fleet.py
+++ b/tests/process/relaying/limits/test_limited_fleet.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from boragedeck.ids import Health
-from boragedeck.process.relaying.limit_grants import limit_task
-from tests.process.relaying.test_admission import replica
+from boragedeck.process.relaying.limits.limit_grants import limit_task
+from tests.process.relaying.placing.test_admission import replica
 from tests.support.limited_fleet import WINDOW_S, LimitedFleet, LimitedReplica
 
 CONTACT_S = 3.0
--- a/tests/process/relaying/test_replica_limits.py
+++ b/tests/process/relaying/limits/test_replica_limits.py
@@ -4,12 +4,12 @@
 from prometheus_client import CollectorRegistry
 
 from boragedeck.connection.messages import FactTopic
-from boragedeck.process.relaying.registry import ReplicaRegistry
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_state import ReplicaState
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import RateLimit
-from tests.process.relaying.test_admission import replica
+from tests.process.relaying.placing.test_admission import replica
 from tests.support.replicas import FakeFactBoard, single_router_limits
 
 
--- a/tests/process/relaying/test_room_leases.py
+++ b/tests/process/relaying/limits/test_room_leases.py
@@ -2,7 +2,7 @@
 
 import eventlet
 
-from boragedeck.process.relaying.room_leases import (
+from boragedeck.process.relaying.limits.room_leases import (
     COLD_START_S,
     GROWTH_INTERVAL_S,
     NO_LEASE,
--- a/tests/process/relaying/test_send_schedule.py
+++ b/tests/process/relaying/limits/test_send_schedule.py
@@ -1,7 +1,7 @@
 import random
 import unittest
 
-from boragedeck.process.relaying.send_schedule import BURST_S, SendSchedule
+from boragedeck.process.relaying.limits.send_schedule import BURST_S, SendSchedule
 
 
 class SendScheduleTest(unittest.TestCase):
--- a/tests/process/relaying/test_load_exchange.py
+++ b/tests/process/relaying/loads/test_load_exchange.py
@@ -10,19 +10,19 @@
 from boragedeck.exceptions import PeerUnreachableError
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member
-from boragedeck.process.relaying.hubs import CACHE_TTL_S, Hubs, choose_hubs
-from boragedeck.process.relaying.load_exchange import (
+from boragedeck.process.relaying.fleet.hubs import CACHE_TTL_S, Hubs, choose_hubs
+from boragedeck.process.relaying.loads.load_exchange import (
     MAINTENANCE_INTERVAL_S,
     REFRESH_S,
     LoadExchange,
 )
-from boragedeck.process.relaying.load_hub import TTL_S
-from boragedeck.process.relaying.load_messages import FetchLoads, LoadUpdate
-from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.replica_state import Load
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.loads.load_hub import TTL_S
+from boragedeck.process.relaying.loads.load_messages import FetchLoads, LoadUpdate
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_state import Load
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
-from tests.process.relaying.test_admission import replica
+from tests.process.relaying.placing.test_admission import replica
 
 PROPAGATION_S = 0.15
 """Time within which all routers receive a change."""
--- a/tests/process/relaying/test_admission.py
+++ b/tests/process/relaying/placing/test_admission.py
@@ -5,15 +5,15 @@
 import eventlet
 
 from boragedeck.connection.peer import Address
-from boragedeck.process.relaying.admission import (
+from boragedeck.process.relaying.placing.admission import (
     RECHECK_INTERVAL_S,
     Admission,
     LoadSource,
     expected_wait_s,
 )
-from boragedeck.process.relaying.place import AdmissionRequest
-from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.replica_state import Load
+from boragedeck.process.relaying.placing.place import AdmissionRequest
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_state import Load
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import Replica, ReplicaStage
 from boragedeck.version.routing import RelayPool
--- a/tests/process/relaying/test_durations.py
+++ b/tests/process/relaying/placing/test_durations.py
@@ -1,7 +1,7 @@
 import random
 import unittest
 
-from boragedeck.process.relaying.durations import RequestDurations
+from boragedeck.process.relaying.placing.durations import RequestDurations
 from boragedeck.process.relaying.recent_values import MIN_VALUES
 
 POOL = "engines"
--- a/tests/process/relaying/test_placement.py
+++ b/tests/process/relaying/placing/test_placement.py
@@ -4,15 +4,15 @@
 import unittest
 from collections import Counter
 
-from boragedeck.process.relaying.placement import (
+from boragedeck.process.relaying.placing.placement import (
     PlacementRequest,
     choose_backup,
     choose_replica,
     has_room,
     sample_size,
 )
-from boragedeck.process.relaying.replica_state import Load, ReplicaState
-from boragedeck.process.relaying.restraint import Reason
+from boragedeck.process.relaying.replicas.replica_state import Load, ReplicaState
+from boragedeck.process.relaying.replicas.restraint import Reason
 from boragedeck.version.replicas import Replica, ReplicaStage
 from boragedeck.version.routing import EngineProfile
 
--- a/tests/process/relaying/test_stream_pace.py
+++ b/tests/process/relaying/placing/test_stream_pace.py
@@ -3,8 +3,8 @@
 import random
 import unittest
 
+from boragedeck.process.relaying.placing.stream_pace import StreamTimeEstimator
 from boragedeck.process.relaying.recent_values import MIN_VALUES
-from boragedeck.process.relaying.stream_pace import StreamTimeEstimator
 
 POOL = "engines"
 
--- a/tests/process/relaying/test_registry.py
+++ b/tests/process/relaying/replicas/test_registry.py
@@ -5,11 +5,14 @@
 
 from boragedeck.connection.store import Change, Changes, Table
 from boragedeck.exceptions import TableError
-from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.replica_source import RENEWAL_PERIOD_S, ReplicaSource
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.tables.replica_source import (
+    RENEWAL_PERIOD_S,
+    ReplicaSource,
+)
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
-from tests.process.relaying.test_admission import replica
+from tests.process.relaying.placing.test_admission import replica
 
 
 class RegistryTest(unittest.TestCase):
--- a/tests/process/relaying/test_replica_notices.py
+++ b/tests/process/relaying/replicas/test_replica_notices.py
@@ -8,20 +8,20 @@
 from prometheus_client import CollectorRegistry
 
 from boragedeck.connection.messages import FactTopic
-from boragedeck.process.relaying.admission import Admission
-from boragedeck.process.relaying.place import AdmissionRequest
-from boragedeck.process.relaying.registry import (
+from boragedeck.process.relaying.placing.admission import Admission
+from boragedeck.process.relaying.placing.place import AdmissionRequest
+from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replicas.registry import (
     DEFAULT_HOLD_S,
     MAX_ABSENT_RUNS,
     MAX_HOLD_S,
     ReplicaRegistry,
 )
-from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_notices import ReplicaNotices
-from boragedeck.process.relaying.replica_state import RESUME_INTERVAL_S, Run
+from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replicas.replica_state import RESUME_INTERVAL_S, Run
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import HoldOff, ReplicaNotice, ReplicaStage
-from tests.process.relaying.test_admission import POOL, replica
+from tests.process.relaying.placing.test_admission import POOL, replica
 from tests.support.replicas import (
     FakeFactBoard,
     single_router_brittle,
--- a/tests/process/relaying/test_retry_reserve.py
+++ b/tests/process/relaying/retries/test_retry_reserve.py
@@ -4,12 +4,12 @@
 import msgspec
 
 from boragedeck.ids import Health
-from boragedeck.process.relaying.fleet_size import FleetSize, reachable_share
-from boragedeck.process.relaying.hubs import CACHE_TTL_S, Hubs
-from boragedeck.process.relaying.retry_reserve import RetryReserve
-from boragedeck.process.relaying.retry_share import USABLE_SHARE, RetryShare
+from boragedeck.process.relaying.fleet.fleet_size import FleetSize, reachable_share
+from boragedeck.process.relaying.fleet.hubs import CACHE_TTL_S, Hubs
+from boragedeck.process.relaying.retries.retry_reserve import RetryReserve
+from boragedeck.process.relaying.retries.retry_share import USABLE_SHARE, RetryShare
 from boragedeck.process.timers import ManualTimers
-from tests.process.relaying.test_load_exchange import Members, Network, Server
+from tests.process.relaying.loads.test_load_exchange import Members, Network, Server
 from tests.support.replicas import BOUNDS
 
 ROUTERS = 195
--- a/tests/process/relaying/test_retry_share.py
+++ b/tests/process/relaying/retries/test_retry_share.py
@@ -1,7 +1,7 @@
 import unittest
 
-from boragedeck.process.relaying.fleet_size import FleetSize
-from boragedeck.process.relaying.retry_share import RetryShare
+from boragedeck.process.relaying.fleet.fleet_size import FleetSize
+from boragedeck.process.relaying.retries.retry_share import RetryShare
 from boragedeck.process.timers import ManualTimers
 from tests.support.replicas import BOUNDS, NoReserve
 
--- a/tests/process/relaying/test_rollout_orders.py
+++ b/tests/process/relaying/rollouts/test_rollout_orders.py
@@ -1,7 +1,7 @@
 import unittest
 
 from boragedeck.connection.store_version import store_version
-from boragedeck.process.relaying.rollout_orders import (
+from boragedeck.process.relaying.rollouts.rollout_orders import (
     REWRITE_PERIOD_S,
     OrderHistory,
     OrderKind,
--- a/tests/process/relaying/test_rollout_plan.py
+++ b/tests/process/relaying/rollouts/test_rollout_plan.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from boragedeck.interfaces import Outcome, RunSample
-from boragedeck.process.relaying.rollout_plan import (
+from boragedeck.process.relaying.rollouts.rollout_plan import (
     FINISH_AT,
     MIN_TRIALS,
     TRIAL_REQUESTS,
--- a/tests/process/relaying/test_rollout_strata.py
+++ b/tests/process/relaying/rollouts/test_rollout_strata.py
@@ -1,8 +1,8 @@
 from boragedeck.interfaces import RunSample
-from boragedeck.process.relaying.rollout_strata import merge_routes, stratum_of
+from boragedeck.process.relaying.rollouts.rollout_strata import merge_routes, stratum_of
 from boragedeck.version.evidence import Evidence
 from boragedeck.version.judgement import SUSPICION_NATS, UpstreamCounts, group_score
-from tests.process.relaying.test_rollouts import RolloutCase
+from tests.process.relaying.rollouts.test_rollouts import RolloutCase
 
 SLOW_RUNS = [
     ("a", "r1", 3, 1),
--- a/tests/process/relaying/test_rollouts.py
+++ b/tests/process/relaying/rollouts/test_rollouts.py
@@ -11,18 +11,21 @@
 from boragedeck.interfaces import Outcome, RunSample
 from boragedeck.platform.routing import decode_rollout
 from boragedeck.process.fact_store import MAX_BODY_BYTES
-from boragedeck.process.relaying.rollout_plan import (
+from boragedeck.process.relaying.rollouts.rollout_plan import (
     TRIAL_UNTIL,
     Doubt,
     usual_trial_share,
 )
-from boragedeck.process.relaying.rollout_strata import stratum_of
-from boragedeck.process.relaying.rollouts import PublishedRollout, RelayRollouts
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.rollouts.rollout_strata import stratum_of
+from boragedeck.process.relaying.rollouts.rollouts import (
+    PublishedRollout,
+    RelayRollouts,
+)
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.evidence import Evidence
 from boragedeck.version.relay_rollouts import RolloutResult
-from tests.process.relaying.test_admission import replica
+from tests.process.relaying.placing.test_admission import replica
 from tests.support.replicas import BOUNDS, FakeFactBoard
 
 RUNNING, COMPLETED, ROLLED_BACK = RolloutResult
--- a/tests/process/relaying/test_answering_period.py
+++ b/tests/process/relaying/tables/test_answering_period.py
@@ -1,7 +1,10 @@
 import math
 import unittest
 
-from boragedeck.process.relaying.answering_period import MAX_GAP_S, AnsweringPeriod
+from boragedeck.process.relaying.tables.answering_period import (
+    MAX_GAP_S,
+    AnsweringPeriod,
+)
 
 
 class AnsweringPeriodTest(unittest.TestCase):
--- a/tests/process/relaying/test_mirror_follower.py
+++ b/tests/process/relaying/tables/test_mirror_follower.py
@@ -11,10 +11,17 @@
     StoreUnavailableError,
     StoreUnknownOutcomeError,
 )
-from boragedeck.process.relaying import mirror_follower
-from boragedeck.process.relaying.mirror_follower import BATCH_DELAY_S, MirrorFollower
-from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart, pack
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.tables import mirror_follower
+from boragedeck.process.relaying.tables.mirror_follower import (
+    BATCH_DELAY_S,
+    MirrorFollower,
+)
+from boragedeck.process.relaying.tables.mirror_messages import (
+    FetchTable,
+    TablePart,
+    pack,
+)
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 
 
--- a/tests/process/relaying/test_mirror_messages.py
+++ b/tests/process/relaying/tables/test_mirror_messages.py
@@ -3,9 +3,9 @@
 import msgspec
 
 from boragedeck.connection.store import Change, Changes, Table
-from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
-from boragedeck.process.relaying.mirror_server import serve_mirrors
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.tables.mirror_messages import FetchTable, TablePart
+from boragedeck.process.relaying.tables.mirror_server import serve_mirrors
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 
 ROUTING = Table.ROUTING
--- a/tests/process/relaying/test_older_versions.py
+++ b/tests/process/relaying/tables/test_older_versions.py
@@ -4,13 +4,13 @@
 
 from boragedeck.connection.store import Change, Changes, Table
 from boragedeck.connection.store_version import store_version
-from boragedeck.process.relaying.load_messages import LoadUpdate
-from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart
-from boragedeck.process.relaying.mirror_server import serve_mirrors
-from boragedeck.process.relaying.older_versions import is_comparable
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.loads.load_messages import LoadUpdate
+from boragedeck.process.relaying.tables.mirror_messages import FetchTable, TablePart
+from boragedeck.process.relaying.tables.mirror_server import serve_mirrors
+from boragedeck.process.relaying.tables.older_versions import is_comparable
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
-from tests.process.relaying.test_mirror_messages import Server, State
+from tests.process.relaying.tables.test_mirror_messages import Server, State
 
 FETCH_93E4B70 = "94aa46657463685461626c65a7726f7574696e6714cb3fe0000000000000"
 PART_93E4B70 = (
--- a/tests/process/relaying/test_replica_source.py
+++ b/tests/process/relaying/tables/test_replica_source.py
@@ -5,16 +5,16 @@
 
 from boragedeck.connection.store import Change, Changes, Table
 from boragedeck.connection.store_version import store_version
-from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.replica_source import (
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.tables.replica_source import (
     HEARTBEATS_TO_LAPSE,
     RENEWAL_PERIOD_S,
     ReplicaSource,
 )
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import ReplicaStage
-from tests.process.relaying.test_admission import replica
+from tests.process.relaying.placing.test_admission import replica
 
 HEARTBEAT_S = 1.2
 LAPSE_S = HEARTBEATS_TO_LAPSE * HEARTBEAT_S
--- a/tests/process/relaying/test_shared_feed.py
+++ b/tests/process/relaying/tables/test_shared_feed.py
@@ -6,9 +6,13 @@
 from boragedeck.connection.store import Change, Changes, Table
 from boragedeck.exceptions import PeerUnreachableError, StoreUnavailableError
 from boragedeck.interfaces import Member
-from boragedeck.process.relaying.hubs import Hubs, hubs_for
-from boragedeck.process.relaying.mirror_messages import FetchTable, TablePart, pack
-from boragedeck.process.relaying.shared_feed import (
+from boragedeck.process.relaying.fleet.hubs import Hubs, hubs_for
+from boragedeck.process.relaying.tables.mirror_messages import (
+    FetchTable,
+    TablePart,
+    pack,
+)
+from boragedeck.process.relaying.tables.shared_feed import (
     AVOID_FAILED_HUB_S,
     FLEET_RETRIES_PER_S,
     STORE_SILENCE_SLACK_S,
--- a/tests/process/relaying/test_stale_tables.py
+++ b/tests/process/relaying/tables/test_stale_tables.py
@@ -2,7 +2,7 @@
 import unittest
 
 from boragedeck.connection.store import Table
-from boragedeck.process.relaying.hubs import choose_hubs
+from boragedeck.process.relaying.fleet.hubs import choose_hubs
 from tests.support.mirror_fleet import MirrorFleet
 from tests.support.replicas import BOUNDS
 
--- a/tests/process/relaying/test_table_ages.py
+++ b/tests/process/relaying/tables/test_table_ages.py
@@ -5,7 +5,7 @@
 
 from boragedeck.connection.store import Table
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.table_ages import TableAges
+from boragedeck.process.relaying.tables.table_ages import TableAges
 from tests.support.mirror_fleet import MirrorFleet
 
 CURRENT_S = 1.0
--- a/tests/process/relaying/test_table_mirror.py
+++ b/tests/process/relaying/tables/test_table_mirror.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from boragedeck.connection.store import Change, Changes, Table
-from boragedeck.process.relaying import table_mirror
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.tables import table_mirror
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 
 
--- a/tests/process/relaying/test_settings_source.py
+++ b/tests/process/relaying/test_settings_source.py
@@ -5,8 +5,8 @@
 
 from boragedeck.connection.peer import Address
 from boragedeck.platform.settings import read_settings
-from boragedeck.process.relaying.fleet_size import FleetSize
-from boragedeck.process.relaying.retry_share import RetryShare
+from boragedeck.process.relaying.fleet.fleet_size import FleetSize
+from boragedeck.process.relaying.retries.retry_share import RetryShare
 from boragedeck.process.relaying.settings_source import (
     CHECK_INTERVAL_S,
     SettingsSource,
--- a/tests/request/test_relay_attempt.py
+++ b/tests/request/test_relay_attempt.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from boragedeck.connection.messages import FactTopic
-from boragedeck.process.relaying.restraint import Reason
+from boragedeck.process.relaying.replicas.restraint import Reason
 from boragedeck.version.routing import CallKind, RelayPool
 from tests.support.replicas import (
     ENGINE,
--- a/tests/request/test_relay_deadly_part.py
+++ b/tests/request/test_relay_deadly_part.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from boragedeck.connection.messages import FactTopic
-from boragedeck.process.relaying.crash_messages import (
+from boragedeck.process.relaying.crashes.crash_messages import (
     CrashVerdict,
     VerdictState,
     part_signature,
--- a/tests/request/test_relay_limits.py
+++ b/tests/request/test_relay_limits.py
@@ -2,7 +2,7 @@
 
 import eventlet
 
-from boragedeck.process.relaying.replica_state import Load
+from boragedeck.process.relaying.replicas.replica_state import Load
 from boragedeck.version.replicas import RateLimit
 from boragedeck.version.routing import CallKind
 from tests.request.test_relay_attempt import POOL, TOKENS, answer_with_status
--- a/tests/request/test_relay_paths.py
+++ b/tests/request/test_relay_paths.py
@@ -2,9 +2,9 @@
 
 import eventlet
 
-from boragedeck.process.relaying.path_checks import MAX_ADDRESSES
-from boragedeck.process.relaying.path_state import PathState
-from boragedeck.process.relaying.replica_paths import TICK_S
+from boragedeck.process.relaying.paths.path_checks import MAX_ADDRESSES
+from boragedeck.process.relaying.paths.path_state import PathState
+from boragedeck.process.relaying.paths.replica_paths import TICK_S
 from boragedeck.version.routing import CallKind, RelayPool
 from tests.support.cut_fleet import Cut, CutFleet
 from tests.support.replicas import (
--- a/tests/support/brittle_fleet.py
+++ b/tests/support/brittle_fleet.py
@@ -3,9 +3,9 @@
 import itertools
 from collections import deque
 
-from boragedeck.process.relaying.place import AdmissionRequest
+from boragedeck.process.relaying.placing.place import AdmissionRequest
 from boragedeck.version.replicas import RejectionLimit, ReplicaNotice
-from tests.process.relaying.test_admission import POOL, replica
+from tests.process.relaying.placing.test_admission import POOL, replica
 from tests.support.limited_fleet import (
     LATENCY_S,
     MAX_WAIT_S,
--- a/tests/support/crash_fleet.py
+++ b/tests/support/crash_fleet.py
@@ -9,17 +9,20 @@
 
 from boragedeck.connection.messages import FactTopic
 from boragedeck.interfaces import Member
-from boragedeck.process.relaying.crash_blame import JUDGE_TASK, CrashBlame
-from boragedeck.process.relaying.crash_judge import CrashJudge
-from boragedeck.process.relaying.crash_verdicts import CrashVerdicts, RequestTraits
-from boragedeck.process.relaying.fleet_size import FleetSize
-from boragedeck.process.relaying.hubs import Hubs
+from boragedeck.process.relaying.crashes.crash_blame import JUDGE_TASK, CrashBlame
+from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
+from boragedeck.process.relaying.crashes.crash_verdicts import (
+    CrashVerdicts,
+    RequestTraits,
+)
+from boragedeck.process.relaying.fleet.fleet_size import FleetSize
+from boragedeck.process.relaying.fleet.hubs import Hubs
+from boragedeck.process.relaying.fleet.task_owners import TaskOwners
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_state import ReplicaState
-from boragedeck.process.relaying.task_owners import TaskOwners
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.process.timers import ManualTimers
 from boragedeck.request.answer_progress import AnswerProgress
-from tests.process.relaying.test_admission import replica
+from tests.process.relaying.placing.test_admission import replica
 from tests.support.limited_fleet import (
     GOSSIP_DELAY_S,
     FleetBoard,
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -20,7 +20,7 @@
     UpstreamRefusedError,
 )
 from boragedeck.interfaces import Member
-from boragedeck.process.relaying.path_composition import make_paths
+from boragedeck.process.relaying.paths.path_composition import make_paths
 from boragedeck.request.forward import Forwarder
 from boragedeck.version.routing import CallerLimits
 from tests.support.limited_fleet import FleetMembers
--- a/tests/support/limit_defects.py
+++ b/tests/support/limit_defects.py
@@ -2,19 +2,19 @@
 
 import msgspec
 
-from boragedeck.process.relaying.admission import Admission
-from boragedeck.process.relaying.limit_grants import LimitGrants
-from boragedeck.process.relaying.limited_admission import LimitedAdmission
-from boragedeck.process.relaying.replica_limits import ReplicaLimits
-from boragedeck.process.relaying.send_schedule import SendSchedule
-from boragedeck.process.relaying.task_owners import TaskOwners
+from boragedeck.process.relaying.fleet.task_owners import TaskOwners
+from boragedeck.process.relaying.limits.limit_grants import LimitGrants
+from boragedeck.process.relaying.limits.limited_admission import LimitedAdmission
+from boragedeck.process.relaying.limits.replica_limits import ReplicaLimits
+from boragedeck.process.relaying.limits.send_schedule import SendSchedule
+from boragedeck.process.relaying.placing.admission import Admission
 from tests.support.method_defects import MethodDefect
 
 __all__ = ["LIMIT_DEFECTS"]
 
-FLEET = "tests.process.relaying.test_limited_fleet"
-KNOWN = "tests.process.relaying.test_replica_limits"
-SCHEDULE = "tests.process.relaying.test_send_schedule"
+FLEET = "tests.process.relaying.limits.test_limited_fleet"
+KNOWN = "tests.process.relaying.limits.test_replica_limits"
+SCHEDULE = "tests.process.relaying.limits.test_send_schedule"
 WIRE = "tests.request.test_relay_limits"
 
 _take = LimitGrants.take
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -12,22 +12,22 @@
 from boragedeck.exceptions import PeerRefusedError, PeerUnreachableError
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member
-from boragedeck.process.relaying.admission import Admission
-from boragedeck.process.relaying.brittle_replicas import BrittleReplicas
-from boragedeck.process.relaying.fleet_size import FleetSize
-from boragedeck.process.relaying.hubs import Hubs
-from boragedeck.process.relaying.limit_grants import LimitGrants
-from boragedeck.process.relaying.limited_admission import LimitedAdmission
-from boragedeck.process.relaying.place import AdmissionRequest
-from boragedeck.process.relaying.registry import ReplicaRegistry
+from boragedeck.process.relaying.fleet.fleet_size import FleetSize
+from boragedeck.process.relaying.fleet.hubs import Hubs
+from boragedeck.process.relaying.fleet.task_owners import TaskOwners
+from boragedeck.process.relaying.limits.brittle_replicas import BrittleReplicas
+from boragedeck.process.relaying.limits.limit_grants import LimitGrants
+from boragedeck.process.relaying.limits.limited_admission import LimitedAdmission
+from boragedeck.process.relaying.limits.replica_limits import ReplicaLimits
+from boragedeck.process.relaying.limits.room_grants import RoomGrants
+from boragedeck.process.relaying.placing.admission import Admission
+from boragedeck.process.relaying.placing.place import AdmissionRequest
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replica_limits import ReplicaLimits
-from boragedeck.process.relaying.replica_notices import ReplicaNotices
-from boragedeck.process.relaying.room_grants import RoomGrants
-from boragedeck.process.relaying.task_owners import TaskOwners
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import RateLimit, ReplicaNotice
-from tests.process.relaying.test_admission import POOL, replica
+from tests.process.relaying.placing.test_admission import POOL, replica
 from tests.support.replicas import FakeFactBoard
 
 SERVICE_S = 0.045
--- a/tests/support/mirror_fleet.py
+++ b/tests/support/mirror_fleet.py
@@ -18,16 +18,16 @@
 from boragedeck.interfaces import Member
 from boragedeck.platform import store as store_module
 from boragedeck.platform.store import PlatformStore
-from boragedeck.process.relaying.hubs import Hubs
-from boragedeck.process.relaying.mirror_follower import MirrorFollower
-from boragedeck.process.relaying.mirror_server import serve_mirrors
-from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.replica_source import ReplicaSource
-from boragedeck.process.relaying.shared_feed import SharedFeed
-from boragedeck.process.relaying.table_mirror import TableMirror
+from boragedeck.process.relaying.fleet.hubs import Hubs
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.tables.mirror_follower import MirrorFollower
+from boragedeck.process.relaying.tables.mirror_server import serve_mirrors
+from boragedeck.process.relaying.tables.replica_source import ReplicaSource
+from boragedeck.process.relaying.tables.shared_feed import SharedFeed
+from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 from standins.rows import PATH_PREFIX, RowStore
-from tests.process.relaying.test_admission import replica
+from tests.process.relaying.placing.test_admission import replica
 from tests.support.limited_fleet import FleetMembers, FleetNetwork, FleetPeer
 from tests.support.replicas import BOUNDS
 
--- a/tests/support/notice_defects.py
+++ b/tests/support/notice_defects.py
@@ -2,10 +2,10 @@
 
 from boragedeck.connection.messages import FactTopic
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
-from boragedeck.process.relaying.registry import ReplicaRegistry
-from boragedeck.process.relaying.replica_notices import ReplicaNotices
-from boragedeck.process.relaying.replica_state import ReplicaState
-from boragedeck.process.relaying.restraint import Restraints
+from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
+from boragedeck.process.relaying.replicas.restraint import Restraints
 from boragedeck.request.stream_liveness import StreamLivenessMonitor
 from boragedeck.version.replicas import HoldOff, ReplicaNotice
 from tests.support.method_defects import MethodDefect
@@ -13,7 +13,7 @@
 __all__ = ["NOTICE_DEFECTS"]
 
 ANSWERS = "tests.request.test_relay_attempt"
-NOTICES = "tests.process.relaying.test_replica_notices"
+NOTICES = "tests.process.relaying.replicas.test_replica_notices"
 
 
 _read_notice = HttpReplicaProtocol.notice
