--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -24,9 +24,7 @@
 from boragedeck.platform.rollout_status import PlatformRolloutBoard
 from boragedeck.platform.routing import (
     ROLLOUT_PREFIX,
-    ROUTING_KEY,
     decode_rollout,
-    decode_routing,
 )
 from boragedeck.platform.store import PlatformStore
 from boragedeck.process.gossip import GossipBoard
@@ -61,14 +59,9 @@
 from boragedeck.process.relaying.retries.retry_share import USABLE_SHARE, RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
 from boragedeck.process.relaying.settings_source import SettingsSource
-from boragedeck.process.relaying.tables.mirror_follower import MirrorFollower
-from boragedeck.process.relaying.tables.mirror_server import serve_mirrors
 from boragedeck.process.relaying.tables.replica_source import ReplicaSource
-from boragedeck.process.relaying.tables.routing_source import RoutingSource
-from boragedeck.process.relaying.tables.shared_feed import SharedFeed
 from boragedeck.process.relaying.tables.store_meter import StoreMeter
-from boragedeck.process.relaying.tables.table_ages import TableAges
-from boragedeck.process.relaying.tables.table_mirror import TableMirror
+from boragedeck.process.relaying.tables.table_composition import MirroredTables
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
 from boragedeck.request.relay_job import RelayComponents, respond_refusal
@@ -131,7 +124,7 @@
         self._store_meter = StoreMeter(timers, self.metrics)
         self._store = PlatformStore(settings.store, self._store_meter.note)
         self._make_peers()
-        self._make_mirrors()
+        self._make_tables()
         self._make_relaying()
         self._edge = CallerEdge(
             listener,
@@ -144,8 +137,7 @@
         """Serve peers and callers."""
         eventlet.spawn_n(self._peer_server.serve)
         self._source.start()
-        for follower in self._followers.values():
-            follower.start()
+        self._tables.start()
         self._store_meter.start()
         self._board.start()
         self._membership.start()
@@ -168,7 +160,7 @@
         """Return whether the platform should send callers here."""
         has_table = self._routing.current().version > 0
         is_leaving = self._drain_deadline < float("inf")
-        return has_table and self._replica_mirror.version >= 0 and not is_leaving
+        return has_table and self._tables.replicas.version >= 0 and not is_leaving
 
     def drain(self) -> None:
         """Finish all requests, and return when they are answered or the time is over.
@@ -226,54 +218,26 @@
         )
         self.metrics.reachable_share.set_function(self._reachable_share)
 
-    def _make_mirrors(self) -> None:
+    def _make_tables(self) -> None:
         self._hubs = Hubs(self.timers, self._membership)
-        self._routing_mirror = TableMirror(Table.ROUTING)
-        self._replica_mirror = TableMirror(Table.REPLICAS)
-        self._routing_mirror.subscribe_restored(self._membership.restore_row)
-        mirrors = [self._routing_mirror, self._replica_mirror]
-        for mirror in mirrors:
-            counter = self.metrics.store_restored.labels(mirror.table.value)
-            mirror.subscribe_restored(counter.inc)
-        self._feed = SharedFeed(
+        self._tables = MirroredTables(
+            self._source,
             self._store,
             self.timers,
             self._rng,
             self._links,
+            self._peer_server,
             self._membership,
             self._hubs,
-            lambda: self._source.current().seeds,
-            self._source.bounds,
-        )
-        self._followers = {
-            mirror.table: self._make_follower(mirror) for mirror in mirrors
-        }
-        serve_mirrors(
-            self._peer_server,
-            mirrors,
-            self.timers,
-            self._feed.is_current,
-            lambda table: self._followers[table],
-        )
-        self._table_ages = TableAges(self._followers, self.metrics)
-        self._routing = RoutingSource(self._routing_mirror, ROUTING_KEY, decode_routing)
-
-    def _make_follower(self, mirror: TableMirror) -> MirrorFollower:
-        return MirrorFollower(
-            mirror,
-            self._feed,
-            self.timers,
-            self._links,
-            self._peer_addresses,
-            self._rng,
-            lambda: self._source.bounds().contact_s,
+            self.metrics,
         )
+        self._routing = self._tables.in_force
 
     def _make_relaying(self) -> None:
         self._registry = ReplicaRegistry(self.timers)
         self._replicas = ReplicaSource(
-            self._replica_mirror,
-            self._followers[Table.REPLICAS],
+            self._tables.replicas,
+            self._tables.followers[Table.REPLICAS],
             self._registry,
             decode_replica,
             self.timers,
@@ -282,7 +246,7 @@
         self._rollouts = RelayRollouts(
             self.timers,
             self._rng,
-            self._routing_mirror,
+            self._tables.routing,
             ROLLOUT_PREFIX,
             decode_rollout,
             PlatformRolloutBoard(self._store),
@@ -309,9 +273,9 @@
             self._hubs,
             self._links,
             self._peer_server,
-            [self._routing_mirror, self._replica_mirror],
+            self._tables.mirrors(),
         )
-        self._loads.on_newest_version = self._note_newest_version
+        self._loads.on_newest_version = self._tables.note_newest_version
         admission = Admission(
             self.timers,
             self._registry,
@@ -338,7 +302,7 @@
             timers=self.timers,
             rng=self._rng,
             table=self._routing.current,
-            table_ages=self._table_ages,
+            table_ages=self._tables.ages,
             admission=admission,
             limited_admission=LimitedAdmission(
                 self.timers, admission, limits, brittle, self._rng
@@ -434,10 +398,6 @@
         except UpstreamError as exc:
             _log.write("Request failed.", error=str(exc))
 
-    def _peer_addresses(self) -> list[Address]:
-        members = [member.address for member in self._membership.members()]
-        return members or self._membership.seeds()
-
     def _time_left(self) -> float:
         return self._drain_deadline - self.timers.now()
 
@@ -448,11 +408,6 @@
         share = IDLE_SHARE * max_connections / self._membership.routers()
         return max(1, min(MAX_IDLE_PER_REPLICA, int(share)))
 
-    def _note_newest_version(
-        self, address: Address, table: Table, newest_row_version: int
-    ) -> None:
-        self._followers[table].note_peer_version(address, newest_row_version)
-
     def _answer_ready(self, environ, start_response):
         is_ready = self.is_ready()
         status = "200 OK" if is_ready else "503 Service Unavailable"
