--- a/boragedeck/cli/commands.py
+++ b/boragedeck/cli/commands.py
@@ -7,6 +7,7 @@
 import boragedeck
 from boragedeck.cli import keys, quarantine, rollouts, status, tables
 from boragedeck.cli.timeline import timeline
+from boragedeck.process.build import build_name
 
 __all__ = ["app"]
 
@@ -24,7 +25,7 @@
 
 def _print_version(is_wanted: bool) -> None:
     if is_wanted:
-        typer.echo(f"boragedeck {boragedeck.__version__}")
+        typer.echo(f"boragedeck {boragedeck.__version__} (build {build_name()})")
         raise typer.Exit
 
 
--- a/boragedeck/process/build.py
+++ b/boragedeck/process/build.py
@@ -1,11 +1,12 @@
 """Names the build that this process runs."""
 
 import functools
-from importlib import metadata
 from pathlib import Path
 
 import xxhash
 
+import boragedeck
+
 __all__ = ["build_name"]
 
 PACKAGE = Path(__file__).parent.parent
@@ -23,12 +24,4 @@
     for path in sorted(PACKAGE.rglob("*.py")):
         sources.update(path.relative_to(PACKAGE).as_posix().encode())
         sources.update(path.read_bytes())
-    return f"{_version()}+{sources.hexdigest()[:8]}"
-
-
-def _version() -> str:
-    try:
-        return metadata.version("boragedeck")
-    except metadata.PackageNotFoundError:
-        # The sources are run in place.
-        return "0"
+    return f"{boragedeck.__version__}+{sources.hexdigest()[:8]}"
--- a/boragedeck/process/daemon.py
+++ b/boragedeck/process/daemon.py
@@ -20,6 +20,11 @@
     Each edition imports its own modules only. On the platform, the router listens
     before it imports them, so that callers' connections wait while it restarts.
     """
+    if sys.argv[1:] == ["--version"]:
+        from boragedeck.process.build import build_name
+
+        print(build_name())
+        return
     settings = unwrap_or_exit(read_settings(os.environ))
     if settings is None:
         _run_standalone()
