--- a/boragedeck/process/relaying/tables/table_mirror.py
+++ b/boragedeck/process/relaying/tables/table_mirror.py
@@ -57,11 +57,11 @@
             self._deletions_known_after = changes.version
         if self.version < 0:
             self._deletions_known_after = changes.version
-        newest_before = self.newest_row_version
+        newest_before = self._newest_complete_version()
         for change in changes.rows:
             self._apply_row(change)
         self.version = max(self.version, changes.version)
-        if self.newest_row_version > newest_before:
+        if self._newest_complete_version() > newest_before:
             changed, self._changed = self._changed, Event()
             changed.send()
 
@@ -87,11 +87,21 @@
     ) -> None:
         """Wait until a row is newer than a version, or the time has passed."""
         until = timers.now() + wait_s
-        while (
-            self.newest_row_version <= after and (left_s := until - timers.now()) > 0.0
-        ):
+        while self._newest_complete_version() <= after:
+            left_s = until - timers.now()
+            if left_s <= 0.0:
+                return
             timers.wait(self._changed, left_s)
 
+    def _newest_complete_version(self) -> int:
+        """Return the version of the newest change before which none is missing.
+
+        Notes
+        -----
+        A snapshot of several pages may contain rows newer than its version.
+        """
+        return min(self.newest_row_version, self.version)
+
     def _notify_if_restored(self, changes: Changes) -> None:
         if 0 <= self.version and era_of(self.version) < era_of(changes.version):
             for callback in self._restored_callbacks:
--- a/tests/process/relaying/tables/test_table_mirror.py
+++ b/tests/process/relaying/tables/test_table_mirror.py
@@ -102,3 +102,35 @@
         timers.advance(2.1)
         eventlet.sleep(0)
         self.assertEqual(len(ended), 1)
+
+
+class WaitTest(unittest.TestCase):
+    """Another router waits for the next change."""
+
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.mirror = TableMirror(Table.REPLICAS)
+        # The second page of the snapshot is newer than its version.
+        self.mirror.apply(Changes((row("a", 1), row("b", 7)), 5, True))
+        self.ended = []
+
+    def wait(self, after):
+        self.mirror.wait_for_change(self.timers, after, 2.0)
+        self.ended.append(self.timers.now())
+
+    def test_router_waits_though_a_row_is_newer_than_the_table(self):
+        started_at = self.timers.now()
+        eventlet.spawn_n(self.wait, 5)
+        eventlet.sleep(0.0)
+        self.assertEqual(self.ended, [])
+        self.timers.advance(2.0)
+        eventlet.sleep(0.0)
+        self.assertEqual(self.ended, [started_at + 2.0])
+
+    def test_wait_ends_once_the_newer_row_may_be_told(self):
+        eventlet.spawn_n(self.wait, 5)
+        eventlet.sleep(0.0)
+        self.mirror.apply(Changes((row("b", 7),), 7))
+        for _ in range(3):
+            eventlet.sleep(0.0)
+        self.assertEqual(len(self.ended), 1)
