--- a/scripts/upgrade_check.py
+++ b/scripts/upgrade_check.py
@@ -8,6 +8,7 @@
 
 import itertools
 import random
+import signal
 import sys
 import tempfile
 from collections import Counter
@@ -35,6 +36,9 @@
 """Time within which a change or a leaving replica must be known everywhere."""
 STORE_AWAY_S = 1.5
 SETTLE_S = 1.0
+FREEZE_S = 1.5
+CONTACT_S = 3.0
+"""Time after a disturbance from which a router must keep its promises again."""
 STREAM_INTERVAL_S = 0.15
 READ_TIMEOUT_S = 15.0
 REQUESTS_PER_ROUTER = 4
@@ -95,14 +99,24 @@
         self._in_service: set[int] = set()
         self._is_over = False
 
-    def run(self, *, is_taken_back: bool) -> None:
-        """Replace all routers by this build, and go back if asked to."""
+    def run(self, *, is_taken_back: bool, is_half: bool = False) -> None:
+        """Replace the routers by this build.
+
+        Parameters
+        ----------
+        is_taken_back : bool
+            Whether they are replaced by the old build again.
+        is_half : bool, optional
+            Whether the second half of the routers keeps the old build for good.
+        """
         for name, zone in (("engine-1", "a"), ("engine-2", "b")):
             self._cluster.add_engine(name, zone)
         self._start_old_routers()
         streams = eventlet.spawn(self._read_streams)
         order = list(range(len(self._zones)))
         self._rng.shuffle(order)
+        if is_half:
+            order = order[: len(order) // 2]
         self._replace_in_steps(order, None)
         if is_taken_back:
             self._replace_in_steps(order, self._old)
@@ -129,10 +143,26 @@
             self._cluster.replace_routers(numbers, build)
             self._in_service |= set(numbers)
             eventlet.sleep(SETTLE_S)
+            self._disturb_router()
             self._take_store_away()
             self._check_key_change()
             self._check_leaving_engine()
 
+    def _disturb_router(self) -> None:
+        """Kill or freeze a router of either build that no stream is read through."""
+        number = self._rng.choice(sorted(self._in_service))
+        self._in_service.remove(number)
+        eventlet.sleep(SETTLE_S + STREAM_INTERVAL_S)
+        if self._rng.random() < 0.5:
+            self._cluster.restart_router(number)
+            self._cluster.wait_ready(number)
+        else:
+            self._cluster.routers[number].send_signal(signal.SIGSTOP)
+            eventlet.sleep(FREEZE_S)
+            self._cluster.routers[number].send_signal(signal.SIGCONT)
+        eventlet.sleep(CONTACT_S)
+        self._in_service.add(number)
+
     def _take_store_away(self) -> None:
         self._cluster.rows.faults.status = 503
         eventlet.sleep(STORE_AWAY_S)
@@ -222,6 +252,7 @@
     seeds: int = typer.Option(1, help="How many plays."),
     first_seed: int = typer.Option(1, help="The seed of the first play."),
     back: bool = typer.Option(True, help="Whether the upgrade is taken back."),
+    half: bool = typer.Option(False, help="Whether it stops half way for good."),
 ) -> None:
     """Play upgrades, and print what was broken."""
     try:
@@ -234,7 +265,7 @@
         with tempfile.TemporaryDirectory() as directory:
             check = UpgradeCheck(Path(directory), old, seed)
             try:
-                check.run(is_taken_back=back)
+                check.run(is_taken_back=back and not half, is_half=half)
             finally:
                 check.stop()
         for finding in check.findings:
