Tell other routers of the store only what this one has heard itself

What callers would see: after an outage of the store that some routers were cut off before, requests find fewer replicas, since routers removed live ones whose entries had only lapsed. Now only a router that the store answers reports so, for 1 s; what others heard is told as a period that ends when they heard it, and a loss adds nothing to it. Test: three of nine routers cut off, then an outage of 4.4 s for all; on four of nine remove the replica, now none.

--- a/boragedeck/process/relaying/tables/mirror_follower.py
+++ b/boragedeck/process/relaying/tables/mirror_follower.py
@@ -39,6 +39,8 @@
 groups."""
 PEER_INTERVAL_S = 0.25
 PEER_TIMEOUT_S = 0.5
+PEER_REPORT_TTL_S = 1.0
+"""How long another router's report that the store answers it counts."""
 MIN_LAG_S = 0.3
 """How long another router must be ahead before its rows are fetched."""
 
@@ -52,6 +54,13 @@
     since: float
 
 
+class _PeerReport(msgspec.Struct, frozen=True):
+    """Since when the store has been answering another router, and when it said so."""
+
+    answering_since: float
+    received_at: float
+
+
 class MirrorFollower:
     """Keeps a mirror up to date from the store or, if that fails, from other routers.
 
@@ -109,6 +118,7 @@
         self.reconnected_at = 0.0
         self._connected_since = 0.0
         self._period = AnsweringPeriod()
+        self._peer_report: _PeerReport | None = None
         self._confirmed_at = -math.inf
         self._logged_counting: set[Address] = set()
         mirror.subscribe_restored(self._note_restored)
@@ -127,22 +137,19 @@
             On the timer service's monotonic clock, by what this router and those that
             it has heard know together; None if none has heard the store recently.
         """
-        unheard_s = self.unheard_s()
-        is_known = unheard_s is not None and unheard_s <= MAX_GAP_S
-        return self._period.since if is_known else None
-
-    def unheard_s(self) -> float | None:
-        """Return how long the store has not been known to answer, in seconds.
-
-        Returns
-        -------
-        float or None
-            0 while it answers this router; None if it isn't known to have answered.
-        """
         if self.is_connected:
-            return 0.0
-        unheard_s = self._timers.now() - self._period.until
-        return None if math.isinf(unheard_s) else max(0.0, unheard_s)
+            return self._period.since
+        known_since = []
+        report, now = self._peer_report, self._timers.now()
+        if report is not None and now - report.received_at <= PEER_REPORT_TTL_S:
+            known_since.append(report.answering_since)
+        if now - self._period.until <= MAX_GAP_S:
+            known_since.append(self._period.since)
+        return min(known_since, default=None)
+
+    def answering_period(self) -> AnsweringPeriod:
+        """Return the last period in which the store is known to have answered."""
+        return self._period
 
     def age_s(self) -> float | None:
         """Return how long ago the mirror was the store's newest state, in seconds.
@@ -203,7 +210,9 @@
         self._pause_s = INITIAL_PAUSE_S
         if self.is_connected:
             return
-        self.reconnected_at = self._connected_since = self._timers.now()
+        now = self._timers.now()
+        self._connected_since = min(now, self.answering_since() or now)
+        self.reconnected_at = now
         self.is_connected = True
         self._is_loss_logged = False
         _log.write("Store answers.", table=self._mirror.table.value)
@@ -224,6 +233,7 @@
         now = self._timers.now()
         self.reconnected_at = self._connected_since = now
         self._period.restart(now)
+        self._peer_report = None
         _log.write("Store restored.", table=self._mirror.table.value)
 
     def _note_failure(self, error: Exception) -> None:
@@ -242,7 +252,6 @@
             )
         if self.is_connected:
             self.is_connected = False
-            self._period.extend(self._period.since, self._timers.now())
             eventlet.spawn_n(self._poll_peers_while_disconnected)
         self._timers.sleep(self._pause_s * self._rng.uniform(0.5, 1.0))
         longest_s = MAX_FIRST_READ_PAUSE_S if self._mirror.version < 0 else MAX_PAUSE_S
@@ -296,9 +305,10 @@
         if part.age_s is not None:
             self._confirm(asked_at - part.age_s)
         if part.answering_s is not None:
-            # Older builds say it only while the store answers them.
-            until = asked_at - (part.unheard_s or 0.0)
-            self._period.extend(min(asked_at - part.answering_s, until), until)
+            since = asked_at - part.answering_s
+            self._peer_report = _PeerReport(since, self._timers.now())
+        if part.period_s is not None and part.unheard_s is not None:
+            self._period.extend(asked_at - part.period_s, asked_at - part.unheard_s)
 
     def _log_other_counting(self, address: Address, changes: Changes) -> None:
         """Log once that a router of an older build counts versions otherwise."""
--- a/boragedeck/process/relaying/tables/mirror_messages.py
+++ b/boragedeck/process/relaying/tables/mirror_messages.py
@@ -48,8 +48,9 @@
     answering_s : float or None
         How long the store has been answering the router without a failure, in
         seconds; None if it doesn't, or if the router doesn't say so.
-    unheard_s : float or None
-        How long ago that ended, in seconds; None if the router doesn't say so.
+    period_s, unheard_s : float or None
+        How long ago the last period began and ended in which the store is known to have
+        answered somebody, in seconds; None if the router doesn't know or say so.
     age_s : float or None
         How long ago the router's table was the store's newest state, in seconds; None
         if the router doesn't know or say so.
@@ -60,6 +61,7 @@
     packed: bytes | None = None
     is_current: bool = False
     answering_s: float | None = None
+    period_s: float | None = None
     unheard_s: float | None = None
     age_s: float | None = None
     counts_eras: bool = False
--- a/boragedeck/process/relaying/tables/mirror_server.py
+++ b/boragedeck/process/relaying/tables/mirror_server.py
@@ -1,10 +1,12 @@
 """Answers other routers' requests for mirrored tables."""
 
+import math
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from boragedeck.connection.peer import PeerServer
 from boragedeck.connection.store import Table
+from boragedeck.process.relaying.tables.answering_period import AnsweringPeriod
 from boragedeck.process.relaying.tables.mirror_messages import (
     FetchTable,
     TablePart,
@@ -25,11 +27,13 @@
 class MirrorState(Protocol):
     """What a router knows about the state of its mirror; see `MirrorFollower`."""
 
+    is_connected: bool
+
     def answering_since(self) -> float | None:
         """Return since when the store has been answering; None if it doesn't."""
 
-    def unheard_s(self) -> float | None:
-        """Return how long the store has not been known to answer, in seconds."""
+    def answering_period(self) -> AnsweringPeriod:
+        """Return the last period in which the store is known to have answered."""
 
     def age_s(self) -> float | None:
         """Return how long ago the mirror was the store's newest state, in seconds."""
@@ -96,12 +100,15 @@
         elif mirror.version > own.after:
             packed = packers[table].packed_changes_since(own.after)
         state = follower_of(table)
-        since = state.answering_since()
+        # What this router only knows from others isn't told as its own knowledge.
+        since = state.answering_since() if state.is_connected else None
+        period, now = state.answering_period(), timers.now()
         return TablePart(
             packed,
             is_current(table),
-            answering_s=None if since is None else timers.now() - since,
-            unheard_s=state.unheard_s(),
+            answering_s=None if since is None else now - since,
+            period_s=None if math.isinf(period.since) else now - period.since,
+            unheard_s=None if math.isinf(period.until) else now - period.until,
             age_s=state.age_s(),
             counts_eras=True,
         )
--- a/tests/process/relaying/tables/test_mirror_messages.py
+++ b/tests/process/relaying/tables/test_mirror_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from boragedeck.connection.store import Change, Changes, Table
+from boragedeck.process.relaying.tables.answering_period import AnsweringPeriod
 from boragedeck.process.relaying.tables.mirror_messages import FetchTable, TablePart
 from boragedeck.process.relaying.tables.mirror_server import serve_mirrors
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
@@ -20,11 +21,13 @@
 class State:
     """The state of a mirror that the store answers."""
 
+    is_connected = True
+
     def answering_since(self):
         return None
 
-    def unheard_s(self):
-        return 0.0
+    def answering_period(self):
+        return AnsweringPeriod()
 
     def age_s(self):
         return 0.25
--- a/tests/process/relaying/tables/test_stale_tables.py
+++ b/tests/process/relaying/tables/test_stale_tables.py
@@ -130,6 +130,40 @@
                 self.assertEqual(self.behind(), [])
 
 
+class SilentForAllTest(StaleTablesCase):
+    """The store says nothing to anybody, so replicas can't renew their entries."""
+
+    cut_off = 9
+
+    def test_replicas_whose_entries_lapse_in_an_outage_are_kept_at_its_end(self):
+        self.line.silent |= self.lost
+        self.fleet.run(4.5, STEP_S)
+        for replica in "abc":
+            self.rows.drop("servers", replica)
+        self.line.silent.clear()
+        self.fleet.run(2.0, STEP_S)
+        for replica in "abc":
+            self.assertEqual(len(self.holders(replica)), self.routers)
+
+    def test_outage_is_noticed_by_routers_that_were_cut_off_before(self):
+        self.line.silent |= {"r0", "r1", "r2"}
+        self.run_with_changes(6.0)
+        self.line.silent |= self.lost
+        self.fleet.run(4.4, STEP_S)
+        self.rows.drop("servers", "a")
+        self.line.silent.clear()
+        self.fleet.run(2.0, STEP_S)
+        self.assertEqual(len(self.holders("a")), self.routers)
+
+    def test_replicas_whose_entries_lapse_in_a_long_outage_are_kept(self):
+        self.line.silent |= self.lost
+        self.fleet.run(10.0, STEP_S)
+        self.rows.drop("servers", "a")
+        self.line.silent.clear()
+        self.fleet.run(2.0, STEP_S)
+        self.assertEqual(len(self.holders("a")), self.routers)
+
+
 class BusyStoreTest(StaleTablesCase):
     """The store refuses some routers at once, and serves the others."""
 
