--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -135,6 +135,9 @@
 
     def start(self) -> None:
         """Serve peers and callers."""
+        build, protocol = self._greeting.build, self._greeting.protocol
+        self.metrics.build.labels(build, str(protocol)).set(1)
+        _log.write("Started.", build=build, protocol=protocol)
         eventlet.spawn_n(self._peer_server.serve)
         self._source.start()
         self._tables.start()
@@ -192,9 +195,7 @@
             _listen(self._source.current().peer), dialect=dialect
         )
         self._links = PeerLinks(self.timers, dialect=dialect)
-        greeting = dialect.greeting
-        self.metrics.build.labels(greeting.build, str(greeting.protocol)).set(1)
-        _log.write("Started.", build=greeting.build, protocol=greeting.protocol)
+        self._greeting = dialect.greeting
         self._board = GossipBoard(
             self.own, self.timers, self._links, self._peer_server, self._rng
         )
--- a/boragedeck/process/relaying/tables/mirror_follower.py
+++ b/boragedeck/process/relaying/tables/mirror_follower.py
@@ -174,10 +174,10 @@
         mirror = self._mirror
         match self._read():
             case Ok(changes):
-                self._note_answer()
+                self._note_connected()
                 self._is_history_lost = False
                 self._log_if_older(changes)
-                self._note_answering(changes)
+                self._note_heard(changes)
                 mirror.apply(changes)
                 if changes.rows:
                     self._timers.sleep(BATCH_DELAY_S)
@@ -206,7 +206,7 @@
                 known=self._mirror.version,
             )
 
-    def _note_answer(self) -> None:
+    def _note_connected(self) -> None:
         self._pause_s = INITIAL_PAUSE_S
         if self.is_connected:
             return
@@ -217,7 +217,7 @@
         self._is_loss_logged = False
         _log.write("Store answers.", table=self._mirror.table.value)
 
-    def _note_answering(self, changes: Changes) -> None:
+    def _note_heard(self, changes: Changes) -> None:
         now = self._timers.now()
         since = self._connected_since
         if changes.answering_s is not None:
@@ -296,12 +296,12 @@
             return
         is_newer = changes is not None and changes.version > known
         if is_newer or self._mirror.version >= 0:
-            self._note_peer_answering(part, started_at)
+            self._note_peer_heard(part, started_at)
         if is_newer:
             self._log_fetched(address, part, changes)
             self._mirror.apply(changes)
 
-    def _note_peer_answering(self, part: TablePart, asked_at: float) -> None:
+    def _note_peer_heard(self, part: TablePart, asked_at: float) -> None:
         if part.age_s is not None:
             self._confirm(asked_at - part.age_s)
         if part.answering_s is not None:
