--- a/boragedeck/connection/peer_server.py
+++ b/boragedeck/connection/peer_server.py
@@ -252,7 +252,7 @@
         release_bytes: Callable[[], None],
     ) -> None:
         try:
-            answer = self._handle(frame.body, caller)
+            answer = self._answer_in_dialect(frame.body, caller)
             timeout_error = TimeoutError("the answer was not sent in time")
             with eventlet.Timeout(SEND_TIMEOUT_S, timeout_error):
                 # True: the frame is an answer.
@@ -263,13 +263,17 @@
             release_bytes()
             call_slots.release()
 
-    def _handle(self, body: msgspec.Raw, caller: _Caller) -> Message:
-        answer = self._call_handler(body, caller)
+    def _answer_in_dialect(self, body: msgspec.Raw, caller: _Caller) -> Message:
+        """Return the answer to a call as the caller's build understands it."""
+        answer = self._handle(body)
         if self._dialect is None:
             return answer
+        if isinstance(answer, Greeting):
+            told = msgspec.msgpack.decode(body, type=Greeting).protocol
+            caller.protocol = agreed_protocol(told)
         return self._dialect.for_peer(answer, caller.protocol)
 
-    def _call_handler(self, body: msgspec.Raw, caller: _Caller) -> Message:
+    def _handle(self, body: msgspec.Raw) -> Message:
         if self._decoder is None:
             union = _union_type(tuple(self._handlers))
             self._decoder = msgspec.msgpack.Decoder(union)
@@ -277,8 +281,6 @@
             message = self._decoder.decode(body)
         except DECODE_ERRORS as exc:
             return Refused("bad_message", str(exc))
-        if isinstance(message, Greeting):
-            caller.protocol = agreed_protocol(message.protocol)
         try:
             return self._handlers[type(message)](message)
         except PeerError as exc:
--- a/tests/connection/test_peer_protocol.py
+++ b/tests/connection/test_peer_protocol.py
@@ -125,7 +125,7 @@
         cls.caller = type("Caller", (), {"protocol": UNNAMED})
 
     def handle(self, body):
-        return self.server._handle(msgspec.Raw(body), self.caller)
+        return self.server._answer_in_dialect(msgspec.Raw(body), self.caller)
 
     @settings(max_examples=200, derandomize=True, deadline=None)
     @given(
