Give what routers tell each other of rollouts, and their published results, modules of their own

No behaviour changes; the tests of rollouts pass unchanged but for two imports and the name under which one of them finds the fact board.

--- a/boragedeck/platform/rollout_status.py
+++ b/boragedeck/platform/rollout_status.py
@@ -8,7 +8,7 @@
 from boragedeck.exceptions import StoreError
 from boragedeck.ids import PoolName, Version
 from boragedeck.platform.store import PlatformStore
-from boragedeck.process.relaying.rollouts.rollouts import PublishedRollout
+from boragedeck.process.relaying.rollouts.rollout_results import PublishedRollout
 from boragedeck.version.relay_rollouts import RolloutOrder, RolloutResult
 
 __all__ = ["PlatformRolloutBoard"]
--- a/boragedeck/process/relaying/rollouts/rollouts.py
+++ b/boragedeck/process/relaying/rollouts/rollouts.py
@@ -1,25 +1,23 @@
 """Rolls pools out to new versions by the operators' orders, or rolls them back.
 
-Any router may roll back on the evidence of all routers. The row that the operators read
-is authoritative: it is written on condition that no other router has ended the rollout,
-so the first result holds for all routers.
+Any router may roll back on the evidence of all routers.
 """
 
 import random
 from collections.abc import Callable
-from typing import Protocol
 
-import msgspec
-from result import Err, Ok, Result
+from result import Result
 
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.connection.store import Change
-from boragedeck.decoding import DECODE_ERRORS
-from boragedeck.exceptions import StoreConflictError, StoreError, TableError
-from boragedeck.ids import FailureDomain, PoolName, Version
+from boragedeck.exceptions import TableError
+from boragedeck.ids import FailureDomain, PoolName
 from boragedeck.interfaces import FactBoard, RunSample
-from boragedeck.process.fact_store import MAX_BODY_BYTES
 from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.rollouts.rollout_exchange import (
+    RolloutExchange,
+    concerns,
+)
 from boragedeck.process.relaying.rollouts.rollout_orders import OrderHistory, OrderKind
 from boragedeck.process.relaying.rollouts.rollout_plan import (
     find_doubt,
@@ -27,6 +25,10 @@
     trial_share,
     usual_trial_share,
 )
+from boragedeck.process.relaying.rollouts.rollout_results import (
+    ResultPublisher,
+    RolloutBoard,
+)
 from boragedeck.process.relaying.rollouts.rollout_state import RolloutState, WaitingRun
 from boragedeck.process.relaying.rollouts.rollout_strata import merge_routes
 from boragedeck.process.relaying.settings import Bounds
@@ -44,48 +46,17 @@
 from boragedeck.version.relay_rollouts import RolloutOrder, RolloutResult
 from boragedeck.version.replicas import Replica
 
-__all__ = ["RelayRollouts", "RolloutBoard", "PublishedRollout"]
+__all__ = ["RelayRollouts"]
 
 TICK_S = 0.5
 RATE_WINDOW_S = 10.0
 """Time over which a router counts its requests, to estimate those of all routers."""
-EVIDENCE_TTL_S = 120.0
 MAX_FINISH_DELAY_S = 1.0
 """Routers end a rollout at random delays, so that most find it already ended."""
 
 _log = PartLog("rollout")
 
 
-class PublishedRollout(msgspec.Struct, frozen=True):
-    """The published result of a rollout, and the version of its row.
-
-    Parameters
-    ----------
-    to : Version or None
-        The new version; None if nothing was published.
-    result : RolloutResult
-        The rollout's result so far.
-    row_version : int
-        The version of the row; 0 if there is none.
-    """
-
-    to: Version | None
-    result: RolloutResult
-    row_version: int
-
-
-class RolloutBoard(Protocol):
-    """Stores the results of rollouts for the operators."""
-
-    def read(self, pool: PoolName) -> Result[PublishedRollout, StoreError]:
-        """Return the published result of a pool's rollout."""
-
-    def state(
-        self, order: RolloutOrder, result: RolloutResult, row_version: int
-    ) -> Result[int, StoreError]:
-        """Publish a result if the row still has the version that was read."""
-
-
 class RelayRollouts:
     """Carries out the operators' orders in this router.
 
@@ -130,8 +101,8 @@
         self._rng = rng
         self._prefix = prefix
         self._decode = decode
-        self._board = board
-        self._facts = facts
+        self._exchange = RolloutExchange(facts)
+        self._publisher = ResultPublisher(board)
         self._bounds = bounds
         self._replicas = replicas
         self._routers = routers
@@ -197,9 +168,10 @@
         for rollout in list(self._rollouts.values()):
             if rollout.is_published and rollout.result is not RolloutResult.RUNNING:
                 continue
-            self._publish_evidence(rollout)
+            evidence = rollout.evidence_at(self._timers.now())
+            self._exchange.publish_evidence(rollout, evidence)
             self._judge(rollout)
-            self._publish_result(rollout)
+            self._publisher.publish(rollout)
 
     def _on_order(self, change: Change) -> None:
         if not change.key.startswith(self._prefix) or change.value is None:
@@ -239,7 +211,7 @@
         rollout.number = change.version
         rollout.is_published = False
         if rollout.decided_result is RolloutResult.ROLLED_BACK:
-            self._publish_stop(rollout)
+            self._exchange.publish_stop(rollout)
 
     def _start_rollout(self, order: RolloutOrder, change: Change) -> None:
         delay_s = self._rng.uniform(0.0, MAX_FINISH_DELAY_S)
@@ -275,18 +247,11 @@
         own = self._requests.count_within(pool, RATE_WINDOW_S) / RATE_WINDOW_S
         return own * self._routers()
 
-    def _publish_evidence(self, rollout: RolloutState) -> None:
-        key = f"{rollout.order.pool}/{rollout.number}"
-        evidence = rollout.evidence_at(self._timers.now())
-        body = msgspec.msgpack.encode(evidence)
-        if len(body) > MAX_BODY_BYTES:
-            body = msgspec.msgpack.encode(merge_routes(evidence))
-        self._facts.publish(FactTopic.ROLLOUT_EVIDENCE, key, body, ttl_s=EVIDENCE_TTL_S)
-
     def _judge(self, rollout: RolloutState) -> None:
         if rollout.decided_result is not None:
             return
-        total = self._total_evidence(rollout)
+        total = rollout.evidence_at(self._timers.now())
+        total.merge(self._exchange.evidence_of_others(rollout))
         score = self._score(rollout.order, total)
         if is_rejected(score):
             self._stop(rollout, make_rejection(score, total).reason)
@@ -323,31 +288,13 @@
     def _stop(self, rollout: RolloutState, reason: str) -> None:
         """Roll a version back, and tell the other routers to stop sending to it."""
         self._decide(rollout, RolloutResult.ROLLED_BACK, reason)
-        self._publish_stop(rollout)
-
-    def _publish_stop(self, rollout: RolloutState) -> None:
-        key = f"{rollout.order.pool}/{rollout.number}"
-        self._facts.publish(FactTopic.ROLLOUT_STOP, key, b"")
+        self._exchange.publish_stop(rollout)
 
     def _room(self, order: RolloutOrder) -> UpstreamCounts:
         replicas = self._replicas(order.pool)
         new = sum(replica.version == order.to for replica in replicas)
         return UpstreamCounts(max(1, new), max(1, len(replicas) - new))
 
-    def _total_evidence(self, rollout: RolloutState) -> Evidence:
-        key = f"{rollout.order.pool}/{rollout.number}"
-        total = rollout.evidence_at(self._timers.now())
-        for fact in self._facts.facts(FactTopic.ROLLOUT_EVIDENCE):
-            if fact.key != key or fact.origin == self._facts.own:
-                continue
-            try:
-                total.merge(msgspec.msgpack.decode(fact.body, type=Evidence))
-            except DECODE_ERRORS as exc:
-                _log.write(
-                    "Rollout evidence can't be decoded.", rollout=key, error=str(exc)
-                )
-        return total
-
     def _decide(
         self, rollout: RolloutState, result: RolloutResult, reason: str
     ) -> None:
@@ -363,59 +310,11 @@
 
     def _on_stop(self, fact: Fact) -> None:
         for rollout in self._rollouts.values():
-            if fact.key == f"{rollout.order.pool}/{rollout.number}":
-                is_running = rollout.result is RolloutResult.RUNNING
-                is_decided = rollout.decided_result is RolloutResult.ROLLED_BACK
-                if is_running and not is_decided:
-                    reason = f"stopped by {fact.origin}"
-                    self._decide(rollout, RolloutResult.ROLLED_BACK, reason)
-
-    def _publish_result(self, rollout: RolloutState) -> None:
-        """Publish the decided result, unless another router has ended the rollout."""
-        result = rollout.decided_result or RolloutResult.RUNNING
-        if rollout.is_published and result is RolloutResult.RUNNING:
-            return
-        match self._board.read(rollout.order.pool):
-            case Ok(published):
-                self._write_result(rollout, published, result)
-            case Err(error):
-                self._log_store_error(rollout, error)
-
-    def _write_result(
-        self, rollout: RolloutState, published: PublishedRollout, result: RolloutResult
-    ) -> None:
-        is_same_rollout = (
-            published.to == rollout.order.to and published.row_version > rollout.number
-        )
-        if is_same_rollout and published.result is not RolloutResult.RUNNING:
-            self._accept_result(rollout, published.result)
-            return
-        if is_same_rollout and result is RolloutResult.RUNNING:
-            rollout.is_published = True
-            return
-        written = self._board.state(rollout.order, result, published.row_version)
-        match written:
-            case Ok(_):
-                self._accept_result(rollout, result)
-            case Err(StoreConflictError()):
-                # Another router wrote first; the next tick reads its result.
-                rollout.is_published = False
-            case Err(error):
-                self._log_store_error(rollout, error)
-
-    def _accept_result(self, rollout: RolloutState, result: RolloutResult) -> None:
-        rollout.is_published = True
-        if result is not RolloutResult.RUNNING:
-            rollout.decided_result = result
-        rollout.result = result
-        _log.write(
-            "Rollout result published.", rollout=rollout.order.pool, result=result.value
-        )
-
-    def _log_store_error(self, rollout: RolloutState, error: StoreError) -> None:
-        _log.write(
-            "Rollout store access failed.", rollout=rollout.order.pool, error=str(error)
-        )
+            is_running = rollout.result is RolloutResult.RUNNING
+            is_decided = rollout.decided_result is RolloutResult.ROLLED_BACK
+            if concerns(fact, rollout) and is_running and not is_decided:
+                reason = f"stopped by {fact.origin}"
+                self._decide(rollout, RolloutResult.ROLLED_BACK, reason)
 
 
 def _any_replica(replica: Replica) -> bool:
--- a/tests/process/relaying/rollouts/test_rollouts.py
+++ b/tests/process/relaying/rollouts/test_rollouts.py
@@ -16,11 +16,9 @@
     Doubt,
     usual_trial_share,
 )
+from boragedeck.process.relaying.rollouts.rollout_results import PublishedRollout
 from boragedeck.process.relaying.rollouts.rollout_strata import stratum_of
-from boragedeck.process.relaying.rollouts.rollouts import (
-    PublishedRollout,
-    RelayRollouts,
-)
+from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.evidence import Evidence
@@ -173,8 +171,8 @@
                     router.note(chosen, sample(chosen, False, took_s, stratum))
                     router.note(chosen, sample(chosen, False, None, stratum, took_s))
         router.tick()
-        facts = router._facts.facts(FactTopic.ROLLOUT_EVIDENCE)
-        own = next(fact for fact in facts if fact.origin == router._facts.own)
+        facts = router._exchange._facts.facts(FactTopic.ROLLOUT_EVIDENCE)
+        own = next(fact for fact in facts if fact.origin == router._exchange._facts.own)
         self.assertLessEqual(len(own.body), MAX_BODY_BYTES)
         shown = msgspec.msgpack.decode(own.body, type=Evidence)
         self.assertEqual(shown.total(is_new=True).trials, 32 * 24)
