--- a/boragedeck/process/relaying/rollouts/rollout_exchange.py
+++ b/boragedeck/process/relaying/rollouts/rollout_exchange.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from boragedeck.connection.messages import Fact, FactTopic
+from boragedeck.connection.store_version import number_of
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.interfaces import FactBoard
 from boragedeck.process.fact_store import MAX_BODY_BYTES
@@ -57,13 +58,19 @@
 
     def publish_stop(self, rollout: RolloutState) -> None:
         """Tell the other routers to send nothing more to the new version."""
-        self._facts.publish(FactTopic.ROLLOUT_STOP, _key(rollout), b"")
+        for key in sorted({_key(rollout), _key_without_era(rollout)}):
+            self._facts.publish(FactTopic.ROLLOUT_STOP, key, b"")
 
 
 def concerns(fact: Fact, rollout: RolloutState) -> bool:
-    """Return whether a fact is about a rollout."""
-    return fact.key == _key(rollout)
+    """Return whether a fact of this or an older build is about a rollout."""
+    return fact.key in (_key(rollout), _key_without_era(rollout))
 
 
 def _key(rollout: RolloutState) -> str:
     return f"{rollout.order.pool}/{rollout.number}"
+
+
+def _key_without_era(rollout: RolloutState) -> str:
+    """Return the key that a build uses whose versions don't hold the store's era."""
+    return f"{rollout.order.pool}/{number_of(rollout.number)}"
--- a/tests/process/relaying/rollouts/test_rollouts.py
+++ b/tests/process/relaying/rollouts/test_rollouts.py
@@ -283,6 +283,46 @@
         self.assertEqual(self.board.published.to, "v2")
 
 
+class OlderBuildsTest(RolloutCase):
+    """Some routers name rollouts without the store's era, as older builds do."""
+
+    ERA = 3
+
+    def setUp(self):
+        super().setUp()
+        self.older = FakeFactBoard("r-older", self.shared)
+        self.board.version = store_version(self.ERA, 100)
+        self.order(version=store_version(self.ERA, 50))
+        self.timers.advance(1.0)
+
+    def test_stop_of_a_build_without_eras_is_obeyed(self):
+        self.older.publish(FactTopic.ROLLOUT_STOP, "p/50", b"")
+        new, _ = self.simulate(DURATION_S)
+        self.assertEqual(new, 0)
+        self.assertEqual(self.board.history, [RUNNING, ROLLED_BACK])
+
+    def test_build_without_eras_is_told_to_stop(self):
+        self.simulate(DURATION_S / 2, bad_share=1.0)
+        stops = {fact.key for fact in self.older.facts(FactTopic.ROLLOUT_STOP)}
+        self.assertLessEqual({"p/50", f"p/{store_version(self.ERA, 50)}"}, stops)
+
+    def test_evidence_of_a_build_without_eras_counts(self):
+        evidence = Evidence()
+        for _ in range(40):
+            evidence.add(sample(OLD, False, 1.0), is_new=False, is_late=False)
+            evidence.add(sample(NEW, True, None), is_new=True, is_late=False)
+        body = msgspec.msgpack.encode(evidence)
+        self.older.publish(FactTopic.ROLLOUT_EVIDENCE, "p/50", body)
+        self.timers.advance(1.0)
+        self.assertEqual(self.board.history[-1], ROLLED_BACK)
+
+    def test_facts_about_another_order_of_the_pool_say_nothing(self):
+        for number in (5, 51, store_version(self.ERA - 1, 50)):
+            self.older.publish(FactTopic.ROLLOUT_STOP, f"p/{number}", b"")
+        self.simulate(DURATION_S)
+        self.assertEqual(self.board.history, [RUNNING, COMPLETED])
+
+
 class StreamRolloutTest(RolloutCase):
     """Streams whose first output comes after a second, or after several."""
 
