Take the tables of builds without eras while the store doesn't answer

Cause: tables of builds whose versions don't hold the store's era weren't read at all, and a router of such a build has nothing newer than our versions, which are larger for ever.

Why it works: a router of an older build that has nothing newer is asked once in plain numbers. One that counts eras then shows it and isn't asked so again. Otherwise its rows are taken as of the era that this router has seen last, and only while the store doesn't answer this router; its table of a later era replaces them. That it is answered counts as a moment at which the store was heard, up to 1.2 s ago, so that deleted entries hold, too. Two of four new tests fail before; a router without a table still takes none. The way of asking other routers has a module of its own.

--- a/boragedeck/process/relaying/tables/mirror_follower.py
+++ b/boragedeck/process/relaying/tables/mirror_follower.py
@@ -17,8 +17,8 @@
     MAX_GAP_S,
     AnsweringPeriod,
 )
-from boragedeck.process.relaying.tables.mirror_messages import FetchTable, TablePart
-from boragedeck.process.relaying.tables.older_versions import is_comparable
+from boragedeck.process.relaying.tables.mirror_messages import TablePart
+from boragedeck.process.relaying.tables.peer_tables import PeerTables
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 
@@ -38,9 +38,11 @@
 """How long to wait after a change before the next read, since changes mostly come in
 groups."""
 PEER_INTERVAL_S = 0.25
-PEER_TIMEOUT_S = 0.5
 PEER_REPORT_TTL_S = 1.0
 """How long another router's report that the store answers it counts."""
+OLDER_BUILD_AGE_S = 1.2
+"""The longest time since the store answered a router of an older build that calls its
+table current."""
 MIN_LAG_S = 0.3
 """How long another router must be ahead before its rows are fetched."""
 
@@ -104,7 +106,7 @@
         self._mirror = mirror
         self._feed = feed
         self._timers = timers
-        self._links = links
+        self._peer_tables = PeerTables(mirror.table, links)
         self._peers = peers
         self._rng = rng
         self._wait_s = wait_s
@@ -120,7 +122,6 @@
         self._period = AnsweringPeriod()
         self._peer_report: _PeerReport | None = None
         self._confirmed_at = -math.inf
-        self._logged_counting: set[Address] = set()
         mirror.subscribe_restored(self._note_restored)
 
     def start(self) -> None:
@@ -278,22 +279,11 @@
                 self._fetch(self._rng.choice(peers))
 
     def _fetch(self, address: Address) -> None:
-        query = FetchTable(self._mirror.table, self._mirror.version, counts_eras=True)
-        link = self._links.link(address)
-        started_at = self._timers.now()
-        result = link.call(query, TablePart, timeout_s=PEER_TIMEOUT_S)
-        if result.is_err():
-            return
-        part = result.ok()
-        try:
-            changes = part.unpack()
-        except ValueError as exc:
-            _log.write("Answer can't be decoded.", peer=str(address), error=str(exc))
-            return
-        known = self._mirror.version
-        if changes is not None and not is_comparable(part, changes, known):
-            self._log_other_counting(address, changes)
+        started_at, known = self._timers.now(), self._mirror.version
+        told = self._peer_tables.fetch(address, known)
+        if told is None:
             return
+        part, changes = told.part, told.changes
         is_newer = changes is not None and changes.version > known
         if is_newer or self._mirror.version >= 0:
             self._note_peer_heard(part, started_at)
@@ -309,18 +299,11 @@
             self._peer_report = _PeerReport(since, self._timers.now())
         if part.period_s is not None and part.unheard_s is not None:
             self._period.extend(asked_at - part.period_s, asked_at - part.unheard_s)
-
-    def _log_other_counting(self, address: Address, changes: Changes) -> None:
-        """Log once that a router of an older build counts versions otherwise."""
-        if address not in self._logged_counting:
-            self._logged_counting.add(address)
-            _log.write(
-                "Table of an older build ignored.",
-                table=self._mirror.table.value,
-                peer=str(address),
-                version=changes.version,
-                known=self._mirror.version,
-            )
+        elif part.is_current and not part.counts_eras and not self.is_connected:
+            # Older builds say only that the store has answered them recently.
+            answered_at = asked_at - OLDER_BUILD_AGE_S
+            self._confirm(answered_at)
+            self._period.extend(answered_at, answered_at)
 
     def _log_fetched(self, address: Address, part: TablePart, changes: Changes) -> None:
         _log.write(
--- a/boragedeck/process/relaying/tables/older_versions.py
+++ b/boragedeck/process/relaying/tables/older_versions.py
@@ -1,16 +1,19 @@
 """Translation of row versions for routers whose versions don't hold the store's era.
 
 Such builds count as the store does in its present era. They are answered in their own
-counting, and nothing that they tell is compared with versions that hold an era.
+counting. What they tell is used only by a router that the store doesn't answer, which
+takes the era that it has last seen for the present one.
 """
 
+from collections.abc import Callable
+
 import msgspec
 
 from boragedeck.connection.store import Change, Changes
 from boragedeck.connection.store_version import era_of, number_of, store_version
 from boragedeck.process.relaying.tables.mirror_messages import FetchTable, TablePart
 
-__all__ = ["in_own_counting", "is_comparable", "without_eras"]
+__all__ = ["in_own_counting", "in_own_era", "is_comparable", "without_eras"]
 
 
 def in_own_counting(query: FetchTable, version: int) -> FetchTable | None:
@@ -38,12 +41,13 @@
 
 def without_eras(changes: Changes) -> Changes:
     """Return changes with the versions that the store itself gave to them."""
-    rows = tuple(
-        Change(row.key, row.value, number_of(row.version)) for row in changes.rows
-    )
-    return msgspec.structs.replace(
-        changes, rows=rows, version=number_of(changes.version)
-    )
+    return _renumbered(changes, number_of)
+
+
+def in_own_era(changes: Changes, known: int) -> Changes:
+    """Return changes without eras as changes of the era of a known version."""
+    era = era_of(known)
+    return _renumbered(changes, lambda number: store_version(era, number))
 
 
 def is_comparable(part: TablePart, changes: Changes, known: int) -> bool:
@@ -62,3 +66,12 @@
         return True
     # Without a table it isn't known whether the store has an era.
     return known >= 0 and era_of(known) == 0
+
+
+def _renumbered(changes: Changes, renumber: Callable[[int], int]) -> Changes:
+    rows = tuple(
+        Change(row.key, row.value, renumber(row.version)) for row in changes.rows
+    )
+    return msgspec.structs.replace(
+        changes, rows=rows, version=renumber(changes.version)
+    )
--- a/tests/process/relaying/tables/test_older_versions.py
+++ b/tests/process/relaying/tables/test_older_versions.py
@@ -1,16 +1,27 @@
+import random
 import unittest
 
+import eventlet
 import msgspec
+from result import Err, Ok
 
 from boragedeck.connection.store import Change, Changes, Table
 from boragedeck.connection.store_version import store_version
+from boragedeck.exceptions import StoreUnavailableError
 from boragedeck.process.relaying.loads.load_messages import LoadUpdate
-from boragedeck.process.relaying.tables.mirror_messages import FetchTable, TablePart
+from boragedeck.process.relaying.tables.mirror_follower import MirrorFollower
+from boragedeck.process.relaying.tables.mirror_messages import (
+    FetchTable,
+    TablePart,
+    pack,
+)
 from boragedeck.process.relaying.tables.mirror_server import serve_mirrors
 from boragedeck.process.relaying.tables.older_versions import is_comparable
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import ManualTimers
+from tests.process.relaying.tables.test_mirror_follower import Feed
 from tests.process.relaying.tables.test_mirror_messages import Server, State
+from tests.support.replicas import BOUNDS
 
 FETCH_93E4B70 = "94aa46657463685461626c65a7726f7574696e6714cb3fe0000000000000"
 PART_93E4B70 = (
@@ -120,3 +131,74 @@
     def test_this_build_without_a_table_is_told_all(self):
         part = self.answer(FetchTable(ROUTING, -1, counts_eras=True))
         self.assertTrue(part.unpack().version == store_version(1, 24))
+
+
+class OlderPeer:
+    """Links to a router of an older build that has the newest table."""
+
+    def __init__(self, era):
+        self.version = store_version(era, 55)
+        self.asked = []
+
+    def link(self, address):
+        return self
+
+    def call(self, query, answer_type, timeout_s):
+        self.asked.append(query)
+        packed = None
+        if self.version > query.after:
+            row = Change("config", b"new", self.version)
+            packed = pack(Changes((row,), self.version))
+        return Ok(TablePart(packed, is_current=True))
+
+
+class CutOffRouterTest(unittest.TestCase):
+    """A router without the store, among routers of an older build only."""
+
+    def begin(self, peer, known=50):
+        """Let a router lose the store; it has a table of era 1 if `known` isn't -1."""
+        self.peer, self.timers, feed = peer, ManualTimers(), Feed()
+        self.mirror = TableMirror(ROUTING)
+        if known >= 0:
+            version = store_version(1, known)
+            row = Change("config", b"old", version)
+            feed.results.append(Ok(Changes((row,), version, True)))
+        feed.results += [Err(StoreUnavailableError("503"))] * 100
+        self.follower = MirrorFollower(
+            self.mirror,
+            feed,
+            self.timers,
+            peer,
+            lambda: ["peer"],
+            random.Random(1),
+            lambda: 3.0,
+        )
+        self.follower.start()
+        self.run_for(3.0)
+
+    def run_for(self, seconds):
+        for _ in range(round(seconds / 0.05)):
+            eventlet.sleep(0.001)
+            self.timers.advance(0.05)
+
+    def test_newest_table_of_a_router_without_eras_is_in_force(self):
+        self.begin(OlderPeer(era=0))
+        self.assertEqual(self.mirror.version, store_version(1, 55))
+        self.assertEqual(self.mirror.rows["config"].value, b"new")
+        self.assertEqual(self.mirror.rows["config"].version, store_version(1, 55))
+
+    def test_store_is_known_to_answer_the_router_without_eras(self):
+        self.begin(OlderPeer(era=0))
+        self.assertIsNotNone(self.follower.answering_since())
+        self.assertLess(self.follower.age_s(), BOUNDS.config_apply_s)
+
+    def test_router_with_eras_is_not_asked_for_the_whole_table_again(self):
+        self.begin(OlderPeer(era=1))
+        self.assertEqual(self.mirror.rows["config"].value, b"new")
+        self.run_for(3.0)
+        plain = [each for each in self.peer.asked if each.after < store_version(1, 0)]
+        self.assertLessEqual(len(plain), 1)
+
+    def test_router_without_a_table_takes_none_whose_era_it_does_not_know(self):
+        self.begin(OlderPeer(era=0), known=-1)
+        self.assertLess(self.mirror.version, 0)
