Play cuts, restored stores, storms and failing versions during upgrades

make upgrade draws one fault of a router (killed, frozen, cut off from the store) and one of the store (away, restored, changed every 0.3 s) in each step, each as often as the others, and orders a version that fails, which must be taken back in time by routers of both builds.

A router that wasn't ready after 20 s, seen once before and not traced, was seen again and is traced: its port, given out by the system and closed again, had been taken by an outgoing connection (EADDRINUSE). Ports now lie below those, and a router that ends says why at once. Two processes that make the folder of an old build at the same time no longer fail. The cluster of processes has a module of its own, and so have the callers.

--- a/scripts/builds.py
+++ b/scripts/builds.py
@@ -2,6 +2,7 @@
 
 import subprocess
 import tarfile
+import tempfile
 from io import BytesIO
 from pathlib import Path
 
@@ -31,13 +32,24 @@
     """
     folder = (repository / CACHE / _full_name(commit, repository)).resolve()
     if not folder.exists():
+        folder.parent.mkdir(parents=True, exist_ok=True)
         archive = _git(repository, "archive", commit, "boragedeck")
-        # An unfinished folder must not be taken for a whole one.
-        unfinished = folder.with_suffix(".new")
+        _unpack(archive, folder)
+    return folder
+
+
+def _unpack(archive: bytes, folder: Path) -> None:
+    """Make a folder, which other processes may be making at the same time."""
+    with tempfile.TemporaryDirectory(dir=folder.parent) as directory:
+        unfinished = Path(directory, "sources")
         with tarfile.open(fileobj=BytesIO(archive)) as tar:
             tar.extractall(unfinished, filter="data")
-        unfinished.rename(folder)
-    return folder
+        try:
+            unfinished.rename(folder)
+        except OSError:
+            # Another process was first.
+            if not folder.exists():
+                raise
 
 
 def _full_name(commit: str, repository: Path) -> str:
--- /dev/null
+++ b/scripts/platform_cluster.py
@@ -0,0 +1,301 @@
+"""Routers as processes, before engines and a store that stand in for the platform."""
+
+import os
+import random
+import socket
+import subprocess
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import eventlet
+import msgspec
+import urllib3
+import yaml
+
+from standins.gate import Gate
+from standins.relay_replica import RelayReplica
+from standins.rows import RowStore
+from standins.web import listen, serve
+
+__all__ = ["EVENTS", "ROUTE_HEADERS", "PlatformCluster"]
+
+HOST = "127.0.0.1"
+PORTS = 15_000, 32_000
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.05
+EVENTS = 40
+ROUTE_HEADERS = {"Host": "demo.example", "Api-Key": "demo-key", "Deadline-Ms": "10000"}
+POOL = "engines"
+ROLLOUT_KEY = f"rollout/{POOL}"
+REWRITE_DELAY_S = 0.3
+"""How long after a return from an older copy the lost rows are written again."""
+
+
+class PlatformCluster:
+    """A stand-in platform, engines and routers on loopback.
+
+    Parameters
+    ----------
+    directory : Path
+        Directory of the settings and log files.
+
+    Attributes
+    ----------
+    builds : dict of int to Path
+        Source folders of the routers that don't run this one.
+    gates : list of Gate
+        Each router's own way to the store.
+    """
+
+    def __init__(self, directory: Path):
+        self.builds: dict[int, Path] = {}
+        self.gates: list[Gate] = []
+        self.rows = RowStore()
+        self.engines: dict[str, tuple[RelayReplica, object, object]] = {}
+        self.routers: list[subprocess.Popen] = []
+        self.settings: list[dict] = []
+        self._directory = directory
+        self._written: dict[tuple[str, str], bytes | None] = {}
+        self.put_config()
+
+    def put_config(self, version: int = 1, key: str = "demo-key") -> None:
+        """Write a configuration whose only API key is `key`."""
+        self._put("op", "config", msgspec.json.encode(_config(version, key)))
+
+    def order_version(self, version: str, duration_s: float) -> None:
+        """Order that the engines move to a version within a time, in seconds."""
+        order = {"service": POOL, "to": version, "durationS": duration_s}
+        self._put("op", ROLLOUT_KEY, msgspec.json.encode(order))
+
+    def published_result(self, version: str) -> str | None:
+        """Return the published result of the move to a version; None if none is."""
+        body = self.rows.value("status", ROLLOUT_KEY)
+        status = {} if body is None else msgspec.json.decode(body)
+        return status["state"] if status.get("to") == version else None
+
+    def add_engine(
+        self, name: str, zone: str, *, version: str = "v1", fails: bool = False
+    ) -> None:
+        """Start an engine and register it in the store."""
+        replica = RelayReplica(name, EVENTS, version=version, fails=fails)
+        listener = listen()
+        server = eventlet.spawn(serve, replica.app, listener)
+        self.engines[name] = replica, listener, server
+        entry = replica.store_entry(POOL, _address(listener), zone)
+        self._put("servers", name, entry)
+
+    def drop_engine(self, name: str) -> None:
+        """Delete the row of an engine, which serves on."""
+        self._written["servers", name] = None
+        self.rows.drop("servers", name)
+
+    def crash_engine(self, name: str) -> None:
+        """Stop an engine abruptly, close its connections and delete its row."""
+        replica, listener, server = self.engines.pop(name)
+        replica.is_lost = True
+        server.kill()
+        listener.close()
+        self.drop_engine(name)
+
+    def restore_store(self, ver: int) -> None:
+        """Return to an older copy of the store; its writers write their rows again."""
+        self.rows.restore(ver)
+        eventlet.sleep(REWRITE_DELAY_S)
+        for (table, key), value in list(self._written.items()):
+            if value is None:
+                self.rows.drop(table, key)
+            elif self.rows.value(table, key) != value:
+                self.rows.put(table, key, value)
+
+    def add_router(self, zone: str) -> str:
+        """Start a router, wait until it is ready and return its URL for callers."""
+        number = len(self.routers)
+        self.gates.append(Gate(self.rows.app))
+        self.settings.append(self._settings(number, zone))
+        self.write_settings(number, {})
+        self.routers.append(self._start(number))
+        self.wait_ready(number)
+        return f"http://{self.settings[number]['listen']['front']}"
+
+    def restart_router(self, number: int) -> None:
+        """Kill a router and start it with the same settings, without waiting for it."""
+        self.routers[number].kill()
+        _wait_exit(self.routers[number])
+        self.routers[number] = self._start(number)
+
+    def replace_routers(self, numbers: Sequence[int], build: Path | None) -> None:
+        """Stop routers as planned, and start them from a source folder.
+
+        Parameters
+        ----------
+        numbers : sequence of int
+            The routers, which are replaced at the same time.
+        build : Path or None
+            The source folder; None for this one.
+        """
+        for number in numbers:
+            self.routers[number].terminate()
+        for number in numbers:
+            _wait_exit(self.routers[number])
+            self.builds.pop(number, None)
+            if build is not None:
+                self.builds[number] = build
+            self.routers[number] = self._start(number)
+        for number in numbers:
+            self.wait_ready(number)
+
+    def kill_all(self) -> None:
+        """Kill all routers and crash all engines, as a loss of power does."""
+        for router in self.routers:
+            router.kill()
+        for name in list(self.engines):
+            self.crash_engine(name)
+        for router in self.routers:
+            _wait_exit(router)
+
+    def start_all(self) -> None:
+        """Start all routers again, without waiting for them."""
+        self.routers = [self._start(number) for number in range(len(self.routers))]
+
+    def write_settings(self, number: int, bounds: dict) -> None:
+        """Add bounds to a router's settings and write its settings file."""
+        settings = self.settings[number]
+        settings["bounds"] |= bounds
+        self._path(number).write_text(yaml.safe_dump(settings))
+
+    def wait_ready(self, number: int) -> None:
+        """Wait until a router reports that it is ready.
+
+        Raises
+        ------
+        RuntimeError
+            If it has ended.
+        """
+        url = f"http://{self.settings[number]['listen']['ready']}/"
+        with eventlet.Timeout(READY_TIMEOUT_S):
+            while not _is_ready(url):
+                if self.routers[number].poll() is not None:
+                    raise RuntimeError(
+                        f"router {number} ended: {self._last_line(number)}"
+                    )
+                eventlet.sleep(POLL_S)
+
+    def stop(self) -> list[int]:
+        """Stop routers, engines and the platform; return the routers' exit codes."""
+        for router in self.routers:
+            router.terminate()
+        exit_codes = [_wait_exit(router) for router in self.routers]
+        for name in list(self.engines):
+            self.crash_engine(name)
+        for gate in self.gates:
+            gate.close()
+        return exit_codes
+
+    def _put(self, table: str, key: str, value: bytes) -> None:
+        self._written[table, key] = value
+        self.rows.put(table, key, value)
+
+    def _last_line(self, number: int) -> str:
+        log = Path(self._directory, f"router-{number}.log").read_text()
+        return log.rstrip().rpartition("\n")[2]
+
+    def _path(self, number: int) -> Path:
+        return Path(self._directory, f"router-{number}.yaml")
+
+    def _start(self, number: int) -> subprocess.Popen:
+        environ = os.environ | {
+            "BORAGEDECK_CONFIG": str(self._path(number)),
+            "BORAGEDECK_METRICS_PORT": str(_free_ports(1)),
+        }
+        command = [sys.executable, "-m", "boragedeck.process.daemon"]
+        with Path(self._directory, f"router-{number}.log").open("ab") as log:
+            return subprocess.Popen(
+                command,
+                env=environ,
+                stdout=log,
+                stderr=log,
+                cwd=self.builds.get(number),
+            )
+
+    def _settings(self, number: int, zone: str) -> dict:
+        port = _free_ports(4)
+        return {
+            "node": f"vm-{number}",
+            "ip": HOST,
+            "zone": zone,
+            "listen": {
+                "front": f"{HOST}:{port + 2}",
+                "ready": f"{HOST}:{port + 3}",
+            },
+            "internalPorts": [port, port + 1],
+            "platform": {"address": _address(self.gates[number].listener)},
+            "bounds": {"graceS": 8},
+        }
+
+
+def _config(version: int, key: str) -> dict:
+    route = {
+        "name": "answers",
+        "host": "demo.example",
+        "prefix": "/answers/",
+        "kind": "streaming",
+        "timeoutMs": 10_000,
+        "latencyGoalMs": 2_000,
+        "service": POOL,
+        "maxAttempts": 5,
+        "resumable": True,
+        "targetGapMs": 700,
+    }
+    engine = {"slots": 8, "kvCapacity": 88_000, "backups": True}
+    return {
+        "version": version,
+        "routes": [route],
+        "services": [{"name": POOL, "engine": engine | {"models": [{"name": "m"}]}}],
+        "tenants": [{"name": "demo", "apiKeys": [key]}],
+    }
+
+
+def _address(listener) -> str:
+    host, port = listener.getsockname()
+    return f"{host}:{port}"
+
+
+def _free_ports(count: int) -> int:
+    """Return the first of some successive ports that are free.
+
+    Notes
+    -----
+    The ports lie below those that the system gives to outgoing connections, one of
+    which could take a port before the router does.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        if all(_is_free(port + each) for each in range(count)):
+            return port
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            # Another process listens there.
+            return False
+    return True
+
+
+def _is_ready(url: str) -> bool:
+    try:
+        answer = urllib3.request("GET", url, retries=False, timeout=1.0)
+    except urllib3.exceptions.HTTPError:
+        # The router doesn't listen yet.
+        return False
+    return answer.status == 200
+
+
+def _wait_exit(router: subprocess.Popen) -> int:
+    with eventlet.Timeout(READY_TIMEOUT_S):
+        while router.poll() is None:
+            eventlet.sleep(POLL_S)
+    return router.returncode
--- /dev/null
+++ b/scripts/upgrade_callers.py
@@ -0,0 +1,124 @@
+"""Callers of a fleet whose routers are replaced."""
+
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import eventlet
+import urllib3
+
+from scripts.platform_cluster import EVENTS, ROUTE_HEADERS
+
+__all__ = ["Callers"]
+
+STREAM_INTERVAL_S = 0.15
+READ_TIMEOUT_S = 15.0
+POLL_S = 0.01
+BODY = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+
+
+class Callers:
+    """Read streams through the routers in service.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Chooses the router of each stream.
+    find : callable
+        Is called with a promise that was broken, the router, and what was seen.
+
+    Attributes
+    ----------
+    urls : list of str
+        The URL of each router.
+    in_service : set of int
+        The routers that callers may use.
+    key : str
+        The API key that is in force.
+    counts : Counter
+        Numbers of requests, and of streams by status.
+    """
+
+    def __init__(self, rng: random.Random, find: Callable[[str, int, str], None]):
+        self.urls: list[str] = []
+        self.in_service: set[int] = set()
+        self.key = "demo-key"
+        self.counts: Counter[str] = Counter()
+        self._rng = rng
+        self._find = find
+        self._pool = urllib3.PoolManager(retries=False, maxsize=32)
+        self._numbers = itertools.count(1)
+        self._open: Counter[int] = Counter()
+        self._is_over = False
+        self._streams = None
+
+    def start(self) -> None:
+        """Start to read streams."""
+        self._streams = eventlet.spawn(self._read_streams)
+
+    def stop(self) -> None:
+        """Begin no further streams."""
+        self._is_over = True
+
+    def finish(self) -> None:
+        """Begin no further streams, and return when all are read."""
+        self.stop()
+        self._streams.wait()
+
+    def take_out(self, number: int) -> None:
+        """Use a router no longer, and return when nothing is read through it.
+
+        Notes
+        -----
+        A caller that waits for longer than `READ_TIMEOUT_S` gives up and says so.
+        """
+        self.in_service.remove(number)
+        while self._open[number]:
+            eventlet.sleep(POLL_S)
+
+    def ask_all(
+        self, key: str, times: int = 1
+    ) -> list[tuple[int, urllib3.BaseHTTPResponse]]:
+        """Ask each router in service at the same time; return what answers came."""
+        numbers = sorted(self.in_service) * times
+        pool = eventlet.GreenPool()
+        answers = pool.imap(self._ask, numbers, itertools.repeat(key, len(numbers)))
+        pairs = list(zip(numbers, answers, strict=True))
+        return [(number, answer) for number, answer in pairs if answer is not None]
+
+    def _ask(self, number: int, key: str) -> urllib3.BaseHTTPResponse | None:
+        headers = ROUTE_HEADERS | {
+            "Api-Key": key,
+            "Request-Id": f"ask-{next(self._numbers)}",
+            "Token-Counts": "100,40",
+        }
+        url = f"{self.urls[number]}/answers/x"
+        self.counts["asked"] += 1
+        self._open[number] += 1
+        try:
+            return self._pool.request(
+                "POST", url, headers=headers, timeout=READ_TIMEOUT_S
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            self._find("LOST", number, repr(exc))
+            return None
+        finally:
+            self._open[number] -= 1
+
+    def _read_streams(self) -> None:
+        pool = eventlet.GreenPool()
+        while not self._is_over:
+            if self.in_service:
+                number = self._rng.choice(sorted(self.in_service))
+                pool.spawn_n(self._read_stream, number, self.key)
+            eventlet.sleep(STREAM_INTERVAL_S)
+        pool.waitall()
+
+    def _read_stream(self, number: int, key: str) -> None:
+        answer = self._ask(number, key)
+        if answer is None:
+            return
+        self.counts[f"stream {answer.status}"] += 1
+        if answer.status == 200 and answer.data != BODY:
+            self._find("ORDER", number, f"{len(answer.data)} of {len(BODY)} bytes")
--- a/scripts/upgrade_check.py
+++ b/scripts/upgrade_check.py
@@ -1,18 +1,19 @@
 """Replaces the routers of a fleet by those of another build, and checks promises.
 
 Six routers serve on a stand-in platform. Two at a time are replaced, first by this
-build, then by the old one again. After each step the operators' table changes, an
-engine leaves, and the store is away for a moment, while callers read streams. The exit
-status is 1 if a promise is broken.
+build, then by the old one again. In each step a router and the store have a fault, the
+operators' table changes, an engine leaves, and a version that fails is ordered, while
+callers read streams. The exit status is 1 if a promise is broken.
 """
 
+import enum
 import itertools
 import random
 import signal
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 from boragedeck.patching import patch_all
@@ -22,12 +23,13 @@
 import eventlet
 import msgspec
 import typer
-import urllib3
 
+from boragedeck.version.relay_rollouts import RolloutResult
 from scripts.builds import BuildNotFoundError, build_of
-from scripts.platform_demo import EVENTS, ROUTE_HEADERS, PlatformCluster
+from scripts.platform_cluster import PlatformCluster
+from scripts.upgrade_callers import Callers
 
-__all__ = ["Finding", "UpgradeCheck", "main"]
+__all__ = ["Finding", "RouterFault", "StoreFault", "UpgradeCheck", "main"]
 
 ZONES = "abcabc"
 STEP = 2
@@ -39,12 +41,37 @@
 FREEZE_S = 1.5
 CONTACT_S = 3.0
 """Time after a disturbance from which a router must keep its promises again."""
-STREAM_INTERVAL_S = 0.15
-READ_TIMEOUT_S = 15.0
+LOST_S = 0.5
+"""Age of what a restored store has lost."""
+STORM_CHANGES = 10
+STORM_INTERVAL_S = 0.3
+ROLLOUT_S = 6.0
+POLL_S = 0.1
 REQUESTS_PER_ROUTER = 4
+DELETED_ENTRIES, STORE_VERSION = "deleted_entries", "store_version"
+"""Modules by which it is told what an old build can do."""
 MAX_HISTORY_LOSSES = 20
-"""Number of times that a router may find its position in the store's feed lost."""
-BODY = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+"""Number of times that a router may find its position in the store's feed lost, besides
+the restored stores."""
+
+
+class RouterFault(enum.Enum):
+    """What happens to one router of either build in a step."""
+
+    KILL = "kill"
+    FREEZE = "freeze"
+    CUT = "cut"
+    """It gets no answer from the store, and learns of changes by other routers."""
+
+
+class StoreFault(enum.Enum):
+    """What happens to the store in a step."""
+
+    AWAY = "away"
+    RESTORED = "restored"
+    """It returns from a copy that lacks the last changes."""
+    STORM = "storm"
+    """The operators change their table several times a second."""
 
 
 class Finding(msgspec.Struct, frozen=True):
@@ -78,26 +105,29 @@
     old : Path
         The source folder of the old build.
     seed : int
-        Chooses the order of the replacements.
+        Chooses the order of the replacements and of the faults.
     zones : str, optional
         The failure domain of each router, by one letter.
     """
 
     def __init__(self, directory: Path, old: Path, seed: int, zones: str = ZONES):
-        self._zones = zones
         self.findings: list[Finding] = []
-        self.counts: Counter[str] = Counter()
+        self._zones = zones
         self._cluster = PlatformCluster(directory)
         self._directory = directory
         self._old = old
         self._rng = random.Random(seed)
-        self._pool = urllib3.PoolManager(retries=False, maxsize=32)
+        self._callers = Callers(random.Random(seed), self._find)
         self._numbers = itertools.count(1)
-        self._key = "demo-key"
         self._version = 1
-        self._urls: list[str] = []
-        self._in_service: set[int] = set()
-        self._is_over = False
+        self._restored = 0
+        self._router_faults = _in_turn(self._rng, list(RouterFault))
+        self._store_faults = _in_turn(self._rng, _store_faults(old))
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Numbers of requests, and of streams by status."""
+        return self._callers.counts
 
     def run(self, *, is_taken_back: bool, is_half: bool = False) -> None:
         """Replace the routers by this build.
@@ -112,7 +142,7 @@
         for name, zone in (("engine-1", "a"), ("engine-2", "b")):
             self._cluster.add_engine(name, zone)
         self._start_old_routers()
-        streams = eventlet.spawn(self._read_streams)
+        self._callers.start()
         order = list(range(len(self._zones)))
         self._rng.shuffle(order)
         if is_half:
@@ -120,64 +150,112 @@
         self._replace_in_steps(order, None)
         if is_taken_back:
             self._replace_in_steps(order, self._old)
-        self._is_over = True
-        streams.wait()
+        self._callers.finish()
         self._check_logs()
 
     def stop(self) -> None:
         """Stop all processes."""
-        self._is_over = True
+        self._callers.stop()
         self._cluster.stop()
 
     def _start_old_routers(self) -> None:
         for number, zone in enumerate(self._zones):
             self._cluster.builds[number] = self._old
-            self._urls.append(self._cluster.add_router(zone))
-            self._in_service.add(number)
+            self._callers.urls.append(self._cluster.add_router(zone))
+            self._callers.in_service.add(number)
         eventlet.sleep(SETTLE_S)
 
     def _replace_in_steps(self, order: Sequence[int], build: Path | None) -> None:
         for at in range(0, len(order), STEP):
             numbers = order[at : at + STEP]
-            self._in_service -= set(numbers)
+            self._callers.in_service -= set(numbers)
             self._cluster.replace_routers(numbers, build)
-            self._in_service |= set(numbers)
+            self._callers.in_service |= set(numbers)
             eventlet.sleep(SETTLE_S)
-            self._disturb_router()
-            self._take_store_away()
+            self._disturb_store(next(self._store_faults))
+            number, fault = self._next_router_fault()
+            self._disturb_router(number, fault)
             self._check_key_change()
             self._check_leaving_engine()
+            self._cluster.gates[number].is_silent = False
+            self._check_failing_version()
+
+    def _next_router_fault(self) -> tuple[int, RouterFault]:
+        """Return a router in service and what happens to it.
 
-    def _disturb_router(self) -> None:
-        """Kill or freeze a router of either build that no stream is read through."""
-        number = self._rng.choice(sorted(self._in_service))
-        self._in_service.remove(number)
-        eventlet.sleep(SETTLE_S + STREAM_INTERVAL_S)
-        if self._rng.random() < 0.5:
-            self._cluster.restart_router(number)
-            self._cluster.wait_ready(number)
-        else:
-            self._cluster.routers[number].send_signal(signal.SIGSTOP)
-            eventlet.sleep(FREEZE_S)
-            self._cluster.routers[number].send_signal(signal.SIGCONT)
+        Notes
+        -----
+        A build that doesn't know deleted entries keeps leaving replicas while it is cut
+        off, also without an upgrade.
+        """
+        numbers = sorted(self._callers.in_service)
+        fault = next(self._router_faults)
+        if fault is RouterFault.CUT and not _has_module(self._old, DELETED_ENTRIES):
+            newer = [each for each in numbers if each not in self._cluster.builds]
+            if not newer:
+                return self._next_router_fault()
+            numbers = newer
+        return self._rng.choice(numbers), fault
+
+    def _disturb_router(self, number: int, fault: RouterFault) -> None:
+        """Let a fault happen to a router, and return when it must keep its promises.
+
+        Notes
+        -----
+        A router that is cut off stays so until its gate serves again.
+        """
+        match fault:
+            case RouterFault.CUT:
+                self._cluster.gates[number].is_silent = True
+                eventlet.sleep(CONTACT_S + SETTLE_S)
+                return
+            case RouterFault.KILL:
+                self._callers.take_out(number)
+                self._cluster.restart_router(number)
+                self._cluster.wait_ready(number)
+            case RouterFault.FREEZE:
+                self._callers.take_out(number)
+                self._cluster.routers[number].send_signal(signal.SIGSTOP)
+                eventlet.sleep(FREEZE_S)
+                self._cluster.routers[number].send_signal(signal.SIGCONT)
         eventlet.sleep(CONTACT_S)
-        self._in_service.add(number)
+        self._callers.in_service.add(number)
+
+    def _disturb_store(self, fault: StoreFault) -> None:
+        ver = self._cluster.rows.ver
+        match fault:
+            case StoreFault.AWAY:
+                self._take_store_away()
+            case StoreFault.RESTORED:
+                self._change_key()
+                eventlet.sleep(LOST_S)
+                self._take_store_away()
+                self._cluster.restore_store(ver)
+                self._restored += 1
+            case StoreFault.STORM:
+                for _ in range(STORM_CHANGES):
+                    self._change_key()
+                    eventlet.sleep(STORM_INTERVAL_S)
+        eventlet.sleep(SETTLE_S)
 
     def _take_store_away(self) -> None:
         self._cluster.rows.faults.status = 503
         eventlet.sleep(STORE_AWAY_S)
         self._cluster.rows.faults.status = 0
-        eventlet.sleep(SETTLE_S)
 
-    def _check_key_change(self) -> None:
-        before, self._key = self._key, f"key-{next(self._numbers)}"
+    def _change_key(self) -> None:
+        self._callers.key = f"key-{next(self._numbers)}"
         self._version += 1
-        self._cluster.put_config(self._version, self._key)
+        self._cluster.put_config(self._version, self._callers.key)
+
+    def _check_key_change(self) -> None:
+        before = self._callers.key
+        self._change_key()
         eventlet.sleep(APPLY_S)
-        for number, answer in self._ask_all(self._key):
+        for number, answer in self._callers.ask_all(self._callers.key):
             if answer.status == 401:
                 self._find("CONFIG", number, "the new key is refused")
-        for number, answer in self._ask_all(before):
+        for number, answer in self._callers.ask_all(before):
             if answer.status != 401:
                 self._find("CONFIG", number, "the old key is served")
 
@@ -186,60 +264,61 @@
         self._cluster.add_engine(name, "c")
         eventlet.sleep(SETTLE_S)
         replica = self._cluster.engines[name][0]
-        self._cluster.rows.drop("servers", name)
+        self._cluster.drop_engine(name)
         eventlet.sleep(APPLY_S)
-        asked = {
-            answer.headers.get("Request-Id"): number
-            for number, answer in self._ask_all(self._key, REQUESTS_PER_ROUTER)
-        }
+        answers = self._callers.ask_all(self._callers.key, REQUESTS_PER_ROUTER)
+        asked = {answer.headers.get("Request-Id"): number for number, answer in answers}
         for request_id in asked.keys() & set(replica.served_ids):
             self._find("DRAIN", asked[request_id], f"{name} got {request_id}")
         self._cluster.crash_engine(name)
 
-    def _ask_all(
-        self, key: str, times: int = 1
-    ) -> list[tuple[int, urllib3.BaseHTTPResponse]]:
-        """Ask each router in service at the same time; return their answers."""
-        numbers = sorted(self._in_service) * times
-        pool = eventlet.GreenPool()
-        answers = pool.imap(self._ask, numbers, itertools.repeat(key, len(numbers)))
-        return list(zip(numbers, answers, strict=True))
-
-    def _ask(self, number: int, key: str) -> urllib3.BaseHTTPResponse:
-        headers = ROUTE_HEADERS | {
-            "Api-Key": key,
-            "Request-Id": f"ask-{next(self._numbers)}",
-            "Token-Counts": "100,40",
-        }
-        url = f"{self._urls[number]}/answers/x"
-        self.counts["asked"] += 1
-        return self._pool.request("POST", url, headers=headers, timeout=READ_TIMEOUT_S)
-
-    def _read_streams(self) -> None:
-        """Read streams through routers in service until the check is over."""
-        pool = eventlet.GreenPool()
-        while not self._is_over:
-            if self._in_service:
-                number = self._rng.choice(sorted(self._in_service))
-                pool.spawn_n(self._read_stream, number, self._key)
-            eventlet.sleep(STREAM_INTERVAL_S)
-        pool.waitall()
-
-    def _read_stream(self, number: int, key: str) -> None:
-        try:
-            answer = self._ask(number, key)
-        except urllib3.exceptions.HTTPError as exc:
-            self._find("LOST", number, repr(exc))
-            return
-        self.counts[f"stream {answer.status}"] += 1
-        if answer.status == 200 and answer.data != BODY:
-            self._find("ORDER", number, f"{len(answer.data)} of {len(BODY)} bytes")
+    def _check_failing_version(self) -> None:
+        """Order a version that fails, and look whether all routers take it back."""
+        number = next(self._numbers)
+        name, version = f"failing-{number}", f"v{number + 1}"
+        routers = sorted(self._callers.in_service)
+        self._cluster.add_engine(name, "c", version=version, fails=True)
+        eventlet.sleep(SETTLE_S)
+        self._cluster.order_version(version, ROLLOUT_S)
+        with eventlet.Timeout(ROLLOUT_S, False):
+            while not self._is_rolled_back(version):
+                self._callers.ask_all(self._callers.key)
+                eventlet.sleep(POLL_S)
+        if not self._is_rolled_back(version):
+            result = self._cluster.published_result(version)
+            self._find("DUTY", routers[0], f"{version} is {result} at its time limit")
+        eventlet.sleep(APPLY_S)
+        for router in routers:
+            if not self._has_stopped(router, version):
+                self._find("EXPOSURE", router, f"it still sends to {version}")
+        self._cluster.crash_engine(name)
+
+    def _is_rolled_back(self, version: str) -> bool:
+        result = self._cluster.published_result(version)
+        return result == RolloutResult.ROLLED_BACK.value
+
+    def _has_stopped(self, number: int, version: str) -> bool:
+        """Return whether a router has noted that a version is taken back."""
+        return any(
+            line.get("to") == version
+            and line.get("result") == RolloutResult.ROLLED_BACK.value
+            for line in self._log_lines(number)
+        )
+
+    def _log_lines(self, number: int) -> Iterator[dict]:
+        text = Path(self._directory, f"router-{number}.log").read_text()
+        for line in text.splitlines():
+            try:
+                yield msgspec.json.decode(line)
+            except msgspec.DecodeError:
+                # A line that is being written, or a warning of the interpreter.
+                continue
 
     def _check_logs(self) -> None:
         for number in range(len(self._zones)):
             log = Path(self._directory, f"router-{number}.log").read_text()
             losses = log.count("History lost.")
-            if losses > MAX_HISTORY_LOSSES:
+            if losses > MAX_HISTORY_LOSSES * (1 + self._restored):
                 self._find("CALLS", number, f"its history was lost {losses} times")
 
     def _find(self, promise: str, number: int, text: str) -> None:
@@ -247,6 +326,29 @@
         self.findings.append(Finding(promise, number, build, text))
 
 
+def _in_turn(rng: random.Random, faults: list) -> Iterator:
+    """Return faults without end, each as often as the others."""
+    while True:
+        yield from rng.sample(faults, len(faults))
+
+
+def _store_faults(old: Path) -> list[StoreFault]:
+    """Return the faults that the old build survives by itself.
+
+    Notes
+    -----
+    A build whose versions don't hold the store's era stays on its old table when the
+    store is restored, also without an upgrade.
+    """
+    if _has_module(old, STORE_VERSION):
+        return list(StoreFault)
+    return [fault for fault in StoreFault if fault is not StoreFault.RESTORED]
+
+
+def _has_module(build: Path, name: str) -> bool:
+    return any(Path(build, "boragedeck").rglob(f"{name}.py"))
+
+
 def main(
     from_commit: str = typer.Option(..., "--from", help="The commit of the old build."),
     seeds: int = typer.Option(1, help="How many plays."),
@@ -269,7 +371,8 @@
             finally:
                 check.stop()
         for finding in check.findings:
-            print(f"{finding.promise}: router {finding.router}, {finding.text}")
+            where = f"router {finding.router} ({finding.build})"
+            print(f"{finding.promise}: {where}, {finding.text}")
         print(f"seed {seed}: {len(check.findings)} broken, {dict(check.counts)}")
         total += len(check.findings)
     raise typer.Exit(1 if total else 0)
--- a/tests/scripts/test_platform_demo.py
+++ b/tests/scripts/test_platform_demo.py
@@ -9,7 +9,7 @@
 import urllib3
 from eventlet.green import socket
 
-from scripts.platform_demo import EVENTS, ROUTE_HEADERS, PlatformCluster
+from scripts.platform_cluster import EVENTS, ROUTE_HEADERS, PlatformCluster
 
 TIMEOUT_S = 20.0
 PAUSE_S = 1.5
