Send requests through gateways in a module of their own

No behaviour changes: that several gateways don't reach a replica is an error of its own now, on which the path counts as lost, as before.

--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -23,6 +23,7 @@
     "UpstreamFailedError",
     "UpstreamRefusedError",
     "UpstreamSilentError",
+    "UpstreamUnreachedError",
     "UpstreamNotAcceptingError",
     "UpstreamWithdrawnError",
 ]
@@ -131,6 +132,10 @@
     """The upstream did not answer the request for a connection in time."""
 
 
+class UpstreamUnreachedError(UpstreamRefusedError):
+    """Several other routers don't reach the upstream, either."""
+
+
 class ForwardDeclinedError(UpstreamError):
     """Another router did not forward a request, so nothing was sent."""
 
--- a/boragedeck/process/relaying/paths/path_composition.py
+++ b/boragedeck/process/relaying/paths/path_composition.py
@@ -11,6 +11,7 @@
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.interfaces import Member, Membership
+from boragedeck.process.relaying.paths.gateway_sender import GatewaySender
 from boragedeck.process.relaying.paths.gateways import Gateways
 from boragedeck.process.relaying.paths.path_checks import PathChecker
 from boragedeck.process.relaying.paths.replica_paths import ReplicaPaths
@@ -67,8 +68,9 @@
     forwards = UpstreamPool(timers, exchange_type=ForwardedExchange)
     timers.subscribe(EXPIRE_INTERVAL_S, forwards.expire)
     gateways = Gateways(timers, rng, membership, gateway_address)
+    sender = GatewaySender(forwards, gateways, metrics)
     paths = ReplicaPaths(
-        timers, upstreams, forwards, checker, gateways, registry.addresses, metrics
+        timers, upstreams, sender, checker, gateways, registry.addresses, metrics
     )
     paths.on_reached = registry.note_path_changed
     return paths
--- a/boragedeck/process/relaying/paths/replica_paths.py
+++ b/boragedeck/process/relaying/paths/replica_paths.py
@@ -12,21 +12,15 @@
 
 from boragedeck.connection.address import Address
 from boragedeck.connection.exchange import Exchange, Message
-from boragedeck.connection.forwarding import (
-    ForwardedExchange,
-    ForwardOrder,
-    encode_order,
-)
+from boragedeck.connection.forwarding import ForwardOrder
 from boragedeck.connection.upstream_pool import ConnectOutcome, UpstreamPool
 from boragedeck.exceptions import (
-    ForwardDeclinedError,
     UpstreamConnectTimeoutError,
-    UpstreamError,
-    UpstreamNotAcceptingError,
     UpstreamRefusedError,
+    UpstreamUnreachedError,
 )
-from boragedeck.interfaces import Member
 from boragedeck.process.logs import PartLog
+from boragedeck.process.relaying.paths.gateway_sender import GatewaySender
 from boragedeck.process.relaying.paths.gateways import Gateways
 from boragedeck.process.relaying.paths.path_checks import (
     MAX_ADDRESSES,
@@ -49,12 +43,6 @@
 """How long a request that wasn't sent waits for the result of a check."""
 DOUBTFUL_CONNECT_TIMEOUT_S = 0.1
 """How long a replica has to accept a connection while paths to others are lost."""
-MAX_GATEWAYS = 3
-"""Maximum number of gateways that are tried for one attempt."""
-MAX_UNREACHED_GATEWAYS = 2
-"""Number of gateways that must fail to reach a replica until it counts as lost."""
-FORWARD_SLACK_S = 0.3
-"""How long beyond its own wait for a connection a gateway may take."""
 
 _log = PartLog("paths")
 
@@ -68,8 +56,8 @@
         The source of time.
     upstreams : UpstreamPool
         This router's own connections to replicas.
-    forwards : UpstreamPool
-        Its connections to gateways, whose exchanges are `ForwardedExchange`.
+    sender : GatewaySender
+        Sends requests through gateways.
     checker : PathChecker
         Finds out which replicas are reached.
     gateways : Gateways
@@ -89,7 +77,7 @@
         self,
         timers: TimerService,
         upstreams: UpstreamPool,
-        forwards: UpstreamPool,
+        sender: GatewaySender,
         checker: PathChecker,
         gateways: Gateways,
         addresses: Callable[[], set[Address]],
@@ -97,7 +85,7 @@
     ):
         self._timers = timers
         self._upstreams = upstreams
-        self._forwards = forwards
+        self._sender = sender
         self._checker = checker
         self._gateways = gateways
         self._addresses = addresses
@@ -155,7 +143,11 @@
                 if not self.is_own_loss(address):
                     raise
         order = ForwardOrder(address, answer_timeout_s or send_timeout_s, message)
-        return self._forward(order, connect_timeout_s, send_timeout_s, check)
+        try:
+            return self._sender.send(order, connect_timeout_s, send_timeout_s, check)
+        except UpstreamUnreachedError:
+            self._set_state(address, PathState.LOST)
+            raise
 
     def state_of(self, address: Address) -> PathState:
         """Return how a replica is reached."""
@@ -347,83 +339,6 @@
         if state is not PathState.LOST:
             self.on_reached(address)
 
-    def _forward(
-        self,
-        order: ForwardOrder,
-        connect_timeout_s: float,
-        send_timeout_s: float,
-        check: Callable[[], None],
-    ) -> Exchange:
-        """Send a request through the first gateway that reaches the replica."""
-        error: UpstreamError = ForwardDeclinedError("there is no other router")
-        unreached = 0
-        for gateway in self._gateways.candidates(order.target)[:MAX_GATEWAYS]:
-            try:
-                exchange = self._forward_through(
-                    gateway, order, connect_timeout_s, send_timeout_s, check
-                )
-            except UpstreamNotAcceptingError:
-                raise
-            except ForwardDeclinedError as exc:
-                self._note_forward_failed(gateway, order, exc)
-                error = exc
-                continue
-            except UpstreamRefusedError as exc:
-                # The gateway doesn't reach the replica, either.
-                error = exc
-                unreached += 1
-                if unreached >= MAX_UNREACHED_GATEWAYS:
-                    self._set_state(order.target, PathState.LOST)
-                    break
-                continue
-            except UpstreamError as exc:
-                self._note_forward_failed(gateway, order, exc)
-                raise
-            self._gateways.note_reached(order.target, gateway)
-            self._metrics.forwards_sent.labels("sent").inc()
-            return exchange
-        raise UpstreamRefusedError(
-            f"no gateway reached it: {error}", step="forward", peer=str(order.target)
-        )
-
-    def _forward_through(
-        self,
-        gateway: Member,
-        order: ForwardOrder,
-        connect_timeout_s: float,
-        send_timeout_s: float,
-        check: Callable[[], None],
-    ) -> ForwardedExchange:
-        """Send a request through one gateway, and wait until it has been sent."""
-        address = self._gateways.address_of(gateway)
-        try:
-            exchange = self._forwards.send(
-                address, encode_order(order), connect_timeout_s, send_timeout_s, check
-            )
-        except UpstreamRefusedError as exc:
-            raise ForwardDeclinedError(
-                exc.message, step="forward", peer=str(address)
-            ) from exc
-        exchange.address = order.target
-        try:
-            exchange.wait_sent(connect_timeout_s + FORWARD_SLACK_S)
-        except BaseException:
-            exchange.close()
-            raise
-        return exchange
-
-    def _note_forward_failed(
-        self, gateway: Member, order: ForwardOrder, exc: UpstreamError
-    ) -> None:
-        self._gateways.note_failed(gateway)
-        self._metrics.forwards_sent.labels("failed").inc()
-        _log.write(
-            "Gateway failed.",
-            peer=gateway.router,
-            address=str(order.target),
-            error=str(exc),
-        )
-
     def _has_own_loss(self) -> bool:
         return PathState.INDIRECT in self._states.values()
 
