Test stale tables with 80 and 300 routers; give the planned stop a module of its own

Busy, slow and silent stores and stores that are silent for most or all routers were tested with 9 routers only; all cases now run with 80, and the ones of current tables with 300.

--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -2,7 +2,6 @@
 
 import random
 import secrets
-from collections.abc import Iterable
 
 import eventlet
 from eventlet import wsgi
@@ -34,6 +33,7 @@
 from boragedeck.process.relaying.crashes.crash_blame import CrashBlame
 from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
 from boragedeck.process.relaying.crashes.crash_verdicts import CrashVerdicts
+from boragedeck.process.relaying.draining import DrainPeriod
 from boragedeck.process.relaying.fleet.fleet_size import FleetSize, reachable_share
 from boragedeck.process.relaying.fleet.hubs import Hubs, choose_hubs
 from boragedeck.process.relaying.fleet.peer_dialect import RelayDialect
@@ -75,10 +75,6 @@
 refused."""
 FIRST_TABLE_POLL_S = 0.01
 EXPIRE_INTERVAL_S = 1.0
-LEAVE_PERIOD_S = 3.0
-"""How long after the stop has begun the platform may still send callers here."""
-GRACE_MARGIN_S = 0.4
-DRAIN_POLL_S = 0.05
 IDLE_SHARE = 0.5
 """Share of a replica's connections that all routers together may keep idle."""
 
@@ -120,7 +116,7 @@
             settings.peer,
             capacity=settings.capacity,
         )
-        self._drain_deadline = float("inf")
+        self._drain_period = DrainPeriod(timers, lambda: source.bounds().grace_s)
         self._store_meter = StoreMeter(timers, self.metrics)
         self._store = PlatformStore(settings.store, self._store_meter.note)
         self._make_peers()
@@ -162,32 +158,14 @@
     def is_ready(self) -> bool:
         """Return whether the platform should send callers here."""
         has_table = self._routing.current().version > 0
-        is_leaving = self._drain_deadline < float("inf")
-        return has_table and self._tables.replicas.version >= 0 and not is_leaving
+        has_replicas = self._tables.replicas.version >= 0
+        return has_table and has_replicas and not self._drain_period.is_begun()
 
     def drain(self) -> None:
-        """Finish all requests, and return when they are answered or the time is over.
-
-        Notes
-        -----
-        The platform may send callers here until it has seen that this router isn't
-        ready, so requests that can end in time are accepted for another
-        `LEAVE_PERIOD_S`.
-        """
-        grace_s = self._source.bounds().grace_s - GRACE_MARGIN_S
-        self._drain_deadline = self.timers.now() + grace_s
-        edges = self._edge, self._forward_edge
-        for edge in edges:
-            edge.is_leaving = True
+        """Return when all requests are answered or the time to stop is over."""
         # In a thread of its own: the store may be slow, and the time to stop is short.
         eventlet.spawn_n(self._membership.leave)
-        self.timers.sleep(LEAVE_PERIOD_S)
-        for edge in edges:
-            edge.stop_accepting()
-            edge.close_idle()
-        while _active_requests(edges) and self._time_left() > 0.0:
-            self.timers.sleep(DRAIN_POLL_S)
-        _log.write("Drained.", unanswered=_active_requests(edges))
+        self._drain_period.run([self._edge, self._forward_edge])
 
     def _make_peers(self) -> None:
         dialect = RelayDialect(self.metrics)
@@ -319,7 +297,7 @@
             pace=StreamTimeEstimator(),
             crash_blame=self._make_crash_blame(),
             metrics=self.metrics,
-            time_left=self._time_left,
+            time_left=self._drain_period.time_left,
             refusal_headers=refusal_headers,
         )
 
@@ -333,7 +311,7 @@
             protocol,
             self.metrics,
             lambda: self._routing.current().limits,
-            self._time_left,
+            self._drain_period.time_left,
         )
 
     def _make_limits(self) -> ReplicaLimits:
@@ -399,9 +377,6 @@
         except UpstreamError as exc:
             _log.write("Request failed.", error=str(exc))
 
-    def _time_left(self) -> float:
-        return self._drain_deadline - self.timers.now()
-
     def _max_idle_per_replica(self) -> int:
         """Return how many idle connections this router may keep to one replica."""
         pools = self._routing.current().pools.values()
@@ -416,10 +391,6 @@
         return [b"ready\n" if is_ready else b"not ready\n"]
 
 
-def _active_requests(edges: Iterable[CallerEdge]) -> int:
-    return sum(edge.active_requests() for edge in edges)
-
-
 def _listen(address: Address):
     return eventlet.listen(
         (address.host, address.port), backlog=BACKLOG, reuse_port=False
--- /dev/null
+++ b/boragedeck/process/relaying/draining.py
@@ -0,0 +1,86 @@
+"""The planned stop of a router: it ends what it serves within the operators' time."""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from boragedeck.process.logs import PartLog
+from boragedeck.process.timers import TimerService
+
+__all__ = ["DrainPeriod", "DrainableEdge"]
+
+LEAVE_PERIOD_S = 3.0
+"""How long after the stop has begun the platform may still send callers here."""
+GRACE_MARGIN_S = 0.4
+POLL_S = 0.05
+
+_log = PartLog("daemon")
+
+
+class DrainableEdge(Protocol):
+    """A server of callers that can stop without aborting requests."""
+
+    is_leaving: bool
+
+    def stop_accepting(self) -> None:
+        """Accept no further connections."""
+
+    def close_idle(self) -> None:
+        """Close the connections without a request."""
+
+    def active_requests(self) -> int:
+        """Return the number of requests that aren't answered yet."""
+
+
+class DrainPeriod:
+    """The time from a router's stop signal to its end.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The source of time.
+    grace_s : callable
+        Returns the longest time that a stop may take, in seconds.
+    """
+
+    def __init__(self, timers: TimerService, grace_s: Callable[[], float]):
+        self._timers = timers
+        self._grace_s = grace_s
+        self._ends_at = float("inf")
+
+    def is_begun(self) -> bool:
+        """Return whether the router is stopping."""
+        return self._ends_at < float("inf")
+
+    def time_left(self) -> float:
+        """Return how long requests can still be served, in seconds."""
+        return self._ends_at - self._timers.now()
+
+    def run(self, edges: Iterable[DrainableEdge]) -> None:
+        """Finish all requests, and return when they are answered or the time is over.
+
+        Parameters
+        ----------
+        edges : iterable of DrainableEdge
+            The servers of callers and of other routers.
+
+        Notes
+        -----
+        The platform may send callers here until it has seen that this router isn't
+        ready, so requests that can end in time are accepted for another
+        `LEAVE_PERIOD_S`.
+        """
+        self._ends_at = self._timers.now() + self._grace_s() - GRACE_MARGIN_S
+        edges = tuple(edges)
+        for edge in edges:
+            edge.is_leaving = True
+        self._timers.sleep(LEAVE_PERIOD_S)
+        for edge in edges:
+            edge.stop_accepting()
+            edge.close_idle()
+        while _active_requests(edges) and self.time_left() > 0.0:
+            self._timers.sleep(POLL_S)
+        _log.write("Drained.", unanswered=_active_requests(edges))
+
+
+def _active_requests(edges: Iterable[DrainableEdge]) -> int:
+    return sum(edge.active_requests() for edge in edges)
--- a/tests/process/relaying/tables/test_stale_tables.py
+++ b/tests/process/relaying/tables/test_stale_tables.py
@@ -199,6 +199,26 @@
         self.assertEqual(self.not_answered(), [])
 
 
+class LargeSilentStoreTest(SilentStoreTest):
+    routers, cut_off = 80, 27
+
+
+class LargeMostlySilentStoreTest(MostlySilentStoreTest):
+    routers, cut_off = 80, 53
+
+
+class LargeSilentForAllTest(SilentForAllTest):
+    routers, cut_off = 80, 80
+
+
+class LargeBusyStoreTest(BusyStoreTest):
+    routers, cut_off = 80, 27
+
+
+class LargeSlowStoreTest(SlowStoreTest):
+    routers, cut_off = 80, 27
+
+
 class SilentHubsTest(StaleTablesCase):
     """The store says nothing to the routers that read it for the others."""
 
@@ -240,7 +260,29 @@
 
 
 class VeryLargeFleetTest(StaleTablesCase):
-    routers = 300
+    routers, cut_off = 300, 100
+
+    def check_current(self):
+        """Check that a deleted entry and new tables are in force everywhere in time."""
+        self.run_with_changes(5.0)
+        self.rows.drop("servers", "a")
+        self.run_with_changes(DRAIN_S)
+        self.assertEqual(self.holders("a"), [])
+        self.fleet.run(BOUNDS.config_apply_s, STEP_S)
+        self.assertEqual(self.behind(), [])
+
+    def test_tables_are_current_at_routers_that_the_store_refuses(self):
+        self.line.cut |= self.lost
+        self.check_current()
+
+    def test_tables_are_current_while_the_store_is_slow_and_silent_for_some(self):
+        self.line.latency_s = 0.2
+        self.line.silent |= self.lost
+        self.check_current()
+
+    def test_tables_are_current_though_most_routers_are_cut_off(self):
+        self.line.silent |= {f"r{number}" for number in range(200)}
+        self.check_current()
 
     def test_tables_are_current_though_all_hubs_are_cut_off(self):
         members = [router.member for router in self.fleet.routers]
--- /dev/null
+++ b/tests/process/relaying/test_draining.py
@@ -0,0 +1,72 @@
+import unittest
+
+import eventlet
+
+from boragedeck.process.relaying.draining import (
+    GRACE_MARGIN_S,
+    LEAVE_PERIOD_S,
+    DrainPeriod,
+)
+from boragedeck.process.timers import ManualTimers
+
+GRACE_S = 8.0
+STEP_S = 0.05
+
+
+class Edge:
+    def __init__(self, active):
+        self.active = active
+        self.is_leaving = False
+        self.calls = []
+
+    def stop_accepting(self):
+        self.calls.append("stop accepting")
+
+    def close_idle(self):
+        self.calls.append("close idle")
+
+    def active_requests(self):
+        return self.active
+
+
+class DrainPeriodTest(unittest.TestCase):
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.period = DrainPeriod(self.timers, lambda: GRACE_S)
+        self.edge = Edge(active=1)
+
+    def drain(self):
+        self.thread = eventlet.spawn(self.period.run, [self.edge])
+        eventlet.sleep(0)
+
+    def run_for(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.timers.advance(STEP_S)
+            eventlet.sleep(0)
+
+    def test_time_is_unlimited_before_the_stop(self):
+        self.assertFalse(self.period.is_begun())
+        self.assertEqual(self.period.time_left(), float("inf"))
+
+    def test_callers_are_accepted_until_the_platform_knows(self):
+        self.drain()
+        self.assertTrue(self.period.is_begun() and self.edge.is_leaving)
+        self.run_for(LEAVE_PERIOD_S - 0.1)
+        self.assertEqual(self.edge.calls, [])
+        self.run_for(0.2)
+        self.assertEqual(self.edge.calls, ["stop accepting", "close idle"])
+
+    def test_stop_ends_when_all_requests_are_answered(self):
+        self.drain()
+        self.run_for(LEAVE_PERIOD_S + 1.0)
+        self.assertFalse(self.thread.dead)
+        self.edge.active = 0
+        self.run_for(0.2)
+        self.assertTrue(self.thread.dead)
+
+    def test_stop_ends_within_its_time_though_a_request_is_open(self):
+        self.drain()
+        self.run_for(GRACE_S - GRACE_MARGIN_S - 0.2)
+        self.assertFalse(self.thread.dead)
+        self.run_for(0.4)
+        self.assertTrue(self.thread.dead)
