--- a/tests/process/relaying/limits/test_brittle_replicas.py
+++ b/tests/process/relaying/limits/test_brittle_replicas.py
@@ -58,6 +58,16 @@
         self.assertGreater(len(self.brittle.served), served + 20)
         self.assertEqual(self.brittle.falls, [])
 
+    def test_replica_stays_up_under_load_though_the_build_of_its_owner_grants_no_room(
+        self,
+    ):
+        self.learn()
+        owner = self.fleet.routers[0].owners.owner_of(room_task("one")).router
+        self.fleet.net.unknown.add((owner, TakeRoom))
+        others = [each for each in self.fleet.routers if each.name != owner]
+        self.fleet.run(2.0, 600.0, routers=others)
+        self.assertEqual(self.brittle.falls, [])
+
     def test_rejection_limit_that_cannot_be_parsed_changes_nothing(self):
         self.learn()
         self.brittle.notice()
