--- a/scripts/upgrade_callers.py
+++ b/scripts/upgrade_callers.py
@@ -111,12 +111,15 @@
         while not self._is_over:
             if self.in_service:
                 number = self._rng.choice(sorted(self.in_service))
+                # Counted before its green thread runs, so that `take_out` waits for it.
+                self._open[number] += 1
                 pool.spawn_n(self._read_stream, number, self.key)
             eventlet.sleep(STREAM_INTERVAL_S)
         pool.waitall()
 
     def _read_stream(self, number: int, key: str) -> None:
         answer = self._ask(number, key)
+        self._open[number] -= 1
         if answer is None:
             return
         self.counts[f"stream {answer.status}"] += 1
--- a/scripts/upgrade_check.py
+++ b/scripts/upgrade_check.py
@@ -6,12 +6,12 @@
 callers read streams. The exit status is 1 if a promise is broken.
 """
 
-import enum
 import itertools
 import random
-import signal
+import shutil
 import sys
 import tempfile
+import time
 from collections import Counter
 from collections.abc import Iterator, Sequence
 from pathlib import Path
@@ -28,57 +28,31 @@
 from scripts.builds import BuildNotFoundError, build_of
 from scripts.platform_cluster import PlatformCluster
 from scripts.upgrade_callers import Callers
+from scripts.upgrade_faults import UpgradeFaults
 
-__all__ = ["Finding", "RouterFault", "StoreFault", "UpgradeCheck", "main"]
+__all__ = ["Finding", "UpgradeCheck", "main"]
 
 ZONES = "abcabc"
 STEP = 2
 """Number of routers that are replaced at a time."""
 APPLY_S = 2.0
 """Time within which a change or a leaving replica must be known everywhere."""
-STORE_AWAY_S = 1.5
 SETTLE_S = 1.0
-FREEZE_S = 1.5
-CONTACT_S = 3.0
-"""Time after a disturbance from which a router must keep its promises again."""
-LOST_S = 0.5
-"""Age of what a restored store has lost."""
-STORM_CHANGES = 10
-STORM_INTERVAL_S = 0.3
 ROLLOUT_S = 6.0
 POLL_S = 0.1
 REQUESTS_PER_ROUTER = 4
-DELETED_ENTRIES, STORE_VERSION = "deleted_entries", "store_version"
-"""Modules by which it is told what an old build can do."""
 MAX_HISTORY_LOSSES = 20
 """Number of times that a router may find its position in the store's feed lost, besides
 the restored stores."""
 
 
-class RouterFault(enum.Enum):
-    """What happens to one router of either build in a step."""
-
-    KILL = "kill"
-    FREEZE = "freeze"
-    CUT = "cut"
-    """It gets no answer from the store, and learns of changes by other routers."""
-
-
-class StoreFault(enum.Enum):
-    """What happens to the store in a step."""
-
-    AWAY = "away"
-    RESTORED = "restored"
-    """It returns from a copy that lacks the last changes."""
-    STORM = "storm"
-    """The operators change their table several times a second."""
-
-
 class Finding(msgspec.Struct, frozen=True):
     """A promise that was broken.
 
     Parameters
     ----------
+    at : float
+        When, in seconds since the epoch.
     promise : str
         Which one.
     router : int
@@ -89,6 +63,7 @@
         What was seen.
     """
 
+    at: float
     promise: str
     router: int
     build: str
@@ -120,9 +95,9 @@
         self._callers = Callers(random.Random(seed), self._find)
         self._numbers = itertools.count(1)
         self._version = 1
-        self._restored = 0
-        self._router_faults = _in_turn(self._rng, list(RouterFault))
-        self._store_faults = _in_turn(self._rng, _store_faults(old))
+        self._faults = UpgradeFaults(
+            self._cluster, self._callers, old, self._rng, self._change_key
+        )
 
     @property
     def counts(self) -> Counter[str]:
@@ -172,77 +147,13 @@
             self._cluster.replace_routers(numbers, build)
             self._callers.in_service |= set(numbers)
             eventlet.sleep(SETTLE_S)
-            self._disturb_store(next(self._store_faults))
-            number, fault = self._next_router_fault()
-            self._disturb_router(number, fault)
+            self._faults.disturb_store()
+            self._faults.disturb_router()
             self._check_key_change()
             self._check_leaving_engine()
-            self._cluster.gates[number].is_silent = False
+            self._faults.end_cuts()
             self._check_failing_version()
 
-    def _next_router_fault(self) -> tuple[int, RouterFault]:
-        """Return a router in service and what happens to it.
-
-        Notes
-        -----
-        A build that doesn't know deleted entries keeps leaving replicas while it is cut
-        off, also without an upgrade.
-        """
-        numbers = sorted(self._callers.in_service)
-        fault = next(self._router_faults)
-        if fault is RouterFault.CUT and not _has_module(self._old, DELETED_ENTRIES):
-            newer = [each for each in numbers if each not in self._cluster.builds]
-            if not newer:
-                return self._next_router_fault()
-            numbers = newer
-        return self._rng.choice(numbers), fault
-
-    def _disturb_router(self, number: int, fault: RouterFault) -> None:
-        """Let a fault happen to a router, and return when it must keep its promises.
-
-        Notes
-        -----
-        A router that is cut off stays so until its gate serves again.
-        """
-        match fault:
-            case RouterFault.CUT:
-                self._cluster.gates[number].is_silent = True
-                eventlet.sleep(CONTACT_S + SETTLE_S)
-                return
-            case RouterFault.KILL:
-                self._callers.take_out(number)
-                self._cluster.restart_router(number)
-                self._cluster.wait_ready(number)
-            case RouterFault.FREEZE:
-                self._callers.take_out(number)
-                self._cluster.routers[number].send_signal(signal.SIGSTOP)
-                eventlet.sleep(FREEZE_S)
-                self._cluster.routers[number].send_signal(signal.SIGCONT)
-        eventlet.sleep(CONTACT_S)
-        self._callers.in_service.add(number)
-
-    def _disturb_store(self, fault: StoreFault) -> None:
-        ver = self._cluster.rows.ver
-        match fault:
-            case StoreFault.AWAY:
-                self._take_store_away()
-            case StoreFault.RESTORED:
-                self._change_key()
-                eventlet.sleep(LOST_S)
-                self._take_store_away()
-                self._cluster.restore_store(ver)
-                self._restored += 1
-            case StoreFault.STORM:
-                for _ in range(STORM_CHANGES):
-                    self._change_key()
-                    eventlet.sleep(STORM_INTERVAL_S)
-        eventlet.sleep(SETTLE_S)
-
-    def _take_store_away(self) -> None:
-        self._cluster.rows.faults.status = 503
-        eventlet.sleep(STORE_AWAY_S)
-        self._cluster.rows.faults.status = 0
-
     def _change_key(self) -> None:
         self._callers.key = f"key-{next(self._numbers)}"
         self._version += 1
@@ -290,7 +201,7 @@
         eventlet.sleep(APPLY_S)
         for router in routers:
             if not self._has_stopped(router, version):
-                self._find("EXPOSURE", router, f"it still sends to {version}")
+                self._find("EXPOSURE", router, f"{version} is not stopped there")
         self._cluster.crash_engine(name)
 
     def _is_rolled_back(self, version: str) -> bool:
@@ -318,35 +229,12 @@
         for number in range(len(self._zones)):
             log = Path(self._directory, f"router-{number}.log").read_text()
             losses = log.count("History lost.")
-            if losses > MAX_HISTORY_LOSSES * (1 + self._restored):
+            if losses > MAX_HISTORY_LOSSES * (1 + self._faults.restored):
                 self._find("CALLS", number, f"its history was lost {losses} times")
 
     def _find(self, promise: str, number: int, text: str) -> None:
         build = "old" if number in self._cluster.builds else "new"
-        self.findings.append(Finding(promise, number, build, text))
-
-
-def _in_turn(rng: random.Random, faults: list) -> Iterator:
-    """Return faults without end, each as often as the others."""
-    while True:
-        yield from rng.sample(faults, len(faults))
-
-
-def _store_faults(old: Path) -> list[StoreFault]:
-    """Return the faults that the old build survives by itself.
-
-    Notes
-    -----
-    A build whose versions don't hold the store's era stays on its old table when the
-    store is restored, also without an upgrade.
-    """
-    if _has_module(old, STORE_VERSION):
-        return list(StoreFault)
-    return [fault for fault in StoreFault if fault is not StoreFault.RESTORED]
-
-
-def _has_module(build: Path, name: str) -> bool:
-    return any(Path(build, "boragedeck").rglob(f"{name}.py"))
+        self.findings.append(Finding(time.time(), promise, number, build, text))
 
 
 def main(
@@ -355,6 +243,7 @@
     first_seed: int = typer.Option(1, help="The seed of the first play."),
     back: bool = typer.Option(True, help="Whether the upgrade is taken back."),
     half: bool = typer.Option(False, help="Whether it stops half way for good."),
+    keep: str = typer.Option("", help="Where to keep the logs of broken plays."),
 ) -> None:
     """Play upgrades, and print what was broken."""
     try:
@@ -370,9 +259,11 @@
                 check.run(is_taken_back=back and not half, is_half=half)
             finally:
                 check.stop()
+                if check.findings and keep:
+                    shutil.copytree(directory, Path(keep, f"seed-{seed}"))
         for finding in check.findings:
             where = f"router {finding.router} ({finding.build})"
-            print(f"{finding.promise}: {where}, {finding.text}")
+            print(f"{finding.at:.3f} {finding.promise}: {where}, {finding.text}")
         print(f"seed {seed}: {len(check.findings)} broken, {dict(check.counts)}")
         total += len(check.findings)
     raise typer.Exit(1 if total else 0)
