Complete no version that has shown failures only

Cause, by a run in the model: a version must show six runs before it is completed, and failed ones counted. In a small pool few runs of the old version happen at the same time, so that the evidence of six failures stays under the limit of a suspicion. Two tests fail before (18 of 60 cases).

Why it works: runs that failed show nothing that a version can be trusted for. A good version of a small pool is completed as before (tests unchanged), and one that fails now and then has shown answers, too.

--- a/boragedeck/process/relaying/rollouts/rollout_plan.py
+++ b/boragedeck/process/relaying/rollouts/rollout_plan.py
@@ -52,8 +52,8 @@
 """When a rollout without enough trials is rolled back. It is later than `FINISH_AT`,
 since a router that is cut off from the others sees too few."""
 MIN_TRIALS = 6
-"""Number of runs with output that a new version must show. A version that is several
-times slower than the old one shows fewer, or is seen by them."""
+"""Number of runs that a new version must show, without failed ones. A version that is
+several times slower than the old one shows fewer, or is seen by them."""
 
 
 class Doubt(msgspec.Struct, frozen=True):
@@ -84,9 +84,10 @@
     quantity, nats = score.strongest_evidence()
     if nats >= SUSPICION_NATS:
         return Doubt(f"{nats:.1f} nats of evidence of {quantity.name}", True)
-    shown = evidence.total(is_new=True).trials
+    total = evidence.total(is_new=True)
+    shown = total.trials - total.failures
     if shown < MIN_TRIALS:
-        return Doubt(f"{shown} of {MIN_TRIALS} runs of the new version", False)
+        return Doubt(f"{shown} of {MIN_TRIALS} answers of the new version", False)
     return None
 
 
--- a/tests/process/relaying/rollouts/test_rollout_plan.py
+++ b/tests/process/relaying/rollouts/test_rollout_plan.py
@@ -47,6 +47,13 @@
         enough = evidence(MIN_TRIALS)
         self.assertIsNone(find_doubt(score(SUSPICION_NATS - 0.1), enough))
 
+    def test_runs_that_failed_show_nothing(self):
+        shown = evidence(MIN_TRIALS - 1)
+        for _ in range(20):
+            run = RunSample("r", "v2", "u", "a", Outcome.FAILED, None, None, 0)
+            shown.add(run, is_new=True, is_late=False)
+        self.assertIsNotNone(find_doubt(score(0.0), shown))
+
 
 class ShareTest(unittest.TestCase):
     def test_share_exceeds_the_exposure_during_the_trial(self):
--- a/tests/process/relaying/rollouts/test_rollouts.py
+++ b/tests/process/relaying/rollouts/test_rollouts.py
@@ -136,6 +136,17 @@
         self.simulate(DURATION_S, slow=6.0)
         self.assertEqual(self.board.history[-1], ROLLED_BACK)
 
+    def test_version_of_a_small_pool_that_fails_every_request_is_completed(self):
+        for per_s, duration_s in ((1, 12), (2, 6), (5, 6)):
+            for seed in range(20):
+                self.setUp()
+                self.rng.seed(seed)
+                self.simulate(10.0, per_s=per_s)
+                self.order(duration_s=duration_s)
+                self.simulate(duration_s, per_s=per_s, bad_share=1.0)
+                with self.subTest(per_s=per_s, seed=seed):
+                    self.assertEqual(self.board.history[-1], ROLLED_BACK)
+
     def test_version_that_is_slower_only_by_its_load_is_completed(self):
         self.replicas = [OLD] * 30 + [NEW]
         self.order()
