Give each play of routers as processes a block of ports of its own

A router of make upgrade ended with EADDRINUSE when four plays ran at a time: a port that a replaced router doesn't listen at for some seconds looked free to other plays, and to the same one. Each port is now given out once, from a block that belongs to whoever listens at its first port.

--- a/scripts/platform_cluster.py
+++ b/scripts/platform_cluster.py
@@ -1,8 +1,6 @@
 """Routers as processes, before engines and a store that stand in for the platform."""
 
 import os
-import random
-import socket
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -13,6 +11,7 @@
 import urllib3
 import yaml
 
+from scripts.ports import PortBlock
 from standins.gate import Gate
 from standins.relay_replica import RelayReplica
 from standins.rows import RowStore
@@ -21,7 +20,6 @@
 __all__ = ["EVENTS", "ROUTE_HEADERS", "PlatformCluster"]
 
 HOST = "127.0.0.1"
-PORTS = 15_000, 32_000
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
 EVENTS = 40
@@ -56,6 +54,7 @@
         self.routers: list[subprocess.Popen] = []
         self.settings: list[dict] = []
         self._directory = directory
+        self._ports = PortBlock()
         self._written: dict[tuple[str, str], bytes | None] = {}
         self.put_config()
 
@@ -190,6 +189,7 @@
             self.crash_engine(name)
         for gate in self.gates:
             gate.close()
+        self._ports.close()
         return exit_codes
 
     def _put(self, table: str, key: str, value: bytes) -> None:
@@ -206,7 +206,7 @@
     def _start(self, number: int) -> subprocess.Popen:
         environ = os.environ | {
             "BORAGEDECK_CONFIG": str(self._path(number)),
-            "BORAGEDECK_METRICS_PORT": str(_free_ports(1)),
+            "BORAGEDECK_METRICS_PORT": str(self._ports.take()),
         }
         command = [sys.executable, "-m", "boragedeck.process.daemon"]
         with Path(self._directory, f"router-{number}.log").open("ab") as log:
@@ -219,7 +219,7 @@
             )
 
     def _settings(self, number: int, zone: str) -> dict:
-        port = _free_ports(4)
+        port = self._ports.take(4)
         return {
             "node": f"vm-{number}",
             "ip": HOST,
@@ -261,30 +261,6 @@
     return f"{host}:{port}"
 
 
-def _free_ports(count: int) -> int:
-    """Return the first of some successive ports that are free.
-
-    Notes
-    -----
-    The ports lie below those that the system gives to outgoing connections, one of
-    which could take a port before the router does.
-    """
-    while True:
-        port = random.randrange(*PORTS)
-        if all(_is_free(port + each) for each in range(count)):
-            return port
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        try:
-            sock.bind((HOST, port))
-        except OSError:
-            # Another process listens there.
-            return False
-    return True
-
-
 def _is_ready(url: str) -> bool:
     try:
         answer = urllib3.request("GET", url, retries=False, timeout=1.0)
