--- a/tests/process/relaying/tables/test_stale_tables.py
+++ b/tests/process/relaying/tables/test_stale_tables.py
@@ -39,6 +39,21 @@
             self.change()
             self.fleet.run(every_s, STEP_S)
 
+    def check_current(self, after_s):
+        """Check that a deleted entry and new tables are in force everywhere in time.
+
+        Parameters
+        ----------
+        after_s : float
+            How long the table changes before, in seconds.
+        """
+        self.run_with_changes(after_s)
+        self.rows.drop("servers", "a")
+        self.run_with_changes(DRAIN_S)
+        self.assertEqual(self.holders("a"), [])
+        self.fleet.run(BOUNDS.config_apply_s, STEP_S)
+        self.assertEqual(self.behind(), [])
+
     def holders(self, replica):
         """Return the routers that may send to a replica."""
         return [
@@ -169,12 +184,7 @@
 
     def test_tables_are_current_at_routers_that_the_store_refuses(self):
         self.line.cut |= self.lost
-        self.run_with_changes(3.0)
-        self.rows.drop("servers", "a")
-        self.run_with_changes(DRAIN_S)
-        self.assertEqual(self.holders("a"), [])
-        self.fleet.run(BOUNDS.config_apply_s, STEP_S)
-        self.assertEqual(self.behind(), [])
+        self.check_current(3.0)
 
 
 class SlowStoreTest(StaleTablesCase):
@@ -183,12 +193,7 @@
     def test_tables_are_current_while_the_store_is_slow(self):
         self.line.latency_s = 0.2
         self.line.silent |= self.lost
-        self.run_with_changes(5.0)
-        self.rows.drop("servers", "a")
-        self.run_with_changes(DRAIN_S)
-        self.assertEqual(self.holders("a"), [])
-        self.fleet.run(BOUNDS.config_apply_s, STEP_S)
-        self.assertEqual(self.behind(), [])
+        self.check_current(5.0)
 
     def test_slow_store_that_answers_again_is_noticed(self):
         self.line.silent |= self.lost
@@ -234,21 +239,11 @@
 
     def test_tables_are_current_though_one_hub_is_cut_off(self):
         self.line.silent.add(min(self.hubs))
-        self.run_with_changes(1.2)
-        self.rows.drop("servers", "a")
-        self.run_with_changes(DRAIN_S)
-        self.assertEqual(self.holders("a"), [])
-        self.fleet.run(BOUNDS.config_apply_s, STEP_S)
-        self.assertEqual(self.behind(), [])
+        self.check_current(1.2)
 
     def test_tables_are_current_though_all_hubs_are_cut_off(self):
         self.line.silent |= self.hubs
-        self.run_with_changes(5.0)
-        self.rows.drop("servers", "a")
-        self.run_with_changes(DRAIN_S)
-        self.assertEqual(self.holders("a"), [])
-        self.fleet.run(BOUNDS.config_apply_s, STEP_S)
-        self.assertEqual(self.behind(), [])
+        self.check_current(5.0)
 
     def test_store_that_answers_again_is_noticed_by_all_hubs(self):
         self.line.silent |= self.hubs
@@ -262,27 +257,18 @@
 class VeryLargeFleetTest(StaleTablesCase):
     routers, cut_off = 300, 100
 
-    def check_current(self):
-        """Check that a deleted entry and new tables are in force everywhere in time."""
-        self.run_with_changes(5.0)
-        self.rows.drop("servers", "a")
-        self.run_with_changes(DRAIN_S)
-        self.assertEqual(self.holders("a"), [])
-        self.fleet.run(BOUNDS.config_apply_s, STEP_S)
-        self.assertEqual(self.behind(), [])
-
     def test_tables_are_current_at_routers_that_the_store_refuses(self):
         self.line.cut |= self.lost
-        self.check_current()
+        self.check_current(5.0)
 
     def test_tables_are_current_while_the_store_is_slow_and_silent_for_some(self):
         self.line.latency_s = 0.2
         self.line.silent |= self.lost
-        self.check_current()
+        self.check_current(5.0)
 
     def test_tables_are_current_though_most_routers_are_cut_off(self):
         self.line.silent |= {f"r{number}" for number in range(200)}
-        self.check_current()
+        self.check_current(5.0)
 
     def test_tables_are_current_though_all_hubs_are_cut_off(self):
         members = [router.member for router in self.fleet.routers]
