Close callers' idle connections in make upgrade before routers do

Its log and the time: the connection's last answer was 15.02 s earlier, and routers close connections that are idle for 15 s, so the request met the end.

--- a/scripts/upgrade_callers.py
+++ b/scripts/upgrade_callers.py
@@ -15,6 +15,9 @@
 STREAM_INTERVAL_S = 0.15
 READ_TIMEOUT_S = 15.0
 POLL_S = 0.01
+STREAMS_PER_POOL = 40
+"""Number of streams after which idle connections are closed, well before the routers'
+time for idle connections is over: a request that meets its end would be lost."""
 BODY = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
 
 
@@ -108,7 +111,11 @@
 
     def _read_streams(self) -> None:
         pool = eventlet.GreenPool()
+        begun = 0
         while not self._is_over:
+            if begun % STREAMS_PER_POOL == 0:
+                self._pool.clear()
+            begun += 1
             if self.in_service:
                 number = self._rng.choice(sorted(self.in_service))
                 # Counted before its green thread runs, so that `take_out` waits for it.
