Lose no change at the end of a wait in the stand-in store

Cause: the stand-in, not a router. Its feed answered a wait that was over with no rows and the present version, also when a change had come after the end of the wait and before the process noticed it.

Ruled out: the freeze of the router 5 s earlier, and the table of another router (the row came to five others by their own feeds).

--- a/standins/rows.py
+++ b/standins/rows.py
@@ -192,15 +192,14 @@
 
     def _feed(self, fields: dict[str, str]) -> Answer:
         after = int(fields["after"])
+        table = fields["table"]
         with eventlet.Timeout(int(fields.get("waitMs", 0)) / 1000.0, False):
-            while self._has_history(after) and not (
-                rows := self._changes(fields["table"], after)
-            ):
+            while self._has_history(after) and not self._changes(table, after):
                 self._changed.wait()
-            if not self._has_history(after):
-                return Answer(410)
-            return json_answer({"rows": rows, "ver": self._ver, "nowMs": 0})
-        return json_answer({"rows": [], "ver": self._ver, "nowMs": 0})
+        if not self._has_history(after):
+            return Answer(410)
+        rows = self._changes(table, after)
+        return json_answer({"rows": rows, "ver": self._ver, "nowMs": 0})
 
     def _has_history(self, after: int) -> bool:
         return self._discarded_ver <= after <= self._ver
