Compare another router's table with what the mirror has when it arrives

An older table has no effect either way; it was logged as fetched though the store had answered meanwhile.

--- a/boragedeck/process/relaying/tables/mirror_follower.py
+++ b/boragedeck/process/relaying/tables/mirror_follower.py
@@ -279,12 +279,12 @@
                 self._fetch(self._rng.choice(peers))
 
     def _fetch(self, address: Address) -> None:
-        started_at, known = self._timers.now(), self._mirror.version
-        told = self._peer_tables.fetch(address, known)
+        started_at = self._timers.now()
+        told = self._peer_tables.fetch(address, self._mirror.version)
         if told is None:
             return
         part, changes = told.part, told.changes
-        is_newer = changes is not None and changes.version > known
+        is_newer = changes is not None and changes.version > self._mirror.version
         if is_newer or self._mirror.version >= 0:
             self._note_peer_heard(part, started_at)
         if is_newer:
