Show that a late copy of an answer 421 makes another call run twice

Code at fault: HttpReplicaProtocol.verdict returns MOVED for each 421 before it compares the request id; start_attempt then counts the call as not sent.

--- a/review/common/replica.py
+++ b/review/common/replica.py
@@ -81,6 +81,7 @@
         self.runs: Counter[str] = Counter()
         self.seen: dict[str, Head] = {}
         self.rejected = 0
+        self.misdirected = 0
         self.repeated_answers = 0
         self.may_repeat_answer: Callable[[], bool] = lambda: False
         self._record = record
@@ -91,6 +92,7 @@
         self._work_s = work_s
         self._born_ms = int(time.time() * 1000.0)
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str, port: int = 0) -> None:
         """Listen at an address."""
@@ -102,6 +104,12 @@
         """Accept no further connections."""
         self._server.close()
 
+    def abort(self) -> None:
+        """Stop at once, and reset all connections."""
+        self.stop()
+        for writer in self._writers:
+            writer.transport.abort()
+
     def entry(self, **fields) -> dict:
         """Return its entry in the platform's list."""
         return {
@@ -120,6 +128,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         late_answer = b""
+        self._writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head)
@@ -135,6 +144,7 @@
         except (ConnectionError, OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, head: Head, body: bytes) -> tuple[bytes, bool]:
@@ -143,6 +153,7 @@
         request_id = head.headers.get("request-id", "")
         echo = [("Request-Id", request_id), ("Keep-Alive", "timeout=5")]
         if head.headers.get("expect-instance", self.name) != self.name:
+            self.misdirected += 1
             return answer_bytes(421, [*echo, ("Instance-Id", self.name)]), True
         self.arrivals += 1
         if self._taken >= self._places:
@@ -192,6 +203,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 await read_body(reader, head)
@@ -207,6 +219,7 @@
         except (ConnectionError, OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _stream(
