--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,10 +10,10 @@
 import tempfile
 from pathlib import Path
 
-from review.common.client import Channel
-from review.common.fleet import Record, Router, has_trouble, host_of, run_case
-from review.common.replica import CallReplica
-from review.common.store import Store
+from review.client import Channel
+from review.fleet import Record, Router, has_trouble, host_of, run_case
+from review.replica import CallReplica
+from review.store import Store
 
 SERVICE = "workshop-api"
 HOST = "calls.example"
--- a/review/__init__.py
+++ b/review/__init__.py
@@ -1,1 +1,1 @@
-"""An independent review: cases that show faults, each with a script or a day."""
+"""An independent review: cases that show faults, and the stand-ins they share."""
--- a/review/common/client.py
+++ b/review/client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from review.common.http_text import Head, read_body, read_head
+from review.http_text import Head, read_body, read_head
 
 __all__ = ["Channel", "Reply"]
 
--- a/review/common/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and helpers that the review's scripts share; standard library only."""
--- a/review/common/fleet.py
+++ b/review/fleet.py
@@ -10,11 +10,11 @@
 import tomllib
 from pathlib import Path
 
-from review.common.http_text import read_body, read_head
+from review.http_text import read_body, read_head
 
 __all__ = ["Record", "Router", "has_trouble", "run_case"]
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 READY_TIMEOUT_S = 25.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.05
--- a/review/common/replica.py
+++ b/review/replica.py
@@ -5,8 +5,8 @@
 from collections import Counter
 from collections.abc import Callable
 
-from review.common.fleet import Record
-from review.common.http_text import Head, answer_bytes, read_body, read_head
+from review.fleet import Record
+from review.http_text import Head, answer_bytes, read_body, read_head
 
 __all__ = ["CallReplica", "StreamReplica"]
 
--- a/review/common/store.py
+++ b/review/store.py
@@ -5,7 +5,7 @@
 import json
 from urllib.parse import parse_qsl
 
-from review.common.http_text import Head, answer_bytes, read_body, read_head
+from review.http_text import Head, answer_bytes, read_body, read_head
 
 __all__ = ["Store"]
 
