Let the stand-in replicas repeat answers late

Both stand-ins, the scripted replica of the tests and the one behind real routers, now share standins/late_answers, which keeps the last answer of a connection and sends it again before the next one. The platform cluster of the demonstration and of make upgrade repeats one answer in ten, by a seed.

--- a/scripts/platform_cluster.py
+++ b/scripts/platform_cluster.py
@@ -1,6 +1,7 @@
 """Routers as processes, before engines and a store that stand in for the platform."""
 
 import os
+import random
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -13,9 +14,10 @@
 
 from scripts.ports import PortBlock
 from standins.gate import Gate
+from standins.late_answers import with_share
 from standins.relay_replica import RelayReplica
 from standins.rows import RowStore
-from standins.web import listen, serve
+from standins.web import listen
 
 __all__ = ["EVENTS", "ROUTE_HEADERS", "PlatformCluster"]
 
@@ -23,6 +25,9 @@
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
 EVENTS = 40
+REPEATED_SHARE = 0.1
+"""Share of the engines' answers that are repeated late."""
+REPEAT_SEED = 1
 ROUTE_HEADERS = {"Host": "demo.example", "Api-Key": "demo-key", "Deadline-Ms": "10000"}
 POOL = "engines"
 ROLLOUT_KEY = f"rollout/{POOL}"
@@ -50,6 +55,7 @@
         self.builds: dict[int, Path] = {}
         self.gates: list[Gate] = []
         self.rows = RowStore()
+        self._rng = random.Random(REPEAT_SEED)
         self.engines: dict[str, tuple[RelayReplica, object, object]] = {}
         self.routers: list[subprocess.Popen] = []
         self.settings: list[dict] = []
@@ -77,9 +83,15 @@
         self, name: str, zone: str, *, version: str = "v1", fails: bool = False
     ) -> None:
         """Start an engine and register it in the store."""
-        replica = RelayReplica(name, EVENTS, version=version, fails=fails)
+        replica = RelayReplica(
+            name,
+            EVENTS,
+            version=version,
+            fails=fails,
+            may_repeat=with_share(REPEATED_SHARE, self._rng),
+        )
         listener = listen()
-        server = eventlet.spawn(serve, replica.app, listener)
+        server = eventlet.spawn(replica.serve, listener)
         self.engines[name] = replica, listener, server
         entry = replica.store_entry(POOL, _address(listener), zone)
         self._put("servers", name, entry)
--- a/standins/relay_replica.py
+++ b/standins/relay_replica.py
@@ -1,11 +1,14 @@
 """Stand-in for a replica on the users' platform, serving calls and streams."""
 
 import time
+from collections.abc import Callable
 
 import eventlet
 import msgspec
+from eventlet.green import socket
 
-from standins.web import Answer, App, json_answer
+from standins.late_answers import never, repeating_protocol
+from standins.web import Answer, App, json_answer, serve
 
 __all__ = ["RelayReplica"]
 
@@ -28,6 +31,8 @@
         The version of its model.
     fails : bool
         Whether it answers each request with status 500.
+    may_repeat : callable, optional
+        Returns whether an answer is repeated late; see `AnswerRepeater`.
 
     Attributes
     ----------
@@ -47,6 +52,7 @@
         *,
         version: str = "v1",
         fails: bool = False,
+        may_repeat: Callable[[], bool] = never,
     ):
         self.name = name
         self.version = version
@@ -56,12 +62,17 @@
         self.limit_per_s: float | None = None
         self._events = events
         self._interval_s = event_interval_s
+        self._may_repeat = may_repeat
 
     @property
     def app(self) -> App:
         """The WSGI application."""
         return self._answer
 
+    def serve(self, listener: socket.socket) -> None:
+        """Serve requests until the listener is closed."""
+        serve(self.app, listener, protocol=repeating_protocol(self._may_repeat))
+
     def store_entry(self, service: str, address: str, zone: str) -> bytes:
         """Return the replica's own entry in the store."""
         return msgspec.json.encode(
@@ -79,16 +90,18 @@
     def _answer(self, environ, start_response):
         if environ["PATH_INFO"] == "/boragedeck/report":
             return json_answer({"models": [{"name": MODEL}]}).send(start_response)
+        request_id = environ.get("HTTP_REQUEST_ID", "")
+        echo = ("Request-Id", request_id)
         expected = environ.get("HTTP_EXPECT_INSTANCE")
         if expected not in (None, self.name):
-            start_response("421 Misdirected Request", [("Instance-Id", self.name)])
+            misdirected = [echo, ("Instance-Id", self.name)]
+            start_response("421 Misdirected Request", misdirected)
             return [b""]
         if "HTTP_KV_FROM" in environ:
-            start_response("503 Service Unavailable", [("Not-Executed", "1")])
+            start_response("503 Service Unavailable", [echo, ("Not-Executed", "1")])
             return [b""]
-        request_id = environ.get("HTTP_REQUEST_ID", "")
         self.served_ids.append(request_id)
-        headers = [("Request-Id", request_id), SEAL]
+        headers = [echo, SEAL]
         if self.fails:
             start_response("500 Internal Server Error", headers)
             return [b""]
--- a/standins/web.py
+++ b/standins/web.py
@@ -105,7 +105,13 @@
     return f"http://{host}:{port}"
 
 
-def serve(app: App, listener: socket.socket, *, is_announced: bool = False) -> None:
+def serve(
+    app: App,
+    listener: socket.socket,
+    *,
+    is_announced: bool = False,
+    protocol: type[eventlet.wsgi.HttpProtocol] = eventlet.wsgi.HttpProtocol,
+) -> None:
     """Serve an application until the listener is closed.
 
     Parameters
@@ -116,6 +122,8 @@
         A listening socket.
     is_announced : bool
         Whether to print the `Ready` line first.
+    protocol : type, optional
+        Reads requests and writes answers.
     """
     if is_announced:
         ready = Ready(base_url(listener), os.getpid())
@@ -124,6 +132,7 @@
         listener,
         _log_exceptions(app),
         max_size=MAX_CONNECTIONS,
+        protocol=protocol,
         minimum_chunk_size=1,
         log_output=False,
         debug=False,
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -54,6 +54,7 @@
     RouteRule,
     RoutingTable,
 )
+from standins.late_answers import AnswerRepeater, never
 
 BOUNDS = Bounds(
     contact_s=3.0,
@@ -130,6 +131,26 @@
     headers: dict[bytes, bytes]
     body: bytes
     number: int
+    connection: int
+
+
+class AnsweringSocket:
+    """The replica's end of a connection, which records the answers."""
+
+    def __init__(self, sock, repeater):
+        self._sock, self._repeater = sock, repeater
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+    def sendall(self, data):
+        """Send a part of an answer."""
+        self._repeater.note_sent(data)
+        self._sock.sendall(data)
+
+    def send_late_answer(self):
+        """Send the answer before once more, if the replica repeats it."""
+        self._sock.sendall(self._repeater.begin_answer())
 
 
 class ScriptedReplica:
@@ -137,10 +158,14 @@
 
     A step is called with the connection's socket and the request, and returns whether
     the connection is kept open. The last step is repeated.
+
+    `may_repeat` returns whether the last answer on a connection is sent once more
+    before the next one; see `AnswerRepeater`.
     """
 
-    def __init__(self, name, *steps):
+    def __init__(self, name, *steps, may_repeat=never):
         self.name = name
+        self._may_repeat = may_repeat
         self.received = []
         self.closed_after = []
         self.connections = 0
@@ -177,22 +202,31 @@
             **fields,
         )
 
+    def by_connection(self):
+        """Return the requests of each connection."""
+        return [
+            [req for req in self.received if req.connection == number]
+            for number in range(1, self.connections + 1)
+        ]
+
     def _accept(self):
         while True:
             sock, _ = self._listener.accept()
             self.connections += 1
             self._socks.append(sock)
-            eventlet.spawn_n(self._serve, sock)
+            eventlet.spawn_n(self._serve, sock, self.connections)
 
-    def _serve(self, sock):
+    def _serve(self, raw_sock, connection):
+        sock = AnsweringSocket(raw_sock, AnswerRepeater(self._may_repeat))
         parser = h11.Connection(h11.SERVER)
         try:
             while True:
-                req = self._read(sock, parser)
+                req = self._read(sock, parser, connection)
                 if req is None:
                     self.closed_after.append(len(self.received))
                     return
                 self.received.append(req)
+                sock.send_late_answer()
                 step = self._steps.pop(0) if len(self._steps) > 1 else self._steps[0]
                 if not step(sock, req):
                     return
@@ -206,7 +240,7 @@
         finally:
             sock.close()
 
-    def _read(self, sock, parser):
+    def _read(self, sock, parser, connection):
         head, body = None, b""
         while True:
             event = parser.next_event()
@@ -222,7 +256,12 @@
             else:
                 headers = {bytes(n): bytes(v) for n, v in head.headers}
                 return ReceivedRequest(
-                    head.method, head.target, headers, body, len(self.received)
+                    head.method,
+                    head.target,
+                    headers,
+                    body,
+                    len(self.received),
+                    connection,
                 )
 
 
