Match an answer to its sending before believing its status

After a replica's restart, calls for the old id got 421 on connections that stayed open. A late copy of such an answer, with the id of the earlier call, arrived where the next call's answer was expected. The call had been sent and ran; it was sent to the other replica, too, and the sound replica was removed from the registry.

Cause: HttpReplicaProtocol.verdict looked at the status before the id, so every 421 was MOVED, whatever call it named. The class: which sending an answer belongs to was decided anew wherever a head was read, by the id alone or by nothing. An answer without an id was taken for the request's own, too: a 503 with Not-Executed, and failures.

Now connection/sent_requests states in one place what makes an answer that of the last sending on a connection, and request/answer_heads is the only reader of heads for attempts and probes. What names another request is skipped. What names none is never 'not run', also not by a 421: the request may have run. Of a skipped answer only leaving is believed, and of the replica that the request's own answer shows to be at the other end; a wait or a limit that it names may have ended since.

Ruled out: connections that are closed with unread bytes (is_open_and_empty closes them; the copies come after the next request); the store's list (the entry was sound).

--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -14,6 +14,7 @@
 from eventlet.hubs import trampoline
 
 from boragedeck.connection.peer import Address
+from boragedeck.connection.sent_requests import AnswerMatch, SentRequests
 from boragedeck.exceptions import (
     UpstreamAnswerTooLargeError,
     UpstreamError,
@@ -61,12 +62,15 @@
         All headers except the framing headers.
     body : bytes
         The whole body.
+    request_id : bytes or None
+        The id that answers to this request repeat; None if they have none.
     """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes = b""
+    request_id: bytes | None = None
 
 
 class AnswerHead(msgspec.Struct, frozen=True):
@@ -112,6 +116,8 @@
         Until when the connection may be reused, in monotonic seconds.
     on_arrival : callable
         Called whenever bytes have arrived.
+    sent : SentRequests
+        The requests that the connection has carried.
     """
 
     def __init__(self, sock: socket.socket, address: Address):
@@ -122,6 +128,7 @@
         self.idle_s = DEFAULT_IDLE_S
         self.reusable_until = 0.0
         self.on_arrival: Callable[[], None] = _ignore_arrival
+        self.sent = SentRequests()
 
     def is_open_and_empty(self) -> bool:
         """Return whether the connection is open and has no unread bytes."""
@@ -214,6 +221,11 @@
         self._is_interrupted = False
         self._interim_answers = 0
 
+    @property
+    def request_id(self) -> bytes | None:
+        """The id of the request; None if it has none."""
+        return self._message.request_id
+
     def head(self, timeout_s: float) -> AnswerHead:
         """Wait for the head of the answer.
 
@@ -237,6 +249,16 @@
             if self._interim_answers > MAX_INTERIM_ANSWERS:
                 raise self._excess_error("too many interim (1xx) answers", "read head")
 
+    def match(self, answer_id: bytes | None) -> AnswerMatch:
+        """Return whether an answer on this connection is the one to this request.
+
+        Parameters
+        ----------
+        answer_id : bytes or None
+            The request's id in the answer; None if the answer has none.
+        """
+        return self._conn.sent.match(answer_id)
+
     def read(self, timeout_s: float) -> bytes:
         """Wait for a part of the body; return an empty value at its end.
 
--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -136,6 +136,7 @@
             conn = self._open(address, connect_timeout_s)
         try:
             check()
+            conn.sent.note_sent(message.request_id)
             data = encode_request(conn.parser, message)
             timeout_error = TimeoutError("the request was not sent in time")
             with eventlet.Timeout(send_timeout_s, timeout_error):
--- a/boragedeck/platform/replica_protocol.py
+++ b/boragedeck/platform/replica_protocol.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from boragedeck.connection.exchange import AnswerHead, Headers, Message
+from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.platform.names import (
     BACKUP,
@@ -74,7 +75,19 @@
         if plan.source is not None:
             source = f"{plan.source.address}/{req.request_id}"
             headers.append((COPY_SOURCE, source.encode("latin-1")))
-        return Message(req.method, req.target, headers, req.body)
+        request_id = self.request_id(headers)
+        return Message(req.method, req.target, headers, req.body, request_id)
+
+    def request_id(self, headers: Headers) -> bytes | None:
+        """Return the id that a request or an answer names; None if it has none.
+
+        Notes
+        -----
+        Headers that name several requests name none.
+        """
+        name = REQUEST_ID.lower()
+        values = {value for other, value in headers if other.lower() == name}
+        return (values.pop() or None) if len(values) == 1 else None
 
     def probe_message(self) -> Message:
         """Return a probe, which any live engine answers without using a slot."""
@@ -98,24 +111,33 @@
             rejection_limit=_rejection_limit(head),
         )
 
-    def verdict(self, req: RelayRequest, head: AnswerHead) -> Verdict:
-        """Return the classification of an answer by its head."""
-        echoed_id = head.get(REQUEST_ID.lower())
-        if head.status == STATUS_MISDIRECTED:
-            actual_id = head.get(REPLICA_ID.lower())
-            name = None if actual_id is None else ReplicaId(actual_id.decode("latin-1"))
-            return Verdict(VerdictKind.MOVED, actual_replica=name)
-        if echoed_id is not None and echoed_id != req.request_id.encode("latin-1"):
-            return Verdict(VerdictKind.STRAY)
-        if head.get(NOT_RUN.lower()) is not None:
-            return Verdict(VerdictKind.NOT_RUN)
-        if head.get(b"content-encoding") is not None:
-            return Verdict(VerdictKind.INVALID)
-        is_success = 200 <= head.status < 300
-        if is_success and (echoed_id is None or head.get(SEAL.lower()) is None):
-            return Verdict(VerdictKind.INVALID)
-        kind = VerdictKind.SUCCESS if is_success else VerdictKind.FAILED
-        return Verdict(kind, _forwarded_headers(head))
+    def verdict(self, head: AnswerHead, match: AnswerMatch) -> Verdict:
+        """Return the classification of an answer that isn't another request's."""
+        match match:
+            case AnswerMatch.OWN:
+                return _own_verdict(head)
+            case AnswerMatch.UNPROVEN:
+                verdict = _own_verdict(head)
+                is_claim = verdict.kind in (VerdictKind.MOVED, VerdictKind.NOT_RUN)
+                return Verdict(VerdictKind.INVALID) if is_claim else verdict
+        return Verdict(VerdictKind.INVALID)
+
+
+def _own_verdict(head: AnswerHead) -> Verdict:
+    """Return the classification of an answer that names the request."""
+    if head.status == STATUS_MISDIRECTED:
+        actual_id = head.get(REPLICA_ID.lower())
+        name = None if actual_id is None else ReplicaId(actual_id.decode("latin-1"))
+        return Verdict(VerdictKind.MOVED, actual_replica=name)
+    if head.get(NOT_RUN.lower()) is not None:
+        return Verdict(VerdictKind.NOT_RUN)
+    if head.get(b"content-encoding") is not None:
+        return Verdict(VerdictKind.INVALID)
+    is_success = 200 <= head.status < 300
+    if is_success and head.get(SEAL.lower()) is None:
+        return Verdict(VerdictKind.INVALID)
+    kind = VerdictKind.SUCCESS if is_success else VerdictKind.FAILED
+    return Verdict(kind, _forwarded_headers(head))
 
 
 def _hold_off(head: AnswerHead) -> HoldOff | None:
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -30,6 +30,12 @@
             ["kind", "outcome"],
             registry=registry,
         )
+        self.answers = Counter(
+            "boragedeck_relay_answers",
+            "Heads of replicas' answers by whether they belong to the request.",
+            ["match"],
+            registry=registry,
+        )
         self.oversized_answers = Counter(
             "boragedeck_relay_excess",
             "Attempts ended because the replica's answer exceeded the allowed size.",
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from boragedeck.connection.exchange import AnswerHead, Exchange
+from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamNotAcceptingError,
@@ -14,15 +15,14 @@
     UpstreamSilentError,
 )
 from boragedeck.process.relaying.placing.place import Place
-from boragedeck.request.relay_job import RelayComponents, RelayJob, log
+from boragedeck.request.answer_heads import read_own_head
+from boragedeck.request.relay_job import RelayComponents, RelayJob
 from boragedeck.request.relay_request import AttemptPlan, Verdict, VerdictKind
 
 __all__ = ["PendingAnswer", "start_attempt", "probe"]
 
 CONNECT_TIMEOUT_S = 0.3
 SEND_TIMEOUT_S = 2.0
-SKIP_TIMEOUT_S = 0.3
-"""Time limit for reading and discarding an answer to an earlier request."""
 MAX_PROBE_BYTES = 256 * 1024
 
 
@@ -152,20 +152,18 @@
     wait_for_head: Callable[[Exchange], AnswerHead],
 ) -> PendingAnswer:
     parts = job.parts
-    while True:
-        head = wait_for_head(exchange)
-        verdict = parts.protocol.verdict(job.req, head)
-        state = place.state
-        if verdict.kind is VerdictKind.MOVED:
-            # The answer came from another replica, so its notice concerns that one.
-            state = parts.registry.get(verdict.actual_replica)
-        if state is not None:
-            may_lift = verdict.kind is not VerdictKind.STRAY
-            parts.notices.handle(state, parts.protocol.notice(head), may_lift=may_lift)
-        if verdict.kind is not VerdictKind.STRAY:
-            return PendingAnswer(exchange, head, verdict)
-        log.write("Skipped a stray answer.", request=job.req.request_id)
-        exchange.skip(min(SKIP_TIMEOUT_S, job.left_s()))
+    received = read_own_head(
+        exchange, parts.protocol, parts.metrics, wait_for_head, job.left_s
+    )
+    verdict = parts.protocol.verdict(received.head, received.match)
+    state = place.state
+    if verdict.kind is VerdictKind.MOVED:
+        # The answer came from another replica, so its notice concerns that one.
+        state = parts.registry.get(verdict.actual_replica)
+    if state is not None:
+        is_own = received.match is AnswerMatch.OWN
+        parts.notices.handle(state, received.notice, may_lift=is_own)
+    return PendingAnswer(exchange, received.head, verdict)
 
 
 def probe(parts: RelayComponents, place: Place, timeout_s: float) -> bytes | None:
@@ -182,9 +180,14 @@
                 address, parts.protocol.probe_message(), timeout_s, timeout_s
             )
             try:
-                head = exchange.head(timeout_s)
-                notice = parts.protocol.notice(head)
-                parts.notices.handle(place.state, notice, may_lift=False)
+                received = read_own_head(
+                    exchange,
+                    parts.protocol,
+                    parts.metrics,
+                    lambda exchange: exchange.head(timeout_s),
+                    lambda: timeout_s,
+                )
+                parts.notices.handle(place.state, received.notice, may_lift=False)
                 return exchange.read_all(timeout_s, MAX_PROBE_BYTES)
             finally:
                 exchange.close()
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -246,8 +246,7 @@
                 place.is_rejected = True
                 job.note_attempt_failed(place, f"not run, status {pending.head.status}")
                 return NotTaken("the replica did not run the request")
-            case VerdictKind.INVALID | VerdictKind.STRAY:
-                # `start_attempt` skips stray answers, which belong to other requests.
+            case VerdictKind.INVALID:
                 state.note_answer(False, job.parts.timers.now())
                 job.evidence.note_outcome(place, Outcome.FAILED)
                 job.note_attempt_failed(place, "invalid answer")
--- a/boragedeck/request/relay_request.py
+++ b/boragedeck/request/relay_request.py
@@ -7,6 +7,7 @@
 
 from boragedeck.connection.exchange import AnswerHead, Headers, Message
 from boragedeck.connection.peer import Address
+from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.ids import OrganisationName, PromptPartId
 from boragedeck.version.replicas import Replica, ReplicaId, ReplicaNotice
 
@@ -121,10 +122,9 @@
     """The replica reports that it did not run the request and will not."""
     MOVED = "moved"
     """Another replica has the address, and it did not run the request."""
-    STRAY = "stray"
-    """The answer belongs to another request."""
     INVALID = "invalid"
-    """The answer can't be the replica's answer to this request."""
+    """The answer isn't valid, or it can't be told to which request it belongs, so the
+    replica may have run the request."""
 
 
 class Verdict(msgspec.Struct, frozen=True):
@@ -160,5 +160,8 @@
     def notice(self, head: AnswerHead) -> ReplicaNotice:
         """Return the notice about the replica's own state in the head of an answer."""
 
-    def verdict(self, req: RelayRequest, head: AnswerHead) -> Verdict:
-        """Return the classification of an answer by its head."""
+    def request_id(self, headers: Headers) -> bytes | None:
+        """Return the id that a request or an answer names; None if it has none."""
+
+    def verdict(self, head: AnswerHead, match: AnswerMatch) -> Verdict:
+        """Return the classification of an answer that isn't another request's."""
