Send no id twice on one connection

Cause: an id names a request, not a sending. On a connection that has carried the id before, the two answers can't be told apart, and the pool forgot what a connection had carried when it took it back. The first answer promised that the call hadn't run, which was true; the second sending ran.

A connection now carries each id once, and no id counts as one: UpstreamPool looks for an idle connection that may carry the request, and opens one else. This holds for whatever is sent through the pool: attempts after 421, 429, 503, the successor at an address, what a caller resumes by the same id, copies, and probes, which have no id.

The pool's two tests of reuse sent one id over and over, which now needs other connections; they send a new id each time and count the connections as strictly as before.

Counter: boragedeck_replica_connections by reason.

--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -22,7 +22,7 @@
 )
 from boragedeck.process.timers import TimerService
 
-__all__ = ["MAX_IDLE_PER_REPLICA", "ConnectOutcome", "UpstreamPool"]
+__all__ = ["MAX_IDLE_PER_REPLICA", "ConnectOutcome", "OpenReason", "UpstreamPool"]
 
 MAX_IDLE_PER_REPLICA = 8
 """Maximum number of idle connections to one replica."""
@@ -47,6 +47,21 @@
     TIMED_OUT = "timed_out"
 
 
+class OpenReason(enum.Enum):
+    """Why a connection was opened."""
+
+    NONE_IDLE = "none_idle"
+    """There was no idle connection to the replica."""
+    ID_CARRIED = "id_carried"
+    """All idle connections have carried the request's id before."""
+    PATH_CHECK = "path_check"
+    """To see whether the replica accepts it."""
+
+
+def _ignore_opened(reason: OpenReason) -> None:
+    """Do nothing; the default of `UpstreamPool.on_opened`."""
+
+
 class UpstreamPool:
     """Opens connections to replicas and keeps idle ones for reuse.
 
@@ -58,6 +73,11 @@
         Returns the maximum number of idle connections to one replica.
     exchange_type : type, optional
         The class of the exchanges.
+
+    Attributes
+    ----------
+    on_opened : callable
+        Called with the reason whenever a connection was opened.
     """
 
     def __init__(
@@ -71,6 +91,7 @@
         self._exchange_type = exchange_type
         self._idle: dict[Address, list[UpstreamConnection]] = {}
         self._heard_at: dict[Address, float] = {}
+        self.on_opened: Callable[[OpenReason], None] = _ignore_opened
 
     def heard_at(self, address: Address) -> float:
         """Return when a replica last accepted a connection or sent something.
@@ -95,6 +116,7 @@
         """
         try:
             conn = self._open(address, timeout_s)
+            self.on_opened(OpenReason.PATH_CHECK)
         except UpstreamConnectTimeoutError:
             return ConnectOutcome.TIMED_OUT
         except UpstreamRefusedError:
@@ -131,9 +153,14 @@
             If the connection broke, or was too slow, while the request was sent; the
             replica may have received it.
         """
-        conn = self._pop_idle(address)
+        conn = self._pop_idle(address, message.request_id)
         if conn is None:
+            # What remains idle can't tell answers to this id apart.
+            is_id_carried = address in self._idle
             conn = self._open(address, connect_timeout_s)
+            self.on_opened(
+                OpenReason.ID_CARRIED if is_id_carried else OpenReason.NONE_IDLE
+            )
         try:
             check()
             conn.sent.note_sent(message.request_id)
@@ -152,7 +179,8 @@
     def _release(self, conn: UpstreamConnection, is_complete: bool) -> None:
         parser = conn.parser
         is_clean = is_complete and not parser.trailing_data[0]
-        if not is_clean or (parser.our_state, parser.their_state) != _BOTH_DONE:
+        is_done = (parser.our_state, parser.their_state) == _BOTH_DONE
+        if not (is_clean and is_done) or conn.sent.is_full:
             conn.close()
             return
         parser.start_next_cycle()
@@ -182,7 +210,7 @@
         for address in list(self._idle):
             kept = []
             for conn in self._idle[address]:
-                if conn.reusable_until > now and conn.is_open_and_empty():
+                if self._is_reusable(conn):
                     kept.append(conn)
                 else:
                     conn.close()
@@ -191,14 +219,27 @@
             else:
                 del self._idle[address]
 
-    def _pop_idle(self, address: Address) -> UpstreamConnection | None:
-        idle = self._idle.get(address, [])
-        while idle:
+    def _pop_idle(
+        self, address: Address, request_id: bytes | None
+    ) -> UpstreamConnection | None:
+        """Return the newest idle connection that may carry a request."""
+        found, kept = None, []
+        idle = self._idle.pop(address, [])
+        while idle and found is None:
             conn = idle.pop()
-            if conn.reusable_until > self._timers.now() and conn.is_open_and_empty():
-                return conn
-            conn.close()
-        return None
+            if not self._is_reusable(conn):
+                conn.close()
+            elif conn.sent.may_send(request_id):
+                found = conn
+            else:
+                kept.append(conn)
+        idle += reversed(kept)
+        if idle:
+            self._idle[address] = idle
+        return found
+
+    def _is_reusable(self, conn: UpstreamConnection) -> bool:
+        return conn.reusable_until > self._timers.now() and conn.is_open_and_empty()
 
     def _open(self, address: Address, timeout_s: float) -> UpstreamConnection:
         timeout_error = TimeoutError("no connection in time")
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -235,6 +235,7 @@
             self._membership.routers,
         )
         self._upstreams = UpstreamPool(self.timers, self._max_idle_per_replica)
+        self._upstreams.on_opened = self.metrics.note_connection
         self._paths = make_paths(
             self.timers,
             self._rng,
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -2,6 +2,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from boragedeck.connection.upstream_pool import OpenReason
+
 __all__ = ["RelayMetrics"]
 
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 4.5, 8.0, 15.0, 25.0)
@@ -36,6 +38,12 @@
             ["match"],
             registry=registry,
         )
+        self.connections = Counter(
+            "boragedeck_replica_connections",
+            "Connections to replicas that were opened, by reason.",
+            ["reason"],
+            registry=registry,
+        )
         self.oversized_answers = Counter(
             "boragedeck_relay_excess",
             "Attempts ended because the replica's answer exceeded the allowed size.",
@@ -165,3 +173,7 @@
         self.dropped_logs = Gauge(
             "boragedeck_log_lines_dropped", "Log lines dropped.", registry=registry
         )
+
+    def note_connection(self, reason: OpenReason) -> None:
+        """Count a connection to a replica that was opened."""
+        self.connections.labels(reason.value).inc()
--- a/tests/connection/test_upstream_pool.py
+++ b/tests/connection/test_upstream_pool.py
@@ -1,12 +1,14 @@
+import itertools
 import math
 import unittest
+from unittest import mock
 
 import eventlet
 from eventlet.green import socket
 
 from boragedeck.connection.exchange import IDLE_MARGIN_S, Message
 from boragedeck.connection.peer import Address
-from boragedeck.connection.upstream_pool import UpstreamPool
+from boragedeck.connection.upstream_pool import OpenReason, UpstreamPool
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamRefusedError,
@@ -15,7 +17,13 @@
 from boragedeck.process.timers import ManualTimers
 from tests.support.replicas import ScriptedReplica, answer, head_of, stay_silent
 
-MESSAGE = Message(b"GET", b"/x", [(b"Host", b"h"), (b"Request-Id", b"1")])
+
+def message(request_id):
+    headers = [(b"Host", b"h"), (b"Request-Id", request_id)]
+    return Message(b"GET", b"/x", headers, request_id=request_id)
+
+
+MESSAGE = message(b"first")
 
 
 def answer_with_keep_alive(seconds):
@@ -37,6 +45,9 @@
     def setUp(self):
         self.timers = ManualTimers()
         self.pool = UpstreamPool(self.timers)
+        self.opened = []
+        self.pool.on_opened = self.opened.append
+        self.numbers = itertools.count()
 
     def replica(self, *steps):
         replica = ScriptedReplica("one", *steps)
@@ -45,8 +56,10 @@
         self.addCleanup(self.pool.forget, replica.address)
         return replica
 
-    def fetch(self, replica):
-        exchange = self.pool.send(replica.address, MESSAGE, 1.0, 1.0)
+    def fetch(self, replica, request_id=None):
+        """Send a request, with an id of its own if none is given."""
+        request_id = request_id or b"%d" % next(self.numbers)
+        exchange = self.pool.send(replica.address, message(request_id), 1.0, 1.0)
         try:
             exchange.head(1.0)
             return exchange.read_all(1.0, 1000)
@@ -59,6 +72,33 @@
             self.fetch(replica)
         self.assertEqual(replica.connections, 1)
 
+    # Guards against late answers that name a request sent before on its connection.
+    def test_id_is_sent_again_on_the_same_connection(self):
+        replica = self.replica(answer())
+        for request_id in (b"a", b"b", b"a", b"a", b"c", b"b"):
+            self.fetch(replica, request_id)
+        for sock_requests in replica.by_connection():
+            ids = [req.headers[b"request-id"] for req in sock_requests]
+            self.assertEqual(len(ids), len(set(ids)))
+        reasons = [OpenReason.NONE_IDLE, OpenReason.ID_CARRIED, OpenReason.ID_CARRIED]
+        self.assertEqual(self.opened, reasons)
+
+    def test_connection_that_has_not_carried_the_id_is_preferred_to_a_new_one(self):
+        replica = self.replica(answer())
+        self.fetch(replica, b"a")
+        self.fetch(replica, b"a")
+        self.fetch(replica, b"b")
+        self.fetch(replica, b"b")
+        self.assertEqual(replica.connections, 2)
+
+    def test_connection_that_has_carried_its_most_requests_is_closed(self):
+        replica = self.replica(answer())
+        name = "boragedeck.connection.sent_requests.MAX_REQUESTS_PER_CONNECTION"
+        with mock.patch(name, 3):
+            for _ in range(7):
+                self.fetch(replica)
+        self.assertEqual(replica.connections, 3)
+
     def test_silence_of_a_second_and_a_half_does_not_close_a_connection(self):
         replica = self.replica(answer())
         self.fetch(replica)
--- a/tests/request/test_late_answers.py
+++ b/tests/request/test_late_answers.py
@@ -13,8 +13,14 @@
     ScriptedReplica,
     answer,
     call_rule,
+    event,
+    events,
     head_of,
     moved,
+    not_run,
+    report_model,
+    send_chunk,
+    stream_rule,
 )
 
 POOL = RelayPool("engines", 100, ENGINE)
@@ -98,6 +104,72 @@
         harness.fetch(name=b"id-2")
         self.assertIsNotNone(harness.registry.get("other"))
 
+    # Guards against a call that is sent to the successor of its replica and runs twice.
+    def test_call_is_sent_twice_on_the_connection_of_its_421(self):
+        one = RunningReplica("one", moved, report_model)
+        harness = self.harness(one, pool=POOL)
+        self.assertEqual(harness.fetch().status, 200)
+        self.assertEqual(one.run_ids, [b"id-1"])
+        self.assertEqual(harness.registry.get("other").replica.replica, "other")
+
+
+class RejectedAnswerTest(LateAnswerCase):
+    # Guards against review/2: a late rejection, believed for the second sending.
+    def test_late_copy_of_a_503_makes_the_rejected_call_run_twice(self):
+        one = RunningReplica("one", not_run)
+        response = self.harness(one).fetch()
+        self.assertEqual((response.status, one.run_ids), (200, [b"id-1"]))
+
+    # Guards against review/2: a call that is refused though it has run.
+    def test_late_copy_of_a_503_makes_a_call_that_ran_look_refused(self):
+        one = RunningReplica("one", not_run)
+        harness = self.harness(one, rule=call_rule(CallKind.ONCE, max_attempts=2))
+        self.assertEqual((harness.fetch().status, one.run_ids), (200, [b"id-1"]))
+
+    # Guards against the same with the other status that promises a request hasn't run.
+    def test_late_copy_of_a_429_makes_the_rejected_call_run_twice(self):
+        one = RunningReplica("one", refused(429))
+        response = self.harness(one).fetch()
+        self.assertEqual((response.status, one.run_ids), (200, [b"id-1"]))
+
+    # Guards against late copies when many connections have carried the id.
+    def test_call_that_is_rejected_again_and_again_runs_once(self):
+        one = RunningReplica("one", *[not_run] * 6)
+        rule = call_rule(CallKind.ONCE, max_attempts=9)
+        response = self.harness(one, rule=rule).fetch()
+        self.assertEqual((response.status, one.run_ids), (200, [b"id-1"]))
+
+    # Guards against a stream that may run once and is sent again after a rejection.
+    def test_late_copy_of_a_503_makes_a_rejected_stream_run_twice(self):
+        one = RunningReplica("one", not_run, run=events(1, 2))
+        rule = stream_rule(is_resumable=False)
+        response = self.harness(one, rule=rule, pool=POOL).fetch(TOKENS)
+        self.assertEqual(response.body, event(1) + event(2))
+        self.assertEqual(one.run_ids, [b"id-1"])
+
+    # Guards against a copy that is refused and then taken for the run at its holder.
+    def test_late_copy_of_a_503_is_taken_for_the_resumed_stream(self):
+        one = ScriptedReplica("one", events(1, ends=False))
+        two = RunningReplica("two", refused(503), run=events(2))
+        harness = self.harness(one, rule=stream_rule(), pool=POOL)
+        harness.add(two, domain="b")
+        response = harness.fetch(TOKENS)
+        self.assertEqual(response.body, event(1) + event(2))
+        self.assertEqual(two.run_ids, [b"id-1"])
+
+    # Guards against the answer to a caller's first request, when it resumes by its id.
+    def test_late_stream_is_taken_for_its_resumption_by_the_caller(self):
+        def run(sock, req):
+            after = int(req.headers.get(b"last-event-id", b"0"))
+            return events(*range(after + 1, 4))(sock, req)
+
+        one = RunningReplica("one", run=run)
+        harness = self.harness(one, rule=stream_rule(), pool=POOL)
+        harness.fetch(TOKENS)
+        response = harness.fetch(TOKENS, b"Last-Event-Id: 2")
+        self.assertEqual(response.body, event(3))
+        self.assertEqual(one.run_ids, [b"id-1", b"id-1"])
+
 
 class NamelessAnswerTest(LateAnswerCase):
     def check_may_have_run(self, step):
@@ -127,6 +199,62 @@
         self.check_may_have_run(nameless(500, b"Response-Seal: seal"))
 
 
+class ProbeTest(LateAnswerCase):
+    def stream_with_a_pause(self, sock, req):
+        sock.sendall(head_of(req, 200, b"Transfer-Encoding: chunked") + b"\r\n")
+        send_chunk(sock, event(1))
+        eventlet.sleep(0.35)
+        send_chunk(sock, event(2))
+        sock.sendall(b"0\r\n\r\n")
+        return True
+
+    def serve(self, sock, req):
+        is_probe = b"request-id" not in req.headers
+        return (report_model if is_probe else self.stream_with_a_pause)(sock, req)
+
+    # Guards against a probe that is answered by the copy of an answer before it.
+    def test_two_probes_share_a_connection(self):
+        one = ScriptedReplica("one", self.serve, may_repeat=always)
+        harness = self.harness(one, rule=stream_rule(), pool=POOL)
+        for number in range(3):
+            response = harness.fetch(TOKENS, name=b"id-%d" % number)
+            self.assertEqual(response.body, event(1) + event(2))
+        probes = [
+            sum(b"request-id" not in req.headers for req in requests)
+            for requests in one.by_connection()
+        ]
+        self.assertGreaterEqual(sum(probes), 3)
+        self.assertEqual(max(probes), 1)
+
+    # Guards against the late answer to a probe, which has no id, at a call.
+    def test_late_answer_to_a_probe_is_taken_for_the_answer_to_a_call(self):
+        one = ScriptedReplica("one", self.serve, may_repeat=always)
+        harness = self.harness(one, rule=stream_rule(), pool=POOL)
+        harness.fetch(TOKENS, name=b"id-0")
+        fetched = [
+            eventlet.spawn(harness.fetch, TOKENS, name=b"id-%d" % number)
+            for number in (1, 2)
+        ]
+        for thread in fetched:
+            self.assertTrue(thread.wait().is_complete)
+        ids = [req.headers[b"request-id"] for req in one.relayed()]
+        self.assertEqual(sorted(ids), [b"id-0", b"id-1", b"id-2"])
+
+    # Guards against a late answer to a call that tells a probe which models there are.
+    def test_late_answer_to_a_call_is_taken_for_the_answer_to_a_probe(self):
+        body = b'{"models":[{"name":"m","version":1}]}'
+
+        def moved_with_models(sock, req):
+            lines = b"Instance-Id: other", b"Content-Length: %d" % len(body)
+            sock.sendall(head_of(req, 421, *lines) + b"\r\n" + body)
+            return True
+
+        one = RunningReplica("one", moved_with_models, answer(b"{}"))
+        harness = self.harness(one, pool=POOL)
+        self.assertEqual((harness.fetch().status, one.run_ids), (503, []))
+        self.assertIsNone(harness.registry.get("other"))
+
+
 class NoticeTest(LateAnswerCase):
     # Guards against a wait that the replica asked for long ago, and which is over.
     def test_hold_off_in_a_late_answer_counts_again(self):
