Match answers at the gateway, which has the connection

The gateway passed on the next answer, whatever it named: a late rejection of the same call made it run twice (two attempts reach one connection of the gateway), and a late answer to another call ended the attempt as lost.

The gateway now reads the answer like any router: it skips what belongs to another request, says 'lost' of what names none, and marks what it has matched. An answer without the mark comes from a gateway of an older build: it may be a success or a failure, but it is no evidence that the request hasn't run. Headers that only routers set are dropped from replicas' answers. The time for the answer is bounded as a whole, also if late answers keep coming.

--- a/boragedeck/connection/forwarding.py
+++ b/boragedeck/connection/forwarding.py
@@ -13,6 +13,7 @@
 
 from boragedeck.connection.address import Address
 from boragedeck.connection.exchange import AnswerHead, Exchange, Headers, Message
+from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.exceptions import (
     ForwardDeclinedError,
     UpstreamError,
@@ -35,6 +36,8 @@
 TIMEOUT_MS = b"Forward-Timeout-Ms"
 FAILURE = b"Forward-Failure"
 UNDELIMITED = b"Forward-Undelimited"
+MATCHED = b"Forward-Matched"
+"""Set if the gateway has found that the answer belongs to the request."""
 SENT_STATUS = 102
 """Status of the interim answer that the request has been sent to the replica."""
 
@@ -43,6 +46,12 @@
 )
 
 
+OWN_HEADERS = frozenset(
+    {FAILURE.lower(), MATCHED.lower(), TARGET.lower(), UNDELIMITED.lower()}
+)
+"""Headers that only routers set."""
+
+
 class ForwardFailure(enum.Enum):
     """Why a gateway has no answer of the replica."""
 
@@ -110,13 +119,15 @@
     Notes
     -----
     The gateway sends the body in chunks. An answer without a length or chunks is
-    marked, since its end is weaker evidence that it is complete.
+    marked, since its end is weaker evidence that it is complete. All answers are marked
+    as matched, since gateways of older builds pass on answers to other requests, too.
     """
     headers = [
         (name, value)
         for name, value in head.headers
-        if name.lower() not in FRAMING_HEADERS
+        if name.lower() not in FRAMING_HEADERS | OWN_HEADERS
     ]
+    headers.append((MATCHED, b"1"))
     if not head.is_delimited:
         headers.append((UNDELIMITED, b"1"))
     return headers
@@ -126,6 +137,7 @@
     """A request that was sent through a gateway, and its answer."""
 
     is_forwarded = True
+    _is_matched = False
 
     def wait_sent(self, timeout_s: float) -> None:
         """Wait until the gateway has sent the request to the replica.
@@ -148,14 +160,21 @@
         """See `Exchange.head`."""
         head = super().head(timeout_s)
         self._raise_failure(head)
-        if head.get(UNDELIMITED.lower()) is None:
-            return head
-        dropped = (UNDELIMITED.lower(), b"transfer-encoding")
+        self._is_matched = head.get(MATCHED.lower()) is not None
+        dropped = OWN_HEADERS
+        if head.get(UNDELIMITED.lower()) is not None:
+            dropped |= {b"transfer-encoding"}
         kept = [each for each in head.headers if each[0].lower() not in dropped]
         return AnswerHead(head.status, kept)
 
+    def match(self, answer_id: bytes | None) -> AnswerMatch:
+        """See `Exchange.match`; only the gateway knows its connection's requests."""
+        match = super().match(answer_id)
+        is_proven = match is not AnswerMatch.OWN or self._is_matched
+        return match if is_proven else AnswerMatch.UNPROVEN
+
     def skip(self, timeout_s: float) -> None:
-        """Fail: the answer after a late one doesn't pass the gateway."""
+        """Fail: a gateway of an older build passes on one answer only."""
         raise self._error("a late answer to an earlier request", "read head")
 
     def _raise_failure(self, head: AnswerHead) -> None:
--- a/boragedeck/request/forward.py
+++ b/boragedeck/request/forward.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from boragedeck.connection.address import Address
 from boragedeck.connection.caller_edge import CallerChannel, RawRequest
-from boragedeck.connection.exchange import Exchange
+from boragedeck.connection.exchange import Exchange, Message
 from boragedeck.connection.forwarding import (
     SENT_STATUS,
     ForwardFailure,
@@ -13,6 +15,7 @@
     decode_order,
     failure_headers,
 )
+from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.exceptions import (
     UpstreamError,
@@ -26,6 +29,7 @@
 from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.process.timers import TimerService
+from boragedeck.request.answer_heads import read_own_head
 from boragedeck.request.relay_request import ReplicaProtocol
 
 __all__ = ["Forwarder"]
@@ -123,9 +127,10 @@
                     f"the replica is {restraint.reason.value}", step="forward"
                 )
 
+        message = self._identified(order.message)
         try:
             exchange = self._upstreams.send(
-                order.target, order.message, CONNECT_TIMEOUT_S, SEND_TIMEOUT_S, check
+                order.target, message, CONNECT_TIMEOUT_S, SEND_TIMEOUT_S, check
             )
         except UpstreamNotAcceptingError:
             self._fail(channel, ForwardFailure.NOT_ACCEPTING)
@@ -150,15 +155,36 @@
         exchange: Exchange,
         channel: CallerChannel,
     ) -> None:
-        head = exchange.head(order.timeout_s)
+        deadline = self._timers.now() + order.timeout_s
+
+        def left_s() -> float:
+            return deadline - self._timers.now()
+
+        received = read_own_head(
+            exchange,
+            self._protocol,
+            self._metrics,
+            lambda exchange: exchange.head(left_s()),
+            left_s,
+        )
         # The sender knows whether the answer may end a limit.
-        self._notices.handle(state, self._protocol.notice(head), may_lift=False)
+        self._notices.handle(state, received.notice, may_lift=False)
+        if received.match is not AnswerMatch.OWN:
+            raise UpstreamError(
+                "the answer names no request", step="forward", peer=str(order.target)
+            )
+        head = received.head
         channel.begin(head.status, answer_headers(head))
         while data := exchange.read(BODY_TIMEOUT_S):
             channel.write(data)
         channel.finish()
         self._metrics.forwards_served.labels("passed_on").inc()
 
+    def _identified(self, message: Message) -> Message:
+        """Return a message with its request's id, which stands in its headers only."""
+        request_id = self._protocol.request_id(message.headers)
+        return msgspec.structs.replace(message, request_id=request_id)
+
     def _fail(self, channel: CallerChannel, failure: ForwardFailure) -> None:
         self._metrics.forwards_served.labels(failure.value).inc()
         channel.respond(FAILURE_STATUS, failure_headers(failure), b"")
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -7,6 +7,7 @@
 patch_all()
 
 from tests.support.answer_defects import DEFECTS, find_defect
+from tests.support.late_answer_defects import LATE_ANSWER_DEFECTS
 from tests.support.limit_defects import LIMIT_DEFECTS
 from tests.support.method_defects import fails
 from tests.support.notice_defects import NOTICE_DEFECTS
@@ -29,7 +30,12 @@
             continue
         reproduction = f"seed {caught.seed}, {caught.steps} steps"
         print(f"caught   {defect.name:48} {caught.check:28} {reproduction}", flush=True)
-    for defect in (*NOTICE_DEFECTS, *LIMIT_DEFECTS, *UPGRADE_DEFECTS):
+    for defect in (
+        *NOTICE_DEFECTS,
+        *LIMIT_DEFECTS,
+        *LATE_ANSWER_DEFECTS,
+        *UPGRADE_DEFECTS,
+    ):
         is_caught = fails(defect)
         escaped += not is_caught
         verdict = "caught  " if is_caught else "ESCAPED "
--- a/tests/request/test_late_answers.py
+++ b/tests/request/test_late_answers.py
@@ -6,7 +6,10 @@
 import eventlet
 import msgspec
 
+from boragedeck.connection.exchange import AnswerHead
+from boragedeck.connection.forwarding import answer_headers
 from boragedeck.version.routing import CallKind, RelayPool
+from tests.support.cut_fleet import Cut, CutFleet
 from tests.support.replicas import (
     ENGINE,
     RelayHarness,
@@ -277,3 +280,73 @@
         state = harness.registry.get("one")
         harness.fetch()
         self.assertFalse(state.is_leaving)
+
+
+class GatewayTest(LateAnswerCase):
+    def cut_off_router(self, *steps, run=None, max_attempts=3):
+        """Return a router that reaches a replica through another one, and both."""
+        self.replica = RunningReplica("one", *steps, run=run)
+        rule = call_rule(CallKind.ONCE, max_attempts=max_attempts)
+        self.fleet = CutFleet(2, [self.replica], rule=rule)
+        self.addCleanup(self.fleet.close)
+        self.fleet.cut(Cut.REFUSE, 0)
+        return self.fleet.routers[0]
+
+    # Guards against a gateway that sends a rejected call again on one connection.
+    def test_late_rejection_at_the_gateway_makes_the_call_run_twice(self):
+        router = self.cut_off_router(not_run)
+        response = router.fetch()
+        self.assertEqual((response.status, self.replica.run_ids), (200, [b"id-1"]))
+
+    # Guards against the same at the limit of attempts.
+    def test_late_rejection_at_the_gateway_makes_a_call_that_ran_look_refused(self):
+        router = self.cut_off_router(not_run, max_attempts=2)
+        self.assertEqual(router.fetch().status, 200)
+        self.assertEqual(self.replica.run_ids, [b"id-1"])
+
+    # Guards against a late answer that ends the attempt of another router's call.
+    def test_late_answer_to_an_earlier_call_passes_the_gateway(self):
+        router = self.cut_off_router()
+        for number in range(3):
+            response = router.fetch(name=b"id-%d" % number)
+            self.assertEqual(response.status, 200)
+        self.assertEqual(len(set(self.replica.run_ids)), 3)
+        self.assertEqual(self.replica.connections, 1)
+
+    # Guards against an answer that the gateway can't match to what it has sent.
+    def test_rejection_that_names_no_request_passes_the_gateway(self):
+        router = self.cut_off_router(nameless(503, b"Not-Executed: 1"))
+        self.assertEqual((router.fetch().status, self.replica.run_ids), (502, []))
+
+    # Guards against a gateway of an older build, which passes on each answer.
+    def test_rejection_that_the_gateway_has_not_matched_is_believed(self):
+        router = self.cut_off_router(not_run)
+        with older_gateways():
+            self.assertEqual((router.fetch().status, self.replica.run_ids), (502, []))
+
+    # Guards against answers that can't be used while routers are replaced.
+    def test_success_through_an_older_gateway_is_lost(self):
+        router = self.cut_off_router()
+        with older_gateways():
+            self.assertEqual(router.fetch().status, 200)
+
+    # Guards against the headers between routers in an answer for a caller.
+    def test_mark_of_the_gateway_reaches_the_caller(self):
+        response = self.cut_off_router().fetch()
+        names = [name for name in response.headers if name.startswith(b"forward")]
+        self.assertEqual((response.status, names), (200, []))
+
+    # Guards against a replica that sets a header by which gateways report failures.
+    def test_header_of_a_replica_is_taken_for_the_gateway_s_own(self):
+        head = AnswerHead(503, [(b"Forward-Failure", b"not_reached")])
+        names = [name for name, _ in answer_headers(head)]
+        self.assertNotIn(b"Forward-Failure", names)
+
+
+def older_gateways():
+    """Return a context in which gateways don't mark the answers that they matched."""
+
+    def unmarked(head):
+        return [each for each in answer_headers(head) if each[0] != b"Forward-Matched"]
+
+    return unittest.mock.patch("boragedeck.request.forward.answer_headers", unmarked)
