--- a/benchmarks/commands.py
+++ b/benchmarks/commands.py
@@ -20,8 +20,8 @@
 from boragedeck.connection.service import ServiceResponse
 from boragedeck.connection.store import Put
 from boragedeck.ids import OrganisationName, PoolName, RouteName, RouterId
-from boragedeck.process.command_parts import build_call_service
-from boragedeck.process.intent_writer import IntentWriter
+from boragedeck.process.answering.command_parts import build_call_service
+from boragedeck.process.answering.intent_writer import IntentWriter
 from boragedeck.process.simple_parts import RandomChooser
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.calls import CallRequest
--- a/benchmarks/control_gossip.py
+++ b/benchmarks/control_gossip.py
@@ -16,16 +16,16 @@
 from boragedeck.connection.store import Vm
 from boragedeck.ids import FailureDomain, Health, RouterId, VmName
 from boragedeck.interfaces import Member
-from boragedeck.process.gossip import GossipBoard
-from boragedeck.process.load_gossip import (
+from boragedeck.process.membership.gossip import GossipBoard
+from boragedeck.process.membership.membership import GossipMembership
+from boragedeck.process.placing.load_gossip import (
     MAX_REPORTED_IN_LARGE_FLEET,
     InFlight,
     InFlightReport,
     report_interval_s,
 )
-from boragedeck.process.membership import GossipMembership
+from boragedeck.process.placing.upstreams import UpstreamKey
 from boragedeck.process.timers import ManualTimers
-from boragedeck.process.upstreams import UpstreamKey
 from standins.memory import MemoryPlatform
 from standins.network import Network, NetworkLinks, NetworkServer
 
--- a/benchmarks/control_routers.py
+++ b/benchmarks/control_routers.py
@@ -20,7 +20,7 @@
 from boragedeck.connection.platform import HttpPlatform
 from boragedeck.ids import FailureDomain, OrganisationName, VmName
 from boragedeck.process.composition import Router
-from boragedeck.process.logs import open_log
+from boragedeck.process.observing.logs import open_log
 from boragedeck.process.settings import Settings
 from boragedeck.process.timers import RealTimers
 from boragedeck.version.config_store import ConfigStore
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -16,8 +16,8 @@
 )
 from boragedeck.ids import FailureDomain, OrganisationName, PoolName, UpstreamName
 from boragedeck.interfaces import Outcome, SlotRequest
-from boragedeck.process.chooser import PoolChooser
-from boragedeck.process.load_gossip import LoadGossip
+from boragedeck.process.placing.chooser import PoolChooser
+from boragedeck.process.placing.load_gossip import LoadGossip
 from boragedeck.version.tables import Config, Pool, Route, RouteLimits, Upstream
 
 __all__ = ["Fleet", "FleetSpec", "RequestRecord", "Summary", "summarise"]
--- a/benchmarks/grace.py
+++ b/benchmarks/grace.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from boragedeck.ids import PoolName, RouteName
-from boragedeck.process.grace import LearnedGrace
+from boragedeck.process.answering.grace import LearnedGrace
 from boragedeck.version.tables import Config, Route, RouteLimits
 
 CALLERS = 20_000
--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -14,9 +14,9 @@
 from boragedeck.connection.peer import Address
 from boragedeck.ids import FailureDomain, RouterId, VmName
 from boragedeck.interfaces import Member
-from boragedeck.process import lease_manager
-from boragedeck.process.lease_manager import LeaseManager
-from boragedeck.process.leases import LeaseTable
+from boragedeck.process.leasing import lease_manager
+from boragedeck.process.leasing.lease_manager import LeaseManager
+from boragedeck.process.leasing.leases import LeaseTable
 from boragedeck.process.timers import ManualTimers
 from standins.memory import MemoryPlatform
 
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -9,7 +9,7 @@
 
 from benchmarks.sim_timers import SimTimers
 from boragedeck.interfaces import Outcome
-from boragedeck.process.load import LoadReport
+from boragedeck.process.placing.load import LoadReport
 
 __all__ = ["Arrival", "Engine", "EngineSpec", "LoadSpec", "Run", "generate_arrivals"]
 
--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -16,10 +16,10 @@
 from boragedeck.ids import PoolName, RouterId, UpstreamName, Version
 from boragedeck.interfaces import Member, Outcome, SlotRequest
 from boragedeck.patching import patch_all
-from boragedeck.process.claims import Claim, ClaimClient, ClaimTable
-from boragedeck.process.quarantine import Quarantine
+from boragedeck.process.crashes.claims import Claim, ClaimClient, ClaimTable
+from boragedeck.process.crashes.quarantine import Quarantine
+from boragedeck.process.placing.upstreams import UpstreamKey
 from boragedeck.process.timers import ManualTimers
-from boragedeck.process.upstreams import UpstreamKey
 from boragedeck.version.tables import Config, Pool, Route
 
 ROUTERS = 9
--- a/benchmarks/silence.py
+++ b/benchmarks/silence.py
@@ -8,7 +8,7 @@
 import random
 
 from benchmarks.figures import percentile
-from boragedeck.process.pulse import UpstreamActivity
+from boragedeck.process.membership.pulse import UpstreamActivity
 from boragedeck.request.silence import GapEstimator
 
 SEED = 9
--- a/benchmarks/timeline.py
+++ b/benchmarks/timeline.py
@@ -16,9 +16,9 @@
 
 from benchmarks.figures import Figure, print_table
 from boragedeck.connection.messages import Frame
-from boragedeck.process.causal_clock import process_clock
-from boragedeck.process.logs import PartLog
-from boragedeck.process.timeline import EventFilter, merge, read_events
+from boragedeck.process.membership.causal_clock import process_clock
+from boragedeck.process.observing.logs import PartLog
+from boragedeck.process.observing.timeline import EventFilter, merge, read_events
 
 __all__ = ["main"]
 
--- a/boragedeck/cli/fleet.py
+++ b/boragedeck/cli/fleet.py
@@ -15,9 +15,9 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import BoragedeckError, PeerError, PeerUnreachableError
 from boragedeck.ids import RouterId
-from boragedeck.process.member_row import MemberRow
+from boragedeck.process.membership.member_row import MemberRow
+from boragedeck.process.observing.status import Status
 from boragedeck.process.settings import check_url
-from boragedeck.process.status import Status
 from boragedeck.process.timers import RealTimers
 from boragedeck.version.config_store import ConfigStore
 
--- a/boragedeck/cli/quarantine.py
+++ b/boragedeck/cli/quarantine.py
@@ -5,7 +5,7 @@
 from boragedeck.cli.access import OutputOption, PlatformOption
 from boragedeck.cli.console import Console, ExitCode, Output, format_time
 from boragedeck.cli.fleet import FleetStatus, RouterOption, read_fleet
-from boragedeck.process.status import QuarantineStatus
+from boragedeck.process.observing.status import QuarantineStatus
 
 __all__ = ["quarantine"]
 
--- a/boragedeck/cli/timeline.py
+++ b/boragedeck/cli/timeline.py
@@ -10,8 +10,13 @@
 
 from boragedeck.cli.access import OutputOption
 from boragedeck.cli.console import Console, ExitCode, Output
-from boragedeck.process.timeline import EventFilter, Timeline, merge, read_events
-from boragedeck.process.timeline_views import html_page, text_lines
+from boragedeck.process.observing.timeline import (
+    EventFilter,
+    Timeline,
+    merge,
+    read_events,
+)
+from boragedeck.process.observing.timeline_views import html_page, text_lines
 
 __all__ = ["timeline"]
 
--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -14,7 +14,7 @@
 
 from boragedeck.connection.listening import close_listener
 from boragedeck.exceptions import BoragedeckError
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.version.routing import CallerLimits
 
--- a/boragedeck/connection/frames.py
+++ b/boragedeck/connection/frames.py
@@ -10,7 +10,7 @@
 from eventlet.green import socket
 
 from boragedeck.connection.messages import Frame, Message
-from boragedeck.process.causal_clock import process_clock
+from boragedeck.process.membership.causal_clock import process_clock
 
 __all__ = [
     "MAX_FRAME_BYTES",
--- a/boragedeck/connection/metrics_poll.py
+++ b/boragedeck/connection/metrics_poll.py
@@ -8,7 +8,7 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import UpstreamError
 from boragedeck.ids import Version
-from boragedeck.process.load import LoadReport
+from boragedeck.process.placing.load import LoadReport
 
 __all__ = ["EngineProbe", "parse_load"]
 
--- a/boragedeck/platform/store.py
+++ b/boragedeck/platform/store.py
@@ -44,7 +44,7 @@
     StoreUnavailableError,
     StoreUnknownOutcomeError,
 )
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 
 __all__ = ["PlatformStore"]
 
--- a/boragedeck/process/answer_service.py
+++ b/boragedeck/process/answering/answer_service.py
@@ -10,9 +10,9 @@
 from boragedeck.exceptions import PeerRefusedError, RefusedError
 from boragedeck.ids import ExecutionStatus
 from boragedeck.interfaces import Membership
-from boragedeck.process.answers import AnswerTable
-from boragedeck.process.copies import CopyStore
-from boragedeck.process.logs import PartLog
+from boragedeck.process.answering.answers import AnswerTable
+from boragedeck.process.answering.copies import CopyStore
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.request.abandonment import AbandonmentMonitor
 from boragedeck.request.answer import Answer, AnswerKey, AnswerSpec, Epoch, Finish
--- a/boragedeck/process/command_parts.py
+++ b/boragedeck/process/answering/command_parts.py
@@ -10,9 +10,9 @@
 from boragedeck.connection.service import Services
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Chooser, ConfigSource
-from boragedeck.process.intent_log import IntentLog
-from boragedeck.process.intent_settler import IntentSettler
-from boragedeck.process.intent_writer import IntentWriter
+from boragedeck.process.answering.intent_log import IntentLog
+from boragedeck.process.answering.intent_settler import IntentSettler
+from boragedeck.process.answering.intent_writer import IntentWriter
 from boragedeck.process.store_breaker import StoreBreaker
 from boragedeck.process.timers import TimerService
 from boragedeck.request.call import CallService
--- a/boragedeck/process/intent_log.py
+++ b/boragedeck/process/answering/intent_log.py
@@ -17,8 +17,8 @@
     StoreUnknownOutcomeError,
 )
 from boragedeck.ids import RouterId
-from boragedeck.process.intent_settler import IntentSettler
-from boragedeck.process.intent_writer import IntentWriter
+from boragedeck.process.answering.intent_settler import IntentSettler
+from boragedeck.process.answering.intent_writer import IntentWriter
 from boragedeck.process.store_breaker import StoreBreaker
 from boragedeck.process.timers import TimerService
 from boragedeck.request.intents import (
--- a/boragedeck/process/intent_pruner.py
+++ b/boragedeck/process/answering/intent_pruner.py
@@ -6,8 +6,8 @@
 from boragedeck.connection.store import Delete, Row, Table
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.interfaces import Membership
-from boragedeck.process.logs import PartLog
-from boragedeck.process.rendezvous import rank
+from boragedeck.process.membership.rendezvous import rank
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.store_breaker import StoreBreaker
 from boragedeck.process.timers import TimerService
 from boragedeck.request.intents import IntentRow, decode_row
--- a/boragedeck/process/intent_settler.py
+++ b/boragedeck/process/answering/intent_settler.py
@@ -13,8 +13,8 @@
 from boragedeck.connection.platform import Platform
 from boragedeck.connection.store import ABSENT, Put, Row, Table
 from boragedeck.decoding import DECODE_ERRORS
-from boragedeck.process.intent_writer import IntentWriter
-from boragedeck.process.logs import PartLog
+from boragedeck.process.answering.intent_writer import IntentWriter
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.store_breaker import StoreBreaker
 from boragedeck.process.timers import TimerService
 from boragedeck.request.intents import (
--- a/boragedeck/process/intent_writer.py
+++ b/boragedeck/process/answering/intent_writer.py
@@ -15,7 +15,7 @@
     StoreUnavailableError,
     StoreUnknownOutcomeError,
 )
-from boragedeck.process.group_pacing import TransactionPacer
+from boragedeck.process.placing.group_pacing import TransactionPacer
 from boragedeck.process.store_breaker import StoreBreaker
 from boragedeck.process.timers import TimerService
 
--- a/boragedeck/process/journal.py
+++ b/boragedeck/process/answering/journal.py
@@ -6,9 +6,9 @@
 from boragedeck.connection.peer import Address, PeerLinks
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member, Membership
-from boragedeck.process.logs import PartLog
-from boragedeck.process.metrics import Metrics
-from boragedeck.process.rendezvous import rank
+from boragedeck.process.membership.rendezvous import rank
+from boragedeck.process.observing.logs import PartLog
+from boragedeck.process.observing.metrics import Metrics
 from boragedeck.process.signal import Signal
 from boragedeck.process.timers import TimerService
 from boragedeck.request.answer import Answer, AnswerKey, AnswerState
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -15,34 +15,34 @@
 from boragedeck.connection.service import HttpServices
 from boragedeck.ids import Health, RouterId
 from boragedeck.interfaces import Member
-from boragedeck.process.answer_service import AnswerService
-from boragedeck.process.answers import AnswerTable
-from boragedeck.process.chooser import PoolChooser
-from boragedeck.process.claims import ClaimClient, ClaimTable
-from boragedeck.process.command_parts import (
+from boragedeck.process.answering.answer_service import AnswerService
+from boragedeck.process.answering.answers import AnswerTable
+from boragedeck.process.answering.command_parts import (
     CallComponents,
     build_call_service,
     register_call_metrics,
 )
-from boragedeck.process.copies import CopyStore
-from boragedeck.process.gossip import GossipBoard
-from boragedeck.process.grace import LearnedGrace
-from boragedeck.process.intent_pruner import IntentPruner
-from boragedeck.process.journal import Journal
+from boragedeck.process.answering.copies import CopyStore
+from boragedeck.process.answering.grace import LearnedGrace
+from boragedeck.process.answering.intent_pruner import IntentPruner
+from boragedeck.process.answering.journal import Journal
+from boragedeck.process.crashes.claims import ClaimClient, ClaimTable
+from boragedeck.process.crashes.quarantine import Quarantine
 from boragedeck.process.keys import KeyRing
-from boragedeck.process.leaving import LeavingUpstreamMonitor
-from boragedeck.process.load_gossip import LoadGossip
-from boragedeck.process.membership import GossipMembership
-from boragedeck.process.metrics import Metrics
-from boragedeck.process.peer_guard import make_guard
-from boragedeck.process.polling import LoadPoller
-from boragedeck.process.quarantine import Quarantine
+from boragedeck.process.membership.gossip import GossipBoard
+from boragedeck.process.membership.membership import GossipMembership
+from boragedeck.process.membership.peer_guard import make_guard
+from boragedeck.process.observing.metrics import Metrics
+from boragedeck.process.observing.status import StatusReport
+from boragedeck.process.placing.chooser import PoolChooser
+from boragedeck.process.placing.leaving import LeavingUpstreamMonitor
+from boragedeck.process.placing.load_gossip import LoadGossip
+from boragedeck.process.placing.polling import LoadPoller
+from boragedeck.process.placing.utilisation import PoolUtilisation
+from boragedeck.process.placing.versioned_chooser import VersionedChooser
 from boragedeck.process.rollouts import RolloutService
 from boragedeck.process.settings import Settings
-from boragedeck.process.status import StatusReport
 from boragedeck.process.timers import RealTimers
-from boragedeck.process.utilisation import PoolUtilisation
-from boragedeck.process.versioned_chooser import VersionedChooser
 from boragedeck.request.abandonment import AbandonmentMonitor
 from boragedeck.request.api import Api
 from boragedeck.request.call_edge import CallEdge
--- /dev/null
+++ b/boragedeck/process/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests crash upstreams, and how suspects are kept apart."""
--- a/boragedeck/process/claims.py
+++ b/boragedeck/process/crashes/claims.py
@@ -14,7 +14,7 @@
 from boragedeck.connection.peer import PeerLinks, PeerServer
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Membership
-from boragedeck.process.rendezvous import rank
+from boragedeck.process.membership.rendezvous import rank
 from boragedeck.process.timers import TimerService
 
 __all__ = ["Claim", "ClaimAnswer", "ClaimTable", "ClaimClient", "Release"]
--- a/boragedeck/process/incidents.py
+++ b/boragedeck/process/crashes/incidents.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from boragedeck.ids import Version
-from boragedeck.process.upstreams import UpstreamKey
+from boragedeck.process.placing.upstreams import UpstreamKey
 
 __all__ = ["CrashRecord", "Incidents"]
 
--- a/boragedeck/process/isolation.py
+++ b/boragedeck/process/crashes/isolation.py
@@ -6,10 +6,10 @@
 
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import SlotRequest
-from boragedeck.process.claims import Claim, ClaimAnswer, ClaimClient
-from boragedeck.process.incidents import CrashRecord
+from boragedeck.process.crashes.claims import Claim, ClaimAnswer, ClaimClient
+from boragedeck.process.crashes.incidents import CrashRecord
+from boragedeck.process.placing.upstreams import UpstreamKey
 from boragedeck.process.timers import TimerService
-from boragedeck.process.upstreams import UpstreamKey
 from boragedeck.version.tables import RouteKind
 
 __all__ = ["Isolation", "RunGuard", "key_text"]
--- a/boragedeck/process/quarantine.py
+++ b/boragedeck/process/crashes/quarantine.py
@@ -10,12 +10,12 @@
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import Version
 from boragedeck.interfaces import ConfigSource, FactBoard, Outcome, SlotRequest
-from boragedeck.process.claims import ClaimClient
-from boragedeck.process.incidents import CrashRecord, Incidents
-from boragedeck.process.isolation import Isolation, RunGuard, key_text
-from boragedeck.process.quarantine_facts import CrashFact, QuarantineFact
+from boragedeck.process.crashes.claims import ClaimClient
+from boragedeck.process.crashes.incidents import CrashRecord, Incidents
+from boragedeck.process.crashes.isolation import Isolation, RunGuard, key_text
+from boragedeck.process.crashes.quarantine_facts import CrashFact, QuarantineFact
+from boragedeck.process.placing.upstreams import UpstreamKey
 from boragedeck.process.timers import TimerService
-from boragedeck.process.upstreams import UpstreamKey
 from boragedeck.version.tables import Config
 
 __all__ = ["Quarantine"]
--- a/boragedeck/process/quarantine_facts.py
+++ b/boragedeck/process/crashes/quarantine_facts.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from boragedeck.ids import Version
-from boragedeck.process.upstreams import UpstreamKey
+from boragedeck.process.placing.upstreams import UpstreamKey
 
 __all__ = ["CrashFact", "QuarantineFact"]
 
--- /dev/null
+++ b/boragedeck/process/leasing/__init__.py
@@ -0,0 +1,1 @@
+"""Leases: which router does what only one router may do."""
--- a/boragedeck/process/lease_manager.py
+++ b/boragedeck/process/leasing/lease_manager.py
@@ -4,9 +4,9 @@
 
 from boragedeck.ids import Health
 from boragedeck.interfaces import Membership
-from boragedeck.process.leases import Lease, LeaseLostError, LeaseTable
-from boragedeck.process.logs import PartLog
-from boragedeck.process.rendezvous import rank
+from boragedeck.process.leasing.leases import Lease, LeaseLostError, LeaseTable
+from boragedeck.process.membership.rendezvous import rank
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import Subscription, TimerService
 
 __all__ = ["LeaseManager"]
--- a/boragedeck/process/leases.py
+++ b/boragedeck/process/leasing/leases.py
@@ -8,7 +8,7 @@
 
 See Also
 --------
-boragedeck.process.lease_manager : Acquires and renews the leases of a process.
+boragedeck.process.leasing.lease_manager : Acquires and renews the leases of a process.
 """
 
 import uuid
@@ -26,7 +26,7 @@
     StoreUnknownOutcomeError,
 )
 from boragedeck.ids import RouterId
-from boragedeck.process.lease_row import (
+from boragedeck.process.leasing.lease_row import (
     NO_HOLDER,
     Lease,
     LeaseLostError,
--- /dev/null
+++ b/boragedeck/process/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which routers there are, and the facts that they tell each other."""
--- a/boragedeck/process/fact_store.py
+++ b/boragedeck/process/membership/fact_store.py
@@ -9,7 +9,7 @@
 
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.ids import RouterId
-from boragedeck.process.gossip_messages import AgedFact, is_urgent
+from boragedeck.process.membership.gossip_messages import AgedFact, is_urgent
 from boragedeck.process.timers import TimerService
 
 __all__ = ["BUCKETS", "MAX_BODY_BYTES", "FactStore", "fact_hash", "wire_bytes"]
--- a/boragedeck/process/gossip.py
+++ b/boragedeck/process/membership/gossip.py
@@ -16,8 +16,13 @@
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
-from boragedeck.process.fact_store import BUCKETS, FactStore, fact_hash, wire_bytes
-from boragedeck.process.gossip_messages import (
+from boragedeck.process.membership.fact_store import (
+    BUCKETS,
+    FactStore,
+    fact_hash,
+    wire_bytes,
+)
+from boragedeck.process.membership.gossip_messages import (
     AgedFact,
     FactDigest,
     FactEntries,
@@ -27,7 +32,7 @@
     FactWanted,
     is_urgent,
 )
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 
 __all__ = ["GossipBoard"]
--- a/boragedeck/process/member_table.py
+++ b/boragedeck/process/membership/member_table.py
@@ -13,8 +13,8 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
-from boragedeck.process.logs import PartLog
-from boragedeck.process.member_row import MemberRow
+from boragedeck.process.membership.member_row import MemberRow
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 
 __all__ = ["MemberTable", "MemberTableListener"]
--- a/boragedeck/process/membership.py
+++ b/boragedeck/process/membership/membership.py
@@ -17,12 +17,12 @@
 from boragedeck.connection.store import Vm
 from boragedeck.ids import Health, RouterId, VmName
 from boragedeck.interfaces import Member
-from boragedeck.process.gossip import GossipBoard
-from boragedeck.process.gossip_messages import SUSPICION_PREFIX
-from boragedeck.process.heartbeats import Heartbeats, Reachability
-from boragedeck.process.logs import PartLog
-from boragedeck.process.member_table import MemberTable, MemberTableListener
-from boragedeck.process.member_view import DEAD_AFTER_S, MemberView
+from boragedeck.process.membership.gossip import GossipBoard
+from boragedeck.process.membership.gossip_messages import SUSPICION_PREFIX
+from boragedeck.process.membership.heartbeats import Heartbeats, Reachability
+from boragedeck.process.membership.member_table import MemberTable, MemberTableListener
+from boragedeck.process.membership.member_view import DEAD_AFTER_S, MemberView
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 
 __all__ = ["GossipMembership"]
--- /dev/null
+++ b/boragedeck/process/observing/__init__.py
@@ -0,0 +1,1 @@
+"""What a process reports: logs, metrics, status and the time line."""
--- a/boragedeck/process/logs.py
+++ b/boragedeck/process/observing/logs.py
@@ -6,7 +6,7 @@
 
 import eliot
 
-from boragedeck.process.causal_clock import process_clock
+from boragedeck.process.membership.causal_clock import process_clock
 
 __all__ = ["PartLog", "open_log", "set_router_id"]
 
--- a/boragedeck/process/status.py
+++ b/boragedeck/process/observing/status.py
@@ -4,8 +4,8 @@
 
 from boragedeck.ids import FailureDomain, Health, RouterId, Version, VmName
 from boragedeck.interfaces import Member, Membership
-from boragedeck.process.answer_service import AnswerService
-from boragedeck.process.quarantine import Quarantine
+from boragedeck.process.answering.answer_service import AnswerService
+from boragedeck.process.crashes.quarantine import Quarantine
 from boragedeck.process.timers import TimerService
 from boragedeck.version.config_watch import ConfigStatus, ConfigWatch
 
--- a/boragedeck/process/timeline.py
+++ b/boragedeck/process/observing/timeline.py
@@ -2,8 +2,8 @@
 
 See Also
 --------
-boragedeck.process.logs : Writes the files.
-boragedeck.process.causal_clock : Defines the order.
+boragedeck.process.observing.logs : Writes the files.
+boragedeck.process.membership.causal_clock : Defines the order.
 """
 
 import heapq
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from boragedeck.process.causal_clock import MAX_CLOCK_US, MICROSECONDS_PER_S
+from boragedeck.process.membership.causal_clock import MAX_CLOCK_US, MICROSECONDS_PER_S
 
 __all__ = ["Event", "EventFilter", "Timeline", "merge", "read_events"]
 
--- a/boragedeck/process/timeline_views.py
+++ b/boragedeck/process/observing/timeline_views.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from boragedeck.process.timeline import Event, Timeline
+from boragedeck.process.observing.timeline import Event, Timeline
 
 __all__ = ["html_page", "text_lines"]
 
--- /dev/null
+++ b/boragedeck/process/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Where runs are placed: the state of the upstreams, limits, queues and the choice."""
--- a/boragedeck/process/cache_hints.py
+++ b/boragedeck/process/placing/cache_hints.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from boragedeck.process.upstreams import UpstreamKey
+from boragedeck.process.placing.upstreams import UpstreamKey
 
 __all__ = ["CacheHints"]
 
--- a/boragedeck/process/choice.py
+++ b/boragedeck/process/placing/choice.py
@@ -8,8 +8,12 @@
 
 from boragedeck.ids import FailureDomain
 from boragedeck.interfaces import SlotRequest
-from boragedeck.process.cache_hints import CacheHints
-from boragedeck.process.upstreams import UpstreamKey, UpstreamRegistry, UpstreamState
+from boragedeck.process.placing.cache_hints import CacheHints
+from boragedeck.process.placing.upstreams import (
+    UpstreamKey,
+    UpstreamRegistry,
+    UpstreamState,
+)
 
 __all__ = ["CostedUpstream", "UpstreamSelector", "rendezvous_score"]
 
--- a/boragedeck/process/chooser.py
+++ b/boragedeck/process/placing/chooser.py
@@ -9,17 +9,17 @@
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import FailureDomain, PoolName
 from boragedeck.interfaces import ConfigSource, FactBoard, Outcome, Slot, SlotRequest
-from boragedeck.process.cache_hints import CacheHints
-from boragedeck.process.choice import UpstreamSelector
-from boragedeck.process.drain_rate import DrainRate
-from boragedeck.process.fair_queue import FairQueue, Ticket
-from boragedeck.process.isolation import RunGuard
-from boragedeck.process.quarantine import Quarantine
-from boragedeck.process.retry_budget import RetryBudget
-from boragedeck.process.shares import OrganisationShares
-from boragedeck.process.slot import UpstreamSlot
+from boragedeck.process.crashes.isolation import RunGuard
+from boragedeck.process.crashes.quarantine import Quarantine
+from boragedeck.process.placing.cache_hints import CacheHints
+from boragedeck.process.placing.choice import UpstreamSelector
+from boragedeck.process.placing.drain_rate import DrainRate
+from boragedeck.process.placing.fair_queue import FairQueue, Ticket
+from boragedeck.process.placing.retry_budget import RetryBudget
+from boragedeck.process.placing.shares import OrganisationShares
+from boragedeck.process.placing.slot import UpstreamSlot
+from boragedeck.process.placing.upstreams import UpstreamRegistry, UpstreamState
 from boragedeck.process.timers import TimerService
-from boragedeck.process.upstreams import UpstreamRegistry, UpstreamState
 from boragedeck.version.tables import Config
 
 __all__ = ["PoolChooser"]
--- a/boragedeck/process/concurrency.py
+++ b/boragedeck/process/placing/concurrency.py
@@ -1,6 +1,6 @@
 """Adaptive limit on concurrent requests at one upstream."""
 
-from boragedeck.process.load import LoadReport
+from boragedeck.process.placing.load import LoadReport
 
 __all__ = ["ConcurrencyLimit"]
 
--- a/boragedeck/process/fair_queue.py
+++ b/boragedeck/process/placing/fair_queue.py
@@ -10,7 +10,7 @@
 
 from boragedeck.ids import OrganisationName
 from boragedeck.interfaces import SlotRequest
-from boragedeck.process.isolation import RunGuard
+from boragedeck.process.crashes.isolation import RunGuard
 from boragedeck.version.tables import Priority, RouteKind
 
 __all__ = ["FairQueue", "Lane", "Ticket"]
--- a/boragedeck/process/leaving.py
+++ b/boragedeck/process/placing/leaving.py
@@ -9,10 +9,14 @@
 from boragedeck.connection.store import Vm, VmList
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.interfaces import FactBoard, Membership
-from boragedeck.process.isolation import key_text
-from boragedeck.process.rendezvous import rank
+from boragedeck.process.crashes.isolation import key_text
+from boragedeck.process.membership.rendezvous import rank
+from boragedeck.process.placing.upstreams import (
+    UpstreamKey,
+    UpstreamRegistry,
+    UpstreamState,
+)
 from boragedeck.process.timers import TimerService
-from boragedeck.process.upstreams import UpstreamKey, UpstreamRegistry, UpstreamState
 
 __all__ = ["LeavingFact", "LeavingUpstreamMonitor"]
 
--- a/boragedeck/process/load_gossip.py
+++ b/boragedeck/process/placing/load_gossip.py
@@ -6,9 +6,9 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.ids import PoolName, RouterId
 from boragedeck.interfaces import FactBoard
-from boragedeck.process.pace import publish_interval_s
+from boragedeck.process.membership.pace import publish_interval_s
+from boragedeck.process.placing.upstreams import UpstreamKey, UpstreamRegistry
 from boragedeck.process.timers import TimerService
-from boragedeck.process.upstreams import UpstreamKey, UpstreamRegistry
 
 __all__ = [
     "MAX_REPORTED_IN_LARGE_FLEET",
--- a/boragedeck/process/polling.py
+++ b/boragedeck/process/placing/polling.py
@@ -13,10 +13,14 @@
 from boragedeck.exceptions import UpstreamError
 from boragedeck.ids import PoolName, RouterId, Version
 from boragedeck.interfaces import ConfigSource, FactBoard, Membership
-from boragedeck.process.load import LoadReport
-from boragedeck.process.pace import publish_interval_s
+from boragedeck.process.membership.pace import publish_interval_s
+from boragedeck.process.placing.load import LoadReport
+from boragedeck.process.placing.upstreams import (
+    UpstreamKey,
+    UpstreamRegistry,
+    UpstreamState,
+)
 from boragedeck.process.timers import TimerService
-from boragedeck.process.upstreams import UpstreamKey, UpstreamRegistry, UpstreamState
 from boragedeck.version.tables import PoolKind
 
 __all__ = [
--- a/boragedeck/process/shares.py
+++ b/boragedeck/process/placing/shares.py
@@ -8,7 +8,7 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.ids import OrganisationName, RouterId
 from boragedeck.interfaces import ConfigSource, FactBoard
-from boragedeck.process.pace import publish_interval_s
+from boragedeck.process.membership.pace import publish_interval_s
 from boragedeck.process.timers import TimerService
 
 __all__ = ["OrganisationShares", "ShareReport"]
--- a/boragedeck/process/slot.py
+++ b/boragedeck/process/placing/slot.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 
 from boragedeck.interfaces import Outcome, SlotRequest
-from boragedeck.process.cache_hints import CacheHints
-from boragedeck.process.choice import PREFILL_TOKENS_PER_S
-from boragedeck.process.isolation import RunGuard
+from boragedeck.process.crashes.isolation import RunGuard
+from boragedeck.process.placing.cache_hints import CacheHints
+from boragedeck.process.placing.choice import PREFILL_TOKENS_PER_S
+from boragedeck.process.placing.upstreams import UpstreamState
 from boragedeck.process.timers import TimerService
-from boragedeck.process.upstreams import UpstreamState
 from boragedeck.version.tables import Upstream
 
 __all__ = ["UpstreamSlot"]
--- a/boragedeck/process/upstreams.py
+++ b/boragedeck/process/placing/upstreams.py
@@ -7,9 +7,9 @@
 
 from boragedeck.ids import PoolName, UpstreamName, Version
 from boragedeck.interfaces import Outcome
-from boragedeck.process.concurrency import ConcurrencyLimit
-from boragedeck.process.health import HealthRecord
-from boragedeck.process.load import LoadEstimate, LoadReport
+from boragedeck.process.placing.concurrency import ConcurrencyLimit
+from boragedeck.process.placing.health import HealthRecord
+from boragedeck.process.placing.load import LoadEstimate, LoadReport
 from boragedeck.version.tables import Config, Pool, Upstream
 
 __all__ = ["UpstreamKey", "UpstreamRegistry", "UpstreamState"]
--- a/boragedeck/process/utilisation.py
+++ b/boragedeck/process/placing/utilisation.py
@@ -3,8 +3,8 @@
 from collections import defaultdict
 
 from boragedeck.ids import PoolName, Version
+from boragedeck.process.placing.upstreams import UpstreamRegistry
 from boragedeck.process.timers import TimerService
-from boragedeck.process.upstreams import UpstreamRegistry
 from boragedeck.version.tables import Pool
 
 __all__ = ["PoolUtilisation"]
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -26,10 +26,10 @@
     decode_rollout,
 )
 from boragedeck.platform.store import PlatformStore
-from boragedeck.process.gossip import GossipBoard
-from boragedeck.process.logs import PartLog
-from boragedeck.process.membership import GossipMembership
-from boragedeck.process.metrics import Metrics
+from boragedeck.process.membership.gossip import GossipBoard
+from boragedeck.process.membership.membership import GossipMembership
+from boragedeck.process.observing.logs import PartLog
+from boragedeck.process.observing.metrics import Metrics
 from boragedeck.process.relaying.crashes.crash_blame import CrashBlame
 from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
 from boragedeck.process.relaying.crashes.crash_verdicts import CrashVerdicts
--- a/boragedeck/process/relaying/crashes/crash_blame.py
+++ b/boragedeck/process/relaying/crashes/crash_blame.py
@@ -13,7 +13,7 @@
 from boragedeck.connection.messages import Accepted, Message
 from boragedeck.connection.peer import Address, PeerLinks
 from boragedeck.ids import OrganisationName, PoolName, RouterId, Version
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
 from boragedeck.process.relaying.crashes.crash_messages import (
     AskTrial,
--- a/boragedeck/process/relaying/crashes/crash_judge.py
+++ b/boragedeck/process/relaying/crashes/crash_judge.py
@@ -9,7 +9,7 @@
 
 from boragedeck.connection.messages import Accepted
 from boragedeck.connection.peer import PeerServer
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.crashes.crash_evidence import GATHER_S, CrashEvidence
 from boragedeck.process.relaying.crashes.crash_messages import (
     AskTrial,
--- a/boragedeck/process/relaying/crashes/crash_verdicts.py
+++ b/boragedeck/process/relaying/crashes/crash_verdicts.py
@@ -9,7 +9,7 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.ids import PoolName, PromptPartId
 from boragedeck.interfaces import FactBoard
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.crashes.crash_evidence import CRASH_TTL_S
 from boragedeck.process.relaying.crashes.crash_messages import (
     CrashSuspect,
--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 
 __all__ = ["DrainPeriod", "DrainableEdge"]
--- a/boragedeck/process/relaying/fleet/hubs.py
+++ b/boragedeck/process/relaying/fleet/hubs.py
@@ -9,7 +9,7 @@
 
 from boragedeck.ids import FailureDomain, Health
 from boragedeck.interfaces import Member, Membership
-from boragedeck.process.rendezvous import rank
+from boragedeck.process.membership.rendezvous import rank
 from boragedeck.process.timers import TimerService
 
 __all__ = ["Hubs", "choose_hubs", "hubs_for", "needs_hubs"]
--- a/boragedeck/process/relaying/fleet/peer_dialect.py
+++ b/boragedeck/process/relaying/fleet/peer_dialect.py
@@ -12,8 +12,12 @@
     PeerProtocol,
 )
 from boragedeck.process.build import build_name
-from boragedeck.process.gossip_messages import AgedFact, FactExchange, FactPush
-from boragedeck.process.logs import PartLog
+from boragedeck.process.membership.gossip_messages import (
+    AgedFact,
+    FactExchange,
+    FactPush,
+)
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.loads.load_messages import LoadSum, LoadUpdate
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 
--- a/boragedeck/process/relaying/fleet/task_owners.py
+++ b/boragedeck/process/relaying/fleet/task_owners.py
@@ -8,9 +8,9 @@
 
 from boragedeck.ids import Health, RouterId
 from boragedeck.interfaces import Member, Membership
+from boragedeck.process.membership.rendezvous import rank
 from boragedeck.process.relaying.fleet.fleet_size import FleetSize, reachable_share
 from boragedeck.process.relaying.fleet.hubs import Hubs
-from boragedeck.process.rendezvous import rank
 from boragedeck.process.timers import TimerService
 
 __all__ = ["TaskOwners"]
--- a/boragedeck/process/relaying/limits/brittle_replicas.py
+++ b/boragedeck/process/relaying/limits/brittle_replicas.py
@@ -7,7 +7,7 @@
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.interfaces import FactBoard
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.limits.room_grants import RoomGrants, RoomLease
 from boragedeck.process.relaying.limits.room_messages import TakeRoom
 from boragedeck.process.relaying.placing.place import Place
--- a/boragedeck/process/relaying/limits/limit_grants.py
+++ b/boragedeck/process/relaying/limits/limit_grants.py
@@ -11,7 +11,7 @@
 
 from boragedeck.connection.messages import Accepted
 from boragedeck.connection.peer import PeerLinks, PeerServer
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.fleet.task_owners import TaskOwners
 from boragedeck.process.relaying.limits.limit_messages import (
     ReportLimit,
--- a/boragedeck/process/relaying/limits/replica_limits.py
+++ b/boragedeck/process/relaying/limits/replica_limits.py
@@ -8,7 +8,7 @@
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.interfaces import FactBoard
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.limits.limit_grants import LimitGrants
 from boragedeck.process.relaying.limits.limit_messages import (
     ReportLimit,
--- a/boragedeck/process/relaying/limits/room_grants.py
+++ b/boragedeck/process/relaying/limits/room_grants.py
@@ -12,7 +12,7 @@
 from boragedeck.exceptions import PeerError, PeerRefusedError
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.fleet.task_owners import TaskOwners
 from boragedeck.process.relaying.limits.room_leases import NO_LEASE, RoomLeases
 from boragedeck.process.relaying.limits.room_messages import (
--- a/boragedeck/process/relaying/loads/pool_load_cache.py
+++ b/boragedeck/process/relaying/loads/pool_load_cache.py
@@ -6,7 +6,7 @@
 from boragedeck.exceptions import PeerError
 from boragedeck.ids import PoolName, RouterId
 from boragedeck.interfaces import Member
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.loads.load_messages import FetchLoads, PoolLoads
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_state import Load
--- a/boragedeck/process/relaying/paths/gateway_sender.py
+++ b/boragedeck/process/relaying/paths/gateway_sender.py
@@ -16,7 +16,7 @@
     UpstreamUnreachedError,
 )
 from boragedeck.interfaces import Member
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.paths.gateways import Gateways
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 
--- a/boragedeck/process/relaying/paths/path_checks.py
+++ b/boragedeck/process/relaying/paths/path_checks.py
@@ -13,7 +13,7 @@
 from boragedeck.connection.upstream_pool import ConnectOutcome, UpstreamPool
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member, Membership
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.paths.path_messages import AskPaths, PathReport
 from boragedeck.process.relaying.paths.path_state import PathState
 from boragedeck.process.timers import TimerService
--- a/boragedeck/process/relaying/paths/replica_paths.py
+++ b/boragedeck/process/relaying/paths/replica_paths.py
@@ -19,7 +19,7 @@
     UpstreamRefusedError,
     UpstreamUnreachedError,
 )
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.paths.gateway_sender import GatewaySender
 from boragedeck.process.relaying.paths.gateways import Gateways
 from boragedeck.process.relaying.paths.path_checks import (
--- a/boragedeck/process/relaying/program.py
+++ b/boragedeck/process/relaying/program.py
@@ -14,8 +14,8 @@
 
 from boragedeck.platform.settings import SETTINGS_FILE_VARIABLE, read_settings
 from boragedeck.process.exits import exit_unable_to_listen
-from boragedeck.process.log_sink import LogSink
-from boragedeck.process.logs import set_router_id
+from boragedeck.process.observing.log_sink import LogSink
+from boragedeck.process.observing.logs import set_router_id
 from boragedeck.process.relaying.composition import RelayRouter
 from boragedeck.process.relaying.settings import RelaySettings
 from boragedeck.process.relaying.settings_source import SettingsSource
--- a/boragedeck/process/relaying/replicas/registry.py
+++ b/boragedeck/process/relaying/replicas/registry.py
@@ -12,7 +12,7 @@
 
 from boragedeck.connection.peer import Address
 from boragedeck.ids import PoolName, Version
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState, Run
 from boragedeck.process.relaying.replicas.restraint import Reason, Restraints
 from boragedeck.process.timers import TimerService
--- a/boragedeck/process/relaying/replicas/replica_notices.py
+++ b/boragedeck/process/relaying/replicas/replica_notices.py
@@ -11,7 +11,7 @@
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.interfaces import FactBoard
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.limits.brittle_replicas import BrittleReplicas
 from boragedeck.process.relaying.limits.replica_limits import ReplicaLimits
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
--- a/boragedeck/process/relaying/retries/retry_reserve.py
+++ b/boragedeck/process/relaying/retries/retry_reserve.py
@@ -11,7 +11,7 @@
 from boragedeck.connection.messages import Message
 from boragedeck.connection.peer import PeerLinks, PeerServer
 from boragedeck.ids import PoolName
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.fleet.hubs import Hubs
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.sliding_window_counter import SlidingWindowCounter
--- a/boragedeck/process/relaying/retries/retry_share.py
+++ b/boragedeck/process/relaying/retries/retry_share.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from boragedeck.ids import PoolName
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.fleet.fleet_size import FleetSize
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.sliding_window_counter import SlidingWindowCounter
--- a/boragedeck/process/relaying/rollouts/rollout_exchange.py
+++ b/boragedeck/process/relaying/rollouts/rollout_exchange.py
@@ -6,8 +6,8 @@
 from boragedeck.connection.store_version import number_of
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.interfaces import FactBoard
-from boragedeck.process.fact_store import MAX_BODY_BYTES
-from boragedeck.process.logs import PartLog
+from boragedeck.process.membership.fact_store import MAX_BODY_BYTES
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.rollouts.rollout_state import RolloutState
 from boragedeck.process.relaying.rollouts.rollout_strata import merge_routes
 from boragedeck.version.evidence import Evidence
--- a/boragedeck/process/relaying/rollouts/rollout_results.py
+++ b/boragedeck/process/relaying/rollouts/rollout_results.py
@@ -11,7 +11,7 @@
 
 from boragedeck.exceptions import StoreConflictError, StoreError
 from boragedeck.ids import PoolName, Version
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.rollouts.rollout_state import RolloutState
 from boragedeck.version.relay_rollouts import RolloutOrder, RolloutResult
 
--- a/boragedeck/process/relaying/rollouts/rollouts.py
+++ b/boragedeck/process/relaying/rollouts/rollouts.py
@@ -13,7 +13,7 @@
 from boragedeck.exceptions import TableError
 from boragedeck.ids import FailureDomain, PoolName
 from boragedeck.interfaces import FactBoard, RunSample
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.rollouts.rollout_exchange import (
     RolloutExchange,
     concerns,
--- a/boragedeck/process/relaying/settings_source.py
+++ b/boragedeck/process/relaying/settings_source.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from boragedeck.exceptions import SettingsError
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.settings import Bounds, RelaySettings
 from boragedeck.process.timers import TimerService
 
--- a/boragedeck/process/relaying/tables/mirror_follower.py
+++ b/boragedeck/process/relaying/tables/mirror_follower.py
@@ -12,7 +12,7 @@
 from boragedeck.connection.peer import Address, PeerLinks
 from boragedeck.connection.store import ChangeFeed, Changes
 from boragedeck.exceptions import StoreError, StoreHistoryLostError
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.tables.answering_period import (
     MAX_GAP_S,
     AnsweringPeriod,
--- a/boragedeck/process/relaying/tables/peer_tables.py
+++ b/boragedeck/process/relaying/tables/peer_tables.py
@@ -5,7 +5,7 @@
 from boragedeck.connection.peer import Address, PeerLinks
 from boragedeck.connection.store import Changes, Table
 from boragedeck.connection.store_version import era_of, number_of
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.tables.mirror_messages import FetchTable, TablePart
 from boragedeck.process.relaying.tables.older_versions import (
     in_own_era,
--- a/boragedeck/process/relaying/tables/replica_source.py
+++ b/boragedeck/process/relaying/tables/replica_source.py
@@ -6,7 +6,7 @@
 
 from boragedeck.connection.store import Change
 from boragedeck.exceptions import TableError
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.tables.deleted_entries import DeletedEntries
 from boragedeck.process.relaying.tables.mirror_follower import MirrorFollower
--- a/boragedeck/process/relaying/tables/routing_source.py
+++ b/boragedeck/process/relaying/tables/routing_source.py
@@ -6,7 +6,7 @@
 
 from boragedeck.connection.store import Change
 from boragedeck.exceptions import TableError
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.version.routing import EMPTY_ROUTING_TABLE, RoutingTable
 
--- a/boragedeck/process/relaying/tables/shared_feed.py
+++ b/boragedeck/process/relaying/tables/shared_feed.py
@@ -26,7 +26,7 @@
     StoreUnavailableError,
 )
 from boragedeck.interfaces import Membership
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.fleet.hubs import Hubs
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.tables.mirror_messages import FetchTable, TablePart
--- a/boragedeck/process/relaying/tables/store_meter.py
+++ b/boragedeck/process/relaying/tables/store_meter.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from boragedeck.connection.store import StoreCall
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.timers import TimerService
 
--- a/boragedeck/process/relaying/tables/table_composition.py
+++ b/boragedeck/process/relaying/tables/table_composition.py
@@ -6,7 +6,7 @@
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.store import ChangeFeed, Table
 from boragedeck.platform.routing import ROUTING_KEY, decode_routing
-from boragedeck.process.membership import GossipMembership
+from boragedeck.process.membership.membership import GossipMembership
 from boragedeck.process.relaying.fleet.hubs import Hubs
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.settings_source import SettingsSource
--- a/boragedeck/process/rollouts.py
+++ b/boragedeck/process/rollouts.py
@@ -11,9 +11,9 @@
 from boragedeck.connection.store import Write
 from boragedeck.exceptions import StoreError
 from boragedeck.interfaces import ConfigSource, FactBoard, Membership
-from boragedeck.process.lease_manager import LeaseManager
-from boragedeck.process.leases import Lease, LeaseTable
-from boragedeck.process.logs import PartLog
+from boragedeck.process.leasing.lease_manager import LeaseManager
+from boragedeck.process.leasing.leases import Lease, LeaseTable
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.version.engine_reconciler import EngineReconciler
 from boragedeck.version.rollout_capacity import LoadedCapacity
--- a/boragedeck/process/serving.py
+++ b/boragedeck/process/serving.py
@@ -6,7 +6,7 @@
 import eventlet
 from eventlet.event import Event
 
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 
 __all__ = ["serve_until", "stop_event"]
 
--- a/boragedeck/process/standalone.py
+++ b/boragedeck/process/standalone.py
@@ -9,7 +9,7 @@
 from boragedeck.exceptions import SettingsError
 from boragedeck.process.composition import Router
 from boragedeck.process.exits import EXIT_USAGE, exit_unable_to_listen, unwrap_or_exit
-from boragedeck.process.logs import open_log, set_router_id
+from boragedeck.process.observing.logs import open_log, set_router_id
 from boragedeck.process.serving import serve_until, stop_event
 from boragedeck.process.settings import parse_settings
 
--- a/boragedeck/process/store_breaker.py
+++ b/boragedeck/process/store_breaker.py
@@ -3,7 +3,7 @@
 import random
 
 from boragedeck.connection.store import Table, TableStore
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 
 __all__ = ["StoreBreaker"]
--- a/boragedeck/request/abandonment.py
+++ b/boragedeck/request/abandonment.py
@@ -3,8 +3,8 @@
 from typing import Protocol
 
 from boragedeck.ids import RouteName
-from boragedeck.process.logs import PartLog
-from boragedeck.process.metrics import Metrics
+from boragedeck.process.observing.logs import PartLog
+from boragedeck.process.observing.metrics import Metrics
 from boragedeck.process.timers import TimerService
 from boragedeck.request.answer import Answer, Finish
 
--- a/boragedeck/request/answer_heads.py
+++ b/boragedeck/request/answer_heads.py
@@ -6,7 +6,7 @@
 
 from boragedeck.connection.exchange import AnswerHead, Exchange
 from boragedeck.connection.sent_requests import AnswerMatch
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.request.relay_request import ReplicaProtocol
 from boragedeck.version.replicas import ReplicaNotice
--- a/boragedeck/request/api.py
+++ b/boragedeck/request/api.py
@@ -14,10 +14,10 @@
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import AnswerId, ExecutionStatus, OrganisationName
 from boragedeck.interfaces import ConfigSource
-from boragedeck.process.answer_service import AnswerService
+from boragedeck.process.answering.answer_service import AnswerService
 from boragedeck.process.keys import KeyRing
-from boragedeck.process.logs import PartLog
-from boragedeck.process.metrics import Metrics
+from boragedeck.process.observing.logs import PartLog
+from boragedeck.process.observing.metrics import Metrics
 from boragedeck.request import openai
 from boragedeck.request.answer import AnswerKey, Endpoint
 from boragedeck.request.event_id import parse_event_id
--- a/boragedeck/request/call.py
+++ b/boragedeck/request/call.py
@@ -5,7 +5,7 @@
 from boragedeck.connection.service import ServiceRequest
 from boragedeck.exceptions import RefusedError
 from boragedeck.interfaces import ConfigSource, SlotRequest
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.request import call_errors
 from boragedeck.request.call_headers import is_valid_header, request_headers
--- a/boragedeck/request/command.py
+++ b/boragedeck/request/command.py
@@ -11,8 +11,8 @@
 from boragedeck.exceptions import RefusedError, StoreError, UpstreamSilentError
 from boragedeck.ids import ExecutionStatus, RouteName, RouterId
 from boragedeck.interfaces import Chooser, Outcome, Slot
-from boragedeck.process.intent_log import Attempt, Found, IntentLog, Started
-from boragedeck.process.logs import PartLog
+from boragedeck.process.answering.intent_log import Attempt, Found, IntentLog, Started
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.store_breaker import StoreBreaker
 from boragedeck.process.timers import TimerService
 from boragedeck.request import call_errors
--- a/boragedeck/request/forward.py
+++ b/boragedeck/request/forward.py
@@ -22,7 +22,7 @@
     UpstreamNotAcceptingError,
     UpstreamRefusedError,
 )
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.paths.path_state import PathState
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -17,10 +17,10 @@
     SlotRequest,
     VersionPolicy,
 )
-from boragedeck.process.journal import Journal
-from boragedeck.process.logs import PartLog
-from boragedeck.process.metrics import Metrics
-from boragedeck.process.pulse import UpstreamActivityTable
+from boragedeck.process.answering.journal import Journal
+from boragedeck.process.membership.pulse import UpstreamActivityTable
+from boragedeck.process.observing.logs import PartLog
+from boragedeck.process.observing.metrics import Metrics
 from boragedeck.process.timers import TimerService
 from boragedeck.request.answer import Answer, ErrorInfo, Finish
 from boragedeck.request.attempt import Attempt, EndKind, OpenRun, broken_outcome
--- a/boragedeck/request/lookup.py
+++ b/boragedeck/request/lookup.py
@@ -19,10 +19,10 @@
 )
 from boragedeck.ids import ExecutionStatus, Health
 from boragedeck.interfaces import Membership
-from boragedeck.process.answers import AnswerTable
-from boragedeck.process.copies import CopyStore
-from boragedeck.process.logs import PartLog
-from boragedeck.process.rendezvous import rank
+from boragedeck.process.answering.answers import AnswerTable
+from boragedeck.process.answering.copies import CopyStore
+from boragedeck.process.membership.rendezvous import rank
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.request.answer import AnswerKey
 from boragedeck.request.copy_messages import (
--- a/boragedeck/request/reader.py
+++ b/boragedeck/request/reader.py
@@ -3,8 +3,8 @@
 from result import Err, Ok, Result
 
 from boragedeck.exceptions import RefusedError
-from boragedeck.process.answer_service import AnswerService
-from boragedeck.process.logs import PartLog
+from boragedeck.process.answering.answer_service import AnswerService
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.request.answer import AnswerKey, Chunk
 from boragedeck.request.copy_messages import AnswerPart
 from boragedeck.request.event_id import (
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -15,7 +15,7 @@
     OrganisationName,
     PoolName,
 )
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.crashes.crash_blame import CrashBlame, fingerprint_of
 from boragedeck.process.relaying.crashes.crash_verdicts import RequestTraits
 from boragedeck.process.relaying.limits.limited_admission import LimitedAdmission
--- a/boragedeck/request/repeatable.py
+++ b/boragedeck/request/repeatable.py
@@ -9,7 +9,7 @@
 from boragedeck.exceptions import RefusedError, UpstreamSilentError
 from boragedeck.ids import ExecutionStatus, RouteName
 from boragedeck.interfaces import Chooser, Outcome, Slot
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.request import call_errors
 from boragedeck.request.call_headers import response_headers
--- a/boragedeck/request/run_samples.py
+++ b/boragedeck/request/run_samples.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from boragedeck.interfaces import Outcome, RunSample, VersionPolicy
-from boragedeck.process.metrics import Metrics
+from boragedeck.process.observing.metrics import Metrics
 from boragedeck.request.answer import Answer
 from boragedeck.version.tables import Upstream
 
--- a/boragedeck/request/silence.py
+++ b/boragedeck/request/silence.py
@@ -1,6 +1,6 @@
 """Estimates after how long a silence a stream is suspected to have failed."""
 
-from boragedeck.process.pulse import UpstreamActivity
+from boragedeck.process.membership.pulse import UpstreamActivity
 
 __all__ = ["GapEstimator"]
 
--- a/boragedeck/version/config_in_force.py
+++ b/boragedeck/version/config_in_force.py
@@ -9,7 +9,7 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import TableError
 from boragedeck.ids import Revision
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.version.config_messages import ConfigContent
 from boragedeck.version.config_store import Change, pack, unpack
--- a/boragedeck/version/config_watch.py
+++ b/boragedeck/version/config_watch.py
@@ -18,7 +18,7 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import BoragedeckError, PeerError, StoreError
 from boragedeck.interfaces import FactBoard, Membership
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.version.config_in_force import ConfigInForce, Source
 from boragedeck.version.config_messages import ConfigContent, ConfigFact, FetchConfig
--- a/boragedeck/version/rollout_follower.py
+++ b/boragedeck/version/rollout_follower.py
@@ -9,7 +9,7 @@
 from boragedeck.exceptions import StoreConflictError
 from boragedeck.ids import RouteName, RouterId, Version
 from boragedeck.interfaces import ConfigSource, FactBoard, Outcome, RunSample
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.version.judgement import UpstreamCounts
 from boragedeck.version.rollout_facts import (
--- a/boragedeck/version/rollout_leader.py
+++ b/boragedeck/version/rollout_leader.py
@@ -16,7 +16,7 @@
 )
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import ConfigSource, Membership
-from boragedeck.process.logs import PartLog
+from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.version import rollout_texts as texts
 from boragedeck.version.rollout_capacity import CapacitySource
--- a/scripts/fault_matrix.py
+++ b/scripts/fault_matrix.py
@@ -25,8 +25,8 @@
 import eventlet
 import msgspec
 
-from boragedeck.process.timeline import EventFilter, merge, read_events
-from boragedeck.process.timeline_views import text_lines
+from boragedeck.process.observing.timeline import EventFilter, merge, read_events
+from boragedeck.process.observing.timeline_views import text_lines
 from boragedeck.version.tables import Config
 from scripts.caller import Caller, CallerError, Stream
 from scripts.engine_metrics import RUNNING_REQUESTS, read_metrics
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -21,8 +21,8 @@
 from boragedeck.connection.store import Put, Table
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member
-from boragedeck.process.member_row import MemberRow
-from boragedeck.process.status import PeerStatus, QuarantineStatus, Status
+from boragedeck.process.membership.member_row import MemberRow
+from boragedeck.process.observing.status import PeerStatus, QuarantineStatus, Status
 from boragedeck.process.timers import RealTimers
 from boragedeck.version.config_in_force import Source
 from boragedeck.version.config_store import ConfigStore
--- a/tests/connection/test_peer.py
+++ b/tests/connection/test_peer.py
@@ -7,7 +7,7 @@
 from boragedeck.connection.messages import Accepted, Frame, Message, Ping, Refused
 from boragedeck.connection.peer import Address, PeerLink, PeerServer
 from boragedeck.exceptions import PeerRefusedError, PeerUnreachableError
-from boragedeck.process.causal_clock import process_clock
+from boragedeck.process.membership.causal_clock import process_clock
 from boragedeck.process.timers import RealTimers
 
 
--- a/tests/process/test_grace.py
+++ b/tests/process/answering/test_grace.py
@@ -1,7 +1,7 @@
 import random
 import unittest
 
-from boragedeck.process.grace import LearnedGrace
+from boragedeck.process.answering.grace import LearnedGrace
 from boragedeck.version.tables import Route, RouteLimits
 from tests.process.policy_fakes import make_config, make_pool
 from tests.support.config import FakeConfigSource
--- a/tests/process/test_intent_pruner.py
+++ b/tests/process/answering/test_intent_pruner.py
@@ -2,7 +2,7 @@
 
 from boragedeck.connection.store import Put, Table
 from boragedeck.ids import RouterId
-from boragedeck.process.intent_pruner import (
+from boragedeck.process.answering.intent_pruner import (
     KEY_PREFIXES,
     RETENTION_S,
     WALK_INTERVAL_S,
@@ -12,7 +12,7 @@
 from boragedeck.process.timers import ManualTimers
 from boragedeck.request.intents import IntentRow, encode_row
 from standins.memory import MemoryPlatform
-from tests.process.test_lease_manager import FakeMembership, member
+from tests.process.leasing.test_lease_manager import FakeMembership, member
 
 
 class IntentPrunerTest(unittest.TestCase):
--- a/tests/process/test_intent_writer.py
+++ b/tests/process/answering/test_intent_writer.py
@@ -8,11 +8,11 @@
     StoreUnavailableError,
     StoreUnknownOutcomeError,
 )
-from boragedeck.process.group_pacing import (
+from boragedeck.process.answering.intent_writer import GroupLimits, IntentWriter
+from boragedeck.process.placing.group_pacing import (
     MAX_BURST_TRANSACTIONS,
     STORE_TRANSACTIONS_PER_S,
 )
-from boragedeck.process.intent_writer import GroupLimits, IntentWriter
 from boragedeck.process.store_breaker import StoreBreaker
 from boragedeck.process.timers import ManualTimers
 from standins.memory import Faults, MemoryPlatform
--- a/tests/process/test_claims.py
+++ b/tests/process/crashes/test_claims.py
@@ -1,6 +1,6 @@
 import unittest
 
-from boragedeck.process.claims import Claim, ClaimTable
+from boragedeck.process.crashes.claims import Claim, ClaimTable
 from boragedeck.process.timers import ManualTimers
 
 
--- a/tests/process/test_quarantine.py
+++ b/tests/process/crashes/test_quarantine.py
@@ -4,8 +4,8 @@
 import msgspec
 
 from boragedeck.interfaces import Outcome
-from boragedeck.process.quarantine import Quarantine
-from boragedeck.process.upstreams import UpstreamKey
+from boragedeck.process.crashes.quarantine import Quarantine
+from boragedeck.process.placing.upstreams import UpstreamKey
 from boragedeck.version.tables import QuarantineLift
 from tests.process.policy_fakes import (
     FakeRouters,
--- a/tests/process/test_lease_manager.py
+++ b/tests/process/leasing/test_lease_manager.py
@@ -4,8 +4,8 @@
 from boragedeck.connection.peer import Address
 from boragedeck.ids import FailureDomain, Health, RouterId, VmName
 from boragedeck.interfaces import Member
-from boragedeck.process.lease_manager import LeaseManager
-from boragedeck.process.leases import TERM_S, LeaseTable
+from boragedeck.process.leasing.lease_manager import LeaseManager
+from boragedeck.process.leasing.leases import TERM_S, LeaseTable
 from boragedeck.process.timers import ManualTimers
 from standins.memory import Faults, MemoryPlatform
 
--- a/tests/process/test_leases.py
+++ b/tests/process/leasing/test_leases.py
@@ -3,7 +3,7 @@
 from boragedeck.connection.store import Put, Table
 from boragedeck.exceptions import StoreConflictError, StoreUnknownOutcomeError
 from boragedeck.ids import RouterId
-from boragedeck.process.leases import TERM_S, LeaseLostError, LeaseTable
+from boragedeck.process.leasing.leases import TERM_S, LeaseLostError, LeaseTable
 from boragedeck.process.timers import ManualTimers
 from standins.memory import Faults, MemoryPlatform
 
--- a/tests/process/test_bad_messages.py
+++ b/tests/process/membership/test_bad_messages.py
@@ -14,19 +14,19 @@
 from boragedeck.exceptions import StoreConflictError, StoreUnknownOutcomeError
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
+from boragedeck.process.answering.intent_log import IntentLog
 from boragedeck.process.composition import Router
-from boragedeck.process.gossip_messages import AgedFact, FactPush
-from boragedeck.process.intent_log import IntentLog
-from boragedeck.process.leases import TERM_S, LeaseTable
-from boragedeck.process.leaving import LeavingFact
-from boragedeck.process.load_gossip import InFlightReport
-from boragedeck.process.member_table import MemberTable
-from boragedeck.process.membership import Suspicion
-from boragedeck.process.polling import PolledLoads
-from boragedeck.process.quarantine import QUARANTINE_S
-from boragedeck.process.quarantine_facts import CrashFact, QuarantineFact
+from boragedeck.process.crashes.quarantine import QUARANTINE_S
+from boragedeck.process.crashes.quarantine_facts import CrashFact, QuarantineFact
+from boragedeck.process.leasing.leases import TERM_S, LeaseTable
+from boragedeck.process.membership.gossip_messages import AgedFact, FactPush
+from boragedeck.process.membership.member_table import MemberTable
+from boragedeck.process.membership.membership import Suspicion
+from boragedeck.process.placing.leaving import LeavingFact
+from boragedeck.process.placing.load_gossip import InFlightReport
+from boragedeck.process.placing.polling import PolledLoads
+from boragedeck.process.placing.shares import ShareReport
 from boragedeck.process.settings import parse_settings
-from boragedeck.process.shares import ShareReport
 from boragedeck.process.timers import ManualTimers
 from boragedeck.request.answer import Epoch
 from boragedeck.request.copy_messages import CopyAppend, CopyImage, CopyItem
--- a/tests/process/test_causal_clock.py
+++ b/tests/process/membership/test_causal_clock.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from boragedeck.connection.messages import Frame
-from boragedeck.process.causal_clock import MAX_CLOCK_US, CausalClock
+from boragedeck.process.membership.causal_clock import MAX_CLOCK_US, CausalClock
 
 
 class OldFrame(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/process/test_gossip.py
+++ b/tests/process/membership/test_gossip.py
@@ -7,8 +7,8 @@
 
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.ids import RouterId
-from boragedeck.process.fact_store import FactStore
-from boragedeck.process.gossip_messages import AgedFact
+from boragedeck.process.membership.fact_store import FactStore
+from boragedeck.process.membership.gossip_messages import AgedFact
 from boragedeck.process.timers import ManualTimers
 from tests.process.peers import Fleet
 
--- a/tests/process/test_peer_loopback.py
+++ b/tests/process/membership/test_peer_loopback.py
@@ -7,8 +7,8 @@
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.ids import FailureDomain, RouterId, VmName
 from boragedeck.interfaces import Member
-from boragedeck.process.gossip import GossipBoard
-from boragedeck.process.heartbeats import Heartbeats, Reachability
+from boragedeck.process.membership.gossip import GossipBoard
+from boragedeck.process.membership.heartbeats import Heartbeats, Reachability
 from boragedeck.process.timers import RealTimers
 
 WAIT_S = 5.0
--- a/tests/process/test_log_sink.py
+++ b/tests/process/observing/test_log_sink.py
@@ -5,7 +5,7 @@
 import msgspec
 from eventlet.patcher import original
 
-from boragedeck.process.log_sink import (
+from boragedeck.process.observing.log_sink import (
     MAX_LINES_PER_S,
     MAX_QUEUED_LINES,
     RETRY_INTERVAL_S,
--- a/tests/process/test_logs.py
+++ b/tests/process/observing/test_logs.py
@@ -2,8 +2,8 @@
 
 import eliot
 
-from boragedeck.process.causal_clock import process_clock
-from boragedeck.process.logs import PartLog
+from boragedeck.process.membership.causal_clock import process_clock
+from boragedeck.process.observing.logs import PartLog
 
 
 class PartLogTest(unittest.TestCase):
--- a/tests/process/test_timeline.py
+++ b/tests/process/observing/test_timeline.py
@@ -7,9 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from boragedeck.process.causal_clock import CausalClock
-from boragedeck.process.timeline import EventFilter, merge, read_events
-from boragedeck.process.timeline_views import html_page, text_lines
+from boragedeck.process.membership.causal_clock import CausalClock
+from boragedeck.process.observing.timeline import EventFilter, merge, read_events
+from boragedeck.process.observing.timeline_views import html_page, text_lines
 
 PROCESSES = 4
 SKEW_S = 3600.0
--- a/tests/process/peers.py
+++ b/tests/process/peers.py
@@ -7,8 +7,8 @@
 from boragedeck.connection.peer import Address
 from boragedeck.ids import FailureDomain, RouterId, VmName
 from boragedeck.interfaces import Member
-from boragedeck.process.gossip import GossipBoard
-from boragedeck.process.membership import GossipMembership
+from boragedeck.process.membership.gossip import GossipBoard
+from boragedeck.process.membership.membership import GossipMembership
 from boragedeck.process.timers import ManualTimers
 from standins.memory import MemoryPlatform
 from standins.network import Network, NetworkLinks, NetworkServer
--- a/tests/process/test_chooser.py
+++ b/tests/process/placing/test_chooser.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from boragedeck.interfaces import Outcome
-from boragedeck.process.chooser import PoolChooser
-from boragedeck.process.load import LoadReport
+from boragedeck.process.placing.chooser import PoolChooser
+from boragedeck.process.placing.load import LoadReport
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.tables import Route, RouteLimits
 from tests.process.policy_fakes import (
--- a/tests/process/test_concurrency.py
+++ b/tests/process/placing/test_concurrency.py
@@ -1,7 +1,7 @@
 import unittest
 
-from boragedeck.process.concurrency import ConcurrencyLimit
-from boragedeck.process.load import LoadReport
+from boragedeck.process.placing.concurrency import ConcurrencyLimit
+from boragedeck.process.placing.load import LoadReport
 
 
 class ConcurrencyLimitTest(unittest.TestCase):
--- a/tests/process/test_fair_queue.py
+++ b/tests/process/placing/test_fair_queue.py
@@ -1,7 +1,7 @@
 import unittest
 from collections import Counter
 
-from boragedeck.process.fair_queue import FairQueue, Ticket
+from boragedeck.process.placing.fair_queue import FairQueue, Ticket
 from boragedeck.version.tables import Priority, Route, RouteKind
 from tests.process.policy_fakes import make_pool, make_slot_request
 
--- a/tests/process/test_health.py
+++ b/tests/process/placing/test_health.py
@@ -2,7 +2,7 @@
 
 from boragedeck.ids import Health
 from boragedeck.interfaces import Outcome
-from boragedeck.process.health import HealthRecord
+from boragedeck.process.placing.health import HealthRecord
 
 
 class HealthRecordTest(unittest.TestCase):
--- a/tests/process/test_leaving.py
+++ b/tests/process/placing/test_leaving.py
@@ -6,9 +6,9 @@
 from boragedeck.connection.peer import Address
 from boragedeck.connection.store import Vm
 from boragedeck.interfaces import Member
-from boragedeck.process.leaving import LeavingUpstreamMonitor
+from boragedeck.process.placing.leaving import LeavingUpstreamMonitor
+from boragedeck.process.placing.upstreams import UpstreamRegistry
 from boragedeck.process.timers import ManualTimers
-from boragedeck.process.upstreams import UpstreamRegistry
 from boragedeck.version.tables import Config
 from standins.memory import MemoryPlatform
 from tests.process.policy_fakes import FakeBoards, FakeMembership, make_pool
--- a/tests/process/test_load.py
+++ b/tests/process/placing/test_load.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from boragedeck.process.load import LoadEstimate, LoadReport
+from boragedeck.process.placing.load import LoadEstimate, LoadReport
 
 
 class LoadEstimateTest(unittest.TestCase):
--- a/tests/process/test_polling.py
+++ b/tests/process/placing/test_polling.py
@@ -8,10 +8,10 @@
 from boragedeck.exceptions import UpstreamError
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member, Outcome
-from boragedeck.process.load import LoadReport
-from boragedeck.process.polling import LoadPoller, polling_plan, polling_routers
+from boragedeck.process.placing.load import LoadReport
+from boragedeck.process.placing.polling import LoadPoller, polling_plan, polling_routers
+from boragedeck.process.placing.upstreams import UpstreamKey, UpstreamRegistry
 from boragedeck.process.timers import ManualTimers
-from boragedeck.process.upstreams import UpstreamKey, UpstreamRegistry
 from tests.process.policy_fakes import (
     FakeBoards,
     FakeMembership,
--- a/tests/process/test_retry_budget.py
+++ b/tests/process/placing/test_retry_budget.py
@@ -1,7 +1,7 @@
 import random
 import unittest
 
-from boragedeck.process.retry_budget import RetryBudget
+from boragedeck.process.placing.retry_budget import RetryBudget
 from boragedeck.process.timers import ManualTimers
 
 
--- a/tests/process/test_shares.py
+++ b/tests/process/placing/test_shares.py
@@ -1,6 +1,6 @@
 import unittest
 
-from boragedeck.process.shares import OrganisationShares
+from boragedeck.process.placing.shares import OrganisationShares
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.tables import Organisation
 from tests.process.policy_fakes import FakeBoards, make_config, make_pool
--- a/tests/process/test_utilisation.py
+++ b/tests/process/placing/test_utilisation.py
@@ -1,9 +1,9 @@
 import unittest
 
-from boragedeck.process.load import LoadReport
+from boragedeck.process.placing.load import LoadReport
+from boragedeck.process.placing.upstreams import UpstreamRegistry
+from boragedeck.process.placing.utilisation import PoolUtilisation
 from boragedeck.process.timers import ManualTimers
-from boragedeck.process.upstreams import UpstreamRegistry
-from boragedeck.process.utilisation import PoolUtilisation
 from boragedeck.version.tables import Pool, Upstream
 
 
--- a/tests/process/test_versioned_chooser.py
+++ b/tests/process/placing/test_versioned_chooser.py
@@ -5,8 +5,8 @@
 
 from boragedeck.exceptions import RefusedError
 from boragedeck.interfaces import Outcome, SlotRequest
+from boragedeck.process.placing.versioned_chooser import VersionedChooser
 from boragedeck.process.timers import ManualTimers
-from boragedeck.process.versioned_chooser import VersionedChooser
 from tests.version.rollout_parts import config, upstream
 
 
--- a/tests/process/policy_fakes.py
+++ b/tests/process/policy_fakes.py
@@ -6,8 +6,8 @@
 from boragedeck.exceptions import PeerUnreachableError
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member, SlotRequest
-from boragedeck.process.claims import Claim, ClaimClient, ClaimTable
-from boragedeck.process.quarantine import Quarantine
+from boragedeck.process.crashes.claims import Claim, ClaimClient, ClaimTable
+from boragedeck.process.crashes.quarantine import Quarantine
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.tables import Config, Pool, Route, Upstream
 from tests.support.config import FakeConfigSource
--- a/tests/process/relaying/fleet/test_peer_dialect.py
+++ b/tests/process/relaying/fleet/test_peer_dialect.py
@@ -7,8 +7,12 @@
 from boragedeck.connection.messages import Fact, FactTopic
 from boragedeck.connection.peer_protocol import Greeting, PeerProtocol
 from boragedeck.connection.store import Table
-from boragedeck.process.fact_store import FactStore
-from boragedeck.process.gossip_messages import AgedFact, FactExchange, FactPush
+from boragedeck.process.membership.fact_store import FactStore
+from boragedeck.process.membership.gossip_messages import (
+    AgedFact,
+    FactExchange,
+    FactPush,
+)
 from boragedeck.process.relaying.fleet.peer_dialect import RelayDialect
 from boragedeck.process.relaying.loads.load_messages import LoadSum, LoadUpdate
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
--- a/tests/process/relaying/rollouts/test_rollouts.py
+++ b/tests/process/relaying/rollouts/test_rollouts.py
@@ -10,7 +10,7 @@
 from boragedeck.exceptions import StoreConflictError, StoreUnavailableError
 from boragedeck.interfaces import Outcome, RunSample
 from boragedeck.platform.routing import decode_rollout
-from boragedeck.process.fact_store import MAX_BODY_BYTES
+from boragedeck.process.membership.fact_store import MAX_BODY_BYTES
 from boragedeck.process.relaying.rollouts.rollout_plan import (
     TRIAL_UNTIL,
     Doubt,
--- a/tests/process/test_secrets.py
+++ b/tests/process/test_secrets.py
@@ -11,7 +11,7 @@
 from boragedeck.connection.platform import HttpPlatform
 from boragedeck.exceptions import SettingsError
 from boragedeck.process.composition import Router
-from boragedeck.process.peer_guard import make_guard
+from boragedeck.process.membership.peer_guard import make_guard
 from boragedeck.process.settings import parse_settings
 from boragedeck.process.timers import RealTimers
 from boragedeck.version.config_store import ConfigStore
--- a/tests/request/test_answer_path.py
+++ b/tests/request/test_answer_path.py
@@ -2,8 +2,8 @@
 
 import eventlet
 
-from boragedeck.process import journal
-from boragedeck.process.rendezvous import rank
+from boragedeck.process.answering import journal
+from boragedeck.process.membership.rendezvous import rank
 from boragedeck.process.timers import ManualTimers
 from boragedeck.request.answer import AnswerState
 from standins.tokens import find_break
--- a/tests/request/test_call.py
+++ b/tests/request/test_call.py
@@ -4,8 +4,8 @@
 import msgspec
 from result import Ok
 
+from boragedeck.process.placing.versioned_chooser import VersionedChooser
 from boragedeck.process.timers import ManualTimers
-from boragedeck.process.versioned_chooser import VersionedChooser
 from boragedeck.request.call import CallService
 from boragedeck.request.calls import CallRequest, CallResponse
 from tests.request.world import CONFIG
--- a/tests/request/test_command.py
+++ b/tests/request/test_command.py
@@ -67,7 +67,7 @@
     def test_a_large_response_goes_through_the_object_store(self):
         key = "k" * 250
         with unittest.mock.patch(
-            "boragedeck.process.intent_settler.MAX_INLINE_BODY_BYTES", 100
+            "boragedeck.process.answering.intent_settler.MAX_INLINE_BODY_BYTES", 100
         ):
             self.send_request(0, key)
         self.assertIsNone(next(iter(self.world.rows().values())).response.body)
--- a/tests/request/test_command_machine.py
+++ b/tests/request/test_command_machine.py
@@ -9,7 +9,7 @@
 
 from boragedeck.connection.store import Put, Table
 from boragedeck.ids import RouterId
-from boragedeck.process.leases import LeaseTable
+from boragedeck.process.leasing.leases import LeaseTable
 from boragedeck.process.timers import ManualTimers
 from standins.memory import Faults, MemoryPlatform
 from tests.request.test_fault_matrix import FAULTS, STEPS
--- a/tests/request/test_fault_matrix.py
+++ b/tests/request/test_fault_matrix.py
@@ -9,10 +9,10 @@
 
 from boragedeck.exceptions import StoreUnavailableError, StoreUnknownOutcomeError
 from boragedeck.ids import ExecutionStatus
-from boragedeck.process import intent_log
-from boragedeck.process.intent_log import IntentLog
-from boragedeck.process.intent_settler import IntentSettler
-from boragedeck.process.intent_writer import IntentWriter
+from boragedeck.process.answering import intent_log
+from boragedeck.process.answering.intent_log import IntentLog
+from boragedeck.process.answering.intent_settler import IntentSettler
+from boragedeck.process.answering.intent_writer import IntentWriter
 from boragedeck.request import call_errors
 from boragedeck.request.command import LATE_ANSWER_S, CommandRunner
 from standins.memory import Faults
--- a/tests/request/test_silence.py
+++ b/tests/request/test_silence.py
@@ -1,6 +1,6 @@
 import unittest
 
-from boragedeck.process.pulse import UpstreamActivity
+from boragedeck.process.membership.pulse import UpstreamActivity
 from boragedeck.request.silence import GapEstimator
 
 
--- a/tests/request/world.py
+++ b/tests/request/world.py
@@ -24,7 +24,7 @@
     RouteName,
     RouterId,
 )
-from boragedeck.process.command_parts import build_call_service
+from boragedeck.process.answering.command_parts import build_call_service
 from boragedeck.process.timers import ManualTimers
 from boragedeck.request.calls import CallRequest
 from boragedeck.request.intents import IntentState, command_key, decode_row
--- a/tests/support/answer_defects.py
+++ b/tests/support/answer_defects.py
@@ -7,10 +7,10 @@
 from hypothesis import Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from boragedeck.process import journal
-from boragedeck.process.answer_service import AnswerService
-from boragedeck.process.copies import CopyStore
-from boragedeck.process.journal import Journal
+from boragedeck.process.answering import journal
+from boragedeck.process.answering.answer_service import AnswerService
+from boragedeck.process.answering.copies import CopyStore
+from boragedeck.process.answering.journal import Journal
 from boragedeck.request import generation, lookup, reader
 from boragedeck.request.answer import Answer
 from boragedeck.request.copy_messages import CopyStatus
--- a/tests/support/routers.py
+++ b/tests/support/routers.py
@@ -5,11 +5,11 @@
 from boragedeck.connection.peer import Address
 from boragedeck.ids import Health
 from boragedeck.interfaces import Member
-from boragedeck.process.answer_service import AnswerService
-from boragedeck.process.answers import AnswerTable
-from boragedeck.process.copies import CopyStore
-from boragedeck.process.journal import Journal
-from boragedeck.process.metrics import Metrics
+from boragedeck.process.answering.answer_service import AnswerService
+from boragedeck.process.answering.answers import AnswerTable
+from boragedeck.process.answering.copies import CopyStore
+from boragedeck.process.answering.journal import Journal
+from boragedeck.process.observing.metrics import Metrics
 from boragedeck.process.simple_parts import DeclaredVersion, RandomChooser
 from boragedeck.request import openai
 from boragedeck.request.abandonment import AbandonmentMonitor, FixedGrace
