--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -64,7 +64,7 @@
 from boragedeck.process.relaying.tables.table_composition import MirroredTables
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
-from boragedeck.request.relay_job import RelayComponents, respond_refusal
+from boragedeck.request.relay_components import RelayComponents, respond_refusal
 from boragedeck.version.replicas import Replica
 
 __all__ = ["RelayRouter"]
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -4,7 +4,8 @@
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import OrganisationName
 from boragedeck.request.relay_call import CallRelay
-from boragedeck.request.relay_job import RelayComponents, RelayJob, log, respond_refusal
+from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
+from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_refusals import crash_refusal, stopping_refusal
 from boragedeck.request.relay_request import RelayRequest
 from boragedeck.request.relay_stream import StreamRelay
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -16,7 +16,8 @@
 )
 from boragedeck.process.relaying.placing.place import Place
 from boragedeck.request.answer_heads import read_own_head
-from boragedeck.request.relay_job import RelayComponents, RelayJob
+from boragedeck.request.relay_components import RelayComponents
+from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_request import AttemptPlan, Verdict, VerdictKind
 
 __all__ = ["PendingAnswer", "start_attempt", "probe"]
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -16,7 +16,8 @@
 from boragedeck.process.relaying.placing.place import Place
 from boragedeck.request.answer_progress import AnswerProgress
 from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
-from boragedeck.request.relay_job import RelayJob, log
+from boragedeck.request.relay_components import log
+from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_refusals import final_refusal
 from boragedeck.request.relay_request import AttemptPlan, VerdictKind
 
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -1,46 +1,25 @@
 """State of one relayed request that all of its attempts share."""
 
-import random
-from collections.abc import Callable
-
-import msgspec
 from result import Err, Result
 
 from boragedeck.connection.caller_edge import CallerChannel
-from boragedeck.connection.exchange import Headers
-from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.exceptions import RefusedError, UpstreamAnswerTooLargeError
 from boragedeck.ids import (
     FailureDomain,
     OrganisationName,
     PoolName,
 )
-from boragedeck.process.observing.logs import PartLog
-from boragedeck.process.relaying.crashes.crash_blame import CrashBlame, fingerprint_of
+from boragedeck.process.relaying.crashes.crash_blame import fingerprint_of
 from boragedeck.process.relaying.crashes.crash_verdicts import RequestTraits
-from boragedeck.process.relaying.limits.limited_admission import LimitedAdmission
-from boragedeck.process.relaying.paths.replica_paths import ReplicaPaths
-from boragedeck.process.relaying.placing.admission import Admission
-from boragedeck.process.relaying.placing.durations import RequestDurations
 from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
-from boragedeck.process.relaying.placing.stream_pace import StreamTimeEstimator
-from boragedeck.process.relaying.relay_metrics import RelayMetrics
-from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
-from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
-from boragedeck.process.relaying.retries.retry_share import RetryShare
-from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
-from boragedeck.process.relaying.tables.table_ages import TableAges
-from boragedeck.process.timers import TimerService
 from boragedeck.request.attempt_evidence import AttemptEvidence
 from boragedeck.request.events import EventExcessError
-from boragedeck.request.relay_request import (
-    RelayRequest,
-    ReplicaProtocol,
-)
+from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
+from boragedeck.request.relay_request import RelayRequest
 from boragedeck.version.replicas import ReplicaId
-from boragedeck.version.routing import RelayPool, RouteRule, RoutingTable
+from boragedeck.version.routing import RelayPool, RouteRule
 
-__all__ = ["RelayJob", "RelayComponents", "log", "respond_refusal"]
+__all__ = ["RelayJob"]
 
 FIRST_BACKOFF_S = 0.02
 """First pause before tried replicas are tried again; it doubles each time."""
@@ -56,75 +35,6 @@
 """Minimum Retry-After while no router reaches a replica."""
 MAX_LOGGED_PARTS = 8
 
-log = PartLog("relay")
-
-
-class RelayComponents(msgspec.Struct, frozen=True):
-    """The components of the process that relaying uses.
-
-    Parameters
-    ----------
-    timers : TimerService
-        The clock and timers.
-    rng : random.Random
-        The random number generator.
-    table : callable
-        Returns the routing table in force.
-    table_ages : TableAges
-        Tells how old the tables are by which a request is decided.
-    admission : Admission
-        Grants places at replicas.
-    limited_admission : LimitedAdmission
-        Grants places within the limits that replicas name.
-    registry : ReplicaRegistry
-        The known replicas.
-    upstreams : UpstreamPool
-        The connections to replicas.
-    paths : ReplicaPaths
-        Sends requests on these connections or through other routers.
-    notices : ReplicaNotices
-        Processes the notices that replicas send in the heads of their answers.
-    protocol : ReplicaProtocol
-        Encodes requests and interprets answers.
-    retries : RetryShare
-        Limits repeated attempts.
-    rollouts : RelayRollouts
-        Decides which versions may serve a request, and records how attempts ended.
-    durations : RequestDurations
-        Estimates how long requests take.
-    pace : StreamTimeEstimator
-        Estimates how long streams take.
-    crash_blame : CrashBlame
-        Knows which requests crash replicas.
-    metrics : RelayMetrics
-        The metrics of relaying.
-    time_left : callable
-        Returns how long this process will still serve requests, in seconds.
-    refusal_headers : callable
-        Returns the headers of a refusal by the router, given the request's id and
-        the value of Retry-After in seconds.
-    """
-
-    timers: TimerService
-    rng: random.Random
-    table: Callable[[], RoutingTable]
-    table_ages: TableAges
-    admission: Admission
-    limited_admission: LimitedAdmission
-    registry: ReplicaRegistry
-    upstreams: UpstreamPool
-    paths: ReplicaPaths
-    notices: ReplicaNotices
-    protocol: ReplicaProtocol
-    retries: RetryShare
-    rollouts: RelayRollouts
-    durations: RequestDurations
-    pace: StreamTimeEstimator
-    crash_blame: CrashBlame
-    metrics: RelayMetrics
-    time_left: Callable[[], float]
-    refusal_headers: Callable[[str | None, float | None], Headers]
-
 
 class RelayJob:
     """A request that is being relayed on a known route.
@@ -386,14 +296,3 @@
         return rule.timeout_s
     margin_s = min(MAX_ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * req.caller_timeout_s)
     return min(rule.timeout_s, req.caller_timeout_s - margin_s)
-
-
-def respond_refusal(
-    parts: RelayComponents,
-    request_id: str | None,
-    error: RefusedError,
-    channel: CallerChannel,
-) -> None:
-    """Send a refusal by the router to the caller."""
-    headers = parts.refusal_headers(request_id, error.retry_after_s)
-    channel.respond(error.status, headers, error.message.encode())
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -21,9 +21,11 @@
 from boragedeck.request.events import EventError, EventExcessError, EventSplitter
 from boragedeck.request.gap_sampler import GapSampler
 from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
-from boragedeck.request.relay_job import MAX_LOGGED_PARTS, RelayJob, log
+from boragedeck.request.relay_components import log
+from boragedeck.request.relay_job import MAX_LOGGED_PARTS, RelayJob
 from boragedeck.request.relay_refusals import final_refusal, too_late_refusal
 from boragedeck.request.relay_request import AttemptPlan, CopySource, VerdictKind
+from boragedeck.request.stream_delivery import StreamDelivery
 from boragedeck.request.stream_liveness import (
     ExchangeInterrupter,
     StreamLivenessMonitor,
@@ -69,16 +71,11 @@
         self._job = job
         self._liveness = StreamLivenessMonitor(job)
         self._splitter = EventSplitter(job.req.resume_after)
-        self._first_head: tuple[int, Headers] | None = None
+        self._delivery = StreamDelivery(job)
         self._recovery = StreamRecovery(job)
         self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
         self._failed_answer: _FailedAnswer | None = None
         self._failure_reason = ""
-        # When the stream broke off; None unless the caller waits for its resumption.
-        self._lost_at: float | None = None
-        self._first_event_s: float | None = None
-        self._last_delivery_at = job.req.arrived
-        self._longest_gap_s = 0.0
 
     def run(self) -> None:
         """Relay the stream, or answer the caller with a failure."""
@@ -100,7 +97,7 @@
                 place.release(outcome is AttemptOutcome.COMPLETE and job.sent == 1)
                 job.evidence.note_end(place)
             if outcome is AttemptOutcome.COMPLETE:
-                self._finish()
+                self._delivery.finish(self._splitter.last_number)
                 return
             if outcome is AttemptOutcome.LOST and self._progress.is_at_begin:
                 await_crash_verdict(job, place)
@@ -127,17 +124,13 @@
         acquired = job.acquire(job.deadline)
         if acquired.is_ok():
             return acquired.ok()
-        if job.may_have_run or self._has_begun:
+        if job.may_have_run or self._delivery.has_begun:
             self._failure_reason = acquired.err().message
             self._give_up()
         else:
             job.refuse(acquired.err())
         return None
 
-    @property
-    def _has_begun(self) -> bool:
-        return self._job.channel.has_begun
-
     def _run_attempt(self, place: Place) -> AttemptOutcome:
         job = self._job
         source = None
@@ -220,8 +213,7 @@
         match verdict.kind:
             case VerdictKind.SUCCESS:
                 self._progress.note_head()
-                if self._first_head is None:
-                    self._first_head = pending.head.status, verdict.headers
+                self._delivery.note_head(pending.head.status, verdict.headers)
                 return self._read_events(place, pending)
             case VerdictKind.MOVED:
                 self._failure_reason = "another replica has the address"
@@ -269,7 +261,8 @@
                 gap_s = gaps.note(len(events), now)
                 if gap_s is not None:
                     job.evidence.note_gap(place, gap_s)
-                self._deliver(b"".join(event.data for event in events))
+                data = b"".join(event.data for event in events)
+                self._delivery.write(data, self._splitter.last_number)
                 self._splitter.last_number = splitter.last_number
         if splitter.has_partial_event:
             raise EventError("the stream ended in the middle of an event")
@@ -304,29 +297,6 @@
                 )
         place.note_first_output()
 
-    def _deliver(self, data: bytes) -> None:
-        job, now = self._job, self._job.parts.timers.now()
-        if not self._has_begun:
-            job.channel.begin(*self._first_head)
-            kind = job.rule.kind.value
-            self._first_event_s = now - job.req.arrived
-            job.parts.metrics.first_output_s.labels(kind).observe(self._first_event_s)
-        else:
-            gap_s = now - self._last_delivery_at
-            self._longest_gap_s = max(self._longest_gap_s, gap_s)
-        self._last_delivery_at = now
-        if self._lost_at is not None:
-            after_s = now - self._lost_at
-            self._lost_at = None
-            job.parts.metrics.resume_s.observe(after_s)
-            log.write(
-                "Goes on.",
-                request=job.req.request_id,
-                position=self._splitter.last_number,
-                after_s=round(after_s, 3),
-            )
-        job.channel.write(data)
-
     def _choose_backup(self, place: Place) -> ReplicaState | None:
         engine = self._job.pool.engine
         if engine is None or not engine.can_back_up or not self._job.rule.may_repeat:
@@ -338,7 +308,6 @@
         self, place: Place, exc: Exception, outcome: AttemptOutcome
     ) -> AttemptOutcome:
         job = self._job
-        now = job.parts.timers.now()
         if job.left_s() > 0.0:
             job.note_miss(place)
         job.parts.metrics.attempts.labels(job.rule.kind.value, outcome.value).inc()
@@ -352,47 +321,12 @@
             job.evidence.note_outcome(place, Outcome.FAILED)
         job.note_attempt_failed(place, exc)
         self._failure_reason = str(exc)
-        if self._has_begun and self._lost_at is None:
-            self._lost_at = now
+        self._delivery.note_lost()
         return outcome
 
-    def _finish(self) -> None:
-        job = self._job
-        if not self._has_begun:
-            job.channel.begin(*self._first_head)
-        job.channel.finish()
-        self._note_pace()
-        took_s = job.note_served()
-        log.write(
-            "Answered.",
-            request=job.req.request_id,
-            route=job.rule.name,
-            position=self._splitter.last_number,
-            sent=job.sent,
-            first_s=round(self._first_event_s or 0.0, 3),
-            longest_gap_s=round(self._longest_gap_s, 3),
-            took_s=round(took_s, 3),
-        )
-
-    def _note_pace(self) -> None:
-        """Record the duration of a stream that ran entirely at one engine."""
-        job = self._job
-        if (
-            job.sent == 1
-            and not job.req.resume_after
-            and self._first_event_s is not None
-        ):
-            took_s = job.parts.timers.now() - job.req.arrived - self._first_event_s
-            job.parts.pace.note_complete_stream(
-                job.pool_name,
-                self._splitter.last_number or 0,
-                job.req.expected_tokens,
-                took_s,
-            )
-
     def _give_up(self) -> None:
         job = self._job
-        if self._has_begun:
+        if self._delivery.has_begun:
             log.write(
                 "Broken off.",
                 request=job.req.request_id,
--- /dev/null
+++ b/boragedeck/request/stream_delivery.py
@@ -0,0 +1,109 @@
+"""Writes the events of one stream to its caller, and measures the pauses."""
+
+from boragedeck.connection.exchange import Headers
+from boragedeck.request.relay_components import log
+from boragedeck.request.relay_job import RelayJob
+
+__all__ = ["StreamDelivery"]
+
+
+class StreamDelivery:
+    """The caller's side of one stream.
+
+    Parameters
+    ----------
+    job : RelayJob
+        The stream.
+    """
+
+    def __init__(self, job: RelayJob):
+        self._job = job
+        self._first_head: tuple[int, Headers] | None = None
+        # When the stream broke off; None unless the caller waits for its resumption.
+        self._lost_at: float | None = None
+        self._first_event_s: float | None = None
+        self._last_delivery_at = job.req.arrived
+        self._longest_gap_s = 0.0
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller has received a part of the answer."""
+        return self._job.channel.has_begun
+
+    def note_head(self, status: int, headers: Headers) -> None:
+        """Record the head of an attempt; the caller receives that of the first one."""
+        if self._first_head is None:
+            self._first_head = status, headers
+
+    def note_lost(self) -> None:
+        """Record that the stream broke off."""
+        if self.has_begun and self._lost_at is None:
+            self._lost_at = self._job.parts.timers.now()
+
+    def write(self, data: bytes, position: int | None) -> None:
+        """Send events to the caller.
+
+        Parameters
+        ----------
+        data : bytes
+            The events.
+        position : int or None
+            Number of the last event that the caller has received before.
+        """
+        job, now = self._job, self._job.parts.timers.now()
+        if not self.has_begun:
+            job.channel.begin(*self._first_head)
+            kind = job.rule.kind.value
+            self._first_event_s = now - job.req.arrived
+            job.parts.metrics.first_output_s.labels(kind).observe(self._first_event_s)
+        else:
+            gap_s = now - self._last_delivery_at
+            self._longest_gap_s = max(self._longest_gap_s, gap_s)
+        self._last_delivery_at = now
+        if self._lost_at is not None:
+            self._note_resumed(position)
+        job.channel.write(data)
+
+    def finish(self, position: int | None) -> None:
+        """End the caller's answer, which is complete after the given event."""
+        job = self._job
+        if not self.has_begun:
+            job.channel.begin(*self._first_head)
+        job.channel.finish()
+        self._note_pace(position)
+        took_s = job.note_served()
+        log.write(
+            "Answered.",
+            request=job.req.request_id,
+            route=job.rule.name,
+            position=position,
+            sent=job.sent,
+            first_s=round(self._first_event_s or 0.0, 3),
+            longest_gap_s=round(self._longest_gap_s, 3),
+            took_s=round(took_s, 3),
+        )
+
+    def _note_resumed(self, position: int | None) -> None:
+        job = self._job
+        after_s = job.parts.timers.now() - self._lost_at
+        self._lost_at = None
+        job.parts.metrics.resume_s.observe(after_s)
+        log.write(
+            "Goes on.",
+            request=job.req.request_id,
+            position=position,
+            after_s=round(after_s, 3),
+        )
+
+    def _note_pace(self, position: int | None) -> None:
+        """Record the duration of a stream that ran entirely at one engine."""
+        job = self._job
+        if (
+            job.sent == 1
+            and not job.req.resume_after
+            and self._first_event_s is not None
+        ):
+            took_s = job.parts.timers.now() - job.req.arrived - self._first_event_s
+            job.parts.pace.note_complete_stream(
+                job.pool_name, position or 0, job.req.expected_tokens, took_s
+            )
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -43,7 +43,7 @@
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.relay import relay
-from boragedeck.request.relay_job import RelayComponents
+from boragedeck.request.relay_components import RelayComponents
 from boragedeck.version.replicas import Replica, ReplicaStage
 from boragedeck.version.routing import (
     Backend,
