--- a/standins/late_answers.py
+++ b/standins/late_answers.py
@@ -1,6 +1,7 @@
 """Repeats answers late, where the next answer on their connection is expected."""
 
 import random
+from collections import deque
 from collections.abc import Callable
 
 import eventlet.wsgi
@@ -22,26 +23,29 @@
 
 
 class AnswerRepeater:
-    """Keeps the last answer on one connection, to send it again.
+    """Keeps the last answers on one connection, to send them again.
 
     Parameters
     ----------
     may_repeat : callable
-        Returns whether the last answer is repeated; called for each request after the
-        first one on the connection.
+        Returns whether an answer is repeated; called for each answer that is kept,
+        the oldest first, when the next request has arrived.
+    kept : int, optional
+        Number of answers that are kept.
     """
 
-    def __init__(self, may_repeat: Callable[[], bool]):
+    def __init__(self, may_repeat: Callable[[], bool], kept: int = 1):
         self._may_repeat = may_repeat
+        self._answers: deque[bytes] = deque(maxlen=kept)
         self._parts: list[bytes] = []
 
     def begin_answer(self) -> bytes:
-        """Return the late answer that is sent before the next one, mostly none."""
+        """Return the late answers that are sent before the next one, mostly none."""
         last_answer = b"".join(self._parts)
         self._parts = []
-        if not last_answer or len(last_answer) > MAX_REPEATED_BYTES:
-            return b""
-        return last_answer if self._may_repeat() else b""
+        if 0 < len(last_answer) <= MAX_REPEATED_BYTES:
+            self._answers.append(last_answer)
+        return b"".join(each for each in self._answers if self._may_repeat())
 
     def note_sent(self, data: bytes) -> None:
         """Record a part of the answer."""
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -149,7 +149,7 @@
         self._sock.sendall(data)
 
     def send_late_answer(self):
-        """Send the answer before once more, if the replica repeats it."""
+        """Send answers before once more, if the replica repeats them."""
         self._sock.sendall(self._repeater.begin_answer())
 
 
@@ -159,13 +159,14 @@
     A step is called with the connection's socket and the request, and returns whether
     the connection is kept open. The last step is repeated.
 
-    `may_repeat` returns whether the last answer on a connection is sent once more
-    before the next one; see `AnswerRepeater`.
+    `may_repeat` returns whether one of the last `kept` answers on a connection is sent
+    once more before the next one; see `AnswerRepeater`.
     """
 
-    def __init__(self, name, *steps, may_repeat=never):
+    def __init__(self, name, *steps, may_repeat=never, kept=1):
         self.name = name
         self._may_repeat = may_repeat
+        self._kept = kept
         self.received = []
         self.closed_after = []
         self.connections = 0
@@ -217,7 +218,7 @@
             eventlet.spawn_n(self._serve, sock, self.connections)
 
     def _serve(self, raw_sock, connection):
-        sock = AnsweringSocket(raw_sock, AnswerRepeater(self._may_repeat))
+        sock = AnsweringSocket(raw_sock, AnswerRepeater(self._may_repeat, self._kept))
         parser = h11.Connection(h11.SERVER)
         try:
             while True:
