--- a/boragedeck/connection/sent_requests.py
+++ b/boragedeck/connection/sent_requests.py
@@ -31,7 +31,7 @@
     UNPROVEN = "unproven"
     """It has the id of the request, but may belong to an earlier sending of it."""
     UNKNOWN = "unknown"
-    """It names no request."""
+    """It names no request, or several."""
 
 
 class SentRequests:
--- a/tests/request/test_late_answers.py
+++ b/tests/request/test_late_answers.py
@@ -283,9 +283,9 @@
 
 
 class GatewayTest(LateAnswerCase):
-    def cut_off_router(self, *steps, run=None, max_attempts=3):
-        """Return a router that reaches a replica through another one, and both."""
-        self.replica = RunningReplica("one", *steps, run=run)
+    def cut_off_router(self, *steps, max_attempts=3):
+        """Return a router that reaches the replica through another one only."""
+        self.replica = RunningReplica("one", *steps)
         rule = call_rule(CallKind.ONCE, max_attempts=max_attempts)
         self.fleet = CutFleet(2, [self.replica], rule=rule)
         self.addCleanup(self.fleet.close)
