Log each replica that is silent during a stream, and count them

Before, "Attempt failed" said only "silent": not how long, whether the replica had been heard otherwise, how it is reached, or what could replace the attempt.

--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -50,6 +50,12 @@
             ["kind"],
             registry=registry,
         )
+        self.silences = Counter(
+            "boragedeck_relay_silences",
+            "Attempts whose replica sent nothing and answered no probe, by kind.",
+            ["kind"],
+            registry=registry,
+        )
         self.leaving = Counter(
             "boragedeck_replicas_leaving",
             "Replicas that were found to be leaving by an answer, here or elsewhere.",
--- a/boragedeck/request/stream_liveness.py
+++ b/boragedeck/request/stream_liveness.py
@@ -8,6 +8,7 @@
 from boragedeck.process.relaying.placing.place import Place
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.request.relay_attempt import probe
+from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
 
 __all__ = ["ExchangeInterrupter", "StreamLivenessMonitor"]
@@ -69,6 +70,7 @@
                 if job.left_s() <= 0.0:
                     raise
                 if not self._is_alive(place, exchange, since):
+                    self._note_doubt(place, exchange, since)
                     raise
             suspect_s = self._suspect_after_probe_s()
 
@@ -102,6 +104,26 @@
         # The probe may have found out that it has to take another path.
         return not parts.paths.is_dead(exchange)
 
+    def _note_doubt(self, place: Place, exchange: Exchange, since: float) -> None:
+        job, now = self._job, self._job.parts.timers.now()
+        address = exchange.address
+        heard_at = job.parts.upstreams.heard_at(address)
+        job.parts.metrics.silences.labels(job.rule.kind.value).inc()
+        log.write(
+            "Replica silent.",
+            request=job.req.request_id,
+            replica=place.state.replica.replica,
+            has_output=place.has_output,
+            silent_s=round(now - since, 3),
+            heard_s=round(now - heard_at, 3) if heard_at > since else None,
+            path=job.parts.paths.state_of(address).value,
+            is_forwarded=exchange.is_forwarded,
+            sent=job.sent,
+            max_attempts=job.rule.max_attempts,
+            may_repeat=job.rule.may_repeat,
+            left_s=round(job.left_s(), 3),
+        )
+
     def _suspect_after_s(self) -> float:
         rule = self._job.rule
         if self._has_gap_goal():
