--- /dev/null
+++ b/tests/request/test_silent_replicas.py
@@ -0,0 +1,134 @@
+import time
+import unittest
+
+import eventlet
+
+from boragedeck.version.routing import CallKind, RelayPool
+from tests.support.replicas import (
+    ENGINE,
+    RelayHarness,
+    ScriptedReplica,
+    answer,
+    call_rule,
+    event,
+    head_of,
+    report_model,
+    send_chunk,
+    stream_rule,
+)
+
+ENGINES = RelayPool("engines", 100, ENGINE)
+TOKENS = b"Token-Counts: 1000,100"
+EVENTS = 12
+INTERVAL_S = 0.05
+SILENCE_AFTER_S = 0.2
+SILENCE_S = 1.2
+MANY_MS = 8000
+WHOLE = b"".join(event(number) for number in range(1, EVENTS + 1))
+
+
+def stream(sock, req):
+    """Stream the events that the request misses, at an even pace; answer probes."""
+    if b"request-id" not in req.headers:
+        return report_model(sock, req)
+    sock.sendall(head_of(req, 200, b"Transfer-Encoding: chunked") + b"\r\n")
+    for number in range(int(req.headers.get(b"last-event-id", 0)) + 1, EVENTS + 1):
+        send_chunk(sock, event(number))
+        eventlet.sleep(INTERVAL_S)
+    sock.sendall(b"0\r\n\r\n")
+    return True
+
+
+class SilentReplicaTest(unittest.TestCase):
+    def harness(self, *replicas, **fields):
+        rule = stream_rule(**{"timeout_s": 8.0, "gap_goal_s": 0.4} | fields)
+        harness = RelayHarness(rule, pool=ENGINES)
+        self.addCleanup(harness.close)
+        for replica, domain in zip(replicas, "abcdef", strict=False):
+            harness.add(replica, domain=domain)
+        return harness
+
+    def fetch(self, harness, *silent, after_s=SILENCE_AFTER_S, silence_s=SILENCE_S):
+        """Return the response to a stream during which replicas fall silent."""
+        fetched = eventlet.spawn(harness.fetch, TOKENS, ms=MANY_MS)
+        eventlet.sleep(after_s)
+        for replica in silent:
+            replica.silence.begin_for(silence_s)
+        return fetched.wait()
+
+    def assert_whole(self, response):
+        self.assertEqual((response.status, response.body), (200, WHOLE))
+        self.assertTrue(response.is_complete)
+
+    def test_silence_cuts_a_stream_that_cannot_be_resumed(self):
+        one, two = ScriptedReplica("one", stream), ScriptedReplica("two", stream)
+        harness = self.harness(one, two, is_resumable=False)
+        self.assert_whole(self.fetch(harness, one))
+        self.assertEqual((len(one.relayed()), len(two.relayed())), (1, 0))
+
+    def test_silence_cuts_a_stream_without_attempts_left(self):
+        one, two = ScriptedReplica("one", stream), ScriptedReplica("two", stream)
+        harness = self.harness(one, two, max_attempts=1)
+        self.assert_whole(self.fetch(harness, one))
+        self.assertEqual((len(one.relayed()), len(two.relayed())), (1, 0))
+
+    def test_silence_of_all_replicas_cuts_a_stream(self):
+        replicas = [ScriptedReplica(name, stream) for name in ("one", "two", "three")]
+        harness = self.harness(*replicas, max_attempts=2)
+        self.assert_whole(self.fetch(harness, *replicas))
+
+    def test_silence_before_the_first_event_ends_a_stream(self):
+        one, two = ScriptedReplica("one", stream), ScriptedReplica("two", stream)
+        harness = self.harness(one, two, is_resumable=False)
+        one.silence.begin()
+        self.assert_whole(self.fetch(harness, one, after_s=0.0))
+        self.assertEqual((len(one.relayed()), len(two.relayed())), (1, 0))
+
+    def test_silence_in_the_middle_of_an_event_cuts_a_stream(self):
+        def part(sock, req):
+            if b"request-id" not in req.headers:
+                return report_model(sock, req)
+            sock.sendall(head_of(req, 200, b"Transfer-Encoding: chunked") + b"\r\n")
+            for piece in (WHOLE[:4], WHOLE[4:8], WHOLE[8:12], WHOLE[12:]):
+                send_chunk(sock, piece)
+                eventlet.sleep(INTERVAL_S)
+            sock.sendall(b"0\r\n\r\n")
+            return True
+
+        one = ScriptedReplica("one", part)
+        harness = self.harness(one, is_resumable=False)
+        self.assert_whole(self.fetch(harness, one, after_s=1.5 * INTERVAL_S))
+
+    def test_stream_that_the_silent_replica_continues_first_has_no_event_twice(self):
+        def slow(sock, req):
+            if b"request-id" in req.headers:
+                eventlet.sleep(2.0 * SILENCE_S)
+            return stream(sock, req)
+
+        one, two = ScriptedReplica("one", stream), ScriptedReplica("two", slow)
+        harness = self.harness(one, two)
+        began = time.monotonic()
+        self.assert_whole(self.fetch(harness, one))
+        self.assertLess(time.monotonic() - began, 2.0 * SILENCE_S)
+        self.assertEqual((len(one.relayed()), len(two.relayed())), (1, 1))
+        self.assertEqual(harness.registry.get("two").own.running, 0)
+
+    def test_stream_goes_on_at_the_second_replica_if_that_sends_first(self):
+        one, two = ScriptedReplica("one", stream), ScriptedReplica("two", stream)
+        harness = self.harness(one, two)
+        began = time.monotonic()
+        self.assert_whole(self.fetch(harness, one))
+        self.assertLess(time.monotonic() - began, SILENCE_S)
+        self.assertEqual((len(one.relayed()), len(two.relayed())), (1, 1))
+        self.assertEqual(harness.registry.get("one").own.running, 0)
+
+    def test_silence_longer_than_the_objective_ends_a_call_that_may_run_once(self):
+        one = ScriptedReplica("one", answer())
+        rule = call_rule(CallKind.ONCE, goal_s=0.2, timeout_s=4.0)
+        harness = RelayHarness(rule)
+        self.addCleanup(harness.close)
+        harness.add(one)
+        one.silence.begin_for(SILENCE_S)
+        response = harness.fetch(ms=MANY_MS)
+        self.assertEqual((response.status, response.body), (200, b"whole"))
+        self.assertEqual(len(one.relayed()), 1)
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -55,6 +55,7 @@
     RoutingTable,
 )
 from standins.late_answers import AnswerRepeater, never
+from standins.silence import Silence
 
 BOUNDS = Bounds(
     contact_s=3.0,
@@ -137,14 +138,15 @@
 class AnsweringSocket:
     """The replica's end of a connection, which records the answers."""
 
-    def __init__(self, sock, repeater):
-        self._sock, self._repeater = sock, repeater
+    def __init__(self, sock, repeater, silence):
+        self._sock, self._repeater, self._silence = sock, repeater, silence
 
     def __getattr__(self, name):
         return getattr(self._sock, name)
 
     def sendall(self, data):
-        """Send a part of an answer."""
+        """Send a part of an answer, once the replica isn't silent."""
+        self._silence.wait()
         self._repeater.note_sent(data)
         self._sock.sendall(data)
 
@@ -161,10 +163,13 @@
 
     `may_repeat` returns whether one of the last `kept` answers on a connection is sent
     once more before the next one; see `AnswerRepeater`.
+
+    While its `silence` is on, it accepts connections and does nothing else.
     """
 
     def __init__(self, name, *steps, may_repeat=never, kept=1):
         self.name = name
+        self.silence = Silence()
         self._may_repeat = may_repeat
         self._kept = kept
         self.received = []
@@ -218,7 +223,8 @@
             eventlet.spawn_n(self._serve, sock, self.connections)
 
     def _serve(self, raw_sock, connection):
-        sock = AnsweringSocket(raw_sock, AnswerRepeater(self._may_repeat, self._kept))
+        repeater = AnswerRepeater(self._may_repeat, self._kept)
+        sock = AnsweringSocket(raw_sock, repeater, self.silence)
         parser = h11.Connection(h11.SERVER)
         try:
             while True:
@@ -247,6 +253,7 @@
             event = parser.next_event()
             if event is h11.NEED_DATA:
                 data = sock.recv(65_536)
+                self.silence.wait()
                 if not data:
                     return None
                 parser.receive_data(data)
