Let a silence of a replica end nothing; start a second attempt beside the first

What callers saw: streams that were cut, or ended with 502, half a second after their sound replica had fallen silent for 1.0 to 1.3 s (LOST).

Cause: StreamLivenessMonitor gave a silent replica a quarter of the gap objective to answer a probe and then ended its run, whether or not anything could replace it. A replica that stands still answers no probe. Streams that can be resumed used up their attempts, and the shared bound on repeats, in this way.

Fix: a silence is a doubt. Each attempt runs in a green thread and reports events, silences and its end. While the first attempt is silent, a second one may run beside it, at the engine with the copy or at a replica that isn't avoided; the first of the two to send an event goes on, and the other is ended. If the silent replica answers a probe again, the second attempt is ended. An attempt ends with its caller's time, its replica's own end, or a proof that the replica is gone. Bytes that complete no event are ended by the time in which they arrive, without silences.

Ruled out: waiting for the probe for longer (a replica that is lost would be left later); retrying only streams that can be resumed (their attempts run out).

--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -44,6 +44,8 @@
 DEFAULT_IDLE_S = 4.0
 """How long an idle connection is kept if its replica names no Keep-Alive timeout, in
 seconds."""
+SILENCE_S = 0.2
+"""A wait for bytes that is longer than this is a silence."""
 IDLE_MARGIN_S = 1.0
 """How long before its Keep-Alive timeout a connection is no longer reused, in
 seconds."""
@@ -108,6 +110,15 @@
 class UpstreamConnection:
     """A connection to a replica and the parser of its current exchange.
 
+    Parameters
+    ----------
+    sock : socket
+        The connected socket.
+    address : Address
+        The replica's address.
+    now : callable
+        Returns the time on the timer service's monotonic clock.
+
     Attributes
     ----------
     idle_s : float
@@ -116,11 +127,14 @@
         Until when the connection may be reused, in monotonic seconds.
     on_arrival : callable
         Called whenever bytes have arrived.
+    silent_s : float
+        How long the silences were that have ended, without the first `SILENCE_S` of
+        each, in seconds.
     sent : SentRequests
         The requests that the connection has carried.
     """
 
-    def __init__(self, sock: socket.socket, address: Address):
+    def __init__(self, sock: socket.socket, address: Address, now: Callable[[], float]):
         self.sock = sock
         self.address = address
         self.parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
@@ -128,6 +142,10 @@
         self.idle_s = DEFAULT_IDLE_S
         self.reusable_until = 0.0
         self.on_arrival: Callable[[], None] = _ignore_arrival
+        self.silent_s = 0.0
+        self._now = now
+        # Since when bytes have been waited for; None while they arrive.
+        self._waits_since: float | None = None
         self.sent = SentRequests()
 
     def is_open_and_empty(self) -> bool:
@@ -157,10 +175,12 @@
                 data = self.sock.fd.recv(READ_BYTES)
             except BlockingIOError:
                 self._steps_since_wait = 0
+                if self._waits_since is None:
+                    self._waits_since = self._now()
                 trampoline(self.sock.fd, read=True)
                 continue
             if data:
-                self.on_arrival()
+                self._note_arrival()
             return data
 
     def count_steps(self, steps: int = 1) -> None:
@@ -170,6 +190,13 @@
             self._steps_since_wait = 0
             eventlet.sleep(0)
 
+    def _note_arrival(self) -> None:
+        if self._waits_since is not None:
+            waited_s = self._now() - self._waits_since
+            self.silent_s += max(0.0, waited_s - SILENCE_S)
+            self._waits_since = None
+        self.on_arrival()
+
     def shut_down(self) -> None:
         """Shut the connection down, which wakes the green thread that waits on it."""
         try:
@@ -249,6 +276,11 @@
             if self._interim_answers > MAX_INTERIM_ANSWERS:
                 raise self._excess_error("too many interim (1xx) answers", "read head")
 
+    @property
+    def silent_s(self) -> float:
+        """How long its connection was silent; see `UpstreamConnection`."""
+        return self._conn.silent_s
+
     def match(self, answer_id: bytes | None) -> AnswerMatch:
         """Return whether an answer on this connection is the one to this request.
 
--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -257,7 +257,7 @@
         for level, option, value in _SOCKET_OPTIONS:
             sock.setsockopt(level, option, value)
         self._note_arrival(address)
-        conn = UpstreamConnection(sock, address)
+        conn = UpstreamConnection(sock, address, self._timers.now)
         conn.on_arrival = partial(self._note_arrival, address)
         return conn
 
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -91,11 +91,9 @@
         raise
     except UpstreamError:
         job.note_sent()
-        job.may_have_run = True
         raise
     place.is_forwarded = exchange.is_forwarded
     job.note_sent()
-    may_have_run_before, job.may_have_run = job.may_have_run, True
     try:
         pending = _read_head(job, place, exchange, wait_for_head)
     except BaseException:
@@ -103,10 +101,10 @@
         raise
     match pending.verdict.kind:
         case VerdictKind.NOT_RUN:
-            job.may_have_run = may_have_run_before
+            job.note_not_run()
         case VerdictKind.MOVED:
             # The intended replica never received the request.
-            job.may_have_run = may_have_run_before
+            job.note_not_run()
             job.sent -= 1
             _replace_replica_at_address(job, place, pending.verdict)
     return pending
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -1,5 +1,6 @@
 """State of one relayed request that all of its attempts share."""
 
+import msgspec
 from result import Err, Result
 
 from boragedeck.connection.caller_edge import CallerChannel
@@ -16,7 +17,7 @@
 from boragedeck.request.events import EventExcessError
 from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
 from boragedeck.request.relay_request import RelayRequest
-from boragedeck.version.replicas import ReplicaId
+from boragedeck.version.replicas import Replica, ReplicaId
 from boragedeck.version.routing import RelayPool, RouteRule
 
 __all__ = ["RelayJob"]
@@ -96,7 +97,13 @@
         self.delivered_attempts = 0
         self.evidence = AttemptEvidence(parts.rollouts, parts.timers, rule.name)
         self._backoff_s = FIRST_BACKOFF_S
-        self.may_have_run = False
+        # The attempts that were sent, less those that certainly did not run.
+        self.possible_runs = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a replica may have run the request."""
+        return self.possible_runs > 0
 
     @property
     def pool_name(self) -> PoolName:
@@ -112,9 +119,14 @@
         return self.parts.crash_blame.is_blamed(self.traits)
 
     def note_sent(self) -> None:
-        """Count an attempt that may have reached a replica."""
+        """Count an attempt that may have reached a replica, and run there."""
         self.sent += 1
         self.delivered_attempts += 1
+        self.possible_runs += 1
+
+    def note_not_run(self) -> None:
+        """Record that an attempt which was sent has not run."""
+        self.possible_runs -= 1
 
     def may_send_again(self) -> bool:
         """Return whether another attempt is allowed, and charge it to the shared limit.
@@ -124,8 +136,14 @@
         The limit on repeats is shared by all requests of the pool. The first attempt
         is not charged.
         """
-        if self.sent >= self.rule.max_attempts or self.is_blamed():
-            return False
+        return self.has_attempts_left() and self.take_repeat()
+
+    def has_attempts_left(self) -> bool:
+        """Return whether the route, and what is known of crashes, allow an attempt."""
+        return self.sent < self.rule.max_attempts and not self.is_blamed()
+
+    def take_repeat(self) -> bool:
+        """Charge another attempt to the shared limit; return whether that allows it."""
         return self.delivered_attempts == 0 or self.parts.retries.take(self.pool_name)
 
     def acquire(self, until: float) -> Result[Place, RefusedError]:
@@ -156,6 +174,28 @@
                 self._back_off()
         return self.parts.limited_admission.acquire(self.admission_request(until))
 
+    def acquire_beside(self, other: Place) -> Place | None:
+        """Return a place for an attempt beside another one, if one is free now.
+
+        Notes
+        -----
+        Replicas that are avoided get none, since they may be silent, too. The replica
+        of the other attempt may get one if only this router's path to it is lost.
+        """
+        if not self._has_untried_replica():
+            is_own_loss = self.is_own_loss(other)
+            self.tried = set() if is_own_loss else {other.state.replica.replica}
+        now = self.parts.timers.now()
+
+        def allows(replica: Replica) -> bool:
+            state = self.parts.registry.get(replica.replica)
+            is_avoided = state is None or state.avoid_until > now
+            return not is_avoided and self.allows(replica)
+
+        req = msgspec.structs.replace(self.admission_request(now), allows=allows)
+        acquired = self.parts.limited_admission.acquire(req)
+        return acquired.ok() if acquired.is_ok() else None
+
     def hold_remaining_s(self) -> float:
         """Return the time until a replica accepts requests again, if all asked to wait.
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -1,61 +1,33 @@
-"""Relays one stream, and resumes it at another replica if its replica is lost."""
+"""Relays one stream, and resumes it at another replica if its replica is lost.
 
-import enum
-from functools import partial
+While a replica is silent, a second attempt runs beside the first; the first of the two
+that sends an event goes on, and the other is ended.
+"""
 
-import msgspec
+from eventlet.queue import LightQueue
 
-from boragedeck.connection.exchange import AnswerHead, Exchange, Headers
-from boragedeck.exceptions import (
-    UpstreamError,
-    UpstreamNotAcceptingError,
-    UpstreamRefusedError,
-    UpstreamSilentError,
-    UpstreamWithdrawnError,
-)
-from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.placing.place import Place
-from boragedeck.process.relaying.replicas.replica_state import ReplicaState
-from boragedeck.request.answer_progress import AnswerProgress
-from boragedeck.request.crash_wait import await_crash_verdict, wait_unless_blamed
-from boragedeck.request.events import EventError, EventExcessError, EventSplitter
-from boragedeck.request.gap_sampler import GapSampler
-from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
+from boragedeck.request.crash_wait import await_crash_verdict
 from boragedeck.request.relay_components import log
-from boragedeck.request.relay_job import MAX_LOGGED_PARTS, RelayJob
+from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_refusals import final_refusal, too_late_refusal
-from boragedeck.request.relay_request import AttemptPlan, CopySource, VerdictKind
-from boragedeck.request.stream_delivery import StreamDelivery
-from boragedeck.request.stream_liveness import (
-    ExchangeInterrupter,
-    StreamLivenessMonitor,
+from boragedeck.request.stream_attempt import (
+    AttemptOutcome,
+    Ended,
+    Events,
+    FailedAnswer,
+    Heard,
+    Silent,
+    StreamAttempt,
+    StreamMessage,
 )
+from boragedeck.request.stream_delivery import StreamDelivery
 from boragedeck.request.stream_recovery import StreamRecovery
 
 __all__ = ["StreamRelay"]
 
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
-"""Limit of the size of a failed answer's body; a longer answer counts as lost."""
-MIN_EVENT_TIMEOUT_S = 0.5
-"""Lower limit of the time within which arriving bytes have to complete an event."""
-
-
-class AttemptOutcome(enum.Enum):
-    """How an attempt ended."""
-
-    COMPLETE = "complete"
-    NOT_TAKEN = "not_taken"
-    """The request did not run."""
-    LOST = "lost"
-    """The stream broke off, or the request may have run without an answer."""
-
-
-class _FailedAnswer(msgspec.Struct, frozen=True):
-    """A replica's failure answer; sent to the caller if no attempt succeeds."""
-
-    status: int
-    headers: Headers
-    body: bytes
+MAX_UNREAD_MESSAGES = 8
+"""Number of messages that the attempts report ahead of a caller who reads slowly."""
 
 
 class StreamRelay:
@@ -69,12 +41,15 @@
 
     def __init__(self, job: RelayJob):
         self._job = job
-        self._liveness = StreamLivenessMonitor(job)
-        self._splitter = EventSplitter(job.req.resume_after)
         self._delivery = StreamDelivery(job)
         self._recovery = StreamRecovery(job)
-        self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
-        self._failed_answer: _FailedAnswer | None = None
+        self._messages: LightQueue[StreamMessage] = LightQueue(MAX_UNREAD_MESSAGES)
+        # The running attempts; the first one leads, and another one stands by.
+        self._attempts: list[StreamAttempt] = []
+        self._position = job.req.resume_after
+        # The last attempt that has failed, and the last failure that was answered.
+        self._failed: StreamAttempt | None = None
+        self._failed_answer: FailedAnswer | None = None
         self._failure_reason = ""
 
     def run(self) -> None:
@@ -84,27 +59,16 @@
         if min_duration_s > job.left_s():
             job.refuse(too_late_refusal(min_duration_s, job.left_s()))
             return
-        while True:
-            place = self._acquire_place()
-            if place is None:
-                return
-            outcome = AttemptOutcome.LOST
-            self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
-            job.evidence.note_start(place)
-            try:
-                outcome = self._run_attempt(place)
-            finally:
-                place.release(outcome is AttemptOutcome.COMPLETE and job.sent == 1)
-                job.evidence.note_end(place)
-            if outcome is AttemptOutcome.COMPLETE:
-                self._delivery.finish(self._splitter.last_number)
-                return
-            if outcome is AttemptOutcome.LOST and self._progress.is_at_begin:
-                await_crash_verdict(job, place)
-            may_resume = job.rule.may_repeat or not job.may_have_run
-            if not (may_resume and job.left_s() > 0.0 and job.may_send_again()):
-                self._give_up()
-                return
+        try:
+            while self._start_next():
+                if self._follow():
+                    self._delivery.finish(self._position)
+                    return
+                if not self._may_resume():
+                    self._give_up()
+                    return
+        finally:
+            self._cancel(self._attempts)
 
     def _min_duration_s(self) -> float:
         """Return the minimum duration of the stream, in seconds."""
@@ -116,213 +80,147 @@
             req.resume_after or 0,
         )
 
-    def _acquire_place(self) -> Place | None:
-        job = self._job
-        place = self._recovery.place(self._splitter.last_number)
-        if place is not None:
-            return place
+    def _start_next(self) -> bool:
+        """Start an attempt while none runs; if none can, answer and return False."""
+        job, failed = self._job, self._failed
+        if failed is not None and self._start_recovery(failed):
+            return True
         acquired = job.acquire(job.deadline)
         if acquired.is_ok():
-            return acquired.ok()
+            self._start(acquired.ok())
+            return True
         if job.may_have_run or self._delivery.has_begun:
             self._failure_reason = acquired.err().message
             self._give_up()
         else:
             job.refuse(acquired.err())
-        return None
+        return False
 
-    def _run_attempt(self, place: Place) -> AttemptOutcome:
-        job = self._job
-        source = None
-        if self._recovery.resumes_from_copy:
-            source = CopySource(place.state.replica.address)
-        backup = self._choose_backup(place)
-        if backup is not None:
-            place.reserve_copy(backup)
-        plan = AttemptPlan(
-            replica=place.state.replica,
-            organisation=job.organisation,
-            left_s=job.left_s(),
-            last_event=self._splitter.last_number,
-            backup=None if backup is None else backup.replica,
-            source=source,
-        )
-        return self._send_attempt(place, plan, backup)
+    def _start_recovery(self, failed: StreamAttempt) -> bool:
+        """Start an attempt at an engine that holds the run or the prompt, if any."""
+        place = None
+        if self._position is not None:
+            place = self._recovery.place_at_copy(failed)
+        if place is not None:
+            self._start(place, from_copy=True)
+            return True
+        place = self._recovery.place_at_prompt()
+        if place is not None:
+            self._start(place)
+        return place is not None
 
-    def _send_attempt(
-        self, place: Place, plan: AttemptPlan, backup: ReplicaState | None
-    ) -> AttemptOutcome:
-        job = self._job
+    def _start(self, place: Place, *, from_copy: bool = False) -> None:
+        attempt = StreamAttempt(
+            self._job, place, self._position, self._messages.put, from_copy=from_copy
+        )
+        self._attempts.append(attempt)
+        attempt.start()
+
+    def _follow(self) -> bool:
+        """Deliver events until the stream is complete, or until no attempt runs.
+
+        Returns
+        -------
+        bool
+            Whether the stream is complete.
+        """
+        while self._attempts:
+            message = self._messages.get()
+            attempt = message.attempt
+            if attempt not in self._attempts:
+                # It was ended after it had reported this.
+                continue
+            match message:
+                case Events():
+                    self._let_lead(attempt)
+                    self._deliver(message)
+                case Silent():
+                    self._start_beside(attempt)
+                case Heard():
+                    if attempt is self._attempts[0]:
+                        self._let_lead(attempt)
+                case Ended(outcome=AttemptOutcome.COMPLETE):
+                    self._let_lead(attempt)
+                    self._delivery.note_head(*attempt.head)
+                    return True
+                case Ended(outcome=outcome):
+                    self._attempts.remove(attempt)
+                    self._note_failed(attempt, outcome)
+        return False
+
+    def _let_lead(self, attempt: StreamAttempt) -> None:
+        """End all attempts but one, whose events the caller receives."""
+        others = [each for each in self._attempts if each is not attempt]
+        if not others:
+            return
+        is_first = self._attempts[0] is attempt
+        if not is_first:
+            self._delivery.note_lost()
         log.write(
-            "Sent.",
-            request=job.req.request_id,
-            route=job.rule.name,
-            replica=plan.replica.replica,
-            version=plan.replica.version,
-            domain=plan.replica.failure_domain,
-            running=place.state.running,
-            tokens=place.state.tokens,
-            position=plan.last_event,
-            organisation=job.organisation,
-            shared_parts=list(job.req.shared_parts[:MAX_LOGGED_PARTS]),
-            from_copy=plan.source is not None,
-            backup=None if plan.backup is None else plan.backup.replica,
-            attempt=job.sent + 1,
-            **job.parts.table_ages.log_fields(),
-            age_s=round(job.parts.timers.now() - job.req.arrived, 3),
+            "Second attempt ended.",
+            request=self._job.req.request_id,
+            goes_on=attempt.place.state.replica.replica,
+            is_first=is_first,
+            ended=[each.place.state.replica.replica for each in others],
         )
-        try:
-            pending = start_attempt(
-                job, place, plan, partial(self._wait_for_head, place)
-            )
-            interrupter = ExchangeInterrupter(pending.exchange, place.state)
-            try:
-                if pending.verdict.kind is VerdictKind.SUCCESS:
-                    self._recovery.note_copy_holder(backup)
-                return self._handle_answer(place, pending)
-            finally:
-                interrupter.cancel()
-                pending.exchange.close()
-        except UpstreamNotAcceptingError as exc:
-            job.note_attempt_failed(place, exc)
-            self._failure_reason = exc.message
-            return AttemptOutcome.NOT_TAKEN
-        except UpstreamRefusedError as exc:
-            return self._note_loss(place, exc, AttemptOutcome.NOT_TAKEN)
-        except UpstreamWithdrawnError as exc:
-            job.note_attempt_failed(place, exc)
-            self._failure_reason = exc.message
-            return AttemptOutcome.LOST
-        except (UpstreamError, EventError) as exc:
-            if not isinstance(exc, UpstreamSilentError):
-                self._recovery.note_broken(place.state)
-            return self._note_loss(place, exc, AttemptOutcome.LOST)
+        self._cancel(others)
 
-    def _wait_for_head(self, place: Place, exchange: Exchange) -> AnswerHead:
-        interrupter = ExchangeInterrupter(exchange, place.state)
-        wait = partial(self._liveness.wait, place, exchange, exchange.head)
-        try:
-            return wait_unless_blamed(self._job, exchange, wait)
-        finally:
-            interrupter.cancel()
+    def _cancel(self, attempts: list[StreamAttempt]) -> None:
+        for attempt in list(attempts):
+            self._attempts.remove(attempt)
+            attempt.cancel()
 
-    def _handle_answer(self, place: Place, pending: PendingAnswer) -> AttemptOutcome:
-        job, verdict = self._job, pending.verdict
-        kind = job.rule.kind.value
-        job.parts.metrics.attempts.labels(kind, verdict.kind.value).inc()
-        match verdict.kind:
-            case VerdictKind.SUCCESS:
-                self._progress.note_head()
-                self._delivery.note_head(pending.head.status, verdict.headers)
-                return self._read_events(place, pending)
-            case VerdictKind.MOVED:
-                self._failure_reason = "another replica has the address"
-                self._recovery.note_moved(place.state.replica.address)
-                return AttemptOutcome.NOT_TAKEN
-            case VerdictKind.NOT_RUN:
-                place.is_rejected = True
-                job.note_attempt_failed(place, f"not run, status {pending.head.status}")
-                self._failure_reason = "the replica did not run the request"
-                return AttemptOutcome.NOT_TAKEN
-            case VerdictKind.FAILED:
-                body = pending.exchange.read_all(job.left_s(), MAX_ANSWER_BYTES)
-                self._failed_answer = _FailedAnswer(
-                    pending.head.status, verdict.headers, body
-                )
-                self._failure_reason = f"status {pending.head.status}"
-        place.state.note_answer(False, job.parts.timers.now())
-        job.evidence.note_outcome(place, Outcome.FAILED)
-        job.note_attempt_failed(place, f"{verdict.kind.value} {pending.head.status}")
-        return AttemptOutcome.LOST
+    def _deliver(self, message: Events) -> None:
+        self._delivery.note_head(*message.attempt.head)
+        self._delivery.write(message.data, self._position)
+        self._position = message.position
 
-    def _read_events(self, place: Place, pending: PendingAnswer) -> AttemptOutcome:
+    def _start_beside(self, attempt: StreamAttempt) -> None:
+        """Start a second attempt beside one whose replica is silent, if one may.
+
+        Notes
+        -----
+        A request that may crash replicas waits until it is known whether it does.
+        """
         job = self._job
-        may_end = pending.head.is_delimited
-        splitter = EventSplitter(self._splitter.last_number)
-        gaps = GapSampler()
-        last_event_at = job.parts.timers.now()
-        while True:
-            exchange = pending.exchange
-            data = self._liveness.wait(place, exchange, exchange.read)
-            if not data:
-                break
-            events = splitter.feed(data)
-            now = job.parts.timers.now()
-            if not events and now - last_event_at > self._event_timeout_s():
-                raise EventExcessError(
-                    "no complete event in time, though bytes keep arriving"
-                )
-            if events:
-                last_event_at = now
-                may_end = True
-                place.state.note_output(now)
-                self._progress.note_output(now)
-                self._note_output(place)
-                gap_s = gaps.note(len(events), now)
-                if gap_s is not None:
-                    job.evidence.note_gap(place, gap_s)
-                data = b"".join(event.data for event in events)
-                self._delivery.write(data, self._splitter.last_number)
-                self._splitter.last_number = splitter.last_number
-        if splitter.has_partial_event:
-            raise EventError("the stream ended in the middle of an event")
-        if not may_end:
-            raise EventError("the connection ended before the first event")
-        place.state.note_answer(True, job.parts.timers.now())
-        self._progress.note_complete(job.parts.timers.now())
-        job.parts.metrics.total_s.labels(job.rule.kind.value).observe(
-            job.parts.timers.now() - job.req.arrived
+        may_start = (
+            len(self._attempts) == 1
+            and job.rule.may_repeat
+            and job.has_attempts_left()
+            and not job.parts.crash_blame.is_suspected(job.traits)
         )
-        return AttemptOutcome.COMPLETE
-
-    def _event_timeout_s(self) -> float:
-        """Return how long bytes may arrive without completing an event, in seconds."""
-        rule = self._job.rule
-        return max(MIN_EVENT_TIMEOUT_S, rule.gap_goal_s or rule.goal_s)
-
-    def _note_output(self, place: Place) -> None:
-        if not place.has_output:
-            took_s = self._job.parts.timers.now() - place.since
-            log.write(
-                "First output.",
-                request=self._job.req.request_id,
-                replica=place.state.replica.replica,
-                after_s=round(took_s, 3),
-            )
-            self._job.evidence.note_outcome(place, None, took_s)
-            if not self._recovery.resumes_from_copy:
-                prompt_tokens = self._job.req.prompt_tokens
-                self._job.parts.pace.note_prompt_read(
-                    self._job.pool_name, prompt_tokens, took_s
-                )
-        place.note_first_output()
-
-    def _choose_backup(self, place: Place) -> ReplicaState | None:
-        engine = self._job.pool.engine
-        if engine is None or not engine.can_back_up or not self._job.rule.may_repeat:
-            return None
-        admission_request = self._job.admission_request(self._job.deadline)
-        return self._job.parts.admission.find_backup(place, admission_request)
+        if not may_start:
+            return
+        place = None
+        if self._position is not None:
+            place = self._recovery.place_at_copy(attempt)
+        from_copy = place is not None
+        if place is None:
+            place = job.acquire_beside(attempt.place)
+        if place is None:
+            return
+        if not job.take_repeat():
+            place.release()
+            return
+        self._start(place, from_copy=from_copy)
 
-    def _note_loss(
-        self, place: Place, exc: Exception, outcome: AttemptOutcome
-    ) -> AttemptOutcome:
+    def _note_failed(self, attempt: StreamAttempt, outcome: AttemptOutcome) -> None:
+        job = self._job
+        self._failed = attempt
+        self._failed_answer = attempt.failed_answer or self._failed_answer
+        self._failure_reason = attempt.failure_reason
+        if attempt.broken_state is not None:
+            self._recovery.note_broken(attempt.broken_state)
+        if outcome is AttemptOutcome.LOST:
+            self._delivery.note_lost()
+        is_last = not self._attempts
+        if is_last and outcome is AttemptOutcome.LOST and attempt.is_at_begin:
+            await_crash_verdict(job, attempt.place)
+
+    def _may_resume(self) -> bool:
         job = self._job
-        if job.left_s() > 0.0:
-            job.note_miss(place)
-        job.parts.metrics.attempts.labels(job.rule.kind.value, outcome.value).inc()
-        is_own_loss = job.is_own_loss(place)
-        if outcome is AttemptOutcome.LOST and (place.is_forwarded or not is_own_loss):
-            is_silent = isinstance(exc, UpstreamSilentError)
-            self._progress.note_broken(place.state, is_silent=is_silent)
-            if self._progress.is_at_begin:
-                job.lost_at_begin += 1
-        if outcome is AttemptOutcome.LOST and not is_own_loss:
-            job.evidence.note_outcome(place, Outcome.FAILED)
-        job.note_attempt_failed(place, exc)
-        self._failure_reason = str(exc)
-        self._delivery.note_lost()
-        return outcome
+        is_allowed = job.rule.may_repeat or not job.may_have_run
+        return is_allowed and job.left_s() > 0.0 and job.may_send_again()
 
     def _give_up(self) -> None:
         job = self._job
@@ -331,7 +229,7 @@
                 "Broken off.",
                 request=job.req.request_id,
                 route=job.rule.name,
-                position=self._splitter.last_number,
+                position=self._position,
                 sent=job.sent,
                 reason=self._failure_reason,
                 left_s=round(job.left_s(), 3),
--- /dev/null
+++ b/boragedeck/request/stream_attempt.py
@@ -0,0 +1,381 @@
+"""One attempt of a stream: sends the request to one replica and reports its events."""
+
+import enum
+from collections.abc import Callable
+from functools import partial
+
+import eventlet
+import msgspec
+
+from boragedeck.connection.exchange import AnswerHead, Exchange, Headers
+from boragedeck.exceptions import (
+    UpstreamError,
+    UpstreamNotAcceptingError,
+    UpstreamRefusedError,
+    UpstreamSilentError,
+    UpstreamWithdrawnError,
+)
+from boragedeck.interfaces import Outcome
+from boragedeck.process.relaying.placing.place import Place
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
+from boragedeck.request.answer_progress import AnswerProgress
+from boragedeck.request.crash_wait import wait_unless_blamed
+from boragedeck.request.event_timeout import EventTimeout
+from boragedeck.request.events import EventError, EventSplitter
+from boragedeck.request.gap_sampler import GapSampler
+from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
+from boragedeck.request.relay_components import log
+from boragedeck.request.relay_job import MAX_LOGGED_PARTS, RelayJob
+from boragedeck.request.relay_request import AttemptPlan, CopySource, VerdictKind
+from boragedeck.request.stream_liveness import (
+    ExchangeInterrupter,
+    StreamLivenessMonitor,
+)
+from boragedeck.request.stream_silence import StreamSilence
+
+__all__ = [
+    "AttemptOutcome",
+    "Ended",
+    "Events",
+    "FailedAnswer",
+    "Heard",
+    "Silent",
+    "StreamAttempt",
+    "StreamMessage",
+]
+
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+"""Limit of the size of a failed answer's body; a longer answer counts as lost."""
+
+
+class AttemptOutcome(enum.Enum):
+    """How an attempt ended."""
+
+    COMPLETE = "complete"
+    NOT_TAKEN = "not_taken"
+    """The request did not run."""
+    LOST = "lost"
+    """The stream broke off, or the request may have run without an answer."""
+
+
+class FailedAnswer(msgspec.Struct, frozen=True):
+    """A replica's failure answer; sent to the caller if no attempt succeeds."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Events(msgspec.Struct, frozen=True):
+    """Complete events have arrived; `position` is the number of the last one."""
+
+    attempt: "StreamAttempt"
+    data: bytes
+    position: int | None
+
+
+class Silent(msgspec.Struct, frozen=True):
+    """The replica sends nothing and answers no probe; repeated while that lasts."""
+
+    attempt: "StreamAttempt"
+
+
+class Heard(msgspec.Struct, frozen=True):
+    """A replica that was silent answers probes again."""
+
+    attempt: "StreamAttempt"
+
+
+class Ended(msgspec.Struct, frozen=True):
+    """The attempt has ended."""
+
+    attempt: "StreamAttempt"
+    outcome: AttemptOutcome
+
+
+StreamMessage = Events | Silent | Heard | Ended
+
+
+class StreamAttempt:
+    """One attempt of a stream at one replica, in a green thread of its own.
+
+    Parameters
+    ----------
+    job : RelayJob
+        The stream.
+    place : Place
+        The place at the replica.
+    position : int or None
+        Number of the last event that the caller has received.
+    report : callable
+        Receives the attempt's messages; may block.
+    from_copy : bool, optional
+        Whether the replica holds a copy of the run.
+
+    Attributes
+    ----------
+    place : Place
+        The place at the replica.
+    head : tuple of int and Headers, or None
+        Status and headers of a successful answer; None if there is none.
+    copy_holder : ReplicaState or None
+        The engine that holds a copy of this run.
+    broken_state : ReplicaState or None
+        The replica, if its connection broke so that it may still hold the prompt.
+    failed_answer : FailedAnswer or None
+        The replica's failure answer.
+    failure_reason : str
+        Why the attempt failed.
+    """
+
+    def __init__(
+        self,
+        job: RelayJob,
+        place: Place,
+        position: int | None,
+        report: Callable[[StreamMessage], None],
+        *,
+        from_copy: bool = False,
+    ):
+        self.place = place
+        self.head: tuple[int, Headers] | None = None
+        self.copy_holder: ReplicaState | None = None
+        self.broken_state: ReplicaState | None = None
+        self.failed_answer: FailedAnswer | None = None
+        self.failure_reason = ""
+        self._job = job
+        self._position = position
+        self._report = report
+        self._from_copy = from_copy
+        self._is_cancelled = False
+        self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
+        self._silence = StreamSilence(job, place, self._progress)
+        self._liveness = StreamLivenessMonitor(job, self._note_silent, self._note_heard)
+        self._thread: eventlet.greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Send the request and report, in a green thread."""
+        self._job.evidence.note_start(self.place)
+        self._thread = eventlet.spawn(self._run_thread)
+
+    @property
+    def is_at_begin(self) -> bool:
+        """Whether the answer has begun, and its output hasn't lasted."""
+        return self._progress.is_at_begin
+
+    def cancel(self) -> None:
+        """End the attempt, which reports nothing any more."""
+        self._is_cancelled = True
+        self._thread.kill()
+        # A thread that was killed before it started has not released its place.
+        self._release(is_served=False)
+        self._silence.note_abandoned()
+
+    def _run_thread(self) -> None:
+        # This outcome remains if the thread is killed.
+        outcome = AttemptOutcome.LOST
+        try:
+            outcome = self._run()
+        finally:
+            is_complete = outcome is AttemptOutcome.COMPLETE
+            self._release(is_served=is_complete and self._job.sent == 1)
+            if not self._is_cancelled:
+                self._report(Ended(self, outcome))
+
+    def _release(self, *, is_served: bool) -> None:
+        self.place.release(is_served)
+        self._job.evidence.note_end(self.place)
+
+    def _run(self) -> AttemptOutcome:
+        job, place = self._job, self.place
+        backup = self._choose_backup()
+        if backup is not None:
+            place.reserve_copy(backup)
+        plan = AttemptPlan(
+            replica=place.state.replica,
+            organisation=job.organisation,
+            left_s=job.left_s(),
+            last_event=self._position,
+            backup=None if backup is None else backup.replica,
+            source=CopySource(place.state.replica.address) if self._from_copy else None,
+        )
+        self._log_sent(plan)
+        try:
+            pending = start_attempt(job, place, plan, self._wait_for_head)
+            interrupter = ExchangeInterrupter(pending.exchange, place.state)
+            try:
+                if pending.verdict.kind is VerdictKind.SUCCESS:
+                    self.copy_holder = backup
+                return self._handle_answer(pending)
+            finally:
+                interrupter.cancel()
+                pending.exchange.close()
+        except UpstreamNotAcceptingError as exc:
+            return self._note_failed(exc, exc.message, AttemptOutcome.NOT_TAKEN)
+        except UpstreamRefusedError as exc:
+            return self._note_loss(exc, AttemptOutcome.NOT_TAKEN)
+        except UpstreamWithdrawnError as exc:
+            return self._note_failed(exc, exc.message, AttemptOutcome.LOST)
+        except (UpstreamError, EventError) as exc:
+            if not isinstance(exc, UpstreamSilentError):
+                self.broken_state = place.state
+            return self._note_loss(exc, AttemptOutcome.LOST)
+
+    def _choose_backup(self) -> ReplicaState | None:
+        job = self._job
+        engine = job.pool.engine
+        if engine is None or not engine.can_back_up or not job.rule.may_repeat:
+            return None
+        admission_request = job.admission_request(job.deadline)
+        return job.parts.admission.find_backup(self.place, admission_request)
+
+    def _log_sent(self, plan: AttemptPlan) -> None:
+        job, state = self._job, self.place.state
+        log.write(
+            "Sent.",
+            request=job.req.request_id,
+            route=job.rule.name,
+            replica=plan.replica.replica,
+            version=plan.replica.version,
+            domain=plan.replica.failure_domain,
+            running=state.running,
+            tokens=state.tokens,
+            position=plan.last_event,
+            organisation=job.organisation,
+            shared_parts=list(job.req.shared_parts[:MAX_LOGGED_PARTS]),
+            from_copy=plan.source is not None,
+            backup=None if plan.backup is None else plan.backup.replica,
+            attempt=job.sent + 1,
+            **job.parts.table_ages.log_fields(),
+            age_s=round(job.parts.timers.now() - job.req.arrived, 3),
+        )
+
+    def _wait_for_head(self, exchange: Exchange) -> AnswerHead:
+        interrupter = ExchangeInterrupter(exchange, self.place.state)
+        wait = partial(self._liveness.wait, self.place, exchange, exchange.head)
+        try:
+            return wait_unless_blamed(self._job, exchange, wait)
+        finally:
+            interrupter.cancel()
+
+    def _handle_answer(self, pending: PendingAnswer) -> AttemptOutcome:
+        job, verdict = self._job, pending.verdict
+        kind = job.rule.kind.value
+        job.parts.metrics.attempts.labels(kind, verdict.kind.value).inc()
+        match verdict.kind:
+            case VerdictKind.SUCCESS:
+                self._progress.note_head()
+                self.head = pending.head.status, verdict.headers
+                return self._read_events(pending)
+            case VerdictKind.MOVED:
+                self._note_moved()
+                return AttemptOutcome.NOT_TAKEN
+            case VerdictKind.NOT_RUN:
+                self.place.is_rejected = True
+                reason = "the replica did not run the request"
+                error = f"not run, status {pending.head.status}"
+                return self._note_failed(error, reason, AttemptOutcome.NOT_TAKEN)
+            case VerdictKind.FAILED:
+                body = pending.exchange.read_all(job.left_s(), MAX_ANSWER_BYTES)
+                self.failed_answer = FailedAnswer(
+                    pending.head.status, verdict.headers, body
+                )
+        self.place.state.note_answer(False, job.parts.timers.now())
+        job.evidence.note_outcome(self.place, Outcome.FAILED)
+        error = f"{verdict.kind.value} {pending.head.status}"
+        reason = f"status {pending.head.status}"
+        return self._note_failed(error, reason, AttemptOutcome.LOST)
+
+    def _read_events(self, pending: PendingAnswer) -> AttemptOutcome:
+        job, timers = self._job, self._job.parts.timers
+        exchange, may_end = pending.exchange, pending.head.is_delimited
+        splitter = EventSplitter(self._position)
+        timeout = EventTimeout(timers, exchange, job.rule)
+        gaps = GapSampler()
+        while data := self._liveness.wait(self.place, exchange, exchange.read):
+            events = splitter.feed(data)
+            timeout.note_read(has_event=bool(events))
+            if not events:
+                continue
+            may_end = True
+            self._liveness.note_output()
+            self._silence.end()
+            self._note_output(gaps.note(len(events), timers.now()))
+            data = b"".join(event.data for event in events)
+            self._report(Events(self, data, splitter.last_number))
+        if splitter.has_partial_event:
+            raise EventError("the stream ended in the middle of an event")
+        if not may_end:
+            raise EventError("the connection ended before the first event")
+        self.place.state.note_answer(True, timers.now())
+        self._progress.note_complete(timers.now())
+        job.parts.metrics.total_s.labels(job.rule.kind.value).observe(
+            timers.now() - job.req.arrived
+        )
+        return AttemptOutcome.COMPLETE
+
+    def _note_output(self, gap_s: float | None) -> None:
+        job, place, now = self._job, self.place, self._job.parts.timers.now()
+        place.state.note_output(now)
+        self._progress.note_output(now)
+        if not place.has_output:
+            self._note_first_output(now - place.since)
+        place.note_first_output()
+        if gap_s is not None:
+            job.evidence.note_gap(place, gap_s)
+
+    def _note_first_output(self, took_s: float) -> None:
+        job, place = self._job, self.place
+        log.write(
+            "First output.",
+            request=job.req.request_id,
+            replica=place.state.replica.replica,
+            after_s=round(took_s, 3),
+        )
+        job.evidence.note_outcome(place, None, took_s)
+        if not self._from_copy:
+            job.parts.pace.note_prompt_read(
+                job.pool_name, job.req.prompt_tokens, took_s
+            )
+
+    def _note_silent(self, exchange: Exchange, since: float) -> None:
+        self._silence.note(exchange, since)
+        self._report(Silent(self))
+
+    def _note_heard(self) -> None:
+        self._silence.end()
+        self._report(Heard(self))
+
+    def _note_moved(self) -> None:
+        """Record that another replica has the address.
+
+        Notes
+        -----
+        A copy may have been started there after the engine restarted.
+        """
+        self.failure_reason = "another replica has the address"
+        if self._from_copy:
+            address = self.place.state.replica.address
+            self.copy_holder = self._job.parts.registry.at(address)
+
+    def _note_failed(
+        self, error: Exception | str, reason: str, outcome: AttemptOutcome
+    ) -> AttemptOutcome:
+        self._job.note_attempt_failed(self.place, error)
+        self.failure_reason = reason
+        return outcome
+
+    def _note_loss(self, exc: Exception, outcome: AttemptOutcome) -> AttemptOutcome:
+        job, place = self._job, self.place
+        if job.left_s() > 0.0:
+            job.note_miss(place)
+        job.parts.metrics.attempts.labels(job.rule.kind.value, outcome.value).inc()
+        is_own_loss = job.is_own_loss(place)
+        if outcome is AttemptOutcome.LOST and (place.is_forwarded or not is_own_loss):
+            is_silent = isinstance(exc, UpstreamSilentError)
+            self._progress.note_broken(place.state, is_silent=is_silent)
+            if self._progress.is_at_begin:
+                job.lost_at_begin += 1
+        if outcome is AttemptOutcome.LOST and not is_own_loss:
+            job.evidence.note_outcome(place, Outcome.FAILED)
+        return self._note_failed(exc, str(exc), outcome)
--- a/boragedeck/request/stream_liveness.py
+++ b/boragedeck/request/stream_liveness.py
@@ -1,4 +1,4 @@
-"""Detects that the replica of a stream has failed and the stream must be resumed."""
+"""Detects that the replica of a stream is silent, and may have failed."""
 
 from collections.abc import Callable
 from typing import TypeVar
@@ -8,7 +8,6 @@
 from boragedeck.process.relaying.placing.place import Place
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.request.relay_attempt import probe
-from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
 
 __all__ = ["ExchangeInterrupter", "StreamLivenessMonitor"]
@@ -29,6 +28,7 @@
 PROBE_TIMEOUT_S = 0.25
 """Time-out of a probe before the first event."""
 MIN_SUSPECT_S = 0.2
+"""Minimum time without output before a probe, and the time while it is silent."""
 
 
 class StreamLivenessMonitor:
@@ -38,10 +38,31 @@
     ----------
     job : RelayJob
         The stream.
+    on_silent : callable
+        Called with the exchange, and since when it has been silent, whenever the
+        replica hasn't answered a probe.
+    on_heard : callable
+        Called when the replica answers a probe after that.
+
+    Notes
+    -----
+    A silent replica may be sound, so its silence doesn't end the wait.
     """
 
-    def __init__(self, job: RelayJob):
+    def __init__(
+        self,
+        job: RelayJob,
+        on_silent: Callable[[Exchange, float], None],
+        on_heard: Callable[[], None],
+    ):
         self._job = job
+        self._on_silent = on_silent
+        self._on_heard = on_heard
+        self._is_silent = False
+
+    def note_output(self) -> None:
+        """Record that a part of the answer has arrived, which ends a silence."""
+        self._is_silent = False
 
     def wait(self, place: Place, exchange: Exchange, read: Callable[[float], T]) -> T:
         """Wait for a read; probe the replica while the read takes long.
@@ -58,20 +79,24 @@
         Raises
         ------
         UpstreamSilentError
-            If the replica doesn't answer a probe, or the request's time is over.
+            If the request's time is over.
         """
         job, since = self._job, self._job.parts.timers.now()
         suspect_s = self._suspect_after_s()
         while True:
-            wait_s = min(suspect_s, job.left_s())
             try:
-                return read(max(0.0, wait_s))
+                return read(max(0.0, min(suspect_s, job.left_s())))
             except UpstreamSilentError:
                 if job.left_s() <= 0.0:
                     raise
-                if not self._is_alive(place, exchange, since):
-                    self._note_doubt(place, exchange, since)
-                    raise
+            was_silent = self._is_silent
+            self._is_silent = not self._is_alive(place, exchange, since)
+            if self._is_silent:
+                self._on_silent(exchange, since)
+                suspect_s = MIN_SUSPECT_S
+                continue
+            if was_silent:
+                self._on_heard()
             suspect_s = self._suspect_after_probe_s()
 
     def _is_alive(self, place: Place, exchange: Exchange, since: float) -> bool:
@@ -104,26 +129,6 @@
         # The probe may have found out that it has to take another path.
         return not parts.paths.is_dead(exchange)
 
-    def _note_doubt(self, place: Place, exchange: Exchange, since: float) -> None:
-        job, now = self._job, self._job.parts.timers.now()
-        address = exchange.address
-        heard_at = job.parts.upstreams.heard_at(address)
-        job.parts.metrics.silences.labels(job.rule.kind.value).inc()
-        log.write(
-            "Replica silent.",
-            request=job.req.request_id,
-            replica=place.state.replica.replica,
-            has_output=place.has_output,
-            silent_s=round(now - since, 3),
-            heard_s=round(now - heard_at, 3) if heard_at > since else None,
-            path=job.parts.paths.state_of(address).value,
-            is_forwarded=exchange.is_forwarded,
-            sent=job.sent,
-            max_attempts=job.rule.max_attempts,
-            may_repeat=job.rule.may_repeat,
-            left_s=round(job.left_s(), 3),
-        )
-
     def _suspect_after_s(self) -> float:
         rule = self._job.rule
         if self._has_gap_goal():
--- a/scripts/platform_cluster.py
+++ b/scripts/platform_cluster.py
@@ -4,7 +4,7 @@
 import random
 import subprocess
 import sys
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 
 import eventlet
@@ -109,6 +109,12 @@
         listener.close()
         self.drop_engine(name)
 
+    def hush_engines(self, names: Iterable[str], seconds: float) -> None:
+        """Let some engines stand still for a time, and return at once."""
+        for name in names:
+            replica, _, _ = self.engines[name]
+            replica.silence.begin_for(seconds)
+
     def restore_store(self, ver: int) -> None:
         """Return to an older copy of the store; its writers write their rows again."""
         self.rows.restore(ver)
--- a/standins/relay_replica.py
+++ b/standins/relay_replica.py
@@ -8,6 +8,7 @@
 from eventlet.green import socket
 
 from standins.late_answers import never, repeating_protocol
+from standins.silence import Silence
 from standins.web import Answer, App, json_answer, serve
 
 __all__ = ["RelayReplica"]
@@ -38,6 +39,8 @@
     ----------
     served_ids : list of str
         The ids of the requests that it started to serve.
+    silence : Silence
+        Lets the replica stand still, with its connections open.
     is_lost : bool
         Whether it aborts its streams, as a lost replica does.
     limit_per_s : float or None
@@ -58,6 +61,7 @@
         self.version = version
         self.fails = fails
         self.served_ids: list[str] = []
+        self.silence = Silence()
         self.is_lost = False
         self.limit_per_s: float | None = None
         self._events = events
@@ -88,6 +92,7 @@
         )
 
     def _answer(self, environ, start_response):
+        self.silence.wait()
         if environ["PATH_INFO"] == "/boragedeck/report":
             return json_answer({"models": [{"name": MODEL}]}).send(start_response)
         request_id = environ.get("HTTP_REQUEST_ID", "")
@@ -116,6 +121,7 @@
 
     def _stream(self, after: int):
         for number in range(after + 1, self._events + 1):
+            self.silence.wait()
             if self.is_lost:
                 raise ConnectionAbortedError(f"{self.name} is lost")
             yield b"id: %d\ndata: piece %d\n\n" % (number, number)
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -62,7 +62,7 @@
     """A connection that receives nothing while its router is cut off."""
 
     def __init__(self, conn, pool):
-        super().__init__(CutSocket(conn.sock, pool), conn.address)
+        super().__init__(CutSocket(conn.sock, pool), conn.address, conn._now)
         self._pool = pool
         self.on_arrival = conn.on_arrival
 
