--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -7,6 +7,7 @@
 from eventlet.queue import LightQueue
 
 from boragedeck.process.relaying.placing.place import Place
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.request.crash_wait import await_crash_verdict
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
@@ -98,17 +99,17 @@
 
     def _start_recovery(self, failed: StreamAttempt) -> bool:
         """Start an attempt at an engine that holds the run or the prompt, if any."""
-        place = None
-        if self._position is not None:
-            place = self._recovery.place_at_copy(failed)
+        holder = self._copy_holder(failed)
+        state = holder or self._recovery.prompt_holder()
+        place = None if state is None else self._recovery.reserve(state)
         if place is not None:
-            self._start(place, from_copy=True)
-            return True
-        place = self._recovery.place_at_prompt()
-        if place is not None:
-            self._start(place)
+            self._start(place, from_copy=holder is not None)
         return place is not None
 
+    def _copy_holder(self, attempt: StreamAttempt) -> ReplicaState | None:
+        """Return the engine with a copy from which the stream can go on, if any."""
+        return None if self._position is None else self._recovery.copy_holder(attempt)
+
     def _start(self, place: Place, *, from_copy: bool = False) -> None:
         attempt = StreamAttempt(
             self._job, place, self._position, self._messages.put, from_copy=from_copy
@@ -191,9 +192,8 @@
         )
         if not may_start:
             return
-        place = None
-        if self._position is not None:
-            place = self._recovery.place_at_copy(attempt)
+        holder = self._copy_holder(attempt)
+        place = None if holder is None else self._recovery.reserve(holder)
         from_copy = place is not None
         if place is None:
             place = job.acquire_beside(attempt.place)
--- a/boragedeck/request/stream_recovery.py
+++ b/boragedeck/request/stream_recovery.py
@@ -32,36 +32,23 @@
         """Record that the connection to an engine broke during the run."""
         self._prompt_holder = state
 
-    def place_at_copy(self, attempt: StreamAttempt) -> Place | None:
-        """Return a place at the engine that holds a copy of an attempt's run.
-
-        None if there is no copy, or its engine accepts no requests or is avoided.
-        """
-        return self._reserve(self._usable_copy_holder(attempt.copy_holder))
-
-    def place_at_prompt(self) -> Place | None:
-        """Return a place at the engine whose connection broke last.
-
-        None if there is none, it was retried before, or it accepts no requests.
-        """
-        return self._reserve(self._usable_prompt_holder())
-
-    def _reserve(self, state: ReplicaState | None) -> Place | None:
-        if state is None:
-            return None
+    def reserve(self, state: ReplicaState) -> Place | None:
+        """Return a place at an engine that holds the run or its prompt, if allowed."""
         job = self._job
         req = job.admission_request(job.deadline)
         return job.parts.limited_admission.reserve(req, state)
 
-    def _usable_copy_holder(self, holder: ReplicaState | None) -> ReplicaState | None:
-        """Return the engine that can resume a run from its copy.
+    def copy_holder(self, attempt: StreamAttempt) -> ReplicaState | None:
+        """Return the engine that can resume an attempt's run from its copy.
+
+        None if there is no copy, or its engine accepts no requests or is avoided.
 
         Notes
         -----
         A copy belongs to an address. If the engine there has another id now, this
         router may have learnt late of its restart.
         """
-        job = self._job
+        job, holder = self._job, attempt.copy_holder
         if holder is not None and holder.is_removed:
             holder = job.parts.registry.at(holder.replica.address)
         if holder is None or holder.replica.pool != job.pool_name:
@@ -70,7 +57,7 @@
         is_avoided = holder.avoid_until > now
         return holder if holder.can_accept(now) and not is_avoided else None
 
-    def _usable_prompt_holder(self) -> ReplicaState | None:
+    def prompt_holder(self) -> ReplicaState | None:
         """Return the engine whose connection broke, if it may still hold the prompt.
 
         Notes
