Move the judgement of rollouts, and the making of limits and blame, out of large modules

RolloutJudge decides how a rollout ends; RelayRollouts keeps the orders and the versions that requests may use. limit_composition and crash_composition build their parts for the router and for the tests, which built them once more.

--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -30,19 +30,17 @@
 from boragedeck.process.membership.membership import GossipMembership
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.observing.metrics import Metrics
-from boragedeck.process.relaying.crashes.crash_blame import CrashBlame
-from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
-from boragedeck.process.relaying.crashes.crash_verdicts import CrashVerdicts
+from boragedeck.process.relaying.crashes.crash_composition import make_crash_blame
 from boragedeck.process.relaying.draining import DrainPeriod
 from boragedeck.process.relaying.fleet.fleet_size import FleetSize, reachable_share
 from boragedeck.process.relaying.fleet.hubs import Hubs, choose_hubs
 from boragedeck.process.relaying.fleet.peer_dialect import RelayDialect
 from boragedeck.process.relaying.fleet.task_owners import TaskOwners
-from boragedeck.process.relaying.limits.brittle_replicas import BrittleReplicas
-from boragedeck.process.relaying.limits.limit_grants import LimitGrants
+from boragedeck.process.relaying.limits.limit_composition import (
+    make_brittle,
+    make_limits,
+)
 from boragedeck.process.relaying.limits.limited_admission import LimitedAdmission
-from boragedeck.process.relaying.limits.replica_limits import ReplicaLimits
-from boragedeck.process.relaying.limits.room_grants import RoomGrants
 from boragedeck.process.relaying.loads.load_exchange import LoadExchange
 from boragedeck.process.relaying.paths.path_composition import (
     forward_address,
@@ -267,8 +265,17 @@
         self._task_owners = TaskOwners(
             self.timers, self._membership, self._hubs, self._fleet_size
         )
-        limits = self._make_limits()
-        brittle = self._make_brittle()
+        fleet_parts = (
+            self.timers,
+            self._registry,
+            self._task_owners,
+            self._links,
+            self._peer_server,
+            self._board,
+            self.metrics,
+        )
+        limits = make_limits(*fleet_parts)
+        brittle = make_brittle(*fleet_parts)
         protocol = HttpReplicaProtocol()
         notices = ReplicaNotices(
             self._registry,
@@ -296,7 +303,17 @@
             rollouts=self._rollouts,
             durations=RequestDurations(),
             pace=StreamTimeEstimator(),
-            crash_blame=self._make_crash_blame(),
+            crash_blame=make_crash_blame(
+                self.timers,
+                self._rng,
+                self._registry,
+                self._task_owners,
+                self._links,
+                self._peer_server,
+                self._board,
+                self.metrics,
+                self._paths,
+            ),
             metrics=self.metrics,
             time_left=self._drain_period.time_left,
             refusal_headers=refusal_headers,
@@ -315,22 +332,6 @@
             self._drain_period.time_left,
         )
 
-    def _make_limits(self) -> ReplicaLimits:
-        grants = LimitGrants(
-            self.timers, self._task_owners, self._links, self._peer_server
-        )
-        return ReplicaLimits(
-            self.timers, self._registry, grants, self._board, self.metrics
-        )
-
-    def _make_brittle(self) -> BrittleReplicas:
-        grants = RoomGrants(
-            self.timers, self._task_owners, self._links, self._peer_server
-        )
-        return BrittleReplicas(
-            self.timers, self._registry, grants, self._board, self.metrics
-        )
-
     def _make_retries(self) -> RetryShare:
         timers, bounds = self.timers, self._source.bounds
         reserve = RetryReserve(
@@ -349,21 +350,6 @@
     def _reachable_share(self) -> float:
         return reachable_share(self._membership, self._fleet_size)
 
-    def _make_crash_blame(self) -> CrashBlame:
-        verdicts = CrashVerdicts(self.timers, self._board)
-        judge = CrashJudge(self.timers, verdicts, self._peer_server, self.metrics)
-        return CrashBlame(
-            self.timers,
-            self._task_owners,
-            self._links,
-            judge,
-            verdicts,
-            self._registry.versions,
-            self.metrics,
-            self._rng,
-            self._paths,
-        )
-
     def _replicas_of(self, pool: PoolName) -> list[Replica]:
         return [state.replica for state in self._registry.of_pool(pool)]
 
--- a/boragedeck/process/relaying/rollouts/rollouts.py
+++ b/boragedeck/process/relaying/rollouts/rollouts.py
@@ -18,9 +18,9 @@
     RolloutExchange,
     concerns,
 )
+from boragedeck.process.relaying.rollouts.rollout_judge import RolloutJudge
 from boragedeck.process.relaying.rollouts.rollout_orders import OrderHistory, OrderKind
 from boragedeck.process.relaying.rollouts.rollout_plan import (
-    find_doubt,
     share_at,
     trial_share,
     usual_trial_share,
@@ -30,19 +30,10 @@
     RolloutBoard,
 )
 from boragedeck.process.relaying.rollouts.rollout_state import RolloutState, WaitingRun
-from boragedeck.process.relaying.rollouts.rollout_strata import merge_routes
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.sliding_window_counter import SlidingWindowCounter
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
-from boragedeck.version.evidence import Evidence
-from boragedeck.version.judgement import (
-    Score,
-    UpstreamCounts,
-    group_score,
-    is_rejected,
-    make_rejection,
-)
 from boragedeck.version.relay_rollouts import RolloutOrder, RolloutResult
 from boragedeck.version.replicas import Replica
 
@@ -102,6 +93,7 @@
         self._prefix = prefix
         self._decode = decode
         self._exchange = RolloutExchange(facts)
+        self._judge = RolloutJudge(timers, self._exchange, replicas)
         self._publisher = ResultPublisher(board)
         self._bounds = bounds
         self._replicas = replicas
@@ -170,7 +162,7 @@
                 continue
             evidence = rollout.evidence_at(self._timers.now())
             self._exchange.publish_evidence(rollout, evidence)
-            self._judge(rollout)
+            self._judge.judge(rollout)
             self._publisher.publish(rollout)
 
     def _on_order(self, change: Change) -> None:
@@ -247,74 +239,13 @@
         own = self._requests.count_within(pool, RATE_WINDOW_S) / RATE_WINDOW_S
         return own * self._routers()
 
-    def _judge(self, rollout: RolloutState) -> None:
-        if rollout.decided_result is not None:
-            return
-        total = rollout.evidence_at(self._timers.now())
-        total.merge(self._exchange.evidence_of_others(rollout))
-        score = self._score(rollout.order, total)
-        if is_rejected(score):
-            self._stop(rollout, make_rejection(score, total).reason)
-            return
-        rollout.doubt = find_doubt(score, total)
-        self._finish_if_due(rollout, total)
-
-    def _score(self, order: RolloutOrder, total: Evidence) -> Score:
-        """Return the score by domain and route, or by domain if that is higher.
-
-        Notes
-        -----
-        A version may fail on one route only. In a small pool, though, a route has too
-        few runs in a domain to say anything. Requests of all routes are drawn for the
-        versions alike, so their sum compares the versions fairly, too.
-        """
-        room = self._room(order)
-        by_domain = merge_routes(total)
-        return group_score(total, room).or_stronger(group_score(by_domain, room))
-
-    def _finish_if_due(self, rollout: RolloutState, total: Evidence) -> None:
-        """End a rollout at its planned time, one way or the other."""
-        now, doubt = self._timers.now(), rollout.doubt
-        if doubt is None:
-            if now >= rollout.finish_at:
-                shown = total.total(is_new=True)
-                reason = f"{shown.trials} runs, {shown.failures} failed, and no doubt"
-                self._decide(rollout, RolloutResult.COMPLETED, reason)
-        elif doubt.is_suspicion and now >= rollout.finish_at:
-            self._stop(rollout, doubt.reason)
-        elif now >= rollout.give_up_at:
-            self._decide(rollout, RolloutResult.ROLLED_BACK, doubt.reason)
-
-    def _stop(self, rollout: RolloutState, reason: str) -> None:
-        """Roll a version back, and tell the other routers to stop sending to it."""
-        self._decide(rollout, RolloutResult.ROLLED_BACK, reason)
-        self._exchange.publish_stop(rollout)
-
-    def _room(self, order: RolloutOrder) -> UpstreamCounts:
-        replicas = self._replicas(order.pool)
-        new = sum(replica.version == order.to for replica in replicas)
-        return UpstreamCounts(max(1, new), max(1, len(replicas) - new))
-
-    def _decide(
-        self, rollout: RolloutState, result: RolloutResult, reason: str
-    ) -> None:
-        rollout.decided_result = result
-        _log.write(
-            "Rollout result decided.",
-            rollout=rollout.order.pool,
-            to=rollout.order.to,
-            result=result.value,
-            reason=reason,
-            elapsed=round(rollout.elapsed(self._timers.now()), 3),
-        )
-
     def _on_stop(self, fact: Fact) -> None:
         for rollout in self._rollouts.values():
             is_running = rollout.result is RolloutResult.RUNNING
             is_decided = rollout.decided_result is RolloutResult.ROLLED_BACK
             if concerns(fact, rollout) and is_running and not is_decided:
                 reason = f"stopped by {fact.origin}"
-                self._decide(rollout, RolloutResult.ROLLED_BACK, reason)
+                self._judge.decide(rollout, RolloutResult.ROLLED_BACK, reason)
 
 
 def _any_replica(replica: Replica) -> bool:
--- a/tests/process/relaying/rollouts/test_rollout_strata.py
+++ b/tests/process/relaying/rollouts/test_rollout_strata.py
@@ -35,7 +35,7 @@
     def test_slow_runs_are_spread_too_thinly_over_routes_to_be_seen(self):
         self.order()
         router = self.routers[0]
-        score = router._score(router._rollouts["p"].order, evidence())
+        score = router._judge._score(router._rollouts["p"].order, evidence())
         self.assertGreaterEqual(self.nats(score), SUSPICION_NATS)
         by_route = group_score(evidence(), UpstreamCounts(1, 1))
         self.assertLess(self.nats(by_route), SUSPICION_NATS)
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -18,17 +18,15 @@
 from boragedeck.platform.callers import decode_request, refusal_headers
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
 from boragedeck.platform.routing import decode_rollout
-from boragedeck.process.relaying.crashes.crash_blame import CrashBlame
-from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
-from boragedeck.process.relaying.crashes.crash_verdicts import CrashVerdicts
+from boragedeck.process.relaying.crashes.crash_composition import make_crash_blame
 from boragedeck.process.relaying.fleet.fleet_size import FleetSize
 from boragedeck.process.relaying.fleet.hubs import Hubs
 from boragedeck.process.relaying.fleet.task_owners import TaskOwners
-from boragedeck.process.relaying.limits.brittle_replicas import BrittleReplicas
-from boragedeck.process.relaying.limits.limit_grants import LimitGrants
+from boragedeck.process.relaying.limits.limit_composition import (
+    make_brittle,
+    make_limits,
+)
 from boragedeck.process.relaying.limits.limited_admission import LimitedAdmission
-from boragedeck.process.relaying.limits.replica_limits import ReplicaLimits
-from boragedeck.process.relaying.limits.room_grants import RoomGrants
 from boragedeck.process.relaying.paths.path_composition import make_paths
 from boragedeck.process.relaying.placing.admission import Admission
 from boragedeck.process.relaying.placing.durations import RequestDurations
@@ -377,41 +375,36 @@
         """Accept a handler that is never called."""
 
 
-def single_router_limits(timers, registry, board, metrics):
-    """Return the limits of a router that is alone, and the owner of all limits."""
+def single_router_owners(timers):
+    """Return the owners of tasks in the view of a router that is alone."""
     members = SingleMembership()
-    hubs = Hubs(timers, members)
     size = FleetSize(timers, members.routers)
-    owners = TaskOwners(timers, members, hubs, size)
-    grants = LimitGrants(timers, owners, NoPeers(), NoPeers())
-    return ReplicaLimits(timers, registry, grants, board, metrics)
+    return TaskOwners(timers, members, Hubs(timers, members), size)
+
+
+def single_router_limits(timers, registry, board, metrics):
+    """Return the limits of a router that is alone, and the owner of all limits."""
+    owners = single_router_owners(timers)
+    return make_limits(timers, registry, owners, NoPeers(), NoPeers(), board, metrics)
 
 
 def single_router_brittle(timers, registry, board, metrics):
     """Return the brittle replicas of a router that is alone, and owns their room."""
-    members = SingleMembership()
-    size = FleetSize(timers, members.routers)
-    owners = TaskOwners(timers, members, Hubs(timers, members), size)
-    grants = RoomGrants(timers, owners, NoPeers(), NoPeers())
-    return BrittleReplicas(timers, registry, grants, board, metrics)
+    owners = single_router_owners(timers)
+    return make_brittle(timers, registry, owners, NoPeers(), NoPeers(), board, metrics)
 
 
 def single_router_blame(timers, registry, board, metrics, paths=None):
     """Return the crash blame of a router that is alone, and the judge itself."""
-    members = SingleMembership()
-    size = FleetSize(timers, members.routers)
-    owners = TaskOwners(timers, members, Hubs(timers, members), size)
-    verdicts = CrashVerdicts(timers, board)
-    judge = CrashJudge(timers, verdicts, NoPeers(), metrics)
-    return CrashBlame(
+    return make_crash_blame(
         timers,
-        owners,
+        random.Random(6),
+        registry,
+        single_router_owners(timers),
+        NoPeers(),
         NoPeers(),
-        judge,
-        verdicts,
-        registry.versions,
+        board,
         metrics,
-        random.Random(6),
         paths,
     )
 
