Wait for a gateway that is silent; let its doubt start a second attempt

What callers saw: a call that may run once, or a stream that can't be resumed, ended with 502 if it was sent through a gateway that stood still for 1.2 s, or whose replica did and so didn't read a large body (LOST).

Cause: GatewaySender gave a gateway 0.6 s to say that it has sent the request, and then closed the exchange, which nothing replaced.

Evidence: four of the six cases of test_silent_gateways failed ("no complete answer: silent", 502); they pass. The other two, a call and a stream that may be repeated at a gateway that stays silent, were answered within 0.9 s before and are now.

Fix: after 0.6 s the exchange is returned as doubtful, and the wait for the answer's head takes the gateway's word as well. A doubtful exchange starts a second attempt at once, as the error did: of a stream as at a silent replica, of a call as a hedge, at another gateway. A gateway that says late that it has sent nothing counts as one that said so in time, and the attempt isn't counted.

Ruled out: waiting in wait_sent for longer (a gateway that is lost is left later).

--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -229,9 +229,12 @@
         The replica's address.
     is_forwarded : bool
         Whether another router passes the request and the answer on.
+    is_doubtful : bool
+        Whether that router hasn't said in time that it has sent the request.
     """
 
     is_forwarded = False
+    is_doubtful = False
 
     def __init__(
         self,
@@ -272,6 +275,7 @@
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._error("the connection ended without an answer", "read head")
+            self._note_interim(event)
             self._interim_answers += 1
             if self._interim_answers > MAX_INTERIM_ANSWERS:
                 raise self._excess_error("too many interim (1xx) answers", "read head")
@@ -355,6 +359,9 @@
         self._is_interrupted = True
         self._conn.shut_down()
 
+    def _note_interim(self, event: h11.InformationalResponse) -> None:
+        """Do nothing; interim answers of replicas mean nothing here."""
+
     def _next_event(self, timeout_s: float, step: str):
         if self._is_interrupted:
             raise self._error("the replica is gone", step)
--- a/boragedeck/connection/forwarding.py
+++ b/boragedeck/connection/forwarding.py
@@ -19,6 +19,7 @@
     UpstreamError,
     UpstreamNotAcceptingError,
     UpstreamRefusedError,
+    UpstreamSilentError,
 )
 
 __all__ = [
@@ -144,21 +145,26 @@
         ------
         ForwardDeclinedError, UpstreamRefusedError, UpstreamNotAcceptingError
             If nothing was sent to the replica.
+        UpstreamSilentError
+            If the gateway hasn't said so in time. The exchange stays open, and `head`
+            waits for that, too.
         UpstreamError
             If the request may have been sent.
         """
-        event = self._next_event(timeout_s, "forward")
+        try:
+            event = self._next_event(timeout_s, "forward")
+        except UpstreamSilentError:
+            self.is_doubtful = True
+            raise
         if isinstance(event, h11.InformationalResponse):
-            # Gateways of older builds pass on answers to other requests, too.
-            headers = {bytes(name) for name, _ in event.headers}
-            self._is_gateway_matching = MATCHING.lower() in headers
+            self._note_interim(event)
             return
         if isinstance(event, h11.Response):
             self._raise_failure(_head_of(event))
         raise self._error("the gateway sent no interim answer", "forward")
 
     def head(self, timeout_s: float) -> AnswerHead:
-        """See `Exchange.head`."""
+        """See `Exchange.head`; raises what `wait_sent` does if it hasn't returned."""
         head = super().head(timeout_s)
         self._raise_failure(head)
         dropped = OWN_HEADERS
@@ -177,6 +183,13 @@
         """Fail: a gateway of an older build passes on one answer only."""
         raise self._error("a late answer to an earlier request", "read head")
 
+    def _note_interim(self, event: h11.InformationalResponse) -> None:
+        """Record that the gateway has sent the request to the replica."""
+        # Gateways of older builds pass on answers to other requests, too.
+        headers = {bytes(name) for name, _ in event.headers}
+        self._is_gateway_matching = MATCHING.lower() in headers
+        self.is_doubtful = False
+
     def _raise_failure(self, head: AnswerHead) -> None:
         text = head.get(FAILURE.lower())
         if text is None:
--- a/boragedeck/process/relaying/paths/gateway_sender.py
+++ b/boragedeck/process/relaying/paths/gateway_sender.py
@@ -13,6 +13,7 @@
     UpstreamError,
     UpstreamNotAcceptingError,
     UpstreamRefusedError,
+    UpstreamSilentError,
     UpstreamUnreachedError,
 )
 from boragedeck.interfaces import Member
@@ -59,7 +60,7 @@
         send_timeout_s: float,
         check: Callable[[], None],
     ) -> ForwardedExchange:
-        """Send a request, and wait until a gateway has passed it on.
+        """Send a request, and wait for a time until a gateway has passed it on.
 
         Parameters
         ----------
@@ -68,6 +69,12 @@
         connect_timeout_s, send_timeout_s, check
             See `UpstreamPool.send`.
 
+        Returns
+        -------
+        ForwardedExchange
+            The exchange; `Exchange.is_doubtful` if the gateway is silent. It may be
+            sound, so only the caller's time ends the exchange.
+
         Raises
         ------
         UpstreamUnreachedError
@@ -100,7 +107,8 @@
             except UpstreamError as exc:
                 self._note_failed(gateway, order, exc)
                 raise
-            self._gateways.note_reached(order.target, gateway)
+            if not exchange.is_doubtful:
+                self._gateways.note_reached(order.target, gateway)
             self._metrics.forwards_sent.labels("sent").inc()
             return exchange
         is_lost = unreached >= MAX_UNREACHED_GATEWAYS
@@ -117,7 +125,7 @@
         send_timeout_s: float,
         check: Callable[[], None],
     ) -> ForwardedExchange:
-        """Send a request through one gateway, and wait until it has been sent."""
+        """Send a request through one gateway, and wait until it says so."""
         address = self._gateways.address_of(gateway)
         try:
             exchange = self._forwards.send(
@@ -130,6 +138,8 @@
         exchange.address = order.target
         try:
             exchange.wait_sent(connect_timeout_s + FORWARD_SLACK_S)
+        except UpstreamSilentError as exc:
+            self._note_failed(gateway, order, exc)
         except BaseException:
             exchange.close()
             raise
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -9,6 +9,7 @@
 from boragedeck.connection.exchange import AnswerHead, Exchange
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.exceptions import (
+    ForwardDeclinedError,
     UpstreamError,
     UpstreamNotAcceptingError,
     UpstreamRefusedError,
@@ -96,6 +97,17 @@
     job.note_sent()
     try:
         pending = _read_head(job, place, exchange, wait_for_head)
+    except (ForwardDeclinedError, UpstreamRefusedError) as exc:
+        # A gateway that was silent says only now that it has sent nothing.
+        exchange.close()
+        job.note_unsent()
+        raise UpstreamRefusedError(
+            exc.message, step="forward", peer=str(replica.address)
+        ) from exc
+    except UpstreamNotAcceptingError:
+        exchange.close()
+        job.note_unsent()
+        raise
     except BaseException:
         exchange.close()
         raise
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -55,7 +55,12 @@
     reason: str
 
 
+class Doubtful(msgspec.Struct, frozen=True):
+    """The gateway is silent, so the replica may never receive the request."""
+
+
 AttemptResult = CompleteAnswer | NotTaken | AnswerLost
+AttemptMessage = AttemptResult | Doubtful
 
 
 class CallRelay:
@@ -116,6 +121,9 @@
                 case AnswerLost(reason):
                     self._failure_reason = reason
                     self._start_further_attempt()
+                case Doubtful():
+                    if len(self._running_attempts) == 1:
+                        self._start_further_attempt()
                 case None:
                     if self._job.left_s() <= 0.0:
                         return self._failed_answer
@@ -123,8 +131,8 @@
                     self._start_further_attempt()
         return self._failed_answer
 
-    def _next_result(self) -> AttemptResult | None:
-        """Return the next result; None if a hedge is due or no time is left."""
+    def _next_result(self) -> AttemptMessage | None:
+        """Return the next message; None if a hedge is due or no time is left."""
         wait_s = self._job.left_s()
         if self._is_hedge_pending():
             goal_s = self._job.rule.goal_s
@@ -222,6 +230,8 @@
     def _wait_for_head(self, exchange: Exchange) -> AnswerHead:
         """Wait for the head; check the path to the replica if it takes long."""
         job, since = self._job, self._job.parts.timers.now()
+        if exchange.is_doubtful:
+            self._results.put(Doubtful())
         try:
             return exchange.head(min(job.rule.goal_s, job.left_s()))
         except UpstreamSilentError:
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -124,6 +124,12 @@
         self.delivered_attempts += 1
         self.possible_runs += 1
 
+    def note_unsent(self) -> None:
+        """Record that an attempt which was counted as sent has reached no replica."""
+        self.sent -= 1
+        self.delivered_attempts -= 1
+        self.possible_runs -= 1
+
     def note_not_run(self) -> None:
         """Record that an attempt which was sent has not run."""
         self.possible_runs -= 1
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -251,6 +251,8 @@
         )
 
     def _wait_for_head(self, exchange: Exchange) -> AnswerHead:
+        if exchange.is_doubtful:
+            self._note_silent(exchange, self.place.since)
         interrupter = ExchangeInterrupter(exchange, self.place.state)
         wait = partial(self._liveness.wait, self.place, exchange, exchange.head)
         try:
--- a/boragedeck/request/stream_liveness.py
+++ b/boragedeck/request/stream_liveness.py
@@ -114,7 +114,7 @@
         if now < state.held_until:
             return now - state.answered_at <= self._suspect_after_s()
         parts = self._job.parts
-        if parts.paths.is_dead(exchange):
+        if exchange.is_doubtful or parts.paths.is_dead(exchange):
             return False
         # A sound replica answers at once; the path is checked while it doesn't.
         doubt = parts.timers.call_later(
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -23,6 +23,7 @@
 from boragedeck.process.relaying.paths.path_composition import make_paths
 from boragedeck.request.forward import Forwarder
 from boragedeck.version.routing import CallerLimits
+from standins.silence import Silence
 from tests.support.limited_fleet import FleetMembers
 from tests.support.replicas import RelayHarness
 
@@ -120,7 +121,13 @@
 
 
 class CutRouter(RelayHarness):
-    """One router of the fleet, which also forwards requests of the others."""
+    """One router of the fleet, which also forwards requests of the others.
+
+    Attributes
+    ----------
+    silence : Silence
+        While it is on, requests of the others are accepted and not handled.
+    """
 
     pool_type = CutPool
 
@@ -132,8 +139,9 @@
         domain = f"d{number % DOMAINS}"
         self.member = Member(self.name, self.name, domain, forward_at)
         self.members = FleetMembers(fleet, self.member)
+        self.silence = Silence()
         super().__init__(**fields)
-        forwarder = Forwarder(
+        self._forwarder = Forwarder(
             self.timers,
             self.registry,
             self.upstreams,
@@ -144,7 +152,7 @@
             self.metrics,
         )
         self.forward_edge = CallerEdge(
-            self.forward_listener, CallerLimits, forwarder.handle, self.timers
+            self.forward_listener, CallerLimits, self._forward, self.timers
         )
         self.forward_server = eventlet.spawn(self.forward_edge.serve)
 
@@ -163,6 +171,10 @@
             lambda member: member.address,
         )
 
+    def _forward(self, raw, channel):
+        self.silence.wait()
+        self._forwarder.handle(raw, channel)
+
     def close(self):
         """Close all sockets."""
         self.forward_server.kill()
