Replace a second attempt that is silent, too

What callers saw: a stream stood still if its replica and that of the second attempt were lost one after the other without a reset, as when a rack goes, until the kernel closed a connection (3.5 s) or the caller's time was over.

Cause: a silence started a second attempt only while one attempt ran, so a second one that was silent for good was never left. Before silences were taken for doubts, each silence started another attempt.

Evidence: test_second_replica_that_falls_silent_too_holds_a_stream failed, with no whole answer within 5 s; it passes, within 3 s with three replicas lost.

Fix: a second attempt that is silent is replaced by another one, under the same conditions, and ended only once that has a place. The first attempt stays.

--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -180,17 +180,20 @@
                 self._back_off()
         return self.parts.limited_admission.acquire(self.admission_request(until))
 
-    def acquire_beside(self, other: Place) -> Place | None:
-        """Return a place for an attempt beside another one, if one is free now.
+    def acquire_beside(self, others: list[Place]) -> Place | None:
+        """Return a place for an attempt beside others, if one is free now.
 
         Notes
         -----
         Replicas that are avoided get none, since they may be silent, too. The replica
-        of the other attempt may get one if only this router's path to it is lost.
+        of another attempt may get one if only this router's path to it is lost.
         """
         if not self._has_untried_replica():
-            is_own_loss = self.is_own_loss(other)
-            self.tried = set() if is_own_loss else {other.state.replica.replica}
+            self.tried = {
+                other.state.replica.replica
+                for other in others
+                if not self.is_own_loss(other)
+            }
         now = self.parts.timers.now()
 
         def allows(replica: Replica) -> bool:
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -1,7 +1,8 @@
 """Relays one stream, and resumes it at another replica if its replica is lost.
 
 While a replica is silent, a second attempt runs beside the first; the first of the two
-that sends an event goes on, and the other is ended.
+that sends an event goes on, and the other is ended. If the second one is silent, too,
+another attempt replaces it.
 """
 
 from eventlet.queue import LightQueue
@@ -180,29 +181,33 @@
 
         Notes
         -----
-        A request that may crash replicas waits until it is known whether it does.
+        If the silent one is a second attempt, the new one replaces it, since the first
+        is silent, too, and both replicas may be lost. A request that may crash replicas
+        waits until it is known whether it does.
         """
         job = self._job
         may_start = (
-            len(self._attempts) == 1
+            attempt is self._attempts[-1]
             and job.rule.may_repeat
             and job.has_attempts_left()
             and not job.parts.crash_blame.is_suspected(job.traits)
         )
         if not may_start:
             return
+        first, *replaced = self._attempts
         place = None
         if self._position is not None:
-            place = self._recovery.place_at_copy(attempt)
+            place = self._recovery.place_at_copy(first)
         from_copy = place is not None
         if place is None:
-            place = job.acquire_beside(attempt.place)
+            place = job.acquire_beside([each.place for each in self._attempts])
         if place is None:
             return
         if not job.take_repeat():
             place.release()
             return
         self._start(place, from_copy=from_copy)
+        self._cancel(replaced)
 
     def _note_failed(self, attempt: StreamAttempt, outcome: AttemptOutcome) -> None:
         job = self._job
--- a/tests/request/test_silent_replicas.py
+++ b/tests/request/test_silent_replicas.py
@@ -24,6 +24,8 @@
 SILENCE_AFTER_S = 0.2
 SILENCE_S = 1.2
 MANY_MS = 8000
+LEFT_WITHIN_S = 3.0
+"""How soon a stream is whole that three replicas leave, each for good."""
 WHOLE = b"".join(event(number) for number in range(1, EVENTS + 1))
 
 
@@ -122,6 +124,36 @@
         self.assertEqual((len(one.relayed()), len(two.relayed())), (1, 1))
         self.assertEqual(harness.registry.get("one").own.running, 0)
 
+    def test_second_replica_that_falls_silent_too_holds_a_stream(self):
+        replicas = {}
+
+        def hang(sock, req):
+            """Fall silent for good at the first two attempts that go on."""
+            resumed = [
+                each
+                for r in replicas.values()
+                for each in r.relayed()
+                if b"last-event-id" in each.headers
+            ]
+            if b"last-event-id" in req.headers and len(resumed) <= 2:
+                name = req.headers[b"expect-instance"].decode()
+                replicas[name].silence.begin()
+            return stream(sock, req)
+
+        for name in ("one", "two", "three", "four"):
+            replicas[name] = ScriptedReplica(name, hang)
+        harness = self.harness(*replicas.values(), max_attempts=4)
+        fetched = eventlet.spawn(harness.fetch, TOKENS, ms=MANY_MS)
+        eventlet.sleep(SILENCE_AFTER_S)
+        [first] = [each for each in replicas.values() if each.relayed()]
+        first.silence.begin()
+        began = time.monotonic()
+        self.assert_whole(fetched.wait())
+        self.assertLess(time.monotonic() - began, LEFT_WITHIN_S)
+        self.assertEqual([len(each.relayed()) for each in replicas.values()], [1] * 4)
+        for name in replicas:
+            self.assertEqual(harness.registry.get(name).own.running, 0)
+
     def test_silence_longer_than_the_objective_ends_a_call_that_may_run_once(self):
         one = ScriptedReplica("one", answer())
         rule = call_rule(CallKind.ONCE, goal_s=0.2, timeout_s=4.0)
