Don't let silences that end use up the attempts of a stream

What callers saw: a stream whose replica was silent for 0.6 s three times was cut when that replica ended, though others were sound.

Cause: each silence may start a second attempt, which counts against the attempts of the route even if the first one goes on by itself. None is left for a loss.

Fix: if an attempt was sent beside one that went on by itself, and a connection breaks later, one attempt more is allowed than the route's. Doubts keep to the route's number. A replica that has ended doesn't count against the number of replicas.

Ruled out: keeping one attempt back for losses (with two attempts, a silent replica that is lost would never be left); not counting needless attempts (replicas that fall silent again and again would be sent the request without a limit).

--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -134,19 +134,25 @@
         """Record that an attempt which was sent has not run."""
         self.possible_runs -= 1
 
-    def may_send_again(self) -> bool:
+    def may_send_again(self, extra_attempts: int = 0) -> bool:
         """Return whether another attempt is allowed, and charge it to the shared limit.
 
+        Parameters
+        ----------
+        extra_attempts : int, optional
+            Number of attempts that are allowed beyond those of the route.
+
         Notes
         -----
         The limit on repeats is shared by all requests of the pool. The first attempt
         is not charged.
         """
-        return self.has_attempts_left() and self.take_repeat()
+        return self.has_attempts_left(extra_attempts) and self.take_repeat()
 
-    def has_attempts_left(self) -> bool:
+    def has_attempts_left(self, extra_attempts: int = 0) -> bool:
         """Return whether the route, and what is known of crashes, allow an attempt."""
-        return self.sent < self.rule.max_attempts and not self.is_blamed()
+        max_attempts = self.rule.max_attempts + extra_attempts
+        return self.sent < max_attempts and not self.is_blamed()
 
     def take_repeat(self) -> bool:
         """Charge another attempt to the shared limit; return whether that allows it."""
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -52,6 +52,8 @@
         self._failed: StreamAttempt | None = None
         self._failed_answer: FailedAnswer | None = None
         self._failure_reason = ""
+        # Whether an attempt was sent beside one that went on by itself.
+        self._had_needless_attempt = False
 
     def run(self) -> None:
         """Relay the stream, or answer the caller with a failure."""
@@ -157,6 +159,8 @@
         is_first = self._attempts[0] is attempt
         if not is_first:
             self._delivery.note_lost()
+        elif any(each.was_sent for each in others):
+            self._had_needless_attempt = True
         log.write(
             "Second attempt ended.",
             request=self._job.req.request_id,
@@ -225,7 +229,20 @@
     def _may_resume(self) -> bool:
         job = self._job
         is_allowed = job.rule.may_repeat or not job.may_have_run
-        return is_allowed and job.left_s() > 0.0 and job.may_send_again()
+        if not is_allowed or job.left_s() <= 0.0:
+            return False
+        return job.may_send_again(self._extra_attempts())
+
+    def _extra_attempts(self) -> int:
+        """Return the number of attempts that are allowed beyond those of the route.
+
+        Notes
+        -----
+        Silences that end must not use up the attempts for a loss. A replica that is
+        lost doesn't count against the limit, so one is allowed in its place.
+        """
+        is_broken = self._failed is not None and self._failed.broken_state is not None
+        return int(self._had_needless_attempt and is_broken)
 
     def _give_up(self) -> None:
         job = self._job
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -116,6 +116,8 @@
     ----------
     place : Place
         The place at the replica.
+    was_sent : bool
+        Whether the replica may have received the request.
     head : tuple of int and Headers, or None
         Status and headers of a successful answer; None if there is none.
     copy_holder : ReplicaState or None
@@ -138,6 +140,7 @@
         from_copy: bool = False,
     ):
         self.place = place
+        self.was_sent = False
         self.head: tuple[int, Headers] | None = None
         self.copy_holder: ReplicaState | None = None
         self.broken_state: ReplicaState | None = None
@@ -251,6 +254,7 @@
         )
 
     def _wait_for_head(self, exchange: Exchange) -> AnswerHead:
+        self.was_sent = True
         if exchange.is_doubtful:
             self._note_silent(exchange, self.place.since)
         interrupter = ExchangeInterrupter(exchange, self.place.state)
--- a/tests/request/test_silent_replicas.py
+++ b/tests/request/test_silent_replicas.py
@@ -23,6 +23,7 @@
 INTERVAL_S = 0.05
 SILENCE_AFTER_S = 0.2
 SILENCE_S = 1.2
+FLAP_S = 0.6
 MANY_MS = 8000
 LEFT_WITHIN_S = 3.0
 """How soon a stream is whole that three replicas leave, each for good."""
@@ -154,6 +155,28 @@
         for name in replicas:
             self.assertEqual(harness.registry.get(name).own.running, 0)
 
+    def test_silences_that_end_use_up_the_attempts_of_a_stream(self):
+        def slow(sock, req):
+            if b"request-id" in req.headers and is_flapping:
+                eventlet.sleep(2.0 * FLAP_S)
+            return stream(sock, req)
+
+        is_flapping = True
+        others = [ScriptedReplica(name, slow) for name in ("two", "three")]
+        one = ScriptedReplica("one", stream)
+        harness = self.harness(one, *others, max_attempts=3)
+        fetched = eventlet.spawn(harness.fetch, TOKENS, ms=MANY_MS)
+        for _ in range(3):
+            eventlet.sleep(0.12)
+            one.silence.begin_for(FLAP_S)
+            eventlet.sleep(FLAP_S)
+        is_flapping = False
+        eventlet.sleep(0.02)
+        one.stop()
+        self.assert_whole(fetched.wait())
+        sent = one.relayed() + [r for each in others for r in each.relayed()]
+        self.assertLessEqual(len(sent), 1 + 3)
+
     def test_silence_longer_than_the_objective_ends_a_call_that_may_run_once(self):
         one = ScriptedReplica("one", answer())
         rule = call_rule(CallKind.ONCE, goal_s=0.2, timeout_s=4.0)
