Release the place of a second attempt if the caller leaves while it is prepared

What was seen: a place at a sound replica stayed taken for good if the caller left while a hub was asked whether a stream's second attempt may be sent.

Cause: the place is reserved before the repeat is asked for, which may wait; the error that ends a request whose caller leaves then passed the release.

Evidence: test_caller_who_leaves_while_a_repeat_is_asked_for_leaves_a_place_taken failed (one request running at the second replica); it passes.

Fix: the place is released unless the repeat is granted.

--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -207,12 +207,22 @@
             place = job.acquire_beside([each.place for each in self._attempts])
         if place is None:
             return
-        if not job.take_repeat():
-            place.release()
+        if not self._take_repeat(place):
             return
         self._start(place, from_copy=from_copy)
         self._cancel(replaced)
 
+    def _take_repeat(self, place: Place) -> bool:
+        """Return whether another attempt may start at a place, or release the place."""
+        is_granted = False
+        try:
+            # This may ask another router, and the caller may leave meanwhile.
+            is_granted = self._job.take_repeat()
+        finally:
+            if not is_granted:
+                place.release()
+        return is_granted
+
     def _note_failed(self, attempt: StreamAttempt, outcome: AttemptOutcome) -> None:
         job = self._job
         self._failed = attempt
--- a/tests/request/test_silent_replicas.py
+++ b/tests/request/test_silent_replicas.py
@@ -2,6 +2,7 @@
 import unittest
 
 import eventlet
+from eventlet.event import Event
 
 from boragedeck.version.routing import CallKind, RelayPool
 from tests.support.replicas import (
@@ -14,6 +15,7 @@
     head_of,
     report_model,
     send_chunk,
+    send_request,
     stream_rule,
 )
 
@@ -177,6 +179,27 @@
         sent = one.relayed() + [r for each in others for r in each.relayed()]
         self.assertLessEqual(len(sent), 1 + 3)
 
+    def test_caller_who_leaves_while_a_repeat_is_asked_for_leaves_a_place_taken(self):
+        one, two = ScriptedReplica("one", stream), ScriptedReplica("two", stream)
+        harness = self.harness(one, two)
+        asked = Event()
+
+        def take(pool):
+            asked.send()
+            eventlet.sleep(SILENCE_S)
+            return True
+
+        harness.parts.retries.take = take
+        sock = harness.connect()
+        send_request(sock, TOKENS, ms=MANY_MS)
+        eventlet.sleep(SILENCE_AFTER_S)
+        one.silence.begin_for(SILENCE_S)
+        asked.wait()
+        sock.close()
+        eventlet.sleep(SILENCE_AFTER_S)
+        for name in ("one", "two"):
+            self.assertEqual(harness.registry.get(name).own.running, 0)
+
     def test_silence_longer_than_the_objective_ends_a_call_that_may_run_once(self):
         one = ScriptedReplica("one", answer())
         rule = call_rule(CallKind.ONCE, goal_s=0.2, timeout_s=4.0)
