Don't count it against a version that a caller's time ends in a silence

What was seen: a stream or call whose time was over while its sound replica was silent for 1.2 s counted as a failure of the replica's version, which a rollout may roll back.

Cause: an attempt that ended with the request's time counted as failed, whatever was known of its replica. Of calls it counted if the attempt saw the end of the time before the request did.

A stream whose replica is lost still fails its version, 2 s later as after a silence.

Fix: at the end of the time, a silence counts only if the replica isn't heard for 2 s, as if the attempt had been ended for another one. A call has no probes, so its replica is probed then, unless it has just answered; one that answers has failed the call at once. Requests that wait count by their age as before, so a version that hangs is found as fast.

--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -20,6 +20,7 @@
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_refusals import final_refusal
 from boragedeck.request.relay_request import AttemptPlan, VerdictKind
+from boragedeck.request.silence_verdict import judge_late_answer
 
 __all__ = ["CallRelay"]
 
@@ -219,10 +220,12 @@
             return NotTaken(exc.message)
         except UpstreamError as exc:
             is_own_loss = job.is_own_loss(place)
-            if not is_own_loss:
+            is_silent = isinstance(exc, UpstreamSilentError)
+            if is_silent and not is_own_loss:
+                judge_late_answer(job, place)
+            elif not is_own_loss:
                 job.evidence.note_outcome(place, Outcome.FAILED)
             if place.is_forwarded or not is_own_loss:
-                is_silent = isinstance(exc, UpstreamSilentError)
                 progress.note_broken(state, is_silent=is_silent)
             self._note_lost_attempt(place, exc, "lost")
             return AnswerLost(exc.message)
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -377,11 +377,14 @@
             job.note_miss(place)
         job.parts.metrics.attempts.labels(job.rule.kind.value, outcome.value).inc()
         is_own_loss = job.is_own_loss(place)
+        is_silent = isinstance(exc, UpstreamSilentError)
         if outcome is AttemptOutcome.LOST and (place.is_forwarded or not is_own_loss):
-            is_silent = isinstance(exc, UpstreamSilentError)
             self._progress.note_broken(place.state, is_silent=is_silent)
             if self._progress.is_at_begin:
                 job.lost_at_begin += 1
-        if outcome is AttemptOutcome.LOST and not is_own_loss:
+        if is_silent and self._silence.is_on:
+            # The time is over; whether the replica is lost isn't known yet.
+            self._silence.note_abandoned()
+        elif outcome is AttemptOutcome.LOST and not is_own_loss:
             job.evidence.note_outcome(place, Outcome.FAILED)
         return self._note_failed(exc, str(exc), outcome)
--- a/boragedeck/request/stream_silence.py
+++ b/boragedeck/request/stream_silence.py
@@ -7,13 +7,11 @@
 import eventlet
 
 from boragedeck.connection.exchange import Exchange
-from boragedeck.interfaces import Outcome
-from boragedeck.process.relaying.crashes.crash_blame import SILENT_CONFIRM_S
 from boragedeck.process.relaying.placing.place import Place
 from boragedeck.request.answer_progress import AnswerProgress
-from boragedeck.request.relay_attempt import CONNECT_TIMEOUT_S, probe
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
+from boragedeck.request.silence_verdict import judge_silence
 
 __all__ = ["StreamSilence"]
 
@@ -38,6 +36,11 @@
         # When the replica fell silent; None if it isn't.
         self._since: float | None = None
 
+    @property
+    def is_on(self) -> bool:
+        """Whether the replica is silent."""
+        return self._since is not None
+
     def note(self, exchange: Exchange, since: float) -> None:
         """Record that the replica has been silent since a time; repeats are ignored."""
         if self._since is not None:
@@ -72,16 +75,9 @@
         -----
         The silence of a sound replica says nothing about its version.
         """
-        if self._since is not None and not self._job.is_own_loss(self._place):
-            eventlet.spawn_n(self._judge, self._since)
-
-    def _judge(self, since: float) -> None:
-        job, place = self._job, self._place
-        job.parts.timers.sleep(SILENT_CONFIRM_S)
-        if place.state.answered_at > since:
-            return
-        if probe(job.parts, place, CONNECT_TIMEOUT_S) is None:
-            job.evidence.note_outcome(place, Outcome.FAILED)
+        since, self._since = self._since, None
+        if since is not None and not self._job.is_own_loss(self._place):
+            eventlet.spawn_n(judge_silence, self._job, self._place, since)
 
     def _log(self, exchange: Exchange) -> None:
         job, place, now = self._job, self._place, self._job.parts.timers.now()
--- a/tests/request/test_silent_replicas.py
+++ b/tests/request/test_silent_replicas.py
@@ -4,6 +4,7 @@
 import eventlet
 from eventlet.event import Event
 
+from boragedeck.interfaces import Outcome
 from boragedeck.version.routing import CallKind, RelayPool
 from tests.support.replicas import (
     ENGINE,
@@ -26,12 +27,23 @@
 SILENCE_AFTER_S = 0.2
 SILENCE_S = 1.2
 FLAP_S = 0.6
+VERDICT_S = 3.0
 MANY_MS = 8000
 LEFT_WITHIN_S = 3.0
 """How soon a stream is whole that three replicas leave, each for good."""
 WHOLE = b"".join(event(number) for number in range(1, EVENTS + 1))
 
 
+def serve(step):
+    """Return a step that also answers probes."""
+
+    def run(sock, req):
+        is_probe = b"request-id" not in req.headers
+        return (report_model if is_probe else step)(sock, req)
+
+    return run
+
+
 def stream(sock, req):
     """Stream the events that the request misses, at an even pace; answer probes."""
     if b"request-id" not in req.headers:
@@ -200,6 +212,22 @@
         for name in ("one", "two"):
             self.assertEqual(harness.registry.get(name).own.running, 0)
 
+    def test_silence_that_has_ended_starts_a_second_attempt(self):
+        one, two = ScriptedReplica("one", stream), ScriptedReplica("two", stream)
+        harness = self.harness(one, two)
+        asked = Event()
+
+        def take(pool):
+            asked.send()
+            eventlet.sleep(FLAP_S)
+            return True
+
+        harness.parts.retries.take = take
+        self.assert_whole(self.fetch(harness, one, silence_s=FLAP_S))
+        self.assertTrue(asked.ready())
+        self.assertEqual((len(one.relayed()), len(two.relayed())), (1, 0))
+        self.assertEqual(harness.registry.get("two").own.running, 0)
+
     def test_silence_longer_than_the_objective_ends_a_call_that_may_run_once(self):
         one = ScriptedReplica("one", answer())
         rule = call_rule(CallKind.ONCE, goal_s=0.2, timeout_s=4.0)
@@ -210,3 +238,41 @@
         response = harness.fetch(ms=MANY_MS)
         self.assertEqual((response.status, response.body), (200, b"whole"))
         self.assertEqual(len(one.relayed()), 1)
+
+
+class SilentVersionTest(unittest.TestCase):
+    """What silences count against a version."""
+
+    def start(self, replica, rule):
+        harness = RelayHarness(rule, pool=ENGINES)
+        self.addCleanup(harness.close)
+        harness.add(replica)
+        self.outcomes = []
+        harness.parts.rollouts.note = self.note
+        return harness
+
+    def note(self, replica, sample):
+        self.outcomes.append(sample.outcome)
+
+    def play(self, rule, step, silence_s, ms=500):
+        """Send a request to a replica that falls silent, and wait for a verdict."""
+        replica = ScriptedReplica("one", step)
+        harness = self.start(replica, rule)
+        self.assertEqual(harness.fetch(TOKENS, name=b"id-0").status, 200)
+        eventlet.sleep(0.3)
+        self.outcomes.clear()
+        replica.silence.begin_for(silence_s)
+        harness.fetch(TOKENS, ms=ms)
+        eventlet.sleep(VERDICT_S)
+
+    def test_silence_fails_the_version_of_a_call(self):
+        self.play(call_rule(), serve(answer()), SILENCE_S)
+        self.assertEqual(self.outcomes, [])
+
+    def test_silence_fails_the_version_of_a_stream(self):
+        self.play(stream_rule(max_attempts=1), stream, SILENCE_S)
+        self.assertNotIn(Outcome.FAILED, self.outcomes)
+
+    def test_loss_does_not_fail_the_version_of_a_stream(self):
+        self.play(stream_rule(max_attempts=1), stream, MANY_MS)
+        self.assertEqual(self.outcomes, [Outcome.FAILED])
