--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -124,23 +124,35 @@
         self.delivered_attempts += 1
         self.possible_runs += 1
 
+    def note_unsent(self) -> None:
+        """Record that an attempt which was counted as sent has reached no replica."""
+        self.sent -= 1
+        self.delivered_attempts -= 1
+        self.possible_runs -= 1
+
     def note_not_run(self) -> None:
         """Record that an attempt which was sent has not run."""
         self.possible_runs -= 1
 
-    def may_send_again(self) -> bool:
+    def may_send_again(self, extra_attempts: int = 0) -> bool:
         """Return whether another attempt is allowed, and charge it to the shared limit.
 
+        Parameters
+        ----------
+        extra_attempts : int, optional
+            Number of attempts that are allowed beyond those of the route.
+
         Notes
         -----
         The limit on repeats is shared by all requests of the pool. The first attempt
         is not charged.
         """
-        return self.has_attempts_left() and self.take_repeat()
+        return self.has_attempts_left(extra_attempts) and self.take_repeat()
 
-    def has_attempts_left(self) -> bool:
+    def has_attempts_left(self, extra_attempts: int = 0) -> bool:
         """Return whether the route, and what is known of crashes, allow an attempt."""
-        return self.sent < self.rule.max_attempts and not self.is_blamed()
+        max_attempts = self.rule.max_attempts + extra_attempts
+        return self.sent < max_attempts and not self.is_blamed()
 
     def take_repeat(self) -> bool:
         """Charge another attempt to the shared limit; return whether that allows it."""
@@ -174,17 +186,20 @@
                 self._back_off()
         return self.parts.limited_admission.acquire(self.admission_request(until))
 
-    def acquire_beside(self, other: Place) -> Place | None:
-        """Return a place for an attempt beside another one, if one is free now.
+    def acquire_beside(self, others: list[Place]) -> Place | None:
+        """Return a place for an attempt beside others, if one is free now.
 
         Notes
         -----
         Replicas that are avoided get none, since they may be silent, too. The replica
-        of the other attempt may get one if only this router's path to it is lost.
+        of another attempt may get one if only this router's path to it is lost.
         """
         if not self._has_untried_replica():
-            is_own_loss = self.is_own_loss(other)
-            self.tried = set() if is_own_loss else {other.state.replica.replica}
+            self.tried = {
+                other.state.replica.replica
+                for other in others
+                if not self.is_own_loss(other)
+            }
         now = self.parts.timers.now()
 
         def allows(replica: Replica) -> bool:
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -1,7 +1,8 @@
 """Relays one stream, and resumes it at another replica if its replica is lost.
 
 While a replica is silent, a second attempt runs beside the first; the first of the two
-that sends an event goes on, and the other is ended.
+that sends an event goes on, and the other is ended. If the second one is silent, too,
+another attempt replaces it.
 """
 
 from eventlet.queue import LightQueue
@@ -52,6 +53,8 @@
         self._failed: StreamAttempt | None = None
         self._failed_answer: FailedAnswer | None = None
         self._failure_reason = ""
+        # Whether an attempt was sent beside one that went on by itself.
+        self._had_needless_attempt = False
 
     def run(self) -> None:
         """Relay the stream, or answer the caller with a failure."""
@@ -157,6 +160,8 @@
         is_first = self._attempts[0] is attempt
         if not is_first:
             self._delivery.note_lost()
+        elif any(each.was_sent for each in others):
+            self._had_needless_attempt = True
         log.write(
             "Second attempt ended.",
             request=self._job.req.request_id,
@@ -181,28 +186,42 @@
 
         Notes
         -----
-        A request that may crash replicas waits until it is known whether it does.
+        If the silent one is a second attempt, the new one replaces it, since the first
+        is silent, too, and both replicas may be lost. A request that may crash replicas
+        waits until it is known whether it does.
         """
         job = self._job
         may_start = (
-            len(self._attempts) == 1
+            attempt is self._attempts[-1]
             and job.rule.may_repeat
             and job.has_attempts_left()
             and not job.parts.crash_blame.is_suspected(job.traits)
         )
         if not may_start:
             return
-        holder = self._copy_holder(attempt)
+        first, *replaced = self._attempts
+        holder = self._copy_holder(first)
         place = None if holder is None else self._recovery.reserve(holder)
         from_copy = place is not None
         if place is None:
-            place = job.acquire_beside(attempt.place)
+            place = job.acquire_beside([each.place for each in self._attempts])
         if place is None:
             return
-        if not job.take_repeat():
-            place.release()
+        if not self._take_repeat(place):
             return
         self._start(place, from_copy=from_copy)
+        self._cancel(replaced)
+
+    def _take_repeat(self, place: Place) -> bool:
+        """Return whether another attempt may start at a place, or release the place."""
+        is_granted = False
+        try:
+            # This may ask another router, and the caller may leave meanwhile.
+            is_granted = self._job.take_repeat()
+        finally:
+            if not is_granted:
+                place.release()
+        return is_granted
 
     def _note_failed(self, attempt: StreamAttempt, outcome: AttemptOutcome) -> None:
         job = self._job
@@ -220,7 +239,20 @@
     def _may_resume(self) -> bool:
         job = self._job
         is_allowed = job.rule.may_repeat or not job.may_have_run
-        return is_allowed and job.left_s() > 0.0 and job.may_send_again()
+        if not is_allowed or job.left_s() <= 0.0:
+            return False
+        return job.may_send_again(self._extra_attempts())
+
+    def _extra_attempts(self) -> int:
+        """Return the number of attempts that are allowed beyond those of the route.
+
+        Notes
+        -----
+        Silences that end must not use up the attempts for a loss. A replica that is
+        lost doesn't count against the limit, so one is allowed in its place.
+        """
+        is_broken = self._failed is not None and self._failed.broken_state is not None
+        return int(self._had_needless_attempt and is_broken)
 
     def _give_up(self) -> None:
         job = self._job
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -116,6 +116,8 @@
     ----------
     place : Place
         The place at the replica.
+    was_sent : bool
+        Whether the replica may have received the request.
     head : tuple of int and Headers, or None
         Status and headers of a successful answer; None if there is none.
     copy_holder : ReplicaState or None
@@ -138,6 +140,7 @@
         from_copy: bool = False,
     ):
         self.place = place
+        self.was_sent = False
         self.head: tuple[int, Headers] | None = None
         self.copy_holder: ReplicaState | None = None
         self.broken_state: ReplicaState | None = None
@@ -251,6 +254,9 @@
         )
 
     def _wait_for_head(self, exchange: Exchange) -> AnswerHead:
+        self.was_sent = True
+        if exchange.is_doubtful:
+            self._note_silent(exchange, self.place.since)
         interrupter = ExchangeInterrupter(exchange, self.place.state)
         wait = partial(self._liveness.wait, self.place, exchange, exchange.head)
         try:
@@ -371,11 +377,14 @@
             job.note_miss(place)
         job.parts.metrics.attempts.labels(job.rule.kind.value, outcome.value).inc()
         is_own_loss = job.is_own_loss(place)
+        is_silent = isinstance(exc, UpstreamSilentError)
         if outcome is AttemptOutcome.LOST and (place.is_forwarded or not is_own_loss):
-            is_silent = isinstance(exc, UpstreamSilentError)
             self._progress.note_broken(place.state, is_silent=is_silent)
             if self._progress.is_at_begin:
                 job.lost_at_begin += 1
-        if outcome is AttemptOutcome.LOST and not is_own_loss:
+        if is_silent and self._silence.is_on:
+            # The time is over; whether the replica is lost isn't known yet.
+            self._silence.note_abandoned()
+        elif outcome is AttemptOutcome.LOST and not is_own_loss:
             job.evidence.note_outcome(place, Outcome.FAILED)
         return self._note_failed(exc, str(exc), outcome)
--- a/tests/request/test_silent_replicas.py
+++ b/tests/request/test_silent_replicas.py
@@ -2,7 +2,9 @@
 import unittest
 
 import eventlet
+from eventlet.event import Event
 
+from boragedeck.interfaces import Outcome
 from boragedeck.version.routing import CallKind, RelayPool
 from tests.support.replicas import (
     ENGINE,
@@ -14,6 +16,7 @@
     head_of,
     report_model,
     send_chunk,
+    send_request,
     stream_rule,
 )
 
@@ -23,10 +26,24 @@
 INTERVAL_S = 0.05
 SILENCE_AFTER_S = 0.2
 SILENCE_S = 1.2
+FLAP_S = 0.6
+VERDICT_S = 3.0
 MANY_MS = 8000
+LEFT_WITHIN_S = 3.0
+"""How soon a stream is whole that three replicas leave, each for good."""
 WHOLE = b"".join(event(number) for number in range(1, EVENTS + 1))
 
 
+def serve(step):
+    """Return a step that also answers probes."""
+
+    def run(sock, req):
+        is_probe = b"request-id" not in req.headers
+        return (report_model if is_probe else step)(sock, req)
+
+    return run
+
+
 def stream(sock, req):
     """Stream the events that the request misses, at an even pace; answer probes."""
     if b"request-id" not in req.headers:
@@ -122,6 +139,95 @@
         self.assertEqual((len(one.relayed()), len(two.relayed())), (1, 1))
         self.assertEqual(harness.registry.get("one").own.running, 0)
 
+    def test_second_replica_that_falls_silent_too_holds_a_stream(self):
+        replicas = {}
+
+        def hang(sock, req):
+            """Fall silent for good at the first two attempts that go on."""
+            resumed = [
+                each
+                for r in replicas.values()
+                for each in r.relayed()
+                if b"last-event-id" in each.headers
+            ]
+            if b"last-event-id" in req.headers and len(resumed) <= 2:
+                name = req.headers[b"expect-instance"].decode()
+                replicas[name].silence.begin()
+            return stream(sock, req)
+
+        for name in ("one", "two", "three", "four"):
+            replicas[name] = ScriptedReplica(name, hang)
+        harness = self.harness(*replicas.values(), max_attempts=4)
+        fetched = eventlet.spawn(harness.fetch, TOKENS, ms=MANY_MS)
+        eventlet.sleep(SILENCE_AFTER_S)
+        [first] = [each for each in replicas.values() if each.relayed()]
+        first.silence.begin()
+        began = time.monotonic()
+        self.assert_whole(fetched.wait())
+        self.assertLess(time.monotonic() - began, LEFT_WITHIN_S)
+        self.assertEqual([len(each.relayed()) for each in replicas.values()], [1] * 4)
+        for name in replicas:
+            self.assertEqual(harness.registry.get(name).own.running, 0)
+
+    def test_silences_that_end_use_up_the_attempts_of_a_stream(self):
+        def slow(sock, req):
+            if b"request-id" in req.headers and is_flapping:
+                eventlet.sleep(2.0 * FLAP_S)
+            return stream(sock, req)
+
+        is_flapping = True
+        others = [ScriptedReplica(name, slow) for name in ("two", "three")]
+        one = ScriptedReplica("one", stream)
+        harness = self.harness(one, *others, max_attempts=3)
+        fetched = eventlet.spawn(harness.fetch, TOKENS, ms=MANY_MS)
+        for _ in range(3):
+            eventlet.sleep(0.12)
+            one.silence.begin_for(FLAP_S)
+            eventlet.sleep(FLAP_S)
+        is_flapping = False
+        eventlet.sleep(0.02)
+        one.stop()
+        self.assert_whole(fetched.wait())
+        sent = one.relayed() + [r for each in others for r in each.relayed()]
+        self.assertLessEqual(len(sent), 1 + 3)
+
+    def test_caller_who_leaves_while_a_repeat_is_asked_for_leaves_a_place_taken(self):
+        one, two = ScriptedReplica("one", stream), ScriptedReplica("two", stream)
+        harness = self.harness(one, two)
+        asked = Event()
+
+        def take(pool):
+            asked.send()
+            eventlet.sleep(SILENCE_S)
+            return True
+
+        harness.parts.retries.take = take
+        sock = harness.connect()
+        send_request(sock, TOKENS, ms=MANY_MS)
+        eventlet.sleep(SILENCE_AFTER_S)
+        one.silence.begin_for(SILENCE_S)
+        asked.wait()
+        sock.close()
+        eventlet.sleep(SILENCE_AFTER_S)
+        for name in ("one", "two"):
+            self.assertEqual(harness.registry.get(name).own.running, 0)
+
+    def test_silence_that_has_ended_starts_a_second_attempt(self):
+        one, two = ScriptedReplica("one", stream), ScriptedReplica("two", stream)
+        harness = self.harness(one, two)
+        asked = Event()
+
+        def take(pool):
+            asked.send()
+            eventlet.sleep(FLAP_S)
+            return True
+
+        harness.parts.retries.take = take
+        self.assert_whole(self.fetch(harness, one, silence_s=FLAP_S))
+        self.assertTrue(asked.ready())
+        self.assertEqual((len(one.relayed()), len(two.relayed())), (1, 0))
+        self.assertEqual(harness.registry.get("two").own.running, 0)
+
     def test_silence_longer_than_the_objective_ends_a_call_that_may_run_once(self):
         one = ScriptedReplica("one", answer())
         rule = call_rule(CallKind.ONCE, goal_s=0.2, timeout_s=4.0)
@@ -132,3 +238,41 @@
         response = harness.fetch(ms=MANY_MS)
         self.assertEqual((response.status, response.body), (200, b"whole"))
         self.assertEqual(len(one.relayed()), 1)
+
+
+class SilentVersionTest(unittest.TestCase):
+    """What silences count against a version."""
+
+    def start(self, replica, rule):
+        harness = RelayHarness(rule, pool=ENGINES)
+        self.addCleanup(harness.close)
+        harness.add(replica)
+        self.outcomes = []
+        harness.parts.rollouts.note = self.note
+        return harness
+
+    def note(self, replica, sample):
+        self.outcomes.append(sample.outcome)
+
+    def play(self, rule, step, silence_s, ms=500):
+        """Send a request to a replica that falls silent, and wait for a verdict."""
+        replica = ScriptedReplica("one", step)
+        harness = self.start(replica, rule)
+        self.assertEqual(harness.fetch(TOKENS, name=b"id-0").status, 200)
+        eventlet.sleep(0.3)
+        self.outcomes.clear()
+        replica.silence.begin_for(silence_s)
+        harness.fetch(TOKENS, ms=ms)
+        eventlet.sleep(VERDICT_S)
+
+    def test_silence_fails_the_version_of_a_call(self):
+        self.play(call_rule(), serve(answer()), SILENCE_S)
+        self.assertEqual(self.outcomes, [])
+
+    def test_silence_fails_the_version_of_a_stream(self):
+        self.play(stream_rule(max_attempts=1), stream, SILENCE_S)
+        self.assertNotIn(Outcome.FAILED, self.outcomes)
+
+    def test_loss_does_not_fail_the_version_of_a_stream(self):
+        self.play(stream_rule(max_attempts=1), stream, MANY_MS)
+        self.assertEqual(self.outcomes, [Outcome.FAILED])
