Read a request by the limits in force when it arrives

What callers saw: after the operators had raised the limits of callers, 413 or 431 for a proper request on an open connection that had waited since before the change. Limits that were lowered didn't hold for it either. The wait may last as long as the idle timeout.

Cause: _CallerConnection._next_request took the limits before it waited for the request's first byte, and read the request by them.

It is on the same path for forwarded requests, whose limits follow the table.

Fix: the limits are taken, and the parser is made, when the first bytes have arrived. A request that has begun to arrive keeps the limits that it began with.

Ruled out: the idle timeout. It is looked up again for each wait, and test_idle_timeout_follows_the_limit_in_force covers it.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -263,14 +263,16 @@
             raise CallerDisconnectedError(str(exc), step="send response") from exc
 
     def _next_request(self) -> RawRequest | None:
-        limits = self._edge.limits()
-        self._parser = h11.Connection(h11.SERVER, limits.header_bytes)
-        if self._buffer:
-            self._parser.receive_data(self._buffer)
-            self._buffer = b""
-        elif not self._wait_first_byte():
+        if not self._buffer:
+            self._buffer = self._wait_first_bytes()
+        if not self._buffer:
             return None
         self._is_idle = False
+        # The limits may have changed during the wait.
+        limits = self._edge.limits()
+        self._parser = h11.Connection(h11.SERVER, limits.header_bytes)
+        self._parser.receive_data(self._buffer)
+        self._buffer = b""
         try:
             return self._read_request(limits)
         except h11.RemoteProtocolError as exc:
@@ -281,24 +283,24 @@
             self._reject(exc.status, exc.message)
         return None
 
-    def _wait_first_byte(self) -> bool:
-        """Wait for the next request; the idle timeout may change during the wait."""
+    def _wait_first_bytes(self) -> bytes:
+        """Wait for the next request and return its first bytes; none if none comes.
+
+        The idle timeout may change during the wait.
+        """
         self._is_idle = True
         since = self._timers.now()
         while not self._edge.is_closing:
             left_s = since + self._edge.limits().idle_timeout_s - self._timers.now()
             if left_s <= 0.0:
-                return False
+                return b""
             # Stays None if the time is over; an empty value is the caller's end.
             data = None
             with eventlet.Timeout(left_s, False):
                 data = self._sock.recv(READ_BYTES)
-            if data:
-                self._parser.receive_data(data)
-                return True
             if data is not None:
-                return False
-        return False
+                return data
+        return b""
 
     def _read_request(self, limits: CallerLimits) -> RawRequest | None:
         with eventlet.Timeout(limits.header_timeout_s):
--- a/tests/connection/test_caller_edge.py
+++ b/tests/connection/test_caller_edge.py
@@ -105,6 +105,20 @@
         self.assertEqual((response.status, response.body), (200, b"whole"))
         self.assertEqual(response.headers[b"connection"], b"close")
 
+    def set_limits(self, **limits):
+        table = self.harness.table
+        limits = msgspec.structs.replace(table.limits, **limits)
+        self.harness.table = msgspec.structs.replace(table, limits=limits)
+
+    def test_limits_raised_during_the_wait_hold_for_the_next_request(self):
+        kept, new = self.harness.connect(), self.harness.connect()
+        self.harness.fetch(sock=kept)
+        self.set_limits(header_bytes=20_000, body_bytes=20_000)
+        for sock in (kept, new):
+            line, body = b"X: " + b"x" * 3_000, b"x" * 6_000
+            response = self.harness.fetch(line, body=body, sock=sock)
+            self.assertEqual(response.status, 200)
+
 
 def answer_slowly(sock, req):
     eventlet.sleep(0.2)
