Answer requests that have arrived when a stop closes idle connections

What callers saw: a connection that ended without an answer, just as they had sent a request on it, 3 s after their router had been told to stop.

Cause: close_idle shut a waiting connection down in both directions although the request already lay in its receive buffer. Linux hands out such bytes after the shutdown, so that the router read the request, began to serve it, and met the end of the connection. A connection that had just served ended without a look at what had arrived.

Evidence: test_request_that_has_arrived_when_idle_ones_are_closed_is_answered got no answer instead of 200 before.

Fix: a connection that has unread bytes isn't idle; its request is answered, with Connection: close. What arrives after the shutdown isn't read, so that it is never passed on. The wait for a request looks at what has arrived before it ends.

Ruled out: the idle timeout. With a process that stood still for longer than it, a request that had arrived was answered before, too.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -11,6 +11,7 @@
 import h11
 import msgspec
 from eventlet.green import socket
+from eventlet.hubs import trampoline
 
 from boragedeck.connection.listening import close_listener
 from boragedeck.exceptions import BoragedeckError
@@ -225,6 +226,7 @@
         self._parser: h11.Connection | None = None
         self.is_handling = False
         self._is_idle = True
+        self._is_shut = False
         self._is_last_response = False
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -241,7 +243,9 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive."""
-        if self._is_idle and not self._buffer:
+        if self._is_idle and not self._buffer and not self._has_unread_bytes():
+            # What arrives from now on isn't read.
+            self._is_shut = True
             self._shut_down()
 
     def send_event(self, event) -> None:
@@ -290,18 +294,31 @@
         """
         self._is_idle = True
         since = self._timers.now()
-        while not self._edge.is_closing:
+        while not self._is_shut:
+            data = self._read_arrived()
+            if data is not None:
+                return data
             left_s = since + self._edge.limits().idle_timeout_s - self._timers.now()
-            if left_s <= 0.0:
+            if left_s <= 0.0 or self._edge.is_closing:
                 return b""
-            # Stays None if the time is over; an empty value is the caller's end.
-            data = None
             with eventlet.Timeout(left_s, False):
-                data = self._sock.recv(READ_BYTES)
-            if data is not None:
-                return data
+                trampoline(self._sock.fd, read=True)
         return b""
 
+    def _read_arrived(self) -> bytes | None:
+        """Return what has arrived; None if nothing has, empty at the caller's end."""
+        try:
+            return self._sock.fd.recv(READ_BYTES)
+        except BlockingIOError:
+            return None
+
+    def _has_unread_bytes(self) -> bool:
+        try:
+            return bool(self._sock.fd.recv(1, socket.MSG_PEEK))
+        except OSError:
+            # Nothing has arrived, or the connection is broken.
+            return False
+
     def _read_request(self, limits: CallerLimits) -> RawRequest | None:
         with eventlet.Timeout(limits.header_timeout_s):
             head = self._read_event()
--- a/tests/connection/test_caller_edge.py
+++ b/tests/connection/test_caller_edge.py
@@ -119,6 +119,30 @@
             response = self.harness.fetch(line, body=body, sock=sock)
             self.assertEqual(response.status, 200)
 
+    def make_idle(self):
+        sock = self.harness.connect()
+        self.harness.fetch(sock=sock)
+        eventlet.sleep(0.05)
+        return sock
+
+    def test_request_that_has_arrived_when_idle_ones_are_closed_is_answered(self):
+        waiting, just_served = self.make_idle(), self.harness.connect()
+        self.harness.fetch(sock=just_served)
+        for sock in (waiting, just_served):
+            send_request(sock, name=b"id-2")
+        self.harness.edge.close_idle()
+        for sock in (waiting, just_served):
+            response = read_response(sock)
+            self.assertEqual((response.status, response.body), (200, b"whole"))
+            self.assertEqual(response.headers[b"connection"], b"close")
+
+    def test_request_that_arrives_after_idle_ones_are_closed_is_not_relayed(self):
+        sock = self.make_idle()
+        self.harness.edge.close_idle()
+        send_request(sock, name=b"id-2")
+        eventlet.sleep(0.1)
+        self.assertEqual(len(self.replica.received), 1)
+
 
 def answer_slowly(sock, req):
     eventlet.sleep(0.2)
