Let a stop wait for requests that have begun to arrive

What callers saw: a connection that ended 3 s after their router had been told to stop, while they still sent the body of a request, with 4.6 s of the stop's time left.

Cause: active_requests counted a request only once it had been read whole. If no other was being served at the end of the leave period, the process ended.

Fix: a request counts from its first byte, also while that is still unread.

Ruled out: the limits on reading. They were the same before and after, and bound the wait as the stop's time does.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -198,8 +198,11 @@
             conn.close_if_idle()
 
     def active_requests(self) -> int:
-        """Return the number of requests that have no complete response yet."""
-        return sum(conn.is_handling for conn in self._conns)
+        """Return the number of requests without a complete response.
+
+        Those that have only begun to arrive count.
+        """
+        return sum(conn.has_request() for conn in self._conns)
 
     def _run(self, sock: socket.socket) -> None:
         conn = _CallerConnection(self, sock)
@@ -226,6 +229,7 @@
         self._parser: h11.Connection | None = None
         self.is_handling = False
         self._is_idle = True
+        self._is_reading = False
         self._is_shut = False
         self._is_last_response = False
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -241,6 +245,12 @@
         """Return whether the connection is closed after the current response."""
         return self._is_last_response or self._edge.is_leaving or self._edge.is_closing
 
+    def has_request(self) -> bool:
+        """Return whether a request has begun to arrive and isn't answered yet."""
+        if self._is_idle:
+            return self._has_unread_bytes()
+        return self._is_reading or self.is_handling
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive."""
         if self._is_idle and not self._buffer and not self._has_unread_bytes():
@@ -277,6 +287,7 @@
         self._parser = h11.Connection(h11.SERVER, limits.header_bytes)
         self._parser.receive_data(self._buffer)
         self._buffer = b""
+        self._is_reading = True
         try:
             return self._read_request(limits)
         except h11.RemoteProtocolError as exc:
@@ -285,6 +296,8 @@
             self._reject(408, "the request arrived too slowly")
         except _RejectedError as exc:
             self._reject(exc.status, exc.message)
+        finally:
+            self._is_reading = False
         return None
 
     def _wait_first_bytes(self) -> bytes:
--- a/tests/connection/test_caller_edge.py
+++ b/tests/connection/test_caller_edge.py
@@ -143,6 +143,28 @@
         eventlet.sleep(0.1)
         self.assertEqual(len(self.replica.received), 1)
 
+    def test_request_whose_body_still_arrives_counts_as_unanswered(self):
+        sock = self.harness.connect()
+        sock.sendall(
+            b"POST /r/x HTTP/1.1\r\nHost: here.example\r\nRequest-Id: 7\r\n"
+            b"Api-Key: key-1\r\nContent-Length: 5\r\n\r\nab"
+        )
+        eventlet.sleep(0.05)
+        self.harness.edge.close_idle()
+        self.assertEqual(self.harness.edge.active_requests(), 1)
+        sock.sendall(b"cde")
+        self.assertEqual(read_response(sock).status, 200)
+        eventlet.sleep(0.05)
+        self.assertEqual(self.harness.edge.active_requests(), 0)
+
+    def test_request_that_is_not_read_yet_counts_as_unanswered(self):
+        sock = self.make_idle()
+        self.assertEqual(self.harness.edge.active_requests(), 0)
+        send_request(sock, name=b"id-2")
+        self.harness.edge.close_idle()
+        self.assertEqual(self.harness.edge.active_requests(), 1)
+        self.assertEqual(read_response(sock).status, 200)
+
 
 def answer_slowly(sock, req):
     eventlet.sleep(0.2)
