Count whole answers around stops, changes and silences, with real processes

The incident's second hypothesis, that a stop or a change ends requests by itself, needs routers as processes and each kind of change under requests. whole_answers plays three routers, ten engines and five plain replicas: no silence, one of 60 % and one of all replicas for 1.0 to 1.3 s, each with and without a SIGTERM, for twelve kinds of change and for none. Callers read streams (once or resumable) and make calls (once or idempotent), with bodies in chunks and with a length, on kept connections and on new ones; plain replicas answer in chunks or with a length. An answer that is cut, that failed, was refused although it ran, or ran twice counts as a fault; not those that a changed table refuses, that the lowered timeout or the end of a stop's time ends, or that cross a close unread.

--- a/scripts/platform_cluster.py
+++ b/scripts/platform_cluster.py
@@ -66,7 +66,11 @@
 
     def put_config(self, version: int = 1, key: str = "demo-key") -> None:
         """Write a configuration whose only API key is `key`."""
-        self._put("op", "config", msgspec.json.encode(_config(version, key)))
+        self.put_document(_config(version, key))
+
+    def put_document(self, cfg: dict) -> None:
+        """Write a whole configuration."""
+        self._put("op", "config", msgspec.json.encode(cfg))
 
     def order_version(self, version: str, duration_s: float) -> None:
         """Order that the engines move to a version within a time, in seconds."""
@@ -90,11 +94,15 @@
             fails=fails,
             may_repeat=with_share(REPEATED_SHARE, self._rng),
         )
+        self.add_replica(replica, POOL, zone)
+
+    def add_replica(self, replica: RelayReplica, service: str, zone: str) -> None:
+        """Start a replica of a service and register it in the store."""
         listener = listen()
         server = eventlet.spawn(replica.serve, listener)
-        self.engines[name] = replica, listener, server
-        entry = replica.store_entry(POOL, _address(listener), zone)
-        self._put("servers", name, entry)
+        self.engines[replica.name] = replica, listener, server
+        entry = replica.store_entry(service, _address(listener), zone)
+        self._put("servers", replica.name, entry)
 
     def drop_engine(self, name: str) -> None:
         """Delete the row of an engine, which serves on."""
--- /dev/null
+++ b/scripts/whole_answers.py
@@ -0,0 +1,418 @@
+"""Counts whole answers while routers are stopped and their configuration changes.
+
+Three routers serve on a stand-in platform while replicas fall silent, the operators'
+table or the settings change, and a router is replaced. Callers read streams and make
+calls, with bodies in chunks and with a length, on kept connections and on new ones. The
+exit status is 1 if an answer that should be whole isn't.
+"""
+
+import http.client
+import itertools
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+
+from boragedeck.patching import patch_all
+
+patch_all()
+
+import eventlet
+import msgspec
+import typer
+
+from scripts.platform_cluster import PlatformCluster
+from scripts.table_changes import (
+    CALLS,
+    DENIALS,
+    ENGINES,
+    NEW_VERSION,
+    SHORT_TIMEOUT_MS,
+    SPARES,
+    Change,
+    changed,
+)
+from standins.relay_replica import RelayReplica
+
+__all__ = ["Play", "Request", "WholeAnswers", "main"]
+
+ZONES = "abc"
+EVENTS = 50
+EVENT_S = 0.08
+CALL_HALF_S = 0.15
+CHANGE_AT_S = 1.2
+SILENCE_AT_S = 1.7
+SENDING_S = 5.5
+STREAM_CALLERS = 24
+CALL_CALLERS = 12
+STREAM_ROUTES = ("stream", "resume")
+CALL_ROUTES = ("once", "again")
+ROUTES = STREAM_ROUTES, CALL_ROUTES
+KEEP_SHARE = 0.7
+"""Share of the requests that are sent on a connection that was kept."""
+CHUNKED_SHARE = 0.5
+BODY_PARTS = (b"a" * 30, b"b" * 30, b"c" * 30, b"d" * 30, b"e" * 30)
+BODY_PART_S = 0.05
+DEADLINE_S = 11.0
+GRACE_S = 8.0
+LAST_SHARE = 1 / 6
+"""Share of a stop's time, at its end, in which an answer may be ended."""
+LEAVE_S = 3.0
+CROSSING_S = 0.2
+"""Longest time from the first byte of a request to the close that it crosses."""
+APPLY_S = 2.0
+ROLLOUT_S = 4.0
+PAUSE_S = 0.2
+"""Longest pause of a caller, below the lowered idle timeout."""
+SHOWN = 12
+
+
+class Play(msgspec.Struct, frozen=True):
+    """One play.
+
+    Parameters
+    ----------
+    change : Change
+        What is changed.
+    silent_share : float
+        Share of the replicas that fall silent after the change.
+    has_stop : bool
+        Whether a router is told to stop, within the silence if there is one.
+    """
+
+    change: Change
+    silent_share: float
+    has_stop: bool
+
+    def __str__(self) -> str:
+        silence = (
+            f"{self.silent_share:.0%} silent" if self.silent_share else "no silence"
+        )
+        return f"{self.change.value}, {silence}, {'SIGTERM' if self.has_stop else '-'}"
+
+
+class Request(msgspec.Struct):
+    """A request and its end.
+
+    Parameters
+    ----------
+    name : str
+        Its id.
+    router : int
+        The router that it is sent to.
+    route : str
+        The route.
+    is_chunked : bool
+        Whether its body is sent in chunks.
+    is_kept : bool
+        Whether its connection has served before.
+    sent, ended : float
+        When, in monotonic seconds.
+    status : int
+        The answer's status; 0 if there is none.
+    is_whole : bool
+        Whether the whole answer was read.
+    detail : str
+        The error.
+    """
+
+    name: str
+    router: int
+    route: str
+    is_chunked: bool
+    is_kept: bool
+    sent: float
+    ended: float = 0.0
+    status: int = 0
+    is_whole: bool = False
+    detail: str = ""
+
+
+class WholeAnswers:
+    """Plays stops, changes and silences on one cluster.
+
+    Parameters
+    ----------
+    directory : Path
+        Directory of the settings and log files.
+    seed : int
+        Seed of all draws.
+    callers : tuple of int
+        Number of callers that read streams, and that make calls.
+
+    Attributes
+    ----------
+    faults : list of tuple of (Play, Request)
+        The requests without an answer that they should have had.
+    """
+
+    def __init__(
+        self,
+        directory: Path,
+        seed: int,
+        callers: tuple[int, int] = (STREAM_CALLERS, CALL_CALLERS),
+    ):
+        self.faults: list[tuple[Play, Request]] = []
+        self._rng = random.Random(seed)
+        self._callers = callers
+        self._cluster = PlatformCluster(directory)
+        self._versions = itertools.count(2)
+        self._numbers = itertools.count()
+        self._stops: dict[int, float] = {}
+        self._changed_at = float("inf")
+        self._sending_until = 0.0
+        self._add_replicas()
+        self._cluster.put_document(changed(next(self._versions), Change.NONE))
+        for zone in ZONES:
+            self._cluster.add_router(zone)
+
+    def run(self, play: Play) -> Counter:
+        """Run one play; return how many requests ended how, by route."""
+        self._prepare(play)
+        began = time.monotonic()
+        self._sending_until = began + SENDING_S
+        requests: list[Request] = []
+        threads = [
+            eventlet.spawn(self._send_requests, number, routes, requests)
+            for callers, routes in zip(self._callers, ROUTES, strict=True)
+            for number in range(callers)
+        ]
+        eventlet.sleep(CHANGE_AT_S)
+        self._make_change(play)
+        eventlet.sleep(SILENCE_AT_S - CHANGE_AT_S)
+        silence_s = self._rng.uniform(1.0, 1.3)
+        self._fall_silent(play, silence_s)
+        if play.has_stop:
+            eventlet.sleep(self._rng.uniform(0.0, silence_s))
+            threads.append(eventlet.spawn(self._replace, self._rng.randrange(3)))
+        for thread in threads:
+            thread.wait()
+        counts = Counter()
+        for request in requests:
+            verdict = self._verdict(play, request)
+            counts[request.route, verdict] += 1
+            if verdict.isupper():
+                self.faults.append((play, request))
+        return counts
+
+    def stop(self) -> None:
+        """Stop routers, replicas and the platform."""
+        self._cluster.stop()
+
+    def _add_replicas(self) -> None:
+        for number in range(10):
+            service = ENGINES if number < 7 else SPARES
+            self._add_engine(f"{service}-{number}", service, "v1")
+        for number, service in enumerate((CALLS, CALLS, CALLS, "others", "others")):
+            replica = RelayReplica(
+                f"{service}-{number}", delay_s=CALL_HALF_S, is_chunked=number % 2 == 1
+            )
+            self._cluster.add_replica(replica, service, ZONES[number % 3])
+
+    def _add_engine(self, name: str, service: str, version: str) -> None:
+        replica = RelayReplica(name, EVENTS, EVENT_S, version=version)
+        zone = ZONES[len(self._cluster.engines) % 3]
+        self._cluster.add_replica(replica, service, zone)
+
+    def _prepare(self, play: Play) -> None:
+        self._cluster.put_document(changed(next(self._versions), Change.NONE))
+        self._changed_at = float("inf")
+        self._stops.clear()
+        for number in range(len(ZONES)):
+            self._cluster.wait_ready(number)
+        if play.change is Change.ROLLOUT:
+            for number in range(3):
+                self._add_engine(f"new-{number}", ENGINES, NEW_VERSION)
+        eventlet.sleep(APPLY_S)
+
+    def _make_change(self, play: Play) -> None:
+        self._changed_at = time.monotonic()
+        match play.change:
+            case Change.NONE:
+                return
+            case Change.ROLLOUT:
+                self._cluster.order_version(NEW_VERSION, ROLLOUT_S)
+            case Change.SETTINGS:
+                for number, router in enumerate(self._cluster.routers):
+                    bounds = {"retryBudgetRatio": 0.5, "contactMs": 2_500}
+                    self._cluster.write_settings(number, bounds)
+                    router.send_signal(signal.SIGHUP)
+            case change:
+                cfg = changed(next(self._versions), change)
+                self._cluster.put_document(cfg)
+
+    def _fall_silent(self, play: Play, seconds: float) -> None:
+        names = sorted(self._cluster.engines)
+        silent = self._rng.sample(names, round(play.silent_share * len(names)))
+        self._cluster.hush_engines(silent, seconds)
+
+    def _replace(self, number: int) -> None:
+        self._stops[number] = time.monotonic()
+        self._cluster.replace_routers([number], None)
+
+    def _send_requests(self, number: int, routes, requests: list[Request]) -> None:
+        router = number % len(ZONES)
+        rng = random.Random(self._rng.random())
+        host, _, port = self._address(router).rpartition(":")
+        conn = http.client.HTTPConnection(host, int(port), timeout=DEADLINE_S + 2.0)
+        while time.monotonic() < self._sending_until:
+            eventlet.sleep(rng.uniform(0.02, PAUSE_S))
+            if rng.random() > KEEP_SHARE:
+                conn.close()
+            is_kept = conn.sock is not None
+            try:
+                if not is_kept:
+                    conn.connect()
+            except OSError:
+                # The router is being replaced; nothing was sent.
+                continue
+            req = Request(
+                name=f"id-{next(self._numbers)}",
+                router=router,
+                route=rng.choice(routes),
+                is_chunked=rng.random() < CHUNKED_SHARE,
+                is_kept=is_kept,
+                sent=time.monotonic(),
+            )
+            requests.append(req)
+            self._send(conn, req)
+            req.ended = time.monotonic()
+        conn.close()
+
+    def _send(self, conn: http.client.HTTPConnection, req: Request) -> None:
+        headers = {
+            "Host": "demo.example",
+            "Api-Key": "demo-key",
+            "Deadline-Ms": str(round(DEADLINE_S * 1e3)),
+            "Request-Id": req.name,
+        }
+        if req.route in STREAM_ROUTES:
+            headers |= {"Token-Counts": f"100,{EVENTS}", "Model": "m"}
+        body = _parts() if req.is_chunked else b"".join(BODY_PARTS)
+        try:
+            conn.request(
+                "POST",
+                f"/{req.route}/x",
+                body,
+                headers,
+                encode_chunked=req.is_chunked,
+            )
+            answer = conn.getresponse()
+            req.status = answer.status
+            req.is_whole = _is_whole(req, answer.read())
+        except (OSError, http.client.HTTPException) as exc:
+            req.detail = repr(exc)[:60]
+            conn.close()
+
+    def _address(self, router: int) -> str:
+        return self._cluster.settings[router]["listen"]["front"]
+
+    def _verdict(self, play: Play, req: Request) -> str:
+        """Return how a request ended; in capitals if it shouldn't have."""
+        runs = self._runs(req.name)
+        if runs > 1 and req.route not in ("again", "resume"):
+            return "TWICE"
+        match req.status:
+            case 200 if req.is_whole:
+                return "whole"
+            case 429 | 503:
+                has_run = runs and req.route not in ("again", "resume")
+                return "REFUSED AND RAN" if has_run else "refused"
+            case status if status in DENIALS.get(play.change, ()):
+                return "denied" if req.ended > self._changed_at else "DENIED"
+        if self._is_excused(play, req):
+            return "excused"
+        if not req.status:
+            is_crossing = not runs and req.ended - req.sent < CROSSING_S
+            return "crossed" if is_crossing else "CUT UNANSWERED"
+        return "CUT" if req.status == http.HTTPStatus.OK else "FAILED"
+
+    def _runs(self, name: str) -> int:
+        return sum(
+            replica.served_ids.count(name)
+            for replica, _, _ in self._cluster.engines.values()
+        )
+
+    def _is_excused(self, play: Play, req: Request) -> bool:
+        """Return whether a request may have had no answer."""
+        if play.change is Change.TIMEOUT and req.sent > self._changed_at:
+            return req.ended - req.sent > SHORT_TIMEOUT_MS / 1e3 - 0.2
+        stopped = self._stops.get(req.router, float("inf"))
+        return (
+            req.sent < stopped + LEAVE_S
+            and req.ended > stopped + (1.0 - LAST_SHARE) * GRACE_S
+        )
+
+
+def _parts() -> Iterator[bytes]:
+    for part in BODY_PARTS:
+        eventlet.sleep(BODY_PART_S)
+        yield part
+
+
+def _is_whole(req: Request, body: bytes) -> bool:
+    if req.route in CALL_ROUTES:
+        return body.startswith(b"served by ")
+    pieces = (b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+    return body == b"".join(pieces)
+
+
+def _plays(rng: random.Random, changes: list[Change]) -> list[Play]:
+    plays = [
+        Play(change, share, has_stop)
+        for change in changes
+        for share in (0.0, 0.6, 1.0)
+        for has_stop in (False, True)
+    ]
+    # The new version stays, so that its order is played last.
+    rng.shuffle(plays)
+    return sorted(plays, key=lambda play: play.change is Change.ROLLOUT)
+
+
+def main(
+    seed: int = 1, plays: int = 0, only: str = "", logs: Path | None = None
+) -> None:
+    """Play and print the counts.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all draws.
+    plays : int
+        Number of plays; 0 for all.
+    only : str
+        Names of the changes that are played, with commas between; all if empty.
+    logs : Path, optional
+        An existing directory in which the routers' logs stay.
+    """
+    names = only.split(",") if only else list(Change.__members__)
+    changes = [Change[name] for name in names]
+    total: Counter = Counter()
+    with tempfile.TemporaryDirectory() as directory:
+        check = WholeAnswers(logs or Path(directory), seed)
+        try:
+            for play in _plays(random.Random(seed), changes)[: plays or None]:
+                counts = check.run(play)
+                total += counts
+                print(f"{play}: {_text(counts)}", flush=True)
+        finally:
+            check.stop()
+    print(f"All: {_text(total)}")
+    for play, req in check.faults[:SHOWN]:
+        print(play, req)
+    sys.exit(1 if check.faults else 0)
+
+
+def _text(counts: Counter) -> str:
+    return ", ".join(
+        f"{route} {verdict} {count}"
+        for (route, verdict), count in sorted(counts.items())
+    )
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/standins/relay_replica.py
+++ b/standins/relay_replica.py
@@ -9,7 +9,7 @@
 
 from standins.late_answers import never, repeating_protocol
 from standins.silence import Silence
-from standins.web import Answer, App, json_answer, serve
+from standins.web import App, json_answer, serve
 
 __all__ = ["RelayReplica"]
 
@@ -34,6 +34,10 @@
         Whether it answers each request with status 500.
     may_repeat : callable, optional
         Returns whether an answer is repeated late; see `AnswerRepeater`.
+    delay_s : float
+        Time before each half of a plain answer, in seconds.
+    is_chunked : bool
+        Whether plain answers are sent in chunks, and not with a length.
 
     Attributes
     ----------
@@ -56,6 +60,8 @@
         version: str = "v1",
         fails: bool = False,
         may_repeat: Callable[[], bool] = never,
+        delay_s: float = 0.0,
+        is_chunked: bool = False,
     ):
         self.name = name
         self.version = version
@@ -67,6 +73,8 @@
         self._events = events
         self._interval_s = event_interval_s
         self._may_repeat = may_repeat
+        self._delay_s = delay_s
+        self._is_chunked = is_chunked
 
     @property
     def app(self) -> App:
@@ -113,12 +121,22 @@
         if self.limit_per_s is not None:
             headers.append(("Server-Limit", str(self.limit_per_s)))
         if not self._events:
-            answer = Answer(200, b"served by " + self.name.encode())
-            start_response("200 OK", [*headers, ("Content-Type", "text/plain")])
-            return [answer.body]
+            body = b"served by " + self.name.encode()
+            headers.append(("Content-Type", "text/plain"))
+            if not self._is_chunked:
+                headers.append(("Content-Length", str(len(body))))
+            start_response("200 OK", headers)
+            return self._halves(body)
         start_response("200 OK", [*headers, ("Content-Type", "text/event-stream")])
         return self._stream(int(environ.get("HTTP_LAST_EVENT_ID", 0)))
 
+    def _halves(self, body: bytes):
+        middle = len(body) // 2
+        for half in (body[:middle], body[middle:]):
+            eventlet.sleep(self._delay_s)
+            self.silence.wait()
+            yield half
+
     def _stream(self, after: int):
         for number in range(after + 1, self._events + 1):
             self.silence.wait()
