--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -11,6 +11,7 @@
 import h11
 import msgspec
 from eventlet.green import socket
+from eventlet.hubs import trampoline
 
 from boragedeck.connection.listening import close_listener
 from boragedeck.exceptions import BoragedeckError
@@ -197,8 +198,11 @@
             conn.close_if_idle()
 
     def active_requests(self) -> int:
-        """Return the number of requests that have no complete response yet."""
-        return sum(conn.is_handling for conn in self._conns)
+        """Return the number of requests without a complete response.
+
+        Those that have only begun to arrive count.
+        """
+        return sum(conn.has_request() for conn in self._conns)
 
     def _run(self, sock: socket.socket) -> None:
         conn = _CallerConnection(self, sock)
@@ -225,6 +229,8 @@
         self._parser: h11.Connection | None = None
         self.is_handling = False
         self._is_idle = True
+        self._is_reading = False
+        self._is_shut = False
         self._is_last_response = False
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -239,9 +245,17 @@
         """Return whether the connection is closed after the current response."""
         return self._is_last_response or self._edge.is_leaving or self._edge.is_closing
 
+    def has_request(self) -> bool:
+        """Return whether a request has begun to arrive and isn't answered yet."""
+        if self._is_idle:
+            return self._has_unread_bytes()
+        return self._is_reading or self.is_handling
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive."""
-        if self._is_idle and not self._buffer:
+        if self._is_idle and not self._buffer and not self._has_unread_bytes():
+            # What arrives from now on isn't read.
+            self._is_shut = True
             self._shut_down()
 
     def send_event(self, event) -> None:
@@ -263,14 +277,17 @@
             raise CallerDisconnectedError(str(exc), step="send response") from exc
 
     def _next_request(self) -> RawRequest | None:
-        limits = self._edge.limits()
-        self._parser = h11.Connection(h11.SERVER, limits.header_bytes)
-        if self._buffer:
-            self._parser.receive_data(self._buffer)
-            self._buffer = b""
-        elif not self._wait_first_byte():
+        if not self._buffer:
+            self._buffer = self._wait_first_bytes()
+        if not self._buffer:
             return None
         self._is_idle = False
+        # The limits may have changed during the wait.
+        limits = self._edge.limits()
+        self._parser = h11.Connection(h11.SERVER, limits.header_bytes)
+        self._parser.receive_data(self._buffer)
+        self._buffer = b""
+        self._is_reading = True
         try:
             return self._read_request(limits)
         except h11.RemoteProtocolError as exc:
@@ -279,26 +296,41 @@
             self._reject(408, "the request arrived too slowly")
         except _RejectedError as exc:
             self._reject(exc.status, exc.message)
+        finally:
+            self._is_reading = False
         return None
 
-    def _wait_first_byte(self) -> bool:
-        """Wait for the next request; the idle timeout may change during the wait."""
+    def _wait_first_bytes(self) -> bytes:
+        """Wait for the next request and return its first bytes; none if none comes.
+
+        The idle timeout may change during the wait.
+        """
         self._is_idle = True
         since = self._timers.now()
-        while not self._edge.is_closing:
+        while not self._is_shut:
+            data = self._read_arrived()
+            if data is not None:
+                return data
             left_s = since + self._edge.limits().idle_timeout_s - self._timers.now()
-            if left_s <= 0.0:
-                return False
-            # Stays None if the time is over; an empty value is the caller's end.
-            data = None
+            if left_s <= 0.0 or self._edge.is_closing:
+                return b""
             with eventlet.Timeout(left_s, False):
-                data = self._sock.recv(READ_BYTES)
-            if data:
-                self._parser.receive_data(data)
-                return True
-            if data is not None:
-                return False
-        return False
+                trampoline(self._sock.fd, read=True)
+        return b""
+
+    def _read_arrived(self) -> bytes | None:
+        """Return what has arrived; None if nothing has, empty at the caller's end."""
+        try:
+            return self._sock.fd.recv(READ_BYTES)
+        except BlockingIOError:
+            return None
+
+    def _has_unread_bytes(self) -> bool:
+        try:
+            return bool(self._sock.fd.recv(1, socket.MSG_PEEK))
+        except OSError:
+            # Nothing has arrived, or the connection is broken.
+            return False
 
     def _read_request(self, limits: CallerLimits) -> RawRequest | None:
         with eventlet.Timeout(limits.header_timeout_s):
--- a/tests/connection/test_caller_edge.py
+++ b/tests/connection/test_caller_edge.py
@@ -105,6 +105,66 @@
         self.assertEqual((response.status, response.body), (200, b"whole"))
         self.assertEqual(response.headers[b"connection"], b"close")
 
+    def set_limits(self, **limits):
+        table = self.harness.table
+        limits = msgspec.structs.replace(table.limits, **limits)
+        self.harness.table = msgspec.structs.replace(table, limits=limits)
+
+    def test_limits_raised_during_the_wait_hold_for_the_next_request(self):
+        kept, new = self.harness.connect(), self.harness.connect()
+        self.harness.fetch(sock=kept)
+        self.set_limits(header_bytes=20_000, body_bytes=20_000)
+        for sock in (kept, new):
+            line, body = b"X: " + b"x" * 3_000, b"x" * 6_000
+            response = self.harness.fetch(line, body=body, sock=sock)
+            self.assertEqual(response.status, 200)
+
+    def make_idle(self):
+        sock = self.harness.connect()
+        self.harness.fetch(sock=sock)
+        eventlet.sleep(0.05)
+        return sock
+
+    def test_request_that_has_arrived_when_idle_ones_are_closed_is_answered(self):
+        waiting, just_served = self.make_idle(), self.harness.connect()
+        self.harness.fetch(sock=just_served)
+        for sock in (waiting, just_served):
+            send_request(sock, name=b"id-2")
+        self.harness.edge.close_idle()
+        for sock in (waiting, just_served):
+            response = read_response(sock)
+            self.assertEqual((response.status, response.body), (200, b"whole"))
+            self.assertEqual(response.headers[b"connection"], b"close")
+
+    def test_request_that_arrives_after_idle_ones_are_closed_is_not_relayed(self):
+        sock = self.make_idle()
+        self.harness.edge.close_idle()
+        send_request(sock, name=b"id-2")
+        eventlet.sleep(0.1)
+        self.assertEqual(len(self.replica.received), 1)
+
+    def test_request_whose_body_still_arrives_counts_as_unanswered(self):
+        sock = self.harness.connect()
+        sock.sendall(
+            b"POST /r/x HTTP/1.1\r\nHost: here.example\r\nRequest-Id: 7\r\n"
+            b"Api-Key: key-1\r\nContent-Length: 5\r\n\r\nab"
+        )
+        eventlet.sleep(0.05)
+        self.harness.edge.close_idle()
+        self.assertEqual(self.harness.edge.active_requests(), 1)
+        sock.sendall(b"cde")
+        self.assertEqual(read_response(sock).status, 200)
+        eventlet.sleep(0.05)
+        self.assertEqual(self.harness.edge.active_requests(), 0)
+
+    def test_request_that_is_not_read_yet_counts_as_unanswered(self):
+        sock = self.make_idle()
+        self.assertEqual(self.harness.edge.active_requests(), 0)
+        send_request(sock, name=b"id-2")
+        self.harness.edge.close_idle()
+        self.assertEqual(self.harness.edge.active_requests(), 1)
+        self.assertEqual(read_response(sock).status, 200)
+
 
 def answer_slowly(sock, req):
     eventlet.sleep(0.2)
