--- a/boragedeck/request/answer_progress.py
+++ b/boragedeck/request/answer_progress.py
@@ -30,6 +30,8 @@
         self._crash_blame = crash_blame
         self._traits = traits
         self._began_at: float | None = None
+        # Whether the request has been named for a broken connection, or a silence.
+        self._is_reported = False
         self.has_begun = False
         self.is_lasting = False
 
@@ -58,7 +60,8 @@
     def note_broken(self, state: ReplicaState, *, is_silent: bool = False) -> None:
         """Record that the replica broke the connection, or sends nothing any more."""
         suspect = None
-        if not self.is_lasting:
+        if not (self.is_lasting or self._is_reported):
+            self._is_reported = True
             suspect = self._traits.suspect(has_begun=self.has_begun)
         self._crash_blame.note_broken(suspect, state, is_silent=is_silent)
 
