Let a second attempt leave hung replicas, and not overlap with one at work

A replica that asked to wait isn't probed, so it may be at work: it is left for the second attempt. - Attempts started when the time was over, and probes delayed the final answer. - An unexpected error in an attempt's thread sent a stream twice that may run once. It ends the request now, as before. - The time to resume was measured from the event, not from the silence, and a second attempt that failed counted as a loss.

The messages of an attempt are a module of their own.

--- a/boragedeck/process/relaying/replicas/replica_state.py
+++ b/boragedeck/process/relaying/replicas/replica_state.py
@@ -19,6 +19,8 @@
 """How long a replica is avoided after a miss; doubled by each further miss without an
 answer in between."""
 MAX_AVOID_S = 4.0
+SILENT_S = 2.0
+"""How long a replica counts as silent after a silence was noted, unless it is heard."""
 RESUME_PERIOD_S = 1.0
 """How long after the end of a hold requests are sent one at a time."""
 RESUME_INTERVAL_S = 0.05
@@ -96,9 +98,10 @@
     ----------
     own, peers : Load
         Load that this router and the other routers put on the replica.
-    missed_at, answered_at : float
-        When it was last missed, and when it last answered or sent part of an answer,
-        on the timer service's monotonic clock; minus infinity before that.
+    missed_at, answered_at, silent_at : float
+        When it was last missed, when it last answered or sent part of an answer, and
+        when it was last found to be silent, on the timer service's monotonic clock;
+        minus infinity before that.
     consecutive_misses : int
         Number of misses since the last answer.
     failure_share : float
@@ -127,6 +130,7 @@
         self.is_provisional = False
         self.missed_at = float("-inf")
         self.answered_at = float("-inf")
+        self.silent_at = float("-inf")
         self.own = Load()
         self.peers = Load()
         self.failure_share = 0.0
@@ -229,6 +233,14 @@
         """Record that part of an answer arrived, which shows that the replica runs."""
         self.answered_at = now
 
+    def note_silent(self, now: float) -> None:
+        """Record that the replica sends nothing, and answers no probe."""
+        self.silent_at = now
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether the replica was found to be silent, and not heard since."""
+        return self.silent_at > max(self.answered_at, now - SILENT_S)
+
     def note_miss(self, now: float) -> None:
         """Record that the replica was unreachable, disconnected or timed out."""
         avoid_s = min(MAX_AVOID_S, FIRST_AVOID_S * 2.0**self.consecutive_misses)
--- a/boragedeck/request/event_timeout.py
+++ b/boragedeck/request/event_timeout.py
@@ -43,14 +43,17 @@
         EventExcessError
             If bytes have arrived for too long since the last complete event.
         """
-        arriving_s = self._arriving_s()
         if has_event:
-            self._last_event_at_s = arriving_s
-        elif arriving_s - self._last_event_at_s > self._timeout_s:
+            self.restart()
+        elif self._arriving_s() - self._last_event_at_s > self._timeout_s:
             raise EventExcessError(
                 "no complete event in time, though bytes keep arriving"
             )
 
+    def restart(self) -> None:
+        """Count from now on, as the reader has been away from the exchange."""
+        self._last_event_at_s = self._arriving_s()
+
     def _arriving_s(self) -> float:
         """Return the time without silences, in seconds, since some moment."""
         return self._timers.now() - self._exchange.silent_s
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -191,11 +191,12 @@
 
         Notes
         -----
-        Replicas that are avoided get none, since they may be silent, too. The replica
-        of another attempt may get one if only this router's path to it is lost.
+        Replicas that are silent, too, get none. The replica of another attempt may get
+        one if only this router's path to it is lost.
         """
+        tried = self.tried
         if not self._has_untried_replica():
-            self.tried = {
+            tried = {
                 other.state.replica.replica
                 for other in others
                 if not self.is_own_loss(other)
@@ -204,10 +205,12 @@
 
         def allows(replica: Replica) -> bool:
             state = self.parts.registry.get(replica.replica)
-            is_avoided = state is None or state.avoid_until > now
-            return not is_avoided and self.allows(replica)
+            is_silent = state is None or state.is_silent(now)
+            return not is_silent and self.allows(replica)
 
-        req = msgspec.structs.replace(self.admission_request(now), allows=allows)
+        req = msgspec.structs.replace(
+            self.admission_request(now), tried=frozenset(tried), allows=allows
+        )
         acquired = self.parts.limited_admission.acquire(req)
         return acquired.ok() if acquired.is_ok() else None
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -9,26 +9,28 @@
 
 from boragedeck.process.relaying.placing.place import Place
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
-from boragedeck.request.crash_wait import await_crash_verdict
+from boragedeck.request.crash_wait import MAX_WAIT_S, await_crash_verdict
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_refusals import final_refusal, too_late_refusal
 from boragedeck.request.stream_attempt import (
+    AttemptReport,
+    FailedAnswer,
+    StreamAttempt,
+)
+from boragedeck.request.stream_delivery import StreamDelivery
+from boragedeck.request.stream_messages import (
     AttemptOutcome,
     Ended,
     Events,
-    FailedAnswer,
     Heard,
     Silent,
-    StreamAttempt,
-    StreamMessage,
 )
-from boragedeck.request.stream_delivery import StreamDelivery
 from boragedeck.request.stream_recovery import StreamRecovery
 
 __all__ = ["StreamRelay"]
 
-MAX_UNREAD_MESSAGES = 8
+MAX_UNREAD_REPORTS = 8
 """Number of messages that the attempts report ahead of a caller who reads slowly."""
 
 
@@ -45,10 +47,12 @@
         self._job = job
         self._delivery = StreamDelivery(job)
         self._recovery = StreamRecovery(job)
-        self._messages: LightQueue[StreamMessage] = LightQueue(MAX_UNREAD_MESSAGES)
+        self._reports: LightQueue[AttemptReport] = LightQueue(MAX_UNREAD_REPORTS)
         # The running attempts; the first one leads, and another one stands by.
         self._attempts: list[StreamAttempt] = []
         self._position = job.req.resume_after
+        # When the replica of an attempt was found to be silent; None if none is.
+        self._silent_at: float | None = None
         # The last attempt that has failed, and the last failure that was answered.
         self._failed: StreamAttempt | None = None
         self._failed_answer: FailedAnswer | None = None
@@ -115,7 +119,7 @@
 
     def _start(self, place: Place, *, from_copy: bool = False) -> None:
         attempt = StreamAttempt(
-            self._job, place, self._position, self._messages.put, from_copy=from_copy
+            self._job, place, self._position, self._reports.put, from_copy=from_copy
         )
         self._attempts.append(attempt)
         attempt.start()
@@ -129,17 +133,17 @@
             Whether the stream is complete.
         """
         while self._attempts:
-            message = self._messages.get()
-            attempt = message.attempt
+            report = self._reports.get()
+            attempt = report.attempt
             if attempt not in self._attempts:
                 # It was ended after it had reported this.
                 continue
-            match message:
-                case Events():
+            match report.message:
+                case Events() as events:
                     self._let_lead(attempt)
-                    self._deliver(message)
-                case Silent():
-                    self._start_beside(attempt)
+                    self._deliver(attempt, events)
+                case Silent() as silent:
+                    self._note_silent(attempt, silent)
                 case Heard():
                     if attempt is self._attempts[0]:
                         self._let_lead(attempt)
@@ -147,23 +151,25 @@
                     self._let_lead(attempt)
                     self._delivery.note_head(*attempt.head)
                     return True
-                case Ended(outcome=outcome):
-                    self._attempts.remove(attempt)
+                case Ended(error=None, outcome=outcome):
                     self._note_failed(attempt, outcome)
+                case Ended(error=error):
+                    raise error
         return False
 
     def _let_lead(self, attempt: StreamAttempt) -> None:
         """End all attempts but one, whose events the caller receives."""
         others = [each for each in self._attempts if each is not attempt]
+        is_first = attempt is self._attempts[0]
+        silent_at, self._silent_at = self._silent_at, None
         if not others:
             return
-        is_first = self._attempts[0] is attempt
         if not is_first:
-            self._delivery.note_lost()
+            self._delivery.note_lost(silent_at)
         elif any(each.was_sent for each in others):
             self._had_needless_attempt = True
         log.write(
-            "Second attempt ended.",
+            "One attempt goes on.",
             request=self._job.req.request_id,
             goes_on=attempt.place.state.replica.replica,
             is_first=is_first,
@@ -176,42 +182,54 @@
             self._attempts.remove(attempt)
             attempt.cancel()
 
-    def _deliver(self, message: Events) -> None:
-        self._delivery.note_head(*message.attempt.head)
-        self._delivery.write(message.data, self._position)
-        self._position = message.position
+    def _deliver(self, attempt: StreamAttempt, events: Events) -> None:
+        self._delivery.note_head(*attempt.head)
+        self._delivery.write(events.data, self._position)
+        self._position = events.position
 
-    def _start_beside(self, attempt: StreamAttempt) -> None:
-        """Start a second attempt beside one whose replica is silent, if one may.
+    def _note_silent(self, attempt: StreamAttempt, silent: Silent) -> None:
+        """Start another attempt beside one whose replica is silent, if one may.
 
         Notes
         -----
         If the silent one is a second attempt, the new one replaces it, since the first
-        is silent, too, and both replicas may be lost. A request that may crash replicas
-        waits until it is known whether it does.
+        is silent, too, and both replicas may be lost. A replica that may be at work is
+        left for the new one, so that no two work on the request.
         """
-        job = self._job
-        may_start = (
-            attempt is self._attempts[-1]
-            and job.rule.may_repeat
-            and job.has_attempts_left()
-            and not job.parts.crash_blame.is_suspected(job.traits)
-        )
-        if not may_start:
+        if self._silent_at is None:
+            self._silent_at = silent.since
+        if attempt is not self._attempts[-1] or not self._may_start_beside(silent):
             return
         first, *replaced = self._attempts
+        if silent.may_work:
+            replaced = list(self._attempts)
         holder = self._copy_holder(first)
         place = None if holder is None else self._recovery.reserve(holder)
         from_copy = place is not None
         if place is None:
-            place = job.acquire_beside([each.place for each in self._attempts])
-        if place is None:
-            return
-        if not self._take_repeat(place):
+            place = self._job.acquire_beside([each.place for each in self._attempts])
+        if place is None or not self._take_repeat(place):
             return
         self._start(place, from_copy=from_copy)
         self._cancel(replaced)
 
+    def _may_start_beside(self, silent: Silent) -> bool:
+        """Return whether another attempt may start beside a silent one.
+
+        Notes
+        -----
+        A request that may crash replicas waits until it is known whether it does.
+        """
+        job = self._job
+        silent_s = job.parts.timers.now() - silent.since
+        is_suspected = job.parts.crash_blame.is_suspected(job.traits)
+        return (
+            job.rule.may_repeat
+            and job.left_s() > 0.0
+            and job.has_attempts_left()
+            and not (is_suspected and silent_s < MAX_WAIT_S)
+        )
+
     def _take_repeat(self, place: Place) -> bool:
         """Return whether another attempt may start at a place, or release the place."""
         is_granted = False
@@ -225,13 +243,16 @@
 
     def _note_failed(self, attempt: StreamAttempt, outcome: AttemptOutcome) -> None:
         job = self._job
+        was_first = attempt is self._attempts[0]
+        self._attempts.remove(attempt)
         self._failed = attempt
         self._failed_answer = attempt.failed_answer or self._failed_answer
         self._failure_reason = attempt.failure_reason
         if attempt.broken_state is not None:
             self._recovery.note_broken(attempt.broken_state)
-        if outcome is AttemptOutcome.LOST:
-            self._delivery.note_lost()
+        if outcome is AttemptOutcome.LOST and was_first:
+            self._delivery.note_lost(job.parts.timers.now())
+            self._silent_at = None
         is_last = not self._attempts
         if is_last and outcome is AttemptOutcome.LOST and attempt.is_at_begin:
             await_crash_verdict(job, attempt.place)
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -1,6 +1,5 @@
 """One attempt of a stream: sends the request to one replica and reports its events."""
 
-import enum
 from collections.abc import Callable
 from functools import partial
 
@@ -31,33 +30,22 @@
     ExchangeInterrupter,
     StreamLivenessMonitor,
 )
+from boragedeck.request.stream_messages import (
+    AttemptOutcome,
+    Ended,
+    Events,
+    Heard,
+    Silent,
+    StreamMessage,
+)
 from boragedeck.request.stream_silence import StreamSilence
 
-__all__ = [
-    "AttemptOutcome",
-    "Ended",
-    "Events",
-    "FailedAnswer",
-    "Heard",
-    "Silent",
-    "StreamAttempt",
-    "StreamMessage",
-]
+__all__ = ["AttemptReport", "FailedAnswer", "StreamAttempt"]
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 """Limit of the size of a failed answer's body; a longer answer counts as lost."""
 
 
-class AttemptOutcome(enum.Enum):
-    """How an attempt ended."""
-
-    COMPLETE = "complete"
-    NOT_TAKEN = "not_taken"
-    """The request did not run."""
-    LOST = "lost"
-    """The stream broke off, or the request may have run without an answer."""
-
-
 class FailedAnswer(msgspec.Struct, frozen=True):
     """A replica's failure answer; sent to the caller if no attempt succeeds."""
 
@@ -66,34 +54,11 @@
     body: bytes
 
 
-class Events(msgspec.Struct, frozen=True):
-    """Complete events have arrived; `position` is the number of the last one."""
-
-    attempt: "StreamAttempt"
-    data: bytes
-    position: int | None
-
-
-class Silent(msgspec.Struct, frozen=True):
-    """The replica sends nothing and answers no probe; repeated while that lasts."""
-
-    attempt: "StreamAttempt"
-
-
-class Heard(msgspec.Struct, frozen=True):
-    """A replica that was silent answers probes again."""
-
-    attempt: "StreamAttempt"
-
-
-class Ended(msgspec.Struct, frozen=True):
-    """The attempt has ended."""
+class AttemptReport(msgspec.Struct, frozen=True):
+    """A message of an attempt."""
 
     attempt: "StreamAttempt"
-    outcome: AttemptOutcome
-
-
-StreamMessage = Events | Silent | Heard | Ended
+    message: StreamMessage
 
 
 class StreamAttempt:
@@ -108,7 +73,7 @@
     position : int or None
         Number of the last event that the caller has received.
     report : callable
-        Receives the attempt's messages; may block.
+        Receives each message; may block.
     from_copy : bool, optional
         Whether the replica holds a copy of the run.
 
@@ -135,7 +100,7 @@
         job: RelayJob,
         place: Place,
         position: int | None,
-        report: Callable[[StreamMessage], None],
+        report: Callable[["AttemptReport"], None],
         *,
         from_copy: bool = False,
     ):
@@ -169,21 +134,28 @@
     def cancel(self) -> None:
         """End the attempt, which reports nothing any more."""
         self._is_cancelled = True
-        self._thread.kill()
-        # A thread that was killed before it started has not released its place.
+        # A thread that is killed before it has started wouldn't release its place.
         self._release(is_served=False)
         self._silence.note_abandoned()
+        self._liveness.stop()
+        self._thread.kill()
 
     def _run_thread(self) -> None:
-        # This outcome remains if the thread is killed.
-        outcome = AttemptOutcome.LOST
+        # This end remains if the attempt fails in a way that it doesn't expect.
+        ended = Ended(AttemptOutcome.LOST)
         try:
-            outcome = self._run()
+            ended = Ended(self._run())
+        except Exception as exc:
+            ended = Ended(AttemptOutcome.LOST, exc)
         finally:
-            is_complete = outcome is AttemptOutcome.COMPLETE
+            self._liveness.stop()
+            is_complete = ended.outcome is AttemptOutcome.COMPLETE
             self._release(is_served=is_complete and self._job.sent == 1)
-            if not self._is_cancelled:
-                self._report(Ended(self, outcome))
+            self._tell(ended)
+
+    def _tell(self, message: StreamMessage) -> None:
+        if not self._is_cancelled:
+            self._report(AttemptReport(self, message))
 
     def _release(self, *, is_served: bool) -> None:
         self.place.release(is_served)
@@ -308,13 +280,15 @@
             self._silence.end()
             self._note_output(gaps.note(len(events), timers.now()))
             data = b"".join(event.data for event in events)
-            self._report(Events(self, data, splitter.last_number))
+            self._tell(Events(data, splitter.last_number))
+            timeout.restart()
         if splitter.has_partial_event:
             raise EventError("the stream ended in the middle of an event")
         if not may_end:
             raise EventError("the connection ended before the first event")
         self.place.state.note_answer(True, timers.now())
         self._progress.note_complete(timers.now())
+        self._silence.end()
         job.parts.metrics.total_s.labels(job.rule.kind.value).observe(
             timers.now() - job.req.arrived
         )
@@ -346,11 +320,13 @@
 
     def _note_silent(self, exchange: Exchange, since: float) -> None:
         self._silence.note(exchange, since)
-        self._report(Silent(self))
+        now = self._job.parts.timers.now()
+        is_held = now < self.place.state.held_until
+        self._tell(Silent(self._silence.noted_at or now, may_work=is_held))
 
     def _note_heard(self) -> None:
         self._silence.end()
-        self._report(Heard(self))
+        self._tell(Heard())
 
     def _note_moved(self) -> None:
         """Record that another replica has the address.
--- a/boragedeck/request/stream_delivery.py
+++ b/boragedeck/request/stream_delivery.py
@@ -35,10 +35,16 @@
         if self._first_head is None:
             self._first_head = status, headers
 
-    def note_lost(self) -> None:
-        """Record that the stream broke off."""
+    def note_lost(self, at: float) -> None:
+        """Record that the stream broke off, or that its replica fell silent for good.
+
+        Parameters
+        ----------
+        at : float
+            When that was found, on the timer service's monotonic clock.
+        """
         if self.has_begun and self._lost_at is None:
-            self._lost_at = self._job.parts.timers.now()
+            self._lost_at = at
 
     def write(self, data: bytes, position: int | None) -> None:
         """Send events to the caller.
--- a/boragedeck/request/stream_silence.py
+++ b/boragedeck/request/stream_silence.py
@@ -27,14 +27,21 @@
         The place at the replica.
     progress : AnswerProgress
         The progress of the attempt.
+
+    Attributes
+    ----------
+    noted_at : float or None
+        When the replica was found to be silent, on the timer service's monotonic clock;
+        None if it isn't silent.
     """
 
     def __init__(self, job: RelayJob, place: Place, progress: AnswerProgress):
         self._job = job
         self._place = place
         self._progress = progress
-        # When the replica fell silent; None if it isn't.
+        # When the replica fell silent, and when that was noted; None if it isn't.
         self._since: float | None = None
+        self.noted_at: float | None = None
 
     @property
     def is_on(self) -> bool:
@@ -45,8 +52,9 @@
         """Record that the replica has been silent since a time; repeats are ignored."""
         if self._since is not None:
             return
-        self._since = since
         job, place = self._job, self._place
+        self._since, self.noted_at = since, job.parts.timers.now()
+        place.state.note_silent(self.noted_at)
         self._log(exchange)
         job.parts.metrics.silences.labels(job.rule.kind.value).inc()
         job.note_miss(place)
@@ -64,7 +72,7 @@
             replica=place.state.replica.replica,
             silent_s=round(now - self._since, 3),
         )
-        self._since = None
+        self._since = self.noted_at = None
         place.state.note_output(now)
         place.state.forget_misses()
 
@@ -76,6 +84,7 @@
         The silence of a sound replica says nothing about its version.
         """
         since, self._since = self._since, None
+        self.noted_at = None
         if since is not None and not self._job.is_own_loss(self._place):
             eventlet.spawn_n(judge_silence, self._job, self._place, since)
 
--- a/tests/support/notice_defects.py
+++ b/tests/support/notice_defects.py
@@ -52,12 +52,8 @@
         self.note_leaving(self.get(replica.replica).run, "its address")
 
 
-def _checked_while_held_off(self, place, exchange, since):
-    held, place.state.restraints = place.state.restraints, Restraints()
-    try:
-        return _real_is_alive(self, place, exchange, since)
-    finally:
-        place.state.restraints = held
+def _probed_while_held_off(self, place):
+    return True
 
 
 def _holds_published(self, state, notice, **fields):
@@ -71,8 +67,6 @@
     """Send all waiting requests at once."""
 
 
-_real_is_alive = StreamLivenessMonitor._is_alive
-
 NOTICE_DEFECTS = (
     MethodDefect(
         "leaving is ignored on streams",
@@ -115,8 +109,8 @@
         "a replica that is held off is probed",
         f"{ANSWERS}.HeldOffAnswerTest.test_held_off_engine_is_not_probed",
         StreamLivenessMonitor,
-        "_is_alive",
-        _checked_while_held_off,
+        "_may_probe",
+        _probed_while_held_off,
     ),
     MethodDefect(
         "a hold-off is published to other routers",
