Don't report a crash because a connect to a silent replica times out

What was seen: two of six sound replicas that were silent for 1.2 s, and accepted no connection meanwhile, as a machine does that is paused, were reported as crashed by the requests that they were running. Such requests may be refused.

Cause: a connect that times out was taken for one that is refused, which proves that no process listens.

Fix: only a refusal counts as a proof.

--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -10,6 +10,7 @@
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.exceptions import (
     ForwardDeclinedError,
+    UpstreamConnectTimeoutError,
     UpstreamError,
     UpstreamNotAcceptingError,
     UpstreamRefusedError,
@@ -87,8 +88,8 @@
         )
     except UpstreamNotAcceptingError:
         raise
-    except UpstreamRefusedError:
-        parts.crash_blame.note_lost(place.state)
+    except UpstreamRefusedError as exc:
+        _note_refused(parts, place, exc)
         raise
     except UpstreamError:
         job.note_sent()
@@ -122,6 +123,14 @@
     return pending
 
 
+def _note_refused(
+    parts: RelayComponents, place: Place, exc: UpstreamRefusedError
+) -> None:
+    """Record that a replica is lost, unless it may only be silent."""
+    if not isinstance(exc, UpstreamConnectTimeoutError):
+        parts.crash_blame.note_lost(place.state)
+
+
 def _check_accepts_requests(job: RelayJob, place: Place) -> None:
     """Raise an error if the replica has started to leave or asked to wait.
 
@@ -202,8 +211,8 @@
                 return exchange.read_all(timeout_s, MAX_PROBE_BYTES)
             finally:
                 exchange.close()
-    except UpstreamRefusedError:
-        parts.crash_blame.note_lost(place.state)
+    except UpstreamRefusedError as exc:
+        _note_refused(parts, place, exc)
         return None
     except (UpstreamError, UpstreamSilentError, eventlet.Timeout):
         # No answer is a valid result of a probe.
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -37,6 +37,8 @@
 
     HANG = "hang"
     """Nothing arrives, and new connections time out."""
+    STALL = "stall"
+    """Connections in use live on, and new ones time out."""
     RESET = "reset"
     """Open connections are reset, and new ones are refused."""
     REFUSE = "refuse"
@@ -108,7 +110,7 @@
 
     def _open(self, address, timeout_s):
         is_cut = self.only is None or address in self.only
-        if self.cut is Cut.HANG and is_cut:
+        if self.cut in (Cut.HANG, Cut.STALL) and is_cut:
             eventlet.sleep(timeout_s)
             raise UpstreamConnectTimeoutError(
                 "cut off", step="connect", peer=str(address)
