Let overlapping silences of a stand-in last until the longest is over

What a test saw: of two overlapping calls of Silence.begin_for, the first one's end ended the silence, 0.20 s instead of 0.40 s after its start.

Cause: each call ended whatever silence was on. The end of a time that belonged to a silence ended before would end the next one, too.

Fix: a silence counts the times that are open for it, and ends with the last one.

--- a/standins/silence.py
+++ b/standins/silence.py
@@ -11,6 +11,8 @@
 
     def __init__(self) -> None:
         self._ended: Event | None = None
+        # The times that are to pass before the current silence ends.
+        self._open_times = 0
 
     @property
     def is_on(self) -> bool:
@@ -21,6 +23,7 @@
         """Fall silent until `end` is called."""
         if self._ended is None:
             self._ended = Event()
+            self._open_times = 0
 
     def end(self) -> None:
         """Go on."""
@@ -29,11 +32,25 @@
             ended.send()
 
     def begin_for(self, seconds: float) -> None:
-        """Fall silent for a time, in seconds, and return at once."""
+        """Fall silent for a time, in seconds, and return at once.
+
+        Notes
+        -----
+        If several times overlap, the silence ends when all of them are over.
+        """
         self.begin()
-        eventlet.spawn_after(seconds, self.end)
+        self._open_times += 1
+        eventlet.spawn_after(seconds, self._end_time, self._ended)
 
     def wait(self) -> None:
         """Wait until the replica isn't silent."""
         while self._ended is not None:
             self._ended.wait()
+
+    def _end_time(self, ended: Event) -> None:
+        if ended is not self._ended:
+            # That silence was ended before.
+            return
+        self._open_times -= 1
+        if not self._open_times:
+            self.end()
