--- a/boragedeck/request/stream_recovery.py
+++ b/boragedeck/request/stream_recovery.py
@@ -54,7 +54,7 @@
         if holder is None or holder.replica.pool != job.pool_name:
             return None
         now = job.parts.timers.now()
-        is_avoided = holder.avoid_until > now
+        is_avoided = holder.avoid_until > now or holder.is_silent(now)
         return holder if holder.can_accept(now) and not is_avoided else None
 
     def prompt_holder(self) -> ReplicaState | None:
