--- a/tests/request/test_silent_replicas.py
+++ b/tests/request/test_silent_replicas.py
@@ -27,6 +27,7 @@
 SILENCE_AFTER_S = 0.2
 SILENCE_S = 1.2
 FLAP_S = 0.6
+LARGE_BODY = b"x" * 4_000_000
 VERDICT_S = 3.0
 MANY_MS = 8000
 LEFT_WITHIN_S = 3.0
@@ -239,6 +240,32 @@
         self.assertEqual((response.status, response.body), (200, b"whole"))
         self.assertEqual(len(one.relayed()), 1)
 
+    def test_silence_while_a_large_body_is_sent_loses_a_call_that_may_run_once(self):
+        one = ScriptedReplica("one", answer())
+        harness = RelayHarness(call_rule(CallKind.ONCE, goal_s=0.2, timeout_s=4.0))
+        self.addCleanup(harness.close)
+        harness.add(one)
+        one.silence.begin_for(SILENCE_S)
+        response = harness.fetch(body=LARGE_BODY, ms=MANY_MS)
+        self.assertEqual((response.status, response.body), (200, b"whole"))
+        self.assertEqual(len(one.relayed()), 1)
+
+    def test_silence_in_the_middle_of_a_body_loses_a_call_that_may_run_once(self):
+        def part(sock, req):
+            sock.sendall(head_of(req, 200, b"Content-Length: 5") + b"\r\n")
+            for piece in (b"w", b"ho", b"le"):
+                eventlet.sleep(SILENCE_AFTER_S)
+                sock.sendall(piece)
+            return True
+
+        one = ScriptedReplica("one", part)
+        harness = RelayHarness(call_rule(CallKind.ONCE, goal_s=0.2, timeout_s=4.0))
+        self.addCleanup(harness.close)
+        harness.add(one)
+        response = self.fetch(harness, one, after_s=1.5 * SILENCE_AFTER_S)
+        self.assertEqual((response.status, response.body), (200, b"whole"))
+        self.assertEqual(len(one.relayed()), 1)
+
 
 class SilentVersionTest(unittest.TestCase):
     """What silences count against a version."""
