End no request because another entry names its replica's address

What callers saw: streams that a sound replica was answering were cut as soon as the list had an entry of another writer with its address (LOST).

Cause: ReplicaRegistry.put took any new entry with a known address, and a later or missing start time, for the replica's successor, and interrupted all exchanges with the replica, whatever the entry's service.

Fix: an entry ends nothing at another one's replica. The address is asked for the older replica by a report with its id; a 421 with another id, there or as the answer to a request, or a success of the newer replica at the address, ends the older one's requests. A newer entry of the same pool still gets the new requests at once, so a successor is noticed as before. One of another pool changes nothing for the older. A 421 that names a replica which is listed already ends the older one, too.

Ruled out: ignoring entries of services that no configuration names (one may come later, and an entry of a known service cut as well); taking a refused connection for evidence (a full replica refuses, too).

--- a/boragedeck/platform/replica_protocol.py
+++ b/boragedeck/platform/replica_protocol.py
@@ -89,9 +89,18 @@
         values = {value for other, value in headers if other.lower() == name}
         return (values.pop() or None) if len(values) == 1 else None
 
-    def probe_message(self) -> Message:
-        """Return a probe, which any live engine answers without using a slot."""
-        return Message(b"GET", REPORT_PATH, [PROBE_HOST_HEADER])
+    def probe_message(self, expected: ReplicaId | None = None) -> Message:
+        """Return a probe, which any live engine answers without using a slot.
+
+        Parameters
+        ----------
+        expected : ReplicaId, optional
+            The replica that is asked; another one at its address says so.
+        """
+        headers: Headers = [PROBE_HOST_HEADER]
+        if expected is not None:
+            headers.append((EXPECTED_REPLICA, expected.encode("latin-1")))
+        return Message(b"GET", REPORT_PATH, headers)
 
     def models(self, body: bytes) -> frozenset[str]:
         """Return the models listed in an engine's answer to a probe."""
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -63,6 +63,7 @@
 from boragedeck.process.relaying.tables.store_meter import StoreMeter
 from boragedeck.process.relaying.tables.table_composition import MirroredTables
 from boragedeck.process.timers import RealTimers
+from boragedeck.request.address_claims import watch_address_claims
 from boragedeck.request.relay import relay
 from boragedeck.request.relay_components import RelayComponents, respond_refusal
 from boragedeck.version.replicas import Replica
@@ -301,6 +302,7 @@
             time_left=self._drain_period.time_left,
             refusal_headers=refusal_headers,
         )
+        watch_address_claims(self._parts)
 
         self._forward_edge = make_forward_edge(
             _listen(forward_address(self.own)),
--- a/boragedeck/process/relaying/replicas/registry.py
+++ b/boragedeck/process/relaying/replicas/registry.py
@@ -30,6 +30,8 @@
 """Maximum time for which a replica can hold off requests."""
 DEFAULT_HOLD_S = 1.0
 """How long a replica is held off if the time that it asks for can't be parsed."""
+MAX_CLAIMED_ADDRESSES = 256
+"""Maximum number of addresses for which it is kept who had them before."""
 MAX_ABSENT_RUNS = 1_024
 """Maximum number of runs without an entry whose restraints are kept."""
 
@@ -43,6 +45,18 @@
     ----------
     timers : TimerService
         The source of time.
+
+    Attributes
+    ----------
+    on_claimed : callable
+        Called with a replica whose address a newer entry names.
+
+    Notes
+    -----
+    Any writer may add an entry with the address of a sound replica. A newer entry of
+    the same pool gets the new requests. No entry ends requests under way at a replica
+    with the same address: that takes an answer from the address which shows that
+    another replica has it.
     """
 
     def __init__(self, timers: TimerService):
@@ -51,6 +65,9 @@
         # Restraints of runs that have no entry (yet, or any more).
         self._absent_restraints: OrderedDict[Run, Restraints] = OrderedDict()
         self._callbacks: list[Callable[[], None]] = []
+        # Replicas whose address a newer entry names, by that address.
+        self._claimed: dict[Address, list[ReplicaState]] = {}
+        self.on_claimed: Callable[[ReplicaState], None] = lambda state: None
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call `callback` after a replica is added, updated, removed or leaving."""
@@ -126,15 +143,18 @@
         The misses tell nothing about the replica if this router's path to it was lost,
         and nothing about the path that it has now.
         """
-        state = self.at(address)
-        if state is not None:
+        for state in self._all_at(address):
             state.forget_misses()
             self._notify_subscribers()
 
     def at(self, address: Address) -> ReplicaState | None:
-        """Return the replica that currently has an address, or None."""
-        found = (s for s in self._states.values() if s.replica.address == address)
-        return next(found, None)
+        """Return the replica that has an address, or None.
+
+        Notes
+        -----
+        Of several entries with the address, the newest one counts.
+        """
+        return next(reversed(self._all_at(address)), None)
 
     def of_pool(self, pool: PoolName) -> list[ReplicaState]:
         """Return a pool's replicas that take work; see `ReplicaState.takes_work`."""
@@ -182,9 +202,11 @@
         it gets the entry of its predecessor until then.
         """
         state = self._states.get(old)
-        if state is None or new in self._states:
+        if state is None:
             return
         self.remove_lost(old, "another replica at its address")
+        if new in self._states:
+            return
         replica = msgspec.structs.replace(state.replica, replica=new, born_ms=0)
         _log.write("Successor added.", replica=new, before=old)
         self.put(replica)
@@ -201,12 +223,12 @@
             self.remove(replica.replica, "restarted")
             state = None
         is_new = state is None
+        has_moved = not is_new and state.replica.address != replica.address
         if state is None:
             state = self._states[replica.replica] = ReplicaState(replica)
             restored = self._absent_restraints.pop(state.run, None)
             if restored is not None:
                 state.restraints = restored
-            self._drop_predecessors(replica)
         if is_new or is_provisional or state.replica.stage is not replica.stage:
             _log.write(
                 "Replica added." if is_new else "Replica updated.",
@@ -220,8 +242,21 @@
         if replica.stage is ReplicaStage.DRAINING:
             # An entry from an older copy of the store may say "ready" again.
             state.restraints.extend(Reason.LEAVING, math.inf)
+        if is_new or has_moved:
+            # The states are in the order in which they got their addresses.
+            self._states[replica.replica] = self._states.pop(replica.replica)
+            self._note_claim(state)
         self._notify_subscribers()
 
+    def note_present(self, state: ReplicaState) -> None:
+        """Record that a replica answered at its address, which no other has then."""
+        others = self._claimed.get(state.replica.address)
+        if others is None or state in others:
+            return
+        del self._claimed[state.replica.address]
+        for other in others:
+            self.note_lost(other, "another answered at its address")
+
     def remove(self, replica: ReplicaId, cause: str) -> None:
         """Remove a replica, so that it gets no further requests; `cause` is logged."""
         state = self._states.pop(replica, None)
@@ -236,10 +271,15 @@
     def remove_lost(self, replica: ReplicaId, cause: str) -> None:
         """Remove a replica that no longer runs, and end its requests."""
         state = self._states.get(replica)
-        self.remove(replica, cause)
         if state is not None:
-            for callback in list(state.on_lost):
-                callback()
+            self.note_lost(state, cause)
+
+    def note_lost(self, state: ReplicaState, cause: str) -> None:
+        """End the requests at a run that is over, and remove it if it is listed."""
+        if self._states.get(state.replica.replica) is state:
+            self.remove(state.replica.replica, cause)
+        for callback in list(state.on_lost):
+            callback()
 
     def _store_absent(
         self, run: Run, restraints: Restraints | None = None
@@ -251,14 +291,35 @@
             self._absent_restraints.popitem(last=False)
         return kept
 
-    def _drop_predecessors(self, replica: Replica) -> None:
-        """Remove the older replicas at the same address."""
-        for other in list(self._states.values()):
-            is_same = other.replica.replica == replica.replica
-            if other.replica.address == replica.address and not is_same:
-                is_older = other.replica.born_ms <= replica.born_ms
-                if is_older or not replica.born_ms:
-                    self.remove_lost(other.replica.replica, "address taken over")
+    def _all_at(self, address: Address) -> list[ReplicaState]:
+        """Return the replicas whose entries name an address, the newest entry last."""
+        return [s for s in self._states.values() if s.replica.address == address]
+
+    def _note_claim(self, state: ReplicaState) -> None:
+        """Have the older replicas at an address asked; replace those of the pool."""
+        replica = state.replica
+        for other in self._all_at(replica.address):
+            is_older = other.replica.born_ms <= replica.born_ms or not replica.born_ms
+            if other is state or not is_older:
+                continue
+            _log.write(
+                "Address claimed by another entry.",
+                replica=other.replica.replica,
+                by=replica.replica,
+                pool=replica.pool,
+                address=str(replica.address),
+            )
+            if other.replica.pool == replica.pool:
+                self.remove(other.replica.replica, "address taken over")
+            self._store_claimed(other)
+            self.on_claimed(other)
+
+    def _store_claimed(self, state: ReplicaState) -> None:
+        others = self._claimed.pop(state.replica.address, [])
+        kept = [each for each in others if not each.is_removed or each.on_lost]
+        self._claimed[state.replica.address] = [*kept, state]
+        if len(self._claimed) > MAX_CLAIMED_ADDRESSES:
+            self._claimed.pop(next(iter(self._claimed)))
 
     def _notify_subscribers(self) -> None:
         for callback in self._callbacks:
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -141,7 +141,7 @@
         if parts.table().pool_of_models(models) == replica.pool:
             parts.registry.add_successor(replica.replica, verdict.actual_replica)
             return
-    parts.registry.remove_lost(replica.replica, "another at its address")
+    parts.registry.note_lost(place.state, "another at its address")
 
 
 def _read_head(
@@ -155,12 +155,13 @@
         exchange, parts.protocol, parts.metrics, wait_for_head, job.left_s
     )
     verdict = parts.protocol.verdict(received.head, received.match)
-    state = place.state
+    state, is_own = place.state, received.match is AnswerMatch.OWN
     if verdict.kind is VerdictKind.MOVED:
         # The answer came from another replica, so its notice concerns that one.
         state = parts.registry.get(verdict.actual_replica)
+    elif is_own and verdict.kind is VerdictKind.SUCCESS:
+        parts.registry.note_present(state)
     if state is not None:
-        is_own = received.match is AnswerMatch.OWN
         parts.notices.handle(state, received.notice, may_lift=is_own)
     return PendingAnswer(exchange, received.head, verdict)
 
--- a/boragedeck/request/relay_request.py
+++ b/boragedeck/request/relay_request.py
@@ -151,8 +151,11 @@
     def message(self, req: RelayRequest, plan: AttemptPlan) -> Message:
         """Return the request that is sent for one attempt."""
 
-    def probe_message(self) -> Message:
-        """Return a probe, which any live engine answers without using a slot."""
+    def probe_message(self, expected: ReplicaId | None = None) -> Message:
+        """Return a probe, which any live engine answers without using a slot.
+
+        If a replica is expected, another one at its address says so.
+        """
 
     def models(self, body: bytes) -> frozenset[str]:
         """Return the models listed in an engine's answer to a probe."""
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -42,6 +42,7 @@
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import RealTimers
+from boragedeck.request.address_claims import watch_address_claims
 from boragedeck.request.relay import relay
 from boragedeck.request.relay_components import RelayComponents
 from boragedeck.version.replicas import Replica, ReplicaStage
@@ -490,6 +491,7 @@
             time_left=lambda: self.time_left_s,
             refusal_headers=refusal_headers,
         )
+        watch_address_claims(self.parts)
         self._replicas = []
         self._callers = []
         self.listener = eventlet.listen(("127.0.0.1", 0))
