Count an attempt that ends by an unexpected exception

What callers saw: no answer before their time was over, while the router tried their request again and again (CONFIG; all other requests of the router had to wait).

Cause: start_attempt counted an attempt, and marked its replica as tried, only after the message had been written. An exception before that ended the attempt as lost, and the next one began at once: neither maxAttempts nor the bound on repeats counts what wasn't sent. So it is for calls, and for streams since each of their attempts runs in a thread.

Fix: the replica counts as tried before anything else. An unexpected exception counts the attempt, as not run if nothing was sent, and becomes AttemptDefectError: one line "Attempt failed." with the request, and no miss of the replica.

Ruled out: ending the request at once, since the exception may concern one replica only; counting each attempt at its start, since one that isn't sent is free.

--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -3,6 +3,7 @@
 from boragedeck.ids import ExecutionStatus
 
 __all__ = [
+    "AttemptDefectError",
     "BoragedeckError",
     "ForwardDeclinedError",
     "PeerError",
@@ -160,6 +161,10 @@
     """The router withdrew the call before its answer had begun."""
 
 
+class AttemptDefectError(UpstreamWithdrawnError):
+    """An attempt ended by an unexpected exception in this router."""
+
+
 class RefusedError(BoragedeckError):
     """A request is refused, or has failed, with an HTTP status for its caller.
 
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -6,9 +6,11 @@
 import eventlet
 import msgspec
 
+from boragedeck.connection.caller_edge import CallerDisconnectedError
 from boragedeck.connection.exchange import AnswerHead, Exchange
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.exceptions import (
+    AttemptDefectError,
     UpstreamError,
     UpstreamNotAcceptingError,
     UpstreamRefusedError,
@@ -70,11 +72,53 @@
         If nothing was sent.
     UpstreamError
         If the replica may have run the request.
+    AttemptDefectError
+        If an unexpected exception ended the attempt, which counts all the same.
     """
+    job.tried.add(plan.replica.replica)
+    count = _AttemptCount(job)
+    try:
+        return _start_attempt(job, place, plan, wait_for_head, count)
+    except (UpstreamError, CallerDisconnectedError):
+        raise
+    except Exception as exc:
+        count.note_defect()
+        raise AttemptDefectError(
+            f"unexpected {exc!r}", step="attempt", peer=str(plan.replica.address)
+        ) from exc
+
+
+class _AttemptCount:
+    """Counts one attempt, once it may have been sent or has ended by a defect."""
+
+    def __init__(self, job: RelayJob):
+        self._job = job
+        self._is_counted = False
+        # Whether a byte may have been sent.
+        self.may_be_sent = False
+
+    def note_sent(self) -> None:
+        self._is_counted = True
+        self._job.note_sent()
+
+    def note_defect(self) -> None:
+        if not self._is_counted:
+            self.note_sent()
+            if not self.may_be_sent:
+                self._job.note_not_run()
+
+
+def _start_attempt(
+    job: RelayJob,
+    place: Place,
+    plan: AttemptPlan,
+    wait_for_head: Callable[[Exchange], AnswerHead],
+    count: _AttemptCount,
+) -> PendingAnswer:
     parts = job.parts
     replica = plan.replica
     message = parts.protocol.message(job.req, plan)
-    job.tried.add(replica.replica)
+    count.may_be_sent = True
     try:
         exchange = parts.paths.send(
             replica.address,
@@ -90,10 +134,10 @@
         parts.crash_blame.note_lost(place.state)
         raise
     except UpstreamError:
-        job.note_sent()
+        count.note_sent()
         raise
     place.is_forwarded = exchange.is_forwarded
-    job.note_sent()
+    count.note_sent()
     try:
         pending = _read_head(job, place, exchange, wait_for_head)
     except BaseException:
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -6,6 +6,7 @@
 
 from boragedeck.connection.exchange import AnswerHead, Exchange, Headers
 from boragedeck.exceptions import (
+    AttemptDefectError,
     RefusedError,
     UpstreamError,
     UpstreamNotAcceptingError,
@@ -209,6 +210,10 @@
             # The replica could not be reached, so nothing was sent.
             self._note_lost_attempt(place, exc, "not_reached")
             return NotTaken(exc.message)
+        except AttemptDefectError as exc:
+            # A defect of this router says nothing about the replica.
+            job.note_attempt_failed(place, exc)
+            return AnswerLost(exc.message)
         except UpstreamError as exc:
             is_own_loss = job.is_own_loss(place)
             if not is_own_loss:
