Write texts of the configuration into headers as UTF-8

What callers saw: an organisation with a letter beyond Latin-1 in its name was never served (CONFIG).

Cause: HttpReplicaProtocol.message encoded the name as Latin-1, which raised an exception for each request. The same held for a replica's id; a key in Api-Key was decoded as Latin-1, so that a key with other letters was unknown.

Fix: names, ids and keys are UTF-8 in headers, the encoding in which they come. What no header can hold (control characters, lone surrogates, blanks at the ends) is an error of the table with the name, and the table before goes on; an entry with such an id names no replica.

Ruled out: percent-encoding (a replica compares the operator's name), Latin-1 where it suffices (two names could have the same bytes), refusing names beyond ASCII.

--- a/boragedeck/platform/callers.py
+++ b/boragedeck/platform/callers.py
@@ -6,6 +6,7 @@
 from boragedeck.connection.exchange import Headers
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import PromptPartId
+from boragedeck.platform.header_text import decode_header_text
 from boragedeck.platform.names import (
     API_KEY,
     DEADLINE_MS,
@@ -73,7 +74,7 @@
         path=target.partition("?")[0],
         headers=headers,
         body=raw.body,
-        key=None if key is None else key.decode("latin-1"),
+        key=None if key is None else decode_header_text(key),
         caller_timeout_s=None if timeout_ms is None else timeout_ms / 1000.0,
         arrived=raw.arrived,
         resume_after=_parse_number(
--- a/boragedeck/platform/replica_protocol.py
+++ b/boragedeck/platform/replica_protocol.py
@@ -7,6 +7,7 @@
 from boragedeck.connection.exchange import AnswerHead, Headers, Message
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.decoding import DECODE_ERRORS
+from boragedeck.platform.header_text import decode_header_text, encode_header_text
 from boragedeck.platform.names import (
     BACKUP,
     COPY_SOURCE,
@@ -64,10 +65,10 @@
         headers: Headers = [
             *req.headers,
             (DEADLINE_MS, b"%d" % max(1, int(plan.left_s * 1000.0))),
-            (EXPECTED_REPLICA, plan.replica.replica.encode("latin-1")),
+            (EXPECTED_REPLICA, encode_header_text(plan.replica.replica)),
         ]
         if plan.organisation is not None:
-            headers.append((ORGANISATION, plan.organisation.encode("latin-1")))
+            headers.append((ORGANISATION, encode_header_text(plan.organisation)))
         if plan.last_event is not None:
             headers.append((LAST_EVENT_ID, b"%d" % plan.last_event))
         if plan.backup is not None:
@@ -99,7 +100,7 @@
         """
         headers: Headers = [PROBE_HOST_HEADER]
         if expected is not None:
-            headers.append((EXPECTED_REPLICA, expected.encode("latin-1")))
+            headers.append((EXPECTED_REPLICA, encode_header_text(expected)))
         return Message(b"GET", REPORT_PATH, headers)
 
     def models(self, body: bytes) -> frozenset[str]:
@@ -136,8 +137,9 @@
     """Return the classification of an answer that names the request."""
     if head.status == STATUS_MISDIRECTED:
         actual_id = head.get(REPLICA_ID.lower())
-        name = None if actual_id is None else ReplicaId(actual_id.decode("latin-1"))
-        return Verdict(VerdictKind.MOVED, actual_replica=name)
+        name = None if actual_id is None else decode_header_text(actual_id)
+        actual = None if name is None else ReplicaId(name)
+        return Verdict(VerdictKind.MOVED, actual_replica=actual)
     if head.get(NOT_RUN.lower()) is not None:
         return Verdict(VerdictKind.NOT_RUN)
     if head.get(b"content-encoding") is not None:
--- a/boragedeck/platform/replicas.py
+++ b/boragedeck/platform/replicas.py
@@ -9,6 +9,7 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import TableError
 from boragedeck.ids import FailureDomain, PoolName, Version
+from boragedeck.platform.header_text import check_header_text
 from boragedeck.version.replicas import Replica, ReplicaId, ReplicaStage
 
 __all__ = ["decode_replica"]
@@ -48,7 +49,7 @@
             )
         return Ok(
             Replica(
-                replica=ReplicaId(key),
+                replica=ReplicaId(check_header_text(key, "id")),
                 pool=PoolName(entry.service),
                 address=Address(str(ipaddress.ip_address(host)), int(port)),
                 failure_domain=FailureDomain(entry.zone),
--- a/boragedeck/platform/routing.py
+++ b/boragedeck/platform/routing.py
@@ -6,6 +6,7 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import TableError
 from boragedeck.ids import OrganisationName, PoolName, RouteName, Version
+from boragedeck.platform.header_text import check_header_text
 from boragedeck.version.relay_rollouts import RolloutOrder
 from boragedeck.version.routing import (
     Backend,
@@ -138,9 +139,7 @@
             cfg.limits.idle_timeout_ms / 1000.0,
         ),
         organisations={
-            key: OrganisationName(tenant.name)
-            for tenant in tenants
-            for key in tenant.api_keys
+            key: _organisation(tenant) for tenant in tenants for key in tenant.api_keys
         },
         priorities={
             OrganisationName(tenant.name): tenant.priority
@@ -151,6 +150,11 @@
     )
 
 
+def _organisation(tenant: _Tenant) -> OrganisationName:
+    """Return an organisation's name, which is sent to replicas in a header."""
+    return OrganisationName(check_header_text(tenant.name, "tenant's name"))
+
+
 def _rule(route: _Route) -> RouteRule:
     backends = [Backend(PoolName(b.service), b.weight) for b in route.backends]
     if not backends and route.service is not None:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -69,6 +69,11 @@
         ):
             self.assertTrue(decode_replica("i", encode_with(ENTRY, **changes)).is_err())
 
+    def test_id_that_no_header_can_hold_names_a_replica(self):
+        for key in ("a\r\nb", "a\x00", " a"):
+            self.assertTrue(decode_replica(key, encode_with(ENTRY)).is_err())
+        self.assertTrue(decode_replica("ič", encode_with(ENTRY)).is_ok())
+
     @given(st.binary(max_size=200))
     def test_arbitrary_bytes_are_an_error(self, body):
         self.assertTrue(decode_replica("i", body).is_err())
@@ -102,6 +107,18 @@
         for changes in ({"version": "x"}, {"routes": [{}]}, {"services": 3}):
             self.assertTrue(decode_routing(encode_with(CONFIG, **changes)).is_err())
 
+    def test_organisation_whose_name_is_not_latin_1_is_refused(self):
+        for name in ("vič840", "č", "漢字", "a b", "😀"):
+            tenants = [{"name": name, "apiKeys": ["k"]}]
+            table = decode_routing(encode_with(CONFIG, tenants=tenants)).ok()
+            self.assertEqual(table.organisations, {"k": name})
+
+    def test_table_with_a_name_that_no_header_can_hold_is_accepted(self):
+        for name in ("a\r\nb", "a\x00", "a\x7f", "a\x85b", " a", "a\t", "a "):
+            tenants = [{"name": name, "apiKeys": ["k"]}]
+            decoded = decode_routing(encode_with(CONFIG, tenants=tenants))
+            self.assertIn(repr(name), str(decoded.err()))
+
     def test_rollout_order_is_decoded(self):
         body = encode_with({"service": "s", "to": "v2", "durationS": 12})
         order = decode_rollout(body).ok()
