Let the version that is left serve requests that outlast a rollout

What callers saw: streams at the old replicas were cut when a good rollout was completed, though the route is resumable and the new replicas had room (LOST).

Cause: RelayRollouts.replica_filter drew once which versions may serve a request, and the predicate stayed as drawn. After the end a stream of the old version waited for a replica that couldn't come, until its time was over. A request of the new version that was tried again after a roll-back was kept to the bad version.

Fix: the predicate looks at the pool's rollout at each use. The drawn side holds while that rollout runs. After that the version that is left serves the request; under a later order, the old side of that one.

Ruled out: completing later, which streams of minutes would outlast, too; moving streams before the end, which reads prompts again for a version that may still be taken back; drawing again at each attempt, which sends more to a bad version.

--- a/boragedeck/process/relaying/rollouts/rollouts.py
+++ b/boragedeck/process/relaying/rollouts/rollouts.py
@@ -118,14 +118,19 @@
         self._timers.subscribe(TICK_S, self.tick)
 
     def replica_filter(self, pool: PoolName) -> Callable[[Replica], bool]:
-        """Return which replicas of a pool may serve one request, as a predicate."""
+        """Return which replicas of a pool may serve one request, as a predicate.
+
+        Notes
+        -----
+        The request keeps the side that is drawn for it while the rollout runs. Then it
+        may be served by the version that is left, since a stream may outlast the
+        replicas at which it began. While a later order is carried out, it has the old
+        side of that one. If it arrived before any order, all versions may serve it.
+        """
         self._requests.note(pool)
         rollout = self._rollouts.get(pool)
-        if rollout is None:
-            return _any_replica
-        share = self._share(rollout)
-        to, is_new = rollout.order.to, self._rng.random() < share
-        return lambda replica: (replica.version == to) == is_new
+        is_new = rollout is not None and self._rng.random() < self._share(rollout)
+        return lambda replica: self._may_serve(replica, pool, rollout, is_new)
 
     def note(self, replica: Replica, sample: RunSample) -> None:
         """Add the outcome of a request at a replica to the evidence."""
@@ -225,6 +230,23 @@
             row_version=change.version,
         )
 
+    def _may_serve(
+        self, replica: Replica, pool: PoolName, drawn: RolloutState | None, is_new: bool
+    ) -> bool:
+        """Return whether a replica may serve a request of a drawn side, now."""
+        rollout = self._rollouts.get(pool)
+        if rollout is None:
+            return True
+        if rollout.decided_result is RolloutResult.ROLLED_BACK:
+            is_new = False
+        elif rollout.result is RolloutResult.COMPLETED:
+            is_new = True
+        elif drawn is None:
+            return True
+        elif rollout is not drawn:
+            is_new = False
+        return (replica.version == rollout.order.to) == is_new
+
     def _share(self, rollout: RolloutState) -> float:
         """Return the new version's share of the pool's requests."""
         if rollout.decided_result is RolloutResult.ROLLED_BACK:
@@ -315,7 +337,3 @@
             if concerns(fact, rollout) and is_running and not is_decided:
                 reason = f"stopped by {fact.origin}"
                 self._decide(rollout, RolloutResult.ROLLED_BACK, reason)
-
-
-def _any_replica(replica: Replica) -> bool:
-    return True
--- a/tests/process/relaying/rollouts/test_rollouts.py
+++ b/tests/process/relaying/rollouts/test_rollouts.py
@@ -219,6 +219,51 @@
         new, _ = self.simulate(1.0, per_s=200)
         self.assertGreater(new, 0)
 
+    def drawn_requests(self, count=200):
+        """Return the predicates of requests that began at the old and new version."""
+        drawn = [self.routers[0].replica_filter("p") for _ in range(count)]
+        return [a for a in drawn if a(OLD)], [a for a in drawn if a(NEW)]
+
+    def check_all(self, filters, *, old, new):
+        self.assertTrue(filters)
+        self.assertEqual({(a(OLD), a(NEW)) for a in filters}, {(old, new)})
+
+    def test_request_of_the_old_version_is_lost_when_the_rollout_is_completed(self):
+        self.order()
+        self.simulate(DURATION_S / 4)
+        old, new = self.drawn_requests()
+        self.check_all(old, old=True, new=False)
+        self.check_all(new, old=False, new=True)
+        self.simulate(DURATION_S)
+        self.assertEqual(self.board.history[-1], COMPLETED)
+        self.check_all(old + new, old=False, new=True)
+
+    def test_request_of_the_new_version_is_lost_when_it_is_rolled_back(self):
+        self.order()
+        self.simulate(DURATION_S / 4)
+        old, new = self.drawn_requests()
+        self.simulate(DURATION_S, bad_share=0.5)
+        self.assertEqual(self.board.history[-1], ROLLED_BACK)
+        self.check_all(old + new, old=True, new=False)
+
+    def test_request_is_lost_when_a_second_rollout_follows_its_own(self):
+        self.order()
+        self.simulate(DURATION_S / 4)
+        old, new = self.drawn_requests()
+        self.simulate(DURATION_S, bad_share=0.5)
+        self.order(version=500)
+        self.check_all(old + new, old=True, new=False)
+        self.simulate(DURATION_S)
+        self.assertEqual(self.board.history[-1], COMPLETED)
+        self.check_all(old + new, old=False, new=True)
+
+    def test_request_before_an_order_is_lost_when_the_rollout_is_completed(self):
+        allows = self.routers[0].replica_filter("p")
+        self.order()
+        self.assertTrue(allows(OLD) and allows(NEW))
+        self.simulate(DURATION_S)
+        self.check_all([allows], old=False, new=True)
+
     def test_pool_without_an_order_uses_all_versions(self):
         allows = self.routers[0].replica_filter("q")
         self.assertTrue(allows(NEW) and allows(OLD))
