--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -6,9 +6,11 @@
 import eventlet
 import msgspec
 
+from boragedeck.connection.caller_edge import CallerDisconnectedError
 from boragedeck.connection.exchange import AnswerHead, Exchange
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.exceptions import (
+    AttemptDefectError,
     ForwardDeclinedError,
     UpstreamConnectTimeoutError,
     UpstreamError,
@@ -72,11 +74,53 @@
         If nothing was sent.
     UpstreamError
         If the replica may have run the request.
+    AttemptDefectError
+        If an unexpected exception ended the attempt, which counts all the same.
     """
+    job.tried.add(plan.replica.replica)
+    count = _AttemptCount(job)
+    try:
+        return _start_attempt(job, place, plan, wait_for_head, count)
+    except (UpstreamError, CallerDisconnectedError):
+        raise
+    except Exception as exc:
+        count.note_defect()
+        raise AttemptDefectError(
+            f"unexpected {exc!r}", step="attempt", peer=str(plan.replica.address)
+        ) from exc
+
+
+class _AttemptCount:
+    """Counts one attempt, once it may have been sent or has ended by a defect."""
+
+    def __init__(self, job: RelayJob):
+        self._job = job
+        self._is_counted = False
+        # Whether a byte may have been sent.
+        self.may_be_sent = False
+
+    def note_sent(self) -> None:
+        self._is_counted = True
+        self._job.note_sent()
+
+    def note_defect(self) -> None:
+        if not self._is_counted:
+            self.note_sent()
+            if not self.may_be_sent:
+                self._job.note_not_run()
+
+
+def _start_attempt(
+    job: RelayJob,
+    place: Place,
+    plan: AttemptPlan,
+    wait_for_head: Callable[[Exchange], AnswerHead],
+    count: _AttemptCount,
+) -> PendingAnswer:
     parts = job.parts
     replica = plan.replica
     message = parts.protocol.message(job.req, plan)
-    job.tried.add(replica.replica)
+    count.may_be_sent = True
     try:
         exchange = parts.paths.send(
             replica.address,
@@ -92,10 +136,10 @@
         _note_refused(parts, place, exc)
         raise
     except UpstreamError:
-        job.note_sent()
+        count.note_sent()
         raise
     place.is_forwarded = exchange.is_forwarded
-    job.note_sent()
+    count.note_sent()
     try:
         pending = _read_head(job, place, exchange, wait_for_head)
     except (ForwardDeclinedError, UpstreamRefusedError) as exc:
@@ -162,7 +206,7 @@
         if parts.table().pool_of_models(models) == replica.pool:
             parts.registry.add_successor(replica.replica, verdict.actual_replica)
             return
-    parts.registry.remove_lost(replica.replica, "another at its address")
+    parts.registry.note_lost(place.state, "another at its address")
 
 
 def _read_head(
@@ -176,12 +220,13 @@
         exchange, parts.protocol, parts.metrics, wait_for_head, job.left_s
     )
     verdict = parts.protocol.verdict(received.head, received.match)
-    state = place.state
+    state, is_own = place.state, received.match is AnswerMatch.OWN
     if verdict.kind is VerdictKind.MOVED:
         # The answer came from another replica, so its notice concerns that one.
         state = parts.registry.get(verdict.actual_replica)
+    elif is_own and verdict.kind is VerdictKind.SUCCESS:
+        parts.registry.note_present(state)
     if state is not None:
-        is_own = received.match is AnswerMatch.OWN
         parts.notices.handle(state, received.notice, may_lift=is_own)
     return PendingAnswer(exchange, received.head, verdict)
 
--- a/tests/request/test_second_attempts.py
+++ b/tests/request/test_second_attempts.py
@@ -179,7 +179,7 @@
 
         with mock.patch.object(harness.paths, "send", fail_once):
             response, _ = self.fetch(harness)
-        self.assertFalse(response.is_complete)
+        self.assertEqual(response.status, 502)
         eventlet.sleep(0.1)
         self.assertLessEqual(len(one.relayed()) + len(two.relayed()), 1)
         self.assertEqual(self.running(harness, "one", "two"), [0, 0])
