Seed defects in bearing with silent replicas, and catch each one

Eleven defects: a silence ends the attempt; a second attempt goes to an avoided replica, or to the silent one; the events of both attempts are delivered; the one that sends later isn't ended; a silence fails its version at once, or though the replica is heard again; the limit on parts of an event counts silences; a stream that may run once has a second attempt; a second attempt isn't charged to the shared limit; it runs on when the first replica answers a probe.

`make mutants` lists these defects, too; it wasn't run as a whole.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -11,6 +11,7 @@
 from tests.support.limit_defects import LIMIT_DEFECTS
 from tests.support.method_defects import fails
 from tests.support.notice_defects import NOTICE_DEFECTS
+from tests.support.silence_defects import SILENCE_DEFECTS
 from tests.support.upgrade_defects import UPGRADE_DEFECTS
 
 __all__ = ["main"]
@@ -34,6 +35,7 @@
         *NOTICE_DEFECTS,
         *LIMIT_DEFECTS,
         *LATE_ANSWER_DEFECTS,
+        *SILENCE_DEFECTS,
         *UPGRADE_DEFECTS,
     ):
         is_caught = fails(defect)
