--- a/scripts/platform_losses.py
+++ b/scripts/platform_losses.py
@@ -105,14 +105,18 @@
 
 def _late_first_event_cause(lines: list[dict], sent: list[dict]) -> str:
     if len(sent) > 1:
-        return "engine lost"
+        return "engine silent" if _was_silent(lines) else "engine lost"
     waited_s = sent[0].get("age_s", 0.0)
     return "queued in the router" if waited_s > LATE_WAIT_S else "queued in the engine"
 
 
+def _was_silent(lines: list[dict]) -> bool:
+    return any(line["text"] == "relay: Replica silent." for line in lines)
+
+
 def _pause_cause(lines: list[dict], sent: list[dict]) -> str:
     if len(sent) == 1:
-        return "the engine paused"
+        return "the engine was silent" if _was_silent(lines) else "the engine paused"
     if not any(line["from_copy"] for line in sent):
         holder = any(line.get("backup") for line in sent[:-1])
         return "the copy holder was lost too" if holder else "there was no copy"
