Let a gateway take what its sender has accepted, whatever its own table says

A gateway applied the limits of callers' requests of its own table to forwarded requests. While a lowered limit was in force there, and not yet at the router that had the caller, a body of 3,000 bytes ended with 502 (two of two, limit 1,000), and a call that may run once counted as one that may have run. A table of another version made the gateway refuse what had been accepted.

--- a/boragedeck/process/relaying/paths/path_composition.py
+++ b/boragedeck/process/relaying/paths/path_composition.py
@@ -23,10 +23,13 @@
 from boragedeck.request.relay_request import ReplicaProtocol
 from boragedeck.version.routing import CallerLimits
 
-__all__ = ["forward_address", "make_forward_edge", "make_paths"]
+__all__ = ["forward_address", "forward_limits", "make_forward_edge", "make_paths"]
 
 FORWARD_HEADER_BYTES = 4_096
 """Size of the headers that routers add to a caller's."""
+MIN_FORWARD_HEADER_BYTES = 64 * 1024
+MIN_FORWARD_BODY_BYTES = 16 * 1024 * 1024
+"""Lower limits of the size that a forwarded request may have."""
 EXPIRE_INTERVAL_S = 1.0
 
 
@@ -35,6 +38,22 @@
     return Address(member.address.host, member.address.port + 1)
 
 
+def forward_limits(limits: CallerLimits) -> CallerLimits:
+    """Return the limits of forwarded requests, given those of callers' requests.
+
+    Notes
+    -----
+    The router that has the caller has applied the limits of its own table, which may be
+    another version than this router's.
+    """
+    header_bytes = max(limits.header_bytes, MIN_FORWARD_HEADER_BYTES)
+    return msgspec.structs.replace(
+        limits,
+        header_bytes=header_bytes + FORWARD_HEADER_BYTES,
+        body_bytes=max(limits.body_bytes, MIN_FORWARD_BODY_BYTES),
+    )
+
+
 def make_paths(
     timers: TimerService,
     rng: random.Random,
@@ -97,7 +116,7 @@
     timers, registry, upstreams, paths, notices, protocol, metrics
         Parts of the router.
     limits : callable
-        Returns the limits of callers' requests. Forwarded ones have more headers.
+        Returns the limits of callers' requests; see `forward_limits`.
     time_left : callable
         Returns how long this process will still serve requests, in seconds.
     """
@@ -112,8 +131,6 @@
         metrics,
     )
 
-    def forward_limits() -> CallerLimits:
-        header_bytes = limits().header_bytes + FORWARD_HEADER_BYTES
-        return msgspec.structs.replace(limits(), header_bytes=header_bytes)
-
-    return CallerEdge(listener, forward_limits, forwarder.handle, timers)
+    return CallerEdge(
+        listener, lambda: forward_limits(limits()), forwarder.handle, timers
+    )
