Don't retry a broken replica while the engine with the copy has no turn

What was seen: a stream that broke off was sent to the same replica again, twice, instead of to a third one, if the engine that holds its copy was beyond its limit.

Cause: since attempts run in threads of their own, a copy that can't be used now makes the router retry the engine that has the prompt, which is meant for streams without one.

Fix: that engine is tried only if no usable engine holds a copy, as before.

--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -101,15 +101,13 @@
 
     def _start_recovery(self, failed: StreamAttempt) -> bool:
         """Start an attempt at an engine that holds the run or the prompt, if any."""
-        place = None
-        if self._position is not None:
+        from_copy = self._position is not None and self._recovery.has_copy(failed)
+        if from_copy:
             place = self._recovery.place_at_copy(failed)
+        else:
+            place = self._recovery.place_at_prompt()
         if place is not None:
-            self._start(place, from_copy=True)
-            return True
-        place = self._recovery.place_at_prompt()
-        if place is not None:
-            self._start(place)
+            self._start(place, from_copy=from_copy)
         return place is not None
 
     def _start(self, place: Place, *, from_copy: bool = False) -> None:
--- a/boragedeck/request/stream_recovery.py
+++ b/boragedeck/request/stream_recovery.py
@@ -32,6 +32,10 @@
         """Record that the connection to an engine broke during the run."""
         self._prompt_holder = state
 
+    def has_copy(self, attempt: StreamAttempt) -> bool:
+        """Return whether an engine that may be used holds a copy of the run."""
+        return self._usable_copy_holder(attempt.copy_holder) is not None
+
     def place_at_copy(self, attempt: StreamAttempt) -> Place | None:
         """Return a place at the engine that holds a copy of an attempt's run.
 
