Let engines fall silent in upgrades, and judge the builds that bear it

What was missing: `make upgrade` let routers and the store fail, and engines leave, but no engine stood still, which is what cut answers around a SIGTERM.

Each second stream now is one that can't be resumed. A stream that overlaps a silence must be answered 200 and be whole if its router's build bears silences (this one, or one that has the module stream_silence); otherwise what is broken is counted as "not judged". The build is looked up when a stream is asked. Silences have a generator of their own, so other faults are drawn as before.

--- a/scripts/builds.py
+++ b/scripts/builds.py
@@ -6,7 +6,7 @@
 from io import BytesIO
 from pathlib import Path
 
-__all__ = ["BuildNotFoundError", "build_of"]
+__all__ = ["BuildNotFoundError", "build_of", "has_module"]
 
 CACHE = Path(".cache/builds")
 
@@ -38,6 +38,19 @@
     return folder
 
 
+def has_module(build: Path, name: str) -> bool:
+    """Return whether a build has a module, which tells what the build can do.
+
+    Parameters
+    ----------
+    build : Path
+        The source folder.
+    name : str
+        The module's name, without its packages.
+    """
+    return any(Path(build, "boragedeck").rglob(f"{name}.py"))
+
+
 def _unpack(archive: bytes, folder: Path) -> None:
     """Make a folder, which other processes may be making at the same time."""
     with tempfile.TemporaryDirectory(dir=folder.parent) as directory:
--- a/scripts/platform_cluster.py
+++ b/scripts/platform_cluster.py
@@ -265,10 +265,12 @@
         "resumable": True,
         "targetGapMs": 700,
     }
+    # What can't be resumed is asked for once.
+    single = {"name": "drafts", "prefix": "/drafts/", "resumable": False}
     engine = {"slots": 8, "kvCapacity": 88_000, "backups": True}
     return {
         "version": version,
-        "routes": [route],
+        "routes": [route, route | single],
         "services": [{"name": POOL, "engine": engine | {"models": [{"name": "m"}]}}],
         "tenants": [{"name": "demo", "apiKeys": [key]}],
     }
--- a/scripts/upgrade_callers.py
+++ b/scripts/upgrade_callers.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from scripts.platform_cluster import EVENTS, ROUTE_HEADERS
+from scripts.upgrade_silences import EngineSilences, SilenceWatch
 
 __all__ = ["Callers"]
 
@@ -18,6 +19,8 @@
 STREAMS_PER_POOL = 40
 """Number of streams after which idle connections are closed, well before the routers'
 time for idle connections is over: a request that meets its end would be lost."""
+PATHS = ("/answers/x", "/drafts/x")
+"""A stream that can be resumed, and one that can't."""
 BODY = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
 
 
@@ -30,6 +33,9 @@
         Chooses the router of each stream.
     find : callable
         Is called with a promise that was broken, the router, and what was seen.
+    silences : EngineSilences
+        The silences of engines. What a router that doesn't bear them does in one isn't
+        judged.
 
     Attributes
     ----------
@@ -40,16 +46,23 @@
     key : str
         The API key that is in force.
     counts : Counter
-        Numbers of requests, and of streams by status.
+        Numbers of requests, of streams by status, of streams during silences that their
+        routers bear, and of broken streams that aren't judged.
     """
 
-    def __init__(self, rng: random.Random, find: Callable[[str, int, str], None]):
+    def __init__(
+        self,
+        rng: random.Random,
+        find: Callable[[str, int, str], None],
+        silences: EngineSilences,
+    ):
         self.urls: list[str] = []
         self.in_service: set[int] = set()
         self.key = "demo-key"
         self.counts: Counter[str] = Counter()
         self._rng = rng
         self._find = find
+        self._silences = silences
         self._pool = urllib3.PoolManager(retries=False, maxsize=32)
         self._numbers = itertools.count(1)
         self._open: Counter[int] = Counter()
@@ -91,27 +104,29 @@
         return [(number, answer) for number, answer in pairs if answer is not None]
 
     def _ask(self, number: int, key: str) -> urllib3.BaseHTTPResponse | None:
-        headers = ROUTE_HEADERS | {
-            "Api-Key": key,
-            "Request-Id": f"ask-{next(self._numbers)}",
-            "Token-Counts": "100,40",
-        }
-        url = f"{self.urls[number]}/answers/x"
-        self.counts["asked"] += 1
         self._open[number] += 1
         try:
-            return self._pool.request(
-                "POST", url, headers=headers, timeout=READ_TIMEOUT_S
-            )
+            return self._request(number, key, PATHS[0])
         except urllib3.exceptions.HTTPError as exc:
             self._find("LOST", number, repr(exc))
             return None
         finally:
             self._open[number] -= 1
 
+    def _request(self, number: int, key: str, path: str) -> urllib3.BaseHTTPResponse:
+        headers = ROUTE_HEADERS | {
+            "Api-Key": key,
+            "Request-Id": f"ask-{next(self._numbers)}",
+            "Token-Counts": "100,40",
+        }
+        url = f"{self.urls[number]}{path}"
+        self.counts["asked"] += 1
+        return self._pool.request("POST", url, headers=headers, timeout=READ_TIMEOUT_S)
+
     def _read_streams(self) -> None:
         pool = eventlet.GreenPool()
         begun = 0
+        paths = itertools.cycle(PATHS)
         while not self._is_over:
             if begun % STREAMS_PER_POOL == 0:
                 self._pool.clear()
@@ -120,15 +135,31 @@
                 number = self._rng.choice(sorted(self.in_service))
                 # Counted before its green thread runs, so that `take_out` waits for it.
                 self._open[number] += 1
-                pool.spawn_n(self._read_stream, number, self.key)
+                pool.spawn_n(self._read_stream, number, self.key, next(paths))
             eventlet.sleep(STREAM_INTERVAL_S)
         pool.waitall()
 
-    def _read_stream(self, number: int, key: str) -> None:
-        answer = self._ask(number, key)
-        self._open[number] -= 1
-        if answer is None:
+    def _read_stream(self, number: int, key: str, path: str) -> None:
+        watch = self._silences.watch(number)
+        try:
+            answer = self._request(number, key, path)
+        except urllib3.exceptions.HTTPError as exc:
+            self._judge(watch, "LOST", number, repr(exc))
             return
+        finally:
+            self._open[number] -= 1
         self.counts[f"stream {answer.status}"] += 1
+        if watch.was_silent and watch.is_borne:
+            self.counts["stream borne"] += 1
         if answer.status == 200 and answer.data != BODY:
-            self._find("ORDER", number, f"{len(answer.data)} of {len(BODY)} bytes")
+            seen = f"{len(answer.data)} of {len(BODY)} bytes"
+            self._judge(watch, "ORDER", number, seen)
+        elif answer.status != 200 and watch.was_silent:
+            self._judge(watch, "LOST", number, f"status {answer.status} in a silence")
+
+    def _judge(self, watch: SilenceWatch, promise: str, number: int, text: str) -> None:
+        """Report a broken stream, unless its router doesn't bear a silence."""
+        if watch.was_silent and not watch.is_borne:
+            self.counts["stream not judged"] += 1
+            return
+        self._find(promise, number, text)
--- a/scripts/upgrade_check.py
+++ b/scripts/upgrade_check.py
@@ -3,7 +3,8 @@
 Six routers serve on a stand-in platform. Two at a time are replaced, first by this
 build, then by the old one again. In each step a router and the store have a fault, the
 operators' table changes, an engine leaves, and a version that fails is ordered, while
-callers read streams. The exit status is 1 if a promise is broken.
+callers read streams. Engines fall silent in each step, also while routers are stopped.
+The exit status is 1 if a promise is broken.
 """
 
 import itertools
@@ -29,6 +30,7 @@
 from scripts.platform_cluster import PlatformCluster
 from scripts.upgrade_callers import Callers
 from scripts.upgrade_faults import UpgradeFaults
+from scripts.upgrade_silences import EngineSilences
 
 __all__ = ["Finding", "UpgradeCheck", "main"]
 
@@ -92,7 +94,8 @@
         self._directory = directory
         self._old = old
         self._rng = random.Random(seed)
-        self._callers = Callers(random.Random(seed), self._find)
+        self._silences = EngineSilences(self._cluster, random.Random(seed))
+        self._callers = Callers(random.Random(seed), self._find, self._silences)
         self._numbers = itertools.count(1)
         self._version = 1
         self._faults = UpgradeFaults(
@@ -101,7 +104,7 @@
 
     @property
     def counts(self) -> Counter[str]:
-        """Numbers of requests, and of streams by status."""
+        """Numbers of requests, and of streams; see `Callers`."""
         return self._callers.counts
 
     def run(self, *, is_taken_back: bool, is_half: bool = False) -> None:
@@ -143,10 +146,13 @@
     def _replace_in_steps(self, order: Sequence[int], build: Path | None) -> None:
         for at in range(0, len(order), STEP):
             numbers = order[at : at + STEP]
+            self._silences.begin_before_stop()
             self._callers.in_service -= set(numbers)
             self._cluster.replace_routers(numbers, build)
             self._callers.in_service |= set(numbers)
             eventlet.sleep(SETTLE_S)
+            self._silences.play()
+            eventlet.sleep(SETTLE_S)
             self._faults.disturb_store()
             self._faults.disturb_router()
             self._check_key_change()
--- a/scripts/upgrade_faults.py
+++ b/scripts/upgrade_faults.py
@@ -8,6 +8,7 @@
 
 import eventlet
 
+from scripts.builds import has_module
 from scripts.platform_cluster import PlatformCluster
 from scripts.upgrade_callers import Callers
 
@@ -142,7 +143,7 @@
         """
         numbers = sorted(self._callers.in_service)
         fault = next(self._router_faults)
-        if fault is RouterFault.CUT and not _has_module(self._old, DELETED_ENTRIES):
+        if fault is RouterFault.CUT and not has_module(self._old, DELETED_ENTRIES):
             newer = [each for each in numbers if each not in self._cluster.builds]
             if not newer:
                 return self._next_router_fault()
@@ -169,10 +170,6 @@
     A build whose versions don't hold the store's era stays on its old table when the
     store is restored, also without an upgrade.
     """
-    if _has_module(old, STORE_VERSION):
+    if has_module(old, STORE_VERSION):
         return list(StoreFault)
     return [fault for fault in StoreFault if fault is not StoreFault.RESTORED]
-
-
-def _has_module(build: Path, name: str) -> bool:
-    return any(Path(build, "boragedeck").rglob(f"{name}.py"))
--- a/tests/scripts/test_upgrade_check.py
+++ b/tests/scripts/test_upgrade_check.py
@@ -18,6 +18,7 @@
         check.run(is_taken_back=True)
         self.assertEqual(check.findings, [])
         self.assertGreater(check.counts["stream 200"], 0)
+        self.assertGreater(check.counts["stream borne"], 0)
 
 
 class BuildsTest(unittest.TestCase):
