--- /dev/null
+++ b/boragedeck/request/place_finder.py
@@ -0,0 +1,166 @@
+"""Finds places at replicas for the attempts of one request."""
+
+from collections.abc import Callable
+
+import msgspec
+from result import Err, Result
+
+from boragedeck.exceptions import RefusedError
+from boragedeck.ids import FailureDomain
+from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
+from boragedeck.request.relay_components import RelayComponents
+from boragedeck.version.replicas import Replica, ReplicaId
+
+__all__ = ["PlaceFinder"]
+
+FIRST_BACKOFF_S = 0.02
+"""First pause before tried replicas are tried again; it doubles each time."""
+MAX_BACKOFF_S = 0.25
+"""Longest pause between attempts once every replica has been tried."""
+UNREACHED_RETRY_S = 0.5
+"""Minimum Retry-After while no router reaches a replica."""
+
+
+class PlaceFinder:
+    """Finds places for the attempts of one request.
+
+    Parameters
+    ----------
+    parts : RelayComponents
+        The components of the process that relaying uses.
+    req : AdmissionRequest
+        The request for a place, as for the first attempt: its `until` holds as long as
+        the request hasn't run.
+    may_have_run : callable
+        Returns whether a replica may have run the request.
+
+    Attributes
+    ----------
+    tried : set of ReplicaId
+        Replicas to which the request was sent, since all had been tried.
+    lost_domains : set of FailureDomain
+        Failure domains in which the request was lost.
+    """
+
+    def __init__(
+        self,
+        parts: RelayComponents,
+        req: AdmissionRequest,
+        may_have_run: Callable[[], bool],
+    ):
+        self._parts = parts
+        self._req = req
+        self._may_have_run = may_have_run
+        self._backoff_s = FIRST_BACKOFF_S
+        self.tried: set[ReplicaId] = set()
+        self.lost_domains: set[FailureDomain] = set()
+
+    def acquire(self, until: float) -> Result[Place, RefusedError]:
+        """Wait for a place at a replica that has not been tried yet.
+
+        Parameters
+        ----------
+        until : float
+            When to stop waiting, in monotonic seconds. A request that has not run
+            waits no longer than the request for a place says.
+
+        Returns
+        -------
+        Result
+            The place, or the refusal for the caller.
+
+        Notes
+        -----
+        When all replicas have been tried, they are tried again after a pause, or at
+        once if there is no time to wait. If no router reaches any of them, a request
+        that hasn't run is refused at once.
+        """
+        if not self._may_have_run() and self._are_replicas_lost():
+            return Err(self._unreached_refusal())
+        if self.tried and not self._has_untried_replica():
+            self.tried.clear()
+            if until > self._parts.timers.now():
+                self._back_off()
+        return self._parts.limited_admission.acquire(self.request(until))
+
+    def acquire_beside(self, others: list[Place]) -> Place | None:
+        """Return a place for an attempt beside others, if one is free now.
+
+        Notes
+        -----
+        Replicas that are silent, too, get none. The replica of another attempt may get
+        one if only this router's path to it is lost.
+        """
+        tried = self.tried
+        if not self._has_untried_replica():
+            tried = {
+                other.state.replica.replica
+                for other in others
+                if not self._parts.paths.is_own_loss(other.state.replica.address)
+            }
+        now = self._parts.timers.now()
+
+        def allows(replica: Replica) -> bool:
+            state = self._parts.registry.get(replica.replica)
+            is_silent = state is None or state.is_silent(now)
+            return not is_silent and self._req.allows(replica)
+
+        req = msgspec.structs.replace(
+            self.request(now), tried=frozenset(tried), allows=allows
+        )
+        acquired = self._parts.limited_admission.acquire(req)
+        return acquired.ok() if acquired.is_ok() else None
+
+    def hold_remaining_s(self) -> float:
+        """Return the time until a replica accepts requests again, if all asked to wait.
+
+        See `Admission.hold_remaining_s`.
+        """
+        return self._parts.admission.hold_remaining_s(self.request(self._req.deadline))
+
+    def request(self, until: float) -> AdmissionRequest:
+        """Return the request for a place that is passed to admission.
+
+        Parameters
+        ----------
+        until : float
+            When to stop waiting, in monotonic seconds.
+        """
+        req = self._req
+        latest = req.deadline if self._may_have_run() else req.until
+        return msgspec.structs.replace(
+            req,
+            until=min(until, latest),
+            tried=frozenset(self.tried),
+            lost_domains=frozenset(self.lost_domains),
+        )
+
+    def _are_replicas_lost(self) -> bool:
+        states = self._parts.registry.of_pool(self._req.pool.name)
+        return self._parts.paths.are_lost(state.replica.address for state in states)
+
+    def _unreached_refusal(self) -> RefusedError:
+        return RefusedError(
+            f"no router reaches a replica of {self._req.pool.name!r}",
+            status=503,
+            kind="server_error",
+            code="not_reached",
+            retry_after_s=UNREACHED_RETRY_S * (1.0 + self._parts.rng.random()),
+            step="admit",
+        )
+
+    def _back_off(self) -> None:
+        """Pause before replicas that have failed are tried again."""
+        wait_s = self._backoff_s * self._parts.rng.uniform(0.5, 1.0)
+        self._backoff_s = min(MAX_BACKOFF_S, 2.0 * self._backoff_s)
+        left_s = self._req.deadline - self._parts.timers.now()
+        self._parts.timers.sleep(max(0.0, min(wait_s, left_s)))
+
+    def _has_untried_replica(self) -> bool:
+        now = self._parts.timers.now()
+        return any(
+            state.replica.replica not in self.tried
+            and self._req.allows(state.replica)
+            and state.restraints.may_send(now)
+            for state in self._parts.registry.of_pool(self._req.pool.name)
+        )
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -77,7 +77,7 @@
     AttemptDefectError
         If an unexpected exception ended the attempt, which counts all the same.
     """
-    job.tried.add(plan.replica.replica)
+    job.places.tried.add(plan.replica.replica)
     count = _AttemptCount(job)
     try:
         return _start_attempt(job, place, plan, wait_for_head, count)
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -86,7 +86,7 @@
         """Relay the call and answer the caller."""
         job = self._job
         try:
-            acquired = job.acquire(job.deadline)
+            acquired = job.places.acquire(job.deadline)
             if acquired.is_err():
                 job.refuse(acquired.err())
                 return
@@ -164,7 +164,7 @@
             return
         # Don't wait for a place while another attempt is still running.
         until = job.parts.timers.now() if self._running_attempts else job.deadline
-        acquired = job.acquire(until)
+        acquired = job.places.acquire(until)
         if acquired.is_ok():
             self._start_attempt(acquired.ok())
         else:
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -1,39 +1,26 @@
 """State of one relayed request that all of its attempts share."""
 
-import msgspec
-from result import Err, Result
-
 from boragedeck.connection.caller_edge import CallerChannel
 from boragedeck.exceptions import RefusedError, UpstreamAnswerTooLargeError
-from boragedeck.ids import (
-    FailureDomain,
-    OrganisationName,
-    PoolName,
-)
+from boragedeck.ids import OrganisationName, PoolName
 from boragedeck.process.relaying.crashes.crash_blame import fingerprint_of
 from boragedeck.process.relaying.crashes.crash_verdicts import RequestTraits
 from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
 from boragedeck.request.attempt_evidence import AttemptEvidence
 from boragedeck.request.events import EventExcessError
+from boragedeck.request.place_finder import PlaceFinder
 from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
 from boragedeck.request.relay_request import RelayRequest
-from boragedeck.version.replicas import Replica, ReplicaId
 from boragedeck.version.routing import RelayPool, RouteRule
 
 __all__ = ["RelayJob"]
 
-FIRST_BACKOFF_S = 0.02
-"""First pause before tried replicas are tried again; it doubles each time."""
-MAX_BACKOFF_S = 0.25
-"""Longest pause between attempts once every replica has been tried."""
 ANSWER_MARGIN_SHARE = 0.05
 MAX_ANSWER_MARGIN_S = 0.05
 """The final answer is due this long before the caller's time-out, at most."""
 MAX_WAIT_SHARE = 0.4
 """Share of the caller's time-out that a request which has not run may wait. If it is
 refused then, the caller still has time to retry and be served."""
-UNREACHED_RETRY_S = 0.5
-"""Minimum Retry-After while no router reaches a replica."""
 MAX_LOGGED_PARTS = 8
 
 
@@ -56,6 +43,13 @@
         The priority; 0 is the highest.
     channel : CallerChannel
         The channel on which the caller is answered.
+
+    Attributes
+    ----------
+    deadline : float
+        When the final answer is due, on the timer service's monotonic clock.
+    places : PlaceFinder
+        Finds the places of the attempts.
     """
 
     def __init__(
@@ -77,7 +71,6 @@
         self.channel = channel
         caller_timeout_s = _caller_timeout_s(req, rule)
         self.deadline = req.arrived + caller_timeout_s
-        self._wait_deadline = req.arrived + MAX_WAIT_SHARE * caller_timeout_s
         self.traits = RequestTraits(
             pool.name,
             fingerprint_of(organisation, req.path, req.body),
@@ -87,18 +80,28 @@
         self.is_trial = False
         # Replicas that were lost just when the answer had begun there.
         self.lost_at_begin = 0
-        self.allows = parts.rollouts.replica_filter(pool.name)
-        self.tried: set[ReplicaId] = set()
-        self._lost_domains: set[FailureDomain] = set()
         # The attempts that count towards the route's limit. An attempt that reached
         # another replica at the address does not.
         self.sent = 0
         # All attempts that were sent; those after the first are charged as repeats.
         self.delivered_attempts = 0
         self.evidence = AttemptEvidence(parts.rollouts, parts.timers, rule.name)
-        self._backoff_s = FIRST_BACKOFF_S
         # The attempts that were sent, less those that certainly did not run.
         self.possible_runs = 0
+        self.places = PlaceFinder(
+            parts,
+            AdmissionRequest(
+                pool=pool,
+                priority=priority,
+                prompt_tokens=req.prompt_tokens,
+                tokens=req.tokens,
+                until=req.arrived + MAX_WAIT_SHARE * caller_timeout_s,
+                allows=parts.rollouts.replica_filter(pool.name),
+                request_id=req.request_id,
+                deadline=self.deadline,
+            ),
+            lambda: self.may_have_run,
+        )
 
     @property
     def may_have_run(self) -> bool:
@@ -158,88 +161,6 @@
         """Charge another attempt to the shared limit; return whether that allows it."""
         return self.delivered_attempts == 0 or self.parts.retries.take(self.pool_name)
 
-    def acquire(self, until: float) -> Result[Place, RefusedError]:
-        """Wait for a place at a replica that has not been tried yet.
-
-        Parameters
-        ----------
-        until : float
-            When to stop waiting, in monotonic seconds. A request that has not run
-            waits at most for `MAX_WAIT_SHARE` of the caller's time-out.
-
-        Returns
-        -------
-        Result
-            The place, or the refusal for the caller.
-
-        Notes
-        -----
-        When all replicas have been tried, they are tried again after a pause, or at
-        once if there is no time to wait. If no router reaches any of them, a request
-        that hasn't run is refused at once.
-        """
-        if not self.may_have_run and self._are_replicas_lost():
-            return Err(self._unreached_refusal())
-        if self.tried and not self._has_untried_replica():
-            self.tried.clear()
-            if until > self.parts.timers.now():
-                self._back_off()
-        return self.parts.limited_admission.acquire(self.admission_request(until))
-
-    def acquire_beside(self, others: list[Place]) -> Place | None:
-        """Return a place for an attempt beside others, if one is free now.
-
-        Notes
-        -----
-        Replicas that are silent, too, get none. The replica of another attempt may get
-        one if only this router's path to it is lost.
-        """
-        tried = self.tried
-        if not self._has_untried_replica():
-            tried = {
-                other.state.replica.replica
-                for other in others
-                if not self.is_own_loss(other)
-            }
-        now = self.parts.timers.now()
-
-        def allows(replica: Replica) -> bool:
-            state = self.parts.registry.get(replica.replica)
-            is_silent = state is None or state.is_silent(now)
-            return not is_silent and self.allows(replica)
-
-        req = msgspec.structs.replace(
-            self.admission_request(now), tried=frozenset(tried), allows=allows
-        )
-        acquired = self.parts.limited_admission.acquire(req)
-        return acquired.ok() if acquired.is_ok() else None
-
-    def hold_remaining_s(self) -> float:
-        """Return the time until a replica accepts requests again, if all asked to wait.
-
-        See `Admission.hold_remaining_s`.
-        """
-        return self.parts.admission.hold_remaining_s(
-            self.admission_request(self.deadline)
-        )
-
-    def admission_request(self, until: float) -> AdmissionRequest:
-        """Return the request for a place that is passed to admission."""
-        return AdmissionRequest(
-            pool=self.pool,
-            priority=self.priority,
-            prompt_tokens=self.req.prompt_tokens,
-            tokens=self.req.tokens,
-            until=min(
-                until, self.deadline if self.may_have_run else self._wait_deadline
-            ),
-            tried=frozenset(self.tried),
-            lost_domains=frozenset(self._lost_domains),
-            allows=self.allows,
-            request_id=self.req.request_id,
-            deadline=self.deadline,
-        )
-
     def refuse(self, error: RefusedError) -> None:
         """Send the caller a refusal as the final answer."""
         log.write(
@@ -295,7 +216,7 @@
             self.parts.paths.check_again(place.state.replica.address)
             return
         if not place.state.is_leaving:
-            self._lost_domains.add(place.state.replica.failure_domain)
+            self.places.lost_domains.add(place.state.replica.failure_domain)
         self.parts.registry.note_miss(place.state)
 
     def note_attempt_failed(self, place: Place, error: Exception | str) -> None:
@@ -315,39 +236,10 @@
             after_s=round(self.parts.timers.now() - place.since, 3),
         )
 
-    def _are_replicas_lost(self) -> bool:
-        states = self.parts.registry.of_pool(self.pool_name)
-        return self.parts.paths.are_lost(state.replica.address for state in states)
-
-    def _unreached_refusal(self) -> RefusedError:
-        return RefusedError(
-            f"no router reaches a replica of {self.pool_name!r}",
-            status=503,
-            kind="server_error",
-            code="not_reached",
-            retry_after_s=UNREACHED_RETRY_S * (1.0 + self.parts.rng.random()),
-            step="admit",
-        )
-
     def _count_end(self, outcome: str) -> float:
         self.parts.metrics.requests.labels(self.rule.kind.value, outcome).inc()
         return self.parts.timers.now() - self.req.arrived
 
-    def _back_off(self) -> None:
-        """Pause before replicas that have failed are tried again."""
-        wait_s = self._backoff_s * self.parts.rng.uniform(0.5, 1.0)
-        self._backoff_s = min(MAX_BACKOFF_S, 2.0 * self._backoff_s)
-        self.parts.timers.sleep(max(0.0, min(wait_s, self.left_s())))
-
-    def _has_untried_replica(self) -> bool:
-        now = self.parts.timers.now()
-        return any(
-            state.replica.replica not in self.tried
-            and self.allows(state.replica)
-            and state.restraints.may_send(now)
-            for state in self.parts.registry.of_pool(self.pool_name)
-        )
-
 
 def _caller_timeout_s(req: RelayRequest, rule: RouteRule) -> float:
     if req.caller_timeout_s is None:
--- a/boragedeck/request/relay_refusals.py
+++ b/boragedeck/request/relay_refusals.py
@@ -39,7 +39,7 @@
     if not job.may_have_run:
         if refused is not None:
             return refused
-        wait_s = max(MIN_RETRY_AFTER_S, job.hold_remaining_s())
+        wait_s = max(MIN_RETRY_AFTER_S, job.places.hold_remaining_s())
         return RefusedError(
             f"no replica accepted the request: {reason}",
             status=503,
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -93,7 +93,7 @@
         job, failed = self._job, self._failed
         if failed is not None and self._start_recovery(failed):
             return True
-        acquired = job.acquire(job.deadline)
+        acquired = job.places.acquire(job.deadline)
         if acquired.is_ok():
             self._start(acquired.ok())
             return True
@@ -207,7 +207,9 @@
         place = None if holder is None else self._recovery.reserve(holder)
         from_copy = place is not None
         if place is None:
-            place = self._job.acquire_beside([each.place for each in self._attempts])
+            place = self._job.places.acquire_beside(
+                [each.place for each in self._attempts]
+            )
         if place is None or not self._take_repeat(place):
             return
         self._start(place, from_copy=from_copy)
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -201,7 +201,7 @@
         engine = job.pool.engine
         if engine is None or not engine.can_back_up or not job.rule.may_repeat:
             return None
-        admission_request = job.admission_request(job.deadline)
+        admission_request = job.places.request(job.deadline)
         return job.parts.admission.find_backup(self.place, admission_request)
 
     def _log_sent(self, plan: AttemptPlan) -> None:
--- a/boragedeck/request/stream_recovery.py
+++ b/boragedeck/request/stream_recovery.py
@@ -35,7 +35,7 @@
     def reserve(self, state: ReplicaState) -> Place | None:
         """Return a place at an engine that holds the run or its prompt, if allowed."""
         job = self._job
-        req = job.admission_request(job.deadline)
+        req = job.places.request(job.deadline)
         return job.parts.limited_admission.reserve(req, state)
 
     def copy_holder(self, attempt: StreamAttempt) -> ReplicaState | None:
--- a/tests/support/silence_defects.py
+++ b/tests/support/silence_defects.py
@@ -6,6 +6,7 @@
 from boragedeck.interfaces import Outcome
 from boragedeck.request import stream_silence
 from boragedeck.request.event_timeout import EventTimeout
+from boragedeck.request.place_finder import PlaceFinder
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_stream import StreamRelay
 from boragedeck.request.stream_attempt import StreamAttempt
@@ -22,14 +23,14 @@
 
 
 def _beside_any_replica(self, others):
-    return self.acquire(self.parts.timers.now()).ok()
+    return self.acquire(self._parts.timers.now()).ok()
 
 
 def _beside_the_same_replica(self, others):
     self.tried = set()
-    req = self.admission_request(self.parts.timers.now())
+    req = self.request(self._parts.timers.now())
     req = msgspec.structs.replace(req, allows=lambda replica: True)
-    acquired = self.parts.limited_admission.acquire(req)
+    acquired = self._parts.limited_admission.acquire(req)
     return acquired.ok() if acquired.is_ok() else None
 
 
@@ -52,7 +53,7 @@
 
 
 def _beside_without_repeats(self, attempt, silent):
-    place = self._job.acquire_beside([attempt.place])
+    place = self._job.places.acquire_beside([attempt.place])
     if place is not None:
         self._start(place)
 
@@ -72,14 +73,14 @@
     MethodDefect(
         "a second attempt goes to a replica that is silent, too",
         f"{TESTS}.test_second_attempt_goes_to_a_replica_that_is_silent_too",
-        RelayJob,
+        PlaceFinder,
         "acquire_beside",
         _beside_any_replica,
     ),
     MethodDefect(
         "a second attempt goes to the same replica",
         f"{TESTS}.test_second_attempt_goes_to_the_silent_replica",
-        RelayJob,
+        PlaceFinder,
         "acquire_beside",
         _beside_the_same_replica,
     ),
