--- a/tests/request/test_second_attempts.py
+++ b/tests/request/test_second_attempts.py
@@ -49,6 +49,12 @@
         one, two = ScriptedReplica("one", stream), ScriptedReplica("two", stream)
         return self.harness(one, two, **fields), one, two
 
+    def spawn(self, function, *args, **kwargs):
+        """Run a function in a green thread that doesn't outlive a failed test."""
+        thread = eventlet.spawn(function, *args, **kwargs)
+        self.addCleanup(thread.kill)
+        return thread
+
     def fetch(self, harness, ms=MANY_MS):
         """Return the response to a stream, and how long it took."""
         began = time.monotonic()
@@ -57,7 +63,7 @@
 
     def fetch_during(self, harness, replica, silence_s=None):
         """Return the same; the replica falls silent meanwhile, by default for good."""
-        fetched = eventlet.spawn(self.fetch, harness)
+        fetched = self.spawn(self.fetch, harness)
         eventlet.sleep(0.2)
         if silence_s is None:
             replica.silence.begin()
@@ -93,7 +99,7 @@
 
         one = ScriptedReplica("one", reading("one", probe_s))
         harness = self.harness(one, ScriptedReplica("two", reading("two", 0.0)))
-        fetched = eventlet.spawn(self.fetch, harness)
+        fetched = self.spawn(self.fetch, harness)
         eventlet.sleep(0.05)
         if hold_s:
             until = harness.timers.now() + hold_s
--- a/tests/request/test_silent_replicas.py
+++ b/tests/request/test_silent_replicas.py
@@ -68,9 +68,15 @@
             harness.add(replica, domain=domain)
         return harness
 
+    def spawn(self, function, *args, **kwargs):
+        """Run a function in a green thread that doesn't outlive a failed test."""
+        thread = eventlet.spawn(function, *args, **kwargs)
+        self.addCleanup(thread.kill)
+        return thread
+
     def fetch(self, harness, *silent, after_s=SILENCE_AFTER_S, silence_s=SILENCE_S):
         """Return the response to a stream during which replicas fall silent."""
-        fetched = eventlet.spawn(harness.fetch, TOKENS, ms=MANY_MS)
+        fetched = self.spawn(harness.fetch, TOKENS, ms=MANY_MS)
         eventlet.sleep(after_s)
         for replica in silent:
             replica.silence.begin_for(silence_s)
@@ -172,7 +178,7 @@
         for name in ("one", "two", "three", "four"):
             replicas[name] = ScriptedReplica(name, hang)
         harness = self.harness(*replicas.values(), max_attempts=4)
-        fetched = eventlet.spawn(harness.fetch, TOKENS, ms=MANY_MS)
+        fetched = self.spawn(harness.fetch, TOKENS, ms=MANY_MS)
         eventlet.sleep(SILENCE_AFTER_S)
         [first] = [each for each in replicas.values() if each.relayed()]
         first.silence.begin()
@@ -193,7 +199,7 @@
         others = [ScriptedReplica(name, slow) for name in ("two", "three")]
         one = ScriptedReplica("one", stream)
         harness = self.harness(one, *others, max_attempts=3)
-        fetched = eventlet.spawn(harness.fetch, TOKENS, ms=MANY_MS)
+        fetched = self.spawn(harness.fetch, TOKENS, ms=MANY_MS)
         for _ in range(3):
             eventlet.sleep(0.12)
             one.silence.begin_for(FLAP_S)
@@ -289,7 +295,7 @@
 
         one, two = ScriptedReplica("one", paused), ScriptedReplica("two", slow)
         harness = self.harness(one, two)
-        fetched = eventlet.spawn(self.fetch, harness, one)
+        fetched = self.spawn(self.fetch, harness, one)
         eventlet.sleep(1.7 * SILENCE_S)
         self.assertEqual(len(two.relayed()), 1)
         self.assertEqual(harness.registry.get("two").own.running, 0)
