Count and log an attempt of a stream that ends by an unexpected exception

An exception outside of the sending ended the whole request without a line that names it, and one before the sending wasn't counted. It is an attempt now, as for calls (test_unexpected_error_before_the_sending_is_retried_without_end).

--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -151,10 +151,8 @@
                     self._let_lead(attempt)
                     self._delivery.note_head(*attempt.head)
                     return True
-                case Ended(error=None, outcome=outcome):
+                case Ended(outcome=outcome):
                     self._note_failed(attempt, outcome)
-                case Ended(error=error):
-                    raise error
         return False
 
     def _let_lead(self, attempt: StreamAttempt) -> None:
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -141,17 +141,25 @@
         self._thread.kill()
 
     def _run_thread(self) -> None:
-        # This end remains if the attempt fails in a way that it doesn't expect.
-        ended = Ended(AttemptOutcome.LOST)
+        # This outcome remains if the thread is killed.
+        outcome = AttemptOutcome.LOST
         try:
-            ended = Ended(self._run())
+            outcome = self._run()
         except Exception as exc:
-            ended = Ended(AttemptOutcome.LOST, exc)
+            self._note_defect(exc)
         finally:
             self._liveness.stop()
-            is_complete = ended.outcome is AttemptOutcome.COMPLETE
+            is_complete = outcome is AttemptOutcome.COMPLETE
             self._release(is_served=is_complete and self._job.sent == 1)
-            self._tell(ended)
+            self._tell(Ended(outcome))
+
+    def _note_defect(self, exc: Exception) -> None:
+        """Log an attempt that ended by an unexpected exception, and count it."""
+        if not self.was_sent:
+            self._job.note_sent()
+            self._job.note_not_run()
+        reason = f"unexpected {exc!r}"
+        self._note_failed(reason, reason, AttemptOutcome.LOST)
 
     def _tell(self, message: StreamMessage) -> None:
         if not self._is_cancelled:
--- a/boragedeck/request/stream_messages.py
+++ b/boragedeck/request/stream_messages.py
@@ -51,10 +51,9 @@
 
 
 class Ended(msgspec.Struct, frozen=True):
-    """The attempt has ended; `error` is what it didn't expect, if anything."""
+    """The attempt has ended."""
 
     outcome: AttemptOutcome
-    error: Exception | None = None
 
 
 StreamMessage = Events | Silent | Heard | Ended
--- a/tests/request/test_second_attempts.py
+++ b/tests/request/test_second_attempts.py
@@ -190,6 +190,20 @@
         self.assertLessEqual(len(one.relayed()) + len(two.relayed()), 1)
         self.assertEqual(self.running(harness, "one", "two"), [0, 0])
 
+    def test_unexpected_error_before_the_sending_is_retried_without_end(self):
+        harness, one, two = self.pair()
+        tries = []
+
+        def fail(attempt):
+            tries.append(attempt)
+            raise RuntimeError("before the request is sent")
+
+        with mock.patch.object(StreamAttempt, "_choose_backup", fail):
+            response, _ = self.fetch(harness)
+        self.assertGreaterEqual(response.status, 500)
+        self.assertEqual(len(tries), stream_rule().max_attempts)
+        self.assertEqual(one.relayed() + two.relayed(), [])
+
 
 class ReportTest(SecondAttemptCase):
     """What is told of silences."""
