Find out that an own link hangs while all replicas count as silent

The silence of a replica that others reach counted as the replica's own, so no second attempt started through a gateway, and a probe's connect that hangs was noticed after 2 s only.

--- a/boragedeck/process/relaying/replicas/replica_state.py
+++ b/boragedeck/process/relaying/replicas/replica_state.py
@@ -225,8 +225,9 @@
         self.failure_share += FAILURE_WEIGHT * (failed - self.failure_share)
 
     def forget_misses(self) -> None:
-        """Drop the misses, which turned out to say nothing about the replica."""
+        """Drop misses and silences, which turned out to say nothing about it."""
         self.consecutive_misses = 0
+        self.silent_at = float("-inf")
         self.restraints.lift(Reason.AVOIDED)
 
     def note_output(self, now: float) -> None:
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -242,7 +242,10 @@
     try:
         with eventlet.Timeout(timeout_s):
             exchange = parts.paths.send(
-                address, parts.protocol.probe_message(), timeout_s, timeout_s
+                address,
+                parts.protocol.probe_message(),
+                min(timeout_s, CONNECT_TIMEOUT_S),
+                timeout_s,
             )
             try:
                 received = read_own_head(
--- a/boragedeck/request/stream_silence.py
+++ b/boragedeck/request/stream_silence.py
@@ -54,11 +54,13 @@
             return
         job, place = self._job, self._place
         self._since, self.noted_at = since, job.parts.timers.now()
-        place.state.note_silent(self.noted_at)
         self._log(exchange)
         job.parts.metrics.silences.labels(job.rule.kind.value).inc()
         job.note_miss(place)
-        if place.is_forwarded or not job.is_own_loss(place):
+        is_own_loss = job.is_own_loss(place)
+        if not is_own_loss:
+            place.state.note_silent(self.noted_at)
+        if place.is_forwarded or not is_own_loss:
             self._progress.note_broken(place.state, is_silent=True)
 
     def end(self) -> None:
