--- a/boragedeck/request/stream_liveness.py
+++ b/boragedeck/request/stream_liveness.py
@@ -29,7 +29,9 @@
 PROBE_TIMEOUT_S = 0.25
 """Time-out of a probe before the first event."""
 MIN_SUSPECT_S = 0.2
-"""Minimum time without output before a probe, and the time while it is silent."""
+"""Minimum time without output before a probe."""
+REPORT_INTERVAL_S = 0.2
+"""How often a silence is reported while it lasts."""
 
 
 class StreamLivenessMonitor:
@@ -112,7 +114,7 @@
                 wait_s = self._suspect_again_after_s()
             else:
                 self._note_silent(place, exchange, since)
-                wait_s = MIN_SUSPECT_S
+                wait_s = REPORT_INTERVAL_S
 
     def _may_probe(self, place: Place) -> bool:
         """Return whether a replica may be probed, as it hasn't asked to wait."""
