Log how long a body took to arrive, and the caller's time, when a stream is broken off

Without them a stream that the router ends by its own clock can't be told from one that its replica ended near the end of its time. A request now says when its body was complete.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -49,8 +49,9 @@
         Names and values as received.
     body : bytes
         The whole body.
-    arrived : float
-        Time at which its head was complete, on the timer service's monotonic clock.
+    arrived, received : float
+        Times at which its head and its body were complete, on the timer service's
+        monotonic clock.
     """
 
     method: bytes
@@ -58,6 +59,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     arrived: float
+    received: float
 
 
 class CallerChannel:
@@ -356,7 +358,14 @@
                 body += event.data
                 if len(body) > limits.body_bytes:
                     raise _RejectedError("the request body is too long", 413)
-        return RawRequest(head.method, head.target, headers, bytes(body), arrived)
+        return RawRequest(
+            head.method,
+            head.target,
+            headers,
+            bytes(body),
+            arrived,
+            received=self._timers.now(),
+        )
 
     def _read_event(self):
         while True:
--- a/boragedeck/platform/callers.py
+++ b/boragedeck/platform/callers.py
@@ -77,6 +77,7 @@
         key=None if key is None else decode_header_text(key),
         caller_timeout_s=None if timeout_ms is None else timeout_ms / 1000.0,
         arrived=raw.arrived,
+        received=raw.received,
         resume_after=_parse_number(
             values_by_name.get(LAST_EVENT_ID.lower()), LAST_EVENT_ID
         ),
--- a/boragedeck/request/relay_request.py
+++ b/boragedeck/request/relay_request.py
@@ -41,8 +41,9 @@
     caller_timeout_s : float or None
         How long the caller waits after `arrived`, in seconds; None if the request
         doesn't say.
-    arrived : float
-        Time of arrival on the timer service's monotonic clock.
+    arrived, received : float
+        Times at which its head and its body were complete, on the timer service's
+        monotonic clock.
     resume_after : int or None
         Number of the last event of this stream that the caller has received.
     prompt_tokens, expected_tokens : int
@@ -62,6 +63,7 @@
     key: str | None
     caller_timeout_s: float | None
     arrived: float
+    received: float
     resume_after: int | None = None
     prompt_tokens: int = 0
     expected_tokens: int = 0
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -286,6 +286,8 @@
                 sent=job.sent,
                 reason=self._failure_reason,
                 left_s=round(job.left_s(), 3),
+                timeout_s=job.req.caller_timeout_s,
+                body_s=round(job.req.received - job.req.arrived, 3),
             )
             job.parts.metrics.requests.labels(job.rule.kind.value, "broken").inc()
             return
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -11,6 +11,7 @@
         headers=[(b"Host", b"here.example"), *headers],
         body=b"",
         arrived=0.0,
+        received=0.0,
     )
 
 
--- a/tests/request/test_relay_call.py
+++ b/tests/request/test_relay_call.py
@@ -209,6 +209,7 @@
             key=None,
             caller_timeout_s=2.0,
             arrived=harness.timers.now(),
+            received=harness.timers.now(),
         )
         rule = call_rule()
         pool = harness.table.pools["engines"]
