Let a stream that has begun go on until its caller's time is over

What callers saw: streams that had begun were cut 0.04 to 0.05 s before their caller's time, at all routers alike, and earlier by as long as the body took to arrive (a body in chunks may take seconds).

Cause: one deadline served two purposes. A router's own final answer is due a little before the caller's time-out, so that it arrives, and the time is counted from the head of the request. The same moment ended streams that had begun, for which no final answer can be sent any more, and was handed to replicas.

Fix: request_deadlines gives three times. A request whose answer hasn't begun is given up as before; a replica may work for the caller's whole time; an answer that has begun goes on for that time after the last byte of the request, by which the time is over however the caller counts.

--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -11,16 +11,17 @@
 from boragedeck.request.place_finder import PlaceFinder
 from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
 from boragedeck.request.relay_request import RelayRequest
+from boragedeck.request.request_deadlines import request_deadlines
 from boragedeck.version.routing import RelayPool, RouteRule
 
 __all__ = ["RelayJob"]
 
-ANSWER_MARGIN_SHARE = 0.05
-MAX_ANSWER_MARGIN_S = 0.05
-"""The final answer is due this long before the caller's time-out, at most."""
 MAX_WAIT_SHARE = 0.4
-"""Share of the caller's time-out that a request which has not run may wait. If it is
-refused then, the caller still has time to retry and be served."""
+"""Share of the time until its final answer is due that a request which has not run may
+wait. If it is refused then, the caller still has time to retry and be served."""
+DEADLINE_RESOLUTION_S = 0.002
+"""How much earlier than its deadline a replica may end a request; it is told whole
+milliseconds."""
 MAX_LOGGED_PARTS = 8
 
 
@@ -46,8 +47,8 @@
 
     Attributes
     ----------
-    deadline : float
-        When the final answer is due, on the timer service's monotonic clock.
+    deadlines : RequestDeadlines
+        When the request's time is over.
     places : PlaceFinder
         Finds the places of the attempts.
     """
@@ -69,8 +70,7 @@
         self.organisation = organisation
         self.priority = priority
         self.channel = channel
-        caller_timeout_s = _caller_timeout_s(req, rule)
-        self.deadline = req.arrived + caller_timeout_s
+        self.deadlines = request_deadlines(req, rule)
         self.traits = RequestTraits(
             pool.name,
             fingerprint_of(organisation, req.path, req.body),
@@ -95,10 +95,10 @@
                 priority=priority,
                 prompt_tokens=req.prompt_tokens,
                 tokens=req.tokens,
-                until=req.arrived + MAX_WAIT_SHARE * caller_timeout_s,
+                until=req.arrived + MAX_WAIT_SHARE * self._final_answer_s(),
                 allows=parts.rollouts.replica_filter(pool.name),
                 request_id=req.request_id,
-                deadline=self.deadline,
+                deadline=self.deadlines.final_answer,
             ),
             lambda: self.may_have_run,
         )
@@ -113,10 +113,25 @@
         """The name of the pool."""
         return self.pool.name
 
+    @property
+    def deadline(self) -> float:
+        """When the router ends the request, on the timer service's monotonic clock."""
+        if self.channel.has_begun:
+            return self.deadlines.begun_answer
+        return self.deadlines.final_answer
+
     def left_s(self) -> float:
-        """Return the time until the final answer is due, in seconds, or less than 0."""
+        """Return the time until `deadline`, in seconds; less than 0 after it."""
         return self.deadline - self.parts.timers.now()
 
+    def replica_left_s(self) -> float:
+        """Return how long a replica may work, in seconds; less than 0 if no more."""
+        return self.deadlines.replica - self.parts.timers.now()
+
+    def is_replica_time_over(self) -> bool:
+        """Return whether replicas end the request by themselves, as they were told."""
+        return self.replica_left_s() <= DEADLINE_RESOLUTION_S
+
     def is_blamed(self) -> bool:
         """Return whether the request, or a part of it, crashes replicas."""
         return self.parts.crash_blame.is_blamed(self.traits)
@@ -153,7 +168,9 @@
         return self.has_attempts_left(extra_attempts) and self.take_repeat()
 
     def has_attempts_left(self, extra_attempts: int = 0) -> bool:
-        """Return whether the route, and what is known of crashes, allow an attempt."""
+        """Return whether time, route, and what is known of crashes allow an attempt."""
+        if self.is_replica_time_over():
+            return False
         max_attempts = self.rule.max_attempts + extra_attempts
         return self.sent < max_attempts and not self.is_blamed()
 
@@ -236,13 +253,10 @@
             after_s=round(self.parts.timers.now() - place.since, 3),
         )
 
+    def _final_answer_s(self) -> float:
+        """Return how long after its arrival the request is given up, in seconds."""
+        return self.deadlines.final_answer - self.req.arrived
+
     def _count_end(self, outcome: str) -> float:
         self.parts.metrics.requests.labels(self.rule.kind.value, outcome).inc()
         return self.parts.timers.now() - self.req.arrived
-
-
-def _caller_timeout_s(req: RelayRequest, rule: RouteRule) -> float:
-    if req.caller_timeout_s is None:
-        return rule.timeout_s
-    margin_s = min(MAX_ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * req.caller_timeout_s)
-    return min(rule.timeout_s, req.caller_timeout_s - margin_s)
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -64,8 +64,9 @@
         """Relay the stream, or answer the caller with a failure."""
         job = self._job
         min_duration_s = self._min_duration_s()
-        if min_duration_s > job.left_s():
-            job.refuse(too_late_refusal(min_duration_s, job.left_s()))
+        left_s = job.replica_left_s()
+        if min_duration_s > left_s:
+            job.refuse(too_late_refusal(min_duration_s, left_s))
             return
         try:
             while self._start_next():
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -177,7 +177,7 @@
         plan = AttemptPlan(
             replica=place.state.replica,
             organisation=job.organisation,
-            left_s=job.left_s(),
+            left_s=job.replica_left_s(),
             last_event=self._position,
             backup=None if backup is None else backup.replica,
             source=CopySource(place.state.replica.address) if self._from_copy else None,
@@ -357,11 +357,13 @@
 
     def _note_loss(self, exc: Exception, outcome: AttemptOutcome) -> AttemptOutcome:
         job, place = self._job, self.place
-        if job.left_s() > 0.0:
+        is_over = job.is_replica_time_over()
+        if not is_over:
             job.note_miss(place)
         job.parts.metrics.attempts.labels(job.rule.kind.value, outcome.value).inc()
         is_own_loss = job.is_own_loss(place)
-        is_silent = isinstance(exc, UpstreamSilentError)
+        # A replica that ends a request in time isn't lost.
+        is_silent = isinstance(exc, UpstreamSilentError) or is_over
         if outcome is AttemptOutcome.LOST and (place.is_forwarded or not is_own_loss):
             self._progress.note_broken(place.state, is_silent=is_silent)
             if self._progress.is_at_begin:
--- a/tests/request/test_relay_call.py
+++ b/tests/request/test_relay_call.py
@@ -1,5 +1,6 @@
 import struct
 import unittest
+from unittest import mock
 
 import eventlet
 import msgspec
@@ -213,7 +214,8 @@
         )
         rule = call_rule()
         pool = harness.table.pools["engines"]
-        job = RelayJob(harness.parts, req, rule, pool, None, 1, None)
+        channel = mock.Mock(has_begun=False)
+        job = RelayJob(harness.parts, req, rule, pool, None, 1, channel)
         relay = eventlet.spawn(CallRelay(job).run)
         eventlet.spawn_n(relay.kill)
         eventlet.sleep(0.05)
