Wait for a caller that reads slowly until its time is over

What callers saw: one that didn't read its answer for 5 s had it ended, though it had minutes left; the same for a router behind a gateway whose own caller reads slowly.

Cause: a fixed bound on each send, after which the caller was taken for gone. Not reading is a doubt; a caller that leaves closes, which is seen at once while a send waits.

Fix: an answer has a deadline, that of an answer which has begun (of the order, at a gateway); a send waits until then, and 5 s at least.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -23,7 +23,8 @@
 
 READ_BYTES = 64 * 1024
 SEND_TIMEOUT_S = 5.0
-"""Maximum time to send one part of a response, in seconds."""
+"""How long a caller may not read a part of a response whose deadline has passed, or
+which has none, in seconds."""
 LINGER_S = 1.0
 """How long data from the caller is still read after the last response, in seconds."""
 ACCEPT_PAUSE_S = 0.05
@@ -76,6 +77,9 @@
         Whether a response has been begun, so that its status can't change any more.
     is_finished : bool
         Whether a complete response has been sent.
+    deadline : float
+        Until when a caller that doesn't read is waited for, on the timer service's
+        monotonic clock, and no shorter than `SEND_TIMEOUT_S`.
 
     Notes
     -----
@@ -86,6 +90,7 @@
         self._conn = conn
         self.has_begun = False
         self.is_finished = False
+        self.deadline = float("-inf")
 
     def respond(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
@@ -99,7 +104,7 @@
     def send_interim(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send an interim response (1xx) before the final one."""
         interim = h11.InformationalResponse(status_code=status, headers=headers)
-        self._conn.send_event(interim)
+        self._send_event(interim)
 
     def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of a response of unknown length, with chunked encoding."""
@@ -114,23 +119,25 @@
             If the connection is broken or the caller doesn't read in time.
         """
         if data:
-            self._conn.send_event(h11.Data(data=data))
+            self._send_event(h11.Data(data=data))
 
     def finish(self) -> None:
         """End the response as complete."""
-        self._conn.send_event(h11.EndOfMessage())
+        self._send_event(h11.EndOfMessage())
         self.is_finished = True
 
     def _begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         self.has_begun = True
         if self._conn.is_last_response():
             headers.append((b"Connection", b"close"))
-        self._conn.send_event(
-            h11.Response(
-                status_code=status, headers=headers, reason=_reason_phrase(status)
-            )
+        reason = _reason_phrase(status)
+        self._send_event(
+            h11.Response(status_code=status, headers=headers, reason=reason)
         )
 
+    def _send_event(self, event) -> None:
+        self._conn.send_event(event, self.deadline)
+
 
 Handler = Callable[[RawRequest, CallerChannel], None]
 
@@ -260,8 +267,8 @@
             self._is_shut = True
             self._shut_down()
 
-    def send_event(self, event) -> None:
-        """Send a part of a response.
+    def send_event(self, event, deadline: float = float("-inf")) -> None:
+        """Send a part of a response; see `CallerChannel.deadline`.
 
         Raises
         ------
@@ -272,8 +279,9 @@
         if not data:
             return
         try:
+            timeout_s = max(SEND_TIMEOUT_S, deadline - self._timers.now())
             timeout_error = TimeoutError("the caller does not read the response")
-            with eventlet.Timeout(SEND_TIMEOUT_S, timeout_error):
+            with eventlet.Timeout(timeout_s, timeout_error):
                 self._sock.sendall(data)
         except OSError as exc:
             raise CallerDisconnectedError(str(exc), step="send response") from exc
--- a/boragedeck/request/forward.py
+++ b/boragedeck/request/forward.py
@@ -95,6 +95,7 @@
             self._fail(channel, ForwardFailure.DECLINED)
             return
         order = decoded.ok()
+        channel.deadline = self._timers.now() + order.timeout_s
         state = self._registry.at(order.target)
         if state is None or not self._may_forward(order):
             self._fail(channel, ForwardFailure.DECLINED)
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -62,6 +62,7 @@
     priority = table.priorities.get(organisation, rule.priority)
     parts.retries.note_request(name)
     job = RelayJob(parts, req, rule, pool, organisation, priority, channel)
+    channel.deadline = job.deadlines.begun_answer
     if parts.time_left() < parts.durations.long_duration_s(name, rule.timeout_s):
         job.refuse(stopping_refusal())
         return
--- /dev/null
+++ b/tests/connection/test_caller_patience.py
@@ -0,0 +1,86 @@
+import time
+import unittest
+from unittest import mock
+
+import eventlet
+from eventlet.green import socket
+
+from boragedeck.connection import caller_edge
+from boragedeck.version.routing import RelayPool
+from tests.support.replicas import (
+    ENGINE,
+    RelayHarness,
+    ScriptedReplica,
+    answer,
+    head_of,
+    read_response,
+    report_model,
+    send_chunk,
+    send_request,
+    stream_rule,
+)
+
+ENGINES = RelayPool("engines", 100, ENGINE)
+TOKENS = b"Token-Counts: 1000,100"
+EVENTS = 200
+PADDING = b"x" * 100_000
+RECEIVE_BYTES = 256 * 1024
+SEND_TIMEOUT_S = 0.2
+CALLER_MS = 7_000
+
+blocking_socket = eventlet.patcher.original("socket")
+
+
+def stream_much(sock, req):
+    """Stream more than the buffers of the caller's connection hold."""
+    if b"request-id" not in req.headers:
+        return report_model(sock, req)
+    sock.sendall(head_of(req, 200, b"Transfer-Encoding: chunked") + b"\r\n")
+    for number in range(1, EVENTS + 1):
+        send_chunk(sock, b"id: %d\ndata: %s\n\n" % (number, PADDING))
+    sock.sendall(b"0\r\n\r\n")
+    return True
+
+
+def answer_slowly(sock, req):
+    eventlet.sleep(0.5)
+    return answer()(sock, req)
+
+
+def wait_until_gone(replica, timeout_s=3.0):
+    with eventlet.Timeout(timeout_s):
+        while not replica.closed_after:
+            eventlet.sleep(0.01)
+
+
+class SlowReaderTest(unittest.TestCase):
+    def setUp(self):
+        rule = stream_rule(timeout_s=8.0, max_attempts=1)
+        self.harness = RelayHarness(rule, pool=ENGINES)
+        self.addCleanup(self.harness.close)
+        self.replica = ScriptedReplica("one", stream_much)
+        self.harness.add(self.replica)
+        patcher = mock.patch.object(caller_edge, "SEND_TIMEOUT_S", SEND_TIMEOUT_S)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def connect(self):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+        sock.connect(self.harness.listener.getsockname())
+        self.addCleanup(sock.close)
+        return sock
+
+    def test_caller_that_reads_slowly_is_taken_for_gone(self):
+        sock = self.connect()
+        send_request(sock, TOKENS, ms=CALLER_MS)
+        eventlet.sleep(5 * SEND_TIMEOUT_S)
+        response = read_response(sock)
+        self.assertTrue(response.is_complete)
+        self.assertEqual(len(response.body.split(b"\n\n")), EVENTS + 1)
+
+    def test_caller_that_never_reads_is_waited_for_beyond_its_time(self):
+        sock, sent = self.connect(), time.monotonic()
+        send_request(sock, TOKENS, ms=1_000)
+        wait_until_gone(self.replica)
+        self.assertGreaterEqual(time.monotonic() - sent, 1.0)
