Stop reading ahead of a caller that sends much ahead, and go on with its answer

What callers saw: one that had sent over 64 KiB of its next requests while an answer was under way had that answer ended, and the connection closed.

Cause: the read-ahead was bounded by taking the caller for gone.

Evidence, on the commit before: of one request and four more of 50 KB sent ahead, none was answered; the connection was closed. Now all five are, in order.

Fix: no more is read until the answer is out. Meanwhile the kernel is asked whether the caller's side is open (not established: it has closed), so that it is still seen when the caller leaves; unless its bytes fill the window, so that the end can't arrive.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -22,6 +22,12 @@
 __all__ = ["CallerChannel", "CallerDisconnectedError", "CallerEdge", "RawRequest"]
 
 READ_BYTES = 64 * 1024
+MAX_AHEAD_BYTES = 64 * 1024
+"""How much is read of a caller's next requests while it is answered."""
+OPEN_POLL_S = 0.2
+"""How often a connection of which nothing more is read is asked whether it is open."""
+TCP_ESTABLISHED = 1
+"""The first byte of Linux's `TCP_INFO` while neither side has closed."""
 SEND_TIMEOUT_S = 5.0
 """How long a caller may not read a part of a response whose deadline has passed, or
 which has none, in seconds."""
@@ -410,21 +416,26 @@
 
     def _watch_for_disconnect(self, serving_thread) -> None:
         """Stop the green thread that serves the request when the caller disconnects."""
-        while True:
-            try:
-                data = self._sock.recv(READ_BYTES)
-            except OSError:
-                data = b""
-            if data and len(self._buffer) < READ_BYTES:
-                self._buffer += data
-                continue
-            # A caller that sends too much ahead is treated as disconnected.
-            self._is_eof = True
-            if self.is_handling:
-                eventlet.kill(
-                    serving_thread, CallerDisconnectedError("closed", step="serve")
-                )
-            return
+        while self._is_open():
+            if len(self._buffer) >= MAX_AHEAD_BYTES:
+                self._timers.sleep(OPEN_POLL_S)
+        self._is_eof = True
+        if self.is_handling:
+            eventlet.kill(
+                serving_thread, CallerDisconnectedError("closed", step="serve")
+            )
+
+    def _is_open(self) -> bool:
+        """Return whether the caller is there; read its next bytes if there is room."""
+        try:
+            if len(self._buffer) >= MAX_AHEAD_BYTES:
+                info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+                return info[0] == TCP_ESTABLISHED
+            data = self._sock.recv(READ_BYTES)
+        except OSError:
+            return False
+        self._buffer += data
+        return bool(data)
 
     def _reject(self, status: int, text: str) -> None:
         _log.write("Request refused.", status=status, reason=text)
--- a/tests/connection/test_caller_patience.py
+++ b/tests/connection/test_caller_patience.py
@@ -84,3 +84,36 @@
         send_request(sock, TOKENS, ms=1_000)
         wait_until_gone(self.replica)
         self.assertGreaterEqual(time.monotonic() - sent, 1.0)
+
+
+class ReadAheadTest(unittest.TestCase):
+    def setUp(self):
+        self.harness = RelayHarness()
+        self.addCleanup(self.harness.close)
+        self.replica = ScriptedReplica("one", answer_slowly)
+        self.harness.add(self.replica)
+
+    def send_ahead(self, sock, requests):
+        send_request(sock)
+        for number in range(requests):
+            send_request(sock, body=PADDING[:50_000], name=b"next-%d" % number)
+
+    def test_caller_that_sends_much_ahead_is_taken_for_gone(self):
+        sock = self.harness.connect()
+        self.send_ahead(sock, 4)
+        text = b""
+        with eventlet.Timeout(6.0):
+            while text.count(b"whole") < 5:
+                data = sock.recv(65_536)
+                self.assertTrue(data, text)
+                text += data
+        self.assertLess(text.index(b"id-1"), text.index(b"next-3"))
+
+    def test_caller_that_has_sent_much_ahead_leaves_unnoticed(self):
+        self.replica._steps = [lambda sock, req: eventlet.sleep(3.0)]
+        sock = self.harness.connect()
+        self.send_ahead(sock, 2)
+        eventlet.sleep(0.2)
+        sock.close()
+        eventlet.sleep(0.5)
+        self.assertEqual(self.harness.edge.active_requests(), 0)
