Answer the requests that wait in the queue of a listener that is closed

What callers saw: at the moment at which a stopping router closed its listener, 3 s after its SIGTERM, those that had just connected and sent a request were reset. A request whose connection had been accepted in the same turn of the hub was neither counted nor looked after, so that the process could end before it was read.

Fix: what waits in the queue is accepted before the listener is closed, at most as many as there may be connections; a connection is registered when it is accepted.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -13,7 +13,7 @@
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
-from boragedeck.connection.listening import close_listener
+from boragedeck.connection.listening import accept_waiting, close_listener
 from boragedeck.exceptions import BoragedeckError
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
@@ -197,13 +197,12 @@
                 _log.write("Accepting failed.", error=repr(exc))
                 eventlet.sleep(ACCEPT_PAUSE_S)
                 continue
-            if len(self._conns) >= MAX_CONNECTIONS:
-                sock.close()
-                continue
-            eventlet.spawn_n(self._run, sock)
+            self._add(sock)
 
     def stop_accepting(self) -> None:
-        """Close the listener; open connections go on."""
+        """Accept what waits in the listener's queue and close it; connections go on."""
+        for sock in accept_waiting(self._listener, MAX_CONNECTIONS):
+            self._add(sock)
         close_listener(self._listener)
 
     def close_idle(self) -> None:
@@ -219,10 +218,19 @@
         """
         return sum(conn.has_request() for conn in self._conns)
 
-    def _run(self, sock: socket.socket) -> None:
+    def _add(self, sock: socket.socket) -> None:
+        """Serve a connection, which counts before its green thread runs."""
+        if len(self._conns) >= MAX_CONNECTIONS:
+            _log.write("Too many connections.", connections=len(self._conns))
+            sock.close()
+            return
         conn = _CallerConnection(self, sock)
         self._conns.add(conn)
+        eventlet.spawn_n(self._run, conn, sock)
+
+    def _run(self, conn: "_CallerConnection", sock: socket.socket) -> None:
         try:
+            conn.set_up()
             conn.run()
         except (OSError, CallerDisconnectedError):
             # The caller has disconnected; there is nobody to report the error to.
@@ -247,7 +255,10 @@
         self._is_reading = False
         self._is_shut = False
         self._is_last_response = False
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def set_up(self) -> None:
+        """Set the options of the socket."""
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def run(self) -> None:
         """Serve requests until the connection ends."""
--- a/tests/connection/test_caller_patience.py
+++ b/tests/connection/test_caller_patience.py
@@ -4,6 +4,7 @@
 
 import eventlet
 from eventlet.green import socket
+from eventlet.greenio import GreenSocket
 
 from boragedeck.connection import caller_edge
 from boragedeck.version.routing import RelayPool
@@ -117,3 +118,38 @@
         sock.close()
         eventlet.sleep(0.5)
         self.assertEqual(self.harness.edge.active_requests(), 0)
+
+
+class AcceptQueueTest(unittest.TestCase):
+    def setUp(self):
+        self.harness = RelayHarness()
+        self.addCleanup(self.harness.close)
+        self.harness.add(ScriptedReplica("one", answer_slowly))
+
+    def connect_unaccepted(self, name):
+        """Connect and send a request without letting the server run."""
+        address = self.harness.listener.getsockname()
+        sock = GreenSocket(blocking_socket.create_connection(address))
+        self.addCleanup(sock.close)
+        send_request(sock, name=name)
+        return sock
+
+    def test_requests_in_the_queue_are_reset_when_the_listener_is_closed(self):
+        socks = [self.connect_unaccepted(b"id-%d" % number) for number in range(5)]
+        self.harness.edge.stop_accepting()
+        self.harness.edge.close_idle()
+        self.assertEqual(self.harness.edge.active_requests(), len(socks))
+        for sock in socks:
+            self.assertEqual(read_response(sock).status, 200)
+
+    def test_accepted_request_does_not_count_before_its_green_thread_runs(self):
+        with mock.patch.object(caller_edge.eventlet, "spawn_n") as spawn_n:
+            sock = self.harness.connect()
+            send_request(sock)
+            with eventlet.Timeout(1.0):
+                while not spawn_n.called:
+                    eventlet.sleep(0.01)
+            self.assertEqual(self.harness.edge.active_requests(), 1)
+        function, *args = spawn_n.call_args.args
+        eventlet.spawn_n(function, *args)
+        self.assertEqual(read_response(sock).status, 200)
