Derive the parts of a stop from graceS, so that a short one keeps its last sixth

What callers saw: where graceS is under 2.4 s, answers were ended before the last sixth of the stop's time; where it is under 3.4 s, the router went on accepting callers until the platform killed it, and closed neither its listener nor its idle connections.

Cause: a margin of 0.4 s and a period of 3 s for any graceS.

Evidence, on the commit before: with a graceS of 1.2 and 2.0 s the listener was still open after five sixths of it (no call of stop_accepting).

Fix: the margin is a twelfth of graceS and the period half of it, at most 0.4 and 3 s as before; a graceS of 6 s or more changes nothing.

--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -10,7 +10,12 @@
 
 LEAVE_PERIOD_S = 3.0
 """How long after the stop has begun the platform may still send callers here."""
+LEAVE_SHARE = 0.5
+"""The longest such time as a share of the whole stop."""
 GRACE_MARGIN_S = 0.4
+"""How long before the operators' time is over the stop ends."""
+GRACE_MARGIN_SHARE = 1 / 12
+"""The longest such time as a share of the stop. Only its last sixth ends answers."""
 POLL_S = 0.05
 
 _log = PartLog("daemon")
@@ -69,11 +74,13 @@
         ready, so requests that can end in time are accepted for another
         `LEAVE_PERIOD_S`.
         """
-        self._ends_at = self._timers.now() + self._grace_s() - GRACE_MARGIN_S
+        grace_s = self._grace_s()
+        margin_s = min(GRACE_MARGIN_S, GRACE_MARGIN_SHARE * grace_s)
+        self._ends_at = self._timers.now() + grace_s - margin_s
         edges = tuple(edges)
         for edge in edges:
             edge.is_leaving = True
-        self._timers.sleep(LEAVE_PERIOD_S)
+        self._timers.sleep(min(LEAVE_PERIOD_S, LEAVE_SHARE * grace_s))
         for edge in edges:
             edge.stop_accepting()
             edge.close_idle()
--- a/tests/process/relaying/test_draining.py
+++ b/tests/process/relaying/test_draining.py
@@ -70,3 +70,15 @@
         self.assertFalse(self.thread.dead)
         self.run_for(0.4)
         self.assertTrue(self.thread.dead)
+
+    def test_short_grace_ends_answers_before_its_last_sixth(self):
+        for grace_s in (1.2, 2.0, 4.0, 8.0):
+            with self.subTest(grace_s=grace_s):
+                self.edge = Edge(active=1)
+                self.period = DrainPeriod(self.timers, lambda s=grace_s: s)
+                self.drain()
+                self.run_for(grace_s * 5 / 6)
+                self.assertFalse(self.thread.dead)
+                self.assertEqual(self.edge.calls, ["stop accepting", "close idle"])
+                self.run_for(grace_s / 6)
+                self.assertTrue(self.thread.dead)
