Answer a request that was read behind another one while the router leaves

What callers saw: of two requests sent at once on one connection to a router that leaves, the second was read and dropped: the first answer announced the close.

Fix: the close is announced only if no other request has been read. One that is read after a stream's head has announced it still isn't answered; docs/design/ends.md says so.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -268,8 +268,16 @@
                 return
 
     def is_last_response(self) -> bool:
-        """Return whether the connection is closed after the current response."""
-        return self._is_last_response or self._edge.is_leaving or self._edge.is_closing
+        """Return whether the connection is closed after the current response.
+
+        Notes
+        -----
+        A request that has been read behind the current one is answered, too.
+        """
+        if self._is_last_response:
+            return True
+        is_leaving = self._edge.is_leaving or self._edge.is_closing
+        return is_leaving and not self._buffer
 
     def has_request(self) -> bool:
         """Return whether a request has begun to arrive and isn't answered yet."""
--- a/tests/connection/test_caller_patience.py
+++ b/tests/connection/test_caller_patience.py
@@ -153,3 +153,14 @@
         function, *args = spawn_n.call_args.args
         eventlet.spawn_n(function, *args)
         self.assertEqual(read_response(sock).status, 200)
+
+    def test_request_pipelined_while_the_router_leaves_is_dropped(self):
+        sock = self.harness.connect()
+        self.harness.edge.is_leaving = True
+        send_request(sock, name=b"id-1")
+        send_request(sock, name=b"id-2")
+        text = b""
+        with eventlet.Timeout(3.0):
+            while data := sock.recv(65_536):
+                text += data
+        self.assertEqual(text.count(b"whole"), 2)
