--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -13,7 +13,7 @@
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
-from boragedeck.connection.listening import close_listener
+from boragedeck.connection.listening import accept_waiting, close_listener
 from boragedeck.exceptions import BoragedeckError
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
@@ -22,8 +22,15 @@
 __all__ = ["CallerChannel", "CallerDisconnectedError", "CallerEdge", "RawRequest"]
 
 READ_BYTES = 64 * 1024
+MAX_AHEAD_BYTES = 64 * 1024
+"""How much is read of a caller's next requests while it is answered."""
+OPEN_POLL_S = 0.2
+"""How often a connection of which nothing more is read is asked whether it is open."""
+TCP_ESTABLISHED = 1
+"""The first byte of Linux's `TCP_INFO` while neither side has closed."""
 SEND_TIMEOUT_S = 5.0
-"""Maximum time to send one part of a response, in seconds."""
+"""How long a caller may not read a part of a response whose deadline has passed, or
+which has none, in seconds."""
 LINGER_S = 1.0
 """How long data from the caller is still read after the last response, in seconds."""
 ACCEPT_PAUSE_S = 0.05
@@ -76,6 +83,9 @@
         Whether a response has been begun, so that its status can't change any more.
     is_finished : bool
         Whether a complete response has been sent.
+    deadline : float
+        Until when a caller that doesn't read is waited for, on the timer service's
+        monotonic clock, and no shorter than `SEND_TIMEOUT_S`.
 
     Notes
     -----
@@ -86,6 +96,7 @@
         self._conn = conn
         self.has_begun = False
         self.is_finished = False
+        self.deadline = float("-inf")
 
     def respond(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
@@ -99,7 +110,7 @@
     def send_interim(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send an interim response (1xx) before the final one."""
         interim = h11.InformationalResponse(status_code=status, headers=headers)
-        self._conn.send_event(interim)
+        self._send_event(interim)
 
     def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of a response of unknown length, with chunked encoding."""
@@ -114,23 +125,25 @@
             If the connection is broken or the caller doesn't read in time.
         """
         if data:
-            self._conn.send_event(h11.Data(data=data))
+            self._send_event(h11.Data(data=data))
 
     def finish(self) -> None:
         """End the response as complete."""
-        self._conn.send_event(h11.EndOfMessage())
+        self._send_event(h11.EndOfMessage())
         self.is_finished = True
 
     def _begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         self.has_begun = True
         if self._conn.is_last_response():
             headers.append((b"Connection", b"close"))
-        self._conn.send_event(
-            h11.Response(
-                status_code=status, headers=headers, reason=_reason_phrase(status)
-            )
+        reason = _reason_phrase(status)
+        self._send_event(
+            h11.Response(status_code=status, headers=headers, reason=reason)
         )
 
+    def _send_event(self, event) -> None:
+        self._conn.send_event(event, self.deadline)
+
 
 Handler = Callable[[RawRequest, CallerChannel], None]
 
@@ -184,13 +197,12 @@
                 _log.write("Accepting failed.", error=repr(exc))
                 eventlet.sleep(ACCEPT_PAUSE_S)
                 continue
-            if len(self._conns) >= MAX_CONNECTIONS:
-                sock.close()
-                continue
-            eventlet.spawn_n(self._run, sock)
+            self._add(sock)
 
     def stop_accepting(self) -> None:
-        """Close the listener; open connections go on."""
+        """Accept what waits in the listener's queue and close it; connections go on."""
+        for sock in accept_waiting(self._listener, MAX_CONNECTIONS):
+            self._add(sock)
         close_listener(self._listener)
 
     def close_idle(self) -> None:
@@ -206,10 +218,19 @@
         """
         return sum(conn.has_request() for conn in self._conns)
 
-    def _run(self, sock: socket.socket) -> None:
+    def _add(self, sock: socket.socket) -> None:
+        """Serve a connection, which counts before its green thread runs."""
+        if len(self._conns) >= MAX_CONNECTIONS:
+            _log.write("Too many connections.", connections=len(self._conns))
+            sock.close()
+            return
         conn = _CallerConnection(self, sock)
         self._conns.add(conn)
+        eventlet.spawn_n(self._run, conn, sock)
+
+    def _run(self, conn: "_CallerConnection", sock: socket.socket) -> None:
         try:
+            conn.set_up()
             conn.run()
         except (OSError, CallerDisconnectedError):
             # The caller has disconnected; there is nobody to report the error to.
@@ -234,7 +255,10 @@
         self._is_reading = False
         self._is_shut = False
         self._is_last_response = False
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def set_up(self) -> None:
+        """Set the options of the socket."""
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def run(self) -> None:
         """Serve requests until the connection ends."""
@@ -244,8 +268,16 @@
                 return
 
     def is_last_response(self) -> bool:
-        """Return whether the connection is closed after the current response."""
-        return self._is_last_response or self._edge.is_leaving or self._edge.is_closing
+        """Return whether the connection is closed after the current response.
+
+        Notes
+        -----
+        A request that has been read behind the current one is answered, too.
+        """
+        if self._is_last_response:
+            return True
+        is_leaving = self._edge.is_leaving or self._edge.is_closing
+        return is_leaving and not self._buffer
 
     def has_request(self) -> bool:
         """Return whether a request has begun to arrive and isn't answered yet."""
@@ -260,8 +292,8 @@
             self._is_shut = True
             self._shut_down()
 
-    def send_event(self, event) -> None:
-        """Send a part of a response.
+    def send_event(self, event, deadline: float = float("-inf")) -> None:
+        """Send a part of a response; see `CallerChannel.deadline`.
 
         Raises
         ------
@@ -272,8 +304,9 @@
         if not data:
             return
         try:
+            timeout_s = max(SEND_TIMEOUT_S, deadline - self._timers.now())
             timeout_error = TimeoutError("the caller does not read the response")
-            with eventlet.Timeout(SEND_TIMEOUT_S, timeout_error):
+            with eventlet.Timeout(timeout_s, timeout_error):
                 self._sock.sendall(data)
         except OSError as exc:
             raise CallerDisconnectedError(str(exc), step="send response") from exc
@@ -402,21 +435,26 @@
 
     def _watch_for_disconnect(self, serving_thread) -> None:
         """Stop the green thread that serves the request when the caller disconnects."""
-        while True:
-            try:
-                data = self._sock.recv(READ_BYTES)
-            except OSError:
-                data = b""
-            if data and len(self._buffer) < READ_BYTES:
-                self._buffer += data
-                continue
-            # A caller that sends too much ahead is treated as disconnected.
-            self._is_eof = True
-            if self.is_handling:
-                eventlet.kill(
-                    serving_thread, CallerDisconnectedError("closed", step="serve")
-                )
-            return
+        while self._is_open():
+            if len(self._buffer) >= MAX_AHEAD_BYTES:
+                self._timers.sleep(OPEN_POLL_S)
+        self._is_eof = True
+        if self.is_handling:
+            eventlet.kill(
+                serving_thread, CallerDisconnectedError("closed", step="serve")
+            )
+
+    def _is_open(self) -> bool:
+        """Return whether the caller is there; read its next bytes if there is room."""
+        try:
+            if len(self._buffer) >= MAX_AHEAD_BYTES:
+                info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+                return info[0] == TCP_ESTABLISHED
+            data = self._sock.recv(READ_BYTES)
+        except OSError:
+            return False
+        self._buffer += data
+        return bool(data)
 
     def _reject(self, status: int, text: str) -> None:
         _log.write("Request refused.", status=status, reason=text)
