Wait for a replica that falls silent amid a late answer

Callers got 502 ("no complete answer: silent") for calls and streams that may run once, directly and at a gateway ("the gateway says lost"), if the replica stood still while a late answer to an earlier request was skipped.

Cause: the skip had a limit of its own (answer_heads.SKIP_TIMEOUT_S, 0.3 s), so a silence of 1.2 s ended the attempt.

The skip waits like the head now: with the liveness monitor for streams (probes, silences, a second attempt), as their waits do for calls, by the order's time at a gateway. Exchange.skip keeps its count, so a wait can go on after a probe; MAX_SKIPPED_BYTES stays the proof against endless bytes.

The seeded defect of read_own_head has its new signature, its test is unchanged.

--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -250,6 +250,8 @@
         self._is_complete = False
         self._is_interrupted = False
         self._interim_answers = 0
+        # Bytes of a late answer that were read and discarded so far.
+        self._skipped_bytes = 0
 
     @property
     def request_id(self) -> bytes | None:
@@ -334,8 +336,21 @@
         """Read and discard the body of an answer to an earlier request.
 
         The next call of `head` waits for the answer to this request.
+
+        Raises
+        ------
+        UpstreamSilentError
+            If it hasn't ended in time. The exchange stays open, and another call goes
+            on.
+        UpstreamError
+            If the connection broke, or the body is longer than `MAX_SKIPPED_BYTES`.
         """
-        self.read_all(timeout_s, MAX_SKIPPED_BYTES)
+        with eventlet.Timeout(timeout_s, self._silent_error("skip")):
+            while part := self.read(timeout_s):
+                self._skipped_bytes += len(part)
+                if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                    raise self._excess_error("a late answer is too long", "skip")
+        self._skipped_bytes = 0
         rest, is_closed = self._conn.parser.trailing_data
         parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         # The new parser has to count the request as sent; its bytes aren't sent again.
--- a/boragedeck/request/address_claims.py
+++ b/boragedeck/request/address_claims.py
@@ -77,7 +77,6 @@
         exchange,
         parts.protocol,
         parts.metrics,
-        lambda exchange: exchange.head(left_s()),
-        left_s,
+        lambda exchange, read: read(left_s()),
     )
     return parts.protocol.verdict(received.head, received.match)
--- a/boragedeck/request/answer_heads.py
+++ b/boragedeck/request/answer_heads.py
@@ -1,6 +1,7 @@
 """Reads the head of the answer that belongs to a request, and skips late answers."""
 
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -11,10 +12,11 @@
 from boragedeck.request.relay_request import ReplicaProtocol
 from boragedeck.version.replicas import ReplicaNotice
 
-__all__ = ["ReceivedHead", "read_own_head"]
+__all__ = ["AnswerWait", "ReceivedHead", "read_own_head"]
 
-SKIP_TIMEOUT_S = 0.3
-"""Time limit for reading and discarding an answer to an earlier request."""
+AnswerWait = Callable[[Exchange, Callable[[float], Any]], Any]
+"""Waits for a read on an exchange; the argument of the read is its longest wait in
+seconds."""
 
 _log = PartLog("answers")
 
@@ -41,8 +43,7 @@
     exchange: Exchange,
     protocol: ReplicaProtocol,
     metrics: RelayMetrics,
-    wait_for_head: Callable[[Exchange], AnswerHead],
-    left_s: Callable[[], float],
+    wait: AnswerWait,
 ) -> ReceivedHead:
     """Wait for the answer to a request, and skip late answers to earlier ones.
 
@@ -54,10 +55,8 @@
         Interprets the heads of answers.
     metrics : RelayMetrics
         Counts answers by how they match.
-    wait_for_head : callable
-        Waits for the next head on an exchange.
-    left_s : callable
-        Returns how long the answer may be waited for, in seconds.
+    wait : callable
+        Waits for each head, and for the end of each late answer.
 
     Raises
     ------
@@ -72,7 +71,7 @@
     """
     is_leaving = False
     while True:
-        head = wait_for_head(exchange)
+        head = wait(exchange, exchange.head)
         answer_id = protocol.request_id(head.headers)
         match = exchange.match(answer_id)
         metrics.answers.labels(match.value).inc()
@@ -85,7 +84,7 @@
             notice = msgspec.structs.replace(notice, is_leaving=is_leaving)
             return ReceivedHead(head, match, notice)
         _log_mismatch("Skipped a late answer.", exchange, head, answer_id)
-        exchange.skip(max(0.0, min(SKIP_TIMEOUT_S, left_s())))
+        wait(exchange, exchange.skip)
 
 
 def _log_mismatch(
--- a/boragedeck/request/crash_wait.py
+++ b/boragedeck/request/crash_wait.py
@@ -6,8 +6,9 @@
 """
 
 from collections.abc import Callable
+from typing import TypeVar
 
-from boragedeck.connection.exchange import AnswerHead, Exchange
+from boragedeck.connection.exchange import Exchange
 from boragedeck.exceptions import UpstreamError, UpstreamWithdrawnError
 from boragedeck.process.relaying.placing.place import Place
 from boragedeck.request.relay_attempt import CONNECT_TIMEOUT_S, probe
@@ -15,6 +16,8 @@
 
 __all__ = ["await_crash_verdict", "wait_unless_blamed"]
 
+T = TypeVar("T")
+
 MAX_WAIT_S = 0.6
 POLL_S = 0.02
 MIN_LOST_TO_WAIT = 2
@@ -51,10 +54,8 @@
         timers.sleep(POLL_S)
 
 
-def wait_unless_blamed(
-    job: RelayJob, exchange: Exchange, wait: Callable[[], AnswerHead]
-) -> AnswerHead:
-    """Wait for the head of an answer; withdraw the request if it is blamed meanwhile.
+def wait_unless_blamed(job: RelayJob, exchange: Exchange, wait: Callable[[], T]) -> T:
+    """Wait for an answer to begin; withdraw the request if it is blamed meanwhile.
 
     Parameters
     ----------
@@ -63,7 +64,7 @@
     exchange : Exchange
         The exchange.
     wait : callable
-        Waits for the head.
+        Waits for the answer, or for a part of what precedes it.
 
     Raises
     ------
--- a/boragedeck/request/forward.py
+++ b/boragedeck/request/forward.py
@@ -165,8 +165,7 @@
             exchange,
             self._protocol,
             self._metrics,
-            lambda exchange: exchange.head(left_s()),
-            left_s,
+            lambda exchange, read: read(max(0.0, left_s())),
         )
         # The sender knows whether the answer may end a limit.
         self._notices.handle(state, received.notice, may_lift=False)
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -1,6 +1,5 @@
 """Sends one attempt of a relayed request to a replica and reads the answer's head."""
 
-from collections.abc import Callable
 from functools import partial
 
 import eventlet
@@ -19,7 +18,7 @@
     UpstreamSilentError,
 )
 from boragedeck.process.relaying.placing.place import Place
-from boragedeck.request.answer_heads import read_own_head
+from boragedeck.request.answer_heads import AnswerWait, read_own_head
 from boragedeck.request.relay_components import RelayComponents
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_request import AttemptPlan, Verdict, VerdictKind
@@ -53,7 +52,7 @@
     job: RelayJob,
     place: Place,
     plan: AttemptPlan,
-    wait_for_head: Callable[[Exchange], AnswerHead],
+    wait: AnswerWait,
 ) -> PendingAnswer:
     """Send the request to a replica and wait for the head of its answer.
 
@@ -65,8 +64,8 @@
         The place at the replica to which the request is sent.
     plan : AttemptPlan
         The parts of the message that are specific to this attempt.
-    wait_for_head : callable
-        Waits for the head of the answer of the given exchange and returns it.
+    wait : callable
+        Waits for what is read until the head of the answer has arrived.
 
     Raises
     ------
@@ -80,7 +79,7 @@
     job.places.tried.add(plan.replica.replica)
     count = _AttemptCount(job)
     try:
-        return _start_attempt(job, place, plan, wait_for_head, count)
+        return _start_attempt(job, place, plan, wait, count)
     except (UpstreamError, CallerDisconnectedError):
         raise
     except Exception as exc:
@@ -114,7 +113,7 @@
     job: RelayJob,
     place: Place,
     plan: AttemptPlan,
-    wait_for_head: Callable[[Exchange], AnswerHead],
+    wait: AnswerWait,
     count: _AttemptCount,
 ) -> PendingAnswer:
     parts = job.parts
@@ -141,7 +140,7 @@
     place.is_forwarded = exchange.is_forwarded
     count.note_sent()
     try:
-        pending = _read_head(job, place, exchange, wait_for_head)
+        pending = _read_head(job, place, exchange, wait)
     except (ForwardDeclinedError, UpstreamRefusedError) as exc:
         # A gateway that was silent says only now that it has sent nothing.
         exchange.close()
@@ -213,12 +212,10 @@
     job: RelayJob,
     place: Place,
     exchange: Exchange,
-    wait_for_head: Callable[[Exchange], AnswerHead],
+    wait: AnswerWait,
 ) -> PendingAnswer:
     parts = job.parts
-    received = read_own_head(
-        exchange, parts.protocol, parts.metrics, wait_for_head, job.left_s
-    )
+    received = read_own_head(exchange, parts.protocol, parts.metrics, wait)
     verdict = parts.protocol.verdict(received.head, received.match)
     state, is_own = place.state, received.match is AnswerMatch.OWN
     if verdict.kind is VerdictKind.MOVED:
@@ -252,8 +249,7 @@
                     exchange,
                     parts.protocol,
                     parts.metrics,
-                    lambda exchange: exchange.head(timeout_s),
-                    lambda: timeout_s,
+                    lambda exchange, read: read(timeout_s),
                 )
                 parts.notices.handle(place.state, received.notice, may_lift=False)
                 return exchange.read_all(timeout_s, MAX_PROBE_BYTES)
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -1,10 +1,13 @@
 """Relays one call; the answer is read completely before it is sent to the caller."""
 
+from collections.abc import Callable
+from typing import TypeVar
+
 import eventlet
 import msgspec
 from eventlet.queue import Empty, LightQueue
 
-from boragedeck.connection.exchange import AnswerHead, Exchange, Headers
+from boragedeck.connection.exchange import Exchange, Headers
 from boragedeck.exceptions import (
     AttemptDefectError,
     RefusedError,
@@ -25,6 +28,8 @@
 
 __all__ = ["CallRelay"]
 
+T = TypeVar("T")
+
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 """Limit of the size of an answer's body; a longer answer counts as lost."""
 HEDGE_DELAY_SHARE = 0.6
@@ -206,7 +211,7 @@
         )
         progress = AnswerProgress(job.parts.crash_blame, job.traits)
         try:
-            pending = start_attempt(job, place, plan, self._wait_for_head)
+            pending = start_attempt(job, place, plan, self._wait)
             try:
                 return self._read_answer(place, pending, progress)
             finally:
@@ -235,18 +240,18 @@
             self._note_lost_attempt(place, exc, "lost")
             return AnswerLost(exc.message)
 
-    def _wait_for_head(self, exchange: Exchange) -> AnswerHead:
-        """Wait for the head; check the path to the replica if it takes long."""
+    def _wait(self, exchange: Exchange, read: Callable[[float], T]) -> T:
+        """Wait for a read; check the path to the replica if it takes long."""
         job, since = self._job, self._job.parts.timers.now()
         if exchange.is_doubtful:
             self._results.put(Doubtful())
         try:
-            return exchange.head(min(job.rule.goal_s, job.left_s()))
+            return read(max(0.0, min(job.rule.goal_s, job.left_s())))
         except UpstreamSilentError:
             if job.left_s() <= 0.0:
                 raise
         job.parts.paths.note_silent(exchange, since)
-        return exchange.head(job.left_s())
+        return read(max(0.0, job.left_s()))
 
     def _read_answer(
         self, place: Place, pending: PendingAnswer, progress: AnswerProgress
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable
 from functools import partial
+from typing import TypeVar
 
 import eventlet
 import msgspec
 
-from boragedeck.connection.exchange import AnswerHead, Exchange, Headers
+from boragedeck.connection.exchange import Exchange, Headers
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamNotAcceptingError,
@@ -42,6 +43,8 @@
 
 __all__ = ["AttemptReport", "FailedAnswer", "StreamAttempt"]
 
+T = TypeVar("T")
+
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 """Limit of the size of a failed answer's body; a longer answer counts as lost."""
 
@@ -184,7 +187,7 @@
         )
         self._log_sent(plan)
         try:
-            pending = start_attempt(job, place, plan, self._wait_for_head)
+            pending = start_attempt(job, place, plan, self._wait)
             interrupter = ExchangeInterrupter(pending.exchange, place.state)
             try:
                 if pending.verdict.kind is VerdictKind.SUCCESS:
@@ -233,12 +236,13 @@
             age_s=round(job.parts.timers.now() - job.req.arrived, 3),
         )
 
-    def _wait_for_head(self, exchange: Exchange) -> AnswerHead:
+    def _wait(self, exchange: Exchange, read: Callable[[float], T]) -> T:
+        """Wait for a read before the answer; see `StreamLivenessMonitor.wait`."""
         self.was_sent = True
         if exchange.is_doubtful:
             self._note_silent(exchange, self.place.since)
         interrupter = ExchangeInterrupter(exchange, self.place.state)
-        wait = partial(self._liveness.wait, self.place, exchange, exchange.head)
+        wait = partial(self._liveness.wait, self.place, exchange, read)
         try:
             return wait_unless_blamed(self._job, exchange, wait)
         finally:
--- a/tests/support/late_answer_defects.py
+++ b/tests/support/late_answer_defects.py
@@ -36,8 +36,8 @@
     return not self.is_full and (request_id is None or not is_carried)
 
 
-def _read_without_matching(exchange, protocol, metrics, wait_for_head, left_s):
-    head = wait_for_head(exchange)
+def _read_without_matching(exchange, protocol, metrics, wait):
+    head = wait(exchange, exchange.head)
     return answer_heads.ReceivedHead(head, AnswerMatch.OWN, protocol.notice(head))
 
 
