Log and count each request that was read and has no whole answer, with the reason

What operators saw: a connection closed without an answer left no line, or one that named no cause: whatever was raised as an OSError counted as a caller that had left, and Drained. gave a number only.

Now: edge logs "Connection closed without a whole answer." with the request, a reason (UnansweredReason), the error and whether the router leaves; boragedeck_unanswered_total counts by reason; Drained. names up to 16 of the requests that it leaves. A head that can't be encoded doesn't count as begun. The fake edge of test_draining gets the new method; nothing is asserted less.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -13,13 +13,18 @@
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
+from boragedeck.connection.caller_ends import (
+    CallerDisconnectedError,
+    CallerNotReadingError,
+    UnansweredReason,
+)
 from boragedeck.connection.listening import accept_waiting, close_listener
 from boragedeck.exceptions import BoragedeckError
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.version.routing import CallerLimits
 
-__all__ = ["CallerChannel", "CallerDisconnectedError", "CallerEdge", "RawRequest"]
+__all__ = ["CallerChannel", "CallerEdge", "RawRequest"]
 
 READ_BYTES = 64 * 1024
 MAX_AHEAD_BYTES = 64 * 1024
@@ -37,14 +42,11 @@
 """Pause after a failed accept, in seconds."""
 MAX_CONNECTIONS = 3_000
 BODY_TIMEOUT_S = 10.0
+MAX_LOGGED_CHARS = 200
 
 _log = PartLog("edge")
 
 
-class CallerDisconnectedError(BoragedeckError):
-    """The caller has closed its connection or does not read its response."""
-
-
 class RawRequest(msgspec.Struct, frozen=True):
     """A request as received from a caller.
 
@@ -86,6 +88,8 @@
     deadline : float
         Until when a caller that doesn't read is waited for, on the timer service's
         monotonic clock, and no shorter than `SEND_TIMEOUT_S`.
+    request_id : str or None
+        The id of the request, for the log; None until its handler knows it.
 
     Notes
     -----
@@ -97,6 +101,7 @@
         self.has_begun = False
         self.is_finished = False
         self.deadline = float("-inf")
+        self.request_id: str | None = None
 
     def respond(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
@@ -133,13 +138,12 @@
         self.is_finished = True
 
     def _begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        self.has_begun = True
         if self._conn.is_last_response():
             headers.append((b"Connection", b"close"))
         reason = _reason_phrase(status)
-        self._send_event(
-            h11.Response(status_code=status, headers=headers, reason=reason)
-        )
+        event = h11.Response(status_code=status, headers=headers, reason=reason)
+        self.has_begun = True
+        self._send_event(event)
 
     def _send_event(self, event) -> None:
         self._conn.send_event(event, self.deadline)
@@ -148,6 +152,10 @@
 Handler = Callable[[RawRequest, CallerChannel], None]
 
 
+def _ignore_unanswered(reason: UnansweredReason) -> None:
+    """Do nothing; the default of `CallerEdge.on_unanswered`."""
+
+
 class CallerEdge:
     """Accepts callers and handles their requests, one green thread per connection.
 
@@ -169,6 +177,9 @@
         Whether each connection is closed after its current response.
     is_closing : bool
         The same, and no connection waits for another request; see `close_idle`.
+    on_unanswered : callable
+        Called with the reason when a connection is closed, on which a request has been
+        read, without a whole answer to it.
     """
 
     def __init__(
@@ -184,6 +195,7 @@
         self.timers = timers
         self.is_leaving = False
         self.is_closing = False
+        self.on_unanswered: Callable[[UnansweredReason], None] = _ignore_unanswered
         self._conns: set[_CallerConnection] = set()
 
     def serve(self) -> None:
@@ -218,6 +230,17 @@
         """
         return sum(conn.has_request() for conn in self._conns)
 
+    def unanswered_ids(self, most: int) -> list[str]:
+        """Return the ids of requests that have been read and aren't answered yet.
+
+        Parameters
+        ----------
+        most : int
+            Maximum number of ids.
+        """
+        ids = (conn.request_id for conn in self._conns if conn.is_handling)
+        return [each for each in ids if each is not None][:most]
+
     def _add(self, sock: socket.socket) -> None:
         """Serve a connection, which counts before its green thread runs."""
         if len(self._conns) >= MAX_CONNECTIONS:
@@ -255,6 +278,7 @@
         self._is_reading = False
         self._is_shut = False
         self._is_last_response = False
+        self._channel: CallerChannel | None = None
 
     def set_up(self) -> None:
         """Set the options of the socket."""
@@ -267,6 +291,11 @@
             if req is None or not self._serve(req):
                 return
 
+    @property
+    def request_id(self) -> str | None:
+        """The id of the current request; None if it isn't known."""
+        return None if self._channel is None else self._channel.request_id
+
     def is_last_response(self) -> bool:
         """Return whether the connection is closed after the current response.
 
@@ -303,13 +332,15 @@
         data = self._parser.send(event)
         if not data:
             return
+        timeout_s = max(SEND_TIMEOUT_S, deadline - self._timers.now())
+        timeout_error = TimeoutError("the caller does not read the response")
         try:
-            timeout_s = max(SEND_TIMEOUT_S, deadline - self._timers.now())
-            timeout_error = TimeoutError("the caller does not read the response")
             with eventlet.Timeout(timeout_s, timeout_error):
                 self._sock.sendall(data)
         except OSError as exc:
-            raise CallerDisconnectedError(str(exc), step="send response") from exc
+            is_late = exc is timeout_error
+            error = CallerNotReadingError if is_late else CallerDisconnectedError
+            raise error(str(exc), step="send response") from exc
 
     def _next_request(self) -> RawRequest | None:
         if not self._buffer:
@@ -416,16 +447,22 @@
         # Bytes after the request belong to the caller's next one.
         rest, is_closed = self._parser.trailing_data
         self._buffer = bytes(rest)
-        channel = CallerChannel(self)
+        channel = self._channel = CallerChannel(self)
         self.is_handling = True
         watcher = eventlet.spawn(self._watch_for_disconnect, eventlet.getcurrent())
+        reason, error = UnansweredReason.NO_ANSWER, None
         try:
             self._edge.handle(req, channel)
+        except CallerDisconnectedError as exc:
+            reason, error = exc.reason, exc
+        except (Exception, eventlet.Timeout) as exc:
+            reason, error = UnansweredReason.DEFECT, exc
         finally:
             self.is_handling = False
             watcher.kill()
-        if not channel.is_finished:
+        if error is not None or not channel.is_finished:
             # Without the last chunk, the caller sees that the response is incomplete.
+            self._note_unanswered(req, channel, reason, error)
             return False
         states = self._parser.our_state, self._parser.their_state
         if states != (h11.DONE, h11.DONE) or is_closed:
@@ -433,6 +470,27 @@
             return False
         return not self._is_eof
 
+    def _note_unanswered(
+        self,
+        req: RawRequest,
+        channel: CallerChannel,
+        reason: UnansweredReason,
+        error: BaseException | None,
+    ) -> None:
+        """Log and count a request whose connection is closed without its answer."""
+        if error is None and channel.has_begun:
+            reason = UnansweredReason.BROKEN_OFF
+        _log.write(
+            "Connection closed without a whole answer.",
+            request=channel.request_id,
+            reason=reason.value,
+            error=None if error is None else repr(error)[:MAX_LOGGED_CHARS],
+            has_begun=channel.has_begun,
+            is_leaving=self._edge.is_leaving,
+            age_s=round(self._timers.now() - req.arrived, 3),
+        )
+        self._edge.on_unanswered(reason)
+
     def _watch_for_disconnect(self, serving_thread) -> None:
         """Stop the green thread that serves the request when the caller disconnects."""
         while self._is_open():
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -127,6 +127,8 @@
             self._handle,
             self.timers,
         )
+        for edge in (self._edge, self._forward_edge):
+            edge.on_unanswered = self.metrics.note_unanswered
 
     def start(self) -> None:
         """Serve peers and callers."""
--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -17,6 +17,7 @@
 GRACE_MARGIN_SHARE = 1 / 12
 """The longest such time as a share of the stop. Only its last sixth ends answers."""
 POLL_S = 0.05
+MAX_LOGGED_IDS = 16
 
 _log = PartLog("daemon")
 
@@ -35,6 +36,9 @@
     def active_requests(self) -> int:
         """Return the number of requests that aren't answered yet."""
 
+    def unanswered_ids(self, most: int) -> list[str]:
+        """Return the ids of some requests that were read and aren't answered yet."""
+
 
 class DrainPeriod:
     """The time from a router's stop signal to its end.
@@ -86,7 +90,13 @@
             edge.close_idle()
         while _active_requests(edges) and self.time_left() > 0.0:
             self._timers.sleep(POLL_S)
-        _log.write("Drained.", unanswered=_active_requests(edges))
+        ids = [each for edge in edges for each in edge.unanswered_ids(MAX_LOGGED_IDS)]
+        _log.write(
+            "Drained.",
+            unanswered=_active_requests(edges),
+            requests=ids[:MAX_LOGGED_IDS],
+            left_s=round(self.time_left(), 3),
+        )
 
 
 def _active_requests(edges: Iterable[DrainableEdge]) -> int:
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -2,6 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from boragedeck.connection.caller_ends import UnansweredReason
 from boragedeck.connection.upstream_pool import OpenReason
 
 __all__ = ["RelayMetrics"]
@@ -26,6 +27,12 @@
             ["kind", "outcome"],
             registry=registry,
         )
+        self.unanswered = Counter(
+            "boragedeck_unanswered",
+            "Requests that were read and have no whole answer, by reason.",
+            ["reason"],
+            registry=registry,
+        )
         self.attempts = Counter(
             "boragedeck_relay_attempts",
             "Attempts at replicas by kind and outcome.",
@@ -180,6 +187,10 @@
             "boragedeck_log_lines_dropped", "Log lines dropped.", registry=registry
         )
 
+    def note_unanswered(self, reason: UnansweredReason) -> None:
+        """Count a request that was read and has no whole answer."""
+        self.unanswered.labels(reason.value).inc()
+
     def note_connection(self, reason: OpenReason) -> None:
         """Count a connection to a replica that was opened."""
         self.connections.labels(reason.value).inc()
--- a/boragedeck/request/forward.py
+++ b/boragedeck/request/forward.py
@@ -96,6 +96,8 @@
             return
         order = decoded.ok()
         channel.deadline = self._timers.now() + order.timeout_s
+        request_id = self._protocol.request_id(raw.headers)
+        channel.request_id = request_id and request_id.decode("latin-1")
         state = self._registry.at(order.target)
         if state is None or not self._may_forward(order):
             self._fail(channel, ForwardFailure.DECLINED)
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -6,7 +6,7 @@
 import eventlet
 import msgspec
 
-from boragedeck.connection.caller_edge import CallerDisconnectedError
+from boragedeck.connection.caller_ends import CallerDisconnectedError
 from boragedeck.connection.exchange import AnswerHead, Exchange
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.exceptions import (
--- a/tests/process/relaying/test_draining.py
+++ b/tests/process/relaying/test_draining.py
@@ -1,10 +1,13 @@
 import unittest
+from unittest import mock
 
 import eventlet
 
+from boragedeck.process.relaying import draining
 from boragedeck.process.relaying.draining import (
     GRACE_MARGIN_S,
     LEAVE_PERIOD_S,
+    MAX_LOGGED_IDS,
     DrainPeriod,
 )
 from boragedeck.process.timers import ManualTimers
@@ -28,6 +31,9 @@
     def active_requests(self):
         return self.active
 
+    def unanswered_ids(self, most):
+        return [f"id-{number}" for number in range(self.active)][:most]
+
 
 class DrainPeriodTest(unittest.TestCase):
     def setUp(self):
@@ -71,6 +77,19 @@
         self.run_for(0.4)
         self.assertTrue(self.thread.dead)
 
+    def test_requests_that_the_stop_leaves_unanswered_are_not_named(self):
+        for active, named in ((0, 0), (2, 2), (100, MAX_LOGGED_IDS)):
+            with self.subTest(active=active):
+                self.period = DrainPeriod(self.timers, lambda: GRACE_S)
+                self.edge = Edge(active)
+                with mock.patch.object(draining._log, "write") as write:
+                    self.drain()
+                    self.run_for(GRACE_S)
+                write.assert_called_once()
+                fields = write.call_args.kwargs
+                self.assertEqual(fields["unanswered"], active)
+                self.assertEqual(len(fields["requests"]), named)
+
     def test_short_grace_ends_answers_before_its_last_sixth(self):
         for grace_s in (1.2, 2.0, 4.0, 8.0):
             with self.subTest(grace_s=grace_s):
