Answer 500 when relaying fails by an exception that nobody expected

What callers saw: a connection closed without an answer, since only UpstreamError was caught, and that one without the request's id and without an answer, too.

Fix: process/relaying/request_handler logs it with the request and answers 500 if nothing was sent: the request may have run, which a 503 would deny. An answer that has begun is broken off, so that it doesn't look complete.

--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -14,10 +14,9 @@
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.store import Table
 from boragedeck.connection.upstream_pool import MAX_IDLE_PER_REPLICA, UpstreamPool
-from boragedeck.exceptions import UpstreamError
 from boragedeck.ids import PoolName, RouterId
 from boragedeck.interfaces import Member
-from boragedeck.platform.callers import decode_request, refusal_headers
+from boragedeck.platform.callers import refusal_headers
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
 from boragedeck.platform.replicas import decode_replica
 from boragedeck.platform.rollout_status import PlatformRolloutBoard
@@ -53,6 +52,7 @@
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.request_handler import handle_request
 from boragedeck.process.relaying.retries.retry_reserve import RetryReserve
 from boragedeck.process.relaying.retries.retry_share import USABLE_SHARE, RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
@@ -62,8 +62,7 @@
 from boragedeck.process.relaying.tables.table_composition import MirroredTables
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.address_claims import watch_address_claims
-from boragedeck.request.relay import relay
-from boragedeck.request.relay_components import RelayComponents, respond_refusal
+from boragedeck.request.relay_components import RelayComponents
 from boragedeck.version.replicas import Replica
 
 __all__ = ["RelayRouter"]
@@ -358,15 +357,7 @@
         return [state.replica for state in self._registry.of_pool(pool)]
 
     def _handle(self, raw: RawRequest, channel: CallerChannel) -> None:
-        decoded = decode_request(raw)
-        if decoded.is_err():
-            _log.write("Refused.", reason=decoded.err().message, status=400)
-            respond_refusal(self._parts, None, decoded.err(), channel)
-            return
-        try:
-            relay(self._parts, decoded.ok(), channel)
-        except UpstreamError as exc:
-            _log.write("Request failed.", error=str(exc))
+        handle_request(self._parts, raw, channel)
 
     def _max_idle_per_replica(self) -> int:
         """Return how many idle connections this router may keep to one replica."""
