Wait for a replica that falls silent while a body is sent to it

Callers whose body was large got 502 ("the request was not sent in time", "the gateway says lost") if the replica stood still for 2.6 s meanwhile; a stream that may be resumed was held for 4.7 s at a replica that took nothing for good.

Cause: a limit of 2 s for the sending (relay_attempt and forward), after which the request counted as lost, and no probe, silence or second attempt before that. The kernel's limit for data that isn't taken (TCP_USER_TIMEOUT, 3.5 s) would have ended it next: it counts while a live host answers its probes of a closed window.

What isn't taken at once is sent while the answer is waited for (Exchange), so the wait for it is that of the head: a silence, bounded by the request's time, beside which a second attempt may start if the request may be repeated. An answer that comes before the body is taken is read; its connection isn't used again. The user timeout is no longer set. A host that is gone: the second attempt starts as before; an exchange that waits for an answer ends by keep-alive probes (4 s, 3.5 s before); one whose bytes are on the way ends with the request's time, since what can't be resumed should wait.

The parameter send_timeout_s of the pools and paths goes; the time that a gateway is told is answer_timeout_s for all senders (probes gave it as their send timeout).

--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -46,6 +46,8 @@
 seconds."""
 SILENCE_S = 0.2
 """A wait for bytes that is longer than this is a silence."""
+EARLY_ANSWER_CHECK_S = 0.05
+"""How often it is seen, while a request isn't taken, whether it is answered already."""
 IDLE_MARGIN_S = 1.0
 """How long before its Keep-Alive timeout a connection is no longer reused, in
 seconds."""
@@ -147,6 +149,8 @@
         # Since when bytes have been waited for; None while they arrive.
         self._waits_since: float | None = None
         self.sent = SentRequests()
+        # What the replica hasn't taken of the current request.
+        self._unsent = memoryview(b"")
 
     def is_open_and_empty(self) -> bool:
         """Return whether the connection is open and has no unread bytes."""
@@ -159,6 +163,39 @@
             return False
         return False
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of the current request hasn't been sent."""
+        return bool(self._unsent)
+
+    def send(self, data: bytes) -> None:
+        """Send a request as far as it is taken at once; `send_rest` sends the rest.
+
+        Raises
+        ------
+        OSError
+            If the connection broke.
+        """
+        self._unsent = memoryview(data)
+        with eventlet.Timeout(0, False):
+            self.send_rest()
+
+    def send_rest(self) -> None:
+        """Wait until the request is sent, or until there are bytes to read.
+
+        Raises
+        ------
+        OSError
+            If the connection broke.
+        """
+        while self._unsent:
+            with eventlet.Timeout(EARLY_ANSWER_CHECK_S, False):
+                count = self.sock.send(self._unsent)
+                self._unsent = self._unsent[count:]
+                continue
+            if not self.is_open_and_empty():
+                return
+
     def receive(self) -> bytes:
         """Wait for bytes; return an empty value at the end of the connection.
 
@@ -212,7 +249,10 @@
 
 
 class Exchange:
-    """A request that has been sent and its answer.
+    """A request and its answer.
+
+    What a replica doesn't take of the request at once is sent while its answer is
+    waited for, so that a replica which stands still is silent, and not lost.
 
     Parameters
     ----------
@@ -221,7 +261,7 @@
     conn : UpstreamConnection
         The connection; no other exchange uses it meanwhile.
     message : Message
-        The request that was sent.
+        The request.
 
     Attributes
     ----------
@@ -401,6 +441,7 @@
             event = parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            self._conn.send_rest()
             parser.receive_data(self._conn.receive())
 
     def _silent_error(self, step: str) -> UpstreamSilentError:
--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -32,11 +32,8 @@
 """Time until a silent connection is probed, and between probes."""
 KEEPALIVE_PROBES = 3
 """Number of unanswered probes after which the kernel closes the connection. A sound
-replica may be silent for a second or more, in which two probes can be lost."""
-USER_TIMEOUT_MS = int(1000 * KEEPALIVE_S * (KEEPALIVE_PROBES + 0.5))
-"""Time after which the kernel closes a connection whose data isn't acknowledged. With
-this option it also ends the probes, whatever their number, so it is longer than they
-take."""
+replica may be silent for a second or more, in which two probes can be lost. There is no
+limit for data that isn't taken, since that of the kernel holds for a live host, too."""
 
 
 class ConnectOutcome(enum.Enum):
@@ -129,10 +126,9 @@
         address: Address,
         message: Message,
         connect_timeout_s: float,
-        send_timeout_s: float,
         check: Callable[[], None] = lambda: None,
     ) -> Exchange:
-        """Send a request and return the exchange that reads its answer.
+        """Begin to send a request and return the exchange that reads its answer.
 
         Parameters
         ----------
@@ -140,8 +136,8 @@
             The replica's address.
         message : Message
             The request.
-        connect_timeout_s, send_timeout_s : float
-            Maximum time of each step, in seconds.
+        connect_timeout_s : float
+            Maximum time to connect, in seconds.
         check : callable, optional
             Called once there is a connection; if it raises, the request isn't sent.
 
@@ -150,8 +146,8 @@
         UpstreamRefusedError
             If no connection could be opened, so that nothing was sent.
         UpstreamError
-            If the connection broke, or was too slow, while the request was sent; the
-            replica may have received it.
+            If the connection broke while the request was sent; the replica may have
+            received it.
         """
         conn = self._pop_idle(address, message.request_id)
         if conn is None:
@@ -164,10 +160,7 @@
         try:
             check()
             conn.sent.note_sent(message.request_id)
-            data = encode_request(conn.parser, message)
-            timeout_error = TimeoutError("the request was not sent in time")
-            with eventlet.Timeout(send_timeout_s, timeout_error):
-                conn.sock.sendall(data)
+            conn.send(encode_request(conn.parser, message))
         except OSError as exc:
             conn.close()
             raise UpstreamError(str(exc), step="send", peer=str(address)) from exc
@@ -178,7 +171,7 @@
 
     def _release(self, conn: UpstreamConnection, is_complete: bool) -> None:
         parser = conn.parser
-        is_clean = is_complete and not parser.trailing_data[0]
+        is_clean = is_complete and not (parser.trailing_data[0] or conn.has_unsent)
         is_done = (parser.our_state, parser.their_state) == _BOTH_DONE
         if not (is_clean and is_done) or conn.sent.is_full:
             conn.close()
@@ -273,5 +266,4 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
 )
--- a/boragedeck/process/relaying/paths/gateway_sender.py
+++ b/boragedeck/process/relaying/paths/gateway_sender.py
@@ -57,7 +57,6 @@
         self,
         order: ForwardOrder,
         connect_timeout_s: float,
-        send_timeout_s: float,
         check: Callable[[], None],
     ) -> ForwardedExchange:
         """Send a request, and wait for a time until a gateway has passed it on.
@@ -66,7 +65,7 @@
         ----------
         order : ForwardOrder
             The request and its replica.
-        connect_timeout_s, send_timeout_s, check
+        connect_timeout_s, check
             See `UpstreamPool.send`.
 
         Returns
@@ -88,9 +87,7 @@
         unreached = 0
         for gateway in self._gateways.candidates(order.target)[:MAX_GATEWAYS]:
             try:
-                exchange = self._send_through(
-                    gateway, order, connect_timeout_s, send_timeout_s, check
-                )
+                exchange = self._send_through(gateway, order, connect_timeout_s, check)
             except UpstreamNotAcceptingError:
                 raise
             except ForwardDeclinedError as exc:
@@ -122,14 +119,13 @@
         gateway: Member,
         order: ForwardOrder,
         connect_timeout_s: float,
-        send_timeout_s: float,
         check: Callable[[], None],
     ) -> ForwardedExchange:
         """Send a request through one gateway, and wait until it says so."""
         address = self._gateways.address_of(gateway)
         try:
             exchange = self._forwards.send(
-                address, encode_order(order), connect_timeout_s, send_timeout_s, check
+                address, encode_order(order), connect_timeout_s, check
             )
         except UpstreamRefusedError as exc:
             raise ForwardDeclinedError(
--- a/boragedeck/process/relaying/paths/replica_paths.py
+++ b/boragedeck/process/relaying/paths/replica_paths.py
@@ -110,18 +110,16 @@
         address: Address,
         message: Message,
         connect_timeout_s: float,
-        send_timeout_s: float,
+        answer_timeout_s: float,
         check: Callable[[], None] = lambda: None,
-        *,
-        answer_timeout_s: float | None = None,
     ) -> Exchange:
         """Send a request by the best known path.
 
         Parameters
         ----------
-        address, message, connect_timeout_s, send_timeout_s, check
+        address, message, connect_timeout_s, check
             See `UpstreamPool.send`.
-        answer_timeout_s : float, optional
+        answer_timeout_s : float
             How long the caller waits for the answer, in seconds.
 
         Raises
@@ -135,16 +133,14 @@
             if self._has_own_loss():
                 connect_timeout_s = min(connect_timeout_s, DOUBTFUL_CONNECT_TIMEOUT_S)
             try:
-                return self._upstreams.send(
-                    address, message, connect_timeout_s, send_timeout_s, check
-                )
+                return self._upstreams.send(address, message, connect_timeout_s, check)
             except UpstreamRefusedError as exc:
                 self._note_refused(address, exc)
                 if not self.is_own_loss(address):
                     raise
-        order = ForwardOrder(address, answer_timeout_s or send_timeout_s, message)
+        order = ForwardOrder(address, answer_timeout_s, message)
         try:
-            return self._sender.send(order, connect_timeout_s, send_timeout_s, check)
+            return self._sender.send(order, connect_timeout_s, check)
         except UpstreamUnreachedError:
             self._set_state(address, PathState.LOST)
             raise
--- a/boragedeck/request/forward.py
+++ b/boragedeck/request/forward.py
@@ -36,7 +36,6 @@
 __all__ = ["Forwarder"]
 
 CONNECT_TIMEOUT_S = 0.3
-SEND_TIMEOUT_S = 2.0
 BODY_TIMEOUT_S = 60.0
 """How long a replica may be silent in the body; the sender gives up earlier."""
 FAILURE_STATUS = 502
@@ -131,7 +130,7 @@
         message = self._identified(order.message)
         try:
             exchange = self._upstreams.send(
-                order.target, message, CONNECT_TIMEOUT_S, SEND_TIMEOUT_S, check
+                order.target, message, CONNECT_TIMEOUT_S, check
             )
         except UpstreamNotAcceptingError:
             self._fail(channel, ForwardFailure.NOT_ACCEPTING)
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -26,7 +26,6 @@
 __all__ = ["PendingAnswer", "start_attempt", "probe"]
 
 CONNECT_TIMEOUT_S = 0.3
-SEND_TIMEOUT_S = 2.0
 MAX_PROBE_BYTES = 256 * 1024
 
 
@@ -125,9 +124,8 @@
             replica.address,
             message,
             min(CONNECT_TIMEOUT_S, max(0.0, job.left_s())),
-            SEND_TIMEOUT_S,
+            max(0.0, job.left_s()),
             partial(_check_accepts_requests, job, place),
-            answer_timeout_s=job.left_s(),
         )
     except UpstreamNotAcceptingError:
         raise
--- a/tests/request/test_silent_gateways.py
+++ b/tests/request/test_silent_gateways.py
@@ -22,6 +22,7 @@
 LEFT_WITHIN_S = 0.9
 """How soon a request at a gateway that stays silent is sent another way."""
 MANY_MS = 6000
+LONG_SILENCE_S = 2.6
 LARGE_BODY = b"x" * 4_000_000
 WHOLE = b"".join(map(event, range(1, 9)))
 
@@ -93,6 +94,13 @@
         self.assertEqual((response.status, response.body), (200, b"whole"))
         self.assertEqual(self.ran(), 1)
 
+    def test_long_silence_of_the_replica_loses_a_large_call_at_the_gateway(self):
+        self.start(call_rule(CallKind.ONCE, timeout_s=6.0), answer())
+        self.fleet.replicas[0].silence.begin_for(LONG_SILENCE_S)
+        response = self.router.fetch(body=LARGE_BODY, ms=MANY_MS)
+        self.assertEqual((response.status, response.body), (200, b"whole"))
+        self.assertEqual(self.ran(), 1)
+
     def test_gateway_that_declines_after_a_silence_loses_a_call_that_may_run_once(self):
         self.start(call_rule(CallKind.ONCE, timeout_s=4.0), answer(), gateways=2)
         gateway = self.fall_silent()
--- a/tests/request/test_silent_replicas.py
+++ b/tests/request/test_silent_replicas.py
@@ -30,6 +30,9 @@
 SILENCE_S = 1.2
 FLAP_S = 0.6
 LARGE_BODY = b"x" * 4_000_000
+LONG_SILENCES_S = 2.6, 4.0
+LARGE_LEFT_WITHIN_S = 2.0
+"""How soon a stream is whole whose body the first replica doesn't take."""
 VERDICT_S = 3.0
 MANY_MS = 8000
 LEFT_WITHIN_S = 3.0
@@ -340,6 +343,38 @@
         self.assertEqual((response.status, response.body), (200, b"whole"))
         self.assertEqual(len(one.relayed()), 1)
 
+    def test_long_silence_while_a_body_is_sent_loses_a_call_that_may_run_once(self):
+        for silence_s in LONG_SILENCES_S:
+            with self.subTest(silence_s=silence_s):
+                one = ScriptedReplica("one", answer())
+                rule = call_rule(CallKind.ONCE, goal_s=0.2, timeout_s=8.0)
+                harness = RelayHarness(rule)
+                self.addCleanup(harness.close)
+                harness.add(one)
+                one.silence.begin_for(silence_s)
+                response = harness.fetch(body=LARGE_BODY, ms=MANY_MS)
+                self.assertEqual((response.status, response.body), (200, b"whole"))
+                self.assertEqual(len(one.relayed()), 1)
+
+    def test_long_silence_while_a_body_is_sent_ends_a_stream(self):
+        one = ScriptedReplica("one", stream)
+        harness = self.harness(one, is_resumable=False)
+        one.silence.begin_for(LONG_SILENCES_S[0])
+        response = harness.fetch(TOKENS, body=LARGE_BODY, ms=MANY_MS)
+        self.assert_whole(response)
+        self.assertEqual(len(one.relayed()), 1)
+
+    def test_body_that_is_not_taken_holds_a_stream(self):
+        one, two = ScriptedReplica("one", stream), ScriptedReplica("two", stream)
+        harness = self.harness(one, two)
+        one.silence.begin()
+        began = time.monotonic()
+        response = harness.fetch(TOKENS, body=LARGE_BODY, ms=MANY_MS)
+        self.assert_whole(response)
+        self.assertLess(time.monotonic() - began, LARGE_LEFT_WITHIN_S)
+        self.assertEqual(len(two.relayed()), 1)
+        self.assertEqual(harness.registry.get("one").own.running, 0)
+
     def test_silence_in_the_middle_of_a_body_loses_a_call_that_may_run_once(self):
         def part(sock, req):
             sock.sendall(head_of(req, 200, b"Content-Length: 5") + b"\r\n")
