--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/ruff check --fix .
 
 test: lint
-	$(BIN)/python -m scripts.run_tests
+	$(BIN)/python -m scripts.run_tests $(if $(PROCESSES),--processes $(PROCESSES))
 
 bench: $(READY)
 	$(BIN)/python -m benchmarks.run_all
