Take bytes that complete no event for a doubt, and let the stream go on

What callers saw: a stream of which an event took longer than the gap objective to arrive, byte by byte, was ended, though it couldn't be resumed, or no other replica or attempt was left.

Cause: the limit on bytes without an event ended the attempt. A long event that arrives slowly isn't proof that none will come.

Fix: it is reported as a silence is, so that a second attempt may start beside it, and the first of the two to send an event goes on. The replica isn't taken for silent; the attempt is a failure of its version if it ends so. Proofs stay: an event of over 1 MiB, 64 events without an id. Streams before endless bytes are served elsewhere in time as before (test_relay_endless, unchanged, passes).

--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -116,6 +116,8 @@
         self._report = report
         self._from_copy = from_copy
         self._is_cancelled = False
+        # Whether bytes arrive that have completed no event for too long.
+        self._is_stalled = False
         self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
         self._silence = StreamSilence(job, place, self._progress)
         self._liveness = StreamLivenessMonitor(job, self._note_silent, self._note_heard)
@@ -135,6 +137,7 @@
         """End the attempt, which reports nothing any more."""
         self._is_cancelled = True
         # A thread that is killed before it has started wouldn't release its place.
+        self._note_stall_over()
         self._release(is_served=False)
         self._silence.note_abandoned()
         self._liveness.stop()
@@ -280,10 +283,12 @@
         gaps = GapSampler()
         while data := self._liveness.wait(self.place, exchange, exchange.read):
             events = splitter.feed(data)
-            timeout.note_read(has_event=bool(events))
             if not events:
+                if timeout.is_report_due():
+                    self._note_stalled(timeout.stalled_at)
                 continue
             may_end = True
+            self._is_stalled = False
             self._liveness.note_output()
             self._silence.end()
             self._note_output(gaps.note(len(events), timers.now()))
@@ -336,6 +341,26 @@
         self._silence.end()
         self._tell(Heard())
 
+    def _note_stalled(self, since: float) -> None:
+        """Report that bytes complete no event, so that another attempt may start."""
+        job, place = self._job, self.place
+        if not self._is_stalled:
+            self._is_stalled = True
+            log.write(
+                "No event is complete, though bytes arrive.",
+                request=job.req.request_id,
+                replica=place.state.replica.replica,
+                sent=job.sent,
+            )
+            job.note_miss(place)
+        self._tell(Silent(since, may_work=False))
+
+    def _note_stall_over(self) -> None:
+        """Count a failure of an attempt that is ended while no event is complete."""
+        is_stalled, self._is_stalled = self._is_stalled, False
+        if is_stalled and not self._job.is_own_loss(self.place):
+            self._job.evidence.note_outcome(self.place, Outcome.FAILED)
+
     def _note_moved(self) -> None:
         """Record that another replica has the address.
 
@@ -372,5 +397,6 @@
             # The time is over; whether the replica is lost isn't known yet.
             self._silence.note_abandoned()
         elif outcome is AttemptOutcome.LOST and not is_own_loss:
+            self._is_stalled = False
             job.evidence.note_outcome(place, Outcome.FAILED)
         return self._note_failed(exc, str(exc), outcome)
