Play streams that run into their callers' time, slow bodies, two stops and SIGHUP

whole_answers sends bodies in chunks that take up to 1.5 s, gives three in ten streams 3 to 5 s (they take 4 s), stops a second router 4.5 s after the first, and sends SIGHUP to the others beside it. A stream that is cut before its caller's time, counted from the last byte that it sent, is a fault; one that ends at or after it isn't. A build can be given.

--- a/scripts/whole_answers.py
+++ b/scripts/whole_answers.py
@@ -1,9 +1,11 @@
 """Counts whole answers while routers are stopped and their configuration changes.
 
 Three routers serve on a stand-in platform while replicas fall silent, the operators'
-table or the settings change, and a router is replaced. Callers read streams and make
-calls, with bodies in chunks and with a length, on kept connections and on new ones. The
-exit status is 1 if an answer that should be whole isn't.
+table or the settings change, and two routers are replaced, one a while after the
+other. Callers read streams and make calls, with bodies in chunks that may take a while
+and with a length, on kept connections and on new ones; some streams take as long as
+their callers wait. The exit status is 1 if an answer that should be whole isn't, or if
+one was cut before its caller's time.
 """
 
 import http.client
@@ -38,7 +40,7 @@
 )
 from standins.relay_replica import RelayReplica
 
-__all__ = ["Play", "Request", "WholeAnswers", "main"]
+__all__ = ["Play", "Request", "WholeAnswers", "main", "time_over"]
 
 ZONES = "abc"
 EVENTS = 50
@@ -47,6 +49,8 @@
 CHANGE_AT_S = 1.2
 SILENCE_AT_S = 1.7
 SENDING_S = 5.5
+SECOND_STOP_S = 4.5
+"""How long after the first router a second one is stopped, in seconds."""
 STREAM_CALLERS = 24
 CALL_CALLERS = 12
 STREAM_ROUTES = ("stream", "resume")
@@ -56,8 +60,14 @@
 """Share of the requests that are sent on a connection that was kept."""
 CHUNKED_SHARE = 0.5
 BODY_PARTS = (b"a" * 30, b"b" * 30, b"c" * 30, b"d" * 30, b"e" * 30)
-BODY_PART_S = 0.05
+MAX_BODY_S = 1.5
+"""Longest time from the first part of a body in chunks to its last one, in seconds."""
 DEADLINE_S = 11.0
+SHORT_DEADLINES_S = 3.0, 5.0
+SHORT_SHARE = 0.3
+"""Share of the streams whose callers wait for about as long as they take."""
+FINAL_ANSWER_S = 0.1
+"""How long before its caller's time a failure may be answered, at most."""
 GRACE_S = 8.0
 LAST_SHARE = 1 / 6
 """Share of a stop's time, at its end, in which an answer may be ended."""
@@ -81,18 +91,27 @@
     silent_share : float
         Share of the replicas that fall silent after the change.
     has_stop : bool
-        Whether a router is told to stop, within the silence if there is one.
+        Whether two routers are told to stop, the first within the silence if there is
+        one.
+    has_hup : bool
+        Whether the routers that aren't stopped first get SIGHUP then.
     """
 
     change: Change
     silent_share: float
     has_stop: bool
+    has_hup: bool = False
 
     def __str__(self) -> str:
         silence = (
             f"{self.silent_share:.0%} silent" if self.silent_share else "no silence"
         )
-        return f"{self.change.value}, {silence}, {'SIGTERM' if self.has_stop else '-'}"
+        signals = [
+            name
+            for name, is_sent in (("SIGTERM", self.has_stop), ("SIGHUP", self.has_hup))
+            if is_sent
+        ]
+        return f"{self.change.value}, {silence}, {' and '.join(signals) or '-'}"
 
 
 class Request(msgspec.Struct):
@@ -112,6 +131,12 @@
         Whether its connection has served before.
     sent, ended : float
         When, in monotonic seconds.
+    caller_s : float
+        How long its caller waits, in seconds.
+    part_s : float
+        The pause before each part of a body in chunks, in seconds.
+    last_sent : float
+        When its last byte was about to be sent, in monotonic seconds.
     status : int
         The answer's status; 0 if there is none.
     is_whole : bool
@@ -126,6 +151,9 @@
     is_chunked: bool
     is_kept: bool
     sent: float
+    caller_s: float = DEADLINE_S
+    part_s: float = 0.0
+    last_sent: float = 0.0
     ended: float = 0.0
     status: int = 0
     is_whole: bool = False
@@ -143,6 +171,8 @@
         Seed of all draws.
     callers : tuple of int
         Number of callers that read streams, and that make calls.
+    build : Path, optional
+        Source folder of the routers; this one by default.
 
     Attributes
     ----------
@@ -155,11 +185,15 @@
         directory: Path,
         seed: int,
         callers: tuple[int, int] = (STREAM_CALLERS, CALL_CALLERS),
+        build: Path | None = None,
     ):
         self.faults: list[tuple[Play, Request]] = []
         self._rng = random.Random(seed)
         self._callers = callers
+        self._build = build
         self._cluster = PlatformCluster(directory)
+        if build is not None:
+            self._cluster.builds |= dict.fromkeys(range(len(ZONES)), build)
         self._versions = itertools.count(2)
         self._numbers = itertools.count()
         self._stops: dict[int, float] = {}
@@ -174,7 +208,8 @@
         """Run one play; return how many requests ended how, by route."""
         self._prepare(play)
         began = time.monotonic()
-        self._sending_until = began + SENDING_S
+        extra_s = SECOND_STOP_S if play.has_stop else 0.0
+        self._sending_until = began + SENDING_S + extra_s
         requests: list[Request] = []
         threads = [
             eventlet.spawn(self._send_requests, number, routes, requests)
@@ -186,9 +221,15 @@
         eventlet.sleep(SILENCE_AT_S - CHANGE_AT_S)
         silence_s = self._rng.uniform(1.0, 1.3)
         self._fall_silent(play, silence_s)
+        eventlet.sleep(self._rng.uniform(0.0, silence_s))
+        first, second, _ = self._rng.sample(range(3), 3)
+        if play.has_stop:
+            threads.append(eventlet.spawn(self._replace, first))
+        if play.has_hup:
+            self._hang_up(first)
         if play.has_stop:
-            eventlet.sleep(self._rng.uniform(0.0, silence_s))
-            threads.append(eventlet.spawn(self._replace, self._rng.randrange(3)))
+            eventlet.sleep(SECOND_STOP_S)
+            threads.append(eventlet.spawn(self._replace, second))
         for thread in threads:
             thread.wait()
         counts = Counter()
@@ -252,7 +293,13 @@
 
     def _replace(self, number: int) -> None:
         self._stops[number] = time.monotonic()
-        self._cluster.replace_routers([number], None)
+        self._cluster.replace_routers([number], self._build)
+
+    def _hang_up(self, stopped: int) -> None:
+        """Let the routers that aren't stopped read their settings anew."""
+        for number, router in enumerate(self._cluster.routers):
+            if number != stopped:
+                router.send_signal(signal.SIGHUP)
 
     def _send_requests(self, number: int, routes, requests: list[Request]) -> None:
         router = number % len(ZONES)
@@ -270,29 +317,39 @@
             except OSError:
                 # The router is being replaced; nothing was sent.
                 continue
-            req = Request(
-                name=f"id-{next(self._numbers)}",
-                router=router,
-                route=rng.choice(routes),
-                is_chunked=rng.random() < CHUNKED_SHARE,
-                is_kept=is_kept,
-                sent=time.monotonic(),
-            )
+            req = self._request(rng, router, rng.choice(routes), is_kept=is_kept)
             requests.append(req)
             self._send(conn, req)
             req.ended = time.monotonic()
         conn.close()
 
+    def _request(
+        self, rng: random.Random, router: int, route: str, *, is_kept: bool
+    ) -> Request:
+        is_chunked = rng.random() < CHUNKED_SHARE
+        is_short = route in STREAM_ROUTES and rng.random() < SHORT_SHARE
+        return Request(
+            name=f"id-{next(self._numbers)}",
+            router=router,
+            route=route,
+            is_chunked=is_chunked,
+            is_kept=is_kept,
+            sent=time.monotonic(),
+            caller_s=rng.uniform(*SHORT_DEADLINES_S) if is_short else DEADLINE_S,
+            part_s=rng.uniform(0.0, MAX_BODY_S / len(BODY_PARTS)) * is_chunked,
+            last_sent=time.monotonic(),
+        )
+
     def _send(self, conn: http.client.HTTPConnection, req: Request) -> None:
         headers = {
             "Host": "demo.example",
             "Api-Key": "demo-key",
-            "Deadline-Ms": str(round(DEADLINE_S * 1e3)),
+            "Deadline-Ms": str(int(req.caller_s * 1e3)),
             "Request-Id": req.name,
         }
         if req.route in STREAM_ROUTES:
             headers |= {"Token-Counts": f"100,{EVENTS}", "Model": "m"}
-        body = _parts() if req.is_chunked else b"".join(BODY_PARTS)
+        body = _parts(req) if req.is_chunked else b"".join(BODY_PARTS)
         try:
             conn.request(
                 "POST",
@@ -314,7 +371,7 @@
     def _verdict(self, play: Play, req: Request) -> str:
         """Return how a request ended; in capitals if it shouldn't have."""
         runs = self._runs(req.name)
-        if runs > 1 and req.route not in ("again", "resume"):
+        if runs > 1 and not self._may_run_again(play, req):
             return "TWICE"
         match req.status:
             case 200 if req.is_whole:
@@ -327,10 +384,17 @@
         if self._is_excused(play, req):
             return "excused"
         if not req.status:
-            is_crossing = not runs and req.ended - req.sent < CROSSING_S
+            is_crossing = not runs and req.ended - req.sent < CROSSING_S + req.part_s
             return "crossed" if is_crossing else "CUT UNANSWERED"
         return "CUT" if req.status == http.HTTPStatus.OK else "FAILED"
 
+    def _may_run_again(self, play: Play, req: Request) -> bool:
+        """Return whether a table that may be in force lets a request run twice."""
+        is_resumable = play.change is Change.ATTEMPTS and req.ended > self._changed_at
+        return req.route in ("again", "resume") or (
+            req.route == "stream" and is_resumable
+        )
+
     def _runs(self, name: str) -> int:
         return sum(
             replica.served_ids.count(name)
@@ -341,6 +405,8 @@
         """Return whether a request may have had no answer."""
         if play.change is Change.TIMEOUT and req.sent > self._changed_at:
             return req.ended - req.sent > SHORT_TIMEOUT_MS / 1e3 - 0.2
+        if req.ended >= time_over(req):
+            return True
         stopped = self._stops.get(req.router, float("inf"))
         return (
             req.sent < stopped + LEAVE_S
@@ -348,10 +414,29 @@
         )
 
 
-def _parts() -> Iterator[bytes]:
+def _parts(req: Request) -> Iterator[bytes]:
     for part in BODY_PARTS:
-        eventlet.sleep(BODY_PART_S)
+        eventlet.sleep(req.part_s)
         yield part
+    req.last_sent = time.monotonic()
+
+
+def time_over(req: Request) -> float:
+    """Return from when on a request may have no whole answer, in monotonic seconds.
+
+    Parameters
+    ----------
+    req : Request
+        The request, with its end.
+
+    Notes
+    -----
+    An answer that has begun goes on for the caller's time after the last byte. The
+    final answer of a router is due before that time, counted from the first byte.
+    """
+    if req.status in (0, http.HTTPStatus.OK):
+        return req.last_sent + int(req.caller_s * 1e3) / 1e3
+    return req.sent + req.caller_s - FINAL_ANSWER_S
 
 
 def _is_whole(req: Request, body: bytes) -> bool:
@@ -363,10 +448,11 @@
 
 def _plays(rng: random.Random, changes: list[Change]) -> list[Play]:
     plays = [
-        Play(change, share, has_stop)
+        Play(change, share, has_stop, has_hup)
         for change in changes
         for share in (0.0, 0.6, 1.0)
         for has_stop in (False, True)
+        for has_hup in (False, True)
     ]
     # The new version stays, so that its order is played last.
     rng.shuffle(plays)
@@ -374,7 +460,11 @@
 
 
 def main(
-    seed: int = 1, plays: int = 0, only: str = "", logs: Path | None = None
+    seed: int = 1,
+    plays: int = 0,
+    only: str = "",
+    logs: Path | None = None,
+    build: Path | None = None,
 ) -> None:
     """Play and print the counts.
 
@@ -388,12 +478,14 @@
         Names of the changes that are played, with commas between; all if empty.
     logs : Path, optional
         An existing directory in which the routers' logs stay.
+    build : Path, optional
+        Source folder of the routers; this one by default.
     """
     names = only.split(",") if only else list(Change.__members__)
     changes = [Change[name] for name in names]
     total: Counter = Counter()
     with tempfile.TemporaryDirectory() as directory:
-        check = WholeAnswers(logs or Path(directory), seed)
+        check = WholeAnswers(logs or Path(directory), seed, build=build)
         try:
             for play in _plays(random.Random(seed), changes)[: plays or None]:
                 counts = check.run(play)
