Bound what a gateway forwards by the sender's time alone

What callers saw: behind a gateway a stream ended when its replica sent nothing for 60 s; and where the operators' idle timeout was below 4 s, the gateway closed connections on which the sender might just send, so that a call which runs once was answered 502.

Cause: a bound on silences in the body, and the callers' idle timeout for connections between routers. Neither is a proof.

Evidence: with the bound at 0.2 s, a stream whose replica stands still for 1.0 s wasn't complete; forward_limits gave an idle timeout of 0.3 s for one of 0.3 s.

Fix: a gateway goes on until 60 s after the time that the sender gave it, which is longer than any caller's time; between routers the idle timeout is 8 s at least. Played in one process: a gateway that is stopped while it forwards ends neither a stream nor a call that runs once, before and after this commit.

--- a/boragedeck/process/relaying/paths/path_composition.py
+++ b/boragedeck/process/relaying/paths/path_composition.py
@@ -7,6 +7,7 @@
 from eventlet.greenio import GreenSocket
 
 from boragedeck.connection.caller_edge import CallerEdge
+from boragedeck.connection.exchange import DEFAULT_IDLE_S
 from boragedeck.connection.forwarding import ForwardedExchange
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.upstream_pool import UpstreamPool
@@ -30,6 +31,9 @@
 MIN_FORWARD_HEADER_BYTES = 64 * 1024
 MIN_FORWARD_BODY_BYTES = 16 * 1024 * 1024
 """Lower limits of the size that a forwarded request may have."""
+MIN_FORWARD_IDLE_S = 2 * DEFAULT_IDLE_S
+"""Lower limit of how long a connection between routers may be idle. A sender doesn't
+reuse one for so long, so its request doesn't cross the close."""
 EXPIRE_INTERVAL_S = 1.0
 
 
@@ -51,6 +55,7 @@
         limits,
         header_bytes=header_bytes + FORWARD_HEADER_BYTES,
         body_bytes=max(limits.body_bytes, MIN_FORWARD_BODY_BYTES),
+        idle_timeout_s=max(limits.idle_timeout_s, MIN_FORWARD_IDLE_S),
     )
 
 
--- a/boragedeck/request/forward.py
+++ b/boragedeck/request/forward.py
@@ -37,8 +37,9 @@
 
 CONNECT_TIMEOUT_S = 0.3
 SEND_TIMEOUT_S = 2.0
-BODY_TIMEOUT_S = 60.0
-"""How long a replica may be silent in the body; the sender gives up earlier."""
+SENDER_SLACK_S = 60.0
+"""How long after the time that a sender has given an answer that has begun goes on. The
+sender, who knows the caller's time, closes the connection before."""
 FAILURE_STATUS = 502
 
 _log = PartLog("forward")
@@ -95,7 +96,7 @@
             self._fail(channel, ForwardFailure.DECLINED)
             return
         order = decoded.ok()
-        channel.deadline = self._timers.now() + order.timeout_s
+        channel.deadline = self._timers.now() + order.timeout_s + SENDER_SLACK_S
         request_id = self._protocol.request_id(raw.headers)
         channel.request_id = request_id and request_id.decode("latin-1")
         state = self._registry.at(order.target)
@@ -179,7 +180,7 @@
             )
         head = received.head
         channel.begin(head.status, answer_headers(head))
-        while data := exchange.read(BODY_TIMEOUT_S):
+        while data := exchange.read(left_s() + SENDER_SLACK_S):
             channel.write(data)
         channel.finish()
         self._metrics.forwards_served.labels("passed_on").inc()
--- a/tests/process/relaying/paths/test_path_composition.py
+++ b/tests/process/relaying/paths/test_path_composition.py
@@ -1,5 +1,6 @@
 import unittest
 
+from boragedeck.connection.exchange import DEFAULT_IDLE_S
 from boragedeck.process.relaying.paths.path_composition import forward_limits
 from boragedeck.version.routing import CallerLimits
 
@@ -15,3 +16,7 @@
     def test_higher_limits_hold_for_forwarded_requests(self):
         limits = forward_limits(CallerLimits(body_bytes=64 * 1024 * 1024))
         self.assertEqual(limits.body_bytes, 64 * 1024 * 1024)
+
+    def test_lower_idle_timeout_closes_connections_that_a_sender_may_reuse(self):
+        limits = forward_limits(CallerLimits(idle_timeout_s=0.3))
+        self.assertGreater(limits.idle_timeout_s, DEFAULT_IDLE_S)
