Let new requests wait while no replica accepts a connection

Cause: routers asked each other, none had a connection, and the paths counted as lost, whether connects were refused or had only timed out; PlaceFinder then refuses at once. A connect that times out is a doubt.

If the last connect to a replica of the pool timed out, a request that hasn't run waits and tries again until the time that it may wait (MAX_WAIT_SHARE) is over, and is refused then, 503 not_reached, which is true. Refused connections refuse at once as before (ReplicasGoneTest unchanged). A connect that timed out isn't counted as an attempt nor charged as a repeat; that was so before.

--- a/boragedeck/process/relaying/paths/replica_paths.py
+++ b/boragedeck/process/relaying/paths/replica_paths.py
@@ -181,6 +181,15 @@
         states = [self.state_of(address) for address in addresses]
         return bool(states) and all(state is PathState.LOST for state in states)
 
+    def is_hanging(self, address: Address) -> bool:
+        """Return whether the last connect to a replica timed out.
+
+        Notes
+        -----
+        The replica may be lost, or may stand still with its host.
+        """
+        return address in self._hanging
+
     def note_silent(self, exchange: Exchange, since: float) -> None:
         """Check the path to a replica from which nothing has arrived for some time.
 
--- a/boragedeck/request/place_finder.py
+++ b/boragedeck/request/place_finder.py
@@ -73,9 +73,10 @@
         -----
         When all replicas have been tried, they are tried again after a pause, or at
         once if there is no time to wait. If no router reaches any of them, a request
-        that hasn't run is refused at once.
+        that hasn't run is refused: at once if they refuse connections, and when it may
+        wait no longer if they may only be silent.
         """
-        if not self._may_have_run() and self._are_replicas_lost():
+        if not self._may_have_run() and self._is_pool_unreached():
             return Err(self._unreached_refusal())
         if self.tried and not self._has_untried_replica():
             self.tried.clear()
@@ -135,9 +136,15 @@
             lost_domains=frozenset(self.lost_domains),
         )
 
-    def _are_replicas_lost(self) -> bool:
+    def _is_pool_unreached(self) -> bool:
+        """Return whether it is no use to wait for a replica of the pool."""
+        paths = self._parts.paths
         states = self._parts.registry.of_pool(self._req.pool.name)
-        return self._parts.paths.are_lost(state.replica.address for state in states)
+        addresses = [state.replica.address for state in states]
+        if not paths.are_lost(addresses):
+            return False
+        is_time_left = self._parts.timers.now() < self._req.until
+        return not (is_time_left and any(map(paths.is_hanging, addresses)))
 
     def _unreached_refusal(self) -> RefusedError:
         return RefusedError(
--- a/tests/request/test_silent_paths.py
+++ b/tests/request/test_silent_paths.py
@@ -2,6 +2,7 @@
 
 import eventlet
 
+from boragedeck.request.relay_job import MAX_WAIT_SHARE
 from boragedeck.version.routing import CallKind, RelayPool
 from tests.support.cut_fleet import Cut, CutFleet
 from tests.support.replicas import (
@@ -53,7 +54,7 @@
     return answer()(sock, req)
 
 
-class SilentPathTest(unittest.TestCase):
+class SilentPathCase(unittest.TestCase):
     """Connects to silent replicas time out, as to a machine that is paused."""
 
     def start(self, rule, step, routers=3, replicas=2):
@@ -94,6 +95,10 @@
             self.assertEqual((response.status, response.body), (200, body))
             self.assertTrue(response.is_complete)
 
+
+class SilentPathTest(SilentPathCase):
+    """Requests that run when their replicas fall silent."""
+
     def test_silence_to_all_routers_cuts_a_stream_that_cannot_be_resumed(self):
         self.start(stream_rule(is_resumable=False, timeout_s=8.0), stream)
         self.assert_whole(*self.fetch(0, 1, 2))
@@ -130,3 +135,49 @@
         self.start(stream_rule(timeout_s=8.0), stream, replicas=2)
         self.fetch(0, 1, 2, count=4, silence_s=VERDICT_S, ms=2500)
         self.assertEqual(self.reported(), 2)
+
+
+class NewRequestTest(SilentPathCase):
+    """Requests that arrive while no replica accepts a connection."""
+
+    def fetch_new(self, silence_s=SILENCE_S, cut=Cut.STALL, count=8):
+        """Return the responses to requests during a silence, and how long each took."""
+        router = self.fleet.routers[0]
+        self.fleet.cut(cut, *range(len(self.fleet.routers)))
+        for replica in self.fleet.replicas:
+            replica.silence.begin_for(silence_s)
+        eventlet.spawn_after(
+            silence_s, self.fleet.cut, None, *range(len(self.fleet.routers))
+        )
+
+        def fetch(number):
+            began = router.timers.now()
+            response = router.fetch(TOKENS, name=b"id-%d" % number, ms=MANY_MS)
+            return response, router.timers.now() - began
+
+        threads = []
+        for number in range(count):
+            threads.append(eventlet.spawn(fetch, number))
+            eventlet.sleep(SILENCE_S / (2 * count))
+        return [thread.wait() for thread in threads]
+
+    def test_silence_of_all_replicas_refuses_new_streams(self):
+        self.start(stream_rule(is_resumable=False, timeout_s=4.0), stream)
+        self.assert_whole(*(response for response, _ in self.fetch_new()))
+        self.assertEqual(self.ran(), 8)
+
+    def test_silence_of_all_replicas_refuses_new_calls(self):
+        self.start(call_rule(CallKind.ONCE, goal_s=0.3, timeout_s=4.0), answer())
+        responses = [response for response, _ in self.fetch_new()]
+        self.assert_whole(*responses, body=b"whole")
+        self.assertEqual(self.ran(), 8)
+
+    def test_wait_for_replicas_that_never_accept_uses_up_the_caller_s_time(self):
+        rule = call_rule(CallKind.ONCE, goal_s=0.3, timeout_s=3.0)
+        self.start(rule, answer())
+        for response, took_s in self.fetch_new(silence_s=4.0):
+            self.assertEqual(response.status, 503)
+            self.assertIn(b"retry-after", response.headers)
+            self.assertGreater(took_s, 0.5 * MAX_WAIT_SHARE * rule.timeout_s)
+            self.assertLess(took_s, rule.timeout_s)
+        self.assertEqual(self.ran(), 0)
