Don't ask for a copy that a second attempt has used up

If a second attempt started from the copy of a silent run, and the first replica went on and was lost later, the stream was sent "from copy" to the same engine once more, which rejects it: a sending and a wait in vain.

Cause: the attempt that led kept its copy_holder, whoever had used the copy. It knows now which attempt was started from its copy; if that one was sent and not rejected, the copy isn't asked for. One that wasn't taken is asked for again, as before.

--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -111,17 +111,24 @@
         state = holder or self._recovery.prompt_holder()
         place = None if state is None else self._recovery.reserve(state)
         if place is not None:
-            self._start(place, from_copy=holder is not None)
+            self._start(place, copy_of=None if holder is None else failed)
         return place is not None
 
     def _copy_holder(self, attempt: StreamAttempt) -> ReplicaState | None:
         """Return the engine with a copy from which the stream can go on, if any."""
         return None if self._position is None else self._recovery.copy_holder(attempt)
 
-    def _start(self, place: Place, *, from_copy: bool = False) -> None:
+    def _start(self, place: Place, *, copy_of: StreamAttempt | None = None) -> None:
+        """Start an attempt, which may go on from the copy of another one's run."""
         attempt = StreamAttempt(
-            self._job, place, self._position, self._reports.put, from_copy=from_copy
+            self._job,
+            place,
+            self._position,
+            self._reports.put,
+            from_copy=copy_of is not None,
         )
+        if copy_of is not None:
+            copy_of.copy_user = attempt
         self._attempts.append(attempt)
         attempt.start()
 
@@ -204,14 +211,14 @@
             replaced = list(self._attempts)
         holder = self._copy_holder(first)
         place = None if holder is None else self._recovery.reserve(holder)
-        from_copy = place is not None
+        copy_of = None if place is None else first
         if place is None:
             place = self._job.places.acquire_beside(
                 [each.place for each in self._attempts]
             )
         if place is None or not self._take_repeat(place):
             return
-        self._start(place, from_copy=from_copy)
+        self._start(place, copy_of=copy_of)
         self._cancel(replaced)
 
     def _may_start_beside(self, silent: Silent) -> bool:
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -90,6 +90,8 @@
         Status and headers of a successful answer; None if there is none.
     copy_holder : ReplicaState or None
         The engine that holds a copy of this run.
+    copy_user : StreamAttempt or None
+        The attempt that was started from that copy.
     broken_state : ReplicaState or None
         The replica, if its connection broke so that it may still hold the prompt.
     failed_answer : FailedAnswer or None
@@ -111,6 +113,7 @@
         self.was_sent = False
         self.head: tuple[int, Headers] | None = None
         self.copy_holder: ReplicaState | None = None
+        self.copy_user: StreamAttempt | None = None
         self.broken_state: ReplicaState | None = None
         self.failed_answer: FailedAnswer | None = None
         self.failure_reason = ""
@@ -134,6 +137,12 @@
         """Whether the answer has begun, and its output hasn't lasted."""
         return self._progress.is_at_begin
 
+    @property
+    def is_copy_used(self) -> bool:
+        """Whether the copy of this run has been used up by another attempt."""
+        user = self.copy_user
+        return user is not None and user.was_sent and not user.place.is_rejected
+
     def cancel(self) -> None:
         """End the attempt, which reports nothing any more."""
         self._is_cancelled = True
--- a/boragedeck/request/stream_recovery.py
+++ b/boragedeck/request/stream_recovery.py
@@ -41,7 +41,8 @@
     def copy_holder(self, attempt: StreamAttempt) -> ReplicaState | None:
         """Return the engine that can resume an attempt's run from its copy.
 
-        None if there is no copy, or its engine accepts no requests or is avoided.
+        None if there is no copy, or it was used up, or its engine accepts no requests
+        or is avoided.
 
         Notes
         -----
@@ -49,6 +50,8 @@
         router may have learnt late of its restart.
         """
         job, holder = self._job, attempt.copy_holder
+        if attempt.is_copy_used:
+            return None
         if holder is not None and holder.is_removed:
             holder = job.parts.registry.at(holder.replica.address)
         if holder is None or holder.replica.pool != job.pool_name:
