Leave a handler alone once its answer is out, though the caller leaves

Cause: the watcher ended the handler's green thread whenever the caller closed, also after the whole answer, while the handler ends its other attempts; these could run on.

Fix: the handler is ended only if its answer isn't out. An exception after an answer has a line of its own.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -460,7 +460,7 @@
         finally:
             self.is_handling = False
             watcher.kill()
-        if error is not None or not channel.is_finished:
+        if reason is UnansweredReason.DEFECT or not channel.is_finished:
             # Without the last chunk, the caller sees that the response is incomplete.
             self._note_unanswered(req, channel, reason, error)
             return False
@@ -478,6 +478,13 @@
         error: BaseException | None,
     ) -> None:
         """Log and count a request whose connection is closed without its answer."""
+        if channel.is_finished:
+            _log.write(
+                "Failed after an answer.",
+                request=channel.request_id,
+                error=repr(error)[:MAX_LOGGED_CHARS],
+            )
+            return
         if error is None and channel.has_begun:
             reason = UnansweredReason.BROKEN_OFF
         _log.write(
@@ -497,7 +504,8 @@
             if len(self._buffer) >= MAX_AHEAD_BYTES:
                 self._timers.sleep(OPEN_POLL_S)
         self._is_eof = True
-        if self.is_handling:
+        # After its answer, nothing is left to end for it, and the handler cleans up.
+        if self.is_handling and not self._channel.is_finished:
             eventlet.kill(
                 serving_thread, CallerDisconnectedError("closed", step="serve")
             )
--- a/tests/connection/test_caller_ends.py
+++ b/tests/connection/test_caller_ends.py
@@ -74,6 +74,26 @@
             eventlet.sleep(0.05)
         write.assert_not_called()
 
+    def test_caller_that_leaves_after_its_answer_ends_what_the_handler_still_does(self):
+        done = []
+
+        def handle(raw, channel):
+            channel.respond(200, [], b"whole")
+            eventlet.sleep(0.2)
+            done.append(True)
+
+        self.harness.edge.handle = handle
+        with mock.patch.object(caller_edge._log, "write") as write:
+            sock = self.harness.connect()
+            send_request(sock)
+            self.assertTrue(read_response(sock).is_complete)
+            sock.close()
+            with eventlet.Timeout(2.0):
+                while self.harness.edge.active_requests():
+                    eventlet.sleep(0.01)
+        write.assert_not_called()
+        self.assertEqual(done, [True])
+
     def test_ids_of_unanswered_requests_are_unknown(self):
         def wait(raw, channel):
             channel.request_id = dict(raw.headers)[b"Request-Id"].decode()
