Let the requests at a replica go on when a 421 names no other one

What callers saw: a stream was ended when its replica answered another request with 421 and named no replica, or itself.

Cause: any 421 to an attempt counted as proof that another replica has the address, and ended all requests at it. The check of claimed addresses asks for another id; this place didn't.

Fix: without another id the replica is removed, so that it gets no further requests until its entry changes, as before, and what runs there goes on.

--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -197,10 +197,15 @@
 
     Notes
     -----
-    The other replica takes its place if it serves the models of the same pool.
+    The other replica takes its place if it serves the models of the same pool. An
+    answer that names no other one is no proof that the replica is gone, so it gets no
+    further requests and its running ones go on.
     """
     parts, replica = job.parts, place.state.replica
-    if verdict.actual_replica is not None and job.pool.engine is not None:
+    if verdict.actual_replica in (None, replica.replica):
+        parts.registry.remove(replica.replica, "misdirected")
+        return
+    if job.pool.engine is not None:
         body = probe(parts, place, CONNECT_TIMEOUT_S)
         models = frozenset() if body is None else parts.protocol.models(body)
         if parts.table().pool_of_models(models) == replica.pool:
