Let a stopping router take calls by their objective if it knows few durations

A stopping router refused each call to a service of which it knew fewer than four durations (503 router_stopping, not run), since it took the route's time-out for the length of a call: with 1.5 s left, a call with an objective of 0.5 s and a time-out of 4 s was refused.

Where too few durations are known, a long call takes twice its objective now, and the time-out at most. The objective of a stream says how soon it begins, so streams are judged as before. A call that would outlast the process is refused (0.9 s left).

--- a/boragedeck/process/relaying/placing/durations.py
+++ b/boragedeck/process/relaying/placing/durations.py
@@ -13,6 +13,8 @@
 """Number of the newest requests of a pool whose durations are kept."""
 LONG_QUANTILE = 0.95
 """Quantile of the durations that counts as a long request."""
+LONG_GOALS = 2.0
+"""How many latency objectives a long call takes, if too few durations are known."""
 
 
 class RequestDurations:
@@ -25,7 +27,9 @@
         """Record how long a served request took, in seconds."""
         self._durations_s.note(pool, took_s)
 
-    def long_duration_s(self, pool: PoolName, limit_s: float) -> float:
+    def long_duration_s(
+        self, pool: PoolName, limit_s: float, goal_s: float | None = None
+    ) -> float:
         """Return how long a long request takes, in seconds.
 
         Parameters
@@ -33,8 +37,12 @@
         pool : PoolName
             The pool.
         limit_s : float
-            Maximum time that any request may take; returned if too few durations are
-            known.
+            Maximum time that any request may take; returned if neither enough durations
+            nor a latency objective are known.
+        goal_s : float, optional
+            The latency objective of a whole answer.
         """
         long_duration_s = self._durations_s.quantile(pool, LONG_QUANTILE)
+        if long_duration_s is None and goal_s is not None:
+            long_duration_s = LONG_GOALS * goal_s
         return limit_s if long_duration_s is None else min(limit_s, long_duration_s)
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -62,7 +62,10 @@
     priority = table.priorities.get(organisation, rule.priority)
     parts.retries.note_request(name)
     job = RelayJob(parts, req, rule, pool, organisation, priority, channel)
-    if parts.time_left() < parts.durations.long_duration_s(name, rule.timeout_s):
+    # The objective of a stream says how soon it begins.
+    goal_s = None if rule.kind is CallKind.STREAM else rule.goal_s
+    long_s = parts.durations.long_duration_s(name, rule.timeout_s, goal_s)
+    if parts.time_left() < long_s:
         job.refuse(stopping_refusal())
         return
     job.is_trial = job.is_blamed()
--- a/tests/process/relaying/placing/test_durations.py
+++ b/tests/process/relaying/placing/test_durations.py
@@ -14,6 +14,14 @@
             durations.note(POOL, 1.0)
         self.assertEqual(durations.long_duration_s(POOL, 25.0), 25.0)
 
+    def test_objective_is_ignored_without_enough_requests(self):
+        durations = RequestDurations()
+        self.assertEqual(durations.long_duration_s(POOL, 25.0, 0.5), 1.0)
+        self.assertEqual(durations.long_duration_s(POOL, 0.8, 0.5), 0.8)
+        for _ in range(MIN_VALUES):
+            durations.note(POOL, 7.0)
+        self.assertEqual(durations.long_duration_s(POOL, 25.0, 0.5), 7.0)
+
     def test_few_requests_take_longer_than_a_long_one(self):
         durations = RequestDurations()
         for took_s in range(1, 41):
--- a/tests/request/test_relay_call.py
+++ b/tests/request/test_relay_call.py
@@ -61,6 +61,16 @@
         harness.fetch(b"Connection: X-Hop, keep-alive", b"X-Hop: 1")
         self.assertNotIn(b"x-hop", replica.received[0].headers)
 
+    def test_stopping_router_refuses_calls_of_which_it_knows_few(self):
+        harness = self.harness(call_rule(goal_s=0.5, timeout_s=4.0))
+        replica = ScriptedReplica("one", answer())
+        harness.add(replica)
+        harness.time_left_s = 1.5
+        self.assertEqual(harness.fetch().status, 200)
+        harness.time_left_s = 0.9
+        self.assertEqual(harness.fetch(name=b"id-2").status, 503)
+        self.assertEqual(len(replica.relayed()), 1)
+
     def test_unknown_key_and_route_are_refused(self):
         harness = self.harness()
         replica = ScriptedReplica("one", answer())
