Spend no rounds of the manual clock when no green thread can run

ManualTimers yields 20 times after each call that becomes due, so that the green threads which it wakes can run. It stops now once nothing is ready in the hub and no socket is waited for: the rounds left would find nothing. Otherwise all 20 are spent, as before.

Cause of the slowest tests: a profile of 80 routers in virtual time showed 446,520 rounds for 22,456 calls, most of the time.

--- a/boragedeck/process/timers.py
+++ b/boragedeck/process/timers.py
@@ -10,6 +10,7 @@
 import eliot
 import eventlet
 from eventlet.event import Event
+from eventlet.hubs.hub import BaseHub
 
 __all__ = ["ManualTimers", "RealTimers", "Subscription", "TimerService"]
 
@@ -218,5 +219,17 @@
 
 
 def _run_ready_threads(rounds: int = 20) -> None:
+    hub = eventlet.hubs.get_hub()
     for _ in range(rounds):
         eventlet.sleep(0)
+        if not _may_run_others(hub):
+            return
+
+
+def _may_run_others(hub: BaseHub) -> bool:
+    """Return whether a green thread is ready, or a socket may make one ready."""
+    if hub.get_readers() or hub.get_writers():
+        return True
+    now = hub.clock()
+    soonest = hub.timers[:1] + hub.next_timers
+    return any(due <= now for due, _ in soonest)
