--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -36,13 +36,15 @@
 POLL_S = 0.05
 STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 SLOWEST = (
-    "tests.process.relaying.tables.test_stale_tables",
+    "tests.process.relaying.tables.test_stale_tables_large",
     "tests.scripts.test_upgrade_check",
     "tests.process.relaying.crashes.test_deadly_part_fleet",
+    "tests.process.relaying.tables.test_stale_tables_very_large",
     "tests.process.relaying.tables.test_restored_store",
     "tests.scripts.test_platform_demo",
     "tests.request.test_relay_paths",
     "tests.request.test_silent_replicas",
+    "tests.process.relaying.tables.test_stale_tables",
 )
 """The modules that are started first, the slowest before the others."""
 RUNNER = (sys.executable, "-m", "scripts.run_module")
