--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 READY := $(VENV)/.ready
 export ROUTERS ENGINES TOKEN_INTERVAL_MS
 
-.PHONY: demo platform-demo test serve lint format bench fuzz mutants matrix upgrade clean
+.PHONY: demo platform-demo test serve lint format bench fuzz mutants matrix upgrade soak clean
 
 $(READY): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -47,5 +47,8 @@
 upgrade: $(READY)
 	$(BIN)/python -m scripts.upgrade_check --from $(FROM) --seeds $(or $(SEEDS),1)
 
+soak: $(READY)
+	$(BIN)/python -m soak $(if $(SEEDS),--seeds $(SEEDS)) $(if $(SEED),--seed $(SEED)) $(if $(MINUTES),--minutes $(MINUTES))
+
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded plays of many overlapping disruptions before routers as processes."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,170 @@
+"""Callers on kept and new connections, who note what they send and get."""
+
+import http.client
+import itertools
+import random
+import time
+from collections.abc import Iterator
+
+import eventlet
+import msgspec
+
+from scripts.table_changes import KEY
+from soak.history import Call, History
+from soak.operator import EXTRA_ROUTE, GUEST_KEY
+from soak.rules import STREAM_ROUTES
+
+__all__ = ["Callers", "Habits"]
+
+STREAM_WEIGHTS = {"stream": 1.0, "resume": 1.0}
+CALL_WEIGHTS = {"once": 1.0, "again": 1.0, EXTRA_ROUTE: 0.5}
+EVENTS = 10, 30, 60
+KEEP_SHARE = 0.7
+"""Share of the requests that are sent on a connection that was kept."""
+CHUNKED_SHARE = 0.5
+GUEST_SHARE = 0.15
+BODY_PARTS = 5
+MAX_BODY_S = 1.5
+DEADLINE_S = 9.0
+PATIENCE_S = 1.0
+"""How long after its time limit a caller still waits, to see the end."""
+MAX_PAUSE_S = 0.3
+
+
+class Habits(msgspec.Struct):
+    """What callers do, as shares of their requests.
+
+    Parameters
+    ----------
+    slow_body : float
+        The body is sent over up to `MAX_BODY_S`.
+    short_time : float
+        The time limit is short.
+    leaves : float
+        The caller closes the connection before the answer is whole.
+    """
+
+    slow_body: float = 0.2
+    short_time: float = 0.05
+    leaves: float = 0.05
+
+
+class Callers:
+    """Sends requests to routers until told to end.
+
+    Parameters
+    ----------
+    addresses : list of str
+        The routers' addresses.
+    history : History
+        Where requests are noted.
+    rng : random.Random
+        Draws the requests.
+
+    Attributes
+    ----------
+    habits : Habits
+        What callers do for now.
+    """
+
+    def __init__(self, addresses: list[str], history: History, rng: random.Random):
+        self.habits = Habits()
+        self._addresses = addresses
+        self._history = history
+        self._rng = rng
+        self._numbers = itertools.count(1)
+
+    def run(self, number: int, weights: dict[str, float], until: float) -> None:
+        """Send requests as one caller, who keeps to one router."""
+        router = number % len(self._addresses)
+        host, _, port = self._addresses[router].rpartition(":")
+        conn = http.client.HTTPConnection(host, int(port))
+        while time.monotonic() < until:
+            eventlet.sleep(self._rng.uniform(0.02, MAX_PAUSE_S))
+            if self._rng.random() > KEEP_SHARE:
+                conn.close()
+            is_kept = conn.sock is not None
+            try:
+                if not is_kept:
+                    conn.connect()
+            except OSError:
+                # The router is away; nothing was sent.
+                continue
+            call = self._draw_call(router, weights, is_kept)
+            self._history.calls[call.name] = call
+            self._send(conn, call)
+        conn.close()
+
+    def _draw_call(self, router: int, weights: dict[str, float], is_kept: bool) -> Call:
+        rng = self._rng
+        route = rng.choices(list(weights), list(weights.values()))[0]
+        name = f"id-{next(self._numbers)}"
+        deadline_s = DEADLINE_S
+        if rng.random() < self.habits.short_time:
+            deadline_s = rng.uniform(1.0, 4.0)
+        return Call(
+            name=name,
+            router=router,
+            route=route,
+            path=f"/{route}/{name}/{rng.choice(EVENTS)}",
+            key=GUEST_KEY if rng.random() < GUEST_SHARE else KEY,
+            body=f"body of {name} ".encode() * rng.randint(5, 40),
+            deadline_s=deadline_s,
+            is_kept=is_kept,
+            sent=time.monotonic(),
+        )
+
+    def _send(self, conn: http.client.HTTPConnection, call: Call) -> None:
+        limit_s = call.deadline_s + PATIENCE_S
+        leaves = self._rng.random() < self.habits.leaves
+        patience_s = self._rng.uniform(0.1, 3.0) if leaves else limit_s
+        try:
+            with eventlet.Timeout(min(patience_s, limit_s)):
+                self._exchange(conn, call)
+        except eventlet.Timeout:
+            call.has_left = leaves
+            call.detail = "the caller left" if leaves else "no end in time"
+            conn.close()
+        except http.client.IncompleteRead as exc:
+            call.answer += exc.partial
+            call.detail = "incomplete"
+            conn.close()
+        except (OSError, http.client.HTTPException) as exc:
+            call.detail = repr(exc)[:80]
+            conn.close()
+        call.ended = time.monotonic()
+
+    def _exchange(self, conn: http.client.HTTPConnection, call: Call) -> None:
+        is_chunked = self._rng.random() < CHUNKED_SHARE
+        is_slow = self._rng.random() < self.habits.slow_body
+        body_s = self._rng.uniform(0.2, MAX_BODY_S) if is_slow else 0.0
+        headers = {
+            "Host": "demo.example",
+            "Api-Key": call.key,
+            "Deadline-Ms": str(round(call.deadline_s * 1e3)),
+            "Request-Id": call.name,
+        }
+        if not is_chunked:
+            headers["Content-Length"] = str(len(call.body))
+        if call.route in STREAM_ROUTES:
+            headers |= {"Token-Counts": f"100,{call.path.rpartition('/')[2]}"}
+            headers |= {"Model": "m", "Prompt-Prefix": f"{call.name[3:]}:100"}
+        parts = _parts(call.body, body_s)
+        conn.request("POST", call.path, parts, headers, encode_chunked=is_chunked)
+        call.sent_whole = time.monotonic()
+        answer = conn.getresponse()
+        call.status = answer.status
+        call.seal = answer.headers.get("Response-Seal", "")
+        call.echo = answer.headers.get("Request-Id", "")
+        while data := answer.read1():
+            call.answer += data
+        # Without a length, a close can't be told from an early end.
+        call.is_complete = bool(answer.chunked) or answer.length == 0
+        answer.read()
+
+
+def _parts(body: bytes, seconds: float) -> Iterator[bytes]:
+    size = -(-len(body) // BODY_PARTS)
+    for begin in range(0, len(body), size):
+        eventlet.sleep(seconds / BODY_PARTS)
+        yield body[begin : begin + size]
--- /dev/null
+++ b/soak/replica.py
@@ -0,0 +1,323 @@
+"""Stand-in for a replica that answers as the pages allow, and misbehaves on demand."""
+
+import itertools
+import random
+import struct
+import time
+
+import eventlet
+import msgspec
+from eventlet.green import socket
+
+from soak.history import End, History, Run
+from soak.rules import STREAM_ROUTES, events_of
+from standins.silence import Silence
+from standins.web import listen
+
+__all__ = ["Mood", "Replica"]
+
+MODELS = b'{"stage":"both","models":[{"name":"m"}]}'
+EVENT_S = 0.08
+HALF_S = 0.1
+PADDING = b"." * 700
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+MAX_REPEATED_BYTES = 64 * 1024
+
+_tokens = itertools.count(1)
+
+
+class Mood(msgspec.Struct):
+    """How a replica misbehaves for now: shares of its requests.
+
+    Parameters
+    ----------
+    full : float
+        Turned away as not executed.
+    grey : float
+        Answered with status 500.
+    loses : float
+        Run, and the connection is closed without an answer.
+    truncates : float
+        Cut in the middle of the answer.
+    repeats : float
+        Answered, and the answer is sent again before the next one.
+    closes : float
+        Answered with ``Connection: close``.
+    pace : float
+        Factor of all times.
+    """
+
+    full: float = 0.0
+    grey: float = 0.0
+    loses: float = 0.0
+    truncates: float = 0.0
+    repeats: float = 0.0
+    closes: float = 0.0
+    pace: float = 1.0
+
+
+class _Request(msgspec.Struct):
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Replica:
+    """A replica that listens at a port of its own.
+
+    Parameters
+    ----------
+    name, service, zone : str
+        Its id, its service and its zone.
+    history : History
+        Where runs are noted.
+    rng : random.Random
+        Draws how each request is answered.
+
+    Attributes
+    ----------
+    mood : Mood
+        How it misbehaves.
+    silence : Silence
+        Lets it stand still.
+    """
+
+    def __init__(
+        self, name: str, service: str, zone: str, history: History, rng: random.Random
+    ):
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.mood = Mood()
+        self.silence = Silence()
+        self._history = history
+        self._rng = rng
+        self._is_lost = False
+        self._born_ms = int(time.time() * 1000.0)
+        self._sequence = 0
+        self._listener = listen()
+        self._handlers: set = set()
+        self._acceptor = eventlet.spawn(self._accept)
+
+    def entry(self, state: str = "ready") -> bytes:
+        """Return its entry in the store, with a new sequence."""
+        self._sequence += 1
+        host, port = self._listener.getsockname()
+        fields = {
+            "service": self.service,
+            "address": f"{host}:{port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 16,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": self._sequence,
+            "born": self._born_ms,
+        }
+        return msgspec.json.encode(fields)
+
+    def active_runs(self) -> int:
+        """Return the number of runs at work."""
+        return sum(
+            run.replica == self.name and run.end is None for run in self._history.runs
+        )
+
+    def crash(self) -> None:
+        """Stop at once, and reset all connections."""
+        self._is_lost = True
+        self._acceptor.kill()
+        self._listener.close()
+        for handler in list(self._handlers):
+            handler.kill()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self._listener.accept()
+            handler = eventlet.spawn(self._serve, sock)
+            self._handlers.add(handler)
+            handler.link(lambda each: self._handlers.discard(each))
+
+    def _serve(self, sock: socket.socket) -> None:
+        file = sock.makefile("rb")
+        late_answer = b""
+        try:
+            while True:
+                self.silence.wait()
+                request = _read_request(file)
+                self.silence.wait()
+                if request is None:
+                    break
+                late_answer, goes_on = self._answer(sock, request, late_answer)
+                if not goes_on:
+                    break
+        except OSError:
+            # The router has closed the connection.
+            pass
+        finally:
+            if self._is_lost:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            file.close()
+            sock.close()
+
+    def _answer(
+        self, sock: socket.socket, request: _Request, late: bytes
+    ) -> tuple[bytes, bool]:
+        """Answer; return what is sent again later, and whether to go on."""
+        if late:
+            sock.sendall(late)
+        if request.path.startswith("/boragedeck/"):
+            head = "HTTP/1.1 200 OK\r\nContent-Type: application/json"
+            sock.sendall(_message(head, MODELS))
+            return b"", True
+        run = self._note(request)
+        try:
+            return self._run(sock, request, run)
+        finally:
+            run.ended = time.monotonic()
+            if run.end is None:
+                run.end = End.BROKEN if self._is_lost else End.DROPPED
+
+    def _note(self, request: _Request) -> Run:
+        headers = request.headers
+        run = Run(
+            call=headers.get("request-id", ""),
+            token=next(_tokens),
+            replica=self.name,
+            service=self.service,
+            method=request.method,
+            path=request.path,
+            body=request.body,
+            tenant=headers.get("tenant", ""),
+            has_key="api-key" in headers,
+            after=int(headers.get("last-event-id", 0)),
+            began=time.monotonic(),
+        )
+        self._history.runs.append(run)
+        return run
+
+    def _run(
+        self, sock: socket.socket, request: _Request, run: Run
+    ) -> tuple[bytes, bool]:
+        rejection = self._rejection(request)
+        if rejection:
+            run.end = End.REJECTED
+            head = f"HTTP/1.1 {rejection}\r\nRequest-Id: {run.call}"
+            answer = _message(head, b"")
+            sock.sendall(answer)
+            return self._repeated(answer), True
+        is_stream = request.path.split("/")[1] in STREAM_ROUTES
+        if self._draws(self.mood.grey):
+            answer = self._fail(sock, run)
+        elif self._draws(self.mood.loses):
+            self._sleep(HALF_S)
+            run.end = End.BROKEN
+            return b"", False
+        elif is_stream:
+            answer = self._send_events(sock, run)
+        else:
+            answer = self._send_body(sock, run)
+        return self._repeated(answer), run.end is End.WHOLE and not self._closed(answer)
+
+    def _rejection(self, request: _Request) -> str:
+        """Return the status line and headers of a rejection; empty if it runs."""
+        expected = request.headers.get("expect-instance")
+        if expected not in (None, self.name):
+            return f"421 Misdirected Request\r\nInstance-Id: {self.name}"
+        if "kv-from" in request.headers or self._draws(self.mood.full):
+            return "503 Service Unavailable\r\nNot-Executed: 1"
+        return ""
+
+    def _head(self, run: Run, status: str) -> str:
+        head = f"HTTP/1.1 {status}\r\nRequest-Id: {run.call}"
+        head += f"\r\nResponse-Seal: seal-{run.token}"
+        run.status = int(status.split()[0])
+        if self._draws(self.mood.closes):
+            head += "\r\nConnection: close"
+        return head
+
+    def _fail(self, sock: socket.socket, run: Run) -> bytes:
+        answer = _message(self._head(run, "500 Internal Server Error"), b"")
+        sock.sendall(answer)
+        run.end = End.WHOLE
+        return answer
+
+    def _send_body(self, sock: socket.socket, run: Run) -> bytes:
+        run.answer = b"answer to %s run %d " % (run.call.encode(), run.token) + PADDING
+        message = _message(self._head(run, "200 OK"), run.answer)
+        middle = len(message) - len(run.answer) // 2
+        self._sleep(HALF_S)
+        sock.sendall(message[:middle])
+        self._sleep(HALF_S)
+        if self._draws(self.mood.truncates):
+            run.end = End.BROKEN
+            return b""
+        sock.sendall(message[middle:])
+        run.end = End.WHOLE
+        return message
+
+    def _send_events(self, sock: socket.socket, run: Run) -> bytes:
+        head = self._head(run, "200 OK") + "\r\nContent-Type: text/event-stream"
+        head += "\r\nTransfer-Encoding: chunked\r\n\r\n"
+        answer = head.encode()
+        sock.sendall(answer)
+        numbers = range(run.after + 1, events_of(run.path) + 1)
+        cut_at = self._rng.choice(numbers or [0])
+        is_cut = self._draws(self.mood.truncates)
+        for number in numbers:
+            self._sleep(EVENT_S)
+            chunk = _chunk(_event(run, number))
+            if is_cut and number == cut_at:
+                # In the middle of an event.
+                run.end = End.BROKEN
+                sock.sendall(chunk[:-9])
+                return b""
+            sock.sendall(chunk)
+            answer += chunk
+        sock.sendall(_chunk(b""))
+        run.end = End.WHOLE
+        return answer + _chunk(b"")
+
+    def _sleep(self, seconds: float) -> None:
+        eventlet.sleep(seconds * self.mood.pace)
+        self.silence.wait()
+
+    def _draws(self, share: float) -> bool:
+        return share > 0.0 and self._rng.random() < share
+
+    def _repeated(self, answer: bytes) -> bytes:
+        is_short = len(answer) <= MAX_REPEATED_BYTES
+        return answer if is_short and self._draws(self.mood.repeats) else b""
+
+    def _closed(self, answer: bytes) -> bool:
+        return b"\r\nConnection: close" in answer.partition(b"\r\n\r\n")[0]
+
+
+def _event(run: Run, number: int) -> bytes:
+    text = f"id: {number}\ndata: piece {number} of {run.call} run {run.token}\n\n"
+    return text.encode()
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def _message(head: str, body: bytes) -> bytes:
+    return f"{head}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def _read_request(file) -> _Request | None:
+    """Read a request; None if the connection has ended."""
+    line = file.readline()
+    if not line:
+        return None
+    method, path, _ = line.decode("latin-1").split()
+    headers = {}
+    while (line := file.readline()) not in (b"\r\n", b""):
+        name, _, value = line.decode("latin-1").partition(":")
+        headers[name.lower()] = value.strip()
+    length = int(headers.get("content-length", 0))
+    body = file.read(length) if length else b""
+    if len(body) < length:
+        return None
+    return _Request(method, path, headers, body)
--- /dev/null
+++ b/soak/rules.py
@@ -0,0 +1,233 @@
+"""Judges a play by the users' rules, from what others than the routers have seen."""
+
+import re
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from soak.history import Call, End, History, Impairment, Run, Table
+
+__all__ = ["Violation", "judge"]
+
+ONCE_ROUTES = {"once", "stream"}
+"""Routes whose requests may run once."""
+STREAM_ROUTES = {"stream", "resume"}
+RESUMABLE_ROUTE = "resume"
+PROMISES = {408, 421, 429, 503}
+"""Statuses by which a request has not run and never will."""
+OK = 200
+UNAUTHORIZED, NOT_FOUND = 401, 404
+EVENT = re.compile(rb"id: (\d+)\ndata: piece (\d+) of (\S+) run (\d+)\n\n")
+CONTACT_S = 3.0
+CONFIG_APPLY_S = 2.0
+DRAIN_S = 2.0
+GRACE_S = 8.0
+LOSS_SLACK_S = 0.2
+LAST_SHARE = 1 / 6
+"""Share of a stop's time, at its end, in which an answer may be ended."""
+LEAVE_S = 3.0
+TIMEOUT_S = 12.0
+CLOCK_S = 0.005
+"""How much earlier than its time limit an answer may seem to end."""
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """A broken rule.
+
+    Parameters
+    ----------
+    rule : str
+        The rule.
+    call : str
+        The request's id.
+    text : str
+        What was seen.
+    """
+
+    rule: str
+    call: str
+    text: str
+
+
+def judge(history: History) -> list[Violation]:
+    """Return what breaks the rules in a play."""
+    found: list[Violation] = []
+    for call in history.calls.values():
+        runs = history.runs_of(call.name)
+        found += _twice(call, runs)
+        found += _refused(call, runs)
+        found += _mixed(call, runs)
+        found += _order(call, runs)
+        found += _lost(history, call, runs)
+        found += _config(history, call, runs)
+    for run in history.runs:
+        found += _unasked(history, run)
+        found += _drain(history, run)
+    return found
+
+
+def _twice(call: Call, runs: list[Run]) -> Iterator[Violation]:
+    if call.route in ONCE_ROUTES and len(runs) > 1:
+        where = ", ".join(run.replica for run in runs)
+        yield Violation("TWICE", call.name, f"ran {len(runs)} times: {where}")
+
+
+def _refused(call: Call, runs: list[Run]) -> Iterator[Violation]:
+    if call.route in ONCE_ROUTES and call.status in PROMISES and runs:
+        text = f"answered {call.status} and ran at {runs[0].replica}"
+        yield Violation("REFUSED", call.name, text)
+
+
+def _mixed(call: Call, runs: list[Run]) -> Iterator[Violation]:
+    if call.echo not in ("", call.name):
+        yield Violation("MIXED", call.name, f"got the answer of {call.echo}")
+    sealed = [run for run in runs if call.seal == f"seal-{run.token}"]
+    if call.seal and (not sealed or sealed[0].status != call.status):
+        text = f"status {call.status} with the receipt {call.seal}"
+        yield Violation("MIXED", call.name, text)
+    if call.status != OK:
+        return
+    if not call.seal:
+        yield Violation("MIXED", call.name, "success without a receipt")
+    is_plain = call.route not in STREAM_ROUTES
+    if is_plain and call.is_complete and sealed and sealed[0].answer != call.answer:
+        yield Violation("MIXED", call.name, "success with another body")
+
+
+def _order(call: Call, runs: list[Run]) -> Iterator[Violation]:
+    if call.status != OK or call.route not in STREAM_ROUTES:
+        return
+    events = EVENT.findall(call.answer)
+    numbers = [int(number) for number, *_ in events]
+    if numbers != list(range(1, len(numbers) + 1)):
+        yield Violation("ORDER", call.name, f"events {numbers}")
+    if any(int(piece) != int(number) for number, piece, *_ in events):
+        yield Violation("ORDER", call.name, "pieces under other numbers")
+    if any(name.decode() != call.name for _, _, name, _ in events):
+        yield Violation("MIXED", call.name, "events of another request")
+    if call.is_complete and len(numbers) != events_of(call.path):
+        yield Violation("ORDER", call.name, f"complete after {len(numbers)} events")
+    tokens = list(dict.fromkeys(int(token) for *_, token in events))
+    if call.route != RESUMABLE_ROUTE and len(tokens) > 1:
+        yield Violation("ORDER", call.name, f"joined from runs {tokens}")
+    after = {run.token: run.after for run in runs}
+    for number, _, _, token in events:
+        if int(number) <= after.get(int(token), 0):
+            yield Violation("ORDER", call.name, f"event {int(number)} wasn't made")
+
+
+def events_of(path: str) -> int:
+    """Return the number of events of a stream, which its path names."""
+    return int(path.rpartition("/")[2])
+
+
+def _lost(history: History, call: Call, runs: list[Run]) -> Iterator[Violation]:
+    if call.has_left or (call.status and call.is_complete):
+        return
+    is_late = call.ended > call.sent_whole + LOSS_SLACK_S
+    if not runs and not is_late:
+        # It crossed the close of its connection.
+        return
+    if _is_loss_excused(history, call, runs):
+        return
+    after = f"{call.ended - call.sent:.2f} s"
+    state = "no answer" if not call.status else "an incomplete answer"
+    where = _around(history, call)
+    text = f"{state} after {after} at router {call.router}, {where}"
+    yield Violation("LOST", call.name, text)
+
+
+def _is_loss_excused(history: History, call: Call, runs: list[Run]) -> bool:
+    limit_s = min(call.deadline_s, TIMEOUT_S)
+    if call.ended >= call.sent + limit_s - CLOCK_S:
+        return True
+    if any(run.end is End.BROKEN for run in runs):
+        return True
+    impairments = history.routers.get(call.router, [])
+    if _overlaps(impairments, call.sent - CONTACT_S, call.ended):
+        return True
+    return any(
+        call.sent <= stop.begin + LEAVE_S
+        and call.ended >= stop.begin + (1.0 - LAST_SHARE) * GRACE_S
+        for stop in history.stops.get(call.router, [])
+    )
+
+
+def _around(history: History, call: Call) -> str:
+    """Return the planned work at a request's router, for the report."""
+    for stop in history.stops.get(call.router, []):
+        if abs(call.ended - stop.begin) <= GRACE_S + 1.0:
+            return f"{call.ended - stop.begin:+.2f} s from its SIGTERM"
+    for reload in history.reloads.get(call.router, []):
+        if call.sent <= reload + CONFIG_APPLY_S and call.ended >= reload:
+            return f"{call.ended - reload:+.2f} s from its SIGHUP"
+    return "no stop or reload there"
+
+
+def _config(history: History, call: Call, runs: list[Run]) -> Iterator[Violation]:
+    if not _is_in_touch(history, call.router, call.sent - CONFIG_APPLY_S, call.ended):
+        return
+    tables = _tables_in_force(history.tables, call.sent, call.ended)
+    is_allowed = [call.route in t.services and call.key in t.tenants for t in tables]
+    if call.status in (UNAUTHORIZED, NOT_FOUND) and all(is_allowed):
+        text = f"answered {call.status} though its route and key are in force"
+        yield Violation("CONFIG", call.name, text)
+    for run in runs:
+        tables = _tables_in_force(history.tables, call.sent, run.began)
+        if not any(
+            t.services.get(call.route) == run.service and call.key in t.tenants
+            for t in tables
+        ):
+            text = f"ran at {run.replica} by a table that is no longer in force"
+            yield Violation("CONFIG", call.name, text)
+
+
+def _tables_in_force(tables: list[Table], sent: float, until: float) -> list[Table]:
+    """Return the tables by which a request may be handled."""
+    applied = [table for table in tables if table.acked <= sent - CONFIG_APPLY_S]
+    newer = [t for t in tables if sent - CONFIG_APPLY_S < t.acked <= until]
+    return applied[-1:] + newer
+
+
+def _unasked(history: History, run: Run) -> Iterator[Violation]:
+    call = history.calls.get(run.call)
+    if call is None:
+        yield Violation("UNASKED", run.call, f"{run.replica} ran an unknown id")
+        return
+    seen = (run.method, run.path, run.body)
+    if run.end is not End.REJECTED and seen != ("POST", call.path, call.body):
+        yield Violation("UNASKED", call.name, f"{run.replica} got another request")
+    if run.has_key:
+        yield Violation("UNASKED", call.name, f"{run.replica} got the API key")
+    tenants = {table.tenants.get(call.key) for table in history.tables}
+    if run.tenant not in tenants - {None}:
+        text = f"{run.replica} was told the tenant {run.tenant!r}"
+        yield Violation("UNASKED", call.name, text)
+
+
+def _drain(history: History, run: Run) -> Iterator[Violation]:
+    left = history.left.get(run.replica)
+    call = history.calls.get(run.call)
+    if left is None or call is None or run.began <= left + DRAIN_S:
+        return
+    if _overlaps(history.silences.get(run.replica, []), left, run.began):
+        # It was read later than it arrived.
+        return
+    if _is_in_touch(history, call.router, left, run.began):
+        late = run.began - left
+        text = f"reached {run.replica} {late:.2f} s after it began to leave"
+        yield Violation("DRAIN", call.name, text)
+
+
+def _is_in_touch(history: History, router: int, begin: float, end: float) -> bool:
+    """Return whether a router and the store were undisturbed, and before, too."""
+    impairments = (
+        *history.stops.get(router, []),
+        *history.routers.get(router, []),
+        *history.store,
+    )
+    return not _overlaps(impairments, begin - CONTACT_S, end)
+
+
+def _overlaps(impairments: Iterable[Impairment], begin: float, end: float) -> bool:
+    return any(each.begin <= end and each.end >= begin for each in impairments)
--- /dev/null
+++ b/tests/soak/test_rules.py
@@ -0,0 +1,334 @@
+import unittest
+
+from soak.history import Call, End, History, Impairment, Run, Table
+from soak.rules import judge
+
+KEY = "key"
+SERVICES = {"once": "calls", "again": "calls", "stream": "pool", "resume": "pool"}
+TENANTS = {KEY: "demo"}
+SENT = 100.0
+
+
+def events(name, numbers, token=1):
+    return b"".join(
+        f"id: {n}\ndata: piece {n} of {name} run {token}\n\n".encode() for n in numbers
+    )
+
+
+class RulesTest(unittest.TestCase):
+    def setUp(self):
+        self.history = History(tables=[Table(0.0, SERVICES, TENANTS)])
+
+    def call(self, route, **fields):
+        """Add a request that is answered soundly but for some fields."""
+        name = f"id-{len(self.history.calls)}"
+        is_stream = route in ("stream", "resume")
+        call = Call(
+            name=name,
+            router=0,
+            route=route,
+            path=f"/{route}/{name}/3",
+            key=KEY,
+            body=b"body",
+            deadline_s=9.0,
+            is_kept=True,
+            sent=SENT,
+            sent_whole=SENT,
+            ended=SENT + 1.0,
+            status=200,
+            seal="seal-1",
+            echo=name,
+            answer=events(name, (1, 2, 3)) if is_stream else b"whole",
+            is_complete=True,
+        )
+        for field, value in fields.items():
+            setattr(call, field, value)
+        self.history.calls[name] = call
+        return call
+
+    def run_of(self, call, **fields):
+        """Add a whole run of a request, but for some fields."""
+        run = Run(
+            call=call.name,
+            token=1,
+            replica="one",
+            service=SERVICES.get(call.route, "calls"),
+            method="POST",
+            path=call.path,
+            body=call.body,
+            tenant="demo",
+            has_key=False,
+            after=0,
+            began=call.sent + 0.1,
+            ended=call.sent + 0.9,
+            end=End.WHOLE,
+            status=200,
+            answer=b"whole",
+        )
+        for field, value in fields.items():
+            setattr(run, field, value)
+        self.history.runs.append(run)
+        return run
+
+    def lost(self, route="stream", **fields):
+        """Add a request that has no answer though it was passed on."""
+        unanswered = {"status": 0, "seal": "", "echo": "", "answer": b""}
+        call = self.call(route, **(unanswered | {"is_complete": False} | fields))
+        self.run_of(call, end=End.DROPPED)
+        return call
+
+    def expect(self, *rules):
+        self.assertEqual([each.rule for each in judge(self.history)], list(rules))
+
+    def test_sound_answers_break_no_rule(self):
+        for route in SERVICES:
+            self.run_of(self.call(route))
+        self.expect()
+
+
+class TwiceTest(RulesTest):
+    def test_call_that_may_run_once_ran_twice(self):
+        call = self.call("once")
+        self.run_of(call)
+        self.run_of(call, token=2, replica="two", end=End.DROPPED)
+        self.expect("TWICE")
+
+    def test_rejection_is_no_run(self):
+        call = self.call("once")
+        self.run_of(call, token=2, end=End.REJECTED)
+        self.run_of(call)
+        self.expect()
+
+    def test_idempotent_call_may_run_twice(self):
+        call = self.call("again")
+        self.run_of(call)
+        self.run_of(call, token=2, end=End.DROPPED)
+        self.expect()
+
+
+class RefusedTest(RulesTest):
+    def refuse(self, status, end):
+        call = self.call("once", status=status, seal="", answer=b"")
+        self.run_of(call, end=end)
+
+    def test_call_was_refused_and_ran(self):
+        self.refuse(503, End.DROPPED)
+        self.expect("REFUSED")
+
+    def test_call_was_refused_and_runs_later(self):
+        self.refuse(429, None)
+        self.expect("REFUSED")
+
+    def test_rejected_call_may_be_refused(self):
+        self.refuse(503, End.REJECTED)
+        self.expect()
+
+    def test_504_promises_nothing(self):
+        self.refuse(504, End.DROPPED)
+        self.expect()
+
+
+class MixedTest(RulesTest):
+    def test_answer_of_another_request(self):
+        self.run_of(self.call("again", echo="id-9"))
+        self.expect("MIXED")
+
+    def test_success_without_a_receipt(self):
+        self.run_of(self.call("again", seal=""))
+        self.expect("MIXED")
+
+    def test_success_where_the_replica_failed(self):
+        self.run_of(self.call("again"), status=500)
+        self.expect("MIXED")
+
+    def test_truncated_body_looks_complete(self):
+        self.run_of(self.call("again", answer=b"who"))
+        self.expect("MIXED")
+
+    def test_events_of_another_request(self):
+        self.run_of(self.call("stream", answer=events("id-9", (1, 2, 3))))
+        self.expect("MIXED")
+
+
+class OrderTest(RulesTest):
+    def stream(self, route, answer, **fields):
+        call = self.call(route, answer=answer, **fields)
+        self.run_of(call)
+        return call
+
+    def test_event_is_missing(self):
+        self.stream("stream", events("id-0", (1, 3)), is_complete=False, has_left=True)
+        self.expect("ORDER")
+
+    def test_event_comes_twice(self):
+        self.stream("stream", events("id-0", (1, 2, 2, 3)))
+        self.expect("ORDER", "ORDER")
+
+    def test_stream_looks_complete_before_its_end(self):
+        self.stream("stream", events("id-0", (1, 2)))
+        self.expect("ORDER")
+
+    def test_runs_of_a_stream_that_may_run_once_are_joined(self):
+        answer = events("id-0", (1,)) + events("id-0", (2, 3), token=2)
+        call = self.stream("stream", answer)
+        self.run_of(call, token=2, after=1, end=End.REJECTED)
+        self.expect("ORDER")
+
+    def test_run_that_goes_on_after_the_last_event_may_be_joined(self):
+        answer = events("id-0", (1,)) + events("id-0", (2, 3), token=2)
+        call = self.stream("resume", answer)
+        self.run_of(call, token=2, after=1)
+        self.expect()
+
+
+class LostTest(RulesTest):
+    def test_stream_that_was_passed_on_has_no_whole_answer(self):
+        self.lost()
+        self.expect("LOST")
+
+    def test_silence_of_the_replica_excuses_nothing(self):
+        self.lost()
+        self.history.silences["one"] = [Impairment(SENT, SENT + 1.2)]
+        self.expect("LOST")
+
+    def test_stream_was_cut_shortly_before_its_time_limit(self):
+        self.lost(deadline_s=1.05)
+        self.expect("LOST")
+
+    def test_stream_was_cut_at_its_time_limit(self):
+        self.lost(deadline_s=1.0)
+        self.expect()
+
+    def test_stream_was_cut_in_the_middle_of_a_stop(self):
+        self.lost()
+        self.history.stops[0] = [Impairment(SENT - 4.0, SENT + 4.0)]
+        self.expect("LOST")
+
+    def test_stream_was_cut_in_the_last_sixth_of_a_stop(self):
+        self.lost(ended=SENT + 5.0, deadline_s=20.0)
+        self.history.stops[0] = [Impairment(SENT - 2.0, SENT + 6.0)]
+        self.expect()
+
+    def test_stream_that_was_sent_late_in_a_stop_was_cut_at_its_end(self):
+        self.lost(ended=SENT + 5.0, deadline_s=20.0)
+        self.history.stops[0] = [Impairment(SENT - 3.5, SENT + 6.0)]
+        self.expect("LOST")
+
+    def test_replica_that_broke_off_excuses_it(self):
+        self.lost()
+        self.history.runs[0].end = End.BROKEN
+        self.expect()
+
+    def test_router_that_was_killed_excuses_it(self):
+        self.lost()
+        self.history.routers[0] = [Impairment(SENT + 0.5, SENT + 2.0)]
+        self.expect()
+
+    def test_another_router_that_was_killed_excuses_nothing(self):
+        self.lost()
+        self.history.routers[1] = [Impairment(SENT + 0.5, SENT + 2.0)]
+        self.expect("LOST")
+
+    def test_store_that_is_down_excuses_nothing(self):
+        self.lost()
+        self.history.store = [Impairment(SENT - 1.0, SENT + 2.0)]
+        self.expect("LOST")
+
+    def test_request_that_waits_is_closed_without_being_passed_on(self):
+        self.lost("once")
+        self.history.runs.clear()
+        self.expect("LOST")
+
+    def test_request_that_crosses_the_close_is_not_lost(self):
+        self.lost("once", ended=SENT + 0.1)
+        self.history.runs.clear()
+        self.expect()
+
+    def test_caller_that_left_has_lost_nothing(self):
+        self.lost(has_left=True)
+        self.expect()
+
+
+class UnaskedTest(RulesTest):
+    def test_unknown_request_ran(self):
+        self.run_of(self.call("again"))
+        self.history.calls.clear()
+        self.expect("UNASKED")
+
+    def test_body_was_changed(self):
+        self.run_of(self.call("again"), body=b"bod")
+        self.expect("UNASKED")
+
+    def test_key_was_passed_on(self):
+        self.run_of(self.call("again"), has_key=True)
+        self.expect("UNASKED")
+
+    def test_another_tenant_was_named(self):
+        self.run_of(self.call("again"), tenant="other")
+        self.expect("UNASKED")
+
+
+class ConfigTest(RulesTest):
+    def change(self, acked, **fields):
+        table = {"services": SERVICES, "tenants": TENANTS} | fields
+        self.history.tables.append(Table(acked, **table))
+
+    def refuse(self, status=404):
+        self.call("once", status=status, seal="", answer=b"")
+
+    def test_route_in_force_was_refused(self):
+        self.refuse()
+        self.expect("CONFIG")
+
+    def test_route_was_removed_meanwhile(self):
+        self.change(SENT + 0.5, services={})
+        self.refuse()
+        self.expect()
+
+    def test_route_was_just_added(self):
+        self.history.tables.clear()
+        self.change(0.0, services={})
+        self.change(SENT - 1.9)
+        self.refuse()
+        self.expect()
+
+    def test_route_was_added_long_enough_ago(self):
+        self.history.tables.clear()
+        self.change(0.0, services={})
+        self.change(SENT - 2.1)
+        self.refuse()
+        self.expect("CONFIG")
+
+    def test_revoked_key_was_served(self):
+        self.change(SENT - 2.1, tenants={"new": "demo"})
+        self.run_of(self.call("once"))
+        self.expect("CONFIG")
+
+    def test_moved_route_ran_at_its_old_service(self):
+        self.change(SENT - 2.1, services=SERVICES | {"once": "others"})
+        self.run_of(self.call("once"))
+        self.expect("CONFIG")
+
+    def test_store_that_was_down_excuses_an_old_table(self):
+        self.change(SENT - 2.1, services=SERVICES | {"once": "others"})
+        self.history.store = [Impairment(SENT - 4.0, SENT - 3.0)]
+        self.run_of(self.call("once"))
+        self.expect()
+
+
+class DrainTest(RulesTest):
+    def test_request_reached_a_replica_that_left(self):
+        self.history.left["one"] = SENT - 2.0
+        self.run_of(self.call("once"))
+        self.expect("DRAIN")
+
+    def test_request_reached_a_replica_that_has_just_left(self):
+        self.history.left["one"] = SENT - 1.8
+        self.run_of(self.call("once"))
+        self.expect()
+
+    def test_router_that_was_frozen_is_excused(self):
+        self.history.left["one"] = SENT - 2.0
+        self.history.routers[0] = [Impairment(SENT - 4.0, SENT - 3.0)]
+        self.run_of(self.call("once"))
+        self.expect()
