--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -18,8 +18,8 @@
 
 __all__ = ["Disruptions", "Row"]
 
-KINDS_PER_PLAY = 4, 8
-GAP_S = 0.3, 1.6
+KINDS_PER_PLAY = 8, 13
+GAP_S = 0.2, 1.0
 """Time from one disruption to the next."""
 SILENCE_S = 0.8, 1.4
 FREEZE_S = 0.3, 1.5
@@ -127,12 +127,13 @@
         """Begin disruptions until a time, and return when all are over."""
         rows = [row for row in Row if row is not Row.ROUTER_TERM]
         kinds = self._rng.sample(rows, self._rng.randint(*KINDS_PER_PLAY))
-        # Each play has stops, the planned work that the pages name most.
         kinds.append(Row.ROUTER_TERM)
+        # The others overlap a stop, which is the work that the pages name most.
+        row = Row.ROUTER_TERM
         while time.monotonic() < until:
             eventlet.sleep(self._rng.uniform(*GAP_S))
-            row = self._rng.choice(kinds)
             self._threads.append(eventlet.spawn(self._play, row))
+            row = self._rng.choice(kinds)
         for thread in self._threads:
             thread.wait()
 
