--- a/tests/test_faults_page.py
+++ b/tests/test_faults_page.py
@@ -3,11 +3,14 @@
 import unittest
 from pathlib import Path
 
+from soak.disruptions import Row
+
 PAGE = Path("docs/FAULTS.md")
 DAYS = Path("deploy/days")
 NAME = re.compile(r"`([\w.]+)`")
 DAY_LIST = re.compile(r"\bdays? ((?:`[\w-]+`(?:, )?)+)")
 TEST_NAME = re.compile(r"(^|\.)test_|Test(s|\.|$)|_defects$")
+ROW = re.compile(r"^\| ([a-z]+-[a-z0-9-]+) \|(.*)\|$", re.MULTILINE)
 COLUMNS = 6
 
 
@@ -27,12 +30,16 @@
         self.assertEqual(days - {path.stem for path in DAYS.glob("*.toml")}, set())
 
     def test_row_lacks_a_column_or_is_listed_twice(self):
-        rows = re.findall(r"^\| ([a-z]+-[a-z0-9-]+) \|(.*)\|$", self.page, re.MULTILINE)
+        rows = ROW.findall(self.page)
         self.assertGreater(len(rows), 80)
         self.assertEqual(len(rows), len({name for name, _ in rows}))
         for name, cells in rows:
             self.assertEqual(cells.count("|"), COLUMNS - 2, name)
 
+    def test_soak_plays_a_row_that_the_page_does_not_say_it_plays(self):
+        played = {name for name, cells in ROW.findall(self.page) if "soak" in cells}
+        self.assertEqual({row.value for row in Row} - played, set())
+
 
 def _names_of_tests() -> set[str]:
     """Return modules, classes and methods of tests by all their short names."""
