Tell replicas of streams the caller's time from the last byte of the request

Evidence: told 0.498 s by a caller of 1.0 s whose body took 0.5 s; 0.75 s at least now.

Fix: an answer has one end, for replicas and router alike. It is never more than what the caller has named.

--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -63,7 +63,7 @@
     priority = table.priorities.get(organisation, rule.priority)
     parts.retries.note_request(name)
     job = RelayJob(parts, req, rule, pool, organisation, priority, channel)
-    channel.deadline = job.deadlines.begun_answer
+    channel.deadline = job.deadlines.answer_end
     # The objective of a stream says how soon it begins.
     goal_s = None if rule.kind is CallKind.STREAM else rule.goal_s
     long_s = parts.durations.long_duration_s(name, rule.timeout_s, goal_s)
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -117,7 +117,7 @@
     def deadline(self) -> float:
         """When the router ends the request, on the timer service's monotonic clock."""
         if self.channel.has_begun:
-            return self.deadlines.begun_answer
+            return self.deadlines.answer_end
         return self.deadlines.final_answer
 
     def left_s(self) -> float:
@@ -126,7 +126,7 @@
 
     def replica_left_s(self) -> float:
         """Return how long a replica may work, in seconds; less than 0 if no more."""
-        return self.deadlines.replica - self.parts.timers.now()
+        return self.deadlines.answer_end - self.parts.timers.now()
 
     def is_replica_time_over(self) -> bool:
         """Return whether replicas end the request by themselves, as they were told."""
--- a/boragedeck/request/request_deadlines.py
+++ b/boragedeck/request/request_deadlines.py
@@ -14,40 +14,36 @@
 
 
 class RequestDeadlines(msgspec.Struct, frozen=True):
-    """Times on the timer service's monotonic clock at which parts of a request end.
+    """Times on the timer service's monotonic clock at which a request ends.
 
     Parameters
     ----------
     final_answer : float
         When a request whose answer hasn't begun is given up, and is answered so.
-    replica : float
-        Until when a replica may work on it.
-    begun_answer : float
-        Until when an answer that has begun goes on.
+    answer_end : float
+        Until when an answer that has begun goes on, and a replica may work on it.
 
     Notes
     -----
     A caller may count its time from the first byte of its request or from the last one.
-    What ends an answer that has begun waits for the later of the two.
+    What is said before its time is over comes by the earlier count, and what ends an
+    answer by the later one.
     """
 
     final_answer: float
-    replica: float
-    begun_answer: float
+    answer_end: float
 
 
 def request_deadlines(req: RelayRequest, rule: RouteRule) -> RequestDeadlines:
     """Return the deadlines of a request on a route."""
-    if req.caller_timeout_s is None:
-        timeout_s = final_answer_s = rule.timeout_s
-    else:
-        timeout_s = min(rule.timeout_s, req.caller_timeout_s)
+    timeout_s = final_answer_s = rule.timeout_s
+    if req.caller_timeout_s is not None:
         margin_s = _final_answer_margin_s(req.caller_timeout_s)
+        timeout_s = min(rule.timeout_s, req.caller_timeout_s)
         final_answer_s = min(rule.timeout_s, req.caller_timeout_s - margin_s)
     return RequestDeadlines(
         final_answer=req.arrived + final_answer_s,
-        replica=req.arrived + timeout_s,
-        begun_answer=req.received + timeout_s,
+        answer_end=req.received + timeout_s,
     )
 
 
--- a/tests/request/test_request_deadlines.py
+++ b/tests/request/test_request_deadlines.py
@@ -27,9 +27,9 @@
         self.assertEqual(found, RequestDeadlines(*expected))
 
     def test_only_the_final_answer_is_due_before_the_callers_time(self):
-        self.assert_deadlines(4.0, 8.0, 103.95, 104.0, 105.5)
-        self.assert_deadlines(0.5, 8.0, 100.475, 100.5, 102.0)
+        self.assert_deadlines(4.0, 8.0, 103.95, 105.5)
+        self.assert_deadlines(0.5, 8.0, 100.475, 102.0)
 
     def test_route_timeout_has_no_margin(self):
-        self.assert_deadlines(8.0, 4.0, 104.0, 104.0, 105.5)
-        self.assert_deadlines(None, 4.0, 104.0, 104.0, 105.5)
+        self.assert_deadlines(8.0, 4.0, 104.0, 105.5)
+        self.assert_deadlines(None, 4.0, 104.0, 105.5)
--- a/tests/request/test_stream_time.py
+++ b/tests/request/test_stream_time.py
@@ -44,7 +44,8 @@
             pool=ENGINES,
         )
         self.addCleanup(harness.close)
-        harness.add(ScriptedReplica("one", step))
+        self.replica = ScriptedReplica("one", step)
+        harness.add(self.replica)
         return harness
 
     def assert_begun(self, response):
@@ -88,6 +89,18 @@
             self.assert_begun(read_response(sock))
         note_miss.assert_not_called()
 
+    def test_replica_is_told_to_end_a_stream_before_its_callers_time(self):
+        harness = self.harness()
+        sock = harness.connect()
+        sock.sendall(_head(CALLER_S))
+        eventlet.sleep(BODY_S)
+        sock.sendall(BODY)
+        self.assert_begun(read_response(sock))
+        [req] = self.replica.relayed()
+        told_s = int(req.headers[b"deadline-ms"]) / 1e3
+        self.assertGreater(told_s, CALLER_S - BODY_S / 2)
+        self.assertLessEqual(told_s, CALLER_S)
+
 
 def _head(caller_s):
     lines = (
