Count a request that was read ahead while the answer before it is being ended

What callers saw could be a connection closed by the end of a stopping router, though a request on it had been read. Between two answers on one connection other green threads run, and the request that was read behind the first one counted as none.

Evidence: active_requests() 0 between the answers to two requests, 1 now (found by a review).

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -312,7 +312,7 @@
         """Return whether a request has begun to arrive and isn't answered yet."""
         if self._is_idle:
             return self._has_unread_bytes()
-        return self._is_reading or self.is_handling
+        return self._is_reading or self.is_handling or bool(self._buffer)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive."""
--- a/tests/connection/test_caller_patience.py
+++ b/tests/connection/test_caller_patience.py
@@ -164,3 +164,21 @@
             while data := sock.recv(65_536):
                 text += data
         self.assertEqual(text.count(b"whole"), 2)
+
+    def test_request_read_ahead_does_not_count_between_two_answers(self):
+        counts, edge = [], self.harness.edge
+        handle = edge.handle
+
+        def handle_and_count(raw, channel):
+            handle(raw, channel)
+            eventlet.spawn_after(0, lambda: counts.append(edge.active_requests()))
+
+        edge.handle = handle_and_count
+        edge.is_leaving = True
+        sock = self.harness.connect()
+        send_request(sock, name=b"id-1")
+        send_request(sock, name=b"id-2")
+        with eventlet.Timeout(5.0):
+            while len(counts) < 2:
+                eventlet.sleep(0.01)
+        self.assertEqual(counts[0], 1)
