Let a begun stream wait for a place though none is expected in time

Cause: admission refuses a request at once if the expected wait is longer than the time left, if all replicas asked to wait too long, or if its turn at a limited replica comes too late. An estimate is a reason to refuse early; an answer that has begun can't be refused any more, so that the estimate ended it.

A request that hasn't begun is refused as before.

--- a/boragedeck/process/relaying/limits/limited_admission.py
+++ b/boragedeck/process/relaying/limits/limited_admission.py
@@ -27,6 +27,8 @@
 
 MAX_RESERVED_WAIT_S = 0.3
 """How long a request waits for its turn at a replica that kept room for it."""
+MIN_TURN_WAIT_S = 0.1
+"""How long an answer that has begun waits at least before it asks for a turn again."""
 
 
 class LimitedAdmission:
@@ -75,7 +77,12 @@
             tried = req.tried | denied_until.keys()
             allowed = msgspec.structs.replace(req, tried=tried)
             if denied_until and not self._admission.has_candidates(allowed):
-                return Err(self._refusal(req, min(denied_until.values())))
+                next_turn_at = min(denied_until.values())
+                if not self._wait_for_turn(req, next_turn_at):
+                    return Err(self._refusal(req, next_turn_at))
+                denied_until.clear()
+                asked.clear()
+                continue
             acquired = self._admission.acquire(allowed)
             if acquired.is_err() or not _needs_grant(acquired.ok().state):
                 return acquired
@@ -143,6 +150,14 @@
         # The place counts from now on, so that the wait isn't taken for service time.
         return self._admission.reserve(req, state)
 
+    def _wait_for_turn(self, req: AdmissionRequest, turn_at: float) -> bool:
+        """Wait for a turn that is denied now; return whether to ask once more."""
+        now = self._timers.now()
+        if not req.has_begun or req.until <= now:
+            return False
+        self._timers.sleep(min(max(MIN_TURN_WAIT_S, turn_at - now), req.until - now))
+        return True
+
     def _max_wait_s(self, req: AdmissionRequest) -> float:
         """Return how long a request can wait for its turn, in seconds.
 
@@ -151,7 +166,8 @@
         If a replica without a limit is full, its next free place may come sooner.
         """
         left_s = req.until - self._timers.now()
-        left_s -= self._admission.mean_service_s(req.pool.name)
+        if not req.has_begun:
+            left_s -= self._admission.mean_service_s(req.pool.name)
         if self._admission.has_candidates(req, unlimited_only=True):
             left_s = min(left_s, self._admission.expected_wait_s(req))
         return max(0.0, left_s)
--- a/boragedeck/process/relaying/placing/admission.py
+++ b/boragedeck/process/relaying/placing/admission.py
@@ -119,7 +119,8 @@
             return Ok(place)
         wait_s = self.expected_wait_s(req)
         left_s = req.until - self._timers.now()
-        if left_s <= 0.0 or wait_s > left_s or self._is_held_too_long(req):
+        is_hopeless = wait_s > left_s or self._is_held_too_long(req)
+        if left_s <= 0.0 or (is_hopeless and not req.has_begun):
             return Err(self._refusal(req, wait_s))
         return self._wait_in_queue(req)
 
@@ -248,7 +249,7 @@
         """
         req = waiter.req
         while (left_s := req.until - self._timers.now()) > 0.0:
-            if self._is_held_too_long(req):
+            if self._is_held_too_long(req) and not req.has_begun:
                 break
             if self._timers.wait(waiter.granted, min(RECHECK_INTERVAL_S, left_s)):
                 return True
--- a/boragedeck/process/relaying/placing/place.py
+++ b/boragedeck/process/relaying/placing/place.py
@@ -38,6 +38,9 @@
         The id of the request, for the log.
     deadline : float
         When the request ends at the latest, on the timer service's clock.
+    has_begun : bool
+        Whether its caller has a part of the answer. It can't be refused any more, so it
+        waits even if no place is expected in time.
     """
 
     pool: RelayPool
@@ -50,6 +53,7 @@
     allows: Callable[[Replica], bool] = lambda replica: True
     request_id: str = ""
     deadline: float = math.inf
+    has_begun: bool = False
 
     def lease_s(self, now: float) -> float:
         """Return how long a replica may work on the request, in seconds."""
--- a/boragedeck/request/place_finder.py
+++ b/boragedeck/request/place_finder.py
@@ -55,7 +55,9 @@
         self.tried: set[ReplicaId] = set()
         self.lost_domains: set[FailureDomain] = set()
 
-    def acquire(self, until: float) -> Result[Place, RefusedError]:
+    def acquire(
+        self, until: float, *, has_begun: bool = False
+    ) -> Result[Place, RefusedError]:
         """Wait for a place at a replica that has not been tried yet.
 
         Parameters
@@ -63,6 +65,8 @@
         until : float
             When to stop waiting, in monotonic seconds. A request that has not run
             waits no longer than the request for a place says.
+        has_begun : bool, optional
+            Whether the caller has a part of the answer; see `AdmissionRequest`.
 
         Returns
         -------
@@ -82,7 +86,8 @@
             self.tried.clear()
             if until > self._parts.timers.now():
                 self._back_off()
-        return self._parts.limited_admission.acquire(self.request(until))
+        req = msgspec.structs.replace(self.request(until), has_begun=has_begun)
+        return self._parts.limited_admission.acquire(req)
 
     def acquire_beside(self, others: list[Place]) -> Place | None:
         """Return a place for an attempt beside others, if one is free now.
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -94,7 +94,7 @@
         job, failed = self._job, self._failed
         if failed is not None and self._start_recovery(failed):
             return True
-        acquired = job.places.acquire(job.deadline)
+        acquired = job.places.acquire(job.deadline, has_begun=self._delivery.has_begun)
         if acquired.is_ok():
             self._start(acquired.ok())
             return True
