Let a begun stream wait for a moment if a repeat is denied

Evidence: repeats denied for 0.3 s, cut after event 2; whole now. It waits for up to 1 s, so that a caller who resumes streams by itself still can.

--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -22,6 +22,8 @@
 DEADLINE_RESOLUTION_S = 0.002
 """How much earlier than its deadline a replica may end a request; it is told whole
 milliseconds."""
+REPEAT_POLL_S = 0.25
+"""How often a request that waits for a repeat asks whether one is allowed."""
 MAX_LOGGED_PARTS = 8
 
 
@@ -152,20 +154,32 @@
         """Record that an attempt which was sent has not run."""
         self.possible_runs -= 1
 
-    def may_send_again(self, extra_attempts: int = 0) -> bool:
+    def may_send_again(
+        self, extra_attempts: int = 0, *, max_wait_s: float = 0.0
+    ) -> bool:
         """Return whether another attempt is allowed, and charge it to the shared limit.
 
         Parameters
         ----------
         extra_attempts : int, optional
             Number of attempts that are allowed beyond those of the route.
+        max_wait_s : float, optional
+            How long to wait until the shared limit allows it, in seconds.
 
         Notes
         -----
         The limit on repeats is shared by all requests of the pool. The first attempt
         is not charged.
         """
-        return self.has_attempts_left(extra_attempts) and self.take_repeat()
+        timers = self.parts.timers
+        until = timers.now() + max_wait_s
+        while self.has_attempts_left(extra_attempts):
+            if self.take_repeat():
+                return True
+            if timers.now() >= until:
+                return False
+            timers.sleep(REPEAT_POLL_S)
+        return False
 
     def has_attempts_left(self, extra_attempts: int = 0) -> bool:
         """Return whether time, route, and what is known of crashes allow an attempt."""
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -32,6 +32,9 @@
 
 MAX_UNREAD_REPORTS = 8
 """Number of messages that the attempts report ahead of a caller who reads slowly."""
+MAX_REPEAT_WAIT_S = 1.0
+"""How long a stream that has begun waits until the shared limit allows a repeat. After
+that its caller may resume it by itself before it would have given it up."""
 
 
 class StreamRelay:
@@ -270,7 +273,8 @@
         is_allowed = job.rule.may_repeat or not job.may_have_run
         if not is_allowed or job.left_s() <= 0.0:
             return False
-        return job.may_send_again(self._extra_attempts())
+        max_wait_s = MAX_REPEAT_WAIT_S if self._delivery.has_begun else 0.0
+        return job.may_send_again(self._extra_attempts(), max_wait_s=max_wait_s)
 
     def _extra_attempts(self) -> int:
         """Return the number of attempts that are allowed beyond those of the route.
--- a/tests/request/test_resumed_streams.py
+++ b/tests/request/test_resumed_streams.py
@@ -18,6 +18,7 @@
 TOKENS = b"Token-Counts: 1000,100"
 CALLER_MS = 8_000
 WHOLE = b"".join(map(event, range(1, 5)))
+DENIED_S = 0.3
 FULL_S = 0.4
 HOLD_S = 0.5
 LONG_SERVICE_S = 60.0
@@ -38,6 +39,12 @@
         self.assertEqual((response.status, response.body), (200, WHOLE))
         self.assertTrue(response.is_complete)
 
+    def test_begun_stream_is_cut_because_a_repeat_is_denied_for_a_moment(self):
+        until = time.monotonic() + DENIED_S
+        retries = self.harness.parts.retries
+        with mock.patch.object(retries, "take", lambda _: time.monotonic() > until):
+            self.assert_whole()
+
     def test_begun_stream_is_cut_because_a_long_wait_for_a_place_is_expected(self):
         self.harness.admission._mean_service_s["engines"] = LONG_SERVICE_S
         free_at = time.monotonic() + FULL_S
