Allow the further attempt for a loss when the lost replica refuses a connection

Its cause is older: the attempt that is allowed for a broken connection was counted only if the last attempt that failed had broken. Without the copy the stream first returns to the replica whose connection broke; that one refuses, which is no break, and the allowance was gone.

That a connection has broken is kept for the stream now.

--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -59,6 +59,8 @@
         self._failure_reason = ""
         # Whether an attempt was sent beside one that went on by itself.
         self._had_needless_attempt = False
+        # Whether a connection has broken during the run.
+        self._was_broken = False
 
     def run(self) -> None:
         """Relay the stream, or answer the caller with a failure."""
@@ -257,6 +259,7 @@
         self._failed_answer = attempt.failed_answer or self._failed_answer
         self._failure_reason = attempt.failure_reason
         if attempt.broken_state is not None:
+            self._was_broken = True
             self._recovery.note_broken(attempt.broken_state)
         if outcome is AttemptOutcome.LOST and was_first:
             self._delivery.note_lost(job.parts.timers.now())
@@ -280,8 +283,7 @@
         Silences that end must not use up the attempts for a loss. A replica that is
         lost doesn't count against the limit, so one is allowed in its place.
         """
-        is_broken = self._failed is not None and self._failed.broken_state is not None
-        return int(self._had_needless_attempt and is_broken)
+        return int(self._had_needless_attempt and self._was_broken)
 
     def _give_up(self) -> None:
         job = self._job
