Don't take a lost replica for reached because another router heard it before it ended

Cause, traced: lost paths are checked every 0.5 s, and the routers that are asked vouch for a replica that they have heard within RECENT_S (0.5 s). In a failing run the path was found lost 7 ms after the break, found `indirect` by the check 0.47 s later, on what the others had heard before the crash, and lost again by the next, 0.47 s later. The confirmation, 0.6 s after the break, fell into that and dropped the crash as a loss of the router's own path.

Fix: a path that is lost is checked anew, with no age: others probe. What is known to be reached through others is checked with RECENT_S as before, so no more probes are made of replicas that live.

Evidence: test_path_found_lost_stays_lost_though_others_heard_the_replica_before failed in 3 of 3 runs before and passed in 3 of 3.

--- a/boragedeck/process/relaying/paths/replica_paths.py
+++ b/boragedeck/process/relaying/paths/replica_paths.py
@@ -267,7 +267,8 @@
         else:
             return
         others = self._addresses().difference(checked)
-        self._start_checks(each for each in others if self.state_of(each) is doubtful)
+        found = (each for each in others if self.state_of(each) is doubtful)
+        self._start_checks(found, RECENT_S)
 
     def _check_lost(self) -> None:
         """Check the lost paths that have not been checked for the longest time."""
@@ -276,7 +277,10 @@
         batch = batch[:MAX_ADDRESSES]
         for address in batch:
             self._states[address] = self._states.pop(address)
-        self._start_checks(batch)
+        lost = [each for each in batch if self.is_lost(each)]
+        # Whoever heard a lost replica may have done so before it ended.
+        self._start_checks(lost, 0.0)
+        self._start_checks([each for each in batch if each not in lost], RECENT_S)
 
     def _forget_unknown(self) -> None:
         """Drop what is known of replicas that are gone."""
@@ -291,13 +295,13 @@
             if address in known
         }
 
-    def _start_checks(self, addresses: Iterable[Address]) -> None:
+    def _start_checks(self, addresses: Iterable[Address], max_age_s: float) -> None:
         unchecked = [each for each in addresses if each not in self._checks]
         for first in range(0, len(unchecked), MAX_ADDRESSES):
             batch = unchecked[first : first + MAX_ADDRESSES]
             for address in batch:
                 self._checks[address] = Event()
-            eventlet.spawn_n(self._run_check, batch, frozenset(), RECENT_S)
+            eventlet.spawn_n(self._run_check, batch, frozenset(), max_age_s)
 
     def _apply(self, addresses: Iterable[Address], result: CheckResult) -> None:
         for address in addresses:
--- a/tests/request/test_relay_paths.py
+++ b/tests/request/test_relay_paths.py
@@ -478,6 +478,33 @@
         self.assertEqual(self.cut_off.metrics.crashes_reported._value.get(), 1)
 
 
+class EndedReplicaTest(ForwardCase):
+    """A replica ends that others have just heard and the cut-off router can't reach."""
+
+    replicas = 1
+
+    def setUp(self):
+        super().setUp()
+        [self.replica] = self.fleet_.replicas
+        self.paths = self.cut_off.paths
+        for number, router in enumerate(self.others):
+            self.assertTrue(self.fetch(router, number))
+
+    def wait_for_checks(self):
+        with eventlet.Timeout(5.0):
+            while self.paths.is_checking(self.replica.address):
+                eventlet.sleep(0.001)
+
+    def test_path_found_lost_stays_lost_though_others_heard_the_replica_before(self):
+        self.replica.stop()
+        self.paths.check_again(self.replica.address)
+        self.wait_for_checks()
+        self.assertTrue(self.paths.is_lost(self.replica.address))
+        self.paths._check_lost()
+        self.wait_for_checks()
+        self.assertTrue(self.paths.is_lost(self.replica.address))
+
+
 class OldLinksTest(CutOffCase):
     """Streams run when the router is cut off."""
 
