--- a/boragedeck/process/relaying/paths/replica_paths.py
+++ b/boragedeck/process/relaying/paths/replica_paths.py
@@ -93,6 +93,8 @@
         # Paths that aren't direct.
         self._states: dict[Address, PathState] = {}
         self._checks: dict[Address, Event] = {}
+        # Replicas to check once more, after the check that runs.
+        self._again: set[Address] = set()
         self._silence_checked_at: dict[Address, float] = {}
         # Replicas to which a new connection timed out, so that open ones hang, too.
         self._hanging: set[Address] = set()
@@ -209,8 +211,16 @@
             self._start_check(address, frozenset())
 
     def check_again(self, address: Address) -> None:
-        """Check whether a replica that others reached is still reached by them."""
-        self._start_check(address, frozenset({address}))
+        """Check whether a replica that others reached is still reached by them.
+
+        Notes
+        -----
+        A check that runs already may rest on what was known before.
+        """
+        if address in self._checks:
+            self._again.add(address)
+        else:
+            self._start_check(address, frozenset({address}))
 
     def is_lost(self, address: Address) -> bool:
         """Return whether no router that was asked reaches a replica."""
@@ -258,10 +268,17 @@
             result = self._checker.check(addresses, failed, max_age_s=max_age_s)
             self._apply(addresses, result)
         finally:
-            for address in addresses:
-                self._checks.pop(address).send()
+            self._end_checks(addresses)
         self._check_others(addresses, was_direct=was_direct)
 
+    def _end_checks(self, addresses: list[Address]) -> None:
+        for address in addresses:
+            self._checks.pop(address).send()
+        again = self._again.intersection(addresses)
+        self._again -= again
+        for address in again:
+            self._start_check(address, frozenset({address}))
+
     def _check_others(self, checked: list[Address], *, was_direct: bool) -> None:
         """Check the other paths, since a path is rarely lost or found again alone."""
         states = {self.state_of(each) for each in checked}
@@ -272,7 +289,8 @@
         else:
             return
         others = self._addresses().difference(checked)
-        self._start_checks(each for each in others if self.state_of(each) is doubtful)
+        found = (each for each in others if self.state_of(each) is doubtful)
+        self._start_checks(found, RECENT_S)
 
     def _check_lost(self) -> None:
         """Check the lost paths that have not been checked for the longest time."""
@@ -281,7 +299,10 @@
         batch = batch[:MAX_ADDRESSES]
         for address in batch:
             self._states[address] = self._states.pop(address)
-        self._start_checks(batch)
+        lost = [each for each in batch if self.is_lost(each)]
+        # Whoever heard a lost replica may have done so before it ended.
+        self._start_checks(lost, 0.0)
+        self._start_checks([each for each in batch if each not in lost], RECENT_S)
 
     def _forget_unknown(self) -> None:
         """Drop what is known of replicas that are gone."""
@@ -296,13 +317,13 @@
             if address in known
         }
 
-    def _start_checks(self, addresses: Iterable[Address]) -> None:
+    def _start_checks(self, addresses: Iterable[Address], max_age_s: float) -> None:
         unchecked = [each for each in addresses if each not in self._checks]
         for first in range(0, len(unchecked), MAX_ADDRESSES):
             batch = unchecked[first : first + MAX_ADDRESSES]
             for address in batch:
                 self._checks[address] = Event()
-            eventlet.spawn_n(self._run_check, batch, frozenset(), RECENT_S)
+            eventlet.spawn_n(self._run_check, batch, frozenset(), max_age_s)
 
     def _apply(self, addresses: Iterable[Address], result: CheckResult) -> None:
         for address in addresses:
