--- a/soak/operator.py
+++ b/soak/operator.py
@@ -14,6 +14,7 @@
 GUEST_KEY = "guest-key"
 MOVES = {ENGINES: SPARES, CALLS: OTHERS}
 MAX_STEP = 7
+MAX_ATTEMPTS = 4
 
 
 class Operator:
@@ -43,6 +44,7 @@
         self._version += self._rng.randint(1, MAX_STEP)
         cfg = changed(self._version, Change.NONE)
         for route in cfg["routes"]:
+            route["maxAttempts"] = MAX_ATTEMPTS
             if route["name"] in self._moved:
                 route["service"] = MOVES[route["service"]]
         if self._has_extra:
