--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -18,6 +18,8 @@
 
 __all__ = ["Disruptions", "Row"]
 
+CALM_SHARE = 0.5
+"""Share of the plays in which routers are disturbed by planned work only."""
 KINDS_PER_PLAY = 8, 13
 GAP_S = 0.2, 1.0
 """Time from one disruption to the next."""
@@ -73,6 +75,15 @@
     Row.REPLICA_LATE_ANSWER: Mood(repeats=0.6, full=0.3),
     Row.REPLICA_IDLE_CLOSE: Mood(closes=0.7),
 }
+OUT_OF_TOUCH = {
+    Row.ROUTER_KILL,
+    Row.ROUTER_FREEZE,
+    Row.STORE_DOWN,
+    Row.STORE_SILENT,
+    Row.STORE_SOME,
+    Row.STORE_LOST_ANSWER,
+}
+"""Rows that excuse routers from the rules with a time bound."""
 HABITS = {
     Row.CALLER_LEAVES: Habits(leaves=0.3),
     Row.CALLER_SLOW_BODY: Habits(slow_body=0.8),
@@ -126,6 +137,8 @@
     def run(self, until: float) -> None:
         """Begin disruptions until a time, and return when all are over."""
         rows = [row for row in Row if row is not Row.ROUTER_TERM]
+        if self._rng.random() < CALM_SHARE:
+            rows = [row for row in rows if row not in OUT_OF_TOUCH]
         kinds = self._rng.sample(rows, self._rng.randint(*KINDS_PER_PLAY))
         kinds.append(Row.ROUTER_TERM)
         # The others overlap a stop, which is the work that the pages name most.
