--- a/scripts/whole_answers.py
+++ b/scripts/whole_answers.py
@@ -129,8 +129,8 @@
         Whether its body is sent in chunks.
     is_kept : bool
         Whether its connection has served before.
-    sent, ended : float
-        When, in monotonic seconds.
+    sent, ended, over : float
+        When it was sent, ended, and when its time was over, in monotonic seconds.
     caller_s : float
         How long its caller waits, in seconds.
     part_s : float
@@ -155,6 +155,7 @@
     part_s: float = 0.0
     last_sent: float = 0.0
     ended: float = 0.0
+    over: float = 0.0
     status: int = 0
     is_whole: bool = False
     detail: str = ""
@@ -406,7 +407,8 @@
         # The table that is in force when the whole body has arrived decides.
         is_lowered = play.change is Change.TIMEOUT and req.last_sent > self._changed_at
         route_s = SHORT_TIMEOUT_MS / 1e3 if is_lowered else float("inf")
-        if req.ended >= time_over(req, route_s):
+        req.over = time_over(req, route_s)
+        if req.ended >= req.over:
             return True
         stopped = self._stops.get(req.router, float("inf"))
         return (
@@ -515,7 +517,7 @@
 def _cuts_text(requests: list[Request], *, is_chunked: bool) -> str:
     """Return how long before its caller's time an answer was cut."""
     early_s = sorted(
-        time_over(req) - req.ended
+        req.over - req.ended
         for req in requests
         if req.status == http.HTTPStatus.OK and req.is_chunked is is_chunked
     )
