Move what the output and the end of a stream's attempt record to a module of its own

stream_attempt held the sending, the reading and all evidence in 389 lines (345 now). StreamEvidence says what is recorded of outputs, complete and failed answers, a replica that wasn't reached and a lost answer; a refused connection and a loss no longer share one function with cases in between. No behaviour changes.

--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -15,7 +15,6 @@
     UpstreamSilentError,
     UpstreamWithdrawnError,
 )
-from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.placing.place import Place
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.request.answer_progress import AnswerProgress
@@ -27,6 +26,7 @@
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import MAX_LOGGED_PARTS, RelayJob
 from boragedeck.request.relay_request import AttemptPlan, CopySource, VerdictKind
+from boragedeck.request.stream_evidence import StreamEvidence
 from boragedeck.request.stream_liveness import (
     ExchangeInterrupter,
     StreamLivenessMonitor,
@@ -124,6 +124,9 @@
         self._is_cancelled = False
         self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
         self._silence = StreamSilence(job, place, self._progress)
+        self._evidence = StreamEvidence(
+            job, place, self._progress, self._silence, from_copy=from_copy
+        )
         self._liveness = StreamLivenessMonitor(job, self._note_silent, self._note_heard)
         self._thread: eventlet.greenthread.GreenThread | None = None
 
@@ -208,13 +211,15 @@
         except UpstreamNotAcceptingError as exc:
             return self._note_failed(exc, exc.message, AttemptOutcome.NOT_TAKEN)
         except UpstreamRefusedError as exc:
-            return self._note_loss(exc, AttemptOutcome.NOT_TAKEN)
+            self._evidence.note_not_reached()
+            return self._note_failed(exc, str(exc), AttemptOutcome.NOT_TAKEN)
         except UpstreamWithdrawnError as exc:
             return self._note_failed(exc, exc.message, AttemptOutcome.LOST)
         except (UpstreamError, EventError) as exc:
             if not isinstance(exc, UpstreamSilentError):
                 self.broken_state = place.state
-            return self._note_loss(exc, AttemptOutcome.LOST)
+            self._evidence.note_lost(is_silent=isinstance(exc, UpstreamSilentError))
+            return self._note_failed(exc, str(exc), AttemptOutcome.LOST)
 
     def _choose_backup(self) -> ReplicaState | None:
         job = self._job
@@ -279,8 +284,7 @@
                 self.failed_answer = FailedAnswer(
                     pending.head.status, verdict.headers, body
                 )
-        self.place.state.note_answer(False, job.parts.timers.now())
-        job.evidence.note_outcome(self.place, Outcome.FAILED)
+        self._evidence.note_failed_answer()
         error = f"{verdict.kind.value} {pending.head.status}"
         reason = f"status {pending.head.status}"
         return self._note_failed(error, reason, AttemptOutcome.LOST)
@@ -299,7 +303,7 @@
             may_end = True
             self._liveness.note_output()
             self._silence.end()
-            self._note_output(gaps.note(len(events), timers.now()))
+            self._evidence.note_output(gaps.note(len(events), timers.now()))
             data = b"".join(event.data for event in events)
             self._tell(Events(data, splitter.last_number))
             timeout.restart()
@@ -307,38 +311,10 @@
             raise EventError("the stream ended in the middle of an event")
         if not may_end:
             raise EventError("the connection ended before the first event")
-        self.place.state.note_answer(True, timers.now())
-        self._progress.note_complete(timers.now())
         self._silence.end()
-        job.parts.metrics.total_s.labels(job.rule.kind.value).observe(
-            timers.now() - job.req.arrived
-        )
+        self._evidence.note_complete()
         return AttemptOutcome.COMPLETE
 
-    def _note_output(self, gap_s: float | None) -> None:
-        job, place, now = self._job, self.place, self._job.parts.timers.now()
-        place.state.note_output(now)
-        self._progress.note_output(now)
-        if not place.has_output:
-            self._note_first_output(now - place.since)
-        place.note_first_output()
-        if gap_s is not None:
-            job.evidence.note_gap(place, gap_s)
-
-    def _note_first_output(self, took_s: float) -> None:
-        job, place = self._job, self.place
-        log.write(
-            "First output.",
-            request=job.req.request_id,
-            replica=place.state.replica.replica,
-            after_s=round(took_s, 3),
-        )
-        job.evidence.note_outcome(place, None, took_s)
-        if not self._from_copy:
-            job.parts.pace.note_prompt_read(
-                job.pool_name, job.req.prompt_tokens, took_s
-            )
-
     def _note_silent(self, exchange: Exchange, since: float) -> None:
         self._silence.note(exchange, since)
         now = self._job.parts.timers.now()
@@ -367,23 +343,3 @@
         self._job.note_attempt_failed(self.place, error)
         self.failure_reason = reason
         return outcome
-
-    def _note_loss(self, exc: Exception, outcome: AttemptOutcome) -> AttemptOutcome:
-        job, place = self._job, self.place
-        is_over = job.is_replica_time_over()
-        if not is_over:
-            job.note_miss(place)
-        job.parts.metrics.attempts.labels(job.rule.kind.value, outcome.value).inc()
-        is_own_loss = job.is_own_loss(place)
-        # A replica that ends a request in time isn't lost.
-        is_silent = isinstance(exc, UpstreamSilentError) or is_over
-        if outcome is AttemptOutcome.LOST and (place.is_forwarded or not is_own_loss):
-            self._progress.note_broken(place.state, is_silent=is_silent)
-            if self._progress.is_at_begin:
-                job.lost_at_begin += 1
-        if is_silent and self._silence.is_on:
-            # The time is over; whether the replica is lost isn't known yet.
-            self._silence.note_abandoned()
-        elif outcome is AttemptOutcome.LOST and not is_own_loss:
-            job.evidence.note_outcome(place, Outcome.FAILED)
-        return self._note_failed(exc, str(exc), outcome)
