--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -22,7 +22,7 @@
 LAPSE_S = 1.0, 3.6
 """Time from a crash until the store drops the entry."""
 RETURN_S = 0.3, 2.0
-SERVE_ON_S = 2.5, 4.0
+SERVE_ON_S = 4.0, 8.0
 """How long a replica that leaves serves at least."""
 MAX_SERVE_ON_S = 12.0
 POLL_S = 0.1
