--- /dev/null
+++ b/boragedeck/connection/caller_connection.py
@@ -0,0 +1,373 @@
+"""One caller's connection, on which requests are read and answered in order.
+
+It uses `h11` and not eventlet's WSGI server for three reasons: the limits change with
+the configuration, an aborted response must not look complete, and a caller that
+disconnects while its request waits must be detected at once.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import eventlet
+import h11
+from eventlet.green import socket
+from eventlet.hubs import trampoline
+
+from boragedeck.connection.caller_channel import CallerChannel, RawRequest
+from boragedeck.connection.caller_ends import (
+    CallerDisconnectedError,
+    CallerNotReadingError,
+    UnansweredReason,
+)
+from boragedeck.exceptions import BoragedeckError
+from boragedeck.process.observing.logs import PartLog
+from boragedeck.process.timers import TimerService
+from boragedeck.version.routing import CallerLimits
+
+__all__ = ["CallerConnection", "Handler", "Server"]
+
+READ_BYTES = 64 * 1024
+MAX_AHEAD_BYTES = 64 * 1024
+"""How much is read of a caller's next requests while it is answered."""
+OPEN_POLL_S = 0.2
+"""How often a connection of which nothing more is read is asked whether it is open."""
+TCP_ESTABLISHED = 1
+"""The first byte of Linux's `TCP_INFO` while neither side has closed."""
+SEND_TIMEOUT_S = 5.0
+"""How long a caller may not read a part of a response whose deadline has passed, or
+which has none, in seconds."""
+LINGER_S = 1.0
+"""How long data from the caller is still read after the last response, in seconds."""
+BODY_TIMEOUT_S = 10.0
+MAX_LOGGED_CHARS = 200
+
+_log = PartLog("edge")
+
+Handler = Callable[[RawRequest, CallerChannel], None]
+
+
+class Server(Protocol):
+    """The server that a connection belongs to; see `CallerEdge`."""
+
+    limits: Callable[[], CallerLimits]
+    handle: Handler
+    timers: TimerService
+    is_leaving: bool
+    is_closing: bool
+    on_unanswered: Callable[[UnansweredReason], None]
+
+
+class CallerConnection:
+    """One caller's connection; serves its requests one at a time, in order.
+
+    Parameters
+    ----------
+    server : Server
+        What all connections of the server have in common.
+    sock : socket
+        The connected socket.
+
+    Attributes
+    ----------
+    is_handling : bool
+        Whether a request that has been read is being answered.
+    """
+
+    def __init__(self, server: Server, sock: socket.socket):
+        self._server = server
+        self._sock = sock
+        self._timers = server.timers
+        self._buffer = b""
+        self._is_eof = False
+        self._parser: h11.Connection | None = None
+        self.is_handling = False
+        self._is_idle = True
+        self._is_reading = False
+        self._is_shut = False
+        self._is_last_response = False
+        self._channel: CallerChannel | None = None
+
+    def set_up(self) -> None:
+        """Set the options of the socket."""
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def run(self) -> None:
+        """Serve requests until the connection ends."""
+        while True:
+            req = self._next_request()
+            if req is None or not self._serve(req):
+                return
+
+    @property
+    def request_id(self) -> str | None:
+        """The id of the current request; None if it isn't known."""
+        return None if self._channel is None else self._channel.request_id
+
+    def is_last_response(self) -> bool:
+        """Return whether the connection is closed after the current response.
+
+        Notes
+        -----
+        A request that has been read behind the current one is answered, too.
+        """
+        if self._is_last_response:
+            return True
+        is_leaving = self._server.is_leaving or self._server.is_closing
+        return is_leaving and not self._buffer
+
+    def has_request(self) -> bool:
+        """Return whether a request has begun to arrive and isn't answered yet."""
+        if self._is_idle:
+            return self._has_unread_bytes()
+        return self._is_reading or self.is_handling or bool(self._buffer)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request has begun to arrive."""
+        if self._is_idle and not self._buffer and not self._has_unread_bytes():
+            # What arrives from now on isn't read.
+            self._is_shut = True
+            self._shut_down()
+
+    def send_event(self, event, deadline: float = float("-inf")) -> None:
+        """Send a part of a response; see `CallerChannel.deadline`.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            If the connection is broken or the caller doesn't read in time.
+        """
+        data = self._parser.send(event)
+        if not data:
+            return
+        timeout_s = max(SEND_TIMEOUT_S, deadline - self._timers.now())
+        timeout_error = TimeoutError("the caller does not read the response")
+        try:
+            with eventlet.Timeout(timeout_s, timeout_error):
+                self._sock.sendall(data)
+        except OSError as exc:
+            is_late = exc is timeout_error
+            error = CallerNotReadingError if is_late else CallerDisconnectedError
+            raise error(str(exc), step="send response") from exc
+
+    def _next_request(self) -> RawRequest | None:
+        if not self._buffer:
+            self._buffer = self._wait_first_bytes()
+        if not self._buffer:
+            return None
+        self._is_idle = False
+        # The limits may have changed during the wait.
+        limits = self._server.limits()
+        self._parser = h11.Connection(h11.SERVER, limits.header_bytes)
+        self._parser.receive_data(self._buffer)
+        self._buffer = b""
+        self._is_reading = True
+        try:
+            return self._read_request(limits)
+        except h11.RemoteProtocolError as exc:
+            self._reject(exc.error_status_hint, str(exc))
+        except eventlet.Timeout:
+            self._reject(408, "the request arrived too slowly")
+        except _RejectedError as exc:
+            self._reject(exc.status, exc.message)
+        finally:
+            self._is_reading = False
+        return None
+
+    def _wait_first_bytes(self) -> bytes:
+        """Wait for the next request and return its first bytes; none if none comes.
+
+        The idle timeout may change during the wait.
+        """
+        self._is_idle = True
+        since = self._timers.now()
+        while not self._is_shut:
+            data = self._read_arrived()
+            if data is not None:
+                return data
+            left_s = since + self._server.limits().idle_timeout_s - self._timers.now()
+            if left_s <= 0.0 or self._server.is_closing:
+                return b""
+            with eventlet.Timeout(left_s, False):
+                trampoline(self._sock.fd, read=True)
+        return b""
+
+    def _read_arrived(self) -> bytes | None:
+        """Return what has arrived; None if nothing has, empty at the caller's end."""
+        try:
+            return self._sock.fd.recv(READ_BYTES)
+        except BlockingIOError:
+            return None
+
+    def _has_unread_bytes(self) -> bool:
+        try:
+            return bool(self._sock.fd.recv(1, socket.MSG_PEEK))
+        except OSError:
+            # Nothing has arrived, or the connection is broken.
+            return False
+
+    def _read_request(self, limits: CallerLimits) -> RawRequest | None:
+        with eventlet.Timeout(limits.header_timeout_s):
+            head = self._read_event()
+        if not isinstance(head, h11.Request):
+            return None
+        arrived = self._timers.now()
+        headers = [(bytes(n), bytes(v)) for n, v in head.headers.raw_items()]
+        _check_framing(headers)
+        _check_size(head, limits)
+        body = bytearray()
+        with eventlet.Timeout(max(BODY_TIMEOUT_S, limits.header_timeout_s)):
+            while True:
+                if self._parser.they_are_waiting_for_100_continue:
+                    self.send_event(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                event = self._read_event()
+                if isinstance(event, h11.EndOfMessage):
+                    break
+                if not isinstance(event, h11.Data):
+                    return None
+                body += event.data
+                if len(body) > limits.body_bytes:
+                    raise _RejectedError("the request body is too long", 413)
+        return RawRequest(
+            head.method,
+            head.target,
+            headers,
+            bytes(body),
+            arrived,
+            received=self._timers.now(),
+        )
+
+    def _read_event(self):
+        while True:
+            event = self._parser.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = self._sock.recv(READ_BYTES)
+            if not data and self._parser.their_state is h11.IDLE:
+                # The caller disconnected before it sent a request.
+                return None
+            self._parser.receive_data(data)
+
+    def _serve(self, req: RawRequest) -> bool:
+        """Answer a request; return whether the connection can serve another one."""
+        # Bytes after the request belong to the caller's next one.
+        rest, is_closed = self._parser.trailing_data
+        self._buffer = bytes(rest)
+        channel = self._channel = CallerChannel(self)
+        self.is_handling = True
+        watcher = eventlet.spawn(self._watch_for_disconnect, eventlet.getcurrent())
+        reason, error = UnansweredReason.NO_ANSWER, None
+        try:
+            self._server.handle(req, channel)
+        except CallerDisconnectedError as exc:
+            reason, error = exc.reason, exc
+        except (Exception, eventlet.Timeout) as exc:
+            reason, error = UnansweredReason.DEFECT, exc
+        finally:
+            self.is_handling = False
+            watcher.kill()
+        if reason is UnansweredReason.DEFECT or not channel.is_finished:
+            # Without the last chunk, the caller sees that the response is incomplete.
+            self._note_unanswered(req, channel, reason, error)
+            return False
+        states = self._parser.our_state, self._parser.their_state
+        if states != (h11.DONE, h11.DONE) or is_closed:
+            self._linger()
+            return False
+        return not self._is_eof
+
+    def _note_unanswered(
+        self,
+        req: RawRequest,
+        channel: CallerChannel,
+        reason: UnansweredReason,
+        error: BaseException | None,
+    ) -> None:
+        """Log and count a request whose connection is closed without its answer."""
+        if channel.is_finished:
+            _log.write(
+                "Failed after an answer.",
+                request=channel.request_id,
+                error=repr(error)[:MAX_LOGGED_CHARS],
+            )
+            return
+        if error is None and channel.has_begun:
+            reason = UnansweredReason.BROKEN_OFF
+        _log.write(
+            "Connection closed without a whole answer.",
+            request=channel.request_id,
+            reason=reason.value,
+            error=None if error is None else repr(error)[:MAX_LOGGED_CHARS],
+            has_begun=channel.has_begun,
+            is_leaving=self._server.is_leaving,
+            age_s=round(self._timers.now() - req.arrived, 3),
+        )
+        self._server.on_unanswered(reason)
+
+    def _watch_for_disconnect(self, serving_thread) -> None:
+        """Stop the green thread that serves the request when the caller disconnects."""
+        while self._is_open():
+            if len(self._buffer) >= MAX_AHEAD_BYTES:
+                self._timers.sleep(OPEN_POLL_S)
+        self._is_eof = True
+        # After its answer, nothing is left to end for it, and the handler cleans up.
+        if self.is_handling and not self._channel.is_finished:
+            eventlet.kill(
+                serving_thread, CallerDisconnectedError("closed", step="serve")
+            )
+
+    def _is_open(self) -> bool:
+        """Return whether the caller is there; read its next bytes if there is room."""
+        try:
+            if len(self._buffer) >= MAX_AHEAD_BYTES:
+                info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+                return info[0] == TCP_ESTABLISHED
+            data = self._sock.recv(READ_BYTES)
+        except OSError:
+            return False
+        self._buffer += data
+        return bool(data)
+
+    def _reject(self, status: int, text: str) -> None:
+        _log.write("Request refused.", status=status, reason=text)
+        if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        self._is_last_response = True
+        headers = [(b"Content-Type", b"text/plain")]
+        CallerChannel(self).respond(status, headers, text.encode())
+        self._linger()
+
+    def _linger(self) -> None:
+        # Closing a socket that has unread bytes resets the connection, and the caller
+        # may lose the response.
+        self._shut_down(socket.SHUT_WR)
+        with eventlet.Timeout(LINGER_S, False):
+            while self._sock.recv(READ_BYTES):
+                pass
+
+    def _shut_down(self, how: int = socket.SHUT_RDWR) -> None:
+        try:
+            self._sock.shutdown(how)
+        except OSError:
+            # The caller has already closed the connection.
+            pass
+
+
+class _RejectedError(BoragedeckError):
+    def __init__(self, message: str, status: int):
+        super().__init__(message, step="read request")
+        self.status = status
+
+
+def _check_framing(headers: list[tuple[bytes, bytes]]) -> None:
+    names = [name.lower() for name, _ in headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        raise _RejectedError("both Content-Length and Transfer-Encoding are set", 400)
+
+
+def _check_size(head: h11.Request, limits: CallerLimits) -> None:
+    # The parser applies its limit only to heads that arrive in parts.
+    size = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
+    if size > limits.header_bytes:
+        raise _RejectedError("the request head is too long", 431)
--- a/boragedeck/platform/callers.py
+++ b/boragedeck/platform/callers.py
@@ -2,7 +2,7 @@
 
 from result import Err, Ok, Result
 
-from boragedeck.connection.caller_edge import RawRequest
+from boragedeck.connection.caller_channel import RawRequest
 from boragedeck.connection.exchange import Headers
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import PromptPartId
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -7,7 +7,8 @@
 from eventlet.greenio import GreenSocket
 from prometheus_client import make_wsgi_app
 
-from boragedeck.connection.caller_edge import CallerChannel, CallerEdge, RawRequest
+from boragedeck.connection.caller_channel import CallerChannel, RawRequest
+from boragedeck.connection.caller_edge import CallerEdge
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
 from boragedeck.platform.store import PlatformStore
--- a/boragedeck/process/relaying/request_handler.py
+++ b/boragedeck/process/relaying/request_handler.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from boragedeck.connection.caller_edge import CallerChannel, RawRequest
+from boragedeck.connection.caller_channel import CallerChannel, RawRequest
 from boragedeck.connection.caller_ends import CallerDisconnectedError
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import ExecutionStatus
--- a/boragedeck/request/forward.py
+++ b/boragedeck/request/forward.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from boragedeck.connection.address import Address
-from boragedeck.connection.caller_edge import CallerChannel, RawRequest
+from boragedeck.connection.caller_channel import CallerChannel, RawRequest
 from boragedeck.connection.exchange import Exchange, Message
 from boragedeck.connection.forwarding import (
     SENT_HEADERS,
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -1,6 +1,6 @@
 """Matches a caller's request to its route and relays it."""
 
-from boragedeck.connection.caller_edge import CallerChannel
+from boragedeck.connection.caller_channel import CallerChannel
 from boragedeck.connection.caller_ends import CallerDisconnectedError
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import OrganisationName
--- a/boragedeck/request/relay_components.py
+++ b/boragedeck/request/relay_components.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from boragedeck.connection.caller_edge import CallerChannel
+from boragedeck.connection.caller_channel import CallerChannel
 from boragedeck.connection.exchange import Headers
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.exceptions import RefusedError
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -1,6 +1,6 @@
 """State of one relayed request that all of its attempts share."""
 
-from boragedeck.connection.caller_edge import CallerChannel
+from boragedeck.connection.caller_channel import CallerChannel
 from boragedeck.exceptions import RefusedError, UpstreamAnswerTooLargeError
 from boragedeck.ids import OrganisationName, PoolName
 from boragedeck.process.relaying.crashes.crash_blame import fingerprint_of
--- a/tests/connection/test_caller_ends.py
+++ b/tests/connection/test_caller_ends.py
@@ -3,7 +3,7 @@
 
 import eventlet
 
-from boragedeck.connection import caller_edge
+from boragedeck.connection import caller_connection
 from boragedeck.connection.caller_ends import UnansweredReason
 from tests.support.replicas import (
     RelayHarness,
@@ -25,7 +25,7 @@
     def assert_closed(self, reason, handle=None, leave=False):
         if handle is not None:
             self.harness.edge.handle = handle
-        with mock.patch.object(caller_edge._log, "write") as write:
+        with mock.patch.object(caller_connection._log, "write") as write:
             sock = self.harness.connect()
             send_request(sock)
             if leave:
@@ -69,7 +69,7 @@
 
     def test_whole_answer_is_logged_as_an_end(self):
         self.harness.add(ScriptedReplica("one", answer()))
-        with mock.patch.object(caller_edge._log, "write") as write:
+        with mock.patch.object(caller_connection._log, "write") as write:
             self.assertEqual(self.harness.fetch().status, 200)
             eventlet.sleep(0.05)
         write.assert_not_called()
@@ -83,7 +83,7 @@
             done.append(True)
 
         self.harness.edge.handle = handle
-        with mock.patch.object(caller_edge._log, "write") as write:
+        with mock.patch.object(caller_connection._log, "write") as write:
             sock = self.harness.connect()
             send_request(sock)
             self.assertTrue(read_response(sock).is_complete)
--- a/tests/connection/test_caller_patience.py
+++ b/tests/connection/test_caller_patience.py
@@ -6,7 +6,7 @@
 from eventlet.green import socket
 from eventlet.greenio import GreenSocket
 
-from boragedeck.connection import caller_edge
+from boragedeck.connection import caller_connection, caller_edge
 from boragedeck.version.routing import RelayPool
 from tests.support.replicas import (
     ENGINE,
@@ -61,7 +61,7 @@
         self.addCleanup(self.harness.close)
         self.replica = ScriptedReplica("one", stream_much)
         self.harness.add(self.replica)
-        patcher = mock.patch.object(caller_edge, "SEND_TIMEOUT_S", SEND_TIMEOUT_S)
+        patcher = mock.patch.object(caller_connection, "SEND_TIMEOUT_S", SEND_TIMEOUT_S)
         patcher.start()
         self.addCleanup(patcher.stop)
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,6 +1,6 @@
 import unittest
 
-from boragedeck.connection.caller_edge import RawRequest
+from boragedeck.connection.caller_channel import RawRequest
 from boragedeck.platform.callers import decode_request
 
 
--- a/tests/request/test_gateway_ends.py
+++ b/tests/request/test_gateway_ends.py
@@ -2,7 +2,7 @@
 
 import eventlet
 
-from boragedeck.connection import caller_edge
+from boragedeck.connection import caller_connection
 from boragedeck.request import forward
 from boragedeck.version.routing import CallKind
 from tests.request.test_silent_gateways import (
@@ -99,7 +99,7 @@
 
     def test_caller_that_reads_slowly_has_its_stream_cut_by_the_gateway(self):
         self.start_stream(stream_much)
-        with mock.patch.object(caller_edge, "SEND_TIMEOUT_S", SHORT_S):
+        with mock.patch.object(caller_connection, "SEND_TIMEOUT_S", SHORT_S):
             sock = self.begin(TOKENS)
             eventlet.sleep(5 * SHORT_S)
             response = read_response(sock, LONG_S)
