Let the room for a stream at a replica last as long as its work

Found by the review: a lease at a brittle replica, and the time for which a stream that resumes may wait for a place, ended at the time for a final answer, up to 50 ms before the end of the answer, and as much earlier as its body took.

Evidence: the request for a place named 0.55 s less than the caller's 1.0 s after a body of 0.5 s; its test passes now.

--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -100,7 +100,7 @@
                 until=req.arrived + MAX_WAIT_SHARE * self._final_answer_s(),
                 allows=parts.rollouts.replica_filter(pool.name),
                 request_id=req.request_id,
-                deadline=self.deadlines.final_answer,
+                deadline=self.deadlines.answer_end,
             ),
             lambda: self.may_have_run,
         )
--- a/tests/request/test_stream_time.py
+++ b/tests/request/test_stream_time.py
@@ -101,6 +101,21 @@
         self.assertGreater(told_s, CALLER_S - BODY_S / 2)
         self.assertLessEqual(told_s, CALLER_S)
 
+    def test_room_at_a_replica_ends_before_its_work_on_a_stream(self):
+        harness = self.harness()
+        admission = harness.parts.limited_admission
+        sock = harness.connect()
+        sock.sendall(_head(CALLER_S))
+        eventlet.sleep(BODY_S)
+        sent = harness.timers.now()
+        with mock.patch.object(
+            admission, "acquire", side_effect=admission.acquire
+        ) as acquire:
+            sock.sendall(BODY)
+            self.assert_begun(read_response(sock))
+        [req] = acquire.call_args.args
+        self.assertGreaterEqual(req.deadline, sent + CALLER_S)
+
 
 def _head(caller_s):
     lines = (
