Take no stream by an estimate once the stop may not end it

Cause: a stopping router takes what it expects to end in time, by the 95th percentile of what it knows. For requests sent within 3 s the rule bears a wrong estimate; the leave period is as long, so that one which arrives at its end, or whose body is complete only then, was taken by an estimate, too.

Fix: from 0.2 s before the end of the leave period on, a request is taken only if all of its time fits; others get 503, not run, and are served elsewhere.

--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -104,7 +104,7 @@
             self._peers,
             self._tables,
             self.metrics,
-            self._drain_period.time_left,
+            self._drain_period,
         )
         self._parts = self._relaying.parts
         watch_address_claims(self._parts)
--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -12,6 +12,8 @@
 """How long after the stop has begun the platform may still send callers here."""
 LEAVE_SHARE = 0.5
 """The longest such time as a share of the whole stop."""
+LATE_MARGIN_S = 0.2
+"""How long before that time is over a request may count as sent after it."""
 GRACE_MARGIN_S = 0.4
 """How long before the operators' time is over the stop ends."""
 GRACE_MARGIN_SHARE = 1 / 12
@@ -55,11 +57,16 @@
         self._timers = timers
         self._grace_s = grace_s
         self._ends_at = float("inf")
+        self._late_from = float("inf")
 
     def is_begun(self) -> bool:
         """Return whether the router is stopping."""
         return self._ends_at < float("inf")
 
+    def is_late(self) -> bool:
+        """Return whether a request that arrives now may not be ended by the stop."""
+        return self._timers.now() >= self._late_from
+
     def time_left(self) -> float:
         """Return how long requests can still be served, in seconds."""
         return self._ends_at - self._timers.now()
@@ -80,11 +87,13 @@
         """
         grace_s = self._grace_s()
         margin_s = min(GRACE_MARGIN_S, GRACE_MARGIN_SHARE * grace_s)
+        leave_s = min(LEAVE_PERIOD_S, LEAVE_SHARE * grace_s)
         self._ends_at = self._timers.now() + grace_s - margin_s
+        self._late_from = self._timers.now() + leave_s - LATE_MARGIN_S
         edges = tuple(edges)
         for edge in edges:
             edge.is_leaving = True
-        self._timers.sleep(min(LEAVE_PERIOD_S, LEAVE_SHARE * grace_s))
+        self._timers.sleep(leave_s)
         for edge in edges:
             edge.stop_accepting()
             edge.close_idle()
--- a/boragedeck/process/relaying/relay_composition.py
+++ b/boragedeck/process/relaying/relay_composition.py
@@ -1,7 +1,6 @@
 """Builds and connects the parts by which a router relays requests to replicas."""
 
 import random
-from collections.abc import Callable
 
 from boragedeck.connection.store import Table
 from boragedeck.connection.upstream_pool import MAX_IDLE_PER_REPLICA, UpstreamPool
@@ -13,6 +12,7 @@
 from boragedeck.platform.routing import ROLLOUT_PREFIX, decode_rollout
 from boragedeck.platform.store import PlatformStore
 from boragedeck.process.relaying.crashes.crash_composition import make_crash_blame
+from boragedeck.process.relaying.draining import DrainPeriod
 from boragedeck.process.relaying.fleet.peer_composition import Peers
 from boragedeck.process.relaying.limits.limit_composition import (
     make_brittle,
@@ -62,8 +62,8 @@
         The operators' table and the list of replicas.
     metrics : RelayMetrics
         The metrics of this router.
-    time_left : callable
-        Returns how long this process will still serve requests, in seconds.
+    drain_period : DrainPeriod
+        The time of a planned stop of this process.
 
     Attributes
     ----------
@@ -86,7 +86,7 @@
         peers: Peers,
         tables: MirroredTables,
         metrics: RelayMetrics,
-        time_left: Callable[[], float],
+        drain_period: DrainPeriod,
     ):
         self._source = source
         self._timers = timers
@@ -98,7 +98,7 @@
         self.rollouts = self._make_rollouts(store)
         self._make_paths()
         admission = self._make_admission()
-        self.parts = self._make_parts(admission, time_left)
+        self.parts = self._make_parts(admission, drain_period)
 
     def _make_replicas(self) -> None:
         self._registry = ReplicaRegistry(self._timers)
@@ -156,7 +156,7 @@
         return admission
 
     def _make_parts(
-        self, admission: Admission, time_left: Callable[[], float]
+        self, admission: Admission, drain_period: DrainPeriod
     ) -> RelayComponents:
         owners = self._peers.make_task_owners()
         links, server, board = self._peers.links, self._peers.server, self._peers.board
@@ -186,7 +186,8 @@
             pace=StreamTimeEstimator(),
             crash_blame=make_crash_blame(self._timers, self._rng, *shared, self._paths),
             metrics=self._metrics,
-            time_left=time_left,
+            time_left=drain_period.time_left,
+            is_late_in_stop=drain_period.is_late,
             refusal_headers=refusal_headers,
         )
 
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -64,10 +64,7 @@
     parts.retries.note_request(name)
     job = RelayJob(parts, req, rule, pool, organisation, priority, channel)
     channel.deadline = job.deadlines.answer_end
-    # The objective of a stream says how soon it begins.
-    goal_s = None if rule.kind is CallKind.STREAM else rule.goal_s
-    long_s = parts.durations.long_duration_s(name, rule.timeout_s, goal_s)
-    if parts.time_left() < long_s:
+    if parts.time_left() < _long_duration_s(job):
         job.refuse(stopping_refusal())
         return
     job.is_trial = job.is_blamed()
@@ -85,6 +82,21 @@
         raise
 
 
+def _long_duration_s(job: RelayJob) -> float:
+    """Return how much time this process must have left to take a request, in seconds.
+
+    Notes
+    -----
+    What may not be ended by a stop isn't taken by an estimate.
+    """
+    rule, parts = job.rule, job.parts
+    if parts.is_late_in_stop():
+        return job.replica_left_s()
+    # The objective of a stream says how soon it begins.
+    goal_s = None if rule.kind is CallKind.STREAM else rule.goal_s
+    return parts.durations.long_duration_s(job.pool_name, rule.timeout_s, goal_s)
+
+
 def _match_route(
     parts: RelayComponents, table: RoutingTable, req: RelayRequest
 ) -> RouteRule:
--- a/boragedeck/request/relay_components.py
+++ b/boragedeck/request/relay_components.py
@@ -75,6 +75,8 @@
     refusal_headers : callable
         Returns the headers of a refusal by the router, given the request's id and
         the value of Retry-After in seconds.
+    is_late_in_stop : callable, optional
+        Returns whether this process stops, and may not end what it takes from now on.
     """
 
     timers: TimerService
@@ -96,6 +98,7 @@
     metrics: RelayMetrics
     time_left: Callable[[], float]
     refusal_headers: Callable[[str | None, float | None], Headers]
+    is_late_in_stop: Callable[[], bool] = lambda: False
 
 
 def respond_refusal(
--- a/tests/process/relaying/test_draining.py
+++ b/tests/process/relaying/test_draining.py
@@ -6,6 +6,7 @@
 from boragedeck.process.relaying import draining
 from boragedeck.process.relaying.draining import (
     GRACE_MARGIN_S,
+    LATE_MARGIN_S,
     LEAVE_PERIOD_S,
     MAX_LOGGED_IDS,
     DrainPeriod,
@@ -62,6 +63,15 @@
         self.run_for(0.2)
         self.assertEqual(self.edge.calls, ["stop accepting", "close idle"])
 
+    def test_request_that_arrives_when_the_leave_period_ends_is_late(self):
+        self.assertFalse(self.period.is_late())
+        self.drain()
+        self.run_for(LEAVE_PERIOD_S - LATE_MARGIN_S - 0.1)
+        self.assertFalse(self.period.is_late())
+        self.run_for(0.2)
+        self.assertEqual(self.edge.calls, [])
+        self.assertTrue(self.period.is_late())
+
     def test_stop_ends_when_all_requests_are_answered(self):
         self.drain()
         self.run_for(LEAVE_PERIOD_S + 1.0)
--- a/tests/request/test_relay_stream.py
+++ b/tests/request/test_relay_stream.py
@@ -1,6 +1,7 @@
 import unittest
 
 import eventlet
+import msgspec
 
 from boragedeck.version.routing import RelayPool
 from tests.support.replicas import (
@@ -289,6 +290,20 @@
         harness.time_left_s = 5.0
         self.assertEqual(harness.fetch(TOKENS).status, 200)
 
+    def test_stop_ends_a_stream_that_arrives_when_it_is_late(self):
+        harness = self.harness()
+        replica = ScriptedReplica("one", slow_events)
+        harness.add(replica)
+        for number in range(30):
+            harness.fetch(TOKENS, name=b"id-%d" % number)
+        harness.time_left_s = 2.0
+        harness.parts = msgspec.structs.replace(
+            harness.parts, is_late_in_stop=lambda: True
+        )
+        self.assertEqual(harness.fetch(TOKENS, ms=3000).status, 503)
+        self.assertEqual(len(replica.relayed()), 30)
+        self.assertEqual(harness.fetch(TOKENS, ms=1000).status, 200)
+
     def test_refused_connections_do_not_count_as_attempts(self):
         harness = self.harness(max_attempts=2)
         dead = [ScriptedReplica(name, drop) for name in "abcdef"]
