--- a/boragedeck/connection/caller_channel.py
+++ b/boragedeck/connection/caller_channel.py
@@ -58,7 +58,7 @@
         Whether a complete response has been sent.
     deadline : float
         Until when a caller that doesn't read is waited for, on the timer service's
-        monotonic clock, and no shorter than `SEND_TIMEOUT_S`.
+        monotonic clock; at least for `caller_connection.SEND_TIMEOUT_S`.
     request_id : str or None
         The id of the request, for the log; None until its handler knows it.
 
--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -64,7 +64,7 @@
         return self._ends_at < float("inf")
 
     def is_late(self) -> bool:
-        """Return whether a request that arrives now may not be ended by the stop."""
+        """Return whether a request that arrives now must not be ended by the stop."""
         return self._timers.now() >= self._late_from
 
     def time_left(self) -> float:
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -87,7 +87,7 @@
 
     Notes
     -----
-    What may not be ended by a stop isn't taken by an estimate.
+    A request that the stop must not end is taken only if all of its time fits.
     """
     rule, parts = job.rule, job.parts
     if parts.is_late_in_stop():
--- a/boragedeck/request/relay_components.py
+++ b/boragedeck/request/relay_components.py
@@ -76,7 +76,7 @@
         Returns the headers of a refusal by the router, given the request's id and
         the value of Retry-After in seconds.
     is_late_in_stop : callable, optional
-        Returns whether this process stops, and may not end what it takes from now on.
+        Returns whether this process stops, and must not end what it takes from now on.
     """
 
     timers: TimerService
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -33,8 +33,8 @@
 MAX_UNREAD_REPORTS = 8
 """Number of messages that the attempts report ahead of a caller who reads slowly."""
 MAX_REPEAT_WAIT_S = 1.0
-"""How long a stream that has begun waits until the shared limit allows a repeat. After
-that its caller may resume it by itself before it would have given it up."""
+"""How long a stream that has begun waits until the shared limit allows a repeat. It is
+shorter than callers wait for an event; once it is broken off, they may resume it."""
 
 
 class StreamRelay:
