--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -155,7 +155,9 @@
         """Return when all requests are answered or the time to stop is over."""
         # In a thread of its own: the store may be slow, and the time to stop is short.
         eventlet.spawn_n(self._membership.leave)
-        self._drain_period.run([self._edge, self._forward_edge])
+        self._drain_period.run(
+            [self._edge, self._forward_edge], self._parts.open_requests
+        )
 
     def _make_forward_edge(self) -> CallerEdge:
         parts = self._parts
--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -42,6 +42,16 @@
         """Return the ids of some requests that were read and aren't answered yet."""
 
 
+class RelayedRequests(Protocol):
+    """The requests that are being relayed; see `OpenRequests`."""
+
+    def counts(self) -> dict[str, int]:
+        """Return how many requests are at each stage."""
+
+    def log_unanswered(self) -> None:
+        """Log the requests that the end of the process leaves without an answer."""
+
+
 class DrainPeriod:
     """The time from a router's stop signal to its end.
 
@@ -71,13 +81,15 @@
         """Return how long requests can still be served, in seconds."""
         return self._ends_at - self._timers.now()
 
-    def run(self, edges: Iterable[DrainableEdge]) -> None:
+    def run(self, edges: Iterable[DrainableEdge], requests: RelayedRequests) -> None:
         """Finish all requests, and return when they are answered or the time is over.
 
         Parameters
         ----------
         edges : iterable of DrainableEdge
             The servers of callers and of other routers.
+        requests : RelayedRequests
+            The requests of callers.
 
         Notes
         -----
@@ -90,6 +102,7 @@
         leave_s = min(LEAVE_PERIOD_S, LEAVE_SHARE * grace_s)
         self._ends_at = self._timers.now() + grace_s - margin_s
         self._late_from = self._timers.now() + leave_s - LATE_MARGIN_S
+        _log.write("Stop begins.", grace_s=grace_s, **requests.counts())
         edges = tuple(edges)
         for edge in edges:
             edge.is_leaving = True
@@ -99,6 +112,7 @@
             edge.close_idle()
         while _active_requests(edges) and self.time_left() > 0.0:
             self._timers.sleep(POLL_S)
+        requests.log_unanswered()
         ids = [each for edge in edges for each in edge.unanswered_ids(MAX_LOGGED_IDS)]
         _log.write(
             "Drained.",
--- a/boragedeck/process/relaying/relay_composition.py
+++ b/boragedeck/process/relaying/relay_composition.py
@@ -34,6 +34,7 @@
 from boragedeck.process.relaying.tables.replica_source import ReplicaSource
 from boragedeck.process.relaying.tables.table_composition import MirroredTables
 from boragedeck.process.timers import TimerService
+from boragedeck.request.open_requests import OpenRequests
 from boragedeck.request.relay_components import RelayComponents
 from boragedeck.version.replicas import Replica
 
@@ -187,6 +188,7 @@
             crash_blame=make_crash_blame(self._timers, self._rng, *shared, self._paths),
             metrics=self._metrics,
             time_left=drain_period.time_left,
+            open_requests=OpenRequests(),
             is_late_in_stop=drain_period.is_late,
             refusal_headers=refusal_headers,
         )
--- a/boragedeck/request/attempt_evidence.py
+++ b/boragedeck/request/attempt_evidence.py
@@ -22,9 +22,15 @@
         The source of time.
     route : RouteName
         The route of the request.
+
+    Attributes
+    ----------
+    running : set of Place
+        The places of the attempts that are running.
     """
 
     def __init__(self, rollouts: RelayRollouts, timers: TimerService, route: RouteName):
+        self.running: set[Place] = set()
         self._rollouts = rollouts
         self._timers = timers
         self._route = route
@@ -32,11 +38,13 @@
 
     def note_start(self, place: Place) -> None:
         """Record that an attempt begins; `note_end` must follow."""
+        self.running.add(place)
         run = self._rollouts.begin(place.state.replica, self._stratum(place))
         self._waiting[place] = run
 
     def note_end(self, place: Place) -> None:
         """Record that an attempt has ended, with or without an outcome."""
+        self.running.discard(place)
         run = self._waiting.pop(place, None)
         if run is not None:
             self._rollouts.end(run, has_outcome=False)
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -71,12 +71,10 @@
     if not parts.crash_blame.admits(job.traits, req.request_id):
         job.refuse(crash_refusal(job))
         return
+    relaying = StreamRelay(job) if rule.kind is CallKind.STREAM else CallRelay(job)
     try:
-        match rule.kind:
-            case CallKind.STREAM:
-                StreamRelay(job).run()
-            case _:
-                CallRelay(job).run()
+        with parts.open_requests.track(job):
+            relaying.run()
     except CallerDisconnectedError:
         job.note_caller_left()
         raise
--- a/boragedeck/request/relay_components.py
+++ b/boragedeck/request/relay_components.py
@@ -23,6 +23,7 @@
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
 from boragedeck.process.relaying.tables.table_ages import TableAges
 from boragedeck.process.timers import TimerService
+from boragedeck.request.open_requests import OpenRequests
 from boragedeck.request.relay_request import ReplicaProtocol
 from boragedeck.version.routing import RoutingTable
 
@@ -72,6 +73,8 @@
         The metrics of relaying.
     time_left : callable
         Returns how long this process will still serve requests, in seconds.
+    open_requests : OpenRequests
+        The requests that are being relayed.
     refusal_headers : callable
         Returns the headers of a refusal by the router, given the request's id and
         the value of Retry-After in seconds.
@@ -97,6 +100,7 @@
     crash_blame: CrashBlame
     metrics: RelayMetrics
     time_left: Callable[[], float]
+    open_requests: OpenRequests
     refusal_headers: Callable[[str | None, float | None], Headers]
     is_late_in_stop: Callable[[], bool] = lambda: False
 
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -8,6 +8,7 @@
 from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
 from boragedeck.request.attempt_evidence import AttemptEvidence
 from boragedeck.request.events import EventExcessError
+from boragedeck.request.open_requests import Stage
 from boragedeck.request.place_finder import PlaceFinder
 from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
 from boragedeck.request.relay_request import RelayRequest
@@ -134,6 +135,26 @@
         """Return whether replicas end the request by themselves, as they were told."""
         return self.replica_left_s() <= DEADLINE_RESOLUTION_S
 
+    def stage(self) -> Stage:
+        """Return how far the request is."""
+        if self.channel.has_begun:
+            return Stage.ANSWERING
+        return Stage.AT_REPLICA if self.evidence.running else Stage.WAITING
+
+    def log_fields(self) -> dict:
+        """Return what the log says of a request that is open."""
+        return {
+            "request": self.req.request_id,
+            "route": self.rule.name,
+            "stage": self.stage().value,
+            "sent": self.sent,
+            "may_have_run": self.may_have_run,
+            "body_bytes": len(self.req.body),
+            "tokens": self.req.tokens,
+            "age_s": round(self.parts.timers.now() - self.req.arrived, 3),
+            "left_s": round(self.left_s(), 3),
+        }
+
     def is_blamed(self) -> bool:
         """Return whether the request, or a part of it, crashes replicas."""
         return self.parts.crash_blame.is_blamed(self.traits)
--- a/tests/process/relaying/test_draining.py
+++ b/tests/process/relaying/test_draining.py
@@ -36,14 +36,26 @@
         return [f"id-{number}" for number in range(self.active)][:most]
 
 
+class Requests:
+    def __init__(self):
+        self.calls = []
+
+    def counts(self):
+        return {"waiting": 1}
+
+    def log_unanswered(self):
+        self.calls.append("log unanswered")
+
+
 class DrainPeriodTest(unittest.TestCase):
     def setUp(self):
         self.timers = ManualTimers()
         self.period = DrainPeriod(self.timers, lambda: GRACE_S)
         self.edge = Edge(active=1)
+        self.requests = Requests()
 
     def drain(self):
-        self.thread = eventlet.spawn(self.period.run, [self.edge])
+        self.thread = eventlet.spawn(self.period.run, [self.edge], self.requests)
         eventlet.sleep(0)
 
     def run_for(self, seconds):
@@ -95,8 +107,12 @@
                 with mock.patch.object(draining._log, "write") as write:
                     self.drain()
                     self.run_for(GRACE_S)
-                write.assert_called_once()
-                fields = write.call_args.kwargs
+                begin, end = write.call_args_list
+                self.assertEqual(begin.args, ("Stop begins.",))
+                self.assertEqual(begin.kwargs["waiting"], 1)
+                self.assertEqual(self.requests.calls[-1:], ["log unanswered"])
+                self.assertEqual(end.args, ("Drained.",))
+                fields = end.kwargs
                 self.assertEqual(fields["unanswered"], active)
                 self.assertEqual(len(fields["requests"]), named)
 
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -41,6 +41,7 @@
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import RealTimers
 from boragedeck.request.address_claims import watch_address_claims
+from boragedeck.request.open_requests import OpenRequests
 from boragedeck.request.relay import relay
 from boragedeck.request.relay_components import RelayComponents
 from boragedeck.version.replicas import Replica, ReplicaStage
@@ -482,6 +483,7 @@
             ),
             metrics=self.metrics,
             time_left=lambda: self.time_left_s,
+            open_requests=OpenRequests(),
             refusal_headers=refusal_headers,
         )
         watch_address_claims(self.parts)
