Don't count a request that no longer waits as ahead of others

A request that gave up waiting stayed in its queue until the next place was released, and was counted as ahead of those that came after it: they were refused as hopeless too early ("no_room"). Found while the waits under a stop were read.

--- a/boragedeck/process/relaying/placing/admission.py
+++ b/boragedeck/process/relaying/placing/admission.py
@@ -181,7 +181,10 @@
             # A replica may join at any moment, so the request isn't refused at once.
             return 0.0
         waiting = self._waiting.get(req.pool.name, [])
-        ahead = sum(1 for entry in waiting if entry[0] <= req.priority)
+        ahead = sum(
+            priority <= req.priority and not waiter.is_done
+            for priority, _, waiter in waiting
+        )
         running = sum(state.running for state in states)
         mean_s = self.mean_service_s(req.pool.name)
         return expected_wait_s(ahead, running, mean_s)
--- a/tests/process/relaying/placing/test_admission.py
+++ b/tests/process/relaying/placing/test_admission.py
@@ -102,6 +102,15 @@
         self.admission.grant_waiting()
         self.assertEqual(self.admission.waiting(), 0)
 
+    def test_request_that_no_longer_waits_does_not_count_as_ahead(self):
+        self.registry.put(replica("one"))
+        self.admission.acquire(self.admission_request()).ok()
+        before_s = self.admission.expected_wait_s(self.admission_request())
+        self.wait([], "a", wait_s=1.0)
+        self.timers.advance(1.1)
+        after_s = self.admission.expected_wait_s(self.admission_request())
+        self.assertEqual(after_s, before_s)
+
     def test_new_replica_serves_waiting_requests(self):
         order = []
         self.wait(order, "a")
