Answer what waits when a router stops, and what hasn't begun before it ends

Cause: relay() asked once, when a request had been read, how long the stop lasts. What waits afterwards (for a place, a turn, a held-off replica, a repeat, a verdict on crashes, a gateway, a first event) waits by its own time limit of up to 25 s, and the process ended after 7.6 s with its connections. Class: a wait that doesn't know the end of what it waits in.

Why this works: all open requests are known to the stop. Every 50 ms those that wait and, by the durations of their pool, can't be served in the time left are refused with Retry-After 0, so that callers go elsewhere at once. 0.3 s before the end everything whose answer hasn't begun is given up: its attempts are ended first, and then it gets 503 if it certainly hasn't run, else 502 or the failure that a replica has answered. One place ends all waits, the ones to come, too.

--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -165,6 +165,10 @@
     """An attempt ended by an unexpected exception in this router."""
 
 
+class RouterStoppingError(BoragedeckError):
+    """A request is given up because this router stops."""
+
+
 class RefusedError(BoragedeckError):
     """A request is refused, or has failed, with an HTTP status for its caller.
 
--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -18,6 +18,10 @@
 """How long before the operators' time is over the stop ends."""
 GRACE_MARGIN_SHARE = 1 / 12
 """The longest such time as a share of the stop. Only its last sixth ends answers."""
+FINAL_ANSWERS_S = 0.3
+"""How long before the end of the stop what hasn't begun is answered."""
+FINAL_ANSWERS_SHARE = 1 / 24
+"""The longest such time as a share of the stop."""
 POLL_S = 0.05
 MAX_LOGGED_IDS = 16
 
@@ -48,6 +52,12 @@
     def counts(self) -> dict[str, int]:
         """Return how many requests are at each stage."""
 
+    def end_outlasting(self, left_s: float) -> None:
+        """Give up the requests that wait and can't be served any more."""
+
+    def end_unbegun(self) -> None:
+        """Give up the requests whose answers haven't begun."""
+
     def log_unanswered(self) -> None:
         """Log the requests that the end of the process leaves without an answer."""
 
@@ -95,21 +105,29 @@
         -----
         The platform may send callers here until it has seen that this router isn't
         ready, so requests that can end in time are accepted for another
-        `LEAVE_PERIOD_S`.
+        `LEAVE_PERIOD_S`. What waits is answered as soon as it can't be served in time
+        any more, and what hasn't begun shortly before the end.
         """
         grace_s = self._grace_s()
         margin_s = min(GRACE_MARGIN_S, GRACE_MARGIN_SHARE * grace_s)
         leave_s = min(LEAVE_PERIOD_S, LEAVE_SHARE * grace_s)
         self._ends_at = self._timers.now() + grace_s - margin_s
-        self._late_from = self._timers.now() + leave_s - LATE_MARGIN_S
+        accepts_until = self._timers.now() + leave_s
+        final_answers_s = min(FINAL_ANSWERS_S, FINAL_ANSWERS_SHARE * grace_s)
+        self._late_from = accepts_until - LATE_MARGIN_S
         _log.write("Stop begins.", grace_s=grace_s, **requests.counts())
         edges = tuple(edges)
         for edge in edges:
             edge.is_leaving = True
-        self._timers.sleep(leave_s)
+        self._serve_on(requests, lambda: self._timers.now() < accepts_until)
         for edge in edges:
             edge.stop_accepting()
             edge.close_idle()
+        self._serve_on(
+            requests,
+            lambda: _active_requests(edges) and self.time_left() > final_answers_s,
+        )
+        requests.end_unbegun()
         while _active_requests(edges) and self.time_left() > 0.0:
             self._timers.sleep(POLL_S)
         requests.log_unanswered()
@@ -121,6 +139,14 @@
             left_s=round(self.time_left(), 3),
         )
 
+    def _serve_on(
+        self, requests: RelayedRequests, is_going_on: Callable[[], bool]
+    ) -> None:
+        """Give up what can't be served any more, until that is over."""
+        while is_going_on():
+            requests.end_outlasting(self.time_left())
+            self._timers.sleep(POLL_S)
+
 
 def _active_requests(edges: Iterable[DrainableEdge]) -> int:
     return sum(edge.active_requests() for edge in edges)
--- a/boragedeck/request/open_requests.py
+++ b/boragedeck/request/open_requests.py
@@ -1,4 +1,7 @@
-"""The requests that are being relayed, and how far each of them is."""
+"""The requests that are being relayed, and what a stop of the router ends of them.
+
+A request whose answer hasn't begun is always answered: it isn't cut with its process.
+"""
 
 import enum
 from collections import Counter
@@ -6,6 +9,9 @@
 from contextlib import contextmanager
 from typing import Protocol
 
+import eventlet
+
+from boragedeck.exceptions import RouterStoppingError
 from boragedeck.process.observing.logs import PartLog
 
 __all__ = ["OpenRequest", "OpenRequests", "Stage"]
@@ -32,6 +38,9 @@
     def stage(self) -> Stage:
         """Return how far it is."""
 
+    def needed_s(self) -> float:
+        """Return how much time a wait must leave to serve it, in seconds."""
+
     def log_fields(self) -> dict:
         """Return what the log says of it."""
 
@@ -40,16 +49,41 @@
     """The requests that are being relayed."""
 
     def __init__(self):
-        self._requests: set[OpenRequest] = set()
+        # The requests with the green threads that handle them.
+        self._requests: dict[OpenRequest, eventlet.greenlet.greenlet] = {}
 
     @contextmanager
     def track(self, req: OpenRequest) -> Iterator[None]:
-        """Keep a request among the open ones while its handler runs."""
-        self._requests.add(req)
+        """Keep a request among the open ones while the current thread handles it.
+
+        Raises
+        ------
+        RouterStoppingError
+            If the request is given up because the router stops.
+        """
+        self._requests[req] = eventlet.getcurrent()
         try:
             yield
         finally:
-            self._requests.discard(req)
+            self._requests.pop(req, None)
+
+    def end_outlasting(self, left_s: float) -> None:
+        """Give up the requests that wait and can't be served any more.
+
+        Parameters
+        ----------
+        left_s : float
+            How long requests can still be served, in seconds.
+        """
+        for req in list(self._requests):
+            if req.stage() is Stage.WAITING and req.needed_s() > left_s:
+                self._give_up(req)
+
+    def end_unbegun(self) -> None:
+        """Give up the requests whose answers haven't begun."""
+        for req in list(self._requests):
+            if req.stage() is not Stage.ANSWERING:
+                self._give_up(req)
 
     def counts(self) -> dict[str, int]:
         """Return how many requests are at each stage."""
@@ -60,3 +94,11 @@
         """Log the requests that the end of the process leaves without an answer."""
         for req in list(self._requests)[:MAX_LOGGED]:
             _log.write("Cut by the stop.", **req.log_fields())
+
+    def _give_up(self, req: OpenRequest) -> None:
+        thread = self._requests.pop(req, None)
+        if thread is None:
+            # It has ended while another one was given up.
+            return
+        _log.write("Given up by the stop.", **req.log_fields())
+        eventlet.kill(thread, RouterStoppingError("the router stops", step="relay"))
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -2,7 +2,7 @@
 
 from boragedeck.connection.caller_channel import CallerChannel
 from boragedeck.connection.caller_ends import CallerDisconnectedError
-from boragedeck.exceptions import RefusedError
+from boragedeck.exceptions import RefusedError, RouterStoppingError
 from boragedeck.ids import OrganisationName
 from boragedeck.request.relay_call import CallRelay
 from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
@@ -64,35 +64,31 @@
     parts.retries.note_request(name)
     job = RelayJob(parts, req, rule, pool, organisation, priority, channel)
     channel.deadline = job.deadlines.answer_end
-    if parts.time_left() < _long_duration_s(job):
+    if parts.time_left() < job.needed_s():
         job.refuse(stopping_refusal())
         return
     job.is_trial = job.is_blamed()
     if not parts.crash_blame.admits(job.traits, req.request_id):
         job.refuse(crash_refusal(job))
         return
-    relaying = StreamRelay(job) if rule.kind is CallKind.STREAM else CallRelay(job)
     try:
-        with parts.open_requests.track(job):
-            relaying.run()
+        _run(job)
     except CallerDisconnectedError:
         job.note_caller_left()
         raise
 
 
-def _long_duration_s(job: RelayJob) -> float:
-    """Return how much time this process must have left to take a request, in seconds.
-
-    Notes
-    -----
-    A request that the stop must not end is taken only if all of its time fits.
-    """
-    rule, parts = job.rule, job.parts
-    if parts.is_late_in_stop():
-        return job.replica_left_s()
-    # The objective of a stream says how soon it begins.
-    goal_s = None if rule.kind is CallKind.STREAM else rule.goal_s
-    return parts.durations.long_duration_s(job.pool_name, rule.timeout_s, goal_s)
+def _run(job: RelayJob) -> None:
+    """Relay a request; answer it all the same if it is given up by a stop."""
+    is_stream = job.rule.kind is CallKind.STREAM
+    relaying = StreamRelay(job) if is_stream else CallRelay(job)
+    try:
+        with job.parts.open_requests.track(job):
+            relaying.run()
+    except RouterStoppingError:
+        # Its attempts have ended, so that it is known whether it may have run.
+        job.is_given_up = True
+        relaying.give_up()
 
 
 def _match_route(
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -132,7 +132,8 @@
     except UpstreamRefusedError as exc:
         _note_refused(parts, place, exc)
         raise
-    except UpstreamError:
+    except BaseException:
+        # A thread that is killed may have sent a part, too.
         count.note_sent()
         raise
     place.is_forwarded = exchange.is_forwarded
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -105,6 +105,10 @@
                 place.release()
                 job.evidence.note_end(place)
 
+    def give_up(self) -> None:
+        """Answer the caller after the call has ended without a successful answer."""
+        self._respond(self._failed_answer)
+
     def _wait_for_answer(self) -> CompleteAnswer | None:
         """Wait for a successful answer; start further attempts if that is allowed.
 
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -13,7 +13,7 @@
 from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
 from boragedeck.request.relay_request import RelayRequest
 from boragedeck.request.request_deadlines import request_deadlines
-from boragedeck.version.routing import RelayPool, RouteRule
+from boragedeck.version.routing import CallKind, RelayPool, RouteRule
 
 __all__ = ["RelayJob"]
 
@@ -79,6 +79,10 @@
             fingerprint_of(organisation, req.path, req.body),
             req.shared_parts,
         )
+        # Whether it was taken so late that the stop of this process must not end it.
+        self.is_late = parts.is_late_in_stop()
+        # Whether it is given up because this process stops.
+        self.is_given_up = False
         # Whether it is sent although it is blamed, to find out if it still crashes.
         self.is_trial = False
         # Replicas that were lost just when the answer had begun there.
@@ -141,6 +145,24 @@
             return Stage.ANSWERING
         return Stage.AT_REPLICA if self.evidence.running else Stage.WAITING
 
+    def needed_s(self) -> float:
+        """Return how much time a stop must leave to serve the request, in seconds.
+
+        Notes
+        -----
+        A request that the stop must not end is taken only if all of its time fits. One
+        that may have run is kept, since a refusal wouldn't let all callers repeat it.
+        """
+        if self.may_have_run:
+            return 0.0
+        if self.is_late:
+            return self.replica_left_s()
+        rule = self.rule
+        # The objective of a stream says how soon it begins.
+        goal_s = None if rule.kind is CallKind.STREAM else rule.goal_s
+        durations = self.parts.durations
+        return durations.long_duration_s(self.pool_name, rule.timeout_s, goal_s)
+
     def log_fields(self) -> dict:
         """Return what the log says of a request that is open."""
         return {
--- a/boragedeck/request/relay_refusals.py
+++ b/boragedeck/request/relay_refusals.py
@@ -7,6 +7,7 @@
 __all__ = [
     "crash_refusal",
     "final_refusal",
+    "stopped_refusal",
     "stopping_refusal",
     "too_late_refusal",
 ]
@@ -35,6 +36,8 @@
     """
     if job.may_have_run and job.is_blamed():
         return crash_refusal(job)
+    if job.is_given_up:
+        return stopped_refusal(job)
     is_late = job.left_s() <= 0.0
     if not job.may_have_run:
         if refused is not None:
@@ -96,6 +99,20 @@
     )
 
 
+def stopped_refusal(job: RelayJob) -> RefusedError:
+    """Return the final answer for a request that is given up as this process stops."""
+    if not job.may_have_run:
+        return stopping_refusal()
+    return RefusedError(
+        "this router stops; the request may have run",
+        status=502,
+        kind="server_error",
+        code="router_stopping",
+        ran=ExecutionStatus.UNKNOWN,
+        step="relay",
+    )
+
+
 def stopping_refusal() -> RefusedError:
     """Return the answer for a request that would outlast this process.
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -79,11 +79,37 @@
                     self._delivery.finish(self._position)
                     return
                 if not self._may_resume():
-                    self._give_up()
+                    self.give_up()
                     return
         finally:
             self._cancel(self._attempts)
 
+    def give_up(self) -> None:
+        """Answer the caller with a failure, or leave its answer incomplete."""
+        job = self._job
+        if self._delivery.has_begun:
+            log.write(
+                "Broken off.",
+                request=job.req.request_id,
+                route=job.rule.name,
+                position=self._position,
+                sent=job.sent,
+                reason=self._failure_reason,
+                left_s=round(job.left_s(), 3),
+                timeout_s=job.req.caller_timeout_s,
+                body_s=round(job.req.received - job.req.arrived, 3),
+            )
+            job.parts.metrics.requests.labels(job.rule.kind.value, "broken").inc()
+            return
+        if self._failed_answer is not None:
+            failed_answer = self._failed_answer
+            job.channel.respond(
+                failed_answer.status, failed_answer.headers, failed_answer.body
+            )
+            job.parts.metrics.requests.labels(job.rule.kind.value, "failed").inc()
+            return
+        job.refuse(final_refusal(job, self._failure_reason))
+
     def _min_duration_s(self) -> float:
         """Return the minimum duration of the stream, in seconds."""
         job, req = self._job, self._job.req
@@ -105,7 +131,7 @@
             return True
         if job.may_have_run or self._delivery.has_begun:
             self._failure_reason = acquired.err().message
-            self._give_up()
+            self.give_up()
         else:
             job.refuse(acquired.err())
         return False
@@ -288,28 +314,3 @@
         lost doesn't count against the limit, so one is allowed in its place.
         """
         return int(self._had_needless_attempt and self._was_broken)
-
-    def _give_up(self) -> None:
-        job = self._job
-        if self._delivery.has_begun:
-            log.write(
-                "Broken off.",
-                request=job.req.request_id,
-                route=job.rule.name,
-                position=self._position,
-                sent=job.sent,
-                reason=self._failure_reason,
-                left_s=round(job.left_s(), 3),
-                timeout_s=job.req.caller_timeout_s,
-                body_s=round(job.req.received - job.req.arrived, 3),
-            )
-            job.parts.metrics.requests.labels(job.rule.kind.value, "broken").inc()
-            return
-        if self._failed_answer is not None:
-            failed_answer = self._failed_answer
-            job.channel.respond(
-                failed_answer.status, failed_answer.headers, failed_answer.body
-            )
-            job.parts.metrics.requests.labels(job.rule.kind.value, "failed").inc()
-            return
-        job.refuse(final_refusal(job, self._failure_reason))
--- a/tests/process/relaying/test_draining.py
+++ b/tests/process/relaying/test_draining.py
@@ -43,6 +43,12 @@
     def counts(self):
         return {"waiting": 1}
 
+    def end_outlasting(self, left_s):
+        self.calls.append("end outlasting")
+
+    def end_unbegun(self):
+        self.calls.append("end unbegun")
+
     def log_unanswered(self):
         self.calls.append("log unanswered")
 
