Refuse a request that is still arriving when the stop ends

What callers saw: a router that stops closed the connection on which a body was still being sent, with no answer. Nothing forbids that, but a caller whose request may run once learns only from a 503 that it may send it again. The test failed before (status 0).

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -82,7 +82,8 @@
         self._parser: h11.Connection | None = None
         self.is_handling = False
         self._is_idle = True
-        self._is_reading = False
+        # The thread that reads a request; None if none is being read.
+        self._reader: eventlet.greenlet.greenlet | None = None
         self._is_shut = False
         self._is_last_response = False
         self._channel: CallerChannel | None = None
@@ -119,7 +120,8 @@
         """Return whether a request has begun to arrive and isn't answered yet."""
         if self._is_idle:
             return self._has_unread_bytes()
-        return self._is_reading or self.is_handling or bool(self._buffer)
+        is_reading = self._reader is not None
+        return is_reading or self.is_handling or bool(self._buffer)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive."""
@@ -128,6 +130,12 @@
             self._is_shut = True
             self._shut_down()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that hasn't arrived as a whole."""
+        if self._reader is not None:
+            error = _RejectedError("this router stops", 503)
+            eventlet.kill(self._reader, error)
+
     def send_event(self, event, deadline: float = float("-inf")) -> None:
         """Send a part of a response; see `CallerChannel.deadline`.
 
@@ -160,7 +168,7 @@
         self._parser = h11.Connection(h11.SERVER, limits.header_bytes)
         self._parser.receive_data(self._buffer)
         self._buffer = b""
-        self._is_reading = True
+        self._reader = eventlet.getcurrent()
         try:
             return self._read_request(limits)
         except h11.RemoteProtocolError as exc:
@@ -170,7 +178,7 @@
         except _RejectedError as exc:
             self._reject(exc.status, exc.message)
         finally:
-            self._is_reading = False
+            self._reader = None
         return None
 
     def _wait_first_bytes(self) -> bytes:
--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -92,6 +92,11 @@
         for conn in list(self._conns):
             conn.close_if_idle()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that haven't arrived as a whole, as the process ends."""
+        for conn in list(self._conns):
+            conn.refuse_incomplete()
+
     def active_requests(self) -> int:
         """Return the number of requests without a complete response.
 
--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -42,6 +42,9 @@
     def active_requests(self) -> int:
         """Return the number of requests that aren't answered yet."""
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that haven't arrived as a whole."""
+
     def unanswered_ids(self, most: int) -> list[str]:
         """Return the ids of some requests that were read and aren't answered yet."""
 
@@ -127,6 +130,8 @@
             requests,
             lambda: _active_requests(edges) and self.time_left() > final_answers_s,
         )
+        for edge in edges:
+            edge.refuse_incomplete()
         requests.end_unbegun()
         while _active_requests(edges) and self.time_left() > 0.0:
             self._timers.sleep(POLL_S)
--- a/tests/process/relaying/test_draining.py
+++ b/tests/process/relaying/test_draining.py
@@ -32,6 +32,9 @@
     def active_requests(self):
         return self.active
 
+    def refuse_incomplete(self):
+        self.calls.append("refuse incomplete")
+
     def unanswered_ids(self, most):
         return [f"id-{number}" for number in range(self.active)][:most]
 
--- a/tests/request/test_stops.py
+++ b/tests/request/test_stops.py
@@ -230,6 +230,17 @@
             self.stop()
         self.assert_may_have_run(sock)
 
+    def test_request_whose_body_has_not_arrived_is_answered(self):
+        self.start_calls(answer())
+        sock = self.harness.connect()
+        lines = b"POST /r/x HTTP/1.1", b"Host: here.example", b"Content-Length: 9"
+        sock.sendall(b"\r\n".join(lines) + b"\r\n\r\nbody")
+        self.stop()
+        response = read_response(sock)
+        self.assertEqual(response.status, 503)
+        self.assertTrue(response.is_complete)
+        self.assertEqual(self.replica.received, [])
+
 
 class BegunTest(StopCase):
     def test_stream_that_has_begun_is_cut_in_the_last_sixth_only(self):
