Move the counts of a request's attempts and the reading of a stream's events out

relay_job and stream_attempt held both beside the state of the request and of the attempt. No behaviour changes; the attempt that reached another replica has a method of its own in place of a counter set from outside.

--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -99,13 +99,13 @@
 
     def note_sent(self) -> None:
         self._is_counted = True
-        self._job.note_sent()
+        self._job.attempts.note_sent()
 
     def note_defect(self) -> None:
         if not self._is_counted:
             self.note_sent()
             if not self.may_be_sent:
-                self._job.note_not_run()
+                self._job.attempts.note_not_run()
 
 
 def _start_attempt(
@@ -143,24 +143,23 @@
     except (ForwardDeclinedError, UpstreamRefusedError) as exc:
         # A gateway that was silent says only now that it has sent nothing.
         exchange.close()
-        job.note_unsent()
+        job.attempts.note_unsent()
         raise UpstreamRefusedError(
             exc.message, step="forward", peer=str(replica.address)
         ) from exc
     except UpstreamNotAcceptingError:
         exchange.close()
-        job.note_unsent()
+        job.attempts.note_unsent()
         raise
     except BaseException:
         exchange.close()
         raise
     match pending.verdict.kind:
         case VerdictKind.NOT_RUN:
-            job.note_not_run()
+            job.attempts.note_not_run()
         case VerdictKind.MOVED:
             # The intended replica never received the request.
-            job.note_not_run()
-            job.sent -= 1
+            job.attempts.note_misdirected()
             _replace_replica_at_address(job, place, pending.verdict)
     return pending
 
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -162,7 +162,7 @@
             >= job.req.arrived + HEDGE_DELAY_SHARE * job.rule.goal_s
         ):
             return False
-        is_only_attempt = len(self._running_attempts) == 1 and job.sent <= 1
+        is_only_attempt = len(self._running_attempts) == 1 and job.attempts.sent <= 1
         return is_only_attempt and job.rule.may_repeat and job.rule.max_attempts > 1
 
     def _start_further_attempt(self) -> None:
@@ -189,7 +189,7 @@
             domain=place.state.replica.failure_domain,
             running=place.state.running,
             failure_share=round(place.state.failure_share, 3),
-            attempt=self._job.sent + 1,
+            attempt=self._job.attempts.sent + 1,
             **self._job.parts.table_ages.log_fields(),
         )
         self._job.evidence.note_start(place)
@@ -312,6 +312,6 @@
             request=job.req.request_id,
             route=job.rule.name,
             status=answer.status,
-            sent=job.sent,
+            sent=job.attempts.sent,
             took_s=round(took_s, 3),
         )
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -6,6 +6,7 @@
 from boragedeck.process.relaying.crashes.crash_blame import fingerprint_of
 from boragedeck.process.relaying.crashes.crash_verdicts import RequestTraits
 from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
+from boragedeck.request.attempt_counts import AttemptCounts
 from boragedeck.request.attempt_evidence import AttemptEvidence
 from boragedeck.request.events import EventExcessError
 from boragedeck.request.open_requests import Stage
@@ -50,6 +51,8 @@
 
     Attributes
     ----------
+    attempts : AttemptCounts
+        The attempts that were sent.
     deadlines : RequestDeadlines
         When the request's time is over.
     places : PlaceFinder
@@ -87,14 +90,8 @@
         self.is_trial = False
         # Replicas that were lost just when the answer had begun there.
         self.lost_at_begin = 0
-        # The attempts that count towards the route's limit. An attempt that reached
-        # another replica at the address does not.
-        self.sent = 0
-        # All attempts that were sent; those after the first are charged as repeats.
-        self.delivered_attempts = 0
+        self.attempts = AttemptCounts()
         self.evidence = AttemptEvidence(parts.rollouts, parts.timers, rule.name)
-        # The attempts that were sent, less those that certainly did not run.
-        self.possible_runs = 0
         self.places = PlaceFinder(
             parts,
             AdmissionRequest(
@@ -113,7 +110,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether a replica may have run the request."""
-        return self.possible_runs > 0
+        return self.attempts.possible_runs > 0
 
     @property
     def pool_name(self) -> PoolName:
@@ -169,7 +166,7 @@
             "request": self.req.request_id,
             "route": self.rule.name,
             "stage": self.stage().value,
-            "sent": self.sent,
+            "sent": self.attempts.sent,
             "may_have_run": self.may_have_run,
             "body_bytes": len(self.req.body),
             "tokens": self.req.tokens,
@@ -181,22 +178,6 @@
         """Return whether the request, or a part of it, crashes replicas."""
         return self.parts.crash_blame.is_blamed(self.traits)
 
-    def note_sent(self) -> None:
-        """Count an attempt that may have reached a replica, and run there."""
-        self.sent += 1
-        self.delivered_attempts += 1
-        self.possible_runs += 1
-
-    def note_unsent(self) -> None:
-        """Record that an attempt which was counted as sent has reached no replica."""
-        self.sent -= 1
-        self.delivered_attempts -= 1
-        self.possible_runs -= 1
-
-    def note_not_run(self) -> None:
-        """Record that an attempt which was sent has not run."""
-        self.possible_runs -= 1
-
     def may_send_again(
         self, extra_attempts: int = 0, *, max_wait_s: float = 0.0
     ) -> bool:
@@ -229,11 +210,11 @@
         if self.is_replica_time_over():
             return False
         max_attempts = self.rule.max_attempts + extra_attempts
-        return self.sent < max_attempts and not self.is_blamed()
+        return self.attempts.sent < max_attempts and not self.is_blamed()
 
     def take_repeat(self) -> bool:
         """Charge another attempt to the shared limit; return whether that allows it."""
-        return self.delivered_attempts == 0 or self.parts.retries.take(self.pool_name)
+        return self.attempts.delivered == 0 or self.parts.retries.take(self.pool_name)
 
     def refuse(self, error: RefusedError) -> None:
         """Send the caller a refusal as the final answer."""
@@ -244,7 +225,7 @@
             status=error.status,
             code=error.code,
             reason=error.message,
-            sent=self.sent,
+            sent=self.attempts.sent,
             retry_after_s=error.retry_after_s,
             **self.parts.table_ages.log_fields(),
             age_s=round(self.parts.timers.now() - self.req.arrived, 3),
@@ -269,7 +250,7 @@
             "Caller left.",
             request=self.req.request_id,
             route=self.rule.name,
-            sent=self.sent,
+            sent=self.attempts.sent,
             age_s=round(self.parts.timers.now() - self.req.arrived, 3),
         )
         self._count_end("left")
@@ -306,7 +287,7 @@
             organisation=self.organisation,
             shared_parts=list(self.req.shared_parts[:MAX_LOGGED_PARTS]),
             has_output=place.has_output,
-            sent=self.sent,
+            sent=self.attempts.sent,
             after_s=round(self.parts.timers.now() - place.since, 3),
         )
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -93,7 +93,7 @@
                 request=job.req.request_id,
                 route=job.rule.name,
                 position=self._position,
-                sent=job.sent,
+                sent=job.attempts.sent,
                 reason=self._failure_reason,
                 left_s=round(job.left_s(), 3),
                 timeout_s=job.req.caller_timeout_s,
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -19,13 +19,12 @@
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.request.answer_progress import AnswerProgress
 from boragedeck.request.crash_wait import wait_unless_blamed
-from boragedeck.request.event_timeout import EventTimeout
-from boragedeck.request.events import EventError, EventSplitter
-from boragedeck.request.gap_sampler import GapSampler
+from boragedeck.request.events import EventError
 from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import MAX_LOGGED_PARTS, RelayJob
 from boragedeck.request.relay_request import AttemptPlan, CopySource, VerdictKind
+from boragedeck.request.stream_events import StreamEventReader
 from boragedeck.request.stream_evidence import StreamEvidence
 from boragedeck.request.stream_liveness import (
     ExchangeInterrupter,
@@ -34,7 +33,6 @@
 from boragedeck.request.stream_messages import (
     AttemptOutcome,
     Ended,
-    Events,
     Heard,
     Silent,
     StreamMessage,
@@ -122,14 +120,15 @@
         self._report = report
         self._from_copy = from_copy
         self._is_cancelled = False
-        # Whether bytes arrive that have completed no event for too long.
-        self._is_stalled = False
         self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
         self._silence = StreamSilence(job, place, self._progress)
         self._evidence = StreamEvidence(
             job, place, self._progress, self._silence, from_copy=from_copy
         )
         self._liveness = StreamLivenessMonitor(job, self._note_silent, self._note_heard)
+        self._events = StreamEventReader(
+            job, place, self._silence, self._evidence, self._liveness, self._tell
+        )
         self._thread: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -168,14 +167,14 @@
         finally:
             self._liveness.stop()
             is_complete = outcome is AttemptOutcome.COMPLETE
-            self._release(is_served=is_complete and self._job.sent == 1)
+            self._release(is_served=is_complete and self._job.attempts.sent == 1)
             self._tell(Ended(outcome))
 
     def _note_defect(self, exc: Exception) -> None:
         """Log an attempt that ended by an unexpected exception, and count it."""
         if not self.was_sent:
-            self._job.note_sent()
-            self._job.note_not_run()
+            self._job.attempts.note_sent()
+            self._job.attempts.note_not_run()
         reason = f"unexpected {exc!r}"
         self._note_failed(reason, reason, AttemptOutcome.LOST)
 
@@ -221,7 +220,7 @@
         except (UpstreamError, EventError) as exc:
             if not isinstance(exc, UpstreamSilentError):
                 self.broken_state = place.state
-            self._is_stalled = False
+            self._events.end_stall()
             self._evidence.note_lost(is_silent=isinstance(exc, UpstreamSilentError))
             return self._note_failed(exc, str(exc), AttemptOutcome.LOST)
 
@@ -249,7 +248,7 @@
             shared_parts=list(job.req.shared_parts[:MAX_LOGGED_PARTS]),
             from_copy=plan.source is not None,
             backup=None if plan.backup is None else plan.backup.replica,
-            attempt=job.sent + 1,
+            attempt=job.attempts.sent + 1,
             **job.parts.table_ages.log_fields(),
             age_s=round(job.parts.timers.now() - job.req.arrived, 3),
         )
@@ -294,29 +293,7 @@
         return self._note_failed(error, reason, AttemptOutcome.LOST)
 
     def _read_events(self, pending: PendingAnswer) -> AttemptOutcome:
-        job, timers = self._job, self._job.parts.timers
-        exchange, may_end = pending.exchange, pending.head.is_delimited
-        splitter = EventSplitter(self._position)
-        timeout = EventTimeout(timers, exchange, job.rule)
-        gaps = GapSampler()
-        while data := self._liveness.wait(self.place, exchange, exchange.read):
-            events = splitter.feed(data)
-            if not events:
-                if timeout.is_report_due():
-                    self._note_stalled(timeout.stalled_at)
-                continue
-            may_end = True
-            self._is_stalled = False
-            self._liveness.note_output()
-            self._silence.end()
-            self._evidence.note_output(gaps.note(len(events), timers.now()))
-            data = b"".join(event.data for event in events)
-            self._tell(Events(data, splitter.last_number))
-            timeout.restart()
-        if splitter.has_partial_event:
-            raise EventError("the stream ended in the middle of an event")
-        if not may_end:
-            raise EventError("the connection ended before the first event")
+        self._events.read(pending, self._position)
         self._silence.end()
         self._evidence.note_complete()
         return AttemptOutcome.COMPLETE
@@ -331,24 +308,9 @@
         self._silence.end()
         self._tell(Heard())
 
-    def _note_stalled(self, since: float) -> None:
-        """Report that bytes complete no event, so that another attempt may start."""
-        job, place = self._job, self.place
-        if not self._is_stalled:
-            self._is_stalled = True
-            log.write(
-                "No event is complete, though bytes arrive.",
-                request=job.req.request_id,
-                replica=place.state.replica.replica,
-                sent=job.sent,
-            )
-            job.note_miss(place)
-        self._tell(Silent(since, may_work=False))
-
     def _note_stall_over(self) -> None:
         """Count a failure of an attempt that is ended while no event is complete."""
-        is_stalled, self._is_stalled = self._is_stalled, False
-        if is_stalled:
+        if self._events.end_stall():
             self._evidence.note_stalled_end()
 
     def _note_moved(self) -> None:
--- a/boragedeck/request/stream_delivery.py
+++ b/boragedeck/request/stream_delivery.py
@@ -83,7 +83,7 @@
             request=job.req.request_id,
             route=job.rule.name,
             position=position,
-            sent=job.sent,
+            sent=job.attempts.sent,
             first_s=round(self._first_event_s or 0.0, 3),
             longest_gap_s=round(self._longest_gap_s, 3),
             took_s=round(took_s, 3),
@@ -105,7 +105,7 @@
         """Record the duration of a stream that ran entirely at one engine."""
         job = self._job
         if (
-            job.sent == 1
+            job.attempts.sent == 1
             and not job.req.resume_after
             and self._first_event_s is not None
         ):
--- a/boragedeck/request/stream_silence.py
+++ b/boragedeck/request/stream_silence.py
@@ -103,7 +103,7 @@
             heard_s=round(now - heard_at, 3) if heard_at > self._since else None,
             path=job.parts.paths.state_of(address).value,
             is_forwarded=exchange.is_forwarded,
-            sent=job.sent,
+            sent=job.attempts.sent,
             max_attempts=job.rule.max_attempts,
             may_repeat=job.rule.may_repeat,
             left_s=round(job.left_s(), 3),
--- a/tests/support/silence_defects.py
+++ b/tests/support/silence_defects.py
@@ -11,6 +11,7 @@
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_stream import StreamRelay
 from boragedeck.request.stream_attempt import StreamAttempt
+from boragedeck.request.stream_events import StreamEventReader
 from boragedeck.request.stream_silence import StreamSilence
 from tests.support.method_defects import MethodDefect
 
@@ -128,7 +129,7 @@
     MethodDefect(
         "bytes that complete no event end a stream",
         f"{STALL_TESTS}.test_stream_is_cut_while_an_event_dribbles",
-        StreamAttempt,
+        StreamEventReader,
         "_note_stalled",
         _stall_ends,
     ),
