Wait for a request behind an answer that didn't announce the close

Callers saw: a stream that had begun before the SIGTERM of its router ended whole on a kept connection, the caller sent its next request at once, and the connection was reset without an answer; a request that may run once can't be repeated then.

Cause: an answer whose head was sent before the SIGTERM doesn't carry Connection: close, and once idle connections are closed the connection was closed as soon as that answer was out, before a request could have arrived.

Evidence: test_next_request_crosses_a_close_that_was_not_announced, before: AssertionError: Tuples differ: (0, False) != (200, True). It passes now.

Why it works: the connection waits for 0.5 s (or the idle timeout, if that is shorter) for its next request, which counts as unanswered meanwhile, so the process doesn't end. What arrives is handled like any late request of the stop, served in time or refused with 503, and its answer announces the close.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -38,6 +38,9 @@
 which has none, in seconds."""
 LINGER_S = 1.0
 """How long data from the caller is still read after the last response, in seconds."""
+NEXT_REQUEST_S = 0.5
+"""How long a router that closes its connections still waits for a request behind an
+answer whose head didn't announce the close, in seconds."""
 BODY_TIMEOUT_S = 10.0
 MAX_LOGGED_CHARS = 200
 
@@ -54,6 +57,7 @@
     timers: TimerService
     is_leaving: bool
     is_closing: bool
+    is_ending: bool
     on_unanswered: Callable[[UnansweredReason], None]
 
 
@@ -117,9 +121,15 @@
         return is_leaving and not self._buffer
 
     def has_request(self) -> bool:
-        """Return whether a request has begun to arrive and isn't answered yet."""
+        """Return whether a request has begun to arrive and isn't answered yet.
+
+        Notes
+        -----
+        A request that may be on its way behind an answer counts, too; see
+        `NEXT_REQUEST_S`.
+        """
         if self._is_idle:
-            return self._has_unread_bytes()
+            return self._is_awaited() or self._has_unread_bytes()
         is_reading = self._reader is not None
         return is_reading or self.is_handling or bool(self._buffer)
 
@@ -131,8 +141,10 @@
             self._shut_down()
 
     def refuse_incomplete(self) -> None:
-        """Refuse a request that hasn't arrived as a whole."""
-        if self._reader is not None:
+        """Refuse a request that hasn't arrived as a whole; wait for no other one."""
+        if self._is_idle:
+            self.close_if_idle()
+        elif self._reader is not None:
             error = _RejectedError("this router stops", 503)
             eventlet.kill(self._reader, error)
 
@@ -192,13 +204,25 @@
             data = self._read_arrived()
             if data is not None:
                 return data
-            left_s = since + self._server.limits().idle_timeout_s - self._timers.now()
-            if left_s <= 0.0 or self._server.is_closing:
+            left_s = since + self._idle_timeout_s() - self._timers.now()
+            if left_s <= 0.0:
                 return b""
             with eventlet.Timeout(left_s, False):
                 trampoline(self._sock.fd, read=True)
         return b""
 
+    def _idle_timeout_s(self) -> float:
+        """Return how long the next request is waited for, in seconds."""
+        timeout_s = self._server.limits().idle_timeout_s
+        if not self._server.is_closing:
+            return timeout_s
+        return 0.0 if self._server.is_ending else min(timeout_s, NEXT_REQUEST_S)
+
+    def _is_awaited(self) -> bool:
+        """Return whether a stop waits for a request behind the last answer."""
+        server = self._server
+        return server.is_closing and not (server.is_ending or self._is_shut)
+
     def _read_arrived(self) -> bytes | None:
         """Return what has arrived; None if nothing has, empty at the caller's end."""
         try:
--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -45,7 +45,9 @@
     is_leaving : bool
         Whether each connection is closed after its current response.
     is_closing : bool
-        The same, and no connection waits for another request; see `close_idle`.
+        The same, and connections without a request are closed; see `close_idle`.
+    is_ending : bool
+        The same, and no connection waits for another request; see `refuse_incomplete`.
     on_unanswered : callable
         Called with the reason when a connection is closed, on which a request has been
         read, without a whole answer to it.
@@ -64,6 +66,7 @@
         self.timers = timers
         self.is_leaving = False
         self.is_closing = False
+        self.is_ending = False
         self.on_unanswered: Callable[[UnansweredReason], None] = _ignore_unanswered
         self._conns: set[CallerConnection] = set()
 
@@ -87,13 +90,20 @@
         close_listener(self._listener)
 
     def close_idle(self) -> None:
-        """Close connections without a request, and the others after their response."""
+        """Close connections without a request, and the others after their response.
+
+        Notes
+        -----
+        On a connection whose current response doesn't announce the close, another
+        request is waited for; see `caller_connection.NEXT_REQUEST_S`.
+        """
         self.is_closing = True
         for conn in list(self._conns):
             conn.close_if_idle()
 
     def refuse_incomplete(self) -> None:
         """Refuse the requests that haven't arrived as a whole, as the process ends."""
+        self.is_ending = True
         for conn in list(self._conns):
             conn.refuse_incomplete()
 
--- a/tests/connection/test_caller_patience.py
+++ b/tests/connection/test_caller_patience.py
@@ -13,6 +13,7 @@
     RelayHarness,
     ScriptedReplica,
     answer,
+    event,
     head_of,
     read_response,
     report_model,
@@ -48,6 +49,15 @@
     return answer()(sock, req)
 
 
+def stream_slowly(sock, req):
+    sock.sendall(head_of(req, 200, b"Transfer-Encoding: chunked") + b"\r\n")
+    for number in range(1, 5):
+        send_chunk(sock, event(number))
+        eventlet.sleep(0.1)
+    sock.sendall(b"0\r\n\r\n")
+    return True
+
+
 def wait_until_gone(replica, timeout_s=3.0):
     with eventlet.Timeout(timeout_s):
         while not replica.closed_after:
@@ -182,3 +192,67 @@
             while len(counts) < 2:
                 eventlet.sleep(0.01)
         self.assertEqual(counts[0], 1)
+
+
+class LastRequestTest(unittest.TestCase):
+    """A request is sent as soon as an answer ends that began before the stop."""
+
+    def setUp(self):
+        self.harness = RelayHarness(stream_rule())
+        self.addCleanup(self.harness.close)
+        self.replica = ScriptedReplica("one", stream_slowly)
+        self.harness.add(self.replica)
+
+    def wait_for_head(self, sock):
+        with eventlet.Timeout(3.0):
+            while b"\r\n\r\n" not in sock.recv(65_536, socket.MSG_PEEK):
+                eventlet.sleep(0.01)
+
+    def end_stream_while_closing(self):
+        """Return a connection whose answer has ended without announcing its close."""
+        sock = self.harness.connect()
+        send_request(sock)
+        self.wait_for_head(sock)
+        self.harness.edge.is_leaving = True
+        self.harness.edge.close_idle()
+        response = read_response(sock)
+        self.assertEqual((response.status, response.is_complete), (200, True))
+        self.assertNotIn(b"connection", response.headers)
+        return sock
+
+    def assert_closed(self, sock, timeout_s):
+        with eventlet.Timeout(timeout_s):
+            self.assertEqual(sock.recv(10), b"")
+
+    def test_next_request_crosses_a_close_that_was_not_announced(self):
+        sock = self.end_stream_while_closing()
+        eventlet.sleep(0.1)
+        active = self.harness.edge.active_requests()
+        send_request(sock, name=b"id-2")
+        response = read_response(sock)
+        self.assertEqual((response.status, response.is_complete), (200, True))
+        self.assertEqual(active, 1)
+        self.assertEqual(response.headers[b"connection"], b"close")
+        self.assert_closed(sock, 1.0)
+
+    def test_connection_on_which_nothing_follows_holds_up_the_stop(self):
+        sock = self.end_stream_while_closing()
+        self.assert_closed(sock, 1.0)
+        self.assertEqual(self.harness.edge.active_requests(), 0)
+
+    def test_wait_for_a_next_request_outlasts_the_stop(self):
+        sock = self.end_stream_while_closing()
+        self.harness.edge.refuse_incomplete()
+        self.assertEqual(self.harness.edge.active_requests(), 0)
+        self.assert_closed(sock, 0.2)
+
+    def test_stream_that_ends_at_the_end_of_the_stop_counts_as_unanswered(self):
+        sock = self.harness.connect()
+        send_request(sock)
+        self.wait_for_head(sock)
+        self.harness.edge.is_leaving = True
+        self.harness.edge.close_idle()
+        self.harness.edge.refuse_incomplete()
+        self.assertTrue(read_response(sock).is_complete)
+        self.assert_closed(sock, 0.2)
+        self.assertEqual(self.harness.edge.active_requests(), 0)
