Deliver a call's answer that has arrived unread

What callers saw: a call that was hedged got the hedge's failure (500) though its first replica had answered it with success. At a stop, too: a success that had arrived while a repeat was asked for was replaced by the failure.

Cause: an attempt stopped counting as running when its thread ended, but its result is read later. While the call asks the hubs for a repeat (up to 0.1 s), the other attempt may end; the call then took itself for one without attempts, and its unread result was dropped. A stop that gave it up didn't look at unread results at all. Class: a state that changes when a message is sent, not when it is read.

Why this works: an attempt counts as running until its result has been read, so a call never ends, nor waits for a place, with a result unread. What a stop gives up is answered with an unread success, or with the latest failure that a replica gave.

--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -70,6 +70,13 @@
 AttemptMessage = AttemptResult | Doubtful
 
 
+class AttemptReport(msgspec.Struct, frozen=True):
+    """What an attempt reports: a doubt while it runs, or its result."""
+
+    attempt: eventlet.greenthread.GreenThread
+    message: AttemptMessage
+
+
 class CallRelay:
     """Relays one call.
 
@@ -81,7 +88,8 @@
 
     def __init__(self, job: RelayJob):
         self._job = job
-        self._results: LightQueue = LightQueue()
+        self._reports: LightQueue[AttemptReport] = LightQueue()
+        # An attempt counts as running until its result has been read.
         self._running_attempts: dict[eventlet.greenthread.GreenThread, Place] = {}
         self._failed_answer: CompleteAnswer | None = None
         self._failure_reason = "the replica did not answer"
@@ -106,8 +114,18 @@
                 job.evidence.note_end(place)
 
     def give_up(self) -> None:
-        """Answer the caller after the call has ended without a successful answer."""
-        self._respond(self._failed_answer)
+        """Answer the caller with what replicas have answered, or with a failure."""
+        self._respond(self._unread_answer() or self._failed_answer)
+
+    def _unread_answer(self) -> CompleteAnswer | None:
+        """Return a successful answer that hasn't been read; keep a failed one."""
+        while not self._reports.empty():
+            match self._reports.get().message:
+                case CompleteAnswer(is_success=True) as answer:
+                    return answer
+                case CompleteAnswer() as answer:
+                    self._failed_answer = answer
+        return None
 
     def _wait_for_answer(self) -> CompleteAnswer | None:
         """Wait for a successful answer; start further attempts if that is allowed.
@@ -150,9 +168,12 @@
             hedge_at = self._job.req.arrived + HEDGE_DELAY_SHARE * goal_s
             wait_s = min(wait_s, hedge_at - self._job.parts.timers.now())
         try:
-            return self._results.get(timeout=max(0.0, wait_s))
+            report = self._reports.get(timeout=max(0.0, wait_s))
         except Empty:
             return None
+        if not isinstance(report.message, Doubtful):
+            self._running_attempts.pop(report.attempt, None)
+        return report.message
 
     def _is_hedge_pending(self) -> bool:
         """Return whether a hedge is allowed and its time has not come yet."""
@@ -205,8 +226,11 @@
             has_answer = isinstance(result, CompleteAnswer)
             place.release(has_answer)
             self._job.evidence.note_end(place)
-            self._running_attempts.pop(eventlet.getcurrent(), None)
-            self._results.put(result)
+            self._report(result)
+
+    def _report(self, message: AttemptMessage) -> None:
+        """Report from the current attempt's thread."""
+        self._reports.put(AttemptReport(eventlet.getcurrent(), message))
 
     def _run_attempt(self, place: Place) -> AttemptResult:
         job, state = self._job, place.state
@@ -248,7 +272,7 @@
         """Wait for a read; check the path to the replica if it takes long."""
         job, since = self._job, self._job.parts.timers.now()
         if exchange.is_doubtful:
-            self._results.put(Doubtful())
+            self._report(Doubtful())
         try:
             return read(max(0.0, min(job.rule.goal_s, job.left_s())))
         except UpstreamSilentError:
