Send nothing to the places that a stop frees

What callers saw: 502 in place of 503 for requests that waited when the stop ended.

Cause: the stop ended the requests in the order of their arrival. Each one at work left its place, which was granted to one that waited, and so that was sent, too, and ended a moment later. Found by a review.

Evidence: the test failed before: 11 requests reached a replica of 6 places.

Why this works: the requests that wait are given up before those at a replica.

--- a/boragedeck/request/open_requests.py
+++ b/boragedeck/request/open_requests.py
@@ -80,10 +80,17 @@
                 self._give_up(req)
 
     def end_unbegun(self) -> None:
-        """Give up the requests whose answers haven't begun."""
-        for req in list(self._requests):
-            if req.stage() is not Stage.ANSWERING:
-                self._give_up(req)
+        """Give up the requests whose answers haven't begun.
+
+        Notes
+        -----
+        Those that wait come first, so that no place which the others leave is granted
+        to them.
+        """
+        for stage in (Stage.WAITING, Stage.AT_REPLICA):
+            for req in list(self._requests):
+                if req.stage() is stage:
+                    self._give_up(req)
 
     def counts(self) -> dict[str, int]:
         """Return how many requests are at each stage."""
