Leave a request to itself whose own time is over before the stop

What callers saw: a request that a stopping router took because all of its time fits got 502 up to 0.3 s before its time was over, though its replica answered in time.

Cause: the final answers before the end of a stop were given to all that hadn't begun.

Found by a review.

Why this works: a request whose own final answer is due before the stop ends gets it then, as without a stop.

--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -58,7 +58,7 @@
     def end_outlasting(self, left_s: float) -> None:
         """Give up the requests that wait and can't be served any more."""
 
-    def end_unbegun(self) -> None:
+    def end_unbegun(self, left_s: float) -> None:
         """Give up the requests whose answers haven't begun."""
 
     def log_unanswered(self) -> None:
@@ -132,7 +132,7 @@
         )
         for edge in edges:
             edge.refuse_incomplete()
-        requests.end_unbegun()
+        requests.end_unbegun(self.time_left())
         while _active_requests(edges) and self.time_left() > 0.0:
             self._timers.sleep(POLL_S)
         requests.log_unanswered()
--- a/boragedeck/request/open_requests.py
+++ b/boragedeck/request/open_requests.py
@@ -38,6 +38,9 @@
     def stage(self) -> Stage:
         """Return how far it is."""
 
+    def left_s(self) -> float:
+        """Return the time until it is given up by itself, in seconds."""
+
     def needed_s(self) -> float:
         """Return how much time a wait must leave to serve it, in seconds."""
 
@@ -79,9 +82,15 @@
             if req.stage() is Stage.WAITING and req.needed_s() > left_s:
                 self._give_up(req)
 
-    def end_unbegun(self) -> None:
+    def end_unbegun(self, left_s: float) -> None:
         """Give up the requests whose answers haven't begun.
 
+        Parameters
+        ----------
+        left_s : float
+            How long requests can still be served, in seconds. One whose own time is
+            over before gets its final answer then.
+
         Notes
         -----
         Those that wait come first, so that no place which the others leave is granted
@@ -89,7 +98,7 @@
         """
         for stage in (Stage.WAITING, Stage.AT_REPLICA):
             for req in list(self._requests):
-                if req.stage() is stage:
+                if req.stage() is stage and req.left_s() > left_s:
                     self._give_up(req)
 
     def counts(self) -> dict[str, int]:
--- a/tests/process/relaying/test_draining.py
+++ b/tests/process/relaying/test_draining.py
@@ -49,7 +49,7 @@
     def end_outlasting(self, left_s):
         self.calls.append("end outlasting")
 
-    def end_unbegun(self):
+    def end_unbegun(self, left_s):
         self.calls.append("end unbegun")
 
     def log_unanswered(self):
--- a/tests/request/test_stop_review.py
+++ b/tests/request/test_stop_review.py
@@ -1,9 +1,25 @@
+import eventlet
+import msgspec
+
+from boragedeck.process.relaying.draining import DrainPeriod
+from boragedeck.version.routing import CallKind
 from tests.request.test_stops import StopCase
 from tests.support.replicas import (
+    answer,
+    read_response,
+    send_request,
     stay_silent,
 )
 
 
+def answer_after(seconds):
+    def step(sock, req):
+        eventlet.sleep(seconds)
+        return answer()(sock, req)
+
+    return step
+
+
 class PlaceFreedByTheStopTest(StopCase):
     def test_request_that_waits_is_not_sent_to_a_place_that_the_stop_has_freed(self):
         self.start_calls(stay_silent)
@@ -20,3 +36,20 @@
         self.assertEqual(len(self.replica.relayed()), sent)
         for sock in waiting:
             self.assert_not_run(sock)
+
+
+class LateRequestTest(StopCase):
+    def test_late_request_whose_whole_time_fits_is_not_ended_by_the_stop(self):
+        self.start_calls(answer_after(3.75), kind=CallKind.ONCE)
+        self.period = DrainPeriod(self.harness.timers, lambda: 7.2)
+        self.harness.parts = msgspec.structs.replace(
+            self.harness.parts,
+            time_left=self.period.time_left,
+            is_late_in_stop=self.period.is_late,
+        )
+        self.begin_stop()
+        eventlet.sleep(2.9)
+        self.assertTrue(self.period.is_late())
+        sock = self.harness.connect()
+        send_request(sock, ms=3850)
+        self.assertEqual(read_response(sock).status, 200)
