Give the final answers of a short stop the time that is stated

Cause: the stop looked every 50 ms whether the time for final answers had come, which is as long as that time with a graceS of 1.2 s.

Found by a review.

Why this works: the wait ends at that time exactly.

--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -122,13 +122,14 @@
         edges = tuple(edges)
         for edge in edges:
             edge.is_leaving = True
-        self._serve_on(requests, lambda: self._timers.now() < accepts_until)
+        self._serve_on(requests, accepts_until, lambda: True)
         for edge in edges:
             edge.stop_accepting()
             edge.close_idle()
         self._serve_on(
             requests,
-            lambda: _active_requests(edges) and self.time_left() > final_answers_s,
+            self._ends_at - final_answers_s,
+            lambda: _active_requests(edges) > 0,
         )
         for edge in edges:
             edge.refuse_incomplete()
@@ -145,12 +146,12 @@
         )
 
     def _serve_on(
-        self, requests: RelayedRequests, is_going_on: Callable[[], bool]
+        self, requests: RelayedRequests, until: float, is_needed: Callable[[], bool]
     ) -> None:
-        """Give up what can't be served any more, until that is over."""
-        while is_going_on():
+        """Give up what can't be served any more, while that is needed."""
+        while is_needed() and (left_s := until - self._timers.now()) > 0.0:
             requests.end_outlasting(self.time_left())
-            self._timers.sleep(POLL_S)
+            self._timers.sleep(min(POLL_S, left_s))
 
 
 def _active_requests(edges: Iterable[DrainableEdge]) -> int:
--- a/tests/request/test_stop_review.py
+++ b/tests/request/test_stop_review.py
@@ -1,7 +1,10 @@
+import unittest
+
 import eventlet
 import msgspec
 
 from boragedeck.process.relaying.draining import DrainPeriod
+from boragedeck.process.timers import ManualTimers
 from boragedeck.version.routing import CallKind
 from tests.request.test_stops import StopCase
 from tests.support.replicas import (
@@ -53,3 +56,51 @@
         sock = self.harness.connect()
         send_request(sock, ms=3850)
         self.assertEqual(read_response(sock).status, 200)
+
+
+class Edge:
+    is_leaving = False
+
+    def stop_accepting(self):
+        pass
+
+    close_idle = refuse_incomplete = stop_accepting
+
+    def active_requests(self):
+        return 1
+
+    def unanswered_ids(self, most):
+        return []
+
+
+class Requests:
+    def __init__(self, period):
+        self._period = period
+        self.left_s = None
+
+    def counts(self):
+        return {}
+
+    def end_outlasting(self, left_s):
+        pass
+
+    def end_unbegun(self, left_s):
+        self.left_s = self._period.time_left()
+
+    def log_unanswered(self):
+        pass
+
+
+class FinalAnswersTest(unittest.TestCase):
+    def test_final_answers_have_time_to_be_sent_in_a_short_stop(self):
+        for grace_s in (0.6, 1.0, 1.2, 2.0, 8.0):
+            with self.subTest(grace_s=grace_s):
+                timers = ManualTimers()
+                period = DrainPeriod(timers, lambda grace_s=grace_s: grace_s)
+                requests = Requests(period)
+                thread = eventlet.spawn(period.run, [Edge()], requests)
+                eventlet.sleep(0)
+                while requests.left_s is None:
+                    timers.advance(0.001)
+                thread.kill()
+                self.assertGreater(requests.left_s, grace_s / 48)
