Say of a request that was only connecting that it hasn't run

What callers saw: 502 at the end of a stop for a request of which no byte was sent. A caller whose request may run once can't repeat it then.

Cause: an attempt that was ended while its connection was opened counted as sent.

Evidence: test_request_whose_connection_is_not_open_yet_is_said_not_to_have_run failed before (502). The test of a request that is being sent now opens the connection first, as the pool does; it fails (503) without the count.

Why this works: the attempt counts from the moment at which the connection is open, when the last check says that the request is sent.

--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -1,7 +1,5 @@
 """Sends one attempt of a relayed request to a replica and reads the answer's head."""
 
-from functools import partial
-
 import eventlet
 import msgspec
 
@@ -118,23 +116,32 @@
     parts = job.parts
     replica = plan.replica
     message = parts.protocol.message(job.req, plan)
-    count.may_be_sent = True
+
+    def check() -> None:
+        _check_accepts_requests(job, place)
+        # The connection is open, and the request is sent next.
+        count.may_be_sent = True
+
     try:
         exchange = parts.paths.send(
             replica.address,
             message,
             min(CONNECT_TIMEOUT_S, max(0.0, job.left_s())),
             max(0.0, job.left_s()),
-            partial(_check_accepts_requests, job, place),
+            check,
         )
     except UpstreamNotAcceptingError:
         raise
     except UpstreamRefusedError as exc:
         _note_refused(parts, place, exc)
         raise
+    except UpstreamError:
+        count.note_sent()
+        raise
     except BaseException:
         # A thread that is killed may have sent a part, too.
-        count.note_sent()
+        if count.may_be_sent:
+            count.note_sent()
         raise
     place.is_forwarded = exchange.is_forwarded
     count.note_sent()
--- a/tests/request/test_stop_review.py
+++ b/tests/request/test_stop_review.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest import mock
 
 import eventlet
 import msgspec
@@ -6,7 +7,7 @@
 from boragedeck.process.relaying.draining import DrainPeriod
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.routing import CallKind
-from tests.request.test_stops import StopCase
+from tests.request.test_stops import LONG_S, StopCase
 from tests.support.replicas import (
     answer,
     read_response,
@@ -104,3 +105,15 @@
                     timers.advance(0.001)
                 thread.kill()
                 self.assertGreater(requests.left_s, grace_s / 48)
+
+
+class ConnectingTest(StopCase):
+    def test_request_whose_connection_is_not_open_yet_is_said_not_to_have_run(self):
+        self.start_calls(answer())
+        with mock.patch.object(
+            self.harness.upstreams, "_open", lambda *_: eventlet.sleep(LONG_S)
+        ):
+            sock = self.send()
+            self.stop()
+        self.assertEqual(self.replica.relayed(), [])
+        self.assert_not_run(sock)
--- a/tests/request/test_stops.py
+++ b/tests/request/test_stops.py
@@ -223,9 +223,13 @@
 
     def test_request_that_is_being_sent_is_not_said_not_to_have_run(self):
         self.start_calls(answer())
-        with mock.patch.object(
-            self.harness.paths, "send", lambda *_: eventlet.sleep(LONG_S)
-        ):
+
+        def send_in_vain(*args):
+            check = args[-1]
+            check()
+            eventlet.sleep(LONG_S)
+
+        with mock.patch.object(self.harness.paths, "send", send_in_vain):
             sock = self.send()
             self.stop()
         self.assert_may_have_run(sock)
