Leave a refusal that is on its way alone when the stop ends

What callers saw: 413 (or 400, 408, 431) of a router that stops was reset while the caller still sent its body.

Cause: a connection counted as reading while its refusal was sent and lingered, so the stop ended that with a second refusal, which can't be sent, and the connection closed with unread bytes.

Why this works: it counts as reading only while the request is read.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -180,18 +180,23 @@
         self._parser = h11.Connection(h11.SERVER, limits.header_bytes)
         self._parser.receive_data(self._buffer)
         self._buffer = b""
-        self._reader = eventlet.getcurrent()
         try:
-            return self._read_request(limits)
+            return self._read_before_end(limits)
         except h11.RemoteProtocolError as exc:
             self._reject(exc.error_status_hint, str(exc))
         except eventlet.Timeout:
             self._reject(408, "the request arrived too slowly")
         except _RejectedError as exc:
             self._reject(exc.status, exc.message)
+        return None
+
+    def _read_before_end(self, limits: CallerLimits) -> RawRequest | None:
+        """Read a request, unless `refuse_incomplete` ends that."""
+        self._reader = eventlet.getcurrent()
+        try:
+            return self._read_request(limits)
         finally:
             self._reader = None
-        return None
 
     def _wait_first_bytes(self) -> bytes:
         """Wait for the next request and return its first bytes; none if none comes.
--- a/tests/request/test_stop_review.py
+++ b/tests/request/test_stop_review.py
@@ -3,13 +3,15 @@
 
 import eventlet
 import msgspec
+from eventlet.green import socket
 
 from boragedeck.process.relaying.draining import DrainPeriod
 from boragedeck.process.timers import ManualTimers
-from boragedeck.version.routing import CallKind
+from boragedeck.version.routing import CallerLimits, CallKind
 from tests.request.test_stops import LONG_S, StopCase
 from tests.support.replicas import (
     answer,
+    call_rule,
     read_response,
     send_request,
     stay_silent,
@@ -59,6 +61,23 @@
         self.assertEqual(read_response(sock).status, 200)
 
 
+class RejectedRequestTest(StopCase):
+    def test_refusal_that_is_on_its_way_is_not_reset_by_the_stop(self):
+        self.start(call_rule())
+        self.harness.edge.limits = lambda: CallerLimits(body_bytes=10)
+        sock = self.harness.connect()
+        lines = b"POST /r/x HTTP/1.1", b"Host: here.example", b"Content-Length: 5000"
+        sock.sendall(b"\r\n".join(lines) + b"\r\n\r\n" + b"x" * 100)
+        eventlet.sleep(0.1)
+        self.harness.edge.refuse_incomplete()
+        eventlet.sleep(0.05)
+        # The rest that the caller was sending.
+        sock.sendall(b"x" * 4000)
+        eventlet.sleep(0.05)
+        self.assertEqual(read_response(sock).status, 413)
+        self.assertEqual(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR), 0)
+
+
 class Edge:
     is_leaving = False
 
