Don't count an earlier wait for a place as time that a request needs

What callers saw: at a SIGTERM, 503 for requests that a place would have been free for in time.

Cause: the durations by which a stop decides were counted from the arrival, so after a queue they held its waits, though the wait of the request itself is bounded anyway.

Found by a review.

Why this works: a duration counts from the first place. What a request has to wait shows while it waits.

--- a/boragedeck/process/relaying/placing/durations.py
+++ b/boragedeck/process/relaying/placing/durations.py
@@ -18,7 +18,7 @@
 
 
 class RequestDurations:
-    """Durations of served requests, from their arrival to their end."""
+    """Durations of served requests, from their first place to their end."""
 
     def __init__(self):
         self._durations_s = RecentValues(MAX_VALUES)
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -237,7 +237,9 @@
         """Record that the request was served; return the time it took, in seconds."""
         took_s = self._count_end("served")
         if not self.req.resume_after:
-            self.parts.durations.note(self.pool_name, took_s)
+            # What it waited for a place isn't a part of it.
+            served_s = self.parts.timers.now() - self.evidence.first_start
+            self.parts.durations.note(self.pool_name, served_s)
         return took_s
 
     def note_failed(self) -> float:
--- a/tests/request/test_stop_review.py
+++ b/tests/request/test_stop_review.py
@@ -8,10 +8,11 @@
 from boragedeck.process.relaying.draining import DrainPeriod
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.routing import CallerLimits, CallKind
-from tests.request.test_stops import LONG_S, StopCase
+from tests.request.test_stops import LONG_S, MUCH_MEMORY, StopCase, beside_probes
 from tests.support.replicas import (
     answer,
     call_rule,
+    events,
     read_response,
     send_request,
     stay_silent,
@@ -26,6 +27,14 @@
     return step
 
 
+def stream_for(seconds):
+    def step(sock, req):
+        eventlet.sleep(seconds)
+        return events(1)(sock, req)
+
+    return step
+
+
 class PlaceFreedByTheStopTest(StopCase):
     def test_request_that_waits_is_not_sent_to_a_place_that_the_stop_has_freed(self):
         self.start_calls(stay_silent)
@@ -136,3 +145,24 @@
             self.stop()
         self.assertEqual(self.replica.relayed(), [])
         self.assert_not_run(sock)
+
+
+class NeededTimeTest(StopCase):
+    def test_wait_of_earlier_requests_does_not_count_as_time_to_serve_the_next(self):
+        self.start_streams(stream_for(0.05))
+        callers = [self.send(MUCH_MEMORY, name=b"old-%d" % n) for n in range(2)]
+        callers += [self.connect_and_send(b"queued-%d" % n) for n in range(40)]
+        for sock in callers:
+            self.assertEqual(read_response(sock).status, 200)
+        self.replica._steps = [beside_probes(stream_for(0.4))]
+        first = self.send(MUCH_MEMORY, name=b"first")
+        second = self.send(MUCH_MEMORY, name=b"second")
+        self.assertEqual(self.harness.admission.waiting(), 1)
+        self.begin_stop()
+        self.assertEqual(read_response(first).status, 200)
+        self.assertEqual(read_response(second).status, 200)
+
+    def connect_and_send(self, name):
+        sock = self.harness.connect()
+        send_request(sock, MUCH_MEMORY, name=name, ms=25_000)
+        return sock
