Wait for calls that may be repeated when a router of its own edition stops

What callers saw: a planned stop of a stand-alone router closed the connections of running calls that may be repeated, 0.5 s after the signal.

It counted the commands that run, and not the other calls.

Evidence: the test failed before: the stop ended before a call of 1.5 s. Found by a review.

Why this works: all calls that run count.

--- a/boragedeck/request/call.py
+++ b/boragedeck/request/call.py
@@ -49,6 +49,8 @@
         self._commands = commands
         self._repeatables = repeatables
         self._timers = timers
+        # The calls that may be repeated and are running.
+        self._repeating = 0
 
     def handle(self, req: CallRequest) -> Result[CallResponse, RefusedError]:
         """Forward a call and return its response.
@@ -69,8 +71,7 @@
             return checked
         call = checked.ok()
         try:
-            runner = self._repeatables if call.route.repeatable else self._commands
-            answer = runner.run(call)
+            answer = self._run(call)
         except Exception as exc:
             _log.write("Call failed.", request=call.name, error=repr(exc))
             return Err(call_errors.outcome_unknown())
@@ -79,8 +80,17 @@
         return answer.map(lambda response: _with_request_id(response, req.request_id))
 
     def running(self) -> int:
-        """Return the number of commands that are running."""
-        return self._commands.running()
+        """Return the number of calls that are running."""
+        return self._commands.running() + self._repeating
+
+    def _run(self, call: Call) -> Result[CallResponse, RefusedError]:
+        if not call.route.repeatable:
+            return self._commands.run(call)
+        self._repeating += 1
+        try:
+            return self._repeatables.run(call)
+        finally:
+            self._repeating -= 1
 
     def _validate(self, req: CallRequest) -> Result[Call, RefusedError]:
         cfg = self._cfg.current()
--- a/tests/request/test_stop_review.py
+++ b/tests/request/test_stop_review.py
@@ -1,15 +1,24 @@
 import unittest
+from types import SimpleNamespace
 from unittest import mock
 
 import eventlet
 import msgspec
+from eventlet import wsgi
 from eventlet.green import socket
+from result import Ok
 
+from boragedeck.process.composition import Router
 from boragedeck.process.relaying.draining import DrainPeriod
+from boragedeck.process.settings import parse_settings
 from boragedeck.process.timers import ManualTimers
+from boragedeck.request.calls import CallRequest, CallResponse
 from boragedeck.version.routing import CallerLimits, CallKind
+from standins.memory import MemoryPlatform
+from standins.platform import PlatformApp
 from tests.request.test_stops import LONG_S, MUCH_MEMORY, StopCase, beside_probes
 from tests.support.replicas import (
+    ScriptedReplica,
     answer,
     call_rule,
     events,
@@ -147,6 +156,23 @@
         self.assert_not_run(sock)
 
 
+class TwoEndsTest(StopCase):
+    def test_attempt_ends_though_the_stop_ends_a_request_as_its_caller_leaves(self):
+        self.start(call_rule(timeout_s=LONG_S, goal_s=0.2))
+        for name in ("one", "two"):
+            self.harness.add(ScriptedReplica(name, beside_probes(stay_silent)))
+        self.send()
+        eventlet.sleep(0.3)
+        requests = self.harness.parts.open_requests
+        (job,), (thread,) = zip(*requests._requests.items(), strict=True)
+        self.assertEqual(len(job.evidence.running), 2)
+        [conn] = self.harness.edge._conns
+        eventlet.spawn(conn._interrupt, thread)
+        eventlet.spawn(requests.end_unbegun, 0.0)
+        eventlet.sleep(0.2)
+        self.assertEqual(job.evidence.running, set())
+
+
 class NeededTimeTest(StopCase):
     def test_wait_of_earlier_requests_does_not_count_as_time_to_serve_the_next(self):
         self.start_streams(stream_for(0.05))
@@ -166,3 +192,31 @@
         sock = self.harness.connect()
         send_request(sock, MUCH_MEMORY, name=name, ms=25_000)
         return sock
+
+
+class StandaloneStopTest(unittest.TestCase):
+    def test_router_that_stops_waits_for_a_call_that_may_be_repeated(self):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        app = PlatformApp(MemoryPlatform())
+        eventlet.spawn_n(wsgi.server, listener, app, log_output=False)
+        self.addCleanup(listener.close)
+        url = "http://{}:{}".format(*listener.getsockname())
+        flags = ["--listen=127.0.0.1:0", "--peer-listen=127.0.0.1:0", "--vm=vm-1"]
+        flags += ["--failure-domain=fd-1", f"--platform-url={url}", "--drain-s=5"]
+        router = Router(parse_settings(flags, {}).ok())
+        router.start()
+        calls, answered = router._calls.calls, []
+        call = SimpleNamespace(route=SimpleNamespace(repeatable=True), name="call")
+
+        def run(call):
+            eventlet.sleep(1.5)
+            answered.append(call)
+            return Ok(CallResponse(200))
+
+        calls._validate = lambda req: Ok(call)
+        calls._repeatables = SimpleNamespace(run=run)
+        request = CallRequest("o", "pay", "GET", "/x", (), b"", "k")
+        self.addCleanup(eventlet.spawn(calls.handle, request).kill)
+        eventlet.sleep(0)
+        router.drain()
+        self.assertEqual(answered, [call])
