End a request's handler once, by its caller's leaving or by the stop

What was seen: an attempt, and its place, went on after its request had ended, if the stop gave up a request in the moment in which its caller left.

Cause: the handler's clean-up yields, and a second end in between aborted it.

Why this works: the channel remembers that its handler is being ended. The line of a request that the stop ends also says how many attempts were running.

--- a/boragedeck/connection/caller_channel.py
+++ b/boragedeck/connection/caller_channel.py
@@ -59,6 +59,9 @@
     deadline : float
         Until when a caller that doesn't read is waited for, on the timer service's
         monotonic clock; at least for `caller_connection.SEND_TIMEOUT_S`.
+    is_interrupted : bool
+        Whether the handler is being ended before it has answered; it must not be ended
+        a second time while it cleans up.
     request_id : str or None
         The id of the request, for the log; None until its handler knows it.
 
@@ -71,6 +74,7 @@
         self._conn = conn
         self.has_begun = False
         self.is_finished = False
+        self.is_interrupted = False
         self.deadline = float("-inf")
         self.request_id: str | None = None
 
--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -350,9 +350,13 @@
         self._is_eof = True
         # After its answer, nothing is left to end for it, and the handler cleans up.
         if self.is_handling and not self._channel.is_finished:
-            eventlet.kill(
-                serving_thread, CallerDisconnectedError("closed", step="serve")
-            )
+            self._interrupt(serving_thread)
+
+    def _interrupt(self, serving_thread) -> None:
+        if not self._channel.is_interrupted:
+            self._channel.is_interrupted = True
+            error = CallerDisconnectedError("closed", step="serve")
+            eventlet.kill(serving_thread, error)
 
     def _is_open(self) -> bool:
         """Return whether the caller is there; read its next bytes if there is room."""
--- a/boragedeck/request/open_requests.py
+++ b/boragedeck/request/open_requests.py
@@ -44,6 +44,9 @@
     def needed_s(self) -> float:
         """Return how much time a wait must leave to serve it, in seconds."""
 
+    def begin_interrupt(self) -> bool:
+        """Return whether its handler may be ended, which is allowed once."""
+
     def log_fields(self) -> dict:
         """Return what the log says of it."""
 
@@ -113,8 +116,8 @@
 
     def _give_up(self, req: OpenRequest) -> None:
         thread = self._requests.pop(req, None)
-        if thread is None:
-            # It has ended while another one was given up.
+        if thread is None or not req.begin_interrupt():
+            # It has ended while another one was given up, or its caller has left.
             return
         _log.write("Given up by the stop.", **req.log_fields())
         eventlet.kill(thread, RouterStoppingError("the router stops", step="relay"))
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -142,6 +142,12 @@
             return Stage.ANSWERING
         return Stage.AT_REPLICA if self.evidence.running else Stage.WAITING
 
+    def begin_interrupt(self) -> bool:
+        """Return whether its handler may be ended, which is allowed once."""
+        is_first = not self.channel.is_interrupted
+        self.channel.is_interrupted = True
+        return is_first
+
     def needed_s(self) -> float:
         """Return how much time a stop must leave to serve the request, in seconds.
 
@@ -168,6 +174,7 @@
             "stage": self.stage().value,
             "sent": self.attempts.sent,
             "may_have_run": self.may_have_run,
+            "running": len(self.evidence.running),
             "body_bytes": len(self.req.body),
             "tokens": self.req.tokens,
             "age_s": round(self.parts.timers.now() - self.req.arrived, 3),
