Deliver a stream that has arrived whole and unread when the router stops

What callers saw: a stream that had waited through a silence got 502 at the end of a stop, though its replica had sent the whole answer, or a failure of its own.

Cause: the reports of attempts are read by the thread that has the caller. While that thread asks the hubs for a repeat, reports wait; a stop that gave the request up didn't look at them.

Evidence: two of three new tests failed before, (502, True) != (200, True) and 502 for the replica's (500, b'bad'). The third holds what stays: a part of a stream isn't begun only to be cut.

Why this works: what is given up is first answered from the unread reports, if they hold a whole stream or a replica's failure.

--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -76,15 +76,37 @@
         try:
             while self._start_next():
                 if self._follow():
-                    self._delivery.finish(self._position)
                     return
                 if not self._may_resume():
-                    self.give_up()
+                    self._fail()
                     return
         finally:
             self._cancel(self._attempts)
 
     def give_up(self) -> None:
+        """Answer the caller with what replicas have answered, or with a failure."""
+        if not self._deliver_unread():
+            self._fail()
+
+    def _deliver_unread(self) -> bool:
+        """Deliver a whole answer that hasn't been read; return whether there is one."""
+        unread: dict[StreamAttempt, list[Events]] = {}
+        while not self._reports.empty():
+            report = self._reports.get()
+            attempt = report.attempt
+            match report.message:
+                case Events() as events:
+                    unread.setdefault(attempt, []).append(events)
+                case Ended(outcome=AttemptOutcome.COMPLETE):
+                    for events in unread.get(attempt, ()):
+                        self._deliver(attempt, events)
+                    self._finish(attempt)
+                    return True
+                case Ended():
+                    self._failed_answer = attempt.failed_answer or self._failed_answer
+        return False
+
+    def _fail(self) -> None:
         """Answer the caller with a failure, or leave its answer incomplete."""
         job = self._job
         if self._delivery.has_begun:
@@ -131,7 +153,7 @@
             return True
         if job.may_have_run or self._delivery.has_begun:
             self._failure_reason = acquired.err().message
-            self.give_up()
+            self._fail()
         else:
             job.refuse(acquired.err())
         return False
@@ -164,7 +186,7 @@
         attempt.start()
 
     def _follow(self) -> bool:
-        """Deliver events until the stream is complete, or until no attempt runs.
+        """Deliver the stream until it is complete, or until no attempt runs.
 
         Returns
         -------
@@ -188,7 +210,7 @@
                         self._let_lead(attempt)
                 case Ended(outcome=AttemptOutcome.COMPLETE):
                     self._let_lead(attempt)
-                    self._delivery.note_head(*attempt.head)
+                    self._finish(attempt)
                     return True
                 case Ended(outcome=outcome):
                     self._note_failed(attempt, outcome)
@@ -224,6 +246,10 @@
         self._delivery.write(events.data, self._position)
         self._position = events.position
 
+    def _finish(self, attempt: StreamAttempt) -> None:
+        self._delivery.note_head(*attempt.head)
+        self._delivery.finish(self._position)
+
     def _note_silent(self, attempt: StreamAttempt, silent: Silent) -> None:
         """Start another attempt beside one whose replica is silent, if one may.
 
--- a/tests/request/test_stopped_answers.py
+++ b/tests/request/test_stopped_answers.py
@@ -3,10 +3,25 @@
 import eventlet
 
 from boragedeck.version.routing import CallKind
-from tests.request.test_stops import LONG_S, StopCase, beside_probes
-from tests.support.replicas import ScriptedReplica, answer, read_response
+from tests.request.test_stops import (
+    LONG_S,
+    POOL,
+    TOKENS,
+    StopCase,
+    beside_probes,
+    stream_slowly,
+)
+from tests.support.replicas import (
+    ScriptedReplica,
+    answer,
+    event,
+    events,
+    read_response,
+    stream_rule,
+)
 
 SOON_S = 0.3
+SILENCE_S = 0.8
 
 
 def late(step):
@@ -59,3 +74,38 @@
         self.stop()
         response = read_response(sock)
         self.assertEqual((response.status, response.body), (504, b"worse"))
+
+
+class UnreadStreamTest(StopCase):
+    """A silent replica answers while a second attempt is asked for."""
+
+    def send_silent(self, step):
+        self.start(stream_rule(timeout_s=LONG_S, goal_s=0.4), POOL)
+        self.replica = ScriptedReplica("one", beside_probes(step))
+        self.harness.add(self.replica)
+        self.harness.add(ScriptedReplica("two", beside_probes(events(1))), domain="b")
+        self.harness.parts.retries.take = self.take_repeat
+        self.is_asked = False
+        self.replica.silence.begin_for(SILENCE_S)
+        sock = self.send(TOKENS)
+        self.stop()
+        self.assertTrue(self.is_asked)
+        return read_response(sock)
+
+    def take_repeat(self, pool):
+        self.is_asked = True
+        eventlet.sleep(LONG_S)
+        return False
+
+    def test_whole_stream_that_nobody_has_read_is_lost(self):
+        response = self.send_silent(events(1, 2))
+        self.assertEqual((response.status, response.is_complete), (200, True))
+        self.assertEqual(response.body, event(1) + event(2))
+
+    def test_failure_of_a_stream_that_nobody_has_read_is_replaced(self):
+        response = self.send_silent(answer(b"bad", 500))
+        self.assertEqual((response.status, response.body), (500, b"bad"))
+
+    def test_unread_part_of_a_stream_is_begun_only_to_be_cut(self):
+        response = self.send_silent(stream_slowly)
+        self.assertEqual((response.status, response.is_complete), (502, True))
