Don't end the thread that rejects a request when the stop refuses incomplete ones

What callers saw: nothing for sure; a caller that still sent the rest of a request that had been rejected (400, 408, 413, 431) could lose that answer to a reset, as the connection was closed with unread bytes. The log had a traceback.

Cause: a connection counted as reading until its rejection was over, and the stop threw its own rejection into a thread that was answering.

Evidence: the test failed before: 'Traceback (most recent call last): ...' != ''. A second test holds what was right: a request that comes to its turn behind one that the stop gave up is refused; it counts as late, so nothing of it is sent to a replica.

Why this works: the thread can be ended only where it waits for further bytes.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -82,7 +82,8 @@
         self._parser: h11.Connection | None = None
         self.is_handling = False
         self._is_idle = True
-        # The thread that reads a request; None if none is being read.
+        self._is_reading = False
+        # The thread that waits for the rest of a request; None if none does.
         self._reader: eventlet.greenlet.greenlet | None = None
         self._is_shut = False
         self._is_last_response = False
@@ -120,8 +121,7 @@
         """Return whether a request has begun to arrive and isn't answered yet."""
         if self._is_idle:
             return self._has_unread_bytes()
-        is_reading = self._reader is not None
-        return is_reading or self.is_handling or bool(self._buffer)
+        return self._is_reading or self.is_handling or bool(self._buffer)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive."""
@@ -133,8 +133,7 @@
     def refuse_incomplete(self) -> None:
         """Refuse a request that hasn't arrived as a whole."""
         if self._reader is not None:
-            error = _RejectedError("this router stops", 503)
-            eventlet.kill(self._reader, error)
+            eventlet.kill(self._reader, _stopping_rejection())
 
     def send_event(self, event, deadline: float = float("-inf")) -> None:
         """Send a part of a response; see `CallerChannel.deadline`.
@@ -168,7 +167,7 @@
         self._parser = h11.Connection(h11.SERVER, limits.header_bytes)
         self._parser.receive_data(self._buffer)
         self._buffer = b""
-        self._reader = eventlet.getcurrent()
+        self._is_reading = True
         try:
             return self._read_request(limits)
         except h11.RemoteProtocolError as exc:
@@ -178,7 +177,7 @@
         except _RejectedError as exc:
             self._reject(exc.status, exc.message)
         finally:
-            self._reader = None
+            self._is_reading = False
         return None
 
     def _wait_first_bytes(self) -> bytes:
@@ -251,12 +250,20 @@
             event = self._parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = self._sock.recv(READ_BYTES)
+            data = self._receive_more()
             if not data and self._parser.their_state is h11.IDLE:
                 # The caller disconnected before it sent a request.
                 return None
             self._parser.receive_data(data)
 
+    def _receive_more(self) -> bytes:
+        """Wait for the next bytes of a request that has begun to arrive."""
+        self._reader = eventlet.getcurrent()
+        try:
+            return self._sock.recv(READ_BYTES)
+        finally:
+            self._reader = None
+
     def _serve(self, req: RawRequest) -> bool:
         """Answer a request; return whether the connection can serve another one."""
         # Bytes after the request belong to the caller's next one.
@@ -368,6 +375,11 @@
         self.status = status
 
 
+def _stopping_rejection() -> _RejectedError:
+    """Return the error for a request that the end of the process would cut."""
+    return _RejectedError("this router stops", 503)
+
+
 def _check_framing(headers: list[tuple[bytes, bytes]]) -> None:
     names = [name.lower() for name, _ in headers]
     if b"transfer-encoding" in names and b"content-length" in names:
