Refuse a request that begins to arrive after the stop has refused the others

What callers saw: a caller that had sent a part of its next request behind one that the stop answered at the end got no answer to it; the connection was closed.

Cause: the requests that hadn't arrived were refused once, and those whose turn came afterwards waited for their rest until the process ended.

Evidence: the test failed before: [502] != [502, 503].

Why this works: from that moment on no connection waits for the rest of a request; the state is asked where the wait begins, so that no second round is needed.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -54,6 +54,7 @@
     timers: TimerService
     is_leaving: bool
     is_closing: bool
+    is_refusing: bool
     on_unanswered: Callable[[UnansweredReason], None]
 
 
@@ -258,6 +259,8 @@
 
     def _receive_more(self) -> bytes:
         """Wait for the next bytes of a request that has begun to arrive."""
+        if self._server.is_refusing:
+            raise _stopping_rejection()
         self._reader = eventlet.getcurrent()
         try:
             return self._sock.recv(READ_BYTES)
--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -46,6 +46,8 @@
         Whether each connection is closed after its current response.
     is_closing : bool
         The same, and no connection waits for another request; see `close_idle`.
+    is_refusing : bool
+        Whether no connection waits for the rest of a request; see `refuse_incomplete`.
     on_unanswered : callable
         Called with the reason when a connection is closed, on which a request has been
         read, without a whole answer to it.
@@ -64,6 +66,7 @@
         self.timers = timers
         self.is_leaving = False
         self.is_closing = False
+        self.is_refusing = False
         self.on_unanswered: Callable[[UnansweredReason], None] = _ignore_unanswered
         self._conns: set[CallerConnection] = set()
 
@@ -93,7 +96,11 @@
             conn.close_if_idle()
 
     def refuse_incomplete(self) -> None:
-        """Refuse the requests that haven't arrived as a whole, as the process ends."""
+        """Refuse the requests that haven't arrived as a whole, from now on.
+
+        The process is about to end.
+        """
+        self.is_refusing = True
         for conn in list(self._conns):
             conn.refuse_incomplete()
 
--- a/tests/request/test_stopped_last.py
+++ b/tests/request/test_stopped_last.py
@@ -6,6 +6,7 @@
 from tests.request.test_stops import StopCase
 from tests.support.replicas import answer, send_request, stay_silent
 
+HALF = b"POST /r/x HTTP/1.1\r\nHost: here.example\r\nContent-Length: 9\r\n\r\nbody"
 INVALID = (
     b"POST /r/x HTTP/1.1\r\nHost: here.example\r\n"
     b"Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\nbody"
@@ -37,6 +38,13 @@
         self.assertEqual(statuses(sock), [502, 503])
         self.assertEqual(len(self.replica.relayed()), 1)
 
+    def test_incomplete_request_behind_one_that_is_given_up_is_cut(self):
+        self.start_short_calls()
+        sock = self.send()
+        sock.sendall(HALF)
+        self.stop()
+        self.assertEqual(statuses(sock), [502, 503])
+
 
 class RejectedTest(StopCase):
     def test_end_of_the_stop_fails_at_a_request_that_is_rejected_already(self):
