Let a gateway say that it hasn't sent a request which it couldn't read

What callers saw: a call that may run once got 502, "the gateway sent no interim answer", when the gateway to which their router was still sending it stopped, though it certainly hadn't run.

Cause: the edge to which other routers send refused what it hadn't read as to a caller, in plain HTTP. The sender couldn't tell that from a failure after the sending. The same held for its 400, 408, 413 and 431; a silent gateway's refusal without the request's id could be taken for the replica's failure.

Evidence: the test failed before: (502, b'no complete answer: the gateway sent no interim answer') != (200, b'whole').

Why this works: an edge is told which headers its rejections have. Those of a gateway say "declined", which senders of earlier builds know, too, so the next gateway is tried. The tests' fleet now builds this edge as the product does.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -19,6 +19,7 @@
     CallerNotReadingError,
     UnansweredReason,
 )
+from boragedeck.connection.exchange import Headers
 from boragedeck.exceptions import BoragedeckError
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
@@ -52,6 +53,7 @@
     limits: Callable[[], CallerLimits]
     handle: Handler
     timers: TimerService
+    rejection_headers: Headers
     is_leaving: bool
     is_closing: bool
     is_refusing: bool
@@ -352,7 +354,7 @@
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         self._is_last_response = True
-        headers = [(b"Content-Type", b"text/plain")]
+        headers = [(b"Content-Type", b"text/plain"), *self._server.rejection_headers]
         CallerChannel(self).respond(status, headers, text.encode())
         self._linger()
 
--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -7,6 +7,7 @@
 
 from boragedeck.connection.caller_connection import CallerConnection, Handler
 from boragedeck.connection.caller_ends import CallerDisconnectedError, UnansweredReason
+from boragedeck.connection.exchange import Headers
 from boragedeck.connection.listening import accept_waiting, close_listener
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
@@ -39,6 +40,8 @@
         response, the connection is closed.
     timers : TimerService
         The source of time.
+    rejection_headers : list of tuple of bytes, optional
+        Headers of the answers to requests that can't be read, and so aren't handled.
 
     Attributes
     ----------
@@ -59,11 +62,13 @@
         limits: Callable[[], CallerLimits],
         handle: Handler,
         timers: TimerService,
+        rejection_headers: Headers | None = None,
     ):
         self._listener = listener
         self.limits = limits
         self.handle = handle
         self.timers = timers
+        self.rejection_headers = rejection_headers or []
         self.is_leaving = False
         self.is_closing = False
         self.is_refusing = False
--- a/boragedeck/process/relaying/paths/path_composition.py
+++ b/boragedeck/process/relaying/paths/path_composition.py
@@ -8,7 +8,11 @@
 
 from boragedeck.connection.caller_edge import CallerEdge
 from boragedeck.connection.exchange import DEFAULT_IDLE_S
-from boragedeck.connection.forwarding import ForwardedExchange
+from boragedeck.connection.forwarding import (
+    ForwardedExchange,
+    ForwardFailure,
+    failure_headers,
+)
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.interfaces import Member, Membership
@@ -135,7 +139,11 @@
         time_left,
         metrics,
     )
-
     return CallerEdge(
-        listener, lambda: forward_limits(limits()), forwarder.handle, timers
+        listener,
+        lambda: forward_limits(limits()),
+        forwarder.handle,
+        timers,
+        # What hasn't been read has certainly not been sent to a replica.
+        rejection_headers=failure_headers(ForwardFailure.DECLINED),
     )
--- a/tests/request/test_gateway_ends.py
+++ b/tests/request/test_gateway_ends.py
@@ -7,6 +7,7 @@
 from boragedeck.version.routing import CallKind
 from tests.request.test_silent_gateways import (
     ENGINES,
+    LARGE_BODY,
     TOKENS,
     SilentGatewayCase,
 )
@@ -105,3 +106,15 @@
             response = read_response(sock, LONG_S)
         self.assertTrue(response.is_complete)
         self.assertEqual(len(response.body.split(b"\n\n")), LARGE_EVENTS + 1)
+
+    def test_request_that_a_stopping_gateway_has_not_read_counts_as_run(self):
+        self.start(call_rule(CallKind.ONCE, timeout_s=6.0), answer(), gateways=2)
+        gateway = self.gateways[0]
+        for replica in self.fleet.replicas:
+            self.router.paths._sender._gateways.note_reached(
+                replica.address, gateway.member
+            )
+        gateway.forward_edge.refuse_incomplete()
+        response = self.router.fetch(body=LARGE_BODY, ms=round(LONG_S * 1e3))
+        self.assertEqual((response.status, response.body), (200, b"whole"))
+        self.assertEqual(self.ran(), 1)
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -11,7 +11,6 @@
 from result import Err, Ok
 
 from boragedeck.connection.address import Address
-from boragedeck.connection.caller_edge import CallerEdge
 from boragedeck.connection.exchange import UpstreamConnection
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.exceptions import (
@@ -20,8 +19,10 @@
     UpstreamRefusedError,
 )
 from boragedeck.interfaces import Member
-from boragedeck.process.relaying.paths.path_composition import make_paths
-from boragedeck.request.forward import Forwarder
+from boragedeck.process.relaying.paths.path_composition import (
+    make_forward_edge,
+    make_paths,
+)
 from boragedeck.version.routing import CallerLimits
 from standins.silence import Silence
 from tests.support.limited_fleet import FleetMembers
@@ -144,19 +145,20 @@
         self.members = FleetMembers(fleet, self.member)
         self.silence = Silence()
         super().__init__(**fields)
-        self._forwarder = Forwarder(
+        self.forward_edge = make_forward_edge(
+            self.forward_listener,
             self.timers,
             self.registry,
             self.upstreams,
+            self.paths,
             self.notices,
             self.parts.protocol,
-            self.paths.state_of,
-            lambda: self.time_left_s,
             self.metrics,
+            CallerLimits,
+            lambda: self.time_left_s,
         )
-        self.forward_edge = CallerEdge(
-            self.forward_listener, CallerLimits, self._forward, self.timers
-        )
+        self._handle_forwarded = self.forward_edge.handle
+        self.forward_edge.handle = self._forward
         self.forward_server = eventlet.spawn(self.forward_edge.serve)
 
     def make_paths(self):
@@ -176,7 +178,7 @@
 
     def _forward(self, raw, channel):
         self.silence.wait()
-        self._forwarder.handle(raw, channel)
+        self._handle_forwarded(raw, channel)
 
     def close(self):
         """Close all sockets."""
