Give the last answers time if a stopping process is late

What callers saw: if the process stood still until the stop was over (a busy machine, a pause), what hadn't begun was given up and cut in the same moment, without an answer.

Cause: the last answers had only what was left until a fixed time, which is none then; handlers that end attempts answer one round of the loop later.

Evidence: a test whose process really stands still for the whole stop failed before (0 != 502), and one with manual time ('True is not false': the stop was over).

Why this works: the last answers have half of the margin that is kept before the end of graceS, counted from when they are asked for; the whole stop still ends within it.

--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -22,6 +22,8 @@
 """How long before the end of the stop what hasn't begun is answered."""
 FINAL_ANSWERS_SHARE = 1 / 24
 """The longest such time as a share of the stop."""
+LAST_SHARE = 0.5
+"""Share of the margin that the last answers may use if the process is late."""
 POLL_S = 0.05
 MAX_LOGGED_IDS = 16
 
@@ -133,7 +135,9 @@
         for edge in edges:
             edge.refuse_incomplete()
         requests.end_unbegun()
-        while _active_requests(edges) and self.time_left() > 0.0:
+        # A process that stood still until now needs some time all the same.
+        until = max(self._ends_at, self._timers.now() + LAST_SHARE * margin_s)
+        while _active_requests(edges) and self._timers.now() < until:
             self._timers.sleep(POLL_S)
         requests.log_unanswered()
         ids = [each for edge in edges for each in edge.unanswered_ids(MAX_LOGGED_IDS)]
--- a/tests/process/relaying/test_draining.py
+++ b/tests/process/relaying/test_draining.py
@@ -136,3 +136,19 @@
                 self.assertEqual(self.edge.calls, ["stop accepting", "close idle"])
                 self.run_for(grace_s / 6)
                 self.assertTrue(self.thread.dead)
+
+    def test_process_that_stood_still_ends_before_its_last_answers_are_out(self):
+        self.drain()
+        self.timers._now += GRACE_S
+        self.run_for(0.1)
+        self.assertIn("end unbegun", self.requests.calls)
+        self.assertFalse(self.thread.dead)
+        self.edge.active = 0
+        self.run_for(0.1)
+        self.assertTrue(self.thread.dead)
+
+    def test_process_that_stood_still_uses_the_whole_margin(self):
+        self.drain()
+        self.timers._now += GRACE_S - GRACE_MARGIN_S
+        self.run_for(0.5 * GRACE_MARGIN_S + 0.2)
+        self.assertTrue(self.thread.dead)
--- a/tests/request/test_stopped_last.py
+++ b/tests/request/test_stopped_last.py
@@ -2,8 +2,9 @@
 import io
 
 import eventlet
+from eventlet import patcher
 
-from tests.request.test_stops import StopCase
+from tests.request.test_stops import GRACE_S, StopCase
 from tests.support.replicas import answer, send_request, stay_silent
 
 HALF = b"POST /r/x HTTP/1.1\r\nHost: here.example\r\nContent-Length: 9\r\n\r\nbody"
@@ -46,6 +47,16 @@
         self.assertEqual(statuses(sock), [502, 503])
 
 
+class StandstillTest(StopCase):
+    def test_request_is_cut_by_a_process_that_stood_still_until_the_stop_ends(self):
+        self.start_calls(stay_silent)
+        sock = self.send()
+        self.begin_stop()
+        # It stops this process, too, unlike the patched one.
+        patcher.original("time").sleep(GRACE_S)
+        self.assert_may_have_run(sock)
+
+
 class RejectedTest(StopCase):
     def test_end_of_the_stop_fails_at_a_request_that_is_rejected_already(self):
         self.start_calls(answer())
