--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -19,6 +19,7 @@
     CallerNotReadingError,
     UnansweredReason,
 )
+from boragedeck.connection.exchange import Headers
 from boragedeck.exceptions import BoragedeckError
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
@@ -55,6 +56,7 @@
     limits: Callable[[], CallerLimits]
     handle: Handler
     timers: TimerService
+    rejection_headers: Headers
     is_leaving: bool
     is_closing: bool
     is_ending: bool
@@ -86,7 +88,8 @@
         self._parser: h11.Connection | None = None
         self.is_handling = False
         self._is_idle = True
-        # The thread that reads a request; None if none is being read.
+        self._is_reading = False
+        # The thread that waits for the rest of a request; None if none does.
         self._reader: eventlet.greenlet.greenlet | None = None
         self._is_shut = False
         self._is_last_response = False
@@ -130,8 +133,7 @@
         """
         if self._is_idle:
             return self._is_awaited() or self._has_unread_bytes()
-        is_reading = self._reader is not None
-        return is_reading or self.is_handling or bool(self._buffer)
+        return self._is_reading or self.is_handling or bool(self._buffer)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive."""
@@ -145,8 +147,7 @@
         if self._is_idle:
             self.close_if_idle()
         elif self._reader is not None:
-            error = _RejectedError("this router stops", 503)
-            eventlet.kill(self._reader, error)
+            eventlet.kill(self._reader, _stopping_rejection())
 
     def send_event(self, event, deadline: float = float("-inf")) -> None:
         """Send a part of a response; see `CallerChannel.deadline`.
@@ -180,23 +181,18 @@
         self._parser = h11.Connection(h11.SERVER, limits.header_bytes)
         self._parser.receive_data(self._buffer)
         self._buffer = b""
+        self._is_reading = True
         try:
-            return self._read_before_end(limits)
+            return self._read_request(limits)
         except h11.RemoteProtocolError as exc:
             self._reject(exc.error_status_hint, str(exc))
         except eventlet.Timeout:
             self._reject(408, "the request arrived too slowly")
         except _RejectedError as exc:
             self._reject(exc.status, exc.message)
-        return None
-
-    def _read_before_end(self, limits: CallerLimits) -> RawRequest | None:
-        """Read a request, unless `refuse_incomplete` ends that."""
-        self._reader = eventlet.getcurrent()
-        try:
-            return self._read_request(limits)
         finally:
-            self._reader = None
+            self._is_reading = False
+        return None
 
     def _wait_first_bytes(self) -> bytes:
         """Wait for the next request and return its first bytes; none if none comes.
@@ -280,12 +276,22 @@
             event = self._parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = self._sock.recv(READ_BYTES)
+            data = self._receive_more()
             if not data and self._parser.their_state is h11.IDLE:
                 # The caller disconnected before it sent a request.
                 return None
             self._parser.receive_data(data)
 
+    def _receive_more(self) -> bytes:
+        """Wait for the next bytes of a request that has begun to arrive."""
+        if self._server.is_ending:
+            raise _stopping_rejection()
+        self._reader = eventlet.getcurrent()
+        try:
+            return self._sock.recv(READ_BYTES)
+        finally:
+            self._reader = None
+
     def _serve(self, req: RawRequest) -> bool:
         """Answer a request; return whether the connection can serve another one."""
         # Bytes after the request belong to the caller's next one.
@@ -375,7 +381,7 @@
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         self._is_last_response = True
-        headers = [(b"Content-Type", b"text/plain")]
+        headers = [(b"Content-Type", b"text/plain"), *self._server.rejection_headers]
         CallerChannel(self).respond(status, headers, text.encode())
         self._linger()
 
@@ -401,6 +407,11 @@
         self.status = status
 
 
+def _stopping_rejection() -> _RejectedError:
+    """Return the error for a request that the end of the process would cut."""
+    return _RejectedError("this router stops", 503)
+
+
 def _check_framing(headers: list[tuple[bytes, bytes]]) -> None:
     names = [name.lower() for name, _ in headers]
     if b"transfer-encoding" in names and b"content-length" in names:
--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -7,6 +7,7 @@
 
 from boragedeck.connection.caller_connection import CallerConnection, Handler
 from boragedeck.connection.caller_ends import CallerDisconnectedError, UnansweredReason
+from boragedeck.connection.exchange import Headers
 from boragedeck.connection.listening import accept_waiting, close_listener
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
@@ -39,6 +40,8 @@
         response, the connection is closed.
     timers : TimerService
         The source of time.
+    rejection_headers : list of tuple of bytes, optional
+        Headers of the answers to requests that can't be read, and so aren't handled.
 
     Attributes
     ----------
@@ -47,7 +50,8 @@
     is_closing : bool
         The same, and connections without a request are closed; see `close_idle`.
     is_ending : bool
-        The same, and no connection waits for another request; see `refuse_incomplete`.
+        The same, and no connection waits for another request, or for the rest of one;
+        see `refuse_incomplete`.
     on_unanswered : callable
         Called with the reason when a connection is closed, on which a request has been
         read, without a whole answer to it.
@@ -59,11 +63,13 @@
         limits: Callable[[], CallerLimits],
         handle: Handler,
         timers: TimerService,
+        rejection_headers: Headers | None = None,
     ):
         self._listener = listener
         self.limits = limits
         self.handle = handle
         self.timers = timers
+        self.rejection_headers = rejection_headers or []
         self.is_leaving = False
         self.is_closing = False
         self.is_ending = False
@@ -102,7 +108,10 @@
             conn.close_if_idle()
 
     def refuse_incomplete(self) -> None:
-        """Refuse the requests that haven't arrived as a whole, as the process ends."""
+        """Refuse the requests that haven't arrived as a whole, from now on.
+
+        The process is about to end.
+        """
         self.is_ending = True
         for conn in list(self._conns):
             conn.refuse_incomplete()
--- a/tests/request/test_stop_review.py
+++ b/tests/request/test_stop_review.py
@@ -8,6 +8,7 @@
 from eventlet.green import socket
 from result import Ok
 
+from boragedeck.connection.caller_connection import CallerConnection
 from boragedeck.process.composition import Router
 from boragedeck.process.relaying.draining import DrainPeriod
 from boragedeck.process.settings import parse_settings
@@ -16,6 +17,7 @@
 from boragedeck.version.routing import CallerLimits, CallKind
 from standins.memory import MemoryPlatform
 from standins.platform import PlatformApp
+from tests.request.test_silent_gateways import LARGE_BODY, SilentGatewayCase
 from tests.request.test_stops import LONG_S, MUCH_MEMORY, StopCase, beside_probes
 from tests.support.replicas import (
     ScriptedReplica,
@@ -194,6 +196,24 @@
         return sock
 
 
+class GatewayStopTest(SilentGatewayCase):
+    def test_stop_of_a_gateway_that_still_reads_is_not_held_against_the_replica(self):
+        self.start(call_rule(CallKind.ONCE, timeout_s=6.0), answer())
+        edge, read = self.gateways[0].forward_edge, CallerConnection._read_event
+
+        def read_slowly(conn):
+            if conn._server is edge:
+                eventlet.sleep(0.05)
+            return read(conn)
+
+        eventlet.spawn_after(1.2, edge.refuse_incomplete)
+        with mock.patch.object(CallerConnection, "_read_event", read_slowly):
+            self.router.fetch(body=LARGE_BODY, ms=3000)
+        self.assertEqual(self.ran(), 0)
+        state = self.router.registry.of_pool("engines")[0]
+        self.assertEqual(state.failure_share, 0.0)
+
+
 class StandaloneStopTest(unittest.TestCase):
     def test_router_that_stops_waits_for_a_call_that_may_be_repeated(self):
         listener = eventlet.listen(("127.0.0.1", 0))
