Don't take a replica that closes a call at the time it was told for broken

Callers saw: nothing directly. A replica that ended a call at the time it was told, by closing the connection, was named as broken at once, with the request as a suspect, so that the next loss of its part could be taken for a crash; and its version got a failure without a question whether the replica is silent.

Cause: CallRelay took only its own time-out for the end of the call's time. Streams already took a replica's close at that time for the same thing.

Evidence: test_close_at_the_time_that_a_replica_was_told_counts_as_broken, before: AssertionError: Lists differ: [False] != [True] (what note_broken was told of a silence). Its counterpart, a close before that time, counts as broken before and after.

--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -234,7 +234,8 @@
             return AnswerLost(exc.message)
         except UpstreamError as exc:
             is_own_loss = job.is_own_loss(place)
-            is_silent = isinstance(exc, UpstreamSilentError)
+            # A replica that ends a call in time isn't lost.
+            is_silent = isinstance(exc, UpstreamSilentError) or job.is_call_time_over()
             if is_silent and not is_own_loss:
                 judge_late_answer(job, place)
             elif not is_own_loss:
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -139,6 +139,10 @@
         """Return whether replicas end the request by themselves, as they were told."""
         return self.replica_left_s() <= DEADLINE_RESOLUTION_S
 
+    def is_call_time_over(self) -> bool:
+        """Return whether replicas end the request, a call, as they were told."""
+        return self.left_s() <= DEADLINE_RESOLUTION_S
+
     def stage(self) -> Stage:
         """Return how far the request is."""
         if self.channel.has_begun:
--- a/tests/request/test_relay_call.py
+++ b/tests/request/test_relay_call.py
@@ -6,6 +6,7 @@
 import msgspec
 from eventlet.green import socket
 
+from boragedeck.request import relay_job
 from boragedeck.request.relay_call import CallRelay
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_request import RelayRequest
@@ -19,10 +20,13 @@
     head_of,
     moved,
     not_run,
+    report_model,
     send_request,
     stay_silent,
 )
 
+CLOSE_EARLY_S = 0.05
+
 
 class CallTest(unittest.TestCase):
     def harness(self, rule=None, **fields):
@@ -309,3 +313,33 @@
             return False
 
         self.assertEqual(self.fetch(not_http).status, 502)
+
+
+class ReplicaTimeTest(unittest.TestCase):
+    """Replicas end calls by themselves at the time that they were told."""
+
+    def broken(self, early_s):
+        """Return what is noted if a replica closes this long before that time."""
+
+        def close(sock, req):
+            if b"request-id" not in req.headers:
+                return report_model(sock, req)
+            eventlet.sleep(int(req.headers[b"deadline-ms"]) / 1e3 - early_s)
+            return False
+
+        harness = RelayHarness(call_rule(max_attempts=1))
+        self.addCleanup(harness.close)
+        harness.add(ScriptedReplica("one", close))
+        blame = harness.parts.crash_blame
+        with (
+            mock.patch.object(relay_job, "DEADLINE_RESOLUTION_S", 2 * CLOSE_EARLY_S),
+            mock.patch.object(blame, "note_broken") as note_broken,
+        ):
+            self.assertGreaterEqual(harness.fetch(ms=600).status, 500)
+        return [each.kwargs["is_silent"] for each in note_broken.call_args_list]
+
+    def test_close_at_the_time_that_a_replica_was_told_counts_as_broken(self):
+        self.assertEqual(self.broken(CLOSE_EARLY_S), [True])
+
+    def test_close_before_that_time_does_not_count_as_broken(self):
+        self.assertEqual(self.broken(4 * CLOSE_EARLY_S), [False])
