Refuse requests beyond the bound on connections instead of resetting them

Callers saw: a connection beyond the 3,000th was reset with the request that it had sent, which promises nothing to a caller whose request may run once.

Cause: the socket was closed as soon as it was accepted.

Evidence: test_request_beyond_the_bound_is_reset, before: AssertionError: Tuples differ: (0, False) != (503, True).

Why it works: on up to 300 further connections the head of a request is read and answered 503 with Connection: close; what follows is read for up to a second, so that the answer isn't lost. A connection that sends nothing is closed after a second. Nothing is relayed. Beyond these 300 the connection is closed unread as before, so memory stays bounded.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -41,6 +41,8 @@
 NEXT_REQUEST_S = 0.5
 """How long a router that closes its connections still waits for a request behind an
 answer whose head didn't announce the close, in seconds."""
+REFUSED_IDLE_S = 1.0
+"""How long a request is waited for that is going to be refused, in seconds."""
 BODY_TIMEOUT_S = 10.0
 MAX_LOGGED_CHARS = 200
 
@@ -70,6 +72,8 @@
         What all connections of the server have in common.
     sock : socket
         The connected socket.
+    is_refused : bool, optional
+        Whether its request is refused, since there are too many connections.
 
     Attributes
     ----------
@@ -77,8 +81,11 @@
         Whether a request that has been read is being answered.
     """
 
-    def __init__(self, server: Server, sock: socket.socket):
+    def __init__(
+        self, server: Server, sock: socket.socket, *, is_refused: bool = False
+    ):
         self._server = server
+        self._is_refused = is_refused
         self._sock = sock
         self._timers = server.timers
         self._buffer = b""
@@ -214,6 +221,8 @@
     def _idle_timeout_s(self) -> float:
         """Return how long the next request is waited for, in seconds."""
         timeout_s = self._server.limits().idle_timeout_s
+        if self._is_refused:
+            timeout_s = min(timeout_s, REFUSED_IDLE_S)
         if not self._server.is_closing:
             return timeout_s
         return 0.0 if self._server.is_ending else min(timeout_s, NEXT_REQUEST_S)
@@ -246,6 +255,8 @@
         headers = [(bytes(n), bytes(v)) for n, v in head.headers.raw_items()]
         _check_framing(headers)
         _check_size(head, limits)
+        if self._is_refused:
+            raise _RejectedError("too many connections", 503)
         body = bytearray()
         with eventlet.Timeout(max(BODY_TIMEOUT_S, limits.header_timeout_s)):
             while True:
--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -17,6 +17,8 @@
 ACCEPT_PAUSE_S = 0.05
 """Pause after a failed accept, in seconds."""
 MAX_CONNECTIONS = 3_000
+MAX_REFUSED_CONNECTIONS = 300
+"""Number of connections beyond these on which a request is refused."""
 
 _log = PartLog("edge")
 
@@ -127,11 +129,13 @@
 
     def _add(self, sock: socket.socket) -> None:
         """Serve a connection, which counts before its green thread runs."""
-        if len(self._conns) >= MAX_CONNECTIONS:
+        excess = len(self._conns) - MAX_CONNECTIONS
+        if excess >= 0:
             _log.write("Too many connections.", connections=len(self._conns))
+        if excess >= MAX_REFUSED_CONNECTIONS:
             sock.close()
             return
-        conn = CallerConnection(self, sock)
+        conn = CallerConnection(self, sock, is_refused=excess >= 0)
         self._conns.add(conn)
         eventlet.spawn_n(self._run, conn, sock)
 
--- a/tests/connection/test_caller_edge.py
+++ b/tests/connection/test_caller_edge.py
@@ -1,8 +1,10 @@
 import unittest
+from unittest import mock
 
 import eventlet
 import msgspec
 
+from boragedeck.connection import caller_edge
 from boragedeck.version.routing import CallerLimits
 from tests.support.replicas import (
     RelayHarness,
@@ -166,6 +168,39 @@
         self.assertEqual(read_response(sock).status, 200)
 
 
+class ConnectionBoundTest(unittest.TestCase):
+    def setUp(self):
+        self.harness = RelayHarness()
+        self.addCleanup(self.harness.close)
+        self.replica = ScriptedReplica("one", answer())
+        self.harness.add(self.replica)
+        for name, value in {"MAX_CONNECTIONS": 1, "MAX_REFUSED_CONNECTIONS": 1}.items():
+            patcher = mock.patch.object(caller_edge, name, value, create=True)
+            patcher.start()
+            self.addCleanup(patcher.stop)
+
+    def test_request_beyond_the_bound_is_reset(self):
+        kept = self.harness.connect()
+        self.assertEqual(self.harness.fetch(sock=kept).status, 200)
+        beyond = self.harness.fetch(name=b"id-2", body=b"x" * 100_000)
+        self.assertEqual((beyond.status, beyond.is_complete), (503, True))
+        self.assertEqual(beyond.headers[b"connection"], b"close")
+        self.assertEqual(len(self.replica.received), 1)
+        self.assertEqual(self.harness.fetch(sock=kept, name=b"id-3").status, 200)
+
+    def test_connection_beyond_both_bounds_is_kept(self):
+        kept, beyond = self.harness.connect(), self.harness.connect()
+        self.assertEqual(self.harness.fetch(sock=kept).status, 200)
+        self.assertEqual(self.harness.fetch(name=b"id-2").status, 0)
+        self.assertEqual(self.harness.fetch(sock=beyond, name=b"id-3").status, 503)
+
+    def test_connection_beyond_the_bound_waits_for_long(self):
+        kept = self.harness.connect()
+        self.assertEqual(self.harness.fetch(sock=kept).status, 200)
+        with eventlet.Timeout(1.5):
+            self.assertEqual(self.harness.connect().recv(10), b"")
+
+
 def answer_slowly(sock, req):
     eventlet.sleep(0.2)
     return answer()(sock, req)
