Let a stream go on if recording its output fails by a defect

Callers saw: a stream answered 502, or cut before its end though all events had arrived, if code that only records the output (evidence of versions, pace, metrics) raised.

Cause: any exception in the attempt's thread counted as its loss.

The defects are injected; none such is known.

Why it works: both records are made by a step that logs the first exception of an attempt (Recording failed.) and goes on. Other exceptions in an attempt lose it as before: what is read or sent can't be trusted then.

--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -124,6 +124,8 @@
         self._is_cancelled = False
         # Whether bytes arrive that have completed no event for too long.
         self._is_stalled = False
+        # Whether recording how the answer goes has failed, which is logged once.
+        self._has_recording_failed = False
         self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
         self._silence = StreamSilence(job, place, self._progress)
         self._evidence = StreamEvidence(
@@ -309,7 +311,8 @@
             self._is_stalled = False
             self._liveness.note_output()
             self._silence.end()
-            self._evidence.note_output(gaps.note(len(events), timers.now()))
+            gap_s = gaps.note(len(events), timers.now())
+            self._record(partial(self._evidence.note_output, gap_s))
             data = b"".join(event.data for event in events)
             self._tell(Events(data, splitter.last_number))
             timeout.restart()
@@ -318,9 +321,24 @@
         if not may_end:
             raise EventError("the connection ended before the first event")
         self._silence.end()
-        self._evidence.note_complete()
+        self._record(self._evidence.note_complete)
         return AttemptOutcome.COMPLETE
 
+    def _record(self, note: Callable[[], None]) -> None:
+        """Record how the answer goes; an unexpected exception doesn't end it."""
+        try:
+            note()
+        except Exception as exc:
+            if self._has_recording_failed:
+                return
+            self._has_recording_failed = True
+            log.write(
+                "Recording failed.",
+                request=self._job.req.request_id,
+                replica=self.place.state.replica.replica,
+                error=repr(exc),
+            )
+
     def _note_silent(self, exchange: Exchange, since: float) -> None:
         self._silence.note(exchange, since)
         now = self._job.parts.timers.now()
--- a/tests/request/test_attempt_defects.py
+++ b/tests/request/test_attempt_defects.py
@@ -3,12 +3,15 @@
 
 import eventlet
 
+from boragedeck.request.stream_evidence import StreamEvidence
 from boragedeck.version.routing import CallKind
 from tests.support.replicas import (
     RelayHarness,
     ScriptedReplica,
     answer,
     call_rule,
+    event,
+    events,
     stream_rule,
 )
 
@@ -62,5 +65,38 @@
         self.assertIn("ZeroDivisionError", failed[0].kwargs["error"])
 
 
+class RecordingDefectTest(unittest.TestCase):
+    """Exceptions while the progress of an answer is only recorded."""
+
+    def stream(self, method):
+        """Return the response to a stream, and what was logged of recording."""
+        harness = RelayHarness(stream_rule(is_resumable=False))
+        self.addCleanup(harness.close)
+        harness.add(ScriptedReplica("one", events(1, 2, 3)))
+        defect = mock.Mock(side_effect=ZeroDivisionError("test"))
+        with (
+            mock.patch.object(StreamEvidence, method, defect),
+            mock.patch("boragedeck.request.stream_attempt.log.write") as write,
+        ):
+            response = harness.fetch()
+        defect.assert_called()
+        logged = [c for c in write.call_args_list if c.args[0] == "Recording failed."]
+        return response, logged
+
+    def assert_whole(self, method):
+        response, logged = self.stream(method)
+        self.assertEqual((response.status, response.is_complete), (200, True))
+        self.assertEqual(response.body, event(1) + event(2) + event(3))
+        self.assertEqual(len(logged), 1)
+        self.assertEqual(logged[0].kwargs["request"], "id-1")
+        self.assertIn("ZeroDivisionError", logged[0].kwargs["error"])
+
+    def test_defect_while_events_are_recorded_loses_a_stream(self):
+        self.assert_whole("note_output")
+
+    def test_defect_while_its_end_is_recorded_loses_a_stream(self):
+        self.assert_whole("note_complete")
+
+
 if __name__ == "__main__":
     unittest.main()
