Leave standstills of the process out of the time of tests on sockets

Cause: these tests play router, replicas and callers in one process, in real time. When it stands still, their time goes on. Reproduced by stopping the process once, for 2.6 s in the middle of a stream (4 s are left to it): AssertionError: Tuples differ, cut after events 4 and 11; for 3.4 s: 504, and cut after event 4. By 0.3 and 0.8 s, again and again, two of 4 runs each of test_replica_that_answers_probes_late_is_found_to_be_at_work: 0.402 to 0.938 not less than 0.4; the other one none of 8. The product isn't at fault: without a standstill they take 2.61 and 1.47 s, to the hundredth. test_runs_that_exceed_the_cache_all_complete, stopped for 5.5 s: 2 of 3, Timeout: 5.0 seconds.

Why it works: the green threads' clock, and the harness's timers, leave out what lies between two readings beyond 0.1 s; it is read every 0.02 s at least. All of the test stands still together, so no limit of it is wider: an overlap may still last 0.4 s.

Evidence after: stopped for 2.6 and 3.4 s both pass with 2.61 s and 1.5 s; 0.8 s again and again: none of 6 runs each of these two; none of 10 each of test_stream_that_would_outlast_ the_router_is_refused, test_streams_on_links_that_hang_go_on_through_another_router, test_wait_for_replicas_that_are_gone_is_short and test_replica_stops_work_when_the_caller_ leaves (0.3 s between the stops); none of 3 of the cache (5.5 s). Still strict: with two defects in StreamRelay (a late answer to a probe ends nothing; a suspected part never gets a second attempt) both tests fail, stopped for 2.6 s and not stopped. All modules of tests.request and those of the callers' connections passed once, one after the other.

What it can't see: a computation that blocks the process for over 0.1 s; benchmarks do.

--- a/tests/request/test_second_attempts.py
+++ b/tests/request/test_second_attempts.py
@@ -1,6 +1,5 @@
 """Attempts beside a silent one: which may start, and how they end."""
 
-import time
 import unittest
 from unittest import mock
 
@@ -57,9 +56,9 @@
 
     def fetch(self, harness, ms=MANY_MS):
         """Return the response to a stream, and how long it took."""
-        began = time.monotonic()
+        began = harness.timers.now()
         response = harness.fetch(TOKENS, ms=ms)
-        return response, time.monotonic() - began
+        return response, harness.timers.now() - began
 
     def fetch_during(self, harness, replica, silence_s=None):
         """Return the same; the replica falls silent meanwhile, by default for good."""
@@ -91,7 +90,7 @@
                 if is_probe(req):
                     eventlet.sleep(probe_s)
                     return report_model(sock, req)
-                starts.append((name, time.monotonic()))
+                starts.append((name, harness.timers.now()))
                 eventlet.sleep(PROMPT_S)
                 return stream(sock, req)
 
@@ -108,7 +107,7 @@
         while not fetched.dead:
             eventlet.sleep(0.01)
             if len(starts) > 1 and self.running(harness, "one", "two") == [1, 1]:
-                ended = time.monotonic()
+                ended = harness.timers.now()
         self.assert_whole(fetched.wait()[0])
         return 0.0 if ended is None else ended - starts[1][1]
 
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -1,15 +1,16 @@
+import random
 import unittest
 
 import eventlet
 import msgspec
 import urllib3
 
-from boragedeck.process.timers import RealTimers
 from standins import tokens
 from standins.batching import Speed
 from standins.behaviour import Behaviour
 from standins.engine import EngineSettings, build
 from standins.web import base_url, listen, serve
+from tests.support.steady_clock import SteadyTimers
 
 WAIT_S = 5.0
 
@@ -20,7 +21,9 @@
             **({"token_interval_s": 0.001, "prefill_s_per_token": 0.0} | speed)
         )
         settings = EngineSettings(speed=speed, cache_blocks=64, load_s=0.0, seed=1)
-        app, self.batcher = build(settings, behaviour or Behaviour(), RealTimers())
+        app, self.batcher = build(
+            settings, behaviour or Behaviour(), SteadyTimers(random.Random(1))
+        )
         listener = listen()
         for thread in (
             eventlet.spawn(self.batcher.serve),
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -39,7 +39,6 @@
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
 from boragedeck.process.relaying.settings import Bounds
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
-from boragedeck.process.timers import RealTimers
 from boragedeck.request.address_claims import watch_address_claims
 from boragedeck.request.open_requests import OpenRequests
 from boragedeck.request.relay import relay
@@ -56,6 +55,7 @@
 )
 from standins.late_answers import AnswerRepeater, never
 from standins.silence import Silence
+from tests.support.steady_clock import SteadyTimers
 
 BOUNDS = Bounds(
     contact_s=3.0,
@@ -417,7 +417,7 @@
     pool_type = UpstreamPool
 
     def __init__(self, rule=None, pool=None, limits=None, facts=None):
-        self.timers = RealTimers(random.Random(1))
+        self.timers = SteadyTimers(random.Random(1))
         self.registry = ReplicaRegistry(self.timers)
         self.upstreams = self.pool_type(self.timers)
         self.admission = Admission(self.timers, self.registry, random.Random(2))
