--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -120,6 +120,8 @@
         self._report = report
         self._from_copy = from_copy
         self._is_cancelled = False
+        # Whether recording how the answer goes has failed, which is logged once.
+        self._has_recording_failed = False
         self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
         self._silence = StreamSilence(job, place, self._progress)
         self._evidence = StreamEvidence(
@@ -127,7 +129,7 @@
         )
         self._liveness = StreamLivenessMonitor(job, self._note_silent, self._note_heard)
         self._events = StreamEventReader(
-            job, place, self._silence, self._evidence, self._liveness, self._tell
+            job, place, self._silence, self._note_output, self._liveness, self._tell
         )
         self._thread: eventlet.greenthread.GreenThread | None = None
 
@@ -295,9 +297,27 @@
     def _read_events(self, pending: PendingAnswer) -> AttemptOutcome:
         self._events.read(pending, self._position)
         self._silence.end()
-        self._evidence.note_complete()
+        self._record(self._evidence.note_complete)
         return AttemptOutcome.COMPLETE
 
+    def _note_output(self, gap_s: float | None) -> None:
+        self._record(partial(self._evidence.note_output, gap_s))
+
+    def _record(self, note: Callable[[], None]) -> None:
+        """Record how the answer goes; an unexpected exception doesn't end it."""
+        try:
+            note()
+        except Exception as exc:
+            if self._has_recording_failed:
+                return
+            self._has_recording_failed = True
+            log.write(
+                "Recording failed.",
+                request=self._job.req.request_id,
+                replica=self.place.state.replica.replica,
+                error=repr(exc),
+            )
+
     def _note_silent(self, exchange: Exchange, since: float) -> None:
         self._silence.note(exchange, since)
         now = self._job.parts.timers.now()
--- a/boragedeck/request/stream_events.py
+++ b/boragedeck/request/stream_events.py
@@ -9,7 +9,6 @@
 from boragedeck.request.relay_attempt import PendingAnswer
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
-from boragedeck.request.stream_evidence import StreamEvidence
 from boragedeck.request.stream_liveness import StreamLivenessMonitor
 from boragedeck.request.stream_messages import Events, Silent, StreamMessage
 from boragedeck.request.stream_silence import StreamSilence
@@ -28,8 +27,9 @@
         The place at the replica.
     silence : StreamSilence
         The silence of the replica.
-    evidence : StreamEvidence
-        Records what the events say about the replica.
+    record_output : callable
+        Called when events have arrived, with the mean gap between them in seconds, or
+        None if there is no new sample.
     liveness : StreamLivenessMonitor
         Waits for the events.
     report : callable
@@ -41,14 +41,14 @@
         job: RelayJob,
         place: Place,
         silence: StreamSilence,
-        evidence: StreamEvidence,
+        record_output: Callable[[float | None], None],
         liveness: StreamLivenessMonitor,
         report: Callable[[StreamMessage], None],
     ):
         self._job = job
         self._place = place
         self._silence = silence
-        self._evidence = evidence
+        self._record_output = record_output
         self._liveness = liveness
         self._report = report
         # Whether bytes arrive that have completed no event for too long.
@@ -100,7 +100,7 @@
         self._is_stalled = False
         self._liveness.note_output()
         self._silence.end()
-        self._evidence.note_output(gap_s)
+        self._record_output(gap_s)
 
     def _note_stalled(self, since: float) -> None:
         """Report that bytes complete no event, so that another attempt may start."""
