Give up a repeatable request that waits as soon as the stop leaves it no time

What callers saw: a request that may be repeated, had lost its replica and waited for another place was held until a stopping router's last moments and then got 502, though it could have been repeated elsewhere at once.

Cause: a request that may have run was kept through the stop, since 503 would be untrue and not all callers repeat after 502. All do where the route allows repeats.

Evidence: two of 14 new tests failed before, a call and a stream: 1.07 s not less than 0.3. The other twelve passed before: they hold what each further wait does under a stop (turns, room, repeats and verdicts that another router decides; slow readers; a caller that leaves during its last answer; the accept queue; no route, no table; begun streams that wait for a place), and that no place, wait or entry is left behind.

Why this works: what is kept are only requests that nobody repeats, which don't wait once they may have run.

--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -151,9 +151,9 @@
         Notes
         -----
         A request that the stop must not end is taken only if all of its time fits. One
-        that may have run is kept, since a refusal wouldn't let all callers repeat it.
+        that may have run, and may run once only, is kept: no caller repeats it.
         """
-        if self.may_have_run:
+        if self.may_have_run and not self.rule.may_repeat:
             return 0.0
         if self.is_late:
             return self.replica_left_s()
