--- a/tests/process/relaying/test_draining.py
+++ b/tests/process/relaying/test_draining.py
@@ -126,7 +126,7 @@
                 self.assertEqual(len(fields["requests"]), named)
 
     def test_short_grace_ends_answers_before_its_last_sixth(self):
-        for grace_s in (1.2, 2.0, 4.0, 8.0):
+        for grace_s in (1.0, 1.2, 2.0, 4.0, 8.0):
             with self.subTest(grace_s=grace_s):
                 self.edge = Edge(active=1)
                 self.period = DrainPeriod(self.timers, lambda s=grace_s: s)
@@ -152,3 +152,13 @@
         self.timers._now += GRACE_S - GRACE_MARGIN_S
         self.run_for(0.5 * GRACE_MARGIN_S + 0.2)
         self.assertTrue(self.thread.dead)
+
+    def test_settings_that_change_during_the_stop_move_its_end(self):
+        grace_s = GRACE_S
+        self.period = DrainPeriod(self.timers, lambda: grace_s)
+        self.drain()
+        left_s = self.period.time_left()
+        grace_s = 0.1 * GRACE_S
+        self.assertEqual(self.period.time_left(), left_s)
+        self.run_for(GRACE_S - GRACE_MARGIN_S - 0.2)
+        self.assertFalse(self.thread.dead)
