Return a place at a brittle replica that is granted to a request which has ended

What callers saw: fewer requests were served at brittle replicas after callers had left, or requests been given up by a stop, while another router was asked for a place. Each such place stayed leased until the time of its request was over, up to 25 s.

Cause: the owner grants a place up to a second after it is asked. If the request ended meanwhile, nobody read the answer, and the lease wasn't returned.

Evidence: the test failed before: [] != [ReleaseRoom(..., lease=7, is_rejected=False)].

Why this works: the question runs in a thread of its own, which outlives the request, and returns a place that nobody waits for any more.

--- a/boragedeck/process/relaying/limits/room_grants.py
+++ b/boragedeck/process/relaying/limits/room_grants.py
@@ -110,6 +110,17 @@
 
     def _ask(
         self, owner: Member, question: TakeRoom
+    ) -> Result[RoomDecision, PeerError]:
+        asking = eventlet.spawn(self._call, owner, question)
+        try:
+            return asking.wait()
+        except BaseException:
+            # The request ends while the owner is asked, which may still grant a place.
+            asking.link(self._return_unused, question.run)
+            raise
+
+    def _call(
+        self, owner: Member, question: TakeRoom
     ) -> Result[RoomDecision, PeerError]:
         answer = self._links.link(owner.address).call(
             question, RoomDecision, timeout_s=question.max_wait_s + OWNER_TIMEOUT_S
@@ -123,6 +134,15 @@
             )
         return answer
 
+    def _return_unused(
+        self, asking: eventlet.greenthread.GreenThread, run: Run
+    ) -> None:
+        """Return the place that was granted to a request which has ended."""
+        answer = asking.wait()
+        lease = _lease(run, answer.ok().lease) if answer.is_ok() else None
+        if lease is not None:
+            self.release(lease, is_rejected=False)
+
     def release(self, lease: RoomLease, *, is_rejected: bool) -> None:
         """Return a place; `is_rejected` as in `ReleaseRoom`."""
         message = ReleaseRoom(lease.run, lease.number, is_rejected)
