Don't log a refused request as unanswered at the end of a stop

What the operators saw: "Drained." named a request as unanswered that had got its 503, as long as its caller kept the connection open.

Cause: one number said both what the server is still at work on, for which it waits (a response that may still be lost to a reset, too), and what has no answer.

A begun stream counts as before.

Why this works: the stop waits for the first number, and logs the second.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -126,6 +126,11 @@
             return self._has_unread_bytes()
         return self._is_reading or self.is_handling or bool(self._buffer)
 
+    def is_unanswered(self) -> bool:
+        """Return whether a request has begun to arrive and has no whole answer."""
+        is_answered = self._channel is not None and self._channel.is_finished
+        return self.has_request() and (bool(self._buffer) or not is_answered)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive."""
         if self._is_idle and not self._buffer and not self._has_unread_bytes():
@@ -160,6 +165,7 @@
             raise error(str(exc), step="send response") from exc
 
     def _next_request(self) -> RawRequest | None:
+        self._channel = None
         if not self._buffer:
             self._buffer = self._wait_first_bytes()
         if not self._buffer:
@@ -355,7 +361,8 @@
             return
         self._is_last_response = True
         headers = [(b"Content-Type", b"text/plain"), *self._server.rejection_headers]
-        CallerChannel(self).respond(status, headers, text.encode())
+        self._channel = CallerChannel(self)
+        self._channel.respond(status, headers, text.encode())
         self._linger()
 
     def _linger(self) -> None:
--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -110,12 +110,17 @@
             conn.refuse_incomplete()
 
     def active_requests(self) -> int:
-        """Return the number of requests without a complete response.
+        """Return the number of requests at which the server is still at work.
 
-        Those that have only begun to arrive count.
+        Those that have only begun to arrive count, and those whose response has been
+        sent and may still be lost.
         """
         return sum(conn.has_request() for conn in self._conns)
 
+    def unanswered_requests(self) -> int:
+        """Return the number of requests without a complete response."""
+        return sum(conn.is_unanswered() for conn in self._conns)
+
     def unanswered_ids(self, most: int) -> list[str]:
         """Return the ids of requests that have been read and aren't answered yet.
 
@@ -124,7 +129,8 @@
         most : int
             Maximum number of ids.
         """
-        ids = (conn.request_id for conn in self._conns if conn.is_handling)
+        conns = (conn for conn in self._conns if conn.is_handling)
+        ids = (conn.request_id for conn in conns if conn.is_unanswered())
         return [each for each in ids if each is not None][:most]
 
     def _add(self, sock: socket.socket) -> None:
--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -42,6 +42,9 @@
         """Close the connections without a request."""
 
     def active_requests(self) -> int:
+        """Return the number of requests at which it is still at work."""
+
+    def unanswered_requests(self) -> int:
         """Return the number of requests that aren't answered yet."""
 
     def refuse_incomplete(self) -> None:
@@ -143,7 +146,7 @@
         ids = [each for edge in edges for each in edge.unanswered_ids(MAX_LOGGED_IDS)]
         _log.write(
             "Drained.",
-            unanswered=_active_requests(edges),
+            unanswered=sum(edge.unanswered_requests() for edge in edges),
             requests=ids[:MAX_LOGGED_IDS],
             left_s=round(self.time_left(), 3),
         )
--- a/tests/process/relaying/test_draining.py
+++ b/tests/process/relaying/test_draining.py
@@ -32,6 +32,9 @@
     def active_requests(self):
         return self.active
 
+    def unanswered_requests(self):
+        return self.active
+
     def refuse_incomplete(self):
         self.calls.append("refuse incomplete")
 
--- a/tests/request/test_stopped_last.py
+++ b/tests/request/test_stopped_last.py
@@ -1,10 +1,12 @@
 import contextlib
 import io
+from unittest import mock
 
 import eventlet
 from eventlet import patcher
 
-from tests.request.test_stops import GRACE_S, StopCase
+from boragedeck.process.relaying import draining
+from tests.request.test_stops import GRACE_S, TOKENS, StopCase, stream_slowly
 from tests.support.replicas import answer, send_request, stay_silent
 
 HALF = b"POST /r/x HTTP/1.1\r\nHost: here.example\r\nContent-Length: 9\r\n\r\nbody"
@@ -68,3 +70,32 @@
             eventlet.sleep(0.05)
         self.assertEqual(errors.getvalue(), "")
         sock.close()
+
+    def test_rejected_request_is_logged_as_unanswered(self):
+        self.start_calls(answer())
+        sock = self.harness.connect()
+        sock.sendall(INVALID)
+        eventlet.sleep(0.05)
+        self.assertEqual(self.drained(), 0)
+        sock.close()
+
+    def test_incomplete_request_that_is_refused_is_logged_as_unanswered(self):
+        self.start_calls(answer())
+        sock = self.harness.connect()
+        sock.sendall(HALF)
+        eventlet.sleep(0.05)
+        self.assertEqual(self.drained(), 0)
+        sock.close()
+
+    def test_begun_stream_is_logged_as_answered(self):
+        self.start_streams(stream_slowly)
+        self.send(TOKENS)
+        self.assertEqual(self.drained(), 1)
+
+    def drained(self):
+        """Stop, and return the logged number of unanswered requests."""
+        with mock.patch.object(draining._log, "write") as write:
+            self.stop()
+        last = write.call_args
+        self.assertEqual(last.args, ("Drained.",))
+        return last.kwargs["unanswered"]
