Let the stop end the wait for a trial, too

A request that resembles one which crashes replicas may ask another router for a trial, 0.1 s for each part; a stop didn't know it meanwhile, and with a short graceS it could be sent to a replica after all others had been given up, and be cut.

Cause: the request was known to the stop only after that question.

Evidence: the test, in which the question isn't answered, failed before: 0 != 503.

Why this works: from the reading of a request on, nothing waits before the stop knows it.

--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -67,10 +67,6 @@
     if parts.time_left() < job.needed_s():
         job.refuse(stopping_refusal())
         return
-    job.is_trial = job.is_blamed()
-    if not parts.crash_blame.admits(job.traits, req.request_id):
-        job.refuse(crash_refusal(job))
-        return
     try:
         _run(job)
     except CallerDisconnectedError:
@@ -83,14 +79,26 @@
     is_stream = job.rule.kind is CallKind.STREAM
     relaying = StreamRelay(job) if is_stream else CallRelay(job)
     try:
+        # Nothing waits before this, so that a stop ends all waits.
         with job.parts.open_requests.track(job):
-            relaying.run()
+            if _admit(job):
+                relaying.run()
     except RouterStoppingError:
         # Its attempts have ended, so that it is known whether it may have run.
         job.is_given_up = True
         relaying.give_up()
 
 
+def _admit(job: RelayJob) -> bool:
+    """Return whether a request may be sent; refuse it if it crashes replicas."""
+    job.is_trial = job.is_blamed()
+    # This may ask another router for a trial.
+    is_admitted = job.parts.crash_blame.admits(job.traits, job.req.request_id)
+    if not is_admitted:
+        job.refuse(crash_refusal(job))
+    return is_admitted
+
+
 def _match_route(
     parts: RelayComponents, table: RoutingTable, req: RelayRequest
 ) -> RouteRule:
--- a/tests/request/test_stopped_waits.py
+++ b/tests/request/test_stopped_waits.py
@@ -87,6 +87,11 @@
         self.patch(self.harness.brittle, "take", never_answer)
         self.assert_refused(self.send())
 
+    def test_request_that_asks_for_a_trial_is_cut(self):
+        self.start_calls(answer())
+        self.patch(self.harness.parts.crash_blame, "admits", never_answer)
+        self.assert_refused(self.send())
+
     def test_request_that_asks_for_a_repeat_is_cut(self):
         self.start_calls(answer(b"bad", 500), kind=CallKind.IDEMPOTENT)
         self.patch(self.harness.parts.retries, "take", never_answer)
