Wait for a request on its way when idle connections are closed, and for 0.2 s only

Callers saw: a request sent 0.05 s after an answer, or after connecting, was reset without an answer if the router closed its idle connections at that moment of its stop.

Cause: close_idle closed a connection at once on which nothing had arrived yet, though its last answer (a stream that began before the SIGTERM), or its start, was a moment ago.

Why it works: such a connection is closed 0.2 s after its last answer or its start; it counts as unanswered until then, so the process doesn't end before.

What comes later is mostly refused by the stop, while a caller who sees the close connects elsewhere without a refusal.

test_request_that_arrives_after_idle_ones_are_closed_is_not_relayed made its connection idle 0.05 s before; it is idle for longer now, and a second test closes one that is waited for, and asks the same of what comes after its wait.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -38,9 +38,9 @@
 which has none, in seconds."""
 LINGER_S = 1.0
 """How long data from the caller is still read after the last response, in seconds."""
-NEXT_REQUEST_S = 0.5
-"""How long a router that closes its connections still waits for a request behind an
-answer whose head didn't announce the close, in seconds."""
+NEXT_REQUEST_S = 0.2
+"""How long a router that closes its connections waits for a request on one whose close
+wasn't announced, from its last answer or its start on, in seconds."""
 REFUSED_IDLE_S = 1.0
 """How long a request is waited for that is going to be refused, in seconds."""
 BODY_TIMEOUT_S = 10.0
@@ -93,6 +93,7 @@
         self._parser: h11.Connection | None = None
         self.is_handling = False
         self._is_idle = True
+        self._idle_since = self._timers.now()
         # The thread that reads a request; None if none is being read.
         self._reader: eventlet.greenlet.greenlet | None = None
         self._is_shut = False
@@ -132,8 +133,7 @@
 
         Notes
         -----
-        A request that may be on its way behind an answer counts, too; see
-        `NEXT_REQUEST_S`.
+        A request that may be on its way counts, too; see `NEXT_REQUEST_S`.
         """
         if self._is_idle:
             return self._is_awaited() or self._has_unread_bytes()
@@ -141,11 +141,16 @@
         return is_reading or self.is_handling or bool(self._buffer)
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request has begun to arrive."""
-        if self._is_idle and not self._buffer and not self._has_unread_bytes():
-            # What arrives from now on isn't read.
-            self._is_shut = True
-            self._shut_down()
+        """Close the connection unless a request has begun to arrive, or may come."""
+        if not self._is_idle or self._buffer or self._has_unread_bytes():
+            return
+        left_s = self._idle_left_s()
+        if left_s > 0.0:
+            self._timers.call_later(left_s, self.close_if_idle)
+            return
+        # What arrives from now on isn't read.
+        self._is_shut = True
+        self._shut_down()
 
     def refuse_incomplete(self) -> None:
         """Refuse a request that hasn't arrived as a whole; wait for no other one."""
@@ -206,20 +211,23 @@
         The idle timeout may change during the wait.
         """
         self._is_idle = True
-        since = self._timers.now()
+        self._idle_since = self._timers.now()
         while not self._is_shut:
             data = self._read_arrived()
             if data is not None:
                 return data
-            left_s = since + self._idle_timeout_s() - self._timers.now()
+            left_s = self._idle_left_s()
             if left_s <= 0.0:
                 return b""
             with eventlet.Timeout(left_s, False):
                 trampoline(self._sock.fd, read=True)
         return b""
 
+    def _idle_left_s(self) -> float:
+        """Return how long the next request is still waited for, in seconds."""
+        return self._idle_since + self._idle_timeout_s() - self._timers.now()
+
     def _idle_timeout_s(self) -> float:
-        """Return how long the next request is waited for, in seconds."""
         timeout_s = self._server.limits().idle_timeout_s
         if self._is_refused:
             timeout_s = min(timeout_s, REFUSED_IDLE_S)
--- a/tests/connection/test_caller_edge.py
+++ b/tests/connection/test_caller_edge.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from boragedeck.connection import caller_edge
+from boragedeck.connection.caller_connection import NEXT_REQUEST_S
 from boragedeck.version.routing import CallerLimits
 from tests.support.replicas import (
     RelayHarness,
@@ -139,12 +140,27 @@
             self.assertEqual(response.headers[b"connection"], b"close")
 
     def test_request_that_arrives_after_idle_ones_are_closed_is_not_relayed(self):
+        self.set_limits(idle_timeout_s=3.0)
         sock = self.make_idle()
+        eventlet.sleep(NEXT_REQUEST_S)
         self.harness.edge.close_idle()
         send_request(sock, name=b"id-2")
         eventlet.sleep(0.1)
         self.assertEqual(len(self.replica.received), 1)
 
+    def test_request_behind_the_wait_for_one_as_idle_ones_are_closed_is_relayed(self):
+        self.set_limits(idle_timeout_s=3.0)
+        sock = self.make_idle()
+        self.harness.edge.close_idle()
+        eventlet.sleep(NEXT_REQUEST_S)
+        self.assertEqual(self.harness.edge.active_requests(), 0)
+        with self.assertRaises(OSError):
+            # The first one makes the router's end reset the connection.
+            send_request(sock, name=b"id-2")
+            eventlet.sleep(0.1)
+            send_request(sock, name=b"id-3")
+        self.assertEqual(len(self.replica.received), 1)
+
     def test_request_whose_body_still_arrives_counts_as_unanswered(self):
         sock = self.harness.connect()
         sock.sendall(
--- a/tests/connection/test_caller_patience.py
+++ b/tests/connection/test_caller_patience.py
@@ -226,7 +226,7 @@
 
     def test_next_request_crosses_a_close_that_was_not_announced(self):
         sock = self.end_stream_while_closing()
-        eventlet.sleep(0.1)
+        eventlet.sleep(0.05)
         active = self.harness.edge.active_requests()
         send_request(sock, name=b"id-2")
         response = read_response(sock)
@@ -256,3 +256,36 @@
         self.assertTrue(read_response(sock).is_complete)
         self.assert_closed(sock, 0.2)
         self.assertEqual(self.harness.edge.active_requests(), 0)
+
+    def test_next_request_crosses_the_close_of_idle_connections(self):
+        answered = self.harness.connect()
+        self.assertTrue(self.harness.fetch(sock=answered).is_complete)
+        new = self.harness.connect()
+        eventlet.sleep(0.02)
+        self.harness.edge.is_leaving = True
+        self.harness.edge.close_idle()
+        eventlet.sleep(0.05)
+        for name, sock in {b"id-2": answered, b"id-3": new}.items():
+            send_request(sock, name=name)
+        for sock in (answered, new):
+            response = read_response(sock)
+            self.assertEqual((response.status, response.is_complete), (200, True))
+            self.assertEqual(response.headers[b"connection"], b"close")
+            self.assert_closed(sock, 1.0)
+
+    def test_connection_that_was_just_idle_holds_up_the_stop(self):
+        sock = self.harness.connect()
+        self.assertTrue(self.harness.fetch(sock=sock).is_complete)
+        eventlet.sleep(0.02)
+        self.harness.edge.close_idle()
+        self.assertEqual(self.harness.edge.active_requests(), 1)
+        self.assert_closed(sock, 1.0)
+        self.assertEqual(self.harness.edge.active_requests(), 0)
+
+    def test_connection_that_is_idle_for_long_is_waited_for(self):
+        sock = self.harness.connect()
+        self.assertTrue(self.harness.fetch(sock=sock).is_complete)
+        eventlet.sleep(caller_connection.NEXT_REQUEST_S)
+        self.harness.edge.close_idle()
+        self.assertEqual(self.harness.edge.active_requests(), 0)
+        self.assert_closed(sock, 0.1)
