--- a/tests/process/relaying/test_draining.py
+++ b/tests/process/relaying/test_draining.py
@@ -45,6 +45,8 @@
 class Requests:
     def __init__(self):
         self.calls = []
+        # How long before the end the final answers were given.
+        self.left_s = None
 
     def counts(self):
         return {"waiting": 1}
@@ -54,6 +56,7 @@
 
     def end_unbegun(self, left_s):
         self.calls.append("end unbegun")
+        self.left_s = left_s
 
     def log_unanswered(self):
         self.calls.append("log unanswered")
@@ -165,3 +168,14 @@
         self.assertEqual(self.period.time_left(), left_s)
         self.run_for(GRACE_S - GRACE_MARGIN_S - 0.2)
         self.assertFalse(self.thread.dead)
+
+    def test_final_answers_have_time_to_be_sent_in_a_short_stop(self):
+        for grace_s in (0.6, 1.0, 1.2, 2.0, 8.0):
+            with self.subTest(grace_s=grace_s):
+                self.period = DrainPeriod(self.timers, lambda s=grace_s: s)
+                self.edge, self.requests = Edge(active=1), Requests()
+                self.drain()
+                while self.requests.left_s is None:
+                    self.timers.advance(0.001)
+                self.thread.kill()
+                self.assertGreater(self.requests.left_s, grace_s / 48)
--- a/tests/request/test_gateway_ends.py
+++ b/tests/request/test_gateway_ends.py
@@ -3,6 +3,7 @@
 import eventlet
 
 from boragedeck.connection import caller_connection
+from boragedeck.connection.caller_connection import CallerConnection
 from boragedeck.request import forward
 from boragedeck.version.routing import CallKind
 from tests.request.test_silent_gateways import (
@@ -118,3 +119,19 @@
         response = self.router.fetch(body=LARGE_BODY, ms=round(LONG_S * 1e3))
         self.assertEqual((response.status, response.body), (200, b"whole"))
         self.assertEqual(self.ran(), 1)
+
+    def test_stop_of_a_gateway_that_still_reads_is_not_held_against_the_replica(self):
+        self.start(call_rule(CallKind.ONCE, timeout_s=6.0), answer())
+        edge, read = self.gateways[0].forward_edge, CallerConnection._read_event
+
+        def read_slowly(conn):
+            if conn._server is edge:
+                eventlet.sleep(0.05)
+            return read(conn)
+
+        eventlet.spawn_after(1.2, edge.refuse_incomplete)
+        with mock.patch.object(CallerConnection, "_read_event", read_slowly):
+            self.router.fetch(body=LARGE_BODY, ms=3000)
+        self.assertEqual(self.ran(), 0)
+        state = self.router.registry.of_pool("engines")[0]
+        self.assertEqual(state.failure_share, 0.0)
