--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -5,6 +5,7 @@
 
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
+from boragedeck.request.open_requests import OpenRequests
 
 __all__ = ["DrainPeriod", "DrainableEdge"]
 
@@ -54,22 +55,6 @@
         """Return the ids of some requests that were read and aren't answered yet."""
 
 
-class RelayedRequests(Protocol):
-    """The requests that are being relayed; see `OpenRequests`."""
-
-    def counts(self) -> dict[str, int]:
-        """Return how many requests are at each stage."""
-
-    def end_outlasting(self, left_s: float) -> None:
-        """Give up the requests that wait and can't be served any more."""
-
-    def end_unbegun(self, left_s: float) -> None:
-        """Give up the requests whose answers haven't begun."""
-
-    def log_unanswered(self) -> None:
-        """Log the requests that the end of the process leaves without an answer."""
-
-
 class DrainPeriod:
     """The time from a router's stop signal to its end.
 
@@ -99,14 +84,14 @@
         """Return how long requests can still be served, in seconds."""
         return self._ends_at - self._timers.now()
 
-    def run(self, edges: Iterable[DrainableEdge], requests: RelayedRequests) -> None:
+    def run(self, edges: Iterable[DrainableEdge], requests: OpenRequests) -> None:
         """Finish all requests, and return when they are answered or the time is over.
 
         Parameters
         ----------
         edges : iterable of DrainableEdge
             The servers of callers and of other routers.
-        requests : RelayedRequests
+        requests : OpenRequests
             The requests of callers.
 
         Notes
@@ -153,7 +138,7 @@
         )
 
     def _serve_on(
-        self, requests: RelayedRequests, until: float, is_needed: Callable[[], bool]
+        self, requests: OpenRequests, until: float, is_needed: Callable[[], bool]
     ) -> None:
         """Give up what can't be served any more, while that is needed."""
         while is_needed() and (left_s := until - self._timers.now()) > 0.0:
--- a/boragedeck/request/attempt_counts.py
+++ b/boragedeck/request/attempt_counts.py
@@ -1,5 +1,7 @@
 """Counts the attempts of one request, and those of them that may have run."""
 
+from boragedeck.process.relaying.placing.place import Place
+
 __all__ = ["AttemptCounts"]
 
 
@@ -15,12 +17,28 @@
         All attempts that were sent; those after the first are charged as repeats.
     possible_runs : int
         Attempts that were sent, less those that certainly didn't run.
+    running : set of Place
+        The places of the attempts that are running.
+    first_start : float or None
+        When the first attempt began, on the timer service's monotonic clock.
     """
 
     def __init__(self):
         self.sent = 0
         self.delivered = 0
         self.possible_runs = 0
+        self.running: set[Place] = set()
+        self.first_start: float | None = None
+
+    def note_start(self, place: Place) -> None:
+        """Record that an attempt begins; `note_end` must follow."""
+        self.running.add(place)
+        if self.first_start is None:
+            self.first_start = place.since
+
+    def note_end(self, place: Place) -> None:
+        """Record that an attempt has ended."""
+        self.running.discard(place)
 
     def note_sent(self) -> None:
         """Count an attempt that may have reached a replica, and run there."""
--- a/boragedeck/request/attempt_evidence.py
+++ b/boragedeck/request/attempt_evidence.py
@@ -22,18 +22,9 @@
         The source of time.
     route : RouteName
         The route of the request.
-
-    Attributes
-    ----------
-    running : set of Place
-        The places of the attempts that are running.
-    first_start : float or None
-        When the first attempt began, on the timer service's monotonic clock.
     """
 
     def __init__(self, rollouts: RelayRollouts, timers: TimerService, route: RouteName):
-        self.running: set[Place] = set()
-        self.first_start: float | None = None
         self._rollouts = rollouts
         self._timers = timers
         self._route = route
@@ -41,15 +32,11 @@
 
     def note_start(self, place: Place) -> None:
         """Record that an attempt begins; `note_end` must follow."""
-        self.running.add(place)
-        if self.first_start is None:
-            self.first_start = place.since
         run = self._rollouts.begin(place.state.replica, self._stratum(place))
         self._waiting[place] = run
 
     def note_end(self, place: Place) -> None:
         """Record that an attempt has ended, with or without an outcome."""
-        self.running.discard(place)
         run = self._waiting.pop(place, None)
         if run is not None:
             self._rollouts.end(run, has_outcome=False)
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -111,7 +111,7 @@
                 # A thread that was killed before it started has not released its place.
                 # For the others, a second release has no effect.
                 place.release()
-                job.evidence.note_end(place)
+                job.note_end(place)
 
     def give_up(self) -> None:
         """Answer the caller with what replicas have answered, or with a failure."""
@@ -213,7 +213,7 @@
             attempt=self._job.attempts.sent + 1,
             **self._job.parts.table_ages.log_fields(),
         )
-        self._job.evidence.note_start(place)
+        self._job.note_start(place)
         attempt = eventlet.spawn(self._run_attempt_thread, place)
         self._running_attempts[attempt] = place
 
@@ -225,7 +225,7 @@
         finally:
             has_answer = isinstance(result, CompleteAnswer)
             place.release(has_answer)
-            self._job.evidence.note_end(place)
+            self._job.note_end(place)
             self._report(result)
 
     def _report(self, message: AttemptMessage) -> None:
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -144,7 +144,7 @@
         """Return how far the request is."""
         if self.channel.has_begun:
             return Stage.ANSWERING
-        return Stage.AT_REPLICA if self.evidence.running else Stage.WAITING
+        return Stage.AT_REPLICA if self.attempts.running else Stage.WAITING
 
     def begin_interrupt(self) -> bool:
         """Return whether its handler may be ended, which is allowed once."""
@@ -178,13 +178,23 @@
             "stage": self.stage().value,
             "sent": self.attempts.sent,
             "may_have_run": self.may_have_run,
-            "running": len(self.evidence.running),
+            "running": len(self.attempts.running),
             "body_bytes": len(self.req.body),
             "tokens": self.req.tokens,
             "age_s": round(self.parts.timers.now() - self.req.arrived, 3),
             "left_s": round(self.left_s(), 3),
         }
 
+    def note_start(self, place: Place) -> None:
+        """Record that an attempt begins; `note_end` must follow."""
+        self.attempts.note_start(place)
+        self.evidence.note_start(place)
+
+    def note_end(self, place: Place) -> None:
+        """Record that an attempt has ended, which may be said twice."""
+        self.attempts.note_end(place)
+        self.evidence.note_end(place)
+
     def is_blamed(self) -> bool:
         """Return whether the request, or a part of it, crashes replicas."""
         return self.parts.crash_blame.is_blamed(self.traits)
@@ -249,7 +259,7 @@
         took_s = self._count_end("served")
         if not self.req.resume_after:
             # What it waited for a place isn't a part of it.
-            served_s = self.parts.timers.now() - self.evidence.first_start
+            served_s = self.parts.timers.now() - self.attempts.first_start
             self.parts.durations.note(self.pool_name, served_s)
         return took_s
 
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -135,7 +135,7 @@
 
     def start(self) -> None:
         """Send the request and report, in a green thread."""
-        self._job.evidence.note_start(self.place)
+        self._job.note_start(self.place)
         self._thread = eventlet.spawn(self._run_thread)
 
     @property
@@ -186,7 +186,7 @@
 
     def _release(self, *, is_served: bool) -> None:
         self.place.release(is_served)
-        self._job.evidence.note_end(self.place)
+        self._job.note_end(self.place)
 
     def _run(self) -> AttemptOutcome:
         job, place = self._job, self.place
--- a/tests/request/test_stopped_requests.py
+++ b/tests/request/test_stopped_requests.py
@@ -107,12 +107,12 @@
         eventlet.sleep(0.3)
         requests = self.harness.parts.open_requests
         (job,), (thread,) = zip(*requests._requests.items(), strict=True)
-        self.assertEqual(len(job.evidence.running), 2)
+        self.assertEqual(len(job.attempts.running), 2)
         [conn] = self.harness.edge._conns
         eventlet.spawn(conn._interrupt, thread)
         eventlet.spawn(requests.end_unbegun, 0.0)
         eventlet.sleep(0.2)
-        self.assertEqual(job.evidence.running, set())
+        self.assertEqual(job.attempts.running, set())
 
 
 class NeededTimeTest(StopCase):
