Don't judge what a build that bears no silence does while all engines stand still

Cause: the engines, the store and the callers of the check run in its own process. When it stands still, all engines are silent for the routers. What an old router, which ends a stream after some 0.5 s of silence, does in the silences that the check plays isn't judged; a standstill wasn't counted as one.

Not relaxed: this build, and each that bears a silence, is judged in a standstill as before (test_cut_is_not_found_if_the_engines_stand_still), and so is an old one without it.

--- a/scripts/upgrade_callers.py
+++ b/scripts/upgrade_callers.py
@@ -158,8 +158,13 @@
             self._judge(watch, "LOST", number, f"status {answer.status} in a silence")
 
     def _judge(self, watch: SilenceWatch, promise: str, number: int, text: str) -> None:
-        """Report a broken stream, unless its router doesn't bear a silence."""
-        if watch.was_silent and not watch.is_borne:
+        """Report a broken stream, unless its router doesn't bear a silence.
+
+        Notes
+        -----
+        A standstill of this process is a silence of all engines for a router.
+        """
+        if not watch.is_borne and (watch.was_silent or watch.stood_still):
             self.counts["stream not judged"] += 1
             return
         self._find(promise, number, text)
--- a/scripts/upgrade_check.py
+++ b/scripts/upgrade_check.py
@@ -120,6 +120,7 @@
         for name, zone in (("engine-1", "a"), ("engine-2", "b")):
             self._cluster.add_engine(name, zone)
         self._start_old_routers()
+        self._silences.start()
         self._callers.start()
         order = list(range(len(self._zones)))
         self._rng.shuffle(order)
@@ -134,6 +135,7 @@
     def stop(self) -> None:
         """Stop all processes."""
         self._callers.stop()
+        self._silences.stop()
         self._cluster.stop()
 
     def _start_old_routers(self) -> None:
