Judge by the page which requests a stop may end

Cause: both excused every end in the last sixth of a stop for requests that were sent up to 3 s after the SIGTERM. RULES.md excuses only those on which a replica was still at work then. Each had its own copy of the excuse, and whole_answers didn't know when runs end.

Now soak/losses.py judges for both: a run must have begun before the end and not ended before the last sixth (a rejection is no run), and the end lies in that sixth or up to 1 s after graceS. RelayReplica notes when its runs begin and end.

Read against the page, and made stricter in the soak, too: the time limit counts from the last byte, as whole_answers had it, with no 5 ms beside; a run that was broken off excuses only the end that followed it, not one of a later run; a router that is cut off from the store counts as the store's impairment, which excuses nothing.

Tests: test_stream_was_cut_in_the_last_sixth_of_a_stop held the lax excuse (its replica had ended 2 s before the last sixth) and is replaced by six, of which one is excused (at work) and five are LOST. The time limit's test is 1 ms before it instead of 50 ms. The time limit is now exact, so callers wait 1 s longer than that after a slow body.

--- a/scripts/whole_answers.py
+++ b/scripts/whole_answers.py
@@ -38,7 +38,8 @@
     Change,
     changed,
 )
-from standins.relay_replica import RelayReplica
+from soak.losses import Ending, crosses_close, is_excused
+from standins.relay_replica import RelayReplica, RelayRun
 
 __all__ = ["Play", "Request", "WholeAnswers", "main", "time_over"]
 
@@ -68,12 +69,6 @@
 """Share of the streams whose callers wait for about as long as they take."""
 FINAL_ANSWER_S = 0.1
 """How long before its caller's time a failure may be answered, at most."""
-GRACE_S = 8.0
-LAST_SHARE = 1 / 6
-"""Share of a stop's time, at its end, in which an answer may be ended."""
-LEAVE_S = 3.0
-CROSSING_S = 0.2
-"""Longest time from the first byte of a request to the close that it crosses."""
 APPLY_S = 2.0
 ROLLOUT_S = 4.0
 PAUSE_S = 0.2
@@ -372,7 +367,7 @@
     def _verdict(self, play: Play, req: Request) -> str:
         """Return how a request ended; in capitals if it shouldn't have."""
         runs = self._runs(req.name)
-        if runs > 1 and not self._may_run_again(play, req):
+        if len(runs) > 1 and not self._may_run_again(play, req):
             return "TWICE"
         match req.status:
             case 200 if req.is_whole:
@@ -382,11 +377,12 @@
                 return "REFUSED AND RAN" if has_run else "refused"
             case status if status in DENIALS.get(play.change, ()):
                 return "denied" if req.ended > self._changed_at else "DENIED"
-        if self._is_excused(play, req):
+        ending = self._ending(play, req)
+        stops = [self._stops[req.router]] if req.router in self._stops else []
+        if is_excused(ending, runs, stops):
             return "excused"
         if not req.status:
-            is_crossing = not runs and req.ended - req.sent < CROSSING_S + req.part_s
-            return "crossed" if is_crossing else "CUT UNANSWERED"
+            return "crossed" if crosses_close(ending, runs) else "CUT UNANSWERED"
         return "CUT" if req.status == http.HTTPStatus.OK else "FAILED"
 
     def _may_run_again(self, play: Play, req: Request) -> bool:
@@ -396,25 +392,22 @@
             req.route == "stream" and is_resumable
         )
 
-    def _runs(self, name: str) -> int:
-        return sum(
-            replica.served_ids.count(name)
+    def _runs(self, name: str) -> list[RelayRun]:
+        return [
+            run
             for replica, _, _ in self._cluster.engines.values()
-        )
+            for run in replica.runs
+            if run.request_id == name
+        ]
 
-    def _is_excused(self, play: Play, req: Request) -> bool:
-        """Return whether a request may have had no answer."""
+    def _ending(self, play: Play, req: Request) -> Ending:
         # The table that is in force when the whole body has arrived decides.
         is_lowered = play.change is Change.TIMEOUT and req.last_sent > self._changed_at
         route_s = SHORT_TIMEOUT_MS / 1e3 if is_lowered else float("inf")
         req.over = time_over(req, route_s)
-        if req.ended >= req.over:
-            return True
-        stopped = self._stops.get(req.router, float("inf"))
-        return (
-            req.sent < stopped + LEAVE_S
-            and req.ended > stopped + (1.0 - LAST_SHARE) * GRACE_S
-        )
+        # Stricter than the rule: a close is seen when the second part is sent.
+        sent_whole = req.sent + req.part_s
+        return Ending(req.sent, sent_whole, req.over, req.ended)
 
 
 def _parts(req: Request) -> Iterator[bytes]:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -26,7 +26,7 @@
 BODY_PARTS = 5
 MAX_BODY_S = 1.5
 DEADLINE_S = 9.0
-PATIENCE_S = 1.0
+PATIENCE_S = MAX_BODY_S + 1.0
 """How long after its time limit a caller still waits, to see the end."""
 MAX_PAUSE_S = 0.3
 
@@ -101,7 +101,7 @@
         name = f"id-{next(self._numbers)}"
         deadline_s = DEADLINE_S
         if rng.random() < self.habits.short_time:
-            deadline_s = rng.uniform(1.0, 4.0)
+            deadline_s = round(rng.uniform(1.0, 4.0), 3)
         return Call(
             name=name,
             router=router,
@@ -149,7 +149,7 @@
         if call.route in STREAM_ROUTES:
             headers |= {"Token-Counts": f"100,{call.path.rpartition('/')[2]}"}
             headers |= {"Model": "m", "Prompt-Prefix": f"{call.name[3:]}:100"}
-        parts = _parts(call.body, body_s)
+        parts = _parts(call, body_s)
         conn.request("POST", call.path, parts, headers, encode_chunked=is_chunked)
         call.sent_whole = time.monotonic()
         answer = conn.getresponse()
@@ -163,8 +163,9 @@
         answer.read()
 
 
-def _parts(body: bytes, seconds: float) -> Iterator[bytes]:
-    size = -(-len(body) // BODY_PARTS)
-    for begin in range(0, len(body), size):
+def _parts(call: Call, seconds: float) -> Iterator[bytes]:
+    size = -(-len(call.body) // BODY_PARTS)
+    for begin in range(0, len(call.body), size):
         eventlet.sleep(seconds / BODY_PARTS)
-        yield body[begin : begin + size]
+        call.last_sent = time.monotonic()
+        yield call.body[begin : begin + size]
--- a/soak/history.py
+++ b/soak/history.py
@@ -51,6 +51,8 @@
         Whether its connection had served before.
     sent, sent_whole, ended : float
         When the first and the last byte were sent, and the end was seen.
+    last_sent : float
+        When its last part was about to be sent.
     status : int
         The status of the answer; 0 if there is none.
     seal, echo : str
@@ -75,6 +77,7 @@
     is_kept: bool
     sent: float
     sent_whole: float = NEVER
+    last_sent: float = NEVER
     ended: float = NEVER
     status: int = 0
     seal: str = ""
@@ -132,6 +135,11 @@
     status: int = 0
     answer: bytes = b""
 
+    @property
+    def broke_off(self) -> bool:
+        """Whether the replica broke it off."""
+        return self.end is End.BROKEN
+
 
 class Table(msgspec.Struct, frozen=True):
     """A version of the operator's configuration.
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from soak.history import Call, End, History, Impairment, Run, Table
+from soak.losses import CONTACT_S, GRACE_S, Ending, crosses_close, is_excused
 
 __all__ = ["Violation", "judge"]
 
@@ -18,17 +19,11 @@
 OK = 200
 UNAUTHORIZED, NOT_FOUND = 401, 404
 EVENT = re.compile(rb"id: (\d+)\ndata: piece (\d+) of (\S+) run (\d+)\n\n")
-CONTACT_S = 3.0
 CONFIG_APPLY_S = 2.0
 DRAIN_S = 2.0
-GRACE_S = 8.0
-LOSS_SLACK_S = 0.2
-LAST_SHARE = 1 / 6
-"""Share of a stop's time, at its end, in which an answer may be ended."""
-LEAVE_S = 3.0
 TIMEOUT_S = 12.0
-CLOCK_S = 0.005
-"""How much earlier than its time limit an answer may seem to end."""
+STORE_ROWS = {"store-some"}
+"""Impairments of a router that are the store's alone."""
 
 
 class Violation(msgspec.Struct, frozen=True):
@@ -124,33 +119,37 @@
 def _lost(history: History, call: Call, runs: list[Run]) -> Iterator[Violation]:
     if call.has_left or (call.status and call.is_complete):
         return
-    is_late = call.ended > call.sent_whole + LOSS_SLACK_S
-    if not runs and not is_late:
-        # It crossed the close of its connection.
+    ending = Ending(call.sent, call.sent_whole, _time_over(call), call.ended)
+    if crosses_close(ending, runs):
         return
-    if _is_loss_excused(history, call, runs):
+    stops = [stop.begin for stop in history.stops.get(call.router, [])]
+    # A store that is down or out of reach excuses nothing.
+    impairments = [
+        each
+        for each in history.routers.get(call.router, [])
+        if each.what not in STORE_ROWS
+    ]
+    if is_excused(ending, runs, stops, impairments):
         return
     after = f"{call.ended - call.sent:.2f} s"
     state = "no answer" if not call.status else "an incomplete answer"
-    where = _around(history, call)
+    where = f"{_progress(call, runs)}, {_around(history, call)}"
     text = f"{state} after {after} at router {call.router}, {where}"
     yield Violation("LOST", call.name, text)
 
 
-def _is_loss_excused(history: History, call: Call, runs: list[Run]) -> bool:
-    limit_s = min(call.deadline_s, TIMEOUT_S)
-    if call.ended >= call.sent + limit_s - CLOCK_S:
-        return True
-    if any(run.end is End.BROKEN for run in runs):
-        return True
-    impairments = history.routers.get(call.router, [])
-    if _overlaps(impairments, call.sent - CONTACT_S, call.ended):
-        return True
-    return any(
-        call.sent <= stop.begin + LEAVE_S
-        and call.ended >= stop.begin + (1.0 - LAST_SHARE) * GRACE_S
-        for stop in history.stops.get(call.router, [])
-    )
+def _time_over(call: Call) -> float:
+    """Return when a request's time limit or its route's timeout is reached."""
+    return call.last_sent + min(call.deadline_s, TIMEOUT_S)
+
+
+def _progress(call: Call, runs: list[Run]) -> str:
+    """Return how far a request was, for the report."""
+    if not runs:
+        return "ran nowhere"
+    last = runs[-1]
+    end = "at work" if last.end is None else last.end.value
+    return f"run {end} {last.ended - call.ended:+.2f} s from its end"
 
 
 def _around(history: History, call: Call) -> str:
--- a/standins/relay_replica.py
+++ b/standins/relay_replica.py
@@ -1,7 +1,7 @@
 """Stand-in for a replica on the users' platform, serving calls and streams."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import eventlet
 import msgspec
@@ -11,12 +11,31 @@
 from standins.silence import Silence
 from standins.web import App, json_answer, serve
 
-__all__ = ["RelayReplica"]
+__all__ = ["RelayReplica", "RelayRun"]
 
 SEAL = ("Response-Seal", "stand-in")
 MODEL = "m"
 
 
+class RelayRun(msgspec.Struct):
+    """A request that a replica began to serve; times are monotonic seconds.
+
+    Parameters
+    ----------
+    request_id : str
+        The request's id.
+    began, ended : float
+        When the replica began and ended it; infinite while it is at work.
+    broke_off : bool
+        Whether the replica itself broke it off.
+    """
+
+    request_id: str
+    began: float
+    ended: float = float("inf")
+    broke_off: bool = False
+
+
 class RelayReplica:
     """WSGI application of a replica.
 
@@ -41,8 +60,10 @@
 
     Attributes
     ----------
+    runs : list of RelayRun
+        The requests that it started to serve.
     served_ids : list of str
-        The ids of the requests that it started to serve.
+        Their ids.
     silence : Silence
         Lets the replica stand still, with its connections open.
     is_lost : bool
@@ -66,6 +87,7 @@
         self.name = name
         self.version = version
         self.fails = fails
+        self.runs: list[RelayRun] = []
         self.served_ids: list[str] = []
         self.silence = Silence()
         self.is_lost = False
@@ -113,9 +135,12 @@
         if "HTTP_KV_FROM" in environ:
             start_response("503 Service Unavailable", [echo, ("Not-Executed", "1")])
             return [b""]
+        run = RelayRun(request_id, time.monotonic())
+        self.runs.append(run)
         self.served_ids.append(request_id)
         headers = [echo, SEAL]
         if self.fails:
+            run.ended = time.monotonic()
             start_response("500 Internal Server Error", headers)
             return [b""]
         if self.limit_per_s is not None:
@@ -126,9 +151,20 @@
             if not self._is_chunked:
                 headers.append(("Content-Length", str(len(body))))
             start_response("200 OK", headers)
-            return self._halves(body)
+            return self._noting_end(run, self._halves(body))
         start_response("200 OK", [*headers, ("Content-Type", "text/event-stream")])
-        return self._stream(int(environ.get("HTTP_LAST_EVENT_ID", 0)))
+        events = self._stream(int(environ.get("HTTP_LAST_EVENT_ID", 0)))
+        return self._noting_end(run, events)
+
+    def _noting_end(self, run: RelayRun, parts: Iterator[bytes]):
+        """Send the parts of an answer; note when and how the run ends."""
+        try:
+            yield from parts
+        except ConnectionAbortedError:
+            run.broke_off = True
+            raise
+        finally:
+            run.ended = time.monotonic()
 
     def _halves(self, body: bytes):
         middle = len(body) // 2
--- a/tests/scripts/test_whole_answers.py
+++ b/tests/scripts/test_whole_answers.py
@@ -1,11 +1,15 @@
 import tempfile
 import unittest
 from pathlib import Path
+from types import SimpleNamespace
 
 from scripts.table_changes import Change
 from scripts.whole_answers import Play, Request, WholeAnswers, time_over
+from standins.relay_replica import RelayReplica, RelayRun
 
 SEED = 7
+STOP = 100.0
+LAST_SIXTH = STOP + 8.0 * 5 / 6
 CALLERS = 6, 3
 ONCE_ROUTES = "stream", "once"
 
@@ -40,3 +44,42 @@
     def test_lowered_timeout_of_a_route_counts_from_the_first_byte(self):
         self.assertAlmostEqual(time_over(self.request(200), 2.5), 13.7)
         self.assertAlmostEqual(time_over(self.request(502), 2.5), 12.4)
+
+
+class Stopped(WholeAnswers):
+    """Verdicts on requests at a router that was told to stop, without a cluster."""
+
+    def __init__(self, runs):
+        replica = RelayReplica("engine-1")
+        replica.runs += runs
+        self._cluster = SimpleNamespace(engines={"engine-1": (replica, None, None)})
+        self._stops = {0: STOP}
+        self._changed_at = float("inf")
+
+
+class VerdictTest(unittest.TestCase):
+    def expect(self, verdict, *runs, **fields):
+        """Judge a request that is cut in the last sixth of the stop."""
+        times = {"sent": STOP, "last_sent": STOP, "ended": STOP + 7.6}
+        names = {"name": "id-1", "router": 0, "route": "stream"}
+        kinds = {"is_chunked": False, "is_kept": True}
+        req = Request(**(names | kinds | times | fields))
+        check = Stopped([RelayRun("id-1", *run) for run in runs])
+        found = check._verdict(Play(Change.NONE, 0.0, has_stop=True), req)
+        self.assertEqual(found, verdict)
+
+    def test_request_at_work_in_the_last_sixth_is_excused(self):
+        self.expect("excused", (STOP + 0.1,), status=200)
+
+    def test_request_that_ran_nowhere_is_not(self):
+        self.expect("CUT UNANSWERED")
+
+    def test_request_that_its_replica_had_ended_is_not(self):
+        self.expect("CUT", (STOP + 0.1, LAST_SIXTH - 0.1), status=200)
+
+    def test_request_that_was_sent_late_is_not(self):
+        self.expect("CUT", (STOP + 3.2,), status=200, sent=STOP + 3.1)
+
+    def test_request_crosses_the_close(self):
+        self.expect("crossed", ended=STOP + 0.2)
+        self.expect("CUT UNANSWERED", ended=STOP + 0.21)
--- a/tests/soak/test_rules.py
+++ b/tests/soak/test_rules.py
@@ -1,6 +1,6 @@
 import unittest
 
-from soak.history import Call, End, History, Impairment, Run, Table
+from soak.history import NEVER, Call, End, History, Impairment, Run, Table
 from soak.rules import judge
 
 KEY = "key"
@@ -34,6 +34,7 @@
             is_kept=True,
             sent=SENT,
             sent_whole=SENT,
+            last_sent=SENT,
             ended=SENT + 1.0,
             status=200,
             seal="seal-1",
@@ -74,7 +75,7 @@
         """Add a request that has no answer though it was passed on."""
         unanswered = {"status": 0, "seal": "", "echo": "", "answer": b""}
         call = self.call(route, **(unanswered | {"is_complete": False} | fields))
-        self.run_of(call, end=End.DROPPED)
+        self.run_of(call, end=End.DROPPED, ended=call.ended - 0.1)
         return call
 
     def expect(self, *rules):
@@ -192,26 +193,52 @@
         self.expect("LOST")
 
     def test_stream_was_cut_shortly_before_its_time_limit(self):
-        self.lost(deadline_s=1.05)
+        self.lost(deadline_s=1.001)
         self.expect("LOST")
 
     def test_stream_was_cut_at_its_time_limit(self):
         self.lost(deadline_s=1.0)
         self.expect()
 
+    def test_time_limit_counts_from_the_last_byte(self):
+        self.lost(deadline_s=1.0, last_sent=SENT + 0.1)
+        self.expect("LOST")
+
     def test_stream_was_cut_in_the_middle_of_a_stop(self):
         self.lost()
         self.history.stops[0] = [Impairment(SENT - 4.0, SENT + 4.0)]
         self.expect("LOST")
 
-    def test_stream_was_cut_in_the_last_sixth_of_a_stop(self):
-        self.lost(ended=SENT + 5.0, deadline_s=20.0)
-        self.history.stops[0] = [Impairment(SENT - 2.0, SENT + 6.0)]
+    def stop_before_the_end(self, **fields):
+        """Add a request that ends 7 s after the SIGTERM of its router."""
+        call = self.lost(**({"ended": SENT + 5.0, "deadline_s": 20.0} | fields))
+        self.history.stops[0] = [Impairment(call.ended - 7.0, call.ended + 1.0)]
+
+    def test_stream_at_work_was_cut_in_the_last_sixth_of_a_stop(self):
+        self.stop_before_the_end()
         self.expect()
 
+    def test_replica_had_ended_the_stream_before_the_last_sixth(self):
+        self.stop_before_the_end()
+        self.history.runs[0].ended = SENT + 4.6
+        self.expect("LOST")
+
+    def test_request_that_waited_was_cut_in_the_last_sixth_of_a_stop(self):
+        self.stop_before_the_end()
+        self.history.runs.clear()
+        self.expect("LOST")
+
+    def test_rejected_request_was_cut_in_the_last_sixth_of_a_stop(self):
+        self.stop_before_the_end()
+        self.history.runs[0].end = End.REJECTED
+        self.expect("LOST")
+
+    def test_another_router_that_stops_excuses_nothing(self):
+        self.stop_before_the_end(router=1)
+        self.expect("LOST")
+
     def test_stream_that_was_sent_late_in_a_stop_was_cut_at_its_end(self):
-        self.lost(ended=SENT + 5.0, deadline_s=20.0)
-        self.history.stops[0] = [Impairment(SENT - 3.5, SENT + 6.0)]
+        self.stop_before_the_end(ended=SENT + 3.9)
         self.expect("LOST")
 
     def test_replica_that_broke_off_excuses_it(self):
@@ -219,6 +246,11 @@
         self.history.runs[0].end = End.BROKEN
         self.expect()
 
+    def test_run_that_was_broken_off_before_another_one_excuses_nothing(self):
+        call = self.lost("resume")
+        self.run_of(call, end=End.BROKEN, token=2, ended=SENT + 0.5)
+        self.expect("LOST")
+
     def test_router_that_was_killed_excuses_it(self):
         self.lost()
         self.history.routers[0] = [Impairment(SENT + 0.5, SENT + 2.0)]
@@ -229,6 +261,12 @@
         self.history.routers[1] = [Impairment(SENT + 0.5, SENT + 2.0)]
         self.expect("LOST")
 
+    def test_router_that_was_cut_off_from_the_store_excuses_nothing(self):
+        self.lost()
+        cut_off = Impairment(SENT + 0.5, SENT + 2.0, "store-some")
+        self.history.routers[0] = [cut_off]
+        self.expect("LOST")
+
     def test_store_that_is_down_excuses_nothing(self):
         self.lost()
         self.history.store = [Impairment(SENT - 1.0, SENT + 2.0)]
@@ -240,7 +278,21 @@
         self.expect("LOST")
 
     def test_request_that_crosses_the_close_is_not_lost(self):
-        self.lost("once", ended=SENT + 0.1)
+        self.lost("once", ended=SENT + 0.2)
+        self.history.runs.clear()
+        self.expect()
+
+    def test_request_that_ended_later_was_read(self):
+        self.lost("once", ended=SENT + 0.21)
+        self.history.runs.clear()
+        self.expect("LOST")
+
+    def test_request_that_ran_at_once_was_passed_on(self):
+        self.lost("once", ended=SENT + 0.2)
+        self.expect("LOST")
+
+    def test_request_that_was_not_sent_whole_is_not_lost(self):
+        self.lost("once", sent_whole=NEVER, last_sent=NEVER)
         self.history.runs.clear()
         self.expect()
 
