--- a/scripts/scarce_answers.py
+++ b/scripts/scarce_answers.py
@@ -30,7 +30,7 @@
 from scripts.scarce_plays import PLAYS, Play, document
 from standins.scarce_replica import Run, ScarceReplica
 
-__all__ = ["Disturbance", "ScarceAnswers", "end_of", "main"]
+__all__ = ["Disturbance", "ScarceAnswers", "described", "end_of", "main"]
 
 ZONES = "abc"
 EVENTS = 40
@@ -159,6 +159,12 @@
         for thread in threads:
             thread.wait()
 
+    def address(self, router: int) -> tuple[str, int]:
+        """Return the address of a router for callers."""
+        front = self._cluster.settings[router]["listen"]["front"]
+        host, _, port = front.rpartition(":")
+        return host, int(port)
+
     def runs(self, name: str) -> list[Run]:
         """Return what the replicas did for a request."""
         return [
@@ -240,11 +246,8 @@
             conn.close()
 
     def _connect(self, req: Request) -> Connection:
-        host, _, port = self._cluster.settings[req.router]["listen"][
-            "front"
-        ].rpartition(":")
         is_small = req.habit is Habit.SLOW_READER
-        return Connection((host, int(port)), CALLER_S + 2.0, is_small=is_small)
+        return Connection(self.address(req.router), CALLER_S + 2.0, is_small=is_small)
 
     def _request(self, rng: random.Random, router: int) -> Request:
         size = rng.choice(self._play.sizes)
@@ -358,12 +361,22 @@
         counts[req.size, "stopped" if is_stopped else "others", end] += 1
         if not req.is_complete:
             stage = stages.get(req.name, "")
-            lines.append(f"{end}: {_described(req, runs, check.stopped_at)} {stage}")
+            lines.append(f"{end}: {described(req, runs, check.stopped_at)} {stage}")
     return counts, lines
 
 
-def _described(req: Request, runs: list[Run], stopped_at: float) -> str:
-    """Return a request and its end, with times relative to the SIGTERM."""
+def described(req: Request, runs: list[Run], stopped_at: float) -> str:
+    """Return a request and its end, with times relative to the SIGTERM.
+
+    Parameters
+    ----------
+    req : Request
+        The request.
+    runs : list of Run
+        What the replicas did for it.
+    stopped_at : float
+        When a router got SIGTERM, in monotonic seconds.
+    """
 
     def relative(at: float) -> str:
         return f"{at - stopped_at:+.2f}" if at else "-"
--- a/scripts/scarce_caller.py
+++ b/scripts/scarce_caller.py
@@ -14,6 +14,7 @@
 CHUNK_BYTES = 4_000
 SMALL_BUFFER_BYTES = 4_096
 SLOW_READ_S = 0.05
+MAX_DETAIL = 80
 CONTINUE_S = 1.0
 """How long a caller waits for the status 100."""
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
@@ -131,17 +132,24 @@
 
     def exchange(self, req: Request, body: SlowBody) -> None:
         """Send a request and read its answer; note both in the request."""
+        self.send(req, body)
+        self.read(req)
+
+    def send(self, req: Request, body: SlowBody) -> None:
+        """Send a request; an answer may arrive before its whole body is read."""
         req.is_kept = self.has_served
         req.sent = time.monotonic()
         try:
-            try:
-                self._send(req, body)
-            except (BrokenPipeError, ConnectionResetError) as exc:
-                # An answer may have arrived before the whole body was read.
-                req.detail = repr(exc)
+            self._send(req, body)
+        except OSError as exc:
+            req.detail = repr(exc)[:MAX_DETAIL]
+
+    def read(self, req: Request) -> None:
+        """Read the answer to a request."""
+        try:
             self._read(req)
         except (OSError, ValueError) as exc:
-            req.detail += repr(exc)[:80]
+            req.detail += repr(exc)[:MAX_DETAIL]
             self.is_open = False
         req.ended = time.monotonic()
         self.has_served = True
