--- a/scripts/scarce_answers.py
+++ b/scripts/scarce_answers.py
@@ -178,9 +178,9 @@
         """Return what the stopped router says that it ended, by request."""
         lines = read_lines(Path(self._directory, f"router-{self.stopped}.log"))
         return {
-            line["request"]: f"{line['message_type']} {line.get('stage')}"
+            line["request"]: f"{line['text']} {line.get('stage')}"
             for line in lines
-            if str(line.get("message_type", "")).endswith(STOP_LINES)
+            if line.get("text", "").endswith(STOP_LINES)
         }
 
     def stop(self) -> None:
--- a/tests/scripts/test_scarce_answers.py
+++ b/tests/scripts/test_scarce_answers.py
@@ -29,6 +29,8 @@
         self.assertGreater(ends["answered 503"], 0)
         self.assertGreater(ends["whole"], 0)
         self.assertEqual([end for end in ends if end.isupper()], [])
+        given_up = set(check.stage_lines().values())
+        self.assertEqual(given_up, {"relay: Given up by the stop. waiting"})
 
 
 class EndOfTest(unittest.TestCase):
