--- a/scripts/scarce_answers.py
+++ b/scripts/scarce_answers.py
@@ -300,7 +300,8 @@
     if any(run.is_broken_off for run in runs):
         return "broken off"
     last_from = stopped_at + (1.0 - LAST_SHARE) * GRACE_S
-    is_late = any(run.is_at_work(last_from, stopped_at + GRACE_S) for run in runs)
+    last_to = min(req.ended, stopped_at + GRACE_S)
+    is_late = any(run.is_at_work(last_from, last_to) for run in runs)
     if is_late and req.sent <= stopped_at + LEAVE_S:
         return "excused"
     return "CUT" if req.status else "UNANSWERED"
--- a/scripts/scarce_plays.py
+++ b/scripts/scarce_plays.py
@@ -88,6 +88,7 @@
     "equal": Play(EQUAL, replicas=1),
     "swapped": Play(SWAPPED, replicas=1),
     "replica": Play(EQUAL, own_tokens=44_000),
+    "queued": Play(EQUAL, memory_tokens=10 * KV_TOKENS),
     "room": Play(BODIES, replicas=10),
     "habits": Play(BODIES, replicas=10, has_habits=True),
     "buffers": Play(BODIES, replicas=10, has_habits=True, receive_bytes=4096),
--- a/tests/scripts/test_scarce_answers.py
+++ b/tests/scripts/test_scarce_answers.py
@@ -77,6 +77,9 @@
         late = {"sent": 103.1, "last_sent": 103.1}
         self.assertEqual(self.end(run, status=200, **late), "CUT")
 
+    def test_work_that_begins_after_the_end_of_a_request_does_not_excuse_it(self):
+        self.assertEqual(self.end(Run("id-1", 99.1, 107.7, 108.5)), "UNANSWERED")
+
     def test_request_that_crosses_the_close_is_not_counted(self):
         self.assertEqual(self.end(last_sent=0.0), "crossed")
         self.assertEqual(self.end(ended=99.1), "crossed")
