Let a stream of a test of the soak's replica hold its slot for the whole test

Its slot was free after 0.3 s, so that a process that stands still for that long could let the second stream run instead of being rejected. Not seen to fail; found by reading.

--- a/tests/soak/test_replica.py
+++ b/tests/soak/test_replica.py
@@ -18,7 +18,7 @@
         room = Room({}, slots=1, tokens=100)
         self.replica = Replica("one", "pool", "a", self.history, room, random.Random(1))
         self.addCleanup(self.replica.crash)
-        self.replica.mood.first_s = 0.3
+        self.replica.mood.first_s = 30.0
         self.socks = []
         self.addCleanup(lambda: [sock.close() for sock in self.socks])
 
@@ -42,6 +42,7 @@
         return run.end
 
     def test_second_stream_waits_and_runs(self):
+        self.replica.mood.first_s = 0.3
         self.open("a")
         self.open("b")
         self.assertEqual(len(self.history.runs_of("a")), 1)
