Count a stream that ran twice after its route stopped to be resumable

What was seen: whole_answers let streams of "resume" run twice in every play, also when the change takes their resumability away (attempts and resumability changed).

Cause: the excuse asked for the route only. Streams sent until 2 s after the change may still run again.

Evidence: the new test fails without the change (the verdict is "whole").

--- a/scripts/whole_answers.py
+++ b/scripts/whole_answers.py
@@ -388,10 +388,14 @@
 
     def _may_run_again(self, play: Play, req: Request) -> bool:
         """Return whether a table that may be in force lets a request run twice."""
-        is_resumable = play.change is Change.ATTEMPTS and req.ended > self._changed_at
-        return req.route in ("again", "resume") or (
-            req.route == "stream" and is_resumable
-        )
+        if play.change is not Change.ATTEMPTS:
+            return req.route in ("again", "resume")
+        match req.route:
+            case "stream":
+                return req.ended > self._changed_at
+            case "resume":
+                return req.sent <= self._changed_at + APPLY_S
+        return req.route == "again"
 
     def _runs(self, name: str) -> list[RelayRun]:
         return [
--- a/tests/scripts/test_whole_answers.py
+++ b/tests/scripts/test_whole_answers.py
@@ -54,18 +54,18 @@
         replica.runs += runs
         self._cluster = SimpleNamespace(engines={"engine-1": (replica, None, None)})
         self._stops = {0: STOP}
-        self._changed_at = float("inf")
+        self._changed_at = STOP - 3.0
 
 
 class VerdictTest(unittest.TestCase):
-    def expect(self, verdict, *runs, **fields):
+    def expect(self, verdict, *runs, change=Change.NONE, **fields):
         """Judge a request that is cut in the last sixth of the stop."""
         times = {"sent": STOP, "last_sent": STOP, "ended": STOP + 7.6}
         names = {"name": "id-1", "router": 0, "route": "stream"}
         kinds = {"is_chunked": False, "is_kept": True}
         req = Request(**(names | kinds | times | fields))
         check = Stopped([RelayRun("id-1", *run) for run in runs])
-        found = check._verdict(Play(Change.NONE, 0.0, has_stop=True), req)
+        found = check._verdict(Play(change, 0.0, has_stop=True), req)
         self.assertEqual(found, verdict)
 
     def test_request_at_work_in_the_last_sixth_is_excused(self):
@@ -83,3 +83,13 @@
     def test_request_crosses_the_close(self):
         self.expect("crossed", ended=STOP + 0.2)
         self.expect("CUT UNANSWERED", ended=STOP + 0.21)
+
+    def test_stream_that_no_table_in_force_lets_resume_ran_twice(self):
+        runs = (STOP - 3.0,), (STOP,)
+        fields = {"route": "resume", "change": Change.ATTEMPTS, "status": 200}
+        fields |= {"is_whole": True}
+        self.expect("whole", *runs, sent=STOP - 1.1, **fields)
+        self.expect("TWICE", *runs, sent=STOP - 0.9, **fields)
+        fields["route"] = "stream"
+        self.expect("whole", *runs, **fields)
+        self.expect("TWICE", *runs, ended=STOP - 3.1, **fields)
