Play replicas that work on after their connection is closed

Calls and streams whose caller leaves, whose time is over, whose replica closes its connection, or falls silent while another goes on, at replicas that work on for 0.4 to 1.6 s.

No product change was needed.

No defect was seeded for the call whose time is over and for the next calls.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -9,6 +9,7 @@
 from tests.support.answer_defects import DEFECTS, find_defect
 from tests.support.early_answer_defects import EARLY_ANSWER_DEFECTS
 from tests.support.full_replica_defects import FULL_REPLICA_DEFECTS
+from tests.support.lasting_work_defects import LASTING_WORK_DEFECTS
 from tests.support.late_answer_defects import LATE_ANSWER_DEFECTS
 from tests.support.limit_defects import LIMIT_DEFECTS
 from tests.support.method_defects import fails
@@ -39,6 +40,7 @@
         *LATE_ANSWER_DEFECTS,
         *EARLY_ANSWER_DEFECTS,
         *FULL_REPLICA_DEFECTS,
+        *LASTING_WORK_DEFECTS,
         *SILENCE_DEFECTS,
         *UPGRADE_DEFECTS,
     ):
