--- a/scripts/close_crossings.py
+++ b/scripts/close_crossings.py
@@ -26,7 +26,6 @@
     APPLY_S,
     EVENT_S,
     EVENTS,
-    GRACE_S,
     LEAVE_S,
     Disturbance,
     ScarceAnswers,
@@ -35,6 +34,7 @@
 )
 from scripts.scarce_caller import Connection, Habit, Request, SlowBody
 from scripts.scarce_plays import PLAYS
+from soak.losses import GRACE_S
 
 __all__ = ["Crossing", "CloseCrossings", "main"]
 
--- a/scripts/scarce_answers.py
+++ b/scripts/scarce_answers.py
@@ -28,6 +28,7 @@
 from scripts.platform_logs import read_lines
 from scripts.scarce_caller import Connection, Habit, Request, SlowBody
 from scripts.scarce_plays import PLAYS, Play, document
+from soak.losses import Ending, crosses_close, is_excused
 from standins.scarce_replica import Run, ScarceReplica
 
 __all__ = ["Disturbance", "ScarceAnswers", "described", "end_of", "main"]
@@ -41,10 +42,7 @@
 STOP_AT_S = 5.0
 SENDING_ON_S = 6.0
 """How long after the SIGTERM callers send requests, in seconds."""
-GRACE_S = 8.0
-LAST_SHARE = 1 / 6
 LEAVE_S = 3.0
-LOSS_SLACK_S = 0.2
 APPLY_S = 2.0
 PAUSE_S = 0.2
 KEEP_SHARE = 0.7
@@ -170,7 +168,7 @@
         return [
             run
             for replica in self._replicas
-            for run in replica.runs
+            for run in replica.work
             if run.request == name
         ]
 
@@ -291,18 +289,11 @@
         return "whole" if req.events == list(range(1, EVENTS + 1)) else "WRONG"
     if req.habit is Habit.HALF_CLOSES:
         return "half closed"
-    if not req.last_sent:
+    sent_whole = req.last_sent or float("inf")
+    ending = Ending(req.sent, sent_whole, sent_whole + req.caller_s, req.ended)
+    if not req.status and crosses_close(ending, is_passed_on=bool(runs)):
         return "crossed"
-    if req.ended >= req.last_sent + req.caller_s:
-        return "time over"
-    if not runs and not req.status and req.ended <= req.last_sent + LOSS_SLACK_S:
-        return "crossed"
-    if any(run.is_broken_off for run in runs):
-        return "broken off"
-    last_from = stopped_at + (1.0 - LAST_SHARE) * GRACE_S
-    last_to = min(req.ended, stopped_at + GRACE_S)
-    is_late = any(run.is_at_work(last_from, last_to) for run in runs)
-    if is_late and req.sent <= stopped_at + LEAVE_S:
+    if is_excused(ending, runs, [stopped_at]):
         return "excused"
     return "CUT" if req.status else "UNANSWERED"
 
@@ -380,7 +371,7 @@
     """
 
     def relative(at: float) -> str:
-        return f"{at - stopped_at:+.2f}" if at else "-"
+        return f"{at - stopped_at:+.2f}" if at not in (0.0, float("inf")) else "-"
 
     worked = [
         f"{relative(run.arrived)}/{relative(run.began)}/{relative(run.ended)}"
--- a/standins/scarce_replica.py
+++ b/standins/scarce_replica.py
@@ -24,22 +24,18 @@
     arrived : float
         When its head was read.
     began : float
-        When it got memory; 0.0 if it didn't.
+        When it got memory; infinite if it didn't.
     ended : float
-        When the replica stopped to work on it; 0.0 if it still does.
-    is_broken_off : bool
+        When the replica stopped to work on it; infinite if it still does.
+    broke_off : bool
         Whether the replica broke the answer off, since it was lost.
     """
 
     request: str
     arrived: float
-    began: float = 0.0
-    ended: float = 0.0
-    is_broken_off: bool = False
-
-    def is_at_work(self, start: float, end: float) -> bool:
-        """Return whether the replica worked on the request between two times."""
-        return 0.0 < self.began < end and (not self.ended or self.ended > start)
+    began: float = float("inf")
+    ended: float = float("inf")
+    broke_off: bool = False
 
 
 class ScarceReplica(RelayReplica):
@@ -58,7 +54,7 @@
 
     Attributes
     ----------
-    runs : list of Run
+    work : list of Run
         The requests that have arrived.
     """
 
@@ -66,7 +62,7 @@
         self, name: str, events: int, event_interval_s: float, memory_tokens: int
     ):
         super().__init__(name, events, event_interval_s)
-        self.runs: list[Run] = []
+        self.work: list[Run] = []
         self._free_tokens = memory_tokens
         self._queue: deque[Run] = deque()
 
@@ -75,7 +71,7 @@
         if not environ.get("HTTP_TOKEN_COUNTS") or isinstance(chunks, list):
             return chunks
         run = Run(environ["HTTP_REQUEST_ID"], time.monotonic())
-        self.runs.append(run)
+        self.work.append(run)
         prompt, outputs = map(int, environ["HTTP_TOKEN_COUNTS"].split(","))
         eventlet.sleep(0)
         environ["wsgi.input"].read()
@@ -87,11 +83,11 @@
             eventlet.sleep(prompt / PROMPT_TOKENS_PER_S)
             yield from chunks
         except ConnectionAbortedError:
-            run.is_broken_off = True
+            run.broke_off = True
             raise
         finally:
             run.ended = time.monotonic()
-            if run.began:
+            if run.began <= run.ended:
                 self._free_tokens += tokens
             if run in self._queue:
                 self._queue.remove(run)
--- a/tests/scripts/test_scarce_answers.py
+++ b/tests/scripts/test_scarce_answers.py
@@ -88,8 +88,9 @@
         self.assertEqual(self.end(Run("id-1", 99.05), ended=99.1), "UNANSWERED")
 
     def test_answer_that_ends_with_the_time_of_its_caller_is_not_counted(self):
-        self.assertEqual(self.end(ended=124.0), "time over")
+        self.assertEqual(self.end(ended=124.0), "excused")
+        self.assertEqual(self.end(ended=123.99), "UNANSWERED")
 
     def test_answer_that_the_replica_broke_off_is_not_counted(self):
-        run = Run("id-1", 99.1, 99.2, 101.0, is_broken_off=True)
-        self.assertEqual(self.end(run, status=200, ended=101.0), "broken off")
+        run = Run("id-1", 99.1, 99.2, 101.0, broke_off=True)
+        self.assertEqual(self.end(run, status=200, ended=101.0), "excused")
