--- a/boragedeck/process/relaying/draining.py
+++ b/boragedeck/process/relaying/draining.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+import msgspec
+
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.request.open_requests import OpenRequests
@@ -55,6 +57,46 @@
         """Return the ids of some requests that were read and aren't answered yet."""
 
 
+class StopTimes(msgspec.Struct, frozen=True):
+    """The parts of a planned stop, on the timer service's monotonic clock.
+
+    Parameters
+    ----------
+    late_from : float
+        From when on what arrives must not be ended by the stop.
+    accepts_until : float
+        Until when callers are accepted.
+    final_answers_at : float
+        When what hasn't begun is answered.
+    ends_at : float
+        When the stop ends what is left.
+    latest_end_s : float
+        How long after the final answers a late process may end, in seconds.
+    """
+
+    late_from: float
+    accepts_until: float
+    final_answers_at: float
+    ends_at: float
+    latest_end_s: float
+
+
+def _stop_times(now: float, grace_s: float) -> StopTimes:
+    margin_s = min(GRACE_MARGIN_S, GRACE_MARGIN_SHARE * grace_s)
+    accepts_until = now + min(LEAVE_PERIOD_S, LEAVE_SHARE * grace_s)
+    ends_at = now + grace_s - margin_s
+    return StopTimes(
+        late_from=accepts_until - LATE_MARGIN_S,
+        accepts_until=accepts_until,
+        final_answers_at=ends_at - min(FINAL_ANSWERS_S, FINAL_ANSWERS_SHARE * grace_s),
+        ends_at=ends_at,
+        latest_end_s=LAST_SHARE * margin_s,
+    )
+
+
+_NO_STOP = StopTimes(*5 * [float("inf")])
+
+
 class DrainPeriod:
     """The time from a router's stop signal to its end.
 
@@ -69,20 +111,19 @@
     def __init__(self, timers: TimerService, grace_s: Callable[[], float]):
         self._timers = timers
         self._grace_s = grace_s
-        self._ends_at = float("inf")
-        self._late_from = float("inf")
+        self._times = _NO_STOP
 
     def is_begun(self) -> bool:
         """Return whether the router is stopping."""
-        return self._ends_at < float("inf")
+        return self._times is not _NO_STOP
 
     def is_late(self) -> bool:
         """Return whether a request that arrives now must not be ended by the stop."""
-        return self._timers.now() >= self._late_from
+        return self._timers.now() >= self._times.late_from
 
     def time_left(self) -> float:
         """Return how long requests can still be served, in seconds."""
-        return self._ends_at - self._timers.now()
+        return self._times.ends_at - self._timers.now()
 
     def run(self, edges: Iterable[DrainableEdge], requests: OpenRequests) -> None:
         """Finish all requests, and return when they are answered or the time is over.
@@ -101,33 +142,46 @@
         `LEAVE_PERIOD_S`. What waits is answered as soon as it can't be served in time
         any more, and what hasn't begun shortly before the end.
         """
+        edges = tuple(edges)
         grace_s = self._grace_s()
-        margin_s = min(GRACE_MARGIN_S, GRACE_MARGIN_SHARE * grace_s)
-        leave_s = min(LEAVE_PERIOD_S, LEAVE_SHARE * grace_s)
-        self._ends_at = self._timers.now() + grace_s - margin_s
-        accepts_until = self._timers.now() + leave_s
-        final_answers_s = min(FINAL_ANSWERS_S, FINAL_ANSWERS_SHARE * grace_s)
-        self._late_from = accepts_until - LATE_MARGIN_S
+        times = self._times = _stop_times(self._timers.now(), grace_s)
         _log.write("Stop begins.", grace_s=grace_s, **requests.counts())
-        edges = tuple(edges)
         for edge in edges:
             edge.is_leaving = True
-        self._serve_on(requests, accepts_until, lambda: True)
+        self._serve_on(requests, times.accepts_until, lambda: True)
         for edge in edges:
             edge.stop_accepting()
             edge.close_idle()
         self._serve_on(
-            requests,
-            self._ends_at - final_answers_s,
-            lambda: _active_requests(edges) > 0,
+            requests, times.final_answers_at, lambda: _active_requests(edges) > 0
         )
+        self._answer_all(edges, requests)
+        self._log_end(edges, requests)
+
+    def _serve_on(
+        self, requests: OpenRequests, until: float, is_needed: Callable[[], bool]
+    ) -> None:
+        """Give up what can't be served any more, while that is needed."""
+        while is_needed() and (left_s := until - self._timers.now()) > 0.0:
+            requests.end_outlasting(self.time_left())
+            self._timers.sleep(min(POLL_S, left_s))
+
+    def _answer_all(
+        self, edges: tuple[DrainableEdge, ...], requests: OpenRequests
+    ) -> None:
+        """Answer what hasn't begun, and wait until all are answered or time is over."""
         for edge in edges:
             edge.refuse_incomplete()
         requests.end_unbegun(self.time_left())
         # A process that stood still until now needs some time all the same.
-        until = max(self._ends_at, self._timers.now() + LAST_SHARE * margin_s)
+        latest_end = self._timers.now() + self._times.latest_end_s
+        until = max(self._times.ends_at, latest_end)
         while _active_requests(edges) and self._timers.now() < until:
             self._timers.sleep(POLL_S)
+
+    def _log_end(
+        self, edges: tuple[DrainableEdge, ...], requests: OpenRequests
+    ) -> None:
         requests.log_unanswered()
         ids = [each for edge in edges for each in edge.unanswered_ids(MAX_LOGGED_IDS)]
         _log.write(
@@ -137,14 +191,6 @@
             left_s=round(self.time_left(), 3),
         )
 
-    def _serve_on(
-        self, requests: OpenRequests, until: float, is_needed: Callable[[], bool]
-    ) -> None:
-        """Give up what can't be served any more, while that is needed."""
-        while is_needed() and (left_s := until - self._timers.now()) > 0.0:
-            requests.end_outlasting(self.time_left())
-            self._timers.sleep(min(POLL_S, left_s))
-
 
 def _active_requests(edges: Iterable[DrainableEdge]) -> int:
     return sum(edge.active_requests() for edge in edges)
