Play callers that leave a router which hasn't read their requests

Twelve callers send a call (of 0 or 30 KB) or a stream, on new or kept connections, and close or reset them 1.1 s later, while the router's whole process stands still. A check of the connection before a request is handled was tried and left out: the tests hold without it, since the thread that watches for the caller's end runs before the request is sent.

A watcher that sees no end is caught by each of the four (unread_caller_defects).

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -15,6 +15,7 @@
 from tests.support.method_defects import fails
 from tests.support.notice_defects import NOTICE_DEFECTS
 from tests.support.silence_defects import SILENCE_DEFECTS
+from tests.support.unread_caller_defects import UNREAD_CALLER_DEFECTS
 from tests.support.upgrade_defects import UPGRADE_DEFECTS
 
 __all__ = ["main"]
@@ -42,6 +43,7 @@
         *FULL_REPLICA_DEFECTS,
         *LASTING_WORK_DEFECTS,
         *SILENCE_DEFECTS,
+        *UNREAD_CALLER_DEFECTS,
         *UPGRADE_DEFECTS,
     ):
         is_caught = fails(defect)
