Play late timers and a core that is used up at times

No product change was needed.

Three seeded defects (late_timer_defects) are caught. None was seeded for a stream or a call that is sent twice.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -11,6 +11,7 @@
 from tests.support.full_replica_defects import FULL_REPLICA_DEFECTS
 from tests.support.lasting_work_defects import LASTING_WORK_DEFECTS
 from tests.support.late_answer_defects import LATE_ANSWER_DEFECTS
+from tests.support.late_timer_defects import LATE_TIMER_DEFECTS
 from tests.support.limit_defects import LIMIT_DEFECTS
 from tests.support.method_defects import fails
 from tests.support.notice_defects import NOTICE_DEFECTS
@@ -42,6 +43,7 @@
         *EARLY_ANSWER_DEFECTS,
         *FULL_REPLICA_DEFECTS,
         *LASTING_WORK_DEFECTS,
+        *LATE_TIMER_DEFECTS,
         *SILENCE_DEFECTS,
         *UNREAD_CALLER_DEFECTS,
         *UPGRADE_DEFECTS,
