Prove rows of lost, cut and reset answers and of reloads able to fail

replica-lost-answer, replica-truncates, replica-no-length, link-reset and router-hup were in play, but no run had shown that a broken rule would be seen. One defect each (two for router-hup) is caught by the tests that the rows name: a lost answer means that a call has not run: 200 != 502 an answer that was cut short is whole: 200 != 502 a reset ends an answer without a length: 200 != 502 a stream does not go on after a reset of its link: False is not true a reload takes nothing; a change without a signal isn't seen The first four hold without their defect, in the same run. router-hup's LOST part (a reload that closes connections) needs processes and isn't proved.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -13,8 +13,10 @@
 from tests.support.late_answer_defects import LATE_ANSWER_DEFECTS
 from tests.support.late_timer_defects import LATE_TIMER_DEFECTS
 from tests.support.limit_defects import LIMIT_DEFECTS
+from tests.support.lost_answer_defects import LOST_ANSWER_DEFECTS
 from tests.support.method_defects import fails
 from tests.support.notice_defects import NOTICE_DEFECTS
+from tests.support.reload_defects import RELOAD_DEFECTS
 from tests.support.silence_defects import SILENCE_DEFECTS
 from tests.support.unread_caller_defects import UNREAD_CALLER_DEFECTS
 from tests.support.upgrade_defects import UPGRADE_DEFECTS
@@ -44,6 +46,8 @@
         *FULL_REPLICA_DEFECTS,
         *LASTING_WORK_DEFECTS,
         *LATE_TIMER_DEFECTS,
+        *LOST_ANSWER_DEFECTS,
+        *RELOAD_DEFECTS,
         *SILENCE_DEFECTS,
         *UNREAD_CALLER_DEFECTS,
         *UPGRADE_DEFECTS,
