Play replicas whose queue drops the first packet of a connection

A replica accepts nothing while its queue of connections is full, so that the kernel drops further first packets (checked: a connect gets no answer within 0.1 s). No product change was needed.

A wait for the connection without a limit is caught by the first two (dropped_connect_defects); none was seeded for the third. Connections of callers to a router, and between routers, aren't played.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -7,6 +7,7 @@
 patch_all()
 
 from tests.support.answer_defects import DEFECTS, find_defect
+from tests.support.dropped_connect_defects import DROPPED_CONNECT_DEFECTS
 from tests.support.early_answer_defects import EARLY_ANSWER_DEFECTS
 from tests.support.full_replica_defects import FULL_REPLICA_DEFECTS
 from tests.support.lasting_work_defects import LASTING_WORK_DEFECTS
@@ -47,6 +48,7 @@
         *LASTING_WORK_DEFECTS,
         *LATE_TIMER_DEFECTS,
         *LOST_ANSWER_DEFECTS,
+        *DROPPED_CONNECT_DEFECTS,
         *RELOAD_DEFECTS,
         *SILENCE_DEFECTS,
         *UNREAD_CALLER_DEFECTS,
