--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -4,6 +4,7 @@
 from boragedeck.connection.caller_ends import CallerDisconnectedError
 from boragedeck.exceptions import RefusedError, RouterStoppingError
 from boragedeck.ids import OrganisationName
+from boragedeck.request.open_relay import OpenRelay
 from boragedeck.request.relay_call import CallRelay
 from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
 from boragedeck.request.relay_job import RelayJob
@@ -64,23 +65,24 @@
     parts.retries.note_request(name)
     job = RelayJob(parts, req, rule, pool, organisation, priority, channel)
     channel.deadline = job.deadlines.answer_end
-    if parts.time_left() < job.needed_s():
+    open_relay = OpenRelay(job)
+    if parts.time_left() < open_relay.needed_s():
         job.refuse(stopping_refusal())
         return
     try:
-        _run(job)
+        _run(job, open_relay)
     except CallerDisconnectedError:
         job.note_caller_left()
         raise
 
 
-def _run(job: RelayJob) -> None:
+def _run(job: RelayJob, open_relay: OpenRelay) -> None:
     """Relay a request; answer it all the same if it is given up by a stop."""
     is_stream = job.rule.kind is CallKind.STREAM
     relaying = StreamRelay(job) if is_stream else CallRelay(job)
     try:
         # Nothing waits before this, so that a stop ends all waits.
-        with job.parts.open_requests.track(job):
+        with job.parts.open_requests.track(open_relay):
             if _admit(job):
                 relaying.run()
     except RouterStoppingError:
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -9,12 +9,11 @@
 from boragedeck.request.attempt_counts import AttemptCounts
 from boragedeck.request.attempt_evidence import AttemptEvidence
 from boragedeck.request.events import EventExcessError
-from boragedeck.request.open_requests import Stage
 from boragedeck.request.place_finder import PlaceFinder
 from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
 from boragedeck.request.relay_request import RelayRequest
 from boragedeck.request.request_deadlines import request_deadlines
-from boragedeck.version.routing import CallKind, RelayPool, RouteRule
+from boragedeck.version.routing import RelayPool, RouteRule
 
 __all__ = ["RelayJob"]
 
@@ -82,8 +81,6 @@
             fingerprint_of(organisation, req.path, req.body),
             req.shared_parts,
         )
-        # Whether it was taken so late that the stop of this process must not end it.
-        self.is_late = parts.is_late_in_stop()
         # Whether it is given up because this process stops.
         self.is_given_up = False
         # Whether it is sent although it is blamed, to find out if it still crashes.
@@ -140,51 +137,6 @@
         """Return whether replicas end the request, a call, as they were told."""
         return self.left_s() <= DEADLINE_RESOLUTION_S
 
-    def stage(self) -> Stage:
-        """Return how far the request is."""
-        if self.channel.has_begun:
-            return Stage.ANSWERING
-        return Stage.AT_REPLICA if self.attempts.running else Stage.WAITING
-
-    def begin_interrupt(self) -> bool:
-        """Return whether its handler may be ended, which is allowed once."""
-        is_first = not self.channel.is_interrupted
-        self.channel.is_interrupted = True
-        return is_first
-
-    def needed_s(self) -> float:
-        """Return how much time a stop must leave to serve the request, in seconds.
-
-        Notes
-        -----
-        A request that the stop must not end is taken only if all of its time fits. One
-        that may have run, and may run once only, is kept: no caller repeats it.
-        """
-        if self.may_have_run and not self.rule.may_repeat:
-            return 0.0
-        if self.is_late:
-            return self.replica_left_s()
-        rule = self.rule
-        # The objective of a stream says how soon it begins.
-        goal_s = None if rule.kind is CallKind.STREAM else rule.goal_s
-        durations = self.parts.durations
-        return durations.long_duration_s(self.pool_name, rule.timeout_s, goal_s)
-
-    def log_fields(self) -> dict:
-        """Return what the log says of a request that is open."""
-        return {
-            "request": self.req.request_id,
-            "route": self.rule.name,
-            "stage": self.stage().value,
-            "sent": self.attempts.sent,
-            "may_have_run": self.may_have_run,
-            "running": len(self.attempts.running),
-            "body_bytes": len(self.req.body),
-            "tokens": self.req.tokens,
-            "age_s": round(self.parts.timers.now() - self.req.arrived, 3),
-            "left_s": round(self.left_s(), 3),
-        }
-
     def note_start(self, place: Place) -> None:
         """Record that an attempt begins; `note_end` must follow."""
         self.attempts.note_start(place)
--- a/tests/request/test_stopped_requests.py
+++ b/tests/request/test_stopped_requests.py
@@ -106,7 +106,8 @@
         self.send()
         eventlet.sleep(0.3)
         requests = self.harness.parts.open_requests
-        (job,), (thread,) = zip(*requests._requests.items(), strict=True)
+        (open_relay,), (thread,) = zip(*requests._requests.items(), strict=True)
+        job = open_relay._job
         self.assertEqual(len(job.attempts.running), 2)
         [conn] = self.harness.edge._conns
         eventlet.spawn(conn._interrupt, thread)
