Log how an answer to a stream begins and goes on, and whether its router stops

"Answered." and "Broken off." of streams now say after which event the caller resumed and the answer began; "Sent.", "Answered." and "Broken off." how long a stopping router still runs; "Reads what has arrived." that a stop has given a stream up with reports unread. No decision changes.

--- a/boragedeck/request/relay_components.py
+++ b/boragedeck/request/relay_components.py
@@ -1,5 +1,6 @@
 """The components of the process that relaying uses."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -104,6 +105,11 @@
     refusal_headers: Callable[[str | None, float | None], Headers]
     is_late_in_stop: Callable[[], bool] = lambda: False
 
+    def stop_left_s(self) -> float | None:
+        """Return the time until a stop ends this process, in seconds; None if none."""
+        left_s = self.time_left()
+        return None if math.isinf(left_s) else round(left_s, 3)
+
 
 def respond_refusal(
     parts: RelayComponents,
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -91,6 +91,11 @@
     def _deliver_unread(self) -> bool:
         """Deliver a whole answer that hasn't been read; return whether there is one."""
         unread: dict[StreamAttempt, list[Events]] = {}
+        log.write(
+            "Reads what has arrived.",
+            request=self._job.req.request_id,
+            reports=self._reports.qsize(),
+        )
         while not self._reports.empty():
             report = self._reports.get()
             attempt = report.attempt
@@ -117,6 +122,8 @@
                 position=self._position,
                 sent=job.attempts.sent,
                 reason=self._failure_reason,
+                resume_after=job.req.resume_after,
+                stop_left_s=job.parts.stop_left_s(),
                 left_s=round(job.left_s(), 3),
                 timeout_s=job.req.caller_timeout_s,
                 body_s=round(job.req.received - job.req.arrived, 3),
@@ -243,7 +250,7 @@
 
     def _deliver(self, attempt: StreamAttempt, events: Events) -> None:
         self._delivery.note_head(*attempt.head)
-        self._delivery.write(events.data, self._position)
+        self._delivery.write(events, self._position)
         self._position = events.position
 
     def _finish(self, attempt: StreamAttempt) -> None:
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -251,6 +251,7 @@
             from_copy=plan.source is not None,
             backup=None if plan.backup is None else plan.backup.replica,
             attempt=job.attempts.sent + 1,
+            stop_left_s=job.parts.stop_left_s(),
             **job.parts.table_ages.log_fields(),
             age_s=round(job.parts.timers.now() - job.req.arrived, 3),
         )
--- a/boragedeck/request/stream_delivery.py
+++ b/boragedeck/request/stream_delivery.py
@@ -3,6 +3,7 @@
 from boragedeck.connection.exchange import Headers
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
+from boragedeck.request.stream_messages import Events
 
 __all__ = ["StreamDelivery"]
 
@@ -24,6 +25,8 @@
         self._first_event_s: float | None = None
         self._last_delivery_at = job.req.arrived
         self._longest_gap_s = 0.0
+        # What the first events that were written follow in their run.
+        self._follows: int | None = None
 
     @property
     def has_begun(self) -> bool:
@@ -46,18 +49,19 @@
         if self.has_begun and self._lost_at is None:
             self._lost_at = at
 
-    def write(self, data: bytes, position: int | None) -> None:
+    def write(self, events: Events, position: int | None) -> None:
         """Send events to the caller.
 
         Parameters
         ----------
-        data : bytes
+        events : Events
             The events.
         position : int or None
             Number of the last event that the caller has received before.
         """
         job, now = self._job, self._job.parts.timers.now()
         if not self.has_begun:
+            self._follows = events.follows
             job.channel.begin(*self._first_head)
             kind = job.rule.kind.value
             self._first_event_s = now - job.req.arrived
@@ -68,7 +72,7 @@
         self._last_delivery_at = now
         if self._lost_at is not None:
             self._note_resumed(position)
-        job.channel.write(data)
+        job.channel.write(events.data)
 
     def finish(self, position: int | None) -> None:
         """End the caller's answer, which is complete after the given event."""
@@ -83,7 +87,10 @@
             request=job.req.request_id,
             route=job.rule.name,
             position=position,
+            follows=self._follows,
+            resume_after=job.req.resume_after,
             sent=job.attempts.sent,
+            stop_left_s=job.parts.stop_left_s(),
             first_s=round(self._first_event_s or 0.0, 3),
             longest_gap_s=round(self._longest_gap_s, 3),
             took_s=round(took_s, 3),
--- a/boragedeck/request/stream_events.py
+++ b/boragedeck/request/stream_events.py
@@ -76,6 +76,7 @@
         timeout = EventTimeout(self._job.parts.timers, exchange, self._job.rule)
         gaps = GapSampler()
         while data := self._liveness.wait(self._place, exchange, exchange.read):
+            follows = splitter.last_number
             events = splitter.feed(data)
             if not events:
                 if timeout.is_report_due():
@@ -84,7 +85,7 @@
             may_end = True
             self._note_output(gaps.note(len(events), self._job.parts.timers.now()))
             data = b"".join(event.data for event in events)
-            self._report(Events(data, splitter.last_number))
+            self._report(Events(data, follows, splitter.last_number))
             timeout.restart()
         if splitter.has_partial_event:
             raise EventError("the stream ended in the middle of an event")
--- a/boragedeck/request/stream_messages.py
+++ b/boragedeck/request/stream_messages.py
@@ -25,9 +25,20 @@
 
 
 class Events(msgspec.Struct, frozen=True):
-    """Complete events have arrived; `position` is the number of the last one."""
+    """Complete events have arrived.
+
+    Parameters
+    ----------
+    data : bytes
+        The events.
+    follows : int or None
+        Number of the event that they follow in the run; None if it begins with them.
+    position : int or None
+        Number of the last one of them.
+    """
 
     data: bytes
+    follows: int | None
     position: int | None
 
 
