Keep what an attempt has reported until the caller has it

What callers saw: a stream that a stopping router gave up while its pieces arrived came as 200, complete, and without its first event, or without any if it arrived in one read.

Cause: the thread that has the caller took a report off its queue and then ended the other attempt, which switches to other threads. The attempt that had sent everything had ended, so the request counted as one that waits and could be given up at each of the stop's polls, not only at the end.

Evidence: test_stream_order.StopBetweenAttemptsTest failed in each of three runs: (200, events 2 and 3) and (200, b'') for (200, events 1 to 3), complete; both hold now, as do test_stopped_answers, test_resumed_streams, test_second_attempts.

Why this works: a report stays at the head of its queue until it has been handled. Wherever the thread is ended, what the caller doesn't have is still there, in order.

--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -5,14 +5,13 @@
 another attempt replaces it.
 """
 
-from eventlet.queue import LightQueue
-
 from boragedeck.process.relaying.placing.place import Place
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.request.crash_wait import MAX_WAIT_S, await_crash_verdict
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_refusals import final_refusal, too_late_refusal
+from boragedeck.request.report_queue import ReportQueue
 from boragedeck.request.stream_attempt import (
     AttemptReport,
     FailedAnswer,
@@ -50,7 +49,7 @@
         self._job = job
         self._delivery = StreamDelivery(job)
         self._recovery = StreamRecovery(job)
-        self._reports: LightQueue[AttemptReport] = LightQueue(MAX_UNREAD_REPORTS)
+        self._reports: ReportQueue[AttemptReport] = ReportQueue(MAX_UNREAD_REPORTS)
         # The running attempts; the first one leads, and another one stands by.
         self._attempts: list[StreamAttempt] = []
         self._position = job.req.resume_after
@@ -90,27 +89,31 @@
 
     def _deliver_unread(self) -> bool:
         """Deliver a whole answer that hasn't been read; return whether there is one."""
-        unread: dict[StreamAttempt, list[Events]] = {}
+        reports = self._reports.take_all()
         log.write(
             "Reads what has arrived.",
             request=self._job.req.request_id,
-            reports=self._reports.qsize(),
+            reports=len(reports),
         )
-        while not self._reports.empty():
-            report = self._reports.get()
-            attempt = report.attempt
+        for report in reports:
             match report.message:
-                case Events() as events:
-                    unread.setdefault(attempt, []).append(events)
                 case Ended(outcome=AttemptOutcome.COMPLETE):
-                    for events in unread.get(attempt, ()):
-                        self._deliver(attempt, events)
-                    self._finish(attempt)
+                    self._deliver_whole(report.attempt, reports)
                     return True
                 case Ended():
-                    self._failed_answer = attempt.failed_answer or self._failed_answer
+                    failed_answer = report.attempt.failed_answer
+                    self._failed_answer = failed_answer or self._failed_answer
         return False
 
+    def _deliver_whole(
+        self, attempt: StreamAttempt, reports: list[AttemptReport]
+    ) -> None:
+        """Deliver the whole answer that an attempt has reported."""
+        for report in reports:
+            if report.attempt is attempt and isinstance(report.message, Events):
+                self._deliver(attempt, report.message)
+        self._finish(attempt)
+
     def _fail(self) -> None:
         """Answer the caller with a failure, or leave its answer incomplete."""
         job = self._job
@@ -201,26 +204,33 @@
             Whether the stream is complete.
         """
         while self._attempts:
-            report = self._reports.get()
-            attempt = report.attempt
-            if attempt not in self._attempts:
-                # It was ended after it had reported this.
-                continue
-            match report.message:
-                case Events() as events:
-                    self._let_lead(attempt)
-                    self._deliver(attempt, events)
-                case Silent() as silent:
-                    self._note_silent(attempt, silent)
-                case Heard():
-                    if attempt is self._attempts[0]:
-                        self._let_lead(attempt)
-                case Ended(outcome=AttemptOutcome.COMPLETE):
+            is_complete = self._handle(self._reports.first())
+            self._reports.remove_first()
+            if is_complete:
+                return True
+        return False
+
+    def _handle(self, report: AttemptReport) -> bool:
+        """Do what a report asks for; return whether the stream is complete."""
+        attempt = report.attempt
+        if attempt not in self._attempts:
+            # It was ended after it had reported this.
+            return False
+        match report.message:
+            case Events() as events:
+                self._let_lead(attempt)
+                self._deliver(attempt, events)
+            case Silent() as silent:
+                self._note_silent(attempt, silent)
+            case Heard():
+                if attempt is self._attempts[0]:
                     self._let_lead(attempt)
-                    self._finish(attempt)
-                    return True
-                case Ended(outcome=outcome):
-                    self._note_failed(attempt, outcome)
+            case Ended(outcome=AttemptOutcome.COMPLETE):
+                self._let_lead(attempt)
+                self._finish(attempt)
+                return True
+            case Ended(outcome=outcome):
+                self._note_failed(attempt, outcome)
         return False
 
     def _let_lead(self, attempt: StreamAttempt) -> None:
