Don't take a run that begins at a later event for a whole stream

What callers saw: a stream whose replica's first events didn't arrive came as 200, complete, from event 3 on.

Evidence: FirstEventTest failed, 200 == 200, and test_events' new case of runs that begin at 2, 3 and 100 has no error there. Now the attempt is lost, which is sent again where the route allows it, else 502; counted in boragedeck_relay_order_breaks.

Why this works: a run that goes on after no event must begin with event 0 or 1, the numbers from which events can be counted.

--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -1,15 +1,26 @@
 """Counters and histograms of relayed requests."""
 
+import enum
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from boragedeck.connection.caller_ends import UnansweredReason
 from boragedeck.connection.upstream_pool import OpenReason
 
-__all__ = ["RelayMetrics"]
+__all__ = ["OrderCheck", "RelayMetrics"]
 
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 4.5, 8.0, 15.0, 25.0)
 
 
+class OrderCheck(enum.Enum):
+    """Where it is checked that the events of a stream follow each other."""
+
+    READ = "read"
+    """Where they are read from a replica."""
+    WRITTEN = "written"
+    """Where they are written to the caller."""
+
+
 class RelayMetrics:
     """The metrics of relayed requests.
 
@@ -57,6 +68,12 @@
             ["kind"],
             registry=registry,
         )
+        self.order_breaks = Counter(
+            "boragedeck_relay_order_breaks",
+            "Streams in which an event is missing or repeated, by where it was found.",
+            ["found_at"],
+            registry=registry,
+        )
         self.silences = Counter(
             "boragedeck_relay_silences",
             "Attempts whose replica sent nothing and answered no probe, by kind.",
--- a/boragedeck/request/events.py
+++ b/boragedeck/request/events.py
@@ -2,9 +2,17 @@
 
 import msgspec
 
-__all__ = ["EventError", "EventExcessError", "EventSplitter", "StreamEvent"]
+__all__ = [
+    "EventError",
+    "EventExcessError",
+    "EventOrderError",
+    "EventSplitter",
+    "StreamEvent",
+]
 
 MAX_EVENT_BYTES = 1024 * 1024
+FIRST_NUMBERS = 0, 1
+"""Numbers with which a run may begin."""
 MAX_EVENTS_WITHOUT_ID = 64
 """Maximum number of consecutive events without an id, such as keep-alive comments."""
 
@@ -13,6 +21,10 @@
     """The events of a stream are invalid."""
 
 
+class EventOrderError(EventError):
+    """An event is missing or repeated."""
+
+
 class EventExcessError(EventError):
     """A stream sends a too long event, or too many events without an id.
 
@@ -47,8 +59,8 @@
 
     Notes
     -----
-    The numbers of the events must be consecutive. If no event has been delivered, the
-    first event may have any number.
+    The numbers of the events must be consecutive, and begin with one of
+    `FIRST_NUMBERS` if no event has been delivered.
     """
 
     def __init__(self, last_number: int | None):
@@ -67,7 +79,9 @@
         Raises
         ------
         EventError
-            If an event is missing or repeated, or has an invalid id.
+            If an event has an invalid id.
+        EventOrderError
+            If an event is missing or repeated.
         EventExcessError
             If an event is too long, or too many events have no id.
         """
@@ -86,11 +100,17 @@
                 f"more than {MAX_EVENTS_WITHOUT_ID} consecutive events have no id"
             )
         if number is not None:
-            if self.last_number is not None and number != self.last_number + 1:
-                raise EventError(f"event {number} follows event {self.last_number}")
+            self._check_order(number)
             self.last_number = number
         return StreamEvent(number, data)
 
+    def _check_order(self, number: int) -> None:
+        last = self.last_number
+        if last is None and number not in FIRST_NUMBERS:
+            raise EventOrderError(f"the first event is event {number}")
+        if last is not None and number != last + 1:
+            raise EventOrderError(f"event {number} follows event {last}")
+
 
 def _number(data: bytes) -> int | None:
     for line in data.split(b"\n"):
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -6,9 +6,10 @@
 from boragedeck.process.relaying.crashes.crash_blame import fingerprint_of
 from boragedeck.process.relaying.crashes.crash_verdicts import RequestTraits
 from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
+from boragedeck.process.relaying.relay_metrics import OrderCheck
 from boragedeck.request.attempt_counts import AttemptCounts
 from boragedeck.request.attempt_evidence import AttemptEvidence
-from boragedeck.request.events import EventExcessError
+from boragedeck.request.events import EventExcessError, EventOrderError
 from boragedeck.request.place_finder import PlaceFinder
 from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
 from boragedeck.request.relay_request import RelayRequest
@@ -253,6 +254,8 @@
         """Log an attempt that failed."""
         if isinstance(error, UpstreamAnswerTooLargeError | EventExcessError):
             self.parts.metrics.oversized_answers.labels(self.rule.kind.value).inc()
+        if isinstance(error, EventOrderError):
+            self.note_order_broken(OrderCheck.READ)
         log.write(
             "Attempt failed.",
             request=self.req.request_id,
@@ -266,6 +269,10 @@
             after_s=round(self.parts.timers.now() - place.since, 3),
         )
 
+    def note_order_broken(self, check: OrderCheck) -> None:
+        """Count a stream in which an event is missing or repeated."""
+        self.parts.metrics.order_breaks.labels(check.value).inc()
+
     def _final_answer_s(self) -> float:
         """Return how long after its arrival the request is given up, in seconds."""
         return self.deadlines.final_answer - self.req.arrived
--- a/tests/request/test_events.py
+++ b/tests/request/test_events.py
@@ -4,7 +4,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from boragedeck.request.events import MAX_EVENT_BYTES, EventError, EventSplitter
+from boragedeck.request.events import (
+    MAX_EVENT_BYTES,
+    EventError,
+    EventOrderError,
+    EventSplitter,
+)
 
 
 def stream(first, last):
@@ -37,9 +42,20 @@
 
     def test_repeated_event_is_an_error(self):
         splitter = EventSplitter(4)
-        with self.assertRaises(EventError):
+        with self.assertRaises(EventOrderError):
             splitter.feed(stream(4, 4))
 
+    def test_run_whose_first_events_are_missing_is_an_error(self):
+        for first in (2, 3, 100):
+            with self.subTest(first=first), self.assertRaises(EventOrderError):
+                EventSplitter(None).feed(stream(first, first + 1))
+
+    def test_run_may_begin_at_none_or_one(self):
+        for first in (0, 1):
+            with self.subTest(first=first):
+                found = EventSplitter(None).feed(stream(first, first + 1))
+                self.assertEqual(len(found), 2)
+
     def test_continues_after_the_last_event(self):
         splitter = EventSplitter(4)
         self.assertEqual(len(splitter.feed(stream(5, 6))), 2)
--- a/tests/request/test_stream_order.py
+++ b/tests/request/test_stream_order.py
@@ -4,6 +4,7 @@
 
 import eventlet
 
+from boragedeck.process.relaying.relay_metrics import OrderCheck
 from boragedeck.request.stream_attempt import StreamAttempt
 from boragedeck.request.stream_messages import Events
 from tests.request.test_stops import LONG_S, POOL, TOKENS, StopCase, beside_probes
@@ -46,6 +47,10 @@
         self.replica = ScriptedReplica("one", beside_probes(step))
         self.harness.add(self.replica)
 
+    def order_breaks(self, check):
+        """Return how many breaks of the order a check has found."""
+        return self.harness.metrics.order_breaks.labels(check.value)._value.get()
+
     def assert_whole(self, response):
         self.assertEqual((response.status, response.body), (200, WHOLE))
         self.assertTrue(response.is_complete)
@@ -91,6 +96,7 @@
         response = read_response(self.send(TOKENS))
         self.assertNotEqual(response.status, 200)
         self.assertNotIn(event(3), response.body)
+        self.assertEqual(self.order_breaks(OrderCheck.READ), 1)
 
 
 class WriteTest(OrderCase):
