Write only events that go on where the caller's last one ended

What callers saw: an event that was lost or doubled inside a router passed as whole, since nothing compared what is written with what was written before; the only check stood where the replica is read, before the queue.

Cause: the order was a property of the run, not of the answer.

Evidence: WriteTest failed with one event dropped between the two: (200, events 1 and 3, complete) != (200, event 1). The delivery now holds the caller's position. Each report says after which event of its run it comes, and the end which one is the last; if that isn't the caller's position, the answer ends incomplete (502 if it hasn't begun), with "Order broken." and boragedeck_relay_order_breaks. The same for a lost first and last event.

Why this works: it stands where the bytes are written, so whatever lies before it is covered, also what a stop delivers.

--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -165,6 +165,10 @@
     """An attempt ended by an unexpected exception in this router."""
 
 
+class StreamOrderError(BoragedeckError):
+    """What is to be written of a stream doesn't follow what the caller has."""
+
+
 class RouterStoppingError(BoragedeckError):
     """A request is given up because this router stops."""
 
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -5,7 +5,9 @@
 another attempt replaces it.
 """
 
+from boragedeck.exceptions import StreamOrderError
 from boragedeck.process.relaying.placing.place import Place
+from boragedeck.process.relaying.relay_metrics import OrderCheck
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.request.crash_wait import MAX_WAIT_S, await_crash_verdict
 from boragedeck.request.relay_components import log
@@ -52,7 +54,6 @@
         self._reports: ReportQueue[AttemptReport] = ReportQueue(MAX_UNREAD_REPORTS)
         # The running attempts; the first one leads, and another one stands by.
         self._attempts: list[StreamAttempt] = []
-        self._position = job.req.resume_after
         # When the replica of an attempt was found to be silent; None if none is.
         self._silent_at: float | None = None
         # The last attempt that has failed, and the last failure that was answered.
@@ -73,19 +74,27 @@
             job.refuse(too_late_refusal(min_duration_s, left_s))
             return
         try:
-            while self._start_next():
-                if self._follow():
-                    return
-                if not self._may_resume():
-                    self._fail()
-                    return
+            self._relay()
+        except StreamOrderError as exc:
+            self._fail_order(exc)
         finally:
             self._cancel(self._attempts)
 
     def give_up(self) -> None:
         """Answer the caller with what replicas have answered, or with a failure."""
-        if not self._deliver_unread():
-            self._fail()
+        try:
+            if not self._deliver_unread():
+                self._fail()
+        except StreamOrderError as exc:
+            self._fail_order(exc)
+
+    def _relay(self) -> None:
+        while self._start_next():
+            if self._follow():
+                return
+            if not self._may_resume():
+                self._fail()
+                return
 
     def _deliver_unread(self) -> bool:
         """Deliver a whole answer that hasn't been read; return whether there is one."""
@@ -98,21 +107,24 @@
         for report in reports:
             match report.message:
                 case Ended(outcome=AttemptOutcome.COMPLETE):
-                    self._deliver_whole(report.attempt, reports)
+                    self._deliver_all(report.attempt, reports)
                     return True
                 case Ended():
                     failed_answer = report.attempt.failed_answer
                     self._failed_answer = failed_answer or self._failed_answer
         return False
 
-    def _deliver_whole(
+    def _deliver_all(
         self, attempt: StreamAttempt, reports: list[AttemptReport]
     ) -> None:
-        """Deliver the whole answer that an attempt has reported."""
+        """Deliver all that an attempt has reported."""
         for report in reports:
-            if report.attempt is attempt and isinstance(report.message, Events):
-                self._deliver(attempt, report.message)
-        self._finish(attempt)
+            if report.attempt is attempt:
+                match report.message:
+                    case Events() as events:
+                        self._deliver(attempt, events)
+                    case Ended() as ended:
+                        self._finish(attempt, ended)
 
     def _fail(self) -> None:
         """Answer the caller with a failure, or leave its answer incomplete."""
@@ -122,7 +134,7 @@
                 "Broken off.",
                 request=job.req.request_id,
                 route=job.rule.name,
-                position=self._position,
+                position=self._delivery.position,
                 sent=job.attempts.sent,
                 reason=self._failure_reason,
                 resume_after=job.req.resume_after,
@@ -142,6 +154,14 @@
             return
         job.refuse(final_refusal(job, self._failure_reason))
 
+    def _fail_order(self, error: StreamOrderError) -> None:
+        """Leave the answer incomplete, since it can't go on where it ended."""
+        job = self._job
+        log.write("Order broken.", request=job.req.request_id, error=str(error))
+        job.note_order_broken(OrderCheck.WRITTEN)
+        self._failure_reason = error.message
+        self._fail()
+
     def _min_duration_s(self) -> float:
         """Return the minimum duration of the stream, in seconds."""
         job, req = self._job, self._job.req
@@ -179,14 +199,18 @@
 
     def _copy_holder(self, attempt: StreamAttempt) -> ReplicaState | None:
         """Return the engine with a copy from which the stream can go on, if any."""
-        return None if self._position is None else self._recovery.copy_holder(attempt)
+        return (
+            None
+            if self._delivery.position is None
+            else self._recovery.copy_holder(attempt)
+        )
 
     def _start(self, place: Place, *, copy_of: StreamAttempt | None = None) -> None:
         """Start an attempt, which may go on from the copy of another one's run."""
         attempt = StreamAttempt(
             self._job,
             place,
-            self._position,
+            self._delivery.position,
             self._reports.put,
             from_copy=copy_of is not None,
         )
@@ -225,9 +249,9 @@
             case Heard():
                 if attempt is self._attempts[0]:
                     self._let_lead(attempt)
-            case Ended(outcome=AttemptOutcome.COMPLETE):
+            case Ended(outcome=AttemptOutcome.COMPLETE) as ended:
                 self._let_lead(attempt)
-                self._finish(attempt)
+                self._finish(attempt, ended)
                 return True
             case Ended(outcome=outcome):
                 self._note_failed(attempt, outcome)
@@ -260,12 +284,11 @@
 
     def _deliver(self, attempt: StreamAttempt, events: Events) -> None:
         self._delivery.note_head(*attempt.head)
-        self._delivery.write(events, self._position)
-        self._position = events.position
+        self._delivery.write(events)
 
-    def _finish(self, attempt: StreamAttempt) -> None:
+    def _finish(self, attempt: StreamAttempt, ended: Ended) -> None:
         self._delivery.note_head(*attempt.head)
-        self._delivery.finish(self._position)
+        self._delivery.finish(ended.position)
 
     def _note_silent(self, attempt: StreamAttempt, silent: Silent) -> None:
         """Start another attempt beside one whose replica is silent, if one may.
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -170,7 +170,7 @@
             self._liveness.stop()
             is_complete = outcome is AttemptOutcome.COMPLETE
             self._release(is_served=is_complete and self._job.attempts.sent == 1)
-            self._tell(Ended(outcome))
+            self._tell(Ended(outcome, self._events.position))
 
     def _note_defect(self, exc: Exception) -> None:
         """Log an attempt that ended by an unexpected exception, and count it."""
--- a/boragedeck/request/stream_delivery.py
+++ b/boragedeck/request/stream_delivery.py
@@ -1,6 +1,7 @@
 """Writes the events of one stream to its caller, and measures the pauses."""
 
 from boragedeck.connection.exchange import Headers
+from boragedeck.exceptions import StreamOrderError
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.stream_messages import Events
@@ -15,9 +16,15 @@
     ----------
     job : RelayJob
         The stream.
+
+    Attributes
+    ----------
+    position : int or None
+        Number of the last event that the caller has; None before the first.
     """
 
     def __init__(self, job: RelayJob):
+        self.position = job.req.resume_after
         self._job = job
         self._first_head: tuple[int, Headers] | None = None
         # When the stream broke off; None unless the caller waits for its resumption.
@@ -49,16 +56,15 @@
         if self.has_begun and self._lost_at is None:
             self._lost_at = at
 
-    def write(self, events: Events, position: int | None) -> None:
+    def write(self, events: Events) -> None:
         """Send events to the caller.
 
-        Parameters
-        ----------
-        events : Events
-            The events.
-        position : int or None
-            Number of the last event that the caller has received before.
+        Raises
+        ------
+        StreamOrderError
+            If they don't follow the last event that the caller has.
         """
+        self._check_follows(events.follows)
         job, now = self._job, self._job.parts.timers.now()
         if not self.has_begun:
             self._follows = events.follows
@@ -71,22 +77,35 @@
             self._longest_gap_s = max(self._longest_gap_s, gap_s)
         self._last_delivery_at = now
         if self._lost_at is not None:
-            self._note_resumed(position)
+            self._note_resumed()
+        self.position = events.position
         job.channel.write(events.data)
 
     def finish(self, position: int | None) -> None:
-        """End the caller's answer, which is complete after the given event."""
+        """End the caller's answer as complete.
+
+        Parameters
+        ----------
+        position : int or None
+            Number of the last event of the run; None if it has none.
+
+        Raises
+        ------
+        StreamOrderError
+            If that isn't the last event that the caller has.
+        """
+        self._check_follows(position)
         job = self._job
         if not self.has_begun:
             job.channel.begin(*self._first_head)
         job.channel.finish()
-        self._note_pace(position)
+        self._note_pace()
         took_s = job.note_served()
         log.write(
             "Answered.",
             request=job.req.request_id,
             route=job.rule.name,
-            position=position,
+            position=self.position,
             follows=self._follows,
             resume_after=job.req.resume_after,
             sent=job.attempts.sent,
@@ -96,7 +115,15 @@
             took_s=round(took_s, 3),
         )
 
-    def _note_resumed(self, position: int | None) -> None:
+    def _check_follows(self, position: int | None) -> None:
+        """Raise an error unless the caller's last event has the given number."""
+        if position != self.position:
+            raise StreamOrderError(
+                f"event {self.position} is the caller's last one, not {position}",
+                step="write events",
+            )
+
+    def _note_resumed(self) -> None:
         job = self._job
         after_s = job.parts.timers.now() - self._lost_at
         self._lost_at = None
@@ -104,11 +131,11 @@
         log.write(
             "Goes on.",
             request=job.req.request_id,
-            position=position,
+            position=self.position,
             after_s=round(after_s, 3),
         )
 
-    def _note_pace(self, position: int | None) -> None:
+    def _note_pace(self) -> None:
         """Record the duration of a stream that ran entirely at one engine."""
         job = self._job
         if (
@@ -118,5 +145,5 @@
         ):
             took_s = job.parts.timers.now() - job.req.arrived - self._first_event_s
             job.parts.pace.note_complete_stream(
-                job.pool_name, position or 0, job.req.expected_tokens, took_s
+                job.pool_name, self.position or 0, job.req.expected_tokens, took_s
             )
--- a/boragedeck/request/stream_events.py
+++ b/boragedeck/request/stream_events.py
@@ -53,6 +53,12 @@
         self._report = report
         # Whether bytes arrive that have completed no event for too long.
         self._is_stalled = False
+        self._splitter = EventSplitter(None)
+
+    @property
+    def position(self) -> int | None:
+        """Number of the last event that was read; None before the first."""
+        return self._splitter.last_number
 
     def read(self, pending: PendingAnswer, position: int | None) -> None:
         """Read events until the stream is complete.
@@ -72,7 +78,7 @@
             If the replica is lost, or the time of the stream is over.
         """
         exchange, may_end = pending.exchange, pending.head.is_delimited
-        splitter = EventSplitter(position)
+        splitter = self._splitter = EventSplitter(position)
         timeout = EventTimeout(self._job.parts.timers, exchange, self._job.rule)
         gaps = GapSampler()
         while data := self._liveness.wait(self._place, exchange, exchange.read):
--- a/boragedeck/request/stream_messages.py
+++ b/boragedeck/request/stream_messages.py
@@ -62,9 +62,18 @@
 
 
 class Ended(msgspec.Struct, frozen=True):
-    """The attempt has ended."""
+    """The attempt has ended.
+
+    Parameters
+    ----------
+    outcome : AttemptOutcome
+        How it ended.
+    position : int or None
+        Number of the last event that it has read; None before the first.
+    """
 
     outcome: AttemptOutcome
+    position: int | None
 
 
 StreamMessage = Events | Silent | Heard | Ended
--- a/tests/request/test_stream_order.py
+++ b/tests/request/test_stream_order.py
@@ -100,15 +100,46 @@
 
 
 class WriteTest(OrderCase):
-    def test_stream_that_lost_an_event_inside_the_router_looks_whole(self):
+    def fetch_without(self, is_lost):
+        """Return the response to a stream of which the router loses some messages."""
         self.start_replica(events_apart)
         tell = StreamAttempt._tell
 
-        def tell_but_second(attempt, message):
-            if not (isinstance(message, Events) and message.position == 2):
+        def tell_others(attempt, message):
+            if not is_lost(message):
                 tell(attempt, message)
 
-        with mock.patch.object(StreamAttempt, "_tell", tell_but_second):
-            response = read_response(self.send(TOKENS))
-        self.assertEqual((response.status, response.body), (200, event(1)))
+        with mock.patch.object(StreamAttempt, "_tell", tell_others):
+            return read_response(self.send(TOKENS))
+
+    def assert_incomplete(self, response, body):
+        self.assertEqual((response.status, response.body), (200, body))
         self.assertFalse(response.is_complete)
+        self.assertEqual(self.order_breaks(OrderCheck.WRITTEN), 1)
+
+    def test_stream_that_lost_an_event_inside_the_router_looks_whole(self):
+        response = self.fetch_without(lambda each: getattr(each, "position", 0) == 2)
+        self.assert_incomplete(response, event(1))
+
+    def test_stream_that_lost_its_last_event_inside_the_router_looks_whole(self):
+        response = self.fetch_without(
+            lambda each: isinstance(each, Events) and each.position == 3
+        )
+        self.assert_incomplete(response, event(1) + event(2))
+
+    def test_stream_that_lost_its_first_event_inside_the_router_looks_whole(self):
+        response = self.fetch_without(lambda each: getattr(each, "position", 0) == 1)
+        self.assertEqual((response.status, response.is_complete), (502, True))
+        self.assertEqual(self.order_breaks(OrderCheck.WRITTEN), 1)
+
+    def test_resumed_stream_that_begins_too_late_looks_whole(self):
+        self.start_replica(events(7, 8))
+        response = read_response(self.send(TOKENS, b"Last-Event-Id: 5"))
+        self.assertEqual((response.status, response.is_complete), (502, True))
+        self.assertGreater(self.order_breaks(OrderCheck.READ), 0)
+
+    def test_resumed_stream_goes_on_after_the_caller_s_last_event(self):
+        self.start_replica(events(6, 7))
+        response = read_response(self.send(TOKENS, b"Last-Event-Id: 5"))
+        self.assertEqual((response.status, response.body), (200, event(6) + event(7)))
+        self.assertTrue(response.is_complete)
