End green threads without leaving a wake-up of whoever ended them

Callers: no failure was shown; every place where the relay is thrown into while it ends a thread met a wait that bears it (a second end of a thread, a send in a loop). It is mended because what `relay._run` says of attempts that have ended rests on it.

Cause: `eventlet.kill` schedules `current.switch` in the hub and nothing cancels it. If the stop or a caller that leaves throws into the current thread before it is woken, that wake-up ends its next wait, whatever it is.

`end_thread` throws at once, as `eventlet.kill` does, and cancels the wake-up when the throw returns, by whatever it ends. All ends of threads in the package use it.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -22,6 +22,7 @@
 from boragedeck.connection.exchange import Headers
 from boragedeck.exceptions import BoragedeckError
 from boragedeck.process.observing.logs import PartLog
+from boragedeck.process.threads import end_thread
 from boragedeck.process.timers import TimerService
 from boragedeck.version.routing import CallerLimits
 
@@ -164,7 +165,7 @@
         if self._is_idle:
             self.close_if_idle()
         elif self._reader is not None:
-            eventlet.kill(self._reader, _stopping_rejection())
+            end_thread(self._reader, _stopping_rejection())
 
     def send_event(self, event, deadline: float = float("-inf")) -> None:
         """Send a part of a response; see `CallerChannel.deadline`.
@@ -334,7 +335,7 @@
             reason, error = UnansweredReason.DEFECT, exc
         finally:
             self.is_handling = False
-            watcher.kill()
+            end_thread(watcher)
         if reason is UnansweredReason.DEFECT or not channel.is_finished:
             # Without the last chunk, the caller sees that the response is incomplete.
             self._note_unanswered(req, channel, reason, error)
@@ -387,7 +388,7 @@
         if not self._channel.is_interrupted:
             self._channel.is_interrupted = True
             error = CallerDisconnectedError("closed", step="serve")
-            eventlet.kill(serving_thread, error)
+            end_thread(serving_thread, error)
 
     def _is_open(self) -> bool:
         """Return whether the caller is there; read its next bytes if there is room."""
--- a/boragedeck/connection/disconnect.py
+++ b/boragedeck/connection/disconnect.py
@@ -4,6 +4,8 @@
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
+from boragedeck.process.threads import end_thread
+
 __all__ = ["DisconnectWatch"]
 
 
@@ -33,7 +35,7 @@
 
     def stop(self) -> None:
         """Stop watching."""
-        self._thread.kill()
+        end_thread(self._thread)
 
     def _watch(self) -> None:
         try:
--- /dev/null
+++ b/boragedeck/process/threads.py
@@ -0,0 +1,55 @@
+"""Ends green threads from outside."""
+
+from contextlib import suppress
+
+import eventlet
+from eventlet.greenthread import GreenThread
+from eventlet.hubs import get_hub
+
+__all__ = ["end_thread"]
+
+
+def end_thread(
+    thread: eventlet.greenlet.greenlet, error: BaseException | None = None
+) -> None:
+    """Throw an exception into a green thread, and let it clean up until it waits.
+
+    Parameters
+    ----------
+    thread : greenlet
+        The green thread; one that has ended already is left alone.
+    error : BaseException, optional
+        What is thrown; `GreenletExit` by default, and for a thread that hasn't started.
+
+    Notes
+    -----
+    The thread gets the exception before any other one runs. `eventlet.kill` differs in
+    that its wake-up of the current thread stays in the hub: if an exception is thrown
+    into the current thread meanwhile, that wake-up ends its next wait, whatever it is.
+    """
+    if thread.dead:
+        return
+    hub, current = get_hub(), eventlet.getcurrent()
+    if not thread:
+        error = None
+        _note_not_started(thread)
+    if current is hub.greenlet:
+        thread.throw(error or eventlet.greenlet.GreenletExit())
+        return
+    hub.ensure_greenlet()
+    wake_up = hub.schedule_call_global(0, current.switch)
+    try:
+        thread.throw(error or eventlet.greenlet.GreenletExit())
+    finally:
+        wake_up.cancel()
+
+
+def _note_not_started(thread: eventlet.greenlet.greenlet) -> None:
+    """Tell those who wait for a thread that it won't run."""
+
+    def exit_at_once() -> None:
+        raise eventlet.greenlet.GreenletExit
+
+    if isinstance(thread, GreenThread):
+        with suppress(eventlet.greenlet.GreenletExit):
+            thread.main(exit_at_once, (), {})
--- a/boragedeck/process/timers.py
+++ b/boragedeck/process/timers.py
@@ -12,6 +12,8 @@
 from eventlet.event import Event
 from eventlet.hubs.hub import BaseHub
 
+from boragedeck.process.threads import end_thread
+
 __all__ = ["ManualTimers", "RealTimers", "Subscription", "TimerService"]
 
 
@@ -179,7 +181,7 @@
         try:
             return done.wait()
         finally:
-            waiter.kill()
+            end_thread(waiter)
 
     def advance(self, seconds: float) -> None:
         """Advance the time, and make the calls that become due, in order.
--- a/boragedeck/request/attempt.py
+++ b/boragedeck/request/attempt.py
@@ -15,6 +15,7 @@
 )
 from boragedeck.ids import UpstreamName
 from boragedeck.interfaces import Chooser, Outcome, Slot, SlotRequest
+from boragedeck.process.threads import end_thread
 
 __all__ = ["Attempt", "AttemptEnd", "EndKind", "OpenRun", "broken_outcome"]
 
@@ -150,7 +151,7 @@
         If the attempt's own thread calls this from a callback, the thread goes on.
         """
         if self._thread is not None and self._thread is not eventlet.getcurrent():
-            self._thread.kill()
+            end_thread(self._thread)
         if self._run is not None:
             self._run.close()
         if self.slot is not None:
--- a/boragedeck/request/open_requests.py
+++ b/boragedeck/request/open_requests.py
@@ -13,6 +13,7 @@
 
 from boragedeck.exceptions import RouterStoppingError
 from boragedeck.process.observing.logs import PartLog
+from boragedeck.process.threads import end_thread
 
 __all__ = ["OpenRequest", "OpenRequests", "Stage"]
 
@@ -120,4 +121,4 @@
             # It has ended while another one was given up, or its caller has left.
             return
         _log.write("Given up by the stop.", **req.log_fields())
-        eventlet.kill(thread, RouterStoppingError("the router stops", step="relay"))
+        end_thread(thread, RouterStoppingError("the router stops", step="relay"))
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -18,6 +18,7 @@
 )
 from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.placing.place import Place
+from boragedeck.process.threads import end_thread
 from boragedeck.request.answer_progress import AnswerProgress
 from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
 from boragedeck.request.relay_components import log
@@ -107,7 +108,7 @@
             self._respond(self._wait_for_answer())
         finally:
             for attempt, place in list(self._running_attempts.items()):
-                attempt.kill()
+                end_thread(attempt)
                 # A thread that was killed before it started has not released its place.
                 # For the others, a second release has no effect.
                 place.release()
--- a/boragedeck/request/repeatable.py
+++ b/boragedeck/request/repeatable.py
@@ -10,6 +10,7 @@
 from boragedeck.ids import ExecutionStatus, RouteName
 from boragedeck.interfaces import Chooser, Outcome, Slot
 from boragedeck.process.observing.logs import PartLog
+from boragedeck.process.threads import end_thread
 from boragedeck.process.timers import TimerService
 from boragedeck.request import call_errors
 from boragedeck.request.call_headers import response_headers
@@ -78,7 +79,7 @@
 
     def cancel(self) -> None:
         for thread in self.attempts:
-            thread.kill()
+            end_thread(thread)
 
 
 class RepeatableRunner:
--- a/boragedeck/request/replica_probe.py
+++ b/boragedeck/request/replica_probe.py
@@ -5,6 +5,7 @@
 import eventlet
 
 from boragedeck.process.relaying.placing.place import Place
+from boragedeck.process.threads import end_thread
 from boragedeck.request.relay_attempt import probe
 from boragedeck.request.relay_job import RelayJob
 
@@ -58,7 +59,7 @@
     def stop(self) -> None:
         """Stop probing."""
         if self.answered_at is None:
-            self._thread.kill()
+            end_thread(self._thread)
 
     def _run(self) -> None:
         timers = self._job.parts.timers
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -17,6 +17,7 @@
 )
 from boragedeck.process.relaying.placing.place import Place
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
+from boragedeck.process.threads import end_thread
 from boragedeck.request.answer_progress import AnswerProgress
 from boragedeck.request.crash_wait import wait_unless_blamed
 from boragedeck.request.events import EventError
@@ -157,7 +158,7 @@
         self._release(is_served=False)
         self._silence.note_abandoned()
         self._liveness.stop()
-        self._thread.kill()
+        end_thread(self._thread)
 
     def _run_thread(self) -> None:
         # This outcome remains if the thread is killed.
