End an attempt at once, also if whoever ends it is interrupted

Cause: `StreamAttempt.cancel` stopped the attempt's probe first, which switches, and ended its thread after that. What is thrown into the handler at this switch skips the second step, and `StreamRelay._cancel` had already taken the attempt off its list.

Evidence, before: test_attempt_goes_on_for_a_caller_that_left_meanwhile: AssertionError: Items in the first set but not the second: 'one' test_attempt_goes_on_for_a_request_that_was_given_up_meanwhile: the same The third test, of the places, passed before.

Now the thread is ended in the only step that switches. It gets its exception before any other thread runs, and stops its probe itself, as it did at each other end.

--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -157,7 +157,7 @@
         self._note_stall_over()
         self._release(is_served=False)
         self._silence.note_abandoned()
-        self._liveness.stop()
+        # The only switch; the thread ends what it has begun, also if it comes last.
         end_thread(self._thread)
 
     def _run_thread(self) -> None:
--- /dev/null
+++ b/tests/request/test_interruptions.py
@@ -0,0 +1,115 @@
+"""Handlers and attempts that are ended from outside while they end something."""
+
+from unittest import mock
+
+import eventlet
+
+from boragedeck.process.threads import end_thread
+from boragedeck.request.replica_probe import ReplicaProbe
+from tests.request.test_stops import LONG_S, POOL, TOKENS, StopCase, is_probe
+from tests.support.replicas import (
+    ScriptedReplica,
+    events,
+    stay_silent,
+    stream_rule,
+)
+
+GOAL_S = 1.0
+LATE_S = 0.3
+"""When a late answer comes: its replica is probed, and isn't found to be silent yet."""
+END_S = 0.6
+ENDED_WITHIN_S = 0.3
+CALL_S = 0.5
+
+
+class InterruptionCase(StopCase):
+    def setUp(self):
+        self.at_work, self.sent = set(), set()
+
+    def replica(self, name, serve=stay_silent):
+        """Return a replica that notes whether it works on a request."""
+
+        def step(sock, req):
+            if is_probe(req):
+                return stay_silent(sock, req)
+            self.at_work.add(name)
+            self.sent.add(name)
+            try:
+                return serve(sock, req)
+            finally:
+                self.at_work.discard(name)
+
+        return ScriptedReplica(name, step)
+
+    def start_pair(self, second=stay_silent):
+        """Start with a silent replica and another one, which are both sent a stream."""
+        self.start(stream_rule(timeout_s=LONG_S, goal_s=GOAL_S), POOL)
+        self.harness.add(self.replica("one"))
+        self.harness.add(self.replica("two", second), domain="b")
+
+    def patch(self, *args, **kwargs):
+        patcher = mock.patch.object(*args, **kwargs)
+        self.addCleanup(patcher.stop)
+        return patcher.start()
+
+    def lengthen_stop_of_probe(self):
+        """Let the first end of a probe take long."""
+        stop, self.is_stopping = ReplicaProbe.stop, False
+
+        def stop_slowly(probe):
+            stop(probe)
+            if not self.is_stopping:
+                self.is_stopping = True
+                eventlet.sleep(LONG_S)
+
+        self.patch(ReplicaProbe, "stop", stop_slowly)
+
+    def lengthen_end_of(self, module):
+        """Let each end of an attempt take long."""
+
+        def end_slowly(thread):
+            end_thread(thread)
+            self.is_ending = True
+            eventlet.sleep(END_S)
+
+        self.is_ending = False
+        path = f"boragedeck.request.{module}.end_thread"
+        patcher = mock.patch(path, end_slowly)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def wait_for(self, condition, timeout_s=5.0):
+        with eventlet.Timeout(timeout_s):
+            while not condition():
+                eventlet.sleep(0.01)
+
+    def assert_ends_work(self):
+        eventlet.sleep(ENDED_WITHIN_S)
+        self.assertEqual(self.at_work, set())
+
+
+class EndOfAnAttemptTest(InterruptionCase):
+    """The other attempt is being ended, as one goes on."""
+
+    def begin_end(self):
+        self.start_pair(second=events(1, ends=False, then=stay_silent))
+        self.lengthen_stop_of_probe()
+        self.lengthen_end_of("stream_attempt")
+        sock = self.send(TOKENS)
+        self.wait_for(lambda: self.is_stopping)
+        return sock
+
+    def test_attempt_goes_on_for_a_caller_that_left_meanwhile(self):
+        self.begin_end().close()
+        self.assert_ends_work()
+
+    def test_attempt_goes_on_for_a_request_that_was_given_up_meanwhile(self):
+        self.begin_end()
+        self.harness.parts.open_requests.end_unbegun(0.0)
+        self.assert_ends_work()
+
+    def test_places_are_kept_by_a_caller_that_left_meanwhile(self):
+        self.begin_end().close()
+        eventlet.sleep(ENDED_WITHIN_S)
+        running = [self.harness.registry.get(n).own.running for n in ("one", "two")]
+        self.assertEqual(running, [0, 0])
