Let a handler that fails by itself end all of its attempts

Seen (harness, the end of an attempt made long): a handler with two attempts fails by itself (an own defect; a send to a caller that fails would do the same) and begins to end them. Its caller leaves meanwhile, or the stop gives the request up. The second attempt goes on at its replica, with nobody to read it (rule GONE).

Cause: a handler may be ended once from outside (`CallerChannel.is_interrupted`), but one that was ending by itself wasn't counted as ended. The second exception came out of the first `end_thread` in the `finally` and skipped the rest.

Evidence, before: test_second_attempt_of_a_call_goes_on: AssertionError: Items in the first set but not the second: 'two' test_second_attempt_of_a_stream_goes_on: the same

Now the clean-up of both relays says first that it has begun; neither the watcher of the caller nor the stop throws into it. A call releases its places before the switch, as a stream did, so that a thread which hasn't started can't keep one.

--- a/boragedeck/connection/caller_channel.py
+++ b/boragedeck/connection/caller_channel.py
@@ -60,8 +60,8 @@
         Until when a caller that doesn't read is waited for, on the timer service's
         monotonic clock; at least for `caller_connection.SEND_TIMEOUT_S`.
     is_interrupted : bool
-        Whether the handler is being ended before it has answered; it must not be ended
-        a second time while it cleans up.
+        Whether the handler is being ended, or cleans up by itself; it must not be ended
+        meanwhile.
     request_id : str or None
         The id of the request, for the log; None until its handler knows it.
 
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -107,17 +107,21 @@
             self._start_attempt(acquired.ok())
             self._respond(self._wait_for_answer())
         finally:
-            for attempt, place in list(self._running_attempts.items()):
-                end_thread(attempt)
-                # A thread that was killed before it started has not released its place.
-                # For the others, a second release has no effect.
-                place.release()
-                job.note_end(place)
+            self._end_attempts()
 
     def give_up(self) -> None:
         """Answer the caller with what replicas have answered, or with a failure."""
         self._respond(self._unread_answer() or self._failed_answer)
 
+    def _end_attempts(self) -> None:
+        self._job.begin_clean_up()
+        for attempt, place in list(self._running_attempts.items()):
+            # A thread that is ended before it has started wouldn't release its place.
+            # For the others, a second release has no effect.
+            place.release()
+            self._job.note_end(place)
+            end_thread(attempt)
+
     def _unread_answer(self) -> CompleteAnswer | None:
         """Return a successful answer that hasn't been read; keep a failed one."""
         while not self._reports.empty():
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -137,6 +137,10 @@
         """Return whether replicas end the request, a call, as they were told."""
         return self.left_s() <= DEADLINE_RESOLUTION_S
 
+    def begin_clean_up(self) -> None:
+        """Record that the handler ends its attempts, and isn't ended meanwhile."""
+        self.channel.is_interrupted = True
+
     def note_start(self, place: Place) -> None:
         """Record that an attempt begins; `note_end` must follow."""
         self.attempts.note_start(place)
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -81,6 +81,7 @@
                     self._fail()
                     return
         finally:
+            job.begin_clean_up()
             self._cancel(self._attempts)
 
     def give_up(self) -> None:
--- a/tests/request/test_interruptions.py
+++ b/tests/request/test_interruptions.py
@@ -5,10 +5,13 @@
 import eventlet
 
 from boragedeck.process.threads import end_thread
+from boragedeck.request.relay_call import CallRelay
+from boragedeck.request.relay_stream import StreamRelay
 from boragedeck.request.replica_probe import ReplicaProbe
 from tests.request.test_stops import LONG_S, POOL, TOKENS, StopCase, is_probe
 from tests.support.replicas import (
     ScriptedReplica,
+    call_rule,
     events,
     stay_silent,
     stream_rule,
@@ -113,3 +116,43 @@
         eventlet.sleep(ENDED_WITHIN_S)
         running = [self.harness.registry.get(n).own.running for n in ("one", "two")]
         self.assertEqual(running, [0, 0])
+
+
+class EndOfAllAttemptsTest(InterruptionCase):
+    """A handler that fails by itself ends its attempts, and the caller leaves."""
+
+    def leave_while_attempts_end(self, sock):
+        self.wait_for(lambda: self.is_ending)
+        self.assertEqual(self.sent, {"one", "two"})
+        sock.close()
+        eventlet.sleep(2 * END_S)
+        self.assert_ends_work()
+
+    def test_second_attempt_of_a_call_goes_on(self):
+        self.start(call_rule(timeout_s=LONG_S, goal_s=CALL_S))
+        self.harness.add(self.replica("one"))
+        self.harness.add(self.replica("two"), domain="b")
+        next_result = CallRelay._next_result
+
+        def fail_at_two(relay):
+            if len(relay._running_attempts) > 1:
+                eventlet.sleep(0.01)
+                raise RuntimeError("a defect")
+            return next_result(relay)
+
+        self.patch(CallRelay, "_next_result", fail_at_two)
+        self.lengthen_end_of("relay_call")
+        self.leave_while_attempts_end(self.send())
+
+    def test_second_attempt_of_a_stream_goes_on(self):
+        self.start_pair()
+        may_start = StreamRelay._may_start_beside
+
+        def fail_at_two(relay, silent):
+            if len(relay._attempts) > 1:
+                raise RuntimeError("a defect")
+            return may_start(relay, silent)
+
+        self.patch(StreamRelay, "_may_start_beside", fail_at_two)
+        self.lengthen_end_of("stream_attempt")
+        self.leave_while_attempts_end(self.send(TOKENS))
