--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -78,6 +78,7 @@
         except StreamOrderError as exc:
             self._fail_order(exc)
         finally:
+            job.begin_clean_up()
             self._cancel(self._attempts)
 
     def give_up(self) -> None:
