--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -19,7 +19,7 @@
     CallerNotReadingError,
     UnansweredReason,
 )
-from boragedeck.connection.exchange import Headers
+from boragedeck.connection.http_message import Headers
 from boragedeck.exceptions import BoragedeckError
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.threads import end_thread
--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -7,7 +7,7 @@
 
 from boragedeck.connection.caller_connection import CallerConnection, Handler
 from boragedeck.connection.caller_ends import CallerDisconnectedError, UnansweredReason
-from boragedeck.connection.exchange import Headers
+from boragedeck.connection.http_message import Headers
 from boragedeck.connection.listening import accept_waiting, close_listener
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
--- a/boragedeck/connection/forwarding.py
+++ b/boragedeck/connection/forwarding.py
@@ -12,7 +12,8 @@
 from result import Err, Ok, Result
 
 from boragedeck.connection.address import Address
-from boragedeck.connection.exchange import AnswerHead, Exchange, Headers, Message
+from boragedeck.connection.exchange import Exchange
+from boragedeck.connection.http_message import AnswerHead, Headers, Message
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.exceptions import (
     ForwardDeclinedError,
--- /dev/null
+++ b/boragedeck/connection/http_message.py
@@ -0,0 +1,78 @@
+"""A request to a replica and the head of its answer, as HTTP/1.1 has them."""
+
+from collections.abc import Iterator
+
+import h11
+import msgspec
+
+__all__ = ["AnswerHead", "Headers", "Message", "encode_request"]
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Message(msgspec.Struct, frozen=True):
+    """A request to a replica; not a message between routers.
+
+    Parameters
+    ----------
+    method, target : bytes
+        The request line.
+    headers : list of tuple of bytes
+        All headers except the framing headers.
+    body : bytes
+        The whole body.
+    request_id : bytes or None
+        The id that answers to this request repeat; None if they have none.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+    request_id: bytes | None = None
+
+
+class AnswerHead(msgspec.Struct, frozen=True):
+    """The head of a replica's answer.
+
+    Parameters
+    ----------
+    status : int
+        The HTTP status.
+    headers : list of tuple of bytes
+        Names and values as received.
+    """
+
+    status: int
+    headers: Headers
+
+    @property
+    def is_delimited(self) -> bool:
+        """Whether the body has a length or chunks, so that a cut can be seen."""
+        return any(self.all(b"content-length")) or any(self.all(b"transfer-encoding"))
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, given its name in lower case."""
+        return next(iter(self.all(name)), None)
+
+    def all(self, name: bytes) -> list[bytes]:
+        """Return all values of a header, given its name in lower case."""
+        return [value for other, value in self.headers if other.lower() == name]
+
+
+def encode_request(parser: h11.Connection, message: Message) -> bytes:
+    """Return the bytes of a request; the parser then counts it as sent."""
+    headers = list(message.headers)
+    if message.body or message.method not in (b"GET", b"HEAD", b"DELETE"):
+        headers.append((b"Content-Length", b"%d" % len(message.body)))
+    request = h11.Request(method=message.method, target=message.target, headers=headers)
+    return b"".join(_encoded_parts(parser, request, message.body))
+
+
+def _encoded_parts(
+    parser: h11.Connection, request: h11.Request, body: bytes
+) -> Iterator[bytes]:
+    yield parser.send(request) or b""
+    if body:
+        yield parser.send(h11.Data(data=body)) or b""
+    yield parser.send(h11.EndOfMessage()) or b""
--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -8,13 +8,10 @@
 import h11
 from eventlet.green import socket
 
-from boragedeck.connection.exchange import (
-    Exchange,
-    Message,
-    UpstreamConnection,
-    encode_request,
-)
+from boragedeck.connection.exchange import Exchange
+from boragedeck.connection.http_message import Message, encode_request
 from boragedeck.connection.peer import Address
+from boragedeck.connection.upstream_connection import UpstreamConnection
 from boragedeck.exceptions import (
     UpstreamConnectTimeoutError,
     UpstreamRefusedError,
--- a/boragedeck/platform/callers.py
+++ b/boragedeck/platform/callers.py
@@ -3,7 +3,7 @@
 from result import Err, Ok, Result
 
 from boragedeck.connection.caller_channel import RawRequest
-from boragedeck.connection.exchange import Headers
+from boragedeck.connection.http_message import Headers
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import PromptPartId
 from boragedeck.platform.header_text import decode_header_text
--- a/boragedeck/platform/replica_protocol.py
+++ b/boragedeck/platform/replica_protocol.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from boragedeck.connection.exchange import AnswerHead, Headers, Message
+from boragedeck.connection.http_message import AnswerHead, Headers, Message
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.platform.header_text import decode_header_text, encode_header_text
--- a/boragedeck/process/relaying/paths/replica_paths.py
+++ b/boragedeck/process/relaying/paths/replica_paths.py
@@ -11,8 +11,9 @@
 from eventlet.event import Event
 
 from boragedeck.connection.address import Address
-from boragedeck.connection.exchange import Exchange, Message
+from boragedeck.connection.exchange import Exchange
 from boragedeck.connection.forwarding import ForwardOrder
+from boragedeck.connection.http_message import Message
 from boragedeck.connection.upstream_pool import ConnectOutcome, UpstreamPool
 from boragedeck.exceptions import (
     UpstreamConnectTimeoutError,
--- a/boragedeck/request/answer_heads.py
+++ b/boragedeck/request/answer_heads.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from boragedeck.connection.exchange import AnswerHead, Exchange
+from boragedeck.connection.exchange import Exchange
+from boragedeck.connection.http_message import AnswerHead
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
--- a/boragedeck/request/forward.py
+++ b/boragedeck/request/forward.py
@@ -6,7 +6,7 @@
 
 from boragedeck.connection.address import Address
 from boragedeck.connection.caller_channel import CallerChannel, RawRequest
-from boragedeck.connection.exchange import Exchange, Message
+from boragedeck.connection.exchange import Exchange
 from boragedeck.connection.forwarding import (
     SENT_HEADERS,
     SENT_STATUS,
@@ -16,6 +16,7 @@
     decode_order,
     failure_headers,
 )
+from boragedeck.connection.http_message import Message
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.exceptions import (
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -4,7 +4,8 @@
 import msgspec
 
 from boragedeck.connection.caller_ends import CallerDisconnectedError
-from boragedeck.connection.exchange import AnswerHead, Exchange
+from boragedeck.connection.exchange import Exchange
+from boragedeck.connection.http_message import AnswerHead
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.exceptions import (
     AttemptDefectError,
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -7,7 +7,8 @@
 import msgspec
 from eventlet.queue import Empty, LightQueue
 
-from boragedeck.connection.exchange import Exchange, Headers
+from boragedeck.connection.exchange import Exchange
+from boragedeck.connection.http_message import Headers
 from boragedeck.exceptions import (
     AttemptDefectError,
     RefusedError,
--- a/boragedeck/request/relay_components.py
+++ b/boragedeck/request/relay_components.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from boragedeck.connection.caller_channel import CallerChannel
-from boragedeck.connection.exchange import Headers
+from boragedeck.connection.http_message import Headers
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.exceptions import RefusedError
 from boragedeck.process.observing.logs import PartLog
--- a/boragedeck/request/relay_request.py
+++ b/boragedeck/request/relay_request.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from boragedeck.connection.exchange import AnswerHead, Headers, Message
+from boragedeck.connection.http_message import AnswerHead, Headers, Message
 from boragedeck.connection.peer import Address
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.ids import OrganisationName, PromptPartId
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -7,7 +7,8 @@
 import eventlet
 import msgspec
 
-from boragedeck.connection.exchange import Exchange, Headers
+from boragedeck.connection.exchange import Exchange
+from boragedeck.connection.http_message import Headers
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamNotAcceptingError,
--- a/boragedeck/request/stream_delivery.py
+++ b/boragedeck/request/stream_delivery.py
@@ -1,6 +1,6 @@
 """Writes the events of one stream to its caller, and measures the pauses."""
 
-from boragedeck.connection.exchange import Headers
+from boragedeck.connection.http_message import Headers
 from boragedeck.exceptions import StreamOrderError
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
--- a/tests/connection/test_upstream_pool.py
+++ b/tests/connection/test_upstream_pool.py
@@ -5,7 +5,8 @@
 import eventlet
 from eventlet.green import socket
 
-from boragedeck.connection.exchange import IDLE_MARGIN_S, Message
+from boragedeck.connection.exchange import IDLE_MARGIN_S
+from boragedeck.connection.http_message import Message
 from boragedeck.connection.peer import Address
 from boragedeck.connection.upstream_pool import OpenReason, UpstreamPool
 from boragedeck.exceptions import (
--- a/tests/platform/test_replica_protocol.py
+++ b/tests/platform/test_replica_protocol.py
@@ -1,6 +1,6 @@
 import unittest
 
-from boragedeck.connection.exchange import AnswerHead
+from boragedeck.connection.http_message import AnswerHead
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
 
 
--- a/tests/request/test_late_answers.py
+++ b/tests/request/test_late_answers.py
@@ -6,8 +6,8 @@
 import eventlet
 import msgspec
 
-from boragedeck.connection.exchange import AnswerHead
 from boragedeck.connection.forwarding import answer_headers
+from boragedeck.connection.http_message import AnswerHead
 from boragedeck.version.routing import CallKind, RelayPool
 from tests.support.cut_fleet import Cut, CutFleet
 from tests.support.replicas import (
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -11,7 +11,7 @@
 from result import Err, Ok
 
 from boragedeck.connection.address import Address
-from boragedeck.connection.exchange import UpstreamConnection
+from boragedeck.connection.upstream_connection import UpstreamConnection
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.exceptions import (
     PeerUnreachableError,
--- a/tests/support/early_answer_defects.py
+++ b/tests/support/early_answer_defects.py
@@ -1,6 +1,6 @@
 """Seeded defects in answers that come before a body was read, each with its test."""
 
-from boragedeck.connection.exchange import UpstreamConnection
+from boragedeck.connection.upstream_connection import UpstreamConnection
 from tests.support.method_defects import MethodDefect
 
 __all__ = ["EARLY_ANSWER_DEFECTS"]
--- a/tests/support/full_replica_defects.py
+++ b/tests/support/full_replica_defects.py
@@ -1,6 +1,6 @@
 """Seeded defects in what a reset connection costs, each with its test."""
 
-from boragedeck.connection.exchange import UpstreamConnection
+from boragedeck.connection.upstream_connection import UpstreamConnection
 from boragedeck.request.relay_call import CallRelay
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_stream import StreamRelay
--- a/tests/support/lost_answer_defects.py
+++ b/tests/support/lost_answer_defects.py
@@ -1,6 +1,7 @@
 """Seeded defects in what a lost or broken answer means, each with its test."""
 
-from boragedeck.connection.exchange import Exchange, UpstreamConnection
+from boragedeck.connection.exchange import Exchange
+from boragedeck.connection.upstream_connection import UpstreamConnection
 from boragedeck.exceptions import UpstreamError
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_stream import StreamRelay
