Report the end of an attempt before its probe is stopped

Seen (harness, the end of a probe made long): a replica is probed since it is late, and then answers with the whole stream. The caller gets all events but not the end of the answer, and the place at the replica stays taken.

Cause: `StreamAttempt._run_thread` stopped the probe first, which switches, then released the place and reported the end. In real time the switch takes one turn of the hub. A stop that gives the request up within it ends the attempt with its report unsent, so that a whole answer that nobody has read becomes a 502.

Now no switch lies between the last bytes, the release and the report.

--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -168,10 +168,16 @@
         except Exception as exc:
             self._note_defect(exc)
         finally:
-            self._liveness.stop()
-            is_complete = outcome is AttemptOutcome.COMPLETE
+            self._end(outcome)
+
+    def _end(self, outcome: AttemptOutcome) -> None:
+        """Report the end; no other thread runs between it and the report."""
+        is_complete = outcome is AttemptOutcome.COMPLETE
+        try:
             self._release(is_served=is_complete and self._job.attempts.sent == 1)
             self._tell(Ended(outcome))
+        finally:
+            self._liveness.stop()
 
     def _note_defect(self, exc: Exception) -> None:
         """Log an attempt that ended by an unexpected exception, and count it."""
--- a/tests/request/test_interruptions.py
+++ b/tests/request/test_interruptions.py
@@ -12,7 +12,9 @@
 from tests.support.replicas import (
     ScriptedReplica,
     call_rule,
+    event,
     events,
+    read_response,
     stay_silent,
     stream_rule,
 )
@@ -60,9 +62,9 @@
         stop, self.is_stopping = ReplicaProbe.stop, False
 
         def stop_slowly(probe):
+            is_first, self.is_stopping = not self.is_stopping, True
             stop(probe)
-            if not self.is_stopping:
-                self.is_stopping = True
+            if is_first:
                 eventlet.sleep(LONG_S)
 
         self.patch(ReplicaProbe, "stop", stop_slowly)
@@ -156,3 +158,30 @@
         self.patch(StreamRelay, "_may_start_beside", fail_at_two)
         self.lengthen_end_of("stream_attempt")
         self.leave_while_attempts_end(self.send(TOKENS))
+
+
+def late_whole(sock, req):
+    eventlet.sleep(LATE_S)
+    return events(1, 2)(sock, req)
+
+
+class EndOfAProbeTest(InterruptionCase):
+    """An attempt has read a whole stream, and its probe is being stopped."""
+
+    def begin_end(self):
+        self.start(stream_rule(timeout_s=LONG_S, goal_s=GOAL_S), POOL)
+        self.harness.add(self.replica("one", late_whole))
+        self.lengthen_stop_of_probe()
+        sock = self.send(TOKENS)
+        self.wait_for(lambda: self.is_stopping)
+        return sock
+
+    def test_whole_stream_does_not_end(self):
+        response = read_response(self.begin_end())
+        self.assertEqual(response.body, event(1) + event(2))
+        self.assertTrue(response.is_complete)
+
+    def test_place_is_kept(self):
+        self.begin_end()
+        eventlet.sleep(0.01)
+        self.assertEqual(self.harness.registry.get("one").own.running, 0)
