Close the connection of a moved answer if its attempt is ended meanwhile

Seen (harness): an engine's address answers 421 with another id, the router probes who is there, and the caller leaves during the probe. The connection on which the 421 came is neither kept nor closed, until the garbage collector finds it.

Cause: `_start_attempt` closes the exchange of an attempt that ends before its caller has it, but not after the head was read; the probe that follows there switches.

Evidence, before: test_connection_is_neither_kept_nor_closed: AssertionError: Lists differ: [] != [2]

Now whatever ends the attempt until its answer is handed over closes the exchange.

--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -161,14 +161,23 @@
     except BaseException:
         exchange.close()
         raise
-    match pending.verdict.kind:
+    try:
+        _note_verdict(job, place, pending.verdict)
+    except BaseException:
+        exchange.close()
+        raise
+    return pending
+
+
+def _note_verdict(job: RelayJob, place: Place, verdict: Verdict) -> None:
+    """Count an attempt that hasn't run; find out who else has the address."""
+    match verdict.kind:
         case VerdictKind.NOT_RUN:
             job.attempts.note_not_run()
         case VerdictKind.MOVED:
             # The intended replica never received the request.
             job.attempts.note_misdirected()
-            _replace_replica_at_address(job, place, pending.verdict)
-    return pending
+            _replace_replica_at_address(job, place, verdict)
 
 
 def _note_refused(
--- a/tests/request/test_interruptions.py
+++ b/tests/request/test_interruptions.py
@@ -14,6 +14,7 @@
     call_rule,
     event,
     events,
+    moved,
     read_response,
     stay_silent,
     stream_rule,
@@ -185,3 +186,17 @@
         self.begin_end()
         eventlet.sleep(0.01)
         self.assertEqual(self.harness.registry.get("one").own.running, 0)
+
+
+class MovedTest(InterruptionCase):
+    """An attempt asks which replica has an address, and its caller leaves."""
+
+    def test_connection_is_neither_kept_nor_closed(self):
+        self.start(stream_rule(timeout_s=LONG_S), POOL)
+        one = self.replica("one", moved)
+        self.harness.add(one)
+        sock = self.send(TOKENS)
+        self.assertEqual(len(one.relayed()), 1)
+        sock.close()
+        eventlet.sleep(0.05)
+        self.assertEqual(one.closed_after, [2])
