Wake the next request that waits for room if the one that was woken has ended

Seen (unit): a place at a brittle replica comes back and wakes the first request that waits. The request ends before it runs (its caller leaves, the stop). The next one gets the place up to 0.25 s later, when it looks by itself.

Cause: the wake-up was spent on a waiter that was gone; nothing passed it on.

Evidence, before: test_place_is_free_for_a_time_since_who_was_woken_has_ended: [] != [1]

Now a waiter that ends, however it does, wakes the next one, which looks whether there is room.

--- a/boragedeck/process/relaying/limits/room_leases.py
+++ b/boragedeck/process/relaying/limits/room_leases.py
@@ -87,6 +87,8 @@
             return self._wait(waiter, max_wait_s, lease_s)
         finally:
             waiter.is_gone = True
+            # It may have been woken, and has ended before it ran.
+            self._wake_next()
 
     def release(self, lease: int, *, is_rejected: bool) -> None:
         """End a lease.
--- a/tests/process/relaying/limits/test_room_leases.py
+++ b/tests/process/relaying/limits/test_room_leases.py
@@ -9,6 +9,7 @@
     REJECTION_WINDOW_S,
     RoomLeases,
 )
+from boragedeck.process.threads import end_thread
 from boragedeck.process.timers import ManualTimers
 
 SLOTS = 4
@@ -51,6 +52,18 @@
         self.timers.advance(0.01)
         self.assertEqual([number for number, _ in order], [0, 1])
 
+    def test_place_is_free_for_a_time_since_who_was_woken_has_ended(self):
+        held, order = self.take_all(), []
+        first, _ = [
+            eventlet.spawn(lambda n: order.append((n, self.take(1.0))), number)
+            for number in range(2)
+        ]
+        eventlet.sleep(0)
+        self.leases.release(held[0], is_rejected=False)
+        end_thread(first)
+        self.timers.advance(0.01)
+        self.assertEqual([number for number, _ in order], [1])
+
     def test_wait_ends_with_its_time(self):
         self.take_all()
         found = []
