Split what a stream answers when it fails, and second attempts, from its relay

Moved only: stream_failures answers the caller, second_attempts decides whether an attempt may start beside a silent one. The test that patched the decision in StreamRelay patches the function; it still fails without begin_clean_up. What a stop finds unread now also sets the reason that the log names.

--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -7,19 +7,22 @@
 
 from boragedeck.exceptions import StreamOrderError
 from boragedeck.process.relaying.placing.place import Place
-from boragedeck.process.relaying.relay_metrics import OrderCheck
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
-from boragedeck.request.crash_wait import MAX_WAIT_S, await_crash_verdict
+from boragedeck.request.crash_wait import await_crash_verdict
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
-from boragedeck.request.relay_refusals import final_refusal, too_late_refusal
+from boragedeck.request.relay_refusals import too_late_refusal
 from boragedeck.request.report_queue import ReportQueue
+from boragedeck.request.second_attempts import (
+    may_start_beside,
+    take_repeat_or_release,
+)
 from boragedeck.request.stream_attempt import (
     AttemptReport,
-    FailedAnswer,
     StreamAttempt,
 )
 from boragedeck.request.stream_delivery import StreamDelivery
+from boragedeck.request.stream_failures import StreamFailures
 from boragedeck.request.stream_messages import (
     AttemptOutcome,
     Ended,
@@ -56,10 +59,9 @@
         self._attempts: list[StreamAttempt] = []
         # When the replica of an attempt was found to be silent; None if none is.
         self._silent_at: float | None = None
-        # The last attempt that has failed, and the last failure that was answered.
+        # The last attempt that has failed.
         self._failed: StreamAttempt | None = None
-        self._failed_answer: FailedAnswer | None = None
-        self._failure_reason = ""
+        self._failures = StreamFailures(job, self._delivery)
         # Whether an attempt was sent beside one that went on by itself.
         self._had_needless_attempt = False
         # Whether a connection has broken during the run.
@@ -76,7 +78,7 @@
         try:
             self._relay()
         except StreamOrderError as exc:
-            self._fail_order(exc)
+            self._failures.answer_order_broken(exc)
         finally:
             job.begin_clean_up()
             self._cancel(self._attempts)
@@ -85,16 +87,16 @@
         """Answer the caller with what replicas have answered, or with a failure."""
         try:
             if not self._deliver_unread():
-                self._fail()
+                self._failures.answer()
         except StreamOrderError as exc:
-            self._fail_order(exc)
+            self._failures.answer_order_broken(exc)
 
     def _relay(self) -> None:
         while self._start_next():
             if self._follow():
                 return
             if not self._may_resume():
-                self._fail()
+                self._failures.answer()
                 return
 
     def _deliver_unread(self) -> bool:
@@ -111,8 +113,7 @@
                     self._deliver_all(report.attempt, reports)
                     return True
                 case Ended():
-                    failed_answer = report.attempt.failed_answer
-                    self._failed_answer = failed_answer or self._failed_answer
+                    self._failures.note(report.attempt)
         return False
 
     def _deliver_all(
@@ -127,42 +128,6 @@
                     case Ended() as ended:
                         self._finish(attempt, ended)
 
-    def _fail(self) -> None:
-        """Answer the caller with a failure, or leave its answer incomplete."""
-        job = self._job
-        if self._delivery.has_begun:
-            log.write(
-                "Broken off.",
-                request=job.req.request_id,
-                route=job.rule.name,
-                position=self._delivery.position,
-                sent=job.attempts.sent,
-                reason=self._failure_reason,
-                resume_after=job.req.resume_after,
-                stop_left_s=job.parts.stop_left_s(),
-                left_s=round(job.left_s(), 3),
-                timeout_s=job.req.caller_timeout_s,
-                body_s=round(job.req.received - job.req.arrived, 3),
-            )
-            job.parts.metrics.requests.labels(job.rule.kind.value, "broken").inc()
-            return
-        if self._failed_answer is not None:
-            failed_answer = self._failed_answer
-            job.channel.respond(
-                failed_answer.status, failed_answer.headers, failed_answer.body
-            )
-            job.parts.metrics.requests.labels(job.rule.kind.value, "failed").inc()
-            return
-        job.refuse(final_refusal(job, self._failure_reason))
-
-    def _fail_order(self, error: StreamOrderError) -> None:
-        """Leave the answer incomplete, since it can't go on where it ended."""
-        job = self._job
-        log.write("Order broken.", request=job.req.request_id, error=str(error))
-        job.note_order_broken(OrderCheck.WRITTEN)
-        self._failure_reason = error.message
-        self._fail()
-
     def _min_duration_s(self) -> float:
         """Return the minimum duration of the stream, in seconds."""
         job, req = self._job, self._job.req
@@ -183,8 +148,7 @@
             self._start(acquired.ok())
             return True
         if job.may_have_run or self._delivery.has_begun:
-            self._failure_reason = acquired.err().message
-            self._fail()
+            self._failures.answer_unplaced(acquired.err().message)
         else:
             job.refuse(acquired.err())
         return False
@@ -200,11 +164,9 @@
 
     def _copy_holder(self, attempt: StreamAttempt) -> ReplicaState | None:
         """Return the engine with a copy from which the stream can go on, if any."""
-        return (
-            None
-            if self._delivery.position is None
-            else self._recovery.copy_holder(attempt)
-        )
+        if self._delivery.position is None:
+            return None
+        return self._recovery.copy_holder(attempt)
 
     def _start(self, place: Place, *, copy_of: StreamAttempt | None = None) -> None:
         """Start an attempt, which may go on from the copy of another one's run."""
@@ -302,7 +264,7 @@
         """
         if self._silent_at is None:
             self._silent_at = silent.since
-        if attempt is not self._attempts[-1] or not self._may_start_beside(silent):
+        if attempt is not self._attempts[-1] or not may_start_beside(self._job, silent):
             return
         first, *replaced = self._attempts
         if silent.may_work:
@@ -314,46 +276,17 @@
             place = self._job.places.acquire_beside(
                 [each.place for each in self._attempts]
             )
-        if place is None or not self._take_repeat(place):
+        if place is None or not take_repeat_or_release(self._job, place):
             return
         self._start(place, copy_of=copy_of)
         self._cancel(replaced)
 
-    def _may_start_beside(self, silent: Silent) -> bool:
-        """Return whether another attempt may start beside a silent one.
-
-        Notes
-        -----
-        A request that may crash replicas waits until it is known whether it does.
-        """
-        job = self._job
-        silent_s = job.parts.timers.now() - silent.since
-        is_suspected = job.parts.crash_blame.is_suspected(job.traits)
-        return (
-            job.rule.may_repeat
-            and job.left_s() > 0.0
-            and job.has_attempts_left()
-            and not (is_suspected and silent_s < MAX_WAIT_S)
-        )
-
-    def _take_repeat(self, place: Place) -> bool:
-        """Return whether another attempt may start at a place, or release the place."""
-        is_granted = False
-        try:
-            # This may ask another router, and the caller may leave meanwhile.
-            is_granted = self._job.take_repeat()
-        finally:
-            if not is_granted:
-                place.release()
-        return is_granted
-
     def _note_failed(self, attempt: StreamAttempt, outcome: AttemptOutcome) -> None:
         job = self._job
         was_first = attempt is self._attempts[0]
         self._attempts.remove(attempt)
         self._failed = attempt
-        self._failed_answer = attempt.failed_answer or self._failed_answer
-        self._failure_reason = attempt.failure_reason
+        self._failures.note(attempt)
         if attempt.broken_state is not None:
             self._was_broken = True
             self._recovery.note_broken(attempt.broken_state)
--- a/tests/request/test_interruptions.py
+++ b/tests/request/test_interruptions.py
@@ -5,8 +5,8 @@
 import eventlet
 
 from boragedeck.process.threads import end_thread
+from boragedeck.request import relay_stream
 from boragedeck.request.relay_call import CallRelay
-from boragedeck.request.relay_stream import StreamRelay
 from boragedeck.request.replica_probe import ReplicaProbe
 from tests.request.test_stops import LONG_S, POOL, TOKENS, StopCase, is_probe
 from tests.support.replicas import (
@@ -149,14 +149,14 @@
 
     def test_second_attempt_of_a_stream_goes_on(self):
         self.start_pair()
-        may_start = StreamRelay._may_start_beside
+        may_start = relay_stream.may_start_beside
 
-        def fail_at_two(relay, silent):
-            if len(relay._attempts) > 1:
+        def fail_at_two(job, silent):
+            if len(job.attempts.running) > 1:
                 raise RuntimeError("a defect")
-            return may_start(relay, silent)
+            return may_start(job, silent)
 
-        self.patch(StreamRelay, "_may_start_beside", fail_at_two)
+        self.patch(relay_stream, "may_start_beside", fail_at_two)
         self.lengthen_end_of("stream_attempt")
         self.leave_while_attempts_end(self.send(TOKENS))
 
