--- a/tests/request/test_interruptions.py
+++ b/tests/request/test_interruptions.py
@@ -4,6 +4,8 @@
 
 import eventlet
 
+from boragedeck.connection.exchange import UpstreamConnection
+from boragedeck.exceptions import RouterStoppingError
 from boragedeck.process.threads import end_thread
 from boragedeck.request.relay_call import CallRelay
 from boragedeck.request.relay_stream import StreamRelay
@@ -11,6 +13,7 @@
 from tests.request.test_stops import LONG_S, POOL, TOKENS, StopCase, is_probe
 from tests.support.replicas import (
     ScriptedReplica,
+    answer,
     call_rule,
     event,
     events,
@@ -200,3 +203,92 @@
         sock.close()
         eventlet.sleep(0.05)
         self.assertEqual(one.closed_after, [2])
+
+
+class UnstartedAttemptTest(InterruptionCase):
+    """The stop gives a request up whose attempt hasn't run yet."""
+
+    def give_up_after(self, relay_type, name):
+        start = getattr(relay_type, name)
+
+        def start_and_stop(relay, *args, **kwargs):
+            start(relay, *args, **kwargs)
+            raise RouterStoppingError("the router stops", step="relay")
+
+        self.patch(relay_type, name, start_and_stop)
+
+    def assert_ended_unsent(self, sock):
+        self.assert_not_run(sock)
+        eventlet.sleep(ENDED_WITHIN_S)
+        self.assertEqual(self.sent, set())
+        self.assertEqual(self.harness.registry.get("one").own.running, 0)
+
+    def test_call_is_said_not_to_have_run_and_is_sent(self):
+        self.start(call_rule(timeout_s=LONG_S))
+        self.harness.add(self.replica("one"))
+        self.give_up_after(CallRelay, "_start_attempt")
+        self.assert_ended_unsent(self.send())
+
+    def test_stream_is_said_not_to_have_run_and_is_sent(self):
+        self.start(stream_rule(timeout_s=LONG_S), POOL)
+        self.harness.add(self.replica("one"))
+        self.give_up_after(StreamRelay, "_start")
+        self.assert_ended_unsent(self.send(TOKENS))
+
+
+class ConnectedAttemptTest(InterruptionCase):
+    """An attempt is given up when its connection is open."""
+
+    def give_up(self, rule, *lines):
+        self.start(rule, POOL)
+        self.harness.add(self.replica("one"))
+        send = UpstreamConnection.send
+
+        def send_slowly(conn, data):
+            send(conn, data)
+            eventlet.sleep(LONG_S)
+
+        self.patch(UpstreamConnection, "send", send_slowly)
+        sock = self.send(*lines)
+        self.harness.parts.open_requests.end_unbegun(0.0)
+        return sock
+
+    def test_stream_that_was_sent_and_not_counted_is_said_not_to_have_run(self):
+        sock = self.give_up(stream_rule(timeout_s=LONG_S), TOKENS)
+        self.assert_may_have_run(sock)
+        self.assert_ends_work()
+
+    def test_call_that_was_sent_and_not_counted_is_said_not_to_have_run(self):
+        self.assert_may_have_run(self.give_up(call_rule(timeout_s=LONG_S)))
+        self.assert_ends_work()
+
+
+class OutlastingAnswerTest(InterruptionCase):
+    """A call's first answer comes while a repeat is asked for, and the stop begins."""
+
+    def test_success_that_nobody_has_read_is_lost(self):
+        self.start(call_rule(timeout_s=LONG_S, goal_s=CALL_S, max_attempts=3))
+        self.harness.add(self.replica("one", late_answer))
+        self.harness.add(self.replica("two", answer(b"bad", 500)), domain="b")
+        for _ in range(30):
+            self.harness.parts.durations.note("engines", LONG_S)
+        self.asked = 0
+        self.harness.parts.retries.take = self.take_repeat
+        sock = self.send()
+        eventlet.sleep(2 * CALL_S)
+        self.assertEqual((self.at_work, self.asked), (set(), 2))
+        self.harness.parts.open_requests.end_outlasting(1.0)
+        response = read_response(sock)
+        self.assertEqual((response.status, response.body), (200, b"whole"))
+
+    def take_repeat(self, pool):
+        """Grant the hedge, and ask the hubs for the next repeat in vain."""
+        self.asked += 1
+        if self.asked > 1:
+            eventlet.sleep(LONG_S)
+        return True
+
+
+def late_answer(sock, req):
+    eventlet.sleep(CALL_S)
+    return answer()(sock, req)
