Release the slot of a stopped attempt, also if whoever stops it is ended

Seen (stand-alone edition, fake engine, one exception thrown in at the switch; no play): an attempt is stopped by the thread of the one that won the race, and the generation ends that thread in the same moment (its time is over, it pauses, or another router has taken the answer over). The loser's slot is never released, and its connection stays open, so that its engine works on with nobody to read it.

Cause: `Attempt.stop` ended the thread first, which switches, and then closed the run and released the slot. What is thrown in at that switch skipped both; the race had taken the loser off the list of attempts, so nothing stopped it a second time.

Evidence, before: test_run_goes_on_at_its_engine: AssertionError: False is not true test_slot_is_kept: AssertionError: Lists differ: [] != [<Outcome.SILENT: 'silent'>]

Both are done in a `finally` now. Neither waits, and both have no effect the second time.

--- a/boragedeck/request/attempt.py
+++ b/boragedeck/request/attempt.py
@@ -150,12 +150,15 @@
         -----
         If the attempt's own thread calls this from a callback, the thread goes on.
         """
-        if self._thread is not None and self._thread is not eventlet.getcurrent():
-            end_thread(self._thread)
-        if self._run is not None:
-            self._run.close()
-        if self.slot is not None:
-            self.slot.finish(outcome)
+        try:
+            if self._thread is not None and self._thread is not eventlet.getcurrent():
+                end_thread(self._thread)
+        finally:
+            # Whoever stops it may be ended itself meanwhile.
+            if self._run is not None:
+                self._run.close()
+            if self.slot is not None:
+                self.slot.finish(outcome)
 
     def _run_and_report(self) -> None:
         self.end = self._run_on_upstream()
