Don't let the socket of a thread that is ended wake it as it cleans up

Seen (two threads, two socket pairs, both ready in one poll of the hub): the first thread ends the second, whose clean-up waits. That wait ends at once: a sleep is over after 0.01 ms instead of 50, and an event that nobody has sent counts as sent. Callers have seen nothing of it that we know: in the code as it is, what clean-ups wait for was found to be unharmed by it (each such wait is another `end_thread`, or a read that is tried again). So this closes a way for a thread to wake early; it isn't claimed to be the cause of the incident.

Cause: the hub collects the listeners of all sockets that are ready, and calls one after the other. A listener that was removed meanwhile, as its thread has got an exception, is still called, and switches to the thread, whatever it waits for by then. `eventlet.kill` is the same.

Now the calls of the thread's listeners do nothing once it is ended; the thread removes the listeners itself, as it leaves its wait.

--- a/boragedeck/process/threads.py
+++ b/boragedeck/process/threads.py
@@ -5,6 +5,7 @@
 import eventlet
 from eventlet.greenthread import GreenThread
 from eventlet.hubs import get_hub
+from eventlet.hubs.hub import BaseHub
 
 __all__ = ["end_thread"]
 
@@ -26,6 +27,8 @@
     The thread gets the exception before any other one runs. `eventlet.kill` differs in
     that its wake-up of the current thread stays in the hub: if an exception is thrown
     into the current thread meanwhile, that wake-up ends its next wait, whatever it is.
+    Nor does a socket that the thread waited for wake it as it cleans up; the hub may
+    have found both this one and that of the current thread ready in one poll.
     """
     if thread.dead:
         return
@@ -33,6 +36,7 @@
     if not thread:
         error = None
         _note_not_started(thread)
+    _forget_readiness(hub, thread)
     if current is hub.greenlet:
         thread.throw(error or eventlet.greenlet.GreenletExit())
         return
@@ -44,6 +48,19 @@
         wake_up.cancel()
 
 
+def _forget_readiness(hub: BaseHub, thread: eventlet.greenlet.greenlet) -> None:
+    """Let the sockets that a thread waits for wake it no more."""
+    for listeners in hub.listeners.values():
+        for listener in listeners.values():
+            if listener.greenlet is thread:
+                # The thread removes it; the hub may have taken it for its next calls.
+                listener.cb = _ignore
+
+
+def _ignore(fileno: int) -> None:
+    """Do nothing in place of a wake-up."""
+
+
 def _note_not_started(thread: eventlet.greenlet.greenlet) -> None:
     """Tell those who wait for a thread that it won't run."""
 
--- a/tests/process/test_threads.py
+++ b/tests/process/test_threads.py
@@ -1,8 +1,9 @@
+import socket
 import unittest
 
 import eventlet
 from eventlet.event import Event
-from eventlet.hubs import get_hub
+from eventlet.hubs import get_hub, trampoline
 from eventlet.queue import Empty, LightQueue
 
 from boragedeck.process.threads import end_thread
@@ -56,6 +57,48 @@
         self.assertGreaterEqual(timers.now() - began, WAIT_S)
 
 
+class ReadyTogetherTest(unittest.TestCase):
+    """Two threads wait for sockets that become ready in one poll of the hub."""
+
+    def end_one_another(self, wait):
+        """Return what waits; the first thread ends the other, which then waits."""
+        pairs, threads, waited = [socket.socketpair(), socket.socketpair()], [], []
+
+        def work(sock, other):
+            try:
+                trampoline(sock, read=True)
+                end_thread(threads[other])
+            except eventlet.greenlet.GreenletExit:
+                waited.append(wait())
+
+        for i, (sock, _) in enumerate(pairs):
+            self.addCleanup(sock.close)
+            threads.append(eventlet.spawn(work, sock, 1 - i))
+        eventlet.sleep(0)
+        for _, peer in pairs:
+            peer.send(b"x")
+            peer.close()
+        for thread in threads:
+            thread.wait()
+        return waited
+
+    def test_sleep_of_the_ended_one_ends_at_once(self):
+        timers = RealTimers()
+
+        def sleep():
+            began = timers.now()
+            timers.sleep(WAIT_S)
+            return timers.now() - began
+
+        (slept_s,) = self.end_one_another(sleep)
+        self.assertGreaterEqual(slept_s, WAIT_S)
+
+    def test_event_that_was_not_sent_counts_as_sent_for_the_ended_one(self):
+        timers = RealTimers()
+        waited = self.end_one_another(lambda: timers.wait(Event(), WAIT_S))
+        self.assertEqual(waited, [False])
+
+
 class EndThreadTest(unittest.TestCase):
     def test_thread_that_waits_goes_on_until_it_is_woken(self):
         thread = eventlet.spawn(eventlet.sleep, LONG_S)
@@ -140,3 +183,60 @@
         thread.wait()
         end_thread(thread)
         self.assertIsNone(thread.wait())
+
+    def test_thread_that_ends_its_ender_is_not_ended(self):
+        steps, enders = [], []
+
+        def work():
+            try:
+                eventlet.sleep(LONG_S)
+            finally:
+                end_thread(enders[0], Interrupted())
+                steps.append("cleaned up")
+
+        def end():
+            eventlet.sleep(0)
+            try:
+                end_thread(thread)
+            except Interrupted:
+                steps.append("interrupted")
+                eventlet.sleep(WAIT_S)
+                steps.append("waited")
+
+        thread = eventlet.spawn(work)
+        enders.append(eventlet.spawn(end))
+        with eventlet.Timeout(LONG_S):
+            enders[0].wait()
+        self.assertTrue(thread.dead)
+        self.assertEqual(steps, ["interrupted", "cleaned up", "waited"])
+
+    def test_third_thread_that_the_ended_one_ends_goes_on(self):
+        third = eventlet.spawn(eventlet.sleep, LONG_S)
+
+        def work():
+            try:
+                eventlet.sleep(LONG_S)
+            finally:
+                end_thread(third)
+
+        thread = eventlet.spawn(work)
+        eventlet.sleep(0)
+        end_thread(thread)
+        self.assertTrue(third.dead)
+        eventlet.sleep(0)
+        self.assertTrue(thread.dead)
+
+    def test_clean_up_is_not_ended_by_a_second_end(self):
+        def work():
+            try:
+                eventlet.sleep(LONG_S)
+            finally:
+                eventlet.sleep(LONG_S)
+
+        thread = eventlet.spawn(work)
+        eventlet.sleep(0)
+        end_thread(thread)
+        self.assertFalse(thread.dead)
+        end_thread(thread, Interrupted())
+        with self.assertRaises(Interrupted):
+            thread.wait()
