--- a/tests/request/test_interruptions.py
+++ b/tests/request/test_interruptions.py
@@ -232,7 +232,7 @@
     def test_stream_is_said_not_to_have_run_and_is_sent(self):
         self.start(stream_rule(timeout_s=LONG_S), POOL)
         self.harness.add(self.replica("one"))
-        self.give_up_after(StreamRelay, "_start")
+        self.give_up_after(relay_stream.StreamRelay, "_start")
         self.assert_ended_unsent(self.send(TOKENS))
 
 
