Return the turn of a request that ends while it waits for it

What callers saw: requests wait for their turns at a replica that names a limit. When their router stops, or they leave, the limit owner went on counting their turns as used: the replica got nothing in them, and the next caller, at any router, waited behind them.

Cause: a granted send was never taken back; only the place was.

Evidence: test_limited_fleet.EndedRequestTest, nine routers, a limit of 2 a second, six requests of one router with turns that end. With an owner of an older build, which refuses the new message, it waits as before.

Not covered: a request that ends while it asks the owner (0.1 s at most).

--- a/boragedeck/process/relaying/limits/limit_grants.py
+++ b/boragedeck/process/relaying/limits/limit_grants.py
@@ -15,6 +15,7 @@
 from boragedeck.process.relaying.fleet.task_owners import TaskOwners
 from boragedeck.process.relaying.limits.limit_messages import (
     ReportLimit,
+    ReturnSend,
     SendDecision,
     TakeSend,
 )
@@ -80,6 +81,7 @@
         self.on_change: Callable[[Run, KnownLimit], None] = _ignore_change
         server.register(TakeSend, self.take)
         server.register(ReportLimit, self._on_report)
+        server.register(ReturnSend, self._on_return)
 
     def take(self, req: TakeSend) -> SendDecision:
         """Decide about a send, or ask the limit owner.
@@ -125,6 +127,29 @@
                 error=str(answer.err()),
             )
 
+    def give_back(self, unused: ReturnSend) -> None:
+        """Return a granted send to the limit owner, or take it back as the owner."""
+        owner = self._owners.owner_of(limit_task(unused.run.replica))
+        if owner.router == self._owners.own.router:
+            self._on_return(unused)
+            return
+        link = self._links.link(owner.address)
+        answer = link.call(unused, Accepted, timeout_s=OWNER_TIMEOUT_S)
+        if answer.is_err():
+            # Nothing is sent in that turn.
+            _log.write(
+                "Send not returned.",
+                replica=unused.run.replica,
+                peer=owner.router,
+                error=str(answer.err()),
+            )
+
+    def _on_return(self, unused: ReturnSend) -> Accepted:
+        granted, now = self._granted.get(unused.run), self._timers.now()
+        if granted is not None:
+            granted.schedule.give_back(now + unused.wait_s, now)
+        return Accepted()
+
     def _on_report(self, report: ReportLimit) -> Accepted:
         granted = self._merge(report.run, report.per_s, report.age_s)
         self.on_change(report.run, granted.known)
--- a/boragedeck/process/relaying/limits/limit_messages.py
+++ b/boragedeck/process/relaying/limits/limit_messages.py
@@ -3,7 +3,7 @@
 from boragedeck.connection.messages import Message
 from boragedeck.process.relaying.replicas.replica_state import Run
 
-__all__ = ["ReportLimit", "SendDecision", "TakeSend"]
+__all__ = ["ReportLimit", "ReturnSend", "SendDecision", "TakeSend"]
 
 
 class ReportLimit(Message, frozen=True):
@@ -44,6 +44,21 @@
     is_forwarded: bool = False
 
 
+class ReturnSend(Message, frozen=True):
+    """Returns a granted send of a request that ended while it waited for its turn.
+
+    Parameters
+    ----------
+    run : Run
+        The run of the replica.
+    wait_s : float
+        Seconds until the request might have been sent.
+    """
+
+    run: Run
+    wait_s: float
+
+
 class SendDecision(Message, frozen=True):
     """Grants or denies a send.
 
--- a/boragedeck/process/relaying/limits/limited_admission.py
+++ b/boragedeck/process/relaying/limits/limited_admission.py
@@ -146,10 +146,19 @@
                 place.release()
         if is_kept or not decision.is_granted:
             return place if is_kept else None
-        self._timers.sleep(decision.wait_s)
+        self._wait_for_granted(state, decision.wait_s)
         # The place counts from now on, so that the wait isn't taken for service time.
         return self._admission.reserve(req, state)
 
+    def _wait_for_granted(self, state: ReplicaState, wait_s: float) -> None:
+        """Wait for a turn that is granted; return it if the request ends meanwhile."""
+        turn_at = self._timers.now() + wait_s
+        try:
+            self._timers.sleep(wait_s)
+        except BaseException:
+            self._limits.give_back(state, turn_at)
+            raise
+
     def _wait_for_turn(self, req: AdmissionRequest, turn_at: float) -> bool:
         """Wait for a turn that is denied now; return whether to ask once more."""
         now = self._timers.now()
--- a/boragedeck/process/relaying/limits/replica_limits.py
+++ b/boragedeck/process/relaying/limits/replica_limits.py
@@ -12,6 +12,7 @@
 from boragedeck.process.relaying.limits.limit_grants import LimitGrants
 from boragedeck.process.relaying.limits.limit_messages import (
     ReportLimit,
+    ReturnSend,
     SendDecision,
     TakeSend,
 )
@@ -155,6 +156,21 @@
         )
         return decision
 
+    def give_back(self, state: ReplicaState, turn_at: float) -> None:
+        """Return a send that was granted to a request which has ended.
+
+        Parameters
+        ----------
+        state : ReplicaState
+            The replica.
+        turn_at : float
+            When the request might have been sent, on the timer service's clock.
+        """
+        wait_s = turn_at - self._timers.now()
+        if wait_s > 0.0:
+            # In a thread of its own, since the request's own one is being ended.
+            eventlet.spawn_n(self.grants.give_back, ReturnSend(state.run, wait_s))
+
     def _note_decision(self, state: ReplicaState, decision: SendDecision) -> None:
         now = self._timers.now()
         known = KnownLimit(decision.per_s, now - decision.age_s)
--- a/tests/process/relaying/limits/test_limited_fleet.py
+++ b/tests/process/relaying/limits/test_limited_fleet.py
@@ -1,9 +1,11 @@
 import unittest
 
+import eventlet
 import msgspec
 
 from boragedeck.ids import Health
 from boragedeck.process.relaying.limits.limit_grants import limit_task
+from boragedeck.process.relaying.limits.limit_messages import ReturnSend
 from tests.process.relaying.placing.test_admission import replica
 from tests.support.limited_fleet import WINDOW_S, LimitedFleet, LimitedReplica
 
@@ -156,6 +158,65 @@
         self.assertLessEqual(len(self.fleet.refused), 0.02 * 15.0 * 1.9 * self.per_s)
 
 
+class EndedRequestTest(FleetTest):
+    """Requests end while they wait for their turns at the only replica."""
+
+    WAITING = 6
+    PATIENT_S = 20.0
+
+    def setUp(self):
+        super().setUp()
+        for router in self.fleet.routers:
+            router.registry.remove("two", "left")
+        self.fleet.run(6.0, 40.0)
+        self.fleet.run(1.0, 0.001)
+
+    def wait_for_turns(self, router):
+        """Return the threads of requests that have been granted turns."""
+        threads = []
+        for _ in range(self.WAITING):
+            threads.append(eventlet.spawn(router.send, self.PATIENT_S))
+            self.fleet.run(0.02, 0.001)
+        return threads
+
+    def turn_after(self, router, others):
+        """Return how long a request waits if those of a router have ended."""
+        for thread in self.wait_for_turns(router):
+            thread.kill()
+        self.fleet.run(0.05, 0.001)
+        sent, since = self.limited.count(0.0), self.now()
+        eventlet.spawn(others[0].send, self.PATIENT_S)
+        while self.limited.count(0.0) == sent:
+            self.fleet.run(0.02, 0.001)
+        return self.now() - since
+
+    def test_turns_of_requests_that_have_ended_stay_unused(self):
+        router = self.others(self.owner())[0]
+        waited_s = self.turn_after(router, self.others(self.owner(), router))
+        self.assertLess(waited_s, 2.0 / self.per_s)
+
+    def test_turns_of_the_owners_requests_that_have_ended_stay_unused(self):
+        owner = self.owner()
+        waited_s = self.turn_after(owner, self.others(owner))
+        self.assertLess(waited_s, 2.0 / self.per_s)
+
+    def test_owner_that_does_not_know_the_message_breaks_the_limit(self):
+        owner = self.owner()
+        self.fleet.net.unknown.add((owner.name, ReturnSend))
+        router = self.others(owner)[0]
+        waited_s = self.turn_after(router, self.others(owner, router))
+        self.assertLess(waited_s, (self.WAITING + 2.0) / self.per_s)
+        self.assert_kept()
+
+    def test_returned_turns_exceed_the_limit(self):
+        for seconds in range(12):
+            router = self.others(self.owner())[seconds % 8]
+            for thread in self.wait_for_turns(router)[::2]:
+                thread.kill()
+            self.fleet.run(1.0, 10.0)
+        self.assert_kept()
+
+
 class FaultTest(FleetTest):
     def setUp(self):
         super().setUp()
--- a/tests/request/test_stopped_waits.py
+++ b/tests/request/test_stopped_waits.py
@@ -81,6 +81,18 @@
         self.patch(self.harness.limits, "take", lambda *_: decision)
         self.assert_refused(self.send())
 
+    def test_turn_of_a_request_that_the_stop_ends_stays_unused(self):
+        self.limit()
+        returned = []
+        self.patch(self.harness.limits.grants, "give_back", returned.append)
+        decision = SendDecision(True, LONG_S, 5.0, 0.0)
+        with mock.patch.object(self.harness.limits, "take", lambda *_: decision):
+            sock = self.send()
+            self.stop()
+        self.assert_not_run(sock)
+        self.assertEqual([each.run for each in returned], [self.state().run])
+        self.assertLess(returned[0].wait_s, LONG_S)
+
     def test_request_that_asks_for_room_at_a_brittle_replica_is_cut(self):
         self.start_calls(answer())
         self.state().rejections_per_s = REJECTIONS_PER_S
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -280,8 +280,8 @@
         """Return the state of a replica as this router knows it."""
         return self.registry.get(name)
 
-    def send(self):
-        """Place one request, and handle its answer."""
+    def send(self, max_wait_s=MAX_WAIT_S):
+        """Place one request that waits so long at most, and handle its answer."""
         timers, arrived = self._fleet.timers, self._fleet.timers.now()
         acquired = self.acquire(
             AdmissionRequest(
@@ -289,7 +289,7 @@
                 priority=1,
                 prompt_tokens=0,
                 tokens=0,
-                until=arrived + MAX_WAIT_S,
+                until=arrived + max_wait_s,
             )
         )
         if acquired.is_err():
