Let the plays of a stop delay the links and load the routers' core

Traced: its stream began after the SIGTERM, since the answer's head took 0.2 s longer, so the head announced the close, and the caller sent behind it all the same. A caller doesn't; such a one is counted as announced now. The answers' heads are judged as before in all other ways.

--- a/scripts/close_crossings.py
+++ b/scripts/close_crossings.py
@@ -22,6 +22,7 @@
 import eventlet
 import typer
 
+from scripts.hardship import Hardship
 from scripts.scarce_answers import (
     APPLY_S,
     EVENT_S,
@@ -134,12 +135,19 @@
         first, second = self._request(crossing, size), self._request(crossing, size)
         conn = self._connect()
         conn.send(first, SlowBody())
+        thread = eventlet.spawn(conn.read, first)
         if crossing is Crossing.BEHIND:
-            conn.read(first)
-            conn.exchange(second, SlowBody())
+            thread.wait()
         else:
-            thread = eventlet.spawn(conn.read, first)
             _sleep_until(ends_at - AHEAD_S)
+        if not conn.is_open:
+            # A caller sends nothing behind an answer that announces the close.
+            self._sent.remove((crossing, second))
+            self.ends[crossing.value, second.size, "announced"] += 1
+            thread.wait()
+        elif crossing is Crossing.BEHIND:
+            conn.exchange(second, SlowBody())
+        else:
             is_halved = crossing is Crossing.AHEAD_IN_HALVES
             conn.send(second, SlowBody(last_at=(ends_at + HALVES_S) * is_halved))
             thread.wait()
@@ -201,7 +209,12 @@
 
 
 def main(
-    seed: int = 1, draws: int = 3, build: Path | None = None, logs: Path | None = None
+    seed: int = 1,
+    draws: int = 3,
+    build: Path | None = None,
+    logs: Path | None = None,
+    delay_ms: int = 0,
+    busy: int = 0,
 ) -> None:
     """Play one stop and print how the requests ended.
 
@@ -215,9 +228,13 @@
         Source folder of the routers; this one by default.
     logs : Path, optional
         An existing directory in which the routers' logs stay.
+    delay_ms, busy : int
+        What the routers bear; see `Hardship`.
     """
+    hardship = Hardship(delay_ms / 1e3, busy)
     with tempfile.TemporaryDirectory() as directory:
-        check = ScarceAnswers(logs or Path(directory), seed, PLAYS["room"], build)
+        where = logs or Path(directory)
+        check = ScarceAnswers(where, seed, PLAYS["room"], build, hardship)
         crossings = CloseCrossings(check, seed, draws)
         try:
             crossings.run()
--- a/scripts/platform_cluster.py
+++ b/scripts/platform_cluster.py
@@ -4,6 +4,7 @@
 import random
 import subprocess
 import sys
+import time
 from collections.abc import Iterable, Sequence
 from pathlib import Path
 
@@ -12,7 +13,9 @@
 import urllib3
 import yaml
 
+from scripts.hardship import BusyCore, Hardship
 from scripts.ports import PortBlock
+from standins.delayed_link import DelayedLink
 from standins.gate import Gate
 from standins.late_answers import with_share
 from standins.relay_replica import RelayReplica
@@ -31,6 +34,7 @@
 ROUTE_HEADERS = {"Host": "demo.example", "Api-Key": "demo-key", "Deadline-Ms": "10000"}
 POOL = "engines"
 ROLLOUT_KEY = f"rollout/{POOL}"
+NO_HARDSHIP = Hardship()
 REWRITE_DELAY_S = 0.3
 """How long after a return from an older copy the lost rows are written again."""
 
@@ -42,6 +46,8 @@
     ----------
     directory : Path
         Directory of the settings and log files.
+    hardship : Hardship, optional
+        What the routers bear; by default nothing.
 
     Attributes
     ----------
@@ -51,7 +57,10 @@
         Each router's own way to the store.
     """
 
-    def __init__(self, directory: Path):
+    def __init__(self, directory: Path, hardship: Hardship = NO_HARDSHIP):
+        self._delay_s = hardship.delay_s
+        self._core = BusyCore(hardship.busy) if hardship.busy else None
+        self._links: dict[tuple[str, int], DelayedLink] = {}
         self.builds: dict[int, Path] = {}
         self.gates: list[Gate] = []
         self.rows = RowStore()
@@ -101,7 +110,8 @@
         listener = listen()
         server = eventlet.spawn(replica.serve, listener)
         self.engines[replica.name] = replica, listener, server
-        entry = replica.store_entry(service, _address(listener), zone)
+        address = _text(self._delayed(listener.getsockname()))
+        entry = replica.store_entry(service, address, zone)
         self._put("servers", replica.name, entry)
 
     def drop_engine(self, name: str) -> None:
@@ -143,6 +153,11 @@
         self.wait_ready(number)
         return f"http://{self.settings[number]['listen']['front']}"
 
+    def front(self, number: int) -> tuple[str, int]:
+        """Return the address at which callers reach a router."""
+        host, _, port = self.settings[number]["listen"]["front"].rpartition(":")
+        return self._delayed((host, int(port)))
+
     def restart_router(self, number: int) -> None:
         """Kill a router and start it with the same settings, without waiting for it."""
         self.routers[number].kill()
@@ -215,6 +230,10 @@
             self.crash_engine(name)
         for gate in self.gates:
             gate.close()
+        for link in self._links.values():
+            link.close()
+        if self._core is not None:
+            self._core.stop()
         self._ports.close()
         return exit_codes
 
@@ -222,6 +241,14 @@
         self._written[table, key] = value
         self.rows.put(table, key, value)
 
+    def _delayed(self, address: tuple[str, int]) -> tuple[str, int]:
+        """Return the address of a link with delay to an address, if links have any."""
+        if not self._delay_s:
+            return address
+        if address not in self._links:
+            self._links[address] = DelayedLink(address, self._delay_s, time.monotonic)
+        return self._links[address].listener.getsockname()
+
     def _last_line(self, number: int) -> str:
         log = Path(self._directory, f"router-{number}.log").read_text()
         return log.rstrip().rpartition("\n")[2]
@@ -236,13 +263,16 @@
         }
         command = [sys.executable, "-m", "boragedeck.process.daemon"]
         with Path(self._directory, f"router-{number}.log").open("ab") as log:
-            return subprocess.Popen(
+            router = subprocess.Popen(
                 command,
                 env=environ,
                 stdout=log,
                 stderr=log,
                 cwd=self.builds.get(number),
             )
+        if self._core is not None:
+            self._core.add(router)
+        return router
 
     def _settings(self, number: int, zone: str) -> dict:
         port = self._ports.take(4)
@@ -255,7 +285,7 @@
                 "ready": f"{HOST}:{port + 3}",
             },
             "internalPorts": [port, port + 1],
-            "platform": {"address": _address(self.gates[number].listener)},
+            "platform": {"address": _text(self.gates[number].listener.getsockname())},
             "bounds": {"graceS": 8},
         }
 
@@ -284,8 +314,8 @@
     }
 
 
-def _address(listener) -> str:
-    host, port = listener.getsockname()
+def _text(address: tuple[str, int]) -> str:
+    host, port = address
     return f"{host}:{port}"
 
 
--- a/scripts/scarce_answers.py
+++ b/scripts/scarce_answers.py
@@ -24,7 +24,8 @@
 import msgspec
 import typer
 
-from scripts.platform_cluster import PlatformCluster
+from scripts.hardship import Hardship
+from scripts.platform_cluster import NO_HARDSHIP, PlatformCluster
 from scripts.platform_logs import read_lines
 from scripts.scarce_caller import Connection, Habit, Request, SlowBody
 from scripts.scarce_plays import PLAYS, Play, document
@@ -93,6 +94,8 @@
         The play.
     build : Path, optional
         Source folder of the routers; this one by default.
+    hardship : Hardship, optional
+        What the routers bear; by default nothing.
 
     Attributes
     ----------
@@ -105,7 +108,12 @@
     """
 
     def __init__(
-        self, directory: Path, seed: int, play: Play, build: Path | None = None
+        self,
+        directory: Path,
+        seed: int,
+        play: Play,
+        build: Path | None = None,
+        hardship: Hardship = NO_HARDSHIP,
     ):
         self.stopped_at = float("inf")
         self.requests: list[Request] = []
@@ -117,7 +125,7 @@
         self._numbers = itertools.count()
         self._versions = itertools.count(2)
         self._ends_at = 0.0
-        self._cluster = PlatformCluster(directory)
+        self._cluster = PlatformCluster(directory, hardship)
         if build is not None:
             self._cluster.builds |= dict.fromkeys(range(len(ZONES)), build)
         self._put_document()
@@ -159,9 +167,7 @@
 
     def address(self, router: int) -> tuple[str, int]:
         """Return the address of a router for callers."""
-        front = self._cluster.settings[router]["listen"]["front"]
-        host, _, port = front.rpartition(":")
-        return host, int(port)
+        return self._cluster.front(router)
 
     def runs(self, name: str) -> list[Run]:
         """Return what the replicas did for a request."""
@@ -308,6 +314,8 @@
     hup: bool = False,
     loss: bool = False,
     again: bool = False,
+    delay_ms: int = 0,
+    busy: int = 0,
 ) -> None:
     """Run one play and print how the requests ended, by size.
 
@@ -323,16 +331,21 @@
         An existing directory in which the routers' logs stay.
     silence, changes, hup, loss, again : bool
         What happens beside the SIGTERM; see `Disturbance`.
+    delay_ms, busy : int
+        What the routers bear; see `Hardship`.
     """
+    hardship = Hardship(delay_ms / 1e3, busy)
     disturbance = Disturbance(silence, changes, hup, loss, again)
     with tempfile.TemporaryDirectory() as directory:
-        check = ScarceAnswers(logs or Path(directory), seed, PLAYS[play], build)
+        where = logs or Path(directory)
+        check = ScarceAnswers(where, seed, PLAYS[play], build, hardship)
         try:
             check.run(disturbance)
             counts, faults = _counted(check)
         finally:
             check.stop()
-    print(f"{play}, seed {seed}, {disturbance}, {len(check.requests)} requests")
+    print(f"{play}, seed {seed}, {disturbance}, {hardship}")
+    print(f"  {len(check.requests)} requests")
     for (size, where, end), count in sorted(counts.items()):
         print(f"  {size}, {where}: {end} {count}")
     for line in faults:
--- a/scripts/scarce_caller.py
+++ b/scripts/scarce_caller.py
@@ -177,6 +177,8 @@
         while status == 100:
             status, headers = self._read_head()
         req.status = status
+        if headers.get("connection") == "close":
+            self.is_open = False
         text = bytearray()
         try:
             for part in self._parts_of_answer(headers):
@@ -186,8 +188,6 @@
         finally:
             req.events = [int(number) for number in EVENT_ID.findall(text)]
         req.is_complete = True
-        if headers.get("connection") == "close":
-            self.is_open = False
 
     def _read_head(self) -> tuple[int, dict[str, str]]:
         line = self._file.readline()
--- a/scripts/whole_answers.py
+++ b/scripts/whole_answers.py
@@ -27,7 +27,8 @@
 import msgspec
 import typer
 
-from scripts.platform_cluster import PlatformCluster
+from scripts.hardship import Hardship
+from scripts.platform_cluster import NO_HARDSHIP, PlatformCluster
 from scripts.table_changes import (
     CALLS,
     DENIALS,
@@ -169,6 +170,8 @@
         Number of callers that read streams, and that make calls.
     build : Path, optional
         Source folder of the routers; this one by default.
+    hardship : Hardship, optional
+        What the routers bear; by default nothing.
 
     Attributes
     ----------
@@ -182,12 +185,13 @@
         seed: int,
         callers: tuple[int, int] = (STREAM_CALLERS, CALL_CALLERS),
         build: Path | None = None,
+        hardship: Hardship = NO_HARDSHIP,
     ):
         self.faults: list[tuple[Play, Request]] = []
         self._rng = random.Random(seed)
         self._callers = callers
         self._build = build
-        self._cluster = PlatformCluster(directory)
+        self._cluster = PlatformCluster(directory, hardship)
         if build is not None:
             self._cluster.builds |= dict.fromkeys(range(len(ZONES)), build)
         self._versions = itertools.count(2)
@@ -300,7 +304,7 @@
     def _send_requests(self, number: int, routes, requests: list[Request]) -> None:
         router = number % len(ZONES)
         rng = random.Random(self._rng.random())
-        host, _, port = self._address(router).rpartition(":")
+        host, port = self._cluster.front(router)
         conn = http.client.HTTPConnection(host, int(port), timeout=DEADLINE_S + 2.0)
         while time.monotonic() < self._sending_until:
             eventlet.sleep(rng.uniform(0.02, PAUSE_S))
@@ -361,9 +365,6 @@
             req.detail = repr(exc)[:60]
             conn.close()
 
-    def _address(self, router: int) -> str:
-        return self._cluster.settings[router]["listen"]["front"]
-
     def _verdict(self, play: Play, req: Request) -> str:
         """Return how a request ended; in capitals if it shouldn't have."""
         runs = self._runs(req.name)
@@ -469,6 +470,8 @@
     only: str = "",
     logs: Path | None = None,
     build: Path | None = None,
+    delay_ms: int = 0,
+    busy: int = 0,
 ) -> None:
     """Play and print the counts.
 
@@ -484,12 +487,16 @@
         An existing directory in which the routers' logs stay.
     build : Path, optional
         Source folder of the routers; this one by default.
+    delay_ms, busy : int
+        What the routers bear; see `Hardship`.
     """
+    hardship = Hardship(delay_ms / 1e3, busy)
     names = only.split(",") if only else list(Change.__members__)
     changes = [Change[name] for name in names]
     total: Counter = Counter()
     with tempfile.TemporaryDirectory() as directory:
-        check = WholeAnswers(logs or Path(directory), seed, build=build)
+        where = logs or Path(directory)
+        check = WholeAnswers(where, seed, build=build, hardship=hardship)
         try:
             for play in _plays(random.Random(seed), changes)[: plays or None]:
                 counts = check.run(play)
