--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,6 +3,7 @@
 import http.client
 import itertools
 import random
+import re
 import time
 from collections.abc import Iterator
 
@@ -12,7 +13,8 @@
 from scripts.table_changes import KEY
 from soak.history import Call, History
 from soak.operator import EXTRA_ROUTE, GUEST_KEY
-from soak.rules import STREAM_ROUTES, events_of
+from soak.release import RELEASE_EVENTS
+from soak.rules import OK, RESUMABLE_ROUTE, STREAM_ROUTES, events_of
 
 __all__ = ["Callers", "Habits"]
 
@@ -33,6 +35,13 @@
 PATIENCE_S = MAX_BODY_S + 1.0
 """How long after its time limit a caller still waits, to see the end."""
 MAX_PAUSE_S = 0.3
+MAX_RESUMPTIONS = 5
+RESUME_SHARE = 0.8
+"""Share of the callers, of those that leave a stream, that resume it."""
+RESUME_PAUSE_S = 0.02, 0.6
+MIN_RESUME_S = 1.0
+"""A caller that has less time left doesn't resume."""
+WHOLE_EVENT = re.compile(rb"id: (\d+)\n[^\n]*\n\n")
 
 
 class Habits(msgspec.Struct):
@@ -48,12 +57,15 @@
         The caller closes the connection before the answer is whole.
     large_body : float
         The body, and so the prompt of a stream, is large.
+    cuts : float
+        The caller closes the connection of a stream that may be resumed, and resumes.
     """
 
     slow_body: float = 0.2
     short_time: float = 0.05
     leaves: float = 0.05
     large_body: float = 0.15
+    cuts: float = 0.1
 
 
 class Callers:
@@ -108,8 +120,68 @@
             call = self._draw_call(router, weights, is_kept)
             self._history.calls[call.name] = call
             self._send(conn, call)
+            self._resume(call)
         conn.close()
 
+    def send_held(self, router: int) -> None:
+        """Send a short stream that its replica may hold back; see `Release`."""
+        call = self._draw_call(router, {RESUMABLE_ROUTE: 1.0}, is_kept=False)
+        call.path = f"/{RESUMABLE_ROUTE}/{call.name}/{self._rng.choice(RELEASE_EVENTS)}"
+        call.body = call.body[: SMALL_BYTES[1]]
+        call.deadline_s = max(DEADLINES_S)
+        call.key = KEY
+        call.is_held = True
+        if self._send_anew(call):
+            self._resume(call)
+
+    def _resume(self, call: Call) -> None:
+        """Go on with a stream that broke off, at any router, until it is whole."""
+        over = call.sent + call.deadline_s
+        for _ in range(MAX_RESUMPTIONS):
+            is_over = call.is_complete and (call.status == OK or not call.resumes)
+            if call.route != RESUMABLE_ROUTE or is_over:
+                return
+            if call.has_left and self._rng.random() > RESUME_SHARE:
+                return
+            eventlet.sleep(self._rng.uniform(*RESUME_PAUSE_S))
+            left_s = over - time.monotonic()
+            if left_s < MIN_RESUME_S:
+                return
+            resumption = self._resumption(call, left_s)
+            if self._send_anew(resumption):
+                call = resumption
+
+    def _resumption(self, call: Call, left_s: float) -> Call:
+        """Return the request that goes on after another one, at any router."""
+        numbers = WHOLE_EVENT.findall(call.answer) if call.status == OK else []
+        return Call(
+            name=f"id-{next(self._numbers)}",
+            router=self._rng.randrange(len(self._addresses)),
+            route=call.route,
+            path=call.path,
+            key=call.key,
+            body=call.body,
+            deadline_s=round(left_s, 3),
+            is_kept=False,
+            sent=time.monotonic(),
+            resumes=call.name,
+            after=int(numbers[-1]) if numbers else call.after,
+        )
+
+    def _send_anew(self, call: Call) -> bool:
+        """Send a request on a new connection; return whether there is one."""
+        host, _, port = self._addresses[call.router].rpartition(":")
+        conn = http.client.HTTPConnection(host, int(port))
+        try:
+            conn.connect()
+        except OSError:
+            return False
+        call.sent = time.monotonic()
+        self._history.calls[call.name] = call
+        self._send(conn, call)
+        conn.close()
+        return True
+
     def _draw_call(self, router: int, weights: dict[str, float], is_kept: bool) -> Call:
         rng = self._rng
         route = rng.choices(list(weights), list(weights.values()))[0]
@@ -137,7 +209,9 @@
 
     def _send(self, conn: http.client.HTTPConnection, call: Call) -> None:
         limit_s = call.deadline_s + PATIENCE_S
-        leaves = self._rng.random() < self.habits.leaves
+        may_cut = call.route == RESUMABLE_ROUTE and not call.is_held
+        share = max(self.habits.leaves, self.habits.cuts if may_cut else 0.0)
+        leaves = self._rng.random() < share
         patience_s = self._rng.uniform(0.1, 3.0) if leaves else limit_s
         try:
             with eventlet.Timeout(min(patience_s, limit_s)):
@@ -170,7 +244,10 @@
         if call.route in STREAM_ROUTES:
             tokens = max(MIN_TOKENS, len(call.body) // TOKEN_BYTES)
             headers |= {"Token-Counts": f"{tokens},{events_of(call.path)}"}
-            headers |= {"Model": "m", "Prompt-Prefix": f"{call.name[3:]}:{tokens}"}
+            number = call.path.split("/")[2].partition("-")[2]
+            headers |= {"Model": "m", "Prompt-Prefix": f"{number}:{tokens}"}
+        if call.after:
+            headers["Last-Event-Id"] = str(call.after)
         parts = _parts(call, body_s)
         conn.request("POST", call.path, parts, headers, encode_chunked=is_chunked)
         call.sent_whole = time.monotonic()
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections import Counter
+from collections.abc import Callable
 
 import eventlet
 import msgspec
@@ -14,6 +15,7 @@
 from soak.fleet import ReplicaFleet
 from soak.history import History, Impairment
 from soak.operator import Operator
+from soak.release import RELEASE_CALLERS, Release
 from soak.replica import Mood
 
 __all__ = ["Disruptions", "Row"]
@@ -31,6 +33,18 @@
 STORM_GAP_S = 0.25
 KILL_MARGIN_S = 0.5
 GRACE_S = 8.0
+RELEASE_SHARE = 0.5
+"""Share of the stops at which held streams come with the final answers."""
+FINAL_ANSWERS_S = 7.3
+"""From a SIGTERM until what hasn't begun is answered, with `GRACE_S`."""
+TIGHT_S = -0.012, 0.002
+LOOSE_S = -0.3, 0.1
+TIGHT_SHARE = 0.7
+"""Share of the releases that come in the closer span around the final answers."""
+RELEASE_SILENCE_S = 0.7, 1.2
+RELEASE_LATE_S = 0.05, 0.2
+HELD_BEFORE_S = 0.5
+"""How long before the SIGTERM the streams that are held back are sent."""
 SIGHUP_BOUNDS = {"retryBudgetRatio": 0.7}
 
 
@@ -64,10 +78,15 @@
     REPLICA_IDLE_CLOSE = "replica-idle-close"
     REPLICA_DRAINS = "replica-drains"
     REPLICA_LEAVES_UNSAID = "replica-leaves-unsaid"
+    REPLICA_HOLDS_BACK = "replica-holds-back"
+    REPLICA_JOINS = "replica-joins"
+    REPLICA_SPLITS = "replica-splits"
+    REPLICA_RELEASED = "replica-released"
     CALLER_LEAVES = "caller-leaves"
     CALLER_SLOW_BODY = "caller-slow-body"
     CALLER_SHORT_TIME = "caller-short-time"
     CALLER_LARGE_BODY = "caller-large-body"
+    CALLER_RESUMES = "caller-resumes"
 
 
 WHOLE_PLAY = {Row.REPLICA_SCARCE, Row.REPLICA_MEMORY}
@@ -81,6 +100,9 @@
     Row.REPLICA_TRUNCATES: Mood(truncates=0.3),
     Row.REPLICA_LATE_ANSWER: Mood(repeats=0.6, full=0.3),
     Row.REPLICA_IDLE_CLOSE: Mood(closes=0.7),
+    Row.REPLICA_HOLDS_BACK: Mood(holds=0.6),
+    Row.REPLICA_JOINS: Mood(joins=0.8, holds=0.1),
+    Row.REPLICA_SPLITS: Mood(splits=0.8),
 }
 OUT_OF_TOUCH = {
     Row.ROUTER_KILL,
@@ -96,6 +118,7 @@
     Row.CALLER_SLOW_BODY: Habits(slow_body=0.8),
     Row.CALLER_SHORT_TIME: Habits(short_time=0.5),
     Row.CALLER_LARGE_BODY: Habits(large_body=0.6),
+    Row.CALLER_RESUMES: Habits(cuts=0.6),
 }
 
 
@@ -144,7 +167,7 @@
 
     def run(self, until: float) -> None:
         """Begin disruptions until a time, and return when all are over."""
-        apart = {Row.ROUTER_TERM, *WHOLE_PLAY}
+        apart = {Row.ROUTER_TERM, Row.REPLICA_RELEASED, *WHOLE_PLAY}
         rows = [row for row in Row if row not in apart]
         if self._rng.random() < CALM_SHARE:
             rows = [row for row in rows if row not in OUT_OF_TOUCH]
@@ -154,7 +177,7 @@
         row = Row.ROUTER_TERM
         while time.monotonic() < until:
             eventlet.sleep(self._rng.uniform(*GAP_S))
-            self._threads.append(eventlet.spawn(self._play, row))
+            self._spawn(self._play, row)
             row = self._rng.choice(kinds)
         for thread in self._threads:
             thread.wait()
@@ -206,6 +229,8 @@
             self._cluster.routers[number].send_signal(signal.SIGHUP)
             return
         self._busy.add(number)
+        if row is Row.ROUTER_TERM and self._rng.random() < RELEASE_SHARE:
+            self._release_at_stop(number)
         noted = self._history.stops if row is Row.ROUTER_TERM else self._history.routers
         impairment = Impairment(time.monotonic(), what=row.value)
         noted.setdefault(number, []).append(impairment)
@@ -222,6 +247,24 @@
         impairment.end = time.monotonic()
         self._busy.discard(number)
 
+    def _release_at_stop(self, number: int) -> None:
+        """Let streams that are held back come with a stop's final answers."""
+        sigterm_at = time.monotonic() + HELD_BEFORE_S
+        spans = (TIGHT_S, LOOSE_S)
+        [span] = self._rng.choices(spans, (TIGHT_SHARE, 1.0 - TIGHT_SHARE))
+        at = sigterm_at + FINAL_ANSWERS_S + self._rng.uniform(*span)
+        release = Release(number, time.monotonic(), at)
+        silence_s = self._rng.uniform(*RELEASE_SILENCE_S)
+        late_s = self._rng.uniform(*RELEASE_LATE_S)
+        self._spawn(self._fleet.release, release, silence_s, late_s)
+        for _ in range(RELEASE_CALLERS):
+            self._spawn(self._callers.send_held, number)
+        self.counts[Row.REPLICA_RELEASED.value] += 1
+        eventlet.sleep(sigterm_at - time.monotonic())
+
+    def _spawn(self, action: Callable, *args: object) -> None:
+        self._threads.append(eventlet.spawn(action, *args))
+
     def _stop_router(self, number: int) -> None:
         """Stop a router as planned, with a SIGKILL at the end of its time."""
         router = self._cluster.routers[number]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,6 +9,7 @@
 
 from scripts.platform_cluster import PlatformCluster
 from soak.history import History, Impairment
+from soak.release import Release
 from soak.replica import Mood, Replica
 from soak.room import Room
 
@@ -107,6 +108,28 @@
         count = max(1, round(self._rng.choice(SILENT_SHARES) * len(self._replicas)))
         names = self._rng.sample(sorted(self._replicas), count)
         noted = Impairment(time.monotonic(), what="replica-silent")
+        self._silence(names, noted, seconds)
+
+    def release(self, release: Release, silence_s: float, late_s: float) -> None:
+        """Hold the streams of a router back, and then let their bytes come at once.
+
+        Parameters
+        ----------
+        release : Release
+            The router and the moment.
+        silence_s : float
+            How long before the moment all replicas fall silent.
+        late_s : float
+            How long after the moment they answer anything else.
+        """
+        for replica in self._replicas.values():
+            replica.release = release
+        eventlet.sleep(max(0.0, release.at - silence_s - time.monotonic()))
+        noted = Impairment(time.monotonic(), what="replica-released")
+        seconds = max(0.0, release.at + late_s - time.monotonic())
+        self._silence(sorted(self._replicas), noted, seconds)
+
+    def _silence(self, names: list[str], noted: Impairment, seconds: float) -> None:
         for name in names:
             self._history.silences.setdefault(name, []).append(noted)
             self._replicas[name].silence.begin_for(seconds)
--- a/soak/history.py
+++ b/soak/history.py
@@ -65,6 +65,12 @@
         Whether the caller closed the connection.
     detail : str
         The error that ended it.
+    resumes : str
+        The id of the request that it goes on after; empty if it is the first.
+    after : int
+        The last piece that its caller has, as it says; 0 if it says none.
+    is_held : bool
+        Whether its replica may hold it back for a stop's final answers.
     """
 
     name: str
@@ -86,6 +92,9 @@
     is_complete: bool = False
     has_left: bool = False
     detail: str = ""
+    resumes: str = ""
+    after: int = 0
+    is_held: bool = False
 
 
 class Run(msgspec.Struct):
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -10,6 +10,8 @@
 from eventlet.green import socket
 
 from soak.history import End, History, Run
+from soak.pieces import PieceHabits, PieceWriter
+from soak.release import Release
 from soak.room import Places, Room
 from soak.rules import STREAM_ROUTES, events_of
 from standins.silence import Silence
@@ -24,6 +26,7 @@
 PREFILL_TOKENS_PER_S = 8_000.0
 FULL = "503 Service Unavailable\r\nNot-Executed: 1"
 PADDING = b"." * 700
+JOINED_RELEASE_SHARE = 0.7
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 MAX_REPEATED_BYTES = 64 * 1024
 
@@ -51,6 +54,8 @@
         Time before the first event of a stream, beside that of its prompt.
     pace : float
         Factor of all times.
+    holds, joins, splits : float
+        Streams whose pieces are written so; see `PieceHabits`.
     """
 
     full: float = 0.0
@@ -61,6 +66,9 @@
     closes: float = 0.0
     first_s: float = 0.0
     pace: float = 1.0
+    holds: float = 0.0
+    joins: float = 0.0
+    splits: float = 0.0
 
 
 class _Request(msgspec.Struct):
@@ -107,6 +115,8 @@
         How it misbehaves.
     silence : Silence
         Lets it stand still.
+    release : Release or None
+        Holds the first events of some streams back.
     """
 
     def __init__(
@@ -123,6 +133,7 @@
         self.zone = zone
         self.mood = Mood()
         self.silence = Silence()
+        self.release: Release | None = None
         self._history = history
         self._room = room
         self._places = Places(room)
@@ -316,30 +327,59 @@
         head = self._head(run, "200 OK") + "\r\nContent-Type: text/event-stream"
         head += "\r\nTransfer-Encoding: chunked\r\n\r\n"
         answer = head.encode()
+        release = self._release_of(run)
+        habits = self._draw_habits(release)
+        writer = PieceWriter(sock, habits, self._rng)
         if not self._has_early_head:
-            self._prefill(sock, request)
-        sock.sendall(answer)
-        if self._has_early_head:
-            self._prefill(sock, request)
+            self._prefill(sock, request, release)
+            writer.write(answer)
+        else:
+            sock.sendall(answer)
+            self._prefill(sock, request, release)
+        event_s = 0.0 if release else EVENT_S
         numbers = range(run.after + 1, events_of(run.path) + 1)
         cut_at = self._rng.choice(numbers or [0])
         is_cut = self._draws(self.mood.truncates)
         for number in numbers:
-            self._sleep(EVENT_S)
+            if event_s:
+                self._sleep(event_s)
             chunk = _chunk(_event(run, number))
             if is_cut and number == cut_at:
                 # In the middle of an event.
                 run.end = End.BROKEN
-                sock.sendall(chunk[:-9])
+                writer.write(chunk[:-9])
+                writer.end()
                 return b""
-            sock.sendall(chunk)
+            writer.write(chunk)
             answer += chunk
-        sock.sendall(_chunk(b""))
+        writer.write(_chunk(b""))
+        writer.end()
         run.end = End.WHOLE
         return answer + _chunk(b"")
 
-    def _prefill(self, sock: socket.socket, request: _Request) -> None:
+    def _release_of(self, run: Run) -> Release | None:
+        """Return what holds the first event of a run back, if anything does."""
+        release, call = self.release, self._history.calls.get(run.call)
+        if release is None or call is None or not release.holds(call):
+            return None
+        return release
+
+    def _draw_habits(self, release: Release | None) -> PieceHabits:
+        mood = self.mood
+        if release is not None:
+            # Short answers come at once, some of them in few pieces.
+            return PieceHabits(joins=self._draws(JOINED_RELEASE_SHARE))
+        return PieceHabits(
+            self._draws(mood.holds), self._draws(mood.joins), self._draws(mood.splits)
+        )
+
+    def _prefill(
+        self, sock: socket.socket, request: _Request, release: Release | None
+    ) -> None:
         """Work on a stream before its first event, while its caller is there."""
+        if release is not None:
+            release.wait(lambda: _check_open(sock))
+            return
         seconds = request.prompt_tokens / PREFILL_TOKENS_PER_S + self.mood.first_s
         until = time.monotonic() + seconds
         while time.monotonic() < until:
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -19,6 +19,7 @@
 OK = 200
 UNAUTHORIZED, NOT_FOUND = 401, 404
 EVENT = re.compile(rb"id: (\d+)\ndata: piece (\d+) of (\S+) run (\d+)\n\n")
+RUN_END = re.compile(rb"\d*\n?")
 CONFIG_APPLY_S = 2.0
 DRAIN_S = 2.0
 TIMEOUT_S = 26.0
@@ -53,7 +54,7 @@
         found += _twice(call, runs)
         found += _refused(call, runs)
         found += _mixed(call, runs)
-        found += _order(call, runs)
+        found += _order(history, call, runs)
         found += _lost(history, call, runs)
         found += _config(history, call, runs)
     for run in history.runs:
@@ -90,19 +91,24 @@
         yield Violation("MIXED", call.name, "success with another body")
 
 
-def _order(call: Call, runs: list[Run]) -> Iterator[Violation]:
+def _order(history: History, call: Call, runs: list[Run]) -> Iterator[Violation]:
     if call.status != OK or call.route not in STREAM_ROUTES:
         return
     events = EVENT.findall(call.answer)
     numbers = [int(number) for number, *_ in events]
-    if numbers != list(range(1, len(numbers) + 1)):
-        yield Violation("ORDER", call.name, f"events {numbers}")
+    # Over all requests by which its caller resumed the stream.
+    before = _last_piece(history, call)
+    if numbers != list(range(before + 1, before + 1 + len(numbers))):
+        yield Violation("ORDER", call.name, f"events {numbers} after {before}")
     if any(int(piece) != int(number) for number, piece, *_ in events):
         yield Violation("ORDER", call.name, "pieces under other numbers")
     if any(name.decode() != call.name for _, _, name, _ in events):
         yield Violation("MIXED", call.name, "events of another request")
-    if call.is_complete and len(numbers) != events_of(call.path):
-        yield Violation("ORDER", call.name, f"complete after {len(numbers)} events")
+    if stray := _stray_bytes(call, max([before, *numbers]) + 1):
+        yield Violation("MIXED", call.name, f"bytes of no event: {stray[:60]!r}")
+    if call.is_complete and max([before, *numbers]) != events_of(call.path):
+        text = f"complete after {len(numbers)} events after {before}"
+        yield Violation("ORDER", call.name, text)
     tokens = list(dict.fromkeys(int(token) for *_, token in events))
     if call.route != RESUMABLE_ROUTE and len(tokens) > 1:
         yield Violation("ORDER", call.name, f"joined from runs {tokens}")
@@ -112,6 +118,27 @@
             yield Violation("ORDER", call.name, f"event {int(number)} wasn't made")
 
 
+def _last_piece(history: History, call: Call) -> int:
+    """Return the last piece that a caller got before a request, by its bytes."""
+    while earlier := history.calls.get(call.resumes):
+        numbers = EVENT.findall(earlier.answer) if earlier.status == OK else []
+        if numbers:
+            return int(numbers[-1][0])
+        call = earlier
+    return 0
+
+
+def _stray_bytes(call: Call, following: int) -> bytes:
+    """Return the bytes of a stream that belong to no event, nor begin the next one."""
+    rest = EVENT.sub(b"", call.answer)
+    begin = f"id: {following}\ndata: piece {following} of {call.name} run ".encode()
+    is_begin = begin.startswith(rest) or (
+        rest.startswith(begin) and RUN_END.fullmatch(rest[len(begin) :])
+    )
+    is_cut = is_begin and not call.is_complete and call.answer.endswith(rest)
+    return b"" if is_cut else rest
+
+
 def events_of(path: str) -> int:
     """Return the number of events of a stream, which its path names."""
     return int(path.rpartition("/")[2])
