--- a/soak/pieces.py
+++ b/soak/pieces.py
@@ -62,7 +62,10 @@
         self._unwritten += data
         if time.monotonic() < self._held_until:
             return
-        if self._habits.holds and self._rng.random() < HOLD_SHARE:
+        is_held, self._held_until = bool(self._held_until), 0.0
+        if is_held:
+            self._flush()
+        elif self._habits.holds and self._rng.random() < HOLD_SHARE:
             self._held_until = time.monotonic() + self._rng.uniform(*HOLD_S)
         elif not (self._habits.joins and self._rng.random() < JOIN_SHARE):
             self._flush()
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -106,7 +106,7 @@
         yield Violation("MIXED", call.name, "events of another request")
     if stray := _stray_bytes(call, max([before, *numbers]) + 1):
         yield Violation("MIXED", call.name, f"bytes of no event: {stray[:60]!r}")
-    if call.is_complete and max([before, *numbers]) != events_of(call.path):
+    if call.is_complete and before + len(numbers) != events_of(call.path):
         text = f"complete after {len(numbers)} events after {before}"
         yield Violation("ORDER", call.name, text)
     tokens = list(dict.fromkeys(int(token) for *_, token in events))
--- a/tests/soak/test_rules.py
+++ b/tests/soak/test_rules.py
@@ -182,6 +182,110 @@
         self.run_of(call, token=2, after=1)
         self.expect()
 
+    def test_fresh_stream_that_begins_at_its_second_piece_looks_complete(self):
+        self.stream("resume", events("id-0", (2, 3)))
+        self.expect("ORDER", "ORDER")
+
+    def test_fresh_stream_without_a_piece_looks_complete(self):
+        self.stream("resume", b"")
+        self.expect("ORDER")
+
+    def test_stream_ends_inside_an_event_and_looks_complete(self):
+        self.stream("stream", events("id-0", (1, 2, 3)) + b"id: 4")
+        self.expect("MIXED")
+
+    def test_bytes_of_no_event_come_between_pieces(self):
+        answer = events("id-0", (1,)) + b"data: x\n\n" + events("id-0", (2, 3))
+        self.stream("stream", answer, is_complete=False, has_left=True)
+        self.expect("MIXED")
+
+    def test_stream_that_was_cut_ends_inside_another_event(self):
+        answer = events("id-0", (1,)) + b"id: 3\nda"
+        self.stream("stream", answer, is_complete=False, has_left=True)
+        self.expect("MIXED")
+
+    def test_stream_that_was_cut_may_end_anywhere_inside_its_next_event(self):
+        whole = events("id-0", (1, 2))
+        for size in range(len(events("id-0", (1,))), len(whole)):
+            answer = whole[:size]
+            self.stream("stream", answer, is_complete=False, has_left=True)
+            self.expect()
+            self.history = History(tables=[Table(0.0, SERVICES, TENANTS)])
+
+
+class ResumedOrderTest(RulesTest):
+    def resume(self, before, numbers, **fields):
+        """Add a stream that was cut after some pieces, and one that goes on."""
+        first = self.call(
+            "resume",
+            answer=events("id-0", before),
+            is_complete=False,
+            has_left=True,
+        )
+        self.run_of(first)
+        return self.go_on(first, numbers, **fields)
+
+    def go_on(self, call, numbers, **fields):
+        answer = events(f"id-{len(self.history.calls)}", numbers, token=2)
+        seal = {"seal": "seal-2", "answer": answer, "resumes": call.name}
+        resumption = self.call("resume", **(seal | {"path": call.path} | fields))
+        self.run_of(resumption, token=2, after=resumption.after)
+        return resumption
+
+    def test_stream_goes_on_after_the_last_piece(self):
+        self.resume((1, 2), (3,), after=2)
+        self.expect()
+
+    def test_resumed_stream_begins_one_piece_late(self):
+        self.resume((1,), (3,), after=1)
+        self.expect("ORDER", "ORDER")
+
+    def test_resumed_stream_begins_one_piece_early(self):
+        self.resume((1, 2), (2, 3), after=1)
+        self.expect("ORDER", "ORDER")
+
+    def test_resumed_stream_begins_anew(self):
+        self.resume((1, 2), (1, 2, 3))
+        self.expect("ORDER", "ORDER")
+
+    def test_piece_of_a_resumed_stream_comes_twice(self):
+        self.resume((1,), (2, 2, 3), after=1)
+        self.expect("ORDER", "ORDER")
+
+    def test_resumed_stream_looks_complete_before_its_end(self):
+        self.resume((1,), (2,), after=1)
+        self.expect("ORDER")
+
+    def test_resumed_stream_without_a_piece_looks_complete_before_its_end(self):
+        self.resume((1, 2), (), after=2)
+        self.expect("ORDER")
+
+    def test_stream_that_lacked_only_its_end_is_resumed(self):
+        self.resume((1, 2, 3), (), after=3)
+        self.expect()
+
+    def test_third_request_of_a_stream_leaves_a_piece_out(self):
+        second = self.resume((1,), (), after=1, is_complete=False, has_left=True)
+        self.go_on(second, (3,), after=1)
+        self.expect("ORDER", "ORDER")
+
+    def test_third_request_goes_on_after_the_pieces_of_both_others(self):
+        second = self.resume((1,), (2,), after=1, is_complete=False, has_left=True)
+        self.go_on(second, (3,), after=2)
+        self.expect()
+
+    def test_request_that_was_refused_in_between_has_no_pieces(self):
+        refused = {"status": 503, "seal": "", "answer": b""}
+        second = self.resume((1, 2), (), after=2, **refused)
+        self.go_on(second, (3,), after=2)
+        self.expect()
+
+    def test_resumption_has_no_whole_answer(self):
+        call = self.resume((1,), (2,), after=1, is_complete=False)
+        self.history.runs[-1].end = End.DROPPED
+        self.assertEqual([each.call for each in judge(self.history)], [call.name])
+        self.expect("LOST")
+
 
 class LostTest(RulesTest):
     def test_stream_that_was_passed_on_has_no_whole_answer(self):
