--- a/tests/soak/test_replica.py
+++ b/tests/soak/test_replica.py
@@ -1,10 +1,12 @@
 import random
+import time
 import unittest
 
 import eventlet
 from eventlet.green import socket
 
-from soak.history import End, History
+from soak.history import Call, End, History
+from soak.release import Release
 from soak.replica import Replica
 from soak.room import Room
 
@@ -12,7 +14,7 @@
 HEAD = "POST /stream/%s/2 HTTP/1.1\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n"
 
 
-class QueueTest(unittest.TestCase):
+class ReplicaTest(unittest.TestCase):
     def setUp(self):
         self.history = History()
         room = Room({}, slots=1, tokens=100)
@@ -41,6 +43,8 @@
         self.wait(lambda: run.end)
         return run.end
 
+
+class QueueTest(ReplicaTest):
     def test_second_stream_waits_and_runs(self):
         self.replica.mood.first_s = 0.3
         self.open("a")
@@ -65,3 +69,50 @@
         self.open("a").close()
         self.assertIs(self.end_of("a"), End.DROPPED)
         self.assertEqual(len(self.history.runs_of("a")), 1)
+
+
+class ReleaseTest(ReplicaTest):
+    def hold(self, name, router=0, **fields):
+        """Let a replica hold a stream back, and return when it is released."""
+        self.replica.mood.first_s = 0.0
+        release = Release(router=0, begin=time.monotonic(), at=time.monotonic() + 0.5)
+        self.replica.release = release
+        sent = time.monotonic()
+        call = Call(name, router, "stream", "/", "", b"", 9.0, False, sent)
+        call.is_held = fields.get("is_held", True)
+        self.history.calls[name] = call
+        return release.at
+
+    def first_event_at(self, name):
+        sock = self.open(name)
+        data = b""
+        while b"id: 1" not in data:
+            data += sock.recv(65_536)
+        return time.monotonic()
+
+    def test_stream_that_is_held_back_begins_before_its_release(self):
+        at = self.hold("a")
+        self.assertGreaterEqual(self.first_event_at("a"), at)
+
+    def test_silence_of_the_replica_delays_the_release(self):
+        at = self.hold("a")
+        sock = self.open("a")
+        self.replica.silence.begin_for(2.0)
+        with eventlet.Timeout(WAIT_S):
+            data = b""
+            while b"id: 2" not in data:
+                data += sock.recv(65_536)
+        self.assertLess(time.monotonic(), at + 1.0)
+
+    def test_streams_of_other_routers_are_held_back(self):
+        at = self.hold("a", router=1)
+        self.assertLess(self.first_event_at("a"), at)
+
+    def test_streams_of_other_callers_are_held_back(self):
+        at = self.hold("a", is_held=False)
+        self.assertLess(self.first_event_at("a"), at)
+
+    def test_caller_that_leaves_is_not_seen_while_its_stream_is_held_back(self):
+        self.hold("a")
+        self.open("a").close()
+        self.assertIs(self.end_of("a"), End.DROPPED)
