--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -15,7 +15,7 @@
 from soak.fleet import ReplicaFleet
 from soak.history import History, Impairment
 from soak.operator import Operator
-from soak.release import RELEASE_CALLERS, Release
+from soak.release import Release
 from soak.replica import Mood
 
 __all__ = ["Disruptions", "Row"]
@@ -257,7 +257,7 @@
         silence_s = self._rng.uniform(*RELEASE_SILENCE_S)
         late_s = self._rng.uniform(*RELEASE_LATE_S)
         self._spawn(self._fleet.release, release, silence_s, late_s)
-        for _ in range(RELEASE_CALLERS):
+        for _ in range(self._fleet.room.released):
             self._spawn(self._callers.send_held, number)
         self.counts[Row.REPLICA_RELEASED.value] += 1
         eventlet.sleep(sigterm_at - time.monotonic())
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -42,6 +42,11 @@
         How much room the replicas have.
     rng : random.Random
         Draws who is disturbed.
+
+    Attributes
+    ----------
+    room : Room
+        How much room the replicas have.
     """
 
     def __init__(
@@ -53,7 +58,7 @@
     ):
         self._cluster = cluster
         self._history = history
-        self._room = room
+        self.room = room
         self._rng = rng
         self._numbers = itertools.count(1)
         self._replicas: dict[str, Replica] = {}
@@ -166,7 +171,7 @@
         number = next(self._numbers)
         name, zone = f"{service}-{number}", ZONES[number % len(ZONES)]
         rng = random.Random(self._rng.random())
-        replica = Replica(name, service, zone, self._history, self._room, rng)
+        replica = Replica(name, service, zone, self._history, self.room, rng)
         self._replicas[name] = replica
         self._cluster.rows.put(TABLE, name, replica.entry())
 
--- a/soak/release.py
+++ b/soak/release.py
@@ -8,10 +8,8 @@
 
 from soak.history import Call
 
-__all__ = ["RELEASE_CALLERS", "RELEASE_EVENTS", "Release"]
+__all__ = ["RELEASE_EVENTS", "Release"]
 
-RELEASE_CALLERS = 40
-"""How many streams are held back at a router that stops, beside the others."""
 RELEASE_EVENTS = 3, 6, 10
 POLL_S = 0.05
 
--- a/soak/room.py
+++ b/soak/room.py
@@ -12,6 +12,7 @@
 OTHERS = "others"
 AMPLE_TOKENS = 88_000
 FEW = {ENGINES: 2, SPARES: 2, CALLS: 2, OTHERS: 2}
+FEW_RELEASED = 4
 MAX_WAITING = 4
 POLL_S = 0.05
 
@@ -29,6 +30,8 @@
         The memory of an engine.
     large_body : float
         Share of the requests whose body, and so their prompt, is large.
+    released : int
+        How many streams are held back at a router that stops; see `soak.release`.
     row : str
         The row of the table of faults; empty if none.
     """
@@ -37,13 +40,20 @@
     slots: int = 16
     tokens: int = AMPLE_TOKENS
     large_body: float = 0.15
+    released: int = 40
     row: str = ""
 
 
 ROOMS = (
     Room({ENGINES: 5, SPARES: 3, CALLS: 3, OTHERS: 2}),
-    Room(FEW, slots=2, row="replica-scarce"),
-    Room(FEW, tokens=10_000, large_body=0.5, row="replica-memory"),
+    Room(FEW, slots=2, released=FEW_RELEASED, row="replica-scarce"),
+    Room(
+        FEW,
+        tokens=10_000,
+        large_body=0.5,
+        released=FEW_RELEASED,
+        row="replica-memory",
+    ),
 )
 
 
