--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,7 +14,14 @@
 from soak.history import Call, History
 from soak.operator import EXTRA_ROUTE, GUEST_KEY
 from soak.release import RELEASE_EVENTS
-from soak.rules import OK, RESUMABLE_ROUTE, STREAM_ROUTES, events_of
+from soak.rules import (
+    NOT_FOUND,
+    OK,
+    RESUMABLE_ROUTE,
+    STREAM_ROUTES,
+    UNAUTHORIZED,
+    events_of,
+)
 
 __all__ = ["Callers", "Habits"]
 
@@ -39,6 +46,8 @@
 RESUME_SHARE = 0.8
 """Share of the callers, of those that leave a stream, that resume it."""
 RESUME_PAUSE_S = 0.02, 0.6
+FINAL = {OK, UNAUTHORIZED, NOT_FOUND}
+"""Statuses after which no caller repeats a request."""
 MIN_RESUME_S = 1.0
 """A caller that has less time left doesn't resume."""
 WHOLE_EVENT = re.compile(rb"id: (\d+)\n[^\n]*\n\n")
@@ -138,8 +147,8 @@
         """Go on with a stream that broke off, at any router, until it is whole."""
         over = call.sent + call.deadline_s
         for _ in range(MAX_RESUMPTIONS):
-            is_over = call.is_complete and (call.status == OK or not call.resumes)
-            if call.route != RESUMABLE_ROUTE or is_over:
+            is_final = call.status in FINAL or not call.resumes
+            if call.route != RESUMABLE_ROUTE or (call.is_complete and is_final):
                 return
             if call.has_left and self._rng.random() > RESUME_SHARE:
                 return
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -346,9 +346,9 @@
             chunk = _chunk(_event(run, number))
             if is_cut and number == cut_at:
                 # In the middle of an event.
-                run.end = End.BROKEN
                 writer.write(chunk[:-9])
                 writer.end()
+                run.end = End.BROKEN
                 return b""
             writer.write(chunk)
             answer += chunk
