--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,6 +9,7 @@
 
 from scripts.platform_cluster import PlatformCluster
 from soak.history import History, Impairment
+from soak.release import Release
 from soak.replica import Mood, Replica
 from soak.room import Room
 
@@ -41,6 +42,11 @@
         How much room the replicas have.
     rng : random.Random
         Draws who is disturbed.
+
+    Attributes
+    ----------
+    room : Room
+        How much room the replicas have.
     """
 
     def __init__(
@@ -52,7 +58,7 @@
     ):
         self._cluster = cluster
         self._history = history
-        self._room = room
+        self.room = room
         self._rng = rng
         self._numbers = itertools.count(1)
         self._replicas: dict[str, Replica] = {}
@@ -107,6 +113,28 @@
         count = max(1, round(self._rng.choice(SILENT_SHARES) * len(self._replicas)))
         names = self._rng.sample(sorted(self._replicas), count)
         noted = Impairment(time.monotonic(), what="replica-silent")
+        self._silence(names, noted, seconds)
+
+    def release(self, release: Release, silence_s: float, late_s: float) -> None:
+        """Hold the streams of a router back, and then let their bytes come at once.
+
+        Parameters
+        ----------
+        release : Release
+            The router and the moment.
+        silence_s : float
+            How long before the moment all replicas fall silent.
+        late_s : float
+            How long after the moment they answer anything else.
+        """
+        for replica in self._replicas.values():
+            replica.release = release
+        eventlet.sleep(max(0.0, release.at - silence_s - time.monotonic()))
+        noted = Impairment(time.monotonic(), what="replica-released")
+        seconds = max(0.0, release.at + late_s - time.monotonic())
+        self._silence(sorted(self._replicas), noted, seconds)
+
+    def _silence(self, names: list[str], noted: Impairment, seconds: float) -> None:
         for name in names:
             self._history.silences.setdefault(name, []).append(noted)
             self._replicas[name].silence.begin_for(seconds)
@@ -143,7 +171,7 @@
         number = next(self._numbers)
         name, zone = f"{service}-{number}", ZONES[number % len(ZONES)]
         rng = random.Random(self._rng.random())
-        replica = Replica(name, service, zone, self._history, self._room, rng)
+        replica = Replica(name, service, zone, self._history, self.room, rng)
         self._replicas[name] = replica
         self._cluster.rows.put(TABLE, name, replica.entry())
 
