Close the socket of a connection that is being opened when its sender is ended

Seen (trial, harness, the connect made 0.25 s long, collector off): a caller leaves while its request is being connected.

Cause: `socket.create_connection` closes its socket after an OSError only; what is thrown from outside is none, and the traceback, which the ended thread keeps, holds the socket.

Evidence, before: test_connection_stays_open_whose_sender_ended_while_it_was_opened: AssertionError: OSError not raised The test beside it, of a connection that is open and hasn't sent, passed before.

An `Address` is one IP address, so the loop over several is not needed. `peer.PeerLink._open` uses `create_connection`, too: read, not tried.

--- a/boragedeck/connection/upstream_pool.py
+++ b/boragedeck/connection/upstream_pool.py
@@ -236,7 +236,7 @@
         timeout_error = TimeoutError("no connection in time")
         try:
             with eventlet.Timeout(timeout_s, timeout_error):
-                sock = socket.create_connection((address.host, address.port))
+                sock = _connect(address)
         except TimeoutError as exc:
             raise UpstreamConnectTimeoutError(
                 str(exc), step="connect", peer=str(address)
@@ -256,6 +256,19 @@
         self._heard_at[address] = self._timers.now()
 
 
+def _connect(address: Address) -> socket.socket:
+    """Connect to an address; close the socket, whatever ends that."""
+    found = socket.getaddrinfo(address.host, address.port, 0, socket.SOCK_STREAM)
+    family, kind, protocol, _, target = found[0]
+    sock = socket.socket(family, kind, protocol)
+    try:
+        sock.connect(target)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 _BOTH_DONE = (h11.DONE, h11.DONE)
 
 _SOCKET_OPTIONS = (
--- a/tests/connection/test_upstream_pool.py
+++ b/tests/connection/test_upstream_pool.py
@@ -1,9 +1,11 @@
 import itertools
+import os
 import unittest
 from unittest import mock
 
 import eventlet
 from eventlet.green import socket
+from eventlet.greenio import GreenSocket
 
 from boragedeck.connection.exchange import IDLE_MARGIN_S, Message
 from boragedeck.connection.peer import Address
@@ -13,6 +15,7 @@
     UpstreamRefusedError,
     UpstreamSilentError,
 )
+from boragedeck.process.threads import end_thread
 from boragedeck.process.timers import ManualTimers
 from tests.support.replicas import ScriptedReplica, answer, head_of, stay_silent
 
@@ -23,6 +26,8 @@
 
 
 MESSAGE = message(b"first")
+ADDRESS = Address("127.0.0.1", 1)
+LONG_S = 25.0
 LOST_AFTER_S = 4.5
 """How soon the kernel closes an idle connection to a host that is gone."""
 
@@ -179,6 +184,31 @@
         with self.assertRaises(UpstreamError):
             self.fetch(replica)
 
+    def test_connection_stays_open_whose_sender_ended_while_it_was_opened(self):
+        opening = []
+
+        def connect(sock, address):
+            opening.append(sock.fileno())
+            eventlet.sleep(LONG_S)
+
+        with mock.patch.object(GreenSocket, "connect", connect):
+            sender = eventlet.spawn(self.pool.send, ADDRESS, MESSAGE, LONG_S)
+            eventlet.sleep(0)
+            end_thread(sender, RuntimeError())
+        with self.assertRaises(OSError):
+            os.fstat(*opening)
+
+    def test_connection_stays_open_whose_sender_ended_before_it_sent(self):
+        replica = self.replica(stay_silent)
+        send = self.pool.send
+        sender = eventlet.spawn(
+            send, replica.address, MESSAGE, LONG_S, lambda: eventlet.sleep(LONG_S)
+        )
+        eventlet.sleep(0.01)
+        end_thread(sender, RuntimeError())
+        eventlet.sleep(0.01)
+        self.assertEqual((replica.connections, replica.closed_after), (1, [0]))
+
     def test_address_without_a_listener_is_a_refused_error(self):
         with self.assertRaises(UpstreamRefusedError):
             self.pool.send(Address("127.0.0.1", 1), MESSAGE, 0.2)
