Let no thread wait to report to a stream's handler that has gone

Seen (harness; the queue of reports holds one instead of eight): a silent replica is heard while its stream's handler asks for a second attempt, so that the report of it waits for room. The caller leaves. Callers see nothing of it; memory isn't bounded in age. With a queue of eight it takes a handler that reads nothing for 1.6 s, for instance by a caller that reads slowly, while its replica is silent.

Cause: a probe that is answered isn't stopped any more (`ReplicaProbe.stop`), since it ends by itself; but it reports from its own thread, and `put` waits for a reader.

Evidence, before: test_thread_of_its_probe_waits_for_ever_once_the_caller_has_left: AssertionError: Lists differ: [<boragedeck.request.replica_probe.ReplicaProbe object at 0x7ff6eae92c10>] != [] The tests of `close` itself are new.

Now the handler closes the queue once it has ended its attempts: a writer that waits goes on, and what it would add is dropped. What is in the queue stays for the answer at a stop.

--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -80,6 +80,8 @@
         finally:
             job.begin_clean_up()
             self._cancel(self._attempts)
+            # A probe's thread may still wait to report that its replica is heard.
+            self._reports.close()
 
     def give_up(self) -> None:
         """Answer the caller with what replicas have answered, or with a failure."""
--- a/boragedeck/request/report_queue.py
+++ b/boragedeck/request/report_queue.py
@@ -27,6 +27,7 @@
     def __init__(self, max_unread: int):
         self._max_unread = max_unread
         self._reports: deque[T] = deque()
+        self._is_closed = False
         # Sent at the next change, and then replaced.
         self._changed = Event()
 
@@ -34,11 +35,12 @@
         return len(self._reports)
 
     def put(self, report: T) -> None:
-        """Add a report; wait while there are too many."""
-        while len(self._reports) >= self._max_unread:
+        """Add a report; wait while there are too many. A closed queue drops it."""
+        while len(self._reports) >= self._max_unread and not self._is_closed:
             self._changed.wait()
-        self._reports.append(report)
-        self._notify()
+        if not self._is_closed:
+            self._reports.append(report)
+            self._notify()
 
     def first(self) -> T:
         """Wait for a report and return the first one, which stays in the queue."""
@@ -58,6 +60,11 @@
         self._notify()
         return reports
 
+    def close(self) -> None:
+        """Let no writer wait any more; `take_all` still returns what is here."""
+        self._is_closed = True
+        self._notify()
+
     def _notify(self) -> None:
         changed, self._changed = self._changed, Event()
         changed.send()
--- a/tests/request/test_interruptions.py
+++ b/tests/request/test_interruptions.py
@@ -5,10 +5,18 @@
 import eventlet
 
 from boragedeck.process.threads import end_thread
+from boragedeck.request import relay_stream
 from boragedeck.request.relay_call import CallRelay
 from boragedeck.request.relay_stream import StreamRelay
 from boragedeck.request.replica_probe import ReplicaProbe
-from tests.request.test_stops import LONG_S, POOL, TOKENS, StopCase, is_probe
+from tests.request.test_stops import (
+    LONG_S,
+    POOL,
+    TOKENS,
+    StopCase,
+    beside_probes,
+    is_probe,
+)
 from tests.support.replicas import (
     ScriptedReplica,
     call_rule,
@@ -23,6 +31,7 @@
 END_S = 0.6
 ENDED_WITHIN_S = 0.3
 CALL_S = 0.5
+SILENCE_S = 1.0
 
 
 class InterruptionCase(StopCase):
@@ -156,3 +165,29 @@
         self.patch(StreamRelay, "_may_start_beside", fail_at_two)
         self.lengthen_end_of("stream_attempt")
         self.leave_while_attempts_end(self.send(TOKENS))
+
+
+class UnreadHeardTest(InterruptionCase):
+    """A silent replica is heard while the reports of its attempt aren't read."""
+
+    def test_thread_of_its_probe_waits_for_ever_once_the_caller_has_left(self):
+        self.patch(relay_stream, "MAX_UNREAD_REPORTS", 1)
+        start, probes = ReplicaProbe.__init__, []
+
+        def start_noted(probe, *args):
+            probes.append(probe)
+            start(probe, *args)
+
+        self.patch(ReplicaProbe, "__init__", start_noted)
+        self.start(stream_rule(timeout_s=LONG_S, goal_s=GOAL_S), POOL)
+        replica = ScriptedReplica("one", beside_probes(stay_silent))
+        replica.silence.begin_for(SILENCE_S)
+        self.harness.add(replica)
+        self.harness.add(self.replica("two"), domain="b")
+        # The handler asks for a second attempt, and reads nothing meanwhile.
+        self.harness.parts.retries.take = lambda pool: eventlet.sleep(LONG_S)
+        sock = self.send(TOKENS)
+        self.wait_for(lambda: any(each.answered_at for each in probes))
+        sock.close()
+        eventlet.sleep(ENDED_WITHIN_S)
+        self.assertEqual([each for each in probes if not each._thread.dead], [])
--- a/tests/request/test_report_queue.py
+++ b/tests/request/test_report_queue.py
@@ -65,3 +65,17 @@
         self.queue.remove_first()
         writer.wait()
         self.assertEqual(self.queue.take_all(), [2, 3])
+
+    def test_writer_waits_for_ever_after_its_reader_has_gone(self):
+        writer = self.put(1, 2, 3, 4)
+        eventlet.sleep(0.01)
+        self.queue.close()
+        with eventlet.Timeout(1.0):
+            writer.wait()
+
+    def test_reports_that_nobody_has_read_are_lost_by_the_close(self):
+        self.put(1, 2, 3)
+        eventlet.sleep(0.01)
+        self.queue.close()
+        eventlet.sleep(0.01)
+        self.assertEqual(self.queue.take_all(), [1, 2])
