Add the tokens that settle a race to the answer before the loser is ended

Seen (stand-alone edition, both attempts and the moment made by a test; no play): two attempts run, and the first sends a token. While the other one is ended for that, the generation starts a further standby, from the answer without that token. The standby's first token is dropped, as its position is taken by then, and its second one is accepted: the answer joins the first token of one run and the second of another ('ayz', where one run has 'axyz').

Cause: `_accept_chunk` checks that a chunk goes on where the answer ends, then settled the race, which switches, and then added the chunk: it was in hand at a switch. An attempt that begins at that switch has the same positions as the first one, and positions are all that is compared. In the code as it was, the generation has to wake in that very turn of the hub, with the silence of the first attempt longer than its limit, as when the loser has just got its slot after a long wait. If the winner itself was ended at that switch, its tokens were lost, which was harmless: they were generated anew.

Evidence, before: test_answer_joins_the_tokens_of_two_runs: AssertionError: 'ayz' not found in ('a', 'axyz') test_standby_runs_without_the_tokens_that_settled_the_race: AssertionError: 0 != 1

Now nothing waits between the check and the chunk's place in the answer, and the race is settled last. What begins meanwhile goes on behind the chunk.

--- a/boragedeck/request/generation.py
+++ b/boragedeck/request/generation.py
@@ -308,8 +308,6 @@
             return
         if not chunk.token_ids:
             return
-        if len(self._attempts) > 1:
-            self._settle_race(attempt)
         if self._answer.prompt_ids is None:
             self._answer.prompt_ids = chunk.prompt_ids
         self._answer.append(chunk.token_ids, chunk.text)
@@ -317,6 +315,9 @@
         self._parts.journal.mark_changed(self._answer)
         if self._is_unread_limit_reached():
             self._control.notify()
+        # This switches, so the tokens are in the answer before.
+        if len(self._attempts) > 1:
+            self._settle_race(attempt)
 
     def _settle_race(self, winner: Attempt) -> None:
         _log.write(
