--- a/soak/callers.py
+++ b/soak/callers.py
@@ -74,7 +74,7 @@
     short_time: float = 0.05
     leaves: float = 0.05
     large_body: float = 0.15
-    cuts: float = 0.1
+    cuts: float = 0.3
 
 
 class Callers:
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -118,7 +118,7 @@
     Row.CALLER_SLOW_BODY: Habits(slow_body=0.8),
     Row.CALLER_SHORT_TIME: Habits(short_time=0.5),
     Row.CALLER_LARGE_BODY: Habits(large_body=0.6),
-    Row.CALLER_RESUMES: Habits(cuts=0.6),
+    Row.CALLER_RESUMES: Habits(cuts=0.7),
 }
 
 
