--- a/tests/request/test_interrupted_cancels.py
+++ b/tests/request/test_interrupted_cancels.py
@@ -90,7 +90,8 @@
 
         def close(exchange):
             # The thread of the attempt that doesn't lead is being killed.
-            if sys.exc_info()[0] is GreenletExit and not stops:
+            is_killed = sys.exc_info()[0] is GreenletExit
+            if is_killed and exchange.request_id is not None and not stops:
                 stops.append(exchange)
                 harness.parts.open_requests.end_unbegun(0.0)
             CLOSE(exchange)
