Give the soak's replicas ports that no other play on the machine sends to

A trial that prints such requests (three plays at a time beside other tests, 12 plays) shows two of them: a heartbeat of a router of another test ('HeartbeatFor', 'vm-2-'), which goes on sending to a port that one of its own had. Replicas took any free port, so they got such ports.

That the unknown id came the same way is inferred, not shown: replicas of two plays have equal names, so that Expect-Instance doesn't tell them apart, and six plays alone showed neither.

Now they take ports of the play's own block, below those that the system gives out.

--- a/scripts/platform_cluster.py
+++ b/scripts/platform_cluster.py
@@ -73,6 +73,10 @@
         self._written: dict[tuple[str, str], bytes | None] = {}
         self.put_config()
 
+    def take_port(self) -> int:
+        """Return a port that no other test uses while this one runs."""
+        return self._ports.take()
+
     def put_config(self, version: int = 1, key: str = "demo-key") -> None:
         """Write a configuration whose only API key is `key`."""
         self.put_document(_config(version, key))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -171,7 +171,8 @@
         number = next(self._numbers)
         name, zone = f"{service}-{number}", ZONES[number % len(ZONES)]
         rng = random.Random(self._rng.random())
-        replica = Replica(name, service, zone, self._history, self.room, rng)
+        port = self._cluster.take_port()
+        replica = Replica(name, service, zone, self._history, self.room, rng, port)
         self._replicas[name] = replica
         self._cluster.rows.put(TABLE, name, replica.entry())
 
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -108,6 +108,8 @@
         Its slots and memory.
     rng : random.Random
         Draws how each request is answered.
+    port : int, optional
+        The TCP port; 0 for any free one.
 
     Attributes
     ----------
@@ -127,6 +129,7 @@
         history: History,
         room: Room,
         rng: random.Random,
+        port: int = 0,
     ):
         self.name = name
         self.service = service
@@ -142,7 +145,7 @@
         self._is_lost = False
         self._born_ms = int(time.time() * 1000.0)
         self._sequence = 0
-        self._listener = listen()
+        self._listener = listen(port)
         self._handlers: set = set()
         self._acceptor = eventlet.spawn(self._accept)
 
