--- a/scripts/piece_order.py
+++ b/scripts/piece_order.py
@@ -8,13 +8,12 @@
     python -m scripts.piece_order --streams 3000 --stop
 """
 
-import argparse
 import collections
 import random
-import sys
 
 import eventlet
 import msgspec
+import typer
 from eventlet.green import socket
 
 from boragedeck.request import stream_liveness
@@ -34,7 +33,7 @@
     stream_rule,
 )
 
-__all__ = ["PieceOrderPlay", "main"]
+__all__ = ["PieceOrderOptions", "PieceOrderPlay", "main"]
 
 AT_ONCE = 150
 REPLICAS = 6
@@ -53,13 +52,26 @@
 ENGINES = RelayPool("engines", 100, ENGINE)
 
 
+class PieceOrderOptions(msgspec.Struct, frozen=True):
+    """What is played; see `main`."""
+
+    streams: int
+    seed: int
+    gateways: int
+    stop: bool
+    changes: bool
+    cut: float
+    fail: float
+    late: float
+
+
 class PieceOrderPlay:
     """One play.
 
     Parameters
     ----------
-    options : argparse.Namespace
-        The options of the command.
+    options : PieceOrderOptions
+        What is played.
 
     Attributes
     ----------
@@ -69,7 +81,7 @@
         What callers have received that no run of a replica allows.
     """
 
-    def __init__(self, options: argparse.Namespace):
+    def __init__(self, options: PieceOrderOptions):
         self.counts: collections.Counter[str] = collections.Counter()
         self.faults: list[str] = []
         self._options = options
@@ -254,19 +266,37 @@
     return stream_rule(timeout_s=timeout_s, goal_s=0.3, gap_goal_s=0.1)
 
 
-def main() -> int:
-    """Play, and print what was found; return 1 if there is a fault."""
-    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
-    parser.add_argument("--streams", type=int, default=3000)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--gateways", type=int, default=0)
-    parser.add_argument("--stop", action="store_true")
-    parser.add_argument("--changes", action="store_true")
-    for name, what in _SHARES.items():
-        parser.add_argument(f"--{name}", type=float, default=0.0, help=what)
-    options = parser.parse_args()
+def main(
+    streams: int = 3000,
+    seed: int = 1,
+    gateways: int = 0,
+    stop: bool = False,
+    changes: bool = False,
+    cut: float = 0.0,
+    fail: float = 0.0,
+    late: float = 0.0,
+) -> None:
+    """Play, and print what was found; the exit status is 1 if there is a fault.
+
+    Parameters
+    ----------
+    streams : int
+        Number of streams.
+    seed : int
+        Seed of the draws.
+    gateways : int
+        Number of routers through which all requests go; 0 if they go directly.
+    stop : bool
+        Whether what hasn't begun is given up whenever the replicas go on.
+    changes : bool
+        Whether the routes change meanwhile.
+    cut, fail, late : float
+        Shares of the runs that end in the middle of an event, of the requests that
+        are answered with 500, and of the answers that are sent once more.
+    """
     for name in ("MIN_SUSPECT_S", "PROBE_TIMEOUT_S", "REPORT_INTERVAL_S"):
         setattr(stream_liveness, name, SUSPECT_S)
+    options = PieceOrderOptions(streams, seed, gateways, stop, changes, cut, fail, late)
     play = PieceOrderPlay(options)
     note_silent = StreamLivenessMonitor._note_silent
 
@@ -278,16 +308,10 @@
     play.run()
     for text, count in sorted(play.counts.items()):
         print(f"{count:8} {text}")
-    print(f"{len(play._runs):8} runs for {options.streams} streams")
+    print(f"{len(play._runs):8} runs for {streams} streams")
     print(*(play.faults or ["no fault"]), sep="\n")
-    return int(bool(play.faults))
-
+    raise typer.Exit(int(bool(play.faults)))
 
-_SHARES = {
-    "cut": "share of the runs that end in the middle of an event",
-    "fail": "share of the requests that replicas answer with 500",
-    "late": "share of the answers that are sent once more before the next",
-}
 
 if __name__ == "__main__":
-    sys.exit(main())
+    typer.run(main)
