--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -17,6 +17,7 @@
 from tests.support.lost_answer_defects import LOST_ANSWER_DEFECTS
 from tests.support.method_defects import fails
 from tests.support.notice_defects import NOTICE_DEFECTS
+from tests.support.order_defects import ORDER_DEFECTS
 from tests.support.reload_defects import RELOAD_DEFECTS
 from tests.support.silence_defects import SILENCE_DEFECTS
 from tests.support.unread_caller_defects import UNREAD_CALLER_DEFECTS
@@ -49,6 +50,7 @@
         *LATE_TIMER_DEFECTS,
         *LOST_ANSWER_DEFECTS,
         *DROPPED_CONNECT_DEFECTS,
+        *ORDER_DEFECTS,
         *RELOAD_DEFECTS,
         *SILENCE_DEFECTS,
         *UNREAD_CALLER_DEFECTS,
