Tell the routers which replica answers at an address under a new id

While the platform's store is away, a replica that restarts under a new id isn't listed. Each router found it by a request of its own that was answered 421, and the repeat of that request counted against the shared bound.

The router that has verified a successor now publishes an urgent fact. The others use it if their list hasn't been confirmed since, if the expected replica hasn't answered them since, and if its models belong to the pool by their own routing table. It ends no requests under way. A successor by another router's word that writes no entry is removed some heartbeats after the store answers.

--- a/boragedeck/connection/messages.py
+++ b/boragedeck/connection/messages.py
@@ -68,6 +68,8 @@
     """Requests that are known to crash upstreams."""
     REPLICA_LIMIT = "replica_limit"
     """Limits that replicas in need name on the requests of all routers."""
+    REPLICA_SUCCESSOR = "replica_successor"
+    """Replicas that started under another id at the address of one before."""
     ROLLOUT_EVIDENCE = "rollout_evidence"
     """What the origin has observed of the versions in a rollout."""
     ROLLOUT_STOP = "rollout_stop"
--- a/boragedeck/process/membership/gossip_messages.py
+++ b/boragedeck/process/membership/gossip_messages.py
@@ -36,6 +36,7 @@
         FactTopic.LEAVING,
         FactTopic.QUARANTINE,
         FactTopic.REPLICA_LIMIT,
+        FactTopic.REPLICA_SUCCESSOR,
         FactTopic.ROLLOUT_STOP,
     }
 )
--- a/boragedeck/process/relaying/fleet/peer_dialect.py
+++ b/boragedeck/process/relaying/fleet/peer_dialect.py
@@ -27,6 +27,7 @@
 """Label of the builds that don't greet."""
 TOPICS_OF_UNNAMED = frozenset(FactTopic) - {
     FactTopic.BRITTLE_REPLICA,
+    FactTopic.REPLICA_SUCCESSOR,
     FactTopic.UNKNOWN,
 }
 """Topics that the oldest of these builds decodes; one other makes it refuse a message
--- a/boragedeck/process/relaying/relay_composition.py
+++ b/boragedeck/process/relaying/relay_composition.py
@@ -27,6 +27,7 @@
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replicas.replica_successors import ReplicaSuccessors
 from boragedeck.process.relaying.retries.retry_reserve import RetryReserve
 from boragedeck.process.relaying.retries.retry_share import USABLE_SHARE, RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
@@ -181,6 +182,7 @@
             paths=self._paths,
             notices=notices,
             protocol=HttpReplicaProtocol(),
+            successors=self._make_successors(),
             retries=self._make_retries(),
             rollouts=self.rollouts,
             durations=RequestDurations(),
@@ -193,6 +195,16 @@
             refusal_headers=refusal_headers,
         )
 
+    def _make_successors(self) -> ReplicaSuccessors:
+        return ReplicaSuccessors(
+            self._timers,
+            self._registry,
+            self._peers.board,
+            self._tables.in_force.current,
+            self._tables.followers[Table.REPLICAS].age_s,
+            self._metrics,
+        )
+
     def _make_retries(self) -> RetryShare:
         timers, bounds = self._timers, self._source.bounds
         reserve = RetryReserve(
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -85,6 +85,12 @@
             "Replicas that were found to be leaving by an answer, here or elsewhere.",
             registry=registry,
         )
+        self.successors = Counter(
+            "boragedeck_replica_successors",
+            "Replicas found under another id at a known address, by how it was learnt.",
+            ["source"],
+            registry=registry,
+        )
         self.held_off = Counter(
             "boragedeck_replicas_held_off",
             "Answers by which a replica asked this router to wait.",
--- a/boragedeck/process/relaying/replicas/registry.py
+++ b/boragedeck/process/relaying/replicas/registry.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from boragedeck.connection.peer import Address
-from boragedeck.ids import PoolName, Version
+from boragedeck.ids import PoolName, RouterId, Version
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState, Run
 from boragedeck.process.relaying.replicas.restraint import Reason, Restraints
@@ -205,19 +205,50 @@
         if state is None:
             return
         self.remove_lost(old, "another replica at its address")
-        if new in self._states:
-            return
-        replica = msgspec.structs.replace(state.replica, replica=new, born_ms=0)
-        _log.write("Successor added.", replica=new, before=old)
-        self.put(replica)
-        self._states[new].is_provisional = True
+        if new not in self._states:
+            self.put_successor(state.replica, new, self._timers.now())
+
+    def put_successor(
+        self,
+        before: Replica,
+        new: ReplicaId,
+        found_at: float,
+        told_by: RouterId | None = None,
+    ) -> None:
+        """Add the successor of a replica provisionally, with its predecessor's entry.
+
+        Parameters
+        ----------
+        before : Replica
+            The entry of the predecessor. If it is still registered, it gets no further
+            requests; those under way go on.
+        new : ReplicaId
+            The successor, which isn't registered.
+        found_at : float
+            When it answered at the address, on the timer service's clock.
+        told_by : RouterId, optional
+            The other router that found it; None if this one did.
+        """
+        _log.write(
+            "Successor added.",
+            replica=new,
+            before=before.replica,
+            told_by=told_by,
+            age_s=round(self._timers.now() - found_at, 3),
+        )
+        self.put(msgspec.structs.replace(before, replica=new, born_ms=0))
+        state = self._states[new]
+        state.is_provisional = True
+        state.found_at = found_at
+        state.is_told = told_by is not None
 
     def put(self, replica: Replica) -> None:
         """Add a replica, or update it with its newest entry."""
         state = self._states.get(replica.replica)
         is_provisional = state is not None and state.is_provisional
         if is_provisional:
-            state.is_provisional = False
+            state.is_provisional = state.is_told = False
+            state.found_at = float("-inf")
         elif state is not None and state.replica.born_ms != replica.born_ms:
             # It restarted under the same id and has lost its former state.
             self.remove(replica.replica, "restarted")
--- a/boragedeck/process/relaying/replicas/replica_state.py
+++ b/boragedeck/process/relaying/replicas/replica_state.py
@@ -121,6 +121,11 @@
         Whether it is no longer in the registry.
     is_provisional : bool
         Whether the entry is copied from the predecessor at the replica's address.
+    found_at : float
+        When a provisional replica was found at its address, on the timer service's
+        monotonic clock; minus infinity for one that has an entry.
+    is_told : bool
+        Whether another router found it there.
     on_lost : set of callable
         Called when the replica is removed because it no longer runs.
     """
@@ -128,6 +133,8 @@
     def __init__(self, replica: Replica):
         self.replica = replica
         self.is_provisional = False
+        self.found_at = float("-inf")
+        self.is_told = False
         self.missed_at = float("-inf")
         self.answered_at = float("-inf")
         self.silent_at = float("-inf")
--- a/boragedeck/process/relaying/tables/replica_source.py
+++ b/boragedeck/process/relaying/tables/replica_source.py
@@ -79,6 +79,7 @@
         mirror.subscribe(self._on_change)
         mirror.subscribe_restored(self._note_restored)
         timers.subscribe(CHECK_INTERVAL_S, self.drop_missing)
+        timers.subscribe(CHECK_INTERVAL_S, self._drop_unlisted_successors)
 
     def drop_missing(self) -> None:
         """Remove replicas that have had no entry since the last store outage."""
@@ -93,6 +94,23 @@
             if replica not in self._mirror.rows:
                 self._registry.remove(replica, "no entry since the store outage")
 
+    def _drop_unlisted_successors(self) -> None:
+        """Remove successors by another router's word that have written no entry.
+
+        Notes
+        -----
+        One that runs writes its entry as soon as the store answers. One that answers
+        requests is kept.
+        """
+        answering_since = self._follower.answering_since()
+        if answering_since is None:
+            return
+        lapse_s = HEARTBEATS_TO_LAPSE * self._heartbeat_s()
+        for state in self._registry.all():
+            known_at = max(answering_since, state.found_at, state.answered_at)
+            if state.is_told and self._timers.now() - known_at > lapse_s:
+                self._registry.remove(state.replica.replica, "successor has no entry")
+
     def _note_restored(self) -> None:
         self._restored_at = self._timers.now()
 
--- a/boragedeck/request/relay_attempt.py
+++ b/boragedeck/request/relay_attempt.py
@@ -219,13 +219,15 @@
     if verdict.actual_replica in (None, replica.replica):
         parts.registry.remove(replica.replica, "misdirected")
         return
-    if job.pool.engine is not None:
+    if job.pool.engine is None:
+        parts.registry.note_lost(place.state, "another at its address")
+        return
+
+    def fetch_models() -> frozenset[str] | None:
         body = probe(parts, place, CONNECT_TIMEOUT_S)
-        models = frozenset() if body is None else parts.protocol.models(body)
-        if parts.table().pool_of_models(models) == replica.pool:
-            parts.registry.add_successor(replica.replica, verdict.actual_replica)
-            return
-    parts.registry.note_lost(place.state, "another at its address")
+        return None if body is None else parts.protocol.models(body)
+
+    parts.successors.note_moved(place.state, verdict.actual_replica, fetch_models)
 
 
 def _read_head(
--- a/boragedeck/request/relay_components.py
+++ b/boragedeck/request/relay_components.py
@@ -20,6 +20,7 @@
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replicas.replica_successors import ReplicaSuccessors
 from boragedeck.process.relaying.retries.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
 from boragedeck.process.relaying.tables.table_ages import TableAges
@@ -60,6 +61,8 @@
         Processes the notices that replicas send in the heads of their answers.
     protocol : ReplicaProtocol
         Encodes requests and interprets answers.
+    successors : ReplicaSuccessors
+        Replaces replicas whose addresses belong to others now.
     retries : RetryShare
         Limits repeated attempts.
     rollouts : RelayRollouts
@@ -94,6 +97,7 @@
     paths: ReplicaPaths
     notices: ReplicaNotices
     protocol: ReplicaProtocol
+    successors: ReplicaSuccessors
     retries: RetryShare
     rollouts: RelayRollouts
     durations: RequestDurations
--- a/tests/process/relaying/fleet/test_peer_dialect.py
+++ b/tests/process/relaying/fleet/test_peer_dialect.py
@@ -43,7 +43,8 @@
             self.assertIs(self.dialect.for_peer(message, NAMED), message)
 
     def test_topics_that_old_builds_do_not_decode_are_left_out(self):
-        facts = tuple(aged(t) for t in (FactTopic.BRITTLE_REPLICA, FactTopic.MEMBER))
+        unknown = FactTopic.BRITTLE_REPLICA, FactTopic.REPLICA_SUCCESSOR
+        facts = tuple(aged(t) for t in (*unknown, FactTopic.MEMBER))
         for message in (FactPush(facts), FactExchange(facts, (1,), 9)):
             told = self.dialect.for_peer(message, UNNAMED)
             topics = [each.fact.topic for each in told.facts]
--- a/tests/process/relaying/replicas/test_registry.py
+++ b/tests/process/relaying/replicas/test_registry.py
@@ -200,6 +200,37 @@
         self.timers.advance(RENEWAL_PERIOD_S)
         self.assertIsNone(self.registry.get("two"))
 
+    def told_successor(self):
+        """Add "two" in the place of "one" by another router's word."""
+        self.change("one", b"good", 1)
+        self.timers.advance(1.0)
+        entry = self.registry.get("one").replica
+        self.registry.put_successor(entry, "two", self.timers.now(), "r-2")
+        return self.registry.get("two")
+
+    def test_told_successor_without_an_entry_is_kept_for_good(self):
+        self.told_successor()
+        self.timers.advance(3.0 * HEARTBEAT_S)
+        self.assertIsNotNone(self.registry.get("two"))
+        self.timers.advance(HEARTBEAT_S)
+        self.assertIsNone(self.registry.get("two"))
+
+    def test_told_successor_is_removed_while_the_store_is_away(self):
+        self.told_successor()
+        self.follower.reconnected_at = None
+        self.timers.advance(100.0)
+        self.assertIsNotNone(self.registry.get("two"))
+
+    def test_told_successor_that_serves_or_is_listed_is_removed(self):
+        state = self.told_successor()
+        self.timers.advance(3.0 * HEARTBEAT_S)
+        state.note_answer(True, self.timers.now())
+        self.timers.advance(3.0 * HEARTBEAT_S)
+        self.assertIsNotNone(self.registry.get("two"))
+        self.change("two", b"good", 2)
+        self.timers.advance(100.0)
+        self.assertIs(self.registry.get("two"), state)
+
     def test_provisional_replica_that_gets_an_entry_stays(self):
         self.change("one", b"good", 1)
         self.registry.add_successor("one", "two")
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -35,6 +35,7 @@
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.replicas.replica_state import Load
+from boragedeck.process.relaying.replicas.replica_successors import ReplicaSuccessors
 from boragedeck.process.relaying.retries.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
 from boragedeck.process.relaying.settings import Bounds
@@ -422,6 +423,7 @@
         self.upstreams = self.pool_type(self.timers)
         self.admission = Admission(self.timers, self.registry, random.Random(2))
         self.time_left_s = float("inf")
+        self.list_age_s = None
         self.table = routing_table(rule or call_rule(), pool, limits)
         self.facts = facts or FakeFactBoard()
         self.metrics = RelayMetrics(CollectorRegistry())
@@ -458,6 +460,14 @@
             paths=self.paths,
             notices=self.notices,
             protocol=HttpReplicaProtocol(),
+            successors=ReplicaSuccessors(
+                self.timers,
+                self.registry,
+                self.facts,
+                lambda: self.table,
+                lambda: self.list_age_s,
+                self.metrics,
+            ),
             retries=RetryShare(
                 self.timers,
                 lambda: BOUNDS,
