Order facts about successors by the list that they were found with

A fact named the replica that the finder had expected. A router that had missed the restart before didn't use it, and a foreign entry with the same address hid the replica that it concerned. The fact names the id in the finder's list instead, and the time orders the restarts after it. A 421 ends the requests under way also if another entry has taken the place of the replica while the report was fetched.

--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -87,8 +87,8 @@
         )
         self.successors = Counter(
             "boragedeck_replica_successors",
-            "Replicas found under another id at a known address, by how it was learnt.",
-            ["source"],
+            "Replicas under another id at a known address, by who found them.",
+            ["outcome"],
             registry=registry,
         )
         self.held_off = Counter(
--- a/boragedeck/process/relaying/replicas/registry.py
+++ b/boragedeck/process/relaying/replicas/registry.py
@@ -206,11 +206,11 @@
             return
         self.remove_lost(old, "another replica at its address")
         if new not in self._states:
-            self.put_successor(state.replica, new, self._timers.now())
+            self.put_successor(state, new, self._timers.now())
 
     def put_successor(
         self,
-        before: Replica,
+        before: ReplicaState,
         new: ReplicaId,
         found_at: float,
         told_by: RouterId | None = None,
@@ -219,9 +219,9 @@
 
         Parameters
         ----------
-        before : Replica
-            The entry of the predecessor. If it is still registered, it gets no further
-            requests; those under way go on.
+        before : ReplicaState
+            The predecessor. If it is still registered, it gets no further requests;
+            those under way go on.
         new : ReplicaId
             The successor, which isn't registered.
         found_at : float
@@ -232,13 +232,14 @@
         _log.write(
             "Successor added.",
             replica=new,
-            before=before.replica,
+            before=before.replica.replica,
             told_by=told_by,
             age_s=round(self._timers.now() - found_at, 3),
         )
-        self.put(msgspec.structs.replace(before, replica=new, born_ms=0))
+        self.put(msgspec.structs.replace(before.replica, replica=new, born_ms=0))
         state = self._states[new]
         state.is_provisional = True
+        state.listed = before.listed
         state.found_at = found_at
         state.is_told = told_by is not None
 
@@ -248,6 +249,7 @@
         is_provisional = state is not None and state.is_provisional
         if is_provisional:
             state.is_provisional = state.is_told = False
+            state.listed = replica.replica
             state.found_at = float("-inf")
         elif state is not None and state.replica.born_ms != replica.born_ms:
             # It restarted under the same id and has lost its former state.
--- a/boragedeck/process/relaying/replicas/replica_state.py
+++ b/boragedeck/process/relaying/replicas/replica_state.py
@@ -121,6 +121,8 @@
         Whether it is no longer in the registry.
     is_provisional : bool
         Whether the entry is copied from the predecessor at the replica's address.
+    listed : ReplicaId
+        The replica that the list names in its place; itself, if it has an entry.
     found_at : float
         When a provisional replica was found at its address, on the timer service's
         monotonic clock; minus infinity for one that has an entry.
@@ -133,6 +135,7 @@
     def __init__(self, replica: Replica):
         self.replica = replica
         self.is_provisional = False
+        self.listed = replica.replica
         self.found_at = float("-inf")
         self.is_told = False
         self.missed_at = float("-inf")
--- a/boragedeck/process/relaying/replicas/replica_successors.py
+++ b/boragedeck/process/relaying/replicas/replica_successors.py
@@ -25,7 +25,7 @@
 from boragedeck.version.replicas import Replica, ReplicaId
 from boragedeck.version.routing import RoutingTable
 
-__all__ = ["ReplicaSuccessors", "SuccessorSource"]
+__all__ = ["ReplicaSuccessors", "SuccessorOutcome"]
 
 FACT_TTL_S = 60.0
 """How long routers keep the fact, so that routers that start later receive it, too."""
@@ -39,8 +39,8 @@
 _log = PartLog("replicas")
 
 
-class SuccessorSource(enum.Enum):
-    """How this router learnt of a successor, or why it doesn't use one."""
+class SuccessorOutcome(enum.Enum):
+    """How this router learnt of a successor that it uses, or why it uses none."""
 
     FOUND = "found"
     """It answered this router."""
@@ -57,15 +57,15 @@
 
     Parameters
     ----------
-    before, replica : ReplicaId
-        The replica that was expected at the address, and the one that answered.
+    listed, replica : ReplicaId
+        The replica that the finder's list names there, and the one that answered.
     models : tuple of str
         The models that it serves, by its report.
     age_s : float
         Seconds from its answer to the publication.
     """
 
-    before: ReplicaId
+    listed: ReplicaId
     replica: ReplicaId
     models: tuple[str, ...]
     age_s: float
@@ -83,7 +83,7 @@
 class _Displaced(msgspec.Struct, frozen=True):
     """A replica that was lost to another one, of which no report was received."""
 
-    entry: Replica
+    state: ReplicaState
     by: ReplicaId
     at: float
 
@@ -161,10 +161,10 @@
         models = fetch_models()
         if models is None:
             self._registry.note_lost(state, "another at its address")
-            self._note_displaced(state.replica, actual, found_at)
+            self._note_displaced(state, actual, found_at)
             return
         if not self._serves_pool(models, state.replica):
-            self._metrics.successors.labels(SuccessorSource.OTHER_POOL.value).inc()
+            self._metrics.successors.labels(SuccessorOutcome.OTHER_POOL.value).inc()
             self._registry.note_lost(state, "another at its address")
             return
         self._add_found(state, actual, models, found_at)
@@ -177,16 +177,19 @@
         found_at: float,
     ) -> None:
         replica = state.replica
-        is_current = self._registry.get(replica.replica) is state
+        if self._registry.get(replica.replica) is not state:
+            # Another one has taken its place while the report was fetched.
+            self._registry.note_lost(state, "another replica at its address")
+            return
         self._registry.add_successor(replica.replica, actual)
-        if not is_current or self._registry.get(actual) is None:
-            # Another one has taken the address during the question.
+        if not self._is_registered(actual, replica):
+            # The list names the successor at another address.
             return
-        self._metrics.successors.labels(SuccessorSource.FOUND.value).inc()
+        self._metrics.successors.labels(SuccessorOutcome.FOUND.value).inc()
         if len(models) > MAX_MODELS:
             return
         age_s = self._timers.now() - found_at
-        fact = _SuccessorFact(replica.replica, actual, tuple(sorted(models)), age_s)
+        fact = _SuccessorFact(state.listed, actual, tuple(sorted(models)), age_s)
         self._board.publish(
             FactTopic.REPLICA_SUCCESSOR,
             str(replica.address),
@@ -216,36 +219,32 @@
         if self._registry.get(told.fact.replica) is not None:
             return
         if self._is_confirmed_since(told.found_at):
-            self._ignore(told, SuccessorSource.OUTDATED)
+            self._ignore(told, SuccessorOutcome.OUTDATED)
             return
-        before = self._at(told.address)
+        known = self._known(told)
+        before = known or self._displaced_state(told)
         if before is None:
-            entry = self._displaced_entry(told)
-        elif self._is_newer_than(told, before):
-            entry = before.replica
-        else:
-            self._ignore(told, SuccessorSource.OUTDATED)
-            return
-        if entry is None:
             self._keep(told)
-        elif self._serves_pool(frozenset(told.fact.models), entry):
-            self._add_told(told, entry)
+        elif known is not None and not self._is_newer_than(told, known):
+            self._ignore(told, SuccessorOutcome.OUTDATED)
+        elif not self._serves_pool(frozenset(told.fact.models), before.replica):
+            self._ignore(told, SuccessorOutcome.OTHER_POOL)
         else:
-            self._ignore(told, SuccessorSource.OTHER_POOL)
+            self._add_told(told, before)
 
-    def _add_told(self, told: _Told, entry: Replica) -> None:
-        self._metrics.successors.labels(SuccessorSource.TOLD.value).inc()
+    def _add_told(self, told: _Told, before: ReplicaState) -> None:
+        self._metrics.successors.labels(SuccessorOutcome.TOLD.value).inc()
         self._displaced.pop(told.address, None)
         self._registry.put_successor(
-            entry, told.fact.replica, told.found_at, told.told_by
+            before, told.fact.replica, told.found_at, told.told_by
         )
 
-    def _ignore(self, told: _Told, reason: SuccessorSource) -> None:
+    def _ignore(self, told: _Told, reason: SuccessorOutcome) -> None:
         self._metrics.successors.labels(reason.value).inc()
         _log.write(
             "Successor ignored.",
             replica=told.fact.replica,
-            before=told.fact.before,
+            listed=told.fact.listed,
             reason=reason.value,
             told_by=told.told_by,
             age_s=round(self._timers.now() - told.found_at, 3),
@@ -256,13 +255,11 @@
 
         Notes
         -----
-        If the list names another replica than the one that was expected, the router
-        that found the successor had an older list.
+        If the lists of the two routers name different replicas there, this one's may be
+        the newer list.
         """
-        is_expected = known.replica.replica == told.fact.before
-        is_found_earlier = known.is_provisional and known.found_at < told.found_at
-        is_unheard = known.answered_at < told.found_at
-        return is_unheard and (is_expected or is_found_earlier)
+        is_same_list = known.listed == told.fact.listed
+        return is_same_list and max(known.found_at, known.answered_at) < told.found_at
 
     def _is_confirmed_since(self, found_at: float) -> bool:
         age_s = self._list_age_s()
@@ -279,27 +276,34 @@
     def _serves_pool(self, models: frozenset[str], before: Replica) -> bool:
         return self._table().pool_of_models(models) == before.pool
 
-    def _at(self, address: str) -> ReplicaState | None:
-        """Return the replica at an address, the newest if several entries name it."""
-        states = self._registry.all()
-        found = [state for state in states if str(state.replica.address) == address]
-        return found[-1] if found else None
+    def _known(self, told: _Told) -> ReplicaState | None:
+        """Return the replica at an address, or None.
 
-    def _note_displaced(self, entry: Replica, by: ReplicaId, at: float) -> None:
-        """Keep an entry that another router's word may still be used with."""
-        address = str(entry.address)
-        self._displaced[address] = _Displaced(entry, by, at)
+        Notes
+        -----
+        Other writers may list entries with the same address, which don't count if the
+        replica that the finder's list names is still there.
+        """
+        states = self._registry.all()
+        found = [each for each in states if str(each.replica.address) == told.address]
+        same = [each for each in found if each.listed == told.fact.listed]
+        return next(reversed(same or found), None)
+
+    def _note_displaced(self, state: ReplicaState, by: ReplicaId, at: float) -> None:
+        """Keep a lost replica whose successor another router may still verify."""
+        address = str(state.replica.address)
+        self._displaced[address] = _Displaced(state, by, at)
         self._displaced.move_to_end(address)
         if len(self._displaced) > MAX_DISPLACED:
             self._displaced.popitem(last=False)
 
-    def _displaced_entry(self, told: _Told) -> Replica | None:
-        """Return the entry with which a successor is added where none is left."""
+    def _displaced_state(self, told: _Told) -> ReplicaState | None:
+        """Return the lost replica that a successor replaces, if it was kept."""
         displaced = self._displaced.get(told.address)
-        if displaced is None or displaced.entry.replica != told.fact.before:
+        if displaced is None or displaced.state.listed != told.fact.listed:
             return None
         is_same = displaced.by == told.fact.replica
-        return displaced.entry if is_same or displaced.at < told.found_at else None
+        return displaced.state if is_same or displaced.at < told.found_at else None
 
     def _keep(self, told: _Told) -> None:
         """Keep a fact until this router's list names a replica at its address."""
--- a/tests/process/relaying/replicas/test_registry.py
+++ b/tests/process/relaying/replicas/test_registry.py
@@ -204,8 +204,8 @@
         """Add "two" in the place of "one" by another router's word."""
         self.change("one", b"good", 1)
         self.timers.advance(1.0)
-        entry = self.registry.get("one").replica
-        self.registry.put_successor(entry, "two", self.timers.now(), "r-2")
+        before = self.registry.get("one")
+        self.registry.put_successor(before, "two", self.timers.now(), "r-2")
         return self.registry.get("two")
 
     def test_told_successor_without_an_entry_is_kept_for_good(self):
--- a/tests/process/relaying/replicas/test_replica_successors.py
+++ b/tests/process/relaying/replicas/test_replica_successors.py
@@ -71,9 +71,9 @@
         """Return the replicas that get requests."""
         return [state.replica.replica for state in self.registry.of_pool("p")]
 
-    def count(self, source):
-        """Return the number of successors by how they were learnt."""
-        return self.metrics.successors.labels(source)._value.get()
+    def count(self, outcome):
+        """Return the number of successors by outcome."""
+        return self.metrics.successors.labels(outcome)._value.get()
 
 
 class SuccessorCase(unittest.TestCase):
@@ -122,6 +122,7 @@
         self.finder.registry.put(elsewhere)
         self.finder.find()
         self.assertEqual(self.finder.reports, 1)
+        self.assertEqual((self.finder.ids(), self.facts()), (["two"], []))
 
     def test_replica_with_very_many_models_is_told_to_the_others(self):
         models = frozenset(f"m{n}" for n in range(MAX_MODELS)) | MODELS
@@ -135,19 +136,22 @@
             self.finder.put("three", born_ms=3)
             return MODELS
 
+        ended = []
+        state.on_lost.add(lambda: ended.append("one"))
         self.finder.successors.note_moved(state, "two", fetch_models)
         self.assertEqual((self.finder.ids(), self.facts()), (["three"], []))
+        self.assertEqual(ended, ["one"])
 
 
 class ToldTest(SuccessorCase):
-    def check_ignored(self, ids=("one",), source="outdated"):
+    def check_ignored(self, ids=("one",), outcome="outdated"):
         self.finder.find()
         self.assertEqual(self.other.ids(), list(ids))
-        self.assertEqual(self.other.count(source), 1)
+        self.assertEqual(self.other.count(outcome), 1)
 
-    def publish(self, before, name, *, age_s=0.0, models=("m",), address=None):
+    def publish(self, listed, name, *, age_s=0.0, models=("m",), address=None):
         key = str(address or replica("one").address)
-        body = msgspec.msgpack.encode([before, name, models, age_s])
+        body = msgspec.msgpack.encode([listed, name, models, age_s])
         self.finder.board.publish(FactTopic.REPLICA_SUCCESSOR, key, body)
 
     def test_fact_older_than_the_list_is_used(self):
@@ -170,15 +174,29 @@
         self.other.put("three", born_ms=3)
         self.check_ignored(["three"])
 
+    def test_entry_of_another_service_keeps_a_successor_from_being_used(self):
+        self.other.put("foreign", pool="no-such-service", born_ms=9)
+        self.finder.find()
+        self.assertEqual(self.other.ids(), ["two"])
+
     def test_each_router_judges_the_pool_by_the_table_of_the_finder(self):
         self.other.table = table(p=OTHER_MODELS, q=MODELS)
-        self.check_ignored(source="other_pool")
+        self.check_ignored(outcome="other_pool")
 
-    def test_fact_about_an_unknown_predecessor_replaces_a_listed_replica(self):
-        self.publish("two", "three", age_s=1.0)
+    def test_fact_of_a_router_with_another_list_is_used(self):
+        self.publish("zero", "three", age_s=1.0)
         self.assertEqual(self.other.ids(), ["one"])
         self.assertEqual(self.other.count("outdated"), 1)
 
+    def test_second_restart_is_not_used_by_a_router_that_missed_the_first(self):
+        self.finder.find()
+        late = Router(self.timers, "r-3", self.shared)
+        late.put()
+        self.timers.advance(1.0)
+        self.finder.find("three", before="two")
+        self.assertEqual(self.other.ids(), ["three"])
+        self.assertEqual(late.ids(), ["three"])
+
     def test_fact_of_a_router_that_missed_a_successor_is_not_used(self):
         self.publish("one", "two", age_s=2.0)
         self.publish("one", "three", age_s=1.0)
