Bound the unread part of a stream by bytes instead of reports

Cause: the queue between the attempts of a stream and its caller held 8 reports. An attempt stopped reading its replica as soon as a slow caller left 8 unread, and a replica that cuts off what is unread lost the stream.

The size is readable in bytes.

--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -12,7 +12,6 @@
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_refusals import too_late_refusal
-from boragedeck.request.report_queue import ReportQueue
 from boragedeck.request.second_attempts import (
     may_start_beside,
     take_repeat_or_release,
@@ -31,11 +30,10 @@
     Silent,
 )
 from boragedeck.request.stream_recovery import StreamRecovery
+from boragedeck.request.unread_reports import make_report_queue
 
 __all__ = ["StreamRelay"]
 
-MAX_UNREAD_REPORTS = 8
-"""Number of messages that the attempts report ahead of a caller who reads slowly."""
 MAX_REPEAT_WAIT_S = 1.0
 """How long a stream that has begun waits until the shared limit allows a repeat. It is
 shorter than callers wait for an event; once it is broken off, they may resume it."""
@@ -54,7 +52,7 @@
         self._job = job
         self._delivery = StreamDelivery(job)
         self._recovery = StreamRecovery(job)
-        self._reports: ReportQueue[AttemptReport] = ReportQueue(MAX_UNREAD_REPORTS)
+        self._reports = make_report_queue()
         # The running attempts; the first one leads, and another one stands by.
         self._attempts: list[StreamAttempt] = []
         # When the replica of an attempt was found to be silent; None if none is.
--- a/tests/request/test_interruptions.py
+++ b/tests/request/test_interruptions.py
@@ -7,7 +7,7 @@
 from boragedeck.connection.upstream_connection import UpstreamConnection
 from boragedeck.exceptions import RouterStoppingError
 from boragedeck.process.threads import end_thread
-from boragedeck.request import relay_stream
+from boragedeck.request import relay_stream, unread_reports
 from boragedeck.request.relay_call import CallRelay
 from boragedeck.request.replica_probe import ReplicaProbe
 from tests.request.test_stops import (
@@ -306,7 +306,7 @@
     """A silent replica is heard while the reports of its attempt aren't read."""
 
     def test_thread_of_its_probe_waits_for_ever_once_the_caller_has_left(self):
-        self.patch(relay_stream, "MAX_UNREAD_REPORTS", 1)
+        self.patch(unread_reports, "MAX_UNREAD_BYTES", 1)
         start, probes = ReplicaProbe.__init__, []
 
         def start_noted(probe, *args):
--- a/tests/request/test_stopped_answers.py
+++ b/tests/request/test_stopped_answers.py
@@ -16,7 +16,9 @@
     answer,
     event,
     events,
+    head_of,
     read_response,
+    send_chunk,
     stream_rule,
 )
 
@@ -34,6 +36,20 @@
     return serve
 
 
+def one_by_one(numbers):
+    """Return a step that streams events each of which is read by itself."""
+
+    def step(sock, req):
+        sock.sendall(head_of(req, 200, b"Transfer-Encoding: chunked") + b"\r\n")
+        for number in numbers:
+            send_chunk(sock, event(number))
+            eventlet.sleep(0.001)
+        sock.sendall(b"0\r\n\r\n")
+        return True
+
+    return step
+
+
 class UnreadAnswerTest(StopCase):
     """A hedge fails, and the call's first answer arrives while a repeat is asked."""
 
@@ -102,6 +118,12 @@
         self.assertEqual((response.status, response.is_complete), (200, True))
         self.assertEqual(response.body, event(1) + event(2))
 
+    def test_whole_stream_of_many_events_that_nobody_has_read_is_lost(self):
+        numbers = range(1, 101)
+        response = self.send_silent(one_by_one(numbers))
+        self.assertEqual((response.status, response.is_complete), (200, True))
+        self.assertEqual(response.body, b"".join(map(event, numbers)))
+
     def test_failure_of_a_stream_that_nobody_has_read_is_replaced(self):
         response = self.send_silent(answer(b"bad", 500))
         self.assertEqual((response.status, response.body), (500, b"bad"))
