Report an engine's invalid status line as a lost run

Cause: open_run caught no http.client.HTTPException. A status of 000, 099, 20 or 2000, or too many headers, left the attempt as an unexpected exception. A status of 600 to 999, or an interim one, counted as an error that a live engine states.

Change: both are UpstreamError, after which the request may have run.

Result: test_bad_engine.StartTest (four errors and three failures before) passes.

--- a/boragedeck/connection/engine.py
+++ b/boragedeck/connection/engine.py
@@ -1,5 +1,6 @@
 """Client for model engines: one streamed run over their OpenAI-compatible API."""
 
+import http.client
 from collections.abc import Iterator
 from typing import Annotated, Any
 
@@ -8,6 +9,7 @@
 from eventlet.green import socket
 from urllib3.connection import HTTPConnection
 
+from boragedeck.connection.http_message import FINAL_STATUSES
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.exceptions import (
     UpstreamError,
@@ -23,6 +25,13 @@
 HEADERS_TIMEOUT_S = 600.0
 READ_BYTES = 65_536
 MAX_EVENT_BYTES = 1024 * 1024
+_ANSWER_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+    EOFError,
+)
+"""How the client reports a broken connection or an answer that isn't valid HTTP."""
 REFUSAL_STATUSES = (404, 429, 503)
 """Status codes with which an engine reports that it did not run the request."""
 
@@ -233,7 +242,7 @@
         _check_status(response, url)
         conn.sock.settimeout(None)
         return EngineRun(conn, response, url)
-    except (urllib3.exceptions.HTTPError, OSError, EOFError) as exc:
+    except _ANSWER_ERRORS as exc:
         conn.close()
         raise UpstreamError(str(exc), step="start run", peer=url) from exc
     except BaseException:
@@ -245,6 +254,9 @@
 def _check_status(response: Any, url: str) -> None:
     if response.status == 200:
         return
+    if response.status not in FINAL_STATUSES:
+        text = f"invalid status {response.status}"
+        raise UpstreamError(text, step="start run", peer=url)
     text = response.read(2_000).decode(errors="replace")
     message = f"status {response.status}: {text[:200]}"
     if response.status in REFUSAL_STATUSES:
--- a/boragedeck/connection/http_message.py
+++ b/boragedeck/connection/http_message.py
@@ -5,7 +5,10 @@
 import h11
 import msgspec
 
-__all__ = ["AnswerHead", "Headers", "Message", "encode_request"]
+__all__ = ["FINAL_STATUSES", "AnswerHead", "Headers", "Message", "encode_request"]
+
+FINAL_STATUSES = range(200, 600)
+"""The statuses of final answers; an answer with another number is invalid."""
 
 Headers = list[tuple[bytes, bytes]]
 
--- a/tests/connection/test_bad_engine.py
+++ b/tests/connection/test_bad_engine.py
@@ -1,12 +1,24 @@
 import unittest
 
+import eventlet
 import msgspec
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from boragedeck.connection.engine import MAX_EVENT_BYTES, EngineChunk, EngineRun
+from boragedeck.connection.engine import (
+    MAX_EVENT_BYTES,
+    EngineChunk,
+    EngineRun,
+    RunRequest,
+    open_run,
+)
 from boragedeck.connection.metrics_poll import EngineProbe
-from boragedeck.exceptions import UpstreamError
+from boragedeck.exceptions import (
+    UpstreamError,
+    UpstreamFailedError,
+    UpstreamRefusedError,
+)
+from boragedeck.request.answer import Endpoint, Prompt
 from tests.support.values import DEEPLY_NESTED, bad_json
 
 EVENT = b'{"choices":[{"text":"a\xc3\xa9","token_ids":[1,2],"finish_reason":null}]}'
@@ -92,6 +104,36 @@
         self.assertLessEqual(len(parts_read) * 65_536, MAX_EVENT_BYTES + 2 * 65_536)
 
 
+class StartTest(unittest.TestCase):
+    """The status with which an engine answers the request for a run."""
+
+    def start(self, status):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        eventlet.spawn_n(self.serve, listener, status)
+        request = RunRequest("run", "m", Prompt(Endpoint.TEXT, b'"a"', b"{}"), 5)
+        return open_run(f"http://127.0.0.1:{listener.getsockname()[1]}", request)
+
+    def serve(self, listener, status):
+        sock, _ = listener.accept()
+        sock.recv(4096)
+        sock.sendall(b"HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n" % status)
+        sock.close()
+
+    def test_invalid_status_is_a_failure_of_the_engine_or_a_defect(self):
+        for status in (b"000", b"099", b"103", b"600", b"999", b"20", b"2000"):
+            with self.subTest(status=status):
+                with self.assertRaises(UpstreamError) as raised:
+                    self.start(status)
+                self.assertNotIsInstance(raised.exception, UpstreamFailedError)
+                self.assertNotIsInstance(raised.exception, UpstreamRefusedError)
+
+    def test_valid_status_is_taken_for_a_broken_connection(self):
+        for status in (b"400", b"599"):
+            with self.subTest(status=status), self.assertRaises(UpstreamFailedError):
+                self.start(status)
+
+
 class EngineProbeTest(unittest.TestCase):
     def load(self, body):
         probe = EngineProbe()
