Take a status outside 100 to 599 for no answer

Cause: h11 and http.client accept any three digits. A status of 600 to 999 was passed on to the caller, a 600 with Not-Executed was taken for the promise that a call hadn't run and was sent to another replica, and a probe took it for a sign of life.

Change: Exchange checks the status of each final answer, which covers calls, streams, gateways, late answers and probes; HttpServices does so for the stand-alone edition, which also passed on 103 as a final answer.

--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -11,6 +11,7 @@
 import h11
 
 from boragedeck.connection.http_message import (
+    FINAL_STATUSES,
     AnswerHead,
     Message,
     encode_request,
@@ -216,6 +217,9 @@
             # An interrupted answer without a length must not look complete.
             if self._is_interrupted:
                 raise self._error("the replica is gone", step)
+            # The parser takes 600 to 999 for final answers, too.
+            if isinstance(event, h11.Response):
+                self._check_status(event.status_code, step)
             return event
         except OSError as exc:
             raise self._error(f"the connection broke: {exc}", step) from exc
@@ -224,6 +228,10 @@
                 raise self._excess_error(str(exc), step) from exc
             raise self._error(f"invalid HTTP: {exc}", step) from exc
 
+    def _check_status(self, status: int, step: str) -> None:
+        if status not in FINAL_STATUSES:
+            raise self._error(f"invalid status {status}", step)
+
     def _read_event(self):
         parser = self._conn.parser
         self._conn.count_steps()
--- a/boragedeck/connection/service.py
+++ b/boragedeck/connection/service.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
+from boragedeck.connection.http_message import FINAL_STATUSES
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamRefusedError,
@@ -170,6 +171,10 @@
             decode_content=False,
         )
         response = self._conn.getresponse()
+        # `http.client` takes 600 to 999, and interim answers but 100, for final ones.
+        if response.status not in FINAL_STATUSES:
+            text = f"invalid status {response.status}"
+            return Err(UpstreamError(text, step="read", peer=self._upstream.name))
         body = bytearray()
         # A truncated body is only detected by the read that reaches its end.
         while part := response.read(READ_BYTES, decode_content=False):
--- a/tests/connection/test_service.py
+++ b/tests/connection/test_service.py
@@ -77,3 +77,16 @@
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n"
         self.serve(head + bytes(2_000_000))
         self.assertIsInstance(self.exchange().err(), UpstreamError)
+
+    def test_response_with_an_invalid_status_is_passed_on(self):
+        for status in (b"000", b"099", b"103", b"600", b"999", b"20", b"2000", b"-20"):
+            with self.subTest(status=status):
+                self.received = b""
+                self.serve(ANSWER.replace(b"201", status))
+                error = self.exchange().err()
+                self.assertIsInstance(error, UpstreamError)
+                self.assertNotIsInstance(error, UpstreamRefusedError)
+
+    def test_last_valid_status_is_an_error(self):
+        self.serve(ANSWER.replace(b"201", b"599"))
+        self.assertEqual(self.exchange().ok().status, 599)
