Keep the error of a look at a connection that is being uploaded to

Cause: the kernel reports a reset once. While a request is being sent, the router looks every 50 ms whether an answer has come, and that look threw the error away. The next read then saw the end of the connection, so that a part of an answer without a length was passed on as a whole 200.

Change: the error is kept, and raised once all that arrived before it is read.

Result: test_early_answers.UnreadUploadTest shows it without chance, by a standstill in which the timer is due before the reset is seen (200 before, 502 now). EarlyReplica took the end of a body for that of the connection; that is mended, too.

--- a/boragedeck/connection/upstream_connection.py
+++ b/boragedeck/connection/upstream_connection.py
@@ -74,8 +74,8 @@
         self.sent = SentRequests()
         # What the replica hasn't taken of the current request.
         self._unsent = memoryview(b"")
-        # Why the rest of it can't be sent; None if it can.
-        self._send_error: OSError | None = None
+        # How the connection broke; None if that isn't known. The kernel reports it once.
+        self._error: OSError | None = None
 
     def is_open_and_empty(self) -> bool:
         """Return whether the connection is open and has no unread bytes."""
@@ -84,8 +84,8 @@
             self.sock.fd.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
-        except OSError:
-            return False
+        except OSError as exc:
+            self._error = exc
         return False
 
     @property
@@ -107,7 +107,7 @@
         A connection that broke may hold an answer that came before, so `receive` raises
         the error, once that is read.
         """
-        while self._unsent and self._send_error is None:
+        while self._unsent and self._error is None:
             with eventlet.Timeout(EARLY_ANSWER_CHECK_S, False):
                 self._send_part()
                 continue
@@ -118,7 +118,7 @@
         try:
             count = self.sock.send(self._unsent)
         except OSError as exc:
-            self._send_error = exc
+            self._error = exc
         else:
             self._unsent = self._unsent[count:]
 
@@ -130,8 +130,8 @@
         OSError
             If the connection was reset. The green socket's own method reports a reset
             as the end of the connection, and so does the kernel after a send has
-            failed by it, so that a truncated answer without a length would look
-            complete.
+            failed by it or a look at the connection has, so that a truncated answer
+            without a length would look complete.
         """
         self.count_steps(STEPS_PER_READ)
         while True:
@@ -145,8 +145,8 @@
                 continue
             if data:
                 self._note_arrival()
-            elif self._send_error is not None:
-                raise self._send_error
+            elif self._error is not None:
+                raise self._error
             return data
 
     def count_steps(self, steps: int = 1) -> None:
--- a/tests/request/test_early_answers.py
+++ b/tests/request/test_early_answers.py
@@ -1,10 +1,17 @@
 import itertools
 import unittest
+from functools import partial
 
 import eventlet
+from eventlet import patcher
 
 from boragedeck.version.routing import CallKind
-from tests.support.early_replicas import EarlyReplica, closing
+from tests.support.early_replicas import (
+    EarlyReplica,
+    closing,
+    resetting,
+    without_length,
+)
 from tests.support.replicas import (
     RelayHarness,
     ScriptedReplica,
@@ -18,6 +25,9 @@
     stream_rule,
 )
 
+# Green threads run during a patched sleep.
+stand_still = patcher.original("time").sleep
+
 SIZES_BYTES = (100_000, 300_000, 3_000_000)
 SMALL_BUFFER_BYTES = 4096
 BUFFERS_BYTES = (None, SMALL_BUFFER_BYTES)
@@ -26,6 +36,9 @@
 READ_AFTER_S = 0.1
 BETWEEN_EVENTS_S = 0.05
 REQUESTS = 4
+RESET_AFTER_S = (0.0, 0.02, 0.05, 0.1, 0.15)
+STANDSTILL_S = 0.08
+"""Longer than the interval at which a router that uploads looks for an answer."""
 EVENTS = b"".join(event(number) for number in (1, 2, 3))
 ANSWERS = (
     ("success", answer(), 200),
@@ -47,11 +60,6 @@
 STREAMS = (("at once", events(1, 2)), ("slow", slow_events))
 
 
-def without_length(sock, req):
-    """Answer without a length."""
-    sock.sendall(head_of(req) + b"\r\nwhole")
-
-
 def body_of(number, size):
     """Return a body of its own for each request."""
     return (b"%06d|" % number * (size // 7 + 1))[:size]
@@ -150,3 +158,55 @@
         harness.add(EarlyReplica("one", step, buffer_bytes=SMALL_BUFFER_BYTES))
         response = harness.fetch(body=b"x" * SIZES_BYTES[-1])
         self.assertEqual(response.status, 502)
+
+
+class UnreadUploadTest(unittest.TestCase):
+    """A replica answers without a length, and reads no more of the body."""
+
+    def start(self, step, kind=CallKind.ONCE, max_attempts=1):
+        rule = call_rule(kind, timeout_s=3.0, max_attempts=max_attempts)
+        self.harness = RelayHarness(rule)
+        self.addCleanup(self.harness.close)
+        self.replica = EarlyReplica("one", step, buffer_bytes=SMALL_BUFFER_BYTES)
+        self.harness.add(self.replica)
+
+    def check_lost(self, response):
+        self.assertEqual((response.status, response.is_complete), (502, True))
+        self.assertNotIn(b"whole", response.body)
+
+    def fetch(self, step, size=SIZES_BYTES[-1]):
+        self.start(step)
+        return self.harness.fetch(body=b"x" * size)
+
+    def test_reset_that_is_seen_after_a_standstill_looks_like_the_end(self):
+        for after_s in (0.0, *CLOSE_AFTER_S, 0.06):
+            with self.subTest(after_s=after_s):
+                pause = partial(stand_still, STANDSTILL_S)
+                step = resetting(without_length, after_s, pause)
+                self.check_lost(self.fetch(step))
+
+    def test_reset_at_any_time_of_an_upload_looks_like_the_end(self):
+        for size, after_s in itertools.product(SIZES_BYTES[1:], RESET_AFTER_S):
+            with self.subTest(size=size, after_s=after_s):
+                self.check_lost(self.fetch(resetting(without_length, after_s), size))
+
+    def test_answer_without_length_to_a_body_that_was_read_is_lost(self):
+        def whole(sock, req):
+            without_length(sock, req)
+            return False
+
+        self.harness = RelayHarness(call_rule(CallKind.ONCE, timeout_s=3.0))
+        self.addCleanup(self.harness.close)
+        self.harness.add(ScriptedReplica("one", whole))
+        for size in (0, *SIZES_BYTES):
+            with self.subTest(size=size):
+                response = self.harness.fetch(body=b"x" * size, name=b"%d" % size)
+                self.assertEqual((response.status, response.body), (200, b"whole"))
+
+    def test_answer_without_length_before_a_body_that_is_read_is_lost(self):
+        def read_on(sock, req):
+            without_length(sock, req)
+            return True
+
+        response = self.fetch(read_on, SIZES_BYTES[-1])
+        self.assertEqual((response.status, response.is_complete), (504, True))
--- a/tests/request/test_silent_gateways.py
+++ b/tests/request/test_silent_gateways.py
@@ -41,7 +41,7 @@
     """One router is cut off from all replicas, and knows it."""
 
     def start(self, rule, step, pool=None, gateways=1, replicas=1):
-        scripted = [ScriptedReplica(f"r-{n}", serve(step)) for n in range(replicas)]
+        scripted = [self.replica(f"r-{n}", serve(step)) for n in range(replicas)]
         self.fleet = CutFleet(1 + gateways, scripted, rule=rule, pool=pool)
         self.addCleanup(self.fleet.close)
         self.router, *self.gateways = self.fleet.routers
@@ -54,6 +54,10 @@
             ):
                 eventlet.sleep(0.01)
 
+    def replica(self, name, step):
+        """Return a replica."""
+        return ScriptedReplica(name, step)
+
     def fall_silent(self):
         """Let the gateway that is tried next fall silent; return it."""
         gateways = self.router.paths._sender._gateways
--- a/tests/support/early_answer_defects.py
+++ b/tests/support/early_answer_defects.py
@@ -13,18 +13,18 @@
 
 def _raise_at_once(self):
     _send_part(self)
-    if self._send_error is not None:
-        raise self._send_error
+    if self._error is not None:
+        raise self._error
 
 
 def _end_after_a_failed_send(self):
-    if self._send_error is None:
+    if self._error is None:
         return _receive(self)
     return self.sock.fd.recv(1000)
 
 
 def _wait_until_all_is_sent(self):
-    while self._unsent and self._send_error is None:
+    while self._unsent and self._error is None:
         self._send_part()
 
 
--- a/tests/support/early_replicas.py
+++ b/tests/support/early_replicas.py
@@ -1,12 +1,14 @@
 """Replicas that answer a request before they have read its body."""
 
+import struct
+
 import eventlet
 import h11
 from eventlet.green import socket
 
-from tests.support.replicas import ReceivedRequest, ScriptedReplica
+from tests.support.replicas import ReceivedRequest, ScriptedReplica, head_of
 
-__all__ = ["EarlyReplica", "closing"]
+__all__ = ["EarlyReplica", "closing", "finishing", "resetting", "without_length"]
 
 READ_BYTES = 8192
 
@@ -48,7 +50,8 @@
                     return
                 rest = parser.trailing_data[0]
                 parser = h11.Connection(h11.SERVER)
-                parser.receive_data(rest)
+                if rest:
+                    parser.receive_data(rest)
         except OSError:
             # The router has closed the connection.
             pass
@@ -77,6 +80,50 @@
     return answer_and_close
 
 
+def without_length(sock, req):
+    """Answer without a length."""
+    sock.sendall(head_of(req) + b"\r\nwhole")
+
+
+def resetting(step, after_s=0.0, before=lambda: None):
+    """Return a step that resets the connection some time after another step.
+
+    It calls `before` as soon as the connection is reset. Timers that are due then run
+    before the router sees the reset.
+    """
+
+    def answer_and_reset(sock, req):
+        step(sock, req)
+        _sleep_behind_timers(after_s)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+        before()
+        return False
+
+    return answer_and_reset
+
+
+def _sleep_behind_timers(seconds):
+    """Sleep, and wake where the hub handles sockets, which it does after timers."""
+    waiting, waking = socket.socketpair()
+    eventlet.spawn_after(seconds, waking.sendall, b"x")
+    waiting.recv(1)
+    waiting.close()
+    waking.close()
+
+
+def finishing(step, after_s):
+    """Return a step that ends its side after another step, and reads the body later."""
+
+    def answer_and_finish(sock, req):
+        step(sock, req)
+        sock.shutdown(socket.SHUT_WR)
+        eventlet.sleep(after_s)
+        return True
+
+    return answer_and_finish
+
+
 def _read_body(sock, parser, req):
     """Read a body, as far as it comes; return whether it is whole."""
     while isinstance(event := _next_event(sock, parser), h11.Data):
@@ -91,4 +138,4 @@
         if not data:
             return None
         parser.receive_data(data)
-    return event
+    return None if isinstance(event, h11.ConnectionClosed) else event
