Take an answer without a length that ends amid its upload for lost

Cause: an answer without a length ends with its connection. If a replica ended the connection cleanly while a request was still sent to it, the caller got what had come as a whole 200. Such an answer can't be told from one of a replica that was lost amid it.

Change: at such an end, the exchange fails unless the replica's host has taken the whole request (nothing unsent, nothing unacknowledged). A call that may be repeated is sent to another replica, any other gets 502.

Ruled out: the 500 that some uploads got is no fault of this path.

Result: test_early_answers (kept connections, chunked uploads, a gateway, a stop, small buffers) fails without the change, 200 in place of 502; seeded defects for both guards.

--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -80,6 +80,8 @@
         self._is_closed = False
         self._is_complete = False
         self._is_interrupted = False
+        # Whether the replica has ended the connection.
+        self._is_at_end = False
         self._interim_answers = 0
         # Bytes of a late answer that were read and discarded so far.
         self._skipped_bytes = 0
@@ -143,6 +145,7 @@
             case h11.Data():
                 return bytes(event.data)
             case h11.EndOfMessage():
+                self._check_upload()
                 self._is_complete = True
                 return b""
         raise self._error("the answer was truncated", "read body")
@@ -228,6 +231,17 @@
                 raise self._excess_error(str(exc), step) from exc
             raise self._error(f"invalid HTTP: {exc}", step) from exc
 
+    def _check_upload(self) -> None:
+        """Raise an error if the answer ends with the connection amid the request.
+
+        Notes
+        -----
+        Such an answer can't be told from one that was cut: a replica that has read
+        the request ends it by itself, one that is lost may end it anywhere.
+        """
+        if self._is_at_end and self._conn.has_untaken():
+            raise self._error("the connection ended amid the request", "read body")
+
     def _check_status(self, status: int, step: str) -> None:
         if status not in FINAL_STATUSES:
             raise self._error(f"invalid status {status}", step)
@@ -240,7 +254,10 @@
             if event is not h11.NEED_DATA:
                 return event
             self._conn.send_rest()
-            parser.receive_data(self._conn.receive())
+            data = self._conn.receive()
+            if not data:
+                self._is_at_end = True
+            parser.receive_data(data)
 
     def _silent_error(self, step: str) -> UpstreamSilentError:
         return UpstreamSilentError("silent", step=step, peer=str(self._conn.address))
--- a/boragedeck/connection/upstream_connection.py
+++ b/boragedeck/connection/upstream_connection.py
@@ -1,5 +1,8 @@
 """A connection to a replica: its socket, and the parser of its current exchange."""
 
+import fcntl
+import sys
+import termios
 from collections.abc import Callable
 
 import eventlet
@@ -74,7 +77,7 @@
         self.sent = SentRequests()
         # What the replica hasn't taken of the current request.
         self._unsent = memoryview(b"")
-        # How the connection broke; None if that isn't known. The kernel reports it once.
+        # How the connection broke, which the kernel reports once; None if unknown.
         self._error: OSError | None = None
 
     def is_open_and_empty(self) -> bool:
@@ -93,6 +96,13 @@
         """Whether a part of the current request hasn't been sent."""
         return bool(self._unsent)
 
+    def has_untaken(self) -> bool:
+        """Return whether the replica's host hasn't taken all of the current request."""
+        if self._unsent:
+            return True
+        queued = fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return int.from_bytes(queued, sys.byteorder) > 0
+
     def send(self, data: bytes) -> None:
         """Send a request as far as it is taken at once; `send_rest` sends the rest."""
         self._unsent = memoryview(data)
--- a/tests/request/test_early_answers.py
+++ b/tests/request/test_early_answers.py
@@ -6,9 +6,12 @@
 from eventlet import patcher
 
 from boragedeck.version.routing import CallKind
+from tests.request.test_silent_gateways import SilentGatewayCase
+from tests.request.test_stops import GRACE_S, StopCase
 from tests.support.early_replicas import (
     EarlyReplica,
     closing,
+    finishing,
     resetting,
     without_length,
 )
@@ -21,6 +24,7 @@
     events,
     head_of,
     not_run,
+    read_response,
     send_chunk,
     stream_rule,
 )
@@ -190,6 +194,48 @@
             with self.subTest(size=size, after_s=after_s):
                 self.check_lost(self.fetch(resetting(without_length, after_s), size))
 
+    def test_end_of_the_connection_amid_an_upload_looks_like_the_end(self):
+        for size in SIZES_BYTES[1:]:
+            with self.subTest(size=size):
+                step = finishing(without_length, 2 * READ_AFTER_S)
+                self.check_lost(self.fetch(step, size))
+
+    def test_end_on_a_connection_that_is_kept_looks_like_the_end(self):
+        def first_whole(sock, req):
+            if req.headers[b"request-id"] == b"first":
+                return answer()(sock, req)
+            return finishing(without_length, READ_AFTER_S)(sock, req)
+
+        self.start(first_whole)
+        self.assertEqual(self.harness.fetch(name=b"first").status, 200)
+        self.check_lost(self.harness.fetch(body=b"x" * SIZES_BYTES[-1]))
+        self.assertEqual(self.replica.connections, 1)
+
+    def test_end_amid_a_body_that_came_in_chunks_looks_like_the_end(self):
+        self.start(finishing(without_length, READ_AFTER_S))
+        sock = self.harness.connect()
+        lines = (
+            b"POST /r/x HTTP/1.1",
+            b"Host: here.example",
+            b"Request-Id: id-1",
+            b"Deadline-Ms: 3000",
+            b"Api-Key: key-1",
+            b"Transfer-Encoding: chunked",
+        )
+        sock.sendall(b"\r\n".join(lines) + b"\r\n\r\n")
+        send_chunk(sock, b"x" * SIZES_BYTES[-1])
+        sock.sendall(b"0\r\n\r\n")
+        self.check_lost(read_response(sock))
+
+    def test_repeatable_call_is_not_repeated_after_such_an_end(self):
+        step = finishing(without_length, READ_AFTER_S)
+        self.start(step, CallKind.IDEMPOTENT, max_attempts=2)
+        two = ScriptedReplica("two", answer())
+        self.harness.add(two, domain="b")
+        response = self.harness.fetch(body=b"x" * SIZES_BYTES[-1])
+        self.assertEqual((response.status, response.body), (200, b"whole"))
+        self.assertEqual(len(two.received), 1)
+
     def test_answer_without_length_to_a_body_that_was_read_is_lost(self):
         def whole(sock, req):
             without_length(sock, req)
@@ -210,3 +256,33 @@
 
         response = self.fetch(read_on, SIZES_BYTES[-1])
         self.assertEqual((response.status, response.is_complete), (504, True))
+
+
+class ForwardedUploadTest(SilentGatewayCase):
+    def test_end_amid_an_upload_at_a_gateway_looks_like_the_end(self):
+        steps = finishing(without_length, READ_AFTER_S), resetting(without_length, 0.06)
+        for step in steps:
+            with self.subTest(step=step.__name__):
+                self.start(call_rule(CallKind.ONCE, timeout_s=3.0), step)
+                response = self.router.fetch(body=b"x" * SIZES_BYTES[-1])
+                self.assertEqual((response.status, response.is_complete), (502, True))
+
+    def replica(self, name, step):
+        return EarlyReplica(name, step, buffer_bytes=SMALL_BUFFER_BYTES)
+
+
+class StoppedUploadTest(StopCase):
+    def test_end_amid_an_upload_beside_a_stop_looks_like_the_end(self):
+        for after_s in (0.3, GRACE_S - 0.1):
+            with self.subTest(after_s=after_s):
+                self.start(call_rule(CallKind.ONCE, timeout_s=3.0))
+
+                def late(sock, req, after_s=after_s):
+                    eventlet.sleep(after_s)
+                    return finishing(without_length, READ_AFTER_S)(sock, req)
+
+                replica = EarlyReplica("one", late, buffer_bytes=SMALL_BUFFER_BYTES)
+                self.harness.add(replica)
+                sock = self.send(body=b"x" * SIZES_BYTES[-1])
+                self.stop()
+                self.assert_may_have_run(sock)
--- a/tests/support/early_answer_defects.py
+++ b/tests/support/early_answer_defects.py
@@ -1,11 +1,14 @@
 """Seeded defects in answers that come before a body was read, each with its test."""
 
+from boragedeck.connection.exchange import Exchange
 from boragedeck.connection.upstream_connection import UpstreamConnection
 from tests.support.method_defects import MethodDefect
 
 __all__ = ["EARLY_ANSWER_DEFECTS"]
 
 TESTS = "tests.request.test_early_answers.EarlyAnswerTest"
+UPLOADS = "tests.request.test_early_answers.UnreadUploadTest"
+CONNECTION = "tests.connection.test_upstream_connection"
 
 _send_part = UpstreamConnection._send_part
 _receive = UpstreamConnection.receive
@@ -28,6 +31,16 @@
         self._send_part()
 
 
+_is_open_and_empty = UpstreamConnection.is_open_and_empty
+
+
+def _look_and_forget(self):
+    error = self._error
+    is_open = _is_open_and_empty(self)
+    self._error = error
+    return is_open
+
+
 EARLY_ANSWER_DEFECTS = (
     MethodDefect(
         "a connection is kept though a body isn't sent",
@@ -45,11 +58,25 @@
     ),
     MethodDefect(
         "a reset is an end after a send that failed",
-        f"{TESTS}.test_early_answer_without_length_looks_complete_after_a_reset",
+        f"{CONNECTION}.ResetTest.test_reset_is_an_end_after_a_send_that_failed",
         UpstreamConnection,
         "receive",
         _end_after_a_failed_send,
     ),
+    MethodDefect(
+        "a look at a connection hides its reset",
+        f"{CONNECTION}.ResetTest.test_reset_is_an_end_after_a_look_at_the_connection",
+        UpstreamConnection,
+        "is_open_and_empty",
+        _look_and_forget,
+    ),
+    MethodDefect(
+        "an answer without a length ends amid its request",
+        f"{UPLOADS}.test_end_of_the_connection_amid_an_upload_looks_like_the_end",
+        Exchange,
+        "_check_upload",
+        lambda self: None,
+    ),
     MethodDefect(
         "events wait until the body is sent",
         f"{TESTS}.test_events_wait_until_the_body_is_read",
