Let operators ask a router where a request would go, and why

`boragedeck explain` describes a request to a running router of the relay edition, at its metrics address. Nothing is reserved, counted or sent.

--- a/boragedeck/cli/commands.py
+++ b/boragedeck/cli/commands.py
@@ -6,6 +6,7 @@
 
 import boragedeck
 from boragedeck.cli import keys, quarantine, rollouts, status, tables
+from boragedeck.cli.explain import explain
 from boragedeck.cli.timeline import timeline
 from boragedeck.process.build import build_name
 
@@ -52,4 +53,5 @@
 app.command("quarantine")(quarantine.quarantine)
 app.command("hash-key")(keys.hash_key)
 app.command("timeline")(timeline)
+app.command("explain")(explain)
 app.add_typer(rollouts.app, name="rollouts")
--- a/boragedeck/cli/fleet.py
+++ b/boragedeck/cli/fleet.py
@@ -21,7 +21,14 @@
 from boragedeck.process.timers import RealTimers
 from boragedeck.version.config_store import ConfigStore
 
-__all__ = ["FleetStatus", "LeaseView", "RouterOption", "RouterView", "read_fleet"]
+__all__ = [
+    "FleetStatus",
+    "LeaseView",
+    "RouterOption",
+    "RouterView",
+    "check_router_url",
+    "read_fleet",
+]
 
 STATUS_PATH = "/-/status"
 STATUS_TIMEOUT_S = 2.0
@@ -130,7 +137,7 @@
     -----
     Ends the program if the platform can't be read and `routers` names no router.
     """
-    urls = [_check_router_url(console, text) for text in routers or []]
+    urls = [check_router_url(console, text) for text in routers or []]
     tables_result = _read_tables(open_platform(console, platform_url))
     if tables_result.is_err() and not urls:
         unwrap_or_exit(console, tables_result)
@@ -144,6 +151,17 @@
     return msgspec.structs.replace(fleet, routers=tuple(_fetch_reports(ages)))
 
 
+def check_router_url(console: Console, text: str) -> str:
+    """Return a router's URL as given by an option; end the program if it is invalid."""
+    try:
+        return check_url(text)
+    except ValueError as exc:
+        got = f"--router got {text!r} ({exc})"
+        console.fail(
+            ExitCode.USAGE, f"{got}; expected a URL such as http://10.0.0.1:8080"
+        )
+
+
 def _fetch_reports(ages: dict[str, float | None]) -> list[RouterView]:
     """Return the routers' reports; the number of concurrent requests is limited.
 
@@ -223,13 +241,3 @@
     except DECODE_ERRORS:
         return None
     return LeaseView(row.key, body.holder, body.token)
-
-
-def _check_router_url(console: Console, text: str) -> str:
-    try:
-        return check_url(text)
-    except ValueError as exc:
-        got = f"--router got {text!r} ({exc})"
-        console.fail(
-            ExitCode.USAGE, f"{got}; expected a URL such as http://10.0.0.1:8080"
-        )
--- a/boragedeck/platform/callers.py
+++ b/boragedeck/platform/callers.py
@@ -19,9 +19,10 @@
     SET_BY_ROUTER,
     TOKEN_COUNTS,
 )
+from boragedeck.request.explanation import ExplainQuery
 from boragedeck.request.relay_request import RelayRequest
 
-__all__ = ["decode_request", "refusal_headers"]
+__all__ = ["decode_request", "described_request", "refusal_headers"]
 
 
 def decode_request(raw: RawRequest) -> Result[RelayRequest, RefusedError]:
@@ -45,6 +46,24 @@
         return Err(_bad_request_error(str(exc)))
 
 
+def described_request(query: ExplainQuery, now: float) -> RawRequest:
+    """Return a request that an operator describes, as its caller would send it.
+
+    Parameters
+    ----------
+    query : ExplainQuery
+        The description.
+    now : float
+        When it arrives, on the timer service's monotonic clock.
+    """
+    headers = [(_encoded(name), _encoded(value)) for name, value in query.headers]
+    headers.append((b"Host", _encoded(query.host)))
+    if query.key is not None:
+        headers.append((API_KEY, _encoded(query.key)))
+    method, target = _encoded(query.method), _encoded(query.path)
+    return RawRequest(method, target, headers, b"", arrived=now, received=now)
+
+
 def refusal_headers(request_id: str | None, retry_after_s: float | None) -> Headers:
     """Return the headers of an answer that the router itself creates."""
     headers: Headers = [(b"Content-Type", b"text/plain")]
@@ -55,6 +74,10 @@
     return headers
 
 
+def _encoded(text: str) -> bytes:
+    return text.encode("utf-8", "replace")
+
+
 def _build_request(
     raw: RawRequest, values_by_name: dict[bytes, bytes], headers: Headers
 ) -> RelayRequest:
--- a/boragedeck/process/relaying/placing/admission.py
+++ b/boragedeck/process/relaying/placing/admission.py
@@ -26,7 +26,7 @@
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.process.timers import TimerService
 
-__all__ = ["Admission", "LoadSource", "expected_wait_s"]
+__all__ = ["Admission", "AdmissionPreview", "LoadSource", "expected_wait_s"]
 
 MEAN_SERVICE_WEIGHT = 0.1
 """Weight of the newest request in the moving average of the service time."""
@@ -51,6 +51,27 @@
     is_done: bool = False
 
 
+class AdmissionPreview(msgspec.Struct, frozen=True):
+    """What would be decided about a request for a place.
+
+    Parameters
+    ----------
+    placement : PlacementRequest
+        By what its replica is chosen.
+    states : list of ReplicaState
+        The replicas that may serve it.
+    choice : ReplicaState or None
+        The replica that it would get; None if none has room.
+    refusal : RefusedError or None
+        The refusal that it would get at once; None if it would get a place or wait.
+    """
+
+    placement: PlacementRequest
+    states: list[ReplicaState]
+    choice: ReplicaState | None
+    refusal: RefusedError | None
+
+
 class LoadSource:
     """Source of the other routers' loads; this base class assumes a single router."""
 
@@ -117,12 +138,16 @@
         place = self._grant(req)
         if place is not None:
             return Ok(place)
-        wait_s = self.expected_wait_s(req)
-        left_s = req.until - self._timers.now()
-        is_hopeless = wait_s > left_s or self._is_held_too_long(req)
-        if left_s <= 0.0 or (is_hopeless and not req.has_begun):
-            return Err(self._refusal(req, wait_s))
-        return self._wait_in_queue(req)
+        refusal = self._refusal_without_place(req)
+        return self._wait_in_queue(req) if refusal is None else Err(refusal)
+
+    def preview(self, req: AdmissionRequest) -> AdmissionPreview:
+        """Return what `acquire` would decide now, and reserve nothing."""
+        self._loads.refresh(req.pool.name)
+        states, placement = self._states(req), self._placement_request(req)
+        choice = choose_replica(states, placement, self._rng)
+        refusal = None if choice is not None else self._refusal_without_place(req)
+        return AdmissionPreview(placement, states, choice, refusal)
 
     def hold_remaining_s(self, req: AdmissionRequest) -> float:
         """Return the time until the first replica accepts requests again.
@@ -301,6 +326,15 @@
         needed_s = hold_remaining_s + self.mean_service_s(req.pool.name)
         return hold_remaining_s > 0.0 and needed_s > req.until - self._timers.now()
 
+    def _refusal_without_place(self, req: AdmissionRequest) -> RefusedError | None:
+        """Return the refusal of a request without a place; None if it may wait."""
+        wait_s = self.expected_wait_s(req)
+        left_s = req.until - self._timers.now()
+        is_hopeless = wait_s > left_s or self._is_held_too_long(req)
+        if left_s <= 0.0 or (is_hopeless and not req.has_begun):
+            return self._refusal(req, wait_s)
+        return None
+
     def _refusal(self, req: AdmissionRequest, wait_s: float) -> RefusedError:
         base_s = max(MIN_RETRY_AFTER_S, min(wait_s, NO_REPLICA_RETRY_S))
         base_s = max(base_s, self.hold_remaining_s(req))
--- a/boragedeck/process/relaying/placing/placement.py
+++ b/boragedeck/process/relaying/placing/placement.py
@@ -7,6 +7,7 @@
 calls within milliseconds. A miss is defined in `replica_state`.
 """
 
+import enum
 import math
 import random
 from collections.abc import Iterable, Sequence
@@ -19,9 +20,13 @@
 from boragedeck.version.routing import EngineProfile
 
 __all__ = [
+    "Obstacle",
     "PlacementRequest",
     "choose_backup",
     "choose_replica",
+    "compared_replicas",
+    "obstacle",
+    "replica_costs",
     "suspect_domains",
     "sample_size",
     "has_room",
@@ -80,6 +85,24 @@
     is_fresh: bool = True
 
 
+class Obstacle(enum.Enum):
+    """Why a replica can't start a request immediately."""
+
+    TRIED = "tried"
+    """The request was sent to it before."""
+    NOT_ACCEPTING = "not_accepting"
+    """It is leaving, has asked to wait, or gets one request at a time after that."""
+    NO_SLOT = "no_slot"
+    NO_MEMORY = "no_memory"
+
+
+def obstacle(state: ReplicaState, req: PlacementRequest) -> Obstacle | None:
+    """Return why a replica can't start a request immediately; None if it can."""
+    if state.replica.replica in req.tried:
+        return Obstacle.TRIED
+    return _room_obstacle(state, req)
+
+
 def has_room(state: ReplicaState, req: PlacementRequest) -> bool:
     """Return whether a replica can start a request immediately.
 
@@ -88,40 +111,34 @@
     Calls end within milliseconds, so stale loads of other routers say nothing about a
     service and are ignored; a service that is full refuses the call itself.
     """
-    if not state.can_accept(req.now):
-        return False
-    if req.engine is None:
-        running = state.running if req.is_fresh else state.own.running
-        return running < state.replica.slots
-    if state.running >= req.engine.slots:
-        return False
-    limit = req.engine.memory_tokens * MEMORY_SHARE
-    # A request that exceeds the limit alone is accepted by an idle engine.
-    return not state.running or state.tokens + req.tokens <= limit
+    return _room_obstacle(state, req) is None
 
 
-def choose_replica(
-    states: Iterable[ReplicaState], req: PlacementRequest, rng: random.Random
-) -> ReplicaState | None:
-    """Return the replica with the lowest cost for a request; None if none has room.
+def compared_replicas(
+    states: Iterable[ReplicaState], req: PlacementRequest
+) -> list[ReplicaState]:
+    """Return the replicas among which the cost decides.
 
     Notes
     -----
     A replica whose limit doesn't allow a request now is chosen only if no other has
     room, and one that is avoided after a miss only after that.
     """
-    open_states = [
-        state
-        for state in states
-        if state.replica.replica not in req.tried and has_room(state, req)
-    ]
+    open_states = [state for state in states if obstacle(state, req) is None]
     healthy = [state for state in open_states if state.avoid_until <= req.now]
     free = [state for state in healthy if state.limited_until <= req.now]
     if healthy and not free:
-        return min(healthy, key=lambda state: state.limited_until)
-    candidates = free or open_states
-    if not candidates:
-        return None
+        return [min(healthy, key=lambda state: state.limited_until)]
+    return free or open_states
+
+
+def choose_replica(
+    states: Iterable[ReplicaState], req: PlacementRequest, rng: random.Random
+) -> ReplicaState | None:
+    """Return the replica with the lowest cost for a request; None if none has room."""
+    candidates = compared_replicas(states, req)
+    if len(candidates) <= 1:
+        return candidates[0] if candidates else None
     min_failure_share = min(state.failure_share for state in candidates)
     if req.engine is not None:
         candidates = _sample(candidates, req, rng)
@@ -131,6 +148,17 @@
     )
 
 
+def replica_costs(
+    candidates: Sequence[ReplicaState], req: PlacementRequest
+) -> dict[ReplicaId, float]:
+    """Return the costs of the replicas that are compared; 1.0 is fully loaded."""
+    min_failure_share = min((state.failure_share for state in candidates), default=0.0)
+    return {
+        state.replica.replica: _cost(state, req, min_failure_share)
+        for state in candidates
+    }
+
+
 def choose_backup(
     states: Sequence[ReplicaState],
     chosen: ReplicaState,
@@ -206,6 +234,20 @@
     )
 
 
+def _room_obstacle(state: ReplicaState, req: PlacementRequest) -> Obstacle | None:
+    if not state.can_accept(req.now):
+        return Obstacle.NOT_ACCEPTING
+    if req.engine is None:
+        running = state.running if req.is_fresh else state.own.running
+        return None if running < state.replica.slots else Obstacle.NO_SLOT
+    if state.running >= req.engine.slots:
+        return Obstacle.NO_SLOT
+    limit = req.engine.memory_tokens * MEMORY_SHARE
+    # A request that exceeds the limit alone is accepted by an idle engine.
+    is_within = not state.running or state.tokens + req.tokens <= limit
+    return None if is_within else Obstacle.NO_MEMORY
+
+
 def _sample(
     states: list[ReplicaState], req: PlacementRequest, rng: random.Random
 ) -> list[ReplicaState]:
--- a/boragedeck/process/relaying/rollouts/rollouts.py
+++ b/boragedeck/process/relaying/rollouts/rollouts.py
@@ -120,6 +120,10 @@
         side of that one. If it arrived before any order, all versions may serve it.
         """
         self._requests.note(pool)
+        return self.draw_filter(pool)
+
+    def draw_filter(self, pool: PoolName) -> Callable[[Replica], bool]:
+        """Return what `replica_filter` does, for a request that isn't sent."""
         rollout = self._rollouts.get(pool)
         is_new = rollout is not None and self._rng.random() < self._share(rollout)
         return lambda replica: self._may_serve(replica, pool, rollout, is_new)
--- a/boragedeck/request/place_finder.py
+++ b/boragedeck/request/place_finder.py
@@ -80,8 +80,9 @@
         that hasn't run is refused: at once if they refuse connections, and when it may
         wait no longer if they may only be silent.
         """
-        if not self._may_have_run() and self._is_pool_unreached():
-            return Err(self._unreached_refusal())
+        unreached = self.unreached_refusal()
+        if unreached is not None:
+            return Err(unreached)
         if self.tried and not self._has_untried_replica():
             self.tried.clear()
             if until > self._parts.timers.now():
@@ -141,6 +142,19 @@
             lost_domains=frozenset(self.lost_domains),
         )
 
+    def unreached_refusal(self) -> RefusedError | None:
+        """Return the refusal of a request that hasn't run, if no replica is reached."""
+        if self._may_have_run() or not self._is_pool_unreached():
+            return None
+        return RefusedError(
+            f"no router reaches a replica of {self._req.pool.name!r}",
+            status=503,
+            kind="server_error",
+            code="not_reached",
+            retry_after_s=UNREACHED_RETRY_S * (1.0 + self._parts.rng.random()),
+            step="admit",
+        )
+
     def _is_pool_unreached(self) -> bool:
         """Return whether it is no use to wait for a replica of the pool."""
         paths = self._parts.paths
@@ -151,16 +165,6 @@
         is_time_left = self._parts.timers.now() < self._req.until
         return not (is_time_left and any(map(paths.is_hanging, addresses)))
 
-    def _unreached_refusal(self) -> RefusedError:
-        return RefusedError(
-            f"no router reaches a replica of {self._req.pool.name!r}",
-            status=503,
-            kind="server_error",
-            code="not_reached",
-            retry_after_s=UNREACHED_RETRY_S * (1.0 + self._parts.rng.random()),
-            step="admit",
-        )
-
     def _back_off(self) -> None:
         """Pause before replicas that have failed are tried again."""
         wait_s = self._backoff_s * self._parts.rng.uniform(0.5, 1.0)
--- a/boragedeck/request/relay_refusals.py
+++ b/boragedeck/request/relay_refusals.py
@@ -78,18 +78,22 @@
     )
 
 
-def too_late_refusal(min_duration_s: float, left_s: float) -> RefusedError:
-    """Return the answer for a stream that can't complete in its caller's time.
-
-    Parameters
-    ----------
-    min_duration_s, left_s : float
-        The minimum duration of the stream and the time that is left, in seconds.
+def too_late_refusal(job: RelayJob) -> RefusedError | None:
+    """Return the answer for a stream that can't complete in its caller's time, if so.
 
     Notes
     -----
     It has no Retry-After, since the request could not be served later either.
     """
+    req, left_s = job.req, job.replica_left_s()
+    min_duration_s = job.parts.pace.min_duration_s(
+        job.pool_name,
+        req.prompt_tokens,
+        req.expected_tokens,
+        req.resume_after or 0,
+    )
+    if min_duration_s <= left_s:
+        return None
     return RefusedError(
         f"the answer takes at least {min_duration_s:.1f} s, {left_s:.1f} s are left",
         status=503,
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -68,10 +68,9 @@
     def run(self) -> None:
         """Relay the stream, or answer the caller with a failure."""
         job = self._job
-        min_duration_s = self._min_duration_s()
-        left_s = job.replica_left_s()
-        if min_duration_s > left_s:
-            job.refuse(too_late_refusal(min_duration_s, left_s))
+        late = too_late_refusal(job)
+        if late is not None:
+            job.refuse(late)
             return
         try:
             self._relay()
@@ -128,16 +127,6 @@
                     case Ended() as ended:
                         self._finish(attempt, ended)
 
-    def _min_duration_s(self) -> float:
-        """Return the minimum duration of the stream, in seconds."""
-        job, req = self._job, self._job.req
-        return job.parts.pace.min_duration_s(
-            job.pool_name,
-            req.prompt_tokens,
-            req.expected_tokens,
-            req.resume_after or 0,
-        )
-
     def _start_next(self) -> bool:
         """Start an attempt while none runs; if none can, answer and return False."""
         job, failed = self._job, self._failed
--- a/scripts/platform_cluster.py
+++ b/scripts/platform_cluster.py
@@ -68,6 +68,7 @@
         self.engines: dict[str, tuple[RelayReplica, object, object]] = {}
         self.routers: list[subprocess.Popen] = []
         self.settings: list[dict] = []
+        self._metrics_ports: dict[int, int] = {}
         self._directory = directory
         self._ports = PortBlock()
         self._written: dict[tuple[str, str], bytes | None] = {}
@@ -162,6 +163,10 @@
         host, _, port = self.settings[number]["listen"]["front"].rpartition(":")
         return self._delayed((host, int(port)))
 
+    def operators_url(self, number: int) -> str:
+        """Return the URL of a router's metrics address."""
+        return f"http://{HOST}:{self._metrics_ports[number]}"
+
     def restart_router(self, number: int) -> None:
         """Kill a router and start it with the same settings, without waiting for it."""
         self.routers[number].kill()
@@ -261,9 +266,10 @@
         return Path(self._directory, f"router-{number}.yaml")
 
     def _start(self, number: int) -> subprocess.Popen:
+        self._metrics_ports[number] = self._ports.take()
         environ = os.environ | {
             "BORAGEDECK_CONFIG": str(self._path(number)),
-            "BORAGEDECK_METRICS_PORT": str(self._ports.take()),
+            "BORAGEDECK_METRICS_PORT": str(self._metrics_ports[number]),
         }
         command = [sys.executable, "-m", "boragedeck.process.daemon"]
         with Path(self._directory, f"router-{number}.log").open("ab") as log:
