Log and count streams whose callers leave too much unread

A replica that isn't read on may cut its stream off. One line and one count for each stream at the bound say that its caller was the reason.

Result: test_slow_readers (1 for a caller that reads nothing, 0 for a slow one) and test_report_queue pass.

--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -74,6 +74,11 @@
             ["found_at"],
             registry=registry,
         )
+        self.unread_streams = Counter(
+            "boragedeck_relay_unread_streams",
+            "Streams whose replica was not read on until their caller had read.",
+            registry=registry,
+        )
         self.silences = Counter(
             "boragedeck_relay_silences",
             "Attempts whose replica sent nothing and answered no probe, by kind.",
--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -52,7 +52,7 @@
         self._job = job
         self._delivery = StreamDelivery(job)
         self._recovery = StreamRecovery(job)
-        self._reports = make_report_queue()
+        self._reports = make_report_queue(self._note_unread)
         # The running attempts; the first one leads, and another one stands by.
         self._attempts: list[StreamAttempt] = []
         # When the replica of an attempt was found to be silent; None if none is.
@@ -127,6 +127,16 @@
                     case Ended() as ended:
                         self._finish(attempt, ended)
 
+    def _note_unread(self) -> None:
+        """Record that a replica isn't read on until the caller has read."""
+        self._job.parts.metrics.unread_streams.inc()
+        log.write(
+            "Caller reads slowly.",
+            request=self._job.req.request_id,
+            unread_bytes=self._reports.unread_bytes,
+            position=self._delivery.position,
+        )
+
     def _start_next(self) -> bool:
         """Start an attempt while none runs; if none can, answer and return False."""
         job, failed = self._job, self._failed
--- a/boragedeck/request/report_queue.py
+++ b/boragedeck/request/report_queue.py
@@ -22,6 +22,8 @@
         Returns the size of a report in bytes. A report without a size never waits.
     join : callable
         Returns one report in place of two that follow each other, or None.
+    on_full : callable, optional
+        Called when a writer has to wait for the first time.
 
     Notes
     -----
@@ -35,11 +37,14 @@
         max_bytes: int,
         size_of: Callable[[T], int],
         join: Callable[[T, T], T | None],
+        on_full: Callable[[], None] = lambda: None,
     ):
         self._max_bytes = max_bytes
         self._size_of = size_of
         self._join = join
         self._reports: deque[T] = deque()
+        self._on_full = on_full
+        self._was_full = False
         self._unread_bytes = 0
         self._is_closed = False
         # Sent at the next change, and then replaced.
@@ -56,6 +61,7 @@
     def put(self, report: T) -> None:
         """Add a report; wait while there is no room. A closed queue drops it."""
         while not (self._has_room(report) or self._is_closed):
+            self._note_full()
             self._changed.wait()
         if not self._is_closed:
             self._append(report)
@@ -90,6 +96,11 @@
         is_within = self._unread_bytes + size <= self._max_bytes
         return is_within or not size or not self._reports
 
+    def _note_full(self) -> None:
+        if not self._was_full:
+            self._was_full = True
+            self._on_full()
+
     def _append(self, report: T) -> None:
         if len(self._reports) > 1:
             joined = self._join(self._reports[-1], report)
--- a/boragedeck/request/unread_reports.py
+++ b/boragedeck/request/unread_reports.py
@@ -1,5 +1,7 @@
 """What the reports of a stream's attempts take while its caller reads slowly."""
 
+from collections.abc import Callable
+
 from boragedeck.request.report_queue import ReportQueue
 from boragedeck.request.stream_attempt import AttemptReport
 from boragedeck.request.stream_messages import (
@@ -20,9 +22,17 @@
 """What a report takes besides the bytes of its events."""
 
 
-def make_report_queue() -> ReportQueue[AttemptReport]:
-    """Return the queue between the attempts of a stream and its caller."""
-    return ReportQueue(MAX_UNREAD_BYTES, _report_bytes, _join_reports)
+def make_report_queue(
+    on_full: Callable[[], None] = lambda: None,
+) -> ReportQueue[AttemptReport]:
+    """Return the queue between the attempts of a stream and its caller.
+
+    Parameters
+    ----------
+    on_full : callable, optional
+        Called when a replica isn't read on for the first time.
+    """
+    return ReportQueue(MAX_UNREAD_BYTES, _report_bytes, _join_reports, on_full)
 
 
 def _report_bytes(report: AttemptReport) -> int:
--- a/tests/request/test_report_queue.py
+++ b/tests/request/test_report_queue.py
@@ -117,6 +117,16 @@
         writer.wait()
         self.assertEqual(self.queue.unread_bytes, 7)
 
+    def test_full_queue_is_noted_for_each_report(self):
+        noted = []
+        queue = ReportQueue(1, lambda report: 1, join_none, lambda: noted.append(1))
+        writer = eventlet.spawn(lambda: [queue.put(number) for number in range(4)])
+        for _ in range(4):
+            eventlet.sleep(0.01)
+            queue.remove_first()
+        writer.wait()
+        self.assertEqual(noted, [1])
+
     def test_report_above_the_bound_is_never_taken(self):
         self.put(11).wait()
         self.assertEqual(self.queue.unread_bytes, 11)
--- a/tests/request/test_slow_readers.py
+++ b/tests/request/test_slow_readers.py
@@ -106,6 +106,7 @@
         self.assertEqual(response.body, WHOLE)
         self.assertTrue(response.is_complete)
         self.assertEqual((len(self.replica.relayed()), self.replica.cuts), (1, 0))
+        self.assertEqual(self.harness.metrics.unread_streams._value.get(), 0)
 
     def test_replica_is_read_far_ahead_of_a_caller_that_reads_nothing(self):
         self.add_replica(LONG_EVENTS)
@@ -114,3 +115,4 @@
         eventlet.sleep(2 * NOT_READING_S)
         self.assertEqual(self.replica.cuts, 1)
         self.assertLess(self.replica.sent_bytes, MAX_UNREAD_BYTES + BUFFERS_BYTES)
+        self.assertEqual(self.harness.metrics.unread_streams._value.get(), 1)
