--- a/boragedeck/request/relay_stream.py
+++ b/boragedeck/request/relay_stream.py
@@ -12,7 +12,6 @@
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
 from boragedeck.request.relay_refusals import too_late_refusal
-from boragedeck.request.report_queue import ReportQueue
 from boragedeck.request.second_attempts import (
     may_start_beside,
     take_repeat_or_release,
@@ -31,11 +30,10 @@
     Silent,
 )
 from boragedeck.request.stream_recovery import StreamRecovery
+from boragedeck.request.unread_reports import make_report_queue
 
 __all__ = ["StreamRelay"]
 
-MAX_UNREAD_REPORTS = 8
-"""Number of messages that the attempts report ahead of a caller who reads slowly."""
 MAX_REPEAT_WAIT_S = 1.0
 """How long a stream that has begun waits until the shared limit allows a repeat. It is
 shorter than callers wait for an event; once it is broken off, they may resume it."""
@@ -54,7 +52,7 @@
         self._job = job
         self._delivery = StreamDelivery(job)
         self._recovery = StreamRecovery(job)
-        self._reports: ReportQueue[AttemptReport] = ReportQueue(MAX_UNREAD_REPORTS)
+        self._reports = make_report_queue(self._note_unread)
         # The running attempts; the first one leads, and another one stands by.
         self._attempts: list[StreamAttempt] = []
         # When the replica of an attempt was found to be silent; None if none is.
@@ -70,10 +68,9 @@
     def run(self) -> None:
         """Relay the stream, or answer the caller with a failure."""
         job = self._job
-        min_duration_s = self._min_duration_s()
-        left_s = job.replica_left_s()
-        if min_duration_s > left_s:
-            job.refuse(too_late_refusal(min_duration_s, left_s))
+        late = too_late_refusal(job)
+        if late is not None:
+            job.refuse(late)
             return
         try:
             self._relay()
@@ -130,14 +127,14 @@
                     case Ended() as ended:
                         self._finish(attempt, ended)
 
-    def _min_duration_s(self) -> float:
-        """Return the minimum duration of the stream, in seconds."""
-        job, req = self._job, self._job.req
-        return job.parts.pace.min_duration_s(
-            job.pool_name,
-            req.prompt_tokens,
-            req.expected_tokens,
-            req.resume_after or 0,
+    def _note_unread(self) -> None:
+        """Record that a replica isn't read on until the caller has read."""
+        self._job.parts.metrics.unread_streams.inc()
+        log.write(
+            "Caller reads slowly.",
+            request=self._job.req.request_id,
+            unread_bytes=self._reports.unread_bytes,
+            position=self._delivery.position,
         )
 
     def _start_next(self) -> bool:
