Place streams by the speed of engines, learnt from streams of all routers

Placement compared token counts, so an engine at 0.46 of its pool's median speed got as many streams as the others.

Each stream gives a sample of how fast its replica reads prompts and produces events. Routers send samples with their loads, hubs pool them and answer with the speeds. The cost of an engine of another speed counts the work ahead and the request's own. A speed moves away from 1.0 only if samples of two routers or more, and both kinds of evidence, agree; it fades without new samples.

--- a/boragedeck/process/relaying/loads/load_exchange.py
+++ b/boragedeck/process/relaying/loads/load_exchange.py
@@ -26,6 +26,7 @@
 from boragedeck.process.relaying.placing.admission import LoadSource
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_state import Load
+from boragedeck.process.relaying.speeds.replica_speeds import ReplicaSpeeds
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import Replica, ReplicaId
@@ -60,6 +61,8 @@
         Receives their messages.
     mirrors : iterable of TableMirror
         Tables whose newest row version is sent with the loads.
+    speeds : ReplicaSpeeds, optional
+        The speeds of the replicas, which are exchanged beside the loads.
 
     Attributes
     ----------
@@ -77,6 +80,7 @@
         links: PeerLinks,
         server: PeerServer,
         mirrors: Iterable[TableMirror] = (),
+        speeds: ReplicaSpeeds | None = None,
     ):
         self._mirrors = list(mirrors)
         self.on_newest_version: Callable[[Address, Table, int], None] = _ignore_version
@@ -90,8 +94,10 @@
         self._is_send_scheduled = False
         self._sent_at = 0.0
         self._in_flight: set[Address] = set()
-        self._load_hub = LoadHub(membership.own.router, timers, registry, server)
-        self._pool_loads = PoolLoadCache(membership.own.router, timers, registry, links)
+        own = membership.own.router
+        self._speeds = speeds or ReplicaSpeeds(own, timers, registry)
+        self._load_hub = LoadHub(own, timers, registry, server, self._speeds)
+        self._pool_loads = PoolLoadCache(own, timers, registry, links, self._speeds)
         self._reported_hub: Member | None = None
         registry.subscribe(self._update_all_peer_loads)
         server.register(LoadUpdate, self._on_update)
@@ -125,6 +131,7 @@
 
     def _maintain(self) -> None:
         """Drop expired loads, and resend own loads before others drop them."""
+        self._speeds.update()
         self._update_peer_loads(self._load_hub.expire())
         for pool in self._pool_loads.expire():
             self._update_peer_loads(
@@ -220,7 +227,9 @@
             if state.own != Load()
         }
         own = self._membership.own.router
-        return LoadUpdate(own, self._number, loads, self._newest_row_versions())
+        versions = self._newest_row_versions()
+        samples = self._speeds.take_own_samples()
+        return LoadUpdate(own, self._number, loads, versions, samples)
 
     def _newest_row_versions(self) -> dict[Table, int]:
         return {mirror.table: mirror.newest_row_version for mirror in self._mirrors}
@@ -250,6 +259,7 @@
     def _on_update(self, update: LoadUpdate) -> Accepted:
         changed = self._load_hub.merge(update.router, update.number, update.loads)
         self._update_peer_loads(changed)
+        self._speeds.merge_samples(update.router, update.speed_samples)
         if changed and self._hubs.is_hub():
             self._schedule_send(BATCH_DELAY_S)
         self._notify_newest_versions(update.router, update.newest_row_versions)
--- a/boragedeck/process/relaying/loads/load_hub.py
+++ b/boragedeck/process/relaying/loads/load_hub.py
@@ -11,6 +11,8 @@
 from boragedeck.process.relaying.loads.load_sums import LoadSums
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_state import Load
+from boragedeck.process.relaying.speeds.replica_speeds import ReplicaSpeeds
+from boragedeck.process.relaying.speeds.speed_messages import SpeedSample
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import ReplicaId
 
@@ -37,6 +39,8 @@
         The replicas.
     server : PeerServer
         Receives other routers' requests for loads.
+    speeds : ReplicaSpeeds
+        The speeds of the replicas.
 
     Attributes
     ----------
@@ -52,10 +56,12 @@
         timers: TimerService,
         registry: ReplicaRegistry,
         server: PeerServer,
+        speeds: ReplicaSpeeds,
     ):
         self._own = own
         self._timers = timers
         self._registry = registry
+        self._speeds = speeds
         self._number = 0
         self._changed_replicas: set[ReplicaId] = set()
         self._sent_at = float("-inf")
@@ -74,6 +80,7 @@
 
     def merge_sum(self, message: LoadSum) -> set[ReplicaId]:
         """Merge another hub's sums, and return the replicas whose sums changed."""
+        self._speeds.merge_hub_samples(message.speed_samples)
         return self.hub_sums.merge(
             message.router,
             message.number,
@@ -122,11 +129,15 @@
         totals = self.router_sums.totals
         replica_ids = set(totals) if is_full else self._changed_replicas
         self._changed_replicas, self._sent_at = set(), now
+        samples: tuple[SpeedSample, ...] = ()
         if is_full:
             self._full_sum_at = now
+            samples = self._speeds.take_hub_samples()
         self._number += 1
         loads = {name: totals.get(name, Load()).copy() for name in replica_ids}
-        return LoadSum(self._own, self._number, loads, newest_row_versions, is_full)
+        return LoadSum(
+            self._own, self._number, loads, newest_row_versions, is_full, samples
+        )
 
     def _on_fetch(self, query: FetchLoads) -> PoolLoads:
         loads = {}
@@ -134,7 +145,7 @@
             load = self.load_excluding(replica, query.router)
             if load != Load():
                 loads[replica] = load
-        return PoolLoads(loads)
+        return PoolLoads(loads, self._speeds.answer(query.pool))
 
     def _replicas_of(self, pool: PoolName) -> list[ReplicaId]:
         return [state.replica.replica for state in self._registry.of_pool(pool)]
--- a/boragedeck/process/relaying/loads/load_messages.py
+++ b/boragedeck/process/relaying/loads/load_messages.py
@@ -4,6 +4,7 @@
 from boragedeck.connection.store import Table
 from boragedeck.ids import PoolName, RouterId
 from boragedeck.process.relaying.replicas.replica_state import Load
+from boragedeck.process.relaying.speeds.speed_messages import RunSpeed, SpeedSample
 from boragedeck.version.replicas import ReplicaId
 
 __all__ = ["FetchLoads", "LoadSum", "LoadUpdate", "PoolLoads"]
@@ -22,12 +23,16 @@
         The loads that aren't zero.
     newest_row_versions : dict of Table to int
         The newest row version in each mirror of the sender.
+    speed_samples : tuple of SpeedSample
+        What the sender's newest streams show of the speeds of replicas; each sample is
+        sent several times.
     """
 
     router: RouterId
     number: int
     loads: dict[ReplicaId, Load]
     newest_row_versions: dict[Table, int]
+    speed_samples: tuple[SpeedSample, ...] = ()
 
 
 class LoadSum(Message, frozen=True):
@@ -46,6 +51,9 @@
         As in `LoadUpdate`.
     is_full : bool
         Whether replicas missing from `loads` have no load.
+    speed_samples : tuple of SpeedSample
+        The newest samples of the routers that report to the sender; each is sent
+        several times.
     """
 
     router: RouterId
@@ -53,6 +61,7 @@
     loads: dict[ReplicaId, Load]
     newest_row_versions: dict[Table, int]
     is_full: bool
+    speed_samples: tuple[SpeedSample, ...] = ()
 
 
 class FetchLoads(Message, frozen=True):
@@ -77,6 +86,9 @@
     ----------
     loads : dict of ReplicaId to Load
         The loads that aren't zero.
+    speeds : tuple of RunSpeed
+        The speeds that differ from 1.0, or did so lately.
     """
 
     loads: dict[ReplicaId, Load]
+    speeds: tuple[RunSpeed, ...] = ()
--- a/boragedeck/process/relaying/loads/pool_load_cache.py
+++ b/boragedeck/process/relaying/loads/pool_load_cache.py
@@ -10,6 +10,7 @@
 from boragedeck.process.relaying.loads.load_messages import FetchLoads, PoolLoads
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_state import Load
+from boragedeck.process.relaying.speeds.replica_speeds import ReplicaSpeeds
 from boragedeck.process.timers import TimerService
 from boragedeck.version.replicas import Replica, ReplicaId
 
@@ -47,6 +48,8 @@
         The replicas.
     links : PeerLinks
         Links to the hubs.
+    speeds : ReplicaSpeeds
+        Receives the speeds that hubs report.
     """
 
     def __init__(
@@ -55,11 +58,13 @@
         timers: TimerService,
         registry: ReplicaRegistry,
         links: PeerLinks,
+        speeds: ReplicaSpeeds,
     ):
         self._own = own
         self._timers = timers
         self._registry = registry
         self._links = links
+        self._speeds = speeds
         self._answers: dict[PoolName, _Answer] = {}
         self._backoff_until = 0.0
 
@@ -84,6 +89,7 @@
             self._note_failure(hub, answer.err())
         else:
             self._store_answer(pool, answer.ok().loads)
+            self._speeds.note_received(answer.ok().speeds)
 
     def expire(self) -> list[PoolName]:
         """Drop old answers, and return the pools that they were about."""
--- a/boragedeck/process/relaying/placing/admission.py
+++ b/boragedeck/process/relaying/placing/admission.py
@@ -84,6 +84,9 @@
     ----------
     on_change : callable
         Called after this router's load on a replica has changed.
+    output_token_cost : callable
+        Returns how many prompt tokens the engines of a pool read while they produce
+        one output token.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         self._waiting: dict[PoolName, list[tuple[int, int, _Waiter]]] = {}
         self._mean_service_s: dict[PoolName, float] = {}
         self.on_change: Callable[[], None] = lambda: None
+        self.output_token_cost: Callable[[PoolName], float] = lambda pool: 1.0
         registry.subscribe(self.grant_waiting)
 
     def acquire(self, req: AdmissionRequest) -> Result[Place, RefusedError]:
@@ -280,8 +284,11 @@
         return [state for state in states if req.allows(state.replica)]
 
     def _placement_request(self, req: AdmissionRequest) -> PlacementRequest:
+        output_tokens = max(0, req.tokens - req.prompt_tokens)
+        output_work = output_tokens * self.output_token_cost(req.pool.name)
         return PlacementRequest(
             tokens=req.tokens,
+            work_tokens=req.prompt_tokens + output_work,
             now=self._timers.now(),
             tried=req.tried,
             lost_domains=req.lost_domains,
--- a/boragedeck/process/relaying/placing/placement.py
+++ b/boragedeck/process/relaying/placing/placement.py
@@ -25,6 +25,7 @@
     "suspect_domains",
     "sample_size",
     "has_room",
+    "work_ahead",
 ]
 
 MEMORY_SHARE = 0.92
@@ -61,6 +62,8 @@
         The current time, on the timer service's monotonic clock.
     tried : frozenset of ReplicaId
         Replicas to which the request was sent before.
+    work_tokens : float
+        Work of the request itself, in prompt tokens that an engine reads meanwhile.
     engine : EngineProfile or None
         The profile of the engines; None if the replicas are those of a service.
     lost_domains : frozenset of FailureDomain
@@ -73,6 +76,7 @@
 
     tokens: int
     now: float
+    work_tokens: float = 0.0
     tried: frozenset[ReplicaId] = frozenset()
     engine: EngineProfile | None = None
     lost_domains: frozenset[FailureDomain] = frozenset()
@@ -206,6 +210,11 @@
     )
 
 
+def work_ahead(state: ReplicaState) -> int:
+    """Return the known work at an engine before it has read all prompts, in tokens."""
+    return state.unread_tokens + RUNNING_COST_TOKENS * state.running
+
+
 def _sample(
     states: list[ReplicaState], req: PlacementRequest, rng: random.Random
 ) -> list[ReplicaState]:
@@ -216,12 +225,20 @@
 def _cost(
     state: ReplicaState, req: PlacementRequest, min_failure_share: float
 ) -> float:
-    """Return the cost of a replica; 1.0 is that of a fully loaded one."""
+    """Return the cost of a replica; 1.0 is that of a fully loaded one.
+
+    Notes
+    -----
+    An engine also costs what it takes longer for the work ahead and for the request
+    itself than one of speed 1.0: a slow one takes longer even if it is idle.
+    """
     cost = FAILURE_COST * (state.failure_share - min_failure_share)
     is_lost = state.replica.failure_domain in req.lost_domains
     if req.engine is None:
         cost += LOST_DOMAIN_COST * is_lost
         return cost + state.running / state.replica.slots
-    tokens_ahead = state.unread_tokens + RUNNING_COST_TOKENS * state.running
+    tokens_ahead = work_ahead(state)
+    extra_tokens = (tokens_ahead + req.work_tokens) * (1.0 / state.speed - 1.0)
     tokens_ahead += LOST_DOMAIN_COST_TOKENS * is_lost
-    return cost + tokens_ahead / req.engine.memory_tokens
+    cost += tokens_ahead / req.engine.memory_tokens
+    return cost + extra_tokens / req.engine.memory_tokens
--- a/boragedeck/process/relaying/placing/stream_pace.py
+++ b/boragedeck/process/relaying/placing/stream_pace.py
@@ -12,6 +12,9 @@
 
 MAX_VALUES = 48
 """Number of the newest streams of a pool that are used for estimates."""
+DEFAULT_OUTPUT_TOKEN_COST = 32.0
+"""Prompt tokens that are read in the time of an output token, until it is measured. An
+engine reads a prompt in large parts, and produces the tokens of a stream one by one."""
 FAST_QUANTILE = 0.25
 """Quantile of the observed times on which estimates are based."""
 
@@ -51,6 +54,15 @@
             self._s_per_event.note(pool, took_s / (events - 1))
             self._events_per_token.note(pool, events / expected_tokens)
 
+    def output_token_cost(self, pool: PoolName) -> float:
+        """Return how many prompt tokens are read in the time of one output token."""
+        read_s = self._read_s_per_token.quantile(pool, FAST_QUANTILE)
+        event_s = self._s_per_event.quantile(pool, FAST_QUANTILE)
+        events = self._events_per_token.quantile(pool, FAST_QUANTILE)
+        if not read_s or event_s is None or events is None:
+            return DEFAULT_OUTPUT_TOKEN_COST
+        return event_s * events / read_s
+
     def min_duration_s(
         self, pool: PoolName, prompt_tokens: int, expected_tokens: int, position: int
     ) -> float:
--- a/boragedeck/process/relaying/relay_composition.py
+++ b/boragedeck/process/relaying/relay_composition.py
@@ -31,6 +31,7 @@
 from boragedeck.process.relaying.retries.retry_share import USABLE_SHARE, RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
 from boragedeck.process.relaying.settings_source import SettingsSource
+from boragedeck.process.relaying.speeds.replica_speeds import ReplicaSpeeds
 from boragedeck.process.relaying.tables.replica_source import ReplicaSource
 from boragedeck.process.relaying.tables.table_composition import MirroredTables
 from boragedeck.process.timers import TimerService
@@ -141,6 +142,10 @@
         )
 
     def _make_admission(self) -> Admission:
+        self._speeds = ReplicaSpeeds(
+            self._peers.membership.own.router, self._timers, self._registry
+        )
+        self._metrics.slow_replicas.set_function(self._speeds.slow_replicas)
         self.loads = LoadExchange(
             self._timers,
             self._registry,
@@ -149,11 +154,14 @@
             self._peers.links,
             self._peers.server,
             self._tables.mirrors(),
+            self._speeds,
         )
         self.loads.on_newest_version = self._tables.note_newest_version
         admission = Admission(self._timers, self._registry, self._rng, self.loads)
         self._metrics.waiting.set_function(admission.waiting)
         admission.on_change = self.loads.note_change
+        self._pace = StreamTimeEstimator()
+        admission.output_token_cost = self._pace.output_token_cost
         return admission
 
     def _make_parts(
@@ -184,7 +192,8 @@
             retries=self._make_retries(),
             rollouts=self.rollouts,
             durations=RequestDurations(),
-            pace=StreamTimeEstimator(),
+            pace=self._pace,
+            speeds=self._speeds,
             crash_blame=make_crash_blame(self._timers, self._rng, *shared, self._paths),
             metrics=self._metrics,
             time_left=drain_period.time_left,
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -90,6 +90,11 @@
             "Answers by which a replica asked this router to wait.",
             registry=registry,
         )
+        self.slow_replicas = Gauge(
+            "boragedeck_slow_replicas",
+            "Replicas that are estimated to be slower than the median of their pool.",
+            registry=registry,
+        )
         self.limit_changes = Counter(
             "boragedeck_replica_limit_changes",
             "Changes of the limits that replicas name, as this router learnt of them.",
--- a/boragedeck/process/relaying/replicas/replica_state.py
+++ b/boragedeck/process/relaying/replicas/replica_state.py
@@ -113,6 +113,9 @@
     next_turn_at : float
         When its limit allows the next request, as its limit owner last said, on the
         timer service's monotonic clock; 0.0 if no owner was asked.
+    speed : float
+        How fast it reads prompts and produces events, relative to the median of its
+        pool; 1.0 if unknown.
     rejections_per_s : float or None
         How many rejections in a second it bears, if it is brittle; None if not.
     brittle_known_at : float
@@ -134,6 +137,7 @@
         self.own = Load()
         self.peers = Load()
         self.failure_share = 0.0
+        self.speed = 1.0
         self.restraints = Restraints()
         self.limit = KnownLimit()
         self.next_turn_at = 0.0
--- /dev/null
+++ b/boragedeck/process/relaying/speeds/__init__.py
@@ -0,0 +1,1 @@
+"""Estimates of how fast replicas are."""
--- /dev/null
+++ b/boragedeck/process/relaying/speeds/speed_estimator.py
@@ -0,0 +1,95 @@
+"""Estimates the speeds of runs from the samples of several routers."""
+
+import statistics
+from collections import deque
+from collections.abc import Collection
+
+from boragedeck.ids import PoolName, RouterId
+from boragedeck.process.relaying.replicas.replica_state import Run
+from boragedeck.process.relaying.speeds.run_samples import RunSamples, Summary
+from boragedeck.process.relaying.speeds.speed_judge import judge_speeds
+from boragedeck.process.relaying.speeds.speed_messages import (
+    RunSpeed,
+    SpeedSample,
+    StreamTimes,
+)
+
+__all__ = ["SpeedEstimator"]
+
+MAX_POOL_TIMES = 64
+"""Number of the newest samples of a pool whose median a sample is compared with. They
+are of the same moment, so a burst over the whole pool makes no engine look slow."""
+MIN_POOL_TIMES = 8
+MAX_ROUTERS = 1_024
+"""Number of routers of which it is kept which samples are known."""
+
+
+class SpeedEstimator:
+    """Keeps the samples of all runs, and the speeds that follow from them.
+
+    Parameters
+    ----------
+    own : RouterId
+        This router.
+
+    Attributes
+    ----------
+    speeds : dict of Run to RunSpeed
+        The speeds that differ from 1.0.
+    """
+
+    def __init__(self, own: RouterId):
+        self._own = own
+        self._last_numbers: dict[RouterId, int] = {}
+        self._pool_times: dict[PoolName, deque[StreamTimes]] = {}
+        self._samples: dict[Run, RunSamples] = {}
+        self.speeds: dict[Run, RunSpeed] = {}
+
+    def add(self, pool: PoolName, sample: SpeedSample, now: float) -> bool:
+        """Add a sample of a run in a pool; return False if it is known already."""
+        if not self._note_number(sample):
+            return False
+        times = StreamTimes(sample.read_s, sample.event_s)
+        pool_times = self._pool_times.setdefault(pool, deque(maxlen=MAX_POOL_TIMES))
+        pool_times.append(times)
+        if len(pool_times) >= MIN_POOL_TIMES:
+            ratios = _relative(times, pool_times)
+            samples = self._samples.setdefault(sample.run, RunSamples(sample.run))
+            samples.add(sample.router, now - sample.age_s, ratios)
+        return True
+
+    def update(self, pool: PoolName, runs: Collection[Run], now: float) -> None:
+        """Estimate the speeds of a pool's runs anew."""
+        summaries: dict[Run, Summary] = {}
+        for run in runs:
+            samples = self._samples.get(run)
+            summary = None if samples is None else self._summary(samples, now)
+            if summary is not None:
+                summaries[run] = summary
+        before = {run: self.speeds.pop(run) for run in runs if run in self.speeds}
+        self.speeds.update(judge_speeds(summaries, before))
+
+    def keep_only(self, runs: Collection[Run], pools: Collection[PoolName]) -> None:
+        """Drop what is known of other runs and pools."""
+        for run in self._samples.keys() - set(runs):
+            del self._samples[run]
+            self.speeds.pop(run, None)
+        for pool in self._pool_times.keys() - set(pools):
+            del self._pool_times[pool]
+
+    def _note_number(self, sample: SpeedSample) -> bool:
+        """Return whether a sample is new; routers send each several times, in order."""
+        last = self._last_numbers.pop(sample.router, 0)
+        self._last_numbers[sample.router] = max(last, sample.number)
+        if len(self._last_numbers) > MAX_ROUTERS:
+            del self._last_numbers[next(iter(self._last_numbers))]
+        return sample.number > last
+
+    def _summary(self, samples: RunSamples, now: float) -> Summary | None:
+        return samples.summary(self._own, now) if samples.expire(now) else None
+
+
+def _relative(times: StreamTimes, pool_times: deque[StreamTimes]) -> StreamTimes:
+    read_s = statistics.median(each.read_s for each in pool_times)
+    event_s = statistics.median(each.event_s for each in pool_times)
+    return StreamTimes(times.read_s / read_s, times.event_s / event_s)
--- a/boragedeck/request/relay_components.py
+++ b/boragedeck/request/relay_components.py
@@ -22,6 +22,7 @@
 from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.retries.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
+from boragedeck.process.relaying.speeds.replica_speeds import ReplicaSpeeds
 from boragedeck.process.relaying.tables.table_ages import TableAges
 from boragedeck.process.timers import TimerService
 from boragedeck.request.open_requests import OpenRequests
@@ -68,6 +69,8 @@
         Estimates how long requests take.
     pace : StreamTimeEstimator
         Estimates how long streams take.
+    speeds : ReplicaSpeeds
+        Learns how fast replicas are.
     crash_blame : CrashBlame
         Knows which requests crash replicas.
     metrics : RelayMetrics
@@ -98,6 +101,7 @@
     rollouts: RelayRollouts
     durations: RequestDurations
     pace: StreamTimeEstimator
+    speeds: ReplicaSpeeds
     crash_blame: CrashBlame
     metrics: RelayMetrics
     time_left: Callable[[], float]
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -127,7 +127,12 @@
         self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
         self._silence = StreamSilence(job, place, self._progress)
         self._evidence = StreamEvidence(
-            job, place, self._progress, self._silence, from_copy=from_copy
+            job,
+            place,
+            self._progress,
+            self._silence,
+            from_copy=from_copy,
+            is_resumed=position is not None,
         )
         self._liveness = StreamLivenessMonitor(job, self._note_silent, self._note_heard)
         self._events = StreamEventReader(
@@ -189,8 +194,13 @@
         self._note_failed(reason, reason, AttemptOutcome.LOST)
 
     def _tell(self, message: StreamMessage) -> None:
-        if not self._is_cancelled:
-            self._report(AttemptReport(self, message))
+        if self._is_cancelled:
+            return
+        timers = self._job.parts.timers
+        since = timers.now()
+        self._report(AttemptReport(self, message))
+        # What follows was held up by the caller.
+        self._evidence.note_blocked(timers.now() - since)
 
     def _release(self, *, is_served: bool) -> None:
         self.place.release(is_served)
@@ -309,8 +319,8 @@
         self._record(self._evidence.note_complete)
         return AttemptOutcome.COMPLETE
 
-    def _note_output(self, gap_s: float | None) -> None:
-        self._record(partial(self._evidence.note_output, gap_s))
+    def _note_output(self, events: int, gap_s: float | None) -> None:
+        self._record(partial(self._evidence.note_output, events, gap_s))
 
     def _record(self, note: Callable[[], None]) -> None:
         """Record how the answer goes; an unexpected exception doesn't end it."""
--- a/boragedeck/request/stream_events.py
+++ b/boragedeck/request/stream_events.py
@@ -28,8 +28,8 @@
     silence : StreamSilence
         The silence of the replica.
     record_output : callable
-        Called when events have arrived, with the mean gap between them in seconds, or
-        None if there is no new sample.
+        Called when events have arrived, with their number, and with the mean gap
+        between them in seconds, or None if there is no new sample.
     liveness : StreamLivenessMonitor
         Waits for the events.
     report : callable
@@ -41,7 +41,7 @@
         job: RelayJob,
         place: Place,
         silence: StreamSilence,
-        record_output: Callable[[float | None], None],
+        record_output: Callable[[int, float | None], None],
         liveness: StreamLivenessMonitor,
         report: Callable[[StreamMessage], None],
     ):
@@ -89,7 +89,8 @@
                     self._note_stalled(timeout.stalled_at)
                 continue
             may_end = True
-            self._note_output(gaps.note(len(events), self._job.parts.timers.now()))
+            gap_s = gaps.note(len(events), self._job.parts.timers.now())
+            self._note_output(len(events), gap_s)
             data = b"".join(event.data for event in events)
             self._report(Events(data, follows, splitter.last_number))
             timeout.restart()
@@ -103,11 +104,11 @@
         is_stalled, self._is_stalled = self._is_stalled, False
         return is_stalled
 
-    def _note_output(self, gap_s: float | None) -> None:
+    def _note_output(self, events: int, gap_s: float | None) -> None:
         self._is_stalled = False
         self._liveness.note_output()
         self._silence.end()
-        self._record_output(gap_s)
+        self._record_output(events, gap_s)
 
     def _note_stalled(self, since: float) -> None:
         """Report that bytes complete no event, so that another attempt may start."""
--- a/boragedeck/request/stream_evidence.py
+++ b/boragedeck/request/stream_evidence.py
@@ -2,6 +2,8 @@
 
 from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.placing.place import Place
+from boragedeck.process.relaying.placing.placement import work_ahead
+from boragedeck.process.relaying.speeds.stream_sampler import StreamSampler
 from boragedeck.request.answer_progress import AnswerProgress
 from boragedeck.request.relay_components import log
 from boragedeck.request.relay_job import RelayJob
@@ -26,6 +28,8 @@
         The silence of the replica.
     from_copy : bool
         Whether the replica holds a copy of the run, and doesn't read the prompt.
+    is_resumed : bool
+        Whether the run follows events that the caller has, which the replica reads.
     """
 
     def __init__(
@@ -36,18 +40,27 @@
         silence: StreamSilence,
         *,
         from_copy: bool,
+        is_resumed: bool,
     ):
         self._job = job
         self._place = place
         self._progress = progress
         self._silence = silence
         self._from_copy = from_copy
+        # What is at the replica now is ahead of the request.
+        self._speed_sampler = StreamSampler(
+            job.req.prompt_tokens, work_ahead(place.state), place.since
+        )
+        if from_copy or is_resumed:
+            self._speed_sampler.discard()
 
-    def note_output(self, gap_s: float | None) -> None:
+    def note_output(self, events: int, gap_s: float | None) -> None:
         """Record that events have arrived.
 
         Parameters
         ----------
+        events : int
+            The number of events.
         gap_s : float or None
             Mean gap between events, in seconds; None if there is no new sample.
         """
@@ -59,6 +72,11 @@
         place.note_first_output()
         if gap_s is not None:
             job.evidence.note_gap(place, gap_s)
+        self._note_speed(events, now)
+
+    def note_blocked(self, blocked_s: float) -> None:
+        """Record how long the attempt waited for its caller, in seconds."""
+        self._speed_sampler.note_blocked(blocked_s)
 
     def note_complete(self) -> None:
         """Record that the answer is complete."""
@@ -110,6 +128,14 @@
         if not self._job.is_own_loss(self._place):
             self._job.evidence.note_outcome(self._place, Outcome.FAILED)
 
+    def _note_speed(self, events: int, now: float) -> None:
+        """Record what the events show of the replica's speed."""
+        if self._place.is_forwarded:
+            self._speed_sampler.discard()
+        times = self._speed_sampler.note_events(events, now)
+        if times is not None:
+            self._job.parts.speeds.note_stream(self._place.state, times)
+
     def _note_miss(self) -> None:
         if not self._job.is_replica_time_over():
             self._job.note_miss(self._place)
--- a/tests/process/relaying/placing/test_admission.py
+++ b/tests/process/relaying/placing/test_admission.py
@@ -16,7 +16,7 @@
 from boragedeck.process.relaying.replicas.replica_state import Load
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import Replica, ReplicaStage
-from boragedeck.version.routing import RelayPool
+from boragedeck.version.routing import EngineProfile, RelayPool
 
 POOL = RelayPool("p", 100)
 
@@ -46,6 +46,30 @@
         self._state.peers = self.load
 
 
+class SlowEngineTest(unittest.TestCase):
+    def test_own_output_counts_at_a_slow_engine(self):
+        registry = ReplicaRegistry(ManualTimers())
+        for name in ("slow", "busy"):
+            registry.put(replica(name))
+        registry.get("slow").speed = 0.5
+        registry.get("busy").peers = Load(1, 8_000, 9_000)
+        admission = Admission(ManualTimers(), registry, random.Random(1))
+        engines = RelayPool("p", 100, EngineProfile(24, 88_000))
+        req = AdmissionRequest(
+            pool=engines, priority=1, prompt_tokens=1_000, tokens=1_500, until=10.0
+        )
+
+        def chosen(output_token_cost):
+            admission.output_token_cost = lambda pool: output_token_cost
+            place = admission.acquire(req).ok()
+            place.release()
+            return place.state.replica.replica
+
+        # The output takes as long as reading 500 or 20,000 prompt tokens.
+        self.assertEqual(chosen(1.0), "slow")
+        self.assertEqual(chosen(40.0), "busy")
+
+
 class AdmissionTest(unittest.TestCase):
     def setUp(self):
         self.timers = ManualTimers()
--- a/tests/process/relaying/placing/test_placement.py
+++ b/tests/process/relaying/placing/test_placement.py
@@ -145,6 +145,57 @@
         self.assertEqual(self.choose(states, engine=None, **lost), "far")
 
 
+class SpeedTest(unittest.TestCase):
+    """Engines of different speed."""
+
+    def chosen(self, states, seed=1, **fields):
+        return choose_replica(states, request(**fields), random.Random(seed))
+
+    def test_idle_slow_engine_is_not_preferred_to_a_busier_normal_one(self):
+        slow, normal = state("slow", speed=0.5), state("normal", load=Load(2, 8_000))
+        work = {"work_tokens": 40_000.0}
+        self.assertIs(self.chosen([slow, normal], **work), normal)
+
+    def test_slow_engine_is_chosen_if_the_others_have_more_work(self):
+        slow = state("slow", speed=0.5)
+        normal = state("normal", load=Load(7, 48_000, 56_000))
+        self.assertIs(self.chosen([slow, normal], work_tokens=40_000.0), slow)
+
+    def test_fast_engine_is_preferred(self):
+        fast, normal = state("fast", speed=2.0), state("normal")
+        self.assertIs(self.chosen([normal, fast], work_tokens=40_000.0), fast)
+
+    def test_choice_is_as_before_if_no_speed_is_known(self):
+        # The cost as it was computed before speeds were known, to the last bit.
+        def former(state, req):
+            ahead = state.unread_tokens + 400 * state.running
+            ahead += 8000 * (state.replica.failure_domain in req.lost_domains)
+            return 2.0 * state.failure_share + ahead / req.engine.memory_tokens
+
+        rng = random.Random(17)
+        for seed in range(500):
+            states = [
+                state(
+                    f"e{number}",
+                    rng.choice("abc"),
+                    load=Load(rng.randrange(6), 800 * rng.randrange(30), 0),
+                    failure_share=rng.choice((0.0, 0.2, 0.36)),
+                )
+                for number in range(8)
+            ]
+            fields = {
+                "work_tokens": rng.uniform(0.0, 60_000.0),
+                "lost_domains": frozenset(rng.choice(("", "a", "b"))),
+            }
+            lowest = min(state.failure_share for state in states)
+            for each in states:
+                each.failure_share -= lowest
+            req, draws = request(**fields), random.Random(seed)
+            compared = draws.sample(states, len(states))
+            expected = min(compared, key=lambda s: (former(s, req), draws.random()))
+            self.assertIs(self.chosen(states, seed, **fields), expected)
+
+
 class CopyLoadTest(unittest.TestCase):
     """Simulates 80 routers that place copies by the same, outdated loads."""
 
--- a/tests/process/relaying/placing/test_stream_pace.py
+++ b/tests/process/relaying/placing/test_stream_pace.py
@@ -3,7 +3,10 @@
 import random
 import unittest
 
-from boragedeck.process.relaying.placing.stream_pace import StreamTimeEstimator
+from boragedeck.process.relaying.placing.stream_pace import (
+    DEFAULT_OUTPUT_TOKEN_COST,
+    StreamTimeEstimator,
+)
 from boragedeck.process.relaying.recent_values import MIN_VALUES
 
 POOL = "engines"
@@ -50,6 +53,15 @@
             estimator.note_prompt_read(POOL, 8_000, 2.0)
         self.assertAlmostEqual(estimator.min_duration_s(POOL, 8_000, 1_000, 100), 2.0)
 
+    def test_output_token_costs_the_prompt_tokens_that_are_read_meanwhile(self):
+        cost = estimator_with_history().output_token_cost(POOL)
+        # 100 events of 3 s / 99 for 1,000 tokens, and 8 prompt tokens a millisecond.
+        self.assertAlmostEqual(cost, 3.0 / 99 * 100 / 1_000 * 8_000)
+
+    def test_output_token_cost_without_enough_streams_is_the_default(self):
+        cost = StreamTimeEstimator().output_token_cost(POOL)
+        self.assertEqual(cost, DEFAULT_OUTPUT_TOKEN_COST)
+
 
 class ReturningCallersTest(unittest.TestCase):
     """Simulates callers that all return 18 s after a power loss.
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -38,6 +38,7 @@
 from boragedeck.process.relaying.retries.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
 from boragedeck.process.relaying.settings import Bounds
+from boragedeck.process.relaying.speeds.replica_speeds import ReplicaSpeeds
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
 from boragedeck.request.address_claims import watch_address_claims
 from boragedeck.request.open_requests import OpenRequests
@@ -478,6 +479,7 @@
             ),
             durations=RequestDurations(),
             pace=StreamTimeEstimator(),
+            speeds=ReplicaSpeeds("r1", self.timers, self.registry),
             crash_blame=single_router_blame(
                 self.timers, self.registry, self.facts, self.metrics, self.paths
             ),
