Tell routers the speeds of replicas once a second, not with each answer

A hub's answer about a pool grew by some 45 bytes for each slow replica, with each request that a router places. Routers now ask for speeds once a second and pool.

--- a/boragedeck/process/relaying/loads/load_hub.py
+++ b/boragedeck/process/relaying/loads/load_hub.py
@@ -145,7 +145,8 @@
             load = self.load_excluding(replica, query.router)
             if load != Load():
                 loads[replica] = load
-        return PoolLoads(loads, self._speeds.answer(query.pool))
+        speeds = self._speeds.answer(query.pool) if query.with_speeds else ()
+        return PoolLoads(loads, speeds)
 
     def _replicas_of(self, pool: PoolName) -> list[ReplicaId]:
         return [state.replica.replica for state in self._registry.of_pool(pool)]
--- a/boragedeck/process/relaying/loads/load_messages.py
+++ b/boragedeck/process/relaying/loads/load_messages.py
@@ -73,10 +73,13 @@
         The requesting router; its own loads are left out.
     pool : PoolName
         The pool.
+    with_speeds : bool
+        Whether the answer is to name the speeds of the replicas.
     """
 
     router: RouterId
     pool: PoolName
+    with_speeds: bool = False
 
 
 class PoolLoads(Message, frozen=True):
@@ -87,7 +90,7 @@
     loads : dict of ReplicaId to Load
         The loads that aren't zero.
     speeds : tuple of RunSpeed
-        The speeds that differ from 1.0, or did so lately.
+        The speeds that differ from 1.0, or did so lately, if they were asked for.
     """
 
     loads: dict[ReplicaId, Load]
--- a/boragedeck/process/relaying/loads/pool_load_cache.py
+++ b/boragedeck/process/relaying/loads/pool_load_cache.py
@@ -22,6 +22,8 @@
 """How long after the failure of a hub none is asked."""
 MAX_FRESH_AGE_S = 0.02
 """Maximum age of an answer that is used without asking again."""
+SPEEDS_INTERVAL_S = 1.0
+"""How often a hub is asked for speeds, which change slowly."""
 ANSWER_TTL_S = 2.5
 """How long the answer of a hub counts."""
 
@@ -66,6 +68,7 @@
         self._links = links
         self._speeds = speeds
         self._answers: dict[PoolName, _Answer] = {}
+        self._speeds_at: dict[PoolName, float] = {}
         self._backoff_until = 0.0
 
     def is_fresh(self, pool: PoolName) -> bool:
@@ -83,13 +86,15 @@
         if self._backoff_until > self._timers.now() or self.is_fresh(pool):
             return
         link = self._links.link(hub.address)
-        query = FetchLoads(self._own, pool)
+        query = FetchLoads(self._own, pool, self._needs_speeds(pool))
         answer = link.call(query, PoolLoads, timeout_s=FETCH_TIMEOUT_S)
         if answer.is_err():
             self._note_failure(hub, answer.err())
         else:
             self._store_answer(pool, answer.ok().loads)
-            self._speeds.note_received(answer.ok().speeds)
+            if query.with_speeds:
+                self._speeds_at[pool] = self._timers.now()
+                self._speeds.note_received(answer.ok().speeds)
 
     def expire(self) -> list[PoolName]:
         """Drop old answers, and return the pools that they were about."""
@@ -97,8 +102,13 @@
         old = [pool for pool, answer in self._answers.items() if answer.at < before]
         for pool in old:
             del self._answers[pool]
+            self._speeds_at.pop(pool, None)
         return old
 
+    def _needs_speeds(self, pool: PoolName) -> bool:
+        asked_at = self._speeds_at.get(pool, float("-inf"))
+        return self._timers.now() - asked_at >= SPEEDS_INTERVAL_S
+
     def _note_failure(self, hub: Member, error: PeerError) -> None:
         _log.write("Hub failed.", peer=hub.router, error=str(error))
         self._backoff_until = self._timers.now() + FAILED_HUB_BACKOFF_S
--- a/tests/process/relaying/loads/test_speed_exchange.py
+++ b/tests/process/relaying/loads/test_speed_exchange.py
@@ -73,6 +73,7 @@
             eventlet.sleep(0)
 
     def speed(self, name, engine="e0"):
+        """Return a speed that a router uses, after it has asked its hub."""
         self.exchanges[name].refresh("p")
         return self.registries[name].get(engine).speed
 
@@ -98,6 +99,17 @@
             self.assertAlmostEqual(self.speed(name), 1 / SLOW, msg=name)
             self.assertEqual(self.speed(name, "e1"), 1.0)
 
+    def test_speeds_are_told_once_a_second_only(self):
+        self.serve_streams(self.non_hubs[: self.DOMAINS])
+        self.advance(4.0)
+        first = self.non_hubs[0]
+        noted = []
+        self.speeds[first].note_received = noted.append
+        for _ in range(40):
+            self.speed(first)
+            self.advance(0.05)
+        self.assertEqual(len(noted), 2)
+
     def test_streams_of_hubs_count(self):
         self.serve_streams(sorted(self.hubs))
         self.advance(4.0)
