--- a/scripts/platform_cluster.py
+++ b/scripts/platform_cluster.py
@@ -147,11 +147,19 @@
             elif self.rows.value(table, key) != value:
                 self.rows.put(table, key, value)
 
-    def add_router(self, zone: str) -> str:
-        """Start a router, wait until it is ready and return its URL for callers."""
+    def add_router(self, zone: str, limits: dict | None = None) -> str:
+        """Start a router, wait until it is ready and return its URL for callers.
+
+        Parameters
+        ----------
+        zone : str
+            Its failure domain.
+        limits : dict, optional
+            The limits of its VM, as its settings file names them.
+        """
         number = len(self.routers)
         self.gates.append(Gate(self.rows.app))
-        self.settings.append(self._settings(number, zone))
+        self.settings.append(self._settings(number, zone) | {"limits": limits or {}})
         self.write_settings(number, {})
         self.routers.append(self._start(number))
         self.wait_ready(number)
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -27,6 +27,7 @@
     "main",
     "order_modules",
     "run_modules",
+    "split_alone",
 ]
 
 MODULE_TIMEOUT_S = 1800.0
@@ -47,6 +48,12 @@
     "tests.process.relaying.tables.test_stale_tables",
 )
 """The modules that are started first, the slowest before the others."""
+ALONE = (
+    "tests.process.relaying.test_uncontrolled_callers",
+    "tests.process.test_uncontrolled_api_callers",
+)
+"""The modules that are run one at a time, before the others: they measure the memory of
+processes under load, which another module beside them would slow down."""
 RUNNER = (sys.executable, "-m", "scripts.run_module")
 
 
@@ -173,6 +180,13 @@
     return sorted(names, key=lambda name: (ranks.get(name, len(ranks)), name))
 
 
+def split_alone(names: Iterable[str]) -> tuple[list[str], list[str]]:
+    """Return the modules that run one at a time, and the others, each in order."""
+    ordered = order_modules(names)
+    alone = [name for name in ordered if name in ALONE]
+    return alone, [name for name in ordered if name not in ALONE]
+
+
 def run_modules(
     modules: Sequence[Module],
     processes: int,
@@ -225,12 +239,14 @@
     for name, tests in listed.items():
         if known_red.intersection(tests):
             _run_known_red(name)
-    modules = [
-        Module(name, [each for each in listed[name] if each not in known_red])
-        for name in order_modules(listed)
-    ]
-    passed, failed = run_modules(modules, args.processes)
-    failed += len(missing)
+    passed, failed = 0, len(missing)
+    for names, processes in zip(split_alone(listed), (1, args.processes), strict=True):
+        modules = [
+            Module(name, [each for each in listed[name] if each not in known_red])
+            for name in names
+        ]
+        counts = run_modules(modules, processes)
+        passed, failed = passed + counts[0], failed + counts[1]
     print(f"{passed} passed, {failed} failed")
     sys.exit(1 if failed else 0)
 
--- a/tests/scripts/test_run_tests.py
+++ b/tests/scripts/test_run_tests.py
@@ -146,13 +146,13 @@
 class MainTest(unittest.TestCase):
     """The whole command, over modules that only report."""
 
-    def run_main(self, known_red, report=GOOD):
+    def run_main(self, known_red, report=GOOD, listed=None):
         printed = io.StringIO()
         with (
             tempfile.TemporaryDirectory() as folder,
             mock.patch.object(run_tests, "KNOWN_RED_FILE", Path(folder, "red")) as red,
             mock.patch.object(
-                run_tests, "_list_modules", lambda: {"tests.a": list(NAMES)}
+                run_tests, "_list_modules", lambda: listed or {"tests.a": list(NAMES)}
             ),
             mock.patch.object(run_tests, "_run_known_red") as passed_over,
             mock.patch.object(
@@ -173,6 +173,23 @@
         self.assertEqual((status, lines[-1]), (0, "2 passed, 0 failed"))
         self.assertEqual(passed_over, [])
 
+    def test_modules_that_measure_memory_run_one_at_a_time(self):
+        calls = []
+
+        def run(modules, processes):
+            calls.append(([each.name for each in modules], processes))
+            return len(modules), 0
+
+        listed = {name: list(NAMES) for name in ("tests.b", "tests.alone", "tests.a")}
+        with (
+            mock.patch.object(run_tests, "ALONE", ("tests.alone",)),
+            mock.patch.object(run_tests, "run_modules", run),
+        ):
+            status, lines, _ = self.run_main("none", listed=listed)
+        self.assertEqual(calls[0], (["tests.alone"], 1))
+        self.assertEqual(calls[1][0], ["tests.a", "tests.b"])
+        self.assertEqual((status, lines[-1]), (0, "3 passed, 0 failed"))
+
     def test_failed_test_makes_the_run_fail(self):
         status, lines, _ = self.run_main("none", GOOD | {"passed": [NAMES[0]]})
         self.assertEqual((status, lines[-1]), (1, "1 passed, 1 failed"))
@@ -197,6 +214,10 @@
         self.assertIn(self.id(), ids)
         self.assertEqual(len(listed), len(list(module_files())))
 
+    def test_module_that_must_run_alone_is_there(self):
+        names = {".".join(each.with_suffix("").parts) for each in module_files()}
+        self.assertEqual(set(run_tests.ALONE) - names, set())
+
     def test_slowest_modules_are_there_and_start_first(self):
         names = sorted(".".join(each.with_suffix("").parts) for each in module_files())
         ordered = order_modules(names)
