Bound what callers make a router hold

Cause: bodies, whole answers and requests that were sent ahead had a bound each and none together, so 30 to 300 callers of 4 MiB each took a router beyond its VM. Connections were bounded by 3,000, whatever descriptors the process had. Answers of callers who had left stayed in cycles of exceptions and frames until the garbage collector ran, and bodies were copied up to three times.

Bodies are reserved by their length or piece by piece, answers that are read whole before they are read, so that the replica waits. Slow callers are cut once others need the bytes. Connections are bounded by half of the descriptors, and idle ones of the address with most of them are closed first. Threads that are ended keep no frames.

--- a/boragedeck/connection/caller_channel.py
+++ b/boragedeck/connection/caller_channel.py
@@ -5,6 +5,8 @@
 import h11
 import msgspec
 
+from boragedeck.connection.reservation import Reservation
+
 __all__ = ["CallerChannel", "RawRequest", "ResponseSender"]
 
 
@@ -49,9 +51,13 @@
     ----------
     conn : ResponseSender
         The caller's connection.
+    reservation : Reservation
+        What is held for the request.
 
     Attributes
     ----------
+    reservation : Reservation
+        What is held for the request.
     has_begun : bool
         Whether a response has been begun, so that its status can't change any more.
     is_finished : bool
@@ -70,8 +76,9 @@
     Each method that sends may raise `CallerDisconnectedError`; see `write`.
     """
 
-    def __init__(self, conn: ResponseSender):
+    def __init__(self, conn: ResponseSender, reservation: Reservation):
         self._conn = conn
+        self.reservation = reservation
         self.has_begun = False
         self.is_finished = False
         self.is_interrupted = False
--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -5,7 +5,9 @@
 disconnects while its request waits must be detected at once.
 """
 
+import io
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Protocol
 
 import eventlet
@@ -20,6 +22,8 @@
     UnansweredReason,
 )
 from boragedeck.connection.http_message import Headers
+from boragedeck.connection.memory_budget import Grant
+from boragedeck.connection.reservation import Reservation, ReservationService
 from boragedeck.exceptions import BoragedeckError
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.threads import end_thread
@@ -46,6 +50,9 @@
 REFUSED_IDLE_S = 1.0
 """How long a request is waited for that is going to be refused, in seconds."""
 BODY_TIMEOUT_S = 10.0
+NO_ROOM_RETRY_S = 1
+"""When a caller may send a body again for which there was no room, in seconds."""
+SLOW_TEXT = "the request arrived too slowly"
 MAX_LOGGED_CHARS = 200
 
 _log = PartLog("edge")
@@ -59,10 +66,12 @@
     limits: Callable[[], CallerLimits]
     handle: Handler
     timers: TimerService
+    reservations: ReservationService
     rejection_headers: Headers
     is_leaving: bool
     is_closing: bool
     is_ending: bool
+    send_buffer_bytes: int | None
     on_unanswered: Callable[[UnansweredReason], None]
 
 
@@ -75,6 +84,8 @@
         What all connections of the server have in common.
     sock : socket
         The connected socket.
+    address : str
+        The caller's address.
     is_refused : bool, optional
         Whether its request is refused, since there are too many connections.
 
@@ -85,9 +96,15 @@
     """
 
     def __init__(
-        self, server: Server, sock: socket.socket, *, is_refused: bool = False
+        self,
+        server: Server,
+        sock: socket.socket,
+        address: str,
+        *,
+        is_refused: bool = False,
     ):
         self._server = server
+        self.address = address
         self._is_refused = is_refused
         self._sock = sock
         self._timers = server.timers
@@ -103,17 +120,41 @@
         self._is_shut = False
         self._is_last_response = False
         self._channel: CallerChannel | None = None
+        # What is held for the current request; None if there is none.
+        self._reservation: Reservation | None = None
+        # Whether the answer is ended, since it is read slowly and others need room.
+        self._is_cut = False
 
     def set_up(self) -> None:
         """Set the options of the socket."""
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        size = self._server.send_buffer_bytes
+        if size is not None:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
     def run(self) -> None:
         """Serve requests until the connection ends."""
-        while True:
-            req = self._next_request()
-            if req is None or not self._serve(req):
-                return
+        while self._serve_next():
+            pass
+
+    @property
+    def is_shut(self) -> bool:
+        """Whether no more requests are read, as it is being closed."""
+        return self._is_shut
+
+    @property
+    def idle_since(self) -> float | None:
+        """Since when it waits for a request; None if one has begun to arrive."""
+        if not self._is_idle or self._is_shut:
+            return None
+        if self._buffer or self._has_unread_bytes():
+            return None
+        return self._idle_since
+
+    def close_idle(self) -> None:
+        """Close the connection, which is idle, so that another one can be served."""
+        self._is_shut = True
+        self._shut_down()
 
     @property
     def request_id(self) -> str | None:
@@ -182,18 +223,57 @@
         timeout_error = TimeoutError("the caller does not read the response")
         try:
             with eventlet.Timeout(timeout_s, timeout_error):
-                self._sock.sendall(data)
+                self._send(memoryview(data))
         except OSError as exc:
-            is_late = exc is timeout_error
+            is_late = exc is timeout_error or self._is_cut
             error = CallerNotReadingError if is_late else CallerDisconnectedError
             raise error(str(exc), step="send response") from exc
+        finally:
+            # Its traceback refers to this frame, and the data would wait for the
+            # garbage collector.
+            timeout_error = None
 
-    def _next_request(self) -> RawRequest | None:
+    def _send(self, data: memoryview) -> None:
+        """Send all bytes; slices of a view are no copies."""
+        try:
+            data = data[self._sock.fd.send(data) :]
+        except BlockingIOError:
+            pass  # The caller hasn't read what was sent before.
+        if not data:
+            return
+        reservation = self._reservation
+        reservation.begin_sending(len(data))
+        try:
+            while data:
+                count = self._sock.send(data)
+                reservation.note_moved(count)
+                data = data[count:]
+        finally:
+            reservation.end_sending()
+
+    def _serve_next(self) -> bool:
+        """Serve a request; return whether the connection can serve another one."""
         self._channel = None
         if not self._buffer:
             self._buffer = self._wait_first_bytes()
         if not self._buffer:
-            return None
+            return False
+        self._reservation = self._server.reservations.open(self.address, self._cut)
+        try:
+            req = self._next_request()
+            return req is not None and self._serve(req)
+        finally:
+            self._reservation.close()
+
+    def _cut(self) -> None:
+        """End what the caller is slow at, since others need the bytes."""
+        self._is_cut = True
+        if not self._is_reading:
+            self._shut_down()
+        elif self._reader is not None:
+            end_thread(self._reader, _slow_rejection())
+
+    def _next_request(self) -> RawRequest | None:
         self._is_idle = False
         # The limits may have changed during the wait.
         limits = self._server.limits()
@@ -204,13 +284,16 @@
         try:
             return self._read_request(limits)
         except h11.RemoteProtocolError as exc:
-            self._reject(exc.error_status_hint, str(exc))
+            refusal = exc.error_status_hint, str(exc), None
         except eventlet.Timeout:
-            self._reject(408, "the request arrived too slowly")
+            refusal = 408, SLOW_TEXT, None
         except _RejectedError as exc:
-            self._reject(exc.status, exc.message)
+            refusal = exc.status, exc.message, exc.retry_after_s
         finally:
             self._is_reading = False
+        # Nothing refers to the frames that hold the body any more.
+        self._reservation.drop_body()
+        self._reject(*refusal)
         return None
 
     def _wait_first_bytes(self) -> bytes:
@@ -273,30 +356,62 @@
         _check_size(head, limits)
         if self._is_refused:
             raise _RejectedError("too many connections", 503)
-        body = bytearray()
+        length = _declared_length(headers)
+        if length > limits.body_bytes:
+            raise _too_long_rejection()
         with eventlet.Timeout(max(BODY_TIMEOUT_S, limits.header_timeout_s)):
-            while True:
-                if self._parser.they_are_waiting_for_100_continue:
-                    self.send_event(
-                        h11.InformationalResponse(status_code=100, headers=[])
-                    )
-                event = self._read_event()
-                if isinstance(event, h11.EndOfMessage):
-                    break
-                if not isinstance(event, h11.Data):
-                    return None
-                body += event.data
-                if len(body) > limits.body_bytes:
-                    raise _RejectedError("the request body is too long", 413)
+            body = self._read_body(length, limits)
+        if body is None:
+            return None
         return RawRequest(
             head.method,
             head.target,
             headers,
-            bytes(body),
+            body,
             arrived,
             received=self._timers.now(),
         )
 
+    def _read_body(self, length: int, limits: CallerLimits) -> bytes | None:
+        """Read a body, whose bytes are reserved before; None if it is cut off."""
+        # Its value is no copy, unlike that of a bytearray.
+        body = io.BytesIO()
+        size, reserved = 0, length
+        self._take(length)
+        while True:
+            if self._parser.they_are_waiting_for_100_continue:
+                self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
+            event = self._read_event()
+            if isinstance(event, h11.EndOfMessage):
+                self._reservation.note_received()
+                return body.getvalue()
+            if not isinstance(event, h11.Data):
+                return None
+            size += len(event.data)
+            if size > limits.body_bytes:
+                raise _too_long_rejection()
+            if size > reserved:
+                self._take(size - reserved)
+                reserved = size
+            body.write(event.data)
+            self._reservation.note_moved(len(event.data))
+
+    def _take(self, count: int) -> None:
+        """Reserve bytes of a body.
+
+        Raises
+        ------
+        _RejectedError
+            If there is no room for them.
+        """
+        match self._reservation.take_body(count):
+            case Grant.SHORT:
+                raise _RejectedError(
+                    "no room for the request body", 503, retry_after_s=NO_ROOM_RETRY_S
+                )
+            case Grant.NEVER:
+                raise _too_long_rejection()
+
     def _read_event(self):
         while True:
             event = self._parser.next_event()
@@ -312,6 +427,8 @@
         """Wait for the next bytes of a request that has begun to arrive."""
         if self._server.is_ending:
             raise _stopping_rejection()
+        if self._is_cut:
+            raise _slow_rejection()
         self._reader = eventlet.getcurrent()
         try:
             return self._sock.recv(READ_BYTES)
@@ -323,7 +440,7 @@
         # Bytes after the request belong to the caller's next one.
         rest, is_closed = self._parser.trailing_data
         self._buffer = bytes(rest)
-        channel = self._channel = CallerChannel(self)
+        channel = self._channel = CallerChannel(self, self._reservation)
         self.is_handling = True
         watcher = eventlet.spawn(self._watch_for_disconnect, eventlet.getcurrent())
         reason, error = UnansweredReason.NO_ANSWER, None
@@ -339,6 +456,8 @@
         if reason is UnansweredReason.DEFECT or not channel.is_finished:
             # Without the last chunk, the caller sees that the response is incomplete.
             self._note_unanswered(req, channel, reason, error)
+            # Its traceback refers to this frame, which holds the request's body.
+            error = None
             return False
         states = self._parser.our_state, self._parser.their_state
         if states != (h11.DONE, h11.DONE) or is_closed:
@@ -375,40 +494,55 @@
         self._server.on_unanswered(reason)
 
     def _watch_for_disconnect(self, serving_thread) -> None:
-        """Stop the green thread that serves the request when the caller disconnects."""
-        while self._is_open():
-            if len(self._buffer) >= MAX_AHEAD_BYTES:
-                self._timers.sleep(OPEN_POLL_S)
-        self._is_eof = True
-        # After its answer, nothing is left to end for it, and the handler cleans up.
-        if self.is_handling and not self._channel.is_finished:
-            self._interrupt(serving_thread)
+        """Stop the green thread that serves the request when the caller disconnects.
+
+        Notes
+        -----
+        An exception that ended this thread would be kept with its frames, which refer
+        to those that hold the answer.
+        """
+        with suppress(eventlet.greenlet.GreenletExit):
+            while self._is_open():
+                if self._is_ahead_full():
+                    self._timers.sleep(OPEN_POLL_S)
+            self._is_eof = True
+            # After its answer, nothing is left to end for it; the handler cleans up.
+            if self.is_handling and not self._channel.is_finished:
+                self._interrupt(serving_thread)
 
     def _interrupt(self, serving_thread) -> None:
         if not self._channel.is_interrupted:
             self._channel.is_interrupted = True
-            error = CallerDisconnectedError("closed", step="serve")
-            end_thread(serving_thread, error)
+            error = CallerNotReadingError if self._is_cut else CallerDisconnectedError
+            end_thread(serving_thread, error("closed", step="serve"))
+
+    def _is_ahead_full(self) -> bool:
+        """Return whether no more of the caller's next requests is read."""
+        is_full = self._server.reservations.is_full()
+        return len(self._buffer) >= MAX_AHEAD_BYTES or (is_full and bool(self._buffer))
 
     def _is_open(self) -> bool:
         """Return whether the caller is there; read its next bytes if there is room."""
         try:
-            if len(self._buffer) >= MAX_AHEAD_BYTES:
+            if self._is_ahead_full():
                 info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
                 return info[0] == TCP_ESTABLISHED
             data = self._sock.recv(READ_BYTES)
         except OSError:
             return False
         self._buffer += data
+        self._reservation.add_ahead(len(data))
         return bool(data)
 
-    def _reject(self, status: int, text: str) -> None:
+    def _reject(self, status: int, text: str, retry_after_s: int | None = None) -> None:
         _log.write("Request refused.", status=status, reason=text)
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         self._is_last_response = True
         headers = [(b"Content-Type", b"text/plain"), *self._server.rejection_headers]
-        self._channel = CallerChannel(self)
+        if retry_after_s is not None:
+            headers.append((b"Retry-After", b"%d" % retry_after_s))
+        self._channel = CallerChannel(self, self._reservation)
         self._channel.respond(status, headers, text.encode())
         self._linger()
 
@@ -429,9 +563,10 @@
 
 
 class _RejectedError(BoragedeckError):
-    def __init__(self, message: str, status: int):
+    def __init__(self, message: str, status: int, *, retry_after_s: int | None = None):
         super().__init__(message, step="read request")
         self.status = status
+        self.retry_after_s = retry_after_s
 
 
 def _stopping_rejection() -> _RejectedError:
@@ -439,6 +574,20 @@
     return _RejectedError("this router stops", 503)
 
 
+def _slow_rejection() -> _RejectedError:
+    return _RejectedError(SLOW_TEXT, 408)
+
+
+def _too_long_rejection() -> _RejectedError:
+    return _RejectedError("the request body is too long", 413)
+
+
+def _declared_length(headers: Headers) -> int:
+    """Return the length that the head of a request names; 0 if it names none."""
+    values = (value for name, value in headers if name.lower() == b"content-length")
+    return int(next(values, b"0"))
+
+
 def _check_framing(headers: list[tuple[bytes, bytes]]) -> None:
     names = [name.lower() for name, _ in headers]
     if b"transfer-encoding" in names and b"content-length" in names:
--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -1,25 +1,36 @@
 """HTTP/1.1 server for callers whose requests are relayed."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import eventlet
 from eventlet.green import socket
 
 from boragedeck.connection.caller_connection import CallerConnection, Handler
 from boragedeck.connection.caller_ends import CallerDisconnectedError, UnansweredReason
+from boragedeck.connection.connection_table import (
+    ConnectionBounds,
+    IdleConnection,
+    choose_idle,
+)
 from boragedeck.connection.http_message import Headers
 from boragedeck.connection.listening import accept_waiting, close_listener
+from boragedeck.connection.reservation import (
+    ReservationService,
+    unlimited_reservations,
+)
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 from boragedeck.version.routing import CallerLimits
 
-__all__ = ["CallerEdge"]
+__all__ = ["MAX_CONNECTIONS", "CallerEdge"]
 
 ACCEPT_PAUSE_S = 0.05
 """Pause after a failed accept, in seconds."""
 MAX_CONNECTIONS = 3_000
 MAX_REFUSED_CONNECTIONS = 300
 """Number of connections beyond these on which a request is refused."""
+LOG_INTERVAL_S = 10.0
+"""How often it is logged that there are too many connections."""
 
 _log = PartLog("edge")
 
@@ -28,6 +39,10 @@
     """Do nothing; the default of `CallerEdge.on_unanswered`."""
 
 
+def _ignore_closed_idle() -> None:
+    """Do nothing; the default of `CallerEdge.on_closed_idle`."""
+
+
 class CallerEdge:
     """Accepts callers and handles their requests, one green thread per connection.
 
@@ -44,6 +59,14 @@
         The source of time.
     rejection_headers : list of tuple of bytes, optional
         Headers of the answers to requests that can't be read, and so aren't handled.
+    reservations : ReservationService, optional
+        Reserves the bytes that are held for callers; without a limit by default.
+    bounds : ConnectionBounds, optional
+        How many connections are open.
+    closes_idle : bool, optional
+        Whether idle connections are closed for new ones, if there are too many.
+    send_buffer_bytes : int or None, optional
+        Size of each connection's send buffer; None for the system's default.
 
     Attributes
     ----------
@@ -57,6 +80,8 @@
     on_unanswered : callable
         Called with the reason when a connection is closed, on which a request has been
         read, without a whole answer to it.
+    on_closed_idle : callable
+        Called when an idle connection is closed for a new one.
     """
 
     def __init__(
@@ -66,17 +91,28 @@
         handle: Handler,
         timers: TimerService,
         rejection_headers: Headers | None = None,
+        *,
+        reservations: ReservationService | None = None,
+        bounds: ConnectionBounds | None = None,
+        closes_idle: bool = False,
+        send_buffer_bytes: int | None = None,
     ):
         self._listener = listener
         self.limits = limits
         self.handle = handle
         self.timers = timers
         self.rejection_headers = rejection_headers or []
+        self.reservations = reservations or unlimited_reservations(timers)
+        self._given_bounds = bounds
+        self._closes_idle = closes_idle
+        self.send_buffer_bytes = send_buffer_bytes
         self.is_leaving = False
         self.is_closing = False
         self.is_ending = False
         self.on_unanswered: Callable[[UnansweredReason], None] = _ignore_unanswered
+        self.on_closed_idle: Callable[[], None] = _ignore_closed_idle
         self._conns: set[CallerConnection] = set()
+        self._logged_full_at = float("-inf")
 
     def serve(self) -> None:
         """Accept connections until the listener is closed."""
@@ -144,16 +180,53 @@
 
     def _add(self, sock: socket.socket) -> None:
         """Serve a connection, which counts before its green thread runs."""
-        excess = len(self._conns) - MAX_CONNECTIONS
+        excess = len(self._conns) - self._bounds.served
         if excess >= 0:
-            _log.write("Too many connections.", connections=len(self._conns))
-        if excess >= MAX_REFUSED_CONNECTIONS:
+            excess = self._excess_after_closing()
+        if excess >= self._bounds.refused:
             sock.close()
             return
-        conn = CallerConnection(self, sock, is_refused=excess >= 0)
+        address = _address_of(sock)
+        conn = CallerConnection(self, sock, address, is_refused=excess >= 0)
         self._conns.add(conn)
         eventlet.spawn_n(self._run, conn, sock)
 
+    @property
+    def _bounds(self) -> ConnectionBounds:
+        default = ConnectionBounds(MAX_CONNECTIONS, MAX_REFUSED_CONNECTIONS)
+        return self._given_bounds or default
+
+    def _excess_after_closing(self) -> int:
+        """Close an idle connection; return how many are served beyond the bound."""
+        self._log_full()
+        if self._closes_idle:
+            self._close_idle_one()
+        served = sum(not conn.is_shut for conn in self._conns)
+        return served - self._bounds.served
+
+    def _close_idle_one(self) -> None:
+        chosen = choose_idle(
+            (conn.address for conn in self._conns), self._idle_connections()
+        )
+        if chosen is None:
+            return
+        chosen.key.close_idle()
+        self.on_closed_idle()
+        # Its green thread closes the socket.
+        eventlet.sleep(0)
+
+    def _idle_connections(self) -> Iterator[IdleConnection]:
+        for conn in self._conns:
+            since = conn.idle_since
+            if since is not None:
+                yield IdleConnection(conn, conn.address, since)
+
+    def _log_full(self) -> None:
+        now = self.timers.now()
+        if now - self._logged_full_at >= LOG_INTERVAL_S:
+            self._logged_full_at = now
+            _log.write("Too many connections.", connections=len(self._conns))
+
     def _run(self, conn: CallerConnection, sock: socket.socket) -> None:
         try:
             conn.set_up()
@@ -164,3 +237,11 @@
         finally:
             self._conns.discard(conn)
             sock.close()
+
+
+def _address_of(sock: socket.socket) -> str:
+    """Return the address of a caller, who may have left already."""
+    try:
+        return sock.getpeername()[0]
+    except OSError:
+        return ""
--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -5,6 +5,7 @@
 request, and distinguishes a truncated answer from one that ends with the connection.
 """
 
+import io
 from collections.abc import Callable
 
 import eventlet
@@ -15,6 +16,7 @@
     Message,
     encode_request,
 )
+from boragedeck.connection.reservation import AnswerRoom
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.connection.upstream_connection import (
     DEFAULT_IDLE_S,
@@ -82,6 +84,8 @@
         self._interim_answers = 0
         # Bytes of a late answer that were read and discarded so far.
         self._skipped_bytes = 0
+        # The length of the answer's body; None if its head names none.
+        self._length: int | None = None
 
     @property
     def request_id(self) -> bytes | None:
@@ -104,6 +108,7 @@
                 headers = [(bytes(n), bytes(v)) for n, v in event.headers.raw_items()]
                 head = AnswerHead(event.status_code, headers)
                 self._conn.idle_s = _idle_s(head)
+                self._length = _length(head)
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._error("the connection ended without an answer", "read head")
@@ -146,21 +151,39 @@
                 return b""
         raise self._error("the answer was truncated", "read body")
 
-    def read_all(self, timeout_s: float, max_bytes: int) -> bytes:
+    def read_all(
+        self, timeout_s: float, max_bytes: int, room: AnswerRoom | None = None
+    ) -> bytes:
         """Read the whole body within `timeout_s`; see `read`.
 
+        Parameters
+        ----------
+        timeout_s : float
+            The longest time, in seconds.
+        max_bytes : int
+            The longest body.
+        room : AnswerRoom, optional
+            Where its bytes are reserved. The replica isn't read while there is none.
+
         Raises
         ------
         UpstreamAnswerTooLargeError
             If the body is longer than `max_bytes`.
+        AnswerRoomError
+            If there is no room for it in time.
         """
-        body = bytearray()
+        # Its value is no copy, unlike that of a bytearray.
+        body = io.BytesIO()
+        size = 0
         with eventlet.Timeout(timeout_s, self._silent_error("read body")):
             while part := self.read(timeout_s):
-                body += part
-                if len(body) > max_bytes:
+                size += len(part)
+                if size > max_bytes:
                     raise self._excess_error("the answer body is too long", "read body")
-        return bytes(body)
+                if room is not None:
+                    room.hold(size, self._length, max_bytes)
+                body.write(part)
+        return body.getvalue()
 
     def skip(self, timeout_s: float) -> None:
         """Read and discard the body of an answer to an earlier request.
@@ -246,6 +269,12 @@
         return UpstreamError(text, step=step, peer=str(self._conn.address))
 
 
+def _length(head: AnswerHead) -> int | None:
+    """Return the length of an answer's body; None if its head names none."""
+    text = head.get(b"content-length")
+    return int(text) if text is not None and text.isdigit() else None
+
+
 def _idle_s(head: AnswerHead) -> float:
     """Return how long a connection may be idle after an answer, in seconds."""
     text = head.get(b"keep-alive") or b""
--- a/boragedeck/connection/http_message.py
+++ b/boragedeck/connection/http_message.py
@@ -1,12 +1,13 @@
 """A request to a replica and the head of its answer, as HTTP/1.1 has them."""
 
-from collections.abc import Iterator
-
 import h11
 import msgspec
 
 __all__ = ["AnswerHead", "Headers", "Message", "encode_request"]
 
+JOINED_BYTES = 64 * 1024
+"""How much of a body is copied to be sent with its head."""
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -60,19 +61,23 @@
         return [value for other, value in self.headers if other.lower() == name]
 
 
-def encode_request(parser: h11.Connection, message: Message) -> bytes:
-    """Return the bytes of a request; the parser then counts it as sent."""
+def encode_request(parser: h11.Connection, message: Message) -> list[memoryview]:
+    """Return the parts of a request; the parser then counts it as sent.
+
+    Notes
+    -----
+    The beginning of a long body goes with the head: a head by itself makes uploads to
+    replicas with small receive buffers slower. The rest isn't copied.
+    """
     headers = list(message.headers)
-    if message.body or message.method not in (b"GET", b"HEAD", b"DELETE"):
-        headers.append((b"Content-Length", b"%d" % len(message.body)))
+    body = message.body
+    if body or message.method not in (b"GET", b"HEAD", b"DELETE"):
+        headers.append((b"Content-Length", b"%d" % len(body)))
     request = h11.Request(method=message.method, target=message.target, headers=headers)
-    return b"".join(_encoded_parts(parser, request, message.body))
-
-
-def _encoded_parts(
-    parser: h11.Connection, request: h11.Request, body: bytes
-) -> Iterator[bytes]:
-    yield parser.send(request) or b""
+    head = parser.send(request) or b""
     if body:
-        yield parser.send(h11.Data(data=body)) or b""
-    yield parser.send(h11.EndOfMessage()) or b""
+        parser.send(h11.Data(data=body))
+    parser.send(h11.EndOfMessage())
+    first = memoryview(head + body[:JOINED_BYTES])
+    rest = memoryview(body)[JOINED_BYTES:]
+    return [first, rest] if rest else [first]
--- a/boragedeck/connection/upstream_connection.py
+++ b/boragedeck/connection/upstream_connection.py
@@ -1,6 +1,7 @@
 """A connection to a replica: its socket, and the parser of its current exchange."""
 
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable
 
 import eventlet
 import h11
@@ -73,7 +74,7 @@
         self._waits_since: float | None = None
         self.sent = SentRequests()
         # What the replica hasn't taken of the current request.
-        self._unsent = memoryview(b"")
+        self._unsent: deque[memoryview] = deque()
         # Why the rest of it can't be sent; None if it can.
         self._send_error: OSError | None = None
 
@@ -93,9 +94,9 @@
         """Whether a part of the current request hasn't been sent."""
         return bool(self._unsent)
 
-    def send(self, data: bytes) -> None:
+    def send(self, parts: Iterable[memoryview]) -> None:
         """Send a request as far as it is taken at once; `send_rest` sends the rest."""
-        self._unsent = memoryview(data)
+        self._unsent = deque(parts)
         with eventlet.Timeout(0, False):
             self.send_rest()
 
@@ -116,11 +117,13 @@
 
     def _send_part(self) -> None:
         try:
-            count = self.sock.send(self._unsent)
+            count = self.sock.send(self._unsent[0])
         except OSError as exc:
             self._send_error = exc
-        else:
-            self._unsent = self._unsent[count:]
+            return
+        part = self._unsent.popleft()[count:]
+        if part:
+            self._unsent.appendleft(part)
 
     def receive(self) -> bytes:
         """Wait for bytes; return an empty value at the end of the connection.
--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -3,6 +3,7 @@
 from boragedeck.ids import ExecutionStatus
 
 __all__ = [
+    "AnswerRoomError",
     "AttemptDefectError",
     "BoragedeckError",
     "ForwardDeclinedError",
@@ -165,6 +166,10 @@
     """An attempt ended by an unexpected exception in this router."""
 
 
+class AnswerRoomError(UpstreamWithdrawnError):
+    """An answer found no room in this router within the request's time."""
+
+
 class StreamOrderError(BoragedeckError):
     """What is to be written of a stream doesn't follow what the caller has."""
 
--- a/boragedeck/platform/settings.py
+++ b/boragedeck/platform/settings.py
@@ -18,6 +18,7 @@
 SETTINGS_FILE_VARIABLE = "BORAGEDECK_CONFIG"
 METRICS_PORT_VARIABLE = "BORAGEDECK_METRICS_PORT"
 DEFAULT_METRICS_PORT = "9464"
+MAX_LIMIT = 1e9
 
 
 class _Listen(msgspec.Struct, rename="camel"):
@@ -42,6 +43,8 @@
     """Share of one core, which is `cores` times as fast as a standard core."""
     cores: float = 1.0
     link_mbps: float = 1.0
+    memory_mb: float | None = None
+    max_fds: float | None = None
 
 
 class _Store(msgspec.Struct, rename="camel"):
@@ -98,6 +101,9 @@
     if file.heartbeat_ms <= 0.0:
         raise ValueError(f"heartbeatMs got {file.heartbeat_ms}; expected more than 0")
     bounds, limits = file.bounds, file.limits
+    for name, value in (("memoryMb", limits.memory_mb), ("maxFds", limits.max_fds)):
+        if value is not None and not 0 < value < MAX_LIMIT:
+            raise ValueError(f"limits.{name} got {value}; expected more than 0")
     return RelaySettings(
         vm=VmName(file.node),
         failure_domain=FailureDomain(file.zone),
@@ -121,6 +127,8 @@
         ),
         heartbeat_s=file.heartbeat_ms / 1000.0,
         capacity=limits.link_mbps * limits.cpu_share * limits.cores,
+        memory_mb=limits.memory_mb,
+        max_fds=None if limits.max_fds is None else int(limits.max_fds),
     )
 
 
--- a/boragedeck/process/composition.py
+++ b/boragedeck/process/composition.py
@@ -6,12 +6,20 @@
 import eventlet
 import msgspec
 
-from boragedeck.connection.edge import serve_http
+from boragedeck.connection.connection_table import connection_bounds
+from boragedeck.connection.edge import (
+    MAX_CONNECTIONS,
+    CallerConnections,
+    serve_http,
+)
 from boragedeck.connection.engine import open_run
 from boragedeck.connection.listening import close_listener
+from boragedeck.connection.memory_budget import MemoryBudget
 from boragedeck.connection.metrics_poll import EngineProbe
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
 from boragedeck.connection.platform import HttpPlatform
+from boragedeck.connection.reservation import ReservationService
+from boragedeck.connection.resource_limits import resource_limits
 from boragedeck.connection.service import HttpServices
 from boragedeck.ids import Health, RouterId
 from boragedeck.interfaces import Member
@@ -32,6 +40,7 @@
 from boragedeck.process.membership.gossip import GossipBoard
 from boragedeck.process.membership.membership import GossipMembership
 from boragedeck.process.membership.peer_guard import make_guard
+from boragedeck.process.observing.budget_metrics import BudgetMetrics
 from boragedeck.process.observing.metrics import Metrics
 from boragedeck.process.observing.status import StatusReport
 from boragedeck.process.placing.chooser import PoolChooser
@@ -120,7 +129,18 @@
         self._config.start()
         self._rollouts.start()
         self._pruner.start()
-        eventlet.spawn_n(serve_http, self._listener, self.api)
+        limits = resource_limits(self._settings.memory_mb, self._settings.max_fds)
+        budget = MemoryBudget(limits.budget_bytes)
+        reservations = ReservationService(budget, self.timers)
+        metrics = BudgetMetrics(self.metrics.registry, budget)
+        reservations.on_event = metrics.note_event
+        bounds = connection_bounds(
+            limits.max_fds, min(MAX_CONNECTIONS, limits.max_connections)
+        )
+        connections = CallerConnections(bounds, metrics.closed_idle.inc)
+        eventlet.spawn_n(
+            serve_http, self._listener, self.api, reservations, connections
+        )
 
     def drain(self) -> None:
         """Stop the router without interrupting requests; return when it is closed.
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -8,10 +8,15 @@
 from prometheus_client import make_wsgi_app
 
 from boragedeck.connection.caller_channel import CallerChannel, RawRequest
-from boragedeck.connection.caller_edge import CallerEdge
+from boragedeck.connection.caller_edge import MAX_CONNECTIONS, CallerEdge
+from boragedeck.connection.connection_table import connection_bounds
+from boragedeck.connection.memory_budget import MemoryBudget
+from boragedeck.connection.reservation import ReservationService
+from boragedeck.connection.resource_limits import resource_limits
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
 from boragedeck.platform.store import PlatformStore
+from boragedeck.process.observing.budget_metrics import BudgetMetrics
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.observing.metrics import Metrics
 from boragedeck.process.relaying.draining import DrainPeriod
@@ -108,13 +113,23 @@
         )
         self._parts = self._relaying.parts
         watch_address_claims(self._parts)
+        self._limits = resource_limits(settings.memory_mb, settings.max_fds)
+        self._reservations = self._make_reservations()
         self._forward_edge = self._make_forward_edge()
         self._edge = CallerEdge(
             listener,
             lambda: self._routing.current().limits,
             self._handle,
             self.timers,
+            reservations=self._reservations,
+            bounds=connection_bounds(
+                self._limits.max_fds,
+                min(MAX_CONNECTIONS, self._limits.max_connections),
+            ),
+            closes_idle=True,
+            send_buffer_bytes=self._limits.send_buffer_bytes,
         )
+        self._edge.on_closed_idle = self._budget_metrics.closed_idle.inc
         for edge in (self._edge, self._forward_edge):
             edge.on_unanswered = self.metrics.note_unanswered
 
@@ -159,6 +174,18 @@
             [self._edge, self._forward_edge], self._parts.open_requests
         )
 
+    def _make_reservations(self) -> ReservationService:
+        budget = MemoryBudget(self._limits.budget_bytes)
+        service = ReservationService(budget, self.timers)
+        self._budget_metrics = BudgetMetrics(self.metrics.registry, budget)
+        service.on_event = self._budget_metrics.note_event
+        _log.write(
+            "Limits.",
+            budget_bytes=self._limits.budget_bytes,
+            max_fds=self._limits.max_fds,
+        )
+        return service
+
     def _make_forward_edge(self) -> CallerEdge:
         parts = self._parts
         return make_forward_edge(
@@ -172,6 +199,8 @@
             self.metrics,
             lambda: self._routing.current().limits,
             self._drain_period.time_left,
+            self._reservations,
+            self._limits,
         )
 
     def _handle(self, raw: RawRequest, channel: CallerChannel) -> None:
--- a/boragedeck/process/relaying/paths/path_composition.py
+++ b/boragedeck/process/relaying/paths/path_composition.py
@@ -6,7 +6,8 @@
 import msgspec
 from eventlet.greenio import GreenSocket
 
-from boragedeck.connection.caller_edge import CallerEdge
+from boragedeck.connection.caller_edge import MAX_CONNECTIONS, CallerEdge
+from boragedeck.connection.connection_table import PEER_SHARE, connection_bounds
 from boragedeck.connection.exchange import DEFAULT_IDLE_S
 from boragedeck.connection.forwarding import (
     ForwardedExchange,
@@ -14,6 +15,8 @@
     failure_headers,
 )
 from boragedeck.connection.peer import Address, PeerLinks, PeerServer
+from boragedeck.connection.reservation import ReservationService
+from boragedeck.connection.resource_limits import ResourceLimits
 from boragedeck.connection.upstream_pool import UpstreamPool
 from boragedeck.interfaces import Member, Membership
 from boragedeck.process.relaying.paths.gateway_sender import GatewaySender
@@ -115,6 +118,8 @@
     metrics: RelayMetrics,
     limits: Callable[[], CallerLimits],
     time_left: Callable[[], float],
+    reservations: ReservationService | None = None,
+    resources: ResourceLimits | None = None,
 ) -> CallerEdge:
     """Return the server at which other routers let this one forward requests.
 
@@ -128,7 +133,17 @@
         Returns the limits of callers' requests; see `forward_limits`.
     time_left : callable
         Returns how long this process will still serve requests, in seconds.
+    reservations : ReservationService, optional
+        Reserves the bytes that are held for them; without a limit by default.
+    resources : ResourceLimits, optional
+        What the process may use; without it, only the number of connections is bounded.
+
+    Notes
+    -----
+    Idle connections of other routers aren't closed for new ones.
     """
+    max_fds = None if resources is None else resources.max_fds
+    buffer_bytes = None if resources is None else resources.send_buffer_bytes
     forwarder = Forwarder(
         timers,
         registry,
@@ -146,4 +161,7 @@
         timers,
         # What hasn't been read has certainly not been sent to a replica.
         rejection_headers=failure_headers(ForwardFailure.DECLINED),
+        reservations=reservations,
+        bounds=connection_bounds(max_fds, MAX_CONNECTIONS, PEER_SHARE),
+        send_buffer_bytes=buffer_bytes,
     )
--- a/boragedeck/process/relaying/settings.py
+++ b/boragedeck/process/relaying/settings.py
@@ -61,6 +61,10 @@
         How often replicas renew their entries in the platform's list, in seconds.
     capacity : float
         The VM's capacity: its link in Mbit/s times its processor in cores.
+    memory_mb : float or None
+        The VM's memory, in MB; None if it isn't named.
+    max_fds : int or None
+        The descriptors that the process may open; None if they aren't named.
     """
 
     vm: VmName
@@ -74,3 +78,5 @@
     bounds: Bounds
     heartbeat_s: float
     capacity: float = 1.0
+    memory_mb: float | None = None
+    max_fds: int | None = None
--- a/boragedeck/process/settings.py
+++ b/boragedeck/process/settings.py
@@ -30,6 +30,9 @@
 ENVIRONMENT_PREFIX = "BORAGEDECK_"
 MAX_PORT = 65_535
 MAX_DRAIN_S = 3600.0
+MAX_MEMORY_MB = 1e7
+MIN_FDS = 64
+MAX_FDS = 10_000_000
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,6 +66,10 @@
         The file that logs are appended to; None for standard error.
     drain_s : float
         How long running answers may go on after a stop is requested, in seconds.
+    memory_mb : float or None
+        The VM's memory, in MB; None if it isn't known.
+    max_fds : int or None
+        The descriptors that the daemon may open; None if that isn't known.
     """
 
     listen: Address
@@ -79,6 +86,8 @@
     tls_ca: Path | None = None
     log_file: Path | None = None
     drain_s: float = 30.0
+    memory_mb: float | None = None
+    max_fds: int | None = None
 
 
 class Setting(msgspec.Struct, frozen=True):
@@ -351,6 +360,20 @@
     return value
 
 
+def _memory_mb(text: str) -> float:
+    value = float(text)
+    if not 0.0 < value <= MAX_MEMORY_MB:
+        raise ValueError(f"not above 0 and up to {MAX_MEMORY_MB:.0f}")
+    return value
+
+
+def _descriptors(text: str) -> int:
+    value = int(text)
+    if not MIN_FDS <= value <= MAX_FDS:
+        raise ValueError(f"not from {MIN_FDS} to {MAX_FDS}")
+    return value
+
+
 SETTINGS: tuple[Setting, ...] = (
     Setting(
         "listen",
@@ -432,4 +455,17 @@
         "how long running answers may go on after SIGTERM or SIGINT",
         default="30",
     ),
+    Setting(
+        "memory_mb",
+        _memory_mb,
+        "MB, above 0",
+        "memory of the VM, which bounds what is held for callers; by default 512, or"
+        " half of the machine's memory if that is less",
+    ),
+    Setting(
+        "max_fds",
+        _descriptors,
+        "COUNT, 64 or more",
+        "descriptors that the daemon may open; half of them are for callers",
+    ),
 )
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -1,6 +1,7 @@
 """Relays one call; the answer is read completely before it is sent to the caller."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from typing import TypeVar
 
 import eventlet
@@ -9,7 +10,9 @@
 
 from boragedeck.connection.exchange import Exchange
 from boragedeck.connection.http_message import Headers
+from boragedeck.connection.reservation import AnswerRoom
 from boragedeck.exceptions import (
+    AnswerRoomError,
     AttemptDefectError,
     RefusedError,
     UpstreamError,
@@ -224,6 +227,11 @@
         self._running_attempts[attempt] = place
 
     def _run_attempt_thread(self, place: Place) -> None:
+        # An exception that ended this thread would be kept with the frames of its body.
+        with suppress(eventlet.greenlet.GreenletExit):
+            self._run_and_report(place)
+
+    def _run_and_report(self, place: Place) -> None:
         # This result remains if the thread is killed.
         result: AttemptResult = AnswerLost("stopped")
         try:
@@ -258,8 +266,8 @@
             # The replica could not be reached, so nothing was sent.
             self._note_lost_attempt(place, exc, "not_reached")
             return NotTaken(exc.message)
-        except AttemptDefectError as exc:
-            # A defect of this router says nothing about the replica.
+        except (AnswerRoomError, AttemptDefectError) as exc:
+            # What this router lacks says nothing about the replica.
             job.note_attempt_failed(place, exc)
             return AnswerLost(exc.message)
         except UpstreamError as exc:
@@ -294,7 +302,7 @@
         job, state, verdict = self._job, place.state, pending.verdict
         if verdict.kind is VerdictKind.SUCCESS:
             progress.note_head()
-        body = pending.exchange.read_all(job.left_s(), MAX_ANSWER_BYTES)
+        body = self._read_body(pending)
         kind = job.rule.kind.value
         job.parts.metrics.attempts.labels(kind, verdict.kind.value).inc()
         match verdict.kind:
@@ -321,6 +329,29 @@
             job.note_attempt_failed(place, f"status {pending.head.status}")
         return CompleteAnswer(pending.head.status, verdict.headers, body, is_success)
 
+    def _read_body(self, pending: PendingAnswer) -> bytes:
+        """Read the body of an answer, whose bytes stay reserved if it is kept.
+
+        Raises
+        ------
+        AnswerRoomError
+            If the answer was lost after the replica wasn't read for a while.
+        """
+        left_s = self._job.left_s()
+        room = AnswerRoom(self._job.channel.reservation, left_s)
+        is_kept = False
+        try:
+            body = pending.exchange.read_all(left_s, MAX_ANSWER_BYTES, room)
+            is_kept = pending.verdict.kind in (VerdictKind.SUCCESS, VerdictKind.FAILED)
+            return body
+        except UpstreamError as exc:
+            if room.has_waited:
+                raise AnswerRoomError(exc.message, step="read body") from exc
+            raise
+        finally:
+            if not is_kept:
+                room.release()
+
     def _note_lost_attempt(
         self, place: Place, exc: UpstreamError, outcome: str
     ) -> None:
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -76,6 +76,7 @@
         self.organisation = organisation
         self.priority = priority
         self.channel = channel
+        channel.reservation.name_organisation(organisation)
         self.deadlines = request_deadlines(req, rule)
         self.traits = RequestTraits(
             pool.name,
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -9,6 +9,7 @@
 
 from boragedeck.connection.exchange import Exchange
 from boragedeck.connection.http_message import Headers
+from boragedeck.connection.reservation import AnswerRoom
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamNotAcceptingError,
@@ -294,7 +295,8 @@
                 error = f"not run, status {pending.head.status}"
                 return self._note_failed(error, reason, AttemptOutcome.NOT_TAKEN)
             case VerdictKind.FAILED:
-                body = pending.exchange.read_all(job.left_s(), MAX_ANSWER_BYTES)
+                room = AnswerRoom(job.channel.reservation, job.left_s())
+                body = pending.exchange.read_all(job.left_s(), MAX_ANSWER_BYTES, room)
                 self.failed_answer = FailedAnswer(
                     pending.head.status, verdict.headers, body
                 )
--- /dev/null
+++ b/tests/connection/test_reservations.py
@@ -0,0 +1,200 @@
+import unittest
+
+import eventlet
+
+from boragedeck.connection.connection_table import ConnectionBounds
+from boragedeck.connection.memory_budget import MemoryBudget, Use
+from boragedeck.connection.reservation import BudgetEvent, ReservationService
+from boragedeck.version.routing import CallerLimits
+from tests.support.replicas import (
+    RelayHarness,
+    ScriptedReplica,
+    answer,
+    call_rule,
+    drop,
+    events,
+    read_response,
+    send_request,
+    stream_rule,
+)
+
+MB = 1024 * 1024
+LIMIT = 12 * MB
+BODY = 4 * MB
+SETTLED_S = 0.1
+SLOW_S = 1.2
+LIMITS = CallerLimits(2_000, BODY, 3.0, 3.0)
+
+
+class ReservationCase(unittest.TestCase):
+    def start(self, rule, *steps, limit=LIMIT, limits=LIMITS):
+        self.harness = RelayHarness(rule, limits=limits)
+        self.addCleanup(self.harness.close)
+        self.budget = MemoryBudget(limit)
+        self.seen = []
+        service = ReservationService(self.budget, self.harness.timers)
+        service.on_event = self.seen.append
+        self.harness.edge.reservations = service
+        self.replica = ScriptedReplica("one", *steps)
+        self.harness.add(self.replica)
+
+    def assert_all_given_back(self):
+        eventlet.sleep(SETTLED_S)
+        self.assertEqual(self.budget.used, 0)
+        self.assertEqual(self.budget._of_party, {})
+
+    def send_unfinished(self, name=b"slow", size=BODY):
+        """Send a body without its last byte."""
+        sock = self.harness.connect()
+        head = b"POST /r/x HTTP/1.1\r\nHost: here.example\r\nRequest-Id: %s\r\n" % name
+        sock.sendall(head + b"Api-Key: key-1\r\nContent-Length: %d\r\n\r\n" % size)
+        sock.sendall(b"x" * (size - 1))
+        return sock
+
+
+class GivenBackTest(ReservationCase):
+    """Each guards against a leak on one path, which would refuse everybody at last."""
+
+    def test_call_with_a_body(self):
+        self.start(call_rule(), answer(b"y" * 300_000))
+        for name in (b"id-1", b"id-2"):
+            body = b"x" * 1_000_000
+            self.assertEqual(self.harness.fetch(body=body, name=name).status, 200)
+        self.assert_all_given_back()
+
+    def test_stream(self):
+        self.start(stream_rule(), events(1, 2))
+        self.assertTrue(self.harness.fetch(body=b"x" * 100_000).is_complete)
+        self.assert_all_given_back()
+
+    def test_call_whose_replica_breaks_off(self):
+        self.start(call_rule(), drop)
+        self.assertEqual(self.harness.fetch(body=b"x" * 100_000).status, 502)
+        self.assert_all_given_back()
+
+    def test_body_that_is_too_long(self):
+        self.start(call_rule(), answer())
+        self.assertEqual(self.harness.fetch(body=b"x" * (BODY + 1)).status, 413)
+        self.assert_all_given_back()
+
+    def test_body_that_is_cut_off(self):
+        self.start(call_rule(), answer())
+        self.send_unfinished().close()
+        self.assert_all_given_back()
+
+    def test_caller_that_leaves_while_its_call_runs(self):
+        self.start(call_rule(), lambda sock, req: eventlet.sleep(2.0))
+        sock = self.harness.connect()
+        send_request(sock, body=b"x" * 100_000)
+        eventlet.sleep(SETTLED_S)
+        self.assertGreater(self.budget.used, 0)
+        sock.close()
+        self.assert_all_given_back()
+
+    def test_request_that_is_malformed(self):
+        self.start(call_rule(), answer())
+        sock = self.harness.connect()
+        sock.sendall(b"POST /r/x HTTP/1.1\r\nX : 1\r\n\r\n")
+        self.assertEqual(read_response(sock).status, 400)
+        self.assert_all_given_back()
+
+
+class FullTest(ReservationCase):
+    """They guard against bytes over the limit, and broken promises of refusals."""
+
+    def test_body_without_room_is_refused_with_503_and_has_not_run(self):
+        self.start(call_rule(), answer())
+        self.send_unfinished()
+        eventlet.sleep(SETTLED_S)
+        refused = self.harness.fetch(body=b"x" * (BODY - 1), name=b"large")
+        self.assertEqual(refused.status, 503)
+        self.assertIn(b"retry-after", refused.headers)
+        names = [each.headers[b"request-id"] for each in self.replica.relayed()]
+        self.assertNotIn(b"large", names)
+        self.assertEqual(self.harness.fetch(body=b"x", name=b"small").status, 200)
+        self.assertIn(BudgetEvent.REFUSED, self.seen)
+
+    def test_slow_body_is_refused_with_408_if_another_needs_its_room(self):
+        self.start(call_rule(), answer())
+        slow = self.send_unfinished()
+        eventlet.sleep(SLOW_S)
+        served = self.harness.fetch(body=b"x" * (BODY - 1), name=b"large")
+        self.assertEqual(served.status, 200)
+        self.assertEqual(read_response(slow).status, 408)
+        slow.close()
+        self.assertIn(BudgetEvent.CUT_RECEIVING, self.seen)
+        self.assert_all_given_back()
+
+    def test_slow_body_that_disturbs_nobody_is_served(self):
+        self.start(call_rule(), answer())
+        slow = self.send_unfinished()
+        eventlet.sleep(SLOW_S)
+        slow.sendall(b"x")
+        self.assertEqual(read_response(slow).status, 200)
+
+    def test_answer_waits_for_room_within_its_time(self):
+        self.start(call_rule(), answer(b"y" * 2 * MB))
+        holding = self.budget.open("other", lambda: None, 0.0)
+        self.budget.add(holding, *self.all_room())
+        thread = eventlet.spawn(self.harness.fetch)
+        eventlet.sleep(0.3)
+        self.budget.close(holding)
+        response = thread.wait()
+        self.assertEqual((response.status, len(response.body)), (200, 2 * MB))
+        self.assertIn(BudgetEvent.WAITED, self.seen)
+        self.assert_all_given_back()
+
+    def test_answer_without_room_in_its_time_says_nothing_about_its_replica(self):
+        self.start(call_rule(max_attempts=1, timeout_s=0.8), answer(b"y" * 2 * MB))
+        holding = self.budget.open("other", lambda: None, 0.0)
+        self.budget.add(holding, *self.all_room())
+        response = self.harness.fetch()
+        self.assertIn(response.status, (502, 504))
+        state = self.harness.registry.get("one")
+        self.assertEqual(state.failure_share, 0.0)
+        self.budget.close(holding)
+        self.assert_all_given_back()
+
+    def test_slow_reader_is_cut_as_incomplete_if_another_needs_its_room(self):
+        self.start(call_rule(), answer(b"y" * BODY), limit=8 * MB)
+        self.harness.edge.send_buffer_bytes = 16_384
+        slow = self.harness.connect()
+        send_request(slow, name=b"slow")
+        eventlet.sleep(SLOW_S)
+        served = self.harness.fetch(name=b"other")
+        self.assertEqual((served.status, len(served.body)), (200, BODY))
+        response = read_response(slow)
+        self.assertEqual((response.status, response.is_complete), (200, False))
+        self.assertIn(BudgetEvent.CUT_SENDING, self.seen)
+        self.assert_all_given_back()
+
+    def all_room(self):
+        return Use.UNSENT, self.budget.limit_bytes
+
+
+class IdleConnectionTest(ReservationCase):
+    """They guard against idle connections that keep others out."""
+
+    def start_bounded(self, served):
+        self.start(call_rule(), answer())
+        edge = self.harness.edge
+        edge._given_bounds = ConnectionBounds(served, 1)
+        edge._closes_idle = True
+
+    def test_longest_idle_connection_is_closed_for_a_new_one(self):
+        self.start_bounded(2)
+        first, second = self.harness.connect(), self.harness.connect()
+        for number, sock in enumerate((first, second)):
+            name = b"id-%d" % number
+            self.assertEqual(self.harness.fetch(sock=sock, name=name).status, 200)
+        self.assertEqual(self.harness.fetch(name=b"new").status, 200)
+        self.assertEqual(first.recv(10), b"")
+        self.assertEqual(self.harness.fetch(sock=second, name=b"on").status, 200)
+
+    def test_connection_with_a_request_is_not_closed(self):
+        self.start_bounded(1)
+        sock = self.send_unfinished(size=100)
+        eventlet.sleep(SETTLED_S)
+        self.assertEqual(self.harness.fetch(name=b"new").status, 503)
+        sock.sendall(b"x")
+        self.assertEqual(read_response(sock).status, 200)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -36,6 +36,18 @@
         self.assertEqual(settings.bounds.grace_s, 8.0)
         self.assertEqual(settings.heartbeat_s, 1.2)
 
+    def test_limits_of_the_vm_are_optional(self):
+        settings = self.read(TEXT).ok()
+        self.assertEqual((settings.memory_mb, settings.max_fds), (None, None))
+        text = TEXT + "limits: {memoryMb: 128.5, maxFds: 4100, cores: 0.5}\n"
+        settings = self.read(text).ok()
+        self.assertEqual((settings.memory_mb, settings.max_fds), (128.5, 4100))
+
+    def test_limit_that_is_none_is_refused(self):
+        for text in ("memoryMb: 0", "maxFds: -1"):
+            message = self.read(TEXT + f"limits: {{{text}}}\n").err().message
+            self.assertIn(f"limits.{text.partition(':')[0]} got", message)
+
     def test_without_a_file_there_are_no_settings(self):
         self.assertIsNone(read_settings({}).ok())
 
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -52,6 +52,9 @@
     def test_error_names_flag_and_invalid_value(self):
         for flag, value in (
             ("--listen", "8080"),
+            ("--memory-mb", "0"),
+            ("--memory-mb", "much"),
+            ("--max-fds", "10"),
             ("--listen", "localhost:8080"),
             ("--listen", "127.0.0.1:99999"),
             ("--peer-listen", "127.0.0.1:x"),
