Release refused bodies of the stand-alone edition at once

A refusal kept its traceback, whose frames hold the body that was being read, in a cycle with the frame that made the response.

--- a/boragedeck/request/api.py
+++ b/boragedeck/request/api.py
@@ -79,7 +79,9 @@
         try:
             result = self._dispatch(environ)
         except RefusedError as exc:
-            result = Err(exc)
+            # The frames that it passed hold the body, and this one is among them.
+            exc.__context__ = None
+            result = Err(exc.with_traceback(None))
         except Exception as exc:
             _log.write(
                 "Request failed.", path=environ.get("PATH_INFO"), error=repr(exc)
