--- a/boragedeck/connection/upstream_connection.py
+++ b/boragedeck/connection/upstream_connection.py
@@ -3,7 +3,8 @@
 import fcntl
 import sys
 import termios
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable
 
 import eventlet
 import h11
@@ -76,7 +77,7 @@
         self._waits_since: float | None = None
         self.sent = SentRequests()
         # What the replica hasn't taken of the current request.
-        self._unsent = memoryview(b"")
+        self._unsent: deque[memoryview] = deque()
         # How the connection broke, which the kernel reports once; None if unknown.
         self._error: OSError | None = None
 
@@ -103,9 +104,9 @@
         queued = fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, bytes(4))
         return int.from_bytes(queued, sys.byteorder) > 0
 
-    def send(self, data: bytes) -> None:
+    def send(self, parts: Iterable[memoryview]) -> None:
         """Send a request as far as it is taken at once; `send_rest` sends the rest."""
-        self._unsent = memoryview(data)
+        self._unsent = deque(parts)
         with eventlet.Timeout(0, False):
             self.send_rest()
 
@@ -126,11 +127,13 @@
 
     def _send_part(self) -> None:
         try:
-            count = self.sock.send(self._unsent)
+            count = self.sock.send(self._unsent[0])
         except OSError as exc:
             self._error = exc
-        else:
-            self._unsent = self._unsent[count:]
+            return
+        part = self._unsent.popleft()[count:]
+        if part:
+            self._unsent.appendleft(part)
 
     def receive(self) -> bytes:
         """Wait for bytes; return an empty value at the end of the connection.
