Begin a run of a replica with the speed of the run before at its address

The last run at each address of a pool is now remembered for 120 s, and the next one there begins with its samples.

--- a/boragedeck/process/relaying/speeds/replica_speeds.py
+++ b/boragedeck/process/relaying/speeds/replica_speeds.py
@@ -12,6 +12,7 @@
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState, Run
+from boragedeck.process.relaying.speeds.address_history import AddressHistory
 from boragedeck.process.relaying.speeds.recent_speeds import RecentSpeeds
 from boragedeck.process.relaying.speeds.sample_outbox import SampleOutbox
 from boragedeck.process.relaying.speeds.speed_estimator import SpeedEstimator
@@ -48,6 +49,7 @@
         self._registry = registry
         self._number = 0
         self._estimator = SpeedEstimator(own)
+        self._history = AddressHistory()
         # What hubs told this router, and what it tells as a hub.
         self._received = RecentSpeeds()
         self._answered = RecentSpeeds()
@@ -127,8 +129,10 @@
         by_pool: dict[PoolName, list[Run]] = defaultdict(list)
         for state in self._registry.all():
             by_pool[state.replica.pool].append(state.run)
-        runs = [run for pool_runs in by_pool.values() for run in pool_runs]
-        self._estimator.keep_only(runs, by_pool)
+        for run, before in self._history.update(self._registry.all(), now).items():
+            self._estimator.inherit(before, run)
+        runs = {run for pool_runs in by_pool.values() for run in pool_runs}
+        self._estimator.keep_only(runs | self._history.runs(), by_pool)
         for pool, pool_runs in by_pool.items():
             self._estimator.update(pool, pool_runs, now)
         for speed in self._estimator.speeds.values():
--- a/boragedeck/process/relaying/speeds/speed_estimator.py
+++ b/boragedeck/process/relaying/speeds/speed_estimator.py
@@ -4,6 +4,8 @@
 from collections import deque
 from collections.abc import Collection
 
+import msgspec
+
 from boragedeck.ids import PoolName, RouterId
 from boragedeck.process.relaying.replicas.replica_state import Run
 from boragedeck.process.relaying.speeds.run_samples import RunSamples, Summary
@@ -69,6 +71,27 @@
         before = {run: self.speeds.pop(run) for run in runs if run in self.speeds}
         self.speeds.update(judge_speeds(summaries, before))
 
+    def inherit(self, before: Run, run: Run) -> None:
+        """Take what is known of a run for another one, which follows it.
+
+        Parameters
+        ----------
+        before : Run
+            The run that has ended.
+        run : Run
+            The run that is at its address now. What is known of it already counts
+            instead.
+        """
+        samples = self._samples.pop(before, None)
+        if samples is not None:
+            self._samples.setdefault(run, samples)
+        speed = self.speeds.pop(before, None)
+        if speed is not None:
+            named = msgspec.structs.replace(
+                speed, replica=run.replica, born_ms=run.born_ms
+            )
+            self.speeds.setdefault(run, named)
+
     def keep_only(self, runs: Collection[Run], pools: Collection[PoolName]) -> None:
         """Drop what is known of other runs and pools."""
         for run in self._samples.keys() - set(runs):
