State why slow readers of streams held up other calls

The kernel's send buffers grew to megabytes for each caller, and the router spent its processor time on filling them. A test shows that a slow reader of a stream is cut once the sum is over its limit.

--- a/tests/connection/test_reservations.py
+++ b/tests/connection/test_reservations.py
@@ -1,6 +1,7 @@
 import unittest
 
 import eventlet
+from eventlet.green import socket
 
 from boragedeck.connection.connection_table import ConnectionBounds
 from boragedeck.connection.memory_budget import MemoryBudget, Use
@@ -13,7 +14,9 @@
     call_rule,
     drop,
     events,
+    head_of,
     read_response,
+    send_chunk,
     send_request,
     stream_rule,
 )
@@ -168,6 +171,22 @@
         self.assertIn(BudgetEvent.CUT_SENDING, self.seen)
         self.assert_all_given_back()
 
+    def test_slow_reader_of_a_stream_is_cut_if_the_sum_is_over_its_limit(self):
+        def long_stream(sock, req):
+            sock.sendall(head_of(req, 200, b"Transfer-Encoding: chunked") + b"\r\n")
+            for number in range(1, 100):
+                send_chunk(sock, b"id: %d\ndata: %s\n\n" % (number, b"y" * 50_000))
+
+        self.start(stream_rule(), long_stream, limit=MB // 16)
+        self.harness.edge.send_buffer_bytes = 16_384
+        slow = self.harness.connect()
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        send_request(slow, name=b"slow", ms=9_000)
+        eventlet.sleep(2 * SLOW_S)
+        self.assertIn(BudgetEvent.CUT_SENDING, self.seen)
+        self.assertFalse(read_response(slow).is_complete)
+        self.assert_all_given_back()
+
     def all_room(self):
         return Use.UNSENT, self.budget.limit_bytes
 
