Order and refuse waiting requests by what is lost by waiting

Cause: where replicas have too little room, requests waited by priority and arrival alone. A new request took freed room before those that waited, the expected wait was that of a router which gets all freed places, a long urgent burst starved all others, and a request for much memory waited in vain behind smaller ones.

Change: pools whose requests have different priorities by the table in force have a queue of their own (process/relaying/scheduling/, docs/design/overload.md): begun answers, priority, objectives that can still be met, turns of organisations; an eighth of the places for a priority that is passed over; a bounded queue that drops what costs least; refusals by the capacity that this router was measured to get, with a Retry-After that callers can follow; room that a large request claims at one engine. Each decision has a log line and is counted by priority. Other pools are served as before.

--- a/boragedeck/process/relaying/placing/admission.py
+++ b/boragedeck/process/relaying/placing/admission.py
@@ -9,6 +9,7 @@
 import itertools
 import random
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 from eventlet.event import Event
@@ -20,10 +21,18 @@
 from boragedeck.process.relaying.placing.placement import (
     PlacementRequest,
     choose_backup,
+    choose_emptiest,
     choose_replica,
 )
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
+from boragedeck.process.relaying.scheduling.decisions import Decision, log_decision
+from boragedeck.process.relaying.scheduling.pool_scheduler import (
+    Forecast,
+    PlaceSource,
+    PoolScheduler,
+)
+from boragedeck.process.relaying.scheduling.waiter import QueueOutcome, Waiter
 from boragedeck.process.timers import TimerService
 
 __all__ = ["Admission", "LoadSource", "expected_wait_s"]
@@ -41,6 +50,8 @@
 hold of all replicas raises it."""
 RECHECK_INTERVAL_S = 0.05
 """How often a waiting request checks for places that other routers released."""
+MAX_RETRY_SHARE = 1 / 3
+"""Longest Retry-After that a caller follows, as a share of the time it has left."""
 
 
 class _Waiter(msgspec.Struct):
@@ -84,6 +95,9 @@
     ----------
     on_change : callable
         Called after this router's load on a replica has changed.
+    on_decision : callable
+        Called with each decision on a request that found no free place, in pools whose
+        requests have different priorities.
     """
 
     def __init__(
@@ -100,8 +114,11 @@
         self._sequence = itertools.count()
         # Heaps by priority, then by order of arrival.
         self._waiting: dict[PoolName, list[tuple[int, int, _Waiter]]] = {}
+        # Of pools whose requests have different priorities.
+        self._schedulers: dict[PoolName, PoolScheduler] = {}
         self._mean_service_s: dict[PoolName, float] = {}
         self.on_change: Callable[[], None] = lambda: None
+        self.on_decision: Callable[[Decision], None] = lambda decision: None
         registry.subscribe(self.grant_waiting)
 
     def acquire(self, req: AdmissionRequest) -> Result[Place, RefusedError]:
@@ -114,6 +131,8 @@
             wait can't end in time, else when the wait has timed out.
         """
         self._loads.refresh(req.pool.name)
+        if req.has_priorities:
+            return self._acquire_in_order(req)
         place = self._grant(req)
         if place is not None:
             return Ok(place)
@@ -176,6 +195,9 @@
 
     def expected_wait_s(self, req: AdmissionRequest) -> float:
         """Return how long a request is expected to wait for a place, in seconds."""
+        if req.has_priorities:
+            scheduler, now = self._scheduler(req.pool.name), self._timers.now()
+            return scheduler.forecast(scheduler.make_waiter(req, now), now).wait_s
         states = self._states(req)
         if not states:
             # A replica may join at any moment, so the request isn't refused at once.
@@ -195,7 +217,8 @@
 
     def waiting(self) -> int:
         """Return the number of waiting requests."""
-        return sum(map(len, self._waiting.values()))
+        in_order = sum(map(len, self._schedulers.values()))
+        return in_order + sum(map(len, self._waiting.values()))
 
     def note_released(self, pool: PoolName, since: float, is_served: bool) -> None:
         """Record the service time, and grant the free place to a waiting request."""
@@ -209,7 +232,15 @@
         self.grant_waiting()
 
     def grant_waiting(self) -> None:
-        """Grant free places to waiting requests, by priority and arrival."""
+        """Grant free places to waiting requests.
+
+        Notes
+        -----
+        They are granted by priority and arrival, or, in pools whose requests have
+        different priorities, as `ServiceOrder` says.
+        """
+        for scheduler in list(self._schedulers.values()):
+            scheduler.grant_places(self._timers.now())
         for pool, heap in list(self._waiting.items()):
             still_waiting = []
             while heap:
@@ -229,6 +260,97 @@
             else:
                 del self._waiting[pool]
 
+    def _acquire_in_order(self, req: AdmissionRequest) -> Result[Place, RefusedError]:
+        """Reserve a place in a pool whose requests have different priorities."""
+        now = self._timers.now()
+        scheduler = self._scheduler(req.pool.name)
+        waiter = scheduler.make_waiter(req, now)
+        forecast = scheduler.add(waiter, now)
+        if forecast is None:
+            return Ok(waiter.place)
+        if self._is_held_too_long(req) and not req.has_begun:
+            scheduler.remove(waiter, QueueOutcome.NO_TIME, now)
+        if waiter.outcome is None:
+            self._decide(waiter, forecast)
+            self._wait_in_order(scheduler, waiter, forecast)
+        self._decide(waiter, forecast)
+        if waiter.outcome is QueueOutcome.GRANTED:
+            return Ok(waiter.place)
+        is_vain = waiter.outcome is QueueOutcome.EXPIRED
+        wait_s = max(forecast.wait_s, NO_REPLICA_RETRY_S if is_vain else 0.0)
+        return Err(self._timely_refusal(req, wait_s))
+
+    def _wait_in_order(
+        self, scheduler: PoolScheduler, waiter: Waiter, forecast: Forecast
+    ) -> None:
+        """Wait until a request has a place, is refused, or its time is over."""
+        try:
+            self._wait_for_turn(scheduler, waiter)
+        except BaseException:
+            scheduler.remove(waiter, QueueOutcome.LEFT, self._timers.now())
+            if waiter.place is not None:
+                waiter.place.release()
+            self._decide(waiter, forecast)
+            raise
+        scheduler.remove(waiter, QueueOutcome.EXPIRED, self._timers.now())
+
+    def _wait_for_turn(self, scheduler: PoolScheduler, waiter: Waiter) -> None:
+        """Wait until the wait of a request has ended, or its time is over.
+
+        Notes
+        -----
+        Whichever request is checked first checks for all; see `_wait_for_grant`.
+        """
+        req, timers = waiter.req, self._timers
+        while (left_s := req.until - timers.now()) > 0.0:
+            if self._is_held_too_long(req) and not req.has_begun:
+                return
+            if timers.wait(waiter.ended, min(RECHECK_INTERVAL_S, left_s)):
+                return
+            if timers.now() - scheduler.checked_at >= RECHECK_INTERVAL_S / 2.0:
+                self._loads.refresh(req.pool.name)
+                scheduler.grant_places(timers.now())
+
+    def _decide(self, waiter: Waiter, forecast: Forecast) -> None:
+        """Log and count that a request waits, or how its wait has ended.
+
+        Notes
+        -----
+        An attempt beside another one that takes a free place only doesn't wait.
+        """
+        if waiter.req.until <= waiter.since:
+            return
+        now = self._timers.now()
+        decision = Decision(
+            outcome=waiter.outcome,
+            request_id=waiter.req.request_id,
+            pool=waiter.req.pool.name,
+            priority=waiter.req.priority,
+            is_late=waiter.is_late(now),
+            work=waiter.work,
+            forecast=forecast,
+            waited_s=now - waiter.since,
+            left_s=waiter.req.until - now,
+        )
+        log_decision(decision)
+        self.on_decision(decision)
+
+    def _scheduler(self, pool: PoolName) -> PoolScheduler:
+        if pool not in self._schedulers:
+            source = PlaceSource(
+                grant=self._grant,
+                states=self._states,
+                choose_claim=self._choose_claim,
+                mean_service_s=partial(self.mean_service_s, pool),
+                note_change=lambda: self.on_change(),
+            )
+            self._schedulers[pool] = PoolScheduler(source)
+        return self._schedulers[pool]
+
+    def _choose_claim(self, req: AdmissionRequest) -> ReplicaState | None:
+        states = self._states(req)
+        return choose_emptiest(states, self._placement_request(req), self._rng)
+
     def _wait_in_queue(self, req: AdmissionRequest) -> Result[Place, RefusedError]:
         waiter = _Waiter(req)
         entry = (req.priority, next(self._sequence), waiter)
@@ -301,17 +423,31 @@
         needed_s = hold_remaining_s + self.mean_service_s(req.pool.name)
         return hold_remaining_s > 0.0 and needed_s > req.until - self._timers.now()
 
+    def _timely_refusal(self, req: AdmissionRequest, wait_s: float) -> RefusedError:
+        """Return a refusal whose retry time its caller can follow."""
+        left_s = req.deadline - self._timers.now()
+        retry_after_s = min(self._spread(wait_s), MAX_RETRY_SHARE * left_s)
+        min_s = max(MIN_RETRY_AFTER_S, self._spread(self.hold_remaining_s(req)))
+        return _no_room(req, max(min_s, retry_after_s))
+
     def _refusal(self, req: AdmissionRequest, wait_s: float) -> RefusedError:
         base_s = max(MIN_RETRY_AFTER_S, min(wait_s, NO_REPLICA_RETRY_S))
         base_s = max(base_s, self.hold_remaining_s(req))
-        return RefusedError(
-            f"no replica of {req.pool.name!r} has room",
-            status=503,
-            kind="server_error",
-            code="no_room",
-            retry_after_s=base_s * (1.0 + RETRY_SPREAD * self._rng.random()),
-            step="admit",
-        )
+        return _no_room(req, self._spread(base_s))
+
+    def _spread(self, retry_after_s: float) -> float:
+        return retry_after_s * (1.0 + RETRY_SPREAD * self._rng.random())
+
+
+def _no_room(req: AdmissionRequest, retry_after_s: float) -> RefusedError:
+    return RefusedError(
+        f"no replica of {req.pool.name!r} has room",
+        status=503,
+        kind="server_error",
+        code="no_room",
+        retry_after_s=retry_after_s,
+        step="admit",
+    )
 
 
 def expected_wait_s(ahead: int, running: int, mean_service_s: float) -> float:
--- a/boragedeck/process/relaying/placing/place.py
+++ b/boragedeck/process/relaying/placing/place.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from boragedeck.ids import FailureDomain, PoolName
+from boragedeck.ids import FailureDomain, OrganisationName, PoolName
 from boragedeck.process.relaying.replicas.replica_state import Load, ReplicaState
 from boragedeck.version.replicas import Replica, ReplicaId
 from boragedeck.version.routing import RelayPool
@@ -41,6 +41,18 @@
     has_begun : bool
         Whether its caller has a part of the answer. It can't be refused any more, so it
         waits even if no place is expected in time.
+    has_priorities : bool
+        Whether requests of different priorities use the pool, so that they are ordered
+        and refused by what is lost; see `scheduling`. The fields below are used only
+        then.
+    organisation : OrganisationName or None
+        The caller's organisation.
+    goal_at : float
+        When its objective is missed, on the timer service's clock.
+    needed_s : float
+        How long after it got a place its objective is met, as expected, in seconds.
+    is_resumed : bool
+        Whether it is the rest of a stream of which its caller has a part.
     """
 
     pool: RelayPool
@@ -54,6 +66,11 @@
     request_id: str = ""
     deadline: float = math.inf
     has_begun: bool = False
+    has_priorities: bool = False
+    organisation: OrganisationName | None = None
+    goal_at: float = math.inf
+    needed_s: float = 0.0
+    is_resumed: bool = False
 
     def lease_s(self, now: float) -> float:
         """Return how long a replica may work on the request, in seconds."""
--- a/boragedeck/process/relaying/placing/placement.py
+++ b/boragedeck/process/relaying/placing/placement.py
@@ -21,6 +21,7 @@
 __all__ = [
     "PlacementRequest",
     "choose_backup",
+    "choose_emptiest",
     "choose_replica",
     "suspect_domains",
     "sample_size",
@@ -164,6 +165,27 @@
     return min(sampled, key=lambda state: state.tokens, default=None)
 
 
+def choose_emptiest(
+    states: Iterable[ReplicaState], req: PlacementRequest, rng: random.Random
+) -> ReplicaState | None:
+    """Return the engine with the most free memory, which may have too little of it.
+
+    Returns
+    -------
+    ReplicaState or None
+        None if no engine takes requests that this one may be sent to.
+    """
+    candidates = [
+        state
+        for state in states
+        if state.replica.replica not in req.tried
+        and state.avoid_until <= req.now
+        and state.can_accept(req.now)
+    ]
+    sampled = _sample(candidates, req, rng)
+    return min(sampled, key=lambda state: state.tokens, default=None)
+
+
 def suspect_domains(
     states: Iterable[ReplicaState], now: float
 ) -> frozenset[FailureDomain]:
--- a/boragedeck/process/relaying/placing/stream_pace.py
+++ b/boragedeck/process/relaying/placing/stream_pace.py
@@ -51,6 +51,24 @@
             self._s_per_event.note(pool, took_s / (events - 1))
             self._events_per_token.note(pool, events / expected_tokens)
 
+    def read_s(self, pool: PoolName, prompt_tokens: int) -> float:
+        """Return the time to read a prompt, as a lower estimate, in seconds.
+
+        Parameters
+        ----------
+        pool : PoolName
+            The stream's pool.
+        prompt_tokens : int
+            Number of prompt tokens.
+
+        Returns
+        -------
+        float
+            The time; 0.0 if too few prompts were read for an estimate.
+        """
+        read_s = self._read_s_per_token.quantile(pool, FAST_QUANTILE)
+        return 0.0 if read_s is None else read_s * prompt_tokens
+
     def min_duration_s(
         self, pool: PoolName, prompt_tokens: int, expected_tokens: int, position: int
     ) -> float:
--- a/boragedeck/process/relaying/relay_composition.py
+++ b/boragedeck/process/relaying/relay_composition.py
@@ -30,6 +30,7 @@
 from boragedeck.process.relaying.retries.retry_reserve import RetryReserve
 from boragedeck.process.relaying.retries.retry_share import USABLE_SHARE, RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
+from boragedeck.process.relaying.scheduling.priority_pools import PriorityPools
 from boragedeck.process.relaying.settings_source import SettingsSource
 from boragedeck.process.relaying.tables.replica_source import ReplicaSource
 from boragedeck.process.relaying.tables.table_composition import MirroredTables
@@ -154,6 +155,7 @@
         admission = Admission(self._timers, self._registry, self._rng, self.loads)
         self._metrics.waiting.set_function(admission.waiting)
         admission.on_change = self.loads.note_change
+        admission.on_decision = self._metrics.note_decision
         return admission
 
     def _make_parts(
@@ -190,6 +192,7 @@
             time_left=drain_period.time_left,
             open_requests=OpenRequests(),
             is_late_in_stop=drain_period.is_late,
+            priority_pools=PriorityPools(),
             refusal_headers=refusal_headers,
         )
 
--- a/boragedeck/process/relaying/relay_metrics.py
+++ b/boragedeck/process/relaying/relay_metrics.py
@@ -6,11 +6,15 @@
 
 from boragedeck.connection.caller_ends import UnansweredReason
 from boragedeck.connection.upstream_pool import OpenReason
+from boragedeck.process.relaying.scheduling.decisions import Decision
 
 __all__ = ["OrderCheck", "RelayMetrics"]
 
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 4.5, 8.0, 15.0, 25.0)
 
+MAX_COUNTED_PRIORITY = 9
+"""Less urgent priorities are counted as this one, so that labels are bounded."""
+
 
 class OrderCheck(enum.Enum):
     """Where it is checked that the events of a stream follow each other."""
@@ -170,6 +174,19 @@
         self.waiting = Gauge(
             "boragedeck_relay_waiting", "Requests that wait.", registry=registry
         )
+        self.queue_decisions = Counter(
+            "boragedeck_queue_decisions",
+            "Requests that found no free place in a pool with priorities, by outcome.",
+            ["priority", "outcome"],
+            registry=registry,
+        )
+        self.queue_wait_s = Histogram(
+            "boragedeck_queue_wait_seconds",
+            "From no free place to the end of the wait, in pools with priorities.",
+            ["priority"],
+            buckets=BUCKETS_S,
+            registry=registry,
+        )
         self.store_calls = Counter(
             "boragedeck_store_calls",
             "Calls to the platform's store by kind, table and outcome.",
@@ -208,6 +225,14 @@
         """Count a request that was read and has no whole answer."""
         self.unanswered.labels(reason.value).inc()
 
+    def note_decision(self, decision: Decision) -> None:
+        """Count how a request ended that found no free place."""
+        if decision.outcome is None:
+            return
+        priority = str(min(MAX_COUNTED_PRIORITY, max(0, decision.priority)))
+        self.queue_decisions.labels(priority, decision.outcome.value).inc()
+        self.queue_wait_s.labels(priority).observe(decision.waited_s)
+
     def note_connection(self, reason: OpenReason) -> None:
         """Count a connection to a replica that was opened."""
         self.connections.labels(reason.value).inc()
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -63,7 +63,16 @@
     pool = table.pools.get(name, RelayPool(name, 0))
     priority = table.priorities.get(organisation, rule.priority)
     parts.retries.note_request(name)
-    job = RelayJob(parts, req, rule, pool, organisation, priority, channel)
+    job = RelayJob(
+        parts,
+        req,
+        rule,
+        pool,
+        organisation,
+        priority,
+        channel,
+        has_priorities=parts.priority_pools.has_priorities(table, name),
+    )
     channel.deadline = job.deadlines.answer_end
     open_relay = OpenRelay(job)
     if parts.time_left() < open_relay.needed_s():
--- a/boragedeck/request/relay_components.py
+++ b/boragedeck/request/relay_components.py
@@ -22,6 +22,7 @@
 from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
 from boragedeck.process.relaying.retries.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
+from boragedeck.process.relaying.scheduling.priority_pools import PriorityPools
 from boragedeck.process.relaying.tables.table_ages import TableAges
 from boragedeck.process.timers import TimerService
 from boragedeck.request.open_requests import OpenRequests
@@ -81,6 +82,8 @@
         the value of Retry-After in seconds.
     is_late_in_stop : callable, optional
         Returns whether this process stops, and must not end what it takes from now on.
+    priority_pools : PriorityPools, optional
+        Tells in which pools the requests have different priorities.
     """
 
     timers: TimerService
@@ -104,6 +107,7 @@
     open_requests: OpenRequests
     refusal_headers: Callable[[str | None, float | None], Headers]
     is_late_in_stop: Callable[[], bool] = lambda: False
+    priority_pools: PriorityPools = msgspec.field(default_factory=PriorityPools)
 
     def stop_left_s(self) -> float | None:
         """Return the time until a stop ends this process, in seconds; None if none."""
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -14,7 +14,7 @@
 from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
 from boragedeck.request.relay_request import RelayRequest
 from boragedeck.request.request_deadlines import request_deadlines
-from boragedeck.version.routing import RelayPool, RouteRule
+from boragedeck.version.routing import CallKind, RelayPool, RouteRule
 
 __all__ = ["RelayJob"]
 
@@ -48,6 +48,8 @@
         The priority; 0 is the highest.
     channel : CallerChannel
         The channel on which the caller is answered.
+    has_priorities : bool, optional
+        Whether requests of different priorities use the pool.
 
     Attributes
     ----------
@@ -68,6 +70,8 @@
         organisation: OrganisationName | None,
         priority: int,
         channel: CallerChannel,
+        *,
+        has_priorities: bool = False,
     ):
         self.parts = parts
         self.req = req
@@ -75,6 +79,7 @@
         self.pool = pool
         self.organisation = organisation
         self.priority = priority
+        self.has_priorities = has_priorities
         self.channel = channel
         self.deadlines = request_deadlines(req, rule)
         self.traits = RequestTraits(
@@ -101,6 +106,11 @@
                 allows=parts.rollouts.replica_filter(pool.name),
                 request_id=req.request_id,
                 deadline=self.deadlines.answer_end,
+                has_priorities=has_priorities,
+                organisation=organisation,
+                goal_at=req.arrived + rule.goal_s,
+                needed_s=self._needed_s(),
+                is_resumed=req.resume_after is not None,
             ),
             lambda: self.may_have_run,
         )
@@ -110,6 +120,12 @@
         """Whether a replica may have run the request."""
         return self.attempts.possible_runs > 0
 
+    @property
+    def engine_priority(self) -> int | None:
+        """The priority that engines are told; None if they are told none."""
+        is_told = self.has_priorities and self.pool.engine is not None
+        return self.priority if is_told else None
+
     @property
     def pool_name(self) -> PoolName:
         """The name of the pool."""
@@ -277,6 +293,12 @@
         """Count a stream in which an event is missing or repeated."""
         self.parts.metrics.order_breaks.labels(check.value).inc()
 
+    def _needed_s(self) -> float:
+        """Return how long the objective takes at a replica, as expected, in seconds."""
+        if self.rule.kind is CallKind.STREAM:
+            return self.parts.pace.read_s(self.pool_name, self.req.prompt_tokens)
+        return self.parts.admission.mean_service_s(self.pool_name)
+
     def _final_answer_s(self) -> float:
         """Return how long after its arrival the request is given up, in seconds."""
         return self.deadlines.final_answer - self.req.arrived
--- a/tests/process/relaying/placing/test_admission.py
+++ b/tests/process/relaying/placing/test_admission.py
@@ -14,9 +14,11 @@
 from boragedeck.process.relaying.placing.place import AdmissionRequest
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_state import Load
+from boragedeck.process.relaying.scheduling.waiter import QueueOutcome
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import Replica, ReplicaStage
 from boragedeck.version.routing import RelayPool
+from tests.support.admission_plays import play
 
 POOL = RelayPool("p", 100)
 
@@ -166,6 +168,118 @@
         self.assertEqual(expected_wait_s(19, 10, 1.0), 2.0)
 
 
+class PriorityPoolTest(AdmissionTest):
+    """The same promises in a pool whose requests have different priorities."""
+
+    def admission_request(self, wait_s=10.0, priority=1, **fields):
+        return super().admission_request(
+            wait_s, priority, **{"has_priorities": True} | fields
+        )
+
+    def decisions(self):
+        """Return the outcomes that the admission reports from now on."""
+        outcomes = []
+        self.admission.on_decision = lambda decision: outcomes.append(decision.outcome)
+        return outcomes
+
+    def test_wait_that_times_out_is_refused(self):
+        order, outcomes = [], self.decisions()
+        self.wait(order, "a", wait_s=1.0)
+        self.timers.advance(1.1)
+        self.assertEqual(order, [("a", False)])
+        self.assertEqual(self.admission.waiting(), 0)
+        self.assertEqual(outcomes, [None, QueueOutcome.EXPIRED])
+
+    def test_request_that_no_longer_waits_does_not_count_as_ahead(self):
+        """The estimate itself grows, since nothing was granted during the wait."""
+        self.registry.put(replica("one"))
+        self.admission.acquire(self.admission_request()).ok()
+        self.wait([], "a", wait_s=1.0)
+        self.timers.advance(1.1)
+        decisions = []
+        self.admission.on_decision = decisions.append
+        self.wait([], "b")
+        self.assertEqual([each.forecast.ahead for each in decisions], [0])
+
+    def test_handler_that_ends_leaves_the_queue(self):
+        outcomes = self.decisions()
+        waiter = eventlet.spawn(self.admission.acquire, self.admission_request())
+        eventlet.sleep(0)
+        self.assertEqual(self.admission.waiting(), 1)
+        waiter.kill()
+        eventlet.sleep(0)
+        self.assertEqual(self.admission.waiting(), 0)
+        self.assertEqual(outcomes, [None, QueueOutcome.LEFT])
+
+    def test_retry_time_is_at_most_a_third_of_the_time_that_is_left(self):
+        """Guards against refusals whose retry time callers can't follow."""
+        self.registry.put(replica("one"))
+        held = self.admission.acquire(self.admission_request()).ok()
+        self.timers.advance(20.0)
+        held.release(True)
+        self.admission.acquire(self.admission_request()).ok()
+        fields = {"wait_s": 1.0, "deadline": self.timers.now() + 3.0}
+        refused = self.admission.acquire(self.admission_request(**fields)).err()
+        self.assertEqual((refused.status, refused.code), (503, "no_room"))
+        self.assertAlmostEqual(refused.retry_after_s, 1.0)
+
+    def test_request_without_time_takes_a_free_place_only(self):
+        self.registry.put(replica("one"))
+        request = self.admission_request(wait_s=0.0)
+        self.assertTrue(self.admission.acquire(request).is_ok())
+        self.assertTrue(self.admission.acquire(request).is_err())
+
+    def test_estimate_leaves_the_queue_as_it_is(self):
+        self.registry.put(replica("one"))
+        self.admission.acquire(self.admission_request()).ok()
+        self.assertGreater(self.admission.expected_wait_s(self.admission_request()), 0)
+        self.assertEqual(self.admission.waiting(), 0)
+
+    def test_requests_of_both_kinds_wait_beside_each_other(self):
+        """A table that changes while requests wait gives a pool priorities, or none."""
+        self.registry.put(replica("one"))
+        held = self.admission.acquire(self.admission_request()).ok()
+        order = []
+        self.wait(order, "before", has_priorities=False)
+        self.wait(order, "after")
+        held.release()
+        self.timers.advance(0.1)
+        self.assertCountEqual(order, [("before", True), ("after", True)])
+
+
+class EqualPrioritiesTest(unittest.TestCase):
+    """Pools without priorities grant and refuse as before.
+
+    The checksums are those of the events of commit ac4a82f, which had no such pools.
+    """
+
+    EARLIER = ((1, 235352444), (2, 1112073723), (3, 1751923131))
+
+    def test_same_arrivals_get_the_same_places_and_refusals(self):
+        for seed, checksum in self.EARLIER:
+            events, _, _ = play(Admission, seed, self.fields)
+            self.assertEqual(zlib.crc32(repr(events).encode()), checksum)
+
+    def test_arrivals_of_pools_with_priorities_get_others(self):
+        """Shows that the test above can fail."""
+        for seed, checksum in self.EARLIER:
+            events, admission, registry = play(
+                Admission, seed, lambda number: {"has_priorities": True}
+            )
+            self.assertNotEqual(zlib.crc32(repr(events).encode()), checksum)
+            self.assertEqual(admission.waiting(), 0)
+            for state in registry.all():
+                self.assertEqual((state.own.running, state.own.tokens), (0, 0))
+
+    def fields(self, number):
+        return {
+            "organisation": str(number % 3),
+            "goal_at": float(number),
+            "needed_s": 0.1,
+            "is_resumed": number % 7 == 0,
+        }
+
+
 class OverloadTest(unittest.TestCase):
     """Simulates callers that arrive at 1.5 times the rate that the replica can serve.
 
