Tell engines the priorities of requests

Cause: most of the delay under overload is at the engines, which read prompts and give up memory without regard to priority, since Request-Priority was never sent.

Change: attempts at engines of a pool whose requests have different priorities carry Request-Priority, the request's priority clamped to 0 to 9. A caller's own value is dropped as before, and nothing is sent in other pools.

--- a/boragedeck/platform/names.py
+++ b/boragedeck/platform/names.py
@@ -18,6 +18,7 @@
     "REPLICA_ID",
     "REPORT_PATH",
     "REQUEST_ID",
+    "REQUEST_PRIORITY",
     "RATE_LIMIT",
     "RETRY_AFTER",
     "SEAL",
@@ -49,6 +50,8 @@
 REPLICA_ID = b"Instance-Id"
 REPORT_PATH = b"/boragedeck/report"
 REQUEST_ID = b"Request-Id"
+REQUEST_PRIORITY = b"Request-Priority"
+"""In requests to engines: 0 to 9, 0 is the most urgent; 5 if absent."""
 RETRY_AFTER = b"Retry-After"
 SEAL = b"Response-Seal"
 """The replica's proof that it ran the request."""
--- a/boragedeck/platform/replica_protocol.py
+++ b/boragedeck/platform/replica_protocol.py
@@ -23,6 +23,7 @@
     REPLICA_ID,
     REPORT_PATH,
     REQUEST_ID,
+    REQUEST_PRIORITY,
     RETRY_AFTER,
     SEAL,
 )
@@ -46,6 +47,7 @@
 STATUS_UNAVAILABLE = 503
 LEAVING_VALUE = b"1"
 MAX_LOGGED_HEADER_BYTES = 100
+MAX_PRIORITY = 9
 PROBE_HOST_HEADER = (b"Host", b"replica")
 
 
@@ -76,6 +78,9 @@
         if plan.source is not None:
             source = f"{plan.source.address}/{req.request_id}"
             headers.append((COPY_SOURCE, source.encode("latin-1")))
+        if plan.priority is not None:
+            priority = min(MAX_PRIORITY, max(0, plan.priority))
+            headers.append((REQUEST_PRIORITY, b"%d" % priority))
         request_id = self.request_id(headers)
         return Message(req.method, req.target, headers, req.body, request_id)
 
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -241,7 +241,10 @@
     def _run_attempt(self, place: Place) -> AttemptResult:
         job, state = self._job, place.state
         plan = AttemptPlan(
-            replica=state.replica, organisation=job.organisation, left_s=job.left_s()
+            replica=state.replica,
+            organisation=job.organisation,
+            left_s=job.left_s(),
+            priority=job.engine_priority,
         )
         progress = AnswerProgress(job.parts.crash_blame, job.traits)
         try:
--- a/boragedeck/request/relay_request.py
+++ b/boragedeck/request/relay_request.py
@@ -104,6 +104,9 @@
         The replica that keeps a copy of the run's memory.
     source : CopySource or None
         The copy from which the run resumes.
+    priority : int or None
+        The priority by which an engine orders its requests, 0 first; None if it isn't
+        told.
     """
 
     replica: Replica
@@ -112,6 +115,7 @@
     last_event: int | None = None
     backup: Replica | None = None
     source: CopySource | None = None
+    priority: int | None = None
 
 
 class VerdictKind(enum.Enum):
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -208,6 +208,7 @@
             last_event=self._position,
             backup=None if backup is None else backup.replica,
             source=CopySource(place.state.replica.address) if self._from_copy else None,
+            priority=job.engine_priority,
         )
         self._log_sent(plan)
         try:
--- a/tests/platform/test_replica_protocol.py
+++ b/tests/platform/test_replica_protocol.py
@@ -2,6 +2,8 @@
 
 from boragedeck.connection.http_message import AnswerHead
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
+from boragedeck.request.relay_request import AttemptPlan, RelayRequest
+from tests.support.admission_plays import replica
 
 
 def notice(status, *headers):
@@ -60,3 +62,31 @@
         for value in (b"", b"-1", b"nan", b"inf", b"few"):
             limit = notice(200, (b"Server-Limit", value)).rate_limit
             self.assertIsNone(limit.per_s, value)
+
+
+class MessageTest(unittest.TestCase):
+    def priority(self, value):
+        req = RelayRequest(
+            request_id="id-1",
+            method=b"POST",
+            target=b"/",
+            host="h",
+            path="/",
+            headers=[],
+            body=b"",
+            key=None,
+            caller_timeout_s=None,
+            arrived=0.0,
+            received=0.0,
+        )
+        entry = replica("one", "engines")
+        plan = AttemptPlan(replica=entry, organisation=None, left_s=1.0, priority=value)
+        headers = HttpReplicaProtocol().message(req, plan).headers
+        return [each for name, each in headers if name == b"Request-Priority"]
+
+    def test_priority_is_sent_within_the_range_of_the_engines(self):
+        for value, sent in ((-3, b"0"), (0, b"0"), (5, b"5"), (9, b"9"), (12, b"9")):
+            self.assertEqual(self.priority(value), [sent])
+
+    def test_no_priority_is_sent_if_none_is_planned(self):
+        self.assertEqual(self.priority(None), [])
