Let small requests pass while slow readers of streams exceed the budget

Parts of streams whose write waits are counted without asking, so their sum may exceed the budget until the slow readers are cut, a second later. Small answers waited and small bodies were refused meanwhile. A request without a body asks for nothing any more, and the refusal for too many connections names a time to retry.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -51,7 +51,7 @@
 """How long a request is waited for that is going to be refused, in seconds."""
 BODY_TIMEOUT_S = 10.0
 NO_ROOM_RETRY_S = 1
-"""When a caller may send a body again for which there was no room, in seconds."""
+"""When a caller may send a request again for which there was no room, in seconds."""
 SLOW_TEXT = "the request arrived too slowly"
 MAX_LOGGED_CHARS = 200
 
@@ -355,7 +355,9 @@
         _check_framing(headers)
         _check_size(head, limits)
         if self._is_refused:
-            raise _RejectedError("too many connections", 503)
+            raise _RejectedError(
+                "too many connections", 503, retry_after_s=NO_ROOM_RETRY_S
+            )
         length = _declared_length(headers)
         if length > limits.body_bytes:
             raise _too_long_rejection()
--- a/boragedeck/connection/memory_budget.py
+++ b/boragedeck/connection/memory_budget.py
@@ -269,7 +269,7 @@
 
     def _has_room(self, holding: Holding, use: Use, count: int) -> bool:
         if holding.total + count <= SMALL_BYTES:
-            return self.used + count <= self.limit_bytes
+            return self._used_beside_small() + count <= self.limit_bytes
         if self.used + count > self._large_room:
             return False
         largest = int(self._large_room * PARTY_SHARE)
@@ -283,6 +283,17 @@
         largest = int(self._body_room * PARTY_SHARE)
         return all(self._bodies_of_party[each] + count <= largest for each in parties)
 
+    def _used_beside_small(self) -> int:
+        """Return the sum, without parts of streams that exceed the large room.
+
+        Notes
+        -----
+        Small requests don't wait until the slow readers of these streams are cut.
+        """
+        unsent = self.held[Use.UNSENT]
+        others = self.used - unsent
+        return others + min(unsent, max(0, self._large_room - others))
+
     def _count(self, holding: Holding, use: Use, change: int) -> None:
         self._change(holding.held, use, change)
         self._change(self.held, use, change)
--- a/boragedeck/connection/reservation.py
+++ b/boragedeck/connection/reservation.py
@@ -194,6 +194,8 @@
 
     def take_body(self, count: int) -> Grant:
         """Reserve bytes of a body; wait only for those of a request that is cut."""
+        if not count:
+            return Grant.GRANTED
         holding, service = self._holding, self._service
         until = self.now + CUT_WAIT_S
         grant = service.budget.ask(holding, Use.BODY, count)
--- a/tests/connection/test_memory_budget.py
+++ b/tests/connection/test_memory_budget.py
@@ -46,6 +46,14 @@
         small = budget.open("f", lambda: None, 0.0)
         self.assertIs(budget.ask(small, Use.BODY, SMALL_BYTES), Grant.GRANTED)
 
+    def test_small_requests_find_room_while_streams_exceed_the_sum(self):
+        budget = MemoryBudget(LIMIT)
+        budget.add(budget.open("a", lambda: None, 0.0), Use.UNSENT, 2 * LIMIT)
+        small = budget.open("b", lambda: None, 0.0)
+        self.assertIs(budget.ask(small, Use.ANSWER, SMALL_BYTES), Grant.GRANTED)
+        large = budget.open("b", lambda: None, 0.0)
+        self.assertIs(budget.ask(large, Use.ANSWER, BODY), Grant.SHORT)
+
     def test_one_address_leaves_room_for_another(self):
         count = 500_000
         budget, _, grants = budget_with(*"a" * 40, use=Use.ANSWER, count=count)
