--- a/boragedeck/connection/upstream_connection.py
+++ b/boragedeck/connection/upstream_connection.py
@@ -98,10 +98,18 @@
         return bool(self._unsent)
 
     def has_untaken(self) -> bool:
-        """Return whether the replica's host hasn't taken all of the current request."""
+        """Return whether the replica's host hasn't taken all of the current request.
+
+        Notes
+        -----
+        False if the kernel doesn't say what is in its buffers.
+        """
         if self._unsent:
             return True
-        queued = fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        try:
+            queued = fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        except OSError:
+            return False
         return int.from_bytes(queued, sys.byteorder) > 0
 
     def send(self, parts: Iterable[memoryview]) -> None:
--- a/boragedeck/process/relaying/placing/placement.py
+++ b/boragedeck/process/relaying/placing/placement.py
@@ -23,6 +23,7 @@
     "Obstacle",
     "PlacementRequest",
     "choose_backup",
+    "choose_emptiest",
     "choose_replica",
     "compared_replicas",
     "obstacle",
@@ -141,8 +142,11 @@
 ) -> ReplicaState | None:
     """Return the replica with the lowest cost for a request; None if none has room."""
     candidates = compared_replicas(states, req)
-    if len(candidates) <= 1:
-        return candidates[0] if candidates else None
+    if not candidates:
+        return None
+    if candidates[0].avoid_until <= req.now < candidates[0].limited_until:
+        # All are limited; the turns decide, not the cost.
+        return candidates[0]
     min_failure_share = min(state.failure_share for state in candidates)
     if req.engine is not None:
         candidates = _sample(candidates, req, rng)
@@ -196,6 +200,27 @@
     return min(sampled, key=lambda state: state.tokens, default=None)
 
 
+def choose_emptiest(
+    states: Iterable[ReplicaState], req: PlacementRequest, rng: random.Random
+) -> ReplicaState | None:
+    """Return the engine with the most free memory, which may have too little of it.
+
+    Returns
+    -------
+    ReplicaState or None
+        None if no engine takes requests that this one may be sent to.
+    """
+    candidates = [
+        state
+        for state in states
+        if state.replica.replica not in req.tried
+        and state.avoid_until <= req.now
+        and state.can_accept(req.now)
+    ]
+    sampled = _sample(candidates, req, rng)
+    return min(sampled, key=lambda state: state.tokens, default=None)
+
+
 def suspect_domains(
     states: Iterable[ReplicaState], now: float
 ) -> frozenset[FailureDomain]:
--- a/boragedeck/process/relaying/relay_composition.py
+++ b/boragedeck/process/relaying/relay_composition.py
@@ -31,6 +31,7 @@
 from boragedeck.process.relaying.retries.retry_reserve import RetryReserve
 from boragedeck.process.relaying.retries.retry_share import USABLE_SHARE, RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
+from boragedeck.process.relaying.scheduling.urgency import UrgencyRanks
 from boragedeck.process.relaying.settings_source import SettingsSource
 from boragedeck.process.relaying.speeds.replica_speeds import ReplicaSpeeds
 from boragedeck.process.relaying.tables.replica_source import ReplicaSource
@@ -163,6 +164,7 @@
         admission.on_change = self.loads.note_change
         self._pace = StreamTimeEstimator()
         admission.output_token_cost = self._pace.output_token_cost
+        admission.on_decision = self._metrics.note_decision
         return admission
 
     def _make_parts(
@@ -201,6 +203,7 @@
             time_left=drain_period.time_left,
             open_requests=OpenRequests(),
             is_late_in_stop=drain_period.is_late,
+            urgency_ranks=UrgencyRanks(),
             refusal_headers=refusal_headers,
         )
 
--- a/boragedeck/request/explain.py
+++ b/boragedeck/request/explain.py
@@ -11,6 +11,7 @@
 from result import Result
 
 from boragedeck.connection.caller_channel import CallerChannel
+from boragedeck.connection.reservation import unlimited_reservations
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import PoolName
 from boragedeck.process.relaying.placing.admission import AdmissionPreview
@@ -81,9 +82,17 @@
     except RefusedError as exc:
         return _refused(found, exc)
     # Nothing is answered on the channel; it only says that no answer has begun.
-    channel = CallerChannel(None)
+    reservations = unlimited_reservations(parts.timers)
+    channel = CallerChannel(None, reservations.open("", lambda: None))
     job = RelayJob(
-        parts, req, match.rule, match.pool, match.organisation, match.priority, channel
+        parts,
+        req,
+        match.rule,
+        match.pool,
+        match.organisation,
+        match.priority,
+        channel,
+        rank=match.rank,
     )
     found = msgspec.structs.replace(
         found,
@@ -194,8 +203,7 @@
         excluded=excluded,
         excluded_s=_left_s(restraint, now) if is_restrained else None,
         cost=None if cost is None else round(cost, 4),
-        # Speeds are estimated by another part, which may not be in this build.
-        speed=getattr(state, "speed", 1.0),
+        speed=state.speed,
         own_running=state.own.running,
         peers_running=state.peers.running,
         tokens=state.tokens,
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -53,6 +53,7 @@
         match.organisation,
         match.priority,
         channel,
+        rank=match.rank,
     )
     channel.deadline = job.deadlines.answer_end
     open_relay = OpenRelay(job)
--- a/boragedeck/request/relay_components.py
+++ b/boragedeck/request/relay_components.py
@@ -23,6 +23,7 @@
 from boragedeck.process.relaying.replicas.replica_successors import ReplicaSuccessors
 from boragedeck.process.relaying.retries.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
+from boragedeck.process.relaying.scheduling.urgency import UrgencyRanks
 from boragedeck.process.relaying.speeds.replica_speeds import ReplicaSpeeds
 from boragedeck.process.relaying.tables.table_ages import TableAges
 from boragedeck.process.timers import TimerService
@@ -87,6 +88,8 @@
         the value of Retry-After in seconds.
     is_late_in_stop : callable, optional
         Returns whether this process stops, and must not end what it takes from now on.
+    urgency_ranks : UrgencyRanks, optional
+        Ranks the requests to each pool by urgency.
     """
 
     timers: TimerService
@@ -112,6 +115,7 @@
     open_requests: OpenRequests
     refusal_headers: Callable[[str | None, float | None], Headers]
     is_late_in_stop: Callable[[], bool] = lambda: False
+    urgency_ranks: UrgencyRanks = msgspec.field(default_factory=UrgencyRanks)
 
     def stop_left_s(self) -> float | None:
         """Return the time until a stop ends this process, in seconds; None if none."""
--- a/boragedeck/request/route_match.py
+++ b/boragedeck/request/route_match.py
@@ -37,12 +37,15 @@
         The pool whose replicas serve it, drawn by the weights of the route.
     priority : int
         The priority; 0 is the highest.
+    rank : int or None
+        Its rank among the requests to the pool, see `UrgencyRanks`.
     """
 
     rule: RouteRule
     organisation: OrganisationName | None
     pool: RelayPool
     priority: int
+    rank: int | None
 
 
 def match_request(
@@ -60,7 +63,8 @@
     name = choose_backend(rule, parts.rng)
     pool = table.pools.get(name, RelayPool(name, 0))
     priority = table.priorities.get(organisation, rule.priority)
-    return RouteMatch(rule, organisation, pool, priority)
+    rank = parts.urgency_ranks.rank(table, name, rule, organisation)
+    return RouteMatch(rule, organisation, pool, priority, rank)
 
 
 def _match_route(
--- a/tests/connection/test_upstream_connection.py
+++ b/tests/connection/test_upstream_connection.py
@@ -30,7 +30,7 @@
         self.replica, _ = listener.accept()
         self.conn = UpstreamConnection(sock, Address("replica", 1), time.monotonic)
         self.addCleanup(self.conn.close)
-        self.conn.send(BODY)
+        self.conn.send([memoryview(BODY)])
         self.assertTrue(self.conn.has_unsent)
 
     def reset(self):
@@ -69,13 +69,13 @@
         self.addCleanup(self.replica.close)
         conn = UpstreamConnection(sock, Address("replica", 1), time.monotonic)
         self.addCleanup(conn.close)
-        conn.send(body)
+        conn.send([memoryview(body)])
         return conn
 
     def test_request_in_the_buffers_of_the_router_counts_as_taken(self):
         conn = self.connect(BODY)
         # The rest is in this host's buffers, and the other host takes no more.
-        conn._unsent = memoryview(b"")
+        conn._unsent.clear()
         self.assertTrue(conn.has_untaken())
 
     def test_request_that_the_replica_has_read_counts_as_not_taken(self):
--- a/tests/process/relaying/tables/test_older_versions.py
+++ b/tests/process/relaying/tables/test_older_versions.py
@@ -74,7 +74,7 @@
             self.assertEqual(told[ROUTING], version)
 
     def test_table_of_a_newer_build_is_skipped_in_loads(self):
-        body = ["LoadUpdate", "r1", 3, {}, {"routing": 5, "plans": 7}, "more"]
+        body = ["LoadUpdate", "r1", 3, {}, {"routing": 5, "plans": 7}, [], "more"]
         update = msgspec.msgpack.decode(msgspec.msgpack.encode(body), type=LoadUpdate)
         self.assertEqual(update.newest_row_versions[ROUTING], 5)
 
