Read an empty id in a misdirected answer as none

The id was taken for that of another replica, which was then registered and would have been sent requests with an empty expected id. Such an answer now counts as one that names no replica: the address gets no further requests, and those under way go on.

--- a/boragedeck/platform/replica_protocol.py
+++ b/boragedeck/platform/replica_protocol.py
@@ -138,7 +138,8 @@
     if head.status == STATUS_MISDIRECTED:
         actual_id = head.get(REPLICA_ID.lower())
         name = None if actual_id is None else decode_header_text(actual_id)
-        actual = None if name is None else ReplicaId(name)
+        # An empty value names no replica.
+        actual = ReplicaId(name) if name else None
         return Verdict(VerdictKind.MOVED, actual_replica=actual)
     if head.get(NOT_RUN.lower()) is not None:
         return Verdict(VerdictKind.NOT_RUN)
--- a/tests/platform/test_replica_protocol.py
+++ b/tests/platform/test_replica_protocol.py
@@ -1,6 +1,7 @@
 import unittest
 
 from boragedeck.connection.http_message import AnswerHead
+from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
 
 
@@ -60,3 +61,11 @@
         for value in (b"", b"-1", b"nan", b"inf", b"few"):
             limit = notice(200, (b"Server-Limit", value)).rate_limit
             self.assertIsNone(limit.per_s, value)
+
+
+class VerdictTest(unittest.TestCase):
+    def test_misdirected_answer_with_an_empty_id_names_a_replica(self):
+        for value, expected in ((b"", None), (b"two", "two")):
+            head = AnswerHead(421, [(b"Instance-Id", value)])
+            verdict = HttpReplicaProtocol().verdict(head, AnswerMatch.OWN)
+            self.assertEqual(verdict.actual_replica, expected)
