Refuse facts about successors whose id no header can carry

An id from a fact was sent as the expected id without a check. With a line break it would have ended the header, and an empty one can be taken for no expectation, so that a replica of another pool might run the request. Ids of entries are checked when they are decoded; those of facts are now, too.

--- a/boragedeck/process/relaying/replicas/replica_successors.py
+++ b/boragedeck/process/relaying/replicas/replica_successors.py
@@ -10,6 +10,7 @@
 import enum
 from collections import OrderedDict
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 
@@ -38,6 +39,12 @@
 
 _log = PartLog("replicas")
 
+_SendableId = Annotated[
+    ReplicaId, msgspec.Meta(pattern=r"\A(?! )[^\x00-\x1f\x7f-\x9f]+(?<! )\Z")
+]
+"""An id that can be sent in a header, as the ids of entries; an empty one could be
+taken for none."""
+
 
 class SuccessorOutcome(enum.Enum):
     """How this router learnt of a successor that it uses, or why it uses none."""
@@ -66,7 +73,7 @@
     """
 
     listed: ReplicaId
-    replica: ReplicaId
+    replica: _SendableId
     models: tuple[str, ...]
     age_s: float
 
--- a/tests/process/relaying/replicas/test_replica_successors.py
+++ b/tests/process/relaying/replicas/test_replica_successors.py
@@ -279,6 +279,15 @@
         self.finder.find()
         self.assertEqual(self.other.ids(), ["two"])
 
+    def test_id_that_is_no_header_value_is_sent_to_the_replica(self):
+        # An empty id could count as none, and a line break would end the header.
+        for name in ("", " two", "two ", "two\r\nA: b", "two\n", "two\x7f", "\x85"):
+            with self.subTest(name=name):
+                self.publish("one", name)
+                self.assertEqual(self.other.ids(), ["one"])
+        self.publish("one", "replica two, é")
+        self.assertEqual(self.other.ids(), ["replica two, é"])
+
 
 if __name__ == "__main__":
     unittest.main()
