Publish no fact about a successor that exceeds the size of a fact

A replica whose report names very long models made the publication raise a ValueError, which ended the request that had been answered 421 as a defect instead of repeating it. Such a successor is now used by the finder alone, as one with very many models.

The test ended with that ValueError before.

--- a/boragedeck/process/relaying/replicas/replica_successors.py
+++ b/boragedeck/process/relaying/replicas/replica_successors.py
@@ -18,6 +18,7 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import FactBoard
+from boragedeck.process.membership.fact_store import MAX_BODY_BYTES
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
@@ -197,12 +198,11 @@
             return
         age_s = self._timers.now() - found_at
         fact = _SuccessorFact(state.listed, actual, tuple(sorted(models)), age_s)
-        self._board.publish(
-            FactTopic.REPLICA_SUCCESSOR,
-            str(replica.address),
-            msgspec.msgpack.encode(fact),
-            ttl_s=FACT_TTL_S,
-        )
+        body = msgspec.msgpack.encode(fact)
+        if len(body) > MAX_BODY_BYTES:
+            return
+        key = str(replica.address)
+        self._board.publish(FactTopic.REPLICA_SUCCESSOR, key, body, ttl_s=FACT_TTL_S)
 
     def _on_fact(self, fact: Fact) -> None:
         if fact.origin == self._board.own:
--- a/tests/process/relaying/replicas/test_replica_successors.py
+++ b/tests/process/relaying/replicas/test_replica_successors.py
@@ -4,6 +4,7 @@
 from prometheus_client import CollectorRegistry
 
 from boragedeck.connection.messages import FactTopic
+from boragedeck.process.membership.fact_store import MAX_BODY_BYTES, FactStore
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_successors import (
@@ -129,6 +130,16 @@
         self.finder.find(models=models)
         self.assertEqual((self.finder.ids(), self.facts()), (["two"], []))
 
+    def test_fact_that_exceeds_the_size_of_a_fact_fails_the_request(self):
+        store = FactStore("r-1", self.timers)
+
+        def publish(topic, key, body, *, ttl_s):
+            return store.publish(topic, key, body, ttl_s)
+
+        self.finder.board.publish = publish
+        self.finder.find(models=MODELS | {"m" * MAX_BODY_BYTES})
+        self.assertEqual((self.finder.ids(), self.facts()), (["two"], []))
+
     def test_address_that_is_listed_anew_during_the_report_is_overwritten(self):
         state = self.finder.registry.get("one")
 
