Forget lost replicas once the list has been confirmed since

A replica whose successor gave no report was kept without a bound in age, so that a fact could fill its address with an entry which the store no longer lists. It is now forgotten when the list has been confirmed after its loss.

The test saw it kept, and used in the next outage, before.

--- a/boragedeck/process/relaying/replicas/replica_successors.py
+++ b/boragedeck/process/relaying/replicas/replica_successors.py
@@ -32,7 +32,7 @@
 FACT_TTL_S = 60.0
 """How long routers keep the fact, so that routers that start later receive it, too."""
 RETRY_INTERVAL_S = 0.25
-"""How often facts about addresses without a replica are checked again."""
+"""How often what waits for the list or for another router's fact is checked again."""
 MAX_MODELS = 32
 """Maximum number of models in a fact."""
 MAX_WAITING = 256
@@ -142,6 +142,7 @@
         self._waiting: OrderedDict[str, _Told] = OrderedDict()
         self._displaced: OrderedDict[str, _Displaced] = OrderedDict()
         board.subscribe(FactTopic.REPLICA_SUCCESSOR, self._on_fact)
+        timers.subscribe(RETRY_INTERVAL_S, self._drop_displaced)
         timers.subscribe(RETRY_INTERVAL_S, self._retry_waiting)
 
     def note_moved(
@@ -322,6 +323,12 @@
         if len(self._waiting) > MAX_WAITING:
             self._waiting.popitem(last=False)
 
+    def _drop_displaced(self) -> None:
+        """Forget lost replicas whose entries the router's list is newer than."""
+        for address, displaced in list(self._displaced.items()):
+            if self._is_confirmed_since(displaced.at):
+                del self._displaced[address]
+
     def _retry_waiting(self) -> None:
         since = self._timers.now() - FACT_TTL_S
         waiting, self._waiting = self._waiting, OrderedDict()
--- a/tests/process/relaying/replicas/test_replica_successors.py
+++ b/tests/process/relaying/replicas/test_replica_successors.py
@@ -290,6 +290,18 @@
         self.finder.find()
         self.assertEqual(self.other.ids(), ["two"])
 
+    def test_lost_replica_is_replaced_though_the_list_was_read_since(self):
+        self.other.find(models=None)
+        self.timers.advance(1.0)
+        self.other.list_age_s = 0.5
+        self.timers.advance(0.25)
+        self.assertEqual(len(self.other.successors._displaced), 0)
+        # The outage begins, and a finder still has the list from before.
+        self.other.list_age_s = 1.5
+        self.timers.advance(1.0)
+        self.finder.find()
+        self.assertEqual(self.other.ids(), [])
+
     def test_id_that_is_no_header_value_is_sent_to_the_replica(self):
         # An empty id could count as none, and a line break would end the header.
         for name in ("", " two", "two ", "two\r\nA: b", "two\n", "two\x7f", "\x85"):
