--- a/boragedeck/process/relaying/replicas/replica_successors.py
+++ b/boragedeck/process/relaying/replicas/replica_successors.py
@@ -332,6 +332,14 @@
     def _retry_waiting(self) -> None:
         since = self._timers.now() - FACT_TTL_S
         waiting, self._waiting = self._waiting, OrderedDict()
+        if not waiting:
+            return
+        # Collected once, since a search for each fact is slow with many replicas.
+        known = {str(address) for address in self._registry.addresses()}
         for told in waiting.values():
-            if told.found_at > since:
+            if told.found_at <= since:
+                continue
+            if told.address in known or self._is_confirmed_since(told.found_at):
                 self._handle(told)
+            else:
+                self._keep(told)
--- a/tests/process/relaying/replicas/test_replica_successors.py
+++ b/tests/process/relaying/replicas/test_replica_successors.py
@@ -12,6 +12,7 @@
     MAX_DISPLACED,
     MAX_MODELS,
     MAX_WAITING,
+    RETRY_INTERVAL_S,
     ReplicaSuccessors,
 )
 from boragedeck.process.timers import ManualTimers
@@ -290,6 +291,16 @@
         self.finder.find()
         self.assertEqual(self.other.ids(), ["two"])
 
+    def test_each_waiting_fact_searches_all_replicas(self):
+        for number in range(MAX_WAITING):
+            self.publish("x", f"y{number}", address=f"10.0.0.9:{number}")
+        searches = []
+        find_all = self.other.registry.all
+        self.other.registry.all = lambda: searches.append(1) or find_all()
+        self.timers.advance(RETRY_INTERVAL_S)
+        self.assertEqual(searches, [])
+        self.assertEqual(len(self.other.successors._waiting), MAX_WAITING)
+
     def test_lost_replica_is_replaced_though_the_list_was_read_since(self):
         self.other.find(models=None)
         self.timers.advance(1.0)
