Test the order of facts about successors, and lost and listed replicas

Each of six conditions could be removed without a failing test: that a listed replica stays where it is, which fact waits, which fact fills the address of a lost replica, that a negative age counts as none, that the time of the report counts to the age, and that an entry restarts the order. Removing any of them now fails a test.

--- a/tests/process/relaying/replicas/test_replica_successors.py
+++ b/tests/process/relaying/replicas/test_replica_successors.py
@@ -291,6 +291,66 @@
         self.finder.find()
         self.assertEqual(self.other.ids(), ["two"])
 
+    def test_newer_fact_that_waits_is_replaced_by_an_older_one(self):
+        late = Router(self.timers, "r-3", self.shared)
+        self.publish("one", "three", age_s=1.0)
+        self.publish("one", "two", age_s=2.0)
+        late.put()
+        self.timers.advance(RETRY_INTERVAL_S)
+        self.assertEqual(late.ids(), ["three"])
+
+    def test_older_fact_about_the_same_successor_is_not_used_for_a_lost_replica(self):
+        self.other.find(models=None)
+        self.publish("one", "two", age_s=1.0)
+        self.assertEqual(self.other.ids(), ["two"])
+
+    def test_lost_replica_is_replaced_by_a_finder_with_another_list(self):
+        self.other.find(models=None)
+        self.timers.advance(1.0)
+        self.publish("zero", "three")
+        self.assertEqual(self.other.ids(), [])
+
+    def test_listed_replica_is_moved_by_the_word_of_another_router(self):
+        elsewhere = msgspec.structs.replace(replica("elsewhere"), replica="two")
+        self.other.registry.put(elsewhere)
+        state = self.other.registry.get("two")
+        self.publish("one", "two")
+        self.assertEqual(self.other.ids(), ["one", "two"])
+        self.assertEqual(state.replica, elsewhere)
+
+    def test_fact_with_a_negative_age_is_used_against_later_ones(self):
+        self.publish("one", "two", age_s=-100.0)
+        self.timers.advance(1.0)
+        self.publish("one", "three")
+        self.assertEqual(self.other.ids(), ["three"])
+
+    def test_time_of_the_report_does_not_count_to_the_age_of_a_fact(self):
+        state = self.finder.registry.get("one")
+
+        def fetch_models():
+            self.timers.advance(0.1)
+            now = self.timers.now()
+            self.other.registry.get("one").note_answer(True, now)
+            self.timers.advance(0.1)
+            return MODELS
+
+        self.finder.successors.note_moved(state, "two", fetch_models)
+        self.assertEqual(self.finder.ids(), ["two"])
+        self.assertEqual(self.other.ids(), ["one"])
+
+    def test_successor_of_a_listed_successor_is_not_used(self):
+        self.finder.find()
+        for router in (self.finder, self.other):
+            router.put("two", born_ms=2)
+        self.timers.advance(1.0)
+        self.finder.find("three", before="two")
+        self.assertEqual(self.other.ids(), ["three"])
+        late = Router(self.timers, "r-3", self.shared)
+        late.put("two", born_ms=2)
+        self.timers.advance(1.0)
+        self.publish("two", "four")
+        self.assertEqual((self.other.ids(), late.ids()), (["four"], ["four"]))
+
     def test_each_waiting_fact_searches_all_replicas(self):
         for number in range(MAX_WAITING):
             self.publish("x", f"y{number}", address=f"10.0.0.9:{number}")
