--- a/tests/platform/test_replica_protocol.py
+++ b/tests/platform/test_replica_protocol.py
@@ -64,7 +64,7 @@
 
 
 class VerdictTest(unittest.TestCase):
-    def test_misdirected_answer_with_an_empty_id_names_a_replica(self):
+    def test_misdirected_answer_with_an_empty_id_names_no_replica(self):
         for value, expected in ((b"", None), (b"two", "two")):
             head = AnswerHead(421, [(b"Instance-Id", value)])
             verdict = HttpReplicaProtocol().verdict(head, AnswerMatch.OWN)
