Restore the listed replica when its told successor is removed

A wrong fact replaced a sound replica by one that never existed. If no request showed that before the successor was removed for want of an entry, nothing brought the sound replica back: its entry in the list need not change again. Removing such a successor now reads the entry of the replica that it replaced, if the store still lists it.

The test found the listed replica gone before, in both ways in which the successor is removed.

--- a/boragedeck/process/relaying/tables/replica_source.py
+++ b/boragedeck/process/relaying/tables/replica_source.py
@@ -8,6 +8,7 @@
 from boragedeck.exceptions import TableError
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
+from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.process.relaying.tables.deleted_entries import DeletedEntries
 from boragedeck.process.relaying.tables.mirror_follower import MirrorFollower
 from boragedeck.process.relaying.tables.table_mirror import TableMirror
@@ -92,7 +93,7 @@
         for state in self._registry.all():
             replica = state.replica.replica
             if replica not in self._mirror.rows:
-                self._registry.remove(replica, "no entry since the store outage")
+                self._remove_unlisted(state, "no entry since the store outage")
 
     def _drop_unlisted_successors(self) -> None:
         """Remove successors by another router's word that have written no entry.
@@ -109,7 +110,19 @@
         for state in self._registry.all():
             known_at = max(answering_since, state.found_at, state.answered_at)
             if state.is_told and self._timers.now() - known_at > lapse_s:
-                self._registry.remove(state.replica.replica, "successor has no entry")
+                self._remove_unlisted(state, "successor has no entry")
+
+    def _remove_unlisted(self, state: ReplicaState, cause: str) -> None:
+        """Remove a replica without an entry; restore one that it replaced wrongly.
+
+        Notes
+        -----
+        The word of another router may be wrong. If the store still lists the former
+        replica, its entry may not change again, so nothing else would restore it.
+        """
+        self._registry.remove(state.replica.replica, cause)
+        if state.is_told:
+            self._put_if_listed(state.listed)
 
     def _note_restored(self) -> None:
         self._restored_at = self._timers.now()
--- a/tests/process/relaying/replicas/test_registry.py
+++ b/tests/process/relaying/replicas/test_registry.py
@@ -215,6 +215,23 @@
         self.timers.advance(HEARTBEAT_S)
         self.assertIsNone(self.registry.get("two"))
 
+    def test_listed_replica_returns_when_a_told_successor_is_removed(self):
+        for cause in ("no entry", "store outage"):
+            with self.subTest(cause=cause):
+                self.told_successor()
+                self.assertIsNone(self.registry.get("one"))
+                if cause == "store outage":
+                    self.follower.reconnected_at = self.timers.now()
+                self.timers.advance(5.0 * HEARTBEAT_S)
+                self.assertIsNone(self.registry.get("two"))
+                self.assertIsNotNone(self.registry.get("one"))
+
+    def test_former_replica_stays_away_if_its_entry_is_deleted(self):
+        self.told_successor()
+        self.change("one", None, 2)
+        self.timers.advance(5.0 * HEARTBEAT_S)
+        self.assertEqual(self.registry.all(), [])
+
     def test_told_successor_is_removed_while_the_store_is_away(self):
         self.told_successor()
         self.follower.reconnected_at = None
