--- a/boragedeck/process/relaying/replicas/replica_successors.py
+++ b/boragedeck/process/relaying/replicas/replica_successors.py
@@ -10,6 +10,7 @@
 import enum
 from collections import OrderedDict
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 
@@ -17,6 +18,7 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import FactBoard
+from boragedeck.process.membership.fact_store import MAX_BODY_BYTES
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
@@ -30,7 +32,7 @@
 FACT_TTL_S = 60.0
 """How long routers keep the fact, so that routers that start later receive it, too."""
 RETRY_INTERVAL_S = 0.25
-"""How often facts about addresses without a replica are checked again."""
+"""How often what waits for the list or for another router's fact is checked again."""
 MAX_MODELS = 32
 """Maximum number of models in a fact."""
 MAX_WAITING = 256
@@ -38,6 +40,12 @@
 
 _log = PartLog("replicas")
 
+_SendableId = Annotated[
+    ReplicaId, msgspec.Meta(pattern=r"\A(?! )[^\x00-\x1f\x7f-\x9f]+(?<! )\Z")
+]
+"""An id that can be sent in a header, as the ids of entries; an empty one could be
+taken for none."""
+
 
 class SuccessorOutcome(enum.Enum):
     """How this router learnt of a successor that it uses, or why it uses none."""
@@ -66,7 +74,7 @@
     """
 
     listed: ReplicaId
-    replica: ReplicaId
+    replica: _SendableId
     models: tuple[str, ...]
     age_s: float
 
@@ -134,6 +142,7 @@
         self._waiting: OrderedDict[str, _Told] = OrderedDict()
         self._displaced: OrderedDict[str, _Displaced] = OrderedDict()
         board.subscribe(FactTopic.REPLICA_SUCCESSOR, self._on_fact)
+        timers.subscribe(RETRY_INTERVAL_S, self._drop_displaced)
         timers.subscribe(RETRY_INTERVAL_S, self._retry_waiting)
 
     def note_moved(
@@ -190,12 +199,11 @@
             return
         age_s = self._timers.now() - found_at
         fact = _SuccessorFact(state.listed, actual, tuple(sorted(models)), age_s)
-        self._board.publish(
-            FactTopic.REPLICA_SUCCESSOR,
-            str(replica.address),
-            msgspec.msgpack.encode(fact),
-            ttl_s=FACT_TTL_S,
-        )
+        body = msgspec.msgpack.encode(fact)
+        if len(body) > MAX_BODY_BYTES:
+            return
+        key = str(replica.address)
+        self._board.publish(FactTopic.REPLICA_SUCCESSOR, key, body, ttl_s=FACT_TTL_S)
 
     def _on_fact(self, fact: Fact) -> None:
         if fact.origin == self._board.own:
@@ -315,9 +323,23 @@
         if len(self._waiting) > MAX_WAITING:
             self._waiting.popitem(last=False)
 
+    def _drop_displaced(self) -> None:
+        """Forget lost replicas whose entries the router's list is newer than."""
+        for address, displaced in list(self._displaced.items()):
+            if self._is_confirmed_since(displaced.at):
+                del self._displaced[address]
+
     def _retry_waiting(self) -> None:
         since = self._timers.now() - FACT_TTL_S
         waiting, self._waiting = self._waiting, OrderedDict()
+        if not waiting:
+            return
+        # Collected once, since a search for each fact is slow with many replicas.
+        known = {str(address) for address in self._registry.addresses()}
         for told in waiting.values():
-            if told.found_at > since:
+            if told.found_at <= since:
+                continue
+            if told.address in known or self._is_confirmed_since(told.found_at):
                 self._handle(told)
+            else:
+                self._keep(told)
--- a/tests/platform/test_replica_protocol.py
+++ b/tests/platform/test_replica_protocol.py
@@ -1,6 +1,7 @@
 import unittest
 
 from boragedeck.connection.http_message import AnswerHead
+from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
 from boragedeck.request.relay_request import AttemptPlan, RelayRequest
 from tests.support.admission_plays import replica
@@ -90,3 +91,11 @@
 
     def test_no_priority_is_sent_if_none_is_planned(self):
         self.assertEqual(self.priority(None), [])
+
+
+class VerdictTest(unittest.TestCase):
+    def test_misdirected_answer_with_an_empty_id_names_no_replica(self):
+        for value, expected in ((b"", None), (b"two", "two")):
+            head = AnswerHead(421, [(b"Instance-Id", value)])
+            verdict = HttpReplicaProtocol().verdict(head, AnswerMatch.OWN)
+            self.assertEqual(verdict.actual_replica, expected)
--- a/tests/process/relaying/replicas/test_replica_successors.py
+++ b/tests/process/relaying/replicas/test_replica_successors.py
@@ -4,6 +4,7 @@
 from prometheus_client import CollectorRegistry
 
 from boragedeck.connection.messages import FactTopic
+from boragedeck.process.membership.fact_store import MAX_BODY_BYTES, FactStore
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_successors import (
@@ -11,6 +12,7 @@
     MAX_DISPLACED,
     MAX_MODELS,
     MAX_WAITING,
+    RETRY_INTERVAL_S,
     ReplicaSuccessors,
 )
 from boragedeck.process.timers import ManualTimers
@@ -129,6 +131,16 @@
         self.finder.find(models=models)
         self.assertEqual((self.finder.ids(), self.facts()), (["two"], []))
 
+    def test_fact_that_exceeds_the_size_of_a_fact_fails_the_request(self):
+        store = FactStore("r-1", self.timers)
+
+        def publish(topic, key, body, *, ttl_s):
+            return store.publish(topic, key, body, ttl_s)
+
+        self.finder.board.publish = publish
+        self.finder.find(models=MODELS | {"m" * MAX_BODY_BYTES})
+        self.assertEqual((self.finder.ids(), self.facts()), (["two"], []))
+
     def test_address_that_is_listed_anew_during_the_report_is_overwritten(self):
         state = self.finder.registry.get("one")
 
@@ -279,6 +291,97 @@
         self.finder.find()
         self.assertEqual(self.other.ids(), ["two"])
 
+    def test_newer_fact_that_waits_is_replaced_by_an_older_one(self):
+        late = Router(self.timers, "r-3", self.shared)
+        self.publish("one", "three", age_s=1.0)
+        self.publish("one", "two", age_s=2.0)
+        late.put()
+        self.timers.advance(RETRY_INTERVAL_S)
+        self.assertEqual(late.ids(), ["three"])
+
+    def test_older_fact_about_the_same_successor_is_not_used_for_a_lost_replica(self):
+        self.other.find(models=None)
+        self.publish("one", "two", age_s=1.0)
+        self.assertEqual(self.other.ids(), ["two"])
+
+    def test_lost_replica_is_replaced_by_a_finder_with_another_list(self):
+        self.other.find(models=None)
+        self.timers.advance(1.0)
+        self.publish("zero", "three")
+        self.assertEqual(self.other.ids(), [])
+
+    def test_listed_replica_is_moved_by_the_word_of_another_router(self):
+        elsewhere = msgspec.structs.replace(replica("elsewhere"), replica="two")
+        self.other.registry.put(elsewhere)
+        state = self.other.registry.get("two")
+        self.publish("one", "two")
+        self.assertEqual(self.other.ids(), ["one", "two"])
+        self.assertEqual(state.replica, elsewhere)
+
+    def test_fact_with_a_negative_age_is_used_against_later_ones(self):
+        self.publish("one", "two", age_s=-100.0)
+        self.timers.advance(1.0)
+        self.publish("one", "three")
+        self.assertEqual(self.other.ids(), ["three"])
+
+    def test_time_of_the_report_does_not_count_to_the_age_of_a_fact(self):
+        state = self.finder.registry.get("one")
+
+        def fetch_models():
+            self.timers.advance(0.1)
+            now = self.timers.now()
+            self.other.registry.get("one").note_answer(True, now)
+            self.timers.advance(0.1)
+            return MODELS
+
+        self.finder.successors.note_moved(state, "two", fetch_models)
+        self.assertEqual(self.finder.ids(), ["two"])
+        self.assertEqual(self.other.ids(), ["one"])
+
+    def test_successor_of_a_listed_successor_is_not_used(self):
+        self.finder.find()
+        for router in (self.finder, self.other):
+            router.put("two", born_ms=2)
+        self.timers.advance(1.0)
+        self.finder.find("three", before="two")
+        self.assertEqual(self.other.ids(), ["three"])
+        late = Router(self.timers, "r-3", self.shared)
+        late.put("two", born_ms=2)
+        self.timers.advance(1.0)
+        self.publish("two", "four")
+        self.assertEqual((self.other.ids(), late.ids()), (["four"], ["four"]))
+
+    def test_each_waiting_fact_searches_all_replicas(self):
+        for number in range(MAX_WAITING):
+            self.publish("x", f"y{number}", address=f"10.0.0.9:{number}")
+        searches = []
+        find_all = self.other.registry.all
+        self.other.registry.all = lambda: searches.append(1) or find_all()
+        self.timers.advance(RETRY_INTERVAL_S)
+        self.assertEqual(searches, [])
+        self.assertEqual(len(self.other.successors._waiting), MAX_WAITING)
+
+    def test_lost_replica_is_replaced_though_the_list_was_read_since(self):
+        self.other.find(models=None)
+        self.timers.advance(1.0)
+        self.other.list_age_s = 0.5
+        self.timers.advance(0.25)
+        self.assertEqual(len(self.other.successors._displaced), 0)
+        # The outage begins, and a finder still has the list from before.
+        self.other.list_age_s = 1.5
+        self.timers.advance(1.0)
+        self.finder.find()
+        self.assertEqual(self.other.ids(), [])
+
+    def test_id_that_is_no_header_value_is_sent_to_the_replica(self):
+        # An empty id could count as none, and a line break would end the header.
+        for name in ("", " two", "two ", "two\r\nA: b", "two\n", "two\x7f", "\x85"):
+            with self.subTest(name=name):
+                self.publish("one", name)
+                self.assertEqual(self.other.ids(), ["one"])
+        self.publish("one", "replica two, é")
+        self.assertEqual(self.other.ids(), ["replica two, é"])
+
 
 if __name__ == "__main__":
     unittest.main()
