Ignore samples of speeds whose times are too small to be divided

Cause: a router that sent large times and then the smallest float made the ratio of the two 0.0, and the estimate divided by it. The exception ended the maintenance of loads of this and of each later turn until the samples expired. Change: a sample counts from 1 ns on. Result: test_tiny_times_of_one_router_do_not_stop_the_estimates failed with ZeroDivisionError before, and passes.

--- a/boragedeck/process/relaying/speeds/speed_messages.py
+++ b/boragedeck/process/relaying/speeds/speed_messages.py
@@ -10,6 +10,9 @@
 
 __all__ = ["RunSpeed", "SpeedSample", "StreamTimes"]
 
+MIN_TIME_S = 1e-9
+"""Minimum value of a sample that is believed. The ratio of two smaller ones may be 0.0
+or infinite."""
 MAX_TIME_S = 3600.0
 """Maximum value and age of a sample that is believed."""
 
@@ -65,7 +68,7 @@
     def is_valid(self) -> bool:
         """Whether all values are possible ones."""
         times_s = self.read_s, self.event_s
-        has_times = all(0.0 < time_s <= MAX_TIME_S for time_s in times_s)
+        has_times = all(MIN_TIME_S <= time_s <= MAX_TIME_S for time_s in times_s)
         return has_times and 0.0 <= self.age_s <= MAX_TIME_S
 
 
--- a/tests/process/relaying/speeds/test_replica_speeds.py
+++ b/tests/process/relaying/speeds/test_replica_speeds.py
@@ -12,7 +12,11 @@
     UPDATE_INTERVAL_S,
     ReplicaSpeeds,
 )
-from boragedeck.process.relaying.speeds.run_samples import MAX_AGE_S
+from boragedeck.process.relaying.speeds.run_samples import (
+    MAX_AGE_S,
+    MAX_SAMPLES_OF_ROUTER,
+)
+from boragedeck.process.relaying.speeds.speed_estimator import MAX_POOL_TIMES
 from boragedeck.process.relaying.speeds.speed_messages import (
     RunSpeed,
     SpeedSample,
@@ -105,6 +109,18 @@
         self.update()
         self.assertEqual(self.speeds.slow_replicas(), 0)
 
+    def test_tiny_times_of_one_router_do_not_stop_the_estimates(self):
+        # The smallest float, divided by large times, is 0.0, which nothing can be
+        # divided by.
+        self.send_round(slow=())
+        self.timers.advance(60.0)
+        for _ in range(MAX_POOL_TIMES):
+            self.send("liar", "e1", read_s=3600.0, event_s=3600.0)
+        for _ in range(MAX_SAMPLES_OF_ROUTER):
+            self.send("liar", "e0", read_s=5e-324, event_s=5e-324)
+        self.update()
+        self.assertEqual(self.speed(), 1.0)
+
     def test_impossible_speeds_of_a_hub_are_ignored(self):
         for value in (0.0, -1.0, math.nan, math.inf):
             self.speeds.note_received([RunSpeed("e0", 7, value)])
