Ignore speeds of hubs beyond the ratio that estimates may have

Cause: a router believed each finite, positive speed that a hub told it. A tiny one made an engine's cost infinite, so it got no streams until the speed expired, while estimates of the router's own are bounded to a factor of 5. Change: the same bound holds for speeds that are received.

--- a/boragedeck/process/relaying/speeds/speed_judge.py
+++ b/boragedeck/process/relaying/speeds/speed_judge.py
@@ -13,7 +13,11 @@
 
 from boragedeck.process.relaying.replicas.replica_state import Run
 from boragedeck.process.relaying.speeds.run_samples import Summary
-from boragedeck.process.relaying.speeds.speed_messages import RunSpeed, StreamTimes
+from boragedeck.process.relaying.speeds.speed_messages import (
+    MAX_SPEED_RATIO,
+    RunSpeed,
+    StreamTimes,
+)
 
 __all__ = ["judge_speeds"]
 
@@ -32,8 +36,6 @@
 """What the doubt about a single sample adds to that limit."""
 KEPT_LIMIT = 1.2
 """Ratio below which a difference that was found is given up."""
-MAX_RATIO = 5.0
-"""Largest ratio that is believed, so that no engine is left out for good."""
 
 
 class _Direction(enum.Enum):
@@ -94,10 +96,10 @@
     slower = _ratio(summary, medians, _Direction.SLOWER)
     certainty = min(1.0, summary.weight / FULL_WEIGHT)
     if slower >= _limit(summary, was_found=before < 1.0):
-        return min(MAX_RATIO, slower) ** -certainty
+        return min(MAX_SPEED_RATIO, slower) ** -certainty
     faster = _ratio(summary, medians, _Direction.FASTER)
     if faster >= _limit(summary, was_found=before > 1.0):
-        return min(MAX_RATIO, faster) ** certainty
+        return min(MAX_SPEED_RATIO, faster) ** certainty
     return 1.0
 
 
--- a/boragedeck/process/relaying/speeds/speed_messages.py
+++ b/boragedeck/process/relaying/speeds/speed_messages.py
@@ -1,15 +1,16 @@
 """What routers tell each other of the speeds of replicas, beside the loads."""
 
-import math
-
 import msgspec
 
 from boragedeck.ids import RouterId
 from boragedeck.process.relaying.replicas.replica_state import Run
 from boragedeck.version.replicas import ReplicaId
 
-__all__ = ["RunSpeed", "SpeedSample", "StreamTimes"]
+__all__ = ["MAX_SPEED_RATIO", "RunSpeed", "SpeedSample", "StreamTimes"]
 
+MAX_SPEED_RATIO = 5.0
+"""Largest ratio of a speed to the median that is believed, and of the median to a
+speed, so that no engine is left out for good."""
 MIN_TIME_S = 1e-9
 """Minimum value of a sample that is believed. The ratio of two smaller ones may be 0.0
 or infinite."""
@@ -103,4 +104,4 @@
     @property
     def is_valid(self) -> bool:
         """Whether the speed is a possible one."""
-        return self.speed > 0.0 and math.isfinite(self.speed)
+        return 1.0 / MAX_SPEED_RATIO <= self.speed <= MAX_SPEED_RATIO
--- a/tests/process/relaying/speeds/test_replica_speeds.py
+++ b/tests/process/relaying/speeds/test_replica_speeds.py
@@ -18,6 +18,7 @@
 )
 from boragedeck.process.relaying.speeds.speed_estimator import MAX_POOL_TIMES
 from boragedeck.process.relaying.speeds.speed_messages import (
+    MAX_SPEED_RATIO,
     RunSpeed,
     SpeedSample,
     StreamTimes,
@@ -121,6 +122,14 @@
         self.update()
         self.assertEqual(self.speed(), 1.0)
 
+    def test_speeds_of_a_hub_that_would_leave_an_engine_out_are_ignored(self):
+        for value in (5e-324, 0.9 / MAX_SPEED_RATIO, 1.1 * MAX_SPEED_RATIO):
+            self.speeds.note_received([RunSpeed("e0", 7, value)])
+            self.assertEqual(self.speed(), 1.0)
+        for value in (1.0 / MAX_SPEED_RATIO, MAX_SPEED_RATIO):
+            self.speeds.note_received([RunSpeed("e0", 7, value)])
+            self.assertEqual(self.speed(), value)
+
     def test_impossible_speeds_of_a_hub_are_ignored(self):
         for value in (0.0, -1.0, math.nan, math.inf):
             self.speeds.note_received([RunSpeed("e0", 7, value)])
--- a/tests/process/relaying/speeds/test_speed_judge.py
+++ b/tests/process/relaying/speeds/test_speed_judge.py
@@ -4,11 +4,14 @@
 from boragedeck.process.relaying.speeds.run_samples import Summary
 from boragedeck.process.relaying.speeds.speed_judge import (
     KEPT_LIMIT,
-    MAX_RATIO,
     MIN_RUNS,
     judge_speeds,
 )
-from boragedeck.process.relaying.speeds.speed_messages import RunSpeed, StreamTimes
+from boragedeck.process.relaying.speeds.speed_messages import (
+    MAX_SPEED_RATIO,
+    RunSpeed,
+    StreamTimes,
+)
 
 RUN = Run("e0", 0)
 
@@ -62,7 +65,7 @@
         self.assertEqual(speeds[-1], 1.0)
 
     def test_ratio_is_bounded(self):
-        self.assertAlmostEqual(self.judge(summary(90.0, 90.0)), 1 / MAX_RATIO)
+        self.assertAlmostEqual(self.judge(summary(90.0, 90.0)), 1 / MAX_SPEED_RATIO)
 
     def test_pool_of_few_known_runs_has_no_median(self):
         self.assertEqual(self.judge(summary(2.2, 2.2), others=MIN_RUNS - 2), 1.0)
