Let a run keep its speed when its address changes

Cause: a run that was found at the last address of another one took that run's samples, also if the other run went on at a new address, or had only moved itself. Runs that swapped their addresses swapped their samples. Change: only a run that is new follows another, and only one that isn't registered at another address. Result: three of the five new tests of AddressHistory failed before, and pass; the other two (two entries with one address, a run that returns) state what held already.

--- a/boragedeck/process/relaying/speeds/address_history.py
+++ b/boragedeck/process/relaying/speeds/address_history.py
@@ -32,7 +32,8 @@
 
     Notes
     -----
-    An address that goes to another pool starts without a history there.
+    An address that goes to another pool starts without a history there. A run whose
+    address changes keeps what is known of it, and takes nothing from another run.
     """
 
     def __init__(self) -> None:
@@ -56,10 +57,11 @@
         current = {
             (state.replica.pool, state.replica.address): state.run for state in states
         }
+        present, known = set(current.values()), self.runs()
         predecessors = {}
         for key, run in current.items():
             last = self._last.pop(key, None)
-            if last is not None and last.run != run:
+            if last is not None and last.run not in present and run not in known:
                 predecessors[run] = last.run
             self._last[key] = _LastRun(run, now)
         self._drop_old(now)
--- a/tests/process/relaying/speeds/test_address_history.py
+++ b/tests/process/relaying/speeds/test_address_history.py
@@ -27,3 +27,28 @@
 
     def test_replica_of_another_pool_has_no_predecessor(self):
         self.assertEqual(self.history.update([state("new", "a", "q")], 5.0), {})
+
+    def test_newest_entry_at_an_address_follows_the_one_that_is_still_registered(self):
+        found = self.history.update([state("old", "a"), state("new", "a")], 5.0)
+        self.assertEqual(found, {Run("new", 7): Run("old", 7)})
+        found = self.history.update([state("old", "a"), state("new", "a")], 6.0)
+        self.assertEqual(found, {})
+
+    def test_run_that_returns_to_an_address_follows_the_one_in_between(self):
+        self.history.update([state("new", "a")], 5.0)
+        found = self.history.update([state("old", "a")], 6.0)
+        self.assertEqual(found, {Run("old", 7): Run("new", 7)})
+
+    def test_run_that_goes_on_at_another_address_has_no_successor(self):
+        found = self.history.update([state("old", "b"), state("new", "a")], 5.0)
+        self.assertEqual(found, {})
+
+    def test_runs_that_swap_addresses_do_not_follow_each_other(self):
+        self.history.update([state("old", "a"), state("new", "b")], 1.0)
+        found = self.history.update([state("old", "b"), state("new", "a")], 5.0)
+        self.assertEqual(found, {})
+
+    def test_run_that_moves_to_the_address_of_an_ended_one_does_not_follow_it(self):
+        self.history.update([state("old", "a"), state("new", "b")], 1.0)
+        found = self.history.update([state("new", "a")], 5.0)
+        self.assertEqual(found, {})
