Keep the samples of a run if its successor has one already

Cause: what was known of a run was dropped if a sample of the next run at its address arrived before the update that once a second passes it on. The engine then counted as unknown, since one sample is too few. Change: the samples of the next run are added to those of the run before. Result: test_sample_before_the_first_update_does_not_replace_the_run_before failed with a speed of 1.0 before, and passes.

--- a/boragedeck/process/relaying/speeds/run_samples.py
+++ b/boragedeck/process/relaying/speeds/run_samples.py
@@ -94,6 +94,12 @@
         if len(self._by_router) > MAX_ROUTERS:
             del self._by_router[next(iter(self._by_router))]
 
+    def add_all(self, newer: "RunSamples") -> None:
+        """Add the samples of the run that follows this one."""
+        for router, samples in newer._by_router.items():
+            for sample in samples:
+                self.add(router, sample.at, sample.ratios)
+
     def expire(self, now: float) -> bool:
         """Drop old samples; return whether any are left."""
         for router, samples in list(self._by_router.items()):
--- a/boragedeck/process/relaying/speeds/speed_estimator.py
+++ b/boragedeck/process/relaying/speeds/speed_estimator.py
@@ -79,12 +79,14 @@
         before : Run
             The run that has ended.
         run : Run
-            The run that is at its address now. What is known of it already counts
-            instead.
+            The run that is at its address now. Its own samples count as the newest.
         """
         samples = self._samples.pop(before, None)
         if samples is not None:
-            self._samples.setdefault(run, samples)
+            own_samples = self._samples.get(run)
+            if own_samples is not None:
+                samples.add_all(own_samples)
+            self._samples[run] = samples
         speed = self.speeds.pop(before, None)
         if speed is not None:
             named = msgspec.structs.replace(
--- a/tests/process/relaying/speeds/test_replica_speeds.py
+++ b/tests/process/relaying/speeds/test_replica_speeds.py
@@ -167,6 +167,14 @@
         self.update()
         self.assertAlmostEqual(self.speed(), 1 / SLOW, delta=0.1)
 
+    def test_sample_before_the_first_update_does_not_replace_the_run_before(self):
+        self.send_round()
+        self.update()
+        self.put("e0", born_ms=8)
+        self.send("a", "e0", SLOW, born_ms=8)
+        self.update()
+        self.assertAlmostEqual(self.speed(), 1 / SLOW, delta=0.1)
+
     def test_successor_at_an_address_begins_with_its_speed_after_a_gap(self):
         self.send_round()
         self.update()
--- a/tests/process/relaying/speeds/test_run_samples.py
+++ b/tests/process/relaying/speeds/test_run_samples.py
@@ -71,6 +71,17 @@
         self.assertTrue(self.samples.expire(MAX_AGE_S))
         self.assertFalse(self.samples.expire(MAX_AGE_S + 1.0))
 
+    def test_samples_of_a_run_that_follows_are_the_newest(self):
+        self.add("r1", SLOW, count=MAX_SAMPLES_OF_ROUTER)
+        self.add("r2", SLOW)
+        follower = RunSamples(Run("e1", 8))
+        follower.add("r1", 5.0, NORMAL)
+        follower.add("r3", 5.0, NORMAL)
+        self.samples.add_all(follower)
+        summary = self.samples.summary("own", 5.0)
+        self.assertEqual(summary.samples, MAX_SAMPLES_OF_ROUTER + 2)
+        self.assertAlmostEqual(summary.age_s, 0.0)
+
     def test_state_is_bounded(self):
         for number in range(3 * MAX_ROUTERS):
             self.add(f"r{number}", NORMAL, count=2 * MAX_SAMPLES_OF_ROUTER)
