Keep one router from determining the median of a pool's times

Cause: a sample is compared with the pool's newest 64, whichever routers sent them. A router that sent many samples replaced those of all others, so that engines that others had measured meanwhile counted as slow: the samples of one router changed the speeds of engines alone. Result: test_flood_of_one_router_does_not_change_what_others_are_compared_with failed with three engines wrongly slow before, and passes; the tests of the model (test_speed_fleet) pass.

--- a/boragedeck/process/relaying/speeds/speed_estimator.py
+++ b/boragedeck/process/relaying/speeds/speed_estimator.py
@@ -1,13 +1,12 @@
 """Estimates the speeds of runs from the samples of several routers."""
 
-import statistics
-from collections import deque
 from collections.abc import Collection
 
 import msgspec
 
 from boragedeck.ids import PoolName, RouterId
 from boragedeck.process.relaying.replicas.replica_state import Run
+from boragedeck.process.relaying.speeds.pool_times import PoolTimes
 from boragedeck.process.relaying.speeds.run_samples import RunSamples, Summary
 from boragedeck.process.relaying.speeds.speed_judge import judge_speeds
 from boragedeck.process.relaying.speeds.speed_messages import (
@@ -18,10 +17,6 @@
 
 __all__ = ["SpeedEstimator"]
 
-MAX_POOL_TIMES = 64
-"""Number of the newest samples of a pool whose median a sample is compared with. They
-are of the same moment, so a burst over the whole pool makes no engine look slow."""
-MIN_POOL_TIMES = 8
 MAX_ROUTERS = 1_024
 """Number of routers of which it is kept which samples are known."""
 
@@ -43,7 +38,7 @@
     def __init__(self, own: RouterId):
         self._own = own
         self._last_numbers: dict[RouterId, int] = {}
-        self._pool_times: dict[PoolName, deque[StreamTimes]] = {}
+        self._pool_times: dict[PoolName, PoolTimes] = {}
         self._samples: dict[Run, RunSamples] = {}
         self.speeds: dict[Run, RunSpeed] = {}
 
@@ -52,10 +47,10 @@
         if not self._note_number(sample):
             return False
         times = StreamTimes(sample.read_s, sample.event_s)
-        pool_times = self._pool_times.setdefault(pool, deque(maxlen=MAX_POOL_TIMES))
-        pool_times.append(times)
-        if len(pool_times) >= MIN_POOL_TIMES:
-            ratios = _relative(times, pool_times)
+        pool_times = self._pool_times.setdefault(pool, PoolTimes())
+        pool_times.add(sample.router, times, now)
+        ratios = pool_times.relative(times)
+        if ratios is not None:
             samples = self._samples.setdefault(sample.run, RunSamples(sample.run))
             samples.add(sample.router, now - sample.age_s, ratios)
         return True
@@ -112,9 +107,3 @@
 
     def _summary(self, samples: RunSamples, now: float) -> Summary | None:
         return samples.summary(self._own, now) if samples.expire(now) else None
-
-
-def _relative(times: StreamTimes, pool_times: deque[StreamTimes]) -> StreamTimes:
-    read_s = statistics.median(each.read_s for each in pool_times)
-    event_s = statistics.median(each.event_s for each in pool_times)
-    return StreamTimes(times.read_s / read_s, times.event_s / event_s)
--- a/tests/process/relaying/speeds/test_replica_speeds.py
+++ b/tests/process/relaying/speeds/test_replica_speeds.py
@@ -7,6 +7,7 @@
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.speeds import replica_speeds
 from boragedeck.process.relaying.speeds.address_history import KEPT_S
+from boragedeck.process.relaying.speeds.pool_times import MAX_POOL_TIMES
 from boragedeck.process.relaying.speeds.recent_speeds import TTL_S
 from boragedeck.process.relaying.speeds.replica_speeds import (
     UPDATE_INTERVAL_S,
@@ -16,7 +17,6 @@
     MAX_AGE_S,
     MAX_SAMPLES_OF_ROUTER,
 )
-from boragedeck.process.relaying.speeds.speed_estimator import MAX_POOL_TIMES
 from boragedeck.process.relaying.speeds.speed_messages import (
     MAX_SPEED_RATIO,
     RunSpeed,
@@ -84,6 +84,17 @@
         self.update()
         self.assertEqual((self.speed("e0"), self.speed("e1")), (1.0, 1.0))
 
+    def test_flood_of_one_router_does_not_change_what_others_are_compared_with(self):
+        self.send_round("abc", slow=())
+        for router in "abcd":
+            for number in range(ENGINES):
+                factor = 0.3 if number < 3 else 1.0
+                for _ in range(MAX_POOL_TIMES):
+                    self.send("liar", "e7", factor)
+                self.send(router, f"e{number}")
+        self.update()
+        self.assertEqual(self.speeds.slow_replicas(), 0)
+
     def test_wrong_reports_of_one_router_condemn_no_engine_that_others_do_not_use(self):
         for router in "abc":
             for number in range(1, ENGINES):
--- a/tests/process/relaying/speeds/test_speed_estimator.py
+++ b/tests/process/relaying/speeds/test_speed_estimator.py
@@ -1,10 +1,12 @@
 import unittest
 
 from boragedeck.process.relaying.replicas.replica_state import Run
-from boragedeck.process.relaying.speeds.speed_estimator import (
+from boragedeck.process.relaying.speeds.pool_times import (
     MAX_POOL_TIMES,
-    MAX_ROUTERS,
     MIN_POOL_TIMES,
+)
+from boragedeck.process.relaying.speeds.speed_estimator import (
+    MAX_ROUTERS,
     SpeedEstimator,
 )
 from boragedeck.process.relaying.speeds.speed_messages import SpeedSample
