Name the faulty router of the tests of speeds plainly

Cause: test names spoke of a liar that condemns engines. Change: the router is called faulty, and engines count as slow. Result: names only; the tests pass as before.

--- a/tests/process/relaying/speeds/test_pool_times.py
+++ b/tests/process/relaying/speeds/test_pool_times.py
@@ -28,11 +28,11 @@
     def test_many_times_of_one_router_do_not_determine_the_median(self):
         for router in "abcd":
             self.add(router, count=10)
-        self.add("liar", LONG, count=5 * MAX_POOL_TIMES)
+        self.add("faulty", LONG, count=5 * MAX_POOL_TIMES)
         self.assertEqual(self.times.relative(NORMAL), NORMAL)
 
     def test_many_times_of_the_first_router_are_dropped_when_others_report(self):
-        self.add("liar", LONG, count=MAX_POOL_TIMES)
+        self.add("faulty", LONG, count=MAX_POOL_TIMES)
         for router in "abc":
             self.add(router, count=MIN_POOL_TIMES)
         self.assertEqual(self.times.relative(NORMAL), NORMAL)
--- a/tests/process/relaying/speeds/test_replica_speeds.py
+++ b/tests/process/relaying/speeds/test_replica_speeds.py
@@ -76,11 +76,11 @@
         self.assertEqual(self.speeds.slow_replicas(), 1)
         self.assertEqual([self.speed(f"e{n}") for n in range(1, ENGINES)], [1.0] * 7)
 
-    def test_wrong_reports_of_one_router_condemn_no_engine(self):
+    def test_wrong_reports_of_one_router_make_no_engine_slow(self):
         self.send_round("abc", slow=())
         for _ in range(50):
-            self.send("liar", "e0", 100.0)
-            self.send("liar", "e1", 0.01)
+            self.send("faulty", "e0", 100.0)
+            self.send("faulty", "e1", 0.01)
         self.update()
         self.assertEqual((self.speed("e0"), self.speed("e1")), (1.0, 1.0))
 
@@ -90,24 +90,24 @@
             for number in range(ENGINES):
                 factor = 0.3 if number < 3 else 1.0
                 for _ in range(MAX_POOL_TIMES):
-                    self.send("liar", "e7", factor)
+                    self.send("faulty", "e7", factor)
                 self.send(router, f"e{number}")
         self.update()
         self.assertEqual(self.speeds.slow_replicas(), 0)
 
-    def test_wrong_reports_of_one_router_condemn_no_engine_that_others_do_not_use(self):
+    def test_wrong_reports_on_an_engine_that_no_other_router_uses_are_ignored(self):
         for router in "abc":
             for number in range(1, ENGINES):
                 self.send(router, f"e{number}")
         for _ in range(50):
-            self.send("liar", "e0", 100.0)
+            self.send("faulty", "e0", 100.0)
         self.update()
         self.assertEqual(self.speed(), 1.0)
 
     def test_router_can_not_report_in_the_name_of_others(self):
         self.send_round("abc", slow=())
         forged = [self.sample(router, "e0", 100.0) for router in "xyzuvw"]
-        self.speeds.merge_samples("liar", forged)
+        self.speeds.merge_samples("faulty", forged)
         self.update()
         self.assertEqual(self.speed(), 1.0)
 
@@ -116,8 +116,8 @@
         for value in (0.0, -1.0, math.nan, math.inf):
             for field in ("read_s", "event_s", "age_s"):
                 if (field, value) != ("age_s", 0.0):
-                    self.send("liar", "e0", **{field: value})
-        self.send("liar", "unknown")
+                    self.send("faulty", "e0", **{field: value})
+        self.send("faulty", "unknown")
         self.update()
         self.assertEqual(self.speeds.slow_replicas(), 0)
 
@@ -127,9 +127,9 @@
         self.send_round(slow=())
         self.timers.advance(60.0)
         for _ in range(MAX_POOL_TIMES):
-            self.send("liar", "e1", read_s=3600.0, event_s=3600.0)
+            self.send("faulty", "e1", read_s=3600.0, event_s=3600.0)
         for _ in range(MAX_SAMPLES_OF_ROUTER):
-            self.send("liar", "e0", read_s=5e-324, event_s=5e-324)
+            self.send("faulty", "e0", read_s=5e-324, event_s=5e-324)
         self.update()
         self.assertEqual(self.speed(), 1.0)
 
@@ -259,7 +259,7 @@
         (told,) = self.speeds.answer("p")
         self.assertEqual((told.replica, told.speed), ("e0", 1.0))
 
-    def test_burst_over_the_whole_pool_condemns_no_engine_that_only_ran_in_it(self):
+    def test_burst_over_the_whole_pool_makes_no_engine_slow_that_only_ran_in_it(self):
         for router in "abcdefgh":
             for number in range(1, ENGINES):
                 self.send(router, f"e{number}")
