Count the time of a body from its reservation on

Cause: a caller counted as slow by the time since its reservation was opened. The stand-alone edition opens it while the connection is idle, so a body behind a connection that was idle for a second could be cut as soon as it was reserved, and got 408.

Change: the time begins when the first bytes of the body are reserved.

--- a/boragedeck/connection/reservation.py
+++ b/boragedeck/connection/reservation.py
@@ -210,6 +210,9 @@
             service.note(BudgetEvent.REFUSED, holding)
         elif grant is Grant.NEVER:
             service.note(BudgetEvent.TOO_LARGE, holding)
+        elif holding.held[Use.BODY] == count:
+            # Neither an idle connection nor a slow head makes a body slow.
+            holding.enter(Phase.RECEIVING, self.now)
         return grant
 
     def drop_body(self) -> None:
--- a/tests/connection/test_reservations.py
+++ b/tests/connection/test_reservations.py
@@ -4,8 +4,12 @@
 from eventlet.green import socket
 
 from boragedeck.connection.connection_table import ConnectionBounds
-from boragedeck.connection.memory_budget import MemoryBudget, Use
-from boragedeck.connection.reservation import BudgetEvent, ReservationService
+from boragedeck.connection.memory_budget import Grant, MemoryBudget, Use
+from boragedeck.connection.reservation import (
+    BudgetEvent,
+    ReservationService,
+)
+from boragedeck.process.timers import ManualTimers
 from boragedeck.version.routing import CallerLimits
 from tests.support.replicas import (
     RelayHarness,
@@ -191,6 +195,26 @@
         return Use.UNSENT, self.budget.limit_bytes
 
 
+class ProgressTest(unittest.TestCase):
+    """They guard against callers that are cut too early, or never."""
+
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.service = ReservationService(MemoryBudget(LIMIT), self.timers)
+
+    def open(self, address="a"):
+        found = self.service.open(address, lambda: found.close())
+        self.addCleanup(found.close)
+        return found
+
+    def test_body_behind_an_idle_connection_is_not_slow_at_once(self):
+        first = self.open()
+        self.timers.advance(10 * SLOW_S)
+        self.assertIs(first.take_body(BODY), Grant.GRANTED)
+        self.assertIs(self.open().take_body(BODY), Grant.SHORT)
+        self.assertFalse(first.is_cut)
+
+
 class IdleConnectionTest(ReservationCase):
     """They guard against idle connections that keep others out."""
 
