Let a body that stalls behind a slow interim answer be cut

Cause: the end of a write that had waited marked the request as running. After an interim answer (100) that the caller read late, its body was still expected, but couldn't be cut until its time was over.

Change: the end of a write restores what the request waited for before.

Result: the new test fails before and passes now.

--- a/boragedeck/connection/reservation.py
+++ b/boragedeck/connection/reservation.py
@@ -176,6 +176,8 @@
     def __init__(self, service: ReservationService, holding: Holding):
         self._service = service
         self._holding = holding
+        # An interim answer is sent while the body is still being received.
+        self._phase_before_send = Phase.RUNNING
 
     @property
     def now(self) -> float:
@@ -267,6 +269,7 @@
         may be read ahead of them.
         """
         budget, holding = self._service.budget, self._holding
+        self._phase_before_send = holding.phase
         holding.enter(Phase.SENDING, self.now)
         if count > holding.held[Use.ANSWER]:
             budget.add(holding, Use.UNSENT, count + READ_AHEAD_BYTES)
@@ -275,7 +278,7 @@
     def end_sending(self) -> None:
         """Record that the write has ended."""
         budget, holding = self._service.budget, self._holding
-        holding.enter(Phase.RUNNING, self.now)
+        holding.enter(self._phase_before_send, self.now)
         if holding.held[Use.UNSENT]:
             budget.give_back(holding, Use.UNSENT, holding.held[Use.UNSENT])
             self._service.notify_freed()
--- a/tests/connection/test_reservations.py
+++ b/tests/connection/test_reservations.py
@@ -214,6 +214,15 @@
         self.assertIs(self.open().take_body(BODY), Grant.SHORT)
         self.assertFalse(first.is_cut)
 
+    def test_body_that_stalls_behind_a_slow_interim_answer_is_cut(self):
+        first = self.open()
+        self.assertIs(first.take_body(BODY), Grant.GRANTED)
+        first.begin_sending(25)
+        first.end_sending()
+        self.timers.advance(SLOW_S)
+        self.assertIs(self.open().take_body(BODY), Grant.GRANTED)
+        self.assertTrue(first.is_cut)
+
 
 class IdleConnectionTest(ReservationCase):
     """They guard against idle connections that keep others out."""
