End a request that is cut while its reader isn't waiting

Cause: a cut while a request is read only ended the wait for its next bytes. If an interim answer (100) waited for its caller, nothing ended for up to 5 s, while the bytes counted as about to be free, so nobody else was cut. If the body waited for room and had arrived as a whole, the request ran, and the rest of its bytes counted as free, too.

Change: a write that waits is ended, and a body that was cut is refused with 408.

Result: the two new tests fail before and pass now.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -117,6 +117,8 @@
         self._is_reading = False
         # The thread that waits for the rest of a request; None if none does.
         self._reader: eventlet.greenlet.greenlet | None = None
+        # Whether a write waits for the caller.
+        self._is_sending = False
         self._is_shut = False
         self._is_last_response = False
         self._channel: CallerChannel | None = None
@@ -242,6 +244,7 @@
         if not data:
             return
         reservation = self._reservation
+        self._is_sending = True
         reservation.begin_sending(len(data))
         try:
             while data:
@@ -249,6 +252,7 @@
                 reservation.note_moved(count)
                 data = data[count:]
         finally:
+            self._is_sending = False
             reservation.end_sending()
 
     def _serve_next(self) -> bool:
@@ -268,10 +272,10 @@
     def _cut(self) -> None:
         """End what the caller is slow at, since others need the bytes."""
         self._is_cut = True
-        if not self._is_reading:
-            self._shut_down()
-        elif self._reader is not None:
+        if self._reader is not None:
             end_thread(self._reader, _slow_rejection())
+        elif self._is_sending or not self._is_reading:
+            self._shut_down()
 
     def _next_request(self) -> RawRequest | None:
         self._is_idle = False
@@ -385,6 +389,8 @@
                 self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
             event = self._read_event()
             if isinstance(event, h11.EndOfMessage):
+                if self._is_cut:
+                    raise _slow_rejection()
                 self._reservation.note_received()
                 return body.getvalue()
             if not isinstance(event, h11.Data):
--- a/tests/connection/test_reservations.py
+++ b/tests/connection/test_reservations.py
@@ -1,12 +1,17 @@
 import unittest
+from contextlib import suppress
+from unittest import mock
 
 import eventlet
 from eventlet.green import socket
 
+from boragedeck.connection.caller_connection import CallerConnection
+from boragedeck.connection.caller_ends import CallerNotReadingError
 from boragedeck.connection.connection_table import ConnectionBounds
 from boragedeck.connection.memory_budget import Grant, MemoryBudget, Use
 from boragedeck.connection.reservation import (
     BudgetEvent,
+    Reservation,
     ReservationService,
 )
 from boragedeck.process.timers import ManualTimers
@@ -224,6 +229,51 @@
         self.assertTrue(first.is_cut)
 
 
+class CutWhileReadingTest(unittest.TestCase):
+    """They guard against a cut that has no effect, so that its bytes stay held."""
+
+    HEAD = b"POST /r/x HTTP/1.1\r\nHost: here.example\r\n"
+
+    def setUp(self):
+        self.harness = RelayHarness(call_rule(), limits=LIMITS)
+        self.addCleanup(self.harness.close)
+        self.handled = []
+        self.harness.edge.handle = lambda req, channel: self.handled.append(req)
+        self.sock, self.peer = socket.socketpair()
+        self.addCleanup(self.sock.close)
+        self.addCleanup(self.peer.close)
+        self.conn = CallerConnection(self.harness.edge, self.sock, "a")
+
+    def test_unread_interim_answer_ends_at_once(self):
+        with suppress(BlockingIOError):
+            while self.sock.fd.send(b"x" * 4_096):
+                pass
+        self.peer.sendall(
+            self.HEAD + b"Expect: 100-continue\r\nContent-Length: 100000\r\n\r\n"
+        )
+        thread = eventlet.spawn(self.assertRaises, CallerNotReadingError, self.conn.run)
+        eventlet.sleep(SETTLED_S)
+        self.conn._cut()
+        with eventlet.Timeout(SLOW_S):
+            thread.wait()
+
+    def test_body_that_is_cut_while_it_waits_for_room_does_not_run(self):
+        def cut_and_grant(reservation, count):
+            if count:
+                self.conn._cut()
+            return Grant.GRANTED
+
+        self.peer.sendall(
+            self.HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+        )
+        with mock.patch.object(Reservation, "take_body", cut_and_grant):
+            thread = eventlet.spawn(self.conn.run)
+            self.assertEqual(read_response(self.peer).status, 408)
+        self.peer.close()
+        thread.wait()
+        self.assertEqual(self.handled, [])
+
+
 class IdleConnectionTest(ReservationCase):
     """They guard against idle connections that keep others out."""
 
