Answer a chunked body that is cut with 408

Cause: the stand-alone edition ends a body that comes slowly, if others need its room, by the end of the connection's input. In a body in chunks, that is an error of the framing, and the caller got 400, which it doesn't repeat, for a request without a fault.

Change: an error of a body that was cut is answered with 408, as without chunks.

--- a/boragedeck/connection/edge.py
+++ b/boragedeck/connection/edge.py
@@ -267,12 +267,15 @@
                 body.write(part)
                 _note_moved(reservation, len(part))
     except eventlet.Timeout:
-        raise _bad_body_error("arrived too slowly", 408) from None
+        raise _slow_body_error() from None
     except (OSError, ValueError):
+        # A cut ends chunks in their middle.
+        if reservation is not None and reservation.is_cut:
+            raise _slow_body_error() from None
         raise _bad_body_error("could not be read", 400) from None
     if reservation is not None:
         if reservation.is_cut:
-            raise _bad_body_error("arrived too slowly", 408)
+            raise _slow_body_error()
         reservation.note_received()
     if not is_chunked and size < length:
         raise _bad_body_error("was cut off", 400)
@@ -307,6 +310,10 @@
     )
 
 
+def _slow_body_error() -> RefusedError:
+    return _bad_body_error("arrived too slowly", 408)
+
+
 def _too_long_error() -> RefusedError:
     return RefusedError(
         f"the request body is longer than {MAX_BODY_BYTES} bytes",
