Count a new connection before an idle one is closed for it

Cause: while the connections are at their bound, the server let other green threads run between accepting a connection and counting it. A stop that ran meanwhile didn't see it.

Change: the connection is added first.

--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -181,13 +181,19 @@
     def _add(self, sock: socket.socket) -> None:
         """Serve a connection, which counts before its green thread runs."""
         excess = len(self._conns) - self._bounds.served
-        if excess >= 0:
+        is_full = excess >= 0
+        if is_full:
             excess = self._excess_after_closing()
         if excess >= self._bounds.refused:
             sock.close()
-            return
-        address = _address_of(sock)
-        conn = CallerConnection(self, sock, address, is_refused=excess >= 0)
+        else:
+            self._spawn(sock, is_refused=excess >= 0)
+        if is_full:
+            # The green thread of the closed connection closes its socket.
+            eventlet.sleep(0)
+
+    def _spawn(self, sock: socket.socket, *, is_refused: bool) -> None:
+        conn = CallerConnection(self, sock, _address_of(sock), is_refused=is_refused)
         self._conns.add(conn)
         eventlet.spawn_n(self._run, conn, sock)
 
@@ -212,8 +218,6 @@
             return
         chosen.key.close_idle()
         self.on_closed_idle()
-        # Its green thread closes the socket.
-        eventlet.sleep(0)
 
     def _idle_connections(self) -> Iterator[IdleConnection]:
         for conn in self._conns:
--- a/tests/connection/test_reservations.py
+++ b/tests/connection/test_reservations.py
@@ -293,6 +293,20 @@
         self.assertEqual(first.recv(10), b"")
         self.assertEqual(self.harness.fetch(sock=second, name=b"on").status, 200)
 
+    def test_new_connection_counts_while_an_idle_one_ends(self):
+        # A stop that runs meanwhile would end the process before its request.
+        self.start_bounded(1)
+        edge, counts = self.harness.edge, []
+        first = self.harness.connect()
+        self.assertEqual(self.harness.fetch(sock=first).status, 200)
+
+        def count():
+            counts.append(sum(not conn.is_shut for conn in edge._conns))
+
+        edge.on_closed_idle = lambda: eventlet.spawn_n(count)
+        self.assertEqual(self.harness.fetch(name=b"new").status, 200)
+        self.assertEqual(counts, [1])
+
     def test_connection_with_a_request_is_not_closed(self):
         self.start_bounded(1)
         sock = self.send_unfinished(size=100)
