Age what waited before a wait is estimated without a request

Cause: Admission.expected_wait_s (used by explain and for the turns of limited replicas) read the measured rates as they were when the pool was last used. A less urgent request was then explained as refused for demand of long ago.

Change: PoolScheduler.forecast accounts for the time since then first.

Result: 1,000 s after three urgent requests had waited, the estimate was 0.326 s and that of the request itself 0.1 s; they agree now (the new test).

--- a/boragedeck/process/relaying/scheduling/pool_scheduler.py
+++ b/boragedeck/process/relaying/scheduling/pool_scheduler.py
@@ -185,6 +185,7 @@
 
     def forecast(self, waiter: Waiter, now: float) -> Forecast:
         """Return what is expected of a request, which needn't wait yet."""
+        self._advance(now)
         waiting = self._waiting if waiter in self._waiting else [*self._waiting, waiter]
         order = self._order.ordered(waiting, now)
         ahead = order[: order.index(waiter)]
--- a/tests/process/relaying/placing/test_admission.py
+++ b/tests/process/relaying/placing/test_admission.py
@@ -259,6 +259,20 @@
         self.assertGreater(self.admission.expected_wait_s(self.admission_request()), 0)
         self.assertEqual(self.admission.waiting(), 0)
 
+    def test_estimate_is_that_of_the_request_long_after_others_waited(self):
+        """Guards against requests that are explained as refused, but would wait."""
+        self.registry.put(replica("one"))
+        self.admission.acquire(self.admission_request()).ok()
+        for _ in range(3):
+            self.wait([], "urgent", wait_s=5.0, priority=0)
+        self.timers.advance(1_000.0)
+        request = self.admission_request()
+        estimate_s = self.admission.expected_wait_s(request)
+        decisions = []
+        self.admission.on_decision = decisions.append
+        self.wait([], "later")
+        self.assertAlmostEqual(decisions[0].forecast.wait_s, estimate_s)
+
     def test_requests_of_both_kinds_wait_beside_each_other(self):
         """A table that changes while requests wait gives a pool priorities, or none."""
         self.registry.put(replica("one"))
