Name a usual retry time if a queue is full for want of replicas

Cause: a pool without replicas forecasts a wait of 0.0 s.

Change: a request that a full queue refuses or displaces is told to retry after NO_REPLICA_RETRY_S at least, like one whose wait was in vain.

--- a/boragedeck/process/relaying/placing/admission.py
+++ b/boragedeck/process/relaying/placing/admission.py
@@ -47,8 +47,9 @@
 """Maximum share that is added at random to a retry time, so that callers which are
 refused together don't return together."""
 NO_REPLICA_RETRY_S = 0.5
-"""Retry time after a wait in vain, and the maximum if the wait is refused; a longer
-hold of all replicas raises it."""
+"""Retry time after a wait in vain or if the queue is full, and the maximum if the wait
+is refused; a longer hold of all replicas raises it. In pools whose requests have
+different priorities, a longer expected wait raises it, too."""
 RECHECK_INTERVAL_S = 0.05
 """How often a waiting request checks for places that other routers released."""
 MAX_RETRY_SHARE = 1 / 3
@@ -306,9 +307,10 @@
         self._decide(waiter, forecast)
         if waiter.outcome is QueueOutcome.GRANTED:
             return Ok(waiter.place)
-        is_vain = waiter.outcome is QueueOutcome.EXPIRED
-        wait_s = max(forecast.wait_s, NO_REPLICA_RETRY_S if is_vain else 0.0)
-        return Err(self._timely_refusal(req, wait_s))
+        # Without replicas, the forecast is 0.0 although the queue may be full.
+        is_hopeless = waiter.outcome is QueueOutcome.NO_TIME
+        min_wait_s = 0.0 if is_hopeless else NO_REPLICA_RETRY_S
+        return Err(self._timely_refusal(req, max(forecast.wait_s, min_wait_s)))
 
     def _wait_in_order(
         self, scheduler: PoolScheduler, waiter: Waiter, forecast: Forecast
--- a/tests/process/relaying/placing/test_admission.py
+++ b/tests/process/relaying/placing/test_admission.py
@@ -6,6 +6,7 @@
 
 from boragedeck.connection.peer import Address
 from boragedeck.process.relaying.placing.admission import (
+    NO_REPLICA_RETRY_S,
     RECHECK_INTERVAL_S,
     Admission,
     LoadSource,
@@ -14,6 +15,7 @@
 from boragedeck.process.relaying.placing.place import AdmissionRequest
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_state import Load
+from boragedeck.process.relaying.scheduling.pool_scheduler import MAX_WAITING
 from boragedeck.process.relaying.scheduling.waiter import QueueOutcome
 from boragedeck.process.timers import ManualTimers
 from boragedeck.version.replicas import Replica, ReplicaStage
@@ -247,6 +249,20 @@
         self.assertEqual((refused.status, refused.code), (503, "no_room"))
         self.assertAlmostEqual(refused.retry_after_s, 1.0)
 
+    def fill_queue(self, priority=0):
+        """Let as many requests wait as may; return what becomes of them."""
+        order = []
+        for _ in range(MAX_WAITING):
+            self.wait(order, "waits", wait_s=1e6, priority=priority)
+        self.assertEqual((order, self.admission.waiting()), ([], MAX_WAITING))
+        return order
+
+    def test_full_queue_without_replicas_is_not_asked_again_at_once(self):
+        """Guards against a flood of retries while a pool has no replica."""
+        self.fill_queue()
+        refused = self.admission.acquire(self.admission_request(priority=1)).err()
+        self.assertGreaterEqual(refused.retry_after_s, NO_REPLICA_RETRY_S)
+
     def test_request_without_time_takes_a_free_place_only(self):
         self.registry.put(replica("one"))
         request = self.admission_request(wait_s=0.0)
