Look up the priorities of organisations once for a pool's ranks

Cause: the ranks of a pool were computed anew after each change of the table for each pair of a route and an organisation: 33 ms for 400 routes and 260 organisations, for each pool, in the first request to it.

Change: routes are paired with the distinct priorities of organisations.

--- a/boragedeck/process/relaying/scheduling/urgency.py
+++ b/boragedeck/process/relaying/scheduling/urgency.py
@@ -63,15 +63,17 @@
     known = table.pools.get(pool)
     if known is None or known.engine is None:
         return []
-    organisations = set(table.organisations.values())
+    # Many organisations have the same priority, or none.
+    own = {table.priorities.get(name) for name in set(table.organisations.values())}
     found: set[Urgency] = set()
     for rules in table.routes.values():
         for rule in rules:
             if not _uses(rule, pool):
                 continue
             has_organisation = table.needs_keys and not rule.is_public
-            for organisation in organisations if has_organisation else (None,):
-                found.add(_urgency(table, rule, organisation))
+            for priority in own if has_organisation else (None,):
+                counts = rule.priority if priority is None else priority
+                found.add((counts, rule.priority))
     return sorted(found)
 
 
--- a/tests/process/relaying/scheduling/test_urgency.py
+++ b/tests/process/relaying/scheduling/test_urgency.py
@@ -89,6 +89,21 @@
         found = pool_urgencies(table(public, priorities={"one": 2}, **fields), "p")
         self.assertEqual(found, [(3, 3)])
 
+    def test_organisations_are_looked_up_once_for_all_routes(self):
+        """Guards against a change of a large table that holds up the process."""
+        looked_up = []
+
+        class Priorities(dict):
+            def get(self, key, default=None):
+                looked_up.append(key)
+                return super().get(key, default)
+
+        fields = {"organisations": {"1": "one", "2": "two"}, "needs_keys": True}
+        rules = [rule(f"r{number}", number % 2, ("p",)) for number in range(20)]
+        large = table(*rules, priorities=Priorities(one=0, two=0), **fields)
+        self.assertEqual(pool_urgencies(large, "p"), [(0, 0), (0, 1)])
+        self.assertCountEqual(looked_up, ["one", "two"])
+
     def test_another_table_is_asked_anew(self):
         ranks = UrgencyRanks()
         a, b = rule("a", 3, ("p",)), rule("b", 1, ("p",))
