Displace no waiting request for one that is refused itself

Cause: whether all replicas are held for longer than a request can wait was checked after it had joined the queue. At a full queue it first displaced another request, and was then refused as well.

Change: the check comes first, and PoolScheduler.add refuses the request before the queue is bounded.

--- a/boragedeck/process/relaying/placing/admission.py
+++ b/boragedeck/process/relaying/placing/admission.py
@@ -300,11 +300,10 @@
         now = self._timers.now()
         scheduler = self._scheduler(req.pool.name)
         waiter = scheduler.make_waiter(req, now)
-        forecast = scheduler.add(waiter, now)
+        may_wait = req.has_begun or not self._is_held_too_long(req)
+        forecast = scheduler.add(waiter, now, may_wait=may_wait)
         if forecast is None:
             return Ok(waiter.place)
-        if self._is_held_too_long(req) and not req.has_begun:
-            scheduler.remove(waiter, QueueOutcome.NO_TIME, now)
         if waiter.outcome is None:
             self._decide(waiter, forecast)
             self._wait_in_order(scheduler, waiter, forecast)
--- a/boragedeck/process/relaying/scheduling/pool_scheduler.py
+++ b/boragedeck/process/relaying/scheduling/pool_scheduler.py
@@ -128,9 +128,20 @@
             req=req, since=now, sequence=next(self._sequence), work=work_of(req)
         )
 
-    def add(self, waiter: Waiter, now: float) -> Forecast | None:
+    def add(
+        self, waiter: Waiter, now: float, *, may_wait: bool = True
+    ) -> Forecast | None:
         """Give a new request a place if it is its turn; decide whether it may wait.
 
+        Parameters
+        ----------
+        waiter : Waiter
+            The request.
+        now : float
+            The current time, on the timer service's clock.
+        may_wait : bool, optional
+            Whether it may wait if a place is expected in time.
+
         Returns
         -------
         Forecast or None
@@ -150,7 +161,7 @@
         forecast = self.forecast(waiter, now)
         left_s = waiter.req.until - now
         is_hopeless = forecast.wait_s > left_s and not waiter.req.has_begun
-        if left_s <= 0.0 or is_hopeless:
+        if left_s <= 0.0 or is_hopeless or not may_wait:
             self.remove(waiter, QueueOutcome.NO_TIME, now)
             return forecast
         self._freed.note_asked(waiter.req.priority, waiter.work)
--- a/tests/process/relaying/placing/test_admission.py
+++ b/tests/process/relaying/placing/test_admission.py
@@ -279,6 +279,17 @@
         refused = self.admission.acquire(self.admission_request(priority=1)).err()
         self.assertGreaterEqual(refused.retry_after_s, NO_REPLICA_RETRY_S)
 
+    def test_request_that_replicas_hold_off_too_long_displaces_no_other(self):
+        """Guards against two refusals for one request beyond a full queue."""
+        self.registry.put(replica("one"))
+        held = self.registry.get("one")
+        held.restraints.extend(Reason.HELD_OFF, self.timers.now() + 30.0)
+        order = self.fill_queue(priority=1)
+        self.wait(order, "urgent", wait_s=20.0, priority=0)
+        self.timers.advance(0.0)
+        self.assertEqual(order, [("urgent", False)])
+        self.assertEqual(self.admission.waiting(), MAX_WAITING)
+
     def test_preview_names_the_refusal_by_a_full_queue(self):
         self.fill_queue()
         for priority in (0, 1):
