--- a/tests/process/relaying/scheduling/test_freed_capacity.py
+++ b/tests/process/relaying/scheduling/test_freed_capacity.py
@@ -13,6 +13,7 @@
 )
 from boragedeck.process.relaying.scheduling.service_order import GUARANTEED_SHARE
 from boragedeck.version.routing import EngineProfile, RelayPool
+from tests.support.admission_plays import replica
 
 POOL_RATE = 8.0
 amounts = st.floats(0.01, 100.0)
@@ -69,7 +70,7 @@
         self.assertEqual(work_of(request(460, RelayPool("s", 100))), 1.0)
 
     def test_busy_work_counts_other_routers(self):
-        states = [ReplicaState(None), ReplicaState(None)]
+        states = [ReplicaState(replica(name, "e")) for name in ("one", "two")]
         states[0].own, states[0].peers = Load(1, 0, 460), Load(1, 0, 230)
         profile = EngineProfile(10, 1_000)
         self.assertAlmostEqual(busy_work(states, profile), 0.75)
