Keep a writer from missing room made while a full queue is noted

Cause: a writer that finds the queue full calls on_full, which logs and counts, and only then takes the event that it waits for. If on_full switches to the reader, and the reader empties the queue meanwhile, both wait for a change that never comes.

Change: the writer takes the event before it calls on_full.

Result: test_report_queue passes; the new test timed out after 1 s without the change.

--- a/boragedeck/request/report_queue.py
+++ b/boragedeck/request/report_queue.py
@@ -61,8 +61,10 @@
     def put(self, report: T) -> None:
         """Add a report; wait while there is no room. A closed queue drops it."""
         while not (self._has_room(report) or self._is_closed):
+            # Noting may switch to the reader, whose change must not be missed.
+            changed = self._changed
             self._note_full()
-            self._changed.wait()
+            changed.wait()
         if not self._is_closed:
             self._append(report)
             self._notify()
--- a/tests/request/test_report_queue.py
+++ b/tests/request/test_report_queue.py
@@ -127,6 +127,15 @@
         writer.wait()
         self.assertEqual(noted, [1])
 
+    def test_room_made_while_a_full_queue_is_noted_is_missed_by_its_writer(self):
+        queue = ReportQueue(1, lambda report: 1, join_none, lambda: eventlet.sleep(0))
+        writer = eventlet.spawn(lambda: [queue.put(number) for number in (1, 2)])
+        reader = eventlet.spawn(lambda: (queue.first(), queue.remove_first()))
+        reader.wait()
+        with eventlet.Timeout(1.0):
+            writer.wait()
+        self.assertEqual(queue.take_all(), [2])
+
     def test_report_above_the_bound_is_never_taken(self):
         self.put(11).wait()
         self.assertEqual(self.queue.unread_bytes, 11)
