End explain with a usage error if its request is not UTF-8

Cause: an argument whose bytes aren't UTF-8 reaches the command with lone surrogates. The encoder raised UnicodeEncodeError, so that the command ended with a traceback.

Change: such a request is a usage error (exit code 2), whose text doesn't show the request, since the invalid text may be the key.

--- a/boragedeck/cli/explain.py
+++ b/boragedeck/cli/explain.py
@@ -54,7 +54,7 @@
     url = check_router_url(console, router)
     headers = [_parse_header(console, text) for text in header or []]
     query = ExplainQuery(method=method, path=path, host=host, key=key, headers=headers)
-    explanation = unwrap_or_exit(console, _ask(url, query))
+    explanation = unwrap_or_exit(console, _ask(url, _encode(console, query)))
     console.json(explanation)
     _print(console, explanation)
 
@@ -66,14 +66,22 @@
     return name.strip(), value.strip()
 
 
-def _ask(url: str, query: ExplainQuery) -> Result[Explanation, PeerError]:
+def _encode(console: Console, query: ExplainQuery) -> bytes:
+    try:
+        return msgspec.json.encode(query)
+    except UnicodeEncodeError:
+        # The error would show the text, which may be a key.
+        console.fail(ExitCode.USAGE, "the request is not valid UTF-8")
+
+
+def _ask(url: str, body: bytes) -> Result[Explanation, PeerError]:
     error_context = {"step": "explain", "peer": url}
     http = urllib3.PoolManager(retries=False)
     try:
         response = http.request(
             "POST",
             url + EXPLAIN_PATH,
-            body=msgspec.json.encode(query),
+            body=body,
             timeout=TIMEOUT_S,
         )
     except (urllib3.exceptions.HTTPError, OSError) as exc:
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -85,3 +85,13 @@
         run(*REQUEST, "--router", "nowhere", code=2)
         run(*REQUEST, "--router", CLOSED_URL, "-H", "no-colon", code=2)
         run(*REQUEST, code=2)
+
+    def test_bytes_that_are_no_utf_8_end_the_command_with_a_traceback(self):
+        for arguments in (
+            ("explain", "POST", "/\udcff"),
+            (*REQUEST, "-H", "X-Note: \udcff"),
+            (*REQUEST, "--key", "secret\udcff"),
+        ):
+            result = run(*arguments, "--router", CLOSED_URL, code=2)
+            self.assertIn("UTF-8", result.output)
+            self.assertNotIn("secret", result.output)
