--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -5,16 +5,19 @@
 request, and distinguishes a truncated answer from one that ends with the connection.
 """
 
+import io
 from collections.abc import Callable
 
 import eventlet
 import h11
 
 from boragedeck.connection.http_message import (
+    FINAL_STATUSES,
     AnswerHead,
     Message,
     encode_request,
 )
+from boragedeck.connection.reservation import AnswerRoom
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.connection.upstream_connection import (
     DEFAULT_IDLE_S,
@@ -79,9 +82,13 @@
         self._is_closed = False
         self._is_complete = False
         self._is_interrupted = False
+        # Whether the replica has ended the connection.
+        self._is_at_end = False
         self._interim_answers = 0
         # Bytes of a late answer that were read and discarded so far.
         self._skipped_bytes = 0
+        # The length of the answer's body; None if its head names none.
+        self._length: int | None = None
 
     @property
     def request_id(self) -> bytes | None:
@@ -104,6 +111,7 @@
                 headers = [(bytes(n), bytes(v)) for n, v in event.headers.raw_items()]
                 head = AnswerHead(event.status_code, headers)
                 self._conn.idle_s = _idle_s(head)
+                self._length = _length(head)
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._error("the connection ended without an answer", "read head")
@@ -142,25 +150,44 @@
             case h11.Data():
                 return bytes(event.data)
             case h11.EndOfMessage():
+                self._check_upload()
                 self._is_complete = True
                 return b""
         raise self._error("the answer was truncated", "read body")
 
-    def read_all(self, timeout_s: float, max_bytes: int) -> bytes:
+    def read_all(
+        self, timeout_s: float, max_bytes: int, room: AnswerRoom | None = None
+    ) -> bytes:
         """Read the whole body within `timeout_s`; see `read`.
 
+        Parameters
+        ----------
+        timeout_s : float
+            The longest time, in seconds.
+        max_bytes : int
+            The longest body.
+        room : AnswerRoom, optional
+            Where its bytes are reserved. The replica isn't read while there is none.
+
         Raises
         ------
         UpstreamAnswerTooLargeError
             If the body is longer than `max_bytes`.
+        AnswerRoomError
+            If there is no room for it in time.
         """
-        body = bytearray()
+        # Its value is no copy, unlike that of a bytearray.
+        body = io.BytesIO()
+        size = 0
         with eventlet.Timeout(timeout_s, self._silent_error("read body")):
             while part := self.read(timeout_s):
-                body += part
-                if len(body) > max_bytes:
+                size += len(part)
+                if size > max_bytes:
                     raise self._excess_error("the answer body is too long", "read body")
-        return bytes(body)
+                if room is not None:
+                    room.hold(size, self._length, max_bytes)
+                body.write(part)
+        return body.getvalue()
 
     def skip(self, timeout_s: float) -> None:
         """Read and discard the body of an answer to an earlier request.
@@ -216,6 +243,9 @@
             # An interrupted answer without a length must not look complete.
             if self._is_interrupted:
                 raise self._error("the replica is gone", step)
+            # The parser takes 600 to 999 for final answers, too.
+            if isinstance(event, h11.Response):
+                self._check_status(event.status_code, step)
             return event
         except OSError as exc:
             raise self._error(f"the connection broke: {exc}", step) from exc
@@ -224,6 +254,21 @@
                 raise self._excess_error(str(exc), step) from exc
             raise self._error(f"invalid HTTP: {exc}", step) from exc
 
+    def _check_upload(self) -> None:
+        """Raise an error if the answer ends with the connection amid the request.
+
+        Notes
+        -----
+        Such an answer can't be told from one that was cut: a replica that has read
+        the request ends it by itself, one that is lost may end it anywhere.
+        """
+        if self._is_at_end and self._conn.has_untaken():
+            raise self._error("the connection ended amid the request", "read body")
+
+    def _check_status(self, status: int, step: str) -> None:
+        if status not in FINAL_STATUSES:
+            raise self._error(f"invalid status {status}", step)
+
     def _read_event(self):
         parser = self._conn.parser
         self._conn.count_steps()
@@ -232,7 +277,10 @@
             if event is not h11.NEED_DATA:
                 return event
             self._conn.send_rest()
-            parser.receive_data(self._conn.receive())
+            data = self._conn.receive()
+            if not data:
+                self._is_at_end = True
+            parser.receive_data(data)
 
     def _silent_error(self, step: str) -> UpstreamSilentError:
         return UpstreamSilentError("silent", step=step, peer=str(self._conn.address))
@@ -246,6 +294,12 @@
         return UpstreamError(text, step=step, peer=str(self._conn.address))
 
 
+def _length(head: AnswerHead) -> int | None:
+    """Return the length of an answer's body; None if its head names none."""
+    text = head.get(b"content-length")
+    return int(text) if text is not None and text.isdigit() else None
+
+
 def _idle_s(head: AnswerHead) -> float:
     """Return how long a connection may be idle after an answer, in seconds."""
     text = head.get(b"keep-alive") or b""
--- a/boragedeck/platform/replica_protocol.py
+++ b/boragedeck/platform/replica_protocol.py
@@ -23,6 +23,7 @@
     REPLICA_ID,
     REPORT_PATH,
     REQUEST_ID,
+    REQUEST_PRIORITY,
     RETRY_AFTER,
     SEAL,
 )
@@ -46,6 +47,7 @@
 STATUS_UNAVAILABLE = 503
 LEAVING_VALUE = b"1"
 MAX_LOGGED_HEADER_BYTES = 100
+MAX_PRIORITY = 9
 PROBE_HOST_HEADER = (b"Host", b"replica")
 
 
@@ -76,6 +78,9 @@
         if plan.source is not None:
             source = f"{plan.source.address}/{req.request_id}"
             headers.append((COPY_SOURCE, source.encode("latin-1")))
+        if plan.priority is not None:
+            priority = min(MAX_PRIORITY, max(0, plan.priority))
+            headers.append((REQUEST_PRIORITY, b"%d" % priority))
         request_id = self.request_id(headers)
         return Message(req.method, req.target, headers, req.body, request_id)
 
@@ -138,7 +143,8 @@
     if head.status == STATUS_MISDIRECTED:
         actual_id = head.get(REPLICA_ID.lower())
         name = None if actual_id is None else decode_header_text(actual_id)
-        actual = None if name is None else ReplicaId(name)
+        # An empty value names no replica.
+        actual = ReplicaId(name) if name else None
         return Verdict(VerdictKind.MOVED, actual_replica=actual)
     if head.get(NOT_RUN.lower()) is not None:
         return Verdict(VerdictKind.NOT_RUN)
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -8,13 +8,19 @@
 from prometheus_client import make_wsgi_app
 
 from boragedeck.connection.caller_channel import CallerChannel, RawRequest
-from boragedeck.connection.caller_edge import CallerEdge
+from boragedeck.connection.caller_edge import MAX_CONNECTIONS, CallerEdge
+from boragedeck.connection.connection_table import connection_bounds
+from boragedeck.connection.memory_budget import MemoryBudget
+from boragedeck.connection.reservation import ReservationService
+from boragedeck.connection.resource_limits import resource_limits
 from boragedeck.ids import RouterId
 from boragedeck.interfaces import Member
 from boragedeck.platform.store import PlatformStore
+from boragedeck.process.observing.budget_metrics import BudgetMetrics
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.observing.metrics import Metrics
 from boragedeck.process.relaying.draining import DrainPeriod
+from boragedeck.process.relaying.explain_app import make_explain_app
 from boragedeck.process.relaying.fleet.peer_composition import Peers
 from boragedeck.process.relaying.listening import listen, make_ready_app, serve_wsgi
 from boragedeck.process.relaying.paths.path_composition import (
@@ -108,13 +114,23 @@
         )
         self._parts = self._relaying.parts
         watch_address_claims(self._parts)
+        self._limits = resource_limits(settings.memory_mb, settings.max_fds)
+        self._reservations = self._make_reservations()
         self._forward_edge = self._make_forward_edge()
         self._edge = CallerEdge(
             listener,
             lambda: self._routing.current().limits,
             self._handle,
             self.timers,
+            reservations=self._reservations,
+            bounds=connection_bounds(
+                self._limits.max_fds,
+                min(MAX_CONNECTIONS, self._limits.max_connections),
+            ),
+            closes_idle=True,
+            send_buffer_bytes=self._limits.send_buffer_bytes,
         )
+        self._edge.on_closed_idle = self._budget_metrics.closed_idle.inc
         for edge in (self._edge, self._forward_edge):
             edge.on_unanswered = self.metrics.note_unanswered
 
@@ -136,7 +152,9 @@
         eventlet.spawn_n(self._forward_edge.serve)
         eventlet.spawn_n(self._serve_callers)
         serve_wsgi(self._ready_listener, make_ready_app(self.is_ready))
-        serve_wsgi(self._metrics_listener, make_wsgi_app(self.metrics.registry))
+        metrics_app = make_wsgi_app(self.metrics.registry)
+        operators_app = make_explain_app(self._parts, self.own.router, metrics_app)
+        serve_wsgi(self._metrics_listener, operators_app)
 
     def _serve_callers(self) -> None:
         """Accept callers once there is a table, which mostly arrives at once."""
@@ -159,6 +177,18 @@
             [self._edge, self._forward_edge], self._parts.open_requests
         )
 
+    def _make_reservations(self) -> ReservationService:
+        budget = MemoryBudget(self._limits.budget_bytes)
+        service = ReservationService(budget, self.timers)
+        self._budget_metrics = BudgetMetrics(self.metrics.registry, budget)
+        service.on_event = self._budget_metrics.note_event
+        _log.write(
+            "Limits.",
+            budget_bytes=self._limits.budget_bytes,
+            max_fds=self._limits.max_fds,
+        )
+        return service
+
     def _make_forward_edge(self) -> CallerEdge:
         parts = self._parts
         return make_forward_edge(
@@ -172,6 +202,8 @@
             self.metrics,
             lambda: self._routing.current().limits,
             self._drain_period.time_left,
+            self._reservations,
+            self._limits,
         )
 
     def _handle(self, raw: RawRequest, channel: CallerChannel) -> None:
--- a/boragedeck/process/relaying/placing/placement.py
+++ b/boragedeck/process/relaying/placing/placement.py
@@ -7,6 +7,7 @@
 calls within milliseconds. A miss is defined in `replica_state`.
 """
 
+import enum
 import math
 import random
 from collections.abc import Iterable, Sequence
@@ -19,12 +20,19 @@
 from boragedeck.version.routing import EngineProfile
 
 __all__ = [
+    "Obstacle",
     "PlacementRequest",
     "choose_backup",
+    "choose_emptiest",
     "choose_replica",
+    "compared_replicas",
+    "most_free_tokens",
+    "obstacle",
+    "replica_costs",
     "suspect_domains",
     "sample_size",
     "has_room",
+    "work_ahead",
 ]
 
 MEMORY_SHARE = 0.92
@@ -61,6 +69,8 @@
         The current time, on the timer service's monotonic clock.
     tried : frozenset of ReplicaId
         Replicas to which the request was sent before.
+    work_tokens : float
+        Work of the request itself, in prompt tokens that an engine reads meanwhile.
     engine : EngineProfile or None
         The profile of the engines; None if the replicas are those of a service.
     lost_domains : frozenset of FailureDomain
@@ -73,6 +83,7 @@
 
     tokens: int
     now: float
+    work_tokens: float = 0.0
     tried: frozenset[ReplicaId] = frozenset()
     engine: EngineProfile | None = None
     lost_domains: frozenset[FailureDomain] = frozenset()
@@ -80,6 +91,24 @@
     is_fresh: bool = True
 
 
+class Obstacle(enum.Enum):
+    """Why a replica can't start a request immediately."""
+
+    TRIED = "tried"
+    """The request was sent to it before."""
+    NOT_ACCEPTING = "not_accepting"
+    """It is leaving, has asked to wait, or gets one request at a time after that."""
+    NO_SLOT = "no_slot"
+    NO_MEMORY = "no_memory"
+
+
+def obstacle(state: ReplicaState, req: PlacementRequest) -> Obstacle | None:
+    """Return why a replica can't start a request immediately; None if it can."""
+    if state.replica.replica in req.tried:
+        return Obstacle.TRIED
+    return _room_obstacle(state, req)
+
+
 def has_room(state: ReplicaState, req: PlacementRequest) -> bool:
     """Return whether a replica can start a request immediately.
 
@@ -88,40 +117,57 @@
     Calls end within milliseconds, so stale loads of other routers say nothing about a
     service and are ignored; a service that is full refuses the call itself.
     """
-    if not state.can_accept(req.now):
-        return False
-    if req.engine is None:
-        running = state.running if req.is_fresh else state.own.running
-        return running < state.replica.slots
-    if state.running >= req.engine.slots:
-        return False
-    limit = req.engine.memory_tokens * MEMORY_SHARE
-    # A request that exceeds the limit alone is accepted by an idle engine.
-    return not state.running or state.tokens + req.tokens <= limit
+    return _room_obstacle(state, req) is None
 
 
-def choose_replica(
-    states: Iterable[ReplicaState], req: PlacementRequest, rng: random.Random
-) -> ReplicaState | None:
-    """Return the replica with the lowest cost for a request; None if none has room.
+def most_free_tokens(states: Iterable[ReplicaState], req: PlacementRequest) -> float:
+    """Return the largest number of tokens with which a request may fit anywhere.
+
+    Returns
+    -------
+    float
+        -1.0 if no replica can start a request immediately, however small it is. The
+        tokens of `req` and the replicas that it has tried don't count.
+    """
+    smallest = msgspec.structs.replace(req, tokens=0)
+    return max(
+        (
+            _free_tokens(state, req.engine)
+            for state in states
+            if _room_obstacle(state, smallest) is None
+        ),
+        default=-1.0,
+    )
+
+
+def compared_replicas(
+    states: Iterable[ReplicaState], req: PlacementRequest
+) -> list[ReplicaState]:
+    """Return the replicas among which the cost decides.
 
     Notes
     -----
     A replica whose limit doesn't allow a request now is chosen only if no other has
     room, and one that is avoided after a miss only after that.
     """
-    open_states = [
-        state
-        for state in states
-        if state.replica.replica not in req.tried and has_room(state, req)
-    ]
+    open_states = [state for state in states if obstacle(state, req) is None]
     healthy = [state for state in open_states if state.avoid_until <= req.now]
     free = [state for state in healthy if state.limited_until <= req.now]
     if healthy and not free:
-        return min(healthy, key=lambda state: state.limited_until)
-    candidates = free or open_states
+        return [min(healthy, key=lambda state: state.limited_until)]
+    return free or open_states
+
+
+def choose_replica(
+    states: Iterable[ReplicaState], req: PlacementRequest, rng: random.Random
+) -> ReplicaState | None:
+    """Return the replica with the lowest cost for a request; None if none has room."""
+    candidates = compared_replicas(states, req)
     if not candidates:
         return None
+    if candidates[0].avoid_until <= req.now < candidates[0].limited_until:
+        # All are limited; the turns decide, not the cost.
+        return candidates[0]
     min_failure_share = min(state.failure_share for state in candidates)
     if req.engine is not None:
         candidates = _sample(candidates, req, rng)
@@ -131,6 +177,17 @@
     )
 
 
+def replica_costs(
+    candidates: Sequence[ReplicaState], req: PlacementRequest
+) -> dict[ReplicaId, float]:
+    """Return the costs of the replicas that are compared; 1.0 is fully loaded."""
+    min_failure_share = min((state.failure_share for state in candidates), default=0.0)
+    return {
+        state.replica.replica: _cost(state, req, min_failure_share)
+        for state in candidates
+    }
+
+
 def choose_backup(
     states: Sequence[ReplicaState],
     chosen: ReplicaState,
@@ -164,6 +221,27 @@
     return min(sampled, key=lambda state: state.tokens, default=None)
 
 
+def choose_emptiest(
+    states: Iterable[ReplicaState], req: PlacementRequest, rng: random.Random
+) -> ReplicaState | None:
+    """Return the engine with the most free memory, which may have too little of it.
+
+    Returns
+    -------
+    ReplicaState or None
+        None if no engine takes requests that this one may be sent to.
+    """
+    candidates = [
+        state
+        for state in states
+        if state.replica.replica not in req.tried
+        and state.avoid_until <= req.now
+        and state.can_accept(req.now)
+    ]
+    sampled = _sample(candidates, req, rng)
+    return min(sampled, key=lambda state: state.tokens, default=None)
+
+
 def suspect_domains(
     states: Iterable[ReplicaState], now: float
 ) -> frozenset[FailureDomain]:
@@ -206,6 +284,35 @@
     )
 
 
+def _room_obstacle(state: ReplicaState, req: PlacementRequest) -> Obstacle | None:
+    if not state.can_accept(req.now):
+        return Obstacle.NOT_ACCEPTING
+    if req.engine is None:
+        running = state.running if req.is_fresh else state.own.running
+        return None if running < state.replica.slots else Obstacle.NO_SLOT
+    if state.running >= req.engine.slots:
+        return Obstacle.NO_SLOT
+    is_within = req.tokens <= _free_tokens(state, req.engine)
+    return None if is_within else Obstacle.NO_MEMORY
+
+
+def _free_tokens(state: ReplicaState, engine: EngineProfile | None) -> float:
+    """Return how many tokens a request may take at a replica that has a slot.
+
+    Notes
+    -----
+    A request that exceeds the limit alone is accepted by an idle engine.
+    """
+    if engine is None or not state.running:
+        return math.inf
+    return engine.memory_tokens * MEMORY_SHARE - state.tokens
+
+
+def work_ahead(state: ReplicaState) -> int:
+    """Return the known work at an engine before it has read all prompts, in tokens."""
+    return state.unread_tokens + RUNNING_COST_TOKENS * state.running
+
+
 def _sample(
     states: list[ReplicaState], req: PlacementRequest, rng: random.Random
 ) -> list[ReplicaState]:
@@ -216,12 +323,20 @@
 def _cost(
     state: ReplicaState, req: PlacementRequest, min_failure_share: float
 ) -> float:
-    """Return the cost of a replica; 1.0 is that of a fully loaded one."""
+    """Return the cost of a replica; 1.0 is that of a fully loaded one.
+
+    Notes
+    -----
+    An engine also costs what it takes longer for the work ahead and for the request
+    itself than one of speed 1.0: a slow one takes longer even if it is idle.
+    """
     cost = FAILURE_COST * (state.failure_share - min_failure_share)
     is_lost = state.replica.failure_domain in req.lost_domains
     if req.engine is None:
         cost += LOST_DOMAIN_COST * is_lost
         return cost + state.running / state.replica.slots
-    tokens_ahead = state.unread_tokens + RUNNING_COST_TOKENS * state.running
+    tokens_ahead = work_ahead(state)
+    extra_tokens = (tokens_ahead + req.work_tokens) * (1.0 / state.speed - 1.0)
     tokens_ahead += LOST_DOMAIN_COST_TOKENS * is_lost
-    return cost + tokens_ahead / req.engine.memory_tokens
+    cost += tokens_ahead / req.engine.memory_tokens
+    return cost + extra_tokens / req.engine.memory_tokens
--- a/boragedeck/process/relaying/relay_composition.py
+++ b/boragedeck/process/relaying/relay_composition.py
@@ -27,10 +27,13 @@
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replicas.replica_successors import ReplicaSuccessors
 from boragedeck.process.relaying.retries.retry_reserve import RetryReserve
 from boragedeck.process.relaying.retries.retry_share import USABLE_SHARE, RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
+from boragedeck.process.relaying.scheduling.urgency import UrgencyRanks
 from boragedeck.process.relaying.settings_source import SettingsSource
+from boragedeck.process.relaying.speeds.replica_speeds import ReplicaSpeeds
 from boragedeck.process.relaying.tables.replica_source import ReplicaSource
 from boragedeck.process.relaying.tables.table_composition import MirroredTables
 from boragedeck.process.timers import TimerService
@@ -141,6 +144,10 @@
         )
 
     def _make_admission(self) -> Admission:
+        self._speeds = ReplicaSpeeds(
+            self._peers.membership.own.router, self._timers, self._registry
+        )
+        self._metrics.slow_replicas.set_function(self._speeds.slow_replicas)
         self.loads = LoadExchange(
             self._timers,
             self._registry,
@@ -149,11 +156,15 @@
             self._peers.links,
             self._peers.server,
             self._tables.mirrors(),
+            self._speeds,
         )
         self.loads.on_newest_version = self._tables.note_newest_version
         admission = Admission(self._timers, self._registry, self._rng, self.loads)
         self._metrics.waiting.set_function(admission.waiting)
         admission.on_change = self.loads.note_change
+        self._pace = StreamTimeEstimator()
+        admission.output_token_cost = self._pace.output_token_cost
+        admission.on_decision = self._metrics.note_decision
         return admission
 
     def _make_parts(
@@ -181,18 +192,31 @@
             paths=self._paths,
             notices=notices,
             protocol=HttpReplicaProtocol(),
+            successors=self._make_successors(),
             retries=self._make_retries(),
             rollouts=self.rollouts,
             durations=RequestDurations(),
-            pace=StreamTimeEstimator(),
+            pace=self._pace,
+            speeds=self._speeds,
             crash_blame=make_crash_blame(self._timers, self._rng, *shared, self._paths),
             metrics=self._metrics,
             time_left=drain_period.time_left,
             open_requests=OpenRequests(),
             is_late_in_stop=drain_period.is_late,
+            urgency_ranks=UrgencyRanks(),
             refusal_headers=refusal_headers,
         )
 
+    def _make_successors(self) -> ReplicaSuccessors:
+        return ReplicaSuccessors(
+            self._timers,
+            self._registry,
+            self._peers.board,
+            self._tables.in_force.current,
+            self._tables.followers[Table.REPLICAS].age_s,
+            self._metrics,
+        )
+
     def _make_retries(self) -> RetryShare:
         timers, bounds = self._timers, self._source.bounds
         reserve = RetryReserve(
--- a/boragedeck/process/relaying/replicas/replica_state.py
+++ b/boragedeck/process/relaying/replicas/replica_state.py
@@ -113,6 +113,9 @@
     next_turn_at : float
         When its limit allows the next request, as its limit owner last said, on the
         timer service's monotonic clock; 0.0 if no owner was asked.
+    speed : float
+        How fast it reads prompts and produces events, relative to the median of its
+        pool; 1.0 if unknown.
     rejections_per_s : float or None
         How many rejections in a second it bears, if it is brittle; None if not.
     brittle_known_at : float
@@ -121,6 +124,13 @@
         Whether it is no longer in the registry.
     is_provisional : bool
         Whether the entry is copied from the predecessor at the replica's address.
+    listed : ReplicaId
+        The replica that the list names in its place; itself, if it has an entry.
+    found_at : float
+        When a provisional replica was found at its address, on the timer service's
+        monotonic clock; minus infinity for one that has an entry.
+    is_told : bool
+        Whether another router found it there.
     on_lost : set of callable
         Called when the replica is removed because it no longer runs.
     """
@@ -128,12 +138,16 @@
     def __init__(self, replica: Replica):
         self.replica = replica
         self.is_provisional = False
+        self.listed = replica.replica
+        self.found_at = float("-inf")
+        self.is_told = False
         self.missed_at = float("-inf")
         self.answered_at = float("-inf")
         self.silent_at = float("-inf")
         self.own = Load()
         self.peers = Load()
         self.failure_share = 0.0
+        self.speed = 1.0
         self.restraints = Restraints()
         self.limit = KnownLimit()
         self.next_turn_at = 0.0
--- a/boragedeck/request/relay_components.py
+++ b/boragedeck/request/relay_components.py
@@ -20,8 +20,11 @@
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.relaying.replicas.replica_notices import ReplicaNotices
+from boragedeck.process.relaying.replicas.replica_successors import ReplicaSuccessors
 from boragedeck.process.relaying.retries.retry_share import RetryShare
 from boragedeck.process.relaying.rollouts.rollouts import RelayRollouts
+from boragedeck.process.relaying.scheduling.urgency import UrgencyRanks
+from boragedeck.process.relaying.speeds.replica_speeds import ReplicaSpeeds
 from boragedeck.process.relaying.tables.table_ages import TableAges
 from boragedeck.process.timers import TimerService
 from boragedeck.request.open_requests import OpenRequests
@@ -60,6 +63,8 @@
         Processes the notices that replicas send in the heads of their answers.
     protocol : ReplicaProtocol
         Encodes requests and interprets answers.
+    successors : ReplicaSuccessors
+        Replaces replicas whose addresses belong to others now.
     retries : RetryShare
         Limits repeated attempts.
     rollouts : RelayRollouts
@@ -68,6 +73,8 @@
         Estimates how long requests take.
     pace : StreamTimeEstimator
         Estimates how long streams take.
+    speeds : ReplicaSpeeds
+        Learns how fast replicas are.
     crash_blame : CrashBlame
         Knows which requests crash replicas.
     metrics : RelayMetrics
@@ -81,6 +88,8 @@
         the value of Retry-After in seconds.
     is_late_in_stop : callable, optional
         Returns whether this process stops, and must not end what it takes from now on.
+    urgency_ranks : UrgencyRanks, optional
+        Ranks the requests to each pool by urgency.
     """
 
     timers: TimerService
@@ -94,16 +103,19 @@
     paths: ReplicaPaths
     notices: ReplicaNotices
     protocol: ReplicaProtocol
+    successors: ReplicaSuccessors
     retries: RetryShare
     rollouts: RelayRollouts
     durations: RequestDurations
     pace: StreamTimeEstimator
+    speeds: ReplicaSpeeds
     crash_blame: CrashBlame
     metrics: RelayMetrics
     time_left: Callable[[], float]
     open_requests: OpenRequests
     refusal_headers: Callable[[str | None, float | None], Headers]
     is_late_in_stop: Callable[[], bool] = lambda: False
+    urgency_ranks: UrgencyRanks = msgspec.field(default_factory=UrgencyRanks)
 
     def stop_left_s(self) -> float | None:
         """Return the time until a stop ends this process, in seconds; None if none."""
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -9,6 +9,7 @@
 
 from boragedeck.connection.exchange import Exchange
 from boragedeck.connection.http_message import Headers
+from boragedeck.connection.reservation import AnswerRoom
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamNotAcceptingError,
@@ -127,7 +128,12 @@
         self._progress = AnswerProgress(job.parts.crash_blame, job.traits)
         self._silence = StreamSilence(job, place, self._progress)
         self._evidence = StreamEvidence(
-            job, place, self._progress, self._silence, from_copy=from_copy
+            job,
+            place,
+            self._progress,
+            self._silence,
+            from_copy=from_copy,
+            is_resumed=position is not None,
         )
         self._liveness = StreamLivenessMonitor(job, self._note_silent, self._note_heard)
         self._events = StreamEventReader(
@@ -189,8 +195,13 @@
         self._note_failed(reason, reason, AttemptOutcome.LOST)
 
     def _tell(self, message: StreamMessage) -> None:
-        if not self._is_cancelled:
-            self._report(AttemptReport(self, message))
+        if self._is_cancelled:
+            return
+        timers = self._job.parts.timers
+        since = timers.now()
+        self._report(AttemptReport(self, message))
+        # What follows was held up by the caller.
+        self._evidence.note_blocked(timers.now() - since)
 
     def _release(self, *, is_served: bool) -> None:
         self.place.release(is_served)
@@ -208,6 +219,7 @@
             last_event=self._position,
             backup=None if backup is None else backup.replica,
             source=CopySource(place.state.replica.address) if self._from_copy else None,
+            priority=job.rank,
         )
         self._log_sent(plan)
         try:
@@ -294,7 +306,8 @@
                 error = f"not run, status {pending.head.status}"
                 return self._note_failed(error, reason, AttemptOutcome.NOT_TAKEN)
             case VerdictKind.FAILED:
-                body = pending.exchange.read_all(job.left_s(), MAX_ANSWER_BYTES)
+                room = AnswerRoom(job.channel.reservation, job.left_s())
+                body = pending.exchange.read_all(job.left_s(), MAX_ANSWER_BYTES, room)
                 self.failed_answer = FailedAnswer(
                     pending.head.status, verdict.headers, body
                 )
@@ -309,8 +322,8 @@
         self._record(self._evidence.note_complete)
         return AttemptOutcome.COMPLETE
 
-    def _note_output(self, gap_s: float | None) -> None:
-        self._record(partial(self._evidence.note_output, gap_s))
+    def _note_output(self, events: int, gap_s: float | None) -> None:
+        self._record(partial(self._evidence.note_output, events, gap_s))
 
     def _record(self, note: Callable[[], None]) -> None:
         """Record how the answer goes; an unexpected exception doesn't end it."""
--- a/scripts/platform_cluster.py
+++ b/scripts/platform_cluster.py
@@ -68,6 +68,7 @@
         self.engines: dict[str, tuple[RelayReplica, object, object]] = {}
         self.routers: list[subprocess.Popen] = []
         self.settings: list[dict] = []
+        self._metrics_ports: dict[int, int] = {}
         self._directory = directory
         self._ports = PortBlock()
         self._written: dict[tuple[str, str], bytes | None] = {}
@@ -147,11 +148,19 @@
             elif self.rows.value(table, key) != value:
                 self.rows.put(table, key, value)
 
-    def add_router(self, zone: str) -> str:
-        """Start a router, wait until it is ready and return its URL for callers."""
+    def add_router(self, zone: str, limits: dict | None = None) -> str:
+        """Start a router, wait until it is ready and return its URL for callers.
+
+        Parameters
+        ----------
+        zone : str
+            Its failure domain.
+        limits : dict, optional
+            The limits of its VM, as its settings file names them.
+        """
         number = len(self.routers)
         self.gates.append(Gate(self.rows.app))
-        self.settings.append(self._settings(number, zone))
+        self.settings.append(self._settings(number, zone) | {"limits": limits or {}})
         self.write_settings(number, {})
         self.routers.append(self._start(number))
         self.wait_ready(number)
@@ -162,6 +171,10 @@
         host, _, port = self.settings[number]["listen"]["front"].rpartition(":")
         return self._delayed((host, int(port)))
 
+    def operators_url(self, number: int) -> str:
+        """Return the URL of a router's metrics address."""
+        return f"http://{HOST}:{self._metrics_ports[number]}"
+
     def restart_router(self, number: int) -> None:
         """Kill a router and start it with the same settings, without waiting for it."""
         self.routers[number].kill()
@@ -261,9 +274,10 @@
         return Path(self._directory, f"router-{number}.yaml")
 
     def _start(self, number: int) -> subprocess.Popen:
+        self._metrics_ports[number] = self._ports.take()
         environ = os.environ | {
             "BORAGEDECK_CONFIG": str(self._path(number)),
-            "BORAGEDECK_METRICS_PORT": str(self._ports.take()),
+            "BORAGEDECK_METRICS_PORT": str(self._metrics_ports[number]),
         }
         command = [sys.executable, "-m", "boragedeck.process.daemon"]
         with Path(self._directory, f"router-{number}.log").open("ab") as log:
--- a/tests/process/relaying/placing/test_placement.py
+++ b/tests/process/relaying/placing/test_placement.py
@@ -9,6 +9,7 @@
     choose_backup,
     choose_replica,
     has_room,
+    most_free_tokens,
     sample_size,
 )
 from boragedeck.process.relaying.replicas.replica_state import Load, ReplicaState
@@ -56,6 +57,19 @@
         self.assertFalse(has_room(full, request()))
         self.assertIsNone(self.choose([full]))
 
+    def test_most_free_tokens_are_those_up_to_which_a_replica_has_room(self):
+        """Guards against a waiting request that is passed over although it fits."""
+        rng = random.Random(3)
+        for _ in range(500):
+            engine = rng.choice([ENGINE, EngineProfile(4, 1_000), None])
+            states = [
+                state("e", load=Load(rng.randrange(7), 0, rng.randrange(1_100)))
+                for _ in range(rng.randrange(3))
+            ]
+            req = request(rng.randrange(1_100), engine)
+            fits = any(has_room(each, req) for each in states)
+            self.assertEqual(req.tokens <= most_free_tokens(states, req), fits)
+
     def test_stale_loads_of_other_routers_do_not_refuse_calls(self):
         reported = state("reported", peers=Load(6, 0, 0))
         self.assertFalse(has_room(reported, request(engine=None)))
@@ -145,6 +159,57 @@
         self.assertEqual(self.choose(states, engine=None, **lost), "far")
 
 
+class SpeedTest(unittest.TestCase):
+    """Engines of different speed."""
+
+    def chosen(self, states, seed=1, **fields):
+        return choose_replica(states, request(**fields), random.Random(seed))
+
+    def test_idle_slow_engine_is_not_preferred_to_a_busier_normal_one(self):
+        slow, normal = state("slow", speed=0.5), state("normal", load=Load(2, 8_000))
+        work = {"work_tokens": 40_000.0}
+        self.assertIs(self.chosen([slow, normal], **work), normal)
+
+    def test_slow_engine_is_chosen_if_the_others_have_more_work(self):
+        slow = state("slow", speed=0.5)
+        normal = state("normal", load=Load(7, 48_000, 56_000))
+        self.assertIs(self.chosen([slow, normal], work_tokens=40_000.0), slow)
+
+    def test_fast_engine_is_preferred(self):
+        fast, normal = state("fast", speed=2.0), state("normal")
+        self.assertIs(self.chosen([normal, fast], work_tokens=40_000.0), fast)
+
+    def test_choice_is_as_before_if_no_speed_is_known(self):
+        # The cost as it was computed before speeds were known, to the last bit.
+        def former(state, req):
+            ahead = state.unread_tokens + 400 * state.running
+            ahead += 8000 * (state.replica.failure_domain in req.lost_domains)
+            return 2.0 * state.failure_share + ahead / req.engine.memory_tokens
+
+        rng = random.Random(17)
+        for seed in range(500):
+            states = [
+                state(
+                    f"e{number}",
+                    rng.choice("abc"),
+                    load=Load(rng.randrange(6), 800 * rng.randrange(30), 0),
+                    failure_share=rng.choice((0.0, 0.2, 0.36)),
+                )
+                for number in range(8)
+            ]
+            fields = {
+                "work_tokens": rng.uniform(0.0, 60_000.0),
+                "lost_domains": frozenset(rng.choice(("", "a", "b"))),
+            }
+            lowest = min(state.failure_share for state in states)
+            for each in states:
+                each.failure_share -= lowest
+            req, draws = request(**fields), random.Random(seed)
+            compared = draws.sample(states, len(states))
+            expected = min(compared, key=lambda s: (former(s, req), draws.random()))
+            self.assertIs(self.chosen(states, seed, **fields), expected)
+
+
 class CopyLoadTest(unittest.TestCase):
     """Simulates 80 routers that place copies by the same, outdated loads."""
 
