Name what a newcomer stumbled on, and make a relay job in one place

Found by a reader who hadn't seen the work: wrong or unclear docstrings, names that say something else (a decision that is only noted, total memory called used, two bounds of one name), and the same construction of a job by the relay and by the explanation. No behaviour changes.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -413,11 +413,11 @@
             If there is no room for them.
         """
         match self._reservation.take_body(count):
-            case Grant.SHORT:
+            case Grant.NO_ROOM:
                 raise _RejectedError(
                     "no room for the request body", 503, retry_after_s=NO_ROOM_RETRY_S
                 )
-            case Grant.NEVER:
+            case Grant.TOO_LARGE:
                 raise _too_long_rejection()
 
     def _read_event(self):
--- a/boragedeck/connection/connection_table.py
+++ b/boragedeck/connection/connection_table.py
@@ -18,7 +18,8 @@
 PEER_SHARE = 1 / 8
 """Share that other routers may use to send requests through this one."""
 REFUSED_SHARE = 1 / 10
-"""Further connections, as a share of the first, on which a request is refused."""
+"""Connections beyond the served ones on which a request is refused, as a share of
+those."""
 
 T = TypeVar("T", bound=Hashable)
 
@@ -48,7 +49,7 @@
     address : str
         The caller's address.
     since : float
-        Since when it is idle.
+        When it became idle, or its rank by that; only the order counts.
     """
 
     key: Hashable
--- a/boragedeck/connection/edge.py
+++ b/boragedeck/connection/edge.py
@@ -77,7 +77,7 @@
     ):
         self.bounds = bounds
         self._on_closed_idle = on_closed_idle
-        # The address of each, in the order in which they became idle or busy.
+        # The address of each open connection; the idle ones, the longest idle first.
         self._addresses: dict[_Protocol, str] = {}
         self._idle: dict[_Protocol, None] = {}
 
@@ -287,9 +287,9 @@
     if reservation is None:
         return
     match reservation.take_body(count):
-        case Grant.SHORT:
+        case Grant.NO_ROOM:
             raise _no_room_error()
-        case Grant.NEVER:
+        case Grant.TOO_LARGE:
             raise _too_long_error()
 
 
--- a/boragedeck/connection/memory_budget.py
+++ b/boragedeck/connection/memory_budget.py
@@ -23,10 +23,12 @@
 BODY_SHARE = 1 / 2
 """Share of the rest that bodies may use, so that answers find room beside them."""
 PARTY_SHARE = 7 / 8
-"""Share of a room that one address or one organisation may use."""
+"""Share of the bytes for large requests, and of those for bodies, that one address or
+one organisation may use."""
 SLOW_AFTER_S = 1.0
 PROGRESS_BYTES = 64 * 1024
-"""A caller that moves less than this in `SLOW_AFTER_S` may be cut for others."""
+"""A caller that moves fewer bytes than this in `SLOW_AFTER_S` seconds counts as slow,
+and its request may be ended for others."""
 MIN_CUT_BYTES = 16 * 1024
 """A caller that holds less isn't cut, as that would free nothing worth it."""
 
@@ -45,7 +47,7 @@
 
 
 class Phase(enum.Enum):
-    """What a request waits for."""
+    """The step that a request is at."""
 
     RECEIVING = "receiving"
     """Its caller sends the body."""
@@ -59,10 +61,10 @@
     """The answer to a request for bytes."""
 
     GRANTED = "granted"
-    SHORT = "short"
+    NO_ROOM = "no_room"
     """There is no room at present."""
-    NEVER = "never"
-    """So many bytes never fit."""
+    TOO_LARGE = "too_large"
+    """A single request may never hold that much."""
 
 
 class Holding:
@@ -135,7 +137,7 @@
         )
 
     def parties(self) -> list[tuple[str, str]]:
-        """Return who shares the room: its address, and its organisation if known."""
+        """Return the keys of its bytes: its address, and its organisation if known."""
         found = [("address", self.address)]
         if self.organisation is not None:
             found.append(("organisation", self.organisation))
@@ -203,9 +205,9 @@
     def ask(self, holding: Holding, use: Use, count: int) -> Grant:
         """Reserve bytes for a request if there is room."""
         if holding.held[use] + count > self._largest(use):
-            return Grant.NEVER
+            return Grant.TOO_LARGE
         if holding.is_closed or not self._has_room(holding, use, count):
-            return Grant.SHORT
+            return Grant.NO_ROOM
         self.add(holding, use, count)
         return Grant.GRANTED
 
--- a/boragedeck/connection/reservation.py
+++ b/boragedeck/connection/reservation.py
@@ -30,14 +30,15 @@
 CUT_WAIT_S = 0.5
 """How long a body waits for the bytes of a request that was ended for it."""
 POLL_S = 0.25
-"""How often it is seen whether somebody has become slow."""
+"""How often a waiting request looks for callers that have become slow, in seconds."""
 READ_AHEAD_BYTES = 64 * 1024
-"""What is counted beside a part of an answer whose write waits."""
+"""Counted in addition to a waiting write, for what is read from the replica
+meanwhile."""
 PIECEWISE_BYTES = 256 * 1024
 """From this size on, an answer of unknown length reserves the largest size, so that
 several such answers can't wait for each other's bytes."""
 ROOM_MARGIN_S = 0.05
-"""How long before the time of an attempt is over it no longer waits for room."""
+"""How long before the end of an attempt its wait for room ends, in seconds."""
 LOG_INTERVAL_S = 10.0
 MAX_LOG_ADDRESSES = 256
 UNLIMITED_BYTES = 1 << 60
@@ -88,7 +89,7 @@
         self.on_event: Callable[[BudgetEvent], None] = _ignore_event
         # Sent when bytes are given back, and then replaced.
         self._freed = Event()
-        self._is_relief_due = False
+        self._is_check_due = False
         self._logged_at: dict[str, float] = {}
 
     def open(self, address: str, cut: Callable[[], None]) -> "Reservation":
@@ -148,18 +149,18 @@
         freed, self._freed = self._freed, Event()
         freed.send()
 
-    def relieve_later(self) -> None:
+    def schedule_excess_check(self) -> None:
         """End slow requests soon if the sum is over its limit."""
-        if self._is_relief_due or self.budget.excess() <= 0:
+        if self._is_check_due or self.budget.excess() <= 0:
             return
-        self._is_relief_due = True
-        self.timers.call_later(SLOW_AFTER_S, self._relieve)
+        self._is_check_due = True
+        self.timers.call_later(SLOW_AFTER_S, self._end_excess)
 
-    def _relieve(self) -> None:
-        self._is_relief_due = False
+    def _end_excess(self) -> None:
+        self._is_check_due = False
         while self.budget.excess() > 0 and self.cut_one(None, self.budget.excess()):
             pass
-        self.relieve_later()
+        self.schedule_excess_check()
 
 
 class Reservation:
@@ -201,16 +202,16 @@
         holding, service = self._holding, self._service
         until = self.now + CUT_WAIT_S
         grant = service.budget.ask(holding, Use.BODY, count)
-        while grant is Grant.SHORT and self.now < until:
+        while grant is Grant.NO_ROOM and self.now < until:
             if not (service.cut_one(holding, count) or service.budget.has_cut()):
                 break
             # A request that was cut may have given its bytes back already.
             if service.budget.has_cut():
                 service.wait_freed(until - self.now)
             grant = service.budget.ask(holding, Use.BODY, count)
-        if grant is Grant.SHORT:
+        if grant is Grant.NO_ROOM:
             service.note(BudgetEvent.REFUSED, holding)
-        elif grant is Grant.NEVER:
+        elif grant is Grant.TOO_LARGE:
             service.note(BudgetEvent.TOO_LARGE, holding)
         elif holding.held[Use.BODY] == count:
             # Neither an idle connection nor a slow head makes a body slow.
@@ -233,9 +234,9 @@
         """
         holding, service = self._holding, self._service
         grant = service.budget.ask(holding, Use.ANSWER, count)
-        if grant is Grant.SHORT:
+        if grant is Grant.NO_ROOM:
             service.note(BudgetEvent.WAITED, holding)
-        while grant is Grant.SHORT and self.now < until and not holding.is_closed:
+        while grant is Grant.NO_ROOM and self.now < until and not holding.is_closed:
             service.cut_one(holding, count)
             service.wait_freed(until - self.now)
             grant = service.budget.ask(holding, Use.ANSWER, count)
@@ -273,7 +274,7 @@
         holding.enter(Phase.SENDING, self.now)
         if count > holding.held[Use.ANSWER]:
             budget.add(holding, Use.UNSENT, count + READ_AHEAD_BYTES)
-            self._service.relieve_later()
+            self._service.schedule_excess_check()
 
     def end_sending(self) -> None:
         """Record that the write has ended."""
--- a/boragedeck/connection/resource_limits.py
+++ b/boragedeck/connection/resource_limits.py
@@ -9,7 +9,7 @@
 
 MB = 1024 * 1024
 OWN_MEMORY_MB = 56
-"""What a process uses for itself: some 40 MB at rest, more with large tables."""
+"""What a process uses for itself: about 40 MB when idle, more with large tables."""
 BUDGET_SHARE = 0.75
 """Share of the rest that is reserved by size. Allocators, connections and green threads
 use the other part."""
@@ -24,7 +24,8 @@
 DEFAULT_MACHINE_SHARE = 0.5
 """The largest default, as a share of the machine's memory."""
 SEND_BUFFER_BYTES = 128 * 1024
-"""What the kernel may keep for a caller who doesn't read; it doubles the value."""
+"""Send buffer of a caller's socket, which bounds what the kernel keeps for a caller
+that doesn't read. The kernel doubles this value."""
 
 
 class ResourceLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -58,8 +59,8 @@
     max_fds : int or None
         Descriptors that the process may open; None if that isn't known.
     """
-    used_mb = _default_memory_mb() if memory_mb is None else memory_mb
-    free_bytes = max(0.0, used_mb - OWN_MEMORY_MB) * MB
+    total_mb = _default_memory_mb() if memory_mb is None else memory_mb
+    free_bytes = max(0.0, total_mb - OWN_MEMORY_MB) * MB
     known = [each for each in (max_fds, _descriptor_limit()) if each is not None]
     return ResourceLimits(
         budget_bytes=max(MIN_BUDGET_BYTES, int(free_bytes * BUDGET_SHARE)),
--- a/boragedeck/process/relaying/placing/admission.py
+++ b/boragedeck/process/relaying/placing/admission.py
@@ -305,9 +305,9 @@
         if forecast is None:
             return Ok(waiter.place)
         if waiter.outcome is None:
-            self._decide(waiter, forecast)
+            self._note_decision(waiter, forecast)
             self._wait_in_order(scheduler, waiter, forecast)
-        self._decide(waiter, forecast)
+        self._note_decision(waiter, forecast)
         if waiter.outcome is QueueOutcome.GRANTED:
             return Ok(waiter.place)
         # Without replicas, the forecast is 0.0 although the queue may be full.
@@ -325,7 +325,7 @@
             scheduler.remove(waiter, QueueOutcome.LEFT, self._timers.now())
             if waiter.place is not None:
                 waiter.place.release()
-            self._decide(waiter, forecast)
+            self._note_decision(waiter, forecast)
             raise
         scheduler.remove(waiter, QueueOutcome.EXPIRED, self._timers.now())
 
@@ -346,7 +346,7 @@
                 self._loads.refresh(req.pool.name)
                 scheduler.grant_places(timers.now())
 
-    def _decide(self, waiter: Waiter, forecast: Forecast) -> None:
+    def _note_decision(self, waiter: Waiter, forecast: Forecast) -> None:
         """Log and count that a request waits, or how its wait has ended.
 
         Notes
--- a/boragedeck/process/relaying/placing/place.py
+++ b/boragedeck/process/relaying/placing/place.py
@@ -42,8 +42,8 @@
         Whether its caller has a part of the answer. It can't be refused any more, so it
         waits even if no place is expected in time.
     has_priorities : bool
-        Whether requests of different urgency use the pool, so that they are ordered and
-        refused by what is lost; see `scheduling`. Then `priority` is the rank of the
+        Whether requests of different urgency use the pool, so that `PoolScheduler`
+        orders and refuses them. Then `priority` is the rank of the
         request by urgency. The fields below are used only then.
     organisation : OrganisationName or None
         The caller's organisation.
--- a/boragedeck/process/relaying/replicas/replica_successors.py
+++ b/boragedeck/process/relaying/replicas/replica_successors.py
@@ -229,7 +229,7 @@
         if self._is_confirmed_since(told.found_at):
             self._ignore(told, SuccessorOutcome.OUTDATED)
             return
-        known = self._known(told)
+        known = self._state_at_address(told)
         before = known or self._displaced_state(told)
         if before is None:
             self._keep(told)
@@ -284,7 +284,7 @@
     def _serves_pool(self, models: frozenset[str], before: Replica) -> bool:
         return self._table().pool_of_models(models) == before.pool
 
-    def _known(self, told: _Told) -> ReplicaState | None:
+    def _state_at_address(self, told: _Told) -> ReplicaState | None:
         """Return the replica at an address, or None.
 
         Notes
@@ -324,7 +324,7 @@
             self._waiting.popitem(last=False)
 
     def _drop_displaced(self) -> None:
-        """Forget lost replicas whose entries the router's list is newer than."""
+        """Drop lost replicas if the list of replicas was confirmed after their loss."""
         for address, displaced in list(self._displaced.items()):
             if self._is_confirmed_since(displaced.at):
                 del self._displaced[address]
--- a/boragedeck/process/relaying/scheduling/freed_capacity.py
+++ b/boragedeck/process/relaying/scheduling/freed_capacity.py
@@ -9,7 +9,10 @@
 from boragedeck.process.relaying.placing.place import AdmissionRequest
 from boragedeck.process.relaying.placing.placement import MEMORY_SHARE
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
-from boragedeck.process.relaying.scheduling.service_order import GUARANTEED_SHARE
+from boragedeck.process.relaying.scheduling.service_order import (
+    GUARANTEED_SHARE,
+    MAX_COUNTED_PRIORITIES,
+)
 from boragedeck.version.routing import EngineProfile
 
 __all__ = ["FreedCapacity", "busy_work", "expected_wait_s", "work_of"]
@@ -17,7 +20,6 @@
 KEPT_SERVICE_TIMES = 2.0
 """Time constant of the measurement in mean service times; within one, each place is
 freed about once."""
-MAX_PRIORITIES = 64
 
 
 class FreedCapacity:
@@ -25,8 +27,9 @@
 
     Notes
     -----
-    State: three decaying sums, one of them for each of at most `MAX_PRIORITIES`
-    priorities. A sum lasts only while requests wait, and decays all the time.
+    State: decaying sums of the time with waiting requests, of the granted work, and of
+    the requested work of each of at most `MAX_COUNTED_PRIORITIES` priorities. They grow
+    only while requests wait.
     """
 
     def __init__(self):
@@ -60,7 +63,7 @@
 
     def note_asked(self, priority: int, work: float) -> None:
         """Record a request that waits, or got a place while others waited."""
-        if priority in self._asked or len(self._asked) < MAX_PRIORITIES:
+        if priority in self._asked or len(self._asked) < MAX_COUNTED_PRIORITIES:
             self._asked[priority] = self._asked.get(priority, 0.0) + work
 
     def rate(self, work: float, pool_rate: float) -> float:
--- a/boragedeck/process/relaying/scheduling/pool_scheduler.py
+++ b/boragedeck/process/relaying/scheduling/pool_scheduler.py
@@ -33,7 +33,7 @@
 """Share of the time that it may wait after which a large request may claim room. Most
 of the time is left for the engine to free it."""
 CLAIM_AFTER_WORK = 1.0
-"""How much work must have passed it over before that, as a multiple of its own. Claimed
+"""Work granted to later requests before that, as a multiple of its own. Claimed
 room is idle until there is enough of it: with claims after the time alone, callers of
 the model in test_overload got 0.14 less of their value."""
 MIN_SERVICE_S = 0.001
@@ -215,7 +215,7 @@
         """Return whether the queue is full of requests that cost more to lose."""
         if len(self._waiting) < MAX_WAITING:
             return False
-        return self._order.cheapest_to_lose([*self._waiting, waiter], now) is waiter
+        return self._order.first_to_refuse([*self._waiting, waiter], now) is waiter
 
     def _expected_wait_s(
         self, waiter: Waiter, ahead: list[Waiter], ahead_work: float
@@ -310,7 +310,7 @@
         """Refuse the request that costs least to lose if too many wait."""
         if len(self._waiting) <= MAX_WAITING:
             return
-        lost = self._order.cheapest_to_lose(self._waiting, now)
+        lost = self._order.first_to_refuse(self._waiting, now)
         is_new = lost is newest
         self.remove(lost, QueueOutcome.FULL if is_new else QueueOutcome.DISPLACED, now)
 
--- a/boragedeck/process/relaying/scheduling/service_order.py
+++ b/boragedeck/process/relaying/scheduling/service_order.py
@@ -1,4 +1,4 @@
-"""Orders waiting requests by what is lost if they wait longer.
+"""Orders waiting requests by priority, lateness and organisation.
 
 Handles a burst of the least urgent requests that is followed by one of the most urgent,
 and long bursts of urgent requests under which the others must not starve.
@@ -14,7 +14,13 @@
 )
 from boragedeck.process.relaying.scheduling.waiter import Waiter
 
-__all__ = ["GUARANTEED_SHARE", "MAX_TIMES_PASSED_OVER", "Lane", "ServiceOrder"]
+__all__ = [
+    "GUARANTEED_SHARE",
+    "MAX_COUNTED_PRIORITIES",
+    "MAX_TIMES_PASSED_OVER",
+    "Lane",
+    "ServiceOrder",
+]
 
 MAX_TIMES_PASSED_OVER = 7
 """How often a priority is passed over until it is next. An eighth of the places then
@@ -26,7 +32,7 @@
 
 
 class Lane(msgspec.Struct, frozen=True, order=True):
-    """Waiting requests that lose alike by waiting; lower lanes are served first.
+    """Key of waiting requests of one priority that are all late, or all in time.
 
     Parameters
     ----------
@@ -111,7 +117,7 @@
         elif Lane(served.priority, True) in waiting:
             _count(self._late_passed_over, served.priority)
 
-    def cheapest_to_lose(self, waiters: Iterable[Waiter], now: float) -> Waiter:
+    def first_to_refuse(self, waiters: Iterable[Waiter], now: float) -> Waiter:
         """Return the request whose refusal costs least."""
         return max(
             waiters,
--- a/boragedeck/process/relaying/scheduling/urgency.py
+++ b/boragedeck/process/relaying/scheduling/urgency.py
@@ -1,7 +1,7 @@
 """Ranks the requests to a pool of engines by urgency, by the table in force.
 
-Only pools in which requests of different ranks may meet are ranked. These order and
-refuse requests by urgency, and tell it to their engines.
+Only pools in which requests of different ranks may meet are ranked. In these,
+requests are ordered and refused by rank, and the rank is sent to the engines.
 """
 
 from boragedeck.ids import OrganisationName, PoolName
--- a/boragedeck/process/relaying/speeds/pool_times.py
+++ b/boragedeck/process/relaying/speeds/pool_times.py
@@ -19,7 +19,7 @@
 """Number of the newest samples of a pool whose median a sample is compared with. They
 are of the same moment, so a burst over the whole pool makes no engine look slow."""
 MIN_POOL_TIMES = 8
-MIN_ROUTERS = 3
+MIN_LIMITED_ROUTERS = 3
 """Number of routers from which on one can be outvoted by the others."""
 MAX_SHARE_OF_OTHERS = 0.5
 """Number of samples of one router from then on, relative to those of all others, so
@@ -51,7 +51,7 @@
         self._counts[router] += 1
         while now - self._newest[0].at > MAX_AGE_S:
             self._drop(self._newest[0])
-        if len(self._counts) >= MIN_ROUTERS:
+        if len(self._counts) >= MIN_LIMITED_ROUTERS:
             self._limit_router()
         if len(self._newest) > MAX_POOL_TIMES:
             self._drop(self._newest[0])
--- a/boragedeck/process/relaying/speeds/recent_speeds.py
+++ b/boragedeck/process/relaying/speeds/recent_speeds.py
@@ -20,7 +20,7 @@
 
 
 class RecentSpeeds:
-    """The newest speed of each run that differed from 1.0 within `TTL_S`."""
+    """The last exchanged speed of each run, which may be 1.0 again."""
 
     def __init__(self) -> None:
         self._told: dict[Run, _Told] = {}
--- a/boragedeck/process/relaying/speeds/replica_speeds.py
+++ b/boragedeck/process/relaying/speeds/replica_speeds.py
@@ -120,7 +120,7 @@
                     _apply(state, speed)
 
     def update(self) -> None:
-        """Estimate the speeds anew, and drop what is old; does so once a second."""
+        """Estimate the speeds anew, and drop what is old, at most once a second."""
         now = self._timers.now()
         if now - self._updated_at < UPDATE_INTERVAL_S:
             return
--- a/boragedeck/process/relaying/speeds/speed_estimator.py
+++ b/boragedeck/process/relaying/speeds/speed_estimator.py
@@ -17,8 +17,8 @@
 
 __all__ = ["SpeedEstimator"]
 
-MAX_ROUTERS = 1_024
-"""Number of routers of which it is kept which samples are known."""
+MAX_KNOWN_ROUTERS = 1_024
+"""Number of routers whose last sample number is kept."""
 
 
 class SpeedEstimator:
@@ -101,7 +101,7 @@
         """Return whether a sample is new; routers send each several times, in order."""
         last = self._last_numbers.pop(sample.router, 0)
         self._last_numbers[sample.router] = max(last, sample.number)
-        if len(self._last_numbers) > MAX_ROUTERS:
+        if len(self._last_numbers) > MAX_KNOWN_ROUTERS:
             del self._last_numbers[next(iter(self._last_numbers))]
         return sample.number > last
 
--- a/boragedeck/process/relaying/speeds/speed_judge.py
+++ b/boragedeck/process/relaying/speeds/speed_judge.py
@@ -23,17 +23,18 @@
 
 MIN_RUNS = 3
 """Number of known runs below which a pool has no median to compare with."""
-MIN_WEIGHT = 1.5
-"""Weight of samples from which on a speed may move away from 1.0."""
-FULL_WEIGHT = 1.0
-"""Weight below which a speed moves back towards 1.0, so that a slow engine gets more
-and more streams the longer it had none."""
+MIN_FINDING_WEIGHT = 1.5
+"""Weight of samples from which a run that counted as ordinary may be found slower or
+faster."""
+DECAY_WEIGHT = 1.0
+"""Weight below which a speed that was found moves back towards 1.0, so that a slow
+engine gets more and more streams the longer it had none."""
 MIN_KEPT_WEIGHT = 0.02
 """Weight below which a speed is 1.0 again."""
 BASE_LIMIT = 1.25
 """Ratio of times that never counts as a difference, however many samples show it."""
-DOUBT = 0.75
-"""What the doubt about a single sample adds to that limit."""
+SINGLE_SAMPLE_MARGIN = 0.75
+"""Added to the limit for samples of weight 1.0; it falls with the weight."""
 KEPT_LIMIT = 1.2
 """Ratio below which a difference that was found is given up."""
 
@@ -92,9 +93,9 @@
 
 
 def _speed(summary: Summary, medians: _Medians, before: float) -> float:
-    """Return the speed that both kinds of evidence support, or 1.0."""
+    """Return the speed that both reading and event times support, or 1.0."""
     slower = _ratio(summary, medians, _Direction.SLOWER)
-    certainty = min(1.0, summary.weight / FULL_WEIGHT)
+    certainty = min(1.0, summary.weight / DECAY_WEIGHT)
     if slower >= _limit(summary, was_found=before < 1.0):
         return min(MAX_SPEED_RATIO, slower) ** -certainty
     faster = _ratio(summary, medians, _Direction.FASTER)
@@ -104,7 +105,7 @@
 
 
 def _ratio(summary: Summary, medians: _Medians, direction: _Direction) -> float:
-    """Return by which factor a run is slower or faster, by the kind that says less."""
+    """Return the smaller of the factors by which reading and event times differ."""
     match direction:
         case _Direction.SLOWER:
             times, median = summary.low, medians.low
@@ -118,6 +119,6 @@
     """Return the ratio from which on a difference counts."""
     if was_found and summary.weight >= MIN_KEPT_WEIGHT:
         return KEPT_LIMIT
-    if summary.weight < MIN_WEIGHT:
+    if summary.weight < MIN_FINDING_WEIGHT:
         return float("inf")
-    return BASE_LIMIT + DOUBT / summary.weight
+    return BASE_LIMIT + SINGLE_SAMPLE_MARGIN / summary.weight
--- a/boragedeck/process/relaying/speeds/speed_messages.py
+++ b/boragedeck/process/relaying/speeds/speed_messages.py
@@ -27,6 +27,10 @@
         Time to read a prompt token, in seconds.
     event_s : float
         Time between two events, in seconds.
+
+    Notes
+    -----
+    Relative times are ratios to those of the pool, without a unit.
     """
 
     read_s: float
--- a/boragedeck/request/explain.py
+++ b/boragedeck/request/explain.py
@@ -28,7 +28,7 @@
 from boragedeck.request.explanation import CandidateView, Explanation, RefusalView
 from boragedeck.request.open_relay import OpenRelay
 from boragedeck.request.relay_components import RelayComponents, log
-from boragedeck.request.relay_job import RelayJob
+from boragedeck.request.relay_job import RelayJob, make_relay_job
 from boragedeck.request.relay_refusals import (
     crash_refusal,
     stopping_refusal,
@@ -84,16 +84,7 @@
     # Nothing is answered on the channel; it only says that no answer has begun.
     reservations = unlimited_reservations(parts.timers)
     channel = CallerChannel(None, reservations.open("", lambda: None))
-    job = RelayJob(
-        parts,
-        req,
-        match.rule,
-        match.pool,
-        match.organisation,
-        match.priority,
-        channel,
-        rank=match.rank,
-    )
+    job = make_relay_job(parts, req, match, channel)
     found = msgspec.structs.replace(
         found,
         route=match.rule.name,
--- a/boragedeck/request/relay.py
+++ b/boragedeck/request/relay.py
@@ -6,7 +6,7 @@
 from boragedeck.request.open_relay import OpenRelay
 from boragedeck.request.relay_call import CallRelay
 from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
-from boragedeck.request.relay_job import RelayJob
+from boragedeck.request.relay_job import RelayJob, make_relay_job
 from boragedeck.request.relay_refusals import crash_refusal, stopping_refusal
 from boragedeck.request.relay_request import RelayRequest
 from boragedeck.request.relay_stream import StreamRelay
@@ -45,16 +45,7 @@
         parts.metrics.requests.labels("none", exc.code).inc()
         return
     parts.retries.note_request(match.pool.name)
-    job = RelayJob(
-        parts,
-        req,
-        match.rule,
-        match.pool,
-        match.organisation,
-        match.priority,
-        channel,
-        rank=match.rank,
-    )
+    job = make_relay_job(parts, req, match, channel)
     channel.deadline = job.deadlines.answer_end
     open_relay = OpenRelay(job)
     if parts.time_left() < open_relay.needed_s():
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -14,9 +14,10 @@
 from boragedeck.request.relay_components import RelayComponents, log, respond_refusal
 from boragedeck.request.relay_request import RelayRequest
 from boragedeck.request.request_deadlines import request_deadlines
+from boragedeck.request.route_match import RouteMatch
 from boragedeck.version.routing import CallKind, RelayPool, RouteRule
 
-__all__ = ["RelayJob"]
+__all__ = ["RelayJob", "make_relay_job"]
 
 MAX_WAIT_SHARE = 0.4
 """Share of the time until its final answer is due that a request which has not run may
@@ -301,3 +302,22 @@
     def _count_end(self, outcome: str) -> float:
         self.parts.metrics.requests.labels(self.rule.kind.value, outcome).inc()
         return self.parts.timers.now() - self.req.arrived
+
+
+def make_relay_job(
+    parts: RelayComponents,
+    req: RelayRequest,
+    match: RouteMatch,
+    channel: CallerChannel,
+) -> RelayJob:
+    """Return the job of a request that matches a route."""
+    return RelayJob(
+        parts,
+        req,
+        match.rule,
+        match.pool,
+        match.organisation,
+        match.priority,
+        channel,
+        rank=match.rank,
+    )
--- a/tests/connection/test_memory_budget.py
+++ b/tests/connection/test_memory_budget.py
@@ -31,7 +31,7 @@
 
     def test_bodies_are_granted_until_their_room_is_full(self):
         _, _, grants = budget_with("a", "b", "c")
-        self.assertEqual(grants, [Grant.GRANTED, Grant.GRANTED, Grant.SHORT])
+        self.assertEqual(grants, [Grant.GRANTED, Grant.GRANTED, Grant.NO_ROOM])
 
     def test_answers_find_room_beside_as_many_bodies_as_fit(self):
         budget, (first, second), _ = budget_with("a", "b")
@@ -42,7 +42,7 @@
     def test_small_requests_find_room_while_large_ones_find_none(self):
         budget, _, _ = budget_with("a", "b", "c", "d", "e", use=Use.ANSWER)
         large = budget.open("f", lambda: None, 0.0)
-        self.assertIs(budget.ask(large, Use.ANSWER, BODY), Grant.SHORT)
+        self.assertIs(budget.ask(large, Use.ANSWER, BODY), Grant.NO_ROOM)
         small = budget.open("f", lambda: None, 0.0)
         self.assertIs(budget.ask(small, Use.BODY, SMALL_BYTES), Grant.GRANTED)
 
@@ -52,12 +52,12 @@
         small = budget.open("b", lambda: None, 0.0)
         self.assertIs(budget.ask(small, Use.ANSWER, SMALL_BYTES), Grant.GRANTED)
         large = budget.open("b", lambda: None, 0.0)
-        self.assertIs(budget.ask(large, Use.ANSWER, BODY), Grant.SHORT)
+        self.assertIs(budget.ask(large, Use.ANSWER, BODY), Grant.NO_ROOM)
 
     def test_one_address_leaves_room_for_another(self):
         count = 500_000
         budget, _, grants = budget_with(*"a" * 40, use=Use.ANSWER, count=count)
-        self.assertIn(Grant.SHORT, grants)
+        self.assertIn(Grant.NO_ROOM, grants)
         other = budget.open("b", lambda: None, 0.0)
         self.assertIs(budget.ask(other, Use.ANSWER, count), Grant.GRANTED)
 
@@ -67,13 +67,13 @@
             holding = budget.open(f"a{number}", lambda: None, 0.0)
             budget.name_organisation(holding, "large")
             grant = budget.ask(holding, Use.ANSWER, 500_000)
-        self.assertIs(grant, Grant.SHORT)
+        self.assertIs(grant, Grant.NO_ROOM)
         other = budget.open("b", lambda: None, 0.0)
         self.assertIs(budget.ask(other, Use.ANSWER, 500_000), Grant.GRANTED)
 
     def test_body_that_never_fits_is_told_from_one_that_has_to_wait(self):
         _, _, grants = budget_with("a", count=LIMIT)
-        self.assertEqual(grants, [Grant.NEVER])
+        self.assertEqual(grants, [Grant.TOO_LARGE])
 
     def test_closed_holding_gets_nothing_and_gives_back_once(self):
         budget, (holding,), _ = budget_with("a")
@@ -81,7 +81,7 @@
         budget.close(holding)
         budget.give_back(holding, Use.BODY, BODY)
         budget.add(holding, Use.UNSENT, BODY)
-        self.assertIs(budget.ask(holding, Use.BODY, 1), Grant.SHORT)
+        self.assertIs(budget.ask(holding, Use.BODY, 1), Grant.NO_ROOM)
         self.assertEqual(budget.used, 0)
 
 
--- a/tests/connection/test_reservations.py
+++ b/tests/connection/test_reservations.py
@@ -216,7 +216,7 @@
         first = self.open()
         self.timers.advance(10 * SLOW_S)
         self.assertIs(first.take_body(BODY), Grant.GRANTED)
-        self.assertIs(self.open().take_body(BODY), Grant.SHORT)
+        self.assertIs(self.open().take_body(BODY), Grant.NO_ROOM)
         self.assertFalse(first.is_cut)
 
     def test_body_that_stalls_behind_a_slow_interim_answer_is_cut(self):
--- a/tests/process/relaying/scheduling/test_service_order.py
+++ b/tests/process/relaying/scheduling/test_service_order.py
@@ -186,6 +186,6 @@
         waiting = [begun, late, large, urgent]
         order, lost = ServiceOrder(), []
         while waiting:
-            lost.append(order.cheapest_to_lose(waiting, NOW))
+            lost.append(order.first_to_refuse(waiting, NOW))
             waiting.remove(lost[-1])
         self.assertEqual([each.sequence for each in lost], [2, 3, 4, 1])
