--- a/tests/process/relaying/speeds/test_speed_estimator.py
+++ b/tests/process/relaying/speeds/test_speed_estimator.py
@@ -6,7 +6,7 @@
     MIN_POOL_TIMES,
 )
 from boragedeck.process.relaying.speeds.speed_estimator import (
-    MAX_ROUTERS,
+    MAX_KNOWN_ROUTERS,
     SpeedEstimator,
 )
 from boragedeck.process.relaying.speeds.speed_messages import SpeedSample
@@ -59,9 +59,9 @@
         self.assertEqual(self.slow(), set())
 
     def test_state_is_bounded(self):
-        for number in range(1, 2 * MAX_ROUTERS):
+        for number in range(1, 2 * MAX_KNOWN_ROUTERS):
             self.estimator.add("p", sample(f"r{number}", number), 0.0)
-        self.assertLessEqual(len(self.estimator._last_numbers), MAX_ROUTERS)
+        self.assertLessEqual(len(self.estimator._last_numbers), MAX_KNOWN_ROUTERS)
         self.assertLessEqual(len(self.estimator._pool_times["p"]), MAX_POOL_TIMES)
         self.estimator.keep_only([], [])
         self.assertEqual(self.estimator._samples, {})
