--- a/boragedeck/connection/reservation.py
+++ b/boragedeck/connection/reservation.py
@@ -35,8 +35,8 @@
 """Counted in addition to a waiting write, for what is read from the replica
 meanwhile."""
 PIECEWISE_BYTES = 256 * 1024
-"""From this size on, an answer of unknown length reserves the largest size, so that
-several such answers can't wait for each other's bytes."""
+"""From this size on, an answer of unknown length reserves the largest size at once, so
+that few such answers are read at a time. Those that wait keep what they have."""
 ROOM_MARGIN_S = 0.05
 """How long before the end of an attempt its wait for room ends, in seconds."""
 LOG_INTERVAL_S = 10.0
--- a/boragedeck/process/relaying/scheduling/pool_scheduler.py
+++ b/boragedeck/process/relaying/scheduling/pool_scheduler.py
@@ -34,8 +34,7 @@
 of the time is left for the engine to free it."""
 CLAIM_AFTER_WORK = 1.0
 """Work granted to later requests before that, as a multiple of its own. Claimed
-room is idle until there is enough of it: with claims after the time alone, callers of
-the model in test_overload got 0.14 less of their value."""
+room is idle until there is enough of it, so time alone would leave too much idle."""
 MIN_SERVICE_S = 0.001
 """Lower bound of the mean service time in estimates."""
 
