Free a request's body when the request ends, not when the collector runs

What callers saw: callers that send whole bodies one after the other, as they may, make a router exceed the memory of its VM, and the kernel ends it with all that it serves.

Cause: the budget counts a body once, and gives it back when the request ends, but the body lived on. With the collector off, each ended request left its `RelayRequest` in a cycle: `RelayJob` made its `PlaceFinder` with a closure over itself. Streams have more cycles: `StreamRelay` and its `ReportQueue`, `StreamAttempt` with its reader and monitor, the event of each green thread that was ended by an exception, with all its frames; and `end_thread` of a thread that hadn't started kept the frames of its caller, which hold the request.

Change: a body has one owner, `RequestBody`; the connection releases it when the request ends, with the reservation. Asked for after that, it raises an error, so that no attempt can send a shorter one. `PlaceFinder` refers to the attempts' counts, `spawn_task` starts threads that end without an exception, and buffers are closed where they were filled, as h11's errors keep their frames.

--- a/boragedeck/connection/caller_channel.py
+++ b/boragedeck/connection/caller_channel.py
@@ -5,6 +5,7 @@
 import h11
 import msgspec
 
+from boragedeck.connection.request_body import RequestBody
 from boragedeck.connection.reservation import Reservation
 
 __all__ = ["CallerChannel", "RawRequest", "ResponseSender"]
@@ -19,7 +20,7 @@
         The request line.
     headers : list of tuple of bytes
         Names and values as received.
-    body : bytes
+    body : RequestBody
         The whole body.
     arrived, received : float
         Times at which its head and its body were complete, on the timer service's
@@ -29,7 +30,7 @@
     method: bytes
     target: bytes
     headers: list[tuple[bytes, bytes]]
-    body: bytes
+    body: RequestBody
     arrived: float
     received: float
 
--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -7,7 +7,6 @@
 
 import io
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Protocol
 
 import eventlet
@@ -23,10 +22,11 @@
 )
 from boragedeck.connection.http_message import Headers
 from boragedeck.connection.memory_budget import Grant
+from boragedeck.connection.request_body import RequestBody
 from boragedeck.connection.reservation import Reservation, ReservationService
 from boragedeck.exceptions import BoragedeckError
 from boragedeck.process.observing.logs import PartLog
-from boragedeck.process.threads import end_thread
+from boragedeck.process.threads import end_thread, spawn_task
 from boragedeck.process.timers import TimerService
 from boragedeck.version.routing import CallerLimits
 
@@ -263,10 +263,13 @@
         if not self._buffer:
             return False
         self._reservation = self._server.reservations.open(self.address, self._cut)
+        req = None
         try:
             req = self._next_request()
             return req is not None and self._serve(req)
         finally:
+            if req is not None:
+                req.body.release()
             self._reservation.close()
 
     def _cut(self) -> None:
@@ -295,7 +298,7 @@
             refusal = exc.status, exc.message, exc.retry_after_s
         finally:
             self._is_reading = False
-        # Nothing refers to the frames that hold the body any more.
+        # What has arrived of the body is freed already.
         self._reservation.drop_body()
         self._reject(*refusal)
         return None
@@ -373,17 +376,24 @@
             head.method,
             head.target,
             headers,
-            body,
+            RequestBody(body),
             arrived,
             received=self._timers.now(),
         )
 
     def _read_body(self, length: int, limits: CallerLimits) -> bytes | None:
         """Read a body, whose bytes are reserved before; None if it is cut off."""
-        # Its value is no copy, unlike that of a bytearray.
-        body = io.BytesIO()
-        size, reserved = 0, length
         self._take(length)
+        # Its value is no copy, unlike that of a bytearray. It is closed, as errors of
+        # the parser are kept with the frames that they have passed.
+        with io.BytesIO() as body:
+            return self._read_parts(body, length, limits)
+
+    def _read_parts(
+        self, body: io.BytesIO, reserved: int, limits: CallerLimits
+    ) -> bytes | None:
+        """Read the parts of a body, of which some bytes are reserved already."""
+        size = 0
         while True:
             if self._parser.they_are_waiting_for_100_continue:
                 self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
@@ -450,7 +460,7 @@
         self._buffer = bytes(rest)
         channel = self._channel = CallerChannel(self, self._reservation)
         self.is_handling = True
-        watcher = eventlet.spawn(self._watch_for_disconnect, eventlet.getcurrent())
+        watcher = spawn_task(self._watch_for_disconnect, eventlet.getcurrent())
         reason, error = UnansweredReason.NO_ANSWER, None
         try:
             self._server.handle(req, channel)
@@ -502,21 +512,14 @@
         self._server.on_unanswered(reason)
 
     def _watch_for_disconnect(self, serving_thread) -> None:
-        """Stop the green thread that serves the request when the caller disconnects.
-
-        Notes
-        -----
-        An exception that ended this thread would be kept with its frames, which refer
-        to those that hold the answer.
-        """
-        with suppress(eventlet.greenlet.GreenletExit):
-            while self._is_open():
-                if self._is_ahead_full():
-                    self._timers.sleep(OPEN_POLL_S)
-            self._is_eof = True
-            # After its answer, nothing is left to end for it; the handler cleans up.
-            if self.is_handling and not self._channel.is_finished:
-                self._interrupt(serving_thread)
+        """Stop the green thread that serves the request when the caller disconnects."""
+        while self._is_open():
+            if self._is_ahead_full():
+                self._timers.sleep(OPEN_POLL_S)
+        self._is_eof = True
+        # After its answer, nothing is left to end for it; the handler cleans up.
+        if self.is_handling and not self._channel.is_finished:
+            self._interrupt(serving_thread)
 
     def _interrupt(self, serving_thread) -> None:
         if not self._channel.is_interrupted:
--- a/boragedeck/connection/disconnect.py
+++ b/boragedeck/connection/disconnect.py
@@ -1,10 +1,9 @@
 """Detection of callers that close their connection."""
 
-import eventlet
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
-from boragedeck.process.threads import end_thread
+from boragedeck.process.threads import end_thread, spawn_task
 
 __all__ = ["DisconnectWatch"]
 
@@ -31,7 +30,7 @@
     def __init__(self, sock: socket.socket):
         self.is_closed = False
         self._sock = sock
-        self._thread = eventlet.spawn(self._watch)
+        self._thread = spawn_task(self._watch)
 
     def stop(self) -> None:
         """Stop watching."""
--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -176,10 +176,13 @@
         AnswerRoomError
             If there is no room for it in time.
         """
-        # Its value is no copy, unlike that of a bytearray.
-        body = io.BytesIO()
         size = 0
-        with eventlet.Timeout(timeout_s, self._silent_error("read body")):
+        # Its value is no copy, unlike that of a bytearray. It is closed, as errors are
+        # kept with the frames that they have passed.
+        with (
+            io.BytesIO() as body,
+            eventlet.Timeout(timeout_s, self._silent_error("read body")),
+        ):
             while part := self.read(timeout_s):
                 size += len(part)
                 if size > max_bytes:
@@ -187,7 +190,7 @@
                 if room is not None:
                     room.hold(size, self._length, max_bytes)
                 body.write(part)
-        return body.getvalue()
+            return body.getvalue()
 
     def skip(self, timeout_s: float) -> None:
         """Read and discard the body of an answer to an earlier request.
--- a/boragedeck/connection/forwarding.py
+++ b/boragedeck/connection/forwarding.py
@@ -14,6 +14,7 @@
 from boragedeck.connection.address import Address
 from boragedeck.connection.exchange import Exchange
 from boragedeck.connection.http_message import AnswerHead, Headers, Message
+from boragedeck.connection.request_body import RequestBody
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.exceptions import (
     ForwardDeclinedError,
@@ -96,7 +97,7 @@
 
 
 def decode_order(
-    method: bytes, target: bytes, headers: Headers, body: bytes
+    method: bytes, target: bytes, headers: Headers, body: RequestBody
 ) -> Result[ForwardOrder, str]:
     """Return the order in a request to this router, or what is wrong with it."""
     found = {name.lower(): value for name, value in headers}
--- a/boragedeck/connection/http_message.py
+++ b/boragedeck/connection/http_message.py
@@ -3,6 +3,8 @@
 import h11
 import msgspec
 
+from boragedeck.connection.request_body import RequestBody
+
 __all__ = ["FINAL_STATUSES", "AnswerHead", "Headers", "Message", "encode_request"]
 
 FINAL_STATUSES = range(200, 600)
@@ -23,7 +25,7 @@
         The request line.
     headers : list of tuple of bytes
         All headers except the framing headers.
-    body : bytes
+    body : RequestBody
         The whole body.
     request_id : bytes or None
         The id that answers to this request repeat; None if they have none.
@@ -32,7 +34,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes = b""
+    body: RequestBody = msgspec.field(default_factory=RequestBody)
     request_id: bytes | None = None
 
 
@@ -73,7 +75,7 @@
     replicas with small receive buffers slower. The rest isn't copied.
     """
     headers = list(message.headers)
-    body = message.body
+    body = message.body.data
     if body or message.method not in (b"GET", b"HEAD", b"DELETE"):
         headers.append((b"Content-Length", b"%d" % len(body)))
     request = h11.Request(method=message.method, target=message.target, headers=headers)
--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -12,6 +12,7 @@
     "PeerRefusedError",
     "PeerUnreachableError",
     "RefusedError",
+    "RequestEndedError",
     "SettingsError",
     "StaleEpochError",
     "StoreConflictError",
@@ -70,6 +71,10 @@
     """A table or entry that an operator or another program wrote is invalid."""
 
 
+class RequestEndedError(BoragedeckError):
+    """Something was asked of a request that has ended, whose body was released."""
+
+
 class StoreError(BoragedeckError):
     """The platform's table service or object store failed to serve a call."""
 
--- a/boragedeck/platform/callers.py
+++ b/boragedeck/platform/callers.py
@@ -4,6 +4,7 @@
 
 from boragedeck.connection.caller_channel import RawRequest
 from boragedeck.connection.http_message import Headers
+from boragedeck.connection.request_body import RequestBody
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import PromptPartId
 from boragedeck.platform.header_text import decode_header_text
@@ -61,7 +62,7 @@
     if query.key is not None:
         headers.append((API_KEY, _encoded(query.key)))
     method, target = _encoded(query.method), _encoded(query.path)
-    return RawRequest(method, target, headers, b"", arrived=now, received=now)
+    return RawRequest(method, target, headers, RequestBody(), arrived=now, received=now)
 
 
 def refusal_headers(request_id: str | None, retry_after_s: float | None) -> Headers:
--- a/boragedeck/process/threads.py
+++ b/boragedeck/process/threads.py
@@ -1,5 +1,6 @@
-"""Ends green threads from outside."""
+"""Green threads that are ended from outside."""
 
+from collections.abc import Callable
 from contextlib import suppress
 
 import eventlet
@@ -7,7 +8,23 @@
 from eventlet.hubs import get_hub
 from eventlet.hubs.hub import BaseHub
 
-__all__ = ["end_thread"]
+__all__ = ["end_thread", "spawn_task"]
+
+
+def spawn_task(function: Callable[..., None], *args: object) -> GreenThread:
+    """Start a green thread whose result nobody needs, and that may be ended.
+
+    Parameters
+    ----------
+    function : callable
+        Called with `args` in the thread.
+
+    Notes
+    -----
+    A green thread keeps the exception that has ended it, with all frames that it has
+    passed and what they refer to. The thread of a task that `end_thread` ends returns.
+    """
+    return eventlet.spawn(_run_task, function, args)
 
 
 def end_thread(
@@ -68,5 +85,13 @@
         raise eventlet.greenlet.GreenletExit
 
     if isinstance(thread, GreenThread):
+        # The exception is kept, and so would be the frames that have called `main`, but
+        # for those outside of a greenlet of its own.
+        stand_in = eventlet.greenlet.greenlet(thread.main)
         with suppress(eventlet.greenlet.GreenletExit):
-            thread.main(exit_at_once, (), {})
+            stand_in.switch(exit_at_once, (), {})
+
+
+def _run_task(function: Callable[..., None], args: tuple[object, ...]) -> None:
+    with suppress(eventlet.greenlet.GreenletExit):
+        function(*args)
--- a/boragedeck/request/attempt.py
+++ b/boragedeck/request/attempt.py
@@ -15,7 +15,7 @@
 )
 from boragedeck.ids import UpstreamName
 from boragedeck.interfaces import Chooser, Outcome, Slot, SlotRequest
-from boragedeck.process.threads import end_thread
+from boragedeck.process.threads import end_thread, spawn_task
 
 __all__ = ["Attempt", "AttemptEnd", "EndKind", "OpenRun", "broken_outcome"]
 
@@ -136,7 +136,7 @@
 
     def begin(self) -> None:
         """Start the green thread."""
-        self._thread = eventlet.spawn(self._run_and_report)
+        self._thread = spawn_task(self._run_and_report)
 
     def stop(self, outcome: Outcome) -> None:
         """Stop the thread, close the connection of the run and release the slot.
--- a/boragedeck/request/attempt_counts.py
+++ b/boragedeck/request/attempt_counts.py
@@ -30,6 +30,11 @@
         self.running: set[Place] = set()
         self.first_start: float | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a replica may have run the request."""
+        return self.possible_runs > 0
+
     def note_start(self, place: Place) -> None:
         """Record that an attempt begins; `note_end` must follow."""
         self.running.add(place)
--- a/boragedeck/request/place_finder.py
+++ b/boragedeck/request/place_finder.py
@@ -1,13 +1,12 @@
 """Finds places at replicas for the attempts of one request."""
 
-from collections.abc import Callable
-
 import msgspec
 from result import Err, Result
 
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import FailureDomain
 from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
+from boragedeck.request.attempt_counts import AttemptCounts
 from boragedeck.request.relay_components import RelayComponents
 from boragedeck.version.replicas import Replica, ReplicaId
 
@@ -31,8 +30,8 @@
     req : AdmissionRequest
         The request for a place, as for the first attempt: its `until` holds as long as
         the request hasn't run.
-    may_have_run : callable
-        Returns whether a replica may have run the request.
+    attempts : AttemptCounts
+        The attempts of the request that were sent.
 
     Attributes
     ----------
@@ -46,11 +45,11 @@
         self,
         parts: RelayComponents,
         req: AdmissionRequest,
-        may_have_run: Callable[[], bool],
+        attempts: AttemptCounts,
     ):
         self._parts = parts
         self._req = req
-        self._may_have_run = may_have_run
+        self._attempts = attempts
         self._backoff_s = FIRST_BACKOFF_S
         self.tried: set[ReplicaId] = set()
         self.lost_domains: set[FailureDomain] = set()
@@ -134,7 +133,7 @@
             When to stop waiting, in monotonic seconds.
         """
         req = self._req
-        latest = req.deadline if self._may_have_run() else req.until
+        latest = req.deadline if self._attempts.may_have_run else req.until
         return msgspec.structs.replace(
             req,
             until=min(until, latest),
@@ -144,7 +143,7 @@
 
     def unreached_refusal(self) -> RefusedError | None:
         """Return the refusal of a request that hasn't run, if no replica is reached."""
-        if self._may_have_run() or not self._is_pool_unreached():
+        if self._attempts.may_have_run or not self._is_pool_unreached():
             return None
         return RefusedError(
             f"no router reaches a replica of {self._req.pool.name!r}",
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -1,7 +1,6 @@
 """Relays one call; the answer is read completely before it is sent to the caller."""
 
 from collections.abc import Callable
-from contextlib import suppress
 from typing import TypeVar
 
 import eventlet
@@ -22,7 +21,7 @@
 )
 from boragedeck.interfaces import Outcome
 from boragedeck.process.relaying.placing.place import Place
-from boragedeck.process.threads import end_thread
+from boragedeck.process.threads import end_thread, spawn_task
 from boragedeck.request.answer_progress import AnswerProgress
 from boragedeck.request.relay_attempt import PendingAnswer, start_attempt
 from boragedeck.request.relay_components import log
@@ -223,14 +222,9 @@
             **self._job.parts.table_ages.log_fields(),
         )
         self._job.note_start(place)
-        attempt = eventlet.spawn(self._run_attempt_thread, place)
+        attempt = spawn_task(self._run_and_report, place)
         self._running_attempts[attempt] = place
 
-    def _run_attempt_thread(self, place: Place) -> None:
-        # An exception that ended this thread would be kept with the frames of its body.
-        with suppress(eventlet.greenlet.GreenletExit):
-            self._run_and_report(place)
-
     def _run_and_report(self, place: Place) -> None:
         # This result remains if the thread is killed.
         result: AttemptResult = AnswerLost("stopped")
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -86,7 +86,7 @@
         self.deadlines = request_deadlines(req, rule)
         self.traits = RequestTraits(
             pool.name,
-            fingerprint_of(organisation, req.path, req.body),
+            fingerprint_of(organisation, req.path, req.body.data),
             req.shared_parts,
         )
         # Whether it is given up because this process stops.
@@ -114,13 +114,13 @@
                 needed_s=self._needed_s(),
                 is_resumed=req.resume_after is not None,
             ),
-            lambda: self.may_have_run,
+            self.attempts,
         )
 
     @property
     def may_have_run(self) -> bool:
         """Whether a replica may have run the request."""
-        return self.attempts.possible_runs > 0
+        return self.attempts.may_have_run
 
     @property
     def pool_name(self) -> PoolName:
--- a/boragedeck/request/relay_request.py
+++ b/boragedeck/request/relay_request.py
@@ -7,6 +7,7 @@
 
 from boragedeck.connection.http_message import AnswerHead, Headers, Message
 from boragedeck.connection.peer import Address
+from boragedeck.connection.request_body import RequestBody
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.ids import OrganisationName, PromptPartId
 from boragedeck.version.replicas import Replica, ReplicaId, ReplicaNotice
@@ -34,7 +35,7 @@
         The host in lower case and the path without the query, which select the route.
     headers : list of tuple of bytes
         The headers that are passed on unchanged.
-    body : bytes
+    body : RequestBody
         The complete body.
     key : str or None
         The caller's API key.
@@ -59,7 +60,7 @@
     host: str
     path: str
     headers: Headers
-    body: bytes
+    body: RequestBody
     key: str | None
     caller_timeout_s: float | None
     arrived: float
--- a/boragedeck/request/repeatable.py
+++ b/boragedeck/request/repeatable.py
@@ -1,6 +1,5 @@
 """Runs calls that may be repeated: retries on other upstreams, within a budget."""
 
-import eventlet
 import msgspec
 from eventlet.event import Event
 from result import Err, Ok, Result
@@ -10,7 +9,7 @@
 from boragedeck.ids import ExecutionStatus, RouteName
 from boragedeck.interfaces import Chooser, Outcome, Slot
 from boragedeck.process.observing.logs import PartLog
-from boragedeck.process.threads import end_thread
+from boragedeck.process.threads import end_thread, spawn_task
 from boragedeck.process.timers import TimerService
 from boragedeck.request import call_errors
 from boragedeck.request.call_headers import response_headers
@@ -162,7 +161,7 @@
 
     def _start_attempt(self, race: _Race) -> None:
         race.pending += 1
-        race.attempts.append(eventlet.spawn(self._run_attempt, race))
+        race.attempts.append(spawn_task(self._run_attempt, race))
 
     def _run_attempt(self, race: _Race) -> None:
         answer: Answer = Err(call_errors.upstream_failed(race.call.pool.name))
--- a/boragedeck/request/replica_probe.py
+++ b/boragedeck/request/replica_probe.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Callable
 
-import eventlet
-
 from boragedeck.process.relaying.placing.place import Place
-from boragedeck.process.threads import end_thread
+from boragedeck.process.threads import end_thread, spawn_task
 from boragedeck.request.relay_attempt import probe
 from boragedeck.request.relay_job import RelayJob
 
@@ -54,7 +52,7 @@
         self._may_probe = may_probe
         self._on_answered = on_answered
         self.answered_at: float | None = None
-        self._thread = eventlet.spawn(self._run)
+        self._thread = spawn_task(self._run)
 
     def stop(self) -> None:
         """Stop probing."""
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -19,7 +19,7 @@
 )
 from boragedeck.process.relaying.placing.place import Place
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
-from boragedeck.process.threads import end_thread
+from boragedeck.process.threads import end_thread, spawn_task
 from boragedeck.request.answer_progress import AnswerProgress
 from boragedeck.request.crash_wait import wait_unless_blamed
 from boragedeck.request.events import EventError
@@ -144,7 +144,7 @@
     def start(self) -> None:
         """Send the request and report, in a green thread."""
         self._job.note_start(self.place)
-        self._thread = eventlet.spawn(self._run_thread)
+        self._thread = spawn_task(self._run_thread)
 
     @property
     def is_at_begin(self) -> bool:
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -49,6 +49,7 @@
 )
 """The modules that are started first, the slowest before the others."""
 ALONE = (
+    "tests.process.relaying.test_uncontrolled_bodies",
     "tests.process.relaying.test_uncontrolled_callers",
     "tests.process.test_uncontrolled_api_callers",
 )
--- a/tests/connection/test_upstream_pool.py
+++ b/tests/connection/test_upstream_pool.py
@@ -10,6 +10,7 @@
 from boragedeck.connection.exchange import IDLE_MARGIN_S
 from boragedeck.connection.http_message import Message
 from boragedeck.connection.peer import Address
+from boragedeck.connection.request_body import RequestBody
 from boragedeck.connection.upstream_pool import OpenReason, UpstreamPool
 from boragedeck.exceptions import (
     UpstreamError,
@@ -132,7 +133,9 @@
 
         eventlet.spawn(answer_early)
         address = Address(*listener.getsockname())
-        large = Message(b"POST", b"/x", [(b"Host", b"h")], b"x" * 20_000_000)
+        large = Message(
+            b"POST", b"/x", [(b"Host", b"h")], RequestBody(b"x" * 20_000_000)
+        )
         exchange = self.pool.send(address, large, 1.0)
         self.assertEqual(exchange.head(2.0).status, 413)
         self.assertEqual(exchange.read(2.0), b"")
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,6 +1,7 @@
 import unittest
 
 from boragedeck.connection.caller_channel import RawRequest
+from boragedeck.connection.request_body import RequestBody
 from boragedeck.platform.callers import decode_request
 
 
@@ -9,7 +10,7 @@
         method=b"POST",
         target=b"/r/x",
         headers=[(b"Host", b"here.example"), *headers],
-        body=b"",
+        body=RequestBody(),
         arrived=0.0,
         received=0.0,
     )
--- a/tests/platform/test_replica_protocol.py
+++ b/tests/platform/test_replica_protocol.py
@@ -1,6 +1,7 @@
 import unittest
 
 from boragedeck.connection.http_message import AnswerHead
+from boragedeck.connection.request_body import RequestBody
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
 from boragedeck.request.relay_request import AttemptPlan, RelayRequest
@@ -74,7 +75,7 @@
             host="h",
             path="/",
             headers=[],
-            body=b"",
+            body=RequestBody(),
             key=None,
             caller_timeout_s=None,
             arrived=0.0,
--- a/tests/request/test_relay_call.py
+++ b/tests/request/test_relay_call.py
@@ -6,6 +6,7 @@
 import msgspec
 from eventlet.green import socket
 
+from boragedeck.connection.request_body import RequestBody
 from boragedeck.request import relay_job
 from boragedeck.request.relay_call import CallRelay
 from boragedeck.request.relay_job import RelayJob
@@ -220,7 +221,7 @@
             host="here.example",
             path="/r/x",
             headers=[],
-            body=b"",
+            body=RequestBody(),
             key=None,
             caller_timeout_s=2.0,
             arrived=harness.timers.now(),
--- a/tests/request/test_request_deadlines.py
+++ b/tests/request/test_request_deadlines.py
@@ -1,5 +1,6 @@
 import unittest
 
+from boragedeck.connection.request_body import RequestBody
 from boragedeck.request.relay_request import RelayRequest
 from boragedeck.request.request_deadlines import RequestDeadlines, request_deadlines
 from tests.support.replicas import stream_rule
@@ -17,7 +18,7 @@
             host="here.example",
             path="/r/x",
             headers=[],
-            body=b"",
+            body=RequestBody(),
             key=None,
             caller_timeout_s=caller_s,
             arrived=ARRIVED,
--- /dev/null
+++ b/tests/support/crowd_case.py
@@ -0,0 +1,129 @@
+"""A router as a process, before crowds of callers that nobody controls."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import eventlet
+import urllib3
+
+from scripts.platform_cluster import ROUTE_HEADERS, PlatformCluster
+from tests.support.uncontrolled_callers import (
+    CHUNK,
+    CallerCrowd,
+    LargeAnswers,
+    LongStreams,
+)
+
+__all__ = ["BODY_BYTES", "MB", "CrowdCase", "request_head"]
+
+MB = 1024 * 1024
+BODY_BYTES = 4 * MB
+EVENTS = 2_500
+EVENT_BYTES = 8_000
+SETTLE_S = 3.0
+"""How long the crowd stays before the ordinary request."""
+ANSWER_TIMEOUT_S = 30.0
+RETRY_S = 0.5
+RECOVERED_S = 20.0
+
+
+def request_head(path: str, *headers: str) -> bytes:
+    """Return the head of a request of the crowd."""
+    lines = [f"POST {path} HTTP/1.1", "Request-Id: crowd", "Token-Counts: 100,40"]
+    lines += [f"{name}: {value}" for name, value in ROUTE_HEADERS.items()]
+    return "\r\n".join([*lines, *headers, "", ""]).encode()
+
+
+class CrowdCase(unittest.TestCase):
+    """One router as a process, replicas of two services, and a crowd.
+
+    Attributes
+    ----------
+    memory_mb, max_fds : int
+        The limits of the router's VM.
+    replicas : int
+        The number of replicas of each service.
+    call_timeout_ms : int
+        How long a call may take.
+    """
+
+    memory_mb = 88
+    max_fds = 128
+    replicas = 1
+    call_timeout_ms = 20_000
+
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.cluster = PlatformCluster(Path(directory.name))
+        self.addCleanup(self.cluster.stop)
+        self.put_routes()
+        for number in range(1, self.replicas + 1):
+            calls = LargeAnswers(f"kiosk-{number}", BODY_BYTES)
+            self.cluster.add_replica(calls, "kiosks", "a")
+            streams = LongStreams(f"engine-{number}", EVENTS, EVENT_BYTES)
+            self.cluster.add_replica(streams, "engines", "a")
+        limits = {"memoryMb": self.memory_mb, "maxFds": self.max_fds}
+        self.url = self.cluster.add_router("a", limits)
+        self.pid = self.cluster.routers[0].pid
+        self.crowd = CallerCrowd(self.cluster.front(0), self.pid)
+        self.addCleanup(self.crowd.close)
+
+    def put_routes(self):
+        route = {"host": "demo.example", "timeoutMs": self.call_timeout_ms}
+        calls = {"name": "calls", "prefix": "/calls/", "kind": "idempotent"}
+        streams = {"name": "streams", "prefix": "/streams/", "kind": "streaming"}
+        engine = {"slots": 64, "kvCapacity": 880_000, "models": [{"name": "m"}]}
+        self.cluster.put_document(
+            {
+                "version": 1,
+                "routes": [
+                    route | calls | {"service": "kiosks", "latencyGoalMs": 2_000},
+                    route | streams | {"service": "engines", "latencyGoalMs": 2_000},
+                ],
+                "services": [
+                    {"name": "kiosks"},
+                    {"name": "engines", "engine": engine},
+                ],
+                "tenants": [{"name": "demo", "apiKeys": ["demo-key"]}],
+            }
+        )
+
+    def call(self, body=b"", path="/calls/x", headers=None):
+        """Return the status and length of the answer to one request; None if none."""
+        try:
+            answer = urllib3.request(
+                "POST",
+                self.url + path,
+                body=body,
+                headers=ROUTE_HEADERS
+                | {"Request-Id": "ordinary", "Connection": "close"}
+                | (headers or {}),
+                retries=False,
+                timeout=ANSWER_TIMEOUT_S,
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+        return answer.status, len(answer.data)
+
+    def assert_held(self):
+        """The process lives, stayed within its bounds, and serves an ordinary call."""
+        eventlet.sleep(SETTLE_S)
+        self.assert_served()
+        self.assert_within_bounds()
+
+    def assert_within_bounds(self):
+        """The process lives and stayed within its memory and descriptors."""
+        self.assertIsNone(self.cluster.routers[0].poll())
+        self.assertLess(self.crowd.most_bytes, self.memory_mb * MB)
+        self.assertLess(self.crowd.most_files, self.max_fds)
+
+    def assert_served(self):
+        """An ordinary call is answered, though perhaps not at once."""
+        answer = None
+        with eventlet.Timeout(RECOVERED_S + ANSWER_TIMEOUT_S, False):
+            while answer != (200, CHUNK):
+                answer = self.call()
+                eventlet.sleep(RETRY_S)
+        self.assertEqual(answer, (200, CHUNK))
