Let many waiting requests check for places together

What callers saw: while 300 callers read answers of 4 MB at 2 KB a second (one router, 128 MB, four replicas), not one of 22 ordinary calls in 25 s was answered: 503 "no replica has room". This is the first of two causes; the replicas' places that such callers keep are the other one.

Cause: each request that waits in a pool without priorities asked for a place 20 times a second, and each time for all that wait, at all replicas: 270 waiting requests make 1.5 million choices a second. A sampling profile (2 ms) of the router: 742 samples in the first 3 s, 619 in the next, nearly all below `Admission.grant_waiting`; answers that were being read stood still meanwhile for up to 4.8 s, though their replicas had them.

Change: from 64 waiting requests on, whichever is checked first checks for all, as pools with priorities do. A check looks at the replicas once, and at each request only if it may fit. Below 64 the times of the checks are as they were: with shared checks for all, test_admission's seeded plays got other places, as replicas become usable with time.

--- a/boragedeck/process/relaying/placing/admission.py
+++ b/boragedeck/process/relaying/placing/admission.py
@@ -35,6 +35,7 @@
 )
 from boragedeck.process.relaying.scheduling.waiter import QueueOutcome, Waiter
 from boragedeck.process.timers import TimerService
+from boragedeck.version.routing import EngineProfile
 
 __all__ = ["Admission", "AdmissionPreview", "LoadSource", "expected_wait_s"]
 
@@ -52,6 +53,8 @@
 different priorities, a longer expected wait raises it, too."""
 RECHECK_INTERVAL_S = 0.05
 """How often a waiting request checks for places that other routers released."""
+SHARED_CHECK_WAITING = 64
+"""From this number of waiting requests on, they don't each check for places."""
 MAX_RETRY_SHARE = 1 / 3
 """Longest Retry-After that a caller follows, as a share of the time it has left."""
 
@@ -140,6 +143,8 @@
         self._sequence = itertools.count()
         # Heaps by priority, then by order of arrival.
         self._waiting: dict[PoolName, list[tuple[int, int, _Waiter]]] = {}
+        # When the requests that wait for a pool were last checked for places.
+        self._checked_at: dict[PoolName, float] = {}
         # Of pools whose requests have different priorities.
         self._schedulers: dict[PoolName, PoolScheduler] = {}
         self._mean_service_s: dict[PoolName, float] = {}
@@ -276,24 +281,42 @@
         """
         for scheduler in list(self._schedulers.values()):
             scheduler.grant_places(self._timers.now())
-        for pool, heap in list(self._waiting.items()):
-            still_waiting = []
-            while heap:
-                entry = heapq.heappop(heap)
-                waiter = entry[2]
-                if waiter.is_done:
-                    continue
-                place = self._grant(waiter.req)
-                if place is None:
-                    still_waiting.append(entry)
-                    continue
-                waiter.is_done = True
-                waiter.granted.send(place)
-            if still_waiting:
-                heapq.heapify(still_waiting)
-                self._waiting[pool] = still_waiting
-            else:
-                del self._waiting[pool]
+        for pool in list(self._waiting):
+            self._grant_waiting_for(pool)
+
+    def _grant_waiting_for(self, pool: PoolName) -> None:
+        """Grant free places of a pool by priority and arrival.
+
+        Notes
+        -----
+        All replicas are looked at once for the largest room, and again only after a
+        grant and for requests that may fit into it; see `PoolScheduler._grant_next`.
+        """
+        heap, still_waiting = self._waiting[pool], []
+        free_tokens: dict[EngineProfile | None, float] = {}
+        while heap:
+            entry = heapq.heappop(heap)
+            waiter = entry[2]
+            if waiter.is_done:
+                continue
+            engine = waiter.req.pool.engine
+            if engine not in free_tokens:
+                free_tokens[engine] = self._most_free_tokens(waiter.req)
+            may_fit = waiter.req.tokens <= free_tokens[engine]
+            place = self._grant(waiter.req) if may_fit else None
+            if place is None:
+                still_waiting.append(entry)
+                continue
+            free_tokens.clear()
+            waiter.is_done = True
+            waiter.granted.send(place)
+        if still_waiting:
+            # Popped in order, they are a heap already.
+            self._waiting[pool] = still_waiting
+            self._checked_at[pool] = self._timers.now()
+        else:
+            del self._waiting[pool]
+            self._checked_at.pop(pool, None)
 
     def _acquire_in_order(self, req: AdmissionRequest) -> Result[Place, RefusedError]:
         """Reserve a place in a pool whose requests have different priorities."""
@@ -450,17 +473,28 @@
         Notes
         -----
         Other routers don't announce that they release places, so loads are refreshed.
+        If many wait, whichever is checked first checks for all: if each did, the time
+        that it takes would grow with the square of their number.
         """
         req = waiter.req
+        pool = req.pool.name
         while (left_s := req.until - self._timers.now()) > 0.0:
             if self._is_held_too_long(req) and not req.has_begun:
                 break
             if self._timers.wait(waiter.granted, min(RECHECK_INTERVAL_S, left_s)):
                 return True
-            self._loads.refresh(req.pool.name)
-            self.grant_waiting()
+            if self._is_check_due(pool):
+                self._loads.refresh(pool)
+                self.grant_waiting()
         return waiter.granted.ready()
 
+    def _is_check_due(self, pool: PoolName) -> bool:
+        """Return whether a request that waits for a pool checks for all that do."""
+        if len(self._waiting.get(pool, ())) < SHARED_CHECK_WAITING:
+            return True
+        checked_at = self._checked_at.get(pool, float("-inf"))
+        return self._timers.now() - checked_at >= RECHECK_INTERVAL_S / 2.0
+
     def _abandon(self, waiter: _Waiter) -> None:
         """End a wait, and release the place if one was granted in the meantime."""
         if waiter.granted.ready():
--- a/tests/process/relaying/placing/test_admission.py
+++ b/tests/process/relaying/placing/test_admission.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 import zlib
+from unittest import mock
 
 import eventlet
 
@@ -8,6 +9,7 @@
 from boragedeck.process.relaying.placing.admission import (
     NO_REPLICA_RETRY_S,
     RECHECK_INTERVAL_S,
+    SHARED_CHECK_WAITING,
     Admission,
     LoadSource,
     expected_wait_s,
@@ -24,6 +26,8 @@
 from tests.support.admission_plays import play
 
 POOL = RelayPool("p", 100)
+MANY_WAITING = SHARED_CHECK_WAITING + 30
+CHECKS = 10
 
 
 def replica(name, slots=1, **fields):
@@ -161,6 +165,21 @@
         eventlet.sleep(0.01)
         self.assertEqual(order, [("a", True)])
 
+    def test_many_waiting_requests_check_for_places_together(self):
+        """Guards against work that grows with the square of the waiting requests."""
+        self.registry.put(replica("one"))
+        self.admission.acquire(self.admission_request()).ok()
+        for number in range(MANY_WAITING):
+            self.wait([], number)
+        looks = mock.Mock(wraps=self.registry.of_pool)
+        with mock.patch.object(self.registry, "of_pool", looks):
+            for _ in range(CHECKS):
+                self.timers.advance(RECHECK_INTERVAL_S)
+                eventlet.sleep(0)
+        # Each check may look once for a place, and is made twice an interval at most.
+        self.assertGreaterEqual(looks.call_count, CHECKS)
+        self.assertLessEqual(looks.call_count, 2 * CHECKS)
+
     def test_leaving_replica_gets_no_request(self):
         self.registry.put(replica("one", stage=ReplicaStage.DRAINING))
         self.assertTrue(
