Drop answers that wait for memory in vain, so that replicas serve others

What callers saw: while callers take long to read large answers, ordinary calls get 503 "no replica has room", though their answers are small.

Cause: an answer that finds no room waits unread, within its request's time, and keeps its place at the replica. A few callers who don't read fill the memory, those behind them fill all places. Readers at 2 KB a second are ended after a second each, but the next answer of the same crowd takes the room.

Change: an answer that waits is dropped, and its replica freed, if requests wait for a place in the pool, answers have lacked room for a second, and callers read too slowly for its bytes to become free in its time, whoever else waits counted. Answers of callers that aren't suspect may keep half of the places that the router uses in the pool. An address at which a caller was ended for being slow is suspect for 30 s, and its callers are ended after 0.25 s for those of other addresses. A dropped call has run: it gets 502 without Retry-After, and isn't sent again. In calm nothing changes: without waiting requests or a shortage of a second nothing is dropped. `AnswerRoom` has a module of its own.

--- a/boragedeck/connection/exchange.py
+++ b/boragedeck/connection/exchange.py
@@ -11,13 +11,13 @@
 import eventlet
 import h11
 
+from boragedeck.connection.answer_room import AnswerRoom
 from boragedeck.connection.http_message import (
     FINAL_STATUSES,
     AnswerHead,
     Message,
     encode_request,
 )
-from boragedeck.connection.reservation import AnswerRoom
 from boragedeck.connection.sent_requests import AnswerMatch
 from boragedeck.connection.upstream_connection import (
     DEFAULT_IDLE_S,
--- a/boragedeck/connection/memory_budget.py
+++ b/boragedeck/connection/memory_budget.py
@@ -9,7 +9,7 @@
 """
 
 import enum
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 
 from boragedeck.ids import OrganisationName
@@ -29,6 +29,11 @@
 PROGRESS_BYTES = 64 * 1024
 """A caller that moves fewer bytes than this in `SLOW_AFTER_S` seconds counts as slow,
 and its request may be ended for others."""
+SUSPECT_SLOW_AFTER_S = 0.25
+"""The same for a caller from an address at which one was ended lately."""
+SUSPECT_TTL_S = 30.0
+"""How long an address is suspect after a caller there was ended for being slow."""
+MAX_SUSPECTS = 1_024
 MIN_CUT_BYTES = 16 * 1024
 """A caller that holds less isn't cut, as that would free nothing worth it."""
 
@@ -127,12 +132,20 @@
         """Return how much its caller has moved lately, in bytes per second."""
         return self.moved / max(now - self.since, SLOW_AFTER_S)
 
-    def is_slow(self, now: float) -> bool:
-        """Return whether it may be cut for others."""
+    def is_slow(self, now: float, after_s: float = SLOW_AFTER_S) -> bool:
+        """Return whether it may be cut for others.
+
+        Parameters
+        ----------
+        now : float
+            The time on the timer service's monotonic clock.
+        after_s : float, optional
+            How long its caller hasn't moved `PROGRESS_BYTES`, in seconds.
+        """
         return (
             self.phase is not Phase.RUNNING
             and not self.is_cut
-            and now - self.since >= SLOW_AFTER_S
+            and now - self.since >= after_s
             and self.total >= MIN_CUT_BYTES
         )
 
@@ -168,6 +181,8 @@
         self._holdings: dict[Holding, None] = {}
         self._of_party: Counter[tuple[str, str]] = Counter()
         self._bodies_of_party: Counter[tuple[str, str]] = Counter()
+        # When a caller of an address was last ended for being slow, oldest first.
+        self._suspects: OrderedDict[str, float] = OrderedDict()
 
     @property
     def used(self) -> int:
@@ -238,15 +253,37 @@
         Notes
         -----
         What was cut before and hasn't ended yet counts as free. Somebody whose address
-        holds less than the asker's isn't cut for it.
+        holds less than the asker's isn't cut for it. Callers from suspect addresses are
+        cut sooner for those from others.
         """
         if self._cut_bytes() >= count:
             return None
-        slow = [each for each in self._holdings if each.is_slow(now)]
+        suspect_after_s = SUSPECT_SLOW_AFTER_S
+        if asker is None or self.is_suspect(asker, now):
+            suspect_after_s = SLOW_AFTER_S
+        slow = [
+            each
+            for each in self._holdings
+            if each.is_slow(now, suspect_after_s)
+            and (each.is_slow(now) or self.is_suspect(each, now))
+        ]
         if asker is not None:
             slow = [each for each in slow if self._may_displace(asker, count, each)]
         return max(slow, key=lambda each: self._cut_rank(each, now), default=None)
 
+    def note_cut(self, holding: Holding, now: float) -> None:
+        """Record that a request is ended, as its caller is slow."""
+        holding.is_cut = True
+        self._suspects[holding.address] = now
+        self._suspects.move_to_end(holding.address)
+        if len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
+
+    def is_suspect(self, holding: Holding, now: float) -> bool:
+        """Return whether a caller at an address was ended lately for being slow."""
+        cut_at = self._suspects.get(holding.address, float("-inf"))
+        return now - cut_at < SUSPECT_TTL_S
+
     def has_cut(self) -> bool:
         """Return whether a request that was cut hasn't given its bytes back yet."""
         return self._cut_bytes() > 0
--- a/boragedeck/connection/reservation.py
+++ b/boragedeck/connection/reservation.py
@@ -1,9 +1,11 @@
 """Reserves bytes for the requests of callers, waits for them, and ends slow callers."""
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import eventlet
+import msgspec
 from eventlet.event import Event
 
 from boragedeck.connection.memory_budget import (
@@ -14,14 +16,15 @@
     Phase,
     Use,
 )
-from boragedeck.exceptions import AnswerRoomError
+from boragedeck.connection.reading_rate import ReadingRate
 from boragedeck.ids import OrganisationName
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 
 __all__ = [
-    "AnswerRoom",
+    "NO_DEMAND",
     "BudgetEvent",
+    "PlaceDemand",
     "Reservation",
     "ReservationService",
     "unlimited_reservations",
@@ -34,11 +37,10 @@
 READ_AHEAD_BYTES = 64 * 1024
 """Counted in addition to a waiting write, for what is read from the replica
 meanwhile."""
-PIECEWISE_BYTES = 256 * 1024
-"""From this size on, an answer of unknown length reserves the largest size at once, so
-that few such answers are read at a time. Those that wait keep what they have."""
-ROOM_MARGIN_S = 0.05
-"""How long before the end of an attempt its wait for room ends, in seconds."""
+MAX_WAITING_SHARE = 1 / 2
+"""Share of the places of a pool that answers may keep which wait without prospect."""
+SHORTAGE_END_S = 1.0
+"""How long no answer lacks room until a shortage counts as over, in seconds."""
 LOG_INTERVAL_S = 10.0
 MAX_LOG_ADDRESSES = 256
 UNLIMITED_BYTES = 1 << 60
@@ -46,6 +48,24 @@
 _log = PartLog("budget")
 
 
+class PlaceDemand(msgspec.Struct, frozen=True):
+    """The demand for places at the replicas that a request may be sent to.
+
+    Parameters
+    ----------
+    has_waiting : bool
+        Whether requests wait for one.
+    running : int
+        How many this router's requests keep.
+    """
+
+    has_waiting: bool
+    running: int
+
+
+NO_DEMAND = PlaceDemand(has_waiting=False, running=0)
+
+
 class BudgetEvent(enum.Enum):
     """What the budget has done to a request."""
 
@@ -57,6 +77,8 @@
     """Its answer waited for room."""
     NO_ROOM = "no_room"
     """Its answer found no room in its time."""
+    DROPPED = "dropped"
+    """Its answer had no prospect of room, and others waited for its replica."""
     CUT_RECEIVING = "cut_receiving"
     """Its body came slowly, and others needed the bytes."""
     CUT_SENDING = "cut_sending"
@@ -90,6 +112,11 @@
         # Sent when bytes are given back, and then replaced.
         self._freed = Event()
         self._is_check_due = False
+        self._reading_rate = ReadingRate(timers.now())
+        # When answers began to find no room, and the last time that one did.
+        self._short_since = self._short_at = float("-inf")
+        # How many answers wait for room.
+        self._waiting = 0
         self._logged_at: dict[str, float] = {}
 
     def open(self, address: str, cut: Callable[[], None]) -> "Reservation":
@@ -127,12 +154,69 @@
             limit=self.budget.limit_bytes,
         )
 
+    def note_read(self, count: int) -> None:
+        """Record that a caller has read bytes of an answer that is held."""
+        self._reading_rate.note_read(count, self.timers.now())
+
+    def note_short(self) -> None:
+        """Record that there is no room for an answer."""
+        now = self.timers.now()
+        if now - self._short_at >= SHORTAGE_END_S:
+            self._short_since = now
+        self._short_at = now
+
+    @contextmanager
+    def count_waiting(self) -> Iterator[None]:
+        """Count an answer that waits for room."""
+        self._waiting += 1
+        try:
+            yield
+        finally:
+            self._waiting -= 1
+
+    def must_drop(
+        self, holding: Holding, count: int, until: float, demand: PlaceDemand
+    ) -> bool:
+        """Return whether an answer that waits for room is given up for other requests.
+
+        Parameters
+        ----------
+        holding : Holding
+            What its request holds.
+        count : int
+            The bytes that it lacks.
+        until : float
+            When it waits no longer, on the timer service's monotonic clock.
+        demand : PlaceDemand
+            The demand for the place that it keeps at its replica.
+        """
+        now = self.timers.now()
+        if not demand.has_waiting or not self._is_hopeless(count, until, now):
+            return False
+        is_over_share = self._waiting > MAX_WAITING_SHARE * demand.running
+        return is_over_share or self.budget.is_suspect(holding, now)
+
+    def _is_hopeless(self, count: int, until: float, now: float) -> bool:
+        """Return whether callers read too slowly for bytes to become free in time.
+
+        Notes
+        -----
+        The others that wait are taken to need as many. What is freed by ending slow
+        callers doesn't count: those who wait may be as slow, and their replicas serve
+        nobody else meanwhile.
+        """
+        if now - self._short_since < SLOW_AFTER_S:
+            return False
+        freed = self._reading_rate.bytes_per_s(now) * (until - now)
+        return freed < count * self._waiting
+
     def cut_one(self, asker: Holding | None, count: int) -> bool:
         """End a slow request if there is one; return whether bytes become free."""
-        found = self.budget.choose_cut(asker, count, self.timers.now())
+        now = self.timers.now()
+        found = self.budget.choose_cut(asker, count, now)
         if found is None:
             return False
-        found.is_cut = True
+        self.budget.note_cut(found, now)
         is_sending = found.phase is Phase.SENDING
         event = BudgetEvent.CUT_SENDING if is_sending else BudgetEvent.CUT_RECEIVING
         self.note(event, found)
@@ -224,9 +308,20 @@
         budget.give_back(holding, Use.BODY, holding.held[Use.BODY])
         self._service.notify_freed()
 
-    def take_answer(self, count: int, until: float) -> bool:
+    def take_answer(
+        self, count: int, until: float, demand: Callable[[], PlaceDemand]
+    ) -> bool:
         """Reserve bytes of an answer; wait for them until a time.
 
+        Parameters
+        ----------
+        count : int
+            How many bytes.
+        until : float
+            When to stop waiting, on the timer service's monotonic clock.
+        demand : callable
+            Returns the demand for the places that waiting answers keep.
+
         Returns
         -------
         bool
@@ -236,14 +331,29 @@
         grant = service.budget.ask(holding, Use.ANSWER, count)
         if grant is Grant.NO_ROOM:
             service.note(BudgetEvent.WAITED, holding)
-        while grant is Grant.NO_ROOM and self.now < until and not holding.is_closed:
-            service.cut_one(holding, count)
-            service.wait_freed(until - self.now)
-            grant = service.budget.ask(holding, Use.ANSWER, count)
-        if grant is not Grant.GRANTED:
+            with service.count_waiting():
+                return self._wait_for_room(count, until, demand)
+        if grant is Grant.TOO_LARGE:
             service.note(BudgetEvent.NO_ROOM, holding)
         return grant is Grant.GRANTED
 
+    def _wait_for_room(
+        self, count: int, until: float, demand: Callable[[], PlaceDemand]
+    ) -> bool:
+        """Wait for the bytes of an answer; return whether they are reserved."""
+        holding, service = self._holding, self._service
+        while self.now < until and not holding.is_closed:
+            service.note_short()
+            is_freed = service.cut_one(holding, count) or service.budget.has_cut()
+            if not is_freed and service.must_drop(holding, count, until, demand()):
+                service.note(BudgetEvent.DROPPED, holding)
+                return False
+            service.wait_freed(until - self.now)
+            if service.budget.ask(holding, Use.ANSWER, count) is Grant.GRANTED:
+                return True
+        service.note(BudgetEvent.NO_ROOM, holding)
+        return False
+
     def give_back_answer(self, count: int) -> None:
         """Give back bytes of an answer that isn't kept."""
         self._service.budget.give_back(self._holding, Use.ANSWER, count)
@@ -256,6 +366,8 @@
     def note_moved(self, count: int) -> None:
         """Record that the caller has sent or read bytes."""
         self._holding.note_moved(count, self.now)
+        if self._holding.phase is Phase.SENDING:
+            self._service.note_read(count)
 
     def note_received(self) -> None:
         """Record that the body has arrived."""
@@ -291,63 +403,6 @@
             self._service.notify_freed()
 
 
-class AnswerRoom:
-    """Room for the answer of one attempt.
-
-    Parameters
-    ----------
-    reservation : Reservation
-        The reservation of the request.
-    timeout_s : float
-        How long the attempt may take, in seconds.
-
-    Attributes
-    ----------
-    has_waited : bool
-        Whether the replica wasn't read for a while, as there was no room.
-    """
-
-    def __init__(self, reservation: Reservation, timeout_s: float):
-        self._reservation = reservation
-        self._until = reservation.now + timeout_s - ROOM_MARGIN_S
-        self._held = 0
-        self.has_waited = False
-
-    def hold(self, size: int, length: int | None, max_bytes: int) -> None:
-        """Reserve what an answer needs that has reached a size.
-
-        Parameters
-        ----------
-        size : int
-            The bytes that have arrived.
-        length : int or None
-            The whole length; None if it isn't known.
-        max_bytes : int
-            The largest size of an answer.
-
-        Raises
-        ------
-        AnswerRoomError
-            If there is no room in time.
-        """
-        if size <= self._held:
-            return
-        needed = max(size, min(length or 0, max_bytes))
-        if length is None and size > PIECEWISE_BYTES:
-            needed = max(size, max_bytes)
-        since = self._reservation.now
-        is_held = self._reservation.take_answer(needed - self._held, self._until)
-        self.has_waited |= self._reservation.now > since
-        if not is_held:
-            raise AnswerRoomError("no room for the answer", step="read body")
-        self._held = needed
-
-    def release(self) -> None:
-        """Give the bytes back, as the answer isn't kept."""
-        held, self._held = self._held, 0
-        self._reservation.give_back_answer(held)
-
-
 def unlimited_reservations(timers: TimerService) -> ReservationService:
     """Return a service whose budget has no limit."""
     return ReservationService(MemoryBudget(UNLIMITED_BYTES), timers)
--- a/boragedeck/process/relaying/placing/admission.py
+++ b/boragedeck/process/relaying/placing/admission.py
@@ -15,6 +15,7 @@
 from eventlet.event import Event
 from result import Err, Ok, Result
 
+from boragedeck.connection.reservation import PlaceDemand
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import PoolName
 from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
@@ -260,6 +261,16 @@
         in_order = sum(map(len, self._schedulers.values()))
         return in_order + sum(map(len, self._waiting.values()))
 
+    def place_demand(self, pool: PoolName) -> PlaceDemand:
+        """Return the demand for places at a pool's replicas."""
+        in_order = self._schedulers.get(pool, ())
+        heap = self._waiting.get(pool, ())
+        return PlaceDemand(
+            has_waiting=len(in_order) > 0
+            or any(not waiter.is_done for _, _, waiter in heap),
+            running=sum(state.own.running for state in self._registry.iter_pool(pool)),
+        )
+
     def note_released(self, pool: PoolName, since: float, is_served: bool) -> None:
         """Record the service time, and grant the free place to a waiting request."""
         if is_served:
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -7,9 +7,9 @@
 import msgspec
 from eventlet.queue import Empty, LightQueue
 
+from boragedeck.connection.answer_room import AnswerRoom
 from boragedeck.connection.exchange import Exchange
 from boragedeck.connection.http_message import Headers
-from boragedeck.connection.reservation import AnswerRoom
 from boragedeck.exceptions import (
     AnswerRoomError,
     AttemptDefectError,
@@ -66,11 +66,17 @@
     reason: str
 
 
+class AnswerDropped(msgspec.Struct, frozen=True):
+    """The replica may have run the request, and there was no room for its answer."""
+
+    reason: str
+
+
 class Doubtful(msgspec.Struct, frozen=True):
     """The gateway is silent, so the replica may never receive the request."""
 
 
-AttemptResult = CompleteAnswer | NotTaken | AnswerLost
+AttemptResult = CompleteAnswer | NotTaken | AnswerLost | AnswerDropped
 AttemptMessage = AttemptResult | Doubtful
 
 
@@ -158,6 +164,9 @@
                 case AnswerLost(reason):
                     self._failure_reason = reason
                     self._start_further_attempt()
+                case AnswerDropped(reason):
+                    # Another answer would lack room, too.
+                    self._failure_reason = reason
                 case Doubtful():
                     if len(self._running_attempts) == 1:
                         self._start_further_attempt()
@@ -263,8 +272,11 @@
             # The replica could not be reached, so nothing was sent.
             self._note_lost_attempt(place, exc, "not_reached")
             return NotTaken(exc.message)
-        except (AnswerRoomError, AttemptDefectError) as exc:
+        except AnswerRoomError as exc:
             # What this router lacks says nothing about the replica.
+            job.note_attempt_failed(place, exc)
+            return AnswerDropped(exc.message)
+        except AttemptDefectError as exc:
             job.note_attempt_failed(place, exc)
             return AnswerLost(exc.message)
         except UpstreamError as exc:
@@ -334,8 +346,13 @@
         AnswerRoomError
             If the answer was lost after the replica wasn't read for a while.
         """
-        left_s = self._job.left_s()
-        room = AnswerRoom(self._job.channel.reservation, left_s)
+        job = self._job
+        left_s = job.left_s()
+        room = AnswerRoom(
+            job.channel.reservation,
+            left_s,
+            lambda: job.parts.admission.place_demand(job.pool_name),
+        )
         is_kept = False
         try:
             body = pending.exchange.read_all(left_s, MAX_ANSWER_BYTES, room)
--- a/boragedeck/request/stream_attempt.py
+++ b/boragedeck/request/stream_attempt.py
@@ -7,9 +7,9 @@
 import eventlet
 import msgspec
 
+from boragedeck.connection.answer_room import AnswerRoom
 from boragedeck.connection.exchange import Exchange
 from boragedeck.connection.http_message import Headers
-from boragedeck.connection.reservation import AnswerRoom
 from boragedeck.exceptions import (
     UpstreamError,
     UpstreamNotAcceptingError,
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -52,6 +52,7 @@
     "tests.process.relaying.test_uncontrolled_bodies",
     "tests.process.relaying.test_uncontrolled_callers",
     "tests.process.relaying.test_uncontrolled_mixes",
+    "tests.process.relaying.test_uncontrolled_readers",
     "tests.process.test_uncontrolled_api_callers",
 )
 """The modules that are run one at a time, before the others: they measure the memory of
--- a/standins/relay_replica.py
+++ b/standins/relay_replica.py
@@ -57,6 +57,8 @@
         Time before each half of a plain answer, in seconds.
     is_chunked : bool
         Whether plain answers are sent in chunks, and not with a length.
+    slots : int
+        How many requests it says that it serves at the same time.
 
     Attributes
     ----------
@@ -83,6 +85,7 @@
         may_repeat: Callable[[], bool] = never,
         delay_s: float = 0.0,
         is_chunked: bool = False,
+        slots: int = 8,
     ):
         self.name = name
         self.version = version
@@ -97,6 +100,7 @@
         self._may_repeat = may_repeat
         self._delay_s = delay_s
         self._is_chunked = is_chunked
+        self._slots = slots
 
     @property
     def app(self) -> App:
@@ -115,7 +119,7 @@
                 "address": address,
                 "zone": zone,
                 "version": self.version,
-                "slots": 8,
+                "slots": self._slots,
                 "state": "ready",
                 "born": int(time.time() * 1000.0),
             }
--- a/tests/connection/test_memory_budget.py
+++ b/tests/connection/test_memory_budget.py
@@ -2,10 +2,13 @@
 import unittest
 
 from boragedeck.connection.memory_budget import (
+    MAX_SUSPECTS,
     MIN_CUT_BYTES,
     PROGRESS_BYTES,
     SLOW_AFTER_S,
     SMALL_BYTES,
+    SUSPECT_SLOW_AFTER_S,
+    SUSPECT_TTL_S,
     Grant,
     MemoryBudget,
     Phase,
@@ -143,6 +146,49 @@
         self.assertIs(budget.choose_cut(None, BODY, LATER), holding)
 
 
+class SuspectTest(unittest.TestCase):
+    """They guard against slow callers that come again and keep others waiting."""
+
+    SOON = SUSPECT_SLOW_AFTER_S + 0.1
+
+    def setUp(self):
+        self.budget = MemoryBudget(LIMIT)
+        ended = self.budget.open("slow", lambda: None, 0.0)
+        self.budget.note_cut(ended, 0.0)
+        self.budget.close(ended)
+        self.again = self.holding("slow")
+
+    def holding(self, address, now=0.0):
+        found = self.budget.open(address, lambda: None, now)
+        self.budget.ask(found, Use.ANSWER, BODY)
+        found.enter(Phase.SENDING, now)
+        return found
+
+    def test_suspect_is_cut_sooner_for_others_only(self):
+        for address, expected in (("other", self.again), ("slow", None)):
+            asker = self.budget.open(address, lambda: None, 0.0)
+            found = self.budget.choose_cut(asker, BODY, self.SOON)
+            self.assertIs(found, expected)
+
+    def test_unsuspected_caller_is_not_cut_sooner(self):
+        self.budget.close(self.again)
+        self.holding("unknown")
+        asker = self.budget.open("other", lambda: None, 0.0)
+        self.assertIsNone(self.budget.choose_cut(asker, BODY, self.SOON))
+
+    def test_suspicion_ends(self):
+        now = SUSPECT_TTL_S + 0.1
+        self.again.enter(Phase.SENDING, now)
+        asker = self.budget.open("other", lambda: None, now)
+        self.assertIsNone(self.budget.choose_cut(asker, BODY, now + self.SOON))
+
+    def test_number_of_suspects_is_bounded(self):
+        for number in range(MAX_SUSPECTS + 10):
+            holding = self.budget.open(str(number), lambda: None, 0.0)
+            self.budget.note_cut(holding, 0.0)
+        self.assertEqual(len(self.budget._suspects), MAX_SUSPECTS)
+
+
 class RandomUseTest(unittest.TestCase):
     """Guards against counts that don't return to zero, which would refuse everybody."""
 
--- a/tests/connection/test_reservations.py
+++ b/tests/connection/test_reservations.py
@@ -8,9 +8,12 @@
 from boragedeck.connection.caller_connection import CallerConnection
 from boragedeck.connection.caller_ends import CallerNotReadingError
 from boragedeck.connection.connection_table import ConnectionBounds
-from boragedeck.connection.memory_budget import Grant, MemoryBudget, Use
+from boragedeck.connection.memory_budget import Grant, MemoryBudget, Phase, Use
+from boragedeck.connection.reading_rate import ReadingRate
 from boragedeck.connection.reservation import (
+    NO_DEMAND,
     BudgetEvent,
+    PlaceDemand,
     Reservation,
     ReservationService,
 )
@@ -50,6 +53,9 @@
         self.replica = ScriptedReplica("one", *steps)
         self.harness.add(self.replica)
 
+    def all_room(self):
+        return Use.UNSENT, self.budget.limit_bytes
+
     def assert_all_given_back(self):
         eventlet.sleep(SETTLED_S)
         self.assertEqual(self.budget.used, 0)
@@ -196,8 +202,90 @@
         self.assertFalse(read_response(slow).is_complete)
         self.assert_all_given_back()
 
-    def all_room(self):
-        return Use.UNSENT, self.budget.limit_bytes
+
+class DroppedAnswerTest(unittest.TestCase):
+    """They guard against answers that keep replicas busy, or are lost in calm."""
+
+    DEMAND = PlaceDemand(has_waiting=True, running=4)
+    NEEDED = 2 * MB
+    LEFT_S = 10.0
+
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.service = ReservationService(MemoryBudget(LIMIT), self.timers)
+        self.reader = self.service.open("reader", lambda: None)
+        self.service.budget.add(self.reader._holding, Use.ANSWER, LIMIT)
+        self.waiting = self.service.open("waiting", lambda: None)
+        self.enterContext(self.service.count_waiting())
+
+    def must_drop(self, demand=DEMAND):
+        return self.service.must_drop(
+            self.waiting._holding, self.NEEDED, self.timers.now() + self.LEFT_S, demand
+        )
+
+    def suspect(self):
+        self.service.budget.note_cut(self.waiting._holding, self.timers.now())
+
+    def be_short(self, seconds=SLOW_S):
+        """Let answers find no room for a time, in which nothing is read."""
+        until = self.timers.now() + seconds
+        while self.timers.now() < until:
+            self.service.note_short()
+            self.timers.advance(0.1)
+
+    def test_answer_of_a_suspect_is_dropped_if_others_wait_for_its_replica(self):
+        self.suspect()
+        self.be_short()
+        self.assertTrue(self.must_drop())
+        self.assertFalse(self.must_drop(NO_DEMAND))
+
+    def test_short_wait_drops_nothing(self):
+        self.suspect()
+        self.be_short(0.2)
+        self.assertFalse(self.must_drop())
+
+    def test_answer_that_gets_room_in_time_is_not_dropped(self):
+        self.suspect()
+        self.be_short()
+        self.reader.begin_sending(0)
+        self.reader.note_moved(self.NEEDED)
+        self.assertFalse(self.must_drop())
+
+    def test_other_answers_keep_a_share_of_the_places(self):
+        self.be_short()
+        self.assertFalse(self.must_drop())
+        for _ in range(self.DEMAND.running // 2):
+            self.enterContext(self.service.count_waiting())
+        self.assertTrue(self.must_drop())
+
+    def test_rate_counts_what_was_read_lately(self):
+        rate = ReadingRate(0.0)
+        rate.note_read(1_000, 0.5)
+        self.assertEqual(rate.bytes_per_s(0.9), 1_000.0)
+        self.assertEqual(rate.bytes_per_s(1.0), 1_000.0)
+        self.assertEqual(rate.bytes_per_s(2.0), 0.0)
+
+
+class DroppedCallTest(ReservationCase):
+    """A call whose answer is dropped is answered, and its replica serves others."""
+
+    def test_call_has_run_and_is_not_sent_again(self):
+        rule = call_rule(timeout_s=5.0)
+        self.start(rule, answer(b"y" * 2 * MB), answer())
+        holding = self.budget.open("other", lambda: None, 0.0)
+        holding.enter(Phase.RUNNING, 0.0)
+        self.budget.add(holding, *self.all_room())
+        with mock.patch.object(ReservationService, "must_drop", return_value=True):
+            response = self.harness.fetch(ms=5_000)
+        self.assertEqual(response.status, 502)
+        self.assertNotIn(b"retry-after", response.headers)
+        self.assertEqual(len(self.replica.relayed()), 1)
+        self.assertIn(BudgetEvent.DROPPED, self.seen)
+        state = self.harness.registry.get("one")
+        self.assertEqual((state.own.running, state.failure_share), (0, 0.0))
+        self.budget.close(holding)
+        self.assertEqual(self.harness.fetch(name=b"next").status, 200)
+        self.assert_all_given_back()
 
 
 class ProgressTest(unittest.TestCase):
--- a/tests/process/relaying/placing/test_admission.py
+++ b/tests/process/relaying/placing/test_admission.py
@@ -6,6 +6,7 @@
 import eventlet
 
 from boragedeck.connection.peer import Address
+from boragedeck.connection.reservation import NO_DEMAND
 from boragedeck.process.relaying.placing.admission import (
     NO_REPLICA_RETRY_S,
     RECHECK_INTERVAL_S,
@@ -165,6 +166,19 @@
         eventlet.sleep(0.01)
         self.assertEqual(order, [("a", True)])
 
+    def test_demand_names_waiting_requests_and_own_places(self):
+        self.registry.put(replica("one"))
+        self.registry.get("one").peers = Load(1)
+        self.assertEqual(self.admission.place_demand("p"), NO_DEMAND)
+        self.registry.get("one").peers = Load()
+        held = self.admission.acquire(self.admission_request()).ok()
+        self.wait([], "a")
+        found = self.admission.place_demand("p")
+        self.assertEqual((found.has_waiting, found.running), (True, 1))
+        held.release()
+        self.timers.advance(0.1)
+        self.assertEqual(self.admission.place_demand("p"), NO_DEMAND)
+
     def test_many_waiting_requests_check_for_places_together(self):
         """Guards against work that grows with the square of the waiting requests."""
         self.registry.put(replica("one"))
--- a/tests/support/crowd_case.py
+++ b/tests/support/crowd_case.py
@@ -26,10 +26,11 @@
 RECOVERED_S = 20.0
 
 
-def request_head(path: str, *headers: str) -> bytes:
+def request_head(path: str, *headers: str, timeout_ms: int = 10_000) -> bytes:
     """Return the head of a request of the crowd."""
     lines = [f"POST {path} HTTP/1.1", "Request-Id: crowd", "Token-Counts: 100,40"]
-    lines += [f"{name}: {value}" for name, value in ROUTE_HEADERS.items()]
+    own = ROUTE_HEADERS | {"Deadline-Ms": str(timeout_ms)}
+    lines += [f"{name}: {value}" for name, value in own.items()]
     return "\r\n".join([*lines, *headers, "", ""]).encode()
 
 
@@ -42,6 +43,8 @@
         The limits of the router's VM.
     replicas : int
         The number of replicas of each service.
+    slots : int
+        How many calls each replica serves at the same time.
     call_timeout_ms : int
         How long a call may take.
     settle_s : float
@@ -51,6 +54,7 @@
     memory_mb = 88
     max_fds = 128
     replicas = 1
+    slots = 8
     call_timeout_ms = 20_000
     settle_s = 3.0
 
@@ -61,7 +65,7 @@
         self.addCleanup(self.cluster.stop)
         self.put_routes()
         for number in range(1, self.replicas + 1):
-            calls = LargeAnswers(f"kiosk-{number}", BODY_BYTES)
+            calls = LargeAnswers(f"kiosk-{number}", BODY_BYTES, self.slots)
             self.cluster.add_replica(calls, "kiosks", "a")
             streams = LongStreams(f"engine-{number}", EVENTS, EVENT_BYTES)
             self.cluster.add_replica(streams, "engines", "a")
--- a/tests/support/uncontrolled_callers.py
+++ b/tests/support/uncontrolled_callers.py
@@ -24,9 +24,11 @@
 """Longest time in which a caller sends its request."""
 SLOW_RECEIVE_BYTES = 4_096
 SMALL_BYTES = 10
-SLOW_READ_BYTES = 1_024
-SLOW_READ_S = 0.5
-"""A slow reader takes `SLOW_READ_BYTES` once in this time, in seconds."""
+READ_INTERVAL_S = 0.1
+SLOW_BYTES_PER_S = 2_048
+STEADY_BYTES_PER_S = 120_000
+"""Fast enough not to count as slow."""
+STEADY_RECEIVE_BYTES = 32_768
 RECONNECT_S = 0.2
 """How long a caller that was refused or cut waits before it comes again."""
 MAX_SOURCES = 250
@@ -55,8 +57,8 @@
     ``/small`` for a few bytes; others have `CHUNK` bytes. A body is read before.
     """
 
-    def __init__(self, name: str, size: int):
-        super().__init__(name)
+    def __init__(self, name: str, size: int, slots: int):
+        super().__init__(name, slots=slots)
         self._size = size
 
     def _answer(self, environ, start_response):
@@ -188,7 +190,12 @@
 
     def hold_slow_readers(self, parts: list[bytes], count: int) -> None:
         """Keep callers that read their answers slowly, anew whenever these end."""
-        self._hold(count, self._read_slowly, parts)
+        self._hold(count, self._read_at(SLOW_BYTES_PER_S), parts)
+
+    def hold_steady_readers(self, parts: list[bytes], count: int) -> None:
+        """Keep callers that read steadily at `STEADY_BYTES_PER_S`, anew as above."""
+        read = self._read_at(STEADY_BYTES_PER_S)
+        self._hold(count, read, parts, STEADY_RECEIVE_BYTES)
 
     def close(self) -> None:
         """Close all connections."""
@@ -198,14 +205,23 @@
         for sock in self._socks:
             sock.close()
 
-    def _hold(self, count: int, act: Callable, parts: list[bytes]) -> None:
+    def _hold(
+        self,
+        count: int,
+        act: Callable,
+        parts: list[bytes],
+        receive_bytes: int = SLOW_RECEIVE_BYTES,
+    ) -> None:
         for number in range(count):
-            self._threads.append(eventlet.spawn(self._come_again, number, act, parts))
+            source = f"127.0.1.{number % MAX_SOURCES + 1}"
+            thread = eventlet.spawn(self._come_again, source, receive_bytes, act, parts)
+            self._threads.append(thread)
 
-    def _come_again(self, number: int, act: Callable, parts: list[bytes]) -> None:
-        source = f"127.0.1.{number % MAX_SOURCES + 1}"
+    def _come_again(
+        self, source: str, receive_bytes: int, act: Callable, parts: list[bytes]
+    ) -> None:
         while True:
-            sock = self.connect(SLOW_RECEIVE_BYTES, source)
+            sock = self.connect(receive_bytes, source)
             if sock is not None:
                 try:
                     act(sock, parts)
@@ -228,11 +244,14 @@
             sock.sendall(b"x" * TRICKLE_BYTES)
             eventlet.sleep(TRICKLE_S)
 
-    def _read_slowly(self, sock: socket.socket, parts: list[bytes]) -> None:
-        for part in parts:
-            sock.sendall(part)
-        while sock.recv(SLOW_READ_BYTES):
-            eventlet.sleep(SLOW_READ_S)
+    def _read_at(self, bytes_per_s: int) -> Callable:
+        def send_and_read(sock: socket.socket, parts: list[bytes]) -> None:
+            for part in parts:
+                sock.sendall(part)
+            while sock.recv(int(bytes_per_s * READ_INTERVAL_S)):
+                eventlet.sleep(READ_INTERVAL_S)
+
+        return send_and_read
 
     def _send(self, parts: list[bytes], receive_bytes: int | None) -> None:
         sock = self.connect(receive_bytes)
