End streams that nobody reads if requests wait for their places

What callers saw: 40 callers that read streams of 20 MB at 2 KB a second kept all 8 places of an engine, and ordinary streams got 503 for as long as those had time left: none in 50 s on, where the test fails.

Cause: an attempt whose caller doesn't read stops reading its replica, and keeps the place there. Such streams were ended only if the process lacked bytes, and each holds little.

Change: while writes of streams wait, a check each second ends those whose callers haven't read 64 KiB for a second, as many as requests wait for a place in the same pool, the longest slow first. They end without their last chunk, and may be resumed. The pool stands in the request's holding, and the composition root tells the reservations of the demand for places, so `AnswerRoom` no longer passes it on. What decides on dropped answers has a module of its own, `answer_shortage`.

Nothing changes for streams that fit into the socket's buffers (256 KiB), which never wait.

--- a/boragedeck/connection/answer_room.py
+++ b/boragedeck/connection/answer_room.py
@@ -1,8 +1,6 @@
 """Reserves the bytes of an answer that is read whole, as they arrive."""
 
-from collections.abc import Callable
-
-from boragedeck.connection.reservation import NO_DEMAND, PlaceDemand, Reservation
+from boragedeck.connection.reservation import Reservation
 from boragedeck.exceptions import AnswerRoomError
 
 __all__ = ["AnswerRoom"]
@@ -23,9 +21,6 @@
         The reservation of the request.
     timeout_s : float
         How long the attempt may take, in seconds.
-    demand : callable, optional
-        Returns the demand for the place that the answer keeps at its replica. It may be
-        given up for others if callers read too slowly for it to get room in time.
 
     Attributes
     ----------
@@ -33,15 +28,9 @@
         Whether the replica wasn't read for a while, as there was no room.
     """
 
-    def __init__(
-        self,
-        reservation: Reservation,
-        timeout_s: float,
-        demand: Callable[[], PlaceDemand] = lambda: NO_DEMAND,
-    ):
+    def __init__(self, reservation: Reservation, timeout_s: float):
         self._reservation = reservation
         self._until = reservation.now + timeout_s - ROOM_MARGIN_S
-        self._demand = demand
         self._held = 0
         self.has_waited = False
 
@@ -68,9 +57,7 @@
         if length is None and size > PIECEWISE_BYTES:
             needed = max(size, max_bytes)
         since = self._reservation.now
-        is_held = self._reservation.take_answer(
-            needed - self._held, self._until, self._demand
-        )
+        is_held = self._reservation.take_answer(needed - self._held, self._until)
         self.has_waited |= self._reservation.now > since
         if not is_held:
             raise AnswerRoomError("no room for the answer", step="read body")
--- a/boragedeck/connection/memory_budget.py
+++ b/boragedeck/connection/memory_budget.py
@@ -12,7 +12,7 @@
 from collections import Counter, OrderedDict
 from collections.abc import Callable
 
-from boragedeck.ids import OrganisationName
+from boragedeck.ids import OrganisationName, PoolName
 
 __all__ = ["Grant", "Holding", "MemoryBudget", "Phase", "Use"]
 
@@ -86,6 +86,8 @@
     ----------
     organisation : OrganisationName or None
         The caller's organisation; None if it isn't known.
+    pool : PoolName or None
+        The pool whose replicas serve it; None if that isn't known.
     held : Counter of Use to int
         The bytes that it holds.
     phase : Phase
@@ -103,6 +105,7 @@
         self.address = address
         self.cut = cut
         self.organisation: OrganisationName | None = None
+        self.pool: PoolName | None = None
         self.held: Counter[Use] = Counter()
         self.phase = Phase.RECEIVING
         self.since = now
@@ -271,6 +274,14 @@
             slow = [each for each in slow if self._may_displace(asker, count, each)]
         return max(slow, key=lambda each: self._cut_rank(each, now), default=None)
 
+    def slow_streams(self, now: float) -> dict[PoolName, list[Holding]]:
+        """Return streams whose callers don't read, the longest slow first, by pool."""
+        found: dict[PoolName, list[Holding]] = {}
+        for each in sorted(self._holdings, key=lambda each: each.since):
+            if each.pool is not None and each.held[Use.UNSENT] and each.is_slow(now):
+                found.setdefault(each.pool, []).append(each)
+        return found
+
     def note_cut(self, holding: Holding, now: float) -> None:
         """Record that a request is ended, as its caller is slow."""
         holding.is_cut = True
--- a/boragedeck/connection/reservation.py
+++ b/boragedeck/connection/reservation.py
@@ -1,13 +1,16 @@
 """Reserves bytes for the requests of callers, waits for them, and ends slow callers."""
 
 import enum
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 
 import eventlet
-import msgspec
 from eventlet.event import Event
 
+from boragedeck.connection.answer_shortage import (
+    NO_DEMAND,
+    AnswerShortage,
+    PlaceDemand,
+)
 from boragedeck.connection.memory_budget import (
     SLOW_AFTER_S,
     Grant,
@@ -16,15 +19,12 @@
     Phase,
     Use,
 )
-from boragedeck.connection.reading_rate import ReadingRate
-from boragedeck.ids import OrganisationName
+from boragedeck.ids import OrganisationName, PoolName
 from boragedeck.process.observing.logs import PartLog
 from boragedeck.process.timers import TimerService
 
 __all__ = [
-    "NO_DEMAND",
     "BudgetEvent",
-    "PlaceDemand",
     "Reservation",
     "ReservationService",
     "unlimited_reservations",
@@ -37,10 +37,6 @@
 READ_AHEAD_BYTES = 64 * 1024
 """Counted in addition to a waiting write, for what is read from the replica
 meanwhile."""
-MAX_WAITING_SHARE = 1 / 2
-"""Share of the places of a pool that answers may keep which wait without prospect."""
-SHORTAGE_END_S = 1.0
-"""How long no answer lacks room until a shortage counts as over, in seconds."""
 LOG_INTERVAL_S = 10.0
 MAX_LOG_ADDRESSES = 256
 UNLIMITED_BYTES = 1 << 60
@@ -48,24 +44,6 @@
 _log = PartLog("budget")
 
 
-class PlaceDemand(msgspec.Struct, frozen=True):
-    """The demand for places at the replicas that a request may be sent to.
-
-    Parameters
-    ----------
-    has_waiting : bool
-        Whether requests wait for one.
-    running : int
-        How many this router's requests keep.
-    """
-
-    has_waiting: bool
-    running: int
-
-
-NO_DEMAND = PlaceDemand(has_waiting=False, running=0)
-
-
 class BudgetEvent(enum.Enum):
     """What the budget has done to a request."""
 
@@ -83,6 +61,13 @@
     """Its body came slowly, and others needed the bytes."""
     CUT_SENDING = "cut_sending"
     """Its answer was read slowly, and others needed the bytes."""
+    CUT_FOR_PLACE = "cut_for_place"
+    """Its stream wasn't read, and others waited for its place at a replica."""
+
+
+def _no_demand(pool: PoolName) -> PlaceDemand:
+    """Return no demand; the default of `ReservationService.demand_of`."""
+    return NO_DEMAND
 
 
 def _ignore_event(event: BudgetEvent) -> None:
@@ -103,6 +88,10 @@
     ----------
     on_event : callable
         Called with each `BudgetEvent`.
+    demand_of : callable
+        Returns the demand for places at the replicas of a pool.
+    shortage : AnswerShortage
+        Decides which answers that wait are dropped.
     """
 
     def __init__(self, budget: MemoryBudget, timers: TimerService):
@@ -112,11 +101,8 @@
         # Sent when bytes are given back, and then replaced.
         self._freed = Event()
         self._is_check_due = False
-        self._reading_rate = ReadingRate(timers.now())
-        # When answers began to find no room, and the last time that one did.
-        self._short_since = self._short_at = float("-inf")
-        # How many answers wait for room.
-        self._waiting = 0
+        self.demand_of: Callable[[PoolName], PlaceDemand] = _no_demand
+        self.shortage = AnswerShortage(timers.now())
         self._logged_at: dict[str, float] = {}
 
     def open(self, address: str, cut: Callable[[], None]) -> "Reservation":
@@ -154,61 +140,12 @@
             limit=self.budget.limit_bytes,
         )
 
-    def note_read(self, count: int) -> None:
-        """Record that a caller has read bytes of an answer that is held."""
-        self._reading_rate.note_read(count, self.timers.now())
-
-    def note_short(self) -> None:
-        """Record that there is no room for an answer."""
-        now = self.timers.now()
-        if now - self._short_at >= SHORTAGE_END_S:
-            self._short_since = now
-        self._short_at = now
-
-    @contextmanager
-    def count_waiting(self) -> Iterator[None]:
-        """Count an answer that waits for room."""
-        self._waiting += 1
-        try:
-            yield
-        finally:
-            self._waiting -= 1
-
-    def must_drop(
-        self, holding: Holding, count: int, until: float, demand: PlaceDemand
-    ) -> bool:
-        """Return whether an answer that waits for room is given up for other requests.
-
-        Parameters
-        ----------
-        holding : Holding
-            What its request holds.
-        count : int
-            The bytes that it lacks.
-        until : float
-            When it waits no longer, on the timer service's monotonic clock.
-        demand : PlaceDemand
-            The demand for the place that it keeps at its replica.
-        """
+    def must_drop(self, holding: Holding, count: int, until: float) -> bool:
+        """Return whether an answer is given up; see `AnswerShortage.must_drop`."""
         now = self.timers.now()
-        if not demand.has_waiting or not self._is_hopeless(count, until, now):
-            return False
-        is_over_share = self._waiting > MAX_WAITING_SHARE * demand.running
-        return is_over_share or self.budget.is_suspect(holding, now)
-
-    def _is_hopeless(self, count: int, until: float, now: float) -> bool:
-        """Return whether callers read too slowly for bytes to become free in time.
-
-        Notes
-        -----
-        The others that wait are taken to need as many. What is freed by ending slow
-        callers doesn't count: those who wait may be as slow, and their replicas serve
-        nobody else meanwhile.
-        """
-        if now - self._short_since < SLOW_AFTER_S:
-            return False
-        freed = self._reading_rate.bytes_per_s(now) * (until - now)
-        return freed < count * self._waiting
+        is_suspect = self.budget.is_suspect(holding, now)
+        demand = self._demand_for(holding.pool)
+        return self.shortage.must_drop(count, until, demand, now, is_suspect=is_suspect)
 
     def cut_one(self, asker: Holding | None, count: int) -> bool:
         """End a slow request if there is one; return whether bytes become free."""
@@ -216,11 +153,9 @@
         found = self.budget.choose_cut(asker, count, now)
         if found is None:
             return False
-        self.budget.note_cut(found, now)
         is_sending = found.phase is Phase.SENDING
         event = BudgetEvent.CUT_SENDING if is_sending else BudgetEvent.CUT_RECEIVING
-        self.note(event, found)
-        found.cut()
+        self._cut(found, event)
         return True
 
     def wait_freed(self, timeout_s: float) -> None:
@@ -233,18 +168,33 @@
         freed, self._freed = self._freed, Event()
         freed.send()
 
-    def schedule_excess_check(self) -> None:
-        """End slow requests soon if the sum is over its limit."""
-        if self._is_check_due or self.budget.excess() <= 0:
-            return
-        self._is_check_due = True
-        self.timers.call_later(SLOW_AFTER_S, self._end_excess)
+    def schedule_check(self) -> None:
+        """End slow requests soon if others need their bytes or places."""
+        is_needed = self.budget.excess() > 0 or self.budget.held[Use.UNSENT] > 0
+        if is_needed and not self._is_check_due:
+            self._is_check_due = True
+            self.timers.call_later(SLOW_AFTER_S, self._check)
 
-    def _end_excess(self) -> None:
+    def _check(self) -> None:
         self._is_check_due = False
         while self.budget.excess() > 0 and self.cut_one(None, self.budget.excess()):
             pass
-        self.schedule_excess_check()
+        self._end_slow_streams()
+        self.schedule_check()
+
+    def _end_slow_streams(self) -> None:
+        """End streams that aren't read if requests wait for their places."""
+        for pool, slow in self.budget.slow_streams(self.timers.now()).items():
+            for holding in slow[: self.demand_of(pool).waiting]:
+                self._cut(holding, BudgetEvent.CUT_FOR_PLACE)
+
+    def _cut(self, holding: Holding, event: BudgetEvent) -> None:
+        self.budget.note_cut(holding, self.timers.now())
+        self.note(event, holding)
+        holding.cut()
+
+    def _demand_for(self, pool: PoolName | None) -> PlaceDemand:
+        return NO_DEMAND if pool is None else self.demand_of(pool)
 
 
 class Reservation:
@@ -279,6 +229,10 @@
         if name is not None:
             self._service.budget.name_organisation(self._holding, name)
 
+    def name_pool(self, pool: PoolName) -> None:
+        """Record at whose replicas the request may keep a place."""
+        self._holding.pool = pool
+
     def take_body(self, count: int) -> Grant:
         """Reserve bytes of a body; wait only for those of a request that is cut."""
         if not count:
@@ -308,9 +262,7 @@
         budget.give_back(holding, Use.BODY, holding.held[Use.BODY])
         self._service.notify_freed()
 
-    def take_answer(
-        self, count: int, until: float, demand: Callable[[], PlaceDemand]
-    ) -> bool:
+    def take_answer(self, count: int, until: float) -> bool:
         """Reserve bytes of an answer; wait for them until a time.
 
         Parameters
@@ -319,8 +271,6 @@
             How many bytes.
         until : float
             When to stop waiting, on the timer service's monotonic clock.
-        demand : callable
-            Returns the demand for the places that waiting answers keep.
 
         Returns
         -------
@@ -331,21 +281,19 @@
         grant = service.budget.ask(holding, Use.ANSWER, count)
         if grant is Grant.NO_ROOM:
             service.note(BudgetEvent.WAITED, holding)
-            with service.count_waiting():
-                return self._wait_for_room(count, until, demand)
+            with service.shortage.count_waiting():
+                return self._wait_for_room(count, until)
         if grant is Grant.TOO_LARGE:
             service.note(BudgetEvent.NO_ROOM, holding)
         return grant is Grant.GRANTED
 
-    def _wait_for_room(
-        self, count: int, until: float, demand: Callable[[], PlaceDemand]
-    ) -> bool:
+    def _wait_for_room(self, count: int, until: float) -> bool:
         """Wait for the bytes of an answer; return whether they are reserved."""
         holding, service = self._holding, self._service
         while self.now < until and not holding.is_closed:
-            service.note_short()
+            service.shortage.note_short(self.now)
             is_freed = service.cut_one(holding, count) or service.budget.has_cut()
-            if not is_freed and service.must_drop(holding, count, until, demand()):
+            if not is_freed and service.must_drop(holding, count, until):
                 service.note(BudgetEvent.DROPPED, holding)
                 return False
             service.wait_freed(until - self.now)
@@ -367,7 +315,7 @@
         """Record that the caller has sent or read bytes."""
         self._holding.note_moved(count, self.now)
         if self._holding.phase is Phase.SENDING:
-            self._service.note_read(count)
+            self._service.shortage.note_read(count, self.now)
 
     def note_received(self) -> None:
         """Record that the body has arrived."""
@@ -386,7 +334,7 @@
         holding.enter(Phase.SENDING, self.now)
         if count > holding.held[Use.ANSWER]:
             budget.add(holding, Use.UNSENT, count + READ_AHEAD_BYTES)
-            self._service.schedule_excess_check()
+            self._service.schedule_check()
 
     def end_sending(self) -> None:
         """Record that the write has ended."""
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -182,6 +182,7 @@
         service = ReservationService(budget, self.timers)
         self._budget_metrics = BudgetMetrics(self.metrics.registry, budget)
         service.on_event = self._budget_metrics.note_event
+        service.demand_of = self._parts.admission.place_demand
         _log.write(
             "Limits.",
             budget_bytes=self._limits.budget_bytes,
--- a/boragedeck/process/relaying/placing/admission.py
+++ b/boragedeck/process/relaying/placing/admission.py
@@ -15,7 +15,7 @@
 from eventlet.event import Event
 from result import Err, Ok, Result
 
-from boragedeck.connection.reservation import PlaceDemand
+from boragedeck.connection.answer_shortage import PlaceDemand
 from boragedeck.exceptions import RefusedError
 from boragedeck.ids import PoolName
 from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
@@ -266,8 +266,7 @@
         in_order = self._schedulers.get(pool, ())
         heap = self._waiting.get(pool, ())
         return PlaceDemand(
-            has_waiting=len(in_order) > 0
-            or any(not waiter.is_done for _, _, waiter in heap),
+            waiting=len(in_order) + sum(not waiter.is_done for _, _, waiter in heap),
             running=sum(state.own.running for state in self._registry.iter_pool(pool)),
         )
 
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -348,11 +348,7 @@
         """
         job = self._job
         left_s = job.left_s()
-        room = AnswerRoom(
-            job.channel.reservation,
-            left_s,
-            lambda: job.parts.admission.place_demand(job.pool_name),
-        )
+        room = AnswerRoom(job.channel.reservation, left_s)
         is_kept = False
         try:
             body = pending.exchange.read_all(left_s, MAX_ANSWER_BYTES, room)
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -83,6 +83,7 @@
         self.rank = rank
         self.channel = channel
         channel.reservation.name_organisation(organisation)
+        channel.reservation.name_pool(pool.name)
         self.deadlines = request_deadlines(req, rule)
         self.traits = RequestTraits(
             pool.name,
--- a/tests/connection/test_reservations.py
+++ b/tests/connection/test_reservations.py
@@ -5,15 +5,20 @@
 import eventlet
 from eventlet.green import socket
 
+from boragedeck.connection.answer_shortage import NO_DEMAND, PlaceDemand
 from boragedeck.connection.caller_connection import CallerConnection
 from boragedeck.connection.caller_ends import CallerNotReadingError
 from boragedeck.connection.connection_table import ConnectionBounds
-from boragedeck.connection.memory_budget import Grant, MemoryBudget, Phase, Use
+from boragedeck.connection.memory_budget import (
+    PROGRESS_BYTES,
+    Grant,
+    MemoryBudget,
+    Phase,
+    Use,
+)
 from boragedeck.connection.reading_rate import ReadingRate
 from boragedeck.connection.reservation import (
-    NO_DEMAND,
     BudgetEvent,
-    PlaceDemand,
     Reservation,
     ReservationService,
 )
@@ -206,22 +211,23 @@
 class DroppedAnswerTest(unittest.TestCase):
     """They guard against answers that keep replicas busy, or are lost in calm."""
 
-    DEMAND = PlaceDemand(has_waiting=True, running=4)
+    DEMAND = PlaceDemand(waiting=1, running=4)
     NEEDED = 2 * MB
     LEFT_S = 10.0
 
     def setUp(self):
         self.timers = ManualTimers()
         self.service = ReservationService(MemoryBudget(LIMIT), self.timers)
+        self.service.demand_of = {"p": self.DEMAND, "calm": NO_DEMAND}.get
         self.reader = self.service.open("reader", lambda: None)
         self.service.budget.add(self.reader._holding, Use.ANSWER, LIMIT)
         self.waiting = self.service.open("waiting", lambda: None)
-        self.enterContext(self.service.count_waiting())
+        self.enterContext(self.service.shortage.count_waiting())
 
-    def must_drop(self, demand=DEMAND):
-        return self.service.must_drop(
-            self.waiting._holding, self.NEEDED, self.timers.now() + self.LEFT_S, demand
-        )
+    def must_drop(self, pool="p"):
+        self.waiting.name_pool(pool)
+        until = self.timers.now() + self.LEFT_S
+        return self.service.must_drop(self.waiting._holding, self.NEEDED, until)
 
     def suspect(self):
         self.service.budget.note_cut(self.waiting._holding, self.timers.now())
@@ -230,14 +236,14 @@
         """Let answers find no room for a time, in which nothing is read."""
         until = self.timers.now() + seconds
         while self.timers.now() < until:
-            self.service.note_short()
+            self.service.shortage.note_short(self.timers.now())
             self.timers.advance(0.1)
 
     def test_answer_of_a_suspect_is_dropped_if_others_wait_for_its_replica(self):
         self.suspect()
         self.be_short()
         self.assertTrue(self.must_drop())
-        self.assertFalse(self.must_drop(NO_DEMAND))
+        self.assertFalse(self.must_drop("calm"))
 
     def test_short_wait_drops_nothing(self):
         self.suspect()
@@ -255,7 +261,7 @@
         self.be_short()
         self.assertFalse(self.must_drop())
         for _ in range(self.DEMAND.running // 2):
-            self.enterContext(self.service.count_waiting())
+            self.enterContext(self.service.shortage.count_waiting())
         self.assertTrue(self.must_drop())
 
     def test_rate_counts_what_was_read_lately(self):
@@ -266,6 +272,51 @@
         self.assertEqual(rate.bytes_per_s(2.0), 0.0)
 
 
+class UnreadStreamTest(unittest.TestCase):
+    """They guard against streams that nobody reads and that keep engines busy."""
+
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.service = ReservationService(MemoryBudget(LIMIT), self.timers)
+        self.waiting = 0
+        self.service.demand_of = lambda pool: PlaceDemand(self.waiting, 4)
+        self.cut = []
+        self.streams = [self.stream(name) for name in ("first", "second")]
+
+    def stream(self, name):
+        found = self.service.open(name, lambda: self.cut.append(name))
+        found.name_pool("p")
+        found.begin_sending(64 * 1024)
+        self.addCleanup(found.close)
+        return found
+
+    def test_as_many_are_ended_as_requests_wait(self):
+        self.waiting = 1
+        self.timers.advance(SLOW_S)
+        self.assertEqual(self.cut, ["first"])
+        self.timers.advance(SLOW_S)
+        self.assertEqual(self.cut, ["first", "second"])
+
+    def test_none_is_ended_while_no_request_waits(self):
+        self.timers.advance(10 * SLOW_S)
+        self.assertEqual(self.cut, [])
+
+    def test_stream_that_is_read_is_not_ended(self):
+        self.waiting = 2
+        self.timers.advance(0.8)
+        self.streams[0].note_moved(PROGRESS_BYTES)
+        self.timers.advance(0.5)
+        self.assertEqual(self.cut, ["second"])
+
+    def test_checks_end_with_the_writes(self):
+        for stream in self.streams:
+            stream.end_sending()
+        self.waiting = 2
+        self.timers.advance(10 * SLOW_S)
+        self.assertEqual(self.cut, [])
+        self.assertFalse(self.service._is_check_due)
+
+
 class DroppedCallTest(ReservationCase):
     """A call whose answer is dropped is answered, and its replica serves others."""
 
--- a/tests/process/relaying/placing/test_admission.py
+++ b/tests/process/relaying/placing/test_admission.py
@@ -5,8 +5,8 @@
 
 import eventlet
 
+from boragedeck.connection.answer_shortage import NO_DEMAND
 from boragedeck.connection.peer import Address
-from boragedeck.connection.reservation import NO_DEMAND
 from boragedeck.process.relaying.placing.admission import (
     NO_REPLICA_RETRY_S,
     RECHECK_INTERVAL_S,
@@ -174,7 +174,7 @@
         held = self.admission.acquire(self.admission_request()).ok()
         self.wait([], "a")
         found = self.admission.place_demand("p")
-        self.assertEqual((found.has_waiting, found.running), (True, 1))
+        self.assertEqual((found.waiting, found.running), (1, 1))
         held.release()
         self.timers.advance(0.1)
         self.assertEqual(self.admission.place_demand("p"), NO_DEMAND)
--- a/tests/process/relaying/test_uncontrolled_readers.py
+++ b/tests/process/relaying/test_uncontrolled_readers.py
@@ -1,8 +1,9 @@
-from tests.support.crowd_case import CrowdCase, request_head
+from tests.support.crowd_case import STREAM_BYTES, CrowdCase, request_head
 
 STEADY_READERS = 100
 SLOW_READERS = 300
-STEADY_TIMEOUT_MS = 120_000
+LONG_TIMEOUT_MS = 120_000
+UNREAD_STREAMS = 40
 
 
 class SteadyReadersTest(CrowdCase):
@@ -11,7 +12,7 @@
     They guard against answers that wait for memory and keep all places at the replicas.
     """
 
-    call_timeout_ms = STEADY_TIMEOUT_MS
+    call_timeout_ms = LONG_TIMEOUT_MS
     max_fds = 400
 
     def test_ordinary_call_finds_a_place(self):
@@ -19,7 +20,7 @@
             "/calls/large",
             "Content-Length: 0",
             "Connection: close",
-            timeout_ms=STEADY_TIMEOUT_MS,
+            timeout_ms=LONG_TIMEOUT_MS,
         )
         self.crowd.hold_steady_readers([head], STEADY_READERS)
         self.assert_held()
@@ -42,3 +43,24 @@
 
     def test_answers_without_a_length(self):
         self.hold_readers("/calls/endless")
+
+
+class UnreadStreamsTest(CrowdCase):
+    """Callers that hardly read their streams.
+
+    They guard against streams that keep all places at the engines.
+    """
+
+    call_timeout_ms = LONG_TIMEOUT_MS
+    stream_slots = 8
+    max_fds = 400
+
+    def test_ordinary_stream_finds_a_place(self):
+        head = request_head(
+            "/streams/x",
+            "Content-Length: 0",
+            "Connection: close",
+            timeout_ms=LONG_TIMEOUT_MS,
+        )
+        self.crowd.hold_slow_readers([head], UNREAD_STREAMS)
+        self.assert_held("/streams/x", STREAM_BYTES)
--- a/tests/support/crowd_case.py
+++ b/tests/support/crowd_case.py
@@ -13,14 +13,18 @@
     CallerCrowd,
     LargeAnswers,
     LongStreams,
+    stream_event,
 )
 
-__all__ = ["BODY_BYTES", "MB", "CrowdCase", "request_head"]
+__all__ = ["BODY_BYTES", "MB", "STREAM_BYTES", "CrowdCase", "request_head"]
 
 MB = 1024 * 1024
 BODY_BYTES = 4 * MB
 EVENTS = 2_500
 EVENT_BYTES = 8_000
+STREAM_BYTES = sum(
+    len(stream_event(number, EVENT_BYTES)) for number in range(1, EVENTS + 1)
+)
 ANSWER_TIMEOUT_S = 30.0
 RETRY_S = 0.5
 RECOVERED_S = 20.0
@@ -45,6 +49,8 @@
         The number of replicas of each service.
     slots : int
         How many calls each replica serves at the same time.
+    stream_slots : int
+        How many streams each engine serves at the same time.
     call_timeout_ms : int
         How long a call may take.
     settle_s : float
@@ -55,6 +61,7 @@
     max_fds = 128
     replicas = 1
     slots = 8
+    stream_slots = 64
     call_timeout_ms = 20_000
     settle_s = 3.0
 
@@ -79,7 +86,11 @@
         route = {"host": "demo.example", "timeoutMs": self.call_timeout_ms}
         calls = {"name": "calls", "prefix": "/calls/", "kind": "idempotent"}
         streams = {"name": "streams", "prefix": "/streams/", "kind": "streaming"}
-        engine = {"slots": 64, "kvCapacity": 880_000, "models": [{"name": "m"}]}
+        engine = {
+            "slots": self.stream_slots,
+            "kvCapacity": 880_000,
+            "models": [{"name": "m"}],
+        }
         self.cluster.put_document(
             {
                 "version": 1,
@@ -112,10 +123,10 @@
             return None
         return answer.status, len(answer.data)
 
-    def assert_held(self):
-        """The process lives, stayed within its bounds, and serves an ordinary call."""
+    def assert_held(self, path="/calls/x", size=CHUNK):
+        """The process lives, stayed within its bounds, and serves a request whole."""
         eventlet.sleep(self.settle_s)
-        self.assert_served()
+        self.assert_served(path, size)
         self.assert_within_bounds()
 
     def assert_within_bounds(self):
@@ -124,11 +135,11 @@
         self.assertLess(self.crowd.most_bytes, self.memory_mb * MB)
         self.assertLess(self.crowd.most_files, self.max_fds)
 
-    def assert_served(self):
-        """An ordinary call is answered, though perhaps not at once."""
+    def assert_served(self, path="/calls/x", size=CHUNK):
+        """An ordinary request is answered whole, though perhaps not at once."""
         answer = None
         with eventlet.Timeout(RECOVERED_S + ANSWER_TIMEOUT_S, False):
-            while answer != (200, CHUNK):
-                answer = self.call()
+            while answer != (200, size):
+                answer = self.call(path=path)
                 eventlet.sleep(RETRY_S)
-        self.assertEqual(answer, (200, CHUNK))
+        self.assertEqual(answer, (200, size))
--- a/tests/support/uncontrolled_callers.py
+++ b/tests/support/uncontrolled_callers.py
@@ -16,6 +16,7 @@
     "LongStreams",
     "open_files",
     "peak_bytes",
+    "stream_event",
 ]
 
 CHUNK = 65_536
@@ -50,6 +51,11 @@
     return len(list(Path(f"/proc/{pid}/fd").iterdir()))
 
 
+def stream_event(number: int, size: int) -> bytes:
+    """Return an event of a stream, given its number and the size of its data."""
+    return b"id: %d\ndata: %s\n\n" % (number, b"x" * size)
+
+
 class LargeAnswers(RelayReplica):
     """A service whose answers are as large as the end of the path says.
 
@@ -85,11 +91,11 @@
 
     def __init__(self, name: str, events: int, event_bytes: int):
         super().__init__(name, events)
-        self._data = b"x" * event_bytes
+        self._event_bytes = event_bytes
 
     def _stream(self, after: int) -> Iterator[bytes]:
         for number in range(after + 1, self._events + 1):
-            yield b"id: %d\ndata: %s\n\n" % (number, self._data)
+            yield stream_event(number, self._event_bytes)
 
 
 class CallerCrowd:
