Ask the kernel about one idle connection an accept, not about all

What callers saw: 1,000 callers that connect, get an answer each and stay idle keep ordinary calls out for seconds. What remained at the bound of connections: each accept asked the kernel for unread bytes of each idle connection, to choose the one to close.

Change: the longest idle one is chosen by what the router knows, and only that one is asked about; if bytes have arrived, the next one is taken.

--- a/boragedeck/connection/caller_connection.py
+++ b/boragedeck/connection/caller_connection.py
@@ -146,10 +146,13 @@
 
     @property
     def idle_since(self) -> float | None:
-        """Since when it waits for a request; None if one has begun to arrive."""
-        if not self._is_idle or self._is_shut:
-            return None
-        if self._buffer or self._has_unread_bytes():
+        """Since when it waits for a request; None if one was begun to be read.
+
+        Notes
+        -----
+        Its first bytes may have arrived already; see `has_unread_bytes`.
+        """
+        if not self._is_idle or self._is_shut or self._buffer:
             return None
         return self._idle_since
 
@@ -183,7 +186,7 @@
         A request that may be on its way counts, too; see `NEXT_REQUEST_S`.
         """
         if self._is_idle:
-            return self._is_awaited() or self._has_unread_bytes()
+            return self._is_awaited() or self.has_unread_bytes()
         return self._is_reading or self.is_handling or bool(self._buffer)
 
     def is_unanswered(self) -> bool:
@@ -193,7 +196,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive, or may come."""
-        if not self._is_idle or self._buffer or self._has_unread_bytes():
+        if not self._is_idle or self._buffer or self.has_unread_bytes():
             return
         left_s = self._idle_left_s()
         if left_s > 0.0:
@@ -345,7 +348,8 @@
         except BlockingIOError:
             return None
 
-    def _has_unread_bytes(self) -> bool:
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that weren't read."""
         try:
             return bool(self._sock.fd.recv(1, socket.MSG_PEEK))
         except OSError:
--- a/boragedeck/connection/caller_edge.py
+++ b/boragedeck/connection/caller_edge.py
@@ -211,11 +211,16 @@
         return served - self._bounds.served
 
     def _close_idle_one(self) -> None:
-        chosen = choose_idle(
-            (conn.address for conn in self._conns), self._idle_connections()
-        )
-        if chosen is None:
-            return
+        idle = {each.key: each for each in self._idle_connections()}
+        while True:
+            addresses = (conn.address for conn in self._conns)
+            chosen = choose_idle(addresses, idle.values())
+            if chosen is None:
+                return
+            # The kernel is asked about the chosen one only, as there may be thousands.
+            if not chosen.key.has_unread_bytes():
+                break
+            del idle[chosen.key]
         chosen.key.close_idle()
         self.on_closed_idle()
 
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -51,6 +51,7 @@
 ALONE = (
     "tests.process.relaying.test_uncontrolled_bodies",
     "tests.process.relaying.test_uncontrolled_callers",
+    "tests.process.relaying.test_uncontrolled_connections",
     "tests.process.relaying.test_uncontrolled_mixes",
     "tests.process.relaying.test_uncontrolled_readers",
     "tests.process.test_uncontrolled_api_callers",
--- a/tests/connection/test_reservations.py
+++ b/tests/connection/test_reservations.py
@@ -41,6 +41,7 @@
 MB = 1024 * 1024
 LIMIT = 12 * MB
 BODY = 4 * MB
+MANY_IDLE = 20
 SETTLED_S = 0.1
 SLOW_S = 1.2
 LIMITS = CallerLimits(2_000, BODY, 3.0, 3.0)
@@ -432,6 +433,29 @@
         self.assertEqual(first.recv(10), b"")
         self.assertEqual(self.harness.fetch(sock=second, name=b"on").status, 200)
 
+    def test_few_of_many_idle_connections_are_looked_at(self):
+        self.start_bounded(MANY_IDLE)
+        for number in range(MANY_IDLE):
+            name = b"id-%d" % number
+            self.assertEqual(self.harness.fetch(name=name).status, 200)
+        asked = mock.Mock(return_value=False)
+        with mock.patch.object(CallerConnection, "has_unread_bytes", asked):
+            self.assertEqual(self.harness.fetch(name=b"new").status, 200)
+        self.assertEqual(asked.call_count, 1)
+
+    def test_connection_whose_request_has_arrived_is_not_closed(self):
+        self.start_bounded(2)
+        first, second = self.harness.connect(), self.harness.connect()
+        for number, sock in enumerate((first, second)):
+            name = b"id-%d" % number
+            self.assertEqual(self.harness.fetch(sock=sock, name=name).status, 200)
+        eventlet.sleep(SETTLED_S)
+        conns = list(self.harness.edge._conns)
+        arrived = min(conns, key=lambda conn: conn.idle_since)
+        arrived.has_unread_bytes = lambda: True
+        self.assertEqual(self.harness.fetch(name=b"new").status, 200)
+        self.assertEqual(second.recv(10), b"")
+
     def test_new_connection_counts_while_an_idle_one_ends(self):
         # A stop that runs meanwhile would end the process before its request.
         self.start_bounded(1)
