Close a connection's descriptor when it ends, also if its answer can't be sent

Cause: the base class closes the file that is read only after the one that is written. If the caller has gone, flushing the rest of the answer fails, the first stays open, and with it the socket: closing it only gives up its last but one reference. The protocol object is part of a cycle.

Change: `finish` closes the file in any case. `CallerConnections` may count connections with a request as idle, for addresses whose requests are short; nothing uses that yet.

--- a/boragedeck/connection/edge.py
+++ b/boragedeck/connection/edge.py
@@ -68,15 +68,21 @@
         How many are open.
     on_closed_idle : callable, optional
         Called when an idle connection is closed for a new one.
+    closes_busy : bool, optional
+        Whether connections with a request count as idle, too. It suits an address whose
+        requests are short, so that one which lasts is mostly not complete.
     """
 
     def __init__(
         self,
         bounds: ConnectionBounds,
         on_closed_idle: Callable[[], None] = lambda: None,
+        *,
+        closes_busy: bool = False,
     ):
         self.bounds = bounds
         self._on_closed_idle = on_closed_idle
+        self._closes_busy = closes_busy
         # The address of each open connection; the idle ones, the longest idle first.
         self._addresses: dict[_Protocol, str] = {}
         self._idle: dict[_Protocol, None] = {}
@@ -103,12 +109,16 @@
 
     def note_idle(self, conn: "_Protocol") -> None:
         """Record that a connection waits for a request."""
+        self._idle.pop(conn, None)
         if conn in self._addresses:
             self._idle[conn] = None
 
     def note_busy(self, conn: "_Protocol") -> None:
         """Record that a request has begun to arrive."""
-        self._idle.pop(conn, None)
+        if self._closes_busy:
+            self.note_idle(conn)
+        else:
+            self._idle.pop(conn, None)
 
 
 class _Protocol(wsgi.HttpProtocol):
@@ -124,7 +134,12 @@
 
     def finish(self):
         self.connections.remove(self)
-        super().finish()
+        try:
+            super().finish()
+        finally:
+            # Left open by the base class if the caller has gone and a part of an answer
+            # can't be sent; the descriptor would wait for the garbage collector.
+            self.rfile.close()
 
     def shut_down(self, how: int) -> None:
         """Shut down a direction of the connection, which wakes its green thread."""
