Bound the connections to the addresses of operators

What was seen: each of 200 idle connections to the address for readiness or metrics, half a head, or a question to `explain` whose body stops short, kept a descriptor and a green thread for as long as it liked: 214 and 215 descriptors on with `maxFds` 128 (all four tests fail there). A VM with 1,638 descriptors has none left for callers after some 1,400 of them.

Cause: these servers had the library's bounds, 1,024 connections each, and no time limit.

Change: they are served like the stand-alone edition's callers: 32 connections to each address, heads within 10 s, bodies within 20 s. The connection that has done nothing for the longest time is closed for a new one, also one whose request has begun, so that who probes the readiness is answered meanwhile. (Tried first with closing idle ones only: the readiness timed out for 30 s behind 200 half heads.)

--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -22,7 +22,11 @@
 from boragedeck.process.relaying.draining import DrainPeriod
 from boragedeck.process.relaying.explain_app import make_explain_app
 from boragedeck.process.relaying.fleet.peer_composition import Peers
-from boragedeck.process.relaying.listening import listen, make_ready_app, serve_wsgi
+from boragedeck.process.relaying.listening import (
+    listen,
+    make_ready_app,
+    serve_operators,
+)
 from boragedeck.process.relaying.paths.path_composition import (
     forward_address,
     make_forward_edge,
@@ -151,10 +155,10 @@
         self.timers.subscribe(EXPIRE_INTERVAL_S, self._relaying.upstreams.expire)
         eventlet.spawn_n(self._forward_edge.serve)
         eventlet.spawn_n(self._serve_callers)
-        serve_wsgi(self._ready_listener, make_ready_app(self.is_ready))
+        serve_operators(self._ready_listener, make_ready_app(self.is_ready))
         metrics_app = make_wsgi_app(self.metrics.registry)
         operators_app = make_explain_app(self._parts, self.own.router, metrics_app)
-        serve_wsgi(self._metrics_listener, operators_app)
+        serve_operators(self._metrics_listener, operators_app)
 
     def _serve_callers(self) -> None:
         """Accept callers once there is a table, which mostly arrives at once."""
--- a/boragedeck/process/relaying/explain_app.py
+++ b/boragedeck/process/relaying/explain_app.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
+from boragedeck.connection.edge import read_body
 from boragedeck.decoding import DECODE_ERRORS
+from boragedeck.exceptions import RefusedError
 from boragedeck.platform.callers import decode_request, described_request
 from boragedeck.request.explain import explain
 from boragedeck.request.explanation import EXPLAIN_PATH, ExplainQuery
@@ -52,7 +54,7 @@
     if environ["REQUEST_METHOD"] != "POST" or not is_valid:
         return None
     try:
-        body = environ["wsgi.input"].read(int(length))
-        return msgspec.json.decode(body, type=ExplainQuery)
-    except DECODE_ERRORS:
+        return msgspec.json.decode(read_body(environ), type=ExplainQuery)
+    except (RefusedError, *DECODE_ERRORS):
+        # The body is cut off or too slow, or no such query.
         return None
--- a/boragedeck/process/relaying/listening.py
+++ b/boragedeck/process/relaying/listening.py
@@ -3,14 +3,17 @@
 from collections.abc import Callable
 
 import eventlet
-from eventlet import wsgi
 from eventlet.greenio import GreenSocket
 
+from boragedeck.connection.connection_table import ConnectionBounds
 from boragedeck.connection.early_listener import BACKLOG
-from boragedeck.connection.listening import DiscardingLog
+from boragedeck.connection.edge import CallerConnections, serve_http
 from boragedeck.connection.peer import Address
 
-__all__ = ["listen", "make_ready_app", "serve_wsgi"]
+__all__ = ["listen", "make_ready_app", "serve_operators"]
+
+OPERATOR_BOUNDS = ConnectionBounds(served=32, refused=8)
+"""The connections to one address of operators."""
 
 
 def listen(address: Address) -> GreenSocket:
@@ -20,11 +23,17 @@
     )
 
 
-def serve_wsgi(listener: GreenSocket, app: Callable) -> None:
-    """Serve a WSGI application in green threads, without a log of its own."""
-    eventlet.spawn_n(
-        wsgi.server, listener, app, log_output=False, debug=False, log=DiscardingLog()
-    )
+def serve_operators(listener: GreenSocket, app: Callable) -> None:
+    """Serve a WSGI application for operators in green threads.
+
+    Notes
+    -----
+    Nobody who reaches the address keeps others out, or uses up the descriptors that
+    callers need: the connection that has done nothing for the longest time is closed
+    for a new one, and heads and bodies must arrive in time.
+    """
+    connections = CallerConnections(OPERATOR_BOUNDS, closes_busy=True)
+    eventlet.spawn_n(serve_http, listener, app, None, connections)
 
 
 def make_ready_app(is_ready: Callable[[], bool]) -> Callable:
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -53,6 +53,7 @@
     "tests.process.relaying.test_uncontrolled_callers",
     "tests.process.relaying.test_uncontrolled_connections",
     "tests.process.relaying.test_uncontrolled_mixes",
+    "tests.process.relaying.test_uncontrolled_operators",
     "tests.process.relaying.test_uncontrolled_readers",
     "tests.process.test_uncontrolled_api_callers",
 )
