Show that bodies are freed when another router passes a request on

Two cases of test_released_requests: a call and a stream through a gateway, in the sender and in the gateway.

--- a/tests/request/test_released_requests.py
+++ b/tests/request/test_released_requests.py
@@ -5,6 +5,7 @@
 import eventlet
 
 from boragedeck.version.routing import CallKind
+from tests.request.test_silent_gateways import ENGINES, SilentGatewayCase
 from tests.support.replicas import (
     RelayHarness,
     ScriptedReplica,
@@ -26,7 +27,7 @@
 SETTLED_S = 0.3
 
 
-class ReleasedRequestsTest(unittest.TestCase):
+class ReleasedCase(unittest.TestCase):
     """Bodies and answers are freed when their request ends, without the collector.
 
     The collector runs by the number of objects, so large bytes that are left to it pile
@@ -34,17 +35,11 @@
     """
 
     def setUp(self):
+        super().setUp()
         gc.collect()
         gc.disable()
         self.addCleanup(gc.enable)
 
-    def harness(self, rule, *replicas):
-        harness = RelayHarness(rule)
-        self.addCleanup(harness.close)
-        for number, steps in enumerate(replicas):
-            harness.add(ScriptedReplica(f"replica-{number}", *steps))
-        return harness
-
     def assert_freed(self):
         """Nothing that only the collector would free refers to large bytes."""
         eventlet.sleep(SETTLED_S)
@@ -57,6 +52,17 @@
             gc.garbage.clear()
         self.assertEqual(holders, [])
 
+
+class ReleasedRequestsTest(ReleasedCase):
+    """Requests to replicas that this router reaches."""
+
+    def harness(self, rule, *replicas):
+        harness = RelayHarness(rule)
+        self.addCleanup(harness.close)
+        for number, steps in enumerate(replicas):
+            harness.add(ScriptedReplica(f"replica-{number}", *steps))
+        return harness
+
     def fetch_and_check(self, rule, *replicas, status=200, body=BODY, ms=1500):
         harness = self.harness(rule, *replicas)
         self.assertEqual(harness.fetch(body=body, ms=ms).status, status)
@@ -165,6 +171,24 @@
         self.assert_freed()
 
 
+class ReleasedGatewayTest(ReleasedCase, SilentGatewayCase):
+    """Requests that another router passes on."""
+
+    def fetch_and_check(self, rule, step, pool=None):
+        self.start(rule, step, pool)
+        for number in range(3):
+            name = b"forwarded-%d" % number
+            response = self.router.fetch(body=BODY, name=name, ms=3_000)
+            self.assertEqual(response.status, 200)
+        self.assert_freed()
+
+    def test_call(self):
+        self.fetch_and_check(call_rule(), answer(LARGE))
+
+    def test_stream(self):
+        self.fetch_and_check(stream_rule(), events(1, 2), ENGINES)
+
+
 def in_turn(*steps):
     """Return a step that replicas share, which does what the next of `steps` does."""
     left = list(steps)
