Repeat calls whose answer broke off, and count it against the replica

Found by the first run of all tests: two of 2,199 failed (test_early_answers, test_relay_endless: a repeatable call got 502, and wasn't sent to the other replica).

Cause: an answer counted as "not read for a while" if any time had passed in `AnswerRoom.hold`, so practically always, since bodies have a budget. Each broken answer was taken for this router's own lack of room: its replica kept a clean record, which was silent, and since answers without room aren't repeated, the call wasn't either.

Change: an answer has waited if it found no room at once. One that is lost after that has an error of its own, and is repeated as before; only one without room isn't. `MemoryBudget` says by itself after how long a caller counts as slow for another.

Evidence: a replica that breaks off after 1 of 2 MB in calm: no miss on (minus infinity), one now; test_answer_that_breaks_off_in_calm_counts_against_its_replica.

--- a/boragedeck/connection/answer_room.py
+++ b/boragedeck/connection/answer_room.py
@@ -56,9 +56,9 @@
         needed = max(size, min(length or 0, max_bytes))
         if length is None and size > PIECEWISE_BYTES:
             needed = max(size, max_bytes)
-        since = self._reservation.now
+        waits = self._reservation.room_waits
         is_held = self._reservation.take_answer(needed - self._held, self._until)
-        self.has_waited |= self._reservation.now > since
+        self.has_waited |= self._reservation.room_waits > waits
         if not is_held:
             raise AnswerRoomError("no room for the answer", step="read body")
         self._held = needed
--- a/boragedeck/connection/memory_budget.py
+++ b/boragedeck/connection/memory_budget.py
@@ -261,14 +261,10 @@
         """
         if self._cut_bytes() >= count:
             return None
-        suspect_after_s = SUSPECT_SLOW_AFTER_S
-        if asker is None or self.is_suspect(asker, now):
-            suspect_after_s = SLOW_AFTER_S
         slow = [
             each
             for each in self._holdings
-            if each.is_slow(now, suspect_after_s)
-            and (each.is_slow(now) or self.is_suspect(each, now))
+            if each.is_slow(now, self._slow_after_s(each, asker, now))
         ]
         if asker is not None:
             slow = [each for each in slow if self._may_displace(asker, count, each)]
@@ -299,6 +295,15 @@
         """Return whether a request that was cut hasn't given its bytes back yet."""
         return self._cut_bytes() > 0
 
+    def _slow_after_s(
+        self, holding: Holding, asker: Holding | None, now: float
+    ) -> float:
+        """Return after how long a caller counts as slow, in seconds."""
+        if asker is None or self.is_suspect(asker, now):
+            return SLOW_AFTER_S
+        is_suspect = self.is_suspect(holding, now)
+        return SUSPECT_SLOW_AFTER_S if is_suspect else SLOW_AFTER_S
+
     def _cut_bytes(self) -> int:
         return sum(each.total for each in self._holdings if each.is_cut)
 
--- a/boragedeck/connection/reservation.py
+++ b/boragedeck/connection/reservation.py
@@ -206,11 +206,17 @@
         Hands the bytes out.
     holding : Holding
         What is held.
+
+    Attributes
+    ----------
+    room_waits : int
+        How often answers to the request found no room at once.
     """
 
     def __init__(self, service: ReservationService, holding: Holding):
         self._service = service
         self._holding = holding
+        self.room_waits = 0
         # An interim answer is sent while the body is still being received.
         self._phase_before_send = Phase.RUNNING
 
@@ -280,6 +286,7 @@
         holding, service = self._holding, self._service
         grant = service.budget.ask(holding, Use.ANSWER, count)
         if grant is Grant.NO_ROOM:
+            self.room_waits += 1
             service.note(BudgetEvent.WAITED, holding)
             with service.shortage.count_waiting():
                 return self._wait_for_room(count, until)
--- a/boragedeck/exceptions.py
+++ b/boragedeck/exceptions.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "AnswerRoomError",
+    "AnswerUnreadError",
     "AttemptDefectError",
     "BoragedeckError",
     "ForwardDeclinedError",
@@ -171,6 +172,10 @@
     """An attempt ended by an unexpected exception in this router."""
 
 
+class AnswerUnreadError(UpstreamWithdrawnError):
+    """An answer was lost after its replica wasn't read for lack of memory."""
+
+
 class AnswerRoomError(UpstreamWithdrawnError):
     """An answer found no room in this router within the request's time."""
 
--- a/boragedeck/request/relay_call.py
+++ b/boragedeck/request/relay_call.py
@@ -12,6 +12,7 @@
 from boragedeck.connection.http_message import Headers
 from boragedeck.exceptions import (
     AnswerRoomError,
+    AnswerUnreadError,
     AttemptDefectError,
     RefusedError,
     UpstreamError,
@@ -276,7 +277,7 @@
             # What this router lacks says nothing about the replica.
             job.note_attempt_failed(place, exc)
             return AnswerDropped(exc.message)
-        except AttemptDefectError as exc:
+        except (AnswerUnreadError, AttemptDefectError) as exc:
             job.note_attempt_failed(place, exc)
             return AnswerLost(exc.message)
         except UpstreamError as exc:
@@ -344,6 +345,8 @@
         Raises
         ------
         AnswerRoomError
+            If there is no room for it.
+        AnswerUnreadError
             If the answer was lost after the replica wasn't read for a while.
         """
         job = self._job
@@ -354,9 +357,11 @@
             body = pending.exchange.read_all(left_s, MAX_ANSWER_BYTES, room)
             is_kept = pending.verdict.kind in (VerdictKind.SUCCESS, VerdictKind.FAILED)
             return body
+        except AnswerRoomError:
+            raise
         except UpstreamError as exc:
             if room.has_waited:
-                raise AnswerRoomError(exc.message, step="read body") from exc
+                raise AnswerUnreadError(exc.message, step="read body") from exc
             raise
         finally:
             if not is_kept:
--- a/tests/connection/test_reservations.py
+++ b/tests/connection/test_reservations.py
@@ -273,6 +273,34 @@
         self.assertEqual(rate.bytes_per_s(2.0), 0.0)
 
 
+class BrokenAnswerTest(ReservationCase):
+    """A replica that breaks off is told from a router that lacked room."""
+
+    def cut(self, sock, req):
+        head = head_of(req, 200, b"Content-Length: %d" % (2 * MB))
+        sock.sendall(head + b"\r\n" + b"y" * MB)
+        return False
+
+    def test_answer_that_breaks_off_in_calm_counts_against_its_replica(self):
+        self.start(call_rule(max_attempts=1), self.cut)
+        self.assertEqual(self.harness.fetch().status, 502)
+        state = self.harness.registry.get("one")
+        self.assertGreater(state.missed_at, float("-inf"))
+
+    def test_answer_that_breaks_off_unread_does_not(self):
+        self.start(call_rule(max_attempts=1), self.cut)
+        holding = self.budget.open("other", lambda: None, 0.0)
+        holding.enter(Phase.RUNNING, 0.0)
+        self.budget.add(holding, *self.all_room())
+        thread = eventlet.spawn(self.harness.fetch)
+        eventlet.sleep(SETTLED_S)
+        self.budget.close(holding)
+        self.assertEqual(thread.wait().status, 502)
+        state = self.harness.registry.get("one")
+        self.assertEqual(state.missed_at, float("-inf"))
+        self.assert_all_given_back()
+
+
 class UnreadStreamTest(unittest.TestCase):
     """They guard against streams that nobody reads and that keep engines busy."""
 
