--- a/soak/callers.py
+++ b/soak/callers.py
@@ -110,6 +110,10 @@
         self._rng = rng
         self._numbers = itertools.count(1)
 
+    def address(self) -> str:
+        """Return the address of a router, which is drawn."""
+        return self._rng.choice(self._addresses)
+
     def run(self, number: int, weights: dict[str, float], until: float) -> None:
         """Send requests as one caller, who keeps to one router."""
         router = number % len(self._addresses)
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -12,6 +12,7 @@
 
 from scripts.platform_cluster import PlatformCluster
 from soak.callers import Callers, Habits
+from soak.crowd import hold_unfinished
 from soak.fleet import ReplicaFleet
 from soak.history import History, Impairment
 from soak.operator import Operator
@@ -87,6 +88,7 @@
     CALLER_SHORT_TIME = "caller-short-time"
     CALLER_LARGE_BODY = "caller-large-body"
     CALLER_RESUMES = "caller-resumes"
+    CALLER_UNFINISHED = "caller-unfinished"
 
 
 WHOLE_PLAY = {Row.REPLICA_SCARCE, Row.REPLICA_MEMORY}
@@ -202,6 +204,8 @@
                 self._operator.toggle_key()
             case Row.CONFIG_STORM:
                 self._storm()
+            case Row.CALLER_UNFINISHED:
+                hold_unfinished(self._callers.address(), self._rng.uniform(*MOOD_S))
             case Row.REPLICA_CRASH:
                 self._fleet.crash()
             case Row.REPLICA_SILENT:
