--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,139 +1,151 @@
-"""A manifest isn't in force when machines are in touch again after a silence.
+"""A request that crashes its replicas does so again after all routers were killed.
 
-Manifests come in quick succession. Amid them the open channels to the store go silent
-for good, without a reset, while new ones work; then one more manifest comes.
+The request comes again and again at any router, as the pages say. The routers find out
+that it crashes replicas and refuse it; then the processes of all of them are killed at
+the same moment and start again.
 """
 
+import itertools
 import threading
 import time
 from pathlib import Path
 
 from review.second.client import ask
-from review.second.fleet import BOUNDS, Fleet
-from review.second.proxy import SilencingProxy
-from review.second.replica import answer_call
+from review.second.replica import Crash, answer_call
 from review.second.world import CannotRunError, World, run_case
 
-CONTACT_S = BOUNDS["contactMs"] / 1000.0
-APPLY_S = BOUNDS["configApplyMs"] / 1000.0
-MARGIN_S = 0.1
-"""Requests that are sent so shortly after both bounds don't count."""
-FIRST_VERSION = 7
-MANIFESTS = 5
-MANIFEST_S = 0.33
-"""The manifests come so quickly one after the other."""
-SILENCE_S = 0.1
-"""When the channels go silent, before the last manifest."""
-PROBE_S = 0.03
-PROBED_S = 7.0
+CONTACT_S = 3.0
+RETURN_S = 3.0
+"""How long after its crash a replica is back, with a new id and address."""
+RETRY_S = 2.0
+"""How often the request comes again."""
+CRASHES_BEFORE = 3
+MAX_RETRIES = 3
+RESTART_S = 0.5
+QUIET_S = 4.0
+"""How long the request stays away after the routers are back, so that they are in
+touch."""
+LAST_S = 46.0
+"""How long the request comes again after that."""
+WORK_S = 0.1
 ZONES = ["za", "zb", "zc"]
+REPLICAS_PER_ZONE = 2
 HEADERS = {"Host": "shop.example", "Api-Key": "key-one", "Deadline-Ms": "4000"}
-STATUS_OK = 200
-STATUS_NO_ROUTE = 404
-
-
-class ProxiedFleet(Fleet):
-    """Routers that reach the store through a proxy each."""
-
-    def __init__(self, *args, proxies: list[SilencingProxy]):
-        super().__init__(*args)
-        self._proxies = proxies
-
-    def _settings(self, number: int) -> dict:
-        settings = super()._settings(number)
-        settings["platform"]["address"] = self._proxies[number].address
-        return settings
+POISON_PATH = "/orders/poison"
 
 
 def play(world: World) -> list[str]:
     """Play the case; return the broken rules."""
-    _write_manifest(world, FIRST_VERSION)
-    for zone in ZONES:
-        world.add_replica("orders", zone, answer_call)
-    proxies = [SilencingProxy(world.store.address) for _ in ZONES]
-    world.fleet = ProxiedFleet(
-        world.store, world.record, world.directory, ZONES, proxies=proxies
+    world.write_manifest(
+        [
+            {
+                "name": "orders",
+                "host": "shop.example",
+                "prefix": "/orders/",
+                "kind": "non_idempotent",
+                "timeoutMs": 2000,
+                "latencyGoalMs": 300,
+                "priority": 2,
+                "service": "orders",
+                "maxAttempts": 1,
+                "public": False,
+            }
+        ],
+        [{"name": "orders", "healthPath": "/healthz", "maxConns": 110}],
     )
-    world.fleet.start_all()
-    world.await_ready()
-    time.sleep(2.0 * CONTACT_S)
-    last = FIRST_VERSION + MANIFESTS
-    for version in range(FIRST_VERSION + 1, last):
-        _write_manifest(world, version)
-        time.sleep(MANIFEST_S)
-    silent_at = world.record.now()
+
+    def work(replica, req, conn) -> None:
+        if req.target == POISON_PATH:
+            world.record.write("runs", request=req.request_id, replica=replica.name)
+            timer = threading.Timer(RETURN_S, add, (replica.zone,))
+            timer.daemon = True
+            timer.start()
+            raise Crash
+        time.sleep(WORK_S)
+        if not replica.is_crashed:
+            answer_call(replica, req, conn)
+
+    def add(zone: str) -> None:
+        world.add_replica("orders", zone, work)
+
+    for zone in ZONES * REPLICAS_PER_ZONE:
+        add(zone)
+    fleet = world.start_routers(ZONES)
+    time.sleep(CONTACT_S + 0.5)
+    threading.Thread(target=_send_ordinary, args=(world,), daemon=True).start()
+    numbers = itertools.count(1)
+    while _crashes(world) < CRASHES_BEFORE:
+        if next(numbers) > 3 * CRASHES_BEFORE:
+            raise CannotRunError("the replicas don't crash")
+        _send_poison(world)
+        time.sleep(RETRY_S)
+    third_at = world.record.all("replica crashes")[CRASHES_BEFORE - 1][0]
+    time.sleep(max(0.0, third_at + CONTACT_S + 0.5 - world.record.now()))
+    for _ in range(2):
+        _send_poison(world)
+        time.sleep(RETRY_S)
     if world.has_trouble:
-        for proxy in proxies:
-            proxy.silence()
-        world.record.write("channels to the store are silent")
-    time.sleep(SILENCE_S)
-    _write_manifest(world, last)
-    acked_at = world.record.now()
-    world.record.write("acked", version=last)
-    threads = [
-        threading.Thread(target=_probe, args=(world, number, last), daemon=True)
-        for number in range(len(ZONES))
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    return _broken(world, max(silent_at + CONTACT_S, acked_at + APPLY_S) + MARGIN_S)
-
-
-def _write_manifest(world: World, version: int) -> None:
-    """Write a manifest with one route that no other one has."""
-    route = {
-        "host": "shop.example",
-        "kind": "idempotent",
-        "timeoutMs": 2000,
-        "latencyGoalMs": 300,
-        "priority": 2,
-        "service": "orders",
-        "maxAttempts": 2,
-        "public": False,
-    }
-    routes = [
-        route | {"name": "orders", "prefix": "/orders/"},
-        route | {"name": f"new-{version}", "prefix": f"/new-{version}/"},
+        for number in range(len(ZONES)):
+            fleet.kill(number)
+        for process in fleet.processes:
+            process.wait()
+        time.sleep(RESTART_S)
+        for number in range(len(ZONES)):
+            fleet.start(number)
+    world.await_ready()
+    time.sleep(QUIET_S)
+    until = world.record.now() + LAST_S
+    while world.record.now() < until:
+        _send_poison(world)
+        time.sleep(RETRY_S)
+    return _broken(world, third_at)
+
+
+def _crashes(world: World) -> int:
+    return len(world.record.all("replica crashes"))
+
+
+_routers = itertools.cycle(range(len(ZONES)))
+_poison_routers = itertools.cycle(range(len(ZONES)))
+_poisons = itertools.count(1)
+_ordinary = itertools.count(1)
+
+
+def _send_poison(world: World) -> None:
+    """Send the request that crashes replicas, as a new attempt of its requester."""
+    _send(world, POISON_PATH, f"poison-{next(_poisons)}", next(_poison_routers))
+
+
+def _send_ordinary(world: World) -> None:
+    """Send other calls all the time, each on a channel of its own."""
+    while True:
+        name = f"order-{next(_ordinary)}"
+        args = world, f"/orders/{name}", name, next(_routers)
+        threading.Thread(target=_send, args=args, daemon=True).start()
+        time.sleep(0.1)
+
+
+def _send(world: World, path: str, name: str, router: int) -> None:
+    world.record.write("sent", request=name, router=router)
+    headers = HEADERS | {"Request-Id": name}
+    answer = ask(world.fleet.front(router), "POST", path, headers, b"body")
+    took_s = round(answer.took_s, 3)
+    world.record.write("got", request=name, status=answer.status, took_s=took_s)
+
+
+def _broken(world: World, third_at: float) -> list[str]:
+    late = [
+        fields["request"]
+        for at, fields in world.record.all("runs")
+        if fields["request"].startswith("poison") and at > third_at + CONTACT_S
     ]
-    services = [{"name": "orders", "healthPath": "/healthz", "maxConns": 110}]
-    world.write_manifest(routes, services, version)
-    world.record.write("manifest", version=version)
-
-
-def _probe(world: World, router: int, version: int) -> None:
-    """Ask a router for the newest route, again and again."""
-    until, count = time.monotonic() + PROBED_S, 0
-    while time.monotonic() < until:
-        count += 1
-        name = f"p{router}-{count}"
-        sent_at = world.record.now()
-        answer = ask(
-            world.fleet.front(router),
-            "GET",
-            f"/new-{version}/x",
-            HEADERS | {"Request-Id": name},
-        )
-        fields = {"request": name, "router": router, "sent_at": round(sent_at, 3)}
-        world.record.write("got", **fields, status=answer.status)
-        time.sleep(PROBE_S)
-
-
-def _broken(world: World, due_at: float) -> list[str]:
-    answers = [fields for _, fields in world.record.all("got")]
-    old = [each for each in answers if each["status"] == STATUS_NO_ROUTE]
-    if not any(each["status"] == STATUS_OK for each in answers):
-        raise CannotRunError("no router serves the newest route")
-    late = [each for each in old if each["sent_at"] > due_at]
-    world.record.write("refused as by an older version", all=len(old), late=len(late))
-    if not late:
+    retries = sorted(set(late))
+    world.record.write("retries that reached replicas", count=len(retries))
+    if len(retries) <= MAX_RETRIES:
         return []
-    routers = sorted({each["router"] for each in late})
-    over_s = max(each["sent_at"] for each in late) - due_at + MARGIN_S
     return [
-        f"CONFIG: {len(late)} requests to {len(routers)} machines in touch, sent later"
-        f" than configApplyMs after the ack, up to {over_s:.2f} s too late, got 404"
+        f"BUDGET: {len(retries)} retries of a request that crashes replicas reached"
+        f" replicas later than contactMs after its third crash: {', '.join(retries)}"
     ]
 
 
