Put the second review's stand-ins beside the first's, and read TROUBLE in each case

The stand-ins were in a folder, which only a case is; they are review/second_*.py now. Each case and its script read TROUBLE by themselves. Nothing else changed.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -6,14 +6,17 @@
 """
 
 import itertools
+import os
 import threading
 import time
 from pathlib import Path
 
-from review.second.client import ask
-from review.second.replica import Crash, answer_call
-from review.second.world import CannotRunError, World, run_case
+from review.second_client import ask
+from review.second_replica import Crash, answer_call
+from review.second_world import CannotRunError, World, run_case
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Without it, all is the same but for the disruption."""
 CONTACT_S = 3.0
 RETURN_S = 3.0
 """How long after its crash a replica is back, with a new id and address."""
@@ -84,7 +87,7 @@
     for _ in range(2):
         _send_poison(world)
         time.sleep(RETRY_S)
-    if world.has_trouble:
+    if HAS_TROUBLE:
         for number in range(len(ZONES)):
             fleet.kill(number)
         for process in fleet.processes:
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -5,14 +5,17 @@
 """
 
 import itertools
+import os
 import threading
 import time
 from pathlib import Path
 
-from review.second.client import ask
-from review.second.replica import Crash, answer_call
-from review.second.world import CannotRunError, World, run_case
+from review.second_client import ask
+from review.second_replica import Crash, answer_call
+from review.second_world import CannotRunError, World, run_case
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Without it, all is the same but for the disruption."""
 CONTACT_S = 3.0
 RETURN_S = 3.0
 """How long after its crash a replica is back, with a new id and address."""
@@ -53,7 +56,7 @@
     )
 
     def work(replica, req, conn) -> None:
-        if world.has_trouble and req.target == POISON_TARGET:
+        if HAS_TROUBLE and req.target == POISON_TARGET:
             world.record.write("runs", request=req.request_id, replica=replica.name)
             timer = threading.Timer(RETURN_S, add, (replica.zone,))
             timer.daemon = True
@@ -76,7 +79,7 @@
         name = f"poison-{next(_poisons)}"
         _send(world, POISON_TARGET, name, next(_poison_routers))
         time.sleep(RETRY_S)
-    if world.has_trouble and len(world.record.all("replica crashes")) < MAX_CRASHES:
+    if HAS_TROUBLE and len(world.record.all("replica crashes")) < MAX_CRASHES:
         raise CannotRunError("the replicas don't crash")
     return _broken(world)
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 cd "$(dirname "$0")/.."
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'
 test -d target/deps
-for file in review/second/*.py; do
+for file in review/second_*.py; do
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
--- a/review/second/fleet.py
+++ b/review/second_fleet.py
@@ -10,13 +10,13 @@
 import tomllib
 from pathlib import Path
 
-from review.second.client import ask
-from review.second.record import Record
-from review.second.store import Store
+from review.second_client import ask
+from review.second_record import Record
+from review.second_store import Store
 
 __all__ = ["BOUNDS", "Fleet", "ROOT"]
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 BOUNDS = {
     "seedLagS": 3,
     "reuseAfterS": 2,
--- a/review/second/replica.py
+++ b/review/second_replica.py
@@ -9,8 +9,8 @@
 import time
 from collections.abc import Callable
 
-from review.second.record import Record
-from review.second.store import Store
+from review.second_record import Record
+from review.second_store import Store
 
 __all__ = ["Crash", "Replica", "Request", "answer_call"]
 
--- a/review/second/world.py
+++ b/review/second_world.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from review.second.fleet import Fleet
-from review.second.record import Record
-from review.second.replica import Replica
-from review.second.store import Store
+from review.second_fleet import Fleet
+from review.second_record import Record
+from review.second_replica import Replica
+from review.second_store import Store
 
 __all__ = ["CannotRunError", "World", "run_case"]
 
@@ -43,7 +43,6 @@
     """
 
     def __init__(self, folder: Path, directory: Path):
-        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = Record(Path(folder, "record.txt"))
         self.store = Store()
         self.replicas: list[Replica] = []
