Log what each crash counts against, and what cleared it

Without a change of behaviour. 'Crash counted.' named the suspects of a report; nothing said which of them output cleared, so a crash that counts against nobody looked like one that wasn't reported. The judge now logs 'Crash weighed.' once for each crash and whenever more of its suspects are cleared: prime suspects, cleared ones, a common cause, the weight. Bounded: a line for each crash and each suspect that is cleared, of at most 256 crashes.

--- a/boragedeck/process/relaying/crashes/crash_cases.py
+++ b/boragedeck/process/relaying/crashes/crash_cases.py
@@ -16,6 +16,7 @@
 __all__ = [
     "TOLERANCE",
     "Crash",
+    "CrashAssessment",
     "CrashCase",
     "blamed_parts",
     "blamed_requests",
@@ -121,6 +122,29 @@
         return any(each.fingerprint == fingerprint for each in self.suspects)
 
 
+class CrashAssessment(msgspec.Struct, frozen=True):
+    """What a crash counts against, and why.
+
+    Parameters
+    ----------
+    case : CrashCase
+        The crash with its prime suspects.
+    cleared : tuple of str
+        Fingerprints of the suspects that have had lasting output since.
+    has_common_cause : bool
+        Whether its failure domain lost a replica with other requests then.
+    """
+
+    case: CrashCase
+    cleared: tuple[str, ...]
+    has_common_cause: bool
+
+    @property
+    def counts(self) -> bool:
+        """Whether the crash counts against its prime suspects."""
+        return bool(self.case.suspects) and not self.has_common_cause
+
+
 def blamed_parts(cases: list[CrashCase]) -> set[Signature]:
     """Return the parts that enough crashes count against.
 
--- a/boragedeck/process/relaying/crashes/crash_evidence.py
+++ b/boragedeck/process/relaying/crashes/crash_evidence.py
@@ -14,6 +14,7 @@
 from boragedeck.process.relaying.crashes.crash_cases import (
     TOLERANCE,
     Crash,
+    CrashAssessment,
     CrashCase,
     blamed_parts,
     blamed_requests,
@@ -154,8 +155,8 @@
             self._cases()
         return self._snapshot.cases
 
-    def _cases(self) -> list[CrashCase]:
-        """Return the crashes that count, without those that have a common cause."""
+    def assess(self) -> list[CrashAssessment]:
+        """Return what each crash of the last minutes counts against."""
         now = self._timers.now()
         cases = [
             self._case(crash)
@@ -167,24 +168,33 @@
         for case in cases:
             key = case.crash.pool, case.crash.domain
             by_domain.setdefault(key, []).append(case)
-        counted = [
-            case
-            for case in cases
-            if case.suspects
-            and not has_common_cause(
-                case, by_domain[case.crash.pool, case.crash.domain]
+        return [
+            CrashAssessment(
+                case,
+                self._cleared(case.crash),
+                has_common_cause(case, by_domain[case.crash.pool, case.crash.domain]),
             )
+            for case in cases
         ]
-        self._snapshot = _Snapshot(counted, now)
+
+    def _cases(self) -> list[CrashCase]:
+        """Return the crashes that count, without those that have a common cause."""
+        counted = [each.case for each in self.assess() if each.counts]
+        self._snapshot = _Snapshot(counted, self._timers.now())
         return counted
 
+    def _cleared(self, crash: Crash) -> tuple[str, ...]:
+        """Return the suspects of a crash that have had lasting output since."""
+        return tuple(
+            fingerprint
+            for fingerprint in crash.suspects
+            if self.is_sound_since(request_signature(crash.pool, fingerprint), crash.at)
+        )
+
     def _case(self, crash: Crash) -> CrashCase:
+        cleared = self._cleared(crash)
         unproven = [
-            each
-            for each in crash.suspects.values()
-            if not self.is_sound_since(
-                request_signature(crash.pool, each.fingerprint), crash.at
-            )
+            each for each in crash.suspects.values() if each.fingerprint not in cleared
         ]
         prime = [each for each in unproven if each.has_begun] or unproven
         parts = tuple(self._suspicious_parts(each, crash) for each in prime)
--- a/boragedeck/process/relaying/crashes/crash_judge.py
+++ b/boragedeck/process/relaying/crashes/crash_judge.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections import OrderedDict
 
 from boragedeck.connection.messages import Accepted
 from boragedeck.connection.peer import PeerServer
@@ -27,6 +28,7 @@
     KnownVerdict,
 )
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
+from boragedeck.process.relaying.replicas.replica_state import Run
 from boragedeck.process.timers import TimerService
 
 __all__ = ["TRIAL_AFTER_S", "TRIAL_TIMEOUT_S", "CrashJudge"]
@@ -40,6 +42,8 @@
 crashed a replica. After the last one the verdict holds until it expires."""
 TRIAL_TIMEOUT_S = 15.0
 """How long after a trial was granted the next one is, if nothing was heard of it."""
+MAX_LOGGED = 256
+"""Maximum number of crashes of which it is remembered how they were logged."""
 MAX_SUSPECTED = 64
 """Maximum number of signatures that become suspected in one review."""
 
@@ -73,6 +77,7 @@
         self._metrics = metrics
         self._evidence = CrashEvidence(timers)
         self._is_review_due = False
+        self._logged: OrderedDict[Run, tuple[str, ...]] = OrderedDict()
         # When the last trial of a signature was granted.
         self._trial_granted_at: dict[Signature, float] = {}
         server.register(ReportCrash, self.note_crash)
@@ -138,6 +143,7 @@
 
     def _review(self) -> None:
         self._is_review_due = False
+        self._log_assessments()
         blamed = self._evidence.blamed()
         for signature in sorted(blamed):
             self._blame(signature)
@@ -147,6 +153,26 @@
         for signature in suspected[:MAX_SUSPECTED]:
             self._suspect(signature)
 
+    def _log_assessments(self) -> None:
+        """Log what each crash counts against, once and whenever more is cleared."""
+        for each in self._evidence.assess():
+            run = each.case.crash.run
+            if self._logged.get(run) == each.cleared:
+                continue
+            self._logged[run] = each.cleared
+            _log.write(
+                "Crash weighed.",
+                replica=run.replica,
+                counts=each.counts,
+                has_common_cause=each.has_common_cause,
+                prime_suspects=[one.fingerprint for one in each.case.suspects],
+                cleared=list(each.cleared),
+                weight=each.case.weight,
+                age_s=round(self._timers.now() - each.case.crash.at, 3),
+            )
+        while len(self._logged) > MAX_LOGGED:
+            self._logged.popitem(last=False)
+
     def _blame(self, signature: Signature) -> None:
         known = self._verdicts.get(signature)
         is_blamed = known is not None and known.verdict.state is VerdictState.BLAMED
