Split crash_blame: admission, reports of crashes, reports of output

Each has a module now, and the calls to the judge, which stood three times, are one (judge_client). CrashBlame is what relaying a request uses of them. The parts are built in one place, which the tests use as well.

--- a/boragedeck/process/relaying/crashes/crash_composition.py
+++ b/boragedeck/process/relaying/crashes/crash_composition.py
@@ -2,20 +2,47 @@
 
 import random
 
+import msgspec
+
 from boragedeck.connection.peer import PeerLinks, PeerServer
 from boragedeck.interfaces import FactBoard
-from boragedeck.process.relaying.crashes.crash_blame import CrashBlame, PathKnowledge
+from boragedeck.process.relaying.crashes.crash_admission import CrashAdmission
+from boragedeck.process.relaying.crashes.crash_blame import CrashBlame
 from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
+from boragedeck.process.relaying.crashes.crash_reports import (
+    CrashReports,
+    PathKnowledge,
+)
 from boragedeck.process.relaying.crashes.crash_verdicts import CrashVerdicts
+from boragedeck.process.relaying.crashes.judge_client import JudgeClient
+from boragedeck.process.relaying.crashes.output_reports import OutputReports
 from boragedeck.process.relaying.fleet.task_owners import TaskOwners
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replicas.registry import ReplicaRegistry
 from boragedeck.process.timers import TimerService
 
-__all__ = ["make_crash_blame"]
+__all__ = ["CrashParts", "make_crash_parts"]
+
+
+class CrashParts(msgspec.Struct, frozen=True):
+    """The parts of a router that find out which requests crash replicas.
+
+    Parameters
+    ----------
+    blame : CrashBlame
+        What relaying a request uses.
+    verdicts : CrashVerdicts
+        The verdicts in force.
+    judge : CrashJudge
+        Judges, if this router is the judge.
+    """
+
+    blame: CrashBlame
+    verdicts: CrashVerdicts
+    judge: CrashJudge
 
 
-def make_crash_blame(
+def make_crash_parts(
     timers: TimerService,
     rng: random.Random,
     registry: ReplicaRegistry,
@@ -25,7 +52,7 @@
     board: FactBoard,
     metrics: RelayMetrics,
     paths: PathKnowledge | None = None,
-) -> CrashBlame:
+) -> CrashParts:
     """Return what this router knows of crashes, with its own judge.
 
     Parameters
@@ -37,14 +64,11 @@
     """
     verdicts = CrashVerdicts(timers, board)
     judge = CrashJudge(timers, verdicts, server, metrics)
-    return CrashBlame(
-        timers,
-        owners,
-        links,
-        judge,
-        verdicts,
-        registry.versions,
-        metrics,
-        rng,
-        paths,
+    client = JudgeClient(owners, links, judge)
+    blame = CrashBlame(
+        CrashAdmission(timers, client, verdicts),
+        CrashReports(timers, client, registry.versions, metrics, paths),
+        OutputReports(timers, client, verdicts, rng),
+        verdicts.on_blamed,
     )
+    return CrashParts(blame, verdicts, judge)
--- a/boragedeck/process/relaying/relay_composition.py
+++ b/boragedeck/process/relaying/relay_composition.py
@@ -11,7 +11,7 @@
 from boragedeck.platform.rollout_status import PlatformRolloutBoard
 from boragedeck.platform.routing import ROLLOUT_PREFIX, decode_rollout
 from boragedeck.platform.store import PlatformStore
-from boragedeck.process.relaying.crashes.crash_composition import make_crash_blame
+from boragedeck.process.relaying.crashes.crash_composition import make_crash_parts
 from boragedeck.process.relaying.draining import DrainPeriod
 from boragedeck.process.relaying.fleet.peer_composition import Peers
 from boragedeck.process.relaying.limits.limit_composition import (
@@ -198,7 +198,9 @@
             durations=RequestDurations(),
             pace=self._pace,
             speeds=self._speeds,
-            crash_blame=make_crash_blame(self._timers, self._rng, *shared, self._paths),
+            crash_blame=make_crash_parts(
+                self._timers, self._rng, *shared, self._paths
+            ).blame,
             metrics=self._metrics,
             time_left=drain_period.time_left,
             open_requests=OpenRequests(),
--- a/boragedeck/request/relay_job.py
+++ b/boragedeck/request/relay_job.py
@@ -3,7 +3,7 @@
 from boragedeck.connection.caller_channel import CallerChannel
 from boragedeck.exceptions import RefusedError, UpstreamAnswerTooLargeError
 from boragedeck.ids import OrganisationName, PoolName
-from boragedeck.process.relaying.crashes.crash_blame import fingerprint_of
+from boragedeck.process.relaying.crashes.crash_identity import fingerprint_of
 from boragedeck.process.relaying.crashes.crash_verdicts import RequestTraits
 from boragedeck.process.relaying.placing.place import AdmissionRequest, Place
 from boragedeck.process.relaying.relay_metrics import OrderCheck
--- a/boragedeck/request/silence_verdict.py
+++ b/boragedeck/request/silence_verdict.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from boragedeck.interfaces import Outcome
-from boragedeck.process.relaying.crashes.crash_blame import SILENT_CONFIRM_S
+from boragedeck.process.relaying.crashes.crash_reports import SILENT_CONFIRM_S
 from boragedeck.process.relaying.placing.place import Place
 from boragedeck.request.relay_attempt import CONNECT_TIMEOUT_S, probe
 from boragedeck.request.relay_job import RelayJob
--- a/tests/process/relaying/crashes/test_crash_blame.py
+++ b/tests/process/relaying/crashes/test_crash_blame.py
@@ -5,18 +5,14 @@
 import msgspec
 from prometheus_client import CollectorRegistry
 
-from boragedeck.process.relaying.crashes.crash_blame import (
-    JUDGE_TASK,
-    CrashBlame,
-    fingerprint_of,
-)
-from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
+from boragedeck.process.relaying.crashes.crash_composition import make_crash_parts
+from boragedeck.process.relaying.crashes.crash_identity import fingerprint_of
 from boragedeck.process.relaying.crashes.crash_messages import CrashSuspect
 from boragedeck.process.relaying.crashes.crash_verdicts import (
     BLAME_TTL_S,
-    CrashVerdicts,
     RequestTraits,
 )
+from boragedeck.process.relaying.crashes.judge_client import JUDGE_TASK
 from boragedeck.process.relaying.fleet.fleet_size import FleetSize
 from boragedeck.process.relaying.fleet.hubs import Hubs
 from boragedeck.process.relaying.fleet.task_owners import TaskOwners
@@ -44,6 +40,14 @@
         return super().publish(*args, **kwargs)
 
 
+class OneVersion:
+    """The part of a replica registry that crash reports use."""
+
+    def versions(self, pool):
+        """See `ReplicaRegistry.versions`."""
+        return {"v1"}
+
+
 def traits(request):
     return RequestTraits("p", request)
 
@@ -55,7 +59,7 @@
         CountedFacts.published = 0
         self.timers, self.net = ManualTimers(), Network()
         names = [f"r{number}" for number in range(self.routers)]
-        shared = {}
+        shared, self.owners = {}, []
         self.blames = [self.make_blame(name, names, shared) for name in names]
         self.here, self.there = self.blames[0], self.blames[-1]
 
@@ -63,19 +67,17 @@
         members = Members(names, name, DOMAINS)
         size = FleetSize(self.timers, members.routers)
         owners = TaskOwners(self.timers, members, Hubs(self.timers, members), size)
-        verdicts = CrashVerdicts(self.timers, CountedFacts(name, shared))
-        metrics = RelayMetrics(CollectorRegistry())
-        judge = CrashJudge(self.timers, verdicts, Server(self.net, name), metrics)
-        return CrashBlame(
+        self.owners.append(owners)
+        return make_crash_parts(
             self.timers,
+            random.Random(1),
+            OneVersion(),
             owners,
             self.net,
-            judge,
-            verdicts,
-            lambda pool: {"v1"},
-            metrics,
-            random.Random(1),
-        )
+            Server(self.net, name),
+            CountedFacts(name, shared),
+            RelayMetrics(CollectorRegistry()),
+        ).blame
 
     def advance(self, seconds):
         for _ in range(round(seconds / 0.1)):
@@ -151,14 +153,14 @@
         self.assertTrue(self.there.is_blamed(traits("bad")))
 
     def test_crashes_are_reported_again_to_a_judge_that_has_restarted(self):
-        owners = self.here._owners
-        judge = owners.owner_of(JUDGE_TASK)
+        judge = self.owners[0].owner_of(JUDGE_TASK)
         names = [f"r{number}" for number in range(self.routers)]
-        blame = self.blames[1 - names.index(judge.router)]
+        reporter = 1 - names.index(judge.router)
+        blame = self.blames[reporter]
         self.crash("one", blame=blame)
         self.assertEqual(self.net.sent["ReportCrash"], 1)
         restarted = msgspec.structs.replace(judge, router="restarted")
-        blame._owners.owner_of = lambda task: restarted
+        self.owners[reporter].owner_of = lambda task: restarted
         self.advance(5.0)
         self.assertEqual(self.net.sent["ReportCrash"], 2)
 
--- a/tests/request/test_silent_replicas.py
+++ b/tests/request/test_silent_replicas.py
@@ -6,7 +6,7 @@
 from eventlet.event import Event
 
 from boragedeck.interfaces import Outcome
-from boragedeck.process.relaying.crashes.crash_blame import SILENT_CONFIRM_S
+from boragedeck.process.relaying.crashes.crash_reports import SILENT_CONFIRM_S
 from boragedeck.version.routing import CallKind, RelayPool
 from tests.support.replicas import (
     ENGINE,
--- a/tests/support/crash_fleet.py
+++ b/tests/support/crash_fleet.py
@@ -9,12 +9,9 @@
 
 from boragedeck.connection.messages import FactTopic
 from boragedeck.interfaces import Member
-from boragedeck.process.relaying.crashes.crash_blame import JUDGE_TASK, CrashBlame
-from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
-from boragedeck.process.relaying.crashes.crash_verdicts import (
-    CrashVerdicts,
-    RequestTraits,
-)
+from boragedeck.process.relaying.crashes.crash_composition import make_crash_parts
+from boragedeck.process.relaying.crashes.crash_verdicts import RequestTraits
+from boragedeck.process.relaying.crashes.judge_client import JUDGE_TASK
 from boragedeck.process.relaying.fleet.fleet_size import FleetSize
 from boragedeck.process.relaying.fleet.hubs import Hubs
 from boragedeck.process.relaying.fleet.task_owners import TaskOwners
@@ -99,6 +96,17 @@
                 callback(fact)
 
 
+class FixedVersions:
+    """The part of a replica registry that crash reports use."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+
+    def versions(self, pool):
+        """See `ReplicaRegistry.versions`."""
+        return self._fleet.versions
+
+
 class CrashRouter:
     """The parts of one router that find out which requests crash replicas."""
 
@@ -114,18 +122,17 @@
         peer = FleetPeer(fleet.net, self.name)
         size = FleetSize(timers, self.members.routers)
         self.owners = TaskOwners(timers, self.members, Hubs(timers, self.members), size)
-        self.verdicts = CrashVerdicts(timers, self.board)
-        judge = CrashJudge(timers, self.verdicts, peer, self.metrics)
-        self.blame = CrashBlame(
+        parts = make_crash_parts(
             timers,
+            random.Random(self.name),
+            FixedVersions(fleet),
             self.owners,
             peer,
-            judge,
-            self.verdicts,
-            lambda pool: fleet.versions,
+            peer,
+            self.board,
             self.metrics,
-            random.Random(self.name),
         )
+        self.verdicts, self.blame = parts.verdicts, parts.blame
 
     def state(self, engine):
         """Return the state of an engine as this router knows it."""
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -18,7 +18,7 @@
 from boragedeck.platform.callers import decode_request, refusal_headers
 from boragedeck.platform.replica_protocol import HttpReplicaProtocol
 from boragedeck.platform.routing import decode_rollout
-from boragedeck.process.relaying.crashes.crash_composition import make_crash_blame
+from boragedeck.process.relaying.crashes.crash_composition import make_crash_parts
 from boragedeck.process.relaying.fleet.fleet_size import FleetSize
 from boragedeck.process.relaying.fleet.hubs import Hubs
 from boragedeck.process.relaying.fleet.task_owners import TaskOwners
@@ -400,7 +400,7 @@
 
 def single_router_blame(timers, registry, board, metrics, paths=None):
     """Return the crash blame of a router that is alone, and the judge itself."""
-    return make_crash_blame(
+    return make_crash_parts(
         timers,
         random.Random(6),
         registry,
@@ -410,7 +410,7 @@
         board,
         metrics,
         paths,
-    )
+    ).blame
 
 
 class RelayHarness:
