Keep what is known of requests that crash replicas in the platform's store

What callers saw: a request that was refused as it crashes replicas crashed more of them once all routers had been killed, with the requests that these ran: three or four each time, without end.

Cause: crashes, verdicts and the times of trials lived in the routers' processes.

Change: the judge keeps one row (table 'crashes'): the verdicts that blame, with their trials and times, and the crashes that count with the suspects that nothing has cleared. It writes 0.3 s after a crash, at most once a second, and at once after a verdict; never if only time has passed. Each write names the version that it replaces; after a conflict, or if the outcome isn't known, the row is read and joined first. A new judge compares it with what all routers know. Each router reads it when it starts, and callers wait for that as they do for the first table (0.3 s at most). A restored store gets it again. Times are Unix times. Also cleared: a verdict restored from the row has its age, so trials come when they would have.

--- a/boragedeck/connection/store.py
+++ b/boragedeck/connection/store.py
@@ -47,6 +47,8 @@
 
     CONFIG = "config"
     """The newest configuration and its revision."""
+    CRASHES = "crashes"
+    """What the routers have found out about requests that crash replicas."""
     HISTORY = "history"
     """One row for each accepted change of the configuration."""
     INTENTS = "intents"
--- a/boragedeck/process/relaying/composition.py
+++ b/boragedeck/process/relaying/composition.py
@@ -44,8 +44,8 @@
 
 ROUTER_ID_BYTES = 4
 FIRST_TABLE_TIMEOUT_S = 0.3
-"""How long after the start callers wait for a first table; without one, they are then
-refused."""
+"""How long after the start callers wait for a first table and for what was known of
+requests that crash replicas; without a table, they are then refused."""
 FIRST_TABLE_POLL_S = 0.01
 EXPIRE_INTERVAL_S = 1.0
 
@@ -152,6 +152,7 @@
         self._membership.start()
         self._relaying.loads.start()
         self._relaying.rollouts.start()
+        self._relaying.crash_store.start()
         self.timers.subscribe(EXPIRE_INTERVAL_S, self._relaying.upstreams.expire)
         eventlet.spawn_n(self._forward_edge.serve)
         eventlet.spawn_n(self._serve_callers)
@@ -161,12 +162,15 @@
         serve_operators(self._metrics_listener, operators_app)
 
     def _serve_callers(self) -> None:
-        """Accept callers once there is a table, which mostly arrives at once."""
+        """Accept callers once all is read, which mostly arrives at once."""
         until = self.timers.now() + FIRST_TABLE_TIMEOUT_S
-        while not self.is_ready() and self.timers.now() < until:
+        while not self._has_read_all() and self.timers.now() < until:
             self.timers.sleep(FIRST_TABLE_POLL_S)
         self._edge.serve()
 
+    def _has_read_all(self) -> bool:
+        return self.is_ready() and self._relaying.crash_store.has_read
+
     def is_ready(self) -> bool:
         """Return whether the platform should send callers here."""
         has_table = self._routing.current().version > 0
--- a/boragedeck/process/relaying/crashes/crash_composition.py
+++ b/boragedeck/process/relaying/crashes/crash_composition.py
@@ -5,14 +5,18 @@
 import msgspec
 
 from boragedeck.connection.peer import PeerLinks, PeerServer
+from boragedeck.connection.store import TableStore
 from boragedeck.interfaces import FactBoard
 from boragedeck.process.relaying.crashes.crash_admission import CrashAdmission
 from boragedeck.process.relaying.crashes.crash_blame import CrashBlame
+from boragedeck.process.relaying.crashes.crash_evidence import CrashEvidence
 from boragedeck.process.relaying.crashes.crash_judge import CrashJudge
+from boragedeck.process.relaying.crashes.crash_memory import CrashMemory
 from boragedeck.process.relaying.crashes.crash_reports import (
     CrashReports,
     PathKnowledge,
 )
+from boragedeck.process.relaying.crashes.crash_store import CrashStore
 from boragedeck.process.relaying.crashes.crash_verdicts import CrashVerdicts
 from boragedeck.process.relaying.crashes.judge_client import JudgeClient
 from boragedeck.process.relaying.crashes.output_reports import OutputReports
@@ -35,11 +39,14 @@
         The verdicts in force.
     judge : CrashJudge
         Judges, if this router is the judge.
+    store : CrashStore or None
+        Keeps what the judge knows; None without a store.
     """
 
     blame: CrashBlame
     verdicts: CrashVerdicts
     judge: CrashJudge
+    store: CrashStore | None
 
 
 def make_crash_parts(
@@ -52,6 +59,7 @@
     board: FactBoard,
     metrics: RelayMetrics,
     paths: PathKnowledge | None = None,
+    store: TableStore | None = None,
 ) -> CrashParts:
     """Return what this router knows of crashes, with its own judge.
 
@@ -61,9 +69,12 @@
         Parts of the router.
     paths : PathKnowledge, optional
         Tells a lost replica from a lost path to it.
+    store : TableStore, optional
+        The platform's store; without it, what is known ends with the routers.
     """
     verdicts = CrashVerdicts(timers, board)
-    judge = CrashJudge(timers, verdicts, server, metrics)
+    evidence = CrashEvidence(timers)
+    judge = CrashJudge(timers, evidence, verdicts, server, metrics)
     client = JudgeClient(owners, links, judge)
     blame = CrashBlame(
         CrashAdmission(timers, client, verdicts),
@@ -71,4 +82,6 @@
         OutputReports(timers, client, verdicts, rng),
         verdicts.on_blamed,
     )
-    return CrashParts(blame, verdicts, judge)
+    memory = CrashMemory(timers, evidence, verdicts)
+    keeper = store and CrashStore(timers, rng, store, memory, judge, client)
+    return CrashParts(blame, verdicts, judge, keeper)
--- a/boragedeck/process/relaying/crashes/crash_evidence.py
+++ b/boragedeck/process/relaying/crashes/crash_evidence.py
@@ -106,6 +106,10 @@
         for suspect in report.suspects:
             _add_suspect(crash, suspect)
 
+    def restore(self, crash: Crash) -> None:
+        """Add a crash that was stored, unless it is known."""
+        self._crashes.setdefault(crash.run, crash)
+
     def note_sound(self, signature: Signature, age_s: float) -> None:
         """Record lasting output of a request with a signature."""
         at = self._timers.now() - age_s
--- a/boragedeck/process/relaying/crashes/crash_judge.py
+++ b/boragedeck/process/relaying/crashes/crash_judge.py
@@ -1,12 +1,14 @@
 """Judges for all routers which requests crash replicas.
 
 One router is the judge, so that the crashes under requests that came to different
-routers count together. Its evidence is soft state: when another router becomes the
-judge, the routers report their crashes of the last minute to it again.
+routers count together. When another router becomes the judge, the routers report their
+crashes of the last minute to it again; if all routers end, their successors take over
+what the platform's store has (`crash_store`).
 """
 
 import math
 from collections import OrderedDict
+from collections.abc import Callable
 
 from boragedeck.connection.messages import Accepted
 from boragedeck.connection.peer import PeerServer
@@ -57,17 +59,26 @@
     ----------
     timers : TimerService
         The source of time.
+    evidence : CrashEvidence
+        The crashes that were reported.
     verdicts : CrashVerdicts
         The verdicts in force, also those of other judges.
     server : PeerServer
         Receives the reports of other routers.
     metrics : RelayMetrics
         Counts crashes and verdicts.
+
+    Attributes
+    ----------
+    on_crash, on_verdict : callable
+        Called when a crash was counted, and when another signature is blamed or one
+        isn't any more.
     """
 
     def __init__(
         self,
         timers: TimerService,
+        evidence: CrashEvidence,
         verdicts: CrashVerdicts,
         server: PeerServer,
         metrics: RelayMetrics,
@@ -75,8 +86,10 @@
         self._timers = timers
         self._verdicts = verdicts
         self._metrics = metrics
-        self._evidence = CrashEvidence(timers)
+        self._evidence = evidence
         self._is_review_due = False
+        self.on_crash: Callable[[], None] = _ignore
+        self.on_verdict: Callable[[], None] = _ignore
         self._logged: OrderedDict[Run, tuple[str, ...]] = OrderedDict()
         # When the last trial of a signature was granted.
         self._trial_granted_at: dict[Signature, float] = {}
@@ -98,7 +111,8 @@
         )
         if not self._is_review_due:
             self._is_review_due = True
-            self._timers.call_later(REVIEW_DELAY_S, self._review)
+            self._timers.call_later(REVIEW_DELAY_S, self.review)
+        self.on_crash()
         return Accepted()
 
     def note_sound(self, report: ReportSound) -> Accepted:
@@ -141,7 +155,8 @@
             for each in single_signatures(signature)
         )
 
-    def _review(self) -> None:
+    def review(self) -> None:
+        """Decide by the crashes that count, and publish what changes."""
         self._is_review_due = False
         self._log_assessments()
         blamed = self._evidence.blamed()
@@ -180,7 +195,7 @@
             return
         wait_s = max(map(self._suspect, single_signatures(signature)))
         if wait_s > 0.0:
-            self._timers.call_later(wait_s, self._review)
+            self._timers.call_later(wait_s, self.review)
         else:
             self._publish(signature, VerdictState.BLAMED, 0, TRIAL_AFTER_S[0])
 
@@ -236,7 +251,11 @@
             trial_after_s=after_s,
         )
         self._metrics.crash_verdicts.labels(state.value).inc()
+        known = self._verdicts.get(signature)
+        was_blamed = known is not None and known.verdict.state is VerdictState.BLAMED
         self._verdicts.publish(CrashVerdict(signature, state, trials, after_s))
+        if was_blamed or state is VerdictState.BLAMED:
+            self.on_verdict()
 
     def _forget_old_trials(self, now: float) -> None:
         for signature, at in list(self._trial_granted_at.items()):
@@ -244,6 +263,10 @@
                 del self._trial_granted_at[signature]
 
 
+def _ignore() -> None:
+    """Do nothing; the default of the callbacks."""
+
+
 def _have_common_part(first: Signature, second: Signature) -> bool:
     """Return whether a part, or the request, is the same in two signatures."""
     return not set(single_signatures(first)).isdisjoint(single_signatures(second))
--- a/boragedeck/process/relaying/crashes/crash_messages.py
+++ b/boragedeck/process/relaying/crashes/crash_messages.py
@@ -162,10 +162,13 @@
     trials : int
         Number of trials that crashed a replica.
     trial_after_s : float
-        Seconds after the publication from which the next trial may be sent.
+        Seconds after the decision from which the next trial may be sent.
+    age_s : float
+        Seconds from the decision to the publication.
     """
 
     signature: Signature
     state: VerdictState
     trials: int = 0
     trial_after_s: float = 0.0
+    age_s: float = 0.0
--- a/boragedeck/process/relaying/crashes/crash_verdicts.py
+++ b/boragedeck/process/relaying/crashes/crash_verdicts.py
@@ -71,9 +71,11 @@
             self._on_fact(fact)
 
     def publish(self, verdict: CrashVerdict) -> None:
-        """Publish a verdict of this router as the judge."""
+        """Publish a verdict, unless it has expired."""
         body = msgspec.msgpack.encode(verdict)
-        ttl_s = _ttl_s(verdict.state)
+        ttl_s = _ttl_s(verdict.state) - verdict.age_s
+        if ttl_s <= 0.0:
+            return
         key = _fact_key(verdict.signature)
         self._board.publish(FactTopic.CRASH, key, body, ttl_s=ttl_s)
 
@@ -121,7 +123,7 @@
                 error=str(exc),
             )
             return
-        age_s = self._board.age_s(fact)
+        age_s = self._board.age_s(fact) + verdict.age_s
         decided_at = self._timers.now() - age_s
         before = self._known.get(verdict.signature)
         if age_s > BLAME_TTL_S or (before and before.decided_at > decided_at):
--- a/boragedeck/process/relaying/crashes/judge_client.py
+++ b/boragedeck/process/relaying/crashes/judge_client.py
@@ -52,6 +52,10 @@
         """Return whether this router is the judge."""
         return self.judge() == self._owners.own.router
 
+    def may_become_judge(self) -> bool:
+        """Return whether this router is among those from which the judge is chosen."""
+        return self._owners.is_candidate()
+
     def report_crash(self, report: ReportCrash) -> RouterId | None:
         """Report a crash; return the judge that has accepted it, or None."""
         owner = self._owners.owner_of(JUDGE_TASK)
--- a/boragedeck/process/relaying/fleet/task_owners.py
+++ b/boragedeck/process/relaying/fleet/task_owners.py
@@ -69,6 +69,11 @@
         able = [each for each in self._candidates if each.router not in unable]
         return rank(task, able or [self.own], _router_id)[0]
 
+    def is_candidate(self) -> bool:
+        """Return whether this router may be the owner of a task."""
+        self._refresh()
+        return self.own in self._candidates
+
     def reachable_share(self) -> float:
         """See `fleet_size.reachable_share`."""
         self._refresh()
--- a/boragedeck/process/relaying/relay_composition.py
+++ b/boragedeck/process/relaying/relay_composition.py
@@ -59,7 +59,7 @@
     rng : random.Random
         The random number generator.
     store : PlatformStore
-        Where rollouts are reported.
+        Where rollouts are reported, and what is known of crashes is kept.
     peers : Peers
         The other routers.
     tables : MirroredTables
@@ -77,6 +77,8 @@
         The rollouts of versions.
     loads : LoadExchange
         What the routers tell each other of their loads.
+    crash_store : CrashStore
+        What is known of requests that crash replicas, in the platform's store.
     parts : RelayComponents
         What relaying a request uses.
     """
@@ -93,13 +95,14 @@
         drain_period: DrainPeriod,
     ):
         self._source = source
+        self._store = store
         self._timers = timers
         self._rng = rng
         self._peers = peers
         self._tables = tables
         self._metrics = metrics
         self._make_replicas()
-        self.rollouts = self._make_rollouts(store)
+        self.rollouts = self._make_rollouts()
         self._make_paths()
         admission = self._make_admission()
         self.parts = self._make_parts(admission, drain_period)
@@ -115,14 +118,14 @@
             lambda: self._source.current().heartbeat_s,
         )
 
-    def _make_rollouts(self, store: PlatformStore) -> RelayRollouts:
+    def _make_rollouts(self) -> RelayRollouts:
         return RelayRollouts(
             self._timers,
             self._rng,
             self._tables.routing,
             ROLLOUT_PREFIX,
             decode_rollout,
-            PlatformRolloutBoard(store),
+            PlatformRolloutBoard(self._store),
             self._peers.board,
             self._source.bounds,
             self._replicas_of,
@@ -175,6 +178,11 @@
         shared = self._registry, owners, links, server, board, self._metrics
         limits = make_limits(self._timers, *shared)
         brittle = make_brittle(self._timers, *shared)
+        crashes = make_crash_parts(
+            self._timers, self._rng, *shared, self._paths, self._store
+        )
+        self.crash_store = crashes.store
+        self._tables.routing.subscribe_restored(crashes.store.note_restored)
         notices = ReplicaNotices(
             self._registry, board, self.upstreams, limits, brittle, self._metrics
         )
@@ -198,9 +206,7 @@
             durations=RequestDurations(),
             pace=self._pace,
             speeds=self._speeds,
-            crash_blame=make_crash_parts(
-                self._timers, self._rng, *shared, self._paths
-            ).blame,
+            crash_blame=crashes.blame,
             metrics=self._metrics,
             time_left=drain_period.time_left,
             open_requests=OpenRequests(),
--- a/tests/process/relaying/crashes/test_crash_blame.py
+++ b/tests/process/relaying/crashes/test_crash_blame.py
@@ -19,6 +19,7 @@
 from boragedeck.process.timers import ManualTimers
 from tests.process.relaying.loads.test_load_exchange import Members, Network, Server
 from tests.process.relaying.placing.test_admission import replica
+from tests.support.crash_fleet import PoolVersions
 from tests.support.replicas import FakeFactBoard
 
 DOMAINS = 5
@@ -37,14 +38,6 @@
         return super().publish(*args, **kwargs)
 
 
-class OneVersion:
-    """The part of a replica registry that crash reports use."""
-
-    def versions(self, pool):
-        """See `ReplicaRegistry.versions`."""
-        return {"v1"}
-
-
 def traits(request):
     return RequestTraits("p", request)
 
@@ -68,7 +61,7 @@
         return make_crash_parts(
             self.timers,
             random.Random(1),
-            OneVersion(),
+            PoolVersions(),
             owners,
             self.net,
             Server(self.net, name),
--- a/tests/support/crash_fleet.py
+++ b/tests/support/crash_fleet.py
@@ -6,8 +6,10 @@
 import eventlet
 import msgspec
 from prometheus_client import CollectorRegistry
+from result import Err
 
 from boragedeck.connection.messages import FactTopic
+from boragedeck.exceptions import StoreUnavailableError
 from boragedeck.interfaces import Member
 from boragedeck.process.relaying.crashes.crash_composition import make_crash_parts
 from boragedeck.process.relaying.crashes.crash_identity import RequestTraits
@@ -19,6 +21,7 @@
 from boragedeck.process.relaying.replicas.replica_state import ReplicaState
 from boragedeck.process.timers import ManualTimers
 from boragedeck.request.answer_progress import AnswerProgress
+from standins.memory import MemoryPlatform
 from tests.process.relaying.placing.test_admission import replica
 from tests.support.limited_fleet import (
     GOSSIP_DELAY_S,
@@ -96,15 +99,34 @@
                 callback(fact)
 
 
-class FixedVersions:
+class PoolVersions:
     """The part of a replica registry that crash reports use."""
 
-    def __init__(self, fleet):
-        self._fleet = fleet
+    def __init__(self, current=lambda: {"v1"}):
+        self._current = current
 
     def versions(self, pool):
         """See `ReplicaRegistry.versions`."""
-        return self._fleet.versions
+        return self._current()
+
+
+class RouterStore:
+    """The platform's store as one router reaches it, which may have been killed."""
+
+    def __init__(self, store):
+        self._store = store
+        self.is_killed = False
+
+    def get(self, table, key):
+        """See `TableStore.get`."""
+        return self._lost() if self.is_killed else self._store.get(table, key)
+
+    def commit(self, writes):
+        """See `TableStore.commit`."""
+        return self._lost() if self.is_killed else self._store.commit(writes)
+
+    def _lost(self):
+        return Err(StoreUnavailableError("the router was killed"))
 
 
 class CrashRouter:
@@ -122,17 +144,20 @@
         peer = FleetPeer(fleet.net, self.name)
         size = FleetSize(timers, self.members.routers)
         self.owners = TaskOwners(timers, self.members, Hubs(timers, self.members), size)
+        self.platform = RouterStore(fleet.store)
         parts = make_crash_parts(
             timers,
             random.Random(self.name),
-            FixedVersions(fleet),
+            PoolVersions(lambda: fleet.versions),
             self.owners,
             peer,
             peer,
             self.board,
             self.metrics,
+            store=self.platform,
         )
         self.verdicts, self.blame = parts.verdicts, parts.blame
+        parts.store.start()
 
     def state(self, engine):
         """Return the state of an engine as this router knows it."""
@@ -155,7 +180,7 @@
             fleet.refused.append(req)
             return
         lost_at_begin = 0
-        for attempt in range(MAX_ATTEMPTS):
+        for attempt in range(fleet.max_attempts):
             engine = fleet.choose_engine()
             if engine is None:
                 break
@@ -234,13 +259,17 @@
         Time, router and request of each attempt.
     crashes : list of Engine
         The engines that crashed under a request.
+    store : MemoryPlatform
+        The platform's store.
     """
 
     def __init__(self, routers=9, engines=24, seed=1):
         self.timers = ManualTimers()
+        self.store = MemoryPlatform(self.timers.sleep)
         self.net = FleetNetwork(self.timers)
         self.rng = random.Random(seed)
         self.read_s = READ_S
+        self.max_attempts = MAX_ATTEMPTS
         self.uses_parts = self.sees_begin = self.withdraws = True
         self.versions = {"v1"}
         self.deadly, self.deadly_requests = set(), set()
@@ -249,6 +278,7 @@
         self.begun_first, self.sent, self.crashes = [], [], []
         self._numbers = itertools.count()
         self._names = itertools.count()
+        self._router_numbers = itertools.count()
         self.engines = [self._engine(f"d{n % DOMAINS}") for n in range(engines)]
         self.routers = []
         for _ in range(routers):
@@ -256,10 +286,24 @@
 
     def start_router(self):
         """Start another router."""
-        router = CrashRouter(self, len(self.routers))
+        router = CrashRouter(self, next(self._router_numbers))
         self.routers.append(router)
         return router
 
+    def kill(self, *routers):
+        """Kill routers, with all that they know."""
+        for router in routers:
+            router.platform.is_killed = True
+            self.net.cut.add(router.name)
+            self.routers.remove(router)
+
+    def restart(self, *routers, after_s=0.5):
+        """Kill routers, and start others in their places."""
+        self.kill(*routers)
+        self.run(after_s)
+        for _ in routers:
+            self.start_router()
+
     def judge(self):
         """Return the router that judges crashes, as the first one sees it."""
         return self.router(self.routers[0].owners.owner_of(JUDGE_TASK).router)
@@ -340,4 +384,11 @@
     return fact.topic is FactTopic.CRASH
 
 
-__all__ = ["GOSSIP_DELAY_S", "POOL", "CrashFleet", "Req", "is_verdict"]
+__all__ = [
+    "GOSSIP_DELAY_S",
+    "POOL",
+    "CrashFleet",
+    "PoolVersions",
+    "Req",
+    "is_verdict",
+]
