Count a trial when it is granted

What callers saw: a request that is refused as it crashes replicas was sent as a trial again after each kill of all routers, and by each new judge, if the last one ended before it had weighed the trial's crash: 5 late retries in 90 s with a kill 0.3 s after each (3 are allowed), 8 on.

Cause: a trial counted by its crash. That it had been granted was in one process.

Change: CrashTrials grants: the verdict is published and written with one trial more before the request is sent. It is due again if nothing is heard of it for 15 s. A crash under a blamed signature publishes the verdict anew, so the wait counts from there, and a judge that was replaced doesn't return the trial. A judge that doesn't know the verdict denies.

--- a/boragedeck/process/relaying/crashes/crash_judge.py
+++ b/boragedeck/process/relaying/crashes/crash_judge.py
@@ -24,8 +24,11 @@
     VerdictState,
     single_signatures,
 )
+from boragedeck.process.relaying.crashes.crash_trials import (
+    CrashTrials,
+    trial_after_s,
+)
 from boragedeck.process.relaying.crashes.crash_verdicts import (
-    BLAME_TTL_S,
     CrashVerdicts,
     KnownVerdict,
 )
@@ -33,17 +36,12 @@
 from boragedeck.process.relaying.replicas.replica_state import Run
 from boragedeck.process.timers import TimerService
 
-__all__ = ["TRIAL_AFTER_S", "TRIAL_TIMEOUT_S", "CrashJudge"]
+__all__ = ["CrashJudge"]
 
 REVIEW_DELAY_S = GATHER_S + 0.01
 MIN_SUSPECTED_S = 0.6
 """How long after a suspicion was published routers may report output that clears it,
 before it can become blame."""
-TRIAL_AFTER_S = (30.0, 120.0, 480.0)
-"""How long after a verdict one request is sent as a trial, by how many trials have
-crashed a replica. After the last one the verdict holds until it expires."""
-TRIAL_TIMEOUT_S = 15.0
-"""How long after a trial was granted the next one is, if nothing was heard of it."""
 MAX_LOGGED = 256
 """Maximum number of crashes of which it is remembered how they were logged."""
 MAX_SUSPECTED = 64
@@ -91,8 +89,7 @@
         self.on_crash: Callable[[], None] = _ignore
         self.on_verdict: Callable[[], None] = _ignore
         self._logged: OrderedDict[Run, tuple[str, ...]] = OrderedDict()
-        # When the last trial of a signature was granted.
-        self._trial_granted_at: dict[Signature, float] = {}
+        self._trials = CrashTrials(timers, verdicts, self._publish_blame)
         server.register(ReportCrash, self.note_crash)
         server.register(ReportSound, self.note_sound)
         server.register(AskTrial, self.decide_trial)
@@ -127,22 +124,7 @@
 
     def decide_trial(self, request: AskTrial) -> TrialDecision:
         """Grant one trial at a time, and none before it is due."""
-        signature, now = request.signature, self._timers.now()
-        known = self._verdicts.get(signature)
-        is_due = known is None or known.trial_at <= now
-        granted_at = self._trial_granted_at.get(signature, float("-inf"))
-        is_granted = is_due and now - granted_at >= TRIAL_TIMEOUT_S
-        if is_granted:
-            self._trial_granted_at[signature] = now
-        self._forget_old_trials(now)
-        _log.write(
-            "Trial granted." if is_granted else "Trial denied.",
-            pool=signature.pool,
-            fingerprint=signature.fingerprint,
-            shared_parts=list(signature.parts),
-            is_due=is_due,
-        )
-        return TrialDecision(is_granted)
+        return TrialDecision(self._trials.grant(request.signature))
 
     def _is_sound(self, known: KnownVerdict) -> bool:
         """Return whether all that is blamed had output since the last crash."""
@@ -197,7 +179,7 @@
         if wait_s > 0.0:
             self._timers.call_later(wait_s, self.review)
         else:
-            self._publish(signature, VerdictState.BLAMED, 0, TRIAL_AFTER_S[0])
+            self._blame_for(signature, 0)
 
     def _suspect(self, signature: Signature) -> float:
         """Publish a suspicion unless it is known; return how long to wait for output.
@@ -213,13 +195,19 @@
         return known.decided_at + MIN_SUSPECTED_S - self._timers.now()
 
     def _renew(self, known: KnownVerdict) -> None:
-        """Blame a signature for longer if a trial has crashed a replica."""
-        signature = known.verdict.signature
-        if self._evidence.last_crash_at(signature) <= known.trial_at:
+        """Blame a signature anew if a replica has crashed under it since."""
+        signature, trials = known.verdict.signature, known.verdict.trials
+        crashed_at = self._evidence.last_crash_at(signature)
+        if crashed_at <= known.decided_at:
             return
-        trials = known.verdict.trials + 1
-        is_last = trials >= len(TRIAL_AFTER_S)
-        after_s = BLAME_TTL_S if is_last else TRIAL_AFTER_S[trials]
+        # A trial that another judge granted, or one of which nothing was heard.
+        is_uncounted = crashed_at > known.trial_at
+        self._blame_for(signature, trials + is_uncounted)
+
+    def _blame_for(self, signature: Signature, trials: int) -> None:
+        self._publish_blame(signature, trials, trial_after_s(trials))
+
+    def _publish_blame(self, signature: Signature, trials: int, after_s: float) -> None:
         self._publish(signature, VerdictState.BLAMED, trials, after_s)
 
     def _is_news(self, signature: Signature) -> bool:
@@ -257,11 +245,6 @@
         if was_blamed or state is VerdictState.BLAMED:
             self.on_verdict()
 
-    def _forget_old_trials(self, now: float) -> None:
-        for signature, at in list(self._trial_granted_at.items()):
-            if now - at >= TRIAL_TIMEOUT_S:
-                del self._trial_granted_at[signature]
-
 
 def _ignore() -> None:
     """Do nothing; the default of the callbacks."""
--- a/boragedeck/process/relaying/crashes/crash_messages.py
+++ b/boragedeck/process/relaying/crashes/crash_messages.py
@@ -160,7 +160,7 @@
     state : VerdictState
         What is decided.
     trials : int
-        Number of trials that crashed a replica.
+        Number of trials that were granted.
     trial_after_s : float
         Seconds after the decision from which the next trial may be sent.
     age_s : float
--- a/tests/process/relaying/crashes/test_crash_restart.py
+++ b/tests/process/relaying/crashes/test_crash_restart.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from boragedeck.process.relaying.crashes.crash_judge import TRIAL_AFTER_S
+from boragedeck.process.relaying.crashes.crash_trials import TRIAL_AFTER_S
 from tests.support.crash_fleet import CrashFleet, Req
 
 CONTACT_S = 3.0
@@ -185,6 +185,31 @@
         self.fleet.run(2.0)
         self.assertEqual(self.is_blamed(), [False] * 3)
 
+    def test_kill_right_after_a_trial_gives_no_other_one(self):
+        # Kills before a trial's crash was counted each gave another trial.
+        self.single_attempts()
+        self.retry_until_crashes(CRASHES)
+        self.fleet.run(TRIAL_AFTER_S[0] + 1.0)
+        for _ in range(4):
+            self.fleet.send(number=DEADLY)
+            self.fleet.run(1.1)
+            self.restart_all()
+            self.fleet.run(1.0)
+        self.assert_kept(late=1)
+
+    def test_judge_that_ends_after_it_granted_a_trial_is_followed_by_no_other_one(self):
+        self.single_attempts()
+        self.retry_until_crashes(CRASHES)
+        self.fleet.run(TRIAL_AFTER_S[0] + 1.0)
+        for _ in range(4):
+            judge = self.fleet.judge()
+            other = next(each for each in self.fleet.routers if each is not judge)
+            self.fleet.send(router=other, number=DEADLY)
+            self.fleet.run(0.4)
+            self.fleet.restart(judge, after_s=0.1)
+            self.fleet.run(0.1)
+        self.assert_kept(late=1)
+
     def test_part_that_crashes_replicas_is_known_after_a_kill(self):
         self.fleet.sees_begin = True
         self.fleet.deadly = {"x"}
--- a/tests/process/relaying/crashes/test_crash_store.py
+++ b/tests/process/relaying/crashes/test_crash_store.py
@@ -10,7 +10,6 @@
 from boragedeck.exceptions import StoreUnknownOutcomeError
 from boragedeck.process.relaying.crashes.crash_composition import make_crash_parts
 from boragedeck.process.relaying.crashes.crash_identity import RequestTraits
-from boragedeck.process.relaying.crashes.crash_judge import TRIAL_AFTER_S
 from boragedeck.process.relaying.crashes.crash_messages import (
     CrashSuspect,
     ReportCrash,
@@ -19,6 +18,7 @@
 )
 from boragedeck.process.relaying.crashes.crash_row import ROW_KEY, decode_row
 from boragedeck.process.relaying.crashes.crash_store import MAX_RETRY_S
+from boragedeck.process.relaying.crashes.crash_trials import TRIAL_AFTER_S
 from boragedeck.process.relaying.crashes.crash_verdicts import BLAME_TTL_S
 from boragedeck.process.relaying.relay_metrics import RelayMetrics
 from boragedeck.process.relaying.replicas.replica_state import Run
--- a/tests/process/relaying/crashes/test_deadly_part_fleet.py
+++ b/tests/process/relaying/crashes/test_deadly_part_fleet.py
@@ -2,12 +2,12 @@
 
 from boragedeck.connection.messages import FactTopic
 from boragedeck.ids import Health
-from boragedeck.process.relaying.crashes.crash_judge import TRIAL_AFTER_S
 from boragedeck.process.relaying.crashes.crash_messages import (
     CrashVerdict,
     VerdictState,
     part_signature,
 )
+from boragedeck.process.relaying.crashes.crash_trials import TRIAL_AFTER_S
 from tests.support.crash_fleet import POOL, CrashFleet
 
 CONTACT_S = 3.0
