Count crashes for ten minutes

Cause: crashes counted for two minutes. Crashes of a version that would excuse the request are those since two minutes before the first under it, so the longer time doesn't hide a request behind an older bad version. Suspicions are published for two minutes as before.

Failed before: test_request_that_comes_once_a_minute_is_blamed and test_crashes_of_a_version_long_before_do_not_excuse_a_request is new with the window.

--- a/boragedeck/process/relaying/crashes/crash_evidence.py
+++ b/boragedeck/process/relaying/crashes/crash_evidence.py
@@ -35,8 +35,9 @@
 
 __all__ = ["CRASH_TTL_S", "GATHER_S", "CrashEvidence"]
 
-CRASH_TTL_S = 120.0
-"""How long a crash counts against the requests that were at the replica."""
+CRASH_TTL_S = 600.0
+"""How long a crash counts against the requests that were at the replica. Some come
+again a few minutes later only."""
 GATHER_S = 0.2
 """How long after the first report of a crash it counts: the suspects of other routers
 may have begun their answers when those of the first one had not."""
--- a/boragedeck/process/relaying/crashes/crash_rules.py
+++ b/boragedeck/process/relaying/crashes/crash_rules.py
@@ -27,6 +27,9 @@
 fewer, the request itself explains the crashes."""
 MIN_VERSION_CRASHES = 3
 """Crashes of a version under requests with nothing in common that blame the version."""
+VERSION_WINDOW_S = 120.0
+"""How long before the first crash under a request other crashes of its version count
+against the version."""
 MIN_FAMILY_REQUESTS = 3
 """Different requests of a family under which replicas must crash before the family is
 blamed; with fewer, the requests themselves explain the crashes."""
@@ -164,15 +167,18 @@
     Notes
     -----
     That is so if it is the version of all of them, other versions exist, and more of
-    its crashes have nothing in common with any other crash.
+    its crashes about then have nothing in common with any other crash.
     """
     versions = {case.crash.version for case in having}
     if len(versions) != 1 or any(case.crash.is_only_version for case in having):
         return False
+    since = min(case.crash.at for case in having) - VERSION_WINDOW_S
     of_version = [
         case
         for case in cases
-        if case.crash.version in versions and case.crash.pool == having[0].crash.pool
+        if case.crash.version in versions
+        and case.crash.pool == having[0].crash.pool
+        and case.crash.at >= since
     ]
     counts = Counter(trait for case in of_version for trait in case.traits)
     alone = [
--- a/boragedeck/process/relaying/crashes/crash_verdicts.py
+++ b/boragedeck/process/relaying/crashes/crash_verdicts.py
@@ -9,7 +9,6 @@
 from boragedeck.decoding import DECODE_ERRORS
 from boragedeck.interfaces import FactBoard
 from boragedeck.process.observing.logs import PartLog
-from boragedeck.process.relaying.crashes.crash_evidence import CRASH_TTL_S
 from boragedeck.process.relaying.crashes.crash_identity import RequestTraits
 from boragedeck.process.relaying.crashes.crash_messages import (
     CrashVerdict,
@@ -22,6 +21,8 @@
 
 BLAME_TTL_S = 3600.0
 """How long a verdict holds if no trial ends it."""
+SUSPICION_TTL_S = 120.0
+"""How long routers report output with a signature after a suspicion was published."""
 MAX_VERDICTS = 1_024
 
 _log = PartLog("blame")
@@ -156,7 +157,7 @@
 
 
 def _ttl_s(state: VerdictState) -> float:
-    return CRASH_TTL_S if state is VerdictState.SUSPECTED else BLAME_TTL_S
+    return SUSPICION_TTL_S if state is VerdictState.SUSPECTED else BLAME_TTL_S
 
 
 def _fact_key(signature: Signature) -> str:
--- a/tests/process/relaying/crashes/test_crash_evidence.py
+++ b/tests/process/relaying/crashes/test_crash_evidence.py
@@ -188,6 +188,22 @@
             self.crash(CrashSuspect("old", (), False))
         self.assertEqual(self.blamed_requests(), {"old"})
 
+    def test_request_that_comes_once_a_minute_is_blamed(self):
+        # Crashes were forgotten before the third one, and it was never found out.
+        for _ in range(3):
+            self.assertEqual(self.blamed_requests(), set())
+            self.crash(waiting(1), after_s=60.0)
+        self.assertEqual(self.blamed_requests(), {"fp-1"})
+
+    def test_crashes_of_a_version_long_before_do_not_excuse_a_request(self):
+        fields = {"version": "v2", "is_only_version": False}
+        for number in range(6):
+            self.crash(waiting(100 + number), **fields)
+        self.timers.advance(200.0)
+        for _ in range(3):
+            self.crash(waiting(1), **fields)
+        self.assertEqual(self.blamed_requests(), {"fp-1"})
+
     def test_same_replica_counts_once(self):
         for number in range(4):
             self.crash(begun(number, "x"), run="one", domain="a", after_s=0.1)
