Show that a crashing request hides behind calls that have begun

Claim: a request that crashes replicas is never refused if other calls at the replica have begun their answers (rule BUDGET).

Code at fault: CrashEvidence._case. The prime suspects of a crash are the requests whose heads had arrived; a call counts as harmless only when it is complete. The request that crashes the replica before its answer is none.

--- a/review/third_crash_case.py
+++ b/review/third_crash_case.py
@@ -144,11 +144,14 @@
     async def _send_sound(self, world: World) -> None:
         """Send other callers' requests on the same route to one router each."""
         number = 0
+        tasks = set()
         while True:
             number += 1
             router = world.routers[number % len(world.routers)]
             body = b"order %d" % (1000 + number)
-            asyncio.ensure_future(_send(world, router, body, "sound"))
+            task = asyncio.ensure_future(_send(world, router, body, "sound"))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
             await asyncio.sleep(self.sound_every_s)
 
 
