--- a/review/third_replica.py
+++ b/review/third_replica.py
@@ -52,12 +52,15 @@
         How long the body takes after the head has been sent.
     crashes_after_s : float or None
         When the request crashes the replica after it began to run; None if it doesn't.
+    status : int
+        The status of the answer.
     """
 
-    def __init__(self, work_s=0.02, body_s=0.0, crashes_after_s=None):
+    def __init__(self, work_s=0.02, body_s=0.0, crashes_after_s=None, status=200):
         self.work_s = work_s
         self.body_s = body_s
         self.crashes_after_s = crashes_after_s
+        self.status = status
 
 
 class Replica:
@@ -77,9 +80,16 @@
         How many requests it runs at once; a few more wait.
     down_s : float, optional
         How long it is down after a crash.
+    heartbeat_s : float, optional
+        How often it would renew its entry; the entry is dropped three times that after
+        a crash.
+    version : str, optional
+        The version of its software.
 
     Attributes
     ----------
+    running : int
+        How many requests it runs now.
     arrivals : list of Arrival
         The requests that began to run.
     """
@@ -95,6 +105,7 @@
         slots: int = 6,
         down_s: float = 3.0,
         heartbeat_s: float = 1.2,
+        version: str = "v1",
     ):
         self._store = store
         self._service = service
@@ -104,6 +115,8 @@
         self._slots = slots
         self._down_s = down_s
         self._heartbeat_s = heartbeat_s
+        self._version = version
+        self.running = 0
         self._boots = 0
         self._tasks: set[asyncio.Task] = set()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -132,7 +145,7 @@
                 "service": self._service,
                 "address": f"127.0.0.1:{self._port}",
                 "zone": self._zone,
-                "version": "v1",
+                "version": self._version,
                 "slots": self._slots,
                 "state": "ready",
                 "coldRemainingMs": 0,
@@ -222,7 +235,11 @@
             await _send(writer, 503, [*echo, ("Not-Executed", "1")], b"")
             return
         async with self._places:
-            await self._run(req, request_id, echo, writer)
+            self.running += 1
+            try:
+                await self._run(req, request_id, echo, writer)
+            finally:
+                self.running -= 1
 
     async def _run(self, req: Request, request_id: str, echo, writer) -> None:
         work = self._work_for(req)
@@ -239,7 +256,7 @@
         body = b"served by " + self.name.encode()
         headers = [*echo, ("Response-Seal", f"seal-{request_id}")]
         if not work.body_s:
-            await _send(writer, 200, headers, body)
+            await _send(writer, work.status, headers, body)
             return
         head = _head(200, [*headers, ("Content-Length", str(len(body)))])
         writer.write(head + body[:4])
