--- a/review/third_replica.py
+++ b/review/third_replica.py
@@ -124,6 +124,7 @@
         self._is_up = False
         self._port = 0
         self._server: asyncio.Server | None = None
+        self._entry: dict = {}
         self._later: set[asyncio.Task] = set()
         self.name = ""
         self.arrivals: list[Arrival] = []
@@ -138,23 +139,31 @@
         self.name = f"i-{self._service}-{self._port}-{self._boots}"
         self._places = asyncio.Semaphore(self._slots)
         self._is_up = True
-        self._store.put(
-            "servers",
-            self.name,
-            {
-                "service": self._service,
-                "address": f"127.0.0.1:{self._port}",
-                "zone": self._zone,
-                "version": self._version,
-                "slots": self._slots,
-                "state": "ready",
-                "coldRemainingMs": 0,
-                "sequence": 1,
-                "born": int(time.time() * 1000),
-            },
-        )
+        self._entry = {
+            "service": self._service,
+            "address": f"127.0.0.1:{self._port}",
+            "zone": self._zone,
+            "version": self._version,
+            "slots": self._slots,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": int(time.time() * 1000),
+        }
+        self._store.put("servers", self.name, self._entry)
         self._note("replica up", replica=self.name)
 
+    def drain(self) -> None:
+        """Report that it is draining; it serves on."""
+        self._store.put("servers", self.name, self._entry | {"state": "draining"})
+        self._note("replica drains", replica=self.name)
+
+    def leave(self) -> None:
+        """Remove its entry, and end."""
+        self._store.drop("servers", self.name)
+        self._note("replica ends", replica=self.name)
+        self.stop()
+
     def stop(self) -> None:
         """End the replica and all that it would still do."""
         self._end_channels()
