--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,174 +1,249 @@
-"""One caller sends a body of legal size in many small chunks.
+"""A frozen router wakes and ends a rollout that it has never heard of.
 
 Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 """
 
 import asyncio
 import os
+import signal
 import sys
 import time
 from pathlib import Path
 
 from review.third_crash_case import HOST, KEY, make_config
-from review.third_http import Response, read_response
-from review.third_replica import Work
+from review.third_http import Request
+from review.third_replica import Replica, Work
 from review.third_world import World
 
 HERE = Path(__file__).resolve().parent
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
-ZONES = ("z1", "z2", "z3")
-BODY_BYTES = 2_000_000
-"""Less than half of the manifest's `maxBodyBytes`."""
-CHUNK_BYTES = 6
-TIMEOUT_S = 0.6
-"""The `timeoutMs` of the route of the other callers."""
-ANSWER_SLACK_S = 0.5
-CALL_EVERY_S = 0.1
-CALLS_S = 14.0
-UPLOAD_AT_S = 3.0
-MIN_UNANSWERED = 8
-
-
-def config() -> dict:
-    """Return the manifest: a route of short calls, and one of long requests."""
-    found = make_config(["desk"], timeout_ms=int(TIMEOUT_S * 1000))
-    long_route = {"name": "drafts", "prefix": "/drafts/", "timeoutMs": 25_000}
-    found["routes"].append(found["routes"][0] | long_route)
-    return found
-
-
-class Call:
-    """A call of another caller.
+ZONES = ("z1", "z2")
+REPLICAS = 4
+SLOTS = 12
+WORK_S = 0.1
+CALL_EVERY_S = 1 / 80
+DURATION_S = 14.0
+STARTS_AFTER_S = 0.5
+BAD_AFTER_S = 8.7
+"""How long after its start a replica of the new version begins to fail."""
+FREEZE_AT_S = 9.0
+FREEZE_S = 4.0
+OUT_AFTER_S = 2.0
+"""How long after the freeze the platform sends a router no callers any more."""
+ORDER_AGAIN_AFTER_S = 0.7
+"""How long after the roll-back the operator orders the version again."""
+ORDER_AGAIN_UNTIL_S = 12.2
+DRAIN_S = 2.2
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+ROLLBACK_S = 5.0
+MANY_BAD = 50
+ORDER = {"service": "desk", "to": "v2", "durationS": DURATION_S}
+
+
+class Fleet:
+    """The replicas of the service, and what the platform does with them.
 
     Parameters
     ----------
-    router : str
-        The router that it was sent to.
-    sent_at : float
-        When it was sent, in monotonic seconds.
+    world : World
+        The deployment.
     """
 
-    def __init__(self, router: str, sent_at: float):
-        self.router = router
-        self.sent_at = sent_at
-        self.answered_at = float("inf")
-
-    def is_open_after(self, seconds: float) -> bool:
-        """Return whether it had no final answer some time after it was sent."""
-        return self.answered_at > self.sent_at + seconds
-
-
-async def send_call(world: World, router: dict, calls: list[Call]) -> None:
-    """Send one short call, and wait for its answer for some seconds."""
-    call = Call(router["node"], time.monotonic())
-    calls.append(call)
-    request_id = f"call-{len(calls):05d}"
-    world.note("sent", request=request_id, router=router["node"])
-    headers = {
-        "Host": HOST,
-        "Request-Id": request_id,
-        "Deadline-Ms": str(int(TIMEOUT_S * 1000)),
-        "Api-Key": KEY,
-    }
-    found = await world.exchange(
-        router["front"], "POST", "/orders/new", headers, b"order", timeout_s=3.0
-    )
-    if found.status:
-        call.answered_at = time.monotonic()
-    after_s = round(time.monotonic() - call.sent_at, 3)
-    world.note("answered", request=request_id, status=found.status, after_s=after_s)
-
-
-def upload() -> bytes:
-    """Return the request with the long body."""
-    head = (
-        "POST /drafts/new HTTP/1.1\r\n"
-        f"Host: {HOST}\r\n"
-        "Request-Id: upload-1\r\n"
-        "Deadline-Ms: 25000\r\n"
-        f"Api-Key: {KEY}\r\n"
-    )
-    piece = b"x" * CHUNK_BYTES
-    count = BODY_BYTES // CHUNK_BYTES
-    if not IS_TROUBLED:
-        length = f"Content-Length: {count * CHUNK_BYTES}\r\n\r\n"
-        return (head + length).encode() + piece * count
-    chunk = b"%x\r\n%b\r\n" % (CHUNK_BYTES, piece)
-    head += "Transfer-Encoding: chunked\r\n\r\n"
-    return head.encode() + chunk * count + b"0\r\n\r\n"
-
-
-async def send_upload(world: World, router: dict) -> Response:
-    """Send the long request, and return its answer."""
-    data = upload()
-    world.note("upload begins", router=router["node"], bytes=len(data))
-    reader, writer = await asyncio.open_connection(*router["front"])
-    try:
-        writer.write(data)
-        await writer.drain()
-        world.note("upload is sent")
-        found = await read_response(reader)
-        world.note("upload answered", status=found.status)
-        return found
-    finally:
-        writer.close()
+    def __init__(self, world: World):
+        self._world = world
+        self._asked = 0
+        self.old: list[Replica] = []
+        self.new: list[Replica] = []
+        self.current: list[Replica] = []
+        self.bad_at: list[float] = []
 
+    async def start_old(self) -> None:
+        """Start the replicas of the old version."""
+        for number in range(REPLICAS):
+            zone = ZONES[number % len(ZONES)]
+            self.old.append(
+                await self._world.add_replica(
+                    "desk", zone, lambda req: Work(WORK_S), slots=SLOTS, version="v1"
+                )
+            )
 
-async def ask_ready(world: World, router: dict) -> None:
-    """Ask a router once a second whether it is ready, as the platform does."""
-    while True:
-        found = await world.exchange(
-            router["ready"], "GET", "/boragedeck/readyz", timeout_s=1.0
-        )
-        world.note("ready", router=router["node"], status=found.status)
+    async def start_new(self) -> None:
+        """Start replicas of the new version, which fail after some time."""
+        bad_from = time.monotonic() + BAD_AFTER_S
+        self.current = []
+        for number in range(REPLICAS):
+            replica = await self._world.add_replica(
+                "desk",
+                ZONES[number % len(ZONES)],
+                lambda req: self._work(req, bad_from),
+                slots=SLOTS,
+                version="v2",
+            )
+            self.current.append(replica)
+        self.new += self.current
+
+    def _work(self, req: Request, bad_from: float) -> Work:
+        now = time.monotonic()
+        self._asked += 1
+        if now < bad_from or not self._asked % 4:
+            return Work(WORK_S)
+        self.bad_at.append(now)
+        return Work(WORK_S, status=500)
+
+    async def end_new(self) -> None:
+        """Drain the replicas of the new version some time after a roll-back."""
+        ended, self.current = self.current, []
         await asyncio.sleep(1.0)
+        for replica in ended:
+            replica.drain()
+        await asyncio.sleep(DRAIN_S)
+        for replica in ended:
+            replica.leave()
+
+    def end_old(self) -> None:
+        """Stop the replicas of the old version at once."""
+        for replica in self.old:
+            replica.leave()
+
+
+def arrived(replicas: list[Replica], since: float, until: float) -> list[float]:
+    """Return when requests reached some replicas in a time."""
+    return [
+        each.at
+        for replica in replicas
+        for each in replica.arrivals
+        if since <= each.at <= until
+    ]
+
+
+class Traffic:
+    """Calls at a steady rate, to the routers that the platform sends callers to."""
+
+    def __init__(self, world: World):
+        self._world = world
+        self.routers = list(world.routers)
+
+    async def run(self) -> None:
+        """Send calls until cancelled."""
+        number, tasks = 0, set()
+        since = time.monotonic()
+        while True:
+            router = self.routers[number % len(self.routers)]
+            number += 1
+            call = self._world.request(
+                router,
+                "POST",
+                "/orders/new",
+                host=HOST,
+                key=KEY,
+                deadline_ms=4000,
+                body=b"order %d" % number,
+            )
+            task = asyncio.ensure_future(call)
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            due = since + number * CALL_EVERY_S
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+
+
+async def watch_status(world: World, fleet: Fleet) -> None:
+    """Act on the status of the rollout, as the platform does."""
+    seen, tasks = None, set()
+    while True:
+        status = world.store.read("status", "rollout/desk")
+        if status != seen:
+            seen = status
+            world.note("status of the rollout", status=status)
+            if status["to"] == ORDER["to"] and status["state"] == "completed":
+                fleet.end_old()
+            elif status["to"] == ORDER["to"] and status["state"] == "rolled_back":
+                tasks.add(asyncio.ensure_future(fleet.end_new()))
+        await asyncio.sleep(0.02)
+
+
+async def freeze(world: World, traffic: Traffic) -> None:
+    """Stop one router for some seconds, and let it go on."""
+    router = world.routers[0]
+    router["process"].send_signal(signal.SIGSTOP)
+    world.note("router frozen", router=router["node"])
+    await asyncio.sleep(OUT_AFTER_S)
+    traffic.routers = world.routers[1:]
+    await asyncio.sleep(FREEZE_S - OUT_AFTER_S)
+    router["process"].send_signal(signal.SIGCONT)
+    world.note("router goes on", router=router["node"])
+    await asyncio.sleep(1.0)
+    traffic.routers = list(world.routers)
+
+
+async def order(world: World, fleet: Fleet) -> float:
+    """Order the rollout, start the new replicas, and return when it was ordered."""
+    world.store.put("op", "rollout/desk", ORDER)
+    at = time.monotonic()
+    world.note("rollout is ordered", order=ORDER)
+    await asyncio.sleep(STARTS_AFTER_S)
+    await fleet.start_new()
+    return at
+
+
+async def wait_rolled_back(world: World, until: float) -> bool:
+    """Wait until the version may be ordered again; return False if that is too late."""
+    while time.monotonic() < until - ORDER_AGAIN_AFTER_S:
+        status = world.store.read("status", "rollout/desk") or {}
+        if status.get("state") == "rolled_back":
+            await asyncio.sleep(ORDER_AGAIN_AFTER_S)
+            return True
+        await asyncio.sleep(0.02)
+    return False
 
 
 async def play(world: World) -> int:
     """Play the case; return the exit status."""
     await world.store.start()
-    world.store.put("op", "config", config())
-    for zone in ZONES:
-        await world.add_replica("desk", zone, lambda req: Work(0.03))
-    for zone in ZONES:
+    world.store.put("op", "config", make_config(["desk"]))
+    fleet = Fleet(world)
+    await fleet.start_old()
+    for zone in ("z1", "z2", "z1"):
         await world.add_router(zone)
-    # The routers find each other, and are in touch.
     await asyncio.sleep(4.0)
-    asked = [asyncio.ensure_future(ask_ready(world, each)) for each in world.routers]
-    calls: list[Call] = []
-    tasks = []
-    sending = None
-    began = time.monotonic()
-    while time.monotonic() < began + CALLS_S:
-        tasks += [
-            asyncio.ensure_future(send_call(world, each, calls))
-            for each in world.routers
-        ]
-        if sending is None and time.monotonic() >= began + UPLOAD_AT_S:
-            sending = asyncio.ensure_future(send_upload(world, world.routers[0]))
-        await asyncio.sleep(CALL_EVERY_S)
-    await asyncio.gather(*tasks)
-    for each in asked:
-        each.cancel()
-    answer = await sending
-    return judge(world, calls, answer)
-
-
-def judge(world: World, calls: list[Call], answer: Response) -> int:
-    """Return the exit status."""
-    late = [each for each in calls if each.is_open_after(TIMEOUT_S)]
-    unanswered = [
-        each for each in late if each.is_open_after(TIMEOUT_S + ANSWER_SLACK_S)
-    ]
+    traffic = Traffic(world)
+    tasks = [asyncio.ensure_future(traffic.run())]
+    await asyncio.sleep(4.0)
+    tasks.append(asyncio.ensure_future(watch_status(world, fleet)))
+    first = await order(world, fleet)
+    await asyncio.sleep(first + FREEZE_AT_S - time.monotonic())
+    if IS_TROUBLED:
+        tasks.append(asyncio.ensure_future(freeze(world, traffic)))
+    if not await wait_rolled_back(world, first + ORDER_AGAIN_UNTIL_S):
+        world.note("the first rollout wasn't rolled back in time")
+        return 2
+    second = await order(world, fleet)
+    await asyncio.sleep(second + DURATION_S + ROLLBACK_S - time.monotonic())
+    for task in tasks:
+        task.cancel()
+    return judge(world, fleet, second)
+
+
+def judge(world: World, fleet: Fleet, ordered_at: float) -> int:
+    """Return the exit status, by what the second rollout has brought."""
+    until = ordered_at + DURATION_S
+    got = len(arrived(fleet.new, ordered_at, until))
+    rest = len(arrived(fleet.old, ordered_at, until))
+    most = EXPOSURE_SHARE * (got + rest) + EXPOSURE_SLACK
+    bad = [at for at in fleet.bad_at if at >= ordered_at]
+    late = 0
+    if len(bad) >= MANY_BAD:
+        since = bad[MANY_BAD - 1] + ROLLBACK_S
+        late = len(arrived(fleet.new, since, float("inf")))
     world.note(
-        "calls",
-        sent=len(calls),
-        open_at_timeout=len(late),
-        open_half_a_second_later=len(unanswered),
-        upload_status=answer.status,
+        "new version, since the second order",
+        got=got,
+        of=got + rest,
+        most=most,
+        bad=len(bad),
+        later_than_roll_back=late,
     )
-    is_broken = len(unanswered) >= MIN_UNANSWERED and 2 * len(unanswered) > len(late)
-    return 1 if is_broken else 0
+    return 1 if got > most else 0
 
 
 async def main() -> int:
