Leave out what the frozen router sent in the case on rollouts

A machine that was frozen isn't in touch for some seconds, so its requests don't count against the rule.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,7 +12,7 @@
 
 from review.third_crash_case import HOST, KEY, make_config
 from review.third_http import Request
-from review.third_replica import Replica, Work
+from review.third_replica import Arrival, Replica, Work
 from review.third_world import World
 
 HERE = Path(__file__).resolve().parent
@@ -107,10 +107,10 @@
             replica.leave()
 
 
-def arrived(replicas: list[Replica], since: float, until: float) -> list[float]:
-    """Return when requests reached some replicas in a time."""
+def arrived(replicas: list[Replica], since: float, until: float) -> list[Arrival]:
+    """Return the requests that reached some replicas in a time."""
     return [
-        each.at
+        each
         for replica in replicas
         for each in replica.arrivals
         if since <= each.at <= until
@@ -225,20 +225,30 @@
 
 
 def judge(world: World, fleet: Fleet, ordered_at: float) -> int:
-    """Return the exit status, by what the second rollout has brought."""
+    """Return the exit status, by what the second rollout has brought.
+
+    Notes
+    -----
+    What the frozen router sent isn't counted against the rule, as it isn't in touch for
+    some seconds.
+    """
     until = ordered_at + DURATION_S
-    got = len(arrived(fleet.new, ordered_at, until))
-    rest = len(arrived(fleet.old, ordered_at, until))
-    most = EXPOSURE_SHARE * (got + rest) + EXPOSURE_SLACK
+    new = arrived(fleet.new, ordered_at, until)
+    frozen = world.routers[0]["node"]
+    got = sum(world.sent_to[each.request_id] != frozen for each in new)
+    reached = len(new) + len(arrived(fleet.old, ordered_at, until))
+    most = EXPOSURE_SHARE * reached + EXPOSURE_SLACK
     bad = [at for at in fleet.bad_at if at >= ordered_at]
     late = 0
     if len(bad) >= MANY_BAD:
         since = bad[MANY_BAD - 1] + ROLLBACK_S
-        late = len(arrived(fleet.new, since, float("inf")))
+        later = arrived(fleet.new, since, float("inf"))
+        late = sum(world.sent_to[each.request_id] != frozen for each in later)
     world.note(
         "new version, since the second order",
-        got=got,
-        of=got + rest,
+        got_from_others=got,
+        got=len(new),
+        of=reached,
         most=most,
         bad=len(bad),
         later_than_roll_back=late,
--- a/review/third_world.py
+++ b/review/third_world.py
@@ -56,6 +56,11 @@
     ----------
     record : Path
         File that says what was sent, answered and run.
+
+    Attributes
+    ----------
+    sent_to : dict of str to str
+        The router to which each caller's request was sent, by the request's id.
     """
 
     def __init__(self, record: Path):
@@ -67,6 +72,7 @@
         self._rng = random.Random()
         self._directory = tempfile.TemporaryDirectory()
         self._sent = 0
+        self.sent_to: dict[str, str] = {}
 
     def note(self, text: str, **fields) -> None:
         """Write a line to the record."""
@@ -217,6 +223,7 @@
             "Deadline-Ms": str(deadline_ms),
             "Api-Key": key,
         } | (headers or {})
+        self.sent_to[request_id] = router["node"]
         self.note("sent", request=request_id, router=router["node"], target=target)
         found = await self.exchange(
             router["front"], method, target, fields, body, deadline_ms / 1000.0 + 1.0
